--- /dev/null
+++ b/juniperreel/benchlink.py
@@ -0,0 +1,354 @@
+"""The bench's wire, to and from the decision module's own terms.
+
+Reads batches of lines on standard input, hosts one `Router` for each instance named
+there, and writes one reply for each batch. It translates and decides nothing.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+import sys
+from collections.abc import Callable, Iterable, Iterator
+from decimal import ROUND_CEILING, ROUND_FLOOR, Decimal
+from typing import Any, TextIO
+
+from juniperreel import interface as ui
+from juniperreel.rules import Router
+
+TRAILING_TEXT = ("config=", "reason_text=", "payload=")
+OUTCOMES = {
+    "GOOD": ui.Outcome.OK,
+    "BAD": ui.Outcome.ERROR,
+    "FULL": ui.Outcome.REJECTED,
+    "LATE": ui.Outcome.TIMEOUT,
+    "NOCONN": ui.Outcome.UNREACHABLE,
+    "RST": ui.Outcome.RESET,
+    "CXL": ui.Outcome.CANCELLED,
+    "NOP": ui.Outcome.NOT_SENT,
+    "MISS": ui.Outcome.MISS,
+}
+READINESS = {"IN": ui.Readiness.UP, "LAME": ui.Readiness.DRAINING, "OUT": ui.Readiness.GONE}
+LIST_KINDS = {
+    "Partial": ui.ListKind.CHANGES,
+    "Complete": ui.ListKind.FULL,
+    "Persisted": ui.ListKind.SAVED,
+    "Error": ui.ListKind.FAILED,
+}
+ROLES = {0: ui.Role.UNKNOWN, 1: ui.Role.PRIMARY, 2: ui.Role.REPLICA}
+EFFECTS = {"repeatable": ui.Effect.REPEATABLE, "by_key": ui.Effect.KEYED, "once": ui.Effect.ONCE}
+SCOPES = {"all": ui.KeyScope.ALL, "zone": ui.KeyScope.ZONE, "cell": ui.KeyScope.GROUP}
+
+Fields = dict[str, str]
+
+
+class WireError(Exception):
+    """Input that is not the wire."""
+
+
+def us_down(text: str) -> int:
+    return int((Decimal(text) * 1_000_000).to_integral_value(ROUND_FLOOR))
+
+
+def us_up(text: str) -> int:
+    return int((Decimal(text) * 1_000_000).to_integral_value(ROUND_CEILING))
+
+
+def us_near(text: str) -> int:
+    return round(float(text) * 1_000_000)
+
+
+def flag(text: str) -> bool:
+    if text not in ("0", "1"):
+        raise WireError(f"not a bool: {text!r}")
+    return text == "1"
+
+
+def seconds(us: int) -> str:
+    return f"{us / 1_000_000:.6f}".rstrip("0").rstrip(".")
+
+
+def split_line(line: str) -> tuple[str, Fields]:
+    name, _, rest = line.partition(" ")
+    fields: Fields = {}
+    while rest:
+        key, eq, tail = rest.partition("=")
+        if not eq or not key or " " in key:
+            raise WireError(f"not a name=value pair in {name}: {rest[:60]!r}")
+        if rest.startswith(TRAILING_TEXT):
+            fields[key] = tail
+            break
+        fields[key], _, rest = tail.partition(" ")
+    return name, fields
+
+
+def need(fields: Fields, key: str, message: str) -> str:
+    try:
+        return fields[key]
+    except KeyError:
+        raise WireError(f"{message} without {key}") from None
+
+
+def read_settings(text: str) -> tuple[ui.Settings, int]:
+    """The settings, and the clock reading in microseconds from which positions count."""
+    raw: dict[str, Any] = json.loads(text)
+    limits, rules, special = raw["ceilings"], raw["rules"], raw["specifics"]
+
+    def us(value: float) -> int:
+        return round(value * 1_000_000)
+
+    classes = tuple(
+        ui.RequestClass(
+            name=str(s["name"]),
+            effect=EFFECTS[s["effect"]],
+            key_scope=SCOPES[s.get("key_scope", "all")],
+            memory_span_us=us(s.get("memory_span_s", 0.0)),
+            consistency=ui.Consistency(special["consistency"][i]),
+            lag_allowed_us=math.floor(special["lag_allowed_s"][i] * 1_000_000 + 1e-6),
+            aim_us=us(s["objective_s"]),
+            deadline_us=us(s["deadline_s"]),
+            worth=float(s["worth"]),
+            late_worth=float(s.get("late_worth", 0.0)),
+            aim_stretch=float(s.get("aim_stretch", 0.0)),
+            stream=bool(s.get("stream", False)),
+        )
+        for i, s in enumerate(raw["services"])
+    )
+    tenants = tuple(
+        ui.Tenant(str(t["name"]), float(t["fraction"]), float(t["quota_rps"])) for t in raw.get("tenants", [])
+    )
+    prices = raw.get("prices", {})
+    settings = ui.Settings(
+        routers=int(raw["balancers"]),
+        zone=int(raw["zone"]),
+        classes=classes,
+        tenants=tenants,
+        over_share_worth=float(raw.get("over_share_worth", 1.0)),
+        prices=ui.Prices(
+            **{k: float(prices.get(k, 0.0)) for k in ("cross_zone", "waste", "probe", "late_fail")}
+        ),
+        max_attempts=int(limits["max_attempts"]),
+        cancelling=bool(limits["cancelling"]),
+        probes=bool(limits["probes"]),
+        second_copies=bool(limits["second_copies"]),
+        retry_hints=bool(limits["retry_after"]),
+        max_retry_after_us=us(limits["max_retry_after_s"]),
+        answer_grace_us=us(rules["grace_to_answer_s"]),
+        drain_grace_us=us(rules["stop_sending_within_s"]),
+        only_draining_binds=bool(rules.get("only_draining_binds", False)),
+        cold_from=float(rules["cold_from"]),
+        cold_us=us(rules["cold_s"]),
+        fall_multiple=float(rules["fall_multiple"]),
+        overload_us=us(rules["overload_for_s"]),
+        must_ask=raw["membership_mode"] == "ask",
+        ask_every_us=us(rules.get("ask_every_s", 0.0)),
+        guard=ui.Guard(special["guards"]),
+        guard_wait_us=us(special.get("wait_s", 0.0)),
+        carried_age=special["token_mode"] == "carried",
+        positions_in_answers=bool(special["positions"]),
+        list_shows_role=special["shows_role"] != "off",
+    )
+    return settings, us(special["position_zero_s"])
+
+
+class Hosted:
+    """One instance: its router and the names by which the wire knows its attempts."""
+
+    def __init__(self, fields: Fields) -> None:
+        settings, self.zero_us = read_settings(need(fields, "config", "ENLIST"))
+        self.router = Router(settings, int(need(fields, "random_seed", "ENLIST")))
+
+    def report(self, text: str | None) -> ui.Report | None:
+        if not text or text == "-":
+            return None
+        values: dict[str, str] = {}
+        for pair in text.split(","):
+            name, _, value = pair.partition(":")
+            values[name] = value
+        x0, x1 = values.get("x0"), values.get("x1")
+        busy, waiting = values.get("busy_reqs"), values.get("pending")
+        return ui.Report(
+            position_us=None if x0 is None else self.zero_us + us_down(x0),
+            primary=None if x1 is None else float(x1) >= 0.5,
+            in_hand=None if busy is None else float(busy),
+            waiting=None if waiting is None else float(waiting),
+        )
+
+    def event(self, name: str, fields: Fields, now_us: int) -> ui.Event | None:
+        if name == "RESULT":
+            stamp = int(fields.get("stamp", "0"))
+            position, role = divmod(stamp, 4)
+            return ui.AttemptEnded(
+                request=need(fields, "ref", name),
+                attempt=int(fields.get("seq_no", "0")),
+                member=need(fields, "member", name),
+                outcome=OUTCOMES[need(fields, "outcome", name)],
+                took_us=us_near(fields.get("spent_s", "0")),
+                finished=flag(fields.get("done_flag", "0")),
+                role=ROLES.get(role, ui.Role.UNKNOWN),
+                position_us=self.zero_us + position * 1000 if position else None,
+                report=self.report(fields.get("gauge")),
+            )
+        if name == "ORDER":
+            age, hint = fields.get("since_write_ms"), fields.get("expected_s")
+            return ui.Request(
+                id=need(fields, "ref", name),
+                cls=int(fields.get("priority", "0")),
+                tenant=int(fields.get("tenant", "0")),
+                group=int(float(fields.get("group_no", "0"))),
+                deadline_us=us_down(need(fields, "client_deadline_s", name)),
+                session=fields.get("conn_key"),
+                session_age_us=None if age is None or float(age) == 0 else math.floor(float(age) * 1000),
+                expected_us=None if hint is None else us_near(hint),
+                repeat=flag(fields.get("retry", "0")),
+            )
+        if name == "EXPIRED":
+            return ui.RequestGone(need(fields, "ref", name))
+        if name == "BELL":
+            return ui.TimerFired(int(fields.get("key_back", "0")))
+        if name == "CHECKED":
+            return ui.ProbeEnded(
+                member=need(fields, "member", name),
+                outcome=OUTCOMES[need(fields, "outcome", name)],
+                took_us=us_near(fields.get("spent_s", "0")),
+                report=self.report(fields.get("gauge")),
+            )
+        if name == "FLOWING":
+            return ui.StreamStarted(
+                need(fields, "ref", name), int(fields.get("seq_no", "0")), need(fields, "member", name)
+            )
+        if name == "HEARD":
+            return None
+        raise WireError(f"unknown message {name!r}")
+
+
+def read_member(fields: Fields) -> ui.Member:
+    return ui.Member(
+        id=need(fields, "member", "ITEM"),
+        group=int(float(fields.get("group", "0"))),
+        zone=int(fields.get("zone", "0")),
+        kind=int(fields.get("model", "0")),
+        readiness=READINESS[fields.get("readiness", "IN")],
+        listed_primary=float(fields.get("is_primary", "0")) >= 0.5,
+        size=float(fields.get("size", "1")),
+        started_us=us_up(fields.get("ready_at_s", "0")),
+    )
+
+
+def render(action: ui.Action, driver: str) -> str:
+    who = f"driver={driver}"
+    match action:
+        case ui.Send(request, member, timeout):
+            allow = f" allow_for_s={seconds(timeout)}" if timeout else ""
+            return f"CALL_OUT {who} ref={request} member={member}{allow}"
+        case ui.Cancel(request, attempt):
+            return f"CANCEL {who} ref={request} seq_no={attempt}"
+        case ui.Refuse(request, wait):
+            hint = f" not_before_for_s={seconds(wait)}" if wait else ""
+            return f"OVERLOAD_REPLY {who} ref={request}{hint}"
+        case ui.Fail(request):
+            return f"DROP_REQUEST {who} ref={request}"
+        case ui.SetTimer(after, key):
+            return f"AFTER {who} span_s={seconds(after)} key_back={key}"
+        case ui.Probe(member):
+            return f"TOUCH {who} member={member}"
+        case ui.Subscribe(on):
+            return f"SUBSCRIBE {who} want={int(on)}"
+        case ui.FetchList():
+            return f"PULL {who}"
+        case ui.Log(text):
+            return f"REMARK {who} reason_text={text}"
+
+
+class Link:
+    """All instances of this process."""
+
+    def __init__(self, make: Callable[[Fields], Hosted] = Hosted) -> None:
+        self.make = make
+        self.hosted: dict[str, Hosted] = {}
+        self.tables: dict[int, tuple[ui.Member, ...]] = {}
+
+    def batch(self, lines: Iterable[str]) -> list[str]:
+        """The reply to one batch, given without its FLUSH; the reply comes without ACK."""
+        feed = iter(lines)
+        name, fields = split_line(next(feed, ""))
+        if name != "CLOCK":
+            raise WireError(f"a batch starts with CLOCK, not {name!r}")
+        now_us = us_near(need(fields, "ts_s", "CLOCK"))
+        events: dict[str, list[ui.Event]] = {}
+        for line in feed:
+            name, fields = split_line(line)
+            if name == "TABLE":
+                rows = self.rows(feed, int(need(fields, "rows_in", "TABLE")))
+                self.tables[int(fields.get("ref", "0"))] = rows
+                continue
+            driver = need(fields, "driver", name)
+            if name == "ENLIST":
+                self.hosted[driver] = self.make(fields)
+                events[driver] = []
+            elif name == "DESTROY":
+                self.hosted.pop(driver, None)
+                events.pop(driver, None)
+            elif driver not in self.hosted:
+                raise WireError(f"{name} for {driver}, which does not run")
+            elif name == "UPDATE":
+                kind = LIST_KINDS[need(fields, "mode", name)]
+                table: tuple[ui.Member, ...] = ()
+                if kind is not ui.ListKind.FAILED:
+                    table = self.tables[int(fields.get("ref", "0"))]
+                events.setdefault(driver, []).append(ui.MemberList(kind, table))
+            else:
+                event = self.hosted[driver].event(name, fields, now_us)
+                if event is not None:
+                    events.setdefault(driver, []).append(event)
+        reply: list[str] = []
+        for driver, batch in events.items():
+            try:
+                actions = self.hosted[driver].router.handle(now_us, batch)
+            except Exception as error:  # the wire has a message for any failure of the module
+                reply.append(f"BUG driver={driver} reason_text={describe(error)}")
+                continue
+            reply.extend(render(action, driver) for action in actions)
+        return reply
+
+    @staticmethod
+    def rows(feed: Iterator[str], count: int) -> tuple[ui.Member, ...]:
+        members = []
+        for _ in range(count):
+            name, fields = split_line(next(feed, ""))
+            if name != "ITEM":
+                raise WireError(f"a TABLE of {count} rows holds {name!r}")
+            members.append(read_member(fields))
+        return tuple(members)
+
+
+def describe(error: Exception) -> str:
+    return " ".join(f"{type(error).__name__}: {error}".split())
+
+
+def serve(source: TextIO, sink: TextIO) -> None:
+    link = Link()
+    lines: list[str] = []
+    for raw in source:
+        line = raw.rstrip("\r\n")
+        if line == "FLUSH":
+            sink.write("\n".join([*link.batch(lines), "ACK\n"]))
+            sink.flush()
+            lines = []
+        elif line:
+            lines.append(line)
+    if lines:
+        raise WireError("input ended inside a batch")
+
+
+def main() -> int:
+    try:
+        serve(sys.stdin, sys.stdout)
+    except (WireError, KeyError, ValueError, ArithmeticError) as error:
+        print(f"benchlink: {describe(error)}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,210 @@
+"""The five rules and the ordinary draw, on the module alone."""
+
+from __future__ import annotations
+
+import ast
+from collections import Counter
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from juniperreel import interface as ui
+from juniperreel import rules
+from juniperreel.rules import Router
+from tests.script import CLASSES, MS, SEC, SETTINGS, Script, member
+
+SOURCE = Path(rules.__file__).read_text(encoding="utf-8")
+
+
+def test_module_stays_readable() -> None:
+    lines = SOURCE.splitlines()
+    assert sum(1 for line in lines if line.strip()) <= 650
+    assert max(map(len, lines)) <= 110
+
+
+def test_module_imports_only_standard_library_and_interface() -> None:
+    allowed = {
+        "__future__",
+        "random",
+        "collections.abc",
+        "dataclasses",
+        "juniperreel",
+        "juniperreel.interface",
+    }
+    for node in ast.walk(ast.parse(SOURCE)):
+        if isinstance(node, ast.Import):
+            assert {a.name for a in node.names} <= allowed
+        elif isinstance(node, ast.ImportFrom):
+            assert node.module in allowed
+            if node.module == "juniperreel":
+                assert [a.name for a in node.names] == ["interface"]
+
+
+def test_draw_follows_one_over_srtt() -> None:
+    s = Script()
+    s.group("a", "b")
+    for name, srtt in (("a", 50_000.0), ("b", 150_000.0)):
+        state = s.router.members[name]
+        state.srtt, state.heard = srtt, True
+    picked: Counter[str] = Counter()
+    for _ in range(800):
+        r = s.ask("loose")
+        picked[s.sends[r][0]] += 1
+        s.batch(ui.RequestGone(r))
+        s.router.members[s.sends[r][0]].out.clear()
+    assert picked["p"] == 0
+    assert 2.3 < picked["a"] / picked["b"] < 4.0
+
+
+def test_srtt_is_smoothed_and_penalized() -> None:
+    s = Script()
+    s.group("a")
+    for took, expected in ((100 * MS, 100 * MS), (200 * MS, 130 * MS)):
+        s.end(s.ask("loose"), took_us=took)
+        assert s.router.members["a"].srtt == pytest.approx(expected)
+    r = s.ask("loose")
+    s.end(r, ui.Outcome.ERROR)
+    assert s.router.members["a"].srtt == pytest.approx(156 * MS)
+
+
+def test_bounded_read_needs_a_known_fresh_position_when_sent() -> None:
+    s = Script()
+    s.group("a")
+    assert s.sends[s.ask("read")] == ["a"]
+    s.now += 301 * MS
+    assert s.sends[s.ask("read")] == ["p"]
+
+
+def test_session_read_waits_for_its_write() -> None:
+    s = Script()
+    s.group("a")
+    assert s.sends[s.ask("own")] == ["a"]
+    w = s.ask("write")
+    s.now += 40 * MS
+    s.end(w, role=ui.Role.PRIMARY, position_us=s.now)
+    assert s.sends[s.ask("own")] == ["p"]
+    assert s.sends[s.ask("own", session="other")] == ["a"]
+    s.probed("a", False)
+    assert s.sends[s.ask("own")] == ["a"]
+
+
+def test_forgotten_sessions_leave_a_floor(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(rules, "SESSIONS", 2)
+    s = Script()
+    s.group("a")
+    for i in range(3):
+        w = s.ask("write", session=f"s{i}")
+        s.now += MS
+        s.end(w, role=ui.Role.PRIMARY, position_us=s.now)
+    assert s.sends[s.ask("own", session="s0")] == ["p"]
+    assert s.sends[s.ask("own", session="never wrote")] == ["p"]
+
+
+def test_once_is_failed_when_it_may_have_run() -> None:
+    s = Script()
+    s.group("a")
+    r = s.ask("once")
+    s.end(r, ui.Outcome.RESET)
+    assert s.sends[r] == ["p"] and s.did(ui.Fail, r) and not s.did(ui.Refuse, r)
+
+
+def test_once_goes_on_when_nothing_ran() -> None:
+    s = Script()
+    s.group("a")
+    r = s.ask("once")
+    s.end(r, ui.Outcome.MISS, role=ui.Role.REPLICA)
+    assert s.sends[r] == ["p", "a"] and not s.did(ui.Fail, r)
+
+
+def test_keyed_write_is_repeated_only_within_the_span() -> None:
+    s = Script(classes=(*CLASSES[:2], replace(CLASSES[2], memory_span_us=1 * SEC), *CLASSES[3:]))
+    s.group("a")
+    r = s.ask("write")
+    s.now += 900 * MS
+    s.end(r, ui.Outcome.ERROR)
+    s.wait(60 * MS)
+    assert s.sends[r] == ["p", "p"]
+    s.now += 100 * MS
+    s.end(r, ui.Outcome.ERROR)
+    assert len(s.sends[r]) == 2 and s.did(ui.Fail, r)
+
+
+def test_draining_member_gets_nothing_new() -> None:
+    s = Script()
+    s.group("a", "b")
+    s.start(member("a", readiness=ui.Readiness.DRAINING), kind=ui.ListKind.CHANGES)
+    assert {s.sends[s.ask("loose")][0] for _ in range(30)} == {"b"}
+
+
+def test_draining_primary_keeps_writes_for_half_the_grace_only() -> None:
+    s = Script()
+    s.group("a")
+    s.start(member("p", readiness=ui.Readiness.DRAINING), kind=ui.ListKind.CHANGES)
+    assert s.sends[s.ask("write")] == ["p"]
+    s.wait(1100 * MS)
+    assert s.sends[s.ask("write")] == ["a"]
+
+
+def test_successor_is_found_by_asking_in_turn() -> None:
+    s = Script()
+    s.group("a", "b")
+    r = s.ask("write")
+    s.end(r, ui.Outcome.RESET)
+    assert s.sends[r] == ["p", "a"]
+    s.end(r, ui.Outcome.MISS, role=ui.Role.REPLICA)
+    assert s.sends[r] == ["p", "a", "b"]
+    s.end(r, ui.Outcome.OK, role=ui.Role.PRIMARY)
+    assert s.sends[s.ask("write")] == ["b"]
+
+
+def test_held_request_is_answered_before_its_deadline() -> None:
+    s = Script()
+    r = s.ask("read")
+    assert r not in s.sends
+    s.wait(2 * SEC)
+    answers = [at for at, a in s.all if isinstance(a, ui.Refuse | ui.Fail) and a.request == r]
+    assert len(answers) == 1 and answers[0] <= 1002 * SEC
+
+
+def test_silent_primary_loses_its_writes_to_the_successor() -> None:
+    s = Script()
+    s.group("a")
+    r = s.ask("write")
+    s.wait(3 * SEC)
+    assert [c.attempt for c in s.did(ui.Cancel, r)] == [0]
+    assert s.sends[r] == ["p"]
+    s.end(r, ui.Outcome.CANCELLED)
+    s.wait(200 * MS)
+    assert s.sends[r][1] == "a"
+
+
+def test_cold_member_gets_no_rush() -> None:
+    s = Script()
+    s.group("a", "b")
+    for _ in range(40):
+        s.end(s.ask("loose"))
+        s.now += 20 * MS
+    s.start(member("c", started_us=s.now), kind=ui.ListKind.CHANGES)
+    picked = Counter(s.sends[s.ask("loose")][0] for _ in range(60))
+    assert picked["c"] <= 12
+
+
+@pytest.mark.parametrize("field", ["routers", "max_attempts", "cold_from", "fall_multiple", "overload_us"])
+def test_impossible_settings_name_the_field(field: str) -> None:
+    change: dict[str, Any] = {field: 0}
+    impossible = replace(SETTINGS, **change)
+    with pytest.raises(ValueError, match=field):
+        Router(impossible, 1)
+
+
+def test_unknown_things_are_passed_over() -> None:
+    s = Script()
+    s.group("a")
+    ended = ui.AttemptEnded("x", 3, "nobody", ui.Outcome.OK, 1, True, ui.Role.PRIMARY, 5, None)
+    s.batch(ended, ui.RequestGone("x"), ui.TimerFired(99), ui.ProbeEnded("nobody", ui.Outcome.OK, 1, None))
+    s.batch(ui.Request("y", 77, 0, 0, s.now + SEC))
+    assert s.did(ui.Fail, "y")
+    r = s.ask("read", tenant=9, group=12, deadline_us=s.now - 5)
+    assert len(s.did(ui.Refuse, r)) == 1
