Bound cold members by what warm ones answer

The bound was taken from what warm members were sent, and the luckiest of them; in overload that is far above their capacity. Also covers any start under overload. Harm: less for a cold sole server.

--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -55,6 +55,8 @@
 TENANT_MEMORY_US = 5 * SEC
 SHARE_SLACK = 1.15  # a tenant's part of the traffic may exceed its share by chance
 
+PEAK_MEMORY_US = 60 * SEC  # what warm members could carry a minute ago they mostly still can
+
 # Probes.
 PROBE_SHARE = 0.15  # probes earned by each request
 PROBE_BURST = 40.0
@@ -73,6 +75,21 @@
 CURRENT = (Consistency.WRITE, Consistency.FRESH)  # only the primary serves these
 
 
+class Recent:
+    """How many of something fell into about the last span."""
+
+    def __init__(self, now: int) -> None:
+        self.count, self.at_us = 0.0, now
+
+    def read(self, now: int, span_us: int) -> float:
+        self.count *= max(0.0, 1 - (now - self.at_us) / span_us)
+        self.at_us = now
+        return self.count
+
+    def add(self, now: int, span_us: int) -> None:
+        self.count = self.read(now, span_us) + 1
+
+
 class MemberState:
     """What this router believes of one member, and since when."""
 
@@ -92,7 +109,7 @@
         self.role, self.role_us = Role.UNKNOWN, NEVER
         self.window = float(WINDOW_OPEN)
         self.pressure, self.pressure_us = 0.0, now
-        self.sent, self.sent_us = 0.0, now  # attempts within about one overload window
+        self.sent, self.answered = Recent(now), Recent(now)  # within about one overload window
         self.probe_us, self.probing = NEVER, False
         self.probe_gap_us = 0
 
@@ -184,10 +201,9 @@
         self.requests: dict[str, RequestState] = {}
         self.stats = [ClassStats(c.aim_us) for c in settings.classes]
         self.sessions: dict[tuple[int, str], int] = {}
-        self.tenants = [0.0] * len(settings.tenants)
-        self.tenants_us = 0
+        self.tenants = [Recent(0) for _ in settings.tenants]
         self.retries, self.probes = RETRY_BURST, PROBE_BURST
-        self.peak, self.peak_us = 0.0, 0  # what a warm member of size 1 has carried in a window
+        self.peak = 0.0  # what a warm member of size 1 has carried in a window
         self.tick_key, self.tick_due = 0, -1
         self.ask_us: int | None = None
         self.ask_backoff_us = ASK_BACKOFF_US
@@ -278,14 +294,15 @@
         if ramp >= 1.0:
             return True
         allowed = ramp * self.s.fall_multiple * 0.5 * self.peak * m.info.size
-        return self.carried(m) < allowed + 1
+        return m.sent.read(self.now, self.s.overload_us) < allowed + 0.5
 
-    def carried(self, m: MemberState) -> float:
-        gap = self.now - m.sent_us
-        if gap > 0:
-            m.sent *= max(0.0, 1 - gap / self.s.overload_us) if gap < self.s.overload_us else 0.0
-            m.sent_us = self.now
-        return m.sent
+    def note_carried(self) -> None:
+        """What warm members answer in a window, size for size: what they are sent says nothing of
+        capacity when they are overloaded, and the luckiest one says too much."""
+        warm = [m for m in self.members.values() if self.ramp(m) >= 1.0 and m.answered.count > 0]
+        size = sum(m.info.size for m in warm)
+        seen = sum(m.answered.read(self.now, self.s.overload_us) for m in warm) / max(size, 0.01)
+        self.peak = max(self.peak * (1 - TICK_US / PEAK_MEMORY_US), seen)
 
     # The draw.
 
@@ -395,22 +412,15 @@
         self.requests[ask.id] = r
         self.retries = min(RETRY_BURST, self.retries + RETRY_SHARE)
         self.probes = min(PROBE_BURST, self.probes + PROBE_SHARE)
-        self.count_tenant(ask.tenant)
+        if 0 <= ask.tenant < len(self.tenants):
+            self.tenants[ask.tenant].add(self.now, TENANT_MEMORY_US)
         self.decide(r)
 
-    def count_tenant(self, tenant: int) -> None:
-        fade = max(0.0, 1 - (self.now - self.tenants_us) / TENANT_MEMORY_US)
-        self.tenants_us = self.now
-        if fade < 1:
-            self.tenants = [t * fade for t in self.tenants]
-        if 0 <= tenant < len(self.tenants):
-            self.tenants[tenant] += 1
-
     def over_share(self, tenant: int) -> bool:
         if not 0 <= tenant < len(self.tenants):
             return False
-        part = self.tenants[tenant] / max(sum(self.tenants), 1.0)
-        return part > SHARE_SLACK * self.s.tenants[tenant].fraction
+        seen = [t.read(self.now, TENANT_MEMORY_US) for t in self.tenants]
+        return seen[tenant] > SHARE_SLACK * self.s.tenants[tenant].fraction * max(sum(seen), 1.0)
 
     def sheds(self, r: RequestState, pressure: float, on_primary: bool) -> bool:
         """Danger: a queue that makes all answers late. Refuse early, what is worth least first."""
@@ -476,11 +486,7 @@
         r.out[r.attempts] = m.info.id
         r.sent_us[r.attempts] = self.now
         m.out[(r.ask.id, r.attempts)] = (self.now, r.ask.cls)
-        m.sent = self.carried(m) + 1
-        if self.ramp(m) >= 1.0:
-            size = max(m.info.size, 0.01)
-            self.peak = max(self.peak * max(0.0, 1 - (self.now - self.peak_us) / (60 * SEC)), m.sent / size)
-            self.peak_us = self.now
+        m.sent.add(self.now, self.s.overload_us)
         timeout = r.ask.deadline_us - self.now
         if not self.s.cancelling:
             stats = self.stats[r.ask.cls]
@@ -537,6 +543,7 @@
             took = max(e.took_us, 1)
             m.srtt = ALPHA * m.srtt + (1 - ALPHA) * took if m.heard else float(took)
             m.heard, m.ok_us = True, self.now
+            m.answered.add(self.now, self.s.overload_us)
             m.ok_share = OK_MEMORY * m.ok_share + 1 - OK_MEMORY
             m.window = min(m.window + 1, float(WINDOW_OPEN))
             self.stats[r.ask.cls].add(took)
@@ -590,6 +597,7 @@
     # Silence, probes and the periodic look round.
 
     def tick(self) -> None:
+        self.note_carried()
         for group in self.groups.values():
             healthy = [m for m in group.members if not m.suspect and self.usable(m, group)]
             for m in group.members:
