--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -23,6 +23,7 @@
 LOST_PENALTY = 1.2  # a lost answer raises srtt by a fifth
 FIRST_SRTT_US = (1 * MS, 10 * MS)  # small and random, so that unheard members are tried early
 SRTT_CAP_US = 60 * SEC  # keeps repeated penalties finite
+BOUNDED_LOAD = 1.25  # of the mean attempts in flight, plus one; beyond it a member sits out the draw
 OVERDUE = 3  # an answer awaited for this many srtts counts as the srtt: silence is news too
 OK_MEMORY = 0.85  # weight of the old share of good answers; a run of 5 failures halves it
 
@@ -37,6 +38,7 @@
 RETRY_SHARE = 0.2  # further attempts earned by each request: retries add at most a fifth of load
 RETRY_BURST = 20.0  # and this many at once, for a member that dies with work in hand
 LAST_TRY_US = 10 * MS  # with less than this left no answer can arrive in time
+LATE_PATIENCE = 2.0  # late answers worth half or more are awaited to the deadline, others for less
 STATS_MEMORY = 0.95  # weight of the old mean and deviation of a class's response time
 
 # Finding the primary.
@@ -47,14 +49,15 @@
 
 # Shedding: pressure is response time over the class's aim.
 PRESSURE_MEMORY = 0.9
-PRESSURE_FADE_US = 1 * SEC  # without answers pressure is forgotten: knowledge ages
-SHED_FROM = 0.7  # shed none below, all beyond SHED_ALL, in proportion between
-SHED_ALL = 1.6
+PRESSURE_FADE_US = 3 * SEC  # without answers pressure is forgotten: knowledge ages
+SHED_FROM = 0.45  # shed none below, all beyond SHED_ALL, in proportion between
+SHED_ALL = 1.1
 OVER_SHARE_FACTOR = 0.5  # a tenant over its share is shed at this part of the pressure
 PRIMARY_READ_FACTOR = 0.7  # so is a read that falls back on a primary that writes need
 TENANT_MEMORY_US = 5 * SEC
 SHARE_SLACK = 1.15  # a tenant's part of the traffic may exceed its share by chance
 
+COLD_USE = 0.7  # of what would push a cold member over; it mostly has more than the surest ramp says
 PEAK_MEMORY_US = 60 * SEC  # what warm members could carry a minute ago they mostly still can
 
 # Probes.
@@ -137,15 +140,15 @@
 
     def __init__(self, ask: ui.Request, cls: ui.RequestClass, now: int, needs: int | None) -> None:
         self.ask, self.cls, self.arrived = ask, cls, now
+        patience = min(1.0, LATE_PATIENCE * cls.late_worth)
+        self.horizon = now + cls.aim_us + int(patience * (cls.deadline_us - cls.aim_us))  # worth little after
         self.needs = needs  # position that a replica must have passed; None: none
         self.attempts = 0
-        self.out: dict[int, str] = {}  # attempt: member
+        self.out: dict[int, int] = {}  # attempt: when it was sent
         self.ran_us: int | None = None  # send of the first attempt that may have run
         self.ran_at: ui.Member | None = None
-        self.sent_us: dict[int, int] = {}
         self.avoid: str | None = None
         self.wake_us = now
-        self.pauses = 0
         self.done = False
 
 
@@ -179,12 +182,11 @@
             raise ValueError(f"classes: a span of {c.name!r} is not positive")
         if c.worth < 0 or not 0 <= c.late_worth <= 1:
             raise ValueError(f"classes: worth or late_worth of {c.name!r} is out of range")
-    for field in ("routers", "max_attempts", "cold_from", "fall_multiple", "overload_us"):
-        if getattr(s, field) <= 0:
-            raise ValueError(f"{field}: must be above 0")
-    for field in ("drain_grace_us", "cold_us", "answer_grace_us", "max_retry_after_us", "ask_every_us"):
-        if getattr(s, field) < 0:
-            raise ValueError(f"{field}: must not be negative")
+    above = ("routers", "max_attempts", "cold_from", "fall_multiple", "overload_us")
+    spans = ("drain_grace_us", "cold_us", "answer_grace_us", "max_retry_after_us", "ask_every_us")
+    for field in (*above, *spans):
+        if getattr(s, field) < 0 or (field in above and getattr(s, field) == 0):
+            raise ValueError(f"{field}: must not be {getattr(s, field)}")
 
 
 class Router:
@@ -293,7 +295,7 @@
         ramp = self.ramp(m)
         if ramp >= 1.0:
             return True
-        allowed = ramp * self.s.fall_multiple * 0.5 * self.peak * m.info.size
+        allowed = ramp * COLD_USE * self.s.fall_multiple * self.peak * m.info.size
         return m.sent.read(self.now, self.s.overload_us) < allowed + 0.5
 
     def note_carried(self) -> None:
@@ -318,6 +320,9 @@
                 pool.append(m)
         if not pool:
             return None, 0.0
+        # Danger: srtt lags by an answer, so that a lucky member is sent more than it can take.
+        limit = BOUNDED_LOAD * (sum(len(m.out) for m in pool) / len(pool)) + 1
+        pool = [m for m in pool if len(m.out) <= limit]
         weights = [self.weight(m) for m in pool]
         known = [w for m, w in zip(pool, weights, strict=True) if m.heard and self.ramp(m) >= 1.0]
         if known:
@@ -327,7 +332,8 @@
                 if not m.heard and m.out:
                     weights[i] = min(weights[i], usual)
                 if self.ramp(m) < 1.0:
-                    weights[i] = min(weights[i], usual * self.ramp(m))
+                    part = min(1.0, COLD_USE * self.s.fall_multiple * self.ramp(m))
+                    weights[i] = min(weights[i], usual * part)
         total = sum(weights)
         load = sum(w * self.pressure(m) for m, w in zip(pool, weights, strict=True)) / total
         return self.random.choices(pool, weights)[0], load
@@ -459,12 +465,10 @@
             self.send(r, target)
 
     def hopeless(self, r: RequestState) -> bool:
-        if self.now + LAST_TRY_US + TICK_US >= r.ask.deadline_us or r.attempts >= self.s.max_attempts:
-            return True
-        if r.cls.late_worth == 0 and self.now >= r.arrived + r.cls.aim_us:
-            return True
-        if r.ran_us is None:
-            return False
+        end = min(r.ask.deadline_us - TICK_US, r.horizon)
+        spent = self.now + LAST_TRY_US >= end or r.attempts >= self.s.max_attempts
+        if spent or r.ran_us is None:
+            return spent
         late = self.now > r.ran_us + r.cls.memory_span_us - LAST_TRY_US
         return r.cls.effect is Effect.ONCE or (r.cls.effect is Effect.KEYED and late)
 
@@ -483,11 +487,10 @@
     # Attempts and their ends.
 
     def send(self, r: RequestState, m: MemberState) -> None:
-        r.out[r.attempts] = m.info.id
-        r.sent_us[r.attempts] = self.now
+        r.out[r.attempts] = self.now
         m.out[(r.ask.id, r.attempts)] = (self.now, r.ask.cls)
         m.sent.add(self.now, self.s.overload_us)
-        timeout = r.ask.deadline_us - self.now
+        timeout = min(r.ask.deadline_us, r.horizon) - self.now
         if not self.s.cancelling:
             stats = self.stats[r.ask.cls]
             timeout = min(timeout, int(stats.mean + SILENCE_DEVIATIONS * stats.dev) + SILENCE_FLOOR_US)
@@ -499,7 +502,7 @@
         m = self.members.get(e.member)
         if r is None or e.attempt not in r.out:
             return
-        del r.out[e.attempt]
+        sent_us = r.out.pop(e.attempt)
         if m is not None:
             m.out.pop((e.request, e.attempt), None)
             self.learn(m, r, e)
@@ -507,7 +510,7 @@
         if group.scout == (e.request, e.attempt):
             group.scout = None
         if e.outcome not in NEVER_RAN and r.ran_us is None:
-            r.ran_us = r.sent_us[e.attempt]
+            r.ran_us = sent_us
             r.ran_at = None if m is None else m.info
         if e.outcome is Outcome.OK and r.cls.consistency is Consistency.WRITE:
             self.remember(r, self.now if e.position_us is None else e.position_us)
@@ -522,8 +525,7 @@
                 return
             self.retries -= 1
         if m is not None and m is group.primary and not m.suspect:
-            r.wake_us = self.now + (PAUSE_US << min(r.pauses, 5))
-            r.pauses += 1
+            r.wake_us = self.now + (PAUSE_US << min(r.attempts - 1, 5))
         self.decide(r)
 
     def learn(self, m: MemberState, r: RequestState, e: ui.AttemptEnded) -> None:
@@ -575,8 +577,6 @@
 
     def give_up(self, r: RequestState) -> None:
         """Answer at once: a refusal where a repeat does no harm, else a failure."""
-        if r.done:
-            return
         free = r.cls.effect is Effect.REPEATABLE or (r.ran_us is None and not r.out)
         if free or (r.cls.effect is Effect.KEYED and r.cls.key_scope is KeyScope.ALL):
             self.actions.append(ui.Refuse(r.ask.id, self.s.max_retry_after_us if self.s.retry_hints else 0))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -208,3 +208,37 @@
     assert s.did(ui.Fail, "y")
     r = s.ask("read", tenant=9, group=12, deadline_us=s.now - 5)
     assert len(s.did(ui.Refuse, r)) == 1
+
+
+def test_cold_bound_follows_answers_not_sends() -> None:
+    """i426656: in overload warm members are sent far more than they answer."""
+    s = Script()
+    s.group("a")
+    for _ in range(60):
+        s.ask("loose")
+        s.wait(20 * MS)
+    assert s.router.peak == 0.0
+
+
+def test_member_far_above_the_mean_in_flight_sits_out() -> None:
+    s = Script()
+    s.group("a", "b")
+    s.router.members["a"].srtt, s.router.members["b"].srtt = 1.0, 1e9
+    picked = Counter(s.sends[s.ask("loose")][0] for _ in range(40))
+    assert picked["b"] >= 10
+
+
+def test_attempt_times_out_where_lateness_is_worth_nothing() -> None:
+    s = Script(classes=(replace(CLASSES[0], late_worth=0.0), *CLASSES[1:]))
+    s.group("a")
+    r = s.ask("read")
+    assert s.did(ui.Send, r)[0].timeout_us == 500 * MS
+    s.now += 500 * MS
+    s.end(r, ui.Outcome.TIMEOUT)
+    assert s.did(ui.Refuse, r)
+
+
+def test_readme_example_runs() -> None:
+    text = (Path(__file__).parent.parent / "README.md").read_text(encoding="utf-8")
+    code = text.split("```python\n")[1].split("```")[0]
+    exec(compile(code, "README.md", "exec"), {})
