--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Iterable
 from dataclasses import replace
@@ -16,7 +17,8 @@
 
 MS = 1_000  # microseconds
 SEC = 1_000 * MS
-NEVER = -(1 << 60)  # long before any clock reading
+IDLE_US = 1 << 60  # long after any clock reading
+NEVER = -IDLE_US
 
 # The draw (design page; the paper's BIND-8 and BIND-9).
 ALPHA = 0.7  # weight of the old srtt
@@ -52,6 +54,8 @@
 PRESSURE_FADE_US = 3 * SEC  # without answers pressure is forgotten: knowledge ages
 SHED_FROM = 0.45  # shed none below, all beyond SHED_ALL, in proportion between
 SHED_ALL = 1.1
+VALUE_STEP = 0.01  # of the way to a request's value, at each request
+VALUE_RANGE = (0.4, 2.5)  # worth for the time taken, against the usual; its root moves the thresholds
 OVER_SHARE_FACTOR = 0.5  # a tenant over its share is shed at this part of the pressure
 PRIMARY_READ_FACTOR = 0.7  # so is a read that falls back on a primary that writes need
 TENANT_MEMORY_US = 5 * SEC
@@ -178,10 +182,8 @@
     if not s.classes:
         raise ValueError("classes: at least one is needed")
     for c in s.classes:
-        if c.aim_us <= 0 or c.deadline_us <= 0 or c.memory_span_us < 0 or c.lag_allowed_us < 0:
-            raise ValueError(f"classes: a span of {c.name!r} is not positive")
-        if c.worth < 0 or not 0 <= c.late_worth <= 1:
-            raise ValueError(f"classes: worth or late_worth of {c.name!r} is out of range")
+        if min(c.aim_us, c.deadline_us) <= 0 or min(c.memory_span_us, c.lag_allowed_us, c.worth) < 0:
+            raise ValueError(f"classes: a span or the worth of {c.name!r} is out of range")
     above = ("routers", "max_attempts", "cold_from", "fall_multiple", "overload_us")
     spans = ("drain_grace_us", "cold_us", "answer_grace_us", "max_retry_after_us", "ask_every_us")
     for field in (*above, *spans):
@@ -205,9 +207,10 @@
         self.sessions: dict[tuple[int, str], int] = {}
         self.tenants = [Recent(0) for _ in settings.tenants]
         self.retries, self.probes = RETRY_BURST, PROBE_BURST
+        self.usual_value = sum(c.worth / c.aim_us for c in settings.classes) / len(settings.classes)
         self.peak = 0.0  # what a warm member of size 1 has carried in a window
         self.tick_key, self.tick_due = 0, -1
-        self.ask_us: int | None = None
+        self.ask_us = IDLE_US
         self.ask_backoff_us = ASK_BACKOFF_US
         self.logged: dict[str, int] = {}
 
@@ -223,9 +226,13 @@
                 self.probe_ended(event)
             elif isinstance(event, ui.MemberList):
                 self.member_list(event)
-            elif isinstance(event, ui.RequestGone | ui.StreamStarted):
-                if event.request in self.requests:  # gone, or the client's from its first byte on
+            elif isinstance(event, ui.RequestGone):
+                if event.request in self.requests:
+                    # Danger: clients that leave early and ask again double the work of members.
+                    self.recall_all(self.requests[event.request])
                     self.close(self.requests[event.request])
+            elif isinstance(event, ui.StreamStarted) and event.request in self.requests:
+                self.close(self.requests[event.request])  # the client's from its first byte on
             elif isinstance(event, ui.TimerFired) and event.key == self.tick_key:
                 self.tick_due = -1
                 self.tick()
@@ -239,8 +246,8 @@
 
     def log(self, text: str) -> None:
         if self.now - self.logged.get(text, NEVER) >= LOG_EVERY_US:
-            self.logged = {t: at for t, at in self.logged.items() if self.now - at < LOG_EVERY_US}
-            self.logged[text] = self.now
+            fresh = {t: at for t, at in self.logged.items() if self.now - at < LOG_EVERY_US}
+            self.logged = fresh | {text: self.now}
             self.actions.append(ui.Log(text))
 
     # Eligibility.
@@ -256,9 +263,8 @@
 
     def legal(self, r: RequestState, m: MemberState) -> bool:
         """Rule 2: may this request be sent to this member now?"""
-        if r.done or r.attempts >= self.s.max_attempts or self.now + LAST_TRY_US >= r.ask.deadline_us:
-            return False
-        if m.info.group != r.ask.group or (r.out and not self.s.second_copies):
+        over = r.done or r.attempts >= self.s.max_attempts or self.now + LAST_TRY_US >= r.ask.deadline_us
+        if over or m.info.group != r.ask.group or (r.out and not self.s.second_copies):
             return False
         if r.cls.effect is Effect.REPEATABLE:
             return True
@@ -293,10 +299,8 @@
         Whatever the reason, one driver sends it no more than its ramp allows of what this driver's
         warm members have carried in such a window. Harm: a cold sole server answers less than it could."""
         ramp = self.ramp(m)
-        if ramp >= 1.0:
-            return True
         allowed = ramp * COLD_USE * self.s.fall_multiple * self.peak * m.info.size
-        return m.sent.read(self.now, self.s.overload_us) < allowed + 0.5
+        return ramp >= 1.0 or m.sent.read(self.now, self.s.overload_us) < allowed + 0.5
 
     def note_carried(self) -> None:
         """What warm members answer in a window, size for size: what they are sent says nothing of
@@ -352,11 +356,9 @@
 
     def primary_of(self, group: GroupState, for_read: bool) -> MemberState | None:
         p = group.primary
-        if p is None and not for_read and not any(m.role is not Role.UNKNOWN for m in group.members):
+        if p is None and not for_read and all(m.role is Role.UNKNOWN for m in group.members):
             p = group.listed
-        if p is None or p.suspect or not self.usable(p, group):
-            return None
-        return p
+        return None if p is None or p.suspect or not self.usable(p, group) else p
 
     def saw_role(self, m: MemberState, role: Role) -> None:
         group = self.groups.get(m.info.group)
@@ -418,6 +420,7 @@
         self.requests[ask.id] = r
         self.retries = min(RETRY_BURST, self.retries + RETRY_SHARE)
         self.probes = min(PROBE_BURST, self.probes + PROBE_SHARE)
+        self.usual_value += VALUE_STEP * (cls.worth / self.stats[ask.cls].mean - self.usual_value)
         if 0 <= ask.tenant < len(self.tenants):
             self.tenants[ask.tenant].add(self.now, TENANT_MEMORY_US)
         self.decide(r)
@@ -430,7 +433,8 @@
 
     def sheds(self, r: RequestState, pressure: float, on_primary: bool) -> bool:
         """Danger: a queue that makes all answers late. Refuse early, what is worth least first."""
-        factor = 1 + r.cls.late_worth
+        value = r.cls.worth / self.stats[r.ask.cls].mean / max(self.usual_value, 1e-12)
+        factor = (1 + r.cls.late_worth) * math.sqrt(min(max(value, VALUE_RANGE[0]), VALUE_RANGE[1]))
         if self.over_share(r.ask.tenant):
             factor *= OVER_SHARE_FACTOR
         if on_primary and r.cls.consistency not in CURRENT:
@@ -572,8 +576,7 @@
         self.sessions[key] = max(commit, self.sessions.pop(key, commit))
         if len(self.sessions) > SESSIONS:
             old = next(iter(self.sessions))
-            group = self.group(old[0])
-            group.floor = max(group.floor, self.sessions.pop(old))
+            self.group(old[0]).floor = max(self.group(old[0]).floor, self.sessions.pop(old))
 
     def give_up(self, r: RequestState) -> None:
         """Answer at once: a refusal where a repeat does no harm, else a failure."""
@@ -582,10 +585,13 @@
             self.actions.append(ui.Refuse(r.ask.id, self.s.max_retry_after_us if self.s.retry_hints else 0))
         else:
             self.actions.append(ui.Fail(r.ask.id))
-        if self.s.cancelling:
-            self.actions.extend(ui.Cancel(r.ask.id, n) for n in r.out)
+        self.recall_all(r)
         self.close(r)
 
+    def recall_all(self, r: RequestState) -> None:
+        if self.s.cancelling and not r.done:
+            self.actions.extend(ui.Cancel(r.ask.id, n) for n in r.out)
+
     def close(self, r: RequestState) -> None:
         r.done = True
         group = self.group(r.ask.group)
@@ -609,8 +615,8 @@
                 if m.suspect and m.out:
                     self.recall(m)
             self.probe_group(group)
-        if self.ask_us is not None and self.now >= self.ask_us:
-            self.ask_us = None
+        if self.now >= self.ask_us:
+            self.ask_us = self.now + IDLE_US
             self.actions.append(ui.Subscribe(True))
 
     def silent(self, m: MemberState) -> bool:
@@ -626,9 +632,8 @@
             r = self.requests[request]
             stats = self.stats[cls]
             overdue = self.now - sent > max(SILENCE_FLOOR_US, stats.mean + 2 * stats.dev)
-            if r.done or not overdue or not self.s.cancelling or r.cls.effect is Effect.ONCE:
-                continue
-            if self.retries >= 1:
+            may = self.s.cancelling and self.retries >= 1 and r.cls.effect is not Effect.ONCE
+            if overdue and may and not r.done:
                 self.actions.append(ui.Cancel(request, attempt))
                 m.out[(request, attempt)] = (self.now + SRTT_CAP_US, cls)  # asked once
 
@@ -662,11 +667,9 @@
             return
         m.probing = False
         group = self.group(m.info.group)
-        if e.outcome is not Outcome.OK:
-            if m.suspect or self.now - m.ok_us > SEC:
-                m.suspend(self.now, e.outcome is Outcome.UNREACHABLE)
-            return
-        if m.suspect and self.now >= m.retry_us:
+        if e.outcome is not Outcome.OK and (m.suspect or self.now - m.ok_us > SEC):
+            m.suspend(self.now, e.outcome is Outcome.UNREACHABLE)
+        elif m.suspect and self.now >= m.retry_us:
             m.trial, m.retry_us = True, self.now + m.backoff_us
         if e.report is None:
             return
@@ -684,16 +687,13 @@
 
     def member_list(self, e: ui.MemberList) -> None:
         if e.kind is ListKind.FAILED:
-            if self.s.must_ask:
-                spread = self.random.uniform(0.5, 1.5)
-                self.ask_us = self.now + int(self.ask_backoff_us * spread)
-                self.ask_backoff_us = min(2 * self.ask_backoff_us, ASK_BACKOFF_CAP_US)
+            self.ask_us = self.now + int(self.ask_backoff_us * self.random.uniform(0.5, 1.5))
+            self.ask_backoff_us = min(2 * self.ask_backoff_us, ASK_BACKOFF_CAP_US)
             return
-        if e.kind is ListKind.SAVED:
-            if self.s.must_ask:
-                self.ask_us = self.now + int(self.random.uniform(0, ASK_SPREAD_US))
-        else:
+        if e.kind is not ListKind.SAVED:
             self.ask_backoff_us = ASK_BACKOFF_US
+        elif self.s.must_ask:
+            self.ask_us = self.now + int(self.random.uniform(0, ASK_SPREAD_US))
         for info in e.members:
             self.member_entry(info)
         if e.kind is not ListKind.CHANGES:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -242,3 +242,37 @@
     text = (Path(__file__).parent.parent / "README.md").read_text(encoding="utf-8")
     code = text.split("```python\n")[1].split("```")[0]
     exec(compile(code, "README.md", "exec"), {})
+
+
+def test_attempts_of_clients_that_left_are_cancelled() -> None:
+    """iff5cf5: clients gave up early and asked again while members went on with the first try."""
+    s = Script()
+    s.group("a")
+    r = s.ask("read")
+    s.batch(ui.RequestGone(r))
+    assert [c.attempt for c in s.did(ui.Cancel, r)] == [0]
+    s.end(r, ui.Outcome.CANCELLED)
+    assert not s.did(ui.Refuse, r) and len(s.sends[r]) == 1
+
+
+def test_shedding_spares_what_is_worth_most_for_its_time() -> None:
+    cheap = replace(CLASSES[3], worth=0.2)
+    s = Script(classes=(*CLASSES[:3], cheap, *CLASSES[4:]))
+    s.group("a")
+    refused = Counter[str]()
+    for _ in range(100):
+        for name in ("loose", "own"):
+            s.router.members["a"].pressure, s.router.members["a"].pressure_us = 0.6, s.now
+            r = s.ask(name)
+            refused[name] += len(s.did(ui.Refuse, r))
+            s.batch(ui.RequestGone(r))
+            s.router.members["a"].out.clear()
+    assert refused["loose"] > refused["own"] + 20
+
+
+def test_subscription_is_asked_for_and_again_after_a_failure() -> None:
+    s = Script(must_ask=True)
+    s.start(member("a"))
+    assert any(isinstance(a, ui.Subscribe) and a.on for a in s.wait(500 * MS))
+    s.batch(ui.MemberList(ui.ListKind.FAILED, ()))
+    assert any(isinstance(a, ui.Subscribe) for a in s.wait(1 * SEC))
