--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -57,7 +57,7 @@
 VALUE_STEP = 0.01  # of the way to a request's value, at each request
 VALUE_RANGE = (0.4, 2.5)  # worth for the time taken, against the usual; its root moves the thresholds
 OVER_SHARE_FACTOR = 0.5  # a tenant over its share is shed at this part of the pressure
-PRIMARY_READ_FACTOR = 0.7  # so is a read that falls back on a primary that writes need
+PRIMARY_READ_FACTOR = 0.5  # so is a read that falls back on a primary that writes need
 TENANT_MEMORY_US = 5 * SEC
 SHARE_SLACK = 1.15  # a tenant's part of the traffic may exceed its share by chance
 
