Members that report much work in hand sit out; guards, fresh reads, trials

Cause: with many routers, a router's own attempts in flight say little of a member's load, so the draw kept feeding busy members. A report of work in hand under 0.5 s old now counts as well. Also: fresh reads no longer look for the primary at replicas (they would read old data), members that check reads may be tried when slightly behind, and suspect members are tried again where probes are not permitted.

--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -26,6 +26,8 @@
 FIRST_SRTT_US = (1 * MS, 10 * MS)  # small and random, so that unheard members are tried early
 SRTT_CAP_US = 60 * SEC  # keeps repeated penalties finite
 BOUNDED_LOAD = 1.25  # of the mean attempts in flight, plus one; beyond it a member sits out the draw
+GUARD_SLACK_US = 100 * MS  # how far behind a member that checks reads itself may be tried
+REPORT_US = 500 * MS  # a member's own count of its work is news for this long
 OVERDUE = 3  # an answer awaited for this many srtts counts as the srtt: silence is news too
 OK_MEMORY = 0.85  # weight of the old share of good answers; a run of 5 failures halves it
 
@@ -112,8 +114,9 @@
         self.out: dict[tuple[str, int], tuple[int, int]] = {}  # attempt: (sent, class), oldest first
         self.suspect, self.lost_us, self.trial = False, 0, False
         self.backoff_us, self.retry_us = BACKOFF_US, 0
-        self.position: int | None = None
+        self.position = NEVER
         self.role, self.role_us = Role.UNKNOWN, NEVER
+        self.in_hand, self.in_hand_us = 0.0, NEVER  # as it reports itself, size for size
         self.window = float(WINDOW_OPEN)
         self.pressure, self.pressure_us = 0.0, now
         self.sent, self.answered = Recent(now), Recent(now)  # within about one overload window
@@ -142,11 +145,11 @@
 class RequestState:
     """A request that this router owes an answer, or that still has an attempt out."""
 
-    def __init__(self, ask: ui.Request, cls: ui.RequestClass, now: int, needs: int | None) -> None:
+    def __init__(self, ask: ui.Request, cls: ui.RequestClass, now: int, needs: int) -> None:
         self.ask, self.cls, self.arrived = ask, cls, now
         patience = min(1.0, LATE_PATIENCE * cls.late_worth)
         self.horizon = now + cls.aim_us + int(patience * (cls.deadline_us - cls.aim_us))  # worth little after
-        self.needs = needs  # position that a replica must have passed; None: none
+        self.needs = needs  # position that a replica must have passed
         self.attempts = 0
         self.out: dict[int, int] = {}  # attempt: when it was sent
         self.ran_us: int | None = None  # send of the first attempt that may have run
@@ -278,14 +281,15 @@
             return m.info.zone == r.ran_at.zone
         return r.cls.key_scope is KeyScope.ALL or m.info.group == r.ran_at.group
 
-    def fresh_enough(self, r: RequestState, m: MemberState) -> bool:
+    def open_to(self, r: RequestState, m: MemberState) -> bool:
+        """A suspect member gets one attempt at a time, and that only after a probe or a pause."""
+        healthy = not m.suspect or (m.trial and not m.out)
+        return healthy and len(m.out) < m.window and self.legal(r, m) and self.cold_room(m)
+
+    def fresh_enough(self, r: RequestState, m: MemberState, slack_us: int) -> bool:
         """Rule 5, judged at the moment of sending: known positions only, which never go back."""
-        kind = r.cls.consistency
-        if kind is Consistency.ANY:
-            return True
-        if kind is Consistency.BOUNDED:
-            return m.position is not None and self.now - m.position <= r.cls.lag_allowed_us
-        return r.needs is None or (m.position is not None and m.position >= r.needs)
+        bounded = r.cls.consistency is Consistency.BOUNDED
+        return m.position + slack_us >= (self.now - r.cls.lag_allowed_us if bounded else r.needs)
 
     def ramp(self, m: MemberState) -> float:
         """The part of its full capacity that a member surely has: 1 once it is warm."""
@@ -314,19 +318,20 @@
 
     def draw(self, r: RequestState, group: GroupState) -> tuple[MemberState | None, float]:
         """A replica by 1/srtt, and the pressure on those that could have been drawn."""
-        pool = []
-        for m in group.members:
-            if m is group.primary or m.info.id == r.avoid or not self.usable(m, group):
-                continue
-            if m.suspect and not (m.trial and not m.out):
-                continue
-            if self.fresh_enough(r, m) and self.legal(r, m) and self.cold_room(m) and len(m.out) < m.window:
-                pool.append(m)
+        others = [m for m in group.members if m is not group.primary and m.info.id != r.avoid]
+        others = [m for m in others if self.usable(m, group) and self.open_to(r, m)]
+        pool = [m for m in others if self.fresh_enough(r, m, 0)]
+        if not pool and self.s.guard is not ui.Guard.OFF and r.attempts == 0:
+            slack_us = max(self.s.guard_wait_us, GUARD_SLACK_US)  # these members check for themselves
+            pool = [m for m in others if self.fresh_enough(r, m, slack_us)]
         if not pool:
             return None, 0.0
         # Danger: srtt lags by an answer, so that a lucky member is sent more than it can take.
         limit = BOUNDED_LOAD * (sum(len(m.out) for m in pool) / len(pool)) + 1
         pool = [m for m in pool if len(m.out) <= limit]
+        told = [m.in_hand for m in pool if self.now - m.in_hand_us < REPORT_US]
+        limit = BOUNDED_LOAD * sum(told) / max(len(told), 1) + 1
+        pool = [m for m in pool if m.in_hand <= limit or self.now - m.in_hand_us >= REPORT_US]
         weights = [self.weight(m) for m in pool]
         known = [w for m, w in zip(pool, weights, strict=True) if m.heard and self.ramp(m) >= 1.0]
         if known:
@@ -358,7 +363,8 @@
         p = group.primary
         if p is None and not for_read and all(m.role is Role.UNKNOWN for m in group.members):
             p = group.listed
-        return None if p is None or p.suspect or not self.usable(p, group) else p
+        blocked = p is None or (p.suspect and not p.trial) or not self.usable(p, group)
+        return None if blocked else p
 
     def saw_role(self, m: MemberState, role: Role) -> None:
         group = self.groups.get(m.info.group)
@@ -381,7 +387,8 @@
         if group.scout is not None or self.now < group.scout_us or not group.members:
             return
         for r in sorted(group.writes.values(), key=lambda r: (r.attempts, r.ask.deadline_us)):
-            if r.attempts + 1 >= self.s.max_attempts or r.wake_us > self.now:
+            fresh = r.cls.consistency is not Consistency.WRITE  # a replica would answer it from old data
+            if fresh or r.attempts + 1 >= self.s.max_attempts or r.wake_us > self.now:
                 continue
             while group.asked < len(group.members):
                 m = group.members[group.turn % len(group.members)]
@@ -406,14 +413,11 @@
             return
         cls = self.s.classes[ask.cls]
         group = self.group(ask.group)
-        needs: int | None = None
-        if cls.consistency is Consistency.SESSION:
-            if self.s.carried_age:
-                needs = None if ask.session_age_us is None else self.now - ask.session_age_us
-            else:
-                needs = self.sessions.get((ask.group, ask.session or ""))
-                if needs is None and group.floor > NEVER:
-                    needs = group.floor
+        needs = NEVER
+        if cls.consistency is Consistency.SESSION and not self.s.carried_age:
+            needs = self.sessions.get((ask.group, ask.session or ""), group.floor)
+        elif cls.consistency is Consistency.SESSION and ask.session_age_us is not None:
+            needs = self.now - ask.session_age_us
         elif cls.consistency is Consistency.BOUNDED:
             group.bound_us, group.bounded_us = cls.lag_allowed_us, self.now
         r = RequestState(ask, cls, self.now, needs)
@@ -452,13 +456,12 @@
             self.hold(r, group)
             return
         target, pressure, on_primary = None, 0.0, False
-        for_read = r.cls.consistency not in CURRENT
-        if for_read:
+        if r.cls.consistency not in CURRENT:
             target, pressure = self.draw(r, group)
         if target is None:
-            p = self.primary_of(group, for_read)
+            p = self.primary_of(group, r.cls.consistency is not Consistency.WRITE)
             on_primary = True
-            if p is not None and self.legal(r, p) and self.cold_room(p) and len(p.out) < p.window:
+            if p is not None and self.open_to(r, p):
                 target, pressure = p, self.pressure(p)
         if target is None:
             r.avoid = None
@@ -522,7 +525,7 @@
             self.close(r)
         if r.done or r.out:
             return
-        r.avoid = None if e.outcome is Outcome.MISS else e.member
+        r.avoid = e.member
         if e.outcome not in (Outcome.MISS, Outcome.UNREACHABLE, Outcome.NOT_SENT):
             if self.retries < 1:
                 self.give_up(r)
@@ -540,9 +543,8 @@
             self.saw_role(m, e.role)
             if e.position_us is not None:
                 wrote = good and r.cls.consistency is Consistency.WRITE
-                self.saw_position(m, e.position_us - (MS if wrote else 0))
-        if e.report is not None and e.report.position_us is not None:
-            self.saw_position(m, e.report.position_us)
+                m.position = max(m.position, min(e.position_us - (MS if wrote else 0), self.now))
+        self.saw_report(m, e.report or ui.Report())
         if m.suspect and (good or e.outcome is Outcome.MISS):
             m.revive(self.now)
         if good:
@@ -566,10 +568,11 @@
         m.pressure = PRESSURE_MEMORY * self.pressure(m) + (1 - PRESSURE_MEMORY) * min(value, 4.0)
         m.pressure_us = self.now
 
-    def saw_position(self, m: MemberState, position: int) -> None:
-        position = min(position, self.now)
-        if m.position is None or position > m.position:
-            m.position = position
+    def saw_report(self, m: MemberState, report: ui.Report) -> None:
+        if report.position_us is not None:
+            m.position = max(m.position, min(report.position_us, self.now))
+        if report.in_hand is not None:
+            m.in_hand, m.in_hand_us = report.in_hand / max(m.info.size, 0.01), self.now
 
     def remember(self, r: RequestState, commit: int) -> None:
         key = (r.ask.group, r.ask.session or "")
@@ -620,11 +623,9 @@
             self.actions.append(ui.Subscribe(True))
 
     def silent(self, m: MemberState) -> bool:
-        for sent, cls in m.out.values():
-            stats = self.stats[cls]
-            spread = SILENCE_DEVIATIONS * stats.dev / min(len(m.out), SILENCE_WITNESSES)
-            return self.now - max(sent, m.heard_us) > max(SILENCE_FLOOR_US, stats.mean + spread)
-        return False
+        sent, cls = next(iter(m.out.values()))
+        spread = SILENCE_DEVIATIONS * self.stats[cls].dev / min(len(m.out), SILENCE_WITNESSES)
+        return self.now - max(sent, m.heard_us) > max(SILENCE_FLOOR_US, self.stats[cls].mean + spread)
 
     def recall(self, m: MemberState) -> None:
         """Take back what waits at a silent member, where it may be tried elsewhere."""
@@ -638,8 +639,6 @@
                 m.out[(request, attempt)] = (self.now + SRTT_CAP_US, cls)  # asked once
 
     def probe_group(self, group: GroupState) -> None:
-        if not self.s.probes:
-            return
         lost_primary = bool(group.writes or group.reads) and self.primary_of(group, True) is None
         demand = self.now - group.bounded_us < DEMAND_US
         for m in group.members:
@@ -648,7 +647,7 @@
             age = self.now - m.probe_us
             if m.suspect:
                 due = self.now >= m.retry_us and not m.trial
-            elif m.position is None or m.role is Role.UNKNOWN:
+            elif m.position == NEVER or m.role is Role.UNKNOWN:
                 due = age > BACKOFF_US
             elif lost_primary:
                 due = age > BACKOFF_US and self.probes >= 1
@@ -656,7 +655,9 @@
                 old = self.now - m.position > STALE_SHARE * group.bound_us
                 due = demand and old and m is not group.primary and self.probes >= 1
                 due = due and age > max(group.bound_us // 2, m.probe_gap_us)
-            if due:
+            if due and not self.s.probes:
+                m.trial = m.suspect
+            elif due:
                 self.probes = max(0.0, self.probes - 1)
                 m.probing, m.probe_us = True, self.now
                 self.actions.append(ui.Probe(m.info.id))
@@ -671,14 +672,13 @@
             m.suspend(self.now, e.outcome is Outcome.UNREACHABLE)
         elif m.suspect and self.now >= m.retry_us:
             m.trial, m.retry_us = True, self.now + m.backoff_us
-        if e.report is None:
-            return
-        if e.report.position_us is not None:
-            self.saw_position(m, e.report.position_us)
-            fresh = self.now - e.report.position_us <= group.bound_us
+        report = e.report or ui.Report()
+        self.saw_report(m, report)
+        if report.position_us is not None:
+            fresh = self.now - report.position_us <= group.bound_us
             m.probe_gap_us = 0 if fresh else min(max(2 * m.probe_gap_us, BACKOFF_US), BACKOFF_CAP_US)
-        if e.report.primary is not None and self.now - m.role_us > ROLE_REPORT_US:
-            self.saw_role(m, Role.PRIMARY if e.report.primary else Role.REPLICA)
+        if report.primary is not None and self.now - m.role_us > ROLE_REPORT_US:
+            self.saw_role(m, Role.PRIMARY if report.primary else Role.REPLICA)
 
     # List upkeep.
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -270,3 +270,47 @@
     assert any(isinstance(a, ui.Subscribe) and a.on for a in s.wait(500 * MS))
     s.batch(ui.MemberList(ui.ListKind.FAILED, ()))
     assert any(isinstance(a, ui.Subscribe) for a in s.wait(1 * SEC))
+
+
+def test_fresh_read_never_goes_looking_for_the_primary() -> None:
+    """A replica would answer it, from old data."""
+    s = Script()
+    s.group("a", "b")
+    s.end(s.ask("write"), ui.Outcome.RESET)
+    r = s.ask("current")
+    s.wait(3 * SEC)
+    assert not {"a", "b"} & set(s.sends.get(r, []))
+
+
+def test_slightly_behind_replica_is_tried_where_members_check() -> None:
+    s = Script(guard=ui.Guard.REFUSE)
+    s.group("a")
+    s.now += 350 * MS
+    r = s.ask("read")
+    assert s.sends[r] == ["a"]
+    s.end(r, ui.Outcome.MISS, role=ui.Role.REPLICA)
+    assert s.sends[r] == ["a", "p"]
+
+
+def test_member_that_reports_much_work_in_hand_sits_out() -> None:
+    """i0b7f05: with many routers, each one's own attempts say little of a member's load."""
+    s = Script()
+    s.group("a", "b")
+    for name, busy in (("a", 1.0), ("b", 60.0)):
+        s.batch(ui.ProbeEnded(name, ui.Outcome.OK, MS, ui.Report(s.now, False, in_hand=busy)))
+    assert s.sends[s.ask("read")] == ["a"]
+    s.router.members["a"].out.clear()
+    s.now += 600 * MS
+    assert {s.sends[s.ask("loose")][0] for _ in range(10)} == {"a", "b"}
+
+
+def test_suspect_member_returns_without_probes() -> None:
+    s = Script(probes=False)
+    s.start(member("a"))
+    r = s.ask("loose")
+    s.end(r, ui.Outcome.RESET)
+    assert s.sends[r] == ["a"]
+    s.wait(400 * MS)
+    assert s.sends[r] == ["a", "a"]
+    s.end(r, role=ui.Role.REPLICA)
+    assert s.sends[s.ask("loose")] == ["a"]
