--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -220,20 +220,22 @@
     def handle(self, now_us: int, events: Iterable[ui.Event]) -> list[ui.Action]:
         self.now = max(self.now, now_us)
         self.actions = []
+        events = list(events)
+        gone = [e.request for e in events if isinstance(e, ui.RequestGone)]
+        for request in gone:  # first, so that no outcome in this batch leads to a send
+            if request in self.requests:
+                # Danger: clients that leave early and ask again double the work of members.
+                self.recall_all(self.requests[request])
+                self.close(self.requests[request])
         for event in events:
             if isinstance(event, ui.AttemptEnded):
                 self.attempt_ended(event)
-            elif isinstance(event, ui.Request):
+            elif isinstance(event, ui.Request) and event.id not in gone:
                 self.request(event)
             elif isinstance(event, ui.ProbeEnded):
                 self.probe_ended(event)
             elif isinstance(event, ui.MemberList):
                 self.member_list(event)
-            elif isinstance(event, ui.RequestGone):
-                if event.request in self.requests:
-                    # Danger: clients that leave early and ask again double the work of members.
-                    self.recall_all(self.requests[event.request])
-                    self.close(self.requests[event.request])
             elif isinstance(event, ui.StreamStarted) and event.request in self.requests:
                 self.close(self.requests[event.request])  # the client's from its first byte on
             elif isinstance(event, ui.TimerFired) and event.key == self.tick_key:
--- /dev/null
+++ b/tests/test_benchlink.py
@@ -0,0 +1,225 @@
+"""The adapter: a transcript by hand, odd but legal input, malformed input, and repeatability."""
+
+from __future__ import annotations
+
+import io
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from juniperreel import benchlink
+from juniperreel import interface as ui
+
+ROOT = Path(__file__).parent.parent
+
+
+def config(**changes: Any) -> str:
+    service = {
+        "name": "view",
+        "deadline_s": 1.0,
+        "effect": "repeatable",
+        "key_scope": "all",
+        "late_worth": 0.1,
+        "memory_span_s": 1.0,
+        "objective_s": 0.3,
+        "stream": False,
+        "worth": 1.0,
+        "unknown_key": 5,
+    }
+    raw: dict[str, Any] = {
+        "balancers": 2,
+        "ceilings": {
+            "cancelling": True,
+            "max_attempts": 4,
+            "max_retry_after_s": 0.5,
+            "probes": False,
+            "retry_after": True,
+            "second_copies": False,
+        },
+        "membership_mode": "push",
+        "prices": {"waste": 0.01},
+        "rules": {
+            "cold_from": 0.2,
+            "cold_s": 10.0,
+            "fall_multiple": 2.0,
+            "grace_to_answer_s": 0.02,
+            "overload_for_s": 2.0,
+            "stop_sending_within_s": 1.0,
+        },
+        "services": [service, {**service, "name": "save", "effect": "by_key", "key_scope": "cell"}],
+        "specifics": {
+            "consistency": ["any", "write"],
+            "guards": "off",
+            "lag_allowed_s": [0.0, 0.0],
+            "position_zero_s": 10.5,
+            "positions": True,
+            "shows_role": "late",
+            "token_mode": "remembered",
+        },
+        "zone": 0,
+        **changes,
+    }
+    return json.dumps(raw)
+
+
+def play(text: str) -> list[str]:
+    sink = io.StringIO()
+    benchlink.serve(io.StringIO(text), sink)
+    return sink.getvalue().splitlines()
+
+
+START = f"""CLOCK ts_s=20
+ENLIST random_seed=3 driver=driver/0 config={config()}
+TABLE ref=0 rows_in=2
+ITEM member=a:1 zone=0 model=0 group=1 readiness=IN is_primary=1 size=1
+ITEM size=2 group=1 member=b:1 extra=7
+UPDATE driver=driver/0 ref=0 gen=1 mode=Persisted
+FLUSH
+"""
+
+
+def test_transcript() -> None:
+    text = (
+        "CLOCK ts_s=19.5\nFLUSH\n"
+        + START
+        + """CLOCK ts_s=20.1
+ORDER driver=driver/0 ref=00000000000000aa priority=1 group_no=1 client_deadline_s=21 conn_key=k update=1
+FLUSH
+CLOCK ts_s=20.15
+RESULT ref=00000000000000aa driver=driver/0 member=a:1 outcome=GOOD spent_s=0.05 done_flag=1 stamp=38593
+FLUSH
+CLOCK ts_s=20.2
+ORDER driver=driver/0 ref=00000000000000ab priority=0 group_no=9 client_deadline_s=20.2
+EXPIRED driver=driver/0 ref=00000000000000ac
+FLUSH
+CLOCK ts_s=20.3
+DESTROY driver=driver/0
+FLUSH
+"""
+    )
+    reply = play(text)
+    assert reply[0] == "ACK"
+    assert "CALL_OUT driver=driver/0 ref=00000000000000aa member=a:1 allow_for_s=0.44" in reply
+    assert "OVERLOAD_REPLY driver=driver/0 ref=00000000000000ab not_before_for_s=0.5" in reply
+    assert reply.count("ACK") == 6
+    assert reply[-1] == "ACK"
+
+
+def test_table_numbers_are_resolved_in_event_order() -> None:
+    link = benchlink.Link()
+    link.batch(START.splitlines()[:-1])
+    link.batch(
+        """CLOCK ts_s=21
+TABLE ref=0 rows_in=1
+ITEM member=a:1 group=1 readiness=LAME
+UPDATE driver=driver/0 ref=0 gen=2 mode=Partial
+TABLE ref=0 rows_in=1
+ITEM member=c:1 group=1
+UPDATE driver=driver/0 ref=0 gen=3 mode=Partial""".splitlines()
+    )
+    members = link.hosted["driver/0"].router.members
+    assert members["a:1"].info.readiness is ui.Readiness.DRAINING
+    assert sorted(members) == ["a:1", "b:1", "c:1"]
+
+
+def test_stop_and_start_in_one_batch_forgets_everything() -> None:
+    link = benchlink.Link()
+    link.batch(START.splitlines()[:-1])
+    again = START.splitlines()[1:-1]
+    link.batch(["CLOCK ts_s=22", "DESTROY driver=driver/0", again[0]])
+    assert link.hosted["driver/0"].router.members == {}
+
+
+def test_units_and_roundings() -> None:
+    assert benchlink.us_down("0.0000019") == 1 and benchlink.us_up("0.0000011") == 2
+    assert benchlink.seconds(1_500_000) == "1.5" and benchlink.seconds(1) == "0.000001"
+    link = benchlink.Link()
+    link.batch(START.splitlines()[:-1])
+    hosted = link.hosted["driver/0"]
+    fields = {
+        "ref": "x",
+        "member": "a:1",
+        "outcome": "MISS",
+        "stamp": str(4 * 1234 + 2),
+        "gauge": "x0:1.0000019,z:4",
+    }
+    event = hosted.event("RESULT", fields, 0)
+    assert isinstance(event, ui.AttemptEnded) and event.report is not None
+    assert event.position_us == 10_500_000 + 1_234_000 and event.role is ui.Role.REPLICA
+    assert event.report.position_us == 11_500_001 and event.report.primary is None
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "NONSENSE\nFLUSH\n",
+        "CLOCK\nFLUSH\n",
+        "CLOCK ts_s=1\nBELL driver=driver/9 key_back=1\nFLUSH\n",
+        "CLOCK ts_s=1\nENLIST driver=driver/0 random_seed=1 config={}\nFLUSH\n",
+        "CLOCK ts_s=1\nTABLE ref=0 rows_in=2\nITEM member=a group=1\nFLUSH\n",
+        "CLOCK ts_s=1\n",
+        "CLOCK ts_s=x\nFLUSH\n",
+    ],
+)
+def test_malformed_input_ends_with_one_line(
+    text: str, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    monkeypatch.setattr(sys, "stdin", io.StringIO(text))
+    assert benchlink.main() != 0
+    assert len(capsys.readouterr().err.splitlines()) == 1
+
+
+def test_exception_in_the_module_is_told(monkeypatch: pytest.MonkeyPatch) -> None:
+    def broken(*_: object) -> list[ui.Action]:
+        raise RuntimeError("two\nlines")
+
+    monkeypatch.setattr("juniperreel.rules.Router.handle", broken)
+    assert play(START)[0] == "BUG driver=driver/0 reason_text=RuntimeError: two lines"
+
+
+def traffic(drivers: list[int]) -> str:
+    lines = ["CLOCK ts_s=20", "TABLE ref=0 rows_in=4"]
+    lines += [f"ITEM member={n}:1 group=1 is_primary={int(n == 'a')}" for n in "abcd"]
+    for d in drivers:
+        lines.append(f"ENLIST driver=driver/{d} random_seed={d + 5} config={config()}")
+        lines.append(f"UPDATE driver=driver/{d} ref=0 gen=1 mode=Persisted")
+    lines.append("FLUSH")
+    for step in range(40):
+        lines.append(f"CLOCK ts_s={20.01 + step / 100}")
+        for d in drivers:
+            ref = f"{d:08x}{step:08x}"
+            lines.append(f"ORDER driver=driver/{d} ref={ref} priority=0 group_no=1 client_deadline_s=22")
+        lines.append("FLUSH")
+    return "\n".join(lines) + "\n"
+
+
+def by_driver(reply: str) -> dict[str, list[str]]:
+    found: dict[str, list[str]] = {}
+    for line in reply.splitlines():
+        if line != "ACK":
+            found.setdefault(line.split()[1], []).append(line)
+    return found
+
+
+def test_same_actions_with_other_hash_seeds_and_processes() -> None:
+    def run(drivers: list[int], seed: str) -> dict[str, list[str]]:
+        done = subprocess.run(
+            [sys.executable, "-m", "juniperreel.benchlink"],
+            input=traffic(drivers),
+            capture_output=True,
+            text=True,
+            check=True,
+            cwd=ROOT,
+            env={**os.environ, "PYTHONHASHSEED": seed},
+        )
+        return by_driver(done.stdout)
+
+    together = run([0, 1, 2], "1")
+    assert together == run([0, 1, 2], "77")
+    assert together == {**run([0], "2"), **run([1], "3"), **run([2], "4")}
+    assert len(together["driver=driver/0"]) >= 40
