--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,17 @@
+"""The on-call page quotes exactly the log lines that the module emits."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+from juniperreel import rules
+
+PAGE = (Path(__file__).parent.parent / "docs" / "oncall.md").read_text(encoding="utf-8")
+SOURCE = Path(rules.__file__).read_text(encoding="utf-8")
+
+
+def test_log_lines_and_on_call_page_agree() -> None:
+    emitted = {re.sub(r"\{[^}]*\}", "*", line) for line in re.findall(r'self\.log\(f?"([^"]+)"\)', SOURCE)}
+    quoted = {re.sub(r"\b[XN]\b", "*", line) for line in re.findall(r"^\| `([^`]+)`", PAGE, re.MULTILINE)}
+    assert emitted and emitted == quoted
