--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -54,8 +54,8 @@
 # Shedding: pressure is response time over the class's aim.
 PRESSURE_MEMORY = 0.9
 PRESSURE_FADE_US = 3 * SEC  # without answers pressure is forgotten: knowledge ages
-SHED_FROM = 0.55  # shed none below, all beyond SHED_ALL, in proportion between
-SHED_ALL = 1.3
+SHED_FROM = 0.45  # shed none below, all beyond SHED_ALL, in proportion between
+SHED_ALL = 1.1
 VALUE_STEP = 0.01  # of the way to a request's value, at each request
 VALUE_RANGE = (0.4, 2.5)  # worth for the time taken, against the usual; its root moves the thresholds
 OVER_SHARE_FACTOR = 0.5  # a tenant over its share is shed at this part of the pressure
