--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -63,7 +63,7 @@
 TENANT_MEMORY_US = 5 * SEC
 SHARE_SLACK = 1.15  # a tenant's part of the traffic may exceed its share by chance
 
-COLD_USE = 0.85  # of what would push a cold member over; it mostly has more than the surest ramp says
+COLD_USE = 0.7  # of what would push a cold member over; it mostly has more than the surest ramp says
 PEAK_MEMORY_US = 60 * SEC  # what warm members could carry a minute ago they mostly still can
 
 # Probes.
