--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -25,34 +25,35 @@
 LOST_PENALTY = 1.2  # a lost answer raises srtt by a fifth
 FIRST_SRTT_US = (1 * MS, 10 * MS)  # small and random, so that unheard members are tried early
 SRTT_CAP_US = 60 * SEC  # keeps repeated penalties finite
-BOUNDED_LOAD = 1.25  # of the mean attempts in flight, plus one; beyond it a member sits out the draw
+BOUNDED_LOAD = 1.25  # of the usual work in hand, plus one; beyond it a member sits out the draw
 GUARD_SLACK_US = 100 * MS  # how far behind a member that checks reads itself may be tried
 REPORT_US = 500 * MS  # a member's own count of its work is news for this long
-OVERDUE = 3  # an answer awaited for this many srtts counts as the srtt: silence is news too
 OK_MEMORY = 0.85  # weight of the old share of good answers; a run of 5 failures halves it
 
 # Waiting and trying again.
-TICK_US = 20 * MS  # how late a held request, a silence or a due probe may be noticed
-SILENCE_FLOOR_US = 200 * MS  # shorter silences are ordinary scheduling
-SILENCE_DEVIATIONS = 6  # of a class's response time, divided by the attempts that are kept waiting
-SILENCE_WITNESSES = 4  # beyond this many waiting attempts the threshold shrinks no more
+TICK_US = 20 * MS  # how late a held request or an overdue answer may be noticed, while any is open
+STALL_US = 150 * MS  # a tick this late means that this router itself stood still
+OVERDUE_FLOOR_US = 150 * MS  # shorter waits are ordinary scheduling
+OVERDUE_DEVIATIONS = 4  # of a class's response time; an answer this late is taken for lost
+STATS_MEMORY = 0.95  # weight of the old mean and deviation of a class's response time
 BACKOFF_US = 250 * MS  # first pause before a failing member is looked at again
 BACKOFF_CAP_US = 2 * SEC  # a member that is back must not idle for long
+LOST_IN_A_ROW = 2  # answers, with none in between, put a member in doubt; one alone is chance
 PAUSE_US = 30 * MS  # first pause of a request after an error of its primary; doubles
-RETRY_SHARE = 0.2  # further attempts earned by each request: retries add at most a fifth of load
-RETRY_BURST = 20.0  # and this many at once, for a member that dies with work in hand
+RETRY_SHARE = 0.3  # further attempts earned by each request: retries add at most this part of load
+RETRY_BURST = 10.0  # and this many at once, for a member that dies with work in hand
+ERRORS_ELSEWHERE = 2  # quick errors at this many attempts are the request's own fault
 LAST_TRY_US = 10 * MS  # with less than this left no answer can arrive in time
 LATE_PATIENCE = 2.0  # late answers worth half or more are awaited to the deadline, others for less
-STATS_MEMORY = 0.95  # weight of the old mean and deviation of a class's response time
 
 # Finding the primary.
-ROUND_PAUSE_US = 120 * MS  # hold after all members were asked in vain
 ROLE_REPORT_US = 1 * SEC  # a probe's role is dated: an answer's role of this age outranks it
 WINDOW_START = 4  # attempts in flight at a member that has just taken over; one more for each answer
 WINDOW_OPEN = 64  # from here on the window no longer limits
 
-# Shedding: pressure is response time over the class's aim.
-PRESSURE_MEMORY = 0.9
+# Shedding: pressure is response time over the class's aim, for a group's replicas and its primary.
+PRESSURE_SHARE = (0.1, 0.4)  # of a new answer, the more the older the last one is
+LOST_PRESSURE = 2.0  # what an answer that was lost or turned away counts for
 PRESSURE_FADE_US = 3 * SEC  # without answers pressure is forgotten: knowledge ages
 SHED_FROM = 0.45  # shed none below, all beyond SHED_ALL, in proportion between
 SHED_ALL = 1.1
@@ -62,25 +63,30 @@
 PRIMARY_READ_FACTOR = 0.5  # so is a read that falls back on a primary that writes need
 TENANT_MEMORY_US = 5 * SEC
 SHARE_SLACK = 1.15  # a tenant's part of the traffic may exceed its share by chance
+SHARE_SEEN = 20  # requests below which a share says nothing
 
 COLD_USE = 0.7  # of what would push a cold member over; it mostly has more than the surest ramp says
+CARRY_US = 10 * SEC  # over which this router counts what warm members carry for it
 PEAK_MEMORY_US = 60 * SEC  # what warm members could carry a minute ago they mostly still can
 
 # Probes.
-PROBE_SHARE = 0.15  # probes earned by each request
-PROBE_BURST = 40.0
-PROBE_LOST_US = 1 * SEC  # an unanswered probe is forgotten
-STALE_SHARE = 0.6  # probe when a known position has used up this part of the bound
-DEMAND_US = 1 * SEC  # only groups with reads this recent are probed for freshness
+LOOKS = 4  # members probed, one after another, for a read that finds no position it may go by
+LOOK_US = 50 * MS  # a read is held this long for a probe's answer, or for members to have news
+PROBE_SHARE = 0.15  # further probes earned by each request
+PROBE_BURST = 5.0
+PROBE_AGAIN_US = 300 * MS  # a member says nothing new before; spread so that routers do not fall in step
+STALE_SHARE = 0.6  # refresh a known position that has used up this part of the bound
 
 # Lists and memory.
 ASK_SPREAD_US = 400 * MS  # drivers that start together must not ask together
+ASK_SPREAD_EACH_US = 10 * MS  # the more of them, the further apart
 ASK_BACKOFF_US = 500 * MS
 ASK_BACKOFF_CAP_US = 4 * SEC
 SESSIONS = 20_000  # remembered; older ones sink into a floor that their group must have passed
 LOG_EVERY_US = 10 * SEC
 
 NEVER_RAN = (Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.NOT_SENT, Outcome.MISS)
+LOST = (Outcome.UNREACHABLE, Outcome.RESET, Outcome.TIMEOUT, Outcome.CANCELLED)
 CURRENT = (Consistency.WRITE, Consistency.FRESH)  # only the primary serves these
 
 
@@ -99,62 +105,75 @@
         self.count = self.read(now, span_us) + 1
 
 
+class Pressure:
+    """Response time over the aim, of late."""
+
+    def __init__(self) -> None:
+        self.value, self.at_us = 0.0, 0
+
+    def read(self, now: int) -> float:
+        gap = now - self.at_us
+        return self.value * min(1.0, max(0.0, 2 - gap / PRESSURE_FADE_US))
+
+    def add(self, now: int, value: float) -> None:
+        low, high = PRESSURE_SHARE
+        share = min(max(low, (now - self.at_us) / PRESSURE_FADE_US), high)
+        self.value = (1 - share) * self.read(now) + share * min(value, 4.0)
+        self.at_us = now
+
+
 class MemberState:
     """What this router believes of one member, and since when."""
 
-    def __init__(self, info: ui.Member, now: int, srtt: float) -> None:
+    def __init__(self, info: ui.Member, now: int, random: random.Random) -> None:
         self.info = info
         self.told_us = now  # when its readiness was learned
         self.was_draining = info.readiness is Readiness.DRAINING
         self.cold_us = info.started_us or NEVER
-        self.srtt, self.heard = srtt, False
-        self.ok_share = 1.0
-        self.heard_us = now  # last sign of life
-        self.ok_us = NEVER
-        self.out: dict[tuple[str, int], tuple[int, int]] = {}  # attempt: (sent, class), oldest first
-        self.suspect, self.lost_us, self.trial = False, 0, False
+        self.start_afresh(random)
+        self.out: dict[tuple[str, int], int] = {}  # attempt: when it was sent
+        self.suspect, self.down_us, self.trial = False, 0, False
         self.backoff_us, self.retry_us = BACKOFF_US, 0
         self.position = NEVER
         self.role, self.role_us = Role.UNKNOWN, NEVER
         self.in_hand, self.in_hand_us = 0.0, NEVER  # as it reports itself, size for size
         self.window = float(WINDOW_OPEN)
-        self.pressure, self.pressure_us = 0.0, now
-        self.sent, self.answered = Recent(now), Recent(now)  # within about one overload window
+        self.allow, self.allow_us = random.random(), now  # of a cold member's budget
         self.probe_us, self.probing = NEVER, False
-        self.probe_gap_us = 0
 
-    def wait_us(self, now: int) -> int:
-        return now - next(iter(self.out.values()), (now, 0))[0]
+    def start_afresh(self, random: random.Random) -> None:
+        self.srtt, self.heard = random.uniform(*FIRST_SRTT_US), False
+        self.ok_share, self.losses = 1.0, 0
 
-    def suspend(self, now: int, lost: bool) -> None:
+    def suspend(self, now: int) -> None:
         if not self.suspect:
-            self.backoff_us, self.lost_us = BACKOFF_US, 0
+            self.backoff_us = BACKOFF_US
         elif now >= self.retry_us:
             self.backoff_us = min(2 * self.backoff_us, BACKOFF_CAP_US)
-        if lost and not self.lost_us:
-            self.lost_us = now
         self.suspect, self.trial, self.retry_us = True, False, now + self.backoff_us
 
     def revive(self, now: int) -> None:
-        """Danger: a member back after a silence is cold, before any list says so."""
-        if self.lost_us and now - self.lost_us > SEC:
+        """Danger: a member back after its process was down is cold, before any list says so. Only failed
+        probes show that: a refused connection or a lost answer says nothing of the process."""
+        if self.down_us and now - self.down_us > SEC:
             self.cold_us = max(self.cold_us, now)
-        self.suspect, self.lost_us, self.window = False, 0, WINDOW_START
+        self.suspect, self.down_us, self.window = False, 0, WINDOW_START
 
 
 class RequestState:
     """A request that this router owes an answer, or that still has an attempt out."""
 
     def __init__(self, ask: ui.Request, cls: ui.RequestClass, now: int, needs: int) -> None:
-        self.ask, self.cls, self.arrived = ask, cls, now
+        self.ask, self.cls = ask, cls
         patience = min(1.0, LATE_PATIENCE * cls.late_worth)
         self.horizon = now + cls.aim_us + int(patience * (cls.deadline_us - cls.aim_us))  # worth little after
         self.needs = needs  # position that a replica must have passed
-        self.attempts = 0
-        self.out: dict[int, int] = {}  # attempt: when it was sent
+        self.attempts, self.looks, self.errors = 0, 0, 0
+        self.out: dict[int, tuple[int, MemberState]] = {}  # attempt: when it was sent, and where
         self.ran_us: int | None = None  # send of the first attempt that may have run
         self.ran_at: ui.Member | None = None
         self.avoid: str | None = None
+        self.accused: list[MemberState] = []  # answered with an error; to blame if another one serves it
         self.wake_us = now
         self.done = False
 
@@ -164,11 +183,9 @@
         self.members: list[MemberState] = []  # by id
         self.primary: MemberState | None = None
         self.listed: MemberState | None = None
-        self.turn, self.asked, self.scout_us = 0, 0, 0
-        self.scout: tuple[str, int] | None = None
-        self.writes: dict[str, RequestState] = {}  # held
-        self.reads: dict[str, RequestState] = {}  # held
-        self.bound_us, self.bounded_us = 0, NEVER
+        self.turn = 0
+        self.held: dict[str, RequestState] = {}
+        self.replicas_press, self.primary_press = Pressure(), Pressure()
         self.floor = NEVER  # commits of forgotten sessions
 
 
@@ -176,10 +193,13 @@
     def __init__(self, aim_us: int) -> None:
         self.mean, self.dev = aim_us / 2, aim_us / 4
 
-    def add(self, took: int) -> None:
+    def add(self, took: float) -> None:
         self.dev += (1 - STATS_MEMORY) * (abs(took - self.mean) - self.dev)
         self.mean += (1 - STATS_MEMORY) * (took - self.mean)
 
+    def overdue_us(self) -> float:
+        return max(self.mean + OVERDUE_DEVIATIONS * self.dev, self.mean + OVERDUE_FLOOR_US)
+
 
 def check_settings(s: ui.Settings) -> None:
     if not s.classes:
@@ -211,7 +231,10 @@
         self.tenants = [Recent(0) for _ in settings.tenants]
         self.retries, self.probes = RETRY_BURST, PROBE_BURST
         self.usual_value = sum(c.worth / c.aim_us for c in settings.classes) / len(settings.classes)
-        self.peak = 0.0  # what a warm member of size 1 has carried in a window
+        self.carried, self.peak, self.peak_us = Recent(0), 0.0, 0  # answers a second, for each unit of size
+        self.size = 1.0  # of all members
+        self.usual_in_hand = 0.0  # by the reports of all members
+        self.stalled = False
         self.tick_key, self.tick_due = 0, -1
         self.ask_us = IDLE_US
         self.ask_backoff_us = ASK_BACKOFF_US
@@ -221,32 +244,38 @@
         self.now = max(self.now, now_us)
         self.actions = []
         events = list(events)
-        gone = [e.request for e in events if isinstance(e, ui.RequestGone)]
-        for request in gone:  # first, so that no outcome in this batch leads to a send
-            if request in self.requests:
-                # Danger: clients that leave early and ask again double the work of members.
-                self.recall_all(self.requests[request])
-                self.close(self.requests[request])
+        # Danger: a router that stood still finds silence and late answers of its own making.
+        self.stalled = self.tick_due >= 0 and self.now - self.tick_due > STALL_US
+        gone = {e.request for e in events if isinstance(e, ui.RequestGone)}
+        for request in sorted(gone & self.requests.keys()):  # first, so that no outcome leads to a send
+            # Danger: clients that leave early and ask again double the work of members.
+            self.recall_all(self.requests[request])
+            self.close(self.requests[request])
+        groups: dict[int, None] = {}  # touched by this batch
+        ring = False
         for event in events:
             if isinstance(event, ui.AttemptEnded):
                 self.attempt_ended(event)
             elif isinstance(event, ui.Request) and event.id not in gone:
                 self.request(event)
             elif isinstance(event, ui.ProbeEnded):
-                self.probe_ended(event)
+                groups |= self.probe_ended(event)
             elif isinstance(event, ui.MemberList):
                 self.member_list(event)
             elif isinstance(event, ui.StreamStarted) and event.request in self.requests:
                 self.close(self.requests[event.request])  # the client's from its first byte on
             elif isinstance(event, ui.TimerFired) and event.key == self.tick_key:
-                self.tick_due = -1
-                self.tick()
-        for group in self.groups.values():
-            if group.writes or group.reads:
-                self.drain_held(group)
-        if self.tick_due < self.now:
-            self.tick_key, self.tick_due = self.tick_key + 1, self.now + TICK_US
-            self.actions.append(ui.SetTimer(TICK_US, self.tick_key))
+                ring = True
+        if ring:  # last: what arrived is learned before anything is judged
+            self.tick_due = -1
+            self.tick()
+            groups = dict.fromkeys(r.ask.group for r in self.requests.values())
+        for number in groups:
+            self.drain_held(self.group(number))
+        wait = TICK_US if self.requests else max(self.ask_us - self.now, TICK_US)
+        if wait < SEC * 60 and (self.tick_due < 0 or self.tick_due > self.now + wait):
+            self.tick_key, self.tick_due = self.tick_key + 1, self.now + wait
+            self.actions.append(ui.SetTimer(wait, self.tick_key))
         return self.actions
 
     def log(self, text: str) -> None:
@@ -302,62 +331,89 @@
 
     def cold_room(self, m: MemberState) -> bool:
         """Rule 4. Danger: a cold member is rushed by the draw, retries, fallback or a role change.
-        Whatever the reason, one driver sends it no more than its ramp allows of what this driver's
-        warm members have carried in such a window. Harm: a cold sole server answers less than it could."""
+        Whatever the reason, a router sends it no more than its ramp allows of what this router's warm
+        members have carried for it: over all routers, that sums to what a warm member carries. Mostly
+        that is less than one attempt, so the budget starts at a random part of one and is spent by whole
+        ones. Harm: a cold sole server answers less than it could."""
         ramp = self.ramp(m)
-        allowed = ramp * COLD_USE * self.s.fall_multiple * self.peak * m.info.size
-        return ramp >= 1.0 or m.sent.read(self.now, self.s.overload_us) < allowed + 0.5
+        if ramp >= 1.0:
+            return True
+        floor = SEC / (self.s.routers * self.s.overload_us)  # one attempt a window for all routers together
+        rate = max(ramp * COLD_USE * self.s.fall_multiple * self.peak * m.info.size, floor)
+        cap = max(1.0, rate * self.s.overload_us / SEC / 2)
+        m.allow = min(m.allow + rate * (self.now - m.allow_us) / SEC, cap)
+        m.allow_us = self.now
+        return m.allow >= 1.0
 
     def note_carried(self) -> None:
-        """What warm members answer in a window, size for size: what they are sent says nothing of
-        capacity when they are overloaded, and the luckiest one says too much."""
-        warm = [m for m in self.members.values() if self.ramp(m) >= 1.0 and m.answered.count > 0]
-        size = sum(m.info.size for m in warm)
-        seen = sum(m.answered.read(self.now, self.s.overload_us) for m in warm) / max(size, 0.01)
-        self.peak = max(self.peak * (1 - TICK_US / PEAK_MEMORY_US), seen)
+        """What warm members answer, size for size: what they are sent says nothing of capacity when they
+        are overloaded, and the luckiest one says too much."""
+        self.carried.add(self.now, CARRY_US)
+        gap, self.peak_us = self.now - self.peak_us, self.now
+        seen = self.carried.count * SEC / CARRY_US / self.size
+        self.peak = max(self.peak * max(0.0, 1 - gap / PEAK_MEMORY_US), seen)
 
     # The draw.
 
-    def draw(self, r: RequestState, group: GroupState) -> tuple[MemberState | None, float]:
-        """A replica by 1/srtt, and the pressure on those that could have been drawn."""
+    def candidates(self, r: RequestState, group: GroupState) -> list[MemberState]:
         others = [m for m in group.members if m is not group.primary and m.info.id != r.avoid]
-        others = [m for m in others if self.usable(m, group) and self.open_to(r, m)]
+        return [m for m in others if self.usable(m, group) and self.open_to(r, m)]
+
+    def draw(self, r: RequestState, others: list[MemberState], last: bool) -> MemberState | None:
+        """A replica by 1/srtt among those known to be fresh enough."""
         pool = [m for m in others if self.fresh_enough(r, m, 0)]
         if not pool and self.s.guard is not ui.Guard.OFF and r.attempts == 0:
             slack_us = max(self.s.guard_wait_us, GUARD_SLACK_US)  # these members check for themselves
             pool = [m for m in others if self.fresh_enough(r, m, slack_us)]
         if not pool:
-            return None, 0.0
+            return None
         # Danger: srtt lags by an answer, so that a lucky member is sent more than it can take.
         limit = BOUNDED_LOAD * (sum(len(m.out) for m in pool) / len(pool)) + 1
         pool = [m for m in pool if len(m.out) <= limit]
-        told = [m.in_hand for m in pool if self.now - m.in_hand_us < REPORT_US]
-        limit = BOUNDED_LOAD * sum(told) / max(len(told), 1) + 1
-        pool = [m for m in pool if m.in_hand <= limit or self.now - m.in_hand_us >= REPORT_US]
-        weights = [self.weight(m) for m in pool]
+        limit = BOUNDED_LOAD * self.usual_in_hand + 1
+        calm = [m for m in pool if m.in_hand <= limit or self.now - m.in_hand_us >= REPORT_US]
+        if not calm and not last:
+            return None
+        pool = calm or pool
+        return self.random.choices(pool, self.weights(pool))[0]
+
+    def weights(self, pool: list[MemberState]) -> list[float]:
+        """1/srtt. Danger: quick failures earn share."""
+        weights = [max(m.ok_share, 0.01) ** 2 / max(m.srtt, 1.0) for m in pool]
         known = [w for m, w in zip(pool, weights, strict=True) if m.heard and self.ramp(m) >= 1.0]
-        if known:
-            usual = sum(known) / len(known)
-            for i, m in enumerate(pool):
-                # Danger: the small first srtt, or an idle cold machine, draws a rush.
-                if not m.heard and m.out:
-                    weights[i] = min(weights[i], usual)
-                if self.ramp(m) < 1.0:
-                    part = min(1.0, COLD_USE * self.s.fall_multiple * self.ramp(m))
-                    weights[i] = min(weights[i], usual * part)
-        total = sum(weights)
-        load = sum(w * self.pressure(m) for m, w in zip(pool, weights, strict=True)) / total
-        return self.random.choices(pool, weights)[0], load
-
-    def weight(self, m: MemberState) -> float:
-        """1/srtt. Dangers: quick failures earn share, and a hung member keeps its last good srtt."""
-        wait = m.wait_us(self.now)
-        srtt = wait if wait > OVERDUE * m.srtt and m.heard else m.srtt
-        return max(m.ok_share, 0.01) ** 2 / max(srtt, 1.0)
-
-    def pressure(self, m: MemberState) -> float:
-        gap = self.now - m.pressure_us
-        return m.pressure * max(0.0, 1 - max(0, gap - PRESSURE_FADE_US) / PRESSURE_FADE_US)
+        usual = sum(known) / len(known) if known else math.inf
+        for i, m in enumerate(pool):
+            # Danger: the small first srtt, or an idle cold machine, draws a rush.
+            if not m.heard and m.out:
+                weights[i] = min(weights[i], usual)
+            if self.ramp(m) < 1.0:
+                part = min(1.0, COLD_USE * self.s.fall_multiple * self.ramp(m))
+                weights[i] = min(weights[i], usual * part)
+        return weights
+
+    def look(self, r: RequestState, others: list[MemberState], group: GroupState) -> bool:
+        """Danger: with little traffic no position is known fresh when a read comes, and reads crowd the
+        primary. Probe a replica drawn like any other and hold the read for that round trip."""
+        if not self.s.probes or not others or r.looks >= LOOKS:
+            return False
+        stats = self.stats[r.ask.cls]
+        if self.now + stats.mean + stats.dev > min(r.horizon, r.ask.deadline_us):
+            return False
+        unseen = [m for m in others if self.now - m.probe_us > LOOK_US]
+        r.looks, r.wake_us = r.looks + 1, self.now + LOOK_US
+        if unseen:
+            self.probe(self.random.choices(unseen, self.weights(unseen))[0])
+        return True
+
+    def refresh(self, r: RequestState, others: list[MemberState]) -> None:
+        """Danger: reads flock to the few members whose positions they keep fresh by being there."""
+        if r.cls.consistency is not Consistency.BOUNDED or not self.s.probes or self.probes < 1:
+            return
+        oldest = self.now - int(STALE_SHARE * r.cls.lag_allowed_us)
+        due = [m for m in others if m.position < oldest and self.now - m.probe_us > r.cls.lag_allowed_us // 2]
+        if due:
+            self.probes -= 1
+            self.probe(min(due, key=lambda m: m.probe_us))
 
     # The primary.
 
@@ -375,35 +431,27 @@
         m.role, m.role_us = role, self.now
         if role is Role.PRIMARY:
             if group.primary is not m:
-                if group.primary is not None or group.writes:
+                if group.primary is not None or group.held:
                     m.window = min(m.window, WINDOW_START)  # danger: all held work arrives at once
                     self.log(f"primary of group {m.info.group} is now {m.info.id}")
                 group.primary = m
         elif group.primary is m:
             group.primary = None
-            group.turn, group.asked = 0, 0
             self.log(f"primary of group {m.info.group} stepped down")
 
-    def look_for_primary(self, group: GroupState) -> None:
-        """One held write at a time goes to the members in turn; a miss costs them next to nothing."""
-        if group.scout is not None or self.now < group.scout_us or not group.members:
-            return
-        for r in sorted(group.writes.values(), key=lambda r: (r.attempts, r.ask.deadline_us)):
-            fresh = r.cls.consistency is not Consistency.WRITE  # a replica would answer it from old data
-            if fresh or r.attempts + 1 >= self.s.max_attempts or r.wake_us > self.now:
-                continue
-            while group.asked < len(group.members):
-                m = group.members[group.turn % len(group.members)]
-                group.turn, group.asked = group.turn + 1, group.asked + 1
-                ready = not m.suspect or self.now >= m.retry_us
-                if ready and self.usable(m, group) and self.legal(r, m) and self.cold_room(m):
-                    del group.writes[r.ask.id]
-                    group.scout = (r.ask.id, r.attempts)
-                    self.send(r, m)
-                    return
-            break
-        if group.asked >= len(group.members):
-            group.asked, group.scout_us = 0, self.now + ROUND_PAUSE_US
+    def look_for_primary(self, r: RequestState, group: GroupState) -> None:
+        """Probe all members for their role; where that is not allowed, the write itself goes to them in
+        turn: a miss costs them next to nothing. A fresh read waits: a replica would answer from old data."""
+        for m in group.members if self.s.probes else ():
+            gap = PROBE_AGAIN_US * self.random.uniform(1, 2)
+            if self.usable(m, group) and not m.probing and self.now - m.probe_us > gap:
+                self.probe(m)
+        ready = [m for m in group.members if self.usable(m, group) and self.open_to(r, m)]
+        spare = r.attempts + 1 < self.s.max_attempts and r.cls.consistency is Consistency.WRITE
+        if ready and spare and not self.s.probes:
+            group.turn += 1
+            del group.held[r.ask.id]
+            self.send(r, ready[group.turn % len(ready)])
 
     # Admission.
 
@@ -420,8 +468,6 @@
             needs = self.sessions.get((ask.group, ask.session or ""), group.floor)
         elif cls.consistency is Consistency.SESSION and ask.session_age_us is not None:
             needs = self.now - ask.session_age_us
-        elif cls.consistency is Consistency.BOUNDED:
-            group.bound_us, group.bounded_us = cls.lag_allowed_us, self.now
         r = RequestState(ask, cls, self.now, needs)
         self.requests[ask.id] = r
         self.retries = min(RETRY_BURST, self.retries + RETRY_SHARE)
@@ -435,7 +481,7 @@
         if not 0 <= tenant < len(self.tenants):
             return False
         seen = [t.read(self.now, TENANT_MEMORY_US) for t in self.tenants]
-        return seen[tenant] > SHARE_SLACK * self.s.tenants[tenant].fraction * max(sum(seen), 1.0)
+        return seen[tenant] > SHARE_SLACK * self.s.tenants[tenant].fraction * max(sum(seen), SHARE_SEEN)
 
     def sheds(self, r: RequestState, pressure: float, on_primary: bool) -> bool:
         """Danger: a queue that makes all answers late. Refuse early, what is worth least first."""
@@ -455,24 +501,45 @@
             self.give_up(r)
             return
         if r.wake_us > self.now:
-            self.hold(r, group)
+            group.held[r.ask.id] = r
             return
-        target, pressure, on_primary = None, 0.0, False
+        target, press, on_primary = None, group.replicas_press, False
         if r.cls.consistency not in CURRENT:
-            target, pressure = self.draw(r, group)
+            others = self.candidates(r, group)
+            target = self.draw(r, others, r.looks >= LOOKS)
+            if target is None and self.look(r, others, group):
+                group.held[r.ask.id] = r
+                return
+            target = target or self.draw(r, others, True)
+            self.refresh(r, others)
         if target is None:
             p = self.primary_of(group, r.cls.consistency is not Consistency.WRITE)
-            on_primary = True
+            press, on_primary = group.primary_press, True
             if p is not None and self.open_to(r, p):
-                target, pressure = p, self.pressure(p)
+                target = p
         if target is None:
-            r.avoid = None
-            self.hold(r, group)
-        elif r.attempts == 0 and self.sheds(r, pressure, on_primary):
+            r.avoid, r.looks = None, 0
+            group.held[r.ask.id] = r
+            self.wanting(r, group)
+        elif r.attempts == 0 and self.sheds(r, press.read(self.now), on_primary):
             self.give_up(r)
         else:
             self.send(r, target)
 
+    def wanting(self, r: RequestState, group: GroupState) -> None:
+        """Nothing may take this request now: look for a primary, and at members in doubt."""
+        for m in group.members:
+            if m.suspect and not m.trial and self.now >= m.retry_us and self.usable(m, group):
+                self.try_again(m)
+        if r.cls.consistency in CURRENT and self.primary_of(group, False) is None:
+            self.look_for_primary(r, group)
+
+    def try_again(self, m: MemberState) -> None:
+        if not self.s.probes:
+            m.trial = True
+        elif not m.probing or self.now - m.probe_us > SEC:
+            self.probe(m)
+
     def hopeless(self, r: RequestState) -> bool:
         end = min(r.ask.deadline_us - TICK_US, r.horizon)
         spent = self.now + LAST_TRY_US >= end or r.attempts >= self.s.max_attempts
@@ -481,46 +548,34 @@
         late = self.now > r.ran_us + r.cls.memory_span_us - LAST_TRY_US
         return r.cls.effect is Effect.ONCE or (r.cls.effect is Effect.KEYED and late)
 
-    def hold(self, r: RequestState, group: GroupState) -> None:
-        (group.writes if r.cls.consistency in CURRENT else group.reads)[r.ask.id] = r
-
     def drain_held(self, group: GroupState) -> None:
-        for r in [*group.writes.values(), *group.reads.values()]:
+        for r in list(group.held.values()):
             if r.wake_us <= self.now or self.hopeless(r):
-                group.writes.pop(r.ask.id, None)
-                group.reads.pop(r.ask.id, None)
+                group.held.pop(r.ask.id, None)
                 self.decide(r)
-        if group.writes and self.primary_of(group, False) is None:
-            self.look_for_primary(group)
 
     # Attempts and their ends.
 
     def send(self, r: RequestState, m: MemberState) -> None:
-        r.out[r.attempts] = self.now
-        m.out[(r.ask.id, r.attempts)] = (self.now, r.ask.cls)
-        m.sent.add(self.now, self.s.overload_us)
+        r.out[r.attempts] = (self.now, m)
+        m.out[(r.ask.id, r.attempts)] = self.now
+        m.allow -= 1
         timeout = min(r.ask.deadline_us, r.horizon) - self.now
         if not self.s.cancelling:
-            stats = self.stats[r.ask.cls]
-            timeout = min(timeout, int(stats.mean + SILENCE_DEVIATIONS * stats.dev) + SILENCE_FLOOR_US)
+            timeout = min(timeout, int(self.stats[r.ask.cls].overdue_us()))
         r.attempts += 1
         self.actions.append(ui.Send(r.ask.id, m.info.id, timeout))
 
     def attempt_ended(self, e: ui.AttemptEnded) -> None:
         r = self.requests.get(e.request)
-        m = self.members.get(e.member)
         if r is None or e.attempt not in r.out:
             return
-        sent_us = r.out.pop(e.attempt)
-        if m is not None:
-            m.out.pop((e.request, e.attempt), None)
-            self.learn(m, r, e)
+        sent_us, m = r.out.pop(e.attempt)
+        m.out.pop((e.request, e.attempt), None)
+        self.learn(m, r, e)
         group = self.group(r.ask.group)
-        if group.scout == (e.request, e.attempt):
-            group.scout = None
         if e.outcome not in NEVER_RAN and r.ran_us is None:
-            r.ran_us = sent_us
-            r.ran_at = None if m is None else m.info
+            r.ran_us, r.ran_at = sent_us, m.info
         if e.outcome is Outcome.OK and r.cls.consistency is Consistency.WRITE:
             self.remember(r, self.now if e.position_us is None else e.position_us)
         if r.done or e.finished or e.outcome is Outcome.OK:
@@ -528,20 +583,27 @@
         if r.done or r.out:
             return
         r.avoid = e.member
-        if e.outcome not in (Outcome.MISS, Outcome.UNREACHABLE, Outcome.NOT_SENT):
+        if e.outcome is Outcome.ERROR:
+            r.errors += 1
+        if r.errors >= ERRORS_ELSEWHERE and (m is not group.primary or m.ok_share > OK_MEMORY):
+            self.give_up(r)  # danger: a request that fails anywhere eats the retries of good ones
+            return
+        if e.outcome in (Outcome.REJECTED, Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED):
             if self.retries < 1:
                 self.give_up(r)
                 return
             self.retries -= 1
-        if m is not None and m is group.primary and not m.suspect:
+        if m is group.primary and not m.suspect:
             r.wake_us = self.now + (PAUSE_US << min(r.attempts - 1, 5))
         self.decide(r)
 
     def learn(self, m: MemberState, r: RequestState, e: ui.AttemptEnded) -> None:
         """What an attempt's end tells of the member."""
         good = e.outcome is Outcome.OK
+        press = self.group(m.info.group)
+        pressure = press.primary_press if m is press.primary else press.replicas_press
         if e.outcome in (Outcome.OK, Outcome.ERROR, Outcome.REJECTED, Outcome.MISS):
-            m.heard_us = self.now
+            m.losses = 0
             self.saw_role(m, e.role)
             if e.position_us is not None:
                 wrote = good and r.cls.consistency is Consistency.WRITE
@@ -550,31 +612,46 @@
         if m.suspect and (good or e.outcome is Outcome.MISS):
             m.revive(self.now)
         if good:
-            took = max(e.took_us, 1)
-            m.srtt = ALPHA * m.srtt + (1 - ALPHA) * took if m.heard else float(took)
-            m.heard, m.ok_us = True, self.now
-            m.answered.add(self.now, self.s.overload_us)
+            if self.ramp(m) >= 1.0:
+                self.note_carried()
             m.ok_share = OK_MEMORY * m.ok_share + 1 - OK_MEMORY
             m.window = min(m.window + 1, float(WINDOW_OPEN))
-            self.stats[r.ask.cls].add(took)
-            self.press(m, took / r.cls.aim_us)
-        elif e.outcome not in (Outcome.MISS, Outcome.NOT_SENT):
-            m.srtt = min(m.srtt * LOST_PENALTY, SRTT_CAP_US)
+            for other in r.accused:  # the request was sound, so the error was the member's
+                other.ok_share *= OK_MEMORY
+            if not self.stalled:
+                took = max(e.took_us, 1)
+                m.srtt = ALPHA * m.srtt + (1 - ALPHA) * took if m.heard else float(took)
+                m.heard = True
+                self.stats[r.ask.cls].add(took)
+                pressure.add(self.now, took / r.cls.aim_us)
+        elif e.outcome is Outcome.ERROR:
+            r.accused.append(m)
+        elif e.outcome is Outcome.REJECTED:
             m.ok_share *= OK_MEMORY
-            if e.outcome in (Outcome.UNREACHABLE, Outcome.RESET):
-                m.suspend(self.now, True)
-            elif e.outcome in (Outcome.REJECTED, Outcome.TIMEOUT):
-                self.press(m, 2.0)
-
-    def press(self, m: MemberState, value: float) -> None:
-        m.pressure = PRESSURE_MEMORY * self.pressure(m) + (1 - PRESSURE_MEMORY) * min(value, 4.0)
-        m.pressure_us = self.now
+            pressure.add(self.now, LOST_PRESSURE)
+        elif e.outcome in LOST and not self.stalled and not r.done:
+            self.lose(m, e.outcome is Outcome.UNREACHABLE, pressure)
+
+    def lose(self, m: MemberState, refused: bool, pressure: Pressure) -> None:
+        """Dangers: a hung member swallows work; a dead one breaks connections. One lost answer is chance,
+        and where others are lost as well the cause is shared: then the draw alone decides."""
+        m.srtt = min(m.srtt * LOST_PENALTY, SRTT_CAP_US)
+        m.ok_share *= OK_MEMORY
+        m.losses += 1
+        if refused or m.losses >= LOST_IN_A_ROW:
+            if not m.suspect and not refused:
+                self.log(f"member {m.info.id} is silent")
+            m.suspend(self.now)
+        if not refused:
+            pressure.add(self.now, LOST_PRESSURE)
 
     def saw_report(self, m: MemberState, report: ui.Report) -> None:
         if report.position_us is not None:
             m.position = max(m.position, min(report.position_us, self.now))
-        if report.in_hand is not None:
-            m.in_hand, m.in_hand_us = report.in_hand / max(m.info.size, 0.01), self.now
+        load = report.waiting if report.in_hand is None else report.in_hand
+        if load is not None:
+            m.in_hand, m.in_hand_us = load / max(m.info.size, 0.01), self.now
+            self.usual_in_hand += (1 - STATS_MEMORY) * (m.in_hand - self.usual_in_hand)
 
     def remember(self, r: RequestState, commit: int) -> None:
         key = (r.ask.group, r.ask.session or "")
@@ -599,88 +676,48 @@
 
     def close(self, r: RequestState) -> None:
         r.done = True
-        group = self.group(r.ask.group)
-        group.writes.pop(r.ask.id, None)
-        group.reads.pop(r.ask.id, None)
+        self.group(r.ask.group).held.pop(r.ask.id, None)
         if not r.out:
             self.requests.pop(r.ask.id, None)
 
-    # Silence, probes and the periodic look round.
+    # The look at what is open, and probes.
 
     def tick(self) -> None:
-        self.note_carried()
-        for group in self.groups.values():
-            healthy = [m for m in group.members if not m.suspect and self.usable(m, group)]
-            for m in group.members:
-                # Danger: a hung member swallows work. If none but it is left the cause is shared.
-                if m.out and not m.suspect and self.silent(m) and len(healthy) > 1:
-                    m.suspend(self.now, False)
-                    m.srtt = min(m.srtt * LOST_PENALTY, SRTT_CAP_US)
-                    self.log(f"member {m.info.id} is silent")
-                if m.suspect and m.out:
-                    self.recall(m)
-            self.probe_group(group)
+        """Danger: a hung member, or answers lost on the way, hold a request until it is worth nothing."""
+        for r in list(self.requests.values()) if self.s.cancelling and not self.stalled else ():
+            stats = self.stats[r.ask.cls]
+            for attempt, (sent, _) in r.out.items():
+                again = self.retries >= 1 and r.cls.effect is not Effect.ONCE
+                again = again and r.attempts < self.s.max_attempts
+                if again and not r.done and self.now - sent > stats.overdue_us():
+                    self.actions.append(ui.Cancel(r.ask.id, attempt))
         if self.now >= self.ask_us:
-            self.ask_us = self.now + IDLE_US
+            self.ask_us = IDLE_US
             self.actions.append(ui.Subscribe(True))
 
-    def silent(self, m: MemberState) -> bool:
-        sent, cls = next(iter(m.out.values()))
-        spread = SILENCE_DEVIATIONS * self.stats[cls].dev / min(len(m.out), SILENCE_WITNESSES)
-        return self.now - max(sent, m.heard_us) > max(SILENCE_FLOOR_US, self.stats[cls].mean + spread)
-
-    def recall(self, m: MemberState) -> None:
-        """Take back what waits at a silent member, where it may be tried elsewhere."""
-        for (request, attempt), (sent, cls) in list(m.out.items()):
-            r = self.requests[request]
-            stats = self.stats[cls]
-            overdue = self.now - sent > max(SILENCE_FLOOR_US, stats.mean + 2 * stats.dev)
-            may = self.s.cancelling and self.retries >= 1 and r.cls.effect is not Effect.ONCE
-            if overdue and may and not r.done:
-                self.actions.append(ui.Cancel(request, attempt))
-                m.out[(request, attempt)] = (self.now + SRTT_CAP_US, cls)  # asked once
-
-    def probe_group(self, group: GroupState) -> None:
-        lost_primary = bool(group.writes or group.reads) and self.primary_of(group, True) is None
-        demand = self.now - group.bounded_us < DEMAND_US
-        for m in group.members:
-            if not self.usable(m, group) or (m.probing and self.now - m.probe_us < PROBE_LOST_US):
-                continue
-            age = self.now - m.probe_us
-            if m.suspect:
-                due = self.now >= m.retry_us and not m.trial
-            elif m.position == NEVER or m.role is Role.UNKNOWN:
-                due = age > BACKOFF_US
-            elif lost_primary:
-                due = age > BACKOFF_US and self.probes >= 1
-            else:
-                old = self.now - m.position > STALE_SHARE * group.bound_us
-                due = demand and old and m is not group.primary and self.probes >= 1
-                due = due and age > max(group.bound_us // 2, m.probe_gap_us)
-            if due and not self.s.probes:
-                m.trial = m.suspect
-            elif due:
-                self.probes = max(0.0, self.probes - 1)
-                m.probing, m.probe_us = True, self.now
-                self.actions.append(ui.Probe(m.info.id))
-
-    def probe_ended(self, e: ui.ProbeEnded) -> None:
+    def probe(self, m: MemberState) -> None:
+        m.probing, m.probe_us = True, self.now
+        self.actions.append(ui.Probe(m.info.id))
+
+    def probe_ended(self, e: ui.ProbeEnded) -> dict[int, None]:
         m = self.members.get(e.member)
         if m is None:
-            return
+            return {}
         m.probing = False
         group = self.group(m.info.group)
-        if e.outcome is not Outcome.OK and (m.suspect or self.now - m.ok_us > SEC):
-            m.suspend(self.now, e.outcome is Outcome.UNREACHABLE)
+        if e.outcome is not Outcome.OK and not self.stalled:
+            m.down_us = m.down_us or self.now
+            m.suspend(self.now)
         elif m.suspect and self.now >= m.retry_us:
             m.trial, m.retry_us = True, self.now + m.backoff_us
         report = e.report or ui.Report()
         self.saw_report(m, report)
-        if report.position_us is not None:
-            fresh = self.now - report.position_us <= group.bound_us
-            m.probe_gap_us = 0 if fresh else min(max(2 * m.probe_gap_us, BACKOFF_US), BACKOFF_CAP_US)
         if report.primary is not None and self.now - m.role_us > ROLE_REPORT_US:
             self.saw_role(m, Role.PRIMARY if report.primary else Role.REPLICA)
+        for r in group.held.values():
+            if r.looks:
+                r.wake_us = min(r.wake_us, self.now)
+        return {m.info.group: None}
 
     # List upkeep.
 
@@ -695,7 +732,8 @@
         if e.kind is not ListKind.SAVED:
             self.ask_backoff_us = ASK_BACKOFF_US
         elif self.s.must_ask:
-            self.ask_us = self.now + int(self.random.uniform(0, ASK_SPREAD_US))
+            spread = max(ASK_SPREAD_US, ASK_SPREAD_EACH_US * self.s.routers)
+            self.ask_us = self.now + int(self.random.uniform(0, spread))
         for info in e.members:
             self.member_entry(info)
         if e.kind is not ListKind.CHANGES:
@@ -708,12 +746,14 @@
         for _, m in sorted(self.members.items()):
             if m.info.readiness is not Readiness.GONE or self.s.only_draining_binds:
                 self.group(m.info.group).members.append(m)
+        up = [m.info.size for m in self.members.values() if m.info.readiness is Readiness.UP]
+        self.size = max(sum(up), 0.01)
 
     def member_entry(self, info: ui.Member) -> None:
         m = self.members.get(info.id)
         group = self.group(info.group)
         if m is None:
-            m = MemberState(info, self.now, self.random.uniform(*FIRST_SRTT_US))
+            m = MemberState(info, self.now, self.random)
             self.members[info.id] = m
         else:
             restarted = info.started_us > m.info.started_us
@@ -722,8 +762,8 @@
             m.info = info
             if restarted:
                 m.cold_us = max(m.cold_us, info.started_us)
-                m.heard, m.srtt, m.ok_share = False, self.random.uniform(*FIRST_SRTT_US), 1.0
-                m.retry_us = self.now
+                m.start_afresh(self.random)
+                m.allow, m.retry_us = self.random.random(), self.now
         if info.listed_primary and self.s.list_shows_role:
             group.listed = m
 
