--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -38,6 +38,7 @@
 STATS_MEMORY = 0.95  # weight of the old mean and deviation of a class's response time
 BACKOFF_US = 250 * MS  # first pause before a failing member is looked at again
 BACKOFF_CAP_US = 2 * SEC  # a member that is back must not idle for long
+PRIMARY_PATIENCE = 3  # times as long for what only the primary can answer: no other member may try it
 LOST_IN_A_ROW = 2  # answers, with none in between, put a member in doubt; one alone is chance
 PAUSE_US = 30 * MS  # first pause of a request after an error of its primary; doubles
 RETRY_SHARE = 0.3  # further attempts earned by each request: retries add at most this part of load
@@ -52,7 +53,7 @@
 WINDOW_OPEN = 64  # from here on the window no longer limits
 
 # Shedding: pressure is response time over the class's aim, for a group's replicas and its primary.
-PRESSURE_SHARE = (0.1, 0.4)  # of a new answer, the more the older the last one is
+PRESSURE_SHARE = (0.1, 0.3)  # of a new answer, the more the older the last one is
 LOST_PRESSURE = 2.0  # what an answer that was lost or turned away counts for
 PRESSURE_FADE_US = 3 * SEC  # without answers pressure is forgotten: knowledge ages
 SHED_FROM = 0.45  # shed none below, all beyond SHED_ALL, in proportion between
@@ -61,9 +62,9 @@
 VALUE_RANGE = (0.4, 2.5)  # worth for the time taken, against the usual; its root moves the thresholds
 OVER_SHARE_FACTOR = 0.5  # a tenant over its share is shed at this part of the pressure
 PRIMARY_READ_FACTOR = 0.5  # so is a read that falls back on a primary that writes need
+PRIMARY_UNHEARD = 0.4  # pressure taken for granted, for such reads, at a primary not heard of late
 TENANT_MEMORY_US = 5 * SEC
-SHARE_SLACK = 1.15  # a tenant's part of the traffic may exceed its share by chance
-SHARE_SEEN = 20  # requests below which a share says nothing
+SHARE_DEVIATIONS = 3  # by which chance alone lifts a tenant over its part of the traffic, hardly ever more
 
 COLD_USE = 0.7  # of what would push a cold member over; it mostly has more than the surest ramp says
 CARRY_US = 10 * SEC  # over which this router counts what warm members carry for it
@@ -481,16 +482,20 @@
         if not 0 <= tenant < len(self.tenants):
             return False
         seen = [t.read(self.now, TENANT_MEMORY_US) for t in self.tenants]
-        return seen[tenant] > SHARE_SLACK * self.s.tenants[tenant].fraction * max(sum(seen), SHARE_SEEN)
+        due = self.s.tenants[tenant].fraction * sum(seen)
+        return seen[tenant] > due + SHARE_DEVIATIONS * math.sqrt(due)
 
-    def sheds(self, r: RequestState, pressure: float, on_primary: bool) -> bool:
+    def sheds(self, r: RequestState, press: Pressure, on_primary: bool) -> bool:
         """Danger: a queue that makes all answers late. Refuse early, what is worth least first."""
+        pressure = press.read(self.now)
         value = r.cls.worth / self.stats[r.ask.cls].mean / max(self.usual_value, 1e-12)
         factor = (1 + r.cls.late_worth) * math.sqrt(min(max(value, VALUE_RANGE[0]), VALUE_RANGE[1]))
         if self.over_share(r.ask.tenant):
             factor *= OVER_SHARE_FACTOR
         if on_primary and r.cls.consistency not in CURRENT:
             factor *= PRIMARY_READ_FACTOR
+            if self.now - press.at_us > PRESSURE_FADE_US and len(self.group(r.ask.group).members) > 1:
+                pressure = PRIMARY_UNHEARD  # danger: hundreds of routers that each think it idle
         part = (pressure / factor - SHED_FROM) / (SHED_ALL - SHED_FROM)
         return part > 0 and self.random.random() < part
 
@@ -521,7 +526,7 @@
             r.avoid, r.looks = None, 0
             group.held[r.ask.id] = r
             self.wanting(r, group)
-        elif r.attempts == 0 and self.sheds(r, press.read(self.now), on_primary):
+        elif r.attempts == 0 and self.sheds(r, press, on_primary):
             self.give_up(r)
         else:
             self.send(r, target)
@@ -689,7 +694,8 @@
             for attempt, (sent, _) in r.out.items():
                 again = self.retries >= 1 and r.cls.effect is not Effect.ONCE
                 again = again and r.attempts < self.s.max_attempts
-                if again and not r.done and self.now - sent > stats.overdue_us():
+                patience = 1 if r.cls.consistency not in CURRENT else PRIMARY_PATIENCE
+                if again and not r.done and self.now - sent > patience * stats.overdue_us():
                     self.actions.append(ui.Cancel(r.ask.id, attempt))
         if self.now >= self.ask_us:
             self.ask_us = IDLE_US
