--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -34,7 +34,7 @@
 TICK_US = 20 * MS  # how late a held request or an overdue answer may be noticed, while any is open
 STALL_US = 150 * MS  # a tick this late means that this router itself stood still
 OVERDUE_FLOOR_US = 150 * MS  # shorter waits are ordinary scheduling
-OVERDUE_DEVIATIONS = 4  # of a class's response time; an answer this late is taken for lost
+OVERDUE_DEVIATIONS = 5  # of a class's response time; an answer this late is taken for lost
 STATS_MEMORY = 0.95  # weight of the old mean and deviation of a class's response time
 BACKOFF_US = 250 * MS  # first pause before a failing member is looked at again
 BACKOFF_CAP_US = 2 * SEC  # a member that is back must not idle for long
@@ -132,6 +132,7 @@
         self.was_draining = info.readiness is Readiness.DRAINING
         self.cold_us = info.started_us or NEVER
         self.start_afresh(random)
+        self.heard_us = NEVER  # its last answer
         self.out: dict[tuple[str, int], int] = {}  # attempt: when it was sent
         self.suspect, self.down_us, self.trial = False, 0, False
         self.backoff_us, self.retry_us = BACKOFF_US, 0
@@ -429,7 +430,7 @@
         group = self.groups.get(m.info.group)
         if role is Role.UNKNOWN or group is None:
             return
-        m.role, m.role_us = role, self.now
+        m.role = role
         if role is Role.PRIMARY:
             if group.primary is not m:
                 if group.primary is not None or group.held:
@@ -608,8 +609,9 @@
         press = self.group(m.info.group)
         pressure = press.primary_press if m is press.primary else press.replicas_press
         if e.outcome in (Outcome.OK, Outcome.ERROR, Outcome.REJECTED, Outcome.MISS):
-            m.losses = 0
+            m.losses, m.heard_us = 0, self.now
             self.saw_role(m, e.role)
+            m.role_us = self.now
             if e.position_us is not None:
                 wrote = good and r.cls.consistency is Consistency.WRITE
                 m.position = max(m.position, min(e.position_us - (MS if wrote else 0), self.now))
@@ -635,9 +637,13 @@
             m.ok_share *= OK_MEMORY
             pressure.add(self.now, LOST_PRESSURE)
         elif e.outcome in LOST and not self.stalled and not r.done:
-            self.lose(m, e.outcome is Outcome.UNREACHABLE, pressure)
+            if e.outcome is not Outcome.UNREACHABLE:
+                withdrawn = e.outcome is Outcome.CANCELLED
+                pressure.add(self.now, e.took_us / r.cls.aim_us if withdrawn else LOST_PRESSURE)
+            if e.outcome is not Outcome.CANCELLED or m.heard_us < self.now - e.took_us:
+                self.lose(m, e.outcome is Outcome.UNREACHABLE)  # else it is well, and the request is slow
 
-    def lose(self, m: MemberState, refused: bool, pressure: Pressure) -> None:
+    def lose(self, m: MemberState, refused: bool) -> None:
         """Dangers: a hung member swallows work; a dead one breaks connections. One lost answer is chance,
         and where others are lost as well the cause is shared: then the draw alone decides."""
         m.srtt = min(m.srtt * LOST_PENALTY, SRTT_CAP_US)
@@ -647,8 +653,6 @@
             if not m.suspect and not refused:
                 self.log(f"member {m.info.id} is silent")
             m.suspend(self.now)
-        if not refused:
-            pressure.add(self.now, LOST_PRESSURE)
 
     def saw_report(self, m: MemberState, report: ui.Report) -> None:
         if report.position_us is not None:
