--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -56,7 +56,7 @@
 PRESSURE_FADE_US = 3 * SEC  # without answers pressure is forgotten: knowledge ages
 SHED_FROM = 0.45  # shed none below, all beyond SHED_ALL, in proportion between
 SHED_ALL = 1.1
-VALUE_STEP = 0.01  # of the way to a request's value, at each request
+VALUE_STEP = 0.02  # of the way to a request's value, at each request
 VALUE_RANGE = (0.4, 2.5)  # worth for the time taken, against the usual; its root moves the thresholds
 OVER_SHARE_FACTOR = 0.5  # a tenant over its share is shed at this part of the pressure
 PRIMARY_READ_FACTOR = 0.5  # so is a read that falls back on a primary that writes need
@@ -208,7 +208,8 @@
         self.sessions: dict[tuple[int, str], int] = {}
         self.tenants = [0.0 for _ in settings.tenants]
         self.retries = RETRY_BURST
-        self.usual_value = sum(c.worth / c.aim_us for c in settings.classes) / len(settings.classes)
+        values = [c.worth / s.mean for c, s in zip(settings.classes, self.stats, strict=True)]
+        self.usual_value = sum(values) / len(values)
         self.carried, self.carried_us = 0.0, 0  # answers of warm members within CARRY_US
         self.peak = 0.0  # of those, a second and for each unit of size
         self.size, self.size_us = 1.0, NEVER  # of all warm members
