Await answers worth half when late to the aim only; pressure is a mean of the answers there are

It also catches slow members of quiet routers; it could shed after one unlucky answer, which PRESSURE_DOUBT tempers.

--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -45,15 +45,16 @@
 RETRY_BURST = 10.0  # and this many at once, for a member that dies with work in hand
 ERRORS_ELSEWHERE = 2  # quick errors at this many attempts are the request's own fault
 LAST_TRY_US = 10 * MS  # with less than this left no answer can arrive in time
-LATE_PATIENCE = 2.0  # late answers worth half or more are awaited to the deadline, others for less
+LATE_WORTH = 0.5  # answers worth no more when late are awaited to the aim only: longer queues make all late
 
 # Finding the primary.
 ROLE_REPORT_US = 1 * SEC  # a probe's role is dated: an answer's role of this age outranks it
 
 # Shedding: pressure is response time over the class's aim, for a group's replicas and its primary.
-PRESSURE_SHARE = (0.1, 0.3)  # of a new answer, the more the older the last one is
+PRESSURE_ANSWERS = 9  # answers that pressure is a mean of
+PRESSURE_DOUBT = 0.5  # answers without pressure that are added to those, as few may mislead
 LOST_PRESSURE = 2.0  # what an answer that was lost or turned away counts for
-PRESSURE_FADE_US = 3 * SEC  # without answers pressure is forgotten: knowledge ages
+PRESSURE_FADE_US = 6 * SEC  # without answers pressure is forgotten: knowledge ages
 SHED_FROM = 0.45  # shed none below, all beyond SHED_ALL, in proportion between
 SHED_ALL = 1.1
 VALUE_STEP = 0.02  # of the way to a request's value, at each request
@@ -88,16 +89,18 @@
     """Response time over the aim, of late."""
 
     def __init__(self) -> None:
-        self.value, self.at_us = 0.0, 0
+        self.value, self.weight, self.at_us = 0.0, 0.0, 0
+
+    def news(self, now: int) -> float:
+        return self.weight * max(0.0, 1 - (now - self.at_us) / PRESSURE_FADE_US)
 
     def read(self, now: int) -> float:
-        return self.value * min(1.0, max(0.0, 2 - (now - self.at_us) / PRESSURE_FADE_US))
+        return self.value * self.news(now) / (self.news(now) + PRESSURE_DOUBT)
 
     def add(self, now: int, value: float) -> None:
-        low, high = PRESSURE_SHARE
-        share = min(max(low, (now - self.at_us) / PRESSURE_FADE_US), high)
-        self.value = (1 - share) * self.read(now) + share * min(value, 4.0)
-        self.at_us = now
+        weight = self.news(now)
+        self.value = (weight * self.value + min(value, 4.0)) / (weight + 1)
+        self.weight, self.at_us = min(weight + 1, PRESSURE_ANSWERS), now
 
 
 class MemberState:
@@ -143,7 +146,7 @@
 
     def __init__(self, ask: ui.Request, cls: ui.RequestClass, now: int, needs: int) -> None:
         self.ask, self.cls = ask, cls
-        patience = min(1.0, LATE_PATIENCE * cls.late_worth)
+        patience = max(0.0, cls.late_worth - LATE_WORTH) / (1 - LATE_WORTH)
         self.horizon = now + cls.aim_us + int(patience * (cls.deadline_us - cls.aim_us))  # worth little after
         self.needs = needs  # position that a replica must have passed
         self.attempts, self.looks, self.errors = 0, 0, 0
