--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -217,7 +217,6 @@
         self.peak = 0.0  # of those, a second and for each unit of size
         self.size, self.size_us = 1.0, NEVER  # of all warm members
         self.usual_in_hand = 0.0  # by the reports of all members
-        self.stalled = False
         self.tick_key, self.tick_due = 0, -1
         self.ask_us = IDLE_US
         self.logged: dict[str, int] = {}
@@ -378,12 +377,12 @@
     def look(self, r: RequestState, others: list[MemberState]) -> bool:
         """Danger: with little traffic no position is known fresh when a read comes, and reads crowd the
         primary. Probe a replica drawn like any other and hold the read for that round trip."""
-        stats = self.stats[r.ask.cls]
-        late = self.now + stats.mean + stats.dev > min(r.horizon, r.ask.deadline_us)
+        unseen = [m for m in others if self.now - m.probe_us > LOOK_US]
+        wait = 0 if unseen and not r.looks else LOOK_US  # a first look takes but a round trip
+        late = self.now + self.stats[r.ask.cls].mean + wait > min(r.horizon, r.ask.deadline_us)
         if not self.s.probes or not others or late or r.looks >= LOOKS:
             r.looks = LOOKS
             return False
-        unseen = [m for m in others if self.now - m.probe_us > LOOK_US]
         r.looks, r.wake_us = r.looks + 1, self.now + LOOK_US
         if unseen:
             self.probe(self.random.choices(unseen, self.weights(unseen))[0])
@@ -488,7 +487,7 @@
                 if r.cls.consistency not in CURRENT and not heard:
                     r.pressure = PRIMARY_UNHEARD  # danger: hundreds of routers that each think it idle
         if target is None:
-            r.avoid, r.looks = None, 0
+            r.avoid = None
             group.held[r.ask.id] = r
             self.wanting(r, group)
         elif r.attempts == 0 and self.sheds(r, on_primary):
@@ -599,20 +598,21 @@
             if not refused:
                 self.press(m, group, e.took_us / r.cls.aim_us if withdrawn else LOST_PRESSURE)
             if not withdrawn or m.heard_us < self.now - e.took_us:
-                self.lose(m, refused)  # else it is well, and the request is slow
+                self.lose(m, group, refused)  # else it is well, and the request is slow
 
     def press(self, m: MemberState, group: GroupState, value: float) -> None:
         m.press.add(self.now, value)
         if m is not group.primary:
             group.press.add(self.now, value)
 
-    def lose(self, m: MemberState, refused: bool) -> None:
+    def lose(self, m: MemberState, group: GroupState, refused: bool) -> None:
         """Dangers: a hung member swallows work; a dead one breaks connections. One lost answer is chance,
         and where others are lost as well the cause is shared: then the draw alone decides."""
         m.srtt = min(m.srtt * LOST_PENALTY, SRTT_CAP_US)
         m.ok_share *= OK_MEMORY
         m.losses += 1
-        if refused or m.losses >= LOST_IN_A_ROW:
+        well = [o for o in group.members if not o.suspect and self.usable(o, group)]
+        if refused or (m.losses >= LOST_IN_A_ROW and 2 * len(well) > len(group.members)):
             if not m.suspect:
                 self.log(f"member {m.info.id} is refusing" if refused else f"member {m.info.id} is silent")
             m.suspend(self.now)
