Pressure falls back on all replicas of a router where a member and its group told little

Should also catch shared causes; could shed one group for another's trouble while its own told nothing.

--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -52,6 +52,7 @@
 
 # Shedding: pressure is response time over the class's aim, for a group's replicas and its primary.
 PRESSURE_ANSWERS = 9  # answers that pressure is a mean of
+PRESSURE_TOLD = 1.5  # of them, still fresh, make a member's or a group's own pressure count
 PRESSURE_DOUBT = 0.5  # answers without pressure that are added to those, as few may mislead
 LOST_PRESSURE = 2.0  # what an answer that was lost or turned away counts for
 PRESSURE_FADE_US = 6 * SEC  # without answers pressure is forgotten: knowledge ages
@@ -81,7 +82,6 @@
 LOG_EVERY_US = 10 * SEC
 
 NEVER_RAN = (Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.NOT_SENT, Outcome.MISS)
-LOST = (Outcome.UNREACHABLE, Outcome.RESET, Outcome.TIMEOUT, Outcome.CANCELLED)
 CURRENT = (Consistency.WRITE, Consistency.FRESH)  # only the primary serves these
 
 
@@ -216,6 +216,7 @@
         self.carried, self.carried_us = 0.0, 0  # answers of warm members within CARRY_US
         self.peak = 0.0  # of those, a second and for each unit of size
         self.size, self.size_us = 1.0, NEVER  # of all warm members
+        self.overall = Pressure()  # of all replicas
         self.usual_in_hand = 0.0  # by the reports of all members
         self.tick_key, self.tick_due = 0, -1
         self.ask_us = IDLE_US
@@ -356,9 +357,10 @@
         return self.random.choices(pool, weights)[0]
 
     def pressure(self, m: MemberState, group: GroupState) -> float:
-        """A member's own; where nothing was heard of it lately, that of its group's replicas."""
-        own = self.now - m.press.at_us < PRESSURE_FADE_US or m is group.primary
-        return (m.press if own else group.press).read(self.now)
+        """A member's own; where little was heard of it lately, that of its group's replicas, or of all."""
+        levels = (m.press,) if m is group.primary else (m.press, group.press, self.overall)
+        told = [p for p in levels if p.news(self.now) >= PRESSURE_TOLD]
+        return (told[0] if told else levels[-1]).read(self.now)
 
     def weights(self, pool: list[MemberState]) -> list[float]:
         """1/srtt. Danger: quick failures earn share."""
@@ -483,8 +485,7 @@
             on_primary = True
             if p is not None and self.open_to(r, p):
                 target, r.pressure = p, self.pressure(p, group)
-                heard = self.now - p.press.at_us < PRESSURE_FADE_US or len(group.members) == 1
-                if r.cls.consistency not in CURRENT and not heard:
+                if r.cls.consistency not in CURRENT and not p.press.news(self.now) and len(group.members) > 1:
                     r.pressure = PRIMARY_UNHEARD  # danger: hundreds of routers that each think it idle
         if target is None:
             r.avoid = None
@@ -593,7 +594,7 @@
         elif e.outcome is Outcome.REJECTED:
             m.ok_share *= OK_MEMORY
             self.press(m, group, LOST_PRESSURE)
-        elif e.outcome in LOST and not self.stalled and not r.done:
+        elif e.outcome not in (Outcome.MISS, Outcome.NOT_SENT) and not self.stalled and not r.done:
             refused, withdrawn = e.outcome is Outcome.UNREACHABLE, e.outcome is Outcome.CANCELLED
             if not refused:
                 self.press(m, group, e.took_us / r.cls.aim_us if withdrawn else LOST_PRESSURE)
@@ -601,9 +602,8 @@
                 self.lose(m, group, refused)  # else it is well, and the request is slow
 
     def press(self, m: MemberState, group: GroupState, value: float) -> None:
-        m.press.add(self.now, value)
-        if m is not group.primary:
-            group.press.add(self.now, value)
+        for p in (m.press,) if m is group.primary else (m.press, group.press, self.overall):
+            p.add(self.now, value)
 
     def lose(self, m: MemberState, group: GroupState, refused: bool) -> None:
         """Dangers: a hung member swallows work; a dead one breaks connections. One lost answer is chance,
