--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -54,7 +54,7 @@
 PRESSURE_ANSWERS = 9  # answers that pressure is a mean of
 PRESSURE_TOLD = 1.5  # of them, still fresh, make a member's or a group's own pressure count
 PRESSURE_DOUBT = 0.5  # answers without pressure that are added to those, as few may mislead
-LOST_PRESSURE = 2.0  # what an answer that was lost or turned away counts for
+LOST_PRESSURE = 1.5  # what an answer that was lost or turned away counts for
 PRESSURE_FADE_US = 6 * SEC  # without answers pressure is forgotten: knowledge ages
 SHED_FROM = 0.45  # shed none below, all beyond SHED_ALL, in proportion between
 SHED_ALL = 1.1
@@ -73,6 +73,7 @@
 # Probes.
 LOOKS = 4  # members probed, one after another, for a read that finds no position it may go by
 LOOK_US = 50 * MS  # a read is held this long for a probe's answer, or for members to have news
+PASSED_US = 5 * SEC  # a passed probe vouches for a suspect member for this long
 PROBE_AGAIN_US = 300 * MS  # a member says nothing new before; spread so that routers do not fall in step
 
 # Lists and memory.
@@ -114,14 +115,14 @@
         self.start_afresh(random)
         self.heard_us = NEVER  # its last answer
         self.out: dict[tuple[str, int], int] = {}  # attempt: when it was sent
-        self.suspect, self.down_us, self.trial = False, 0, False
+        self.suspect, self.down_us = False, 0
         self.backoff_us, self.retry_us = BACKOFF_US, 0
         self.position = NEVER
         self.role, self.role_us = Role.UNKNOWN, NEVER
         self.press = Pressure()
         self.in_hand, self.in_hand_us = 0.0, NEVER  # as it reports itself, size for size
         self.allow, self.allow_us = random.random(), now  # of a cold member's budget
-        self.probe_us = NEVER
+        self.probe_us, self.passed_us = NEVER, NEVER
 
     def start_afresh(self, random: random.Random) -> None:
         self.srtt, self.heard = random.uniform(*FIRST_SRTT_US), False
@@ -132,7 +133,7 @@
             self.backoff_us = BACKOFF_US
         elif now >= self.retry_us:
             self.backoff_us = min(2 * self.backoff_us, BACKOFF_CAP_US)
-        self.suspect, self.trial, self.retry_us = True, False, now + self.backoff_us
+        self.suspect, self.retry_us = True, now + self.backoff_us
 
     def revive(self, now: int) -> None:
         """Danger: after its process was down, as failed probes show, it is cold before a list says so."""
@@ -291,9 +292,13 @@
         return in_time and (r.cls.key_scope is not KeyScope.ZONE or m.info.zone == r.ran_at.zone)
 
     def open_to(self, r: RequestState, m: MemberState) -> bool:
-        """A suspect member gets one attempt at a time, and that only after a probe or a pause."""
-        healthy = not m.suspect or (m.trial and not m.out)
-        return healthy and self.legal(r, m) and self.cold_room(m)
+        return self.trusted(m) and self.legal(r, m) and self.cold_room(m)
+
+    def trusted(self, m: MemberState) -> bool:
+        """A suspect member gets one attempt at a time, after a pause and once a probe has passed; its own
+        failures then lengthen the pause, so that probes which pass beside them start no endless cycle."""
+        vouched = not self.s.probes or self.now - m.passed_us < PASSED_US
+        return not m.suspect or (vouched and self.now >= m.retry_us and not m.out)
 
     def fresh_enough(self, r: RequestState, m: MemberState, slack_us: int) -> bool:
         """Rule 5, judged at the moment of sending: known positions only, which never go back."""
@@ -396,8 +401,7 @@
         p = group.primary
         if p is None and not for_read and all(m.role is Role.UNKNOWN for m in group.members):
             p = group.listed
-        blocked = p is None or (p.suspect and not p.trial) or not self.usable(p, group)
-        return None if blocked else p
+        return None if p is None or not self.trusted(p) or not self.usable(p, group) else p
 
     def saw_role(self, m: MemberState, role: Role) -> None:
         group = self.groups.get(m.info.group)
@@ -471,6 +475,10 @@
         if r.wake_us > self.now:
             group.held[r.ask.id] = r
             return
+        for m in group.members:
+            due = m.suspect and self.now >= max(m.retry_us, m.probe_us + PROBE_AGAIN_US)
+            if due and self.usable(m, group) and not m.out and not self.trusted(m):
+                self.probe(m)
         target, on_primary = None, False
         if r.cls.consistency not in CURRENT:
             others = [m for m in group.members if m is not group.primary and m.info.id != r.avoid]
@@ -490,22 +498,13 @@
         if target is None:
             r.avoid = None
             group.held[r.ask.id] = r
-            self.wanting(r, group)
+            if r.cls.consistency in CURRENT and self.primary_of(group, False) is None:
+                self.look_for_primary(r, group)
         elif r.attempts == 0 and self.sheds(r, on_primary):
             self.give_up(r)
         else:
             self.send(r, target)
 
-    def wanting(self, r: RequestState, group: GroupState) -> None:
-        """Nothing may take this request now: look at members in doubt, and for a primary."""
-        for m in group.members:
-            if m.suspect and self.now >= m.retry_us and self.usable(m, group):
-                m.trial = m.trial or not self.s.probes
-                if not m.trial and self.now - m.probe_us > PROBE_AGAIN_US:
-                    self.probe(m)
-        if r.cls.consistency in CURRENT and self.primary_of(group, False) is None:
-            self.look_for_primary(r, group)
-
     def hopeless(self, r: RequestState) -> bool:
         end = min(r.ask.deadline_us - TICK_US, r.horizon)
         spent = self.now + LAST_TRY_US >= end or r.attempts >= self.s.max_attempts
@@ -676,11 +675,10 @@
         if m is None:
             return
         group = self.group(m.info.group)
-        if e.outcome is not Outcome.OK and not self.stalled:
-            m.down_us = m.down_us or self.now
+        m.passed_us = self.now if e.outcome is Outcome.OK else m.passed_us
+        if e.outcome in (Outcome.UNREACHABLE, Outcome.RESET, Outcome.TIMEOUT) and not self.stalled:
+            m.down_us, m.passed_us = m.down_us or self.now, NEVER
             m.suspend(self.now)
-        elif m.suspect and self.now >= m.retry_us:
-            m.trial, m.retry_us = True, self.now + m.backoff_us
         report = e.report or ui.Report()
         self.saw_report(m, report)
         if report.primary is not None and self.now - m.role_us > ROLE_REPORT_US:
