--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -54,7 +54,7 @@
 PRESSURE_ANSWERS = 9  # answers that pressure is a mean of
 PRESSURE_TOLD = 1.5  # of them, still fresh, make a member's or a group's own pressure count
 PRESSURE_DOUBT = 0.5  # answers without pressure that are added to those, as few may mislead
-LOST_PRESSURE = 1.5  # what an answer that was lost or turned away counts for
+LOST_PRESSURE = 2.0  # what an answer that was lost or turned away counts for
 PRESSURE_FADE_US = 6 * SEC  # without answers pressure is forgotten: knowledge ages
 SHED_FROM = 0.45  # shed none below, all beyond SHED_ALL, in proportion between
 SHED_ALL = 1.1
@@ -63,10 +63,10 @@
 OVER_SHARE_FACTOR = 0.5  # a tenant over its share is shed at this part of the pressure
 PRIMARY_READ_FACTOR = 0.5  # so is a read that falls back on a primary that writes need
 PRIMARY_UNHEARD = 0.4  # pressure taken for granted, for such reads, at a primary not heard of late
-TENANT_MEMORY = 0.998  # weight of the old counts of requests by tenant, at each request
-SHARE_DEVIATIONS = 3  # by which chance alone lifts a tenant over its part of the traffic, hardly ever more
+TENANT_MEMORY = 0.999  # weight of the old counts of requests by tenant, at each request
+SHARE_DEVIATIONS = 2  # by which chance alone lifts a tenant over its part of the traffic, hardly ever more
 
-COLD_USE = 0.7  # of what would push a cold member over; it mostly has more than the surest ramp says
+COLD_USE = 0.85  # of what would push a cold member over; it mostly has more than the surest ramp says
 CARRY_US = 10 * SEC  # over which this router counts what warm members carry for it
 PEAK_MEMORY_US = 60 * SEC  # what warm members could carry a minute ago they mostly still can
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -464,3 +464,45 @@
             s.wait(200 * MS)
             s.batch(ui.RequestGone(r))
     assert sent <= 60 * 2 * (2 / routers) + 3  # two windows of one attempt for all routers together
+
+
+def test_suspect_replica_returns_while_others_serve() -> None:
+    """A member in doubt stayed out for as long as any other could take the reads."""
+    s = Script()
+    s.group("a", "b")
+    while s.sends[r := s.ask("loose")][0] != "a":
+        s.end(r, role=ui.Role.REPLICA)
+    s.end(r, ui.Outcome.UNREACHABLE)
+    s.end(r, role=ui.Role.REPLICA)
+    s.wait(300 * MS)
+    s.end(s.ask("loose"), role=ui.Role.REPLICA)
+    s.probed("a", False)
+    picked = Counter[str]()
+    for _ in range(30):
+        r = s.ask("loose")
+        picked[s.sends[r][0]] += 1
+        s.end(r, role=ui.Role.REPLICA)
+    assert picked["a"] > 0
+
+
+def test_first_look_is_given_to_a_client_in_a_hurry() -> None:
+    """give_up: reads that had no time for looking crowded the primaries instead."""
+    s = Script()
+    s.group("a")
+    s.now += 400 * MS
+    r = s.ask("read", deadline_us=s.now + 260 * MS)
+    assert ui.Probe("a") in s.last and r not in s.sends
+    s.probed("a", False)
+    assert s.sends[r] == ["a"]
+
+
+def test_shared_losses_put_no_member_in_doubt() -> None:
+    """answer_lost: where half the group loses answers the draw alone decides."""
+    s = Script()
+    s.group("a", "b", "c")
+    for _ in range(40):
+        r = s.ask("loose", deadline_us=s.now + 90 * MS)
+        if r in s.sends:
+            s.end(r, ui.Outcome.RESET)
+        s.wait(500 * MS)
+    assert sum(m.suspect for m in s.router.members.values()) <= 2
