--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -63,10 +63,10 @@
 OVER_SHARE_FACTOR = 0.5  # a tenant over its share is shed at this part of the pressure
 PRIMARY_READ_FACTOR = 0.5  # so is a read that falls back on a primary that writes need
 PRIMARY_UNHEARD = 0.4  # pressure taken for granted, for such reads, at a primary not heard of late
-TENANT_MEMORY = 0.999  # weight of the old counts of requests by tenant, at each request
-SHARE_DEVIATIONS = 2  # by which chance alone lifts a tenant over its part of the traffic, hardly ever more
+TENANT_MEMORY = 0.998  # weight of the old counts of requests by tenant, at each request
+SHARE_DEVIATIONS = 3  # by which chance alone lifts a tenant over its part of the traffic, hardly ever more
 
-COLD_USE = 0.85  # of what would push a cold member over; it mostly has more than the surest ramp says
+COLD_USE = 0.7  # of what would push a cold member over; it mostly has more than the surest ramp says
 CARRY_US = 10 * SEC  # over which this router counts what warm members carry for it
 PEAK_MEMORY_US = 60 * SEC  # what warm members could carry a minute ago they mostly still can
 
