--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -45,8 +45,7 @@
 RETRY_BURST = 10.0  # and this many at once, for a member that dies with work in hand
 ERRORS_ELSEWHERE = 2  # quick errors at this many attempts are the request's own fault
 LAST_TRY_US = 10 * MS  # with less than this left no answer can arrive in time
-LATE_WORTH = 2.0  # what an answer is worth when late, times this, is the part of the rest that it is awaited,
-LATE_PART = 0.4  # at most this one: queues as long as the deadline make all answers late
+LATE_WORTH = 0.5  # answers worth no more when late are awaited to the aim only: longer queues make all late
 
 # Finding the primary.
 ROLE_REPORT_US = 1 * SEC  # a probe's role is dated: an answer's role of this age outranks it
@@ -148,7 +147,7 @@
 
     def __init__(self, ask: ui.Request, cls: ui.RequestClass, now: int, needs: int) -> None:
         self.ask, self.cls = ask, cls
-        patience = min(LATE_WORTH * cls.late_worth, LATE_PART)
+        patience = max(0.0, cls.late_worth - LATE_WORTH) / (1 - LATE_WORTH)
         self.horizon = now + cls.aim_us + int(patience * (cls.deadline_us - cls.aim_us))  # worth little after
         self.needs = needs  # position that a replica must have passed
         self.attempts, self.looks, self.errors = 0, 0, 0
