--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -73,7 +73,7 @@
 # Probes.
 LOOKS = 4  # members probed, one after another, for a read that finds no position it may go by
 LOOK_US = 50 * MS  # a read is held this long for a probe's answer, or for members to have news
-PASSED_US = 2 * SEC  # a passed probe vouches for a suspect member for this long
+PASSED_US = 5 * SEC  # a passed probe vouches for a suspect member for this long
 PROBE_AGAIN_US = 300 * MS  # a member says nothing new before; spread so that routers do not fall in step
 
 # Lists and memory.
@@ -498,10 +498,7 @@
         if target is None:
             r.avoid = None
             group.held[r.ask.id] = r
-            # Danger: a primary that only refuses connections still is one; looking for another helps nobody.
-            p = group.primary
-            lost = p is None or p.losses or p.down_us or not self.usable(p, group)
-            if lost and r.cls.consistency in CURRENT:
+            if r.cls.consistency in CURRENT and self.primary_of(group, False) is None:
                 self.look_for_primary(r, group)
         elif r.attempts == 0 and self.sheds(r, on_primary):
             self.give_up(r)
@@ -612,7 +609,7 @@
         and where others are lost as well the cause is shared: then the draw alone decides."""
         m.srtt = min(m.srtt * LOST_PENALTY, SRTT_CAP_US)
         m.ok_share *= OK_MEMORY
-        m.losses += not refused
+        m.losses += 1
         well = [o for o in group.members if not o.suspect and self.usable(o, group)]
         if refused or (m.losses >= LOST_IN_A_ROW and 2 * len(well) > len(group.members)):
             if not m.suspect:
