--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -74,7 +74,8 @@
 LOOKS = 4  # members probed, one after another, for a read that finds no position it may go by
 LOOK_US = 50 * MS  # a read is held this long for a probe's answer, or for members to have news
 PASSED_US = 5 * SEC  # a passed probe vouches for a suspect member for this long
-PROBE_AGAIN_US = 300 * MS  # a member says nothing new before; spread so that routers do not fall in step
+PROBE_AGAIN_US = 300 * MS  # a member in doubt says nothing new before
+SEARCH = (2.0, 4.0)  # times that between a router's rounds in search of a primary: hundreds search at once
 
 # Lists and memory.
 ASK_SPREAD_US = 10 * MS  # for each driver: those that start together must not ask together
@@ -220,6 +221,7 @@
         self.overall = Pressure()  # of all replicas
         self.usual_in_hand = 0.0  # by the reports of all members
         self.tick_key, self.tick_due = 0, -1
+        self.search_us = int(PROBE_AGAIN_US * self.random.uniform(*SEARCH))
         self.ask_us = IDLE_US
         self.logged: dict[str, int] = {}
 
@@ -420,8 +422,7 @@
         """Probe all members for their role; where that is not allowed, the write itself goes to them in
         turn: a miss costs them next to nothing. A fresh read waits: a replica would answer from old data."""
         for m in group.members if self.s.probes else ():
-            gap = PROBE_AGAIN_US * self.random.uniform(1, 2)
-            if self.usable(m, group) and self.now - m.probe_us > gap:
+            if self.usable(m, group) and self.now - m.probe_us > self.search_us:
                 self.probe(m)
         ready = [m for m in group.members if self.usable(m, group) and self.open_to(r, m)]
         spare = r.attempts + 1 < self.s.max_attempts and r.cls.consistency is Consistency.WRITE
