--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -506,3 +506,30 @@
             s.end(r, ui.Outcome.RESET)
         s.wait(500 * MS)
     assert sum(m.suspect for m in s.router.members.values()) <= 2
+
+
+def test_search_for_a_primary_is_spaced() -> None:
+    """perth-boards-later big-2: a pause drawn anew at each tick let the shortest draw win."""
+    s = Script()
+    s.group("a", "b")
+    s.end(s.ask("write"), ui.Outcome.MISS, role=ui.Role.REPLICA)
+    before = len(s.did(ui.Probe))
+    for _ in range(10):
+        s.wait(100 * MS)
+        for name in ("a", "b", "p"):
+            s.batch(ui.ProbeEnded(name, ui.Outcome.OK, MS, ui.Report(s.now, False)))
+    assert 0 < len(s.did(ui.Probe)) - before <= 6
+
+
+def test_pressure_of_all_replicas_speaks_where_a_member_told_little() -> None:
+    """pilbara-boards-later big-1: one answer in many seconds from each member hid a burst."""
+    s = Script()
+    s.start(*(member(f"m{i}", group=i) for i in range(20)))
+    refused = 0
+    for i in range(100):
+        r = s.ask("loose", group=i % 20)
+        if r in s.sends:
+            s.end(r, took_us=1800 * MS)
+        refused += len(s.did(ui.Refuse, r))
+        s.now += 200 * MS
+    assert refused >= 15
