gRPC over HTTP/2 on trio, causal tokens, and the network seam

The decisions exist and nothing runs them yet; the running driver needs a transport first.

net/: clock and TCP behind one interface. rpc/: gRPC as published, both sides, on h2; streams that a GOAWAY took still finish; limits on messages, metadata, buffers, resets and pings. causal/: tokens of epochs and positions, their join, signed bytes, and histories that tell what a failover cut off. proto/: the services. make test, import-linter with the table of rooms.

Found on the way: h2 announces its own default windows unless settings are given as initial values, which stalled messages over 64 KiB; peers with megabyte frames filled the send buffer; grpcio's bandwidth pings were taken for abuse.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# All that a fresh machine needs: each target sets up what it uses.
+PY := .venv/bin/python
+PROTOS := $(shell find juniperreel/proto -name '*.proto')
+
+.PHONY: setup test lint demo proto
+
+.venv/installed: pyproject.toml
+	test -d .venv || python3 -m venv .venv
+	.venv/bin/pip -q install --disable-pip-version-check -e '.[dev]'
+	touch $@
+
+setup: .venv/installed
+
+lint: setup
+	.venv/bin/ruff check .
+	.venv/bin/ruff format --check .
+	.venv/bin/mypy
+	.venv/bin/lint-imports
+
+test: lint
+	$(PY) -m pytest -q
+
+demo: setup
+	$(PY) -m juniperreel.cli.main demo
+
+proto: setup
+	$(PY) -m grpc_tools.protoc -I . --python_out=. --pyi_out=. $(PROTOS)
--- /dev/null
+++ b/juniperreel/net/__init__.py
@@ -0,0 +1,6 @@
+"""The seam to network and clock: the only room that opens a socket."""
+
+from juniperreel.net.clock import Clock
+from juniperreel.net.network import ConnectError, Listener, Network, Refused, Silent, TcpNetwork
+
+__all__ = ["Clock", "ConnectError", "Listener", "Network", "Refused", "Silent", "TcpNetwork"]
--- /dev/null
+++ b/juniperreel/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol definitions (`*.proto`) and the code generated from them by `make proto`."""
--- /dev/null
+++ b/juniperreel/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""gRPC over HTTP/2 on trio, both sides. Knows no databases."""
--- /dev/null
+++ b/juniperreel/rpc/server.py
@@ -0,0 +1,216 @@
+"""The server side: services, their methods, and the calls in hand.
+
+A handler takes a `Call` and the request's bytes. It raises `RpcError` for any status but OK; whatever else
+it raises is reported as INTERNAL and logged, never sent. It is cancelled when the client resets the
+stream, the connection ends or the deadline passes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import trio
+
+from juniperreel.net import Clock, Listener
+from juniperreel.rpc.limits import Limits
+from juniperreel.rpc.link import Link, LinkLost, Stream, StreamGone
+from juniperreel.rpc.metadata import Headers, Metadata, MetadataError, decode, decode_timeout, encode
+from juniperreel.rpc.status import PUSHBACK, Code, RpcError, encode_message, pack_details
+
+CONTENT_TYPE = "application/grpc"
+
+
+class Call:
+    """One call as its handler sees it. Times are microseconds on the clock of `net`."""
+
+    def __init__(self, link: Link, stream: Stream, clock: Clock) -> None:
+        headers = stream.headers or {}
+        self.path = headers.get(":path", "")
+        self.started_us = clock.now_us()
+        self.metadata = decode(stream.raw_headers)
+        timeout = headers.get("grpc-timeout")
+        self.deadline_us = None if timeout is None else self.started_us + decode_timeout(timeout)
+        self.gzip = headers.get("grpc-encoding") == "gzip"
+        self.trailing: list[tuple[str, str | bytes]] = []
+        self._initial: list[tuple[str, str | bytes]] = []
+        self._started = False
+        self._link, self._stream = link, stream
+
+    def get(self, name: str) -> str | bytes | None:
+        """The last value of a metadata name."""
+        found = [value for key, value in self.metadata if key == name]
+        return found[-1] if found else None
+
+    def all(self, name: str) -> list[str | bytes]:
+        return [value for key, value in self.metadata if key == name]
+
+    def initial(self, metadata: Metadata) -> None:
+        """Metadata to send ahead of the first message."""
+        self._initial.extend(metadata)
+
+    async def receive(self) -> bytes | None:
+        """The next message of the client, or None when it sends no more."""
+        return await self._stream.message()
+
+    async def send(self, message: bytes) -> None:
+        self._start()
+        await self._link.send_message(self._stream, message, gzip=self.gzip)
+
+    def _start(self) -> None:
+        if not self._started:
+            self._started = True
+            headers = [(":status", "200"), ("content-type", CONTENT_TYPE)]
+            if self.gzip:
+                headers.append(("grpc-encoding", "gzip"))
+            self._link.send_headers(self._stream, headers + encode(self._initial))
+
+    def finish(self, error: RpcError | None) -> None:
+        """The trailers; alone with the headers where nothing was sent before (trailers-only)."""
+        headers: Headers = []
+        if not self._started:
+            headers += [(":status", "200"), ("content-type", CONTENT_TYPE)]
+            headers += encode(self._initial)
+        self._started = True
+        self._link.send_headers(self._stream, headers + trailers(error, self.trailing), end=True)
+
+
+def trailers(error: RpcError | None, trailing: Metadata = ()) -> Headers:
+    if error is None:
+        return [("grpc-status", "0"), *encode(trailing)]
+    headers = [("grpc-status", str(int(error.code)))]
+    if error.message:
+        headers.append(("grpc-message", encode_message(error.message)))
+    metadata = [*trailing, *error.metadata]
+    if error.details:
+        metadata.append(("grpc-status-details-bin", pack_details(error.code, error.message, error.details)))
+    return headers + encode(metadata)
+
+
+Unary = Callable[[Call, bytes], Awaitable[bytes]]
+Streaming = Callable[[Call], Awaitable[None]]
+
+
+@dataclass(frozen=True, slots=True)
+class Method:
+    """`unary` answers one message with one; `streaming` receives and sends by its Call."""
+
+    unary: Unary | None = None
+    streaming: Streaming | None = None
+
+
+class Server:
+    """All services on all connections of a program."""
+
+    def __init__(
+        self,
+        methods: dict[str, Method],
+        limits: Limits,
+        clock: Clock,
+        on_error: Callable[[str, Exception], None] = lambda path, error: None,
+        max_connections: int = 10_000,
+    ) -> None:
+        """`methods`: by full path, as "/package.Service/Method"."""
+        self._methods, self._limits, self._clock = methods, limits, clock
+        self._on_error = on_error
+        self._max = max_connections
+        self._links: set[Link] = set()
+        self._draining = False
+        self.calls = 0
+
+    async def serve(
+        self, listener: Listener, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Takes connections until cancelled or drained."""
+        async with trio.open_nursery() as nursery:
+            task_status.started(listener.port)
+            while True:
+                try:
+                    transport = await listener.accept()
+                except trio.ClosedResourceError:
+                    break
+                if self._draining or len(self._links) >= self._max:
+                    await trio.aclose_forcefully(transport)
+                    continue
+                nursery.start_soon(self._connection, transport)
+
+    async def _connection(self, transport: trio.abc.Stream) -> None:
+        async with trio.open_nursery() as nursery:
+
+            def on_request(stream: Stream) -> None:
+                nursery.start_soon(self._call, link, stream)
+
+            link = Link(transport, False, self._limits, self._clock, on_request)
+            self._links.add(link)
+            try:
+                await link.run()
+            finally:
+                self._links.discard(link)
+
+    async def drain(self) -> None:
+        """GOAWAY on every connection; returns when the calls in hand are done."""
+        self._draining = True
+        async with trio.open_nursery() as nursery:
+            for link in list(self._links):
+                nursery.start_soon(link.finish)
+
+    async def _call(self, link: Link, stream: Stream) -> None:
+        if stream.closed:
+            return
+        headers = stream.headers or {}
+        if headers.get(":method") != "POST":
+            link.send_headers(stream, [(":status", "405"), ("allow", "POST")], end=True)
+            return
+        if not headers.get("content-type", "").startswith(CONTENT_TYPE):
+            link.send_headers(stream, [(":status", "415")], end=True)
+            return
+        self.calls += 1
+        error: RpcError | None
+        call = None
+        try:
+            call = Call(link, stream, self._clock)
+            method = self._methods.get(call.path)
+            if method is None:
+                raise RpcError(Code.UNIMPLEMENTED, f"no method {call.path[:200]}")
+            encoding = headers.get("grpc-encoding", "identity")
+            if encoding not in ("identity", "gzip"):
+                accepts = (("grpc-accept-encoding", "identity,gzip"),)
+                raise RpcError(
+                    Code.UNIMPLEMENTED, f"messages in {encoding[:40]!r} are not read", metadata=accepts
+                )
+            error = await self._handle(call, method, stream)
+        except RpcError as caught:
+            error = caught
+        except MetadataError as caught:
+            error = RpcError(Code.INTERNAL, str(caught))
+        except (LinkLost, StreamGone):
+            return
+        except Exception as caught:
+            self._on_error(headers.get(":path", ""), caught)
+            error = RpcError(Code.INTERNAL, "the server failed on this call")
+        if stream.closed:
+            return
+        if call is not None:
+            call.finish(error)
+        else:
+            start = [(":status", "200"), ("content-type", CONTENT_TYPE)]
+            link.send_headers(stream, start + trailers(error), end=True)
+
+    async def _handle(self, call: Call, method: Method, stream: Stream) -> RpcError | None:
+        late = RpcError(Code.DEADLINE_EXCEEDED, "the deadline has passed")
+        with trio.CancelScope() as scope:
+            if call.deadline_us is not None:
+                scope.deadline = self._clock.trio_time(call.deadline_us)
+            stream.scope = scope
+            if method.unary is not None:
+                request = await stream.message()
+                if request is None or (not stream.ended and await stream.message() is not None):
+                    raise RpcError(Code.INTERNAL, "a unary call takes one message")
+                await call.send(await method.unary(call, request))
+            elif method.streaming is not None:
+                await method.streaming(call)
+            return None
+        return late
+
+
+__all__ = ["PUSHBACK", "Call", "Method", "Server"]
