--- a/juniperreel/cli/__init__.py
+++ b/juniperreel/cli/__init__.py
@@ -1,1 +1,1 @@
-"""."""
+"""The commands: wiring of all rooms, no logic."""
--- /dev/null
+++ b/juniperreel/cli/edge.py
@@ -0,0 +1,120 @@
+"""Wires an edge together and runs it until it is told to stop."""
+
+from __future__ import annotations
+
+import secrets
+import signal
+from typing import Any
+
+import trio
+
+from juniperreel.causal import Keyring
+from juniperreel.driver import Driver, DriverOptions
+from juniperreel.fronts.grpc import SERVICE, GrpcFront
+from juniperreel.fronts.http import HttpFront
+from juniperreel.net import Clock, Network
+from juniperreel.net.clock import US
+from juniperreel.rpc.health import Health, Reflection
+from juniperreel.rpc.limits import Limits
+from juniperreel.rpc.server import Server
+from juniperreel.settings import EdgeSettings
+from juniperreel.telemetry import Metrics, Traces, make_log
+
+SERVICES = (SERVICE, "grpc.health.v1.Health", "grpc.reflection.v1.ServerReflection")
+
+
+def driver_options(settings: EdgeSettings) -> DriverOptions:
+    return DriverOptions(
+        name=settings.name,
+        router=settings.router,
+        seed=secrets.randbits(64) if settings.seed is None else settings.seed,
+        groups=settings.groups,
+        hosts=settings.hosts,
+        saved_list=settings.saved_list,
+        skew_us=settings.skew_us,
+        answer_margin_us=settings.answer_margin_us,
+        max_open=settings.max_open,
+        member_attempts=settings.member_attempts,
+        connect_timeout_us=settings.connect_timeout_us,
+        probe_timeout_us=settings.probe_timeout_us,
+        list_timeout_us=settings.list_timeout_us,
+        limits=Limits(message_bytes=settings.message_bytes, metadata_bytes=settings.metadata_bytes),
+    )
+
+
+class Edge:
+    """One edge in this process: `run` serves until `stop` is called or it is cancelled."""
+
+    def __init__(self, settings: EdgeSettings, network: Network, clock: Clock, log: Any = None) -> None:
+        self.settings, self.network, self.clock = settings, network, clock
+        self.log = log or make_log(settings.log_form, settings.log_level, edge=settings.name)
+        self.metrics = Metrics()
+        self.traces = Traces(settings.spans, settings.name)
+        options = driver_options(settings)
+        self.driver = Driver(options, network, clock, self.log, self.metrics, self.traces)
+        self.health = Health(SERVICES)
+        front = GrpcFront(self.driver, Keyring(list(settings.keys)), clock)
+        methods = front.methods() | self.health.methods() | Reflection(SERVICES).methods()
+        self.server = Server(methods, options.limits, clock, self._handler_failed, settings.max_connections)
+        self.serving = False
+        self._stop = trio.Event()
+
+    def _handler_failed(self, path: str, error: Exception) -> None:
+        self.log.error("a handler failed", path=path, exc_info=error)
+
+    async def run(self, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED) -> None:
+        """Reports the port it listens on. Raises OSError where it cannot listen, ValueError for a saved
+        host list that cannot be read."""
+        listener = await self.network.listen(*self.settings.listen)
+        try:
+            async with trio.open_nursery() as nursery:
+                if self.settings.metrics is not None:
+                    http = HttpFront(self.metrics.text, lambda: self.serving)
+                    await nursery.start(http.serve, await self.network.listen(*self.settings.metrics))
+                await nursery.start(self.driver.run)
+                await nursery.start(self.server.serve, listener)
+                self.serving = True
+                self.health.set(True)
+                self.log.info("serving", listen=f"{self.settings.listen[0]}:{listener.port}")
+                task_status.started(listener.port)
+                await self._stop.wait()
+                await self._drain()
+                await listener.aclose()
+                nursery.cancel_scope.cancel()
+        finally:
+            self.serving = False
+            self.traces.close()
+
+    def stop(self) -> None:
+        """Graceful: no new connections or streams, all in hand answered, then the end."""
+        self._stop.set()
+
+    async def _drain(self) -> None:
+        self.serving = False
+        self.health.set(False)
+        self.log.info("stopping")
+        with trio.move_on_after(self.settings.stop_within_us / US) as limit:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.server.drain)
+                nursery.start_soon(self.driver.drain)
+        self.log.info("stopped", in_time=not limit.cancelled_caught)
+
+
+async def run_edge(settings: EdgeSettings, network: Network) -> int:
+    """Until SIGTERM or SIGINT; a second one ends at once. The exit status."""
+    edge = Edge(settings, network, Clock())
+    code = 0
+    async with trio.open_nursery() as nursery:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+
+            async def serve() -> None:
+                await edge.run()
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(serve)
+            async for _ in signals:
+                if edge._stop.is_set():
+                    code = 1
+                    nursery.cancel_scope.cancel()
+                edge.stop()
+    return code
--- /dev/null
+++ b/juniperreel/cli/report.py
@@ -0,0 +1,69 @@
+"""The table at the end of a day, from its records."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from juniperreel.proof import records as rec
+from juniperreel.proof.rules import RULES, Day, Reads, Violation, check_reads
+
+LOWEST, HIGHEST, DIGITS = 1, 60_000_000, 3
+REFUSED = (8, 14)
+
+
+def outcome_of(told: rec.Told | None) -> str:
+    if told is None or told.local:
+        return "no answer"
+    return "served" if told.status == 0 else "refused" if told.status in REFUSED else "failed"
+
+
+def table(records: list[rec.Record]) -> list[str]:
+    """Requests by class and outcome, a client's retries counted under its first try."""
+    day = Day.of(records)
+    rows: dict[str, dict[str, int]] = defaultdict(lambda: defaultdict(int))
+    times = {name: HdrHistogram(LOWEST, HIGHEST, DIGITS) for name in day.classes}
+    worth_asked = worth_got = 0.0
+    first = {rid: a for (rid, number), a in day.asked.items() if number == 0}
+    for (rid, number), asked in day.asked.items():
+        told = day.told.get((rid, number), [None])[0]
+        rows[asked.cls]["tries"] += 1
+        rows[asked.cls][outcome_of(told)] += 1
+        if told is not None and told.status == 0:
+            times[asked.cls].record_value(max(told.at - asked.at, 1))
+            cls = day.classes[asked.cls]
+            in_time = told.at - first[rid].at <= cls.aim_us
+            worth_got += cls.worth * (1.0 if in_time else cls.late_worth)
+    for asked in first.values():
+        rows[asked.cls]["asked"] += 1
+        worth_asked += day.classes[asked.cls].worth
+    names = ("asked", "tries", "served", "refused", "failed", "no answer")
+    lines = [f"{'class':<12}" + "".join(f"{n:>10}" for n in names) + f"{'p50 ms':>10}{'p99 ms':>10}"]
+    for name, row in rows.items():
+        cells = "".join(f"{row[n]:>10}" for n in names)
+        p50, p99 = (times[name].get_value_at_percentile(p) / 1000 for p in (50, 99))
+        lines.append(f"{name:<12}{cells}{p50:>10.1f}{p99:>10.1f}")
+    share = worth_got / worth_asked if worth_asked else 0.0
+    lines.append(f"share served (worth in time over worth asked, retries under their first try): {share:.3f}")
+    count = Reads()
+    check_reads(day, count)
+    lines.append(
+        f"reads judged from their rows: {count.own} of a session's own writes, "
+        f"{count.bounded} of bounded age, {count.rows} rows"
+    )
+    attempts = sum(len(a) for a in day.arrived.values())
+    lines.append(f"attempts seen by members: {attempts}")
+    return lines
+
+
+def verdicts(found: dict[int, list[Violation]]) -> Iterable[str]:
+    for number, (name, _) in RULES.items():
+        violations = found[number]
+        if not violations:
+            yield f"rule {number} ({name}): held"
+            continue
+        yield f"rule {number} ({name}): BROKEN {len(violations)} times; first: {violations[0].text}"
+        yield f"    {msgspec.json.encode(violations[0].record).decode()}"
--- /dev/null
+++ b/juniperreel/cli/world.py
@@ -0,0 +1,236 @@
+"""A day in one process with edges as processes of their own: stand-ins, clients, recording."""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+import secrets
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+import trio
+
+from juniperreel.net import Clock, TcpNetwork
+from juniperreel.net.clock import US
+from juniperreel.proof import records as rec
+from juniperreel.standins.clients import Mix, Population
+from juniperreel.standins.fleet import Fleet
+from juniperreel.standins.script import Day, Step
+
+READY_S = 20.0
+DRAIN_GRACE_US = 2_000_000
+MAX_ATTEMPTS = 6
+TENANTS = {"fastlap": 0.6, "splitwest": 0.25, "runhouse": 0.15}
+MS = 1_000
+
+MIX = (
+    Mix(rec.Class(0, "board-read", "repeatable", 0, False, False, 300 * MS, 500 * MS, 3, 0.2), 0.60, 2 * US),
+    Mix(rec.Class(0, "own-read", "repeatable", 0, False, True, -1, 600 * MS, 3, 0.2), 0.20, 2_500 * MS),
+    Mix(rec.Class(0, "run-write", "keyed", 5 * US, True, False, -1, 1_200 * MS, 4, 0.7), 0.17, 4 * US),
+    Mix(rec.Class(0, "run-once", "once", 0, True, False, -1, 1_200 * MS, 4, 0.7), 0.03, 4 * US),
+)
+
+EDGE = """\
+# One edge of the demo.
+[edge]
+name {name}
+listen 127.0.0.1:{port}
+edges {edges}
+groups {groups}
+seed {seed}
+
+[hosts]
+source 127.0.0.1:{hosts}
+saved {name}.hosts
+timeout 2s
+shows-primary yes
+
+{classes}
+{tenants}
+[rules]
+attempts {attempts}
+answer-margin 40ms
+drain-grace 2s
+cold-from 20%
+cold-span {cold_ms}ms
+fall-multiple 2
+overload-span 2s
+refusal-wait 500ms
+members-check refuse
+
+[limits]
+connect-timeout 300ms
+probe-timeout 300ms
+
+[token]
+key 1 token.key
+skew 30ms
+
+[log]
+level info
+"""
+
+
+def span(us: int) -> str:
+    return f"{us // 1000}ms"
+
+
+def class_text(mix: Mix) -> str:
+    cls = mix.cls
+    consistency = "write" if cls.write else "session" if cls.session else f"bounded {span(cls.lag_us)}"
+    effect = f"keyed group {span(cls.memory_us)}" if cls.effect == "keyed" else cls.effect
+    return (
+        f"[class {cls.name}]\neffect {effect}\nconsistency {consistency}\naim {span(cls.aim_us)}\n"
+        f"deadline {span(mix.deadline_us)}\nworth {cls.worth:g}\nlate-worth {cls.late_worth:.0%}\n"
+    )
+
+
+@dataclass(slots=True)
+class EdgeProcess:
+    name: str
+    port: int = 0
+    process: trio.Process | None = None
+
+
+class World:
+    """`run` plays the whole day and leaves its records in the recorder."""
+
+    def __init__(self, day: Day, folder: Path, recorder: rec.Recorder, careless: bool) -> None:
+        self.day, self.folder, self.record = day, folder, recorder
+        self.careless = careless
+        self.clock = Clock()
+        network = TcpNetwork()
+        self.fleet = Fleet(day, network, self.clock, recorder)
+        self.edges = [EdgeProcess(f"edge{n}") for n in range(day["edges"])]
+        self.network = network
+        self.population: Population | None = None
+        self._nursery: trio.Nursery | None = None
+        (folder / "token.key").write_bytes(secrets.token_hex(32).encode())
+
+    def _settings(self, edge: EdgeProcess, number: int) -> Path:
+        day = self.day
+        text = EDGE.format(
+            name=edge.name,
+            port=edge.port,
+            edges=day["edges"],
+            groups=day["groups"],
+            seed=day["seed"] * 100 + number,
+            hosts=self.fleet.hosts.port,
+            classes="\n".join(class_text(m) for m in MIX),
+            tenants="\n".join(f"[tenant {t}]\nshare {part:.0%}\n" for t, part in TENANTS.items()),
+            attempts=MAX_ATTEMPTS,
+            cold_ms=day["cold-span"] // 1000,
+        )
+        path = self.folder / f"{edge.name}.conf"
+        path.write_text(text, encoding="utf-8")
+        return path
+
+    async def start_edge(self, number: int) -> None:
+        """Starts the edge's process and waits until it serves. Raises TooSlowError."""
+        assert self._nursery is not None
+        edge = self.edges[number]
+        settings = self._settings(edge, number)
+        command = [sys.executable, "-m", "juniperreel.cli.main", "edge", str(settings)]
+        if self.careless:
+            hosts = str(self.fleet.hosts.port)
+            command = [sys.executable, "-m", "juniperreel.standins.naive", edge.name, str(edge.port), hosts]
+        edge.process = await trio.lowlevel.open_process(command, stderr=subprocess.PIPE)
+        ready = trio.Event()
+        self._nursery.start_soon(self._follow, edge, edge.process, ready)
+        with trio.fail_after(READY_S):
+            await ready.wait()
+        self.record(rec.EdgeUp(self.clock.now_us(), edge.name))
+
+    async def _follow(self, edge: EdgeProcess, process: trio.Process, ready: trio.Event) -> None:
+        """Keeps the edge's log; it says there where it listens."""
+        assert process.stderr is not None
+        rest = b""
+        with (self.folder / f"{edge.name}.log").open("ab") as log:
+            async for chunk in process.stderr:
+                log.write(chunk)
+                log.flush()
+                *lines, rest = (rest + chunk).split(b"\n")
+                for line in lines:
+                    if b'"serving"' in line and not ready.is_set():
+                        edge.port = int(json.loads(line)["listen"].rpartition(":")[2])
+                        ready.set()
+
+    async def on_edge(self, step: Step) -> None:
+        number = int(step.target.partition("/")[2])
+        edge = self.edges[number]
+        if edge.process is None or edge.process.poll() is not None:
+            return
+        if step.fault == "edge-kill":
+            self.record(rec.EdgeDown(self.clock.now_us(), edge.name))
+            edge.process.kill()
+            await edge.process.wait()
+            if step.value:
+                await trio.sleep(step.value / US)
+                await self.start_edge(number)
+        else:
+            start = self.clock.now_us()
+            os.kill(edge.process.pid, signal.SIGSTOP)
+            await trio.sleep(step.for_us / US)
+            os.kill(edge.process.pid, signal.SIGCONT)
+            self.record(rec.EdgeStalled(start, edge.name, self.clock.now_us()))
+
+    async def run(self) -> None:
+        day = self.day
+        now = self.clock.now_us()
+        for mix in MIX:
+            self.record(mix.cls)
+        shape = self.fleet.shape
+        self.record(
+            rec.Limits(
+                now,
+                DRAIN_GRACE_US,
+                shape.cold_from,
+                shape.cold_us,
+                shape.fall_multiple,
+                shape.overload_us,
+                MAX_ATTEMPTS,
+            )
+        )
+        async with trio.open_nursery() as self._nursery:
+            try:
+                await self._nursery.start(self.fleet.run)
+                for number in range(len(self.edges)):
+                    await self.start_edge(number)
+                await trio.sleep(1.0)
+                self.population = Population(
+                    self.network,
+                    self.clock,
+                    self.record,
+                    random.Random(day["seed"]),
+                    list(MIX),
+                    TENANTS,
+                    day["groups"],
+                    day["sessions"],
+                    day["retries"],
+                    [(edge.name, edge.port) for edge in self.edges],
+                )
+                async with trio.open_nursery() as faults:
+                    faults.start_soon(self.fleet.play, self.on_edge)
+                    await self.population.run(float(day["rate"]), day["last"])
+                    faults.cancel_scope.cancel()
+            finally:
+                with trio.CancelScope(shield=True, deadline=trio.current_time() + 15):
+                    await self._stop_edges()
+            self._nursery.cancel_scope.cancel()
+
+    async def _stop_edges(self) -> None:
+        for edge in self.edges:
+            if edge.process is not None and edge.process.poll() is None:
+                self.record(rec.EdgeDown(self.clock.now_us(), edge.name))
+                os.kill(edge.process.pid, signal.SIGCONT)
+                edge.process.terminate()
+        for edge in self.edges:
+            if edge.process is not None:
+                with trio.move_on_after(3):
+                    await edge.process.wait()
+                if edge.process.poll() is None:
+                    edge.process.kill()
--- /dev/null
+++ b/juniperreel/driver/driver.py
@@ -0,0 +1,511 @@
+"""The driver: one task owns one router.
+
+Whatever happens goes into an inbox; the task hands all of it to the router as one batch, its timers last,
+and carries out the actions that come back. Attempts and probes are tasks of their own that end by putting
+an event into the inbox. The inbox needs no bound of its own: every event in it belongs to an open request,
+an attempt, a probe or the host list, and each of those is bounded.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+from itertools import count
+from typing import Any
+
+import trio
+
+from juniperreel import interface as ui
+from juniperreel.causal import Token
+from juniperreel.driver import hosts as host_list
+from juniperreel.driver.members import MemberLinks, execute_message
+from juniperreel.driver.options import DriverOptions
+from juniperreel.driver.outcomes import is_statement_fault, of_error, unfinished
+from juniperreel.driver.positions import Needs, Positions, Standing
+from juniperreel.driver.work import Answer, Failed, Refused, Served, Spurned, Work
+from juniperreel.interface import Consistency, Outcome
+from juniperreel.net import Clock, ConnectError, Network
+from juniperreel.net.clock import US
+from juniperreel.rpc.channel import Broken, NeverSent
+from juniperreel.rpc.status import RpcError
+from juniperreel.rules import Router
+from juniperreel.telemetry import Metrics, Traces
+
+CALL_ERRORS = (ConnectError, NeverSent, Broken, RpcError)
+STALL_US = 150_000  # a timer this late is told in metrics; what to make of it is the module's business
+SAVE_EVERY_S = 1.0
+
+
+class Open:
+    """A request in hand, from its taking to its answer and the end of its last attempt."""
+
+    __slots__ = ("answer", "attempts", "done", "out", "taken_us", "work")
+
+    def __init__(self, work: Work, now_us: int) -> None:
+        self.work = work
+        self.taken_us = now_us
+        self.done = trio.Event()
+        self.answer: Answer | None = None
+        self.attempts = 0
+        self.out: dict[int, Attempt] = {}
+
+
+class Attempt:
+    """One attempt on its way."""
+
+    __slots__ = ("member", "needs", "number", "request", "scope", "sent", "started_us", "withdrawn")
+
+    def __init__(self, request: Open, number: int, member: str, needs: Needs, now_us: int) -> None:
+        self.request, self.number, self.member, self.needs = request, number, member, needs
+        self.started_us = now_us
+        self.sent = trio.Event()
+        self.scope = trio.CancelScope()
+        self.withdrawn = False
+
+
+@dataclass(slots=True)
+class AttemptDone:
+    attempt: Attempt
+    outcome: Outcome
+    ended_us: int
+    response: Any = None
+    standing: Standing | None = None
+    error: Exception | None = None
+
+
+@dataclass(slots=True)
+class ProbeDone:
+    member: str
+    outcome: Outcome
+    took_us: int
+    standing: Standing | None = None
+    in_hand: float = 0.0
+    waiting: float = 0.0
+
+
+@dataclass(slots=True)
+class ListTold:
+    kind: ui.ListKind
+    hosts: list[host_list.Host]
+
+
+Happening = Open | AttemptDone | ProbeDone | ListTold | ui.RequestGone
+
+
+class Driver:
+    """One driver. `run` must be running; then `execute` takes requests."""
+
+    def __init__(
+        self,
+        options: DriverOptions,
+        network: Network,
+        clock: Clock,
+        log: Any,
+        metrics: Metrics,
+        traces: Traces,
+    ) -> None:
+        self.options, self.clock, self.log, self.metrics, self.traces = options, clock, log, metrics, traces
+        rng = random.Random(options.seed)
+        self.router = Router(options.router, rng.getrandbits(64))
+        self.positions = Positions(options.skew_us)
+        self.links = MemberLinks(options, network, clock, random.Random(rng.getrandbits(64)))
+        self.hosts = host_list.HostList(
+            options, network, clock, random.Random(rng.getrandbits(64)), self._list_told, log.warning
+        )
+        self._ids = count()
+        self._prefix = f"{options.name}-{rng.getrandbits(32):08x}-"
+        self._inbox: list[Happening] = []
+        self._wake = trio.Event()
+        self._timers: list[tuple[int, int]] = []  # (due, key)
+        self._open: dict[str, Open] = {}
+        self._groups: dict[str, int] = {}  # of members
+        self._gone: set[str] = set()
+        self._nursery: trio.Nursery | None = None
+        self._accepting = True
+        self._idle = trio.Event()
+        self._list_changed = trio.Event()
+
+    # Its life.
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Until cancelled. Raises ValueError for a saved list that cannot be read."""
+        saved = host_list.load(self.options.saved_list, self.options.groups)
+        async with trio.open_nursery() as self._nursery:
+            await self._nursery.start(self.links.run)
+            await self._nursery.start(self.hosts.run)
+            if self.options.saved_list is not None:
+                self._nursery.start_soon(self._save_lists)
+            self._nursery.start_soon(self._gauges)
+            self._put(ListTold(ui.ListKind.SAVED, saved))
+            task_status.started()
+            await self._loop()
+
+    async def drain(self) -> None:
+        """Take no more; return when every request in hand has its answer and no attempt is out."""
+        self._accepting = False
+        while self._open:
+            self._idle = trio.Event()
+            await self._idle.wait()
+
+    async def execute(self, work: Work) -> Answer:
+        """The request's one final answer. Cancelled, the request is withdrawn and nothing more goes out."""
+        if not self._accepting or len(self._open) >= self.options.max_open:
+            reason = "too many requests in hand" if self._accepting else "the edge is stopping"
+            self.metrics.rejected.labels(reason).inc()
+            return Refused(reason, self.options.router.max_retry_after_us, local=True)
+        work.id = f"{self._prefix}{next(self._ids):x}"
+        item = Open(work, self.clock.now_us())
+        self._open[work.id] = item
+        self._put(item)
+        try:
+            await item.done.wait()
+        except trio.Cancelled:
+            if item.answer is None:
+                self._put(ui.RequestGone(work.id))
+            raise
+        assert item.answer is not None
+        return item.answer
+
+    def _put(self, happening: Happening) -> None:
+        self._inbox.append(happening)
+        self._wake.set()
+
+    # The loop.
+
+    async def _loop(self) -> None:
+        while True:
+            if not self._inbox:
+                self._wake = trio.Event()
+                due = self._timers[0][0] if self._timers else None
+                with trio.CancelScope() as scope:
+                    if due is not None:
+                        scope.deadline = self.clock.trio_time(due)
+                    await self._wake.wait()
+            else:
+                await trio.lowlevel.checkpoint()
+            self._batch()
+
+    def _batch(self) -> None:
+        now = self.clock.now_us()
+        happened, self._inbox = self._inbox, []
+        gone = {h.request for h in happened if isinstance(h, ui.RequestGone)}
+        events: list[ui.Event] = []
+        for item in happened:
+            if isinstance(item, Open):
+                events.append(self._request(item, now))
+            elif isinstance(item, AttemptDone):
+                events.append(self._attempt_done(item, gone))
+            elif isinstance(item, ProbeDone):
+                events.append(self._probe_done(item))
+            elif isinstance(item, ListTold):
+                events.append(self._list(item))
+            else:
+                self._withdraw(item.request)
+                events.append(item)
+        while self._timers and self._timers[0][0] <= now:
+            due, key = heapq.heappop(self._timers)
+            if now - due > STALL_US:
+                self.metrics.stalls.inc()
+            events.append(ui.TimerFired(key))
+        if not events:
+            return
+        self.metrics.batches.inc()
+        try:
+            actions = self.router.handle(now, events)
+        except Exception as error:
+            # Danger: one request that trips the module must not take the edge and all others with it.
+            self.metrics.module_errors.inc()
+            self.log.error("the module failed on a batch", exc_info=error)
+            self._fail_batch(events)
+            return
+        for action in actions:
+            self._carry_out(action, now)
+
+    def _fail_batch(self, events: Iterable[ui.Event]) -> None:
+        for event in events:
+            name = event.id if isinstance(event, ui.Request) else getattr(event, "request", None)
+            item = self._open.get(name) if name is not None else None
+            if item is not None:
+                self._answer(item, Failed("the edge failed on this request", item.attempts))
+
+    # What happened, in the module's words.
+
+    def _request(self, item: Open, now: int) -> ui.Request:
+        work = item.work
+        age = self.positions.session_age(now, work.group, work.token)
+        return ui.Request(
+            id=work.id,
+            cls=work.cls,
+            tenant=work.tenant,
+            group=work.group,
+            deadline_us=work.deadline_us - self.options.answer_margin_us,
+            session=work.session,
+            session_age_us=age,
+            repeat=work.repeat,
+        )
+
+    def _attempt_done(self, done: AttemptDone, gone: set[str]) -> ui.AttemptEnded:
+        attempt, item = done.attempt, done.attempt.request
+        group = item.work.group
+        item.out.pop(attempt.number, None)
+        took = done.ended_us - attempt.started_us
+        outcome, role, position = done.outcome, ui.Role.UNKNOWN, None
+        if done.standing is not None:
+            self.positions.learn(group, done.standing)
+            role = self._role(group, done.standing)
+            position = self.positions.member_position(group, done.standing)
+            if outcome is Outcome.OK:
+                outcome, position = self._check(attempt, done.response, done.standing, position)
+        elif outcome is Outcome.MISS and self._writes(item):
+            role = ui.Role.REPLICA  # it turned a write away as not being primary
+        self.metrics.attempts.labels(outcome.value).inc()
+        self.metrics.attempt_seconds.labels(outcome.value).observe(took / US)
+        finished = False
+        if outcome is Outcome.OK:
+            finished = True
+            if item.answer is not None or item.work.id in gone:
+                self.metrics.late.inc()
+            else:
+                self._answer(item, self._served(attempt, done))
+        event = ui.AttemptEnded(
+            request=item.work.id,
+            attempt=attempt.number,
+            member=attempt.member,
+            outcome=outcome,
+            took_us=max(took, 0),
+            finished=finished,
+            role=role,
+            position_us=position,
+            report=None,
+        )
+        self._forget(item)
+        return event
+
+    def _check(
+        self, attempt: Attempt, response: Any, standing: Standing, position: int
+    ) -> tuple[Outcome, int | None]:
+        """An OK answer against what was asked: facts that the module cannot see in numbers alone."""
+        item = attempt.request
+        if self._writes(item):
+            if not self.positions.holds_commit(item.work.group, standing.history.epoch, response.commit):
+                # Danger: a deposed primary confirms a write that the group will never hold.
+                self.metrics.cut_off.inc()
+                return Outcome.RESET, position
+            return Outcome.OK, response.commit - self.options.skew_us
+        if not attempt.needs.met_by(standing):
+            # Danger: a member that was truncated or restored since its position was learned.
+            self.metrics.stale.inc()
+            return Outcome.MISS, position
+        return Outcome.OK, position
+
+    def _served(self, attempt: Attempt, done: AttemptDone) -> Answer:
+        item = attempt.request
+        if is_statement_fault(done.error) if done.error is not None else False:
+            assert isinstance(done.error, RpcError)
+            return Spurned(int(done.error.code), done.error.message, done.error.details)
+        standing = done.standing
+        assert standing is not None
+        seen = done.response.commit if self._writes(item) else standing.position
+        token = item.work.token
+        if standing.history.starts:
+            token = token.join(Token.at(item.work.group, standing.history.epoch, seen))
+        return Served(done.response.result, token, attempt.member, standing.primary is True, item.attempts)
+
+    def _probe_done(self, done: ProbeDone) -> ui.ProbeEnded:
+        self.metrics.probes.labels(done.outcome.value).inc()
+        report = None
+        if done.standing is not None:
+            group = self._groups.get(done.member, 0)
+            self.positions.learn(group, done.standing)
+            report = ui.Report(
+                position_us=self.positions.member_position(group, done.standing),
+                primary=self.positions.primary(group, done.standing),
+                in_hand=done.in_hand,
+                waiting=done.waiting,
+            )
+        return ui.ProbeEnded(done.member, done.outcome, done.took_us, report)
+
+    def _role(self, group: int, standing: Standing) -> ui.Role:
+        primary = self.positions.primary(group, standing)
+        if primary is None:
+            return ui.Role.UNKNOWN
+        return ui.Role.PRIMARY if primary else ui.Role.REPLICA
+
+    def _writes(self, item: Open) -> bool:
+        return self.options.router.classes[item.work.cls].consistency is Consistency.WRITE
+
+    # The host list.
+
+    def _list_told(self, kind: ui.ListKind, hosts: list[host_list.Host]) -> None:
+        self._put(ListTold(kind, hosts))
+
+    def _list(self, told: ListTold) -> ui.MemberList:
+        if told.kind is ui.ListKind.FAILED:
+            self.metrics.list_failures.inc()
+        named = set()
+        for host in told.hosts:
+            named.add(host.id)
+            self._groups[host.id] = host.group
+            if host.readiness == ui.Readiness.GONE.value:
+                self._gone.add(host.id)
+                self.links.retire(host.id)
+            else:
+                self._gone.discard(host.id)
+                self.links.place(host.id, host.address, host.port)
+        if told.kind is ui.ListKind.FULL:
+            for member in self._groups.keys() - named - self._gone:
+                self._gone.add(member)
+                self.links.retire(member)
+        if told.kind in (ui.ListKind.FULL, ui.ListKind.CHANGES):
+            self._list_changed.set()
+        return ui.MemberList(told.kind, tuple(h.member(self.options.skew_us) for h in told.hosts))
+
+    async def _save_lists(self) -> None:
+        assert self.options.saved_list is not None
+        while True:
+            await self._list_changed.wait()
+            self._list_changed = trio.Event()
+            hosts = list(self.hosts.known.values())
+            try:
+                await trio.to_thread.run_sync(host_list.save, self.options.saved_list, hosts)
+            except OSError as error:  # a full disk costs the saved list, not the service
+                self.log.error("the host list could not be saved", error=str(error))
+            await trio.sleep(SAVE_EVERY_S)
+
+    async def _gauges(self) -> None:
+        while True:
+            await trio.sleep(1)
+            now = self.clock.now_us()
+            if self.hosts.heard_us:
+                self.metrics.list_age.set((now - self.hosts.heard_us) / US)
+            drift = self.clock.drift_us()
+            self.metrics.clock_drift.set(drift / US)
+            if abs(drift) > self.options.skew_us:
+                self.log.warning("wall time has left the clock by more than the skew bound", drift_us=drift)
+            self.metrics.connections.set(self.links.connected)
+            self.metrics.open.set(len(self._open))
+            self.metrics.members.labels("known").set(len(self._groups) - len(self._gone))
+            self.metrics.members.labels("gone").set(len(self._gone))
+
+    # What the module says.
+
+    def _carry_out(self, action: ui.Action, now: int) -> None:
+        assert self._nursery is not None
+        match action:
+            case ui.Send(request, member, timeout):
+                self._send(request, member, timeout, now)
+            case ui.Cancel(request, number):
+                item = self._open.get(request)
+                attempt = item.out.get(number) if item is not None else None
+                if attempt is not None:
+                    attempt.withdrawn = True
+                    attempt.scope.cancel()
+            case ui.Refuse(request, wait):
+                self._final(request, Refused("given up", wait))
+            case ui.Fail(request):
+                item = self._open.get(request)
+                attempts = item.attempts if item is not None else 0
+                self._final(request, Failed("the effect is unknown", attempts))
+            case ui.SetTimer(after, key):
+                heapq.heappush(self._timers, (now + after, key))
+            case ui.Probe(member):
+                self._nursery.start_soon(self._probe, member)
+            case ui.Subscribe(on):
+                self.hosts.subscribe(on)
+            case ui.FetchList():
+                self.hosts.fetch()
+            case ui.Log(text):
+                self.log.info(text)
+
+    def _send(self, request: str, member: str, timeout: int, now: int) -> None:
+        assert self._nursery is not None
+        item = self._open[request]
+        cls = self.options.router.classes[item.work.cls]
+        needs = Needs()
+        if cls.consistency is not Consistency.WRITE:
+            lag = cls.lag_allowed_us if cls.consistency is Consistency.BOUNDED else None
+            needs = self.positions.needs(now, item.work.group, item.work.token, lag)
+        attempt = Attempt(item, item.attempts, member, needs, now)
+        item.attempts += 1
+        item.out[attempt.number] = attempt
+        if item.answer is not None:
+            # Rule 1: nothing goes out after the final answer, whatever the module thinks of the request.
+            self._put(AttemptDone(attempt, Outcome.NOT_SENT, now))
+            return
+        limit = timeout or max(item.work.deadline_us - now, 0)
+        self._nursery.start_soon(self._attempt, attempt, limit)
+
+    def _final(self, request: str, answer: Answer) -> None:
+        item = self._open.get(request)
+        if item is not None:
+            self._answer(item, answer)
+            self._forget(item)
+
+    def _withdraw(self, request: str) -> None:
+        """The client has left: no answer reaches it, and the request counts as ended."""
+        item = self._open.get(request)
+        if item is not None and item.answer is None:
+            self._answer(item, Failed("the client left", item.attempts))
+            self._forget(item)
+
+    def _answer(self, item: Open, answer: Answer) -> None:
+        """The first answer is the final one; there is no second."""
+        if item.answer is None:
+            item.answer = answer
+            item.done.set()
+
+    def _forget(self, item: Open) -> None:
+        if item.answer is not None and not item.out:
+            self._open.pop(item.work.id, None)
+            if not self._open:
+                self._idle.set()
+
+    # Attempts and probes.
+
+    async def _attempt(self, attempt: Attempt, limit_us: int) -> None:
+        item = attempt.request
+        cls = self.options.router.classes[item.work.cls]
+        work = item.work
+        done = None
+        with self.traces.span("attempt", request=work.id, member=attempt.member, number=attempt.number):
+            attempt.scope.deadline = self.clock.trio_time(attempt.started_us + limit_us)
+            with attempt.scope:
+                message = execute_message(
+                    work.id,
+                    attempt.number,
+                    cls.name,
+                    cls.consistency is Consistency.WRITE,
+                    work.statement,
+                    work.parameters,
+                    work.key,
+                    attempt.needs,
+                )
+                left = attempt.started_us + limit_us - self.clock.now_us()
+                try:
+                    response, standing = await self.links.execute(attempt.member, message, left, attempt.sent)
+                    done = AttemptDone(attempt, Outcome.OK, self.clock.now_us(), response, standing)
+                except CALL_ERRORS as error:
+                    fault = is_statement_fault(error)  # an answer all the same: the member is well
+                    outcome = Outcome.OK if fault else of_error(error)
+                    done = AttemptDone(attempt, outcome, self.clock.now_us(), error=error)
+        if done is None:
+            outcome = unfinished(attempt.sent.is_set(), attempt.withdrawn)
+            done = AttemptDone(attempt, outcome, self.clock.now_us())
+        self._put(done)
+
+    async def _probe(self, member: str) -> None:
+        started = self.clock.now_us()
+        done = None
+        with self.traces.span("probe", member=member):
+            with trio.move_on_after(self.options.probe_timeout_us / US):
+                try:
+                    standing, in_hand, waiting = await self.links.report(member)
+                    done = ProbeDone(member, Outcome.OK, 0, standing, in_hand, waiting)
+                except CALL_ERRORS as error:
+                    done = ProbeDone(member, of_error(error), 0)
+        if done is None:
+            done = ProbeDone(member, Outcome.TIMEOUT, 0)
+        done.took_us = self.clock.now_us() - started
+        self._put(done)
--- /dev/null
+++ b/juniperreel/driver/options.py
@@ -0,0 +1,29 @@
+"""What a driver is started with. All of it comes from the settings file; nothing here is a decision."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from juniperreel import interface as ui
+from juniperreel.rpc.limits import Limits
+
+
+@dataclass(frozen=True, slots=True)
+class DriverOptions:
+    """Spans are microseconds."""
+
+    name: str
+    router: ui.Settings
+    seed: int
+    groups: int
+    hosts: tuple[str, int]  # address of the host list
+    saved_list: Path | None  # the last good list, kept for a start without the host list
+    skew_us: int  # how far clocks of groups and edges differ at most
+    answer_margin_us: int  # taken off each deadline, for the answer's way back
+    max_open: int  # requests in hand
+    member_attempts: int  # attempts at once on one member's connection
+    connect_timeout_us: int
+    probe_timeout_us: int
+    list_timeout_us: int  # for a fetch, and for a watch's first list
+    limits: Limits
--- /dev/null
+++ b/juniperreel/fronts/errors.py
@@ -0,0 +1,44 @@
+"""The one table from the driver's answers to gRPC statuses; docs/operate/edge.md shows it to operators.
+
+| answer | status | details | pushback |
+|---|---|---|---|
+| refused by the module | UNAVAILABLE | RetryInfo | the wait |
+| refused by a limit of the edge | RESOURCE_EXHAUSTED | RetryInfo | the wait |
+| failed | UNKNOWN | ErrorInfo EFFECT_UNKNOWN | -1 |
+| deadline | DEADLINE_EXCEEDED | ErrorInfo DEADLINE | -1 |
+| bad input | INVALID_ARGUMENT | BadRequest with the field | -1 |
+"""
+
+from __future__ import annotations
+
+from juniperreel.driver import Failed, Refused, Spurned
+from juniperreel.rpc.status import PUSHBACK, Code, RpcError, error_info, field_violation, retry_info
+
+DOMAIN = "juniperreel"
+NEVER = ((PUSHBACK, "-1"),)
+
+
+def refused(answer: Refused) -> RpcError:
+    code = Code.RESOURCE_EXHAUSTED if answer.local else Code.UNAVAILABLE
+    if not answer.retry_after_us:
+        return RpcError(code, answer.reason)
+    wait = [(PUSHBACK, str(-(-answer.retry_after_us // 1000)))]
+    return RpcError(code, answer.reason, [retry_info(answer.retry_after_us)], wait)
+
+
+def failed(answer: Failed) -> RpcError:
+    details = [error_info("EFFECT_UNKNOWN", DOMAIN, attempts=str(answer.attempts), **answer.notes)]
+    return RpcError(Code.UNKNOWN, answer.reason, details, NEVER)
+
+
+def spurned(answer: Spurned) -> RpcError:
+    return RpcError(Code(answer.code), answer.message, answer.details, NEVER)
+
+
+def deadline() -> RpcError:
+    text = "no answer came before the deadline; a write may have taken effect"
+    return RpcError(Code.DEADLINE_EXCEEDED, text, [error_info("DEADLINE", DOMAIN)], NEVER)
+
+
+def invalid(field: str, reason: str) -> RpcError:
+    return RpcError(Code.INVALID_ARGUMENT, f"{field}: {reason}", [field_violation(field, reason)], NEVER)
--- /dev/null
+++ b/juniperreel/fronts/grpc.py
@@ -0,0 +1,163 @@
+"""The gRPC front: juniperreel.v1.Records."""
+
+from __future__ import annotations
+
+import trio
+import xxhash
+from google.protobuf.message import DecodeError
+
+from juniperreel import interface as ui
+from juniperreel.causal import EMPTY, Keyring, Token, TokenError
+from juniperreel.driver import Answer, Driver, Failed, Refused, Served, Spurned, Work
+from juniperreel.fronts import errors
+from juniperreel.net import Clock
+from juniperreel.net.clock import US
+from juniperreel.proto.records.v1 import records_pb2
+from juniperreel.rpc.server import Call, Method
+
+SERVICE = "juniperreel.v1.Records"
+TOKEN_HEADER = "juniperreel-causal-bin"
+PREVIOUS = "grpc-previous-rpc-attempts"
+MAX_NAME = 256  # characters of a session or idempotency key
+MAX_TOKENS = 16  # in the metadata of one call
+
+
+class GrpcFront:
+    """Answers calls from the driver's answers. Holds nothing between calls."""
+
+    def __init__(self, driver: Driver, keyring: Keyring, clock: Clock) -> None:
+        self._driver, self._keyring, self._clock = driver, keyring, clock
+        settings = driver.options.router
+        self._classes = {cls.name: i for i, cls in enumerate(settings.classes)}
+        self._tenants = {tenant.name: i for i, tenant in enumerate(settings.tenants)}
+
+    def methods(self) -> dict[str, Method]:
+        return {f"/{SERVICE}/Execute": Method(unary=self._execute)}
+
+    async def _execute(self, call: Call, data: bytes) -> bytes:
+        work = self._read(call, data)
+        cls = self._driver.options.router.classes[work.cls]
+        metrics = self._driver.metrics
+        if work.repeat:
+            metrics.repeats.labels(cls.name).inc()
+        started = self._clock.now_us()
+        answer: Answer | None = None
+        with self._driver.traces.span("request", cls=cls.name, group=work.group):
+            margin = self._driver.options.answer_margin_us // 2
+            with trio.CancelScope(deadline=self._clock.trio_time(work.deadline_us - margin)):
+                answer = await self._driver.execute(work)
+        outcome, reason = described(answer)
+        metrics.requests.labels(cls.name, outcome, reason).inc()
+        metrics.seconds.labels(cls.name, outcome).observe((self._clock.now_us() - started) / US)
+        return self._write(call, answer)
+
+    def _read(self, call: Call, data: bytes) -> Work:
+        """Raises RpcError INVALID_ARGUMENT, naming the field."""
+        try:
+            ask = records_pb2.ExecuteRequest.FromString(data)
+        except DecodeError:
+            raise errors.invalid("request", "not an ExecuteRequest") from None
+        name = getattr(ask, "class")
+        cls = self._classes.get(name)
+        if cls is None:
+            raise errors.invalid("class", f"no class {name[:100]!r}; there are {', '.join(self._classes)}")
+        tenant = self._tenants.get(ask.tenant, -1)
+        if tenant < 0 and (ask.tenant or self._tenants):
+            raise errors.invalid("tenant", f"no tenant {ask.tenant[:100]!r}")
+        if not ask.statement:
+            raise errors.invalid("statement", "is empty")
+        for field in ("session", "idempotency_key"):
+            if len(getattr(ask, field)) > MAX_NAME:
+                raise errors.invalid(field, f"is longer than {MAX_NAME} characters")
+        settings = self._driver.options.router.classes[cls]
+        if settings.effect is ui.Effect.KEYED and not ask.idempotency_key:
+            raise errors.invalid("idempotency_key", f"class {settings.name} needs one")
+        now = self._clock.now_us()
+        deadline = now + settings.deadline_us
+        if call.deadline_us is not None:
+            deadline = min(deadline, call.deadline_us)
+        previous = call.get(PREVIOUS)
+        return Work(
+            cls=cls,
+            tenant=tenant,
+            group=self._group(ask),
+            deadline_us=deadline,
+            statement=ask.statement,
+            parameters=ask.parameters,
+            session=ask.session or None,
+            key=ask.idempotency_key,
+            token=self._token(call, ask.causal_token),
+            repeat=isinstance(previous, str) and previous.isdigit() and int(previous[:9]) > 0,
+        )
+
+    def _group(self, ask: records_pb2.ExecuteRequest) -> int:
+        groups = self._driver.options.groups
+        if ask.WhichOneof("route") == "key":
+            return group_of(ask.key, groups)
+        if ask.WhichOneof("route") is None and groups > 1:
+            raise errors.invalid("route", "a group or a key is needed")
+        if ask.group >= groups:
+            raise errors.invalid("group", f"no group {ask.group}; there are {groups}")
+        return ask.group
+
+    def _token(self, call: Call, carried: bytes) -> Token:
+        """Of the message and of the metadata, joined. An empty field is no token; an empty header is an
+        error, since somebody meant to send one."""
+        token = EMPTY
+        found = call.all(TOKEN_HEADER)
+        if len(found) > MAX_TOKENS:
+            raise errors.invalid(TOKEN_HEADER, f"more than {MAX_TOKENS} tokens")
+        where = "causal_token"
+        try:
+            if carried:
+                token = self._keyring.decode(carried)
+            where = TOKEN_HEADER
+            for value in found:
+                token = token.join(
+                    self._keyring.decode(value if isinstance(value, bytes) else value.encode())
+                )
+        except TokenError as error:
+            raise errors.invalid(where, str(error)) from None
+        return token
+
+    def _write(self, call: Call, answer: Answer | None) -> bytes:
+        match answer:
+            case Served():
+                token = self._keyring.encode(answer.token)
+                call.trailing.append((TOKEN_HEADER, token))
+                response = records_pb2.ExecuteResponse(
+                    result=answer.result,
+                    causal_token=token,
+                    member=answer.member,
+                    role=records_pb2.ROLE_PRIMARY if answer.primary else records_pb2.ROLE_REPLICA,
+                    attempts=answer.attempts,
+                )
+                return response.SerializeToString()
+            case Refused():
+                raise errors.refused(answer)
+            case Failed():
+                raise errors.failed(answer)
+            case Spurned():
+                raise errors.spurned(answer)
+            case None:
+                raise errors.deadline()
+
+
+def described(answer: Answer | None) -> tuple[str, str]:
+    """Outcome and reason, for the metrics."""
+    match answer:
+        case Served():
+            return "served", ""
+        case Spurned():
+            return "served", "statement at fault"
+        case Refused():
+            return "refused", answer.reason
+        case Failed():
+            return "failed", answer.reason
+        case None:
+            return "failed", "deadline"
+
+
+def group_of(key: bytes, groups: int) -> int:
+    """The group of a key, the same at every edge."""
+    return xxhash.xxh64_intdigest(key) % groups
--- a/juniperreel/rpc/server.py
+++ b/juniperreel/rpc/server.py
@@ -57,6 +57,10 @@
         self._start()
         await self._link.send_message(self._stream, message, gzip=self.gzip)
 
+    def break_connection(self, why: str) -> None:
+        """End the whole connection under the call at once, as a dying process would."""
+        self._link.abort(why)
+
     def _start(self) -> None:
         if not self._started:
             self._started = True
--- /dev/null
+++ b/juniperreel/settings/edge.py
@@ -0,0 +1,247 @@
+"""The settings of an edge: its sections, and the typed result."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from juniperreel import interface as ui
+from juniperreel.settings.checks import check
+from juniperreel.settings.lexer import (
+    Problem,
+    SettingsError,
+    address,
+    duration,
+    flag,
+    lex,
+    number,
+    part,
+    size,
+    whole,
+    word,
+)
+from juniperreel.settings.schema import Field, Kind, Reader, choice, one, read
+
+Address = tuple[str, int]
+
+KINDS = {
+    "edge": Kind(
+        {
+            "name": one(word),
+            "listen": one(address),
+            "metrics": one(address, None),
+            "zone": one(whole, 0),
+            "edges": one(whole),  # that share the members with this one, itself included
+            "groups": one(whole),
+            "seed": one(whole, None),
+        }
+    ),
+    "hosts": Kind(
+        {
+            "source": one(address),
+            "saved": one(Path, None),
+            "timeout": one(duration, 2_000_000),
+            "shows-primary": one(flag),
+        }
+    ),
+    "class": Kind(
+        {
+            "effect": Field(
+                (choice("repeatable", "keyed", "once"), choice("all", "zone", "group"), duration), least=1
+            ),
+            "consistency": Field((choice("write", "fresh", "session", "bounded", "any"), duration), least=1),
+            "aim": one(duration),
+            "deadline": one(duration),
+            "worth": one(number),
+            "late-worth": one(part, 0.0),
+        },
+        named=True,
+    ),
+    "tenant": Kind({"share": one(part), "quota": one(number, 0.0)}, named=True, needed=False),
+    "rules": Kind(
+        {
+            "attempts": one(whole),
+            "second-copies": one(flag, False),
+            "cancelling": one(flag, True),
+            "probes": one(flag, True),
+            "answer-margin": one(duration),
+            "drain-grace": one(duration),
+            "only-draining-binds": one(flag, False),
+            "cold-from": one(part),
+            "cold-span": one(duration),
+            "fall-multiple": one(number),
+            "overload-span": one(duration),
+            "refusal-wait": one(duration),
+            "members-check": Field((choice("no", "refuse", "wait"), duration), least=1),
+            "over-share-worth": one(part, 1.0),
+        }
+    ),
+    "limits": Kind(
+        {
+            "open-requests": one(whole, 5000),
+            "member-attempts": one(whole, 1000),
+            "connections": one(whole, 10_000),
+            "message": one(size, 4 << 20),
+            "metadata": one(size, 16 << 10),
+            "connect-timeout": one(duration, 500_000),
+            "probe-timeout": one(duration, 500_000),
+            "stop-within": one(duration, 10_000_000),
+        },
+        needed=False,
+    ),
+    "token": Kind({"key": Field((whole, Path), many=True), "skew": one(duration)}),
+    "log": Kind(
+        {
+            "form": one(choice("json", "console"), "json"),
+            "level": one(choice("debug", "info", "warning", "error"), "info"),
+            "spans": one(Path, None),
+        },
+        needed=False,
+    ),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class EdgeSettings:
+    """All that an edge is started with. Spans are microseconds."""
+
+    name: str
+    listen: Address
+    metrics: Address | None
+    groups: int
+    seed: int | None
+    hosts: Address
+    saved_list: Path | None
+    list_timeout_us: int
+    router: ui.Settings
+    answer_margin_us: int
+    max_open: int
+    member_attempts: int
+    max_connections: int
+    message_bytes: int
+    metadata_bytes: int
+    connect_timeout_us: int
+    probe_timeout_us: int
+    stop_within_us: int
+    keys: tuple[tuple[int, bytes], ...]
+    skew_us: int
+    log_form: str
+    log_level: str
+    spans: Path | None
+
+
+def read_edge(path: Path) -> EdgeSettings:
+    """The settings of a file. Raises SettingsError with every problem in it, or OSError."""
+    return parse_edge(path.read_bytes(), str(path), path.parent)
+
+
+def parse_edge(data: bytes, file: str, folder: Path) -> EdgeSettings:
+    """As `read_edge`; relative paths in the file are taken from `folder`."""
+    sections, problems = lex(data)
+    if not problems or sections:
+        found = read(sections, KINDS, problems)
+    if problems:
+        raise SettingsError(file, problems)
+    keys = read_keys(found["token"][0], folder, problems)
+    check(found, problems)
+    if problems:
+        raise SettingsError(file, problems)
+    return typed(found, keys, folder)
+
+
+def read_keys(token: Reader, folder: Path, problems: list[Problem]) -> tuple[tuple[int, bytes], ...]:
+    keys: list[tuple[int, bytes]] = []
+    for name, path in token["key"]:
+        line = token.at("key")
+        try:
+            secret = (folder / path).read_bytes().strip()
+        except OSError as error:
+            problems.append(Problem(line, f"key {name}: {path} cannot be read: {error.strerror}"))
+            continue
+        if len(secret) < 16:
+            problems.append(
+                Problem(line, f"key {name}: {path} holds {len(secret)} bytes; 16 are the least", 5)
+            )
+        if name > 255 or name in [n for n, _ in keys]:
+            problems.append(Problem(line, f"key {name}: ids are 0 to 255, each used once"))
+        keys.append((name, secret))
+    if len(keys) > 2:
+        problems.append(Problem(token.at("key"), "at most two keys live at once"))
+    return tuple(keys)
+
+
+def request_class(section: Reader) -> ui.RequestClass:
+    effect = section["effect"]
+    consistency = section["consistency"]
+    return ui.RequestClass(
+        name=section.name,
+        effect=ui.Effect(effect[0]),
+        key_scope=ui.KeyScope(effect[1]) if len(effect) > 1 else ui.KeyScope.ALL,
+        memory_span_us=effect[2] if len(effect) > 2 else 0,
+        consistency=ui.Consistency(consistency[0]),
+        lag_allowed_us=consistency[1] if len(consistency) > 1 else 0,
+        aim_us=section["aim"],
+        deadline_us=section["deadline"],
+        worth=section["worth"],
+        late_worth=section["late-worth"],
+    )
+
+
+def typed(found: dict[str, list[Reader]], keys: tuple[tuple[int, bytes], ...], folder: Path) -> EdgeSettings:
+    edge, hosts, rules = found["edge"][0], found["hosts"][0], found["rules"][0]
+    limits, token, log = found["limits"][0], found["token"][0], found["log"][0]
+    guard: tuple[Any, ...] = rules["members-check"]
+    router = ui.Settings(
+        routers=edge["edges"],
+        zone=edge["zone"],
+        classes=tuple(request_class(section) for section in found["class"]),
+        tenants=tuple(ui.Tenant(t.name, t["share"], t["quota"]) for t in found["tenant"]),
+        over_share_worth=rules["over-share-worth"],
+        prices=ui.Prices(),
+        max_attempts=rules["attempts"],
+        cancelling=rules["cancelling"],
+        probes=rules["probes"],
+        second_copies=rules["second-copies"],
+        retry_hints=rules["refusal-wait"] > 0,
+        max_retry_after_us=rules["refusal-wait"],
+        answer_grace_us=0,
+        drain_grace_us=rules["drain-grace"],
+        only_draining_binds=rules["only-draining-binds"],
+        cold_from=rules["cold-from"],
+        cold_us=rules["cold-span"],
+        fall_multiple=rules["fall-multiple"],
+        overload_us=rules["overload-span"],
+        must_ask=True,
+        ask_every_us=0,
+        guard={"no": ui.Guard.OFF, "refuse": ui.Guard.REFUSE, "wait": ui.Guard.WAIT}[guard[0]],
+        guard_wait_us=guard[1] if len(guard) > 1 else 0,
+        carried_age=True,
+        positions_in_answers=True,
+        list_shows_role=hosts["shows-primary"],
+    )
+    return EdgeSettings(
+        name=edge["name"],
+        listen=edge["listen"],
+        metrics=edge["metrics"],
+        groups=edge["groups"],
+        seed=edge["seed"],
+        hosts=hosts["source"],
+        saved_list=folder / hosts["saved"] if hosts["saved"] else None,
+        list_timeout_us=hosts["timeout"],
+        router=router,
+        answer_margin_us=rules["answer-margin"],
+        max_open=limits["open-requests"],
+        member_attempts=limits["member-attempts"],
+        max_connections=limits["connections"],
+        message_bytes=limits["message"],
+        metadata_bytes=limits["metadata"],
+        connect_timeout_us=limits["connect-timeout"],
+        probe_timeout_us=limits["probe-timeout"],
+        stop_within_us=limits["stop-within"],
+        keys=keys,
+        skew_us=token["skew"],
+        log_form=log["form"],
+        log_level=log["level"],
+        spans=folder / log["spans"] if log["spans"] else None,
+    )
--- /dev/null
+++ b/juniperreel/standins/clients.py
@@ -0,0 +1,216 @@
+"""Clients of the edges: sessions with tokens, tenants and retries, at a rate, over plain gRPC.
+
+They behave as board app servers should: one request of a session at a time, the token kept, a refusal's
+wait followed, a retry marked, the idempotency key kept over retries, and never a repeat where told not to.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import trio
+from google.protobuf.message import DecodeError
+
+from juniperreel.net import Clock, ConnectError, Network
+from juniperreel.proof.records import Asked, Class, Sink, Told
+from juniperreel.proto.common.v1 import values_pb2
+from juniperreel.proto.records.v1 import records_pb2
+from juniperreel.rpc.channel import Broken, Channel, NeverSent
+from juniperreel.rpc.limits import Limits
+from juniperreel.rpc.status import PUSHBACK, Code, RpcError
+
+EXECUTE = "/juniperreel.v1.Records/Execute"
+ROWS = 40
+WRITE = "insert into runs (runner, id) values (?, ?) /* rid {} */"
+READ = f"select id from runs where runner = ? order by number desc limit {ROWS} /* rid {{}} */"
+US = 1_000_000
+AGAIN_S = (0.1, 0.5)  # before a retry after a broken connection
+RETRIED = (Code.UNAVAILABLE, Code.RESOURCE_EXHAUSTED)
+
+
+@dataclass(frozen=True, slots=True)
+class Mix:
+    """A class, its part of the load and how long its clients wait at most."""
+
+    cls: Class
+    part: float
+    deadline_us: int
+
+
+@dataclass(slots=True)
+class Session:
+    name: str
+    row: str
+    group: int
+    tenant: str
+    edge: int
+    token: bytes = b""
+    busy: bool = False
+    wrote: float = -1e9
+
+
+class Population:
+    """All sessions of a day."""
+
+    def __init__(
+        self,
+        network: Network,
+        clock: Clock,
+        record: Sink,
+        rng: random.Random,
+        mix: list[Mix],
+        tenants: dict[str, float],
+        groups: int,
+        sessions: int,
+        retries: int,
+        edges: list[tuple[str, int]],
+    ) -> None:
+        """`edges`: name and port of each."""
+        self._network, self._clock, self._record, self._rng = network, clock, record, rng
+        self._mix, self._retries, self._edges = mix, retries, edges
+        names, parts = list(tenants), list(tenants.values())
+        self.sessions = [
+            Session(f"s{n}", f"r{n}", n % groups, rng.choices(names, parts)[0], n % len(edges))
+            for n in range(sessions)
+        ]
+        self._channels: list[Channel] = []
+        self._count = 0
+        self.on_answer: Callable[[str, str, int], None] = lambda cls, outcome, took_us: None
+
+    async def run(self, rate: float, span_us: int) -> None:
+        """Asks at `rate` a second for `span_us`, then waits for the last answers."""
+        async with trio.open_nursery() as links:
+            for _, port in self._edges:
+                channel = Channel(
+                    self._network, self._clock, "127.0.0.1", port, Limits(), random.Random(self._rng.random())
+                )
+                self._channels.append(channel)
+                await links.start(channel.run)
+            async with trio.open_nursery() as nursery:
+                end = trio.current_time() + span_us / US
+                due = trio.current_time()
+                while (due := due + self._rng.expovariate(rate)) < end:
+                    await trio.sleep_until(due)
+                    session = self._pick()
+                    if session is not None:
+                        session.busy = True
+                        nursery.start_soon(self._request, session)
+            links.cancel_scope.cancel()
+
+    def _pick(self) -> Session | None:
+        for _ in range(20):
+            session = self._rng.choice(self.sessions)
+            if not session.busy:
+                return session
+        return None
+
+    def _class(self, session: Session) -> Mix:
+        """Reads of one's own come soon after a write."""
+        parts = [m.part for m in self._mix]
+        mix = self._rng.choices(self._mix, parts)[0]
+        if not mix.cls.write and trio.current_time() - session.wrote < 1.0:
+            own = [m for m in self._mix if m.cls.session]
+            if own and self._rng.random() < 0.7:
+                return own[0]
+        return mix
+
+    async def _request(self, session: Session) -> None:
+        mix = self._class(session)
+        self._count += 1
+        rid = f"q{self._count}"
+        row, group = session.row, session.group
+        if not (mix.cls.write or mix.cls.session):
+            other = self._rng.choice(self.sessions)
+            row, group = other.row, other.group
+        try:
+            for number in range(self._retries + 1):
+                wait = await self._try(session, mix, rid, number, row, group)
+                if wait is None:
+                    return
+                await trio.sleep(wait)
+        finally:
+            session.busy = False
+            if mix.cls.write:
+                session.wrote = trio.current_time()
+
+    async def _try(
+        self, session: Session, mix: Mix, rid: str, number: int, row: str, group: int
+    ) -> float | None:
+        """One try; how long to wait before the next, or None when there is to be none."""
+        cls = mix.cls
+        text = WRITE if cls.write else READ
+        ask = records_pb2.ExecuteRequest(
+            tenant=session.tenant,
+            group=group,
+            statement=text.format(rid).encode(),
+            session=session.name,
+            idempotency_key=f"{session.name}-{rid}" if cls.effect == "keyed" else "",
+            causal_token=session.token,
+        )
+        setattr(ask, "class", cls.name)
+        for value in (row, rid) if cls.write else (row,):
+            ask.parameters.append(values_pb2.Value(text=value))
+        span = int(mix.deadline_us * self._rng.uniform(0.6, 1.0))
+        metadata = [("grpc-previous-rpc-attempts", str(number))] if number else []
+        edge = session.edge
+        now = self._clock.now_us()
+        self._record(
+            Asked(
+                now,
+                rid,
+                number,
+                self._edges[edge][0],
+                cls.name,
+                session.name,
+                session.tenant,
+                group,
+                row,
+                now + span,
+            )
+        )
+        status = Code.OK
+        fields: dict[str, Any] = {}
+        again: float | None = None
+        local = False
+        try:
+            with trio.fail_after(span / US):
+                reply = await self._channels[edge].unary(EXECUTE, ask.SerializeToString(), metadata, span)
+            answer = records_pb2.ExecuteResponse.FromString(reply.message)
+            if cls.write or cls.session:
+                session.token = answer.causal_token
+            rows = [r.values[0].text for r in answer.result.rows]
+            fields = {
+                "member": answer.member,
+                "primary": answer.role == records_pb2.ROLE_PRIMARY,
+                "attempts": answer.attempts,
+                "rows": rows,
+                "more": len(rows) == ROWS,
+            }
+        except RpcError as error:
+            status = error.code
+            wait = dict(error.metadata).get(PUSHBACK, "")
+            never = wait == "-1"
+            fields = {
+                "never": never,
+                "wait_us": int(wait) * 1000 if isinstance(wait, str) and wait.isdigit() else 0,
+            }
+            if status in RETRIED and not never:
+                again = fields["wait_us"] / US * self._rng.uniform(1.0, 1.3)
+        except trio.TooSlowError:
+            status, local = Code.DEADLINE_EXCEEDED, True
+        except (ConnectError, NeverSent, Broken) as error:
+            # The edge died. What it held is for the client to ask again, at another edge.
+            status, local = Code.UNAVAILABLE, True
+            session.edge = (session.edge + 1) % len(self._edges)
+            if cls.effect != "once" or not isinstance(error, Broken):
+                again = self._rng.uniform(*AGAIN_S)
+        except DecodeError:
+            status, local = Code.INTERNAL, True
+        told = self._clock.now_us()
+        self._record(Told(told, rid, number, int(status), local, **fields))
+        outcome = "served" if status is Code.OK else "refused" if status in RETRIED else "failed"
+        self.on_answer(cls.name, outcome, told - now)
+        return again
--- /dev/null
+++ b/juniperreel/standins/member.py
@@ -0,0 +1,297 @@
+"""A member: a gRPC server over a group's copy of the data, with everything that can go wrong with it."""
+
+from __future__ import annotations
+
+import random
+import re
+from dataclasses import dataclass
+
+import trio
+from google.protobuf.message import DecodeError
+
+from juniperreel.net import Clock, Network
+from juniperreel.proof.records import Arrived, Committed, Left, Sink, Started, Stopped
+from juniperreel.proto.common.v1 import values_pb2
+from juniperreel.proto.member.v1 import member_pb2
+from juniperreel.rpc.limits import Limits
+from juniperreel.rpc.server import Call, Method, Server
+from juniperreel.rpc.status import Code, RpcError, error_info
+from juniperreel.standins.group import Group, Replica
+from juniperreel.standins.machine import Full, Machine
+from juniperreel.standins.store import Commit, StatementFault, from_value
+
+DOMAIN = "member.juniperreel"
+RID = re.compile(r"/\* rid ([0-9a-z.-]+) \*/")
+REPORT_EVERY_US = 100_000
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """What all members of a fleet have in common."""
+
+    cores: int = 4
+    queue: int = 200
+    read_us: int = 12_000
+    write_us: int = 15_000
+    cold_from: float = 0.2
+    cold_us: int = 6_000_000
+    fall_multiple: float = 2.0
+    overload_us: int = 2_000_000
+    ack_replica: bool = True  # a write is answered when another member has it
+
+
+class Member:
+    """One member on a port of its own. Faults are plain fields that the script sets."""
+
+    def __init__(
+        self,
+        name: str,
+        group: Group,
+        zone: int,
+        shape: Shape,
+        network: Network,
+        clock: Clock,
+        seed: int,
+        record: Sink,
+    ) -> None:
+        self.name, self.group, self.zone, self.shape = name, group, zone, shape
+        self.port = 0
+        self.alive = False
+        self.claims = False  # takes itself for the primary
+        self.draining = False
+        self.fell = False
+        self.started_us = 0
+        # Faults.
+        self.hung = False
+        self.cut_off = False  # from its group
+        self.refusing = False  # requests, while reports pass
+        self.losing = 0.0  # part of answers lost after executing
+        self.breaking = 0.0  # part of answers broken off with the connection
+        self.failing = 0.0  # part of requests that fail at once
+        self.skew_us = 0  # of the clock it reports by
+        self.copy = Replica()
+        self._network, self._clock, self._record = network, clock, record
+        self._rng = random.Random(seed)
+        self.machine = Machine(
+            clock,
+            random.Random(seed + 1),
+            shape.cores,
+            shape.queue,
+            shape.cold_from,
+            shape.cold_us,
+            shape.fall_multiple,
+            shape.overload_us,
+            self._fall,
+        )
+        self._report = (0, member_pb2.ReportResponse())
+        self._scope: trio.CancelScope | None = None
+        self._running: dict[str, trio.Event] = {}  # keys of writes under way
+        self._woken = trio.Event()
+
+    # Its process.
+
+    async def run(self, cold: bool, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Until killed. It keeps its port, so that it comes back at the same address."""
+        listener = await self._network.listen("127.0.0.1", self.port)
+        self.port = listener.port
+        now = self._clock.now_us()
+        self.started_us = now
+        self.machine.started_us = now if cold else 0
+        self.alive, self.hung, self._running = True, False, {}
+        self._record(Started(now, self.name, cold, float(self.shape.cores)))
+        methods = {
+            "/juniperreel.member.v1.Member/Execute": Method(unary=self._execute),
+            "/juniperreel.member.v1.Member/Report": Method(unary=self._tell),
+        }
+        server = Server(methods, Limits(), self._clock)
+        try:
+            with trio.CancelScope() as self._scope:
+                task_status.started()
+                await server.serve(listener)
+        finally:
+            self.alive = self.claims = False
+            await listener.aclose()
+
+    def kill(self, why: str = "killed") -> None:
+        if self.alive:
+            self.alive = self.claims = False
+            self._record(Stopped(self._clock.now_us(), self.name, why))
+            if self._scope is not None:
+                self._scope.cancel()
+
+    def _fall(self) -> None:
+        """Too much while cold: it falls over and stays down."""
+        self.fell = True
+        self.kill("fell")
+
+    def wake(self) -> None:
+        """Back from a hang."""
+        self.hung = False
+        self._woken.set()
+        self._woken = trio.Event()
+
+    # What it says.
+
+    def _standing(self) -> member_pb2.Standing:
+        primary = self.claims
+        if primary and self.group.primary is self:
+            self.copy.position = self.copy.received = self.group.heartbeat()
+        standing = member_pb2.Standing(
+            role=member_pb2.ROLE_PRIMARY if primary else member_pb2.ROLE_REPLICA,
+            position=max(self.copy.position + self.skew_us, 0),
+        )
+        for epoch, start in self.copy.epochs:
+            standing.epochs.add(epoch=epoch, start=start)
+        return standing
+
+    async def _tell(self, call: Call, data: bytes) -> bytes:
+        await self._wait_while_hung()
+        now = self._clock.now_us()
+        if now - self._report[0] > REPORT_EVERY_US:  # reports are as old as their last refresh
+            report = member_pb2.ReportResponse(
+                standing=self._standing(), in_hand=self.machine.in_hand, waiting=self.machine.waiting
+            )
+            self._report = (now, report)
+        return self._report[1].SerializeToString()
+
+    async def _wait_while_hung(self) -> None:
+        while self.hung:
+            await self._woken.wait()
+
+    # What it does.
+
+    async def _execute(self, call: Call, data: bytes) -> bytes:
+        try:
+            ask = member_pb2.ExecuteRequest.FromString(data)
+            statement = ask.statement.decode()
+        except (DecodeError, UnicodeDecodeError):
+            raise RpcError(Code.INVALID_ARGUMENT, "not an ExecuteRequest") from None
+        rid = RID.search(statement)
+        mean = self.shape.write_us if ask.write else self.shape.read_us
+        work = self.machine.draw(mean)
+        edge = ask.request.rsplit("-", 2)[0]
+        self._record(
+            Arrived(
+                self._clock.now_us(),
+                self.name,
+                edge,
+                ask.request,
+                ask.attempt,
+                rid[1] if rid else "",
+                getattr(ask, "class"),
+                ask.write,
+                mean,
+            )
+        )
+        self.machine.offer(mean)
+        done = [False]
+        how = "stopped"
+        try:
+            response = await self._answer(call, ask, statement, rid[1] if rid else "", work, done)
+            how = "answered"
+            return response
+        except RpcError as error:
+            how = error.reason(DOMAIN) or error.code.name
+            raise
+        finally:
+            now = self._clock.now_us()
+            self._record(Left(now, self.name, ask.request, ask.attempt, how, done[0]))
+
+    async def _answer(
+        self,
+        call: Call,
+        ask: member_pb2.ExecuteRequest,
+        statement: str,
+        rid: str,
+        work: int,
+        done: list[bool],
+    ) -> bytes:
+        await self._wait_while_hung()
+        if self.refusing:
+            raise untouched("NOT_EXECUTED", "no room", Code.RESOURCE_EXHAUSTED)
+        if self.failing and self._rng.random() < self.failing:
+            raise RpcError(Code.INTERNAL, "something inside is broken")
+        if ask.write and not self.claims:
+            raise untouched("NOT_PRIMARY", f"{self.name} is a replica")
+        if not ask.write:
+            self._check_needs(ask)
+        parameters = [from_value(v) for v in ask.parameters]
+        try:
+            self.copy.store.check(statement, parameters, ask.write)
+            async with self.machine.core(work):
+                if call.deadline_us is not None and self._clock.now_us() >= call.deadline_us:
+                    raise RpcError(Code.DEADLINE_EXCEEDED, "not begun: the time is over")
+                await self.machine.work(work)
+                await self._wait_while_hung()
+                if ask.write:
+                    response = await self._write(ask, statement, parameters, rid, done)
+                else:
+                    result = self.copy.store.query(statement, parameters)
+                    response = member_pb2.ExecuteResponse(result=result, standing=self._standing())
+                    done[0] = True
+        except Full:
+            raise untouched("NOT_EXECUTED", "the queue is full", Code.RESOURCE_EXHAUSTED) from None
+        except StatementFault as error:
+            raise untouched("STATEMENT", str(error), Code.INVALID_ARGUMENT) from None
+        if self.losing and self._rng.random() < self.losing:
+            await trio.sleep_forever()
+        if self.breaking and self._rng.random() < self.breaking:
+            call.break_connection("broken off")
+            await trio.sleep_forever()
+        await self._wait_while_hung()
+        return response.SerializeToString()
+
+    def _check_needs(self, ask: member_pb2.ExecuteRequest) -> None:
+        standing = self._standing()
+        epochs = [(e.epoch, e.start) for e in standing.epochs]
+        behind = standing.position < max(ask.floor, ask.oldest)
+        for need in ask.needed:
+            later = [start for epoch, start in epochs if epoch > need.epoch]
+            lost = need.epoch > epochs[-1][0] or (later and need.position > min(later))
+            behind = behind or lost or standing.position < need.position
+        if behind:
+            raise untouched("BEHIND", f"{self.name} has not reached what is asked for")
+
+    async def _write(
+        self,
+        ask: member_pb2.ExecuteRequest,
+        statement: str,
+        parameters: list[object],
+        rid: str,
+        done: list[bool],
+    ) -> member_pb2.ExecuteResponse:
+        key = ask.idempotency_key
+        while key and key in self._running:  # the first execution is still under way
+            await self._running[key].wait()
+        if not self.claims:
+            raise untouched("NOT_PRIMARY", f"{self.name} is no longer primary")
+        known = self.copy.keys.get(key) if key else None
+        epoch = self.copy.epoch
+        if key:
+            self._running[key] = trio.Event()
+        try:
+            if known is None:
+                commit = Commit(epoch, self.group.next_position(), statement, tuple(parameters), key, rid)
+                self.copy.log.append(commit)
+                rows, position = self.copy.apply(commit), commit.position
+                row = str(parameters[0]) if parameters else ""
+                now = self._clock.now_us()
+                self._record(Committed(now, self.group.number, epoch, position, self.name, rid, row))
+            else:
+                position, rows = known
+            done[0] = True
+            while self.shape.ack_replica and not self.group.replicated(epoch, position, self):
+                await self.group.arrived.wait()
+        finally:
+            if key:
+                self._running.pop(key).set()
+        return member_pb2.ExecuteResponse(
+            result=values_pb2.ResultSet(affected=max(rows, 0)),
+            standing=self._standing(),
+            commit=position,
+            repeated=known is not None,
+        )
+
+
+def untouched(reason: str, text: str, code: Code = Code.FAILED_PRECONDITION) -> RpcError:
+    return RpcError(code, text, [error_info(reason, DOMAIN)])
--- /dev/null
+++ b/juniperreel/telemetry/metrics.py
@@ -0,0 +1,57 @@
+"""Counters, gauges and histograms of one edge, in a registry of its own."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+BUCKETS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
+
+
+class Metrics:
+    """Each reason for which a request is turned away has a count of its own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+
+        def counter(name: str, text: str, *labels: str) -> Counter:
+            return Counter(f"juniperreel_{name}", text, labels, registry=self.registry)
+
+        def gauge(name: str, text: str, *labels: str) -> Gauge:
+            return Gauge(f"juniperreel_{name}", text, labels, registry=self.registry)
+
+        self.requests = counter("requests", "Final answers", "cls", "outcome", "reason")
+        self.repeats = counter("repeats", "Requests that came marked as a retry", "cls")
+        self.seconds = Histogram(
+            "juniperreel_request_seconds",
+            "From taking a request to its final answer",
+            ("cls", "outcome"),
+            registry=self.registry,
+            buckets=BUCKETS,
+        )
+        self.attempts = counter("attempts", "Attempts at members that ended", "outcome")
+        self.attempt_seconds = Histogram(
+            "juniperreel_attempt_seconds",
+            "Of attempts",
+            ("outcome",),
+            registry=self.registry,
+            buckets=BUCKETS,
+        )
+        self.probes = counter("probes", "Probes that ended", "outcome")
+        self.late = counter("late_answers", "Answers of members that came after the final one, dropped")
+        self.stale = counter("stale_answers", "Answers whose standing did not satisfy what was asked for")
+        self.cut_off = counter("cut_off_writes", "Writes confirmed in an epoch that had ended")
+        self.rejected = counter("rejected", "Requests that never reached the module", "reason")
+        self.batches = counter("batches", "Batches handed to the module")
+        self.module_errors = counter("module_errors", "Batches in which the module failed")
+        self.open = gauge("open_requests", "Requests in hand")
+        self.members = gauge("members", "Members known, by readiness", "readiness")
+        self.connections = gauge("member_connections", "Live connections to members")
+        self.list_age = gauge("host_list_age_seconds", "Since the host list last said anything")
+        self.list_failures = counter("host_list_failures", "Host list calls that failed")
+        self.stalls = counter("stalls", "Times this program stood still")
+        self.clock_drift = gauge(
+            "clock_drift_seconds", "Wall time ahead of the clock positions are judged by"
+        )
+
+    def text(self) -> bytes:
+        return generate_latest(self.registry)
