--- a/juniperreel/driver/members.py
+++ b/juniperreel/driver/members.py
@@ -51,10 +51,10 @@
     def place(self, member: str, host: str, port: int) -> None:
         """Where the member is now. A new address gets a new connection; the old one ends when idle."""
         link = self._links.get(member)
+        if link is not None and link.address == (host, port) and not link.channel.closed:
+            link.retired = False
+            return
         if link is not None:
-            if link.address == (host, port):
-                link.retired = False
-                return
             self._retire(link)
         options = self._options
         channel = Channel(
@@ -90,9 +90,9 @@
         link = self._links.get(member)
         if link is None:
             raise Silent(f"no address is known for {member}")
-        if link.retired and not link.in_hand:
-            # Sent to again after it had left the list: a list that flaps must not cost the connection twice.
-            self._links.pop(member)
+        if link.channel.closed:
+            # Danger: a list that flaps, or whose "gone" does not bind, sends to a member whose connection
+            # was ended; it would seem dead for ever.
             self.place(member, *link.address)
             link = self._links[member]
         return link
--- a/juniperreel/rpc/channel.py
+++ b/juniperreel/rpc/channel.py
@@ -82,7 +82,7 @@
         self._link: Link | None = None
         self._opening: trio.Event | None = None
         self._nursery: trio.Nursery | None = None
-        self._closed = False
+        self.closed = False
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         async with trio.open_nursery() as self._nursery:
@@ -91,7 +91,7 @@
 
     def close(self) -> None:
         """Ends the connection and all calls at once."""
-        self._closed = True
+        self.closed = True
         if self._nursery is not None:
             self._nursery.cancel_scope.cancel()
 
@@ -109,7 +109,7 @@
         while True:
             if self._link is not None and not self._link.going:
                 return self._link
-            if self._closed or self._nursery is None:
+            if self.closed or self._nursery is None:
                 raise Silent(f"the channel to {self.authority} is closed")
             if self._opening is None:
                 if self._clock.now_us() < self._not_before_us:
