--- a/juniperreel/standins/naive.py
+++ b/juniperreel/standins/naive.py
@@ -104,5 +104,9 @@
                 return
 
 
+async def main(name: str, port: int, hosts_port: int) -> None:
+    await Naive(name, hosts_port).run(port)
+
+
 if __name__ == "__main__":
-    trio.run(Naive(sys.argv[1], int(sys.argv[3])).run, int(sys.argv[2]))
+    trio.run(main, sys.argv[1], int(sys.argv[2]), int(sys.argv[3]))
