--- a/juniperreel/standins/store.py
+++ b/juniperreel/standins/store.py
@@ -51,15 +51,15 @@
 
     def check(self, statement: str, parameters: Sequence[Any], write: bool) -> None:
         """Raises StatementFault for what would not run, without running it."""
+        try:
+            self._db.execute("explain " + statement, parameters)
+        except (sqlite3.Error, sqlite3.Warning) as error:
+            raise StatementFault(str(error)) from None
         reads = statement.lstrip().lower().startswith(("select", "values", "with"))
         if reads == write:
             raise StatementFault(
                 "a read in a class that writes" if write else "a write in a class that reads"
             )
-        try:
-            self._db.execute("explain " + statement, parameters)
-        except (sqlite3.Error, sqlite3.Warning) as error:
-            raise StatementFault(str(error)) from None
 
     def apply(self, commit: Commit) -> int:
         """The number of rows changed."""
--- /dev/null
+++ b/tests/e2e/test_grpcio_edge.py
@@ -0,0 +1,150 @@
+"""grpcio, unmodified, as a client of the edge: nothing of ours on its side but the generated messages."""
+
+from __future__ import annotations
+
+import json
+import threading
+from typing import Any
+
+import grpc
+import pytest
+import trio
+
+from juniperreel.proto.health.v1 import health_pb2
+from juniperreel.proto.records.v1 import records_pb2
+from juniperreel.proto.reflection.v1 import reflection_pb2
+from tests.e2e.world import EXECUTE, World, rows
+
+SECONDS = 20.0
+
+
+async def using(world: World, use: Any, **options: Any) -> Any:
+    def run() -> Any:
+        with grpc.insecure_channel(f"127.0.0.1:{world.port}", **options) as channel:
+            return use(channel)
+
+    with trio.fail_after(2 * SECONDS):
+        return await trio.to_thread.run_sync(run)
+
+
+def execute(channel: grpc.Channel) -> Any:
+    return channel.unary_unary(
+        EXECUTE, records_pb2.ExecuteRequest.SerializeToString, records_pb2.ExecuteResponse.FromString
+    )
+
+
+async def test_writes_and_reads_with_the_token_in_metadata_and_gzip(world: World) -> None:
+    def use(channel: grpc.Channel) -> None:
+        wrote, info = execute(channel).with_call(world.message("write", "r", "g1"), timeout=SECONDS)
+        trailing = dict(info.trailing_metadata())
+        assert trailing["juniperreel-causal-bin"] == wrote.causal_token
+        metadata = (("juniperreel-causal-bin", wrote.causal_token),)
+        for compression in (grpc.Compression.NoCompression, grpc.Compression.Gzip):
+            read = execute(channel)(
+                world.message("own", "r", "g2"), timeout=SECONDS, metadata=metadata, compression=compression
+            )
+            assert rows(read) == ["g1"]
+
+    await using(world, use)
+
+
+async def test_large_messages_pass_and_too_large_ones_are_refused(world: World) -> None:
+    def use(channel: grpc.Channel) -> None:
+        large = world.message("write", "r", "g3", idempotency_key="large")
+        large.parameters[1].text = "x" * (2 << 20)
+        assert execute(channel)(large, timeout=SECONDS).attempts == 1
+        read = execute(channel)(world.message("own", "r", "g30"), timeout=SECONDS)
+        assert len(rows(read)[0]) == 2 << 20
+        with pytest.raises(grpc.RpcError) as refused:
+            execute(channel)(
+                world.message("write", "r", "x" * (5 << 20), idempotency_key="k"), timeout=SECONDS
+            )
+        assert refused.value.code() is grpc.StatusCode.RESOURCE_EXHAUSTED
+
+    await using(world, use)
+
+
+async def test_deadline_and_cancel(world: World) -> None:
+    for member in world.fleet.members.values():
+        member.hung = True
+
+    def use(channel: grpc.Channel) -> None:
+        with pytest.raises(grpc.RpcError) as late:
+            execute(channel)(world.message("board", "r", "g4"), timeout=0.5)
+        assert late.value.code() in (grpc.StatusCode.UNAVAILABLE, grpc.StatusCode.DEADLINE_EXCEEDED)
+        future = execute(channel).future(world.message("board", "r", "g5"))
+        threading.Timer(0.2, future.cancel).start()
+        with pytest.raises(grpc.FutureCancelledError):
+            future.result(timeout=SECONDS)
+
+    await using(world, use)
+    with trio.fail_after(SECONDS):
+        while world.edge.driver._open:
+            await trio.sleep(0.01)
+
+
+async def test_its_own_retries_follow_our_pushback_and_arrive_marked(
+    world: World, nursery: trio.Nursery
+) -> None:
+    policy = {
+        "maxAttempts": 5,
+        "initialBackoff": "30s",
+        "maxBackoff": "30s",
+        "backoffMultiplier": 1,
+        "retryableStatusCodes": ["UNAVAILABLE"],
+    }
+    config = {"methodConfig": [{"name": [{"service": "juniperreel.v1.Records"}], "retryPolicy": policy}]}
+    options = (("grpc.service_config", json.dumps(config)), ("grpc.enable_retries", 1))
+    token = world.token(world.clock.now_us() + 2_500_000)  # nobody has reached it yet; somebody will
+
+    def use(channel: grpc.Channel) -> Any:
+        return execute(channel)(world.message("own", "r", "g6", causal_token=token), timeout=SECONDS)
+
+    assert (await using(world, use, options=options)).attempts >= 1
+    assert world.metric("requests_total", cls="own", outcome="refused", reason="given up") >= 1
+    assert world.metric("repeats_total", cls="own") >= 1
+
+
+async def test_an_unknown_effect_is_not_retried(world: World) -> None:
+    world.primary.breaking = 1.0
+    policy = {
+        "maxAttempts": 5,
+        "initialBackoff": "0.01s",
+        "maxBackoff": "0.01s",
+        "backoffMultiplier": 1,
+        "retryableStatusCodes": ["UNAVAILABLE", "UNKNOWN"],
+    }
+    config = {"methodConfig": [{"name": [{"service": "juniperreel.v1.Records"}], "retryPolicy": policy}]}
+    options = (("grpc.service_config", json.dumps(config)), ("grpc.enable_retries", 1))
+
+    def use(channel: grpc.Channel) -> None:
+        with pytest.raises(grpc.RpcError) as unknown:
+            execute(channel)(world.message("once", "r", "g7"), timeout=SECONDS)
+        assert unknown.value.code() is grpc.StatusCode.UNKNOWN
+
+    await using(world, use, options=options)
+    assert len(world.commits("g7")) == 1
+
+
+async def test_health_watch_sees_the_stop_and_reflection_names_the_service(world: World) -> None:
+    def use(channel: grpc.Channel) -> list[int]:
+        reflect = channel.stream_stream(
+            "/grpc.reflection.v1.ServerReflection/ServerReflectionInfo",
+            reflection_pb2.ServerReflectionRequest.SerializeToString,
+            reflection_pb2.ServerReflectionResponse.FromString,
+        )
+        (names,) = reflect(iter([reflection_pb2.ServerReflectionRequest(list_services="*")]), timeout=SECONDS)
+        assert "juniperreel.v1.Records" in [s.name for s in names.list_services_response.service]
+        watch = channel.unary_stream(
+            "/grpc.health.v1.Health/Watch",
+            health_pb2.HealthCheckRequest.SerializeToString,
+            health_pb2.HealthCheckResponse.FromString,
+        )(health_pb2.HealthCheckRequest(service="juniperreel.v1.Records"), timeout=SECONDS)
+        seen = [next(watch).status]
+        trio.from_thread.run_sync(world.edge.stop)
+        seen.append(next(watch).status)
+        watch.cancel()
+        return seen
+
+    seen = await using(world, use)
+    assert seen == [health_pb2.HealthCheckResponse.SERVING, health_pb2.HealthCheckResponse.NOT_SERVING]
--- /dev/null
+++ b/tests/e2e/world.py
@@ -0,0 +1,189 @@
+"""A small world in one trio run: a fleet, one edge, and a client's calls through real sockets."""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from juniperreel.causal import Keyring, Token
+from juniperreel.cli.edge import Edge
+from juniperreel.net import Clock, TcpNetwork
+from juniperreel.proof.records import Committed, Recorder
+from juniperreel.proto.common.v1 import values_pb2
+from juniperreel.proto.records.v1 import records_pb2
+from juniperreel.rpc.channel import Channel
+from juniperreel.rpc.limits import Limits
+from juniperreel.settings.edge import parse_edge
+from juniperreel.standins.fleet import Fleet
+from juniperreel.standins.script import Step, parse
+from juniperreel.telemetry import make_log
+
+KEY = b"k" * 32
+EXECUTE = "/juniperreel.v1.Records/Execute"
+DAY = """
+groups 1
+members 3
+read-work 2ms
+write-work 3ms
+list-delay 100ms
+primary-delay 200ms
+"""
+EDGE = """
+[edge]
+name edge
+listen 127.0.0.1:0
+edges 1
+groups 1
+seed 5
+[hosts]
+source 127.0.0.1:{hosts}
+shows-primary yes
+[class board]
+effect repeatable
+consistency bounded 300ms
+aim 1s
+deadline 2s
+worth 1
+late-worth 50%
+[class own]
+effect repeatable
+consistency session
+aim 1s
+deadline 2s
+worth 1
+late-worth 50%
+[class write]
+effect keyed group 5s
+consistency write
+aim 8s
+deadline 9s
+worth 4
+late-worth 70%
+[class once]
+effect once
+consistency write
+aim 8s
+deadline 9s
+worth 4
+late-worth 70%
+[rules]
+attempts 6
+answer-margin 40ms
+drain-grace 2s
+cold-from 20%
+cold-span 6s
+fall-multiple 2
+overload-span 2s
+refusal-wait 300ms
+members-check refuse
+[limits]
+connect-timeout 300ms
+probe-timeout 300ms
+[token]
+key 1 token.key
+skew 30ms
+"""
+
+
+class World:
+    """Start it with `nursery.start(world.run)`; then ask."""
+
+    def __init__(self, folder: Path, day: str = "") -> None:
+        self.folder = folder
+        self.day = parse(DAY + day)
+        self.clock = Clock()
+        self.network = TcpNetwork()
+        self.recorder = Recorder()
+        self.fleet = Fleet(self.day, self.network, self.clock, self.recorder)
+        self.ring = Keyring([(1, KEY)])
+        self.port = 0
+        self.count = 0
+
+    async def run(self, task_status: trio.TaskStatus[World] = trio.TASK_STATUS_IGNORED) -> None:
+        (self.folder / "token.key").write_bytes(KEY)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.fleet.run)
+            text = EDGE.format(hosts=self.fleet.hosts.port)
+            settings = parse_edge(text.encode(), "edge.conf", self.folder)
+            with (self.folder / "edge.log").open("w") as log:
+                self.edge = Edge(settings, self.network, self.clock, make_log(stream=log))
+                self.port = await nursery.start(self.edge.run)
+                self.channel = Channel(
+                    self.network, self.clock, "127.0.0.1", self.port, Limits(), random.Random(1)
+                )
+                await nursery.start(self.channel.run)
+                await self.settled()
+                task_status.started(self)
+                await trio.sleep_forever()
+
+    async def settled(self) -> None:
+        """Until the edge knows the members and serves a read and a write."""
+        with trio.fail_after(20):
+            while len(self.edge.driver.router.members) < len(self.fleet.members):
+                await trio.sleep(0.02)
+            await self.write("settle")
+            await self.read("settle")
+
+    def message(self, cls: str, row: str, rid: str, **fields: Any) -> records_pb2.ExecuteRequest:
+        writes = cls in ("write", "once")
+        text = (
+            "insert into runs (runner, id) values (?, ?)"
+            if writes
+            else "select id from runs where runner = ?"
+        )
+        ask = records_pb2.ExecuteRequest(statement=f"{text} /* rid {rid} */".encode(), session="s", **fields)
+        setattr(ask, "class", cls)
+        if cls == "write" and not ask.idempotency_key:
+            ask.idempotency_key = rid
+        for value in (row, rid) if writes else (row,):
+            ask.parameters.append(values_pb2.Value(text=value))
+        return ask
+
+    def rid(self) -> str:
+        self.count += 1
+        return f"t{self.count}"
+
+    async def send(
+        self, ask: records_pb2.ExecuteRequest, timeout_s: float = 10, metadata: Any = ()
+    ) -> records_pb2.ExecuteResponse:
+        with trio.fail_after(timeout_s + 5):
+            reply = await self.channel.unary(EXECUTE, ask.SerializeToString(), metadata, int(timeout_s * 1e6))
+        return records_pb2.ExecuteResponse.FromString(reply.message)
+
+    async def write(self, row: str, cls: str = "write", rid: str = "") -> records_pb2.ExecuteResponse:
+        return await self.send(self.message(cls, row, rid or self.rid()))
+
+    async def read(
+        self, row: str, token: bytes = b"", cls: str = "own", timeout_s: float = 10
+    ) -> records_pb2.ExecuteResponse:
+        return await self.send(self.message(cls, row, self.rid(), causal_token=token), timeout_s)
+
+    def token(self, position: int, epoch: int = 1) -> bytes:
+        return self.ring.encode(Token.at(0, epoch, position))
+
+    def commits(self, rid: str) -> list[Committed]:
+        return [r for r in self.recorder.records if isinstance(r, Committed) and r.rid == rid]
+
+    async def fault(self, text: str) -> None:
+        """One fault now, for its whole span."""
+        (step,) = parse(text).steps
+        await self.fleet._step(step, no_edge)
+
+    @property
+    def primary(self) -> Any:
+        assert self.fleet.groups[0].primary is not None
+        return self.fleet.groups[0].primary
+
+    def metric(self, name: str, **labels: str) -> float:
+        return self.edge.metrics.registry.get_sample_value(f"juniperreel_{name}", labels) or 0.0
+
+
+async def no_edge(step: Step) -> None:
+    raise AssertionError(step.text)
+
+
+def rows(answer: records_pb2.ExecuteResponse) -> list[str]:
+    return [row.values[0].text for row in answer.result.rows]
--- /dev/null
+++ b/tests/settings/test_edge.py
@@ -0,0 +1,129 @@
+"""Good files load whole; bad ones are refused with every reason at once."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from juniperreel import interface as ui
+from juniperreel.settings import SettingsError, read_edge
+from juniperreel.settings.edge import parse_edge
+from juniperreel.settings.lexer import lex
+
+FILES = Path(__file__).parent / "files"
+EXAMPLE = Path(__file__).parents[2] / "deploy" / "edge.conf"
+GOOD = EXAMPLE.read_text(encoding="utf-8")
+
+
+@pytest.fixture
+def folder(tmp_path: Path) -> Path:
+    (tmp_path / "token.key").write_bytes(b"k" * 32)
+    (tmp_path / "short.key").write_bytes(b"k")
+    return tmp_path
+
+
+def test_the_example_file_loads_whole(folder: Path) -> None:
+    (folder / "edge.conf").write_text(GOOD, encoding="utf-8")
+    settings = read_edge(folder / "edge.conf")
+    assert settings.listen == ("127.0.0.1", 7100)
+    names = [c.name for c in settings.router.classes]
+    assert names == ["board-read", "own-read", "run-write"]
+    write = settings.router.classes[2]
+    assert (write.effect, write.key_scope, write.memory_span_us) == (
+        ui.Effect.KEYED,
+        ui.KeyScope.GROUP,
+        5_000_000,
+    )
+    assert settings.router.classes[0].lag_allowed_us == 300_000
+    assert [t.fraction for t in settings.router.tenants] == [0.69, 0.16, 0.15]
+    assert settings.keys == ((1, b"k" * 32),)
+    assert settings.saved_list == folder / "edge-1.hosts"
+
+
+# A change to the example, the line's text that is blamed, the reason, and the rule.
+BAD = [
+    ("attempts 6", "attempts six", "attempts six", "not a whole number", None),
+    ("attempts 6", "attempts 6\nattempts 6", "attempts 6\n[", "", None),
+    ("listen 127.0.0.1:7100", "listen 7100", "listen 7100", "not an address", None),
+    ("zone 0", "zone 0\nflavour sweet", "flavour sweet", "no directive is called 'flavour'", None),
+    ("[log]", "[logs]", "[logs]", "no section is called", None),
+    ("cold-from 17%", "cold-from 17", "cold-from 17", "not a part", None),
+    ("aim 500ms", "aim 500", "aim 500", "not a span", None),
+    ("aim 500ms", "aim 3s", "aim 3s", "beyond the deadline", 1),
+    ("answer-margin 40ms", "answer-margin 1s", "deadline 2s", "answer margin takes half", 1),
+    ("effect keyed group 5s", "effect keyed", "effect keyed", "scope of the key", 2),
+    ("effect keyed group 5s", "effect keyed group 0s", "effect keyed group 0s", "no time", 2),
+    ("consistency write", "consistency any", "consistency any", "only a primary", 2),
+    ("effect keyed group 5s", "effect repeatable", None, "two copies of a write", 2),
+    ("drain-grace 2s", "drain-grace 500ms", "drain-grace 500ms", "drain-grace", 3),
+    ("cold-span 16s", "cold-span 0s", "cold-span 0s", "cold for some time", 4),
+    ("fall-multiple 2", "fall-multiple 0.5", "fall-multiple 0.5", "below 1", 4),
+    ("edges 3", "edges 0", "edges 0", "at least one", 4),
+    ("consistency bounded 300ms", "consistency bounded", "consistency bounded", "takes the age", 5),
+    (
+        "consistency bounded 300ms",
+        "consistency bounded 60ms",
+        "consistency bounded 60ms",
+        "cannot be told",
+        5,
+    ),
+    ("consistency session", "consistency session 1s", "consistency session 1s", "takes the age", 5),
+    ("key 1 token.key", "key 1 none.key", "key 1 none.key", "cannot be read", None),
+    ("key 1 token.key", "key 1 short.key", "key 1 short.key", "16 are the least", 5),
+    ("share 69%", "share 99%", None, "add up to", None),
+    ("members-check refuse", "members-check wait", "members-check wait", "how long members wait", None),
+    ("skew 30ms", "", "[token]", "skew is missing", None),
+    ("worth 4", "worth 0", "worth 0", "always turned away", None),
+    ("[class own-read]", "[class board-read]", "[class board-read]", "stands already", None),
+    ("[class own-read]", "[class]", "[class]", "needs a name", None),
+    ("name edge-1", 'name "edge-1', 'name "edge-1', "not closed", None),
+    ("name edge-1", "name edge-1\x01", "name edge-1", "control character", None),
+    ("[edge]", "stray 1\n[edge]", "stray 1", "before the first section", None),
+]
+
+
+@pytest.mark.parametrize(("old", "new", "blamed", "reason", "rule"), BAD, ids=[b[1][:30] for b in BAD])
+def test_a_bad_file_is_refused_with_line_reason_and_rule(
+    folder: Path, old: str, new: str, blamed: str | None, reason: str, rule: int | None
+) -> None:
+    text = GOOD.replace(old, new, 1)
+    if rule == 2 and "two copies" in reason:
+        text = text.replace("attempts 6", "attempts 6\nsecond-copies yes")
+    assert text != GOOD
+    with pytest.raises(SettingsError) as refused:
+        parse_edge(text.encode(), "edge.conf", folder)
+    found = [p for p in refused.value.problems if reason in p.reason]
+    assert found, str(refused.value)
+    assert found[0].rule == rule
+    if blamed is not None and "\n" not in blamed:
+        assert blamed in text.split("\n")[found[0].line - 1]
+    assert f"edge.conf:{found[0].line}: " in str(refused.value)
+
+
+def test_all_problems_come_at_once(folder: Path) -> None:
+    text = GOOD.replace("attempts 6", "attempts x").replace("aim 500ms", "aim y").replace("zone 0", "zone z")
+    with pytest.raises(SettingsError) as refused:
+        parse_edge(text.encode(), "edge.conf", folder)
+    assert len(refused.value.problems) == 3
+    assert [p.line for p in refused.value.problems] == sorted(p.line for p in refused.value.problems)
+
+
+@given(st.binary(max_size=400))
+def test_noise_is_refused_and_never_crashes(noise: bytes) -> None:
+    with pytest.raises(SettingsError):
+        parse_edge(noise, "noise", Path("/nonexistent"))
+
+
+@given(st.text(max_size=200))
+def test_any_text_lexes_or_says_where(text: str) -> None:
+    _, problems = lex(text.encode("utf-8", "replace"))
+    assert all(p.line >= 1 for p in problems)
+
+
+def test_an_empty_and_a_huge_file(folder: Path) -> None:
+    for data in (b"", b"#" * (2 << 20), b"\xff\xfe"):
+        with pytest.raises(SettingsError):
+            parse_edge(data, "edge.conf", folder)
