--- /dev/null
+++ b/tests/standins/test_standins.py
@@ -0,0 +1,140 @@
+"""The stand-ins do what the tests that lean on them take for granted."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+import trio
+
+from juniperreel.net import Clock
+from juniperreel.standins.group import Replica
+from juniperreel.standins.machine import Full, Machine
+from juniperreel.standins.script import ScriptError, parse
+from juniperreel.standins.store import Commit, StatementFault, Store
+
+WRITE = "insert into runs (runner, id) values (?, ?)"
+READ = "select id from runs where runner = ? order by number"
+
+
+def commit(position: int, rid: str, epoch: int = 1, key: str = "") -> Commit:
+    return Commit(epoch, position, WRITE, ("r", rid), key, rid)
+
+
+def ids(store: Store) -> list[str]:
+    return [row.values[0].text for row in store.query(READ, ["r"]).rows]
+
+
+def test_answers_show_which_commits_they_contain() -> None:
+    store = Store()
+    for n in range(3):
+        store.apply(commit(n, f"q{n}"))
+    assert ids(store) == ["q0", "q1", "q2"]
+
+
+@pytest.mark.parametrize(
+    ("statement", "write"),
+    [("selekt", False), ("delete from runs", False), (READ, True), ("select * from x", False)],
+)
+def test_statements_at_fault_are_told_without_running(statement: str, write: bool) -> None:
+    with pytest.raises(StatementFault):
+        Store().check(statement, ["r"] if "?" in statement else [], write)
+
+
+def test_a_member_that_was_cut_off_drops_what_the_group_does_not_hold() -> None:
+    old, new = Replica(), Replica()
+    shared = [commit(1, "a", key="ka"), commit(2, "b")]
+    for replica in (old, new):
+        for c in shared:
+            replica.log.append(c)
+            replica.apply(c)
+    lost = commit(3, "lost", key="kl")
+    old.log.append(lost)
+    old.apply(lost)
+    old.received = old.position = 9
+    new.epochs = [(1, 0), (2, 2)]
+    new.received = 20
+    old.take_over(new)
+    assert ids(old.store) == ["a", "b"]
+    assert set(old.keys) == {"ka"} and old.epochs == new.epochs
+    assert old.position <= 9 and old.received <= 20
+
+
+async def test_a_cold_machine_falls_only_under_more_than_it_bears(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    def machine() -> tuple[Machine, list[bool]]:
+        fell: list[bool] = []
+        made = Machine(
+            clock, random.Random(1), 2, 5, 0.2, 6_000_000, 2.0, 2_000_000, lambda: fell.append(True)
+        )
+        made.started_us = clock.now_us()
+        return made, fell
+
+    clock = Clock(0)
+    await trio.sleep(1)
+    cold, fell = machine()
+    for _ in range(15):  # 1.5 s of work in 2 s; 2 x 0.2 x 2 cores x 2 s = 1.6 s is borne
+        cold.offer(100_000)
+    assert not fell
+    for _ in range(3):
+        cold.offer(100_000)
+    assert fell
+    warm, fell = machine()
+    await trio.sleep(6.1)
+    for _ in range(1000):
+        warm.offer(100_000)
+    assert not fell and warm.capacity() == 2.0
+
+
+async def test_a_full_queue_turns_away_and_a_cancelled_wait_leaves_it(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    machine = Machine(Clock(0), random.Random(1), 1, 1, 0.2, 1, 2.0, 1, lambda: None)
+    async with trio.open_nursery() as nursery:
+
+        async def busy() -> None:
+            async with machine.core(1000):
+                await trio.sleep(1)
+
+        nursery.start_soon(busy)
+        await trio.testing.wait_all_tasks_blocked()
+        with trio.move_on_after(0.5):
+            nursery.start_soon(busy)
+            await trio.testing.wait_all_tasks_blocked()
+            assert (machine.in_hand, machine.waiting) == (2, 1)
+            with pytest.raises(Full):
+                async with machine.core(1):
+                    pass
+    assert (machine.in_hand, machine.waiting) == (0, 0)
+
+
+def test_a_script_is_read_whole() -> None:
+    day = parse("groups 2\nlast 5s # short\n\nat 3s kill g0/primary back 2s\nat 1s for 500ms lose g1/0 25%\n")
+    assert (day["groups"], day["last"], day["members"]) == (2, 5_000_000, 4)
+    first, second = day.steps
+    assert (first.fault, first.value, first.for_us) == ("lose", 0.25, 500_000)
+    assert (second.fault, second.value, second.target) == ("kill", 2_000_000.0, "g0/primary")
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        "members many",
+        "at",
+        "at noon kill g0/0",
+        "at 1s explode g0",
+        "at 1s hang g0/0",
+        "at 1s for 1s kill g0/0",
+        "at 1s for 1s lose g0/0",
+        "at 1s for 1s lose g0/0 200%",
+        "at 1s kill g0/0 back",
+        "at 1s kill g0/0 back 2s more",
+        "at 1s for 1s slow g0/0 nan",
+        "'",
+    ],
+)
+def test_every_bad_line_is_named(line: str) -> None:
+    with pytest.raises(ScriptError) as error:
+        parse(f"groups 3\n{line}\nflavour 1")
+    assert "line 2" in str(error.value) and "line 3" in str(error.value)
