--- a/juniperreel/cli/edge.py
+++ b/juniperreel/cli/edge.py
@@ -68,14 +68,16 @@
         listener = await self.network.listen(*self.settings.listen)
         try:
             async with trio.open_nursery() as nursery:
+                metrics = None
                 if self.settings.metrics is not None:
                     http = HttpFront(self.metrics.text, lambda: self.serving)
-                    await nursery.start(http.serve, await self.network.listen(*self.settings.metrics))
+                    port = await nursery.start(http.serve, await self.network.listen(*self.settings.metrics))
+                    metrics = f"{self.settings.metrics[0]}:{port}"
                 await nursery.start(self.driver.run)
                 await nursery.start(self.server.serve, listener)
                 self.serving = True
                 self.health.set(True)
-                self.log.info("serving", listen=f"{self.settings.listen[0]}:{listener.port}")
+                self.log.info("serving", listen=f"{self.settings.listen[0]}:{listener.port}", metrics=metrics)
                 task_status.started(listener.port)
                 await self._stop.wait()
                 await self._drain()
--- a/juniperreel/cli/main.py
+++ b/juniperreel/cli/main.py
@@ -8,8 +8,10 @@
 import click
 import trio
 
+from juniperreel.cli.call import call
 from juniperreel.cli.demo import demo, verify
 from juniperreel.cli.edge import run_edge
+from juniperreel.cli.standins import standins
 from juniperreel.net import TcpNetwork
 from juniperreel.settings import EdgeSettings, SettingsError, read_edge
 
@@ -54,8 +56,8 @@
         sys.exit(1)
 
 
-main.add_command(demo)
-main.add_command(verify)
+for command in (call, demo, standins, verify):
+    main.add_command(command)
 
 
 if __name__ == "__main__":
--- a/juniperreel/driver/driver.py
+++ b/juniperreel/driver/driver.py
@@ -490,6 +490,10 @@
                     fault = is_statement_fault(error)  # an answer all the same: the member is well
                     outcome = Outcome.OK if fault else of_error(error)
                     done = AttemptDone(attempt, outcome, self.clock.now_us(), error=error)
+                except Exception as error:
+                    # Danger: a flaw met on one attempt must not end the edge; what it did is not known.
+                    self.log.error("an attempt failed inside", member=attempt.member, exc_info=error)
+                    done = AttemptDone(attempt, Outcome.ERROR, self.clock.now_us(), error=error)
         if done is None:
             outcome = unfinished(attempt.sent.is_set(), attempt.withdrawn)
             done = AttemptDone(attempt, outcome, self.clock.now_us())
@@ -505,6 +509,9 @@
                     done = ProbeDone(member, Outcome.OK, 0, standing, in_hand, waiting)
                 except CALL_ERRORS as error:
                     done = ProbeDone(member, of_error(error), 0)
+                except Exception as error:
+                    self.log.error("a probe failed inside", member=member, exc_info=error)
+                    done = ProbeDone(member, Outcome.ERROR, 0)
         if done is None:
             done = ProbeDone(member, Outcome.TIMEOUT, 0)
         done.took_us = self.clock.now_us() - started
--- a/juniperreel/rpc/channel.py
+++ b/juniperreel/rpc/channel.py
@@ -20,6 +20,7 @@
     Headers,
     Metadata,
     MetadataError,
+    changing,
     decode,
     encode,
     encode_timeout,
@@ -167,7 +168,7 @@
         if gzip:
             headers.append(("grpc-encoding", "gzip"))
         if timeout_us is not None:
-            headers.append(("grpc-timeout", encode_timeout(timeout_us)))
+            headers.append(changing("grpc-timeout", encode_timeout(timeout_us)))
         return headers + encode(metadata)
 
     async def unary(
--- a/juniperreel/rpc/link.py
+++ b/juniperreel/rpc/link.py
@@ -32,6 +32,7 @@
 )
 from h2.exceptions import H2Error, StreamClosedError
 from h2.settings import SettingCodes, Settings
+from hpack import Encoder
 from hyperframe.frame import GoAwayFrame
 
 from juniperreel.net import Clock
@@ -78,6 +79,14 @@
             self._lot.unpark_all()
 
 
+class PlainEncoder(Encoder):
+    """Without Huffman codes: in Python they cost more time than the few bytes are worth."""
+
+    def encode(self, headers: Any, huffman: bool = False) -> bytes:
+        data: bytes = super().encode(headers, huffman=False)
+        return data
+
+
 class Http2(H2Connection):
     """h2's connection, but that a GOAWAY of the peer lets streams that it took still finish (RFC 9113,
     6.8); h2 itself takes every connection for closed from then on. Overrides a private method of h2 4."""
@@ -189,8 +198,10 @@
             header_encoding=None,
             validate_outbound_headers=False,
             normalize_outbound_headers=False,
+            normalize_inbound_headers=False,
         )
         self._h2 = Http2(config)
+        self._h2.encoder = PlainEncoder()
         self._out = bytearray()
         self._queued = 0  # bytes ever put into _out
         self._given = 0  # of those, handed to the socket
--- a/juniperreel/rpc/metadata.py
+++ b/juniperreel/rpc/metadata.py
@@ -9,6 +9,9 @@
 import binascii
 import re
 from collections.abc import Iterable, Sequence
+from typing import cast
+
+from hpack import NeverIndexedHeaderTuple
 
 Metadata = Sequence[tuple[str, str | bytes]]
 Headers = list[tuple[str, str]]
@@ -34,7 +37,8 @@
             raise MetadataError(f"not a metadata name: {name!r}")
         if name.endswith("-bin"):
             raw = value if isinstance(value, bytes) else value.encode()
-            headers.append((name, base64.b64encode(raw).rstrip(b"=").decode("ascii")))
+            text = base64.b64encode(raw).rstrip(b"=").decode("ascii")
+            headers.append(changing(name, text))
         elif isinstance(value, bytes) or not VALUE.match(value):
             raise MetadataError(f"the value of {name!r} is not printable ASCII; use a name ending in -bin")
         else:
@@ -42,6 +46,11 @@
     return headers
 
 
+def changing(name: str, value: str) -> tuple[str, str]:
+    """A header whose value hardly comes twice: kept out of HPACK's table, which it would only churn."""
+    return cast("tuple[str, str]", NeverIndexedHeaderTuple(name, value))
+
+
 def decode(headers: Iterable[tuple[str, str]]) -> list[tuple[str, str | bytes]]:
     """The custom metadata among `headers`. Raises MetadataError for broken base64."""
     found: list[tuple[str, str | bytes]] = []
