Raft: a core without I/O, seeded schedules against it, and a judge of its properties

Drivers learn who is primary late; a few instances shall agree on configuration. A Ready names persist, send and apply in the one order that is safe.

--- a/juniperreel/cli/main.py
+++ b/juniperreel/cli/main.py
@@ -11,6 +11,7 @@
 from juniperreel.cli.call import call
 from juniperreel.cli.demo import demo, verify
 from juniperreel.cli.edge import run_edge
+from juniperreel.cli.raft import raft
 from juniperreel.cli.standins import standins
 from juniperreel.net import TcpNetwork
 from juniperreel.settings import EdgeSettings, SettingsError, read_edge
@@ -56,7 +57,7 @@
         sys.exit(1)
 
 
-for command in (call, demo, standins, verify):
+for command in (call, demo, raft, standins, verify):
     main.add_command(command)
 
 
--- /dev/null
+++ b/juniperreel/cli/raft.py
@@ -0,0 +1,55 @@
+"""`juniperreel raft`: schedules against the core, and a look into a directory."""
+
+from __future__ import annotations
+
+import sys
+import time
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
+
+import click
+
+from juniperreel.emulator.raft import Failure, run
+
+
+@click.group()
+def raft() -> None:
+    """The consensus behind the configuration."""
+
+
+def part(length: int, seeds: range) -> tuple[int, Failure | None]:
+    """How many seeds were played, and the first that broke something."""
+    for count, seed in enumerate(seeds, 1):
+        failure = run(seed, length)
+        if failure is not None:
+            return count, failure
+    return len(seeds), None
+
+
+def show(failure: Failure) -> None:
+    click.echo(f"seed {failure.seed}: {failure.text}")
+    click.echo(f"cut down to {len(failure.ops)} operations:")
+    for kind, a, b in failure.ops:
+        click.echo(f"    {kind} {a} {b}")
+
+
+@raft.command()
+@click.option("--schedules", default=10_000, show_default=True, help="How many seeds.")
+@click.option("--first", default=0, help="The first seed.")
+@click.option("--length", default=400, show_default=True, help="Operations of each.")
+@click.option("--processes", default=8, show_default=True)
+def check(schedules: int, first: int, length: int, processes: int) -> None:
+    """Play seeded schedules with loss, crashes, partitions and membership changes; judge every step."""
+    started, played, failed = time.monotonic(), 0, False
+    step = 100
+    parts = [range(s, min(s + step, first + schedules)) for s in range(first, first + schedules, step)]
+    with ProcessPoolExecutor(processes) as pool:
+        for count, failure in pool.map(partial(part, length), parts):
+            played += count
+            if failure is not None:
+                failed = True
+                show(failure)
+    took = time.monotonic() - started
+    verdict = "BROKEN" if failed else "nothing broken"
+    click.echo(f"{played} schedules of {length} operations in {took:.1f} s: {verdict}")
+    sys.exit(1 if failed else 0)
--- /dev/null
+++ b/juniperreel/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Models of what the project runs, driven by seeds: schedules, loads, experiments."""
--- /dev/null
+++ b/juniperreel/raft/core.py
@@ -0,0 +1,638 @@
+"""The Raft state machine: messages, ticks and proposals in, a Ready out. No I/O, no clock, no threads.
+
+Owns term, vote, log and the beliefs of a leader. All randomness comes from the seed handed in, so that the
+same inputs give the same outputs. Must never act on what is not persisted: see `Ready`.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from juniperreel.raft.log import Log, Memberships, encode_members
+from juniperreel.raft.progress import Pace, Progress
+from juniperreel.raft.types import (
+    Append,
+    AppendReply,
+    Change,
+    Entry,
+    HardState,
+    Kind,
+    Members,
+    Message,
+    NotLeader,
+    Persist,
+    Ready,
+    Rejected,
+    Role,
+    Snapshot,
+    SnapshotChunk,
+    SnapshotReply,
+    TimeoutNow,
+    VoteReply,
+    VoteRequest,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Tuning:
+    """Spans are ticks, sizes bytes. Elections start after one to two times `election_ticks` at random."""
+
+    election_ticks: int = 10
+    heartbeat_ticks: int = 2
+    append_entries: int = 64
+    append_bytes: int = 256 << 10
+    window: int = 16  # messages out to one follower
+    uncommitted_bytes: int = 8 << 20
+    chunk_bytes: int = 64 << 10
+    snapshot_bytes: int = 64 << 20
+    trailing: int = 200  # entries kept behind a snapshot for followers that lag a little
+    caught_up: int = 50  # entries that a learner may lack when it is promoted
+
+
+@dataclass(slots=True)
+class Restored:
+    """What a disk held: the core starts from it."""
+
+    hard_state: HardState
+    snapshot: Snapshot
+    entries: Sequence[Entry] = ()
+    base: int | None = None  # index before the first entry, if lower than the snapshot's
+    base_term: int = 0
+
+
+class Core:
+    """One node."""
+
+    def __init__(self, name: str, restored: Restored, tuning: Tuning, rng: random.Random) -> None:
+        self.name, self.tuning, self._rng = name, tuning, rng
+        self.term, self.vote = restored.hard_state.term, restored.hard_state.vote
+        self.snapshot = restored.snapshot
+        base = self.snapshot.index if restored.base is None else restored.base
+        base_term = self.snapshot.term if restored.base is None else restored.base_term
+        self.log = Log(base, base_term, restored.entries)
+        self.memberships = Memberships(self.snapshot.index, self.snapshot.members)
+        for entry in self.log.entries:
+            if entry.index > self.snapshot.index:
+                self.memberships.push(entry)
+        self.commit = max(self.snapshot.index, min(restored.hard_state.commit, self.log.last))
+        self.applied = self.snapshot.index
+        self.role = Role.FOLLOWER
+        self.leader: str | None = None
+        self.stable = self.log.last  # on disk
+        self._unstable = self.log.last + 1  # first entry not yet handed out to be persisted
+        self._saved = restored.hard_state
+        self._snapshot_due: Snapshot | None = None  # to be persisted
+        self._reset = False
+        self._install: Snapshot | None = None
+        self._out: list[Message] = []
+        self._votes: dict[str, bool] = {}
+        self._progress: dict[str, Progress] = {}
+        self._noop = 0  # index of this leader's first entry
+        self._round = 0
+        self._reads: deque[tuple[int, int, int]] = deque()  # (round, context, index)
+        self._waiting_reads: list[int] = []  # until the term has a commit
+        self._ready_reads: list[tuple[int, int]] = []
+        self._lost_reads: list[int] = []
+        self._transfer: str | None = None
+        self._incoming: tuple[int, int, bytearray] | None = None  # snapshot on its way here
+        self._elapsed = self._beat = 0
+        self._limit = 0
+        self._randomise()
+
+    # Views.
+
+    @property
+    def members(self) -> Members:
+        return self.memberships.current
+
+    @property
+    def is_leader(self) -> bool:
+        return self.role is Role.LEADER
+
+    def matches(self) -> dict[str, int]:
+        """A leader's followers and what each is known to hold."""
+        return {name: p.match for name, p in self._progress.items()}
+
+    def _randomise(self) -> None:
+        self._limit = self.tuning.election_ticks + self._rng.randrange(self.tuning.election_ticks)
+
+    # Time.
+
+    def tick(self) -> None:
+        self._elapsed += 1
+        if self.role is not Role.LEADER:
+            if self._elapsed >= self._limit and self.name in self.members.voters:
+                self._campaign(pre=True)
+            return
+        if self._elapsed >= self.tuning.election_ticks:
+            self._elapsed = 0
+            self._transfer = None  # the transfer did not come about
+            self._check_quorum()
+        self._beat += 1
+        if self.role is Role.LEADER and self._beat >= self.tuning.heartbeat_ticks:
+            self._beat = 0
+            self._heartbeat()
+
+    def _check_quorum(self) -> None:
+        """A leader that hears no quorum steps down (dissertation, 6.2): it may have been replaced."""
+        heard = {n for n, p in self._progress.items() if p.active} | {self.name}
+        for p in self._progress.values():
+            p.active = False
+        if len(heard & self.members.voters) < self.members.quorum():
+            self._follow(self.term, None)
+
+    # Roles.
+
+    def _follow(self, term: int, leader: str | None) -> None:
+        if term > self.term:
+            self.term, self.vote = term, None
+        if self.role is Role.LEADER:
+            self._lost_reads += [context for _, context, _ in self._reads] + self._waiting_reads
+            self._reads.clear()
+            self._waiting_reads.clear()
+            self._transfer = None
+        self.role, self.leader = Role.FOLLOWER, leader
+        self._elapsed = 0
+        self._progress = {}
+        self._votes = {}
+        self._randomise()
+
+    def _campaign(self, pre: bool, transfer: bool = False) -> None:
+        """Asks for votes. A pre-vote takes on no term, so that a node that was cut off comes back without
+        ending a leadership that works (dissertation, 9.6)."""
+        self.leader = None
+        self._elapsed = 0
+        self._randomise()
+        if pre:
+            self.role, term = Role.PRE_CANDIDATE, self.term + 1
+        else:
+            self.role = Role.CANDIDATE
+            self.term += 1
+            self.vote, term = self.name, self.term
+        self._votes = {self.name: True}
+        if self._won():
+            self._elected(pre)
+            return
+        for peer in sorted(self.members.voters - {self.name}):
+            ask = VoteRequest(self.name, peer, term, self.log.last, self.log.last_term, pre, transfer)
+            self._out.append(ask)
+
+    def _won(self) -> bool:
+        yes = sum(1 for n in self.members.voters if self._votes.get(n))
+        return yes >= self.members.quorum()
+
+    def _elected(self, pre: bool) -> None:
+        if pre:
+            self._campaign(pre=False)
+            return
+        self.role, self.leader = Role.LEADER, self.name
+        self._elapsed = self._beat = 0
+        self._progress = {}
+        self._sync_progress()
+        self._noop = self.log.last + 1
+        # An entry of this term: earlier ones are committed only through it (paper, 5.4.2 and section 8).
+        self._append(Kind.NOOP, b"")
+        self._broadcast()
+
+    def _sync_progress(self) -> None:
+        peers = self.members.all - {self.name}
+        for name in self._progress.keys() - peers:
+            del self._progress[name]
+        for name in sorted(peers - self._progress.keys()):
+            self._progress[name] = Progress(self.log.last + 1, self.tuning.window)
+
+    # Proposals.
+
+    def propose(self, data: bytes) -> tuple[int, int]:
+        """(term, index) of the new entry. Raises NotLeader or Rejected."""
+        self._must_lead()
+        waiting = sum(len(e.data) for e in self.log.slice(self.commit + 1, self.log.last))
+        if waiting and waiting + len(data) > self.tuning.uncommitted_bytes:
+            raise Rejected("too much waits to be committed")
+        entry = self._append(Kind.COMMAND, data)
+        self._broadcast()
+        return entry.term, entry.index
+
+    def _must_lead(self) -> None:
+        if self.role is not Role.LEADER:
+            raise NotLeader(self.leader)
+        if self._transfer is not None:
+            raise Rejected("the leadership is being handed over")
+
+    def change(self, change: Change, name: str) -> tuple[int, int]:
+        """One step of membership. Raises NotLeader or Rejected.
+
+        Danger: a change begun by a leader that has committed nothing in its term can overlap with one that it
+        does not know of (the error in the dissertation's 4.1, reported by Ongaro in 2015); so it waits."""
+        self._must_lead()
+        if self.commit < self._noop:
+            raise Rejected("this leader has committed nothing in its term yet")
+        if self.memberships.index > self.commit:
+            raise Rejected("another change of membership is under way")
+        members = self._changed(change, name)
+        entry = self._append(Kind.CONFIG, encode_members(members))
+        self._sync_progress()
+        self._broadcast()
+        return entry.term, entry.index
+
+    def _changed(self, change: Change, name: str) -> Members:
+        m = self.members
+        if change is Change.ADD_LEARNER:
+            if name in m.all:
+                raise Rejected(f"{name} belongs to the group already")
+            if name in m.retired or not name or set(name) & set(",\n"):
+                raise Rejected(f"{name!r} has left or is no name; a node that comes back takes a new one")
+            return Members(m.voters, m.learners | {name}, m.retired)
+        if name not in m.all:
+            raise Rejected(f"{name} does not belong to the group")
+        if change is Change.PROMOTE:
+            if name in m.voters:
+                raise Rejected(f"{name} votes already")
+            lacks = self.commit - self._progress[name].match
+            if lacks > self.tuning.caught_up:
+                raise Rejected(f"{name} lacks {lacks} entries still")
+            return Members(m.voters | {name}, m.learners - {name}, m.retired)
+        if m.voters == {name}:
+            raise Rejected("the last voter cannot be removed")
+        return Members(m.voters - {name}, m.learners - {name}, m.retired | {name})
+
+    def transfer(self, name: str) -> None:
+        """Hand the leadership to a voter once it holds all of the log. Raises NotLeader or Rejected."""
+        self._must_lead()
+        if name not in self.members.voters or name == self.name:
+            raise Rejected(f"{name} is not another voter")
+        self._transfer, self._elapsed = name, 0
+        self._go_on_with_transfer(name)
+
+    def _go_on_with_transfer(self, name: str) -> None:
+        if self._transfer == name and self._progress[name].match == self.log.last:
+            self._out.append(TimeoutNow(self.name, name, self.term))
+
+    def read(self, context: int) -> None:
+        """A linearizable read: a Ready names `context` with the index to wait for (dissertation, 6.4)."""
+        self._must_lead()
+        if self.commit < self._noop:
+            self._waiting_reads.append(context)
+        else:
+            self._start_read(context)
+
+    def _start_read(self, context: int) -> None:
+        self._round += 1
+        self._reads.append((self._round, context, self.commit))
+        self._heartbeat()
+        self._answer_reads()
+
+    def _append(self, kind: Kind, data: bytes) -> Entry:
+        entry = Entry(self.term, self.log.last + 1, kind, data)
+        self.log.append(entry)
+        self.memberships.push(entry)
+        return entry
+
+    # Sending.
+
+    def _broadcast(self) -> None:
+        for name in sorted(self._progress):
+            self._send_to(name)
+
+    def _heartbeat(self) -> None:
+        for name in sorted(self._progress):
+            p = self._progress[name]
+            p.nudge()
+            if not self._send_to(name):
+                prev = min(p.match, self.log.last)
+                term = self.log.term(prev)
+                if term is None:
+                    prev, term = self.log.base, self.log.base_term
+                beat = Append(
+                    self.name, name, self.term, prev, term, (), min(self.commit, p.match), self._round
+                )
+                self._out.append(beat)
+
+    def _send_to(self, name: str) -> bool:
+        """What the follower lacks, as far as its window allows; whether anything was sent."""
+        p = self._progress[name]
+        sent = False
+        while not p.paused:
+            if p.pace is Pace.SNAPSHOT:
+                self._send_chunk(name, p)
+                return True
+            prev = p.next - 1
+            term = self.log.term(prev)
+            if term is None:
+                p.snapshot(self.snapshot.index)
+                continue
+            entries = self._batch(p.next)
+            if not entries and (p.pace is Pace.REPLICATE or sent):
+                return sent
+            message = Append(self.name, name, self.term, prev, term, entries, self.commit, self._round)
+            self._out.append(message)
+            p.sent(entries[-1].index if entries else prev)
+            sent = True
+        return sent
+
+    def _batch(self, start: int) -> tuple[Entry, ...]:
+        entries: list[Entry] = []
+        size = 0
+        for entry in self.log.slice(start, min(self.log.last, start + self.tuning.append_entries - 1)):
+            size += len(entry.data)
+            if entries and size > self.tuning.append_bytes:
+                break
+            entries.append(entry)
+        return tuple(entries)
+
+    def _send_chunk(self, name: str, p: Progress) -> None:
+        s = self.snapshot
+        if p.snapshot_index != s.index:
+            p.snapshot(s.index)  # a newer one has taken its place
+        data = s.data[p.offset : p.offset + self.tuning.chunk_bytes]
+        last = p.offset + len(data) >= len(s.data)
+        self._out.append(
+            SnapshotChunk(self.name, name, self.term, s.index, s.term, s.members, p.offset, data, last)
+        )
+        p.sent(0)
+
+    # Messages.
+
+    def step(self, m: Message) -> None:
+        """One message. Whatever does not concern this node now is dropped."""
+        if m.dst != self.name:
+            return
+        if m.term > self.term:
+            if isinstance(m, VoteRequest):
+                if not m.transfer and self._content():
+                    return  # danger: a node that was removed or cut off ends a leadership that works
+                if not m.pre:
+                    self._follow(m.term, None)
+            elif not (isinstance(m, VoteReply) and m.pre and m.granted):
+                lead = m.src if isinstance(m, Append | SnapshotChunk) else None
+                self._follow(m.term, lead)
+        elif m.term < self.term:
+            if isinstance(m, Append | SnapshotChunk):
+                self._out.append(AppendReply(self.name, m.src, self.term, False, self.log.last))
+            elif isinstance(m, VoteRequest):
+                self._out.append(VoteReply(self.name, m.src, self.term, False, m.pre))
+            return
+        match m:
+            case VoteRequest():
+                self._on_vote_request(m)
+            case VoteReply():
+                self._on_vote_reply(m)
+            case Append():
+                self._on_append(m)
+            case AppendReply():
+                self._on_append_reply(m)
+            case SnapshotChunk():
+                self._on_chunk(m)
+            case SnapshotReply():
+                self._on_snapshot_reply(m)
+            case TimeoutNow():
+                if self.name in self.members.voters and self.role is not Role.LEADER:
+                    self._campaign(pre=False, transfer=True)
+
+    def _content(self) -> bool:
+        """Whether a leader was heard of within the least election span (dissertation, 4.2.3)."""
+        if self.role is Role.LEADER:
+            return True
+        return self.leader is not None and self._elapsed < self.tuning.election_ticks
+
+    def _on_vote_request(self, m: VoteRequest) -> None:
+        free = self.vote == m.src or (self.vote is None and self.leader is None)
+        if m.pre:
+            free = m.term > self.term
+        newer = (m.last_term, m.last_index) >= (self.log.last_term, self.log.last)
+        granted = free and newer
+        if granted and not m.pre:
+            self.vote = m.src
+            self._elapsed = 0
+        term = m.term if granted else self.term
+        self._out.append(VoteReply(self.name, m.src, term, granted, m.pre))
+
+    def _on_vote_reply(self, m: VoteReply) -> None:
+        wanted = Role.PRE_CANDIDATE if m.pre else Role.CANDIDATE
+        if self.role is not wanted or (m.pre and m.granted and m.term != self.term + 1):
+            return
+        self._votes.setdefault(m.src, m.granted)
+        if self._won():
+            self._elected(m.pre)
+        elif sum(1 for n in self.members.voters if self._votes.get(n) is False) >= self.members.quorum():
+            self._follow(self.term, None)
+
+    def _on_append(self, m: Append) -> None:
+        if self.role is Role.LEADER:
+            raise AssertionError(f"two leaders in term {self.term}: {self.name} and {m.src}")
+        if self.role is not Role.FOLLOWER:
+            self._follow(self.term, m.src)
+        self.leader, self._elapsed = m.src, 0
+        if m.prev_index < self.commit and self.log.term(m.prev_index) is None:
+            self._reply(m, True, self.commit)
+            return
+        if self.log.term(m.prev_index) != m.prev_term:
+            index = self.log.conflict(m.prev_index, m.prev_term)
+            hint_term = self.log.term(index) or 0
+            reply = AppendReply(self.name, m.src, self.term, False, index, hint_term, m.prev_index, m.round)
+            self._out.append(reply)
+            return
+        for entry in m.entries:
+            here = self.log.term(entry.index)
+            if here is not None and here != entry.term:
+                self._truncate(entry.index)
+                here = None
+            if here is None and entry.index > self.log.last:
+                self.log.append(entry)
+                self.memberships.push(entry)
+        last = m.prev_index + len(m.entries)
+        self.commit = max(self.commit, min(m.commit, last))
+        self._reply(m, True, last)
+
+    def _truncate(self, start: int) -> None:
+        if start <= self.commit:
+            raise AssertionError(f"committed entry {start} would be cut off")
+        self.log.truncate(start)
+        self.memberships.truncate(start)
+        self._unstable = min(self._unstable, start)
+        self.stable = min(self.stable, start - 1)
+
+    def _reply(self, m: Append, accepted: bool, index: int) -> None:
+        self._out.append(AppendReply(self.name, m.src, self.term, accepted, index, round=m.round))
+
+    def _on_append_reply(self, m: AppendReply) -> None:
+        p = self._progress.get(m.src)
+        if self.role is not Role.LEADER or p is None:
+            return
+        p.active = True
+        if m.round > p.round:
+            p.round = m.round
+            self._answer_reads()
+        if m.accepted:
+            if p.pace is Pace.SNAPSHOT:
+                if m.index < self.log.base:
+                    return
+                p.probe()
+            news = p.accepted(min(m.index, self.log.last))
+            if news:
+                self._advance()
+            if self.role is not Role.LEADER:
+                return  # that commit removed it
+            self._send_to(m.src)
+            self._go_on_with_transfer(m.src)
+        elif p.pace is not Pace.SNAPSHOT:
+            # The follower's hint, brought down to where this log has that term or an older one.
+            hint = self.log.conflict(m.index, m.hint_term) if m.hint_term else m.index
+            if p.rejected(m.refused, hint):
+                self._send_to(m.src)
+
+    def _advance(self) -> None:
+        """Commits what a quorum has on disk, if it is of this term (paper, 5.4.2 and figure 8)."""
+        if self.role is not Role.LEADER:
+            return
+        held = [self.stable if n == self.name else self._progress[n].match for n in self.members.voters]
+        held.sort(reverse=True)
+        index = held[self.members.quorum() - 1]
+        if index > self.commit and self.log.term(index) == self.term:
+            self.commit = index
+            waiting, self._waiting_reads = self._waiting_reads, []
+            for context in waiting:
+                self._start_read(context)
+            self._broadcast_commit()
+            if self.memberships.index <= self.commit and self.name not in self.members.voters:
+                self._follow(self.term, None)  # it removed itself (dissertation, 4.2.2)
+
+    def _broadcast_commit(self) -> None:
+        for name in sorted(self._progress):
+            p = self._progress[name]
+            if not self._send_to(name) and p.pace is Pace.REPLICATE:
+                term = self.log.term(p.match)
+                if term is not None:
+                    commit = min(self.commit, p.match)
+                    self._out.append(
+                        Append(self.name, name, self.term, p.match, term, (), commit, self._round)
+                    )
+
+    def _answer_reads(self) -> None:
+        rounds = [self._round if n == self.name else self._progress[n].round for n in self.members.voters]
+        rounds.sort(reverse=True)
+        heard = rounds[self.members.quorum() - 1]
+        while self._reads and self._reads[0][0] <= heard:
+            _, context, index = self._reads.popleft()
+            self._ready_reads.append((context, index))
+
+    # Snapshots.
+
+    def compact(self, index: int, data: bytes) -> None:
+        """The state machine's snapshot after `index`, which is applied. Entries far behind it are dropped."""
+        if not self.snapshot.index < index <= self.applied:
+            raise ValueError(f"a snapshot at {index} is not between {self.snapshot.index} and {self.applied}")
+        term = self.log.term(index)
+        assert term is not None
+        self.snapshot = Snapshot(index, term, self.memberships.at(index), data)
+        self._snapshot_due = self.snapshot
+        keep = max(self.log.base, index - self.tuning.trailing)
+        self.log.compact(keep)
+        self.memberships.compact(index)
+
+    def _on_chunk(self, m: SnapshotChunk) -> None:
+        if self.role is Role.LEADER:
+            raise AssertionError(f"two leaders in term {self.term}: {self.name} and {m.src}")
+        if self.role is not Role.FOLLOWER:
+            self._follow(self.term, m.src)
+        self.leader, self._elapsed = m.src, 0
+        if m.index <= self.commit:
+            self._out.append(SnapshotReply(self.name, m.src, self.term, m.index, 0, True))
+            self._out.append(AppendReply(self.name, m.src, self.term, True, self.commit))
+            return
+        if m.offset == 0:
+            self._incoming = (m.index, m.snapshot_term, bytearray())
+        have = self._incoming
+        if have is None or have[:2] != (m.index, m.snapshot_term) or len(have[2]) != m.offset:
+            # Interrupted, or a chunk twice: say how far it got.
+            at = len(have[2]) if have is not None and have[:2] == (m.index, m.snapshot_term) else 0
+            self._out.append(SnapshotReply(self.name, m.src, self.term, m.index, at, False))
+            return
+        if len(have[2]) + len(m.data) > self.tuning.snapshot_bytes:
+            self._incoming = None
+            return
+        have[2].extend(m.data)
+        if m.last:
+            self._incoming = None
+            self._restore(Snapshot(m.index, m.snapshot_term, m.members, bytes(have[2])))
+            self._out.append(SnapshotReply(self.name, m.src, self.term, m.index, 0, True))
+            self._out.append(AppendReply(self.name, m.src, self.term, True, m.index))
+        else:
+            self._out.append(SnapshotReply(self.name, m.src, self.term, m.index, len(have[2]), False))
+
+    def _restore(self, s: Snapshot) -> None:
+        """A log that holds the snapshot's last entry keeps what follows it (paper, figure 13, step 6)."""
+        self.snapshot = self._install = self._snapshot_due = s
+        if self.log.term(s.index) == s.term:
+            self.log.compact(s.index)
+            self.memberships.reset(s.index, s.members)
+            for entry in self.log.entries:
+                self.memberships.push(entry)
+        else:
+            self.log.reset(s.index, s.term)
+            self.memberships.reset(s.index, s.members)
+            self._reset = True
+            self._unstable = s.index + 1
+            self.stable = s.index
+        self.commit = max(self.commit, s.index)
+        self.applied = s.index
+
+    def _on_snapshot_reply(self, m: SnapshotReply) -> None:
+        p = self._progress.get(m.src)
+        if self.role is not Role.LEADER or p is None or p.pace is not Pace.SNAPSHOT:
+            return
+        p.active = True
+        if m.index != p.snapshot_index:
+            return
+        p.waiting = False
+        if not m.done:
+            p.offset = min(m.offset, len(self.snapshot.data))
+            self._send_to(m.src)
+
+    # Out.
+
+    def has_ready(self) -> bool:
+        return bool(
+            self._out
+            or self._snapshot_due
+            or self._install
+            or self._ready_reads
+            or self._lost_reads
+            or self._unstable <= self.log.last
+            or self.applied < min(self.commit, self.log.last)
+            or (self.term, self.vote) != (self._saved.term, self._saved.vote)
+        )
+
+    def take(self) -> Ready:
+        """All that is to be done now. Persist it, then call `persisted`, then send and apply."""
+        persist = Persist()
+        state = HardState(self.term, self.vote, self.commit)
+        if (state.term, state.vote) != (
+            self._saved.term,
+            self._saved.vote,
+        ) or self.commit > self._saved.commit:
+            persist.hard_state = state
+        if self._snapshot_due is not None:
+            persist.snapshot, persist.reset = self._snapshot_due, self._reset
+            persist.keep_from = self.log.first
+            self._snapshot_due, self._reset = None, False
+        if self._unstable <= self.log.last:
+            persist.entries = self.log.slice(self._unstable, self.log.last)
+            self._unstable = self.log.last + 1
+        self._saved = state
+        apply = self.log.slice(self.applied + 1, self.commit) if self.applied < self.commit else []
+        self.applied = max(self.applied, self.commit)
+        ready = Ready(persist, self._out, self._install, apply, self._ready_reads, self._lost_reads)
+        self._out, self._install, self._ready_reads, self._lost_reads = [], None, [], []
+        return ready
+
+    def persisted(self, ready: Ready) -> None:
+        """What `ready.persist` named is on disk: now this node's own copy counts for commits."""
+        if ready.persist.entries:
+            last = ready.persist.entries[-1]
+            if self.log.term(last.index) == last.term:
+                self.stable = max(self.stable, last.index)
+        self._advance()
