--- a/juniperreel/cli/edge.py
+++ b/juniperreel/cli/edge.py
@@ -38,6 +38,7 @@
         connect_timeout_us=settings.connect_timeout_us,
         probe_timeout_us=settings.probe_timeout_us,
         list_timeout_us=settings.list_timeout_us,
+        instances=settings.instances,
         limits=Limits(message_bytes=settings.message_bytes, metadata_bytes=settings.metadata_bytes),
     )
 
--- a/juniperreel/cli/main.py
+++ b/juniperreel/cli/main.py
@@ -9,6 +9,7 @@
 import trio
 
 from juniperreel.cli.call import call
+from juniperreel.cli.configd import config, configd
 from juniperreel.cli.demo import demo, verify
 from juniperreel.cli.edge import run_edge
 from juniperreel.cli.raft import raft
@@ -57,7 +58,7 @@
         sys.exit(1)
 
 
-for command in (call, demo, raft, standins, verify):
+for command in (call, config, configd, demo, raft, standins, verify):
     main.add_command(command)
 
 
--- a/juniperreel/cli/raft.py
+++ b/juniperreel/cli/raft.py
@@ -6,10 +6,12 @@
 import time
 from concurrent.futures import ProcessPoolExecutor
 from functools import partial
+from pathlib import Path
 
 import click
 
 from juniperreel.emulator.raft import Failure, run
+from juniperreel.raft.storage import StorageError, look
 
 
 @click.group()
@@ -26,6 +28,24 @@
     return len(seeds), None
 
 
+@raft.command()
+@click.argument("directory", type=click.Path(path_type=Path, exists=True, file_okay=False))
+def inspect(directory: Path) -> None:
+    """What a stopped instance's DIRECTORY holds."""
+    try:
+        cluster, node, r = look(directory)
+    except StorageError as error:
+        click.echo(str(error), err=True)
+        sys.exit(1)
+    h, s = r.hard_state, r.snapshot
+    click.echo(f"node {node} of cluster {cluster}")
+    click.echo(f"term {h.term}, vote {h.vote or '-'}, commit at least {h.commit}")
+    voters = ", ".join(sorted(s.members.voters))
+    click.echo(f"snapshot at {s.index} of term {s.term}, {len(s.data)} bytes; voters {voters}")
+    for entry in r.entries:
+        click.echo(f"{entry.index} term {entry.term} {entry.kind.name.lower()} {len(entry.data)} bytes")
+
+
 def show(failure: Failure) -> None:
     click.echo(f"seed {failure.seed}: {failure.text}")
     click.echo(f"cut down to {len(failure.ops)} operations:")
--- /dev/null
+++ b/juniperreel/driver/configsource.py
@@ -0,0 +1,91 @@
+"""Committed configuration in place of the host list: what the driver knows of members comes from Raft.
+
+Has the host list's face: tells lists as they come and failures as they happen. The newest version is kept on
+disk with the saved list's hosts; an older one never takes its place.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import trio
+
+from juniperreel import interface as ui
+from juniperreel.driver.hosts import Host
+from juniperreel.driver.options import DriverOptions
+from juniperreel.net import Clock, Network
+from juniperreel.raft.client import Instances
+from juniperreel.raft.configuration.model import EMPTY, Configuration
+
+
+def hosts_of(configuration: Configuration, groups: int) -> list[Host]:
+    """The members as lines of a list. Primaries are those of the groups' newest epochs."""
+    found = []
+    for name in sorted(configuration.members):
+        m = configuration.members[name]
+        group = configuration.groups.get(m.group)
+        if m.group < groups:
+            primary = group is not None and group.primary == name
+            found.append(
+                Host(name, m.address, m.port, m.group, m.zone, m.kind, m.state, primary, m.size, m.started_us)
+            )
+    return found
+
+
+class ConfigSource:
+    """One live watch on one of the instances."""
+
+    def __init__(
+        self,
+        options: DriverOptions,
+        network: Network,
+        clock: Clock,
+        rng: random.Random,
+        tell: Callable[[ui.ListKind, list[Host]], None],
+        log: Callable[..., None],
+    ) -> None:
+        self._options, self._clock, self._tell, self._log = options, clock, tell, log
+        self._instances = Instances(network, clock, rng, options.instances)
+        self._nursery: trio.Nursery | None = None
+        self._watching: trio.CancelScope | None = None
+        self._newest = EMPTY
+        self.known: dict[str, Host] = {}
+        self.heard_us = 0
+        self.version = 0
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        async with trio.open_nursery() as self._nursery:
+            await self._nursery.start(self._instances.run)
+            task_status.started()
+            await trio.sleep_forever()
+
+    def subscribe(self, on: bool) -> None:
+        assert self._nursery is not None
+        if self._watching is not None:
+            self._watching.cancel()
+            self._watching = None
+        if on:
+            self._watching = trio.CancelScope()
+            self._nursery.start_soon(self._watch, self._watching)
+
+    def fetch(self) -> None:
+        """A watch starts with all there is."""
+        self.subscribe(True)
+
+    async def _watch(self, scope: trio.CancelScope) -> None:
+        with scope:
+            await self._instances.watch(self._options.name, self._newest, self._take, self._failed)
+
+    def _failed(self, why: str) -> None:
+        """The watch looks for another instance by itself; what is known stays in force meanwhile."""
+        self._log("configuration watch failed", error=why)
+
+    def _take(self, configuration: Configuration) -> None:
+        self.heard_us = self._clock.now_us()
+        self._newest, self.version = configuration, configuration.version
+        hosts = hosts_of(configuration, self._options.groups)
+        if not hosts:
+            return  # nothing is set up yet; as with an empty list
+        self.known = {h.id: h for h in hosts}
+        self._tell(ui.ListKind.FULL, hosts)
--- a/juniperreel/driver/driver.py
+++ b/juniperreel/driver/driver.py
@@ -20,6 +20,7 @@
 from juniperreel import interface as ui
 from juniperreel.causal import Token
 from juniperreel.driver import hosts as host_list
+from juniperreel.driver.configsource import ConfigSource
 from juniperreel.driver.members import MemberLinks, execute_message
 from juniperreel.driver.options import DriverOptions
 from juniperreel.driver.outcomes import is_statement_fault, of_error, unfinished
@@ -111,7 +112,8 @@
         self.router = Router(options.router, rng.getrandbits(64))
         self.positions = Positions(options.skew_us)
         self.links = MemberLinks(options, network, clock, random.Random(rng.getrandbits(64)))
-        self.hosts = host_list.HostList(
+        source = ConfigSource if options.instances else host_list.HostList
+        self.hosts: ConfigSource | host_list.HostList = source(
             options, network, clock, random.Random(rng.getrandbits(64)), self._list_told, log.warning
         )
         self._ids = count()
@@ -380,6 +382,8 @@
             now = self.clock.now_us()
             if self.hosts.heard_us:
                 self.metrics.list_age.set((now - self.hosts.heard_us) / US)
+            if isinstance(self.hosts, ConfigSource):
+                self.metrics.config_version.set(self.hosts.version)
             drift = self.clock.drift_us()
             self.metrics.clock_drift.set(drift / US)
             if abs(drift) > self.options.skew_us:
--- a/juniperreel/driver/options.py
+++ b/juniperreel/driver/options.py
@@ -27,3 +27,4 @@
     probe_timeout_us: int
     list_timeout_us: int  # for a fetch, and for a watch's first list
     limits: Limits
+    instances: tuple[tuple[str, int], ...] = ()  # of the configuration; if any, in place of the host list
--- /dev/null
+++ b/juniperreel/raft/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration that instances agree on: immutable versions, and the commands between them."""
--- a/juniperreel/raft/storage.py
+++ b/juniperreel/raft/storage.py
@@ -102,7 +102,11 @@
         try:
             env = open_env(path, map_bytes)
             needed = (env.info()["last_pgno"] + 1) * env.stat()["psize"]
+        except (lmdb.LockError, lmdb.ReadersFullError, lmdb.MemoryError) as error:
+            raise StorageError(f"{data} cannot be opened now: {error}") from None
         except lmdb.Error as error:
+            if "already open" in str(error):
+                raise StorageError(f"{data} is in use") from None
             raise StorageError(f"{data} cannot be read ({error}); {again(node)}") from None
         if data.stat().st_size < needed:
             # Danger: reading past the end of a mapped file kills the process without a word.
@@ -252,6 +256,25 @@
         return bytes(record[SUM.size :])
 
 
+def look(path: Path) -> tuple[str, str, Restored]:
+    """Whose directory it is, and what it holds; writes nothing. Raises StorageError."""
+    if not (path / "data.mdb").exists():
+        raise StorageError(f"{path} holds no node")
+    try:
+        env = lmdb.open(str(path), readonly=True, max_dbs=4, lock=False)
+        main = env.open_db(b"main", create=False)
+        with env.begin() as txn:
+            meta = msgspec.msgpack.decode(bytes(txn.get(META, db=main) or b"")[SUM.size :], type=Meta)
+        env.close()
+    except (lmdb.Error, msgspec.DecodeError) as error:
+        raise StorageError(f"{path} cannot be read: {error}") from None
+    storage = Storage.open(path, meta.cluster, meta.node)
+    try:
+        return meta.cluster, meta.node, storage.restore()
+    finally:
+        storage.close()
+
+
 def again(node: str) -> str:
     return f"remove {node} from the cluster and add a node under a new name with an empty directory"
 
--- a/juniperreel/settings/checks.py
+++ b/juniperreel/settings/checks.py
@@ -23,6 +23,9 @@
         wrong(edge, "groups", "groups: 1 to 65536")
     if edge["metrics"] is not None and edge["metrics"] == edge["listen"] and edge["listen"][1]:
         wrong(edge, "metrics", "metrics and listen name the same address")
+    hosts = found["hosts"][0]
+    if bool(hosts["source"]) == bool(hosts["instance"]):
+        wrong(hosts, "source", "either a source, the host list, or instances of the configuration are needed")
     for section in found["class"]:
         check_class(section, rules, token, problems)
     check_rules(rules, limits, wrong)
--- a/juniperreel/settings/edge.py
+++ b/juniperreel/settings/edge.py
@@ -39,7 +39,8 @@
     ),
     "hosts": Kind(
         {
-            "source": one(address),
+            "source": one(address, None),
+            "instance": Field((address,), default=(), many=True),
             "saved": one(Path, None),
             "timeout": one(duration, 2_000_000),
             "shows-primary": one(flag),
@@ -112,6 +113,7 @@
     groups: int
     seed: int | None
     hosts: Address
+    instances: tuple[Address, ...]
     saved_list: Path | None
     list_timeout_us: int
     router: ui.Settings
@@ -226,7 +228,8 @@
         metrics=edge["metrics"],
         groups=edge["groups"],
         seed=edge["seed"],
-        hosts=hosts["source"],
+        hosts=hosts["source"] or ("", 0),
+        instances=tuple(hosts["instance"]),
         saved_list=folder / hosts["saved"] if hosts["saved"] else None,
         list_timeout_us=hosts["timeout"],
         router=router,
--- a/juniperreel/telemetry/metrics.py
+++ b/juniperreel/telemetry/metrics.py
@@ -47,6 +47,7 @@
         self.members = gauge("members", "Members known, by readiness", "readiness")
         self.connections = gauge("member_connections", "Live connections to members")
         self.list_age = gauge("host_list_age_seconds", "Since the host list last said anything")
+        self.config_version = gauge("configuration_version", "Committed version in force")
         self.list_failures = counter("host_list_failures", "Host list calls that failed")
         self.stalls = counter("stalls", "Times this program stood still")
         self.clock_drift = gauge(
