--- /dev/null
+++ b/tests/raft/test_configuration.py
@@ -0,0 +1,171 @@
+"""Versions and commands: the same everywhere, checked, applied once."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from juniperreel.raft.configuration import checks, machine, model
+from juniperreel.raft.configuration.machine import (
+    Command,
+    Machine,
+    RemoveGroup,
+    RemoveMember,
+    SetClass,
+    SetGroup,
+    SetLimit,
+    SetMember,
+    SetState,
+    SetTenant,
+    encode_command,
+)
+from juniperreel.raft.configuration.model import ClassInfo, GroupInfo, MemberInfo, TenantInfo
+
+MEMBER = MemberInfo(0, "127.0.0.1", 1000)
+READ = ClassInfo("repeatable", "all", 0, "bounded", 300_000, 500_000, 2_000_000, 3.0, 0.2)
+WRITE = ClassInfo("keyed", "group", 5_000_000, "write", 0, 500_000, 2_000_000, 4.0, 0.7)
+
+names = st.sampled_from(["a", "b", "c"])
+groups = st.integers(0, 2)
+changes = st.one_of(
+    st.builds(SetMember, names, st.builds(MemberInfo, groups, st.just("h"), st.integers(0, 3))),
+    st.builds(SetState, names, st.sampled_from(["up", "draining", "gone", "odd"]), st.integers(0, 9)),
+    st.builds(RemoveMember, names),
+    st.builds(SetGroup, groups, st.builds(GroupInfo, st.integers(0, 4), st.none() | names)),
+    st.builds(RemoveGroup, groups),
+    st.builds(SetClass, names, st.none() | st.sampled_from([READ, WRITE])),
+    st.builds(SetTenant, names, st.none() | st.builds(TenantInfo, st.floats(0, 0.6))),
+    st.builds(SetLimit, st.sampled_from([*checks.LIMITS, "odd"]), st.none() | st.integers(-1, 5)),
+)
+commands = st.builds(
+    Command,
+    st.sampled_from(["x", "y"]),
+    st.integers(0, 20),
+    st.lists(changes, min_size=1, max_size=4),
+    st.none(),
+)
+
+
+def ready() -> Machine:
+    made = Machine()
+    done = made.apply(
+        encode_command(
+            Command(
+                "seed", 1, [SetGroup(0, GroupInfo(1, "a")), SetMember("a", MEMBER), SetMember("b", MEMBER)]
+            )
+        )
+    )
+    assert not done.refusal
+    return made
+
+
+def refusal(*changes: machine.Change) -> str:
+    made = ready()
+    before = made.now.version
+    outcome = made.apply(encode_command(Command("t", 1, list(changes))))
+    assert outcome.version == before + (not outcome.refusal)
+    return outcome.refusal
+
+
+@given(st.lists(commands, max_size=30))
+def test_whatever_is_applied_no_version_breaks_a_rule_and_all_nodes_agree(listed: list[Command]) -> None:
+    one, two = ready(), ready()
+    for command in listed:
+        before = one.now
+        outcome = one.apply(encode_command(command))
+        assert two.apply(encode_command(command)) == outcome
+        assert checks.problems(one.now) == []
+        assert one.now.version in (before.version, before.version + 1)
+        if one.now.version > before.version:
+            assert checks.steps(before, one.now) == []
+            assert model.patched(before, model.difference(before, one.now)).members == one.now.members
+    assert one.snapshot() == two.snapshot()
+    three = Machine()
+    three.restore(one.snapshot())
+    assert three.now == one.now and three.snapshot() == one.snapshot()
+
+
+@given(commands)
+def test_a_command_asked_twice_is_applied_once(command: Command) -> None:
+    made = ready()
+    first = made.apply(encode_command(command))
+    state = made.snapshot()
+    assert made.apply(encode_command(command)) == first
+    assert made.snapshot() == state
+
+
+def test_an_older_sequence_is_refused_and_forgetting_is_bounded() -> None:
+    made = ready()
+    made.apply(encode_command(Command("x", 5, [SetLimit("attempts", 2)])))
+    assert "older than 5" in made.apply(encode_command(Command("x", 4, [SetLimit("attempts", 3)]))).refusal
+    for n in range(machine.MAX_CLIENTS + 20):
+        made.apply(encode_command(Command(f"c{n}", 1, [SetLimit("attempts", 1 + n)])))
+    assert len(made.now.clients) == machine.MAX_CLIENTS
+
+
+@pytest.mark.parametrize(
+    ("listed", "reason"),
+    [
+        ([SetGroup(0, GroupInfo(0, "a"))], "older"),
+        ([SetGroup(0, GroupInfo(1, "b"))], "newer epoch"),
+        ([SetGroup(0, GroupInfo(2, "none"))], "not one of its members"),
+        ([SetState("a", "gone")], "primary a is gone"),
+        ([SetState("a", "odd")], "none of"),
+        ([RemoveMember("b")], "drain and go"),
+        ([RemoveMember("none")], "no member none"),
+        ([RemoveGroup(0)], "there is no group 0"),
+        ([SetMember("c", MemberInfo(7, "h", 1))], "no group 7"),
+        ([SetMember("c", MemberInfo(0, "h", 0))], "out of range"),
+        ([SetClass("k", msgspec.structs.replace(WRITE, memory_us=0))], "rule 2"),
+        ([SetClass("k", msgspec.structs.replace(WRITE, consistency="any"))], "rule 2"),
+        ([SetClass("k", msgspec.structs.replace(READ, lag_us=0))], "rule 5"),
+        ([SetClass("k", msgspec.structs.replace(READ, aim_us=9_000_000))], "rule 1"),
+        ([SetLimit("drain-grace-us", 0)], "rule 3"),
+        ([SetLimit("cold-span-us", 0)], "rule 4"),
+        ([SetLimit("flavour", 1)], "there are"),
+        ([SetTenant("t", TenantInfo(0.7)), SetTenant("u", TenantInfo(0.7))], "more than all"),
+    ],
+    ids=lambda v: v if isinstance(v, str) else "",
+)
+def test_what_breaks_a_rule_is_refused_whole(listed: list[machine.Change], reason: str) -> None:
+    assert reason in refusal(SetLimit("attempts", 4), *listed)
+
+
+def test_a_promotion_and_a_replacement_are_allowed_in_one_command() -> None:
+    assert not refusal(SetGroup(0, GroupInfo(2, "b")), SetState("a", "draining"))
+    assert not refusal(SetState("b", "gone"), RemoveMember("b")) or "drain" in refusal(RemoveMember("b"))
+
+
+def test_a_member_that_comes_back_needs_a_newer_start() -> None:
+    made = ready()
+    made.apply(encode_command(Command("t", 1, [SetState("b", "gone", 5)])))
+    assert "rule 4" in made.apply(encode_command(Command("t", 2, [SetState("b", "up", 5)]))).refusal
+    assert not made.apply(encode_command(Command("t", 3, [SetState("b", "up", 6)]))).refusal
+
+
+@given(st.binary(max_size=200))
+def test_noise_is_no_command_no_configuration_and_no_delta(noise: bytes) -> None:
+    made = ready()
+    state = made.snapshot()
+    assert made.apply(noise).refusal and made.snapshot() == state
+    for read in (model.decode, lambda data: model.patched(made.now, data)):
+        with pytest.raises(ValueError):
+            read(noise)
+
+
+def test_formats_and_gaps_are_checked() -> None:
+    made = ready()
+    flat = msgspec.msgpack.decode(made.snapshot())
+    with pytest.raises(ValueError, match="format 9"):
+        model.decode(msgspec.msgpack.encode(flat | {"format": 9}))
+    with pytest.raises(ValueError, match="does not fit"):
+        model.patched(made.now, model.difference(model.EMPTY, made.now))
+
+
+def test_a_new_version_shares_what_did_not_change() -> None:
+    made = ready()
+    before = made.now
+    made.apply(encode_command(Command("t", 1, [SetLimit("attempts", 4)])))
+    assert made.now.members is before.members and made.now.limits is not before.limits
--- /dev/null
+++ b/tests/settings/test_configd.py
@@ -0,0 +1,46 @@
+"""The instance's settings file."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from juniperreel.settings import SettingsError
+from juniperreel.settings.configd import read_instance
+
+GOOD = (Path(__file__).parents[2] / "deploy" / "configd.conf").read_text(encoding="utf-8")
+
+
+@pytest.fixture
+def folder(tmp_path: Path) -> Path:
+    (tmp_path / "cluster.key").write_bytes(b"k" * 32)
+    return tmp_path
+
+
+def load(folder: Path, text: str) -> object:
+    (folder / "c.conf").write_text(text, encoding="utf-8")
+    return read_instance(folder / "c.conf")
+
+
+def test_the_example_loads_whole(folder: Path) -> None:
+    settings = load(folder, GOOD)
+    assert getattr(settings, "listen", None) == ("127.0.0.1", 7301)
+    assert len(getattr(settings, "members", ())) == 3
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "reason"),
+    [
+        ("name c1@127.0.0.1:7301", "name c1", "name@host:port"),
+        ("member c3@127.0.0.1:7303", "", "odd number"),
+        ("member c3@127.0.0.1:7303", "member c2@127.0.0.1:7302", "odd number"),
+        ("key cluster.key", "key none.key", "cannot be read"),
+        ("tick 30ms", "tick 5s", "tick"),
+        ("election-ticks 10", "election-ticks 1", "election-ticks"),
+        ("cluster westrun", "", "cluster is missing"),
+    ],
+)
+def test_a_bad_file_is_refused(folder: Path, old: str, new: str, reason: str) -> None:
+    with pytest.raises(SettingsError, match=reason):
+        load(folder, GOOD.replace(old, new, 1))
