--- a/juniperreel/cli/demo.py
+++ b/juniperreel/cli/demo.py
@@ -57,9 +57,11 @@
         served.clear()
 
 
-async def play(day: Day, folder: Path, recorder: Recorder, careless: bool, quiet: bool) -> None:
+async def play(
+    day: Day, folder: Path, recorder: Recorder, careless: bool, quiet: bool, raft: bool = False
+) -> None:
     async with trio.open_nursery() as nursery:
-        world = World(day, folder, recorder, careless)
+        world = World(day, folder, recorder, careless, raft)
         if not quiet:
             nursery.start_soon(watch, world)
         await world.run()
@@ -74,6 +76,7 @@
 @click.option(
     "--record", type=click.Path(path_type=Path, dir_okay=False), help="Keep the recording in this file."
 )
+@click.option("--raft", is_flag=True, help="Members from a configuration cluster, not the host list.")
 @click.option("--logs", type=click.Path(path_type=Path, file_okay=False), help="Keep settings and logs here.")
 @click.option("--seed", type=int, help="Another seed than the script's.")
 @click.option("--last", type=float, help="Another length, in seconds.")
@@ -81,6 +84,7 @@
 def demo(
     script: Path | None,
     careless: bool,
+    raft: bool,
     record: Path | None,
     logs: Path | None,
     seed: int | None,
@@ -108,7 +112,7 @@
         folder.mkdir(parents=True, exist_ok=True)
         out = record.open("wb") if record else None
         recorder = Recorder(out)
-        trio.run(play, day, folder, recorder, careless, quiet)
+        trio.run(play, day, folder, recorder, careless, quiet, raft)
         if out is not None:
             out.close()
     for line in table(recorder.records):
--- a/juniperreel/cli/raft.py
+++ b/juniperreel/cli/raft.py
@@ -11,7 +11,7 @@
 import click
 
 from juniperreel.emulator.raft import Failure, run
-from juniperreel.raft.storage import StorageError, look
+from juniperreel.raft.storage import StorageError, look, rescue
 
 
 @click.group()
@@ -46,6 +46,22 @@
         click.echo(f"{entry.index} term {entry.term} {entry.kind.name.lower()} {len(entry.data)} bytes")
 
 
+@raft.command(name="rescue")
+@click.argument("directory", type=click.Path(path_type=Path, exists=True, file_okay=False))
+@click.option("--into", type=click.Path(path_type=Path), required=True, help="The new instance's directory.")
+@click.option("--cluster", required=True, help="The new cluster's name.")
+@click.option("--name", required=True, help="The new instance, name@host:port.")
+def rescue_command(directory: Path, into: Path, cluster: str, name: str) -> None:
+    """Make a new cluster of one instance from a stopped one's DIRECTORY, when the quorum is lost for good."""
+    try:
+        version, beyond = rescue(directory, into, cluster, name)
+    except StorageError as error:
+        click.echo(str(error), err=True)
+        sys.exit(1)
+    click.echo(f"version {version}; {beyond} entries were not known to be committed and are kept")
+    click.echo("start it with a settings file of that cluster and name, then add and promote others")
+
+
 def show(failure: Failure) -> None:
     click.echo(f"seed {failure.seed}: {failure.text}")
     click.echo(f"cut down to {len(failure.ops)} operations:")
--- a/juniperreel/cli/world.py
+++ b/juniperreel/cli/world.py
@@ -14,6 +14,7 @@
 
 import trio
 
+from juniperreel.cli.feeder import ConfigCluster, Feeder
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.net.clock import US
 from juniperreel.proof import records as rec
@@ -44,7 +45,7 @@
 seed {seed}
 
 [hosts]
-source 127.0.0.1:{hosts}
+{hosts}
 saved {name}.hosts
 timeout 2s
 shows-primary yes
@@ -99,7 +100,11 @@
 class World:
     """`run` plays the whole day and leaves its records in the recorder."""
 
-    def __init__(self, day: Day, folder: Path, recorder: rec.Recorder, careless: bool) -> None:
+    def __init__(
+        self, day: Day, folder: Path, recorder: rec.Recorder, careless: bool = False, raft: bool = False
+    ) -> None:
+        """`careless` edges are not the product's; with `raft` edges learn of members from a configuration
+        cluster instead of the late host list."""
         self.day, self.folder, self.record = day, folder, recorder
         self.careless = careless
         self.clock = Clock()
@@ -107,6 +112,7 @@
         self.fleet = Fleet(day, network, self.clock, recorder)
         self.edges = [EdgeProcess(f"edge{n}") for n in range(day["edges"])]
         self.network = network
+        self.cluster = ConfigCluster(folder, network) if raft else None
         self.population: Population | None = None
         self._nursery: trio.Nursery | None = None
         (folder / "token.key").write_bytes(secrets.token_hex(32).encode())
@@ -119,7 +125,7 @@
             edges=day["edges"],
             groups=day["groups"],
             seed=day["seed"] * 100 + number,
-            hosts=self.fleet.hosts.port,
+            hosts=self._sources(),
             classes="\n".join(class_text(m) for m in MIX),
             tenants="\n".join(f"[tenant {t}]\nshare {part:.0%}\n" for t, part in TENANTS.items()),
             attempts=MAX_ATTEMPTS,
@@ -129,6 +135,11 @@
         path.write_text(text, encoding="utf-8")
         return path
 
+    def _sources(self) -> str:
+        if self.cluster is None:
+            return f"source 127.0.0.1:{self.fleet.hosts.port}"
+        return "\n".join(f"instance 127.0.0.1:{port}" for port in self.cluster.ports)
+
     async def start_edge(self, number: int) -> None:
         """Starts the edge's process and waits until it serves. Raises TooSlowError."""
         assert self._nursery is not None
@@ -198,6 +209,8 @@
         async with trio.open_nursery() as self._nursery:
             try:
                 await self._nursery.start(self.fleet.run)
+                if self.cluster is not None:
+                    await self._start_cluster(self._nursery)
                 for number in range(len(self.edges)):
                     await self.start_edge(number)
                 await trio.sleep(1.0)
@@ -220,8 +233,20 @@
             finally:
                 with trio.CancelScope(shield=True, deadline=trio.current_time() + 15):
                     await self._stop_edges()
+                    if self.cluster is not None:
+                        await self.cluster.stop()
             self._nursery.cancel_scope.cancel()
 
+    async def _start_cluster(self, nursery: trio.Nursery) -> None:
+        assert self.cluster is not None
+        await self.cluster.start(secrets.token_hex(32).encode())
+        names = [edge.name for edge in self.edges]
+        addresses = self.cluster.addresses()
+        feeder = Feeder(self.fleet, self.network, self.clock, addresses, self.record, lambda: names)
+        nursery.start_soon(feeder.run)
+        with trio.fail_after(READY_S):
+            await feeder.ready.wait()
+
     async def _stop_edges(self) -> None:
         for edge in self.edges:
             if edge.process is not None and edge.process.poll() is None:
--- a/juniperreel/driver/configsource.py
+++ b/juniperreel/driver/configsource.py
@@ -52,7 +52,7 @@
         self._newest = EMPTY
         self.known: dict[str, Host] = {}
         self.heard_us = 0
-        self.version = 0
+        self.version = 0  # in force; set to the saved list's at start
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         async with trio.open_nursery() as self._nursery:
@@ -83,7 +83,12 @@
 
     def _take(self, configuration: Configuration) -> None:
         self.heard_us = self._clock.now_us()
-        self._newest, self.version = configuration, configuration.version
+        self._newest = configuration
+        if configuration.version < self.version:
+            # Danger: after a restart an instance that lags would take the edge back behind its saved list.
+            self._log("an older configuration is ignored", version=configuration.version, have=self.version)
+            return
+        self.version = configuration.version
         hosts = hosts_of(configuration, self._options.groups)
         if not hosts:
             return  # nothing is set up yet; as with an empty list
--- a/juniperreel/driver/driver.py
+++ b/juniperreel/driver/driver.py
@@ -133,7 +133,7 @@
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Until cancelled. Raises ValueError for a saved list that cannot be read."""
-        saved = host_list.load(self.options.saved_list, self.options.groups)
+        saved, self.hosts.version = host_list.load(self.options.saved_list, self.options.groups)
         async with trio.open_nursery() as self._nursery:
             await self._nursery.start(self.links.run)
             await self._nursery.start(self.hosts.run)
@@ -369,9 +369,9 @@
         while True:
             await self._list_changed.wait()
             self._list_changed = trio.Event()
-            hosts = list(self.hosts.known.values())
+            hosts, version = list(self.hosts.known.values()), self.hosts.version
             try:
-                await trio.to_thread.run_sync(host_list.save, self.options.saved_list, hosts)
+                await trio.to_thread.run_sync(host_list.save, self.options.saved_list, hosts, version)
             except OSError as error:  # a full disk costs the saved list, not the service
                 self.log.error("the host list could not be saved", error=str(error))
             await trio.sleep(SAVE_EVERY_S)
@@ -382,8 +382,7 @@
             now = self.clock.now_us()
             if self.hosts.heard_us:
                 self.metrics.list_age.set((now - self.hosts.heard_us) / US)
-            if isinstance(self.hosts, ConfigSource):
-                self.metrics.config_version.set(self.hosts.version)
+            self.metrics.config_version.set(self.hosts.version)
             drift = self.clock.drift_us()
             self.metrics.clock_drift.set(drift / US)
             if abs(drift) > self.options.skew_us:
--- a/juniperreel/driver/hosts.py
+++ b/juniperreel/driver/hosts.py
@@ -63,6 +63,7 @@
 class Saved(msgspec.Struct, frozen=True):
     format: int
     hosts: list[Host]
+    version: int = 0  # of the configuration they come from; 0 from a host list
 
 
 def read_host(host: hosts_pb2.Host, groups: int) -> Host | None:
@@ -105,6 +106,7 @@
         self._watching: trio.CancelScope | None = None
         self.known: dict[str, Host] = {}
         self.heard_us = 0
+        self.version = 0  # a host list has none
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         async with trio.open_nursery() as self._nursery:
@@ -176,10 +178,11 @@
         self._tell(ui.ListKind.FULL if full else ui.ListKind.CHANGES, hosts)
 
 
-def load(path: Path | None, groups: int) -> list[Host]:
-    """The last good list; empty where there is none. Raises ValueError for a file that is not one."""
+def load(path: Path | None, groups: int) -> tuple[list[Host], int]:
+    """The last good list and its version; empty where there is none. Raises ValueError for a file that is
+    not one."""
     if path is None or not path.exists():
-        return []
+        return [], 0
     try:
         saved = msgspec.json.decode(path.read_bytes(), type=Saved)
     except msgspec.DecodeError as error:
@@ -187,13 +190,13 @@
     if saved.format != FORMAT:
         raise ValueError(f"{path} has format {saved.format}; this program reads {FORMAT}")
     names = {r.value for r in ui.Readiness}
-    return [h for h in saved.hosts if h.group < groups and h.readiness in names]
+    return [h for h in saved.hosts if h.group < groups and h.readiness in names], saved.version
 
 
-def save(path: Path, hosts: list[Host]) -> None:
+def save(path: Path, hosts: list[Host], version: int = 0) -> None:
     """Whole or not at all: written beside, synced, then renamed over. Raises OSError."""
     beside = path.with_suffix(path.suffix + ".new")
-    data = msgspec.json.encode(Saved(FORMAT, hosts))
+    data = msgspec.json.encode(Saved(FORMAT, hosts, version))
     descriptor = os.open(beside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o644)
     try:
         with os.fdopen(descriptor, "wb") as out:
--- a/juniperreel/raft/storage.py
+++ b/juniperreel/raft/storage.py
@@ -19,6 +19,7 @@
 import msgspec
 import xxhash
 
+from juniperreel.raft.configuration.machine import Machine
 from juniperreel.raft.core import Restored
 from juniperreel.raft.types import Entry, HardState, Kind, Members, Persist, Snapshot
 
@@ -275,6 +276,34 @@
         storage.close()
 
 
+def rescue(source: Path, into: Path, cluster: str, node: str, map_bytes: int = MAP_BYTES) -> tuple[int, int]:
+    """A new cluster of one node from what a stopped node of a lost one holds: (version, entries beyond what
+    it knew to be committed). Those are kept: they may have been confirmed, and the quorum that knew is gone.
+
+    Raises StorageError, also for the old cluster's name: its other nodes must never take part in the new one.
+    """
+    old, _, restored = look(source)
+    if cluster == old:
+        raise StorageError(f"the new cluster needs another name than {old}")
+    machine = Machine()
+    machine.restore(restored.snapshot.data)
+    last, term = restored.snapshot.index, restored.snapshot.term
+    beyond = 0
+    for entry in restored.entries:
+        if entry.index <= restored.snapshot.index:
+            continue
+        if entry.kind is Kind.COMMAND:
+            machine.apply(entry.data)
+        beyond += entry.index > restored.hard_state.commit
+        last, term = entry.index, entry.term
+    storage = Storage.create(into, cluster, node, Members(frozenset({node})), map_bytes)
+    snapshot = Snapshot(last, term, Members(frozenset({node})), machine.snapshot())
+    state = HardState(max(term, restored.hard_state.term), None, last)
+    storage.write(Persist(state, snapshot=snapshot, reset=True, keep_from=last + 1))
+    storage.close()
+    return machine.now.version, beyond
+
+
 def again(node: str) -> str:
     return f"remove {node} from the cluster and add a node under a new name with an empty directory"
 
--- a/tests/cli/test_configd.py
+++ b/tests/cli/test_configd.py
@@ -111,6 +111,10 @@
 
 def test_a_directory_is_not_created_twice_and_an_empty_one_is_refused(three: Three) -> None:
     conf = str(three.folder / "c0.conf")
+    for _ in range(400):
+        if (three.folder / "d0" / "data.mdb").exists():
+            break
+        time.sleep(0.05)
     twice = subprocess.run(
         [*COMMAND, "configd", conf, "--create"], capture_output=True, text=True, timeout=30
     )
--- a/tests/driver/test_driver.py
+++ b/tests/driver/test_driver.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -9,12 +10,15 @@
 import msgspec
 import pytest
 import trio
+from immutables import Map
 
 from juniperreel import interface as ui
 from juniperreel.causal import History
 from juniperreel.driver import Answer, Driver, DriverOptions, Failed, Refused, Served, Work
 from juniperreel.driver import hosts as host_list
+from juniperreel.driver.configsource import ConfigSource
 from juniperreel.driver.driver import Attempt, AttemptDone, ListTold, ProbeDone
+from juniperreel.driver.members import MemberLinks
 from juniperreel.driver.outcomes import of_error, unfinished
 from juniperreel.driver.positions import Standing
 from juniperreel.interface import Outcome
@@ -23,6 +27,7 @@
 from juniperreel.proto.common.v1 import values_pb2
 from juniperreel.proto.hosts.v1 import hosts_pb2
 from juniperreel.proto.member.v1 import member_pb2
+from juniperreel.raft.configuration.model import EMPTY, MemberInfo
 from juniperreel.rpc.channel import Broken, NeverSent
 from juniperreel.rpc.limits import Limits
 from juniperreel.rpc.status import Code, RpcError, error_info
@@ -305,9 +310,9 @@
     path = tmp_path / "hosts"
     host = host_list.read_host(line(started=7), 3)
     assert host is not None
-    assert host_list.load(path, 3) == [] == host_list.load(None, 3)
-    host_list.save(path, [host])
-    assert host_list.load(path, 3) == [host]
+    assert host_list.load(path, 3) == ([], 0) == host_list.load(None, 3)
+    host_list.save(path, [host], 7)
+    assert host_list.load(path, 3) == ([host], 7)
     assert [p.name for p in tmp_path.iterdir()] == ["hosts"]
     whole = path.read_bytes()
     for bad in (b"", whole[:-3], b"[]", whole.replace(b'"format":1', b'"format":9')):
@@ -328,7 +333,7 @@
     monkeypatch.setattr("os.fsync", full)
     with pytest.raises(OSError, match="space"):
         host_list.save(path, [])
-    assert host_list.load(path, 3) == [host]
+    assert host_list.load(path, 3) == ([host], 0)
     assert [p.name for p in tmp_path.iterdir()] == ["hosts"]
 
 
@@ -336,3 +341,64 @@
     host = host_list.read_host(line(started=5 * SEC), 3)
     assert host is not None and host.member(10 * MS).started_us == 5 * SEC + 10 * MS
     assert msgspec.json.decode(msgspec.json.encode(host), type=host_list.Host) == host
+
+
+# Timing accidents.
+
+
+async def test_the_deadline_and_the_answer_in_one_batch_give_one_answer(bench: Bench) -> None:
+    answers, attempt = await started(bench, "loose", deadline_us=300 * MS)
+    await trio.sleep(0.4)  # the module's timer is due long since
+    bench.driver._put(bench.done(attempt))
+    await bench.turn()
+    await bench.turn()
+    assert [type(a) for a in answers] == [Served]
+    assert not bench.driver._open
+
+
+async def test_a_driver_that_stood_still_blames_no_member_for_what_it_missed(bench: Bench) -> None:
+    _, attempt = await started(bench, "loose")
+    await trio.sleep(0.5)
+    bench.driver._put(bench.done(attempt, Outcome.TIMEOUT))
+    await bench.turn()
+    state = bench.driver.router.members[attempt.member]
+    assert not state.suspect and state.losses == 0
+    assert bench.metrics.registry.get_sample_value("juniperreel_stalls_total") == 1
+
+
+async def test_a_connection_that_opens_through_a_drain_notice_carries_nothing_after_the_grace(
+    nursery: trio.Nursery,
+) -> None:
+    """The member accepts and does not speak: the attempt ends with the time to connect, unsent, and that is
+    kept below half the grace by the settings' check."""
+    listener = await TcpNetwork().listen("127.0.0.1", 0)
+    made = options()
+    links = MemberLinks(made, TcpNetwork(), Clock(), random.Random(1))
+    await nursery.start(links.run)
+    links.place("m", "127.0.0.1", listener.port)
+    sent = trio.Event()
+    start = trio.current_time()
+    with pytest.raises(Silent):
+        await links.execute("m", b"", SEC, sent)
+    assert not sent.is_set()
+    assert 2 * made.connect_timeout_us < made.router.drain_grace_us
+    assert trio.current_time() - start < made.router.drain_grace_us / 1e6
+    links.retire("m")
+    nursery.cancel_scope.cancel()
+
+
+async def test_an_older_configuration_does_not_take_a_restarted_edge_back(nursery: trio.Nursery) -> None:
+    told: list[object] = []
+    source = ConfigSource(
+        options(instances=(("127.0.0.1", 1),)),
+        TcpNetwork(),
+        Clock(),
+        random.Random(1),
+        lambda kind, hosts: told.append(hosts),
+        lambda *a, **k: None,
+    )
+    source.version = 5
+    member = MemberInfo(0, "h", 1)
+    for version in (4, 5, 6):
+        source._take(msgspec.structs.replace(EMPTY, version=version, members=Map({"m": member})))
+    assert len(told) == 2 and source.version == 6
--- a/tests/raft/test_storage.py
+++ b/tests/raft/test_storage.py
@@ -11,9 +11,10 @@
 
 import pytest
 
+from juniperreel.raft.configuration.machine import Command, Machine, SetLimit, encode_command
 from juniperreel.raft.core import Core, Tuning
 from juniperreel.raft.disk import MemoryDisk
-from juniperreel.raft.storage import DiskFull, Storage, StorageError
+from juniperreel.raft.storage import DiskFull, Storage, StorageError, rescue
 from juniperreel.raft.types import Entry, HardState, Kind, Members, Persist, Snapshot
 
 MEMBERS = Members(frozenset("abc"))
@@ -159,3 +160,25 @@
             refused += 1
         assert at > 0
     assert refused == 12
+
+
+def test_a_lost_quorum_is_rescued_into_a_cluster_of_another_name(tmp_path: Path) -> None:
+    lost = Storage.create(tmp_path / "lost", "old", "a", MEMBERS, 1 << 24)
+    commands = [
+        Entry(1, n, Kind.COMMAND, encode_command(Command("c", n, [SetLimit("attempts", n)])))
+        for n in range(1, 6)
+    ]
+    lost.write(Persist(HardState(3, "a", 4), entries=commands))
+    lost.close()
+    with pytest.raises(StorageError, match="another name"):
+        rescue(tmp_path / "lost", tmp_path / "new", "old", "b@h:1")
+    assert rescue(tmp_path / "lost", tmp_path / "new", "new", "b@h:1", 1 << 24) == (5, 1)
+    core = Core("b@h:1", Storage.open(tmp_path / "new", "new", "b@h:1").restore(), Tuning(), random.Random(1))
+    for _ in range(25):
+        core.tick()
+        while core.has_ready():
+            core.persisted(core.take())
+    assert core.is_leader and core.term > 3 and core.members.voters == {"b@h:1"}
+    machine = Machine()
+    machine.restore(core.snapshot.data)
+    assert machine.now.limits["attempts"] == 5
