--- a/juniperreel/cli/feeder.py
+++ b/juniperreel/cli/feeder.py
@@ -5,12 +5,14 @@
 import random
 import subprocess
 import sys
+import tempfile
 from collections.abc import Callable
 from pathlib import Path
 
 import trio
 
 from juniperreel.net import Clock, Network
+from juniperreel.net.clock import US
 from juniperreel.proof.records import Listed, Sink
 from juniperreel.raft.client import Instances, Unreachable
 from juniperreel.raft.configuration.machine import Change, Command, SetGroup, SetMember
@@ -42,6 +44,7 @@
         self._folder, self._network = folder, network
         self.ports: list[int] = []
         self._processes: list[trio.Process] = []
+        self._commands: list[list[str]] = []
 
     async def start(self, key: bytes) -> None:
         (self._folder / "cluster.key").write_bytes(key)
@@ -53,16 +56,28 @@
         members = "\n".join(f"member {n}" for n in names)
         for n, name in enumerate(names):
             path = self._folder / f"c{n}.conf"
-            path.write_text(FILE.format(name=name, folder=f"c{n}", members=members), encoding="utf-8")
-            command = [sys.executable, "-m", "juniperreel.cli.main", "configd", str(path), "--create"]
-            self._processes.append(await trio.lowlevel.open_process(command, stderr=subprocess.DEVNULL))
+            directory = tempfile.mkdtemp(
+                prefix=f"c{n}-", dir=self._folder
+            )  # earlier days leave theirs behind
+            path.write_text(FILE.format(name=name, folder=directory, members=members), encoding="utf-8")
+            self._commands.append([sys.executable, "-m", "juniperreel.cli.main", "configd", str(path)])
+            self._processes.append(await self._open([*self._commands[n], "--create"]))
+
+    @staticmethod
+    async def _open(command: list[str]) -> trio.Process:
+        return await trio.lowlevel.open_process(command, stderr=subprocess.DEVNULL)
+
+    async def kill(self, number: int, back_us: float) -> None:
+        """Kills an instance; it comes back with its directory, if at all."""
+        self._processes[number].kill()
+        await self._processes[number].wait()
+        if back_us:
+            await trio.sleep(back_us / US)
+            self._processes[number] = await self._open(self._commands[number])
 
     def addresses(self) -> list[tuple[str, int]]:
         return [("127.0.0.1", port) for port in self.ports]
 
-    def kill(self, number: int) -> None:
-        self._processes[number].kill()
-
     async def stop(self) -> None:
         for process in self._processes:
             if process.poll() is None:
--- a/juniperreel/cli/world.py
+++ b/juniperreel/cli/world.py
@@ -172,6 +172,10 @@
 
     async def on_edge(self, step: Step) -> None:
         number = int(step.target.partition("/")[2])
+        if step.fault == "instance-kill":
+            if self.cluster is not None:
+                await self.cluster.kill(number, step.value)
+            return
         edge = self.edges[number]
         if edge.process is None or edge.process.poll() is not None:
             return
--- a/juniperreel/driver/configsource.py
+++ b/juniperreel/driver/configsource.py
@@ -75,14 +75,18 @@
 
     async def _watch(self, scope: trio.CancelScope) -> None:
         with scope:
-            await self._instances.watch(self._options.name, self._newest, self._take, self._failed)
+            await self._instances.watch(
+                self._options.name, self._newest, self._take, self._failed, self._alive
+            )
+
+    def _alive(self) -> None:
+        self.heard_us = self._clock.now_us()
 
     def _failed(self, why: str) -> None:
         """The watch looks for another instance by itself; what is known stays in force meanwhile."""
         self._log("configuration watch failed", error=why)
 
     def _take(self, configuration: Configuration) -> None:
-        self.heard_us = self._clock.now_us()
         self._newest = configuration
         if configuration.version < self.version:
             # Danger: after a restart an instance that lags would take the edge back behind its saved list.
--- a/juniperreel/driver/driver.py
+++ b/juniperreel/driver/driver.py
@@ -262,6 +262,14 @@
                 outcome, position = self._check(attempt, done.response, done.standing, position)
         elif outcome is Outcome.MISS and self._writes(item):
             role = ui.Role.REPLICA  # it turned a write away as not being primary
+        self.log.debug(
+            "attempt ended",
+            request=item.work.id,
+            number=attempt.number,
+            member=attempt.member,
+            outcome=outcome.value,
+            took_us=took,
+        )
         self.metrics.attempts.labels(outcome.value).inc()
         self.metrics.attempt_seconds.labels(outcome.value).observe(took / US)
         finished = False
@@ -458,6 +466,9 @@
         if item.answer is None:
             item.answer = answer
             item.done.set()
+            self.log.debug(
+                "answered", request=item.work.id, answer=type(answer).__name__, attempts=item.attempts
+            )
 
     def _forget(self, item: Open) -> None:
         if item.answer is not None and not item.out:
@@ -495,7 +506,9 @@
                     done = AttemptDone(attempt, outcome, self.clock.now_us(), error=error)
                 except Exception as error:
                     # Danger: a flaw met on one attempt must not end the edge; what it did is not known.
-                    self.log.error("an attempt failed inside", member=attempt.member, exc_info=error)
+                    self.log.error(
+                        "an attempt failed inside", request=work.id, member=attempt.member, exc_info=error
+                    )
                     done = AttemptDone(attempt, Outcome.ERROR, self.clock.now_us(), error=error)
         if done is None:
             outcome = unfinished(attempt.sent.is_set(), attempt.withdrawn)
--- a/juniperreel/raft/client.py
+++ b/juniperreel/raft/client.py
@@ -121,14 +121,16 @@
         have: Configuration,
         told: Callable[[Configuration], None],
         failed: Callable[[str], None] = lambda why: None,
+        alive: Callable[[], None] = lambda: None,
     ) -> None:
         """Calls `told` with every version newer than `have`, for ever: one live stream at a time, to another
-        instance when one fails, falls silent or hears no leader. Never goes back a version."""
+        instance when one fails, falls silent or hears no leader. Never goes back a version. `alive` is called
+        whenever an instance that hears a leader says anything."""
         newest = [have]  # kept over failures: an instance that lags must not take a watcher back
         while True:
             at = self._rng.choice(self.addresses)
             try:
-                await self._watch_one(at, watcher, newest, told)
+                await self._watch_one(at, watcher, newest, told, alive)
             except (*FAILURES, trio.TooSlowError, ValueError) as error:
                 failed(f"{at[0]}:{at[1]}: {error}")
             await trio.sleep(self._rng.uniform(*PAUSE_S))
@@ -139,6 +141,7 @@
         watcher: str,
         newest: list[Configuration],
         told: Callable[[Configuration], None],
+        alive: Callable[[], None],
     ) -> None:
         channel = await self._channel(at)
         request = pb.WatchRequest(watcher=watcher, since=newest[0].version).SerializeToString()
@@ -150,6 +153,8 @@
                     silence.deadline = trio.current_time() + SILENCE_S
                     message = pb.WatchResponse.FromString(data)
                     leaderless = 0 if message.leader else leaderless + 1
+                    if message.leader:
+                        alive()
                     if not message.beat:
                         update = message.update
                         new = model.decode(update) if message.full else model.patched(newest[0], update)
--- a/juniperreel/standins/fleet.py
+++ b/juniperreel/standins/fleet.py
@@ -132,7 +132,7 @@
 
     async def _step(self, step: Step, on_edge: EdgeHand) -> None:
         self._record(Fault(self._clock.now_us(), step.text, True))
-        if step.fault.startswith("edge-"):
+        if step.fault.startswith(("edge-", "instance-")):
             await on_edge(step)
         elif step.fault in ("freeze", "empty", "flap"):
             await self._list_fault(step)
--- a/juniperreel/standins/script.py
+++ b/juniperreel/standins/script.py
@@ -5,7 +5,8 @@
     at 5s kill g1/primary back 6s
 
 A target is a member (`g0/primary`, `g0/2`), a part of all (`random:25%`), `all`, a group (`g0`), an edge
-(`edge/1`) or `list`. Times count from the day's start; the same text and seed give the same faults.
+(`edge/1`), an instance of the configuration (`instance/0`) or `list`. Times count from the day's start; the
+same text and seed give the same faults.
 """
 
 from __future__ import annotations
@@ -37,6 +38,7 @@
     "flap": ((), True),
     "edge-kill": (("back",), False),
     "edge-stall": ((), True),
+    "instance-kill": (("back",), False),
 }
 SETTINGS = {
     "groups": 3,
--- a/tests/raft/test_cluster.py
+++ b/tests/raft/test_cluster.py
@@ -124,6 +124,20 @@
     assert outcome.version == 2 and (await three.client.get()).limits["edges"] == 3
 
 
+async def test_a_leader_that_hears_and_is_not_heard_is_replaced(three: Cluster) -> None:
+    leader = await three.leader()
+    others = [n for n in three.names if n != leader]
+    three.cuts = {(leader, other) for other in others}
+    new = await three.leader(others)
+    assert new != leader
+    with trio.fail_after(5):
+        while three.instances[leader].node.core.is_leader:
+            await trio.sleep(0.01)
+    await three.set(SetLimit("attempts", 3))
+    three.heal()
+    await three.leader()
+
+
 async def test_all_killed_at_once_come_back_with_all_that_was_confirmed(three: Cluster) -> None:
     for n in range(5):
         await three.set(SetLimit("attempts", 2 + n))
