Stand-in members replicate by a gRPC stream

The member protocol lacked its third call, and replicas shared memory with their primary. Replicas now follow the primary over Replicate: what they held that it does not is dropped, entries and heartbeats arrive a delay later.

--- a/juniperreel/standins/member.py
+++ b/juniperreel/standins/member.py
@@ -9,18 +9,23 @@
 import trio
 from google.protobuf.message import DecodeError
 
-from juniperreel.net import Clock, Network
+from juniperreel.net import Clock, ConnectError, Network
 from juniperreel.proof.records import Arrived, Committed, Left, Sink, Started, Stopped
 from juniperreel.proto.common.v1 import values_pb2
 from juniperreel.proto.member.v1 import member_pb2
+from juniperreel.rpc.channel import Broken, Channel, NeverSent
 from juniperreel.rpc.limits import Limits
 from juniperreel.rpc.server import Call, Method, Server
 from juniperreel.rpc.status import Code, RpcError, error_info
 from juniperreel.standins.group import Group, Replica
 from juniperreel.standins.machine import Full, Machine
-from juniperreel.standins.store import Commit, StatementFault, from_value
+from juniperreel.standins.store import Commit, StatementFault, from_value, to_value
 
 DOMAIN = "member.juniperreel"
+REPLICATE = "/juniperreel.member.v1.Member/Replicate"
+FOLLOW_S = 0.02  # between attempts to follow
+SEND_S = 0.01  # between looks at the log
+BEAT_S = 0.03  # between heartbeats
 RID = re.compile(r"/\* rid ([0-9a-z.-]+) \*/")
 REPORT_EVERY_US = 100_000
 
@@ -102,12 +107,15 @@
         methods = {
             "/juniperreel.member.v1.Member/Execute": Method(unary=self._execute),
             "/juniperreel.member.v1.Member/Report": Method(unary=self._tell),
+            REPLICATE: Method(streaming=self._replicate),
         }
         server = Server(methods, Limits(), self._clock)
         try:
             with trio.CancelScope() as self._scope:
-                task_status.started()
-                await server.serve(listener)
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._follow)
+                    task_status.started()
+                    await server.serve(listener)
         finally:
             self.alive = self.claims = False
             await listener.aclose()
@@ -130,6 +138,74 @@
         self._woken.set()
         self._woken = trio.Event()
 
+    # Replication.
+
+    async def _follow(self) -> None:
+        """Keeps a stream open to the group's primary, whoever that is."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(FOLLOW_S)
+                primary = self.group.primary
+                if primary is None or primary is self or not self._may_follow(primary):
+                    continue
+                rng = random.Random(self._rng.random())
+                channel = Channel(
+                    self._network, self._clock, "127.0.0.1", primary.port, Limits(), rng, 300_000
+                )
+                await nursery.start(channel.run)
+                try:
+                    await self._follow_one(channel, primary)
+                except (ConnectError, NeverSent, Broken, RpcError):
+                    pass  # the primary died, or is one no longer
+                finally:
+                    channel.close()
+
+    def _may_follow(self, primary: Member) -> bool:
+        return self.group.primary is primary and not self.cut_off and not self.claims
+
+    async def _follow_one(self, channel: Channel, primary: Member) -> None:
+        request = member_pb2.ReplicateRequest(member=self.name)
+        for commit in self.copy.log:
+            request.held.add(epoch=commit.epoch, position=commit.position)
+        first = True
+        async with channel.streaming(REPLICATE, request.SerializeToString()) as messages:
+            async for data in messages:
+                await self._wait_while_hung()
+                if not self._may_follow(primary):
+                    return
+                news = member_pb2.ReplicateResponse.FromString(data)
+                if first:
+                    self.copy.follow(news.keep, [(e.epoch, e.start) for e in news.epochs])
+                    first = False
+                self.copy.take([commit_of(entry) for entry in news.entries], news.heartbeat)
+                self.group.received()
+
+    async def _replicate(self, call: Call) -> None:
+        """Sends what its log held a delay ago, as a network would bring it."""
+        ask = member_pb2.ReplicateRequest.FromString(await call.receive() or b"")
+        sent = self.copy.held_with([(h.epoch, h.position) for h in ask.held])
+        first = member_pb2.ReplicateResponse(keep=sent)
+        for epoch, start in self.copy.epochs:
+            first.epochs.add(epoch=epoch, start=start)
+        pending: list[tuple[float, int, int]] = [(0.0, sent, 0)]
+        news, beaten = first, 0.0
+        while True:
+            if not self.claims or self.group.primary is not self:
+                raise RpcError(Code.FAILED_PRECONDITION, f"{self.name} is not the primary")
+            now = trio.current_time()
+            if not self.hung and not self.cut_off:
+                pending.append((now + self.group.delay_s, len(self.copy.log), self.group.heartbeat()))
+                ready = [p for p in pending if p[0] <= now]
+                pending = [p for p in pending if p[0] > now]
+                _, length, news.heartbeat = ready[-1] if ready else (0.0, sent, 0)
+                for commit in self.copy.log[sent:length]:
+                    news.entries.append(entry_of(commit))
+                if news.entries or news.keep or news.epochs or now - beaten > BEAT_S:
+                    await call.send(news.SerializeToString())
+                    sent, beaten = max(sent, length), now
+                    news = member_pb2.ReplicateResponse()
+            await trio.sleep(SEND_S)
+
     # What it says.
 
     def _standing(self) -> member_pb2.Standing:
@@ -293,5 +369,22 @@
         )
 
 
+def entry_of(commit: Commit) -> member_pb2.LogEntry:
+    return member_pb2.LogEntry(
+        epoch=commit.epoch,
+        position=commit.position,
+        statement=commit.statement.encode(),
+        parameters=[to_value(p) for p in commit.parameters],
+        idempotency_key=commit.key,
+        request=commit.rid,
+    )
+
+
+def commit_of(entry: member_pb2.LogEntry) -> Commit:
+    parameters = tuple(from_value(p) for p in entry.parameters)
+    statement = entry.statement.decode()
+    return Commit(entry.epoch, entry.position, statement, parameters, entry.idempotency_key, entry.request)
+
+
 def untouched(reason: str, text: str, code: Code = Code.FAILED_PRECONDITION) -> RpcError:
     return RpcError(code, text, [error_info(reason, DOMAIN)])
