One base for the two sources of members

The host list and the configuration repeated each other's life cycle. Both now derive from MemberSource. Behaviour is the same; 60 tests of driver, source and path pass.

--- a/juniperreel/driver/configsource.py
+++ b/juniperreel/driver/configsource.py
@@ -12,7 +12,7 @@
 import trio
 
 from juniperreel import interface as ui
-from juniperreel.driver.hosts import Host
+from juniperreel.driver.hosts import Host, MemberSource
 from juniperreel.driver.options import DriverOptions
 from juniperreel.net import Clock, Network
 from juniperreel.raft.client import Instances
@@ -33,7 +33,7 @@
     return found
 
 
-class ConfigSource:
+class ConfigSource(MemberSource):
     """One live watch on one of the instances."""
 
     def __init__(
@@ -45,29 +45,9 @@
         tell: Callable[[ui.ListKind, list[Host]], None],
         log: Callable[..., None],
     ) -> None:
-        self._options, self._clock, self._tell, self._log = options, clock, tell, log
         self._instances = Instances(network, clock, rng, options.instances)
-        self._nursery: trio.Nursery | None = None
-        self._watching: trio.CancelScope | None = None
+        super().__init__(options, clock, tell, log, self._instances)
         self._newest = EMPTY
-        self.known: dict[str, Host] = {}
-        self.heard_us = 0
-        self.version = 0  # in force; set to the saved list's at start
-
-    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
-        async with trio.open_nursery() as self._nursery:
-            await self._nursery.start(self._instances.run)
-            task_status.started()
-            await trio.sleep_forever()
-
-    def subscribe(self, on: bool) -> None:
-        assert self._nursery is not None
-        if self._watching is not None:
-            self._watching.cancel()
-            self._watching = None
-        if on:
-            self._watching = trio.CancelScope()
-            self._nursery.start_soon(self._watch, self._watching)
 
     def fetch(self) -> None:
         """A watch starts with all there is."""
--- a/juniperreel/driver/driver.py
+++ b/juniperreel/driver/driver.py
@@ -113,7 +113,7 @@
         self.positions = Positions(options.skew_us)
         self.links = MemberLinks(options, network, clock, random.Random(rng.getrandbits(64)))
         source = ConfigSource if options.instances else host_list.HostList
-        self.hosts: ConfigSource | host_list.HostList = source(
+        self.hosts: host_list.MemberSource = source(
             options, network, clock, random.Random(rng.getrandbits(64)), self._list_told, log.warning
         )
         self._ids = count()
--- a/juniperreel/driver/hosts.py
+++ b/juniperreel/driver/hosts.py
@@ -18,6 +18,7 @@
 from juniperreel.driver.options import DriverOptions
 from juniperreel.net import Clock, ConnectError, Network
 from juniperreel.proto.hosts.v1 import hosts_pb2
+from juniperreel.raft.client import Instances
 from juniperreel.rpc.channel import Broken, Channel, NeverSent
 from juniperreel.rpc.status import RpcError
 
@@ -87,30 +88,32 @@
     )
 
 
-class HostList:
-    """One driver's link to the host list."""
+class MemberSource:
+    """Where the driver learns of members: tells lists as they come and failures as they happen.
+
+    One watch at a time, begun and ended by the module's word. `known` is the newest whole list, `heard_us`
+    when the source last said anything, `version` that of the configuration, 0 for a host list.
+    """
 
     def __init__(
         self,
         options: DriverOptions,
-        network: Network,
         clock: Clock,
-        rng: random.Random,
         tell: Callable[[ui.ListKind, list[Host]], None],
         log: Callable[..., None],
+        link: Channel | Instances,
     ) -> None:
         self._options, self._clock, self._tell, self._log = options, clock, tell, log
-        host, port = options.hosts
-        self._channel = Channel(network, clock, host, port, options.limits, rng, options.connect_timeout_us)
+        self._link = link
         self._nursery: trio.Nursery | None = None
         self._watching: trio.CancelScope | None = None
         self.known: dict[str, Host] = {}
         self.heard_us = 0
-        self.version = 0  # a host list has none
+        self.version = 0
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         async with trio.open_nursery() as self._nursery:
-            await self._nursery.start(self._channel.run)
+            await self._nursery.start(self._link.run)
             task_status.started()
             await trio.sleep_forever()
 
@@ -123,6 +126,30 @@
             self._watching = trio.CancelScope()
             self._nursery.start_soon(self._watch, self._watching)
 
+    def fetch(self) -> None:
+        """Ask for the whole list once."""
+        raise NotImplementedError
+
+    async def _watch(self, scope: trio.CancelScope) -> None:
+        raise NotImplementedError
+
+
+class HostList(MemberSource):
+    """One driver's link to the host list."""
+
+    def __init__(
+        self,
+        options: DriverOptions,
+        network: Network,
+        clock: Clock,
+        rng: random.Random,
+        tell: Callable[[ui.ListKind, list[Host]], None],
+        log: Callable[..., None],
+    ) -> None:
+        host, port = options.hosts
+        self._channel = Channel(network, clock, host, port, options.limits, rng, options.connect_timeout_us)
+        super().__init__(options, clock, tell, log, self._channel)
+
     def fetch(self) -> None:
         assert self._nursery is not None
         self._nursery.start_soon(self._fetch)
