MySQL clients in autocommit reach the members, with a token each connection

App servers speak MySQL. Each statement is read, routed by its kind to the read or the write class, sent with a key and the connection's token, and answered as a text result; whatever cannot be served by itself is refused by name. Optional sections of a settings file no longer ask for what they would need.

Measured: pymysql unmodified through the edge sees its own writes while replicas lag without end, carries tokens to gRPC and back, and a write survives its primary once; 19 tests. A test that read without a token right after its write failed once, rightly; it now presents it.

--- a/juniperreel/cli/edge.py
+++ b/juniperreel/cli/edge.py
@@ -12,6 +12,8 @@
 from juniperreel.driver import Driver, DriverOptions
 from juniperreel.fronts.grpc import SERVICE, GrpcFront
 from juniperreel.fronts.http import HttpFront
+from juniperreel.fronts.mysql.auth import Credential
+from juniperreel.fronts.mysql.front import MysqlFront, MysqlOptions, nonce
 from juniperreel.net import Clock, Network
 from juniperreel.net.clock import US
 from juniperreel.rpc.health import Health, Reflection
@@ -43,6 +45,22 @@
     )
 
 
+def mysql_front(settings: EdgeSettings, driver: Driver, keyring: Keyring, clock: Clock) -> MysqlFront:
+    m = settings.mysql
+    assert m is not None
+    classes = [c.name for c in settings.router.classes]
+    tenants = [t.name for t in settings.router.tenants]
+    options = MysqlOptions(
+        users={name: Credential.of(password) for name, password in m.users},
+        read=classes.index(m.read),
+        write=classes.index(m.write),
+        tenant=tenants.index(m.tenant) if m.tenant else -1,
+        connections=m.connections,
+        max_packet=settings.message_bytes,
+    )
+    return MysqlFront(driver, keyring, clock, options, nonce)
+
+
 class Edge:
     """One edge in this process: `run` serves until `stop` is called or it is cancelled."""
 
@@ -54,7 +72,9 @@
         options = driver_options(settings)
         self.driver = Driver(options, network, clock, self.log, self.metrics, self.traces)
         self.health = Health(SERVICES)
-        front = GrpcFront(self.driver, Keyring(list(settings.keys)), clock)
+        keyring = Keyring(list(settings.keys))
+        front = GrpcFront(self.driver, keyring, clock)
+        self.mysql = None if settings.mysql is None else mysql_front(settings, self.driver, keyring, clock)
         methods = front.methods() | self.health.methods() | Reflection(SERVICES).methods()
         self.server = Server(methods, options.limits, clock, self._handler_failed, settings.max_connections)
         self.serving = False
@@ -75,10 +95,20 @@
                     port = await nursery.start(http.serve, await self.network.listen(*self.settings.metrics))
                     metrics = f"{self.settings.metrics[0]}:{port}"
                 await nursery.start(self.driver.run)
+                mysql = None
+                if self.mysql is not None and self.settings.mysql is not None:
+                    place = self.settings.mysql.listen
+                    port = await nursery.start(self.mysql.serve, await self.network.listen(*place))
+                    mysql = f"{place[0]}:{port}"
                 await nursery.start(self.server.serve, listener)
                 self.serving = True
                 self.health.set(True)
-                self.log.info("serving", listen=f"{self.settings.listen[0]}:{listener.port}", metrics=metrics)
+                self.log.info(
+                    "serving",
+                    listen=f"{self.settings.listen[0]}:{listener.port}",
+                    metrics=metrics,
+                    mysql=mysql,
+                )
                 task_status.started(listener.port)
                 await self._stop.wait()
                 await self._drain()
--- a/juniperreel/fronts/errors.py
+++ b/juniperreel/fronts/errors.py
@@ -11,7 +11,7 @@
 
 from __future__ import annotations
 
-from juniperreel.driver import Failed, Refused, Spurned
+from juniperreel.driver import Answer, Failed, Refused, Served, Spurned
 from juniperreel.rpc.status import PUSHBACK, Code, RpcError, error_info, field_violation, retry_info
 
 DOMAIN = "juniperreel"
@@ -42,3 +42,18 @@
 
 def invalid(field: str, reason: str) -> RpcError:
     return RpcError(Code.INVALID_ARGUMENT, f"{field}: {reason}", [field_violation(field, reason)], NEVER)
+
+
+def described(answer: Answer | None) -> tuple[str, str]:
+    """Outcome and reason, for the metrics."""
+    match answer:
+        case Served():
+            return "served", ""
+        case Spurned():
+            return "served", "statement at fault"
+        case Refused():
+            return "refused", answer.reason
+        case Failed():
+            return "failed", answer.reason
+        case None:
+            return "failed", "deadline"
--- a/juniperreel/fronts/grpc.py
+++ b/juniperreel/fronts/grpc.py
@@ -10,6 +10,7 @@
 from juniperreel.causal import EMPTY, Keyring, Token, TokenError
 from juniperreel.driver import Answer, Driver, Failed, Refused, Served, Spurned, Work
 from juniperreel.fronts import errors
+from juniperreel.fronts.errors import described
 from juniperreel.net import Clock
 from juniperreel.net.clock import US
 from juniperreel.proto.records.v1 import records_pb2
@@ -143,21 +144,6 @@
                 raise errors.deadline()
 
 
-def described(answer: Answer | None) -> tuple[str, str]:
-    """Outcome and reason, for the metrics."""
-    match answer:
-        case Served():
-            return "served", ""
-        case Spurned():
-            return "served", "statement at fault"
-        case Refused():
-            return "refused", answer.reason
-        case Failed():
-            return "failed", answer.reason
-        case None:
-            return "failed", "deadline"
-
-
 def group_of(key: bytes, groups: int) -> int:
     """The group of a key, the same at every edge."""
     return xxhash.xxh64_intdigest(key) % groups
--- /dev/null
+++ b/juniperreel/fronts/mysql/front.py
@@ -0,0 +1,307 @@
+"""The MySQL front: connections in autocommit, each statement routed by what it is.
+
+A connection is a session: it keeps a causal token and presents it with every statement. Transactions,
+prepared statements and what depends on one backend connection are refused by name, never half done.
+"""
+
+from __future__ import annotations
+
+import math
+import re
+import secrets
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from itertools import count
+
+import trio
+
+from juniperreel.causal import EMPTY, Keyring, Token, TokenError
+from juniperreel.driver import Answer, Driver, Failed, Refused, Served, Spurned, Work
+from juniperreel.fronts.errors import described
+from juniperreel.fronts.mysql.auth import NONCE_BYTES, Credential
+from juniperreel.fronts.mysql.session import (
+    Column,
+    ColumnType,
+    Com,
+    Command,
+    Event,
+    Gone,
+    LoggedIn,
+    ServerSession,
+    State,
+    Value,
+)
+from juniperreel.net import Clock, Listener
+from juniperreel.net.clock import US
+from juniperreel.proto.common.v1 import values_pb2
+from juniperreel.statements import Kind, Mode, Reader, Reading
+
+READ_BYTES = 64 << 10
+LOGIN_S = 10.0
+SEND_S = 30.0  # for an answer; a client that does not read is dropped
+AHEAD = 1 << 20  # bytes of commands that may wait behind the one in hand
+TOKEN = re.compile(rb"\s*select\s+@@juniperreel_token\s*;?\s*\Z", re.I)
+SET_TOKEN = re.compile(rb"\s*set\s+@@(?:session\.)?juniperreel_token\s*=\s*'([\w-]{1,4096})'\s*;?\s*\Z", re.I)
+SET_NAMES = re.compile(
+    rb"\s*set\s+names\s+'?(utf8mb4|utf8mb3|utf8|ascii)'?(\s+collate\s+\w+)?\s*;?\s*\Z", re.I
+)
+SET_AUTOCOMMIT = re.compile(rb"\s*set\s+(?:session\s+|@@)?autocommit\s*=\s*(1|on|true)\s*;?\s*\Z", re.I)
+ROUTE = re.compile(rb"/\*\s*group\s+(\d{1,6})\s*\*/")
+NOTHING_OPEN = re.compile(rb"\s*(commit|rollback)(\s+work)?\s*;?\s*\Z", re.I)
+
+# One table of errors; docs/operate/mysql.md shows it to operators.
+REFUSED = (1205, "HY000")  # nothing took effect; may be tried again
+UNKNOWN_EFFECT = (1105, "HY000")
+LATE = (3024, "HY000")
+AT_FAULT = (1064, "42000")
+NOT_YET = (1235, "42000")
+NOT_PREPARED = (1295, "HY000")
+BAD_COMMAND = (1047, "08S01")
+BAD_TOKEN = (1231, "42000")
+
+
+@dataclass(frozen=True, slots=True)
+class MysqlOptions:
+    """`users`: name to credential; `read` and `write` are the classes of statements, by index."""
+
+    users: Mapping[str, Credential]
+    read: int
+    write: int
+    tenant: int
+    connections: int
+    max_packet: int
+
+
+class MysqlFront:
+    """Holds the connections and nothing of their statements."""
+
+    def __init__(
+        self,
+        driver: Driver,
+        keyring: Keyring,
+        clock: Clock,
+        options: MysqlOptions,
+        nonce: Callable[[], bytes],
+    ) -> None:
+        self.driver, self.keyring, self.clock, self.options = driver, keyring, clock, options
+        self.reader = Reader()
+        self._nonce = nonce
+        self._numbers = count(1)
+        self._open = 0
+
+    async def serve(
+        self, listener: Listener, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            task_status.started(listener.port)
+            while True:
+                try:
+                    stream = await listener.accept()
+                except trio.ClosedResourceError:
+                    return
+                nursery.start_soon(self._connection, stream)
+
+    async def _connection(self, stream: trio.abc.Stream) -> None:
+        session = ServerSession(
+            next(self._numbers), self._nonce(), self.options.users.get, self.options.max_packet
+        )
+        self._open += 1
+        try:
+            if self._open > self.options.connections:
+                session.error(1040, "08004", "Too many connections")
+                with trio.move_on_after(1):
+                    await stream.send_all(session.data_to_send())
+                return
+            session.start()
+            await Connection(self, session, stream).run()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass  # the client left; whatever it had in hand is withdrawn
+        finally:
+            self._open -= 1
+            await trio.aclose_forcefully(stream)
+
+
+class Connection:
+    """One client: its session, its token, its modes."""
+
+    def __init__(self, front: MysqlFront, session: ServerSession, stream: trio.abc.Stream) -> None:
+        self._front, self._session, self._stream = front, session, stream
+        self._token: Token = EMPTY
+        self._mode = Mode()
+        self._name = f"mysql-{secrets.token_hex(6)}"
+        self._count = 0
+
+    async def run(self) -> None:
+        """Reads while a command is in hand, so that a client's leaving ends it."""
+        send, receive = trio.open_memory_channel[bytes](1)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._receive, send, nursery.cancel_scope)
+            deadline = trio.current_time() + LOGIN_S
+            todo: list[Event] = []
+            while True:
+                with trio.fail_after(SEND_S):
+                    await self._stream.send_all(self._session.data_to_send())
+                if self._session.state is State.CLOSED:
+                    break
+                if not todo:
+                    # Danger: a peer that connects and says nothing holds a descriptor for ever.
+                    logging_in = self._session.state in (State.AUTH, State.SWITCH)
+                    with trio.move_on_at(deadline if logging_in else math.inf) as limit:
+                        todo = self._session.receive(await receive.receive())
+                    if limit.cancelled_caught:
+                        break
+                    continue
+                todo += await self._on(todo.pop(0))
+            nursery.cancel_scope.cancel()
+
+    async def _receive(self, send: trio.MemorySendChannel[bytes], scope: trio.CancelScope) -> None:
+        while True:
+            try:
+                data = await self._stream.receive_some(READ_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                data = b""
+            if not data or self._session.held > AHEAD + self._front.options.max_packet:
+                scope.cancel()
+                return
+            await send.send(bytes(data))
+
+    async def _on(self, event: Event) -> list[Event]:
+        match event:
+            case Command(kind, payload):
+                return await self._command(kind, payload)
+            case LoggedIn() | Gone():
+                return []
+
+    async def _command(self, kind: int, payload: bytes) -> list[Event]:
+        s = self._session
+        if kind == Com.QUERY:
+            return await self._query(payload)
+        if kind in (Com.PING, Com.INIT_DB):
+            return s.ok()
+        if kind == Com.RESET_CONNECTION:
+            self._mode = Mode()  # the token stays: what was seen was seen
+            return s.ok()
+        if kind in (Com.STMT_PREPARE, Com.STMT_EXECUTE, Com.STMT_RESET):
+            return s.error(*NOT_PREPARED, "prepared statements are not supported yet")
+        return s.error(*BAD_COMMAND, f"command {kind:#04x} is not supported")
+
+    async def _query(self, text: bytes) -> list[Event]:
+        s = self._session
+        if TOKEN.match(text):
+            token = self._front.keyring.encode_text(self._token)
+            return s.result([Column("@@juniperreel_token", ColumnType.VAR_STRING)], [(token,)])
+        if (match := SET_TOKEN.match(text)) is not None:
+            try:
+                self._token = self._token.join(self._front.keyring.decode_text(match[1].decode()))
+            except TokenError as error:
+                return s.error(*BAD_TOKEN, str(error))
+            return s.ok()
+        if SET_NAMES.match(text) or SET_AUTOCOMMIT.match(text) or NOTHING_OPEN.match(text):
+            return s.ok()
+        reading = self._front.reader.read(text, self._mode)
+        refusal = unsupported(reading)
+        if refusal:
+            return s.error(*NOT_YET, refusal)
+        return await self._route(text, reading)
+
+    async def _route(self, text: bytes, reading: Reading) -> list[Event]:
+        front, s = self._front, self._session
+        driver = front.driver
+        cls = front.options.read if reading.replica else front.options.write
+        group = 0
+        if (match := ROUTE.search(text)) is not None:
+            group = int(match[1])
+        elif driver.options.groups > 1:
+            return s.error(*AT_FAULT, "which group? say so in a comment: /* group 0 */")
+        if group >= driver.options.groups:
+            return s.error(*AT_FAULT, f"no group {group}; there are {driver.options.groups}")
+        self._count += 1
+        settings = driver.options.router.classes[cls]
+        deadline = front.clock.now_us() + settings.deadline_us
+        work = Work(
+            cls=cls,
+            tenant=front.options.tenant,
+            group=group,
+            deadline_us=deadline,
+            statement=text,
+            session=self._name,
+            key=f"{self._name}-{self._count}",
+            token=self._token,
+        )
+        started, answer = front.clock.now_us(), None
+        margin = driver.options.answer_margin_us // 2
+        with trio.CancelScope(deadline=front.clock.trio_time(deadline - margin)):
+            answer = await driver.execute(work)
+        outcome, reason = described(answer)
+        driver.metrics.requests.labels(settings.name, outcome, reason).inc()
+        driver.metrics.seconds.labels(settings.name, outcome).observe((front.clock.now_us() - started) / US)
+        return self._answer(answer)
+
+    def _answer(self, answer: Answer | None) -> list[Event]:
+        s = self._session
+        match answer:
+            case Served():
+                self._token = self._token.join(answer.token)
+                if not answer.result.columns:
+                    return s.ok(affected=answer.result.affected)
+                return s.result(*shown(answer.result))
+            case Spurned():
+                return s.error(*AT_FAULT, answer.message)
+            case Refused():
+                wait = (
+                    f"; try again after {answer.retry_after_us / 1000:.0f} ms"
+                    if answer.retry_after_us
+                    else ""
+                )
+                return s.error(*REFUSED, f"{answer.reason}, nothing took effect{wait}")
+            case Failed():
+                return s.error(*UNKNOWN_EFFECT, answer.reason)
+            case None:
+                return s.error(*LATE, "no answer came in time; a write may have taken effect")
+
+
+def unsupported(reading: Reading) -> str:
+    """Why a statement cannot be served by itself; empty if it can be."""
+    if reading.kind is Kind.WRITE or reading.replica:
+        return ""
+    if reading.kind is Kind.READ:
+        return f"depends on its connection ({', '.join(sorted(reading.depends))}), which is not supported yet"
+    if reading.kind is Kind.TRANSACTION:
+        return "transactions are not supported yet"
+    if reading.kind is Kind.LOCKING_READ:
+        return "locking reads need transactions, which are not supported yet"
+    return f"not supported yet: {reading.kind.value} ({reading.reason})"
+
+
+TYPES = {
+    "integer": ColumnType.LONGLONG,
+    "real": ColumnType.DOUBLE,
+    "text": ColumnType.VAR_STRING,
+    "blob": ColumnType.BLOB,
+}
+
+
+def shown(result: values_pb2.ResultSet) -> tuple[list[Column], list[list[Value]]]:
+    """Columns and rows. A column's type is that of its values, text where they differ."""
+    rows: list[list[Value]] = []
+    kinds: list[set[str]] = [set() for _ in result.columns]
+    for row in result.rows:
+        values: list[Value] = []
+        for at, value in enumerate(row.values):
+            kind = value.WhichOneof("kind")
+            if kind in (None, "null"):
+                values.append(None)
+                continue
+            kinds[at].add(kind)
+            values.append(getattr(value, kind))
+        rows.append(values)
+    columns = [
+        Column(name, TYPES[next(iter(seen))] if len(seen) == 1 else ColumnType.VAR_STRING)
+        for name, seen in zip(result.columns, kinds, strict=True)
+    ]
+    return columns, rows
+
+
+def nonce() -> bytes:
+    """Fresh bytes without NUL."""
+    return bytes(1 + secrets.randbelow(127) for _ in range(NONCE_BYTES))
--- a/juniperreel/settings/edge.py
+++ b/juniperreel/settings/edge.py
@@ -91,6 +91,17 @@
         },
         needed=False,
     ),
+    "mysql": Kind(
+        {
+            "listen": one(address),
+            "user": Field((word, Path), many=True),
+            "read": one(word),
+            "write": one(word),
+            "tenant": one(word, ""),
+            "connections": one(whole, 1000),
+        },
+        needed=False,
+    ),
     "token": Kind({"key": Field((whole, Path), many=True), "skew": one(duration)}),
     "log": Kind(
         {
@@ -103,6 +114,18 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class MysqlSettings:
+    """Of the MySQL front; `users` are names and passwords, `read` and `write` names of classes."""
+
+    listen: Address
+    users: tuple[tuple[str, bytes], ...]
+    read: str
+    write: str
+    tenant: str
+    connections: int
+
+
 @dataclass(frozen=True, slots=True)
 class EdgeSettings:
     """All that an edge is started with. Spans are microseconds."""
@@ -131,6 +154,7 @@
     log_form: str
     log_level: str
     spans: Path | None
+    mysql: MysqlSettings | None
 
 
 def read_edge(path: Path) -> EdgeSettings:
@@ -147,9 +171,10 @@
         raise SettingsError(file, problems)
     keys = read_keys(found["token"][0], folder, problems)
     check(found, problems)
+    mysql = read_mysql(found, folder, problems)
     if problems:
         raise SettingsError(file, problems)
-    return typed(found, keys, folder)
+    return typed(found, keys, folder, mysql)
 
 
 def read_keys(token: Reader, folder: Path, problems: list[Problem]) -> tuple[tuple[int, bytes], ...]:
@@ -173,6 +198,43 @@
     return tuple(keys)
 
 
+def read_mysql(found: dict[str, list[Reader]], folder: Path, problems: list[Problem]) -> MysqlSettings | None:
+    section = found["mysql"][0]
+    if "listen" not in section.values:
+        return None
+    users = []
+    for name, path in section["user"]:
+        try:
+            password = (folder / path).read_bytes().strip()
+        except OSError as error:
+            problems.append(
+                Problem(section.at("user"), f"user {name}: {path} cannot be read: {error.strerror}")
+            )
+            continue
+        if not password:
+            problems.append(Problem(section.at("user"), f"user {name}: {path} holds no password"))
+        users.append((name, password))
+    classes = {c.name: c["consistency"][0] for c in found["class"]}
+    for use, writes in (("read", False), ("write", True)):
+        name = section[use]
+        if name not in classes:
+            problems.append(Problem(section.at(use), f"{use}: no class is called {name!r}"))
+        elif (classes[name] == "write") != writes:
+            what = "writes" if not writes else "does not write"
+            problems.append(Problem(section.at(use), f"{use}: class {name} {what}", 5 if writes else 2))
+    tenants = [t.name for t in found["tenant"]]
+    if section["tenant"] not in (tenants or [""]):
+        problems.append(Problem(section.at("tenant"), f"tenant: one of {', '.join(tenants)} is needed"))
+    return MysqlSettings(
+        listen=section["listen"],
+        users=tuple(users),
+        read=section["read"],
+        write=section["write"],
+        tenant=section["tenant"],
+        connections=section["connections"],
+    )
+
+
 def request_class(section: Reader) -> ui.RequestClass:
     effect = section["effect"]
     consistency = section["consistency"]
@@ -190,7 +252,12 @@
     )
 
 
-def typed(found: dict[str, list[Reader]], keys: tuple[tuple[int, bytes], ...], folder: Path) -> EdgeSettings:
+def typed(
+    found: dict[str, list[Reader]],
+    keys: tuple[tuple[int, bytes], ...],
+    folder: Path,
+    mysql: MysqlSettings | None,
+) -> EdgeSettings:
     edge, hosts, rules = found["edge"][0], found["hosts"][0], found["rules"][0]
     limits, token, log = found["limits"][0], found["token"][0], found["log"][0]
     guard: tuple[Any, ...] = rules["members-check"]
@@ -247,4 +314,5 @@
         log_form=log["form"],
         log_level=log["level"],
         spans=folder / log["spans"] if log["spans"] else None,
+        mysql=mysql,
     )
--- a/juniperreel/settings/schema.py
+++ b/juniperreel/settings/schema.py
@@ -93,10 +93,8 @@
         if not found[name]:
             if kind.needed:
                 problems.append(Problem(1, f"section {name!r} is missing"))
-            if not kind.named:
-                found[name].append(
-                    read_section(Section(name, None, 1), kind, problems if not kind.needed else [])
-                )
+            if not kind.named:  # with its defaults; what it would need is only asked of one that is there
+                found[name].append(read_section(Section(name, None, 1), kind, []))
     return found
 
 
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -33,6 +33,7 @@
         self.folder = folder
         (folder / "day").write_text(DAY)
         (folder / "token.key").write_bytes(b"k" * 32)
+        (folder / "ada.password").write_bytes(b"love lace")
         self.standins = subprocess.Popen(
             [*COMMAND, "standins", str(folder / "day")], stdout=subprocess.PIPE, text=True
         )
@@ -123,6 +124,7 @@
 
 def test_check_says_all_that_is_wrong(tmp_path: Path) -> None:
     (tmp_path / "token.key").write_bytes(b"k" * 32)
+    (tmp_path / "ada.password").write_bytes(b"love lace")
     good = tmp_path / "good.conf"
     good.write_text(EDGE.format(hosts=7000))
     assert CliRunner().invoke(main, ["check", str(good)]).output.endswith("good; 4 classes, 1 groups\n")
--- a/tests/cli/test_configd.py
+++ b/tests/cli/test_configd.py
@@ -34,6 +34,7 @@
         self.folder = folder
         (folder / "cluster.key").write_bytes(b"k" * 32)
         (folder / "token.key").write_bytes(b"k" * 32)
+        (folder / "ada.password").write_bytes(b"love lace")
         holders = [socket.create_server(("127.0.0.1", 0)) for _ in range(3)]
         self.ports = [s.getsockname()[1] for s in holders]
         for holder in holders:
--- a/tests/e2e/test_grpcio_edge.py
+++ b/tests/e2e/test_grpcio_edge.py
@@ -52,8 +52,10 @@
     def use(channel: grpc.Channel) -> None:
         large = world.message("write", "r", "g3", idempotency_key="large")
         large.parameters[1].text = "x" * (2 << 20)
-        assert execute(channel)(large, timeout=SECONDS).attempts == 1
-        read = execute(channel)(world.message("own", "r", "g30"), timeout=SECONDS)
+        wrote = execute(channel)(large, timeout=SECONDS)
+        assert wrote.attempts == 1
+        ask = world.message("own", "r", "g30", causal_token=wrote.causal_token)
+        read = execute(channel)(ask, timeout=SECONDS)
         assert len(rows(read)[0]) == 2 << 20
         with pytest.raises(grpc.RpcError) as refused:
             execute(channel)(
--- /dev/null
+++ b/tests/e2e/test_mysql.py
@@ -0,0 +1,169 @@
+"""pymysql, unmodified, through the edge to the members."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+import pymysql
+import pytest
+import trio
+
+from tests.e2e.world import World, rows
+
+INSERT = "insert into runs (runner, id) values ('%s', '%s')"
+SELECT = "select id from runs where runner = '%s' order by number"
+
+
+def port(world: World) -> int:
+    lines = [json.loads(line) for line in (world.folder / "edge.log").read_text().splitlines()]
+    place: str = next(line["mysql"] for line in lines if line["event"] == "serving")
+    return int(place.rpartition(":")[2])
+
+
+async def using(world: World, work: Callable[[Any], Any], **options: Any) -> Any:
+    where = port(world)
+
+    def run() -> Any:
+        fields: dict[str, Any] = {"user": "ada", "password": "love lace", "autocommit": True} | options
+        with pymysql.connect(host="127.0.0.1", port=where, **fields) as connection:
+            return work(connection)
+
+    with trio.fail_after(40):
+        return await trio.to_thread.run_sync(run)
+
+
+def ask(connection: Any, text: str) -> Any:
+    with connection.cursor() as cursor:
+        cursor.execute(text)
+        return cursor.fetchall()
+
+
+async def test_a_session_sees_its_own_writes_though_replicas_lag(world: World) -> None:
+    for member in world.fleet.members.values():
+        member.copy.apply_factor = 1e5
+
+    def work(connection: Any) -> list[Any]:
+        seen = []
+        for n in range(5):
+            ask(connection, INSERT % ("m", f"w{n}"))
+            seen.append(ask(connection, SELECT % "m"))
+        connection.commit()
+        return seen
+
+    seen = await using(world, work)
+    assert [len(s) for s in seen] == [1, 2, 3, 4, 5] and seen[-1][-1] == ("w4",)
+
+
+async def test_a_token_of_one_front_is_good_at_the_other(world: World) -> None:
+    def write(connection: Any) -> str:
+        ask(connection, INSERT % ("t", "one"))
+        return str(ask(connection, "select @@juniperreel_token")[0][0])
+
+    token = await using(world, write)
+    for member in world.fleet.members.values():
+        member.copy.apply_factor = 1e5
+    read = await world.read("t", world.ring.encode(world.ring.decode_text(token)))
+    assert rows(read) == ["one"]
+    wrote = await world.write("t", rid="two")
+    given = world.ring.encode_text(world.ring.decode(wrote.causal_token))
+
+    def see(connection: Any) -> Any:
+        ask(connection, f"set @@juniperreel_token = '{given}'")
+        return ask(connection, SELECT % "t")
+
+    assert await using(world, see) == (("one",), ("two",))
+
+
+async def test_values_of_all_kinds_come_back(world: World) -> None:
+    text = "select 5, 0.25, 'née', null, count(*), coalesce(null, 'x') from runs"
+    row = (await using(world, lambda c: ask(c, text)))[0]
+    assert row[:4] == (5, 0.25, "née", None) and row[5] == "x"
+
+
+async def test_a_write_survives_its_primary_and_takes_effect_once(world: World) -> None:
+    old = world.primary
+    old.breaking = 1.0
+
+    async def end() -> None:
+        with trio.fail_after(10):
+            while not world.commits("k"):
+                await trio.sleep(0.01)
+        await trio.sleep(0.1)
+        old.kill()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(end)
+        text = "insert into runs (runner, id) values ('k', 'k') /* rid k */"
+        shown = await using(world, lambda c: (ask(c, text), ask(c, SELECT % "k"))[1])
+    assert shown == (("k",),)
+
+
+@pytest.mark.parametrize(
+    ("text", "code"),
+    [
+        ("begin", 1235),
+        ("set autocommit = 0", 1235),
+        ("select * from runs for update", 1235),
+        ("select get_lock('a', 1)", 1235),
+        ("select last_insert_id()", 1235),
+        ("set @a = 1", 1235),
+        ("select 1; select 2", 1235),
+        ("/*!50000 delete from runs */", 1235),
+        ("select from", 1235),
+        ("select * from nowhere", 1064),
+        ("select 1 /* group 7 */", 1064),
+        ("set @@juniperreel_token = 'forged'", 1231),
+    ],
+)
+async def test_what_is_not_served_is_refused_by_name(world: World, text: str, code: int) -> None:
+    def work(connection: Any) -> None:
+        with pytest.raises(pymysql.err.MySQLError) as refused:
+            ask(connection, text)
+        assert refused.value.args[0] == code, refused.value.args
+        assert ask(connection, "select 1") == ((1,),)  # the connection lives on
+
+    await using(world, work)
+
+
+async def test_refusals_name_the_wait_and_strangers_are_turned_away(world: World) -> None:
+    ahead = world.ring.encode_text(world.ring.decode(world.token(world.clock.now_us() + 3_600_000_000)))
+
+    def work(connection: Any) -> None:
+        ask(connection, f"set @@juniperreel_token = '{ahead}'")
+        with pytest.raises(pymysql.err.MySQLError) as refused:
+            ask(connection, "select 1")
+        assert refused.value.args[0] == 1205 and "after 300 ms" in refused.value.args[1]
+
+    await using(world, work)
+    with pytest.raises(pymysql.err.OperationalError, match="Access denied"):
+        await using(world, lambda c: None, password="wrong")
+
+
+async def test_a_client_that_leaves_in_the_middle_ends_its_request(world: World) -> None:
+    for member in world.fleet.members.values():
+        member.hung = True
+    where = port(world)
+
+    def leave() -> None:
+        options: dict[str, Any] = {"user": "ada", "password": "love lace", "autocommit": True}
+        connection: Any = pymysql.connect(host="127.0.0.1", port=where, read_timeout=0.3, **options)
+        with pytest.raises(pymysql.err.OperationalError):
+            ask(connection, "select 1")
+
+    await trio.to_thread.run_sync(leave)
+    with trio.fail_after(10):
+        while world.edge.driver._open:
+            await trio.sleep(0.01)
+
+
+async def test_connections_beyond_the_limit_are_told_so(world: World) -> None:
+    streams = [await trio.open_tcp_stream("127.0.0.1", port(world)) for _ in range(50)]
+    for stream in streams:
+        assert await stream.receive_some(1000)
+    with pytest.raises(pymysql.err.OperationalError) as refused:
+        await using(world, lambda c: None)
+    assert refused.value.args[0] == 1040
+    for stream in streams:
+        await stream.aclose()
--- a/tests/e2e/world.py
+++ b/tests/e2e/world.py
@@ -85,6 +85,12 @@
 [token]
 key 1 token.key
 skew 30ms
+[mysql]
+listen 127.0.0.1:0
+user ada ada.password
+read own
+write write
+connections 50
 """
 
 
@@ -104,6 +110,7 @@
 
     async def run(self, task_status: trio.TaskStatus[World] = trio.TASK_STATUS_IGNORED) -> None:
         (self.folder / "token.key").write_bytes(KEY)
+        (self.folder / "ada.password").write_bytes(b"love lace\n")
         async with trio.open_nursery() as nursery:
             await nursery.start(self.fleet.run)
             text = EDGE.format(hosts=self.fleet.hosts.port)
--- a/tests/settings/test_edge.py
+++ b/tests/settings/test_edge.py
@@ -43,6 +43,21 @@
     assert settings.saved_list == folder / "edge-1.hosts"
 
 
+MYSQL = """[mysql]
+listen 127.0.0.1:3306
+user ada token.key
+read own-read
+write run-write
+tenant fastlap
+[log]"""
+
+
+def test_the_mysql_section_is_read(folder: Path) -> None:
+    settings = parse_edge(GOOD.replace("[log]", MYSQL).encode(), "edge.conf", folder)
+    assert settings.mysql is not None
+    assert settings.mysql.users == (("ada", b"k" * 32),) and settings.mysql.connections == 1000
+
+
 # A change to the example, the line's text that is blamed, the reason, and the rule.
 BAD = [
     ("attempts 6", "attempts six", "attempts six", "not a whole number", None),
@@ -81,6 +96,11 @@
     ("[class own-read]", "[class]", "[class]", "needs a name", None),
     ("name edge-1", 'name "edge-1', 'name "edge-1', "not closed", None),
     ("name edge-1", "name edge-1\x01", "name edge-1", "control character", None),
+    ("[log]", "[mysql]\n[log]", "[mysql]", "listen is missing", None),
+    ("[log]", MYSQL.replace("read own-read", "read run-write"), "read run-write", "run-write writes", 2),
+    ("[log]", MYSQL.replace("write run-write", "write own-read"), "write own-read", "does not write", 5),
+    ("[log]", MYSQL.replace("token.key", "none"), "user ada none", "cannot be read", None),
+    ("[log]", MYSQL.replace("tenant fastlap", ""), "[mysql]", "tenant: one of", None),
     ("[edge]", "stray 1\n[edge]", "stray 1", "before the first section", None),
 ]
 
