Test: a leader whose disk stands still for seconds finds another and follows it

Pauses were judged in schedules only. On sockets a paused leader is replaced, its own proposal is told as applied or not, and the cluster agrees with what was told.

--- a/tests/raft/test_cluster.py
+++ b/tests/raft/test_cluster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import time
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -18,10 +19,11 @@
 from juniperreel.proto.raft.v1 import raft_pb2
 from juniperreel.raft import wire
 from juniperreel.raft.configuration import model
-from juniperreel.raft.configuration.machine import SetGroup, SetLimit
+from juniperreel.raft.configuration.machine import SetGroup, SetLimit, encode_command
 from juniperreel.raft.configuration.model import GroupInfo
+from juniperreel.raft.node import Superseded
 from juniperreel.raft.storage import Storage, StorageError
-from juniperreel.raft.types import Members, TimeoutNow
+from juniperreel.raft.types import Members, NotLeader, Rejected, TimeoutNow
 from juniperreel.rpc.status import Code, RpcError
 from tests.driver.test_driver import options as driver_options
 from tests.raft.cluster import KEY, Cluster
@@ -139,6 +141,39 @@
     await three.leader()
 
 
+async def test_a_leader_paused_for_seconds_finds_another_and_follows_it(three: Cluster) -> None:
+    """Its disk stands still: nothing leaves it, and what it was asked meanwhile does not count by itself."""
+    leader = await three.leader()
+    others = [n for n in three.names if n != leader]
+    storage = three.instances[leader].storage
+    write = storage.write
+
+    def slow(persist: Any) -> None:
+        time.sleep(2)
+        write(persist)
+
+    storage.write = slow  # type: ignore[method-assign]
+    stuck: list[str] = []
+
+    async def ask() -> None:
+        try:
+            data = encode_command(three.command(SetLimit("edges", 8), client="stuck"))
+            await three.instances[leader].node.propose(data)
+            stuck.append("applied")
+        except (NotLeader, Rejected, Superseded):
+            stuck.append("not applied")
+
+    three.nursery.start_soon(ask)
+    await three.leader(others)
+    outcome = await three.set(SetLimit("attempts", 3))
+    storage.write = write  # type: ignore[method-assign]
+    with trio.fail_after(10):
+        while three.instances[leader].node.machine.now.version < outcome.version or not stuck:
+            await trio.sleep(0.01)
+    assert not three.instances[leader].node.core.is_leader
+    assert (await three.client.get()).limits["edges"] == (8 if stuck == ["applied"] else 3)
+
+
 async def test_all_killed_at_once_come_back_with_all_that_was_confirmed(three: Cluster) -> None:
     for n in range(5):
         await three.set(SetLimit("attempts", 2 + n))
