--- a/juniperreel/cli/configd.py
+++ b/juniperreel/cli/configd.py
@@ -30,7 +30,7 @@
 from juniperreel.rpc.status import RpcError
 from juniperreel.settings import SettingsError, read_edge
 from juniperreel.settings.configd import InstanceSettings, read_instance
-from juniperreel.telemetry import make_log
+from juniperreel.telemetry.log import make_log
 
 SERVICES = (
     SERVICE,
--- a/juniperreel/cli/edge.py
+++ b/juniperreel/cli/edge.py
@@ -27,7 +27,9 @@
 from juniperreel.rpc.limits import Limits
 from juniperreel.rpc.server import Server
 from juniperreel.settings import EdgeSettings
-from juniperreel.telemetry import Metrics, Traces, make_log
+from juniperreel.telemetry.log import make_log
+from juniperreel.telemetry.metrics import Metrics
+from juniperreel.telemetry.traces import Traces
 
 SERVICES = (SERVICE, "grpc.health.v1.Health", "grpc.reflection.v1.ServerReflection")
 
--- a/juniperreel/cli/worker.py
+++ b/juniperreel/cli/worker.py
@@ -22,7 +22,7 @@
 from juniperreel.net.handover import HandedNetwork, Handover
 from juniperreel.settings import EdgeSettings, SettingsError
 from juniperreel.settings.edge import parse_edge
-from juniperreel.telemetry import make_log
+from juniperreel.telemetry.log import make_log
 from juniperreel.workers.parent import DRAIN, GRPC, MYSQL, Told, ignore_interrupts
 
 TELL_S = 0.1
--- a/juniperreel/cli/workers.py
+++ b/juniperreel/cli/workers.py
@@ -16,7 +16,7 @@
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.settings import EdgeSettings, SettingsError
 from juniperreel.settings.edge import parse_edge
-from juniperreel.telemetry import make_log
+from juniperreel.telemetry.log import make_log
 from juniperreel.workers.parent import GRPC, MYSQL, Parent, Plan
 
 FIXED = ("listen", "metrics", "mysql_listen")  # what a running parent cannot change
--- a/juniperreel/driver/driver.py
+++ b/juniperreel/driver/driver.py
@@ -37,7 +37,8 @@
 from juniperreel.rpc.channel import Broken, NeverSent
 from juniperreel.rpc.status import Code, RpcError
 from juniperreel.rules import Router
-from juniperreel.telemetry import Metrics, Traces
+from juniperreel.telemetry.metrics import Metrics
+from juniperreel.telemetry.traces import Traces
 
 CALL_ERRORS = (ConnectError, NeverSent, Broken, RpcError, Fault)
 STALL_US = 150_000  # a timer this late is told in metrics; what to make of it is the module's business
--- a/juniperreel/driver/mysqlmembers.py
+++ b/juniperreel/driver/mysqlmembers.py
@@ -43,7 +43,7 @@
 from juniperreel.pool.result import Result, Statement
 from juniperreel.pool.state import SessionState, replay
 from juniperreel.rpc.channel import Broken, NeverSent
-from juniperreel.telemetry import Metrics
+from juniperreel.telemetry.metrics import Metrics
 
 TICK_S = 1.0
 KILLS = 8  # that wait for one member's ear
--- /dev/null
+++ b/juniperreel/platform/__init__.py
@@ -0,0 +1,4 @@
+"""The real driver on the operators' platform: configuration, discovery, clients, members, signals, descriptors.
+
+Decides nothing on routing: that is the module's, hosted by `hosting`.
+"""
--- /dev/null
+++ b/juniperreel/platform/driver.py
@@ -0,0 +1,281 @@
+"""The platform's driver: one router, its clients, its members and discovery, on one task.
+
+Clients' requests and members' replies become the module's events at once; the module's actions become bytes in the
+same turn. Nothing here chooses a member, repeats an attempt or gives a request up.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from functools import partial
+from typing import Any
+
+from juniperreel import interface as ui
+from juniperreel.hosting import RouterLoop
+from juniperreel.interface import Consistency, Effect, Outcome
+from juniperreel.platform import facts
+from juniperreel.platform.alarms import Alarms
+from juniperreel.platform.budget import Budget
+from juniperreel.platform.config import Config
+from juniperreel.platform.endpoints import Endpoints
+from juniperreel.platform.front import Client, Front, Spurned
+from juniperreel.platform.links import Dial, Ended, Job, MemberLinks
+from juniperreel.postgres import server
+from juniperreel.postgres.form import Form, with_span
+from juniperreel.postgres.messages import READY
+
+SWEEP_US = 250_000
+PROBE_US = 250_000  # a probe that says nothing by then has failed
+RECENT_IDS = 20_000  # answered requests whose ids are still refused to others
+REPORT = b"SHOW pressure"
+NO_IDS: tuple[str, ...] = ()
+
+
+class Open:
+    """A request in hand."""
+
+    __slots__ = ("attempts", "client", "deadline_us", "form", "out")
+
+    def __init__(self, form: Form, client: Client, deadline_us: int) -> None:
+        self.form, self.deadline_us = form, deadline_us
+        self.client: Client | None = client  # None once it is answered, or has left
+        self.attempts = 0
+        self.out: dict[int, Job] = {}
+
+
+class PlatformDriver(RouterLoop[ui.Event]):
+    """`turn` does all that is due. `discover` carries out what the module asks of discovery."""
+
+    def __init__(
+        self,
+        config: Config,
+        now: Callable[[], int],
+        dial: Dial,
+        discover: Callable[[bool | None], None],
+        log: Any,
+    ) -> None:
+        super().__init__(config.router, config.seed)
+        self.config, self.now, self.log = config, now, log
+        self._discover = discover
+        self.settings = config.router
+        self.arrived_us = now()  # since when what is read now may have waited
+        self._classes = {c.name: i for i, c in enumerate(config.router.classes)}
+        self._tenants = {t.name: i for i, t in enumerate(config.router.tenants)}
+        self.alarms = Alarms()
+        self.budget = Budget(config.limits.sockets)
+        self.links = MemberLinks(
+            dial, now, self.alarms, self.budget, config.connect_timeout_us, config.conn_idle_us
+        )
+        self.front = Front(self, now, self.budget)
+        self.open: dict[str, Open] = {}
+        self._recent: dict[str, None] = {}
+        self._groups: set[int] = set()
+        self._known: dict[str, ui.Readiness] = {}
+        self.alarms.at(now() + SWEEP_US, self._sweep)
+
+    # Its turn.
+
+    def due(self) -> int | None:
+        times = [t for t in (self.timer_due(), self.alarms.due()) if t is not None]
+        return min(times) if times else None
+
+    def turn(self) -> None:
+        """What is due and what came: until nothing is left."""
+        now = self.now()
+        self.alarms.ring(now)
+        while self.batch(now) and self.inbox:
+            now = self.now()
+
+    def _sweep(self) -> None:
+        now = self.now()
+        self.alarms.at(now + SWEEP_US, self._sweep)
+        self.front.sweep()
+        self.links.sweep()
+        for name in [n for n, item in self.open.items() if item.client and now > item.deadline_us + SWEEP_US]:
+            # Danger: a flaw of the module must not leave a client without an answer for ever.
+            self.log.error("a request was left over", request=name)
+            self._answer(name, server.failed("58000", "the time is up"))
+            self.put(ui.RequestGone(name))
+
+    # Requests.
+
+    def take(self, client: Client, form: Form) -> None:
+        cls = self._classes.get(form.cls)
+        if cls is None:
+            raise Spurned("42704", "no such class")
+        kind = self.settings.classes[cls]
+        tenant = 0
+        if form.tenant is not None and self.settings.tenants:
+            if form.tenant not in self._tenants:
+                raise Spurned("42704", "no such tenant")
+            tenant = self._tenants[form.tenant]
+        if form.write != (kind.consistency is Consistency.WRITE):
+            raise Spurned("42501", "the class does not go with the statement")
+        if kind.effect is Effect.KEYED and form.idempotency is None:
+            raise Spurned("42601", "the class needs a key")
+        if form.group not in self._groups:
+            raise Spurned("3D000", "no such cluster")
+        if form.id in self.open or form.id in self._recent:
+            raise Spurned("42710", "the id is another request's")
+        session = form.key if kind.consistency in (Consistency.WRITE, Consistency.SESSION) else None
+        deadline = self.arrived_us + form.span_ms * 1000
+        age = None
+        if form.after_ms and kind.consistency is Consistency.SESSION:
+            age = max(self.now() - form.after_ms * 1000, 0)
+        self.open[form.id] = Open(form, client, deadline)
+        client.request = form.id
+        self.put(
+            ui.Request(
+                id=form.id,
+                cls=cls,
+                tenant=tenant,
+                group=form.group,
+                deadline_us=deadline,
+                session=session,
+                session_age_us=age,
+                repeat=form.retry,
+            )
+        )
+
+    def gone(self, client: Client) -> None:
+        name, client.request = client.request, None
+        item = self.open.get(name) if name is not None else None
+        if name is not None and item is not None and item.client is client:
+            item.client = None
+            self.put(ui.RequestGone(name))
+            self._forget(name, item)
+
+    def _answer(self, name: str, data: bytes) -> None:
+        """The first answer is the final one; there is no second."""
+        item = self.open.get(name)
+        if item is None or item.client is None:
+            return
+        client, item.client = item.client, None
+        self._forget(name, item)
+        client.answer(data)
+
+    def _forget(self, name: str, item: Open) -> None:
+        if item.client is None and not item.out and self.open.pop(name, None) is not None:
+            # Danger: whoever sends the id of a request that was just answered would have it run again.
+            self._recent[name] = None
+            if len(self._recent) > RECENT_IDS:
+                del self._recent[next(iter(self._recent))]
+
+    # What the module says.
+
+    def events(self, happened: list[ui.Event], now: int) -> list[ui.Event]:
+        return happened
+
+    def send(self, request: str, member: str, timeout_us: int, now: int) -> None:
+        item = self.open.get(request)
+        if item is None:
+            return
+        number = item.attempts
+        item.attempts += 1
+        until = min(now + timeout_us, item.deadline_us) if timeout_us else item.deadline_us
+        form = item.form
+
+        def text() -> bytes:
+            return with_span(form.text, max((until - self.now()) // 1000, 1))
+
+        job = Job(text, partial(self._ended, request, number, member, now))
+        item.out[number] = job
+        if item.client is None:
+            job.end(Outcome.NOT_SENT)  # rule 1: nothing goes out after the final answer
+            return
+        self.alarms.at(until, partial(self.links.give_up, job, False))
+        self.links.run(member, job)
+
+    def _ended(self, request: str, number: int, member: str, started_us: int, ended: Ended) -> None:
+        item = self.open[request]
+        item.out.pop(number, None)
+        reply, finished = ended.reply, False
+        if ended.outcome is Outcome.OK and reply is not None:
+            finished = True
+            self._answer(request, reply.rows + READY)
+        parameters = reply.parameters if reply is not None else {}
+        self.put(
+            ui.AttemptEnded(
+                request=request,
+                attempt=number,
+                member=member,
+                outcome=ended.outcome,
+                took_us=max(self.now() - started_us, 0),
+                finished=finished or item.client is None,
+                role=facts.role(parameters),
+                position_us=facts.position_us(parameters),
+                report=facts.report(parameters.get("pressure")),
+            )
+        )
+        self._forget(request, item)
+
+    def cancel(self, request: str, number: int) -> None:
+        item = self.open.get(request)
+        job = item.out.get(number) if item is not None else None
+        if job is not None:
+            self.links.give_up(job, True)
+
+    def refuse(self, request: str, wait_us: int, now: int) -> None:
+        self._answer(request, server.refused("not taken; trying again does no harm", -(-wait_us // 1000)))
+
+    def fail(self, request: str) -> None:
+        self._answer(request, server.failed("08007", "the effect is unknown"))
+
+    def probe(self, member: str) -> None:
+        started = self.now()
+
+        def done(ended: Ended) -> None:
+            value = ended.reply.value if ended.reply is not None else None
+            report = facts.report(value.decode("utf-8", "replace")) if value else None
+            self.put(ui.ProbeEnded(member, ended.outcome, self.now() - started, report))
+
+        job = Job(lambda: REPORT, done)
+        self.alarms.at(started + PROBE_US, partial(self.links.give_up, job, False))
+        self.links.run(member, job)
+
+    def subscribe(self, on: bool) -> None:
+        self._discover(on)
+
+    def fetch_list(self) -> None:
+        self._discover(None)
+
+    def remark(self, text: str) -> None:
+        self.log.info(text)
+
+    def late(self, by_us: int) -> None:
+        self.log.warning("stood still", late_ms=by_us // 1000)
+
+    def module_failed(self, events: Sequence[ui.Event], error: Exception) -> None:
+        self.log.error("the module failed on a batch", exc_info=error)
+        for event in events:
+            name = event.id if isinstance(event, ui.Request) else getattr(event, "request", None)
+            if name is not None:
+                self._answer(name, server.failed("58000", "the driver failed on this request"))
+
+    # Discovery.
+
+    def told(self, kind: ui.ListKind, endpoints: Endpoints | None) -> None:
+        """A list, or the failure of a call (None)."""
+        if endpoints is None:
+            self.put(ui.MemberList(ui.ListKind.FAILED, ()))
+            return
+        for member in endpoints.members:
+            self._groups.add(member.group)
+            self._known[member.id] = member.readiness
+            dial = endpoints.dials.get(member.id)
+            if member.readiness is ui.Readiness.GONE:
+                self.links.retire(member.id)
+            elif dial is not None:
+                self.links.place(member.id, dial)
+        if endpoints.whole:
+            for name in self._known.keys() - {m.id for m in endpoints.members}:
+                del self._known[name]
+                self.links.retire(name)
+        self.put(ui.MemberList(kind, endpoints.members))
+
+    # Its end.
+
+    @property
+    def quiet(self) -> bool:
+        """Nothing is in hand and nobody is connected."""
+        return not self.front.clients and not any(item.client for item in self.open.values())
--- /dev/null
+++ b/juniperreel/platform/run.py
@@ -0,0 +1,169 @@
+"""Starts the driver, keeps it turning, and minds its signals: SIGHUP reads the file anew, SIGTERM ends it gently."""
+
+from __future__ import annotations
+
+import gc
+import os
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from juniperreel import interface as ui
+from juniperreel.net import Clock, TcpNetwork
+from juniperreel.net.poll import Door, Poller, Wire, dial
+from juniperreel.platform.config import Config, ConfigError, parse
+from juniperreel.platform.discovery import Discovery
+from juniperreel.platform.driver import PlatformDriver
+from juniperreel.platform.endpoints import Endpoints, ListError, read
+from juniperreel.telemetry.log import make_log
+
+WATCH_PART = 0.5  # of the time after which a driver that asks nothing counts as told: how long a watch may wait
+WATCH_US = 5_000_000  # where the settings name no such time
+STAY_US = 600_000  # after SIGTERM connections still come, and may bring requests, for this long
+LEAVE_US = 3_500_000  # a driver that is not done by then ends all the same
+STATUS_S = 10
+
+
+class Program:
+    """Everything of one run, tied together."""
+
+    def __init__(self, config: Config, path: Path, log: Any) -> None:
+        self.config, self.path, self.log = config, path, log
+        self.clock = Clock()
+        self.poller = Poller(self.clock)
+        wait = int(config.router.ask_every_us * WATCH_PART) or WATCH_US
+        self.discovery = Discovery(
+            TcpNetwork(), config.discovery, config.zones, config.kinds, wait, self._told, log
+        )
+        self.driver = PlatformDriver(config, self.clock.now_us, self._dial, self._discover, log)
+        self.door: Door | None = None
+        self.leaving_us = 0
+
+    def _dial(self, host: str, port: int) -> Wire:
+        return dial(self.poller, host, port)
+
+    def _discover(self, on: bool | None) -> None:
+        if on is None:
+            self.discovery.fetch()
+        else:
+            self.discovery.subscribe(on)
+
+    def _told(self, kind: ui.ListKind, endpoints: Endpoints | None) -> None:
+        self.driver.told(kind, endpoints)
+        self.driver.turn()
+        self.poller.wake()
+
+    def start(self) -> None:
+        """Raises OSError where the address can't be had."""
+        try:
+            known = read(self.config.known, self.config.zones, self.config.kinds)
+            self.discovery.version = known.version
+            self.driver.told(ui.ListKind.SAVED, known)
+        except ListError as error:
+            self.log.warning("no list is known from before", error=str(error))
+            self.driver.told(ui.ListKind.SAVED, Endpoints(0, True, (), {}, 0))
+        self.driver.turn()
+        host, port = self.config.listen
+        self.door = Door(self.poller, host, port, self.driver.front.welcome)
+        self.log.info("serving", name=self.config.name, port=self.door.port)
+
+    async def serve(self) -> None:
+        """Until it has left."""
+        driver, poller = self.driver, self.poller
+        while not (self.leaving_us and self._left()):
+            due = driver.due()
+            await poller.wait(due)
+            driver.arrived_us = poller.since_us
+            poller.dispatch()
+            driver.turn()
+
+    def _left(self) -> bool:
+        gone = self.clock.now_us() - self.leaving_us
+        if gone < STAY_US:
+            return False
+        if self.door is not None and self.door.open:
+            self.door.close()
+            self.driver.front.closing = True
+        self.driver.front.close_idle()
+        return self.driver.quiet or gone > LEAVE_US
+
+    def leave(self) -> None:
+        if not self.leaving_us:
+            self.leaving_us = self.clock.now_us()
+            self.log.info("leaving")
+
+    async def reload(self) -> None:
+        """Danger: a file that is half written, or wrong, must not take the driver down or half apply."""
+        try:
+            config = parse(self.path.read_bytes())
+        except (OSError, ConfigError) as error:
+            self.log.error("the new configuration is not taken", error=str(error))
+            return
+        if config.router != self.config.router:
+            self.log.warning("the settings differ; they hold from the next start")
+        self.log.info("configuration read anew", discovery=f"{config.discovery[0]}:{config.discovery[1]}")
+        self.discovery.move(config.discovery)
+
+    async def status(self) -> None:
+        while True:
+            await trio.sleep(STATUS_S)
+            driver = self.driver
+            if self.door is not None:
+                self.door.retry()
+            self.log.info(
+                "status",
+                open=len(driver.open),
+                clients=driver.budget.clients,
+                member_connections=driver.budget.members,
+                cpu_s=round(sum(os.times()[:2]), 2),
+            )
+
+
+async def run(config: Config, path: Path, log: Any, pending: list[int]) -> int:
+    program = Program(config, path, log)
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP, signal.SIGINT) as signals:
+        async with trio.open_nursery() as nursery:
+
+            async def listen() -> None:
+                async for number in signals:
+                    await heed(number)
+
+            async def heed(number: int) -> None:
+                if number == signal.SIGHUP:
+                    await program.reload()
+                else:
+                    program.leave()
+                program.poller.wake()
+
+            await nursery.start(program.discovery.run)
+            try:
+                program.start()
+            except OSError as error:
+                log.error("the address can't be listened on", error=str(error))
+                return 1
+            for number in pending:
+                await heed(number)
+            nursery.start_soon(listen)
+            nursery.start_soon(program.status)
+            gc.collect()
+            gc.freeze()
+            await program.serve()
+            log.info("left")
+            nursery.cancel_scope.cancel()
+    return 0
+
+
+def main(pending: list[int]) -> int:
+    log = make_log(stream=sys.stderr)
+    where = os.environ.get("GW_CONFIG", "")
+    try:
+        config = parse(Path(where).read_bytes())
+    except (OSError, ConfigError) as error:
+        log.error("no configuration", path=where, error=str(error))
+        return 2
+    return trio.run(run, config, Path(where), log, pending)
+
+
--- a/tests/driver/test_driver.py
+++ b/tests/driver/test_driver.py
@@ -31,7 +31,9 @@
 from juniperreel.rpc.channel import Broken, NeverSent
 from juniperreel.rpc.limits import Limits
 from juniperreel.rpc.status import Code, RpcError, error_info
-from juniperreel.telemetry import Metrics, Traces, make_log
+from juniperreel.telemetry.log import make_log
+from juniperreel.telemetry.metrics import Metrics
+from juniperreel.telemetry.traces import Traces
 from tests.script import BY_NAME, MS, SEC, SETTINGS
 
 HISTORY = History.of([(1, 0)])
--- a/tests/e2e/world.py
+++ b/tests/e2e/world.py
@@ -21,7 +21,7 @@
 from juniperreel.standins.fleet import Fleet
 from juniperreel.standins.mysqlmember import PASSWORD, USER
 from juniperreel.standins.script import Step, parse
-from juniperreel.telemetry import make_log
+from juniperreel.telemetry.log import make_log
 
 KEY = b"k" * 32
 EXECUTE = "/juniperreel.v1.Records/Execute"
--- a/tests/raft/cluster.py
+++ b/tests/raft/cluster.py
@@ -19,7 +19,7 @@
 from juniperreel.raft.storage import Storage
 from juniperreel.raft.types import Members, Message
 from juniperreel.settings.configd import InstanceSettings
-from juniperreel.telemetry import make_log
+from juniperreel.telemetry.log import make_log
 
 KEY = b"k" * 32
 
