Spoilt answers are errors, not silence; a request no member has waits half its time at most

Checked: a trace of every refusal and every attempt's end by member. Each driver was cut off from one data centre, so held requests could not be served; but run-writes waited 1164 ms of 2138 before they were refused (RequestState.horizon), and 4% of answers, spoilt, came out as RESET (links.py, spoilt), so that two in a row put a well member in doubt. Ruled out: descriptors (14 of 144 member connections), retries (budget full), a wedged pool (the same members answered the other driver). Change: spoilt answers come out as ERROR: the member did answer. The module gives up at half of a request's time where no attempt has come to a member (HOLD_PART).

--- a/juniperreel/platform/links.py
+++ b/juniperreel/platform/links.py
@@ -117,7 +117,9 @@
         self.drop()
         if job is not None:
             if self._written(job):
-                job.end(Outcome.RESET)
+                # Not RESET: it did answer. Danger: answers that are spoilt on any member alike would put one after
+                # the other in doubt as silent.
+                job.end(Outcome.ERROR)
             else:
                 job.end(Outcome.REJECTED if turned_away else Outcome.UNREACHABLE)
 
--- a/juniperreel/platform/run.py
+++ b/juniperreel/platform/run.py
@@ -68,7 +68,15 @@
         self.driver.turn()
         host, port = self.config.listen
         self.door = Door(self.poller, host, port, self.driver.front.welcome)
-        self.log.info("serving", name=self.config.name, port=self.door.port)
+        limits = self.config.limits
+        self.log.info(
+            "serving",
+            name=self.config.name,
+            port=self.door.port,
+            cores=limits.cores,
+            memory_mb=limits.memory_mb,
+            sockets=limits.sockets,
+        )
 
     async def serve(self) -> None:
         """Until it has left."""
--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -44,6 +44,7 @@
 RETRY_SHARE = 0.3  # further attempts earned by each request: retries add at most this part of load
 RETRY_BURST = 10.0  # and this many at once, for a member that dies with work in hand
 ERRORS_ELSEWHERE = 2  # quick errors at this many attempts are the request's own fault
+HOLD_PART = 0.5  # of its time a request waits at most for a member that may take it: its client can do better
 LAST_TRY_US = 10 * MS  # with less than this left no answer can arrive in time
 LATE_WORTH = 0.5  # answers worth no more when late are awaited to the aim only: longer queues make all late
 
@@ -158,6 +159,8 @@
         self.avoid: str | None = None
         self.accused: list[MemberState] = []  # answered with an error; to blame if another one serves it
         self.wake_us = now
+        self.hold_us = now + int(HOLD_PART * (ask.deadline_us - now))
+        self.reached = False  # an attempt came to a member
         self.pressure = 0.0  # on what may take it
         self.done = False
 
@@ -508,6 +511,7 @@
 
     def hopeless(self, r: RequestState) -> bool:
         end = min(r.ask.deadline_us - TICK_US, r.horizon)
+        end = end if r.reached else min(end, r.hold_us - TICK_US)
         spent = self.now + LAST_TRY_US >= end or r.attempts >= self.s.max_attempts
         if spent or r.ran_us is None:
             return spent
@@ -540,6 +544,7 @@
         m.out.pop((e.request, e.attempt), None)
         self.learn(m, r, e)
         group = self.group(r.ask.group)
+        r.reached = r.reached or e.outcome not in (Outcome.UNREACHABLE, Outcome.NOT_SENT)
         if e.outcome not in NEVER_RAN and r.ran_us is None:
             r.ran_us, r.ran_at = sent_us, m.info
         if e.outcome is Outcome.OK and r.cls.consistency is Consistency.WRITE:
