--- a/benchmarks/pool_soak.py
+++ b/benchmarks/pool_soak.py
@@ -38,7 +38,7 @@
 from juniperreel.standins.fleet import Fleet
 from juniperreel.standins.mysqlmember import PASSWORD, USER
 from juniperreel.standins.script import parse
-from juniperreel.telemetry import make_log
+from juniperreel.telemetry.log import make_log
 
 DAY = """groups 1
 members 3
--- a/juniperreel/benchlink.py
+++ b/juniperreel/benchlink.py
@@ -11,7 +11,7 @@
 import sys
 from collections.abc import Callable, Iterable, Iterator
 from decimal import ROUND_CEILING, ROUND_FLOOR, Decimal
-from typing import Any, TextIO
+from typing import TextIO
 
 from juniperreel import interface as ui
 from juniperreel.rules import Router
--- a/juniperreel/hosting/loop.py
+++ b/juniperreel/hosting/loop.py
@@ -28,16 +28,16 @@
         self._timers: list[tuple[int, int]] = []  # (due, key)
 
     def put(self, happening: Happening) -> None:
-        """The inbox needs no bound of its own: every happening belongs to an open request, an attempt, a probe
-        or the member list, and each of those is bounded."""
+        """The inbox needs no bound of its own: every happening belongs to an open request, an attempt, a
+        probe or the member list, and each of those is bounded."""
         self.inbox.append(happening)
 
     def timer_due(self) -> int | None:
         return self._timers[0][0] if self._timers else None
 
     def batch(self, now: int) -> bool:
-        """Hands the router all that happened, its timers last, and carries out what it says. False where there
-        was nothing."""
+        """Hands the router all that happened, its timers last, and carries out what it says. False where
+        there was nothing."""
         happened, self.inbox = self.inbox, []
         events = self.events(happened, now)
         while self._timers and self._timers[0][0] <= now:
--- a/juniperreel/net/poll.py
+++ b/juniperreel/net/poll.py
@@ -1,8 +1,8 @@
 """Many sockets owned by one task: readiness turned into calls, without a task for each connection.
 
-A trio task that carries a connection costs several checkpoints and cancel scopes for each message; where a driver
-has part of a core and hundreds of connections, that is most of its work. Here one task waits for an epoll that
-holds all sockets, which trio itself can wait for. Must never know what the bytes mean.
+A trio task that carries a connection costs several checkpoints and cancel scopes for each message; where a
+driver has part of a core and hundreds of connections, that is most of its work. Here one task waits for an
+epoll that holds all sockets, which trio itself can wait for. Must never know what the bytes mean.
 """
 
 from __future__ import annotations
@@ -170,8 +170,8 @@
             self._sock.close()
 
     def finish(self) -> None:
-        """End our sending and drop what still comes. Danger: closing with bytes unread resets the connection, and
-        the last words are lost on the way; whoever calls this closes soon after."""
+        """End our sending and drop what still comes. Danger: closing with bytes unread resets the
+        connection, and the last words are lost on the way; whoever calls this closes soon after."""
         self._discards = True
         self._paused = False
         try:
@@ -207,10 +207,10 @@
                 self._end(peer, error.strerror or "broken")
                 return
             self._watch()
-        if mask & (select.EPOLLERR | select.EPOLLHUP) or (self._paused and mask & select.EPOLLRDHUP):
-            if self._paused or self._discards:
-                self._end(peer, "closed")
-                return
+        over = mask & (select.EPOLLERR | select.EPOLLHUP)
+        if (self._paused and (over or mask & select.EPOLLRDHUP)) or (self._discards and over):
+            self._end(peer, "closed")
+            return
         if mask & ~select.EPOLLOUT and not self._paused and not self.closed:
             self._read(peer)
 
--- a/juniperreel/platform/__init__.py
+++ b/juniperreel/platform/__init__.py
@@ -1,4 +1,5 @@
-"""The real driver on the operators' platform: configuration, discovery, clients, members, signals, descriptors.
+"""The real driver on the operators' platform: configuration, discovery, clients, members, signals,
+descriptors.
 
 Decides nothing on routing: that is the module's, hosted by `hosting`.
 """
--- a/juniperreel/platform/discovery.py
+++ b/juniperreel/platform/discovery.py
@@ -19,7 +19,9 @@
 
 PATH = "/v1/endpoints"
 BODY_LIMIT = 8 << 20
-ANSWER_US = 1_500_000  # a call's answer is due this long after its wait; the operators' list fails calls at 2 s
+ANSWER_US = (
+    1_500_000  # a call's answer is due this long after its wait; the operators' list fails calls at 2 s
+)
 CONNECT_US = 1_000_000
 
 Tell = Callable[[ui.ListKind, Endpoints | None], None]
@@ -45,7 +47,7 @@
             while True:
                 event = http.next_event()
                 if event is h11.NEED_DATA:
-                    http.receive_data(await self._stream.receive_some(65_536))
+                    http.receive_data(bytes(await self._stream.receive_some(65_536)))
                 elif isinstance(event, h11.Response):
                     status = event.status_code
                 elif isinstance(event, h11.Data):
@@ -112,7 +114,8 @@
         self._nursery.start_soon(self._fetch)
 
     def move(self, address: tuple[str, int]) -> None:
-        """Discovery is elsewhere now. The watch goes on there at once: a subscription outlives its address."""
+        """Discovery is elsewhere now. The watch goes on there at once: a subscription outlives its
+        address."""
         if address != self._address:
             self._address = address
             self.subscribe(True)
--- a/juniperreel/platform/driver.py
+++ b/juniperreel/platform/driver.py
@@ -1,7 +1,7 @@
 """The platform's driver: one router, its clients, its members and discovery, on one task.
 
-Clients' requests and members' replies become the module's events at once; the module's actions become bytes in the
-same turn. Nothing here chooses a member, repeats an attempt or gives a request up.
+Clients' requests and members' replies become the module's events at once; the module's actions become
+bytes in the same turn. Nothing here chooses a member, repeats an attempt or gives a request up.
 """
 
 from __future__ import annotations
--- a/juniperreel/platform/endpoints.py
+++ b/juniperreel/platform/endpoints.py
@@ -1,4 +1,5 @@
-"""What discovery says, read into the module's terms. Free of I/O; lines that can't be read are counted and left out."""
+"""What discovery says, read into the module's terms. Free of I/O; lines that can't be read are counted and
+left out."""
 
 from __future__ import annotations
 
@@ -57,7 +58,9 @@
     return Endpoints(version, raw["whole"], tuple(members), dials, bad)
 
 
-def entry(line: dict[str, Any], zones: list[str], kinds: list[str]) -> tuple[ui.Member, tuple[str, int] | None]:
+def entry(
+    line: dict[str, Any], zones: list[str], kinds: list[str]
+) -> tuple[ui.Member, tuple[str, int] | None]:
     name = line["host"]
     if not isinstance(name, str) or not name:
         raise ValueError("host")
--- a/juniperreel/platform/facts.py
+++ b/juniperreel/platform/facts.py
@@ -1,4 +1,5 @@
-"""What a member tells beside its answer, in the module's terms. What can't be read is left out, never fatal."""
+"""What a member tells beside its answer, in the module's terms. What can't be read is left out, never
+fatal."""
 
 from __future__ import annotations
 
@@ -26,7 +27,8 @@
 
 
 def report(text: str | None) -> ui.Report | None:
-    """A load report as `name=value` pairs; `x0` is in Unix seconds. None where there is none, or it is spoilt."""
+    """A load report as `name=value` pairs; `x0` is in Unix seconds. None where there is none, or it is
+    spoilt."""
     if not text or len(text) > 1024:
         return None
     values: dict[str, float] = {}
--- a/juniperreel/platform/front.py
+++ b/juniperreel/platform/front.py
@@ -1,6 +1,7 @@
 """Clients' connections: commands in, answers out, in order. One command of a connection is in hand at a time.
 
-Hostile bytes are turned away here, with an error or an end; what a request means and where it goes is not known here.
+Hostile bytes are turned away here, with an error or an end; what a request means and where it goes is not
+known here.
 """
 
 from __future__ import annotations
--- a/juniperreel/platform/links.py
+++ b/juniperreel/platform/links.py
@@ -1,7 +1,8 @@
-"""Connections to members: a pool for each, last used first. Carries one request on each, and never repeats one.
+"""Connections to members: a pool for each, last used first. Carries one request on each, and never repeats
+one.
 
-What came of an attempt is told in the operators' words of outcome, read by `outcome_of`: only what certainly left
-the member untouched comes out as something that never ran.
+What came of an attempt is told in the operators' words of outcome, read by `outcome_of`: only what
+certainly left the member untouched comes out as something that never ran.
 """
 
 from __future__ import annotations
@@ -117,14 +118,15 @@
         self.drop()
         if job is not None:
             if self._written(job):
-                # Not RESET: it did answer. Danger: answers that are spoilt on any member alike would put one after
-                # the other in doubt as silent.
+                # Not RESET: it did answer. Danger: answers that are spoilt on any member alike would put
+                # one after the other in doubt as silent.
                 job.end(Outcome.ERROR)
             else:
                 job.end(Outcome.REJECTED if turned_away else Outcome.UNREACHABLE)
 
     def _written(self, job: Job | None) -> bool:
-        """Whether its last byte has gone out. Danger: a long value leaves in parts, the last from the poll."""
+        """Whether its last byte has gone out. Danger: a long value leaves in parts, the last from the
+        poll."""
         if job is not None and self.talk.phase is Phase.BUSY and not self.wire.pending:
             job.written = True
         return job is not None and job.written
--- a/juniperreel/platform/run.py
+++ b/juniperreel/platform/run.py
@@ -1,4 +1,5 @@
-"""Starts the driver, keeps it turning, and minds its signals: SIGHUP reads the file anew, SIGTERM ends it gently."""
+"""Starts the driver, keeps it turning, and minds its signals: SIGHUP reads the file anew, SIGTERM ends it
+gently."""
 
 from __future__ import annotations
 
@@ -20,7 +21,9 @@
 from juniperreel.platform.endpoints import Endpoints, ListError, read
 from juniperreel.telemetry.log import make_log
 
-WATCH_PART = 0.5  # of the time after which a driver that asks nothing counts as told: how long a watch may wait
+WATCH_PART = (
+    0.5  # of the time after which a driver that asks nothing counts as told: how long a watch may wait
+)
 WATCH_US = 5_000_000  # where the settings name no such time
 STAY_US = 600_000  # after SIGTERM connections still come, and may bring requests, for this long
 LEAVE_US = 3_500_000  # a driver that is not done by then ends all the same
@@ -173,5 +176,3 @@
         log.error("no configuration", path=where, error=str(error))
         return 2
     return trio.run(run, config, Path(where), log, pending)
-
-
--- a/juniperreel/postgres/client.py
+++ b/juniperreel/postgres/client.py
@@ -1,7 +1,7 @@
 """The side that speaks to members: one connection's state machine. Bytes in, replies out.
 
-States: welcome (the startup message is out), idle, busy (a query is out), over. A reply is whole before any of it
-is handed on: what a member sent spoilt never reaches a client.
+States: welcome (the startup message is out), idle, busy (a query is out), over. A reply is whole before
+any of it is handed on: what a member sent spoilt never reaches a client.
 """
 
 from __future__ import annotations
@@ -67,8 +67,9 @@
         return self._reply
 
     def feed(self, data: bytes) -> Reply | None:
-        """The reply, once it is whole; bytes behind it are kept and `clean` tells of them. Raises ProtocolError;
-        the connection is of no further use then. In WELCOME, the phase turning IDLE is all that is told."""
+        """The reply, once it is whole; bytes behind it are kept and `clean` tells of them. Raises
+        ProtocolError; the connection is of no further use then. In WELCOME, the phase turning IDLE is all
+        that is told."""
         self._reader.feed(data)
         while self.phase is Phase.WELCOME or self.phase is Phase.BUSY:
             found = self._reader.next(KINDS)
--- a/juniperreel/postgres/form.py
+++ b/juniperreel/postgres/form.py
@@ -1,7 +1,8 @@
-"""The operators' request form: two statements and the comment behind them. Strict: what is not exactly so is named.
+"""The operators' request form: two statements and the comment behind them. Strict: what is not exactly so
+is named.
 
-    SELECT body FROM objects WHERE oid = 'KEY' /* NAME=VALUE,... */
-    INSERT INTO objects (oid, body) VALUES ('KEY', '\\xHEX') RETURNING body /* NAME=VALUE,... */
+SELECT body FROM objects WHERE oid = 'KEY' /* NAME=VALUE,... */
+INSERT INTO objects (oid, body) VALUES ('KEY', '\\xHEX') RETURNING body /* NAME=VALUE,... */
 """
 
 from __future__ import annotations
@@ -63,7 +64,7 @@
         raise FormError("the comment is not ASCII") from None
     if any(len(pair) != 2 for pair in pairs):
         raise FormError("the comment is not names and values")
-    values = {name: value for name, value in pairs}
+    values = {pair[0]: pair[1] for pair in pairs}
     if len(values) != len(pairs) or not values.keys() <= KNOWN:
         raise FormError("the comment has a name twice, or one that is not known")
     number, span = values.get("id", ""), values.get("d", "")
--- a/juniperreel/postgres/messages.py
+++ b/juniperreel/postgres/messages.py
@@ -1,4 +1,5 @@
-"""Messages: a type byte, a length that counts itself, and the rest (PostgreSQL docs, chapter "Message Formats")."""
+"""Messages: a type byte, a length that counts itself, and the rest (PostgreSQL docs, chapter "Message
+Formats")."""
 
 from __future__ import annotations
 
@@ -41,8 +42,8 @@
         return len(self._data)
 
     def next(self, known: bytes) -> tuple[bytes, bytes] | None:
-        """The next message's type and payload, or None until more bytes come. Raises ProtocolError, for a type
-        outside `known` or a length out of range, as soon as its header is here."""
+        """The next message's type and payload, or None until more bytes come. Raises ProtocolError, for a
+        type outside `known` or a length out of range, as soon as its header is here."""
         data = self._data
         if not data:
             return None
--- a/juniperreel/postgres/server.py
+++ b/juniperreel/postgres/server.py
@@ -1,4 +1,5 @@
-"""The side that clients speak to: one connection's state machine. Bytes in, commands out; answers are made here.
+"""The side that clients speak to: one connection's state machine. Bytes in, commands out; answers are made
+here.
 
 States: startup, then ready. A query is taken only when the one before it has been answered, which the caller
 sees to by asking for the next command only then.
