A read that pressed replicas would shed goes to a primary that has room

Checked: trace of refusals with each member's pressure, position and requests out; positions were fresh and no read was held, so the refusal came from decide(): shedding looked at the drawn replica alone. Change: before such a read is given up the primary is asked, at the read's own lower threshold (PRIMARY_READ_FACTOR).

--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -496,19 +496,32 @@
             p = self.primary_of(group, r.cls.consistency is not Consistency.WRITE)
             on_primary = True
             if p is not None and self.open_to(r, p):
-                target, r.pressure = p, self.pressure(p, group)
-                if r.cls.consistency not in CURRENT and not p.press.news(self.now) and len(group.members) > 1:
-                    r.pressure = PRIMARY_UNHEARD  # danger: hundreds of routers that each think it idle
+                current = r.cls.consistency in CURRENT
+                target = p
+                r.pressure = self.pressure(p, group) if current else self.primary_pressure(p, group)
         if target is None:
             r.avoid = None
             group.held[r.ask.id] = r
             if r.cls.consistency in CURRENT and self.primary_of(group, False) is None:
                 self.look_for_primary(r, group)
         elif r.attempts == 0 and self.sheds(r, on_primary):
+            # Danger: replicas that die or hang leave the rest of their group full beside an idle primary.
+            p = None if on_primary else self.primary_of(group, True)
+            if p is not None and self.open_to(r, p):
+                r.pressure = self.primary_pressure(p, group)
+                if not self.sheds(r, True):
+                    self.send(r, p)
+                    return
             self.give_up(r)
         else:
             self.send(r, target)
 
+    def primary_pressure(self, p: MemberState, group: GroupState) -> float:
+        """What a read that may go elsewhere finds there."""
+        if not p.press.news(self.now) and len(group.members) > 1:
+            return PRIMARY_UNHEARD  # danger: hundreds of routers that each think it idle
+        return self.pressure(p, group)
+
     def hopeless(self, r: RequestState) -> bool:
         end = min(r.ask.deadline_us - TICK_US, r.horizon)
         end = end if r.reached else min(end, r.hold_us - TICK_US)
