A driver told to end serves until shortly before it is killed

The second driver left 0.9 s after SIGTERM (platform/run.py, STAY_US) when the first one was still starting: for 0.8 s nobody served. Ruled out: the listener (0 not taken), lost requests (rules kept). Change: departure.py, free of I/O: connections stay until 0.5 s before the earliest kill, and a request that comes after SIGTERM has its deadline cut to 0.2 s before it, told to the module as its deadline.

--- a/juniperreel/platform/driver.py
+++ b/juniperreel/platform/driver.py
@@ -17,6 +17,7 @@
 from juniperreel.platform.alarms import Alarms
 from juniperreel.platform.budget import Budget
 from juniperreel.platform.config import Config
+from juniperreel.platform.departure import Departure
 from juniperreel.platform.endpoints import Endpoints
 from juniperreel.platform.front import Client, Front, Spurned
 from juniperreel.platform.links import Dial, Ended, Job, MemberLinks
@@ -67,6 +68,7 @@
             dial, now, self.alarms, self.budget, config.connect_timeout_us, config.conn_idle_us
         )
         self.front = Front(self, now, self.budget)
+        self.departure = Departure(max(c.deadline_us for c in config.router.classes))
         self.open: dict[str, Open] = {}
         self._recent: dict[str, None] = {}
         self._groups: set[int] = set()
@@ -118,7 +120,7 @@
         if form.id in self.open or form.id in self._recent:
             raise Spurned("42710", "the id is another request's")
         session = form.key if kind.consistency in (Consistency.WRITE, Consistency.SESSION) else None
-        deadline = self.arrived_us + form.span_ms * 1000
+        deadline = self.departure.latest_us(self.arrived_us + form.span_ms * 1000)
         age = None
         if form.after_ms and kind.consistency is Consistency.SESSION:
             age = max(self.now() - form.after_ms * 1000, 0)
--- a/juniperreel/platform/run.py
+++ b/juniperreel/platform/run.py
@@ -25,8 +25,6 @@
     0.5  # of the time after which a driver that asks nothing counts as told: how long a watch may wait
 )
 WATCH_US = 5_000_000  # where the settings name no such time
-STAY_US = 600_000  # after SIGTERM connections still come, and may bring requests, for this long
-LEAVE_US = 3_500_000  # a driver that is not done by then ends all the same
 STATUS_S = 10
 
 
@@ -43,7 +41,6 @@
         )
         self.driver = PlatformDriver(config, self.clock.now_us, self._dial, self._discover, log)
         self.door: Door | None = None
-        self.leaving_us = 0
 
     def _dial(self, host: str, port: int) -> Wire:
         return dial(self.poller, host, port)
@@ -84,7 +81,7 @@
     async def serve(self) -> None:
         """Until it has left."""
         driver, poller = self.driver, self.poller
-        while not (self.leaving_us and self._left()):
+        while not (driver.departure.told and self._left()):
             due = driver.due()
             await poller.wait(due)
             driver.arrived_us = poller.since_us
@@ -92,18 +89,18 @@
             driver.turn()
 
     def _left(self) -> bool:
-        gone = self.clock.now_us() - self.leaving_us
-        if gone < STAY_US:
+        now, driver = self.clock.now_us(), self.driver
+        if not driver.departure.closing(now):
             return False
         if self.door is not None and self.door.open:
             self.door.close()
-            self.driver.front.closing = True
-        self.driver.front.close_idle()
-        return self.driver.quiet or gone > LEAVE_US
+            driver.front.closing = True
+        driver.front.close_idle()
+        return driver.quiet or driver.departure.over(now)
 
     def leave(self) -> None:
-        if not self.leaving_us:
-            self.leaving_us = self.clock.now_us()
+        if not self.driver.departure.told:
+            self.driver.departure.begin(self.clock.now_us())
             self.log.info("leaving")
 
     async def reload(self) -> None:
