Resets are no load; idle connections are used while they live; a cold member's budget is its own

Checked: every connection's end with how long it had been idle (a third of all resets came within 1 ms on connections idle for 150 ms or more, the settings say 15 s); belief beside outcome at each refusal (members at pressure 2 from resets alone; members back after the cut held at ramp 0.2 to 0.5 with nothing sent for 6 s). At fault: learn() counted a reset as pressure and as silence; send() took from MemberState.allow while a member was warm, so that a member that turned cold by revive() owed minutes; probe_ended() took a cut for a dead process; links.py kept idle connections for half of what the settings say, whatever became of them. Change: a reset lowers the draw only; allow is spent while cold; only a connection refused at once (REFUSED_US) means a process that is down; platform/keeping.py learns from uses how long an idle connection lives.

--- a/juniperreel/platform/links.py
+++ b/juniperreel/platform/links.py
@@ -16,12 +16,15 @@
 from juniperreel.net.poll import Wire
 from juniperreel.platform.alarms import Alarms
 from juniperreel.platform.budget import Budget
+from juniperreel.platform.keeping import Keeping
 from juniperreel.postgres.client import ClientConnection, Phase, Reply
 from juniperreel.postgres.messages import ProtocolError
 
 USER, DATABASE = "worker", "catalog"
 IDLE_PART = 0.5  # of the time after which a member closes an idle connection: ours closes well before
 
+STALE_US = 50_000  # a connection that ends so soon, without a byte of an answer, was dead before
+
 MISSES = ("25006", "72000")  # a write and this is no primary; too far behind
 TURNED_AWAY = ("53300", "57P03")
 
@@ -72,7 +75,9 @@
         self.pool, self.wire = pool, wire
         self.talk = ClientConnection(USER, DATABASE)
         self.job: Job | None = None
-        self.idle_us = 0
+        self.idle_us = 0  # since when it has been idle; 0 until its first answer
+        self._stood_us: int | None = None  # how long it had been idle when its request was written
+        self._asked_us = 0
         wire.peer = self
 
     def connected(self) -> None:
@@ -87,6 +92,7 @@
             return
         if reply is not None:
             self.job = None
+            self._tell_use(True)
             self._rest(reply.error is None or self.talk.phase is Phase.IDLE)
             if job is not None:
                 job.end(outcome_of(reply), reply)
@@ -109,6 +115,8 @@
         if not self.talk.clean:
             self.spoilt()
             return
+        self._asked_us = self.pool.links.now()
+        self._stood_us = self._asked_us - self.idle_us if self.idle_us else None
         self.wire.write(self.talk.ask(job.text()))
         job.written = not self.wire.pending
 
@@ -124,6 +132,10 @@
             else:
                 job.end(Outcome.REJECTED if turned_away else Outcome.UNREACHABLE)
 
+    def _tell_use(self, answered: bool) -> None:
+        if self._stood_us is not None:
+            self.pool.links.keeping.used(self.pool.links.now(), self._stood_us, answered)
+
     def _written(self, job: Job | None) -> bool:
         """Whether its last byte has gone out. Danger: a long value leaves in parts, the last from the
         poll."""
@@ -135,6 +147,8 @@
         job, self.job = self.job, None
         written = self._written(job)
         reply = self.talk.so_far
+        if written and not self.talk.answering and self.pool.links.now() - self._asked_us < STALE_US:
+            self._tell_use(False)
         self.drop()
         if job is None:
             return
@@ -184,7 +198,8 @@
     def run(self, job: Job) -> None:
         while self.idle:
             connection = self.idle.pop()
-            if connection.wire.quiet() and connection.talk.clean:
+            stood = self.links.now() - connection.idle_us
+            if self.links.keeping.allows(stood) and connection.wire.quiet() and connection.talk.clean:
                 connection.start(job)
                 return
             connection.drop()
@@ -236,6 +251,7 @@
         self.dial, self.now, self.alarms, self.budget = dial, now, alarms, budget
         self.connect_us = connect_us
         self._idle_us = int(idle_us * IDLE_PART)
+        self.keeping = Keeping()
         self.pools: dict[str, MemberPool] = {}
 
     def place(self, member: str, address: tuple[str, int]) -> None:
@@ -278,7 +294,7 @@
 
     def sweep(self) -> None:
         """Ends what has been idle long: a member closes it soon, and a request written then would be lost."""
-        before = self.now() - self._idle_us
+        before = self.now() - min(self._idle_us, self.keeping.limit_ms * 1000)
         for pool in self.pools.values():
             for connection in [c for c in pool.idle if c.idle_us < before]:
                 connection.drop()
--- a/juniperreel/platform/run.py
+++ b/juniperreel/platform/run.py
@@ -74,6 +74,8 @@
             cores=limits.cores,
             memory_mb=limits.memory_mb,
             sockets=limits.sockets,
+            idle_s=self.config.conn_idle_us / 1_000_000,
+            connect_s=self.config.connect_timeout_us / 1_000_000,
         )
 
     async def serve(self) -> None:
--- a/juniperreel/postgres/client.py
+++ b/juniperreel/postgres/client.py
@@ -61,6 +61,11 @@
         """Whether nothing came beyond what was asked for."""
         return self.phase is Phase.IDLE and not self._reader.held
 
+    @property
+    def answering(self) -> bool:
+        """Whether anything has come for the query that is out."""
+        return bool(self._reader.held or self._described or self._reply.parameters or self._reply.error)
+
     @property
     def so_far(self) -> Reply:
         """The reply as far as it came: an error counts although the connection ended behind it."""
--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -72,6 +72,7 @@
 PEAK_MEMORY_US = 60 * SEC  # what warm members could carry a minute ago they mostly still can
 
 # Probes.
+REFUSED_US = 100 * MS  # a connection refused so soon: no process listens; silence takes longer
 LOOKS = 4  # members probed, one after another, for a read that finds no position it may go by
 LOOK_US = 50 * MS  # a read is held this long for a probe's answer, or for members to have news
 PASSED_US = 5 * SEC  # a passed probe vouches for a suspect member for this long
@@ -141,6 +142,7 @@
         """Danger: after its process was down, as failed probes show, it is cold before a list says so."""
         if self.down_us and now - self.down_us > SEC:
             self.cold_us = max(self.cold_us, now)
+            self.allow_us = now
         self.suspect, self.down_us = False, 0
 
 
@@ -549,7 +551,8 @@
     def send(self, r: RequestState, m: MemberState) -> None:
         r.out[r.attempts] = (self.now, m)
         m.out[(r.ask.id, r.attempts)] = self.now, r.cls.aim_us
-        m.allow -= 1
+        if self.ramp(m) < 1.0:
+            m.allow -= 1  # danger: what it was sent while warm would keep it waiting for minutes
         timeout = min(r.ask.deadline_us, r.horizon) - self.now
         if not self.s.cancelling:
             timeout = min(timeout, int(self.stats[r.ask.cls].overdue_us()))
@@ -621,6 +624,13 @@
             self.press(m, group, LOST_PRESSURE)
         elif e.outcome not in (Outcome.MISS, Outcome.NOT_SENT) and not self.stalled and not r.done:
             refused, withdrawn = e.outcome is Outcome.UNREACHABLE, e.outcome is Outcome.CANCELLED
+            if e.outcome is Outcome.RESET:
+                # Danger: connections that break here and there are no load, and no silence: members that
+                # lose one in ten would be shed and in doubt all day. One that died refuses the next
+                # connection.
+                m.srtt = min(m.srtt * LOST_PENALTY, SRTT_CAP_US)
+                m.ok_share *= OK_MEMORY
+                return
             if not refused:
                 self.press(m, group, e.took_us / r.cls.aim_us if withdrawn else LOST_PRESSURE)
             if not withdrawn or m.heard_us < self.now - e.took_us:
@@ -703,7 +713,9 @@
         group = self.group(m.info.group)
         m.passed_us = self.now if e.outcome is Outcome.OK else m.passed_us
         if e.outcome in (Outcome.UNREACHABLE, Outcome.RESET, Outcome.TIMEOUT) and not self.stalled:
-            m.down_us, m.passed_us = m.down_us or self.now, NEVER
+            # Danger: a member that was only cut off is warm, and would be taken for cold when it is back.
+            dead = e.outcome is Outcome.UNREACHABLE and e.took_us < REFUSED_US
+            m.down_us, m.passed_us = (m.down_us or self.now) if dead else m.down_us, NEVER
             m.suspend(self.now)
         report = e.report or ui.Report()
         self.saw_report(m, report)
