Attempts cut short by a client's little time are no lost answers

Checked: trace of refusals. The pressure came from time-outs of those short tries, each counted as an answer lost at twice the aim (rules.py, learn()). Change: a time-out before the aim counts as a withdrawn attempt does: by what it took, and as a loss only where the member was not heard meanwhile. keeping.py: four lost uses before a limit.

--- a/juniperreel/platform/keeping.py
+++ b/juniperreel/platform/keeping.py
@@ -10,7 +10,7 @@
 
 BUCKETS = 24  # by powers of two, in milliseconds
 LOST_PART = 0.1  # of uses; a new connection costs round trips and a member's work, a lost request more
-LOST_LEAST = 2.0  # one alone is chance
+LOST_LEAST = 4.0  # fewer are chance
 HALF_US = 8_000_000  # counts are halved so often: what holds now need not hold then
 
 
--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -624,6 +624,8 @@
             self.press(m, group, LOST_PRESSURE)
         elif e.outcome not in (Outcome.MISS, Outcome.NOT_SENT) and not self.stalled and not r.done:
             refused, withdrawn = e.outcome is Outcome.UNREACHABLE, e.outcome is Outcome.CANCELLED
+            # Danger: clients with little time left make members look silent and full that are neither.
+            withdrawn = withdrawn or (e.outcome is Outcome.TIMEOUT and e.took_us < r.cls.aim_us - TICK_US)
             if e.outcome is Outcome.RESET:
                 # Danger: connections that break here and there are no load, and no silence: members that
                 # lose one in ten would be shed and in doubt all day. One that died refuses the next
