--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -649,7 +649,8 @@
         m.ok_share *= OK_MEMORY
         m.losses += 1
         well = [o for o in group.members if not o.suspect and self.usable(o, group)]
-        if refused or (m.losses >= LOST_IN_A_ROW and 2 * len(well) > len(group.members)):
+        again = m.losses >= LOST_IN_A_ROW
+        if (refused and again) or (again and 2 * len(well) > len(group.members)):
             if not m.suspect:
                 self.log(f"member {m.info.id} is refusing" if refused else f"member {m.info.id} is silent")
             m.suspend(self.now)
