--- a/juniperreel/driver/driver.py
+++ b/juniperreel/driver/driver.py
@@ -1,4 +1,4 @@
-"""The driver: one task owns one router.
+"""The edge's driver: one task owns one router, by the loop that all ways into the program share.
 
 The gate says which requests are taken at all, and when. Whatever happens from then on goes into an inbox;
 the task hands all of it to the router as one batch, its timers last, and carries out the actions that come
@@ -9,10 +9,9 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Sequence
 from dataclasses import dataclass
 from itertools import count
 from typing import Any
@@ -31,17 +30,16 @@
 from juniperreel.driver.outcomes import is_statement_fault, of_error, unfinished
 from juniperreel.driver.positions import Needs, Positions, Standing
 from juniperreel.driver.work import Answer, Failed, Refused, Served, Spurned, Work, let_go
+from juniperreel.hosting import RouterLoop
 from juniperreel.interface import Consistency, Outcome
 from juniperreel.net import Clock, ConnectError, Network, Pace
 from juniperreel.net.clock import US
 from juniperreel.rpc.channel import Broken, NeverSent
 from juniperreel.rpc.status import Code, RpcError
-from juniperreel.rules import Router
 from juniperreel.telemetry.metrics import Metrics
 from juniperreel.telemetry.traces import Traces
 
 CALL_ERRORS = (ConnectError, NeverSent, Broken, RpcError, Fault)
-STALL_US = 150_000  # a timer this late is told in metrics; what to make of it is the module's business
 SAVE_EVERY_S = 1.0
 
 
@@ -116,7 +114,7 @@
     return "no member could take it in time: none is up, fresh enough or warm"
 
 
-class Driver:
+class Driver(RouterLoop[Happening]):
     """One driver. `run` must be running; then `execute` takes requests."""
 
     def __init__(
@@ -129,9 +127,9 @@
         traces: Traces,
         pace: Pace | None = None,
     ) -> None:
-        self.options, self.clock, self.log, self.metrics, self.traces = options, clock, log, metrics, traces
         rng = random.Random(options.seed)
-        self.router = Router(options.router, rng.getrandbits(64))
+        super().__init__(options.router, rng.getrandbits(64))
+        self.options, self.clock, self.log, self.metrics, self.traces = options, clock, log, metrics, traces
         self.gate = Gate(options.router, options.max_open, options.seed)
         self._pace = pace
         self._parked: dict[str, Open] = {}  # at the gate
@@ -153,9 +151,7 @@
         # whoever tells requests apart by them takes two for one.
         born = (rng.getrandbits(32) ^ clock.now_us()) & 0xFFFFFFFF
         self._prefix = f"{options.name}-{born:08x}-"
-        self._inbox: list[Happening] = []
         self._wake = trio.Event()
-        self._timers: list[tuple[int, int]] = []  # (due, key)
         self._open: dict[str, Open] = {}
         self._groups: dict[str, int] = {}  # of members
         self._gone: set[str] = set()
@@ -174,7 +170,7 @@
             if self.options.saved_list is not None and self.options.saves_list:
                 self._nursery.start_soon(self._save_lists)
             self._nursery.start_soon(self._gauges)
-            self._put(ListTold(ui.ListKind.SAVED, saved))
+            self.put(ListTold(ui.ListKind.SAVED, saved))
             task_status.started()
             await self._loop()
 
@@ -228,7 +224,7 @@
             self._heed(self.gate.gone(self.clock.now_us(), item.work.id))
             self._settle()
         else:
-            self._put(ui.RequestGone(item.work.id))
+            self.put(ui.RequestGone(item.work.id))
 
     def glance(self, cls: int, tenant: int, group: int, deadline_us: int) -> Refused | None:
         """Whether a request would be turned away on its arrival: asked before anything is spent on it."""
@@ -247,7 +243,7 @@
                 case Admit(name):
                     if item is not None:
                         self._open[name] = item
-                        self._put(item)
+                        self.put(item)
                     else:
                         self._heed(self.gate.ended(self.clock.now_us(), name, None))
                 case Turn(_, reason, wait):
@@ -259,15 +255,15 @@
             self._wake.set()  # the gate's next time may have changed
             self._settle()
 
-    def _put(self, happening: Happening) -> None:
-        self._inbox.append(happening)
+    def put(self, happening: Happening) -> None:
+        super().put(happening)
         self._wake.set()
 
     # The loop.
 
     async def _loop(self) -> None:
         while True:
-            if not self._inbox:
+            if not self.inbox:
                 self._wake = trio.Event()
                 due = self._due_us()
                 with trio.CancelScope() as scope:
@@ -276,19 +272,35 @@
                     await self._wake.wait()
             else:
                 await trio.lowlevel.checkpoint()
-            self._batch()
+            self._turn()
 
     def _due_us(self) -> int | None:
-        timer = self._timers[0][0] if self._timers else None
-        gate = self.gate.due_us()
-        return min((due for due in (timer, gate) if due is not None), default=None)
+        times = (self.timer_due(), self.gate.due_us())
+        return min((due for due in times if due is not None), default=None)
 
-    def _batch(self) -> None:
+    def _turn(self) -> None:
         now = self.clock.now_us()
         if self._pace is not None:
             self.gate.lag(now, self._pace.late_us())
         self._heed(self.gate.tick(now))
-        happened, self._inbox = self._inbox, []
+        if self.batch(now):
+            self.metrics.batches.inc()
+
+    def late(self, by_us: int) -> None:
+        self.metrics.stalls.inc()
+
+    def module_failed(self, events: Sequence[ui.Event], error: Exception) -> None:
+        self.metrics.module_errors.inc()
+        self.log.error("the module failed on a batch", exc_info=error)
+        for event in events:
+            name = event.id if isinstance(event, ui.Request) else getattr(event, "request", None)
+            item = self._open.get(name) if name is not None else None
+            if item is not None:
+                self._answer(item, Failed("the edge failed on this request", item.attempts))
+
+    # What happened, in the module's words.
+
+    def events(self, happened: list[Happening], now: int) -> list[ui.Event]:
         gone = {h.request for h in happened if isinstance(h, ui.RequestGone)}
         events: list[ui.Event] = []
         for item in happened:
@@ -303,33 +315,7 @@
             else:
                 self._withdraw(item.request)
                 events.append(item)
-        while self._timers and self._timers[0][0] <= now:
-            due, key = heapq.heappop(self._timers)
-            if now - due > STALL_US:
-                self.metrics.stalls.inc()
-            events.append(ui.TimerFired(key))
-        if not events:
-            return
-        self.metrics.batches.inc()
-        try:
-            actions = self.router.handle(now, events)
-        except Exception as error:
-            # Danger: one request that trips the module must not take the edge and all others with it.
-            self.metrics.module_errors.inc()
-            self.log.error("the module failed on a batch", exc_info=error)
-            self._fail_batch(events)
-            return
-        for action in actions:
-            self._carry_out(action, now)
-
-    def _fail_batch(self, events: Iterable[ui.Event]) -> None:
-        for event in events:
-            name = event.id if isinstance(event, ui.Request) else getattr(event, "request", None)
-            item = self._open.get(name) if name is not None else None
-            if item is not None:
-                self._answer(item, Failed("the edge failed on this request", item.attempts))
-
-    # What happened, in the module's words.
+        return events
 
     def _request(self, item: Open, now: int) -> ui.Request:
         work = item.work
@@ -469,7 +455,7 @@
     # The host list.
 
     def _list_told(self, kind: ui.ListKind, hosts: list[host_list.Host]) -> None:
-        self._put(ListTold(kind, hosts))
+        self.put(ListTold(kind, hosts))
 
     def _list(self, told: ListTold) -> ui.MemberList:
         if told.kind is ui.ListKind.FAILED:
@@ -534,37 +520,37 @@
 
     # What the module says.
 
-    def _carry_out(self, action: ui.Action, now: int) -> None:
+    def cancel(self, request: str, number: int) -> None:
+        item = self._open.get(request)
+        attempt = item.out.get(number) if item is not None else None
+        if attempt is not None:
+            attempt.withdrawn = True
+            attempt.scope.cancel()
+
+    def refuse(self, request: str, wait_us: int, now: int) -> None:
+        item = self._open.get(request)
+        if item is not None:
+            self._final(request, Refused(why_given_up(item, now), wait_us))
+
+    def fail(self, request: str) -> None:
+        item = self._open.get(request)
+        attempts = item.attempts if item is not None else 0
+        self._final(request, Failed("the effect is unknown", attempts))
+
+    def probe(self, member: str) -> None:
         assert self._nursery is not None
-        match action:
-            case ui.Send(request, member, timeout):
-                self._send(request, member, timeout, now)
-            case ui.Cancel(request, number):
-                item = self._open.get(request)
-                attempt = item.out.get(number) if item is not None else None
-                if attempt is not None:
-                    attempt.withdrawn = True
-                    attempt.scope.cancel()
-            case ui.Refuse(request, wait):
-                item = self._open.get(request)
-                if item is not None:
-                    self._final(request, Refused(why_given_up(item, now), wait))
-            case ui.Fail(request):
-                item = self._open.get(request)
-                attempts = item.attempts if item is not None else 0
-                self._final(request, Failed("the effect is unknown", attempts))
-            case ui.SetTimer(after, key):
-                heapq.heappush(self._timers, (now + after, key))
-            case ui.Probe(member):
-                self._nursery.start_soon(self._probe, member)
-            case ui.Subscribe(on):
-                self.hosts.subscribe(on)
-            case ui.FetchList():
-                self.hosts.fetch()
-            case ui.Log(text):
-                self.log.info(text)
-
-    def _send(self, request: str, member: str, timeout: int, now: int) -> None:
+        self._nursery.start_soon(self._probe, member)
+
+    def subscribe(self, on: bool) -> None:
+        self.hosts.subscribe(on)
+
+    def fetch_list(self) -> None:
+        self.hosts.fetch()
+
+    def remark(self, text: str) -> None:
+        self.log.info(text)
+
+    def send(self, request: str, member: str, timeout_us: int, now: int) -> None:
         assert self._nursery is not None
         item = self._open[request]
         cls = self.options.router.classes[item.work.cls]
@@ -577,9 +563,9 @@
         item.out[attempt.number] = attempt
         if item.answer is not None:
             # Rule 1: nothing goes out after the final answer, whatever the module thinks of the request.
-            self._put(AttemptDone(attempt, Outcome.NOT_SENT, now))
+            self.put(AttemptDone(attempt, Outcome.NOT_SENT, now))
             return
-        limit = timeout or max(item.work.deadline_us - now, 0)
+        limit = timeout_us or max(item.work.deadline_us - now, 0)
         self._nursery.start_soon(self._attempt, attempt, limit)
 
     def _final(self, request: str, answer: Answer) -> None:
@@ -645,7 +631,7 @@
         if done is None:
             outcome = unfinished(attempt.sent.is_set(), attempt.withdrawn)
             done = AttemptDone(attempt, outcome, self.clock.now_us())
-        self._put(done)
+        self.put(done)
 
     async def _probe(self, member: str) -> None:
         started = self.clock.now_us()
@@ -663,4 +649,4 @@
         if done is None:
             done = ProbeDone(member, Outcome.TIMEOUT, 0)
         done.took_us = self.clock.now_us() - started
-        self._put(done)
+        self.put(done)
