--- a/juniperreel/platform/discovery.py
+++ b/juniperreel/platform/discovery.py
@@ -85,7 +85,7 @@
         tell: Tell,
         log: Log,
     ) -> None:
-        self._network, self._address, self._zones, self._kinds = network, address, zones, kinds
+        self._network, self.address, self._zones, self._kinds = network, address, zones, kinds
         self._wait_us, self._tell, self._log = wait_us, tell, log
         self.version = 0
         self._nursery: trio.Nursery | None = None
@@ -116,12 +116,12 @@
     def move(self, address: tuple[str, int]) -> None:
         """Discovery is elsewhere now. The watch goes on there at once: a subscription outlives its
         address."""
-        if address != self._address:
-            self._address = address
+        if address != self.address:
+            self.address = address
             self.subscribe(True)
 
     async def _connect(self) -> Exchange:
-        host, port = self._address
+        host, port = self.address
         stream = await self._network.connect(host, port, CONNECT_US)
         return Exchange(stream, f"{host}:{port}")
 
--- /dev/null
+++ b/tests/platform/test_driver.py
@@ -0,0 +1,278 @@
+"""The platform's driver by events: clients, members and the rules between them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from juniperreel import interface as ui
+from juniperreel.postgres import messages as m
+from juniperreel.postgres import server
+from tests.platform.peers import HELLO, MS, SEC, FakeWire, World, read_text, row, write_text
+
+IDS = [f"{n:016x}" for n in range(1, 40)]
+
+
+@pytest.fixture
+def world() -> World:
+    return World()
+
+
+def served(sent: bytes) -> bool:
+    return sent.startswith(b"T") and sent.endswith(m.READY)
+
+
+def test_a_request_goes_to_a_member_and_its_answer_back_as_it_came(world: World) -> None:
+    client = world.client(read_text(IDS[0]))
+    (call,) = world.calls()
+    query = world.up(call)
+    assert query == m.query(read_text(IDS[0], span=500))  # byte for byte, but for how long we wait
+    answer = row(b"\0\xff")
+    world.say(call, answer)
+    got = client.take()
+    assert served(got) and got[:-6] in answer and b"replication_role" not in got
+    world.say(client, m.query(read_text(IDS[1])))
+    assert len(world.dialled) in (1, 2)  # the connection is used again, where the draw says so
+
+
+def test_pipelined_commands_are_answered_in_order(world: World) -> None:
+    client = world.client(*(read_text(n) for n in IDS[:3]), b"", b"SELECT 2")
+    for n in range(3):
+        (call,) = world.calls()
+        query = world.up(call) if isinstance(call.peer, Any) and not call.sent else call.take()
+        assert IDS[n].encode() in query
+        world.say(call, row(b"%d" % n))
+    got = client.take()
+    assert [got.find(b"\0\0\0\1%d" % n) > 0 for n in range(3)] == [True] * 3
+    assert got.index(b"I\0\0\0\4") > got.index(b"\0\0\0\0012") and b"C42601" in got
+
+
+def test_the_id_of_an_open_or_an_answered_request_is_refused_and_the_first_keeps_its_answer(
+    world: World,
+) -> None:
+    first = world.client(read_text(IDS[0]))
+    second = world.client(read_text(IDS[0]))
+    assert b"C42710" in second.take() and len(world.calls()) == 1
+    (call,) = world.calls()
+    world.up(call)
+    world.say(call, row())
+    assert served(first.take())
+    assert b"C42710" in world.client(read_text(IDS[0])).take()
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        read_text(IDS[0], "nothing"),
+        read_text(IDS[0], "save"),
+        read_text(IDS[0]).replace(b"t=acme", b"t=other"),
+        read_text(IDS[0]).replace(b"cluster=0", b"cluster=9"),
+        write_text(IDS[0]).replace(b"c=save", b"c=view"),
+        write_text(IDS[0]).replace(b",k=" + IDS[0].encode(), b""),
+        b"DROP TABLE objects",
+    ],
+)
+def test_what_no_member_could_use_never_reaches_one(world: World, text: bytes) -> None:
+    got = world.client(text).take()
+    assert got.startswith(b"E") and got.endswith(m.READY)
+    assert b"C53300" not in got and b"C57P03" not in got
+    assert not world.dialled and not world.driver.open
+
+
+@pytest.mark.parametrize(
+    ("spoilt", "again"),
+    [
+        (b"\0\0\0\0", True),
+        (b"D" + m.LENGTH.pack(3 << 30), True),
+        (row()[:-6] + b"Z\0\0\0\7I", True),
+    ],
+)
+def test_a_spoilt_answer_reaches_no_client_and_its_connection_ends(
+    world: World, spoilt: bytes, again: bool
+) -> None:
+    client = world.client(read_text(IDS[0]))
+    (call,) = world.calls()
+    world.up(call)
+    world.say(call, spoilt)
+    assert call.closed and not client.sent
+    world.pass_us(100 * MS)
+    (other,) = world.calls()
+    assert other is not call
+    world.up(other)
+    world.say(other, row(b"good"))
+    assert served(client.take())
+
+
+def test_more_than_an_answer_is_an_answer_and_the_end_of_its_connection(world: World) -> None:
+    client = world.client(read_text(IDS[0]))
+    (call,) = world.calls()
+    world.up(call)
+    world.say(call, row() + row(b"other"))
+    assert served(client.take()) and call.closed
+
+
+def test_an_unreadable_report_or_position_is_left_out(world: World) -> None:
+    client = world.client(read_text(IDS[0]))
+    (call,) = world.calls()
+    world.up(call)
+    noise = m.parameter("pressure", "x0=,=,\x7f") + m.parameter("log_position", "-1e9")
+    world.say(call, row().replace(m.READY, noise + m.READY))
+    assert served(client.take()) and not call.closed
+
+
+def test_a_late_answer_never_meets_the_next_request(world: World) -> None:
+    client = world.client(read_text(IDS[0], span=300))
+    (call,) = world.calls()
+    world.up(call)
+    world.pass_us(320 * MS)
+    assert call.closed
+    got = client.take()
+    assert got.startswith(b"E") and got.endswith(m.READY)
+    assert not world.driver.open
+
+
+def test_a_client_that_left_ends_its_attempt(world: World) -> None:
+    client = world.client(read_text(IDS[0]))
+    (call,) = world.calls()
+    world.up(call)
+    world.end(client)
+    assert call.closed and not world.driver.open
+
+
+def test_a_write_whose_connection_broke_is_failed_not_refused_when_its_key_is_forgotten(world: World) -> None:
+    client = world.client(write_text(IDS[0]))
+    (call,) = world.calls()
+    assert world.dialled[0][0] == 1001  # the listed primary
+    world.up(call)
+    world.end(call)
+    world.pass_us(3 * SEC)
+    for other in world.calls():
+        world.end(other)
+    world.pass_us(3 * SEC)
+    got = client.take()
+    assert got.startswith(b"E") and b"C53300" not in got
+
+
+def test_a_connection_that_broke_before_the_last_byte_left_ran_nothing(world: World) -> None:
+    world.client(write_text(IDS[0]))
+    (call,) = world.calls()
+    call.stuck = 5
+    world.up(call)
+    assert not next(iter(world.driver.open.values())).out[0].written
+    world.end(call)
+    assert IDS[0] in world.driver.router.requests
+    assert world.driver.router.requests[IDS[0]].ran_us is None
+
+
+def test_refusals_carry_a_wait_and_failures_do_not_look_like_them(world: World) -> None:
+    client = world.client(read_text(IDS[0]), read_text(IDS[1]))
+    world.driver.refuse(IDS[0], 120 * MS + 1, world.time)
+    got = client.take()
+    assert b"C53300\0" in got and b"D121\0" in got
+    world.turn()
+    world.driver.fail(IDS[1])
+    assert b"C08007\0" in client.take()
+
+
+def test_a_flaw_of_the_module_answers_what_it_was_about_and_goes_on(world: World) -> None:
+    handle = world.driver.router.handle
+
+    def broken(now: int, events: Any) -> list[ui.Action]:
+        raise RuntimeError("planted")
+
+    world.driver.router.handle = broken  # type: ignore[method-assign]
+    client = world.client(read_text(IDS[0]))
+    assert b"C58000\0" in client.take() and "planted" in world.out.getvalue()
+    world.driver.router.handle = handle  # type: ignore[method-assign]
+    client = world.client(read_text(IDS[1]))
+    (call,) = world.calls()
+    world.up(call)
+    world.say(call, row())
+    assert served(client.take())
+
+
+def test_silent_and_half_spoken_clients_end_within_their_time(world: World) -> None:
+    silent, half = FakeWire(), FakeWire()
+    for wire in (silent, half):
+        world.driver.front.welcome(wire)
+    world.say(half, HELLO + b"Q\0\0\0\x20SELE")
+    asked = world.client(b"")
+    world.pass_us(2500 * MS)
+    for wire in (silent, half):
+        assert wire.finished and b"SFATAL" in wire.sent
+    world.pass_us(600 * MS)
+    assert silent.closed and half.closed and not asked.closed
+    assert world.driver.budget.clients == 1
+
+
+def test_hundreds_of_silent_connections_leave_room_for_those_that_ask(world: World) -> None:
+    limit = world.driver.budget.client_limit
+    wires = [FakeWire() for _ in range(limit + 200)]
+    for wire in wires:
+        world.driver.front.welcome(wire)
+    assert world.driver.budget.clients == limit
+    client = world.client(read_text(IDS[0]))
+    (call,) = world.calls()
+    world.up(call)
+    world.say(call, row())
+    assert served(client.take())
+
+
+def test_a_busy_client_that_talks_on_is_read_no_further(world: World) -> None:
+    client = world.client(read_text(IDS[0]))
+    for _ in range(6):
+        world.say(client, b"x" * 65_536)
+    assert client.paused
+    (call,) = world.calls()
+    world.up(call)
+    world.say(call, row())
+    got = client.take()
+    assert got.startswith(b"T") and b"SFATAL" in got  # its answer first
+
+
+def test_a_leaving_driver_cuts_deadlines_to_the_kill(world: World) -> None:
+    world.driver.departure.begin(world.time)
+    world.pass_us(3000 * MS)
+    client = world.client(read_text(IDS[0], span=2000))
+    (call,) = world.calls()
+    world.up(call)
+    world.pass_us(510 * MS)  # 0.2 s before the kill
+    assert client.take().endswith(m.READY)
+
+
+def test_members_that_go_and_come_at_another_address(world: World) -> None:
+    client = world.client(read_text(IDS[0]))
+    (call,) = world.calls()
+    world.up(call)
+    world.say(call, row())
+    assert served(client.take()) and not call.closed
+    from juniperreel.platform.endpoints import read as read_list
+    from tests.platform.peers import entry
+
+    moved = {"seq": 4, "whole": False, "hosts": [entry("a", 2002), entry("p", 2001)]}
+    world.driver.told(ui.ListKind.CHANGES, read_list(moved, ["east"], ["k"]))
+    world.turn()
+    assert call.closed
+    world.client(read_text(IDS[1]))
+    assert world.dialled[-1][0] in (2001, 2002)
+
+
+def test_a_failed_discovery_is_asked_again(world: World) -> None:
+    world.pass_us(200 * MS)
+    assert world.asked == [True]
+    world.driver.told(ui.ListKind.FAILED, None)
+    world.turn()
+    world.pass_us(1500 * MS)
+    assert world.asked == [True, True]
+
+
+def test_the_answer_of_a_probe_is_a_report(world: World) -> None:
+    world.driver.probe("a")
+    (call,) = world.calls()
+    assert world.up(call) == m.query(b"SHOW pressure")
+    position = world.time - 40 * MS
+    world.say(call, row(b"x0=%.3f,x1=0,queue=3" % (position / SEC)))
+    assert abs(world.driver.router.members["a"].position - position) <= MS
+    assert world.driver.router.members["a"].role is ui.Role.REPLICA
+    assert server.WELCOME  # nothing else was said
--- /dev/null
+++ b/tests/platform/test_guards.py
@@ -0,0 +1,150 @@
+"""The small classes without I/O: descriptors, idle connections, departure, alarms, facts, lists, configuration."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from juniperreel import interface as ui
+from juniperreel.platform import endpoints, facts
+from juniperreel.platform.alarms import Alarms
+from juniperreel.platform.budget import Budget
+from juniperreel.platform.config import ConfigError, parse
+from juniperreel.platform.departure import Departure
+from juniperreel.platform.keeping import Keeping
+from tests.platform.peers import MS, SEC, SETTINGS, config_bytes, entry
+
+
+@pytest.mark.parametrize("total", [64, 256, 384, 1024])
+def test_clients_and_members_share_the_descriptors(total: int) -> None:
+    budget = Budget(total)
+    assert budget.client_limit + budget.member_limit < total
+    assert budget.client_limit > total / 3 - 8
+
+
+def test_idle_connections_are_kept_until_their_uses_are_lost() -> None:
+    keeping = Keeping()
+    for n in range(200):
+        keeping.used(n * 20 * MS, 5 * MS, n % 25 != 0)  # one in 25 is lost whatever we do
+    assert keeping.allows(60 * SEC)
+    for n in range(20):
+        keeping.used(4 * SEC + n, 300 * MS, n % 3 != 0)
+    assert not keeping.allows(300 * MS) and keeping.allows(200 * MS)
+    for n in range(40):
+        keeping.used((8 + n) * SEC, 2 * MS, True)
+    assert keeping.allows(300 * MS)  # what is no longer tried is forgotten, and tried again
+
+
+def test_a_shortest_time_is_always_tried() -> None:
+    keeping = Keeping()
+    for n in range(50):
+        keeping.used(n, 0, False)
+    assert keeping.allows(0)
+
+
+def test_departure_ends_connections_then_answers_before_the_kill() -> None:
+    departure = Departure(2 * SEC)
+    assert departure.latest_us(9 * SEC) == 9 * SEC and not departure.closing(9 * SEC)
+    departure.begin(10 * SEC)
+    departure.begin(11 * SEC)  # a second SIGTERM changes nothing
+    kill = 10 * SEC + 2 * SEC + 700 * MS
+    assert not departure.closing(kill - 600 * MS) and departure.closing(kill - 500 * MS)
+    assert departure.latest_us(60 * SEC) == kill - 200 * MS
+    assert departure.over(kill - 100 * MS)
+    assert Departure(9 * SEC).latest_us(60 * SEC) == 60 * SEC
+    late = Departure(9 * SEC)
+    late.begin(0)
+    assert late.latest_us(60 * SEC) == 3500 * MS  # longer deadlines count as 3 s
+
+
+def test_alarms_ring_in_order_of_their_time() -> None:
+    alarms, rung = Alarms(), list[int]()
+    for due in (30, 10, 20, 10):
+        alarms.at(due, lambda due=due: rung.append(due))  # type: ignore[misc]
+    assert alarms.due() == 10
+    alarms.ring(20)
+    assert rung == [10, 10, 20] and alarms.due() == 30
+
+
+def test_facts_are_read_and_noise_is_left_out() -> None:
+    assert facts.position_us({"log_position": "1767225600123"}) == 1767225600123000
+    for text in ("", "-5", "1e9", "9" * 40, "²"):
+        assert facts.position_us({"log_position": text}) is None
+    assert facts.role({"replication_role": "primary"}) is ui.Role.PRIMARY
+    assert facts.role({"replication_role": "king"}) is ui.Role.UNKNOWN
+    report = facts.report("x0=1767225600.123,x1=1,queue=4")
+    assert report == ui.Report(1767225600123000, True, None, 4.0)
+    for text in ("x0", "x0=nan", "x0=1,,x1=0", "queue=-1", "a" * 2000, "inflight=inf"):
+        assert facts.report(text) is None
+
+
+@given(st.text(max_size=60))
+def test_no_report_is_fatal(text: str) -> None:
+    facts.report(text)
+    facts.position_us({"log_position": text})
+
+
+def test_a_list_is_read_line_by_line() -> None:
+    raw = {
+        "seq": 7,
+        "whole": True,
+        "hosts": [
+            entry("a", 1, health="Terminating", born_ms=1767225600123.5, replication="primary"),
+            entry("b", 2, health="Lost"),
+            entry("c", 3, dial="nowhere"),
+            entry("d", 4, share=0),
+            "noise",
+        ],
+    }
+    found = endpoints.read(raw, ["east"], ["k"])
+    assert found.bad == 4 and found.version == 7 and found.dials == {"a": ("127.0.0.1", 1)}
+    (member,) = found.members
+    assert member.readiness is ui.Readiness.DRAINING and member.listed_primary
+    assert member.started_us == 1767225600123500
+    gone = endpoints.read({"seq": 8, "whole": False, "hosts": [{"host": "a", "health": "Gone"}]}, [], [])
+    assert gone.members[0].readiness is ui.Readiness.GONE
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [None, [], {}, {"seq": 1, "whole": True, "hosts": []}, {"seq": "1", "whole": False, "hosts": []}],
+)
+def test_what_is_no_list_is_named(raw: Any) -> None:
+    with pytest.raises(endpoints.ListError):
+        endpoints.read(raw, [], [])
+
+
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=8), inner, max_size=3),
+    max_leaves=8,
+)
+
+
+@given(st.dictionaries(st.sampled_from(list(entry("a", 1))), json_values))
+def test_no_line_of_a_list_is_fatal(line: dict[str, Any]) -> None:
+    found = endpoints.read({"seq": 1, "whole": False, "hosts": [line]}, ["east"], ["k"])
+    assert len(found.members) + found.bad == 1
+
+
+def test_a_configuration_is_read_whole_or_not_at_all() -> None:
+    config = parse(config_bytes())
+    assert config.discovery == ("127.0.0.1", 9) and config.seed == 0x5F
+    assert config.connect_timeout_us == 250 * MS and config.router.must_ask
+    without = {k: v for k, v in SETTINGS.items() if k != "rules"}
+    for data in (
+        b"",
+        b"{}",
+        config_bytes()[:-40],
+        config_bytes(discovery="here"),
+        config_bytes(seed="xyz"),
+        config_bytes(settings=without),
+        b"[1]",
+        json.dumps([config_bytes().decode()]).encode(),
+    ):
+        with pytest.raises(ConfigError):
+            parse(data)
--- /dev/null
+++ b/tests/platform/test_program.py
@@ -0,0 +1,143 @@
+"""The whole program on loopback sockets: libpq as client, stand-ins for a member and for discovery."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+import trio
+
+from juniperreel.net.poll import Door, Poller
+from juniperreel.platform.config import parse
+from juniperreel.platform.log import Log
+from juniperreel.platform.run import Program
+from juniperreel.standins.platform import DiscoveryStandIn, MemberStandIn
+from tests.platform.peers import config_bytes, entry, read_text, write_text
+
+pq = pytest.importorskip("psycopg.pq")
+SECONDS = 30
+
+
+class Running:
+    def __init__(self, program: Program, members: list[MemberStandIn], discovery: DiscoveryStandIn) -> None:
+        self.program, self.members, self.discovery = program, members, discovery
+
+    async def ask(self, *texts: bytes) -> list[tuple[str | None, bytes | None, str]]:
+        """SQLSTATE, value and detail of each, over one connection of libpq's."""
+        assert self.program.door is not None
+        port = self.program.door.port
+        target = f"host=127.0.0.1 port={port} user=worker dbname=catalog sslmode=prefer gssencmode=disable"
+
+        def work() -> list[tuple[str | None, bytes | None, str]]:
+            connection = pq.PGconn.connect(target.encode())
+            try:
+                assert connection.status == pq.ConnStatus.OK, connection.error_message
+                found = []
+                for text in texts:
+                    result = connection.exec_(text)
+                    state = result.error_field(pq.DiagnosticField.SQLSTATE)
+                    detail = result.error_field(pq.DiagnosticField.MESSAGE_DETAIL)
+                    value = result.get_value(0, 0) if result.ntuples else None
+                    found.append((state and state.decode(), value, (detail or b"").decode()))
+                return found
+            finally:
+                connection.finish()
+
+        with trio.fail_after(SECONDS):
+            return await trio.to_thread.run_sync(work)
+
+    async def until(self, what: Any) -> None:
+        with trio.fail_after(SECONDS):
+            while not what():
+                await trio.sleep(0.01)
+
+
+@asynccontextmanager
+async def running(tmp_path: Path) -> AsyncIterator[Running]:
+    async with trio.open_nursery() as nursery:
+        members = [MemberStandIn(primary=True), MemberStandIn(primary=False)]
+        for member in members:
+            await nursery.start(member.run)
+        hosts = [
+            entry("p", members[0].port, replication="primary"),
+            entry("a", members[1].port, replication="standby"),
+        ]
+        discovery = DiscoveryStandIn(hosts)
+        await nursery.start(discovery.run)
+        path = tmp_path / "config.json"
+        path.write_bytes(
+            config_bytes(
+                known={"seq": 0, "whole": True, "hosts": hosts}, discovery=f"127.0.0.1:{discovery.port}"
+            )
+        )
+        program = Program(parse(path.read_bytes()), path, Log())
+        await nursery.start(program.discovery.run)
+        program.start()
+
+        async def serve() -> None:
+            await program.serve()
+            nursery.cancel_scope.cancel()
+
+        nursery.start_soon(serve)
+        yield Running(program, members, discovery)
+        nursery.cancel_scope.cancel()
+
+
+async def test_libpq_is_served_and_told_of_faults(tmp_path: Path) -> None:
+    async with running(tmp_path) as world:
+        found = await world.ask(
+            b"",
+            write_text("00000000000000aa"),
+            read_text("00000000000000ab", "own", span=3000),
+            b"SELECT 1",
+            read_text("00000000000000ab"),
+            read_text("00000000000000ac", span=3000),
+        )
+        assert [state for state, _, _ in found] == [None, None, None, "42601", "42710", None]
+        assert found[1][1] == b"\0" and found[2][1] == b"row-1"
+        seen = [text for member in world.members for text in member.asked]
+        assert sum(b"00000000000000a" in text for text in seen) == 3  # each once, no fault passed on
+        assert any(b"INSERT" in text for text in world.members[0].asked)
+
+
+async def test_a_watch_goes_on_and_a_new_address_is_followed(tmp_path: Path) -> None:
+    async with running(tmp_path) as world:
+        await world.until(lambda: world.discovery.calls >= 1)
+        async with trio.open_nursery() as nursery:
+            other = DiscoveryStandIn(world.discovery.hosts)
+            await nursery.start(other.run)
+            text = config_bytes(known={"seq": 0, "whole": True, "hosts": world.discovery.hosts})
+            world.program.path.write_bytes(text[: len(text) // 2])
+            await world.program.reload()  # half a file is not taken
+            assert world.program.discovery.address[1] == world.discovery.port
+            text = text.replace(b'"127.0.0.1:9"', b'"127.0.0.1:%d"' % other.port)
+            world.program.path.write_bytes(text)
+            await world.program.reload()
+            await world.until(lambda: other.calls >= 1)
+            other.change(entry("b", world.members[1].port))
+            await world.until(lambda: "b" in world.program.driver.links.pools)
+            nursery.cancel_scope.cancel()
+
+
+async def test_a_driver_told_to_end_serves_on_and_ends(tmp_path: Path) -> None:
+    async with running(tmp_path) as world:
+        world.program.leave()
+        found = await world.ask(read_text("00000000000000ad", span=3000))
+        assert found[0][0] is None
+        assert world.program.driver.departure.told
+
+
+async def test_a_listener_takes_what_the_kernel_has_and_closes(autojump_clock: Any) -> None:
+    from juniperreel.net import Clock
+
+    poller = Poller(Clock())
+    welcomed: list[object] = []
+    door = Door(poller, "127.0.0.1", 0, welcomed.append)
+    stream = await trio.open_tcp_stream("127.0.0.1", door.port)
+    door.close()
+    assert len(welcomed) == 1 and not door.open
+    await stream.aclose()
+    poller.close()
