Reads pass pressed replicas only to a primary that this router hears of

With hundreds of routers a primary seldom heard from was taken for idle (decide(), PRIMARY_UNHEARD), and writes there are worth six reads. Change: that way needs several answers of the primary lately (OVERFLOW_TOLD); a time-out later than usual answers counts as lost also before the aim.

--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -63,6 +63,7 @@
 VALUE_RANGE = (0.4, 2.5)  # worth for the time taken, against the usual; its root moves the thresholds
 OVER_SHARE_FACTOR = 0.5  # a tenant over its share is shed at this part of the pressure
 PRIMARY_READ_FACTOR = 0.5  # so is a read that falls back on a primary that writes need
+OVERFLOW_TOLD = 4.0  # its answers of late, for a read that replicas would shed to go to a primary
 PRIMARY_UNHEARD = 0.4  # pressure taken for granted, for such reads, at a primary not heard of late
 TENANT_MEMORY = 0.998  # weight of the old counts of requests by tenant, at each request
 SHARE_DEVIATIONS = 3  # by which chance alone lifts a tenant over its part of the traffic, hardly ever more
@@ -506,9 +507,9 @@
             p = self.primary_of(group, r.cls.consistency is not Consistency.WRITE)
             on_primary = True
             if p is not None and self.open_to(r, p):
-                current = r.cls.consistency in CURRENT
-                target = p
-                r.pressure = self.pressure(p, group) if current else self.primary_pressure(p, group)
+                target, r.pressure = p, self.pressure(p, group)
+                if r.cls.consistency not in CURRENT and not p.press.news(self.now) and len(group.members) > 1:
+                    r.pressure = PRIMARY_UNHEARD  # danger: hundreds of routers that each think it idle
         if target is None:
             r.avoid = None
             group.held[r.ask.id] = r
@@ -517,8 +518,9 @@
         elif r.attempts == 0 and self.sheds(r, on_primary):
             # Danger: replicas that die or hang leave the rest of their group full beside an idle primary.
             p = None if on_primary else self.primary_of(group, True)
-            if p is not None and self.open_to(r, p):
-                r.pressure = self.primary_pressure(p, group)
+            # Danger: hundreds of routers that each hear little of it would fill it, and writes would wait.
+            if p is not None and p.press.news(self.now) >= OVERFLOW_TOLD and self.open_to(r, p):
+                r.pressure = self.pressure(p, group)
                 if not self.sheds(r, True):
                     self.send(r, p)
                     return
@@ -526,12 +528,6 @@
         else:
             self.send(r, target)
 
-    def primary_pressure(self, p: MemberState, group: GroupState) -> float:
-        """What a read that may go elsewhere finds there."""
-        if not p.press.news(self.now) and len(group.members) > 1:
-            return PRIMARY_UNHEARD  # danger: hundreds of routers that each think it idle
-        return self.pressure(p, group)
-
     def hopeless(self, r: RequestState) -> bool:
         end = min(r.ask.deadline_us - TICK_US, r.horizon)
         held = self.now > r.came_us and not r.reached  # what just came may be sent at once
@@ -627,7 +623,8 @@
         elif e.outcome not in (Outcome.MISS, Outcome.NOT_SENT) and not self.stalled and not r.done:
             refused, withdrawn = e.outcome is Outcome.UNREACHABLE, e.outcome is Outcome.CANCELLED
             # Danger: clients with little time left make members look silent and full that are neither.
-            withdrawn = withdrawn or (e.outcome is Outcome.TIMEOUT and e.took_us < r.cls.aim_us - TICK_US)
+            short = e.took_us < min(r.cls.aim_us - TICK_US, self.stats[r.ask.cls].overdue_us())
+            withdrawn = withdrawn or (e.outcome is Outcome.TIMEOUT and short)
             if e.outcome is Outcome.RESET:
                 # Danger: connections that break here and there are no load, and no silence: members that
                 # lose one in ten would be shed and in doubt all day. One that died refuses the next
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -559,6 +559,9 @@
     for _ in range(12):
         s.router.members["a"].press.add(s.now, 3.0)
     s.router.members["p"].press.add(s.now, 0.05)
+    assert s.did(ui.Refuse, s.ask("loose"))  # one answer of its own is too little to go by
+    for _ in range(5):
+        s.router.members["p"].press.add(s.now, 0.05)
     assert {s.sends[s.ask("loose")][0] for _ in range(3)} == {"p"}
     for _ in range(12):
         s.router.members["p"].press.add(s.now, 3.0)
