Idle connections to members are kept to 0.9 of the time a member allows them, not half

A connection is used about every 10 s; the settings let a member close it after 15 s, ours ended it after 7.5 s. At fault: IDLE_PART in links.py.

Connections that die earlier without a word are keeping.py's matter, as before.

--- a/juniperreel/platform/links.py
+++ b/juniperreel/platform/links.py
@@ -21,7 +21,7 @@
 from juniperreel.postgres.messages import ProtocolError
 
 USER, DATABASE = "worker", "catalog"
-IDLE_PART = 0.5  # of the time after which a member closes an idle connection: ours closes well before
+IDLE_PART = 0.9  # of the time after which a member closes an idle connection: a sweep and a trip are left
 
 STALE_US = 50_000  # a connection that ends so soon, without a byte of an answer, was dead before
 
