A read without a fresh replica draws the primary too; after one look in vain it goes there

A driver meets a group once in 3 s and a position is good for 0.3 s, so nearly every read finds no replica known fresh. Probes bring positions 25 to 225 ms old (the report's age; answers bring them under 25 ms old in half of the cases), so 23% of first looks show nothing fresh, and half of the second ones; a look for what a session wrote 100 ms ago mostly can't show it. The searches: with one replica's answer heard, writes no longer went to the listed primary, and every router probed every group. Ruled out: probes of members in doubt (163), failing probes (none). At fault: look, primary_of in rules.py.

Change: while the primary has room it takes part in the draw by 1/srtt for whom to look at, and a look in vain is followed by the primary and no second look; what is heard of all primaries speaks for one that was not heard; a session's read waits until a probe can tell of its write; the listed primary takes writes until it says otherwise.

--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -226,6 +226,8 @@
         self.peak = 0.0  # of those, a second and for each unit of size
         self.size, self.size_us = 1.0, NEVER  # of all warm members
         self.overall = Pressure()  # of all replicas
+        self.primaries = Pressure()  # of all groups' primaries
+        self.report_lag = 0.0  # how far behind replicas' positions mostly are when a probe tells them
         self.usual_in_hand = 0.0  # by the reports of all members
         self.tick_key, self.tick_due = 0, -1
         self.search_us = int(PROBE_AGAIN_US * self.random.uniform(*SEARCH))
@@ -371,11 +373,14 @@
         return self.random.choices(pool, weights)[0]
 
     def pressure(self, m: MemberState, group: GroupState) -> float:
-        """A member's own; where little was heard of it lately, that of its group's replicas, or of all."""
-        levels = (m.press,) if m is group.primary else (m.press, group.press, self.overall)
+        """A member's own; where little was heard of it lately, that of its like in its group, or of all."""
+        levels = (m.press, *self.shared(m, group))
         told = [p for p in levels if p.news(self.now) >= PRESSURE_TOLD]
         return self.overdue_pressure(m, (told[0] if told else levels[-1]).read(self.now))
 
+    def shared(self, m: MemberState, group: GroupState) -> tuple[Pressure, ...]:
+        return (self.primaries,) if m is group.primary else (group.press, self.overall)
+
     def overdue_pressure(self, m: MemberState, level: float) -> float:
         """Danger: answers tell of a queue only once they have been through it. What is out already longer
         than answers took counts as an answer of that time."""
@@ -397,15 +402,41 @@
                 weights[i] = min(weights[i], usual * part)
         return weights
 
+    def spares_look(self, r: RequestState, group: GroupState, others: list[MemberState]) -> bool:
+        """Danger: hundreds of routers that each hear little probe for nearly every read, and again for many,
+        while the primary, which is always fresh, has room. For reads that ask for no session's write it takes
+        part in the draw for whom to look at; after a look in vain the next one's price is saved. A primary
+        that is pressed is left out."""
+        p = self.primary_of(group, True)
+        if p is None or not self.open_to(r, p):
+            return False
+        r.pressure = self.primary_pressure(r, p, group)
+        if self.shed_part(r, True) > 0:
+            return False
+        if r.looks or r.cls.consistency is Consistency.SESSION:
+            return r.looks > 0
+        pool = [p, *others]
+        weights = self.weights(pool)
+        known = [w for m, w in zip(pool, weights, strict=True) if m.heard]
+        usual = sum(known) / len(known) if known else 1.0  # the small first srtt would keep the primary out
+        weights = [w if m.heard else usual for m, w in zip(pool, weights, strict=True)]
+        return self.random.choices(pool, weights)[0] is p
+
     def look(self, r: RequestState, others: list[MemberState]) -> bool:
         """Danger: with little traffic no position is known fresh when a read comes, and reads crowd the
         primary. Probe a replica drawn like any other and hold the read for that round trip."""
         unseen = [m for m in others if self.now - m.probe_us > LOOK_US]
+        ahead = 0 if r.looks else int(r.needs + self.report_lag) - self.now
         wait = 0 if unseen and not r.looks else LOOK_US  # a first look takes but a round trip
+        wait = max(wait, ahead)
         late = self.now + self.stats[r.ask.cls].mean + wait > min(r.horizon, r.ask.deadline_us)
+        late = late or self.now + wait > r.hold_us
         if not self.s.probes or not others or late or r.looks >= LOOKS:
             r.looks = LOOKS
             return False
+        if ahead > 0:
+            r.wake_us = self.now + ahead  # a probe tells of nothing as new as what its session wrote
+            return True
         r.looks, r.wake_us = r.looks + 1, self.now + LOOK_US
         if unseen:
             self.probe(self.random.choices(unseen, self.weights(unseen))[0])
@@ -415,7 +446,8 @@
 
     def primary_of(self, group: GroupState, for_read: bool) -> MemberState | None:
         p = group.primary
-        if p is None and not for_read and all(m.role is Role.UNKNOWN for m in group.members):
+        if p is None and not for_read and group.listed is not None and group.listed.role is Role.UNKNOWN:
+            # Danger: with answers of replicas alone, each of hundreds of routers would search by probes.
             p = group.listed
         return None if p is None or not self.trusted(p) or not self.usable(p, group) else p
 
@@ -444,6 +476,12 @@
             del group.held[r.ask.id]
             self.send(r, ready[r.attempts % len(ready)])
 
+    def primary_pressure(self, r: RequestState, p: MemberState, group: GroupState) -> float:
+        told = p.press.news(self.now) or self.primaries.news(self.now) >= PRESSURE_TOLD
+        if r.cls.consistency in CURRENT or told or len(group.members) == 1:
+            return self.pressure(p, group)
+        return PRIMARY_UNHEARD  # danger: hundreds of routers that each think it idle
+
     # Admission.
 
     def request(self, ask: ui.Request) -> None:
@@ -468,8 +506,9 @@
             self.tenants[ask.tenant] += 1
         self.decide(r)
 
-    def sheds(self, r: RequestState, on_primary: bool) -> bool:
-        """Danger: a queue that makes all answers late. Refuse early, what is worth least first."""
+    def shed_part(self, r: RequestState, on_primary: bool) -> float:
+        """Danger: a queue that makes all answers late. Refuse early, what is worth least first. The chance to
+        be refused at the pressure on what may take it; none at 0 and less."""
         value = r.cls.worth / self.stats[r.ask.cls].mean / max(self.usual_value, 1e-12)
         factor = (1 + r.cls.late_worth) * math.sqrt(min(max(value, VALUE_RANGE[0]), VALUE_RANGE[1]))
         if 0 <= r.ask.tenant < len(self.tenants):
@@ -478,7 +517,10 @@
             factor *= OVER_SHARE_FACTOR if over else 1.0
         if on_primary and r.cls.consistency not in CURRENT:
             factor *= PRIMARY_READ_FACTOR
-        part = (r.pressure / factor - SHED_FROM) / (SHED_ALL - SHED_FROM)
+        return (r.pressure / factor - SHED_FROM) / (SHED_ALL - SHED_FROM)
+
+    def sheds(self, r: RequestState, on_primary: bool) -> bool:
+        part = self.shed_part(r, on_primary)
         return part > 0 and self.random.random() < part
 
     def decide(self, r: RequestState) -> None:
@@ -499,7 +541,7 @@
             others = [m for m in group.members if m is not group.primary and m.info.id != r.avoid]
             others = [m for m in others if self.usable(m, group) and self.open_to(r, m)]
             target = self.draw(r, group, others)
-            if target is None and self.look(r, others):
+            if target is None and not self.spares_look(r, group, others) and self.look(r, others):
                 group.held[r.ask.id] = r
                 return
             target = target or self.draw(r, group, others)
@@ -507,9 +549,7 @@
             p = self.primary_of(group, r.cls.consistency is not Consistency.WRITE)
             on_primary = True
             if p is not None and self.open_to(r, p):
-                target, r.pressure = p, self.pressure(p, group)
-                if r.cls.consistency not in CURRENT and not p.press.news(self.now) and len(group.members) > 1:
-                    r.pressure = PRIMARY_UNHEARD  # danger: hundreds of routers that each think it idle
+                target, r.pressure = p, self.primary_pressure(r, p, group)
         if target is None:
             r.avoid = None
             group.held[r.ask.id] = r
@@ -638,7 +678,7 @@
                 self.lose(m, group, refused)  # else it is well, and the request is slow
 
     def press(self, m: MemberState, group: GroupState, value: float) -> None:
-        for p in (m.press,) if m is group.primary else (m.press, group.press, self.overall):
+        for p in (m.press, *self.shared(m, group)):
             p.add(self.now, value)
 
     def lose(self, m: MemberState, group: GroupState, refused: bool) -> None:
@@ -721,6 +761,9 @@
             m.suspend(self.now)
         report = e.report or ui.Report()
         self.saw_report(m, report)
+        if report.position_us is not None and m is not group.primary:
+            lag = min(self.now - report.position_us, REPORT_US)
+            self.report_lag += (1 - STATS_MEMORY) * (lag - self.report_lag)
         if report.primary is not None and self.now - m.role_us > ROLE_REPORT_US:
             self.saw_role(m, Role.PRIMARY if report.primary else Role.REPLICA)
         for r in group.held.values():
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -97,6 +97,7 @@
     w = s.ask("write")
     s.now += 40 * MS
     s.end(w, role=ui.Role.PRIMARY, position_us=s.now)
+    press_primary(s)
     r = s.ask("own")
     assert r not in s.sends
     assert s.sends[s.ask("own", session="other")] == ["a"]
@@ -106,6 +107,16 @@
     assert s.sends[r] == ["a"]
 
 
+def press_primary(s: Script) -> None:
+    """Full enough that no read is spared a look by going there."""
+    for _ in range(4):
+        s.router.members["p"].press.add(s.now, 0.6)
+
+
+def hear_primary(s: Script) -> None:
+    s.router.members["p"].press.add(s.now, 0.1)
+
+
 def test_forgotten_sessions_leave_a_floor(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(rules, "SESSIONS", 2)
     s = Script()
@@ -114,6 +125,7 @@
         w = s.ask("write", session=f"s{i}")
         s.now += MS
         s.end(w, role=ui.Role.PRIMARY, position_us=s.now)
+    press_primary(s)
     old, unknown = s.ask("own", session="s0"), s.ask("own", session="never wrote")
     assert old not in s.sends and unknown not in s.sends
     s.probed("a", False)
@@ -639,3 +651,95 @@
     for n in range(8):
         state.out[(f"{n}", 0)] = (s.now - 900 * MS, 500 * MS)
     assert before == pytest.approx(0.1) and s.router.overdue_pressure(state, 0.1) > 0.8
+
+
+def test_the_listed_primary_takes_writes_until_it_says_otherwise() -> None:
+    """Seen on the fleet's days: with one replica's answer heard, every router probed whole groups."""
+    s = Script()
+    s.start(member("a"), member("b"), member("p", listed_primary=True))
+    r = s.ask("loose")
+    s.end(r, role=ui.Role.REPLICA)
+    assert s.sends[s.ask("write")] == ["p"] and not s.did(ui.Probe)
+    w = s.ask("write")
+    s.end(w, ui.Outcome.MISS, role=ui.Role.REPLICA)
+    assert s.sends[w] == ["p"] and {p.member for p in s.did(ui.Probe)} == {"a", "b", "p"}
+
+
+def blind_reads(pressed: bool, reads: int = 400) -> tuple[Counter[str], int]:
+    """Where reads go that find no replica known fresh, and how many probes they cost."""
+    s = Script()
+    s.group("a", "b", "c")
+    hear_primary(s)
+    for name in "abcp":
+        s.router.members[name].srtt, s.router.members[name].heard = 50.0 * MS, True
+    went: Counter[str] = Counter()
+    for _ in range(reads):
+        s.wait(400 * MS)
+        press_primary(s) if pressed else hear_primary(s)
+        r = s.ask("read")
+        for p in [a for a in s.last if isinstance(a, ui.Probe)]:
+            s.probed(p.member, False)
+        went[s.sends[r][0]] += 1
+        s.end(r, role=ui.Role.PRIMARY if s.sends[r][0] == "p" else ui.Role.REPLICA)
+    return went, len(s.did(ui.Probe))
+
+
+def test_the_primary_is_in_the_draw_for_whom_to_look_at_while_it_has_room() -> None:
+    went, probes = blind_reads(pressed=False)
+    assert 0.17 < went["p"] / went.total() < 0.33 and probes == went.total() - went["p"]
+    went, probes = blind_reads(pressed=True)
+    assert went["p"] == 0 and probes == went.total()
+
+
+def test_a_look_in_vain_is_not_followed_by_more_while_the_primary_has_room() -> None:
+    s = Script()
+    s.group("a", "b", "c")
+    hear_primary(s)
+    p = s.router.members["p"]
+    p.srtt, p.heard = 200.0 * MS, True  # hardly ever drawn beside the small first srtt of the others
+    for name in "abc":
+        s.router.members[name].heard = True
+    s.now += 400 * MS
+    r = s.ask("read")
+    (look,) = (a for a in s.last if isinstance(a, ui.Probe))
+    s.probed(look.member, False, lag_us=2 * SEC)
+    assert s.sends[r] == ["p"]
+    press_primary(s)  # with no room there, other replicas are looked at
+    s.now += 400 * MS
+    r = s.ask("read")
+    (look,) = (a for a in s.last if isinstance(a, ui.Probe))
+    s.probed(look.member, False, lag_us=2 * SEC)
+    assert r not in s.sends and s.did(ui.Probe)[-1] != look
+
+
+def test_a_session_read_waits_until_a_probe_can_tell_of_its_write() -> None:
+    """Reports are some age when a probe brings them: one sent at once can't show what was just written."""
+    s = Script()
+    s.group("a")
+    for _ in range(200):
+        s.now += 400 * MS
+        s.probed("a", False, lag_us=150 * MS)
+    w = s.ask("write")
+    s.now += 40 * MS
+    s.end(w, role=ui.Role.PRIMARY, position_us=s.now)
+    press_primary(s)
+    r, count = s.ask("own"), len(s.did(ui.Probe))
+    s.wait(120 * MS)
+    assert len(s.did(ui.Probe)) == count and r not in s.sends
+    s.wait(60 * MS)
+    assert len(s.did(ui.Probe)) == count + 1
+    s.probed("a", False, lag_us=150 * MS)
+    assert s.sends[r] == ["a"]
+
+
+def test_what_is_heard_of_other_primaries_speaks_for_one_that_is_not_heard() -> None:
+    s = Script()
+    s.group("a")
+    s.batch(ui.MemberList(ui.ListKind.CHANGES, (member("q", group=1), member("z", group=1))))
+    s.probed("q", True)
+    q, group = s.router.members["q"], s.router.groups[1]
+    assert s.router.pressure(q, group) == 0
+    for _ in range(4):
+        s.wait(SEC)
+        s.end(s.ask("write"), role=ui.Role.PRIMARY, took_us=450 * MS)
+    assert s.router.pressure(q, group) > 0.3
