The rig: drivers as processes, a relay on every link, faults in both, judged by the five rules

Need: how many processes behave together while some fail is the operators' concern, and nothing here started several drivers of the platform, let alone cut, froze or lost them.

Change: trial/: processes (killed with the disk kept or lost, frozen, thawed; a leash by which the kernel ends them with the trial, also when that is killed), relays (silent cuts of either direction, delay, rate, reset, refusal; cuts between named sets), a fleet of platform drivers. Stand-in members speak the operators' protocol on a port for each driver; discovery for each driver; sessions.

--- a/juniperreel/standins/fleet.py
+++ b/juniperreel/standins/fleet.py
@@ -53,8 +53,10 @@
         record: Sink,
         only: Collection[int] | None = None,
         hosts: Hosts | None = None,
+        drivers: tuple[str, ...] = (),
     ) -> None:
-        """`only` some of the day's groups, where others play the rest; `hosts` in place of a host list."""
+        """`only` some of the day's groups, where others play the rest; `hosts` in place of a host list;
+        `drivers` that members have a port for each, in the operators' protocol."""
         self.day, self._network, self._clock, self._record = day, network, clock, record
         self._rng = random.Random(day["seed"])
         self.shape = Shape(
@@ -64,6 +66,7 @@
             cold_us=day["cold-span"],
             mysql=bool(day["mysql-members"]),
             ack_replica=not day["alone"],
+            postgres=drivers,
         )
         rng = random.Random(self._rng.random())
         self.hosts = hosts or HostList(network, clock, rng, record, day["list-delay"])
@@ -166,7 +169,7 @@
 
     async def _step(self, step: Step, on_edge: EdgeHand) -> None:
         self._record(Fault(self._clock.now_us(), step.text, True))
-        if step.fault.startswith(("edge-", "instance-")):
+        if step.fault.startswith(("edge-", "instance-", "link-")):
             await on_edge(step)
         elif step.fault in ("freeze", "empty", "flap"):
             await self._list_fault(step)
--- a/juniperreel/standins/member.py
+++ b/juniperreel/standins/member.py
@@ -21,6 +21,7 @@
 from juniperreel.standins.group import Group, Replica
 from juniperreel.standins.machine import Full, Machine
 from juniperreel.standins.mysqlmember import MysqlSide
+from juniperreel.standins.postgresmember import PostgresSide
 from juniperreel.standins.store import Commit, StatementFault, from_value, to_value
 
 DOMAIN = "member.juniperreel"
@@ -46,6 +47,7 @@
     overload_us: int = 2_000_000
     lock_wait_s: float = 0.5  # of statements behind another's transaction
     mysql: bool = False  # edges are told of its MySQL side
+    postgres: tuple[str, ...] = ()  # drivers that it has a port for each, in the operators' protocol
     ack_replica: bool = True  # a write is answered when another member has it
 
 
@@ -84,6 +86,7 @@
         self._rng = random.Random(seed)
         self.writer = trio.Lock()  # held by who writes, a transaction from its first write to its end
         self.mysql = MysqlSide(self)
+        self.postgres = PostgresSide(self)
         self.machine = Machine(
             clock,
             random.Random(seed + 1),
@@ -127,6 +130,8 @@
                     nursery.start_soon(self._follow)
                     if mysql is not None:
                         nursery.start_soon(self.mysql.serve, mysql)
+                    for driver in self.shape.postgres:
+                        await nursery.start(self.postgres.serve, self._network, driver)
                     task_status.started()
                     await server.serve(listener)
         finally:
--- a/juniperreel/standins/platform.py
+++ b/juniperreel/standins/platform.py
@@ -16,6 +16,7 @@
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.postgres import messages as m
 from juniperreel.postgres import server
+from juniperreel.standins.postgresmember import row
 
 STATEMENT = re.compile(rb"(?:oid = |VALUES \()'([^']*)'(?:, '\\x([0-9a-f]*)')?")
 
@@ -68,12 +69,6 @@
         return row(key if value is None else bytes.fromhex(value.decode())) + facts + m.READY
 
 
-def row(value: bytes) -> bytes:
-    described = m.message(b"T", b"\0\1body\0" + b"\0" * 6 + b"\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\1")
-    data = m.message(b"D", b"\0\1" + len(value).to_bytes(4, "big") + value)
-    return described + data + m.message(b"C", b"SELECT 1\0")
-
-
 class DiscoveryStandIn:
     """Answers a call with the whole list, or with what changed since its version."""
 
@@ -85,7 +80,10 @@
         self._changed = trio.Event()
 
     def change(self, *lines: dict[str, Any]) -> None:
-        self.hosts = [h for h in self.hosts if h["host"] not in {c["host"] for c in lines}] + list(lines)
+        self.replace([h for h in self.hosts if h["host"] not in {c["host"] for c in lines}] + list(lines))
+
+    def replace(self, hosts: list[dict[str, Any]]) -> None:
+        self.hosts = hosts
         self.version += 1
         self._changed.set()
         self._changed = trio.Event()
@@ -125,4 +123,8 @@
         if int(values.get("after", -1)) == self.version:
             with trio.move_on_after(int(values.get("wait_ms", 0)) / 1000):
                 await self._changed.wait()
+        self.told(self.hosts)
         return {"seq": self.version, "whole": True, "hosts": self.hosts}
+
+    def told(self, hosts: list[dict[str, Any]]) -> None:
+        """What an answer is about to say."""
--- /dev/null
+++ b/juniperreel/standins/postgresmember.py
@@ -0,0 +1,227 @@
+"""A member's side in the operators' protocol: PostgreSQL's messages, two statements, probes; with the faults
+of its member. Every driver has a port of its own here, by which the record tells them apart.
+
+A value is the member's name, a bar, and the ids of all requests that wrote under its key, newest first, so
+that an answer shows who gave it and which commits it contains. Work stops when its client closes the
+connection, as the operators' members do.
+"""
+
+from __future__ import annotations
+
+import sqlite3
+from typing import TYPE_CHECKING
+
+import trio
+
+from juniperreel.net import Network
+from juniperreel.postgres import messages as m
+from juniperreel.postgres import server
+from juniperreel.postgres.form import Form, FormError, parse
+from juniperreel.proof.records import Abandoned, Arrived, Left
+from juniperreel.standins.machine import Full
+
+if TYPE_CHECKING:
+    from juniperreel.standins.member import Member
+
+INSERT = "insert into runs (runner, id) values (?, ?)"
+SELECT = "select id from runs where runner = ? order by number desc limit ?"
+ROWS = 1_000  # ids in one value
+REPORT_EVERY_US = 100_000
+READ_BYTES = 65_536
+UNTOUCHED = {"25006": "NOT_PRIMARY", "72000": "BEHIND", "53300": "NOT_EXECUTED"}
+
+
+class Refusal(Exception):
+    """An ErrorResponse with this SQLSTATE."""
+
+    def __init__(self, code: str, text: str) -> None:
+        super().__init__(text)
+        self.code = code
+
+
+class Lost(Exception):
+    """No answer comes; `broken`: the connection ends instead."""
+
+    def __init__(self, broken: bool) -> None:
+        self.broken = broken
+
+
+def row(value: bytes) -> bytes:
+    described = m.message(b"T", b"\0\1body\0" + b"\0" * 6 + b"\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\1")
+    data = m.message(b"D", b"\0\1" + len(value).to_bytes(4, "big") + value)
+    return described + data + m.message(b"C", b"SELECT 1\0")
+
+
+class PostgresSide:
+    """All connections of one member. `ports` by driver; they outlive its process, as addresses do."""
+
+    def __init__(self, member: Member) -> None:
+        self.member = member
+        self.ports: dict[str, int] = {}
+        self.opened = 0  # connections, ever
+        self.probes = 0  # answered, ever
+        self.asked: dict[str, int] = {}  # attempts by request
+        self._report = (0, b"")
+
+    async def serve(
+        self, network: Network, driver: str, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        listener = await network.listen("127.0.0.1", self.ports.get(driver, 0))
+        self.ports[driver] = listener.port
+        try:
+            async with trio.open_nursery() as nursery:
+                task_status.started()
+                while True:
+                    nursery.start_soon(Connection(self, driver, await listener.accept()).run)
+        finally:
+            with trio.CancelScope(shield=True):
+                await listener.aclose()
+
+    def report(self) -> bytes:
+        """As old as its last refresh."""
+        now = self.member.at_us()
+        if now - self._report[0] > REPORT_EVERY_US:
+            standing = self.member.standing()
+            primary, waiting = int(self.member.claims), self.member.machine.waiting
+            text = f"x0={standing.position / 1e6:.6f},x1={primary},queue={waiting}"
+            self._report = (now, text.encode())
+        return self._report[1]
+
+
+class Connection:
+    def __init__(self, side: PostgresSide, driver: str, stream: trio.abc.Stream) -> None:
+        self._side, self._member, self._driver, self._stream = side, side.member, driver, stream
+        self._talk = server.ServerConnection()
+        self._news = trio.Event()
+        self._attempt: tuple[str, int] | None = None  # that is running
+
+    async def run(self) -> None:
+        self._side.opened += 1
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._read, nursery.cancel_scope)
+                await self._serve()
+                nursery.cancel_scope.cancel()
+        finally:
+            with trio.CancelScope(shield=True):
+                await trio.aclose_forcefully(self._stream)
+
+    async def _read(self, whole: trio.CancelScope) -> None:
+        """The client's end ends what is running."""
+        try:
+            while data := await self._stream.receive_some(READ_BYTES):
+                self._talk.feed(bytes(data))
+                self._news.set()
+                self._news = trio.Event()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        if self._attempt is not None:
+            self._member.record(Abandoned(self._member.at_us(), self._member.name, *self._attempt))
+        whole.cancel()
+
+    async def _serve(self) -> None:
+        try:
+            while self._talk.phase is not server.Phase.OVER:
+                query = self._talk.next()
+                if query is not None:
+                    self._talk.out += await self._answer(query.text)
+                if self._talk.out:
+                    out, self._talk.out = bytes(self._talk.out), bytearray()
+                    await self._stream.send_all(out)
+                elif query is None:
+                    await self._news.wait()
+        except Lost as lost:
+            if not lost.broken:
+                await trio.sleep_forever()  # until the driver waits no longer
+        except (trio.BrokenResourceError, trio.ClosedResourceError, m.ProtocolError):
+            return
+
+    async def _answer(self, text: bytes) -> bytes:
+        member = self._member
+        await member.wait_while_hung()
+        if not text.strip():
+            return server.empty()
+        if text == b"SHOW pressure":
+            self._side.probes += 1
+            return row(self._side.report()) + m.READY
+        if text == b"SELECT 1":
+            self._side.probes += 1
+            return row(b"1") + m.READY
+        try:
+            form = parse(text)
+        except FormError as error:
+            return server.failed("08P01", str(error))
+        return await self._attempted(form)
+
+    async def _attempted(self, form: Form) -> bytes:
+        member, side = self._member, self._side
+        number = side.asked[form.id] = side.asked.get(form.id, -1) + 1
+        mean = member.shape.write_us if form.write else member.shape.read_us
+        now, name = member.at_us(), member.name
+        member.record(Arrived(now, name, self._driver, form.id, number, form.id, form.cls, form.write, mean))
+        member.machine.offer(mean)
+        self._attempt, how = (form.id, number), "stopped"
+        try:
+            answer = await self._carry_out(form, mean, now + form.span_ms * 1000)
+            how = "answered"
+        except Refusal as error:
+            how = UNTOUCHED.get(error.code, "INTERNAL")
+            answer = m.error("ERROR", error.code, str(error)) + self._facts(None) + m.READY
+        finally:
+            self._attempt = None
+            member.record(Left(member.at_us(), name, form.id, number, how, how == "answered"))
+        return answer
+
+    async def _carry_out(self, form: Form, mean: int, until_us: int) -> bytes:
+        """Raises Refusal or Lost."""
+        member = self._member
+        if member.refusing or member.draining:
+            raise Refusal("53300", "no room")
+        if member.chance(member.failing):
+            raise Refusal("XX000", "something inside is broken")
+        if form.write and not member.claims:
+            raise Refusal("25006", "not the primary")
+        work = member.machine.draw(mean)
+        try:
+            async with member.machine.core(work):
+                if member.at_us() >= until_us:
+                    raise Refusal("53300", "the request is over already")
+                await member.machine.work(work)
+                await member.wait_while_hung()
+                value, commit = await self._effect(form) if form.write else (self._rows(form), None)
+        except Full:
+            raise Refusal("53300", "the queue is full") from None
+        if member.chance(member.losing):
+            raise Lost(broken=False)
+        if member.chance(member.breaking):
+            raise Lost(broken=True)
+        await member.wait_while_hung()
+        return row(value) + self._facts(commit) + m.READY
+
+    def _rows(self, form: Form) -> bytes:
+        cursor = self._member.copy.store.run(SELECT, (form.key, ROWS))
+        return self._named(",".join(str(found) for (found,) in cursor.fetchall()))
+
+    def _named(self, ids: str) -> bytes:
+        return f"{self._member.name}|{ids}".encode()
+
+    async def _effect(self, form: Form) -> tuple[bytes, int]:
+        """Done once for each key, as long as the group remembers it."""
+        member, key = self._member, form.idempotency or ""
+        if not member.claims:
+            raise Refusal("25006", "no longer the primary")
+        known = member.copy.keys.get(key) if key else None
+        if known is None:
+            try:
+                known = member.commit([(INSERT, (form.key, form.id))], key, form.id, form.key)
+            except sqlite3.Error as error:
+                raise Refusal("XX000", str(error)) from None
+        await member.acknowledged(known[0])
+        return self._named(form.id), known[0]
+
+    def _facts(self, commit: int | None) -> bytes:
+        """Positions rounded down, a commit up, in Unix milliseconds."""
+        standing = self._member.standing()
+        role = "primary" if self._member.claims else "standby"
+        position = standing.position // 1000 if commit is None else -(-commit // 1000)
+        return m.parameter("replication_role", role) + m.parameter("log_position", str(position))
--- a/juniperreel/standins/script.py
+++ b/juniperreel/standins/script.py
@@ -5,8 +5,9 @@
     at 5s kill g1/primary back 6s
 
 A target is a member (`g0/primary`, `g0/2`), a part of all (`random:25%`), `all`, a group (`g0`), an edge
-(`edge/1`), an instance of the configuration (`instance/0`) or `list`. Times count from the day's start; the
-same text and seed give the same faults.
+(`edge/1`), an instance of the configuration (`instance/0`) or `list`. A link fault has two ends, an edge (or
+`edge/*` for all) and what it connects to: `at 3s for 2s link-cut edge/1 to g0/primary`. Times count from the
+day's start; the same text and seed give the same faults.
 """
 
 from __future__ import annotations
@@ -39,6 +40,10 @@
     "edge-kill": (("back",), False),
     "edge-stall": ((), True),
     "instance-kill": (("back",), False),
+    "link-cut": (("to",), True),
+    "link-deaf": (("to",), True),
+    "link-reset": (("to",), False),
+    "link-slow": (("to", "span"), True),
 }
 SETTINGS = {
     "groups": 3,
@@ -77,6 +82,7 @@
     value: float
     line: int
     text: str
+    other: str = ""  # the far end of a link
 
 
 @dataclass(slots=True)
@@ -144,8 +150,13 @@
     takes, ends = FAULTS[fault]
     if ends != bool(for_us):
         raise ValueError(f"{fault} {'needs' if ends else 'takes no'} 'for'")
-    number = 0.0
+    number, other = 0.0, ""
     for kind in takes:
+        if kind == "to":
+            if more[:1] != ["to"] or len(more) < 2:
+                raise ValueError(f"behind {fault} {target}: to and a target")
+            other, more = more[1], more[2:]
+            continue
         if kind == "back":
             if more and (more[0] != "back" or len(more) != 2):
                 raise ValueError(f"behind {fault} {target}: back and a span, or nothing")
@@ -168,4 +179,4 @@
                 raise ValueError(f"{word!r} is out of range")
     if more:
         raise ValueError(f"{more!r} is too much behind {fault} {target}")
-    return Step(at_us, for_us, fault, target, number, line, text)
+    return Step(at_us, for_us, fault, target, number, line, text, other)
--- /dev/null
+++ b/tests/trial/test_platform_fleet.py
@@ -0,0 +1,105 @@
+"""Drivers of the platform, each a process by the program's own command, with faults in processes, links and
+members; the five rules judged from what passed, and bugs planted in the program found by the same judges."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from juniperreel.net import TcpNetwork
+from juniperreel.proof import records as rec
+from juniperreel.proof.rules import Violation, check_all
+from juniperreel.standins.script import ScriptError, parse
+from juniperreel.trial.platformfleet import PROGRAM, PlatformTrial
+
+SIZE = """
+groups 2
+members 3
+edges 5
+sessions 20
+seed 5
+list-delay 300ms
+primary-delay 300ms
+"""
+BAD = """
+last 10s
+at 1s edge-kill edge/0 back 500ms
+at 1s edge-kill edge/1 back 500ms
+at 1500ms for 1500ms link-cut edge/2 to g0/primary
+at 2s for 400ms edge-stall edge/3
+at 3s for 2s lag g1/replica 2000
+at 4s kill g0/primary back 3s
+at 5s for 1500ms link-deaf edge/4 to g1
+at 6s link-reset edge/* to all
+at 6500ms for 2s fail g1/replica 80%
+at 7s for 1s link-cut edge/* to list
+at 7s drain g1/primary
+at 8s for 1s link-slow edge/* to all 20ms
+"""
+PLANT = """
+import sys
+from juniperreel import rules
+{bug}
+from juniperreel.platform.run import main
+sys.exit(main([]))
+"""
+
+
+async def play(
+    directory: Path, day: str, pause_s: float = 0.15, bug: str = ""
+) -> tuple[PlatformTrial, dict[int, list[Violation]]]:
+    program = ("-c", PLANT.format(bug=bug)) if bug else PROGRAM
+    trial = PlatformTrial(parse(SIZE + day), TcpNetwork(), directory, pause_s, program)
+    directory.mkdir(exist_ok=True)
+    await trial.run()
+    return trial, check_all(trial.recorder.records)
+
+
+def reads(trial: PlatformTrial) -> int:
+    served = {r.rid for r in trial.recorder.records if isinstance(r, rec.Told) and r.status == 0}
+    asked = [r for r in trial.recorder.records if isinstance(r, rec.Asked)]
+    return sum(r.cls == "board" and r.rid in served for r in asked)
+
+
+async def test_a_bad_day_of_five_drivers_breaks_no_rule(tmp_path: Path) -> None:
+    trial, found = await play(tmp_path, BAD)
+    assert not any(found.values()), {n: [v.text for v in vs[:5]] for n, vs in found.items() if vs}
+    told = [r for r in trial.recorder.records if isinstance(r, rec.Told)]
+    assert sum(r.status == 0 for r in told) > 0.9 * len(told) > 300
+    assert [trial.processes[n].starts for n in trial.names] == [2, 2, 1, 1, 1]
+    for name in trial.names:
+        assert not [e for e in trial.events(trial.processes[name]) if e["level"] == "error"]
+
+
+@pytest.mark.parametrize(
+    ("rule", "bug", "day"),
+    [
+        (5, "rules.Router.fresh_enough = lambda *_: True", "last 6s\nat 1s for 4s lag g0 1e5\n"),
+        (3, "rules.Router.usable = lambda *_: True", "last 7s\nat 1s drain g0/replica\n"),
+        (1, "rules.Router.hopeless = lambda *_: False", "last 9s\nat 500ms for 8s hang g0\n"),
+    ],
+)
+async def test_a_planted_bug_is_found(tmp_path: Path, rule: int, bug: str, day: str) -> None:
+    _, found = await play(tmp_path, day, bug=bug)
+    assert found[rule], "the judge is blind"
+
+
+async def test_drivers_that_see_little_look_once_and_the_rest_goes_to_primaries(tmp_path: Path) -> None:
+    """A group is met by each driver about once in 1.5 s, a position is good for 0.3 s."""
+    quiet = "last 10s\n"
+    now, found = await play(tmp_path / "now", quiet, pause_s=3.0)
+    assert not any(found.values())
+    bug = "rules.Router.spares_look = lambda *_: False"
+    before, _ = await play(tmp_path / "before", quiet, pause_s=3.0, bug=bug)
+    assert reads(now) > 20 and reads(before) > 20
+    assert now.probes / reads(now) < before.probes / reads(before)
+
+
+def test_links_have_two_ends_in_a_script() -> None:
+    (step,) = parse("at 1s for 2s link-slow edge/1 to g0/primary 30ms").steps
+    assert (step.target, step.other, step.value) == ("edge/1", "g0/primary", 30_000)
+    with pytest.raises(ScriptError, match="to and a target"):
+        parse("at 1s for 2s link-cut edge/1")
+    with pytest.raises(ScriptError, match="too much behind"):
+        parse("at 1s link-reset edge/1 to g0 g1")
--- /dev/null
+++ b/tests/trial/test_processes.py
@@ -0,0 +1,119 @@
+"""Processes of a trial: every fault on them, and that nothing outlives it."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+import trio
+
+from juniperreel.trial.processes import NotInThatState, Processes, State, processes
+
+SECONDS = 60
+WRITES = (
+    "import pathlib, signal; p = pathlib.Path('note'); print(p.exists(), flush=True); p.write_text('x'); "
+)
+WAITS = (sys.executable, "-c", WRITES + "signal.pause()")
+ENV = {"PATH": os.environ["PATH"]}
+
+
+async def lines(path: Path, count: int) -> list[str]:
+    with trio.fail_after(SECONDS):
+        while not path.exists() or len(path.read_text().splitlines()) < count:
+            await trio.sleep(0.01)
+    return path.read_text().splitlines()
+
+
+def alive(pid: int) -> bool:
+    """Not a zombie either."""
+    try:
+        return Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0] != "Z"
+    except (FileNotFoundError, ProcessLookupError):
+        return False
+
+
+async def test_a_disk_outlives_a_kill_and_not_a_lost_machine(tmp_path: Path) -> None:
+    async with processes(tmp_path) as them:
+        child = them.add("a", WAITS, ENV)
+        child.start()
+        assert await lines(child.log, 1) == ["False"]
+        child.kill()
+        assert child.state is State.ENDED and child.status == -signal.SIGKILL
+        child.start()
+        assert await lines(child.log, 2) == ["False", "True"]
+        child.lose()
+        child.start()
+        assert await lines(child.log, 3) == ["False", "True", "False"]
+        assert child.starts == 3
+
+
+async def test_a_frozen_process_does_nothing_until_it_is_thawed(tmp_path: Path) -> None:
+    async with processes(tmp_path) as them:
+        child = them.add("a", (sys.executable, "-c", "while True: print(flush=True)"), ENV)
+        with pytest.raises(NotInThatState):
+            child.freeze()
+        child.start()
+        await lines(child.log, 1)
+        child.freeze()
+        assert child.state is State.FROZEN
+        with trio.fail_after(SECONDS):
+            size = -1
+            while size != child.log.stat().st_size:  # the signal may take its time
+                size = child.log.stat().st_size
+                await trio.sleep(0.1)
+        child.ask_to_end()
+        assert child.status is None
+        child.thaw()
+        with trio.fail_after(SECONDS):
+            assert await child.ended() == -signal.SIGTERM
+        with pytest.raises(NotInThatState):
+            child.thaw()
+
+
+async def test_all_end_with_the_trial_frozen_ones_too(tmp_path: Path) -> None:
+    with pytest.raises(RuntimeError, match="the trial fails"):
+        async with processes(tmp_path) as them:
+            started = [them.add(name, WAITS, ENV) for name in "abc"]
+            for child in started:
+                child.start()
+            await lines(started[0].log, 1)
+            started[1].freeze()
+            pids = [child.pid for child in started]
+            raise RuntimeError("the trial fails")
+    assert not any(map(alive, pids))
+
+
+def test_a_name_is_one_process(tmp_path: Path) -> None:
+    them = Processes(tmp_path)
+    them.add("a", WAITS, ENV)
+    with pytest.raises(ValueError, match="a is there already"):
+        them.add("a", WAITS, ENV)
+
+
+async def test_nothing_outlives_a_trial_that_is_itself_killed(tmp_path: Path) -> None:
+    trial = f"""
+import signal, sys
+from pathlib import Path
+from juniperreel.trial.processes import Processes
+child = Processes(Path({str(tmp_path)!r})).add("a", {list(WAITS)!r}, {{}})
+child.start()
+print(child.pid, flush=True)
+signal.pause()
+"""
+    parent = subprocess.Popen([sys.executable, "-c", trial], stdout=subprocess.PIPE)
+    assert parent.stdout is not None
+    try:
+        pid = int(parent.stdout.readline())
+        await lines(tmp_path / "a.log", 1)
+        assert alive(pid)
+    finally:
+        parent.kill()
+        parent.wait()
+        parent.stdout.close()
+    with trio.fail_after(SECONDS):
+        while alive(pid):
+            await trio.sleep(0.01)
--- /dev/null
+++ b/tests/trial/test_relay.py
@@ -0,0 +1,180 @@
+"""Links between processes: carried whole, cut silently in one or both directions, slowed, reset, refused."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+
+from juniperreel.net import Clock, TcpNetwork
+from juniperreel.trial.relay import Links, Relay
+
+SECONDS = 60
+
+
+class Echo:
+    """Answers every byte in capitals; `heard` is what came."""
+
+    def __init__(self) -> None:
+        self.heard = b""
+        self.port = 0
+        self.ended = 0
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        listener = await TcpNetwork().listen("127.0.0.1", 0)
+        self.port = listener.port
+        async with trio.open_nursery() as nursery:
+            task_status.started()
+            while True:
+                nursery.start_soon(self._serve, await listener.accept())
+
+    async def _serve(self, stream: trio.abc.Stream) -> None:
+        try:
+            while data := await stream.receive_some(4096):
+                self.heard += bytes(data)
+                await stream.send_all(bytes(data).upper())
+        except trio.BrokenResourceError:
+            pass
+        finally:
+            self.ended += 1
+
+
+class Wired:
+    def __init__(self, echo: Echo, relay: Relay, stream: trio.abc.Stream) -> None:
+        self.echo, self.relay, self.stream = echo, relay, stream
+
+    async def hear(self, wanted: bytes) -> None:
+        got = b""
+        while got != wanted:
+            data = bytes(await self.stream.receive_some(4096))
+            assert data and wanted.startswith(got + data)
+            got += data
+
+    async def until(self, wanted: bytes) -> None:
+        while self.echo.heard != wanted:
+            await trio.sleep(0.005)
+
+
+@asynccontextmanager
+async def wired(seed: int = 1) -> AsyncIterator[Wired]:
+    with trio.fail_after(SECONDS):
+        async with trio.open_nursery() as nursery:
+            echo = Echo()
+            await nursery.start(echo.run)
+            relay = Relay(TcpNetwork(), Clock(), ("127.0.0.1", echo.port), seed)
+            await nursery.start(relay.run)
+            stream = await TcpNetwork().connect("127.0.0.1", relay.port, 5_000_000)
+            yield Wired(echo, relay, stream)
+            nursery.cancel_scope.cancel()
+
+
+async def test_bytes_pass_in_order_whatever_the_delay() -> None:
+    async with wired() as w:
+        w.relay.there.delay_us, w.relay.there.jitter_us = 2_000, 20_000
+        text = b"".join(b"%d " % i for i in range(3000))
+        for at in range(0, len(text), 500):
+            await w.stream.send_all(text[at : at + 500])
+        await w.hear(text.upper())
+        assert w.relay.there.carried == w.relay.back.carried == len(text)
+
+
+async def test_a_cut_is_silent_and_what_was_on_its_way_arrives_when_it_heals() -> None:
+    async with wired() as w:
+        await w.stream.send_all(b"a")
+        await w.hear(b"A")
+        w.relay.cut()
+        await w.stream.send_all(b"b")
+        with trio.move_on_after(0.2) as waited:
+            await w.hear(b"B")
+        assert waited.cancelled_caught and w.echo.heard == b"a"
+        w.relay.heal()
+        await w.hear(b"B")
+
+
+async def test_a_deaf_end_is_heard_but_does_not_hear() -> None:
+    async with wired() as w:
+        w.relay.cut(there=False)
+        await w.stream.send_all(b"a")
+        await w.until(b"a")
+        with trio.move_on_after(0.2) as waited:
+            await w.hear(b"A")
+        assert waited.cancelled_caught
+        w.relay.heal()
+        await w.hear(b"A")
+
+
+async def test_that_an_end_has_left_is_not_heard_through_a_cut() -> None:
+    async with wired() as w:
+        await w.stream.send_all(b"a")
+        await w.hear(b"A")
+        w.relay.cut()
+        await w.stream.aclose()
+        with trio.move_on_after(0.2):
+            while not w.echo.ended:
+                await trio.sleep(0.005)
+        assert not w.echo.ended
+        w.relay.heal()
+        while not w.echo.ended:
+            await trio.sleep(0.005)
+
+
+async def test_a_new_connection_through_a_cut_comes_up_and_says_nothing() -> None:
+    async with wired() as w:
+        w.relay.cut()
+        other = await TcpNetwork().connect("127.0.0.1", w.relay.port, 5_000_000)
+        await other.send_all(b"x")
+        with trio.move_on_after(0.2) as waited:
+            await other.receive_some(1)
+        assert waited.cancelled_caught and w.echo.heard == b""
+        w.relay.heal()
+        assert await other.receive_some(1) == b"X"
+
+
+async def test_a_reset_is_told_to_both_ends() -> None:
+    async with wired() as w:
+        await w.stream.send_all(b"a")
+        await w.hear(b"A")
+        w.relay.reset()
+        with pytest.raises(trio.BrokenResourceError):
+            while await w.stream.receive_some(1):
+                pass
+            raise AssertionError("it ended in good order")
+        while not w.echo.ended:
+            await trio.sleep(0.005)
+
+
+async def test_a_link_that_refuses_and_one_whose_far_end_is_gone_reset_who_comes() -> None:
+    async with wired() as w:
+        w.relay.refusing = True
+        other = await TcpNetwork().connect("127.0.0.1", w.relay.port, 5_000_000)
+        with pytest.raises(trio.BrokenResourceError):
+            await other.receive_some(1)
+        w.relay.refusing = False
+        with socket.socket() as held:  # the port is nobody else's, and nobody listens
+            held.bind(("127.0.0.1", 0))
+            w.relay.target = ("127.0.0.1", held.getsockname()[1])
+            other = await TcpNetwork().connect("127.0.0.1", w.relay.port, 5_000_000)
+            with pytest.raises(trio.BrokenResourceError):
+                await other.receive_some(1)
+
+
+async def test_cuts_between_named_sets() -> None:
+    with trio.fail_after(SECONDS):
+        async with trio.open_nursery() as nursery:
+            links = Links(TcpNetwork(), Clock(), nursery, 1)
+            for source in "ab":
+                for target in "xyz":
+                    await links.between(source, target, 9)
+            assert await links.between("a", "x", 9) is links.relays["a", "x"]
+            links.cut("a", "xy")
+            links.cut("b", "z", hear=True)
+            cut = {pair: (r.there.cut, r.back.cut) for pair, r in links.relays.items()}
+            assert cut["a", "x"] == cut["a", "y"] == (True, True)
+            assert cut["b", "z"] == (True, False)
+            assert cut["a", "z"] == cut["b", "x"] == (False, False)
+            links.heal("ab", "xyz")
+            assert not any(r.there.cut or r.back.cut for r in links.relays.values())
+            nursery.cancel_scope.cancel()
