Gone members, old sessions and answered ids are forgotten by age

Change: in rules.py a member that is gone for 60 s is forgotten, and with it that it was primary; a session's commit older than 60 s sinks into its group's floor, as the 20,001st did. In the platform's driver ids are refused to others for 30 s after their answer, and a gone member's pool goes with its last connection. Where only draining binds, gone members may still be sent to, and stay.

--- a/juniperreel/platform/driver.py
+++ b/juniperreel/platform/driver.py
@@ -27,7 +27,8 @@
 
 SWEEP_US = 250_000
 PROBE_US = 250_000  # a probe that says nothing by then has failed
-RECENT_IDS = 20_000  # answered requests whose ids are still refused to others
+RECENT_IDS = 20_000  # answered requests whose ids are still refused to others, at most
+RECENT_US = 30_000_000  # and for how long
 REPORT = b"SHOW pressure"
 NO_IDS: tuple[str, ...] = ()
 
@@ -70,7 +71,7 @@
         self.front = Front(self, now, self.budget)
         self.departure = Departure(max(c.deadline_us for c in config.router.classes))
         self.open: dict[str, Open] = {}
-        self._recent: dict[str, None] = {}
+        self._recent: dict[str, int] = {}  # when they were answered
         self._groups: set[int] = set()
         self._known: dict[str, ui.Readiness] = {}
         self.alarms.at(now() + SWEEP_US, self._sweep)
@@ -92,7 +93,7 @@
         now = self.now()
         self.alarms.at(now + SWEEP_US, self._sweep)
         self.front.sweep()
-        self.links.sweep()
+        self.links.sweep(not self.settings.only_draining_binds)
         for name in [n for n, item in self.open.items() if item.client and now > item.deadline_us + SWEEP_US]:
             # Danger: a flaw of the module must not leave a client without an answer for ever.
             self.log.error("a request was left over", request=name)
@@ -159,9 +160,11 @@
     def _forget(self, name: str, item: Open) -> None:
         if item.client is None and not item.out and self.open.pop(name, None) is not None:
             # Danger: whoever sends the id of a request that was just answered would have it run again.
-            self._recent[name] = None
-            if len(self._recent) > RECENT_IDS:
-                del self._recent[next(iter(self._recent))]
+            now = self._recent[name] = self.now()
+            oldest = next(iter(self._recent))
+            while len(self._recent) > RECENT_IDS or now - self._recent[oldest] > RECENT_US:
+                del self._recent[oldest]
+                oldest = next(iter(self._recent))
 
     # What the module says.
 
--- a/juniperreel/platform/links.py
+++ b/juniperreel/platform/links.py
@@ -269,11 +269,6 @@
         if pool is not None:
             pool.retire()
 
-    def forget(self, member: str) -> None:
-        pool = self.pools.pop(member, None)
-        if pool is not None:
-            pool.retire()
-
     def run(self, member: str, job: Job) -> None:
         pool = self.pools.get(member)
         if pool is None:
@@ -292,12 +287,15 @@
             if idle:
                 min(idle, key=lambda c: c.idle_us).drop()
 
-    def sweep(self) -> None:
-        """Ends what has been idle long: a member closes it soon, and a request written then would be lost."""
+    def sweep(self, forgets: bool) -> None:
+        """Ends what has been idle long: a member closes it soon, and a request written then would be lost.
+        `forgets`: members that are gone, with their last connection."""
         before = self.now() - min(self._idle_us, self.keeping.limit_ms * 1000)
-        for pool in self.pools.values():
+        for name, pool in list(self.pools.items()):
             for connection in [c for c in pool.idle if c.idle_us < before]:
                 connection.drop()
+            if forgets and pool.retired and not pool.open:
+                del self.pools[name]  # danger: members are replaced all day; one that returns is placed anew
 
 
 def later(links: MemberLinks, job: Job) -> Callable[[], None]:
--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -84,6 +84,8 @@
 ASK_SPREAD_US = 10 * MS  # for each driver: those that start together must not ask together
 ASK_AGAIN_US = 1 * SEC  # after a failed call, and up to two such spreads more
 SESSIONS = 20_000  # remembered; older ones sink into a floor that their group must have passed
+SESSION_US = 60 * SEC  # so does what was committed before: a replica that has not passed it is of no use
+GONE_US = 60 * SEC  # a member that is gone for so long is forgotten
 LOG_EVERY_US = 10 * SEC
 
 NEVER_RAN = (Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.NOT_SENT, Outcome.MISS)
@@ -713,8 +715,11 @@
     def remember(self, r: RequestState, commit: int) -> None:
         key = (r.ask.group, r.ask.session or "")
         self.sessions[key] = max(commit, self.sessions.pop(key, commit))
-        if len(self.sessions) > SESSIONS:
+        # Danger: new sessions come all day, and memory would grow with them.
+        while self.sessions:
             old = next(iter(self.sessions))
+            if len(self.sessions) <= SESSIONS and self.sessions[old] >= self.now - SESSION_US:
+                break
             self.group(old[0]).floor = max(self.group(old[0]).floor, self.sessions.pop(old))
 
     def give_up(self, r: RequestState) -> None:
@@ -797,8 +802,16 @@
             for m in self.members.values():
                 if m.info.id not in named and m.info.readiness is not Readiness.GONE:
                     self.member_entry(replace(m.info, readiness=Readiness.GONE))
+        # Danger: members are replaced all day, and each would be remembered for good.
+        for m in [m for m in self.members.values() if m.info.readiness is Readiness.GONE and not m.out]:
+            if self.now - m.told_us > GONE_US and not self.s.only_draining_binds:
+                del self.members[m.info.id]
         for group in self.groups.values():
             group.members = []
+            if group.primary is not None and group.primary.info.id not in self.members:
+                group.primary = None
+            if group.listed is not None and group.listed.info.id not in self.members:
+                group.listed = None
         for _, m in sorted(self.members.items()):
             if m.info.readiness is not Readiness.GONE or self.s.only_draining_binds:
                 self.group(m.info.group).members.append(m)
--- a/tests/platform/test_driver.py
+++ b/tests/platform/test_driver.py
@@ -7,9 +7,21 @@
 import pytest
 
 from juniperreel import interface as ui
+from juniperreel.platform.endpoints import read
 from juniperreel.postgres import messages as m
 from juniperreel.postgres import server
-from tests.platform.peers import HELLO, MS, SEC, FakeWire, World, read_text, row, write_text
+from tests.platform.peers import (
+    HELLO,
+    HOSTS,
+    MS,
+    SEC,
+    FakeWire,
+    World,
+    entry,
+    read_text,
+    row,
+    write_text,
+)
 
 IDS = [f"{n:016x}" for n in range(1, 40)]
 
@@ -276,3 +288,22 @@
     assert abs(world.driver.router.members["a"].position - position) <= MS
     assert world.driver.router.members["a"].role is ui.Role.REPLICA
     assert server.WELCOME  # nothing else was said
+
+
+def test_what_is_kept_of_requests_and_members_is_bounded(world: World) -> None:
+    """Hours of new ids and of members that come and go leave no more than the last half minute of them."""
+    for round_ in range(40):
+        world.pass_us(5 * SEC)
+        fresh = entry(f"n{round_}", 2000 + round_, replication="standby")
+        lists = {"seq": 10 + round_, "whole": True, "hosts": [*HOSTS, fresh]}
+        world.driver.told(ui.ListKind.FULL, read(lists, ["east"], ["k"]))
+        world.turn()
+        client = world.client(read_text(f"{round_:016x}"))
+        for call in world.calls():
+            world.up(call)
+            world.say(call, row())
+        world.end(client)
+    world.pass_us(2 * SEC)
+    assert len(world.driver._recent) <= 7
+    assert set(world.driver.links.pools) == {"p", "a", "n39"}
+    assert b"C42710" in world.client(read_text(f"{39:016x}")).take()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -776,3 +776,46 @@
         a.judge(True)
     a.judge(False)
     assert a.ok_share == pytest.approx(rules.OK_MEMORY)
+
+
+def test_members_that_are_gone_are_forgotten_and_may_come_back() -> None:
+    """Seen on the soak day: members are replaced for hours, and each stayed in memory."""
+    s = Script()
+    s.group("a", "b")
+    for i in range(200):
+        s.wait(5 * SEC)
+        s.batch(ui.MemberList(ui.ListKind.CHANGES, (member(f"n{i}"),)))
+        s.batch(ui.MemberList(ui.ListKind.CHANGES, (member(f"n{i}", readiness=ui.Readiness.GONE),)))
+    assert len(s.router.members) < 3 + 2 * rules.GONE_US // (5 * SEC)
+    s.batch(ui.MemberList(ui.ListKind.CHANGES, (member("n0"),)))
+    assert s.router.members["n0"].position == rules.NEVER
+    r = s.ask("read")
+    assert s.sends.get(r) != ["n0"]
+
+
+def test_a_primary_that_is_forgotten_is_primary_no_more() -> None:
+    s = Script()
+    s.group("a", "b")
+    s.batch(ui.MemberList(ui.ListKind.CHANGES, (member("p", readiness=ui.Readiness.GONE),)))
+    s.wait(rules.GONE_US + SEC)
+    s.batch(ui.MemberList(ui.ListKind.CHANGES, ()))
+    assert "p" not in s.router.members
+    w = s.ask("write")
+    assert w not in s.sends and {"a", "b"} <= {p.member for p in s.did(ui.Probe)}
+
+
+def test_old_sessions_sink_into_the_floor_by_age() -> None:
+    s = Script()
+    s.group("a")
+    for i in range(300):
+        s.wait(SEC)
+        w = s.ask("write", session=f"s{i}")
+        s.end(w, role=ui.Role.PRIMARY, position_us=s.now)
+    assert len(s.router.sessions) <= rules.SESSION_US // SEC + 1
+    floor = s.router.groups[0].floor
+    assert s.now - rules.SESSION_US - 2 * SEC <= floor < s.now - rules.SESSION_US
+    press_primary(s)
+    old = s.ask("own", session="s0")
+    assert old not in s.sends  # nothing is known of the replica since: it must show what was forgotten
+    s.probed("a", False, lag_us=1)
+    assert s.sends[old] == ["a"]
