A worker of the last generation that dies without a slot left does not take the parent along

With it the parent would have fallen. Found by random orders of events, which had not come upon it before; nothing of this change is near it.

Change: a slot is looked up for workers of the present generation only. Result: the order is a test of its own; the roster's tests pass.

--- a/juniperreel/workers/roster.py
+++ b/juniperreel/workers/roster.py
@@ -142,8 +142,9 @@
         if worker is None or worker.phase is Phase.DRAINING or self.stopping:
             return self.tick(now)
         self.replaced += 1
-        slot = self._slots[worker.slot]
-        if slot.worker == number:
+        # Danger: one of the generation before may have had a slot that is no more.
+        slot = self._slots[worker.slot] if worker.generation == self.generation else None
+        if slot is not None and slot.worker == number:
             slot.worker = None
             slot.failures = slot.failures + 1 if now - worker.since_us < YOUNG_US else 0
             pause = min(BACKOFF_US << min(slot.failures, 10), BACKOFF_CAP_US) if slot.failures else 0
--- a/tests/workers/test_roster.py
+++ b/tests/workers/test_roster.py
@@ -99,6 +99,14 @@
     assert roster.replaced == 0
 
 
+def test_one_of_the_old_dies_whose_slot_is_no_more() -> None:
+    """Found by random orders of events: the parent fell with it, and all its workers."""
+    roster = serving(2)
+    (fresh,) = started(roster.renew(SEC, 1))
+    assert roster.ended(SEC, 1) == [] and roster.replaced == 1
+    assert roster.heard(2 * SEC, fresh, 0) == [Drain(0)]
+
+
 def test_stopping_drains_all_and_starts_none() -> None:
     roster = serving(2)
     assert roster.stop() == [Drain(0), Drain(1)]
