The stand-in discovery has its words from the host list's, not a copy

Need: a second table of readiness words stood beside the host list's, held together by an assertion at import. Change: it is derived from that.

--- a/juniperreel/standins/platformhosts.py
+++ b/juniperreel/standins/platformhosts.py
@@ -23,6 +23,7 @@
     hosts_pb2.READINESS_DRAINING: "Terminating",
     hosts_pb2.READINESS_GONE: "Gone",
 }
+WORDS = {HEALTH[readiness]: word for readiness, word in NAMES.items()}  # the record's
 # The port by which a driver reaches a member: driver, member.
 Door = Callable[[str, str], Awaitable[int]]
 
@@ -37,9 +38,8 @@
 
     def told(self, hosts: list[dict[str, Any]]) -> None:
         now = self._clock.now_us()
-        names = {"Ready": "up", "Terminating": "draining", "Gone": "gone"}
         for line in hosts:
-            self._record(Listed(now, self._driver, line["host"], names[line["health"]]))
+            self._record(Listed(now, self._driver, line["host"], WORDS[line["health"]]))
         named = {line["host"] for line in hosts}
         for name in self._named - named:
             self._record(Listed(now, self._driver, name, "gone"))
@@ -124,6 +124,3 @@
                 }
             )
         return lines
-
-
-assert set(HEALTH) == set(NAMES)
