A watch that fell silent is opened anew at once: drivers of a large fleet miss no drain

At fault: member_list in rules.py, which took a silent watch for a failed call and spread the next one over 5.4 s; 6.5 s had passed before, and what the watch missed counts as told 6 s after it fell silent.

Now the end of a silent watch is told apart (ListKind.SILENT) and answered by a new one at once; a watch waits 4 s at most. Where lists are pushed the driver opens one at its start; it opened none.

Tests: the module's; five driver processes told they are of 400, watches muted, a member drained (three of three fail without the change).

--- a/juniperreel/interface.py
+++ b/juniperreel/interface.py
@@ -56,6 +56,7 @@
     FULL = "full"
     SAVED = "saved"
     FAILED = "failed"
+    SILENT = "silent"  # a watch that said nothing when its wait was over: broken, nobody turned it away
 
 
 class Role(Enum):
--- a/juniperreel/platform/discovery.py
+++ b/juniperreel/platform/discovery.py
@@ -136,6 +136,7 @@
 
     async def _watch(self, scope: trio.CancelScope) -> None:
         error: Exception
+        kind = ui.ListKind.FAILED
         with scope:
             try:
                 exchange = await self._connect()
@@ -143,21 +144,27 @@
                     async with exchange._stream:
                         while True:
                             wait_ms = self._wait_us // 1000
-                            with trio.fail_after((self._wait_us + ANSWER_US) / US):
-                                body = await exchange.call(f"{PATH}?after={self.version}&wait_ms={wait_ms}")
+                            try:
+                                with trio.fail_after((self._wait_us + ANSWER_US) / US):
+                                    body = await exchange.call(
+                                        f"{PATH}?after={self.version}&wait_ms={wait_ms}"
+                                    )
+                            except trio.TooSlowError as late:
+                                kind = ui.ListKind.SILENT
+                                raise CallFailed("the watch has fallen silent") from late
                             self._take(body)
                             if not exchange.again():
                                 break
                     exchange = await self._connect()
-            except (CallFailed, ConnectError, ListError, trio.TooSlowError) as caught:
+            except (CallFailed, ConnectError, ListError) as caught:
                 error = caught
             if self._watching is scope:
                 self._watching = None
-            self._failed(error)
+            self._failed(error, kind)
 
-    def _failed(self, error: Exception) -> None:
+    def _failed(self, error: Exception, kind: ui.ListKind = ui.ListKind.FAILED) -> None:
         self._log.warning("discovery failed", error=str(error) or type(error).__name__)
-        self._tell(ui.ListKind.FAILED, None)
+        self._tell(kind, None)
 
     def _take(self, body: bytes) -> None:
         try:
--- a/juniperreel/platform/driver.py
+++ b/juniperreel/platform/driver.py
@@ -260,9 +260,9 @@
     # Discovery.
 
     def told(self, kind: ui.ListKind, endpoints: Endpoints | None) -> None:
-        """A list, or the failure of a call (None)."""
+        """A list, or the end of a call without one (None)."""
         if endpoints is None:
-            self.put(ui.MemberList(ui.ListKind.FAILED, ()))
+            self.put(ui.MemberList(kind, ()))
             return
         for member in endpoints.members:
             self._groups.add(member.group)
--- a/juniperreel/platform/run.py
+++ b/juniperreel/platform/run.py
@@ -22,7 +22,9 @@
 WATCH_PART = (
     0.5  # of the time after which a driver that asks nothing counts as told: how long a watch may wait
 )
-WATCH_US = 5_000_000  # where the settings name no such time
+# At most so long: what a silent watch misses counts as told 6 s after it fell silent, by the operators' page,
+# and its silence is known only when its answer is overdue (`ANSWER_US`). Half a second is left for a new one.
+WATCH_US = 4_000_000
 STATUS_S = 10
 
 
@@ -33,7 +35,7 @@
         self.config, self.path, self.log = config, path, log
         self.clock = Clock()
         self.poller = Poller(self.clock)
-        wait = int(config.router.ask_every_us * WATCH_PART) or WATCH_US
+        wait = min(int(config.router.ask_every_us * WATCH_PART) or WATCH_US, WATCH_US)
         self.discovery = Discovery(
             TcpNetwork(), config.discovery, config.zones, config.kinds, wait, self._told, log
         )
@@ -64,6 +66,9 @@
             self.log.warning("no list is known from before", error=str(error))
             self.driver.told(ui.ListKind.SAVED, Endpoints(0, True, (), {}, 0))
         self.driver.turn()
+        if not self.config.router.must_ask:
+            # Where lists are pushed, what the agent has counts as told from the first moment on.
+            self.discovery.subscribe(True)
         host, port = self.config.listen
         self.door = Door(self.poller, host, port, self.driver.front.welcome)
         limits = self.config.limits
--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -790,6 +790,11 @@
 
     def member_list(self, e: ui.MemberList) -> None:
         spread = int(self.random.uniform(0, ASK_SPREAD_US * self.s.routers))
+        if e.kind is ListKind.SILENT:
+            # Danger: what a silent watch misses counts as told seconds after it fell silent, and much of that
+            # has passed already. Nobody turned it away, and watches that began apart fall due apart.
+            self.actions.append(ui.Subscribe(True))
+            return
         if e.kind is ListKind.FAILED:
             self.ask_us = self.now + ASK_AGAIN_US + 2 * spread
             return
--- a/juniperreel/standins/platform.py
+++ b/juniperreel/standins/platform.py
@@ -78,6 +78,15 @@
         self.calls = 0
         self.port = 0
         self._changed = trio.Event()
+        self._mutes = 0
+
+    def mute(self) -> None:
+        """Calls that are open now are never answered, as by a discovery that lost them; new ones are."""
+        self._mutes += 1
+
+    async def missed(self) -> None:
+        """What comes of a call that was open then: silence."""
+        await trio.sleep_forever()
 
     def change(self, *lines: dict[str, Any]) -> None:
         self.replace([h for h in self.hosts if h["host"] not in {c["host"] for c in lines}] + list(lines))
@@ -118,11 +127,14 @@
 
     async def _list(self, target: str) -> dict[str, Any]:
         self.calls += 1
+        mutes = self._mutes
         _, _, query = target.partition("?")
         values = dict(pair.split("=") for pair in query.split("&") if pair)
         if int(values.get("after", -1)) == self.version:
             with trio.move_on_after(int(values.get("wait_ms", 0)) / 1000):
                 await self._changed.wait()
+        if mutes != self._mutes:
+            await self.missed()
         self.told(self.hosts)
         return {"seq": self.version, "whole": True, "hosts": self.hosts}
 
--- a/juniperreel/standins/platformhosts.py
+++ b/juniperreel/standins/platformhosts.py
@@ -18,6 +18,9 @@
 from juniperreel.standins.platform import DiscoveryStandIn
 
 LOOK_S = 0.05
+SILENCE_TELLS_S = (
+    6.0  # the operators': what a silent watch misses counts as told so long after it fell silent
+)
 HEALTH = {
     hosts_pb2.READINESS_UP: "Ready",
     hosts_pb2.READINESS_DRAINING: "Terminating",
@@ -35,6 +38,16 @@
         super().__init__([])
         self._driver, self._clock, self._record = driver, clock, record
         self._named: set[str] = set()
+        self._muted_s = 0.0
+
+    def mute(self) -> None:
+        super().mute()
+        self._muted_s = trio.current_time()
+
+    async def missed(self) -> None:
+        await trio.sleep_until(self._muted_s + SILENCE_TELLS_S)
+        self.told(self.hosts)
+        await super().missed()
 
     def told(self, hosts: list[dict[str, Any]]) -> None:
         now = self._clock.now_us()
--- a/juniperreel/standins/script.py
+++ b/juniperreel/standins/script.py
@@ -43,6 +43,7 @@
     "link-cut": (("to",), True),
     "link-deaf": (("to",), True),
     "link-reset": (("to",), False),
+    "link-mute": (("to",), False),  # to `list` only: watches that are open are never answered, new ones are
     "link-slow": (("to", "span"), True),
 }
 SETTINGS = {
@@ -64,6 +65,8 @@
     "transactions": 0,  # of a hundred writes over MySQL, so many are transactions of several statements
     "mysql-members": 0,  # 1: members speak MySQL to edges
     "alone": 0,
+    "fleet": 0,  # drivers of the platform are told that they are so many; 0: as many as there are
+    "ask-every": 10_000_000,  # and that they must have asked for the list so long ago at most
 }
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -324,6 +324,16 @@
     assert any(isinstance(a, ui.Subscribe) for a in s.wait(1100 * MS))
 
 
+def test_a_watch_that_fell_silent_is_opened_anew_at_once() -> None:
+    """What it misses counts as told; hundreds that spread their calls over seconds would send to members that
+    drain."""
+    s = Script(must_ask=True, routers=400)
+    s.start(member("a"))
+    s.wait(5 * SEC)
+    s.batch(ui.MemberList(ui.ListKind.SILENT, ()))
+    assert any(isinstance(a, ui.Subscribe) and a.on for a in s.last)
+
+
 def test_fresh_read_never_goes_looking_for_the_primary() -> None:
     """A replica would answer it, from old data."""
     s = Script()
--- a/tests/trial/test_platform_fleet.py
+++ b/tests/trial/test_platform_fleet.py
@@ -13,6 +13,7 @@
 from juniperreel.standins.script import ScriptError, parse
 from juniperreel.trial.platformfleet import PROGRAM, PlatformTrial
 
+SECOND = 1_000_000
 SIZE = """
 groups 2
 members 3
@@ -99,6 +100,20 @@
     assert now.probes / reads(now) < before.probes / reads(before)
 
 
+async def test_watches_that_fall_silent_hide_no_drain_from_drivers_of_a_large_fleet(tmp_path: Path) -> None:
+    """Five of a fleet of 400, whose calls after a refusal are spread over nine seconds."""
+    day = "fleet 400\nask-every 4s\nlast 13s\nat 6s link-mute edge/* to list\nat 6500ms drain g0/replica\n"
+    trial, found = await play(tmp_path, day)
+    assert not any(found.values()), {n: [v.text for v in vs[:5]] for n, vs in found.items() if vs}
+    records = trial.recorder.records
+    (muted,) = [r.at for r in records if isinstance(r, rec.Fault) and "link-mute" in r.text and r.on]
+    for name in trial.names:  # by a new watch, before what the old one missed counts as told
+        told = [
+            r.at for r in records if isinstance(r, rec.Listed) and (r.edge, r.readiness) == (name, "draining")
+        ]
+        assert told and min(told) < muted + 5 * SECOND
+
+
 def test_links_have_two_ends_in_a_script() -> None:
     (step,) = parse("at 1s for 2s link-slow edge/1 to g0/primary 30ms").steps
     assert (step.target, step.other, step.value) == ("edge/1", "g0/primary", 30_000)
