--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -29,6 +29,7 @@
 GUARD_SLACK_US = 100 * MS  # how far behind a member that checks reads itself may be tried
 REPORT_US = 500 * MS  # a member's own count of its work is news for this long
 OK_MEMORY = 0.85  # weight of the old share of good answers; a run of 5 failures halves it
+FADE_US = 10 * SEC  # unheard, what speaks against a member is believed so long, as BIND-8's srtts fade
 
 # Waiting and trying again.
 TICK_US = 20 * MS  # how late a held request or an overdue answer may be noticed, while any is open
@@ -120,6 +121,7 @@
         self.cold_us = info.started_us or NEVER
         self.start_afresh(random)
         self.heard_us = NEVER  # its last answer
+        self.judged_us = now  # and the last end of an attempt that told anything
         self.out: dict[tuple[str, int], tuple[int, int]] = {}  # attempt: when it was sent, and its aim
         self.suspect, self.down_us = False, 0
         self.backoff_us, self.retry_us = BACKOFF_US, 0
@@ -134,12 +136,15 @@
         self.srtt, self.heard = random.uniform(*FIRST_SRTT_US), False
         self.ok_share, self.ok_told, self.losses = 1.0, 1, 0
 
-    def judge(self, good: bool) -> None:
+    def judge(self, good: bool, now: int) -> None:
         """One more answer, good or not, in the share of good ones: the mean of the first few, then a moving
-        one. Danger: where hundreds of routers see a failing member a few times each, a slow start of every
-        one leaves it more than its share, as it fails fast."""
+        one, in which answers of long ago weigh less. Danger: where hundreds of routers see a failing member a
+        few times each, a slow start or a long memory of every one leaves it more than its share, as it fails
+        fast."""
         self.ok_told += 1
-        gain = max(1 - OK_MEMORY, 1 / self.ok_told)
+        fresh = 1 - math.exp((self.judged_us - now) / PRESSURE_FADE_US)
+        gain = max(1 - OK_MEMORY, 1 / self.ok_told, fresh)
+        self.judged_us = now
         self.ok_share += gain * ((1.0 if good else 0.0) - self.ok_share)
 
     def suspend(self, now: int) -> None:
@@ -399,8 +404,16 @@
         return (level * PRESSURE_ANSWERS + sum(ages)) / (PRESSURE_ANSWERS + len(ages))
 
     def weights(self, pool: list[MemberState]) -> list[float]:
-        """1/srtt. Danger: quick failures earn share."""
-        weights = [max(m.ok_share, 0.01) ** 2 / max(m.srtt, 1.0) for m in pool]
+        """1/srtt. Dangers: quick failures earn share; a router that meets a member once in many seconds shuns
+        it long after it is well: with hundreds of them it stands idle. So what speaks against it fades."""
+        heard = [m.srtt for m in pool if m.heard]
+        mean = sum(heard) / len(heard) if heard else math.inf
+        weights = []
+        for m in pool:
+            faded = 1 - math.exp((m.judged_us - self.now) / FADE_US)
+            ok = m.ok_share + (1 - m.ok_share) * faded
+            slower = max(m.srtt - mean, 0.0) if m.heard else 0.0
+            weights.append(max(ok, 0.01) ** 2 / max(m.srtt - slower * faded, 1.0))
         known = [w for m, w in zip(pool, weights, strict=True) if m.heard and self.ramp(m) >= 1.0]
         usual = sum(known) / len(known) if known else math.inf
         for i, m in enumerate(pool):
@@ -656,9 +669,9 @@
         if good:
             if self.ramp(m) >= 1.0:
                 self.note_carried()
-            m.judge(True)
+            m.judge(True, self.now)
             for other in r.accused:  # the request was sound, so the error was the member's
-                other.judge(False)
+                other.judge(False, self.now)
             if not self.stalled:
                 took = max(e.took_us, 1)
                 m.srtt = ALPHA * m.srtt + (1 - ALPHA) * took if m.heard else float(took)
@@ -668,7 +681,7 @@
         elif e.outcome is Outcome.ERROR:
             r.accused.append(m)
         elif e.outcome is Outcome.REJECTED:
-            m.judge(False)
+            m.judge(False, self.now)
             self.press(m, group, LOST_PRESSURE)
         elif e.outcome not in (Outcome.MISS, Outcome.NOT_SENT) and not self.stalled and not r.done:
             refused, withdrawn = e.outcome is Outcome.UNREACHABLE, e.outcome is Outcome.CANCELLED
@@ -680,7 +693,7 @@
                 # lose one in ten would be shed and in doubt all day. One that died refuses the next
                 # connection.
                 m.srtt = min(m.srtt * LOST_PENALTY, SRTT_CAP_US)
-                m.judge(False)
+                m.judge(False, self.now)
                 return
             if not refused:
                 self.press(m, group, e.took_us / r.cls.aim_us if withdrawn else LOST_PRESSURE)
@@ -695,7 +708,7 @@
         """Dangers: a hung member swallows work; a dead one breaks connections. One lost answer is chance,
         and where others are lost as well the cause is shared: then the draw alone decides."""
         m.srtt = min(m.srtt * LOST_PENALTY, SRTT_CAP_US)
-        m.judge(False)
+        m.judge(False, self.now)
         m.losses += 1
         well = [o for o in group.members if not o.suspect and self.usable(o, group)]
         again = m.losses >= LOST_IN_A_ROW
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -774,7 +774,7 @@
     wa, wb = s.router.weights([a, b])
     assert wa < wb / 6
     for _ in range(30):
-        a.judge(True)
+        a.judge(True, s.now)
     assert a.ok_share > 0.95  # well again, it has its share again
 
 
@@ -783,8 +783,8 @@
     s.group("a")
     a = s.router.members["a"]
     for _ in range(20):
-        a.judge(True)
-    a.judge(False)
+        a.judge(True, s.now)
+    a.judge(False, s.now)
     assert a.ok_share == pytest.approx(rules.OK_MEMORY)
 
 
