juniperreel trial: a script played, judged, and told how even load was; cuts drop what was given up

Its driver had given it up and closed the connection while the link was cut; the relay delivered it at the heal.

--- a/juniperreel/cli/main.py
+++ b/juniperreel/cli/main.py
@@ -25,6 +25,7 @@
     "raft": ("raft", "Look at Raft's core and at an instance's storage."),
     "standins": ("standins", "Start the members and the host list of a SCRIPT."),
     "statement": ("statement", "Say how a statement's TEXT is read, where it may go, and its digest."),
+    "trial": ("trial", "Try several processes of the program together, with faults between them."),
     "verify": ("demo", "Judge the five rules from a RECORDING."),
 }
 
--- a/juniperreel/proof/spread.py
+++ b/juniperreel/proof/spread.py
@@ -211,3 +211,51 @@
         if idle > bounds.idle_us:
             found.append(Finding("idle", f"{who} had no work for {idle / SECOND:.2f} s", start))
     return found
+
+
+class Able:
+    """A weight from records: 1 while a member runs, is warm, and no driver was told that it drains or left.
+
+    Members that committed a write at any time were primaries, whose load is not the draw's: 0 always.
+    """
+
+    def __init__(self, records: Iterable[rec.Record]) -> None:
+        self._spans: dict[str, list[tuple[int, int]]] = defaultdict(list)
+        self._primaries: set[str] = set()
+        self.groups: dict[str, int] = {}  # of members that requests came to
+        asked: dict[str, int] = {}
+        since: dict[str, int] = {}
+        cold_us = end = 0
+        for r in records:
+            end = max(end, r.at)
+            match r:
+                case rec.Limits():
+                    cold_us = r.cold_us
+                case rec.Asked():
+                    asked[r.rid] = r.group
+                case rec.Arrived():
+                    if r.rid in asked:
+                        self.groups[r.member] = asked[r.rid]
+                case rec.Committed():
+                    self._primaries.add(r.member)
+                case rec.Started():
+                    since[r.member] = r.at + (cold_us if r.cold else 0)
+                case rec.Stopped():
+                    self._close(since, r.member, r.at)
+                case rec.Listed() if r.readiness != "up":
+                    self._close(since, r.host, r.at)
+        for member in list(since):
+            self._close(since, member, end)
+
+    def _close(self, since: dict[str, int], member: str, at: int) -> None:
+        start = since.pop(member, at)
+        if start < at:
+            self._spans[member].append((start, at))
+
+    def __call__(self, member: str, at: int) -> float:
+        if member in self._primaries:
+            return 0.0
+        return 1.0 if any(start <= at < end for start, end in self._spans[member]) else 0.0
+
+    def replicas(self, group: int) -> list[str]:
+        return sorted(m for m, g in self.groups.items() if g == group and m not in self._primaries)
--- a/tests/trial/test_relay.py
+++ b/tests/trial/test_relay.py
@@ -8,6 +8,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from juniperreel.net import Clock, ConnectError, TcpNetwork
 from juniperreel.trial.relay import Links, Relay
@@ -121,6 +122,20 @@
             await trio.sleep(0.005)
 
 
+async def test_what_its_sender_gave_up_during_a_cut_never_arrives() -> None:
+    async with wired() as w:
+        await w.stream.send_all(b"a")
+        await w.hear(b"A")
+        w.relay.cut()
+        await w.stream.send_all(b"b")
+        await w.stream.aclose()
+        await trio.testing.wait_all_tasks_blocked(0.1)  # until the relay has read both
+        w.relay.heal()
+        while w.relay.connections:
+            await trio.testing.wait_all_tasks_blocked()
+        assert w.echo.heard == b"a"
+
+
 async def test_a_new_connection_through_a_cut_comes_up_and_says_nothing() -> None:
     async with wired() as w:
         w.relay.cut()
