--- a/juniperreel/emulator/spread.py
+++ b/juniperreel/emulator/spread.py
@@ -16,6 +16,7 @@
 from typing import Any
 
 from juniperreel import interface as ui
+from juniperreel.emulator import admission
 from juniperreel.proof.spread import Arrival
 from juniperreel.rules import Router
 
@@ -35,35 +36,16 @@
 
 
 def settings(drivers: int, **changes: Any) -> ui.Settings:
-    base = ui.Settings(
-        routers=drivers,
-        zone=0,
-        classes=(READ,),
-        tenants=(),
-        over_share_worth=1.0,
-        prices=ui.Prices(),
-        max_attempts=6,
-        cancelling=True,
-        probes=True,
-        second_copies=False,
-        retry_hints=True,
-        max_retry_after_us=US,
-        answer_grace_us=20 * MS,
-        drain_grace_us=2 * US,
-        only_draining_binds=False,
-        cold_from=0.2,
-        cold_us=10 * US,
-        fall_multiple=2.0,
-        overload_us=2 * US,
-        must_ask=False,
-        ask_every_us=10 * US,
-        guard=ui.Guard.OFF,
-        guard_wait_us=0,
-        carried_age=False,
-        positions_in_answers=True,
-        list_shows_role=True,
-    )
-    return replace(base, **changes)
+    ours: dict[str, Any] = {
+        "max_attempts": 6,
+        "answer_grace_us": 20 * MS,
+        "cold_us": 10 * US,
+        "must_ask": False,
+        "ask_every_us": 10 * US,
+        "guard": ui.Guard.OFF,
+        "carried_age": False,
+    }
+    return replace(admission.settings((READ,), routers=drivers), **(ours | changes))
 
 
 @dataclass(slots=True)
--- a/juniperreel/trial/relay.py
+++ b/juniperreel/trial/relay.py
@@ -2,7 +2,7 @@
 
 A cut is silent, as on a real network: what was written stays on the way and arrives when the cut heals,
 unless its sender has closed the connection by then; new connections come up (the kernel accepts them) and
-nothing is heard on them. Each direction is cut, delayed and slowed on its own. Must never look into the bytes.
+nothing is heard on them. Each direction is cut, delayed and slowed on its own. It never looks into the bytes.
 """
 
 from __future__ import annotations
--- a/tests/proof/test_spread.py
+++ b/tests/proof/test_spread.py
@@ -100,3 +100,27 @@
     assert spread.arrivals(records, MEMBERS) == [Arrival(10, "r0", "n1"), Arrival(20, "r1", "n0")]
     assert math.isnan(spread.dispersion([]))
     assert spread.highest([]) == (0.0, None)
+
+
+def test_who_is_able_is_read_from_records() -> None:
+    second = SECOND
+    able = spread.Able(
+        [
+            rec.Limits(0, 2 * second, 0.2, 6 * second, 2.0, 3 * second, 6),
+            rec.Started(0, "r0", False, 4.0),
+            rec.Started(0, "p", False, 4.0),
+            rec.Asked(10, "q1", 0, "n0", "board", "s", "acme", 3, "k", 99),
+            rec.Arrived(20, "r0", "n0", "q1", 0, "q1", "board", False, 10),
+            rec.Arrived(21, "p", "n0", "q1", 1, "q1", "board", False, 10),
+            rec.Committed(30, 3, 1, 7, "p", "q2", "k"),
+            rec.Started(second, "late", True, 4.0),
+            rec.Listed(9 * second, "n0", "r0", "draining"),
+            rec.Stopped(12 * second, "late", "killed"),
+            rec.EdgeUp(20 * second, "n0"),
+        ]
+    )
+    assert able.replicas(3) == ["r0"] and able.replicas(1) == []
+    assert [able("r0", at * second) for at in (1, 8, 10)] == [1.0, 1.0, 0.0]  # not once it drains
+    assert [able("late", at * second) for at in (2, 8, 13)] == [0.0, 1.0, 0.0]  # warm only, and while it runs
+    assert able("p", second) == 0.0  # it wrote
+    assert able("unknown", second) == 0.0
