Commands that judge a recording end in one place; state that nobody read is gone

Seen on reading the whole change again: trial run, demo and verify each wrote table, verdicts and exit status, and two commands the reading of a recording. They call report.conclude and report.recorded now. A counter of sessions and the list of drivers told later were never used. Behaviour is the same.

--- a/juniperreel/cli/demo.py
+++ b/juniperreel/cli/demo.py
@@ -10,11 +10,10 @@
 import click
 import trio
 
-from juniperreel.cli.report import table, verdicts
+from juniperreel.cli.report import conclude, recorded
 from juniperreel.cli.world import World
 from juniperreel.net.clock import US
-from juniperreel.proof.records import BadRecording, Fault, Recorder, read
-from juniperreel.proof.rules import check_all
+from juniperreel.proof.records import Fault, Recorder
 from juniperreel.standins.script import Day, ScriptError, parse
 
 
@@ -127,26 +126,11 @@
         trio.run(play, day, folder.resolve(), recorder, careless, quiet, raft, code)
         if out is not None:
             out.close()
-    for line in table(recorder.records):
-        click.echo(line)
-    found = check_all(recorder.records)
-    for line in verdicts(found):
-        click.echo(line)
-    sys.exit(1 if any(found.values()) else 0)
+    conclude(recorder.records)
 
 
 @click.command()
 @click.argument("recording", type=click.Path(path_type=Path, exists=True, dir_okay=False))
 def verify(recording: Path) -> None:
     """Judge the five rules from a RECORDING."""
-    try:
-        records = list(read(recording))
-    except BadRecording as error:
-        click.echo(str(error), err=True)
-        sys.exit(2)
-    for line in table(records):
-        click.echo(line)
-    found = check_all(records)
-    for line in verdicts(found):
-        click.echo(line)
-    sys.exit(1 if any(found.values()) else 0)
+    conclude(recorded(recording))
--- a/juniperreel/cli/report.py
+++ b/juniperreel/cli/report.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import sys
 from collections import defaultdict
 from collections.abc import Iterable
+from pathlib import Path
+from typing import NoReturn
 
+import click
 import msgspec
 from hdrh.histogram import HdrHistogram
 
 from juniperreel.proof import records as rec
-from juniperreel.proof.rules import RULES, Day, Reads, Violation, check_reads
+from juniperreel.proof.rules import RULES, Day, Reads, Violation, check_all, check_reads
 
 LOWEST, HIGHEST, DIGITS = 1, 60_000_000, 3
 REFUSED = (8, 14)
@@ -70,3 +74,22 @@
             continue
         yield f"rule {number} ({name}): BROKEN {len(violations)} times; first: {violations[0].text}"
         yield f"    {msgspec.json.encode(violations[0].record).decode()}"
+
+
+def recorded(recording: Path) -> list[rec.Record]:
+    """Its records. Where a line is none, the command ends with 2 and says which."""
+    try:
+        return list(rec.read(recording))
+    except rec.BadRecording as error:
+        click.echo(str(error), err=True)
+        sys.exit(2)
+
+
+def conclude(records: list[rec.Record], more: Iterable[str] = ()) -> NoReturn:
+    """The table, what a command says besides, and the verdicts; ends with 1 for a broken rule, else 0."""
+    for line in (*table(records), *more):
+        click.echo(line)
+    found = check_all(records)
+    for line in verdicts(found):
+        click.echo(line)
+    sys.exit(1 if any(found.values()) else 0)
--- a/juniperreel/cli/trial.py
+++ b/juniperreel/cli/trial.py
@@ -10,12 +10,11 @@
 import click
 import trio
 
-from juniperreel.cli.report import table, verdicts
+from juniperreel.cli.report import conclude, recorded
 from juniperreel.net import TcpNetwork
 from juniperreel.net.clock import US
 from juniperreel.proof import records as rec
 from juniperreel.proof import spread
-from juniperreel.proof.rules import check_all
 from juniperreel.standins.script import Day, ScriptError, parse
 from juniperreel.trial.platformfleet import PlatformTrial
 
@@ -70,27 +69,15 @@
             keep = rec.Recorder(out)
             for r in records:
                 keep(r)
-    for line in table(records):
-        click.echo(line)
-    click.echo(f"probes {play.probes}, connections to members {play.connections}")
-    for line in evenness(records):
-        click.echo(line)
-    found = check_all(records)
-    for line in verdicts(found):
-        click.echo(line)
-    sys.exit(1 if any(found.values()) else 0)
+    counts = f"probes {play.probes}, connections to members {play.connections}"
+    conclude(records, [counts, *evenness(records)])
 
 
 @trial.command("spread")
 @click.argument("recording", type=click.Path(path_type=Path, exists=True, dir_okay=False))
 def spread_of(recording: Path) -> None:
     """How evenly replicas were loaded, from a RECORDING."""
-    try:
-        records = list(rec.read(recording))
-    except rec.BadRecording as error:
-        click.echo(str(error), err=True)
-        sys.exit(2)
-    for line in evenness(records):
+    for line in evenness(recorded(recording)):
         click.echo(line)
 
 
--- a/juniperreel/standins/platformclients.py
+++ b/juniperreel/standins/platformclients.py
@@ -48,7 +48,7 @@
         self._name, self._group, self._classes, self._weights = name, group, classes, weights
         self._front, self._network, self._clock, self._record = front, network, clock, record
         self._rng = random.Random(seed)
-        self._lives = self._count = 0
+        self._lives = 0
         self._driver = ""
         self._stream: trio.abc.Stream | None = None
         self._talk = ClientConnection("worker", "catalog")
--- a/juniperreel/standins/platformhosts.py
+++ b/juniperreel/standins/platformhosts.py
@@ -60,8 +60,7 @@
 
 
 class PlatformHosts:
-    """Stands where a fleet's host list does. `delay_us` is how late it tells what happens; `later` names
-    drivers that are told that much later still."""
+    """Stands where a fleet's host list does. `delay_us` is how late it tells what happens."""
 
     def __init__(
         self,
@@ -75,7 +74,6 @@
         self.port = 0
         self.frozen = False
         self.discoveries = {driver: Told(driver, clock, record) for driver in drivers}
-        self.later: dict[str, int] = {}
         self._clock, self._rng, self._delay_us, self._door = clock, rng, delay_us, door
         self._due: list[tuple[int, str, hosts_pb2.Host]] = []
         self._shown: dict[str, dict[str, hosts_pb2.Host]] = {driver: {} for driver in drivers}
@@ -93,7 +91,7 @@
         wait = self._delay_us if delay_us is None else delay_us
         due = self._clock.now_us() + int(wait * self._rng.uniform(0.6, 1.4))
         for driver in self.discoveries:
-            self._due.append((due + (self.later.get(driver, 0) if wait else 0), driver, host))
+            self._due.append((due, driver, host))
 
     def names(self) -> list[str]:
         found = {n for shown in self._shown.values() for n, h in shown.items()}
