--- a/Makefile
+++ b/Makefile
@@ -17,8 +17,11 @@
 	.venv/bin/mypy
 	.venv/bin/lint-imports
 
+# Half of the cores: tests that start processes, or time what they see on sockets, want more than one each.
+WORKERS := $(shell echo $$(( ($$(nproc) + 1) / 2 )))
+
 test: lint
-	$(PY) -m pytest -q -n auto --dist worksteal
+	$(PY) -m pytest -q -n $(WORKERS) --dist worksteal
 
 demo: setup
 	$(PY) -m juniperreel.cli.main demo
--- a/tests/e2e/test_overload.py
+++ b/tests/e2e/test_overload.py
@@ -226,7 +226,6 @@
             await crowd.burst(400)
             known = {
                 "the group is at its limit",
-                "this edge is at its limit",  # where the machine is slow, and answers wait with the requests
                 "the wait for the group's members was too long",
                 "others are worth more",
                 "shed: answers take too long, or no time is left",
