The rig writes no attempt down that its driver had given up; an overloaded loop is no refusal's fault

Under a full load four more tests broke by 'was sent after its final answer'. So the driver kept the rule and the rig could not tell. Ruled out: an attempt started after the refusal, a connection left open behind it.

Change: before a member writes an attempt down it asks the kernel, by the relay, whether the driver's end is still up, and notes attempts of the same request that were given up elsewhere. A session whose driver ended the connection behind an answer opens another instead of failing the trial.

--- a/juniperreel/standins/platformclients.py
+++ b/juniperreel/standins/platformclients.py
@@ -57,6 +57,8 @@
         """Asks until then, pausing between an answer and the next request."""
         while self._clock.now_us() < until_us:
             await trio.sleep(pause_s * self._rng.expovariate(1.0))
+            if self._talk.phase is Phase.OVER:
+                self._drop()  # its driver ended the connection behind an answer
             if self._stream is None and not await self._connect():
                 await trio.sleep(AGAIN_S)
                 continue
--- a/juniperreel/standins/postgresmember.py
+++ b/juniperreel/standins/postgresmember.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import sqlite3
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import trio
@@ -61,6 +62,9 @@
         self.opened = 0  # connections, ever
         self.probes = 0  # answered, ever
         self.asked: dict[str, int] = {}  # attempts by request
+        self.busy: dict[str, list[Connection]] = {}  # with what runs here, by request
+        # Whether a driver has ended its connection that comes here from a port, though that is not heard yet.
+        self.given_up: Callable[[str, int], bool] = lambda driver, port: False
         self._report = (0, b"")
 
     async def serve(
@@ -94,6 +98,8 @@
         self._talk = server.ServerConnection()
         self._news = trio.Event()
         self._attempt: tuple[str, int] | None = None  # that is running
+        self._told = False  # that it is given up
+        self._port = stream.socket.getpeername()[1] if isinstance(stream, trio.SocketStream) else 0
 
     async def run(self) -> None:
         self._side.opened += 1
@@ -115,10 +121,18 @@
                 self._news = trio.Event()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
-        if self._attempt is not None:
-            self._member.record(Abandoned(self._member.at_us(), self._member.name, *self._attempt))
+        self.abandon()
         whole.cancel()
 
+    def abandon(self) -> None:
+        if self._attempt is not None and not self._told:
+            self._told = True
+            self._member.record(Abandoned(self._member.at_us(), self._member.name, *self._attempt))
+
+    @property
+    def over(self) -> bool:
+        return self._side.given_up(self._driver, self._port)
+
     async def _serve(self) -> None:
         try:
             while self._talk.phase is not server.Phase.OVER:
@@ -155,12 +169,20 @@
 
     async def _attempted(self, form: Form) -> bytes:
         member, side = self._member, self._side
+        # Danger: a machine with much else to do lets this process wait, and what a driver gave up in time, by
+        # ending a connection, would look like sent after its final answer, or beside its next attempt.
+        if self.over:
+            raise Lost(broken=True)
+        for other in [c for peer in member.group.members for c in peer.postgres.busy.get(form.id, ())]:
+            if other.over:
+                other.abandon()
         number = side.asked[form.id] = side.asked.get(form.id, -1) + 1
         mean = member.shape.write_us if form.write else member.shape.read_us
         now, name = member.at_us(), member.name
         member.record(Arrived(now, name, self._driver, form.id, number, form.id, form.cls, form.write, mean))
         member.machine.offer(mean)
-        self._attempt, how = (form.id, number), "stopped"
+        self._attempt, self._told, how = (form.id, number), False, "stopped"
+        side.busy.setdefault(form.id, []).append(self)
         try:
             answer = await self._carry_out(form, mean, now + form.span_ms * 1000)
             how = "answered"
@@ -169,6 +191,9 @@
             answer = m.error("ERROR", error.code, str(error)) + self._facts(None) + m.READY
         finally:
             self._attempt = None
+            side.busy[form.id].remove(self)
+            if not side.busy[form.id]:
+                del side.busy[form.id]
             member.record(Left(member.at_us(), name, form.id, number, how, how == "answered"))
         return answer
 
--- a/juniperreel/trial/platformfleet.py
+++ b/juniperreel/trial/platformfleet.py
@@ -13,6 +13,7 @@
 import sys
 from collections.abc import Iterator, Sequence
 from contextlib import suppress
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -80,8 +81,13 @@
 
     async def _door(self, driver: str, member: str) -> int:
         assert self.links is not None
-        port = self.fleet.members[member].postgres.ports[driver]
-        return (await self.links.between(driver, member, port)).port
+        side = self.fleet.members[member].postgres
+        side.given_up = partial(self._given_up, member)
+        return (await self.links.between(driver, member, side.ports[driver])).port
+
+    def _given_up(self, member: str, driver: str, port: int) -> bool:
+        assert self.links is not None
+        return self.links.relays[driver, member].given_up(port)
 
     async def _config(self, driver: str) -> dict[str, Any]:
         assert self.links is not None
--- a/juniperreel/trial/relay.py
+++ b/juniperreel/trial/relay.py
@@ -22,6 +22,7 @@
 CHUNK = 65_536
 ON_THE_WAY = 64  # chunks that a direction holds before it stops reading
 CONNECT_US = 5_000_000
+ESTABLISHED = 1  # of the kernel's TCP states
 RESET = struct.pack("ii", 1, 0)  # linger for no time: what is not sent is dropped, and the peer is told
 
 
@@ -59,6 +60,7 @@
         self.port = 0
         self.opened = 0  # connections, ever
         self._pairs: set[tuple[trio.abc.Stream, trio.abc.Stream | None]] = set()
+        self._near: dict[int, trio.abc.Stream] = {}  # by the port from which its far end was opened
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         listener = await self._network.listen("127.0.0.1", self.port)
@@ -98,6 +100,12 @@
                 if stream is not None:
                     reset(stream)
 
+    def given_up(self, port: int) -> bool:
+        """Whether whoever connects has ended the connection that goes on from this port, by what the kernel
+        says now and not by what has been read here."""
+        near = self._near.get(port)
+        return near is None or hung_up(near)
+
     async def _carry(self, near: trio.abc.Stream) -> None:
         pair: tuple[trio.abc.Stream, trio.abc.Stream | None] = (near, None)
         self._pairs.add(pair)
@@ -111,12 +119,15 @@
             self._pairs.discard(pair)
         pair = (near, far)
         self._pairs.add(pair)
+        port = local_port(far)
+        self._near[port] = near
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._way, near, far, self.there, nursery.cancel_scope)
                 nursery.start_soon(self._way, far, near, self.back, nursery.cancel_scope)
         finally:
             self._pairs.discard(pair)
+            self._near.pop(port, None)
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(near)
                 await trio.aclose_forcefully(far)
@@ -176,6 +187,21 @@
         stream.socket.close()
 
 
+def local_port(stream: trio.abc.Stream) -> int:
+    return int(stream.socket.getsockname()[1]) if isinstance(stream, trio.SocketStream) else 0
+
+
+def hung_up(stream: trio.abc.Stream) -> bool:
+    """Whether the peer has ended its side, though there may still be something to read before that."""
+    if not isinstance(stream, trio.SocketStream):
+        return False
+    try:
+        state: int = stream.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+    except OSError:
+        return True  # closed here already
+    return state != ESTABLISHED
+
+
 class Links:
     """All relays of a trial, by who connects and to whom."""
 
