--- a/juniperreel/net/__init__.py
+++ b/juniperreel/net/__init__.py
@@ -1,7 +1,17 @@
 """The seam to network and clock: the only room that opens a socket."""
 
 from juniperreel.net.clock import Clock
-from juniperreel.net.network import ConnectError, Listener, Network, Refused, Silent, TcpNetwork
+from juniperreel.net.network import ConnectError, Listener, Network, Refused, Silent, TcpNetwork, hung_up
 from juniperreel.net.pace import Pace
 
-__all__ = ["Clock", "ConnectError", "Listener", "Network", "Pace", "Refused", "Silent", "TcpNetwork"]
+__all__ = [
+    "Clock",
+    "ConnectError",
+    "Listener",
+    "Network",
+    "Pace",
+    "Refused",
+    "Silent",
+    "TcpNetwork",
+    "hung_up",
+]
--- a/juniperreel/net/network.py
+++ b/juniperreel/net/network.py
@@ -17,6 +17,7 @@
 EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 EXHAUSTED_PAUSE_S = 0.1  # how long no connection is taken while descriptors have run out
 BACKLOG = 1024
+ESTABLISHED = 1  # of the kernel's TCP states
 
 
 class ConnectError(Exception):
@@ -123,3 +124,14 @@
 
 def family(host: str) -> int:
     return socket.AF_INET6 if ":" in host else socket.AF_INET
+
+
+def hung_up(stream: trio.abc.Stream) -> bool:
+    """Whether the peer has ended its side, though there may still be something to read before that."""
+    if not isinstance(stream, trio.SocketStream):
+        return False
+    try:
+        state: int = stream.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+    except OSError:
+        return True  # closed here already
+    return state != ESTABLISHED
--- a/juniperreel/standins/fleet.py
+++ b/juniperreel/standins/fleet.py
@@ -71,7 +71,7 @@
         rng = random.Random(self._rng.random())
         self.hosts = hosts or HostList(network, clock, rng, record, day["list-delay"])
         self.groups = [
-            Group(n, clock, random.Random(self._rng.random()), record, DETECT_S, ELECT_S)
+            Group(n, clock, random.Random(self._rng.random()), record, DETECT_S, ELECT_S, not drivers)
             for n in range(day["groups"])
             if only is None or n in only
         ]
@@ -143,6 +143,8 @@
         alive = [m for m in self.members.values() if m.alive]
         if target == "all":
             return alive
+        if target.startswith("zone:") and target[5:].isdigit():
+            return [m for m in alive if m.zone == int(target[5:])]
         if target.startswith("random:"):
             count = max(min(1, len(alive)), round(float(target[7:].rstrip("%")) / 100 * len(alive)))
             return self._rng.sample(alive, min(count, len(alive)))
--- a/juniperreel/standins/group.py
+++ b/juniperreel/standins/group.py
@@ -87,9 +87,21 @@
     """The members of one group and the state of its replication."""
 
     def __init__(
-        self, number: int, clock: Clock, rng: random.Random, record: Sink, detect_s: float, elect_s: float
+        self,
+        number: int,
+        clock: Clock,
+        rng: random.Random,
+        record: Sink,
+        detect_s: float,
+        elect_s: float,
+        streams: bool = True,
     ) -> None:
+        """`streams`: replicas follow their primary over streams, as they do where edges are tried; else its
+        log is handed on here, at a twentieth of the cost: a large trial's machine has other things to do."""
         self.number = number
+        self.streams = streams
+        self._followed: dict[str, tuple[str, int]] = {}  # by each replica: whom, in which epoch
+        self._on_way: list[tuple[float, int, int]] = []  # when it arrives, how much of the log, the heartbeat
         self.members: list[Member] = []
         self.primary: Member | None = None
         self.epoch = 1
@@ -127,11 +139,34 @@
             if p is not None and self._well(p) and p.copy.epoch == self.epoch:
                 p.copy.received = p.copy.position = self.heartbeat()
                 p.copy.forget_keys(p.copy.position - self.key_memory_us)
+            if not self.streams and p is not None:
+                self._hand_on(p, now)
             self._depose(now)
             for member in self.members:
                 if member is not self.primary and member.alive and not member.hung:
                     self._apply(member)
 
+    def _hand_on(self, p: Member, now: float) -> None:
+        """What the primary's log held a delay ago, to all replicas that can hear it."""
+        if not (self._well(p) and p.claims):
+            self._on_way = []
+            return
+        self._on_way.append((now + self.delay_s, len(p.copy.log), self.heartbeat()))
+        ready = [item for item in self._on_way if item[0] <= now]
+        if not ready:
+            return
+        self._on_way = [item for item in self._on_way if item[0] > now]
+        _, length, heartbeat = ready[-1]
+        for m in self.members:
+            if m is p or m.claims or not self._well(m):
+                continue
+            if self._followed.get(m.name) != (p.name, self.epoch):
+                keep = p.copy.held_with([(c.epoch, c.position) for c in m.copy.log])
+                m.copy.follow(keep, list(p.copy.epochs))
+                self._followed[m.name] = p.name, self.epoch
+            m.copy.take(p.copy.log[len(m.copy.log) : length], heartbeat)
+        self.received()
+
     def received(self) -> None:
         """A replica has received something: writes that wait for a second copy look again."""
         self.arrived.set()
--- a/juniperreel/standins/member.py
+++ b/juniperreel/standins/member.py
@@ -127,7 +127,8 @@
         try:
             with trio.CancelScope() as self._scope:
                 async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self._follow)
+                    if self.group.streams:
+                        nursery.start_soon(self._follow)
                     if mysql is not None:
                         nursery.start_soon(self.mysql.serve, mysql)
                     for driver in self.shape.postgres:
--- a/juniperreel/standins/platformclients.py
+++ b/juniperreel/standins/platformclients.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from juniperreel.net import Clock, ConnectError, Network
+from juniperreel.net import Clock, ConnectError, Network, hung_up
 from juniperreel.net.clock import US
 from juniperreel.postgres import messages as m
 from juniperreel.postgres.client import ClientConnection, Phase, Reply
@@ -57,8 +57,8 @@
         """Asks until then, pausing between an answer and the next request."""
         while self._clock.now_us() < until_us:
             await trio.sleep(pause_s * self._rng.expovariate(1.0))
-            if self._talk.phase is Phase.OVER:
-                self._drop()  # its driver ended the connection behind an answer
+            if self._stream is not None and (self._talk.phase is Phase.OVER or hung_up(self._stream)):
+                self._drop()  # its driver has ended it, or has been killed, since the last answer
             if self._stream is None and not await self._connect():
                 await trio.sleep(AGAIN_S)
                 continue
--- a/juniperreel/standins/postgresmember.py
+++ b/juniperreel/standins/postgresmember.py
@@ -60,6 +60,7 @@
         self.member = member
         self.ports: dict[str, int] = {}
         self.opened = 0  # connections, ever
+        self.held = self.most_held = 0  # now, and at most at a time
         self.probes = 0  # answered, ever
         self.asked: dict[str, int] = {}  # attempts by request
         self.busy: dict[str, list[Connection]] = {}  # with what runs here, by request
@@ -103,12 +104,15 @@
 
     async def run(self) -> None:
         self._side.opened += 1
+        self._side.held += 1
+        self._side.most_held = max(self._side.most_held, self._side.held)
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._read, nursery.cancel_scope)
                 await self._serve()
                 nursery.cancel_scope.cancel()
         finally:
+            self._side.held -= 1
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(self._stream)
 
--- a/juniperreel/trial/relay.py
+++ b/juniperreel/trial/relay.py
@@ -16,13 +16,12 @@
 
 import trio
 
-from juniperreel.net import Clock, ConnectError, Network
+from juniperreel.net import Clock, ConnectError, Network, hung_up
 from juniperreel.net.clock import US
 
 CHUNK = 65_536
 ON_THE_WAY = 64  # chunks that a direction holds before it stops reading
 CONNECT_US = 5_000_000
-ESTABLISHED = 1  # of the kernel's TCP states
 RESET = struct.pack("ii", 1, 0)  # linger for no time: what is not sent is dropped, and the peer is told
 
 
@@ -191,17 +190,6 @@
     return int(stream.socket.getsockname()[1]) if isinstance(stream, trio.SocketStream) else 0
 
 
-def hung_up(stream: trio.abc.Stream) -> bool:
-    """Whether the peer has ended its side, though there may still be something to read before that."""
-    if not isinstance(stream, trio.SocketStream):
-        return False
-    try:
-        state: int = stream.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
-    except OSError:
-        return True  # closed here already
-    return state != ESTABLISHED
-
-
 class Links:
     """All relays of a trial, by who connects and to whom."""
 
--- a/tests/cli/test_trial.py
+++ b/tests/cli/test_trial.py
@@ -40,3 +40,70 @@
     assert "line 1" in done.output and "line 2" in done.output
     (tmp_path / "bad").write_text("no record\n")
     assert CliRunner().invoke(main, ["trial", "spread", str(tmp_path / "bad")]).exit_code == 2
+
+
+SHORT = """
+groups 1
+members 3
+edges 2
+sessions 6
+last 5s
+list-delay 100ms
+at 500ms for 4s lag g0 1e5
+at 600ms for 200ms link-slow edge/0 to all 5ms
+"""
+# Planted: data of any age will do.
+AGELESS = """
+import sys
+from juniperreel import rules
+from juniperreel.platform.run import main
+rules.Router.fresh_enough = lambda *_: True
+sys.exit(main([]))
+"""
+
+
+def test_seeds_that_hold_leave_nothing_behind(tmp_path: Path) -> None:
+    (tmp_path / "quiet.day").write_text("groups 1\nmembers 3\nedges 2\nsessions 4\nlast 2s\n")
+    out = tmp_path / "found"
+    done = CliRunner().invoke(
+        main, ["trial", "hunt", str(tmp_path / "quiet.day"), "--seeds", "2", "--out", str(out)]
+    )
+    assert done.exit_code == 0 and "2 seeds, no rule broken" in done.output, done.output
+    assert list(out.iterdir()) == []
+
+
+def test_a_planted_bug_is_hunted_and_its_script_made_smaller(tmp_path: Path) -> None:
+    (tmp_path / "short.day").write_text(SHORT)
+    (tmp_path / "ageless.py").write_text(AGELESS)
+    driver = ["--driver", str(tmp_path / "ageless.py"), "--pause", "0.05"]
+    day, out = str(tmp_path / "short.day"), tmp_path / "found"
+    done = CliRunner().invoke(main, ["trial", "hunt", day, "--seeds", "3", "--out", str(out), *driver])
+    assert done.exit_code == 1 and "broke rule 5" in done.output, done.output
+    (kept,) = out.iterdir()
+    assert {"script.day", "recording", "n0.log"} <= {p.name for p in kept.iterdir()}
+    smaller = tmp_path / "small.day"
+    words = [
+        "trial",
+        "shrink",
+        str(kept / "script.day"),
+        "--rule",
+        "5",
+        "--plays",
+        "2",
+        "--out",
+        str(smaller),
+    ]
+    done = CliRunner().invoke(main, [*words, *driver])
+    assert done.exit_code == 0 and "1 of 2 faults are left" in done.output, done.output
+    assert "lag g0" in smaller.read_text() and "link-slow" not in smaller.read_text()
+    done = CliRunner().invoke(main, ["trial", "picture", str(kept / "recording"), str(tmp_path / "day.png")])
+    assert done.exit_code == 0 and (tmp_path / "day.png").stat().st_size > 10_000, done.output
+
+
+def test_what_cannot_be_drawn_or_started_is_told(tmp_path: Path) -> None:
+    (tmp_path / "empty").write_text("")
+    (tmp_path / "day").write_text(DAY)
+    done = CliRunner().invoke(main, ["trial", "picture", str(tmp_path / "empty"), str(tmp_path / "x.png")])
+    assert done.exit_code == 2 and "nothing was asked" in done.output
+    done = CliRunner().invoke(main, ["trial", "run", str(tmp_path / "day"), "--driver", "nowhere.py x"])
+    assert done.exit_code == 2 and "nowhere.py is no file" in done.output
