Reads with a bound look beside themselves at who would have been drawn, while looks are rare

Cause: only members whose position was just heard are in the draw of a read with a bound, and those are the ones that had work; who was drawn last is drawn again, and who lost its work never has it back (rules.py, draw: pool).

Change: look_beside draws among all as if they were fresh and probes that one beside the read where it is not, within one look in 20 requests, of which looks that reads wait for take their part.

--- a/juniperreel/emulator/spread.py
+++ b/juniperreel/emulator/spread.py
@@ -32,10 +32,12 @@
     "read", ui.Effect.REPEATABLE, ui.KeyScope.ALL, 0, ui.Consistency.ANY, 0, 500 * MS, 2 * US, 1.0, 0.2
 )
 
+BOUNDED = replace(READ, consistency=ui.Consistency.BOUNDED, lag_allowed_us=300 * MS)
+
 MakeRouter = Callable[[ui.Settings, int], Router]
 
 
-def settings(drivers: int, **changes: Any) -> ui.Settings:
+def settings(drivers: int, read: ui.RequestClass = READ, **changes: Any) -> ui.Settings:
     ours: dict[str, Any] = {
         "max_attempts": 6,
         "answer_grace_us": 20 * MS,
@@ -45,7 +47,7 @@
         "guard": ui.Guard.OFF,
         "carried_age": False,
     }
-    return replace(admission.settings((READ,), routers=drivers), **(ours | changes))
+    return replace(admission.settings((read,), routers=drivers), **(ours | changes))
 
 
 @dataclass(slots=True)
@@ -87,11 +89,13 @@
         work_us: int = 30 * MS,
         seed: int = 1,
         make: MakeRouter = Router,
+        read: ui.RequestClass = READ,
         **changes: Any,
     ) -> None:
         """`rate`: reads a second of an ordinary driver; one in ten has `heavy` times that."""
         self.rng = random.Random(seed)
-        self.settings, self.make, self.work_us = settings(drivers, **changes), make, work_us
+        self.read = read
+        self.settings, self.make, self.work_us = settings(drivers, read, **changes), make, work_us
         self.now = START_US
         self._heap: list[tuple[int, int, Callable[..., object], tuple[Any, ...]]] = []
         self._count = 0
@@ -175,7 +179,7 @@
         name = f"{self._count}"
         self.open[driver][name] = self.now
         self.served[driver].taken += 1
-        self._hand(driver, ui.Request(name, 0, -1, 0, self.now + READ.deadline_us))
+        self._hand(driver, ui.Request(name, 0, -1, 0, self.now + self.read.deadline_us))
 
     def _hand(self, driver: int, *events: ui.Event) -> None:
         self._act(driver, self.routers[driver].handle(self.now, events))
@@ -262,7 +266,7 @@
         outcome = ui.Outcome(how)
         plant = self.plants.get(member)
         if outcome is ui.Outcome.OK and came is not None:
-            self.served[driver].good += self.now - came <= READ.aim_us
+            self.served[driver].good += self.now - came <= self.read.aim_us
             del self.open[driver][request]
         started = sent_us if how != "ok" else self._sent(driver, request, sent_us)
         position = self.now if outcome is ui.Outcome.OK else None
--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -76,6 +76,7 @@
 # Probes.
 REFUSED_US = 100 * MS  # a connection refused so soon: no process listens; silence takes longer
 LOOKS = 4  # members probed, one after another, for a read that finds no position it may go by
+BESIDE_SHARE = 0.05  # looks earned by each request, spent by all: dear as a request, they would add so much
 LOOK_US = 50 * MS  # a read is held this long for a probe's answer, or for members to have news
 PASSED_US = 5 * SEC  # a passed probe vouches for a suspect member for this long
 PROBE_AGAIN_US = 300 * MS  # a member in doubt says nothing new before
@@ -235,6 +236,7 @@
         self.sessions: dict[tuple[int, str], int] = {}
         self.tenants = [0.0 for _ in settings.tenants]
         self.retries = RETRY_BURST
+        self.beside = 1.0  # looks that are left over
         values = [c.worth / s.mean for c, s in zip(settings.classes, self.stats, strict=True)]
         self.usual_value = sum(values) / len(values)
         self.carried, self.carried_us = 0.0, 0  # answers of warm members within CARRY_US
@@ -462,9 +464,22 @@
             return True
         r.looks, r.wake_us = r.looks + 1, self.now + LOOK_US
         if unseen:
+            self.beside = max(self.beside - 1, -1.0)
             self.probe(self.random.choices(unseen, self.weights(unseen))[0])
         return True
 
+    def look_beside(self, r: RequestState, others: list[MemberState]) -> None:
+        """Danger: only who had work is known to be fresh, and so is given the next one: of a group's replicas
+        some herd and some idle, and one that lost its work never has it back. Who would have been drawn were
+        all known to be fresh is looked at beside the read, while looks are rare."""
+        if not self.s.probes or self.beside < 1 or r.attempts:
+            return
+        behind = [m for m in others if not self.fresh_enough(r, m, 0)]
+        m = self.random.choices(others, self.weights(others))[0] if behind else None
+        if m is not None and m in behind and self.now - m.probe_us > PROBE_AGAIN_US:
+            self.beside -= 1
+            self.probe(m)
+
     # The primary.
 
     def primary_of(self, group: GroupState, for_read: bool) -> MemberState | None:
@@ -523,6 +538,7 @@
         r = RequestState(ask, cls, self.now, needs)
         self.requests[ask.id] = r
         self.retries = min(RETRY_BURST, self.retries + RETRY_SHARE)
+        self.beside = min(1.0, self.beside + BESIDE_SHARE)
         self.usual_value += VALUE_STEP * (cls.worth / self.stats[ask.cls].mean - self.usual_value)
         if 0 <= ask.tenant < len(self.tenants):
             self.tenants = [TENANT_MEMORY * seen for seen in self.tenants]
@@ -568,6 +584,7 @@
                 group.held[r.ask.id] = r
                 return
             target = target or self.draw(r, group, others)
+            self.look_beside(r, others)
         if target is None:
             p = self.primary_of(group, r.cls.consistency is not Consistency.WRITE)
             on_primary = True
--- a/tests/emulator/test_spread.py
+++ b/tests/emulator/test_spread.py
@@ -9,7 +9,7 @@
 import pytest
 
 from juniperreel import rules
-from juniperreel.emulator.spread import US, Fleet, Plant
+from juniperreel.emulator.spread import BOUNDED, US, Fleet, Plant
 from juniperreel.proof import spread
 from juniperreel.proof.spread import Bounds
 
@@ -108,6 +108,41 @@
     assert not found(fleet, 20, 30, NAMES[2:]) - {"dispersion"}
 
 
+BUSY = ["r00", "r01", "r02"]
+
+
+def busy(seed: int, until: float) -> Fleet:
+    """Six drivers that hear of each member many times a second, reads with a bound of 0.3 s."""
+    fleet = Fleet(6, len(BUSY), rate=32, heavy=1, work_us=10_000, seed=seed, read=BOUNDED)
+    fleet.run(until)
+    return fleet
+
+
+def looks(fleet: Fleet) -> float:
+    return len(fleet.probes) / sum(s.taken for s in fleet.served)
+
+
+def test_reads_with_a_bound_do_not_stay_with_whoever_had_them(monkeypatch: pytest.MonkeyPatch) -> None:
+    now = busy(5, 16)
+    assert not found(now, SETTLED, 16, BUSY) & {"share", "idle", "herd"}
+    assert looks(now) < 1.2 * rules.BESIDE_SHARE
+    monkeypatch.setattr(rules.Router, "look_beside", lambda *_: None)  # planted: nobody looks beside a read
+    assert {"share", "idle"} <= found(busy(5, 16), SETTLED, 16, BUSY)
+
+
+def test_where_reads_have_to_look_anyway_nothing_is_looked_at_beside_them(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Drivers that see little probe for most reads; those looks are news enough."""
+    sparse = Fleet(DRIVERS, REPLICAS, rate=0.5, heavy=1, read=BOUNDED)
+    sparse.run(20)
+    beside: list[object] = []
+    monkeypatch.setattr(rules.Router, "look_beside", lambda *_: beside.append(0))
+    before = Fleet(DRIVERS, REPLICAS, rate=0.5, heavy=1, read=BOUNDED)
+    before.run(20)
+    assert looks(before) > 0.3 and looks(sparse) < looks(before) + 0.02
+
+
 class Least(rules.Router):
     """Planted: the least response time, always."""
 
