Large trials: no port for each driver at members, recordings with given up attempts can be read

The rig's members ran out of descriptors and ports: a listener for each driver and member, and three descriptors a connection. Connections go to members by pairs of sockets now, and the relay tells a member whether its driver hung up.

--- a/juniperreel/proof/records.py
+++ b/juniperreel/proof/records.py
@@ -215,6 +215,10 @@
     | Told
     | Offered
     | Arrived
+    | Within
+    | Abandoned
+    | Ran
+    | Meant
     | Left
     | Committed
     | Promoted
--- a/juniperreel/standins/fleet.py
+++ b/juniperreel/standins/fleet.py
@@ -53,10 +53,10 @@
         record: Sink,
         only: Collection[int] | None = None,
         hosts: Hosts | None = None,
-        drivers: tuple[str, ...] = (),
+        platform: bool = False,
     ) -> None:
         """`only` some of the day's groups, where others play the rest; `hosts` in place of a host list;
-        `drivers` that members have a port for each, in the operators' protocol."""
+        `platform`: members speak to the platform's drivers."""
         self.day, self._network, self._clock, self._record = day, network, clock, record
         self._rng = random.Random(day["seed"])
         self.shape = Shape(
@@ -66,12 +66,12 @@
             cold_us=day["cold-span"],
             mysql=bool(day["mysql-members"]),
             ack_replica=not day["alone"],
-            postgres=drivers,
+            postgres=platform,
         )
         rng = random.Random(self._rng.random())
         self.hosts = hosts or HostList(network, clock, rng, record, day["list-delay"])
         self.groups = [
-            Group(n, clock, random.Random(self._rng.random()), record, DETECT_S, ELECT_S, not drivers)
+            Group(n, clock, random.Random(self._rng.random()), record, DETECT_S, ELECT_S, not platform)
             for n in range(day["groups"])
             if only is None or n in only
         ]
--- a/juniperreel/standins/member.py
+++ b/juniperreel/standins/member.py
@@ -47,7 +47,7 @@
     overload_us: int = 2_000_000
     lock_wait_s: float = 0.5  # of statements behind another's transaction
     mysql: bool = False  # edges are told of its MySQL side
-    postgres: tuple[str, ...] = ()  # drivers that it has a port for each, in the operators' protocol
+    postgres: bool = False  # it speaks to drivers in the operators' protocol
     ack_replica: bool = True  # a write is answered when another member has it
 
 
@@ -131,8 +131,8 @@
                         nursery.start_soon(self._follow)
                     if mysql is not None:
                         nursery.start_soon(self.mysql.serve, mysql)
-                    for driver in self.shape.postgres:
-                        await nursery.start(self.postgres.serve, self._network, driver)
+                    if self.shape.postgres:
+                        await nursery.start(self.postgres.serve)
                     task_status.started()
                     await server.serve(listener)
         finally:
--- a/juniperreel/standins/postgresmember.py
+++ b/juniperreel/standins/postgresmember.py
@@ -1,5 +1,5 @@
 """A member's side in the operators' protocol: PostgreSQL's messages, two statements, probes; with the faults
-of its member. Every driver has a port of its own here, by which the record tells them apart.
+of its member. Connections come by relays of the same process, which say whose they are.
 
 A value is the member's name, a bar, and the ids of all requests that wrote under its key, newest first, so
 that an answer shows who gave it and which commits it contains. Work stops when its client closes the
@@ -8,13 +8,14 @@
 
 from __future__ import annotations
 
+import socket
 import sqlite3
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import trio
 
-from juniperreel.net import Network
+from juniperreel.net import Refused
 from juniperreel.postgres import messages as m
 from juniperreel.postgres import server
 from juniperreel.postgres.form import Form, FormError, parse
@@ -54,33 +55,37 @@
 
 
 class PostgresSide:
-    """All connections of one member. `ports` by driver; they outlive its process, as addresses do."""
+    """All connections of one member."""
 
     def __init__(self, member: Member) -> None:
         self.member = member
-        self.ports: dict[str, int] = {}
+        self._nursery: trio.Nursery | None = None  # while its process runs
         self.opened = 0  # connections, ever
         self.held = self.most_held = 0  # now, and at most at a time
         self.probes = 0  # answered, ever
         self.asked: dict[str, int] = {}  # attempts by request
         self.busy: dict[str, list[Connection]] = {}  # with what runs here, by request
-        # Whether a driver has ended its connection that comes here from a port, though that is not heard yet.
-        self.given_up: Callable[[str, int], bool] = lambda driver, port: False
         self._report = (0, b"")
 
-    async def serve(
-        self, network: Network, driver: str, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
-    ) -> None:
-        listener = await network.listen("127.0.0.1", self.ports.get(driver, 0))
-        self.ports[driver] = listener.port
-        try:
-            async with trio.open_nursery() as nursery:
+    async def serve(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        async with trio.open_nursery() as self._nursery:
+            try:
                 task_status.started()
-                while True:
-                    nursery.start_soon(Connection(self, driver, await listener.accept()).run)
-        finally:
-            with trio.CancelScope(shield=True):
-                await listener.aclose()
+                await trio.sleep_forever()
+            finally:
+                self._nursery = None
+
+    async def dial(self, driver: str, given_up: Callable[[], bool]) -> trio.abc.Stream:
+        """A new connection of a driver's: the end that is the driver's. Raises Refused while no process runs.
+
+        `given_up`: whether the driver has ended it, though that may not be heard here yet. Danger: with a
+        port for each driver, hundreds of them before dozens of members use up all that there are."""
+        await trio.lowlevel.checkpoint()
+        if self._nursery is None:
+            raise Refused(f"{self.member.name} does not run")
+        theirs, ours = (trio.SocketStream(trio.socket.from_stdlib_socket(s)) for s in socket.socketpair())
+        self._nursery.start_soon(Connection(self, driver, ours, given_up).run)
+        return theirs
 
     def report(self) -> bytes:
         """As old as its last refresh."""
@@ -94,13 +99,15 @@
 
 
 class Connection:
-    def __init__(self, side: PostgresSide, driver: str, stream: trio.abc.Stream) -> None:
+    def __init__(
+        self, side: PostgresSide, driver: str, stream: trio.abc.Stream, given_up: Callable[[], bool]
+    ) -> None:
         self._side, self._member, self._driver, self._stream = side, side.member, driver, stream
+        self.given_up = given_up
         self._talk = server.ServerConnection()
         self._news = trio.Event()
         self._attempt: tuple[str, int] | None = None  # that is running
         self._told = False  # that it is given up
-        self._port = stream.socket.getpeername()[1] if isinstance(stream, trio.SocketStream) else 0
 
     async def run(self) -> None:
         self._side.opened += 1
@@ -133,10 +140,6 @@
             self._told = True
             self._member.record(Abandoned(self._member.at_us(), self._member.name, *self._attempt))
 
-    @property
-    def over(self) -> bool:
-        return self._side.given_up(self._driver, self._port)
-
     async def _serve(self) -> None:
         try:
             while self._talk.phase is not server.Phase.OVER:
@@ -175,10 +178,10 @@
         member, side = self._member, self._side
         # Danger: a machine with much else to do lets this process wait, and what a driver gave up in time, by
         # ending a connection, would look like sent after its final answer, or beside its next attempt.
-        if self.over:
+        if self.given_up():
             raise Lost(broken=True)
         for other in [c for peer in member.group.members for c in peer.postgres.busy.get(form.id, ())]:
-            if other.over:
+            if other.given_up():
                 other.abandon()
         number = side.asked[form.id] = side.asked.get(form.id, -1) + 1
         mean = member.shape.write_us if form.write else member.shape.read_us
--- a/juniperreel/trial/crew.py
+++ b/juniperreel/trial/crew.py
@@ -128,9 +128,9 @@
         mine = replace(self.day, steps=own_steps(self.day, drivers=False))
         mine.settings = self.day.settings | {"seed": self.rng.getrandbits(31)}
         groups = frozenset(n for n in range(self.day["groups"]) if n % self.parts == self.part)
-        fleet = Fleet(mine, self.network, self.clock, self.record, groups, up, names)
+        fleet = Fleet(mine, self.network, self.clock, self.record, groups, up, platform=True)
         async with trio.open_nursery() as nursery:
-            links = Links(self.network, self.clock, nursery, self.rng.getrandbits(32))
+            links = Links(self.network, nursery, self.rng.getrandbits(32))
             doors = Doors(fleet, links, names)
             nursery.start_soon(self._tell, up, doors)
             nursery.start_soon(self.late.run)
@@ -159,6 +159,7 @@
 
     async def _play(self, fleet: Fleet, on_edge: EdgeHand, begin: w.Begin) -> None:
         await trio.sleep_until(self.clock.trio_time(begin.at_us))
+        self.late.most_us = 0  # by which it was late while all were started tells nothing of the day
         await fleet.play(on_edge)
 
 
@@ -204,7 +205,7 @@
         fleet = Fleet(mine, self.network, self.clock, self.record, frozenset(), hosts)
         members = self.day["groups"] * self.day["members"]
         async with trio.open_nursery() as nursery:
-            self.drivers.links = Links(self.network, self.clock, nursery, self.rng.getrandbits(32))
+            self.drivers.links = Links(self.network, nursery, self.rng.getrandbits(32))
             nursery.start_soon(self.late.run)
             nursery.start_soon(self.listen)
             try:
@@ -227,6 +228,7 @@
 
     async def _day(self, fleet: Fleet, begin: w.Begin) -> None:
         await trio.sleep_until(self.clock.trio_time(begin.at_us))
+        self.late.most_us = 0  # by which it was late while all were started tells nothing of the day
         async with trio.open_nursery() as nursery:
             nursery.start_soon(fleet.play, self.drivers.fault)
             nursery.start_soon(self.drivers.load, begin.until_us, WEIGHTS)
@@ -250,6 +252,9 @@
 
 
 def main() -> None:
+    # Hundreds of drivers hold thousands of connections to the members of one process, three descriptors each.
+    _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
     trio.run(work, sys.argv[1:])
 
 
--- a/juniperreel/trial/platformfleet.py
+++ b/juniperreel/trial/platformfleet.py
@@ -56,7 +56,7 @@
             day, self.names, network, self.clock, self.recorder, directory, self._door, seed, program
         )
         hosts = self.drivers.hosts
-        self.fleet = Fleet(day, network, self.clock, self.recorder, hosts=hosts, drivers=self.names)
+        self.fleet = Fleet(day, network, self.clock, self.recorder, hosts=hosts, platform=True)
         self.doors: Doors | None = None
 
     @property
@@ -84,7 +84,7 @@
             self.recorder(cls)
         self.recorder(limits(now, self.fleet.shape))
         async with trio.open_nursery() as nursery:
-            links = Links(self._network, self.clock, nursery, self._rng.getrandbits(32))
+            links = Links(self._network, nursery, self._rng.getrandbits(32))
             self.drivers.links = links
             self.doors = Doors(self.fleet, links, self.names)
             try:
--- a/juniperreel/trial/relay.py
+++ b/juniperreel/trial/relay.py
@@ -10,13 +10,14 @@
 import random
 import socket
 import struct
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from contextlib import suppress
 from dataclasses import dataclass, field
+from functools import partial
 
 import trio
 
-from juniperreel.net import Clock, ConnectError, Network, hung_up
+from juniperreel.net import ConnectError, Network, hung_up
 from juniperreel.net.clock import US
 
 CHUNK = 65_536
@@ -25,6 +26,18 @@
 RESET = struct.pack("ii", 1, 0)  # linger for no time: what is not sent is dropped, and the peer is told
 
 
+# Opens the far end, or raises ConnectError. It is handed a question: whether whoever connected here has ended
+# that connection, by what the kernel says now and not by what has been read.
+Dial = Callable[[Callable[[], bool]], Awaitable[trio.abc.Stream]]
+
+
+def to_port(network: Network, port: int) -> Dial:
+    async def dial(given_up: Callable[[], bool]) -> trio.abc.Stream:
+        return await network.connect("127.0.0.1", port, CONNECT_US)
+
+    return dial
+
+
 @dataclass(slots=True)
 class Way:
     """One direction. Spans are microseconds, `rate` bytes a second (0: no limit)."""
@@ -48,18 +61,17 @@
 
 
 class Relay:
-    """Listens on a port of its own and carries what comes there to `target`. `there` is the way of whoever
-    connects, `back` the answers'."""
+    """Listens on a port of its own and carries what comes there to where `dial` leads. `there` is the way of
+    whoever connects, `back` the answers'."""
 
-    def __init__(self, network: Network, clock: Clock, target: tuple[str, int], seed: int) -> None:
-        self._network, self._clock, self.target = network, clock, target
+    def __init__(self, network: Network, dial: Dial, seed: int) -> None:
+        self._network, self.dial = network, dial
         self._rng = random.Random(seed)
         self.there, self.back = Way(), Way()
         self.refusing = False
         self.port = 0
         self.opened = 0  # connections, ever
         self._pairs: set[tuple[trio.abc.Stream, trio.abc.Stream | None]] = set()
-        self._near: dict[int, trio.abc.Stream] = {}  # by the port from which its far end was opened
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         listener = await self._network.listen("127.0.0.1", self.port)
@@ -99,18 +111,12 @@
                 if stream is not None:
                     reset(stream)
 
-    def given_up(self, port: int) -> bool:
-        """Whether whoever connects has ended the connection that goes on from this port, by what the kernel
-        says now and not by what has been read here."""
-        near = self._near.get(port)
-        return near is None or hung_up(near)
-
     async def _carry(self, near: trio.abc.Stream) -> None:
         pair: tuple[trio.abc.Stream, trio.abc.Stream | None] = (near, None)
         self._pairs.add(pair)
         try:
             await self.there.open()
-            far = await self._network.connect(*self.target, CONNECT_US)
+            far = await self.dial(partial(hung_up, near))
         except ConnectError:
             reset(near)
             return
@@ -118,15 +124,12 @@
             self._pairs.discard(pair)
         pair = (near, far)
         self._pairs.add(pair)
-        port = local_port(far)
-        self._near[port] = near
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._way, near, far, self.there, nursery.cancel_scope)
                 nursery.start_soon(self._way, far, near, self.back, nursery.cancel_scope)
         finally:
             self._pairs.discard(pair)
-            self._near.pop(port, None)
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(near)
                 await trio.aclose_forcefully(far)
@@ -186,26 +189,22 @@
         stream.socket.close()
 
 
-def local_port(stream: trio.abc.Stream) -> int:
-    return int(stream.socket.getsockname()[1]) if isinstance(stream, trio.SocketStream) else 0
-
-
 class Links:
     """All relays of a trial, by who connects and to whom."""
 
-    def __init__(self, network: Network, clock: Clock, nursery: trio.Nursery, seed: int) -> None:
-        self._network, self._clock, self._nursery = network, clock, nursery
+    def __init__(self, network: Network, nursery: trio.Nursery, seed: int) -> None:
+        self._network, self._nursery = network, nursery
         self._rng = random.Random(seed)
         self.relays: dict[tuple[str, str], Relay] = {}
 
-    async def between(self, source: str, target: str, port: int) -> Relay:
+    async def between(self, source: str, target: str, dial: Dial) -> Relay:
         """The relay from one to the other, made at first asking."""
         found = self.relays.get((source, target))
         if found is None:
-            found = Relay(self._network, self._clock, ("127.0.0.1", port), self._rng.getrandbits(32))
+            found = Relay(self._network, dial, self._rng.getrandbits(32))
             self.relays[source, target] = found
             await self._nursery.start(found.run)
-        found.target = ("127.0.0.1", port)
+        found.dial = dial
         return found
 
     def among(self, sources: Iterable[str], targets: Iterable[str]) -> list[Relay]:
--- a/juniperreel/trial/sides.py
+++ b/juniperreel/trial/sides.py
@@ -29,7 +29,7 @@
 from juniperreel.standins.platformhosts import PlatformHosts
 from juniperreel.standins.script import Day, Step
 from juniperreel.trial.processes import Child, NotInThatState, Processes, State
-from juniperreel.trial.relay import Links, Relay
+from juniperreel.trial.relay import Links, Relay, to_port
 
 ROOT = Path(__file__).parents[2]
 PROGRAM = ("-m", "juniperreel.platform")
@@ -107,12 +107,8 @@
 
     async def port(self, driver: str, member: str) -> int:
         """By which the driver reaches the member."""
-        side = self.fleet.members[member].postgres
-        side.given_up = partial(self._given_up, member)
-        return (await self.links.between(driver, member, side.ports[driver])).port
-
-    def _given_up(self, member: str, driver: str, port: int) -> bool:
-        return self.links.relays[driver, member].given_up(port)
+        dial = partial(self.fleet.members[member].postgres.dial, driver)
+        return (await self.links.between(driver, member, dial)).port
 
     async def fault(self, step: Step, drivers: Sequence[str]) -> None:
         """A fault of links from these drivers to the members that the step names, from beginning to end."""
@@ -179,7 +175,7 @@
     async def _config(self, driver: str) -> dict[str, Any]:
         assert self.links is not None
         discovery = self.hosts.discoveries[driver]
-        relay = await self.links.between(driver, TO_LIST, discovery.port)
+        relay = await self.links.between(driver, TO_LIST, to_port(self._network, discovery.port))
         shape, now = self._shape, self.clock.now_us()
         services = [
             {
--- a/tests/trial/test_relay.py
+++ b/tests/trial/test_relay.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
 
@@ -11,12 +11,12 @@
 import trio
 import trio.testing
 
-from juniperreel.net import Clock, ConnectError, TcpNetwork
+from juniperreel.net import ConnectError, TcpNetwork
 from juniperreel.proof import records as rec
 from juniperreel.standins.script import parse
+from juniperreel.trial import relay
 from juniperreel.trial.platformfleet import PlatformTrial
-from juniperreel.trial.relay import Links, Relay
-from juniperreel.trial.sides import Doors
+from juniperreel.trial.relay import Links, Relay, to_port
 
 SECONDS = 60
 
@@ -49,8 +49,11 @@
 
 
 class Wired:
-    def __init__(self, echo: Echo, relay: Relay, stream: trio.abc.Stream) -> None:
+    def __init__(
+        self, echo: Echo, relay: Relay, stream: trio.abc.Stream, asked: list[Callable[[], bool]]
+    ) -> None:
         self.echo, self.relay, self.stream = echo, relay, stream
+        self.asked = asked  # of each connection, whether it is given up
 
     async def hear(self, wanted: bytes) -> None:
         got = b""
@@ -70,10 +73,16 @@
         async with trio.open_nursery() as nursery:
             echo = Echo()
             await nursery.start(echo.run)
-            relay = Relay(TcpNetwork(), Clock(), ("127.0.0.1", echo.port), seed)
+            asked: list[Callable[[], bool]] = []
+
+            async def dial(given_up: Callable[[], bool]) -> trio.abc.Stream:
+                asked.append(given_up)
+                return await to_port(TcpNetwork(), echo.port)(given_up)
+
+            relay = Relay(TcpNetwork(), dial, seed)
             await nursery.start(relay.run)
             stream = await TcpNetwork().connect("127.0.0.1", relay.port, 5_000_000)
-            yield Wired(echo, relay, stream)
+            yield Wired(echo, relay, stream, asked)
             nursery.cancel_scope.cancel()
 
 
@@ -175,7 +184,7 @@
         w.relay.refusing = False
         with socket.socket() as held:  # the port is nobody else's, and nobody listens
             held.bind(("127.0.0.1", 0))
-            w.relay.target = ("127.0.0.1", held.getsockname()[1])
+            w.relay.dial = to_port(TcpNetwork(), held.getsockname()[1])
             with pytest.raises((trio.BrokenResourceError, ConnectError)):
                 other = await TcpNetwork().connect("127.0.0.1", w.relay.port, 5_000_000)
                 await other.receive_some(1)
@@ -184,11 +193,11 @@
 async def test_cuts_between_named_sets() -> None:
     with trio.fail_after(SECONDS):
         async with trio.open_nursery() as nursery:
-            links = Links(TcpNetwork(), Clock(), nursery, 1)
+            links = Links(TcpNetwork(), nursery, 1)
             for source in "ab":
                 for target in "xyz":
-                    await links.between(source, target, 9)
-            assert await links.between("a", "x", 9) is links.relays["a", "x"]
+                    await links.between(source, target, to_port(TcpNetwork(), 9))
+            assert await links.between("a", "x", to_port(TcpNetwork(), 9)) is links.relays["a", "x"]
             links.cut("a", "xy")
             links.cut("b", "z", hear=True)
             cut = {pair: (r.there.cut, r.back.cut) for pair, r in links.relays.items()}
@@ -205,15 +214,15 @@
     async with wired() as w:
         await w.stream.send_all(b"hello")
         await w.hear(b"HELLO")
-        (port,) = w.relay._near
-        assert not w.relay.given_up(port)
+        (given_up,) = w.asked
+        assert not given_up()
         await w.stream.send_all(b"last words")
         assert isinstance(w.stream, trio.SocketStream)
         w.stream.socket.close()
-        assert w.relay.given_up(port)
+        assert given_up()
         while w.relay.connections:
             await trio.sleep(0.005)
-        assert w.relay.given_up(port), "nor is it known any more"
+        assert given_up()
 
 
 async def test_a_member_runs_nothing_that_was_given_up_before_it_looked(
@@ -222,7 +231,7 @@
     """Every request is given up, as far as the kernel knows, by the time the member has read it."""
     text = "groups 1\nmembers 2\nedges 1\nsessions 2\nlast 3s\nlist-delay 100ms\n"
     trial = PlatformTrial(parse(text), TcpNetwork(), tmp_path, 0.05)
-    monkeypatch.setattr(Doors, "_given_up", lambda *_: True)
+    monkeypatch.setattr(relay, "hung_up", lambda _: True)
     await trial.run()
     asked = [r for r in trial.recorder.records if isinstance(r, rec.Asked)]
     assert asked and not [r for r in trial.recorder.records if isinstance(r, rec.Arrived | rec.Committed)]
