A members' process of the rig stands for the host list as the stand-ins' parts do

Cause: read again, crew.Upward repeated the stubs of standins.parts.Relay, which stands for the host list in another process already. Change: it is one, and only tells differently; behaviour as before.

--- a/juniperreel/trial/crew.py
+++ b/juniperreel/trial/crew.py
@@ -23,6 +23,7 @@
 from juniperreel.net.clock import US
 from juniperreel.proof.records import Recorder
 from juniperreel.proto.hosts.v1 import hosts_pb2
+from juniperreel.standins import parts
 from juniperreel.standins.fleet import EdgeHand, Fleet
 from juniperreel.standins.script import Day, Step, parse
 from juniperreel.trial import words as w
@@ -65,33 +66,18 @@
     return time.process_time() + ended.ru_utime + ended.ru_stime
 
 
-class Upward:
-    """Stands where a fleet's host list does: tells the trial."""
-
-    port = 0
-    frozen = False
+class Upward(parts.Relay):
+    """Stands where a fleet's host list does: what it is told goes to the trial, from a queue, since drivers
+    need doors to a member before they hear of it."""
 
     def __init__(self) -> None:
         self._send, self.told = trio.open_memory_channel[tuple[hosts_pb2.Host, int | None]](QUEUE)
 
-    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
-        await trio.lowlevel.checkpoint()
-        task_status.started()
-
     def tell(self, host: hosts_pb2.Host, delay_us: int | None = None) -> None:
         copy = hosts_pb2.Host()
         copy.CopyFrom(host)
         self._send.send_nowait((copy, delay_us))
 
-    def names(self) -> list[str]:
-        return []
-
-    def hide(self, names: set[str]) -> None:
-        return
-
-    def set_empty(self, empty: bool) -> None:
-        return
-
 
 class Crew:
     """What both kinds have in common. `part` of `parts`."""
@@ -235,7 +221,7 @@
 
 
 async def work(arguments: list[str]) -> None:
-    script, role, part, parts, port, directory, *program = arguments
+    script, role, part, of, port, directory, *program = arguments
     day, name = parse(Path(script).read_text(encoding="utf-8")), f"{role}-{part}"
     stream = await TcpNetwork().connect("127.0.0.1", int(port), CONNECT_US)
     talk = w.Talk(stream)
@@ -243,12 +229,12 @@
     with (Path(directory) / f"{name}.recording").open("wb") as out:
         record = Recorder(out)
         if role == "members":
-            await MembersCrew(day, name, int(part), int(parts), talk, record).run()
+            await MembersCrew(day, name, int(part), int(of), talk, record).run()
         else:
             folder = Path(directory) / name
             folder.mkdir(exist_ok=True)
             started = tuple(program) or PROGRAM
-            await DriversCrew(day, name, int(part), int(parts), talk, record, folder, started).run()
+            await DriversCrew(day, name, int(part), int(of), talk, record, folder, started).run()
 
 
 def main() -> None:
