Session reads heed lost answers, SIGTERM cuts deadlines, commands go side by side

At fault: rules.py, attempt_ended, which remembered commits of answered writes only, and request, which asked once, when the read came. Ruled out: a second writer of the session (none in any log), positions told by spoilt answers.

At fault: front.py took one command of a connection at a time. Commands are now in hand side by side, 64 at most, answered in order; one waits for another only where both touch a key and one of them writes.

Lost, roll+term: deadlines beyond the kill were cut for requests taken after SIGTERM, not for those in hand. They are cut for all now (DeadlineCut), attempts end by then, and the driver wakes itself for the last steps. Connections end in one way: what is pending leaves, sending ends, what comes is read and dropped until the other side ends (net/poll.py). A client's end is told ahead of what it sent last. Renamed: Departure is GracefulShutdown, Keeping IdleTimeout, Spurned InvalidRequest.

--- a/juniperreel/interface.py
+++ b/juniperreel/interface.py
@@ -140,6 +140,7 @@
     carried_age: bool
     positions_in_answers: bool
     list_shows_role: bool
+    answers_get_lost: bool = False  # an answer on the way counts as had, though it may never arrive
 
 
 @dataclass(frozen=True, slots=True)
@@ -215,6 +216,14 @@
     request: str
 
 
+@dataclass(frozen=True, slots=True)
+class DeadlineCut:
+    """A request in hand must have its answer earlier than was said: its driver is told to end."""
+
+    request: str
+    deadline_us: int
+
+
 @dataclass(frozen=True, slots=True)
 class TimerFired:
     key: int
@@ -228,7 +237,9 @@
     report: Report | None
 
 
-Event = MemberList | Request | StreamStarted | AttemptEnded | RequestGone | TimerFired | ProbeEnded
+Event = (
+    MemberList | Request | StreamStarted | AttemptEnded | RequestGone | DeadlineCut | TimerFired | ProbeEnded
+)
 
 
 # Actions
--- a/juniperreel/net/poll.py
+++ b/juniperreel/net/poll.py
@@ -16,12 +16,13 @@
 import trio
 
 from juniperreel.net.clock import Clock
-from juniperreel.net.network import BACKLOG, EXHAUSTED, family
+from juniperreel.net.network import BACKLOG, EXHAUSTED, EXHAUSTED_PAUSE_S, family
 
 CHUNK = 65_536  # read at once
 ROUND = 256  # events of one poll
 YIELD_US = 5_000  # other tasks have their turn at least so often
 BLOCKED_US = 500  # a poll that took longer had nothing ready when it began
+EXHAUSTED_US = int(EXHAUSTED_PAUSE_S * 1_000_000)
 READ = select.EPOLLIN | select.EPOLLRDHUP
 
 
@@ -33,7 +34,7 @@
     """All sockets of one task. `wait`, then `dispatch`."""
 
     def __init__(self, clock: Clock) -> None:
-        self._clock = clock
+        self.clock = clock
         self._epoll = select.epoll()
         self._owners: dict[int, Ready] = {}
         self._events: list[tuple[int, int]] = []
@@ -57,20 +58,20 @@
 
     async def wait(self, until_us: int | None) -> None:
         """Until a socket is ready or the time has come."""
-        began = self._clock.now_us()
+        began = self.clock.now_us()
         self._events = self._epoll.poll(0, ROUND)
         if not self._events and (until_us is None or until_us > began):
             with trio.CancelScope() as self._waiting:
                 if until_us is not None:
-                    self._waiting.deadline = self._clock.trio_time(until_us)
+                    self._waiting.deadline = self.clock.trio_time(until_us)
                 await trio.lowlevel.wait_readable(self._epoll.fileno())
             self._waiting = None
-            self._yielded_us = self._clock.now_us()
+            self._yielded_us = self.clock.now_us()
             self._events = self._epoll.poll(0, ROUND)
         elif began - self._yielded_us > YIELD_US:
             await trio.lowlevel.checkpoint()
-            self._yielded_us = self._clock.now_us()
-        now = self._clock.now_us()
+            self._yielded_us = self.clock.now_us()
+        now = self.clock.now_us()
         self.since_us = now if now - began > BLOCKED_US else self._polled_us
         self._polled_us = now
 
@@ -88,7 +89,10 @@
 
 
 class Peer(Protocol):
-    """Whoever owns a wire."""
+    """Whoever owns a wire. `gone_at_end`: whoever ends its sending has gone, and what it sent before is of no
+    use to anybody; else what came before the end is read first."""
+
+    gone_at_end: bool
 
     def connected(self) -> None: ...
 
@@ -108,7 +112,7 @@
         self._out = bytearray()
         self._connecting = connecting
         self._paused = False
-        self._discards = False
+        self._finishing = self._shut = False
         self.closed = False
         self._mask = select.EPOLLOUT if connecting else READ
         poller.add(sock.fileno(), self._mask, self)
@@ -136,7 +140,7 @@
 
     def write(self, data: bytes | bytearray) -> None:
         """Never waits. A connection that turns out broken is told by `ended` from the poll."""
-        if self.closed:
+        if self.closed or self._finishing:
             return
         if not self._out:
             try:
@@ -170,15 +174,22 @@
             self._sock.close()
 
     def finish(self) -> None:
-        """End our sending and drop what still comes. Danger: closing with bytes unread resets the
-        connection, and the last words are lost on the way; whoever calls this closes soon after."""
-        self._discards = True
-        self._paused = False
-        try:
-            self._sock.shutdown(socket.SHUT_WR)
-        except OSError:
-            self.close()
-            return
+        """End in order: what is pending leaves, then our sending ends, and what still comes is read and
+        dropped until the other side ends too, which `ended` tells. Danger: closing with bytes unread resets
+        the connection, and what was written last is lost on the way. Whoever calls this bounds the wait."""
+        if not self.closed and not self._finishing:
+            self._finishing = True
+            self._paused = False
+            self._end_sending()
+
+    def _end_sending(self) -> None:
+        if self._finishing and not self._shut and not self._out:
+            self._shut = True
+            try:
+                self._sock.shutdown(socket.SHUT_WR)
+            except OSError:
+                self.close()  # it is broken already
+                return
         self._watch()
 
     def ready(self, mask: int) -> None:
@@ -206,9 +217,11 @@
             except OSError as error:
                 self._end(peer, error.strerror or "broken")
                 return
-            self._watch()
+            self._end_sending()
         over = mask & (select.EPOLLERR | select.EPOLLHUP)
-        if (self._paused and (over or mask & select.EPOLLRDHUP)) or (self._discards and over):
+        # Danger: a request read together with its sender's end would be sent on for nobody.
+        left = mask & select.EPOLLRDHUP and (self._paused or peer.gone_at_end)
+        if left or (over and (self._paused or self._finishing)):
             self._end(peer, "closed")
             return
         if mask & ~select.EPOLLOUT and not self._paused and not self.closed:
@@ -224,7 +237,7 @@
             return
         if not data:
             self._end(peer, "closed")
-        elif not self._discards:
+        elif not self._finishing:
             peer.received(data)
 
     def _end(self, peer: Peer, why: str) -> None:
@@ -250,11 +263,14 @@
             raise
         self.port: int = self._sock.getsockname()[1]
         self.open = True
-        self.exhausted = False  # descriptors ran out; nothing is taken until `retry`
+        self.exhausted_us = 0  # since when descriptors have run out; nothing is taken until `retry`
         poller.add(self._sock.fileno(), select.EPOLLIN, self)
 
     def ready(self, mask: int) -> None:
-        for _ in range(self.BURST):
+        self._accept(self.BURST)
+
+    def _accept(self, most: int) -> None:
+        for _ in range(most):
             try:
                 sock, _ = self._sock.accept()
             except (BlockingIOError, InterruptedError):
@@ -262,7 +278,7 @@
             except OSError as error:
                 if error.errno in EXHAUSTED:
                     # Danger: the kernel keeps the connection pending, and the poll would spin on it.
-                    self.exhausted = True
+                    self.exhausted_us = self._poller.clock.now_us()
                     self._poller.change(self._sock.fileno(), 0)
                     return
                 continue  # the failure of one connection that never came about
@@ -270,15 +286,15 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self._welcome(Wire(self._poller, sock))
 
-    def retry(self) -> None:
-        if self.exhausted and self.open:
-            self.exhausted = False
+    def retry(self, now_us: int) -> None:
+        if self.exhausted_us and self.open and now_us - self.exhausted_us > EXHAUSTED_US:
+            self.exhausted_us = 0
             self._poller.change(self._sock.fileno(), select.EPOLLIN)
 
     def close(self) -> None:
         """Takes what the kernel has accepted already, then no more."""
         if self.open:
-            self.ready(0)
+            self._accept(BACKLOG)
             self.open = False
             self._poller.remove(self._sock.fileno())
             self._sock.close()
--- a/juniperreel/platform/config.py
+++ b/juniperreel/platform/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Any
 
 import msgspec
@@ -67,7 +68,7 @@
             seed=int(file.seed, 16),
             limits=file.limits,
             known=file.known,
-            router=router,
+            router=replace(router, answers_get_lost=True),
             zones=[str(z) for z in file.settings.get("zones", [])],
             kinds=[str(k) for k in file.settings.get("kinds", [])],
             connect_timeout_us=round(ceilings["connect_timeout_s"] * 1_000_000),
--- a/juniperreel/platform/driver.py
+++ b/juniperreel/platform/driver.py
@@ -16,11 +16,11 @@
 from juniperreel.platform.alarms import Alarms
 from juniperreel.platform.budget import Budget
 from juniperreel.platform.config import Config
-from juniperreel.platform.departure import Departure
 from juniperreel.platform.endpoints import Endpoints
-from juniperreel.platform.front import Client, Front, Spurned
+from juniperreel.platform.front import Command, Front, InvalidRequest
 from juniperreel.platform.links import Dial, Ended, Job, MemberLinks
 from juniperreel.platform.log import Log
+from juniperreel.platform.shutdown import GracefulShutdown
 from juniperreel.postgres import server
 from juniperreel.postgres.form import Form, with_span
 from juniperreel.postgres.messages import READY
@@ -36,11 +36,11 @@
 class Open:
     """A request in hand."""
 
-    __slots__ = ("attempts", "client", "deadline_us", "form", "out")
+    __slots__ = ("attempts", "command", "deadline_us", "form", "out")
 
-    def __init__(self, form: Form, client: Client, deadline_us: int) -> None:
+    def __init__(self, form: Form, command: Command, deadline_us: int) -> None:
         self.form, self.deadline_us = form, deadline_us
-        self.client: Client | None = client  # None once it is answered, or has left
+        self.command: Command | None = command  # None once it is answered, or its client has left
         self.attempts = 0
         self.out: dict[int, Job] = {}
 
@@ -69,7 +69,7 @@
             dial, now, self.alarms, self.budget, config.connect_timeout_us, config.conn_idle_us
         )
         self.front = Front(self, now, self.budget)
-        self.departure = Departure(max(c.deadline_us for c in config.router.classes))
+        self.shutdown = GracefulShutdown(max(c.deadline_us for c in config.router.classes))
         self.open: dict[str, Open] = {}
         self._recent: dict[str, int] = {}  # when they were answered
         self._groups: set[int] = set()
@@ -94,7 +94,9 @@
         self.alarms.at(now + SWEEP_US, self._sweep)
         self.front.sweep()
         self.links.sweep(not self.settings.only_draining_binds)
-        for name in [n for n, item in self.open.items() if item.client and now > item.deadline_us + SWEEP_US]:
+        for name in [
+            n for n, item in self.open.items() if item.command and now > item.deadline_us + SWEEP_US
+        ]:
             # Danger: a flaw of the module must not leave a client without an answer for ever.
             self.log.error("a request was left over", request=name)
             self._answer(name, server.failed("58000", "the time is up"))
@@ -102,31 +104,31 @@
 
     # Requests.
 
-    def take(self, client: Client, form: Form) -> None:
+    def take(self, command: Command, form: Form) -> None:
         cls = self._classes.get(form.cls)
         if cls is None:
-            raise Spurned("42704", "no such class")
+            raise InvalidRequest("42704", "no such class")
         kind = self.settings.classes[cls]
         tenant = 0
         if form.tenant is not None and self.settings.tenants:
             if form.tenant not in self._tenants:
-                raise Spurned("42704", "no such tenant")
+                raise InvalidRequest("42704", "no such tenant")
             tenant = self._tenants[form.tenant]
         if form.write != (kind.consistency is Consistency.WRITE):
-            raise Spurned("42501", "the class does not go with the statement")
+            raise InvalidRequest("42501", "the class does not go with the statement")
         if kind.effect is Effect.KEYED and form.idempotency is None:
-            raise Spurned("42601", "the class needs a key")
+            raise InvalidRequest("42601", "the class needs a key")
         if form.group not in self._groups:
-            raise Spurned("3D000", "no such cluster")
+            raise InvalidRequest("3D000", "no such cluster")
         if form.id in self.open or form.id in self._recent:
-            raise Spurned("42710", "the id is another request's")
+            raise InvalidRequest("42710", "the id is another request's")
         session = form.key if kind.consistency in (Consistency.WRITE, Consistency.SESSION) else None
-        deadline = self.departure.latest_us(self.arrived_us + form.span_ms * 1000)
+        deadline = self.shutdown.latest_us(command.arrived_us + form.span_ms * 1000)
         age = None
         if form.after_ms and kind.consistency is Consistency.SESSION:
             age = max(self.now() - form.after_ms * 1000, 0)
-        self.open[form.id] = Open(form, client, deadline)
-        client.request = form.id
+        self.open[form.id] = Open(form, command, deadline)
+        command.request = form.id
         self.put(
             ui.Request(
                 id=form.id,
@@ -140,25 +142,25 @@
             )
         )
 
-    def gone(self, client: Client) -> None:
-        name, client.request = client.request, None
+    def gone(self, command: Command) -> None:
+        name, command.request = command.request, None
         item = self.open.get(name) if name is not None else None
-        if name is not None and item is not None and item.client is client:
-            item.client = None
+        if name is not None and item is not None and item.command is command:
+            item.command = None
             self.put(ui.RequestGone(name))
             self._forget(name, item)
 
     def _answer(self, name: str, data: bytes) -> None:
         """The first answer is the final one; there is no second."""
         item = self.open.get(name)
-        if item is None or item.client is None:
+        if item is None or item.command is None:
             return
-        client, item.client = item.client, None
+        command, item.command = item.command, None
         self._forget(name, item)
-        client.answer(data)
+        command.finish(data)
 
     def _forget(self, name: str, item: Open) -> None:
-        if item.client is None and not item.out and self.open.pop(name, None) is not None:
+        if item.command is None and not item.out and self.open.pop(name, None) is not None:
             # Danger: whoever sends the id of a request that was just answered would have it run again.
             now = self._recent[name] = self.now()
             oldest = next(iter(self._recent))
@@ -181,11 +183,14 @@
         form = item.form
 
         def text() -> bytes:
-            return with_span(form.text, max((until - self.now()) // 1000, 1))
+            return with_span(form.text, max((min(until, item.deadline_us) - self.now()) // 1000, 1))
 
-        job = Job(text, partial(self._ended, request, number, member, now))
+        def fits() -> bool:
+            return self.router.fits(self.now(), request, number)
+
+        job = Job(text, partial(self._ended, request, number, member, now), fits)
         item.out[number] = job
-        if item.client is None:
+        if item.command is None:
             job.end(Outcome.NOT_SENT)  # rule 1: nothing goes out after the final answer
             return
         self.alarms.at(until, partial(self.links.give_up, job, False))
@@ -206,7 +211,7 @@
                 member=member,
                 outcome=ended.outcome,
                 took_us=max(self.now() - started_us, 0),
-                finished=finished or item.client is None,
+                finished=finished or item.command is None,
                 role=facts.role(parameters),
                 position_us=facts.position_us(parameters),
                 report=facts.report(parameters.get("pressure")),
@@ -280,7 +285,21 @@
 
     # Its end.
 
+    def leave(self) -> None:
+        """SIGTERM has come. Danger: what was taken before it may wait longer than the kill does."""
+        now = self.now()
+        self.shutdown.begin(now)
+        for due in self.shutdown.steps():
+            self.alarms.at(due, lambda: None)  # nothing else may wake the driver in time
+        for name, item in self.open.items():
+            latest = self.shutdown.latest_us(item.deadline_us)
+            if latest < item.deadline_us:
+                item.deadline_us = latest
+                self.put(ui.DeadlineCut(name, latest))
+                for job in item.out.values():
+                    self.alarms.at(latest, partial(self.links.give_up, job, False))
+
     @property
     def quiet(self) -> bool:
         """Nothing is in hand and nobody is connected."""
-        return not self.front.clients and not any(item.client for item in self.open.values())
+        return not self.front.clients and not any(item.command for item in self.open.values())
--- a/juniperreel/platform/front.py
+++ b/juniperreel/platform/front.py
@@ -1,4 +1,5 @@
-"""Clients' connections: commands in, answers out, in order. One command of a connection is in hand at a time.
+"""Clients' connections: commands in, answers out, in order. Commands of one connection are in hand side by
+side, as far as they don't touch the same key.
 
 Hostile bytes are turned away here, with an error or an end; what a request means and where it goes is not
 known here.
@@ -6,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from typing import Protocol
 
@@ -18,12 +20,13 @@
 SILENT_US = 2_000_000  # a connection that has asked nothing by then ends, as does a command that is not whole
 SPARE_US = 2_000_000  # one without an open request may be closed after this, where descriptors run short
 IDLE_US = 60_000_000
-LINGER_US = 300_000  # last words have this long to be read
-HELD_LIMIT = server.QUERY_LIMIT + CHUNK  # bytes that wait behind a command in hand
+LINGER_US = 300_000  # a connection that we end is read on for so long: the other side ends it mostly sooner
+PIPELINE = 64  # commands of one connection in hand at a time; the next ones wait unread
+HELD_LIMIT = server.QUERY_LIMIT + CHUNK  # bytes that wait behind them
 UNREAD_LIMIT = 1 << 20  # bytes of answers that a client does not read
 
 
-class Spurned(Exception):
+class InvalidRequest(Exception):
     """The request is not taken, for a fault of its own."""
 
     def __init__(self, code: str, text: str) -> None:
@@ -31,12 +34,36 @@
         self.code = code
 
 
+class Command:
+    """One command of a client's, from its last byte to its answer."""
+
+    __slots__ = ("answer", "arrived_us", "client", "form", "request")
+
+    def __init__(self, client: Client, arrived_us: int, form: Form | None, answer: bytes | None) -> None:
+        self.client, self.arrived_us, self.form, self.answer = client, arrived_us, form, answer
+        self.request: str | None = None  # in the driver's hands
+
+    def finish(self, answer: bytes) -> None:
+        """The final answer."""
+        self.request, self.answer = None, answer
+        self.client.advance()
+
+    def awaits(self, other: Command) -> bool:
+        """Danger: a read sent behind a write of its key, on one connection, expects to see it; a write sent
+        behind a read expects not to be seen by it."""
+        if self.form is None or other.form is None or other.answer is not None:
+            return False
+        return self.form.key == other.form.key and (self.form.write or other.form.write)
+
+
 class Takes(Protocol):
-    def take(self, client: Client, form: Form) -> None:
-        """Raises Spurned; else the answer comes by `client.answer`."""
+    arrived_us: int  # since when what is read now may have waited
+
+    def take(self, command: Command, form: Form) -> None:
+        """Raises InvalidRequest; else the answer comes by `command.finish`."""
         ...
 
-    def gone(self, client: Client) -> None:
+    def gone(self, command: Command) -> None:
         """The client of an open request has left."""
         ...
 
@@ -44,14 +71,18 @@
 class Client:
     """One client's connection. A peer of its wire."""
 
+    gone_at_end = True
+
     def __init__(self, front: Front, wire: Wire, now: int) -> None:
         self._front, self._wire = front, wire
         self._talk = server.ServerConnection()
-        self.request: str | None = None  # in hand
+        self.commands: deque[Command] = deque()  # not answered yet, or behind such a one
+        self._fault: ProtocolError | None = None  # what was read last can't be understood
+        self._advancing = False
         self.asked = 0
         self.since_us = now  # of its last command's end, or of its coming
         self.partial_us = 0  # since when a command that is not whole has waited
-        self.last_words_us = 0
+        self.ending_us = 0  # since when we end it
         wire.peer = self
 
     def connected(self) -> None:
@@ -59,73 +90,97 @@
 
     def received(self, data: bytes) -> None:
         self._talk.feed(data)
-        self._pump()
+        self.advance()
 
-    def _pump(self) -> None:
-        while self.request is None and not self._wire.closed and not self.last_words_us:
+    def advance(self) -> None:
+        """Read commands, begin what may begin, and give out what is answered."""
+        if self._advancing:
+            return
+        self._advancing = going = True
+        try:
+            while going and not self._wire.closed and not self.ending_us:
+                self._read()
+                self._begin()
+                going = self._deliver()
+        finally:
+            self._advancing = False
+
+    def _read(self) -> None:
+        query: server.Query | None = None
+        while (
+            self._fault is None
+            and len(self.commands) < PIPELINE
+            and self._talk.phase is not server.Phase.OVER
+        ):
             try:
                 query = self._talk.next()
             except ProtocolError as error:
-                self._flush()
-                self.farewell(error.code, str(error))
-                return
-            self._flush()
-            if query is None:
-                if self._talk.phase is server.Phase.OVER:
-                    self._front.drop(self)
-                    return
-                now = self._front.now()
-                self.partial_us = (self.partial_us or now) if self._talk.held else 0
+                self._fault = error
+                self._wire.pause()
+            if query is None or self._fault is not None:
                 break
-            self.partial_us = 0
-            self._command(query.text)
+            self.asked += 1
+            self._front.asks(self)
+            self.commands.append(self._command(query.text))
+        if self._talk.out:
+            out, self._talk.out = self._talk.out, bytearray()
+            self._wire.write(out)
+        whole = len(self.commands) == PIPELINE or not self._talk.held
+        self.partial_us = 0 if whole else self.partial_us or self._front.now()
         if self._talk.held > HELD_LIMIT:
             self._wire.pause()
 
-    def _command(self, text: bytes) -> None:
-        self.asked += 1
-        self._front.asks(self)
+    def _command(self, text: bytes) -> Command:
+        arrived_us = self._front.driver.arrived_us
         if not text.strip(b" \t\r\n;"):
-            self._reply(server.empty())
-            return
+            return Command(self, arrived_us, None, server.empty())
         try:
-            self._front.driver.take(self, parse(text))
+            return Command(self, arrived_us, parse(text), None)
         except FormError as error:
-            self._reply(server.failed("42601", str(error)))
-        except Spurned as error:
-            self._reply(server.failed(error.code, str(error)))
-
-    def _flush(self) -> None:
-        if self._talk.out:
-            out, self._talk.out = self._talk.out, bytearray()
-            self._wire.write(out)
-
-    def _reply(self, data: bytes) -> None:
-        self._wire.write(data)
-        self.since_us = self._front.now()
-        if self._wire.pending > UNREAD_LIMIT:
-            self._front.drop(self)
-        else:
-            self._front.rests(self)
-
-    def answer(self, data: bytes) -> None:
-        """The final answer of the request in hand."""
-        self.request = None
-        if self._wire.closed:
-            return
-        self._reply(data)
-        if self._front.closing and not self._talk.held:
-            self._front.drop(self)
-            return
-        self._wire.resume()
-        self._pump()
-
-    def farewell(self, code: str, text: str) -> None:
-        self._wire.write(server.farewell(code, text))
-        self.last_words_us = self._front.now()
-        self._wire.finish()
-        if self._wire.closed:
-            self._front.drop(self)
+            return Command(self, arrived_us, None, server.failed("42601", str(error)))
+
+    def _begin(self) -> None:
+        before: list[Command] = []
+        for command in self.commands:
+            if command.form is not None and command.answer is None:
+                if command.request is None and not any(command.awaits(other) for other in before):
+                    try:
+                        self._front.driver.take(command, command.form)
+                    except InvalidRequest as error:
+                        command.answer = server.failed(error.code, str(error))
+                        continue
+                before.append(command)
+
+    def _deliver(self) -> bool:
+        """Whether there may be more to do."""
+        answers = bytearray()
+        while self.commands and self.commands[0].answer is not None:
+            answers += self.commands.popleft().answer or b""
+        if answers:
+            self._wire.write(answers)
+            self.since_us = self._front.now()
+            if self._wire.pending > UNREAD_LIMIT:
+                self._front.drop(self)
+                return False
+        if not self.commands:
+            if self._fault is not None:
+                self.fatal(self._fault.code, str(self._fault))
+                return False
+            if self._talk.phase is server.Phase.OVER or (
+                answers and self._front.closing and not self._talk.held
+            ):
+                self._front.end(self)
+                return False
+            if answers:
+                self._front.rests(self)
+        if answers and self._fault is None and not self._front.closing:
+            self._wire.resume()
+        return bool(answers) and bool(self._talk.held)
+
+    def fatal(self, code: str, text: str) -> None:
+        """An error after which the connection ends."""
+        self._wire.write(server.fatal(code, text))
+        self._front.end(self)
 
     def ended(self, why: str) -> None:
         self._front.drop(self)
@@ -133,10 +188,23 @@
     def close(self) -> None:
         self._wire.close()
 
+    def pause(self) -> None:
+        self._wire.pause()
+
+    def finish(self, now: int) -> bool:
+        """End the connection in order; False where it is over already."""
+        self.ending_us = self.ending_us or now
+        self._wire.finish()
+        return not self._wire.closed
+
+    def lingered(self, now: int) -> bool:
+        """Whether its end has been waited for long enough. An answer that is only half out has longer."""
+        return now - self.ending_us > (SILENT_US if self._wire.pending else LINGER_US)
+
     @property
     def idle(self) -> bool:
-        """No command is in hand, and nothing waits to be read."""
-        return self.request is None and not self._talk.held and self._wire.quiet()
+        """No command is in hand, nothing waits to be read, and every answer is out."""
+        return not self.commands and not self._talk.held and not self._wire.pending and self._wire.quiet()
 
 
 class Front:
@@ -163,8 +231,15 @@
             self.budget.asking -= client.asked > 0
             self._resting.pop(client, None)
             client.close()
-            if client.request is not None:
-                self.driver.gone(client)
+            for command in client.commands:
+                if command.request is not None:
+                    self.driver.gone(command)
+
+    def end(self, client: Client) -> None:
+        """In order: its descriptor is free once the other side has ended, too."""
+        self._resting.pop(client, None)
+        if not client.finish(self.now()):
+            self.drop(client)
 
     def asks(self, client: Client) -> None:
         """A command has come."""
@@ -179,33 +254,42 @@
             longest = next(iter(self._resting))
             del self._resting[longest]
             if longest is not client and longest.idle:
-                self.drop(longest)
+                self.end(longest)
 
     def _spare(self, now: int) -> bool:
-        """Ends the connection that will be missed least: one that never asked, else the longest idle."""
-        idle = [c for c in self.clients if c.request is None]
-        idle = [c for c in idle if not c.asked or now - c.since_us > SPARE_US]
-        if not idle:
-            return False
-        self.drop(min(idle, key=lambda c: (c.asked > 0, c.since_us)))
-        return True
+        """Ends the connection that will be missed least: one that is ending, or never asked, else the longest
+        idle. At once, as its descriptor is wanted now."""
+        spare = [c for c in self.clients if not c.commands]
+        spare = [c for c in spare if c.ending_us or not c.asked or now - c.since_us > SPARE_US]
+        spare.sort(key=lambda c: (not c.ending_us, c.asked > 0, c.since_us))
+        for client in spare:
+            if client.ending_us or not client.asked or client.idle:
+                self.drop(client)
+                return True
+        return False
 
     def sweep(self) -> None:
         now = self.now()
         for c in list(self.clients):
-            if c.last_words_us:
-                if now - c.last_words_us > LINGER_US:
+            if c.ending_us:
+                if c.lingered(now):
                     self.drop(c)
-            elif c.request is not None:
+            elif c.commands:
                 continue
             elif c.partial_us and now - c.partial_us > SILENT_US:
-                c.farewell("08P01", "a command does not end")
+                c.fatal("08P01", "a command does not end")
             elif not c.asked and now - c.since_us > SILENT_US:
-                c.farewell("57P05", "nothing was asked")
+                c.fatal("57P05", "nothing was asked")
             elif now - c.since_us > (SPARE_US if self.budget.clients_tight else IDLE_US) and c.idle:
-                self.drop(c)
+                self.end(c)
 
     def close_idle(self) -> None:
+        """From now on connections end with the answers in hand. Danger: one that always has a command
+        in hand would never end, and the kill would find one unanswered: it is read no further, and what its
+        client sends meanwhile crosses the end of the connection, unread."""
+        self.closing = True
         for c in list(self.clients):
-            if c.last_words_us or c.idle:
-                self.drop(c)
+            if c.commands:
+                c.pause()
+            elif not c.ending_us and c.idle:
+                self.end(c)
--- a/juniperreel/platform/keeping.py
+++ b/juniperreel/platform/idletimeout.py
@@ -14,7 +14,7 @@
 HALF_US = 8_000_000  # counts are halved so often: what holds now need not hold then
 
 
-class Keeping:
+class IdleTimeout:
     def __init__(self) -> None:
         self._good = [0.0] * BUCKETS
         self._lost = [0.0] * BUCKETS
--- a/juniperreel/platform/links.py
+++ b/juniperreel/platform/links.py
@@ -16,7 +16,7 @@
 from juniperreel.net.poll import Wire
 from juniperreel.platform.alarms import Alarms
 from juniperreel.platform.budget import Budget
-from juniperreel.platform.keeping import Keeping
+from juniperreel.platform.idletimeout import IdleTimeout
 from juniperreel.postgres.client import ClientConnection, Phase, Reply
 from juniperreel.postgres.messages import ProtocolError
 
@@ -39,10 +39,12 @@
 
 @dataclass(slots=True)
 class Job:
-    """One attempt or one probe. `text` is made at the moment of writing, for what time is left then."""
+    """One attempt or one probe. `text` is made at the moment of writing, for what time is left then; `fits`
+    is asked just before, and what does not fit any more is not sent."""
 
     text: Callable[[], bytes]
     done: Callable[[Ended], None]
+    fits: Callable[[], bool] = field(default=lambda: True)
     connection: MemberConnection | None = field(default=None)
     written: bool = False
     over: bool = False
@@ -71,6 +73,8 @@
 class MemberConnection:
     """One connection and the job on it. A peer of its wire."""
 
+    gone_at_end = False
+
     def __init__(self, pool: MemberPool, wire: Wire) -> None:
         self.pool, self.wire = pool, wire
         self.talk = ClientConnection(USER, DATABASE)
@@ -99,6 +103,10 @@
         elif self.talk.phase is Phase.IDLE:
             if job is None:
                 self._rest(True)
+            elif not job.fits():
+                self.job = None
+                self._rest(True)
+                job.end(Outcome.NOT_SENT)
             elif not job.written:
                 self.start(job)
             # else: bytes for a query that is out, not whole yet
@@ -134,7 +142,7 @@
 
     def _tell_use(self, answered: bool) -> None:
         if self._stood_us is not None:
-            self.pool.links.keeping.used(self.pool.links.now(), self._stood_us, answered)
+            self.pool.links.idle_timeout.used(self.pool.links.now(), self._stood_us, answered)
 
     def _written(self, job: Job | None) -> bool:
         """Whether its last byte has gone out. Danger: a long value leaves in parts, the last from the
@@ -157,7 +165,7 @@
         elif reply.error is not None:
             job.end(outcome_of(reply), reply)  # an error needs no ReadyForQuery behind it
         else:
-            job.end(Outcome.RESET)
+            job.end(Outcome.RESET, reply)
 
     def give_up(self, job: Job, withdrawn: bool) -> None:
         """The driver waits no longer: the connection ends, unless nothing was written on it."""
@@ -165,16 +173,17 @@
             return
         written = self._written(job)
         self.job = None
+        reply = self.talk.so_far if written else None
         if written or self.talk.phase is Phase.BUSY:
-            reply = self.talk.so_far
             self.drop()
-            if reply.error is not None and written:
+            if reply is not None and reply.error is not None:
                 job.end(outcome_of(reply), reply)
                 return
+        # Danger: an answer that stops short may have told of a new role, or of a commit.
         if withdrawn:
-            job.end(Outcome.CANCELLED if written else Outcome.NOT_SENT)
+            job.end(Outcome.CANCELLED if written else Outcome.NOT_SENT, reply)
         else:
-            job.end(Outcome.TIMEOUT if written else Outcome.UNREACHABLE)
+            job.end(Outcome.TIMEOUT if written else Outcome.UNREACHABLE, reply)
 
     def drop(self) -> None:
         self.wire.close()
@@ -196,10 +205,13 @@
         self.retired = False
 
     def run(self, job: Job) -> None:
+        if not job.fits():
+            job.end(Outcome.NOT_SENT)
+            return
         while self.idle:
             connection = self.idle.pop()
             stood = self.links.now() - connection.idle_us
-            if self.links.keeping.allows(stood) and connection.wire.quiet() and connection.talk.clean:
+            if self.links.idle_timeout.allows(stood) and connection.wire.quiet() and connection.talk.clean:
                 connection.start(job)
                 return
             connection.drop()
@@ -251,7 +263,7 @@
         self.dial, self.now, self.alarms, self.budget = dial, now, alarms, budget
         self.connect_us = connect_us
         self._idle_us = int(idle_us * IDLE_PART)
-        self.keeping = Keeping()
+        self.idle_timeout = IdleTimeout()
         self.pools: dict[str, MemberPool] = {}
 
     def place(self, member: str, address: tuple[str, int]) -> None:
@@ -290,7 +302,7 @@
     def sweep(self, forgets: bool) -> None:
         """Ends what has been idle long: a member closes it soon, and a request written then would be lost.
         `forgets`: members that are gone, with their last connection."""
-        before = self.now() - min(self._idle_us, self.keeping.limit_ms * 1000)
+        before = self.now() - min(self._idle_us, self.idle_timeout.limit_ms * 1000)
         for name, pool in list(self.pools.items()):
             for connection in [c for c in pool.idle if c.idle_us < before]:
                 connection.drop()
--- a/juniperreel/platform/run.py
+++ b/juniperreel/platform/run.py
@@ -86,27 +86,29 @@
     async def serve(self) -> None:
         """Until it has left."""
         driver, poller = self.driver, self.poller
-        while not (driver.departure.told and self._left()):
+        while not (driver.shutdown.told and self._left()):
             due = driver.due()
             await poller.wait(due)
             driver.arrived_us = poller.since_us
             poller.dispatch()
             driver.turn()
+            if self.door is not None:
+                self.door.retry(self.clock.now_us())
 
     def _left(self) -> bool:
         now, driver = self.clock.now_us(), self.driver
-        if not driver.departure.closing(now):
+        if not driver.shutdown.closing(now):
             return False
         if self.door is not None and self.door.open:
             self.door.close()
-            driver.front.closing = True
         driver.front.close_idle()
-        return driver.quiet or driver.departure.over(now)
+        return driver.quiet or driver.shutdown.over(now)
 
     def leave(self) -> None:
-        if not self.driver.departure.told:
-            self.driver.departure.begin(self.clock.now_us())
-            self.log.info("leaving")
+        if not self.driver.shutdown.told:
+            self.log.info("leaving", open=len(self.driver.open), clients=self.driver.budget.clients)
+            self.driver.leave()
+            self.driver.turn()
 
     async def reload(self) -> None:
         """Danger: a file that is half written, or wrong, must not take the driver down or half apply."""
@@ -124,8 +126,6 @@
         while True:
             await trio.sleep(STATUS_S)
             driver = self.driver
-            if self.door is not None:
-                self.door.retry()
             self.log.info(
                 "status",
                 open=len(driver.open),
--- a/juniperreel/platform/departure.py
+++ b/juniperreel/platform/shutdown.py
@@ -13,7 +13,7 @@
 ANSWER_US = 200_000  # and every request has its answer so long before it
 
 
-class Departure:
+class GracefulShutdown:
     def __init__(self, longest_us: int) -> None:
         self._span_us = min(longest_us, LONGEST_US) + KILL_AFTER_US
         self._told_us: int | None = None
@@ -27,6 +27,11 @@
         if self._told_us is None:
             self._told_us = now_us
 
+    def steps(self) -> tuple[int, ...]:
+        """When something changes: connections begin to end, and nothing can be waited for any more."""
+        kill_us = (self._told_us or 0) + self._span_us
+        return kill_us - CLOSE_US, kill_us - ANSWER_US // 2
+
     def latest_us(self, deadline_us: int) -> int:
         """By when a request with this deadline must have its answer."""
         if self._told_us is None:
--- a/juniperreel/postgres/server.py
+++ b/juniperreel/postgres/server.py
@@ -123,6 +123,6 @@
     return m.error("ERROR", code, text) + m.READY
 
 
-def farewell(code: str, text: str) -> bytes:
+def fatal(code: str, text: str) -> bytes:
     """After it the connection ends."""
     return m.error("FATAL", code, text)
--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -86,6 +86,7 @@
 ASK_SPREAD_US = 10 * MS  # for each driver: those that start together must not ask together
 ASK_AGAIN_US = 1 * SEC  # after a failed call, and up to two such spreads more
 SESSIONS = 20_000  # remembered; older ones sink into a floor that their group must have passed
+ON_THE_WAY_US = 50 * MS  # an answer that was written counts as had after twice that, though it be lost
 SESSION_US = 60 * SEC  # so does what was committed before: a replica that has not passed it is of no use
 GONE_US = 60 * SEC  # a member that is gone for so long is forgotten
 LOG_EVERY_US = 10 * SEC
@@ -166,11 +167,11 @@
 class RequestState:
     """A request that this router owes an answer, or that still has an attempt out."""
 
-    def __init__(self, ask: ui.Request, cls: ui.RequestClass, now: int, needs: int) -> None:
+    def __init__(self, ask: ui.Request, cls: ui.RequestClass, now: int) -> None:
         self.ask, self.cls = ask, cls
         patience = max(0.0, cls.late_worth - LATE_WORTH) / (1 - LATE_WORTH)
         self.horizon = now + cls.aim_us + int(patience * (cls.deadline_us - cls.aim_us))  # worth little after
-        self.needs = needs  # position that a replica must have passed
+        self.needs = NEVER  # position that a replica must have passed
         self.attempts, self.looks, self.errors = 0, 0, 0
         self.out: dict[int, tuple[int, MemberState]] = {}  # attempt: when it was sent, and where
         self.ran_us: int | None = None  # send of the first attempt that may have run
@@ -180,7 +181,7 @@
         self.wake_us = now
         self.came_us = now
         self.hold_us = now + int(HOLD_PART * (ask.deadline_us - now))
-        self.reached = False  # an attempt came to a member
+        self.reached, self.only_primary = False, False  # an attempt came to a member; no replica will do
         self.pressure = 0.0  # on what may take it
         self.done = False
 
@@ -233,7 +234,7 @@
         self.groups: dict[int, GroupState] = {}
         self.requests: dict[str, RequestState] = {}
         self.stats = [ClassStats(c.aim_us) for c in settings.classes]
-        self.sessions: dict[tuple[int, str], int] = {}
+        self.sessions: dict[tuple[int, str | None], int] = {}
         self.tenants = [0.0 for _ in settings.tenants]
         self.retries = RETRY_BURST
         self.beside = 1.0  # looks that are left over
@@ -246,9 +247,8 @@
         self.primaries = Pressure()  # of all groups' primaries
         self.report_lag = 0.0  # how far behind replicas' positions mostly are when a probe tells them
         self.usual_in_hand = 0.0  # by the reports of all members
-        self.tick_key, self.tick_due = 0, -1
+        self.tick_key, self.tick_due, self.ask_us = 0, -1, IDLE_US
         self.search_us = int(PROBE_AGAIN_US * self.random.uniform(*SEARCH))
-        self.ask_us = IDLE_US
         self.logged: dict[str, int] = {}
 
     def handle(self, now_us: int, events: Iterable[ui.Event]) -> list[ui.Action]:
@@ -275,6 +275,9 @@
                 self.member_list(event)
             elif isinstance(event, ui.StreamStarted) and event.request in self.requests:
                 self.close(self.requests[event.request])  # the client's from its first byte on
+            elif isinstance(event, ui.DeadlineCut) and event.request in self.requests:
+                r = self.requests[event.request]
+                r.ask = replace(r.ask, deadline_us=min(r.ask.deadline_us, event.deadline_us))
             elif isinstance(event, ui.TimerFired) and event.key == self.tick_key:
                 ring = True
         if ring:  # last: what arrived is learned before anything is judged
@@ -333,6 +336,32 @@
         bounded = r.cls.consistency is Consistency.BOUNDED
         return m.position + slack_us >= (self.now - r.cls.lag_allowed_us if bounded else r.needs)
 
+    def note_needs(self, r: RequestState) -> None:
+        """What its session was answered, up to now. Danger: a write that is out may have gone through and its
+        answer be lost: where that counts as had, only the primary surely has what was written."""
+        if r.cls.consistency is Consistency.SESSION and self.s.carried_age:
+            r.needs = NEVER if r.ask.session_age_us is None else r.came_us - r.ask.session_age_us
+        elif r.cls.consistency is Consistency.SESSION:
+            key = (r.ask.group, r.ask.session)
+            r.needs = max(r.needs, self.sessions.get(key, self.group(r.ask.group).floor))
+            own = (o for o in self.requests.values() if (o.ask.group, o.ask.session) == key)
+            out = [sent for o in own if o.cls.consistency is Consistency.WRITE for sent, _ in o.out.values()]
+            if self.s.answers_get_lost and out and self.now - min(out) > ON_THE_WAY_US:
+                r.needs, r.only_primary = self.now, True  # no probe tells of anything as new
+
+    def fits(self, now_us: int, request: str, attempt: int) -> bool:
+        """Asked in the moment of writing. Danger: while a connection comes up, a session's write is answered,
+        a replica's position grows old, a primary steps down."""
+        r = self.requests.get(request)
+        if r is None or r.done or attempt not in r.out:
+            return False
+        self.now, m = max(self.now, now_us), r.out[attempt][1]
+        self.note_needs(r)
+        if m is self.group(r.ask.group).primary or r.cls.consistency in (Consistency.WRITE, Consistency.ANY):
+            return True
+        checked = self.s.guard is not ui.Guard.OFF or self.fresh_enough(r, m, 0)
+        return checked and r.cls.consistency is not Consistency.FRESH
+
     def ramp(self, m: MemberState) -> float:
         """The part of its full capacity that a member surely has: 1 once it is warm."""
         age = self.now - m.cold_us
@@ -453,11 +482,10 @@
         primary. Probe a replica drawn like any other and hold the read for that round trip."""
         unseen = [m for m in others if self.now - m.probe_us > LOOK_US]
         ahead = 0 if r.looks else int(r.needs + self.report_lag) - self.now
-        wait = 0 if unseen and not r.looks else LOOK_US  # a first look takes but a round trip
-        wait = max(wait, ahead)
-        late = self.now + self.stats[r.ask.cls].mean + wait > min(r.horizon, r.ask.deadline_us)
-        late = late or self.now + wait > r.hold_us
-        if not self.s.probes or not others or late or r.looks >= LOOKS:
+        wait = max(0 if unseen and not r.looks else LOOK_US, ahead)  # a first look takes but a round trip
+        end = min(r.horizon, r.ask.deadline_us) - self.stats[r.ask.cls].mean
+        late = self.now + wait > min(end, r.hold_us)
+        if not self.s.probes or not others or late or r.looks >= LOOKS or r.only_primary:
             r.looks = LOOKS
             return False
         if ahead > 0:
@@ -517,7 +545,7 @@
 
     def primary_pressure(self, r: RequestState, p: MemberState, group: GroupState) -> float:
         told = p.press.news(self.now) or self.primaries.news(self.now) >= PRESSURE_TOLD
-        if r.cls.consistency in CURRENT or told or len(group.members) == 1:
+        if r.cls.consistency in CURRENT or r.only_primary or told or len(group.members) == 1:
             return self.pressure(p, group)
         return PRIMARY_UNHEARD  # danger: hundreds of routers that each think it idle
 
@@ -530,13 +558,7 @@
             self.actions.append(ui.Fail(ask.id))
             return
         cls = self.s.classes[ask.cls]
-        group = self.group(ask.group)
-        needs = NEVER
-        if cls.consistency is Consistency.SESSION and not self.s.carried_age:
-            needs = self.sessions.get((ask.group, ask.session or ""), group.floor)
-        elif cls.consistency is Consistency.SESSION and ask.session_age_us is not None:
-            needs = self.now - ask.session_age_us
-        r = RequestState(ask, cls, self.now, needs)
+        r = RequestState(ask, cls, self.now)
         self.requests[ask.id] = r
         self.retries = min(RETRY_BURST, self.retries + RETRY_SHARE)
         self.beside = min(1.0, self.beside + BESIDE_SHARE)
@@ -555,7 +577,7 @@
             due = self.s.tenants[r.ask.tenant].fraction * sum(self.tenants)
             over = self.tenants[r.ask.tenant] > due + SHARE_DEVIATIONS * math.sqrt(due)
             factor *= OVER_SHARE_FACTOR if over else 1.0
-        if on_primary and r.cls.consistency not in CURRENT:
+        if on_primary and r.cls.consistency not in CURRENT and not r.only_primary:
             factor *= PRIMARY_READ_FACTOR
         return (r.pressure / factor - SHED_FROM) / (SHED_ALL - SHED_FROM)
 
@@ -566,6 +588,7 @@
     def decide(self, r: RequestState) -> None:
         """Send it, hold it, or end it: every open request without an attempt passes here."""
         group = self.group(r.ask.group)
+        self.note_needs(r)
         if self.hopeless(r):
             self.give_up(r)
             return
@@ -649,15 +672,14 @@
         r.reached = r.reached or e.outcome not in (Outcome.UNREACHABLE, Outcome.NOT_SENT)
         if e.outcome not in NEVER_RAN and r.ran_us is None:
             r.ran_us, r.ran_at = sent_us, m.info
-        if e.outcome is Outcome.OK and r.cls.consistency is Consistency.WRITE:
-            self.remember(r, self.now if e.position_us is None else e.position_us)
+        if e.outcome not in NEVER_RAN and r.cls.consistency is Consistency.WRITE:
+            self.remember(r, (e.outcome is Outcome.OK and e.position_us) or self.now)  # may have run by now
         if r.done or e.finished or e.outcome is Outcome.OK:
             self.close(r)
         if r.done or r.out:
             return
         r.avoid = e.member
-        if e.outcome is Outcome.ERROR:
-            r.errors += 1
+        r.errors += e.outcome is Outcome.ERROR
         if r.errors >= ERRORS_ELSEWHERE and (m is not group.primary or m.ok_share > OK_MEMORY):
             self.give_up(r)  # danger: a request that fails anywhere eats the retries of good ones
             return
@@ -676,11 +698,12 @@
         group = self.group(m.info.group)
         if e.outcome in (Outcome.OK, Outcome.ERROR, Outcome.REJECTED, Outcome.MISS):
             m.losses, m.heard_us = 0, self.now
+        if e.role is not Role.UNKNOWN:  # also of an answer that stopped short
             self.saw_role(m, e.role)
             m.role_us = self.now
-            if e.position_us is not None:
-                wrote = good and r.cls.consistency is Consistency.WRITE
-                m.position = max(m.position, min(e.position_us - (MS if wrote else 0), self.now))
+        if e.position_us is not None:
+            wrote = r.cls.consistency is Consistency.WRITE
+            m.position = max(m.position, min(e.position_us - (MS if wrote else 0), self.now))
         self.saw_report(m, e.report or ui.Report())
         if m.suspect and (good or e.outcome is Outcome.MISS):
             m.revive(self.now)
@@ -744,7 +767,7 @@
             self.usual_in_hand += (1 - STATS_MEMORY) * (m.in_hand - self.usual_in_hand)
 
     def remember(self, r: RequestState, commit: int) -> None:
-        key = (r.ask.group, r.ask.session or "")
+        key = (r.ask.group, r.ask.session)
         self.sessions[key] = max(commit, self.sessions.pop(key, commit))
         # Danger: new sessions come all day, and memory would grow with them.
         while self.sessions:
@@ -844,10 +867,8 @@
                 del self.members[m.info.id]
         for group in self.groups.values():
             group.members = []
-            if group.primary is not None and group.primary.info.id not in self.members:
-                group.primary = None
-            if group.listed is not None and group.listed.info.id not in self.members:
-                group.listed = None
+            group.primary = self.members.get(group.primary.info.id) if group.primary else None
+            group.listed = self.members.get(group.listed.info.id) if group.listed else None
         for _, m in sorted(self.members.items()):
             if m.info.readiness is not Readiness.GONE or self.s.only_draining_binds:
                 self.group(m.info.group).members.append(m)
--- a/tests/platform/peers.py
+++ b/tests/platform/peers.py
@@ -103,7 +103,8 @@
         return self.stuck
 
     def write(self, data: bytes | bytearray) -> None:
-        self.sent += data
+        if not self.finished:
+            self.sent += data
 
     def take(self) -> bytes:
         sent, self.sent = bytes(self.sent), bytearray()
--- a/tests/platform/test_driver.py
+++ b/tests/platform/test_driver.py
@@ -48,18 +48,54 @@
     assert len(world.dialled) in (1, 2)  # the connection is used again, where the draw says so
 
 
-def test_pipelined_commands_are_answered_in_order(world: World) -> None:
+def test_pipelined_commands_are_in_hand_side_by_side_and_answered_in_order(world: World) -> None:
     client = world.client(*(read_text(n) for n in IDS[:3]), b"", b"SELECT 2")
-    for n in range(3):
-        (call,) = world.calls()
+    calls = {}
+    for call in world.calls():
         query = call.take() or world.up(call)
-        assert IDS[n].encode() in query
-        world.say(call, row(b"%d" % n))
+        calls[next(n for n in range(3) if IDS[n].encode() in query)] = call
+    for n in (2, 0, 1):
+        assert not client.sent or n == 1
+        world.say(calls[n], row(b"%d" % n))
     got = client.take()
     places = [got.find(b"\0\0\0\x01%d" % n) for n in range(3)]
     assert 0 < places[0] < places[1] < places[2] < got.index(b"I\0\0\0\4") < got.index(b"C42601")
 
 
+def test_a_command_behind_a_slow_one_keeps_its_own_deadline(world: World) -> None:
+    """Danger: sent at once and taken one by one, the last ones were taken after their clients had left."""
+    client = world.client(read_text(IDS[0], span=1900), *(read_text(n, span=900) for n in IDS[1:8]))
+    world.pass_us(950 * MS)
+    assert set(world.driver.open) <= {IDS[0]}  # the others have their answers, behind the first one's
+    world.pass_us(1000 * MS)
+    got = client.take()
+    assert got.count(m.READY) == 8 and got.endswith(m.READY)
+
+
+def test_a_read_behind_a_write_of_its_key_waits_for_it_and_others_do_not(world: World) -> None:
+    client = world.client(
+        write_text(IDS[0], key="one"),
+        read_text(IDS[1], "own", key="one"),
+        read_text(IDS[2], "own", key="two"),
+    )
+    assert set(world.driver.open) == {IDS[0], IDS[2]}
+    for call in world.calls():
+        query = call.take() or world.up(call)
+        if IDS[0].encode() in query:
+            world.say(call, row(b"w", "primary", world.time // MS))
+    assert set(world.driver.open) == {IDS[1], IDS[2]}
+    assert client.take().count(m.READY) == 1
+
+
+def test_commands_beyond_the_limit_wait_unread(world: World) -> None:
+    from juniperreel.platform.front import PIPELINE
+
+    client = world.client(*(read_text(f"{n:016x}", span=700) for n in range(PIPELINE + 20)))
+    assert len(world.driver.open) == PIPELINE
+    world.pass_us(4 * SEC)
+    assert client.take().count(m.READY) == PIPELINE + 20
+
+
 def test_the_id_of_an_open_or_an_answered_request_is_refused_and_the_first_keeps_its_answer(
     world: World,
 ) -> None:
@@ -244,7 +280,7 @@
 
 
 def test_a_leaving_driver_cuts_deadlines_to_the_kill(world: World) -> None:
-    world.driver.departure.begin(world.time)
+    world.driver.leave()
     world.pass_us(3000 * MS)
     client = world.client(read_text(IDS[0], span=2000))
     (call,) = world.calls()
--- a/tests/platform/test_guards.py
+++ b/tests/platform/test_guards.py
@@ -1,4 +1,4 @@
-"""The small classes without I/O: descriptors, idle connections, departure, alarms, facts, lists,
+"""The small classes without I/O: descriptors, idle connections, shutdown, alarms, facts, lists,
 configuration."""
 
 from __future__ import annotations
@@ -15,8 +15,8 @@
 from juniperreel.platform.alarms import Alarms
 from juniperreel.platform.budget import Budget
 from juniperreel.platform.config import ConfigError, parse
-from juniperreel.platform.departure import Departure
-from juniperreel.platform.keeping import Keeping
+from juniperreel.platform.idletimeout import IdleTimeout
+from juniperreel.platform.shutdown import GracefulShutdown
 from tests.platform.peers import MS, SEC, SETTINGS, config_bytes, entry
 
 
@@ -28,36 +28,36 @@
 
 
 def test_idle_connections_are_kept_until_their_uses_are_lost() -> None:
-    keeping = Keeping()
+    timeout = IdleTimeout()
     for n in range(200):
-        keeping.used(n * 20 * MS, 5 * MS, n % 25 != 0)  # one in 25 is lost whatever we do
-    assert keeping.allows(60 * SEC)
+        timeout.used(n * 20 * MS, 5 * MS, n % 25 != 0)  # one in 25 is lost whatever we do
+    assert timeout.allows(60 * SEC)
     for n in range(20):
-        keeping.used(4 * SEC + n, 300 * MS, n % 3 != 0)
-    assert not keeping.allows(300 * MS) and keeping.allows(200 * MS)
+        timeout.used(4 * SEC + n, 300 * MS, n % 3 != 0)
+    assert not timeout.allows(300 * MS) and timeout.allows(200 * MS)
     for n in range(40):
-        keeping.used((8 + n) * SEC, 2 * MS, True)
-    assert keeping.allows(300 * MS)  # what is no longer tried is forgotten, and tried again
+        timeout.used((8 + n) * SEC, 2 * MS, True)
+    assert timeout.allows(300 * MS)  # what is no longer tried is forgotten, and tried again
 
 
 def test_a_shortest_time_is_always_tried() -> None:
-    keeping = Keeping()
+    timeout = IdleTimeout()
     for n in range(50):
-        keeping.used(n, 0, False)
-    assert keeping.allows(0)
+        timeout.used(n, 0, False)
+    assert timeout.allows(0)
 
 
-def test_departure_ends_connections_then_answers_before_the_kill() -> None:
-    departure = Departure(2 * SEC)
-    assert departure.latest_us(9 * SEC) == 9 * SEC and not departure.closing(9 * SEC)
-    departure.begin(10 * SEC)
-    departure.begin(11 * SEC)  # a second SIGTERM changes nothing
+def test_a_shutdown_ends_connections_then_answers_before_the_kill() -> None:
+    shutdown = GracefulShutdown(2 * SEC)
+    assert shutdown.latest_us(9 * SEC) == 9 * SEC and not shutdown.closing(9 * SEC)
+    shutdown.begin(10 * SEC)
+    shutdown.begin(11 * SEC)  # a second SIGTERM changes nothing
     kill = 10 * SEC + 2 * SEC + 700 * MS
-    assert not departure.closing(kill - 600 * MS) and departure.closing(kill - 500 * MS)
-    assert departure.latest_us(60 * SEC) == kill - 200 * MS
-    assert departure.over(kill - 100 * MS)
-    assert Departure(9 * SEC).latest_us(60 * SEC) == 60 * SEC
-    late = Departure(9 * SEC)
+    assert not shutdown.closing(kill - 600 * MS) and shutdown.closing(kill - 500 * MS)
+    assert shutdown.latest_us(60 * SEC) == kill - 200 * MS
+    assert shutdown.over(kill - 100 * MS)
+    assert GracefulShutdown(9 * SEC).latest_us(60 * SEC) == 60 * SEC
+    late = GracefulShutdown(9 * SEC)
     late.begin(0)
     assert late.latest_us(60 * SEC) == 3500 * MS  # longer deadlines count as 3 s
 
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -130,7 +130,7 @@
         world.program.leave()
         found = await world.ask(read_text("00000000000000ad", span=3000))
         assert found[0][0] is None
-        assert world.program.driver.departure.told
+        assert world.program.driver.shutdown.told
 
 
 async def test_a_listener_takes_what_the_kernel_has_and_closes(autojump_clock: Any) -> None:
