Any customer's settings: a property test, and no name of one in the program

Need: the operators run the drivers for other customers too, and nothing may be fitted to one. The test draws classes, effects, scopes, deadlines from 0.15 to 20 s, limits, costs, modes and tenants, plays one request of each class with answers and without, and wants one final answer in time for each. A second test reads all names from deploy/sites and looks for them in what run uses.

--- /dev/null
+++ b/tests/platform/test_any_customer.py
@@ -0,0 +1,137 @@
+"""Whatever a customer's settings say: names, classes, effects, limits and costs are taken from them alone."""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from juniperreel.postgres import messages as m
+from tests.platform.peers import MS, SETTINGS, World, read_text, row, write_text
+
+ROOT = Path(__file__).parents[2]
+RUN = ("rules.py", "interface.py", "sitesettings.py", "platform", "postgres", "hosting", "net")
+
+names = st.from_regex(re.compile(r"[0-9A-Za-z_.-]{1,64}"), fullmatch=True)
+shares = st.floats(0.0, 1.0)
+
+
+@st.composite
+def service(draw: st.DrawFn) -> dict[str, Any]:
+    deadline = draw(st.floats(0.15, 20.0))
+    return {
+        "name": draw(names),
+        "effect": draw(st.sampled_from(["repeatable", "by_key", "once"])),
+        "key_scope": draw(st.sampled_from(["all", "zone", "cell"])),
+        "memory_span_s": draw(st.floats(0.0, 10.0)),
+        "objective_s": deadline * draw(st.floats(0.1, 1.0)),
+        "deadline_s": deadline,
+        "worth": draw(st.floats(0.01, 100.0)),
+        "late_worth": draw(shares),
+    }
+
+
+@st.composite
+def customer(draw: st.DrawFn) -> dict[str, Any]:
+    classes = draw(st.lists(service(), min_size=1, max_size=5, unique_by=lambda s: s["name"]))
+    kinds = [draw(st.sampled_from(["any", "bounded", "session", "fresh", "write"])) for _ in classes]
+    flags = {name: draw(st.booleans()) for name in ("cancelling", "probes", "retry_after", "second_copies")}
+    return {
+        **SETTINGS,
+        "balancers": draw(st.integers(1, 400)),
+        "ceilings": {
+            **flags,
+            "conn_idle_s": draw(st.floats(1.0, 60.0)),
+            "connect_timeout_s": draw(st.floats(0.05, 2.0)),
+            "max_attempts": draw(st.integers(1, 12)),
+            "max_retry_after_s": draw(st.floats(0.0, 5.0)),
+        },
+        "membership_mode": draw(st.sampled_from(["ask", "push"])),
+        "rules": {
+            **SETTINGS["rules"],
+            "stop_sending_within_s": draw(st.floats(0.1, 5.0)),
+            "cold_from": draw(st.floats(0.05, 1.0)),
+            "fall_multiple": draw(st.floats(1.1, 5.0)),
+        },
+        "prices": {"probe": draw(shares), "waste": draw(shares), "late_fail": draw(shares)},
+        "services": classes,
+        "specifics": {
+            **SETTINGS["specifics"],
+            "consistency": kinds,
+            "lag_allowed_s": [draw(st.floats(0.0, 2.0)) for _ in classes],
+            "guards": draw(st.sampled_from(["off", "refuse", "wait"])),
+            "wait_s": draw(st.floats(0.0, 0.2)),
+            "token_mode": draw(st.sampled_from(["remembered", "carried"])),
+        },
+        "tenants": [
+            {"name": n, "fraction": 1.0, "quota_rps": 50.0}
+            for n in draw(st.lists(names, max_size=3, unique=True))
+        ],
+    }
+
+
+@settings(max_examples=60, deadline=None, suppress_health_check=list(HealthCheck))
+@given(customer(), st.booleans())
+def test_every_request_of_any_customer_has_one_final_answer_in_time(
+    said: dict[str, Any], answers: bool
+) -> None:
+    world = World(settings=said)
+    for number, (kind, consistency) in enumerate(
+        zip(said["services"], said["specifics"]["consistency"], strict=True)
+    ):
+        name = f"{number + 1:016x}"
+        write = consistency == "write"
+        span = int(kind["deadline_s"] * 1000)
+        text = (
+            write_text(name, span)
+            if write
+            else read_text(name, span=span, k=name, after=world.time // MS - 500)
+        )
+        tenant = f"t={said['tenants'][0]['name']}," if said["tenants"] else ""
+        text = re.sub(rb"c=[a-z]+,t=acme,", f"c={kind['name']},{tenant}".encode(), text)
+        client = world.client(text)
+        end = world.time + span * MS
+        while not client.sent and world.time <= end + 50 * MS:
+            for call in world.calls():
+                asked = call.take() or world.up(call)
+                if answers and asked.startswith(b"Q"):
+                    role = "primary" if call is world.dialled[0][1] else "standby"
+                    world.say(call, row(b"v", role, world.time // MS))
+            world.pass_us(10 * MS)
+        got = client.take()
+        assert got.count(m.READY) == 1 and got[:1] in b"TE", (kind, consistency, got)
+        world.pass_us(100 * MS)
+        assert not client.sent  # and no second one
+    assert "the module failed" not in world.out.getvalue()
+
+
+def named(value: Any, under: tuple[str, ...] = ()) -> set[str]:
+    """Names of classes, tenants, zones, kinds and tiers in a site file."""
+    if isinstance(value, dict):
+        return {n for k, v in value.items() for n in named(v, (*under, k))}
+    if isinstance(value, list):
+        return {n for v in value for n in named(v, under)}
+    told = under[-1:] in (("name",), ("zones",)) and under[0] != "trouble"
+    return {value} if told and isinstance(value, str) else set()
+
+
+def test_nothing_in_the_program_names_a_customer() -> None:
+    found = set()
+    for site in (ROOT / "deploy/sites").glob("*.toml"):
+        found |= named(tomllib.loads(site.read_text(encoding="utf-8")))
+    assert {"harbour-tides", "tide-table", "pilots", "north-quay", "slim-4", "quiz-db"} <= found
+    package = ROOT / "juniperreel"
+    files = [
+        f
+        for part in RUN
+        for f in ([package / part] if part.endswith(".py") else (package / part).rglob("*.py"))
+    ]
+    assert len(files) > 20
+    for file in [*files, ROOT / "deploy/balancer.toml"]:
+        text = file.read_text(encoding="utf-8")
+        strings = set(re.findall(r"[\"']([A-Za-z0-9_.-]+)[\"']", text))
+        assert not strings & found, file
