What was found of a closed socket is not told of the next one with its number

Seen by reading (net/poll.py, dispatch): events of one poll were matched with owners by descriptor when they were carried out. A call before may have closed one, and an accept or a dial of the same round had its number: its end, or what it sent, was told of the new one; as a client's end comes ahead of what it sent, a new client would have been dropped unanswered. Owners are now noted when the poll finds the event.

Also: a driver whose address is taken ended its start but not itself, as the nursery waited for discovery (run.py); and tests of SIGTERM during the start, a second SIGTERM and a SIGHUP after it.

--- a/juniperreel/net/poll.py
+++ b/juniperreel/net/poll.py
@@ -37,7 +37,7 @@
         self.clock = clock
         self._epoll = select.epoll()
         self._owners: dict[int, Ready] = {}
-        self._events: list[tuple[int, int]] = []
+        self._events: list[tuple[int, int, Ready | None]] = []
         self._waiting: trio.CancelScope | None = None
         self._yielded_us = self._polled_us = clock.now_us()
         self.since_us = self._polled_us  # since when what was found ready may have been so
@@ -59,7 +59,7 @@
     async def wait(self, until_us: int | None) -> None:
         """Until a socket is ready or the time has come."""
         began = self.clock.now_us()
-        self._events = self._epoll.poll(0, ROUND)
+        self._poll()
         if not self._events and (until_us is None or until_us > began):
             with trio.CancelScope() as self._waiting:
                 if until_us is not None:
@@ -67,7 +67,7 @@
                 await trio.lowlevel.wait_readable(self._epoll.fileno())
             self._waiting = None
             self._yielded_us = self.clock.now_us()
-            self._events = self._epoll.poll(0, ROUND)
+            self._poll()
         elif began - self._yielded_us > YIELD_US:
             await trio.lowlevel.checkpoint()
             self._yielded_us = self.clock.now_us()
@@ -75,6 +75,9 @@
         self.since_us = now if now - began > BLOCKED_US else self._polled_us
         self._polled_us = now
 
+    def _poll(self) -> None:
+        self._events = [(fd, mask, self._owners.get(fd)) for fd, mask in self._epoll.poll(0, ROUND)]
+
     def wake(self) -> None:
         """Ends the wait: another task has changed what is due."""
         if self._waiting is not None:
@@ -82,9 +85,10 @@
 
     def dispatch(self) -> None:
         events, self._events = self._events, []
-        for fileno, mask in events:
-            owner = self._owners.get(fileno)
-            if owner is not None:  # a call before it may have closed this one
+        for fileno, mask, owner in events:
+            # Danger: a call before it may have closed this one, and a new socket have its number: what was
+            # found of the old one, say its end, is none of the new one's.
+            if owner is not None and self._owners.get(fileno) is owner:
                 owner.ready(mask)
 
 
--- a/juniperreel/platform/run.py
+++ b/juniperreel/platform/run.py
@@ -156,6 +156,7 @@
                 program.start()
             except OSError as error:
                 log.error("the address can't be listened on", error=str(error))
+                nursery.cancel_scope.cancel()  # else discovery would be waited for, for ever
                 return 1
             for number in pending:
                 await heed(number)
--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -117,6 +117,40 @@
     assert started.process.wait(SECONDS) == 0
 
 
+@LINUX
+def test_signals_that_come_during_the_start_and_again_later_end_it_once(started: Started) -> None:
+    """SIGTERM while modules load, and then each signal once more: it is ready, serves, and ends."""
+    loads = f"/proc/{started.process.pid}/status"
+    end = time.monotonic() + SECONDS
+    while True:  # its handlers stand, and nothing more is needed
+        caught = int(Path(loads).read_text().split("SigCgt:")[1].split()[0], 16)
+        if caught >> (signal.SIGTERM - 1) & 1:
+            break
+        assert started.process.poll() is None and time.monotonic() < end, started.log.read_text()
+        os.sched_yield()
+    started.process.send_signal(signal.SIGTERM)
+    started.says("leaving")
+    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+        started.process.send_signal(number)
+    started.says("configuration read anew")
+    assert started.process.wait(SECONDS) == 0
+    assert started.log.read_text().count('"leaving"') == 1
+
+
+def test_an_address_that_is_taken_ends_the_program_at_once(tmp_path: Path) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        config = tmp_path / "config.json"
+        config.write_bytes(config_bytes(listen=f"127.0.0.1:{taken.getsockname()[1]}"))
+        done = subprocess.run(
+            [sys.executable, "-m", "juniperreel.platform"],
+            cwd=ROOT,
+            env={"PATH": os.environ["PATH"], "GW_CONFIG": str(config)},
+            capture_output=True,
+            timeout=SECONDS,
+        )
+    assert done.returncode == 1 and b"can't be listened on" in done.stderr
+
+
 def test_run_imports_nothing_that_starts_programs() -> None:
     """The operators refuse fork and further programs; what could start one is not even loaded."""
     text = "import sys, juniperreel.platform.run as r; print(*sys.modules)"
