What is written late heeds a drain that was told while its connection came up

Need: an attempt is decided before its connection is up, and 0.25 s may pass (connect_timeout_s of the settings); one customer's grace is 0.5 s, and any may be shorter. Router.fits asks usable too, which gives a draining primary half the grace.

--- a/juniperreel/rules.py
+++ b/juniperreel/rules.py
@@ -351,16 +351,16 @@
 
     def fits(self, now_us: int, request: str, attempt: int) -> bool:
         """Asked in the moment of writing. Danger: while a connection comes up, a session's write is answered,
-        a replica's position grows old, a primary steps down."""
+        a replica's position grows old, a primary steps down, a drain is told."""
         r = self.requests.get(request)
         if r is None or r.done or attempt not in r.out:
             return False
         self.now, m = max(self.now, now_us), r.out[attempt][1]
         self.note_needs(r)
-        if m is self.group(r.ask.group).primary or r.cls.consistency in (Consistency.WRITE, Consistency.ANY):
-            return True
+        kind, group = r.cls.consistency, self.group(r.ask.group)
         checked = self.s.guard is not ui.Guard.OFF or self.fresh_enough(r, m, 0)
-        return checked and r.cls.consistency is not Consistency.FRESH
+        fits = m is group.primary or kind in (Consistency.WRITE, Consistency.ANY)
+        return self.usable(m, group) and (fits or (checked and kind is not Consistency.FRESH))
 
     def ramp(self, m: MemberState) -> float:
         """The part of its full capacity that a member surely has: 1 once it is warm."""
--- a/tests/test_rules_crossings.py
+++ b/tests/test_rules_crossings.py
@@ -101,6 +101,16 @@
     assert s.router.fits(s.now, write, 0)  # a miss does no harm
 
 
+def test_an_attempt_does_not_fit_a_member_that_was_told_to_drain_meanwhile() -> None:
+    s = settled()
+    read, write = s.ask("loose"), s.ask("write")
+    changed = member("a", readiness=ui.Readiness.DRAINING)
+    s.start(changed, member("p", readiness=ui.Readiness.DRAINING), kind=ui.ListKind.CHANGES)
+    assert not s.router.fits(s.now, read, 0)
+    assert s.router.fits(s.now, write, 0)  # a primary that drains has half the grace
+    assert not s.router.fits(s.now + s.settings.drain_grace_us // 2, write, 0)
+
+
 def test_a_deadline_that_is_cut_holds_for_what_is_in_hand() -> None:
     s = settled()
     for m in s.router.members.values():
