Watches of small fleets wait less, so that silence is known while a new one may still fail

Need: what a silent watch misses counts as told 6 s after it fell silent; ours was known 5.5 s after its call, half a second before. A call costs discovery the same whoever makes it, so the wait goes by how many drivers call: 2 s up to 100, 20 ms for each beyond, 4 s from 200 on, where nothing changes.

--- a/juniperreel/platform/run.py
+++ b/juniperreel/platform/run.py
@@ -25,9 +25,19 @@
 # At most so long: what a silent watch misses counts as told 6 s after it fell silent, by the operators' page,
 # and its silence is known only when its answer is overdue (`ANSWER_US`). Half a second is left for a new one.
 WATCH_US = 4_000_000
+# Every call costs discovery the same, whoever makes it: where few drivers call, they can do so more often,
+# and know of a silent watch while a new one may still fail once. The least is what a call may take.
+WATCH_EACH_US = 20_000  # for each driver of the fleet: 50 calls a second from all of them
+WATCH_LEAST_US = 2_000_000
 STATUS_S = 10
 
 
+def watch_wait_us(settings: ui.Settings) -> int:
+    """How long a watch's call may wait."""
+    wait = min(max(settings.routers * WATCH_EACH_US, WATCH_LEAST_US), WATCH_US)
+    return min(wait, int(settings.ask_every_us * WATCH_PART) or wait)
+
+
 class Program:
     """Everything of one run, tied together."""
 
@@ -35,7 +45,7 @@
         self.config, self.path, self.log = config, path, log
         self.clock = Clock()
         self.poller = Poller(self.clock)
-        wait = min(int(config.router.ask_every_us * WATCH_PART) or WATCH_US, WATCH_US)
+        wait = watch_wait_us(config.router)
         self.discovery = Discovery(
             TcpNetwork(), config.discovery, config.zones, config.kinds, wait, self._told, log
         )
--- a/tests/platform/test_guards.py
+++ b/tests/platform/test_guards.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import json
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -15,7 +16,9 @@
 from juniperreel.platform.alarms import Alarms
 from juniperreel.platform.budget import Budget
 from juniperreel.platform.config import ConfigError, parse
+from juniperreel.platform.discovery import ANSWER_US
 from juniperreel.platform.idletimeout import IdleTimeout
+from juniperreel.platform.run import watch_wait_us
 from juniperreel.platform.shutdown import GracefulShutdown
 from tests.platform.peers import MS, SEC, SETTINGS, config_bytes, entry
 
@@ -62,6 +65,14 @@
     assert late.latest_us(60 * SEC) == 3500 * MS  # longer deadlines count as 3 s
 
 
+def test_watches_of_few_drivers_wait_less_and_of_many_no_longer_than_silence_may_last() -> None:
+    router = parse(config_bytes()).router
+    for routers, ask_s, wait_s in ((3, 0, 2.0), (6, 30, 2.0), (150, 30, 3.0), (240, 0, 4.0), (240, 5, 2.5)):
+        changed = replace(router, routers=routers, ask_every_us=ask_s * SEC)
+        assert watch_wait_us(changed) == wait_s * SEC
+        assert wait_s * SEC + ANSWER_US < 6 * SEC  # what a silent watch misses counts as told then
+
+
 def test_alarms_ring_in_order_of_their_time() -> None:
     alarms, rung = Alarms(), list[int]()
     for due in (30, 10, 20, 10):
