A command half read at the shutdown is read whole; each command has its own two seconds

Found by reading front.py again for the table of crossings (docs/design/crossings.md), both flaws of: a connection read no further at the shutdown kept half a command whose rest its client had sent, and was closed over it; and a command not whole was timed from when the first of a row began, so that a slow writer of several was ended.

--- a/juniperreel/platform/front.py
+++ b/juniperreel/platform/front.py
@@ -120,6 +120,7 @@
             if query is None or self._fault is not None:
                 break
             self.asked += 1
+            self.partial_us = 0
             self._front.asks(self)
             self.commands.append(self._command(query.text))
         if self._talk.out:
@@ -173,7 +174,8 @@
                 return False
             if answers:
                 self._front.rests(self)
-        if answers and self._fault is None and not self._front.closing:
+        # Danger: of a command that is half here the rest may be on its way; it counts as taken.
+        if answers and self._fault is None and (self._talk.held or not self._front.closing):
             self._wire.resume()
         return bool(answers) and bool(self._talk.held)
 
--- a/tests/platform/test_crossings.py
+++ b/tests/platform/test_crossings.py
@@ -109,6 +109,54 @@
         assert stage.members["a"].queries == stage.members["p"].queries == b""
 
 
+async def test_a_command_half_read_when_its_connection_is_to_end_is_read_whole_and_answered() -> None:
+    with Stage() as stage:
+        await stage.probed()
+        client = await stage.client(read_text(IDS[0]))
+        await stage.until(lambda: stage.driver.open)
+        second = m.query(read_text(IDS[1]))
+        client.send(second[:40])
+        await stage.there(stage.wires[-1])
+        await stage.step()
+        stage.driver.leave()
+        stage.driver.front.close_idle()
+        member = await stage.query("a")
+        member.take()
+        member.send(row(b"one"))
+        assert b"one" in await stage.answered(client)
+        stage.driver.front.close_idle()
+        client.take()
+        client.send(second[40:])
+        member = await stage.query("a")
+        member.take()
+        member.send(row(b"two"))
+        assert b"two" in await stage.answered(client)
+        assert await stage.finished(client) == "fin"
+
+
+async def test_a_slow_writer_has_two_seconds_for_each_command() -> None:
+    """Not for all of them together, nor from when the first one began."""
+    with Stage() as stage:
+        await stage.probed()
+        client = await stage.client()
+        texts = [m.query(read_text(name)) for name in IDS[:3]]
+        client.send(texts[0][:30])
+        for n, text in enumerate(texts):
+            await stage.there(stage.wires[-1])
+            await stage.step()
+            stage.pass_us(1500 * MS)
+            following = texts[n + 1][:30] if n + 1 < len(texts) else b""
+            client.send(text[30:] + following)
+            member = await stage.query("a")
+            member.take()
+            member.send(row(b"value %d" % n))
+            await stage.until(lambda n=n: b"value %d" % n in client.read())  # type: ignore[misc]
+            if following:
+                client.send(texts[n + 1][30:40])
+                texts[n + 1] = texts[n + 1][:30] + texts[n + 1][40:]
+        assert b"FATAL" not in client.got
+
+
 async def test_connections_that_the_kernel_holds_when_the_door_closes_are_ended_in_order() -> None:
     """More of them than one poll takes, with and without a request."""
     with Stage() as stage:
