Connections that we end are not counted among those that stay

Found by reading, a flaw of: a connection ended in order keeps its descriptor until its client ends too, and was counted among clients that have asked, or that make descriptors tight, until then.

--- a/juniperreel/platform/budget.py
+++ b/juniperreel/platform/budget.py
@@ -17,6 +17,7 @@
         self.member_limit = max(usable - self.client_limit, 8)
         self.asking_limit = max(int(total * REQUEST_PART), 8)
         self.clients = self.members = 0
+        self.ending = 0  # of the clients, those whose connections we end
         self.asking = 0  # clients that have asked at least once
 
     @property
@@ -29,7 +30,7 @@
 
     @property
     def clients_tight(self) -> bool:
-        return self.clients * 4 >= self.client_limit * 3
+        return (self.clients - self.ending) * 4 >= self.client_limit * 3
 
     @property
     def members_full(self) -> bool:
--- a/juniperreel/platform/front.py
+++ b/juniperreel/platform/front.py
@@ -230,7 +230,10 @@
         if client in self.clients:
             self.clients.discard(client)
             self.budget.clients -= 1
-            self.budget.asking -= client.asked > 0
+            if client.ending_us:
+                self.budget.ending -= 1
+            else:
+                self.budget.asking -= client.asked > 0
             self._resting.pop(client, None)
             client.close()
             for command in client.commands:
@@ -238,8 +241,12 @@
                     self.driver.gone(command)
 
     def end(self, client: Client) -> None:
-        """In order: its descriptor is free once the other side has ended, too."""
+        """In order: its descriptor is free once the other side has ended, too. Danger: where one is too many,
+        all that rest would be ended for it, were it counted among those that stay until then."""
         self._resting.pop(client, None)
+        if not client.ending_us:
+            self.budget.asking -= client.asked > 0
+            self.budget.ending += 1
         if not client.finish(self.now()):
             self.drop(client)
 
--- a/tests/platform/test_crossings.py
+++ b/tests/platform/test_crossings.py
@@ -382,6 +382,39 @@
             end.close()
 
 
+async def test_of_clients_that_ask_once_and_stay_only_those_too_many_are_ended() -> None:
+    """The ends of connections take their time, as clients answer them late or never."""
+    with Stage(limits={"cores": 0.5, "memory_mb": 64, "sockets": 80}) as stage:
+        limit = stage.driver.budget.asking_limit
+        clients = [await stage.client(b"") for _ in range(limit + 6)]
+        for client in clients:
+            await stage.until(lambda client=client: client.read() or client.ended)  # type: ignore[misc]
+        await stage.step()
+        ended = [client for client in clients if client.read() is not None and client.ended]
+        assert len(ended) == 6 and stage.driver.budget.asking == limit
+        assert ended == clients[:6]  # the longest idle
+        for client in clients:
+            client.close()
+        await stage.until(lambda: not stage.driver.front.clients)
+        assert stage.driver.budget.asking == stage.driver.budget.clients == 0
+
+
+async def test_where_descriptors_run_short_idle_clients_are_ended_until_they_do_not() -> None:
+    with Stage(limits={"cores": 0.5, "memory_mb": 64, "sockets": 200}) as stage:
+        budget = stage.driver.budget
+        budget.asking_limit = 1000  # not what this is about
+        clients = [await stage.client(b"") for _ in range(-(-budget.client_limit * 3 // 4) + 4)]
+        await stage.answered(clients[-1])
+        assert budget.clients_tight
+        stage.pass_us(3 * SEC)
+        await stage.until(lambda: [c for c in clients if c.read() is not None and c.ended])
+        assert len([c for c in clients if c.read() is not None and c.ended]) == 5
+        for client in clients:
+            client.close()
+        await stage.until(lambda: not stage.driver.front.clients)
+        assert budget.ending == budget.clients == 0
+
+
 def test_a_member_end_is_told_apart() -> None:
     """The stage's own: each member has a port of its own."""
     first, second = MemberEnd(), MemberEnd()
