Tests: one row for members' answers, on wires that remember and on sockets alike

Need: tests/platform/stage.py wrote peers.row again, with an answer that stops short beside it. peers.row has that word now and serves both; no assertion changed. Measured: 110 tests of tests/platform pass, ruff, mypy and the import contracts are clean.

--- a/tests/platform/peers.py
+++ b/tests/platform/peers.py
@@ -138,13 +138,14 @@
     return f"{statement} /* {comment} */".encode()
 
 
-def row(value: bytes = b"v", role: str = "standby", position: int | None = None) -> bytes:
+def row(value: bytes = b"v", role: str = "standby", position: int | None = None, whole: bool = True) -> bytes:
+    """Not `whole`: it stops short of ReadyForQuery."""
     described = m.message(b"T", b"\0\1body\0" + b"\0" * 16 + b"\0\1")
     data = m.message(b"D", b"\0\1" + len(value).to_bytes(4, "big") + value)
     facts = m.parameter("replication_role", role)
     if position is not None:
         facts += m.parameter("log_position", str(position))
-    return described + data + m.message(b"C", b"SELECT 1\0") + facts + m.READY
+    return described + data + m.message(b"C", b"SELECT 1\0") + facts + (m.READY if whole else b"")
 
 
 class World:
--- a/tests/platform/stage.py
+++ b/tests/platform/stage.py
@@ -21,7 +21,7 @@
 from juniperreel.platform.log import Log
 from juniperreel.postgres import messages as m
 from juniperreel.postgres import server
-from tests.platform.peers import HELLO, config_bytes, entry
+from tests.platform.peers import HELLO, config_bytes, entry, row
 
 PATIENCE_S = 30  # far more than anything here takes
 LOOK_S = 0.02
@@ -223,12 +223,3 @@
             position = (self.clock.time - (lag_us if name == "a" else 0)) / 1_000_000
             end.send(row(b"x0=%.6f,x1=%d,queue=0" % (position, name == "p")))
             await self.rests(name)
-
-
-def row(value: bytes, role: str = "standby", position_ms: int | None = None, whole: bool = True) -> bytes:
-    described = m.message(b"T", b"\0\1body\0" + b"\0" * 16 + b"\0\1")
-    data = m.message(b"D", b"\0\1" + len(value).to_bytes(4, "big") + value)
-    facts = m.parameter("replication_role", role)
-    if position_ms is not None:
-        facts += m.parameter("log_position", str(position_ms))
-    return described + data + m.message(b"C", b"SELECT 1\0") + facts + (m.READY if whole else b"")
