--- a/juniperreel/platform/discovery.py
+++ b/juniperreel/platform/discovery.py
@@ -88,6 +88,7 @@
         self._network, self.address, self._zones, self._kinds = network, address, zones, kinds
         self._wait_us, self._tell, self._log = wait_us, tell, log
         self.version = 0
+        self._lists = 0  # taken so far
         self._nursery: trio.Nursery | None = None
         self._watching: trio.CancelScope | None = None
 
@@ -101,13 +102,20 @@
         return self._watching is not None
 
     def subscribe(self, on: bool) -> None:
+        """A watch that is open stays so. Danger: what was written on it counts as told, and would be lost
+        with it."""
+        if on and self._watching is None:
+            self._open()
+        elif not on and self._watching is not None:
+            self._watching.cancel()
+            self._watching = None
+
+    def _open(self) -> None:
         assert self._nursery is not None
         if self._watching is not None:
             self._watching.cancel()
-            self._watching = None
-        if on:
-            self._watching = trio.CancelScope()
-            self._nursery.start_soon(self._watch, self._watching)
+        self._watching = trio.CancelScope()
+        self._nursery.start_soon(self._watch, self._watching)
 
     def fetch(self) -> None:
         assert self._nursery is not None
@@ -118,7 +126,7 @@
         address."""
         if address != self.address:
             self.address = address
-            self.subscribe(True)
+            self._open()
 
     async def _connect(self) -> Exchange:
         host, port = self.address
@@ -126,11 +134,15 @@
         return Exchange(stream, f"{host}:{port}")
 
     async def _fetch(self) -> None:
+        address, lists = None, self._lists
         try:
-            exchange = await self._connect()
-            async with exchange._stream:
-                with trio.fail_after(ANSWER_US / US):
-                    self._take(await exchange.call(PATH))
+            while address != self.address:  # danger: what the old address says after a move is not the newest
+                address, lists = self.address, self._lists
+                exchange = await self._connect()
+                async with exchange._stream:
+                    with trio.fail_after(ANSWER_US / US):
+                        body = await exchange.call(PATH)
+            self._take(body, lists)
         except (CallFailed, ConnectError, ListError, trio.TooSlowError) as error:
             self._failed(error)
 
@@ -143,7 +155,7 @@
                 while True:
                     async with exchange._stream:
                         while True:
-                            wait_ms = self._wait_us // 1000
+                            wait_ms, lists = self._wait_us // 1000, self._lists
                             try:
                                 with trio.fail_after((self._wait_us + ANSWER_US) / US):
                                     body = await exchange.call(
@@ -152,7 +164,7 @@
                             except trio.TooSlowError as late:
                                 kind = ui.ListKind.SILENT
                                 raise CallFailed("the watch has fallen silent") from late
-                            self._take(body)
+                            self._take(body, lists)
                             if not exchange.again():
                                 break
                     exchange = await self._connect()
@@ -166,7 +178,8 @@
         self._log.warning("discovery failed", error=str(error) or type(error).__name__)
         self._tell(kind, None)
 
-    def _take(self, body: bytes) -> None:
+    def _take(self, body: bytes, lists: int) -> None:
+        """`lists`: taken when the call began."""
         try:
             raw = msgspec.json.decode(body)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
@@ -174,5 +187,13 @@
         endpoints = read(raw, self._zones, self._kinds)
         if endpoints.bad:
             self._log.warning("discovery sent lines that can't be read", lines=endpoints.bad)
+        if endpoints.version < self.version and lists != self._lists:
+            # Danger: a member that drains, by a newer list, would be ready again.
+            self._log.warning("an older list came late", version=endpoints.version, newest=self.version)
+            return
+        if endpoints.version < self.version and not endpoints.whole:
+            self.version = 0  # discovery began anew: its changes are none of the list that is had
+            raise ListError("changes to an older list")
+        self._lists += 1
         self.version = endpoints.version
         self._tell(ui.ListKind.FULL if endpoints.whole else ui.ListKind.CHANGES, endpoints)
--- a/tests/test_rules_crossings.py
+++ b/tests/test_rules_crossings.py
@@ -6,7 +6,7 @@
 
 from juniperreel import interface as ui
 from juniperreel.interface import Outcome, Role
-from tests.script import MS, SEC, Script
+from tests.script import MS, SEC, Script, member
 
 
 def settled(**changes: bool) -> Script:
@@ -112,3 +112,15 @@
     (refused,) = s.did(ui.Refuse, held)
     assert refused.request == held
     s.batch(ui.DeadlineCut("unknown", s.now))
+
+
+def test_a_member_that_came_back_is_cold_again() -> None:
+    """Told as the same member with a later start, while others carry work: it must not be rushed."""
+    s = settled()
+    assert s.router.ramp(s.router.members["a"]) == 1.0
+    s.now += SEC
+    s.start(member("p", listed_primary=True), member("a", started_us=s.now), kind=ui.ListKind.FULL)
+    assert s.router.ramp(s.router.members["a"]) < 0.25
+    s.router.members["a"].position = s.now
+    sent = sum(reads_of(s, s.ask("loose")) == ["a"] for _ in range(20))
+    assert sent <= 1
