--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -16,9 +16,9 @@
 matplotlib.use("Agg")
 from matplotlib import pyplot
 
-from juniperreel import interface as ui
 from juniperreel.admission.limits import Limit
 from juniperreel.emulator.admission import LOSERS, Load, Model, Server, request_class, settings
+from juniperreel.routing import types as ui
 
 US = 1_000_000
 SERVERS, CORES, WORK = 6, 2, 45_000
--- a/benchmarks/drivers/planted.py
+++ b/benchmarks/drivers/planted.py
@@ -14,8 +14,8 @@
 
 sys.path.insert(0, str(Path(__file__).parents[2]))
 
-from juniperreel import rules
 from juniperreel.platform.run import main
+from juniperreel.routing.policy import router as rules
 
 Pool = list[rules.MemberState]
 
--- a/benchmarks/mysql_front.py
+++ b/benchmarks/mysql_front.py
@@ -32,7 +32,7 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
-from juniperreel.standins.mysqlmember import PASSWORD, USER
+from juniperreel.fakes.mysqlmember import PASSWORD, USER
 from juniperreel.statements.reader import Reader, read_statement
 
 DAY = """groups 1
@@ -101,9 +101,9 @@
     code = (
         "import sys, trio, json\n"
         "from juniperreel.net import Clock, TcpNetwork\n"
-        "from juniperreel.proof.records import Recorder\n"
-        "from juniperreel.standins.fleet import Fleet\n"
-        "from juniperreel.standins.script import parse\n"
+        "from juniperreel.verification.records import Recorder\n"
+        "from juniperreel.fakes.fleet import Fleet\n"
+        "from juniperreel.fakes.script import parse\n"
         "class Nothing(Recorder):\n"
         "    def __call__(self, record): pass\n"
         "async def main():\n"
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -35,7 +35,7 @@
 ROOT = Path(__file__).parent.parent
 MEMBER = "/juniperreel.member.v1.Member/Execute"
 EXECUTE = "/juniperreel.v1.Records/Execute"
-DAY = ROOT / "juniperreel/standins/days/calm.day"
+DAY = ROOT / "juniperreel/fakes/days/calm.day"
 RATES = "200,400,600,1000,2000,4000"
 PLAN = """
 [load]
--- a/benchmarks/pool.py
+++ b/benchmarks/pool.py
@@ -197,8 +197,8 @@
     """Sessions of the MySQL front on streams in memory, logged in and idle."""
 
     async def run() -> float:
-        from juniperreel.fronts.mysql.classes import Classes
-        from juniperreel.fronts.mysql.front import MysqlFront, MysqlOptions, nonce
+        from juniperreel.frontends.mysql.classes import Classes
+        from juniperreel.frontends.mysql.front import MysqlFront, MysqlOptions, nonce
         from juniperreel.mysql.auth import Credential
         from juniperreel.mysql.client import ClientSession
         from juniperreel.net import Clock
--- a/benchmarks/pool_soak.py
+++ b/benchmarks/pool_soak.py
@@ -29,16 +29,16 @@
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
 from juniperreel.cli.edge import Edge
-from juniperreel.driver.mysqlmembers import MysqlLinks
+from juniperreel.fakes.fleet import Fleet
+from juniperreel.fakes.mysqlmember import PASSWORD, USER
+from juniperreel.fakes.script import parse
 from juniperreel.mysql.client import Broken, ClientSession, Done, End, Event, Failed, Prepared
 from juniperreel.net import Clock, TcpNetwork
-from juniperreel.proof.executions import Count, check_executions
-from juniperreel.proof.records import Meant, Recorder
+from juniperreel.proxy.mysqlmembers import MysqlLinks
 from juniperreel.settings.edge import parse_edge
-from juniperreel.standins.fleet import Fleet
-from juniperreel.standins.mysqlmember import PASSWORD, USER
-from juniperreel.standins.script import parse
 from juniperreel.telemetry.log import make_log
+from juniperreel.verification.executions import Count, check_executions
+from juniperreel.verification.records import Meant, Recorder
 
 DAY = """groups 1
 members 3
--- a/fuzz/mysql_target.py
+++ b/fuzz/mysql_target.py
@@ -17,8 +17,8 @@
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
 with atheris.instrument_imports():
-    from juniperreel.fronts.mysql.classes import digest
-    from juniperreel.fronts.mysql.prepared import Fault, Prepared
+    from juniperreel.frontends.mysql.classes import digest
+    from juniperreel.frontends.mysql.prepared import Fault, Prepared
     from juniperreel.mysql import values
     from juniperreel.mysql.auth import SHA2, Credential, proof
     from juniperreel.mysql.client import ClientSession
--- a/juniperreel/__init__.py
+++ b/juniperreel/__init__.py
@@ -1,5 +1,5 @@
 """Decisions of a query router for sharded, replicated databases."""
 
-from juniperreel.rules import Router
+from juniperreel.routing.policy.router import Router
 
 __all__ = ["Router"]
--- a/juniperreel/admission/gate.py
+++ b/juniperreel/admission/gate.py
@@ -11,9 +11,9 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from juniperreel import interface as ui
 from juniperreel.admission.lane import Lane, Waiting
 from juniperreel.admission.limits import Limit
+from juniperreel.routing import types as ui
 
 MS = 1_000
 LAST_US = 10 * MS  # with less than this left nothing can be answered in time
--- a/juniperreel/admission/lane.py
+++ b/juniperreel/admission/lane.py
@@ -15,8 +15,8 @@
 from dataclasses import dataclass
 from itertools import count
 
-from juniperreel import interface as ui
 from juniperreel.admission.limits import TARGET, Limit
+from juniperreel.routing import types as ui
 
 CALM_SOJOURN = 0.15  # of the aim may be spent waiting, where a queue is a burst that will pass
 BUSY_SOJOURN = 0.05  # and where it is none: then waiting serves nobody, it only makes all later
--- a/juniperreel/cli/demo.py
+++ b/juniperreel/cli/demo.py
@@ -12,15 +12,15 @@
 
 from juniperreel.cli.report import conclude, recorded
 from juniperreel.cli.world import World
+from juniperreel.fakes.script import Day, ScriptError, parse
 from juniperreel.net.clock import US
-from juniperreel.proof.records import Fault, Recorder
-from juniperreel.standins.script import Day, ScriptError, parse
+from juniperreel.verification.records import Fault, Recorder
 
 
 def read_day(script: Path | None) -> Day:
     """The script's day, or the bad day that comes with the program."""
     if script is None:
-        text = resources.files("juniperreel.standins").joinpath("days/bad.day").read_text(encoding="utf-8")
+        text = resources.files("juniperreel.fakes").joinpath("days/bad.day").read_text(encoding="utf-8")
     else:
         text = script.read_text(encoding="utf-8")
     return parse(text)
--- a/juniperreel/cli/edge.py
+++ b/juniperreel/cli/edge.py
@@ -12,17 +12,17 @@
 
 from juniperreel.causal import Keyring
 from juniperreel.cli.signals import until_signalled
-from juniperreel.driver import Driver, DriverOptions
-from juniperreel.driver.options import MysqlMembers
-from juniperreel.fronts.grpc import SERVICE, GrpcFront
-from juniperreel.fronts.http import HttpFront
-from juniperreel.fronts.mysql.classes import Classes, Rule
-from juniperreel.fronts.mysql.front import MysqlFront, MysqlOptions, nonce
+from juniperreel.frontends.grpc import SERVICE, GrpcFront
+from juniperreel.frontends.http import HttpFront
+from juniperreel.frontends.mysql.classes import Classes, Rule
+from juniperreel.frontends.mysql.front import MysqlFront, MysqlOptions, nonce
 from juniperreel.mysql.auth import Credential
 from juniperreel.net import Clock, Network, Pace
 from juniperreel.net.clock import US
 from juniperreel.pool.backend import Login
 from juniperreel.pool.core import Sizes
+from juniperreel.proxy import Driver, DriverOptions
+from juniperreel.proxy.options import MysqlMembers
 from juniperreel.rpc.health import Health, Reflection
 from juniperreel.rpc.limits import Limits
 from juniperreel.rpc.server import Server
--- a/juniperreel/cli/feeder.py
+++ b/juniperreel/cli/feeder.py
@@ -11,14 +11,14 @@
 
 import trio
 
+from juniperreel.fakes.fleet import Fleet
 from juniperreel.net import Clock, Network
 from juniperreel.net.clock import US
-from juniperreel.proof.records import Listed, Sink
 from juniperreel.raft.client import Instances, Unreachable
 from juniperreel.raft.configuration.machine import Change, Command, SetGroup, SetMember
 from juniperreel.raft.configuration.model import EMPTY, Configuration, GroupInfo, MemberInfo
 from juniperreel.rpc.status import RpcError
-from juniperreel.standins.fleet import Fleet
+from juniperreel.verification.records import Listed, Sink
 
 LOOK_S = 0.05
 INSTANCES = 3
--- a/juniperreel/cli/load.py
+++ b/juniperreel/cli/load.py
@@ -76,7 +76,7 @@
     """The report of a result; 1 where rule 1 was broken."""
     from juniperreel.load.report import plots
     from juniperreel.load.summary import full_sides, load_result, table
-    from juniperreel.proof.rules import Day, check_answers
+    from juniperreel.verification.rules import Day, check_answers
 
     result = load_result(path)
     for line in table(result.stages()):
--- a/juniperreel/cli/report.py
+++ b/juniperreel/cli/report.py
@@ -12,8 +12,8 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
-from juniperreel.proof import records as rec
-from juniperreel.proof.rules import RULES, Day, Reads, Violation, check_all, check_reads
+from juniperreel.verification import records as rec
+from juniperreel.verification.rules import RULES, Day, Reads, Violation, check_all, check_reads
 
 LOWEST, HIGHEST, DIGITS = 1, 60_000_000, 3
 REFUSED = (8, 14)
--- a/juniperreel/cli/standins.py
+++ b/juniperreel/cli/standins.py
@@ -8,12 +8,12 @@
 import click
 import trio
 
+from juniperreel.fakes.fleet import Fleet
+from juniperreel.fakes.parts import Parts
+from juniperreel.fakes.script import Day, ScriptError, Step, parse
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.net.clock import US
-from juniperreel.proof.records import Recorder
-from juniperreel.standins.fleet import Fleet
-from juniperreel.standins.parts import Parts
-from juniperreel.standins.script import Day, ScriptError, Step, parse
+from juniperreel.verification.records import Recorder
 
 
 async def play(day: Day, recorder: Recorder, port: int) -> None:
--- a/juniperreel/cli/statement.py
+++ b/juniperreel/cli/statement.py
@@ -7,8 +7,8 @@
 
 import click
 
-from juniperreel.fronts.mysql.classes import digest, hint_of
-from juniperreel.fronts.mysql.scope import Do, Scope
+from juniperreel.frontends.mysql.classes import digest, hint_of
+from juniperreel.frontends.mysql.scope import Do, Scope
 from juniperreel.statements import read_statement
 
 
--- a/juniperreel/cli/trial.py
+++ b/juniperreel/cli/trial.py
@@ -17,17 +17,17 @@
 import trio
 
 from juniperreel.cli.report import conclude, recorded
+from juniperreel.fakes.script import Day, ScriptError, parse, render
 from juniperreel.net import TcpNetwork
 from juniperreel.net.clock import US
-from juniperreel.proof import records as rec
-from juniperreel.proof import spread
-from juniperreel.proof.rules import check_all
-from juniperreel.standins.script import Day, ScriptError, parse, render
-from juniperreel.trial.large import LargeTrial
-from juniperreel.trial.picture import picture
-from juniperreel.trial.platformfleet import PlatformTrial
-from juniperreel.trial.shrink import shrink
-from juniperreel.trial.sides import PROGRAM
+from juniperreel.testbed.large import LargeTrial
+from juniperreel.testbed.picture import picture
+from juniperreel.testbed.platformfleet import PlatformTrial
+from juniperreel.testbed.shrink import shrink
+from juniperreel.testbed.sides import PROGRAM
+from juniperreel.verification import records as rec
+from juniperreel.verification import spread
+from juniperreel.verification.rules import check_all
 
 COLUMNS = (
     "group",
--- a/juniperreel/cli/workers.py
+++ b/juniperreel/cli/workers.py
@@ -12,7 +12,7 @@
 import trio
 from prometheus_client import CollectorRegistry, Gauge, generate_latest, multiprocess
 
-from juniperreel.fronts.http import HttpFront
+from juniperreel.frontends.http import HttpFront
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.settings import EdgeSettings, SettingsError
 from juniperreel.settings.edge import parse_edge
--- a/juniperreel/cli/world.py
+++ b/juniperreel/cli/world.py
@@ -16,14 +16,14 @@
 from msgspec import structs
 
 from juniperreel.cli.feeder import ConfigCluster, Feeder
+from juniperreel.fakes.clients import Mix, Mysql, Population
+from juniperreel.fakes.fleet import Fleet
+from juniperreel.fakes.mysqlmember import PASSWORD as MEMBER_PASSWORD
+from juniperreel.fakes.mysqlmember import USER
+from juniperreel.fakes.script import Day, Step
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.net.clock import US
-from juniperreel.proof import records as rec
-from juniperreel.standins.clients import Mix, Mysql, Population
-from juniperreel.standins.fleet import Fleet
-from juniperreel.standins.mysqlmember import PASSWORD as MEMBER_PASSWORD
-from juniperreel.standins.mysqlmember import USER
-from juniperreel.standins.script import Day, Step
+from juniperreel.verification import records as rec
 
 READY_S = 20.0
 PASSWORD = b"of the board's app servers"
@@ -191,7 +191,7 @@
         command = [sys.executable, "-m", "juniperreel.cli.main", "edge", str(settings)]
         if self.careless:
             hosts = str(self.fleet.hosts.port)
-            command = [sys.executable, "-m", "juniperreel.standins.naive", edge.name, str(edge.port), hosts]
+            command = [sys.executable, "-m", "juniperreel.fakes.naive", edge.name, str(edge.port), hosts]
         edge.process = await trio.lowlevel.open_process(command, stderr=subprocess.PIPE, cwd=self.code)
         ready = trio.Event()
         self._nursery.start_soon(self._follow, edge, edge.process, ready)
--- a/juniperreel/emulator/admission.py
+++ b/juniperreel/emulator/admission.py
@@ -14,9 +14,9 @@
 from dataclasses import dataclass, field
 from itertools import count
 
-from juniperreel import interface as ui
 from juniperreel.admission import Admit, Arrival, Gate, Verdict
 from juniperreel.admission.limits import LEAST, START, Limit
+from juniperreel.routing import types as ui
 
 US = 1_000_000
 SPREAD = 0.4  # of the logarithm of a request's work
--- a/juniperreel/emulator/raft.py
+++ b/juniperreel/emulator/raft.py
@@ -12,7 +12,6 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
 
-from juniperreel.proof.raft import RaftJudge, Unsafe
 from juniperreel.raft.core import Core, Restored, Tuning
 from juniperreel.raft.disk import MemoryDisk
 from juniperreel.raft.types import (
@@ -29,6 +28,7 @@
     VoteReply,
     VoteRequest,
 )
+from juniperreel.verification.raft import RaftJudge, Unsafe
 
 NAMES = ("a", "b", "c", "d", "e")
 SPARE = ("f", "g", "h", "i", "j", "k", "l", "m")  # names of nodes that may join
--- a/juniperreel/emulator/spread.py
+++ b/juniperreel/emulator/spread.py
@@ -15,10 +15,10 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from juniperreel import interface as ui
 from juniperreel.emulator import admission
-from juniperreel.proof.spread import Arrival
-from juniperreel.rules import Router
+from juniperreel.routing import types as ui
+from juniperreel.routing.policy.router import Router
+from juniperreel.verification.spread import Arrival
 
 MS = 1_000
 US = 1_000_000
--- a/juniperreel/standins/clients.py
+++ b/juniperreel/fakes/clients.py
@@ -19,14 +19,14 @@
 import trio
 from google.protobuf.message import DecodeError
 
+from juniperreel.fakes.mysqlclient import Failure, Lost, MysqlClient, Rows
 from juniperreel.net import Clock, ConnectError, Network
-from juniperreel.proof.records import Asked, Class, Offered, Sink, Told
 from juniperreel.proto.common.v1 import values_pb2
 from juniperreel.proto.records.v1 import records_pb2
 from juniperreel.rpc.channel import Broken, Channel, NeverSent
 from juniperreel.rpc.limits import Limits
 from juniperreel.rpc.status import PUSHBACK, Code, RpcError
-from juniperreel.standins.mysqlclient import Failure, Lost, MysqlClient, Rows
+from juniperreel.verification.records import Asked, Class, Offered, Sink, Told
 
 EXECUTE = "/juniperreel.v1.Records/Execute"
 ROWS = 40
--- a/juniperreel/standins/fleet.py
+++ b/juniperreel/fakes/fleet.py
@@ -8,13 +8,13 @@
 
 import trio
 
+from juniperreel.fakes.group import Group
+from juniperreel.fakes.hostlist import HostList
+from juniperreel.fakes.member import Member, Shape
+from juniperreel.fakes.script import Day, Step
 from juniperreel.net import Clock, Network
-from juniperreel.proof.records import Fault, Sink
 from juniperreel.proto.hosts.v1 import hosts_pb2
-from juniperreel.standins.group import Group
-from juniperreel.standins.hostlist import HostList
-from juniperreel.standins.member import Member, Shape
-from juniperreel.standins.script import Day, Step
+from juniperreel.verification.records import Fault, Sink
 
 US = 1_000_000
 HANDOVER_S = 0.4  # of a draining primary
--- a/juniperreel/standins/group.py
+++ b/juniperreel/fakes/group.py
@@ -14,12 +14,12 @@
 
 import trio
 
+from juniperreel.fakes.store import Commit, Store
 from juniperreel.net import Clock
-from juniperreel.proof.records import Promoted, Sink
-from juniperreel.standins.store import Commit, Store
+from juniperreel.verification.records import Promoted, Sink
 
 if TYPE_CHECKING:
-    from juniperreel.standins.member import Member
+    from juniperreel.fakes.member import Member
 
 TICK_S = 0.01
 KEPT_EPOCHS = 16
--- a/juniperreel/standins/hostlist.py
+++ b/juniperreel/fakes/hostlist.py
@@ -7,12 +7,12 @@
 import trio
 
 from juniperreel.net import Clock, Network
-from juniperreel.proof.records import Listed, Sink
 from juniperreel.proto.hosts.v1 import hosts_pb2
 from juniperreel.rpc.limits import Limits
 from juniperreel.rpc.link import Wakeup
 from juniperreel.rpc.server import Call, Method, Server
 from juniperreel.rpc.status import Code, RpcError
+from juniperreel.verification.records import Listed, Sink
 
 NAMES = {
     hosts_pb2.READINESS_UP: "up",
--- a/juniperreel/standins/member.py
+++ b/juniperreel/fakes/member.py
@@ -10,19 +10,19 @@
 import trio
 from google.protobuf.message import DecodeError
 
+from juniperreel.fakes.group import Group, Replica
+from juniperreel.fakes.machine import Full, Machine
+from juniperreel.fakes.mysqlmember import MysqlSide
+from juniperreel.fakes.postgresmember import PostgresSide
+from juniperreel.fakes.store import Commit, StatementFault, from_value, to_value
 from juniperreel.net import Clock, ConnectError, HeldPort, Network
-from juniperreel.proof.records import Arrived, Committed, Left, Record, Sink, Started, Stopped
 from juniperreel.proto.common.v1 import values_pb2
 from juniperreel.proto.member.v1 import member_pb2
 from juniperreel.rpc.channel import Broken, Channel, NeverSent
 from juniperreel.rpc.limits import Limits
 from juniperreel.rpc.server import Call, Method, Server
 from juniperreel.rpc.status import Code, RpcError, error_info
-from juniperreel.standins.group import Group, Replica
-from juniperreel.standins.machine import Full, Machine
-from juniperreel.standins.mysqlmember import MysqlSide
-from juniperreel.standins.postgresmember import PostgresSide
-from juniperreel.standins.store import Commit, StatementFault, from_value, to_value
+from juniperreel.verification.records import Arrived, Committed, Left, Record, Sink, Started, Stopped
 
 DOMAIN = "member.juniperreel"
 REPLICATE = "/juniperreel.member.v1.Member/Replicate"
--- a/juniperreel/standins/mysqlmember.py
+++ b/juniperreel/fakes/mysqlmember.py
@@ -12,6 +12,7 @@
 
 import trio
 
+from juniperreel.fakes.engine import BATCH, RID, STATUS, Done, Engine, Problem, Rows, understand
 from juniperreel.mysql.auth import NONCE_BYTES, SHA2, Credential
 from juniperreel.mysql.constants import ColumnType, Com, Status
 from juniperreel.mysql.packets import Cursor, ProtocolError
@@ -19,11 +20,10 @@
 from juniperreel.mysql.server import Command, Event, ServerSession, State
 from juniperreel.mysql.values import Column, Parameter, Value, binary_row, read_types, read_values, text_row
 from juniperreel.net import Listener
-from juniperreel.proof.records import Abandoned, Arrived, Left, Ran, Within
-from juniperreel.standins.engine import BATCH, RID, STATUS, Done, Engine, Problem, Rows, understand
+from juniperreel.verification.records import Abandoned, Arrived, Left, Ran, Within
 
 if TYPE_CHECKING:
-    from juniperreel.standins.member import Member
+    from juniperreel.fakes.member import Member
 
 USER, PASSWORD = "edge", b"edge of the stand-ins"
 MAX_PACKET = 16 << 20
--- a/juniperreel/standins/parts.py
+++ b/juniperreel/fakes/parts.py
@@ -1,6 +1,6 @@
 """The fleet on several cores: each process plays some of the groups, the first one the host list as well.
 
-    python -m juniperreel.standins.parts SCRIPT PART OF [RECORD]
+    python -m juniperreel.fakes.parts SCRIPT PART OF [RECORD]
 
 plays the groups of one part and prints what the host list is to be told, a line of JSON each. A script's
 members are the same wherever they run; which draws they make is not, since each part draws from its own.
@@ -19,11 +19,11 @@
 import msgspec
 import trio
 
+from juniperreel.fakes.fleet import Fleet
+from juniperreel.fakes.script import Day, Step, parse
 from juniperreel.net import Clock, TcpNetwork
-from juniperreel.proof.records import Recorder
 from juniperreel.proto.hosts.v1 import hosts_pb2
-from juniperreel.standins.fleet import Fleet
-from juniperreel.standins.script import Day, Step, parse
+from juniperreel.verification.records import Recorder
 
 US = 1_000_000
 LINE = 1 << 16
@@ -115,7 +115,7 @@
         words = [str(self._script), str(part), str(self.parts)]
         if self._record is not None:
             words.append(f"{self._record}.{part}")
-        command = [sys.executable, "-m", "juniperreel.standins.parts", *words]
+        command = [sys.executable, "-m", "juniperreel.fakes.parts", *words]
         process = await trio.lowlevel.open_process(command, stdout=subprocess.PIPE)
         assert process.stdout is not None
         rest = b""
--- a/juniperreel/standins/platform.py
+++ b/juniperreel/fakes/platform.py
@@ -13,10 +13,10 @@
 import msgspec
 import trio
 
+from juniperreel.fakes.postgresmember import row
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.postgres import messages as m
 from juniperreel.postgres import server
-from juniperreel.standins.postgresmember import row
 
 STATEMENT = re.compile(rb"(?:oid = |VALUES \()'([^']*)'(?:, '\\x([0-9a-f]*)')?")
 
--- a/juniperreel/standins/platformclients.py
+++ b/juniperreel/fakes/platformclients.py
@@ -15,7 +15,7 @@
 from juniperreel.net.clock import US
 from juniperreel.postgres import messages as m
 from juniperreel.postgres.client import ClientConnection, Phase, Reply
-from juniperreel.proof.records import Asked, Class, Sink, Told
+from juniperreel.verification.records import Asked, Class, Sink, Told
 
 READ_BYTES = 65_536
 CONNECT_US = 2_000_000
--- a/juniperreel/standins/platformhosts.py
+++ b/juniperreel/fakes/platformhosts.py
@@ -11,11 +11,11 @@
 
 import trio
 
+from juniperreel.fakes.hostlist import NAMES
+from juniperreel.fakes.platform import DiscoveryStandIn
 from juniperreel.net import Clock
-from juniperreel.proof.records import Listed, Sink
 from juniperreel.proto.hosts.v1 import hosts_pb2
-from juniperreel.standins.hostlist import NAMES
-from juniperreel.standins.platform import DiscoveryStandIn
+from juniperreel.verification.records import Listed, Sink
 
 LOOK_S = 0.05
 SILENCE_TELLS_S = (
--- a/juniperreel/standins/postgresmember.py
+++ b/juniperreel/fakes/postgresmember.py
@@ -15,15 +15,15 @@
 
 import trio
 
+from juniperreel.fakes.machine import Full
 from juniperreel.net import Refused
 from juniperreel.postgres import messages as m
 from juniperreel.postgres import server
 from juniperreel.postgres.form import Form, FormError, parse
-from juniperreel.proof.records import Abandoned, Arrived, Left
-from juniperreel.standins.machine import Full
+from juniperreel.verification.records import Abandoned, Arrived, Left
 
 if TYPE_CHECKING:
-    from juniperreel.standins.member import Member
+    from juniperreel.fakes.member import Member
 
 INSERT = "insert into runs (runner, id) values (?, ?)"
 SELECT = "select id from runs where runner = ? order by number desc limit ?"
--- a/juniperreel/fronts/errors.py
+++ b/juniperreel/frontends/errors.py
@@ -13,7 +13,7 @@
 
 from functools import lru_cache
 
-from juniperreel.driver import Answer, Failed, Refused, Served, Spurned
+from juniperreel.proxy import Answer, Failed, Refused, Served, Spurned
 from juniperreel.rpc.server import refusal_block
 from juniperreel.rpc.status import PUSHBACK, Code, RpcError, error_info, field_violation, retry_info
 
--- a/juniperreel/fronts/grpc.py
+++ b/juniperreel/frontends/grpc.py
@@ -5,17 +5,17 @@
 import xxhash
 from google.protobuf.message import DecodeError
 
-from juniperreel import interface as ui
 from juniperreel.causal import EMPTY, Keyring, Token, TokenError
-from juniperreel.driver import Answer, Driver, Failed, Open, Refused, Served, Spurned, Work
-from juniperreel.fronts import errors
-from juniperreel.fronts.errors import described
-from juniperreel.fronts.mysql.answers import result_set
-from juniperreel.fronts.mysql.scope import HARMLESS
+from juniperreel.frontends import errors
+from juniperreel.frontends.errors import described
+from juniperreel.frontends.mysql.answers import result_set
+from juniperreel.frontends.mysql.scope import HARMLESS
 from juniperreel.net import Clock
 from juniperreel.net.clock import US
 from juniperreel.pool.result import Result
 from juniperreel.proto.records.v1 import records_pb2
+from juniperreel.proxy import Answer, Driver, Failed, Open, Refused, Served, Spurned, Work
+from juniperreel.routing import types as ui
 from juniperreel.rpc.metadata import decode_timeout
 from juniperreel.rpc.server import Call, Method
 from juniperreel.rpc.status import RpcError
--- a/juniperreel/fronts/mysql/answers.py
+++ b/juniperreel/frontends/mysql/answers.py
@@ -3,11 +3,11 @@
 
 from __future__ import annotations
 
-from juniperreel.driver import Failed, Refused
 from juniperreel.mysql.constants import ColumnType
 from juniperreel.mysql.values import Column, Value
 from juniperreel.pool.result import Result
 from juniperreel.proto.common.v1 import values_pb2
+from juniperreel.proxy import Failed, Refused
 
 STOPPING = (1053, "08S01", "Server shutdown in progress")
 TOO_MANY = (1040, "08004", "Too many connections")
--- a/juniperreel/fronts/mysql/connection.py
+++ b/juniperreel/frontends/mysql/connection.py
@@ -15,7 +15,21 @@
 import trio
 
 from juniperreel.causal import EMPTY, Token, TokenError
-from juniperreel.driver import (
+from juniperreel.frontends.errors import described
+from juniperreel.frontends.mysql import answers as say
+from juniperreel.frontends.mysql.classes import GROUP, digest, hint_of
+from juniperreel.frontends.mysql.prepared import AGAIN, Fault, Prepared
+from juniperreel.frontends.mysql.scope import NOT_SUPPORTED, UNDONE, Do, Plan, Scope
+from juniperreel.mysql.constants import ColumnType, Com
+from juniperreel.mysql.replies import gtid_track
+from juniperreel.mysql.server import Command, Event, Gone, LoggedIn, ServerSession, StartTls, State
+from juniperreel.mysql.values import Column, Value, binary_row
+from juniperreel.net.clock import US
+from juniperreel.pool.backend import Lost, Told, TooLong
+from juniperreel.pool.result import Result, Statement
+from juniperreel.pool.state import FRESH, SessionState, TooMuch
+from juniperreel.proto.common.v1 import values_pb2
+from juniperreel.proxy import (
     Answer,
     Committed,
     Failed,
@@ -27,24 +41,10 @@
     Unknown,
     Work,
 )
-from juniperreel.fronts.errors import described
-from juniperreel.fronts.mysql import answers as say
-from juniperreel.fronts.mysql.classes import GROUP, digest, hint_of
-from juniperreel.fronts.mysql.prepared import AGAIN, Fault, Prepared
-from juniperreel.fronts.mysql.scope import NOT_SUPPORTED, UNDONE, Do, Plan, Scope
-from juniperreel.mysql.constants import ColumnType, Com
-from juniperreel.mysql.replies import gtid_track
-from juniperreel.mysql.server import Command, Event, Gone, LoggedIn, ServerSession, StartTls, State
-from juniperreel.mysql.values import Column, Value, binary_row
-from juniperreel.net.clock import US
-from juniperreel.pool.backend import Lost, Told, TooLong
-from juniperreel.pool.result import Result, Statement
-from juniperreel.pool.state import FRESH, SessionState, TooMuch
-from juniperreel.proto.common.v1 import values_pb2
 from juniperreel.statements import Kind, Mode, Reading, Verb
 
 if TYPE_CHECKING:
-    from juniperreel.fronts.mysql.front import MysqlFront
+    from juniperreel.frontends.mysql.front import MysqlFront
 
 READ_BYTES = 64 << 10
 LOGIN_S = 10.0
--- a/juniperreel/fronts/mysql/front.py
+++ b/juniperreel/frontends/mysql/front.py
@@ -11,14 +11,14 @@
 import trio
 
 from juniperreel.causal import Keyring
-from juniperreel.driver import Driver
-from juniperreel.fronts.mysql import answers as say
-from juniperreel.fronts.mysql.classes import Classes
-from juniperreel.fronts.mysql.connection import Connection
+from juniperreel.frontends.mysql import answers as say
+from juniperreel.frontends.mysql.classes import Classes
+from juniperreel.frontends.mysql.connection import Connection
 from juniperreel.mysql.auth import NONCE_BYTES, SHA2, Credential
 from juniperreel.mysql.server import ServerSession
 from juniperreel.net import Clock, Listener
 from juniperreel.net.clock import US
+from juniperreel.proxy import Driver
 from juniperreel.statements import Reader
 
 LOOK_S = 0.05  # between looks at transactions that members may have ended
--- a/juniperreel/fronts/mysql/scope.py
+++ b/juniperreel/frontends/mysql/scope.py
@@ -11,9 +11,9 @@
 from dataclasses import dataclass, replace
 from enum import Enum
 
-from juniperreel.driver import Hold, Transaction
 from juniperreel.mysql.constants import Status
 from juniperreel.pool.state import REPLAYED
+from juniperreel.proxy import Hold, Transaction
 from juniperreel.statements import Control, Kind, Reading, Verb
 
 NOT_SUPPORTED = (1235, "42000")
--- a/juniperreel/load/summary.py
+++ b/juniperreel/load/summary.py
@@ -11,7 +11,7 @@
 
 from juniperreel.load.plan import Plan, parse_plan
 from juniperreel.load.shots import REFUSED, Shot, Side, Start, read_result
-from juniperreel.proof import records as rec
+from juniperreel.verification import records as rec
 
 LOWEST, HIGHEST, DIGITS = 1, 120_000_000, 3
 US = 1_000_000
--- a/juniperreel/platform/config.py
+++ b/juniperreel/platform/config.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from juniperreel import interface as ui
-from juniperreel.sitesettings import read_settings
+from juniperreel.platform_settings import read_settings
+from juniperreel.routing import types as ui
 
 
 class ConfigError(Exception):
--- a/juniperreel/platform/discovery.py
+++ b/juniperreel/platform/discovery.py
@@ -11,11 +11,11 @@
 import msgspec
 import trio
 
-from juniperreel import interface as ui
 from juniperreel.net import ConnectError, Network
 from juniperreel.net.clock import US
 from juniperreel.platform.endpoints import Endpoints, ListError, read
 from juniperreel.platform.log import Log
+from juniperreel.routing import types as ui
 
 PATH = "/v1/endpoints"
 BODY_LIMIT = 8 << 20
--- a/juniperreel/platform/driver.py
+++ b/juniperreel/platform/driver.py
@@ -9,9 +9,6 @@
 from collections.abc import Callable, Sequence
 from functools import partial
 
-from juniperreel import interface as ui
-from juniperreel.hosting import RouterLoop
-from juniperreel.interface import Consistency, Effect, Outcome
 from juniperreel.platform import facts
 from juniperreel.platform.alarms import Alarms
 from juniperreel.platform.budget import Budget
@@ -24,6 +21,9 @@
 from juniperreel.postgres import server
 from juniperreel.postgres.form import Form, with_span
 from juniperreel.postgres.messages import READY
+from juniperreel.routing import types as ui
+from juniperreel.routing.loop import RouterLoop
+from juniperreel.routing.types import Consistency, Effect, Outcome
 
 SWEEP_US = 250_000
 PROBE_US = 250_000  # a probe that says nothing by then has failed
--- a/juniperreel/platform/endpoints.py
+++ b/juniperreel/platform/endpoints.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from juniperreel import interface as ui
+from juniperreel.routing import types as ui
 
 READINESS = {
     "Ready": ui.Readiness.UP,
--- a/juniperreel/platform/facts.py
+++ b/juniperreel/platform/facts.py
@@ -5,7 +5,7 @@
 
 import math
 
-from juniperreel import interface as ui
+from juniperreel.routing import types as ui
 
 ROLES = {"primary": ui.Role.PRIMARY, "standby": ui.Role.REPLICA}
 POSITION_LIMIT_MS = 1 << 50
--- a/juniperreel/platform/links.py
+++ b/juniperreel/platform/links.py
@@ -12,13 +12,13 @@
 from functools import partial
 from typing import Protocol
 
-from juniperreel.interface import Outcome
 from juniperreel.net.poll import Wire
 from juniperreel.platform.alarms import Alarms
 from juniperreel.platform.budget import Budget
 from juniperreel.platform.idletimeout import IdleTimeout
 from juniperreel.postgres.client import ClientConnection, Phase, Reply
 from juniperreel.postgres.messages import ProtocolError
+from juniperreel.routing.types import Outcome
 
 USER, DATABASE = "worker", "catalog"
 IDLE_PART = 0.9  # of the time after which a member closes an idle connection: a sweep and a trip are left
--- a/juniperreel/platform/run.py
+++ b/juniperreel/platform/run.py
@@ -10,7 +10,6 @@
 
 import trio
 
-from juniperreel import interface as ui
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.net.poll import Door, Poller, Wire, dial
 from juniperreel.platform.config import Config, ConfigError, parse
@@ -18,6 +17,7 @@
 from juniperreel.platform.driver import PlatformDriver
 from juniperreel.platform.endpoints import Endpoints, ListError, read
 from juniperreel.platform.log import Log
+from juniperreel.routing import types as ui
 
 WATCH_PART = (
     0.5  # of the time after which a driver that asks nothing counts as told: how long a watch may wait
--- a/juniperreel/sitesettings.py
+++ b/juniperreel/platform_settings.py
@@ -8,7 +8,7 @@
 import math
 from typing import Any
 
-from juniperreel import interface as ui
+from juniperreel.routing import types as ui
 
 EFFECTS = {"repeatable": ui.Effect.REPEATABLE, "by_key": ui.Effect.KEYED, "once": ui.Effect.ONCE}
 SCOPES = {"all": ui.KeyScope.ALL, "zone": ui.KeyScope.ZONE, "cell": ui.KeyScope.GROUP}
--- a/juniperreel/driver/__init__.py
+++ b/juniperreel/proxy/__init__.py
@@ -3,10 +3,10 @@
 A request's way is front, driver, module, driver, member, driver, front, and no other.
 """
 
-from juniperreel.driver.driver import Driver, Open
-from juniperreel.driver.options import DriverOptions
-from juniperreel.driver.transactions import Undone, Unknown
-from juniperreel.driver.work import (
+from juniperreel.proxy.driver import Driver, Open
+from juniperreel.proxy.options import DriverOptions
+from juniperreel.proxy.transactions import Undone, Unknown
+from juniperreel.proxy.work import (
     Answer,
     Committed,
     Failed,
--- a/juniperreel/driver/configsource.py
+++ b/juniperreel/proxy/configsource.py
@@ -11,12 +11,12 @@
 
 import trio
 
-from juniperreel import interface as ui
-from juniperreel.driver.hosts import Host, MemberSource
-from juniperreel.driver.options import DriverOptions
 from juniperreel.net import Clock, Network
+from juniperreel.proxy.hosts import Host, MemberSource
+from juniperreel.proxy.options import DriverOptions
 from juniperreel.raft.client import Instances
 from juniperreel.raft.configuration.model import EMPTY, Configuration
+from juniperreel.routing import types as ui
 
 
 def hosts_of(configuration: Configuration, groups: int) -> list[Host]:
--- a/juniperreel/driver/driver.py
+++ b/juniperreel/proxy/driver.py
@@ -18,22 +18,22 @@
 
 import trio
 
-from juniperreel import interface as ui
 from juniperreel.admission import Admit, Arrival, Gate, Turn, Verdict
 from juniperreel.causal import Token
-from juniperreel.driver import hosts as host_list
-from juniperreel.driver.configsource import ConfigSource
-from juniperreel.driver.jobs import Fault, Job, Links, Reply
-from juniperreel.driver.members import MemberLinks
-from juniperreel.driver.mysqlmembers import MysqlLinks
-from juniperreel.driver.options import DriverOptions
-from juniperreel.driver.outcomes import is_statement_fault, of_error, unfinished
-from juniperreel.driver.positions import Needs, Positions, Standing
-from juniperreel.driver.work import Answer, Failed, Refused, Served, Spurned, Work, let_go
-from juniperreel.hosting import RouterLoop
-from juniperreel.interface import Consistency, Outcome
 from juniperreel.net import Clock, ConnectError, Network, Pace
 from juniperreel.net.clock import US
+from juniperreel.proxy import hosts as host_list
+from juniperreel.proxy.configsource import ConfigSource
+from juniperreel.proxy.jobs import Fault, Job, Links, Reply
+from juniperreel.proxy.members import MemberLinks
+from juniperreel.proxy.mysqlmembers import MysqlLinks
+from juniperreel.proxy.options import DriverOptions
+from juniperreel.proxy.outcomes import is_statement_fault, of_error, unfinished
+from juniperreel.proxy.positions import Needs, Positions, Standing
+from juniperreel.proxy.work import Answer, Failed, Refused, Served, Spurned, Work, let_go
+from juniperreel.routing import types as ui
+from juniperreel.routing.loop import RouterLoop
+from juniperreel.routing.types import Consistency, Outcome
 from juniperreel.rpc.channel import Broken, NeverSent
 from juniperreel.rpc.status import Code, RpcError
 from juniperreel.telemetry.metrics import Metrics
--- a/juniperreel/driver/hosts.py
+++ b/juniperreel/proxy/hosts.py
@@ -14,11 +14,11 @@
 import trio
 from google.protobuf.message import DecodeError
 
-from juniperreel import interface as ui
-from juniperreel.driver.options import DriverOptions
 from juniperreel.net import Clock, ConnectError, Network
 from juniperreel.proto.hosts.v1 import hosts_pb2
+from juniperreel.proxy.options import DriverOptions
 from juniperreel.raft.client import Instances
+from juniperreel.routing import types as ui
 from juniperreel.rpc.channel import Broken, Channel, NeverSent
 from juniperreel.rpc.status import RpcError
 
--- a/juniperreel/driver/jobs.py
+++ b/juniperreel/proxy/jobs.py
@@ -7,9 +7,9 @@
 
 import trio
 
-from juniperreel.driver.positions import Needs, Standing
-from juniperreel.driver.work import Transaction, Work, let_go
-from juniperreel.interface import Outcome
+from juniperreel.proxy.positions import Needs, Standing
+from juniperreel.proxy.work import Transaction, Work, let_go
+from juniperreel.routing.types import Outcome
 
 
 @dataclass(frozen=True, slots=True)
--- a/juniperreel/driver/members.py
+++ b/juniperreel/proxy/members.py
@@ -11,12 +11,12 @@
 from google.protobuf.message import DecodeError
 
 from juniperreel.causal import History
-from juniperreel.driver.jobs import Fault, Job, Reply
-from juniperreel.driver.options import DriverOptions
-from juniperreel.driver.positions import Standing
-from juniperreel.interface import Outcome
 from juniperreel.net import Clock, Network, Silent
 from juniperreel.proto.member.v1 import member_pb2
+from juniperreel.proxy.jobs import Fault, Job, Reply
+from juniperreel.proxy.options import DriverOptions
+from juniperreel.proxy.positions import Standing
+from juniperreel.routing.types import Outcome
 from juniperreel.rpc.channel import Broken, Channel, NeverSent
 from juniperreel.rpc.status import Code, RpcError
 
--- a/juniperreel/driver/mysqlmembers.py
+++ b/juniperreel/proxy/mysqlmembers.py
@@ -14,12 +14,6 @@
 
 import trio
 
-from juniperreel.driver.jobs import Fault, Job, Reply
-from juniperreel.driver.options import DriverOptions, MysqlMembers
-from juniperreel.driver.positions import Positions, Standing
-from juniperreel.driver.transactions import STATUS, Held, standing_of
-from juniperreel.driver.work import Hold
-from juniperreel.interface import Outcome
 from juniperreel.mysql.packets import ProtocolError
 from juniperreel.mysql.replies import Err
 from juniperreel.mysql.values import Value
@@ -42,6 +36,12 @@
 from juniperreel.pool.errors import UNDOES_ALL, Meaning, meaning
 from juniperreel.pool.result import Result, Statement
 from juniperreel.pool.state import SessionState, replay
+from juniperreel.proxy.jobs import Fault, Job, Reply
+from juniperreel.proxy.options import DriverOptions, MysqlMembers
+from juniperreel.proxy.positions import Positions, Standing
+from juniperreel.proxy.transactions import STATUS, Held, standing_of
+from juniperreel.proxy.work import Hold
+from juniperreel.routing.types import Outcome
 from juniperreel.rpc.channel import Broken, NeverSent
 from juniperreel.telemetry.metrics import Metrics
 
--- a/juniperreel/driver/options.py
+++ b/juniperreel/proxy/options.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from juniperreel import interface as ui
 from juniperreel.pool.backend import Login
 from juniperreel.pool.core import Sizes
+from juniperreel.routing import types as ui
 from juniperreel.rpc.limits import Limits
 
 
--- a/juniperreel/driver/outcomes.py
+++ b/juniperreel/proxy/outcomes.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
-from juniperreel.driver.jobs import Fault
-from juniperreel.interface import Outcome
 from juniperreel.net import ConnectError
+from juniperreel.proxy.jobs import Fault
+from juniperreel.routing.types import Outcome
 from juniperreel.rpc.channel import Broken, NeverSent
 from juniperreel.rpc.status import Code, RpcError
 
--- a/juniperreel/driver/transactions.py
+++ b/juniperreel/proxy/transactions.py
@@ -12,8 +12,6 @@
 import trio
 
 from juniperreel.causal import EMPTY, History, Token
-from juniperreel.driver.positions import Positions, Standing
-from juniperreel.driver.work import Committed
 from juniperreel.mysql.replies import Err
 from juniperreel.mysql.values import Value
 from juniperreel.net import Clock
@@ -22,6 +20,8 @@
 from juniperreel.pool.errors import UNDOES_ALL, Meaning, meaning
 from juniperreel.pool.result import Result, Statement
 from juniperreel.pool.state import SessionState
+from juniperreel.proxy.positions import Positions, Standing
+from juniperreel.proxy.work import Committed
 
 STATUS = Statement(published.QUERY)
 
--- a/juniperreel/hosting/loop.py
+++ b/juniperreel/routing/loop.py
@@ -11,8 +11,8 @@
 from collections.abc import Sequence
 from typing import Generic, TypeVar
 
-from juniperreel import interface as ui
-from juniperreel.rules import Router
+from juniperreel.routing import types as ui
+from juniperreel.routing.policy.router import Router
 
 STALL_US = 150_000  # a timer this late is told to `late`; what to make of it is the module's business
 
--- /dev/null
+++ b/juniperreel/routing/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Every routing decision and every tuned value."""
--- a/juniperreel/rules.py
+++ b/juniperreel/routing/policy/router.py
@@ -12,8 +12,8 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
-from juniperreel import interface as ui
-from juniperreel.interface import Consistency, Effect, KeyScope, ListKind, Outcome, Readiness, Role
+from juniperreel.routing import types as ui
+from juniperreel.routing.types import Consistency, Effect, KeyScope, ListKind, Outcome, Readiness, Role
 
 MS = 1_000  # microseconds
 SEC = 1_000 * MS
--- a/juniperreel/settings/edge.py
+++ b/juniperreel/settings/edge.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Any
 
-from juniperreel import interface as ui
+from juniperreel.routing import types as ui
 from juniperreel.settings.checks import check
 from juniperreel.settings.lexer import (
     Problem,
--- a/juniperreel/benchlink.py
+++ b/juniperreel/simulator_adapter.py
@@ -13,9 +13,9 @@
 from decimal import ROUND_CEILING, ROUND_FLOOR, Decimal
 from typing import TextIO
 
-from juniperreel import interface as ui
-from juniperreel.rules import Router
-from juniperreel.sitesettings import read_settings
+from juniperreel.platform_settings import read_settings
+from juniperreel.routing import types as ui
+from juniperreel.routing.policy.router import Router
 
 TRAILING_TEXT = ("config=", "reason_text=", "payload=")
 OUTCOMES = {
@@ -282,7 +282,7 @@
     try:
         serve(sys.stdin, sys.stdout)
     except (WireError, KeyError, ValueError, ArithmeticError) as error:
-        print(f"benchlink: {describe(error)}", file=sys.stderr)
+        print(f"simulator_adapter: {describe(error)}", file=sys.stderr)
         return 2
     return 0
 
--- a/juniperreel/trial/crew.py
+++ b/juniperreel/testbed/crew.py
@@ -1,6 +1,6 @@
 """One process of a large trial: some groups' members and the links to them, or some drivers with sessions.
 
-    python -m juniperreel.trial.crew SCRIPT members|drivers PART OF PORT DIRECTORY [PROGRAM...]
+    python -m juniperreel.testbed.crew SCRIPT members|drivers PART OF PORT DIRECTORY [PROGRAM...]
 
 takes its orders from the trial that listens on PORT (`words.py`), writes its records into DIRECTORY and ends
 with the trial. A script's faults are the same wherever they are played; which draws are made for those that
@@ -19,16 +19,16 @@
 
 import trio
 
+from juniperreel.fakes import parts
+from juniperreel.fakes.fleet import EdgeHand, Fleet
+from juniperreel.fakes.script import Day, Step, parse
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.net.clock import US
-from juniperreel.proof.records import Recorder
 from juniperreel.proto.hosts.v1 import hosts_pb2
-from juniperreel.standins import parts
-from juniperreel.standins.fleet import EdgeHand, Fleet
-from juniperreel.standins.script import Day, Step, parse
-from juniperreel.trial import words as w
-from juniperreel.trial.relay import Links
-from juniperreel.trial.sides import PROGRAM, TO_LIST, WEIGHTS, Doors, Drivers, drivers_named, names_of
+from juniperreel.testbed import words as w
+from juniperreel.testbed.relay import Links
+from juniperreel.testbed.sides import PROGRAM, TO_LIST, WEIGHTS, Doors, Drivers, drivers_named, names_of
+from juniperreel.verification.records import Recorder
 
 CONNECT_US = 10_000_000
 LOOK_S = 0.02
--- a/juniperreel/trial/large.py
+++ b/juniperreel/testbed/large.py
@@ -13,15 +13,15 @@
 
 import trio
 
+from juniperreel.fakes.member import Shape
+from juniperreel.fakes.script import Day, render
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.net.clock import US
 from juniperreel.net.network import Listener
-from juniperreel.proof import records as rec
-from juniperreel.standins.member import Shape
-from juniperreel.standins.script import Day, render
-from juniperreel.trial import words as w
-from juniperreel.trial.processes import Processes, State
-from juniperreel.trial.sides import ROOT, classes, limits, names_of
+from juniperreel.testbed import words as w
+from juniperreel.testbed.processes import Processes, State
+from juniperreel.testbed.sides import ROOT, classes, limits, names_of
+from juniperreel.verification import records as rec
 
 START_S = 300  # for hundreds of processes, on a machine that has much else to do
 AHEAD_US = 500_000  # the day's beginning is told so long before
@@ -90,7 +90,7 @@
         for role, parts in self._parts.items():
             for part in range(parts):
                 words = [str(script), role, str(part), str(parts), str(port)]
-                command = [sys.executable, "-m", "juniperreel.trial.crew", *words, str(self._directory)]
+                command = [sys.executable, "-m", "juniperreel.testbed.crew", *words, str(self._directory)]
                 self._processes.add(f"{role}-{part}", [*command, *self._program], env).start()
 
     async def _until(self, done: Callable[[], bool]) -> None:
--- a/juniperreel/trial/picture.py
+++ b/juniperreel/testbed/picture.py
@@ -5,8 +5,8 @@
 from pathlib import Path
 
 from juniperreel.net.clock import US
-from juniperreel.proof import records as rec
-from juniperreel.proof import spread
+from juniperreel.verification import records as rec
+from juniperreel.verification import spread
 
 WIDE, ROW = 14.0, 0.16  # inches
 MOST = 2.0  # times the fair part, where the colours end
--- a/juniperreel/trial/platformfleet.py
+++ b/juniperreel/testbed/platformfleet.py
@@ -13,13 +13,12 @@
 
 import trio
 
+from juniperreel.fakes.fleet import Fleet
+from juniperreel.fakes.script import Day, Step
 from juniperreel.net import Clock, Network
-from juniperreel.proof import records as rec
-from juniperreel.standins.fleet import Fleet
-from juniperreel.standins.script import Day, Step
-from juniperreel.trial.processes import Child, Processes
-from juniperreel.trial.relay import Links
-from juniperreel.trial.sides import (
+from juniperreel.testbed.processes import Child, Processes
+from juniperreel.testbed.relay import Links
+from juniperreel.testbed.sides import (
     PROGRAM,
     TO_LIST,
     WEIGHTS,
@@ -30,6 +29,7 @@
     limits,
     names_of,
 )
+from juniperreel.verification import records as rec
 
 
 class PlatformTrial:
--- a/juniperreel/trial/shrink.py
+++ b/juniperreel/testbed/shrink.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import replace
 
-from juniperreel.standins.script import Day, Step
+from juniperreel.fakes.script import Day, Step
 
 TAIL_US = 2_000_000  # of a day behind its last fault
 LEAST = {"edges": 2, "members": 2, "groups": 1, "sessions": 2, "rate": 10}
--- a/juniperreel/trial/sides.py
+++ b/juniperreel/testbed/sides.py
@@ -20,16 +20,16 @@
 
 import trio
 
+from juniperreel.fakes.fleet import Fleet
+from juniperreel.fakes.member import Shape
+from juniperreel.fakes.platformclients import Session
+from juniperreel.fakes.platformhosts import PlatformHosts
+from juniperreel.fakes.script import Day, Step
 from juniperreel.net import Clock, Network
 from juniperreel.net.clock import US
-from juniperreel.proof import records as rec
-from juniperreel.standins.fleet import Fleet
-from juniperreel.standins.member import Shape
-from juniperreel.standins.platformclients import Session
-from juniperreel.standins.platformhosts import PlatformHosts
-from juniperreel.standins.script import Day, Step
-from juniperreel.trial.processes import Child, NotInThatState, Processes, State
-from juniperreel.trial.relay import Links, Relay, to_port
+from juniperreel.testbed.processes import Child, NotInThatState, Processes, State
+from juniperreel.testbed.relay import Links, Relay, to_port
+from juniperreel.verification import records as rec
 
 ROOT = Path(__file__).parents[2]
 PROGRAM = ("-m", "juniperreel.platform")
--- a/juniperreel/proof/executions.py
+++ b/juniperreel/verification/executions.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from juniperreel.proof import records as rec
+from juniperreel.verification import records as rec
 
 FORGOTTEN = ("1243", "1615")  # errors that clients must never see of statements they prepared
 
--- a/juniperreel/proof/rules.py
+++ b/juniperreel/verification/rules.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from itertools import pairwise
 
-from juniperreel.proof import records as rec
+from juniperreel.verification import records as rec
 
 CROSSING_US = 60_000  # between an event seen on one socket and its consequence on another
 LATE_US = 15_000  # by which a client's own timer may overtake an answer that was in time
--- a/juniperreel/proof/spread.py
+++ b/juniperreel/verification/spread.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass
 from itertools import pairwise
 
-from juniperreel.proof import records as rec
+from juniperreel.verification import records as rec
 
 SECOND = 1_000_000
 LEAST = 5.0  # a fair share of fewer arrivals in a bin says nothing of a single member
--- a/tests/admission/test_gate.py
+++ b/tests/admission/test_gate.py
@@ -5,11 +5,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from juniperreel import interface as ui
 from juniperreel.admission import Admit, Arrival, Gate, Turn
 from juniperreel.admission.gate import FULL, LATE, PROGRAM, PUSHED, STOPPING, WAITED
 from juniperreel.emulator.admission import Fixed, request_class
 from juniperreel.emulator.admission import settings as gate_settings
+from juniperreel.routing import types as ui
 
 US = 1_000_000
 CLASSES = (
--- a/tests/admission/test_model.py
+++ b/tests/admission/test_model.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from juniperreel import interface as ui
 from juniperreel.emulator.admission import LOSERS, Load, Model, Server, request_class, settings
+from juniperreel.routing import types as ui
 
 US = 1_000_000
 SERVERS, CORES, WORK = 6, 2, 45_000
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -17,10 +17,10 @@
 from click.testing import CliRunner
 
 from juniperreel.cli.main import main
-from juniperreel.proof.records import EdgeUp, Recorder, Started
+from juniperreel.verification.records import EdgeUp, Recorder, Started
 from tests.e2e.world import EDGE
 
-DAYS = Path(__file__).parents[2] / "juniperreel" / "standins" / "days"
+DAYS = Path(__file__).parents[2] / "juniperreel" / "fakes" / "days"
 COMMAND = [sys.executable, "-m", "juniperreel.cli.main"]
 DAY = "groups 1\nmembers 3\nread-work 2ms\nwrite-work 2ms\nlist-delay 50ms\nlast 60s\n"
 INSERT = "insert into runs (runner, id) values (?, ?)"
--- a/tests/cli/test_pool.py
+++ b/tests/cli/test_pool.py
@@ -11,7 +11,7 @@
 
 from juniperreel.cli.main import main
 from juniperreel.cli.pool import Seen, look, shown
-from juniperreel.fronts.http import HttpFront
+from juniperreel.frontends.http import HttpFront
 from juniperreel.net import TcpNetwork
 from tests.e2e.world import World
 
--- a/tests/cli/test_statement.py
+++ b/tests/cli/test_statement.py
@@ -8,7 +8,7 @@
 from click.testing import CliRunner
 
 from juniperreel.cli.main import main
-from juniperreel.fronts.mysql.classes import digest
+from juniperreel.frontends.mysql.classes import digest
 
 EXAMPLE = (Path(__file__).parents[2] / "deploy" / "edge.conf").read_text(encoding="utf-8")
 MYSQL = """[mysql]
--- a/tests/e2e/test_clients.py
+++ b/tests/e2e/test_clients.py
@@ -18,8 +18,8 @@
 import pytest
 import trio
 
+from juniperreel.fakes.engine import TYPED
 from juniperreel.mysql.client import ClientSession, Done
-from juniperreel.standins.engine import TYPED
 from tests.e2e.test_mysql import port
 from tests.e2e.world import World, rows
 
--- a/tests/e2e/test_mysql_hard.py
+++ b/tests/e2e/test_mysql_hard.py
@@ -11,11 +11,11 @@
 import pytest
 import trio
 
-from juniperreel.driver.mysqlmembers import MysqlLinks
-from juniperreel.fronts.mysql import connection as front
+from juniperreel.fakes.engine import Engine, Rows
+from juniperreel.fakes.member import Member
+from juniperreel.frontends.mysql import connection as front
 from juniperreel.mysql.client import ClientSession, Done, End, Event, Failed, Row
-from juniperreel.standins.engine import Engine, Rows
-from juniperreel.standins.member import Member
+from juniperreel.proxy.mysqlmembers import MysqlLinks
 from tests.e2e.test_mysql import INSERT, SELECT, ask, connector, port, using
 from tests.e2e.world import World
 
--- a/tests/e2e/test_overload.py
+++ b/tests/e2e/test_overload.py
@@ -14,11 +14,11 @@
 import pytest
 import trio
 
-from juniperreel.proof.records import Asked, Class, Told
-from juniperreel.proof.rules import Day, check_answers
 from juniperreel.rpc.channel import Broken, Channel, NeverSent
 from juniperreel.rpc.limits import Limits
 from juniperreel.rpc.status import PUSHBACK, Code, RpcError
+from juniperreel.verification.records import Asked, Class, Told
+from juniperreel.verification.rules import Day, check_answers
 from tests.e2e.world import EXECUTE, World
 
 SECONDS = 90
--- a/tests/e2e/test_pool_soak.py
+++ b/tests/e2e/test_pool_soak.py
@@ -9,10 +9,10 @@
 import trio
 
 from benchmarks.pool_soak import soak
-from juniperreel.driver.jobs import Job
-from juniperreel.driver.mysqlmembers import MysqlLinks
 from juniperreel.pool.backend import Backend
 from juniperreel.pool.statements import Statements, Text
+from juniperreel.proxy.jobs import Job
+from juniperreel.proxy.mysqlmembers import MysqlLinks
 
 
 async def test_a_thousand_transactions_over_few_connections(tmp_path: Path) -> None:
--- a/tests/e2e/test_transactions.py
+++ b/tests/e2e/test_transactions.py
@@ -12,8 +12,8 @@
 import pytest
 import trio
 
-from juniperreel.driver.mysqlmembers import MysqlLinks
 from juniperreel.pool.backend import Backend
+from juniperreel.proxy.mysqlmembers import MysqlLinks
 from juniperreel.rpc.status import Code, RpcError
 from tests.e2e.test_mysql import INSERT, SELECT, ask, connector, port, using
 from tests.e2e.world import World, rows
--- a/tests/e2e/world.py
+++ b/tests/e2e/world.py
@@ -11,17 +11,17 @@
 
 from juniperreel.causal import Keyring, Token
 from juniperreel.cli.edge import Edge
+from juniperreel.fakes.fleet import Fleet
+from juniperreel.fakes.mysqlmember import PASSWORD, USER
+from juniperreel.fakes.script import Step, parse
 from juniperreel.net import Clock, TcpNetwork
-from juniperreel.proof.records import Committed, Recorder
 from juniperreel.proto.common.v1 import values_pb2
 from juniperreel.proto.records.v1 import records_pb2
 from juniperreel.rpc.channel import Channel
 from juniperreel.rpc.limits import Limits
 from juniperreel.settings.edge import parse_edge
-from juniperreel.standins.fleet import Fleet
-from juniperreel.standins.mysqlmember import PASSWORD, USER
-from juniperreel.standins.script import Step, parse
 from juniperreel.telemetry.log import make_log
+from juniperreel.verification.records import Committed, Recorder
 
 KEY = b"k" * 32
 EXECUTE = "/juniperreel.v1.Records/Execute"
--- a/tests/emulator/test_spread.py
+++ b/tests/emulator/test_spread.py
@@ -8,10 +8,10 @@
 
 import pytest
 
-from juniperreel import rules
 from juniperreel.emulator.spread import BOUNDED, US, Fleet, Plant
-from juniperreel.proof import spread
-from juniperreel.proof.spread import Bounds
+from juniperreel.routing.policy import router as rules
+from juniperreel.verification import spread
+from juniperreel.verification.spread import Bounds
 
 DRIVERS, REPLICAS = 60, 5
 NAMES = [f"r{i:02}" for i in range(REPLICAS)]
--- a/tests/standins/test_standins.py
+++ b/tests/fakes/test_standins.py
@@ -12,12 +12,12 @@
 import pytest
 import trio
 
+from juniperreel.fakes.group import Replica
+from juniperreel.fakes.machine import Full, Machine
+from juniperreel.fakes.script import ScriptError, parse
+from juniperreel.fakes.store import Commit, StatementFault, Store
 from juniperreel.net import Clock
 from juniperreel.proto.hosts.v1 import hosts_pb2
-from juniperreel.standins.group import Replica
-from juniperreel.standins.machine import Full, Machine
-from juniperreel.standins.script import ScriptError, parse
-from juniperreel.standins.store import Commit, StatementFault, Store
 
 WRITE = "insert into runs (runner, id) values (?, ?)"
 READ = "select id from runs where runner = ? order by number"
--- a/tests/fronts/mysql/test_classes.py
+++ b/tests/frontends/mysql/test_classes.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from juniperreel.fronts.mysql.classes import Classes, Rule, digest, hint_of
+from juniperreel.frontends.mysql.classes import Classes, Rule, digest, hint_of
 
 RULES = [
     Rule(False, None, None, "report", None, 5, None),
--- a/tests/fronts/mysql/test_prepared.py
+++ b/tests/frontends/mysql/test_prepared.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from juniperreel.fronts.mysql.prepared import (
+from juniperreel.frontends.mysql.prepared import (
     MAX_STATEMENTS,
     OUT_OF_RANGE,
     TOO_LONG,
--- a/tests/fronts/mysql/test_scope.py
+++ b/tests/frontends/mysql/test_scope.py
@@ -7,10 +7,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from juniperreel.driver import Hold
-from juniperreel.fronts.mysql.scope import NO_SAVEPOINT, UNDONE, Do, Scope
+from juniperreel.frontends.mysql.scope import NO_SAVEPOINT, UNDONE, Do, Scope
 from juniperreel.mysql.constants import Status
 from juniperreel.pool.state import FRESH
+from juniperreel.proxy import Hold
 from juniperreel.statements import read_statement
 
 
--- a/tests/mysql/test_client.py
+++ b/tests/mysql/test_client.py
@@ -12,6 +12,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from juniperreel.fakes.group import Group
+from juniperreel.fakes.member import Member, Shape
+from juniperreel.fakes.mysqlmember import PASSWORD, USER
 from juniperreel.mysql.auth import NATIVE, SHA2, Credential
 from juniperreel.mysql.client import (
     Began,
@@ -39,10 +42,7 @@
     text_row,
 )
 from juniperreel.net import Clock, TcpNetwork
-from juniperreel.proof.records import Recorder
-from juniperreel.standins.group import Group
-from juniperreel.standins.member import Member, Shape
-from juniperreel.standins.mysqlmember import PASSWORD, USER
+from juniperreel.verification.records import Recorder
 
 USERS = {"ada": Credential.of(b"love lace"), "bob": Credential.of(b"")}
 NONCE = bytes(range(1, 21))
--- a/tests/platform/peers.py
+++ b/tests/platform/peers.py
@@ -6,7 +6,6 @@
 import json
 from typing import Any
 
-from juniperreel import interface as ui
 from juniperreel.net.poll import Peer, Wire
 from juniperreel.platform.config import Config, parse
 from juniperreel.platform.driver import PlatformDriver
@@ -15,6 +14,7 @@
 from juniperreel.platform.log import Log
 from juniperreel.postgres import messages as m
 from juniperreel.postgres import server
+from juniperreel.routing import types as ui
 
 MS, SEC = 1_000, 1_000_000
 HELLO = m.startup("worker", "catalog")
--- a/tests/platform/stage.py
+++ b/tests/platform/stage.py
@@ -12,7 +12,6 @@
 
 import trio
 
-from juniperreel import interface as ui
 from juniperreel.net import Clock
 from juniperreel.net.poll import Door, Poller, Wire, dial
 from juniperreel.platform.config import parse
@@ -21,6 +20,7 @@
 from juniperreel.platform.log import Log
 from juniperreel.postgres import messages as m
 from juniperreel.postgres import server
+from juniperreel.routing import types as ui
 from tests.platform.peers import HELLO, config_bytes, entry, row
 
 PATIENCE_S = 30  # far more than anything here takes
--- a/tests/platform/test_any_customer.py
+++ b/tests/platform/test_any_customer.py
@@ -14,7 +14,7 @@
 from tests.platform.peers import MS, SETTINGS, World, read_text, row, write_text
 
 ROOT = Path(__file__).parents[2]
-RUN = ("rules.py", "interface.py", "sitesettings.py", "platform", "postgres", "hosting", "net")
+RUN = ("routing", "platform_settings.py", "platform", "postgres", "net")
 
 names = st.from_regex(re.compile(r"[0-9A-Za-z_.-]{1,64}"), fullmatch=True)
 shares = st.floats(0.0, 1.0)
--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -159,7 +159,7 @@
     assert "juniperreel.platform.driver" in loaded
     assert not loaded & {"multiprocessing", "concurrent.futures.process", "grpc", "structlog"}
     ours = {name.split(".")[1] for name in loaded if name.startswith("juniperreel.")}
-    assert ours <= {"interface", "rules", "sitesettings", "hosting", "net", "platform", "postgres"}
+    assert ours <= {"platform_settings", "routing", "net", "platform", "postgres"}
 
 
 def test_build_and_run_lines_have_the_operators_form() -> None:
--- a/tests/platform/test_discovery.py
+++ b/tests/platform/test_discovery.py
@@ -12,11 +12,11 @@
 import trio
 import trio.testing
 
-from juniperreel import interface as ui
 from juniperreel.net import TcpNetwork
 from juniperreel.platform.discovery import Discovery
 from juniperreel.platform.endpoints import Endpoints
 from juniperreel.platform.log import Log
+from juniperreel.routing import types as ui
 from tests.platform.peers import SEC, entry
 from tests.platform.stage import PATIENCE_S, End, MemberEnd
 
--- a/tests/platform/test_driver.py
+++ b/tests/platform/test_driver.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from juniperreel import interface as ui
 from juniperreel.platform.endpoints import read
 from juniperreel.postgres import messages as m
 from juniperreel.postgres import server
+from juniperreel.routing import types as ui
 from tests.platform.peers import (
     HELLO,
     HOSTS,
--- a/tests/platform/test_guards.py
+++ b/tests/platform/test_guards.py
@@ -11,7 +11,6 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from juniperreel import interface as ui
 from juniperreel.platform import endpoints, facts
 from juniperreel.platform.alarms import Alarms
 from juniperreel.platform.budget import Budget
@@ -20,6 +19,7 @@
 from juniperreel.platform.idletimeout import IdleTimeout
 from juniperreel.platform.run import watch_wait_us
 from juniperreel.platform.shutdown import GracefulShutdown
+from juniperreel.routing import types as ui
 from tests.platform.peers import MS, SEC, SETTINGS, config_bytes, entry
 
 
--- a/tests/platform/test_planted.py
+++ b/tests/platform/test_planted.py
@@ -11,16 +11,17 @@
 import trio
 import trio.testing
 
-from juniperreel import interface as ui
 from juniperreel.net.poll import Door, Wire
 from juniperreel.platform import discovery
 from juniperreel.platform.discovery import Discovery
 from juniperreel.platform.driver import PlatformDriver
 from juniperreel.platform.endpoints import Endpoints
 from juniperreel.platform.front import Client, Command, Front
-from juniperreel.rules import Router
-from tests import test_rules, test_rules_crossings
+from juniperreel.routing import types as ui
+from juniperreel.routing.policy.router import Router
 from tests.platform import stage, test_crossings, test_discovery
+from tests.routing import test_crossings as routing_crossings
+from tests.routing import test_router
 
 Patch = pytest.MonkeyPatch
 BRIEF_S = 3  # a test that waits in vain has failed
@@ -177,14 +178,14 @@
         end_read_after_what_came_before_it,
         test_crossings.test_a_request_read_together_with_its_clients_end_is_not_sent_on,
     ),
-    (ramp_forgotten_at_restart, test_rules_crossings.test_a_member_that_came_back_is_cold_again),
+    (ramp_forgotten_at_restart, routing_crossings.test_a_member_that_came_back_is_cold_again),
     (
         fitness_not_asked_when_written,
         test_crossings.test_a_read_is_not_written_once_its_session_was_answered_a_newer_write,
     ),
     (
         lost_writes_forgotten,
-        partial(test_rules_crossings.test_a_write_that_may_have_run_is_seen_by_its_session, ui.Outcome.RESET),
+        partial(routing_crossings.test_a_write_that_may_have_run_is_seen_by_its_session, ui.Outcome.RESET),
     ),
     (
         one_burst_taken_at_the_door,
@@ -234,4 +235,4 @@
     """The stage itself does not fail them."""
     for _, test in PLANTED:
         play(test)
-    assert test_rules.SOURCE
+    assert test_router.SOURCE
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -11,11 +11,11 @@
 
 import trio
 
+from juniperreel.fakes.platform import DiscoveryStandIn, MemberStandIn
 from juniperreel.net.poll import Door, Poller
 from juniperreel.platform.config import parse
 from juniperreel.platform.log import Log
 from juniperreel.platform.run import Program
-from juniperreel.standins.platform import DiscoveryStandIn, MemberStandIn
 from tests.platform.peers import config_bytes, entry, read_text, write_text
 
 SECONDS = 30
--- a/tests/driver/test_driver.py
+++ b/tests/proxy/test_driver.py
@@ -12,22 +12,22 @@
 import trio
 from immutables import Map
 
-from juniperreel import interface as ui
 from juniperreel.causal import History
-from juniperreel.driver import Answer, Driver, DriverOptions, Failed, Refused, Served, Work
-from juniperreel.driver import hosts as host_list
-from juniperreel.driver.configsource import ConfigSource
-from juniperreel.driver.driver import Attempt, AttemptDone, ListTold, ProbeDone
-from juniperreel.driver.jobs import Job, Reply
-from juniperreel.driver.members import MemberLinks
-from juniperreel.driver.outcomes import of_error, unfinished
-from juniperreel.driver.positions import Needs, Standing
-from juniperreel.interface import Outcome
 from juniperreel.net import Clock, Silent, TcpNetwork
 from juniperreel.net import Refused as ConnectRefused
 from juniperreel.proto.common.v1 import values_pb2
 from juniperreel.proto.hosts.v1 import hosts_pb2
+from juniperreel.proxy import Answer, Driver, DriverOptions, Failed, Refused, Served, Work
+from juniperreel.proxy import hosts as host_list
+from juniperreel.proxy.configsource import ConfigSource
+from juniperreel.proxy.driver import Attempt, AttemptDone, ListTold, ProbeDone
+from juniperreel.proxy.jobs import Job, Reply
+from juniperreel.proxy.members import MemberLinks
+from juniperreel.proxy.outcomes import of_error, unfinished
+from juniperreel.proxy.positions import Needs, Standing
 from juniperreel.raft.configuration.model import EMPTY, MemberInfo
+from juniperreel.routing import types as ui
+from juniperreel.routing.types import Outcome
 from juniperreel.rpc.channel import Broken, NeverSent
 from juniperreel.rpc.limits import Limits
 from juniperreel.rpc.status import Code, RpcError, error_info
--- a/tests/driver/test_positions.py
+++ b/tests/proxy/test_positions.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from juniperreel.causal import EMPTY, History, Token
-from juniperreel.driver.positions import NEVER_REACHED_US, Needs, Positions, Standing
+from juniperreel.proxy.positions import NEVER_REACHED_US, Needs, Positions, Standing
 
 SKEW = 30
 histories = st.lists(st.integers(1, 50), min_size=1, max_size=5).map(
--- a/tests/raft/cluster.py
+++ b/tests/raft/cluster.py
@@ -11,7 +11,6 @@
 
 from juniperreel.cli.configd import Instance
 from juniperreel.net import Clock, Listener, Silent, TcpNetwork
-from juniperreel.proof.versions import Acted, Confirmed
 from juniperreel.raft.client import Instances
 from juniperreel.raft.configuration import model
 from juniperreel.raft.configuration.machine import Command, Outcome, SetGroup, SetLimit, SetMember
@@ -20,6 +19,7 @@
 from juniperreel.raft.types import Members, Message
 from juniperreel.settings.configd import InstanceSettings
 from juniperreel.telemetry.log import make_log
+from juniperreel.verification.versions import Acted, Confirmed
 
 KEY = b"k" * 32
 
--- a/tests/test_rules_crossings.py
+++ b/tests/routing/test_crossings.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from juniperreel import interface as ui
-from juniperreel.interface import Outcome, Role
+from juniperreel.routing import types as ui
+from juniperreel.routing.types import Outcome, Role
 from tests.script import MS, SEC, Script, member
 
 
--- a/tests/test_property.py
+++ b/tests/routing/test_property.py
@@ -8,8 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from juniperreel import interface as ui
-from juniperreel.rules import Router
+from juniperreel.routing import types as ui
+from juniperreel.routing.policy.router import Router
 from tests.script import CLASSES, MS, SEC, SETTINGS, member
 
 NEVER_RAN = {ui.Outcome.REJECTED, ui.Outcome.UNREACHABLE, ui.Outcome.NOT_SENT, ui.Outcome.MISS}
--- a/tests/test_rules.py
+++ b/tests/routing/test_router.py
@@ -11,9 +11,9 @@
 
 import pytest
 
-from juniperreel import interface as ui
-from juniperreel import rules
-from juniperreel.rules import Router
+from juniperreel.routing import types as ui
+from juniperreel.routing.policy import router as rules
+from juniperreel.routing.policy.router import Router
 from tests.script import CLASSES, MS, SEC, SETTINGS, Script, member
 
 SOURCE = Path(rules.__file__).read_text(encoding="utf-8")
@@ -33,7 +33,9 @@
         elif isinstance(node, ast.ImportFrom):
             assert node.module and node.module.split(".")[0] in allowed
             if node.module.startswith("juniperreel"):
-                assert node.module == "juniperreel.interface" or [a.name for a in node.names] == ["interface"]
+                assert node.module == "juniperreel.routing.types" or [a.name for a in node.names] == [
+                    "interface"
+                ]
 
 
 def test_draw_follows_one_over_srtt() -> None:
@@ -297,7 +299,7 @@
 
 
 def test_readme_example_runs() -> None:
-    text = (Path(__file__).parent.parent / "README.md").read_text(encoding="utf-8")
+    text = (Path(__file__).parents[2] / "README.md").read_text(encoding="utf-8")
     code = text.split("```python\n")[1].split("```")[0]
     exec(compile(code, "README.md", "exec"), {})
 
--- a/tests/script.py
+++ b/tests/script.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 from typing import Any, TypeVar
 
-from juniperreel import interface as ui
-from juniperreel.rules import Router
+from juniperreel.routing import types as ui
+from juniperreel.routing.policy.router import Router
 
 MS = 1_000
 SEC = 1_000_000
--- a/tests/settings/test_edge.py
+++ b/tests/settings/test_edge.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from juniperreel import interface as ui
+from juniperreel.routing import types as ui
 from juniperreel.settings import SettingsError, read_edge
 from juniperreel.settings.edge import parse_edge
 from juniperreel.settings.lexer import lex
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -5,7 +5,7 @@
 import re
 from pathlib import Path
 
-from juniperreel import rules
+from juniperreel.routing.policy import router as rules
 
 PAGE = (Path(__file__).parent.parent / "docs" / "oncall.md").read_text(encoding="utf-8")
 SOURCE = Path(rules.__file__).read_text(encoding="utf-8")
--- a/tests/test_benchlink.py
+++ b/tests/test_simulator_adapter.py
@@ -12,8 +12,8 @@
 
 import pytest
 
-from juniperreel import benchlink
-from juniperreel import interface as ui
+from juniperreel import simulator_adapter
+from juniperreel.routing import types as ui
 
 ROOT = Path(__file__).parent.parent
 
@@ -69,7 +69,7 @@
 
 def play(text: str) -> list[str]:
     sink = io.StringIO()
-    benchlink.serve(io.StringIO(text), sink)
+    simulator_adapter.serve(io.StringIO(text), sink)
     return sink.getvalue().splitlines()
 
 
@@ -111,7 +111,7 @@
 
 
 def test_table_numbers_are_resolved_in_event_order() -> None:
-    link = benchlink.Link()
+    link = simulator_adapter.Link()
     link.batch(START.splitlines()[:-1])
     link.batch(
         """CLOCK ts_s=21
@@ -128,7 +128,7 @@
 
 
 def test_stop_and_start_in_one_batch_forgets_everything() -> None:
-    link = benchlink.Link()
+    link = simulator_adapter.Link()
     link.batch(START.splitlines()[:-1])
     again = START.splitlines()[1:-1]
     link.batch(["CLOCK ts_s=22", "DESTROY driver=driver/0", again[0]])
@@ -136,9 +136,9 @@
 
 
 def test_units_and_roundings() -> None:
-    assert benchlink.us_down("0.0000019") == 1 and benchlink.us_up("0.0000011") == 2
-    assert benchlink.seconds(1_500_000) == "1.5" and benchlink.seconds(1) == "0.000001"
-    link = benchlink.Link()
+    assert simulator_adapter.us_down("0.0000019") == 1 and simulator_adapter.us_up("0.0000011") == 2
+    assert simulator_adapter.seconds(1_500_000) == "1.5" and simulator_adapter.seconds(1) == "0.000001"
+    link = simulator_adapter.Link()
     link.batch(START.splitlines()[:-1])
     hosted = link.hosted["driver/0"]
     fields = {
@@ -170,7 +170,7 @@
     text: str, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
     monkeypatch.setattr(sys, "stdin", io.StringIO(text))
-    assert benchlink.main() != 0
+    assert simulator_adapter.main() != 0
     assert len(capsys.readouterr().err.splitlines()) == 1
 
 
@@ -178,7 +178,7 @@
     def broken(*_: object) -> list[ui.Action]:
         raise RuntimeError("two\nlines")
 
-    monkeypatch.setattr("juniperreel.rules.Router.handle", broken)
+    monkeypatch.setattr("juniperreel.routing.policy.router.Router.handle", broken)
     assert play(START)[0] == "BUG driver=driver/0 reason_text=RuntimeError: two lines"
 
 
@@ -209,7 +209,7 @@
 def test_same_actions_with_other_hash_seeds_and_processes() -> None:
     def run(drivers: list[int], seed: str) -> dict[str, list[str]]:
         done = subprocess.run(
-            [sys.executable, "-m", "juniperreel.benchlink"],
+            [sys.executable, "-m", "juniperreel.simulator_adapter"],
             input=traffic(drivers),
             capture_output=True,
             text=True,
--- a/tests/trial/test_large.py
+++ b/tests/testbed/test_large.py
@@ -8,13 +8,13 @@
 import pytest
 import trio
 
-from juniperreel.proof import records as rec
-from juniperreel.proof import spread
-from juniperreel.proof.rules import check_all
-from juniperreel.standins.script import parse
-from juniperreel.trial.large import CrewLost, LargeTrial
-from juniperreel.trial.picture import picture
-from juniperreel.trial.sides import drivers_named, is_heavy
+from juniperreel.fakes.script import parse
+from juniperreel.testbed.large import CrewLost, LargeTrial
+from juniperreel.testbed.picture import picture
+from juniperreel.testbed.sides import drivers_named, is_heavy
+from juniperreel.verification import records as rec
+from juniperreel.verification import spread
+from juniperreel.verification.rules import check_all
 
 SECOND = 1_000_000
 SIZE = (
--- a/tests/trial/test_platform_fleet.py
+++ b/tests/testbed/test_platform_fleet.py
@@ -8,13 +8,13 @@
 
 import pytest
 
+from juniperreel.fakes.script import ScriptError, parse
 from juniperreel.net import TcpNetwork
-from juniperreel.proof import records as rec
-from juniperreel.proof import spread
-from juniperreel.proof.rules import Violation, check_all
-from juniperreel.standins.script import ScriptError, parse
-from juniperreel.trial.platformfleet import PlatformTrial
-from juniperreel.trial.sides import PROGRAM
+from juniperreel.testbed.platformfleet import PlatformTrial
+from juniperreel.testbed.sides import PROGRAM
+from juniperreel.verification import records as rec
+from juniperreel.verification import spread
+from juniperreel.verification.rules import Violation, check_all
 
 SECOND = 1_000_000
 SIZE = """
@@ -46,7 +46,7 @@
 DEAF = "rules.Router.usable = lambda *_: True\nrules.Router.learn = lambda *_: None"
 PLANT = """
 import sys
-from juniperreel import rules
+from juniperreel.routing.policy import router as rules
 {bug}
 from juniperreel.platform.run import main
 sys.exit(main([]))
--- a/tests/trial/test_processes.py
+++ b/tests/testbed/test_processes.py
@@ -11,7 +11,7 @@
 import pytest
 import trio
 
-from juniperreel.trial.processes import NotInThatState, Processes, State, processes
+from juniperreel.testbed.processes import NotInThatState, Processes, State, processes
 
 SECONDS = 60
 WRITES = (
@@ -98,7 +98,7 @@
     trial = f"""
 import signal, sys
 from pathlib import Path
-from juniperreel.trial.processes import Processes
+from juniperreel.testbed.processes import Processes
 child = Processes(Path({str(tmp_path)!r})).add("a", {list(WAITS)!r}, {{}})
 child.start()
 print(child.pid, flush=True)
--- a/tests/trial/test_relay.py
+++ b/tests/testbed/test_relay.py
@@ -11,12 +11,12 @@
 import trio
 import trio.testing
 
+from juniperreel.fakes.script import parse
 from juniperreel.net import ConnectError, TcpNetwork
-from juniperreel.proof import records as rec
-from juniperreel.standins.script import parse
-from juniperreel.trial import relay
-from juniperreel.trial.platformfleet import PlatformTrial
-from juniperreel.trial.relay import Links, Relay, to_port
+from juniperreel.testbed import relay
+from juniperreel.testbed.platformfleet import PlatformTrial
+from juniperreel.testbed.relay import Links, Relay, to_port
+from juniperreel.verification import records as rec
 
 SECONDS = 60
 
--- a/tests/trial/test_shrink.py
+++ b/tests/testbed/test_shrink.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from juniperreel.standins.script import Day, parse, render
-from juniperreel.trial.shrink import fits, shrink, smaller
+from juniperreel.fakes.script import Day, parse, render
+from juniperreel.testbed.shrink import fits, shrink, smaller
 
 DAY = """
 groups 3
--- a/tests/proof/test_executions.py
+++ b/tests/verification/test_executions.py
@@ -8,8 +8,8 @@
 import pytest
 from msgspec import structs
 
-from juniperreel.proof.executions import Count, check_executions
-from juniperreel.proof.records import Meant, Ran, Record
+from juniperreel.verification.executions import Count, check_executions
+from juniperreel.verification.records import Meant, Ran, Record
 
 CLEAN: list[Record] = [
     Meant(1, "s1", "select ?", ["s1", "5"], {"@a": "1"}, True),
--- a/tests/proof/test_records.py
+++ b/tests/verification/test_records.py
@@ -8,7 +8,7 @@
 import msgspec
 import pytest
 
-from juniperreel.proof import records as rec
+from juniperreel.verification import records as rec
 
 KINDS = rec.Record.__subclasses__()
 VALUES: dict[Any, Any] = {
--- a/tests/proof/test_rules.py
+++ b/tests/verification/test_rules.py
@@ -8,8 +8,8 @@
 import msgspec
 import pytest
 
-from juniperreel.proof import records as rec
-from juniperreel.proof.rules import Day, Reads, check_all, check_reads
+from juniperreel.verification import records as rec
+from juniperreel.verification.rules import Day, Reads, check_all, check_reads
 
 S = 1_000_000
 READ = rec.Class(0, "read", "repeatable", 0, False, False, 300_000, S, 1, 0)
--- a/tests/proof/test_spread.py
+++ b/tests/verification/test_spread.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from juniperreel.proof import records as rec
-from juniperreel.proof import spread
-from juniperreel.proof.spread import SECOND, Arrival, Bounds
+from juniperreel.verification import records as rec
+from juniperreel.verification import spread
+from juniperreel.verification.spread import SECOND, Arrival, Bounds
 
 MEMBERS = [f"r{i}" for i in range(8)]
 UNTIL = 30 * SECOND
