--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -18,7 +18,9 @@
 
 from juniperreel.admission.limits import Limit
 from juniperreel.emulator.admission import LOSERS, Load, Model, Server, request_class, settings
-from juniperreel.routing import types as ui
+from juniperreel.routing.types import (
+    Tenant,
+)
 
 US = 1_000_000
 SERVERS, CORES, WORK = 6, 2, 45_000
@@ -32,7 +34,7 @@
 
 def step(limit: Callable[[float], Limit], gates: int, guarded: bool = True) -> Model:
     """Three times the capacity; half the members die at 20 s and are back at 40 s."""
-    m = Model(settings(routers=gates), servers(), WORK, gates, limit=limit, guarded=guarded)
+    m = Model(settings(router_count=gates), servers(), WORK, gates, limit=limit, guarded=guarded)
     m.load(Load(3 * CAPACITY))
     for n in range(SERVERS // 2):
         m.at(20 * US, lambda n=n: m.kill(n))  # type: ignore[misc]
@@ -81,7 +83,7 @@
 def worth() -> None:
     """Four times the capacity, two classes; beside the best choice, known afterwards."""
     classes = (request_class("cheap", 1.0), request_class("dear", 3.0))
-    tenants = (ui.Tenant("a", 0.69, 0), ui.Tenant("b", 0.16, 0), ui.Tenant("c", 0.15, 0))
+    tenants = (Tenant("a", 0.69, 0), Tenant("b", 0.16, 0), Tenant("c", 0.15, 0))
     m = Model(settings(classes, tenants), servers(), WORK)
     for tenant, share in enumerate((0.69, 0.16, 0.15)):
         m.load(Load(3.4 * CAPACITY * share, cls=0, tenant=tenant))
@@ -96,7 +98,7 @@
 
 
 def greedy() -> None:
-    tenants = (ui.Tenant("greedy", 0.4, 0), ui.Tenant("b", 0.3, 0), ui.Tenant("c", 0.3, 0))
+    tenants = (Tenant("greedy", 0.4, 0), Tenant("b", 0.3, 0), Tenant("c", 0.3, 0))
     m = Model(settings(tenants=tenants), servers(), WORK)
     m.load(Load(4 * CAPACITY, tenant=0))
     for tenant in (1, 2):
--- a/benchmarks/drivers/planted.py
+++ b/benchmarks/drivers/planted.py
@@ -16,11 +16,12 @@
 
 from juniperreel.platform.run import main
 from juniperreel.routing.policy import router as rules
+from juniperreel.routing.state import MemberState
 
-Pool = list[rules.MemberState]
+Pool = list[MemberState]
 
 
-def one(pool: Pool, chosen: rules.MemberState) -> list[float]:
+def one(pool: Pool, chosen: MemberState) -> list[float]:
     return [1.0 if m is chosen else 1e-9 for m in pool]
 
 
--- a/juniperreel/admission/gate.py
+++ b/juniperreel/admission/gate.py
@@ -13,7 +13,11 @@
 
 from juniperreel.admission.lane import Lane, Waiting
 from juniperreel.admission.limits import Limit
-from juniperreel.routing import types as ui
+from juniperreel.routing.types import (
+    Consistency,
+    RequestClass,
+    Settings,
+)
 
 MS = 1_000
 LAST_US = 10 * MS  # with less than this left nothing can be answered in time
@@ -70,7 +74,7 @@
 @dataclass(slots=True)
 class InHand:
     lane: Lane
-    cls: ui.RequestClass
+    cls: RequestClass
     let_us: int
     full: bool
 
@@ -79,11 +83,11 @@
     """One gate for one router. Every `Admit` owes it one `ended`."""
 
     def __init__(
-        self, settings: ui.Settings, most: int, seed: int, limit: Callable[[float], Limit] = Limit
+        self, settings: Settings, most: int, seed: int, limit: Callable[[float], Limit] = Limit
     ) -> None:
         """`most`: requests in hand whatever the limits learn. `limit` makes a lane's from its least value."""
         self._settings, self._limit = settings, limit
-        self._shares = tuple(t.fraction for t in settings.tenants)
+        self._shares = tuple(t.capacity_share for t in settings.tenants)
         self._random = random.Random(seed)
         self._lanes: dict[tuple[int, bool], Lane] = {}
         self._in_hand: dict[str, InHand] = {}
@@ -111,9 +115,9 @@
         """Group, whether it is the primary's, and the lane."""
         return [(group, current, lane) for (group, current), lane in self._lanes.items()]
 
-    def lane(self, group: int, cls: ui.RequestClass) -> Lane:
+    def lane(self, group: int, cls: RequestClass) -> Lane:
         """Only the primary takes writes and fresh reads; all other reads share the replicas."""
-        current = cls.consistency in (ui.Consistency.WRITE, ui.Consistency.FRESH)
+        current = cls.consistency in (Consistency.WRITE, Consistency.FRESH)
         lane = self._lanes.get((group, current))
         if lane is None:
             lane = Lane(self._shares, self._limit(self._least(group, current)))
@@ -131,7 +135,7 @@
 
     def _least(self, group: int, current: bool) -> float:
         replicas = 1 if current else max(self._members.get(group, 1) - 1, 1)
-        return max(2.0, replicas / max(self._settings.routers, 1))
+        return max(2.0, replicas / max(self._settings.router_count, 1))
 
     # Arrivals.
 
@@ -143,10 +147,10 @@
         reason = self._closed(request, tenant, lane, left_us)
         if reason is None:
             return None
-        lane.came(now, tenant, request.worth, turned=True)
+        lane.came(now, tenant, request.priority_weight, turned=True)
         return self._turn("", reason)
 
-    def _closed(self, cls: ui.RequestClass, tenant: int, lane: Lane, left_us: int) -> str | None:
+    def _closed(self, cls: RequestClass, tenant: int, lane: Lane, left_us: int) -> str | None:
         """Why an arrival can't be taken, or None. The order matters: what is cheapest to know comes first."""
         if self.stopping:
             return STOPPING
@@ -160,14 +164,15 @@
         if full and lane.limit.value <= lane.in_hand + lane.waiting:
             # Danger: where the loop itself is what is slow, those who wait cost more of it.
             lowest = lane.lowest_rank()
-            return PROGRAM if lowest is None or lane.rank(tenant, cls.worth) <= lowest else None
-        wait = lane.wait_us(lane.ahead(tenant, cls.worth) + 1, cls.aim_us)
+            return PROGRAM if lowest is None or lane.rank(tenant, cls.priority_weight) <= lowest else None
+        wait = lane.wait_us(lane.ahead(tenant, cls.priority_weight) + 1, cls.latency_objective_us)
         if (
-            wait > min(lane.sojourn_us(tenant, cls.worth, cls.aim_us), left_us - LAST_US)
+            wait
+            > min(lane.sojourn_us(tenant, cls.priority_weight, cls.latency_objective_us), left_us - LAST_US)
             or lane.waiting >= QUEUE_MOST
         ):
             lowest = lane.lowest_rank()
-            if lowest is None or lane.rank(tenant, cls.worth) <= lowest:
+            if lowest is None or lane.rank(tenant, cls.priority_weight) <= lowest:
                 return PROGRAM if full else FULL
         return None
 
@@ -180,14 +185,14 @@
             return [self._let(now, lane, cls, arrival.id, arrival.tenant)]
         left = arrival.deadline_us - now
         reason = self._closed(cls, arrival.tenant, lane, left)
-        lane.came(now, arrival.tenant, cls.worth, turned=reason is not None)
+        lane.came(now, arrival.tenant, cls.priority_weight, turned=reason is not None)
         if reason is not None:
             return [self._turn(arrival.id, reason)]
         self.turned_part *= PART_MEMORY
         if self._opens(lane):
             return [self._let(now, lane, cls, arrival.id, arrival.tenant)]
         # What has already waited to be read has waited; but who may wait at all was judged as of now.
-        sojourn = lane.sojourn_us(arrival.tenant, cls.worth, cls.aim_us)
+        sojourn = lane.sojourn_us(arrival.tenant, cls.priority_weight, cls.latency_objective_us)
         until = max(arrival.read_us + sojourn, now + 1)
         item = Waiting(arrival.id, cls, arrival.tenant, min(until, arrival.deadline_us - LAST_US))
         lane.join(item)
@@ -197,7 +202,7 @@
     def _opens(self, lane: Lane) -> bool:
         return not lane.waiting and lane.room and len(self._in_hand) < self.program.value
 
-    def _let(self, now: int, lane: Lane, cls: ui.RequestClass, name: str, tenant: int) -> Admit:
+    def _let(self, now: int, lane: Lane, cls: RequestClass, name: str, tenant: int) -> Admit:
         lane.pass_one(tenant)
         full = lane.waiting > 0 or not lane.room
         self._in_hand[name] = InHand(lane, cls, now, full)
@@ -206,7 +211,7 @@
 
     def _turn(self, name: str, reason: str) -> Turn:
         self.turned_part = PART_MEMORY * self.turned_part + (1 - PART_MEMORY)
-        most = self._settings.max_retry_after_us if self._settings.retry_hints else 0
+        most = self._settings.max_retry_after_us if self._settings.retry_after_hints else 0
         part = WAIT_LEAST + (1 - WAIT_LEAST) * self.turned_part
         return Turn(name, reason, int(most * part * self._random.uniform(*WAIT_SPREAD)))
 
@@ -221,7 +226,7 @@
         lane = held.lane
         lane.ended(now, lane.waiting > 0 or held.full)
         if took_us is not None:
-            lane.limit.answered(now, took_us, held.cls.aim_us, lane.in_hand)
+            lane.limit.answered(now, took_us, held.cls.latency_objective_us, lane.in_hand)
         elif lost:
             lane.limit.lost(now, now - held.let_us, lane.in_hand)
         return self.refill(now, lane)
--- a/juniperreel/admission/lane.py
+++ b/juniperreel/admission/lane.py
@@ -16,7 +16,9 @@
 from itertools import count
 
 from juniperreel.admission.limits import TARGET, Limit
-from juniperreel.routing import types as ui
+from juniperreel.routing.types import (
+    RequestClass,
+)
 
 CALM_SOJOURN = 0.15  # of the aim may be spent waiting, where a queue is a burst that will pass
 BUSY_SOJOURN = 0.05  # and where it is none: then waiting serves nobody, it only makes all later
@@ -34,14 +36,14 @@
     """One who waits; `until_us` is when waiting has become useless for it."""
 
     id: str
-    cls: ui.RequestClass
+    cls: RequestClass
     tenant: int
     until_us: int
     left: bool = False
 
     @property
     def key(self) -> tuple[int, float]:
-        return (self.tenant, self.cls.worth)
+        return (self.tenant, self.cls.priority_weight)
 
 
 class Lane:
@@ -174,7 +176,7 @@
         while queue[-1].left:
             queue.pop()
         last = queue[-1]
-        if now + self.wait_us(self.waiting, last.cls.aim_us) / HOPELESS <= last.until_us:
+        if now + self.wait_us(self.waiting, last.cls.latency_objective_us) / HOPELESS <= last.until_us:
             return None
         self.leave(last)
         return queue.pop()
--- a/juniperreel/cli/configd.py
+++ b/juniperreel/cli/configd.py
@@ -236,19 +236,20 @@
     ]
     for c in settings.router.classes:
         info = model.ClassInfo(
-            c.effect.value,
+            c.idempotency.value,
             c.key_scope.value,
-            c.memory_span_us,
+            c.deduplication_window_us,
             c.consistency.value,
-            c.lag_allowed_us,
-            c.aim_us,
+            c.max_staleness_us,
+            c.latency_objective_us,
             c.deadline_us,
-            c.worth,
-            c.late_worth,
+            c.priority_weight,
+            c.late_priority_weight,
         )
         changes.append(machine.SetClass(c.name, info))
     changes += [
-        machine.SetTenant(t.name, model.TenantInfo(t.fraction, t.quota_rps)) for t in settings.router.tenants
+        machine.SetTenant(t.name, model.TenantInfo(t.capacity_share, t.quota_rps))
+        for t in settings.router.tenants
     ]
     propose(context, changes, 0)
 
--- a/juniperreel/cli/edge.py
+++ b/juniperreel/cli/edge.py
@@ -70,7 +70,7 @@
         age_us=m.age_us,
         open_rate=m.open_rate,
         open_burst=max(m.open_rate / 4, 1.0),
-        shares=tuple(tenant.fraction for tenant in settings.router.tenants),
+        shares=tuple(tenant.capacity_share for tenant in settings.router.tenants),
     )
     return MysqlMembers(login, m.transaction_us, sizes)
 
--- a/juniperreel/emulator/admission.py
+++ b/juniperreel/emulator/admission.py
@@ -16,61 +16,70 @@
 
 from juniperreel.admission import Admit, Arrival, Gate, Verdict
 from juniperreel.admission.limits import LEAST, START, Limit
-from juniperreel.routing import types as ui
+from juniperreel.routing.types import (
+    Consistency,
+    Idempotency,
+    KeyScope,
+    Prices,
+    RequestClass,
+    Settings,
+    StalenessGuard,
+    Tenant,
+)
 
 US = 1_000_000
 SPREAD = 0.4  # of the logarithm of a request's work
 BOUND = 1.25
 
 
-def request_class(name: str = "read", worth: float = 1.0, **fields: object) -> ui.RequestClass:
+def request_class(name: str = "read", priority_weight: float = 1.0, **fields: object) -> RequestClass:
     values: dict[str, object] = {
         "name": name,
-        "effect": ui.Effect.REPEATABLE,
-        "key_scope": ui.KeyScope.ALL,
-        "memory_span_us": 0,
-        "consistency": ui.Consistency.ANY,
-        "lag_allowed_us": 0,
-        "aim_us": 600_000,
+        "idempotency": Idempotency.IDEMPOTENT,
+        "key_scope": KeyScope.ALL,
+        "deduplication_window_us": 0,
+        "consistency": Consistency.ANY,
+        "max_staleness_us": 0,
+        "latency_objective_us": 600_000,
         "deadline_us": 2 * US,
-        "worth": worth,
-        "late_worth": 0.2,
+        "priority_weight": priority_weight,
+        "late_priority_weight": 0.2,
     }
-    return ui.RequestClass(**(values | fields))  # type: ignore[arg-type]
+    return RequestClass(**(values | fields))  # type: ignore[arg-type]
 
 
 def settings(
-    classes: tuple[ui.RequestClass, ...] = (request_class(),),
-    tenants: tuple[ui.Tenant, ...] = (),
-    routers: int = 1,
-) -> ui.Settings:
-    return ui.Settings(
-        routers=routers,
+    classes: tuple[RequestClass, ...] = (request_class(),),
+    tenants: tuple[Tenant, ...] = (),
+    router_count: int = 1,
+) -> Settings:
+    return Settings(
+        router_count=router_count,
         zone=0,
         classes=classes,
         tenants=tenants,
-        over_share_worth=1.0,
-        prices=ui.Prices(),
+        over_quota_weight=1.0,
+        prices=Prices(),
         max_attempts=4,
-        cancelling=True,
-        probes=True,
-        second_copies=False,
-        retry_hints=True,
+        cancellation=True,
+        health_checks=True,
+        hedging=False,
+        retry_after_hints=True,
         max_retry_after_us=US,
-        answer_grace_us=0,
+        response_grace_us=0,
         drain_grace_us=2 * US,
-        only_draining_binds=False,
-        cold_from=0.2,
-        cold_us=6 * US,
-        fall_multiple=2.0,
-        overload_us=2 * US,
-        must_ask=True,
-        ask_every_us=0,
-        guard=ui.Guard.REFUSE,
-        guard_wait_us=0,
-        carried_age=True,
-        positions_in_answers=True,
-        list_shows_role=True,
+        removed_endpoints_serve=False,
+        slow_start_initial_capacity=0.2,
+        slow_start_us=6 * US,
+        overload_multiple=2.0,
+        overload_window_us=2 * US,
+        must_poll=True,
+        poll_interval_us=0,
+        staleness_guard=StalenessGuard.REFUSE,
+        staleness_wait_us=0,
+        requests_carry_session_age=True,
+        responses_carry_position=True,
+        list_names_primary=True,
     )
 
 
@@ -125,7 +134,7 @@
 
     def __init__(
         self,
-        settings: ui.Settings,
+        settings: Settings,
         servers: list[Server],
         work_us: int = 45_000,
         gates: int = 1,
--- a/juniperreel/emulator/spread.py
+++ b/juniperreel/emulator/spread.py
@@ -16,8 +16,34 @@
 from typing import Any
 
 from juniperreel.emulator import admission
-from juniperreel.routing import types as ui
 from juniperreel.routing.policy.router import Router
+from juniperreel.routing.types import (
+    Action,
+    AttemptEnded,
+    Cancel,
+    Consistency,
+    Endpoint,
+    EndpointUpdate,
+    Event,
+    Fail,
+    HealthCheckEnded,
+    Idempotency,
+    KeyScope,
+    LoadReport,
+    Outcome,
+    Readiness,
+    Reject,
+    Request,
+    RequestClass,
+    Role,
+    Send,
+    SetTimer,
+    Settings,
+    StalenessGuard,
+    StartHealthCheck,
+    TimerFired,
+    UpdateKind,
+)
 from juniperreel.verification.spread import Arrival
 
 MS = 1_000
@@ -28,26 +54,26 @@
 QUICK_US = 2 * MS  # in which a member that fails answers
 START_US = 1_000 * US  # of the play's clock
 
-READ = ui.RequestClass(
-    "read", ui.Effect.REPEATABLE, ui.KeyScope.ALL, 0, ui.Consistency.ANY, 0, 500 * MS, 2 * US, 1.0, 0.2
+READ = RequestClass(
+    "read", Idempotency.IDEMPOTENT, KeyScope.ALL, 0, Consistency.ANY, 0, 500 * MS, 2 * US, 1.0, 0.2
 )
 
-BOUNDED = replace(READ, consistency=ui.Consistency.BOUNDED, lag_allowed_us=300 * MS)
+BOUNDED = replace(READ, consistency=Consistency.BOUNDED, max_staleness_us=300 * MS)
 
-MakeRouter = Callable[[ui.Settings, int], Router]
+MakeRouter = Callable[[Settings, int], Router]
 
 
-def settings(drivers: int, read: ui.RequestClass = READ, **changes: Any) -> ui.Settings:
+def settings(drivers: int, read: RequestClass = READ, **changes: Any) -> Settings:
     ours: dict[str, Any] = {
         "max_attempts": 6,
-        "answer_grace_us": 20 * MS,
-        "cold_us": 10 * US,
-        "must_ask": False,
-        "ask_every_us": 10 * US,
-        "guard": ui.Guard.OFF,
-        "carried_age": False,
+        "response_grace_us": 20 * MS,
+        "slow_start_us": 10 * US,
+        "must_poll": False,
+        "poll_interval_us": 10 * US,
+        "staleness_guard": StalenessGuard.OFF,
+        "requests_carry_session_age": False,
     }
-    return replace(admission.settings((read,), routers=drivers), **(ours | changes))
+    return replace(admission.settings((read,), router_count=drivers), **(ours | changes))
 
 
 @dataclass(slots=True)
@@ -61,12 +87,12 @@
     failing: float = 0.0  # the part of its attempts that it answers with a quick error
     alive: bool = True
     born_us: int = 0
-    readiness: ui.Readiness = ui.Readiness.UP
+    readiness: Readiness = Readiness.READY
     busy: int = 0
     queue: deque[tuple[int, str, int]] = field(default_factory=deque)  # driver, request, attempt
 
-    def line(self) -> ui.Member:
-        return ui.Member(self.name, 0, 0, 0, self.readiness, self.primary, 1.0, self.born_us)
+    def line(self) -> Endpoint:
+        return Endpoint(self.name, 0, 0, 0, self.readiness, self.primary, 1.0, self.born_us)
 
 
 @dataclass(slots=True)
@@ -89,7 +115,7 @@
         work_us: int = 30 * MS,
         seed: int = 1,
         make: MakeRouter = Router,
-        read: ui.RequestClass = READ,
+        read: RequestClass = READ,
         **changes: Any,
     ) -> None:
         """`rate`: reads a second of an ordinary driver; one in ten has `heavy` times that."""
@@ -142,13 +168,13 @@
         for i in range(len(self.routers)):
             self._after(self.rng.uniform(*late_us), self._told, i, line)
 
-    def _told(self, driver: int, line: ui.Member) -> None:
-        self._hand(driver, ui.MemberList(ui.ListKind.CHANGES, (line,)))
+    def _told(self, driver: int, line: Endpoint) -> None:
+        self._hand(driver, EndpointUpdate(UpdateKind.DELTA, (line,)))
 
     def replace(self, name: str) -> str:
         """The member is gone; another starts cold under a new name."""
         old = self.plants[name]
-        old.alive, old.readiness = False, ui.Readiness.GONE
+        old.alive, old.readiness = False, Readiness.REMOVED
         self.tell(old)
         fresh = Plant(f"n{len(self.plants):02}", old.primary, old.cores, born_us=self.now)
         self.plants[fresh.name] = fresh
@@ -164,8 +190,8 @@
 
     def _fresh(self, driver: int) -> Router:
         router = self.make(self.settings, self.rng.getrandbits(48))
-        lines = tuple(p.line() for p in self.plants.values() if p.readiness is not ui.Readiness.GONE)
-        self._act(driver, router.handle(self.now, [ui.MemberList(ui.ListKind.SAVED, lines)]))
+        lines = tuple(p.line() for p in self.plants.values() if p.readiness is not Readiness.REMOVED)
+        self._act(driver, router.handle(self.now, [EndpointUpdate(UpdateKind.CACHED, lines)]))
         return router
 
     # Requests.
@@ -179,48 +205,48 @@
         name = f"{self._count}"
         self.open[driver][name] = self.now
         self.served[driver].taken += 1
-        self._hand(driver, ui.Request(name, 0, -1, 0, self.now + self.read.deadline_us))
+        self._hand(driver, Request(name, 0, -1, 0, self.now + self.read.deadline_us))
 
-    def _hand(self, driver: int, *events: ui.Event) -> None:
+    def _hand(self, driver: int, *events: Event) -> None:
         self._act(driver, self.routers[driver].handle(self.now, events))
 
-    def _act(self, driver: int, actions: list[ui.Action]) -> None:
+    def _act(self, driver: int, actions: list[Action]) -> None:
         life = self.lives[driver]
         for action in actions:
             match action:
-                case ui.Send(request, member, timeout):
+                case Send(request, member, timeout):
                     number = self.tried[driver].get(request, 0)
                     self.tried[driver][request] = number + 1
                     self.out.add((driver, request, number))
                     attempt = (driver, life, request, number, member)
                     self._after(self.rng.uniform(*TRIP_US), self._reach, *attempt)
                     self._after(timeout, self._end, *attempt, self.now, "timeout")
-                case ui.SetTimer(after, key):
+                case SetTimer(after, key):
                     self._after(after, self._ring, driver, life, key)
-                case ui.Probe(member):
+                case StartHealthCheck(member):
                     self.probes.append(Arrival(self.now, member, str(driver)))
                     self._after(2 * self.rng.uniform(*TRIP_US), self._probed, driver, life, member, self.now)
-                case ui.Cancel(request, number):
+                case Cancel(request, number):
                     for plant in self.plants.values():
                         if (driver, request, number) in plant.queue:
                             plant.queue.remove((driver, request, number))
                     self._after(0, self._end, driver, life, request, number, "", self.now, "cancelled")
-                case ui.Refuse(request, _) | ui.Fail(request):
+                case Reject(request, _) | Fail(request):
                     self.open[driver].pop(request, None)
 
     def _ring(self, driver: int, life: int, key: int) -> None:
         if life == self.lives[driver]:
-            self._hand(driver, ui.TimerFired(key))
+            self._hand(driver, TimerFired(key))
 
     def _probed(self, driver: int, life: int, member: str, sent_us: int) -> None:
         if life != self.lives[driver]:
             return
         plant, took = self.plants[member], self.now - sent_us
         if plant.alive:
-            report = ui.Report(self.now - REPORT_AGE_US, plant.primary, waiting=float(len(plant.queue)))
-            self._hand(driver, ui.ProbeEnded(member, ui.Outcome.OK, took, report))
+            report = LoadReport(self.now - REPORT_AGE_US, plant.primary, queued=float(len(plant.queue)))
+            self._hand(driver, HealthCheckEnded(member, Outcome.OK, took, report))
         else:
-            self._hand(driver, ui.ProbeEnded(member, ui.Outcome.UNREACHABLE, took, None))
+            self._hand(driver, HealthCheckEnded(member, Outcome.UNREACHABLE, took, None))
 
     # Members.
 
@@ -244,7 +270,10 @@
             plant.busy += 1
             age = self.now - plant.born_us
             s = self.settings
-            warm = min(1.0, s.cold_from + (1 - s.cold_from) * age / s.cold_us)
+            warm = min(
+                1.0,
+                s.slow_start_initial_capacity + (1 - s.slow_start_initial_capacity) * age / s.slow_start_us,
+            )
             work = self.work_us * math.exp(self.rng.gauss(-(WORK_SPREAD**2) / 2, WORK_SPREAD))
             took = work / (plant.speed * warm)
             self._after(took, self._done, plant, driver, self.lives[driver], request, number)
@@ -263,25 +292,25 @@
             return
         self.out.discard((driver, request, number))
         came = self.open[driver].get(request)
-        outcome = ui.Outcome(how)
+        outcome = Outcome(how)
         plant = self.plants.get(member)
-        if outcome is ui.Outcome.OK and came is not None:
-            self.served[driver].good += self.now - came <= self.read.aim_us
+        if outcome is Outcome.OK and came is not None:
+            self.served[driver].good += self.now - came <= self.read.latency_objective_us
             del self.open[driver][request]
         started = sent_us if how != "ok" else self._sent(driver, request, sent_us)
-        position = self.now if outcome is ui.Outcome.OK else None
-        role = ui.Role.UNKNOWN
-        if plant is not None and outcome in (ui.Outcome.OK, ui.Outcome.ERROR):
-            role = ui.Role.PRIMARY if plant.primary else ui.Role.REPLICA
+        position = self.now if outcome is Outcome.OK else None
+        role = Role.UNKNOWN
+        if plant is not None and outcome in (Outcome.OK, Outcome.ERROR):
+            role = Role.PRIMARY if plant.primary else Role.REPLICA
         self._hand(
             driver,
-            ui.AttemptEnded(
+            AttemptEnded(
                 request,
                 number,
                 member,
                 outcome,
                 max(self.now - started, 1),
-                outcome is ui.Outcome.OK or came is None,
+                outcome is Outcome.OK or came is None,
                 role,
                 position,
                 None,
--- a/juniperreel/frontends/grpc.py
+++ b/juniperreel/frontends/grpc.py
@@ -15,7 +15,10 @@
 from juniperreel.pool.result import Result
 from juniperreel.proto.records.v1 import records_pb2
 from juniperreel.proxy import Answer, Driver, Failed, Open, Refused, Served, Spurned, Work
-from juniperreel.routing import types as ui
+from juniperreel.routing.types import (
+    Consistency,
+    Idempotency,
+)
 from juniperreel.rpc.metadata import decode_timeout
 from juniperreel.rpc.server import Call, Method
 from juniperreel.rpc.status import RpcError
@@ -146,10 +149,10 @@
                 raise errors.invalid(field, f"is longer than {MAX_NAME} characters")
         settings = self._driver.options.router.classes[cls]
         if self._reader is not None:
-            words = unfit(self._reader.read(ask.statement), settings.consistency is ui.Consistency.WRITE)
+            words = unfit(self._reader.read(ask.statement), settings.consistency is Consistency.WRITE)
             if words:
                 raise errors.invalid("statement", words)
-        if settings.effect is ui.Effect.KEYED and not ask.idempotency_key:
+        if settings.idempotency is Idempotency.KEYED and not ask.idempotency_key:
             raise errors.invalid("idempotency_key", f"class {settings.name} needs one")
         deadline = call.started_us + settings.deadline_us
         if call.deadline_us is not None:
--- a/juniperreel/platform/config.py
+++ b/juniperreel/platform/config.py
@@ -8,7 +8,9 @@
 import msgspec
 
 from juniperreel.platform_settings import read_settings
-from juniperreel.routing import types as ui
+from juniperreel.routing.types import (
+    Settings,
+)
 
 
 class ConfigError(Exception):
@@ -40,7 +42,7 @@
     seed: int
     limits: Limits
     known: dict[str, Any]
-    router: ui.Settings
+    router: Settings
     zones: list[str]
     kinds: list[str]
     connect_timeout_us: int
@@ -68,7 +70,7 @@
             seed=int(file.seed, 16),
             limits=file.limits,
             known=file.known,
-            router=replace(router, answers_get_lost=True),
+            router=replace(router, responses_may_be_lost=True),
             zones=[str(z) for z in file.settings.get("zones", [])],
             kinds=[str(k) for k in file.settings.get("kinds", [])],
             connect_timeout_us=round(ceilings["connect_timeout_s"] * 1_000_000),
--- a/juniperreel/platform/discovery.py
+++ b/juniperreel/platform/discovery.py
@@ -15,7 +15,9 @@
 from juniperreel.net.clock import US
 from juniperreel.platform.endpoints import Endpoints, ListError, read
 from juniperreel.platform.log import Log
-from juniperreel.routing import types as ui
+from juniperreel.routing.types import (
+    UpdateKind,
+)
 
 PATH = "/v1/endpoints"
 BODY_LIMIT = 8 << 20
@@ -24,7 +26,7 @@
 )
 CONNECT_US = 1_000_000
 
-Tell = Callable[[ui.ListKind, Endpoints | None], None]
+Tell = Callable[[UpdateKind, Endpoints | None], None]
 
 
 class CallFailed(Exception):
@@ -148,7 +150,7 @@
 
     async def _watch(self, scope: trio.CancelScope) -> None:
         error: Exception
-        kind = ui.ListKind.FAILED
+        kind = UpdateKind.FAILED
         with scope:
             try:
                 exchange = await self._connect()
@@ -162,7 +164,7 @@
                                         f"{PATH}?after={self.version}&wait_ms={wait_ms}"
                                     )
                             except trio.TooSlowError as late:
-                                kind = ui.ListKind.SILENT
+                                kind = UpdateKind.TIMED_OUT
                                 raise CallFailed("the watch has fallen silent") from late
                             self._take(body, lists)
                             if not exchange.again():
@@ -174,7 +176,7 @@
                 self._watching = None
             self._failed(error, kind)
 
-    def _failed(self, error: Exception, kind: ui.ListKind = ui.ListKind.FAILED) -> None:
+    def _failed(self, error: Exception, kind: UpdateKind = UpdateKind.FAILED) -> None:
         self._log.warning("discovery failed", error=str(error) or type(error).__name__)
         self._tell(kind, None)
 
@@ -196,4 +198,4 @@
             raise ListError("changes to an older list")
         self._lists += 1
         self.version = endpoints.version
-        self._tell(ui.ListKind.FULL if endpoints.whole else ui.ListKind.CHANGES, endpoints)
+        self._tell(UpdateKind.SNAPSHOT if endpoints.whole else UpdateKind.DELTA, endpoints)
--- a/juniperreel/platform/driver.py
+++ b/juniperreel/platform/driver.py
@@ -21,9 +21,21 @@
 from juniperreel.postgres import server
 from juniperreel.postgres.form import Form, with_span
 from juniperreel.postgres.messages import READY
-from juniperreel.routing import types as ui
 from juniperreel.routing.loop import RouterLoop
-from juniperreel.routing.types import Consistency, Effect, Outcome
+from juniperreel.routing.types import (
+    AttemptEnded,
+    ClientDisconnected,
+    Consistency,
+    DeadlineShortened,
+    EndpointUpdate,
+    Event,
+    HealthCheckEnded,
+    Idempotency,
+    Outcome,
+    Readiness,
+    Request,
+    UpdateKind,
+)
 
 SWEEP_US = 250_000
 PROBE_US = 250_000  # a probe that says nothing by then has failed
@@ -45,7 +57,7 @@
         self.out: dict[int, Job] = {}
 
 
-class PlatformDriver(RouterLoop[ui.Event]):
+class PlatformDriver(RouterLoop[Event]):
     """`turn` does all that is due. `discover` carries out what the module asks of discovery."""
 
     def __init__(
@@ -73,7 +85,7 @@
         self.open: dict[str, Open] = {}
         self._recent: dict[str, int] = {}  # when they were answered
         self._groups: set[int] = set()
-        self._known: dict[str, ui.Readiness] = {}
+        self._known: dict[str, Readiness] = {}
         self.alarms.at(now() + SWEEP_US, self._sweep)
 
     # Its turn.
@@ -93,14 +105,14 @@
         now = self.now()
         self.alarms.at(now + SWEEP_US, self._sweep)
         self.front.sweep()
-        self.links.sweep(not self.settings.only_draining_binds)
+        self.links.sweep(not self.settings.removed_endpoints_serve)
         for name in [
             n for n, item in self.open.items() if item.command and now > item.deadline_us + SWEEP_US
         ]:
             # Danger: a flaw of the module must not leave a client without an answer for ever.
             self.log.error("a request was left over", request=name)
             self._answer(name, server.failed("58000", "the time is up"))
-            self.put(ui.RequestGone(name))
+            self.put(ClientDisconnected(name))
 
     # Requests.
 
@@ -116,7 +128,7 @@
             tenant = self._tenants[form.tenant]
         if form.write != (kind.consistency is Consistency.WRITE):
             raise InvalidRequest("42501", "the class does not go with the statement")
-        if kind.effect is Effect.KEYED and form.idempotency is None:
+        if kind.idempotency is Idempotency.KEYED and form.idempotency is None:
             raise InvalidRequest("42601", "the class needs a key")
         if form.group not in self._groups:
             raise InvalidRequest("3D000", "no such cluster")
@@ -130,15 +142,15 @@
         self.open[form.id] = Open(form, command, deadline)
         command.request = form.id
         self.put(
-            ui.Request(
+            Request(
                 id=form.id,
-                cls=cls,
-                tenant=tenant,
+                class_index=cls,
+                tenant_index=tenant,
                 group=form.group,
                 deadline_us=deadline,
                 session=session,
                 session_age_us=age,
-                repeat=form.retry,
+                is_retry=form.retry,
             )
         )
 
@@ -147,7 +159,7 @@
         item = self.open.get(name) if name is not None else None
         if name is not None and item is not None and item.command is command:
             item.command = None
-            self.put(ui.RequestGone(name))
+            self.put(ClientDisconnected(name))
             self._forget(name, item)
 
     def _answer(self, name: str, data: bytes) -> None:
@@ -170,7 +182,7 @@
 
     # What the module says.
 
-    def events(self, happened: list[ui.Event], now: int) -> list[ui.Event]:
+    def events(self, happened: list[Event], now: int) -> list[Event]:
         return happened
 
     def send(self, request: str, member: str, timeout_us: int, now: int) -> None:
@@ -205,16 +217,16 @@
             self._answer(request, reply.rows + READY)
         parameters = reply.parameters if reply is not None else {}
         self.put(
-            ui.AttemptEnded(
+            AttemptEnded(
                 request=request,
                 attempt=number,
-                member=member,
+                endpoint=member,
                 outcome=ended.outcome,
-                took_us=max(self.now() - started_us, 0),
-                finished=finished or item.command is None,
+                duration_us=max(self.now() - started_us, 0),
+                request_finished=finished or item.command is None,
                 role=facts.role(parameters),
                 position_us=facts.position_us(parameters),
-                report=facts.report(parameters.get("pressure")),
+                load_report=facts.report(parameters.get("pressure")),
             )
         )
         self._forget(request, item)
@@ -237,7 +249,7 @@
         def done(ended: Ended) -> None:
             value = ended.reply.value if ended.reply is not None else None
             report = facts.report(value.decode("utf-8", "replace")) if value else None
-            self.put(ui.ProbeEnded(member, ended.outcome, self.now() - started, report))
+            self.put(HealthCheckEnded(member, ended.outcome, self.now() - started, report))
 
         job = Job(lambda: REPORT, done)
         self.alarms.at(started + PROBE_US, partial(self.links.give_up, job, False))
@@ -255,25 +267,25 @@
     def late(self, by_us: int) -> None:
         self.log.warning("stood still", late_ms=by_us // 1000)
 
-    def module_failed(self, events: Sequence[ui.Event], error: Exception) -> None:
+    def module_failed(self, events: Sequence[Event], error: Exception) -> None:
         self.log.error("the module failed on a batch", exc_info=error)
         for event in events:
-            name = event.id if isinstance(event, ui.Request) else getattr(event, "request", None)
+            name = event.id if isinstance(event, Request) else getattr(event, "request", None)
             if name is not None:
                 self._answer(name, server.failed("58000", "the driver failed on this request"))
 
     # Discovery.
 
-    def told(self, kind: ui.ListKind, endpoints: Endpoints | None) -> None:
+    def told(self, kind: UpdateKind, endpoints: Endpoints | None) -> None:
         """A list, or the end of a call without one (None)."""
         if endpoints is None:
-            self.put(ui.MemberList(kind, ()))
+            self.put(EndpointUpdate(kind, ()))
             return
         for member in endpoints.members:
             self._groups.add(member.group)
             self._known[member.id] = member.readiness
             dial = endpoints.dials.get(member.id)
-            if member.readiness is ui.Readiness.GONE:
+            if member.readiness is Readiness.REMOVED:
                 self.links.retire(member.id)
             elif dial is not None:
                 self.links.place(member.id, dial)
@@ -281,7 +293,7 @@
             for name in self._known.keys() - {m.id for m in endpoints.members}:
                 del self._known[name]
                 self.links.retire(name)
-        self.put(ui.MemberList(kind, endpoints.members))
+        self.put(EndpointUpdate(kind, endpoints.members))
 
     # Its end.
 
@@ -295,7 +307,7 @@
             latest = self.shutdown.latest_us(item.deadline_us)
             if latest < item.deadline_us:
                 item.deadline_us = latest
-                self.put(ui.DeadlineCut(name, latest))
+                self.put(DeadlineShortened(name, latest))
                 for job in item.out.values():
                     self.alarms.at(latest, partial(self.links.give_up, job, False))
 
--- a/juniperreel/platform/endpoints.py
+++ b/juniperreel/platform/endpoints.py
@@ -6,12 +6,15 @@
 from dataclasses import dataclass
 from typing import Any
 
-from juniperreel.routing import types as ui
+from juniperreel.routing.types import (
+    Endpoint,
+    Readiness,
+)
 
 READINESS = {
-    "Ready": ui.Readiness.UP,
-    "Terminating": ui.Readiness.DRAINING,
-    "Gone": ui.Readiness.GONE,
+    "Ready": Readiness.READY,
+    "Terminating": Readiness.DRAINING,
+    "Gone": Readiness.REMOVED,
 }
 LINES = 10_000  # of one list
 
@@ -26,7 +29,7 @@
 
     version: int
     whole: bool
-    members: tuple[ui.Member, ...]
+    members: tuple[Endpoint, ...]
     dials: dict[str, tuple[str, int]]
     bad: int
 
@@ -40,7 +43,7 @@
         raise ListError("no seq")
     if not isinstance(raw.get("whole"), bool) or len(raw["hosts"]) > LINES:
         raise ListError("whole is missing, or the list is too long")
-    members: list[ui.Member] = []
+    members: list[Endpoint] = []
     dials: dict[str, tuple[str, int]] = {}
     bad = 0
     for line in raw["hosts"]:
@@ -60,13 +63,13 @@
 
 def entry(
     line: dict[str, Any], zones: list[str], kinds: list[str]
-) -> tuple[ui.Member, tuple[str, int] | None]:
+) -> tuple[Endpoint, tuple[str, int] | None]:
     name = line["host"]
     if not isinstance(name, str) or not name:
         raise ValueError("host")
     readiness = READINESS[line.get("health", "Ready")]
     dial = None
-    if readiness is not ui.Readiness.GONE or line.get("dial"):
+    if readiness is not Readiness.REMOVED or line.get("dial"):
         host, _, port = line["dial"].rpartition(":")
         dial = (host.strip("[]"), int(port))
         if not host or not 0 < dial[1] < 65536:
@@ -76,14 +79,14 @@
     if not 0 < size < 1e6 or not 0 <= born < 1e14:
         raise ValueError("share or born_ms")
     site, kind = line.get("site"), line.get("class")
-    member = ui.Member(
+    member = Endpoint(
         id=name,
         group=int(line.get("block") or 0),
         zone=zones.index(site) if site in zones else -1,
-        kind=kinds.index(kind) if kind in kinds else -1,
+        machine_type=kinds.index(kind) if kind in kinds else -1,
         readiness=readiness,
         listed_primary=line.get("replication") == "primary",
-        size=size,
+        capacity=size,
         started_us=-int(-born * 1000 // 1),
     )
     return member, dial
--- a/juniperreel/platform/facts.py
+++ b/juniperreel/platform/facts.py
@@ -5,16 +5,19 @@
 
 import math
 
-from juniperreel.routing import types as ui
+from juniperreel.routing.types import (
+    LoadReport,
+    Role,
+)
 
-ROLES = {"primary": ui.Role.PRIMARY, "standby": ui.Role.REPLICA}
+ROLES = {"primary": Role.PRIMARY, "standby": Role.REPLICA}
 POSITION_LIMIT_MS = 1 << 50
 IN_HAND = ("inflight", "busy_reqs")
 WAITING = ("queue", "pending")
 
 
-def role(parameters: dict[str, str]) -> ui.Role:
-    return ROLES.get(parameters.get("replication_role", ""), ui.Role.UNKNOWN)
+def role(parameters: dict[str, str]) -> Role:
+    return ROLES.get(parameters.get("replication_role", ""), Role.UNKNOWN)
 
 
 def position_us(parameters: dict[str, str]) -> int | None:
@@ -26,7 +29,7 @@
     return value * 1000 if 0 < value < POSITION_LIMIT_MS else None
 
 
-def report(text: str | None) -> ui.Report | None:
+def report(text: str | None) -> LoadReport | None:
     """A load report as `name=value` pairs; `x0` is in Unix seconds. None where there is none, or it is
     spoilt."""
     if not text or len(text) > 1024:
@@ -46,9 +49,9 @@
     def first(names: tuple[str, ...]) -> float | None:
         return next((values[n] for n in names if n in values), None)
 
-    return ui.Report(
+    return LoadReport(
         position_us=None if x0 is None or x0 * 1000 >= POSITION_LIMIT_MS else math.floor(x0 * 1_000_000),
-        primary=None if x1 is None else x1 >= 0.5,
-        in_hand=first(IN_HAND),
-        waiting=first(WAITING),
+        is_primary=None if x1 is None else x1 >= 0.5,
+        in_flight=first(IN_HAND),
+        queued=first(WAITING),
     )
--- a/juniperreel/platform/links.py
+++ b/juniperreel/platform/links.py
@@ -18,7 +18,9 @@
 from juniperreel.platform.idletimeout import IdleTimeout
 from juniperreel.postgres.client import ClientConnection, Phase, Reply
 from juniperreel.postgres.messages import ProtocolError
-from juniperreel.routing.types import Outcome
+from juniperreel.routing.types import (
+    Outcome,
+)
 
 USER, DATABASE = "worker", "catalog"
 IDLE_PART = 0.9  # of the time after which a member closes an idle connection: a sweep and a trip are left
@@ -60,7 +62,7 @@
         return Outcome.OK
     code = reply.error.get("C", "")
     if code in MISSES:
-        return Outcome.MISS
+        return Outcome.INELIGIBLE
     return Outcome.REJECTED if code in TURNED_AWAY else Outcome.ERROR
 
 
--- a/juniperreel/platform/run.py
+++ b/juniperreel/platform/run.py
@@ -17,7 +17,10 @@
 from juniperreel.platform.driver import PlatformDriver
 from juniperreel.platform.endpoints import Endpoints, ListError, read
 from juniperreel.platform.log import Log
-from juniperreel.routing import types as ui
+from juniperreel.routing.types import (
+    Settings,
+    UpdateKind,
+)
 
 WATCH_PART = (
     0.5  # of the time after which a driver that asks nothing counts as told: how long a watch may wait
@@ -32,10 +35,10 @@
 STATUS_S = 10
 
 
-def watch_wait_us(settings: ui.Settings) -> int:
+def watch_wait_us(settings: Settings) -> int:
     """How long a watch's call may wait."""
-    wait = min(max(settings.routers * WATCH_EACH_US, WATCH_LEAST_US), WATCH_US)
-    return min(wait, int(settings.ask_every_us * WATCH_PART) or wait)
+    wait = min(max(settings.router_count * WATCH_EACH_US, WATCH_LEAST_US), WATCH_US)
+    return min(wait, int(settings.poll_interval_us * WATCH_PART) or wait)
 
 
 class Program:
@@ -61,7 +64,7 @@
         else:
             self.discovery.subscribe(on)
 
-    def _told(self, kind: ui.ListKind, endpoints: Endpoints | None) -> None:
+    def _told(self, kind: UpdateKind, endpoints: Endpoints | None) -> None:
         self.driver.told(kind, endpoints)
         self.driver.turn()
         self.poller.wake()
@@ -71,12 +74,12 @@
         try:
             known = read(self.config.known, self.config.zones, self.config.kinds)
             self.discovery.version = known.version
-            self.driver.told(ui.ListKind.SAVED, known)
+            self.driver.told(UpdateKind.CACHED, known)
         except ListError as error:
             self.log.warning("no list is known from before", error=str(error))
-            self.driver.told(ui.ListKind.SAVED, Endpoints(0, True, (), {}, 0))
+            self.driver.told(UpdateKind.CACHED, Endpoints(0, True, (), {}, 0))
         self.driver.turn()
-        if not self.config.router.must_ask:
+        if not self.config.router.must_poll:
             # Where lists are pushed, what the agent has counts as told from the first moment on.
             self.discovery.subscribe(True)
         host, port = self.config.listen
--- a/juniperreel/proxy/configsource.py
+++ b/juniperreel/proxy/configsource.py
@@ -16,7 +16,9 @@
 from juniperreel.proxy.options import DriverOptions
 from juniperreel.raft.client import Instances
 from juniperreel.raft.configuration.model import EMPTY, Configuration
-from juniperreel.routing import types as ui
+from juniperreel.routing.types import (
+    UpdateKind,
+)
 
 
 def hosts_of(configuration: Configuration, groups: int) -> list[Host]:
@@ -42,7 +44,7 @@
         network: Network,
         clock: Clock,
         rng: random.Random,
-        tell: Callable[[ui.ListKind, list[Host]], None],
+        tell: Callable[[UpdateKind, list[Host]], None],
         log: Callable[..., None],
     ) -> None:
         self._instances = Instances(network, clock, rng, options.instances)
@@ -77,4 +79,4 @@
         if not hosts:
             return  # nothing is set up yet; as with an empty list
         self.known = {h.id: h for h in hosts}
-        self._tell(ui.ListKind.FULL, hosts)
+        self._tell(UpdateKind.SNAPSHOT, hosts)
--- a/juniperreel/proxy/driver.py
+++ b/juniperreel/proxy/driver.py
@@ -31,9 +31,21 @@
 from juniperreel.proxy.outcomes import is_statement_fault, of_error, unfinished
 from juniperreel.proxy.positions import Needs, Positions, Standing
 from juniperreel.proxy.work import Answer, Failed, Refused, Served, Spurned, Work, let_go
-from juniperreel.routing import types as ui
 from juniperreel.routing.loop import RouterLoop
-from juniperreel.routing.types import Consistency, Outcome
+from juniperreel.routing.types import (
+    AttemptEnded,
+    ClientDisconnected,
+    Consistency,
+    EndpointUpdate,
+    Event,
+    HealthCheckEnded,
+    LoadReport,
+    Outcome,
+    Readiness,
+    Request,
+    Role,
+    UpdateKind,
+)
 from juniperreel.rpc.channel import Broken, NeverSent
 from juniperreel.rpc.status import Code, RpcError
 from juniperreel.telemetry.metrics import Metrics
@@ -93,11 +105,11 @@
 
 @dataclass(slots=True)
 class ListTold:
-    kind: ui.ListKind
+    kind: UpdateKind
     hosts: list[host_list.Host]
 
 
-Happening = Open | AttemptDone | ProbeDone | ListTold | ui.RequestGone
+Happening = Open | AttemptDone | ProbeDone | ListTold | ClientDisconnected
 
 
 CONGESTED = (Outcome.REJECTED, Outcome.TIMEOUT, Outcome.CANCELLED)  # ends that tell of members at their limit
@@ -170,7 +182,7 @@
             if self.options.saved_list is not None and self.options.saves_list:
                 self._nursery.start_soon(self._save_lists)
             self._nursery.start_soon(self._gauges)
-            self.put(ListTold(ui.ListKind.SAVED, saved))
+            self.put(ListTold(UpdateKind.CACHED, saved))
             task_status.started()
             await self._loop()
 
@@ -224,7 +236,7 @@
             self._heed(self.gate.gone(self.clock.now_us(), item.work.id))
             self._settle()
         else:
-            self.put(ui.RequestGone(item.work.id))
+            self.put(ClientDisconnected(item.work.id))
 
     def glance(self, cls: int, tenant: int, group: int, deadline_us: int) -> Refused | None:
         """Whether a request would be turned away on its arrival: asked before anything is spent on it."""
@@ -289,20 +301,20 @@
     def late(self, by_us: int) -> None:
         self.metrics.stalls.inc()
 
-    def module_failed(self, events: Sequence[ui.Event], error: Exception) -> None:
+    def module_failed(self, events: Sequence[Event], error: Exception) -> None:
         self.metrics.module_errors.inc()
         self.log.error("the module failed on a batch", exc_info=error)
         for event in events:
-            name = event.id if isinstance(event, ui.Request) else getattr(event, "request", None)
+            name = event.id if isinstance(event, Request) else getattr(event, "request", None)
             item = self._open.get(name) if name is not None else None
             if item is not None:
                 self._answer(item, Failed("the edge failed on this request", item.attempts))
 
     # What happened, in the module's words.
 
-    def events(self, happened: list[Happening], now: int) -> list[ui.Event]:
-        gone = {h.request for h in happened if isinstance(h, ui.RequestGone)}
-        events: list[ui.Event] = []
+    def events(self, happened: list[Happening], now: int) -> list[Event]:
+        gone = {h.request for h in happened if isinstance(h, ClientDisconnected)}
+        events: list[Event] = []
         for item in happened:
             if isinstance(item, Open):
                 events.append(self._request(item, now))
@@ -317,28 +329,28 @@
                 events.append(item)
         return events
 
-    def _request(self, item: Open, now: int) -> ui.Request:
+    def _request(self, item: Open, now: int) -> Request:
         work = item.work
         item.taken_us = now
         work.token = self.positions.healed(work.group, work.token)
         age = self.positions.session_age(now, work.group, work.token)
-        return ui.Request(
+        return Request(
             id=work.id,
-            cls=work.cls,
-            tenant=work.tenant,
+            class_index=work.cls,
+            tenant_index=work.tenant,
             group=work.group,
             deadline_us=work.deadline_us - self.options.answer_margin_us,
             session=work.session,
             session_age_us=age,
-            repeat=work.repeat,
+            is_retry=work.repeat,
         )
 
-    def _attempt_done(self, done: AttemptDone, gone: set[str]) -> ui.AttemptEnded:
+    def _attempt_done(self, done: AttemptDone, gone: set[str]) -> AttemptEnded:
         attempt, item = done.attempt, done.attempt.request
         group = item.work.group
         item.out.pop(attempt.number, None)
         took = done.ended_us - attempt.started_us
-        outcome, role, position = done.outcome, ui.Role.UNKNOWN, None
+        outcome, role, position = done.outcome, Role.UNKNOWN, None
         if done.reply is not None:
             standing = done.reply.standing
             self.positions.learn(group, standing)
@@ -346,8 +358,8 @@
             position = self.positions.member_position(group, standing)
             if outcome is Outcome.OK:
                 outcome, position = self._check(attempt, done.reply, position)
-        elif outcome is Outcome.MISS and self._writes(item):
-            role = ui.Role.REPLICA  # it turned a write away as not being primary
+        elif outcome is Outcome.INELIGIBLE and self._writes(item):
+            role = Role.REPLICA  # it turned a write away as not being primary
         self.log.debug(
             "attempt ended",
             request=item.work.id,
@@ -372,16 +384,16 @@
                     done.reply.drop()
             else:
                 self._answer(item, self._served(attempt, done))
-        event = ui.AttemptEnded(
+        event = AttemptEnded(
             request=item.work.id,
             attempt=attempt.number,
-            member=attempt.member,
+            endpoint=attempt.member,
             outcome=outcome,
-            took_us=max(took, 0),
-            finished=finished,
+            duration_us=max(took, 0),
+            request_finished=finished,
             role=role,
             position_us=position,
-            report=None,
+            load_report=None,
         )
         self._forget(item)
         return event
@@ -403,7 +415,7 @@
         if not attempt.needs.met_by(standing):
             # Danger: a member that was truncated or restored since its position was learned.
             self.metrics.stale.inc()
-            return Outcome.MISS, position
+            return Outcome.INELIGIBLE, position
         return Outcome.OK, position
 
     def _served(self, attempt: Attempt, done: AttemptDone) -> Answer:
@@ -426,60 +438,60 @@
         primary = standing.primary is True
         return Served(reply.result, token, attempt.member, primary, item.attempts, reply.held)
 
-    def _probe_done(self, done: ProbeDone) -> ui.ProbeEnded:
+    def _probe_done(self, done: ProbeDone) -> HealthCheckEnded:
         self.metrics.probes.labels(done.outcome.value).inc()
         report = None
         if done.standing is not None:
             group = self._groups.get(done.member, 0)
             self.positions.learn(group, done.standing)
-            report = ui.Report(
+            report = LoadReport(
                 position_us=self.positions.member_position(group, done.standing),
-                primary=self.positions.primary(group, done.standing),
-                in_hand=done.in_hand,
-                waiting=done.waiting,
+                is_primary=self.positions.primary(group, done.standing),
+                in_flight=done.in_hand,
+                queued=done.waiting,
             )
-        return ui.ProbeEnded(done.member, done.outcome, done.took_us, report)
+        return HealthCheckEnded(done.member, done.outcome, done.took_us, report)
 
     def _group_of(self, member: str) -> int:
         return self._groups.get(member, 0)
 
-    def _role(self, group: int, standing: Standing) -> ui.Role:
+    def _role(self, group: int, standing: Standing) -> Role:
         primary = self.positions.primary(group, standing)
         if primary is None:
-            return ui.Role.UNKNOWN
-        return ui.Role.PRIMARY if primary else ui.Role.REPLICA
+            return Role.UNKNOWN
+        return Role.PRIMARY if primary else Role.REPLICA
 
     def _writes(self, item: Open) -> bool:
         return self.options.router.classes[item.work.cls].consistency is Consistency.WRITE
 
     # The host list.
 
-    def _list_told(self, kind: ui.ListKind, hosts: list[host_list.Host]) -> None:
+    def _list_told(self, kind: UpdateKind, hosts: list[host_list.Host]) -> None:
         self.put(ListTold(kind, hosts))
 
-    def _list(self, told: ListTold) -> ui.MemberList:
-        if told.kind is ui.ListKind.FAILED:
+    def _list(self, told: ListTold) -> EndpointUpdate:
+        if told.kind is UpdateKind.FAILED:
             self.metrics.list_failures.inc()
         named = set()
         for host in told.hosts:
             named.add(host.id)
             self._groups[host.id] = host.group
-            if host.readiness == ui.Readiness.GONE.value:
+            if host.readiness == Readiness.REMOVED.value:
                 self._gone.add(host.id)
                 self.links.retire(host.id)
             else:
                 self._gone.discard(host.id)
                 self.links.place(host.id, host.address, host.port)
-        if told.kind is ui.ListKind.FULL:
+        if told.kind is UpdateKind.SNAPSHOT:
             for member in self._groups.keys() - named - self._gone:
                 self._gone.add(member)
                 self.links.retire(member)
         counts = Counter(group for member, group in self._groups.items() if member not in self._gone)
         for group, members in counts.items():
             self.gate.members(group, members)
-        if told.kind in (ui.ListKind.FULL, ui.ListKind.CHANGES):
+        if told.kind in (UpdateKind.SNAPSHOT, UpdateKind.DELTA):
             self._list_changed.set()
-        return ui.MemberList(told.kind, tuple(h.member(self.options.skew_us) for h in told.hosts))
+        return EndpointUpdate(told.kind, tuple(h.member(self.options.skew_us) for h in told.hosts))
 
     async def _save_lists(self) -> None:
         assert self.options.saved_list is not None
@@ -556,7 +568,7 @@
         cls = self.options.router.classes[item.work.cls]
         needs = Needs()
         if cls.consistency is not Consistency.WRITE:
-            lag = cls.lag_allowed_us if cls.consistency is Consistency.BOUNDED else None
+            lag = cls.max_staleness_us if cls.consistency is Consistency.BOUNDED else None
             needs = self.positions.needs(now, item.work.group, item.work.token, lag)
         attempt = Attempt(item, item.attempts, member, needs, now)
         item.attempts += 1
@@ -613,7 +625,7 @@
             attempt.scope.deadline = self.clock.trio_time(attempt.started_us + limit_us)
             with attempt.scope:
                 write = cls.consistency is Consistency.WRITE
-                job = Job(work, attempt.number, cls.name, write, cls.worth, attempt.needs)
+                job = Job(work, attempt.number, cls.name, write, cls.priority_weight, attempt.needs)
                 left = attempt.started_us + limit_us - self.clock.now_us()
                 try:
                     reply = await self.links.execute(attempt.member, job, left, attempt.sent)
--- a/juniperreel/proxy/hosts.py
+++ b/juniperreel/proxy/hosts.py
@@ -18,7 +18,11 @@
 from juniperreel.proto.hosts.v1 import hosts_pb2
 from juniperreel.proxy.options import DriverOptions
 from juniperreel.raft.client import Instances
-from juniperreel.routing import types as ui
+from juniperreel.routing.types import (
+    Endpoint,
+    Readiness,
+    UpdateKind,
+)
 from juniperreel.rpc.channel import Broken, Channel, NeverSent
 from juniperreel.rpc.status import RpcError
 
@@ -26,9 +30,9 @@
 WATCH = "/juniperreel.hosts.v1.Hosts/Watch"
 FORMAT = 1
 READINESS = {
-    hosts_pb2.READINESS_UP: ui.Readiness.UP,
-    hosts_pb2.READINESS_DRAINING: ui.Readiness.DRAINING,
-    hosts_pb2.READINESS_GONE: ui.Readiness.GONE,
+    hosts_pb2.READINESS_UP: Readiness.READY,
+    hosts_pb2.READINESS_DRAINING: Readiness.DRAINING,
+    hosts_pb2.READINESS_GONE: Readiness.REMOVED,
 }
 FAILURES = (ConnectError, NeverSent, Broken, RpcError, DecodeError)
 
@@ -47,16 +51,16 @@
     size: float
     started_us: int
 
-    def member(self, skew_us: int) -> ui.Member:
+    def member(self, skew_us: int) -> Endpoint:
         """For the module; a start counts as later than it may be, so that a cold member is not hurried."""
-        return ui.Member(
+        return Endpoint(
             id=self.id,
             group=self.group,
             zone=self.zone,
-            kind=self.kind,
-            readiness=ui.Readiness(self.readiness),
+            machine_type=self.kind,
+            readiness=Readiness(self.readiness),
             listed_primary=self.primary,
-            size=self.size,
+            capacity=self.size,
             started_us=self.started_us + skew_us if self.started_us else 0,
         )
 
@@ -99,7 +103,7 @@
         self,
         options: DriverOptions,
         clock: Clock,
-        tell: Callable[[ui.ListKind, list[Host]], None],
+        tell: Callable[[UpdateKind, list[Host]], None],
         log: Callable[..., None],
         link: Channel | Instances,
     ) -> None:
@@ -143,7 +147,7 @@
         network: Network,
         clock: Clock,
         rng: random.Random,
-        tell: Callable[[ui.ListKind, list[Host]], None],
+        tell: Callable[[UpdateKind, list[Host]], None],
         log: Callable[..., None],
     ) -> None:
         host, port = options.hosts
@@ -183,7 +187,7 @@
 
     def _failed(self, error: Exception) -> None:
         self._log("host list failed", error=str(error))
-        self._tell(ui.ListKind.FAILED, [])
+        self._tell(UpdateKind.FAILED, [])
 
     def _take(self, full: bool, lines: Iterable[hosts_pb2.Host]) -> None:
         hosts = []
@@ -202,7 +206,7 @@
         if full:
             self.known = {}
         self.known.update((h.id, h) for h in hosts)
-        self._tell(ui.ListKind.FULL if full else ui.ListKind.CHANGES, hosts)
+        self._tell(UpdateKind.SNAPSHOT if full else UpdateKind.DELTA, hosts)
 
 
 def load(path: Path | None, groups: int) -> tuple[list[Host], int]:
@@ -216,7 +220,7 @@
         raise ValueError(f"{path} is not a saved host list: {error}") from None
     if saved.format != FORMAT:
         raise ValueError(f"{path} has format {saved.format}; this program reads {FORMAT}")
-    names = {r.value for r in ui.Readiness}
+    names = {r.value for r in Readiness}
     return [h for h in saved.hosts if h.group < groups and h.readiness in names], saved.version
 
 
--- a/juniperreel/proxy/jobs.py
+++ b/juniperreel/proxy/jobs.py
@@ -9,7 +9,9 @@
 
 from juniperreel.proxy.positions import Needs, Standing
 from juniperreel.proxy.work import Transaction, Work, let_go
-from juniperreel.routing.types import Outcome
+from juniperreel.routing.types import (
+    Outcome,
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/juniperreel/proxy/members.py
+++ b/juniperreel/proxy/members.py
@@ -16,7 +16,9 @@
 from juniperreel.proxy.jobs import Fault, Job, Reply
 from juniperreel.proxy.options import DriverOptions
 from juniperreel.proxy.positions import Standing
-from juniperreel.routing.types import Outcome
+from juniperreel.routing.types import (
+    Outcome,
+)
 from juniperreel.rpc.channel import Broken, Channel, NeverSent
 from juniperreel.rpc.status import Code, RpcError
 
--- a/juniperreel/proxy/mysqlmembers.py
+++ b/juniperreel/proxy/mysqlmembers.py
@@ -41,7 +41,9 @@
 from juniperreel.proxy.positions import Positions, Standing
 from juniperreel.proxy.transactions import STATUS, Held, standing_of
 from juniperreel.proxy.work import Hold
-from juniperreel.routing.types import Outcome
+from juniperreel.routing.types import (
+    Outcome,
+)
 from juniperreel.rpc.channel import Broken, NeverSent
 from juniperreel.telemetry.metrics import Metrics
 
@@ -403,7 +405,7 @@
         group = self._group_of(name)
         self._positions.learn(group, standing)
         if told.read_only or self._positions.deposed(group, standing):
-            raise Fault(Outcome.MISS, f"{name} is no primary")
+            raise Fault(Outcome.INELIGIBLE, f"{name} is no primary")
         if isinstance(begun, Err):
             raise self._fault(begun)
         (answer,) = await backend.exchange([statement], attributes, 0, job.work.stream)
@@ -464,7 +466,7 @@
         words = f"{err.code}: {err.words}"
         match meaning(err.code):
             case Meaning.READ_ONLY:
-                return Fault(Outcome.MISS, words)
+                return Fault(Outcome.INELIGIBLE, words)
             case Meaning.BUSY:
                 return Fault(Outcome.REJECTED, words)
             case Meaning.GONE:
--- a/juniperreel/proxy/options.py
+++ b/juniperreel/proxy/options.py
@@ -7,7 +7,9 @@
 
 from juniperreel.pool.backend import Login
 from juniperreel.pool.core import Sizes
-from juniperreel.routing import types as ui
+from juniperreel.routing.types import (
+    Settings,
+)
 from juniperreel.rpc.limits import Limits
 
 
@@ -25,7 +27,7 @@
     """Spans are microseconds."""
 
     name: str
-    router: ui.Settings
+    router: Settings
     seed: int
     groups: int
     hosts: tuple[str, int]  # address of the host list
--- a/juniperreel/proxy/outcomes.py
+++ b/juniperreel/proxy/outcomes.py
@@ -8,12 +8,18 @@
 
 from juniperreel.net import ConnectError
 from juniperreel.proxy.jobs import Fault
-from juniperreel.routing.types import Outcome
+from juniperreel.routing.types import (
+    Outcome,
+)
 from juniperreel.rpc.channel import Broken, NeverSent
 from juniperreel.rpc.status import Code, RpcError
 
 DOMAIN = "member.juniperreel"
-UNTOUCHED = {"NOT_PRIMARY": Outcome.MISS, "BEHIND": Outcome.MISS, "NOT_EXECUTED": Outcome.REJECTED}
+UNTOUCHED = {
+    "NOT_PRIMARY": Outcome.INELIGIBLE,
+    "BEHIND": Outcome.INELIGIBLE,
+    "NOT_EXECUTED": Outcome.REJECTED,
+}
 STATEMENT = "STATEMENT"
 
 
--- a/juniperreel/routing/loop.py
+++ b/juniperreel/routing/loop.py
@@ -11,8 +11,21 @@
 from collections.abc import Sequence
 from typing import Generic, TypeVar
 
-from juniperreel.routing import types as ui
 from juniperreel.routing.policy.router import Router
+from juniperreel.routing.types import (
+    Cancel,
+    Event,
+    Fail,
+    FetchEndpointList,
+    Log,
+    Reject,
+    Send,
+    SetTimer,
+    Settings,
+    StartHealthCheck,
+    Subscribe,
+    TimerFired,
+)
 
 STALL_US = 150_000  # a timer this late is told to `late`; what to make of it is the module's business
 
@@ -22,7 +35,7 @@
 class RouterLoop(ABC, Generic[Happening]):
     """Spans and times are microseconds on the host's clock."""
 
-    def __init__(self, settings: ui.Settings, seed: int) -> None:
+    def __init__(self, settings: Settings, seed: int) -> None:
         self.router = Router(settings, seed)
         self.inbox: list[Happening] = []
         self._timers: list[tuple[int, int]] = []  # (due, key)
@@ -44,7 +57,7 @@
             due, key = heapq.heappop(self._timers)
             if now - due > STALL_US:
                 self.late(now - due)
-            events.append(ui.TimerFired(key))
+            events.append(TimerFired(key))
         if not events:
             return False
         try:
@@ -55,30 +68,30 @@
             return True
         for action in actions:
             match action:
-                case ui.Send(request, member, timeout):
+                case Send(request, member, timeout):
                     self.send(request, member, timeout, now)
-                case ui.SetTimer(after, key):
+                case SetTimer(after, key):
                     heapq.heappush(self._timers, (now + after, key))
-                case ui.Cancel(request, number):
+                case Cancel(request, number):
                     self.cancel(request, number)
-                case ui.Refuse(request, wait):
+                case Reject(request, wait):
                     self.refuse(request, wait, now)
-                case ui.Fail(request):
+                case Fail(request):
                     self.fail(request)
-                case ui.Probe(member):
+                case StartHealthCheck(member):
                     self.probe(member)
-                case ui.Subscribe(on):
+                case Subscribe(on):
                     self.subscribe(on)
-                case ui.FetchList():
+                case FetchEndpointList():
                     self.fetch_list()
-                case ui.Log(text):
+                case Log(text):
                     self.remark(text)
         return True
 
     # What the host fills in.
 
     @abstractmethod
-    def events(self, happened: list[Happening], now: int) -> list[ui.Event]:
+    def events(self, happened: list[Happening], now: int) -> list[Event]:
         """What happened, in the module's words."""
 
     @abstractmethod
@@ -111,5 +124,5 @@
         """A timer of the router was seen late by this much."""
 
     @abstractmethod
-    def module_failed(self, events: Sequence[ui.Event], error: Exception) -> None:
+    def module_failed(self, events: Sequence[Event], error: Exception) -> None:
         """The router raised on these events; whatever they ask for must still be answered."""
--- a/juniperreel/routing/policy/router.py
+++ b/juniperreel/routing/policy/router.py
@@ -12,235 +12,72 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
-from juniperreel.routing import types as ui
-from juniperreel.routing.types import Consistency, Effect, KeyScope, ListKind, Outcome, Readiness, Role
-
-MS = 1_000  # microseconds
-SEC = 1_000 * MS
-IDLE_US = 1 << 60  # long after any clock reading
-NEVER = -IDLE_US
-
-# The draw (design page; the paper's BIND-8 and BIND-9).
-ALPHA = 0.7  # weight of the old srtt
-LOST_PENALTY = 1.2  # a lost answer raises srtt by a fifth
-FIRST_SRTT_US = (1 * MS, 10 * MS)  # small and random, so that unheard members are tried early
-SRTT_CAP_US = 60 * SEC  # keeps repeated penalties finite
-BOUNDED_LOAD = 1.25  # of the usual work in hand, plus one; beyond it a member sits out the draw
-GUARD_SLACK_US = 100 * MS  # how far behind a member that checks reads itself may be tried
-REPORT_US = 500 * MS  # a member's own count of its work is news for this long
-OK_MEMORY = 0.85  # weight of the old share of good answers; a run of 5 failures halves it
-FADE_US = 10 * SEC  # unheard, what speaks against a member is believed so long, as BIND-8's srtts fade
-
-# Waiting and trying again.
-TICK_US = 20 * MS  # how late a held request or an overdue answer may be noticed, while any is open
-STALL_US = 150 * MS  # a tick this late means that this router itself stood still
-OVERDUE_FLOOR_US = 150 * MS  # shorter waits are ordinary scheduling
-OVERDUE_DEVIATIONS = 5  # of a class's response time; an answer this late is taken for lost
-STATS_MEMORY = 0.95  # weight of the old mean and deviation of a class's response time
-BACKOFF_US = 250 * MS  # first pause before a failing member is looked at again
-BACKOFF_CAP_US = 2 * SEC  # a member that is back must not idle for long
-PRIMARY_PATIENCE = 2  # times as long for what only the primary can answer: no other member may try it
-LOST_IN_A_ROW = 2  # answers, with none in between, put a member in doubt; one alone is chance
-PAUSE_US = 30 * MS  # first pause of a request after an error of its primary; doubles
-RETRY_SHARE = 0.3  # further attempts earned by each request: retries add at most this part of load
-RETRY_BURST = 10.0  # and this many at once, for a member that dies with work in hand
-ERRORS_ELSEWHERE = 2  # quick errors at this many attempts are the request's own fault
-HOLD_PART = 0.5  # of its time a request waits at most for a member that may take it: its client can do better
-LAST_TRY_US = 10 * MS  # with less than this left no answer can arrive in time
-LATE_WORTH = 0.5  # answers worth no more when late are awaited to the aim only: longer queues make all late
-
-# Finding the primary.
-ROLE_REPORT_US = 1 * SEC  # a probe's role is dated: an answer's role of this age outranks it
-
-# Shedding: pressure is response time over the class's aim, for a group's replicas and its primary.
-PRESSURE_ANSWERS = 9  # answers that pressure is a mean of
-PRESSURE_TOLD = 1.5  # of them, still fresh, make a member's or a group's own pressure count
-PRESSURE_DOUBT = 0.5  # answers without pressure that are added to those, as few may mislead
-LOST_PRESSURE = 2.0  # what an answer that was lost or turned away counts for
-PRESSURE_FADE_US = 6 * SEC  # without answers pressure is forgotten: knowledge ages
-SHED_FROM = 0.45  # shed none below, all beyond SHED_ALL, in proportion between
-SHED_ALL = 1.1
-VALUE_STEP = 0.02  # of the way to a request's value, at each request
-VALUE_RANGE = (0.4, 2.5)  # worth for the time taken, against the usual; its root moves the thresholds
-OVER_SHARE_FACTOR = 0.5  # a tenant over its share is shed at this part of the pressure
-PRIMARY_READ_FACTOR = 0.5  # so is a read that falls back on a primary that writes need
-OVERFLOW_TOLD = 4.0  # its answers of late, for a read that replicas would shed to go to a primary
-PRIMARY_UNHEARD = 0.4  # pressure taken for granted, for such reads, at a primary not heard of late
-TENANT_MEMORY = 0.998  # weight of the old counts of requests by tenant, at each request
-SHARE_DEVIATIONS = 3  # by which chance alone lifts a tenant over its part of the traffic, hardly ever more
-
-COLD_USE = 0.7  # of what would push a cold member over; it mostly has more than the surest ramp says
-CARRY_US = 10 * SEC  # over which this router counts what warm members carry for it
-PEAK_MEMORY_US = 60 * SEC  # what warm members could carry a minute ago they mostly still can
-
-# Probes.
-REFUSED_US = 100 * MS  # a connection refused so soon: no process listens; silence takes longer
-LOOKS = 4  # members probed, one after another, for a read that finds no position it may go by
-BESIDE_SHARE = 0.05  # looks earned by each request, spent by all: dear as a request, they would add so much
-LOOK_US = 50 * MS  # a read is held this long for a probe's answer, or for members to have news
-PASSED_US = 5 * SEC  # a passed probe vouches for a suspect member for this long
-PROBE_AGAIN_US = 300 * MS  # a member in doubt says nothing new before
-SEARCH = (2.0, 4.0)  # times that between a router's rounds in search of a primary: hundreds search at once
-
-# Lists and memory.
-ASK_SPREAD_US = 10 * MS  # for each driver: those that start together must not ask together
-ASK_AGAIN_US = 1 * SEC  # after a failed call, and up to two such spreads more
-SESSIONS = 20_000  # remembered; older ones sink into a floor that their group must have passed
-ON_THE_WAY_US = 50 * MS  # an answer that was written counts as had after twice that, though it be lost
-SESSION_US = 60 * SEC  # so does what was committed before: a replica that has not passed it is of no use
-GONE_US = 60 * SEC  # a member that is gone for so long is forgotten
-LOG_EVERY_US = 10 * SEC
-
-NEVER_RAN = (Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.NOT_SENT, Outcome.MISS)
-CURRENT = (Consistency.WRITE, Consistency.FRESH)  # only the primary serves these
-
-
-class Pressure:
-    """Response time over the aim, of late."""
-
-    def __init__(self) -> None:
-        self.value, self.weight, self.at_us = 0.0, 0.0, 0
-
-    def news(self, now: int) -> float:
-        return self.weight * max(0.0, 1 - (now - self.at_us) / PRESSURE_FADE_US)
-
-    def read(self, now: int) -> float:
-        return self.value * self.news(now) / (self.news(now) + PRESSURE_DOUBT)
-
-    def add(self, now: int, value: float) -> None:
-        weight = self.news(now)
-        self.value = (weight * self.value + min(value, 4.0)) / (weight + 1)
-        self.weight, self.at_us = min(weight + 1, PRESSURE_ANSWERS), now
-
-
-class MemberState:
-    """What this router believes of one member, and since when."""
-
-    def __init__(self, info: ui.Member, now: int, random: random.Random) -> None:
-        self.info = info
-        self.told_us = now  # when its readiness was learned
-        self.was_draining = info.readiness is Readiness.DRAINING
-        self.cold_us = info.started_us or NEVER
-        self.start_afresh(random)
-        self.heard_us = NEVER  # its last answer
-        self.judged_us = now  # and the last end of an attempt that told anything
-        self.out: dict[tuple[str, int], tuple[int, int]] = {}  # attempt: when it was sent, and its aim
-        self.suspect, self.down_us = False, 0
-        self.backoff_us, self.retry_us = BACKOFF_US, 0
-        self.position = NEVER
-        self.role, self.role_us = Role.UNKNOWN, NEVER
-        self.press = Pressure()
-        self.in_hand, self.in_hand_us = 0.0, NEVER  # as it reports itself, size for size
-        self.allow, self.allow_us = random.random(), now  # of a cold member's budget
-        self.probe_us, self.passed_us = NEVER, NEVER
-
-    def start_afresh(self, random: random.Random) -> None:
-        self.srtt, self.heard = random.uniform(*FIRST_SRTT_US), False
-        self.ok_share, self.ok_told, self.losses = 1.0, 1, 0
-
-    def judge(self, good: bool, now: int) -> None:
-        """One more answer, good or not, in the share of good ones: the mean of the first few, then a moving
-        one, in which answers of long ago weigh less. Danger: where hundreds of routers see a failing member a
-        few times each, a slow start or a long memory of every one leaves it more than its share, as it fails
-        fast."""
-        self.ok_told += 1
-        fresh = 1 - math.exp((self.judged_us - now) / PRESSURE_FADE_US)
-        gain = max(1 - OK_MEMORY, 1 / self.ok_told, fresh)
-        self.judged_us = now
-        self.ok_share += gain * ((1.0 if good else 0.0) - self.ok_share)
-
-    def suspend(self, now: int) -> None:
-        if not self.suspect:
-            self.backoff_us = BACKOFF_US
-        elif now >= self.retry_us:
-            self.backoff_us = min(2 * self.backoff_us, BACKOFF_CAP_US)
-        self.suspect, self.retry_us = True, now + self.backoff_us
-
-    def revive(self, now: int) -> None:
-        """Danger: after its process was down, as failed probes show, it is cold before a list says so."""
-        if self.down_us and now - self.down_us > SEC:
-            self.cold_us = max(self.cold_us, now)
-            self.allow_us = now
-        self.suspect, self.down_us = False, 0
-
-
-class RequestState:
-    """A request that this router owes an answer, or that still has an attempt out."""
-
-    def __init__(self, ask: ui.Request, cls: ui.RequestClass, now: int) -> None:
-        self.ask, self.cls = ask, cls
-        patience = max(0.0, cls.late_worth - LATE_WORTH) / (1 - LATE_WORTH)
-        self.horizon = now + cls.aim_us + int(patience * (cls.deadline_us - cls.aim_us))  # worth little after
-        self.needs = NEVER  # position that a replica must have passed
-        self.attempts, self.looks, self.errors = 0, 0, 0
-        self.out: dict[int, tuple[int, MemberState]] = {}  # attempt: when it was sent, and where
-        self.ran_us: int | None = None  # send of the first attempt that may have run
-        self.ran_at: ui.Member | None = None
-        self.avoid: str | None = None
-        self.accused: list[MemberState] = []  # answered with an error; to blame if another one serves it
-        self.wake_us = now
-        self.came_us = now
-        self.hold_us = now + int(HOLD_PART * (ask.deadline_us - now))
-        self.reached, self.only_primary = False, False  # an attempt came to a member; no replica will do
-        self.pressure = 0.0  # on what may take it
-        self.done = False
-
-
-class GroupState:
-    def __init__(self) -> None:
-        self.members: list[MemberState] = []  # by id
-        self.primary: MemberState | None = None
-        self.listed: MemberState | None = None
-        self.held: dict[str, RequestState] = {}
-        self.press = Pressure()  # of its replicas
-        self.floor = NEVER  # commits of forgotten sessions
-
-
-class ClassStats:
-    def __init__(self, aim_us: int) -> None:
-        self.mean, self.dev = aim_us / 2, aim_us / 4
-
-    def add(self, took: float) -> None:
-        self.dev += (1 - STATS_MEMORY) * (abs(took - self.mean) - self.dev)
-        self.mean += (1 - STATS_MEMORY) * (took - self.mean)
-
-    def overdue_us(self) -> float:
-        return max(self.mean + OVERDUE_DEVIATIONS * self.dev, self.mean + OVERDUE_FLOOR_US)
-
-
-def check_settings(s: ui.Settings) -> None:
-    if not s.classes:
-        raise ValueError("classes: at least one is needed")
-    for c in s.classes:
-        if min(c.aim_us, c.deadline_us) <= 0 or min(c.memory_span_us, c.lag_allowed_us, c.worth) < 0:
-            raise ValueError(f"classes: a span or the worth of {c.name!r} is out of range")
-    above = ("routers", "max_attempts", "cold_from", "fall_multiple", "overload_us")
-    spans = ("drain_grace_us", "cold_us", "answer_grace_us", "max_retry_after_us", "ask_every_us")
-    for field in (*above, *spans):
-        if getattr(s, field) < 0 or (field in above and getattr(s, field) == 0):
-            raise ValueError(f"{field}: must not be {getattr(s, field)}")
+from juniperreel.routing.policy import parameters
+from juniperreel.routing.settings_check import check_settings
+from juniperreel.routing.state import (
+    CURRENT,
+    IDLE_US,
+    NEVER,
+    NEVER_RAN,
+    ClassStats,
+    GroupState,
+    MemberState,
+    Pressure,
+    RequestState,
+)
+from juniperreel.routing.types import (
+    Action,
+    AttemptEnded,
+    Cancel,
+    ClientDisconnected,
+    Consistency,
+    DeadlineShortened,
+    Endpoint,
+    EndpointUpdate,
+    Event,
+    Fail,
+    HealthCheckEnded,
+    Idempotency,
+    KeyScope,
+    LoadReport,
+    Log,
+    Outcome,
+    Readiness,
+    Reject,
+    Request,
+    Role,
+    Send,
+    SetTimer,
+    Settings,
+    StalenessGuard,
+    StartHealthCheck,
+    StreamStarted,
+    Subscribe,
+    TimerFired,
+    UpdateKind,
+)
 
 
 class Router:
     """One driver's decisions: `handle` takes the events of one moment and returns what to do."""
 
-    def __init__(self, settings: ui.Settings, seed: int) -> None:
+    def __init__(self, settings: Settings, seed: int) -> None:
         check_settings(settings)
         self.s = settings
         self.random = random.Random(seed)
         self.now = 0
-        self.actions: list[ui.Action] = []
+        self.actions: list[Action] = []
         self.members: dict[str, MemberState] = {}
         self.groups: dict[int, GroupState] = {}
         self.requests: dict[str, RequestState] = {}
-        self.stats = [ClassStats(c.aim_us) for c in settings.classes]
+        self.stats = [ClassStats(c.latency_objective_us) for c in settings.classes]
         self.sessions: dict[tuple[int, str | None], int] = {}
         self.tenants = [0.0 for _ in settings.tenants]
-        self.retries = RETRY_BURST
+        self.retries = parameters.RETRY_BURST
         self.beside = 1.0  # looks that are left over
-        values = [c.worth / s.mean for c, s in zip(settings.classes, self.stats, strict=True)]
+        values = [c.priority_weight / s.mean for c, s in zip(settings.classes, self.stats, strict=True)]
         self.usual_value = sum(values) / len(values)
-        self.carried, self.carried_us = 0.0, 0  # answers of warm members within CARRY_US
+        self.carried, self.carried_us = 0.0, 0  # answers of warm members within parameters.CARRY_US
         self.peak = 0.0  # of those, a second and for each unit of size
         self.size, self.size_us = 1.0, NEVER  # of all warm members
         self.overall = Pressure()  # of all replicas
@@ -248,78 +85,82 @@
         self.report_lag = 0.0  # how far behind replicas' positions mostly are when a probe tells them
         self.usual_in_hand = 0.0  # by the reports of all members
         self.tick_key, self.tick_due, self.ask_us = 0, -1, IDLE_US
-        self.search_us = int(PROBE_AGAIN_US * self.random.uniform(*SEARCH))
+        self.search_us = int(parameters.PROBE_AGAIN_US * self.random.uniform(*parameters.SEARCH))
         self.logged: dict[str, int] = {}
 
-    def handle(self, now_us: int, events: Iterable[ui.Event]) -> list[ui.Action]:
+    def handle(self, now_us: int, events: Iterable[Event]) -> list[Action]:
         self.now = max(self.now, now_us)
         self.actions = []
         events = list(events)
         # Danger: a router that stood still finds silence and late answers of its own making.
-        self.stalled = self.tick_due >= 0 and self.now - self.tick_due > STALL_US
-        gone = {e.request for e in events if isinstance(e, ui.RequestGone)}
+        self.stalled = self.tick_due >= 0 and self.now - self.tick_due > parameters.STALL_US
+        gone = {e.request for e in events if isinstance(e, ClientDisconnected)}
         for request in sorted(gone & self.requests.keys()):  # first, so that no outcome leads to a send
             # Danger: clients that leave early and ask again double the work of members.
             self.recall_all(self.requests[request])
             self.close(self.requests[request])
         ring, looked = False, False
         for event in events:
-            if isinstance(event, ui.AttemptEnded):
+            if isinstance(event, AttemptEnded):
                 self.attempt_ended(event)
-            elif isinstance(event, ui.Request) and event.id not in gone:
+            elif isinstance(event, Request) and event.id not in gone:
                 self.request(event)
-            elif isinstance(event, ui.ProbeEnded):
+            elif isinstance(event, HealthCheckEnded):
                 self.probe_ended(event)
                 looked = True
-            elif isinstance(event, ui.MemberList):
+            elif isinstance(event, EndpointUpdate):
                 self.member_list(event)
-            elif isinstance(event, ui.StreamStarted) and event.request in self.requests:
+            elif isinstance(event, StreamStarted) and event.request in self.requests:
                 self.close(self.requests[event.request])  # the client's from its first byte on
-            elif isinstance(event, ui.DeadlineCut) and event.request in self.requests:
+            elif isinstance(event, DeadlineShortened) and event.request in self.requests:
                 r = self.requests[event.request]
                 r.ask = replace(r.ask, deadline_us=min(r.ask.deadline_us, event.deadline_us))
-            elif isinstance(event, ui.TimerFired) and event.key == self.tick_key:
+            elif isinstance(event, TimerFired) and event.key == self.tick_key:
                 ring = True
         if ring:  # last: what arrived is learned before anything is judged
             self.tick_due = -1
             self.tick()
         for number in dict.fromkeys(r.ask.group for r in self.requests.values()) if ring or looked else ():
             self.drain_held(self.group(number))
-        wait = TICK_US if self.requests else max(self.ask_us - self.now, TICK_US)
+        wait = parameters.TICK_US if self.requests else max(self.ask_us - self.now, parameters.TICK_US)
         if wait < IDLE_US // 2 and (self.tick_due < 0 or self.tick_due > self.now + wait):
             self.tick_key, self.tick_due = self.tick_key + 1, self.now + wait
-            self.actions.append(ui.SetTimer(wait, self.tick_key))
+            self.actions.append(SetTimer(wait, self.tick_key))
         return self.actions
 
     def log(self, text: str) -> None:
-        if self.now - self.logged.get(text, NEVER) >= LOG_EVERY_US:
-            fresh = {t: at for t, at in self.logged.items() if self.now - at < LOG_EVERY_US}
+        if self.now - self.logged.get(text, NEVER) >= parameters.LOG_EVERY_US:
+            fresh = {t: at for t, at in self.logged.items() if self.now - at < parameters.LOG_EVERY_US}
             self.logged = fresh | {text: self.now}
-            self.actions.append(ui.Log(text))
+            self.actions.append(Log(text))
 
     # Eligibility.
 
     def usable(self, m: MemberState, group: GroupState) -> bool:
         """Rule 3: a draining or departed member gets nothing new; a draining primary only until its
         successor must be looked for, at half the grace."""
-        if m.info.readiness is Readiness.UP:
+        if m.info.readiness is Readiness.READY:
             return True
         if m.info.readiness is Readiness.DRAINING:
             return m is group.primary and self.now - m.told_us < self.s.drain_grace_us // 2
-        return self.s.only_draining_binds and not m.was_draining
+        return self.s.removed_endpoints_serve and not m.was_draining
 
     def legal(self, r: RequestState, m: MemberState) -> bool:
         """Rule 2: may this request be sent to this member now?"""
-        over = r.done or r.attempts >= self.s.max_attempts or self.now + LAST_TRY_US >= r.ask.deadline_us
-        if over or m.info.group != r.ask.group or (r.out and not self.s.second_copies):
+        over = (
+            r.done
+            or r.attempts >= self.s.max_attempts
+            or self.now + parameters.LAST_TRY_US >= r.ask.deadline_us
+        )
+        if over or m.info.group != r.ask.group or (r.out and not self.s.hedging):
             return False
-        if r.cls.effect is Effect.REPEATABLE:
+        if r.cls.idempotency is Idempotency.IDEMPOTENT:
             return True
-        if r.out or (r.ran_us is not None and r.cls.effect is Effect.ONCE):
+        if r.out or (r.ran_us is not None and r.cls.idempotency is Idempotency.NON_IDEMPOTENT):
             return False
         if r.ran_us is None or r.ran_at is None:
             return True
-        in_time = self.now <= r.ran_us + r.cls.memory_span_us - LAST_TRY_US
+        in_time = self.now <= r.ran_us + r.cls.deduplication_window_us - parameters.LAST_TRY_US
         return in_time and (r.cls.key_scope is not KeyScope.ZONE or m.info.zone == r.ran_at.zone)
 
     def open_to(self, r: RequestState, m: MemberState) -> bool:
@@ -328,25 +169,25 @@
     def trusted(self, m: MemberState) -> bool:
         """A suspect member gets one attempt at a time, after a pause and once a probe has passed; its own
         failures then lengthen the pause, so that probes which pass beside them start no endless cycle."""
-        vouched = not self.s.probes or self.now - m.passed_us < PASSED_US
+        vouched = not self.s.health_checks or self.now - m.passed_us < parameters.PASSED_US
         return not m.suspect or (vouched and self.now >= m.retry_us and not m.out)
 
     def fresh_enough(self, r: RequestState, m: MemberState, slack_us: int) -> bool:
         """Rule 5, judged at the moment of sending: known positions only, which never go back."""
         bounded = r.cls.consistency is Consistency.BOUNDED
-        return m.position + slack_us >= (self.now - r.cls.lag_allowed_us if bounded else r.needs)
+        return m.position + slack_us >= (self.now - r.cls.max_staleness_us if bounded else r.needs)
 
     def note_needs(self, r: RequestState) -> None:
         """What its session was answered, up to now. Danger: a write that is out may have gone through and its
         answer be lost: where that counts as had, only the primary surely has what was written."""
-        if r.cls.consistency is Consistency.SESSION and self.s.carried_age:
+        if r.cls.consistency is Consistency.SESSION and self.s.requests_carry_session_age:
             r.needs = NEVER if r.ask.session_age_us is None else r.came_us - r.ask.session_age_us
         elif r.cls.consistency is Consistency.SESSION:
             key = (r.ask.group, r.ask.session)
             r.needs = max(r.needs, self.sessions.get(key, self.group(r.ask.group).floor))
             own = (o for o in self.requests.values() if (o.ask.group, o.ask.session) == key)
             out = [sent for o in own if o.cls.consistency is Consistency.WRITE for sent, _ in o.out.values()]
-            if self.s.answers_get_lost and out and self.now - min(out) > ON_THE_WAY_US:
+            if self.s.responses_may_be_lost and out and self.now - min(out) > parameters.ON_THE_WAY_US:
                 r.needs, r.only_primary = self.now, True  # no probe tells of anything as new
 
     def fits(self, now_us: int, request: str, attempt: int) -> bool:
@@ -358,16 +199,19 @@
         self.now, m = max(self.now, now_us), r.out[attempt][1]
         self.note_needs(r)
         kind, group = r.cls.consistency, self.group(r.ask.group)
-        checked = self.s.guard is not ui.Guard.OFF or self.fresh_enough(r, m, 0)
+        checked = self.s.staleness_guard is not StalenessGuard.OFF or self.fresh_enough(r, m, 0)
         fits = m is group.primary or kind in (Consistency.WRITE, Consistency.ANY)
         return self.usable(m, group) and (fits or (checked and kind is not Consistency.FRESH))
 
     def ramp(self, m: MemberState) -> float:
         """The part of its full capacity that a member surely has: 1 once it is warm."""
         age = self.now - m.cold_us
-        if age >= self.s.cold_us:
+        if age >= self.s.slow_start_us:
             return 1.0
-        return self.s.cold_from + (1 - self.s.cold_from) * max(age, 0) / self.s.cold_us
+        return (
+            self.s.slow_start_initial_capacity
+            + (1 - self.s.slow_start_initial_capacity) * max(age, 0) / self.s.slow_start_us
+        )
 
     def cold_room(self, m: MemberState) -> bool:
         """Rule 4. Danger: a cold member is rushed by the draw, retries, fallback or a role change. A router
@@ -377,40 +221,44 @@
         ramp = self.ramp(m)
         if ramp >= 1.0:
             return True
-        floor = SEC / (self.s.routers * self.s.overload_us)  # one attempt a window for all routers together
-        rate = max(ramp * COLD_USE * self.s.fall_multiple * self.peak * m.info.size, floor)
-        cap = max(1.0, rate * self.s.overload_us / SEC / 2)
-        m.allow = min(m.allow + rate * (self.now - m.allow_us) / SEC, cap)
+        floor = parameters.SEC / (
+            self.s.router_count * self.s.overload_window_us
+        )  # one attempt a window for all routers together
+        rate = max(ramp * parameters.COLD_USE * self.s.overload_multiple * self.peak * m.info.capacity, floor)
+        cap = max(1.0, rate * self.s.overload_window_us / parameters.SEC / 2)
+        m.allow = min(m.allow + rate * (self.now - m.allow_us) / parameters.SEC, cap)
         m.allow_us = self.now
         return m.allow >= 1.0
 
     def note_carried(self) -> None:
         """What warm members answer, size for size: what they are sent says nothing of capacity."""
         gap, self.carried_us = self.now - self.carried_us, self.now
-        self.carried = self.carried * max(0.0, 1 - gap / CARRY_US) + 1
-        if self.now - self.size_us > SEC:
-            up = [m for m in self.members.values() if m.info.readiness is Readiness.UP]
-            self.size = max(sum(m.info.size for m in up if self.ramp(m) >= 1.0), 1e-3)
+        self.carried = self.carried * max(0.0, 1 - gap / parameters.CARRY_US) + 1
+        if self.now - self.size_us > parameters.SEC:
+            up = [m for m in self.members.values() if m.info.readiness is Readiness.READY]
+            self.size = max(sum(m.info.capacity for m in up if self.ramp(m) >= 1.0), 1e-3)
             self.size_us = self.now
-        seen = self.carried * SEC / CARRY_US / self.size
-        self.peak = max(self.peak * max(0.0, 1 - gap / PEAK_MEMORY_US), seen)
+        seen = self.carried * parameters.SEC / parameters.CARRY_US / self.size
+        self.peak = max(self.peak * max(0.0, 1 - gap / parameters.PEAK_MEMORY_US), seen)
 
     # The draw.
 
     def draw(self, r: RequestState, group: GroupState, others: list[MemberState]) -> MemberState | None:
         """A replica by 1/srtt among those known to be fresh enough."""
         pool = [m for m in others if self.fresh_enough(r, m, 0)]
-        if not pool and self.s.guard is not ui.Guard.OFF and r.attempts == 0:
-            slack_us = max(self.s.guard_wait_us, GUARD_SLACK_US)  # these members check for themselves
+        if not pool and self.s.staleness_guard is not StalenessGuard.OFF and r.attempts == 0:
+            slack_us = max(
+                self.s.staleness_wait_us, parameters.GUARD_SLACK_US
+            )  # these members check for themselves
             pool = [m for m in others if self.fresh_enough(r, m, slack_us)]
         if not pool:
             return None
         # Danger: srtt lags by an answer, so that a lucky member is sent more than it can take.
-        limit = BOUNDED_LOAD * (sum(len(m.out) for m in pool) / len(pool)) + 1
+        limit = parameters.BOUNDED_LOAD * (sum(len(m.out) for m in pool) / len(pool)) + 1
         pool = [m for m in pool if len(m.out) <= limit]
-        limit = BOUNDED_LOAD * self.usual_in_hand + 1
-        calm = [m for m in pool if m.in_hand <= limit or self.now - m.in_hand_us >= REPORT_US]
-        if not calm and r.looks < LOOKS:
+        limit = parameters.BOUNDED_LOAD * self.usual_in_hand + 1
+        calm = [m for m in pool if m.in_hand <= limit or self.now - m.in_hand_us >= parameters.REPORT_US]
+        if not calm and r.looks < parameters.LOOKS:
             return None
         pool = calm or pool
         weights = self.weights(pool)
@@ -421,7 +269,7 @@
     def pressure(self, m: MemberState, group: GroupState) -> float:
         """A member's own; where little was heard of it lately, that of its like in its group, or of all."""
         levels = (m.press, *self.shared(m, group))
-        told = [p for p in levels if p.news(self.now) >= PRESSURE_TOLD]
+        told = [p for p in levels if p.news(self.now) >= parameters.PRESSURE_TOLD]
         return self.overdue_pressure(m, (told[0] if told else levels[-1]).read(self.now))
 
     def shared(self, m: MemberState, group: GroupState) -> tuple[Pressure, ...]:
@@ -432,7 +280,7 @@
         than answers took counts as an answer of that time."""
         ages = [(self.now - sent) / aim for sent, aim in m.out.values()]
         ages = [a for a in ages if a > level]
-        return (level * PRESSURE_ANSWERS + sum(ages)) / (PRESSURE_ANSWERS + len(ages))
+        return (level * parameters.PRESSURE_ANSWERS + sum(ages)) / (parameters.PRESSURE_ANSWERS + len(ages))
 
     def weights(self, pool: list[MemberState]) -> list[float]:
         """1/srtt. Dangers: quick failures earn share; a router that meets a member once in many seconds shuns
@@ -441,7 +289,7 @@
         mean = sum(heard) / len(heard) if heard else math.inf
         weights = []
         for m in pool:
-            faded = 1 - math.exp((m.judged_us - self.now) / FADE_US)
+            faded = 1 - math.exp((m.judged_us - self.now) / parameters.FADE_US)
             ok = m.ok_share + (1 - m.ok_share) * faded
             slower = max(m.srtt - mean, 0.0) if m.heard else 0.0
             weights.append(max(ok, 0.01) ** 2 / max(m.srtt - slower * faded, 1.0))
@@ -453,7 +301,7 @@
             if not m.heard:
                 weights[i] = min(weights[i], usual)
             if self.ramp(m) < 1.0:
-                part = min(1.0, COLD_USE * self.s.fall_multiple * self.ramp(m))
+                part = min(1.0, parameters.COLD_USE * self.s.overload_multiple * self.ramp(m))
                 weights[i] = min(weights[i], usual * part)
         return weights
 
@@ -480,18 +328,20 @@
     def look(self, r: RequestState, others: list[MemberState]) -> bool:
         """Danger: with little traffic no position is known fresh when a read comes, and reads crowd the
         primary. Probe a replica drawn like any other and hold the read for that round trip."""
-        unseen = [m for m in others if self.now - m.probe_us > LOOK_US]
+        unseen = [m for m in others if self.now - m.probe_us > parameters.LOOK_US]
         ahead = 0 if r.looks else int(r.needs + self.report_lag) - self.now
-        wait = max(0 if unseen and not r.looks else LOOK_US, ahead)  # a first look takes but a round trip
-        end = min(r.horizon, r.ask.deadline_us) - self.stats[r.ask.cls].mean
+        wait = max(
+            0 if unseen and not r.looks else parameters.LOOK_US, ahead
+        )  # a first look takes but a round trip
+        end = min(r.horizon, r.ask.deadline_us) - self.stats[r.ask.class_index].mean
         late = self.now + wait > min(end, r.hold_us)
-        if not self.s.probes or not others or late or r.looks >= LOOKS or r.only_primary:
-            r.looks = LOOKS
+        if not self.s.health_checks or not others or late or r.looks >= parameters.LOOKS or r.only_primary:
+            r.looks = parameters.LOOKS
             return False
         if ahead > 0:
             r.wake_us = self.now + ahead  # a probe tells of nothing as new as what its session wrote
             return True
-        r.looks, r.wake_us = r.looks + 1, self.now + LOOK_US
+        r.looks, r.wake_us = r.looks + 1, self.now + parameters.LOOK_US
         if unseen:
             self.beside = max(self.beside - 1, -1.0)
             self.probe(self.random.choices(unseen, self.weights(unseen))[0])
@@ -501,11 +351,11 @@
         """Danger: only who had work is known to be fresh, and so is given the next one: of a group's replicas
         some herd and some idle, and one that lost its work never has it back. Who would have been drawn were
         all known to be fresh is looked at beside the read, while looks are rare."""
-        if not self.s.probes or self.beside < 1 or r.attempts:
+        if not self.s.health_checks or self.beside < 1 or r.attempts:
             return
         behind = [m for m in others if not self.fresh_enough(r, m, 0)]
         m = self.random.choices(others, self.weights(others))[0] if behind else None
-        if m is not None and m in behind and self.now - m.probe_us > PROBE_AGAIN_US:
+        if m is not None and m in behind and self.now - m.probe_us > parameters.PROBE_AGAIN_US:
             self.beside -= 1
             self.probe(m)
 
@@ -534,52 +384,56 @@
     def look_for_primary(self, r: RequestState, group: GroupState) -> None:
         """Probe all members for their role; where that is not allowed, the write itself goes to them in
         turn: a miss costs them next to nothing. A fresh read waits: a replica would answer from old data."""
-        for m in group.members if self.s.probes else ():
+        for m in group.members if self.s.health_checks else ():
             if self.usable(m, group) and self.now - m.probe_us > self.search_us:
                 self.probe(m)
         ready = [m for m in group.members if self.usable(m, group) and self.open_to(r, m)]
         spare = r.attempts + 1 < self.s.max_attempts and r.cls.consistency is Consistency.WRITE
-        if ready and spare and not self.s.probes:
+        if ready and spare and not self.s.health_checks:
             del group.held[r.ask.id]
             self.send(r, ready[r.attempts % len(ready)])
 
     def primary_pressure(self, r: RequestState, p: MemberState, group: GroupState) -> float:
-        told = p.press.news(self.now) or self.primaries.news(self.now) >= PRESSURE_TOLD
+        told = p.press.news(self.now) or self.primaries.news(self.now) >= parameters.PRESSURE_TOLD
         if r.cls.consistency in CURRENT or r.only_primary or told or len(group.members) == 1:
             return self.pressure(p, group)
-        return PRIMARY_UNHEARD  # danger: hundreds of routers that each think it idle
+        return parameters.PRIMARY_UNHEARD  # danger: hundreds of routers that each think it idle
 
     # Admission.
 
-    def request(self, ask: ui.Request) -> None:
+    def request(self, ask: Request) -> None:
         if ask.id in self.requests:
             return
-        if not 0 <= ask.cls < len(self.s.classes):
-            self.actions.append(ui.Fail(ask.id))
+        if not 0 <= ask.class_index < len(self.s.classes):
+            self.actions.append(Fail(ask.id))
             return
-        cls = self.s.classes[ask.cls]
+        cls = self.s.classes[ask.class_index]
         r = RequestState(ask, cls, self.now)
         self.requests[ask.id] = r
-        self.retries = min(RETRY_BURST, self.retries + RETRY_SHARE)
-        self.beside = min(1.0, self.beside + BESIDE_SHARE)
-        self.usual_value += VALUE_STEP * (cls.worth / self.stats[ask.cls].mean - self.usual_value)
-        if 0 <= ask.tenant < len(self.tenants):
-            self.tenants = [TENANT_MEMORY * seen for seen in self.tenants]
-            self.tenants[ask.tenant] += 1
+        self.retries = min(parameters.RETRY_BURST, self.retries + parameters.RETRY_SHARE)
+        self.beside = min(1.0, self.beside + parameters.BESIDE_SHARE)
+        self.usual_value += parameters.VALUE_STEP * (
+            cls.priority_weight / self.stats[ask.class_index].mean - self.usual_value
+        )
+        if 0 <= ask.tenant_index < len(self.tenants):
+            self.tenants = [parameters.TENANT_MEMORY * seen for seen in self.tenants]
+            self.tenants[ask.tenant_index] += 1
         self.decide(r)
 
     def shed_part(self, r: RequestState, on_primary: bool) -> float:
         """Danger: a queue that makes all answers late. Refuse early, what is worth least first. The chance to
         be refused at the pressure on what may take it; none at 0 and less."""
-        value = r.cls.worth / self.stats[r.ask.cls].mean / max(self.usual_value, 1e-12)
-        factor = (1 + r.cls.late_worth) * math.sqrt(min(max(value, VALUE_RANGE[0]), VALUE_RANGE[1]))
-        if 0 <= r.ask.tenant < len(self.tenants):
-            due = self.s.tenants[r.ask.tenant].fraction * sum(self.tenants)
-            over = self.tenants[r.ask.tenant] > due + SHARE_DEVIATIONS * math.sqrt(due)
-            factor *= OVER_SHARE_FACTOR if over else 1.0
+        value = r.cls.priority_weight / self.stats[r.ask.class_index].mean / max(self.usual_value, 1e-12)
+        factor = (1 + r.cls.late_priority_weight) * math.sqrt(
+            min(max(value, parameters.VALUE_RANGE[0]), parameters.VALUE_RANGE[1])
+        )
+        if 0 <= r.ask.tenant_index < len(self.tenants):
+            due = self.s.tenants[r.ask.tenant_index].capacity_share * sum(self.tenants)
+            over = self.tenants[r.ask.tenant_index] > due + parameters.SHARE_DEVIATIONS * math.sqrt(due)
+            factor *= parameters.OVER_SHARE_FACTOR if over else 1.0
         if on_primary and r.cls.consistency not in CURRENT and not r.only_primary:
-            factor *= PRIMARY_READ_FACTOR
-        return (r.pressure / factor - SHED_FROM) / (SHED_ALL - SHED_FROM)
+            factor *= parameters.PRIMARY_READ_FACTOR
+        return (r.pressure / factor - parameters.SHED_FROM) / (parameters.SHED_ALL - parameters.SHED_FROM)
 
     def sheds(self, r: RequestState, on_primary: bool) -> bool:
         part = self.shed_part(r, on_primary)
@@ -596,7 +450,7 @@
             group.held[r.ask.id] = r
             return
         for m in group.members:
-            due = m.suspect and self.now >= max(m.retry_us, m.probe_us + PROBE_AGAIN_US)
+            due = m.suspect and self.now >= max(m.retry_us, m.probe_us + parameters.PROBE_AGAIN_US)
             if due and self.usable(m, group) and not m.out and not self.trusted(m):
                 self.probe(m)
         target, on_primary = None, False
@@ -623,7 +477,7 @@
             # Danger: replicas that die or hang leave the rest of their group full beside an idle primary.
             p = None if on_primary else self.primary_of(group, True)
             # Danger: hundreds of routers that each hear little of it would fill it, and writes would wait.
-            if p is not None and p.press.news(self.now) >= OVERFLOW_TOLD and self.open_to(r, p):
+            if p is not None and p.press.news(self.now) >= parameters.OVERFLOW_TOLD and self.open_to(r, p):
                 r.pressure = self.pressure(p, group)
                 if not self.sheds(r, True):
                     self.send(r, p)
@@ -633,14 +487,16 @@
             self.send(r, target)
 
     def hopeless(self, r: RequestState) -> bool:
-        end = min(r.ask.deadline_us - TICK_US, r.horizon)
+        end = min(r.ask.deadline_us - parameters.TICK_US, r.horizon)
         held = self.now > r.came_us and not r.reached  # what just came may be sent at once
-        end = min(end, r.hold_us - TICK_US) if held else end
-        spent = self.now + LAST_TRY_US >= end or r.attempts >= self.s.max_attempts
+        end = min(end, r.hold_us - parameters.TICK_US) if held else end
+        spent = self.now + parameters.LAST_TRY_US >= end or r.attempts >= self.s.max_attempts
         if spent or r.ran_us is None:
             return spent
-        late = self.now > r.ran_us + r.cls.memory_span_us - LAST_TRY_US
-        return r.cls.effect is Effect.ONCE or (r.cls.effect is Effect.KEYED and late)
+        late = self.now > r.ran_us + r.cls.deduplication_window_us - parameters.LAST_TRY_US
+        return r.cls.idempotency is Idempotency.NON_IDEMPOTENT or (
+            r.cls.idempotency is Idempotency.KEYED and late
+        )
 
     def drain_held(self, group: GroupState) -> None:
         for r in list(group.held.values()):
@@ -652,16 +508,16 @@
 
     def send(self, r: RequestState, m: MemberState) -> None:
         r.out[r.attempts] = (self.now, m)
-        m.out[(r.ask.id, r.attempts)] = self.now, r.cls.aim_us
+        m.out[(r.ask.id, r.attempts)] = self.now, r.cls.latency_objective_us
         if self.ramp(m) < 1.0:
             m.allow -= 1  # danger: what it was sent while warm would keep it waiting for minutes
         timeout = min(r.ask.deadline_us, r.horizon) - self.now
-        if not self.s.cancelling:
-            timeout = min(timeout, int(self.stats[r.ask.cls].overdue_us()))
+        if not self.s.cancellation:
+            timeout = min(timeout, int(self.stats[r.ask.class_index].overdue_us()))
         r.attempts += 1
-        self.actions.append(ui.Send(r.ask.id, m.info.id, timeout))
+        self.actions.append(Send(r.ask.id, m.info.id, timeout))
 
-    def attempt_ended(self, e: ui.AttemptEnded) -> None:
+    def attempt_ended(self, e: AttemptEnded) -> None:
         r = self.requests.get(e.request)
         if r is None or e.attempt not in r.out:
             return
@@ -674,13 +530,15 @@
             r.ran_us, r.ran_at = sent_us, m.info
         if e.outcome not in NEVER_RAN and r.cls.consistency is Consistency.WRITE:
             self.remember(r, (e.outcome is Outcome.OK and e.position_us) or self.now)  # may have run by now
-        if r.done or e.finished or e.outcome is Outcome.OK:
+        if r.done or e.request_finished or e.outcome is Outcome.OK:
             self.close(r)
         if r.done or r.out:
             return
-        r.avoid = e.member
+        r.avoid = e.endpoint
         r.errors += e.outcome is Outcome.ERROR
-        if r.errors >= ERRORS_ELSEWHERE and (m is not group.primary or m.ok_share > OK_MEMORY):
+        if r.errors >= parameters.ERRORS_ELSEWHERE and (
+            m is not group.primary or m.ok_share > parameters.OK_MEMORY
+        ):
             self.give_up(r)  # danger: a request that fails anywhere eats the retries of good ones
             return
         if e.outcome in (Outcome.REJECTED, Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED):
@@ -689,23 +547,23 @@
                 return
             self.retries -= 1
         if m is group.primary and not m.suspect:
-            r.wake_us = self.now + (PAUSE_US << min(r.attempts - 1, 5))
+            r.wake_us = self.now + (parameters.PAUSE_US << min(r.attempts - 1, 5))
         self.decide(r)
 
-    def learn(self, m: MemberState, r: RequestState, e: ui.AttemptEnded) -> None:
+    def learn(self, m: MemberState, r: RequestState, e: AttemptEnded) -> None:
         """What an attempt's end tells of the member."""
         good = e.outcome is Outcome.OK
         group = self.group(m.info.group)
-        if e.outcome in (Outcome.OK, Outcome.ERROR, Outcome.REJECTED, Outcome.MISS):
+        if e.outcome in (Outcome.OK, Outcome.ERROR, Outcome.REJECTED, Outcome.INELIGIBLE):
             m.losses, m.heard_us = 0, self.now
         if e.role is not Role.UNKNOWN:  # also of an answer that stopped short
             self.saw_role(m, e.role)
             m.role_us = self.now
         if e.position_us is not None:
             wrote = r.cls.consistency is Consistency.WRITE
-            m.position = max(m.position, min(e.position_us - (MS if wrote else 0), self.now))
-        self.saw_report(m, e.report or ui.Report())
-        if m.suspect and (good or e.outcome is Outcome.MISS):
+            m.position = max(m.position, min(e.position_us - (parameters.MS if wrote else 0), self.now))
+        self.saw_report(m, e.load_report or LoadReport())
+        if m.suspect and (good or e.outcome is Outcome.INELIGIBLE):
             m.revive(self.now)
         if good:
             if self.ramp(m) >= 1.0:
@@ -714,31 +572,37 @@
             for other in r.accused:  # the request was sound, so the error was the member's
                 other.judge(False, self.now)
             if not self.stalled:
-                took = max(e.took_us, 1)
-                m.srtt = ALPHA * m.srtt + (1 - ALPHA) * took if m.heard else float(took)
+                took = max(e.duration_us, 1)
+                m.srtt = parameters.ALPHA * m.srtt + (1 - parameters.ALPHA) * took if m.heard else float(took)
                 m.heard = True
-                self.stats[r.ask.cls].add(took)
-                self.press(m, group, took / r.cls.aim_us)
+                self.stats[r.ask.class_index].add(took)
+                self.press(m, group, took / r.cls.latency_objective_us)
         elif e.outcome is Outcome.ERROR:
             r.accused.append(m)
         elif e.outcome is Outcome.REJECTED:
             m.judge(False, self.now)
-            self.press(m, group, LOST_PRESSURE)
-        elif e.outcome not in (Outcome.MISS, Outcome.NOT_SENT) and not self.stalled and not r.done:
+            self.press(m, group, parameters.LOST_PRESSURE)
+        elif e.outcome not in (Outcome.INELIGIBLE, Outcome.NOT_SENT) and not self.stalled and not r.done:
             refused, withdrawn = e.outcome is Outcome.UNREACHABLE, e.outcome is Outcome.CANCELLED
             # Danger: clients with little time left make members look silent and full that are neither.
-            short = e.took_us < min(r.cls.aim_us - TICK_US, self.stats[r.ask.cls].overdue_us())
+            short = e.duration_us < min(
+                r.cls.latency_objective_us - parameters.TICK_US, self.stats[r.ask.class_index].overdue_us()
+            )
             withdrawn = withdrawn or (e.outcome is Outcome.TIMEOUT and short)
             if e.outcome is Outcome.RESET:
                 # Danger: connections that break here and there are no load, and no silence: members that
                 # lose one in ten would be shed and in doubt all day. One that died refuses the next
                 # connection.
-                m.srtt = min(m.srtt * LOST_PENALTY, SRTT_CAP_US)
+                m.srtt = min(m.srtt * parameters.LOST_PENALTY, parameters.SRTT_CAP_US)
                 m.judge(False, self.now)
                 return
             if not refused:
-                self.press(m, group, e.took_us / r.cls.aim_us if withdrawn else LOST_PRESSURE)
-            if not withdrawn or m.heard_us < self.now - e.took_us:
+                self.press(
+                    m,
+                    group,
+                    e.duration_us / r.cls.latency_objective_us if withdrawn else parameters.LOST_PRESSURE,
+                )
+            if not withdrawn or m.heard_us < self.now - e.duration_us:
                 self.lose(m, group, refused)  # else it is well, and the request is slow
 
     def press(self, m: MemberState, group: GroupState, value: float) -> None:
@@ -748,23 +612,23 @@
     def lose(self, m: MemberState, group: GroupState, refused: bool) -> None:
         """Dangers: a hung member swallows work; a dead one breaks connections. One lost answer is chance,
         and where others are lost as well the cause is shared: then the draw alone decides."""
-        m.srtt = min(m.srtt * LOST_PENALTY, SRTT_CAP_US)
+        m.srtt = min(m.srtt * parameters.LOST_PENALTY, parameters.SRTT_CAP_US)
         m.judge(False, self.now)
         m.losses += 1
         well = [o for o in group.members if not o.suspect and self.usable(o, group)]
-        again = m.losses >= LOST_IN_A_ROW
+        again = m.losses >= parameters.LOST_IN_A_ROW
         if (refused and again) or (again and 2 * len(well) > len(group.members)):
             if not m.suspect:
                 self.log(f"member {m.info.id} is refusing" if refused else f"member {m.info.id} is silent")
             m.suspend(self.now)
 
-    def saw_report(self, m: MemberState, report: ui.Report) -> None:
+    def saw_report(self, m: MemberState, report: LoadReport) -> None:
         if report.position_us is not None:
             m.position = max(m.position, min(report.position_us, self.now))
-        load = report.waiting if report.in_hand is None else report.in_hand
+        load = report.queued if report.in_flight is None else report.in_flight
         if load is not None:
-            m.in_hand, m.in_hand_us = load / max(m.info.size, 0.01), self.now
-            self.usual_in_hand += (1 - STATS_MEMORY) * (m.in_hand - self.usual_in_hand)
+            m.in_hand, m.in_hand_us = load / max(m.info.capacity, 0.01), self.now
+            self.usual_in_hand += (1 - parameters.STATS_MEMORY) * (m.in_hand - self.usual_in_hand)
 
     def remember(self, r: RequestState, commit: int) -> None:
         key = (r.ask.group, r.ask.session)
@@ -772,23 +636,28 @@
         # Danger: new sessions come all day, and memory would grow with them.
         while self.sessions:
             old = next(iter(self.sessions))
-            if len(self.sessions) <= SESSIONS and self.sessions[old] >= self.now - SESSION_US:
+            if (
+                len(self.sessions) <= parameters.SESSIONS
+                and self.sessions[old] >= self.now - parameters.SESSION_US
+            ):
                 break
             self.group(old[0]).floor = max(self.group(old[0]).floor, self.sessions.pop(old))
 
     def give_up(self, r: RequestState) -> None:
         """Answer at once: a refusal where a repeat does no harm, else a failure."""
-        free = r.cls.effect is Effect.REPEATABLE or (r.ran_us is None and not r.out)
-        if free or (r.cls.effect is Effect.KEYED and r.cls.key_scope is KeyScope.ALL):
-            self.actions.append(ui.Refuse(r.ask.id, self.s.max_retry_after_us if self.s.retry_hints else 0))
+        free = r.cls.idempotency is Idempotency.IDEMPOTENT or (r.ran_us is None and not r.out)
+        if free or (r.cls.idempotency is Idempotency.KEYED and r.cls.key_scope is KeyScope.ALL):
+            self.actions.append(
+                Reject(r.ask.id, self.s.max_retry_after_us if self.s.retry_after_hints else 0)
+            )
         else:
-            self.actions.append(ui.Fail(r.ask.id))
+            self.actions.append(Fail(r.ask.id))
         self.recall_all(r)
         self.close(r)
 
     def recall_all(self, r: RequestState) -> None:
-        if self.s.cancelling and not r.done:
-            self.actions.extend(ui.Cancel(r.ask.id, n) for n in r.out)
+        if self.s.cancellation and not r.done:
+            self.actions.extend(Cancel(r.ask.id, n) for n in r.out)
 
     def close(self, r: RequestState) -> None:
         r.done = True
@@ -800,39 +669,39 @@
 
     def tick(self) -> None:
         """Danger: a hung member, or answers lost on the way, hold a request until it is worth nothing."""
-        for r in self.requests.values() if self.s.cancelling and not self.stalled else ():
-            patience = self.stats[r.ask.cls].overdue_us()
-            patience *= PRIMARY_PATIENCE if r.cls.consistency in CURRENT else 1
-            again = self.retries >= 1 and r.cls.effect is not Effect.ONCE and not r.done
+        for r in self.requests.values() if self.s.cancellation and not self.stalled else ():
+            patience = self.stats[r.ask.class_index].overdue_us()
+            patience *= parameters.PRIMARY_PATIENCE if r.cls.consistency in CURRENT else 1
+            again = self.retries >= 1 and r.cls.idempotency is not Idempotency.NON_IDEMPOTENT and not r.done
             if again and r.attempts < self.s.max_attempts:
                 overdue = [n for n, (sent, _) in r.out.items() if self.now - sent > patience]
-                self.actions.extend(ui.Cancel(r.ask.id, n) for n in overdue)
+                self.actions.extend(Cancel(r.ask.id, n) for n in overdue)
         if self.now >= self.ask_us:
             self.ask_us = IDLE_US
-            self.actions.append(ui.Subscribe(True))
+            self.actions.append(Subscribe(True))
 
     def probe(self, m: MemberState) -> None:
         m.probe_us = self.now
-        self.actions.append(ui.Probe(m.info.id))
+        self.actions.append(StartHealthCheck(m.info.id))
 
-    def probe_ended(self, e: ui.ProbeEnded) -> None:
-        m = self.members.get(e.member)
+    def probe_ended(self, e: HealthCheckEnded) -> None:
+        m = self.members.get(e.endpoint)
         if m is None:
             return
         group = self.group(m.info.group)
         m.passed_us = self.now if e.outcome is Outcome.OK else m.passed_us
         if e.outcome in (Outcome.UNREACHABLE, Outcome.RESET, Outcome.TIMEOUT) and not self.stalled:
             # Danger: a member that was only cut off is warm, and would be taken for cold when it is back.
-            dead = e.outcome is Outcome.UNREACHABLE and e.took_us < REFUSED_US
+            dead = e.outcome is Outcome.UNREACHABLE and e.duration_us < parameters.REFUSED_US
             m.down_us, m.passed_us = (m.down_us or self.now) if dead else m.down_us, NEVER
             m.suspend(self.now)
-        report = e.report or ui.Report()
+        report = e.load_report or LoadReport()
         self.saw_report(m, report)
         if report.position_us is not None and m is not group.primary:
-            lag = min(self.now - report.position_us, REPORT_US)
-            self.report_lag += (1 - STATS_MEMORY) * (lag - self.report_lag)
-        if report.primary is not None and self.now - m.role_us > ROLE_REPORT_US:
-            self.saw_role(m, Role.PRIMARY if report.primary else Role.REPLICA)
+            lag = min(self.now - report.position_us, parameters.REPORT_US)
+            self.report_lag += (1 - parameters.STATS_MEMORY) * (lag - self.report_lag)
+        if report.is_primary is not None and self.now - m.role_us > parameters.ROLE_REPORT_US:
+            self.saw_role(m, Role.PRIMARY if report.is_primary else Role.REPLICA)
         for r in group.held.values():
             if r.looks:
                 r.wake_us = min(r.wake_us, self.now)
@@ -842,38 +711,38 @@
     def group(self, number: int) -> GroupState:
         return self.groups.setdefault(number, GroupState())
 
-    def member_list(self, e: ui.MemberList) -> None:
-        spread = int(self.random.uniform(0, ASK_SPREAD_US * self.s.routers))
-        if e.kind is ListKind.SILENT:
+    def member_list(self, e: EndpointUpdate) -> None:
+        spread = int(self.random.uniform(0, parameters.ASK_SPREAD_US * self.s.router_count))
+        if e.kind is UpdateKind.TIMED_OUT:
             # Danger: what a silent watch misses counts as told seconds after it fell silent, and much of that
             # has passed already. Nobody turned it away, and watches that began apart fall due apart.
-            self.actions.append(ui.Subscribe(True))
+            self.actions.append(Subscribe(True))
             return
-        if e.kind is ListKind.FAILED:
-            self.ask_us = self.now + ASK_AGAIN_US + 2 * spread
+        if e.kind is UpdateKind.FAILED:
+            self.ask_us = self.now + parameters.ASK_AGAIN_US + 2 * spread
             return
-        if e.kind is ListKind.SAVED and self.s.must_ask:
+        if e.kind is UpdateKind.CACHED and self.s.must_poll:
             self.ask_us = self.now + spread
-        for info in e.members:
+        for info in e.endpoints:
             self.member_entry(info)
-        if e.kind is not ListKind.CHANGES:
-            named = {info.id for info in e.members}
+        if e.kind is not UpdateKind.DELTA:
+            named = {info.id for info in e.endpoints}
             for m in self.members.values():
-                if m.info.id not in named and m.info.readiness is not Readiness.GONE:
-                    self.member_entry(replace(m.info, readiness=Readiness.GONE))
+                if m.info.id not in named and m.info.readiness is not Readiness.REMOVED:
+                    self.member_entry(replace(m.info, readiness=Readiness.REMOVED))
         # Danger: members are replaced all day, and each would be remembered for good.
-        for m in [m for m in self.members.values() if m.info.readiness is Readiness.GONE and not m.out]:
-            if self.now - m.told_us > GONE_US and not self.s.only_draining_binds:
+        for m in [m for m in self.members.values() if m.info.readiness is Readiness.REMOVED and not m.out]:
+            if self.now - m.told_us > parameters.GONE_US and not self.s.removed_endpoints_serve:
                 del self.members[m.info.id]
         for group in self.groups.values():
             group.members = []
             group.primary = self.members.get(group.primary.info.id) if group.primary else None
             group.listed = self.members.get(group.listed.info.id) if group.listed else None
         for _, m in sorted(self.members.items()):
-            if m.info.readiness is not Readiness.GONE or self.s.only_draining_binds:
+            if m.info.readiness is not Readiness.REMOVED or self.s.removed_endpoints_serve:
                 self.group(m.info.group).members.append(m)
 
-    def member_entry(self, info: ui.Member) -> None:
+    def member_entry(self, info: Endpoint) -> None:
         m = self.members.get(info.id)
         group = self.group(info.group)
         if m is None:
@@ -889,5 +758,5 @@
                 m.cold_us = max(m.cold_us, info.started_us)
                 m.start_afresh(self.random)
                 m.allow, m.retry_us = self.random.random(), self.now
-        if info.listed_primary and self.s.list_shows_role:
+        if info.listed_primary and self.s.list_names_primary:
             group.listed = m
--- a/juniperreel/routing/types.py
+++ b/juniperreel/routing/types.py
@@ -1,8 +1,7 @@
-"""Types that the decision module takes in and gives out.
+"""Settings, events and actions of the router.
 
-Times, spans and log positions are whole microseconds on the driver's clock. A position
-is rounded down and a commit time up, so that comparing the two errs on the safe side.
-Nothing here decides anything.
+Times, durations and log positions are whole microseconds on the host's clock. A position is rounded
+down and a commit time up, so that comparing the two errs on the safe side. Nothing here decides anything.
 """
 
 from __future__ import annotations
@@ -11,16 +10,16 @@
 from enum import Enum
 
 
-class Effect(Enum):
+class Idempotency(Enum):
     """What a second execution of a request would do."""
 
-    REPEATABLE = "repeatable"
-    KEYED = "keyed"
-    ONCE = "once"
+    IDEMPOTENT = "repeatable"  # nothing more than the first
+    KEYED = "keyed"  # nothing more, where the endpoint recognises the request's idempotency key
+    NON_IDEMPOTENT = "once"  # its effect a second time
 
 
 class KeyScope(Enum):
-    """Which members recognise the key of a keyed request that another one has seen."""
+    """Which endpoints recognise the idempotency key of a request that another one has executed."""
 
     ALL = "all"
     ZONE = "zone"
@@ -28,197 +27,220 @@
 
 
 class Consistency(Enum):
-    """How new the data must be that a class is served from."""
+    """How recent the data must be that a request class is served from."""
 
-    WRITE = "write"
-    FRESH = "fresh"
-    SESSION = "session"
-    BOUNDED = "bounded"
+    WRITE = "write"  # a write: the primary alone
+    FRESH = "fresh"  # every committed write: the primary alone
+    SESSION = "session"  # at least the writes of the request's own session
+    BOUNDED = "bounded"  # at most `RequestClass.max_staleness_us` behind
     ANY = "any"
 
 
-class Guard(Enum):
+class StalenessGuard(Enum):
     """What a replica that is too far behind does with a read."""
 
-    OFF = "off"
+    OFF = "off"  # serves it from old data
     REFUSE = "refuse"
-    WAIT = "wait"
+    WAIT = "wait"  # until it has caught up, or a time-out
 
 
 class Readiness(Enum):
-    UP = "up"
+    """What the endpoint list says of an endpoint."""
+
+    READY = "up"
     DRAINING = "draining"
-    GONE = "gone"
+    REMOVED = "gone"
+
 
+class UpdateKind(Enum):
+    """What an `EndpointUpdate` is, or why there is none."""
 
-class ListKind(Enum):
-    CHANGES = "changes"
-    FULL = "full"
-    SAVED = "saved"
+    DELTA = "changes"
+    SNAPSHOT = "full"
+    CACHED = "saved"  # a snapshot from before this process started
     FAILED = "failed"
-    SILENT = "silent"  # a watch that said nothing when its wait was over: broken, nobody turned it away
+    TIMED_OUT = "silent"  # a watch that sent nothing within its wait: broken, though nobody rejected it
 
 
 class Role(Enum):
+    """What an endpoint is in its replication group."""
+
     UNKNOWN = "unknown"
     PRIMARY = "primary"
     REPLICA = "replica"
 
 
 class Outcome(Enum):
-    """How an attempt or a probe ended."""
+    """How an attempt or a health check ended."""
 
     OK = "ok"
     ERROR = "error"
-    REJECTED = "rejected"
+    REJECTED = "rejected"  # not executed: the endpoint is overloaded
     TIMEOUT = "timeout"
-    UNREACHABLE = "unreachable"
-    RESET = "reset"
+    UNREACHABLE = "unreachable"  # no connection, so not executed
+    RESET = "reset"  # the connection broke after the request was sent
     CANCELLED = "cancelled"
     NOT_SENT = "not_sent"
-    MISS = "miss"
+    INELIGIBLE = "miss"  # not executed: the endpoint is no primary, or too far behind
 
 
 @dataclass(frozen=True, slots=True)
 class RequestClass:
+    """What requests of one kind ask for, and what serving them is worth."""
+
     name: str
-    effect: Effect
+    idempotency: Idempotency
     key_scope: KeyScope
-    memory_span_us: int
+    deduplication_window_us: int  # for how long an idempotency key is recognised
     consistency: Consistency
-    lag_allowed_us: int
-    aim_us: int
+    max_staleness_us: int
+    latency_objective_us: int
     deadline_us: int
-    worth: float
-    late_worth: float
-    aim_stretch: float = 0.0
-    stream: bool = False
+    priority_weight: float
+    late_priority_weight: float  # part of the weight that a response after the objective still has
+    latency_objective_stretch: float = 0.0
+    streaming: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class Tenant:
+    """A tenant and its part of the capacity."""
+
     name: str
-    fraction: float
+    capacity_share: float
     quota_rps: float
 
 
 @dataclass(frozen=True, slots=True)
 class Prices:
-    """What a driver's habits cost, as a part of the worth of one request."""
+    """What operations cost, as a part of the weight of one request."""
 
     cross_zone: float = 0.0
     waste: float = 0.0
-    probe: float = 0.0
-    late_fail: float = 0.0
+    health_check: float = 0.0
+    late_failure: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    routers: int
+    """What a router is told of its deployment when it starts."""
+
+    router_count: int  # in the whole fleet
     zone: int
     classes: tuple[RequestClass, ...]
     tenants: tuple[Tenant, ...]
-    over_share_worth: float
+    over_quota_weight: float
     prices: Prices
     max_attempts: int
-    cancelling: bool
-    probes: bool
-    second_copies: bool
-    retry_hints: bool
+    cancellation: bool
+    health_checks: bool
+    hedging: bool
+    retry_after_hints: bool
     max_retry_after_us: int
-    answer_grace_us: int
+    response_grace_us: int
     drain_grace_us: int
-    only_draining_binds: bool
-    cold_from: float
-    cold_us: int
-    fall_multiple: float
-    overload_us: int
-    must_ask: bool
-    ask_every_us: int
-    guard: Guard
-    guard_wait_us: int
-    carried_age: bool
-    positions_in_answers: bool
-    list_shows_role: bool
-    answers_get_lost: bool = False  # an answer on the way counts as had, though it may never arrive
+    removed_endpoints_serve: bool  # only draining forbids new requests; leaving the list doesn't
+    slow_start_initial_capacity: float  # part of its capacity that an endpoint has when it starts
+    slow_start_us: int
+    overload_multiple: float  # of its capacity of the moment, at which a warming endpoint fails
+    overload_window_us: int
+    must_poll: bool
+    poll_interval_us: int
+    staleness_guard: StalenessGuard
+    staleness_wait_us: int
+    requests_carry_session_age: bool
+    responses_carry_position: bool
+    list_names_primary: bool
+    responses_may_be_lost: bool = False  # a response on its way counts as received, but may never arrive
 
 
 @dataclass(frozen=True, slots=True)
-class Member:
-    """One line of a member list."""
+class Endpoint:
+    """One entry of the endpoint list: a process that serves one group's data."""
 
     id: str
     group: int
     zone: int
-    kind: int
+    machine_type: int
     readiness: Readiness
     listed_primary: bool
-    size: float
+    capacity: float  # relative to the other endpoints
     started_us: int
 
 
 @dataclass(frozen=True, slots=True)
-class Report:
-    """What a member says of itself, as old as its last refresh; None where it says nothing."""
+class LoadReport:
+    """What an endpoint reports of itself, as old as its last refresh; None where it reports nothing."""
 
     position_us: int | None = None
-    primary: bool | None = None
-    in_hand: float | None = None
-    waiting: float | None = None
+    is_primary: bool | None = None
+    in_flight: float | None = None
+    queued: float | None = None
 
 
 # Events
 
 
 @dataclass(frozen=True, slots=True)
-class MemberList:
-    kind: ListKind
-    members: tuple[Member, ...]
+class EndpointUpdate:
+    """A message from discovery, or the end of a call to it that brought none."""
+
+    kind: UpdateKind
+    endpoints: tuple[Endpoint, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class Request:
+    """A client's request; `session_age_us`, where carried, is the time since its session's last write."""
+
     id: str
-    cls: int
-    tenant: int
+    class_index: int
+    tenant_index: int
     group: int
     deadline_us: int
     session: str | None = None
     session_age_us: int | None = None
-    expected_us: int | None = None
-    repeat: bool = False
+    expected_duration_us: int | None = None
+    is_retry: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class StreamStarted:
+    """The first byte of a streamed response has gone to the client."""
+
     request: str
     attempt: int
-    member: str
+    endpoint: str
 
 
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
-    """`position_us` is the member's position, or the commit time of a write that went through."""
+    """The one end of an attempt.
+
+    `position_us` is the endpoint's applied position, or the commit time of a successful write.
+    """
 
     request: str
     attempt: int
-    member: str
+    endpoint: str
     outcome: Outcome
-    took_us: int
-    finished: bool
+    duration_us: int
+    request_finished: bool
     role: Role
     position_us: int | None
-    report: Report | None
+    load_report: LoadReport | None
 
 
 @dataclass(frozen=True, slots=True)
-class RequestGone:
+class ClientDisconnected:
+    """Nobody waits for the request's answer any more."""
+
     request: str
 
 
 @dataclass(frozen=True, slots=True)
-class DeadlineCut:
-    """A request in hand must have its answer earlier than was said: its driver is told to end."""
+class DeadlineShortened:
+    """An open request must be answered earlier than was said, because its host is shutting down."""
 
     request: str
     deadline_us: int
@@ -226,19 +248,30 @@
 
 @dataclass(frozen=True, slots=True)
 class TimerFired:
+    """A timer of `SetTimer` is due."""
+
     key: int
 
 
 @dataclass(frozen=True, slots=True)
-class ProbeEnded:
-    member: str
+class HealthCheckEnded:
+    """The one end of a health check."""
+
+    endpoint: str
     outcome: Outcome
-    took_us: int
-    report: Report | None
+    duration_us: int
+    load_report: LoadReport | None
 
 
 Event = (
-    MemberList | Request | StreamStarted | AttemptEnded | RequestGone | DeadlineCut | TimerFired | ProbeEnded
+    EndpointUpdate
+    | Request
+    | StreamStarted
+    | AttemptEnded
+    | ClientDisconnected
+    | DeadlineShortened
+    | TimerFired
+    | HealthCheckEnded
 )
 
 
@@ -250,55 +283,65 @@
     """Start the request's next attempt; a time-out of 0 lasts until the client gives up."""
 
     request: str
-    member: str
+    endpoint: str
     timeout_us: int
 
 
 @dataclass(frozen=True, slots=True)
 class Cancel:
+    """Cancel an attempt; its end is still owed."""
+
     request: str
     attempt: int
 
 
 @dataclass(frozen=True, slots=True)
-class Refuse:
-    """Final: nothing took effect that a repeat could double; 0 gives no hint when to return."""
+class Reject:
+    """The final answer: nothing took effect that a retry could double; 0 gives no retry-after hint."""
 
     request: str
-    not_before_us: int
+    retry_after_us: int
 
 
 @dataclass(frozen=True, slots=True)
 class Fail:
-    """Final: the effect is unknown."""
+    """The final answer: the effect is unknown."""
 
     request: str
 
 
 @dataclass(frozen=True, slots=True)
 class SetTimer:
-    after_us: int
+    """Ask for a `TimerFired` with this key."""
+
+    delay_us: int
     key: int
 
 
 @dataclass(frozen=True, slots=True)
-class Probe:
-    member: str
+class StartHealthCheck:
+    """Ask an endpoint for its load report; one `HealthCheckEnded` is owed."""
+
+    endpoint: str
 
 
 @dataclass(frozen=True, slots=True)
 class Subscribe:
-    on: bool
+    """Open the watch of the endpoint list anew, or end it."""
+
+    enabled: bool
 
 
 @dataclass(frozen=True, slots=True)
-class FetchList:
-    pass
+class FetchEndpointList:
+    """Poll the endpoint list once."""
 
 
 @dataclass(frozen=True, slots=True)
 class Log:
-    text: str
+    """A line for the operators' log."""
+
+    message: str
 
 
-Action = Send | Cancel | Refuse | Fail | SetTimer | Probe | Subscribe | FetchList | Log
+Action = Send | Cancel | Reject | Fail | SetTimer | StartHealthCheck | Subscribe | FetchEndpointList | Log
--- a/juniperreel/settings/edge.py
+++ b/juniperreel/settings/edge.py
@@ -7,7 +7,16 @@
 from pathlib import Path
 from typing import Any
 
-from juniperreel.routing import types as ui
+from juniperreel.routing.types import (
+    Consistency,
+    Idempotency,
+    KeyScope,
+    Prices,
+    RequestClass,
+    Settings,
+    StalenessGuard,
+    Tenant,
+)
 from juniperreel.settings.checks import check
 from juniperreel.settings.lexer import (
     Problem,
@@ -185,7 +194,7 @@
     instances: tuple[Address, ...]
     saved_list: Path | None
     list_timeout_us: int
-    router: ui.Settings
+    router: Settings
     answer_margin_us: int
     max_open: int
     member_attempts: int
@@ -357,23 +366,26 @@
     return certificate, key
 
 
-def request_class(section: Reader) -> ui.RequestClass:
+def request_class(section: Reader) -> RequestClass:
     effect = section["effect"]
     consistency = section["consistency"]
-    return ui.RequestClass(
+    return RequestClass(
         name=section.name,
-        effect=ui.Effect(effect[0]),
-        key_scope=ui.KeyScope(effect[1]) if len(effect) > 1 else ui.KeyScope.ALL,
-        memory_span_us=effect[2] if len(effect) > 2 else 0,
-        consistency=ui.Consistency(consistency[0]),
-        lag_allowed_us=consistency[1] if len(consistency) > 1 else 0,
-        aim_us=section["aim"],
+        idempotency=Idempotency(effect[0]),
+        key_scope=KeyScope(effect[1]) if len(effect) > 1 else KeyScope.ALL,
+        deduplication_window_us=effect[2] if len(effect) > 2 else 0,
+        consistency=Consistency(consistency[0]),
+        max_staleness_us=consistency[1] if len(consistency) > 1 else 0,
+        latency_objective_us=section["aim"],
         deadline_us=section["deadline"],
-        worth=section["worth"],
-        late_worth=section["late-worth"],
+        priority_weight=section["worth"],
+        late_priority_weight=section["late-worth"],
     )
 
 
+STALENESS_GUARDS = {"no": StalenessGuard.OFF, "refuse": StalenessGuard.REFUSE, "wait": StalenessGuard.WAIT}
+
+
 def typed(
     found: dict[str, list[Reader]],
     keys: tuple[tuple[int, bytes], ...],
@@ -384,33 +396,33 @@
     edge, hosts, rules = found["edge"][0], found["hosts"][0], found["rules"][0]
     limits, token, log = found["limits"][0], found["token"][0], found["log"][0]
     guard: tuple[Any, ...] = rules["members-check"]
-    router = ui.Settings(
-        routers=edge["edges"] * edge["workers"],  # each worker is a driver of its own
+    router = Settings(
+        router_count=edge["edges"] * edge["workers"],  # each worker is a driver of its own
         zone=edge["zone"],
         classes=tuple(request_class(section) for section in found["class"]),
-        tenants=tuple(ui.Tenant(t.name, t["share"], t["quota"]) for t in found["tenant"]),
-        over_share_worth=rules["over-share-worth"],
-        prices=ui.Prices(),
+        tenants=tuple(Tenant(t.name, t["share"], t["quota"]) for t in found["tenant"]),
+        over_quota_weight=rules["over-share-worth"],
+        prices=Prices(),
         max_attempts=rules["attempts"],
-        cancelling=rules["cancelling"],
-        probes=rules["probes"],
-        second_copies=rules["second-copies"],
-        retry_hints=rules["refusal-wait"] > 0,
+        cancellation=rules["cancelling"],
+        health_checks=rules["probes"],
+        hedging=rules["second-copies"],
+        retry_after_hints=rules["refusal-wait"] > 0,
         max_retry_after_us=rules["refusal-wait"],
-        answer_grace_us=0,
+        response_grace_us=0,
         drain_grace_us=rules["drain-grace"],
-        only_draining_binds=rules["only-draining-binds"],
-        cold_from=rules["cold-from"],
-        cold_us=rules["cold-span"],
-        fall_multiple=rules["fall-multiple"],
-        overload_us=rules["overload-span"],
-        must_ask=True,
-        ask_every_us=0,
-        guard={"no": ui.Guard.OFF, "refuse": ui.Guard.REFUSE, "wait": ui.Guard.WAIT}[guard[0]],
-        guard_wait_us=guard[1] if len(guard) > 1 else 0,
-        carried_age=True,
-        positions_in_answers=True,
-        list_shows_role=hosts["shows-primary"],
+        removed_endpoints_serve=rules["only-draining-binds"],
+        slow_start_initial_capacity=rules["cold-from"],
+        slow_start_us=rules["cold-span"],
+        overload_multiple=rules["fall-multiple"],
+        overload_window_us=rules["overload-span"],
+        must_poll=True,
+        poll_interval_us=0,
+        staleness_guard=STALENESS_GUARDS[guard[0]],
+        staleness_wait_us=guard[1] if len(guard) > 1 else 0,
+        requests_carry_session_age=True,
+        responses_carry_position=True,
+        list_names_primary=hosts["shows-primary"],
     )
     return EdgeSettings(
         name=edge["name"],
--- a/juniperreel/simulator_adapter.py
+++ b/juniperreel/simulator_adapter.py
@@ -14,29 +14,54 @@
 from typing import TextIO
 
 from juniperreel.platform_settings import read_settings
-from juniperreel.routing import types as ui
 from juniperreel.routing.policy.router import Router
+from juniperreel.routing.types import (
+    Action,
+    AttemptEnded,
+    Cancel,
+    ClientDisconnected,
+    Endpoint,
+    EndpointUpdate,
+    Event,
+    Fail,
+    FetchEndpointList,
+    HealthCheckEnded,
+    LoadReport,
+    Log,
+    Outcome,
+    Readiness,
+    Reject,
+    Request,
+    Role,
+    Send,
+    SetTimer,
+    StartHealthCheck,
+    StreamStarted,
+    Subscribe,
+    TimerFired,
+    UpdateKind,
+)
 
 TRAILING_TEXT = ("config=", "reason_text=", "payload=")
 OUTCOMES = {
-    "GOOD": ui.Outcome.OK,
-    "BAD": ui.Outcome.ERROR,
-    "FULL": ui.Outcome.REJECTED,
-    "LATE": ui.Outcome.TIMEOUT,
-    "NOCONN": ui.Outcome.UNREACHABLE,
-    "RST": ui.Outcome.RESET,
-    "CXL": ui.Outcome.CANCELLED,
-    "NOP": ui.Outcome.NOT_SENT,
-    "MISS": ui.Outcome.MISS,
+    "GOOD": Outcome.OK,
+    "BAD": Outcome.ERROR,
+    "FULL": Outcome.REJECTED,
+    "LATE": Outcome.TIMEOUT,
+    "NOCONN": Outcome.UNREACHABLE,
+    "RST": Outcome.RESET,
+    "CXL": Outcome.CANCELLED,
+    "NOP": Outcome.NOT_SENT,
+    "MISS": Outcome.INELIGIBLE,
 }
-READINESS = {"IN": ui.Readiness.UP, "LAME": ui.Readiness.DRAINING, "OUT": ui.Readiness.GONE}
+READINESS = {"IN": Readiness.READY, "LAME": Readiness.DRAINING, "OUT": Readiness.REMOVED}
 LIST_KINDS = {
-    "Partial": ui.ListKind.CHANGES,
-    "Complete": ui.ListKind.FULL,
-    "Persisted": ui.ListKind.SAVED,
-    "Error": ui.ListKind.FAILED,
+    "Partial": UpdateKind.DELTA,
+    "Complete": UpdateKind.SNAPSHOT,
+    "Persisted": UpdateKind.CACHED,
+    "Error": UpdateKind.FAILED,
 }
-ROLES = {0: ui.Role.UNKNOWN, 1: ui.Role.PRIMARY, 2: ui.Role.REPLICA}
+ROLES = {0: Role.UNKNOWN, 1: Role.PRIMARY, 2: Role.REPLICA}
 
 Fields = dict[str, str]
 
@@ -95,7 +120,7 @@
         settings, self.zero_us = read_settings(json.loads(need(fields, "config", "ENLIST")))
         self.router = Router(settings, int(need(fields, "random_seed", "ENLIST")))
 
-    def report(self, text: str | None) -> ui.Report | None:
+    def report(self, text: str | None) -> LoadReport | None:
         if not text or text == "-":
             return None
         values: dict[str, str] = {}
@@ -104,54 +129,54 @@
             values[name] = value
         x0, x1 = values.get("x0"), values.get("x1")
         busy, waiting = values.get("busy_reqs"), values.get("pending")
-        return ui.Report(
+        return LoadReport(
             position_us=None if x0 is None else self.zero_us + us_down(x0),
-            primary=None if x1 is None else float(x1) >= 0.5,
-            in_hand=None if busy is None else float(busy),
-            waiting=None if waiting is None else float(waiting),
+            is_primary=None if x1 is None else float(x1) >= 0.5,
+            in_flight=None if busy is None else float(busy),
+            queued=None if waiting is None else float(waiting),
         )
 
-    def event(self, name: str, fields: Fields, now_us: int) -> ui.Event | None:
+    def event(self, name: str, fields: Fields, now_us: int) -> Event | None:
         if name == "RESULT":
             stamp = int(fields.get("stamp", "0"))
             position, role = divmod(stamp, 4)
-            return ui.AttemptEnded(
+            return AttemptEnded(
                 request=need(fields, "ref", name),
                 attempt=int(fields.get("seq_no", "0")),
-                member=need(fields, "member", name),
+                endpoint=need(fields, "member", name),
                 outcome=OUTCOMES[need(fields, "outcome", name)],
-                took_us=us_near(fields.get("spent_s", "0")),
-                finished=flag(fields.get("done_flag", "0")),
-                role=ROLES.get(role, ui.Role.UNKNOWN),
+                duration_us=us_near(fields.get("spent_s", "0")),
+                request_finished=flag(fields.get("done_flag", "0")),
+                role=ROLES.get(role, Role.UNKNOWN),
                 position_us=self.zero_us + position * 1000 if position else None,
-                report=self.report(fields.get("gauge")),
+                load_report=self.report(fields.get("gauge")),
             )
         if name == "ORDER":
             age, hint = fields.get("since_write_ms"), fields.get("expected_s")
-            return ui.Request(
+            return Request(
                 id=need(fields, "ref", name),
-                cls=int(fields.get("priority", "0")),
-                tenant=int(fields.get("tenant", "0")),
+                class_index=int(fields.get("priority", "0")),
+                tenant_index=int(fields.get("tenant", "0")),
                 group=int(float(fields.get("group_no", "0"))),
                 deadline_us=us_down(need(fields, "client_deadline_s", name)),
                 session=fields.get("conn_key"),
                 session_age_us=None if age is None or float(age) == 0 else math.floor(float(age) * 1000),
-                expected_us=None if hint is None else us_near(hint),
-                repeat=flag(fields.get("retry", "0")),
+                expected_duration_us=None if hint is None else us_near(hint),
+                is_retry=flag(fields.get("retry", "0")),
             )
         if name == "EXPIRED":
-            return ui.RequestGone(need(fields, "ref", name))
+            return ClientDisconnected(need(fields, "ref", name))
         if name == "BELL":
-            return ui.TimerFired(int(fields.get("key_back", "0")))
+            return TimerFired(int(fields.get("key_back", "0")))
         if name == "CHECKED":
-            return ui.ProbeEnded(
-                member=need(fields, "member", name),
+            return HealthCheckEnded(
+                endpoint=need(fields, "member", name),
                 outcome=OUTCOMES[need(fields, "outcome", name)],
-                took_us=us_near(fields.get("spent_s", "0")),
-                report=self.report(fields.get("gauge")),
+                duration_us=us_near(fields.get("spent_s", "0")),
+                load_report=self.report(fields.get("gauge")),
             )
         if name == "FLOWING":
-            return ui.StreamStarted(
+            return StreamStarted(
                 need(fields, "ref", name), int(fields.get("seq_no", "0")), need(fields, "member", name)
             )
         if name == "HEARD":
@@ -159,41 +184,41 @@
         raise WireError(f"unknown message {name!r}")
 
 
-def read_member(fields: Fields) -> ui.Member:
-    return ui.Member(
+def read_member(fields: Fields) -> Endpoint:
+    return Endpoint(
         id=need(fields, "member", "ITEM"),
         group=int(float(fields.get("group", "0"))),
         zone=int(fields.get("zone", "0")),
-        kind=int(fields.get("model", "0")),
+        machine_type=int(fields.get("model", "0")),
         readiness=READINESS[fields.get("readiness", "IN")],
         listed_primary=float(fields.get("is_primary", "0")) >= 0.5,
-        size=float(fields.get("size", "1")),
+        capacity=float(fields.get("size", "1")),
         started_us=us_up(fields.get("ready_at_s", "0")),
     )
 
 
-def render(action: ui.Action, driver: str) -> str:
+def render(action: Action, driver: str) -> str:
     who = f"driver={driver}"
     match action:
-        case ui.Send(request, member, timeout):
+        case Send(request, member, timeout):
             allow = f" allow_for_s={seconds(timeout)}" if timeout else ""
             return f"CALL_OUT {who} ref={request} member={member}{allow}"
-        case ui.Cancel(request, attempt):
+        case Cancel(request, attempt):
             return f"CANCEL {who} ref={request} seq_no={attempt}"
-        case ui.Refuse(request, wait):
+        case Reject(request, wait):
             hint = f" not_before_for_s={seconds(wait)}" if wait else ""
             return f"OVERLOAD_REPLY {who} ref={request}{hint}"
-        case ui.Fail(request):
+        case Fail(request):
             return f"DROP_REQUEST {who} ref={request}"
-        case ui.SetTimer(after, key):
+        case SetTimer(after, key):
             return f"AFTER {who} span_s={seconds(after)} key_back={key}"
-        case ui.Probe(member):
+        case StartHealthCheck(member):
             return f"TOUCH {who} member={member}"
-        case ui.Subscribe(on):
+        case Subscribe(on):
             return f"SUBSCRIBE {who} want={int(on)}"
-        case ui.FetchList():
+        case FetchEndpointList():
             return f"PULL {who}"
-        case ui.Log(text):
+        case Log(text):
             return f"REMARK {who} reason_text={text}"
 
 
@@ -203,7 +228,7 @@
     def __init__(self, make: Callable[[Fields], Hosted] = Hosted) -> None:
         self.make = make
         self.hosted: dict[str, Hosted] = {}
-        self.tables: dict[int, tuple[ui.Member, ...]] = {}
+        self.tables: dict[int, tuple[Endpoint, ...]] = {}
 
     def batch(self, lines: Iterable[str]) -> list[str]:
         """The reply to one batch, given without its FLUSH; the reply comes without ACK."""
@@ -212,7 +237,7 @@
         if name != "CLOCK":
             raise WireError(f"a batch starts with CLOCK, not {name!r}")
         now_us = us_near(need(fields, "ts_s", "CLOCK"))
-        events: dict[str, list[ui.Event]] = {}
+        events: dict[str, list[Event]] = {}
         for line in feed:
             name, fields = split_line(line)
             if name == "TABLE":
@@ -230,10 +255,10 @@
                 raise WireError(f"{name} for {driver}, which does not run")
             elif name == "UPDATE":
                 kind = LIST_KINDS[need(fields, "mode", name)]
-                table: tuple[ui.Member, ...] = ()
-                if kind is not ui.ListKind.FAILED:
+                table: tuple[Endpoint, ...] = ()
+                if kind is not UpdateKind.FAILED:
                     table = self.tables[int(fields.get("ref", "0"))]
-                events.setdefault(driver, []).append(ui.MemberList(kind, table))
+                events.setdefault(driver, []).append(EndpointUpdate(kind, table))
             else:
                 event = self.hosted[driver].event(name, fields, now_us)
                 if event is not None:
@@ -249,7 +274,7 @@
         return reply
 
     @staticmethod
-    def rows(feed: Iterator[str], count: int) -> tuple[ui.Member, ...]:
+    def rows(feed: Iterator[str], count: int) -> tuple[Endpoint, ...]:
         members = []
         for _ in range(count):
             name, fields = split_line(next(feed, ""))
--- a/tests/admission/test_gate.py
+++ b/tests/admission/test_gate.py
@@ -9,15 +9,18 @@
 from juniperreel.admission.gate import FULL, LATE, PROGRAM, PUSHED, STOPPING, WAITED
 from juniperreel.emulator.admission import Fixed, request_class
 from juniperreel.emulator.admission import settings as gate_settings
-from juniperreel.routing import types as ui
+from juniperreel.routing.types import (
+    Consistency,
+    Tenant,
+)
 
 US = 1_000_000
 CLASSES = (
     request_class("cheap", 1.0),
     request_class("dear", 5.0),
-    request_class("write", 4.0, consistency=ui.Consistency.WRITE),
+    request_class("write", 4.0, consistency=Consistency.WRITE),
 )
-TENANTS = (ui.Tenant("big", 0.7, 0.0), ui.Tenant("small", 0.3, 0.0))
+TENANTS = (Tenant("big", 0.7, 0.0), Tenant("small", 0.3, 0.0))
 
 
 def gate(most: int = 1000) -> Gate:
@@ -70,7 +73,7 @@
     fill(g)
     g.arrive(0, arrival("waits"))
     due = g.due_us()
-    assert due is not None and due < CLASSES[0].aim_us
+    assert due is not None and due < CLASSES[0].latency_objective_us
     assert g.tick(due // 2) == []
     (turn,) = g.tick(due)
     assert isinstance(turn, Turn) and turn.request == "waits" and turn.reason == WAITED and turn.wait_us > 0
@@ -109,7 +112,7 @@
     now = steady(g, 20_000)
     outcomes = [g.arrive(now, arrival(f"q{n}", at=now)) for n in range(40)]
     waiting = sum(o == [] for o in outcomes)
-    assert 0 < waiting <= 0.5 * CLASSES[0].aim_us / 20_000
+    assert 0 < waiting <= 0.5 * CLASSES[0].latency_objective_us / 20_000
     assert all(isinstance(o[0], Turn) for o in outcomes if o)
     glance = g.glance(now, 0, 0, 0, 2 * US)
     assert glance is not None and glance.reason == FULL
--- a/tests/admission/test_model.py
+++ b/tests/admission/test_model.py
@@ -7,7 +7,9 @@
 import pytest
 
 from juniperreel.emulator.admission import LOSERS, Load, Model, Server, request_class, settings
-from juniperreel.routing import types as ui
+from juniperreel.routing.types import (
+    Tenant,
+)
 
 US = 1_000_000
 SERVERS, CORES, WORK = 6, 2, 45_000
@@ -22,7 +24,7 @@
 @pytest.mark.parametrize("gates", [1, 4])
 @pytest.mark.parametrize("over", [2, 4, 10])
 def test_goodput_stays_at_the_capacity_whatever_is_offered(over: int, gates: int) -> None:
-    m = model(settings=settings(routers=gates), gates=gates)
+    m = model(settings=settings(router_count=gates), gates=gates)
     m.load(Load(over * CAPACITY))
     m.run(12 * US)
     assert m.rate("served", 2 * US, 12 * US) > 0.93 * CAPACITY
@@ -75,7 +77,7 @@
 
 
 def test_a_greedy_tenant_takes_nothing_from_those_within_their_share() -> None:
-    tenants = (ui.Tenant("greedy", 0.4, 0), ui.Tenant("b", 0.3, 0), ui.Tenant("c", 0.3, 0))
+    tenants = (Tenant("greedy", 0.4, 0), Tenant("b", 0.3, 0), Tenant("c", 0.3, 0))
     m = model(settings=settings(tenants=tenants))
     m.load(Load(4 * CAPACITY, tenant=0))
     for tenant in (1, 2):
--- a/tests/emulator/test_spread.py
+++ b/tests/emulator/test_spread.py
@@ -9,7 +9,9 @@
 import pytest
 
 from juniperreel.emulator.spread import BOUNDED, US, Fleet, Plant
+from juniperreel.routing.policy import parameters
 from juniperreel.routing.policy import router as rules
+from juniperreel.routing.state import MemberState
 from juniperreel.verification import spread
 from juniperreel.verification.spread import Bounds
 
@@ -125,7 +127,7 @@
 def test_reads_with_a_bound_do_not_stay_with_whoever_had_them(monkeypatch: pytest.MonkeyPatch) -> None:
     now = busy(5, 16)
     assert not found(now, SETTLED, 16, BUSY) & {"share", "idle", "herd"}
-    assert looks(now) < 1.2 * rules.BESIDE_SHARE
+    assert looks(now) < 1.2 * parameters.BESIDE_SHARE
     monkeypatch.setattr(rules.Router, "look_beside", lambda *_: None)  # planted: nobody looks beside a read
     assert {"share", "idle"} <= found(busy(5, 16), SETTLED, 16, BUSY)
 
@@ -161,7 +163,7 @@
 class Least(rules.Router):
     """Planted: the least response time, always."""
 
-    def weights(self, pool: list[rules.MemberState]) -> list[float]:
+    def weights(self, pool: list[MemberState]) -> list[float]:
         least = min(m.srtt for m in pool)
         return [1.0 if m.srtt == least else 1e-9 for m in pool]
 
--- a/tests/platform/peers.py
+++ b/tests/platform/peers.py
@@ -14,7 +14,9 @@
 from juniperreel.platform.log import Log
 from juniperreel.postgres import messages as m
 from juniperreel.postgres import server
-from juniperreel.routing import types as ui
+from juniperreel.routing.types import (
+    UpdateKind,
+)
 
 MS, SEC = 1_000, 1_000_000
 HELLO = m.startup("worker", "catalog")
@@ -160,7 +162,7 @@
         self.driver = PlatformDriver(
             self.config, lambda: self.time, self._dial, self.asked.append, Log(self.out)
         )
-        self.driver.told(ui.ListKind.SAVED, read(self.config.known, ["east"], ["k"]))
+        self.driver.told(UpdateKind.CACHED, read(self.config.known, ["east"], ["k"]))
         self.turn()
 
     def _dial(self, host: str, port: int) -> FakeWire:
--- a/tests/platform/stage.py
+++ b/tests/platform/stage.py
@@ -20,7 +20,9 @@
 from juniperreel.platform.log import Log
 from juniperreel.postgres import messages as m
 from juniperreel.postgres import server
-from juniperreel.routing import types as ui
+from juniperreel.routing.types import (
+    UpdateKind,
+)
 from tests.platform.peers import HELLO, config_bytes, entry, row
 
 PATIENCE_S = 30  # far more than anything here takes
@@ -114,7 +116,7 @@
             lambda on: None,
             Log(self.out),
         )
-        self.driver.told(ui.ListKind.SAVED, read(config.known, ["east"], ["k"]))
+        self.driver.told(UpdateKind.CACHED, read(config.known, ["east"], ["k"]))
         self.door = Door(self.poller, "127.0.0.1", 0, self._welcome)
         self.turn()
 
--- a/tests/platform/test_discovery.py
+++ b/tests/platform/test_discovery.py
@@ -16,7 +16,10 @@
 from juniperreel.platform.discovery import Discovery
 from juniperreel.platform.endpoints import Endpoints
 from juniperreel.platform.log import Log
-from juniperreel.routing import types as ui
+from juniperreel.routing.types import (
+    Readiness,
+    UpdateKind,
+)
 from tests.platform.peers import SEC, entry
 from tests.platform.stage import PATIENCE_S, End, MemberEnd
 
@@ -37,8 +40,8 @@
     def __init__(self, clock: trio.testing.MockClock, nursery: trio.Nursery) -> None:
         self.clock, self.nursery = clock, nursery
         self.server = MemberEnd()
-        self.told: list[tuple[ui.ListKind, Endpoints | None]] = []
-        self.on_tell: Callable[[ui.ListKind], None] = lambda kind: None
+        self.told: list[tuple[UpdateKind, Endpoints | None]] = []
+        self.on_tell: Callable[[UpdateKind], None] = lambda kind: None
         self.discovery = Discovery(
             TcpNetwork(),
             ("127.0.0.1", self.server.port),
@@ -50,12 +53,12 @@
         )
         self.discovery.version = 3
 
-    def _tell(self, kind: ui.ListKind, endpoints: Endpoints | None) -> None:
+    def _tell(self, kind: UpdateKind, endpoints: Endpoints | None) -> None:
         self.told.append((kind, endpoints))
         self.on_tell(kind)
 
     @property
-    def health(self) -> ui.Readiness:
+    def health(self) -> Readiness:
         """Of the one member, by the last list."""
         lists = [e for _, e in self.told if e is not None]
         return lists[-1].members[0].readiness
@@ -103,7 +106,7 @@
         slow.send(http(body(4, "Ready")))
         await it.until(lambda: slow.read() is None or slow.ended)
         await trio.testing.wait_all_tasks_blocked()
-        assert it.health is ui.Readiness.DRAINING and it.discovery.version == 5
+        assert it.health is Readiness.DRAINING and it.discovery.version == 5
         assert b"after=5" in (await it.call(2)).got
 
 
@@ -122,7 +125,7 @@
         again = await it.call(2, elsewhere)
         again.send(http(body(7, "Terminating")))
         await it.until(lambda: len(it.told) == 2)
-        assert it.health is ui.Readiness.DRAINING
+        assert it.health is Readiness.DRAINING
         elsewhere.sock.close()
 
 
@@ -131,8 +134,8 @@
 ) -> None:
     async with calls(mock_clock) as it:
 
-        def again(kind: ui.ListKind) -> None:
-            if kind is ui.ListKind.SILENT:
+        def again(kind: UpdateKind) -> None:
+            if kind is UpdateKind.TIMED_OUT:
                 it.discovery.subscribe(True)
 
         it.on_tell = again
@@ -140,11 +143,11 @@
         await it.call(1)
         mock_clock.jump(5.9)
         await it.until(lambda: it.told)
-        assert it.told[0][0] is ui.ListKind.SILENT
+        assert it.told[0][0] is UpdateKind.TIMED_OUT
         watch = await it.call(2)
         watch.send(http(body(4, "Terminating", whole=False)))
         await it.until(lambda: len(it.told) == 2)
-        assert it.health is ui.Readiness.DRAINING
+        assert it.health is Readiness.DRAINING
 
 
 async def test_a_watch_that_is_open_stays_when_one_is_asked_for(mock_clock: trio.testing.MockClock) -> None:
@@ -155,7 +158,7 @@
         watch.send(http(body(4, "Terminating", whole=False)))
         it.discovery.subscribe(True)
         await it.until(lambda: it.told)
-        assert it.health is ui.Readiness.DRAINING and len(it.server.accept()) == 1
+        assert it.health is Readiness.DRAINING and len(it.server.accept()) == 1
 
 
 async def test_a_discovery_that_began_anew_is_believed(mock_clock: trio.testing.MockClock) -> None:
@@ -166,10 +169,10 @@
         watch.take()
         watch.send(http(body(2, "Terminating")))
         await it.until(lambda: it.told)
-        assert it.health is ui.Readiness.DRAINING and b"after=2&" in (await it.call(1)).got
+        assert it.health is Readiness.DRAINING and b"after=2&" in (await it.call(1)).got
         watch.send(http(body(1, "Ready", whole=False)))  # changes to a list that was never had
         await it.until(lambda: len(it.told) == 2)
-        assert it.told[-1] == (ui.ListKind.FAILED, None)
+        assert it.told[-1] == (UpdateKind.FAILED, None)
         it.discovery.subscribe(True)
         assert b"after=0&" in (await it.call(2)).got
 
@@ -186,16 +189,16 @@
                 watch.sock.setsockopt(1, 13, b"\1\0\0\0\0\0\0\0")  # SO_LINGER of 0 s: the close is a reset
             watch.close()
             await it.until(lambda it=it: it.told)  # type: ignore[misc]
-            assert it.told[0][0] is (ui.ListKind.FAILED if reset else ui.ListKind.FULL)
+            assert it.told[0][0] is (UpdateKind.FAILED if reset else UpdateKind.SNAPSHOT)
 
 
 async def test_lists_that_are_none_are_failed_calls(mock_clock: trio.testing.MockClock) -> None:
     indented = json.dumps(json.loads(body(4, "Terminating")), indent=2).encode()
     for content, kind in (
-        (indented, ui.ListKind.FULL),
-        (body(4, "Ready")[:-9], ui.ListKind.FAILED),
-        (b'{"seq":4,"whole":true,"hosts":[]}', ui.ListKind.FAILED),
-        (b"\xff\xfe", ui.ListKind.FAILED),
+        (indented, UpdateKind.SNAPSHOT),
+        (body(4, "Ready")[:-9], UpdateKind.FAILED),
+        (b'{"seq":4,"whole":true,"hosts":[]}', UpdateKind.FAILED),
+        (b"\xff\xfe", UpdateKind.FAILED),
     ):
         async with calls(mock_clock) as it:
             it.discovery.subscribe(True)
@@ -203,4 +206,4 @@
             watch.send(http(content))
             await it.until(lambda it=it: it.told)  # type: ignore[misc]
             assert it.told[0][0] is kind
-            assert it.discovery.version == (4 if kind is ui.ListKind.FULL else 3)
+            assert it.discovery.version == (4 if kind is UpdateKind.SNAPSHOT else 3)
--- a/tests/platform/test_driver.py
+++ b/tests/platform/test_driver.py
@@ -9,7 +9,11 @@
 from juniperreel.platform.endpoints import read
 from juniperreel.postgres import messages as m
 from juniperreel.postgres import server
-from juniperreel.routing import types as ui
+from juniperreel.routing.types import (
+    Action,
+    Role,
+    UpdateKind,
+)
 from tests.platform.peers import (
     HELLO,
     HOSTS,
@@ -226,7 +230,7 @@
 def test_a_flaw_of_the_module_answers_what_it_was_about_and_goes_on(world: World) -> None:
     handle = world.driver.router.handle
 
-    def broken(now: int, events: Any) -> list[ui.Action]:
+    def broken(now: int, events: Any) -> list[Action]:
         raise RuntimeError("planted")
 
     world.driver.router.handle = broken  # type: ignore[method-assign,assignment]
@@ -299,7 +303,7 @@
     from tests.platform.peers import entry
 
     moved = {"seq": 4, "whole": False, "hosts": [entry("a", 2002), entry("p", 2001)]}
-    world.driver.told(ui.ListKind.CHANGES, read_list(moved, ["east"], ["k"]))
+    world.driver.told(UpdateKind.DELTA, read_list(moved, ["east"], ["k"]))
     world.turn()
     assert call.closed
     world.client(read_text(IDS[1]))
@@ -309,7 +313,7 @@
 def test_a_failed_discovery_is_asked_again(world: World) -> None:
     world.pass_us(200 * MS)
     assert world.asked == [True]
-    world.driver.told(ui.ListKind.FAILED, None)
+    world.driver.told(UpdateKind.FAILED, None)
     world.turn()
     world.pass_us(1500 * MS)
     assert world.asked == [True, True]
@@ -322,7 +326,7 @@
     position = world.time - 40 * MS
     world.say(call, row(b"x0=%.3f,x1=0,queue=3" % (position / SEC)))
     assert abs(world.driver.router.members["a"].position - position) <= MS
-    assert world.driver.router.members["a"].role is ui.Role.REPLICA
+    assert world.driver.router.members["a"].role is Role.REPLICA
     assert server.WELCOME  # nothing else was said
 
 
@@ -332,7 +336,7 @@
         world.pass_us(5 * SEC)
         fresh = entry(f"n{round_}", 2000 + round_, replication="standby")
         lists = {"seq": 10 + round_, "whole": True, "hosts": [*HOSTS, fresh]}
-        world.driver.told(ui.ListKind.FULL, read(lists, ["east"], ["k"]))
+        world.driver.told(UpdateKind.SNAPSHOT, read(lists, ["east"], ["k"]))
         world.turn()
         client = world.client(read_text(f"{round_:016x}"))
         for call in world.calls():
--- a/tests/platform/test_guards.py
+++ b/tests/platform/test_guards.py
@@ -19,7 +19,11 @@
 from juniperreel.platform.idletimeout import IdleTimeout
 from juniperreel.platform.run import watch_wait_us
 from juniperreel.platform.shutdown import GracefulShutdown
-from juniperreel.routing import types as ui
+from juniperreel.routing.types import (
+    LoadReport,
+    Readiness,
+    Role,
+)
 from tests.platform.peers import MS, SEC, SETTINGS, config_bytes, entry
 
 
@@ -68,7 +72,7 @@
 def test_watches_of_few_drivers_wait_less_and_of_many_no_longer_than_silence_may_last() -> None:
     router = parse(config_bytes()).router
     for routers, ask_s, wait_s in ((3, 0, 2.0), (6, 30, 2.0), (150, 30, 3.0), (240, 0, 4.0), (240, 5, 2.5)):
-        changed = replace(router, routers=routers, ask_every_us=ask_s * SEC)
+        changed = replace(router, router_count=routers, poll_interval_us=ask_s * SEC)
         assert watch_wait_us(changed) == wait_s * SEC
         assert wait_s * SEC + ANSWER_US < 6 * SEC  # what a silent watch misses counts as told then
 
@@ -86,10 +90,10 @@
     assert facts.position_us({"log_position": "1767225600123"}) == 1767225600123000
     for text in ("", "-5", "1e9", "9" * 40, "²"):
         assert facts.position_us({"log_position": text}) is None
-    assert facts.role({"replication_role": "primary"}) is ui.Role.PRIMARY
-    assert facts.role({"replication_role": "king"}) is ui.Role.UNKNOWN
+    assert facts.role({"replication_role": "primary"}) is Role.PRIMARY
+    assert facts.role({"replication_role": "king"}) is Role.UNKNOWN
     report = facts.report("x0=1767225600.123,x1=1,queue=4")
-    assert report == ui.Report(1767225600123000, True, None, 4.0)
+    assert report == LoadReport(1767225600123000, True, None, 4.0)
     for text in ("x0", "x0=nan", "x0=1,,x1=0", "queue=-1", "a" * 2000, "inflight=inf"):
         assert facts.report(text) is None
 
@@ -115,10 +119,10 @@
     found = endpoints.read(raw, ["east"], ["k"])
     assert found.bad == 4 and found.version == 7 and found.dials == {"a": ("127.0.0.1", 1)}
     (member,) = found.members
-    assert member.readiness is ui.Readiness.DRAINING and member.listed_primary
+    assert member.readiness is Readiness.DRAINING and member.listed_primary
     assert member.started_us == 1767225600123500
     gone = endpoints.read({"seq": 8, "whole": False, "hosts": [{"host": "a", "health": "Gone"}]}, [], [])
-    assert gone.members[0].readiness is ui.Readiness.GONE
+    assert gone.members[0].readiness is Readiness.REMOVED
 
 
 @pytest.mark.parametrize(
@@ -146,7 +150,7 @@
 def test_a_configuration_is_read_whole_or_not_at_all() -> None:
     config = parse(config_bytes())
     assert config.discovery == ("127.0.0.1", 9) and config.seed == 0x5F
-    assert config.connect_timeout_us == 250 * MS and config.router.must_ask
+    assert config.connect_timeout_us == 250 * MS and config.router.must_poll
     without = {k: v for k, v in SETTINGS.items() if k != "rules"}
     for data in (
         b"",
--- a/tests/platform/test_planted.py
+++ b/tests/platform/test_planted.py
@@ -17,8 +17,11 @@
 from juniperreel.platform.driver import PlatformDriver
 from juniperreel.platform.endpoints import Endpoints
 from juniperreel.platform.front import Client, Command, Front
-from juniperreel.routing import types as ui
 from juniperreel.routing.policy.router import Router
+from juniperreel.routing.types import (
+    Endpoint,
+    Outcome,
+)
 from tests.platform import stage, test_crossings, test_discovery
 from tests.routing import test_crossings as routing_crossings
 from tests.routing import test_router
@@ -98,7 +101,7 @@
 def ramp_forgotten_at_restart(patch: Patch) -> None:
     entry = Router.member_entry
 
-    def planted(router: Router, info: ui.Member) -> None:
+    def planted(router: Router, info: Endpoint) -> None:
         before = router.members.get(info.id)
         cold_us = before.cold_us if before else None
         entry(router, info)
@@ -185,7 +188,7 @@
     ),
     (
         lost_writes_forgotten,
-        partial(routing_crossings.test_a_write_that_may_have_run_is_seen_by_its_session, ui.Outcome.RESET),
+        partial(routing_crossings.test_a_write_that_may_have_run_is_seen_by_its_session, Outcome.RESET),
     ),
     (
         one_burst_taken_at_the_door,
@@ -235,4 +238,4 @@
     """The stage itself does not fail them."""
     for _, test in PLANTED:
         play(test)
-    assert test_router.SOURCE
+    assert test_router.POLICY
--- a/tests/proxy/test_driver.py
+++ b/tests/proxy/test_driver.py
@@ -26,8 +26,10 @@
 from juniperreel.proxy.outcomes import of_error, unfinished
 from juniperreel.proxy.positions import Needs, Standing
 from juniperreel.raft.configuration.model import EMPTY, MemberInfo
-from juniperreel.routing import types as ui
-from juniperreel.routing.types import Outcome
+from juniperreel.routing.types import (
+    Outcome,
+    UpdateKind,
+)
 from juniperreel.rpc.channel import Broken, NeverSent
 from juniperreel.rpc.limits import Limits
 from juniperreel.rpc.status import Code, RpcError, error_info
@@ -37,7 +39,9 @@
 from tests.script import BY_NAME, MS, SEC, SETTINGS
 
 HISTORY = History.of([(1, 0)])
-ROUTER = replace(SETTINGS, carried_age=True, must_ask=True, routers=1, probes=False, tenants=())
+ROUTER = replace(
+    SETTINGS, requests_carry_session_age=True, must_poll=True, router_count=1, health_checks=False, tenants=()
+)
 
 
 def options(**changes: Any) -> DriverOptions:
@@ -85,7 +89,7 @@
 
     async def members(self, *names: str) -> None:
         hosts = [host_list.Host(n, "127.0.0.1", 1, 0, 0, 0, "up", n == "p", 1.0, 0) for n in names]
-        self.driver.put(ListTold(ui.ListKind.FULL, hosts))
+        self.driver.put(ListTold(UpdateKind.SNAPSHOT, hosts))
         for name in names:
             self.driver.put(ProbeDone(name, Outcome.OK, MS, self.standing(name == "p")))
         await self.turn()
@@ -173,7 +177,7 @@
 
 async def test_a_drain_notice_and_a_request_in_one_batch(bench: Bench) -> None:
     hosts = [host_list.Host(n, "127.0.0.1", 1, 0, 0, 0, "draining", False, 1.0, 0) for n in ("a", "b")]
-    bench.driver.put(ListTold(ui.ListKind.CHANGES, hosts))
+    bench.driver.put(ListTold(UpdateKind.DELTA, hosts))
     for _ in range(9):  # some are shed: reads crowd no primary that was not heard of
         bench.ask("loose")
     await trio.testing.wait_all_tasks_blocked()
@@ -183,7 +187,7 @@
 
 async def test_a_write_to_a_primary_that_drains_in_the_same_batch_keeps_to_the_grace(bench: Bench) -> None:
     host = host_list.Host("p", "127.0.0.1", 1, 0, 0, 0, "draining", True, 1.0, 0)
-    bench.driver.put(ListTold(ui.ListKind.CHANGES, [host]))
+    bench.driver.put(ListTold(UpdateKind.DELTA, [host]))
     _, attempt = await started(bench, "write")
     assert attempt.member == "p"
     bench.driver.put(bench.done(attempt))
@@ -263,8 +267,8 @@
         Silent(): Outcome.UNREACHABLE,
         NeverSent(): Outcome.NOT_SENT,
         Broken(): Outcome.RESET,
-        refusal("NOT_PRIMARY"): Outcome.MISS,
-        refusal("BEHIND"): Outcome.MISS,
+        refusal("NOT_PRIMARY"): Outcome.INELIGIBLE,
+        refusal("BEHIND"): Outcome.INELIGIBLE,
         refusal("NOT_EXECUTED"): Outcome.REJECTED,
         refusal("ANYTHING"): Outcome.ERROR,
         RpcError(Code.UNAVAILABLE): Outcome.ERROR,
--- a/tests/routing/test_crossings.py
+++ b/tests/routing/test_crossings.py
@@ -4,8 +4,15 @@
 
 import pytest
 
-from juniperreel.routing import types as ui
-from juniperreel.routing.types import Outcome, Role
+from juniperreel.routing.types import (
+    ClientDisconnected,
+    DeadlineShortened,
+    Outcome,
+    Readiness,
+    Reject,
+    Role,
+    UpdateKind,
+)
 from tests.script import MS, SEC, Script, member
 
 
@@ -26,7 +33,7 @@
     s = settled()
     s.ask("write")
     s.now += 300 * MS
-    s.end("0" * 16, outcome, finished=True)
+    s.end("0" * 16, outcome, request_finished=True)
     s.router.members["a"].position = s.now - 1
     assert "a" not in reads_of(s, s.ask("own"))
     s.router.members["a"].position = s.now
@@ -34,19 +41,19 @@
     assert reads_of(s, s.ask("own", session="other")) == ["a"]
 
 
-@pytest.mark.parametrize("outcome", [Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.MISS])
+@pytest.mark.parametrize("outcome", [Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.INELIGIBLE])
 def test_a_write_that_never_ran_asks_nothing_of_its_session(outcome: Outcome) -> None:
     s = settled()
     s.ask("write")
     s.now += 300 * MS
-    s.end("0" * 16, outcome, finished=True)
+    s.end("0" * 16, outcome, request_finished=True)
     s.router.members["a"].position = s.now - SEC
     assert reads_of(s, s.ask("own")) == ["a"]
 
 
-def test_while_a_write_is_out_its_session_reads_from_the_primary_where_answers_get_lost() -> None:
+def test_while_a_write_is_out_its_session_reads_from_the_primary_where_responses_may_be_lost() -> None:
     for lost, expected in ((True, "p"), (False, "a")):
-        s = settled(answers_get_lost=lost)
+        s = settled(responses_may_be_lost=lost)
         s.ask("write")
         assert reads_of(s, s.ask("own")) == ["a"]  # nothing was answered so soon
         s.now += 300 * MS
@@ -88,7 +95,7 @@
     assert not s.router.fits(s.now + 51 * MS, read, 0)  # its bound is 300 ms
     s.router.members["a"].position = s.now
     assert s.router.fits(s.now + 51 * MS, read, 0)
-    s.batch(ui.RequestGone(read))
+    s.batch(ClientDisconnected(read))
     assert not s.router.fits(s.now, read, 0)
 
 
@@ -104,8 +111,8 @@
 def test_an_attempt_does_not_fit_a_member_that_was_told_to_drain_meanwhile() -> None:
     s = settled()
     read, write = s.ask("loose"), s.ask("write")
-    changed = member("a", readiness=ui.Readiness.DRAINING)
-    s.start(changed, member("p", readiness=ui.Readiness.DRAINING), kind=ui.ListKind.CHANGES)
+    changed = member("a", readiness=Readiness.DRAINING)
+    s.start(changed, member("p", readiness=Readiness.DRAINING), kind=UpdateKind.DELTA)
     assert not s.router.fits(s.now, read, 0)
     assert s.router.fits(s.now, write, 0)  # a primary that drains has half the grace
     assert not s.router.fits(s.now + s.settings.drain_grace_us // 2, write, 0)
@@ -116,12 +123,12 @@
     for m in s.router.members.values():
         m.suspect, m.retry_us = True, s.now + 60 * SEC
     held = s.ask("write")
-    s.batch(ui.DeadlineCut(held, s.now + 500 * MS))
-    s.batch(ui.DeadlineCut(held, s.now + 900 * MS))  # never longer again
+    s.batch(DeadlineShortened(held, s.now + 500 * MS))
+    s.batch(DeadlineShortened(held, s.now + 900 * MS))  # never longer again
     s.wait(500 * MS)
-    (refused,) = s.did(ui.Refuse, held)
+    (refused,) = s.did(Reject, held)
     assert refused.request == held
-    s.batch(ui.DeadlineCut("unknown", s.now))
+    s.batch(DeadlineShortened("unknown", s.now))
 
 
 def test_a_member_that_came_back_is_cold_again() -> None:
@@ -129,7 +136,7 @@
     s = settled()
     assert s.router.ramp(s.router.members["a"]) == 1.0
     s.now += SEC
-    s.start(member("p", listed_primary=True), member("a", started_us=s.now), kind=ui.ListKind.FULL)
+    s.start(member("p", listed_primary=True), member("a", started_us=s.now), kind=UpdateKind.SNAPSHOT)
     assert s.router.ramp(s.router.members["a"]) < 0.25
     s.router.members["a"].position = s.now
     sent = sum(reads_of(s, s.ask("loose")) == ["a"] for _ in range(20))
--- a/tests/routing/test_property.py
+++ b/tests/routing/test_property.py
@@ -8,11 +8,36 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from juniperreel.routing import types as ui
 from juniperreel.routing.policy.router import Router
+from juniperreel.routing.types import (
+    Action,
+    AttemptEnded,
+    Cancel,
+    ClientDisconnected,
+    Consistency,
+    Endpoint,
+    EndpointUpdate,
+    Event,
+    Fail,
+    HealthCheckEnded,
+    Idempotency,
+    KeyScope,
+    LoadReport,
+    Outcome,
+    Readiness,
+    Reject,
+    Request,
+    RequestClass,
+    Role,
+    Send,
+    SetTimer,
+    StartHealthCheck,
+    TimerFired,
+    UpdateKind,
+)
 from tests.script import CLASSES, MS, SEC, SETTINGS, member
 
-NEVER_RAN = {ui.Outcome.REJECTED, ui.Outcome.UNREACHABLE, ui.Outcome.NOT_SENT, ui.Outcome.MISS}
+NEVER_RAN = {Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.NOT_SENT, Outcome.INELIGIBLE}
 
 
 class World:
@@ -20,7 +45,7 @@
 
     def __init__(self, seed: int, changes: dict[str, object]) -> None:
         self.rng = random.Random(seed)
-        scope = self.rng.choice(list(ui.KeyScope))
+        scope = self.rng.choice(list(KeyScope))
         classes = tuple(replace(c, key_scope=scope) for c in CLASSES)
         self.settings = replace(SETTINGS, classes=classes, **changes)  # type: ignore[arg-type]
         self.router = Router(self.settings, seed)
@@ -33,7 +58,7 @@
         self.position = dict.fromkeys(self.names, self.now)
         self.lag = dict.fromkeys(self.names, 5 * MS)
         self.drained: dict[str, int] = {}
-        self.open: dict[str, ui.Request] = {}
+        self.open: dict[str, Request] = {}
         self.ended: set[str] = set()
         self.attempts: dict[str, int] = {}
         self.out: dict[tuple[str, int], tuple[str, int, int]] = {}
@@ -44,29 +69,29 @@
         self.probes: list[str] = []
         self.asked = 0
 
-    def cls(self, request: str) -> ui.RequestClass:
-        return self.settings.classes[self.open[request].cls]
+    def cls(self, request: str) -> RequestClass:
+        return self.settings.classes[self.open[request].class_index]
 
-    def entries(self, names: list[str]) -> tuple[ui.Member, ...]:
+    def entries(self, names: list[str]) -> tuple[Endpoint, ...]:
         return tuple(
             member(
                 n,
                 zone=self.zone[n],
                 listed_primary=n == "a",
-                readiness=ui.Readiness.DRAINING if n in self.drained else ui.Readiness.UP,
+                readiness=Readiness.DRAINING if n in self.drained else Readiness.READY,
             )
             for n in names
         )
 
-    def role(self, name: str) -> ui.Role:
-        return ui.Role.PRIMARY if name == self.primary else ui.Role.REPLICA
+    def role(self, name: str) -> Role:
+        return Role.PRIMARY if name == self.primary else Role.REPLICA
 
     def step(self) -> None:
         self.now += self.rng.choice([0, 1, 5 * MS, 20 * MS, 90 * MS, 400 * MS])
         for n in self.names:
             behind = 0 if n == self.primary else self.lag[n]
             self.position[n] = max(self.position[n], self.now - behind)
-        events: list[ui.Event] = [ui.TimerFired(k) for at, k in self.timers if at <= self.now]
+        events: list[Event] = [TimerFired(k) for at, k in self.timers if at <= self.now]
         self.timers = [t for t in self.timers if t[0] > self.now]
         learned_replica: set[str] = set()
         for (request, attempt), (name, sent, limit) in list(self.out.items()):
@@ -74,15 +99,15 @@
             if due or self.rng.random() < 0.4:
                 events.append(self.ending(request, attempt, name, sent, due, learned_replica))
         for name in self.probes:
-            outcome = self.rng.choice([ui.Outcome.OK, ui.Outcome.OK, ui.Outcome.UNREACHABLE])
+            outcome = self.rng.choice([Outcome.OK, Outcome.OK, Outcome.UNREACHABLE])
             report = None
-            if outcome is ui.Outcome.OK:
-                report = ui.Report(self.position[name], name == self.primary)
-            events.append(ui.ProbeEnded(name, outcome, MS, report))
+            if outcome is Outcome.OK:
+                report = LoadReport(self.position[name], name == self.primary)
+            events.append(HealthCheckEnded(name, outcome, MS, report))
         self.probes = []
         for request, ask in list(self.open.items()):
             if self.rng.random() < 0.02:
-                events.append(ui.RequestGone(request))
+                events.append(ClientDisconnected(request))
                 self.finish(request)
             assert self.now <= ask.deadline_us + 420 * MS
         roll = self.rng.random()
@@ -96,17 +121,17 @@
         elif roll < 0.06 and len(self.drained) < 3:
             name = self.rng.choice(self.names)
             self.drained.setdefault(name, self.now)
-            kind = self.rng.choice([ui.ListKind.CHANGES, ui.ListKind.FULL])
-            events.append(ui.MemberList(kind, self.entries(self.names)))
+            kind = self.rng.choice([UpdateKind.DELTA, UpdateKind.SNAPSHOT])
+            events.append(EndpointUpdate(kind, self.entries(self.names)))
         for _ in range(self.rng.choice([0, 1, 2])):
             events.append(self.request())
         self.judge(self.router.handle(self.now, events))
         self.told_replica |= learned_replica
 
-    def request(self) -> ui.Request:
+    def request(self) -> Request:
         cls = self.rng.randrange(len(CLASSES))
         session = self.rng.choice(["s", "t"])
-        ask = ui.Request(
+        ask = Request(
             f"{self.asked:016x}",
             cls,
             self.rng.randrange(3),
@@ -122,83 +147,79 @@
 
     def ending(
         self, request: str, attempt: int, name: str, sent: int, due: bool, told: set[str]
-    ) -> ui.AttemptEnded:
+    ) -> AttemptEnded:
         del self.out[request, attempt]
         live = request in self.open
-        outcome = self.rng.choice(
-            [ui.Outcome.OK] * 5 + [o for o in ui.Outcome if o is not ui.Outcome.TIMEOUT]
-        )
+        outcome = self.rng.choice([Outcome.OK] * 5 + [o for o in Outcome if o is not Outcome.TIMEOUT])
         if due:
-            outcome = ui.Outcome.TIMEOUT
-        role, position = ui.Role.UNKNOWN, None
-        if live and outcome is ui.Outcome.OK and self.cls(request).consistency is ui.Consistency.WRITE:
+            outcome = Outcome.TIMEOUT
+        role, position = Role.UNKNOWN, None
+        if live and outcome is Outcome.OK and self.cls(request).consistency is Consistency.WRITE:
             if name != self.primary:
-                outcome = ui.Outcome.MISS
+                outcome = Outcome.INELIGIBLE
             else:
                 session = self.open[request].session or ""
                 self.commits[session] = self.now
                 position = self.now
-        if outcome in (ui.Outcome.OK, ui.Outcome.MISS, ui.Outcome.ERROR):
+        if outcome in (Outcome.OK, Outcome.INELIGIBLE, Outcome.ERROR):
             role = self.role(name)
             position = self.position[name] if position is None else position
-            if role is ui.Role.REPLICA:
+            if role is Role.REPLICA:
                 told.add(name)
         if outcome not in NEVER_RAN and request not in self.ran:
             self.ran[request] = (sent, name)
-        finished = outcome is ui.Outcome.OK or not live
+        finished = outcome is Outcome.OK or not live
         if finished and live:
             self.finish(request)
-        return ui.AttemptEnded(
-            request, attempt, name, outcome, self.now - sent, finished, role, position, None
-        )
+        return AttemptEnded(request, attempt, name, outcome, self.now - sent, finished, role, position, None)
 
     def finish(self, request: str) -> None:
         del self.open[request]
         self.ended.add(request)
 
-    def judge(self, actions: list[ui.Action]) -> None:
+    def judge(self, actions: list[Action]) -> None:
         for action in actions:
-            if isinstance(action, ui.SetTimer):
-                self.timers.append((self.now + action.after_us, action.key))
-            elif isinstance(action, ui.Probe):
-                self.probes.append(action.member)
-            elif isinstance(action, ui.Cancel):
+            if isinstance(action, SetTimer):
+                self.timers.append((self.now + action.delay_us, action.key))
+            elif isinstance(action, StartHealthCheck):
+                self.probes.append(action.endpoint)
+            elif isinstance(action, Cancel):
                 assert 0 <= action.attempt < self.attempts[action.request], "an attempt that was made"
-            elif isinstance(action, ui.Refuse | ui.Fail):
+            elif isinstance(action, Reject | Fail):
                 assert action.request in self.open, "one final answer"
-                if isinstance(action, ui.Refuse):
+                if isinstance(action, Reject):
                     self.judge_refusal(action.request)
                 self.finish(action.request)
-            elif isinstance(action, ui.Send):
+            elif isinstance(action, Send):
                 self.judge_send(action)
 
     def judge_refusal(self, request: str) -> None:
         cls = self.cls(request)
         maybe = request in self.ran or any(r == request for r, _ in self.out)
-        if cls.effect is ui.Effect.ONCE:
+        if cls.idempotency is Idempotency.NON_IDEMPOTENT:
             assert not maybe
-        elif cls.effect is ui.Effect.KEYED and maybe:
-            assert cls.key_scope is ui.KeyScope.ALL
+        elif cls.idempotency is Idempotency.KEYED and maybe:
+            assert cls.key_scope is KeyScope.ALL
 
-    def judge_send(self, action: ui.Send) -> None:
-        request, name = action.request, action.member
+    def judge_send(self, action: Send) -> None:
+        request, name = action.request, action.endpoint
         assert request in self.open, "nothing is sent after the end"
         ask, cls = self.open[request], self.cls(request)
         assert self.attempts[request] < self.settings.max_attempts
         assert not any(r == request for r, _ in self.out), "no two at once"
         if name in self.drained:
             assert self.now - self.drained[name] < self.settings.drain_grace_us
-        if request in self.ran and cls.effect is not ui.Effect.REPEATABLE:
+        if request in self.ran and cls.idempotency is not Idempotency.IDEMPOTENT:
             sent, where = self.ran[request]
-            assert cls.effect is ui.Effect.KEYED
-            assert self.now <= sent + cls.memory_span_us
-            assert cls.key_scope is not ui.KeyScope.ZONE or self.zone[where] == self.zone[name]
+            assert cls.idempotency is Idempotency.KEYED
+            assert self.now <= sent + cls.deduplication_window_us
+            assert cls.key_scope is not KeyScope.ZONE or self.zone[where] == self.zone[name]
         excused = name == self.primary or (name in self.was_primary and name not in self.told_replica)
-        if not excused and cls.consistency is ui.Consistency.BOUNDED:
-            assert self.now - self.position[name] <= cls.lag_allowed_us
-        elif not excused and cls.consistency is ui.Consistency.SESSION:
+        if not excused and cls.consistency is Consistency.BOUNDED:
+            assert self.now - self.position[name] <= cls.max_staleness_us
+        elif not excused and cls.consistency is Consistency.SESSION:
             assert self.position[name] >= self.needs[request]
-        elif cls.consistency is ui.Consistency.FRESH:
+        elif cls.consistency is Consistency.FRESH:
             assert excused
         limit = min(ask.deadline_us, self.now + action.timeout_us)
         self.out[request, self.attempts[request]] = (name, self.now, limit)
@@ -218,9 +239,14 @@
 ) -> None:
     world = World(
         seed,
-        {"cancelling": cancelling, "probes": probes, "must_ask": must_ask, "only_draining_binds": binds},
+        {
+            "cancellation": cancelling,
+            "health_checks": probes,
+            "must_poll": must_ask,
+            "removed_endpoints_serve": binds,
+        },
     )
-    events: list[ui.Event] = [ui.MemberList(ui.ListKind.SAVED, world.entries(world.names))]
+    events: list[Event] = [EndpointUpdate(UpdateKind.CACHED, world.entries(world.names))]
     world.judge(world.router.handle(world.now, events))
     for _ in range(150):
         world.step()
@@ -228,7 +254,7 @@
     asked = world.asked
     for _ in range(60):
         world.now += 100 * MS
-        fired: list[ui.Event] = [ui.TimerFired(k) for at, k in world.timers if at <= world.now]
+        fired: list[Event] = [TimerFired(k) for at, k in world.timers if at <= world.now]
         world.timers = [t for t in world.timers if t[0] > world.now]
         told: set[str] = set()
         for (request, attempt), (name, sent, limit) in list(world.out.items()):
