The router's loop has verbs of the field: enqueue, process_batch, reject, start_health_check

Need: put, batch, remark and late had to be explained. Change: RouterLoop's methods and what its hosts implement renamed, the carrying out of actions in a function of its own; Router.fits is confirm_send.

--- a/juniperreel/platform/driver.py
+++ b/juniperreel/platform/driver.py
@@ -91,14 +91,14 @@
     # Its turn.
 
     def due(self) -> int | None:
-        times = [t for t in (self.timer_due(), self.alarms.due()) if t is not None]
+        times = [t for t in (self.next_timer_us(), self.alarms.due()) if t is not None]
         return min(times) if times else None
 
     def turn(self) -> None:
         """What is due and what came: until nothing is left."""
         now = self.now()
         self.alarms.ring(now)
-        while self.batch(now) and self.inbox:
+        while self.process_batch(now) and self.queue:
             now = self.now()
 
     def _sweep(self) -> None:
@@ -112,7 +112,7 @@
             # Danger: a flaw of the module must not leave a client without an answer for ever.
             self.log.error("a request was left over", request=name)
             self._answer(name, server.failed("58000", "the time is up"))
-            self.put(ClientDisconnected(name))
+            self.enqueue(ClientDisconnected(name))
 
     # Requests.
 
@@ -141,7 +141,7 @@
             age = max(self.now() - form.after_ms * 1000, 0)
         self.open[form.id] = Open(form, command, deadline)
         command.request = form.id
-        self.put(
+        self.enqueue(
             Request(
                 id=form.id,
                 class_index=cls,
@@ -159,7 +159,7 @@
         item = self.open.get(name) if name is not None else None
         if name is not None and item is not None and item.command is command:
             item.command = None
-            self.put(ClientDisconnected(name))
+            self.enqueue(ClientDisconnected(name))
             self._forget(name, item)
 
     def _answer(self, name: str, data: bytes) -> None:
@@ -182,10 +182,10 @@
 
     # What the module says.
 
-    def events(self, happened: list[Event], now: int) -> list[Event]:
-        return happened
+    def router_events(self, host_events: list[Event], now: int) -> list[Event]:
+        return host_events
 
-    def send(self, request: str, member: str, timeout_us: int, now: int) -> None:
+    def send(self, request: str, endpoint: str, timeout_us: int, now: int) -> None:
         item = self.open.get(request)
         if item is None:
             return
@@ -198,15 +198,15 @@
             return with_span(form.text, max((min(until, item.deadline_us) - self.now()) // 1000, 1))
 
         def fits() -> bool:
-            return self.router.fits(self.now(), request, number)
+            return self.router.confirm_send(self.now(), request, number)
 
-        job = Job(text, partial(self._ended, request, number, member, now), fits)
+        job = Job(text, partial(self._ended, request, number, endpoint, now), fits)
         item.out[number] = job
         if item.command is None:
             job.end(Outcome.NOT_SENT)  # rule 1: nothing goes out after the final answer
             return
         self.alarms.at(until, partial(self.links.give_up, job, False))
-        self.links.run(member, job)
+        self.links.run(endpoint, job)
 
     def _ended(self, request: str, number: int, member: str, started_us: int, ended: Ended) -> None:
         item = self.open[request]
@@ -216,7 +216,7 @@
             finished = True
             self._answer(request, reply.rows + READY)
         parameters = reply.parameters if reply is not None else {}
-        self.put(
+        self.enqueue(
             AttemptEnded(
                 request=request,
                 attempt=number,
@@ -231,43 +231,45 @@
         )
         self._forget(request, item)
 
-    def cancel(self, request: str, number: int) -> None:
+    def cancel(self, request: str, attempt: int) -> None:
         item = self.open.get(request)
-        job = item.out.get(number) if item is not None else None
+        job = item.out.get(attempt) if item is not None else None
         if job is not None:
             self.links.give_up(job, True)
 
-    def refuse(self, request: str, wait_us: int, now: int) -> None:
-        self._answer(request, server.refused("not taken; trying again does no harm", -(-wait_us // 1000)))
+    def reject(self, request: str, retry_after_us: int, now: int) -> None:
+        self._answer(
+            request, server.refused("not taken; trying again does no harm", -(-retry_after_us // 1000))
+        )
 
     def fail(self, request: str) -> None:
         self._answer(request, server.failed("08007", "the effect is unknown"))
 
-    def probe(self, member: str) -> None:
+    def start_health_check(self, endpoint: str) -> None:
         started = self.now()
 
         def done(ended: Ended) -> None:
             value = ended.reply.value if ended.reply is not None else None
             report = facts.report(value.decode("utf-8", "replace")) if value else None
-            self.put(HealthCheckEnded(member, ended.outcome, self.now() - started, report))
+            self.enqueue(HealthCheckEnded(endpoint, ended.outcome, self.now() - started, report))
 
         job = Job(lambda: REPORT, done)
         self.alarms.at(started + PROBE_US, partial(self.links.give_up, job, False))
-        self.links.run(member, job)
+        self.links.run(endpoint, job)
 
-    def subscribe(self, on: bool) -> None:
-        self._discover(on)
+    def subscribe(self, enabled: bool) -> None:
+        self._discover(enabled)
 
-    def fetch_list(self) -> None:
+    def fetch_endpoint_list(self) -> None:
         self._discover(None)
 
-    def remark(self, text: str) -> None:
-        self.log.info(text)
+    def log_message(self, message: str) -> None:
+        self.log.info(message)
 
-    def late(self, by_us: int) -> None:
-        self.log.warning("stood still", late_ms=by_us // 1000)
+    def on_stall(self, late_us: int) -> None:
+        self.log.warning("stood still", late_ms=late_us // 1000)
 
-    def module_failed(self, events: Sequence[Event], error: Exception) -> None:
+    def on_policy_error(self, events: Sequence[Event], error: Exception) -> None:
         self.log.error("the module failed on a batch", exc_info=error)
         for event in events:
             name = event.id if isinstance(event, Request) else getattr(event, "request", None)
@@ -279,7 +281,7 @@
     def told(self, kind: UpdateKind, endpoints: Endpoints | None) -> None:
         """A list, or the end of a call without one (None)."""
         if endpoints is None:
-            self.put(EndpointUpdate(kind, ()))
+            self.enqueue(EndpointUpdate(kind, ()))
             return
         for member in endpoints.members:
             self._groups.add(member.group)
@@ -293,7 +295,7 @@
             for name in self._known.keys() - {m.id for m in endpoints.members}:
                 del self._known[name]
                 self.links.retire(name)
-        self.put(EndpointUpdate(kind, endpoints.members))
+        self.enqueue(EndpointUpdate(kind, endpoints.members))
 
     # Its end.
 
@@ -307,7 +309,7 @@
             latest = self.shutdown.latest_us(item.deadline_us)
             if latest < item.deadline_us:
                 item.deadline_us = latest
-                self.put(DeadlineShortened(name, latest))
+                self.enqueue(DeadlineShortened(name, latest))
                 for job in item.out.values():
                     self.alarms.at(latest, partial(self.links.give_up, job, False))
 
--- a/juniperreel/proxy/driver.py
+++ b/juniperreel/proxy/driver.py
@@ -109,7 +109,7 @@
     hosts: list[host_list.Host]
 
 
-Happening = Open | AttemptDone | ProbeDone | ListTold | ClientDisconnected
+HostEvent = Open | AttemptDone | ProbeDone | ListTold | ClientDisconnected
 
 
 CONGESTED = (Outcome.REJECTED, Outcome.TIMEOUT, Outcome.CANCELLED)  # ends that tell of members at their limit
@@ -126,7 +126,7 @@
     return "no member could take it in time: none is up, fresh enough or warm"
 
 
-class Driver(RouterLoop[Happening]):
+class Driver(RouterLoop[HostEvent]):
     """One driver. `run` must be running; then `execute` takes requests."""
 
     def __init__(
@@ -182,7 +182,7 @@
             if self.options.saved_list is not None and self.options.saves_list:
                 self._nursery.start_soon(self._save_lists)
             self._nursery.start_soon(self._gauges)
-            self.put(ListTold(UpdateKind.CACHED, saved))
+            self.enqueue(ListTold(UpdateKind.CACHED, saved))
             task_status.started()
             await self._loop()
 
@@ -236,7 +236,7 @@
             self._heed(self.gate.gone(self.clock.now_us(), item.work.id))
             self._settle()
         else:
-            self.put(ClientDisconnected(item.work.id))
+            self.enqueue(ClientDisconnected(item.work.id))
 
     def glance(self, cls: int, tenant: int, group: int, deadline_us: int) -> Refused | None:
         """Whether a request would be turned away on its arrival: asked before anything is spent on it."""
@@ -255,7 +255,7 @@
                 case Admit(name):
                     if item is not None:
                         self._open[name] = item
-                        self.put(item)
+                        self.enqueue(item)
                     else:
                         self._heed(self.gate.ended(self.clock.now_us(), name, None))
                 case Turn(_, reason, wait):
@@ -267,15 +267,15 @@
             self._wake.set()  # the gate's next time may have changed
             self._settle()
 
-    def put(self, happening: Happening) -> None:
-        super().put(happening)
+    def enqueue(self, event: HostEvent) -> None:
+        super().enqueue(event)
         self._wake.set()
 
     # The loop.
 
     async def _loop(self) -> None:
         while True:
-            if not self.inbox:
+            if not self.queue:
                 self._wake = trio.Event()
                 due = self._due_us()
                 with trio.CancelScope() as scope:
@@ -287,7 +287,7 @@
             self._turn()
 
     def _due_us(self) -> int | None:
-        times = (self.timer_due(), self.gate.due_us())
+        times = (self.next_timer_us(), self.gate.due_us())
         return min((due for due in times if due is not None), default=None)
 
     def _turn(self) -> None:
@@ -295,13 +295,13 @@
         if self._pace is not None:
             self.gate.lag(now, self._pace.late_us())
         self._heed(self.gate.tick(now))
-        if self.batch(now):
+        if self.process_batch(now):
             self.metrics.batches.inc()
 
-    def late(self, by_us: int) -> None:
+    def on_stall(self, late_us: int) -> None:
         self.metrics.stalls.inc()
 
-    def module_failed(self, events: Sequence[Event], error: Exception) -> None:
+    def on_policy_error(self, events: Sequence[Event], error: Exception) -> None:
         self.metrics.module_errors.inc()
         self.log.error("the module failed on a batch", exc_info=error)
         for event in events:
@@ -312,10 +312,10 @@
 
     # What happened, in the module's words.
 
-    def events(self, happened: list[Happening], now: int) -> list[Event]:
-        gone = {h.request for h in happened if isinstance(h, ClientDisconnected)}
+    def router_events(self, host_events: list[HostEvent], now: int) -> list[Event]:
+        gone = {h.request for h in host_events if isinstance(h, ClientDisconnected)}
         events: list[Event] = []
-        for item in happened:
+        for item in host_events:
             if isinstance(item, Open):
                 events.append(self._request(item, now))
             elif isinstance(item, AttemptDone):
@@ -467,7 +467,7 @@
     # The host list.
 
     def _list_told(self, kind: UpdateKind, hosts: list[host_list.Host]) -> None:
-        self.put(ListTold(kind, hosts))
+        self.enqueue(ListTold(kind, hosts))
 
     def _list(self, told: ListTold) -> EndpointUpdate:
         if told.kind is UpdateKind.FAILED:
@@ -532,37 +532,37 @@
 
     # What the module says.
 
-    def cancel(self, request: str, number: int) -> None:
+    def cancel(self, request: str, attempt: int) -> None:
         item = self._open.get(request)
-        attempt = item.out.get(number) if item is not None else None
-        if attempt is not None:
-            attempt.withdrawn = True
-            attempt.scope.cancel()
+        running = item.out.get(attempt) if item is not None else None
+        if running is not None:
+            running.withdrawn = True
+            running.scope.cancel()
 
-    def refuse(self, request: str, wait_us: int, now: int) -> None:
+    def reject(self, request: str, retry_after_us: int, now: int) -> None:
         item = self._open.get(request)
         if item is not None:
-            self._final(request, Refused(why_given_up(item, now), wait_us))
+            self._final(request, Refused(why_given_up(item, now), retry_after_us))
 
     def fail(self, request: str) -> None:
         item = self._open.get(request)
         attempts = item.attempts if item is not None else 0
         self._final(request, Failed("the effect is unknown", attempts))
 
-    def probe(self, member: str) -> None:
+    def start_health_check(self, endpoint: str) -> None:
         assert self._nursery is not None
-        self._nursery.start_soon(self._probe, member)
+        self._nursery.start_soon(self._probe, endpoint)
 
-    def subscribe(self, on: bool) -> None:
-        self.hosts.subscribe(on)
+    def subscribe(self, enabled: bool) -> None:
+        self.hosts.subscribe(enabled)
 
-    def fetch_list(self) -> None:
+    def fetch_endpoint_list(self) -> None:
         self.hosts.fetch()
 
-    def remark(self, text: str) -> None:
-        self.log.info(text)
+    def log_message(self, message: str) -> None:
+        self.log.info(message)
 
-    def send(self, request: str, member: str, timeout_us: int, now: int) -> None:
+    def send(self, request: str, endpoint: str, timeout_us: int, now: int) -> None:
         assert self._nursery is not None
         item = self._open[request]
         cls = self.options.router.classes[item.work.cls]
@@ -570,12 +570,12 @@
         if cls.consistency is not Consistency.WRITE:
             lag = cls.max_staleness_us if cls.consistency is Consistency.BOUNDED else None
             needs = self.positions.needs(now, item.work.group, item.work.token, lag)
-        attempt = Attempt(item, item.attempts, member, needs, now)
+        attempt = Attempt(item, item.attempts, endpoint, needs, now)
         item.attempts += 1
         item.out[attempt.number] = attempt
         if item.answer is not None:
             # Rule 1: nothing goes out after the final answer, whatever the module thinks of the request.
-            self.put(AttemptDone(attempt, Outcome.NOT_SENT, now))
+            self.enqueue(AttemptDone(attempt, Outcome.NOT_SENT, now))
             return
         limit = timeout_us or max(item.work.deadline_us - now, 0)
         self._nursery.start_soon(self._attempt, attempt, limit)
@@ -643,7 +643,7 @@
         if done is None:
             outcome = unfinished(attempt.sent.is_set(), attempt.withdrawn)
             done = AttemptDone(attempt, outcome, self.clock.now_us())
-        self.put(done)
+        self.enqueue(done)
 
     async def _probe(self, member: str) -> None:
         started = self.clock.now_us()
@@ -661,4 +661,4 @@
         if done is None:
             done = ProbeDone(member, Outcome.TIMEOUT, 0)
         done.took_us = self.clock.now_us() - started
-        self.put(done)
+        self.enqueue(done)
--- a/juniperreel/routing/loop.py
+++ b/juniperreel/routing/loop.py
@@ -1,7 +1,7 @@
-"""One router, fed in batches: an inbox of what happened, the router's timers, and its actions.
+"""The loop that feeds one router: a queue of host events, the router's timers, and its actions carried out.
 
-Free of I/O. Whoever hosts a router puts happenings in and calls `batch` when something is due; the router's
-actions come back as calls of the methods below, which the host fills in. Decides nothing.
+Does no I/O and decides nothing. A host enqueues what happened, calls `process_batch` when something is due,
+and implements the abstract methods, which carry out the router's actions.
 """
 
 from __future__ import annotations
@@ -13,6 +13,7 @@
 
 from juniperreel.routing.policy.router import Router
 from juniperreel.routing.types import (
+    Action,
     Cancel,
     Event,
     Fail,
@@ -27,102 +28,128 @@
     TimerFired,
 )
 
-STALL_US = 150_000  # a timer this late is told to `late`; what to make of it is the module's business
+STALL_US = 150_000  # a timer this late is reported to `on_stall`; what to make of it is the router's decision
 
-Happening = TypeVar("Happening")
+HostEvent = TypeVar("HostEvent")
 
 
-class RouterLoop(ABC, Generic[Happening]):
-    """Spans and times are microseconds on the host's clock."""
+class RouterLoop(ABC, Generic[HostEvent]):
+    """Owns one router, its timers and the queue in front of it.
+
+    `HostEvent` is what the host enqueues. Times and durations are microseconds on the host's clock.
+    """
 
     def __init__(self, settings: Settings, seed: int) -> None:
+        """Start a router. Raises ValueError for settings that no router can follow."""
         self.router = Router(settings, seed)
-        self.inbox: list[Happening] = []
-        self._timers: list[tuple[int, int]] = []  # (due, key)
+        self.queue: list[HostEvent] = []
+        self._timers: list[tuple[int, int]] = []  # heap of (due, key)
+
+    def enqueue(self, event: HostEvent) -> None:
+        """Add an event to the next batch.
 
-    def put(self, happening: Happening) -> None:
-        """The inbox needs no bound of its own: every happening belongs to an open request, an attempt, a
-        probe or the member list, and each of those is bounded."""
-        self.inbox.append(happening)
+        The queue needs no bound of its own: every event belongs to an open request, an attempt, a health
+        check or the endpoint list, and each of those is bounded.
+        """
+        self.queue.append(event)
 
-    def timer_due(self) -> int | None:
+    def next_timer_us(self) -> int | None:
+        """When the router's next timer is due, or None where none is set."""
         return self._timers[0][0] if self._timers else None
 
-    def batch(self, now: int) -> bool:
-        """Hands the router all that happened, its timers last, and carries out what it says. False where
-        there was nothing."""
-        happened, self.inbox = self.inbox, []
-        events = self.events(happened, now)
-        while self._timers and self._timers[0][0] <= now:
-            due, key = heapq.heappop(self._timers)
-            if now - due > STALL_US:
-                self.late(now - due)
-            events.append(TimerFired(key))
+    def process_batch(self, now: int) -> bool:
+        """Hand the router all queued events, then its due timers, and carry out its actions.
+
+        Returns False where there was nothing to hand over.
+        """
+        host_events = self.queue
+        self.queue = []
+        events = self.router_events(host_events, now)
+        events.extend(self._due_timers(now))
         if not events:
             return False
         try:
             actions = self.router.handle(now, events)
         except Exception as error:
-            # Danger: one request that trips the module must not take the program and all others with it.
-            self.module_failed(events, error)
+            # One request on which the policy raises must not end the program and all other requests.
+            self.on_policy_error(events, error)
             return True
         for action in actions:
-            match action:
-                case Send(request, member, timeout):
-                    self.send(request, member, timeout, now)
-                case SetTimer(after, key):
-                    heapq.heappush(self._timers, (now + after, key))
-                case Cancel(request, number):
-                    self.cancel(request, number)
-                case Reject(request, wait):
-                    self.refuse(request, wait, now)
-                case Fail(request):
-                    self.fail(request)
-                case StartHealthCheck(member):
-                    self.probe(member)
-                case Subscribe(on):
-                    self.subscribe(on)
-                case FetchEndpointList():
-                    self.fetch_list()
-                case Log(text):
-                    self.remark(text)
+            self._carry_out(action, now)
         return True
 
-    # What the host fills in.
+    def _due_timers(self, now: int) -> list[TimerFired]:
+        fired: list[TimerFired] = []
+        while self._timers and self._timers[0][0] <= now:
+            due, key = heapq.heappop(self._timers)
+            if now - due > STALL_US:
+                self.on_stall(now - due)
+            fired.append(TimerFired(key))
+        return fired
+
+    def _carry_out(self, action: Action, now: int) -> None:
+        match action:
+            case Send(request, endpoint, timeout_us):
+                self.send(request, endpoint, timeout_us, now)
+            case SetTimer(delay_us, key):
+                heapq.heappush(self._timers, (now + delay_us, key))
+            case Cancel(request, attempt):
+                self.cancel(request, attempt)
+            case Reject(request, retry_after_us):
+                self.reject(request, retry_after_us, now)
+            case Fail(request):
+                self.fail(request)
+            case StartHealthCheck(endpoint):
+                self.start_health_check(endpoint)
+            case Subscribe(enabled):
+                self.subscribe(enabled)
+            case FetchEndpointList():
+                self.fetch_endpoint_list()
+            case Log(message):
+                self.log_message(message)
+
+    # Implemented by the host.
 
     @abstractmethod
-    def events(self, happened: list[Happening], now: int) -> list[Event]:
-        """What happened, in the module's words."""
+    def router_events(self, host_events: list[HostEvent], now: int) -> list[Event]:
+        """Translate host events into the router's events."""
 
     @abstractmethod
-    def send(self, request: str, member: str, timeout_us: int, now: int) -> None:
+    def send(self, request: str, endpoint: str, timeout_us: int, now: int) -> None:
         """Start the request's next attempt; a time-out of 0 lasts until the client gives up."""
 
     @abstractmethod
-    def cancel(self, request: str, number: int) -> None: ...
+    def cancel(self, request: str, attempt: int) -> None:
+        """Cancel one attempt of a request."""
 
     @abstractmethod
-    def refuse(self, request: str, wait_us: int, now: int) -> None: ...
+    def reject(self, request: str, retry_after_us: int, now: int) -> None:
+        """Answer the request as rejected; 0 gives no retry-after hint."""
 
     @abstractmethod
-    def fail(self, request: str) -> None: ...
+    def fail(self, request: str) -> None:
+        """Answer the request as failed with unknown effect."""
 
     @abstractmethod
-    def probe(self, member: str) -> None: ...
+    def start_health_check(self, endpoint: str) -> None:
+        """Ask the endpoint for its load report."""
 
     @abstractmethod
-    def subscribe(self, on: bool) -> None: ...
+    def subscribe(self, enabled: bool) -> None:
+        """Open the watch of the endpoint list anew, or end it."""
 
     @abstractmethod
-    def fetch_list(self) -> None: ...
+    def fetch_endpoint_list(self) -> None:
+        """Poll the endpoint list once."""
 
     @abstractmethod
-    def remark(self, text: str) -> None: ...
+    def log_message(self, message: str) -> None:
+        """Write a line of the router's to the log."""
 
     @abstractmethod
-    def late(self, by_us: int) -> None:
-        """A timer of the router was seen late by this much."""
+    def on_stall(self, late_us: int) -> None:
+        """A timer of the router was processed this late: the event loop stalled."""
 
     @abstractmethod
-    def module_failed(self, events: Sequence[Event], error: Exception) -> None:
+    def on_policy_error(self, events: Sequence[Event], error: Exception) -> None:
         """The router raised on these events; whatever they ask for must still be answered."""
--- a/juniperreel/routing/policy/router.py
+++ b/juniperreel/routing/policy/router.py
@@ -190,7 +190,7 @@
             if self.s.responses_may_be_lost and out and self.now - min(out) > parameters.ON_THE_WAY_US:
                 r.needs, r.only_primary = self.now, True  # no probe tells of anything as new
 
-    def fits(self, now_us: int, request: str, attempt: int) -> bool:
+    def confirm_send(self, now_us: int, request: str, attempt: int) -> bool:
         """Asked in the moment of writing. Danger: while a connection comes up, a session's write is answered,
         a replica's position grows old, a primary steps down, a drain is told."""
         r = self.requests.get(request)
--- a/tests/platform/stage.py
+++ b/tests/platform/stage.py
@@ -219,7 +219,7 @@
     async def probed(self, lag_us: int = 0) -> None:
         """Roles and positions of both members are known, their connections at rest."""
         for name in self.members:
-            self.driver.probe(name)
+            self.driver.start_health_check(name)
             end = await self.query(name)
             end.take()
             position = (self.clock.time - (lag_us if name == "a" else 0)) / 1_000_000
--- a/tests/platform/test_driver.py
+++ b/tests/platform/test_driver.py
@@ -219,7 +219,7 @@
 
 def test_refusals_carry_a_wait_and_failures_do_not_look_like_them(world: World) -> None:
     client = world.client(read_text(IDS[0]), read_text(IDS[1]))
-    world.driver.refuse(IDS[0], 120 * MS + 1, world.time)
+    world.driver.reject(IDS[0], 120 * MS + 1, world.time)
     got = client.take()
     assert b"C53300\0" in got and b"D121\0" in got
     world.turn()
@@ -320,7 +320,7 @@
 
 
 def test_the_answer_of_a_probe_is_a_report(world: World) -> None:
-    world.driver.probe("a")
+    world.driver.start_health_check("a")
     (call,) = world.calls()
     assert world.up(call) == m.query(b"SHOW pressure")
     position = world.time - 40 * MS
--- a/tests/platform/test_planted.py
+++ b/tests/platform/test_planted.py
@@ -112,7 +112,7 @@
 
 
 def fitness_not_asked_when_written(patch: Patch) -> None:
-    patch.setattr(Router, "fits", lambda *_: True)
+    patch.setattr(Router, "confirm_send", lambda *_: True)
 
 
 def lost_writes_forgotten(patch: Patch) -> None:
--- a/tests/proxy/test_driver.py
+++ b/tests/proxy/test_driver.py
@@ -89,9 +89,9 @@
 
     async def members(self, *names: str) -> None:
         hosts = [host_list.Host(n, "127.0.0.1", 1, 0, 0, 0, "up", n == "p", 1.0, 0) for n in names]
-        self.driver.put(ListTold(UpdateKind.SNAPSHOT, hosts))
+        self.driver.enqueue(ListTold(UpdateKind.SNAPSHOT, hosts))
         for name in names:
-            self.driver.put(ProbeDone(name, Outcome.OK, MS, self.standing(name == "p")))
+            self.driver.enqueue(ProbeDone(name, Outcome.OK, MS, self.standing(name == "p")))
         await self.turn()
 
     def standing(self, primary: bool) -> Standing:
@@ -137,7 +137,7 @@
 
 async def test_an_answer_is_served_once(bench: Bench) -> None:
     answers, attempt = await started(bench, "loose")
-    bench.driver.put(bench.done(attempt))
+    bench.driver.enqueue(bench.done(attempt))
     await bench.turn()
     assert [type(a) for a in answers] == [Served]
     assert not bench.driver._open
@@ -155,7 +155,7 @@
     await trio.testing.wait_all_tasks_blocked()
     await bench.turn()
     attempt = bench.attempts[-1]
-    bench.driver.put(bench.done(attempt))
+    bench.driver.enqueue(bench.done(attempt))
     scope.cancel()
     await trio.testing.wait_all_tasks_blocked()
     await bench.turn()
@@ -166,10 +166,10 @@
 async def test_an_answer_after_the_refusal_is_dropped_and_counted(bench: Bench) -> None:
     answers, attempt = await started(bench, "loose", deadline_us=300 * MS)
     await trio.sleep(0.4)  # past the deadline: the module's timer gives it up
-    bench.driver.put(bench.done(attempt, Outcome.TIMEOUT))
+    bench.driver.enqueue(bench.done(attempt, Outcome.TIMEOUT))
     await bench.turn()
     assert [type(a) for a in answers] == [Refused]
-    bench.driver.put(bench.done(attempt))
+    bench.driver.enqueue(bench.done(attempt))
     await bench.turn()
     assert len(answers) == 1
     assert bench.metrics.registry.get_sample_value("juniperreel_late_answers_total") == 1
@@ -177,7 +177,7 @@
 
 async def test_a_drain_notice_and_a_request_in_one_batch(bench: Bench) -> None:
     hosts = [host_list.Host(n, "127.0.0.1", 1, 0, 0, 0, "draining", False, 1.0, 0) for n in ("a", "b")]
-    bench.driver.put(ListTold(UpdateKind.DELTA, hosts))
+    bench.driver.enqueue(ListTold(UpdateKind.DELTA, hosts))
     for _ in range(9):  # some are shed: reads crowd no primary that was not heard of
         bench.ask("loose")
     await trio.testing.wait_all_tasks_blocked()
@@ -187,10 +187,10 @@
 
 async def test_a_write_to_a_primary_that_drains_in_the_same_batch_keeps_to_the_grace(bench: Bench) -> None:
     host = host_list.Host("p", "127.0.0.1", 1, 0, 0, 0, "draining", True, 1.0, 0)
-    bench.driver.put(ListTold(UpdateKind.DELTA, [host]))
+    bench.driver.enqueue(ListTold(UpdateKind.DELTA, [host]))
     _, attempt = await started(bench, "write")
     assert attempt.member == "p"
-    bench.driver.put(bench.done(attempt))
+    bench.driver.enqueue(bench.done(attempt))
     await bench.turn()
     await trio.sleep(2.1)
     count = len(bench.attempts)
@@ -204,7 +204,7 @@
     """The member was restored from a copy: its position, once known, is true no longer."""
     answers, attempt = await started(bench, "read")
     old = Standing(False, bench.clock.now_us() - 10 * SEC, HISTORY)
-    bench.driver.put(bench.done(attempt, standing=old))
+    bench.driver.enqueue(bench.done(attempt, standing=old))
     await bench.turn()
     assert not answers and len(bench.attempts) == 2
     assert bench.metrics.registry.get_sample_value("juniperreel_stale_answers_total") == 1
@@ -214,8 +214,8 @@
     later = History.of([(1, 0), (2, bench.clock.now_us() - SEC)])
     for cls, kind in (("write", Served), ("once", Failed)):
         answers, attempt = await started(bench, cls)
-        bench.driver.put(ProbeDone("a", Outcome.OK, MS, Standing(True, bench.clock.now_us(), later)))
-        bench.driver.put(bench.done(attempt))  # by the deposed one
+        bench.driver.enqueue(ProbeDone("a", Outcome.OK, MS, Standing(True, bench.clock.now_us(), later)))
+        bench.driver.enqueue(bench.done(attempt))  # by the deposed one
         await bench.turn()
         for _ in range(20):
             if answers:
@@ -224,7 +224,7 @@
             await bench.turn()
             if bench.attempts[-1] is not attempt and not answers:
                 standing = Standing(True, bench.clock.now_us(), later)
-                bench.driver.put(bench.done(bench.attempts[-1], standing=standing))
+                bench.driver.enqueue(bench.done(bench.attempts[-1], standing=standing))
                 await bench.turn()
         assert [type(a) for a in answers] == [kind]
 
@@ -253,7 +253,7 @@
     assert [type(a) for a in answers] == [Failed]
     bench.driver.router.handle = handle  # type: ignore[method-assign]
     answers, attempt = await started(bench, "loose")
-    bench.driver.put(bench.done(attempt))
+    bench.driver.enqueue(bench.done(attempt))
     await bench.turn()
     assert [type(a) for a in answers] == [Served]
 
@@ -358,7 +358,7 @@
 async def test_the_deadline_and_the_answer_in_one_batch_give_one_answer(bench: Bench) -> None:
     answers, attempt = await started(bench, "loose", deadline_us=300 * MS)
     await trio.sleep(0.4)  # the module's timer is due long since
-    bench.driver.put(bench.done(attempt))
+    bench.driver.enqueue(bench.done(attempt))
     await bench.turn()
     await bench.turn()
     assert [type(a) for a in answers] == [Served]
@@ -368,7 +368,7 @@
 async def test_a_driver_that_stood_still_blames_no_member_for_what_it_missed(bench: Bench) -> None:
     _, attempt = await started(bench, "loose")
     await trio.sleep(0.5)
-    bench.driver.put(bench.done(attempt, Outcome.TIMEOUT))
+    bench.driver.enqueue(bench.done(attempt, Outcome.TIMEOUT))
     await bench.turn()
     state = bench.driver.router.members[attempt.member]
     assert not state.suspect and state.losses == 0
--- a/tests/routing/test_crossings.py
+++ b/tests/routing/test_crossings.py
@@ -91,21 +91,21 @@
     s.router.members["a"].position = s.now - 250 * MS
     read = s.ask("read")
     assert reads_of(s, read) == ["a"]
-    assert s.router.fits(s.now + 50 * MS, read, 0)
-    assert not s.router.fits(s.now + 51 * MS, read, 0)  # its bound is 300 ms
+    assert s.router.confirm_send(s.now + 50 * MS, read, 0)
+    assert not s.router.confirm_send(s.now + 51 * MS, read, 0)  # its bound is 300 ms
     s.router.members["a"].position = s.now
-    assert s.router.fits(s.now + 51 * MS, read, 0)
+    assert s.router.confirm_send(s.now + 51 * MS, read, 0)
     s.batch(ClientDisconnected(read))
-    assert not s.router.fits(s.now, read, 0)
+    assert not s.router.confirm_send(s.now, read, 0)
 
 
 def test_a_read_does_not_fit_a_primary_that_stepped_down_meanwhile() -> None:
     s = settled()
     fresh, write = s.ask("current"), s.ask("write")
-    assert s.router.fits(s.now, fresh, 0) and s.router.fits(s.now, write, 0)
+    assert s.router.confirm_send(s.now, fresh, 0) and s.router.confirm_send(s.now, write, 0)
     s.router.saw_role(s.router.members["p"], Role.REPLICA)
-    assert not s.router.fits(s.now, fresh, 0)
-    assert s.router.fits(s.now, write, 0)  # a miss does no harm
+    assert not s.router.confirm_send(s.now, fresh, 0)
+    assert s.router.confirm_send(s.now, write, 0)  # a miss does no harm
 
 
 def test_an_attempt_does_not_fit_a_member_that_was_told_to_drain_meanwhile() -> None:
@@ -113,9 +113,9 @@
     read, write = s.ask("loose"), s.ask("write")
     changed = member("a", readiness=Readiness.DRAINING)
     s.start(changed, member("p", readiness=Readiness.DRAINING), kind=UpdateKind.DELTA)
-    assert not s.router.fits(s.now, read, 0)
-    assert s.router.fits(s.now, write, 0)  # a primary that drains has half the grace
-    assert not s.router.fits(s.now + s.settings.drain_grace_us // 2, write, 0)
+    assert not s.router.confirm_send(s.now, read, 0)
+    assert s.router.confirm_send(s.now, write, 0)  # a primary that drains has half the grace
+    assert not s.router.confirm_send(s.now + s.settings.drain_grace_us // 2, write, 0)
 
 
 def test_a_deadline_that_is_cut_holds_for_what_is_in_hand() -> None:
