--- a/juniperreel/platform/config.py
+++ b/juniperreel/platform/config.py
@@ -61,7 +61,7 @@
     """Raises ConfigError."""
     try:
         file = msgspec.json.decode(data, type=File)
-        router, _ = read_settings(file.settings)  # positions on sockets are Unix times: no zero
+        router = read_settings(file.settings).router  # positions on sockets are Unix times: no zero
         ceilings = file.settings["ceilings"]
         return Config(
             name=file.name,
--- a/juniperreel/platform_settings.py
+++ b/juniperreel/platform_settings.py
@@ -1,4 +1,4 @@
-"""The operators' settings object in the module's types: one copy for the bench's wire and the platform.
+"""The operators' settings object in the router's types: one copy for the simulator's wire and the platform.
 
 Standard library only. Translates and decides nothing; keys it does not know are skipped.
 """
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import math
+from dataclasses import dataclass
 from typing import Any
 
 from juniperreel.routing.types import (
@@ -19,76 +20,103 @@
     Tenant,
 )
 
-EFFECTS = {
+IDEMPOTENCY = {
     "repeatable": Idempotency.IDEMPOTENT,
     "by_key": Idempotency.KEYED,
     "once": Idempotency.NON_IDEMPOTENT,
 }
-SCOPES = {"all": KeyScope.ALL, "zone": KeyScope.ZONE, "cell": KeyScope.GROUP}
+KEY_SCOPES = {"all": KeyScope.ALL, "zone": KeyScope.ZONE, "cell": KeyScope.GROUP}
+ROUNDING = 1e-6  # of a microsecond: a bound that is a whole one as a decimal is not rounded to the one below
 
+RawObject = dict[str, Any]
 
-def read_settings(raw: dict[str, Any]) -> tuple[Settings, int]:
-    """The settings, and the clock reading in microseconds from which the simulator's positions count.
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """The router's settings, and where the clock of log positions starts on the platform's clock."""
+
+    router: Settings
+    position_zero_us: int
+
+
+def read_settings(raw: RawObject) -> PlatformSettings:
+    """Translate the settings object.
 
     Raises KeyError, ValueError or TypeError for an object that is not the settings.
     """
-    limits, rules, special = raw["ceilings"], raw["rules"], raw["specifics"]
-
-    def us(value: float) -> int:
-        return round(value * 1_000_000)
-
-    classes = tuple(
-        RequestClass(
-            name=str(s["name"]),
-            idempotency=EFFECTS[s["effect"]],
-            key_scope=SCOPES[s.get("key_scope", "all")],
-            deduplication_window_us=us(s.get("memory_span_s", 0.0)),
-            consistency=Consistency(special["consistency"][i]),
-            max_staleness_us=math.floor(special["lag_allowed_s"][i] * 1_000_000 + 1e-6),
-            latency_objective_us=us(s["objective_s"]),
-            deadline_us=us(s["deadline_s"]),
-            priority_weight=float(s["worth"]),
-            late_priority_weight=float(s.get("late_worth", 0.0)),
-            latency_objective_stretch=float(s.get("aim_stretch", 0.0)),
-            streaming=bool(s.get("stream", False)),
-        )
-        for i, s in enumerate(raw["services"])
-    )
-    tenants = tuple(
-        Tenant(str(t["name"]), float(t["fraction"]), float(t["quota_rps"])) for t in raw.get("tenants", [])
-    )
-    prices = raw.get("prices", {})
-    settings = Settings(
+    limits = raw["ceilings"]
+    rules = raw["rules"]
+    special = raw["specifics"]
+    router = Settings(
         router_count=int(raw["balancers"]),
         zone=int(raw["zone"]),
-        classes=classes,
-        tenants=tenants,
+        classes=_read_classes(raw["services"], special),
+        tenants=tuple(_read_tenant(tenant) for tenant in raw.get("tenants", [])),
         over_quota_weight=float(raw.get("over_share_worth", 1.0)),
-        prices=Prices(
-            cross_zone=float(prices.get("cross_zone", 0.0)),
-            waste=float(prices.get("waste", 0.0)),
-            health_check=float(prices.get("probe", 0.0)),
-            late_failure=float(prices.get("late_fail", 0.0)),
-        ),
+        prices=_read_prices(raw.get("prices", {})),
         max_attempts=int(limits["max_attempts"]),
         cancellation=bool(limits["cancelling"]),
         health_checks=bool(limits["probes"]),
         hedging=bool(limits["second_copies"]),
         retry_after_hints=bool(limits["retry_after"]),
-        max_retry_after_us=us(limits["max_retry_after_s"]),
-        response_grace_us=us(rules["grace_to_answer_s"]),
-        drain_grace_us=us(rules["stop_sending_within_s"]),
+        max_retry_after_us=_microseconds(limits["max_retry_after_s"]),
+        response_grace_us=_microseconds(rules["grace_to_answer_s"]),
+        drain_grace_us=_microseconds(rules["stop_sending_within_s"]),
         removed_endpoints_serve=bool(rules.get("only_draining_binds", False)),
         slow_start_initial_capacity=float(rules["cold_from"]),
-        slow_start_us=us(rules["cold_s"]),
+        slow_start_us=_microseconds(rules["cold_s"]),
         overload_multiple=float(rules["fall_multiple"]),
-        overload_window_us=us(rules["overload_for_s"]),
+        overload_window_us=_microseconds(rules["overload_for_s"]),
         must_poll=raw["membership_mode"] == "ask",
-        poll_interval_us=us(rules.get("ask_every_s", 0.0)),
+        poll_interval_us=_microseconds(rules.get("ask_every_s", 0.0)),
         staleness_guard=StalenessGuard(special["guards"]),
-        staleness_wait_us=us(special.get("wait_s", 0.0)),
+        staleness_wait_us=_microseconds(special.get("wait_s", 0.0)),
         requests_carry_session_age=special["token_mode"] == "carried",
         responses_carry_position=bool(special["positions"]),
         list_names_primary=special["shows_role"] != "off",
     )
-    return settings, us(special["position_zero_s"])
+    return PlatformSettings(router, _microseconds(special["position_zero_s"]))
+
+
+def _microseconds(seconds: float) -> int:
+    return round(seconds * 1_000_000)
+
+
+def _read_classes(services: list[RawObject], special: RawObject) -> tuple[RequestClass, ...]:
+    """The request classes; what concerns freshness stands in lists of its own, by class."""
+    consistencies = special["consistency"]
+    staleness = special["lag_allowed_s"]
+    return tuple(
+        _read_class(service, Consistency(consistencies[i]), staleness[i])
+        for i, service in enumerate(services)
+    )
+
+
+def _read_class(service: RawObject, consistency: Consistency, max_staleness_s: float) -> RequestClass:
+    return RequestClass(
+        name=str(service["name"]),
+        idempotency=IDEMPOTENCY[service["effect"]],
+        key_scope=KEY_SCOPES[service.get("key_scope", "all")],
+        deduplication_window_us=_microseconds(service.get("memory_span_s", 0.0)),
+        consistency=consistency,
+        max_staleness_us=math.floor(max_staleness_s * 1_000_000 + ROUNDING),
+        latency_objective_us=_microseconds(service["objective_s"]),
+        deadline_us=_microseconds(service["deadline_s"]),
+        priority_weight=float(service["worth"]),
+        late_priority_weight=float(service.get("late_worth", 0.0)),
+        latency_objective_stretch=float(service.get("aim_stretch", 0.0)),
+        streaming=bool(service.get("stream", False)),
+    )
+
+
+def _read_tenant(tenant: RawObject) -> Tenant:
+    return Tenant(str(tenant["name"]), float(tenant["fraction"]), float(tenant["quota_rps"]))
+
+
+def _read_prices(prices: RawObject) -> Prices:
+    return Prices(
+        cross_zone=float(prices.get("cross_zone", 0.0)),
+        waste=float(prices.get("waste", 0.0)),
+        health_check=float(prices.get("probe", 0.0)),
+        late_failure=float(prices.get("late_fail", 0.0)),
+    )
--- a/juniperreel/simulator_adapter.py
+++ b/juniperreel/simulator_adapter.py
@@ -1,7 +1,7 @@
-"""The bench's wire, to and from the decision module's own terms.
+"""The simulator's wire, to and from the router's events and actions.
 
-Reads batches of lines on standard input, hosts one `Router` for each instance named
-there, and writes one reply for each batch. It translates and decides nothing.
+Reads batches of lines on standard input, hosts one `Router` for each instance named there, and writes one
+reply for each batch. It translates and decides nothing.
 """
 
 from __future__ import annotations
@@ -11,7 +11,7 @@
 import sys
 from collections.abc import Callable, Iterable, Iterator
 from decimal import ROUND_CEILING, ROUND_FLOOR, Decimal
-from typing import TextIO
+from typing import NamedTuple, TextIO
 
 from juniperreel.platform_settings import read_settings
 from juniperreel.routing.router import Router
@@ -42,7 +42,7 @@
     UpdateKind,
 )
 
-TRAILING_TEXT = ("config=", "reason_text=", "payload=")
+TRAILING_TEXT = ("config=", "reason_text=", "payload=")  # fields that reach to the end of their line
 OUTCOMES = {
     "GOOD": Outcome.OK,
     "BAD": Outcome.ERROR,
@@ -55,13 +55,16 @@
     "MISS": Outcome.INELIGIBLE,
 }
 READINESS = {"IN": Readiness.READY, "LAME": Readiness.DRAINING, "OUT": Readiness.REMOVED}
-LIST_KINDS = {
+UPDATE_KINDS = {
     "Partial": UpdateKind.DELTA,
     "Complete": UpdateKind.SNAPSHOT,
     "Persisted": UpdateKind.CACHED,
     "Error": UpdateKind.FAILED,
 }
 ROLES = {0: Role.UNKNOWN, 1: Role.PRIMARY, 2: Role.REPLICA}
+STAMP_ROLES = 4  # a stamp is a position in milliseconds times this, plus the role
+US_PER_SECOND = 1_000_000
+US_PER_MS = 1_000
 
 Fields = dict[str, str]
 
@@ -70,231 +73,289 @@
     """Input that is not the wire."""
 
 
-def us_down(text: str) -> int:
-    return int((Decimal(text) * 1_000_000).to_integral_value(ROUND_FLOOR))
+class MissingFieldError(WireError):
+    """A message without a field that it needs."""
 
+    def __init__(self, message: str, field: str) -> None:
+        """Name the message and the field."""
+        super().__init__(f"{message} without {field}")
+        self.message = message
+        self.field = field
 
-def us_up(text: str) -> int:
-    return int((Decimal(text) * 1_000_000).to_integral_value(ROUND_CEILING))
 
+class Message(NamedTuple):
+    """One line of the wire."""
 
-def us_near(text: str) -> int:
-    return round(float(text) * 1_000_000)
+    name: str
+    fields: Fields
 
+    def need(self, field: str) -> str:
+        """The value of a field. Raises MissingFieldError."""
+        try:
+            return self.fields[field]
+        except KeyError:
+            raise MissingFieldError(self.name, field) from None
 
-def flag(text: str) -> bool:
+    def get(self, field: str, default: str) -> str:
+        """The value of a field that may be left out."""
+        return self.fields.get(field, default)
+
+
+def microseconds_down(seconds_text: str) -> int:
+    """Whole microseconds, rounded down: for deadlines and positions."""
+    return int((Decimal(seconds_text) * US_PER_SECOND).to_integral_value(ROUND_FLOOR))
+
+
+def microseconds_up(seconds_text: str) -> int:
+    """Whole microseconds, rounded up: for the times from which something holds."""
+    return int((Decimal(seconds_text) * US_PER_SECOND).to_integral_value(ROUND_CEILING))
+
+
+def microseconds(seconds_text: str) -> int:
+    """Whole microseconds, rounded to the nearest."""
+    return round(float(seconds_text) * US_PER_SECOND)
+
+
+def read_flag(text: str) -> bool:
+    """A boolean. Raises WireError."""
     if text not in ("0", "1"):
         raise WireError(f"not a bool: {text!r}")
     return text == "1"
 
 
-def seconds(us: int) -> str:
-    return f"{us / 1_000_000:.6f}".rstrip("0").rstrip(".")
+def render_seconds(us: int) -> str:
+    """Seconds in decimal, without trailing zeros."""
+    return f"{us / US_PER_SECOND:.6f}".rstrip("0").rstrip(".")
 
 
-def split_line(line: str) -> tuple[str, Fields]:
+def parse_line(line: str) -> Message:
+    """Read a message name and its fields. Raises WireError."""
     name, _, rest = line.partition(" ")
     fields: Fields = {}
     while rest:
-        key, eq, tail = rest.partition("=")
-        if not eq or not key or " " in key:
+        key, equals, tail = rest.partition("=")
+        if not equals or not key or " " in key:
             raise WireError(f"not a name=value pair in {name}: {rest[:60]!r}")
         if rest.startswith(TRAILING_TEXT):
             fields[key] = tail
             break
         fields[key], _, rest = tail.partition(" ")
-    return name, fields
+    return Message(name, fields)
 
 
-def need(fields: Fields, key: str, message: str) -> str:
-    try:
-        return fields[key]
-    except KeyError:
-        raise WireError(f"{message} without {key}") from None
+def read_endpoint(item: Message) -> Endpoint:
+    """Translate one row of an endpoint list."""
+    return Endpoint(
+        id=item.need("member"),
+        group=int(float(item.get("group", "0"))),
+        zone=int(item.get("zone", "0")),
+        machine_type=int(item.get("model", "0")),
+        readiness=READINESS[item.get("readiness", "IN")],
+        listed_primary=float(item.get("is_primary", "0")) >= 0.5,
+        capacity=float(item.get("size", "1")),
+        started_us=microseconds_up(item.get("ready_at_s", "0")),
+    )
 
 
-class Hosted:
-    """One instance: its router and the names by which the wire knows its attempts."""
+def read_endpoint_list(lines: Iterator[str], row_count: int) -> tuple[Endpoint, ...]:
+    """Read the rows that follow a TABLE. Raises WireError where there are fewer."""
+    endpoints = []
+    for _ in range(row_count):
+        item = parse_line(next(lines, ""))
+        if item.name != "ITEM":
+            raise WireError(f"a TABLE of {row_count} rows holds {item.name!r}")
+        endpoints.append(read_endpoint(item))
+    return tuple(endpoints)
+
+
+class HostedRouter:
+    """One instance: its router, and where its clock of log positions starts."""
+
+    def __init__(self, enlist: Message) -> None:
+        """Start the router that an ENLIST describes."""
+        settings = read_settings(json.loads(enlist.need("config")))
+        self.position_zero_us = settings.position_zero_us
+        self.router = Router(settings.router, int(enlist.need("random_seed")))
+
+    def read_event(self, message: Message) -> Event | None:
+        """Translate a message; None for one that the router has no use for. Raises WireError."""
+        match message.name:
+            case "RESULT":
+                return self._read_attempt_ended(message)
+            case "ORDER":
+                return self._read_request(message)
+            case "EXPIRED":
+                return ClientDisconnected(message.need("ref"))
+            case "BELL":
+                return TimerFired(int(message.get("key_back", "0")))
+            case "CHECKED":
+                return self._read_health_check_ended(message)
+            case "FLOWING":
+                attempt = int(message.get("seq_no", "0"))
+                return StreamStarted(message.need("ref"), attempt, message.need("member"))
+            case "HEARD":
+                return None
+            case _:
+                raise WireError(f"unknown message {message.name!r}")
+
+    def _read_attempt_ended(self, result: Message) -> AttemptEnded:
+        position_ms, role = divmod(int(result.get("stamp", "0")), STAMP_ROLES)
+        position_us = self.position_zero_us + position_ms * US_PER_MS
+        return AttemptEnded(
+            request=result.need("ref"),
+            attempt=int(result.get("seq_no", "0")),
+            endpoint=result.need("member"),
+            outcome=OUTCOMES[result.need("outcome")],
+            duration_us=microseconds(result.get("spent_s", "0")),
+            request_finished=read_flag(result.get("done_flag", "0")),
+            role=ROLES.get(role, Role.UNKNOWN),
+            position_us=position_us if position_ms else None,
+            load_report=self._read_load_report(result.get("gauge", "")),
+        )
 
-    def __init__(self, fields: Fields) -> None:
-        settings, self.zero_us = read_settings(json.loads(need(fields, "config", "ENLIST")))
-        self.router = Router(settings, int(need(fields, "random_seed", "ENLIST")))
+    @staticmethod
+    def _read_request(order: Message) -> Request:
+        age_ms = float(order.get("since_write_ms", "0"))  # 0: the session has written nothing
+        expected_s = order.fields.get("expected_s")
+        return Request(
+            id=order.need("ref"),
+            class_index=int(order.get("priority", "0")),
+            tenant_index=int(order.get("tenant", "0")),
+            group=int(float(order.get("group_no", "0"))),
+            deadline_us=microseconds_down(order.need("client_deadline_s")),
+            session=order.fields.get("conn_key"),
+            session_age_us=math.floor(age_ms * US_PER_MS) if age_ms else None,
+            expected_duration_us=None if expected_s is None else microseconds(expected_s),
+            is_retry=read_flag(order.get("retry", "0")),
+        )
 
-    def report(self, text: str | None) -> LoadReport | None:
-        if not text or text == "-":
+    def _read_health_check_ended(self, checked: Message) -> HealthCheckEnded:
+        return HealthCheckEnded(
+            endpoint=checked.need("member"),
+            outcome=OUTCOMES[checked.need("outcome")],
+            duration_us=microseconds(checked.get("spent_s", "0")),
+            load_report=self._read_load_report(checked.get("gauge", "")),
+        )
+
+    def _read_load_report(self, text: str) -> LoadReport | None:
+        if text in ("", "-"):
             return None
         values: dict[str, str] = {}
         for pair in text.split(","):
             name, _, value = pair.partition(":")
             values[name] = value
-        x0, x1 = values.get("x0"), values.get("x1")
-        busy, waiting = values.get("busy_reqs"), values.get("pending")
+        position_s = values.get("x0")
+        primary = values.get("x1")
+        in_flight = values.get("busy_reqs")
+        queued = values.get("pending")
         return LoadReport(
-            position_us=None if x0 is None else self.zero_us + us_down(x0),
-            is_primary=None if x1 is None else float(x1) >= 0.5,
-            in_flight=None if busy is None else float(busy),
-            queued=None if waiting is None else float(waiting),
+            position_us=None if position_s is None else self.position_zero_us + microseconds_down(position_s),
+            is_primary=None if primary is None else float(primary) >= 0.5,
+            in_flight=None if in_flight is None else float(in_flight),
+            queued=None if queued is None else float(queued),
         )
 
-    def event(self, name: str, fields: Fields, now_us: int) -> Event | None:
-        if name == "RESULT":
-            stamp = int(fields.get("stamp", "0"))
-            position, role = divmod(stamp, 4)
-            return AttemptEnded(
-                request=need(fields, "ref", name),
-                attempt=int(fields.get("seq_no", "0")),
-                endpoint=need(fields, "member", name),
-                outcome=OUTCOMES[need(fields, "outcome", name)],
-                duration_us=us_near(fields.get("spent_s", "0")),
-                request_finished=flag(fields.get("done_flag", "0")),
-                role=ROLES.get(role, Role.UNKNOWN),
-                position_us=self.zero_us + position * 1000 if position else None,
-                load_report=self.report(fields.get("gauge")),
-            )
-        if name == "ORDER":
-            age, hint = fields.get("since_write_ms"), fields.get("expected_s")
-            return Request(
-                id=need(fields, "ref", name),
-                class_index=int(fields.get("priority", "0")),
-                tenant_index=int(fields.get("tenant", "0")),
-                group=int(float(fields.get("group_no", "0"))),
-                deadline_us=us_down(need(fields, "client_deadline_s", name)),
-                session=fields.get("conn_key"),
-                session_age_us=None if age is None or float(age) == 0 else math.floor(float(age) * 1000),
-                expected_duration_us=None if hint is None else us_near(hint),
-                is_retry=flag(fields.get("retry", "0")),
-            )
-        if name == "EXPIRED":
-            return ClientDisconnected(need(fields, "ref", name))
-        if name == "BELL":
-            return TimerFired(int(fields.get("key_back", "0")))
-        if name == "CHECKED":
-            return HealthCheckEnded(
-                endpoint=need(fields, "member", name),
-                outcome=OUTCOMES[need(fields, "outcome", name)],
-                duration_us=us_near(fields.get("spent_s", "0")),
-                load_report=self.report(fields.get("gauge")),
-            )
-        if name == "FLOWING":
-            return StreamStarted(
-                need(fields, "ref", name), int(fields.get("seq_no", "0")), need(fields, "member", name)
-            )
-        if name == "HEARD":
-            return None
-        raise WireError(f"unknown message {name!r}")
-
-
-def read_member(fields: Fields) -> Endpoint:
-    return Endpoint(
-        id=need(fields, "member", "ITEM"),
-        group=int(float(fields.get("group", "0"))),
-        zone=int(fields.get("zone", "0")),
-        machine_type=int(fields.get("model", "0")),
-        readiness=READINESS[fields.get("readiness", "IN")],
-        listed_primary=float(fields.get("is_primary", "0")) >= 0.5,
-        capacity=float(fields.get("size", "1")),
-        started_us=us_up(fields.get("ready_at_s", "0")),
-    )
 
-
-def render(action: Action, driver: str) -> str:
-    who = f"driver={driver}"
+def render_action(action: Action, instance: str) -> str:
+    """An action as the wire has it."""
+    who = f"driver={instance}"
     match action:
-        case Send(request, member, timeout):
-            allow = f" allow_for_s={seconds(timeout)}" if timeout else ""
-            return f"CALL_OUT {who} ref={request} member={member}{allow}"
+        case Send(request, endpoint, timeout_us):
+            limit = f" allow_for_s={render_seconds(timeout_us)}" if timeout_us else ""
+            return f"CALL_OUT {who} ref={request} member={endpoint}{limit}"
         case Cancel(request, attempt):
             return f"CANCEL {who} ref={request} seq_no={attempt}"
-        case Reject(request, wait):
-            hint = f" not_before_for_s={seconds(wait)}" if wait else ""
+        case Reject(request, retry_after_us):
+            hint = f" not_before_for_s={render_seconds(retry_after_us)}" if retry_after_us else ""
             return f"OVERLOAD_REPLY {who} ref={request}{hint}"
         case Fail(request):
             return f"DROP_REQUEST {who} ref={request}"
-        case SetTimer(after, key):
-            return f"AFTER {who} span_s={seconds(after)} key_back={key}"
-        case StartHealthCheck(member):
-            return f"TOUCH {who} member={member}"
-        case Subscribe(on):
-            return f"SUBSCRIBE {who} want={int(on)}"
+        case SetTimer(delay_us, key):
+            return f"AFTER {who} span_s={render_seconds(delay_us)} key_back={key}"
+        case StartHealthCheck(endpoint):
+            return f"TOUCH {who} member={endpoint}"
+        case Subscribe(enabled):
+            return f"SUBSCRIBE {who} want={int(enabled)}"
         case FetchEndpointList():
             return f"PULL {who}"
-        case Log(text):
-            return f"REMARK {who} reason_text={text}"
-
-
-class Link:
-    """All instances of this process."""
-
-    def __init__(self, make: Callable[[Fields], Hosted] = Hosted) -> None:
-        self.make = make
-        self.hosted: dict[str, Hosted] = {}
-        self.tables: dict[int, tuple[Endpoint, ...]] = {}
-
-    def batch(self, lines: Iterable[str]) -> list[str]:
-        """The reply to one batch, given without its FLUSH; the reply comes without ACK."""
-        feed = iter(lines)
-        name, fields = split_line(next(feed, ""))
-        if name != "CLOCK":
-            raise WireError(f"a batch starts with CLOCK, not {name!r}")
-        now_us = us_near(need(fields, "ts_s", "CLOCK"))
+        case Log(message):
+            return f"REMARK {who} reason_text={message}"
+
+
+class Adapter:
+    """All instances of this process, and the endpoint lists that batches refer to by number."""
+
+    def __init__(self, start: Callable[[Message], HostedRouter] = HostedRouter) -> None:
+        """Start without instances."""
+        self._start = start
+        self.instances: dict[str, HostedRouter] = {}
+        self._lists: dict[int, tuple[Endpoint, ...]] = {}
+
+    def process_batch(self, lines: Iterable[str]) -> list[str]:
+        """The reply to one batch, given without its FLUSH; the reply comes without ACK. Raises WireError."""
+        remaining = iter(lines)
+        clock = parse_line(next(remaining, ""))
+        if clock.name != "CLOCK":
+            raise WireError(f"a batch starts with CLOCK, not {clock.name!r}")
+        now_us = microseconds(clock.need("ts_s"))
         events: dict[str, list[Event]] = {}
-        for line in feed:
-            name, fields = split_line(line)
-            if name == "TABLE":
-                rows = self.rows(feed, int(need(fields, "rows_in", "TABLE")))
-                self.tables[int(fields.get("ref", "0"))] = rows
-                continue
-            driver = need(fields, "driver", name)
-            if name == "ENLIST":
-                self.hosted[driver] = self.make(fields)
-                events[driver] = []
-            elif name == "DESTROY":
-                self.hosted.pop(driver, None)
-                events.pop(driver, None)
-            elif driver not in self.hosted:
-                raise WireError(f"{name} for {driver}, which does not run")
-            elif name == "UPDATE":
-                kind = LIST_KINDS[need(fields, "mode", name)]
-                table: tuple[Endpoint, ...] = ()
-                if kind is not UpdateKind.FAILED:
-                    table = self.tables[int(fields.get("ref", "0"))]
-                events.setdefault(driver, []).append(EndpointUpdate(kind, table))
+        for line in remaining:
+            message = parse_line(line)
+            if message.name == "TABLE":
+                endpoints = read_endpoint_list(remaining, int(message.need("rows_in")))
+                self._lists[int(message.get("ref", "0"))] = endpoints
             else:
-                event = self.hosted[driver].event(name, fields, now_us)
-                if event is not None:
-                    events.setdefault(driver, []).append(event)
+                self._collect(message, events)
         reply: list[str] = []
-        for driver, batch in events.items():
-            try:
-                actions = self.hosted[driver].router.handle(now_us, batch)
-            except Exception as error:  # the wire has a message for any failure of the module
-                reply.append(f"BUG driver={driver} reason_text={describe(error)}")
-                continue
-            reply.extend(render(action, driver) for action in actions)
+        for instance, batch in events.items():
+            reply.extend(self._handle(instance, now_us, batch))
         return reply
 
-    @staticmethod
-    def rows(feed: Iterator[str], count: int) -> tuple[Endpoint, ...]:
-        members = []
-        for _ in range(count):
-            name, fields = split_line(next(feed, ""))
-            if name != "ITEM":
-                raise WireError(f"a TABLE of {count} rows holds {name!r}")
-            members.append(read_member(fields))
-        return tuple(members)
+    def _collect(self, message: Message, events: dict[str, list[Event]]) -> None:
+        """Start or stop an instance, or add an event to its batch."""
+        instance = message.need("driver")
+        if message.name == "ENLIST":
+            self.instances[instance] = self._start(message)
+            events[instance] = []
+        elif message.name == "DESTROY":
+            self.instances.pop(instance, None)
+            events.pop(instance, None)
+        elif instance not in self.instances:
+            raise WireError(f"{message.name} for {instance}, which does not run")
+        else:
+            event = self._read_event(instance, message)
+            if event is not None:
+                events.setdefault(instance, []).append(event)
+
+    def _read_event(self, instance: str, message: Message) -> Event | None:
+        if message.name != "UPDATE":
+            return self.instances[instance].read_event(message)
+        kind = UPDATE_KINDS[message.need("mode")]
+        if kind is UpdateKind.FAILED:
+            return EndpointUpdate(kind, ())
+        return EndpointUpdate(kind, self._lists[int(message.get("ref", "0"))])
+
+    def _handle(self, instance: str, now_us: int, batch: list[Event]) -> list[str]:
+        try:
+            actions = self.instances[instance].router.handle(now_us, batch)
+        except Exception as error:  # the wire has a message for any failure of the policy
+            return [f"BUG driver={instance} reason_text={describe(error)}"]
+        return [render_action(action, instance) for action in actions]
 
 
 def describe(error: Exception) -> str:
+    """An error in one line."""
     return " ".join(f"{type(error).__name__}: {error}".split())
 
 
 def serve(source: TextIO, sink: TextIO) -> None:
-    link = Link()
+    """Answer batches until the input ends. Raises WireError."""
+    adapter = Adapter()
     lines: list[str] = []
     for raw in source:
         line = raw.rstrip("\r\n")
         if line == "FLUSH":
-            sink.write("\n".join([*link.batch(lines), "ACK\n"]))
+            sink.write("\n".join([*adapter.process_batch(lines), "ACK\n"]))
             sink.flush()
             lines = []
         elif line:
@@ -304,6 +365,7 @@
 
 
 def main() -> int:
+    """Serve standard input and output; 2 for input that is not the wire."""
     try:
         serve(sys.stdin, sys.stdout)
     except (WireError, KeyError, ValueError, ArithmeticError) as error:
--- a/tests/test_simulator_adapter.py
+++ b/tests/test_simulator_adapter.py
@@ -116,9 +116,9 @@
 
 
 def test_table_numbers_are_resolved_in_event_order() -> None:
-    link = simulator_adapter.Link()
-    link.batch(START.splitlines()[:-1])
-    link.batch(
+    adapter = simulator_adapter.Adapter()
+    adapter.process_batch(START.splitlines()[:-1])
+    adapter.process_batch(
         """CLOCK ts_s=21
 TABLE ref=0 rows_in=1
 ITEM member=a:1 group=1 readiness=LAME
@@ -127,25 +127,31 @@
 ITEM member=c:1 group=1
 UPDATE driver=driver/0 ref=0 gen=3 mode=Partial""".splitlines()
     )
-    members = link.hosted["driver/0"].router.state.endpoints
+    members = adapter.instances["driver/0"].router.state.endpoints
     assert members["a:1"].info.readiness is Readiness.DRAINING
     assert sorted(members) == ["a:1", "b:1", "c:1"]
 
 
 def test_stop_and_start_in_one_batch_forgets_everything() -> None:
-    link = simulator_adapter.Link()
-    link.batch(START.splitlines()[:-1])
+    adapter = simulator_adapter.Adapter()
+    adapter.process_batch(START.splitlines()[:-1])
     again = START.splitlines()[1:-1]
-    link.batch(["CLOCK ts_s=22", "DESTROY driver=driver/0", again[0]])
-    assert link.hosted["driver/0"].router.state.endpoints == {}
+    adapter.process_batch(["CLOCK ts_s=22", "DESTROY driver=driver/0", again[0]])
+    assert adapter.instances["driver/0"].router.state.endpoints == {}
 
 
 def test_units_and_roundings() -> None:
-    assert simulator_adapter.us_down("0.0000019") == 1 and simulator_adapter.us_up("0.0000011") == 2
-    assert simulator_adapter.seconds(1_500_000) == "1.5" and simulator_adapter.seconds(1) == "0.000001"
-    link = simulator_adapter.Link()
-    link.batch(START.splitlines()[:-1])
-    hosted = link.hosted["driver/0"]
+    assert (
+        simulator_adapter.microseconds_down("0.0000019") == 1
+        and simulator_adapter.microseconds_up("0.0000011") == 2
+    )
+    assert (
+        simulator_adapter.render_seconds(1_500_000) == "1.5"
+        and simulator_adapter.render_seconds(1) == "0.000001"
+    )
+    adapter = simulator_adapter.Adapter()
+    adapter.process_batch(START.splitlines()[:-1])
+    hosted = adapter.instances["driver/0"]
     fields = {
         "ref": "x",
         "member": "a:1",
@@ -153,7 +159,7 @@
         "stamp": str(4 * 1234 + 2),
         "gauge": "x0:1.0000019,z:4",
     }
-    event = hosted.event("RESULT", fields, 0)
+    event = hosted.read_event(simulator_adapter.Message("RESULT", fields))
     assert isinstance(event, AttemptEnded) and event.load_report is not None
     assert event.position_us == 10_500_000 + 1_234_000 and event.role is Role.REPLICA
     assert event.load_report.position_us == 11_500_001 and event.load_report.is_primary is None
