Typed errors for the simulator's wire and for settings that no router can follow

Need: callers had to read texts to tell errors apart. Change: one class a fault, with its values as attributes.

--- a/juniperreel/routing/policy/retry.py
+++ b/juniperreel/routing/policy/retry.py
@@ -19,9 +19,9 @@
         now_us = self.state.now_us
         request_class = self.state.settings.classes[request.class_index]
         late_weight = request_class.late_priority_weight - parameters.LATE_WEIGHT_FLOOR
-        patience = max(0.0, late_weight) / (1 - parameters.LATE_WEIGHT_FLOOR)
+        late_fraction = max(0.0, late_weight) / (1 - parameters.LATE_WEIGHT_FLOOR)
         objective_us = request_class.latency_objective_us
-        useful_us = objective_us + int(patience * (request_class.deadline_us - objective_us))
+        useful_us = objective_us + int(late_fraction * (request_class.deadline_us - objective_us))
         queue_us = int(parameters.MAX_QUEUED_FRACTION * (request.deadline_us - now_us))
         return RequestState(request, request_class, now_us, now_us + useful_us, now_us + queue_us)
 
@@ -102,8 +102,8 @@
         return event.outcome is Outcome.CANCELLED or (event.outcome is Outcome.TIMEOUT and early)
 
     def _may_retry(self, request: RequestState) -> bool:
-        attempts_left = request.attempt_count < self.state.settings.max_attempts
-        allowed = attempts_left and request.idempotency is not Idempotency.NON_IDEMPOTENT
+        attempts_remain = request.attempt_count < self.state.settings.max_attempts
+        allowed = attempts_remain and request.idempotency is not Idempotency.NON_IDEMPOTENT
         return allowed and self.budget.balance >= 1 and not request.finished
 
     def _is_exhausted(self, request: RequestState, end_us: int) -> bool:
--- a/juniperreel/routing/settings_check.py
+++ b/juniperreel/routing/settings_check.py
@@ -18,40 +18,46 @@
     "max_retry_after_us",
     "poll_interval_us",
 )
+POSITIVE_CLASS_FIELDS = ("latency_objective_us", "deadline_us")
+NON_NEGATIVE_CLASS_FIELDS = ("deduplication_window_us", "max_staleness_us", "priority_weight")
 
 
 class InvalidSettingError(ValueError):
     """A setting has a value that no router can follow."""
 
-    def __init__(self, field: str, reason: str) -> None:
-        """Name the field and what is wrong with it."""
-        super().__init__(f"{field}: {reason}")
+    def __init__(self, field: str, value: object) -> None:
+        """Name the field and its value."""
+        super().__init__(f"{field}: must not be {value}")
         self.field = field
+        self.value = value
 
 
 def check_settings(settings: Settings) -> None:
     """Raise InvalidSettingError for the first setting that is out of range."""
     if not settings.classes:
-        raise InvalidSettingError("classes", "at least one is needed")
+        raise InvalidSettingError("classes", settings.classes)
     for request_class in settings.classes:
         _check_class(request_class)
     for field in POSITIVE_FIELDS:
         value = getattr(settings, field)
         if value <= 0:
-            raise InvalidSettingError(field, f"must not be {value}")
+            raise InvalidSettingError(field, value)
     for field in NON_NEGATIVE_FIELDS:
         value = getattr(settings, field)
         if value < 0:
-            raise InvalidSettingError(field, f"must not be {value}")
+            raise InvalidSettingError(field, value)
 
 
 def _check_class(request_class: RequestClass) -> None:
-    positive = (request_class.latency_objective_us, request_class.deadline_us)
-    non_negative = (
-        request_class.deduplication_window_us,
-        request_class.max_staleness_us,
-        request_class.priority_weight,
-    )
-    if min(positive) <= 0 or min(non_negative) < 0:
-        reason = f"a duration or the weight of {request_class.name!r} is out of range"
-        raise InvalidSettingError("classes", reason)
+    for field in POSITIVE_CLASS_FIELDS:
+        value = getattr(request_class, field)
+        if value <= 0:
+            raise InvalidSettingError(_class_field(request_class, field), value)
+    for field in NON_NEGATIVE_CLASS_FIELDS:
+        value = getattr(request_class, field)
+        if value < 0:
+            raise InvalidSettingError(_class_field(request_class, field), value)
+
+
+def _class_field(request_class: RequestClass, field: str) -> str:
+    return f"classes: {request_class.name}: {field}"
--- a/juniperreel/simulator_adapter.py
+++ b/juniperreel/simulator_adapter.py
@@ -63,6 +63,7 @@
 }
 ROLES = {0: Role.UNKNOWN, 1: Role.PRIMARY, 2: Role.REPLICA}
 STAMP_ROLES = 4  # a stamp is a position in milliseconds times this, plus the role
+EVENTS = "RESULT, ORDER, EXPIRED, BELL, CHECKED, FLOWING, HEARD or UPDATE"
 US_PER_SECOND = 1_000_000
 US_PER_MS = 1_000
 
@@ -83,6 +84,34 @@
         self.field = field
 
 
+class MalformedFieldError(WireError):
+    """A field that is not name=value, or has a value of another type."""
+
+    def __init__(self, text: str) -> None:
+        """Show the beginning of the text."""
+        super().__init__(f"malformed field: {text[:60]!r}")
+        self.text = text
+
+
+class UnexpectedMessageError(WireError):
+    """A message where another one has to stand."""
+
+    def __init__(self, name: str, expected: str) -> None:
+        """Name both."""
+        super().__init__(f"{name!r} where {expected} is expected")
+        self.name = name
+        self.expected = expected
+
+
+class InstanceNotRunningError(WireError):
+    """A message for an instance that has not started."""
+
+    def __init__(self, message: str, instance: str) -> None:
+        """Name the message and the instance."""
+        super().__init__(f"{message} for {instance}, which does not run")
+        self.instance = instance
+
+
 class Message(NamedTuple):
     """One line of the wire."""
 
@@ -119,7 +148,7 @@
 def read_flag(text: str) -> bool:
     """A boolean. Raises WireError."""
     if text not in ("0", "1"):
-        raise WireError(f"not a bool: {text!r}")
+        raise MalformedFieldError(text)
     return text == "1"
 
 
@@ -135,7 +164,7 @@
     while rest:
         key, equals, tail = rest.partition("=")
         if not equals or not key or " " in key:
-            raise WireError(f"not a name=value pair in {name}: {rest[:60]!r}")
+            raise MalformedFieldError(rest)
         if rest.startswith(TRAILING_TEXT):
             fields[key] = tail
             break
@@ -163,7 +192,7 @@
     for _ in range(row_count):
         item = parse_line(next(lines, ""))
         if item.name != "ITEM":
-            raise WireError(f"a TABLE of {row_count} rows holds {item.name!r}")
+            raise UnexpectedMessageError(item.name, "ITEM")
         endpoints.append(read_endpoint(item))
     return tuple(endpoints)
 
@@ -196,7 +225,7 @@
             case "HEARD":
                 return None
             case _:
-                raise WireError(f"unknown message {message.name!r}")
+                raise UnexpectedMessageError(message.name, EVENTS)
 
     def _read_attempt_ended(self, result: Message) -> AttemptEnded:
         position_ms, role = divmod(int(result.get("stamp", "0")), STAMP_ROLES)
@@ -296,7 +325,7 @@
         remaining = iter(lines)
         clock = parse_line(next(remaining, ""))
         if clock.name != "CLOCK":
-            raise WireError(f"a batch starts with CLOCK, not {clock.name!r}")
+            raise UnexpectedMessageError(clock.name, "CLOCK")
         now_us = microseconds(clock.need("ts_s"))
         events: dict[str, list[Event]] = {}
         for line in remaining:
@@ -321,7 +350,7 @@
             self.instances.pop(instance, None)
             events.pop(instance, None)
         elif instance not in self.instances:
-            raise WireError(f"{message.name} for {instance}, which does not run")
+            raise InstanceNotRunningError(message.name, instance)
         else:
             event = self._read_event(instance, message)
             if event is not None:
@@ -361,7 +390,7 @@
         elif line:
             lines.append(line)
     if lines:
-        raise WireError("input ended inside a batch")
+        raise UnexpectedMessageError("", "FLUSH")
 
 
 def main() -> int:
