Modules of platform and net get the names of what they hold

Files are moved only, and their imports follow: pace, handover and poll become stall_monitor, socket_passing and transport; alarms, budget, facts, front, links, idletimeout, shutdown and endpoints become timer_queue, descriptor_budget, parameter_status, client_listener, endpoint_pools, idle_timeout, graceful_shutdown and endpoint_list. The tests' harnesses are named for what they drive.

--- a/juniperreel/cli/worker.py
+++ b/juniperreel/cli/worker.py
@@ -19,7 +19,7 @@
 
 from juniperreel.cli.edge import Edge
 from juniperreel.net import Clock
-from juniperreel.net.handover import HandedNetwork, Handover
+from juniperreel.net.socket_passing import HandedNetwork, Handover
 from juniperreel.settings import EdgeSettings, SettingsError
 from juniperreel.settings.edge import parse_edge
 from juniperreel.telemetry.log import make_log
--- a/juniperreel/net/__init__.py
+++ b/juniperreel/net/__init__.py
@@ -11,7 +11,7 @@
     TcpNetwork,
     hung_up,
 )
-from juniperreel.net.pace import Pace
+from juniperreel.net.stall_monitor import Pace
 
 __all__ = [
     "Clock",
--- a/juniperreel/platform/front.py
+++ b/juniperreel/platform/client_listener.py
@@ -11,8 +11,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from juniperreel.net.poll import CHUNK, Wire
-from juniperreel.platform.budget import Budget
+from juniperreel.net.transport import CHUNK, Wire
+from juniperreel.platform.descriptor_budget import Budget
 from juniperreel.postgres import server
 from juniperreel.postgres.form import Form, FormError, parse
 from juniperreel.postgres.messages import ProtocolError
--- a/juniperreel/platform/discovery.py
+++ b/juniperreel/platform/discovery.py
@@ -13,7 +13,7 @@
 
 from juniperreel.net import ConnectError, Network
 from juniperreel.net.clock import US
-from juniperreel.platform.endpoints import Endpoints, ListError, read
+from juniperreel.platform.endpoint_list import Endpoints, ListError, read
 from juniperreel.platform.log import Log
 from juniperreel.routing.types import (
     UpdateKind,
--- a/juniperreel/platform/driver.py
+++ b/juniperreel/platform/driver.py
@@ -9,15 +9,15 @@
 from collections.abc import Callable, Sequence
 from functools import partial
 
-from juniperreel.platform import facts
-from juniperreel.platform.alarms import Alarms
-from juniperreel.platform.budget import Budget
+from juniperreel.platform import parameter_status
+from juniperreel.platform.client_listener import Command, Front, InvalidRequest
 from juniperreel.platform.config import Config
-from juniperreel.platform.endpoints import Endpoints
-from juniperreel.platform.front import Command, Front, InvalidRequest
-from juniperreel.platform.links import Dial, Ended, Job, MemberLinks
+from juniperreel.platform.descriptor_budget import Budget
+from juniperreel.platform.endpoint_list import Endpoints
+from juniperreel.platform.endpoint_pools import Dial, Ended, Job, MemberLinks
+from juniperreel.platform.graceful_shutdown import GracefulShutdown
 from juniperreel.platform.log import Log
-from juniperreel.platform.shutdown import GracefulShutdown
+from juniperreel.platform.timer_queue import Alarms
 from juniperreel.postgres import server
 from juniperreel.postgres.form import Form, with_span
 from juniperreel.postgres.messages import READY
@@ -224,9 +224,9 @@
                 outcome=ended.outcome,
                 duration_us=max(self.now() - started_us, 0),
                 request_finished=finished or item.command is None,
-                role=facts.role(parameters),
-                position_us=facts.position_us(parameters),
-                load_report=facts.report(parameters.get("pressure")),
+                role=parameter_status.role(parameters),
+                position_us=parameter_status.position_us(parameters),
+                load_report=parameter_status.report(parameters.get("pressure")),
             )
         )
         self._forget(request, item)
@@ -250,7 +250,7 @@
 
         def done(ended: Ended) -> None:
             value = ended.reply.value if ended.reply is not None else None
-            report = facts.report(value.decode("utf-8", "replace")) if value else None
+            report = parameter_status.report(value.decode("utf-8", "replace")) if value else None
             self.enqueue(HealthCheckEnded(endpoint, ended.outcome, self.now() - started, report))
 
         job = Job(lambda: REPORT, done)
--- a/juniperreel/platform/links.py
+++ b/juniperreel/platform/endpoint_pools.py
@@ -12,10 +12,10 @@
 from functools import partial
 from typing import Protocol
 
-from juniperreel.net.poll import Wire
-from juniperreel.platform.alarms import Alarms
-from juniperreel.platform.budget import Budget
-from juniperreel.platform.idletimeout import IdleTimeout
+from juniperreel.net.transport import Wire
+from juniperreel.platform.descriptor_budget import Budget
+from juniperreel.platform.idle_timeout import IdleTimeout
+from juniperreel.platform.timer_queue import Alarms
 from juniperreel.postgres.client import ClientConnection, Phase, Reply
 from juniperreel.postgres.messages import ProtocolError
 from juniperreel.routing.types import (
--- a/juniperreel/platform/run.py
+++ b/juniperreel/platform/run.py
@@ -11,11 +11,11 @@
 import trio
 
 from juniperreel.net import Clock, TcpNetwork
-from juniperreel.net.poll import Door, Poller, Wire, dial
+from juniperreel.net.transport import Door, Poller, Wire, dial
 from juniperreel.platform.config import Config, ConfigError, parse
 from juniperreel.platform.discovery import Discovery
 from juniperreel.platform.driver import PlatformDriver
-from juniperreel.platform.endpoints import Endpoints, ListError, read
+from juniperreel.platform.endpoint_list import Endpoints, ListError, read
 from juniperreel.platform.log import Log
 from juniperreel.routing.types import (
     Settings,
--- a/juniperreel/workers/parent.py
+++ b/juniperreel/workers/parent.py
@@ -19,8 +19,8 @@
 
 from juniperreel.net import Clock
 from juniperreel.net.clock import US
-from juniperreel.net.handover import Handover, hand_on, pair
 from juniperreel.net.network import TcpListener
+from juniperreel.net.socket_passing import Handover, hand_on, pair
 from juniperreel.workers.roster import Drain, Kill, Order, Phase, Roster, Start
 
 TICK_S = 0.1
--- a/tests/net/test_poll.py
+++ b/tests/net/test_poller.py
@@ -10,7 +10,7 @@
 import trio
 
 from juniperreel.net import Clock
-from juniperreel.net.poll import Poller
+from juniperreel.net.transport import Poller
 
 
 class Owner:
--- a/tests/platform/peers.py
+++ b/tests/platform/event_harness.py
@@ -6,11 +6,11 @@
 import json
 from typing import Any
 
-from juniperreel.net.poll import Peer, Wire
+from juniperreel.net.transport import Peer, Wire
 from juniperreel.platform.config import Config, parse
 from juniperreel.platform.driver import PlatformDriver
-from juniperreel.platform.endpoints import read
-from juniperreel.platform.links import MemberConnection
+from juniperreel.platform.endpoint_list import read
+from juniperreel.platform.endpoint_pools import MemberConnection
 from juniperreel.platform.log import Log
 from juniperreel.postgres import messages as m
 from juniperreel.postgres import server
--- a/tests/platform/stage.py
+++ b/tests/platform/socket_harness.py
@@ -13,17 +13,17 @@
 import trio
 
 from juniperreel.net import Clock
-from juniperreel.net.poll import Door, Poller, Wire, dial
+from juniperreel.net.transport import Door, Poller, Wire, dial
 from juniperreel.platform.config import parse
 from juniperreel.platform.driver import PlatformDriver
-from juniperreel.platform.endpoints import read
+from juniperreel.platform.endpoint_list import read
 from juniperreel.platform.log import Log
 from juniperreel.postgres import messages as m
 from juniperreel.postgres import server
 from juniperreel.routing.types import (
     UpdateKind,
 )
-from tests.platform.peers import HELLO, config_bytes, entry, row
+from tests.platform.event_harness import HELLO, config_bytes, entry, row
 
 PATIENCE_S = 30  # far more than anything here takes
 LOOK_S = 0.02
--- a/tests/platform/test_any_customer.py
+++ b/tests/platform/test_any_customer.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from juniperreel.postgres import messages as m
-from tests.platform.peers import MS, SETTINGS, World, read_text, row, write_text
+from tests.platform.event_harness import MS, SETTINGS, World, read_text, row, write_text
 
 ROOT = Path(__file__).parents[2]
 RUN = ("routing", "platform_settings.py", "platform", "postgres", "net")
--- a/tests/platform/test_crossings.py
+++ b/tests/platform/test_crossings.py
@@ -9,10 +9,10 @@
 
 import pytest
 
-from juniperreel.net.poll import Wire
+from juniperreel.net.transport import Wire
 from juniperreel.postgres import messages as m
-from tests.platform.peers import HELLO, MS, SEC, SETTINGS, read_text, row, write_text
-from tests.platform.stage import End, MemberEnd, Stage
+from tests.platform.event_harness import HELLO, MS, SEC, SETTINGS, read_text, row, write_text
+from tests.platform.socket_harness import End, MemberEnd, Stage
 
 ENDED = select.POLLRDHUP | select.POLLHUP
 IDS = [f"{n:016x}" for n in range(1, 200)]
--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -17,7 +17,7 @@
 import pytest
 
 from juniperreel.postgres import messages as m
-from tests.platform.peers import HELLO, config_bytes
+from tests.platform.event_harness import HELLO, config_bytes
 
 ROOT = Path(__file__).parents[2]
 DEPLOY = tomllib.loads((ROOT / "deploy/balancer.toml").read_text(encoding="utf-8"))
--- a/tests/platform/test_discovery.py
+++ b/tests/platform/test_discovery.py
@@ -14,14 +14,14 @@
 
 from juniperreel.net import TcpNetwork
 from juniperreel.platform.discovery import Discovery
-from juniperreel.platform.endpoints import Endpoints
+from juniperreel.platform.endpoint_list import Endpoints
 from juniperreel.platform.log import Log
 from juniperreel.routing.types import (
     Readiness,
     UpdateKind,
 )
-from tests.platform.peers import SEC, entry
-from tests.platform.stage import PATIENCE_S, End, MemberEnd
+from tests.platform.event_harness import SEC, entry
+from tests.platform.socket_harness import PATIENCE_S, End, MemberEnd
 
 WAIT_US = 4 * SEC
 
--- a/tests/platform/test_driver.py
+++ b/tests/platform/test_driver.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from juniperreel.platform.endpoints import read
+from juniperreel.platform.endpoint_list import read
 from juniperreel.postgres import messages as m
 from juniperreel.postgres import server
 from juniperreel.routing.types import (
@@ -14,7 +14,7 @@
     Role,
     UpdateKind,
 )
-from tests.platform.peers import (
+from tests.platform.event_harness import (
     HELLO,
     HOSTS,
     MS,
@@ -92,7 +92,7 @@
 
 
 def test_commands_beyond_the_limit_wait_unread(world: World) -> None:
-    from juniperreel.platform.front import PIPELINE
+    from juniperreel.platform.client_listener import PIPELINE
 
     client = world.client(*(read_text(f"{n:016x}", span=700) for n in range(PIPELINE + 20)))
     assert len(world.driver.open) == PIPELINE
@@ -299,8 +299,8 @@
     world.up(call)
     world.say(call, row())
     assert served(client.take()) and not call.closed
-    from juniperreel.platform.endpoints import read as read_list
-    from tests.platform.peers import entry
+    from juniperreel.platform.endpoint_list import read as read_list
+    from tests.platform.event_harness import entry
 
     moved = {"seq": 4, "whole": False, "hosts": [entry("a", 2002), entry("p", 2001)]}
     world.driver.told(UpdateKind.DELTA, read_list(moved, ["east"], ["k"]))
--- a/tests/platform/test_guards.py
+++ b/tests/platform/test_guards.py
@@ -11,20 +11,20 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from juniperreel.platform import endpoints, facts
-from juniperreel.platform.alarms import Alarms
-from juniperreel.platform.budget import Budget
+from juniperreel.platform import endpoint_list, parameter_status
 from juniperreel.platform.config import ConfigError, parse
+from juniperreel.platform.descriptor_budget import Budget
 from juniperreel.platform.discovery import ANSWER_US
-from juniperreel.platform.idletimeout import IdleTimeout
+from juniperreel.platform.graceful_shutdown import GracefulShutdown
+from juniperreel.platform.idle_timeout import IdleTimeout
 from juniperreel.platform.run import watch_wait_us
-from juniperreel.platform.shutdown import GracefulShutdown
+from juniperreel.platform.timer_queue import Alarms
 from juniperreel.routing.types import (
     LoadReport,
     Readiness,
     Role,
 )
-from tests.platform.peers import MS, SEC, SETTINGS, config_bytes, entry
+from tests.platform.event_harness import MS, SEC, SETTINGS, config_bytes, entry
 
 
 @pytest.mark.parametrize("total", [64, 256, 384, 1024])
@@ -87,21 +87,21 @@
 
 
 def test_facts_are_read_and_noise_is_left_out() -> None:
-    assert facts.position_us({"log_position": "1767225600123"}) == 1767225600123000
+    assert parameter_status.position_us({"log_position": "1767225600123"}) == 1767225600123000
     for text in ("", "-5", "1e9", "9" * 40, "²"):
-        assert facts.position_us({"log_position": text}) is None
-    assert facts.role({"replication_role": "primary"}) is Role.PRIMARY
-    assert facts.role({"replication_role": "king"}) is Role.UNKNOWN
-    report = facts.report("x0=1767225600.123,x1=1,queue=4")
+        assert parameter_status.position_us({"log_position": text}) is None
+    assert parameter_status.role({"replication_role": "primary"}) is Role.PRIMARY
+    assert parameter_status.role({"replication_role": "king"}) is Role.UNKNOWN
+    report = parameter_status.report("x0=1767225600.123,x1=1,queue=4")
     assert report == LoadReport(1767225600123000, True, None, 4.0)
     for text in ("x0", "x0=nan", "x0=1,,x1=0", "queue=-1", "a" * 2000, "inflight=inf"):
-        assert facts.report(text) is None
+        assert parameter_status.report(text) is None
 
 
 @given(st.text(max_size=60))
 def test_no_report_is_fatal(text: str) -> None:
-    facts.report(text)
-    facts.position_us({"log_position": text})
+    parameter_status.report(text)
+    parameter_status.position_us({"log_position": text})
 
 
 def test_a_list_is_read_line_by_line() -> None:
@@ -116,12 +116,12 @@
             "noise",
         ],
     }
-    found = endpoints.read(raw, ["east"], ["k"])
+    found = endpoint_list.read(raw, ["east"], ["k"])
     assert found.bad == 4 and found.version == 7 and found.dials == {"a": ("127.0.0.1", 1)}
     (member,) = found.members
     assert member.readiness is Readiness.DRAINING and member.listed_primary
     assert member.started_us == 1767225600123500
-    gone = endpoints.read({"seq": 8, "whole": False, "hosts": [{"host": "a", "health": "Gone"}]}, [], [])
+    gone = endpoint_list.read({"seq": 8, "whole": False, "hosts": [{"host": "a", "health": "Gone"}]}, [], [])
     assert gone.members[0].readiness is Readiness.REMOVED
 
 
@@ -130,8 +130,8 @@
     [None, [], {}, {"seq": 1, "whole": True, "hosts": []}, {"seq": "1", "whole": False, "hosts": []}],
 )
 def test_what_is_no_list_is_named(raw: Any) -> None:
-    with pytest.raises(endpoints.ListError):
-        endpoints.read(raw, [], [])
+    with pytest.raises(endpoint_list.ListError):
+        endpoint_list.read(raw, [], [])
 
 
 json_values = st.recursive(
@@ -143,7 +143,7 @@
 
 @given(st.dictionaries(st.sampled_from(list(entry("a", 1))), json_values))
 def test_no_line_of_a_list_is_fatal(line: dict[str, Any]) -> None:
-    found = endpoints.read({"seq": 1, "whole": False, "hosts": [line]}, ["east"], ["k"])
+    found = endpoint_list.read({"seq": 1, "whole": False, "hosts": [line]}, ["east"], ["k"])
     assert len(found.members) + found.bad == 1
 
 
--- a/tests/platform/test_planted.py
+++ b/tests/platform/test_planted.py
@@ -11,18 +11,18 @@
 import trio
 import trio.testing
 
-from juniperreel.net.poll import Door, Wire
+from juniperreel.net.transport import Door, Wire
 from juniperreel.platform import discovery
+from juniperreel.platform.client_listener import Client, Command, Front
 from juniperreel.platform.discovery import Discovery
 from juniperreel.platform.driver import PlatformDriver
-from juniperreel.platform.endpoints import Endpoints
-from juniperreel.platform.front import Client, Command, Front
+from juniperreel.platform.endpoint_list import Endpoints
 from juniperreel.routing.policy.router import Router
 from juniperreel.routing.types import (
     Endpoint,
     Outcome,
 )
-from tests.platform import stage, test_crossings, test_discovery
+from tests.platform import socket_harness, test_crossings, test_discovery
 from tests.routing import test_crossings as routing_crossings
 from tests.routing import test_router
 
@@ -228,7 +228,7 @@
     plant: Callable[[Patch], None], test: Callable[..., Any], monkeypatch: Patch
 ) -> None:
     plant(monkeypatch)
-    for module in (stage, test_discovery):
+    for module in (socket_harness, test_discovery):
         monkeypatch.setattr(module, "PATIENCE_S", BRIEF_S)
     with pytest.raises((AssertionError, trio.TooSlowError, ExceptionGroup, ConnectionError, BrokenPipeError)):
         play(test)
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -12,11 +12,11 @@
 import trio
 
 from juniperreel.fakes.platform import DiscoveryStandIn, MemberStandIn
-from juniperreel.net.poll import Door, Poller
+from juniperreel.net.transport import Door, Poller
 from juniperreel.platform.config import parse
 from juniperreel.platform.log import Log
 from juniperreel.platform.run import Program
-from tests.platform.peers import config_bytes, entry, read_text, write_text
+from tests.platform.event_harness import config_bytes, entry, read_text, write_text
 
 SECONDS = 30
 WITNESS = """
--- a/tests/workers/test_handover.py
+++ b/tests/workers/test_handover.py
@@ -5,7 +5,7 @@
 import trio
 
 from juniperreel.net import TcpNetwork
-from juniperreel.net.handover import HandedNetwork, Handover, hand_on, pair
+from juniperreel.net.socket_passing import HandedNetwork, Handover, hand_on, pair
 
 SECONDS = 20
 
