--- a/juniperreel/cli/edge.py
+++ b/juniperreel/cli/edge.py
@@ -17,7 +17,7 @@
 from juniperreel.frontends.mysql.classes import Classes, Rule
 from juniperreel.frontends.mysql.front import MysqlFront, MysqlOptions, nonce
 from juniperreel.mysql.auth import Credential
-from juniperreel.net import Clock, Network, Pace
+from juniperreel.net import Clock, Network, StallMonitor
 from juniperreel.net.clock import US
 from juniperreel.pool.backend import Login
 from juniperreel.pool.core import Sizes
@@ -125,7 +125,7 @@
         self.metrics = Metrics()
         self.traces = Traces(settings.spans, settings.name)
         options = driver_options(settings)
-        self.pace = Pace(clock)
+        self.pace = StallMonitor(clock)
         self.driver = Driver(options, network, clock, self.log, self.metrics, self.traces, self.pace)
         self.health = Health(SERVICES)
         keyring = Keyring(list(settings.keys))
@@ -148,7 +148,7 @@
         """Reports the port it listens on. Raises OSError where it cannot listen, ValueError for a saved
         host list that cannot be read."""
         listener = await self.network.listen(*self.settings.listen)
-        self.pace.watch()
+        self.pace.install()
         try:
             async with trio.open_nursery() as nursery:
                 metrics = None
@@ -184,7 +184,7 @@
         finally:
             self.serving = False
             self.ended.set()
-            self.pace.unwatch()
+            self.pace.uninstall()
             self.traces.close()
 
     def stop(self) -> None:
--- a/juniperreel/cli/worker.py
+++ b/juniperreel/cli/worker.py
@@ -19,7 +19,7 @@
 
 from juniperreel.cli.edge import Edge
 from juniperreel.net import Clock
-from juniperreel.net.socket_passing import HandedNetwork, Handover
+from juniperreel.net.socket_passing import PassedSocketNetwork, SocketPassing
 from juniperreel.settings import EdgeSettings, SettingsError
 from juniperreel.settings.edge import parse_edge
 from juniperreel.telemetry.log import make_log
@@ -50,8 +50,8 @@
 class Served:
     """The edge of this worker and its parent's voice."""
 
-    def __init__(self, settings: EdgeSettings, handover: Handover, slot: int) -> None:
-        self.network = HandedNetwork()
+    def __init__(self, settings: EdgeSettings, handover: SocketPassing, slot: int) -> None:
+        self.network = PassedSocketNetwork()
         log = make_log(settings.log_form, settings.log_level, edge=settings.name, worker=slot)
         self.edge = Edge(settings, self.network, Clock(), log)
         self.edge.says = "worker serving"
@@ -72,7 +72,7 @@
     async def _tell(self) -> None:
         while True:
             told = Told(self.edge.connections, not self.edge.stopping.is_set())
-            self.handover.hand(msgspec.json.encode(told))
+            self.handover.send(msgspec.json.encode(told))
             await trio.sleep(TELL_S)
 
     async def _heed(self) -> None:
@@ -82,7 +82,7 @@
                 place = self.places.get(message)
                 listener = self.network.listeners.get(place) if place is not None else None
                 if listener is not None:
-                    listener.put(connection)
+                    listener.deliver(connection)
                 else:
                     connection.close()
             elif message == DRAIN or not message:
@@ -112,7 +112,7 @@
         print(error, file=sys.stderr)
         sys.exit(2)
     settings = part_of(settings, int(slot), int(port), int(mysql_port))
-    end = Handover(socket.socket(fileno=int(handover)))
+    end = SocketPassing(socket.socket(fileno=int(handover)))
 
     async def run() -> None:
         await Served(settings, end, int(slot)).run()
--- a/juniperreel/fakes/member.py
+++ b/juniperreel/fakes/member.py
@@ -15,7 +15,7 @@
 from juniperreel.fakes.mysqlmember import MysqlSide
 from juniperreel.fakes.postgresmember import PostgresSide
 from juniperreel.fakes.store import Commit, StatementFault, from_value, to_value
-from juniperreel.net import Clock, ConnectError, HeldPort, Network
+from juniperreel.net import Clock, ConnectError, Network, ReservedPort
 from juniperreel.proto.common.v1 import values_pb2
 from juniperreel.proto.member.v1 import member_pb2
 from juniperreel.rpc.channel import Broken, Channel, NeverSent
@@ -67,7 +67,7 @@
     ) -> None:
         self.name, self.group, self.zone, self.shape = name, group, zone, shape
         # Danger: while it is down, a connection of somebody else's may be given its port for its own end.
-        self._held = [HeldPort() for _ in range(2 if shape.mysql else 1)]
+        self._held = [ReservedPort() for _ in range(2 if shape.mysql else 1)]
         self.port = self._held[0].port
         self.mysql_port = self._held[-1].port if shape.mysql else 0
         self.alive = False
--- a/juniperreel/net/__init__.py
+++ b/juniperreel/net/__init__.py
@@ -1,27 +1,27 @@
-"""The seam to network and clock: the only room that opens a socket."""
+"""The interface to network and clock: the only package that opens sockets."""
 
 from juniperreel.net.clock import Clock
 from juniperreel.net.network import (
     ConnectError,
-    HeldPort,
+    ConnectRefused,
+    ConnectTimedOut,
     Listener,
     Network,
-    Refused,
-    Silent,
+    ReservedPort,
     TcpNetwork,
     hung_up,
 )
-from juniperreel.net.stall_monitor import Pace
+from juniperreel.net.stall_monitor import StallMonitor
 
 __all__ = [
     "Clock",
     "ConnectError",
-    "HeldPort",
+    "ConnectRefused",
+    "ConnectTimedOut",
     "Listener",
     "Network",
-    "Pace",
-    "Refused",
-    "Silent",
+    "ReservedPort",
+    "StallMonitor",
     "TcpNetwork",
     "hung_up",
 ]
--- /dev/null
+++ b/juniperreel/net/acceptor.py
@@ -0,0 +1,80 @@
+"""A listening socket on a `Poller`: accepted connections become transports."""
+
+from __future__ import annotations
+
+import select
+import socket
+from collections.abc import Callable
+
+from juniperreel.net.network import (
+    BACKLOG,
+    DESCRIPTOR_EXHAUSTION_ERRNOS,
+    DESCRIPTOR_EXHAUSTION_PAUSE_S,
+    address_family,
+)
+from juniperreel.net.poller import Poller
+from juniperreel.net.transport import Transport
+
+DESCRIPTOR_EXHAUSTION_PAUSE_US = int(DESCRIPTOR_EXHAUSTION_PAUSE_S * 1_000_000)
+
+
+class Acceptor:
+    """Listens on an address and hands each new connection to a callback as a transport."""
+
+    ACCEPTS_PER_EVENT = 64
+
+    def __init__(
+        self, poller: Poller, host: str, port: int, on_accepted: Callable[[Transport], None]
+    ) -> None:
+        """Start to listen. Raises OSError where the address can't be had."""
+        self._poller = poller
+        self._on_accepted = on_accepted
+        self._socket = socket.socket(address_family(host), socket.SOCK_STREAM)
+        try:
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self._socket.bind((host, port))
+            self._socket.listen(BACKLOG)
+            self._socket.setblocking(False)
+        except BaseException:
+            self._socket.close()
+            raise
+        self.port: int = self._socket.getsockname()[1]
+        self.is_open = True
+        self.exhausted_us = 0  # since when descriptors have run out; nothing is accepted until `retry`
+        poller.add(self._socket.fileno(), select.EPOLLIN, self)
+
+    def handle_event(self, _mask: int) -> None:
+        """Accept what waits, up to `ACCEPTS_PER_EVENT` connections."""
+        self._accept(self.ACCEPTS_PER_EVENT)
+
+    def _accept(self, max_connections: int) -> None:
+        for _ in range(max_connections):
+            try:
+                connection, _ = self._socket.accept()
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as error:
+                if error.errno in DESCRIPTOR_EXHAUSTION_ERRNOS:
+                    # The kernel keeps the connection pending and would report it with every poll, so the
+                    # loop would spin until a descriptor is free.
+                    self.exhausted_us = self._poller.clock.now_us()
+                    self._poller.change(self._socket.fileno(), 0)
+                    return
+                continue  # the failure of one connection that was never established
+            connection.setblocking(False)
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._on_accepted(Transport(self._poller, connection))
+
+    def retry(self, now_us: int) -> None:
+        """Accept again, once the pause after descriptors ran out has passed."""
+        if self.exhausted_us and self.is_open and now_us - self.exhausted_us > DESCRIPTOR_EXHAUSTION_PAUSE_US:
+            self.exhausted_us = 0
+            self._poller.change(self._socket.fileno(), select.EPOLLIN)
+
+    def close(self) -> None:
+        """Accept the connections that the kernel has already established, then stop listening."""
+        if self.is_open:
+            self._accept(BACKLOG)
+            self.is_open = False
+            self._poller.remove(self._socket.fileno())
+            self._socket.close()
--- a/juniperreel/net/network.py
+++ b/juniperreel/net/network.py
@@ -1,7 +1,7 @@
 """Listening and connecting, behind an interface that a simulated network can stand in for.
 
 A stream is trio's own `trio.abc.Stream`: `send_all`, `receive_some`, `aclose`; a broken one raises
-`trio.BrokenResourceError`. Must never know what the bytes mean.
+`trio.BrokenResourceError`. Nothing here knows what the bytes mean.
 """
 
 from __future__ import annotations
@@ -14,48 +14,61 @@
 
 from juniperreel.net.clock import US
 
-EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
-EXHAUSTED_PAUSE_S = 0.1  # how long no connection is taken while descriptors have run out
+DESCRIPTOR_EXHAUSTION_ERRNOS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+DESCRIPTOR_EXHAUSTION_PAUSE_S = 0.1  # how long nothing is accepted after descriptors ran out
+LISTENER_CLOSED_ERRNOS = frozenset({errno.EBADF, errno.EINVAL})
 BACKLOG = 1024
-ESTABLISHED = 1  # of the kernel's TCP states
+TCP_ESTABLISHED = 1  # of the kernel's TCP states
 
 
 class ConnectError(Exception):
-    """No connection came about; nothing was sent."""
+    """No connection was established; nothing was sent."""
 
 
-class Refused(ConnectError):
-    """The peer's host said no: nobody listens there."""
+class ConnectRefused(ConnectError):
+    """The peer's host refused the connection: no process listens there."""
 
 
-class Silent(ConnectError):
-    """No answer within the time allowed, or no way there."""
+class ConnectTimedOut(ConnectError):
+    """No answer within the time allowed, or no route to the host."""
 
 
 class Listener(Protocol):
+    """A source of accepted connections on one port."""
+
     port: int
 
-    async def accept(self) -> trio.abc.Stream: ...
+    async def accept(self) -> trio.abc.Stream:
+        """Return the next connection. Raises trio.ClosedResourceError once the listener is closed."""
+        ...
 
-    async def aclose(self) -> None: ...
+    async def aclose(self) -> None:
+        """Stop listening."""
+        ...
 
 
 class Network(Protocol):
-    async def listen(self, host: str, port: int) -> Listener: ...
+    """Listens and connects."""
+
+    async def listen(self, host: str, port: int) -> Listener:
+        """Listen on an address; port 0 lets the system choose. Raises OSError where it can't be had."""
+        ...
 
     async def connect(self, host: str, port: int, timeout_us: int) -> trio.abc.Stream:
-        """Raises Refused or Silent; takes at most `timeout_us`."""
+        """Connect within `timeout_us`. Raises ConnectRefused or ConnectTimedOut."""
         ...
 
 
 class TcpListener:
-    """A listening TCP socket; accepting survives the running out of descriptors."""
+    """A listening TCP socket. Accepting goes on when descriptors were exhausted for a time."""
 
     def __init__(self, sock: trio.socket.SocketType) -> None:
+        """Take over a socket that listens."""
         self._sock = sock
         self.port: int = sock.getsockname()[1]
 
     async def accept(self) -> trio.abc.Stream:
+        """Return the next connection. Raises trio.ClosedResourceError once the listener is closed."""
         while True:
             sock = await self.accept_socket()
             try:
@@ -64,34 +77,40 @@
                 sock.close()
 
     async def accept_socket(self) -> trio.socket.SocketType:
+        """Return the next connection as a bare socket, for passing it to another process."""
         while True:
             try:
                 sock, _ = await self._sock.accept()
-                return sock
             except OSError as error:
-                if error.errno in EXHAUSTED:
-                    # Danger: without a pause the loop spins while the kernel keeps the connection pending.
-                    await trio.sleep(EXHAUSTED_PAUSE_S)
-                elif error.errno in (errno.EBADF, errno.EINVAL):
+                if error.errno in DESCRIPTOR_EXHAUSTION_ERRNOS:
+                    # The kernel keeps the connection pending: without a pause the loop would spin.
+                    await trio.sleep(DESCRIPTOR_EXHAUSTION_PAUSE_S)
+                elif error.errno in LISTENER_CLOSED_ERRNOS:
                     raise trio.ClosedResourceError from error
-                # Anything else is the failure of one connection that never came about.
+                # Anything else is the failure of one connection that was never established.
+            else:
+                return sock
 
     def close(self) -> None:
-        """At once; whoever accepts meanwhile is told."""
+        """Stop listening at once; tasks that wait in `accept` get trio.ClosedResourceError."""
         self._sock.close()
 
     async def aclose(self) -> None:
+        """Stop listening, as `close` does."""
         self._sock.close()
         await trio.lowlevel.checkpoint()
 
 
-class HeldPort:
-    """A port that the system gives to nobody else, for whoever goes away and comes back to it: bound, and not
-    listened on, here. Others can listen on it meanwhile; connections are refused while nobody does."""
+class ReservedPort:
+    """A port that the system assigns to no other socket, for a server that stops and returns to it.
+
+    It is bound and not listened on here. Others can listen on it meanwhile; connections are refused while
+    nobody does.
+    """
 
     def __init__(self, host: str = "127.0.0.1") -> None:
-        """Raises OSError where none is left."""
-        self._sock = socket.socket(family(host), socket.SOCK_STREAM)
+        """Bind a free port. Raises OSError where none is available."""
+        self._sock = socket.socket(address_family(host), socket.SOCK_STREAM)
         try:
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             self._sock.bind((host, 0))
@@ -101,14 +120,16 @@
         self.port: int = self._sock.getsockname()[1]
 
     def close(self) -> None:
+        """Give the port back to the system."""
         self._sock.close()
 
 
 class TcpNetwork:
-    """TCP, on whatever numeric address the settings name."""
+    """TCP, on numeric IPv4 and IPv6 addresses."""
 
     async def listen(self, host: str, port: int) -> TcpListener:
-        sock = trio.socket.socket(family(host), socket.SOCK_STREAM)
+        """Listen on an address; port 0 lets the system choose. Raises OSError where it can't be had."""
+        sock = trio.socket.socket(address_family(host), socket.SOCK_STREAM)
         try:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             await sock.bind((host, port))
@@ -119,38 +140,37 @@
         return TcpListener(sock)
 
     async def connect(self, host: str, port: int, timeout_us: int) -> trio.abc.Stream:
-        sock = None
+        """Connect within `timeout_us`. Raises ConnectRefused or ConnectTimedOut."""
         try:
             with trio.fail_after(max(timeout_us, 0) / US):
-                sock = trio.socket.socket(family(host), socket.SOCK_STREAM)
-                await sock.connect((host, port))
-                return trio.SocketStream(sock)
+                return await self._open_stream(host, port)
         except ConnectionRefusedError as error:
-            self._drop(sock)
-            raise Refused(f"{host}:{port} refuses connections") from error
+            raise ConnectRefused(f"{host}:{port} refuses connections") from error
         except (OSError, trio.TooSlowError) as error:
-            self._drop(sock)
-            raise Silent(f"{host}:{port} does not answer: {error or 'time is up'}") from error
-        except BaseException:
-            self._drop(sock)
-            raise
+            raise ConnectTimedOut(f"{host}:{port} does not answer: {error or 'time is up'}") from error
 
     @staticmethod
-    def _drop(sock: trio.socket.SocketType | None) -> None:
-        if sock is not None:
+    async def _open_stream(host: str, port: int) -> trio.SocketStream:
+        sock = trio.socket.socket(address_family(host), socket.SOCK_STREAM)
+        try:
+            await sock.connect((host, port))
+            return trio.SocketStream(sock)
+        except BaseException:
             sock.close()
+            raise
 
 
-def family(host: str) -> int:
+def address_family(host: str) -> int:
+    """Return the socket address family of a numeric address."""
     return socket.AF_INET6 if ":" in host else socket.AF_INET
 
 
 def hung_up(stream: trio.abc.Stream) -> bool:
-    """Whether the peer has ended its side, though there may still be something to read before that."""
+    """Return whether the peer has ended its side, even where bytes before that end wait to be read."""
     if not isinstance(stream, trio.SocketStream):
         return False
     try:
         state: int = stream.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
     except OSError:
         return True  # closed here already
-    return state != ESTABLISHED
+    return state != TCP_ESTABLISHED
--- /dev/null
+++ b/juniperreel/net/poller.py
@@ -0,0 +1,109 @@
+"""Readiness notification for many sockets owned by one task, without a task for each connection.
+
+A trio task that carries a connection costs several checkpoints and cancel scopes for each message; where a
+program has part of a core and hundreds of connections, that is most of its work. Here one task waits for an
+epoll that holds all sockets, which trio itself can wait for, and readiness becomes method calls.
+"""
+
+from __future__ import annotations
+
+import select
+from typing import NamedTuple, Protocol
+
+import trio
+
+from juniperreel.net.clock import Clock
+
+MAX_EVENTS = 256  # taken from one call of epoll
+YIELD_US = 5_000  # other tasks run at least this often
+BLOCKED_US = 500  # a wait that took longer had nothing ready when it began
+
+
+class EventHandler(Protocol):
+    """The owner of a registered socket."""
+
+    def handle_event(self, mask: int, /) -> None:
+        """React to the epoll events in `mask`."""
+        ...
+
+
+class ReadyEvent(NamedTuple):
+    """One socket that the last poll found ready, with the handler registered for it at that moment."""
+
+    fileno: int
+    mask: int
+    handler: EventHandler | None
+
+
+class Poller:
+    """All sockets of one task: call `wait`, then `dispatch`, in a loop.
+
+    Owns the registrations; the sockets themselves belong to their handlers.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        """Open the epoll. `clock` times the waits."""
+        self.clock = clock
+        self._epoll = select.epoll()
+        self._handlers: dict[int, EventHandler] = {}
+        self._events: list[ReadyEvent] = []
+        self._waiting: trio.CancelScope | None = None
+        self._polled_us = clock.now_us()
+        self._yielded_us = self._polled_us
+        self.ready_since_us = self._polled_us  # when what was found may have become ready, at the earliest
+
+    def close(self) -> None:
+        """Close the epoll; registered sockets stay open."""
+        self._epoll.close()
+
+    def add(self, fileno: int, mask: int, handler: EventHandler) -> None:
+        """Watch a socket for the events in `mask`."""
+        self._epoll.register(fileno, mask)
+        self._handlers[fileno] = handler
+
+    def change(self, fileno: int, mask: int) -> None:
+        """Watch a registered socket for other events."""
+        self._epoll.modify(fileno, mask)
+
+    def remove(self, fileno: int) -> None:
+        """Stop watching a socket; does nothing for one that is not registered."""
+        if self._handlers.pop(fileno, None) is not None:
+            self._epoll.unregister(fileno)
+
+    async def wait(self, until_us: int | None) -> None:
+        """Return when a socket is ready, at `until_us`, or after `wake`."""
+        started_us = self.clock.now_us()
+        self._poll()
+        if not self._events and (until_us is None or until_us > started_us):
+            with trio.CancelScope() as self._waiting:
+                if until_us is not None:
+                    self._waiting.deadline = self.clock.trio_time(until_us)
+                await trio.lowlevel.wait_readable(self._epoll.fileno())
+            self._waiting = None
+            self._yielded_us = self.clock.now_us()
+            self._poll()
+        elif started_us - self._yielded_us > YIELD_US:
+            await trio.lowlevel.checkpoint()
+            self._yielded_us = self.clock.now_us()
+        now_us = self.clock.now_us()
+        self.ready_since_us = now_us if now_us - started_us > BLOCKED_US else self._polled_us
+        self._polled_us = now_us
+
+    def _poll(self) -> None:
+        found = self._epoll.poll(0, MAX_EVENTS)
+        self._events = [ReadyEvent(fileno, mask, self._handlers.get(fileno)) for fileno, mask in found]
+
+    def wake(self) -> None:
+        """End the wait, after another task has changed what is due."""
+        if self._waiting is not None:
+            self._waiting.cancel()
+
+    def dispatch(self) -> None:
+        """Call the handlers of all sockets that the last wait found ready."""
+        events = self._events
+        self._events = []
+        for fileno, mask, handler in events:
+            # An earlier call of this loop may have closed this socket, and a new one may have been given its
+            # descriptor number: an event of the old socket, such as its end, must not reach the new one.
+            if handler is not None and self._handlers.get(fileno) is handler:
+                handler.handle_event(mask)
--- a/juniperreel/net/socket_passing.py
+++ b/juniperreel/net/socket_passing.py
@@ -1,7 +1,8 @@
 """Accepted connections passed between processes of one program, over a socket pair (SCM_RIGHTS, unix(7)).
 
-The parent listens and hands on; a worker's `HandedNetwork` looks to the rest of the program like the network
-it would have listened on itself. Datagrams, so that a message is whole or not there.
+The parent listens and passes connections on; to the rest of a worker its `PassedSocketNetwork` looks like the
+network on which it would have listened itself. Messages are datagrams, so each one arrives complete or not at
+all.
 """
 
 from __future__ import annotations
@@ -9,33 +10,51 @@
 import array
 import socket
 from collections.abc import Callable
+from typing import NamedTuple
 
 import trio
 
 from juniperreel.net.network import TcpListener, TcpNetwork
 
-MESSAGE = 4096  # bytes of one message at most
-QUEUE = 1024  # connections handed to a worker that has not yet begun on them
-FD_BYTES = array.array("i").itemsize
+MAX_MESSAGE_BYTES = 4096
+LISTENER_QUEUE = 1024  # connections passed to a worker that it has not accepted yet
+DESCRIPTOR_BYTES = array.array("i").itemsize
+PASS_ATTEMPTS = 100
+PASS_RETRY_S = 0.05
 
 
-def pair() -> tuple[socket.socket, socket.socket]:
-    """The parent's end and the worker's, which is passed on by its descriptor."""
-    ours, theirs = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-    ours.setblocking(False)
-    theirs.setblocking(False)
-    return ours, theirs
+class SocketPair(NamedTuple):
+    """Both ends of the channel between a parent and one worker."""
 
+    parent: socket.socket
+    worker: socket.socket  # given to the worker by its descriptor
 
-class Handover:
-    """One end: messages, with or without a connection."""
+
+class PassedMessage(NamedTuple):
+    """One received message; `data` is empty when the other end is gone."""
+
+    data: bytes
+    connection: socket.socket | None
+
+
+def create_socket_pair() -> SocketPair:
+    """Return two connected, non-blocking ends."""
+    parent, worker = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    parent.setblocking(False)
+    worker.setblocking(False)
+    return SocketPair(parent, worker)
+
+
+class SocketPassing:
+    """One end of the channel: messages, with or without a connection."""
 
     def __init__(self, sock: socket.socket) -> None:
+        """Take over one end of a socket pair."""
         self._raw = sock
         self._sock = trio.socket.from_stdlib_socket(sock)
 
-    def hand(self, message: bytes, connection: trio.socket.SocketType | None = None) -> bool:
-        """Without waiting; False where the other end takes no more, or is gone."""
+    def send(self, message: bytes, connection: trio.socket.SocketType | None = None) -> bool:
+        """Send without waiting; return False where the other end takes no more, or is gone."""
         ancillary = []
         if connection is not None:
             ancillary = [(socket.SOL_SOCKET, socket.SCM_RIGHTS, array.array("i", [connection.fileno()]))]
@@ -45,45 +64,54 @@
             return False
         return True
 
-    async def receive(self) -> tuple[bytes, socket.socket | None]:
-        """The next message; empty when the other end is gone."""
+    async def receive(self) -> PassedMessage:
+        """Return the next message; its data is empty when the other end is gone."""
         try:
-            data, ancillary, _, _ = await self._sock.recvmsg(MESSAGE, socket.CMSG_SPACE(FD_BYTES))
+            data, ancillary, _, _ = await self._sock.recvmsg(
+                MAX_MESSAGE_BYTES, socket.CMSG_SPACE(DESCRIPTOR_BYTES)
+            )
         except OSError:
-            return b"", None
+            return PassedMessage(b"", None)
         for level, kind, payload in ancillary:
-            if level == socket.SOL_SOCKET and kind == socket.SCM_RIGHTS and len(payload) >= FD_BYTES:
-                (number,) = array.array("i", payload[:FD_BYTES])
-                return data, socket.socket(fileno=number)
-        return data, None
+            if level == socket.SOL_SOCKET and kind == socket.SCM_RIGHTS and len(payload) >= DESCRIPTOR_BYTES:
+                (descriptor,) = array.array("i", payload[:DESCRIPTOR_BYTES])
+                return PassedMessage(data, socket.socket(fileno=descriptor))
+        return PassedMessage(data, None)
 
     def close(self) -> None:
+        """Close this end; the other one receives an empty message."""
         self._sock.close()
 
 
-class HandedListener:
-    """Accepts what the parent hands over."""
+class PassedSocketListener:
+    """Accepts the connections that the parent passes on."""
 
     def __init__(self, port: int) -> None:
+        """`port` is the one on which the parent listens."""
         self.port = port
-        self._put, self._take = trio.open_memory_channel[socket.socket](QUEUE)
+        self._sender, self._receiver = trio.open_memory_channel[socket.socket](LISTENER_QUEUE)
+
+    def deliver(self, connection: socket.socket) -> None:
+        """Queue a connection for `accept`.
 
-    def put(self, connection: socket.socket) -> None:
-        """Danger: more connections than a worker gets to are memory and descriptors; the rest are closed, and
-        their clients come again."""
+        Connections beyond the queue's limit are closed, and their clients connect again: queued without a
+        limit they would take memory and descriptors that the worker never gets to use.
+        """
         try:
-            self._put.send_nowait(connection)
+            self._sender.send_nowait(connection)
         except (trio.WouldBlock, trio.ClosedResourceError):
             connection.close()
 
     @property
     def queued(self) -> int:
-        return self._put.statistics().current_buffer_used
+        """Connections that wait for `accept`."""
+        return self._sender.statistics().current_buffer_used
 
     async def accept(self) -> trio.abc.Stream:
+        """Return the next connection. Raises trio.ClosedResourceError once the listener is closed."""
         while True:
             try:
-                connection = await self._take.receive()
+                connection = await self._receiver.receive()
             except trio.EndOfChannel:
                 raise trio.ClosedResourceError from None
             try:
@@ -93,30 +121,45 @@
                 connection.close()
 
     async def aclose(self) -> None:
-        self._put.close()
+        """Accept what is queued, then no more."""
+        self._sender.close()
         await trio.lowlevel.checkpoint()
 
 
-class HandedNetwork(TcpNetwork):
-    """A worker's network: connects itself, listens by way of its parent."""
+class PassedSocketNetwork:
+    """A worker's network: connects by itself, listens by way of its parent."""
 
     def __init__(self) -> None:
-        self.listeners: dict[tuple[str, int], HandedListener] = {}
+        """Start without listeners."""
+        self.listeners: dict[tuple[str, int], PassedSocketListener] = {}
+        self._tcp = TcpNetwork()
 
-    async def listen(self, host: str, port: int) -> HandedListener:  # type: ignore[override]
+    async def listen(self, host: str, port: int) -> PassedSocketListener:
+        """Return the listener of this address; the same one each time."""
         await trio.lowlevel.checkpoint()
-        return self.listeners.setdefault((host, port), HandedListener(port))
+        return self.listeners.setdefault((host, port), PassedSocketListener(port))
 
+    async def connect(self, host: str, port: int, timeout_us: int) -> trio.abc.Stream:
+        """Connect within `timeout_us`. Raises ConnectRefused or ConnectTimedOut."""
+        return await self._tcp.connect(host, port, timeout_us)
 
-async def hand_on(
-    listener: TcpListener, name: bytes, choose: Callable[[], Handover | None], none_s: float = 0.05
+
+async def pass_connections(
+    listener: TcpListener,
+    name: bytes,
+    choose_target: Callable[[], SocketPassing | None],
+    retry_s: float = PASS_RETRY_S,
 ) -> None:
-    """Takes connections for ever and hands each to whom `choose` names; waits while it names nobody."""
+    """Accept connections for ever and pass each to the end that `choose_target` returns.
+
+    While it returns None, or that end takes no more, the connection waits `retry_s` and is offered again; it
+    is closed after `PASS_ATTEMPTS` of these. Raises trio.ClosedResourceError once the listener is closed.
+    """
     while True:
         connection = await listener.accept_socket()
         with connection:
-            for _ in range(100):
-                target = choose()
-                if target is not None and target.hand(name, connection):
+            for _ in range(PASS_ATTEMPTS):
+                target = choose_target()
+                if target is not None and target.send(name, connection):
                     break
-                await trio.sleep(none_s)
+                await trio.sleep(retry_s)
--- a/juniperreel/net/stall_monitor.py
+++ b/juniperreel/net/stall_monitor.py
@@ -1,7 +1,7 @@
-"""How the program's one loop is doing, and how much of a pass newcomers may take.
+"""Measures stalls of the event loop, and limits the time that new work takes of one pass.
 
-A trio instrument that knows when sockets were last polled. From that follow how late the loop is, and since
-when the bytes just read can have been waiting. Must never drop anything: it only says when.
+A trio instrument that records when sockets were last polled. From that follow how late the loop is, and since
+when the bytes just read can have been waiting. It only measures: dropping work is up to others.
 """
 
 from __future__ import annotations
@@ -12,60 +12,77 @@
 
 from juniperreel.net.clock import Clock
 
-BUDGET_US = 10_000  # of one pass may go to what came new; what is in hand has the rest
+NEW_WORK_BUDGET_US = 10_000  # of one pass; work that was already accepted has the rest
 BLOCKED_US = 500  # a poll that took longer than this had nothing ready when it began
 
 
-class Pace(trio.abc.Instrument):
-    """Enter `watch` once in the run whose loop it is; without that nothing is ever late."""
+class StallMonitor(trio.abc.Instrument):
+    """Observes the loop of the trio run in which `install` was called; without that nothing is ever late.
+
+    A pass of the loop runs from one poll of the sockets to the next.
+    """
 
     def __init__(self, clock: Clock) -> None:
+        """Start with a pass that begins now."""
         self._clock = clock
-        self.polls = 0
-        self.blocked = False  # the last poll found nothing ready when it began
-        self._entered_us = self._polled_us = clock.now_us()
-        self._since_us = self._polled_us
-        self._spent_ns = 0  # of this pass, on newcomers
-        self._late_us = 0  # the longest pass of late, newcomers left out
-
-    def watch(self) -> None:
+        self.poll_count = 0
+        self.last_poll_blocked = False  # it found nothing ready when it began
+        self._polled_us = clock.now_us()
+        self._poll_entered_us = self._polled_us
+        self._ready_since_us = self._polled_us
+        self._new_work_ns = 0  # taken of this pass by new work
+        self._longest_pass_us = 0  # since the last call of `take_longest_pass_us`, without new work
+
+    def install(self) -> None:
+        """Begin to observe the current trio run."""
         trio.lowlevel.add_instrument(self)
 
-    def unwatch(self) -> None:
+    def uninstall(self) -> None:
+        """End the observation."""
         trio.lowlevel.remove_instrument(self)
 
-    def before_io_wait(self, timeout: float) -> None:
-        self._entered_us = now = self._clock.now_us()
-        took = now - self._polled_us - self._spent_ns // 1000
-        if took > self._late_us:
-            self._late_us = took
-
-    def after_io_wait(self, timeout: float) -> None:
-        before, now = self._polled_us, self._clock.now_us()
-        self.blocked = now - self._entered_us > BLOCKED_US
-        self._since_us = now if self.blocked else before
-        self._polled_us = now
-        self.polls += 1
-        self._spent_ns = 0
+    def before_io_wait(self, _timeout: float) -> None:
+        """Note the end of a pass; called by trio."""
+        now_us = self._clock.now_us()
+        self._poll_entered_us = now_us
+        pass_us = now_us - self._polled_us - self._new_work_ns // 1000
+        if pass_us > self._longest_pass_us:
+            self._longest_pass_us = pass_us
+
+    def after_io_wait(self, _timeout: float) -> None:
+        """Note the start of the next pass; called by trio."""
+        previous_poll_us = self._polled_us
+        now_us = self._clock.now_us()
+        self.last_poll_blocked = now_us - self._poll_entered_us > BLOCKED_US
+        self._ready_since_us = now_us if self.last_poll_blocked else previous_poll_us
+        self._polled_us = now_us
+        self.poll_count += 1
+        self._new_work_ns = 0
 
     @property
-    def since_us(self) -> int:
-        """Since when a socket that the last poll found readable may have been so."""
-        return self._since_us
-
-    def late_us(self) -> int:
-        """The longest pass since the last call, without what newcomers took of it."""
-        late, self._late_us = self._late_us, 0
-        return late
-
-    async def turn(self) -> None:
-        """Until newcomers may take time of a pass. Danger: bytes of thousands of new requests read at once
-        keep the loop from those in hand for seconds."""
-        while self._spent_ns > BUDGET_US * 1000:
+    def ready_since_us(self) -> int:
+        """The earliest time at which a socket that the last poll found readable may have become so."""
+        return self._ready_since_us
+
+    def take_longest_pass_us(self) -> int:
+        """Return the longest pass since the last call, without the time that new work took of it."""
+        longest_us = self._longest_pass_us
+        self._longest_pass_us = 0
+        return longest_us
+
+    async def wait_for_new_work_budget(self) -> None:
+        """Return when new work may take time of a pass.
+
+        The bytes of thousands of new requests, read in one pass, would keep the loop from the requests that
+        it has accepted for seconds.
+        """
+        while self._new_work_ns > NEW_WORK_BUDGET_US * 1000:
             await trio.lowlevel.checkpoint()
 
-    def begin(self) -> int:
+    def begin_new_work(self) -> int:
+        """Return the start time to hand to `end_new_work`."""
         return time.perf_counter_ns()
 
-    def end(self, began: int) -> None:
-        self._spent_ns += time.perf_counter_ns() - began
+    def end_new_work(self, started_ns: int) -> None:
+        """Charge the time since `started_ns` to the budget of this pass."""
+        self._new_work_ns += time.perf_counter_ns() - started_ns
--- a/juniperreel/platform/client_listener.py
+++ b/juniperreel/platform/client_listener.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from juniperreel.net.transport import CHUNK, Wire
+from juniperreel.net.transport import READ_BYTES, Transport
 from juniperreel.platform.descriptor_budget import Budget
 from juniperreel.postgres import server
 from juniperreel.postgres.form import Form, FormError, parse
@@ -22,7 +22,7 @@
 IDLE_US = 60_000_000
 LINGER_US = 300_000  # a connection that we end is read on for so long: the other side ends it mostly sooner
 PIPELINE = 64  # commands of one connection in hand at a time; the next ones wait unread
-HELD_LIMIT = server.QUERY_LIMIT + CHUNK  # bytes that wait behind them
+HELD_LIMIT = server.QUERY_LIMIT + READ_BYTES  # bytes that wait behind them
 UNREAD_LIMIT = 1 << 20  # bytes of answers that a client does not read
 
 
@@ -71,9 +71,9 @@
 class Client:
     """One client's connection. A peer of its wire."""
 
-    gone_at_end = True
+    eof_is_disconnect = True
 
-    def __init__(self, front: Front, wire: Wire, now: int) -> None:
+    def __init__(self, front: Front, wire: Transport, now: int) -> None:
         self._front, self._wire = front, wire
         self._talk = server.ServerConnection()
         self.commands: deque[Command] = deque()  # not answered yet, or behind such a one
@@ -83,12 +83,12 @@
         self.since_us = now  # of its last command's end, or of its coming
         self.partial_us = 0  # since when a command that is not whole has waited
         self.ending_us = 0  # since when we end it
-        wire.peer = self
+        wire.protocol = self
 
-    def connected(self) -> None:
+    def connection_made(self) -> None:
         pass
 
-    def received(self, data: bytes) -> None:
+    def data_received(self, data: bytes) -> None:
         self._talk.feed(data)
         self.advance()
 
@@ -116,7 +116,7 @@
                 query = self._talk.next()
             except ProtocolError as error:
                 self._fault = error
-                self._wire.pause()
+                self._wire.pause_reading()
             if query is None or self._fault is not None:
                 break
             self.asked += 1
@@ -129,7 +129,7 @@
         whole = len(self.commands) == PIPELINE or not self._talk.held
         self.partial_us = 0 if whole else self.partial_us or self._front.now()
         if self._talk.held > HELD_LIMIT:
-            self._wire.pause()
+            self._wire.pause_reading()
 
     def _command(self, text: bytes) -> Command:
         arrived_us = self._front.driver.arrived_us
@@ -160,7 +160,7 @@
         if answers:
             self._wire.write(answers)
             self.since_us = self._front.now()
-            if self._wire.pending > UNREAD_LIMIT:
+            if self._wire.write_buffer_size > UNREAD_LIMIT:
                 self._front.drop(self)
                 return False
         if not self.commands:
@@ -176,7 +176,7 @@
                 self._front.rests(self)
         # Danger: of a command that is half here the rest may be on its way; it counts as taken.
         if answers and self._fault is None and (self._talk.held or not self._front.closing):
-            self._wire.resume()
+            self._wire.resume_reading()
         return bool(answers) and bool(self._talk.held)
 
     def fatal(self, code: str, text: str) -> None:
@@ -184,29 +184,34 @@
         self._wire.write(server.fatal(code, text))
         self._front.end(self)
 
-    def ended(self, why: str) -> None:
+    def connection_lost(self, reason: str) -> None:
         self._front.drop(self)
 
     def close(self) -> None:
         self._wire.close()
 
     def pause(self) -> None:
-        self._wire.pause()
+        self._wire.pause_reading()
 
     def finish(self, now: int) -> bool:
         """End the connection in order; False where it is over already."""
         self.ending_us = self.ending_us or now
-        self._wire.finish()
+        self._wire.write_eof()
         return not self._wire.closed
 
     def lingered(self, now: int) -> bool:
         """Whether its end has been waited for long enough. An answer that is only half out has longer."""
-        return now - self.ending_us > (SILENT_US if self._wire.pending else LINGER_US)
+        return now - self.ending_us > (SILENT_US if self._wire.write_buffer_size else LINGER_US)
 
     @property
     def idle(self) -> bool:
         """No command is in hand, nothing waits to be read, and every answer is out."""
-        return not self.commands and not self._talk.held and not self._wire.pending and self._wire.quiet()
+        return (
+            not self.commands
+            and not self._talk.held
+            and not self._wire.write_buffer_size
+            and self._wire.has_nothing_to_read()
+        )
 
 
 class Front:
@@ -218,7 +223,7 @@
         self.closing = False  # connections end with the answer in hand
         self._resting: dict[Client, None] = {}  # have asked and been answered, longest ago first
 
-    def welcome(self, wire: Wire) -> None:
+    def welcome(self, wire: Transport) -> None:
         now = self.now()
         if self.budget.clients_full and not self._spare(now):
             wire.close()
--- a/juniperreel/platform/endpoint_pools.py
+++ b/juniperreel/platform/endpoint_pools.py
@@ -12,7 +12,7 @@
 from functools import partial
 from typing import Protocol
 
-from juniperreel.net.transport import Wire
+from juniperreel.net.transport import Transport
 from juniperreel.platform.descriptor_budget import Budget
 from juniperreel.platform.idle_timeout import IdleTimeout
 from juniperreel.platform.timer_queue import Alarms
@@ -67,7 +67,7 @@
 
 
 class Dial(Protocol):
-    def __call__(self, host: str, port: int) -> Wire:
+    def __call__(self, host: str, port: int) -> Transport:
         """Raises OSError."""
         ...
 
@@ -75,21 +75,21 @@
 class MemberConnection:
     """One connection and the job on it. A peer of its wire."""
 
-    gone_at_end = False
+    eof_is_disconnect = False
 
-    def __init__(self, pool: MemberPool, wire: Wire) -> None:
+    def __init__(self, pool: MemberPool, wire: Transport) -> None:
         self.pool, self.wire = pool, wire
         self.talk = ClientConnection(USER, DATABASE)
         self.job: Job | None = None
         self.idle_us = 0  # since when it has been idle; 0 until its first answer
         self._stood_us: int | None = None  # how long it had been idle when its request was written
         self._asked_us = 0
-        wire.peer = self
+        wire.protocol = self
 
-    def connected(self) -> None:
+    def connection_made(self) -> None:
         self.wire.write(self.talk.hello)
 
-    def received(self, data: bytes) -> None:
+    def data_received(self, data: bytes) -> None:
         job = self.job
         try:
             reply = self.talk.feed(data)
@@ -115,7 +115,7 @@
 
     def _rest(self, good: bool) -> None:
         """Danger: what comes behind an answer would be taken for the next one's."""
-        if good and self.talk.clean and self.wire.quiet():
+        if good and self.talk.clean and self.wire.has_nothing_to_read():
             self.pool.rest(self)
         else:
             self.drop()
@@ -128,7 +128,7 @@
         self._asked_us = self.pool.links.now()
         self._stood_us = self._asked_us - self.idle_us if self.idle_us else None
         self.wire.write(self.talk.ask(job.text()))
-        job.written = not self.wire.pending
+        job.written = not self.wire.write_buffer_size
 
     def spoilt(self) -> None:
         job, self.job = self.job, None
@@ -149,11 +149,11 @@
     def _written(self, job: Job | None) -> bool:
         """Whether its last byte has gone out. Danger: a long value leaves in parts, the last from the
         poll."""
-        if job is not None and self.talk.phase is Phase.BUSY and not self.wire.pending:
+        if job is not None and self.talk.phase is Phase.BUSY and not self.wire.write_buffer_size:
             job.written = True
         return job is not None and job.written
 
-    def ended(self, why: str) -> None:
+    def connection_lost(self, reason: str) -> None:
         job, self.job = self.job, None
         written = self._written(job)
         reply = self.talk.so_far
@@ -194,7 +194,7 @@
     def too_slow(self) -> None:
         """No welcome within the time for connecting."""
         if self.talk.phase is Phase.WELCOME and not self.wire.closed:
-            self.ended("no welcome in time")
+            self.connection_lost("no welcome in time")
 
 
 class MemberPool:
@@ -213,7 +213,11 @@
         while self.idle:
             connection = self.idle.pop()
             stood = self.links.now() - connection.idle_us
-            if self.links.idle_timeout.allows(stood) and connection.wire.quiet() and connection.talk.clean:
+            if (
+                self.links.idle_timeout.allows(stood)
+                and connection.wire.has_nothing_to_read()
+                and connection.talk.clean
+            ):
                 connection.start(job)
                 return
             connection.drop()
--- a/juniperreel/platform/run.py
+++ b/juniperreel/platform/run.py
@@ -11,7 +11,9 @@
 import trio
 
 from juniperreel.net import Clock, TcpNetwork
-from juniperreel.net.transport import Door, Poller, Wire, dial
+from juniperreel.net.acceptor import Acceptor
+from juniperreel.net.poller import Poller
+from juniperreel.net.transport import Transport, connect
 from juniperreel.platform.config import Config, ConfigError, parse
 from juniperreel.platform.discovery import Discovery
 from juniperreel.platform.driver import PlatformDriver
@@ -53,10 +55,10 @@
             TcpNetwork(), config.discovery, config.zones, config.kinds, wait, self._told, log
         )
         self.driver = PlatformDriver(config, self.clock.now_us, self._dial, self._discover, log)
-        self.door: Door | None = None
+        self.door: Acceptor | None = None
 
-    def _dial(self, host: str, port: int) -> Wire:
-        return dial(self.poller, host, port)
+    def _dial(self, host: str, port: int) -> Transport:
+        return connect(self.poller, host, port)
 
     def _discover(self, on: bool | None) -> None:
         if on is None:
@@ -83,7 +85,7 @@
             # Where lists are pushed, what the agent has counts as told from the first moment on.
             self.discovery.subscribe(True)
         host, port = self.config.listen
-        self.door = Door(self.poller, host, port, self.driver.front.welcome)
+        self.door = Acceptor(self.poller, host, port, self.driver.front.welcome)
         limits = self.config.limits
         self.log.info(
             "serving",
@@ -102,7 +104,7 @@
         while not (driver.shutdown.told and self._left()):
             due = driver.due()
             await poller.wait(due)
-            driver.arrived_us = poller.since_us
+            driver.arrived_us = poller.ready_since_us
             poller.dispatch()
             driver.turn()
             if self.door is not None:
@@ -112,7 +114,7 @@
         now, driver = self.clock.now_us(), self.driver
         if not driver.shutdown.closing(now):
             return False
-        if self.door is not None and self.door.open:
+        if self.door is not None and self.door.is_open:
             self.door.close()
         driver.front.close_idle()
         return driver.quiet or driver.shutdown.over(now)
--- a/juniperreel/pool/backend.py
+++ b/juniperreel/pool/backend.py
@@ -18,7 +18,7 @@
 from juniperreel.mysql.client import ClientSession
 from juniperreel.mysql.replies import Err, Ok
 from juniperreel.mysql.values import Value
-from juniperreel.net import ConnectError, Network, Silent
+from juniperreel.net import ConnectError, ConnectTimedOut, Network
 from juniperreel.net.clock import US
 from juniperreel.pool.result import Result, Statement
 from juniperreel.pool.state import FRESH
@@ -99,7 +99,7 @@
                 with trio.CancelScope(shield=True):
                     await trio.aclose_forcefully(stream)
             if isinstance(error, (trio.TooSlowError, *BROKEN)):
-                raise Silent(f"{host}:{port} let nobody in: {error or 'time is up'}") from error
+                raise ConnectTimedOut(f"{host}:{port} let nobody in: {error or 'time is up'}") from error
             raise
         return Backend(stream, session, login)
 
@@ -346,7 +346,7 @@
     while True:
         data = await stream.receive_some(READ_BYTES)
         if not data:
-            raise Silent(f"{host} closed the connection at the login")
+            raise ConnectTimedOut(f"{host} closed the connection at the login")
         for event in session.receive(data):
             match event:
                 case client.Ready():
--- a/juniperreel/proxy/driver.py
+++ b/juniperreel/proxy/driver.py
@@ -20,7 +20,7 @@
 
 from juniperreel.admission import Admit, Arrival, Gate, Turn, Verdict
 from juniperreel.causal import Token
-from juniperreel.net import Clock, ConnectError, Network, Pace
+from juniperreel.net import Clock, ConnectError, Network, StallMonitor
 from juniperreel.net.clock import US
 from juniperreel.proxy import hosts as host_list
 from juniperreel.proxy.configsource import ConfigSource
@@ -137,7 +137,7 @@
         log: Any,
         metrics: Metrics,
         traces: Traces,
-        pace: Pace | None = None,
+        pace: StallMonitor | None = None,
     ) -> None:
         rng = random.Random(options.seed)
         super().__init__(options.router, rng.getrandbits(64))
@@ -293,7 +293,7 @@
     def _turn(self) -> None:
         now = self.clock.now_us()
         if self._pace is not None:
-            self.gate.lag(now, self._pace.late_us())
+            self.gate.lag(now, self._pace.take_longest_pass_us())
         self._heed(self.gate.tick(now))
         if self.process_batch(now):
             self.metrics.batches.inc()
--- a/juniperreel/proxy/members.py
+++ b/juniperreel/proxy/members.py
@@ -11,7 +11,7 @@
 from google.protobuf.message import DecodeError
 
 from juniperreel.causal import History
-from juniperreel.net import Clock, Network, Silent
+from juniperreel.net import Clock, ConnectTimedOut, Network
 from juniperreel.proto.member.v1 import member_pb2
 from juniperreel.proxy.jobs import Fault, Job, Reply
 from juniperreel.proxy.options import DriverOptions
@@ -91,7 +91,7 @@
     def _link(self, member: str) -> MemberLink:
         link = self._links.get(member)
         if link is None:
-            raise Silent(f"no address is known for {member}")
+            raise ConnectTimedOut(f"no address is known for {member}")
         if link.channel.closed:
             # Danger: a list that flaps, or whose "gone" does not bind, sends to a member whose connection
             # was ended; it would seem dead for ever.
--- a/juniperreel/proxy/mysqlmembers.py
+++ b/juniperreel/proxy/mysqlmembers.py
@@ -17,7 +17,7 @@
 from juniperreel.mysql.packets import ProtocolError
 from juniperreel.mysql.replies import Err
 from juniperreel.mysql.values import Value
-from juniperreel.net import Clock, ConnectError, Network, Silent
+from juniperreel.net import Clock, ConnectError, ConnectTimedOut, Network
 from juniperreel.net.clock import US
 from juniperreel.pool import standing as published
 from juniperreel.pool.backend import FORGOTTEN, Backend, Lost, NotLetIn, TooLong
@@ -200,7 +200,7 @@
         """Raises ConnectError or NeverSent."""
         member = self._members.get(name)
         if member is None:
-            raise Silent(f"no address is known for {name}")
+            raise ConnectTimedOut(f"no address is known for {name}")
         while True:
             want = Want(next(self._wants), tenant, worth, state=state)
             slot = member.slots[want.id] = Slot()
@@ -216,7 +216,7 @@
                 raise
             if slot.given is None:
                 if slot.turned in (UNREACHABLE, GONE):
-                    raise Silent(f"{name}: {slot.turned}; {member.last_failure}")
+                    raise ConnectTimedOut(f"{name}: {slot.turned}; {member.last_failure}")
                 raise NeverSent(f"{name}: {slot.turned}")
             if not slot.given.connection.why:
                 return member, slot.given
@@ -538,7 +538,7 @@
     async def report(self, member: str) -> tuple[Standing, float, float]:
         link = self._members.get(member)
         if link is None or link.pool.draining:
-            raise Silent(f"no address is known for {member}")
+            raise ConnectTimedOut(f"no address is known for {member}")
         try:
             async with link.ear:
                 backend = await self._monitor(link)
--- a/juniperreel/rpc/channel.py
+++ b/juniperreel/rpc/channel.py
@@ -13,7 +13,7 @@
 
 import trio
 
-from juniperreel.net import Clock, ConnectError, Network, Refused, Silent
+from juniperreel.net import Clock, ConnectError, ConnectRefused, ConnectTimedOut, Network
 from juniperreel.rpc.http2 import block_of
 from juniperreel.rpc.limits import Limits
 from juniperreel.rpc.link import Link, LinkLost, Stream, StreamGone
@@ -79,7 +79,7 @@
         self._backoff = backoff or Backoff()
         self._failures = 0
         self._not_before_us = 0
-        self._last_error: ConnectError = Silent("not connected yet")
+        self._last_error: ConnectError = ConnectTimedOut("not connected yet")
         self._link: Link | None = None
         self._opening: trio.Event | None = None
         self._nursery: trio.Nursery | None = None
@@ -109,13 +109,13 @@
     # Connecting.
 
     async def link(self) -> Link:
-        """The live connection, made if there is none. Raises Refused or Silent, at once while the pause
-        after a failed attempt lasts."""
+        """The live connection, made if there is none. Raises ConnectRefused or ConnectTimedOut, at once
+        while the pause after a failed attempt lasts."""
         while True:
             if self._link is not None and not self._link.going:
                 return self._link
             if self.closed or self._nursery is None:
-                raise Silent(f"the channel to {self.authority} is closed")
+                raise ConnectTimedOut(f"the channel to {self.authority} is closed")
             if self._opening is None:
                 if self._clock.now_us() < self._not_before_us:
                     raise type(self._last_error)(str(self._last_error))
@@ -139,7 +139,7 @@
             if not link.ready.is_set() or link.over.is_set():
                 # Danger: a peer that accepts and says nothing looks alive to TCP.
                 link.abort("no SETTINGS in time")
-                raise Silent(f"{self.authority} accepts connections and does not speak: {link.why}")
+                raise ConnectTimedOut(f"{self.authority} accepts connections and does not speak: {link.why}")
         except ConnectError as error:
             self._last_error = error
             self._failures += 1
@@ -274,4 +274,4 @@
     raise RpcError(code, message, details, trailing)
 
 
-__all__ = ["Backoff", "Broken", "Channel", "NeverSent", "Refused", "Reply", "Silent"]
+__all__ = ["Backoff", "Broken", "Channel", "ConnectRefused", "ConnectTimedOut", "NeverSent", "Reply"]
--- a/juniperreel/rpc/link.py
+++ b/juniperreel/rpc/link.py
@@ -13,7 +13,7 @@
 
 import trio
 
-from juniperreel.net import Clock, Pace
+from juniperreel.net import Clock, StallMonitor
 from juniperreel.rpc import http2
 from juniperreel.rpc.framing import Deframer, frame
 from juniperreel.rpc.guards import Guard
@@ -151,7 +151,7 @@
         limits: Limits,
         clock: Clock,
         on_request: Callable[[Stream], None] | None = None,
-        pace: Pace | None = None,
+        pace: StallMonitor | None = None,
     ) -> None:
         """`on_request` is called for each new stream of the peer, with all that was read together with its
         headers. With a `pace`, what is read waits for its turn."""
@@ -285,7 +285,7 @@
     async def _read(self) -> None:
         pace, size = self._pace, READ_BYTES if self._pace is None else PACED_BYTES
         while True:
-            polls = pace.polls if pace is not None else 0
+            polls = pace.poll_count if pace is not None else 0
             try:
                 data = await self._transport.receive_some(size)
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
@@ -297,16 +297,16 @@
             self._heard_us = self.clock.now_us()
             if pace is None:
                 self._since_us = self._heard_us
-            elif pace.blocked or pace.polls > polls + 1:  # it had to wait: nothing was there before
-                self._since_us = max(self._since_us, pace.since_us)
+            elif pace.last_poll_blocked or pace.poll_count > polls + 1:  # nothing was there before
+                self._since_us = max(self._since_us, pace.ready_since_us)
             try:
                 if pace is None:
                     self._take(data)
                 else:
-                    await pace.turn()
-                    began = pace.begin()
+                    await pace.wait_for_new_work_budget()
+                    began = pace.begin_new_work()
                     self._take(data)
-                    pace.end(began)
+                    pace.end_new_work(began)
             except Exception as error:  # danger: whatever a peer sends must not end more than its connection
                 await self._refuse(error)
                 return
--- a/juniperreel/rpc/server.py
+++ b/juniperreel/rpc/server.py
@@ -13,7 +13,7 @@
 
 import trio
 
-from juniperreel.net import Clock, Listener, Pace
+from juniperreel.net import Clock, Listener, StallMonitor
 from juniperreel.rpc.http2 import block_of
 from juniperreel.rpc.limits import Limits
 from juniperreel.rpc.link import Link, LinkLost, Stream, StreamGone
@@ -161,7 +161,7 @@
         clock: Clock,
         on_error: Callable[[str, Exception], None] = lambda path, error: None,
         max_connections: int = 10_000,
-        pace: Pace | None = None,
+        pace: StallMonitor | None = None,
     ) -> None:
         """`methods`: by full path, as "/package.Service/Method"."""
         self._methods, self._limits, self._clock = methods, limits, clock
@@ -185,7 +185,7 @@
                 try:
                     transport = await listener.accept()
                     if self._pace is not None:
-                        await self._pace.turn()
+                        await self._pace.wait_for_new_work_budget()
                 except trio.ClosedResourceError:
                     break
                 if self._draining or len(self._links) >= self._max:
--- a/juniperreel/workers/parent.py
+++ b/juniperreel/workers/parent.py
@@ -20,7 +20,7 @@
 from juniperreel.net import Clock
 from juniperreel.net.clock import US
 from juniperreel.net.network import TcpListener
-from juniperreel.net.socket_passing import Handover, hand_on, pair
+from juniperreel.net.socket_passing import SocketPassing, create_socket_pair, pass_connections
 from juniperreel.workers.roster import Drain, Kill, Order, Phase, Roster, Start
 
 TICK_S = 0.1
@@ -37,7 +37,7 @@
 @dataclass(slots=True)
 class Child:
     process: trio.Process
-    handover: Handover
+    handover: SocketPassing
     slot: int
     asked: bool = False  # to drain
 
@@ -93,9 +93,9 @@
 
     async def _take(self, listener: TcpListener, name: bytes) -> None:
         with suppress(trio.ClosedResourceError):
-            await hand_on(listener, name, self._choose)
+            await pass_connections(listener, name, self._choose)
 
-    def _choose(self) -> Handover | None:
+    def _choose(self) -> SocketPassing | None:
         number = self.roster.pick(self._clock.now_us())
         return self.children[number].handover if number in self.children else None
 
@@ -142,15 +142,15 @@
     async def _drain(self, child: Child, within_us: int) -> None:
         """Asks it to; a worker that does not come to an end is ended."""
         with trio.move_on_after(within_us / US + 1):
-            while not child.handover.hand(DRAIN):
+            while not child.handover.send(DRAIN):
                 await trio.sleep(TICK_S)
             await child.process.wait()
         if child.process.poll() is None:
             child.process.kill()
 
     async def _child(self, number: int, slot: int, plan: Plan) -> None:
-        ours, theirs = pair()
-        handover = Handover(ours)
+        ours, theirs = create_socket_pair()
+        handover = SocketPassing(ours)
         text = os.memfd_create("settings")
         os.write(text, plan.text)
         os.lseek(text, 0, os.SEEK_SET)
@@ -188,7 +188,7 @@
             self._log.error("a worker ended by itself", worker=number, status=code, pid=child.process.pid)
         self._obey(self.roster.ended(self._clock.now_us(), number))
 
-    async def _listen(self, number: int, handover: Handover) -> None:
+    async def _listen(self, number: int, handover: SocketPassing) -> None:
         decoder = msgspec.json.Decoder(Told)
         while True:
             data, stray = await handover.receive()
--- a/tests/net/test_poller.py
+++ b/tests/net/test_poller.py
@@ -10,7 +10,7 @@
 import trio
 
 from juniperreel.net import Clock
-from juniperreel.net.transport import Poller
+from juniperreel.net.poller import Poller
 
 
 class Owner:
@@ -18,7 +18,7 @@
         self.then = then
         self.seen: list[int] = []
 
-    def ready(self, mask: int) -> None:
+    def handle_event(self, mask: int) -> None:
         self.seen.append(mask)
         self.then()
 
--- a/tests/net/test_ports.py
+++ b/tests/net/test_ports.py
@@ -7,13 +7,13 @@
 import pytest
 import trio
 
-from juniperreel.net import HeldPort, Refused, TcpNetwork, hung_up
+from juniperreel.net import ConnectRefused, ReservedPort, TcpNetwork, hung_up
 
 
 async def test_a_held_port_is_its_owners_whenever_it_comes_back() -> None:
-    network, held = TcpNetwork(), HeldPort()
+    network, held = TcpNetwork(), ReservedPort()
     for _ in range(3):
-        with pytest.raises(Refused):
+        with pytest.raises(ConnectRefused):
             await network.connect("127.0.0.1", held.port, 5_000_000)
         listener = await network.listen("127.0.0.1", held.port)
         stream = await network.connect("127.0.0.1", held.port, 5_000_000)
@@ -28,7 +28,7 @@
 
 async def test_nobody_is_given_a_held_port_for_their_own_end() -> None:
     """Every free port of the system is taken by some connection's end at last; this one never is."""
-    held = [HeldPort() for _ in range(50)]
+    held = [ReservedPort() for _ in range(50)]
     kept = {h.port for h in held}
     network = TcpNetwork()
     listener = await network.listen("127.0.0.1", 0)
--- a/tests/platform/event_harness.py
+++ b/tests/platform/event_harness.py
@@ -6,7 +6,7 @@
 import json
 from typing import Any
 
-from juniperreel.net.transport import Peer, Wire
+from juniperreel.net.transport import Protocol, Transport
 from juniperreel.platform.config import Config, parse
 from juniperreel.platform.driver import PlatformDriver
 from juniperreel.platform.endpoint_list import read
@@ -93,15 +93,15 @@
     return json.dumps({**file, **changes}).encode()
 
 
-class FakeWire(Wire):
+class FakeTransport(Transport):
     def __init__(self) -> None:
-        self.peer: Peer | None = None
+        self.protocol: Protocol | None = None
         self.closed = self.paused = self.finished = self.unread = False
         self.sent = bytearray()
         self.stuck = 0  # bytes that the kernel does not take
 
     @property
-    def pending(self) -> int:
+    def write_buffer_size(self) -> int:
         return self.stuck
 
     def write(self, data: bytes | bytearray) -> None:
@@ -112,19 +112,19 @@
         sent, self.sent = bytes(self.sent), bytearray()
         return sent
 
-    def quiet(self) -> bool:
+    def has_nothing_to_read(self) -> bool:
         return not self.closed and not self.unread
 
     def close(self) -> None:
         self.closed = True
 
-    def finish(self) -> None:
+    def write_eof(self) -> None:
         self.finished = True
 
-    def pause(self) -> None:
+    def pause_reading(self) -> None:
         self.paused = True
 
-    def resume(self) -> None:
+    def resume_reading(self) -> None:
         self.paused = False
 
 
@@ -156,7 +156,7 @@
     def __init__(self, **changes: Any) -> None:
         self.time = 1_767_225_600 * SEC
         self.config: Config = parse(config_bytes(**changes))
-        self.dialled: list[tuple[int, FakeWire]] = []
+        self.dialled: list[tuple[int, FakeTransport]] = []
         self.asked: list[bool | None] = []
         self.out = io.StringIO()
         self.driver = PlatformDriver(
@@ -165,8 +165,8 @@
         self.driver.told(UpdateKind.CACHED, read(self.config.known, ["east"], ["k"]))
         self.turn()
 
-    def _dial(self, host: str, port: int) -> FakeWire:
-        wire = FakeWire()
+    def _dial(self, host: str, port: int) -> FakeTransport:
+        wire = FakeTransport()
         self.dialled.append((port, wire))
         return wire
 
@@ -183,38 +183,38 @@
         self.time = end
         self.turn()
 
-    def client(self, *texts: bytes) -> FakeWire:
-        wire = FakeWire()
+    def client(self, *texts: bytes) -> FakeTransport:
+        wire = FakeTransport()
         self.driver.front.welcome(wire)
-        assert wire.peer is not None
-        wire.peer.received(HELLO + b"".join(map(m.query, texts)))
+        assert wire.protocol is not None
+        wire.protocol.data_received(HELLO + b"".join(map(m.query, texts)))
         del wire.sent[: len(server.WELCOME)]
         self.turn()
         return wire
 
-    def say(self, wire: FakeWire, data: bytes) -> None:
-        assert wire.peer is not None
-        wire.peer.received(data)
+    def say(self, wire: FakeTransport, data: bytes) -> None:
+        assert wire.protocol is not None
+        wire.protocol.data_received(data)
         self.turn()
 
-    def end(self, wire: FakeWire) -> None:
+    def end(self, wire: FakeTransport) -> None:
         wire.closed = True
-        assert wire.peer is not None
-        wire.peer.ended("closed")
+        assert wire.protocol is not None
+        wire.protocol.connection_lost("closed")
         self.turn()
 
-    def up(self, wire: FakeWire) -> bytes:
+    def up(self, wire: FakeTransport) -> bytes:
         """The member welcomes a new connection; returns the query that follows."""
-        assert wire.peer is not None
-        wire.peer.connected()
+        assert wire.protocol is not None
+        wire.protocol.connection_made()
         wire.take()
         self.say(wire, server.WELCOME)
         return wire.take()
 
-    def calls(self) -> list[FakeWire]:
+    def calls(self) -> list[FakeTransport]:
         """Members' ends that have a request on them or before them, in order."""
         return [
             w
             for _, w in self.dialled
-            if isinstance(w.peer, MemberConnection) and w.peer.job is not None and not w.closed
+            if isinstance(w.protocol, MemberConnection) and w.protocol.job is not None and not w.closed
         ]
--- a/tests/platform/socket_harness.py
+++ b/tests/platform/socket_harness.py
@@ -13,7 +13,9 @@
 import trio
 
 from juniperreel.net import Clock
-from juniperreel.net.transport import Door, Poller, Wire, dial
+from juniperreel.net.acceptor import Acceptor
+from juniperreel.net.poller import Poller
+from juniperreel.net.transport import Transport, connect
 from juniperreel.platform.config import parse
 from juniperreel.platform.driver import PlatformDriver
 from juniperreel.platform.endpoint_list import read
@@ -106,18 +108,18 @@
         ]
         self.clock = HandClock()
         self.poller = Poller(self.clock)
-        self.wires: list[Wire] = []  # of clients
+        self.wires: list[Transport] = []  # of clients
         self.out = io.StringIO()
         config = parse(config_bytes(known={"seq": 3, "whole": True, "hosts": hosts}, **changes))
         self.driver = PlatformDriver(
             config,
             self.clock.now_us,
-            lambda host, port: dial(self.poller, host, port),
+            lambda host, port: connect(self.poller, host, port),
             lambda on: None,
             Log(self.out),
         )
         self.driver.told(UpdateKind.CACHED, read(config.known, ["east"], ["k"]))
-        self.door = Door(self.poller, "127.0.0.1", 0, self._welcome)
+        self.door = Acceptor(self.poller, "127.0.0.1", 0, self._welcome)
         self.turn()
 
     def __enter__(self) -> Stage:
@@ -130,7 +132,7 @@
                 end.close()
         self.poller.close()
 
-    def _welcome(self, wire: Wire) -> None:
+    def _welcome(self, wire: Transport) -> None:
         self.wires.append(wire)
         self.driver.front.welcome(wire)
 
@@ -151,10 +153,10 @@
             while not what():
                 await self.step()
 
-    async def there(self, wire: Wire, mask: int = select.POLLIN) -> None:
+    async def there(self, wire: Transport, mask: int = select.POLLIN) -> None:
         """What was sent to the driver, or that the other side has ended, is in the kernel, unread."""
         poll = select.poll()
-        poll.register(wire._sock, mask)
+        poll.register(wire._socket, mask)
         with trio.fail_after(PATIENCE_S):
             while not any(found & mask for _, found in poll.poll(0)):
                 await trio.sleep(0.001)
--- a/tests/platform/test_crossings.py
+++ b/tests/platform/test_crossings.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from juniperreel.net.transport import Wire
+from juniperreel.net.transport import Transport
 from juniperreel.postgres import messages as m
 from tests.platform.event_harness import HELLO, MS, SEC, SETTINGS, read_text, row, write_text
 from tests.platform.socket_harness import End, MemberEnd, Stage
@@ -22,18 +22,18 @@
     return sent.startswith(b"T")
 
 
-def after_the_look(stage: Stage, wire: Wire, what: Callable[[], None]) -> None:
+def after_the_look(stage: Stage, wire: Transport, what: Callable[[], None]) -> None:
     """`what` happens between a driver's look for unread bytes and what it does upon it."""
-    look = wire.quiet
+    look = wire.has_nothing_to_read
 
     def quiet() -> bool:
         found = look()
         if found:
-            wire.quiet = look  # type: ignore[method-assign]
+            wire.has_nothing_to_read = look  # type: ignore[method-assign]
             what()
         return found
 
-    wire.quiet = quiet  # type: ignore[method-assign]
+    wire.has_nothing_to_read = quiet  # type: ignore[method-assign]
 
 
 # A connection that the driver ends.
@@ -74,7 +74,7 @@
         await stage.probed()
         client = await stage.client(buffer=2048)
         wire = stage.wires[-1]
-        wire._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
+        wire._socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
         client.send(m.query(read_text(IDS[0])))
         member = await stage.query("a")
         member.take()
@@ -83,7 +83,7 @@
             stage.driver.front.close_idle()
         member.send(row(value))
         await stage.until(lambda: not stage.driver.open)
-        assert wire.pending
+        assert wire.write_buffer_size
         stage.pass_us(SEC)
         stage.driver.front.close_idle()
         assert value in await stage.answered(client, 4096)
--- a/tests/platform/test_driver.py
+++ b/tests/platform/test_driver.py
@@ -19,7 +19,7 @@
     HOSTS,
     MS,
     SEC,
-    FakeWire,
+    FakeTransport,
     World,
     entry,
     read_text,
@@ -245,7 +245,7 @@
 
 
 def test_silent_and_half_spoken_clients_end_within_their_time(world: World) -> None:
-    silent, half = FakeWire(), FakeWire()
+    silent, half = FakeTransport(), FakeTransport()
     for wire in (silent, half):
         world.driver.front.welcome(wire)
     world.say(half, HELLO + b"Q\0\0\0\x20SELE")
@@ -260,7 +260,7 @@
 
 def test_hundreds_of_silent_connections_leave_room_for_those_that_ask(world: World) -> None:
     limit = world.driver.budget.client_limit
-    wires = [FakeWire() for _ in range(limit + 200)]
+    wires = [FakeTransport() for _ in range(limit + 200)]
     for wire in wires:
         world.driver.front.welcome(wire)
     assert world.driver.budget.clients == limit
--- a/tests/platform/test_planted.py
+++ b/tests/platform/test_planted.py
@@ -11,7 +11,8 @@
 import trio
 import trio.testing
 
-from juniperreel.net.transport import Door, Wire
+from juniperreel.net.acceptor import Acceptor
+from juniperreel.net.transport import Transport
 from juniperreel.platform import discovery
 from juniperreel.platform.client_listener import Client, Command, Front
 from juniperreel.platform.discovery import Discovery
@@ -31,17 +32,17 @@
 
 
 def close_without_drain(patch: Patch) -> None:
-    patch.setattr(Wire, "finish", Wire.close)
+    patch.setattr(Transport, "write_eof", Transport.close)
 
 
 def answer_dropped_while_pending(patch: Patch) -> None:
-    finish = Wire.finish
+    finish = Transport.write_eof
 
-    def planted(wire: Wire) -> None:
-        wire._out.clear()
+    def planted(wire: Transport) -> None:
+        wire._write_buffer.clear()
         finish(wire)
 
-    patch.setattr(Wire, "finish", planted)
+    patch.setattr(Transport, "write_eof", planted)
     patch.setattr(Client, "idle", property(lambda client: not client.commands))
 
 
@@ -95,7 +96,7 @@
 
 
 def end_read_after_what_came_before_it(patch: Patch) -> None:
-    patch.setattr(Client, "gone_at_end", False)
+    patch.setattr(Client, "eof_is_disconnect", False)
 
 
 def ramp_forgotten_at_restart(patch: Patch) -> None:
@@ -126,8 +127,8 @@
 
 
 def one_burst_taken_at_the_door(patch: Patch) -> None:
-    accept = Door._accept
-    patch.setattr(Door, "_accept", lambda door, most: accept(door, Door.BURST))
+    accept = Acceptor._accept
+    patch.setattr(Acceptor, "_accept", lambda door, most: accept(door, Acceptor.ACCEPTS_PER_EVENT))
 
 
 def busy_connections_read_on(patch: Patch) -> None:
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -12,7 +12,8 @@
 import trio
 
 from juniperreel.fakes.platform import DiscoveryStandIn, MemberStandIn
-from juniperreel.net.transport import Door, Poller
+from juniperreel.net.acceptor import Acceptor
+from juniperreel.net.poller import Poller
 from juniperreel.platform.config import parse
 from juniperreel.platform.log import Log
 from juniperreel.platform.run import Program
@@ -138,9 +139,9 @@
 
     poller = Poller(Clock())
     welcomed: list[object] = []
-    door = Door(poller, "127.0.0.1", 0, welcomed.append)
+    door = Acceptor(poller, "127.0.0.1", 0, welcomed.append)
     stream = await trio.open_tcp_stream("127.0.0.1", door.port)
     door.close()
-    assert len(welcomed) == 1 and not door.open
+    assert len(welcomed) == 1 and not door.is_open
     await stream.aclose()
     poller.close()
--- a/tests/pool/test_backend.py
+++ b/tests/pool/test_backend.py
@@ -17,7 +17,7 @@
 from juniperreel.mysql.replies import Err
 from juniperreel.mysql.server import Command, Event, ServerSession, StartTls, State
 from juniperreel.mysql.values import Column
-from juniperreel.net import ConnectError, Refused, Silent, TcpNetwork
+from juniperreel.net import ConnectError, ConnectRefused, ConnectTimedOut, TcpNetwork
 from juniperreel.pool.backend import Backend, Login, Lost, NotLetIn, TooLong
 from juniperreel.pool.result import Result, Statement
 
@@ -123,10 +123,10 @@
 
     listener = await TcpNetwork().listen("127.0.0.1", 0)  # connections come about, and nobody says anything
     port = listener.port
-    with pytest.raises(Silent):
+    with pytest.raises(ConnectTimedOut):
         await Backend.open(TcpNetwork(), "127.0.0.1", port, LOGIN, 100_000)
     await listener.aclose()
-    with pytest.raises(Refused):
+    with pytest.raises(ConnectRefused):
         await Backend.open(TcpNetwork(), "127.0.0.1", port, LOGIN, 5 * SEC)
 
 
--- a/tests/proxy/test_driver.py
+++ b/tests/proxy/test_driver.py
@@ -13,8 +13,7 @@
 from immutables import Map
 
 from juniperreel.causal import History
-from juniperreel.net import Clock, Silent, TcpNetwork
-from juniperreel.net import Refused as ConnectRefused
+from juniperreel.net import Clock, ConnectRefused, ConnectTimedOut, TcpNetwork
 from juniperreel.proto.common.v1 import values_pb2
 from juniperreel.proto.hosts.v1 import hosts_pb2
 from juniperreel.proxy import Answer, Driver, DriverOptions, Failed, Refused, Served, Work
@@ -264,7 +263,7 @@
 
     cases = {
         ConnectRefused(): Outcome.UNREACHABLE,
-        Silent(): Outcome.UNREACHABLE,
+        ConnectTimedOut(): Outcome.UNREACHABLE,
         NeverSent(): Outcome.NOT_SENT,
         Broken(): Outcome.RESET,
         refusal("NOT_PRIMARY"): Outcome.INELIGIBLE,
@@ -387,7 +386,7 @@
     links.place("m", "127.0.0.1", listener.port)
     sent = trio.Event()
     start = trio.current_time()
-    with pytest.raises(Silent):
+    with pytest.raises(ConnectTimedOut):
         await links.execute("m", Job(Work(0, 0, 0, 0, b""), 0, "own", False, 1.0, Needs()), SEC, sent)
     assert not sent.is_set()
     assert 2 * made.connect_timeout_us < made.router.drain_grace_us
--- a/tests/rpc/test_grpcio.py
+++ b/tests/rpc/test_grpcio.py
@@ -13,7 +13,7 @@
 import pytest
 import trio
 
-from juniperreel.net import Clock, Silent, TcpNetwork
+from juniperreel.net import Clock, ConnectTimedOut, TcpNetwork
 from juniperreel.proto.health.v1 import health_pb2
 from juniperreel.proto.reflection.v1 import reflection_pb2
 from juniperreel.rpc.channel import Channel
@@ -305,7 +305,7 @@
     listener = await TcpNetwork().listen("127.0.0.1", 0)
     channel = Channel(TcpNetwork(), Clock(), "127.0.0.1", listener.port, Limits(), random.Random(1), 100_000)
     await nursery.start(channel.run)
-    with trio.fail_after(SECONDS), pytest.raises(Silent):
+    with trio.fail_after(SECONDS), pytest.raises(ConnectTimedOut):
         await channel.unary("/t.Echo/Unary", b"")
     channel.close()
     await listener.aclose()
--- a/tests/rpc/test_pace.py
+++ b/tests/rpc/test_pace.py
@@ -10,7 +10,7 @@
 import h2.connection
 import trio
 
-from juniperreel.net import Clock, Pace, TcpNetwork
+from juniperreel.net import Clock, StallMonitor, TcpNetwork
 from juniperreel.rpc.framing import frame
 from juniperreel.rpc.limits import Limits
 from juniperreel.rpc.server import Call, Method, Server
@@ -36,8 +36,8 @@
 async def ages(timeout_ms: int, stall: bool) -> list[int]:
     """How old the calls that began were, as their handler saw it; none where it was too late for them."""
     clock = Clock()
-    pace = Pace(clock)
-    pace.watch()
+    pace = StallMonitor(clock)
+    pace.install()
     began: list[int] = []
 
     async def echo(call: Call, data: bytes) -> bytes:
@@ -77,7 +77,7 @@
         thread.join()
         peer.close()
         nursery.cancel_scope.cancel()
-    pace.unwatch()
+    pace.uninstall()
     return began
 
 
@@ -98,14 +98,14 @@
 
 def test_the_budget_of_a_pass_holds_newcomers_until_the_next() -> None:
     async def run() -> list[int]:
-        pace = Pace(Clock())
-        pace.watch()
+        pace = StallMonitor(Clock())
+        pace.install()
         passes = []
         for _ in range(3):
-            await pace.turn()
-            passes.append(pace.polls)
-            began = pace.begin() - 50_000_000  # as if 50 ms had gone into it
-            pace.end(began)
+            await pace.wait_for_new_work_budget()
+            passes.append(pace.poll_count)
+            began = pace.begin_new_work() - 50_000_000  # as if 50 ms had gone into it
+            pace.end_new_work(began)
         return passes
 
     passes = trio.run(run)
