--- a/juniperreel/platform/client_listener.py
+++ b/juniperreel/platform/client_listener.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 from juniperreel.net.transport import READ_BYTES, Transport
-from juniperreel.platform.descriptor_budget import Budget
+from juniperreel.platform.descriptor_budget import DescriptorBudget
 from juniperreel.postgres import server
 from juniperreel.postgres.form import Form, FormError, parse
 from juniperreel.postgres.messages import ProtocolError
@@ -39,7 +39,9 @@
 
     __slots__ = ("answer", "arrived_us", "client", "form", "request")
 
-    def __init__(self, client: Client, arrived_us: int, form: Form | None, answer: bytes | None) -> None:
+    def __init__(
+        self, client: ClientConnection, arrived_us: int, form: Form | None, answer: bytes | None
+    ) -> None:
         self.client, self.arrived_us, self.form, self.answer = client, arrived_us, form, answer
         self.request: str | None = None  # in the driver's hands
 
@@ -56,26 +58,26 @@
         return self.form.key == other.form.key and (self.form.write or other.form.write)
 
 
-class Takes(Protocol):
+class RequestHandler(Protocol):
     arrived_us: int  # since when what is read now may have waited
 
-    def take(self, command: Command, form: Form) -> None:
+    def submit(self, command: Command, form: Form) -> None:
         """Raises InvalidRequest; else the answer comes by `command.finish`."""
         ...
 
-    def gone(self, command: Command) -> None:
+    def client_disconnected(self, command: Command) -> None:
         """The client of an open request has left."""
         ...
 
 
-class Client:
+class ClientConnection:
     """One client's connection. A peer of its wire."""
 
     eof_is_disconnect = True
 
-    def __init__(self, front: Front, wire: Transport, now: int) -> None:
-        self._front, self._wire = front, wire
-        self._talk = server.ServerConnection()
+    def __init__(self, listener: ClientListener, wire: Transport, now: int) -> None:
+        self._listener, self._wire = listener, wire
+        self._protocol = server.ServerConnection()
         self.commands: deque[Command] = deque()  # not answered yet, or behind such a one
         self._fault: ProtocolError | None = None  # what was read last can't be understood
         self._advancing = False
@@ -89,7 +91,7 @@
         pass
 
     def data_received(self, data: bytes) -> None:
-        self._talk.feed(data)
+        self._protocol.feed(data)
         self.advance()
 
     def advance(self) -> None:
@@ -110,10 +112,10 @@
         while (
             self._fault is None
             and len(self.commands) < PIPELINE
-            and self._talk.phase is not server.Phase.OVER
+            and self._protocol.phase is not server.Phase.OVER
         ):
             try:
-                query = self._talk.next()
+                query = self._protocol.next()
             except ProtocolError as error:
                 self._fault = error
                 self._wire.pause_reading()
@@ -121,18 +123,18 @@
                 break
             self.asked += 1
             self.partial_us = 0
-            self._front.asks(self)
+            self._listener.asks(self)
             self.commands.append(self._command(query.text))
-        if self._talk.out:
-            out, self._talk.out = self._talk.out, bytearray()
+        if self._protocol.out:
+            out, self._protocol.out = self._protocol.out, bytearray()
             self._wire.write(out)
-        whole = len(self.commands) == PIPELINE or not self._talk.held
-        self.partial_us = 0 if whole else self.partial_us or self._front.now()
-        if self._talk.held > HELD_LIMIT:
+        whole = len(self.commands) == PIPELINE or not self._protocol.held
+        self.partial_us = 0 if whole else self.partial_us or self._listener.now()
+        if self._protocol.held > HELD_LIMIT:
             self._wire.pause_reading()
 
     def _command(self, text: bytes) -> Command:
-        arrived_us = self._front.driver.arrived_us
+        arrived_us = self._listener.driver.arrived_us
         if not text.strip(b" \t\r\n;"):
             return Command(self, arrived_us, None, server.empty())
         try:
@@ -146,7 +148,7 @@
             if command.form is not None and command.answer is None:
                 if command.request is None and not any(command.awaits(other) for other in before):
                     try:
-                        self._front.driver.take(command, command.form)
+                        self._listener.driver.submit(command, command.form)
                     except InvalidRequest as error:
                         command.answer = server.failed(error.code, str(error))
                         continue
@@ -159,33 +161,33 @@
             answers += self.commands.popleft().answer or b""
         if answers:
             self._wire.write(answers)
-            self.since_us = self._front.now()
+            self.since_us = self._listener.now()
             if self._wire.write_buffer_size > UNREAD_LIMIT:
-                self._front.drop(self)
+                self._listener.drop(self)
                 return False
         if not self.commands:
             if self._fault is not None:
                 self.fatal(self._fault.code, str(self._fault))
                 return False
-            if self._talk.phase is server.Phase.OVER or (
-                answers and self._front.closing and not self._talk.held
+            if self._protocol.phase is server.Phase.OVER or (
+                answers and self._listener.closing and not self._protocol.held
             ):
-                self._front.end(self)
+                self._listener.end(self)
                 return False
             if answers:
-                self._front.rests(self)
+                self._listener.rests(self)
         # Danger: of a command that is half here the rest may be on its way; it counts as taken.
-        if answers and self._fault is None and (self._talk.held or not self._front.closing):
+        if answers and self._fault is None and (self._protocol.held or not self._listener.closing):
             self._wire.resume_reading()
-        return bool(answers) and bool(self._talk.held)
+        return bool(answers) and bool(self._protocol.held)
 
     def fatal(self, code: str, text: str) -> None:
         """An error after which the connection ends."""
         self._wire.write(server.fatal(code, text))
-        self._front.end(self)
+        self._listener.end(self)
 
     def connection_lost(self, reason: str) -> None:
-        self._front.drop(self)
+        self._listener.drop(self)
 
     def close(self) -> None:
         self._wire.close()
@@ -208,30 +210,30 @@
         """No command is in hand, nothing waits to be read, and every answer is out."""
         return (
             not self.commands
-            and not self._talk.held
+            and not self._protocol.held
             and not self._wire.write_buffer_size
             and self._wire.has_nothing_to_read()
         )
 
 
-class Front:
+class ClientListener:
     """All clients of one driver."""
 
-    def __init__(self, driver: Takes, now: Callable[[], int], budget: Budget) -> None:
+    def __init__(self, driver: RequestHandler, now: Callable[[], int], budget: DescriptorBudget) -> None:
         self.driver, self.now, self.budget = driver, now, budget
-        self.clients: set[Client] = set()
+        self.clients: set[ClientConnection] = set()
         self.closing = False  # connections end with the answer in hand
-        self._resting: dict[Client, None] = {}  # have asked and been answered, longest ago first
+        self._resting: dict[ClientConnection, None] = {}  # have asked and been answered, longest ago first
 
     def welcome(self, wire: Transport) -> None:
         now = self.now()
         if self.budget.clients_full and not self._spare(now):
             wire.close()
             return
-        self.clients.add(Client(self, wire, now))
+        self.clients.add(ClientConnection(self, wire, now))
         self.budget.clients += 1
 
-    def drop(self, client: Client) -> None:
+    def drop(self, client: ClientConnection) -> None:
         if client in self.clients:
             self.clients.discard(client)
             self.budget.clients -= 1
@@ -243,9 +245,9 @@
             client.close()
             for command in client.commands:
                 if command.request is not None:
-                    self.driver.gone(command)
+                    self.driver.client_disconnected(command)
 
-    def end(self, client: Client) -> None:
+    def end(self, client: ClientConnection) -> None:
         """In order: its descriptor is free once the other side has ended, too. Danger: where one is too many,
         all that rest would be ended for it, were it counted among those that stay until then."""
         self._resting.pop(client, None)
@@ -255,12 +257,12 @@
         if not client.finish(self.now()):
             self.drop(client)
 
-    def asks(self, client: Client) -> None:
+    def asks(self, client: ClientConnection) -> None:
         """A command has come."""
         self.budget.asking += client.asked == 1
         self._resting.pop(client, None)
 
-    def rests(self, client: Client) -> None:
+    def rests(self, client: ClientConnection) -> None:
         """Its command is answered. Danger: clients that ask once and keep their connection for good fill
         all that the operators' front opens to a driver; the next ones are turned away there, unseen here."""
         self._resting[client] = None
--- a/juniperreel/platform/descriptor_budget.py
+++ b/juniperreel/platform/descriptor_budget.py
@@ -10,7 +10,7 @@
 REQUEST_PART = 0.25  # of all: clients that ask hold a third at most, and whoever comes then finds no way in
 
 
-class Budget:
+class DescriptorBudget:
     def __init__(self, total: int) -> None:
         usable = max(total - RESERVE, 16)
         self.client_limit = max(int(usable * CLIENT_PART), 8)
--- a/juniperreel/platform/discovery.py
+++ b/juniperreel/platform/discovery.py
@@ -13,7 +13,7 @@
 
 from juniperreel.net import ConnectError, Network
 from juniperreel.net.clock import US
-from juniperreel.platform.endpoint_list import Endpoints, ListError, read
+from juniperreel.platform.endpoint_list import EndpointList, EndpointListInvalid, read
 from juniperreel.platform.log import Log
 from juniperreel.routing.types import (
     UpdateKind,
@@ -26,14 +26,14 @@
 )
 CONNECT_US = 1_000_000
 
-Tell = Callable[[UpdateKind, Endpoints | None], None]
+Tell = Callable[[UpdateKind, EndpointList | None], None]
 
 
 class CallFailed(Exception):
     """No list came of this call."""
 
 
-class Exchange:
+class DiscoveryConnection:
     """One connection's calls, in turn. Raises CallFailed from `call`, after which it is of no use."""
 
     def __init__(self, stream: trio.abc.Stream, host: str) -> None:
@@ -130,10 +130,10 @@
             self.address = address
             self._open()
 
-    async def _connect(self) -> Exchange:
+    async def _connect(self) -> DiscoveryConnection:
         host, port = self.address
         stream = await self._network.connect(host, port, CONNECT_US)
-        return Exchange(stream, f"{host}:{port}")
+        return DiscoveryConnection(stream, f"{host}:{port}")
 
     async def _fetch(self) -> None:
         address, lists = None, self._lists
@@ -145,7 +145,7 @@
                     with trio.fail_after(ANSWER_US / US):
                         body = await exchange.call(PATH)
             self._take(body, lists)
-        except (CallFailed, ConnectError, ListError, trio.TooSlowError) as error:
+        except (CallFailed, ConnectError, EndpointListInvalid, trio.TooSlowError) as error:
             self._failed(error)
 
     async def _watch(self, scope: trio.CancelScope) -> None:
@@ -170,7 +170,7 @@
                             if not exchange.again():
                                 break
                     exchange = await self._connect()
-            except (CallFailed, ConnectError, ListError) as caught:
+            except (CallFailed, ConnectError, EndpointListInvalid) as caught:
                 error = caught
             if self._watching is scope:
                 self._watching = None
@@ -185,7 +185,7 @@
         try:
             raw = msgspec.json.decode(body)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            raise ListError(str(error)) from None
+            raise EndpointListInvalid(str(error)) from None
         endpoints = read(raw, self._zones, self._kinds)
         if endpoints.bad:
             self._log.warning("discovery sent lines that can't be read", lines=endpoints.bad)
@@ -195,7 +195,7 @@
             return
         if endpoints.version < self.version and not endpoints.whole:
             self.version = 0  # discovery began anew: its changes are none of the list that is had
-            raise ListError("changes to an older list")
+            raise EndpointListInvalid("changes to an older list")
         self._lists += 1
         self.version = endpoints.version
         self._tell(UpdateKind.SNAPSHOT if endpoints.whole else UpdateKind.DELTA, endpoints)
--- a/juniperreel/platform/driver.py
+++ b/juniperreel/platform/driver.py
@@ -10,14 +10,14 @@
 from functools import partial
 
 from juniperreel.platform import parameter_status
-from juniperreel.platform.client_listener import Command, Front, InvalidRequest
+from juniperreel.platform.client_listener import ClientListener, Command, InvalidRequest
 from juniperreel.platform.config import Config
-from juniperreel.platform.descriptor_budget import Budget
-from juniperreel.platform.endpoint_list import Endpoints
-from juniperreel.platform.endpoint_pools import Dial, Ended, Job, MemberLinks
+from juniperreel.platform.descriptor_budget import DescriptorBudget
+from juniperreel.platform.endpoint_list import EndpointList
+from juniperreel.platform.endpoint_pools import Connect, EndpointPools, Exchange, ExchangeResult
 from juniperreel.platform.graceful_shutdown import GracefulShutdown
 from juniperreel.platform.log import Log
-from juniperreel.platform.timer_queue import Alarms
+from juniperreel.platform.timer_queue import TimerQueue
 from juniperreel.postgres import server
 from juniperreel.postgres.form import Form, with_span
 from juniperreel.postgres.messages import READY
@@ -45,7 +45,7 @@
 NO_IDS: tuple[str, ...] = ()
 
 
-class Open:
+class OpenRequest:
     """A request in hand."""
 
     __slots__ = ("attempts", "command", "deadline_us", "form", "out")
@@ -54,7 +54,7 @@
         self.form, self.deadline_us = form, deadline_us
         self.command: Command | None = command  # None once it is answered, or its client has left
         self.attempts = 0
-        self.out: dict[int, Job] = {}
+        self.out: dict[int, Exchange] = {}
 
 
 class PlatformDriver(RouterLoop[Event]):
@@ -64,7 +64,7 @@
         self,
         config: Config,
         now: Callable[[], int],
-        dial: Dial,
+        dial: Connect,
         discover: Callable[[bool | None], None],
         log: Log,
     ) -> None:
@@ -75,37 +75,37 @@
         self.arrived_us = now()  # since when what is read now may have waited
         self._classes = {c.name: i for i, c in enumerate(config.router.classes)}
         self._tenants = {t.name: i for i, t in enumerate(config.router.tenants)}
-        self.alarms = Alarms()
-        self.budget = Budget(config.limits.sockets)
-        self.links = MemberLinks(
-            dial, now, self.alarms, self.budget, config.connect_timeout_us, config.conn_idle_us
+        self.timers = TimerQueue()
+        self.budget = DescriptorBudget(config.limits.sockets)
+        self.endpoint_pools = EndpointPools(
+            dial, now, self.timers, self.budget, config.connect_timeout_us, config.conn_idle_us
         )
-        self.front = Front(self, now, self.budget)
+        self.client_listener = ClientListener(self, now, self.budget)
         self.shutdown = GracefulShutdown(max(c.deadline_us for c in config.router.classes))
-        self.open: dict[str, Open] = {}
+        self.open: dict[str, OpenRequest] = {}
         self._recent: dict[str, int] = {}  # when they were answered
         self._groups: set[int] = set()
         self._known: dict[str, Readiness] = {}
-        self.alarms.at(now() + SWEEP_US, self._sweep)
+        self.timers.call_at(now() + SWEEP_US, self._sweep)
 
     # Its turn.
 
     def due(self) -> int | None:
-        times = [t for t in (self.next_timer_us(), self.alarms.due()) if t is not None]
+        times = [t for t in (self.next_timer_us(), self.timers.next_due_us()) if t is not None]
         return min(times) if times else None
 
     def turn(self) -> None:
         """What is due and what came: until nothing is left."""
         now = self.now()
-        self.alarms.ring(now)
+        self.timers.run_due(now)
         while self.process_batch(now) and self.queue:
             now = self.now()
 
     def _sweep(self) -> None:
         now = self.now()
-        self.alarms.at(now + SWEEP_US, self._sweep)
-        self.front.sweep()
-        self.links.sweep(not self.settings.removed_endpoints_serve)
+        self.timers.call_at(now + SWEEP_US, self._sweep)
+        self.client_listener.sweep()
+        self.endpoint_pools.sweep(not self.settings.removed_endpoints_serve)
         for name in [
             n for n, item in self.open.items() if item.command and now > item.deadline_us + SWEEP_US
         ]:
@@ -116,7 +116,7 @@
 
     # Requests.
 
-    def take(self, command: Command, form: Form) -> None:
+    def submit(self, command: Command, form: Form) -> None:
         cls = self._classes.get(form.cls)
         if cls is None:
             raise InvalidRequest("42704", "no such class")
@@ -139,7 +139,7 @@
         age = None
         if form.after_ms and kind.consistency is Consistency.SESSION:
             age = max(self.now() - form.after_ms * 1000, 0)
-        self.open[form.id] = Open(form, command, deadline)
+        self.open[form.id] = OpenRequest(form, command, deadline)
         command.request = form.id
         self.enqueue(
             Request(
@@ -154,7 +154,7 @@
             )
         )
 
-    def gone(self, command: Command) -> None:
+    def client_disconnected(self, command: Command) -> None:
         name, command.request = command.request, None
         item = self.open.get(name) if name is not None else None
         if name is not None and item is not None and item.command is command:
@@ -171,7 +171,7 @@
         self._forget(name, item)
         command.finish(data)
 
-    def _forget(self, name: str, item: Open) -> None:
+    def _forget(self, name: str, item: OpenRequest) -> None:
         if item.command is None and not item.out and self.open.pop(name, None) is not None:
             # Danger: whoever sends the id of a request that was just answered would have it run again.
             now = self._recent[name] = self.now()
@@ -200,15 +200,15 @@
         def fits() -> bool:
             return self.router.confirm_send(self.now(), request, number)
 
-        job = Job(text, partial(self._ended, request, number, endpoint, now), fits)
+        job = Exchange(text, partial(self._ended, request, number, endpoint, now), fits)
         item.out[number] = job
         if item.command is None:
             job.end(Outcome.NOT_SENT)  # rule 1: nothing goes out after the final answer
             return
-        self.alarms.at(until, partial(self.links.give_up, job, False))
-        self.links.run(endpoint, job)
+        self.timers.call_at(until, partial(self.endpoint_pools.give_up, job, False))
+        self.endpoint_pools.run(endpoint, job)
 
-    def _ended(self, request: str, number: int, member: str, started_us: int, ended: Ended) -> None:
+    def _ended(self, request: str, number: int, member: str, started_us: int, ended: ExchangeResult) -> None:
         item = self.open[request]
         item.out.pop(number, None)
         reply, finished = ended.reply, False
@@ -235,7 +235,7 @@
         item = self.open.get(request)
         job = item.out.get(attempt) if item is not None else None
         if job is not None:
-            self.links.give_up(job, True)
+            self.endpoint_pools.give_up(job, True)
 
     def reject(self, request: str, retry_after_us: int, now: int) -> None:
         self._answer(
@@ -248,14 +248,14 @@
     def start_health_check(self, endpoint: str) -> None:
         started = self.now()
 
-        def done(ended: Ended) -> None:
+        def done(ended: ExchangeResult) -> None:
             value = ended.reply.value if ended.reply is not None else None
             report = parameter_status.report(value.decode("utf-8", "replace")) if value else None
             self.enqueue(HealthCheckEnded(endpoint, ended.outcome, self.now() - started, report))
 
-        job = Job(lambda: REPORT, done)
-        self.alarms.at(started + PROBE_US, partial(self.links.give_up, job, False))
-        self.links.run(endpoint, job)
+        job = Exchange(lambda: REPORT, done)
+        self.timers.call_at(started + PROBE_US, partial(self.endpoint_pools.give_up, job, False))
+        self.endpoint_pools.run(endpoint, job)
 
     def subscribe(self, enabled: bool) -> None:
         self._discover(enabled)
@@ -278,7 +278,7 @@
 
     # Discovery.
 
-    def told(self, kind: UpdateKind, endpoints: Endpoints | None) -> None:
+    def on_endpoint_update(self, kind: UpdateKind, endpoints: EndpointList | None) -> None:
         """A list, or the end of a call without one (None)."""
         if endpoints is None:
             self.enqueue(EndpointUpdate(kind, ()))
@@ -288,32 +288,32 @@
             self._known[member.id] = member.readiness
             dial = endpoints.dials.get(member.id)
             if member.readiness is Readiness.REMOVED:
-                self.links.retire(member.id)
+                self.endpoint_pools.retire(member.id)
             elif dial is not None:
-                self.links.place(member.id, dial)
+                self.endpoint_pools.place(member.id, dial)
         if endpoints.whole:
             for name in self._known.keys() - {m.id for m in endpoints.members}:
                 del self._known[name]
-                self.links.retire(name)
+                self.endpoint_pools.retire(name)
         self.enqueue(EndpointUpdate(kind, endpoints.members))
 
     # Its end.
 
-    def leave(self) -> None:
+    def begin_shutdown(self) -> None:
         """SIGTERM has come. Danger: what was taken before it may wait longer than the kill does."""
         now = self.now()
         self.shutdown.begin(now)
         for due in self.shutdown.steps():
-            self.alarms.at(due, lambda: None)  # nothing else may wake the driver in time
+            self.timers.call_at(due, lambda: None)  # nothing else may wake the driver in time
         for name, item in self.open.items():
             latest = self.shutdown.latest_us(item.deadline_us)
             if latest < item.deadline_us:
                 item.deadline_us = latest
                 self.enqueue(DeadlineShortened(name, latest))
                 for job in item.out.values():
-                    self.alarms.at(latest, partial(self.links.give_up, job, False))
+                    self.timers.call_at(latest, partial(self.endpoint_pools.give_up, job, False))
 
     @property
-    def quiet(self) -> bool:
+    def is_idle(self) -> bool:
         """Nothing is in hand and nobody is connected."""
-        return not self.front.clients and not any(item.command for item in self.open.values())
+        return not self.client_listener.clients and not any(item.command for item in self.open.values())
--- a/juniperreel/platform/endpoint_list.py
+++ b/juniperreel/platform/endpoint_list.py
@@ -19,12 +19,12 @@
 LINES = 10_000  # of one list
 
 
-class ListError(Exception):
+class EndpointListInvalid(Exception):
     """Not a list."""
 
 
 @dataclass(frozen=True, slots=True)
-class Endpoints:
+class EndpointList:
     """`dials`: address of each member named here."""
 
     version: int
@@ -34,15 +34,15 @@
     bad: int
 
 
-def read(raw: Any, zones: list[str], kinds: list[str]) -> Endpoints:
-    """Raises ListError for what is no list at all."""
+def read(raw: Any, zones: list[str], kinds: list[str]) -> EndpointList:
+    """Raises EndpointListInvalid for what is no list at all."""
     if not isinstance(raw, dict) or not isinstance(raw.get("hosts"), list):
-        raise ListError("no hosts")
+        raise EndpointListInvalid("no hosts")
     version = raw.get("seq")
     if not isinstance(version, int) or isinstance(version, bool) or version < 0:
-        raise ListError("no seq")
+        raise EndpointListInvalid("no seq")
     if not isinstance(raw.get("whole"), bool) or len(raw["hosts"]) > LINES:
-        raise ListError("whole is missing, or the list is too long")
+        raise EndpointListInvalid("whole is missing, or the list is too long")
     members: list[Endpoint] = []
     dials: dict[str, tuple[str, int]] = {}
     bad = 0
@@ -57,8 +57,8 @@
             dials[member.id] = dial
     if raw["whole"] and not members:
         # Danger: an empty fleet is a broken list far more often than a true one.
-        raise ListError("the whole list is empty")
-    return Endpoints(version, raw["whole"], tuple(members), dials, bad)
+        raise EndpointListInvalid("the whole list is empty")
+    return EndpointList(version, raw["whole"], tuple(members), dials, bad)
 
 
 def entry(
--- a/juniperreel/platform/endpoint_pools.py
+++ b/juniperreel/platform/endpoint_pools.py
@@ -9,13 +9,12 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from functools import partial
 from typing import Protocol
 
 from juniperreel.net.transport import Transport
-from juniperreel.platform.descriptor_budget import Budget
+from juniperreel.platform.descriptor_budget import DescriptorBudget
 from juniperreel.platform.idle_timeout import IdleTimeout
-from juniperreel.platform.timer_queue import Alarms
+from juniperreel.platform.timer_queue import TimerQueue
 from juniperreel.postgres.client import ClientConnection, Phase, Reply
 from juniperreel.postgres.messages import ProtocolError
 from juniperreel.routing.types import (
@@ -32,7 +31,7 @@
 
 
 @dataclass(slots=True)
-class Ended:
+class ExchangeResult:
     """How a job ended. `written`: the member may have seen it."""
 
     outcome: Outcome
@@ -40,21 +39,21 @@
 
 
 @dataclass(slots=True)
-class Job:
+class Exchange:
     """One attempt or one probe. `text` is made at the moment of writing, for what time is left then; `fits`
     is asked just before, and what does not fit any more is not sent."""
 
     text: Callable[[], bytes]
-    done: Callable[[Ended], None]
+    done: Callable[[ExchangeResult], None]
     fits: Callable[[], bool] = field(default=lambda: True)
-    connection: MemberConnection | None = field(default=None)
+    connection: EndpointConnection | None = field(default=None)
     written: bool = False
     over: bool = False
 
     def end(self, outcome: Outcome, reply: Reply | None = None) -> None:
         if not self.over:
             self.over = True
-            self.done(Ended(outcome, reply))
+            self.done(ExchangeResult(outcome, reply))
 
 
 def outcome_of(reply: Reply) -> Outcome:
@@ -66,43 +65,43 @@
     return Outcome.REJECTED if code in TURNED_AWAY else Outcome.ERROR
 
 
-class Dial(Protocol):
+class Connect(Protocol):
     def __call__(self, host: str, port: int) -> Transport:
         """Raises OSError."""
         ...
 
 
-class MemberConnection:
+class EndpointConnection:
     """One connection and the job on it. A peer of its wire."""
 
     eof_is_disconnect = False
 
-    def __init__(self, pool: MemberPool, wire: Transport) -> None:
+    def __init__(self, pool: EndpointPool, wire: Transport) -> None:
         self.pool, self.wire = pool, wire
-        self.talk = ClientConnection(USER, DATABASE)
-        self.job: Job | None = None
+        self.protocol = ClientConnection(USER, DATABASE)
+        self.job: Exchange | None = None
         self.idle_us = 0  # since when it has been idle; 0 until its first answer
         self._stood_us: int | None = None  # how long it had been idle when its request was written
         self._asked_us = 0
         wire.protocol = self
 
     def connection_made(self) -> None:
-        self.wire.write(self.talk.hello)
+        self.wire.write(self.protocol.hello)
 
     def data_received(self, data: bytes) -> None:
         job = self.job
         try:
-            reply = self.talk.feed(data)
+            reply = self.protocol.feed(data)
         except ProtocolError:
             self.spoilt()
             return
         if reply is not None:
             self.job = None
             self._tell_use(True)
-            self._rest(reply.error is None or self.talk.phase is Phase.IDLE)
+            self._rest(reply.error is None or self.protocol.phase is Phase.IDLE)
             if job is not None:
                 job.end(outcome_of(reply), reply)
-        elif self.talk.phase is Phase.IDLE:
+        elif self.protocol.phase is Phase.IDLE:
             if job is None:
                 self._rest(True)
             elif not job.fits():
@@ -115,24 +114,24 @@
 
     def _rest(self, good: bool) -> None:
         """Danger: what comes behind an answer would be taken for the next one's."""
-        if good and self.talk.clean and self.wire.has_nothing_to_read():
+        if good and self.protocol.clean and self.wire.has_nothing_to_read():
             self.pool.rest(self)
         else:
             self.drop()
 
-    def start(self, job: Job) -> None:
+    def start(self, job: Exchange) -> None:
         self.job, job.connection = job, self
-        if not self.talk.clean:
+        if not self.protocol.clean:
             self.spoilt()
             return
-        self._asked_us = self.pool.links.now()
+        self._asked_us = self.pool.endpoint_pools.now()
         self._stood_us = self._asked_us - self.idle_us if self.idle_us else None
-        self.wire.write(self.talk.ask(job.text()))
+        self.wire.write(self.protocol.ask(job.text()))
         job.written = not self.wire.write_buffer_size
 
     def spoilt(self) -> None:
         job, self.job = self.job, None
-        turned_away = not self._written(job) and (self.talk.so_far.error or {}).get("C") in TURNED_AWAY
+        turned_away = not self._written(job) and (self.protocol.so_far.error or {}).get("C") in TURNED_AWAY
         self.drop()
         if job is not None:
             if self._written(job):
@@ -144,20 +143,26 @@
 
     def _tell_use(self, answered: bool) -> None:
         if self._stood_us is not None:
-            self.pool.links.idle_timeout.used(self.pool.links.now(), self._stood_us, answered)
+            self.pool.endpoint_pools.idle_timeout.used(
+                self.pool.endpoint_pools.now(), self._stood_us, answered
+            )
 
-    def _written(self, job: Job | None) -> bool:
+    def _written(self, job: Exchange | None) -> bool:
         """Whether its last byte has gone out. Danger: a long value leaves in parts, the last from the
         poll."""
-        if job is not None and self.talk.phase is Phase.BUSY and not self.wire.write_buffer_size:
+        if job is not None and self.protocol.phase is Phase.BUSY and not self.wire.write_buffer_size:
             job.written = True
         return job is not None and job.written
 
     def connection_lost(self, reason: str) -> None:
         job, self.job = self.job, None
         written = self._written(job)
-        reply = self.talk.so_far
-        if written and not self.talk.answering and self.pool.links.now() - self._asked_us < STALE_US:
+        reply = self.protocol.so_far
+        if (
+            written
+            and not self.protocol.answering
+            and self.pool.endpoint_pools.now() - self._asked_us < STALE_US
+        ):
             self._tell_use(False)
         self.drop()
         if job is None:
@@ -169,14 +174,14 @@
         else:
             job.end(Outcome.RESET, reply)
 
-    def give_up(self, job: Job, withdrawn: bool) -> None:
+    def give_up(self, job: Exchange, withdrawn: bool) -> None:
         """The driver waits no longer: the connection ends, unless nothing was written on it."""
         if job.over:
             return
         written = self._written(job)
         self.job = None
-        reply = self.talk.so_far if written else None
-        if written or self.talk.phase is Phase.BUSY:
+        reply = self.protocol.so_far if written else None
+        if written or self.protocol.phase is Phase.BUSY:
             self.drop()
             if reply is not None and reply.error is not None:
                 job.end(outcome_of(reply), reply)
@@ -193,57 +198,59 @@
 
     def too_slow(self) -> None:
         """No welcome within the time for connecting."""
-        if self.talk.phase is Phase.WELCOME and not self.wire.closed:
+        if self.protocol.phase is Phase.WELCOME and not self.wire.closed:
             self.connection_lost("no welcome in time")
 
 
-class MemberPool:
+class EndpointPool:
     """One member's connections."""
 
-    def __init__(self, links: MemberLinks, address: tuple[str, int]) -> None:
-        self.links, self.address = links, address
-        self.idle: list[MemberConnection] = []
-        self.open: set[MemberConnection] = set()
+    def __init__(self, endpoint_pools: EndpointPools, address: tuple[str, int]) -> None:
+        self.endpoint_pools, self.address = endpoint_pools, address
+        self.idle: list[EndpointConnection] = []
+        self.open: set[EndpointConnection] = set()
         self.retired = False
 
-    def run(self, job: Job) -> None:
+    def run(self, job: Exchange) -> None:
         if not job.fits():
             job.end(Outcome.NOT_SENT)
             return
         while self.idle:
             connection = self.idle.pop()
-            stood = self.links.now() - connection.idle_us
+            stood = self.endpoint_pools.now() - connection.idle_us
             if (
-                self.links.idle_timeout.allows(stood)
+                self.endpoint_pools.idle_timeout.allows(stood)
                 and connection.wire.has_nothing_to_read()
-                and connection.talk.clean
+                and connection.protocol.clean
             ):
                 connection.start(job)
                 return
             connection.drop()
-        self.links.make_room()
+        self.endpoint_pools.make_room()
         try:
-            wire = self.links.dial(*self.address)
+            wire = self.endpoint_pools.dial(*self.address)
         except OSError:
             job.end(Outcome.NOT_SENT)  # this driver's own want of descriptors says nothing of the member
             return
-        connection = MemberConnection(self, wire)
+        connection = EndpointConnection(self, wire)
         self.open.add(connection)
-        self.links.budget.members += 1
+        self.endpoint_pools.budget.members += 1
         connection.job, job.connection = job, connection
-        self.links.alarms.at(self.links.now() + self.links.connect_us, connection.too_slow)
+        self.endpoint_pools.timers.call_at(
+            self.endpoint_pools.now() + self.endpoint_pools.connect_us, connection.too_slow
+        )
 
-    def rest(self, connection: MemberConnection) -> None:
+    def rest(self, connection: EndpointConnection) -> None:
         if self.retired:
             connection.drop()
             return
-        connection.idle_us = self.links.now()
+        connection.idle_us = self.endpoint_pools.now()
         self.idle.append(connection)
 
-    def left(self, connection: MemberConnection) -> None:
+    def left(self, connection: EndpointConnection) -> None:
         if connection in self.open:
             self.open.discard(connection)
-            self.links.budget.members -= 1
+            self.endpoint_pools.budget.members -= 1
             if connection in self.idle:
                 self.idle.remove(connection)
 
@@ -254,23 +261,23 @@
             connection.drop()
 
 
-class MemberLinks:
+class EndpointPools:
     """All members' connections of one driver. Spans are microseconds."""
 
     def __init__(
         self,
-        dial: Dial,
+        dial: Connect,
         now: Callable[[], int],
-        alarms: Alarms,
-        budget: Budget,
+        timers: TimerQueue,
+        budget: DescriptorBudget,
         connect_us: int,
         idle_us: int,
     ) -> None:
-        self.dial, self.now, self.alarms, self.budget = dial, now, alarms, budget
+        self.dial, self.now, self.timers, self.budget = dial, now, timers, budget
         self.connect_us = connect_us
         self._idle_us = int(idle_us * IDLE_PART)
         self.idle_timeout = IdleTimeout()
-        self.pools: dict[str, MemberPool] = {}
+        self.pools: dict[str, EndpointPool] = {}
 
     def place(self, member: str, address: tuple[str, int]) -> None:
         """Where the member is now. A new address gets new connections; old ones end when idle."""
@@ -280,21 +287,21 @@
             return
         if pool is not None:
             pool.retire()
-        self.pools[member] = MemberPool(self, address)
+        self.pools[member] = EndpointPool(self, address)
 
     def retire(self, member: str) -> None:
         pool = self.pools.get(member)
         if pool is not None:
             pool.retire()
 
-    def run(self, member: str, job: Job) -> None:
+    def run(self, member: str, job: Exchange) -> None:
         pool = self.pools.get(member)
         if pool is None:
             job.end(Outcome.NOT_SENT)
             return
         pool.run(job)
 
-    def give_up(self, job: Job, withdrawn: bool) -> None:
+    def give_up(self, job: Exchange, withdrawn: bool) -> None:
         if job.connection is not None:
             job.connection.give_up(job, withdrawn)
 
@@ -314,7 +321,3 @@
                 connection.drop()
             if forgets and pool.retired and not pool.open:
                 del self.pools[name]  # danger: members are replaced all day; one that returns is placed anew
-
-
-def later(links: MemberLinks, job: Job) -> Callable[[], None]:
-    return partial(links.give_up, job, False)
--- a/juniperreel/platform/run.py
+++ b/juniperreel/platform/run.py
@@ -17,7 +17,7 @@
 from juniperreel.platform.config import Config, ConfigError, parse
 from juniperreel.platform.discovery import Discovery
 from juniperreel.platform.driver import PlatformDriver
-from juniperreel.platform.endpoint_list import Endpoints, ListError, read
+from juniperreel.platform.endpoint_list import EndpointList, EndpointListInvalid, read
 from juniperreel.platform.log import Log
 from juniperreel.routing.types import (
     Settings,
@@ -55,7 +55,7 @@
             TcpNetwork(), config.discovery, config.zones, config.kinds, wait, self._told, log
         )
         self.driver = PlatformDriver(config, self.clock.now_us, self._dial, self._discover, log)
-        self.door: Acceptor | None = None
+        self.acceptor: Acceptor | None = None
 
     def _dial(self, host: str, port: int) -> Transport:
         return connect(self.poller, host, port)
@@ -66,8 +66,8 @@
         else:
             self.discovery.subscribe(on)
 
-    def _told(self, kind: UpdateKind, endpoints: Endpoints | None) -> None:
-        self.driver.told(kind, endpoints)
+    def _told(self, kind: UpdateKind, endpoints: EndpointList | None) -> None:
+        self.driver.on_endpoint_update(kind, endpoints)
         self.driver.turn()
         self.poller.wake()
 
@@ -76,21 +76,21 @@
         try:
             known = read(self.config.known, self.config.zones, self.config.kinds)
             self.discovery.version = known.version
-            self.driver.told(UpdateKind.CACHED, known)
-        except ListError as error:
+            self.driver.on_endpoint_update(UpdateKind.CACHED, known)
+        except EndpointListInvalid as error:
             self.log.warning("no list is known from before", error=str(error))
-            self.driver.told(UpdateKind.CACHED, Endpoints(0, True, (), {}, 0))
+            self.driver.on_endpoint_update(UpdateKind.CACHED, EndpointList(0, True, (), {}, 0))
         self.driver.turn()
         if not self.config.router.must_poll:
             # Where lists are pushed, what the agent has counts as told from the first moment on.
             self.discovery.subscribe(True)
         host, port = self.config.listen
-        self.door = Acceptor(self.poller, host, port, self.driver.front.welcome)
+        self.acceptor = Acceptor(self.poller, host, port, self.driver.client_listener.welcome)
         limits = self.config.limits
         self.log.info(
             "serving",
             name=self.config.name,
-            port=self.door.port,
+            port=self.acceptor.port,
             cores=limits.cores,
             memory_mb=limits.memory_mb,
             sockets=limits.sockets,
@@ -107,22 +107,22 @@
             driver.arrived_us = poller.ready_since_us
             poller.dispatch()
             driver.turn()
-            if self.door is not None:
-                self.door.retry(self.clock.now_us())
+            if self.acceptor is not None:
+                self.acceptor.retry(self.clock.now_us())
 
     def _left(self) -> bool:
         now, driver = self.clock.now_us(), self.driver
         if not driver.shutdown.closing(now):
             return False
-        if self.door is not None and self.door.is_open:
-            self.door.close()
-        driver.front.close_idle()
-        return driver.quiet or driver.shutdown.over(now)
+        if self.acceptor is not None and self.acceptor.is_open:
+            self.acceptor.close()
+        driver.client_listener.close_idle()
+        return driver.is_idle or driver.shutdown.over(now)
 
-    def leave(self) -> None:
+    def begin_shutdown(self) -> None:
         if not self.driver.shutdown.told:
             self.log.info("leaving", open=len(self.driver.open), clients=self.driver.budget.clients)
-            self.driver.leave()
+            self.driver.begin_shutdown()
             self.driver.turn()
 
     async def reload(self) -> None:
@@ -163,7 +163,7 @@
                 if number == signal.SIGHUP:
                     await program.reload()
                 else:
-                    program.leave()
+                    program.begin_shutdown()
                 program.poller.wake()
 
             await nursery.start(program.discovery.run)
--- a/tests/platform/event_harness.py
+++ b/tests/platform/event_harness.py
@@ -10,7 +10,7 @@
 from juniperreel.platform.config import Config, parse
 from juniperreel.platform.driver import PlatformDriver
 from juniperreel.platform.endpoint_list import read
-from juniperreel.platform.endpoint_pools import MemberConnection
+from juniperreel.platform.endpoint_pools import EndpointConnection
 from juniperreel.platform.log import Log
 from juniperreel.postgres import messages as m
 from juniperreel.postgres import server
@@ -162,7 +162,7 @@
         self.driver = PlatformDriver(
             self.config, lambda: self.time, self._dial, self.asked.append, Log(self.out)
         )
-        self.driver.told(UpdateKind.CACHED, read(self.config.known, ["east"], ["k"]))
+        self.driver.on_endpoint_update(UpdateKind.CACHED, read(self.config.known, ["east"], ["k"]))
         self.turn()
 
     def _dial(self, host: str, port: int) -> FakeTransport:
@@ -185,7 +185,7 @@
 
     def client(self, *texts: bytes) -> FakeTransport:
         wire = FakeTransport()
-        self.driver.front.welcome(wire)
+        self.driver.client_listener.welcome(wire)
         assert wire.protocol is not None
         wire.protocol.data_received(HELLO + b"".join(map(m.query, texts)))
         del wire.sent[: len(server.WELCOME)]
@@ -216,5 +216,5 @@
         return [
             w
             for _, w in self.dialled
-            if isinstance(w.protocol, MemberConnection) and w.protocol.job is not None and not w.closed
+            if isinstance(w.protocol, EndpointConnection) and w.protocol.job is not None and not w.closed
         ]
--- a/tests/platform/socket_harness.py
+++ b/tests/platform/socket_harness.py
@@ -118,8 +118,8 @@
             lambda on: None,
             Log(self.out),
         )
-        self.driver.told(UpdateKind.CACHED, read(config.known, ["east"], ["k"]))
-        self.door = Acceptor(self.poller, "127.0.0.1", 0, self._welcome)
+        self.driver.on_endpoint_update(UpdateKind.CACHED, read(config.known, ["east"], ["k"]))
+        self.acceptor = Acceptor(self.poller, "127.0.0.1", 0, self._welcome)
         self.turn()
 
     def __enter__(self) -> Stage:
@@ -134,7 +134,7 @@
 
     def _welcome(self, wire: Transport) -> None:
         self.wires.append(wire)
-        self.driver.front.welcome(wire)
+        self.driver.client_listener.welcome(wire)
 
     def turn(self) -> None:
         self.driver.arrived_us = self.clock.time
@@ -175,7 +175,7 @@
         sock = socket.socket()
         if buffer:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer)
-        sock.connect(("127.0.0.1", self.door.port))
+        sock.connect(("127.0.0.1", self.acceptor.port))
         return End(sock)
 
     async def client(self, *texts: bytes, buffer: int = 0) -> End:
@@ -216,7 +216,7 @@
 
     async def rests(self, name: str) -> None:
         """A connection to the member is at rest."""
-        await self.until(lambda: self.driver.links.pools[name].idle)
+        await self.until(lambda: self.driver.endpoint_pools.pools[name].idle)
 
     async def probed(self, lag_us: int = 0) -> None:
         """Roles and positions of both members are known, their connections at rest."""
--- a/tests/platform/test_crossings.py
+++ b/tests/platform/test_crossings.py
@@ -49,7 +49,7 @@
         after_the_look(stage, stage.wires[-1], lambda: client.send(m.query(read_text(IDS[1]))))
         member.send(row(b"kept"))
         await stage.until(lambda: not stage.driver.open)
-        stage.driver.front.close_idle()  # looks, and the next request comes right behind the look
+        stage.driver.client_listener.close_idle()  # looks, and the next request comes right behind the look
         await stage.finished(client)
         assert client.ended == "fin" and b"kept" in client.got
         assert stage.members["a"].queries == stage.members["p"].queries == b""  # read, and not sent on
@@ -59,11 +59,11 @@
     with Stage() as stage:
         client = await stage.client(b"")
         await stage.answered(client)
-        stage.driver.front.close_idle()
+        stage.driver.client_listener.close_idle()
         await stage.finished(client)
-        assert len(stage.driver.front.clients) == 1  # the client has not ended its side
+        assert len(stage.driver.client_listener.clients) == 1  # the client has not ended its side
         stage.pass_us(SEC)
-        assert not stage.driver.front.clients and stage.driver.budget.clients == 0
+        assert not stage.driver.client_listener.clients and stage.driver.budget.clients == 0
 
 
 @pytest.mark.parametrize("leaving", [True, False])
@@ -79,15 +79,15 @@
         member = await stage.query("a")
         member.take()
         if leaving:
-            stage.driver.leave()
-            stage.driver.front.close_idle()
+            stage.driver.begin_shutdown()
+            stage.driver.client_listener.close_idle()
         member.send(row(value))
         await stage.until(lambda: not stage.driver.open)
         assert wire.write_buffer_size
         stage.pass_us(SEC)
-        stage.driver.front.close_idle()
+        stage.driver.client_listener.close_idle()
         assert value in await stage.answered(client, 4096)
-        stage.driver.front.close_idle()
+        stage.driver.client_listener.close_idle()
         assert await stage.finished(client) == "fin"
 
 
@@ -97,8 +97,8 @@
         await stage.probed()
         client = await stage.client(read_text(IDS[0]), read_text(IDS[1]))
         await stage.until(lambda: len(stage.driver.open) == 2)
-        stage.driver.leave()
-        stage.driver.front.close_idle()
+        stage.driver.begin_shutdown()
+        stage.driver.client_listener.close_idle()
         client.send(m.query(read_text(IDS[2])))
         for value in (b"one", b"two"):
             member = await stage.query("a")
@@ -118,13 +118,13 @@
         client.send(second[:40])
         await stage.there(stage.wires[-1])
         await stage.step()
-        stage.driver.leave()
-        stage.driver.front.close_idle()
+        stage.driver.begin_shutdown()
+        stage.driver.client_listener.close_idle()
         member = await stage.query("a")
         member.take()
         member.send(row(b"one"))
         assert b"one" in await stage.answered(client)
-        stage.driver.front.close_idle()
+        stage.driver.client_listener.close_idle()
         client.take()
         client.send(second[40:])
         member = await stage.query("a")
@@ -165,16 +165,16 @@
         for client in asking:
             client.send(HELLO + m.query(b""))
         silent = [stage.connect() for _ in range(20)]
-        stage.driver.leave()
-        stage.door.close()
-        stage.driver.front.close_idle()
+        stage.driver.begin_shutdown()
+        stage.acceptor.close()
+        stage.driver.client_listener.close_idle()
         for client in asking:
             assert (await stage.answered(client)).endswith(b"I\0\0\0\4" + m.READY)
-        stage.driver.front.close_idle()
+        stage.driver.client_listener.close_idle()
         for client in asking + silent:
             assert await stage.finished(client) == "fin"
             client.close()
-        await stage.until(lambda: stage.driver.quiet)
+        await stage.until(lambda: stage.driver.is_idle)
 
 
 # SIGTERM and what is in hand.
@@ -189,7 +189,7 @@
         client = await stage.client(write_text(IDS[0], span=9000))
         member = await stage.query("p")
         member.take()
-        stage.driver.leave()
+        stage.driver.begin_shutdown()
         stage.pass_us(3500 * MS)  # the kill comes 3.7 s after SIGTERM
         await stage.answered(client)
         assert client.got.startswith(b"E") and b"C53300\0" not in client.got  # it may have run
@@ -202,7 +202,7 @@
         await stage.until(lambda: stage.driver.open)
         for end in stage.members.values():
             end.sock.close()  # the member is gone, and another is never found
-        stage.driver.leave()
+        stage.driver.begin_shutdown()
         stage.pass_us(3500 * MS)
         await stage.answered(client)
         assert b"C53300\0" in client.got
@@ -210,7 +210,7 @@
 
 async def test_the_driver_wakes_itself_for_the_last_steps_of_a_shutdown() -> None:
     with Stage() as stage:
-        stage.driver.leave()
+        stage.driver.begin_shutdown()
         begun, dues = stage.clock.time, list[int]()
         while (due := stage.driver.due()) is not None and due < begun + 3700 * MS:
             stage.clock.time = due
@@ -228,7 +228,7 @@
         client = await stage.client(read_text(IDS[0]), write_text(IDS[1]))
         client.close()
         await stage.there(stage.wires[-1], ENDED)
-        await stage.until(lambda: not stage.driver.front.clients)
+        await stage.until(lambda: not stage.driver.client_listener.clients)
         assert not stage.driver.open
         assert stage.members["a"].queries == stage.members["p"].queries == b""
 
@@ -239,7 +239,7 @@
         member = stage.members["p"]
         await stage.until(lambda: member.accept() and member.ends[0].read().startswith(HELLO[:8]))
         client.close()
-        await stage.until(lambda: not stage.driver.front.clients)
+        await stage.until(lambda: not stage.driver.client_listener.clients)
         member.ends[0].take()
         member.ends[0].send(b"R\0\0\0\x08\0\0\0\0" + m.READY)  # the welcome comes late
         await stage.rests("p")
@@ -262,7 +262,7 @@
                 end.close()
             for wire in wires:
                 await stage.there(wire, ENDED)
-            await stage.until(lambda: not stage.driver.front.clients and not stage.driver.open)
+            await stage.until(lambda: not stage.driver.client_listener.clients and not stage.driver.open)
             stage.pass_us(SEC)
             await stage.step()
             assert stage.members["a"].queries == stage.members["p"].queries == b""
@@ -293,7 +293,7 @@
     with Stage() as stage:
         await stage.probed()
         replica = stage.members["a"]
-        for connection in list(stage.driver.links.pools["a"].idle):
+        for connection in list(stage.driver.endpoint_pools.pools["a"].idle):
             connection.drop()  # so that the read needs a new one
         reader = await stage.client(read_text(IDS[0], "own", span=1900))
         await stage.until(lambda: any(e.read().startswith(HELLO[:8]) for e in replica.accept()))
@@ -336,7 +336,7 @@
 async def test_half_a_line_on_a_resting_connection_ends_it_before_the_next_request() -> None:
     with Stage() as stage:
         await stage.probed()
-        (resting,) = stage.driver.links.pools["a"].idle
+        (resting,) = stage.driver.endpoint_pools.pools["a"].idle
         end = stage.members["a"].ends[0]
         end.send(m.parameter("pressure", "inflight=1")[:7])
         await stage.there(resting.wire)
@@ -352,7 +352,7 @@
 async def test_a_member_that_closes_a_resting_connection_costs_no_request() -> None:
     with Stage() as stage:
         await stage.probed()
-        (resting,) = stage.driver.links.pools["a"].idle
+        (resting,) = stage.driver.endpoint_pools.pools["a"].idle
         stage.members["a"].ends[0].close()  # unread when the request comes
         await stage.there(resting.wire, ENDED)
         client = await stage.client(read_text(IDS[0]))
@@ -395,7 +395,7 @@
         assert ended == clients[:6]  # the longest idle
         for client in clients:
             client.close()
-        await stage.until(lambda: not stage.driver.front.clients)
+        await stage.until(lambda: not stage.driver.client_listener.clients)
         assert stage.driver.budget.asking == stage.driver.budget.clients == 0
 
 
@@ -411,7 +411,7 @@
         assert len([c for c in clients if c.read() is not None and c.ended]) == 5
         for client in clients:
             client.close()
-        await stage.until(lambda: not stage.driver.front.clients)
+        await stage.until(lambda: not stage.driver.client_listener.clients)
         assert budget.ending == budget.clients == 0
 
 
--- a/tests/platform/test_discovery.py
+++ b/tests/platform/test_discovery.py
@@ -14,7 +14,7 @@
 
 from juniperreel.net import TcpNetwork
 from juniperreel.platform.discovery import Discovery
-from juniperreel.platform.endpoint_list import Endpoints
+from juniperreel.platform.endpoint_list import EndpointList
 from juniperreel.platform.log import Log
 from juniperreel.routing.types import (
     Readiness,
@@ -40,7 +40,7 @@
     def __init__(self, clock: trio.testing.MockClock, nursery: trio.Nursery) -> None:
         self.clock, self.nursery = clock, nursery
         self.server = MemberEnd()
-        self.told: list[tuple[UpdateKind, Endpoints | None]] = []
+        self.told: list[tuple[UpdateKind, EndpointList | None]] = []
         self.on_tell: Callable[[UpdateKind], None] = lambda kind: None
         self.discovery = Discovery(
             TcpNetwork(),
@@ -53,7 +53,7 @@
         )
         self.discovery.version = 3
 
-    def _tell(self, kind: UpdateKind, endpoints: Endpoints | None) -> None:
+    def _tell(self, kind: UpdateKind, endpoints: EndpointList | None) -> None:
         self.told.append((kind, endpoints))
         self.on_tell(kind)
 
--- a/tests/platform/test_driver.py
+++ b/tests/platform/test_driver.py
@@ -247,7 +247,7 @@
 def test_silent_and_half_spoken_clients_end_within_their_time(world: World) -> None:
     silent, half = FakeTransport(), FakeTransport()
     for wire in (silent, half):
-        world.driver.front.welcome(wire)
+        world.driver.client_listener.welcome(wire)
     world.say(half, HELLO + b"Q\0\0\0\x20SELE")
     asked = world.client(b"")
     world.pass_us(2500 * MS)
@@ -262,7 +262,7 @@
     limit = world.driver.budget.client_limit
     wires = [FakeTransport() for _ in range(limit + 200)]
     for wire in wires:
-        world.driver.front.welcome(wire)
+        world.driver.client_listener.welcome(wire)
     assert world.driver.budget.clients == limit
     client = world.client(read_text(IDS[0]))
     (call,) = world.calls()
@@ -284,7 +284,7 @@
 
 
 def test_a_leaving_driver_cuts_deadlines_to_the_kill(world: World) -> None:
-    world.driver.leave()
+    world.driver.begin_shutdown()
     world.pass_us(3000 * MS)
     client = world.client(read_text(IDS[0], span=2000))
     (call,) = world.calls()
@@ -303,7 +303,7 @@
     from tests.platform.event_harness import entry
 
     moved = {"seq": 4, "whole": False, "hosts": [entry("a", 2002), entry("p", 2001)]}
-    world.driver.told(UpdateKind.DELTA, read_list(moved, ["east"], ["k"]))
+    world.driver.on_endpoint_update(UpdateKind.DELTA, read_list(moved, ["east"], ["k"]))
     world.turn()
     assert call.closed
     world.client(read_text(IDS[1]))
@@ -313,7 +313,7 @@
 def test_a_failed_discovery_is_asked_again(world: World) -> None:
     world.pass_us(200 * MS)
     assert world.asked == [True]
-    world.driver.told(UpdateKind.FAILED, None)
+    world.driver.on_endpoint_update(UpdateKind.FAILED, None)
     world.turn()
     world.pass_us(1500 * MS)
     assert world.asked == [True, True]
@@ -336,7 +336,7 @@
         world.pass_us(5 * SEC)
         fresh = entry(f"n{round_}", 2000 + round_, replication="standby")
         lists = {"seq": 10 + round_, "whole": True, "hosts": [*HOSTS, fresh]}
-        world.driver.told(UpdateKind.SNAPSHOT, read(lists, ["east"], ["k"]))
+        world.driver.on_endpoint_update(UpdateKind.SNAPSHOT, read(lists, ["east"], ["k"]))
         world.turn()
         client = world.client(read_text(f"{round_:016x}"))
         for call in world.calls():
@@ -345,5 +345,5 @@
         world.end(client)
     world.pass_us(2 * SEC)
     assert len(world.driver._recent) <= 7
-    assert set(world.driver.links.pools) == {"p", "a", "n39"}
+    assert set(world.driver.endpoint_pools.pools) == {"p", "a", "n39"}
     assert b"C42710" in world.client(read_text(f"{39:016x}")).take()
--- a/tests/platform/test_guards.py
+++ b/tests/platform/test_guards.py
@@ -1,4 +1,4 @@
-"""The small classes without I/O: descriptors, idle connections, shutdown, alarms, facts, lists,
+"""The small classes without I/O: descriptors, idle connections, shutdown, timers, parameter status, lists,
 configuration."""
 
 from __future__ import annotations
@@ -13,12 +13,12 @@
 
 from juniperreel.platform import endpoint_list, parameter_status
 from juniperreel.platform.config import ConfigError, parse
-from juniperreel.platform.descriptor_budget import Budget
+from juniperreel.platform.descriptor_budget import DescriptorBudget
 from juniperreel.platform.discovery import ANSWER_US
 from juniperreel.platform.graceful_shutdown import GracefulShutdown
 from juniperreel.platform.idle_timeout import IdleTimeout
 from juniperreel.platform.run import watch_wait_us
-from juniperreel.platform.timer_queue import Alarms
+from juniperreel.platform.timer_queue import TimerQueue
 from juniperreel.routing.types import (
     LoadReport,
     Readiness,
@@ -29,7 +29,7 @@
 
 @pytest.mark.parametrize("total", [64, 256, 384, 1024])
 def test_clients_and_members_share_the_descriptors(total: int) -> None:
-    budget = Budget(total)
+    budget = DescriptorBudget(total)
     assert budget.client_limit + budget.member_limit < total
     assert budget.client_limit > total / 3 - 8
 
@@ -77,13 +77,13 @@
         assert wait_s * SEC + ANSWER_US < 6 * SEC  # what a silent watch misses counts as told then
 
 
-def test_alarms_ring_in_order_of_their_time() -> None:
-    alarms, rung = Alarms(), list[int]()
+def test_timers_run_in_order_of_their_time() -> None:
+    timers, rung = TimerQueue(), list[int]()
     for due in (30, 10, 20, 10):
-        alarms.at(due, lambda due=due: rung.append(due))  # type: ignore[misc]
-    assert alarms.due() == 10
-    alarms.ring(20)
-    assert rung == [10, 10, 20] and alarms.due() == 30
+        timers.call_at(due, lambda due=due: rung.append(due))  # type: ignore[misc]
+    assert timers.next_due_us() == 10
+    timers.run_due(20)
+    assert rung == [10, 10, 20] and timers.next_due_us() == 30
 
 
 def test_facts_are_read_and_noise_is_left_out() -> None:
@@ -130,7 +130,7 @@
     [None, [], {}, {"seq": 1, "whole": True, "hosts": []}, {"seq": "1", "whole": False, "hosts": []}],
 )
 def test_what_is_no_list_is_named(raw: Any) -> None:
-    with pytest.raises(endpoint_list.ListError):
+    with pytest.raises(endpoint_list.EndpointListInvalid):
         endpoint_list.read(raw, [], [])
 
 
--- a/tests/platform/test_planted.py
+++ b/tests/platform/test_planted.py
@@ -14,10 +14,10 @@
 from juniperreel.net.acceptor import Acceptor
 from juniperreel.net.transport import Transport
 from juniperreel.platform import discovery
-from juniperreel.platform.client_listener import Client, Command, Front
+from juniperreel.platform.client_listener import ClientConnection, ClientListener, Command
 from juniperreel.platform.discovery import Discovery
 from juniperreel.platform.driver import PlatformDriver
-from juniperreel.platform.endpoint_list import Endpoints
+from juniperreel.platform.endpoint_list import EndpointList
 from juniperreel.routing.policy.router import Router
 from juniperreel.routing.types import (
     Endpoint,
@@ -43,11 +43,11 @@
         finish(wire)
 
     patch.setattr(Transport, "write_eof", planted)
-    patch.setattr(Client, "idle", property(lambda client: not client.commands))
+    patch.setattr(ClientConnection, "idle", property(lambda client: not client.commands))
 
 
 def deadline_not_cut_at_sigterm(patch: Patch) -> None:
-    patch.setattr(PlatformDriver, "leave", lambda driver: driver.shutdown.begin(driver.now()))
+    patch.setattr(PlatformDriver, "begin_shutdown", lambda driver: driver.shutdown.begin(driver.now()))
 
 
 def older_list_taken(patch: Patch) -> None:
@@ -75,8 +75,8 @@
         it._tell = lambda kind, endpoints: told(kind, endpoints and reborn(endpoints))
         move(it, address)
 
-    def reborn(endpoints: Endpoints) -> Endpoints:
-        return Endpoints(9, True, endpoints.members, endpoints.dials, 0)
+    def reborn(endpoints: EndpointList) -> EndpointList:
+        return EndpointList(9, True, endpoints.members, endpoints.dials, 0)
 
     async def fetch(it: Discovery) -> None:
         exchange = await it._connect()
@@ -92,11 +92,11 @@
         if command.request is not None:
             driver.log.info("gone", request=command.request)
 
-    patch.setattr(PlatformDriver, "gone", planted)
+    patch.setattr(PlatformDriver, "client_disconnected", planted)
 
 
 def end_read_after_what_came_before_it(patch: Patch) -> None:
-    patch.setattr(Client, "eof_is_disconnect", False)
+    patch.setattr(ClientConnection, "eof_is_disconnect", False)
 
 
 def ramp_forgotten_at_restart(patch: Patch) -> None:
@@ -132,19 +132,19 @@
 
 
 def busy_connections_read_on(patch: Patch) -> None:
-    patch.setattr(Client, "pause", lambda client: None)
-    read = Client._read
+    patch.setattr(ClientConnection, "pause", lambda client: None)
+    read = ClientConnection._read
 
-    def planted(client: Client) -> None:
-        closing, client._front.closing = client._front.closing, False
+    def planted(client: ClientConnection) -> None:
+        closing, client._listener.closing = client._listener.closing, False
         read(client)
-        client._front.closing = closing
+        client._listener.closing = closing
 
-    patch.setattr(Client, "_read", planted)
+    patch.setattr(ClientConnection, "_read", planted)
 
 
 def spare_descriptors_never_freed(patch: Patch) -> None:
-    patch.setattr(Front, "_spare", lambda front, now: False)
+    patch.setattr(ClientListener, "_spare", lambda front, now: False)
 
 
 PLANTED: list[tuple[Callable[[Patch], None], Callable[..., Any]]] = [
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -44,8 +44,8 @@
 
     async def ask(self, *texts: bytes) -> list[tuple[str | None, bytes | None, str]]:
         """SQLSTATE, value and detail of each, over one connection of libpq's."""
-        assert self.program.door is not None
-        port = self.program.door.port
+        assert self.program.acceptor is not None
+        port = self.program.acceptor.port
         target = f"host=127.0.0.1 port={port} user=worker dbname=catalog connect_timeout=10"
         said = json.dumps([target, [text.hex() for text in texts]]).encode()
         with trio.fail_after(SECONDS):
@@ -122,13 +122,13 @@
             await world.program.reload()
             await world.until(lambda: other.calls >= 1)
             other.change(entry("b", world.members[1].port))
-            await world.until(lambda: "b" in world.program.driver.links.pools)
+            await world.until(lambda: "b" in world.program.driver.endpoint_pools.pools)
             nursery.cancel_scope.cancel()
 
 
 async def test_a_driver_told_to_end_serves_on_and_ends(tmp_path: Path) -> None:
     async with running(tmp_path) as world:
-        world.program.leave()
+        world.program.begin_shutdown()
         found = await world.ask(read_text("00000000000000ad", span=3000))
         assert found[0][0] is None
         assert world.program.driver.shutdown.told
