Tests of the platform have harnesses with whole names; one condition an assertion

World and Stage become EventHarness and SocketHarness, their wires transports and their steps verbs of the field. The plants are renamed and plant the same bugs.

Run: tests/platform, tests/net and tests/test_docs.py.

--- a/juniperreel/platform/endpoint_pools.py
+++ b/juniperreel/platform/endpoint_pools.py
@@ -24,7 +24,7 @@
 class Connect(Protocol):
     """Begins to open a connection."""
 
-    def __call__(self, host: str, port: int) -> Transport:
+    def __call__(self, host: str, port: int, /) -> Transport:
         """Return the transport. Raises OSError where not even a socket can be had."""
         ...
 
--- a/tests/net/test_ports.py
+++ b/tests/net/test_ports.py
@@ -18,7 +18,8 @@
         listener = await network.listen("127.0.0.1", held.port)
         stream = await network.connect("127.0.0.1", held.port, 5_000_000)
         ours = await listener.accept()
-        assert listener.port == held.port and not hung_up(ours)
+        assert listener.port == held.port
+        assert not hung_up(ours)
         await stream.aclose()
         assert hung_up(ours)
         await ours.aclose()
@@ -39,7 +40,7 @@
             assert stream.socket.getsockname()[1] not in kept
             stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
             await stream.aclose()
-    with socket.socket() as other, pytest.raises(OSError):
+    with socket.socket() as other, pytest.raises(OSError, match="in use"):
         other.bind(("127.0.0.1", held[0].port))
     await listener.aclose()
     for port in held:
--- a/tests/platform/event_harness.py
+++ b/tests/platform/event_harness.py
@@ -1,4 +1,4 @@
-"""A driver on a hand-moved clock, with wires that only remember: for tests by events."""
+"""A driver on a manual clock, with transports that only record: for tests without sockets."""
 
 from __future__ import annotations
 
@@ -94,38 +94,45 @@
 
 
 class FakeTransport(Transport):
+    """Records what is written on it; the test plays the other end through its protocol."""
+
     def __init__(self) -> None:
         self.protocol: Protocol | None = None
-        self.closed = self.paused = self.finished = self.unread = False
+        self.closed = False
+        self.reading_paused = False
+        self.eof_written = False
+        self.has_unread = False
         self.sent = bytearray()
-        self.stuck = 0  # bytes that the kernel does not take
+        self.unsent_bytes = 0  # that the kernel does not take
 
     @property
     def write_buffer_size(self) -> int:
-        return self.stuck
+        return self.unsent_bytes
 
     def write(self, data: bytes | bytearray) -> None:
-        if not self.finished:
+        if not self.eof_written:
             self.sent += data
 
     def take(self) -> bytes:
-        sent, self.sent = bytes(self.sent), bytearray()
+        """Return what was written since the last call."""
+        sent = bytes(self.sent)
+        self.sent.clear()
         return sent
 
     def has_nothing_to_read(self) -> bool:
-        return not self.closed and not self.unread
+        return not self.closed and not self.has_unread
 
     def close(self) -> None:
         self.closed = True
 
     def write_eof(self) -> None:
-        self.finished = True
+        self.eof_written = True
 
     def pause_reading(self) -> None:
-        self.paused = True
+        self.reading_paused = True
 
     def resume_reading(self) -> None:
-        self.paused = False
+        self.reading_paused = False
 
 
 def read_text(name: str, cls: str = "view", span: int = 800, key: str = "row-1", **more: Any) -> bytes:
@@ -163,13 +170,13 @@
         self.calls.append("fetch")
 
 
-class World:
-    """One driver, its clients and its members' ends."""
+class EventHarness:
+    """One driver, its clients and the remote ends of its connections to endpoints."""
 
     def __init__(self, **changes: Any) -> None:
         self.time = 1_767_225_600 * SEC
         self.config: Config = parse_config(config_bytes(**changes))
-        self.dialled: list[tuple[int, FakeTransport]] = []
+        self.opened: list[tuple[int, FakeTransport]] = []
         self.discovery = FakeDiscovery()
         self.out = io.StringIO()
         self.driver = PlatformDriver(
@@ -178,58 +185,64 @@
         self.driver.on_endpoint_update(
             UpdateKind.CACHED, read_endpoint_list(self.config.cached_endpoint_list, ["east"], ["k"])
         )
-        self.turn()
+        self.process()
 
-    def _connect(self, host: str, port: int) -> FakeTransport:
-        wire = FakeTransport()
-        self.dialled.append((port, wire))
-        return wire
+    def _connect(self, _host: str, port: int) -> FakeTransport:
+        transport = FakeTransport()
+        self.opened.append((port, transport))
+        return transport
 
-    def turn(self) -> None:
+    def process(self) -> None:
+        """Give the driver its turn."""
         self.driver.input_ready_since_us = self.time
         self.driver.process_pending()
 
-    def pass_us(self, span: int) -> None:
-        """Let time pass with all that falls due."""
+    def advance_us(self, span: int) -> None:
+        """Advance the clock, and give the driver its turn whenever something is due."""
         end = self.time + span
         while (due := self.driver.next_due_us()) is not None and due <= end:
             self.time = max(self.time, due)
-            self.turn()
+            self.process()
         self.time = end
-        self.turn()
+        self.process()
 
     def client(self, *texts: bytes) -> FakeTransport:
-        wire = FakeTransport()
-        self.driver.client_listener.accept(wire)
-        assert wire.protocol is not None
-        wire.protocol.data_received(HELLO + b"".join(map(m.query, texts)))
-        del wire.sent[: len(server.WELCOME)]
-        self.turn()
-        return wire
-
-    def say(self, wire: FakeTransport, data: bytes) -> None:
-        assert wire.protocol is not None
-        wire.protocol.data_received(data)
-        self.turn()
-
-    def end(self, wire: FakeTransport) -> None:
-        wire.closed = True
-        assert wire.protocol is not None
-        wire.protocol.connection_lost("closed")
-        self.turn()
-
-    def up(self, wire: FakeTransport) -> bytes:
-        """The member welcomes a new connection; returns the query that follows."""
-        assert wire.protocol is not None
-        wire.protocol.connection_made()
-        wire.take()
-        self.say(wire, server.WELCOME)
-        return wire.take()
-
-    def calls(self) -> list[FakeTransport]:
-        """Members' ends that have a request on them or before them, in order."""
+        """Connect a client that sends these queries; its welcome is not among what was sent to it."""
+        transport = FakeTransport()
+        self.driver.client_listener.accept(transport)
+        assert transport.protocol is not None
+        transport.protocol.data_received(HELLO + b"".join(map(m.query, texts)))
+        del transport.sent[: len(server.WELCOME)]
+        self.process()
+        return transport
+
+    def feed(self, transport: FakeTransport, data: bytes) -> None:
+        """Let bytes arrive from the other end."""
+        assert transport.protocol is not None
+        transport.protocol.data_received(data)
+        self.process()
+
+    def disconnect(self, transport: FakeTransport) -> None:
+        """Let the other end close the connection."""
+        transport.closed = True
+        assert transport.protocol is not None
+        transport.protocol.connection_lost("closed")
+        self.process()
+
+    def log_in(self, transport: FakeTransport) -> bytes:
+        """Let the endpoint accept a new connection and welcome it; return the query that follows."""
+        assert transport.protocol is not None
+        transport.protocol.connection_made()
+        transport.take()
+        self.feed(transport, server.WELCOME)
+        return transport.take()
+
+    def busy_transports(self) -> list[FakeTransport]:
+        """Return the open connections to endpoints that have an exchange, in the order of their opening."""
         return [
-            w
-            for _, w in self.dialled
-            if isinstance(w.protocol, EndpointConnection) and w.protocol.exchange is not None and not w.closed
+            transport
+            for _, transport in self.opened
+            if isinstance(transport.protocol, EndpointConnection)
+            and transport.protocol.exchange is not None
+            and not transport.closed
         ]
--- a/tests/platform/socket_harness.py
+++ b/tests/platform/socket_harness.py
@@ -1,5 +1,4 @@
-"""One driver on real loopback sockets, turned by hand on a hand-moved clock: for tests that force the order
-in which two events cross."""
+"""One driver on real loopback sockets and a manual clock: for tests that force the order of two events."""
 
 from __future__ import annotations
 
@@ -27,11 +26,13 @@
 )
 from tests.platform.event_harness import HELLO, FakeDiscovery, config_bytes, entry, row
 
-PATIENCE_S = 30  # far more than anything here takes
-LOOK_S = 0.02
+TIMEOUT_S = 30  # far more than anything here takes
+POLL_TIMEOUT_S = 0.02
 
 
-class HandClock(Clock):
+class ManualClock(Clock):
+    """A clock that only the test advances."""
+
     def __init__(self) -> None:
         super().__init__(0)
         self.time = 1_767_225_600_000_000
@@ -40,7 +41,7 @@
         return self.time
 
 
-class End:
+class RemoteEnd:
     """The other end of one connection. `ended` is None, "fin" or "reset"."""
 
     def __init__(self, sock: socket.socket) -> None:
@@ -77,19 +78,19 @@
         self.sock.close()
 
 
-class MemberEnd:
+class FakeEndpoint:
     """A member's listening socket. Nothing is answered but by the test."""
 
     def __init__(self) -> None:
         self.sock = socket.create_server(("127.0.0.1", 0))
         self.sock.setblocking(False)
         self.port: int = self.sock.getsockname()[1]
-        self.ends: list[End] = []
+        self.ends: list[RemoteEnd] = []
 
-    def accept(self) -> list[End]:
+    def accept(self) -> list[RemoteEnd]:
         with contextlib.suppress(BlockingIOError):
             while True:
-                self.ends.append(End(self.sock.accept()[0]))
+                self.ends.append(RemoteEnd(self.sock.accept()[0]))
         return self.ends
 
     @property
@@ -97,18 +98,18 @@
         return b"".join(end.read() for end in self.accept())
 
 
-class Stage:
+class SocketHarness:
     """A primary `p` and a replica `a`; use as a context manager."""
 
     def __init__(self, **changes: Any) -> None:
-        self.members = {"p": MemberEnd(), "a": MemberEnd()}
+        self.members = {"p": FakeEndpoint(), "a": FakeEndpoint()}
         hosts = [
             entry("p", self.members["p"].port, replication="primary"),
             entry("a", self.members["a"].port, replication="standby"),
         ]
-        self.clock = HandClock()
+        self.clock = ManualClock()
         self.poller = Poller(self.clock)
-        self.wires: list[Transport] = []  # of clients
+        self.client_transports: list[Transport] = []
         self.out = io.StringIO()
         config = parse_config(config_bytes(known={"seq": 3, "whole": True, "hosts": hosts}, **changes))
         self.driver = PlatformDriver(
@@ -121,10 +122,10 @@
         self.driver.on_endpoint_update(
             UpdateKind.CACHED, read_endpoint_list(config.cached_endpoint_list, ["east"], ["k"])
         )
-        self.acceptor = Acceptor(self.poller, "127.0.0.1", 0, self._welcome)
-        self.turn()
+        self.acceptor = Acceptor(self.poller, "127.0.0.1", 0, self._accept)
+        self.process()
 
-    def __enter__(self) -> Stage:
+    def __enter__(self) -> SocketHarness:
         return self
 
     def __exit__(self, *_: object) -> None:
@@ -134,54 +135,55 @@
                 end.close()
         self.poller.close()
 
-    def _welcome(self, wire: Transport) -> None:
-        self.wires.append(wire)
-        self.driver.client_listener.accept(wire)
+    def _accept(self, transport: Transport) -> None:
+        self.client_transports.append(transport)
+        self.driver.client_listener.accept(transport)
 
-    def turn(self) -> None:
+    def process(self) -> None:
+        """Give the driver its turn without polling."""
         self.driver.input_ready_since_us = self.clock.time
         self.driver.process_pending()
 
-    async def step(self) -> None:
-        """One round of the poll, if anything is there or comes soon."""
-        with trio.move_on_after(LOOK_S):
+    async def poll_once(self) -> None:
+        """Poll once and give the driver its turn; return soon where nothing is ready."""
+        with trio.move_on_after(POLL_TIMEOUT_S):
             await self.poller.wait(None)
         self.driver.input_ready_since_us = self.clock.time
         self.poller.dispatch()
         self.driver.process_pending()
 
     async def until(self, what: Callable[[], Any]) -> None:
-        with trio.fail_after(PATIENCE_S):
+        with trio.fail_after(TIMEOUT_S):
             while not what():
-                await self.step()
+                await self.poll_once()
 
-    async def there(self, wire: Transport, mask: int = select.POLLIN) -> None:
-        """What was sent to the driver, or that the other side has ended, is in the kernel, unread."""
+    async def wait_for_event(self, transport: Transport, mask: int = select.POLLIN) -> None:
+        """Return once the kernel holds what was sent to the driver, or its end, unread."""
         poll = select.poll()
-        poll.register(wire._socket, mask)
-        with trio.fail_after(PATIENCE_S):
+        poll.register(transport._socket, mask)
+        with trio.fail_after(TIMEOUT_S):
             while not any(found & mask for _, found in poll.poll(0)):
                 await trio.sleep(0.001)
 
-    def pass_us(self, span: int) -> None:
-        """Time passes with all that falls due; what comes on sockets meanwhile waits."""
+    def advance_us(self, span: int) -> None:
+        """Advance the clock with all that falls due; what arrives on sockets meanwhile waits."""
         end = self.clock.time + span
         while (due := self.driver.next_due_us()) is not None and due <= end:
             self.clock.time = max(self.clock.time, due)
-            self.turn()
+            self.process()
         self.clock.time = end
-        self.turn()
+        self.process()
 
-    def connect(self, buffer: int = 0) -> End:
-        """`buffer`: of what the client has not read; small ones leave answers pending."""
+    def connect(self, buffer: int = 0) -> RemoteEnd:
+        """Connect a client; a small receive `buffer` leaves answers in the driver's buffer."""
         sock = socket.socket()
         if buffer:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer)
         sock.connect(("127.0.0.1", self.acceptor.port))
-        return End(sock)
+        return RemoteEnd(sock)
 
-    async def client(self, *texts: bytes, buffer: int = 0) -> End:
-        """Connected and welcomed; `texts` are sent behind that."""
+    async def client(self, *texts: bytes, buffer: int = 0) -> RemoteEnd:
+        """Connect a client, and send `texts` once it is welcomed."""
         end = self.connect(buffer)
         end.send(HELLO)
         await self.until(lambda: end.read().endswith(m.READY))
@@ -190,15 +192,15 @@
             end.send(m.query(text))
         return end
 
-    async def query(self, name: str) -> End:
-        """The member's end of the connection on which the next query comes; new ones are welcomed."""
+    async def next_query(self, name: str) -> RemoteEnd:
+        """Return the endpoint's end of the connection on which the next query arrives; welcome new ones."""
         member = self.members[name]
-        welcomed: set[End] = set()
+        logged_in: set[RemoteEnd] = set()
 
         def come() -> bool:
             for end in member.accept():
-                if end not in welcomed and end.read().startswith(HELLO[:8]):
-                    welcomed.add(end)
+                if end not in logged_in and end.read().startswith(HELLO[:8]):
+                    logged_in.add(end)
                     end.take()
                     end.send(server.WELCOME)
             return any(end.read().startswith(b"Q") for end in member.ends)
@@ -206,26 +208,26 @@
         await self.until(come)
         return next(end for end in member.ends if end.got.startswith(b"Q"))
 
-    async def answered(self, client: End, most: int = 1 << 20) -> bytes:
-        """All that the client had, its last command's answer included. `most`: read at once."""
+    async def read_answer(self, client: RemoteEnd, most: int = 1 << 20) -> bytes:
+        """Return all that the client received, up to the answer to its last command. `most`: read at once."""
         await self.until(lambda: client.read(most).endswith(m.READY))
         return bytes(client.got)
 
-    async def finished(self, end: End) -> str | None:
-        """How the driver ended the connection."""
+    async def wait_for_end(self, end: RemoteEnd) -> str | None:
+        """Return how the driver ended the connection."""
         await self.until(lambda: end.read() is None or end.ended)
         return end.ended
 
-    async def rests(self, name: str) -> None:
-        """A connection to the member is at rest."""
+    async def wait_until_idle(self, name: str) -> None:
+        """Return once a connection to the endpoint is idle."""
         await self.until(lambda: self.driver.endpoint_pools.pools[name].idle)
 
-    async def probed(self, lag_us: int = 0) -> None:
-        """Roles and positions of both members are known, their connections at rest."""
+    async def learn_positions(self, lag_us: int = 0) -> None:
+        """Let the driver learn roles and positions of both endpoints; their connections are idle then."""
         for name in self.members:
             self.driver.start_health_check(name)
-            end = await self.query(name)
+            end = await self.next_query(name)
             end.take()
             position = (self.clock.time - (lag_us if name == "a" else 0)) / 1_000_000
             end.send(row(b"x0=%.6f,x1=%d,queue=0" % (position, name == "p")))
-            await self.rests(name)
+            await self.wait_until_idle(name)
--- a/tests/platform/test_any_customer.py
+++ b/tests/platform/test_any_customer.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from juniperreel.postgres import messages as m
-from tests.platform.event_harness import MS, SETTINGS, World, read_text, row, write_text
+from tests.platform.event_harness import MS, SETTINGS, EventHarness, read_text, row, write_text
 
 ROOT = Path(__file__).parents[2]
 RUN = ("routing", "platform_settings.py", "platform", "postgres", "net")
@@ -79,7 +79,7 @@
 def test_every_request_of_any_customer_has_one_final_answer_in_time(
     said: dict[str, Any], answers: bool
 ) -> None:
-    world = World(settings=said)
+    harness = EventHarness(settings=said)
     for number, (kind, consistency) in enumerate(
         zip(said["services"], said["specifics"]["consistency"], strict=True)
     ):
@@ -89,24 +89,25 @@
         text = (
             write_text(name, span)
             if write
-            else read_text(name, span=span, k=name, after=world.time // MS - 500)
+            else read_text(name, span=span, k=name, after=harness.time // MS - 500)
         )
         tenant = f"t={said['tenants'][0]['name']}," if said["tenants"] else ""
         text = re.sub(rb"c=[a-z]+,t=acme,", f"c={kind['name']},{tenant}".encode(), text)
-        client = world.client(text)
-        end = world.time + span * MS
-        while not client.sent and world.time <= end + 50 * MS:
-            for call in world.calls():
-                asked = call.take() or world.up(call)
+        client = harness.client(text)
+        end = harness.time + span * MS
+        while not client.sent and harness.time <= end + 50 * MS:
+            for call in harness.busy_transports():
+                asked = call.take() or harness.log_in(call)
                 if answers and asked.startswith(b"Q"):
-                    role = "primary" if call is world.dialled[0][1] else "standby"
-                    world.say(call, row(b"v", role, world.time // MS))
-            world.pass_us(10 * MS)
+                    role = "primary" if call is harness.opened[0][1] else "standby"
+                    harness.feed(call, row(b"v", role, harness.time // MS))
+            harness.advance_us(10 * MS)
         got = client.take()
-        assert got.count(m.READY) == 1 and got[:1] in b"TE", (kind, consistency, got)
-        world.pass_us(100 * MS)
+        assert got.count(m.READY) == 1, (kind, consistency, got)
+        assert got[:1] in b"TE", (kind, consistency, got)
+        harness.advance_us(100 * MS)
         assert not client.sent  # and no second one
-    assert "policy raised on batch" not in world.out.getvalue()
+    assert "policy raised on batch" not in harness.out.getvalue()
 
 
 def named(value: Any, under: tuple[str, ...] = ()) -> set[str]:
--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -53,7 +53,8 @@
         """A client's connection, once an empty query was answered on it."""
         end = time.monotonic() + SECONDS
         while True:
-            assert self.process.poll() is None and time.monotonic() < end, self.log.read_text()
+            assert self.process.poll() is None, self.log.read_text()
+            assert time.monotonic() < end, self.log.read_text()
             try:
                 client = socket.create_connection(("127.0.0.1", self.port), timeout=SECONDS)
                 break
@@ -76,7 +77,8 @@
         while not any(
             json.loads(line)["event"] == event for line in self.log.read_text().splitlines(True)[:-1]
         ):
-            assert self.process.poll() is None and time.monotonic() < end, self.log.read_text()
+            assert self.process.poll() is None, self.log.read_text()
+            assert time.monotonic() < end, self.log.read_text()
             os.sched_yield()
 
 
@@ -101,10 +103,12 @@
         assert "ld-" in maps
         inodes = {link for fd in (proc / "fd").iterdir() if (link := os.readlink(fd)).startswith("socket:")}
         six = {f"socket:[{line.split()[9]}]" for line in (proc / "net/tcp6").read_text().splitlines()[1:]}
-        assert inodes and not inodes & six
+        assert inodes
+        assert not inodes & six
         started.process.send_signal(signal.SIGHUP)
         started.says("configuration reloaded")
-        assert started.process.poll() is None and started.children() == []
+        assert started.process.poll() is None
+        assert started.children() == []
 
 
 @LINUX
@@ -126,7 +130,8 @@
         caught = int(Path(loads).read_text().split("SigCgt:")[1].split()[0], 16)
         if caught >> (signal.SIGTERM - 1) & 1:
             break
-        assert started.process.poll() is None and time.monotonic() < end, started.log.read_text()
+        assert started.process.poll() is None, started.log.read_text()
+        assert time.monotonic() < end, started.log.read_text()
         os.sched_yield()
     started.process.send_signal(signal.SIGTERM)
     started.says("graceful shutdown started")
@@ -148,7 +153,8 @@
             capture_output=True,
             timeout=SECONDS,
         )
-    assert done.returncode == 1 and b"listen failed" in done.stderr
+    assert done.returncode == 1
+    assert b"listen failed" in done.stderr
 
 
 def test_run_imports_nothing_that_starts_programs() -> None:
@@ -163,6 +169,7 @@
 
 
 def test_build_and_run_lines_have_the_operators_form() -> None:
-    assert DEPLOY["run"].startswith("exec ") and DEPLOY["sim"].startswith("exec ")
+    assert DEPLOY["run"].startswith("exec ")
+    assert DEPLOY["sim"].startswith("exec ")
     for path in (*DEPLOY["policy"], *DEPLOY["node"]):
         assert (ROOT / path).exists()
--- a/tests/platform/test_discovery.py
+++ b/tests/platform/test_discovery.py
@@ -21,7 +21,7 @@
     UpdateKind,
 )
 from tests.platform.event_harness import SEC, entry
-from tests.platform.socket_harness import PATIENCE_S, End, MemberEnd
+from tests.platform.socket_harness import TIMEOUT_S, FakeEndpoint, RemoteEnd
 
 WAIT_US = 4 * SEC
 
@@ -38,10 +38,11 @@
     """A driver's discovery, and what it told. `server` is where it calls."""
 
     def __init__(self, clock: trio.testing.MockClock, nursery: trio.Nursery) -> None:
-        self.clock, self.nursery = clock, nursery
-        self.server = MemberEnd()
+        self.clock = clock
+        self.nursery = nursery
+        self.server = FakeEndpoint()
         self.told: list[tuple[UpdateKind, EndpointList | None]] = []
-        self.on_tell: Callable[[UpdateKind], None] = lambda kind: None
+        self.on_tell: Callable[[UpdateKind], None] = lambda _kind: None
         self.discovery = Discovery(
             TcpNetwork(),
             ("127.0.0.1", self.server.port),
@@ -64,12 +65,12 @@
         return lists[-1].endpoints[0].readiness
 
     async def until(self, what: Callable[[], Any]) -> None:
-        end = time.monotonic() + PATIENCE_S
+        end = time.monotonic() + TIMEOUT_S
         while not what():
             assert time.monotonic() < end
             await trio.lowlevel.checkpoint()
 
-    async def call(self, number: int, server: MemberEnd | None = None) -> End:
+    async def call(self, number: int, server: FakeEndpoint | None = None) -> RemoteEnd:
         """The end on which the server's call of this number came, whole."""
         where = server or self.server
 
@@ -106,7 +107,8 @@
         slow.send(http(body(4, "Ready")))
         await it.until(lambda: slow.read() is None or slow.ended)
         await trio.testing.wait_all_tasks_blocked()
-        assert it.health is Readiness.DRAINING and it.discovery.version == 5
+        assert it.health is Readiness.DRAINING
+        assert it.discovery.version == 5
         assert b"after=5" in (await it.call(2)).got
 
 
@@ -116,7 +118,7 @@
     async with calls(mock_clock) as it:
         it.discovery.fetch()
         old = await it.call(1)
-        elsewhere = MemberEnd()
+        elsewhere = FakeEndpoint()
         it.discovery.change_address(("127.0.0.1", elsewhere.port))
         watch = await it.call(1, elsewhere)
         watch.send(http(body(7, "Terminating")))
@@ -158,7 +160,8 @@
         watch.send(http(body(4, "Terminating", whole=False)))
         it.discovery.subscribe(True)
         await it.until(lambda: it.told)
-        assert it.health is Readiness.DRAINING and len(it.server.accept()) == 1
+        assert it.health is Readiness.DRAINING
+        assert len(it.server.accept()) == 1
 
 
 async def test_a_discovery_that_began_anew_is_believed(mock_clock: trio.testing.MockClock) -> None:
@@ -169,7 +172,8 @@
         watch.take()
         watch.send(http(body(2, "Terminating")))
         await it.until(lambda: it.told)
-        assert it.health is Readiness.DRAINING and b"after=2&" in (await it.call(1)).got
+        assert it.health is Readiness.DRAINING
+        assert b"after=2&" in (await it.call(1)).got
         watch.send(http(body(1, "Ready", whole=False)))  # changes to a list that was never had
         await it.until(lambda: len(it.told) == 2)
         assert it.told[-1] == (UpdateKind.FAILED, None)
--- a/tests/platform/test_guards.py
+++ b/tests/platform/test_guards.py
@@ -41,7 +41,8 @@
     assert timeout.allows(60 * SEC)
     for n in range(20):
         timeout.record_use(4 * SEC + n, 300 * MS, n % 3 != 0)
-    assert not timeout.allows(300 * MS) and timeout.allows(200 * MS)
+    assert not timeout.allows(300 * MS)
+    assert timeout.allows(200 * MS)
     for n in range(40):
         timeout.record_use((8 + n) * SEC, 2 * MS, True)
     assert timeout.allows(300 * MS)  # what is no longer tried is forgotten, and tried again
@@ -56,11 +57,13 @@
 
 def test_a_shutdown_ends_connections_then_answers_before_the_kill() -> None:
     shutdown = GracefulShutdown(2 * SEC)
-    assert shutdown.latest_answer_us(9 * SEC) == 9 * SEC and not shutdown.closes_connections(9 * SEC)
+    assert shutdown.latest_answer_us(9 * SEC) == 9 * SEC
+    assert not shutdown.closes_connections(9 * SEC)
     shutdown.begin(10 * SEC)
     shutdown.begin(11 * SEC)  # a second SIGTERM changes nothing
     kill = 10 * SEC + 2 * SEC + 700 * MS
-    assert not shutdown.closes_connections(kill - 600 * MS) and shutdown.closes_connections(kill - 500 * MS)
+    assert not shutdown.closes_connections(kill - 600 * MS)
+    assert shutdown.closes_connections(kill - 500 * MS)
     assert shutdown.latest_answer_us(60 * SEC) == kill - 200 * MS
     assert shutdown.is_over(kill - 100 * MS)
     assert GracefulShutdown(9 * SEC).latest_answer_us(60 * SEC) == 60 * SEC
@@ -83,7 +86,8 @@
         timers.call_at(due, lambda due=due: rung.append(due))  # type: ignore[misc]
     assert timers.next_due_us() == 10
     timers.run_due(20)
-    assert rung == [10, 10, 20] and timers.next_due_us() == 30
+    assert rung == [10, 10, 20]
+    assert timers.next_due_us() == 30
 
 
 def test_facts_are_read_and_noise_is_left_out() -> None:
@@ -117,9 +121,12 @@
         ],
     }
     found = endpoint_list.read_endpoint_list(raw, ["east"], ["k"])
-    assert found.unreadable_lines == 4 and found.version == 7 and found.addresses == {"a": ("127.0.0.1", 1)}
+    assert found.unreadable_lines == 4
+    assert found.version == 7
+    assert found.addresses == {"a": ("127.0.0.1", 1)}
     (member,) = found.endpoints
-    assert member.readiness is Readiness.DRAINING and member.listed_primary
+    assert member.readiness is Readiness.DRAINING
+    assert member.listed_primary
     assert member.started_us == 1767225600123500
     gone = endpoint_list.read_endpoint_list(
         {"seq": 8, "whole": False, "hosts": [{"host": "a", "health": "Gone"}]}, [], []
@@ -151,8 +158,10 @@
 
 def test_a_configuration_is_read_whole_or_not_at_all() -> None:
     config = parse_config(config_bytes())
-    assert config.discovery == ("127.0.0.1", 9) and config.seed == 0x5F
-    assert config.connect_timeout_us == 250 * MS and config.router.must_poll
+    assert config.discovery == ("127.0.0.1", 9)
+    assert config.seed == 0x5F
+    assert config.connect_timeout_us == 250 * MS
+    assert config.router.must_poll
     without = {k: v for k, v in SETTINGS.items() if k != "rules"}
     for data in (
         b"",
--- a/tests/platform/test_planted.py
+++ b/tests/platform/test_planted.py
@@ -40,9 +40,9 @@
 def answer_dropped_while_pending(patch: Patch) -> None:
     finish = Transport.write_eof
 
-    def planted(wire: Transport) -> None:
-        wire._write_buffer.clear()
-        finish(wire)
+    def planted(transport: Transport) -> None:
+        transport._write_buffer.clear()
+        finish(transport)
 
     patch.setattr(Transport, "write_eof", planted)
     patch.setattr(ClientConnection, "is_idle", property(lambda client: not client.commands))
@@ -52,24 +52,24 @@
     patch.setattr(PlatformDriver, "begin_shutdown", lambda driver: driver.shutdown.begin(driver.now()))
 
 
-def older_list_taken(patch: Patch) -> None:
-    take = Discovery._accept_list
+def stale_list_accepted(patch: Patch) -> None:
+    accept = Discovery._accept_list
 
-    def planted(it: Discovery, body: bytes, lists: int) -> None:
-        take(it, body, it._accepted_lists)
+    def planted(it: Discovery, body: bytes, _accepted_before: int) -> None:
+        accept(it, body, it._accepted_lists)
 
     patch.setattr(Discovery, "_accept_list", planted)
 
 
-def watch_trusted_for_ever(patch: Patch) -> None:
+def watch_never_times_out(patch: Patch) -> None:
     patch.setattr(discovery, "RESPONSE_TIMEOUT_US", 3_600_000_000)
 
 
-def open_watch_thrown_away(patch: Patch) -> None:
-    patch.setattr(Discovery, "subscribe", lambda it, on: it._open_watch())
+def open_watch_closed_by_subscribing(patch: Patch) -> None:
+    patch.setattr(Discovery, "subscribe", lambda it, _enabled: it._open_watch())
 
 
-def list_of_the_old_address_taken(patch: Patch) -> None:
+def list_of_the_old_address_accepted(patch: Patch) -> None:
     move = Discovery.change_address
 
     def planted(it: Discovery, address: tuple[str, int]) -> None:
@@ -96,7 +96,7 @@
     patch.setattr(PlatformDriver, "client_disconnected", planted)
 
 
-def end_read_after_what_came_before_it(patch: Patch) -> None:
+def client_disconnect_read_after_its_request(patch: Patch) -> None:
     patch.setattr(ClientConnection, "eof_is_disconnect", False)
 
 
@@ -127,25 +127,26 @@
     patch.setattr(Router, "remember", planted)
 
 
-def one_burst_taken_at_the_door(patch: Patch) -> None:
+def one_burst_accepted_before_the_listener_closes(patch: Patch) -> None:
     accept = Acceptor._accept
-    patch.setattr(Acceptor, "_accept", lambda door, most: accept(door, Acceptor.ACCEPTS_PER_EVENT))
+    patch.setattr(Acceptor, "_accept", lambda acceptor, _max: accept(acceptor, Acceptor.ACCEPTS_PER_EVENT))
 
 
 def busy_connections_read_on(patch: Patch) -> None:
-    patch.setattr(ClientConnection, "pause_reading", lambda client: None)
+    patch.setattr(ClientConnection, "pause_reading", lambda _client: None)
     read = ClientConnection._read_commands
 
     def planted(client: ClientConnection) -> None:
-        closing, client._listener.closing = client._listener.closing, False
+        closing = client._listener.closing
+        client._listener.closing = False
         read(client)
         client._listener.closing = closing
 
     patch.setattr(ClientConnection, "_read_commands", planted)
 
 
-def spare_descriptors_never_freed(patch: Patch) -> None:
-    patch.setattr(ClientListener, "_evict_one", lambda listener, now: False)
+def idle_clients_never_evicted(patch: Patch) -> None:
+    patch.setattr(ClientListener, "_evict_one", lambda _listener, _now: False)
 
 
 PLANTED: list[tuple[Callable[[Patch], None], Callable[..., Any]]] = [
@@ -165,14 +166,17 @@
         deadline_not_cut_at_sigterm,
         test_crossings.test_the_driver_wakes_itself_for_the_last_steps_of_a_shutdown,
     ),
-    (older_list_taken, test_discovery.test_a_whole_list_that_comes_late_does_not_undo_a_newer_change),
+    (stale_list_accepted, test_discovery.test_a_whole_list_that_comes_late_does_not_undo_a_newer_change),
     (
-        watch_trusted_for_ever,
+        watch_never_times_out,
         test_discovery.test_a_silent_watch_is_opened_anew_before_what_it_missed_counts_as_told,
     ),
-    (open_watch_thrown_away, test_discovery.test_a_watch_that_is_open_stays_when_one_is_asked_for),
     (
-        list_of_the_old_address_taken,
+        open_watch_closed_by_subscribing,
+        test_discovery.test_a_watch_that_is_open_stays_when_one_is_asked_for,
+    ),
+    (
+        list_of_the_old_address_accepted,
         test_discovery.test_a_list_asked_for_at_the_old_address_is_asked_for_at_the_new_one,
     ),
     (
@@ -180,7 +184,7 @@
         test_crossings.test_a_client_that_left_in_the_round_of_its_members_reset_is_not_tried_again,
     ),
     (
-        end_read_after_what_came_before_it,
+        client_disconnect_read_after_its_request,
         test_crossings.test_a_request_read_together_with_its_clients_end_is_not_sent_on,
     ),
     (ramp_forgotten_at_restart, routing_crossings.test_a_member_that_came_back_is_cold_again),
@@ -193,7 +197,7 @@
         partial(routing_crossings.test_a_write_that_may_have_run_is_seen_by_its_session, Outcome.RESET),
     ),
     (
-        one_burst_taken_at_the_door,
+        one_burst_accepted_before_the_listener_closes,
         test_crossings.test_connections_that_the_kernel_holds_when_the_door_closes_are_ended_in_order,
     ),
     (
@@ -201,7 +205,7 @@
         test_crossings.test_a_last_command_of_a_busy_connection_is_answered_before_its_end,
     ),
     (
-        spare_descriptors_never_freed,
+        idle_clients_never_evicted,
         test_crossings.test_idle_clients_that_fill_the_descriptors_make_room_for_one_that_asks,
     ),
 ]
@@ -222,7 +226,7 @@
 
 
 @pytest.mark.parametrize(
-    ("plant", "test"),
+    "plant, test",
     PLANTED,
     ids=[f"{plant.__name__}-{number}" for number, (plant, _) in enumerate(PLANTED)],
 )
@@ -231,13 +235,13 @@
 ) -> None:
     plant(monkeypatch)
     for module in (socket_harness, test_discovery):
-        monkeypatch.setattr(module, "PATIENCE_S", BRIEF_S)
+        monkeypatch.setattr(module, "TIMEOUT_S", BRIEF_S)
     with pytest.raises((AssertionError, trio.TooSlowError, ExceptionGroup, ConnectionError, BrokenPipeError)):
         play(test)
 
 
 def test_unplanted_they_pass() -> None:
-    """The stage itself does not fail them."""
+    """The harness itself does not fail them."""
     for _, test in PLANTED:
         play(test)
     assert test_router.POLICY
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -9,9 +9,11 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
 import trio
 
 from juniperreel.fakes.platform import DiscoveryStandIn, MemberStandIn
+from juniperreel.net import Clock
 from juniperreel.net.acceptor import Acceptor
 from juniperreel.net.poller import Poller
 from juniperreel.platform.config import parse_config
@@ -91,8 +93,8 @@
 
 
 async def test_libpq_is_served_and_told_of_faults(tmp_path: Path) -> None:
-    async with running(tmp_path) as world:
-        found = await world.ask(
+    async with running(tmp_path) as harness:
+        found = await harness.ask(
             b"",
             write_text("00000000000000aa"),
             read_text("00000000000000ab", "own", span=3000),
@@ -101,47 +103,48 @@
             read_text("00000000000000ac", span=3000),
         )
         assert [state for state, _, _ in found] == [None, None, None, "42601", "42710", None]
-        assert found[1][1] == b"\0" and found[2][1] == b"row-1"
-        seen = [text for member in world.members for text in member.asked]
+        assert found[1][1] == b"\0"
+        assert found[2][1] == b"row-1"
+        seen = [text for member in harness.members for text in member.asked]
         assert sum(b"00000000000000a" in text for text in seen) == 3  # each once, no fault passed on
-        assert any(b"INSERT" in text for text in world.members[0].asked)
+        assert any(b"INSERT" in text for text in harness.members[0].asked)
 
 
 async def test_a_watch_goes_on_and_a_new_address_is_followed(tmp_path: Path) -> None:
-    async with running(tmp_path) as world:
-        await world.until(lambda: world.discovery.calls >= 1)
+    async with running(tmp_path) as harness:
+        await harness.until(lambda: harness.discovery.calls >= 1)
         async with trio.open_nursery() as nursery:
-            other = DiscoveryStandIn(world.discovery.hosts)
+            other = DiscoveryStandIn(harness.discovery.hosts)
             await nursery.start(other.run)
-            text = config_bytes(known={"seq": 0, "whole": True, "hosts": world.discovery.hosts})
-            world.program.config_path.write_bytes(text[: len(text) // 2])
-            world.program.reload()  # half a file is not taken
-            assert world.program.discovery.address[1] == world.discovery.port
+            text = config_bytes(known={"seq": 0, "whole": True, "hosts": harness.discovery.hosts})
+            harness.program.config_path.write_bytes(text[: len(text) // 2])
+            harness.program.reload()  # half a file is not taken
+            assert harness.program.discovery.address[1] == harness.discovery.port
             text = text.replace(b'"127.0.0.1:9"', b'"127.0.0.1:%d"' % other.port)
-            world.program.config_path.write_bytes(text)
-            world.program.reload()
-            await world.until(lambda: other.calls >= 1)
-            other.change(entry("b", world.members[1].port))
-            await world.until(lambda: "b" in world.program.driver.endpoint_pools.pools)
+            harness.program.config_path.write_bytes(text)
+            harness.program.reload()
+            await harness.until(lambda: other.calls >= 1)
+            other.change(entry("b", harness.members[1].port))
+            await harness.until(lambda: "b" in harness.program.driver.endpoint_pools.pools)
             nursery.cancel_scope.cancel()
 
 
 async def test_a_driver_told_to_end_serves_on_and_ends(tmp_path: Path) -> None:
-    async with running(tmp_path) as world:
-        world.program.begin_shutdown()
-        found = await world.ask(read_text("00000000000000ad", span=3000))
+    async with running(tmp_path) as harness:
+        harness.program.begin_shutdown()
+        found = await harness.ask(read_text("00000000000000ad", span=3000))
         assert found[0][0] is None
-        assert world.program.driver.shutdown.started
+        assert harness.program.driver.shutdown.started
 
 
-async def test_a_listener_takes_what_the_kernel_has_and_closes(autojump_clock: Any) -> None:
-    from juniperreel.net import Clock
-
+@pytest.mark.usefixtures("autojump_clock")
+async def test_a_listener_takes_what_the_kernel_has_and_closes() -> None:
     poller = Poller(Clock())
-    welcomed: list[object] = []
-    door = Acceptor(poller, "127.0.0.1", 0, welcomed.append)
-    stream = await trio.open_tcp_stream("127.0.0.1", door.port)
-    door.close()
-    assert len(welcomed) == 1 and not door.is_open
+    accepted: list[object] = []
+    acceptor = Acceptor(poller, "127.0.0.1", 0, accepted.append)
+    stream = await trio.open_tcp_stream("127.0.0.1", acceptor.port)
+    acceptor.close()
+    assert len(accepted) == 1
+    assert not acceptor.is_open
     await stream.aclose()
     poller.close()
