--- /dev/null
+++ b/juniperreel/platform/client_listener.py
@@ -0,0 +1,147 @@
+"""All clients' connections of one driver: who is accepted, who is closed when descriptors run short."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from juniperreel.net.transport import Transport
+from juniperreel.platform.client_connection import ClientConnection
+from juniperreel.platform.command import RequestHandler
+from juniperreel.platform.descriptor_budget import DescriptorBudget
+
+FIRST_COMMAND_TIMEOUT_US = 2_000_000  # for a connection to send its first command
+COMMAND_TIMEOUT_US = 2_000_000  # for the rest of a command that began to arrive
+IDLE_TIMEOUT_US = 60_000_000
+SHORTAGE_IDLE_TIMEOUT_US = 2_000_000  # the same where descriptors run short
+
+
+class ClientListener:
+    """Owns the connections of all clients, and their part of the descriptor budget."""
+
+    def __init__(self, handler: RequestHandler, now: Callable[[], int], budget: DescriptorBudget) -> None:
+        """`handler` answers the clients' requests."""
+        self.handler = handler
+        self.now = now
+        self.budget = budget
+        self.clients: set[ClientConnection] = set()
+        self.closing = False  # connections are closed when their commands are answered
+        self._answered: dict[ClientConnection, None] = {}  # without an open command, longest ago first
+
+    def accept(self, transport: Transport) -> None:
+        """Serve a new connection, or close it where no descriptor is left for it."""
+        now_us = self.now()
+        if self.budget.clients_full and not self._evict_one(now_us):
+            transport.close()
+            return
+        self.clients.add(ClientConnection(self, transport, now_us))
+        self.budget.clients += 1
+
+    def remove(self, client: ClientConnection) -> None:
+        """Close a connection at once, and withdraw its open requests."""
+        if client not in self.clients:
+            return
+        self.clients.discard(client)
+        self.budget.clients -= 1
+        if client.closing_since_us:
+            self.budget.closing_clients -= 1
+        elif client.command_count:
+            self.budget.active_clients -= 1
+        self._answered.pop(client, None)
+        client.close()
+        for command in client.commands:
+            if command.request_id is not None:
+                self.handler.client_disconnected(command)
+
+    def close_gracefully(self, client: ClientConnection) -> None:
+        """Close a connection in order; its descriptor is free once the client has ended its side, too.
+
+        Until then it counts as closing: counted among the clients that stay, it would make the driver close
+        all idle connections where only one is too many.
+        """
+        self._answered.pop(client, None)
+        if not client.closing_since_us:
+            if client.command_count:
+                self.budget.active_clients -= 1
+            self.budget.closing_clients += 1
+        if not client.begin_closing(self.now()):
+            self.remove(client)
+
+    def on_command_received(self, client: ClientConnection) -> None:
+        """A command has arrived."""
+        if client.command_count == 1:
+            self.budget.active_clients += 1
+        self._answered.pop(client, None)
+
+    def on_commands_answered(self, client: ClientConnection) -> None:
+        """All commands of a client are answered.
+
+        Clients that send one command and keep their connection for good would fill all connections that the
+        operators' front opens to a driver, and it would reject the next clients unseen by the driver. So the
+        longest idle are closed when there are too many.
+        """
+        self._answered[client] = None
+        while self.budget.too_many_active_clients and self._answered:
+            longest_idle = next(iter(self._answered))
+            del self._answered[longest_idle]
+            if longest_idle is not client and longest_idle.is_idle:
+                self.close_gracefully(longest_idle)
+
+    def _evict_one(self, now_us: int) -> bool:
+        """Close the connection that will be missed least; return False where there is none.
+
+        That is one that is being closed, or never sent a command, else the longest idle. It is closed at
+        once, as its descriptor is needed now.
+        """
+        candidates = [client for client in self.clients if self._may_be_evicted(client, now_us)]
+        candidates.sort(key=_eviction_order)
+        for client in candidates:
+            if client.closing_since_us or not client.command_count or client.is_idle:
+                self.remove(client)
+                return True
+        return False
+
+    @staticmethod
+    def _may_be_evicted(client: ClientConnection, now_us: int) -> bool:
+        if client.commands:
+            return False
+        if client.closing_since_us or not client.command_count:
+            return True
+        return now_us - client.last_active_us > SHORTAGE_IDLE_TIMEOUT_US
+
+    def close_inactive(self) -> None:
+        """Close connections whose time is up; called at intervals."""
+        now_us = self.now()
+        for client in list(self.clients):
+            if client.closing_since_us:
+                if client.close_timed_out(now_us):
+                    self.remove(client)
+            elif not client.commands:
+                self._close_if_inactive(client, now_us)
+
+    def _close_if_inactive(self, client: ClientConnection, now_us: int) -> None:
+        idle_us = now_us - client.last_active_us
+        idle_timeout_us = SHORTAGE_IDLE_TIMEOUT_US if self.budget.clients_nearly_full else IDLE_TIMEOUT_US
+        if client.partial_since_us and now_us - client.partial_since_us > COMMAND_TIMEOUT_US:
+            client.close_with_error("08P01", "a command does not end")
+        elif not client.command_count and idle_us > FIRST_COMMAND_TIMEOUT_US:
+            client.close_with_error("57P05", "nothing was asked")
+        elif idle_us > idle_timeout_us and client.is_idle:
+            self.close_gracefully(client)
+
+    def close_when_answered(self) -> None:
+        """Close idle connections now, and from now on the others with the answers to their commands.
+
+        Those are read no further: a connection that always has an open command would never be closed, and
+        the kill would find one unanswered. What its client sends meanwhile crosses the end of the connection,
+        unread.
+        """
+        self.closing = True
+        for client in list(self.clients):
+            if client.commands:
+                client.pause_reading()
+            elif not client.closing_since_us and client.is_idle:
+                self.close_gracefully(client)
+
+
+def _eviction_order(client: ClientConnection) -> tuple[bool, bool, int]:
+    return not client.closing_since_us, client.command_count > 0, client.last_active_us
--- /dev/null
+++ b/juniperreel/platform/endpoint_pools.py
@@ -0,0 +1,176 @@
+"""Pools of connections to endpoints, one pool an endpoint. The connection used last is used first."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from juniperreel.net.transport import Transport
+from juniperreel.platform.descriptor_budget import DescriptorBudget
+from juniperreel.platform.endpoint_connection import EndpointConnection
+from juniperreel.platform.endpoint_list import Address
+from juniperreel.platform.exchange import Exchange
+from juniperreel.platform.idle_timeout import IdleTimeout
+from juniperreel.platform.timer_queue import TimerQueue
+from juniperreel.routing.types import (
+    Outcome,
+)
+
+# Of the time after which an endpoint closes an idle connection; the rest is for the interval between two
+# calls of `close_idle` and for the way to the endpoint.
+IDLE_TIMEOUT_FRACTION = 0.9
+
+
+class Connect(Protocol):
+    """Begins to open a connection."""
+
+    def __call__(self, host: str, port: int, /) -> Transport:
+        """Return the transport. Raises OSError where not even a socket can be had."""
+        ...
+
+
+class EndpointPool:
+    """The connections to one endpoint at one address."""
+
+    def __init__(self, pools: EndpointPools, address: Address) -> None:
+        """Start without connections."""
+        self._pools = pools
+        self.address = address
+        self.idle: list[EndpointConnection] = []
+        self.connections: set[EndpointConnection] = set()
+        self.retired = False
+        self.now = pools.now
+
+    def run(self, exchange: Exchange) -> None:
+        """Start the exchange on an idle connection, or open one for it."""
+        if not exchange.may_send():
+            exchange.finish(Outcome.NOT_SENT)
+            return
+        while self.idle:
+            connection = self.idle.pop()
+            idle_us = self.now() - connection.idle_since_us
+            if self._pools.idle_timeout.allows(idle_us) and connection.is_usable():
+                connection.start(exchange)
+                return
+            connection.close()
+        self._open(exchange)
+
+    def _open(self, exchange: Exchange) -> None:
+        self._pools.free_descriptor()
+        try:
+            transport = self._pools.connect(*self.address)
+        except OSError:
+            # This process has no descriptor left, which says nothing of the endpoint.
+            exchange.finish(Outcome.NOT_SENT)
+            return
+        connection = EndpointConnection(self, transport)
+        self.connections.add(connection)
+        self._pools.budget.endpoint_connections += 1
+        connection.exchange = exchange
+        exchange.connection = connection
+        timeout_at_us = self.now() + self._pools.connect_timeout_us
+        self._pools.timers.call_at(timeout_at_us, connection.close_unless_logged_in)
+
+    def release(self, connection: EndpointConnection) -> None:
+        """Keep a connection whose exchange has ended for the next one."""
+        if self.retired:
+            connection.close()
+            return
+        connection.idle_since_us = self.now()
+        self.idle.append(connection)
+
+    def record_idle_use(self, idle_us: int, answered: bool) -> None:
+        """Count the use of a connection that had been idle for so long."""
+        self._pools.idle_timeout.record_use(self.now(), idle_us, answered)
+
+    def remove(self, connection: EndpointConnection) -> None:
+        """Forget a connection that was closed; does nothing for one that is not of this pool."""
+        if connection in self.connections:
+            self.connections.discard(connection)
+            self._pools.budget.endpoint_connections -= 1
+            if connection in self.idle:
+                self.idle.remove(connection)
+
+    def retire(self) -> None:
+        """Use the pool no more: close idle connections now, and the others after their exchanges."""
+        self.retired = True
+        for connection in list(self.idle):
+            connection.close()
+
+
+class EndpointPools:
+    """The pools of all endpoints of one driver."""
+
+    def __init__(
+        self,
+        connect: Connect,
+        now: Callable[[], int],
+        timers: TimerQueue,
+        budget: DescriptorBudget,
+        connect_timeout_us: int,
+        endpoint_idle_timeout_us: int,
+    ) -> None:
+        """`endpoint_idle_timeout_us`: after which an endpoint closes an idle connection, at the latest."""
+        self.connect = connect
+        self.now = now
+        self.timers = timers
+        self.budget = budget
+        self.connect_timeout_us = connect_timeout_us
+        self._max_idle_us = int(endpoint_idle_timeout_us * IDLE_TIMEOUT_FRACTION)
+        self.idle_timeout = IdleTimeout()
+        self.pools: dict[str, EndpointPool] = {}
+
+    def set_address(self, endpoint: str, address: Address) -> None:
+        """Use this address from now on. Connections to an earlier one are closed when they are idle."""
+        pool = self.pools.get(endpoint)
+        if pool is not None and pool.address == address:
+            pool.retired = False
+            return
+        if pool is not None:
+            pool.retire()
+        self.pools[endpoint] = EndpointPool(self, address)
+
+    def retire(self, endpoint: str) -> None:
+        """Use the endpoint no more, until its address is set again."""
+        pool = self.pools.get(endpoint)
+        if pool is not None:
+            pool.retire()
+
+    def run(self, endpoint: str, exchange: Exchange) -> None:
+        """Start the exchange on a connection to the endpoint."""
+        pool = self.pools.get(endpoint)
+        if pool is None:
+            exchange.finish(Outcome.NOT_SENT)
+            return
+        pool.run(exchange)
+
+    def abandon(self, exchange: Exchange, cancelled: bool) -> None:
+        """Wait no longer for the exchange, because the attempt is `cancelled` or its time is up."""
+        if exchange.connection is not None:
+            exchange.connection.abandon(exchange, cancelled)
+
+    def free_descriptor(self) -> None:
+        """Close the connection that has been idle longest, where the limit of connections is reached.
+
+        Otherwise idle connections to some endpoints would keep another one from being reached at all.
+        """
+        if not self.budget.endpoints_full:
+            return
+        idle = [connection for pool in self.pools.values() for connection in pool.idle]
+        if idle:
+            min(idle, key=lambda connection: connection.idle_since_us).close()
+
+    def close_idle(self, forget_retired: bool) -> None:
+        """Close what has been idle long, as the endpoint soon closes it, and a request written then is lost.
+
+        `forget_retired` drops retired pools with their last connection: endpoints are replaced all day, and
+        their pools would accumulate. One that returns gets a new pool.
+        """
+        max_idle_us = min(self._max_idle_us, self.idle_timeout.limit_ms * 1000)
+        idle_before_us = self.now() - max_idle_us
+        for name, pool in list(self.pools.items()):
+            expired = [connection for connection in pool.idle if connection.idle_since_us < idle_before_us]
+            for connection in expired:
+                connection.close()
+            if forget_retired and pool.retired and not pool.connections:
+                del self.pools[name]
--- a/juniperreel/routing/parts.py
+++ b/juniperreel/routing/parts.py
@@ -6,7 +6,7 @@
 
 from juniperreel.routing.estimators import Backoff, DecayingMean, MovingAverage, ResponseTimes, SuccessRate
 from juniperreel.routing.policy import parameters
-from juniperreel.routing.policy.endpoint_list import EndpointList
+from juniperreel.routing.policy.endpoint_list import EndpointTracker
 from juniperreel.routing.policy.freshness import Freshness
 from juniperreel.routing.policy.outlier import OutlierDetector
 from juniperreel.routing.policy.primary import PrimaryTracker
@@ -24,7 +24,7 @@
     """What selection, position checks and dispatch, which bring the parts together, decide with."""
 
     state: RouterState
-    endpoint_list: EndpointList
+    endpoints: EndpointTracker
     freshness: Freshness
     slow_start: SlowStart
     retries: RetryPolicy
@@ -36,19 +36,19 @@
 def compose(settings: Settings, seed: int) -> PolicyParts:
     """Make the parts of a router that starts; the primary tracker takes its first random draw here."""
     state = new_state(settings, seed)
-    endpoint_list = EndpointList(state)
+    endpoints = EndpointTracker(state)
     retries = RetryPolicy(state)
-    outliers = OutlierDetector(state, endpoint_list, retries)
+    outliers = OutlierDetector(state, endpoints, retries)
     pressure = PressureTable(state, parameters.PRESSURE_MIN_WEIGHT, parameters.PRESSURE_SAMPLES)
     return PolicyParts(
         state=state,
-        endpoint_list=endpoint_list,
+        endpoints=endpoints,
         freshness=Freshness(state),
         slow_start=SlowStart(state),
         retries=retries,
         shedder=LoadShedder(state, retries, pressure),
         outliers=outliers,
-        primaries=PrimaryTracker(state, endpoint_list, outliers),
+        primaries=PrimaryTracker(state, endpoints, outliers),
     )
 
 
--- a/juniperreel/routing/policy/dispatch.py
+++ b/juniperreel/routing/policy/dispatch.py
@@ -104,7 +104,7 @@
         # begin.
         self.parts.freshness.update_required_position(request)
         group = self.state.group_of(request)
-        if not self.parts.endpoint_list.may_receive(endpoint, group):
+        if not self.parts.endpoints.may_receive(endpoint, group):
             return False
         if endpoint is group.primary or request.consistency in (Consistency.WRITE, Consistency.ANY):
             return True
--- a/juniperreel/routing/policy/endpoint_list.py
+++ b/juniperreel/routing/policy/endpoint_list.py
@@ -7,7 +7,7 @@
 from juniperreel.routing.types import Endpoint, EndpointUpdate, Readiness, Subscribe, UpdateKind
 
 
-class EndpointList:
+class EndpointTracker:
     """Owns the table of endpoints and the time of the next poll."""
 
     def __init__(self, state: RouterState) -> None:
@@ -49,9 +49,8 @@
         if update.kind is not UpdateKind.DELTA:
             for endpoint in state.unlisted_endpoints(update.endpoints):
                 self.update_endpoint(replace(endpoint.info, readiness=Readiness.REMOVED))
-        if (
-            not state.settings.removed_endpoints_serve
-        ):  # else those replaced all day would be remembered for good
+        if not state.settings.removed_endpoints_serve:
+            # Those that are replaced all day would be remembered for good.
             state.forget_removed_endpoints(parameters.REMOVED_ENDPOINT_TTL_US)
         state.rebuild_groups(include_removed=state.settings.removed_endpoints_serve)
 
--- a/juniperreel/routing/policy/outlier.py
+++ b/juniperreel/routing/policy/outlier.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from juniperreel.routing.policy import parameters
-from juniperreel.routing.policy.endpoint_list import EndpointList
+from juniperreel.routing.policy.endpoint_list import EndpointTracker
 from juniperreel.routing.policy.retry import RetryPolicy
 from juniperreel.routing.state import NEVER, EndpointState, GroupState, RequestState, RouterState
 from juniperreel.routing.types import AttemptEnded, HealthCheckEnded, Outcome
@@ -14,7 +14,7 @@
     """Owns the failure counts of endpoints, and which of them are ejected."""
 
     state: RouterState
-    endpoint_list: EndpointList
+    endpoints: EndpointTracker
     retries: RetryPolicy
 
     def accepts_attempt(self, endpoint: EndpointState) -> bool:
@@ -31,7 +31,7 @@
         for endpoint in group.endpoints:
             next_check_us = max(endpoint.retry_at_us, endpoint.checked_us + parameters.CHECK_INTERVAL_US)
             due = endpoint.ejected and self.state.now_us >= next_check_us and not endpoint.in_flight
-            if due and self.endpoint_list.may_receive(endpoint, group) and not self.accepts_attempt(endpoint):
+            if due and self.endpoints.may_receive(endpoint, group) and not self.accepts_attempt(endpoint):
                 self.state.start_health_check(endpoint)
 
     def on_health_check(self, endpoint: EndpointState, event: HealthCheckEnded) -> None:
@@ -97,5 +97,5 @@
 
     def _majority_is_healthy(self, endpoint: EndpointState) -> bool:
         group = self.state.group_with(endpoint)
-        serving = [e for e in group.endpoints if self.endpoint_list.may_receive(e, group)]
+        serving = [e for e in group.endpoints if self.endpoints.may_receive(e, group)]
         return 2 * len([e for e in serving if not e.ejected]) > len(group.endpoints)
--- a/juniperreel/routing/policy/primary.py
+++ b/juniperreel/routing/policy/primary.py
@@ -1,7 +1,7 @@
 """Which endpoint is a group's primary, and how one is searched for."""
 
 from juniperreel.routing.policy import parameters
-from juniperreel.routing.policy.endpoint_list import EndpointList
+from juniperreel.routing.policy.endpoint_list import EndpointTracker
 from juniperreel.routing.policy.outlier import OutlierDetector
 from juniperreel.routing.state import EndpointState, GroupState, RouterState
 from juniperreel.routing.types import LoadReport, Role
@@ -10,9 +10,9 @@
 class PrimaryTracker:
     """Owns the groups' primaries: the endpoint last observed in that role."""
 
-    def __init__(self, state: RouterState, endpoint_list: EndpointList, outliers: OutlierDetector) -> None:
+    def __init__(self, state: RouterState, endpoints: EndpointTracker, outliers: OutlierDetector) -> None:
         self.state = state
-        self.endpoint_list = endpoint_list
+        self.endpoints = endpoints
         self.outliers = outliers
         intervals = state.random.uniform(*parameters.PRIMARY_SEARCH_INTERVALS)
         self._search_interval_us = int(parameters.CHECK_INTERVAL_US * intervals)
@@ -26,7 +26,7 @@
             primary = listed
         if primary is None or not self.outliers.accepts_attempt(primary):
             return None
-        return primary if self.endpoint_list.may_receive(primary, group) else None
+        return primary if self.endpoints.may_receive(primary, group) else None
 
     def observe_response(self, endpoint: EndpointState, role: Role) -> None:
         """Take over the role named in a response, also in one that stopped short."""
@@ -56,5 +56,5 @@
         """Ask all endpoints for their role, where health checks are allowed."""
         for endpoint in group.endpoints if self.state.settings.health_checks else ():
             due = self.state.now_us - endpoint.checked_us > self._search_interval_us
-            if due and self.endpoint_list.may_receive(endpoint, group):
+            if due and self.endpoints.may_receive(endpoint, group):
                 self.state.start_health_check(endpoint)
--- a/juniperreel/routing/policy/selection.py
+++ b/juniperreel/routing/policy/selection.py
@@ -32,7 +32,7 @@
     def accepting(self, request: RequestState, among: Endpoints) -> Endpoints:
         """Those that may have the request, whatever their position."""
         group = self.state.group_of(request)
-        serving = [e for e in among if self.parts.endpoint_list.may_receive(e, group)]
+        serving = [e for e in among if self.parts.endpoints.may_receive(e, group)]
         return [e for e in serving if self.accepts(request, e)]
 
     def candidates(self, request: RequestState) -> Endpoints:
@@ -90,10 +90,8 @@
 
     def _limit(self, endpoint: EndpointState, mean_weight: float, capacity_fraction: float) -> float:
         if capacity_fraction < 1.0:
-            safe = (
-                parameters.SLOW_START_UTILIZATION * self.state.settings.overload_multiple * capacity_fraction
-            )
-            return mean_weight * min(1.0, safe)
+            multiple = parameters.SLOW_START_UTILIZATION * self.state.settings.overload_multiple
+            return mean_weight * min(1.0, multiple * capacity_fraction)
         return math.inf if endpoint.has_responded else mean_weight
 
     def _reports_overload(self, endpoint: EndpointState) -> bool:
--- a/juniperreel/routing/router.py
+++ b/juniperreel/routing/router.py
@@ -88,7 +88,7 @@
             case HealthCheckEnded():
                 self._on_health_check_ended(event)
             case EndpointUpdate():
-                self.parts.endpoint_list.on_update(event)
+                self.parts.endpoints.on_update(event)
             case StreamStarted():
                 self._on_stream_started(event)
             case DeadlineShortened():
@@ -159,13 +159,13 @@
         if fired:
             self._tick.clear()
             self.parts.retries.cancel_overdue()
-            self.parts.endpoint_list.poll_if_due()
+            self.parts.endpoints.poll_if_due()
         if fired or any(isinstance(event, HealthCheckEnded) for event in batch):
             for number in dict.fromkeys(r.request.group for r in self.state.requests.values()):
                 self.dispatcher.dispatch_queued(self.state.group(number))
 
     def _set_tick(self) -> None:
-        poll_delay_us = self.parts.endpoint_list.next_poll_us - self.state.now_us
+        poll_delay_us = self.parts.endpoints.next_poll_us - self.state.now_us
         delay_us = parameters.TICK_US if self.state.requests else max(poll_delay_us, parameters.TICK_US)
         timer = self._tick.set_within(self.state.now_us, delay_us) if delay_us < IDLE_US // 2 else None
         if timer is not None:
--- /dev/null
+++ b/tests/platform/event_harness.py
@@ -0,0 +1,248 @@
+"""A driver on a manual clock, with transports that only record: for tests without sockets."""
+
+from __future__ import annotations
+
+import io
+import json
+from typing import Any
+
+from juniperreel.net.transport import Protocol, Transport
+from juniperreel.platform.config import Config, parse_config
+from juniperreel.platform.driver import PlatformDriver
+from juniperreel.platform.endpoint_connection import EndpointConnection
+from juniperreel.platform.endpoint_list import read_endpoint_list
+from juniperreel.platform.log import Log
+from juniperreel.postgres import messages as m
+from juniperreel.postgres import server
+from juniperreel.routing.types import (
+    UpdateKind,
+)
+
+MS, SEC = 1_000, 1_000_000
+HELLO = m.startup("worker", "catalog")
+
+SETTINGS: dict[str, Any] = {
+    "balancers": 2,
+    "ceilings": {
+        "cancelling": True,
+        "conn_idle_s": 4.0,
+        "connect_timeout_s": 0.25,
+        "max_attempts": 4,
+        "max_retry_after_s": 1.0,
+        "probes": True,
+        "retry_after": True,
+        "second_copies": False,
+    },
+    "kinds": ["k"],
+    "membership_mode": "ask",
+    "rules": {
+        "ask_every_s": 10.0,
+        "cold_from": 0.2,
+        "cold_s": 10.0,
+        "fall_multiple": 2.0,
+        "grace_to_answer_s": 0.02,
+        "overload_for_s": 3.0,
+        "stop_sending_within_s": 2.0,
+    },
+    "services": [
+        {"name": "view", "effect": "repeatable", "objective_s": 0.5, "deadline_s": 2.0, "worth": 1.0},
+        {"name": "own", "effect": "repeatable", "objective_s": 0.5, "deadline_s": 2.0, "worth": 1.0},
+        {
+            "name": "save",
+            "effect": "by_key",
+            "key_scope": "cell",
+            "memory_span_s": 5.0,
+            "objective_s": 1.0,
+            "deadline_s": 3.0,
+            "worth": 2.0,
+        },
+    ],
+    "specifics": {
+        "consistency": ["any", "session", "write"],
+        "guards": "off",
+        "lag_allowed_s": [0.0, 0.0, 0.0],
+        "position_zero_s": 0.0,
+        "positions": True,
+        "shows_role": "late",
+        "token_mode": "remembered",
+    },
+    "tenants": [{"name": "acme", "fraction": 1.0, "quota_rps": 100.0}],
+    "zone": 0,
+    "zones": ["east"],
+}
+
+
+def entry(name: str, port: int, **changes: Any) -> dict[str, Any]:
+    line = {"host": name, "dial": f"127.0.0.1:{port}", "site": "east", "class": "k", "block": 0}
+    return {**line, "health": "Ready", "share": 1.0, "born_ms": 0, **changes}
+
+
+HOSTS = [entry("p", 1001, replication="primary"), entry("a", 1002, replication="standby")]
+
+
+def config_bytes(**changes: Any) -> bytes:
+    file = {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:9",
+        "seed": "5f",
+        "limits": {"cores": 0.5, "memory_mb": 64, "sockets": 256},
+        "known": {"seq": 3, "whole": True, "hosts": HOSTS},
+        "settings": SETTINGS,
+    }
+    return json.dumps({**file, **changes}).encode()
+
+
+class FakeTransport(Transport):
+    """Records what is written on it; the test plays the other end through its protocol."""
+
+    def __init__(self) -> None:
+        self.protocol: Protocol | None = None
+        self.closed = False
+        self.reading_paused = False
+        self.eof_written = False
+        self.has_unread = False
+        self.sent = bytearray()
+        self.unsent_bytes = 0  # that the kernel does not take
+
+    @property
+    def write_buffer_size(self) -> int:
+        return self.unsent_bytes
+
+    def write(self, data: bytes | bytearray) -> None:
+        if not self.eof_written:
+            self.sent += data
+
+    def take(self) -> bytes:
+        """Return what was written since the last call."""
+        sent = bytes(self.sent)
+        self.sent.clear()
+        return sent
+
+    def has_nothing_to_read(self) -> bool:
+        return not self.closed and not self.has_unread
+
+    def close(self) -> None:
+        self.closed = True
+
+    def write_eof(self) -> None:
+        self.eof_written = True
+
+    def pause_reading(self) -> None:
+        self.reading_paused = True
+
+    def resume_reading(self) -> None:
+        self.reading_paused = False
+
+
+def read_text(name: str, cls: str = "view", span: int = 800, key: str = "row-1", **more: Any) -> bytes:
+    extra = "".join(f",{k}={v}" for k, v in more.items())
+    comment = f"id={name},c={cls},t=acme,d={span},cluster=0{extra}"
+    return f"SELECT body FROM objects WHERE oid = '{key}' /* {comment} */".encode()
+
+
+def write_text(name: str, span: int = 2000, key: str = "row-1") -> bytes:
+    comment = f"id={name},c=save,t=acme,d={span},k={name},cluster=0"
+    statement = f"INSERT INTO objects (oid, body) VALUES ('{key}', '\\x00') RETURNING body"
+    return f"{statement} /* {comment} */".encode()
+
+
+def row(value: bytes = b"v", role: str = "standby", position: int | None = None, whole: bool = True) -> bytes:
+    """Not `whole`: it stops short of ReadyForQuery."""
+    described = m.message(b"T", b"\0\1body\0" + b"\0" * 16 + b"\0\1")
+    data = m.message(b"D", b"\0\1" + len(value).to_bytes(4, "big") + value)
+    facts = m.parameter("replication_role", role)
+    if position is not None:
+        facts += m.parameter("log_position", str(position))
+    return described + data + m.message(b"C", b"SELECT 1\0") + facts + (m.READY if whole else b"")
+
+
+class FakeDiscovery:
+    """Notes what a driver wants of discovery."""
+
+    def __init__(self) -> None:
+        self.calls: list[str] = []
+
+    def subscribe(self, enabled: bool) -> None:
+        self.calls.append("subscribe" if enabled else "unsubscribe")
+
+    def fetch(self) -> None:
+        self.calls.append("fetch")
+
+
+class EventHarness:
+    """One driver, its clients and the remote ends of its connections to endpoints."""
+
+    def __init__(self, **changes: Any) -> None:
+        self.time = 1_767_225_600 * SEC
+        self.config: Config = parse_config(config_bytes(**changes))
+        self.opened: list[tuple[int, FakeTransport]] = []
+        self.discovery = FakeDiscovery()
+        self.out = io.StringIO()
+        self.driver = PlatformDriver(
+            self.config, lambda: self.time, self._connect, self.discovery, Log(self.out)
+        )
+        self.driver.on_endpoint_update(
+            UpdateKind.CACHED, read_endpoint_list(self.config.cached_endpoint_list, ["east"], ["k"])
+        )
+        self.process()
+
+    def _connect(self, _host: str, port: int) -> FakeTransport:
+        transport = FakeTransport()
+        self.opened.append((port, transport))
+        return transport
+
+    def process(self) -> None:
+        """Give the driver its turn."""
+        self.driver.input_ready_since_us = self.time
+        self.driver.process_pending()
+
+    def advance_us(self, span: int) -> None:
+        """Advance the clock, and give the driver its turn whenever something is due."""
+        end = self.time + span
+        while (due := self.driver.next_due_us()) is not None and due <= end:
+            self.time = max(self.time, due)
+            self.process()
+        self.time = end
+        self.process()
+
+    def client(self, *texts: bytes) -> FakeTransport:
+        """Connect a client that sends these queries; its welcome is not among what was sent to it."""
+        transport = FakeTransport()
+        self.driver.client_listener.accept(transport)
+        assert transport.protocol is not None
+        transport.protocol.data_received(HELLO + b"".join(map(m.query, texts)))
+        del transport.sent[: len(server.WELCOME)]
+        self.process()
+        return transport
+
+    def feed(self, transport: FakeTransport, data: bytes) -> None:
+        """Let bytes arrive from the other end."""
+        assert transport.protocol is not None
+        transport.protocol.data_received(data)
+        self.process()
+
+    def disconnect(self, transport: FakeTransport) -> None:
+        """Let the other end close the connection."""
+        transport.closed = True
+        assert transport.protocol is not None
+        transport.protocol.connection_lost("closed")
+        self.process()
+
+    def log_in(self, transport: FakeTransport) -> bytes:
+        """Let the endpoint accept a new connection and welcome it; return the query that follows."""
+        assert transport.protocol is not None
+        transport.protocol.connection_made()
+        transport.take()
+        self.feed(transport, server.WELCOME)
+        return transport.take()
+
+    def busy_transports(self) -> list[FakeTransport]:
+        """Return the open connections to endpoints that have an exchange, in the order of their opening."""
+        return [
+            transport
+            for _, transport in self.opened
+            if isinstance(transport.protocol, EndpointConnection)
+            and transport.protocol.exchange is not None
+            and not transport.closed
+        ]
