--- a/benchmarks/pool_soak.py
+++ b/benchmarks/pool_soak.py
@@ -34,7 +34,7 @@
 from juniperreel.fakes.script import parse
 from juniperreel.mysql.client import Broken, ClientSession, Done, End, Event, Failed, Prepared
 from juniperreel.net import Clock, TcpNetwork
-from juniperreel.proxy.mysqlmembers import MysqlLinks
+from juniperreel.proxy.mysql_endpoints import MysqlLinks
 from juniperreel.settings.edge import parse_edge
 from juniperreel.telemetry.log import make_log
 from juniperreel.verification.executions import Count, check_executions
--- a/juniperreel/proxy/__init__.py
+++ b/juniperreel/proxy/__init__.py
@@ -3,10 +3,9 @@
 A request's way is front, driver, module, driver, member, driver, front, and no other.
 """
 
-from juniperreel.proxy.driver import Driver, Open
 from juniperreel.proxy.options import DriverOptions
-from juniperreel.proxy.transactions import Undone, Unknown
-from juniperreel.proxy.work import (
+from juniperreel.proxy.request_driver import Driver, Open
+from juniperreel.proxy.requests import (
     Answer,
     Committed,
     Failed,
@@ -17,6 +16,7 @@
     Transaction,
     Work,
 )
+from juniperreel.proxy.transactions import Undone, Unknown
 
 __all__ = [
     "Answer",
--- a/juniperreel/proxy/jobs.py
+++ b/juniperreel/proxy/attempts.py
@@ -8,7 +8,7 @@
 import trio
 
 from juniperreel.proxy.positions import Needs, Standing
-from juniperreel.proxy.work import Transaction, Work, let_go
+from juniperreel.proxy.requests import Transaction, Work, let_go
 from juniperreel.routing.types import (
     Outcome,
 )
--- a/juniperreel/proxy/configsource.py
+++ b/juniperreel/proxy/configuration_source.py
@@ -12,7 +12,7 @@
 import trio
 
 from juniperreel.net import Clock, Network
-from juniperreel.proxy.hosts import Host, MemberSource
+from juniperreel.proxy.endpoint_list import Host, MemberSource
 from juniperreel.proxy.options import DriverOptions
 from juniperreel.raft.client import Instances
 from juniperreel.raft.configuration.model import EMPTY, Configuration
--- a/juniperreel/proxy/members.py
+++ b/juniperreel/proxy/grpc_endpoints.py
@@ -13,7 +13,7 @@
 from juniperreel.causal import History
 from juniperreel.net import Clock, Network, Silent
 from juniperreel.proto.member.v1 import member_pb2
-from juniperreel.proxy.jobs import Fault, Job, Reply
+from juniperreel.proxy.attempts import Fault, Job, Reply
 from juniperreel.proxy.options import DriverOptions
 from juniperreel.proxy.positions import Standing
 from juniperreel.routing.types import (
--- a/juniperreel/proxy/mysqlmembers.py
+++ b/juniperreel/proxy/mysql_endpoints.py
@@ -36,11 +36,11 @@
 from juniperreel.pool.errors import UNDOES_ALL, Meaning, meaning
 from juniperreel.pool.result import Result, Statement
 from juniperreel.pool.state import SessionState, replay
-from juniperreel.proxy.jobs import Fault, Job, Reply
+from juniperreel.proxy.attempts import Fault, Job, Reply
 from juniperreel.proxy.options import DriverOptions, MysqlMembers
 from juniperreel.proxy.positions import Positions, Standing
+from juniperreel.proxy.requests import Hold
 from juniperreel.proxy.transactions import STATUS, Held, standing_of
-from juniperreel.proxy.work import Hold
 from juniperreel.routing.types import (
     Outcome,
 )
--- a/juniperreel/proxy/outcomes.py
+++ b/juniperreel/proxy/outcomes.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from juniperreel.net import ConnectError
-from juniperreel.proxy.jobs import Fault
+from juniperreel.proxy.attempts import Fault
 from juniperreel.routing.types import (
     Outcome,
 )
--- a/juniperreel/proxy/driver.py
+++ b/juniperreel/proxy/request_driver.py
@@ -22,15 +22,15 @@
 from juniperreel.causal import Token
 from juniperreel.net import Clock, ConnectError, Network, Pace
 from juniperreel.net.clock import US
-from juniperreel.proxy import hosts as host_list
-from juniperreel.proxy.configsource import ConfigSource
-from juniperreel.proxy.jobs import Fault, Job, Links, Reply
-from juniperreel.proxy.members import MemberLinks
-from juniperreel.proxy.mysqlmembers import MysqlLinks
+from juniperreel.proxy import endpoint_list as host_list
+from juniperreel.proxy.attempts import Fault, Job, Links, Reply
+from juniperreel.proxy.configuration_source import ConfigSource
+from juniperreel.proxy.grpc_endpoints import MemberLinks
+from juniperreel.proxy.mysql_endpoints import MysqlLinks
 from juniperreel.proxy.options import DriverOptions
 from juniperreel.proxy.outcomes import is_statement_fault, of_error, unfinished
 from juniperreel.proxy.positions import Needs, Positions, Standing
-from juniperreel.proxy.work import Answer, Failed, Refused, Served, Spurned, Work, let_go
+from juniperreel.proxy.requests import Answer, Failed, Refused, Served, Spurned, Work, let_go
 from juniperreel.routing.loop import RouterLoop
 from juniperreel.routing.types import (
     AttemptEnded,
--- a/juniperreel/proxy/transactions.py
+++ b/juniperreel/proxy/transactions.py
@@ -21,7 +21,7 @@
 from juniperreel.pool.result import Result, Statement
 from juniperreel.pool.state import SessionState
 from juniperreel.proxy.positions import Positions, Standing
-from juniperreel.proxy.work import Committed
+from juniperreel.proxy.requests import Committed
 
 STATUS = Statement(published.QUERY)
 
--- a/tests/e2e/test_mysql_hard.py
+++ b/tests/e2e/test_mysql_hard.py
@@ -15,7 +15,7 @@
 from juniperreel.fakes.member import Member
 from juniperreel.frontends.mysql import connection as front
 from juniperreel.mysql.client import ClientSession, Done, End, Event, Failed, Row
-from juniperreel.proxy.mysqlmembers import MysqlLinks
+from juniperreel.proxy.mysql_endpoints import MysqlLinks
 from tests.e2e.test_mysql import INSERT, SELECT, ask, connector, port, using
 from tests.e2e.world import World
 
--- a/tests/e2e/test_pool_soak.py
+++ b/tests/e2e/test_pool_soak.py
@@ -11,8 +11,8 @@
 from benchmarks.pool_soak import soak
 from juniperreel.pool.backend import Backend
 from juniperreel.pool.statements import Statements, Text
-from juniperreel.proxy.jobs import Job
-from juniperreel.proxy.mysqlmembers import MysqlLinks
+from juniperreel.proxy.attempts import Job
+from juniperreel.proxy.mysql_endpoints import MysqlLinks
 
 
 async def test_a_thousand_transactions_over_few_connections(tmp_path: Path) -> None:
--- a/tests/e2e/test_transactions.py
+++ b/tests/e2e/test_transactions.py
@@ -13,7 +13,7 @@
 import trio
 
 from juniperreel.pool.backend import Backend
-from juniperreel.proxy.mysqlmembers import MysqlLinks
+from juniperreel.proxy.mysql_endpoints import MysqlLinks
 from juniperreel.rpc.status import Code, RpcError
 from tests.e2e.test_mysql import INSERT, SELECT, ask, connector, port, using
 from tests.e2e.world import World, rows
--- a/tests/proxy/test_driver.py
+++ b/tests/proxy/test_request_driver.py
@@ -18,13 +18,13 @@
 from juniperreel.proto.common.v1 import values_pb2
 from juniperreel.proto.hosts.v1 import hosts_pb2
 from juniperreel.proxy import Answer, Driver, DriverOptions, Failed, Refused, Served, Work
-from juniperreel.proxy import hosts as host_list
-from juniperreel.proxy.configsource import ConfigSource
-from juniperreel.proxy.driver import Attempt, AttemptDone, ListTold, ProbeDone
-from juniperreel.proxy.jobs import Job, Reply
-from juniperreel.proxy.members import MemberLinks
+from juniperreel.proxy import endpoint_list as host_list
+from juniperreel.proxy.attempts import Job, Reply
+from juniperreel.proxy.configuration_source import ConfigSource
+from juniperreel.proxy.grpc_endpoints import MemberLinks
 from juniperreel.proxy.outcomes import of_error, unfinished
 from juniperreel.proxy.positions import Needs, Standing
+from juniperreel.proxy.request_driver import Attempt, AttemptDone, ListTold, ProbeDone
 from juniperreel.raft.configuration.model import EMPTY, MemberInfo
 from juniperreel.routing.types import (
     Outcome,
--- a/tests/raft/test_cluster.py
+++ b/tests/raft/test_cluster.py
@@ -15,7 +15,7 @@
 from juniperreel.proto.configuration.v1 import configuration_pb2 as pb
 from juniperreel.proto.raft.v1 import raft_pb2
 from juniperreel.proxy import DriverOptions
-from juniperreel.proxy.configsource import ConfigSource, hosts_of
+from juniperreel.proxy.configuration_source import ConfigSource, hosts_of
 from juniperreel.raft import wire
 from juniperreel.raft.configuration import model
 from juniperreel.raft.configuration.machine import SetGroup, SetLimit, encode_command
@@ -25,7 +25,7 @@
 from juniperreel.raft.types import Members, NotLeader, Rejected, TimeoutNow
 from juniperreel.rpc.status import Code, RpcError
 from juniperreel.verification.versions import Acted, Confirmed, check_versions, spread
-from tests.proxy.test_driver import options as driver_options
+from tests.proxy.test_request_driver import options as driver_options
 from tests.raft.cluster import KEY, Cluster
 
 
