--- a/benchmarks/pool_soak.py
+++ b/benchmarks/pool_soak.py
@@ -34,7 +34,7 @@
 from juniperreel.fakes.script import parse
 from juniperreel.mysql.client import Broken, ClientSession, Done, End, Event, Failed, Prepared
 from juniperreel.net import Clock, TcpNetwork
-from juniperreel.proxy.mysql_endpoints import MysqlLinks
+from juniperreel.proxy.mysql_endpoints import MysqlEndpoints
 from juniperreel.settings.edge import parse_edge
 from juniperreel.telemetry.log import make_log
 from juniperreel.verification.executions import Count, check_executions
@@ -267,8 +267,8 @@
                         clients.start_soon(Session(n, edge.mysql_port, recorder, rng, tally).run)
                 killers.cancel_scope.cancel()
             took = time.perf_counter() - start
-            links = edge.driver.links
-            assert isinstance(links, MysqlLinks)
+            links = edge.driver.endpoints
+            assert isinstance(links, MysqlEndpoints)
             with trio.move_on_after(10):
                 while any(p.leased or p.waiting for p in links.pools().values()):
                     await trio.sleep(0.02)
--- a/juniperreel/cli/edge.py
+++ b/juniperreel/cli/edge.py
@@ -21,8 +21,8 @@
 from juniperreel.net.clock import US
 from juniperreel.pool.backend import Login
 from juniperreel.pool.core import Sizes
-from juniperreel.proxy import Driver, DriverOptions
-from juniperreel.proxy.options import MysqlMembers
+from juniperreel.proxy import DriverOptions, RequestDriver
+from juniperreel.proxy.options import MysqlEndpointOptions
 from juniperreel.rpc.health import Health, Reflection
 from juniperreel.rpc.limits import Limits
 from juniperreel.rpc.server import Server
@@ -40,23 +40,23 @@
         router=settings.router,
         seed=secrets.randbits(64) if settings.seed is None else settings.seed,
         groups=settings.groups,
-        hosts=settings.hosts,
-        saved_list=settings.saved_list,
-        saves_list=settings.saves_list,
+        discovery_address=settings.hosts,
+        cached_list_path=settings.saved_list,
+        writes_cached_list=settings.saves_list,
         skew_us=settings.skew_us,
         answer_margin_us=settings.answer_margin_us,
-        max_open=settings.max_open,
-        member_attempts=settings.member_attempts,
+        max_open_requests=settings.max_open,
+        max_attempts_per_endpoint=settings.member_attempts,
         connect_timeout_us=settings.connect_timeout_us,
-        probe_timeout_us=settings.probe_timeout_us,
-        list_timeout_us=settings.list_timeout_us,
-        instances=settings.instances,
+        health_check_timeout_us=settings.probe_timeout_us,
+        discovery_timeout_us=settings.list_timeout_us,
+        configuration_addresses=settings.instances,
         mysql=mysql_members(settings),
         limits=Limits(message_bytes=settings.message_bytes, metadata_bytes=settings.metadata_bytes),
     )
 
 
-def mysql_members(settings: EdgeSettings) -> MysqlMembers | None:
+def mysql_members(settings: EdgeSettings) -> MysqlEndpointOptions | None:
     m = settings.members
     if m is None:
         return None
@@ -72,7 +72,7 @@
         open_burst=max(m.open_rate / 4, 1.0),
         shares=tuple(tenant.capacity_share for tenant in settings.router.tenants),
     )
-    return MysqlMembers(login, m.transaction_us, sizes)
+    return MysqlEndpointOptions(login, m.transaction_us, sizes)
 
 
 def classes_from(settings: EdgeSettings) -> Classes:
@@ -97,7 +97,7 @@
     return Classes(rules, classes.index(m.read), classes.index(m.write), tenant)
 
 
-def mysql_front(settings: EdgeSettings, driver: Driver, keyring: Keyring, clock: Clock) -> MysqlFront:
+def mysql_front(settings: EdgeSettings, driver: RequestDriver, keyring: Keyring, clock: Clock) -> MysqlFront:
     m = settings.mysql
     assert m is not None
     tls = None
@@ -126,7 +126,7 @@
         self.traces = Traces(settings.spans, settings.name)
         options = driver_options(settings)
         self.pace = Pace(clock)
-        self.driver = Driver(options, network, clock, self.log, self.metrics, self.traces, self.pace)
+        self.driver = RequestDriver(options, network, clock, self.log, self.metrics, self.traces, self.pace)
         self.health = Health(SERVICES)
         keyring = Keyring(list(settings.keys))
         front = GrpcFront(self.driver, keyring, clock)
--- a/juniperreel/frontends/errors.py
+++ b/juniperreel/frontends/errors.py
@@ -13,7 +13,7 @@
 
 from functools import lru_cache
 
-from juniperreel.proxy import Answer, Failed, Refused, Served, Spurned
+from juniperreel.proxy import Answer, Failed, Rejected, Served, StatementFailed
 from juniperreel.rpc.server import refusal_block
 from juniperreel.rpc.status import PUSHBACK, Code, RpcError, error_info, field_violation, retry_info
 
@@ -21,7 +21,7 @@
 NEVER = ((PUSHBACK, "-1"),)
 
 
-def refused(answer: Refused) -> RpcError:
+def refused(answer: Rejected) -> RpcError:
     code = Code.RESOURCE_EXHAUSTED if answer.local else Code.UNAVAILABLE
     if not answer.retry_after_us:
         return RpcError(code, answer.reason)
@@ -31,10 +31,10 @@
 
 @lru_cache(maxsize=512)
 def prepared(reason: str, wait_ms: int) -> bytes:
-    return refusal_block(refused(Refused(reason, wait_ms * 1000, local=True)))
+    return refusal_block(refused(Rejected(reason, wait_ms * 1000, local=True)))
 
 
-def refused_again(answer: Refused) -> bytes:
+def refused_again(answer: Rejected) -> bytes:
     """As `refused`, encoded once for many answers: the wait is rounded down to a 32nd of its size."""
     wait_ms = -(-answer.retry_after_us // 1000)
     step = max(1, 1 << max(wait_ms.bit_length() - 5, 0))
@@ -42,12 +42,12 @@
 
 
 def failed(answer: Failed) -> RpcError:
-    details = [error_info("EFFECT_UNKNOWN", DOMAIN, attempts=str(answer.attempts), **answer.notes)]
+    details = [error_info("EFFECT_UNKNOWN", DOMAIN, attempts=str(answer.attempts))]
     return RpcError(Code.UNKNOWN, answer.reason, details, NEVER)
 
 
-def spurned(answer: Spurned) -> RpcError:
-    return RpcError(Code(answer.code), answer.message, answer.details, NEVER)
+def spurned(answer: StatementFailed) -> RpcError:
+    return RpcError(Code(answer.status_code), answer.message, answer.details, NEVER)
 
 
 @lru_cache(maxsize=1)
@@ -65,9 +65,9 @@
     match answer:
         case Served():
             return "served", ""
-        case Spurned():
+        case StatementFailed():
             return "served", "statement at fault"
-        case Refused():
+        case Rejected():
             return "refused", answer.reason
         case Failed():
             return "failed", answer.reason
--- a/juniperreel/frontends/grpc.py
+++ b/juniperreel/frontends/grpc.py
@@ -14,7 +14,16 @@
 from juniperreel.net.clock import US
 from juniperreel.pool.result import Result
 from juniperreel.proto.records.v1 import records_pb2
-from juniperreel.proxy import Answer, Driver, Failed, Open, Refused, Served, Spurned, Work
+from juniperreel.proxy import (
+    Answer,
+    ClientRequest,
+    Failed,
+    OpenRequest,
+    Rejected,
+    RequestDriver,
+    Served,
+    StatementFailed,
+)
 from juniperreel.routing.types import (
     Consistency,
     Idempotency,
@@ -46,7 +55,7 @@
 class GrpcFront:
     """Answers calls from the driver's answers. Holds nothing between calls."""
 
-    def __init__(self, driver: Driver, keyring: Keyring, clock: Clock) -> None:
+    def __init__(self, driver: RequestDriver, keyring: Keyring, clock: Clock) -> None:
         self._driver, self._keyring, self._clock = driver, keyring, clock
         settings = driver.options.router
         self._classes = {cls.name: i for i, cls in enumerate(settings.classes)}
@@ -55,7 +64,7 @@
         self._reader = Reader() if driver.options.mysql is not None else None
 
     def methods(self) -> dict[str, Method]:
-        enter, leave = self._enter, self._driver.leave
+        enter, leave = self._enter, self._driver.client_disconnected
         method = Method(unary=self._execute, glance=self._glance, enter=enter, leave=leave)
         return {f"/{SERVICE}/Execute": method}
 
@@ -78,40 +87,40 @@
                 return None
         except (DecodeError, KeyError, ValueError, RpcError):
             return None  # the call itself says what is wrong
-        refused = self._driver.glance(cls, self._tenants.get(tenant, -1), group, deadline)
+        refused = self._driver.check_admission(cls, self._tenants.get(tenant, -1), group, deadline)
         if refused is None:
             return None
         return self._refusal(name, refused, headers.get(PREVIOUS, "0") != "0")
 
-    def _refusal(self, name: str, refused: Refused, repeat: bool) -> bytes:
+    def _refusal(self, name: str, refused: Rejected, repeat: bool) -> bytes:
         outcome, reason = described(refused)
         self._driver.metrics.request(name, outcome, reason).inc()
         if repeat:
             self._driver.metrics.repeats.labels(name).inc()
         return errors.refused_again(refused)
 
-    def _enter(self, call: Call, data: bytes) -> bytes | Open | None:
+    def _enter(self, call: Call, data: bytes) -> bytes | OpenRequest | None:
         """The request's arrival, while it is still in the reader's hands: what comes behind it in the same
         read must find it counted. None for a call that is wrong; its task says how."""
         try:
             work = self._read(call, data)
         except RpcError:
             return None
-        entered = self._driver.enter(work)
-        if isinstance(entered, Refused):
-            name = self._driver.options.router.classes[work.cls].name
-            return self._refusal(name, entered, work.repeat)
+        entered = self._driver.submit(work)
+        if isinstance(entered, Rejected):
+            name = self._driver.options.router.classes[work.class_index].name
+            return self._refusal(name, entered, work.is_retry)
         return entered
 
     async def _execute(self, call: Call, data: bytes) -> bytes:
-        entry: Open | None = call.take_entry()
-        entered = entry or self._driver.enter(self._read(call, data))
-        if isinstance(entered, Refused):
+        entry: OpenRequest | None = call.take_entry()
+        entered = entry or self._driver.submit(self._read(call, data))
+        if isinstance(entered, Rejected):
             raise errors.refused(entered)
-        work = entered.work
-        cls = self._driver.options.router.classes[work.cls]
+        work = entered.request
+        cls = self._driver.options.router.classes[work.class_index]
         metrics = self._driver.metrics
-        if work.repeat:
+        if work.is_retry:
             metrics.repeats.labels(cls.name).inc()
         started = self._clock.now_us()
         last = work.deadline_us - self._driver.options.answer_margin_us // 2
@@ -119,7 +128,7 @@
         answer: Answer | None = None
         try:
             with self._driver.traces.span("request", cls=cls.name, group=work.group):
-                answer = await self._driver.answer(entered)
+                answer = await self._driver.wait_for_answer(entered)
         finally:
             # Cancelled before its time the client has left, and nothing is answered that could be counted.
             now = self._clock.now_us()
@@ -129,7 +138,7 @@
                 metrics.took(cls.name, outcome).observe((now - started) / US)
         return self._write(call, answer)
 
-    def _read(self, call: Call, data: bytes) -> Work:
+    def _read(self, call: Call, data: bytes) -> ClientRequest:
         """Raises RpcError INVALID_ARGUMENT, naming the field."""
         try:
             ask = records_pb2.ExecuteRequest.FromString(data)
@@ -158,18 +167,18 @@
         if call.deadline_us is not None:
             deadline = min(deadline, call.deadline_us)
         previous = call.get(PREVIOUS)
-        return Work(
-            cls=cls,
-            tenant=tenant,
+        return ClientRequest(
+            class_index=cls,
+            tenant_index=tenant,
             group=self._group(ask),
             deadline_us=deadline,
             statement=ask.statement,
             parameters=ask.parameters,
             session=ask.session or None,
-            key=ask.idempotency_key,
+            idempotency_key=ask.idempotency_key,
             token=self._token(call, ask.causal_token),
-            read_us=call.started_us,
-            repeat=isinstance(previous, str) and previous.isdigit() and int(previous[:9]) > 0,
+            received_us=call.started_us,
+            is_retry=isinstance(previous, str) and previous.isdigit() and int(previous[:9]) > 0,
         )
 
     def _group(self, ask: records_pb2.ExecuteRequest) -> int:
@@ -213,16 +222,16 @@
                 response = records_pb2.ExecuteResponse(
                     result=result,
                     causal_token=token,
-                    member=answer.member,
-                    role=records_pb2.ROLE_PRIMARY if answer.primary else records_pb2.ROLE_REPLICA,
+                    member=answer.endpoint,
+                    role=records_pb2.ROLE_PRIMARY if answer.from_primary else records_pb2.ROLE_REPLICA,
                     attempts=answer.attempts,
                 )
                 return response.SerializeToString()
-            case Refused():
+            case Rejected():
                 raise errors.refused(answer)
             case Failed():
                 raise errors.failed(answer)
-            case Spurned():
+            case StatementFailed():
                 raise errors.spurned(answer)
 
 
--- a/juniperreel/frontends/mysql/answers.py
+++ b/juniperreel/frontends/mysql/answers.py
@@ -7,7 +7,7 @@
 from juniperreel.mysql.values import Column, Value
 from juniperreel.pool.result import Result
 from juniperreel.proto.common.v1 import values_pb2
-from juniperreel.proxy import Failed, Refused
+from juniperreel.proxy import Failed, Rejected
 
 STOPPING = (1053, "08S01", "Server shutdown in progress")
 TOO_MANY = (1040, "08004", "Too many connections")
@@ -23,7 +23,7 @@
 LATE_WORDS = "no answer came in time; a write may have taken effect"
 
 
-def refused(answer: Refused) -> tuple[int, str, str]:
+def refused(answer: Rejected) -> tuple[int, str, str]:
     wait = f"; try again after {answer.retry_after_us / 1000:.0f} ms" if answer.retry_after_us else ""
     return (*REFUSED, f"{answer.reason}, nothing took effect{wait}")
 
--- a/juniperreel/frontends/mysql/connection.py
+++ b/juniperreel/frontends/mysql/connection.py
@@ -31,15 +31,15 @@
 from juniperreel.proto.common.v1 import values_pb2
 from juniperreel.proxy import (
     Answer,
-    Committed,
+    ClientRequest,
     Failed,
-    Hold,
-    Refused,
+    Rejected,
     Served,
-    Spurned,
-    Undone,
-    Unknown,
-    Work,
+    StatementFailed,
+    TransactionMode,
+    TransactionOutcomeUnknown,
+    TransactionResult,
+    TransactionRolledBack,
 )
 from juniperreel.statements import Kind, Mode, Reading, Verb
 
@@ -351,7 +351,9 @@
         front, s = self._front, self._session
         driver = front.driver
         # What a plain read depends on goes with it, or it was refused.
-        write = reading.kind is not Kind.READ if plan.hold is None else plan.hold is Hold.READ_WRITE
+        write = (
+            reading.kind is not Kind.READ if plan.hold is None else plan.hold is TransactionMode.READ_WRITE
+        )
         state = self._state
         if plan.sets:
             write, state = False, self._with(plan.sets)
@@ -365,22 +367,22 @@
         self._count += 1
         settings = driver.options.router.classes[cls]
         deadline = front.clock.now_us() + settings.deadline_us
-        work = Work(
-            cls=cls,
-            tenant=tenant,
+        work = ClientRequest(
+            class_index=cls,
+            tenant_index=tenant,
             group=group,
             deadline_us=deadline,
             statement=run.text,
             parameters=[say.packed(value) for value in run.values],
             session=self._name,
-            key=f"{self._name}-{self._count}",
+            idempotency_key=f"{self._name}-{self._count}",
             token=self._token,
-            binary=run.binary,
-            stream=True,
-            hold=plan.hold,
-            taint=plan.taint,
-            state=state,
-            insert_id=self._scope.insert_id if plan.insert_id else None,
+            binary_rows=run.binary,
+            accepts_stream=True,
+            transaction_mode=plan.hold,
+            taints_connection=plan.taint,
+            session_state=state,
+            last_insert_id=self._scope.insert_id if plan.insert_id else None,
         )
         started, answer = front.clock.now_us(), None
         margin = driver.options.answer_margin_us // 2
@@ -441,16 +443,16 @@
             case Served():
                 self._token = answer.token  # with all that was presented, and healed after failovers
                 if plan.do is Do.BEGIN:
-                    scope.opened(answer.held)
+                    scope.opened(answer.transaction)
                     if scope.held is not None and plan.taint:
                         scope.held.tainted = True
                 return await self._result(answer.result, run, plan, until_us)
-            case Spurned():
+            case StatementFailed():
                 if plan.do is Do.BEGIN:
-                    scope.opened(answer.held)
+                    scope.opened(answer.transaction)
                     s.status = scope.status()
-                return s.error(*(answer.error or say.AT_FAULT), answer.message)
-            case Refused():
+                return s.error(*(answer.mysql_error or say.AT_FAULT), answer.message)
+            case Rejected():
                 return s.error(*say.refused(answer))
             case Failed() if plan.do is Do.BEGIN:
                 # Nothing was committed, whatever ran: what its member holds of it is undone.
@@ -530,12 +532,12 @@
         except Told as told:
             scope.ran()
             raise Instead(told.err.code, told.err.state, told.err.words) from told
-        except Undone as error:
+        except TransactionRolledBack as error:
             scope.over()
             if commits:
                 raise Instead(*say.UNKNOWN_EFFECT, f"{error}; it may have taken effect") from error
             raise Instead(*UNDONE, f"{error}; nothing of the transaction took effect") from error
-        except Unknown as error:
+        except TransactionOutcomeUnknown as error:
             scope.over()
             raise Instead(*say.UNKNOWN_EFFECT, f"{error}; the transaction may have taken effect") from error
         except TooLong as error:
@@ -558,7 +560,7 @@
         self._session.status = scope.status()
         return await self._passed_on(found, until)
 
-    async def _finish(self, run: Statement, plan: Plan) -> Committed:
+    async def _finish(self, run: Statement, plan: Plan) -> TransactionResult:
         scope = self._scope
         assert scope.held is not None
         late = (*say.LATE, "no answer came in time; the transaction was undone")
--- a/juniperreel/frontends/mysql/front.py
+++ b/juniperreel/frontends/mysql/front.py
@@ -18,7 +18,7 @@
 from juniperreel.mysql.server import ServerSession
 from juniperreel.net import Clock, Listener
 from juniperreel.net.clock import US
-from juniperreel.proxy import Driver
+from juniperreel.proxy import RequestDriver
 from juniperreel.statements import Reader
 
 LOOK_S = 0.05  # between looks at transactions that members may have ended
@@ -42,7 +42,7 @@
 
     def __init__(
         self,
-        driver: Driver,
+        driver: RequestDriver,
         keyring: Keyring,
         clock: Clock,
         options: MysqlOptions,
--- a/juniperreel/frontends/mysql/scope.py
+++ b/juniperreel/frontends/mysql/scope.py
@@ -13,7 +13,7 @@
 
 from juniperreel.mysql.constants import Status
 from juniperreel.pool.state import REPLAYED
-from juniperreel.proxy import Hold, Transaction
+from juniperreel.proxy import Transaction, TransactionMode
 from juniperreel.statements import Control, Kind, Reading, Verb
 
 NOT_SUPPORTED = (1235, "42000")
@@ -41,7 +41,7 @@
     """`text` in place of the statement; `hide` its answer behind an OK. `code`, `words` of an error."""
 
     do: Do
-    hold: Hold | None = None
+    hold: TransactionMode | None = None
     commits: bool = False
     text: bytes | None = None
     hide: bool = False
@@ -65,7 +65,7 @@
     def __init__(self, transactions: bool, schema: str = "") -> None:
         self._able, self._schema = transactions, schema
         self.autocommit = True
-        self.begun: Hold | None = None
+        self.begun: TransactionMode | None = None
         self.held: Transaction | None = None
         self.insert_id = 0  # as the last insert of this connection was told
         self._next_read_only = self._held_read_only = False
@@ -85,7 +85,7 @@
     @property
     def read_only(self) -> bool:
         """Of the transaction that is begun or open."""
-        return self.begun is Hold.READ_ONLY or (self.held is not None and self._held_read_only)
+        return self.begun is TransactionMode.READ_ONLY or (self.held is not None and self._held_read_only)
 
     # What is to be done.
 
@@ -113,7 +113,7 @@
             self.begun = None  # what was begun is over before anything was in it
             return Plan(Do.ALONE)
         if self.begun is not None or not self.autocommit:
-            return Plan(Do.BEGIN, self.begun or Hold.READ_WRITE, taint=reading.opaque)
+            return Plan(Do.BEGIN, self.begun or TransactionMode.READ_WRITE, taint=reading.opaque)
         return Plan(Do.ALONE, taint=reading.opaque)
 
     def _lost(self, reading: Reading) -> Plan:
@@ -194,7 +194,7 @@
     def begin(self, c: Control) -> None:
         """Also after the commit that another `begin` implies."""
         read_only = c.read_only or self._next_read_only
-        self.begun = Hold.READ_ONLY if read_only else Hold.READ_WRITE
+        self.begun = TransactionMode.READ_ONLY if read_only else TransactionMode.READ_WRITE
         self._next_read_only = False
 
     def _savepoint(self, c: Control) -> Plan:
@@ -204,7 +204,7 @@
             return refuse(f"SAVEPOINT {c.name[:64]} does not exist", NO_SAVEPOINT)
         if self.begun is None and self.autocommit:
             return OK  # as servers do: it marks nothing
-        return Plan(Do.BEGIN, self.begun or Hold.READ_WRITE)
+        return Plan(Do.BEGIN, self.begun or TransactionMode.READ_WRITE)
 
     def _unsupported(self, reading: Reading) -> str:
         """Why a statement can't be served; empty if it can."""
@@ -236,7 +236,7 @@
         """Its first statement was answered; None where that ended it."""
         self._inserted = self.assigned = False
         self._statements = 1
-        self._held_read_only = self.begun is Hold.READ_ONLY and held is not None
+        self._held_read_only = self.begun is TransactionMode.READ_ONLY and held is not None
         self.held, self.begun = held, None
 
     def ran(self, insert_id: int = 0) -> None:
--- a/juniperreel/proxy/__init__.py
+++ b/juniperreel/proxy/__init__.py
@@ -1,36 +1,38 @@
-"""Hosts one `Router`: tells it what happened and does what it says. Decides nothing.
+"""Hosts one `Router` for the edge: feeds it events and carries out its actions. Decides nothing.
 
-A request's way is front, driver, module, driver, member, driver, front, and no other.
+A request's way is frontend, driver, router, driver, endpoint, driver, frontend, and no other.
 """
 
 from juniperreel.proxy.options import DriverOptions
-from juniperreel.proxy.request_driver import Driver, Open
+from juniperreel.proxy.request_driver import OpenRequest, RequestDriver
 from juniperreel.proxy.requests import (
     Answer,
-    Committed,
+    ClientRequest,
     Failed,
-    Hold,
-    Refused,
+    MysqlErrorCode,
+    Rejected,
     Served,
-    Spurned,
+    StatementFailed,
     Transaction,
-    Work,
+    TransactionMode,
+    TransactionResult,
 )
-from juniperreel.proxy.transactions import Undone, Unknown
+from juniperreel.proxy.transactions import TransactionOutcomeUnknown, TransactionRolledBack
 
 __all__ = [
     "Answer",
-    "Committed",
-    "Driver",
+    "ClientRequest",
     "DriverOptions",
     "Failed",
-    "Hold",
-    "Open",
-    "Refused",
+    "MysqlErrorCode",
+    "OpenRequest",
+    "Rejected",
+    "RequestDriver",
     "Served",
-    "Spurned",
+    "StatementFailed",
     "Transaction",
-    "Undone",
-    "Unknown",
-    "Work",
+    "TransactionMode",
+    "TransactionOutcomeUnknown",
+    "TransactionResult",
+    "TransactionRolledBack",
 ]
--- a/juniperreel/proxy/attempts.py
+++ b/juniperreel/proxy/attempts.py
@@ -1,4 +1,4 @@
-"""What passes between the driver and its member links, whatever the members speak."""
+"""What passes between the request driver and its endpoint connections, whatever protocol endpoints speak."""
 
 from __future__ import annotations
 
@@ -7,70 +7,102 @@
 
 import trio
 
-from juniperreel.proxy.positions import Needs, Standing
-from juniperreel.proxy.requests import Transaction, Work, let_go
+from juniperreel.proxy.positions import ReplicationStatus, RequiredPosition
+from juniperreel.proxy.requests import ClientRequest, Transaction, release_result
 from juniperreel.routing.types import (
     Outcome,
 )
 
 
-@dataclass(frozen=True, slots=True)
-class Job:
-    """One attempt at a request, as a member link needs to know it. `cls` is its class by name."""
+class ProxyError(Exception):
+    """Base of the errors that this package raises."""
+
 
-    work: Work
-    attempt: int
-    cls: str
-    write: bool
-    worth: float
-    needs: Needs
+class EndpointError(ProxyError):
+    """What an endpoint answered with instead of a result.
 
+    With `Outcome.OK` the statement itself is at fault; `code` and `sql_state` are then MySQL's, for clients
+    that know them.
+    """
 
-class Fault(Exception):
-    """What a member answered with instead of a result. With Outcome.OK the statement itself is at fault:
-    `code` and `state` are then MySQL's, for clients that know them."""
+    def __init__(self, outcome: Outcome, message: str, code: int = 0, sql_state: str = "") -> None:
+        super().__init__(message)
+        self.outcome = outcome
+        self.message = message
+        self.code = code
+        self.sql_state = sql_state
 
-    def __init__(self, outcome: Outcome, words: str, code: int = 0, state: str = "") -> None:
-        super().__init__(words)
-        self.outcome, self.words, self.code, self.state = outcome, words, code, state
+
+@dataclass(frozen=True, slots=True)
+class AttemptRequest:
+    """One attempt at a request, as endpoint connections need to know it."""
+
+    request: ClientRequest
+    number: int
+    class_name: str
+    is_write: bool
+    priority_weight: float
+    required: RequiredPosition
 
 
 @dataclass(slots=True)
-class Reply:
-    """`commit`: of a write, its position. `error` with `held`: the transaction stands, its first statement
-    was at fault."""
+class AttemptResponse:
+    """An endpoint's response, with its replication status at that time.
+
+    `commit_position` is that of a write. An `error` beside a `transaction` says that the transaction is open
+    and its first statement failed.
+    """
 
     result: Any
-    standing: Standing
-    commit: int = 0
-    held: Transaction | None = None
-    error: Fault | None = None
+    status: ReplicationStatus
+    commit_position: int = 0
+    transaction: Transaction | None = None
+    error: EndpointError | None = None
 
-    def drop(self) -> None:
-        """Nobody wants the answer."""
-        let_go(self.result, self.held)
+    def discard(self) -> None:
+        """Release what the response holds of its endpoint; nobody will read it."""
+        release_result(self.result, self.transaction)
 
 
-class Links(Protocol):
-    """All members' connections of one driver; `run` must be running."""
+@dataclass(frozen=True, slots=True)
+class EndpointReport:
+    """The response to a health check."""
 
-    async def run(self, task_status: trio.TaskStatus[None] = ...) -> None: ...
+    status: ReplicationStatus
+    in_flight: float
+    queued: float
 
-    def place(self, member: str, host: str, port: int) -> None:
-        """Where the member is now. A new address gets new connections; old ones end when idle."""
+
+class EndpointConnections(Protocol):
+    """The connections of one driver to all endpoints; `run` must be running."""
+
+    async def run(self, task_status: trio.TaskStatus[None] = ...) -> None:
+        """Own the connections' tasks until cancelled."""
+        ...
+
+    def set_address(self, endpoint: str, host: str, port: int) -> None:
+        """Set where the endpoint is now. A new address gets new connections; old ones end when idle."""
         ...
 
-    def retire(self, member: str) -> None:
-        """The member is gone: nothing new goes there."""
+    def remove(self, endpoint: str) -> None:
+        """Send nothing new to the endpoint, which left the endpoint list."""
         ...
 
     @property
-    def connected(self) -> int: ...
+    def connected(self) -> int:
+        """How many connections are open."""
+        ...
+
+    async def execute(
+        self, endpoint: str, attempt: AttemptRequest, timeout_us: int, sent: trio.Event
+    ) -> AttemptResponse:
+        """Make one attempt.
 
-    async def execute(self, member: str, job: Job, timeout_us: int, sent: trio.Event) -> Reply:
-        """One attempt. Sets `sent` from when the member may have seen it. Raises what `outcomes` reads."""
+        Sets `sent` from when the endpoint may have seen it. Raises ConnectError, NeverSent, Broken, RpcError
+        or EndpointError, which `outcomes` reads.
+        """
         ...
 
-    async def report(self, member: str) -> tuple[Standing, float, float]:
-        """Standing, requests in hand, requests waiting."""
+    async def check_health(self, endpoint: str) -> EndpointReport:
+        """Ask the endpoint for its report. Raises the errors of `execute`."""
         ...
--- a/juniperreel/proxy/configuration_source.py
+++ b/juniperreel/proxy/configuration_source.py
@@ -12,7 +12,7 @@
 import trio
 
 from juniperreel.net import Clock, Network
-from juniperreel.proxy.endpoint_list import Host, MemberSource
+from juniperreel.proxy.endpoint_list import EndpointSource, ListedEndpoint
 from juniperreel.proxy.options import DriverOptions
 from juniperreel.raft.client import Instances
 from juniperreel.raft.configuration.model import EMPTY, Configuration
@@ -21,7 +21,7 @@
 )
 
 
-def hosts_of(configuration: Configuration, groups: int) -> list[Host]:
+def endpoints_of(configuration: Configuration, groups: int) -> list[ListedEndpoint]:
     """The members as lines of a list. Primaries are those of the groups' newest epochs."""
     found = []
     for name in sorted(configuration.members):
@@ -30,12 +30,14 @@
         if m.group < groups:
             primary = group is not None and group.primary == name
             found.append(
-                Host(name, m.address, m.port, m.group, m.zone, m.kind, m.state, primary, m.size, m.started_us)
+                ListedEndpoint(
+                    name, m.address, m.port, m.group, m.zone, m.kind, m.state, primary, m.size, m.started_us
+                )
             )
     return found
 
 
-class ConfigSource(MemberSource):
+class ConfigurationSource(EndpointSource):
     """One live watch on one of the instances."""
 
     def __init__(
@@ -44,10 +46,10 @@
         network: Network,
         clock: Clock,
         rng: random.Random,
-        tell: Callable[[UpdateKind, list[Host]], None],
+        tell: Callable[[UpdateKind, list[ListedEndpoint]], None],
         log: Callable[..., None],
     ) -> None:
-        self._instances = Instances(network, clock, rng, options.instances)
+        self._instances = Instances(network, clock, rng, options.configuration_addresses)
         super().__init__(options, clock, tell, log, self._instances)
         self._newest = EMPTY
 
@@ -75,7 +77,7 @@
             self._log("an older configuration is ignored", version=configuration.version, have=self.version)
             return
         self.version = configuration.version
-        hosts = hosts_of(configuration, self._options.groups)
+        hosts = endpoints_of(configuration, self._options.groups)
         if not hosts:
             return  # nothing is set up yet; as with an empty list
         self.known = {h.id: h for h in hosts}
--- a/juniperreel/proxy/endpoint_list.py
+++ b/juniperreel/proxy/endpoint_list.py
@@ -37,62 +37,65 @@
 FAILURES = (ConnectError, NeverSent, Broken, RpcError, DecodeError)
 
 
-class Host(msgspec.Struct, frozen=True):
-    """One line of the list, as the driver keeps it."""
+STORED_NAMES = {"machine_type": "kind", "listed_primary": "primary", "capacity": "size"}
+
+
+class ListedEndpoint(msgspec.Struct, frozen=True, rename=STORED_NAMES):
+    """One entry of the endpoint list, as received and stored; stored fields keep their names in the file."""
 
     id: str
     address: str
     port: int
     group: int
     zone: int
-    kind: int
+    machine_type: int
     readiness: str
-    primary: bool
-    size: float
+    listed_primary: bool
+    capacity: float
     started_us: int
 
-    def member(self, skew_us: int) -> Endpoint:
+    def router_endpoint(self, skew_us: int) -> Endpoint:
         """For the module; a start counts as later than it may be, so that a cold member is not hurried."""
         return Endpoint(
             id=self.id,
             group=self.group,
             zone=self.zone,
-            machine_type=self.kind,
+            machine_type=self.machine_type,
             readiness=Readiness(self.readiness),
-            listed_primary=self.primary,
-            capacity=self.size,
+            listed_primary=self.listed_primary,
+            capacity=self.capacity,
             started_us=self.started_us + skew_us if self.started_us else 0,
         )
 
 
 class Saved(msgspec.Struct, frozen=True):
     format: int
-    hosts: list[Host]
+    hosts: list[ListedEndpoint]
     version: int = 0  # of the configuration they come from; 0 from a host list
 
 
-def read_host(host: hosts_pb2.Host, groups: int) -> Host | None:
+def parse_endpoint(host: hosts_pb2.Host, groups: int) -> ListedEndpoint | None:
     """None for a line that cannot be right; the rest of the list still counts."""
     if not host.id or not host.address or not 0 < host.port < 65536 or host.group >= groups:
         return None
     readiness = READINESS.get(host.readiness)
     if readiness is None or not host.size >= 0:
         return None
-    return Host(
+    return ListedEndpoint(
         id=host.id,
         address=host.address,
         port=host.port,
         group=host.group,
         zone=host.zone,
-        kind=host.kind,
+        machine_type=host.kind,
         readiness=readiness.value,
-        primary=host.primary,
-        size=host.size or 1.0,
+        listed_primary=host.primary,
+        capacity=host.size or 1.0,
         started_us=host.started,
     )
 
 
-class MemberSource:
+class EndpointSource:
     """Where the driver learns of members: tells lists as they come and failures as they happen.
 
     One watch at a time, begun and ended by the module's word. `known` is the newest whole list, `heard_us`
@@ -103,7 +106,7 @@
         self,
         options: DriverOptions,
         clock: Clock,
-        tell: Callable[[UpdateKind, list[Host]], None],
+        tell: Callable[[UpdateKind, list[ListedEndpoint]], None],
         log: Callable[..., None],
         link: Channel | Instances,
     ) -> None:
@@ -111,7 +114,7 @@
         self._link = link
         self._nursery: trio.Nursery | None = None
         self._watching: trio.CancelScope | None = None
-        self.known: dict[str, Host] = {}
+        self.known: dict[str, ListedEndpoint] = {}
         self.heard_us = 0
         self.version = 0
 
@@ -138,7 +141,7 @@
         raise NotImplementedError
 
 
-class HostList(MemberSource):
+class EndpointListClient(EndpointSource):
     """One driver's link to the host list."""
 
     def __init__(
@@ -147,10 +150,10 @@
         network: Network,
         clock: Clock,
         rng: random.Random,
-        tell: Callable[[UpdateKind, list[Host]], None],
+        tell: Callable[[UpdateKind, list[ListedEndpoint]], None],
         log: Callable[..., None],
     ) -> None:
-        host, port = options.hosts
+        host, port = options.discovery_address
         self._channel = Channel(network, clock, host, port, options.limits, rng, options.connect_timeout_us)
         super().__init__(options, clock, tell, log, self._channel)
 
@@ -161,8 +164,10 @@
     async def _fetch(self) -> None:
         request = hosts_pb2.FetchRequest(edge=self._options.name).SerializeToString()
         try:
-            with trio.fail_after(self._options.list_timeout_us / 1_000_000):
-                reply = await self._channel.unary(FETCH, request, timeout_us=self._options.list_timeout_us)
+            with trio.fail_after(self._options.discovery_timeout_us / 1_000_000):
+                reply = await self._channel.unary(
+                    FETCH, request, timeout_us=self._options.discovery_timeout_us
+                )
                 self._take(True, hosts_pb2.FetchResponse.FromString(reply.message).hosts)
         except (*FAILURES, trio.TooSlowError) as error:
             self._failed(error)
@@ -172,7 +177,7 @@
         with scope:
             try:
                 with trio.CancelScope() as first:  # a list that says nothing at all must not be waited for
-                    first.deadline = trio.current_time() + self._options.list_timeout_us / 1_000_000
+                    first.deadline = trio.current_time() + self._options.discovery_timeout_us / 1_000_000
                     async with self._channel.streaming(WATCH, request) as messages:
                         async for data in messages:
                             first.deadline = float("inf")
@@ -192,7 +197,7 @@
     def _take(self, full: bool, lines: Iterable[hosts_pb2.Host]) -> None:
         hosts = []
         for line in lines:
-            host = read_host(line, self._options.groups)
+            host = parse_endpoint(line, self._options.groups)
             if host is None:
                 self._log("host list line ignored", host=line.id[:100], group=line.group)
             else:
@@ -209,7 +214,7 @@
         self._tell(UpdateKind.SNAPSHOT if full else UpdateKind.DELTA, hosts)
 
 
-def load(path: Path | None, groups: int) -> tuple[list[Host], int]:
+def load_cached_list(path: Path | None, groups: int) -> tuple[list[ListedEndpoint], int]:
     """The last good list and its version; empty where there is none. Raises ValueError for a file that is
     not one."""
     if path is None or not path.exists():
@@ -224,7 +229,7 @@
     return [h for h in saved.hosts if h.group < groups and h.readiness in names], saved.version
 
 
-def save(path: Path, hosts: list[Host], version: int = 0) -> None:
+def save_cached_list(path: Path, hosts: list[ListedEndpoint], version: int = 0) -> None:
     """Whole or not at all: written beside, synced, then renamed over. Raises OSError."""
     beside = path.with_suffix(path.suffix + ".new")
     data = msgspec.json.encode(Saved(FORMAT, hosts, version))
--- a/juniperreel/proxy/grpc_endpoints.py
+++ b/juniperreel/proxy/grpc_endpoints.py
@@ -13,9 +13,9 @@
 from juniperreel.causal import History
 from juniperreel.net import Clock, Network, Silent
 from juniperreel.proto.member.v1 import member_pb2
-from juniperreel.proxy.attempts import Fault, Job, Reply
+from juniperreel.proxy.attempts import AttemptRequest, AttemptResponse, EndpointError, EndpointReport
 from juniperreel.proxy.options import DriverOptions
-from juniperreel.proxy.positions import Standing
+from juniperreel.proxy.positions import ReplicationStatus
 from juniperreel.routing.types import (
     Outcome,
 )
@@ -37,7 +37,7 @@
         self.retired = False
 
 
-class MemberLinks:
+class GrpcEndpoints:
     """All members' connections of one driver; `run` must be running."""
 
     def __init__(self, options: DriverOptions, network: Network, clock: Clock, rng: random.Random) -> None:
@@ -50,7 +50,7 @@
             task_status.started()
             await trio.sleep_forever()
 
-    def place(self, member: str, host: str, port: int) -> None:
+    def set_address(self, member: str, host: str, port: int) -> None:
         """Where the member is now. A new address gets a new connection; the old one ends when idle."""
         link = self._links.get(member)
         if link is not None and link.address == (host, port) and not link.channel.closed:
@@ -72,7 +72,7 @@
         assert self._nursery is not None
         self._nursery.start_soon(channel.run)
 
-    def retire(self, member: str) -> None:
+    def remove(self, member: str) -> None:
         """The member is gone: its connection ends with the last attempt on it."""
         link = self._links.get(member)
         if link is not None:
@@ -95,15 +95,17 @@
         if link.channel.closed:
             # Danger: a list that flaps, or whose "gone" does not bind, sends to a member whose connection
             # was ended; it would seem dead for ever.
-            self.place(member, *link.address)
+            self.set_address(member, *link.address)
             link = self._links[member]
         return link
 
-    async def execute(self, member: str, job: Job, timeout_us: int, sent: trio.Event) -> Reply:
-        if job.work.hold is not None:
-            raise Fault(Outcome.OK, "transactions need members that speak MySQL", 1235, "42000")
+    async def execute(
+        self, member: str, job: AttemptRequest, timeout_us: int, sent: trio.Event
+    ) -> AttemptResponse:
+        if job.request.transaction_mode is not None:
+            raise EndpointError(Outcome.OK, "transactions need members that speak MySQL", 1235, "42000")
         link = self._link(member)
-        if link.in_hand >= self._options.member_attempts:
+        if link.in_hand >= self._options.max_attempts_per_endpoint:
             raise NeverSent(f"{link.in_hand} attempts are out on the connection to {member}")
         link.in_hand += 1
         try:
@@ -118,39 +120,41 @@
             response = member_pb2.ExecuteResponse.FromString(reply.message)
         except DecodeError as error:
             raise Broken(f"{member} sent no ExecuteResponse: {error}") from error
-        return Reply(response.result, standing_of(response.standing), response.commit)
+        return AttemptResponse(response.result, standing_of(response.standing), response.commit)
 
-    async def report(self, member: str) -> tuple[Standing, float, float]:
+    async def check_health(self, member: str) -> EndpointReport:
         """The member's report: standing, requests in hand, requests waiting."""
         link = self._link(member)
-        reply = await link.channel.unary(REPORT, REPORT_REQUEST, timeout_us=self._options.probe_timeout_us)
+        reply = await link.channel.unary(
+            REPORT, REPORT_REQUEST, timeout_us=self._options.health_check_timeout_us
+        )
         try:
             response = member_pb2.ReportResponse.FromString(reply.message)
         except DecodeError as error:
             raise RpcError(Code.INTERNAL, f"{member} sent no ReportResponse: {error}") from error
-        return standing_of(response.standing), response.in_hand, response.waiting
+        return EndpointReport(standing_of(response.standing), response.in_hand, response.waiting)
 
 
 ROLES: dict[int, bool | None] = {member_pb2.ROLE_PRIMARY: True, member_pb2.ROLE_REPLICA: False}
 
 
-def standing_of(message: member_pb2.Standing) -> Standing:
+def standing_of(message: member_pb2.Standing) -> ReplicationStatus:
     history = History.of((e.epoch, e.start) for e in message.epochs)
-    return Standing(ROLES.get(message.role), message.position, history)
+    return ReplicationStatus(ROLES.get(message.role), message.position, history)
 
 
-def execute_message(job: Job) -> bytes:
+def execute_message(job: AttemptRequest) -> bytes:
     message = member_pb2.ExecuteRequest(
-        request=job.work.id,
-        attempt=job.attempt,
-        write=job.write,
-        statement=job.work.statement,
-        parameters=job.work.parameters,
-        idempotency_key=job.work.key,
-        floor=job.needs.floor,
-        oldest=job.needs.oldest,
+        request=job.request.id,
+        attempt=job.number,
+        write=job.is_write,
+        statement=job.request.statement,
+        parameters=job.request.parameters,
+        idempotency_key=job.request.idempotency_key,
+        floor=job.required.floor,
+        oldest=job.required.oldest,
     )
-    setattr(message, "class", job.cls)  # a keyword of Python's
-    for epoch, position in job.needs.pairs:
+    setattr(message, "class", job.class_name)  # a keyword of Python's
+    for epoch, position in job.required.commits:
         message.needed.add(epoch=epoch, position=position)
     return message.SerializeToString()
--- a/juniperreel/proxy/mysql_endpoints.py
+++ b/juniperreel/proxy/mysql_endpoints.py
@@ -36,11 +36,11 @@
 from juniperreel.pool.errors import UNDOES_ALL, Meaning, meaning
 from juniperreel.pool.result import Result, Statement
 from juniperreel.pool.state import SessionState, replay
-from juniperreel.proxy.attempts import Fault, Job, Reply
-from juniperreel.proxy.options import DriverOptions, MysqlMembers
-from juniperreel.proxy.positions import Positions, Standing
-from juniperreel.proxy.requests import Hold
-from juniperreel.proxy.transactions import STATUS, Held, standing_of
+from juniperreel.proxy.attempts import AttemptRequest, AttemptResponse, EndpointError, EndpointReport
+from juniperreel.proxy.options import DriverOptions, MysqlEndpointOptions
+from juniperreel.proxy.positions import PositionTracker, ReplicationStatus
+from juniperreel.proxy.requests import TransactionMode
+from juniperreel.proxy.transactions import STATUS, EndpointTransaction, standing_of
 from juniperreel.routing.types import (
     Outcome,
 )
@@ -50,8 +50,8 @@
 TICK_S = 1.0
 KILLS = 8  # that wait for one member's ear
 BEGIN = {
-    Hold.READ_WRITE: Statement(b"start transaction"),
-    Hold.READ_ONLY: Statement(b"start transaction read only"),
+    TransactionMode.READ_WRITE: Statement(b"start transaction"),
+    TransactionMode.READ_ONLY: Statement(b"start transaction read only"),
 }
 GTIDS = Statement(published.GTIDS)
 
@@ -73,23 +73,23 @@
         self.address = address
         self.pool = pool
         self.slots: dict[Hashable, Slot] = {}
-        self.held: set[Held] = set()
+        self.held: set[EndpointTransaction] = set()
         self.monitor: Backend | None = None
         self.ear = trio.Lock()
         self.kills = 0
         self.last_failure = ""
 
 
-class MysqlLinks:
-    """See `jobs.Links`."""
+class MysqlEndpoints:
+    """See `attempts.EndpointConnections`."""
 
     def __init__(
         self,
         options: DriverOptions,
-        members: MysqlMembers,
+        members: MysqlEndpointOptions,
         network: Network,
         clock: Clock,
-        positions: Positions,
+        positions: PositionTracker,
         rng: random.Random,
         group_of: Callable[[str], int],
         metrics: Metrics,
@@ -117,17 +117,17 @@
                 for member in self._members.values():
                     self._do(member, member.pool.tick(now))
 
-    def place(self, member: str, host: str, port: int) -> None:
+    def set_address(self, member: str, host: str, port: int) -> None:
         known = self._members.get(member)
         if known is not None and known.address == (host, port):
             known.pool.resume()
             return
         if known is not None:
             self._retire(known)
-        pool: Pool[Backend] = Pool(self._mysql.sizes, random.Random(self._rng.random()))
+        pool: Pool[Backend] = Pool(self._mysql.pool_sizes, random.Random(self._rng.random()))
         self._members[member] = Member((host, port), pool)
 
-    def retire(self, member: str) -> None:
+    def remove(self, member: str) -> None:
         known = self._members.get(member)
         if known is not None:
             self._retire(known)
@@ -268,8 +268,12 @@
 
     # Attempts.
 
-    async def execute(self, member: str, job: Job, timeout_us: int, sent: trio.Event) -> Reply:
-        link, lease = await self._lease(member, job.work.tenant, job.worth, job.work.state)
+    async def execute(
+        self, member: str, job: AttemptRequest, timeout_us: int, sent: trio.Event
+    ) -> AttemptResponse:
+        link, lease = await self._lease(
+            member, job.request.tenant_index, job.priority_weight, job.request.session_state
+        )
         backend = lease.connection
         kept = done = False
         try:
@@ -278,11 +282,13 @@
             reply = await self._exchange(member, link, lease, job)
             done = True
             rest = getattr(reply.result, "rest", None)
-            kept = reply.held is not None
+            kept = reply.transaction is not None
             if rest is not None and not kept:
                 kept = True
                 assert self._nursery is not None
-                self._nursery.start_soon(self._until_over, link, lease, rest, not job.work.taint)
+                self._nursery.start_soon(
+                    self._until_over, link, lease, rest, not job.request.taints_connection
+                )
             return reply
         except Lost as error:
             if not error.sent or not sent.is_set():
@@ -290,15 +296,15 @@
             raise Broken(str(error)) from error
         finally:
             if not kept:
-                self._back(link, lease, good=not job.work.taint)
+                self._back(link, lease, good=not job.request.taints_connection)
                 if not done and backend.why == "closed here":
                     self._kill(link, backend)
 
-    async def _replay(self, backend: Backend, job: Job) -> None:
-        """The connection as the session has it. Raises Lost, or Fault for what the member does not take."""
-        statements = [replay(backend.state, job.work.state)]
-        if job.work.insert_id is not None:
-            statements.append(f"set @@session.last_insert_id = {job.work.insert_id}".encode())
+    async def _replay(self, backend: Backend, job: AttemptRequest) -> None:
+        """Bring the connection to the session's state. Raises Lost, or EndpointError."""
+        statements = [replay(backend.state, job.request.session_state)]
+        if job.request.last_insert_id is not None:
+            statements.append(f"set @@session.last_insert_id = {job.request.last_insert_id}".encode())
         for text in statements:
             if text is None:
                 continue
@@ -310,7 +316,7 @@
                 backend.close()
                 fault = self._fault(answer)
                 raise fault
-        backend.state = job.work.state
+        backend.state = job.request.session_state
 
     async def _until_over(self, link: Member, lease: Lease[Backend], rest: Any, good: bool) -> None:
         await rest.over.wait()
@@ -331,43 +337,47 @@
             answers = await backend.exchange(steps, attributes, main, stream)
         return answers
 
-    async def _exchange(self, name: str, link: Member, lease: Lease[Backend], job: Job) -> Reply:
-        """Raises Lost, or Fault."""
+    async def _exchange(
+        self, name: str, link: Member, lease: Lease[Backend], job: AttemptRequest
+    ) -> AttemptResponse:
+        """Raises Lost, or EndpointError."""
         backend = lease.connection
-        statement = Statement(job.work.statement, [plain(v) for v in job.work.parameters], job.work.binary)
+        statement = Statement(
+            job.request.statement, [plain(v) for v in job.request.parameters], job.request.binary_rows
+        )
         attributes: dict[str, Value] = {
-            "juniperreel_request": job.work.id,
-            "juniperreel_attempt": job.attempt,
-            "juniperreel_class": job.cls,
-            "juniperreel_write": int(job.write),
+            "juniperreel_request": job.request.id,
+            "juniperreel_attempt": job.number,
+            "juniperreel_class": job.class_name,
+            "juniperreel_write": int(job.is_write),
         }
         try:
-            if job.work.hold is Hold.READ_WRITE:
+            if job.request.transaction_mode is TransactionMode.READ_WRITE:
                 return await self._begin(name, link, lease, job, statement, attributes)
-            if job.work.hold is Hold.READ_ONLY:
+            if job.request.transaction_mode is TransactionMode.READ_ONLY:
                 return await self._begin_reading(name, link, lease, job, statement, attributes)
-            if job.write:
+            if job.is_write:
                 return await self._write(name, backend, statement, attributes)
             return await self._read(backend, job, statement, attributes)
         except TooLong as error:
-            raise Fault(Outcome.OK, str(error), 1153, "08S01") from error
+            raise EndpointError(Outcome.OK, str(error), 1153, "08S01") from error
 
     async def _read(
-        self, backend: Backend, job: Job, statement: Statement, attributes: dict[str, Value]
-    ) -> Reply:
-        answers = await self._asked(backend, [STATUS, statement], attributes, 1, job.work.stream)
+        self, backend: Backend, job: AttemptRequest, statement: Statement, attributes: dict[str, Value]
+    ) -> AttemptResponse:
+        answers = await self._asked(backend, [STATUS, statement], attributes, 1, job.request.accepts_stream)
         standing, answer = standing_of(self._told(answers[0])), answers[1]
         if isinstance(answer, Err):
             raise self._fault(answer)
-        if not job.needs.met_by(standing):
+        if not job.required.is_met_by(standing):
             if answer.rest is not None:
                 answer.rest.close()
-            return Reply(None, standing)  # the driver sees for itself that it is too old
-        return Reply(answer, standing)
+            return AttemptResponse(None, standing)  # the driver sees for itself that it is too old
+        return AttemptResponse(answer, standing)
 
     async def _write(
         self, name: str, backend: Backend, statement: Statement, attributes: dict[str, Value]
-    ) -> Reply:
+    ) -> AttemptResponse:
         """Raises Lost where the commit's epoch is in doubt."""
         first, answer, last = await self._asked(backend, [STATUS, statement, STATUS], attributes, 1)
         before = self._told(first)
@@ -375,40 +385,42 @@
             raise self._fault(answer)
         if backend.session.in_transaction:
             # Danger: its client would believe in a transaction that ends with this connection.
-            raise Fault(Outcome.OK, "begins a transaction in words that are not read here", 1235, "42000")
+            raise EndpointError(
+                Outcome.OK, "begins a transaction in words that are not read here", 1235, "42000"
+            )
         try:
             after = self._told(last)
-        except Fault as error:
+        except EndpointError as error:
             raise Lost(f"{name} does not tell where its commit stands: {error}", sent=True) from error
         if before.read_only or before.epochs != after.epochs:
             # Danger: `read_only` or the epoch flipped around the statement; the group may never hold it.
             raise Lost(f"{name} changed its role during a write", sent=True)
         standing, group = standing_of(after), self._group_of(name)
-        self._positions.committed(group, standing.history.epoch, after.clock_us, answer.ok.gtids)
-        return Reply(answer, standing, after.clock_us)
+        self._positions.record_commit(group, standing.history.epoch, after.clock_us, answer.ok.gtids)
+        return AttemptResponse(answer, standing, after.clock_us)
 
     async def _begin(
         self,
         name: str,
         link: Member,
         lease: Lease[Backend],
-        job: Job,
+        job: AttemptRequest,
         statement: Statement,
         attributes: dict[str, Value],
-    ) -> Reply:
+    ) -> AttemptResponse:
         """Asks first and sends the statement then: what ran at a primary of the past, even if it was undone,
         would not be sent again."""
         backend = lease.connection
-        first, begun = await backend.exchange([STATUS, BEGIN[Hold.READ_WRITE]])
+        first, begun = await backend.exchange([STATUS, BEGIN[TransactionMode.READ_WRITE]])
         told = self._told(first)
         standing = standing_of(told)
         group = self._group_of(name)
-        self._positions.learn(group, standing)
-        if told.read_only or self._positions.deposed(group, standing):
-            raise Fault(Outcome.INELIGIBLE, f"{name} is no primary")
+        self._positions.record_status(group, standing)
+        if told.read_only or self._positions.is_deposed(group, standing):
+            raise EndpointError(Outcome.INELIGIBLE, f"{name} is no primary")
         if isinstance(begun, Err):
             raise self._fault(begun)
-        (answer,) = await backend.exchange([statement], attributes, 0, job.work.stream)
+        (answer,) = await backend.exchange([statement], attributes, 0, job.request.accepts_stream)
         return self._begun(name, link, lease, job, standing, answer)
 
     async def _begin_reading(
@@ -416,13 +428,15 @@
         name: str,
         link: Member,
         lease: Lease[Backend],
-        job: Job,
+        job: AttemptRequest,
         statement: Statement,
         attributes: dict[str, Value],
-    ) -> Reply:
+    ) -> AttemptResponse:
         """The standing is read within, so that it is that of the transaction's snapshot."""
-        steps = [BEGIN[Hold.READ_ONLY], STATUS, statement]
-        begun, second, answer = await lease.connection.exchange(steps, attributes, 2, job.work.stream)
+        steps = [BEGIN[TransactionMode.READ_ONLY], STATUS, statement]
+        begun, second, answer = await lease.connection.exchange(
+            steps, attributes, 2, job.request.accepts_stream
+        )
         if isinstance(begun, Err):
             raise self._fault(begun)
         return self._begun(name, link, lease, job, standing_of(self._told(second)), answer)
@@ -432,52 +446,60 @@
         name: str,
         link: Member,
         lease: Lease[Backend],
-        job: Job,
-        standing: Standing,
+        job: AttemptRequest,
+        standing: ReplicationStatus,
         answer: Result | Err,
-    ) -> Reply:
+    ) -> AttemptResponse:
         if isinstance(answer, Err) and meaning(answer.code) not in (Meaning.FAULT, Meaning.ENDED):
             raise self._fault(answer)
         fault = None
         if isinstance(answer, Err):
             # Nothing took effect, and whether to try again is the client's to say: it knows these codes.
-            fault = Fault(Outcome.OK, answer.words, answer.code, answer.state)
+            fault = EndpointError(Outcome.OK, answer.words, answer.code, answer.state)
             if answer.code in UNDOES_ALL:
                 raise fault
         if not lease.connection.session.in_transaction:
-            raise Fault(Outcome.ERROR, f"{name} began no transaction")
+            raise EndpointError(Outcome.ERROR, f"{name} began no transaction")
         held = self._hold(name, link, lease, job)
-        return Reply(None if isinstance(answer, Err) else answer, standing, held=held, error=fault)
+        return AttemptResponse(
+            None if isinstance(answer, Err) else answer, standing, transaction=held, error=fault
+        )
 
     def _told(self, answer: Result | Err) -> published.Told:
-        """Raises Fault: who does not tell where it stands is not believed."""
+        """Raises EndpointError: who does not tell where it stands is not believed."""
         if isinstance(answer, Err):
             fault = self._fault(answer)
-            if isinstance(fault, Fault) and fault.outcome is Outcome.OK:  # its table is missing, or forbidden
-                raise Fault(Outcome.ERROR, f"where it stands is not told: {answer.code}: {answer.words}")
+            if (
+                isinstance(fault, EndpointError) and fault.outcome is Outcome.OK
+            ):  # its table is missing, or forbidden
+                raise EndpointError(
+                    Outcome.ERROR, f"where it stands is not told: {answer.code}: {answer.words}"
+                )
             raise fault
         try:
             return published.told(answer.values())
         except (published.NotTold, ProtocolError) as error:
-            raise Fault(Outcome.ERROR, str(error)) from error
+            raise EndpointError(Outcome.ERROR, str(error)) from error
 
     @staticmethod
     def _fault(err: Err) -> Exception:
         words = f"{err.code}: {err.words}"
         match meaning(err.code):
             case Meaning.READ_ONLY:
-                return Fault(Outcome.INELIGIBLE, words)
+                return EndpointError(Outcome.INELIGIBLE, words)
             case Meaning.BUSY:
-                return Fault(Outcome.REJECTED, words)
+                return EndpointError(Outcome.REJECTED, words)
             case Meaning.GONE:
                 return Lost(words, sent=True)
             case Meaning.FAULT | Meaning.ENDED:
                 # Nothing took effect, and whether to try again is the client's to say: it knows these codes.
-                return Fault(Outcome.OK, err.words, err.code, err.state)
+                return EndpointError(Outcome.OK, err.words, err.code, err.state)
             case _:
-                return Fault(Outcome.ERROR, words)
+                return EndpointError(Outcome.ERROR, words)
 
-    def _hold(self, name: str, link: Member, lease: Lease[Backend], job: Job) -> Held:
+    def _hold(
+        self, name: str, link: Member, lease: Lease[Backend], job: AttemptRequest
+    ) -> EndpointTransaction:
         assert self._nursery is not None
         group = self._group_of(name)
 
@@ -485,14 +507,14 @@
             link.held.discard(held)
             self._back(link, lease, good)
 
-        held = Held(
+        held = EndpointTransaction(
             lease.connection,
-            job.work.id,
+            job.request.id,
             name,
             group,
             self._clock,
             self._positions,
-            self._mysql.transaction_us,
+            self._mysql.transaction_timeout_us,
             give_back,
         )
         link.held.add(held)
@@ -524,7 +546,7 @@
 
     async def _send_kill(self, member: Member, beside: Backend, thread: int) -> None:
         try:
-            with trio.move_on_after(self._options.probe_timeout_us / US):
+            with trio.move_on_after(self._options.health_check_timeout_us / US):
                 async with member.ear:
                     if not beside.why:
                         await beside.exchange([Statement(f"kill {thread}".encode())])
@@ -535,7 +557,7 @@
         finally:
             member.kills -= 1
 
-    async def report(self, member: str) -> tuple[Standing, float, float]:
+    async def check_health(self, member: str) -> EndpointReport:
         link = self._members.get(member)
         if link is None or link.pool.draining:
             raise Silent(f"no address is known for {member}")
@@ -554,11 +576,11 @@
             if isinstance(gtids, Result):  # a server without them has none to tell
                 ((executed,),) = gtids.values()
                 group = self._group_of(member)
-                self._positions.learn(group, standing)
-                self._positions.executed(group, standing, str(executed))
-            return standing, published.load(load.values()), 0.0
+                self._positions.record_status(group, standing)
+                self._positions.record_executed_gtids(group, standing, str(executed))
+            return EndpointReport(standing, published.load(load.values()), 0.0)
         except (published.NotTold, ProtocolError, ValueError) as error:
-            raise Fault(Outcome.ERROR, str(error)) from error
+            raise EndpointError(Outcome.ERROR, str(error)) from error
 
 
 def plain(value: Any) -> Value:
--- a/juniperreel/proxy/options.py
+++ b/juniperreel/proxy/options.py
@@ -1,4 +1,4 @@
-"""What a driver is started with. All of it comes from the settings file; nothing here is a decision."""
+"""What a request driver is started with. All of it is set in the settings file; nothing here decides."""
 
 from __future__ import annotations
 
@@ -14,32 +14,32 @@
 
 
 @dataclass(frozen=True, slots=True)
-class MysqlMembers:
-    """Members speak MySQL. `transaction_us`: how long one may last; `sizes` of each member's pool."""
+class MysqlEndpointOptions:
+    """How to reach endpoints that speak MySQL; `pool_sizes` applies to each endpoint's connection pool."""
 
     login: Login
-    transaction_us: int
-    sizes: Sizes
+    transaction_timeout_us: int
+    pool_sizes: Sizes
 
 
 @dataclass(frozen=True, slots=True)
 class DriverOptions:
-    """Spans are microseconds."""
+    """Settings of one `RequestDriver`. Durations are microseconds."""
 
     name: str
     router: Settings
     seed: int
     groups: int
-    hosts: tuple[str, int]  # address of the host list
-    saved_list: Path | None  # the last good list, kept for a start without the host list
-    skew_us: int  # how far clocks of groups and edges differ at most
-    answer_margin_us: int  # taken off each deadline, for the answer's way back
-    max_open: int  # requests in hand
-    member_attempts: int  # attempts at once on one member's connection
+    discovery_address: tuple[str, int]
+    cached_list_path: Path | None  # the last good endpoint list, for a start without discovery
+    skew_us: int  # upper bound on the difference between the clocks of groups and edges
+    answer_margin_us: int  # subtracted from each deadline, for the way of the answer to the client
+    max_open_requests: int
+    max_attempts_per_endpoint: int  # concurrent attempts on one endpoint's gRPC connection
     connect_timeout_us: int
-    probe_timeout_us: int
-    list_timeout_us: int  # for a fetch, and for a watch's first list
+    health_check_timeout_us: int
+    discovery_timeout_us: int  # of a poll, and of the wait for a watch's first message
     limits: Limits
-    saves_list: bool = True  # one of several drivers that share the file does
-    mysql: MysqlMembers | None = None  # else they speak gRPC
-    instances: tuple[tuple[str, int], ...] = ()  # of the configuration; if any, in place of the host list
+    writes_cached_list: bool = True  # of several drivers that share the file, one writes it
+    mysql: MysqlEndpointOptions | None = None  # None: endpoints speak gRPC
+    configuration_addresses: tuple[tuple[str, int], ...] = ()  # Raft instances; replace discovery if given
--- a/juniperreel/proxy/outcomes.py
+++ b/juniperreel/proxy/outcomes.py
@@ -1,56 +1,62 @@
-"""How an attempt or a probe ended, in the module's words. Free of I/O and of judgement.
+"""How an attempt or a health check ended, as an `Outcome`. Does no I/O and decides nothing.
 
-Only what certainly left the member untouched may come out as REJECTED, UNREACHABLE, NOT_SENT or MISS: the
-module resends those freely (rule 2). Whatever is in doubt may have run.
+Only what certainly left the endpoint's data untouched may come out as REJECTED, UNREACHABLE, NOT_SENT or
+INELIGIBLE: the router resends those freely (rule 2). Whatever is in doubt may have been executed.
 """
 
 from __future__ import annotations
 
 from juniperreel.net import ConnectError
-from juniperreel.proxy.attempts import Fault
+from juniperreel.proxy.attempts import EndpointError
 from juniperreel.routing.types import (
     Outcome,
 )
 from juniperreel.rpc.channel import Broken, NeverSent
 from juniperreel.rpc.status import Code, RpcError
 
-DOMAIN = "member.juniperreel"
-UNTOUCHED = {
+ERROR_DOMAIN = "member.juniperreel"
+NOT_EXECUTED_REASONS = {
     "NOT_PRIMARY": Outcome.INELIGIBLE,
     "BEHIND": Outcome.INELIGIBLE,
     "NOT_EXECUTED": Outcome.REJECTED,
 }
-STATEMENT = "STATEMENT"
-
-
-def of_error(error: Exception) -> Outcome:
-    """The outcome of an attempt that ended with this exception of `rpc`, `net` or a member link."""
-    if isinstance(error, Fault):
-        return error.outcome
-    if isinstance(error, ConnectError):
-        return Outcome.UNREACHABLE
-    if isinstance(error, NeverSent):
-        return Outcome.NOT_SENT
-    if isinstance(error, Broken):
-        return Outcome.RESET
-    if isinstance(error, RpcError):
-        reason = error.reason(DOMAIN)
-        if reason in UNTOUCHED:
-            return UNTOUCHED[reason]
-        if error.code is Code.DEADLINE_EXCEEDED:
-            return Outcome.TIMEOUT
-        return Outcome.ERROR
-    return Outcome.ERROR
-
-
-def is_statement_fault(error: Exception) -> bool:
-    if isinstance(error, Fault):
+STATEMENT_REASON = "STATEMENT"
+ATTEMPT_ERRORS = (ConnectError, NeverSent, Broken, RpcError, EndpointError)  # that endpoint connections raise
+
+
+def outcome_of_error(error: Exception) -> Outcome:
+    """The outcome of an attempt that ended with this exception of `rpc`, `net` or endpoint connections."""
+    match error:
+        case EndpointError():
+            return error.outcome
+        case ConnectError():
+            return Outcome.UNREACHABLE
+        case NeverSent():
+            return Outcome.NOT_SENT
+        case Broken():
+            return Outcome.RESET
+        case RpcError():
+            return _outcome_of_status(error)
+        case _:
+            return Outcome.ERROR
+
+
+def _outcome_of_status(error: RpcError) -> Outcome:
+    reason = error.reason(ERROR_DOMAIN)
+    if reason in NOT_EXECUTED_REASONS:
+        return NOT_EXECUTED_REASONS[reason]
+    return Outcome.TIMEOUT if error.code is Code.DEADLINE_EXCEEDED else Outcome.ERROR
+
+
+def is_statement_error(error: Exception) -> bool:
+    """Whether the endpoint is well and the statement itself is at fault."""
+    if isinstance(error, EndpointError):
         return error.outcome is Outcome.OK
-    return isinstance(error, RpcError) and error.reason(DOMAIN) == STATEMENT
+    return isinstance(error, RpcError) and error.reason(ERROR_DOMAIN) == STATEMENT_REASON
 
 
-def unfinished(sent: bool, withdrawn: bool) -> Outcome:
-    """Of an attempt that this side ended: at its time-out, or withdrawn by the module."""
-    if withdrawn:
+def outcome_of_unfinished(sent: bool, cancelled: bool) -> Outcome:
+    """The outcome of an attempt that this side ended: at its time-out, or cancelled by the router."""
+    if cancelled:
         return Outcome.CANCELLED if sent else Outcome.NOT_SENT
     return Outcome.TIMEOUT if sent else Outcome.UNREACHABLE
--- a/juniperreel/proxy/positions.py
+++ b/juniperreel/proxy/positions.py
@@ -1,31 +1,50 @@
-"""Log positions between the groups' clocks and the module's, always on the safe side. Free of I/O.
+"""Translates log positions between the groups' clocks and the router's, always on the safe side. No I/O.
 
-The module compares positions by number. What a number means depends on its epoch: after a failover the
-same number may name a commit that the group no longer holds. Here is the only place that knows both, and
-it tells the module a smaller number whenever it is not sure.
+The router compares positions by number. What a number means depends on its epoch: after a failover the
+same number may name a commit that the group no longer holds. This module is the only place that knows both,
+and it reports a smaller number whenever it is not sure.
 
-One mapping serves positions and needs alike (minus the bound on skew), so that comparing the two loses
-nothing, while a position compared with this clock counts as older than it may be.
+One mapping serves applied and required positions alike (minus the bound on clock skew), so that comparing
+the two loses nothing, while a position compared with this clock counts as older than it may be.
 """
 
 from __future__ import annotations
 
 from collections import OrderedDict, deque
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from juniperreel.causal import History, Token
 from juniperreel.pool.gtid import BadGtid, Gtid, GtidSet
 
-KEPT_COMMITS = 10_000  # of a group; those of the last moments before a failover matter
+MAX_TRACKED_COMMITS = 10_000  # per group; only those of the last moments before a failover matter
 NEVER_REACHED_US = 1 << 60  # a position later than any clock's reading
 
 
+class EpochPosition(NamedTuple):
+    """A log position, on its group's clock, in the epoch that committed it."""
+
+    epoch: int
+    position: int
+
+
+class CarriedCommit(NamedTuple):
+    """A commit of an ended epoch that a later epoch is known to hold."""
+
+    group: int
+    epoch: int
+    position: int
+
+
 @dataclass(frozen=True, slots=True)
-class Standing:
-    """Where a member says it stands: role, applied position, and its history of epochs. `clock_us`: its own,
-    where it was told; a primary holds all that was committed on it until then."""
+class ReplicationStatus:
+    """What an endpoint reports of itself: role, applied position, and its history of epochs.
+
+    `clock_us` is the endpoint's own clock at the time of the report; a primary holds all that was committed
+    on it until then. `is_primary` is None where the role is unknown.
+    """
 
-    primary: bool | None
+    is_primary: bool | None
     position: int
     history: History
     clock_us: int = 0
@@ -33,141 +52,170 @@
 
 @dataclass(frozen=True, slots=True)
 class Commit:
+    """A commit that an endpoint confirmed to this driver."""
+
     epoch: int
     position: int
     gtid: Gtid
 
 
 @dataclass(frozen=True, slots=True)
-class Needs:
-    """What a member must hold to answer a read: pairs of epoch and position, and floors of any epoch."""
+class RequiredPosition:
+    """What an endpoint must have applied to serve a read.
+
+    `commits` are positions within their epochs; `floor` and `oldest` are positions of any epoch, from the
+    session's token and from the bound on staleness.
+    """
 
-    pairs: tuple[tuple[int, int], ...] = ()
+    commits: tuple[EpochPosition, ...] = ()
     floor: int = 0
     oldest: int = 0
 
-    def met_by(self, standing: Standing) -> bool:
-        if standing.position < max(self.floor, self.oldest):
+    def is_met_by(self, status: ReplicationStatus) -> bool:
+        """Whether an endpoint of this status has applied everything required."""
+        if status.position < max(self.floor, self.oldest):
             return False
-        history = standing.history
-        return all(
-            history.holds(e, p)
-            # A primary holds what its own epoch committed, wherever its heartbeat stands.
-            and (
-                standing.position >= p
-                or (standing.primary is True and e == history.epoch and standing.clock_us >= p)
-            )
-            for e, p in self.pairs
-        )
+        return all(self._is_applied(commit, status) for commit in self.commits)
 
+    @staticmethod
+    def _is_applied(commit: EpochPosition, status: ReplicationStatus) -> bool:
+        history = status.history
+        if not history.holds(commit.epoch, commit.position):
+            return False
+        if status.position >= commit.position:
+            return True
+        # A primary holds what its own epoch committed, wherever its heartbeat stands.
+        is_own_epoch = status.is_primary is True and commit.epoch == history.epoch
+        return is_own_epoch and status.clock_us >= commit.position
 
-class Positions:
-    """The newest history that any member of each group has told of."""
+
+class PositionTracker:
+    """Owns the newest epoch history that any endpoint of each group has reported."""
 
     def __init__(self, skew_us: int) -> None:
+        """`skew_us` bounds the difference between the clocks of groups and this program."""
         self.skew_us = skew_us
         self._newest: dict[int, History] = {}
         self._commits: dict[int, deque[Commit]] = {}  # by group, the latest last
-        self._carried: OrderedDict[tuple[int, int, int], None] = OrderedDict()  # group, epoch, position
+        self._carried: OrderedDict[CarriedCommit, None] = OrderedDict()
 
     def history(self, group: int) -> History:
+        """The newest history known of the group; an empty one where nothing is known."""
         return self._newest.get(group, History(()))
 
-    def learn(self, group: int, standing: Standing) -> None:
+    def record_status(self, group: int, status: ReplicationStatus) -> None:
+        """Take over the reported history if it is newer than the known one."""
         known = self.history(group)
-        told = standing.history
-        if told.starts and (
-            told.epoch > known.epoch or (len(told.starts) > len(known.starts) and told.epoch == known.epoch)
-        ):
-            self._newest[group] = told
-
-    def deposed(self, group: int, standing: Standing) -> bool:
-        """Whether the member lives in an epoch that is known to have ended."""
-        return bool(standing.history.starts) and standing.history.epoch < self.history(group).epoch
-
-    def primary(self, group: int, standing: Standing) -> bool | None:
-        """The member's role. Danger: a deposed primary goes on claiming the role; its epoch tells."""
-        return False if standing.primary and self.deposed(group, standing) else standing.primary
-
-    def member_position(self, group: int, standing: Standing) -> int:
-        """Its position on the module's clock. Of a member in an ended epoch only what the next one took
-        over counts."""
-        position = standing.position
-        if standing.primary:
-            position = max(position, standing.clock_us)
-        if self.deposed(group, standing):
-            later = [start for epoch, start in self.history(group).starts if epoch > standing.history.epoch]
+        reported = status.history
+        if not reported.starts:
+            return
+        is_longer = reported.epoch == known.epoch and len(reported.starts) > len(known.starts)
+        if reported.epoch > known.epoch or is_longer:
+            self._newest[group] = reported
+
+    def is_deposed(self, group: int, status: ReplicationStatus) -> bool:
+        """Whether the endpoint lives in an epoch that is known to have ended."""
+        return bool(status.history.starts) and status.history.epoch < self.history(group).epoch
+
+    def is_primary(self, group: int, status: ReplicationStatus) -> bool | None:
+        """The endpoint's role, None where it is unknown.
+
+        Danger: a deposed primary goes on claiming the role; only its epoch shows that it lost it.
+        """
+        if status.is_primary and self.is_deposed(group, status):
+            return False
+        return status.is_primary
+
+    def applied_position(self, group: int, status: ReplicationStatus) -> int:
+        """The endpoint's applied position on the router's clock.
+
+        Of an endpoint in an ended epoch only what the next epoch took over counts.
+        """
+        position = status.position
+        if status.is_primary:
+            position = max(position, status.clock_us)
+        if self.is_deposed(group, status):
+            later = [start for epoch, start in self.history(group).starts if epoch > status.history.epoch]
             position = min(position, *later) if later else 0
         return position - self.skew_us
 
     # Commits around a failover.
 
-    def committed(self, group: int, epoch: int, position: int, gtids: str) -> None:
-        """A member that speaks MySQL confirmed a commit to this driver. Its position is rounded up to the
-        member's clock and so may lie beyond the start of the next epoch, though that holds the commit; then
-        its GTID tells."""
+    def record_commit(self, group: int, epoch: int, position: int, gtids: str) -> None:
+        """Remember a commit that an endpoint speaking MySQL confirmed to this driver.
+
+        Its position is rounded up to the endpoint's clock and so may lie beyond the start of the next epoch
+        although that epoch holds the commit; then its GTID decides.
+        """
         try:
             gtid = Gtid.of(gtids)
         except BadGtid:
-            return  # not told, or of a kind that is not known: only the position counts
-        kept = self._commits.setdefault(group, deque(maxlen=KEPT_COMMITS))
-        kept.append(Commit(epoch, position, gtid))
+            return  # none was sent, or one of an unknown kind: only the position counts
+        commits = self._commits.setdefault(group, deque(maxlen=MAX_TRACKED_COMMITS))
+        commits.append(Commit(epoch, position, gtid))
 
-    def executed(self, group: int, standing: Standing, gtids: str) -> None:
-        """What a member holds, by GTID: commits of epochs before its own are found there, or were lost."""
+    def record_executed_gtids(self, group: int, status: ReplicationStatus, gtids: str) -> None:
+        """Look up commits of earlier epochs among the GTIDs that an endpoint executed; the rest are lost."""
         commits = self._commits.get(group)
-        epoch = standing.history.epoch
-        if not commits or not any(c.epoch < epoch for c in commits) or self.deposed(group, standing):
+        epoch = status.history.epoch
+        if not commits or not any(c.epoch < epoch for c in commits) or self.is_deposed(group, status):
             return
         try:
-            held = GtidSet.of(gtids)
+            executed = GtidSet.of(gtids)
         except BadGtid:
             return
         for commit in [c for c in commits if c.epoch < epoch]:
             commits.remove(commit)
-            if commit.gtid in held:
-                self._carried[group, commit.epoch, commit.position] = None
-                if len(self._carried) > KEPT_COMMITS:
-                    self._carried.popitem(last=False)
+            if commit.gtid in executed:
+                self._record_carried(CarriedCommit(group, commit.epoch, commit.position))
+
+    def _record_carried(self, commit: CarriedCommit) -> None:
+        self._carried[commit] = None
+        if len(self._carried) > MAX_TRACKED_COMMITS:
+            self._carried.popitem(last=False)
 
-    def healed(self, group: int, token: Token) -> Token:
-        """The token with commits that a later epoch is known to hold told as that epoch's start."""
+    def with_carried_commits(self, group: int, token: Token) -> Token:
+        """The token, with commits that a later epoch is known to hold replaced by that epoch's start."""
         if not self._carried:
             return token
         known = self.history(group)
         entries = dict(token.entries)
         for epoch, position in token.of_group(group):
-            if (group, epoch, position) in self._carried and not known.holds(epoch, position):
-                later = next(((e, start) for e, start in known.starts if e > epoch), None)
-                if later is not None:
-                    del entries[group, epoch]
-                    at = (group, later[0])
-                    entries[at] = max(entries.get(at, 0), later[1])
+            if CarriedCommit(group, epoch, position) not in self._carried or known.holds(epoch, position):
+                continue
+            later = next((EpochPosition(*start) for start in known.starts if start[0] > epoch), None)
+            if later is not None:
+                del entries[group, epoch]
+                key = (group, later.epoch)
+                entries[key] = max(entries.get(key, 0), later.position)
         return token if entries == dict(token.entries) else Token.of(entries, token.floor)
 
-    def holds_commit(self, group: int, epoch: int, commit: int) -> bool:
-        """Whether a commit confirmed just now stands in the newest history known."""
+    def holds_commit(self, group: int, epoch: int, commit_position: int) -> bool:
+        """Whether a commit confirmed just now is part of the newest history known."""
         known = self.history(group)
-        return not known.starts or epoch > known.epoch or known.holds(epoch, commit)
+        return not known.starts or epoch > known.epoch or known.holds(epoch, commit_position)
 
     def session_age(self, now_us: int, group: int, token: Token) -> int | None:
-        """How long ago, on the module's clock, the position lies that a read must see; None for none.
+        """How long ago, on the router's clock, the position lies that a read must see; None for none.
 
-        Of a commit that no known history holds the position is one that is never reached: the module
-        waits and then refuses, as with any position that nobody is known to have reached.
+        Of a commit that no known history holds the position is one that is never reached: the router
+        waits and then rejects, as with any position that no endpoint is known to have reached.
         """
         known = self.history(group)
-        pairs = token.of_group(group)
-        if not pairs and not token.floor:
+        commits = token.of_group(group)
+        if not commits and not token.floor:
             return None
         needed = token.floor
-        for epoch, position in pairs:
+        for epoch, position in commits:
             if known.starts and epoch < known.epoch and not known.holds(epoch, position):
                 needed = NEVER_REACHED_US
             needed = max(needed, position)
         return now_us - (needed - self.skew_us)
 
-    def needs(self, now_us: int, group: int, token: Token, lag_allowed_us: int | None) -> Needs:
-        """What is asked of the member itself, which knows its own epoch and position best."""
-        oldest = 0 if lag_allowed_us is None else max(0, now_us + self.skew_us - lag_allowed_us)
-        return Needs(tuple(token.of_group(group)), token.floor, oldest)
+    def required_position(
+        self, now_us: int, group: int, token: Token, max_staleness_us: int | None
+    ) -> RequiredPosition:
+        """What is demanded of the endpoint itself, which knows its own epoch and position best."""
+        oldest = 0 if max_staleness_us is None else max(0, now_us + self.skew_us - max_staleness_us)
+        commits = tuple(EpochPosition(*pair) for pair in token.of_group(group))
+        return RequiredPosition(commits, token.floor, oldest)
--- a/juniperreel/proxy/requests.py
+++ b/juniperreel/proxy/requests.py
@@ -1,11 +1,11 @@
-"""What passes between a front and the driver."""
+"""What passes between a frontend and the request driver: requests, answers and transactions."""
 
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from google.protobuf.message import Message
 
@@ -14,103 +14,119 @@
 from juniperreel.pool.state import FRESH, SessionState
 
 
-@dataclass(frozen=True, slots=True)
-class Committed:
-    """The end of a transaction. `token` is empty where nothing is known of its position."""
+class TransactionMode(Enum):
+    """The kind of transaction that a request begins."""
 
-    result: Result
-    token: Token
+    READ_WRITE = "read write"
+    READ_ONLY = "read only"
 
 
-class Hold(Enum):
-    """The request begins a transaction."""
+@dataclass(frozen=True, slots=True)
+class TransactionResult:
+    """The end of a transaction. `token` is empty where its commit position is not known."""
 
-    READ_WRITE = "read write"
-    READ_ONLY = "read only"
+    result: Result
+    token: Token
 
 
 class Transaction(Protocol):
-    """What a request that began a transaction leaves with its front; see `transactions.Held`."""
+    """An open transaction, owned by the frontend whose request began it; see `transactions`."""
 
     state: SessionState  # of its connection
-    tainted: bool  # it left something on its connection, which nobody else may have
+    tainted: bool  # it left something on its connection, which must not be reused
 
     @property
-    def open(self) -> bool: ...
+    def open(self) -> bool:
+        """Whether further statements can be executed in it."""
+        ...
 
-    async def run(self, statement: Statement, stream: bool = True) -> Result: ...
+    async def run(self, statement: Statement, stream: bool = True) -> Result:
+        """Execute one statement."""
+        ...
 
-    async def finish(self, statement: Statement, commits: bool = True) -> Committed: ...
+    async def finish(self, statement: Statement, commits: bool = True) -> TransactionResult:
+        """Execute the last statement, a commit or a rollback."""
+        ...
 
-    def release(self) -> None: ...
+    def release(self) -> None:
+        """Give the connection back; a transaction that is still open is rolled back."""
+        ...
 
 
 @dataclass(slots=True)
-class Work:
-    """One request, as a front has read it. `deadline_us` is when the client gives up. `binary`: rows as after
-    an execution are wanted, where the member speaks MySQL."""
+class ClientRequest:
+    """One request as parsed by a frontend. The driver assigns `id`."""
 
-    cls: int
-    tenant: int
+    class_index: int
+    tenant_index: int
     group: int
-    deadline_us: int
+    deadline_us: int  # when the client gives up
     statement: bytes
     parameters: Sequence[Any] = ()
     session: str | None = None
-    key: str = ""
+    idempotency_key: str = ""
     token: Token = EMPTY
-    repeat: bool = False
-    read_us: int = 0  # when its bytes could first have been read; 0 where that is not known
+    is_retry: bool = False
+    received_us: int = 0  # when its bytes could first have been read; 0 where that is not known
     id: str = ""
-    binary: bool = False
-    stream: bool = False  # its front can pass on a result in parts
-    hold: Hold | None = None
-    taint: bool = False  # nobody else may have its connection afterwards
-    state: SessionState = FRESH  # what the session has changed of its connections
-    insert_id: int | None = None  # to be told to the connection before
+    binary_rows: bool = False  # rows in MySQL's binary form, where the endpoint speaks MySQL
+    accepts_stream: bool = False  # its frontend can pass on a result in parts
+    transaction_mode: TransactionMode | None = None  # None: a single statement
+    taints_connection: bool = False  # its connection must not be reused afterwards
+    session_state: SessionState = FRESH  # what the session has changed of its connections
+    last_insert_id: int | None = None  # to be set on the connection first
 
 
-def let_go(result: Any, held: Transaction | None) -> None:
-    """Nobody takes an answer: what it holds of a member is given back."""
+def release_result(result: Any, transaction: Transaction | None) -> None:
+    """Give back what an answer that nobody takes holds of its endpoint."""
     rest = getattr(result, "rest", None)
     if rest is not None:
         rest.close()
-    if held is not None:
-        held.release()
+    if transaction is not None:
+        transaction.release()
 
 
 @dataclass(frozen=True, slots=True)
 class Served:
-    """A member's answer. `result` is a juniperreel.common.v1.ResultSet, or a pool.Result of a member that
-    speaks MySQL; one with a rest must be read to its end or closed. `held` must be released."""
+    """An endpoint's result.
+
+    `result` is a juniperreel.common.v1.ResultSet, or a pool.Result of an endpoint that speaks MySQL; one with
+    a `rest` must be read to its end or closed. `transaction` must be released.
+    """
 
     result: Any
     token: Token
-    member: str
-    primary: bool
+    endpoint: str
+    from_primary: bool
     attempts: int
-    held: Transaction | None = None
+    transaction: Transaction | None = None
+
+
+class MysqlErrorCode(NamedTuple):
+    """Error number and SQLSTATE as an endpoint that speaks MySQL sent them."""
+
+    code: int
+    sql_state: str
 
 
 @dataclass(frozen=True, slots=True)
-class Spurned:
-    """A member read the statement and found it at fault; nothing took effect. `error`: code and SQLSTATE of a
-    member that speaks MySQL."""
+class StatementFailed:
+    """An endpoint read the statement and reported an error in it; nothing took effect."""
 
-    code: int  # a gRPC status
+    status_code: int  # a gRPC status
     message: str
     details: tuple[Message, ...] = ()
-    error: tuple[int, str] | None = None
-    held: Transaction | None = None
+    mysql_error: MysqlErrorCode | None = None  # of an endpoint that speaks MySQL
+    transaction: Transaction | None = None
 
 
 @dataclass(frozen=True, slots=True)
-class Refused:
-    """Nothing took effect that a repeat could double. `retry_after_us` is 0 where there is no hint."""
+class Rejected:
+    """Nothing took effect that a retry could double. `retry_after_us` is 0 where there is no hint."""
 
     reason: str
     retry_after_us: int
-    local: bool = False  # by a limit of this program, before the module saw it
+    local: bool = False  # by a limit of this program, before the router saw the request
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,7 +135,6 @@
 
     reason: str
     attempts: int = 0
-    notes: dict[str, str] = field(default_factory=dict)
 
 
-Answer = Served | Spurned | Refused | Failed
+Answer = Served | StatementFailed | Rejected | Failed
--- a/juniperreel/proxy/transactions.py
+++ b/juniperreel/proxy/transactions.py
@@ -20,21 +20,21 @@
 from juniperreel.pool.errors import UNDOES_ALL, Meaning, meaning
 from juniperreel.pool.result import Result, Statement
 from juniperreel.pool.state import SessionState
-from juniperreel.proxy.positions import Positions, Standing
-from juniperreel.proxy.requests import Committed
+from juniperreel.proxy.positions import PositionTracker, ReplicationStatus
+from juniperreel.proxy.requests import TransactionResult
 
 STATUS = Statement(published.QUERY)
 
 
-class Undone(Exception):
+class TransactionRolledBack(Exception):
     """The transaction is over and nothing of it took effect."""
 
 
-class Unknown(Exception):
+class TransactionOutcomeUnknown(Exception):
     """The transaction is over; whether it took effect is not known."""
 
 
-class Held:
+class EndpointTransaction:
     """See `work.Transaction`. `release` must be called in the end."""
 
     def __init__(
@@ -44,7 +44,7 @@
         member: str,
         group: int,
         clock: Clock,
-        positions: Positions,
+        positions: PositionTracker,
         limit_us: int,
         give_back: Callable[[bool], None],
     ) -> None:
@@ -93,7 +93,7 @@
             give_back(good and not self._backend.why and not self.tainted)
 
     async def run(self, statement: Statement, stream: bool = True) -> Result:
-        """Raises Told (the transaction may be over then: see `open`), Undone, or TooLong."""
+        """Raises Told (the transaction may be over then: see `open`), TransactionRolledBack, or TooLong."""
         (answer,) = await self._exchange([statement], stream=stream)
         if isinstance(answer, Err):
             self._heed(answer)
@@ -103,18 +103,18 @@
         return answer
 
     def _heed(self, err: Err, commits: bool = False) -> None:
-        """An error tells no flags of the session: its code must do. Raises Undone or Unknown."""
+        """An error has no session flags: its code decides. Raises an error where the transaction is over."""
         match meaning(err.code):
             case Meaning.READ_ONLY:
                 # A primary no longer: it will commit nothing; what ran is undone with the connection.
                 self.release()
-                raise Undone(f"{self.member} takes no writes any more")
+                raise TransactionRolledBack(f"{self.member} takes no writes any more")
             case Meaning.GONE | Meaning.FAILED if commits:
                 self.release()
-                raise Unknown(f"{self.member} broke off the commit: {err.code}")
+                raise TransactionOutcomeUnknown(f"{self.member} broke off the commit: {err.code}")
             case Meaning.GONE:
                 self.release()
-                raise Undone(f"{self.member} ended the connection: {err.code}")
+                raise TransactionRolledBack(f"{self.member} ended the connection: {err.code}")
             case _ if err.code in UNDOES_ALL:
                 self._end(False)
 
@@ -123,20 +123,22 @@
         if not self._backend.session.in_transaction:
             self._end(True)
 
-    async def finish(self, statement: Statement, commits: bool = True) -> Committed:
-        """The last statement. Raises Told with nothing done, Undone, or Unknown if it `commits`."""
+    async def finish(self, statement: Statement, commits: bool = True) -> TransactionResult:
+        """The last statement. Raises Told, TransactionRolledBack, or TransactionOutcomeUnknown."""
         if not commits:
             (answer,) = await self._exchange([statement])
             self._end(True)
             if isinstance(answer, Err):
                 raise Told(answer)
-            return Committed(answer, EMPTY)
+            return TransactionResult(answer, EMPTY)
         try:
             answers = await self._exchange([STATUS, statement, STATUS], main=1)
-        except Undone as error:
-            raise Unknown(f"the connection to {self.member} was lost during the commit") from error
+        except TransactionRolledBack as error:
+            raise TransactionOutcomeUnknown(
+                f"the connection to {self.member} was lost during the commit"
+            ) from error
         except TooLong as error:
-            raise Unknown(str(error)) from error
+            raise TransactionOutcomeUnknown(str(error)) from error
         over = not self._backend.session.in_transaction
         answer = answers[1]
         if isinstance(answer, Err):
@@ -149,22 +151,22 @@
             self._end(True)
         if before is None or after is None or before.read_only or before.epochs != after.epochs:
             # Danger: a primary that was replaced while it confirmed; the group may never hold this.
-            raise Unknown(f"{self.member} changed its role during the commit")
+            raise TransactionOutcomeUnknown(f"{self.member} changed its role during the commit")
         standing = standing_of(after)
-        self._positions.learn(self.group, standing)
+        self._positions.record_status(self.group, standing)
         epoch = standing.history.epoch
         if not self._positions.holds_commit(self.group, epoch, after.clock_us):
-            raise Unknown(f"{self.member} is a primary of the past")
-        self._positions.committed(self.group, epoch, after.clock_us, answer.ok.gtids)
-        return Committed(answer, Token.at(self.group, epoch, after.clock_us))
+            raise TransactionOutcomeUnknown(f"{self.member} is a primary of the past")
+        self._positions.record_commit(self.group, epoch, after.clock_us, answer.ok.gtids)
+        return TransactionResult(answer, Token.at(self.group, epoch, after.clock_us))
 
     async def _exchange(
         self, steps: Sequence[Statement], main: int = 0, stream: bool = False
     ) -> list[Result | Err]:
-        """Raises Undone. Cancelled, the transaction is undone."""
+        """Raises TransactionRolledBack. Cancelled, the transaction is undone."""
         if self._why or self._give_back is None:
             self._end(False)
-            raise Undone(self._why or "the transaction is over")
+            raise TransactionRolledBack(self._why or "the transaction is over")
         self._count += 1
         attributes: dict[str, Value] = {
             "juniperreel_request": self._request,
@@ -174,7 +176,9 @@
         try:
             return await self._backend.exchange(steps, attributes, main, stream)
         except Lost as error:
-            raise Undone(self._why or f"the connection to {self.member} was lost: {error}") from error
+            raise TransactionRolledBack(
+                self._why or f"the connection to {self.member} was lost: {error}"
+            ) from error
         finally:
             self._busy = False
             if self._backend.why:
@@ -199,5 +203,5 @@
         return None
 
 
-def standing_of(told: published.Told) -> Standing:
-    return Standing(not told.read_only, told.position_us, History.of(told.epochs), told.clock_us)
+def standing_of(told: published.Told) -> ReplicationStatus:
+    return ReplicationStatus(not told.read_only, told.position_us, History.of(told.epochs), told.clock_us)
--- a/tests/e2e/test_grpcio_edge.py
+++ b/tests/e2e/test_grpcio_edge.py
@@ -81,7 +81,7 @@
 
     await using(world, use)
     with trio.fail_after(SECONDS):
-        while world.edge.driver._open:
+        while world.edge.driver.open_requests:
             await trio.sleep(0.01)
 
 
--- a/tests/e2e/test_mysql.py
+++ b/tests/e2e/test_mysql.py
@@ -162,7 +162,7 @@
 
     await trio.to_thread.run_sync(leave)
     with trio.fail_after(10):
-        while world.edge.driver._open:
+        while world.edge.driver.open_requests:
             await trio.sleep(0.01)
 
 
--- a/tests/e2e/test_mysql_hard.py
+++ b/tests/e2e/test_mysql_hard.py
@@ -15,7 +15,7 @@
 from juniperreel.fakes.member import Member
 from juniperreel.frontends.mysql import connection as front
 from juniperreel.mysql.client import ClientSession, Done, End, Event, Failed, Row
-from juniperreel.proxy.mysql_endpoints import MysqlLinks
+from juniperreel.proxy.mysql_endpoints import MysqlEndpoints
 from tests.e2e.test_mysql import INSERT, SELECT, ask, connector, port, using
 from tests.e2e.world import World
 
@@ -224,8 +224,8 @@
 
 
 async def test_what_is_not_read_goes_to_a_primary_on_a_connection_of_its_own(world: World) -> None:
-    links = world.edge.driver.links
-    assert isinstance(links, MysqlLinks)
+    links = world.edge.driver.endpoints
+    assert isinstance(links, MysqlEndpoints)
 
     def work(connection: Any) -> list[int]:
         codes = []
--- a/tests/e2e/test_path.py
+++ b/tests/e2e/test_path.py
@@ -200,7 +200,7 @@
     with trio.move_on_after(0.3):
         await world.read("r", cls="board")
     with trio.fail_after(5):
-        while world.edge.driver._open:
+        while world.edge.driver.open_requests:
             await trio.sleep(0.01)
     for member in world.fleet.members.values():
         member.wake()
@@ -217,7 +217,7 @@
         for _ in range(50):
             nursery.start_soon(one)
         with trio.fail_after(5):
-            while len(world.edge.driver._open) < 30:
+            while len(world.edge.driver.open_requests) < 30:
                 await trio.sleep(0)
         world.edge.stop()
     assert len(answers) == 50
@@ -266,4 +266,4 @@
     assert len(outcomes) == 2000
     assert set(outcomes) <= {Code.OK, Code.UNAVAILABLE, Code.RESOURCE_EXHAUSTED, Code.DEADLINE_EXCEEDED}
     assert outcomes.count(Code.OK) > 0
-    assert not world.edge.driver._open
+    assert not world.edge.driver.open_requests
--- a/tests/e2e/test_pool_soak.py
+++ b/tests/e2e/test_pool_soak.py
@@ -11,8 +11,8 @@
 from benchmarks.pool_soak import soak
 from juniperreel.pool.backend import Backend
 from juniperreel.pool.statements import Statements, Text
-from juniperreel.proxy.attempts import Job
-from juniperreel.proxy.mysql_endpoints import MysqlLinks
+from juniperreel.proxy.attempts import AttemptRequest
+from juniperreel.proxy.mysql_endpoints import MysqlEndpoints
 
 
 async def test_a_thousand_transactions_over_few_connections(tmp_path: Path) -> None:
@@ -23,10 +23,10 @@
 
 
 async def test_a_pool_that_replays_nothing_is_found(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    async def nothing(self: MysqlLinks, backend: Backend, job: Job) -> None:
-        backend.state = job.work.state
+    async def nothing(self: MysqlEndpoints, backend: Backend, job: AttemptRequest) -> None:
+        backend.state = job.request.session_state
 
-    monkeypatch.setattr(MysqlLinks, "_replay", nothing)
+    monkeypatch.setattr(MysqlEndpoints, "_replay", nothing)
     with trio.fail_after(120):
         found, _ = await soak(tmp_path, 300, 30, 2, seed=7)
     assert any("its session has" in words for words in found)
--- a/tests/e2e/test_transactions.py
+++ b/tests/e2e/test_transactions.py
@@ -13,7 +13,7 @@
 import trio
 
 from juniperreel.pool.backend import Backend
-from juniperreel.proxy.mysql_endpoints import MysqlLinks
+from juniperreel.proxy.mysql_endpoints import MysqlEndpoints
 from juniperreel.rpc.status import Code, RpcError
 from tests.e2e.test_mysql import INSERT, SELECT, ask, connector, port, using
 from tests.e2e.world import World, rows
@@ -30,9 +30,9 @@
     return started
 
 
-def links(world: World) -> MysqlLinks:
-    found = world.edge.driver.links
-    assert isinstance(found, MysqlLinks)
+def links(world: World) -> MysqlEndpoints:
+    found = world.edge.driver.endpoints
+    assert isinstance(found, MysqlEndpoints)
     return found
 
 
@@ -424,7 +424,7 @@
     def work(connection: Any) -> list[Any]:
         connection.begin()
         ask(connection, INSERT % ("r", "one"))
-        trio.from_thread.run_sync(links(world).retire, world.primary.name)
+        trio.from_thread.run_sync(links(world).remove, world.primary.name)
         return [code_of(connection, INSERT % ("r", "two")), code_of(connection, "rollback")]
 
     assert await using(world, work) == [1213, 0]
--- a/tests/frontends/mysql/test_scope.py
+++ b/tests/frontends/mysql/test_scope.py
@@ -10,7 +10,7 @@
 from juniperreel.frontends.mysql.scope import NO_SAVEPOINT, UNDONE, Do, Scope
 from juniperreel.mysql.constants import Status
 from juniperreel.pool.state import FRESH
-from juniperreel.proxy import Hold
+from juniperreel.proxy import TransactionMode
 from juniperreel.statements import read_statement
 
 
@@ -48,7 +48,7 @@
             match plan.do:
                 case Do.BEGIN:
                     self.member = Member()
-                    self.log.append("begin ro" if plan.hold is Hold.READ_ONLY else "begin")
+                    self.log.append("begin ro" if plan.hold is TransactionMode.READ_ONLY else "begin")
                     self.log.append(text)
                     self.scope.opened(self.member)
                 case Do.INSIDE:
@@ -88,7 +88,7 @@
     told.say("begin")
     told.say("insert into t values (1)")
     assert told.say("start transaction read only") is Do.NOTHING
-    assert told.log[-1] == "commit" and told.scope.begun is Hold.READ_ONLY
+    assert told.log[-1] == "commit" and told.scope.begun is TransactionMode.READ_ONLY
     assert told.scope.status() & Status.IN_READ_ONLY
     assert told.say("insert into t values (2)") is Do.REFUSE
     assert told.say("select 1") is Do.BEGIN and told.log[-2] == "begin ro"
--- a/tests/proxy/test_request_driver.py
+++ b/tests/proxy/test_request_driver.py
@@ -17,14 +17,19 @@
 from juniperreel.net import Refused as ConnectRefused
 from juniperreel.proto.common.v1 import values_pb2
 from juniperreel.proto.hosts.v1 import hosts_pb2
-from juniperreel.proxy import Answer, Driver, DriverOptions, Failed, Refused, Served, Work
+from juniperreel.proxy import Answer, ClientRequest, DriverOptions, Failed, Rejected, RequestDriver, Served
 from juniperreel.proxy import endpoint_list as host_list
-from juniperreel.proxy.attempts import Job, Reply
-from juniperreel.proxy.configuration_source import ConfigSource
-from juniperreel.proxy.grpc_endpoints import MemberLinks
-from juniperreel.proxy.outcomes import of_error, unfinished
-from juniperreel.proxy.positions import Needs, Standing
-from juniperreel.proxy.request_driver import Attempt, AttemptDone, ListTold, ProbeDone
+from juniperreel.proxy.attempts import AttemptRequest, AttemptResponse
+from juniperreel.proxy.configuration_source import ConfigurationSource
+from juniperreel.proxy.grpc_endpoints import GrpcEndpoints
+from juniperreel.proxy.outcomes import outcome_of_error, outcome_of_unfinished
+from juniperreel.proxy.positions import ReplicationStatus, RequiredPosition
+from juniperreel.proxy.request_driver import (
+    Attempt,
+    AttemptCompleted,
+    EndpointListUpdated,
+    HealthCheckCompleted,
+)
 from juniperreel.raft.configuration.model import EMPTY, MemberInfo
 from juniperreel.routing.types import (
     Outcome,
@@ -50,15 +55,15 @@
         router=ROUTER,
         seed=1,
         groups=1,
-        hosts=("127.0.0.1", 1),
-        saved_list=None,
+        discovery_address=("127.0.0.1", 1),
+        cached_list_path=None,
         skew_us=10 * MS,
         answer_margin_us=20 * MS,
-        max_open=10,
-        member_attempts=10,
+        max_open_requests=10,
+        max_attempts_per_endpoint=10,
         connect_timeout_us=100 * MS,
-        probe_timeout_us=100 * MS,
-        list_timeout_us=SEC,
+        health_check_timeout_us=100 * MS,
+        discovery_timeout_us=SEC,
         limits=Limits(),
     )
     return replace(base, **changes)
@@ -70,12 +75,14 @@
     def __init__(self, nursery: trio.Nursery, **changes: Any) -> None:
         self.clock = Clock(1_000 * SEC)
         self.metrics = Metrics()
-        self.driver = Driver(options(**changes), TcpNetwork(), self.clock, make_log(), self.metrics, Traces())
+        self.driver = RequestDriver(
+            options(**changes), TcpNetwork(), self.clock, make_log(), self.metrics, Traces()
+        )
         self.driver._nursery = nursery
         self.driver._attempt = self.attempt  # type: ignore[method-assign]
         self.driver._probe = self.probe  # type: ignore[method-assign]
-        self.driver.links.place = lambda *a: None  # type: ignore[method-assign]
-        self.driver.hosts.subscribe = lambda on: None  # type: ignore[method-assign]
+        self.driver.endpoints.set_address = lambda *a: None  # type: ignore[method-assign]
+        self.driver.discovery.subscribe = lambda on: None  # type: ignore[method-assign]
         self.attempts: list[Attempt] = []
         self.probes: list[str] = []
         self.nursery = nursery
@@ -88,14 +95,14 @@
         self.probes.append(member)
 
     async def members(self, *names: str) -> None:
-        hosts = [host_list.Host(n, "127.0.0.1", 1, 0, 0, 0, "up", n == "p", 1.0, 0) for n in names]
-        self.driver.enqueue(ListTold(UpdateKind.SNAPSHOT, hosts))
+        hosts = [host_list.ListedEndpoint(n, "127.0.0.1", 1, 0, 0, 0, "up", n == "p", 1.0, 0) for n in names]
+        self.driver.enqueue(EndpointListUpdated(UpdateKind.SNAPSHOT, hosts))
         for name in names:
-            self.driver.enqueue(ProbeDone(name, Outcome.OK, MS, self.standing(name == "p")))
+            self.driver.enqueue(HealthCheckCompleted(name, Outcome.OK, MS, self.standing(name == "p")))
         await self.turn()
 
-    def standing(self, primary: bool) -> Standing:
-        return Standing(primary, self.clock.now_us(), HISTORY)
+    def standing(self, primary: bool) -> ReplicationStatus:
+        return ReplicationStatus(primary, self.clock.now_us(), HISTORY)
 
     async def turn(self) -> None:
         self.driver._turn()
@@ -103,7 +110,9 @@
 
     def ask(self, cls: str, deadline_us: int = SEC) -> list[Answer]:
         answers: list[Answer] = []
-        work = Work(BY_NAME[cls], -1, 0, self.clock.now_us() + deadline_us, b"x", key="k")
+        work = ClientRequest(
+            BY_NAME[cls], -1, 0, self.clock.now_us() + deadline_us, b"x", idempotency_key="k"
+        )
 
         async def run() -> None:
             answers.append(await self.driver.execute(work))
@@ -112,13 +121,13 @@
         return answers
 
     def done(
-        self, attempt: Attempt, outcome: Outcome = Outcome.OK, standing: Standing | None = None
-    ) -> AttemptDone:
+        self, attempt: Attempt, outcome: Outcome = Outcome.OK, standing: ReplicationStatus | None = None
+    ) -> AttemptCompleted:
         reply = None
         if outcome is Outcome.OK:
-            standing = standing or self.standing(attempt.member == "p")
-            reply = Reply(values_pb2.ResultSet(), standing, self.clock.now_us())
-        return AttemptDone(attempt, outcome, self.clock.now_us(), reply)
+            standing = standing or self.standing(attempt.endpoint == "p")
+            reply = AttemptResponse(values_pb2.ResultSet(), standing, self.clock.now_us())
+        return AttemptCompleted(attempt, outcome, self.clock.now_us(), reply)
 
 
 @pytest.fixture
@@ -140,14 +149,14 @@
     bench.driver.enqueue(bench.done(attempt))
     await bench.turn()
     assert [type(a) for a in answers] == [Served]
-    assert not bench.driver._open
+    assert not bench.driver.open_requests
 
 
 async def test_the_client_s_leaving_in_the_same_batch_as_the_answer_wins(bench: Bench) -> None:
     scope = trio.CancelScope()
 
     async def leave() -> None:
-        work = Work(BY_NAME["loose"], -1, 0, bench.clock.now_us() + SEC, b"x")
+        work = ClientRequest(BY_NAME["loose"], -1, 0, bench.clock.now_us() + SEC, b"x")
         with scope:
             await bench.driver.execute(work)
 
@@ -159,7 +168,7 @@
     scope.cancel()
     await trio.testing.wait_all_tasks_blocked()
     await bench.turn()
-    assert not bench.driver._open
+    assert not bench.driver.open_requests
     assert bench.metrics.registry.get_sample_value("juniperreel_late_answers_total") == 1
 
 
@@ -168,7 +177,7 @@
     await trio.sleep(0.4)  # past the deadline: the module's timer gives it up
     bench.driver.enqueue(bench.done(attempt, Outcome.TIMEOUT))
     await bench.turn()
-    assert [type(a) for a in answers] == [Refused]
+    assert [type(a) for a in answers] == [Rejected]
     bench.driver.enqueue(bench.done(attempt))
     await bench.turn()
     assert len(answers) == 1
@@ -176,20 +185,22 @@
 
 
 async def test_a_drain_notice_and_a_request_in_one_batch(bench: Bench) -> None:
-    hosts = [host_list.Host(n, "127.0.0.1", 1, 0, 0, 0, "draining", False, 1.0, 0) for n in ("a", "b")]
-    bench.driver.enqueue(ListTold(UpdateKind.DELTA, hosts))
+    hosts = [
+        host_list.ListedEndpoint(n, "127.0.0.1", 1, 0, 0, 0, "draining", False, 1.0, 0) for n in ("a", "b")
+    ]
+    bench.driver.enqueue(EndpointListUpdated(UpdateKind.DELTA, hosts))
     for _ in range(9):  # some are shed: reads crowd no primary that was not heard of
         bench.ask("loose")
     await trio.testing.wait_all_tasks_blocked()
     await bench.turn()
-    assert {a.member for a in bench.attempts} == {"p"}
+    assert {a.endpoint for a in bench.attempts} == {"p"}
 
 
 async def test_a_write_to_a_primary_that_drains_in_the_same_batch_keeps_to_the_grace(bench: Bench) -> None:
-    host = host_list.Host("p", "127.0.0.1", 1, 0, 0, 0, "draining", True, 1.0, 0)
-    bench.driver.enqueue(ListTold(UpdateKind.DELTA, [host]))
+    host = host_list.ListedEndpoint("p", "127.0.0.1", 1, 0, 0, 0, "draining", True, 1.0, 0)
+    bench.driver.enqueue(EndpointListUpdated(UpdateKind.DELTA, [host]))
     _, attempt = await started(bench, "write")
-    assert attempt.member == "p"
+    assert attempt.endpoint == "p"
     bench.driver.enqueue(bench.done(attempt))
     await bench.turn()
     await trio.sleep(2.1)
@@ -197,13 +208,13 @@
     bench.ask("write")
     await trio.testing.wait_all_tasks_blocked()
     await bench.turn()
-    assert all(a.member != "p" for a in bench.attempts[count:])
+    assert all(a.endpoint != "p" for a in bench.attempts[count:])
 
 
 async def test_a_stale_answer_is_no_answer(bench: Bench) -> None:
     """The member was restored from a copy: its position, once known, is true no longer."""
     answers, attempt = await started(bench, "read")
-    old = Standing(False, bench.clock.now_us() - 10 * SEC, HISTORY)
+    old = ReplicationStatus(False, bench.clock.now_us() - 10 * SEC, HISTORY)
     bench.driver.enqueue(bench.done(attempt, standing=old))
     await bench.turn()
     assert not answers and len(bench.attempts) == 2
@@ -214,7 +225,9 @@
     later = History.of([(1, 0), (2, bench.clock.now_us() - SEC)])
     for cls, kind in (("write", Served), ("once", Failed)):
         answers, attempt = await started(bench, cls)
-        bench.driver.enqueue(ProbeDone("a", Outcome.OK, MS, Standing(True, bench.clock.now_us(), later)))
+        bench.driver.enqueue(
+            HealthCheckCompleted("a", Outcome.OK, MS, ReplicationStatus(True, bench.clock.now_us(), later))
+        )
         bench.driver.enqueue(bench.done(attempt))  # by the deposed one
         await bench.turn()
         for _ in range(20):
@@ -223,19 +236,19 @@
             await trio.sleep(0.03)
             await bench.turn()
             if bench.attempts[-1] is not attempt and not answers:
-                standing = Standing(True, bench.clock.now_us(), later)
+                standing = ReplicationStatus(True, bench.clock.now_us(), later)
                 bench.driver.enqueue(bench.done(bench.attempts[-1], standing=standing))
                 await bench.turn()
         assert [type(a) for a in answers] == [kind]
 
 
 async def test_the_limit_of_open_requests_refuses_with_a_wait(nursery: trio.Nursery) -> None:
-    bench = Bench(nursery, max_open=1)
+    bench = Bench(nursery, max_open_requests=1)
     bench.ask("loose")
     await trio.testing.wait_all_tasks_blocked()
-    work = Work(0, -1, 0, bench.clock.now_us() + SEC, b"x")
+    work = ClientRequest(0, -1, 0, bench.clock.now_us() + SEC, b"x")
     answer = await bench.driver.execute(work)
-    assert isinstance(answer, Refused) and answer.local
+    assert isinstance(answer, Rejected) and answer.local
     assert 0 < answer.retry_after_us <= ROUTER.max_retry_after_us
     nursery.cancel_scope.cancel()
 
@@ -277,11 +290,11 @@
         ValueError(): Outcome.ERROR,
     }
     for error, outcome in cases.items():
-        assert of_error(error) is outcome
-    assert unfinished(True, True) is Outcome.CANCELLED
-    assert unfinished(True, False) is Outcome.TIMEOUT
-    assert unfinished(False, True) is Outcome.NOT_SENT
-    assert unfinished(False, False) is Outcome.UNREACHABLE
+        assert outcome_of_error(error) is outcome
+    assert outcome_of_unfinished(True, True) is Outcome.CANCELLED
+    assert outcome_of_unfinished(True, False) is Outcome.TIMEOUT
+    assert outcome_of_unfinished(False, True) is Outcome.NOT_SENT
+    assert outcome_of_unfinished(False, False) is Outcome.UNREACHABLE
 
 
 # The host list.
@@ -311,45 +324,45 @@
     ],
 )
 def test_a_line_that_cannot_be_right_is_left_out(bad: dict[str, Any]) -> None:
-    assert host_list.read_host(line(), 3) is not None
-    assert host_list.read_host(line(**bad), 3) is None
+    assert host_list.parse_endpoint(line(), 3) is not None
+    assert host_list.parse_endpoint(line(**bad), 3) is None
 
 
 def test_saved_lists_come_back_whole_or_are_refused(tmp_path: Path) -> None:
     path = tmp_path / "hosts"
-    host = host_list.read_host(line(started=7), 3)
+    host = host_list.parse_endpoint(line(started=7), 3)
     assert host is not None
-    assert host_list.load(path, 3) == ([], 0) == host_list.load(None, 3)
-    host_list.save(path, [host], 7)
-    assert host_list.load(path, 3) == ([host], 7)
+    assert host_list.load_cached_list(path, 3) == ([], 0) == host_list.load_cached_list(None, 3)
+    host_list.save_cached_list(path, [host], 7)
+    assert host_list.load_cached_list(path, 3) == ([host], 7)
     assert [p.name for p in tmp_path.iterdir()] == ["hosts"]
     whole = path.read_bytes()
     for bad in (b"", whole[:-3], b"[]", whole.replace(b'"format":1', b'"format":9')):
         path.write_bytes(bad)
         with pytest.raises(ValueError, match="hosts"):
-            host_list.load(path, 3)
+            host_list.load_cached_list(path, 3)
 
 
 def test_a_full_disk_costs_nothing_but_the_new_list(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     path = tmp_path / "hosts"
-    host = host_list.read_host(line(), 3)
+    host = host_list.parse_endpoint(line(), 3)
     assert host is not None
-    host_list.save(path, [host])
+    host_list.save_cached_list(path, [host])
 
     def full(descriptor: int) -> None:
         raise OSError(28, "No space left on device")
 
     monkeypatch.setattr("os.fsync", full)
     with pytest.raises(OSError, match="space"):
-        host_list.save(path, [])
-    assert host_list.load(path, 3) == ([host], 0)
+        host_list.save_cached_list(path, [])
+    assert host_list.load_cached_list(path, 3) == ([host], 0)
     assert [p.name for p in tmp_path.iterdir()] == ["hosts"]
 
 
 def test_a_listed_start_is_taken_for_later_than_it_may_be() -> None:
-    host = host_list.read_host(line(started=5 * SEC), 3)
-    assert host is not None and host.member(10 * MS).started_us == 5 * SEC + 10 * MS
-    assert msgspec.json.decode(msgspec.json.encode(host), type=host_list.Host) == host
+    host = host_list.parse_endpoint(line(started=5 * SEC), 3)
+    assert host is not None and host.router_endpoint(10 * MS).started_us == 5 * SEC + 10 * MS
+    assert msgspec.json.decode(msgspec.json.encode(host), type=host_list.ListedEndpoint) == host
 
 
 # Timing accidents.
@@ -362,7 +375,7 @@
     await bench.turn()
     await bench.turn()
     assert [type(a) for a in answers] == [Served]
-    assert not bench.driver._open
+    assert not bench.driver.open_requests
 
 
 async def test_a_driver_that_stood_still_blames_no_member_for_what_it_missed(bench: Bench) -> None:
@@ -370,7 +383,7 @@
     await trio.sleep(0.5)
     bench.driver.enqueue(bench.done(attempt, Outcome.TIMEOUT))
     await bench.turn()
-    state = bench.driver.router.members[attempt.member]
+    state = bench.driver.router.members[attempt.endpoint]
     assert not state.suspect and state.losses == 0
     assert bench.metrics.registry.get_sample_value("juniperreel_stalls_total") == 1
 
@@ -382,24 +395,29 @@
     kept below half the grace by the settings' check."""
     listener = await TcpNetwork().listen("127.0.0.1", 0)
     made = options()
-    links = MemberLinks(made, TcpNetwork(), Clock(), random.Random(1))
+    links = GrpcEndpoints(made, TcpNetwork(), Clock(), random.Random(1))
     await nursery.start(links.run)
-    links.place("m", "127.0.0.1", listener.port)
+    links.set_address("m", "127.0.0.1", listener.port)
     sent = trio.Event()
     start = trio.current_time()
     with pytest.raises(Silent):
-        await links.execute("m", Job(Work(0, 0, 0, 0, b""), 0, "own", False, 1.0, Needs()), SEC, sent)
+        await links.execute(
+            "m",
+            AttemptRequest(ClientRequest(0, 0, 0, 0, b""), 0, "own", False, 1.0, RequiredPosition()),
+            SEC,
+            sent,
+        )
     assert not sent.is_set()
     assert 2 * made.connect_timeout_us < made.router.drain_grace_us
     assert trio.current_time() - start < made.router.drain_grace_us / 1e6
-    links.retire("m")
+    links.remove("m")
     nursery.cancel_scope.cancel()
 
 
 async def test_an_older_configuration_does_not_take_a_restarted_edge_back(nursery: trio.Nursery) -> None:
     told: list[object] = []
-    source = ConfigSource(
-        options(instances=(("127.0.0.1", 1),)),
+    source = ConfigurationSource(
+        options(configuration_addresses=(("127.0.0.1", 1),)),
         TcpNetwork(),
         Clock(),
         random.Random(1),
@@ -423,7 +441,7 @@
     assert before.driver.options.seed == after.driver.options.seed
     names = []
     for bench in (before, after):
-        work = Work(0, -1, 0, bench.clock.now_us() + SEC, b"x")
-        bench.driver.enter(work)
+        work = ClientRequest(0, -1, 0, bench.clock.now_us() + SEC, b"x")
+        bench.driver.submit(work)
         names.append(work.id)
     assert names[0] != names[1] and names[0].rsplit("-", 2)[0] == names[1].rsplit("-", 2)[0]
--- a/tests/raft/test_cluster.py
+++ b/tests/raft/test_cluster.py
@@ -15,7 +15,7 @@
 from juniperreel.proto.configuration.v1 import configuration_pb2 as pb
 from juniperreel.proto.raft.v1 import raft_pb2
 from juniperreel.proxy import DriverOptions
-from juniperreel.proxy.configuration_source import ConfigSource, hosts_of
+from juniperreel.proxy.configuration_source import ConfigurationSource, endpoints_of
 from juniperreel.raft import wire
 from juniperreel.raft.configuration import model
 from juniperreel.raft.configuration.machine import SetGroup, SetLimit, encode_command
@@ -317,7 +317,7 @@
 async def test_the_driver_s_source_turns_versions_into_lists(three: Cluster, nursery: trio.Nursery) -> None:
     told: list[tuple[Any, list[Any]]] = []
     options: DriverOptions = options_for(three)
-    source = ConfigSource(
+    source = ConfigurationSource(
         options,
         three.network,
         three.clock,
@@ -332,13 +332,13 @@
         while source.version < 2:
             await trio.sleep(0.01)
     hosts = {h.id: h for h in told[-1][1]}
-    assert hosts["m1"].primary and not hosts["m0"].primary
-    assert hosts_of(await three.client.get(), 0) == []
+    assert hosts["m1"].listed_primary and not hosts["m0"].listed_primary
+    assert endpoints_of(await three.client.get(), 0) == []
 
 
 def options_for(cluster: Cluster) -> DriverOptions:
     places = tuple(("127.0.0.1", int(n.rpartition(":")[2])) for n in cluster.names)
-    return replace(driver_options(), instances=places)
+    return replace(driver_options(), configuration_addresses=places)
 
 
 # The judge.
