Proxy: the cached endpoint list and the typed errors get modules of their own

endpoint_list.py knows entries and the discovery service, cached_list.py the file, errors.py one hierarchy under ProxyError whose members carry their values. Log lines: endpoint list call failed, endpoint list entry ignored, stale configuration ignored.

--- a/juniperreel/frontends/mysql/connection.py
+++ b/juniperreel/frontends/mysql/connection.py
@@ -37,9 +37,9 @@
     Served,
     StatementFailed,
     TransactionMode,
-    TransactionOutcomeUnknown,
+    TransactionOutcomeUnknownError,
     TransactionResult,
-    TransactionRolledBack,
+    TransactionRolledBackError,
 )
 from juniperreel.statements import Kind, Mode, Reading, Verb
 
@@ -532,12 +532,12 @@
         except Told as told:
             scope.ran()
             raise Instead(told.err.code, told.err.state, told.err.words) from told
-        except TransactionRolledBack as error:
+        except TransactionRolledBackError as error:
             scope.over()
             if commits:
                 raise Instead(*say.UNKNOWN_EFFECT, f"{error}; it may have taken effect") from error
             raise Instead(*UNDONE, f"{error}; nothing of the transaction took effect") from error
-        except TransactionOutcomeUnknown as error:
+        except TransactionOutcomeUnknownError as error:
             scope.over()
             raise Instead(*say.UNKNOWN_EFFECT, f"{error}; the transaction may have taken effect") from error
         except TooLong as error:
--- a/juniperreel/proxy/__init__.py
+++ b/juniperreel/proxy/__init__.py
@@ -3,6 +3,7 @@
 A request's way is frontend, driver, router, driver, endpoint, driver, frontend, and no other.
 """
 
+from juniperreel.proxy.errors import TransactionOutcomeUnknownError, TransactionRolledBackError
 from juniperreel.proxy.options import DriverOptions
 from juniperreel.proxy.request_driver import OpenRequest, RequestDriver
 from juniperreel.proxy.requests import (
@@ -17,7 +18,6 @@
     TransactionMode,
     TransactionResult,
 )
-from juniperreel.proxy.transactions import TransactionOutcomeUnknown, TransactionRolledBack
 
 __all__ = [
     "Answer",
@@ -32,7 +32,7 @@
     "StatementFailed",
     "Transaction",
     "TransactionMode",
-    "TransactionOutcomeUnknown",
+    "TransactionOutcomeUnknownError",
     "TransactionResult",
-    "TransactionRolledBack",
+    "TransactionRolledBackError",
 ]
--- a/juniperreel/proxy/attempts.py
+++ b/juniperreel/proxy/attempts.py
@@ -7,30 +7,9 @@
 
 import trio
 
+from juniperreel.proxy.errors import EndpointError
 from juniperreel.proxy.positions import ReplicationStatus, RequiredPosition
 from juniperreel.proxy.requests import ClientRequest, Transaction, release_result
-from juniperreel.routing.types import (
-    Outcome,
-)
-
-
-class ProxyError(Exception):
-    """Base of the errors that this package raises."""
-
-
-class EndpointError(ProxyError):
-    """What an endpoint answered with instead of a result.
-
-    With `Outcome.OK` the statement itself is at fault; `code` and `sql_state` are then MySQL's, for clients
-    that know them.
-    """
-
-    def __init__(self, outcome: Outcome, message: str, code: int = 0, sql_state: str = "") -> None:
-        super().__init__(message)
-        self.outcome = outcome
-        self.message = message
-        self.code = code
-        self.sql_state = sql_state
 
 
 @dataclass(frozen=True, slots=True)
--- a/juniperreel/proxy/configuration_source.py
+++ b/juniperreel/proxy/configuration_source.py
@@ -1,7 +1,6 @@
-"""Committed configuration in place of the host list: what the driver knows of members comes from Raft.
+"""The committed configuration as the source of the endpoint list: replicated by Raft, in place of discovery.
 
-Has the host list's face: tells lists as they come and failures as they happen. The newest version is kept on
-disk with the saved list's hosts; an older one never takes its place.
+The newest version is cached on disk with the endpoint list; an older one never takes its place.
 """
 
 from __future__ import annotations
@@ -12,7 +11,7 @@
 import trio
 
 from juniperreel.net import Clock, Network
-from juniperreel.proxy.endpoint_list import EndpointSource, ListedEndpoint
+from juniperreel.proxy.endpoint_list import EndpointSource, ListedEndpoint, UpdateListener
 from juniperreel.proxy.options import DriverOptions
 from juniperreel.raft.client import Instances
 from juniperreel.raft.configuration.model import EMPTY, Configuration
@@ -22,23 +21,31 @@
 
 
 def endpoints_of(configuration: Configuration, groups: int) -> list[ListedEndpoint]:
-    """The members as lines of a list. Primaries are those of the groups' newest epochs."""
-    found = []
+    """The configuration's members as an endpoint list. Primaries are those of the groups' newest epochs."""
+    endpoints = []
     for name in sorted(configuration.members):
-        m = configuration.members[name]
-        group = configuration.groups.get(m.group)
-        if m.group < groups:
-            primary = group is not None and group.primary == name
-            found.append(
-                ListedEndpoint(
-                    name, m.address, m.port, m.group, m.zone, m.kind, m.state, primary, m.size, m.started_us
-                )
-            )
-    return found
+        member = configuration.members[name]
+        if member.group >= groups:
+            continue
+        group = configuration.groups.get(member.group)
+        endpoint = ListedEndpoint(
+            id=name,
+            address=member.address,
+            port=member.port,
+            group=member.group,
+            zone=member.zone,
+            machine_type=member.kind,
+            readiness=member.state,
+            listed_primary=group is not None and group.primary == name,
+            capacity=member.size,
+            started_us=member.started_us,
+        )
+        endpoints.append(endpoint)
+    return endpoints
 
 
 class ConfigurationSource(EndpointSource):
-    """One live watch on one of the instances."""
+    """One live watch on one of the Raft instances."""
 
     def __init__(
         self,
@@ -46,39 +53,39 @@
         network: Network,
         clock: Clock,
         rng: random.Random,
-        tell: Callable[[UpdateKind, list[ListedEndpoint]], None],
+        on_update: UpdateListener,
         log: Callable[..., None],
     ) -> None:
         self._instances = Instances(network, clock, rng, options.configuration_addresses)
-        super().__init__(options, clock, tell, log, self._instances)
+        super().__init__(options, clock, on_update, log, self._instances)
         self._newest = EMPTY
 
-    def fetch(self) -> None:
-        """A watch starts with all there is."""
+    def poll(self) -> None:
+        """Open the watch anew: its first message is the complete configuration."""
         self.subscribe(True)
 
     async def _watch(self, scope: trio.CancelScope) -> None:
         with scope:
             await self._instances.watch(
-                self._options.name, self._newest, self._take, self._failed, self._alive
+                self._options.name, self._newest, self._update, self._report_failure, self._record_heartbeat
             )
 
-    def _alive(self) -> None:
-        self.heard_us = self._clock.now_us()
+    def _record_heartbeat(self) -> None:
+        self.updated_us = self._clock.now_us()
 
-    def _failed(self, why: str) -> None:
-        """The watch looks for another instance by itself; what is known stays in force meanwhile."""
-        self._log("configuration watch failed", error=why)
+    def _report_failure(self, error: str) -> None:
+        """The watch moves to another instance by itself; what is known stays in force meanwhile."""
+        self._log("configuration watch failed", error=error)
 
-    def _take(self, configuration: Configuration) -> None:
+    def _update(self, configuration: Configuration) -> None:
         self._newest = configuration
         if configuration.version < self.version:
-            # Danger: after a restart an instance that lags would take the edge back behind its saved list.
-            self._log("an older configuration is ignored", version=configuration.version, have=self.version)
+            # Danger: after a restart an instance that lags would take the edge back behind its cached list.
+            self._log("stale configuration ignored", version=configuration.version, newest=self.version)
             return
         self.version = configuration.version
-        hosts = endpoints_of(configuration, self._options.groups)
-        if not hosts:
-            return  # nothing is set up yet; as with an empty list
-        self.known = {h.id: h for h in hosts}
-        self._tell(UpdateKind.SNAPSHOT, hosts)
+        endpoints = endpoints_of(configuration, self._options.groups)
+        if not endpoints:
+            return  # nothing is set up yet; not believed, as an empty endpoint list is not
+        self.endpoints = {endpoint.id: endpoint for endpoint in endpoints}
+        self._on_update(UpdateKind.SNAPSHOT, endpoints)
--- a/juniperreel/proxy/endpoint_list.py
+++ b/juniperreel/proxy/endpoint_list.py
@@ -1,20 +1,21 @@
-"""The host list: fetched, watched, and kept on disk for a start without it.
+"""The endpoint list as the request driver knows it, and its discovery service: polled and watched over gRPC.
 
-Tells the driver lists as they come and failures as they happen. When to ask, and again, the module says.
+Reports lists as they come and failures as they happen. When to poll, and when to watch again, the router
+decides.
 """
 
 from __future__ import annotations
 
-import os
 import random
+from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable
-from pathlib import Path
 
 import msgspec
 import trio
 from google.protobuf.message import DecodeError
 
 from juniperreel.net import Clock, ConnectError, Network
+from juniperreel.net.clock import US
 from juniperreel.proto.hosts.v1 import hosts_pb2
 from juniperreel.proxy.options import DriverOptions
 from juniperreel.raft.client import Instances
@@ -28,15 +29,14 @@
 
 FETCH = "/juniperreel.hosts.v1.Hosts/Fetch"
 WATCH = "/juniperreel.hosts.v1.Hosts/Watch"
-FORMAT = 1
 READINESS = {
     hosts_pb2.READINESS_UP: Readiness.READY,
     hosts_pb2.READINESS_DRAINING: Readiness.DRAINING,
     hosts_pb2.READINESS_GONE: Readiness.REMOVED,
 }
-FAILURES = (ConnectError, NeverSent, Broken, RpcError, DecodeError)
-
-
+DISCOVERY_ERRORS = (ConnectError, NeverSent, Broken, RpcError, DecodeError)
+MAX_LOGGED_ID = 100  # characters of an endpoint's name
+DEFAULT_CAPACITY = 1.0  # where the list gives none
 STORED_NAMES = {"machine_type": "kind", "listed_primary": "primary", "capacity": "size"}
 
 
@@ -55,7 +55,10 @@
     started_us: int
 
     def router_endpoint(self, skew_us: int) -> Endpoint:
-        """For the module; a start counts as later than it may be, so that a cold member is not hurried."""
+        """The entry for the router.
+
+        The start counts as later than it may be by `skew_us`, so that slow start is never cut short.
+        """
         return Endpoint(
             id=self.id,
             group=self.group,
@@ -68,81 +71,91 @@
         )
 
 
-class Saved(msgspec.Struct, frozen=True):
-    format: int
-    hosts: list[ListedEndpoint]
-    version: int = 0  # of the configuration they come from; 0 from a host list
+UpdateListener = Callable[[UpdateKind, list[ListedEndpoint]], None]
 
 
-def parse_endpoint(host: hosts_pb2.Host, groups: int) -> ListedEndpoint | None:
-    """None for a line that cannot be right; the rest of the list still counts."""
-    if not host.id or not host.address or not 0 < host.port < 65536 or host.group >= groups:
-        return None
-    readiness = READINESS.get(host.readiness)
-    if readiness is None or not host.size >= 0:
+def parse_endpoint(entry: hosts_pb2.Host, groups: int) -> ListedEndpoint | None:
+    """Read one entry of the discovery service's list; None if it is invalid: the others still count."""
+    readiness = READINESS.get(entry.readiness)
+    if readiness is None or not _is_valid(entry, groups):
         return None
     return ListedEndpoint(
-        id=host.id,
-        address=host.address,
-        port=host.port,
-        group=host.group,
-        zone=host.zone,
-        machine_type=host.kind,
+        id=entry.id,
+        address=entry.address,
+        port=entry.port,
+        group=entry.group,
+        zone=entry.zone,
+        machine_type=entry.kind,
         readiness=readiness.value,
-        listed_primary=host.primary,
-        capacity=host.size or 1.0,
-        started_us=host.started,
+        listed_primary=entry.primary,
+        capacity=entry.size or DEFAULT_CAPACITY,
+        started_us=entry.started,
     )
 
 
-class EndpointSource:
-    """Where the driver learns of members: tells lists as they come and failures as they happen.
+def _is_valid(entry: hosts_pb2.Host, groups: int) -> bool:
+    if not entry.id or not entry.address:
+        return False
+    # NaN compares false, and so is no valid size.
+    return 0 < entry.port < 65536 and entry.group < groups and entry.size >= 0
+
+
+class EndpointSource(ABC):
+    """Where the driver learns of endpoints; `run` must be running.
 
-    One watch at a time, begun and ended by the module's word. `known` is the newest whole list, `heard_us`
-    when the source last said anything, `version` that of the configuration, 0 for a host list.
+    Owns one watch at a time, opened and ended by the router. `endpoints` is the newest complete list by name,
+    `updated_us` when the source last sent anything, `version` that of the configuration, 0 for a service that
+    has none.
     """
 
     def __init__(
         self,
         options: DriverOptions,
         clock: Clock,
-        tell: Callable[[UpdateKind, list[ListedEndpoint]], None],
+        on_update: UpdateListener,
         log: Callable[..., None],
         link: Channel | Instances,
     ) -> None:
-        self._options, self._clock, self._tell, self._log = options, clock, tell, log
+        """`on_update` is called for every list and every failed call; `log` writes a warning."""
+        self._options = options
+        self._clock = clock
+        self._on_update = on_update
+        self._log = log
         self._link = link
         self._nursery: trio.Nursery | None = None
-        self._watching: trio.CancelScope | None = None
-        self.known: dict[str, ListedEndpoint] = {}
-        self.heard_us = 0
+        self._watch_scope: trio.CancelScope | None = None
+        self.endpoints: dict[str, ListedEndpoint] = {}
+        self.updated_us = 0
         self.version = 0
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Own the connection and the tasks of polls and watches until cancelled."""
         async with trio.open_nursery() as self._nursery:
             await self._nursery.start(self._link.run)
             task_status.started()
             await trio.sleep_forever()
 
-    def subscribe(self, on: bool) -> None:
+    def subscribe(self, enabled: bool) -> None:
+        """Open the watch anew, or end it."""
         assert self._nursery is not None
-        if self._watching is not None:
-            self._watching.cancel()
-            self._watching = None
-        if on:
-            self._watching = trio.CancelScope()
-            self._nursery.start_soon(self._watch, self._watching)
-
-    def fetch(self) -> None:
-        """Ask for the whole list once."""
-        raise NotImplementedError
-
+        if self._watch_scope is not None:
+            self._watch_scope.cancel()
+            self._watch_scope = None
+        if enabled:
+            self._watch_scope = trio.CancelScope()
+            self._nursery.start_soon(self._watch, self._watch_scope)
+
+    @abstractmethod
+    def poll(self) -> None:
+        """Request the complete list once, without waiting for it."""
+
+    @abstractmethod
     async def _watch(self, scope: trio.CancelScope) -> None:
-        raise NotImplementedError
+        """Report updates until `scope` is cancelled or the watch fails."""
 
 
 class EndpointListClient(EndpointSource):
-    """One driver's link to the host list."""
+    """One driver's client of the discovery service."""
 
     def __init__(
         self,
@@ -150,96 +163,72 @@
         network: Network,
         clock: Clock,
         rng: random.Random,
-        tell: Callable[[UpdateKind, list[ListedEndpoint]], None],
+        on_update: UpdateListener,
         log: Callable[..., None],
     ) -> None:
         host, port = options.discovery_address
         self._channel = Channel(network, clock, host, port, options.limits, rng, options.connect_timeout_us)
-        super().__init__(options, clock, tell, log, self._channel)
+        super().__init__(options, clock, on_update, log, self._channel)
 
-    def fetch(self) -> None:
+    def poll(self) -> None:
+        """Request the complete list once, without waiting for it."""
         assert self._nursery is not None
-        self._nursery.start_soon(self._fetch)
+        self._nursery.start_soon(self._poll)
 
-    async def _fetch(self) -> None:
+    async def _poll(self) -> None:
         request = hosts_pb2.FetchRequest(edge=self._options.name).SerializeToString()
+        timeout_us = self._options.discovery_timeout_us
         try:
-            with trio.fail_after(self._options.discovery_timeout_us / 1_000_000):
-                reply = await self._channel.unary(
-                    FETCH, request, timeout_us=self._options.discovery_timeout_us
-                )
-                self._take(True, hosts_pb2.FetchResponse.FromString(reply.message).hosts)
-        except (*FAILURES, trio.TooSlowError) as error:
-            self._failed(error)
+            with trio.fail_after(timeout_us / US):
+                reply = await self._channel.unary(FETCH, request, timeout_us=timeout_us)
+                self._update(True, hosts_pb2.FetchResponse.FromString(reply.message).hosts)
+        except (*DISCOVERY_ERRORS, trio.TooSlowError) as error:
+            self._report_failure(error)
 
     async def _watch(self, scope: trio.CancelScope) -> None:
-        request = hosts_pb2.WatchRequest(edge=self._options.name).SerializeToString()
         with scope:
             try:
-                with trio.CancelScope() as first:  # a list that says nothing at all must not be waited for
-                    first.deadline = trio.current_time() + self._options.discovery_timeout_us / 1_000_000
-                    async with self._channel.streaming(WATCH, request) as messages:
-                        async for data in messages:
-                            first.deadline = float("inf")
-                            update = hosts_pb2.WatchResponse.FromString(data)
-                            self._take(update.full, update.hosts)
-                error: Exception = TimeoutError(
-                    "no list in time" if first.cancelled_caught else "the watch ended"
-                )
-            except FAILURES as caught:
+                error: Exception = await self._read_watch()
+            except DISCOVERY_ERRORS as caught:
                 error = caught
-            self._failed(error)
-
-    def _failed(self, error: Exception) -> None:
-        self._log("host list failed", error=str(error))
-        self._tell(UpdateKind.FAILED, [])
-
-    def _take(self, full: bool, lines: Iterable[hosts_pb2.Host]) -> None:
-        hosts = []
-        for line in lines:
-            host = parse_endpoint(line, self._options.groups)
-            if host is None:
-                self._log("host list line ignored", host=line.id[:100], group=line.group)
+            self._report_failure(error)
+
+    async def _read_watch(self) -> TimeoutError:
+        """Report updates until the watch ends; the reason is returned, or raised as a discovery error.
+
+        A service that never sends a first message must not be waited for.
+        """
+        request = hosts_pb2.WatchRequest(edge=self._options.name).SerializeToString()
+        with trio.CancelScope() as first_message:
+            first_message.deadline = trio.current_time() + self._options.discovery_timeout_us / US
+            async with self._channel.streaming(WATCH, request) as messages:
+                async for data in messages:
+                    first_message.deadline = float("inf")
+                    update = hosts_pb2.WatchResponse.FromString(data)
+                    self._update(update.full, update.hosts)
+        if first_message.cancelled_caught:
+            return TimeoutError("no list in time")
+        return TimeoutError("the watch ended")
+
+    def _report_failure(self, error: Exception) -> None:
+        self._log("endpoint list call failed", error=str(error))
+        self._on_update(UpdateKind.FAILED, [])
+
+    def _update(self, is_snapshot: bool, entries: Iterable[hosts_pb2.Host]) -> None:
+        endpoints = []
+        for entry in entries:
+            endpoint = parse_endpoint(entry, self._options.groups)
+            if endpoint is None:
+                self._log("endpoint list entry ignored", endpoint=entry.id[:MAX_LOGGED_ID], group=entry.group)
             else:
-                hosts.append(host)
-        if full and not hosts:
-            # Danger: an empty fleet is a broken list far more often than a true one; believing it turns
-            # every request away.
-            self._failed(ValueError("the host list is empty"))
+                endpoints.append(endpoint)
+        if is_snapshot and not endpoints:
+            # Danger: an empty endpoint list is a broken one far more often than a true one; believing it
+            # would reject every request.
+            self._report_failure(ValueError("the endpoint list is empty"))
             return
-        self.heard_us = self._clock.now_us()
-        if full:
-            self.known = {}
-        self.known.update((h.id, h) for h in hosts)
-        self._tell(UpdateKind.SNAPSHOT if full else UpdateKind.DELTA, hosts)
-
-
-def load_cached_list(path: Path | None, groups: int) -> tuple[list[ListedEndpoint], int]:
-    """The last good list and its version; empty where there is none. Raises ValueError for a file that is
-    not one."""
-    if path is None or not path.exists():
-        return [], 0
-    try:
-        saved = msgspec.json.decode(path.read_bytes(), type=Saved)
-    except msgspec.DecodeError as error:
-        raise ValueError(f"{path} is not a saved host list: {error}") from None
-    if saved.format != FORMAT:
-        raise ValueError(f"{path} has format {saved.format}; this program reads {FORMAT}")
-    names = {r.value for r in Readiness}
-    return [h for h in saved.hosts if h.group < groups and h.readiness in names], saved.version
-
-
-def save_cached_list(path: Path, hosts: list[ListedEndpoint], version: int = 0) -> None:
-    """Whole or not at all: written beside, synced, then renamed over. Raises OSError."""
-    beside = path.with_suffix(path.suffix + ".new")
-    data = msgspec.json.encode(Saved(FORMAT, hosts, version))
-    descriptor = os.open(beside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o644)
-    try:
-        with os.fdopen(descriptor, "wb") as out:
-            out.write(data)
-            out.flush()
-            os.fsync(out.fileno())
-        os.replace(beside, path)
-    except OSError:
-        beside.unlink(missing_ok=True)
-        raise
+        self.updated_us = self._clock.now_us()
+        if is_snapshot:
+            self.endpoints = {}
+        self.endpoints.update((endpoint.id, endpoint) for endpoint in endpoints)
+        self._on_update(UpdateKind.SNAPSHOT if is_snapshot else UpdateKind.DELTA, endpoints)
--- a/juniperreel/proxy/grpc_endpoints.py
+++ b/juniperreel/proxy/grpc_endpoints.py
@@ -13,7 +13,8 @@
 from juniperreel.causal import History
 from juniperreel.net import Clock, Network, Silent
 from juniperreel.proto.member.v1 import member_pb2
-from juniperreel.proxy.attempts import AttemptRequest, AttemptResponse, EndpointError, EndpointReport
+from juniperreel.proxy.attempts import AttemptRequest, AttemptResponse, EndpointReport
+from juniperreel.proxy.errors import EndpointError
 from juniperreel.proxy.options import DriverOptions
 from juniperreel.proxy.positions import ReplicationStatus
 from juniperreel.routing.types import (
--- a/juniperreel/proxy/mysql_endpoints.py
+++ b/juniperreel/proxy/mysql_endpoints.py
@@ -36,7 +36,8 @@
 from juniperreel.pool.errors import UNDOES_ALL, Meaning, meaning
 from juniperreel.pool.result import Result, Statement
 from juniperreel.pool.state import SessionState, replay
-from juniperreel.proxy.attempts import AttemptRequest, AttemptResponse, EndpointError, EndpointReport
+from juniperreel.proxy.attempts import AttemptRequest, AttemptResponse, EndpointReport
+from juniperreel.proxy.errors import EndpointError
 from juniperreel.proxy.options import DriverOptions, MysqlEndpointOptions
 from juniperreel.proxy.positions import PositionTracker, ReplicationStatus
 from juniperreel.proxy.requests import TransactionMode
--- a/juniperreel/proxy/outcomes.py
+++ b/juniperreel/proxy/outcomes.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from juniperreel.net import ConnectError
-from juniperreel.proxy.attempts import EndpointError
+from juniperreel.proxy.errors import EndpointError
 from juniperreel.routing.types import (
     Outcome,
 )
--- a/juniperreel/proxy/request_driver.py
+++ b/juniperreel/proxy/request_driver.py
@@ -22,9 +22,11 @@
 from juniperreel.causal import Token
 from juniperreel.net import Clock, ConnectError, Network, Pace
 from juniperreel.net.clock import US
-from juniperreel.proxy import endpoint_list as host_list
-from juniperreel.proxy.attempts import AttemptRequest, AttemptResponse, EndpointConnections, EndpointError
+from juniperreel.proxy.attempts import AttemptRequest, AttemptResponse, EndpointConnections
+from juniperreel.proxy.cached_list import load_cached_list, save_cached_list
 from juniperreel.proxy.configuration_source import ConfigurationSource
+from juniperreel.proxy.endpoint_list import EndpointListClient, EndpointSource, ListedEndpoint
+from juniperreel.proxy.errors import EndpointError
 from juniperreel.proxy.grpc_endpoints import GrpcEndpoints
 from juniperreel.proxy.mysql_endpoints import MysqlEndpoints
 from juniperreel.proxy.options import DriverOptions
@@ -129,7 +131,7 @@
 @dataclass(slots=True)
 class EndpointListUpdated:
     kind: UpdateKind
-    hosts: list[host_list.ListedEndpoint]
+    endpoints: list[ListedEndpoint]
 
 
 HostEvent = OpenRequest | AttemptCompleted | HealthCheckCompleted | EndpointListUpdated | ClientDisconnected
@@ -177,8 +179,8 @@
                 options, options.mysql, network, clock, self.positions, links_rng, self._group_of, metrics
             )
         )
-        source = ConfigurationSource if options.configuration_addresses else host_list.EndpointListClient
-        self.discovery: host_list.EndpointSource = source(
+        source = ConfigurationSource if options.configuration_addresses else EndpointListClient
+        self.discovery: EndpointSource = source(
             options, network, clock, random.Random(rng.getrandbits(64)), self._list_told, log.warning
         )
         self._ids = count()
@@ -198,9 +200,7 @@
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Until cancelled. Raises ValueError for a saved list that cannot be read."""
-        saved, self.discovery.version = host_list.load_cached_list(
-            self.options.cached_list_path, self.options.groups
-        )
+        saved, self.discovery.version = load_cached_list(self.options.cached_list_path, self.options.groups)
         async with trio.open_nursery() as self._nursery:
             await self._nursery.start(self.endpoints.run)
             await self._nursery.start(self.discovery.run)
@@ -497,14 +497,14 @@
 
     # The host list.
 
-    def _list_told(self, kind: UpdateKind, hosts: list[host_list.ListedEndpoint]) -> None:
-        self.enqueue(EndpointListUpdated(kind, hosts))
+    def _list_told(self, kind: UpdateKind, endpoints: list[ListedEndpoint]) -> None:
+        self.enqueue(EndpointListUpdated(kind, endpoints))
 
     def _list(self, told: EndpointListUpdated) -> EndpointUpdate:
         if told.kind is UpdateKind.FAILED:
             self.metrics.list_failures.inc()
         named = set()
-        for host in told.hosts:
+        for host in told.endpoints:
             named.add(host.id)
             self._groups[host.id] = host.group
             if host.readiness == Readiness.REMOVED.value:
@@ -522,18 +522,18 @@
             self.gate.members(group, members)
         if told.kind in (UpdateKind.SNAPSHOT, UpdateKind.DELTA):
             self._list_changed.set()
-        return EndpointUpdate(told.kind, tuple(h.router_endpoint(self.options.skew_us) for h in told.hosts))
+        return EndpointUpdate(
+            told.kind, tuple(h.router_endpoint(self.options.skew_us) for h in told.endpoints)
+        )
 
     async def _save_lists(self) -> None:
         assert self.options.cached_list_path is not None
         while True:
             await self._list_changed.wait()
             self._list_changed = trio.Event()
-            hosts, version = list(self.discovery.known.values()), self.discovery.version
+            hosts, version = list(self.discovery.endpoints.values()), self.discovery.version
             try:
-                await trio.to_thread.run_sync(
-                    host_list.save_cached_list, self.options.cached_list_path, hosts, version
-                )
+                await trio.to_thread.run_sync(save_cached_list, self.options.cached_list_path, hosts, version)
             except OSError as error:  # a full disk costs the saved list, not the service
                 self.log.error("the host list could not be saved", error=str(error))
             await trio.sleep(SAVE_EVERY_S)
@@ -542,8 +542,8 @@
         while True:
             await trio.sleep(1)
             now = self.clock.now_us()
-            if self.discovery.heard_us:
-                self.metrics.list_age.set((now - self.discovery.heard_us) / US)
+            if self.discovery.updated_us:
+                self.metrics.list_age.set((now - self.discovery.updated_us) / US)
             self.metrics.config_version.set(self.discovery.version)
             drift = self.clock.drift_us()
             self.metrics.clock_drift.set(drift / US)
@@ -590,7 +590,7 @@
         self.discovery.subscribe(enabled)
 
     def fetch_endpoint_list(self) -> None:
-        self.discovery.fetch()
+        self.discovery.poll()
 
     def log_message(self, message: str) -> None:
         self.log.info(message)
--- a/juniperreel/proxy/transactions.py
+++ b/juniperreel/proxy/transactions.py
@@ -20,20 +20,13 @@
 from juniperreel.pool.errors import UNDOES_ALL, Meaning, meaning
 from juniperreel.pool.result import Result, Statement
 from juniperreel.pool.state import SessionState
+from juniperreel.proxy.errors import TransactionOutcomeUnknownError, TransactionRolledBackError
 from juniperreel.proxy.positions import PositionTracker, ReplicationStatus
 from juniperreel.proxy.requests import TransactionResult
 
 STATUS = Statement(published.QUERY)
 
 
-class TransactionRolledBack(Exception):
-    """The transaction is over and nothing of it took effect."""
-
-
-class TransactionOutcomeUnknown(Exception):
-    """The transaction is over; whether it took effect is not known."""
-
-
 class EndpointTransaction:
     """See `work.Transaction`. `release` must be called in the end."""
 
@@ -93,7 +86,7 @@
             give_back(good and not self._backend.why and not self.tainted)
 
     async def run(self, statement: Statement, stream: bool = True) -> Result:
-        """Raises Told (the transaction may be over then: see `open`), TransactionRolledBack, or TooLong."""
+        """Raises Told (the transaction may be over then: see `open`), TooLong, or TransactionError."""
         (answer,) = await self._exchange([statement], stream=stream)
         if isinstance(answer, Err):
             self._heed(answer)
@@ -108,13 +101,13 @@
             case Meaning.READ_ONLY:
                 # A primary no longer: it will commit nothing; what ran is undone with the connection.
                 self.release()
-                raise TransactionRolledBack(f"{self.member} takes no writes any more")
+                raise TransactionRolledBackError(f"{self.member} takes no writes any more")
             case Meaning.GONE | Meaning.FAILED if commits:
                 self.release()
-                raise TransactionOutcomeUnknown(f"{self.member} broke off the commit: {err.code}")
+                raise TransactionOutcomeUnknownError(f"{self.member} broke off the commit: {err.code}")
             case Meaning.GONE:
                 self.release()
-                raise TransactionRolledBack(f"{self.member} ended the connection: {err.code}")
+                raise TransactionRolledBackError(f"{self.member} ended the connection: {err.code}")
             case _ if err.code in UNDOES_ALL:
                 self._end(False)
 
@@ -124,7 +117,7 @@
             self._end(True)
 
     async def finish(self, statement: Statement, commits: bool = True) -> TransactionResult:
-        """The last statement. Raises Told, TransactionRolledBack, or TransactionOutcomeUnknown."""
+        """The last statement. Raises Told, TransactionRolledBackError, or TransactionOutcomeUnknownError."""
         if not commits:
             (answer,) = await self._exchange([statement])
             self._end(True)
@@ -133,12 +126,12 @@
             return TransactionResult(answer, EMPTY)
         try:
             answers = await self._exchange([STATUS, statement, STATUS], main=1)
-        except TransactionRolledBack as error:
-            raise TransactionOutcomeUnknown(
+        except TransactionRolledBackError as error:
+            raise TransactionOutcomeUnknownError(
                 f"the connection to {self.member} was lost during the commit"
             ) from error
         except TooLong as error:
-            raise TransactionOutcomeUnknown(str(error)) from error
+            raise TransactionOutcomeUnknownError(str(error)) from error
         over = not self._backend.session.in_transaction
         answer = answers[1]
         if isinstance(answer, Err):
@@ -151,22 +144,22 @@
             self._end(True)
         if before is None or after is None or before.read_only or before.epochs != after.epochs:
             # Danger: a primary that was replaced while it confirmed; the group may never hold this.
-            raise TransactionOutcomeUnknown(f"{self.member} changed its role during the commit")
+            raise TransactionOutcomeUnknownError(f"{self.member} changed its role during the commit")
         standing = standing_of(after)
         self._positions.record_status(self.group, standing)
         epoch = standing.history.epoch
         if not self._positions.holds_commit(self.group, epoch, after.clock_us):
-            raise TransactionOutcomeUnknown(f"{self.member} is a primary of the past")
+            raise TransactionOutcomeUnknownError(f"{self.member} is a primary of the past")
         self._positions.record_commit(self.group, epoch, after.clock_us, answer.ok.gtids)
         return TransactionResult(answer, Token.at(self.group, epoch, after.clock_us))
 
     async def _exchange(
         self, steps: Sequence[Statement], main: int = 0, stream: bool = False
     ) -> list[Result | Err]:
-        """Raises TransactionRolledBack. Cancelled, the transaction is undone."""
+        """Raises TransactionRolledBackError. Cancelled, the transaction is undone."""
         if self._why or self._give_back is None:
             self._end(False)
-            raise TransactionRolledBack(self._why or "the transaction is over")
+            raise TransactionRolledBackError(self._why or "the transaction is over")
         self._count += 1
         attributes: dict[str, Value] = {
             "juniperreel_request": self._request,
@@ -176,7 +169,7 @@
         try:
             return await self._backend.exchange(steps, attributes, main, stream)
         except Lost as error:
-            raise TransactionRolledBack(
+            raise TransactionRolledBackError(
                 self._why or f"the connection to {self.member} was lost: {error}"
             ) from error
         finally:
--- a/tests/proxy/test_request_driver.py
+++ b/tests/proxy/test_request_driver.py
@@ -18,9 +18,10 @@
 from juniperreel.proto.common.v1 import values_pb2
 from juniperreel.proto.hosts.v1 import hosts_pb2
 from juniperreel.proxy import Answer, ClientRequest, DriverOptions, Failed, Rejected, RequestDriver, Served
-from juniperreel.proxy import endpoint_list as host_list
 from juniperreel.proxy.attempts import AttemptRequest, AttemptResponse
+from juniperreel.proxy.cached_list import load_cached_list, save_cached_list
 from juniperreel.proxy.configuration_source import ConfigurationSource
+from juniperreel.proxy.endpoint_list import ListedEndpoint, parse_endpoint
 from juniperreel.proxy.grpc_endpoints import GrpcEndpoints
 from juniperreel.proxy.outcomes import outcome_of_error, outcome_of_unfinished
 from juniperreel.proxy.positions import ReplicationStatus, RequiredPosition
@@ -82,7 +83,7 @@
         self.driver._attempt = self.attempt  # type: ignore[method-assign]
         self.driver._probe = self.probe  # type: ignore[method-assign]
         self.driver.endpoints.set_address = lambda *a: None  # type: ignore[method-assign]
-        self.driver.discovery.subscribe = lambda on: None  # type: ignore[method-assign]
+        self.driver.discovery.subscribe = lambda enabled: None  # type: ignore[method-assign]
         self.attempts: list[Attempt] = []
         self.probes: list[str] = []
         self.nursery = nursery
@@ -95,7 +96,7 @@
         self.probes.append(member)
 
     async def members(self, *names: str) -> None:
-        hosts = [host_list.ListedEndpoint(n, "127.0.0.1", 1, 0, 0, 0, "up", n == "p", 1.0, 0) for n in names]
+        hosts = [ListedEndpoint(n, "127.0.0.1", 1, 0, 0, 0, "up", n == "p", 1.0, 0) for n in names]
         self.driver.enqueue(EndpointListUpdated(UpdateKind.SNAPSHOT, hosts))
         for name in names:
             self.driver.enqueue(HealthCheckCompleted(name, Outcome.OK, MS, self.standing(name == "p")))
@@ -185,9 +186,7 @@
 
 
 async def test_a_drain_notice_and_a_request_in_one_batch(bench: Bench) -> None:
-    hosts = [
-        host_list.ListedEndpoint(n, "127.0.0.1", 1, 0, 0, 0, "draining", False, 1.0, 0) for n in ("a", "b")
-    ]
+    hosts = [ListedEndpoint(n, "127.0.0.1", 1, 0, 0, 0, "draining", False, 1.0, 0) for n in ("a", "b")]
     bench.driver.enqueue(EndpointListUpdated(UpdateKind.DELTA, hosts))
     for _ in range(9):  # some are shed: reads crowd no primary that was not heard of
         bench.ask("loose")
@@ -197,7 +196,7 @@
 
 
 async def test_a_write_to_a_primary_that_drains_in_the_same_batch_keeps_to_the_grace(bench: Bench) -> None:
-    host = host_list.ListedEndpoint("p", "127.0.0.1", 1, 0, 0, 0, "draining", True, 1.0, 0)
+    host = ListedEndpoint("p", "127.0.0.1", 1, 0, 0, 0, "draining", True, 1.0, 0)
     bench.driver.enqueue(EndpointListUpdated(UpdateKind.DELTA, [host]))
     _, attempt = await started(bench, "write")
     assert attempt.endpoint == "p"
@@ -324,45 +323,64 @@
     ],
 )
 def test_a_line_that_cannot_be_right_is_left_out(bad: dict[str, Any]) -> None:
-    assert host_list.parse_endpoint(line(), 3) is not None
-    assert host_list.parse_endpoint(line(**bad), 3) is None
+    assert parse_endpoint(line(), 3) is not None
+    assert parse_endpoint(line(**bad), 3) is None
 
 
 def test_saved_lists_come_back_whole_or_are_refused(tmp_path: Path) -> None:
     path = tmp_path / "hosts"
-    host = host_list.parse_endpoint(line(started=7), 3)
+    host = parse_endpoint(line(started=7), 3)
     assert host is not None
-    assert host_list.load_cached_list(path, 3) == ([], 0) == host_list.load_cached_list(None, 3)
-    host_list.save_cached_list(path, [host], 7)
-    assert host_list.load_cached_list(path, 3) == ([host], 7)
+    assert load_cached_list(path, 3) == ([], 0) == load_cached_list(None, 3)
+    save_cached_list(path, [host], 7)
+    assert load_cached_list(path, 3) == ([host], 7)
     assert [p.name for p in tmp_path.iterdir()] == ["hosts"]
     whole = path.read_bytes()
     for bad in (b"", whole[:-3], b"[]", whole.replace(b'"format":1', b'"format":9')):
         path.write_bytes(bad)
         with pytest.raises(ValueError, match="hosts"):
-            host_list.load_cached_list(path, 3)
+            load_cached_list(path, 3)
+
+
+STORED_BEFORE_THE_RENAMING = (
+    b'{"format":1,"hosts":[{"id":"m1","address":"127.0.0.1","port":5,"group":0,"zone":1,"kind":2,"readiness":'
+    b'"up","primary":true,"size":1.5,"started_us":7},{"id":"m2","address":"127.0.0.1","port":6,"group":1,'
+    b'"zone":0,"kind":0,"readiness":"draining","primary":false,"size":1.0,"started_us":0}],"version":7}'
+)
+
+
+def test_a_list_stored_by_an_earlier_release_is_read_and_written_back_unchanged(tmp_path: Path) -> None:
+    path = tmp_path / "hosts"
+    path.write_bytes(STORED_BEFORE_THE_RENAMING)
+    endpoints, version = load_cached_list(path, 3)
+    assert endpoints == [
+        ListedEndpoint("m1", "127.0.0.1", 5, 0, 1, 2, "up", True, 1.5, 7),
+        ListedEndpoint("m2", "127.0.0.1", 6, 1, 0, 0, "draining", False, 1.0, 0),
+    ]
+    save_cached_list(path, endpoints, version)
+    assert path.read_bytes() == STORED_BEFORE_THE_RENAMING
 
 
 def test_a_full_disk_costs_nothing_but_the_new_list(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     path = tmp_path / "hosts"
-    host = host_list.parse_endpoint(line(), 3)
+    host = parse_endpoint(line(), 3)
     assert host is not None
-    host_list.save_cached_list(path, [host])
+    save_cached_list(path, [host])
 
     def full(descriptor: int) -> None:
         raise OSError(28, "No space left on device")
 
     monkeypatch.setattr("os.fsync", full)
     with pytest.raises(OSError, match="space"):
-        host_list.save_cached_list(path, [])
-    assert host_list.load_cached_list(path, 3) == ([host], 0)
+        save_cached_list(path, [])
+    assert load_cached_list(path, 3) == ([host], 0)
     assert [p.name for p in tmp_path.iterdir()] == ["hosts"]
 
 
 def test_a_listed_start_is_taken_for_later_than_it_may_be() -> None:
-    host = host_list.parse_endpoint(line(started=5 * SEC), 3)
+    host = parse_endpoint(line(started=5 * SEC), 3)
     assert host is not None and host.router_endpoint(10 * MS).started_us == 5 * SEC + 10 * MS
-    assert msgspec.json.decode(msgspec.json.encode(host), type=host_list.ListedEndpoint) == host
+    assert msgspec.json.decode(msgspec.json.encode(host), type=ListedEndpoint) == host
 
 
 # Timing accidents.
@@ -427,7 +445,7 @@
     source.version = 5
     member = MemberInfo(0, "h", 1)
     for version in (4, 5, 6):
-        source._take(msgspec.structs.replace(EMPTY, version=version, members=Map({"m": member})))
+        source._update(msgspec.structs.replace(EMPTY, version=version, members=Map({"m": member})))
     assert len(told) == 2 and source.version == 6
 
 
