--- a/juniperreel/proxy/__init__.py
+++ b/juniperreel/proxy/__init__.py
@@ -4,8 +4,9 @@
 """
 
 from juniperreel.proxy.errors import TransactionOutcomeUnknownError, TransactionRolledBackError
+from juniperreel.proxy.open_requests import OpenRequest
 from juniperreel.proxy.options import DriverOptions
-from juniperreel.proxy.request_driver import OpenRequest, RequestDriver
+from juniperreel.proxy.request_driver import RequestDriver
 from juniperreel.proxy.requests import (
     Answer,
     ClientRequest,
--- a/juniperreel/proxy/cached_list.py
+++ b/juniperreel/proxy/cached_list.py
@@ -4,11 +4,12 @@
 
 import os
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import msgspec
+import trio
 
-from juniperreel.proxy.endpoint_list import ListedEndpoint
+from juniperreel.proxy.endpoint_list import EndpointSource, ListedEndpoint
 from juniperreel.proxy.errors import CachedListError
 from juniperreel.routing.types import (
     Readiness,
@@ -16,6 +17,7 @@
 
 FORMAT = 1
 FILE_MODE = 0o644
+WRITE_INTERVAL_S = 1.0
 
 
 class StoredList(msgspec.Struct, frozen=True, rename={"endpoints": "hosts"}):
@@ -69,3 +71,30 @@
     except OSError:
         temporary.unlink(missing_ok=True)
         raise
+
+
+class CachedListWriter:
+    """Writes a source's list to disk after it changed, at most once a `WRITE_INTERVAL_S`."""
+
+    def __init__(self, path: Path, source: EndpointSource, log: Any) -> None:
+        self._path = path
+        self._source = source
+        self._log = log
+        self._changed = trio.Event()
+
+    def list_changed(self) -> None:
+        """Have the list written soon."""
+        self._changed.set()
+
+    async def run(self) -> None:
+        """Write until cancelled."""
+        while True:
+            await self._changed.wait()
+            self._changed = trio.Event()
+            endpoints = list(self._source.endpoints.values())
+            version = self._source.version
+            try:
+                await trio.to_thread.run_sync(save_cached_list, self._path, endpoints, version)
+            except OSError as error:  # a full disk costs the cached list, not the service
+                self._log.error("endpoint list not saved", error=str(error))
+            await trio.sleep(WRITE_INTERVAL_S)
--- /dev/null
+++ b/juniperreel/proxy/request_admission.py
@@ -0,0 +1,101 @@
+"""Takes requests through the admission gate: who may go on to the router, who waits, and who is rejected.
+
+Owns the requests that wait at the gate. The gate decides; this module carries its verdicts out.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from juniperreel.admission import Admit, Arrival, Gate, Turn, Verdict
+from juniperreel.net import Clock
+from juniperreel.proxy.open_requests import OpenRequest
+from juniperreel.proxy.requests import Rejected
+from juniperreel.telemetry.metrics import Metrics
+
+
+class RequestAdmission:
+    """The requests in front of one gate, by id in `waiting`.
+
+    `on_admitted` is called with each request that the gate lets through, `on_verdicts` after each round of
+    verdicts, when the gate's next deadline may have changed.
+    """
+
+    def __init__(
+        self,
+        gate: Gate,
+        clock: Clock,
+        metrics: Metrics,
+        answer_margin_us: int,
+        on_admitted: Callable[[OpenRequest], None],
+        on_verdicts: Callable[[], None],
+    ) -> None:
+        self._gate = gate
+        self._clock = clock
+        self._metrics = metrics
+        self._answer_margin_us = answer_margin_us
+        self._on_admitted = on_admitted
+        self._on_verdicts = on_verdicts
+        self.waiting: dict[str, OpenRequest] = {}
+
+    def submit(self, open_request: OpenRequest) -> None:
+        """Bring a request before the gate; it is admitted, rejected or left waiting."""
+        now = self._clock.now_us()
+        request = open_request.request
+        self.waiting[request.id] = open_request
+        arrival = Arrival(
+            request.id,
+            request.class_index,
+            request.tenant_index,
+            request.group,
+            request.received_us or now,
+            request.deadline_us - self._answer_margin_us,
+            request.is_retry,
+        )
+        self._apply(self._gate.arrive(now, arrival))
+
+    def check(self, class_index: int, tenant_index: int, group: int, deadline_us: int) -> Rejected | None:
+        """The rejection that a request arriving now would get, before anything is spent on it."""
+        now = self._clock.now_us()
+        time_left_us = deadline_us - self._answer_margin_us - now
+        rejection = self._gate.glance(now, class_index, tenant_index, group, time_left_us)
+        if rejection is None:
+            return None
+        self._metrics.reject(rejection.reason).inc()
+        return Rejected(rejection.reason, rejection.wait_us, local=True)
+
+    def withdraw(self, request_id: str) -> bool:
+        """Remove a waiting request whose client disconnected. Returns False if it doesn't wait any more."""
+        if self.waiting.pop(request_id, None) is None:
+            return False
+        self._apply(self._gate.gone(self._clock.now_us(), request_id))
+        return True
+
+    def request_ended(self, open_request: OpenRequest) -> None:
+        """Report the end of an admitted request, which makes room for others."""
+        service_time_us = open_request.service_time_us()
+        lost = open_request.was_lost_to_congestion()
+        self._apply(self._gate.ended(self._clock.now_us(), open_request.id, service_time_us, lost))
+
+    def process_due(self, now_us: int) -> None:
+        """Carry out what the gate's deadlines bring about."""
+        self._apply(self._gate.tick(now_us))
+
+    def _apply(self, verdicts: list[Verdict]) -> None:
+        for verdict in verdicts:
+            open_request = self.waiting.pop(verdict.request, None)
+            match verdict:
+                case Admit(request_id):
+                    self._admit(request_id, open_request)
+                case Turn(_, reason, retry_after_us):
+                    self._metrics.reject(reason).inc()
+                    if open_request is not None:
+                        open_request.set_answer(Rejected(reason, retry_after_us, local=True))
+        if verdicts:
+            self._on_verdicts()
+
+    def _admit(self, request_id: str, open_request: OpenRequest | None) -> None:
+        if open_request is not None:
+            self._on_admitted(open_request)
+        else:  # its client has disconnected: give the place to the next one
+            self._apply(self._gate.ended(self._clock.now_us(), request_id, None))
--- /dev/null
+++ b/juniperreel/proxy/response_check.py
@@ -0,0 +1,131 @@
+"""Checks a response against what its request asked for, and turns it into the client's answer. No I/O.
+
+Epochs and replication status are facts that the router cannot see in positions alone; here they override an
+outcome that looked like success.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from juniperreel.causal import Token
+from juniperreel.proxy.attempts import AttemptResponse
+from juniperreel.proxy.errors import EndpointError
+from juniperreel.proxy.open_requests import Attempt, AttemptCompleted
+from juniperreel.proxy.positions import PositionTracker, ReplicationStatus
+from juniperreel.proxy.requests import Answer, MysqlErrorCode, Served, StatementFailed
+from juniperreel.routing.types import (
+    Outcome,
+    Role,
+)
+from juniperreel.rpc.status import Code, RpcError
+from juniperreel.telemetry.metrics import Metrics
+
+
+@dataclass(frozen=True, slots=True)
+class CheckedOutcome:
+    """An attempt's outcome after the checks, with what it says of its endpoint."""
+
+    outcome: Outcome
+    role: Role
+    position_us: int | None
+
+
+class ResponseCheck:
+    """Checks the responses of all endpoints against the newest epochs known."""
+
+    def __init__(self, positions: PositionTracker, metrics: Metrics) -> None:
+        self._positions = positions
+        self._metrics = metrics
+
+    def check(self, completed: AttemptCompleted) -> CheckedOutcome:
+        """Record the endpoint's status, and check the response if there is one."""
+        open_request = completed.attempt.open_request
+        response = completed.response
+        if response is None:
+            # An endpoint that did not execute a write, as it is no primary.
+            is_replica = completed.outcome is Outcome.INELIGIBLE and open_request.is_write
+            return CheckedOutcome(completed.outcome, Role.REPLICA if is_replica else Role.UNKNOWN, None)
+        group = open_request.request.group
+        self._positions.record_status(group, response.status)
+        role = self._role(group, response.status)
+        position_us = self._positions.applied_position(group, response.status)
+        if completed.outcome is not Outcome.OK:
+            return CheckedOutcome(completed.outcome, role, position_us)
+        if not open_request.is_write:
+            outcome = self._check_read(completed.attempt, response)
+        elif open_request.request.transaction_mode is not None:
+            outcome = self._check_transaction(group, response)
+        else:
+            outcome = self._check_write(group, response)
+            if outcome is Outcome.OK:
+                position_us = response.commit_position - self._positions.skew_us
+        return CheckedOutcome(outcome, role, position_us)
+
+    def _role(self, group: int, status: ReplicationStatus) -> Role:
+        is_primary = self._positions.is_primary(group, status)
+        if is_primary is None:
+            return Role.UNKNOWN
+        return Role.PRIMARY if is_primary else Role.REPLICA
+
+    def _check_transaction(self, group: int, response: AttemptResponse) -> Outcome:
+        """What a transaction commits is checked at its end.
+
+        Danger: one that was begun at a primary which is deposed meanwhile would read what no other endpoint
+        has, and its first statement was executed.
+        """
+        return Outcome.RESET if self._positions.is_deposed(group, response.status) else Outcome.OK
+
+    def _check_write(self, group: int, response: AttemptResponse) -> Outcome:
+        epoch = response.status.history.epoch
+        if self._positions.holds_commit(group, epoch, response.commit_position):
+            return Outcome.OK
+        # Danger: a deposed primary confirms a write that the group will never hold.
+        self._metrics.cut_off.inc()
+        return Outcome.RESET
+
+    def _check_read(self, attempt: Attempt, response: AttemptResponse) -> Outcome:
+        if attempt.required.is_met_by(response.status):
+            return Outcome.OK
+        # Danger: an endpoint that was truncated or restored since its position was recorded.
+        self._metrics.stale.inc()
+        return Outcome.INELIGIBLE
+
+    def answer(self, completed: AttemptCompleted) -> Answer:
+        """The client's answer from an attempt whose checked outcome is OK."""
+        response = completed.response
+        error = completed.error
+        if response is not None and response.error is not None:
+            error = response.error
+        # An OK with an error: the statement is at fault.
+        if isinstance(error, RpcError):
+            return StatementFailed(int(error.code), error.message, error.details)
+        if isinstance(error, EndpointError):
+            mysql_error = MysqlErrorCode(error.code, error.sql_state)
+            transaction = response.transaction if response is not None else None
+            return StatementFailed(int(Code.INVALID_ARGUMENT), error.message, (), mysql_error, transaction)
+        assert response is not None
+        return self._served(completed.attempt, response)
+
+    @staticmethod
+    def _served(attempt: Attempt, response: AttemptResponse) -> Served:
+        open_request = attempt.open_request
+        request = open_request.request
+        status = response.status
+        if not open_request.is_write:
+            seen_position = status.position
+        elif request.transaction_mode is None:
+            seen_position = response.commit_position
+        else:
+            seen_position = 0  # a transaction that has only begun has seen nothing that others could ask for
+        token = request.token
+        if status.history.starts and seen_position:
+            token = token.join(Token.at(request.group, status.history.epoch, seen_position))
+        return Served(
+            result=response.result,
+            token=token,
+            endpoint=attempt.endpoint,
+            from_primary=status.is_primary is True,
+            attempts=open_request.attempt_count,
+            transaction=response.transaction,
+        )
--- /dev/null
+++ b/juniperreel/proxy/router_events.py
@@ -0,0 +1,140 @@
+"""Translates what happened at the edge into the router's events. Does no I/O and decides nothing.
+
+Facts that the router cannot see are settled on the way: positions are translated between clocks and epochs,
+responses are checked, and a request is answered by the first response that holds.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from juniperreel.net.clock import US
+from juniperreel.proxy.endpoint_registry import EndpointRegistry
+from juniperreel.proxy.open_requests import (
+    AttemptCompleted,
+    EndpointListUpdated,
+    HealthCheckCompleted,
+    OpenRequest,
+)
+from juniperreel.proxy.positions import PositionTracker
+from juniperreel.proxy.request_table import RequestTable
+from juniperreel.proxy.response_check import ResponseCheck
+from juniperreel.routing.types import (
+    AttemptEnded,
+    EndpointUpdate,
+    HealthCheckEnded,
+    LoadReport,
+    Outcome,
+    Request,
+)
+from juniperreel.telemetry.metrics import Metrics
+
+
+class RouterEvents:
+    """Makes the router's events of one driver; `answer_margin_us` is taken off each deadline."""
+
+    def __init__(
+        self,
+        requests: RequestTable,
+        positions: PositionTracker,
+        registry: EndpointRegistry,
+        answer_margin_us: int,
+        log: Any,
+        metrics: Metrics,
+    ) -> None:
+        self._requests = requests
+        self._positions = positions
+        self._registry = registry
+        self._answer_margin_us = answer_margin_us
+        self._log = log
+        self._metrics = metrics
+        self._response_check = ResponseCheck(positions, metrics)
+
+    def request(self, open_request: OpenRequest, now_us: int) -> Request:
+        """The router's view of a request that it sees now for the first time."""
+        request = open_request.request
+        open_request.routed_us = now_us
+        request.token = self._positions.with_carried_commits(request.group, request.token)
+        return Request(
+            id=request.id,
+            class_index=request.class_index,
+            tenant_index=request.tenant_index,
+            group=request.group,
+            deadline_us=request.deadline_us - self._answer_margin_us,
+            session=request.session,
+            session_age_us=self._positions.session_age(now_us, request.group, request.token),
+            is_retry=request.is_retry,
+        )
+
+    def attempt_ended(self, completed: AttemptCompleted, client_disconnected: bool) -> AttemptEnded:
+        """Check the attempt's response, and answer its request if it holds.
+
+        `client_disconnected`: in the same batch, which wins over the response.
+        """
+        attempt = completed.attempt
+        open_request = attempt.open_request
+        open_request.in_flight.pop(attempt.number, None)
+        checked = self._response_check.check(completed)
+        self._count(completed, checked.outcome)
+        is_ok = checked.outcome is Outcome.OK
+        if is_ok:
+            self._answer(completed, client_disconnected)
+        else:
+            open_request.last_outcome = checked.outcome
+            completed.discard_response()
+        self._requests.remove_if_done(open_request)
+        return AttemptEnded(
+            request=open_request.id,
+            attempt=attempt.number,
+            endpoint=attempt.endpoint,
+            outcome=checked.outcome,
+            duration_us=max(completed.duration_us, 0),
+            request_finished=is_ok,
+            role=checked.role,
+            position_us=checked.position_us,
+            load_report=None,
+        )
+
+    def _count(self, completed: AttemptCompleted, outcome: Outcome) -> None:
+        attempt = completed.attempt
+        self._log.debug(
+            "attempt ended",
+            request=attempt.open_request.id,
+            number=attempt.number,
+            endpoint=attempt.endpoint,
+            outcome=outcome.value,
+            duration_us=completed.duration_us,
+        )
+        self._metrics.attempt(outcome.value).inc()
+        self._metrics.attempt_took(outcome.value).observe(completed.duration_us / US)
+
+    def _answer(self, completed: AttemptCompleted, client_disconnected: bool) -> None:
+        open_request = completed.attempt.open_request
+        open_request.served_us = completed.duration_us
+        if open_request.answer is not None or client_disconnected:
+            self._metrics.late.inc()
+            completed.discard_response()
+        else:
+            self._requests.answer(open_request, self._response_check.answer(completed))
+
+    def health_check_ended(self, completed: HealthCheckCompleted) -> HealthCheckEnded:
+        """Record the endpoint's status, and report it to the router."""
+        self._metrics.probes.labels(completed.outcome.value).inc()
+        load_report = None
+        report = completed.report
+        if report is not None:
+            group = self._registry.group_of(completed.endpoint)
+            self._positions.record_status(group, report.status)
+            load_report = LoadReport(
+                position_us=self._positions.applied_position(group, report.status),
+                is_primary=self._positions.is_primary(group, report.status),
+                in_flight=report.in_flight,
+                queued=report.queued,
+            )
+        return HealthCheckEnded(completed.endpoint, completed.outcome, completed.duration_us, load_report)
+
+    def endpoint_update(self, update: EndpointListUpdated) -> EndpointUpdate:
+        """The update with start times on the router's clock."""
+        skew_us = self._positions.skew_us
+        endpoints = tuple(endpoint.router_endpoint(skew_us) for endpoint in update.endpoints)
+        return EndpointUpdate(update.kind, endpoints)
--- a/tests/e2e/test_overload.py
+++ b/tests/e2e/test_overload.py
@@ -151,7 +151,7 @@
                 for number in range(60):
                     clients.start_soon(fickle, number)
             driver = slow.edge.driver
-            while driver.open_requests or driver.waiting_requests:
+            while driver.open_requests or driver.admission.waiting:
                 await trio.sleep(0.02)
             assert driver.gate.in_hand == driver.gate.waiting == 0
             assert all(lane.in_hand == lane.waiting == 0 for _, _, lane in driver.gate.lanes())
--- a/tests/proxy/test_request_driver.py
+++ b/tests/proxy/test_request_driver.py
@@ -18,19 +18,19 @@
 from juniperreel.proto.common.v1 import values_pb2
 from juniperreel.proto.hosts.v1 import hosts_pb2
 from juniperreel.proxy import Answer, ClientRequest, DriverOptions, Failed, Rejected, RequestDriver, Served
-from juniperreel.proxy.attempts import AttemptRequest, AttemptResponse
+from juniperreel.proxy.attempts import AttemptRequest, AttemptResponse, EndpointReport
 from juniperreel.proxy.cached_list import load_cached_list, save_cached_list
 from juniperreel.proxy.configuration_source import ConfigurationSource
 from juniperreel.proxy.endpoint_list import ListedEndpoint, parse_endpoint
 from juniperreel.proxy.grpc_endpoints import GrpcEndpoints
-from juniperreel.proxy.outcomes import outcome_of_error, outcome_of_unfinished
-from juniperreel.proxy.positions import ReplicationStatus, RequiredPosition
-from juniperreel.proxy.request_driver import (
+from juniperreel.proxy.open_requests import (
     Attempt,
     AttemptCompleted,
     EndpointListUpdated,
     HealthCheckCompleted,
 )
+from juniperreel.proxy.outcomes import outcome_of_error, outcome_of_unfinished
+from juniperreel.proxy.positions import ReplicationStatus, RequiredPosition
 from juniperreel.raft.configuration.model import EMPTY, MemberInfo
 from juniperreel.routing.types import (
     Outcome,
@@ -80,33 +80,37 @@
             options(**changes), TcpNetwork(), self.clock, make_log(), self.metrics, Traces()
         )
         self.driver._nursery = nursery
-        self.driver._attempt = self.attempt  # type: ignore[method-assign]
-        self.driver._probe = self.probe  # type: ignore[method-assign]
+        self.driver._run_attempt = self.attempt  # type: ignore[method-assign]
+        self.driver._run_health_check = self.health_check  # type: ignore[method-assign]
         self.driver.endpoints.set_address = lambda *a: None  # type: ignore[method-assign]
         self.driver.discovery.subscribe = lambda enabled: None  # type: ignore[method-assign]
         self.attempts: list[Attempt] = []
-        self.probes: list[str] = []
+        self.health_checks: list[str] = []
         self.nursery = nursery
 
-    async def attempt(self, attempt: Attempt, limit_us: int) -> None:
+    async def attempt(self, attempt: Attempt, timeout_us: int) -> None:
         self.attempts.append(attempt)
         await trio.lowlevel.checkpoint()
 
-    async def probe(self, member: str) -> None:
-        self.probes.append(member)
+    async def health_check(self, endpoint: str) -> None:
+        self.health_checks.append(endpoint)
 
     async def members(self, *names: str) -> None:
         hosts = [ListedEndpoint(n, "127.0.0.1", 1, 0, 0, 0, "up", n == "p", 1.0, 0) for n in names]
         self.driver.enqueue(EndpointListUpdated(UpdateKind.SNAPSHOT, hosts))
         for name in names:
-            self.driver.enqueue(HealthCheckCompleted(name, Outcome.OK, MS, self.standing(name == "p")))
+            self.driver.enqueue(
+                HealthCheckCompleted(
+                    name, Outcome.OK, MS, EndpointReport(self.standing(name == "p"), 0.0, 0.0)
+                )
+            )
         await self.turn()
 
     def standing(self, primary: bool) -> ReplicationStatus:
         return ReplicationStatus(primary, self.clock.now_us(), HISTORY)
 
     async def turn(self) -> None:
-        self.driver._turn()
+        self.driver._process_due()
         await trio.testing.wait_all_tasks_blocked()
 
     def ask(self, cls: str, deadline_us: int = SEC) -> list[Answer]:
@@ -225,7 +229,12 @@
     for cls, kind in (("write", Served), ("once", Failed)):
         answers, attempt = await started(bench, cls)
         bench.driver.enqueue(
-            HealthCheckCompleted("a", Outcome.OK, MS, ReplicationStatus(True, bench.clock.now_us(), later))
+            HealthCheckCompleted(
+                "a",
+                Outcome.OK,
+                MS,
+                EndpointReport(ReplicationStatus(True, bench.clock.now_us(), later), 0.0, 0.0),
+            )
         )
         bench.driver.enqueue(bench.done(attempt))  # by the deposed one
         await bench.turn()
