--- a/juniperreel/proxy/attempt_runner.py
+++ b/juniperreel/proxy/attempt_runner.py
@@ -60,10 +60,10 @@
             priority_weight=open_request.request_class.priority_weight,
             required=attempt.required,
         )
-        time_left_us = deadline_us - self._clock.now_us()
+        remaining_us = deadline_us - self._clock.now_us()
         try:
             response = await self._connections.execute(
-                attempt.endpoint, attempt_request, time_left_us, attempt.sent
+                attempt.endpoint, attempt_request, remaining_us, attempt.sent
             )
         except ATTEMPT_ERRORS as error:
             # An endpoint that reports an error in the statement is healthy: the attempt served the request.
--- a/juniperreel/proxy/errors.py
+++ b/juniperreel/proxy/errors.py
@@ -8,6 +8,12 @@
     Outcome,
 )
 
+# Sent to clients for what this program cannot do: ER_NOT_SUPPORTED_YET and ER_NET_PACKET_TOO_LARGE.
+NOT_SUPPORTED_CODE = 1235
+NOT_SUPPORTED_STATE = "42000"
+TOO_LARGE_CODE = 1153
+TOO_LARGE_STATE = "08S01"
+
 
 class ProxyError(Exception):
     """Base of this package's errors."""
@@ -51,3 +57,13 @@
 
 class TransactionOutcomeUnknownError(TransactionError):
     """The transaction is over; whether it took effect is not known."""
+
+
+def not_supported(message: str) -> EndpointError:
+    """The error for a statement that this program cannot pass on."""
+    return EndpointError(Outcome.OK, message, NOT_SUPPORTED_CODE, NOT_SUPPORTED_STATE)
+
+
+def too_large(message: str) -> EndpointError:
+    """The error for a result that is longer than this program may hold."""
+    return EndpointError(Outcome.OK, message, TOO_LARGE_CODE, TOO_LARGE_STATE)
--- a/juniperreel/proxy/gauges.py
+++ b/juniperreel/proxy/gauges.py
@@ -81,6 +81,6 @@
         connections = self._sources.connections
         self._metrics.connections.set(connections.connected)
         if isinstance(connections, MysqlEndpoints):
-            connections.gauges()
+            connections.report_gauges()
         self._metrics.members.labels("known").set(self._sources.registry.listed_count)
         self._metrics.members.labels("gone").set(self._sources.registry.removed_count)
--- a/juniperreel/proxy/grpc_endpoints.py
+++ b/juniperreel/proxy/grpc_endpoints.py
@@ -1,6 +1,6 @@
-"""Connections to members: one for each, made when first needed.
+"""Connections to endpoints that speak gRPC: one channel for each, connected when first needed.
 
-Owns channels and their lives. Must never choose a member or repeat a call.
+Owns the channels. Must never choose an endpoint or retry a call.
 """
 
 from __future__ import annotations
@@ -14,148 +14,160 @@
 from juniperreel.net import Clock, Network, Silent
 from juniperreel.proto.member.v1 import member_pb2
 from juniperreel.proxy.attempts import AttemptRequest, AttemptResponse, EndpointReport
-from juniperreel.proxy.errors import EndpointError
+from juniperreel.proxy.endpoint_address import EndpointAddress
+from juniperreel.proxy.errors import not_supported
 from juniperreel.proxy.options import DriverOptions
 from juniperreel.proxy.positions import ReplicationStatus
-from juniperreel.routing.types import (
-    Outcome,
-)
 from juniperreel.rpc.channel import Broken, Channel, NeverSent
 from juniperreel.rpc.status import Code, RpcError
 
 EXECUTE = "/juniperreel.member.v1.Member/Execute"
 REPORT = "/juniperreel.member.v1.Member/Report"
 REPORT_REQUEST = member_pb2.ReportRequest().SerializeToString()
+IS_PRIMARY: dict[int, bool | None] = {member_pb2.ROLE_PRIMARY: True, member_pb2.ROLE_REPLICA: False}
 
 
-class MemberLink:
-    """One member's connection and the attempts on it."""
+class EndpointChannel:
+    """One endpoint's channel, and how many attempts are in flight on it.
 
-    def __init__(self, address: tuple[str, int], channel: Channel) -> None:
+    A retired channel closes with the last attempt on it.
+    """
+
+    def __init__(self, address: EndpointAddress, channel: Channel) -> None:
         self.address = address
         self.channel = channel
-        self.in_hand = 0
-        self.retired = False
+        self.in_flight = 0
+        self.is_retired = False
+
+    def retire(self) -> None:
+        """Close the channel when no attempt is in flight on it."""
+        self.is_retired = True
+        self.close_if_done()
+
+    def close_if_done(self) -> None:
+        """Close a retired channel without attempts."""
+        if self.is_retired and not self.in_flight:
+            self.channel.close()
 
 
 class GrpcEndpoints:
-    """All members' connections of one driver; `run` must be running."""
+    """All endpoints of one driver, where they speak gRPC; see `attempts.EndpointConnections`."""
 
     def __init__(self, options: DriverOptions, network: Network, clock: Clock, rng: random.Random) -> None:
-        self._options, self._network, self._clock, self._rng = options, network, clock, rng
-        self._links: dict[str, MemberLink] = {}
+        self._options = options
+        self._network = network
+        self._clock = clock
+        self._rng = rng
+        self._channels: dict[str, EndpointChannel] = {}
         self._nursery: trio.Nursery | None = None
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Own the channels' tasks until cancelled."""
         async with trio.open_nursery() as self._nursery:
             task_status.started()
             await trio.sleep_forever()
 
-    def set_address(self, member: str, host: str, port: int) -> None:
-        """Where the member is now. A new address gets a new connection; the old one ends when idle."""
-        link = self._links.get(member)
-        if link is not None and link.address == (host, port) and not link.channel.closed:
-            link.retired = False
+    def set_address(self, endpoint: str, host: str, port: int) -> None:
+        """Set where the endpoint is now. A new address gets a new channel; the old one ends when idle."""
+        address = EndpointAddress(host, port)
+        known = self._channels.get(endpoint)
+        if known is not None and known.address == address and not known.channel.closed:
+            known.is_retired = False
             return
-        if link is not None:
-            self._retire(link)
-        options = self._options
+        if known is not None:
+            known.retire()
         channel = Channel(
             self._network,
             self._clock,
             host,
             port,
-            options.limits,
+            self._options.limits,
             random.Random(self._rng.random()),
-            options.connect_timeout_us,
+            self._options.connect_timeout_us,
         )
-        self._links[member] = MemberLink((host, port), channel)
+        self._channels[endpoint] = EndpointChannel(address, channel)
         assert self._nursery is not None
         self._nursery.start_soon(channel.run)
 
-    def remove(self, member: str) -> None:
-        """The member is gone: its connection ends with the last attempt on it."""
-        link = self._links.get(member)
-        if link is not None:
-            self._retire(link)
-
-    @staticmethod
-    def _retire(link: MemberLink) -> None:
-        link.retired = True
-        if not link.in_hand:
-            link.channel.close()
+    def remove(self, endpoint: str) -> None:
+        """Retire the channel of an endpoint that left the endpoint list."""
+        known = self._channels.get(endpoint)
+        if known is not None:
+            known.retire()
 
     @property
     def connected(self) -> int:
-        return sum(link.channel.connected for link in self._links.values())
-
-    def _link(self, member: str) -> MemberLink:
-        link = self._links.get(member)
-        if link is None:
-            raise Silent(f"no address is known for {member}")
-        if link.channel.closed:
-            # Danger: a list that flaps, or whose "gone" does not bind, sends to a member whose connection
-            # was ended; it would seem dead for ever.
-            self.set_address(member, *link.address)
-            link = self._links[member]
-        return link
+        """How many channels are connected."""
+        return sum(endpoint.channel.connected for endpoint in self._channels.values())
+
+    def _channel(self, endpoint: str) -> EndpointChannel:
+        """Raises Silent for an endpoint without an address."""
+        known = self._channels.get(endpoint)
+        if known is None:
+            raise Silent(f"no address is known for {endpoint}")
+        if known.channel.closed:
+            # Danger: with a list that flaps, or whose removals do not forbid requests, the router sends to an
+            # endpoint whose channel was closed; without a new channel it would seem dead for ever.
+            self.set_address(endpoint, known.address.host, known.address.port)
+            known = self._channels[endpoint]
+        return known
 
     async def execute(
-        self, member: str, job: AttemptRequest, timeout_us: int, sent: trio.Event
+        self, endpoint: str, attempt: AttemptRequest, timeout_us: int, sent: trio.Event
     ) -> AttemptResponse:
-        if job.request.transaction_mode is not None:
-            raise EndpointError(Outcome.OK, "transactions need members that speak MySQL", 1235, "42000")
-        link = self._link(member)
-        if link.in_hand >= self._options.max_attempts_per_endpoint:
-            raise NeverSent(f"{link.in_hand} attempts are out on the connection to {member}")
-        link.in_hand += 1
+        """Make one attempt. Raises ConnectError, NeverSent, Broken, RpcError or EndpointError."""
+        if attempt.request.transaction_mode is not None:
+            raise not_supported("transactions need members that speak MySQL")
+        known = self._channel(endpoint)
+        if known.in_flight >= self._options.max_attempts_per_endpoint:
+            raise NeverSent(f"{known.in_flight} attempts are out on the connection to {endpoint}")
+        known.in_flight += 1
         try:
-            await link.channel.link()
+            await known.channel.link()
             sent.set()
-            reply = await link.channel.unary(EXECUTE, execute_message(job), timeout_us=timeout_us)
+            reply = await known.channel.unary(EXECUTE, execute_message(attempt), timeout_us=timeout_us)
         finally:
-            link.in_hand -= 1
-            if link.retired and not link.in_hand:
-                link.channel.close()
+            known.in_flight -= 1
+            known.close_if_done()
         try:
             response = member_pb2.ExecuteResponse.FromString(reply.message)
         except DecodeError as error:
-            raise Broken(f"{member} sent no ExecuteResponse: {error}") from error
-        return AttemptResponse(response.result, standing_of(response.standing), response.commit)
-
-    async def check_health(self, member: str) -> EndpointReport:
-        """The member's report: standing, requests in hand, requests waiting."""
-        link = self._link(member)
-        reply = await link.channel.unary(
-            REPORT, REPORT_REQUEST, timeout_us=self._options.health_check_timeout_us
-        )
+            raise Broken(f"{endpoint} sent no ExecuteResponse: {error}") from error
+        return AttemptResponse(response.result, replication_status(response.standing), response.commit)
+
+    async def check_health(self, endpoint: str) -> EndpointReport:
+        """Ask the endpoint for its report. Raises ConnectError, NeverSent, Broken or RpcError."""
+        channel = self._channel(endpoint).channel
+        timeout_us = self._options.health_check_timeout_us
+        reply = await channel.unary(REPORT, REPORT_REQUEST, timeout_us=timeout_us)
         try:
             response = member_pb2.ReportResponse.FromString(reply.message)
         except DecodeError as error:
-            raise RpcError(Code.INTERNAL, f"{member} sent no ReportResponse: {error}") from error
-        return EndpointReport(standing_of(response.standing), response.in_hand, response.waiting)
-
-
-ROLES: dict[int, bool | None] = {member_pb2.ROLE_PRIMARY: True, member_pb2.ROLE_REPLICA: False}
+            raise RpcError(Code.INTERNAL, f"{endpoint} sent no ReportResponse: {error}") from error
+        status = replication_status(response.standing)
+        return EndpointReport(status, in_flight=response.in_hand, queued=response.waiting)
 
 
-def standing_of(message: member_pb2.Standing) -> ReplicationStatus:
-    history = History.of((e.epoch, e.start) for e in message.epochs)
-    return ReplicationStatus(ROLES.get(message.role), message.position, history)
+def replication_status(message: member_pb2.Standing) -> ReplicationStatus:
+    """The status in a response; its role is None where the endpoint gives none."""
+    history = History.of((entry.epoch, entry.start) for entry in message.epochs)
+    return ReplicationStatus(IS_PRIMARY.get(message.role), message.position, history)
 
 
-def execute_message(job: AttemptRequest) -> bytes:
+def execute_message(attempt: AttemptRequest) -> bytes:
+    """The attempt as an encoded ExecuteRequest."""
+    request = attempt.request
     message = member_pb2.ExecuteRequest(
-        request=job.request.id,
-        attempt=job.number,
-        write=job.is_write,
-        statement=job.request.statement,
-        parameters=job.request.parameters,
-        idempotency_key=job.request.idempotency_key,
-        floor=job.required.floor,
-        oldest=job.required.oldest,
+        request=request.id,
+        attempt=attempt.number,
+        write=attempt.is_write,
+        statement=request.statement,
+        parameters=request.parameters,
+        idempotency_key=request.idempotency_key,
+        floor=attempt.required.floor,
+        oldest=attempt.required.oldest,
     )
-    setattr(message, "class", job.class_name)  # a keyword of Python's
-    for epoch, position in job.required.commits:
-        message.needed.add(epoch=epoch, position=position)
+    setattr(message, "class", attempt.class_name)  # a keyword of Python's
+    for commit in attempt.required.commits:
+        message.needed.add(epoch=commit.epoch, position=commit.position)
     return message.SerializeToString()
--- a/juniperreel/proxy/mysql_endpoints.py
+++ b/juniperreel/proxy/mysql_endpoints.py
@@ -1,93 +1,111 @@
-"""Links to members that speak MySQL: an attempt is one exchange on a connection of its own for that time.
+"""Connections to endpoints that speak MySQL: an attempt has a connection of its own for its exchange.
 
-Where the member stands is asked in the same exchange as the statement, so that an answer is judged by what
-its member held when it gave it. A write is asked for it before and after: only a commit between two equal
-answers belongs to that epoch. Must never decide which member, whether again, or when.
+Must never decide which endpoint, whether to retry, or when.
 """
 
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Hashable, Sequence
-from itertools import count
-from typing import Any
+from collections.abc import Callable
 
 import trio
 
 from juniperreel.mysql.packets import ProtocolError
 from juniperreel.mysql.replies import Err
-from juniperreel.mysql.values import Value
-from juniperreel.net import Clock, ConnectError, Network, Silent
+from juniperreel.net import Clock, Network, Silent
 from juniperreel.net.clock import US
 from juniperreel.pool import standing as published
-from juniperreel.pool.backend import FORGOTTEN, Backend, Lost, NotLetIn, TooLong
-from juniperreel.pool.core import (
-    GONE,
-    UNREACHABLE,
-    Action,
-    Close,
-    Give,
-    Lease,
-    Open,
-    Pool,
-    Turn,
-    Want,
-)
-from juniperreel.pool.errors import UNDOES_ALL, Meaning, meaning
+from juniperreel.pool.backend import Backend, Lost, Remainder, TooLong
+from juniperreel.pool.core import Lease, Pool
 from juniperreel.pool.result import Result, Statement
-from juniperreel.pool.state import SessionState, replay
+from juniperreel.pool.state import replay
 from juniperreel.proxy.attempts import AttemptRequest, AttemptResponse, EndpointReport
+from juniperreel.proxy.endpoint_address import EndpointAddress
 from juniperreel.proxy.errors import EndpointError
+from juniperreel.proxy.mysql_exchange import AttemptExchange
+from juniperreel.proxy.mysql_monitor import EndpointMonitor
+from juniperreel.proxy.mysql_pool import BackendConnector, EndpointPool
+from juniperreel.proxy.mysql_replies import (
+    GTIDS_QUERY,
+    LOAD_QUERY,
+    STATUS_QUERY,
+    error_of,
+    heartbeat_of,
+    replication_status,
+)
 from juniperreel.proxy.options import DriverOptions, MysqlEndpointOptions
-from juniperreel.proxy.positions import PositionTracker, ReplicationStatus
-from juniperreel.proxy.requests import TransactionMode
-from juniperreel.proxy.transactions import STATUS, EndpointTransaction, standing_of
+from juniperreel.proxy.positions import PositionTracker
+from juniperreel.proxy.requests import ClientRequest
+from juniperreel.proxy.transactions import EndpointTransaction
 from juniperreel.routing.types import (
     Outcome,
 )
 from juniperreel.rpc.channel import Broken, NeverSent
 from juniperreel.telemetry.metrics import Metrics
 
-TICK_S = 1.0
-KILLS = 8  # that wait for one member's ear
-BEGIN = {
-    TransactionMode.READ_WRITE: Statement(b"start transaction"),
-    TransactionMode.READ_ONLY: Statement(b"start transaction read only"),
-}
-GTIDS = Statement(published.GTIDS)
+MAX_WAIT_S = 1.0  # between two rounds of the pools' deadlines
+CLOSED_HERE = "closed here"  # `Backend.why` of a connection that this side closed
+ENDPOINT_REMOVED = "its member has left"  # the reason, as clients see it
 
 
-class Slot:
-    """One who waits for a connection."""
-
-    def __init__(self) -> None:
-        self.done = trio.Event()
-        self.given: Lease[Backend] | None = None
-        self.turned = ""
+class MysqlEndpoint:
+    """One endpoint at one address: its pool, its monitor and the transactions open on it."""
 
+    def __init__(self, name: str, pool: EndpointPool, monitor: EndpointMonitor) -> None:
+        self.name = name
+        self.pool = pool
+        self.monitor = monitor
+        self.transactions: set[EndpointTransaction] = set()
 
-class Member:
-    """One member's address, its pool, and one connection beside it for reports and KILL: those must not wait
-    for whoever has all others."""
+    @property
+    def is_draining(self) -> bool:
+        """Whether it left the endpoint list or moved to another address."""
+        return self.pool.pool.draining
 
-    def __init__(self, address: tuple[str, int], pool: Pool[Backend]) -> None:
-        self.address = address
-        self.pool = pool
-        self.slots: dict[Hashable, Slot] = {}
-        self.held: set[EndpointTransaction] = set()
-        self.monitor: Backend | None = None
-        self.ear = trio.Lock()
-        self.kills = 0
-        self.last_failure = ""
+    @property
+    def connection_count(self) -> int:
+        """How many connections are open, the monitor's included."""
+        pool = self.pool.pool
+        return pool.leased + pool.idle + self.monitor.is_connected
+
+    def drain(self) -> None:
+        """Close what is idle, and abort the transactions.
+
+        Rule 3: nothing new goes to a removed endpoint, not even the next statement of a transaction.
+        """
+        self.pool.drain()
+        self.monitor.close()
+        for transaction in list(self.transactions):
+            transaction.abort(ENDPOINT_REMOVED)
+
+    def add_transaction(self, transaction: EndpointTransaction) -> None:
+        """Own a transaction that has just begun."""
+        self.transactions.add(transaction)
+        if self.is_draining:
+            transaction.abort(ENDPOINT_REMOVED)
+
+    def kill_statement_of(self, victim: Backend) -> None:
+        """Have the server end what still runs on a connection that this side closed."""
+        if not self.is_draining:
+            self.monitor.kill_statement_of(victim)
+
+    def report_gauges(self, metrics: Metrics) -> None:
+        """Write the pool's gauges to the metrics."""
+        pool = self.pool.pool
+        metrics.pool.labels(self.name, "leased").set(pool.leased)
+        metrics.pool.labels(self.name, "idle").set(pool.idle)
+        metrics.pool.labels(self.name, "opening").set(pool.opening)
+        metrics.pool_waiting.labels(self.name).set(pool.waiting)
+        metrics.pool_most.labels(self.name).set(pool.cap)
 
 
 class MysqlEndpoints:
-    """See `attempts.EndpointConnections`."""
+    """All endpoints of one driver, where they speak MySQL; see `attempts.EndpointConnections`."""
 
     def __init__(
         self,
         options: DriverOptions,
-        members: MysqlEndpointOptions,
+        mysql_options: MysqlEndpointOptions,
         network: Network,
         clock: Clock,
         positions: PositionTracker,
@@ -95,217 +113,163 @@
         group_of: Callable[[str], int],
         metrics: Metrics,
     ) -> None:
-        self._options, self._mysql, self._group_of = options, members, group_of
+        """`group_of` gives an endpoint's group."""
+        self._options = options
+        self._mysql_options = mysql_options
+        self._clock = clock
+        self._positions = positions
+        self._rng = rng
+        self._group_of = group_of
         self._metrics = metrics
-        self._network, self._clock, self._positions, self._rng = network, clock, positions, rng
-        self._members: dict[str, Member] = {}
+        self._connector = BackendConnector(network, mysql_options.login, options.connect_timeout_us)
+        self._endpoints: dict[str, MysqlEndpoint] = {}
         self._nursery: trio.Nursery | None = None
         self._wake = trio.Event()
-        self._wants = count()
-        self.opened = self.killed = self.replayed = 0
+        self.replayed = 0  # statements that took a connection to a session's state
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Own the connections' tasks, and process the pools' deadlines, until cancelled."""
         async with trio.open_nursery() as self._nursery:
             task_status.started()
             while True:
+                await self._wait_until_due()
                 now = self._clock.now_us()
-                dues = [m.pool.due_us(now) for m in self._members.values()]
-                due = min((d for d in dues if d is not None), default=now + int(TICK_S * US))
-                self._wake = trio.Event()
-                with trio.move_on_after(min(max(due - now, 0) / US, TICK_S)):
-                    await self._wake.wait()
-                now = self._clock.now_us()
-                for member in self._members.values():
-                    self._do(member, member.pool.tick(now))
+                for endpoint in self._endpoints.values():
+                    endpoint.pool.process_due(now)
+
+    async def _wait_until_due(self) -> None:
+        now = self._clock.now_us()
+        deadlines = [endpoint.pool.pool.due_us(now) for endpoint in self._endpoints.values()]
+        wait_s = MAX_WAIT_S
+        if set_deadlines := [deadline for deadline in deadlines if deadline is not None]:
+            wait_s = min(max(min(set_deadlines) - now, 0) / US, MAX_WAIT_S)
+        self._wake = trio.Event()
+        with trio.move_on_after(wait_s):
+            await self._wake.wait()
+
+    def _on_waiting(self) -> None:
+        self._wake.set()
 
-    def set_address(self, member: str, host: str, port: int) -> None:
-        known = self._members.get(member)
-        if known is not None and known.address == (host, port):
-            known.pool.resume()
+    # Endpoints.
+
+    def set_address(self, endpoint: str, host: str, port: int) -> None:
+        """Set where the endpoint is now; at the same address it takes requests again."""
+        address = EndpointAddress(host, port)
+        known = self._endpoints.get(endpoint)
+        if known is not None and known.pool.address == address:
+            known.pool.pool.resume()
             return
         if known is not None:
-            self._retire(known)
-        pool: Pool[Backend] = Pool(self._mysql.pool_sizes, random.Random(self._rng.random()))
-        self._members[member] = Member((host, port), pool)
+            known.drain()
+        self._endpoints[endpoint] = self._new_endpoint(endpoint, address)
 
-    def remove(self, member: str) -> None:
-        known = self._members.get(member)
-        if known is not None:
-            self._retire(known)
+    def _new_endpoint(self, name: str, address: EndpointAddress) -> MysqlEndpoint:
+        assert self._nursery is not None
+        core: Pool[Backend] = Pool(self._mysql_options.pool_sizes, random.Random(self._rng.random()))
+        pool = EndpointPool(
+            name,
+            address,
+            core,
+            self._connector,
+            self._clock,
+            self._metrics,
+            self._nursery,
+            self._on_waiting,
+        )
+        monitor = EndpointMonitor(
+            address, self._connector, self._options.health_check_timeout_us, self._metrics, self._nursery
+        )
+        return MysqlEndpoint(name, pool, monitor)
 
-    def _retire(self, member: Member) -> None:
-        self._do(member, member.pool.drain())
-        if member.monitor is not None:
-            member.monitor.close()
-        for held in list(member.held):
-            # Rule 3: nothing new to a member that is gone, not even the next statement of a transaction.
-            held.lose("its member has left")
+    def remove(self, endpoint: str) -> None:
+        """Send nothing new to the endpoint, which left the endpoint list."""
+        known = self._endpoints.get(endpoint)
+        if known is not None:
+            known.drain()
 
     @property
     def connected(self) -> int:
-        pools = [m.pool for m in self._members.values()]
-        return sum(p.leased + p.idle for p in pools) + sum(
-            m.monitor is not None for m in self._members.values()
-        )
+        """How many connections are open."""
+        return sum(endpoint.connection_count for endpoint in self._endpoints.values())
 
     @property
-    def transactions(self) -> int:
-        return sum(len(m.held) for m in self._members.values())
-
-    def gauges(self) -> None:
-        """Into the metrics, as it stands."""
-        m = self._metrics
-        for name, member in self._members.items():
-            pool = member.pool
-            for state, number in (("leased", pool.leased), ("idle", pool.idle), ("opening", pool.opening)):
-                m.pool.labels(name, state).set(number)
-            m.pool_waiting.labels(name).set(pool.waiting)
-            m.pool_most.labels(name).set(pool.cap)
+    def opened(self) -> int:
+        """How many connections were ever opened."""
+        return self._connector.opened
 
-    def pools(self) -> dict[str, Pool[Backend]]:
-        """For who looks on."""
-        return {name: member.pool for name, member in self._members.items()}
+    @property
+    def killed(self) -> int:
+        """How many abandoned statements were killed at the endpoints known."""
+        return sum(endpoint.monitor.killed for endpoint in self._endpoints.values())
 
-    # Connections.
+    def open_transactions(self) -> list[EndpointTransaction]:
+        """All transactions that are open."""
+        return [transaction for endpoint in self._endpoints.values() for transaction in endpoint.transactions]
 
-    def _do(self, member: Member, actions: Sequence[Action[Backend]]) -> None:
-        assert self._nursery is not None
-        for action in actions:
-            match action:
-                case Give(lease):
-                    slot = member.slots.pop(lease.want.id, None)
-                    if slot is None:  # it has left in the same moment
-                        self._do(
-                            member,
-                            member.pool.back(self._clock.now_us(), lease, True, lease.connection.state),
-                        )
-                        continue
-                    slot.given = lease
-                    slot.done.set()
-                case Turn(want, why):
-                    self._metrics.pool_turned.labels(why).inc()
-                    slot = member.slots.pop(want.id, None)
-                    if slot is not None:
-                        slot.turned = why
-                        slot.done.set()
-                case Open():
-                    self._nursery.start_soon(self._open, member)
-                case Close(backend):
-                    self._nursery.start_soon(backend.leave)
-        if member.pool.waiting:
-            self._wake.set()
-
-    async def _lease(
-        self, name: str, tenant: int, worth: float, state: SessionState
-    ) -> tuple[Member, Lease[Backend]]:
-        """Raises ConnectError or NeverSent."""
-        member = self._members.get(name)
-        if member is None:
-            raise Silent(f"no address is known for {name}")
-        while True:
-            want = Want(next(self._wants), tenant, worth, state=state)
-            slot = member.slots[want.id] = Slot()
-            try:
-                self._do(member, member.pool.ask(self._clock.now_us(), want))
-                await slot.done.wait()
-            except trio.Cancelled:
-                if slot.given is not None:
-                    self._back(member, slot.given, good=True)
-                else:
-                    member.slots.pop(want.id, None)
-                    self._do(member, member.pool.gone(self._clock.now_us(), want.id))
-                raise
-            if slot.given is None:
-                if slot.turned in (UNREACHABLE, GONE):
-                    raise Silent(f"{name}: {slot.turned}; {member.last_failure}")
-                raise NeverSent(f"{name}: {slot.turned}")
-            if not slot.given.connection.why:
-                return member, slot.given
-            self._back(member, slot.given, good=False)  # the member closed it while it was idle
-
-    async def _open(self, member: Member) -> None:
-        settled = False
-        try:
-            backend = await self._connect(member)
-            settled = True
-        except ConnectError as error:
-            settled = True
-            member.last_failure = str(error)
-            refused = isinstance(error, NotLetIn) and meaning(error.code) is Meaning.BUSY
-            self._do(member, member.pool.failed(self._clock.now_us(), refused))
-            return
-        finally:
-            if not settled:
-                member.pool.given_up(self._clock.now_us())
-        assert self._nursery is not None
-        self._nursery.start_soon(self._live, member, backend)
-        self._do(member, member.pool.opened(self._clock.now_us(), backend, backend.state))
-
-    async def _connect(self, member: Member) -> Backend:
-        """Raises ConnectError."""
-        host, port = member.address
-        timeout = self._options.connect_timeout_us
-        backend = await Backend.open(self._network, host, port, self._mysql.login, timeout)
-        self.opened += 1
-        return backend
-
-    async def _live(self, member: Member, backend: Backend) -> None:
-        await backend.run()
-        self._do(member, member.pool.lost(self._clock.now_us(), backend))
-
-    def _back(self, member: Member, lease: Lease[Backend], good: bool) -> None:
-        backend = lease.connection
-        spent = "" if good else "something was left on it"
-        if backend.why or backend.session.in_hand:
-            spent = "it broke, or an exchange did"
-        elif backend.session.in_transaction:
-            # Danger: a transaction that is still open would take in the next client's statement.
-            spent = "a transaction was open"
-        good = not spent
-        if spent:
-            self._metrics.pool_spent.labels(spent).inc()
-            backend.close()
-        self._do(member, member.pool.back(self._clock.now_us(), lease, good, backend.state))
+    def pools(self) -> dict[str, Pool[Backend]]:
+        """The endpoints' pools by name, for tests and benchmarks."""
+        return {name: endpoint.pool.pool for name, endpoint in self._endpoints.items()}
+
+    def report_gauges(self) -> None:
+        """Write the pools' gauges to the metrics."""
+        for endpoint in self._endpoints.values():
+            endpoint.report_gauges(self._metrics)
 
     # Attempts.
 
     async def execute(
-        self, member: str, job: AttemptRequest, timeout_us: int, sent: trio.Event
+        self, endpoint: str, attempt: AttemptRequest, _timeout_us: int, sent: trio.Event
+    ) -> AttemptResponse:
+        """Make one attempt. Raises ConnectError, NeverSent, Broken or EndpointError."""
+        target = self._endpoints.get(endpoint)
+        if target is None:
+            raise Silent(f"no address is known for {endpoint}")
+        request = attempt.request
+        reusable = not request.taints_connection
+        lease = await target.pool.lease(request.tenant_index, attempt.priority_weight, request.session_state)
+        try:
+            response = await self._execute_on(target, lease, attempt, sent)
+        except BaseException:
+            target.pool.give_back(lease, reusable)
+            if lease.connection.why == CLOSED_HERE:
+                target.kill_statement_of(lease.connection)
+            raise
+        if response.transaction is not None:
+            return response  # the transaction owns the lease
+        rest = getattr(response.result, "rest", None)
+        if rest is None:
+            target.pool.give_back(lease, reusable)
+        else:
+            assert self._nursery is not None
+            self._nursery.start_soon(self._give_back_after, target, lease, rest, reusable)
+        return response
+
+    async def _execute_on(
+        self, target: MysqlEndpoint, lease: Lease[Backend], attempt: AttemptRequest, sent: trio.Event
     ) -> AttemptResponse:
-        link, lease = await self._lease(
-            member, job.request.tenant_index, job.priority_weight, job.request.session_state
+        exchange = AttemptExchange(
+            target.name,
+            lease.connection,
+            attempt,
+            self._positions,
+            self._group_of,
+            lambda: self._begin_transaction(target, lease, attempt.request),
         )
-        backend = lease.connection
-        kept = done = False
         try:
-            await self._replay(backend, job)
+            await self._replay(lease.connection, attempt)
             sent.set()
-            reply = await self._exchange(member, link, lease, job)
-            done = True
-            rest = getattr(reply.result, "rest", None)
-            kept = reply.transaction is not None
-            if rest is not None and not kept:
-                kept = True
-                assert self._nursery is not None
-                self._nursery.start_soon(
-                    self._until_over, link, lease, rest, not job.request.taints_connection
-                )
-            return reply
+            return await exchange.execute()
         except Lost as error:
             if not error.sent or not sent.is_set():
                 raise NeverSent(str(error)) from error
             raise Broken(str(error)) from error
-        finally:
-            if not kept:
-                self._back(link, lease, good=not job.request.taints_connection)
-                if not done and backend.why == "closed here":
-                    self._kill(link, backend)
-
-    async def _replay(self, backend: Backend, job: AttemptRequest) -> None:
-        """Bring the connection to the session's state. Raises Lost, or EndpointError."""
-        statements = [replay(backend.state, job.request.session_state)]
-        if job.request.last_insert_id is not None:
-            statements.append(f"set @@session.last_insert_id = {job.request.last_insert_id}".encode())
+
+    async def _replay(self, backend: Backend, attempt: AttemptRequest) -> None:
+        """Bring the connection to the session's state. Raises Lost, or EndpointError where it is rejected."""
+        request = attempt.request
+        statements = [replay(backend.state, request.session_state)]
+        if request.last_insert_id is not None:
+            statements.append(f"set @@session.last_insert_id = {request.last_insert_id}".encode())
         for text in statements:
             if text is None:
                 continue
@@ -313,278 +277,65 @@
             self._metrics.replays.inc()
             (answer,) = await backend.exchange([Statement(text)])
             if isinstance(answer, Err):
-                # Danger: nobody knows how much of it the member took.
+                # Danger: nobody knows how much of the state the endpoint took over.
                 backend.close()
-                fault = self._fault(answer)
-                raise fault
-        backend.state = job.request.session_state
+                raise error_of(answer)
+        backend.state = request.session_state
 
-    async def _until_over(self, link: Member, lease: Lease[Backend], rest: Any, good: bool) -> None:
+    @staticmethod
+    async def _give_back_after(
+        target: MysqlEndpoint, lease: Lease[Backend], rest: Remainder, reusable: bool
+    ) -> None:
+        """End the lease once a long result has been read to its end, or closed."""
         await rest.over.wait()
-        self._back(link, lease, good)
-
-    async def _asked(
-        self,
-        backend: Backend,
-        steps: Sequence[Statement],
-        attributes: dict[str, Value],
-        main: int,
-        stream: bool = False,
-    ) -> list[Result | Err]:
-        """An exchange; once more where the server had forgotten what was prepared, and so ran nothing."""
-        answers = await backend.exchange(steps, attributes, main, stream)
-        answer = answers[main]
-        if isinstance(answer, Err) and answer.code in FORGOTTEN and not backend.session.in_transaction:
-            answers = await backend.exchange(steps, attributes, main, stream)
-        return answers
-
-    async def _exchange(
-        self, name: str, link: Member, lease: Lease[Backend], job: AttemptRequest
-    ) -> AttemptResponse:
-        """Raises Lost, or EndpointError."""
-        backend = lease.connection
-        statement = Statement(
-            job.request.statement, [plain(v) for v in job.request.parameters], job.request.binary_rows
-        )
-        attributes: dict[str, Value] = {
-            "juniperreel_request": job.request.id,
-            "juniperreel_attempt": job.number,
-            "juniperreel_class": job.class_name,
-            "juniperreel_write": int(job.is_write),
-        }
-        try:
-            if job.request.transaction_mode is TransactionMode.READ_WRITE:
-                return await self._begin(name, link, lease, job, statement, attributes)
-            if job.request.transaction_mode is TransactionMode.READ_ONLY:
-                return await self._begin_reading(name, link, lease, job, statement, attributes)
-            if job.is_write:
-                return await self._write(name, backend, statement, attributes)
-            return await self._read(backend, job, statement, attributes)
-        except TooLong as error:
-            raise EndpointError(Outcome.OK, str(error), 1153, "08S01") from error
-
-    async def _read(
-        self, backend: Backend, job: AttemptRequest, statement: Statement, attributes: dict[str, Value]
-    ) -> AttemptResponse:
-        answers = await self._asked(backend, [STATUS, statement], attributes, 1, job.request.accepts_stream)
-        standing, answer = standing_of(self._told(answers[0])), answers[1]
-        if isinstance(answer, Err):
-            raise self._fault(answer)
-        if not job.required.is_met_by(standing):
-            if answer.rest is not None:
-                answer.rest.close()
-            return AttemptResponse(None, standing)  # the driver sees for itself that it is too old
-        return AttemptResponse(answer, standing)
-
-    async def _write(
-        self, name: str, backend: Backend, statement: Statement, attributes: dict[str, Value]
-    ) -> AttemptResponse:
-        """Raises Lost where the commit's epoch is in doubt."""
-        first, answer, last = await self._asked(backend, [STATUS, statement, STATUS], attributes, 1)
-        before = self._told(first)
-        if isinstance(answer, Err):
-            raise self._fault(answer)
-        if backend.session.in_transaction:
-            # Danger: its client would believe in a transaction that ends with this connection.
-            raise EndpointError(
-                Outcome.OK, "begins a transaction in words that are not read here", 1235, "42000"
-            )
-        try:
-            after = self._told(last)
-        except EndpointError as error:
-            raise Lost(f"{name} does not tell where its commit stands: {error}", sent=True) from error
-        if before.read_only or before.epochs != after.epochs:
-            # Danger: `read_only` or the epoch flipped around the statement; the group may never hold it.
-            raise Lost(f"{name} changed its role during a write", sent=True)
-        standing, group = standing_of(after), self._group_of(name)
-        self._positions.record_commit(group, standing.history.epoch, after.clock_us, answer.ok.gtids)
-        return AttemptResponse(answer, standing, after.clock_us)
-
-    async def _begin(
-        self,
-        name: str,
-        link: Member,
-        lease: Lease[Backend],
-        job: AttemptRequest,
-        statement: Statement,
-        attributes: dict[str, Value],
-    ) -> AttemptResponse:
-        """Asks first and sends the statement then: what ran at a primary of the past, even if it was undone,
-        would not be sent again."""
-        backend = lease.connection
-        first, begun = await backend.exchange([STATUS, BEGIN[TransactionMode.READ_WRITE]])
-        told = self._told(first)
-        standing = standing_of(told)
-        group = self._group_of(name)
-        self._positions.record_status(group, standing)
-        if told.read_only or self._positions.is_deposed(group, standing):
-            raise EndpointError(Outcome.INELIGIBLE, f"{name} is no primary")
-        if isinstance(begun, Err):
-            raise self._fault(begun)
-        (answer,) = await backend.exchange([statement], attributes, 0, job.request.accepts_stream)
-        return self._begun(name, link, lease, job, standing, answer)
-
-    async def _begin_reading(
-        self,
-        name: str,
-        link: Member,
-        lease: Lease[Backend],
-        job: AttemptRequest,
-        statement: Statement,
-        attributes: dict[str, Value],
-    ) -> AttemptResponse:
-        """The standing is read within, so that it is that of the transaction's snapshot."""
-        steps = [BEGIN[TransactionMode.READ_ONLY], STATUS, statement]
-        begun, second, answer = await lease.connection.exchange(
-            steps, attributes, 2, job.request.accepts_stream
-        )
-        if isinstance(begun, Err):
-            raise self._fault(begun)
-        return self._begun(name, link, lease, job, standing_of(self._told(second)), answer)
-
-    def _begun(
-        self,
-        name: str,
-        link: Member,
-        lease: Lease[Backend],
-        job: AttemptRequest,
-        standing: ReplicationStatus,
-        answer: Result | Err,
-    ) -> AttemptResponse:
-        if isinstance(answer, Err) and meaning(answer.code) not in (Meaning.FAULT, Meaning.ENDED):
-            raise self._fault(answer)
-        fault = None
-        if isinstance(answer, Err):
-            # Nothing took effect, and whether to try again is the client's to say: it knows these codes.
-            fault = EndpointError(Outcome.OK, answer.words, answer.code, answer.state)
-            if answer.code in UNDOES_ALL:
-                raise fault
-        if not lease.connection.session.in_transaction:
-            raise EndpointError(Outcome.ERROR, f"{name} began no transaction")
-        held = self._hold(name, link, lease, job)
-        return AttemptResponse(
-            None if isinstance(answer, Err) else answer, standing, transaction=held, error=fault
-        )
-
-    def _told(self, answer: Result | Err) -> published.Told:
-        """Raises EndpointError: who does not tell where it stands is not believed."""
-        if isinstance(answer, Err):
-            fault = self._fault(answer)
-            if (
-                isinstance(fault, EndpointError) and fault.outcome is Outcome.OK
-            ):  # its table is missing, or forbidden
-                raise EndpointError(
-                    Outcome.ERROR, f"where it stands is not told: {answer.code}: {answer.words}"
-                )
-            raise fault
-        try:
-            return published.told(answer.values())
-        except (published.NotTold, ProtocolError) as error:
-            raise EndpointError(Outcome.ERROR, str(error)) from error
+        target.pool.give_back(lease, reusable)
 
-    @staticmethod
-    def _fault(err: Err) -> Exception:
-        words = f"{err.code}: {err.words}"
-        match meaning(err.code):
-            case Meaning.READ_ONLY:
-                return EndpointError(Outcome.INELIGIBLE, words)
-            case Meaning.BUSY:
-                return EndpointError(Outcome.REJECTED, words)
-            case Meaning.GONE:
-                return Lost(words, sent=True)
-            case Meaning.FAULT | Meaning.ENDED:
-                # Nothing took effect, and whether to try again is the client's to say: it knows these codes.
-                return EndpointError(Outcome.OK, err.words, err.code, err.state)
-            case _:
-                return EndpointError(Outcome.ERROR, words)
-
-    def _hold(
-        self, name: str, link: Member, lease: Lease[Backend], job: AttemptRequest
+    def _begin_transaction(
+        self, target: MysqlEndpoint, lease: Lease[Backend], request: ClientRequest
     ) -> EndpointTransaction:
         assert self._nursery is not None
-        group = self._group_of(name)
 
-        def give_back(good: bool) -> None:
-            link.held.discard(held)
-            self._back(link, lease, good)
+        def give_back(reusable: bool) -> None:
+            """End the transaction's lease."""
+            target.transactions.discard(transaction)
+            target.pool.give_back(lease, reusable)
 
-        held = EndpointTransaction(
+        transaction = EndpointTransaction(
             lease.connection,
-            job.request.id,
-            name,
-            group,
+            request.id,
+            target.name,
+            self._group_of(target.name),
             self._clock,
             self._positions,
-            self._mysql.transaction_timeout_us,
+            self._mysql_options.transaction_timeout_us,
             give_back,
         )
-        link.held.add(held)
-        self._nursery.start_soon(held.watch)
-        if link.pool.draining:
-            held.lose("its member has left")
-        return held
-
-    # Beside the pool.
-
-    async def _monitor(self, member: Member) -> Backend:
-        """With the ear held. Raises ConnectError."""
-        if member.monitor is None or member.monitor.why:
-            member.monitor = await self._connect(member)
-            assert self._nursery is not None
-            self._nursery.start_soon(member.monitor.run)
-        return member.monitor
-
-    def _kill(self, member: Member, victim: Backend) -> None:
-        """A statement that nobody waits for goes on at its member until it is told. Danger: the server may
-        have been started again and given the number to another; only a connection that lived beside the
-        victim's proves that it was not."""
-        beside = member.monitor
-        if self._nursery is None or member.pool.draining or member.kills >= KILLS:
-            return
-        if beside is not None and not beside.why:
-            member.kills += 1
-            self._nursery.start_soon(self._send_kill, member, beside, victim.thread)
+        self._nursery.start_soon(transaction.enforce_timeout)
+        target.add_transaction(transaction)
+        return transaction
 
-    async def _send_kill(self, member: Member, beside: Backend, thread: int) -> None:
-        try:
-            with trio.move_on_after(self._options.health_check_timeout_us / US):
-                async with member.ear:
-                    if not beside.why:
-                        await beside.exchange([Statement(f"kill {thread}".encode())])
-                        self.killed += 1
-                        self._metrics.kills.inc()
-        except (Lost, TooLong):
-            pass
-        finally:
-            member.kills -= 1
-
-    async def check_health(self, member: str) -> EndpointReport:
-        link = self._members.get(member)
-        if link is None or link.pool.draining:
-            raise Silent(f"no address is known for {member}")
+    # Health checks.
+
+    async def check_health(self, endpoint: str) -> EndpointReport:
+        """Ask the endpoint for its report. Raises ConnectError, Broken, Lost or EndpointError."""
+        target = self._endpoints.get(endpoint)
+        if target is None or target.is_draining:
+            raise Silent(f"no address is known for {endpoint}")
         try:
-            async with link.ear:
-                backend = await self._monitor(link)
-                answers = await backend.exchange([STATUS, Statement(published.LOAD), GTIDS])
+            answers = await target.monitor.exchange([STATUS_QUERY, LOAD_QUERY, GTIDS_QUERY])
         except (Lost, TooLong) as error:
             raise Broken(str(error)) from error
-        told = self._told(answers[0])
-        load, gtids = answers[1:]
+        status_answer, load, gtids = answers
+        heartbeat = heartbeat_of(status_answer)
         if isinstance(load, Err):
-            raise self._fault(load)
+            raise error_of(load)
         try:
-            standing = standing_of(told)
-            if isinstance(gtids, Result):  # a server without them has none to tell
+            status = replication_status(heartbeat)
+            if isinstance(gtids, Result):  # a server without GTIDs has none to report
                 ((executed,),) = gtids.values()
-                group = self._group_of(member)
-                self._positions.record_status(group, standing)
-                self._positions.record_executed_gtids(group, standing, str(executed))
-            return EndpointReport(standing, published.load(load.values()), 0.0)
+                group = self._group_of(endpoint)
+                self._positions.record_status(group, status)
+                self._positions.record_executed_gtids(group, status, str(executed))
+            return EndpointReport(status, in_flight=published.load(load.values()), queued=0.0)
         except (published.NotTold, ProtocolError, ValueError) as error:
             raise EndpointError(Outcome.ERROR, str(error)) from error
-
-
-def plain(value: Any) -> Value:
-    """A parameter of `juniperreel.common.v1` as MySQL takes it."""
-    kind = value.WhichOneof("kind")
-    return None if kind in (None, "null") else getattr(value, kind)
--- /dev/null
+++ b/juniperreel/proxy/mysql_pool.py
@@ -0,0 +1,198 @@
+"""One endpoint's pool of MySQL connections: carries out what `pool.core` decides.
+
+Owns the open connections and those who wait for one. Must never choose the endpoint or retry.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Hashable, Sequence
+from itertools import count
+
+import trio
+
+from juniperreel.net import Clock, ConnectError, Network, Silent
+from juniperreel.pool.backend import Backend, Login, NotLetIn
+from juniperreel.pool.core import (
+    GONE,
+    UNREACHABLE,
+    Action,
+    Close,
+    Give,
+    Lease,
+    Open,
+    Pool,
+    Turn,
+    Want,
+)
+from juniperreel.pool.errors import Meaning, meaning
+from juniperreel.pool.state import SessionState
+from juniperreel.proxy.endpoint_address import EndpointAddress
+from juniperreel.rpc.channel import NeverSent
+from juniperreel.telemetry.metrics import Metrics
+
+# Why a connection is not lent again, as metrics show it.
+TAINTED = "something was left on it"
+BROKEN = "it broke, or an exchange did"
+TRANSACTION_OPEN = "a transaction was open"
+
+
+class BackendConnector:
+    """Opens connections to endpoints, and counts them in `opened`."""
+
+    def __init__(self, network: Network, login: Login, timeout_us: int) -> None:
+        self._network = network
+        self._login = login
+        self._timeout_us = timeout_us
+        self.opened = 0
+
+    async def connect(self, address: EndpointAddress) -> Backend:
+        """Connect and log in. Raises ConnectError."""
+        backend = await Backend.open(self._network, address.host, address.port, self._login, self._timeout_us)
+        self.opened += 1
+        return backend
+
+
+class PoolWaiter:
+    """One attempt that waits for a connection, until it has a lease or a reason why not."""
+
+    def __init__(self) -> None:
+        self.decided = trio.Event()
+        self.lease: Lease[Backend] | None = None
+        self.rejection_reason = ""
+
+    def grant(self, lease: Lease[Backend]) -> None:
+        """Give it the connection."""
+        self.lease = lease
+        self.decided.set()
+
+    def reject(self, reason: str) -> None:
+        """Give it nothing."""
+        self.rejection_reason = reason
+        self.decided.set()
+
+
+class EndpointPool:
+    """The connections to one endpoint at one address; their tasks live in `nursery`.
+
+    `on_waiting` is called when the pool has somebody waiting, and so a deadline that may come earlier.
+    """
+
+    def __init__(
+        self,
+        endpoint: str,
+        address: EndpointAddress,
+        pool: Pool[Backend],
+        connector: BackendConnector,
+        clock: Clock,
+        metrics: Metrics,
+        nursery: trio.Nursery,
+        on_waiting: Callable[[], None],
+    ) -> None:
+        self.address = address
+        self.pool = pool
+        self._endpoint = endpoint
+        self._connector = connector
+        self._clock = clock
+        self._metrics = metrics
+        self._nursery = nursery
+        self._on_waiting = on_waiting
+        self._waiters: dict[Hashable, PoolWaiter] = {}
+        self._want_ids = count()
+        self._last_failure = ""
+
+    def process_due(self, now_us: int) -> None:
+        """Close, open and reject what is due."""
+        self._apply(self.pool.tick(now_us))
+
+    def drain(self) -> None:
+        """Reject who waits, and close connections as they come back."""
+        self._apply(self.pool.drain())
+
+    async def lease(self, tenant_index: int, priority_weight: float, state: SessionState) -> Lease[Backend]:
+        """Wait for a connection, preferably one in this session state. Raises ConnectError or NeverSent."""
+        while True:
+            want = Want(next(self._want_ids), tenant_index, priority_weight, state=state)
+            lease = await self._wait_for_lease(want)
+            if not lease.connection.why:
+                return lease
+            self.give_back(lease, reusable=False)  # the endpoint closed it while it was idle
+
+    async def _wait_for_lease(self, want: Want) -> Lease[Backend]:
+        waiter = PoolWaiter()
+        self._waiters[want.id] = waiter
+        try:
+            self._apply(self.pool.ask(self._clock.now_us(), want))
+            await waiter.decided.wait()
+        except trio.Cancelled:
+            self._abandon(want, waiter)
+            raise
+        if waiter.lease is not None:
+            return waiter.lease
+        reason = waiter.rejection_reason
+        if reason in (UNREACHABLE, GONE):
+            raise Silent(f"{self._endpoint}: {reason}; {self._last_failure}")
+        raise NeverSent(f"{self._endpoint}: {reason}")
+
+    def _abandon(self, want: Want, waiter: PoolWaiter) -> None:
+        if waiter.lease is not None:
+            self.give_back(waiter.lease, reusable=True)
+        else:
+            self._waiters.pop(want.id, None)
+            self._apply(self.pool.gone(self._clock.now_us(), want.id))
+
+    def give_back(self, lease: Lease[Backend], reusable: bool) -> None:
+        """End a lease. A connection that is broken or in doubt is closed, `reusable` or not."""
+        backend = lease.connection
+        reason = "" if reusable else TAINTED
+        if backend.why or backend.session.in_hand:
+            reason = BROKEN
+        elif backend.session.in_transaction:
+            # Danger: a transaction that is still open would take in the next client's statement.
+            reason = TRANSACTION_OPEN
+        if reason:
+            self._metrics.pool_spent.labels(reason).inc()
+            backend.close()
+        self._apply(self.pool.back(self._clock.now_us(), lease, not reason, backend.state))
+
+    def _apply(self, actions: Sequence[Action[Backend]]) -> None:
+        for action in actions:
+            match action:
+                case Give(lease):
+                    self._grant(lease)
+                case Turn(want, reason):
+                    self._metrics.pool_turned.labels(reason).inc()
+                    waiter = self._waiters.pop(want.id, None)
+                    if waiter is not None:
+                        waiter.reject(reason)
+                case Open():
+                    self._nursery.start_soon(self._open)
+                case Close(backend):
+                    self._nursery.start_soon(backend.leave)
+        if self.pool.waiting:
+            self._on_waiting()
+
+    def _grant(self, lease: Lease[Backend]) -> None:
+        waiter = self._waiters.pop(lease.want.id, None)
+        if waiter is not None:
+            waiter.grant(lease)
+        else:  # its attempt was cancelled in the same moment
+            now = self._clock.now_us()
+            self._apply(self.pool.back(now, lease, True, lease.connection.state))
+
+    async def _open(self) -> None:
+        try:
+            backend = await self._connector.connect(self.address)
+        except ConnectError as error:
+            self._last_failure = str(error)
+            is_busy = isinstance(error, NotLetIn) and meaning(error.code) is Meaning.BUSY
+            self._apply(self.pool.failed(self._clock.now_us(), is_busy))
+            return
+        except BaseException:
+            self.pool.given_up(self._clock.now_us())
+            raise
+        self._nursery.start_soon(self._read_until_closed, backend)
+        self._apply(self.pool.opened(self._clock.now_us(), backend, backend.state))
+
+    async def _read_until_closed(self, backend: Backend) -> None:
+        await backend.run()
+        self._apply(self.pool.lost(self._clock.now_us(), backend))
--- a/juniperreel/proxy/request_admission.py
+++ b/juniperreel/proxy/request_admission.py
@@ -57,8 +57,8 @@
     def check(self, class_index: int, tenant_index: int, group: int, deadline_us: int) -> Rejected | None:
         """The rejection that a request arriving now would get, before anything is spent on it."""
         now = self._clock.now_us()
-        time_left_us = deadline_us - self._answer_margin_us - now
-        rejection = self._gate.glance(now, class_index, tenant_index, group, time_left_us)
+        remaining_us = deadline_us - self._answer_margin_us - now
+        rejection = self._gate.glance(now, class_index, tenant_index, group, remaining_us)
         if rejection is None:
             return None
         self._metrics.reject(rejection.reason).inc()
--- a/juniperreel/proxy/transactions.py
+++ b/juniperreel/proxy/transactions.py
@@ -1,8 +1,8 @@
-"""A transaction on one member's connection, from its first statement to its end.
+"""A transaction on one endpoint's connection, from its first statement to its end.
 
-The module saw the first statement as a request and chose the member; all that follows goes to the same
-connection and nowhere else. Nothing of it is ever sent twice: what breaks is undone by the member, and said
-so. Only where the connection breaks during the commit is the effect unknown.
+The router saw the first statement as a request and chose the endpoint; all that follows goes to the same
+connection and nowhere else. Nothing of it is ever sent twice: what breaks is rolled back by the endpoint, and
+reported so. Only where the connection breaks during the commit is the effect unknown.
 """
 
 from __future__ import annotations
@@ -11,190 +11,217 @@
 
 import trio
 
-from juniperreel.causal import EMPTY, History, Token
+from juniperreel.causal import EMPTY, Token
 from juniperreel.mysql.replies import Err
 from juniperreel.mysql.values import Value
 from juniperreel.net import Clock
+from juniperreel.net.clock import US
 from juniperreel.pool import standing as published
 from juniperreel.pool.backend import Backend, Lost, Told, TooLong
 from juniperreel.pool.errors import UNDOES_ALL, Meaning, meaning
 from juniperreel.pool.result import Result, Statement
 from juniperreel.pool.state import SessionState
 from juniperreel.proxy.errors import TransactionOutcomeUnknownError, TransactionRolledBackError
-from juniperreel.proxy.positions import PositionTracker, ReplicationStatus
+from juniperreel.proxy.mysql_replies import STATUS_QUERY, changed_role, replication_status
+from juniperreel.proxy.positions import PositionTracker
 from juniperreel.proxy.requests import TransactionResult
 
-STATUS = Statement(published.QUERY)
+TIMEOUT_CHECK_S = 0.25  # longest pause between two checks whether a transaction took too long
 
 
 class EndpointTransaction:
-    """See `work.Transaction`. `release` must be called in the end."""
+    """Implements `requests.Transaction` on a leased connection. `release` must be called in the end."""
 
     def __init__(
         self,
         backend: Backend,
-        request: str,
-        member: str,
+        request_id: str,
+        endpoint: str,
         group: int,
         clock: Clock,
         positions: PositionTracker,
-        limit_us: int,
+        timeout_us: int,
         give_back: Callable[[bool], None],
     ) -> None:
-        """`limit_us`: from now on, after which it is undone. `give_back` takes the connection, and whether it
-        is still of use."""
-        self.member, self.group = member, group
-        self._backend, self._request = backend, request
-        self._clock, self._positions = clock, positions
-        self.due_us = clock.now_us() + limit_us
+        """`timeout_us` runs from now; then the transaction is aborted.
+
+        `give_back` takes the connection back, and whether it can be reused.
+        """
+        self._backend = backend
+        self._request_id = request_id
+        self._endpoint = endpoint
+        self._group = group
+        self._clock = clock
+        self._positions = positions
+        self._deadline_us = clock.now_us() + timeout_us
         self._give_back: Callable[[bool], None] | None = give_back
-        self._why = ""
-        self._count = 0
-        self._busy = False
+        self._abort_reason = ""
+        self._statement_count = 0
+        self._is_busy = False
         self.tainted = False
 
     @property
     def state(self) -> SessionState:
+        """What sessions have changed of the connection."""
         return self._backend.state
 
     @state.setter
     def state(self, state: SessionState) -> None:
+        """Record a change that a statement has made to the session."""
         self._backend.state = state
 
     @property
     def open(self) -> bool:
+        """Whether further statements can be executed in it."""
         return self._give_back is not None
 
-    def lose(self, why: str) -> None:
-        """Ends it from this side: time is over, or its member has left. Its client is told at its next
-        statement, or at once if one is in hand."""
-        if self._give_back is not None and not self._why:
-            self._why = why
-            self._backend.close()
-            if not self._busy:
-                self._end(False)
+    def abort(self, reason: str) -> None:
+        """Roll it back from this side: it took too long, or its endpoint was removed.
+
+        Its client learns the reason at its next statement, or at once if one is in flight.
+        """
+        if self._give_back is None or self._abort_reason:
+            return
+        self._abort_reason = reason
+        self._backend.close()
+        if not self._is_busy:
+            self._end(reusable=False)
 
     def release(self) -> None:
-        """Its client is gone, or done with it: what is open is undone."""
+        """Roll it back if it is open: its client has disconnected, or is done with it."""
         if self._give_back is not None:
             self._backend.close()
-            self._end(False)
+            self._end(reusable=False)
 
-    def _end(self, good: bool) -> None:
-        give_back, self._give_back = self._give_back, None
+    def _end(self, reusable: bool) -> None:
+        give_back = self._give_back
+        self._give_back = None
         if give_back is not None:
-            give_back(good and not self._backend.why and not self.tainted)
+            give_back(reusable and not self._backend.why and not self.tainted)
 
     async def run(self, statement: Statement, stream: bool = True) -> Result:
-        """Raises Told (the transaction may be over then: see `open`), TooLong, or TransactionError."""
+        """Execute one statement.
+
+        Raises Told (the transaction may be over then: see `open`), TransactionRolledBackError, or TooLong.
+        """
         (answer,) = await self._exchange([statement], stream=stream)
         if isinstance(answer, Err):
-            self._heed(answer)
+            self._end_if_over(answer)
             raise Told(answer)
-        if answer.rest is None:
-            self._after()
+        if answer.rest is None and not self._backend.session.in_transaction:
+            # Statements that commit by themselves end a transaction: the server says so.
+            self._end(reusable=True)
         return answer
 
-    def _heed(self, err: Err, commits: bool = False) -> None:
-        """An error has no session flags: its code decides. Raises an error where the transaction is over."""
+    def _end_if_over(self, err: Err, commits: bool = False) -> None:
+        """Read from an error's code, as it carries no session flags, whether the transaction is over.
+
+        Raises TransactionRolledBackError, or TransactionOutcomeUnknownError if the statement `commits`.
+        """
         match meaning(err.code):
             case Meaning.READ_ONLY:
-                # A primary no longer: it will commit nothing; what ran is undone with the connection.
+                # A primary no longer: it will commit nothing; what ran is rolled back with the connection.
                 self.release()
-                raise TransactionRolledBackError(f"{self.member} takes no writes any more")
+                raise TransactionRolledBackError(f"{self._endpoint} takes no writes any more")
             case Meaning.GONE | Meaning.FAILED if commits:
                 self.release()
-                raise TransactionOutcomeUnknownError(f"{self.member} broke off the commit: {err.code}")
+                raise TransactionOutcomeUnknownError(f"{self._endpoint} broke off the commit: {err.code}")
             case Meaning.GONE:
                 self.release()
-                raise TransactionRolledBackError(f"{self.member} ended the connection: {err.code}")
+                raise TransactionRolledBackError(f"{self._endpoint} ended the connection: {err.code}")
             case _ if err.code in UNDOES_ALL:
-                self._end(False)
-
-    def _after(self) -> None:
-        """Deadlocks, and statements that commit by themselves, end a transaction: the server says so."""
-        if not self._backend.session.in_transaction:
-            self._end(True)
+                self._end(reusable=False)
 
     async def finish(self, statement: Statement, commits: bool = True) -> TransactionResult:
-        """The last statement. Raises Told, TransactionRolledBackError, or TransactionOutcomeUnknownError."""
-        if not commits:
-            (answer,) = await self._exchange([statement])
-            self._end(True)
-            if isinstance(answer, Err):
-                raise Told(answer)
-            return TransactionResult(answer, EMPTY)
+        """Execute the last statement, a rollback unless it `commits`.
+
+        Raises Told with nothing done, TransactionRolledBackError, or TransactionOutcomeUnknownError for one
+        that commits.
+        """
+        if commits:
+            return await self._commit(statement)
+        (answer,) = await self._exchange([statement])
+        self._end(reusable=True)
+        if isinstance(answer, Err):
+            raise Told(answer)
+        return TransactionResult(answer, EMPTY)
+
+    async def _commit(self, statement: Statement) -> TransactionResult:
+        """Commit between two status queries, which show in whose epoch the commit lies."""
+        status_before, answer, status_after = await self._exchange_commit(statement)
+        is_over = not self._backend.session.in_transaction
+        if isinstance(answer, Err):
+            self._end_if_over(answer, commits=True)
+            if is_over:
+                self._end(reusable=True)
+            raise Told(answer)
+        before = read_heartbeat(status_before)
+        after = read_heartbeat(status_after)
+        if is_over:
+            self._end(reusable=True)
+        if before is None or after is None or changed_role(before, after):
+            # Danger: a primary that was replaced while it confirmed; the group may never hold this commit.
+            raise TransactionOutcomeUnknownError(f"{self._endpoint} changed its role during the commit")
+        return TransactionResult(answer, self._record_commit(after, answer.ok.gtids))
+
+    async def _exchange_commit(self, statement: Statement) -> list[Result | Err]:
+        """Raises TransactionOutcomeUnknownError where the connection breaks."""
         try:
-            answers = await self._exchange([STATUS, statement, STATUS], main=1)
+            return await self._exchange([STATUS_QUERY, statement, STATUS_QUERY], main=1)
         except TransactionRolledBackError as error:
-            raise TransactionOutcomeUnknownError(
-                f"the connection to {self.member} was lost during the commit"
-            ) from error
+            message = f"the connection to {self._endpoint} was lost during the commit"
+            raise TransactionOutcomeUnknownError(message) from error
         except TooLong as error:
             raise TransactionOutcomeUnknownError(str(error)) from error
-        over = not self._backend.session.in_transaction
-        answer = answers[1]
-        if isinstance(answer, Err):
-            self._heed(answer, commits=True)
-            if over:
-                self._end(True)
-            raise Told(answer)
-        before, after = told_of(answers[0]), told_of(answers[2])
-        if over:
-            self._end(True)
-        if before is None or after is None or before.read_only or before.epochs != after.epochs:
-            # Danger: a primary that was replaced while it confirmed; the group may never hold this.
-            raise TransactionOutcomeUnknownError(f"{self.member} changed its role during the commit")
-        standing = standing_of(after)
-        self._positions.record_status(self.group, standing)
-        epoch = standing.history.epoch
-        if not self._positions.holds_commit(self.group, epoch, after.clock_us):
-            raise TransactionOutcomeUnknownError(f"{self.member} is a primary of the past")
-        self._positions.record_commit(self.group, epoch, after.clock_us, answer.ok.gtids)
-        return TransactionResult(answer, Token.at(self.group, epoch, after.clock_us))
+
+    def _record_commit(self, after: published.Told, gtids: str) -> Token:
+        """The token of a confirmed commit. Raises TransactionOutcomeUnknownError in an ended epoch."""
+        status = replication_status(after)
+        self._positions.record_status(self._group, status)
+        epoch = status.history.epoch
+        if not self._positions.holds_commit(self._group, epoch, after.clock_us):
+            raise TransactionOutcomeUnknownError(f"{self._endpoint} is a primary of the past")
+        self._positions.record_commit(self._group, epoch, after.clock_us, gtids)
+        return Token.at(self._group, epoch, after.clock_us)
 
     async def _exchange(
         self, steps: Sequence[Statement], main: int = 0, stream: bool = False
     ) -> list[Result | Err]:
-        """Raises TransactionRolledBackError. Cancelled, the transaction is undone."""
-        if self._why or self._give_back is None:
-            self._end(False)
-            raise TransactionRolledBackError(self._why or "the transaction is over")
-        self._count += 1
+        """Raises TransactionRolledBackError or TooLong. Cancelled, the transaction is rolled back."""
+        if self._abort_reason or self._give_back is None:
+            self._end(reusable=False)
+            raise TransactionRolledBackError(self._abort_reason or "the transaction is over")
+        self._statement_count += 1
         attributes: dict[str, Value] = {
-            "juniperreel_request": self._request,
-            "juniperreel_statement": self._count,
+            "juniperreel_request": self._request_id,
+            "juniperreel_statement": self._statement_count,
         }
-        self._busy = True
+        self._is_busy = True
         try:
             return await self._backend.exchange(steps, attributes, main, stream)
         except Lost as error:
-            raise TransactionRolledBackError(
-                self._why or f"the connection to {self.member} was lost: {error}"
-            ) from error
+            reason = self._abort_reason or f"the connection to {self._endpoint} was lost: {error}"
+            raise TransactionRolledBackError(reason) from error
         finally:
-            self._busy = False
+            self._is_busy = False
             if self._backend.why:
-                self._end(False)
+                self._end(reusable=False)
 
-    async def watch(self) -> None:
-        """Until it is over, or its time is."""
+    async def enforce_timeout(self) -> None:
+        """Abort the transaction when it took too long; returns when it is over."""
         while self.open:
-            left = self.due_us - self._clock.now_us()
-            if left <= 0:
-                self.lose("it took longer than a transaction may")
+            remaining_us = self._deadline_us - self._clock.now_us()
+            if remaining_us <= 0:
+                self.abort("it took longer than a transaction may")
                 return
-            await trio.sleep(min(left / 1_000_000, 0.25))
+            await trio.sleep(min(remaining_us / US, TIMEOUT_CHECK_S))
 
 
-def told_of(answer: Result | Err) -> published.Told | None:
+def read_heartbeat(answer: Result | Err) -> published.Told | None:
+    """The reply to `STATUS_QUERY`, None where the endpoint doesn't report its status."""
     if isinstance(answer, Err):
         return None
     try:
         return published.told(answer.values())
     except published.NotTold:
         return None
-
-
-def standing_of(told: published.Told) -> ReplicationStatus:
-    return ReplicationStatus(not told.read_only, told.position_us, History.of(told.epochs), told.clock_us)
--- a/tests/e2e/test_transactions.py
+++ b/tests/e2e/test_transactions.py
@@ -141,7 +141,7 @@
         return seen
 
     assert await using(world, work) == [(("one",), ("two",)), 0, (("one",),), (("one",),)]
-    assert not links(world).transactions
+    assert not links(world).open_transactions()
 
 
 async def test_autocommit_off_begins_with_each_statement_and_implicit_commits_count(world: World) -> None:
@@ -312,9 +312,9 @@
 
 
 async def test_few_connections_serve_many_sessions_and_refuse_none_that_can_wait(world: World) -> None:
-    for member in links(world)._members.values():
-        member.pool.sizes = replace(member.pool.sizes, most=2)
-        member.pool._cap = 2.0
+    for pool in links(world).pools().values():
+        pool.sizes = replace(pool.sizes, most=2)
+        pool._cap = 2.0
 
     def work(connection: Any) -> int:
         for n in range(5):
@@ -330,7 +330,7 @@
             nursery.start_soon(using, world, work)
     assert (await using(world, lambda c: ask(c, COUNT % "few")))[0][0] == 60
     assert all(m.mysql.connections <= 3 for m in world.fleet.members.values()), "two, and one for reports"
-    assert not any(m.pool.leased or m.pool.waiting for m in links(world)._members.values())
+    assert not any(p.leased or p.waiting for p in links(world).pools().values())
 
 
 async def test_statements_at_fault_leave_the_transaction_open(world: World) -> None:
@@ -367,14 +367,14 @@
         inner.start_soon(using, world, work)
         await going.wait()
         world.primary.kill()
-        await until(lambda: not links(world).transactions or any(h._backend.why for h in held(world)))
+        await until(lambda: not links(world).open_transactions() or any(h._backend.why for h in held(world)))
         gone.set()
     assert told == [1213, 0]
-    await until(lambda: not links(world).transactions)
+    await until(lambda: not links(world).open_transactions())
 
 
 def held(world: World) -> list[Any]:
-    return [h for m in links(world)._members.values() for h in m.held]
+    return list(links(world).open_transactions())
 
 
 async def test_a_commit_that_breaks_off_is_told_as_unknown_and_not_sent_again(world: World) -> None:
@@ -406,7 +406,7 @@
     gone = trio.Event()
 
     async def wait() -> None:
-        await until(lambda: not links(world).transactions)
+        await until(lambda: not links(world).open_transactions())
         gone.set()
 
     def work(connection: Any) -> list[Any]:
@@ -440,7 +440,7 @@
         connection._sock.close()
 
     await trio.to_thread.run_sync(leave)
-    await until(lambda: not links(world).transactions)
+    await until(lambda: not links(world).open_transactions())
     assert (await using(world, lambda c: ask(c, COUNT % "v")))[0][0] == 0
     await until(lambda: not world.primary.writer.locked())
 
@@ -540,7 +540,7 @@
 
 
 def lent(world: World) -> list[Any]:
-    return [b for m in links(world)._members.values() for b in m.pool._leased]
+    return [b for p in links(world).pools().values() for b in p._leased]
 
 
 async def test_a_result_that_breaks_off_is_told_so(world: World) -> None:
