--- a/juniperreel/proxy/attempt_runner.py
+++ b/juniperreel/proxy/attempt_runner.py
@@ -70,7 +70,8 @@
             outcome = Outcome.OK if is_statement_error(error) else outcome_of_error(error)
             return AttemptCompleted(attempt, outcome, self._clock.now_us(), error=error)
         except Exception as error:
-            # Danger: a flaw met on one attempt must not end the edge; whether it was executed is not known.
+            # A bug that one attempt runs into would otherwise leave the nursery and end the edge. Whether the
+            # request was executed is not known.
             self._log.error(
                 "attempt raised unexpectedly",
                 request=open_request.id,
@@ -98,7 +99,7 @@
         except ATTEMPT_ERRORS as error:
             return HealthCheckCompleted(endpoint, outcome_of_error(error), 0)
         except Exception as error:
-            # As with attempts: a flaw met on one endpoint must not end the edge.
+            # As with attempts: a bug that one endpoint triggers would otherwise end the edge.
             self._log.error("health check raised unexpectedly", endpoint=endpoint, exc_info=error)
             return HealthCheckCompleted(endpoint, Outcome.ERROR, 0)
         return HealthCheckCompleted(endpoint, Outcome.OK, 0, report)
--- a/juniperreel/proxy/configuration_source.py
+++ b/juniperreel/proxy/configuration_source.py
@@ -80,7 +80,7 @@
     def _update(self, configuration: Configuration) -> None:
         self._newest = configuration
         if configuration.version < self.version:
-            # Danger: after a restart an instance that lags would take the edge back behind its cached list.
+            # After a restart of the edge, an instance that lags would take it back behind its cached list.
             self._log("stale configuration ignored", version=configuration.version, newest=self.version)
             return
         self.version = configuration.version
--- a/juniperreel/proxy/endpoint_list.py
+++ b/juniperreel/proxy/endpoint_list.py
@@ -223,8 +223,8 @@
             else:
                 endpoints.append(endpoint)
         if is_snapshot and not endpoints:
-            # Danger: an empty endpoint list is a broken one far more often than a true one; believing it
-            # would reject every request.
+            # An empty endpoint list is a fault of discovery far more often than the truth; believed, it would
+            # have every request rejected.
             self._report_failure(ValueError("the endpoint list is empty"))
             return
         self.updated_us = self._clock.now_us()
--- a/juniperreel/proxy/grpc_endpoints.py
+++ b/juniperreel/proxy/grpc_endpoints.py
@@ -106,8 +106,8 @@
         if known is None:
             raise Silent(f"no address is known for {endpoint}")
         if known.channel.closed:
-            # Danger: with a list that flaps, or whose removals do not forbid requests, the router sends to an
-            # endpoint whose channel was closed; without a new channel it would seem dead for ever.
+            # When the list flaps, or its removals do not forbid requests, the router sends to an endpoint
+            # whose channel was closed; without a new channel the endpoint would seem dead for ever.
             self.set_address(endpoint, known.address.host, known.address.port)
             known = self._channels[endpoint]
         return known
--- a/juniperreel/proxy/mysql_endpoints.py
+++ b/juniperreel/proxy/mysql_endpoints.py
@@ -36,7 +36,7 @@
 from juniperreel.proxy.options import DriverOptions, MysqlEndpointOptions
 from juniperreel.proxy.positions import PositionTracker
 from juniperreel.proxy.requests import ClientRequest
-from juniperreel.proxy.transactions import EndpointTransaction
+from juniperreel.proxy.transactions import ENDPOINT_REMOVED, EndpointTransaction
 from juniperreel.routing.types import (
     Outcome,
 )
@@ -45,7 +45,6 @@
 
 MAX_WAIT_S = 1.0  # between two rounds of the pools' deadlines
 CLOSED_HERE = "closed here"  # `Backend.why` of a connection that this side closed
-ENDPOINT_REMOVED = "its member has left"  # the reason, as clients see it
 
 
 class MysqlEndpoint:
@@ -277,7 +276,7 @@
             self._metrics.replays.inc()
             (answer,) = await backend.exchange([Statement(text)])
             if isinstance(answer, Err):
-                # Danger: nobody knows how much of the state the endpoint took over.
+                # How much of the state the endpoint took over is not known: the connection must not be reused.
                 backend.close()
                 raise error_of(answer)
         backend.state = request.session_state
--- a/juniperreel/proxy/mysql_exchange.py
+++ b/juniperreel/proxy/mysql_exchange.py
@@ -113,12 +113,13 @@
         if isinstance(answer, Err):
             raise error_of(answer)
         if self._backend.session.in_transaction:
-            # Danger: its client would believe in a transaction that ends with this connection.
+            # The statement opened a transaction unrecognised. Its client would go on in a transaction that
+            # ends when the connection goes to somebody else.
             raise not_supported("begins a transaction in words that are not read here")
         try:
             after = heartbeat_of(status_after)
         except EndpointError as error:
-            message = f"{self._endpoint} does not tell where its commit stands: {error}"
+            message = f"{self._endpoint} does not report the status of its commit: {error}"
             raise Lost(message, sent=True) from error
         if changed_role(before, after):
             raise Lost(f"{self._endpoint} changed its role during a write", sent=True)
--- a/juniperreel/proxy/mysql_pool.py
+++ b/juniperreel/proxy/mysql_pool.py
@@ -147,7 +147,7 @@
         if backend.why or backend.session.in_hand:
             reason = BROKEN
         elif backend.session.in_transaction:
-            # Danger: a transaction that is still open would take in the next client's statement.
+            # A transaction that is still open would take in the next client's statement.
             reason = TRANSACTION_OPEN
         if reason:
             self._metrics.pool_spent.labels(reason).inc()
--- a/juniperreel/proxy/mysql_replies.py
+++ b/juniperreel/proxy/mysql_replies.py
@@ -53,7 +53,7 @@
         error = error_of(answer)
         if isinstance(error, EndpointError) and error.outcome is Outcome.OK:
             # The heartbeat table is missing, or forbidden.
-            message = f"where it stands is not told: {answer.code}: {answer.words}"
+            message = f"replication status is not reported: {answer.code}: {answer.words}"
             raise EndpointError(Outcome.ERROR, message)
         raise error
     try:
@@ -73,10 +73,7 @@
 
 
 def changed_role(before: published.Told, after: published.Told) -> bool:
-    """Whether a commit between the two heartbeats may belong to no epoch of the group.
-
-    Danger: `read_only` or the epoch changed around the statement; the group may never hold the commit.
-    """
+    """Whether `read_only` or the epoch changed around a commit, which the group may then never hold."""
     return before.read_only or before.epochs != after.epochs
 
 
--- a/juniperreel/proxy/positions.py
+++ b/juniperreel/proxy/positions.py
@@ -1,7 +1,7 @@
 """Translates log positions between the groups' clocks and the router's, always on the safe side. No I/O.
 
 The router compares positions by number. What a number means depends on its epoch: after a failover the
-same number may name a commit that the group no longer holds. This module is the only place that knows both,
+same number may name a commit that the group no longer holds. Only this module knows both,
 and it reports a smaller number whenever it is not sure.
 
 One mapping serves applied and required positions alike (minus the bound on clock skew), so that comparing
@@ -120,7 +120,7 @@
     def is_primary(self, group: int, status: ReplicationStatus) -> bool | None:
         """The endpoint's role, None where it is unknown.
 
-        Danger: a deposed primary goes on claiming the role; only its epoch shows that it lost it.
+        A deposed primary goes on claiming the role; only its epoch shows that it lost it.
         """
         if status.is_primary and self.is_deposed(group, status):
             return False
--- a/juniperreel/proxy/request_driver.py
+++ b/juniperreel/proxy/request_driver.py
@@ -134,8 +134,8 @@
     def _new_id_prefix(self, rng: random.Random) -> str:
         """A prefix of request ids for this incarnation of the edge.
 
-        Danger: an edge with a fixed seed that restarts would use the ids of its last incarnation again, and
-        whoever tells requests apart by them would take two for one.
+        With a fixed seed alone, a restarted edge would use the ids of its last incarnation again, and two
+        requests would pass for one wherever requests are identified by them.
         """
         incarnation = (rng.getrandbits(32) ^ self.clock.now_us()) & 0xFFFFFFFF
         return f"{self.options.name}-{incarnation:08x}-"
--- a/juniperreel/proxy/request_table.py
+++ b/juniperreel/proxy/request_table.py
@@ -20,7 +20,7 @@
     """
 
     def __init__(self, admission: RequestAdmission, log: Any) -> None:
-        """`admission` is told of each answer, and its waiting requests count as not idle."""
+        """`admission` is notified of each answer; its waiting requests count as not idle."""
         self._admission = admission
         self._log = log
         self._requests: dict[str, OpenRequest] = {}
--- a/juniperreel/proxy/response_check.py
+++ b/juniperreel/proxy/response_check.py
@@ -71,8 +71,8 @@
     def _check_transaction(self, group: int, response: AttemptResponse) -> Outcome:
         """What a transaction commits is checked at its end.
 
-        Danger: one that was begun at a primary which is deposed meanwhile would read what no other endpoint
-        has, and its first statement was executed.
+        One that was begun at a primary which was deposed meanwhile would read data that no other endpoint
+        has; its first statement was executed, and so it may not be resent freely.
         """
         return Outcome.RESET if self._positions.is_deposed(group, response.status) else Outcome.OK
 
@@ -80,14 +80,14 @@
         epoch = response.status.history.epoch
         if self._positions.holds_commit(group, epoch, response.commit_position):
             return Outcome.OK
-        # Danger: a deposed primary confirms a write that the group will never hold.
+        # A deposed primary confirmed a write that the group will never hold.
         self._metrics.cut_off.inc()
         return Outcome.RESET
 
     def _check_read(self, attempt: Attempt, response: AttemptResponse) -> Outcome:
         if attempt.required.is_met_by(response.status):
             return Outcome.OK
-        # Danger: an endpoint that was truncated or restored since its position was recorded.
+        # The endpoint was truncated or restored from a backup since its position was recorded.
         self._metrics.stale.inc()
         return Outcome.INELIGIBLE
 
--- a/juniperreel/proxy/transactions.py
+++ b/juniperreel/proxy/transactions.py
@@ -26,6 +26,10 @@
 from juniperreel.proxy.positions import PositionTracker
 from juniperreel.proxy.requests import TransactionResult
 
+# Reasons of an abort, as clients see them.
+TOOK_TOO_LONG = "it took longer than a transaction may"
+ENDPOINT_REMOVED = "its member has left"
+
 TIMEOUT_CHECK_S = 0.25  # longest pause between two checks whether a transaction took too long
 
 
@@ -160,7 +164,7 @@
         if is_over:
             self._end(reusable=True)
         if before is None or after is None or changed_role(before, after):
-            # Danger: a primary that was replaced while it confirmed; the group may never hold this commit.
+            # The primary was replaced while it confirmed; the group may never hold this commit.
             raise TransactionOutcomeUnknownError(f"{self._endpoint} changed its role during the commit")
         return TransactionResult(answer, self._record_commit(after, answer.ok.gtids))
 
@@ -212,7 +216,7 @@
         while self.open:
             remaining_us = self._deadline_us - self._clock.now_us()
             if remaining_us <= 0:
-                self.abort("it took longer than a transaction may")
+                self.abort(TOOK_TOO_LONG)
                 return
             await trio.sleep(min(remaining_us / US, TIMEOUT_CHECK_S))
 
--- a/tests/e2e/test_mysql.py
+++ b/tests/e2e/test_mysql.py
@@ -180,6 +180,7 @@
         await client.close()
     assert await using(world, lambda c: ask(c, "select 1")) == ((1,),)
     assert "failed inside" not in (world.folder / "edge.log").read_text()
+    assert "raised unexpectedly" not in (world.folder / "edge.log").read_text()
 
 
 async def test_connections_beyond_the_limit_are_told_so(world: World) -> None:
--- a/tests/e2e/test_mysql_hard.py
+++ b/tests/e2e/test_mysql_hard.py
@@ -207,6 +207,7 @@
         await until(lambda: world.edge.mysql is not None and world.edge.mysql.connections == 0)
     assert await using(world, lambda c: ask(c, "select 1")) == ((1,),)
     assert "failed inside" not in (world.folder / "edge.log").read_text()
+    assert "raised unexpectedly" not in (world.folder / "edge.log").read_text()
 
 
 async def test_long_statements(world: World) -> None:
--- a/tests/proxy/test_positions.py
+++ b/tests/proxy/test_positions.py
@@ -98,8 +98,11 @@
 
 
 def test_commit_carried_over_a_failover_is_required_at_the_new_epoch_s_start() -> None:
-    """Danger: a commit's position is rounded up to its member's clock; the last ones before a failover would
-    lie beyond the next epoch's start, and their sessions' reads be refused for ever."""
+    """A commit's position is rounded up to its endpoint's clock.
+
+    The last commits before a failover may thus lie beyond the next epoch's start, and their sessions' reads
+    would be rejected for ever.
+    """
     positions = PositionTracker(SKEW)
     positions.record_status(0, ReplicationStatus(True, 90, History.of([(1, 0)]), 120))
     positions.record_commit(0, 1, 110, f"{UUID}:7")
