--- a/juniperreel/proxy/mysql_endpoints.py
+++ b/juniperreel/proxy/mysql_endpoints.py
@@ -276,7 +276,7 @@
             self._metrics.replays.inc()
             (answer,) = await backend.exchange([Statement(text)])
             if isinstance(answer, Err):
-                # How much of the state the endpoint took over is not known: the connection must not be reused.
+                # How much of the state the endpoint took over is not known: nobody may reuse it.
                 backend.close()
                 raise error_of(answer)
         backend.state = request.session_state
--- a/juniperreel/proxy/mysql_monitor.py
+++ b/juniperreel/proxy/mysql_monitor.py
@@ -63,7 +63,7 @@
         """Have the endpoint end a statement that nobody waits for; without this it would run on.
 
         If the server was restarted, it may have given the victim's number to another client's connection,
-        which would be killed instead. Only a connection that lived beside the victim's proves that it was not.
+        which would be killed instead. Only a connection that lived beside the victim proves that it was not.
         """
         backend = self._backend
         if backend is None or backend.why or self._pending_kills >= MAX_PENDING_KILLS:
--- a/juniperreel/proxy/request_driver.py
+++ b/juniperreel/proxy/request_driver.py
@@ -46,7 +46,7 @@
     StatementFailed,
     release_result,
 )
-from juniperreel.proxy.router_events import RouterEvents
+from juniperreel.proxy.router_events import RouterEventTranslator
 from juniperreel.routing.loop import RouterLoop
 from juniperreel.routing.types import (
     ClientDisconnected,
@@ -102,7 +102,7 @@
         self._id_prefix = self._new_id_prefix(rng)
         self._ids = count()
         self._pace = pace
-        self._router_events = RouterEvents(
+        self._translator = RouterEventTranslator(
             self.open_requests, self.positions, self.registry, options.answer_margin_us, log, metrics
         )
         self._runner = AttemptRunner(self.endpoints, options.health_check_timeout_us, clock, log, traces)
@@ -290,12 +290,12 @@
     def _router_event(self, event: HostEvent, disconnected: set[str], now: int) -> Event:
         match event:
             case OpenRequest():
-                return self._router_events.request(event, now)
+                return self._translator.request(event, now)
             case AttemptCompleted():
                 client_disconnected = event.attempt.open_request.id in disconnected
-                return self._router_events.attempt_ended(event, client_disconnected)
+                return self._translator.attempt_ended(event, client_disconnected)
             case HealthCheckCompleted():
-                return self._router_events.health_check_ended(event)
+                return self._translator.health_check_ended(event)
             case EndpointListUpdated():
                 return self._apply_endpoint_list(event)
             case ClientDisconnected(request_id):
@@ -313,7 +313,7 @@
             self.gate.members(group, size)
         if update.kind in (UpdateKind.SNAPSHOT, UpdateKind.DELTA) and self._list_writer is not None:
             self._list_writer.list_changed()
-        return self._router_events.endpoint_update(update)
+        return self._translator.endpoint_update(update)
 
     # The router's actions.
 
--- a/juniperreel/proxy/router_events.py
+++ b/juniperreel/proxy/router_events.py
@@ -30,8 +30,8 @@
 from juniperreel.telemetry.metrics import Metrics
 
 
-class RouterEvents:
-    """Makes the router's events of one driver; `answer_margin_us` is taken off each deadline."""
+class RouterEventTranslator:
+    """Translates the events of one driver; `answer_margin_us` is subtracted from each deadline."""
 
     def __init__(
         self,
--- a/tests/e2e/test_pool_soak.py
+++ b/tests/e2e/test_pool_soak.py
@@ -23,8 +23,8 @@
 
 
 async def test_a_pool_that_replays_nothing_is_found(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    async def nothing(self: MysqlEndpoints, backend: Backend, job: AttemptRequest) -> None:
-        backend.state = job.request.session_state
+    async def nothing(self: MysqlEndpoints, backend: Backend, attempt: AttemptRequest) -> None:
+        backend.state = attempt.request.session_state
 
     monkeypatch.setattr(MysqlEndpoints, "_replay", nothing)
     with trio.fail_after(120):
