--- a/juniperreel/proxy/attempts.py
+++ b/juniperreel/proxy/attempts.py
@@ -68,7 +68,7 @@
         ...
 
     @property
-    def connected(self) -> int:
+    def connection_count(self) -> int:
         """How many connections are open."""
         ...
 
--- a/juniperreel/proxy/gauges.py
+++ b/juniperreel/proxy/gauges.py
@@ -79,7 +79,7 @@
 
     def _report_endpoints(self) -> None:
         connections = self._sources.connections
-        self._metrics.connections.set(connections.connected)
+        self._metrics.connections.set(connections.connection_count)
         if isinstance(connections, MysqlEndpoints):
             connections.report_gauges()
         self._metrics.members.labels("known").set(self._sources.registry.listed_count)
--- a/juniperreel/proxy/grpc_endpoints.py
+++ b/juniperreel/proxy/grpc_endpoints.py
@@ -96,7 +96,7 @@
             known.retire()
 
     @property
-    def connected(self) -> int:
+    def connection_count(self) -> int:
         """How many channels are connected."""
         return sum(endpoint.channel.connected for endpoint in self._channels.values())
 
--- a/juniperreel/proxy/mysql_endpoints.py
+++ b/juniperreel/proxy/mysql_endpoints.py
@@ -59,12 +59,12 @@
     @property
     def is_draining(self) -> bool:
         """Whether it left the endpoint list or moved to another address."""
-        return self.pool.pool.draining
+        return self.pool.is_draining
 
     @property
     def connection_count(self) -> int:
         """How many connections are open, the monitor's included."""
-        pool = self.pool.pool
+        pool = self.pool.core
         return pool.leased + pool.idle + self.monitor.is_connected
 
     def drain(self) -> None:
@@ -90,7 +90,7 @@
 
     def report_gauges(self, metrics: Metrics) -> None:
         """Write the pool's gauges to the metrics."""
-        pool = self.pool.pool
+        pool = self.pool.core
         metrics.pool.labels(self.name, "leased").set(pool.leased)
         metrics.pool.labels(self.name, "idle").set(pool.idle)
         metrics.pool.labels(self.name, "opening").set(pool.opening)
@@ -138,7 +138,7 @@
 
     async def _wait_until_due(self) -> None:
         now = self._clock.now_us()
-        deadlines = [endpoint.pool.pool.due_us(now) for endpoint in self._endpoints.values()]
+        deadlines = [endpoint.pool.next_due_us(now) for endpoint in self._endpoints.values()]
         wait_s = MAX_WAIT_S
         if set_deadlines := [deadline for deadline in deadlines if deadline is not None]:
             wait_s = min(max(min(set_deadlines) - now, 0) / US, MAX_WAIT_S)
@@ -156,7 +156,7 @@
         address = EndpointAddress(host, port)
         known = self._endpoints.get(endpoint)
         if known is not None and known.pool.address == address:
-            known.pool.pool.resume()
+            known.pool.resume()
             return
         if known is not None:
             known.drain()
@@ -187,7 +187,7 @@
             known.drain()
 
     @property
-    def connected(self) -> int:
+    def connection_count(self) -> int:
         """How many connections are open."""
         return sum(endpoint.connection_count for endpoint in self._endpoints.values())
 
@@ -207,7 +207,7 @@
 
     def pools(self) -> dict[str, Pool[Backend]]:
         """The endpoints' pools by name, for tests and benchmarks."""
-        return {name: endpoint.pool.pool for name, endpoint in self._endpoints.items()}
+        return {name: endpoint.pool.core for name, endpoint in self._endpoints.items()}
 
     def report_gauges(self) -> None:
         """Write the pools' gauges to the metrics."""
--- a/juniperreel/proxy/mysql_pool.py
+++ b/juniperreel/proxy/mysql_pool.py
@@ -74,14 +74,15 @@
 class EndpointPool:
     """The connections to one endpoint at one address; their tasks live in `nursery`.
 
-    `on_waiting` is called when the pool has somebody waiting, and so a deadline that may come earlier.
+    `core` decides, and is read by others for its counts; all changes pass through this class. `on_waiting` is
+    called when the pool has somebody waiting, and so a deadline that may come earlier.
     """
 
     def __init__(
         self,
         endpoint: str,
         address: EndpointAddress,
-        pool: Pool[Backend],
+        core: Pool[Backend],
         connector: BackendConnector,
         clock: Clock,
         metrics: Metrics,
@@ -89,7 +90,7 @@
         on_waiting: Callable[[], None],
     ) -> None:
         self.address = address
-        self.pool = pool
+        self.core = core
         self._endpoint = endpoint
         self._connector = connector
         self._clock = clock
@@ -102,11 +103,24 @@
 
     def process_due(self, now_us: int) -> None:
         """Close, open and reject what is due."""
-        self._apply(self.pool.tick(now_us))
+        self._apply(self.core.tick(now_us))
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether `drain` was called, and `resume` not since."""
+        return self.core.draining
+
+    def next_due_us(self, now_us: int) -> int | None:
+        """When `process_due` should be called next, None for no deadline."""
+        return self.core.due_us(now_us)
+
+    def resume(self) -> None:
+        """Lend connections again after `drain`."""
+        self.core.resume()
 
     def drain(self) -> None:
         """Reject who waits, and close connections as they come back."""
-        self._apply(self.pool.drain())
+        self._apply(self.core.drain())
 
     async def lease(self, tenant_index: int, priority_weight: float, state: SessionState) -> Lease[Backend]:
         """Wait for a connection, preferably one in this session state. Raises ConnectError or NeverSent."""
@@ -121,7 +135,7 @@
         waiter = PoolWaiter()
         self._waiters[want.id] = waiter
         try:
-            self._apply(self.pool.ask(self._clock.now_us(), want))
+            self._apply(self.core.ask(self._clock.now_us(), want))
             await waiter.decided.wait()
         except trio.Cancelled:
             self._abandon(want, waiter)
@@ -138,7 +152,7 @@
             self.give_back(waiter.lease, reusable=True)
         else:
             self._waiters.pop(want.id, None)
-            self._apply(self.pool.gone(self._clock.now_us(), want.id))
+            self._apply(self.core.gone(self._clock.now_us(), want.id))
 
     def give_back(self, lease: Lease[Backend], reusable: bool) -> None:
         """End a lease. A connection that is broken or in doubt is closed, `reusable` or not."""
@@ -152,7 +166,7 @@
         if reason:
             self._metrics.pool_spent.labels(reason).inc()
             backend.close()
-        self._apply(self.pool.back(self._clock.now_us(), lease, not reason, backend.state))
+        self._apply(self.core.back(self._clock.now_us(), lease, not reason, backend.state))
 
     def _apply(self, actions: Sequence[Action[Backend]]) -> None:
         for action in actions:
@@ -168,7 +182,7 @@
                     self._nursery.start_soon(self._open)
                 case Close(backend):
                     self._nursery.start_soon(backend.leave)
-        if self.pool.waiting:
+        if self.core.waiting:
             self._on_waiting()
 
     def _grant(self, lease: Lease[Backend]) -> None:
@@ -177,7 +191,7 @@
             waiter.grant(lease)
         else:  # its attempt was cancelled in the same moment
             now = self._clock.now_us()
-            self._apply(self.pool.back(now, lease, True, lease.connection.state))
+            self._apply(self.core.back(now, lease, True, lease.connection.state))
 
     async def _open(self) -> None:
         try:
@@ -185,14 +199,14 @@
         except ConnectError as error:
             self._last_failure = str(error)
             is_busy = isinstance(error, NotLetIn) and meaning(error.code) is Meaning.BUSY
-            self._apply(self.pool.failed(self._clock.now_us(), is_busy))
+            self._apply(self.core.failed(self._clock.now_us(), is_busy))
             return
         except BaseException:
-            self.pool.given_up(self._clock.now_us())
+            self.core.given_up(self._clock.now_us())
             raise
         self._nursery.start_soon(self._read_until_closed, backend)
-        self._apply(self.pool.opened(self._clock.now_us(), backend, backend.state))
+        self._apply(self.core.opened(self._clock.now_us(), backend, backend.state))
 
     async def _read_until_closed(self, backend: Backend) -> None:
         await backend.run()
-        self._apply(self.pool.lost(self._clock.now_us(), backend))
+        self._apply(self.core.lost(self._clock.now_us(), backend))
