--- a/tests/e2e/test_mysql.py
+++ b/tests/e2e/test_mysql.py
@@ -162,7 +162,7 @@
 
     await trio.to_thread.run_sync(leave)
     with trio.fail_after(10):
-        while world.edge.driver._open:
+        while world.edge.driver.open_requests:
             await trio.sleep(0.01)
 
 
@@ -180,6 +180,7 @@
         await client.close()
     assert await using(world, lambda c: ask(c, "select 1")) == ((1,),)
     assert "failed inside" not in (world.folder / "edge.log").read_text()
+    assert "raised unexpectedly" not in (world.folder / "edge.log").read_text()
 
 
 async def test_connections_beyond_the_limit_are_told_so(world: World) -> None:
