pool: modules named for what they hold: connection, session_state, endpoint_status, error_codes

Need: names of the modules said nothing to a newcomer (standing, state, errors for codes). Moves only: backend -> connection, state -> session_state, standing -> endpoint_status, errors -> error_codes, statements -> prepared_statements, with the tests that mirror them. tests/pool and tests/proxy: 74 passed; mypy clean.

--- a/juniperreel/cli/edge.py
+++ b/juniperreel/cli/edge.py
@@ -19,7 +19,7 @@
 from juniperreel.mysql.auth import Credential
 from juniperreel.net import Clock, Network, Pace
 from juniperreel.net.clock import US
-from juniperreel.pool.backend import Login
+from juniperreel.pool.connection import Login
 from juniperreel.pool.core import Sizes
 from juniperreel.proxy import Driver, DriverOptions
 from juniperreel.proxy.options import MysqlMembers
--- a/juniperreel/frontends/mysql/connection.py
+++ b/juniperreel/frontends/mysql/connection.py
@@ -25,9 +25,9 @@
 from juniperreel.mysql.server import Command, Event, Gone, LoggedIn, ServerSession, StartTls, State
 from juniperreel.mysql.values import Column, Value, binary_row
 from juniperreel.net.clock import US
-from juniperreel.pool.backend import Lost, Told, TooLong
+from juniperreel.pool.connection import Lost, Told, TooLong
 from juniperreel.pool.result import Result, Statement
-from juniperreel.pool.state import FRESH, SessionState, TooMuch
+from juniperreel.pool.session_state import FRESH, SessionState, TooMuch
 from juniperreel.proto.common.v1 import values_pb2
 from juniperreel.proxy import (
     Answer,
--- a/juniperreel/frontends/mysql/scope.py
+++ b/juniperreel/frontends/mysql/scope.py
@@ -12,7 +12,7 @@
 from enum import Enum
 
 from juniperreel.mysql.constants import Status
-from juniperreel.pool.state import REPLAYED
+from juniperreel.pool.session_state import REPLAYED
 from juniperreel.proxy import Hold, Transaction
 from juniperreel.statements import Control, Kind, Reading, Verb
 
--- a/juniperreel/pool/backend.py
+++ b/juniperreel/pool/connection.py
@@ -20,9 +20,9 @@
 from juniperreel.mysql.values import Value
 from juniperreel.net import ConnectError, Network, Silent
 from juniperreel.net.clock import US
+from juniperreel.pool.prepared_statements import Statements
 from juniperreel.pool.result import Result, Statement
-from juniperreel.pool.state import FRESH
-from juniperreel.pool.statements import Statements
+from juniperreel.pool.session_state import FRESH
 
 READ_BYTES = 64 << 10
 HELD_BYTES = 256 << 10  # of rows that were read and not yet taken
--- a/juniperreel/proxy/mysqlmembers.py
+++ b/juniperreel/proxy/mysqlmembers.py
@@ -19,8 +19,8 @@
 from juniperreel.mysql.values import Value
 from juniperreel.net import Clock, ConnectError, Network, Silent
 from juniperreel.net.clock import US
-from juniperreel.pool import standing as published
-from juniperreel.pool.backend import FORGOTTEN, Backend, Lost, NotLetIn, TooLong
+from juniperreel.pool import endpoint_status as published
+from juniperreel.pool.connection import FORGOTTEN, Backend, Lost, NotLetIn, TooLong
 from juniperreel.pool.core import (
     GONE,
     UNREACHABLE,
@@ -33,9 +33,9 @@
     Turn,
     Want,
 )
-from juniperreel.pool.errors import UNDOES_ALL, Meaning, meaning
+from juniperreel.pool.error_codes import UNDOES_ALL, Meaning, meaning
 from juniperreel.pool.result import Result, Statement
-from juniperreel.pool.state import SessionState, replay
+from juniperreel.pool.session_state import SessionState, replay
 from juniperreel.proxy.jobs import Fault, Job, Reply
 from juniperreel.proxy.options import DriverOptions, MysqlMembers
 from juniperreel.proxy.positions import Positions, Standing
--- a/juniperreel/proxy/options.py
+++ b/juniperreel/proxy/options.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from juniperreel.pool.backend import Login
+from juniperreel.pool.connection import Login
 from juniperreel.pool.core import Sizes
 from juniperreel.routing.types import (
     Settings,
--- a/juniperreel/proxy/transactions.py
+++ b/juniperreel/proxy/transactions.py
@@ -15,11 +15,11 @@
 from juniperreel.mysql.replies import Err
 from juniperreel.mysql.values import Value
 from juniperreel.net import Clock
-from juniperreel.pool import standing as published
-from juniperreel.pool.backend import Backend, Lost, Told, TooLong
-from juniperreel.pool.errors import UNDOES_ALL, Meaning, meaning
+from juniperreel.pool import endpoint_status as published
+from juniperreel.pool.connection import Backend, Lost, Told, TooLong
+from juniperreel.pool.error_codes import UNDOES_ALL, Meaning, meaning
 from juniperreel.pool.result import Result, Statement
-from juniperreel.pool.state import SessionState
+from juniperreel.pool.session_state import SessionState
 from juniperreel.proxy.positions import Positions, Standing
 from juniperreel.proxy.work import Committed
 
--- a/juniperreel/proxy/work.py
+++ b/juniperreel/proxy/work.py
@@ -11,7 +11,7 @@
 
 from juniperreel.causal import EMPTY, Token
 from juniperreel.pool.result import Result, Statement
-from juniperreel.pool.state import FRESH, SessionState
+from juniperreel.pool.session_state import FRESH, SessionState
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/e2e/test_pool_soak.py
+++ b/tests/e2e/test_pool_soak.py
@@ -9,8 +9,8 @@
 import trio
 
 from benchmarks.pool_soak import soak
-from juniperreel.pool.backend import Backend
-from juniperreel.pool.statements import Statements, Text
+from juniperreel.pool.connection import Backend
+from juniperreel.pool.prepared_statements import Statements, Text
 from juniperreel.proxy.jobs import Job
 from juniperreel.proxy.mysqlmembers import MysqlLinks
 
--- a/tests/e2e/test_transactions.py
+++ b/tests/e2e/test_transactions.py
@@ -12,7 +12,7 @@
 import pytest
 import trio
 
-from juniperreel.pool.backend import Backend
+from juniperreel.pool.connection import Backend
 from juniperreel.proxy.mysqlmembers import MysqlLinks
 from juniperreel.rpc.status import Code, RpcError
 from tests.e2e.test_mysql import INSERT, SELECT, ask, connector, port, using
--- a/tests/frontends/mysql/test_scope.py
+++ b/tests/frontends/mysql/test_scope.py
@@ -9,7 +9,7 @@
 
 from juniperreel.frontends.mysql.scope import NO_SAVEPOINT, UNDONE, Do, Scope
 from juniperreel.mysql.constants import Status
-from juniperreel.pool.state import FRESH
+from juniperreel.pool.session_state import FRESH
 from juniperreel.proxy import Hold
 from juniperreel.statements import read_statement
 
--- a/tests/pool/test_backend.py
+++ b/tests/pool/test_connection.py
@@ -18,7 +18,7 @@
 from juniperreel.mysql.server import Command, Event, ServerSession, StartTls, State
 from juniperreel.mysql.values import Column
 from juniperreel.net import ConnectError, Refused, Silent, TcpNetwork
-from juniperreel.pool.backend import Backend, Login, Lost, NotLetIn, TooLong
+from juniperreel.pool.connection import Backend, Login, Lost, NotLetIn, TooLong
 from juniperreel.pool.result import Result, Statement
 
 LOGIN = Login("edge", b"secret", held=10_000)
--- a/tests/pool/test_members_words.py
+++ b/tests/pool/test_endpoint_responses.py
@@ -7,9 +7,9 @@
 from hypothesis import strategies as st
 
 from juniperreel.mysql.values import Value
-from juniperreel.pool.errors import BUSY, ENDED, FAILED, GONE, READ_ONLY, UNDOES_ALL, Meaning, meaning
-from juniperreel.pool.standing import KEPT_EPOCHS, NotTold, load, told
-from juniperreel.pool.statements import Statements
+from juniperreel.pool.endpoint_status import KEPT_EPOCHS, NotTold, load, told
+from juniperreel.pool.error_codes import BUSY, ENDED, FAILED, GONE, READ_ONLY, UNDOES_ALL, Meaning, meaning
+from juniperreel.pool.prepared_statements import Statements
 
 
 def test_only_what_left_the_data_as_it_was_counts_as_untouched() -> None:
--- a/tests/pool/test_state.py
+++ b/tests/pool/test_session_state.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from juniperreel.fakes.engine import ASSIGNED, ASSIGNMENT
-from juniperreel.pool.state import FRESH, MOST, SessionState, TooMuch, replay
+from juniperreel.pool.session_state import FRESH, MOST, SessionState, TooMuch, replay
 from juniperreel.statements import read_statement
 
 names = st.sampled_from(["sql_mode", "time_zone", "wait_timeout", "@a", "@b"])
