--- a/juniperreel/cli/edge.py
+++ b/juniperreel/cli/edge.py
@@ -19,8 +19,7 @@
 from juniperreel.mysql.auth import Credential
 from juniperreel.net import Clock, Network, Pace
 from juniperreel.net.clock import US
-from juniperreel.pool.connection import Login
-from juniperreel.pool.core import Sizes
+from juniperreel.pool.config import BackendConfig, PoolConfig
 from juniperreel.proxy import Driver, DriverOptions
 from juniperreel.proxy.options import MysqlMembers
 from juniperreel.rpc.health import Health, Reflection
@@ -61,16 +60,16 @@
     if m is None:
         return None
     tls = None if m.tls is None else ssl.create_default_context(cafile=str(m.tls))
-    login = Login(m.user, m.password, m.database, tls, held=settings.message_bytes)
-    sizes = Sizes(
-        most=m.connections,
-        least=m.least,
-        wait_us=m.wait_us,
-        idle_us=m.idle_us,
-        age_us=m.age_us,
+    login = BackendConfig(m.user, m.password, m.database, tls, max_result_bytes=settings.message_bytes)
+    sizes = PoolConfig(
+        max_connections=m.connections,
+        min_connections=m.least,
+        acquire_timeout_us=m.wait_us,
+        idle_timeout_us=m.idle_us,
+        max_lifetime_us=m.age_us,
         open_rate=m.open_rate,
         open_burst=max(m.open_rate / 4, 1.0),
-        shares=tuple(tenant.capacity_share for tenant in settings.router.tenants),
+        tenant_shares=tuple(tenant.capacity_share for tenant in settings.router.tenants),
     )
     return MysqlMembers(login, m.transaction_us, sizes)
 
--- a/juniperreel/frontends/mysql/connection.py
+++ b/juniperreel/frontends/mysql/connection.py
@@ -25,9 +25,14 @@
 from juniperreel.mysql.server import Command, Event, Gone, LoggedIn, ServerSession, StartTls, State
 from juniperreel.mysql.values import Column, Value, binary_row
 from juniperreel.net.clock import US
-from juniperreel.pool.connection import Lost, Told, TooLong
+from juniperreel.pool.errors import (
+    ConnectionLostError,
+    ResultTooLargeError,
+    SessionStateTooLargeError,
+    StatementError,
+)
 from juniperreel.pool.result import Result, Statement
-from juniperreel.pool.session_state import FRESH, SessionState, TooMuch
+from juniperreel.pool.session_state import INITIAL_SESSION_STATE, SessionState
 from juniperreel.proto.common.v1 import values_pb2
 from juniperreel.proxy import (
     Answer,
@@ -107,7 +112,7 @@
         self._deadline_us = 0  # for each statement of the transaction
         self._busy = False
         self._prepared = Prepared(front.options.max_packet)
-        self._state = FRESH
+        self._state = INITIAL_SESSION_STATE
         self._scope = Scope(front.transactions, front.options.schema)
 
     async def run(self) -> None:
@@ -204,7 +209,7 @@
     def _afresh(self) -> None:
         """All but the token: what was seen was seen."""
         self._scope.leave()
-        self._mode, self._state = Mode(), FRESH
+        self._mode, self._state = Mode(), INITIAL_SESSION_STATE
         self._prepared.clear()
         self._session.status = self._scope.status()
 
@@ -230,7 +235,7 @@
                 return self._prepare(payload)
             if kind == Com.STMT_EXECUTE:
                 statement, values, attributes = self._prepared.execute(payload, s.takes_attributes)
-                if statement.parsed != self._state.parsed:
+                if statement.parsed != self._state.parse_context:
                     # Danger: under another sql_mode the same text may mean something else.
                     raise Fault(AGAIN, "Prepared statement needs to be re-prepared")
                 return await self._statement(statement.text, statement.reading, values, True, attributes)
@@ -260,7 +265,7 @@
         depends_on_it = reading.depends and reading.kind in (Kind.READ, Kind.WRITE, Kind.LOCKING_READ)
         if plan.do is Do.REFUSE and not depends_on_it and reading.control is None:
             return self._session.error(*plan.code, plan.words)
-        statement = self._prepared.prepare(text, reading, self._mode, self._state.parsed)
+        statement = self._prepared.prepare(text, reading, self._mode, self._state.parse_context)
         return self._session.prepared(statement.id, statement.parameters)
 
     async def _query(self, text: bytes, attributes: Mapping[str, Value]) -> list[Event]:
@@ -400,7 +405,7 @@
         try:
             for name, value in sets:
                 state = state.set(name, value)
-        except TooMuch as error:
+        except SessionStateTooLargeError as error:
             raise Instead(*NOT_SUPPORTED, str(error)) from error
         return state
 
@@ -496,7 +501,7 @@
             return s.ok(ok.affected, ok.insert_id, info, ok.warnings, self._track())
         s.begin_result(result.columns)
         s.rows(result.rows)
-        rest = result.rest
+        rest = result.remaining_rows
         if rest is None:
             return s.end_result(result.ok.warnings, self._track())
         late = None
@@ -504,13 +509,13 @@
             with trio.CancelScope(deadline=self._front.clock.trio_time(until_us)) as late:
                 while True:
                     await self._flush()
-                    rows = await rest.more()
+                    rows = await rest.next_rows()
                     if not rows:
                         return s.end_result(rest.ok.warnings, self._track())
                     s.rows(rows)
-        except Told as told:
+        except StatementError as told:
             return s.error(told.err.code, told.err.state, told.err.words)
-        except Lost as lost:
+        except ConnectionLostError as lost:
             return s.error(*say.UNKNOWN_EFFECT, f"the result broke off: {lost}")
         finally:
             rest.close()
@@ -527,7 +532,7 @@
         try:
             with trio.CancelScope(deadline=clock.trio_time(until)):
                 return await what
-        except Told as told:
+        except StatementError as told:
             scope.ran()
             raise Instead(told.err.code, told.err.state, told.err.words) from told
         except Undone as error:
@@ -538,7 +543,7 @@
         except Unknown as error:
             scope.over()
             raise Instead(*say.UNKNOWN_EFFECT, f"{error}; the transaction may have taken effect") from error
-        except TooLong as error:
+        except ResultTooLargeError as error:
             scope.over()
             raise Instead(*say.TOO_LONG, str(error)) from error
         scope.over()
--- a/juniperreel/frontends/mysql/scope.py
+++ b/juniperreel/frontends/mysql/scope.py
@@ -12,7 +12,7 @@
 from enum import Enum
 
 from juniperreel.mysql.constants import Status
-from juniperreel.pool.session_state import REPLAYED
+from juniperreel.pool.session_state import REPLAYABLE_VARIABLES
 from juniperreel.proxy import Hold, Transaction
 from juniperreel.statements import Control, Kind, Reading, Verb
 
@@ -171,7 +171,7 @@
     def _set(self, c: Control) -> Plan:
         """What can be replayed on any connection. A member is asked to take it before the client is told
         so."""
-        others = [name for name, _ in c.sets if not name.startswith("@") and name not in REPLAYED]
+        others = [name for name, _ in c.sets if not name.startswith("@") and name not in REPLAYABLE_VARIABLES]
         if others:
             return refuse(f"not among what is replayed on other connections: {', '.join(others)[:200]}")
         if self.held is not None:
--- a/juniperreel/pool/__init__.py
+++ b/juniperreel/pool/__init__.py
@@ -1,1 +1,1 @@
-"""Connections to members that speak MySQL: opened, lent, kept, and what came of each statement on them."""
+"""Connection pools for MySQL endpoints: connections, their session state, and what servers report on them."""
--- a/juniperreel/pool/connection.py
+++ b/juniperreel/pool/connection.py
@@ -1,16 +1,14 @@
-"""One connection to a MySQL-speaking member: the task that reads it, and exchanges of statements on it.
+"""One connection to a MySQL server: the task that reads it, and exchanges of statements on it.
 
-Statements of one exchange go out together and are answered one after another. A connection on which an
-exchange was broken off is of no more use, since nobody knows which answer comes next.
+The statements of one exchange are sent together (pipelined) and answered one after another. A connection on
+which an exchange was interrupted is closed, since a later response could no longer be matched to its request.
 """
 
 from __future__ import annotations
 
-import ssl
 from collections import deque
 from collections.abc import Mapping, Sequence
 from contextlib import suppress
-from dataclasses import dataclass
 
 import trio
 
@@ -18,355 +16,380 @@
 from juniperreel.mysql.client import ClientSession
 from juniperreel.mysql.replies import Err, Ok
 from juniperreel.mysql.values import Value
-from juniperreel.net import ConnectError, Network, Silent
+from juniperreel.net import Network, Silent
 from juniperreel.net.clock import US
-from juniperreel.pool.prepared_statements import Statements
+from juniperreel.pool.config import BackendConfig
+from juniperreel.pool.error_codes import REPREPARE_CODES, WRONG_ARGUMENT_COUNT
+from juniperreel.pool.errors import ConnectionLostError, ResultTooLargeError, StatementError
+from juniperreel.pool.login import log_in
+from juniperreel.pool.prepared_statements import PreparedStatementCache, StatementKey
 from juniperreel.pool.result import Result, Statement
-from juniperreel.pool.session_state import FRESH
+from juniperreel.pool.session_state import INITIAL_SESSION_STATE
 
 READ_BYTES = 64 << 10
-HELD_BYTES = 256 << 10  # of rows that were read and not yet taken
-CHUNK_BYTES = 64 << 10  # of rows handed on at once
-GOODBYE_S = 1.0
-BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError)
-FORGOTTEN = frozenset(
-    {1243, 1615}
-)  # nothing ran: the server no longer knows a prepared statement, or wants it again
-WRONG_COUNT = 1210
+MAX_BUFFERED_ROW_BYTES = 256 << 10  # rows received and not yet consumed; above it, reading pauses
+STREAM_CHUNK_BYTES = 64 << 10  # rows returned by one call of `next_rows`
+QUIT_TIMEOUT_S = 1.0
+STREAM_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
+CLOSED_LOCALLY = "closed here"
+GENERAL_SQLSTATE = "HY000"
 
 
-class Lost(Exception):
-    """The connection broke. `sent`: whether the member may have seen what was asked."""
+class BackendConnection:
+    """An open connection, logged in. Its `run` must be running while it is used.
 
-    def __init__(self, why: str, sent: bool) -> None:
-        super().__init__(why)
-        self.sent = sent
+    Attributes:
+        session: The client side of the protocol.
+        session_state: The session variables in effect on the server's side.
+        prepared_statements: What is prepared on this connection.
+        close_reason: Why the connection can no longer be used; empty while it can.
+    """
 
-
-class Told(Exception):
-    """The member answered with an error; the connection goes on."""
-
-    def __init__(self, err: Err) -> None:
-        super().__init__(f"{err.code}: {err.words}")
-        self.err = err
-
-
-class TooLong(Exception):
-    """An answer is longer than may be held, where it cannot be handed on in parts."""
-
-
-@dataclass(frozen=True, slots=True)
-class Login:
-    """How a program logs in to members. `held`: bytes of an answer that are held at once."""
-
-    user: str
-    password: bytes
-    database: str = ""
-    tls: ssl.SSLContext | None = None
-    max_packet: int = 64 << 20
-    held: int = 1 << 20
-    statements: int = 200  # kept prepared on one connection
-
-
-class Backend:
-    """An open connection; `run` must be running."""
-
-    def __init__(self, stream: trio.abc.Stream, session: ClientSession, login: Login) -> None:
+    def __init__(self, stream: trio.abc.Stream, session: ClientSession, config: BackendConfig) -> None:
         self.session = session
-        self.why = ""  # it is of no more use
-        self.statements = Statements(login.statements)
-        self.state = FRESH  # what sessions have changed of it
-        self._stream, self._login = stream, login
+        self.session_state = INITIAL_SESSION_STATE
+        self.prepared_statements = PreparedStatementCache(config.max_prepared_statements)
+        self.close_reason = ""
+        self._stream = stream
+        self._max_result_bytes = config.max_result_bytes
         self._events: deque[client.Event] = deque()
-        self._held = 0
-        self._arrived = trio.Event()
-        self._room = trio.Event()
-        self._scope = trio.CancelScope()
+        self._buffered_row_bytes = 0
+        self._event_received = trio.Event()
+        self._buffer_drained = trio.Event()
+        self._cancel_scope = trio.CancelScope()
 
     @staticmethod
-    async def open(network: Network, host: str, port: int, login: Login, timeout_us: int) -> Backend:
-        """Connected and logged in. Raises ConnectError, also where nobody is let in."""
+    async def open(
+        network: Network, host: str, port: int, config: BackendConfig, timeout_us: int
+    ) -> BackendConnection:
+        """Connect and log in.
+
+        Raises:
+            ConnectError: The server could not be reached, rejected the login, or did neither in time.
+        """
         session = ClientSession(
-            login.user, login.password, login.database, login.max_packet, login.tls is not None
+            config.user, config.password, config.database, config.max_packet_bytes, config.tls is not None
         )
         stream = None
         try:
             with trio.fail_after(max(timeout_us, 0) / US):
                 stream = await network.connect(host, port, timeout_us)
-                stream = await log_in(stream, session, host, login)
+                stream = await log_in(stream, session, host, config.tls)
         except BaseException as error:
             if stream is not None:
                 with trio.CancelScope(shield=True):
                     await trio.aclose_forcefully(stream)
-            if isinstance(error, (trio.TooSlowError, *BROKEN)):
-                raise Silent(f"{host}:{port} let nobody in: {error or 'time is up'}") from error
+            if isinstance(error, (trio.TooSlowError, *STREAM_ERRORS)):
+                raise Silent(f"{host}:{port} accepted no login: {error or 'timed out'}") from error
             raise
-        return Backend(stream, session, login)
+        return BackendConnection(stream, session, config)
 
     @property
-    def thread(self) -> int:
-        """Its number at the server."""
+    def thread_id(self) -> int:
+        """The connection's id at its server, as `kill` takes it."""
         return self.session.thread
 
+    @property
+    def closed_locally(self) -> bool:
+        """Whether this side closed the connection, and not the server or the network."""
+        return self.close_reason == CLOSED_LOCALLY
+
     async def run(self) -> None:
-        """Reads until the connection ends, or is closed."""
+        """Read until the connection breaks or is closed."""
         try:
-            with self._scope:
-                await self._read()
+            with self._cancel_scope:
+                await self._read_loop()
         finally:
-            self._lose("the connection was closed")
-            with trio.CancelScope(shield=True, deadline=trio.current_time() + GOODBYE_S):
+            self._mark_closed("the connection was closed")
+            with trio.CancelScope(shield=True, deadline=trio.current_time() + QUIT_TIMEOUT_S):
                 await trio.aclose_forcefully(self._stream)
 
-    async def _read(self) -> None:
-        while True:
-            while self._held > HELD_BYTES:
-                # Danger: a client that reads slowly must slow its member down, not fill this program.
-                self._room = trio.Event()
-                await self._room.wait()
-            try:
-                data = await self._stream.receive_some(READ_BYTES)
-            except BROKEN as error:
-                self._lose(f"the connection broke: {error}")
-                return
-            if not data:
-                self._lose("the member closed the connection")
-                return
-            idle = not self.session.in_hand
-            for event in self.session.receive(data):
-                if isinstance(event, client.Row):
-                    self._held += len(event.payload)
-                self._events.append(event)
-                if isinstance(event, client.Broken):
-                    self._lose(event.why)
-            self._arrived.set()
-            if idle:
-                self._lose("the member spoke unasked")
-            if self.why:
-                return
-
-    def _lose(self, why: str) -> None:
-        if not self.why:
-            self.why = why
-        self._arrived.set()
-
     def close(self) -> None:
-        """At once; the member undoes what is open on it."""
-        self._lose("closed here")
-        self._scope.cancel()
+        """Close at once; the server rolls back what is open on the connection."""
+        self._mark_closed(CLOSED_LOCALLY)
+        self._cancel_scope.cancel()
 
-    async def leave(self) -> None:
-        """Says goodbye first; for an idle connection."""
-        if not self.why and not self.session.in_hand:
+    async def quit(self) -> None:
+        """Close an idle connection after sending COM_QUIT."""
+        if not self.close_reason and not self.session.in_hand:
             self.session.quit()
-            with trio.move_on_after(GOODBYE_S):
-                with suppress(*BROKEN):
+            with trio.move_on_after(QUIT_TIMEOUT_S):
+                with suppress(*STREAM_ERRORS):
                     await self._stream.send_all(self.session.data_to_send())
         self.close()
 
-    # Exchanges.
-
     async def exchange(
         self,
-        steps: Sequence[Statement],
+        statements: Sequence[Statement],
         attributes: Mapping[str, Value] | None = None,
-        main: int = 0,
+        main_index: int = 0,
         stream: bool = False,
     ) -> list[Result | Err]:
-        """Runs all steps, whatever comes of each. `attributes` go with the step `main`. With `stream`, the
-        last step's result may have a rest. Raises Lost, or TooLong. Cancelled or raising, the connection is
-        closed."""
+        """Run all statements, even if an earlier one fails, and return the response to each.
+
+        Closes the connection when it raises or is cancelled.
+
+        Args:
+            statements: Sent together, in this order.
+            attributes: Query attributes, sent with one of the statements.
+            main_index: Which statement gets the attributes.
+            stream: Whether the last statement's result may be returned before all of its rows arrived, with
+                the others in `Result.remaining_rows`.
+
+        Raises:
+            ConnectionLostError: The connection broke.
+            ResultTooLargeError: A result that may not be streamed exceeds `max_result_bytes`.
+        """
         try:
-            self._alive()
-            parsed = self.state.parsed
-            failed = await self._prepare(steps, parsed)
-            self._alive()
-            if failed is not None:
-                return [failed] * len(steps)
-            for at, step in enumerate(steps):
-                named = attributes if at == main else None
-                if step.prepared:
-                    number = self.statements.get((step.text, parsed))
-                    assert number is not None
-                    self.session.execute(number, step.values, named)
-                else:
-                    self.session.query(step.text, named)
-            await self._send()
-            out: list[Result | Err] = []
-            for at, step in enumerate(steps):
-                out.append(await self._result(step.prepared, stream and at == len(steps) - 1))
-                found = out[-1]
-                if isinstance(found, Err) and found.code in FORGOTTEN:
-                    self.statements.forget((step.text, parsed))
-            return out
+            return await self._exchange(statements, attributes, main_index, stream)
         except BaseException:
             self.close()
             raise
 
-    async def _prepare(self, steps: Sequence[Statement], parsed: str) -> Err | None:
-        """What is not prepared here yet, as it reads in this state; an error that keeps it from being so."""
-        for step in steps:
-            if not step.prepared or self.statements.get((step.text, parsed)) is not None:
-                continue
-            self.session.prepare(step.text)
-            await self._send()
-            event = await self._next()
-            if isinstance(event, client.Failed):
-                return event.err
-            if not isinstance(event, client.Prepared):
-                raise Lost("the member did not prepare", sent=True)
-            for number in self.statements.keep((step.text, parsed), event.id):
-                self.session.close_statement(number)
-            if event.parameters != len(step.values):
-                self.statements.forget((step.text, parsed))
-                self.session.close_statement(event.id)
-                words = f"{event.parameters} placeholders, {len(step.values)} values"
-                return Err(WRONG_COUNT, "HY000", words)
-        return None
-
-    def _alive(self) -> None:
-        """Raises Lost: the member ended the connection while nothing was asked on it."""
-        if self.why:
-            raise Lost(self.why, sent=False)
-
-    async def _send(self) -> None:
-        self._alive()
-        try:
-            await self._stream.send_all(self.session.data_to_send())
-        except BROKEN as error:
-            raise Lost(f"the connection broke while writing: {error}", sent=True) from error
+    async def next_event(self) -> client.Event:
+        """The next protocol event, which belongs to the oldest statement without a complete response.
 
-    async def _next(self) -> client.Event:
+        Raises:
+            ConnectionLostError: The connection broke and no event is left.
+        """
         while not self._events:
-            if self.why:
-                raise Lost(self.why, sent=True)
-            self._arrived = trio.Event()
-            await self._arrived.wait()
+            if self.close_reason:
+                raise ConnectionLostError(self.close_reason, sent=True)
+            self._event_received = trio.Event()
+            await self._event_received.wait()
         event = self._events.popleft()
         if isinstance(event, client.Broken):
-            raise Lost(event.why, sent=True)
+            raise ConnectionLostError(event.why, sent=True)
         if isinstance(event, client.Row):
-            self._held -= len(event.payload)
-            if self._held <= HELD_BYTES // 2:
-                self._room.set()
+            self._buffered_row_bytes -= len(event.payload)
+            if self._buffered_row_bytes <= MAX_BUFFERED_ROW_BYTES // 2:
+                self._buffer_drained.set()
         return event
 
-    async def _result(self, binary: bool, stream: bool) -> Result | Err:
+    async def _read_loop(self) -> None:
+        while not self.close_reason:
+            while self._buffered_row_bytes > MAX_BUFFERED_ROW_BYTES:
+                # Danger: without this pause, a client that reads slowly lets its result fill this process's
+                # memory. With it, TCP flow control slows the server down.
+                self._buffer_drained = trio.Event()
+                await self._buffer_drained.wait()
+            try:
+                data = await self._stream.receive_some(READ_BYTES)
+            except STREAM_ERRORS as error:
+                self._mark_closed(f"the connection broke: {error}")
+                return
+            if not data:
+                self._mark_closed("the server closed the connection")
+                return
+            self._receive(data)
+
+    def _receive(self, data: bytes | bytearray) -> None:
+        was_idle = not self.session.in_hand
+        for event in self.session.receive(data):
+            if isinstance(event, client.Row):
+                self._buffered_row_bytes += len(event.payload)
+            self._events.append(event)
+            if isinstance(event, client.Broken):
+                self._mark_closed(event.why)
+        self._event_received.set()
+        if was_idle:
+            self._mark_closed("the server sent data without a request")
+
+    def _mark_closed(self, reason: str) -> None:
+        if not self.close_reason:
+            self.close_reason = reason
+        self._event_received.set()
+
+    def _check_open(self) -> None:
+        """Raise ConnectionLostError if the connection was closed before anything was sent on it."""
+        if self.close_reason:
+            raise ConnectionLostError(self.close_reason, sent=False)
+
+    async def _exchange(
+        self,
+        statements: Sequence[Statement],
+        attributes: Mapping[str, Value] | None,
+        main_index: int,
+        stream: bool,
+    ) -> list[Result | Err]:
+        self._check_open()
+        parse_context = self.session_state.parse_context
+        prepare_error = await self._prepare_missing(statements, parse_context)
+        self._check_open()
+        if prepare_error is not None:
+            return [prepare_error] * len(statements)
+        for index, statement in enumerate(statements):
+            statement_attributes = attributes if index == main_index else None
+            self._queue_statement(statement, parse_context, statement_attributes)
+        await self._send()
+        responses: list[Result | Err] = []
+        for index, statement in enumerate(statements):
+            may_stream = stream and index == len(statements) - 1
+            responses.append(await self._receive_response(statement, parse_context, may_stream))
+        return responses
+
+    async def _prepare_missing(self, statements: Sequence[Statement], parse_context: str) -> Err | None:
+        """Prepare what is not prepared yet; return the error that prevented it, if any."""
+        for statement in statements:
+            key = StatementKey(statement.text, parse_context)
+            if statement.prepared and self.prepared_statements.get(key) is None:
+                error = await self._prepare(statement, key)
+                if error is not None:
+                    return error
+        return None
+
+    async def _prepare(self, statement: Statement, key: StatementKey) -> Err | None:
+        self.session.prepare(statement.text)
+        await self._send()
+        event = await self.next_event()
+        if isinstance(event, client.Failed):
+            return event.err
+        if not isinstance(event, client.Prepared):
+            raise ConnectionLostError("the server did not prepare a statement", sent=True)
+        for evicted_id in self.prepared_statements.put(key, event.id):
+            self.session.close_statement(evicted_id)
+        if event.parameters == len(statement.values):
+            return None
+        self.prepared_statements.remove(key)
+        self.session.close_statement(event.id)
+        message = f"{event.parameters} placeholders, {len(statement.values)} values"
+        return Err(WRONG_ARGUMENT_COUNT, GENERAL_SQLSTATE, message)
+
+    def _queue_statement(
+        self, statement: Statement, parse_context: str, attributes: Mapping[str, Value] | None
+    ) -> None:
+        if not statement.prepared:
+            self.session.query(statement.text, attributes)
+            return
+        statement_id = self.prepared_statements.get(StatementKey(statement.text, parse_context))
+        assert statement_id is not None
+        self.session.execute(statement_id, statement.values, attributes)
+
+    async def _send(self) -> None:
+        self._check_open()
+        try:
+            await self._stream.send_all(self.session.data_to_send())
+        except STREAM_ERRORS as error:
+            raise ConnectionLostError(f"the connection broke while writing: {error}", sent=True) from error
+
+    async def _receive_response(
+        self, statement: Statement, parse_context: str, may_stream: bool
+    ) -> Result | Err:
+        response = await self._receive_results(statement.prepared, may_stream)
+        if isinstance(response, Err) and response.code in REPREPARE_CODES:
+            self.prepared_statements.remove(StatementKey(statement.text, parse_context))
+        return response
+
+    async def _receive_results(self, binary: bool, may_stream: bool) -> Result | Err:
+        """All results of one statement; a stored procedure may return several."""
         first: Result | None = None
         while True:
-            result = await self._one(binary, stream)
+            result = await self._receive_result(binary, may_stream)
             if isinstance(result, Err):
                 return result
             if first is None:
                 first = result
             else:
-                first.more.append(result)
-            if result.rest is not None or not result.ok.more:
+                first.additional_results.append(result)
+            if result.remaining_rows is not None or not result.ok.more:
                 return first
 
-    async def _one(self, binary: bool, stream: bool) -> Result | Err:
-        event = await self._next()
+    async def _receive_result(self, binary: bool, may_stream: bool) -> Result | Err:
+        event = await self.next_event()
         match event:
             case client.Failed(err):
                 return err
             case client.Done(ok):
                 return Result(ok=ok)
             case client.Began(columns):
-                result = Result(columns, binary=binary)
+                return await self._receive_rows(Result(columns, binary=binary), may_stream)
             case _:
-                raise Lost(f"the member answered with {type(event).__name__}", sent=True)
+                raise unexpected_event(event)
+
+    async def _receive_rows(self, result: Result, may_stream: bool) -> Result | Err:
         size = 0
         while True:
-            event = await self._next()
+            event = await self.next_event()
             match event:
                 case client.Row(payload):
                     result.rows.append(payload)
                     size += len(payload)
-                    if size > self._login.held:
-                        if not stream:
-                            raise TooLong(f"an answer of more than {self._login.held} bytes")
-                        result.rest = Remainder(self)
-                        return result
+                    if size <= self._max_result_bytes:
+                        continue
+                    if not may_stream:
+                        raise ResultTooLargeError(f"a result of more than {self._max_result_bytes} bytes")
+                    result.remaining_rows = ConnectionRowStream(self)
+                    return result
                 case client.End(ok):
                     result.ok = ok
                     return result
                 case client.Failed(err):
                     return err
                 case _:
-                    raise Lost(f"the member answered with {type(event).__name__}", sent=True)
+                    raise unexpected_event(event)
 
 
-class Remainder:
-    """The rest of a long result, straight from its connection."""
+class ConnectionRowStream:
+    """The rows of a long result that have not been returned yet, read directly from the connection.
 
-    def __init__(self, backend: Backend) -> None:
-        self._backend = backend
+    Attributes:
+        ok: How the result ended; valid once `next_rows` returned no rows.
+        ended: Whether the result was read to its end, or closed.
+        finished: Set when `ended` becomes true: the connection is free, or closed.
+    """
+
+    def __init__(self, connection: BackendConnection) -> None:
+        self._connection = connection
         self.ok = Ok()
         self.ended = False
-        self.over = trio.Event()  # read to its end, or given up
+        self.finished = trio.Event()
 
-    async def more(self) -> list[bytes]:
-        """Raises Told or Lost. Cancelled, the connection is closed."""
-        rows: list[bytes] = []
-        size = 0
+    async def next_rows(self) -> list[bytes]:
+        """Some more rows; none at the end. Closes the connection when it raises or is cancelled.
+
+        Raises:
+            StatementError: The statement failed after some of its rows; the connection stays usable.
+            ConnectionLostError: The connection broke.
+        """
         try:
-            while not self.ended and size < CHUNK_BYTES:
-                event = await self._backend._next()
-                match event:
-                    case client.Row(payload):
-                        rows.append(payload)
-                        size += len(payload)
-                    case client.End(ok):
-                        self.ok = ok
-                        self._end()
-                    case client.Failed(err):
-                        self._end()
-                        raise Told(err)
-                    case _:
-                        raise Lost("the member broke off a result", sent=True)
+            return await self._read_chunk()
         except BaseException:
-            if not self.ended:
-                self.close()
+            self.close()
             raise
+
+    def close(self) -> None:
+        """Discard the remaining rows. Unless all were read, this closes the connection."""
+        if self.ended:
+            return
+        # The next statement's response only follows after all remaining rows; closing is cheaper than
+        # reading them.
+        self._connection.close()
+        self._finish()
+
+    async def _read_chunk(self) -> list[bytes]:
+        rows: list[bytes] = []
+        size = 0
+        while not self.ended and size < STREAM_CHUNK_BYTES:
+            event = await self._connection.next_event()
+            match event:
+                case client.Row(payload):
+                    rows.append(payload)
+                    size += len(payload)
+                case client.End(ok):
+                    self.ok = ok
+                    self._finish()
+                case client.Failed(err):
+                    self._finish()
+                    raise StatementError(err)
+                case _:
+                    raise ConnectionLostError("the server broke off a result", sent=True)
         return rows
 
-    def _end(self) -> None:
+    def _finish(self) -> None:
         self.ended = True
-        self.over.set()
+        self.finished.set()
 
-    def close(self) -> None:
-        if not self.ended:
-            # What is still to come can't be told from the next answer without reading it all.
-            self._backend.close()
-            self._end()
-
-
-async def log_in(stream: trio.abc.Stream, session: ClientSession, host: str, login: Login) -> trio.abc.Stream:
-    """The stream to go on with. Raises ConnectError, or what the stream raises."""
-    while True:
-        data = await stream.receive_some(READ_BYTES)
-        if not data:
-            raise Silent(f"{host} closed the connection at the login")
-        for event in session.receive(data):
-            match event:
-                case client.Ready():
-                    return stream
-                case client.Broken(why, code):
-                    raise NotLetIn(f"{host}: {why}", code)
-                case client.StartTls():
-                    await stream.send_all(session.data_to_send())
-                    assert login.tls is not None
-                    stream = trio.SSLStream(stream, login.tls, server_hostname=host)
-                    await stream.do_handshake()
-                    session.inside_tls()
-        out = session.data_to_send()
-        if out:
-            await stream.send_all(out)
-
-
-class NotLetIn(ConnectError):
-    """The member refused the login; nothing was asked of it. `code`: its reason."""
-
-    def __init__(self, words: str, code: int) -> None:
-        super().__init__(words)
-        self.code = code
+
+def unexpected_event(event: client.Event) -> ConnectionLostError:
+    """The error for a response that no statement of ours can have."""
+    return ConnectionLostError(f"the server answered with {type(event).__name__}", sent=True)
--- a/juniperreel/pool/core.py
+++ b/juniperreel/pool/core.py
@@ -1,13 +1,12 @@
-"""One member's connections: which are there, who gets one, who waits, when another is opened. No I/O, no
-clock.
+"""The pool of one endpoint: which connections exist, who gets one, who waits, when another is opened.
 
-    opening -> idle <-> leased -> closed          a lease is one transaction's, and comes back exactly once
+No I/O and no clock.
 
-Who waits is served by tenants' shares, within a tenant by worth, then by arrival (start-time fair queueing:
-Goyal, Vin and Cheng, SIGCOMM 1996). Idle connections are lent newest first, but one whose session state fits
-goes before one that would have to be changed. Openings are paced: a member that comes back must not be met by
-all connections of all edges at once. A member that refuses connections lowers what is asked of it, and is
-tried upwards again.
+    opening -> idle <-> leased -> closed          a lease serves one transaction, and is released exactly once
+
+Waiters are served by tenants' shares, see `wait_queue`; openings are paced, see `open_limiter`. Idle
+connections are leased newest first, so that the rest reach their idle timeout, but one whose session state
+matches the request goes before one whose state would have to be changed.
 """
 
 from __future__ import annotations
@@ -15,391 +14,277 @@
 import random
 from collections import deque
 from collections.abc import Hashable
-from dataclasses import dataclass, field
-from typing import Generic, TypeVar
-
-C = TypeVar("C", bound=Hashable)
-PAUSE_US, PAUSE_CAP_US = 50_000, 2_000_000  # after failed openings; doubles with each
-RAISE_US = 5_000_000  # after a refusal, before one connection more is asked for again
-SPREAD = (0.8, 1.0)  # of the greatest age: edges started together must not open together again
-
-
-@dataclass(frozen=True, slots=True)
-class Sizes:
-    """Spans are microseconds. `most` counts all connections to the member, `least` are kept open; `queue` is
-    who may wait."""
-
-    most: int
-    least: int = 0
-    queue: int = 1000
-    wait_us: int = 250_000
-    idle_us: int = 60_000_000
-    age_us: int = 3_600_000_000
-    open_rate: float = 50.0  # a second
-    open_burst: float = 8.0
-    shares: tuple[float, ...] = ()  # of tenants, in their order
-
-
-@dataclass(frozen=True, slots=True)
-class Want:
-    """Who asks. `state` is the session's: a connection with an equal one is preferred."""
-
-    id: Hashable
-    tenant: int = -1
-    worth: float = 1.0
-    until_us: int = 1 << 62
-    state: Hashable = None
-
-
-@dataclass(eq=False, slots=True)
-class Lease(Generic[C]):
-    """One connection for one transaction. Danger: the same one returned twice would be lent twice; `back`
-    takes a lease once."""
-
-    connection: C
-    want: Want
-    over: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Give(Generic[C]):
-    lease: Lease[C]
-
-
-@dataclass(frozen=True, slots=True)
-class Open:
-    """Open another one, and say `opened` or `failed`."""
-
-
-@dataclass(frozen=True, slots=True)
-class Close(Generic[C]):
-    connection: C
-
-
-@dataclass(frozen=True, slots=True)
-class Turn:
-    """Nothing for this one: `why` is one of the reasons below."""
-
-    want: Want
-    why: str
-
-
-Action = Give[C] | Open | Close[C] | Turn
-LATE, FULL, UNREACHABLE, GONE = (
-    "no connection came free in time",
-    "too many wait",
-    "it cannot be reached",
-    "it has left",
+from dataclasses import dataclass
+from typing import Generic
+
+from juniperreel.pool.config import PoolConfig
+from juniperreel.pool.open_limiter import OpenLimiter
+from juniperreel.pool.types import (
+    AcquireRejected,
+    AcquireRequest,
+    CloseConnection,
+    ConnectionT,
+    Lease,
+    LeaseGranted,
+    OpenConnection,
+    PoolAction,
+    RejectionReason,
 )
+from juniperreel.pool.wait_queue import FairWaitQueue
 
-
-@dataclass(eq=False, slots=True)
-class Kept(Generic[C]):
-    """An open connection. `until_us`: not lent again after it."""
-
-    connection: C
-    until_us: int
-    state: Hashable = None
-    since_us: int = 0  # idle
+# Of the maximum lifetime: proxies that started together must not reconnect together.
+LIFETIME_JITTER = (0.8, 1.0)
 
 
 @dataclass(eq=False, slots=True)
-class Waiter:
-    want: Want
-    order: int
-    until_us: int
-    left: bool = False
-
+class PooledConnection(Generic[ConnectionT]):
+    """An open connection. It is not leased again after `expires_us`."""
 
-@dataclass(slots=True)
-class Tenant:
-    """`start`: its virtual time; the tenant with the lowest is served next."""
+    connection: ConnectionT
+    expires_us: int
+    session_state: Hashable = None
+    idle_since_us: int = 0
 
-    start: float = 0.0
-    waiting: list[Waiter] = field(default_factory=list)
 
+class Pool(Generic[ConnectionT]):
+    """The decisions of one endpoint's pool. Every method returns the actions that are to be carried out now.
 
-class Pool(Generic[C]):
-    """Every method returns what is to be done now."""
+    The caller passes the time in microseconds, carries out the actions in their order, and calls `tick` at
+    `next_tick_us`. The pool owns the invariant that a connection is idle, or leased to one request, never
+    both.
+    """
 
-    def __init__(self, sizes: Sizes, rng: random.Random) -> None:
-        self.sizes, self._rng = sizes, rng
-        self._idle: deque[Kept[C]] = deque()  # longest idle first
-        self._leased: dict[C, Kept[C]] = {}
-        self._opening = 0
-        self._tenants: dict[int, Tenant] = {}
-        self._waiting = 0
-        self._order = 0
-        self._virtual = 0.0
-        self._failures = 0
-        self._not_before_us = 0
-        self._cap = float(sizes.most)
-        self._raise_us = 0
-        self._tokens, self._tokens_us = sizes.open_burst, 0
+    def __init__(self, config: PoolConfig, random_source: random.Random) -> None:
+        self.config = config
         self.draining = False
-        self.refusals = 0
-
-    # What it may be asked.
+        self._random = random_source
+        self._idle: deque[PooledConnection[ConnectionT]] = deque()  # longest idle first
+        self._leased: dict[ConnectionT, PooledConnection[ConnectionT]] = {}
+        self._opening = 0
+        self._waiters = FairWaitQueue(config.tenant_shares)
+        self._open_limiter = OpenLimiter(
+            config.max_connections, config.open_rate, config.open_burst, random_source
+        )
 
     @property
     def leased(self) -> int:
+        """Connections that are leased."""
         return len(self._leased)
 
     @property
     def idle(self) -> int:
+        """Connections that are open and not leased."""
         return len(self._idle)
 
     @property
     def opening(self) -> int:
+        """Connections that are being opened."""
         return self._opening
 
     @property
     def total(self) -> int:
-        return len(self._leased) + len(self._idle) + self._opening
+        """Connections in any state."""
+        return self.leased + self.idle + self.opening
 
     @property
     def waiting(self) -> int:
-        return self._waiting
+        """Requests that wait for a connection."""
+        return len(self._waiters)
+
+    @property
+    def rejected_openings(self) -> int:
+        """Connections that the endpoint rejected for having too many of them."""
+        return self._open_limiter.rejections
 
     @property
-    def cap(self) -> int:
-        """How many connections are asked of the member now; below `most` after it refused some."""
-        return max(1, int(self._cap))
-
-    def due_us(self, now: int) -> int | None:
-        """When `tick` should be called next."""
-        dues = [w.until_us for t in self._tenants.values() for w in t.waiting if not w.left]
-        dues += [min(k.since_us + self.sizes.idle_us, k.until_us) for k in self._idle]
-        if self._waiting and self.total < self.cap:
-            missing = max(0.0, 1.0 - self._filled(now))
-            dues.append(max(self._not_before_us, now + int(missing / self.sizes.open_rate * 1e6) + 1))
-        return min(dues, default=None)
-
-    # Leases.
-
-    def ask(self, now: int, want: Want) -> list[Action[C]]:
-        """Give or Turn may come now, or later from any other method."""
+    def connection_limit(self) -> int:
+        """The most connections to have now; below the configured maximum after the endpoint rejected some."""
+        return self._open_limiter.connection_limit
+
+    def next_tick_us(self, now_us: int) -> int | None:
+        """When `tick` must be called next; None if nothing is pending."""
+        due_times = self._waiters.deadlines_us()
+        for pooled in self._idle:
+            idle_deadline_us = pooled.idle_since_us + self.config.idle_timeout_us
+            due_times.append(min(idle_deadline_us, pooled.expires_us))
+        if self.waiting and self.total < self.connection_limit:
+            due_times.append(self._open_limiter.next_opening_us(now_us))
+        return min(due_times, default=None)
+
+    def acquire(self, now_us: int, request: AcquireRequest) -> list[PoolAction[ConnectionT]]:
+        """Ask for a connection. The grant or rejection is in this result, or in a later one of any method."""
         if self.draining:
-            return [Turn(want, GONE)]
-        if not self._waiting:
-            kept = self._pick(now, want.state)
-            if kept is not None:
-                return [self._give(kept, want)]
-        if self._unreachable(now):
-            return [Turn(want, UNREACHABLE)]
-        until = min(want.until_us, now + self.sizes.wait_us)
-        if until <= now:
-            return [Turn(want, LATE)]
-        actions: list[Action[C]] = []
-        if self._waiting >= self.sizes.queue:
-            pushed = self._push_out(want.tenant)
-            if pushed is None:
-                return [Turn(want, FULL)]
-            actions.append(Turn(pushed.want, FULL))
-        tenant = self._tenants.setdefault(want.tenant, Tenant())
-        if not any(not w.left for w in tenant.waiting):
-            tenant.start = max(tenant.start, self._virtual)  # what it did not ask for is not owed to it
-        self._order += 1
-        tenant.waiting.append(Waiter(want, self._order, until))
-        self._waiting += 1
-        return actions + self._open_more(now)
-
-    def _push_out(self, tenant: int) -> Waiter | None:
-        """The last of whoever fills the queue most beyond its share. Danger: one that asks for ten times its
-        share fills any queue, and would have all others turned away at its end."""
-
-        def pressed(number: int) -> float:
-            """Those who wait, with the one that asks, for each part of the share."""
-            return (len(waiting.get(number, ())) + (number == tenant)) / self._share(number)
-
-        waiting = {n: [w for w in t.waiting if not w.left] for n, t in self._tenants.items()}
-        full = [n for n, waiters in waiting.items() if waiters]
-        if not full:
-            return None
-        most = max(full, key=pressed)
-        if most == tenant or pressed(most) <= pressed(tenant):
-            return None
-        last = min(waiting[most], key=lambda w: (w.want.worth, -w.order))
-        last.left = True
-        self._waiting -= 1
-        return last
-
-    def gone(self, now: int, want: Hashable) -> list[Action[C]]:
-        """Whoever waited wants nothing any more."""
-        for tenant in self._tenants.values():
-            for waiter in tenant.waiting:
-                if waiter.want.id == want and not waiter.left:
-                    waiter.left = True
-                    self._waiting -= 1
+            return [AcquireRejected(request, RejectionReason.DRAINING)]
+        if not self.waiting:
+            pooled = self._take_idle(now_us, request.session_state)
+            if pooled is not None:
+                return [self._grant(pooled, request)]
+        if self._is_unreachable(now_us):
+            return [AcquireRejected(request, RejectionReason.UNREACHABLE)]
+        deadline_us = min(request.deadline_us, now_us + self.config.acquire_timeout_us)
+        if deadline_us <= now_us:
+            return [AcquireRejected(request, RejectionReason.TIMED_OUT)]
+        actions: list[PoolAction[ConnectionT]] = []
+        if self.waiting >= self.config.max_waiters:
+            evicted = self._waiters.evict_for(request.tenant)
+            if evicted is None:
+                return [AcquireRejected(request, RejectionReason.QUEUE_FULL)]
+            actions.append(AcquireRejected(evicted.request, RejectionReason.QUEUE_FULL))
+        self._waiters.add(request, deadline_us)
+        return actions + self._open_more(now_us)
+
+    def cancel(self, request_id: Hashable) -> list[PoolAction[ConnectionT]]:
+        """Forget a request that waits; its caller no longer wants a connection. Calls for no action."""
+        self._waiters.cancel(request_id)
         return []
 
-    def back(self, now: int, lease: Lease[C], good: bool, state: Hashable = None) -> list[Action[C]]:
-        """`good`: nothing is open or in doubt on it; `state` as it is now."""
-        if lease.over:
-            raise ValueError("a lease that was returned before")
-        lease.over = True
-        kept = self._leased.pop(lease.connection)
-        if not good or self.draining or now >= kept.until_us or self.total >= self.cap:
-            return [Close(lease.connection), *self._open_more(now)]
-        kept.state, kept.since_us = state, now
-        self._idle.append(kept)
-        return self._serve(now)
-
-    def _pick(self, now: int, state: Hashable) -> Kept[C] | None:
-        for kept in reversed(self._idle):
-            if kept.state == state and now < kept.until_us:
-                self._idle.remove(kept)
-                return kept
-        while self._idle:
-            kept = self._idle.pop()
-            if now < kept.until_us:
-                return kept
-            self._idle.appendleft(kept)  # too old: `tick` closes it
+    def release(
+        self, now_us: int, lease: Lease[ConnectionT], reusable: bool, session_state: Hashable = None
+    ) -> list[PoolAction[ConnectionT]]:
+        """End a lease.
+
+        Args:
+            now_us: The current time.
+            lease: A lease that was granted by this pool.
+            reusable: Whether no transaction is open, and no response is outstanding, on the connection.
+            session_state: What the connection's session state is now.
+
+        Raises:
+            ValueError: The lease was released before.
+        """
+        if lease.released:
+            raise ValueError("a lease that was released before")
+        lease.released = True
+        pooled = self._leased.pop(lease.connection)
+        expired = now_us >= pooled.expires_us
+        if not reusable or self.draining or expired or self.total >= self.connection_limit:
+            return [CloseConnection(lease.connection), *self._open_more(now_us)]
+        pooled.session_state = session_state
+        pooled.idle_since_us = now_us
+        self._idle.append(pooled)
+        return self._serve_waiters(now_us)
+
+    def connection_opened(
+        self, now_us: int, connection: ConnectionT, session_state: Hashable = None
+    ) -> list[PoolAction[ConnectionT]]:
+        """An `OpenConnection` succeeded."""
+        self._opening -= 1
+        self._open_limiter.record_success()
+        if self.draining:
+            return [CloseConnection(connection)]
+        lifetime_us = int(self.config.max_lifetime_us * self._random.uniform(*LIFETIME_JITTER))
+        self._idle.append(PooledConnection(connection, now_us + lifetime_us, session_state, now_us))
+        return self._serve_waiters(now_us)
+
+    def open_failed(self, now_us: int, rejected: bool) -> list[PoolAction[ConnectionT]]:
+        """An `OpenConnection` failed.
+
+        Args:
+            now_us: The current time.
+            rejected: The endpoint answered that it has too many connections. Otherwise it could not be
+                reached, or rejected the login.
+        """
+        self._opening -= 1
+        if rejected:
+            self._open_limiter.record_rejection(now_us, self.total)
+        self._open_limiter.record_failure(now_us)
+        if not self.total:
+            return self._reject_waiters(RejectionReason.UNREACHABLE)
+        return self._serve_waiters(now_us) if rejected else []
+
+    def open_abandoned(self, now_us: int) -> list[PoolAction[ConnectionT]]:
+        """An `OpenConnection` was cancelled, and says nothing about the endpoint."""
+        self._opening -= 1
+        return self._open_more(now_us)
+
+    def connection_lost(self, now_us: int, connection: ConnectionT) -> list[PoolAction[ConnectionT]]:
+        """The endpoint closed a connection; one that is leased is dealt with when it is released."""
+        pooled = next((p for p in self._idle if p.connection == connection), None)
+        if pooled is not None:
+            self._idle.remove(pooled)
+        return self._open_more(now_us)
+
+    def tick(self, now_us: int) -> list[PoolAction[ConnectionT]]:
+        """Apply what is due: time-outs of waiters and connections, and openings that the pace held back."""
+        self._open_limiter.raise_limit(now_us)
+        actions: list[PoolAction[ConnectionT]] = [
+            AcquireRejected(waiter.request, RejectionReason.TIMED_OUT)
+            for waiter in self._waiters.expire(now_us)
+        ]
+        for pooled in list(self._idle):
+            idle_for_us = now_us - pooled.idle_since_us
+            surplus = self.total > self.config.min_connections
+            timed_out = idle_for_us >= self.config.idle_timeout_us and surplus
+            if timed_out or now_us >= pooled.expires_us:
+                self._idle.remove(pooled)
+                actions.append(CloseConnection(pooled.connection))
+        return actions + self._serve_waiters(now_us)
+
+    def drain(self) -> list[PoolAction[ConnectionT]]:
+        """Close idle connections and reject all waiters; leased connections are closed when released."""
+        self.draining = True
+        actions: list[PoolAction[ConnectionT]] = [CloseConnection(pooled.connection) for pooled in self._idle]
+        self._idle.clear()
+        return actions + self._reject_waiters(RejectionReason.DRAINING)
+
+    def resume(self) -> None:
+        """Serve requests again after `drain`."""
+        self.draining = False
+
+    def _take_idle(self, now_us: int, session_state: Hashable) -> PooledConnection[ConnectionT] | None:
+        """Remove an idle connection: the newest with this session state, else the newest of all."""
+        for pooled in reversed(self._idle):
+            if pooled.session_state == session_state and now_us < pooled.expires_us:
+                self._idle.remove(pooled)
+                return pooled
+        if not self._idle:
             return None
+        pooled = self._idle.pop()
+        if now_us < pooled.expires_us:
+            return pooled
+        self._idle.appendleft(pooled)  # expired: the next `tick` closes it
         return None
 
-    def _give(self, kept: Kept[C], want: Want) -> Give[C]:
-        assert kept.connection not in self._leased
-        self._leased[kept.connection] = kept
-        tenant = self._tenants.setdefault(want.tenant, Tenant())
-        start = max(tenant.start, self._virtual)
-        tenant.start = start + 1 / self._share(want.tenant)
-        self._virtual = start
-        return Give(Lease(kept.connection, want))
-
-    def _share(self, tenant: int) -> float:
-        shares = self.sizes.shares
-        return max(shares[tenant], 1e-6) if 0 <= tenant < len(shares) else 1.0
-
-    def _serve(self, now: int) -> list[Action[C]]:
-        actions: list[Action[C]] = []
-        while self._waiting and self._idle:
-            waiter = self._next(now)
+    def _grant(
+        self, pooled: PooledConnection[ConnectionT], request: AcquireRequest
+    ) -> LeaseGranted[ConnectionT]:
+        assert pooled.connection not in self._leased
+        self._leased[pooled.connection] = pooled
+        self._waiters.charge(request.tenant)
+        return LeaseGranted(Lease(pooled.connection, request))
+
+    def _serve_waiters(self, now_us: int) -> list[PoolAction[ConnectionT]]:
+        """Grant idle connections to waiters, and open connections for the others."""
+        actions: list[PoolAction[ConnectionT]] = []
+        while self.waiting and self._idle:
+            waiter = self._waiters.pop(now_us)
             if waiter is None:
                 break
-            kept = self._pick(now, waiter.want.state)
-            if kept is None:
-                self._return(waiter)
+            pooled = self._take_idle(now_us, waiter.request.session_state)
+            if pooled is None:
+                self._waiters.put_back(waiter)
                 break
-            actions.append(self._give(kept, waiter.want))
-        return actions + self._open_more(now)
+            actions.append(self._grant(pooled, waiter.request))
+        return actions + self._open_more(now_us)
 
-    def _next(self, now: int) -> Waiter | None:
-        """By tenant, then by worth, then by arrival."""
-        able = [(t.start, n) for n, t in self._tenants.items() if any(self._waits(w, now) for w in t.waiting)]
-        if not able:
-            return None
-        tenant = self._tenants[min(able)[1]]
-        waiter = min(
-            (w for w in tenant.waiting if self._waits(w, now)), key=lambda w: (-w.want.worth, w.order)
-        )
-        tenant.waiting.remove(waiter)
-        self._waiting -= 1
-        return waiter
-
-    @staticmethod
-    def _waits(waiter: Waiter, now: int) -> bool:
-        return not waiter.left and now < waiter.until_us
-
-    def _return(self, waiter: Waiter) -> None:
-        self._tenants[waiter.want.tenant].waiting.append(waiter)
-        self._waiting += 1
-
-    # Connections.
-
-    def opened(self, now: int, connection: C, state: Hashable = None) -> list[Action[C]]:
-        self._opening -= 1
-        self._failures = 0
-        self._not_before_us = 0
-        if self.draining:
-            return [Close(connection)]
-        until = now + int(self.sizes.age_us * self._rng.uniform(*SPREAD))
-        self._idle.append(Kept(connection, until, state, now))
-        return self._serve(now)
-
-    def failed(self, now: int, refused: bool) -> list[Action[C]]:
-        """`refused`: the member said that it has too many. Else it could not be reached, or let nobody in."""
-        self._opening -= 1
-        if refused:
-            self.refusals += 1
-            self._cap = float(max(1, min(self.cap, self.total)))
-            self._raise_us = now + RAISE_US
-        pause = min(PAUSE_US << min(self._failures, 10), PAUSE_CAP_US)
-        self._failures += 1
-        self._not_before_us = now + int(pause * self._rng.uniform(0.5, 1.0))
-        if refused and self.total:
-            return self._serve(now)
-        return self._turn_all(UNREACHABLE) if not self.total else []
-
-    def given_up(self, now: int) -> list[Action[C]]:
-        """An opening came to nothing, and nothing is known of the member."""
-        self._opening -= 1
-        return self._open_more(now)
-
-    def lost(self, now: int, connection: C) -> list[Action[C]]:
-        """An idle connection was ended by its member."""
-        kept = next((k for k in self._idle if k.connection == connection), None)
-        if kept is not None:
-            self._idle.remove(kept)
-        return self._open_more(now)
-
-    def _unreachable(self, now: int) -> bool:
-        return not self.total and now < self._not_before_us
-
-    def _filled(self, now: int) -> float:
-        if not self._tokens_us:
-            self._tokens_us = now
-        gained = (now - self._tokens_us) / 1e6 * self.sizes.open_rate
-        return min(self.sizes.open_burst, self._tokens + gained)
-
-    def _open_more(self, now: int) -> list[Action[C]]:
-        """As many as wait beyond those that are being opened, if the pace and the member allow."""
-        actions: list[Action[C]] = []
-        if self.draining or now < self._not_before_us:
+    def _open_more(self, now_us: int) -> list[PoolAction[ConnectionT]]:
+        """Open one connection for each waiter beyond those being opened, as far as the limits allow."""
+        actions: list[PoolAction[ConnectionT]] = []
+        if self.draining or self._open_limiter.in_backoff(now_us):
             return actions
-        wanted = max(self._waiting, self.sizes.least - self.total + self._opening)
-        while self._opening < wanted and self.total < self.cap and self._filled(now) >= 1.0:
-            self._tokens, self._tokens_us = self._filled(now) - 1.0, now
+        missing_connections = self.config.min_connections - self.total + self._opening
+        wanted = max(self.waiting, missing_connections)
+        while self._opening < wanted and self._may_open(now_us):
+            self._open_limiter.take_token(now_us)
             self._opening += 1
-            actions.append(Open())
+            actions.append(OpenConnection())
         return actions
 
-    # Time.
-
-    def tick(self, now: int) -> list[Action[C]]:
-        actions: list[Action[C]] = []
-        if self._cap < self.sizes.most and now >= self._raise_us:
-            self._cap += 1
-            self._raise_us = now + RAISE_US
-        for tenant in self._tenants.values():
-            for waiter in tenant.waiting:
-                if not waiter.left and now >= waiter.until_us:
-                    waiter.left = True
-                    self._waiting -= 1
-                    actions.append(Turn(waiter.want, LATE))
-            tenant.waiting = [w for w in tenant.waiting if not w.left]
-        for kept in list(self._idle):
-            rested = now - kept.since_us >= self.sizes.idle_us and self.total > self.sizes.least
-            if rested or now >= kept.until_us:
-                self._idle.remove(kept)
-                actions.append(Close(kept.connection))
-        return actions + self._serve(now)
-
-    def drain(self) -> list[Action[C]]:
-        """The member leaves: idle ones are closed, those who wait turned away, leases closed as they come
-        back."""
-        self.draining = True
-        closes: list[Action[C]] = [Close(kept.connection) for kept in self._idle]
-        self._idle.clear()
-        return closes + self._turn_all(GONE)
+    def _may_open(self, now_us: int) -> bool:
+        return self.total < self.connection_limit and self._open_limiter.available_tokens(now_us) >= 1.0
 
-    def resume(self) -> None:
-        self.draining = False
+    def _is_unreachable(self, now_us: int) -> bool:
+        return not self.total and self._open_limiter.in_backoff(now_us)
 
-    def _turn_all(self, why: str) -> list[Action[C]]:
-        turned: list[Action[C]] = []
-        for tenant in self._tenants.values():
-            turned += [Turn(w.want, why) for w in tenant.waiting if not w.left]
-            tenant.waiting.clear()
-        self._waiting = 0
-        return turned
+    def _reject_waiters(self, reason: RejectionReason) -> list[PoolAction[ConnectionT]]:
+        return [AcquireRejected(waiter.request, reason) for waiter in self._waiters.clear()]
--- a/juniperreel/pool/error_codes.py
+++ b/juniperreel/pool/error_codes.py
@@ -1,8 +1,9 @@
-"""What a member's ERR packet means for the request. No I/O.
+"""What a MySQL server's error code says about the statement, the transaction and the connection. No I/O.
 
-Only what certainly left the data as it was may count as untouched: the module sends such a request elsewhere
-at once (rule 2). Codes and their meanings: MySQL's "Server Error Message Reference". A code that is not in
-the tables is the statement's own fault, told to the client as it came; one that is in doubt is FAILED.
+Codes and their meanings are those of MySQL's "Server Error Message Reference". A code may be listed as
+READ_ONLY or OVERLOADED only if the data is certainly unchanged: the router retries such a request on another
+endpoint at once, writes included. A code in no table is the statement's own error, which the client gets as
+it is; one whose effect is in doubt is a SERVER_FAILURE.
 """
 
 from __future__ import annotations
@@ -10,23 +11,25 @@
 from enum import Enum
 
 
-class Meaning(Enum):
-    FAULT = "the statement is at fault"  # nothing took effect; sent elsewhere it would be told the same
-    READ_ONLY = "the member takes no writes"
-    BUSY = "the member had no room"
-    ENDED = "the member ended it"  # the transaction is undone; begun again it may pass
-    GONE = "the connection is of no more use"
-    FAILED = "the member failed"
+class ErrorCategory(Enum):
+    """What follows from an error."""
 
+    STATEMENT_ERROR = "nothing took effect; another server would answer the same"
+    READ_ONLY = "the server takes no writes; nothing took effect"
+    OVERLOADED = "the server lacked a resource; nothing took effect"
+    ABORTED = "the server ended the statement or its transaction, which may succeed if started again"
+    CONNECTION_CLOSED = "the server closes the connection"
+    SERVER_FAILURE = "the server failed; the effect is in doubt"
 
-READ_ONLY = frozenset(
+
+READ_ONLY_CODES = frozenset(
     {
         1290,  # running with --read-only or --super-read-only
         1836,  # running in read-only mode
-        3100,  # a plugin (group replication) does not let it write
+        3100,  # a plugin (group replication) rejected the write
     }
 )
-BUSY = frozenset(
+OVERLOADED_CODES = frozenset(
     {
         1040,  # too many connections
         1041,  # out of memory
@@ -35,48 +38,52 @@
         1226,  # a user's resource limit
     }
 )
-ENDED = frozenset(
+ABORTED_CODES = frozenset(
     {
-        1205,  # lock wait timeout; by default only the statement is undone
-        1213,  # deadlock: the whole transaction is undone
+        1205,  # lock wait timeout; by default only the statement is rolled back
+        1213,  # deadlock: the whole transaction is rolled back
         1317,  # query execution was interrupted
         1614,  # transaction branch was rolled back: deadlock
         3024,  # maximum statement execution time exceeded
-        3101,  # the plugin (group replication) undid it at commit
-        3572,  # lock not acquired at once, and nowait was asked for
+        3101,  # a plugin (group replication) rolled the transaction back at its commit
+        3572,  # lock not acquired immediately, and NOWAIT was set
     }
 )
-UNDOES_ALL = frozenset({1213, 1614, 3101})  # of ENDED: the transaction is over
-GONE = frozenset(
+CONNECTION_CLOSED_CODES = frozenset(
     {
         1053,  # server shutdown in progress
-        1077,
-        1079,
+        1077,  # normal shutdown
+        1079,  # shutdown complete
         1927,  # connection was killed
         4031,  # disconnected for inactivity
     }
 )
-FAILED = frozenset(
+SERVER_FAILURE_CODES = frozenset(
     {
         1030,  # an error from the storage engine
         1037,  # out of memory
         1105,  # unknown error
         1180,  # an error during commit
         1181,  # an error during rollback
-        1296,
-        1297,
+        1296,  # an error from the cluster engine
+        1297,  # a temporary error from the cluster engine
         3168,  # server isn't available
     }
 )
 
+TRANSACTION_ROLLBACK_CODES = frozenset({1213, 1614, 3101})  # of ABORTED_CODES: the transaction is over
+REPREPARE_CODES = frozenset({1243, 1615})  # nothing ran: the statement must be prepared again
+WRONG_ARGUMENT_COUNT = 1210
+
+_CATEGORIES = {
+    **dict.fromkeys(READ_ONLY_CODES, ErrorCategory.READ_ONLY),
+    **dict.fromkeys(OVERLOADED_CODES, ErrorCategory.OVERLOADED),
+    **dict.fromkeys(ABORTED_CODES, ErrorCategory.ABORTED),
+    **dict.fromkeys(CONNECTION_CLOSED_CODES, ErrorCategory.CONNECTION_CLOSED),
+    **dict.fromkeys(SERVER_FAILURE_CODES, ErrorCategory.SERVER_FAILURE),
+}
+
 
-def meaning(code: int) -> Meaning:
-    if code in READ_ONLY:
-        return Meaning.READ_ONLY
-    if code in BUSY:
-        return Meaning.BUSY
-    if code in ENDED:
-        return Meaning.ENDED
-    if code in GONE:
-        return Meaning.GONE
-    return Meaning.FAILED if code in FAILED else Meaning.FAULT
+def error_category(code: int) -> ErrorCategory:
+    """The category of a server's error code."""
+    return _CATEGORIES.get(code, ErrorCategory.STATEMENT_ERROR)
--- a/juniperreel/pool/gtid.py
+++ b/juniperreel/pool/gtid.py
@@ -5,73 +5,99 @@
 import re
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
-PART = re.compile(
+from juniperreel.pool.errors import InvalidGtidError
+
+SOURCE_SET = re.compile(
     r"([0-9a-f]{8}(?:-[0-9a-f]{4}){3}-[0-9a-f]{12})((?::[a-z_][a-z0-9_]{0,31}|:\d+(?:-\d+)?)+)\Z"
 )
-MAX_TEXT = 1 << 20
+MAX_TEXT_LENGTH = 1 << 20
+
 
+class Interval(NamedTuple):
+    """Transaction numbers from `first` to `last`, both included."""
 
-class BadGtid(ValueError):
-    """Text that is no GTID, or no set of them."""
+    first: int
+    last: int
 
 
 @dataclass(frozen=True, slots=True)
 class Gtid:
-    """One transaction: `source` names the server that committed it first, with its tag if it has one."""
+    """The id of one transaction.
+
+    Attributes:
+        source: The UUID of the server that committed it first, followed by the tag if it has one.
+        number: Its sequence number at that server.
+    """
 
     source: str
     number: int
 
     @staticmethod
-    def of(text: str) -> Gtid:
-        """Raises BadGtid. Of a set, as one commit may tell, the last of its single source."""
-        found = GtidSet.of(text)
-        if len(found.intervals) != 1:
-            raise BadGtid(f"{text[:80]!r} is not of one source")
-        ((source, intervals),) = found.intervals.items()
-        return Gtid(source, intervals[-1][1])
+    def parse(text: str) -> Gtid:
+        """Parse one GTID. Of a set, which a server may report for one commit, the last of its only source.
+
+        Raises:
+            InvalidGtidError: The text is no GTID set, or has not exactly one source.
+        """
+        gtid_set = GtidSet.parse(text)
+        if len(gtid_set.intervals) != 1:
+            raise InvalidGtidError(f"{text[:80]!r} is not of one source")
+        ((source, intervals),) = gtid_set.intervals.items()
+        return Gtid(source, intervals[-1].last)
 
 
 @dataclass(frozen=True, slots=True)
 class GtidSet:
-    """By source, its intervals: first and last, rising and apart."""
+    """A set of transactions: the intervals of each source, ascending and neither touching nor overlapping."""
 
-    intervals: Mapping[str, tuple[tuple[int, int], ...]] = field(default_factory=dict)
+    intervals: Mapping[str, tuple[Interval, ...]] = field(default_factory=dict)
 
     @staticmethod
-    def of(text: str) -> GtidSet:
-        """Raises BadGtid."""
-        if len(text) > MAX_TEXT:
-            raise BadGtid(f"a set of {len(text)} characters")
-        found: dict[str, list[tuple[int, int]]] = {}
+    def parse(text: str) -> GtidSet:
+        """Parse a set; letter case and white space do not matter.
+
+        Raises:
+            InvalidGtidError: The text is no GTID set, or is longer than `MAX_TEXT_LENGTH`.
+        """
+        if len(text) > MAX_TEXT_LENGTH:
+            raise InvalidGtidError(f"a set of {len(text)} characters")
+        intervals: dict[str, list[Interval]] = {}
         for part in "".join(text.lower().split()).split(","):
-            if not part:
-                continue
-            match = PART.match(part)
-            if match is None:
-                raise BadGtid(f"{part[:80]!r} is no GTID set")
-            source = match[1]
-            for piece in match[2][1:].split(":"):
-                if not piece[0].isdigit():
-                    source = f"{match[1]}:{piece}"  # a tag, for all that follows
-                    continue
-                first, _, last = piece.partition("-")
-                pair = int(first), int(last or first)
-                if not 0 < pair[0] <= pair[1]:
-                    raise BadGtid(f"{piece[:40]!r} is no interval")
-                found.setdefault(source, []).append(pair)
-        return GtidSet({source: merged(pairs) for source, pairs in found.items()})
+            if part:
+                _parse_source_set(part, intervals)
+        return GtidSet({source: _merge_intervals(found) for source, found in intervals.items()})
 
     def __contains__(self, gtid: Gtid) -> bool:
-        return any(a <= gtid.number <= b for a, b in self.intervals.get(gtid.source, ()))
-
-
-def merged(pairs: list[tuple[int, int]]) -> tuple[tuple[int, int], ...]:
-    out: list[tuple[int, int]] = []
-    for first, last in sorted(pairs):
-        if out and first <= out[-1][1] + 1:
-            out[-1] = out[-1][0], max(out[-1][1], last)
+        """Whether the transaction is in the set."""
+        return any(
+            interval.first <= gtid.number <= interval.last for interval in self.intervals.get(gtid.source, ())
+        )
+
+
+def _parse_source_set(part: str, intervals: dict[str, list[Interval]]) -> None:
+    """Add the intervals of one `uuid:interval...` to `intervals`; a tag applies to all that follow it."""
+    match = SOURCE_SET.match(part)
+    if match is None:
+        raise InvalidGtidError(f"{part[:80]!r} is no GTID set")
+    source = match[1]
+    for piece in match[2][1:].split(":"):
+        if not piece[0].isdigit():
+            source = f"{match[1]}:{piece}"
+            continue
+        first, _, last = piece.partition("-")
+        interval = Interval(int(first), int(last or first))
+        if not 0 < interval.first <= interval.last:
+            raise InvalidGtidError(f"{piece[:40]!r} is no interval")
+        intervals.setdefault(source, []).append(interval)
+
+
+def _merge_intervals(intervals: list[Interval]) -> tuple[Interval, ...]:
+    merged: list[Interval] = []
+    for interval in sorted(intervals):
+        if merged and interval.first <= merged[-1].last + 1:
+            merged[-1] = Interval(merged[-1].first, max(merged[-1].last, interval.last))
         else:
-            out.append((first, last))
-    return tuple(out)
+            merged.append(interval)
+    return tuple(merged)
--- a/juniperreel/pool/prepared_statements.py
+++ b/juniperreel/pool/prepared_statements.py
@@ -1,42 +1,47 @@
-"""What is prepared on one backend connection: texts, and how they read, to the ids that its server gave them.
+"""The statements that are prepared on one connection, by text.
 
-Bounded: the one that was not used for longest is closed. An id is good on its own connection and nowhere
-else.
+An id is valid on its own connection only. The cache is bounded: the least recently used statement is closed.
 """
 
 from __future__ import annotations
 
 from collections import OrderedDict
+from typing import NamedTuple
 
-Text = tuple[bytes, str]  # and what of the session's state changes how it reads
 
+class StatementKey(NamedTuple):
+    """What identifies a prepared statement: its text, and the session state that decides how it is parsed."""
 
-class Statements:
-    def __init__(self, most: int) -> None:
-        self._most = most
-        self._ids: OrderedDict[Text, int] = OrderedDict()
+    text: bytes
+    parse_context: str
+
+
+class PreparedStatementCache:
+    """An LRU cache from statements to the ids that the server gave them."""
+
+    def __init__(self, max_statements: int) -> None:
+        self._max_statements = max_statements
+        self._ids: OrderedDict[StatementKey, int] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._ids)
 
-    def get(self, text: Text) -> int | None:
-        number = self._ids.get(text)
-        if number is not None:
-            self._ids.move_to_end(text)
-        return number
-
-    def keep(self, text: Text, number: int) -> list[int]:
-        """The ids to close."""
-        self._ids[text] = number
-        closed = []
-        while len(self._ids) > self._most:
-            _, old = self._ids.popitem(last=False)
-            closed.append(old)
-        return closed
-
-    def forget(self, text: Text) -> None:
-        self._ids.pop(text, None)
-
-    def clear(self) -> None:
-        """The connection was reset, and its server forgot them too."""
-        self._ids.clear()
+    def get(self, key: StatementKey) -> int | None:
+        """The statement's id, if it is prepared; marks it as just used."""
+        statement_id = self._ids.get(key)
+        if statement_id is not None:
+            self._ids.move_to_end(key)
+        return statement_id
+
+    def put(self, key: StatementKey, statement_id: int) -> list[int]:
+        """Add a statement that was prepared. Returns the evicted ids, which the caller must close."""
+        self._ids[key] = statement_id
+        evicted_ids = []
+        while len(self._ids) > self._max_statements:
+            _, evicted_id = self._ids.popitem(last=False)
+            evicted_ids.append(evicted_id)
+        return evicted_ids
+
+    def remove(self, key: StatementKey) -> None:
+        """Forget a statement that the server no longer knows, or that was closed."""
+        self._ids.pop(key, None)
--- a/juniperreel/pool/result.py
+++ b/juniperreel/pool/result.py
@@ -1,4 +1,4 @@
-"""A member's answer as MySQL sent it: rows stay bytes, for a client of the same protocol."""
+"""Statements to run, and their results as the server sent them: rows stay bytes, for clients of MySQL."""
 
 from __future__ import annotations
 
@@ -10,41 +10,55 @@
 from juniperreel.mysql.values import Column, Value, read_binary_row, read_text_row
 
 
-class Rest(Protocol):
-    """Of a result that is longer than is held at once. Must be read to its end, or closed."""
+class RowStream(Protocol):
+    """The rows of a result that are not buffered yet. Must be read to the end, or closed."""
 
-    async def more(self) -> list[bytes]:
-        """Some rows; none at the end, and then `ok` tells how it ended. Raises what ends a statement."""
+    async def next_rows(self) -> list[bytes]:
+        """Some rows; none at the end, from when on `ok` is valid. Raises what ends a statement."""
         ...
 
     def close(self) -> None:
-        """Nobody wants the rest."""
+        """Discard the rows that were not read."""
         ...
 
     @property
-    def ok(self) -> Ok: ...
+    def ok(self) -> Ok:
+        """How the result ended."""
+        ...
 
 
 @dataclass(slots=True)
 class Result:
-    """`columns` is empty for what has no rows. `rows` are in text, or in binary after an execution."""
+    """The result of one statement.
+
+    Attributes:
+        columns: Empty for a statement that returns no rows.
+        rows: Encoded rows, in the text protocol or, with `binary`, in the binary one.
+        ok: How the result ended; not valid before `remaining_rows` was read to its end.
+        remaining_rows: The rows after `rows`, if the result is streamed.
+        additional_results: Further results of the same statement, as a stored procedure may return.
+    """
 
     columns: tuple[Column, ...] = ()
     rows: list[bytes] = field(default_factory=list)
     ok: Ok = field(default_factory=Ok)
     binary: bool = False
-    rest: Rest | None = None
-    more: list[Result] = field(default_factory=list)  # of the same statement, as `call` may have
+    remaining_rows: RowStream | None = None
+    additional_results: list[Result] = field(default_factory=list)
 
     def values(self) -> list[list[Value]]:
-        """Raises ProtocolError."""
-        read = read_binary_row if self.binary else read_text_row
-        return [read(self.columns, row) for row in self.rows]
+        """The decoded rows, without `remaining_rows`.
+
+        Raises:
+            ProtocolError: A row is malformed.
+        """
+        read_row = read_binary_row if self.binary else read_text_row
+        return [read_row(self.columns, row) for row in self.rows]
 
 
 @dataclass(frozen=True, slots=True)
 class Statement:
-    """What is to be run: as text, or prepared and executed with `values`."""
+    """A statement to run: as text or, with `binary` or `values`, prepared and executed."""
 
     text: bytes
     values: Sequence[Value] = ()
@@ -52,4 +66,5 @@
 
     @property
     def prepared(self) -> bool:
+        """Whether it is run as a prepared statement."""
         return self.binary or bool(self.values)
--- a/juniperreel/pool/session_state.py
+++ b/juniperreel/pool/session_state.py
@@ -1,7 +1,7 @@
-"""What a session has changed of its connection, as a value; and the statement that takes a connection there.
+"""What a session has changed of its connection, as a value; and the statement that applies it to another one.
 
-Only what is replayed word for word is kept here: system variables of a list and user variables, each with a
-literal. Whatever else a statement may leave on a connection keeps that connection from being lent again.
+Only what can be replayed literally is part of the value: certain system variables, and user variables, each
+with a literal. Whatever else a statement may change on a connection keeps that connection from being reused.
 """
 
 from __future__ import annotations
@@ -10,11 +10,13 @@
 
 from immutables import Map
 
-MOST = 64  # variables of one session
-MOST_BYTES = 4096  # of all their values
+from juniperreel.pool.errors import SessionStateTooLargeError
 
-# Session variables that may be set on any connection, and change nothing there but the meaning of statements.
-REPLAYED = frozenset(
+MAX_VARIABLES = 64  # of one session
+MAX_VARIABLE_BYTES = 4096  # names and values of one session together
+
+# System variables that may be set on any connection, and only change how its statements are executed.
+REPLAYABLE_VARIABLES = frozenset(
     [
         "sql_mode",
         "time_zone",
@@ -56,51 +58,74 @@
         "range_optimizer_max_mem_size",
     ]
 )
-PARSED = frozenset({"sql_mode"})  # change how a text reads, and so what was prepared from it
-
-
-class TooMuch(ValueError):
-    """More than is kept of one session."""
+# Change how a statement's text is parsed, and so what was prepared from it.
+PARSE_VARIABLES = frozenset({"sql_mode"})
 
 
 @dataclass(frozen=True, slots=True)
 class SessionState:
-    """`variables` by lower-case name, user variables with their `@`; values as SQL literals."""
+    """The variables that a session has set.
+
+    Attributes:
+        variables: SQL literals by lower-case name; names of user variables include their `@`.
+    """
 
     variables: Map[str, str] = field(default_factory=Map)
 
     def set(self, name: str, literal: str) -> SessionState:
-        """`default` forgets it. Raises TooMuch."""
+        """The state with one variable set; its default value removes it.
+
+        Raises:
+            SessionStateTooLargeError: More than `MAX_VARIABLES` or `MAX_VARIABLE_BYTES`.
+        """
         name = name.lower()
-        if literal.lower() == ("null" if name.startswith("@") else "default"):
+        if literal.lower() == default_literal(name):
             return SessionState(self.variables.delete(name)) if name in self.variables else self
-        made = self.variables.set(name, literal)
-        size = sum(len(k) + len(v) for k, v in made.items())
-        if len(made) > MOST or size > MOST_BYTES:
-            raise TooMuch(f"more than {MOST} variables, or {MOST_BYTES} bytes, set on one session")
-        return SessionState(made)
+        variables = self.variables.set(name, literal)
+        size = sum(len(key) + len(value) for key, value in variables.items())
+        if len(variables) > MAX_VARIABLES or size > MAX_VARIABLE_BYTES:
+            raise SessionStateTooLargeError(
+                f"more than {MAX_VARIABLES} variables, or {MAX_VARIABLE_BYTES} bytes, set on one session"
+            )
+        return SessionState(variables)
 
     @property
-    def parsed(self) -> str:
-        """What of it changes how a text reads."""
-        return ";".join(f"{name}={self.variables[name]}" for name in sorted(PARSED & set(self.variables)))
+    def parse_context(self) -> str:
+        """The part of the state that changes how a statement's text is parsed."""
+        names = sorted(PARSE_VARIABLES & set(self.variables))
+        return ";".join(f"{name}={self.variables[name]}" for name in names)
 
     def __bool__(self) -> bool:
         return bool(self.variables)
 
 
-FRESH = SessionState()
+INITIAL_SESSION_STATE = SessionState()
+
 
+def replay_statement(current: SessionState, target: SessionState) -> bytes | None:
+    """The `set` statement that takes a connection from one state to another; None if they are equal.
 
-def replay(have: SessionState, want: SessionState) -> bytes | None:
-    """One statement, which is done whole or not at all; None where there is nothing to do."""
-    if have == want:
+    It is a single statement, which the server executes completely or not at all.
+    """
+    if current == target:
         return None
-    parts = []
-    for name in sorted(set(have.variables) | set(want.variables)):
-        before, after = have.variables.get(name), want.variables.get(name)
-        if before != after:
-            user = name.startswith("@")
-            value = after if after is not None else ("null" if user else "default")
-            parts.append(f"{name if user else f'@@session.{name}'} = {value}")
-    return f"set {', '.join(parts)}".encode()
+    assignments = []
+    for name in sorted(set(current.variables) | set(target.variables)):
+        literal = target.variables.get(name)
+        if current.variables.get(name) == literal:
+            continue
+        if literal is None:
+            literal = default_literal(name)
+        qualified_name = name if is_user_variable(name) else f"@@session.{name}"
+        assignments.append(f"{qualified_name} = {literal}")
+    return f"set {', '.join(assignments)}".encode()
+
+
+def is_user_variable(name: str) -> bool:
+    """Whether a variable is a user variable, not a system variable."""
+    return name.startswith("@")
+
+
+def default_literal(name: str) -> str:
+    """The literal that resets a variable."""
+    return "null" if is_user_variable(name) else "default"
--- a/juniperreel/proxy/mysqlmembers.py
+++ b/juniperreel/proxy/mysqlmembers.py
@@ -19,23 +19,33 @@
 from juniperreel.mysql.values import Value
 from juniperreel.net import Clock, ConnectError, Network, Silent
 from juniperreel.net.clock import US
-from juniperreel.pool import endpoint_status as published
-from juniperreel.pool.connection import FORGOTTEN, Backend, Lost, NotLetIn, TooLong
-from juniperreel.pool.core import (
-    GONE,
-    UNREACHABLE,
-    Action,
-    Close,
-    Give,
-    Lease,
-    Open,
-    Pool,
-    Turn,
-    Want,
+from juniperreel.pool import endpoint_status
+from juniperreel.pool.connection import BackendConnection
+from juniperreel.pool.core import Pool
+from juniperreel.pool.error_codes import (
+    REPREPARE_CODES,
+    TRANSACTION_ROLLBACK_CODES,
+    ErrorCategory,
+    error_category,
+)
+from juniperreel.pool.errors import (
+    ConnectionLostError,
+    LoginRejectedError,
+    ResultTooLargeError,
+    StatusUnavailableError,
 )
-from juniperreel.pool.error_codes import UNDOES_ALL, Meaning, meaning
 from juniperreel.pool.result import Result, Statement
-from juniperreel.pool.session_state import SessionState, replay
+from juniperreel.pool.session_state import SessionState, replay_statement
+from juniperreel.pool.types import (
+    AcquireRejected,
+    AcquireRequest,
+    CloseConnection,
+    Lease,
+    LeaseGranted,
+    OpenConnection,
+    PoolAction,
+    RejectionReason,
+)
 from juniperreel.proxy.jobs import Fault, Job, Reply
 from juniperreel.proxy.options import DriverOptions, MysqlMembers
 from juniperreel.proxy.positions import Positions, Standing
@@ -53,7 +63,7 @@
     Hold.READ_WRITE: Statement(b"start transaction"),
     Hold.READ_ONLY: Statement(b"start transaction read only"),
 }
-GTIDS = Statement(published.GTIDS)
+GTIDS = Statement(endpoint_status.GTID_QUERY)
 
 
 class Slot:
@@ -61,7 +71,7 @@
 
     def __init__(self) -> None:
         self.done = trio.Event()
-        self.given: Lease[Backend] | None = None
+        self.given: Lease[BackendConnection] | None = None
         self.turned = ""
 
 
@@ -69,12 +79,12 @@
     """One member's address, its pool, and one connection beside it for reports and KILL: those must not wait
     for whoever has all others."""
 
-    def __init__(self, address: tuple[str, int], pool: Pool[Backend]) -> None:
+    def __init__(self, address: tuple[str, int], pool: Pool[BackendConnection]) -> None:
         self.address = address
         self.pool = pool
         self.slots: dict[Hashable, Slot] = {}
         self.held: set[Held] = set()
-        self.monitor: Backend | None = None
+        self.monitor: BackendConnection | None = None
         self.ear = trio.Lock()
         self.kills = 0
         self.last_failure = ""
@@ -108,7 +118,7 @@
             task_status.started()
             while True:
                 now = self._clock.now_us()
-                dues = [m.pool.due_us(now) for m in self._members.values()]
+                dues = [m.pool.next_tick_us(now) for m in self._members.values()]
                 due = min((d for d in dues if d is not None), default=now + int(TICK_S * US))
                 self._wake = trio.Event()
                 with trio.move_on_after(min(max(due - now, 0) / US, TICK_S)):
@@ -124,7 +134,7 @@
             return
         if known is not None:
             self._retire(known)
-        pool: Pool[Backend] = Pool(self._mysql.sizes, random.Random(self._rng.random()))
+        pool: Pool[BackendConnection] = Pool(self._mysql.sizes, random.Random(self._rng.random()))
         self._members[member] = Member((host, port), pool)
 
     def retire(self, member: str) -> None:
@@ -159,66 +169,68 @@
             for state, number in (("leased", pool.leased), ("idle", pool.idle), ("opening", pool.opening)):
                 m.pool.labels(name, state).set(number)
             m.pool_waiting.labels(name).set(pool.waiting)
-            m.pool_most.labels(name).set(pool.cap)
+            m.pool_most.labels(name).set(pool.connection_limit)
 
-    def pools(self) -> dict[str, Pool[Backend]]:
+    def pools(self) -> dict[str, Pool[BackendConnection]]:
         """For who looks on."""
         return {name: member.pool for name, member in self._members.items()}
 
     # Connections.
 
-    def _do(self, member: Member, actions: Sequence[Action[Backend]]) -> None:
+    def _do(self, member: Member, actions: Sequence[PoolAction[BackendConnection]]) -> None:
         assert self._nursery is not None
         for action in actions:
             match action:
-                case Give(lease):
-                    slot = member.slots.pop(lease.want.id, None)
+                case LeaseGranted(lease):
+                    slot = member.slots.pop(lease.request.id, None)
                     if slot is None:  # it has left in the same moment
                         self._do(
                             member,
-                            member.pool.back(self._clock.now_us(), lease, True, lease.connection.state),
+                            member.pool.release(
+                                self._clock.now_us(), lease, True, lease.connection.session_state
+                            ),
                         )
                         continue
                     slot.given = lease
                     slot.done.set()
-                case Turn(want, why):
+                case AcquireRejected(want, why):
                     self._metrics.pool_turned.labels(why).inc()
                     slot = member.slots.pop(want.id, None)
                     if slot is not None:
                         slot.turned = why
                         slot.done.set()
-                case Open():
+                case OpenConnection():
                     self._nursery.start_soon(self._open, member)
-                case Close(backend):
-                    self._nursery.start_soon(backend.leave)
+                case CloseConnection(backend):
+                    self._nursery.start_soon(backend.quit)
         if member.pool.waiting:
             self._wake.set()
 
     async def _lease(
         self, name: str, tenant: int, worth: float, state: SessionState
-    ) -> tuple[Member, Lease[Backend]]:
+    ) -> tuple[Member, Lease[BackendConnection]]:
         """Raises ConnectError or NeverSent."""
         member = self._members.get(name)
         if member is None:
             raise Silent(f"no address is known for {name}")
         while True:
-            want = Want(next(self._wants), tenant, worth, state=state)
+            want = AcquireRequest(next(self._wants), tenant, worth, session_state=state)
             slot = member.slots[want.id] = Slot()
             try:
-                self._do(member, member.pool.ask(self._clock.now_us(), want))
+                self._do(member, member.pool.acquire(self._clock.now_us(), want))
                 await slot.done.wait()
             except trio.Cancelled:
                 if slot.given is not None:
                     self._back(member, slot.given, good=True)
                 else:
                     member.slots.pop(want.id, None)
-                    self._do(member, member.pool.gone(self._clock.now_us(), want.id))
+                    self._do(member, member.pool.cancel(want.id))
                 raise
             if slot.given is None:
-                if slot.turned in (UNREACHABLE, GONE):
+                if slot.turned in (RejectionReason.UNREACHABLE, RejectionReason.DRAINING):
                     raise Silent(f"{name}: {slot.turned}; {member.last_failure}")
                 raise NeverSent(f"{name}: {slot.turned}")
-            if not slot.given.connection.why:
+            if not slot.given.connection.close_reason:
                 return member, slot.given
             self._back(member, slot.given, good=False)  # the member closed it while it was idle
 
@@ -230,32 +242,35 @@
         except ConnectError as error:
             settled = True
             member.last_failure = str(error)
-            refused = isinstance(error, NotLetIn) and meaning(error.code) is Meaning.BUSY
-            self._do(member, member.pool.failed(self._clock.now_us(), refused))
+            refused = (
+                isinstance(error, LoginRejectedError)
+                and error_category(error.code) is ErrorCategory.OVERLOADED
+            )
+            self._do(member, member.pool.open_failed(self._clock.now_us(), refused))
             return
         finally:
             if not settled:
-                member.pool.given_up(self._clock.now_us())
+                member.pool.open_abandoned(self._clock.now_us())
         assert self._nursery is not None
         self._nursery.start_soon(self._live, member, backend)
-        self._do(member, member.pool.opened(self._clock.now_us(), backend, backend.state))
+        self._do(member, member.pool.connection_opened(self._clock.now_us(), backend, backend.session_state))
 
-    async def _connect(self, member: Member) -> Backend:
+    async def _connect(self, member: Member) -> BackendConnection:
         """Raises ConnectError."""
         host, port = member.address
         timeout = self._options.connect_timeout_us
-        backend = await Backend.open(self._network, host, port, self._mysql.login, timeout)
+        backend = await BackendConnection.open(self._network, host, port, self._mysql.login, timeout)
         self.opened += 1
         return backend
 
-    async def _live(self, member: Member, backend: Backend) -> None:
+    async def _live(self, member: Member, backend: BackendConnection) -> None:
         await backend.run()
-        self._do(member, member.pool.lost(self._clock.now_us(), backend))
+        self._do(member, member.pool.connection_lost(self._clock.now_us(), backend))
 
-    def _back(self, member: Member, lease: Lease[Backend], good: bool) -> None:
+    def _back(self, member: Member, lease: Lease[BackendConnection], good: bool) -> None:
         backend = lease.connection
         spent = "" if good else "something was left on it"
-        if backend.why or backend.session.in_hand:
+        if backend.close_reason or backend.session.in_hand:
             spent = "it broke, or an exchange did"
         elif backend.session.in_transaction:
             # Danger: a transaction that is still open would take in the next client's statement.
@@ -264,7 +279,7 @@
         if spent:
             self._metrics.pool_spent.labels(spent).inc()
             backend.close()
-        self._do(member, member.pool.back(self._clock.now_us(), lease, good, backend.state))
+        self._do(member, member.pool.release(self._clock.now_us(), lease, good, backend.session_state))
 
     # Attempts.
 
@@ -277,26 +292,26 @@
             sent.set()
             reply = await self._exchange(member, link, lease, job)
             done = True
-            rest = getattr(reply.result, "rest", None)
+            rest = getattr(reply.result, "remaining_rows", None)
             kept = reply.held is not None
             if rest is not None and not kept:
                 kept = True
                 assert self._nursery is not None
                 self._nursery.start_soon(self._until_over, link, lease, rest, not job.work.taint)
             return reply
-        except Lost as error:
+        except ConnectionLostError as error:
             if not error.sent or not sent.is_set():
                 raise NeverSent(str(error)) from error
             raise Broken(str(error)) from error
         finally:
             if not kept:
                 self._back(link, lease, good=not job.work.taint)
-                if not done and backend.why == "closed here":
+                if not done and backend.closed_locally:
                     self._kill(link, backend)
 
-    async def _replay(self, backend: Backend, job: Job) -> None:
-        """The connection as the session has it. Raises Lost, or Fault for what the member does not take."""
-        statements = [replay(backend.state, job.work.state)]
+    async def _replay(self, backend: BackendConnection, job: Job) -> None:
+        """The connection as the session has it. Raises ConnectionLostError or Fault."""
+        statements = [replay_statement(backend.session_state, job.work.state)]
         if job.work.insert_id is not None:
             statements.append(f"set @@session.last_insert_id = {job.work.insert_id}".encode())
         for text in statements:
@@ -310,15 +325,15 @@
                 backend.close()
                 fault = self._fault(answer)
                 raise fault
-        backend.state = job.work.state
+        backend.session_state = job.work.state
 
-    async def _until_over(self, link: Member, lease: Lease[Backend], rest: Any, good: bool) -> None:
-        await rest.over.wait()
+    async def _until_over(self, link: Member, lease: Lease[BackendConnection], rest: Any, good: bool) -> None:
+        await rest.finished.wait()
         self._back(link, lease, good)
 
     async def _asked(
         self,
-        backend: Backend,
+        backend: BackendConnection,
         steps: Sequence[Statement],
         attributes: dict[str, Value],
         main: int,
@@ -327,12 +342,12 @@
         """An exchange; once more where the server had forgotten what was prepared, and so ran nothing."""
         answers = await backend.exchange(steps, attributes, main, stream)
         answer = answers[main]
-        if isinstance(answer, Err) and answer.code in FORGOTTEN and not backend.session.in_transaction:
+        if isinstance(answer, Err) and answer.code in REPREPARE_CODES and not backend.session.in_transaction:
             answers = await backend.exchange(steps, attributes, main, stream)
         return answers
 
-    async def _exchange(self, name: str, link: Member, lease: Lease[Backend], job: Job) -> Reply:
-        """Raises Lost, or Fault."""
+    async def _exchange(self, name: str, link: Member, lease: Lease[BackendConnection], job: Job) -> Reply:
+        """Raises ConnectionLostError, or Fault."""
         backend = lease.connection
         statement = Statement(job.work.statement, [plain(v) for v in job.work.parameters], job.work.binary)
         attributes: dict[str, Value] = {
@@ -349,26 +364,26 @@
             if job.write:
                 return await self._write(name, backend, statement, attributes)
             return await self._read(backend, job, statement, attributes)
-        except TooLong as error:
+        except ResultTooLargeError as error:
             raise Fault(Outcome.OK, str(error), 1153, "08S01") from error
 
     async def _read(
-        self, backend: Backend, job: Job, statement: Statement, attributes: dict[str, Value]
+        self, backend: BackendConnection, job: Job, statement: Statement, attributes: dict[str, Value]
     ) -> Reply:
         answers = await self._asked(backend, [STATUS, statement], attributes, 1, job.work.stream)
         standing, answer = standing_of(self._told(answers[0])), answers[1]
         if isinstance(answer, Err):
             raise self._fault(answer)
         if not job.needs.met_by(standing):
-            if answer.rest is not None:
-                answer.rest.close()
+            if answer.remaining_rows is not None:
+                answer.remaining_rows.close()
             return Reply(None, standing)  # the driver sees for itself that it is too old
         return Reply(answer, standing)
 
     async def _write(
-        self, name: str, backend: Backend, statement: Statement, attributes: dict[str, Value]
+        self, name: str, backend: BackendConnection, statement: Statement, attributes: dict[str, Value]
     ) -> Reply:
-        """Raises Lost where the commit's epoch is in doubt."""
+        """Raises ConnectionLostError where the commit's epoch is in doubt."""
         first, answer, last = await self._asked(backend, [STATUS, statement, STATUS], attributes, 1)
         before = self._told(first)
         if isinstance(answer, Err):
@@ -379,10 +394,12 @@
         try:
             after = self._told(last)
         except Fault as error:
-            raise Lost(f"{name} does not tell where its commit stands: {error}", sent=True) from error
+            raise ConnectionLostError(
+                f"{name} does not tell where its commit stands: {error}", sent=True
+            ) from error
         if before.read_only or before.epochs != after.epochs:
             # Danger: `read_only` or the epoch flipped around the statement; the group may never hold it.
-            raise Lost(f"{name} changed its role during a write", sent=True)
+            raise ConnectionLostError(f"{name} changed its role during a write", sent=True)
         standing, group = standing_of(after), self._group_of(name)
         self._positions.committed(group, standing.history.epoch, after.clock_us, answer.ok.gtids)
         return Reply(answer, standing, after.clock_us)
@@ -391,7 +408,7 @@
         self,
         name: str,
         link: Member,
-        lease: Lease[Backend],
+        lease: Lease[BackendConnection],
         job: Job,
         statement: Statement,
         attributes: dict[str, Value],
@@ -415,7 +432,7 @@
         self,
         name: str,
         link: Member,
-        lease: Lease[Backend],
+        lease: Lease[BackendConnection],
         job: Job,
         statement: Statement,
         attributes: dict[str, Value],
@@ -431,25 +448,28 @@
         self,
         name: str,
         link: Member,
-        lease: Lease[Backend],
+        lease: Lease[BackendConnection],
         job: Job,
         standing: Standing,
         answer: Result | Err,
     ) -> Reply:
-        if isinstance(answer, Err) and meaning(answer.code) not in (Meaning.FAULT, Meaning.ENDED):
+        if isinstance(answer, Err) and error_category(answer.code) not in (
+            ErrorCategory.STATEMENT_ERROR,
+            ErrorCategory.ABORTED,
+        ):
             raise self._fault(answer)
         fault = None
         if isinstance(answer, Err):
             # Nothing took effect, and whether to try again is the client's to say: it knows these codes.
             fault = Fault(Outcome.OK, answer.words, answer.code, answer.state)
-            if answer.code in UNDOES_ALL:
+            if answer.code in TRANSACTION_ROLLBACK_CODES:
                 raise fault
         if not lease.connection.session.in_transaction:
             raise Fault(Outcome.ERROR, f"{name} began no transaction")
         held = self._hold(name, link, lease, job)
         return Reply(None if isinstance(answer, Err) else answer, standing, held=held, error=fault)
 
-    def _told(self, answer: Result | Err) -> published.Told:
+    def _told(self, answer: Result | Err) -> endpoint_status.EndpointStatus:
         """Raises Fault: who does not tell where it stands is not believed."""
         if isinstance(answer, Err):
             fault = self._fault(answer)
@@ -457,27 +477,27 @@
                 raise Fault(Outcome.ERROR, f"where it stands is not told: {answer.code}: {answer.words}")
             raise fault
         try:
-            return published.told(answer.values())
-        except (published.NotTold, ProtocolError) as error:
+            return endpoint_status.parse_status(answer.values())
+        except (StatusUnavailableError, ProtocolError) as error:
             raise Fault(Outcome.ERROR, str(error)) from error
 
     @staticmethod
     def _fault(err: Err) -> Exception:
         words = f"{err.code}: {err.words}"
-        match meaning(err.code):
-            case Meaning.READ_ONLY:
+        match error_category(err.code):
+            case ErrorCategory.READ_ONLY:
                 return Fault(Outcome.INELIGIBLE, words)
-            case Meaning.BUSY:
+            case ErrorCategory.OVERLOADED:
                 return Fault(Outcome.REJECTED, words)
-            case Meaning.GONE:
-                return Lost(words, sent=True)
-            case Meaning.FAULT | Meaning.ENDED:
+            case ErrorCategory.CONNECTION_CLOSED:
+                return ConnectionLostError(words, sent=True)
+            case ErrorCategory.STATEMENT_ERROR | ErrorCategory.ABORTED:
                 # Nothing took effect, and whether to try again is the client's to say: it knows these codes.
                 return Fault(Outcome.OK, err.words, err.code, err.state)
             case _:
                 return Fault(Outcome.ERROR, words)
 
-    def _hold(self, name: str, link: Member, lease: Lease[Backend], job: Job) -> Held:
+    def _hold(self, name: str, link: Member, lease: Lease[BackendConnection], job: Job) -> Held:
         assert self._nursery is not None
         group = self._group_of(name)
 
@@ -503,34 +523,34 @@
 
     # Beside the pool.
 
-    async def _monitor(self, member: Member) -> Backend:
+    async def _monitor(self, member: Member) -> BackendConnection:
         """With the ear held. Raises ConnectError."""
-        if member.monitor is None or member.monitor.why:
+        if member.monitor is None or member.monitor.close_reason:
             member.monitor = await self._connect(member)
             assert self._nursery is not None
             self._nursery.start_soon(member.monitor.run)
         return member.monitor
 
-    def _kill(self, member: Member, victim: Backend) -> None:
+    def _kill(self, member: Member, victim: BackendConnection) -> None:
         """A statement that nobody waits for goes on at its member until it is told. Danger: the server may
         have been started again and given the number to another; only a connection that lived beside the
         victim's proves that it was not."""
         beside = member.monitor
         if self._nursery is None or member.pool.draining or member.kills >= KILLS:
             return
-        if beside is not None and not beside.why:
+        if beside is not None and not beside.close_reason:
             member.kills += 1
-            self._nursery.start_soon(self._send_kill, member, beside, victim.thread)
+            self._nursery.start_soon(self._send_kill, member, beside, victim.thread_id)
 
-    async def _send_kill(self, member: Member, beside: Backend, thread: int) -> None:
+    async def _send_kill(self, member: Member, beside: BackendConnection, thread: int) -> None:
         try:
             with trio.move_on_after(self._options.probe_timeout_us / US):
                 async with member.ear:
-                    if not beside.why:
+                    if not beside.close_reason:
                         await beside.exchange([Statement(f"kill {thread}".encode())])
                         self.killed += 1
                         self._metrics.kills.inc()
-        except (Lost, TooLong):
+        except (ConnectionLostError, ResultTooLargeError):
             pass
         finally:
             member.kills -= 1
@@ -542,8 +562,8 @@
         try:
             async with link.ear:
                 backend = await self._monitor(link)
-                answers = await backend.exchange([STATUS, Statement(published.LOAD), GTIDS])
-        except (Lost, TooLong) as error:
+                answers = await backend.exchange([STATUS, Statement(endpoint_status.LOAD_QUERY), GTIDS])
+        except (ConnectionLostError, ResultTooLargeError) as error:
             raise Broken(str(error)) from error
         told = self._told(answers[0])
         load, gtids = answers[1:]
@@ -556,8 +576,8 @@
                 group = self._group_of(member)
                 self._positions.learn(group, standing)
                 self._positions.executed(group, standing, str(executed))
-            return standing, published.load(load.values()), 0.0
-        except (published.NotTold, ProtocolError, ValueError) as error:
+            return standing, endpoint_status.parse_load(load.values()), 0.0
+        except (StatusUnavailableError, ProtocolError, ValueError) as error:
             raise Fault(Outcome.ERROR, str(error)) from error
 
 
--- a/juniperreel/proxy/options.py
+++ b/juniperreel/proxy/options.py
@@ -5,8 +5,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from juniperreel.pool.connection import Login
-from juniperreel.pool.core import Sizes
+from juniperreel.pool.config import BackendConfig, PoolConfig
 from juniperreel.routing.types import (
     Settings,
 )
@@ -17,9 +16,9 @@
 class MysqlMembers:
     """Members speak MySQL. `transaction_us`: how long one may last; `sizes` of each member's pool."""
 
-    login: Login
+    login: BackendConfig
     transaction_us: int
-    sizes: Sizes
+    sizes: PoolConfig
 
 
 @dataclass(frozen=True, slots=True)
--- a/juniperreel/proxy/positions.py
+++ b/juniperreel/proxy/positions.py
@@ -14,7 +14,8 @@
 from dataclasses import dataclass
 
 from juniperreel.causal import History, Token
-from juniperreel.pool.gtid import BadGtid, Gtid, GtidSet
+from juniperreel.pool.errors import InvalidGtidError
+from juniperreel.pool.gtid import Gtid, GtidSet
 
 KEPT_COMMITS = 10_000  # of a group; those of the last moments before a failover matter
 NEVER_REACHED_US = 1 << 60  # a position later than any clock's reading
@@ -107,8 +108,8 @@
         member's clock and so may lie beyond the start of the next epoch, though that holds the commit; then
         its GTID tells."""
         try:
-            gtid = Gtid.of(gtids)
-        except BadGtid:
+            gtid = Gtid.parse(gtids)
+        except InvalidGtidError:
             return  # not told, or of a kind that is not known: only the position counts
         kept = self._commits.setdefault(group, deque(maxlen=KEPT_COMMITS))
         kept.append(Commit(epoch, position, gtid))
@@ -120,8 +121,8 @@
         if not commits or not any(c.epoch < epoch for c in commits) or self.deposed(group, standing):
             return
         try:
-            held = GtidSet.of(gtids)
-        except BadGtid:
+            held = GtidSet.parse(gtids)
+        except InvalidGtidError:
             return
         for commit in [c for c in commits if c.epoch < epoch]:
             commits.remove(commit)
--- a/juniperreel/proxy/transactions.py
+++ b/juniperreel/proxy/transactions.py
@@ -15,15 +15,21 @@
 from juniperreel.mysql.replies import Err
 from juniperreel.mysql.values import Value
 from juniperreel.net import Clock
-from juniperreel.pool import endpoint_status as published
-from juniperreel.pool.connection import Backend, Lost, Told, TooLong
-from juniperreel.pool.error_codes import UNDOES_ALL, Meaning, meaning
+from juniperreel.pool import endpoint_status
+from juniperreel.pool.connection import BackendConnection
+from juniperreel.pool.error_codes import TRANSACTION_ROLLBACK_CODES, ErrorCategory, error_category
+from juniperreel.pool.errors import (
+    ConnectionLostError,
+    ResultTooLargeError,
+    StatementError,
+    StatusUnavailableError,
+)
 from juniperreel.pool.result import Result, Statement
 from juniperreel.pool.session_state import SessionState
 from juniperreel.proxy.positions import Positions, Standing
 from juniperreel.proxy.work import Committed
 
-STATUS = Statement(published.QUERY)
+STATUS = Statement(endpoint_status.STATUS_QUERY)
 
 
 class Undone(Exception):
@@ -39,7 +45,7 @@
 
     def __init__(
         self,
-        backend: Backend,
+        backend: BackendConnection,
         request: str,
         member: str,
         group: int,
@@ -62,11 +68,11 @@
 
     @property
     def state(self) -> SessionState:
-        return self._backend.state
+        return self._backend.session_state
 
     @state.setter
     def state(self, state: SessionState) -> None:
-        self._backend.state = state
+        self._backend.session_state = state
 
     @property
     def open(self) -> bool:
@@ -90,32 +96,32 @@
     def _end(self, good: bool) -> None:
         give_back, self._give_back = self._give_back, None
         if give_back is not None:
-            give_back(good and not self._backend.why and not self.tainted)
+            give_back(good and not self._backend.close_reason and not self.tainted)
 
     async def run(self, statement: Statement, stream: bool = True) -> Result:
-        """Raises Told (the transaction may be over then: see `open`), Undone, or TooLong."""
+        """Raises StatementError (the transaction may be over: see `open`), Undone or ResultTooLargeError."""
         (answer,) = await self._exchange([statement], stream=stream)
         if isinstance(answer, Err):
             self._heed(answer)
-            raise Told(answer)
-        if answer.rest is None:
+            raise StatementError(answer)
+        if answer.remaining_rows is None:
             self._after()
         return answer
 
     def _heed(self, err: Err, commits: bool = False) -> None:
         """An error tells no flags of the session: its code must do. Raises Undone or Unknown."""
-        match meaning(err.code):
-            case Meaning.READ_ONLY:
+        match error_category(err.code):
+            case ErrorCategory.READ_ONLY:
                 # A primary no longer: it will commit nothing; what ran is undone with the connection.
                 self.release()
                 raise Undone(f"{self.member} takes no writes any more")
-            case Meaning.GONE | Meaning.FAILED if commits:
+            case ErrorCategory.CONNECTION_CLOSED | ErrorCategory.SERVER_FAILURE if commits:
                 self.release()
                 raise Unknown(f"{self.member} broke off the commit: {err.code}")
-            case Meaning.GONE:
+            case ErrorCategory.CONNECTION_CLOSED:
                 self.release()
                 raise Undone(f"{self.member} ended the connection: {err.code}")
-            case _ if err.code in UNDOES_ALL:
+            case _ if err.code in TRANSACTION_ROLLBACK_CODES:
                 self._end(False)
 
     def _after(self) -> None:
@@ -124,18 +130,18 @@
             self._end(True)
 
     async def finish(self, statement: Statement, commits: bool = True) -> Committed:
-        """The last statement. Raises Told with nothing done, Undone, or Unknown if it `commits`."""
+        """The last statement. Raises StatementError with nothing done, Undone, or Unknown if it `commits`."""
         if not commits:
             (answer,) = await self._exchange([statement])
             self._end(True)
             if isinstance(answer, Err):
-                raise Told(answer)
+                raise StatementError(answer)
             return Committed(answer, EMPTY)
         try:
             answers = await self._exchange([STATUS, statement, STATUS], main=1)
         except Undone as error:
             raise Unknown(f"the connection to {self.member} was lost during the commit") from error
-        except TooLong as error:
+        except ResultTooLargeError as error:
             raise Unknown(str(error)) from error
         over = not self._backend.session.in_transaction
         answer = answers[1]
@@ -143,7 +149,7 @@
             self._heed(answer, commits=True)
             if over:
                 self._end(True)
-            raise Told(answer)
+            raise StatementError(answer)
         before, after = told_of(answers[0]), told_of(answers[2])
         if over:
             self._end(True)
@@ -173,11 +179,11 @@
         self._busy = True
         try:
             return await self._backend.exchange(steps, attributes, main, stream)
-        except Lost as error:
+        except ConnectionLostError as error:
             raise Undone(self._why or f"the connection to {self.member} was lost: {error}") from error
         finally:
             self._busy = False
-            if self._backend.why:
+            if self._backend.close_reason:
                 self._end(False)
 
     async def watch(self) -> None:
@@ -190,14 +196,14 @@
             await trio.sleep(min(left / 1_000_000, 0.25))
 
 
-def told_of(answer: Result | Err) -> published.Told | None:
+def told_of(answer: Result | Err) -> endpoint_status.EndpointStatus | None:
     if isinstance(answer, Err):
         return None
     try:
-        return published.told(answer.values())
-    except published.NotTold:
+        return endpoint_status.parse_status(answer.values())
+    except StatusUnavailableError:
         return None
 
 
-def standing_of(told: published.Told) -> Standing:
+def standing_of(told: endpoint_status.EndpointStatus) -> Standing:
     return Standing(not told.read_only, told.position_us, History.of(told.epochs), told.clock_us)
--- a/juniperreel/proxy/work.py
+++ b/juniperreel/proxy/work.py
@@ -11,7 +11,7 @@
 
 from juniperreel.causal import EMPTY, Token
 from juniperreel.pool.result import Result, Statement
-from juniperreel.pool.session_state import FRESH, SessionState
+from juniperreel.pool.session_state import INITIAL_SESSION_STATE, SessionState
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,13 +66,13 @@
     stream: bool = False  # its front can pass on a result in parts
     hold: Hold | None = None
     taint: bool = False  # nobody else may have its connection afterwards
-    state: SessionState = FRESH  # what the session has changed of its connections
+    state: SessionState = INITIAL_SESSION_STATE  # what the session has changed of its connections
     insert_id: int | None = None  # to be told to the connection before
 
 
 def let_go(result: Any, held: Transaction | None) -> None:
     """Nobody takes an answer: what it holds of a member is given back."""
-    rest = getattr(result, "rest", None)
+    rest = getattr(result, "remaining_rows", None)
     if rest is not None:
         rest.close()
     if held is not None:
--- a/tests/e2e/test_pool_soak.py
+++ b/tests/e2e/test_pool_soak.py
@@ -9,8 +9,8 @@
 import trio
 
 from benchmarks.pool_soak import soak
-from juniperreel.pool.connection import Backend
-from juniperreel.pool.prepared_statements import Statements, Text
+from juniperreel.pool.connection import BackendConnection
+from juniperreel.pool.prepared_statements import PreparedStatementCache, StatementKey
 from juniperreel.proxy.jobs import Job
 from juniperreel.proxy.mysqlmembers import MysqlLinks
 
@@ -23,8 +23,8 @@
 
 
 async def test_a_pool_that_replays_nothing_is_found(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    async def nothing(self: MysqlLinks, backend: Backend, job: Job) -> None:
-        backend.state = job.work.state
+    async def nothing(self: MysqlLinks, backend: BackendConnection, job: Job) -> None:
+        backend.session_state = job.work.state
 
     monkeypatch.setattr(MysqlLinks, "_replay", nothing)
     with trio.fail_after(120):
@@ -33,10 +33,10 @@
 
 
 async def test_ids_that_are_mixed_up_are_found(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    def any_id(self: Statements, text: Text) -> int | None:
+    def any_id(self: PreparedStatementCache, key: StatementKey) -> int | None:
         return next(reversed(self._ids.values()), None)
 
-    monkeypatch.setattr(Statements, "get", any_id)
+    monkeypatch.setattr(PreparedStatementCache, "get", any_id)
     with trio.fail_after(120):
         found, _ = await soak(tmp_path, 300, 30, 2, seed=7)
     assert any("was meant as" in words for words in found)
--- a/tests/e2e/test_transactions.py
+++ b/tests/e2e/test_transactions.py
@@ -12,7 +12,7 @@
 import pytest
 import trio
 
-from juniperreel.pool.connection import Backend
+from juniperreel.pool.connection import BackendConnection
 from juniperreel.proxy.mysqlmembers import MysqlLinks
 from juniperreel.rpc.status import Code, RpcError
 from tests.e2e.test_mysql import INSERT, SELECT, ask, connector, port, using
@@ -282,10 +282,10 @@
 async def test_a_replay_that_is_broken_off_leaves_no_connection_behind(world: World) -> None:
     """Danger: a connection of which nobody knows how far it is would be lent to somebody else."""
     found = links(world)
-    exchange = Backend.exchange
+    exchange = BackendConnection.exchange
     stuck = trio.Event()
 
-    async def hangs(self: Backend, steps: Any, *rest: Any, **more: Any) -> Any:
+    async def hangs(self: BackendConnection, steps: Any, *rest: Any, **more: Any) -> Any:
         if steps[0].text.startswith(b"set "):
             stuck.set()
             with trio.CancelScope() as scope:
@@ -305,7 +305,7 @@
         connection._force_close()
 
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(Backend, "exchange", hangs)
+        patch.setattr(BackendConnection, "exchange", hangs)
         await trio.to_thread.run_sync(leave)
         await until(lambda: not any(p.leased or p.waiting for p in found.pools().values()))
     assert (await using(world, lambda c: ask(c, "select @a")))[0][0] is None
@@ -313,8 +313,10 @@
 
 async def test_few_connections_serve_many_sessions_and_refuse_none_that_can_wait(world: World) -> None:
     for member in links(world)._members.values():
-        member.pool.sizes = replace(member.pool.sizes, most=2)
-        member.pool._cap = 2.0
+        member.pool.config = replace(member.pool.config, max_connections=2)
+        limiter = member.pool._open_limiter
+        limiter._max_connections = 2
+        limiter._current_limit = 2
 
     def work(connection: Any) -> int:
         for n in range(5):
@@ -367,7 +369,9 @@
         inner.start_soon(using, world, work)
         await going.wait()
         world.primary.kill()
-        await until(lambda: not links(world).transactions or any(h._backend.why for h in held(world)))
+        await until(
+            lambda: not links(world).transactions or any(h._backend.close_reason for h in held(world))
+        )
         gone.set()
     assert told == [1213, 0]
     await until(lambda: not links(world).transactions)
@@ -532,8 +536,8 @@
         connection._sock.close()
 
     async def full() -> None:
-        await until(lambda: any(b._held > 100_000 for b in lent(world)))
-        assert all(b._held < 1 << 20 for b in lent(world))
+        await until(lambda: any(b._buffered_row_bytes > 100_000 for b in lent(world)))
+        assert all(b._buffered_row_bytes < 1 << 20 for b in lent(world))
 
     await trio.to_thread.run_sync(leave)
     await until(lambda: not lent(world))
--- a/tests/frontends/mysql/test_scope.py
+++ b/tests/frontends/mysql/test_scope.py
@@ -9,7 +9,7 @@
 
 from juniperreel.frontends.mysql.scope import NO_SAVEPOINT, UNDONE, Do, Scope
 from juniperreel.mysql.constants import Status
-from juniperreel.pool.session_state import FRESH
+from juniperreel.pool.session_state import INITIAL_SESSION_STATE
 from juniperreel.proxy import Hold
 from juniperreel.statements import read_statement
 
@@ -20,7 +20,7 @@
     def __init__(self) -> None:
         self.open = True
         self.tainted = False
-        self.state = FRESH
+        self.state = INITIAL_SESSION_STATE
         self.released = 0
 
     def release(self) -> None:
--- a/tests/pool/test_connection.py
+++ b/tests/pool/test_connection.py
@@ -1,10 +1,10 @@
-"""One connection to a member by its own: TLS, logins that fail, servers that break off, and members that
-stall."""
+"""One backend connection alone: TLS, rejected logins, servers that close or stall, long results."""
 
 from __future__ import annotations
 
 import ssl
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import replace
 
 import pytest
@@ -18,16 +18,18 @@
 from juniperreel.mysql.server import Command, Event, ServerSession, StartTls, State
 from juniperreel.mysql.values import Column
 from juniperreel.net import ConnectError, Refused, Silent, TcpNetwork
-from juniperreel.pool.connection import Backend, Login, Lost, NotLetIn, TooLong
+from juniperreel.pool.config import BackendConfig
+from juniperreel.pool.connection import CLOSED_LOCALLY, BackendConnection
+from juniperreel.pool.errors import ConnectionLostError, LoginRejectedError, ResultTooLargeError
 from juniperreel.pool.result import Result, Statement
 
-LOGIN = Login("edge", b"secret", held=10_000)
+CONFIG = BackendConfig("edge", b"secret", max_result_bytes=10_000)
 NONCE = bytes(range(1, 21))
 SEC = 1_000_000
 Serve = Callable[[ServerSession, trio.abc.Stream, Command], Awaitable[list[Event] | None]]
 
 
-async def answers(session: ServerSession, stream: trio.abc.Stream, command: Command) -> list[Event] | None:
+async def respond(session: ServerSession, _stream: trio.abc.Stream, command: Command) -> list[Event] | None:
     """None ends the connection."""
     text = command.payload
     if command.kind == Com.STMT_PREPARE:
@@ -45,150 +47,169 @@
     return session.ok(len(text))
 
 
-async def server(
-    nursery: trio.Nursery, serve: Serve = answers, plugin: str = SHA2, tls: ssl.SSLContext | None = None
-) -> int:
-    """Its port."""
-
-    async def one(stream: trio.abc.Stream) -> None:
-        users = {"edge": Credential.of(b"secret")}
-        session = ServerSession(3, NONCE, users.get, 1 << 20, plugin, tls is not None)
-        session.start()
-        todo: list[Event] = []
-        while True:
-            await stream.send_all(session.data_to_send())
-            if session.state is State.CLOSED:
+async def serve_client(
+    stream: trio.abc.Stream, serve: Serve, plugin: str, tls: ssl.SSLContext | None
+) -> None:
+    """The server side of one connection, until either side closes it."""
+    users = {"edge": Credential.of(b"secret")}
+    session = ServerSession(3, NONCE, users.get, 1 << 20, plugin, tls is not None)
+    session.start()
+    pending: list[Event] = []
+    while True:
+        await stream.send_all(session.data_to_send())
+        if session.state is State.CLOSED:
+            return
+        if not pending:
+            data = await stream.receive_some(65536)
+            if not data:
+                return
+            pending = session.receive(bytes(data))
+            continue
+        event = pending.pop(0)
+        if isinstance(event, StartTls):
+            assert tls is not None
+            stream = trio.SSLStream(stream, tls, server_side=True)
+        elif isinstance(event, Command):
+            events = await serve(session, stream, event)
+            if events is None:
                 return
-            if not todo:
-                data = await stream.receive_some(65536)
-                if not data:
-                    return
-                todo = session.receive(bytes(data))
-                continue
-            event = todo.pop(0)
-            if isinstance(event, StartTls):
-                assert tls is not None
-                stream = trio.SSLStream(stream, tls, server_side=True)
-            elif isinstance(event, Command):
-                more = await serve(session, stream, event)
-                if more is None:
-                    return
-                todo += more
-
-    async def guarded(stream: trio.SocketStream) -> None:
+            pending += events
+
+
+async def start_server(
+    nursery: trio.Nursery, serve: Serve = respond, plugin: str = SHA2, tls: ssl.SSLContext | None = None
+) -> int:
+    """Serve on loopback; return the port."""
+
+    async def handle(stream: trio.SocketStream) -> None:
         try:
-            await one(stream)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            pass
+            with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+                await serve_client(stream, serve, plugin, tls)
         finally:
             await trio.aclose_forcefully(stream)
 
-    listeners = await nursery.start(trio.serve_tcp, guarded, 0)
+    listeners = await nursery.start(trio.serve_tcp, handle, 0)
     port: int = listeners[0].socket.getsockname()[1]
     return port
 
 
-async def opened(nursery: trio.Nursery, port: int, login: Login = LOGIN) -> Backend:
-    backend = await Backend.open(TcpNetwork(), "127.0.0.1", port, login, 5 * SEC)
-    nursery.start_soon(backend.run)
-    return backend
+async def open_connection(
+    nursery: trio.Nursery, port: int, config: BackendConfig = CONFIG
+) -> BackendConnection:
+    connection = await BackendConnection.open(TcpNetwork(), "127.0.0.1", port, config, 5 * SEC)
+    nursery.start_soon(connection.run)
+    return connection
 
 
 @pytest.mark.parametrize("plugin", [SHA2, NATIVE])
-async def test_tls_is_checked_against_its_authority(nursery: trio.Nursery, plugin: str) -> None:
-    authority, other = trustme.CA(), trustme.CA()
-    inside = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    authority.issue_cert("127.0.0.1").configure_cert(inside)
-    port = await server(nursery, plugin=plugin, tls=inside)
+async def test_tls_certificate_of_another_authority_is_rejected(nursery: trio.Nursery, plugin: str) -> None:
+    authority = trustme.CA()
+    other_authority = trustme.CA()
+    server_context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    authority.issue_cert("127.0.0.1").configure_cert(server_context)
+    port = await start_server(nursery, plugin=plugin, tls=server_context)
     context = ssl.create_default_context()
     authority.configure_trust(context)
-    backend = await opened(nursery, port, replace(LOGIN, tls=context))
-    (result,) = await backend.exchange([Statement(b"rows3")])
-    assert isinstance(result, Result) and len(result.rows) == 3
-    strangers = ssl.create_default_context()
-    other.configure_trust(strangers)
+    connection = await open_connection(nursery, port, replace(CONFIG, tls=context))
+    (result,) = await connection.exchange([Statement(b"rows3")])
+    assert isinstance(result, Result)
+    assert len(result.rows) == 3
+    untrusting_context = ssl.create_default_context()
+    other_authority.configure_trust(untrusting_context)
     with pytest.raises(ConnectError):
-        await Backend.open(TcpNetwork(), "127.0.0.1", port, replace(LOGIN, tls=strangers), 5 * SEC)
-    with pytest.raises(NotLetIn):
-        await Backend.open(
-            TcpNetwork(), "127.0.0.1", await server(nursery), replace(LOGIN, tls=context), 5 * SEC
+        await BackendConnection.open(
+            TcpNetwork(), "127.0.0.1", port, replace(CONFIG, tls=untrusting_context), 5 * SEC
+        )
+    with pytest.raises(LoginRejectedError):
+        await BackendConnection.open(
+            TcpNetwork(), "127.0.0.1", await start_server(nursery), replace(CONFIG, tls=context), 5 * SEC
         )
 
 
-async def test_who_is_not_let_in_is_told_why(nursery: trio.Nursery) -> None:
-    port = await server(nursery)
-    with pytest.raises(NotLetIn) as refused:
-        await Backend.open(TcpNetwork(), "127.0.0.1", port, replace(LOGIN, password=b"wrong"), 5 * SEC)
-    assert refused.value.code == 1045
+async def test_open_without_a_login_raises_the_reason(nursery: trio.Nursery) -> None:
+    port = await start_server(nursery)
+    with pytest.raises(LoginRejectedError) as rejected:
+        await BackendConnection.open(
+            TcpNetwork(), "127.0.0.1", port, replace(CONFIG, password=b"wrong"), 5 * SEC
+        )
+    assert rejected.value.code == 1045
 
-    listener = await TcpNetwork().listen("127.0.0.1", 0)  # connections come about, and nobody says anything
+    listener = await TcpNetwork().listen("127.0.0.1", 0)  # accepts connections and sends nothing
     port = listener.port
     with pytest.raises(Silent):
-        await Backend.open(TcpNetwork(), "127.0.0.1", port, LOGIN, 100_000)
+        await BackendConnection.open(TcpNetwork(), "127.0.0.1", port, CONFIG, 100_000)
     await listener.aclose()
     with pytest.raises(Refused):
-        await Backend.open(TcpNetwork(), "127.0.0.1", port, LOGIN, 5 * SEC)
+        await BackendConnection.open(TcpNetwork(), "127.0.0.1", port, CONFIG, 5 * SEC)
 
 
-async def test_what_breaks_off_says_whether_it_was_sent(nursery: trio.Nursery) -> None:
-    backend = await opened(nursery, await server(nursery))
-    answers_ = await backend.exchange([Statement(b"one"), Statement(b"three"), Statement(b"rows2")])
-    assert [a.ok.affected for a in answers_[:2] if isinstance(a, Result)] == [3, 5]
-    with pytest.raises(Lost) as lost:
-        await backend.exchange([Statement(b"dies")])
+async def test_lost_connection_says_whether_the_statement_was_sent(nursery: trio.Nursery) -> None:
+    connection = await open_connection(nursery, await start_server(nursery))
+    responses = await connection.exchange([Statement(b"one"), Statement(b"three"), Statement(b"rows2")])
+    assert [a.ok.affected for a in responses[:2] if isinstance(a, Result)] == [3, 5]
+    with pytest.raises(ConnectionLostError) as lost:
+        await connection.exchange([Statement(b"dies")])
     assert lost.value.sent
-    with pytest.raises(Lost) as lost:
-        await backend.exchange([Statement(b"one")])
-    assert not lost.value.sent, "the connection was known to be over"
+    with pytest.raises(ConnectionLostError) as lost:
+        await connection.exchange([Statement(b"one")])
+    assert not lost.value.sent, "the connection was known to be closed"
 
 
-async def test_a_cancelled_exchange_closes_the_connection(nursery: trio.Nursery) -> None:
-    backend = await opened(nursery, await server(nursery))
+async def test_cancelled_exchange_closes_the_connection(nursery: trio.Nursery) -> None:
+    connection = await open_connection(nursery, await start_server(nursery))
     with trio.move_on_after(0.05):
-        await backend.exchange([Statement(b"hangs"), Statement(b"one")])
-    assert backend.why == "closed here"
-
-
-async def test_long_answers_are_cut_or_passed_on(nursery: trio.Nursery) -> None:
-    port = await server(nursery)
-    backend = await opened(nursery, port)
-    with pytest.raises(TooLong):
-        await backend.exchange([Statement(b"rows1000")])
-    assert backend.why
-    backend = await opened(nursery, port)
-    (result,) = await backend.exchange([Statement(b"rows5000")], stream=True)
-    assert isinstance(result, Result) and result.rest is not None
+        await connection.exchange([Statement(b"hangs"), Statement(b"one")])
+    assert connection.close_reason == CLOSED_LOCALLY
+
+
+async def test_long_result_raises_unless_it_is_streamed(nursery: trio.Nursery) -> None:
+    port = await start_server(nursery)
+    connection = await open_connection(nursery, port)
+    with pytest.raises(ResultTooLargeError):
+        await connection.exchange([Statement(b"rows1000")])
+    assert connection.close_reason
+    connection = await open_connection(nursery, port)
+    (result,) = await connection.exchange([Statement(b"rows5000")], stream=True)
+    assert isinstance(result, Result)
+    assert result.remaining_rows is not None
     count = len(result.rows)
-    while rows := await result.rest.more():
+    while rows := await result.remaining_rows.next_rows():
         count += len(rows)
-    assert count == 5000 and backend._held == 0 and not backend.why
-    (result,) = await backend.exchange([Statement(b"rows5000")], stream=True)
-    assert isinstance(result, Result) and result.rest is not None
-    result.rest.close()
-    assert backend.why, "what is still to come can't be told from the next answer"
-
-
-async def test_a_text_that_a_server_forgot_is_prepared_again(nursery: trio.Nursery) -> None:
-    backend = await opened(nursery, await server(nursery))
+    assert count == 5000
+    assert connection._buffered_row_bytes == 0
+    assert not connection.close_reason
+    (result,) = await connection.exchange([Statement(b"rows5000")], stream=True)
+    assert isinstance(result, Result)
+    assert result.remaining_rows is not None
+    result.remaining_rows.close()
+    assert connection.close_reason, "the remaining rows would be taken for the next response"
+
+
+async def test_statement_unknown_to_the_server_is_prepared_again(nursery: trio.Nursery) -> None:
+    connection = await open_connection(nursery, await start_server(nursery))
     statement = Statement(b"select ?", ["a"])
     for _ in range(2):
-        (answer,) = await backend.exchange([statement])
-        assert isinstance(answer, Err) and answer.code == 1243
-        assert len(backend.statements) == 0
-    (answer,) = await backend.exchange([Statement(b"select ?, ?", ["a"])])
-    assert isinstance(answer, Err) and answer.code == 1210
-
-
-async def test_a_server_that_speaks_unasked_ends_the_connection(nursery: trio.Nursery) -> None:
-    async def twice(session: ServerSession, stream: trio.abc.Stream, command: Command) -> list[Event]:
+        (response,) = await connection.exchange([statement])
+        assert isinstance(response, Err)
+        assert response.code == 1243
+        assert len(connection.prepared_statements) == 0
+    (response,) = await connection.exchange([Statement(b"select ?, ?", ["a"])])
+    assert isinstance(response, Err)
+    assert response.code == 1210
+
+
+async def test_data_without_a_request_closes_the_connection(nursery: trio.Nursery) -> None:
+    async def respond_twice(
+        session: ServerSession, stream: trio.abc.Stream, _command: Command
+    ) -> list[Event]:
         more = session.ok()
         await stream.send_all(session.data_to_send() + packets(b"\0\0\0\0\0\0\0", 1)[0])
         return more
 
-    backend = await opened(nursery, await server(nursery, twice))
+    connection = await open_connection(nursery, await start_server(nursery, respond_twice))
     with trio.fail_after(10):
-        await backend.exchange([Statement(b"one")])
-        while not backend.why:
+        await connection.exchange([Statement(b"one")])
+        while not connection.close_reason:
             await trio.sleep(0.01)
-    with pytest.raises(Lost):
-        await backend.exchange([Statement(b"one")])
+    with pytest.raises(ConnectionLostError):
+        await connection.exchange([Statement(b"one")])
--- a/tests/pool/test_core.py
+++ b/tests/pool/test_core.py
@@ -1,5 +1,4 @@
-"""The pool against a plain model: connections are conserved, leases are nobody else's, no wait outlasts its
-time."""
+"""The pool against a plain model: connections are conserved, leases exclusive, waits bounded."""
 
 from __future__ import annotations
 
@@ -20,202 +19,230 @@
     run_state_machine_as_test,
 )
 
-from juniperreel.pool.core import (
-    FULL,
-    GONE,
-    UNREACHABLE,
-    Action,
-    Close,
-    Give,
+from juniperreel.pool.config import PoolConfig
+from juniperreel.pool.core import Pool, PooledConnection
+from juniperreel.pool.open_limiter import OpenLimiter
+from juniperreel.pool.types import (
+    AcquireRejected,
+    AcquireRequest,
+    CloseConnection,
     Lease,
-    Open,
-    Pool,
-    Sizes,
-    Turn,
-    Want,
+    LeaseGranted,
+    OpenConnection,
+    PoolAction,
+    RejectionReason,
 )
+from juniperreel.pool.wait_queue import FairWaitQueue, Waiter
 
 SEC = 1_000_000
-SIZES = Sizes(
-    most=6,
-    least=1,
-    queue=8,
-    wait_us=SEC,
-    idle_us=10 * SEC,
-    age_us=60 * SEC,
+CONFIG = PoolConfig(
+    max_connections=6,
+    min_connections=1,
+    max_waiters=8,
+    acquire_timeout_us=SEC,
+    idle_timeout_us=10 * SEC,
+    max_lifetime_us=60 * SEC,
     open_rate=1,
     open_burst=2,
-    shares=(0.5, 0.3, 0.2),
+    tenant_shares=(0.5, 0.3, 0.2),
 )
 
 
-class Pooling(RuleBasedStateMachine):
-    """Plays the shell: opens, fails, returns, loses; keeps what the pool may not know."""
+class PoolMachine(RuleBasedStateMachine):
+    """Carries out the pool's actions as a caller does, and tracks what must hold on its own."""
 
-    sizes = SIZES
-    make: Callable[[Sizes], Pool[int]] = staticmethod(lambda sizes: Pool(sizes, random.Random(1)))
+    config = CONFIG
+    make_pool: Callable[[PoolConfig], Pool[int]] = staticmethod(lambda config: Pool(config, random.Random(1)))
 
     def __init__(self) -> None:
         super().__init__()
-        self.pool = self.make(self.sizes)
+        self.pool = self.make_pool(self.config)
         self.now = 1
-        self.born = 0
+        self.last_connection = 0
         self.opening = 0
         self.idle: set[int] = set()
         self.leases: list[Lease[int]] = []
-        self.waiting: dict[Any, int] = {}  # id to the time until which it may wait
-        self.wants = 0
-        self.opened: list[int] = []  # times
+        self.waiting: dict[Any, int] = {}  # deadline by request id
+        self.last_request = 0
+        self.opened_at: list[int] = []  # when
 
-    def do(self, actions: list[Action[int]]) -> None:
+    def do(self, actions: list[PoolAction[int]]) -> None:
         for action in actions:
             match action:
-                case Give(lease):
-                    assert lease.connection in self.idle, "lent although it is not idle"
+                case LeaseGranted(lease):
+                    assert lease.connection in self.idle, "leased although it is not idle"
                     self.idle.discard(lease.connection)
-                    assert lease.want.id in self.waiting, "given to one who does not wait"
-                    assert self.now <= self.waiting.pop(lease.want.id), "given after its time"
+                    assert lease.request.id in self.waiting, "granted to a request that does not wait"
+                    assert self.now <= self.waiting.pop(lease.request.id), "granted after its deadline"
                     self.leases.append(lease)
-                case Open():
+                case OpenConnection():
                     self.opening += 1
-                    self.opened.append(self.now)
-                case Close(connection):
+                    self.opened_at.append(self.now)
+                case CloseConnection(connection):
                     self.idle.discard(connection)
-                case Turn(want, why):
-                    until = self.waiting.pop(want.id)
-                    assert why in (FULL, GONE, UNREACHABLE) or self.now >= until, "turned away too early"
+                case AcquireRejected(request, reason):
+                    until = self.waiting.pop(request.id)
+                    assert reason is not RejectionReason.TIMED_OUT or self.now >= until, "rejected too early"
 
     @rule(step=st.integers(0, 3 * SEC))
-    def time(self, step: int) -> None:
+    def advance_and_tick(self, step: int) -> None:
         self.now += step
         self.do(self.pool.tick(self.now))
 
     @rule(step=st.integers(0, 2 * SEC))
-    def time_nobody_noticed(self, step: int) -> None:
-        """The shell comes late."""
+    def advance_without_tick(self, step: int) -> None:
+        """The caller is late with its tick."""
         self.now += step
 
-    @rule(tenant=st.integers(-1, 3), worth=st.sampled_from([1.0, 3.0]), state=st.sampled_from([None, "a"]))
-    def ask(self, tenant: int, worth: float, state: str | None) -> None:
-        self.wants += 1
-        self.waiting[self.wants] = self.now + self.sizes.wait_us
-        self.do(self.pool.ask(self.now, Want(self.wants, tenant, worth, state=state)))
+    @rule(tenant=st.integers(-1, 3), weight=st.sampled_from([1.0, 3.0]), state=st.sampled_from([None, "a"]))
+    def acquire(self, tenant: int, weight: float, state: str | None) -> None:
+        self.last_request += 1
+        self.waiting[self.last_request] = self.now + self.config.acquire_timeout_us
+        request = AcquireRequest(self.last_request, tenant, weight, session_state=state)
+        self.do(self.pool.acquire(self.now, request))
 
     @precondition(lambda self: self.waiting)
     @rule(data=st.data())
-    def leave(self, data: st.DataObject) -> None:
-        want = data.draw(st.sampled_from(sorted(self.waiting)))
-        del self.waiting[want]
-        self.do(self.pool.gone(self.now, want))
+    def cancel(self, data: st.DataObject) -> None:
+        request_id = data.draw(st.sampled_from(sorted(self.waiting)))
+        del self.waiting[request_id]
+        self.do(self.pool.cancel(request_id))
 
     @precondition(lambda self: self.opening)
-    @rule(how=st.sampled_from(["opened", "opened", "failed", "refused", "given up"]))
+    @rule(how=st.sampled_from(["opened", "opened", "failed", "rejected", "abandoned"]))
     def opening_ends(self, how: str) -> None:
         self.opening -= 1
         if how == "opened":
-            self.born += 1
-            self.idle.add(self.born)
-            self.do(self.pool.opened(self.now, self.born))
-        elif how == "given up":
-            self.do(self.pool.given_up(self.now))
+            self.last_connection += 1
+            self.idle.add(self.last_connection)
+            self.do(self.pool.connection_opened(self.now, self.last_connection))
+        elif how == "abandoned":
+            self.do(self.pool.open_abandoned(self.now))
         else:
-            self.do(self.pool.failed(self.now, how == "refused"))
+            self.do(self.pool.open_failed(self.now, how == "rejected"))
 
     @precondition(lambda self: self.leases)
-    @rule(data=st.data(), good=st.booleans(), state=st.sampled_from([None, "a", "b"]))
-    def back(self, data: st.DataObject, good: bool, state: str | None) -> None:
+    @rule(data=st.data(), reusable=st.booleans(), state=st.sampled_from([None, "a", "b"]))
+    def release(self, data: st.DataObject, reusable: bool, state: str | None) -> None:
         lease = data.draw(st.sampled_from(self.leases))
         self.leases.remove(lease)
-        if good:
+        if reusable:
             self.idle.add(lease.connection)
-        self.do(self.pool.back(self.now, lease, good, state))
-        with pytest.raises(ValueError):
-            self.pool.back(self.now, lease, good, state)
+        self.do(self.pool.release(self.now, lease, reusable, state))
+        with pytest.raises(ValueError, match="released before"):
+            self.pool.release(self.now, lease, reusable, state)
 
     @precondition(lambda self: self.idle)
     @rule(data=st.data())
-    def lost(self, data: st.DataObject) -> None:
+    def connection_lost(self, data: st.DataObject) -> None:
         connection = data.draw(st.sampled_from(sorted(self.idle)))
         self.idle.discard(connection)
-        self.do(self.pool.lost(self.now, connection))
+        self.do(self.pool.connection_lost(self.now, connection))
 
     @rule()
     def drain_and_resume(self) -> None:
         self.do(self.pool.drain())
-        assert not self.idle and not self.waiting
+        assert not self.idle
+        assert not self.waiting
         self.pool.resume()
 
     @invariant()
-    def conserved(self) -> None:
+    def connections_are_conserved(self) -> None:
         pool = self.pool
         assert (pool.leased, pool.idle, pool.opening) == (len(self.leases), len(self.idle), self.opening)
         assert pool.waiting == len(self.waiting)
-        assert pool.total <= self.sizes.most
-        out = Counter(lease.connection for lease in self.leases)
-        assert not out or max(out.values()) == 1, "one connection for two"
+        assert pool.total <= self.config.max_connections
+        leased = Counter(lease.connection for lease in self.leases)
+        assert not leased or max(leased.values()) == 1, "one connection leased twice"
 
     @invariant()
-    def paced(self) -> None:
-        recent = [t for t in self.opened if t > self.now - SEC]
-        assert len(recent) <= self.sizes.open_burst + self.sizes.open_rate + 1
+    def openings_are_paced(self) -> None:
+        recent = [t for t in self.opened_at if t > self.now - SEC]
+        assert len(recent) <= self.config.open_burst + self.config.open_rate + 1
 
     @invariant()
-    def nobody_waits_beside_an_idle_one(self) -> None:
+    def no_request_waits_while_a_connection_is_idle(self) -> None:
         assert not (self.waiting and self.idle) or any(self.now >= until for until in self.waiting.values())
 
 
 SETTINGS = settings(max_examples=200, stateful_step_count=40, deadline=None)
-Pooling.TestCase.settings = SETTINGS
-TestPooling = Pooling.TestCase
+PoolMachine.TestCase.settings = SETTINGS
+TestPoolMachine = PoolMachine.TestCase
 
 
-# Planted bugs: each must be found.
+# Planted faults: the state machine must find each.
 
 
-class LendsTwice(Pool[int]):
-    def _give(self, kept: Any, want: Want) -> Give[int]:
-        give = super()._give(kept, want)
-        if want.worth > 1 and not self._waiting:
-            self._idle.append(kept)
-        return give
+class LeasesTwice(Pool[int]):
+    def _grant(self, pooled: PooledConnection[int], request: AcquireRequest) -> LeaseGranted[int]:
+        granted = super()._grant(pooled, request)
+        if request.priority_weight > 1 and not self.waiting:
+            self._idle.append(pooled)
+        return granted
 
 
-class ForgetsTheWait(Pool[int]):
-    def tick(self, now: int) -> list[Action[int]]:
-        return [a for a in super().tick(now) if not (isinstance(a, Turn) and a.want.tenant == 2)]
+class ForgetsTimedOutWaiters(Pool[int]):
+    def tick(self, now_us: int) -> list[PoolAction[int]]:
+        return [
+            action
+            for action in super().tick(now_us)
+            if not (isinstance(action, AcquireRejected) and action.request.tenant == 2)
+        ]
 
 
-class OpensWithoutPace(Pool[int]):
-    def _filled(self, now: int) -> float:
+class UnpacedLimiter(OpenLimiter):
+    def available_tokens(self, _now_us: int) -> float:
         return 10.0
 
 
-class KeepsWhatIsLost(Pool[int]):
-    def lost(self, now: int, connection: int) -> list[Action[int]]:
+class OpensWithoutPace(Pool[int]):
+    def __init__(self, config: PoolConfig, random_source: random.Random) -> None:
+        super().__init__(config, random_source)
+        self._open_limiter = UnpacedLimiter(
+            config.max_connections, config.open_rate, config.open_burst, random_source
+        )
+
+
+class KeepsLostConnections(Pool[int]):
+    def connection_lost(self, _now_us: int, _connection: int) -> list[PoolAction[int]]:
         return []
 
 
-class OpensBeyondTheMost(Pool[int]):
+class OpensBeyondTheLimit(Pool[int]):
     @property
-    def cap(self) -> int:
-        return super().cap + 1
+    def connection_limit(self) -> int:
+        return super().connection_limit + 1
 
 
-class ServesTheLate(Pool[int]):
+class QueueWithoutDeadlines(FairWaitQueue):
     @staticmethod
-    def _waits(waiter: Any, now: int) -> bool:
-        return not waiter.left
+    def _is_servable(_waiter: Waiter, _now_us: int) -> bool:
+        return True
+
+
+class ServesExpiredWaiters(Pool[int]):
+    def __init__(self, config: PoolConfig, random_source: random.Random) -> None:
+        super().__init__(config, random_source)
+        self._waiters = QueueWithoutDeadlines(config.tenant_shares)
 
 
 @pytest.mark.parametrize(
-    "bug", [LendsTwice, ForgetsTheWait, OpensWithoutPace, KeepsWhatIsLost, OpensBeyondTheMost, ServesTheLate]
+    "faulty_pool",
+    [
+        LeasesTwice,
+        ForgetsTimedOutWaiters,
+        OpensWithoutPace,
+        KeepsLostConnections,
+        OpensBeyondTheLimit,
+        ServesExpiredWaiters,
+    ],
 )
-def test_planted_bugs_are_found(bug: type[Pool[int]]) -> None:
-    class Planted(Pooling):
-        sizes = replace(SIZES, most=2) if bug is OpensBeyondTheMost else SIZES
-        make = staticmethod(lambda sizes: bug(sizes, random.Random(1)))
+def test_state_machine_finds_a_planted_fault(faulty_pool: type[Pool[int]]) -> None:
+    class Planted(PoolMachine):
+        config = replace(CONFIG, max_connections=2) if faulty_pool is OpensBeyondTheLimit else CONFIG
+        make_pool = staticmethod(lambda config: faulty_pool(config, random.Random(1)))
 
-    with pytest.raises(Exception):  # noqa: B017
+    with pytest.raises(AssertionError):
         run_state_machine_as_test(
             Planted,
             settings=settings(
@@ -224,95 +251,109 @@
         )
 
 
-# Stories.
+# Scenarios.
+
+ONE_CONNECTION = PoolConfig(max_connections=1, max_waiters=10_000, acquire_timeout_us=1 << 50, open_burst=100)
 
 
-def grown(sizes: Sizes, count: int) -> tuple[Pool[int], list[Lease[int]]]:
-    pool: Pool[int] = Pool(sizes, random.Random(1))
+def pool_with_leases(config: PoolConfig, count: int) -> tuple[Pool[int], list[Lease[int]]]:
+    pool: Pool[int] = Pool(config, random.Random(1))
     leases = []
     for n in range(count):
-        pool.ask(1, Want(f"grow{n}"))
-        (give,) = [a for a in pool.opened(1, n) if isinstance(a, Give)]
-        leases.append(give.lease)
+        pool.acquire(1, AcquireRequest(f"grow{n}"))
+        (granted,) = [a for a in pool.connection_opened(1, n) if isinstance(a, LeaseGranted)]
+        leases.append(granted.lease)
     return pool, leases
 
 
-def given(actions: list[Action[int]]) -> list[Any]:
-    return [a.lease.want.id for a in actions if isinstance(a, Give)]
+def granted_ids(actions: list[PoolAction[int]]) -> list[Any]:
+    return [a.lease.request.id for a in actions if isinstance(a, LeaseGranted)]
+
 
+def rejected_ids(actions: list[PoolAction[int]]) -> list[Any]:
+    return [a.request.id for a in actions if isinstance(a, AcquireRejected)]
 
-def test_tenants_are_served_by_their_shares_and_within_them_by_worth() -> None:
-    sizes = Sizes(most=1, queue=10_000, wait_us=1 << 50, shares=(0.75, 0.25), open_burst=100)
-    pool, (lease,) = grown(sizes, 1)
+
+def test_waiters_are_served_by_tenant_share_and_within_it_by_priority_weight() -> None:
+    config = replace(ONE_CONNECTION, tenant_shares=(0.75, 0.25))
+    pool, (lease,) = pool_with_leases(config, 1)
     for n in range(400):
-        pool.ask(1, Want(("a", n), 0, worth=1 + n % 2))
-        pool.ask(1, Want(("b", n), 1))
+        pool.acquire(1, AcquireRequest(("a", n), 0, priority_weight=1 + n % 2))
+        pool.acquire(1, AcquireRequest(("b", n), 1))
     served: list[Any] = []
     for _ in range(200):
-        (give,) = [a for a in pool.back(1, lease, True) if isinstance(a, Give)]
-        lease = give.lease
-        served.append(lease.want.id)
+        (granted,) = [a for a in pool.release(1, lease, True) if isinstance(a, LeaseGranted)]
+        lease = granted.lease
+        served.append(lease.request.id)
     of_a = [n for name, n in served if name == "a"]
     assert abs(len(of_a) - 150) <= 2
-    assert of_a == [n for n in range(400) if n % 2][: len(of_a)], "worth first, then arrival"
+    assert of_a == [n for n in range(400) if n % 2][: len(of_a)], "priority weight first, then arrival"
     assert [n for name, n in served if name == "b"] == list(range(200 - len(of_a)))
 
 
-def test_one_that_fills_the_queue_has_nobody_else_turned_away() -> None:
-    sizes = Sizes(most=1, queue=20, wait_us=1 << 50, shares=(0.5, 0.3, 0.2), open_burst=100)
-    pool, (lease,) = grown(sizes, 1)
-    turned: list[Any] = []
+def test_full_queue_evicts_from_the_tenant_most_over_its_share() -> None:
+    config = replace(ONE_CONNECTION, max_waiters=20, tenant_shares=(0.5, 0.3, 0.2))
+    pool, (lease,) = pool_with_leases(config, 1)
+    rejected: list[Any] = []
     for n in range(200):
-        turned += [a.want.id for a in pool.ask(1, Want(("greedy", n), 0)) if isinstance(a, Turn)]
-    assert len(turned) == 180 and pool.waiting == 20
-    turned = []
+        rejected += rejected_ids(pool.acquire(1, AcquireRequest(("greedy", n), 0)))
+    assert len(rejected) == 180
+    assert pool.waiting == 20
+    rejected = []
     for n in range(8):
         for tenant in (1, 2):
-            actions = pool.ask(2, Want((tenant, n), tenant, worth=1.0))
-            turned += [a.want.id for a in actions if isinstance(a, Turn)]
-    assert [name for name, _ in turned].count("greedy") >= 10 and pool.waiting == 20
-    # Each holds about its part of the queue, and the greedy one's oldest are still there.
-    assert next(t for name, t in turned if name == "greedy") == 19
-    (give,) = pool.back(3, lease, True)
-    assert isinstance(give, Give)
-
-
-def test_who_asked_for_nothing_is_owed_nothing() -> None:
-    sizes = Sizes(most=1, queue=10_000, wait_us=1 << 50, shares=(0.5, 0.5), open_burst=100)
-    pool, (lease,) = grown(sizes, 1)
+            actions = pool.acquire(2, AcquireRequest((tenant, n), tenant, priority_weight=1.0))
+            rejected += rejected_ids(actions)
+    assert [name for name, _ in rejected].count("greedy") >= 10
+    assert pool.waiting == 20
+    # Each holds about its share of the queue, and the greedy tenant's oldest are still in it.
+    assert next(t for name, t in rejected if name == "greedy") == 19
+    (granted,) = pool.release(3, lease, True)
+    assert isinstance(granted, LeaseGranted)
+
+
+def test_idle_tenant_accumulates_no_credit() -> None:
+    config = replace(ONE_CONNECTION, tenant_shares=(0.5, 0.5))
+    pool, (lease,) = pool_with_leases(config, 1)
     for n in range(300):
-        pool.ask(1, Want(("a", n), 0))
+        pool.acquire(1, AcquireRequest(("a", n), 0))
     for _ in range(100):
-        (give,) = [a for a in pool.back(1, lease, True) if isinstance(a, Give)]
-        lease = give.lease
+        (granted,) = [a for a in pool.release(1, lease, True) if isinstance(a, LeaseGranted)]
+        lease = granted.lease
     for n in range(100):
-        pool.ask(1, Want(("b", n), 1))
+        pool.acquire(1, AcquireRequest(("b", n), 1))
     served = []
     for _ in range(100):
-        (give,) = [a for a in pool.back(1, lease, True) if isinstance(a, Give)]
-        lease = give.lease
-        (name, _) = cast(Any, lease.want.id)
+        (granted,) = [a for a in pool.release(1, lease, True) if isinstance(a, LeaseGranted)]
+        lease = granted.lease
+        (name, _) = cast(Any, lease.request.id)
         served.append(name)
-    assert 45 <= served.count("b") <= 55, "it does not catch up for the time it was away"
+    assert 45 <= served.count("b") <= 55, "it does not catch up for the time in which it was idle"
 
 
-def test_a_connection_with_the_session_s_state_goes_first_and_else_the_newest() -> None:
-    pool, leases = grown(Sizes(most=4, open_burst=10), 3)
+def test_connection_with_the_session_state_is_preferred_and_else_the_newest() -> None:
+    pool, leases = pool_with_leases(PoolConfig(max_connections=4, open_burst=10), 3)
     for n, lease in enumerate(leases):
-        pool.back(10 + n, lease, True, ["a", "b", "c"][n])
-    (give,) = pool.ask(20, Want("x", state="a"))
-    assert isinstance(give, Give) and give.lease.connection == 0
-    (give,) = pool.ask(20, Want("y", state="z"))
-    assert isinstance(give, Give) and give.lease.connection == 2
-
-
-def test_a_thousand_that_wake_at_once_open_no_more_than_the_pace() -> None:
-    """At a member that is just back."""
-    sizes = Sizes(most=500, queue=2000, wait_us=5 * SEC, open_rate=20, open_burst=5)
-    pool: Pool[int] = Pool(sizes, random.Random(1))
-    now, opened, number = 1, 0, 0
+        pool.release(10 + n, lease, True, ["a", "b", "c"][n])
+    (granted,) = pool.acquire(20, AcquireRequest("x", session_state="a"))
+    assert isinstance(granted, LeaseGranted)
+    assert granted.lease.connection == 0
+    (granted,) = pool.acquire(20, AcquireRequest("y", session_state="z"))
+    assert isinstance(granted, LeaseGranted)
+    assert granted.lease.connection == 2
+
+
+def test_openings_are_paced_when_a_thousand_requests_arrive_at_once() -> None:
+    """As when an endpoint has just come back."""
+    config = PoolConfig(
+        max_connections=500, max_waiters=2000, acquire_timeout_us=5 * SEC, open_rate=20, open_burst=5
+    )
+    pool: Pool[int] = Pool(config, random.Random(1))
+    now = 1
+    opened = 0
+    number = 0
     for n in range(1000):
-        opened += sum(isinstance(a, Open) for a in pool.ask(now, Want(n)))
+        opened += sum(isinstance(a, OpenConnection) for a in pool.acquire(now, AcquireRequest(n)))
     assert opened == 5
     leases: list[Lease[int]] = []
     while now < 2 * SEC:
@@ -320,49 +361,59 @@
         actions = pool.tick(now)
         while pool.opening:
             number += 1
-            actions += pool.opened(now, number)
-        opened += sum(isinstance(a, Open) for a in actions)
-        leases += [a.lease for a in actions if isinstance(a, Give)]
-    assert 35 <= number <= 50 and len(leases) == number
-
-
-def test_a_member_that_refuses_lowers_what_is_asked_of_it_and_is_tried_upwards() -> None:
-    pool, leases = grown(Sizes(most=10, open_burst=20, wait_us=60 * SEC), 4)
-    assert any(isinstance(a, Open) for a in pool.ask(1, Want("five")))
-    assert pool.failed(2, refused=True) == [] and pool.cap == 4 and pool.refusals == 1
+            actions += pool.connection_opened(now, number)
+        opened += sum(isinstance(a, OpenConnection) for a in actions)
+        leases += [a.lease for a in actions if isinstance(a, LeaseGranted)]
+    assert 35 <= number <= 50
+    assert len(leases) == number
+
+
+def test_rejected_opening_lowers_the_connection_limit_which_then_rises_again() -> None:
+    pool, leases = pool_with_leases(
+        PoolConfig(max_connections=10, open_burst=20, acquire_timeout_us=60 * SEC), 4
+    )
+    assert any(isinstance(a, OpenConnection) for a in pool.acquire(1, AcquireRequest("five")))
+    assert pool.open_failed(2, rejected=True) == []
+    assert pool.connection_limit == 4
+    assert pool.rejected_openings == 1
     now = 3
     for _ in range(3):
         now += 5 * SEC
         pool.tick(now)
-    assert 5 <= pool.cap <= 7
-    assert given(pool.back(now, leases[0], True)) == ["five"]
+    assert 5 <= pool.connection_limit <= 7
+    assert granted_ids(pool.release(now, leases[0], True)) == ["five"]
 
 
-def test_those_who_wait_for_a_member_that_cannot_be_reached_are_told_at_once() -> None:
-    pool: Pool[int] = Pool(Sizes(most=4), random.Random(1))
-    pool.ask(1, Want("a"))
-    assert pool.failed(2, refused=False) == [Turn(Want("a"), UNREACHABLE)]
-    assert pool.ask(3, Want("b")) == [Turn(Want("b"), UNREACHABLE)]
-    assert any(isinstance(a, Open) for a in pool.ask(3 * SEC, Want("c")))
+def test_waiters_are_rejected_at_once_when_the_endpoint_is_unreachable() -> None:
+    pool: Pool[int] = Pool(PoolConfig(max_connections=4), random.Random(1))
+    first = AcquireRequest("a")
+    second = AcquireRequest("b")
+    pool.acquire(1, first)
+    assert pool.open_failed(2, rejected=False) == [AcquireRejected(first, RejectionReason.UNREACHABLE)]
+    assert pool.acquire(3, second) == [AcquireRejected(second, RejectionReason.UNREACHABLE)]
+    assert any(isinstance(a, OpenConnection) for a in pool.acquire(3 * SEC, AcquireRequest("c")))
 
 
-def test_edges_that_start_together_do_not_open_together_again() -> None:
+def test_lifetimes_of_pools_started_together_are_spread() -> None:
     ends = set()
     for seed in range(50):
-        pool: Pool[int] = Pool(Sizes(most=1, idle_us=1 << 50), random.Random(seed))
-        pool.ask(1, Want("a"))
-        (give,) = pool.opened(1, 1)
-        assert isinstance(give, Give)
-        pool.back(2, give.lease, True)
-        due = pool.due_us(2)
+        pool: Pool[int] = Pool(PoolConfig(max_connections=1, idle_timeout_us=1 << 50), random.Random(seed))
+        pool.acquire(1, AcquireRequest("a"))
+        (granted,) = pool.connection_opened(1, 1)
+        assert isinstance(granted, LeaseGranted)
+        pool.release(2, granted.lease, True)
+        due = pool.next_tick_us(2)
         assert due is not None
         ends.add(due // (60 * SEC))
     assert len(ends) > 8
 
 
-def test_the_least_is_kept_open_and_the_rest_goes_when_idle() -> None:
-    pool, leases = grown(Sizes(most=4, least=1, idle_us=10 * SEC, open_burst=10), 3)
+def test_idle_connections_beyond_the_minimum_are_closed() -> None:
+    pool, leases = pool_with_leases(
+        PoolConfig(max_connections=4, min_connections=1, idle_timeout_us=10 * SEC, open_burst=10), 3
+    )
     for lease in leases:
-        pool.back(2, lease, True)
-    closed = [a for a in pool.tick(11 * SEC) if isinstance(a, Close)]
-    assert len(closed) == 2 and pool.idle == 1
+        pool.release(2, lease, True)
+    closed = [a for a in pool.tick(11 * SEC) if isinstance(a, CloseConnection)]
+    assert len(closed) == 2
+    assert pool.idle == 1
--- a/tests/pool/test_session_state.py
+++ b/tests/pool/test_session_state.py
@@ -1,4 +1,4 @@
-"""A session's state as a value, and the way from one connection's to another's."""
+"""Session state as a value, and the statement that replays it on another connection."""
 
 from __future__ import annotations
 
@@ -7,46 +7,57 @@
 from hypothesis import strategies as st
 
 from juniperreel.fakes.engine import ASSIGNED, ASSIGNMENT
-from juniperreel.pool.session_state import FRESH, MOST, SessionState, TooMuch, replay
+from juniperreel.pool.errors import SessionStateTooLargeError
+from juniperreel.pool.session_state import (
+    INITIAL_SESSION_STATE,
+    MAX_VARIABLES,
+    SessionState,
+    replay_statement,
+)
 from juniperreel.statements import read_statement
 
 names = st.sampled_from(["sql_mode", "time_zone", "wait_timeout", "@a", "@b"])
 literals = st.sampled_from(["1", "-2.5", "'x'", "'a,b'", "default", "null", "on"])
-states = st.lists(st.tuples(names, literals), max_size=8).map(lambda sets: made(FRESH, sets))
+states = st.lists(st.tuples(names, literals), max_size=8).map(
+    lambda sets: apply_sets(INITIAL_SESSION_STATE, sets)
+)
 
 
-def made(state: SessionState, sets: list[tuple[str, str]]) -> SessionState:
+def apply_sets(state: SessionState, sets: list[tuple[str, str]]) -> SessionState:
     for name, value in sets:
         state = state.set(name, value)
     return state
 
 
 @given(states, states)
-def test_a_replay_takes_a_connection_from_one_state_to_the_other(
-    have: SessionState, want: SessionState
+def test_replay_statement_takes_a_connection_from_one_state_to_the_other(
+    current: SessionState, target: SessionState
 ) -> None:
-    statement = replay(have, want)
-    assert (statement is None) == (have == want)
-    state = have
+    statement = replay_statement(current, target)
+    assert (statement is None) == (current == target)
+    state = current
     if statement is not None:
         for part in ASSIGNMENT.split(statement.decode()[4:]):
             match = ASSIGNED.match(part.strip())
             assert match is not None
             state = state.set(match[1], match[2])
-    assert state == want and hash(state) == hash(want)
+    assert state == target
+    assert hash(state) == hash(target)
     reading = read_statement(statement or b"set @a = 1")
-    assert reading.control is not None and reading.control.sets, "and it reads as what it is"
+    assert reading.control is not None
+    assert reading.control.sets, "the statement reader recognizes it as a set"
 
 
-def test_what_is_unset_is_forgotten() -> None:
-    state = FRESH.set("SQL_MODE", "'ANSI'").set("@a", "1")
-    assert state.parsed == "sql_mode='ANSI'" and state
+def test_set_to_the_default_removes_the_variable() -> None:
+    state = INITIAL_SESSION_STATE.set("SQL_MODE", "'ANSI'").set("@a", "1")
+    assert state.parse_context == "sql_mode='ANSI'"
+    assert state
     assert not state.set("sql_mode", "DEFAULT").set("@a", "null")
-    assert FRESH.set("@a", "null") is FRESH
+    assert INITIAL_SESSION_STATE.set("@a", "null") is INITIAL_SESSION_STATE
 
 
-def test_one_session_keeps_no_more_than_its_part() -> None:
-    with pytest.raises(TooMuch):
-        made(FRESH, [(f"@v{n}", "1") for n in range(MOST + 1)])
-    with pytest.raises(TooMuch):
-        FRESH.set("@a", f"'{'x' * 5000}'")
+def test_set_beyond_the_limits_raises() -> None:
+    with pytest.raises(SessionStateTooLargeError):
+        apply_sets(INITIAL_SESSION_STATE, [(f"@v{n}", "1") for n in range(MAX_VARIABLES + 1)])
+    with pytest.raises(SessionStateTooLargeError):
+        INITIAL_SESSION_STATE.set("@a", f"'{'x' * 5000}'")
