--- a/benchmarks/pool.py
+++ b/benchmarks/pool.py
@@ -1,13 +1,14 @@
-"""What the pool's decisions cost and bring, in one run:
+"""What the pool's decisions cost and bring, in one run.
 
     .venv/bin/python benchmarks/pool.py [--plot docs/design/pool-openings.png] [--transactions 3000]
 
-- the core in virtual time: connections opened at a member that is just back, with and without pacing
-  (plotted), and how long tenants wait beside one that asks ten times its share, with shares and in one queue;
-- the edge with stand-ins: transactions a second and p99 by connections to each member, up to one a session;
-- memory of idle sessions: 10,000 of them without a connection of their own.
+- the core in virtual time: connections opened at an endpoint that has just come back, with and without pacing
+  (plotted), and how long tenants wait beside one that sends ten times its share, by shares and in one queue;
+- the edge with fake endpoints: transactions per second and p99 by connections to each endpoint, up to one per
+  session;
+- memory of idle sessions: 10,000 of them, none with a backend connection of its own.
 
-The first part is the same on every machine; of the others the ratios within one run count.
+The first part is the same on every machine; of the others only ratios within one run are meaningful.
 """
 
 from __future__ import annotations
@@ -19,9 +20,11 @@
 import sys
 import tempfile
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from types import SimpleNamespace
+from typing import Any, NamedTuple
 
 import matplotlib
 
@@ -35,137 +38,212 @@
 
 from pool_soak import soak
 
-from juniperreel.pool.core import Action, Give, Lease, Open, Pool, Sizes, Turn, Want
+from juniperreel.pool.config import PoolConfig
+from juniperreel.pool.core import Pool
+from juniperreel.pool.types import (
+    AcquireRejected,
+    AcquireRequest,
+    Lease,
+    LeaseGranted,
+    OpenConnection,
+    PoolAction,
+)
 
 US = 1_000_000
-SHARES = (0.6, 0.25, 0.15)
+US_PER_MS = 1_000
+SINGLE_QUEUE_TENANT = -1
 
+OPEN_US = 5_000
+OPEN_CONTENTION_US = 2_000  # for each other connection that the endpoint is accepting at the same time
+TRANSACTION_US = 8_000
+TRANSACTION_JITTER = (0.5, 1.5)
 
-class Model:
-    """Edges' pools before one member, in virtual time. Opening takes 5 ms, and 2 ms more for each other that
-    the member is opening at once; a transaction takes 8 ms."""
-
-    def __init__(self, sizes: Sizes, edges: int, seed: int = 1) -> None:
-        self.pools: list[Pool[int]] = [Pool(sizes, random.Random(seed * 1000 + n)) for n in range(edges)]
-        self.rng = random.Random(seed)
-        self.now = 0
-        self.events: list[tuple[int, int, Callable[[], None]]] = []
-        self.number = self.opening = 0
-        self.opened: list[int] = []
-        self.waits: dict[int, list[int]] = defaultdict(list)
-        self.turned: dict[int, int] = defaultdict(int)
-        self.came: dict[Any, tuple[int, int]] = {}  # when, and of which tenant
-        self.one_queue = False
-
-    def at(self, when: int, what: Callable[[], None]) -> None:
-        self.number += 1
-        heapq.heappush(self.events, (when, self.number, what))
-
-    def run(self, until: int) -> None:
-        while self.events and self.events[0][0] <= until:
-            self.now, _, what = heapq.heappop(self.events)
-            what()
-
-    def do(self, pool: Pool[int], actions: list[Action[int]]) -> None:
-        for action in actions:
-            match action:
-                case Give(lease):
-                    came, tenant = self.came.pop(lease.want.id)
-                    self.waits[tenant].append(self.now - came)
-                    done = self.now + int(8_000 * self.rng.uniform(0.5, 1.5))
-                    self.at(done, lambda lease=lease: self.done(pool, lease))  # type: ignore[misc]
-                case Open():
-                    self.opening += 1
-                    self.at(self.now + 5_000 + 2_000 * self.opening, lambda: self.open(pool))
-                case Turn(want, _):
-                    self.turned[self.came.pop(want.id)[1]] += 1
+RECONNECT_PROXIES = 300
+RECONNECT_CONNECTIONS = 5
+RECONNECT_WAITERS = 20
+RECONNECT_RATE = 20.0
+RECONNECT_US = 5 * US
+PLOT_BUCKET_US = 100_000
 
-    def done(self, pool: Pool[int], lease: Lease[int]) -> None:
-        self.do(pool, pool.back(self.now, lease, True))
+TENANT_SHARES = (0.6, 0.25, 0.15)
+TENANT_LOADS = (0.9, 10.0, 0.9)  # of what its share allows
+TENANT_LABELS = ("0.9 of its 60 parts", "ten times its 25", "0.9 of its 15")
+TENANT_CONNECTIONS = 4
+TENANT_US = 10 * US
 
-    def open(self, pool: Pool[int]) -> None:
-        self.opening -= 1
-        self.opened.append(self.now)
-        self.do(pool, pool.opened(self.now, self.number))
+SOAK_SESSIONS = 64
+WARMUP_SESSIONS = 100
+IDLE_SESSIONS = 10_000
+
+
+class Arrival(NamedTuple):
+    """When a request came, and from which tenant."""
+
+    at_us: int
+    tenant: int
 
-    def ask(self, pool: Pool[int], tenant: int) -> None:
-        self.number += 1
-        self.came[self.number] = self.now, tenant
-        self.do(pool, pool.ask(self.now, Want(self.number, -1 if self.one_queue else tenant)))
 
-    def load(self, pool: Pool[int], tenant: int, rate: float, until: int) -> None:
-        due = self.now
-        while (due := due + int(self.rng.expovariate(rate) * US)) < until:
-            self.at(due, lambda: self.ask(pool, tenant))
+@dataclass(order=True)
+class Event:
+    """Something that is due; events of the same time run in the order in which they were scheduled."""
 
-    def tick(self, every: int, until: int) -> None:
-        for when in range(0, until, every):
+    due_us: int
+    sequence: int
+    callback: Callable[[], None]
+
+
+class Model:
+    """The pools of several proxies in front of one endpoint, in virtual time.
+
+    Opening a connection takes `OPEN_US`, and `OPEN_CONTENTION_US` more for each other that the endpoint is
+    accepting at the same time; a transaction takes `TRANSACTION_US` on average.
+    """
+
+    def __init__(self, config: PoolConfig, proxies: int, seed: int = 1) -> None:
+        self.pools: list[Pool[int]] = [Pool(config, random.Random(seed * 1000 + n)) for n in range(proxies)]
+        self.random = random.Random(seed)
+        self.now_us = 0
+        self.events: list[Event] = []
+        self.sequence = 0
+        self.opening = 0
+        self.opened_at: list[int] = []
+        self.waits_us: dict[int, list[int]] = defaultdict(list)
+        self.rejected: dict[int, int] = defaultdict(int)
+        self.arrivals: dict[Any, Arrival] = {}
+        self.single_queue = False
+
+    def schedule(self, due_us: int, callback: Callable[[], None]) -> None:
+        """Run `callback` at a time."""
+        self.sequence += 1
+        heapq.heappush(self.events, Event(due_us, self.sequence, callback))
+
+    def run(self, until_us: int) -> None:
+        """Run all events up to a time."""
+        while self.events and self.events[0].due_us <= until_us:
+            event = heapq.heappop(self.events)
+            self.now_us = event.due_us
+            event.callback()
+
+    def carry_out(self, pool: Pool[int], actions: Iterable[PoolAction[int]]) -> None:
+        """Do what a pool asks for."""
+        for action in actions:
+            match action:
+                case LeaseGranted(lease):
+                    self._start_transaction(pool, lease)
+                case OpenConnection():
+                    self.opening += 1
+                    due_us = self.now_us + OPEN_US + OPEN_CONTENTION_US * self.opening
+                    self.schedule(due_us, lambda: self._finish_opening(pool))
+                case AcquireRejected(request, _):
+                    self.rejected[self.arrivals.pop(request.id).tenant] += 1
+
+    def acquire(self, pool: Pool[int], tenant: int) -> None:
+        """A tenant's request arrives."""
+        self.sequence += 1
+        self.arrivals[self.sequence] = Arrival(self.now_us, tenant)
+        request = AcquireRequest(self.sequence, SINGLE_QUEUE_TENANT if self.single_queue else tenant)
+        self.carry_out(pool, pool.acquire(self.now_us, request))
+
+    def add_load(self, pool: Pool[int], tenant: int, rate: float, until_us: int) -> None:
+        """Schedule a tenant's requests: a Poisson process of `rate` per second."""
+        due_us = self.now_us
+        while (due_us := due_us + int(self.random.expovariate(rate) * US)) < until_us:
+            self.schedule(due_us, lambda: self.acquire(pool, tenant))
+
+    def add_ticks(self, interval_us: int, until_us: int) -> None:
+        """Schedule the ticks of all pools."""
+        for due_us in range(0, until_us, interval_us):
             for pool in self.pools:
-                self.at(when, lambda pool=pool: self.do(pool, pool.tick(self.now)))  # type: ignore[misc]
+                self.schedule(due_us, lambda pool=pool: self._tick(pool))  # type: ignore[misc]
+
+    def _tick(self, pool: Pool[int]) -> None:
+        self.carry_out(pool, pool.tick(self.now_us))
 
+    def _start_transaction(self, pool: Pool[int], lease: Lease[int]) -> None:
+        arrival = self.arrivals.pop(lease.request.id)
+        self.waits_us[arrival.tenant].append(self.now_us - arrival.at_us)
+        duration_us = int(TRANSACTION_US * self.random.uniform(*TRANSACTION_JITTER))
+        self.schedule(self.now_us + duration_us, lambda: self._finish_transaction(pool, lease))
 
-def returning(paced: bool) -> Model:
-    """300 edges with 5 connections at most find a member again, all in the same moment, each with 20
-    waiting."""
-    rate, burst = (2.0, 1.0) if paced else (1e9, 1e9)
-    sizes = Sizes(most=5, queue=100, wait_us=2 * US, open_rate=rate, open_burst=burst)
-    model = Model(sizes, 300)
+    def _finish_transaction(self, pool: Pool[int], lease: Lease[int]) -> None:
+        self.carry_out(pool, pool.release(self.now_us, lease, True))
+
+    def _finish_opening(self, pool: Pool[int]) -> None:
+        self.opening -= 1
+        self.opened_at.append(self.now_us)
+        self.carry_out(pool, pool.connection_opened(self.now_us, self.sequence))
+
+
+def simulate_reconnect(paced: bool) -> Model:
+    """All proxies find an endpoint again at the same moment, each with requests waiting."""
+    config = PoolConfig(
+        max_connections=RECONNECT_CONNECTIONS,
+        max_waiters=100,
+        acquire_timeout_us=2 * US,
+        open_rate=2.0 if paced else 1e9,
+        open_burst=1.0 if paced else 1e9,
+    )
+    model = Model(config, RECONNECT_PROXIES)
     for pool in model.pools:
-        for _ in range(20):
-            model.at(0, lambda pool=pool: model.ask(pool, 0))  # type: ignore[misc]
-        model.load(pool, 0, 20, 5 * US)
-    model.tick(20_000, 5 * US)
-    model.run(5 * US)
+        for _ in range(RECONNECT_WAITERS):
+            model.schedule(0, lambda pool=pool: model.acquire(pool, 0))  # type: ignore[misc]
+        model.add_load(pool, 0, RECONNECT_RATE, RECONNECT_US)
+    model.add_ticks(20_000, RECONNECT_US)
+    model.run(RECONNECT_US)
     return model
 
 
-def crowded(fair: bool) -> Model:
-    """Three tenants, of 60, 25 and 15 parts, at 4 connections; the second asks for ten times its part. Not
-    `fair`: the pool is told of one tenant, whose requests the model tells apart by their ids."""
-    sizes = Sizes(most=4, queue=400, wait_us=500_000, open_burst=10, shares=SHARES if fair else ())
-    model = Model(sizes, 1)
+def simulate_tenants(fair: bool) -> Model:
+    """Three tenants, the second of which sends ten times its share.
+
+    Without `fair`, the pool sees all requests as one tenant's, and only the model tells them apart.
+    """
+    config = PoolConfig(
+        max_connections=TENANT_CONNECTIONS,
+        max_waiters=400,
+        acquire_timeout_us=500_000,
+        open_burst=10,
+        tenant_shares=TENANT_SHARES if fair else (),
+    )
+    model = Model(config, 1)
     (pool,) = model.pools
-    able = 4 / 0.008
-    for tenant, part in enumerate(SHARES):
-        model.load(pool, tenant, able * part * (10 if tenant == 1 else 0.9), 10 * US)
-    model.one_queue = not fair
-    model.tick(10_000, 10 * US)
-    model.run(10 * US)
+    capacity = TENANT_CONNECTIONS / 0.008
+    for tenant, (share, load) in enumerate(zip(TENANT_SHARES, TENANT_LOADS, strict=True)):
+        model.add_load(pool, tenant, capacity * share * load, TENANT_US)
+    model.single_queue = not fair
+    model.add_ticks(10_000, TENANT_US)
+    model.run(TENANT_US)
     return model
 
 
-def p(values: list[int], part: float) -> float:
-    values = sorted(values)
-    return values[min(int(len(values) * part), len(values) - 1)] / 1000 if values else 0.0
-
+def percentile_ms(values_us: list[int], fraction: float) -> float:
+    """A percentile in milliseconds; 0 of no values."""
+    if not values_us:
+        return 0.0
+    ordered = sorted(values_us)
+    return ordered[min(int(len(ordered) * fraction), len(ordered) - 1)] / US_PER_MS
 
-def main() -> None:
-    parser = argparse.ArgumentParser()
-    parser.add_argument("--plot", type=Path)
-    parser.add_argument("--transactions", type=int, default=3000)
-    o = parser.parse_args()
-    openings(o.plot)
-    tenants()
-    sizes(o.transactions)
-    memory()
 
-
-def openings(plot: Path | None) -> None:
+def report_reconnect(plot: Path | None) -> None:
+    """Print, and plot, how many connections are opened at an endpoint that has come back."""
     figure, axes = pyplot.subplots(figsize=(8, 3.5))
-    for name, paced in (("paced", True), ("not paced", False)):
-        model = returning(paced)
-        per = defaultdict(int)
-        for when in model.opened:
-            per[when // 100_000] += 1
-        waits = [w for ws in model.waits.values() for w in ws]
+    for label, paced in (("paced", True), ("not paced", False)):
+        model = simulate_reconnect(paced)
+        opened: dict[int, int] = defaultdict(int)
+        for opened_us in model.opened_at:
+            opened[opened_us // PLOT_BUCKET_US] += 1
+        waits = [wait for waits_us in model.waits_us.values() for wait in waits_us]
+        rejected = sum(model.rejected.values())
         print(
-            f"a member back before 300 edges, {name}: {max(per.values())} connections opened in the worst "
-            f"100 ms, {len(model.opened)} in all; waited p50 {p(waits, 0.5):.0f} ms, "
-            f"p99 {p(waits, 0.99):.0f} ms, "
-            f"{sum(model.turned.values())} turned away of {len(waits) + sum(model.turned.values())}"
+            f"an endpoint back before {RECONNECT_PROXIES} proxies, {label}: "
+            f"{max(opened.values())} connections opened in the worst 100 ms, {len(model.opened_at)} in all; "
+            f"waited p50 {percentile_ms(waits, 0.5):.0f} ms, p99 {percentile_ms(waits, 0.99):.0f} ms, "
+            f"{rejected} rejected of {len(waits) + rejected}"
         )
-        axes.step([n / 10 for n in range(50)], [per[n] for n in range(50)], where="post", label=name)
-    axes.set_xlabel("seconds after the member is back")
+        buckets = range(RECONNECT_US // PLOT_BUCKET_US)
+        seconds = [bucket * PLOT_BUCKET_US / US for bucket in buckets]
+        axes.step(seconds, [opened[bucket] for bucket in buckets], where="post", label=label)
+    axes.set_xlabel("seconds after the endpoint is back")
     axes.set_ylabel("connections opened in 100 ms")
     axes.set_yscale("symlog")
     axes.legend()
@@ -173,68 +251,79 @@
         figure.savefig(plot, dpi=110, bbox_inches="tight")
 
 
-def tenants() -> None:
-    for way, fair in (("by shares", True), ("in one plain queue", False)):
-        model = crowded(fair)
-        for tenant, name in enumerate(("0.9 of its 60 parts", "ten times its 25", "0.9 of its 15")):
-            waits = model.waits[tenant]
+def report_tenants() -> None:
+    """Print how long each tenant waits, by shares and in one queue."""
+    for label, fair in (("by shares", True), ("in one plain queue", False)):
+        model = simulate_tenants(fair)
+        for tenant, load_label in enumerate(TENANT_LABELS):
+            waits = model.waits_us[tenant]
             print(
-                f"{way}, a tenant that asks {name}: {len(waits)} served, {model.turned[tenant]} turned away, "
-                f"waited p50 {p(waits, 0.5):.0f} ms, p99 {p(waits, 0.99):.0f}"
+                f"{label}, a tenant that sends {load_label}: {len(waits)} served, "
+                f"{model.rejected[tenant]} rejected, waited p50 {percentile_ms(waits, 0.5):.0f} ms, "
+                f"p99 {percentile_ms(waits, 0.99):.0f}"
             )
 
 
-def sizes(transactions: int) -> None:
+def report_pool_sizes(transactions: int) -> None:
+    """Print throughput by the number of connections."""
     for connections in (1, 2, 4, 8, 16, 64):
-        with tempfile.TemporaryDirectory() as folder:
-            found, line = trio.run(soak, Path(folder), transactions, 64, connections, 1)
-        print(f"64 sessions, {connections} connections to each of 3 members: {line.split(';')[0]}")
-        for words in found:
-            print(f"WRONG: {words}")
-
-
-def memory() -> None:
-    """Sessions of the MySQL front on streams in memory, logged in and idle."""
-
-    async def run() -> float:
-        from juniperreel.frontends.mysql.classes import Classes
-        from juniperreel.frontends.mysql.front import MysqlFront, MysqlOptions, nonce
-        from juniperreel.mysql.auth import Credential
-        from juniperreel.mysql.client import ClientSession
-        from juniperreel.net import Clock
-
-        class Nothing:
-            class options:
-                mysql = True
-                groups = 1
-
-            log: Any = None
-
-        options = MysqlOptions({"app": Credential.of(b"app")}, Classes([], 0, 0, -1), 20_000, 1 << 20)
-        nothing: Any = Nothing()
-        front = MysqlFront(nothing, nothing, Clock(), options, nonce)
-        keep: list[Any] = []
-        async with trio.open_nursery() as nursery:
-
-            async def one() -> None:
-                ours, theirs = trio.testing.memory_stream_pair()
-                nursery.start_soon(front._connection, theirs)
-                client = ClientSession("app", b"app", "", 1 << 20)
-                while client.state.value != "ready":
-                    client.receive(await ours.receive_some(4096))
-                    await ours.send_all(client.data_to_send())
-                keep.append((ours, client))
-
-            for _ in range(100):
-                await one()
-            before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
-            for _ in range(10_000):
-                await one()
-            after = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
-            nursery.cancel_scope.cancel()
-        return (after - before) / 10_000
-
-    print(f"an idle session, its client and both streams in the same process: {trio.run(run):.1f} KiB")
+        with tempfile.TemporaryDirectory() as directory:
+            result = trio.run(soak, Path(directory), transactions, SOAK_SESSIONS, connections, 1)
+        figures = result.summary.split(";")[0]
+        print(f"{SOAK_SESSIONS} sessions, {connections} connections to each of 3 endpoints: {figures}")
+        for violation in result.violations:
+            print(f"WRONG: {violation}")
+
+
+def report_session_memory() -> None:
+    """Print the memory of an idle session of the MySQL frontend, logged in over an in-memory stream."""
+    kib = trio.run(measure_session_kib)
+    print(f"an idle session, its client and both streams in the same process: {kib:.1f} KiB")
+
+
+async def measure_session_kib() -> float:
+    """Memory of one idle session, its client and their streams."""
+    from juniperreel.frontends.mysql.classes import Classes
+    from juniperreel.frontends.mysql.front import MysqlFront, MysqlOptions, nonce
+    from juniperreel.mysql.auth import Credential
+    from juniperreel.mysql.client import ClientSession
+    from juniperreel.net import Clock
+
+    no_proxy: Any = SimpleNamespace(options=SimpleNamespace(mysql=True, groups=1), log=None)
+    options = MysqlOptions({"app": Credential.of(b"app")}, Classes([], 0, 0, -1), 20_000, 1 << 20)
+    frontend = MysqlFront(no_proxy, no_proxy, Clock(), options, nonce)
+    sessions: list[Any] = []
+    async with trio.open_nursery() as nursery:
+
+        async def open_session() -> None:
+            client_stream, server_stream = trio.testing.memory_stream_pair()
+            nursery.start_soon(frontend._connection, server_stream)
+            client = ClientSession("app", b"app", "", 1 << 20)
+            while client.state.value != "ready":
+                client.receive(await client_stream.receive_some(4096))
+                await client_stream.send_all(client.data_to_send())
+            sessions.append((client_stream, client))
+
+        for _ in range(WARMUP_SESSIONS):
+            await open_session()
+        before_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+        for _ in range(IDLE_SESSIONS):
+            await open_session()
+        after_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+        nursery.cancel_scope.cancel()
+    return (after_kib - before_kib) / IDLE_SESSIONS
+
+
+def main() -> None:
+    """Run all parts."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--plot", type=Path)
+    parser.add_argument("--transactions", type=int, default=3000)
+    arguments = parser.parse_args()
+    report_reconnect(arguments.plot)
+    report_tenants()
+    report_pool_sizes(arguments.transactions)
+    report_session_memory()
 
 
 if __name__ == "__main__":
--- a/benchmarks/pool_soak.py
+++ b/benchmarks/pool_soak.py
@@ -1,16 +1,16 @@
 """Many short transactions of many sessions over few connections, some of which are killed on the way.
 
-Sessions prepare a few texts each under ids that are the same everywhere, set variables of their own, and run
-short transactions; members' connections are killed at random from a seed. Members write down what they ran,
-clients what they meant; the checker (`proof/executions.py`) compares them number by number. Everything in one
-process:
+Sessions prepare a few statements each under ids that are the same everywhere, set variables of their own, and
+run short transactions; connections to the endpoints are killed at random, from a seed. Endpoints record what
+they executed, clients what they intended; the checker (`verification/executions.py`) compares the two
+statement by statement. Everything runs in one process:
 
     .venv/bin/python benchmarks/pool_soak.py [--transactions 100000] [--sessions 300]
         [--connections 10] [--seed 1]
 
-Says transactions a second, and ends with 1 if anything ran otherwise than it was meant, if a client was told
-of a statement that was not prepared, or if a lease was not given back. `tests/e2e/test_pool_soak.py` runs a
-part of it.
+Prints transactions per second, and exits with 1 if anything was executed otherwise than intended, if a client
+was told that a statement is not prepared, or if a lease was not released. `tests/e2e/test_pool_soak.py` runs
+a smaller form.
 """
 
 from __future__ import annotations
@@ -20,9 +20,10 @@
 import sys
 import tempfile
 import time
+from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 import trio
 
@@ -103,58 +104,84 @@
 level warning
 """
 TEXTS = [f"select {n}, ?, ?, id from runs where number < {n % 3}" for n in range(40)]
-ZONES = ["'+01:00'", "'+02:00'", "'SYSTEM'"]
+TEXTS_PER_SESSION = 5
+TIME_ZONES = ["'+01:00'", "'+02:00'", "'SYSTEM'"]
+ENDPOINTS = 3
+SET_PROBABILITY = 0.1
+AUTOCOMMIT_PROBABILITY = 0.3
+MAX_STATEMENTS = 3
+RETRY_LATER_CODES = (1205, 1040)  # rejected with a request to come back
+RETRY_DELAY_S = (0.05, 0.2)
+KILL_INTERVAL_S = (0.01, 0.1)
+START_TIMEOUT_S = 30
+RELEASE_TIMEOUT_S = 10
+MAX_PRINTED_VIOLATIONS = 20
 
 
 @dataclass(slots=True)
 class Tally:
-    """Of all sessions."""
+    """Counts over all sessions; `remaining` transactions are still to be run."""
 
-    left: int
+    remaining: int
     transactions: int = 0
-    undone: int = 0
-    refused: int = 0
+    rolled_back: int = 0
+    rejected: int = 0
     killed: int = 0
-    took: list[float] = field(default_factory=list)
+    durations_s: list[float] = field(default_factory=list)
+
+
+class SoakResult(NamedTuple):
+    """What was executed otherwise than intended, and a line of figures."""
+
+    violations: list[str]
+    summary: str
 
 
 class Session:
-    """One client: prepares, sets, runs; after any error it rolls back and goes on."""
+    """One client: prepares, sets variables, runs transactions; after any error it rolls back and goes on."""
 
-    def __init__(self, number: int, port: int, record: Recorder, rng: random.Random, tally: Tally) -> None:
-        self.number, self._port, self._record, self._rng, self._tally = number, port, record, rng, tally
-        self._mine = rng.sample(TEXTS, 5)
-        self._ids: dict[str, int] = {}
+    def __init__(
+        self, number: int, port: int, record: Recorder, random_source: random.Random, tally: Tally
+    ) -> None:
+        self.number = number
+        self._port = port
+        self._record = record
+        self._random = random_source
+        self._tally = tally
+        self._texts = random_source.sample(TEXTS, TEXTS_PER_SESSION)
+        self._statement_ids: dict[str, int] = {}
         self._variables: dict[str, str] = {}
-        self._serial = 0
+        self._executions = 0
 
     async def run(self) -> None:
-        while self._tally.left > 0:
+        """Run transactions until enough were run by all, reconnecting as needed."""
+        while self._tally.remaining > 0:
             stream = await trio.open_tcp_stream("127.0.0.1", self._port)
             try:
-                await self._life(stream)
-            except (trio.BrokenResourceError, EOFError):
-                pass
+                with suppress(trio.BrokenResourceError, EOFError):
+                    await self._run_connection(stream)
             finally:
                 await trio.aclose_forcefully(stream)
 
-    async def _life(self, stream: trio.SocketStream) -> None:
-        self._stream, self._client = stream, ClientSession("app", b"app", "", 1 << 20)
-        self._ids, self._variables = {}, {}
+    async def _run_connection(self, stream: trio.SocketStream) -> None:
+        self._stream = stream
+        self._client = ClientSession("app", b"app", "", 1 << 20)
+        self._statement_ids = {}
+        self._variables = {}
         while self._client.state.value != "ready":
             self._client.receive(await self._read())
             await stream.send_all(self._client.data_to_send())
-        while self._tally.left > 0:
-            start = time.perf_counter()
-            if self._rng.random() < 0.1:
-                await self._set()
-            before = self._tally.refused
-            if await self._transaction():
-                self._tally.left -= 1
+        while self._tally.remaining > 0:
+            start_s = time.perf_counter()
+            if self._random.random() < SET_PROBABILITY:
+                await self._set_variable()
+            rejected_before = self._tally.rejected
+            if await self._run_transaction():
+                self._tally.remaining -= 1
                 self._tally.transactions += 1
-                self._tally.took.append(time.perf_counter() - start)
-            elif self._tally.refused > before:
-                await trio.sleep(self._rng.uniform(0.05, 0.2))  # as a refusal asks
+                self._tally.durations_s.append(time.perf_counter() - start_s)
+            elif self._tally.rejected > rejected_before:
+                await trio.sleep(self._random.uniform(*RETRY_DELAY_S))
 
     async def _read(self) -> bytes:
         data = await self._stream.receive_some(65536)
@@ -162,158 +189,194 @@
             raise EOFError
         return bytes(data)
 
-    async def _answer(self) -> Event:
-        """The last event of one command."""
+    async def _receive_response(self) -> Event:
+        """Send what is pending, and return the last event of its response."""
         await self._stream.send_all(self._client.data_to_send())
         last: Event | None = None
         while self._client.in_hand:
             for event in self._client.receive(await self._read()):
-                if isinstance(event, Broken):
-                    raise EOFError
-                if isinstance(event, Done | Failed | End | Prepared):
-                    last = event
+                match event:
+                    case Broken():
+                        raise EOFError
+                    case Done() | Failed() | End() | Prepared():
+                        last = event
         assert last is not None
         return last
 
-    async def _say(self, text: str) -> int:
+    async def _query(self, text: str) -> int:
+        """Run a statement; its error code, or 0."""
         self._client.query(text.encode())
-        answer = await self._answer()
-        return answer.err.code if isinstance(answer, Failed) else 0
+        response = await self._receive_response()
+        return response.err.code if isinstance(response, Failed) else 0
 
-    async def _set(self) -> None:
-        name, value = self._rng.choice(
-            [("@who", f"'{self.number}'"), ("@who", "null"), ("time_zone", self._rng.choice(ZONES))]
+    async def _set_variable(self) -> None:
+        name, value = self._random.choice(
+            [("@who", f"'{self.number}'"), ("@who", "null"), ("time_zone", self._random.choice(TIME_ZONES))]
         )
-        if not await self._say(f"set {name} = {value}"):
-            if value == "null":
-                self._variables.pop(name, None)
-            else:
-                self._variables[name] = value
-
-    async def _transaction(self) -> bool:
-        alone = self._rng.random() < 0.3
-        if not alone and await self._say("begin"):
+        if await self._query(f"set {name} = {value}"):
+            return
+        if value == "null":
+            self._variables.pop(name, None)
+        else:
+            self._variables[name] = value
+
+    async def _run_transaction(self) -> bool:
+        """Whether it was committed."""
+        autocommit = self._random.random() < AUTOCOMMIT_PROBABILITY
+        if not autocommit and await self._query("begin"):
             return False
-        for _ in range(1 if alone else self._rng.randint(1, 3)):
-            code = await self._execute(self._rng.choice(self._mine))
+        statements = 1 if autocommit else self._random.randint(1, MAX_STATEMENTS)
+        for _ in range(statements):
+            code = await self._execute(self._random.choice(self._texts))
             if code:
-                if code in (1205, 1040):
-                    self._tally.refused += 1
+                if code in RETRY_LATER_CODES:
+                    self._tally.rejected += 1
                 else:
-                    self._tally.undone += 1
-                if not alone:
-                    await self._say("rollback")
+                    self._tally.rolled_back += 1
+                if not autocommit:
+                    await self._query("rollback")
                 return False
-        if alone:
+        if autocommit:
             return True
-        if await self._say("commit"):
-            self._tally.undone += 1
-            await self._say("rollback")
+        if await self._query("commit"):
+            self._tally.rolled_back += 1
+            await self._query("rollback")
             return False
         return True
 
     async def _execute(self, text: str) -> int:
-        if text not in self._ids:
+        """Execute a prepared statement, and record what it should return; its error code, or 0."""
+        if text not in self._statement_ids:
             self._client.prepare(text.encode())
-            made = await self._answer()
-            if isinstance(made, Failed):
-                return made.err.code
-            assert isinstance(made, Prepared)
-            self._ids[text] = made.id
-        self._serial += 1
-        serial = f"serial-{self.number}-{id(self._stream)}-{self._serial}-{self._tally.left}"
-        values: list[Any] = [serial, self._rng.randint(0, 99)]
-        self._client.execute(self._ids[text], values)
-        code, served = 0, False
+            prepared = await self._receive_response()
+            if isinstance(prepared, Failed):
+                return prepared.err.code
+            assert isinstance(prepared, Prepared)
+            self._statement_ids[text] = prepared.id
+        self._executions += 1
+        serial = f"serial-{self.number}-{id(self._stream)}-{self._executions}-{self._tally.remaining}"
+        values: list[Any] = [serial, self._random.randint(0, 99)]
+        self._client.execute(self._statement_ids[text], values)
+        code = 0
+        served = False
         try:
-            answer = await self._answer()
-            served = not isinstance(answer, Failed)
-            code = answer.err.code if isinstance(answer, Failed) else 0
+            response = await self._receive_response()
+            served = not isinstance(response, Failed)
+            code = response.err.code if isinstance(response, Failed) else 0
         finally:
-            words = [str(value) for value in values]
+            parameters = [str(value) for value in values]
             error = str(code) if code else ""
-            self._record(Meant(0, serial, text, words, dict(self._variables), served, error))
+            self._record(Meant(0, serial, text, parameters, dict(self._variables), served, error))
         return code
 
 
-async def soak(
-    folder: Path, transactions: int, sessions: int, connections: int, seed: int
-) -> tuple[list[str], str]:
-    """What is wrong, and a line of figures."""
+async def soak(directory: Path, transactions: int, sessions: int, connections: int, seed: int) -> SoakResult:
+    """Run the sessions against an edge with fake endpoints, and check what was executed."""
     for name, secret in (("member", PASSWORD), ("app", b"app")):
-        (folder / f"{name}.password").write_bytes(secret)
-    (folder / "token.key").write_bytes(b"k" * 32)
-    recorder, tally, clock, network = Recorder(), Tally(transactions), Clock(), TcpNetwork()
-    found: list[str] = []
-    line = ""
+        (directory / f"{name}.password").write_bytes(secret)
+    (directory / "token.key").write_bytes(b"k" * 32)
+    recorder = Recorder()
+    tally = Tally(transactions)
+    clock = Clock()
+    network = TcpNetwork()
     async with trio.open_nursery() as nursery:
         fleet = Fleet(parse(DAY.format(seed=seed)), network, clock, recorder)
         await nursery.start(fleet.run)
         text = EDGE.format(seed=seed, hosts=fleet.hosts.port, user=USER, connections=connections)
-        settings = parse_edge(text.encode(), "edge.conf", folder)
-        with (folder / "edge.log").open("w") as log:
+        settings = parse_edge(text.encode(), "edge.conf", directory)
+        with (directory / "edge.log").open("w") as log:
             edge = Edge(settings, network, clock, make_log(stream=log))
             await nursery.start(edge.run)
-            with trio.fail_after(30):
-                while len(edge.driver.router.members) < 3:
+            with trio.fail_after(START_TIMEOUT_S):
+                while len(edge.driver.router.members) < ENDPOINTS:
                     await trio.sleep(0.02)
-            assert edge.mysql is not None
-            start = time.perf_counter()
-            async with trio.open_nursery() as killers:
-                killers.start_soon(kill, fleet, random.Random(seed), tally)
-                async with trio.open_nursery() as clients:
-                    for n in range(sessions):
-                        rng = random.Random(seed * 100_000 + n)
-                        clients.start_soon(Session(n, edge.mysql_port, recorder, rng, tally).run)
-                killers.cancel_scope.cancel()
-            took = time.perf_counter() - start
+            start_s = time.perf_counter()
+            await run_sessions(edge, fleet, recorder, tally, sessions, seed)
+            duration_s = time.perf_counter() - start_s
             links = edge.driver.links
             assert isinstance(links, MysqlLinks)
-            with trio.move_on_after(10):
-                while any(p.leased or p.waiting for p in links.pools().values()):
-                    await trio.sleep(0.02)
-            for name, pool in links.pools().items():
-                if pool.leased or pool.waiting:
-                    found.append(f"{name}: {pool.leased} leases were not given back, {pool.waiting} wait")
+            violations = await unreleased_leases(links)
             count = Count()
-            found += check_executions(recorder.records, count)
-            tally.took.sort()
-            p99 = tally.took[int(len(tally.took) * 0.99)] * 1000 if tally.took else 0.0
-            line = (
-                f"{tally.transactions} transactions in {took:.1f} s ({tally.transactions / took:.0f}/s, "
-                f"p99 {p99:.0f} ms), {tally.undone} more undone, {tally.refused} statements refused; "
-                f"{tally.killed} connections killed; {count.ran} executions of {count.texts} texts judged, "
-                f"{sessions} sessions over at most {3 * connections} connections, "
+            violations += check_executions(recorder.records, count)
+            summary = (
+                f"{summarize(tally, duration_s)}; {count.ran} executions of {count.texts} texts checked, "
+                f"{sessions} sessions over at most {ENDPOINTS * connections} connections, "
                 f"{links.opened} opened, {links.replayed} replays"
             )
         nursery.cancel_scope.cancel()
-    return found, line
+    return SoakResult(violations, summary)
+
 
+async def run_sessions(
+    edge: Edge, fleet: Fleet, recorder: Recorder, tally: Tally, sessions: int, seed: int
+) -> None:
+    """Run all sessions to their end, while connections are killed."""
+    assert edge.mysql is not None
+    async with trio.open_nursery() as killers:
+        killers.start_soon(kill_connections, fleet, random.Random(seed), tally)
+        async with trio.open_nursery() as clients:
+            for number in range(sessions):
+                random_source = random.Random(seed * 100_000 + number)
+                session = Session(number, edge.mysql_port, recorder, random_source, tally)
+                clients.start_soon(session.run)
+        killers.cancel_scope.cancel()
 
-async def kill(fleet: Fleet, rng: random.Random, tally: Tally) -> None:
-    """One connection now and then, wherever it is in its statement."""
+
+async def kill_connections(fleet: Fleet, random_source: random.Random, tally: Tally) -> None:
+    """Kill one connection now and then, wherever it is in its statement."""
     while True:
-        await trio.sleep(rng.uniform(0.01, 0.1))
-        member = rng.choice(list(fleet.members.values()))
-        threads = list(member.mysql._scopes)
+        await trio.sleep(random_source.uniform(*KILL_INTERVAL_S))
+        endpoint = random_source.choice(list(fleet.members.values()))
+        threads = list(endpoint.mysql._scopes)
         if threads:
-            member.kill_connection(rng.choice(threads))
+            endpoint.kill_connection(random_source.choice(threads))
             tally.killed += 1
 
 
+async def unreleased_leases(links: MysqlLinks) -> list[str]:
+    """One line for each pool that still has leases or waiters after a while."""
+    with trio.move_on_after(RELEASE_TIMEOUT_S):
+        while any(pool.leased or pool.waiting for pool in links.pools().values()):
+            await trio.sleep(0.02)
+    return [
+        f"{name}: {pool.leased} leases were not released, {pool.waiting} requests wait"
+        for name, pool in links.pools().items()
+        if pool.leased or pool.waiting
+    ]
+
+
+def summarize(tally: Tally, duration_s: float) -> str:
+    """Throughput, latency and errors in one line."""
+    durations_s = sorted(tally.durations_s)
+    p99_ms = durations_s[int(len(durations_s) * 0.99)] * 1000 if durations_s else 0.0
+    return (
+        f"{tally.transactions} transactions in {duration_s:.1f} s ({tally.transactions / duration_s:.0f}/s, "
+        f"p99 {p99_ms:.0f} ms), {tally.rolled_back} more rolled back, {tally.rejected} statements rejected; "
+        f"{tally.killed} connections killed"
+    )
+
+
 def main() -> None:
+    """Run the soak test; see the module's docstring."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--transactions", type=int, default=100_000)
     parser.add_argument("--sessions", type=int, default=300)
-    parser.add_argument("--connections", type=int, default=10, help="To each of three members.")
+    parser.add_argument("--connections", type=int, default=10, help="To each endpoint.")
     parser.add_argument("--seed", type=int, default=1)
-    o = parser.parse_args()
-    with tempfile.TemporaryDirectory() as folder:
-        found, line = trio.run(soak, Path(folder), o.transactions, o.sessions, o.connections, o.seed)
-    print(line)
-    for words in found[:20]:
-        print(f"WRONG: {words}")
-    sys.exit(1 if found else 0)
+    arguments = parser.parse_args()
+    with tempfile.TemporaryDirectory() as directory:
+        violations, summary = trio.run(
+            soak,
+            Path(directory),
+            arguments.transactions,
+            arguments.sessions,
+            arguments.connections,
+            arguments.seed,
+        )
+    print(summary)
+    for violation in violations[:MAX_PRINTED_VIOLATIONS]:
+        print(f"WRONG: {violation}")
+    sys.exit(1 if violations else 0)
 
 
 if __name__ == "__main__":
