causal: typed keys, epochs and positions; a varint reader in place of offsets handed about

Need: tuples that a reader has to count, factories called of and at, holds and needed. The settings give their token keys as TokenKey.

--- a/juniperreel/causal/codec.py
+++ b/juniperreel/causal/codec.py
@@ -1,9 +1,9 @@
-"""The token's bytes, and its signature.
+"""The encoding of a token, and its signature.
 
 Binary form: version byte, key id byte, floor, number of entries, then group, epoch and position of each
 (unsigned LEB128 varints; groups as the difference from the entry before), then the first 16 bytes of an
 HMAC-SHA-256 (RFC 2104, RFC 6234) over all that precedes. Text form: base64url without padding
-(RFC 4648, section 5). A token that was not signed by one of the live keys is an error, never a guess.
+(RFC 4648, section 5). A token that was not signed by one of the active keys is an error, never a guess.
 """
 
 from __future__ import annotations
@@ -12,66 +12,96 @@
 import binascii
 import hashlib
 import hmac
+from collections.abc import Sequence
+from typing import NamedTuple
 
 from juniperreel.causal.token import MAX_ENTRIES, Token
 
 VERSION = 1
+HEADER_BYTES = 2  # version and key id
 MAC_BYTES = 16
+MIN_BODY_BYTES = HEADER_BYTES + 2  # floor and number of entries
 MAX_BYTES = 2 + 10 + 2 + MAX_ENTRIES * (5 + 10 + 10) + MAC_BYTES
+MAX_TEXT_LENGTH = 2 * MAX_BYTES
 MIN_KEY_BYTES = 16
+MAX_KEY_ID = 255
+MAX_KEYS = 2
 MAX_VARINT_BYTES = 10
 
 
 class TokenError(ValueError):
-    """The bytes are not a token that this program issued; the text says why, in words fit for a client."""
+    """The bytes are not a token that this program issued. The text says why, and is fit for clients."""
+
+
+class SigningKey(NamedTuple):
+    """A secret that signs tokens, and its id, which is written into them."""
+
+    id: int
+    secret: bytes
 
 
 class Keyring:
-    """Signs with the first key and accepts all of them, so that a key is rotated in two steps: the new
-    one is added behind the old one everywhere, then moved to the front, then the old one is dropped."""
-
-    def __init__(self, keys: list[tuple[int, bytes]]) -> None:
-        """`keys`: (id 0 to 255, secret of at least 16 bytes); ValueError otherwise."""
-        if not 1 <= len(keys) <= 2 or len({number for number, _ in keys}) != len(keys):
-            raise ValueError("one or two keys with ids of their own are needed")
-        for number, secret in keys:
-            if not 0 <= number <= 255 or len(secret) < MIN_KEY_BYTES:
-                raise ValueError(f"key {number}: ids are 0 to 255, secrets {MIN_KEY_BYTES} bytes or more")
-        self._keys = dict(keys)
-        self._signer = keys[0][0]
+    """Encodes tokens, signed with the first key, and decodes tokens signed with any of its keys.
+
+    A key is rotated in three steps: the new key is added behind the old one on every proxy, then moved to the
+    front, then the old one is removed.
+    """
+
+    def __init__(self, keys: Sequence[SigningKey]) -> None:
+        """Raise ValueError unless there are one or two keys with different ids, in range and long enough."""
+        if not 1 <= len(keys) <= MAX_KEYS or len({key.id for key in keys}) != len(keys):
+            raise ValueError("one or two keys with different ids are needed")
+        for key in keys:
+            if not 0 <= key.id <= MAX_KEY_ID or len(key.secret) < MIN_KEY_BYTES:
+                raise ValueError(f"key {key.id}: ids are 0 to 255, secrets {MIN_KEY_BYTES} bytes or more")
+        self._secrets = {key.id: key.secret for key in keys}
+        self._signing_id = keys[0].id
 
     def encode(self, token: Token) -> bytes:
-        out = bytearray((VERSION, self._signer))
-        put(out, token.floor)
-        put(out, len(token.entries))
-        last = 0
-        for (group, epoch), position in token.entries.items():  # sorted by group, as the normal form is
-            put(out, group - last)
-            put(out, epoch)
-            put(out, position)
-            last = group
-        return bytes(out) + self._mac(self._signer, bytes(out))
+        """The token's binary form, signed."""
+        body = bytearray((VERSION, self._signing_id))
+        append_varint(body, token.floor)
+        append_varint(body, len(token.entries))
+        previous_group = 0
+        for (group, epoch), position_us in token.entries.items():  # sorted by group, as the normal form is
+            append_varint(body, group - previous_group)
+            append_varint(body, epoch)
+            append_varint(body, position_us)
+            previous_group = group
+        return bytes(body) + self._mac(self._signing_id, bytes(body))
 
     def encode_text(self, token: Token) -> str:
+        """The token's text form, signed."""
         return base64.urlsafe_b64encode(self.encode(token)).rstrip(b"=").decode("ascii")
 
     def decode(self, data: bytes) -> Token:
-        """Raises TokenError. The signature is checked before anything is read out of the bytes."""
+        """The token from its binary form. The signature is verified before the contents are parsed.
+
+        Raises:
+            TokenError: It was not issued with one of the keys, or is malformed.
+        """
         if not data:
             raise TokenError("the token is empty")
         if len(data) > MAX_BYTES:
             raise TokenError(f"the token has {len(data)} bytes; none has over {MAX_BYTES}")
         if data[0] != VERSION:
             raise TokenError(f"token version {data[0]} is not known")
-        if len(data) < 4 + MAC_BYTES:
+        if len(data) < MIN_BODY_BYTES + MAC_BYTES:
             raise TokenError("the token is cut short")
-        body, mac = data[:-MAC_BYTES], data[-MAC_BYTES:]
-        if data[1] not in self._keys or not hmac.compare_digest(mac, self._mac(data[1], body)):
+        body = data[:-MAC_BYTES]
+        mac = data[-MAC_BYTES:]
+        key_id = data[1]
+        if key_id not in self._secrets or not hmac.compare_digest(mac, self._mac(key_id, body)):
             raise TokenError("the token's signature does not hold")
-        return self._read(body)
+        return parse_body(body)
 
     def decode_text(self, text: str) -> Token:
-        if len(text) > 2 * MAX_BYTES:
+        """The token from its text form.
+
+        Raises:
+            TokenError: As `decode`, or the text is not base64url.
+        """
+        if len(text) > MAX_TEXT_LENGTH:
             raise TokenError(f"the token has {len(text)} characters; none has that many")
         try:
             padded = text.encode("ascii") + b"=" * (-len(text) % 4)
@@ -80,45 +110,68 @@
             raise TokenError("the token is not base64url") from None
         return self.decode(data)
 
-    def _mac(self, number: int, body: bytes) -> bytes:
-        return hmac.new(self._keys[number], body, hashlib.sha256).digest()[:MAC_BYTES]
-
-    @staticmethod
-    def _read(body: bytes) -> Token:
-        floor, at = take(body, 2)
-        count, at = take(body, at)
-        if count > MAX_ENTRIES:
-            raise TokenError(f"the token has {count} entries; none has over {MAX_ENTRIES}")
-        entries: dict[tuple[int, int], int] = {}
-        group = 0
-        for _ in range(count):
-            step, at = take(body, at)
-            epoch, at = take(body, at)
-            position, at = take(body, at)
-            group += step
-            entries[group, epoch] = position
-        if at != len(body):
-            raise TokenError("bytes follow the token's last entry")
-        try:
-            return Token.of(entries, floor)
-        except ValueError as error:
-            raise TokenError(str(error)) from None
+    def _mac(self, key_id: int, body: bytes) -> bytes:
+        return hmac.new(self._secrets[key_id], body, hashlib.sha256).digest()[:MAC_BYTES]
+
+
+class VarintReader:
+    """Reads unsigned LEB128 varints one after another."""
+
+    def __init__(self, data: bytes, offset: int) -> None:
+        self._data = data
+        self._offset = offset
+
+    @property
+    def at_end(self) -> bool:
+        """Whether all bytes were read."""
+        return self._offset == len(self._data)
+
+    def read(self) -> int:
+        """The next number.
+
+        Raises:
+            TokenError: The data ends inside it, or it has more than MAX_VARINT_BYTES.
+        """
+        value = 0
+        for index in range(MAX_VARINT_BYTES):
+            if self._offset >= len(self._data):
+                raise TokenError("the token ends inside a number")
+            byte = self._data[self._offset]
+            self._offset += 1
+            value |= (byte & 0x7F) << (7 * index)
+            if byte < 0x80:
+                return value
+        raise TokenError("a number in the token is too long")
 
 
-def put(out: bytearray, value: int) -> None:
+def append_varint(out: bytearray, value: int) -> None:
+    """Append a number as an unsigned LEB128 varint."""
     while value > 0x7F:
         out.append(value & 0x7F | 0x80)
         value >>= 7
     out.append(value)
 
 
-def take(body: bytes, at: int) -> tuple[int, int]:
-    value = 0
-    for shift in range(MAX_VARINT_BYTES):
-        if at + shift >= len(body):
-            raise TokenError("the token ends inside a number")
-        byte = body[at + shift]
-        value |= (byte & 0x7F) << (7 * shift)
-        if byte < 0x80:
-            return value, at + shift + 1
-    raise TokenError("a number in the token is too long")
+def parse_body(body: bytes) -> Token:
+    """The token from its binary form without the signature, which was verified.
+
+    Raises:
+        TokenError: It is malformed, or a number is out of range.
+    """
+    reader = VarintReader(body, HEADER_BYTES)
+    floor = reader.read()
+    count = reader.read()
+    if count > MAX_ENTRIES:
+        raise TokenError(f"the token has {count} entries; none has over {MAX_ENTRIES}")
+    entries: dict[tuple[int, int], int] = {}
+    group = 0
+    for _ in range(count):
+        group += reader.read()
+        epoch = reader.read()
+        entries[group, epoch] = reader.read()
+    if not reader.at_end:
+        raise TokenError("bytes follow the token's last entry")
+    try:
+        return Token.from_entries(entries, floor)
+    except ValueError as error:
+        raise TokenError(str(error)) from None
--- a/juniperreel/causal/token.py
+++ b/juniperreel/causal/token.py
@@ -1,13 +1,13 @@
-"""The token's value and its join.
+"""The value of a causal token, and its join.
 
-A token maps (group, epoch) to a commit position: whoever presents it has seen, or written, everything
-up to there. Positions of several epochs of one group stand side by side, since after a failover the
-older one may name a commit that the newer history does not hold; only a history can tell.
+A token maps (group, epoch) to a commit position: whoever presents it has seen, or written, everything up to
+there. Positions of several epochs of one group stand side by side, since after a failover the older one may
+name a commit that the newer history does not contain; only a `History` can tell.
 
 Tokens form a join semilattice (as vector clocks do: Fidge 1988, Mattern 1989): `join` is the entrywise
-maximum, then cut to the MAX_ENTRIES highest positions. What is cut sinks into `floor`, a position that
-every group must have passed. That asks for more than was seen, never less, except that a floor has no
-epoch: a commit that was cut off by a failover *and* has sunk is no longer told apart.
+maximum, then cut to the MAX_ENTRIES highest positions. What is cut raises `floor`, a position that every
+group must have passed. That requires more than was seen, never less, except that a floor has no epoch: a
+commit that was lost in a failover *and* was cut into the floor can no longer be detected.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from types import MappingProxyType
+from typing import NamedTuple
 
 MAX_ENTRIES = 64
 MAX_GROUP = (1 << 31) - 1
@@ -22,45 +23,70 @@
 MAX_POSITION = (1 << 62) - 1  # microseconds since the Unix epoch
 
 
+class EpochPosition(NamedTuple):
+    """A commit position in one epoch of a group."""
+
+    epoch: int
+    position_us: int
+
+
 @dataclass(frozen=True, slots=True)
 class Token:
-    """`entries`: (group, epoch) to position in microseconds; always in normal form."""
+    """A causal token in normal form: at most MAX_ENTRIES entries, sorted, all above the floor.
+
+    Attributes:
+        entries: Positions in microseconds, by group and epoch.
+        floor: The position in microseconds that every group must have passed, in any epoch.
+    """
 
     entries: Mapping[tuple[int, int], int] = field(default_factory=lambda: MappingProxyType({}))
     floor: int = 0
 
     @staticmethod
-    def of(entries: Mapping[tuple[int, int], int], floor: int = 0) -> Token:
-        """A token in normal form; ValueError if a number is out of range."""
+    def from_entries(entries: Mapping[tuple[int, int], int], floor: int = 0) -> Token:
+        """A token in normal form.
+
+        Raises:
+            ValueError: A number is out of range.
+        """
         if not 0 <= floor <= MAX_POSITION:
             raise ValueError(f"floor {floor} is out of range")
-        for (group, epoch), position in entries.items():
-            if not (0 <= group <= MAX_GROUP and 0 <= epoch <= MAX_EPOCH and 0 <= position <= MAX_POSITION):
+        for (group, epoch), position_us in entries.items():
+            in_range = (
+                0 <= group <= MAX_GROUP and 0 <= epoch <= MAX_EPOCH and 0 <= position_us <= MAX_POSITION
+            )
+            if not in_range:
                 raise ValueError(f"entry of group {group}, epoch {epoch} is out of range")
         if len(entries) > MAX_ENTRIES:
-            ranked = sorted(entries.values(), reverse=True)
-            floor = max(floor, ranked[MAX_ENTRIES])
-        kept = {key: at for key, at in sorted(entries.items()) if at > floor}
-        return Token(MappingProxyType(kept), floor)
+            highest_first = sorted(entries.values(), reverse=True)
+            floor = max(floor, highest_first[MAX_ENTRIES])
+        above_floor = {
+            key: position_us for key, position_us in sorted(entries.items()) if position_us > floor
+        }
+        return Token(MappingProxyType(above_floor), floor)
 
     @staticmethod
-    def at(group: int, epoch: int, position: int) -> Token:
-        return Token.of({(group, epoch): position})
+    def for_position(group: int, epoch: int, position_us: int) -> Token:
+        """The token of a single commit."""
+        return Token.from_entries({(group, epoch): position_us})
 
     def join(self, *others: Token) -> Token:
-        """The least token that asks for all that these ask for, as far as MAX_ENTRIES allows."""
-        merged = dict(self.entries)
+        """The least token that requires all that these require, as far as MAX_ENTRIES allows."""
+        joined = dict(self.entries)
         floor = self.floor
         for other in others:
             floor = max(floor, other.floor)
-            for key, position in other.entries.items():
-                merged[key] = max(position, merged.get(key, 0))
-        return Token.of(merged, floor)
-
-    def of_group(self, group: int) -> list[tuple[int, int]]:
-        """(epoch, position) pairs that a member of `group` must hold, oldest epoch first; the floor is
-        apart, in `floor`."""
-        return [(epoch, at) for (number, epoch), at in self.entries.items() if number == group]
+            for key, position_us in other.entries.items():
+                joined[key] = max(position_us, joined.get(key, 0))
+        return Token.from_entries(joined, floor)
+
+    def positions_in(self, group: int) -> list[EpochPosition]:
+        """What an endpoint of a group must contain, oldest epoch first, besides the `floor`."""
+        return [
+            EpochPosition(epoch, position_us)
+            for (entry_group, epoch), position_us in self.entries.items()
+            if entry_group == group
+        ]
 
     def __bool__(self) -> bool:
         return bool(self.entries) or self.floor > 0
--- a/juniperreel/cli/edge.py
+++ b/juniperreel/cli/edge.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from juniperreel.causal import Keyring
+from juniperreel.causal import Keyring, SigningKey
 from juniperreel.cli.signals import until_signalled
 from juniperreel.frontends.grpc import SERVICE, GrpcFront
 from juniperreel.frontends.http import HttpFront
@@ -127,7 +127,7 @@
         self.pace = Pace(clock)
         self.driver = Driver(options, network, clock, self.log, self.metrics, self.traces, self.pace)
         self.health = Health(SERVICES)
-        keyring = Keyring(list(settings.keys))
+        keyring = Keyring([SigningKey(key.id, key.secret) for key in settings.keys])
         front = GrpcFront(self.driver, keyring, clock)
         self.mysql = None if settings.mysql is None else mysql_front(settings, self.driver, keyring, clock)
         methods = front.methods() | self.health.methods() | Reflection(SERVICES).methods()
--- a/juniperreel/pool/endpoint_status.py
+++ b/juniperreel/pool/endpoint_status.py
@@ -31,8 +31,8 @@
 MAX_EPOCHS = 16  # the latest are used, older ones ignored
 
 
-class EpochStart(NamedTuple):
-    """One epoch of a group, and the position at which it began."""
+class HeartbeatEpoch(NamedTuple):
+    """One epoch of a group, as its row of the heartbeat table has it."""
 
     epoch: int
     start_us: int
@@ -64,7 +64,7 @@
     read_only: bool
     clock_us: int
     position_us: int
-    epochs: tuple[EpochStart, ...]
+    epochs: tuple[HeartbeatEpoch, ...]
 
 
 def parse_status(rows: Sequence[Sequence[Value]]) -> EndpointStatus:
@@ -76,7 +76,7 @@
     heartbeats = [_parse_heartbeat(row) for row in rows[-MAX_EPOCHS:]]
     if not heartbeats:
         raise StatusUnavailableError("the heartbeat table is empty")
-    epochs = tuple(EpochStart(heartbeat.epoch, heartbeat.start_us) for heartbeat in heartbeats)
+    epochs = tuple(HeartbeatEpoch(heartbeat.epoch, heartbeat.start_us) for heartbeat in heartbeats)
     if any(earlier.epoch >= later.epoch for earlier, later in pairwise(epochs)):
         raise StatusUnavailableError("the heartbeat's epochs do not ascend")
     latest = heartbeats[-1]
--- a/juniperreel/proxy/driver.py
+++ b/juniperreel/proxy/driver.py
@@ -434,7 +434,7 @@
             # A transaction that has only begun has seen nothing that others could ask for.
             seen = reply.commit if item.work.hold is None else 0
         if standing.history.starts and seen:
-            token = token.join(Token.at(item.work.group, standing.history.epoch, seen))
+            token = token.join(Token.for_position(item.work.group, standing.history.epoch, seen))
         primary = standing.primary is True
         return Served(reply.result, token, attempt.member, primary, item.attempts, reply.held)
 
--- a/juniperreel/proxy/members.py
+++ b/juniperreel/proxy/members.py
@@ -135,7 +135,7 @@
 
 
 def standing_of(message: member_pb2.Standing) -> Standing:
-    history = History.of((e.epoch, e.start) for e in message.epochs)
+    history = History.from_starts((e.epoch, e.start) for e in message.epochs)
     return Standing(ROLES.get(message.role), message.position, history)
 
 
--- a/juniperreel/proxy/positions.py
+++ b/juniperreel/proxy/positions.py
@@ -52,7 +52,7 @@
             return False
         history = standing.history
         return all(
-            history.holds(e, p)
+            history.contains(e, p)
             # A primary holds what its own epoch committed, wherever its heartbeat stands.
             and (
                 standing.position >= p
@@ -137,19 +137,19 @@
             return token
         known = self.history(group)
         entries = dict(token.entries)
-        for epoch, position in token.of_group(group):
-            if (group, epoch, position) in self._carried and not known.holds(epoch, position):
+        for epoch, position in token.positions_in(group):
+            if (group, epoch, position) in self._carried and not known.contains(epoch, position):
                 later = next(((e, start) for e, start in known.starts if e > epoch), None)
                 if later is not None:
                     del entries[group, epoch]
                     at = (group, later[0])
                     entries[at] = max(entries.get(at, 0), later[1])
-        return token if entries == dict(token.entries) else Token.of(entries, token.floor)
+        return token if entries == dict(token.entries) else Token.from_entries(entries, token.floor)
 
     def holds_commit(self, group: int, epoch: int, commit: int) -> bool:
         """Whether a commit confirmed just now stands in the newest history known."""
         known = self.history(group)
-        return not known.starts or epoch > known.epoch or known.holds(epoch, commit)
+        return not known.starts or epoch > known.epoch or known.contains(epoch, commit)
 
     def session_age(self, now_us: int, group: int, token: Token) -> int | None:
         """How long ago, on the module's clock, the position lies that a read must see; None for none.
@@ -158,12 +158,12 @@
         waits and then refuses, as with any position that nobody is known to have reached.
         """
         known = self.history(group)
-        pairs = token.of_group(group)
+        pairs = token.positions_in(group)
         if not pairs and not token.floor:
             return None
         needed = token.floor
         for epoch, position in pairs:
-            if known.starts and epoch < known.epoch and not known.holds(epoch, position):
+            if known.starts and epoch < known.epoch and not known.contains(epoch, position):
                 needed = NEVER_REACHED_US
             needed = max(needed, position)
         return now_us - (needed - self.skew_us)
@@ -171,4 +171,4 @@
     def needs(self, now_us: int, group: int, token: Token, lag_allowed_us: int | None) -> Needs:
         """What is asked of the member itself, which knows its own epoch and position best."""
         oldest = 0 if lag_allowed_us is None else max(0, now_us + self.skew_us - lag_allowed_us)
-        return Needs(tuple(token.of_group(group)), token.floor, oldest)
+        return Needs(tuple(token.positions_in(group)), token.floor, oldest)
--- a/juniperreel/proxy/transactions.py
+++ b/juniperreel/proxy/transactions.py
@@ -162,7 +162,7 @@
         if not self._positions.holds_commit(self.group, epoch, after.clock_us):
             raise Unknown(f"{self.member} is a primary of the past")
         self._positions.committed(self.group, epoch, after.clock_us, answer.ok.gtids)
-        return Committed(answer, Token.at(self.group, epoch, after.clock_us))
+        return Committed(answer, Token.for_position(self.group, epoch, after.clock_us))
 
     async def _exchange(
         self, steps: Sequence[Statement], main: int = 0, stream: bool = False
@@ -206,4 +206,4 @@
 
 
 def standing_of(told: endpoint_status.EndpointStatus) -> Standing:
-    return Standing(not told.read_only, told.position_us, History.of(told.epochs), told.clock_us)
+    return Standing(not told.read_only, told.position_us, History.from_starts(told.epochs), told.clock_us)
--- a/juniperreel/settings/edge.py
+++ b/juniperreel/settings/edge.py
@@ -5,7 +5,7 @@
 import ssl
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 from juniperreel.routing.types import (
     Consistency,
@@ -180,6 +180,13 @@
     open_rate: float
 
 
+class TokenKey(NamedTuple):
+    """A secret that signs causal tokens, and the id that is written into them."""
+
+    id: int
+    secret: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class EdgeSettings:
     """All that an edge is started with. Spans are microseconds."""
@@ -204,7 +211,7 @@
     connect_timeout_us: int
     probe_timeout_us: int
     stop_within_us: int
-    keys: tuple[tuple[int, bytes], ...]
+    keys: tuple[TokenKey, ...]
     skew_us: int
     log_form: str
     log_level: str
@@ -235,8 +242,8 @@
     return typed(found, keys, folder, mysql, members)
 
 
-def read_keys(token: Reader, folder: Path, problems: list[Problem]) -> tuple[tuple[int, bytes], ...]:
-    keys: list[tuple[int, bytes]] = []
+def read_keys(token: Reader, folder: Path, problems: list[Problem]) -> tuple[TokenKey, ...]:
+    keys: list[TokenKey] = []
     for name, path in token["key"]:
         line = token.at("key")
         try:
@@ -248,9 +255,9 @@
             problems.append(
                 Problem(line, f"key {name}: {path} holds {len(secret)} bytes; 16 are the least", 5)
             )
-        if name > 255 or name in [n for n, _ in keys]:
+        if name > 255 or name in [key.id for key in keys]:
             problems.append(Problem(line, f"key {name}: ids are 0 to 255, each used once"))
-        keys.append((name, secret))
+        keys.append(TokenKey(name, secret))
     if len(keys) > 2:
         problems.append(Problem(token.at("key"), "at most two keys live at once"))
     return tuple(keys)
@@ -388,7 +395,7 @@
 
 def typed(
     found: dict[str, list[Reader]],
-    keys: tuple[tuple[int, bytes], ...],
+    keys: tuple[TokenKey, ...],
     folder: Path,
     mysql: MysqlSettings | None,
     members: MemberSettings | None,
--- a/tests/causal/test_token.py
+++ b/tests/causal/test_token.py
@@ -1,4 +1,4 @@
-"""The token's join, its bytes, and what a history of epochs still holds."""
+"""The join of tokens, their encoding, and what a history of epochs still contains."""
 
 from __future__ import annotations
 
@@ -6,18 +6,19 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from juniperreel.causal import EMPTY, MAX_ENTRIES, History, Keyring, Token, TokenError
+from juniperreel.causal import EMPTY, MAX_ENTRIES, History, Keyring, SigningKey, Token, TokenError
 from juniperreel.causal.codec import MAC_BYTES, MAX_BYTES
 from juniperreel.causal.token import MAX_EPOCH, MAX_GROUP, MAX_POSITION
 
-OLD, NEW = (1, b"o" * 32), (2, b"n" * 32)
-RING = Keyring([NEW, OLD])
+OLD_KEY = SigningKey(1, b"o" * 32)
+NEW_KEY = SigningKey(2, b"n" * 32)
+KEYRING = Keyring([NEW_KEY, OLD_KEY])
 
 keys = st.tuples(st.integers(0, 40), st.integers(0, 3))
 entries = st.dictionaries(keys, st.integers(0, 60), max_size=120)
-tokens = st.builds(Token.of, entries, st.integers(0, 10))
-wide = st.builds(
-    Token.of,
+tokens = st.builds(Token.from_entries, entries, st.integers(0, 10))
+wide_tokens = st.builds(
+    Token.from_entries,
     st.dictionaries(
         st.tuples(st.integers(0, MAX_GROUP), st.integers(0, MAX_EPOCH)),
         st.integers(0, MAX_POSITION),
@@ -28,7 +29,7 @@
 
 
 @given(tokens, tokens, tokens)
-def test_join_is_a_join(a: Token, b: Token, c: Token) -> None:
+def test_join_is_commutative_idempotent_and_associative(a: Token, b: Token, c: Token) -> None:
     assert a.join(b) == b.join(a)
     assert a.join(a) == a
     assert a.join(b).join(c) == a.join(b.join(c)) == a.join(b, c)
@@ -36,94 +37,107 @@
 
 
 @given(tokens, tokens)
-def test_join_asks_for_all_that_was_asked(a: Token, b: Token) -> None:
-    merged = a.join(b)
-    assert len(merged.entries) <= MAX_ENTRIES
+def test_join_requires_all_that_its_parts_require(a: Token, b: Token) -> None:
+    joined = a.join(b)
+    assert len(joined.entries) <= MAX_ENTRIES
     for token in (a, b):
-        assert merged.floor >= token.floor
+        assert joined.floor >= token.floor
         for key, position in token.entries.items():
-            assert max(merged.entries.get(key, 0), merged.floor) >= position
+            assert max(joined.entries.get(key, 0), joined.floor) >= position
 
 
-@given(wide)
-def test_bytes_and_text_come_back(token: Token) -> None:
-    data = RING.encode(token)
+@given(wide_tokens)
+def test_decode_returns_the_encoded_token(token: Token) -> None:
+    data = KEYRING.encode(token)
     assert len(data) <= MAX_BYTES
-    assert RING.decode(data) == token
-    assert RING.decode_text(RING.encode_text(token)) == token
+    assert KEYRING.decode(data) == token
+    assert KEYRING.decode_text(KEYRING.encode_text(token)) == token
 
 
-@given(wide, st.data())
-def test_no_changed_byte_passes(token: Token, data: st.DataObject) -> None:
-    good = bytearray(RING.encode(token))
-    at = data.draw(st.integers(0, len(good) - 1))
-    good[at] ^= data.draw(st.integers(1, 255))
+@given(wide_tokens, st.data())
+def test_decode_of_a_changed_byte_raises(token: Token, data: st.DataObject) -> None:
+    encoded = bytearray(KEYRING.encode(token))
+    index = data.draw(st.integers(0, len(encoded) - 1))
+    encoded[index] ^= data.draw(st.integers(1, 255))
     with pytest.raises(TokenError):
-        RING.decode(bytes(good))
+        KEYRING.decode(bytes(encoded))
 
 
 @given(st.binary(max_size=2000))
-def test_noise_is_an_error(noise: bytes) -> None:
+def test_decode_of_unsigned_noise_raises(noise: bytes) -> None:
     with pytest.raises(TokenError):
-        RING.decode(noise)
+        KEYRING.decode(noise)
 
 
 @given(st.binary(min_size=1, max_size=60))
-def test_signed_noise_is_read_or_refused(body: bytes) -> None:
+def test_decode_of_signed_noise_raises_or_returns_a_valid_token(body: bytes) -> None:
     signed = bytes((1, 2)) + body
     try:
-        token = RING.decode(signed + RING._mac(2, signed))
+        token = KEYRING.decode(signed + KEYRING._mac(2, signed))
     except TokenError:
         return
-    assert RING.decode(RING.encode(token)) == token
+    assert KEYRING.decode(KEYRING.encode(token)) == token
 
 
 @pytest.mark.parametrize("data", [b"", b"\x01", b"\x01\x02" + bytes(MAC_BYTES), bytes(1 << 20)])
-def test_empty_cut_and_huge(data: bytes) -> None:
+def test_decode_of_empty_short_and_huge_input_raises(data: bytes) -> None:
     with pytest.raises(TokenError):
-        RING.decode(data)
+        KEYRING.decode(data)
     with pytest.raises(TokenError):
-        RING.decode_text("A" * (1 << 20))
+        KEYRING.decode_text("A" * (1 << 20))
     with pytest.raises(TokenError):
-        RING.decode_text("ü")
+        KEYRING.decode_text("ü")
 
 
-def test_keys_rotate_in_two_steps() -> None:
-    token = Token.at(3, 1, 99)
-    before, both, after = Keyring([OLD]), Keyring([OLD, NEW]), Keyring([NEW, OLD])
+def test_tokens_stay_valid_while_keys_rotate() -> None:
+    token = Token.for_position(3, 1, 99)
+    before = Keyring([OLD_KEY])
+    both = Keyring([OLD_KEY, NEW_KEY])
+    after = Keyring([NEW_KEY, OLD_KEY])
     assert both.decode(before.encode(token)) == token
     assert before.decode(both.encode(token)) == token
     assert both.decode(after.encode(token)) == token
     with pytest.raises(TokenError):
-        Keyring([NEW]).decode(before.encode(token))
+        Keyring([NEW_KEY]).decode(before.encode(token))
 
 
 @pytest.mark.parametrize(
-    "keys", [[], [OLD, OLD], [(1, b"short")], [(256, b"x" * 32)], [OLD, NEW, (3, b"x" * 32)]]
+    "keys",
+    [
+        [],
+        [OLD_KEY, OLD_KEY],
+        [SigningKey(1, b"short")],
+        [SigningKey(256, b"x" * 32)],
+        [OLD_KEY, NEW_KEY, SigningKey(3, b"x" * 32)],
+    ],
 )
-def test_bad_keyrings(keys: list[tuple[int, bytes]]) -> None:
-    with pytest.raises(ValueError):
+def test_invalid_keyring_raises(keys: list[SigningKey]) -> None:
+    with pytest.raises(ValueError, match="key"):
         Keyring(keys)
 
 
-def test_history_tells_what_a_failover_cut_off() -> None:
-    history = History.of([(1, 0), (2, 100), (3, 250)])
+def test_history_does_not_contain_what_a_failover_lost() -> None:
+    history = History.from_starts([(1, 0), (2, 100), (3, 250)])
     assert history.epoch == 3
-    assert history.holds(3, 10**15)
-    assert history.holds(2, 250) and not history.holds(2, 251)
-    assert history.holds(1, 100) and not history.holds(1, 101)
-    assert not history.holds(4, 1)  # told by a newer epoch than this member knows
-    late = History.of([(2, 100), (3, 250)])
-    assert late.holds(1, 100) and not late.holds(0, 1)  # older than it tells of
-    assert not History.of([]).holds(1, 1)
-
-
-def test_a_lost_commit_is_never_satisfied_and_never_forgotten() -> None:
-    history = History.of([(1, 0), (2, 100)])
-    token = Token.at(7, 1, 120).join(Token.at(7, 2, 110))
-    assert history.needed(token, 7) is None
+    assert history.contains(3, 10**15)
+    assert history.contains(2, 250)
+    assert not history.contains(2, 251)
+    assert history.contains(1, 100)
+    assert not history.contains(1, 101)
+    assert not history.contains(4, 1)  # a newer epoch than this history knows
+    late = History.from_starts([(2, 100), (3, 250)])
+    assert late.contains(1, 100)
+    assert not late.contains(0, 1)
+    assert not History.from_starts([]).contains(1, 1)
+
+
+def test_lost_commit_is_never_satisfied_and_stays_in_the_token() -> None:
+    history = History.from_starts([(1, 0), (2, 100)])
+    token = Token.for_position(7, 1, 120).join(Token.for_position(7, 2, 110))
+    assert history.required_position(token, 7) is None
     assert not history.satisfies(10**9, token, 7)
-    kept = Token.at(7, 1, 90).join(Token.at(7, 2, 110), Token.at(8, 5, 999))
-    assert history.needed(kept, 7) == 110
-    assert history.satisfies(110, kept, 7) and not history.satisfies(109, kept, 7)
-    assert history.needed(Token.of({}, 50), 7) == 50
+    seen = Token.for_position(7, 1, 90).join(Token.for_position(7, 2, 110), Token.for_position(8, 5, 999))
+    assert history.required_position(seen, 7) == 110
+    assert history.satisfies(110, seen, 7)
+    assert not history.satisfies(109, seen, 7)
+    assert history.required_position(Token.from_entries({}, 50), 7) == 50
--- a/tests/e2e/world.py
+++ b/tests/e2e/world.py
@@ -9,7 +9,7 @@
 import trio
 import trustme
 
-from juniperreel.causal import Keyring, Token
+from juniperreel.causal import Keyring, SigningKey, Token
 from juniperreel.cli.edge import Edge
 from juniperreel.fakes.fleet import Fleet
 from juniperreel.fakes.mysqlmember import PASSWORD, USER
@@ -124,7 +124,7 @@
         self.network = TcpNetwork()
         self.recorder = Recorder()
         self.fleet = Fleet(self.day, self.network, self.clock, self.recorder)
-        self.ring = Keyring([(1, KEY)])
+        self.ring = Keyring([SigningKey(1, KEY)])
         self.port = 0
         self.count = 0
 
@@ -193,7 +193,7 @@
         return await self.send(self.message(cls, row, self.rid(), causal_token=token), timeout_s)
 
     def token(self, position: int, epoch: int = 1) -> bytes:
-        return self.ring.encode(Token.at(0, epoch, position))
+        return self.ring.encode(Token.for_position(0, epoch, position))
 
     def commits(self, rid: str) -> list[Committed]:
         return [r for r in self.recorder.records if isinstance(r, Committed) and r.rid == rid]
--- a/tests/proxy/test_driver.py
+++ b/tests/proxy/test_driver.py
@@ -38,7 +38,7 @@
 from juniperreel.telemetry.traces import Traces
 from tests.script import BY_NAME, MS, SEC, SETTINGS
 
-HISTORY = History.of([(1, 0)])
+HISTORY = History.from_starts([(1, 0)])
 ROUTER = replace(
     SETTINGS, requests_carry_session_age=True, must_poll=True, router_count=1, health_checks=False, tenants=()
 )
@@ -211,7 +211,7 @@
 
 
 async def test_a_write_confirmed_in_an_ended_epoch_is_sent_again_only_if_keyed(bench: Bench) -> None:
-    later = History.of([(1, 0), (2, bench.clock.now_us() - SEC)])
+    later = History.from_starts([(1, 0), (2, bench.clock.now_us() - SEC)])
     for cls, kind in (("write", Served), ("once", Failed)):
         answers, attempt = await started(bench, cls)
         bench.driver.enqueue(ProbeDone("a", Outcome.OK, MS, Standing(True, bench.clock.now_us(), later)))
--- a/tests/proxy/test_positions.py
+++ b/tests/proxy/test_positions.py
@@ -10,11 +10,11 @@
 
 SKEW = 30
 histories = st.lists(st.integers(1, 50), min_size=1, max_size=5).map(
-    lambda steps: History.of([(n + 1, sum(steps[:n])) for n in range(len(steps))])
+    lambda steps: History.from_starts([(n + 1, sum(steps[:n])) for n in range(len(steps))])
 )
 standings = st.builds(Standing, st.booleans(), st.integers(0, 300), histories)
 tokens = st.builds(
-    Token.of,
+    Token.from_entries,
     st.dictionaries(st.tuples(st.integers(0, 1), st.integers(1, 6)), st.integers(1, 300)),
     st.integers(0, 50),
 )
@@ -44,11 +44,11 @@
         positions.learn(0, s)
     age = positions.session_age(now, 0, token)
     if age is None:
-        assert not token.of_group(0) and not token.floor
+        assert not token.positions_in(0) and not token.floor
         return
     module_needs = now - age
     if positions.member_position(0, standing) >= module_needs:
-        assert standing.position >= max([token.floor, *(p for _, p in token.of_group(0))])
+        assert standing.position >= max([token.floor, *(p for _, p in token.positions_in(0))])
 
 
 @given(standings, tokens)
@@ -59,16 +59,16 @@
 
 def test_a_cut_off_token_is_never_reached() -> None:
     positions = Positions(SKEW)
-    positions.learn(0, Standing(True, 200, History.of([(1, 0), (2, 100)])))
-    assert positions.session_age(1000, 0, Token.at(0, 1, 101)) == 1000 - (NEVER_REACHED_US - SKEW)
-    assert positions.session_age(1000, 0, Token.at(0, 1, 100)) == 1000 - (100 - SKEW)
+    positions.learn(0, Standing(True, 200, History.from_starts([(1, 0), (2, 100)])))
+    assert positions.session_age(1000, 0, Token.for_position(0, 1, 101)) == 1000 - (NEVER_REACHED_US - SKEW)
+    assert positions.session_age(1000, 0, Token.for_position(0, 1, 100)) == 1000 - (100 - SKEW)
     assert positions.session_age(1000, 0, EMPTY) is None
-    assert positions.session_age(1000, 1, Token.at(0, 1, 101)) is None
+    assert positions.session_age(1000, 1, Token.for_position(0, 1, 101)) is None
 
 
 def test_a_deposed_primary_s_confirmation_does_not_count() -> None:
     positions = Positions(SKEW)
-    positions.learn(0, Standing(True, 200, History.of([(1, 0), (2, 100)])))
+    positions.learn(0, Standing(True, 200, History.from_starts([(1, 0), (2, 100)])))
     assert positions.holds_commit(0, 1, 100) and not positions.holds_commit(0, 1, 150)
     assert positions.holds_commit(0, 2, 150) and positions.holds_commit(0, 3, 150)
 
@@ -76,7 +76,7 @@
 def test_bounded_reads_ask_for_an_age_with_the_skew_on_the_safe_side() -> None:
     needs = Positions(SKEW).needs(1000, 0, EMPTY, 300)
     assert needs == Needs((), 0, 730)
-    history = History.of([(1, 0)])
+    history = History.from_starts([(1, 0)])
     assert needs.met_by(Standing(False, 730, history)) and not needs.met_by(Standing(False, 729, history))
 
 
@@ -87,19 +87,19 @@
     """Danger: a commit's position is rounded up to its member's clock; the last ones before a failover would
     lie beyond the next epoch's start, and their sessions' reads be refused for ever."""
     positions = Positions(SKEW)
-    positions.learn(0, Standing(True, 90, History.of([(1, 0)]), 120))
+    positions.learn(0, Standing(True, 90, History.from_starts([(1, 0)]), 120))
     positions.committed(0, 1, 110, f"{UUID}:7")
     positions.committed(0, 1, 115, f"{UUID}:8")
     positions.committed(0, 1, 118, "not told")
-    new = Standing(True, 130, History.of([(1, 0), (2, 100)]), 140)
+    new = Standing(True, 130, History.from_starts([(1, 0), (2, 100)]), 140)
     positions.learn(0, new)
-    kept, lost, unknown = (Token.at(0, 1, p) for p in (110, 115, 118))
+    kept, lost, unknown = (Token.for_position(0, 1, p) for p in (110, 115, 118))
     for token in (kept, lost, unknown):
         assert positions.healed(0, token) == token
         assert positions.session_age(1000, 0, token) == 1000 - NEVER_REACHED_US + SKEW
     positions.executed(0, new, f"{UUID}:1-7")
     healed = positions.healed(0, kept)
-    assert healed == Token.at(0, 2, 100)
+    assert healed == Token.for_position(0, 2, 100)
     assert positions.session_age(1000, 0, healed) == 1000 - 100 + SKEW
     for token in (lost, unknown):
         assert positions.healed(0, token) == token, "what the new epoch does not hold stays asked for"
@@ -109,13 +109,13 @@
 def test_what_a_member_of_an_ended_epoch_holds_proves_nothing() -> None:
     positions = Positions(SKEW)
     positions.committed(0, 1, 110, f"{UUID}:7")
-    positions.learn(0, Standing(True, 130, History.of([(1, 0), (2, 100), (3, 120)])))
-    positions.executed(0, Standing(True, 130, History.of([(1, 0), (2, 100)])), f"{UUID}:1-7")
-    assert positions.healed(0, Token.at(0, 1, 110)) == Token.at(0, 1, 110)
+    positions.learn(0, Standing(True, 130, History.from_starts([(1, 0), (2, 100), (3, 120)])))
+    positions.executed(0, Standing(True, 130, History.from_starts([(1, 0), (2, 100)])), f"{UUID}:1-7")
+    assert positions.healed(0, Token.for_position(0, 1, 110)) == Token.for_position(0, 1, 110)
 
 
 def test_a_primary_holds_its_own_commits_wherever_its_heartbeat_stands() -> None:
-    history = History.of([(1, 0), (2, 100)])
+    history = History.from_starts([(1, 0), (2, 100)])
     needs = Needs(((2, 150),))
     assert needs.met_by(Standing(True, 120, history, 160))
     assert not needs.met_by(Standing(True, 120, history, 140)), "its clock was set back"
