--- a/juniperreel/cli/configd.py
+++ b/juniperreel/cli/configd.py
@@ -59,7 +59,7 @@
             random.Random(),
             Tuning(election_ticks=settings.election_ticks),
             settings.tick_us,
-            settings.snapshot_every,
+            settings.snapshot_interval,
         )
         self.health = Health(SERVICES)
         methods = (
@@ -115,7 +115,7 @@
 
 
 async def run_instance(settings: InstanceSettings, storage: Storage) -> None:
-    log = make_log(settings.log_form, settings.log_level, instance=settings.name)
+    log = make_log(settings.log_format, settings.log_level, instance=settings.name)
     instance = Instance(settings, storage, TcpNetwork(), Clock(), log)
     await until_signalled(instance.run, instance.stopping)
 
--- a/juniperreel/cli/edge.py
+++ b/juniperreel/cli/edge.py
@@ -39,44 +39,45 @@
         router=settings.router,
         seed=secrets.randbits(64) if settings.seed is None else settings.seed,
         groups=settings.groups,
-        hosts=settings.hosts,
+        hosts=settings.host_list,
         saved_list=settings.saved_list,
         saves_list=settings.saves_list,
-        skew_us=settings.skew_us,
+        skew_us=settings.max_clock_skew_us,
         answer_margin_us=settings.answer_margin_us,
-        max_open=settings.max_open,
-        member_attempts=settings.member_attempts,
+        max_open=settings.max_open_requests,
+        member_attempts=settings.max_attempts_per_endpoint,
         connect_timeout_us=settings.connect_timeout_us,
-        probe_timeout_us=settings.probe_timeout_us,
+        probe_timeout_us=settings.health_check_timeout_us,
         list_timeout_us=settings.list_timeout_us,
-        instances=settings.instances,
+        instances=settings.configuration_instances,
         mysql=mysql_members(settings),
-        limits=Limits(message_bytes=settings.message_bytes, metadata_bytes=settings.metadata_bytes),
+        limits=Limits(message_bytes=settings.max_message_bytes, metadata_bytes=settings.max_metadata_bytes),
     )
 
 
 def mysql_members(settings: EdgeSettings) -> MysqlMembers | None:
-    m = settings.members
+    m = settings.mysql_endpoints
     if m is None:
         return None
-    tls = None if m.tls is None else ssl.create_default_context(cafile=str(m.tls))
-    login = BackendConfig(m.user, m.password, m.database, tls, max_result_bytes=settings.message_bytes)
+    authorities = m.certificate_authorities
+    tls = None if authorities is None else ssl.create_default_context(cafile=str(authorities))
+    login = BackendConfig(m.user, m.password, m.database, tls, max_result_bytes=settings.max_message_bytes)
     sizes = PoolConfig(
-        max_connections=m.connections,
-        min_connections=m.least,
-        acquire_timeout_us=m.wait_us,
-        idle_timeout_us=m.idle_us,
-        max_lifetime_us=m.age_us,
+        max_connections=m.max_connections,
+        min_connections=m.min_connections,
+        acquire_timeout_us=m.acquire_timeout_us,
+        idle_timeout_us=m.idle_timeout_us,
+        max_lifetime_us=m.max_lifetime_us,
         open_rate=m.open_rate,
         open_burst=max(m.open_rate / 4, 1.0),
         tenant_shares=tuple(tenant.capacity_share for tenant in settings.router.tenants),
     )
-    return MysqlMembers(login, m.transaction_us, sizes)
+    return MysqlMembers(login, m.max_transaction_us, sizes)
 
 
 def classes_from(settings: EdgeSettings) -> Classes:
     """Of the MySQL front, which there must be."""
-    m = settings.mysql
+    m = settings.mysql_frontend
     assert m is not None
     classes = [c.name for c in settings.router.classes]
     tenants = [t.name for t in settings.router.tenants]
@@ -87,17 +88,17 @@
             match.schema,
             match.hint,
             match.digest,
-            classes.index(match.cls),
+            classes.index(match.class_name),
             None if match.tenant is None else tenants.index(match.tenant),
         )
         for match in m.matches
     ]
     tenant = tenants.index(m.tenant) if m.tenant else -1
-    return Classes(rules, classes.index(m.read), classes.index(m.write), tenant)
+    return Classes(rules, classes.index(m.read_class), classes.index(m.write_class), tenant)
 
 
 def mysql_front(settings: EdgeSettings, driver: Driver, keyring: Keyring, clock: Clock) -> MysqlFront:
-    m = settings.mysql
+    m = settings.mysql_frontend
     assert m is not None
     tls = None
     if m.tls is not None:
@@ -106,11 +107,11 @@
     options = MysqlOptions(
         users={name: Credential.of(password) for name, password in m.users},
         classes=classes_from(settings),
-        connections=m.connections,
-        max_packet=settings.message_bytes,
-        login=m.login,
+        connections=m.max_connections,
+        max_packet=settings.max_message_bytes,
+        login=m.auth_plugin,
         tls=tls,
-        schema=settings.members.database if settings.members is not None else "",
+        schema=settings.mysql_endpoints.database if settings.mysql_endpoints is not None else "",
     )
     return MysqlFront(driver, keyring, clock, options, nonce)
 
@@ -120,16 +121,18 @@
 
     def __init__(self, settings: EdgeSettings, network: Network, clock: Clock, log: Any = None) -> None:
         self.settings, self.network, self.clock = settings, network, clock
-        self.log = log or make_log(settings.log_form, settings.log_level, edge=settings.name)
+        self.log = log or make_log(settings.log_format, settings.log_level, edge=settings.name)
         self.metrics = Metrics()
-        self.traces = Traces(settings.spans, settings.name)
+        self.traces = Traces(settings.span_file, settings.name)
         options = driver_options(settings)
         self.pace = Pace(clock)
         self.driver = Driver(options, network, clock, self.log, self.metrics, self.traces, self.pace)
         self.health = Health(SERVICES)
-        keyring = Keyring([SigningKey(key.id, key.secret) for key in settings.keys])
+        keyring = Keyring([SigningKey(key.id, key.secret) for key in settings.token_keys])
         front = GrpcFront(self.driver, keyring, clock)
-        self.mysql = None if settings.mysql is None else mysql_front(settings, self.driver, keyring, clock)
+        self.mysql = (
+            None if settings.mysql_frontend is None else mysql_front(settings, self.driver, keyring, clock)
+        )
         methods = front.methods() | self.health.methods() | Reflection(SERVICES).methods()
         self.server = Server(
             methods, options.limits, clock, self._handler_failed, settings.max_connections, self.pace
@@ -157,8 +160,8 @@
                     metrics = f"{self.settings.metrics[0]}:{port}"
                 await nursery.start(self.driver.run)
                 mysql = None
-                if self.mysql is not None and self.settings.mysql is not None:
-                    place = self.settings.mysql.listen
+                if self.mysql is not None and self.settings.mysql_frontend is not None:
+                    place = self.settings.mysql_frontend.listen
                     port = await nursery.start(self.mysql.serve, await self.network.listen(*place))
                     self.mysql_port = port
                     mysql = f"{place[0]}:{port}"
@@ -198,7 +201,7 @@
         self.serving = False
         self.health.set(False)
         self.log.info("stopping")
-        with trio.move_on_after(self.settings.stop_within_us / US) as limit:
+        with trio.move_on_after(self.settings.shutdown_timeout_us / US) as limit:
             # Danger: what was read, or is on its way, before its connection heard of the end is still to be
             # served. The driver may turn requests away only when no connection can bring one any more.
             async with trio.open_nursery() as nursery:
--- a/juniperreel/cli/load.py
+++ b/juniperreel/cli/load.py
@@ -47,7 +47,7 @@
 
     from juniperreel.load.plan import parse_plan
     from juniperreel.load.runner import run
-    from juniperreel.settings.lexer import SettingsError
+    from juniperreel.settings import SettingsError
 
     text = file.read_text(encoding="utf-8")
     if targets:
--- a/juniperreel/cli/statement.py
+++ b/juniperreel/cli/statement.py
@@ -55,10 +55,10 @@
     from juniperreel.cli.main import settings_of
 
     settings = settings_of(file)
-    if settings.mysql is None:
+    if settings.mysql_frontend is None:
         click.echo(f"{file}: there is no [mysql] section", err=True)
         sys.exit(2)
     classes = classes_from(settings)
     cls, _ = classes.of(not replica, user, schema, hint_of(data), digest(data))
-    database = settings.members.database if settings.members is not None else ""
-    return settings.router.classes[cls].name, settings.members is not None, database
+    database = settings.mysql_endpoints.database if settings.mysql_endpoints is not None else ""
+    return settings.router.classes[cls].name, settings.mysql_endpoints is not None, database
--- a/juniperreel/cli/worker.py
+++ b/juniperreel/cli/worker.py
@@ -22,6 +22,7 @@
 from juniperreel.net.handover import HandedNetwork, Handover
 from juniperreel.settings import EdgeSettings, SettingsError
 from juniperreel.settings.edge import parse_edge
+from juniperreel.settings.values import Address
 from juniperreel.telemetry.log import make_log
 from juniperreel.workers.parent import DRAIN, GRPC, MYSQL, Told, ignore_interrupts
 
@@ -31,18 +32,18 @@
 def part_of(settings: EdgeSettings, slot: int, port: int, mysql_port: int) -> EdgeSettings:
     """A worker's part of the edge's settings: its share of the limits, addresses as they came to be."""
     count = settings.workers
-    mysql = settings.mysql
+    mysql = settings.mysql_frontend
     if mysql is not None:
-        connections = max(1, mysql.connections // count)
-        mysql = replace(mysql, listen=(mysql.listen[0], mysql_port), connections=connections)
+        connections = max(1, mysql.max_connections // count)
+        mysql = replace(mysql, listen=Address(mysql.listen.host, mysql_port), max_connections=connections)
     return replace(
         settings,
-        listen=(settings.listen[0], port),
+        listen=Address(settings.listen.host, port),
         metrics=None,
         seed=None if settings.seed is None else settings.seed + slot,
-        max_open=max(1, settings.max_open // count),
+        max_open_requests=max(1, settings.max_open_requests // count),
         max_connections=max(1, settings.max_connections // count),
-        mysql=mysql,
+        mysql_frontend=mysql,
         saves_list=slot == 0,
     )
 
@@ -52,13 +53,13 @@
 
     def __init__(self, settings: EdgeSettings, handover: Handover, slot: int) -> None:
         self.network = HandedNetwork()
-        log = make_log(settings.log_form, settings.log_level, edge=settings.name, worker=slot)
+        log = make_log(settings.log_format, settings.log_level, edge=settings.name, worker=slot)
         self.edge = Edge(settings, self.network, Clock(), log)
         self.edge.says = "worker serving"
         self.handover = handover
         self.places = {GRPC: settings.listen}
-        if settings.mysql is not None:
-            self.places[MYSQL] = settings.mysql.listen
+        if settings.mysql_frontend is not None:
+            self.places[MYSQL] = settings.mysql_frontend.listen
 
     async def run(self) -> None:
         async with trio.open_nursery() as nursery:
--- a/juniperreel/cli/workers.py
+++ b/juniperreel/cli/workers.py
@@ -23,7 +23,7 @@
 
 
 def addresses(settings: EdgeSettings) -> dict[str, object]:
-    mysql = settings.mysql.listen if settings.mysql is not None else None
+    mysql = settings.mysql_frontend.listen if settings.mysql_frontend is not None else None
     return {"listen": settings.listen, "metrics": settings.metrics, "mysql_listen": mysql}
 
 
@@ -32,7 +32,7 @@
 
     def __init__(self, settings: EdgeSettings, file: Path, text: bytes) -> None:
         self.settings, self.file = settings, file
-        self.log: Any = make_log(settings.log_form, settings.log_level, edge=settings.name)
+        self.log: Any = make_log(settings.log_format, settings.log_level, edge=settings.name)
         self.folder = tempfile.TemporaryDirectory(prefix="juniperreel-metrics-")
         self.ports = (0, 0)
         self.parent = Parent(
@@ -45,13 +45,13 @@
             ports = [str(port) for port in self.ports]
             return [*python, str(handover), str(source), str(self.file), str(slot), *ports]
 
-        return Plan(text, settings.workers, command, settings.stop_within_us)
+        return Plan(text, settings.workers, command, settings.shutdown_timeout_us)
 
     async def run(self) -> int:
         network = TcpNetwork()
         with self.folder:
             listeners = {GRPC: await network.listen(*self.settings.listen)}
-            mysql = self.settings.mysql
+            mysql = self.settings.mysql_frontend
             if mysql is not None:
                 listeners[MYSQL] = await network.listen(*mysql.listen)
             self.ports = (listeners[GRPC].port, listeners[MYSQL].port if mysql is not None else 0)
--- a/juniperreel/load/plan.py
+++ b/juniperreel/load/plan.py
@@ -25,54 +25,54 @@
 from itertools import accumulate
 from pathlib import Path
 
-from juniperreel.settings.lexer import (
-    Problem,
-    SettingsError,
-    address,
-    duration,
-    flag,
-    lex,
-    number,
-    part,
-    whole,
+from juniperreel.settings.errors import Problem, SettingsError
+from juniperreel.settings.lexer import lex
+from juniperreel.settings.schema import DirectiveSpec, SectionSpec, SectionValues, read_sections, single
+from juniperreel.settings.values import (
+    one_of,
+    parse_address,
+    parse_duration,
+    parse_flag,
+    parse_integer,
+    parse_number,
+    parse_percentage,
 )
-from juniperreel.settings.schema import Field, Kind, Reader, choice, one, read
 
 KINDS = {
-    "load": Kind(
+    "load": SectionSpec(
         {
-            "target": Field((address,), many=True),
-            "groups": one(whole, 1),
-            "sessions": one(whole, 100),
-            "skew": one(number, 0.0),  # of sessions, as Zipf's exponent; 0 asks all alike
-            "seed": one(whole, 1),
-            "processes": one(whole, 2),
-            "channels": one(whole, 8),  # connections of each process to each target
-            "behaviour": one(choice("patient", "naive", "honours"), "patient"),
-            "retries": one(whole, 3),
-            "headers": one(flag, False),  # class, tenant and group also as metadata
+            "target": DirectiveSpec((parse_address,), repeated=True),
+            "groups": single(parse_integer, 1),
+            "sessions": single(parse_integer, 100),
+            "skew": single(parse_number, 0.0),  # of sessions, as Zipf's exponent; 0 asks all alike
+            "seed": single(parse_integer, 1),
+            "processes": single(parse_integer, 2),
+            "channels": single(parse_integer, 8),  # connections of each process to each target
+            "behaviour": single(one_of("patient", "naive", "honours"), "patient"),
+            "retries": single(parse_integer, 3),
+            "headers": single(parse_flag, False),  # class, tenant and group also as metadata
         }
     ),
-    "class": Kind(
+    "class": SectionSpec(
         {
-            "part": one(part),
-            "deadline": one(duration),
-            "does": one(choice("read", "write"), "read"),
-            "statement": one(str, ""),
-            "worth": one(number, 1.0),
-            "aim": one(duration, 0),
-            "late-worth": one(part, 0.0),
+            "part": single(parse_percentage),
+            "deadline": single(parse_duration),
+            "does": single(one_of("read", "write"), "read"),
+            "statement": single(str, ""),
+            "worth": single(parse_number, 1.0),
+            "aim": single(parse_duration, 0),
+            "late-worth": single(parse_percentage, 0.0),
         },
         named=True,
     ),
-    "tenant": Kind({"part": one(part)}, named=True, needed=False),
-    "stage": Kind(
+    "tenant": SectionSpec({"part": single(parse_percentage)}, named=True, required=False),
+    "stage": SectionSpec(
         {
-            "rate": one(number, 0.0),
-            "to": one(number, -1.0),  # the rate at its end, for a ramp
-            "burst": one(whole, 0),  # all at the stage's start
-            "closed": one(whole, 0),  # clients that each wait for their answer
-            "for": one(duration),
+            "rate": single(parse_number, 0.0),
+            "to": single(parse_number, -1.0),  # the rate at its end, for a ramp
+            "burst": single(parse_integer, 0),  # all at the stage's start
+            "closed": single(parse_integer, 0),  # clients that each wait for their answer
+            "for": single(parse_duration),
         },
         named=True,
     ),
@@ -147,7 +147,7 @@
 
 def parse_plan(data: bytes, file: str) -> Plan:
     sections, problems = lex(data)
-    found = read(sections, KINDS, problems)
+    found = read_sections(sections, KINDS, problems)
     if not problems:
         check(found, problems)
     if problems:
@@ -188,11 +188,11 @@
     )
 
 
-def check(found: dict[str, list[Reader]], problems: list[Problem]) -> None:
+def check(found: dict[str, list[SectionValues]], problems: list[Problem]) -> None:
     load = found["load"][0]
 
-    def wrong(section: Reader, name: str, reason: str) -> None:
-        problems.append(Problem(section.at(name), f"{name}: {reason}"))
+    def wrong(section: SectionValues, name: str, reason: str) -> None:
+        problems.append(Problem(section.line_of(name), f"{name}: {reason}"))
 
     for name in ("groups", "sessions", "processes", "channels"):
         if load[name] < 1:
--- a/juniperreel/settings/checks.py
+++ b/juniperreel/settings/checks.py
@@ -1,97 +1,160 @@
-"""Values that are well formed alone and break a rule together.
+"""Checks on values that are well formed one by one but make no sense, or break a rule, together.
 
-Each check names the rule; the docs' table in docs/operate/edge.md follows this file.
+Each check names the rule that would be broken; the table in docs/operate/edge.md follows this file.
 """
 
 from __future__ import annotations
 
-from juniperreel.settings.lexer import Problem
-from juniperreel.settings.schema import Reader
+from collections.abc import Iterator
 
-MOST_WORKERS = 128  # of one edge
-FULL_SHARE = 1.0005  # of all tenants together; the rest is rounding
+from juniperreel.settings.errors import Problem
+from juniperreel.settings.schema import FileValues, SectionValues
 
+MAX_WORKERS = 128  # of one edge
+MAX_GROUPS = 65536
+MAX_ATTEMPTS = 100
+MIN_ANSWER_MARGIN_US = 1_000
+MAX_TOTAL_SHARE = 1.0005  # of all tenants together; what is above 1 is rounding
+MIN_LIMITS = {"open-requests": 1, "member-attempts": 1, "connections": 1, "message": 1024}
+POSITIVE_LIMITS = ("connect-timeout", "probe-timeout", "stop-within")
+US_PER_MS = 1000
 
-def check(found: dict[str, list[Reader]], problems: list[Problem]) -> None:
-    edge, rules, limits, token = (found[kind][0] for kind in ("edge", "rules", "limits", "token"))
 
-    def wrong(section: Reader, name: str, reason: str, rule: int | None = None) -> None:
-        problems.append(Problem(section.at(name), reason, rule))
+def check_file(file: FileValues) -> Iterator[Problem]:
+    """All problems of a file whose directives are well formed, but for those of MySQL."""
+    edge = file["edge"][0]
+    rules = file["rules"][0]
+    limits = file["limits"][0]
+    token = file["token"][0]
+    yield from check_edge(edge)
+    yield from check_hosts(file["hosts"][0])
+    for request_class in file["class"]:
+        yield from check_effect(request_class, rules)
+        yield from check_consistency(request_class, token)
+        yield from check_deadline(request_class, rules)
+    yield from check_rules(rules, limits)
+    yield from check_slow_start(rules)
+    yield from check_limits(limits)
+    yield from check_tenants(file["tenant"])
 
+
+def check_edge(edge: SectionValues) -> Iterator[Problem]:
+    """Counts within their bounds, and addresses that differ."""
     if edge["edges"] < 1:
-        wrong(edge, "edges", "edges: at least one, this one, shares the members", 4)
-    if not 1 <= edge["workers"] <= MOST_WORKERS:
-        wrong(edge, "workers", f"workers: 1 to {MOST_WORKERS}", 4)
-    if not 1 <= edge["groups"] <= 65536:
-        wrong(edge, "groups", "groups: 1 to 65536")
-    if edge["metrics"] is not None and edge["metrics"] == edge["listen"] and edge["listen"][1]:
-        wrong(edge, "metrics", "metrics and listen name the same address")
-    hosts = found["hosts"][0]
+        yield edge.problem("edges", "edges: at least one, this one, shares the endpoints", 4)
+    if not 1 <= edge["workers"] <= MAX_WORKERS:
+        yield edge.problem("workers", f"workers: 1 to {MAX_WORKERS}", 4)
+    if not 1 <= edge["groups"] <= MAX_GROUPS:
+        yield edge.problem("groups", f"groups: 1 to {MAX_GROUPS}")
+    if edge["metrics"] is not None and edge["metrics"] == edge["listen"] and edge["listen"].port:
+        yield edge.problem("metrics", "metrics and listen name the same address")
+
+
+def check_hosts(hosts: SectionValues) -> Iterator[Problem]:
+    """Exactly one kind of discovery."""
     if bool(hosts["source"]) == bool(hosts["instance"]):
-        wrong(hosts, "source", "either a source, the host list, or instances of the configuration are needed")
-    for section in found["class"]:
-        check_class(section, rules, token, problems)
-    check_rules(rules, limits, wrong)
-    shares = sum(t["share"] for t in found["tenant"])
-    if shares > FULL_SHARE:
-        wrong(found["tenant"][-1], "share", f"the tenants' shares add up to {shares:.0%}")
-
-
-def check_class(section: Reader, rules: Reader, token: Reader, problems: list[Problem]) -> None:
-    def wrong(name: str, reason: str, rule: int | None = None) -> None:
-        problems.append(Problem(section.at(name), f"{section.name}: {reason}", rule))
-
-    effect, consistency = section["effect"], section["consistency"]
-    if effect[0] == "keyed" and len(effect) < 3:
-        wrong("effect", "keyed needs the scope of the key and how long members remember it", 2)
-    if effect[0] == "keyed" and len(effect) == 3 and not effect[2]:
-        wrong("effect", "members that remember a key for no time see no repeat", 2)
-    if effect[0] != "keyed" and len(effect) > 1:
-        wrong("effect", f"{effect[0]} has no key; a scope or memory has no meaning")
-    if effect[0] in ("keyed", "once") and consistency[0] != "write":
-        wrong("consistency", f"a class whose effect is {effect[0]} writes; only a primary may take it", 2)
-    if consistency[0] == "write" and effect[0] == "repeatable" and rules["second-copies"]:
-        wrong("effect", "two copies of a write would be out at once", 2)
-    if (consistency[0] == "bounded") != (len(consistency) > 1):
-        wrong("consistency", "bounded, and nothing else, takes the age its data may have", 5)
-    if consistency[0] == "bounded" and len(consistency) > 1 and consistency[1] <= 2 * token["skew"]:
-        apart = token["skew"] / 1000
-        reason = f"an age of {consistency[1] / 1000:g} ms cannot be told with clocks {apart:g} ms apart"
-        wrong("consistency", reason, 5)
-    if not 0 < section["aim"] <= section["deadline"]:
-        wrong("aim", "the aim lies above 0 and not beyond the deadline", 1)
-    if section["deadline"] <= 2 * rules["answer-margin"]:
-        wrong("deadline", "the answer margin takes half of it or more", 1)
-    if section["worth"] <= 0:
-        wrong("worth", "a class that is worth nothing is always turned away")
-
-
-def check_rules(rules: Reader, limits: Reader, wrong) -> None:  # type: ignore[no-untyped-def]
-    if not 1 <= rules["attempts"] <= 100:
-        wrong(rules, "attempts", "attempts: 1 to 100")
-    if rules["answer-margin"] < 1_000:
-        wrong(
-            rules, "answer-margin", "answer-margin: an answer needs a millisecond or more on its way back", 1
-        )
+        reason = "either a source, the host list, or instances of the configuration are needed"
+        yield hosts.problem("source", reason)
+
+
+def check_effect(request_class: SectionValues, rules: SectionValues) -> Iterator[Problem]:
+    """The effect of a class fits its consistency, and a keyed one says how its key is remembered."""
+
+    def problem(directive: str, reason: str, rule: int | None = 2) -> Problem:
+        """A problem of this class."""
+        return request_class.problem(directive, f"{request_class.name}: {reason}", rule)
+
+    effect, *key_options = request_class["effect"]
+    writes = request_class["consistency"][0] == "write"
+    if effect == "keyed":
+        if len(key_options) < 2:
+            yield problem("effect", "keyed needs the scope of the key and how long members remember it")
+        elif not key_options[1]:
+            yield problem("effect", "members that remember a key for no time see no repeat")
+    elif key_options:
+        yield problem("effect", f"{effect} has no key; a scope or memory has no meaning", None)
+    if effect in ("keyed", "once") and not writes:
+        yield problem("consistency", f"a class whose effect is {effect} writes; only a primary may take it")
+    if writes and effect == "repeatable" and rules["second-copies"]:
+        yield problem("effect", "two copies of a write would be out at once")
+
+
+def check_consistency(request_class: SectionValues, token: SectionValues) -> Iterator[Problem]:
+    """A staleness bound where one is needed, and one that clocks can measure."""
+
+    def problem(reason: str) -> Problem:
+        """A problem of this class's consistency."""
+        return request_class.problem("consistency", f"{request_class.name}: {reason}", 5)
+
+    consistency, *bounds_us = request_class["consistency"]
+    if (consistency == "bounded") != bool(bounds_us):
+        yield problem("bounded, and nothing else, takes the age its data may have")
+    if consistency == "bounded" and bounds_us and bounds_us[0] <= 2 * token["skew"]:
+        bound_ms = bounds_us[0] / US_PER_MS
+        skew_ms = token["skew"] / US_PER_MS
+        yield problem(f"an age of {bound_ms:g} ms cannot be told with clocks {skew_ms:g} ms apart")
+
+
+def check_deadline(request_class: SectionValues, rules: SectionValues) -> Iterator[Problem]:
+    """The latency objective and the answer margin leave time before the deadline; the weight is positive."""
+
+    def problem(directive: str, reason: str, rule: int | None = None) -> Problem:
+        """A problem of this class."""
+        return request_class.problem(directive, f"{request_class.name}: {reason}", rule)
+
+    if not 0 < request_class["aim"] <= request_class["deadline"]:
+        yield problem("aim", "the aim lies above 0 and not beyond the deadline", 1)
+    if request_class["deadline"] <= 2 * rules["answer-margin"]:
+        yield problem("deadline", "the answer margin takes half of it or more", 1)
+    if request_class["worth"] <= 0:
+        yield problem("worth", "a class that is worth nothing is always turned away")
+
+
+def check_rules(rules: SectionValues, limits: SectionValues) -> Iterator[Problem]:
+    """Attempts, deadlines, draining and what endpoints do with stale reads."""
+    if not 1 <= rules["attempts"] <= MAX_ATTEMPTS:
+        yield rules.problem("attempts", f"attempts: 1 to {MAX_ATTEMPTS}")
+    if rules["answer-margin"] < MIN_ANSWER_MARGIN_US:
+        reason = "answer-margin: an answer needs a millisecond or more on its way back"
+        yield rules.problem("answer-margin", reason, 1)
     if not rules["cancelling"] and rules["second-copies"]:
-        wrong(rules, "second-copies", "second copies that cannot be withdrawn go on after the answer", 1)
+        reason = "second copies that cannot be withdrawn go on after the answer"
+        yield rules.problem("second-copies", reason, 1)
     if rules["drain-grace"] <= 2 * limits["connect-timeout"]:
         reason = "drain-grace: a connection opened in its first half may carry work after its end"
-        wrong(rules, "drain-grace", reason, 3)
+        yield rules.problem("drain-grace", reason, 3)
+    guard, *waits_us = rules["members-check"]
+    if (guard == "wait") != bool(waits_us):
+        reason = "members-check: wait, and nothing else, takes how long members wait"
+        yield rules.problem("members-check", reason)
+
+
+def check_slow_start(rules: SectionValues) -> Iterator[Problem]:
+    """Slow start has a beginning and a duration; overload is above capacity."""
     if not rules["cold-from"]:
-        wrong(rules, "cold-from", "cold-from: a member that starts with nothing can be sent nothing", 4)
+        reason = "cold-from: a member that starts with nothing can be sent nothing"
+        yield rules.problem("cold-from", reason, 4)
     if not rules["cold-span"]:
-        wrong(rules, "cold-span", "cold-span: members that start are cold for some time", 4)
+        yield rules.problem("cold-span", "cold-span: members that start are cold for some time", 4)
     if rules["fall-multiple"] < 1:
-        wrong(rules, "fall-multiple", "fall-multiple: below 1 a member falls at its own capacity", 4)
+        reason = "fall-multiple: below 1 a member falls at its own capacity"
+        yield rules.problem("fall-multiple", reason, 4)
     if not rules["overload-span"]:
-        wrong(rules, "overload-span", "overload-span: must be above 0", 4)
-    guard = rules["members-check"]
-    if (guard[0] == "wait") != (len(guard) > 1):
-        wrong(rules, "members-check", "members-check: wait, and nothing else, takes how long members wait")
-    for name, least in (("open-requests", 1), ("member-attempts", 1), ("connections", 1), ("message", 1024)):
-        if limits[name] < least:
-            wrong(limits, name, f"{name}: at least {least}")
-    for name in ("connect-timeout", "probe-timeout", "stop-within"):
-        if not limits[name]:
-            wrong(limits, name, f"{name}: must be above 0", 1)
+        yield rules.problem("overload-span", "overload-span: must be above 0", 4)
+
+
+def check_limits(limits: SectionValues) -> Iterator[Problem]:
+    """Limits above their minimum, and time-outs above 0."""
+    for directive, minimum in MIN_LIMITS.items():
+        if limits[directive] < minimum:
+            yield limits.problem(directive, f"{directive}: at least {minimum}")
+    for directive in POSITIVE_LIMITS:
+        if not limits[directive]:
+            yield limits.problem(directive, f"{directive}: must be above 0", 1)
+
+
+def check_tenants(tenants: list[SectionValues]) -> Iterator[Problem]:
+    """Shares that do not exceed the whole."""
+    total_share = sum(tenant["share"] for tenant in tenants)
+    if total_share > MAX_TOTAL_SHARE:
+        yield tenants[-1].problem("share", f"the tenants' shares add up to {total_share:.0%}")
--- a/juniperreel/settings/configd.py
+++ b/juniperreel/settings/configd.py
@@ -1,102 +1,135 @@
-"""The settings of a configuration instance."""
+"""The settings of a configuration instance, a member of the Raft cluster that keeps the configuration."""
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
 
-from juniperreel.settings.lexer import BadValue, Problem, SettingsError, address, duration, lex, whole, word
-from juniperreel.settings.schema import Field, Kind, choice, one, read
+from juniperreel.settings.errors import InvalidValueError, Problem, SettingsError
+from juniperreel.settings.lexer import lex
+from juniperreel.settings.schema import DirectiveSpec, FileValues, SectionSpec, read_sections, single
+from juniperreel.settings.secret_files import check_key_length, read_secret
+from juniperreel.settings.values import (
+    Address,
+    one_of,
+    parse_address,
+    parse_duration,
+    parse_integer,
+    parse_name,
+)
 
+MIN_TICK_US = 1_000
+MAX_TICK_US = 1_000_000
+MIN_ELECTION_TICKS = 5
+QUOTED_LENGTH = 60  # of an invalid instance in an error's text
 
-def instance(text: str) -> str:
-    """name@host:port"""
-    name, at, place = text.rpartition("@")
-    if not at or not name or "," in name or "@" in name:
-        raise BadValue(f"{text[:60]!r} is not name@host:port")
-    address(place)
-    return text
 
+def parse_instance(argument: str) -> str:
+    """An instance as name@host:port, returned as it is.
 
-KINDS = {
-    "instance": Kind(
+    Raises:
+        InvalidValueError: It has another form.
+    """
+    name, separator, address = argument.rpartition("@")
+    if not separator or not name or "," in name or "@" in name:
+        raise InvalidValueError(f"{argument[:QUOTED_LENGTH]!r} is not name@host:port")
+    parse_address(address)
+    return argument
+
+
+SECTIONS = {
+    "instance": SectionSpec(
         {
-            "name": one(instance),
-            "cluster": one(word),
-            "directory": one(Path),
-            "key": one(Path),
-            "tick": one(duration, 30_000),
-            "election-ticks": one(whole, 10),
-            "snapshot-every": one(whole, 1000),
+            "name": single(parse_instance),
+            "cluster": single(parse_name),
+            "directory": single(Path),
+            "key": single(Path),
+            "tick": single(parse_duration, 30_000),
+            "election-ticks": single(parse_integer, 10),
+            "snapshot-every": single(parse_integer, 1000),
         }
     ),
-    "cluster": Kind({"member": Field((instance,), many=True)}),
-    "log": Kind(
+    "cluster": SectionSpec({"member": DirectiveSpec((parse_instance,), repeated=True)}),
+    "log": SectionSpec(
         {
-            "form": one(choice("json", "console"), "json"),
-            "level": one(choice("debug", "info", "warning", "error"), "info"),
+            "form": single(one_of("json", "console"), "json"),
+            "level": single(one_of("debug", "info", "warning", "error"), "info"),
         },
-        needed=False,
+        required=False,
     ),
 }
 
 
 @dataclass(frozen=True, slots=True)
 class InstanceSettings:
-    """`members` are those that a new cluster starts with."""
+    """All that a configuration instance is started with.
+
+    Attributes:
+        name: As name@host:port.
+        snapshot_interval: Log entries between snapshots.
+        members: The instances that a new cluster starts with, as `name`.
+    """
 
     name: str
-    listen: tuple[str, int]
+    listen: Address
     cluster: str
     directory: Path
     key: bytes
     tick_us: int
     election_ticks: int
-    snapshot_every: int
+    snapshot_interval: int
     members: tuple[str, ...]
-    log_form: str
+    log_format: str
     log_level: str
 
 
 def read_instance(path: Path) -> InstanceSettings:
-    """Raises SettingsError with every problem in the file, or OSError."""
+    """The settings of a file.
+
+    Raises:
+        SettingsError: The file has problems; the error has all of them.
+        OSError: The file cannot be read.
+    """
     sections, problems = lex(path.read_bytes())
-    found = read(sections, KINDS, problems)
+    file = read_sections(sections, SECTIONS, problems)
     if problems:
         raise SettingsError(str(path), problems)
-    inst, cluster, log = found["instance"][0], found["cluster"][0], found["log"][0]
+    instance = file["instance"][0]
     key = b""
     try:
-        key = (path.parent / inst["key"]).read_bytes().strip()
-    except OSError as error:
-        problems.append(Problem(inst.at("key"), f"{inst['key']} cannot be read: {error.strerror}"))
-    else:
-        if len(key) < 16:
-            problems.append(
-                Problem(inst.at("key"), f"{inst['key']} holds {len(key)} bytes; 16 are the least")
-            )
-    members = cluster["member"]
-    if len(set(members)) != len(members) or len(members) % 2 == 0:
-        reason = "an odd number of members, each named once: an even one bears no more losses"
-        problems.append(Problem(cluster.at("member"), reason))
-    if not 1_000 <= inst["tick"] <= 1_000_000:
-        problems.append(Problem(inst.at("tick"), "tick: 1ms to 1s"))
-    if inst["election-ticks"] < 5 or inst["snapshot-every"] < 1:
-        problems.append(
-            Problem(inst.at("election-ticks"), "election-ticks: 5 or more; snapshot-every: 1 or more")
-        )
+        key = read_secret(path.parent, instance["key"])
+        check_key_length(instance["key"], key)
+    except InvalidValueError as error:
+        problems.append(instance.problem("key", str(error)))
+    problems += check_instance(file)
     if problems:
         raise SettingsError(str(path), problems)
     return InstanceSettings(
-        name=inst["name"],
-        listen=address(inst["name"].rpartition("@")[2]),
-        cluster=inst["cluster"],
-        directory=path.parent / inst["directory"],
+        name=instance["name"],
+        listen=parse_address(instance["name"].rpartition("@")[2]),
+        cluster=instance["cluster"],
+        directory=path.parent / instance["directory"],
         key=key,
-        tick_us=inst["tick"],
-        election_ticks=inst["election-ticks"],
-        snapshot_every=inst["snapshot-every"],
-        members=tuple(members),
-        log_form=log["form"],
-        log_level=log["level"],
+        tick_us=instance["tick"],
+        election_ticks=instance["election-ticks"],
+        snapshot_interval=instance["snapshot-every"],
+        members=tuple(file["cluster"][0]["member"]),
+        log_format=file["log"][0]["form"],
+        log_level=file["log"][0]["level"],
     )
+
+
+def check_instance(file: FileValues) -> Iterator[Problem]:
+    """A quorum that tolerates failures, and timers within their bounds."""
+    instance = file["instance"][0]
+    cluster = file["cluster"][0]
+    members = cluster["member"]
+    if len(set(members)) != len(members) or len(members) % 2 == 0:
+        reason = "an odd number of members, each named once: an even one bears no more losses"
+        yield cluster.problem("member", reason)
+    if not MIN_TICK_US <= instance["tick"] <= MAX_TICK_US:
+        yield instance.problem("tick", "tick: 1ms to 1s")
+    if instance["election-ticks"] < MIN_ELECTION_TICKS or instance["snapshot-every"] < 1:
+        reason = "election-ticks: 5 or more; snapshot-every: 1 or more"
+        yield instance.problem("election-ticks", reason)
--- a/juniperreel/settings/matches.py
+++ b/juniperreel/settings/matches.py
@@ -1,92 +1,108 @@
-"""`match`: which statements of the MySQL front are of another class, and whose they are.
+"""The `match` directive: which statements of the MySQL frontend belong to another class or tenant.
 
     match read|write [user NAME] [schema NAME] [hint NAME] [digest HEX] class NAME [tenant NAME]
 
-The first line that fits decides.
+The first line that matches decides.
 """
 
 from __future__ import annotations
 
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
 
-from juniperreel.settings.lexer import Problem
-from juniperreel.settings.schema import Reader
+from juniperreel.settings.edge_settings import StatementMatch
+from juniperreel.settings.errors import InvalidValueError, Problem
+from juniperreel.settings.schema import SectionValues
 
 CONDITIONS = ("user", "schema", "hint", "digest")
 RESULTS = ("class", "tenant")
-DIGEST = 16  # digits
+DIGEST_DIGITS = 16
+HEX_DIGITS = frozenset("0123456789abcdef")
+QUOTED_LENGTH = 40  # of an argument in an error's text
 
 
-@dataclass(frozen=True, slots=True)
-class Match:
-    """Conditions that are None fit anything."""
+def read_matches(
+    section: SectionValues, classes: Mapping[str, bool], tenants: Sequence[str], problems: list[Problem]
+) -> tuple[StatementMatch, ...]:
+    """The matches in their order. Adds what is wrong to `problems`.
 
-    write: bool
-    user: str | None
-    schema: str | None
-    hint: str | None
-    digest: str | None
-    cls: str
-    tenant: str | None
+    Args:
+        section: The section of the MySQL frontend.
+        classes: Whether a class writes, by its name.
+        tenants: All tenants' names.
+        problems: What is wrong with the file.
+    """
+    matches = []
+    for line, arguments in zip(section.lines_of("match"), section["match"], strict=True):
+        try:
+            match = parse_match(arguments)
+        except InvalidValueError as error:
+            problems.append(Problem(line, f"match: {error}"))
+            continue
+        problems += reference_problems(match, line, classes, tenants)
+        matches.append(match)
+    return tuple(matches)
 
 
-def read_matches(
-    section: Reader, classes: Mapping[str, bool], tenants: Sequence[str], problems: list[Problem]
-) -> tuple[Match, ...]:
-    """`classes`: by name, whether it writes."""
-    found = []
-    for line, words in zip(section.all("match"), section["match"], strict=True):
-        match = one_match(line, words, problems)
-        if match is None:
-            continue
-        if match.cls not in classes:
-            problems.append(Problem(line, f"match: no class is called {match.cls!r}"))
-        elif classes[match.cls] != match.write:
-            # Danger: a write in a class that reads goes to a replica, a read's class says how old it may be.
-            what = "writes" if classes[match.cls] else "does not write"
-            problems.append(Problem(line, f"match: class {match.cls} {what}", 2 if match.write else 5))
-        if match.tenant is not None and match.tenant not in tenants:
-            problems.append(Problem(line, f"match: no tenant is called {match.tenant!r}"))
-        found.append(match)
-    return tuple(found)
-
-
-def one_match(line: int, words: Sequence[str], problems: list[Problem]) -> Match | None:
-    def wrong(reason: str) -> None:
-        problems.append(Problem(line, f"match: {reason}"))
-
-    if words[0] not in ("read", "write"):
-        wrong(f"read or write comes first, not {words[0][:40]!r}")
-        return None
-    if len(words) % 2 == 0:
-        wrong(f"{words[-1][:40]!r} stands alone")
-        return None
-    values: dict[str, str] = {}
-    for name, value in zip(words[1::2], words[2::2], strict=True):
-        if name not in CONDITIONS + RESULTS:
-            wrong(f"{name[:40]!r} is none of {', '.join(CONDITIONS + RESULTS)}")
-            return None
-        if name in values:
-            wrong(f"{name} stands twice")
-            return None
-        values[name] = value
-    digest = values.get("digest")
-    if digest is not None and (len(digest) != DIGEST or not set(digest) <= set("0123456789abcdef")):
-        wrong(f"a digest has {DIGEST} digits, as `juniperreel statement` prints them")
-        return None
-    if "class" not in values:
-        wrong("class is missing")
-        return None
-    if not set(values) & set(CONDITIONS):
-        wrong(f"nothing to match: one of {', '.join(CONDITIONS)} is needed")
-        return None
-    return Match(
-        words[0] == "write",
-        values.get("user"),
-        values.get("schema"),
-        values.get("hint"),
-        digest,
-        values["class"],
-        values.get("tenant"),
+def reference_problems(
+    match: StatementMatch, line: int, classes: Mapping[str, bool], tenants: Sequence[str]
+) -> list[Problem]:
+    """Problems with the class and the tenant that a match names."""
+    problems = []
+    class_writes = classes.get(match.class_name)
+    if class_writes is None:
+        problems.append(Problem(line, f"match: no class is called {match.class_name!r}"))
+    elif class_writes != match.write:
+        # Danger: a write in a class that reads would go to a replica, and a read in a class that writes has
+        # no bound on how stale its data may be.
+        verb = "writes" if class_writes else "does not write"
+        problems.append(Problem(line, f"match: class {match.class_name} {verb}", 2 if match.write else 5))
+    if match.tenant is not None and match.tenant not in tenants:
+        problems.append(Problem(line, f"match: no tenant is called {match.tenant!r}"))
+    return problems
+
+
+def parse_match(arguments: Sequence[str]) -> StatementMatch:
+    """One match from the directive's arguments.
+
+    Raises:
+        InvalidValueError: It is malformed, or has no condition or no class.
+    """
+    if arguments[0] not in ("read", "write"):
+        raise InvalidValueError(f"read or write comes first, not {_quoted(arguments[0])}")
+    if len(arguments) % 2 == 0:
+        raise InvalidValueError(f"{_quoted(arguments[-1])} stands alone")
+    options = _parse_options(arguments[1:])
+    digest = options.get("digest")
+    if digest is not None and (len(digest) != DIGEST_DIGITS or not HEX_DIGITS.issuperset(digest)):
+        raise InvalidValueError(
+            f"a digest has {DIGEST_DIGITS} digits, as `juniperreel statement` prints them"
+        )
+    if "class" not in options:
+        raise InvalidValueError("class is missing")
+    if options.keys().isdisjoint(CONDITIONS):
+        raise InvalidValueError(f"nothing to match: one of {', '.join(CONDITIONS)} is needed")
+    return StatementMatch(
+        write=arguments[0] == "write",
+        user=options.get("user"),
+        schema=options.get("schema"),
+        hint=options.get("hint"),
+        digest=digest,
+        class_name=options["class"],
+        tenant=options.get("tenant"),
     )
+
+
+def _parse_options(arguments: Sequence[str]) -> dict[str, str]:
+    """Pairs of a condition or result, and its value."""
+    options: dict[str, str] = {}
+    for name, value in zip(arguments[::2], arguments[1::2], strict=True):
+        if name not in CONDITIONS + RESULTS:
+            raise InvalidValueError(f"{_quoted(name)} is none of {', '.join(CONDITIONS + RESULTS)}")
+        if name in options:
+            raise InvalidValueError(f"{name} stands twice")
+        options[name] = value
+    return options
+
+
+def _quoted(argument: str) -> str:
+    return repr(argument[:QUOTED_LENGTH])
--- a/tests/load/test_load.py
+++ b/tests/load/test_load.py
@@ -11,7 +11,7 @@
 from juniperreel.load.plan import draw, parse_plan
 from juniperreel.load.shots import ENCODER, Shot, Side, Start
 from juniperreel.load.summary import load_result
-from juniperreel.settings.lexer import SettingsError
+from juniperreel.settings import SettingsError
 from juniperreel.verification.rules import Day, check_answers
 
 PLAN = """
--- a/tests/raft/cluster.py
+++ b/tests/raft/cluster.py
@@ -18,6 +18,7 @@
 from juniperreel.raft.storage import Storage
 from juniperreel.raft.types import Members, Message
 from juniperreel.settings.configd import InstanceSettings
+from juniperreel.settings.values import Address
 from juniperreel.telemetry.log import make_log
 from juniperreel.verification.versions import Acted, Confirmed
 
@@ -61,7 +62,7 @@
         self.ended: dict[str, trio.Event] = {}
         self.cuts: set[tuple[str, str]] = set()
         self.records: list[Confirmed | Acted] = []
-        self.settings = {"tick_us": 10_000, "election_ticks": 10, "snapshot_every": 1000} | settings
+        self.settings = {"tick_us": 10_000, "election_ticks": 10, "snapshot_interval": 1000} | settings
         self.log = make_log(stream=(folder / "log").open("w"))
         self.sequence = 0
 
@@ -85,12 +86,12 @@
         host, _, port = name.partition("@")[2].rpartition(":")
         settings = InstanceSettings(
             name=name,
-            listen=(host, int(port)),
+            listen=Address(host, int(port)),
             cluster="test",
             directory=self.path(name),
             key=KEY,
             members=tuple(self.names),
-            log_form="json",
+            log_format="json",
             log_level="info",
             **self.settings,
         )
--- a/tests/raft/test_cluster.py
+++ b/tests/raft/test_cluster.py
@@ -217,7 +217,7 @@
 async def test_a_new_instance_takes_a_snapshot_while_entries_go_on(
     nursery: trio.Nursery, tmp_path: Path
 ) -> None:
-    cluster = Cluster(tmp_path, nursery, snapshot_every=20)
+    cluster = Cluster(tmp_path, nursery, snapshot_interval=20)
     await cluster.start(3)
     await cluster.seed()
     for n in range(300):
--- a/tests/settings/test_configd.py
+++ b/tests/settings/test_configd.py
@@ -1,4 +1,4 @@
-"""The instance's settings file."""
+"""The settings file of a configuration instance."""
 
 from __future__ import annotations
 
@@ -7,30 +7,30 @@
 import pytest
 
 from juniperreel.settings import SettingsError
-from juniperreel.settings.configd import read_instance
+from juniperreel.settings.configd import InstanceSettings, read_instance
 
-GOOD = (Path(__file__).parents[2] / "deploy" / "configd.conf").read_text(encoding="utf-8")
+VALID = (Path(__file__).parents[2] / "deploy" / "configd.conf").read_text(encoding="utf-8")
 
 
 @pytest.fixture
-def folder(tmp_path: Path) -> Path:
+def directory(tmp_path: Path) -> Path:
     (tmp_path / "cluster.key").write_bytes(b"k" * 32)
     return tmp_path
 
 
-def load(folder: Path, text: str) -> object:
-    (folder / "c.conf").write_text(text, encoding="utf-8")
-    return read_instance(folder / "c.conf")
+def load(directory: Path, text: str) -> InstanceSettings:
+    (directory / "c.conf").write_text(text, encoding="utf-8")
+    return read_instance(directory / "c.conf")
 
 
-def test_the_example_loads_whole(folder: Path) -> None:
-    settings = load(folder, GOOD)
-    assert getattr(settings, "listen", None) == ("127.0.0.1", 7301)
-    assert len(getattr(settings, "members", ())) == 3
+def test_example_file_is_read(directory: Path) -> None:
+    settings = load(directory, VALID)
+    assert settings.listen == ("127.0.0.1", 7301)
+    assert len(settings.members) == 3
 
 
 @pytest.mark.parametrize(
-    ("old", "new", "reason"),
+    "old, new, reason",
     [
         ("name c1@127.0.0.1:7301", "name c1", "name@host:port"),
         ("member c3@127.0.0.1:7303", "", "odd number"),
@@ -41,6 +41,6 @@
         ("cluster westrun", "", "cluster is missing"),
     ],
 )
-def test_a_bad_file_is_refused(folder: Path, old: str, new: str, reason: str) -> None:
+def test_invalid_file_is_rejected(directory: Path, old: str, new: str, reason: str) -> None:
     with pytest.raises(SettingsError, match=reason):
-        load(folder, GOOD.replace(old, new, 1))
+        load(directory, VALID.replace(old, new, 1))
--- a/tests/settings/test_edge.py
+++ b/tests/settings/test_edge.py
@@ -1,4 +1,4 @@
-"""Good files load whole; bad ones are refused with every reason at once."""
+"""Valid files are read as a whole; invalid ones are rejected with all their problems at once."""
 
 from __future__ import annotations
 
@@ -16,21 +16,20 @@
 from juniperreel.settings.edge import parse_edge
 from juniperreel.settings.lexer import lex
 
-FILES = Path(__file__).parent / "files"
 EXAMPLE = Path(__file__).parents[2] / "deploy" / "edge.conf"
-GOOD = EXAMPLE.read_text(encoding="utf-8")
+VALID = EXAMPLE.read_text(encoding="utf-8")
 
 
 @pytest.fixture
-def folder(tmp_path: Path) -> Path:
+def directory(tmp_path: Path) -> Path:
     (tmp_path / "token.key").write_bytes(b"k" * 32)
     (tmp_path / "short.key").write_bytes(b"k")
     return tmp_path
 
 
-def test_the_example_file_loads_whole(folder: Path) -> None:
-    (folder / "edge.conf").write_text(GOOD, encoding="utf-8")
-    settings = read_edge(folder / "edge.conf")
+def test_example_file_is_read(directory: Path) -> None:
+    (directory / "edge.conf").write_text(VALID, encoding="utf-8")
+    settings = read_edge(directory / "edge.conf")
     assert settings.listen == ("127.0.0.1", 7100)
     names = [c.name for c in settings.router.classes]
     assert names == ["board-read", "own-read", "run-write"]
@@ -42,11 +41,11 @@
     )
     assert settings.router.classes[0].max_staleness_us == 300_000
     assert [t.capacity_share for t in settings.router.tenants] == [0.69, 0.16, 0.15]
-    assert settings.keys == ((1, b"k" * 32),)
-    assert settings.saved_list == folder / "edge-1.hosts"
+    assert settings.token_keys == ((1, b"k" * 32),)
+    assert settings.saved_list == directory / "edge-1.hosts"
 
 
-MYSQL = """[mysql]
+FRONTEND = """[mysql]
 listen 127.0.0.1:3306
 user ada token.key
 read own-read
@@ -55,14 +54,15 @@
 [log]"""
 
 
-def test_the_mysql_section_is_read(folder: Path) -> None:
-    settings = parse_edge(GOOD.replace("[log]", MYSQL).encode(), "edge.conf", folder)
-    assert settings.mysql is not None
-    assert settings.mysql.users == (("ada", b"k" * 32),) and settings.mysql.connections == 1000
+def test_mysql_section_is_read(directory: Path) -> None:
+    settings = parse_edge(VALID.replace("[log]", FRONTEND).encode(), "edge.conf", directory)
+    assert settings.mysql_frontend is not None
+    assert settings.mysql_frontend.users == (("ada", b"k" * 32),)
+    assert settings.mysql_frontend.max_connections == 1000
 
 
-# A change to the example, the line's text that is blamed, the reason, and the rule.
-BAD = [
+# A replacement in the example, the text of the reported line, the reason, and the rule.
+INVALID = [
     ("attempts 6", "attempts six", "attempts six", "not a whole number", None),
     ("attempts 6", "attempts 6\nattempts 6", "attempts 6\n[", "", None),
     ("listen 127.0.0.1:7100", "listen 7100", "listen 7100", "not an address", None),
@@ -100,117 +100,129 @@
     ("name edge-1", 'name "edge-1', 'name "edge-1', "not closed", None),
     ("name edge-1", "name edge-1\x01", "name edge-1", "control character", None),
     ("[log]", "[mysql]\n[log]", "[mysql]", "listen is missing", None),
-    ("[log]", MYSQL.replace("read own-read", "read run-write"), "read run-write", "run-write writes", 2),
-    ("[log]", MYSQL.replace("write run-write", "write own-read"), "write own-read", "does not write", 5),
-    ("[log]", MYSQL.replace("token.key", "none"), "user ada none", "cannot be read", None),
-    ("[log]", MYSQL.replace("tenant fastlap", ""), "[mysql]", "tenant: one of", None),
+    ("[log]", FRONTEND.replace("read own-read", "read run-write"), "read run-write", "run-write writes", 2),
+    ("[log]", FRONTEND.replace("write run-write", "write own-read"), "write own-read", "does not write", 5),
+    ("[log]", FRONTEND.replace("token.key", "none"), "user ada none", "cannot be read", None),
+    ("[log]", FRONTEND.replace("tenant fastlap", ""), "[mysql]", "tenant: one of", None),
     (
         "[log]",
-        MYSQL.replace("\n[log]", "\ntls none.crt none.key\n[log]"),
+        FRONTEND.replace("\n[log]", "\ntls none.crt none.key\n[log]"),
         "tls none",
         "tls: No such file",
         None,
     ),
-    ("[log]", MYSQL.replace("\n[log]", "\ntls token.key token.key\n[log]"), "tls token", "tls: ", None),
+    ("[log]", FRONTEND.replace("\n[log]", "\ntls token.key token.key\n[log]"), "tls token", "tls: ", None),
     ("groups 3", "groups 3\nworkers 0", "workers 0", "workers: 1 to", 4),
     ("[edge]", "stray 1\n[edge]", "stray 1", "before the first section", None),
 ]
 
 
-@pytest.mark.parametrize(("old", "new", "blamed", "reason", "rule"), BAD, ids=[b[1][:30] for b in BAD])
-def test_a_bad_file_is_refused_with_line_reason_and_rule(
-    folder: Path, old: str, new: str, blamed: str | None, reason: str, rule: int | None
+@pytest.mark.parametrize(
+    "old, new, reported, reason, rule", INVALID, ids=[change[1][:30] for change in INVALID]
+)
+def test_invalid_file_is_rejected_with_line_reason_and_rule(
+    directory: Path, old: str, new: str, reported: str | None, reason: str, rule: int | None
 ) -> None:
-    text = GOOD.replace(old, new, 1)
+    text = VALID.replace(old, new, 1)
     if rule == 2 and "two copies" in reason:
         text = text.replace("attempts 6", "attempts 6\nsecond-copies yes")
-    assert text != GOOD
-    with pytest.raises(SettingsError) as refused:
-        parse_edge(text.encode(), "edge.conf", folder)
-    found = [p for p in refused.value.problems if reason in p.reason]
-    assert found, str(refused.value)
+    assert text != VALID
+    with pytest.raises(SettingsError) as error:
+        parse_edge(text.encode(), "edge.conf", directory)
+    found = [p for p in error.value.problems if reason in p.reason]
+    assert found, str(error.value)
     assert found[0].rule == rule
-    if blamed is not None and "\n" not in blamed:
-        assert blamed in text.split("\n")[found[0].line - 1]
-    assert f"edge.conf:{found[0].line}: " in str(refused.value)
+    if reported is not None and "\n" not in reported:
+        assert reported in text.split("\n")[found[0].line - 1]
+    assert f"edge.conf:{found[0].line}: " in str(error.value)
 
 
-def test_all_problems_come_at_once(folder: Path) -> None:
-    text = GOOD.replace("attempts 6", "attempts x").replace("aim 500ms", "aim y").replace("zone 0", "zone z")
-    with pytest.raises(SettingsError) as refused:
-        parse_edge(text.encode(), "edge.conf", folder)
-    assert len(refused.value.problems) == 3
-    assert [p.line for p in refused.value.problems] == sorted(p.line for p in refused.value.problems)
+def test_all_problems_are_reported_at_once(directory: Path) -> None:
+    text = VALID.replace("attempts 6", "attempts x").replace("aim 500ms", "aim y").replace("zone 0", "zone z")
+    with pytest.raises(SettingsError) as error:
+        parse_edge(text.encode(), "edge.conf", directory)
+    assert len(error.value.problems) == 3
+    assert [p.line for p in error.value.problems] == sorted(p.line for p in error.value.problems)
 
 
 @given(st.binary(max_size=400))
-def test_noise_is_refused_and_never_crashes(noise: bytes) -> None:
+def test_noise_is_rejected(noise: bytes) -> None:
     with pytest.raises(SettingsError):
         parse_edge(noise, "noise", Path("/nonexistent"))
 
 
 @given(st.text(max_size=200))
-def test_any_text_lexes_or_says_where(text: str) -> None:
+def test_lex_of_any_text_returns_problems_with_lines(text: str) -> None:
     _, problems = lex(text.encode("utf-8", "replace"))
     assert all(p.line >= 1 for p in problems)
 
 
-def test_an_empty_and_a_huge_file(folder: Path) -> None:
+def test_empty_huge_and_binary_files_are_rejected(directory: Path) -> None:
     for data in (b"", b"#" * (2 << 20), b"\xff\xfe"):
         with pytest.raises(SettingsError):
-            parse_edge(data, "edge.conf", folder)
+            parse_edge(data, "edge.conf", directory)
 
 
-MEMBERS = """[members]
+ENDPOINTS = """[members]
 speak mysql
 user edge token.key
 database boards
 [log]"""
 
 
-def with_members(text: str = MEMBERS, mysql: str = MYSQL) -> str:
-    return GOOD.replace("effect keyed group 5s", "effect once").replace("[log]", mysql).replace("[log]", text)
+def with_endpoints(endpoints: str = ENDPOINTS, frontend: str = FRONTEND) -> str:
+    return (
+        VALID.replace("effect keyed group 5s", "effect once")
+        .replace("[log]", frontend)
+        .replace("[log]", endpoints)
+    )
 
 
-def test_members_that_speak_mysql(folder: Path) -> None:
-    settings = parse_edge(with_members().encode(), "edge.conf", folder)
-    assert settings.members is not None
-    assert (settings.members.user, settings.members.database) == ("edge", "boards")
-    assert settings.members.transaction_us == settings.router.drain_grace_us // 2
+def test_mysql_endpoints_are_read(directory: Path) -> None:
+    settings = parse_edge(with_endpoints().encode(), "edge.conf", directory)
+    assert settings.mysql_endpoints is not None
+    assert (settings.mysql_endpoints.user, settings.mysql_endpoints.database) == ("edge", "boards")
+    assert settings.mysql_endpoints.max_transaction_us == settings.router.drain_grace_us // 2
 
 
 @pytest.mark.parametrize(
-    ("text", "reason", "rule"),
+    "text, reason, rule",
     [
-        (with_members().replace("effect once", "effect keyed group 5s"), "remember no keys", 2),
-        (with_members(MEMBERS.replace("database boards", "transaction 1m")), "half of drain-grace", 3),
-        (with_members(MEMBERS.replace("user edge token.key\n", "")), "a user and the file", None),
-        (with_members(MEMBERS.replace("token.key", "absent")), "cannot be read", None),
-        (with_members(MEMBERS.replace("speak mysql", "speak grpc")), "only members that speak mysql", None),
-        (with_members(MEMBERS.replace("database boards", "tls token.key")), "tls", None),
+        (with_endpoints().replace("effect once", "effect keyed group 5s"), "remember no keys", 2),
+        (with_endpoints(ENDPOINTS.replace("database boards", "transaction 1m")), "half of drain-grace", 3),
+        (with_endpoints(ENDPOINTS.replace("user edge token.key\n", "")), "a user and the file", None),
+        (with_endpoints(ENDPOINTS.replace("token.key", "absent")), "cannot be read", None),
+        (
+            with_endpoints(ENDPOINTS.replace("speak mysql", "speak grpc")),
+            "only members that speak mysql",
+            None,
+        ),
+        (with_endpoints(ENDPOINTS.replace("database boards", "tls token.key")), "tls", None),
     ],
 )
-def test_members_that_would_break_a_rule(folder: Path, text: str, reason: str, rule: int | None) -> None:
-    with pytest.raises(SettingsError) as refused:
-        parse_edge(text.encode(), "edge.conf", folder)
-    assert any(reason in p.reason and p.rule == rule for p in refused.value.problems), str(refused.value)
+def test_invalid_mysql_endpoints_are_rejected(
+    directory: Path, text: str, reason: str, rule: int | None
+) -> None:
+    with pytest.raises(SettingsError) as error:
+        parse_edge(text.encode(), "edge.conf", directory)
+    assert any(reason in p.reason and p.rule == rule for p in error.value.problems), str(error.value)
 
 
-def matching(line: str) -> str:
-    return GOOD.replace("[log]", MYSQL.replace("[log]", f"match {line}\n[log]"))
+def with_match(line: str) -> str:
+    return VALID.replace("[log]", FRONTEND.replace("[log]", f"match {line}\n[log]"))
 
 
-def test_statements_are_matched_to_classes(folder: Path) -> None:
+def test_match_is_read(directory: Path) -> None:
     line = "read user ada hint report class board-read tenant splitwest"
-    settings = parse_edge(matching(line).encode(), "edge.conf", folder)
-    assert settings.mysql is not None
-    (match,) = settings.mysql.matches
+    settings = parse_edge(with_match(line).encode(), "edge.conf", directory)
+    assert settings.mysql_frontend is not None
+    (match,) = settings.mysql_frontend.matches
     assert (match.write, match.user, match.hint, match.schema) == (False, "ada", "report", None)
-    assert (match.cls, match.tenant) == ("board-read", "splitwest")
+    assert (match.class_name, match.tenant) == ("board-read", "splitwest")
 
 
 @pytest.mark.parametrize(
-    ("line", "reason", "rule"),
+    "line, reason, rule",
     [
         ("read user ada class run-write", "writes", 5),
         ("write user ada class own-read", "does not write", 2),
@@ -225,12 +237,13 @@
         ("read class own-read tenant splitwest", "nothing to match", None),
     ],
 )
-def test_a_match_that_is_wrong_is_told_with_its_line(
-    folder: Path, line: str, reason: str, rule: int | None
+def test_invalid_match_is_rejected_with_its_line(
+    directory: Path, line: str, reason: str, rule: int | None
 ) -> None:
-    text = matching(line)
-    with pytest.raises(SettingsError) as refused:
-        parse_edge(text.encode(), "edge.conf", folder)
-    (problem,) = refused.value.problems
-    assert reason in problem.reason and problem.rule == rule
+    text = with_match(line)
+    with pytest.raises(SettingsError) as error:
+        parse_edge(text.encode(), "edge.conf", directory)
+    (problem,) = error.value.problems
+    assert reason in problem.reason
+    assert problem.rule == rule
     assert text.splitlines()[problem.line - 1].startswith("match")
--- a/tests/statements/test_reader.py
+++ b/tests/statements/test_reader.py
@@ -171,7 +171,7 @@
         assert not read_statement(text.encode()).replica, text
 
 
-@pytest.mark.parametrize(("kind", "text"), [(k, t) for k, texts in OTHERS.items() for t in texts])
+@pytest.mark.parametrize("kind, text", [(k, t) for k, texts in OTHERS.items() for t in texts])
 def test_each_kind_is_told(kind: Kind, text: str) -> None:
     assert read_statement(text.encode()).kind is kind
 
--- a/tests/statements/test_session.py
+++ b/tests/statements/test_session.py
@@ -8,7 +8,7 @@
 
 
 @pytest.mark.parametrize(
-    ("text", "control"),
+    "text, control",
     [
         ("begin", Control(Verb.BEGIN)),
         ("BEGIN WORK;", Control(Verb.BEGIN)),
@@ -79,7 +79,7 @@
 
 
 @pytest.mark.parametrize(
-    ("text", "depends"),
+    "text, depends",
     [
         ("insert into t values (1)", set()),
         ("insert into t values (last_insert_id())", {"last insert id"}),
