statements: classifier, plain-read rules, grammar, session commands and lexer as modules

Need: one file held cache, rules, grammar check and rendering; a Reading from a Reader, Odd text, tables named PURE and BOUND. Now classify_statement gives a Classification; StatementClassifier caches it; dependencies are an enum with the texts that were printed before; session commands carry Assignments. Kinds, verbs, reasons and dependency texts keep their values.

--- a/benchmarks/mysql_front.py
+++ b/benchmarks/mysql_front.py
@@ -33,7 +33,7 @@
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
 from juniperreel.fakes.mysqlmember import PASSWORD, USER
-from juniperreel.statements.reader import Reader, read_statement
+from juniperreel.statements import StatementClassifier, classify_statement
 
 DAY = """groups 1
 members 3
@@ -241,15 +241,15 @@
     texts = [f"select id, name from runs where runner = 'r{n}' and a > {n}".encode() for n in range(2000)]
     start = time.perf_counter()
     for text in texts:
-        read_statement(text)
+        classify_statement(text)
     alone = len(texts) / (time.perf_counter() - start)
-    memory = Reader()
+    memory = StatementClassifier()
     for text in texts:
-        memory.read(text)
+        memory.classify(text)
     start = time.perf_counter()
     for _ in range(20):
         for text in texts:
-            memory.read(text)
+            memory.classify(text)
     known = 20 * len(texts) / (time.perf_counter() - start)
     print(f"reader: {alone:,.0f} new texts a second, {known:,.0f} known ones ({known / alone:.0f} times)")
 
--- a/fuzz/mysql_target.py
+++ b/fuzz/mysql_target.py
@@ -26,9 +26,9 @@
     from juniperreel.mysql.replies import decode_err, decode_ok
     from juniperreel.mysql.server import Command, ServerSession, State
     from juniperreel.pool.gtid import BadGtid, GtidSet
-    from juniperreel.statements import Kind, Mode, read_statement
-    from juniperreel.statements.reader import WRITING
-    from juniperreel.statements.scanner import Odd, Type, tokens
+    from juniperreel.statements import LexerMode, StatementKind, classify_statement
+    from juniperreel.statements.lexer import AmbiguousTextError, TokenType, tokenize
+    from juniperreel.statements.plain_reads import WRITE_KEYWORDS
 
 NONCE = bytes(range(1, 21))
 USERS = {"ada": Credential.of(b"x")}
@@ -45,7 +45,7 @@
         session.receive(packets(login + SHA2.encode() + b"\0", 1)[0])
     prepared = Prepared(1 << 16)
     with contextlib.suppress(Fault):
-        prepared.prepare(b"select ?, ?", read_statement(b"select ?, ?"), Mode())
+        prepared.prepare(b"select ?, ?", classify_statement(b"select ?, ?"), LexerMode())
     todo = session.receive(data[1:]) + session.receive(packets(data[1:], 0)[0])
     while todo:
         event = todo.pop(0)
@@ -86,22 +86,22 @@
 
 
 def reader(data: bytes) -> None:
-    mode = Mode(bool(data[:1] < b"\x40"), bool(data[:1] < b"\x20"))
+    mode = LexerMode(bool(data[:1] < b"\x40"), bool(data[:1] < b"\x20"))
     text = data[1:]
-    reading = read_statement(text, mode)
+    reading = classify_statement(text, mode)
     digest(text, mode)
-    if reading.replica:
-        found = tokens(text, mode)
+    if reading.replica_safe:
+        found = tokenize(text, mode)
         loose = [
             t.text
             for at, t in enumerate(found)
-            if t.type is Type.WORD and (not at or found[at - 1].text != ".")
+            if t.type is TokenType.IDENTIFIER and (not at or found[at - 1].text != ".")
         ]
         # `replace` and `insert` are functions as well, which the reader knows by their parenthesis.
-        assert not (WRITING - {"REPLACE", "INSERT"}) & set(loose), text
-    if reading.kind is Kind.READ:
-        with contextlib.suppress(Odd):
-            assert tokens(text, mode)
+        assert not (WRITE_KEYWORDS - {"REPLACE", "INSERT"}) & set(loose), text
+    if reading.kind is StatementKind.READ:
+        with contextlib.suppress(AmbiguousTextError):
+            assert tokenize(text, mode)
 
 
 def one(data: bytes) -> None:
--- a/juniperreel/cli/statement.py
+++ b/juniperreel/cli/statement.py
@@ -9,7 +9,7 @@
 
 from juniperreel.frontends.mysql.classes import digest, hint_of
 from juniperreel.frontends.mysql.scope import Do, Scope
-from juniperreel.statements import read_statement
+from juniperreel.statements import classify_statement
 
 
 @click.command()
@@ -24,23 +24,23 @@
 def statement(text: str, settings: Path | None, user: str, schema: str) -> None:
     """Say how a statement's TEXT is read, where it may go, and its digest."""
     data = text.encode()
-    reading = read_statement(data)
+    reading = classify_statement(data)
     able, database = True, ""
     click.echo(f"kind: {reading.kind.value}{f' ({reading.reason})' if reading.reason else ''}")
-    if reading.depends:
-        click.echo(f"depends on: {', '.join(sorted(reading.depends))}")
-    if reading.commits:
+    if reading.dependencies:
+        click.echo(f"depends on: {', '.join(sorted(reading.dependencies))}")
+    if reading.implicit_commit:
         click.echo("commits what is open before it runs")
     found = None
     if settings is not None:
-        found = classes_of(settings, data, reading.replica, user, schema)
+        found = classes_of(settings, data, reading.replica_safe, user, schema)
         able, database = found[1:]
     plan = Scope(able, database).plan(reading)
     goes = {
         Do.REFUSE: f"refused with {plan.code[0]}: {plan.words}",
         Do.NOTHING: "answered by the edge itself",
         Do.BEGIN: "a primary, and a transaction begins",
-    }.get(plan.do, "any member that satisfies the token" if reading.replica else "a primary")
+    }.get(plan.do, "any member that satisfies the token" if reading.replica_safe else "a primary")
     if plan.taint:
         goes += ", on a connection that nobody gets afterwards"
     click.echo(f"in autocommit: {goes}")
--- a/juniperreel/frontends/grpc.py
+++ b/juniperreel/frontends/grpc.py
@@ -22,7 +22,7 @@
 from juniperreel.rpc.metadata import decode_timeout
 from juniperreel.rpc.server import Call, Method
 from juniperreel.rpc.status import RpcError
-from juniperreel.statements import Kind, Reader, Reading
+from juniperreel.statements import Classification, StatementClassifier, StatementKind
 
 SERVICE = "juniperreel.v1.Records"
 TOKEN_HEADER = "juniperreel-causal-bin"
@@ -34,11 +34,11 @@
 MAX_TOKENS = 16  # in the metadata of one call
 
 
-def unfit(reading: Reading, write: bool) -> str:
+def unfit(reading: Classification, write: bool) -> str:
     """Why a statement can't be of its class, where members speak MySQL; empty if it can."""
-    if reading.depends - HARMLESS:
-        return f"depends on its connection ({', '.join(sorted(reading.depends - HARMLESS))})"
-    if reading.kind is Kind.READ or (write and reading.kind is Kind.WRITE):
+    if reading.dependencies - HARMLESS:
+        return f"depends on its connection ({', '.join(sorted(reading.dependencies - HARMLESS))})"
+    if reading.kind is StatementKind.READ or (write and reading.kind is StatementKind.WRITE):
         return ""
     return f"{reading.kind.value} in a class that {'writes' if write else 'reads'}: {reading.reason}"
 
@@ -52,7 +52,7 @@
         self._classes = {cls.name: i for i, cls in enumerate(settings.classes)}
         self._tenants = {tenant.name: i for i, tenant in enumerate(settings.tenants)}
         # Members that speak MySQL take any statement on a connection that others use next.
-        self._reader = Reader() if driver.options.mysql is not None else None
+        self._reader = StatementClassifier() if driver.options.mysql is not None else None
 
     def methods(self) -> dict[str, Method]:
         enter, leave = self._enter, self._driver.leave
@@ -149,7 +149,7 @@
                 raise errors.invalid(field, f"is longer than {MAX_NAME} characters")
         settings = self._driver.options.router.classes[cls]
         if self._reader is not None:
-            words = unfit(self._reader.read(ask.statement), settings.consistency is Consistency.WRITE)
+            words = unfit(self._reader.classify(ask.statement), settings.consistency is Consistency.WRITE)
             if words:
                 raise errors.invalid("statement", words)
         if settings.idempotency is Idempotency.KEYED and not ask.idempotency_key:
--- a/juniperreel/frontends/mysql/classes.py
+++ b/juniperreel/frontends/mysql/classes.py
@@ -13,8 +13,8 @@
 
 import xxhash
 
-from juniperreel.statements import Mode
-from juniperreel.statements.scanner import Odd, Type, tokens
+from juniperreel.statements import LexerMode
+from juniperreel.statements.lexer import AmbiguousTextError, TokenType, tokenize
 
 HINT = re.compile(rb"/\*\s*hint\s+([\w.-]{1,200})\s*\*/")
 GROUP = re.compile(rb"/\*\s*group\s+(\d{1,6})\s*\*/")
@@ -66,13 +66,13 @@
     return match[1].decode() if match is not None else ""
 
 
-def digest(text: bytes, mode: Mode | None = None) -> str:
+def digest(text: bytes, mode: LexerMode | None = None) -> str:
     """16 digits; empty for what cannot be read."""
     try:
-        found = tokens(text, mode or Mode())
-    except Odd:
+        found = tokenize(text, mode or LexerMode())
+    except AmbiguousTextError:
         return ""
-    words = ["?" if t.type in (Type.STRING, Type.NUMBER) else t.text for t in found]
+    words = ["?" if t.type in (TokenType.STRING, TokenType.NUMBER) else t.text for t in found]
     while words and words[-1] == ";":
         words.pop()
     return xxhash.xxh3_64_hexdigest(LIST.sub("( ? )", " ".join(words)).encode())
--- a/juniperreel/frontends/mysql/connection.py
+++ b/juniperreel/frontends/mysql/connection.py
@@ -46,7 +46,7 @@
     Unknown,
     Work,
 )
-from juniperreel.statements import Kind, Mode, Reading, Verb
+from juniperreel.statements import Classification, LexerMode, SessionVerb, StatementKind
 
 if TYPE_CHECKING:
     from juniperreel.frontends.mysql.front import MysqlFront
@@ -105,7 +105,7 @@
         self._front, self._session, self._stream = front, session, stream
         self._token: Token = EMPTY
         self._told: Token = EMPTY  # to the client, by session tracking
-        self._mode = Mode()
+        self._mode = LexerMode()
         self._name = f"mysql-{secrets.token_hex(6)}"
         self._user = self._schema = ""
         self._count = 0
@@ -209,7 +209,7 @@
     def _afresh(self) -> None:
         """All but the token: what was seen was seen."""
         self._scope.leave()
-        self._mode, self._state = Mode(), INITIAL_SESSION_STATE
+        self._mode, self._state = LexerMode(), INITIAL_SESSION_STATE
         self._prepared.clear()
         self._session.status = self._scope.status()
 
@@ -260,10 +260,14 @@
 
     def _prepare(self, text: bytes) -> list[Event]:
         """Raises Fault."""
-        reading = self._front.reader.read(text, self._mode)
+        reading = self._front.reader.classify(text, self._mode)
         plan = Scope(self._front.transactions, self._front.options.schema).plan(reading)
-        depends_on_it = reading.depends and reading.kind in (Kind.READ, Kind.WRITE, Kind.LOCKING_READ)
-        if plan.do is Do.REFUSE and not depends_on_it and reading.control is None:
+        depends_on_it = reading.dependencies and reading.kind in (
+            StatementKind.READ,
+            StatementKind.WRITE,
+            StatementKind.LOCKING_READ,
+        )
+        if plan.do is Do.REFUSE and not depends_on_it and reading.session_command is None:
             return self._session.error(*plan.code, plan.words)
         statement = self._prepared.prepare(text, reading, self._mode, self._state.parse_context)
         return self._session.prepared(statement.id, statement.parameters)
@@ -282,7 +286,7 @@
         if (match := AUTOCOMMIT.match(text)) is not None:
             on = int(self._scope.autocommit)
             return s.result([Column(match[1].decode(), ColumnType.LONGLONG)], [(on,)])
-        reading = self._front.reader.read(text, self._mode)
+        reading = self._front.reader.classify(text, self._mode)
         return await self._statement(text, reading, (), False, attributes)
 
     def _take_token(self, text: str) -> str:
@@ -298,7 +302,7 @@
     async def _statement(
         self,
         text: bytes,
-        reading: Reading,
+        reading: Classification,
         values: Sequence[Value],
         binary: bool,
         attributes: Mapping[str, Value],
@@ -319,7 +323,7 @@
     async def _carry_out(
         self,
         text: bytes,
-        reading: Reading,
+        reading: Classification,
         values: Sequence[Value],
         binary: bool,
         attributes: Mapping[str, Value],
@@ -343,20 +347,23 @@
                     return await self._inside(run, plan)
                 case Do.FINISH:
                     done = await self._finish(run, plan)
-                    if reading.control is not None and reading.control.verb is Verb.BEGIN:
+                    if (
+                        reading.session_command is not None
+                        and reading.session_command.verb is SessionVerb.BEGIN
+                    ):
                         continue  # the commit that it implies is done
                     return await self._passed_on(done.result, 0)
                 case Do.ALONE | Do.BEGIN:
                     return await self._route(run, reading, plan, attributes)
 
     async def _route(
-        self, run: Statement, reading: Reading, plan: Plan, attributes: Mapping[str, Value]
+        self, run: Statement, reading: Classification, plan: Plan, attributes: Mapping[str, Value]
     ) -> list[Event]:
         """A request of its own, or the one that begins a transaction."""
         front, s = self._front, self._session
         driver = front.driver
         # What a plain read depends on goes with it, or it was refused.
-        write = reading.kind is not Kind.READ if plan.hold is None else plan.hold is Hold.READ_WRITE
+        write = reading.kind is not StatementKind.READ if plan.hold is None else plan.hold is Hold.READ_WRITE
         state = self._state
         if plan.sets:
             write, state = False, self._with(plan.sets)
@@ -414,7 +421,7 @@
         self._state = state
         modes = state.variables.get("sql_mode", "").strip("'").upper().split(",")
         ansi = "ANSI_QUOTES" in modes or "ANSI" in modes
-        self._mode = Mode(ansi, "NO_BACKSLASH_ESCAPES" in modes)
+        self._mode = LexerMode(ansi, "NO_BACKSLASH_ESCAPES" in modes)
 
     async def _set_inside(self, run: Statement, plan: Plan) -> list[Event]:
         """Variables are not undone with the transaction, here as on a server."""
--- a/juniperreel/frontends/mysql/front.py
+++ b/juniperreel/frontends/mysql/front.py
@@ -19,7 +19,7 @@
 from juniperreel.net import Clock, Listener
 from juniperreel.net.clock import US
 from juniperreel.proxy import Driver
-from juniperreel.statements import Reader
+from juniperreel.statements import StatementClassifier
 
 LOOK_S = 0.05  # between looks at transactions that members may have ended
 
@@ -49,7 +49,7 @@
         nonce: Callable[[], bytes],
     ) -> None:
         self.driver, self.keyring, self.clock, self.options = driver, keyring, clock, options
-        self.reader = Reader()
+        self.reader = StatementClassifier()
         self.transactions = driver.options.mysql is not None
         self.draining = False
         self._nonce = nonce
--- a/juniperreel/frontends/mysql/prepared.py
+++ b/juniperreel/frontends/mysql/prepared.py
@@ -12,8 +12,8 @@
 
 from juniperreel.mysql.packets import Cursor, ProtocolError
 from juniperreel.mysql.values import OutOfRange, Parameter, Value, read_types, read_values
-from juniperreel.statements import Mode, Reading
-from juniperreel.statements.scanner import Odd, Type, tokens
+from juniperreel.statements import Classification, LexerMode
+from juniperreel.statements.lexer import AmbiguousTextError, TokenType, tokenize
 
 MAX_STATEMENTS = 1024  # of one connection
 MAX_PARAMETERS = 65_535  # what the protocol can count
@@ -45,18 +45,18 @@
     id: int
     text: bytes
     parameters: int
-    reading: Reading
+    reading: Classification
     parsed: str = ""  # what of the session changed how the text reads, when it was prepared
     types: list[Parameter] | None = None
     long: dict[int, bytearray] = field(default_factory=dict)
     fault: Fault | None = None  # of long data, told at the next execution
 
 
-def count_parameters(text: bytes, mode: Mode) -> int:
+def count_parameters(text: bytes, mode: LexerMode) -> int:
     """Question marks outside of strings, names and comments. Raises Fault."""
     try:
-        found = sum(t.type is Type.SIGN and t.text == "?" for t in tokens(text, mode))
-    except Odd as error:
+        found = sum(t.type is TokenType.SYMBOL and t.text == "?" for t in tokenize(text, mode))
+    except AmbiguousTextError as error:
         raise Fault(NOT_READ, f"not read: {error}") from None
     if found > MAX_PARAMETERS:
         raise Fault(TOO_MANY_PARAMETERS, "Prepared statement contains too many placeholders")
@@ -76,7 +76,7 @@
     def __len__(self) -> int:
         return len(self._statements)
 
-    def prepare(self, text: bytes, reading: Reading, mode: Mode, parsed: str = "") -> Statement:
+    def prepare(self, text: bytes, reading: Classification, mode: LexerMode, parsed: str = "") -> Statement:
         parameters = count_parameters(text, mode)
         if len(self._statements) >= MAX_STATEMENTS or self._texts + len(text) > self._max:
             raise Fault(TOO_MANY, f"too many prepared statements on this connection: {len(self)}")
--- a/juniperreel/frontends/mysql/scope.py
+++ b/juniperreel/frontends/mysql/scope.py
@@ -14,7 +14,7 @@
 from juniperreel.mysql.constants import Status
 from juniperreel.pool.session_state import REPLAYABLE_VARIABLES
 from juniperreel.proxy import Hold, Transaction
-from juniperreel.statements import Control, Kind, Reading, Verb
+from juniperreel.statements import Classification, SessionCommand, SessionVerb, StatementKind
 
 NOT_SUPPORTED = (1235, "42000")
 NO_SAVEPOINT = (1305, "42000")
@@ -89,76 +89,76 @@
 
     # What is to be done.
 
-    def plan(self, reading: Reading) -> Plan:
+    def plan(self, reading: Classification) -> Plan:
         if self.held is not None and not self.held.open:
             return self._lost(reading)
-        if reading.control is not None:
-            return self._control(reading.control)
+        if reading.session_command is not None:
+            return self._control(reading.session_command)
         words = self._unsupported(reading)
         if words:
             return refuse(words)
         plan = self._plan(reading)
         own = self.held is not None and self._inserted
-        return replace(plan, insert_id=SINCE_INSERT in reading.depends and not own)
+        return replace(plan, insert_id=SINCE_INSERT in reading.dependencies and not own)
 
-    def _plan(self, reading: Reading) -> Plan:
-        if self.read_only and reading.kind in (Kind.WRITE, Kind.LOCKING_READ):
+    def _plan(self, reading: Classification) -> Plan:
+        if self.read_only and reading.kind in (StatementKind.WRITE, StatementKind.LOCKING_READ):
             return refuse("Cannot execute statement in a READ ONLY transaction.", READ_ONLY)
         if self.held is not None:
-            if reading.commits:
+            if reading.implicit_commit:
                 return Plan(Do.FINISH, commits=True)
             # What is not all known may have committed: its loss is told as unknown.
             return Plan(Do.INSIDE, commits=reading.opaque, taint=reading.opaque)
-        if reading.commits:
+        if reading.implicit_commit:
             self.begun = None  # what was begun is over before anything was in it
             return Plan(Do.ALONE)
         if self.begun is not None or not self.autocommit:
             return Plan(Do.BEGIN, self.begun or Hold.READ_WRITE, taint=reading.opaque)
         return Plan(Do.ALONE, taint=reading.opaque)
 
-    def _lost(self, reading: Reading) -> Plan:
+    def _lost(self, reading: Classification) -> Plan:
         """Its member ended it. Danger: the next statement must not run as if nothing had happened, outside of
         the transaction that its client believes in."""
         self.over()
-        if reading.control is not None and reading.control.verb is Verb.ROLLBACK:
+        if reading.session_command is not None and reading.session_command.verb is SessionVerb.ROLLBACK:
             return OK
         return refuse("the transaction was undone: its time was over, or its member has left", UNDONE)
 
-    def _control(self, c: Control) -> Plan:
+    def _control(self, c: SessionCommand) -> Plan:
         match c.verb:
-            case Verb.NAMES:
+            case SessionVerb.NAMES:
                 return OK
-            case Verb.USE:
+            case SessionVerb.USE:
                 if self._schema and c.name.lower() == self._schema.lower():
                     return OK
                 return refuse(f"another schema than {self._schema or 'that of the members'}", (1049, "42000"))
-            case Verb.COMMIT | Verb.ROLLBACK if self.held is None:
+            case SessionVerb.COMMIT | SessionVerb.ROLLBACK if self.held is None:
                 self.begun = None
                 return OK
-            case Verb.COMMIT:
+            case SessionVerb.COMMIT:
                 return self._commit(None)
-            case Verb.ROLLBACK:
+            case SessionVerb.ROLLBACK:
                 return Plan(Do.FINISH)
-            case Verb.AUTOCOMMIT if c.on and self.autocommit:
+            case SessionVerb.AUTOCOMMIT if c.enabled and self.autocommit:
                 return OK  # it commits where it changes something, and not else
-            case Verb.AUTOCOMMIT if c.on:
+            case SessionVerb.AUTOCOMMIT if c.enabled:
                 self.autocommit = True
                 self.begun = None
                 return self._commit() if self.held is not None else OK
         if not self._able:
             return refuse("transactions need members that speak MySQL")
         match c.verb:
-            case Verb.AUTOCOMMIT:
+            case SessionVerb.AUTOCOMMIT:
                 self.autocommit = False
                 return OK
-            case Verb.BEGIN:
+            case SessionVerb.BEGIN:
                 return self._begin(c)
-            case Verb.NEXT:
+            case SessionVerb.NEXT:
                 self._next_read_only = c.read_only
                 return OK
-            case Verb.SAVEPOINT | Verb.ROLLBACK_TO | Verb.RELEASE:
+            case SessionVerb.SAVEPOINT | SessionVerb.ROLLBACK_TO | SessionVerb.RELEASE:
                 return self._savepoint(c)
-            case Verb.SET:
+            case SessionVerb.SET:
                 return self._set(c)
             case _:
                 if self.held is None:
@@ -168,21 +168,23 @@
                 self.assigned = True
                 return Plan(Do.INSIDE)
 
-    def _set(self, c: Control) -> Plan:
+    def _set(self, c: SessionCommand) -> Plan:
         """What can be replayed on any connection. A member is asked to take it before the client is told
         so."""
-        others = [name for name, _ in c.sets if not name.startswith("@") and name not in REPLAYABLE_VARIABLES]
+        others = [
+            name for name, _ in c.assignments if not name.startswith("@") and name not in REPLAYABLE_VARIABLES
+        ]
         if others:
             return refuse(f"not among what is replayed on other connections: {', '.join(others)[:200]}")
         if self.held is not None:
-            return Plan(Do.INSIDE, sets=c.sets)
-        return Plan(Do.ALONE, text=b"select 1", hide=True, sets=c.sets)
+            return Plan(Do.INSIDE, sets=c.assignments)
+        return Plan(Do.ALONE, text=b"select 1", hide=True, sets=c.assignments)
 
     def _commit(self, text: bytes | None = b"commit") -> Plan:
         """One that only read has nothing whose effect could be in doubt."""
         return Plan(Do.FINISH, commits=not self.read_only, text=text, hide=text is not None)
 
-    def _begin(self, c: Control) -> Plan:
+    def _begin(self, c: SessionCommand) -> Plan:
         if self.held is not None:
             # It commits what is open, and begins when that is done.
             return self._commit()
@@ -191,24 +193,24 @@
             return Plan(Do.BEGIN, self.begun, text=b"select 1", hide=True)
         return OK
 
-    def begin(self, c: Control) -> None:
+    def begin(self, c: SessionCommand) -> None:
         """Also after the commit that another `begin` implies."""
         read_only = c.read_only or self._next_read_only
         self.begun = Hold.READ_ONLY if read_only else Hold.READ_WRITE
         self._next_read_only = False
 
-    def _savepoint(self, c: Control) -> Plan:
+    def _savepoint(self, c: SessionCommand) -> Plan:
         if self.held is not None:
             return Plan(Do.INSIDE)
-        if c.verb is not Verb.SAVEPOINT:
+        if c.verb is not SessionVerb.SAVEPOINT:
             return refuse(f"SAVEPOINT {c.name[:64]} does not exist", NO_SAVEPOINT)
         if self.begun is None and self.autocommit:
             return OK  # as servers do: it marks nothing
         return Plan(Do.BEGIN, self.begun or Hold.READ_WRITE)
 
-    def _unsupported(self, reading: Reading) -> str:
+    def _unsupported(self, reading: Classification) -> str:
         """Why a statement can't be served; empty if it can."""
-        kind, depends = reading.kind, reading.depends - HARMLESS
+        kind, depends = reading.kind, reading.dependencies - HARMLESS
         if self._able:
             depends -= {SINCE_INSERT}
             if self.assigned or not self._forgot:
@@ -216,17 +218,19 @@
         if self.held is not None:
             if self._statements:
                 depends -= OF_STATEMENT
-            if kind is Kind.SESSION and reading.reason == "assigns a variable":
+            if kind is StatementKind.SESSION and reading.reason == "assigns a variable":
                 self.assigned = True
                 return ""
         opaque = reading.opaque and self._able
-        if depends and (opaque or kind in (Kind.READ, Kind.WRITE, Kind.LOCKING_READ)):
+        if depends and (
+            opaque or kind in (StatementKind.READ, StatementKind.WRITE, StatementKind.LOCKING_READ)
+        ):
             return f"depends on its connection ({', '.join(sorted(depends))}), which others use too"
-        if opaque or kind in (Kind.READ, Kind.WRITE):
+        if opaque or kind in (StatementKind.READ, StatementKind.WRITE):
             return ""
-        if kind is Kind.LOCKING_READ:
+        if kind is StatementKind.LOCKING_READ:
             return "" if self._able else "locking reads need members that speak MySQL"
-        if kind is Kind.TRANSACTION:
+        if kind is StatementKind.TRANSACTION:
             return f"not supported: {reading.reason} with these words"
         return f"not supported: {kind.value} ({reading.reason})"
 
--- a/juniperreel/statements/__init__.py
+++ b/juniperreel/statements/__init__.py
@@ -1,11 +1,26 @@
-"""Reads MySQL statements far enough to tell what may go to a replica. Free of I/O.
+"""Classifies MySQL statements, as far as needed to tell what a replica may run. No I/O.
 
-A write that is taken for a read costs the most; a read that is taken for a write costs a trip to the primary.
-So only what is known to be a plain read is called one.
+A write that is taken for a read is the worst error; a read that is taken for a write only costs a trip to the
+primary. So only what is known to be a plain read is called one.
 """
 
-from juniperreel.statements.reader import Kind, Reader, Reading, read_statement
-from juniperreel.statements.scanner import Mode
-from juniperreel.statements.session import Control, Verb
+from juniperreel.statements.classification import (
+    Classification,
+    Dependency,
+    SessionCommand,
+    SessionVerb,
+    StatementKind,
+)
+from juniperreel.statements.classifier import StatementClassifier, classify_statement
+from juniperreel.statements.lexer import LexerMode
 
-__all__ = ["Control", "Kind", "Mode", "Reader", "Reading", "Verb", "read_statement"]
+__all__ = [
+    "Classification",
+    "Dependency",
+    "LexerMode",
+    "SessionCommand",
+    "SessionVerb",
+    "StatementClassifier",
+    "StatementKind",
+    "classify_statement",
+]
--- a/juniperreel/statements/functions.py
+++ b/juniperreel/statements/functions.py
@@ -1,11 +1,13 @@
-"""What is known of MySQL's functions: which do nothing but compute, and which do more.
+"""MySQL's functions: which only compute, and which depend on the connection.
 
-A function that stands in neither list may be a stored one, and a stored one may write.
+A function that is in neither list may be a stored function, and a stored function may write.
 """
 
 from __future__ import annotations
 
-PURE = frozenset(
+from juniperreel.statements.classification import Dependency
+
+PURE_FUNCTIONS = frozenset(
     [
         "ABS",
         "ACOS",
@@ -225,22 +227,23 @@
     ]
 )
 
-# What of the connection the answer depends on.
-BOUND = {
-    "LAST_INSERT_ID": "last insert id",
-    "FOUND_ROWS": "found rows",
-    "ROW_COUNT": "row count",
-    "CONNECTION_ID": "connection",
-    "DATABASE": "schema",
-    "SCHEMA": "schema",
-    "USER": "user",
-    "CURRENT_USER": "user",
-    "SESSION_USER": "user",
-    "SYSTEM_USER": "user",
+# Functions whose result depends on the connection, and on what of it.
+CONNECTION_FUNCTIONS = {
+    "LAST_INSERT_ID": Dependency.LAST_INSERT_ID,
+    "FOUND_ROWS": Dependency.FOUND_ROWS,
+    "ROW_COUNT": Dependency.ROW_COUNT,
+    "CONNECTION_ID": Dependency.CONNECTION,
+    "DATABASE": Dependency.SCHEMA,
+    "SCHEMA": Dependency.SCHEMA,
+    "USER": Dependency.USER,
+    "CURRENT_USER": Dependency.USER,
+    "SESSION_USER": Dependency.USER,
+    "SYSTEM_USER": Dependency.USER,
 }
+LOCK_FUNCTIONS = frozenset(["GET_LOCK", "RELEASE_LOCK", "RELEASE_ALL_LOCKS", "IS_FREE_LOCK", "IS_USED_LOCK"])
 
-# Words that may stand before a parenthesis and are no functions.
-GRAMMAR = frozenset(
+# Keywords that may precede a parenthesis and are no functions.
+KEYWORDS_BEFORE_PARENTHESIS = frozenset(
     [
         "ALL",
         "AND",
--- a/tests/frontends/mysql/test_prepared.py
+++ b/tests/frontends/mysql/test_prepared.py
@@ -23,14 +23,14 @@
 from juniperreel.mysql.constants import ColumnType
 from juniperreel.mysql.packets import Cursor, length, string
 from juniperreel.mysql.values import Column, Value, binary_row
-from juniperreel.statements import Mode, read_statement
+from juniperreel.statements import LexerMode, classify_statement
 
 TEXT = b"insert into runs (runner, id) values (?, ?)"
 
 
 def made(text: bytes = TEXT, most: int = 10_000) -> tuple[Prepared, Statement]:
     prepared = Prepared(most)
-    return prepared, prepared.prepare(text, read_statement(text), Mode())
+    return prepared, prepared.prepare(text, classify_statement(text), LexerMode())
 
 
 def execution(number: int, *values: tuple[int, bool, bytes | None], typed: bool = True) -> bytes:
@@ -54,7 +54,7 @@
     ],
 )
 def test_placeholders_are_counted_outside_of_strings_and_comments(text: bytes, count: int) -> None:
-    assert count_parameters(text, Mode()) == count
+    assert count_parameters(text, LexerMode()) == count
 
 
 @pytest.mark.parametrize(
@@ -110,7 +110,7 @@
     assert fault(prepared, execution(statement.id, (99, False, b"x"))) == WRONG_ARGUMENTS
     assert prepared.execute(good)[1] == [1]
     untyped = Prepared(1000)
-    fresh = untyped.prepare(b"select ?", read_statement(b"select ?"), Mode())
+    fresh = untyped.prepare(b"select ?", classify_statement(b"select ?"), LexerMode())
     assert fault(untyped, execution(fresh.id, (8, False, bytes(8)), typed=False)) == WRONG_ARGUMENTS
 
 
@@ -134,17 +134,17 @@
 
 def test_ids_are_bounded_wrap_and_never_meet() -> None:
     prepared, statement = made(b"select 1")
-    reading = read_statement(b"select 1")
+    reading = classify_statement(b"select 1")
     prepared._ids = iter([(1 << 32) - 1, 1 << 32, (1 << 32) + statement.id, (1 << 32) + 2])  # type: ignore[assignment]
-    first, second = (prepared.prepare(b"select 2", reading, Mode()) for _ in range(2))
+    first, second = (prepared.prepare(b"select 2", reading, LexerMode()) for _ in range(2))
     assert first.id == (1 << 32) - 1 and second.id == 2 and prepared.get(statement.id).text == b"select 1"
     full, _ = made(b"select 1", most=1 << 20)
     with pytest.raises(Fault) as caught:
         for _ in range(MAX_STATEMENTS):
-            full.prepare(b"select 1", reading, Mode())
+            full.prepare(b"select 1", reading, LexerMode())
     assert caught.value.code == TOO_MANY
     full.close(struct.pack("<I", 1))
-    full.prepare(b"select 1", reading, Mode())
+    full.prepare(b"select 1", reading, LexerMode())
     with pytest.raises(Fault):
         made(b"select 1" + b" " * 2000, most=1000)
 
--- a/tests/frontends/mysql/test_scope.py
+++ b/tests/frontends/mysql/test_scope.py
@@ -11,7 +11,7 @@
 from juniperreel.mysql.constants import Status
 from juniperreel.pool.session_state import INITIAL_SESSION_STATE
 from juniperreel.proxy import Hold
-from juniperreel.statements import read_statement
+from juniperreel.statements import classify_statement
 
 
 class Member:
@@ -43,7 +43,7 @@
     def say(self, text: str, fails: bool = False) -> Do:
         """Plays the connection and a member that does as it is told."""
         while True:
-            reading = read_statement(text.encode())
+            reading = classify_statement(text.encode())
             plan = self.scope.plan(reading)
             match plan.do:
                 case Do.BEGIN:
@@ -58,11 +58,11 @@
                     self.scope.ran()
                 case Do.FINISH:
                     assert self.member is not None
-                    self.log.append("commit" if plan.commits or reading.control is None else "end")
+                    self.log.append("commit" if plan.commits or reading.session_command is None else "end")
                     self.member.open = False
                     self.member = None
                     self.scope.over()
-                    if reading.control is not None and reading.control.verb.value == "begin":
+                    if reading.session_command is not None and reading.session_command.verb.value == "begin":
                         continue
                 case Do.ALONE:
                     self.log.append("alone")
@@ -135,7 +135,7 @@
         told.say("insert into t values (1)")
         assert told.member is not None
         told.member.open = False
-        plan = told.scope.plan(read_statement(last.encode()))
+        plan = told.scope.plan(classify_statement(last.encode()))
         assert plan.do is expected and (plan.do is Do.NOTHING or plan.code == UNDONE)
         assert told.scope.held is None
         assert told.say("select 1") is Do.ALONE
@@ -144,7 +144,7 @@
 def test_savepoints_outside_of_transactions() -> None:
     told = Told()
     assert told.say("savepoint a") is Do.NOTHING
-    plan = told.scope.plan(read_statement(b"rollback to a"))
+    plan = told.scope.plan(classify_statement(b"rollback to a"))
     assert plan.do is Do.REFUSE and plan.code == NO_SAVEPOINT
     told.say("begin")
     assert told.say("savepoint a") is Do.BEGIN
@@ -154,10 +154,10 @@
 def test_what_goes_with_a_session_and_what_does_not() -> None:
     told = Told()
     assert told.say("select last_insert_id() + 1") is Do.ALONE
-    assert told.scope.plan(read_statement(b"insert into t values (last_insert_id())")).insert_id
-    assert not told.scope.plan(read_statement(b"insert into t values (1)")).insert_id
+    assert told.scope.plan(classify_statement(b"insert into t values (last_insert_id())")).insert_id
+    assert not told.scope.plan(classify_statement(b"insert into t values (1)")).insert_id
     assert told.say("select found_rows()") is Do.REFUSE and told.say("select row_count()") is Do.REFUSE
-    plan = told.scope.plan(read_statement(b"set @a = 1, sql_mode = ''"))
+    plan = told.scope.plan(classify_statement(b"set @a = 1, sql_mode = ''"))
     assert plan.do is Do.ALONE and plan.sets == (("@a", "1"), ("sql_mode", "''")) and plan.hide
     assert told.say("select @a") is Do.ALONE
     for text in ("set binlog_format = 'row'", "set @a = (select 1)", "set autocommit = 0, sql_mode = ''"):
@@ -165,9 +165,9 @@
     told.say("begin")
     told.say("select 1")
     assert told.say("select found_rows(), row_count()") is Do.INSIDE
-    assert told.scope.plan(read_statement(b"select last_insert_id() + 1")).insert_id
+    assert told.scope.plan(classify_statement(b"select last_insert_id() + 1")).insert_id
     told.scope.ran(insert_id=5)
-    assert not told.scope.plan(read_statement(b"select last_insert_id() + 1")).insert_id, "its own"
+    assert not told.scope.plan(classify_statement(b"select last_insert_id() + 1")).insert_id, "its own"
 
 
 def test_variables_that_cannot_be_replayed_are_read_only_where_they_were_set() -> None:
--- a/tests/pool/test_session_state.py
+++ b/tests/pool/test_session_state.py
@@ -14,7 +14,7 @@
     SessionState,
     replay_statement,
 )
-from juniperreel.statements import read_statement
+from juniperreel.statements import classify_statement
 
 names = st.sampled_from(["sql_mode", "time_zone", "wait_timeout", "@a", "@b"])
 literals = st.sampled_from(["1", "-2.5", "'x'", "'a,b'", "default", "null", "on"])
@@ -43,9 +43,9 @@
             state = state.set(match[1], match[2])
     assert state == target
     assert hash(state) == hash(target)
-    reading = read_statement(statement or b"set @a = 1")
-    assert reading.control is not None
-    assert reading.control.sets, "the statement reader recognizes it as a set"
+    reading = classify_statement(statement or b"set @a = 1")
+    assert reading.session_command is not None
+    assert reading.session_command.assignments, "the statement reader recognizes it as a set"
 
 
 def test_set_to_the_default_removes_the_variable() -> None:
--- a/tests/statements/test_reader.py
+++ b/tests/statements/test_classifier.py
@@ -1,4 +1,4 @@
-"""The reader against a corpus of known kinds: no write, lock or side effect may pass for a plain read."""
+"""The classifier against a corpus of known kinds: no write, lock or side effect may pass for a plain read."""
 
 from __future__ import annotations
 
@@ -10,9 +10,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from juniperreel.statements import Kind, Mode, Reader, read_statement
-from juniperreel.statements.reader import MAX_BYTES
-from juniperreel.statements.scanner import Odd, Type, tokens
+from juniperreel.statements import LexerMode, StatementClassifier, StatementKind, classify_statement
+from juniperreel.statements.classifier import MAX_BYTES
+from juniperreel.statements.lexer import AmbiguousTextError, TokenType, tokenize
 
 READS = [
     "select 1",
@@ -34,8 +34,8 @@
     "select cast(a as char(10)), convert(b, signed) from t",
     "select t.delete_at, t.into_count from t where t.lock_id = 4",
 ]
-OTHERS = {
-    Kind.WRITE: [
+NOT_READS = {
+    StatementKind.WRITE: [
         "insert into runs values (1)",
         "update runs set a = 1",
         "delete from runs",
@@ -51,14 +51,14 @@
         "load data infile 'x' into table runs",
         "insert into runs select * from old",
     ],
-    Kind.LOCKING_READ: [
+    StatementKind.LOCKING_READ: [
         "select * from runs for update",
         "select * from runs where id = 1 for share skip locked",
         "select * from runs lock in share mode",
         "(select * from runs for update)",
         "select * from (select id from runs for update) t",
     ],
-    Kind.SIDE_EFFECT: [
+    StatementKind.SIDE_EFFECT: [
         "select get_lock('a', 1)",
         "select release_lock('a')",
         "select sleep(1)",
@@ -86,7 +86,7 @@
         "select {fn sleep(1)}",
         "select 1sleep(1)",
     ],
-    Kind.SESSION: [
+    StatementKind.SESSION: [
         "set autocommit = 0",
         "set names gbk",
         "set @a = 1",
@@ -97,14 +97,14 @@
         "explain format=json into @a select 1",
         "explain into @a select 1",
     ],
-    Kind.TRANSACTION: [
+    StatementKind.TRANSACTION: [
         "begin",
         "start transaction read only",
         "commit",
         "rollback to savepoint a",
         "savepoint a",
     ],
-    Kind.UNKNOWN: [
+    StatementKind.UNKNOWN: [
         "select /*!50000 1, */ 2",
         "/*!50000 update runs set a = 1 */",
         "/*M!100100 delete from runs */",
@@ -120,7 +120,7 @@
         "select \\N",
     ],
 }
-BOUND = [
+CONNECTION_DEPENDENT = [
     "select last_insert_id()",
     "select found_rows()",
     "select row_count()",
@@ -131,109 +131,119 @@
     "show warnings",
     "show tables",
 ]
-PIECE = re.compile(r"'(?:[^'\\]|\\.)*'?|\"[^\"]*\"|`[^`]*`|/\*.*?(?:\*/|$)|@@?\w+|\w+|\s+|:=|.", re.DOTALL)
-GAPS = [" ", "\n", "\t ", "/* update */ ", " /**/ ", "-- delete\n", "# for update\n", " /* it's */ "]
+TEXT_PIECE = re.compile(
+    r"'(?:[^'\\]|\\.)*'?|\"[^\"]*\"|`[^`]*`|/\*.*?(?:\*/|$)|@@?\w+|\w+|\s+|:=|.", re.DOTALL
+)
+SEPARATORS = [" ", "\n", "\t ", "/* update */ ", " /**/ ", "-- delete\n", "# for update\n", " /* it's */ "]
 
 
-def disguised(text: str, rng: random.Random) -> str:
+def disguise(text: str, random_source: random.Random) -> str:
     """The same statement in other letters, with other gaps and comments."""
     out = []
-    for piece in PIECE.findall(text):
+    for piece in TEXT_PIECE.findall(text):
         if piece.isspace():
-            out.append(rng.choice(GAPS))
-        elif piece[0].isalpha() and rng.random() < 0.7:
-            out.append("".join(rng.choice((c.lower(), c.upper())) for c in piece))
+            out.append(random_source.choice(SEPARATORS))
+        elif piece[0].isalpha() and random_source.random() < 0.7:
+            out.append("".join(random_source.choice((c.lower(), c.upper())) for c in piece))
         else:
             out.append(piece)
     return (
-        rng.choice(["", " ", "\n", "/* select */ ", "-- x\n"])
+        random_source.choice(["", " ", "\n", "/* select */ ", "-- x\n"])
         + "".join(out)
-        + rng.choice(["", " ", ";", " -- end"])
+        + random_source.choice(["", " ", ";", " -- end"])
     )
 
 
 def corpus(texts: list[str], count: int) -> list[str]:
-    rng = random.Random(7)
-    return list(texts) + [disguised(text, rng) for text in itertools.islice(itertools.cycle(texts), count)]
+    random_source = random.Random(7)
+    return list(texts) + [
+        disguise(text, random_source) for text in itertools.islice(itertools.cycle(texts), count)
+    ]
 
 
-def test_three_thousand_disguised_statements() -> None:
+def test_no_disguised_write_is_replica_safe_and_few_reads_are_missed() -> None:
     """None that writes, locks or has effects may go to a replica; few plain reads may miss it."""
     reads = corpus(READS, 1500)
-    missed = [text for text in reads if not read_statement(text.encode()).replica]
+    missed = [text for text in reads if not classify_statement(text.encode()).replica_safe]
     assert len(missed) < 0.02 * len(reads), missed[:5]
-    others = {kind: corpus(texts, 400) for kind, texts in OTHERS.items()}
+    others = {kind: corpus(texts, 400) for kind, texts in NOT_READS.items()}
     assert len(reads) + sum(map(len, others.values())) > 3000
     for kind, texts in others.items():
         for text in texts:
-            assert not read_statement(text.encode()).replica, (kind, text)
-    for text in corpus(BOUND, 200):
-        assert not read_statement(text.encode()).replica, text
+            assert not classify_statement(text.encode()).replica_safe, (kind, text)
+    for text in corpus(CONNECTION_DEPENDENT, 200):
+        assert not classify_statement(text.encode()).replica_safe, text
 
 
-@pytest.mark.parametrize("kind, text", [(k, t) for k, texts in OTHERS.items() for t in texts])
-def test_each_kind_is_told(kind: Kind, text: str) -> None:
-    assert read_statement(text.encode()).kind is kind
+@pytest.mark.parametrize("kind, text", [(k, t) for k, texts in NOT_READS.items() for t in texts])
+def test_kind_is_recognized(kind: StatementKind, text: str) -> None:
+    assert classify_statement(text.encode()).kind is kind
 
 
-@pytest.mark.parametrize("text", BOUND)
-def test_what_only_its_own_connection_can_answer_is_told(text: str) -> None:
-    reading = read_statement(text.encode())
-    assert reading.kind is Kind.READ and reading.depends
+@pytest.mark.parametrize("text", CONNECTION_DEPENDENT)
+def test_connection_dependent_read_has_dependencies(text: str) -> None:
+    classification = classify_statement(text.encode())
+    assert classification.kind is StatementKind.READ
+    assert classification.dependencies
 
 
-def test_tables_are_named() -> None:
+def test_tables_are_named_without_common_table_expressions() -> None:
     text = b"with t as (select * from A.runs) select * from t join boards b on b.id = t.id"
-    assert read_statement(text).tables == {"a.runs", "boards"}
+    assert classify_statement(text).tables == {"a.runs", "boards"}
 
 
-def test_modes_change_where_strings_end() -> None:
+def test_lexer_mode_decides_where_strings_end() -> None:
     hidden = b"select '\\' , sleep(1) -- '"
-    assert read_statement(hidden, Mode(no_backslash_escapes=True)).kind is Kind.SIDE_EFFECT
-    assert read_statement(hidden).replica  # one string, with all of it inside
+    assert classify_statement(hidden, LexerMode(no_backslash_escapes=True)).kind is StatementKind.SIDE_EFFECT
+    assert classify_statement(hidden).replica_safe  # one string, with all of it inside
     name = b'select "sleep"(1)'
-    assert read_statement(name, Mode(ansi_quotes=True)).kind is Kind.SIDE_EFFECT
+    assert classify_statement(name, LexerMode(ansi_quotes=True)).kind is StatementKind.SIDE_EFFECT
 
 
 @pytest.mark.parametrize("charset", ["gbk", "sjis", "big5", "gb18030", "cp932", "eucjpms", "no such set"])
-def test_a_backslash_that_is_half_a_character_is_not_trusted(charset: str) -> None:
+def test_backslash_in_a_multibyte_charset_is_unknown(charset: str) -> None:
     text = b"select '\xbf\\' or sleep(1) -- '"
-    assert read_statement(text, Mode(charset=charset)).kind is Kind.UNKNOWN
-    assert read_statement(b"select 1", Mode(charset=charset)).replica
+    assert classify_statement(text, LexerMode(charset=charset)).kind is StatementKind.UNKNOWN
+    assert classify_statement(b"select 1", LexerMode(charset=charset)).replica_safe
 
 
-def test_a_space_that_is_a_letter_to_the_server_is_no_space() -> None:
+def test_non_ascii_space_does_not_separate_words() -> None:
     for space in (b"\xa0", b"\x85", b"\xc2\xa0"):
-        assert read_statement(b"select " + space + b"abs(1)").kind is Kind.SIDE_EFFECT
+        assert classify_statement(b"select " + space + b"abs(1)").kind is StatementKind.SIDE_EFFECT
 
 
-def test_twenty_megabytes_are_not_read() -> None:
-    assert read_statement(b"select '" + b"x" * (20 << 20) + b"'").kind is Kind.UNKNOWN
+def test_long_and_deeply_nested_statements_are_not_replica_safe() -> None:
+    assert classify_statement(b"select '" + b"x" * (20 << 20) + b"'").kind is StatementKind.UNKNOWN
     deep = b"select " + b"(" * 5000 + b"1" + b")" * 5000
-    assert len(deep) < MAX_BYTES and not read_statement(deep).replica
+    assert len(deep) < MAX_BYTES
+    assert not classify_statement(deep).replica_safe
 
 
 @settings(max_examples=500, deadline=None)
 @given(st.binary(max_size=120), st.booleans(), st.booleans())
-def test_noise_is_read_without_a_crash(noise: bytes, ansi: bool, plain: bool) -> None:
+def test_noise_does_not_raise(noise: bytes, ansi: bool, plain: bool) -> None:
     for text in (noise, b"select " + noise):
-        read_statement(text, Mode(ansi, plain))
+        classify_statement(text, LexerMode(ansi, plain))
 
 
 @settings(max_examples=300, deadline=None)
 @given(
     st.text(alphabet="'\"`\\-#/*! ;ax", max_size=25), st.sampled_from(["sleep(1)", "for update", "into @a"])
 )
-def test_quotes_and_comments_hide_nothing(mess: str, effect: str) -> None:
+def test_quotes_and_comments_do_not_hide_effects(mess: str, effect: str) -> None:
     """Whatever precedes it: if the effect is still code to this scanner, it is seen."""
     text = f"select 1 {mess} {effect}".encode()
     try:
-        words = [t.text for t in tokens(text, Mode()) if t.type in (Type.WORD, Type.NAME)]
-    except Odd:
-        assert not read_statement(text).replica
+        words = [
+            t.text
+            for t in tokenize(text, LexerMode())
+            if t.type in (TokenType.IDENTIFIER, TokenType.QUOTED_IDENTIFIER)
+        ]
+    except AmbiguousTextError:
+        assert not classify_statement(text).replica_safe
         return
     if "SLEEP" in words or "INTO" in words or "UPDATE" in words:
-        assert not read_statement(text).replica
+        assert not classify_statement(text).replica_safe
 
 
 @pytest.mark.parametrize(
@@ -244,20 +254,22 @@
         b":***- c\n,\xff},:***,:***,",
     ],
 )
-def test_what_the_grammar_itself_trips_over_is_not_understood(found: bytes) -> None:
+def test_text_on_which_the_grammar_raises_is_unknown(found: bytes) -> None:
     """Findings of fuzz/mysql_target.py: sqlglot raised AttributeError, and the client's connection ended with
     it."""
-    reading = read_statement(found)
-    assert reading.kind is Kind.UNKNOWN and reading.opaque and not reading.replica
+    classification = classify_statement(found)
+    assert classification.kind is StatementKind.UNKNOWN
+    assert classification.opaque
+    assert not classification.replica_safe
 
 
-def test_the_memory_is_bounded_and_keeps_modes_apart() -> None:
-    reader = Reader(2)
+def test_cache_is_bounded_and_keeps_modes_apart() -> None:
+    classifier = StatementClassifier(2)
     text = b'select "a"'
-    assert reader.read(text) == reader.read(text) == read_statement(text)
-    assert (reader.hits, reader.misses) == (1, 1)
-    reader.read(text, Mode(ansi_quotes=True))
-    assert reader.misses == 2
+    assert classifier.classify(text) == classifier.classify(text) == classify_statement(text)
+    assert (classifier.hits, classifier.misses) == (1, 1)
+    classifier.classify(text, LexerMode(ansi_quotes=True))
+    assert classifier.misses == 2
     for n in range(10):
-        reader.read(b"select %d" % n)
-    assert len(reader._cache) == 2
+        classifier.classify(b"select %d" % n)
+    assert len(classifier._cache) == 2
