--- a/tests/e2e/test_pool_soak.py
+++ b/tests/e2e/test_pool_soak.py
@@ -1,5 +1,4 @@
-"""A small form of `benchmarks/pool_soak.py`: each statement with its own text, values and session, under
-killed connections; and the same with a driver that gets it wrong, to see it found."""
+"""A small form of `benchmarks/pool_soak.py`, under killed connections; and with faults that it must find."""
 
 from __future__ import annotations
 
@@ -15,28 +14,30 @@
 from juniperreel.proxy.mysqlmembers import MysqlLinks
 
 
-async def test_a_thousand_transactions_over_few_connections(tmp_path: Path) -> None:
+async def test_a_thousand_transactions_over_few_connections_have_no_violation(tmp_path: Path) -> None:
     with trio.fail_after(600):
-        found, line = await soak(tmp_path, 1_000, 40, 4, seed=7)
-    assert found == [], line
-    assert int(line.split()[0]) >= 1_000, line
+        violations, summary = await soak(tmp_path, 1_000, 40, 4, seed=7)
+    assert violations == [], summary
+    assert int(summary.split()[0]) >= 1_000, summary
 
 
-async def test_a_pool_that_replays_nothing_is_found(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    async def nothing(self: MysqlLinks, backend: BackendConnection, job: Job) -> None:
+async def test_missing_replay_of_session_state_is_found(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def replay_nothing(_self: MysqlLinks, backend: BackendConnection, job: Job) -> None:
         backend.session_state = job.work.state
 
-    monkeypatch.setattr(MysqlLinks, "_replay", nothing)
+    monkeypatch.setattr(MysqlLinks, "_replay", replay_nothing)
     with trio.fail_after(120):
-        found, _ = await soak(tmp_path, 300, 30, 2, seed=7)
-    assert any("its session has" in words for words in found)
+        violations, _ = await soak(tmp_path, 300, 30, 2, seed=7)
+    assert any("its session has" in violation for violation in violations)
 
 
-async def test_ids_that_are_mixed_up_are_found(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    def any_id(self: PreparedStatementCache, key: StatementKey) -> int | None:
+async def test_confused_statement_ids_are_found(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    def any_id(self: PreparedStatementCache, _key: StatementKey) -> int | None:
         return next(reversed(self._ids.values()), None)
 
     monkeypatch.setattr(PreparedStatementCache, "get", any_id)
     with trio.fail_after(120):
-        found, _ = await soak(tmp_path, 300, 30, 2, seed=7)
-    assert any("was meant as" in words for words in found)
+        violations, _ = await soak(tmp_path, 300, 30, 2, seed=7)
+    assert any("was meant as" in violation for violation in violations)
--- a/tests/statements/test_classifier.py
+++ b/tests/statements/test_classifier.py
@@ -231,10 +231,10 @@
     st.text(alphabet="'\"`\\-#/*! ;ax", max_size=25), st.sampled_from(["sleep(1)", "for update", "into @a"])
 )
 def test_quotes_and_comments_do_not_hide_effects(mess: str, effect: str) -> None:
-    """Whatever precedes it: if the effect is still code to this scanner, it is seen."""
+    """Whatever precedes it: if the effect is still code to the lexer, it is found."""
     text = f"select 1 {mess} {effect}".encode()
     try:
-        words = [
+        names = [
             t.text
             for t in tokenize(text, LexerMode())
             if t.type in (TokenType.IDENTIFIER, TokenType.QUOTED_IDENTIFIER)
@@ -242,7 +242,7 @@
     except AmbiguousTextError:
         assert not classify_statement(text).replica_safe
         return
-    if "SLEEP" in words or "INTO" in words or "UPDATE" in words:
+    if "SLEEP" in names or "INTO" in names or "UPDATE" in names:
         assert not classify_statement(text).replica_safe
 
 
