--- a/juniperreel/pool/connection.py
+++ b/juniperreel/pool/connection.py
@@ -21,12 +21,11 @@
 from juniperreel.pool.config import BackendConfig
 from juniperreel.pool.error_codes import REPREPARE_CODES, WRONG_ARGUMENT_COUNT
 from juniperreel.pool.errors import ConnectionLostError, ResultTooLargeError, StatementError
-from juniperreel.pool.login import log_in
+from juniperreel.pool.login import READ_BYTES, log_in
 from juniperreel.pool.prepared_statements import PreparedStatementCache, StatementKey
 from juniperreel.pool.result import Result, Statement
 from juniperreel.pool.session_state import INITIAL_SESSION_STATE
 
-READ_BYTES = 64 << 10
 MAX_BUFFERED_ROW_BYTES = 256 << 10  # rows received and not yet consumed; above it, reading pauses
 STREAM_CHUNK_BYTES = 64 << 10  # rows returned by one call of `next_rows`
 QUIT_TIMEOUT_S = 1.0
--- a/juniperreel/settings/checks.py
+++ b/juniperreel/settings/checks.py
@@ -57,57 +57,54 @@
         yield hosts.problem("source", reason)
 
 
-def check_effect(request_class: SectionValues, rules: SectionValues) -> Iterator[Problem]:
-    """The effect of a class fits its consistency, and a keyed one says how its key is remembered."""
+def class_problem(
+    request_class: SectionValues, directive: str, reason: str, rule: int | None = None
+) -> Problem:
+    """A problem with a directive of a class, whose reason begins with the class's name."""
+    return request_class.problem(directive, f"{request_class.name}: {reason}", rule)
 
-    def problem(directive: str, reason: str, rule: int | None = 2) -> Problem:
-        """A problem of this class."""
-        return request_class.problem(directive, f"{request_class.name}: {reason}", rule)
 
+def check_effect(request_class: SectionValues, rules: SectionValues) -> Iterator[Problem]:
+    """The effect of a class fits its consistency, and a keyed one says how its key is remembered."""
     effect, *key_options = request_class["effect"]
     writes = request_class["consistency"][0] == "write"
-    if effect == "keyed":
-        if len(key_options) < 2:
-            yield problem("effect", "keyed needs the scope of the key and how long members remember it")
-        elif not key_options[1]:
-            yield problem("effect", "members that remember a key for no time see no repeat")
-    elif key_options:
-        yield problem("effect", f"{effect} has no key; a scope or memory has no meaning", None)
+    if effect == "keyed" and len(key_options) < 2:
+        reason = "keyed needs the scope of the key and how long members remember it"
+        yield class_problem(request_class, "effect", reason, 2)
+    if effect == "keyed" and len(key_options) == 2 and not key_options[1]:
+        reason = "members that remember a key for no time see no repeat"
+        yield class_problem(request_class, "effect", reason, 2)
+    if effect != "keyed" and key_options:
+        reason = f"{effect} has no key; a scope or memory has no meaning"
+        yield class_problem(request_class, "effect", reason)
     if effect in ("keyed", "once") and not writes:
-        yield problem("consistency", f"a class whose effect is {effect} writes; only a primary may take it")
+        reason = f"a class whose effect is {effect} writes; only a primary may take it"
+        yield class_problem(request_class, "consistency", reason, 2)
     if writes and effect == "repeatable" and rules["second-copies"]:
-        yield problem("effect", "two copies of a write would be out at once")
+        yield class_problem(request_class, "effect", "two copies of a write would be out at once", 2)
 
 
 def check_consistency(request_class: SectionValues, token: SectionValues) -> Iterator[Problem]:
     """A staleness bound where one is needed, and one that clocks can measure."""
-
-    def problem(reason: str) -> Problem:
-        """A problem of this class's consistency."""
-        return request_class.problem("consistency", f"{request_class.name}: {reason}", 5)
-
     consistency, *bounds_us = request_class["consistency"]
     if (consistency == "bounded") != bool(bounds_us):
-        yield problem("bounded, and nothing else, takes the age its data may have")
+        reason = "bounded, and nothing else, takes the age its data may have"
+        yield class_problem(request_class, "consistency", reason, 5)
     if consistency == "bounded" and bounds_us and bounds_us[0] <= 2 * token["skew"]:
         bound_ms = bounds_us[0] / US_PER_MS
         skew_ms = token["skew"] / US_PER_MS
-        yield problem(f"an age of {bound_ms:g} ms cannot be told with clocks {skew_ms:g} ms apart")
+        reason = f"an age of {bound_ms:g} ms cannot be told with clocks {skew_ms:g} ms apart"
+        yield class_problem(request_class, "consistency", reason, 5)
 
 
 def check_deadline(request_class: SectionValues, rules: SectionValues) -> Iterator[Problem]:
     """The latency objective and the answer margin leave time before the deadline; the weight is positive."""
-
-    def problem(directive: str, reason: str, rule: int | None = None) -> Problem:
-        """A problem of this class."""
-        return request_class.problem(directive, f"{request_class.name}: {reason}", rule)
-
     if not 0 < request_class["aim"] <= request_class["deadline"]:
-        yield problem("aim", "the aim lies above 0 and not beyond the deadline", 1)
+        yield class_problem(request_class, "aim", "the aim lies above 0 and not beyond the deadline", 1)
     if request_class["deadline"] <= 2 * rules["answer-margin"]:
-        yield problem("deadline", "the answer margin takes half of it or more", 1)
+        yield class_problem(request_class, "deadline", "the answer margin takes half of it or more", 1)
     if request_class["worth"] <= 0:
-        yield problem("worth", "a class that is worth nothing is always turned away")
+        yield class_problem(request_class, "worth", "a class that is worth nothing is always turned away")
 
 
 def check_rules(rules: SectionValues, limits: SectionValues) -> Iterator[Problem]:
