--- a/juniperreel/settings/checks.py
+++ b/juniperreel/settings/checks.py
@@ -69,10 +69,10 @@
     effect, *key_options = request_class["effect"]
     writes = request_class["consistency"][0] == "write"
     if effect == "keyed" and len(key_options) < 2:
-        reason = "keyed needs the scope of the key and how long members remember it"
+        reason = "keyed needs the scope of the key and how long endpoints remember it"
         yield class_problem(request_class, "effect", reason, 2)
     if effect == "keyed" and len(key_options) == 2 and not key_options[1]:
-        reason = "members that remember a key for no time see no repeat"
+        reason = "endpoints that remember a key for no time see no repeat"
         yield class_problem(request_class, "effect", reason, 2)
     if effect != "keyed" and key_options:
         reason = f"{effect} has no key; a scope or memory has no meaning"
@@ -93,7 +93,7 @@
     if consistency == "bounded" and bounds_us and bounds_us[0] <= 2 * token["skew"]:
         bound_ms = bounds_us[0] / US_PER_MS
         skew_ms = token["skew"] / US_PER_MS
-        reason = f"an age of {bound_ms:g} ms cannot be told with clocks {skew_ms:g} ms apart"
+        reason = f"an age of {bound_ms:g} ms cannot be measured with clocks {skew_ms:g} ms apart"
         yield class_problem(request_class, "consistency", reason, 5)
 
 
@@ -104,7 +104,7 @@
     if request_class["deadline"] <= 2 * rules["answer-margin"]:
         yield class_problem(request_class, "deadline", "the answer margin takes half of it or more", 1)
     if request_class["worth"] <= 0:
-        yield class_problem(request_class, "worth", "a class that is worth nothing is always turned away")
+        yield class_problem(request_class, "worth", "a class that is worth nothing is always rejected")
 
 
 def check_rules(rules: SectionValues, limits: SectionValues) -> Iterator[Problem]:
@@ -122,19 +122,19 @@
         yield rules.problem("drain-grace", reason, 3)
     guard, *waits_us = rules["members-check"]
     if (guard == "wait") != bool(waits_us):
-        reason = "members-check: wait, and nothing else, takes how long members wait"
+        reason = "members-check: wait, and nothing else, takes how long endpoints wait"
         yield rules.problem("members-check", reason)
 
 
 def check_slow_start(rules: SectionValues) -> Iterator[Problem]:
     """Slow start has a beginning and a duration; overload is above capacity."""
     if not rules["cold-from"]:
-        reason = "cold-from: a member that starts with nothing can be sent nothing"
+        reason = "cold-from: an endpoint that starts with nothing can be sent nothing"
         yield rules.problem("cold-from", reason, 4)
     if not rules["cold-span"]:
-        yield rules.problem("cold-span", "cold-span: members that start are cold for some time", 4)
+        yield rules.problem("cold-span", "cold-span: endpoints that start are cold for some time", 4)
     if rules["fall-multiple"] < 1:
-        reason = "fall-multiple: below 1 a member falls at its own capacity"
+        reason = "fall-multiple: below 1 an endpoint fails at its own capacity"
         yield rules.problem("fall-multiple", reason, 4)
     if not rules["overload-span"]:
         yield rules.problem("overload-span", "overload-span: must be above 0", 4)
--- a/juniperreel/settings/configd.py
+++ b/juniperreel/settings/configd.py
@@ -126,7 +126,7 @@
     cluster = file["cluster"][0]
     members = cluster["member"]
     if len(set(members)) != len(members) or len(members) % 2 == 0:
-        reason = "an odd number of members, each named once: an even one bears no more losses"
+        reason = "an odd number of members, each named once: an even one tolerates no more failures"
         yield cluster.problem("member", reason)
     if not MIN_TICK_US <= instance["tick"] <= MAX_TICK_US:
         yield instance.problem("tick", "tick: 1ms to 1s")
--- a/juniperreel/settings/edge.py
+++ b/juniperreel/settings/edge.py
@@ -82,7 +82,7 @@
             problems.append(token.problem("key", f"key {key_id}: ids are 0 to 255, each used once"))
         keys.append(TokenKey(key_id, secret))
     if len(keys) > MAX_TOKEN_KEYS:
-        problems.append(token.problem("key", "at most two keys live at once"))
+        problems.append(token.problem("key", "at most two keys are active at once"))
     return tuple(keys)
 
 
--- a/juniperreel/settings/lexer.py
+++ b/juniperreel/settings/lexer.py
@@ -87,7 +87,7 @@
         return
     name, *arguments = split_arguments(stripped)
     if not sections:
-        raise InvalidValueError(f"{name[:QUOTED_LENGTH]!r} stands before the first section")
+        raise InvalidValueError(f"{name[:QUOTED_LENGTH]!r} comes before the first section")
     sections[-1].directives.append(Directive(name, tuple(arguments), number))
 
 
--- a/juniperreel/settings/matches.py
+++ b/juniperreel/settings/matches.py
@@ -70,7 +70,7 @@
     if arguments[0] not in ("read", "write"):
         raise InvalidValueError(f"read or write comes first, not {_quoted(arguments[0])}")
     if len(arguments) % 2 == 0:
-        raise InvalidValueError(f"{_quoted(arguments[-1])} stands alone")
+        raise InvalidValueError(f"{_quoted(arguments[-1])} has no value")
     options = _parse_options(arguments[1:])
     digest = options.get("digest")
     if digest is not None and (len(digest) != DIGEST_DIGITS or not HEX_DIGITS.issuperset(digest)):
@@ -99,7 +99,7 @@
         if name not in CONDITIONS + RESULTS:
             raise InvalidValueError(f"{_quoted(name)} is none of {', '.join(CONDITIONS + RESULTS)}")
         if name in options:
-            raise InvalidValueError(f"{name} stands twice")
+            raise InvalidValueError(f"{name} is given twice")
         options[name] = value
     return options
 
--- a/juniperreel/settings/mysql.py
+++ b/juniperreel/settings/mysql.py
@@ -93,7 +93,7 @@
     section = file["members"][0]
     if section["speak"] == "grpc":
         for directive in section.lines.keys() - {"speak"}:
-            reason = f"{directive}: only members that speak mysql take it"
+            reason = f"{directive}: only endpoints that speak mysql take it"
             problems.append(section.problem(directive, reason))
         return None
     login = _read_login(section, directory, problems)
@@ -103,7 +103,7 @@
     if 2 * max_transaction_us > drain_grace_us:
         # A draining primary takes writes for half the grace period: a transaction that begins then must end
         # before the grace period does.
-        reason = "transaction: more than half of drain-grace; it would go on at a member that has left"
+        reason = "transaction: more than half of drain-grace; it would go on at an endpoint that has left"
         problems.append(section.problem("transaction", reason, 3))
     certificate_authorities = _read_certificate_authorities(section, directory, problems)
     problems += _pool_problems(section, file["class"])
@@ -140,7 +140,7 @@
     for request_class in classes:
         if request_class["effect"][0] == "keyed":
             reason = (
-                f"class {request_class.name}: members that speak MySQL remember no keys; its effect is once"
+                f"class {request_class.name}: endpoints that speak MySQL remember no keys; its effect is once"
             )
             yield request_class.problem("effect", reason, 2)
 
--- a/juniperreel/settings/schema.py
+++ b/juniperreel/settings/schema.py
@@ -153,7 +153,7 @@
     for other in earlier:
         if other.name == name:
             heading = f"section {section.kind} {name}".strip()
-            return Problem(section.line, f"{heading} stands already in line {other.line}")
+            return Problem(section.line, f"{heading} is already set in line {other.line}")
     return None
 
 
@@ -185,7 +185,7 @@
         quoted = repr(name[:QUOTED_LENGTH])
         raise InvalidValueError(f"{section.kind}: no directive is called {quoted}; there are {known}")
     if name in values.lines and not directive_spec.repeated:
-        raise InvalidValueError(f"{name} stands already in line {values.lines[name]}")
+        raise InvalidValueError(f"{name} is already set in line {values.lines[name]}")
     values.lines[name] = directive.line
     try:
         value = directive_spec.parse(directive.arguments)
