--- a/juniperreel/admission/gate.py
+++ b/juniperreel/admission/gate.py
@@ -13,11 +13,7 @@
 
 from juniperreel.admission.lane import Lane, Waiting
 from juniperreel.admission.limits import Limit
-from juniperreel.routing.types import (
-    Consistency,
-    RequestClass,
-    Settings,
-)
+from juniperreel.routing.types import Consistency, RequestClass, Settings
 
 MS = 1_000
 LAST_US = 10 * MS  # with less than this left nothing can be answered in time
--- a/juniperreel/admission/lane.py
+++ b/juniperreel/admission/lane.py
@@ -16,9 +16,7 @@
 from itertools import count
 
 from juniperreel.admission.limits import TARGET, Limit
-from juniperreel.routing.types import (
-    RequestClass,
-)
+from juniperreel.routing.types import RequestClass
 
 CALM_SOJOURN = 0.15  # of the aim may be spent waiting, where a queue is a burst that will pass
 BUSY_SOJOURN = 0.05  # and where it is none: then waiting serves nobody, it only makes all later
--- a/juniperreel/frontends/mysql/connection.py
+++ b/juniperreel/frontends/mysql/connection.py
@@ -25,9 +25,14 @@
 from juniperreel.mysql.server import Command, Event, Gone, LoggedIn, ServerSession, StartTls, State
 from juniperreel.mysql.values import Column, Value, binary_row
 from juniperreel.net.clock import US
-from juniperreel.pool.backend import Lost, Told, TooLong
+from juniperreel.pool.errors import (
+    ConnectionLostError,
+    ResultTooLargeError,
+    SessionStateTooLargeError,
+    StatementError,
+)
 from juniperreel.pool.result import Result, Statement
-from juniperreel.pool.state import FRESH, SessionState, TooMuch
+from juniperreel.pool.session_state import INITIAL_SESSION_STATE, SessionState
 from juniperreel.proto.common.v1 import values_pb2
 from juniperreel.proxy import (
     Answer,
@@ -41,7 +46,7 @@
     TransactionResult,
     TransactionRolledBackError,
 )
-from juniperreel.statements import Kind, Mode, Reading, Verb
+from juniperreel.statements import Classification, LexerMode, SessionVerb, StatementKind
 
 if TYPE_CHECKING:
     from juniperreel.frontends.mysql.front import MysqlFront
@@ -100,14 +105,14 @@
         self._front, self._session, self._stream = front, session, stream
         self._token: Token = EMPTY
         self._told: Token = EMPTY  # to the client, by session tracking
-        self._mode = Mode()
+        self._mode = LexerMode()
         self._name = f"mysql-{secrets.token_hex(6)}"
         self._user = self._schema = ""
         self._count = 0
         self._deadline_us = 0  # for each statement of the transaction
         self._busy = False
         self._prepared = Prepared(front.options.max_packet)
-        self._state = FRESH
+        self._state = INITIAL_SESSION_STATE
         self._scope = Scope(front.transactions, front.options.schema)
 
     async def run(self) -> None:
@@ -204,7 +209,7 @@
     def _afresh(self) -> None:
         """All but the token: what was seen was seen."""
         self._scope.leave()
-        self._mode, self._state = Mode(), FRESH
+        self._mode, self._state = LexerMode(), INITIAL_SESSION_STATE
         self._prepared.clear()
         self._session.status = self._scope.status()
 
@@ -230,7 +235,7 @@
                 return self._prepare(payload)
             if kind == Com.STMT_EXECUTE:
                 statement, values, attributes = self._prepared.execute(payload, s.takes_attributes)
-                if statement.parsed != self._state.parsed:
+                if statement.parsed != self._state.parse_context:
                     # Danger: under another sql_mode the same text may mean something else.
                     raise Fault(AGAIN, "Prepared statement needs to be re-prepared")
                 return await self._statement(statement.text, statement.reading, values, True, attributes)
@@ -255,12 +260,16 @@
 
     def _prepare(self, text: bytes) -> list[Event]:
         """Raises Fault."""
-        reading = self._front.reader.read(text, self._mode)
+        reading = self._front.reader.classify(text, self._mode)
         plan = Scope(self._front.transactions, self._front.options.schema).plan(reading)
-        depends_on_it = reading.depends and reading.kind in (Kind.READ, Kind.WRITE, Kind.LOCKING_READ)
-        if plan.do is Do.REFUSE and not depends_on_it and reading.control is None:
+        depends_on_it = reading.dependencies and reading.kind in (
+            StatementKind.READ,
+            StatementKind.WRITE,
+            StatementKind.LOCKING_READ,
+        )
+        if plan.do is Do.REFUSE and not depends_on_it and reading.session_command is None:
             return self._session.error(*plan.code, plan.words)
-        statement = self._prepared.prepare(text, reading, self._mode, self._state.parsed)
+        statement = self._prepared.prepare(text, reading, self._mode, self._state.parse_context)
         return self._session.prepared(statement.id, statement.parameters)
 
     async def _query(self, text: bytes, attributes: Mapping[str, Value]) -> list[Event]:
@@ -277,7 +286,7 @@
         if (match := AUTOCOMMIT.match(text)) is not None:
             on = int(self._scope.autocommit)
             return s.result([Column(match[1].decode(), ColumnType.LONGLONG)], [(on,)])
-        reading = self._front.reader.read(text, self._mode)
+        reading = self._front.reader.classify(text, self._mode)
         return await self._statement(text, reading, (), False, attributes)
 
     def _take_token(self, text: str) -> str:
@@ -293,7 +302,7 @@
     async def _statement(
         self,
         text: bytes,
-        reading: Reading,
+        reading: Classification,
         values: Sequence[Value],
         binary: bool,
         attributes: Mapping[str, Value],
@@ -314,7 +323,7 @@
     async def _carry_out(
         self,
         text: bytes,
-        reading: Reading,
+        reading: Classification,
         values: Sequence[Value],
         binary: bool,
         attributes: Mapping[str, Value],
@@ -338,21 +347,26 @@
                     return await self._inside(run, plan)
                 case Do.FINISH:
                     done = await self._finish(run, plan)
-                    if reading.control is not None and reading.control.verb is Verb.BEGIN:
+                    if (
+                        reading.session_command is not None
+                        and reading.session_command.verb is SessionVerb.BEGIN
+                    ):
                         continue  # the commit that it implies is done
                     return await self._passed_on(done.result, 0)
                 case Do.ALONE | Do.BEGIN:
                     return await self._route(run, reading, plan, attributes)
 
     async def _route(
-        self, run: Statement, reading: Reading, plan: Plan, attributes: Mapping[str, Value]
+        self, run: Statement, reading: Classification, plan: Plan, attributes: Mapping[str, Value]
     ) -> list[Event]:
         """A request of its own, or the one that begins a transaction."""
         front, s = self._front, self._session
         driver = front.driver
         # What a plain read depends on goes with it, or it was refused.
         write = (
-            reading.kind is not Kind.READ if plan.hold is None else plan.hold is TransactionMode.READ_WRITE
+            reading.kind is not StatementKind.READ
+            if plan.hold is None
+            else plan.hold is TransactionMode.READ_WRITE
         )
         state = self._state
         if plan.sets:
@@ -402,7 +416,7 @@
         try:
             for name, value in sets:
                 state = state.set(name, value)
-        except TooMuch as error:
+        except SessionStateTooLargeError as error:
             raise Instead(*NOT_SUPPORTED, str(error)) from error
         return state
 
@@ -411,7 +425,7 @@
         self._state = state
         modes = state.variables.get("sql_mode", "").strip("'").upper().split(",")
         ansi = "ANSI_QUOTES" in modes or "ANSI" in modes
-        self._mode = Mode(ansi, "NO_BACKSLASH_ESCAPES" in modes)
+        self._mode = LexerMode(ansi, "NO_BACKSLASH_ESCAPES" in modes)
 
     async def _set_inside(self, run: Statement, plan: Plan) -> list[Event]:
         """Variables are not undone with the transaction, here as on a server."""
@@ -498,7 +512,7 @@
             return s.ok(ok.affected, ok.insert_id, info, ok.warnings, self._track())
         s.begin_result(result.columns)
         s.rows(result.rows)
-        rest = result.rest
+        rest = result.remaining_rows
         if rest is None:
             return s.end_result(result.ok.warnings, self._track())
         late = None
@@ -506,13 +520,13 @@
             with trio.CancelScope(deadline=self._front.clock.trio_time(until_us)) as late:
                 while True:
                     await self._flush()
-                    rows = await rest.more()
+                    rows = await rest.next_rows()
                     if not rows:
                         return s.end_result(rest.ok.warnings, self._track())
                     s.rows(rows)
-        except Told as told:
+        except StatementError as told:
             return s.error(told.err.code, told.err.state, told.err.words)
-        except Lost as lost:
+        except ConnectionLostError as lost:
             return s.error(*say.UNKNOWN_EFFECT, f"the result broke off: {lost}")
         finally:
             rest.close()
@@ -529,7 +543,7 @@
         try:
             with trio.CancelScope(deadline=clock.trio_time(until)):
                 return await what
-        except Told as told:
+        except StatementError as told:
             scope.ran()
             raise Instead(told.err.code, told.err.state, told.err.words) from told
         except TransactionRolledBackError as error:
@@ -540,7 +554,7 @@
         except TransactionOutcomeUnknownError as error:
             scope.over()
             raise Instead(*say.UNKNOWN_EFFECT, f"{error}; the transaction may have taken effect") from error
-        except TooLong as error:
+        except ResultTooLargeError as error:
             scope.over()
             raise Instead(*say.TOO_LONG, str(error)) from error
         scope.over()
--- a/juniperreel/platform/config.py
+++ b/juniperreel/platform/config.py
@@ -10,9 +10,7 @@
 from juniperreel.platform.endpoint_list import PORT_LIMIT, Address
 from juniperreel.platform.errors import ConfigError
 from juniperreel.platform_settings import read_settings
-from juniperreel.routing.types import (
-    Settings,
-)
+from juniperreel.routing.types import Settings
 
 
 class Limits(msgspec.Struct):
--- a/juniperreel/platform/discovery.py
+++ b/juniperreel/platform/discovery.py
@@ -17,10 +17,7 @@
 from juniperreel.platform.endpoint_list import Address, EndpointList, read_endpoint_list
 from juniperreel.platform.errors import DiscoveryCallError, EndpointListError
 from juniperreel.platform.log import Log
-from juniperreel.routing.types import (
-    Settings,
-    UpdateKind,
-)
+from juniperreel.routing.types import Settings, UpdateKind
 
 PATH = "/v1/endpoints"
 # A response is due this long after the wait that its call asked for; the operators' list fails calls at 2 s.
--- a/juniperreel/platform/endpoint_connection.py
+++ b/juniperreel/platform/endpoint_connection.py
@@ -12,9 +12,7 @@
 from juniperreel.platform.exchange import REJECTED_SQLSTATES, Exchange, outcome_of
 from juniperreel.postgres.client import ClientConnection, Phase
 from juniperreel.postgres.messages import ProtocolError
-from juniperreel.routing.types import (
-    Outcome,
-)
+from juniperreel.routing.types import Outcome
 
 if TYPE_CHECKING:
     from juniperreel.platform.endpoint_pools import EndpointPool
--- a/juniperreel/platform/endpoint_directory.py
+++ b/juniperreel/platform/endpoint_directory.py
@@ -4,9 +4,7 @@
 
 from juniperreel.platform.endpoint_list import EndpointList
 from juniperreel.platform.endpoint_pools import EndpointPools
-from juniperreel.routing.types import (
-    Readiness,
-)
+from juniperreel.routing.types import Readiness
 
 
 class EndpointDirectory:
--- a/juniperreel/platform/endpoint_list.py
+++ b/juniperreel/platform/endpoint_list.py
@@ -9,10 +9,7 @@
 from typing import Any, NamedTuple
 
 from juniperreel.platform.errors import EndpointListError
-from juniperreel.routing.types import (
-    Endpoint,
-    Readiness,
-)
+from juniperreel.routing.types import Endpoint, Readiness
 
 READINESS = {
     "Ready": Readiness.READY,
--- a/juniperreel/platform/endpoint_pools.py
+++ b/juniperreel/platform/endpoint_pools.py
@@ -12,9 +12,7 @@
 from juniperreel.platform.exchange import Exchange
 from juniperreel.platform.idle_timeout import IdleTimeout
 from juniperreel.platform.timer_queue import TimerQueue
-from juniperreel.routing.types import (
-    Outcome,
-)
+from juniperreel.routing.types import Outcome
 
 # Of the time after which an endpoint closes an idle connection; the rest is for the interval between two
 # calls of `close_idle` and for the way to the endpoint.
--- a/juniperreel/platform/exchange.py
+++ b/juniperreel/platform/exchange.py
@@ -7,9 +7,7 @@
 from typing import TYPE_CHECKING
 
 from juniperreel.postgres.client import Reply
-from juniperreel.routing.types import (
-    Outcome,
-)
+from juniperreel.routing.types import Outcome
 
 if TYPE_CHECKING:
     from juniperreel.platform.endpoint_connection import EndpointConnection
--- a/juniperreel/platform/parameter_status.py
+++ b/juniperreel/platform/parameter_status.py
@@ -8,10 +8,7 @@
 
 import math
 
-from juniperreel.routing.types import (
-    LoadReport,
-    Role,
-)
+from juniperreel.routing.types import LoadReport, Role
 
 ROLES = {"primary": Role.PRIMARY, "standby": Role.REPLICA}
 POSITION_LIMIT_MS = 1 << 50
--- a/juniperreel/platform/program.py
+++ b/juniperreel/platform/program.py
@@ -17,9 +17,7 @@
 from juniperreel.platform.endpoint_list import EMPTY_LIST, EndpointList, read_endpoint_list
 from juniperreel.platform.errors import ConfigError, EndpointListError
 from juniperreel.platform.log import Log
-from juniperreel.routing.types import (
-    UpdateKind,
-)
+from juniperreel.routing.types import UpdateKind
 
 STATUS_INTERVAL_S = 10
 
--- a/juniperreel/platform/request_validation.py
+++ b/juniperreel/platform/request_validation.py
@@ -6,12 +6,7 @@
 
 from juniperreel.platform.errors import InvalidRequestError
 from juniperreel.postgres.form import Form
-from juniperreel.routing.types import (
-    Consistency,
-    Idempotency,
-    RequestClass,
-    Settings,
-)
+from juniperreel.routing.types import Consistency, Idempotency, RequestClass, Settings
 
 
 class ValidatedRequest(NamedTuple):
--- /dev/null
+++ b/juniperreel/pool/connection.py
@@ -0,0 +1,394 @@
+"""One connection to a MySQL server: the task that reads it, and exchanges of statements on it.
+
+The statements of one exchange are sent together (pipelined) and answered one after another. A connection on
+which an exchange was interrupted is closed, since a later response could no longer be matched to its request.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Mapping, Sequence
+from contextlib import suppress
+
+import trio
+
+from juniperreel.mysql import client
+from juniperreel.mysql.client import ClientSession
+from juniperreel.mysql.replies import Err, Ok
+from juniperreel.mysql.values import Value
+from juniperreel.net import ConnectTimedOut, Network
+from juniperreel.net.clock import US
+from juniperreel.pool.config import BackendConfig
+from juniperreel.pool.error_codes import REPREPARE_CODES, WRONG_ARGUMENT_COUNT
+from juniperreel.pool.errors import ConnectionLostError, ResultTooLargeError, StatementError
+from juniperreel.pool.login import READ_BYTES, log_in
+from juniperreel.pool.prepared_statements import PreparedStatementCache, StatementKey
+from juniperreel.pool.result import Result, Statement
+from juniperreel.pool.session_state import INITIAL_SESSION_STATE
+
+MAX_BUFFERED_ROW_BYTES = 256 << 10  # rows received and not yet consumed; above it, reading pauses
+STREAM_CHUNK_BYTES = 64 << 10  # rows returned by one call of `next_rows`
+QUIT_TIMEOUT_S = 1.0
+STREAM_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
+CLOSED_LOCALLY = "closed here"
+GENERAL_SQLSTATE = "HY000"
+
+
+class BackendConnection:
+    """An open connection, logged in. Its `run` must be running while it is used.
+
+    Attributes:
+        session: The client side of the protocol.
+        session_state: The session variables in effect on the server's side.
+        prepared_statements: What is prepared on this connection.
+        close_reason: Why the connection can no longer be used; empty while it can.
+    """
+
+    def __init__(self, stream: trio.abc.Stream, session: ClientSession, config: BackendConfig) -> None:
+        self.session = session
+        self.session_state = INITIAL_SESSION_STATE
+        self.prepared_statements = PreparedStatementCache(config.max_prepared_statements)
+        self.close_reason = ""
+        self._stream = stream
+        self._max_result_bytes = config.max_result_bytes
+        self._events: deque[client.Event] = deque()
+        self._buffered_row_bytes = 0
+        self._event_received = trio.Event()
+        self._buffer_drained = trio.Event()
+        self._cancel_scope = trio.CancelScope()
+
+    @staticmethod
+    async def open(
+        network: Network, host: str, port: int, config: BackendConfig, timeout_us: int
+    ) -> BackendConnection:
+        """Connect and log in.
+
+        Raises:
+            ConnectError: The server could not be reached, rejected the login, or did neither in time.
+        """
+        session = ClientSession(
+            config.user, config.password, config.database, config.max_packet_bytes, config.tls is not None
+        )
+        stream = None
+        try:
+            with trio.fail_after(max(timeout_us, 0) / US):
+                stream = await network.connect(host, port, timeout_us)
+                stream = await log_in(stream, session, host, config.tls)
+        except BaseException as error:
+            if stream is not None:
+                with trio.CancelScope(shield=True):
+                    await trio.aclose_forcefully(stream)
+            if isinstance(error, (trio.TooSlowError, *STREAM_ERRORS)):
+                raise ConnectTimedOut(f"{host}:{port} accepted no login: {error or 'timed out'}") from error
+            raise
+        return BackendConnection(stream, session, config)
+
+    @property
+    def thread_id(self) -> int:
+        """The connection's id at its server, as `kill` takes it."""
+        return self.session.thread
+
+    @property
+    def closed_locally(self) -> bool:
+        """Whether this side closed the connection, and not the server or the network."""
+        return self.close_reason == CLOSED_LOCALLY
+
+    async def run(self) -> None:
+        """Read until the connection breaks or is closed."""
+        try:
+            with self._cancel_scope:
+                await self._read_loop()
+        finally:
+            self._mark_closed("the connection was closed")
+            with trio.CancelScope(shield=True, deadline=trio.current_time() + QUIT_TIMEOUT_S):
+                await trio.aclose_forcefully(self._stream)
+
+    def close(self) -> None:
+        """Close at once; the server rolls back what is open on the connection."""
+        self._mark_closed(CLOSED_LOCALLY)
+        self._cancel_scope.cancel()
+
+    async def quit(self) -> None:
+        """Close an idle connection after sending COM_QUIT."""
+        if not self.close_reason and not self.session.in_hand:
+            self.session.quit()
+            with trio.move_on_after(QUIT_TIMEOUT_S):
+                with suppress(*STREAM_ERRORS):
+                    await self._stream.send_all(self.session.data_to_send())
+        self.close()
+
+    async def exchange(
+        self,
+        statements: Sequence[Statement],
+        attributes: Mapping[str, Value] | None = None,
+        main_index: int = 0,
+        stream: bool = False,
+    ) -> list[Result | Err]:
+        """Run all statements, even if an earlier one fails, and return the response to each.
+
+        Closes the connection when it raises or is cancelled.
+
+        Args:
+            statements: Sent together, in this order.
+            attributes: Query attributes, sent with one of the statements.
+            main_index: Which statement gets the attributes.
+            stream: Whether the last statement's result may be returned before all of its rows arrived, with
+                the others in `Result.remaining_rows`.
+
+        Raises:
+            ConnectionLostError: The connection broke.
+            ResultTooLargeError: A result that may not be streamed exceeds `max_result_bytes`.
+        """
+        try:
+            return await self._exchange(statements, attributes, main_index, stream)
+        except BaseException:
+            self.close()
+            raise
+
+    async def next_event(self) -> client.Event:
+        """The next protocol event, which belongs to the oldest statement without a complete response.
+
+        Raises:
+            ConnectionLostError: The connection broke and no event is left.
+        """
+        while not self._events:
+            if self.close_reason:
+                raise ConnectionLostError(self.close_reason, sent=True)
+            self._event_received = trio.Event()
+            await self._event_received.wait()
+        event = self._events.popleft()
+        if isinstance(event, client.Broken):
+            raise ConnectionLostError(event.why, sent=True)
+        if isinstance(event, client.Row):
+            self._buffered_row_bytes -= len(event.payload)
+            if self._buffered_row_bytes <= MAX_BUFFERED_ROW_BYTES // 2:
+                self._buffer_drained.set()
+        return event
+
+    async def _read_loop(self) -> None:
+        while not self.close_reason:
+            while self._buffered_row_bytes > MAX_BUFFERED_ROW_BYTES:
+                # Danger: without this pause, a client that reads slowly lets its result fill this process's
+                # memory. With it, TCP flow control slows the server down.
+                self._buffer_drained = trio.Event()
+                await self._buffer_drained.wait()
+            try:
+                data = await self._stream.receive_some(READ_BYTES)
+            except STREAM_ERRORS as error:
+                self._mark_closed(f"the connection broke: {error}")
+                return
+            if not data:
+                self._mark_closed("the server closed the connection")
+                return
+            self._receive(data)
+
+    def _receive(self, data: bytes | bytearray) -> None:
+        was_idle = not self.session.in_hand
+        for event in self.session.receive(data):
+            if isinstance(event, client.Row):
+                self._buffered_row_bytes += len(event.payload)
+            self._events.append(event)
+            if isinstance(event, client.Broken):
+                self._mark_closed(event.why)
+        self._event_received.set()
+        if was_idle:
+            self._mark_closed("the server sent data without a request")
+
+    def _mark_closed(self, reason: str) -> None:
+        if not self.close_reason:
+            self.close_reason = reason
+        self._event_received.set()
+
+    def _check_open(self) -> None:
+        """Raise ConnectionLostError if the connection was closed before anything was sent on it."""
+        if self.close_reason:
+            raise ConnectionLostError(self.close_reason, sent=False)
+
+    async def _exchange(
+        self,
+        statements: Sequence[Statement],
+        attributes: Mapping[str, Value] | None,
+        main_index: int,
+        stream: bool,
+    ) -> list[Result | Err]:
+        self._check_open()
+        parse_context = self.session_state.parse_context
+        prepare_error = await self._prepare_missing(statements, parse_context)
+        self._check_open()
+        if prepare_error is not None:
+            return [prepare_error] * len(statements)
+        for index, statement in enumerate(statements):
+            statement_attributes = attributes if index == main_index else None
+            self._queue_statement(statement, parse_context, statement_attributes)
+        await self._send()
+        responses: list[Result | Err] = []
+        for index, statement in enumerate(statements):
+            may_stream = stream and index == len(statements) - 1
+            responses.append(await self._receive_response(statement, parse_context, may_stream))
+        return responses
+
+    async def _prepare_missing(self, statements: Sequence[Statement], parse_context: str) -> Err | None:
+        """Prepare what is not prepared yet; return the error that prevented it, if any."""
+        for statement in statements:
+            key = StatementKey(statement.text, parse_context)
+            if statement.prepared and self.prepared_statements.get(key) is None:
+                error = await self._prepare(statement, key)
+                if error is not None:
+                    return error
+        return None
+
+    async def _prepare(self, statement: Statement, key: StatementKey) -> Err | None:
+        self.session.prepare(statement.text)
+        await self._send()
+        event = await self.next_event()
+        if isinstance(event, client.Failed):
+            return event.err
+        if not isinstance(event, client.Prepared):
+            raise ConnectionLostError("the server did not prepare a statement", sent=True)
+        for evicted_id in self.prepared_statements.put(key, event.id):
+            self.session.close_statement(evicted_id)
+        if event.parameters == len(statement.values):
+            return None
+        self.prepared_statements.remove(key)
+        self.session.close_statement(event.id)
+        message = f"{event.parameters} placeholders, {len(statement.values)} values"
+        return Err(WRONG_ARGUMENT_COUNT, GENERAL_SQLSTATE, message)
+
+    def _queue_statement(
+        self, statement: Statement, parse_context: str, attributes: Mapping[str, Value] | None
+    ) -> None:
+        if not statement.prepared:
+            self.session.query(statement.text, attributes)
+            return
+        statement_id = self.prepared_statements.get(StatementKey(statement.text, parse_context))
+        assert statement_id is not None
+        self.session.execute(statement_id, statement.values, attributes)
+
+    async def _send(self) -> None:
+        self._check_open()
+        try:
+            await self._stream.send_all(self.session.data_to_send())
+        except STREAM_ERRORS as error:
+            raise ConnectionLostError(f"the connection broke while writing: {error}", sent=True) from error
+
+    async def _receive_response(
+        self, statement: Statement, parse_context: str, may_stream: bool
+    ) -> Result | Err:
+        response = await self._receive_results(statement.prepared, may_stream)
+        if isinstance(response, Err) and response.code in REPREPARE_CODES:
+            self.prepared_statements.remove(StatementKey(statement.text, parse_context))
+        return response
+
+    async def _receive_results(self, binary: bool, may_stream: bool) -> Result | Err:
+        """All results of one statement; a stored procedure may return several."""
+        first: Result | None = None
+        while True:
+            result = await self._receive_result(binary, may_stream)
+            if isinstance(result, Err):
+                return result
+            if first is None:
+                first = result
+            else:
+                first.additional_results.append(result)
+            if result.remaining_rows is not None or not result.ok.more:
+                return first
+
+    async def _receive_result(self, binary: bool, may_stream: bool) -> Result | Err:
+        event = await self.next_event()
+        match event:
+            case client.Failed(err):
+                return err
+            case client.Done(ok):
+                return Result(ok=ok)
+            case client.Began(columns):
+                return await self._receive_rows(Result(columns, binary=binary), may_stream)
+            case _:
+                raise unexpected_event(event)
+
+    async def _receive_rows(self, result: Result, may_stream: bool) -> Result | Err:
+        size = 0
+        while True:
+            event = await self.next_event()
+            match event:
+                case client.Row(payload):
+                    result.rows.append(payload)
+                    size += len(payload)
+                    if size <= self._max_result_bytes:
+                        continue
+                    if not may_stream:
+                        raise ResultTooLargeError(f"a result of more than {self._max_result_bytes} bytes")
+                    result.remaining_rows = ConnectionRowStream(self)
+                    return result
+                case client.End(ok):
+                    result.ok = ok
+                    return result
+                case client.Failed(err):
+                    return err
+                case _:
+                    raise unexpected_event(event)
+
+
+class ConnectionRowStream:
+    """The rows of a long result that have not been returned yet, read directly from the connection.
+
+    Attributes:
+        ok: How the result ended; valid once `next_rows` returned no rows.
+        ended: Whether the result was read to its end, or closed.
+        finished: Set when `ended` becomes true: the connection is free, or closed.
+    """
+
+    def __init__(self, connection: BackendConnection) -> None:
+        self._connection = connection
+        self.ok = Ok()
+        self.ended = False
+        self.finished = trio.Event()
+
+    async def next_rows(self) -> list[bytes]:
+        """Some more rows; none at the end. Closes the connection when it raises or is cancelled.
+
+        Raises:
+            StatementError: The statement failed after some of its rows; the connection stays usable.
+            ConnectionLostError: The connection broke.
+        """
+        try:
+            return await self._read_chunk()
+        except BaseException:
+            self.close()
+            raise
+
+    def close(self) -> None:
+        """Discard the remaining rows. Unless all were read, this closes the connection."""
+        if self.ended:
+            return
+        # The next statement's response only follows after all remaining rows; closing is cheaper than
+        # reading them.
+        self._connection.close()
+        self._finish()
+
+    async def _read_chunk(self) -> list[bytes]:
+        rows: list[bytes] = []
+        size = 0
+        while not self.ended and size < STREAM_CHUNK_BYTES:
+            event = await self._connection.next_event()
+            match event:
+                case client.Row(payload):
+                    rows.append(payload)
+                    size += len(payload)
+                case client.End(ok):
+                    self.ok = ok
+                    self._finish()
+                case client.Failed(err):
+                    self._finish()
+                    raise StatementError(err)
+                case _:
+                    raise ConnectionLostError("the server broke off a result", sent=True)
+        return rows
+
+    def _finish(self) -> None:
+        self.ended = True
+        self.finished.set()
+
+
+def unexpected_event(event: client.Event) -> ConnectionLostError:
+    """The error for a response that no statement of ours can have."""
+    return ConnectionLostError(f"the server answered with {type(event).__name__}", sent=True)
--- a/juniperreel/pool/errors.py
+++ b/juniperreel/pool/errors.py
@@ -1,82 +1,66 @@
-"""What a member's ERR packet means for the request. No I/O.
+"""Every error that the pool raises, as one hierarchy.
 
-Only what certainly left the data as it was may count as untouched: the module sends such a request elsewhere
-at once (rule 2). Codes and their meanings: MySQL's "Server Error Message Reference". A code that is not in
-the tables is the statement's own fault, told to the client as it came; one that is in doubt is FAILED.
+Subclasses that also derive from a built-in or from `ConnectError` do so because their callers catch them as
+such.
 """
 
 from __future__ import annotations
 
-from enum import Enum
-
-
-class Meaning(Enum):
-    FAULT = "the statement is at fault"  # nothing took effect; sent elsewhere it would be told the same
-    READ_ONLY = "the member takes no writes"
-    BUSY = "the member had no room"
-    ENDED = "the member ended it"  # the transaction is undone; begun again it may pass
-    GONE = "the connection is of no more use"
-    FAILED = "the member failed"
-
-
-READ_ONLY = frozenset(
-    {
-        1290,  # running with --read-only or --super-read-only
-        1836,  # running in read-only mode
-        3100,  # a plugin (group replication) does not let it write
-    }
-)
-BUSY = frozenset(
-    {
-        1040,  # too many connections
-        1041,  # out of memory
-        1135,  # can't create a thread
-        1203,  # too many user connections
-        1226,  # a user's resource limit
-    }
-)
-ENDED = frozenset(
-    {
-        1205,  # lock wait timeout; by default only the statement is undone
-        1213,  # deadlock: the whole transaction is undone
-        1317,  # query execution was interrupted
-        1614,  # transaction branch was rolled back: deadlock
-        3024,  # maximum statement execution time exceeded
-        3101,  # the plugin (group replication) undid it at commit
-        3572,  # lock not acquired at once, and nowait was asked for
-    }
-)
-UNDOES_ALL = frozenset({1213, 1614, 3101})  # of ENDED: the transaction is over
-GONE = frozenset(
-    {
-        1053,  # server shutdown in progress
-        1077,
-        1079,
-        1927,  # connection was killed
-        4031,  # disconnected for inactivity
-    }
-)
-FAILED = frozenset(
-    {
-        1030,  # an error from the storage engine
-        1037,  # out of memory
-        1105,  # unknown error
-        1180,  # an error during commit
-        1181,  # an error during rollback
-        1296,
-        1297,
-        3168,  # server isn't available
-    }
-)
-
-
-def meaning(code: int) -> Meaning:
-    if code in READ_ONLY:
-        return Meaning.READ_ONLY
-    if code in BUSY:
-        return Meaning.BUSY
-    if code in ENDED:
-        return Meaning.ENDED
-    if code in GONE:
-        return Meaning.GONE
-    return Meaning.FAILED if code in FAILED else Meaning.FAULT
+from juniperreel.mysql.replies import Err
+from juniperreel.net import ConnectError
+
+
+class PoolError(Exception):
+    """Base of the errors of this package."""
+
+
+class ConnectionLostError(PoolError):
+    """The connection to the server broke.
+
+    Attributes:
+        sent: Whether the server may have received, and executed, what was in flight.
+    """
+
+    def __init__(self, reason: str, sent: bool) -> None:
+        super().__init__(reason)
+        self.sent = sent
+
+
+class StatementError(PoolError):
+    """The server answered a statement with an ERR packet; the connection stays usable.
+
+    Attributes:
+        err: The decoded packet.
+    """
+
+    def __init__(self, err: Err) -> None:
+        super().__init__(f"{err.code}: {err.words}")
+        self.err = err
+
+
+class ResultTooLargeError(PoolError):
+    """A result exceeds the configured buffer, and the caller did not ask for a stream."""
+
+
+class LoginRejectedError(PoolError, ConnectError):
+    """The server rejected the login; no statement was sent.
+
+    Attributes:
+        code: The server's error code; 0 if it gave none.
+    """
+
+    def __init__(self, reason: str, code: int) -> None:
+        super().__init__(reason)
+        self.code = code
+
+
+class StatusUnavailableError(PoolError):
+    """The server did not report its replication status, or not in the expected form."""
+
+
+class InvalidGtidError(PoolError, ValueError):
+    """Text that is not a GTID, or not a set of GTIDs."""
+
+
+class SessionStateTooLargeError(PoolError, ValueError):
+    """A session sets more variables, or longer values, than the pool replays."""
--- a/juniperreel/proxy/attempt_runner.py
+++ b/juniperreel/proxy/attempt_runner.py
@@ -16,9 +16,7 @@
     outcome_of_error,
     outcome_of_unfinished,
 )
-from juniperreel.routing.types import (
-    Outcome,
-)
+from juniperreel.routing.types import Outcome
 from juniperreel.telemetry.traces import Traces
 
 
--- a/juniperreel/proxy/cached_list.py
+++ b/juniperreel/proxy/cached_list.py
@@ -11,9 +11,7 @@
 
 from juniperreel.proxy.endpoint_list import EndpointSource, ListedEndpoint
 from juniperreel.proxy.errors import CachedListError
-from juniperreel.routing.types import (
-    Readiness,
-)
+from juniperreel.routing.types import Readiness
 
 FORMAT = 1
 FILE_MODE = 0o644
--- a/juniperreel/proxy/configuration_source.py
+++ b/juniperreel/proxy/configuration_source.py
@@ -15,9 +15,7 @@
 from juniperreel.proxy.options import DriverOptions
 from juniperreel.raft.client import Instances
 from juniperreel.raft.configuration.model import EMPTY, Configuration
-from juniperreel.routing.types import (
-    UpdateKind,
-)
+from juniperreel.routing.types import UpdateKind
 
 
 def endpoints_of(configuration: Configuration, groups: int) -> list[ListedEndpoint]:
--- a/juniperreel/proxy/endpoint_list.py
+++ b/juniperreel/proxy/endpoint_list.py
@@ -19,11 +19,7 @@
 from juniperreel.proto.hosts.v1 import hosts_pb2
 from juniperreel.proxy.options import DriverOptions
 from juniperreel.raft.client import Instances
-from juniperreel.routing.types import (
-    Endpoint,
-    Readiness,
-    UpdateKind,
-)
+from juniperreel.routing.types import Endpoint, Readiness, UpdateKind
 from juniperreel.rpc.channel import Broken, Channel, NeverSent
 from juniperreel.rpc.status import RpcError
 
--- a/juniperreel/proxy/endpoint_registry.py
+++ b/juniperreel/proxy/endpoint_registry.py
@@ -6,10 +6,7 @@
 
 from juniperreel.proxy.attempts import EndpointConnections
 from juniperreel.proxy.open_requests import EndpointListUpdated
-from juniperreel.routing.types import (
-    Readiness,
-    UpdateKind,
-)
+from juniperreel.routing.types import Readiness, UpdateKind
 
 
 class EndpointRegistry:
--- a/juniperreel/proxy/errors.py
+++ b/juniperreel/proxy/errors.py
@@ -4,9 +4,7 @@
 
 from pathlib import Path
 
-from juniperreel.routing.types import (
-    Outcome,
-)
+from juniperreel.routing.types import Outcome
 
 # Sent to clients for what this program cannot do: ER_NOT_SUPPORTED_YET and ER_NET_PACKET_TOO_LARGE.
 NOT_SUPPORTED_CODE = 1235
--- a/juniperreel/proxy/grpc_endpoints.py
+++ b/juniperreel/proxy/grpc_endpoints.py
@@ -150,7 +150,7 @@
 
 def replication_status(message: member_pb2.Standing) -> ReplicationStatus:
     """The status in a response; its role is None where the endpoint gives none."""
-    history = History.of((entry.epoch, entry.start) for entry in message.epochs)
+    history = History.from_starts((entry.epoch, entry.start) for entry in message.epochs)
     return ReplicationStatus(IS_PRIMARY.get(message.role), message.position, history)
 
 
--- a/juniperreel/proxy/mysql_endpoints.py
+++ b/juniperreel/proxy/mysql_endpoints.py
@@ -14,11 +14,13 @@
 from juniperreel.mysql.replies import Err
 from juniperreel.net import Clock, ConnectTimedOut, Network
 from juniperreel.net.clock import US
-from juniperreel.pool import standing as published
-from juniperreel.pool.backend import Backend, Lost, Remainder, TooLong
-from juniperreel.pool.core import Lease, Pool
+from juniperreel.pool import endpoint_status
+from juniperreel.pool.connection import BackendConnection, ConnectionRowStream
+from juniperreel.pool.core import Pool
+from juniperreel.pool.errors import ConnectionLostError, ResultTooLargeError, StatusUnavailableError
 from juniperreel.pool.result import Result, Statement
-from juniperreel.pool.state import replay
+from juniperreel.pool.session_state import replay_statement
+from juniperreel.pool.types import Lease
 from juniperreel.proxy.attempts import AttemptRequest, AttemptResponse, EndpointReport
 from juniperreel.proxy.endpoint_address import EndpointAddress
 from juniperreel.proxy.errors import EndpointError
@@ -37,14 +39,11 @@
 from juniperreel.proxy.positions import PositionTracker
 from juniperreel.proxy.requests import ClientRequest
 from juniperreel.proxy.transactions import ENDPOINT_REMOVED, EndpointTransaction
-from juniperreel.routing.types import (
-    Outcome,
-)
+from juniperreel.routing.types import Outcome
 from juniperreel.rpc.channel import Broken, NeverSent
 from juniperreel.telemetry.metrics import Metrics
 
 MAX_WAIT_S = 1.0  # between two rounds of the pools' deadlines
-CLOSED_HERE = "closed here"  # `Backend.why` of a connection that this side closed
 
 
 class MysqlEndpoint:
@@ -83,7 +82,7 @@
         if self.is_draining:
             transaction.abort(ENDPOINT_REMOVED)
 
-    def kill_statement_of(self, victim: Backend) -> None:
+    def kill_statement_of(self, victim: BackendConnection) -> None:
         """Have the server end what still runs on a connection that this side closed."""
         if not self.is_draining:
             self.monitor.kill_statement_of(victim)
@@ -95,7 +94,7 @@
         metrics.pool.labels(self.name, "idle").set(pool.idle)
         metrics.pool.labels(self.name, "opening").set(pool.opening)
         metrics.pool_waiting.labels(self.name).set(pool.waiting)
-        metrics.pool_most.labels(self.name).set(pool.cap)
+        metrics.pool_most.labels(self.name).set(pool.connection_limit)
 
 
 class MysqlEndpoints:
@@ -164,7 +163,9 @@
 
     def _new_endpoint(self, name: str, address: EndpointAddress) -> MysqlEndpoint:
         assert self._nursery is not None
-        core: Pool[Backend] = Pool(self._mysql_options.pool_sizes, random.Random(self._rng.random()))
+        core: Pool[BackendConnection] = Pool(
+            self._mysql_options.pool_sizes, random.Random(self._rng.random())
+        )
         pool = EndpointPool(
             name,
             address,
@@ -205,7 +206,7 @@
         """All transactions that are open."""
         return [transaction for endpoint in self._endpoints.values() for transaction in endpoint.transactions]
 
-    def pools(self) -> dict[str, Pool[Backend]]:
+    def pools(self) -> dict[str, Pool[BackendConnection]]:
         """The endpoints' pools by name, for tests and benchmarks."""
         return {name: endpoint.pool.core for name, endpoint in self._endpoints.items()}
 
@@ -230,12 +231,12 @@
             response = await self._execute_on(target, lease, attempt, sent)
         except BaseException:
             target.pool.give_back(lease, reusable)
-            if lease.connection.why == CLOSED_HERE:
+            if lease.connection.closed_locally:
                 target.kill_statement_of(lease.connection)
             raise
         if response.transaction is not None:
             return response  # the transaction owns the lease
-        rest = getattr(response.result, "rest", None)
+        rest = getattr(response.result, "remaining_rows", None)
         if rest is None:
             target.pool.give_back(lease, reusable)
         else:
@@ -244,7 +245,11 @@
         return response
 
     async def _execute_on(
-        self, target: MysqlEndpoint, lease: Lease[Backend], attempt: AttemptRequest, sent: trio.Event
+        self,
+        target: MysqlEndpoint,
+        lease: Lease[BackendConnection],
+        attempt: AttemptRequest,
+        sent: trio.Event,
     ) -> AttemptResponse:
         exchange = AttemptExchange(
             target.name,
@@ -258,15 +263,18 @@
             await self._replay(lease.connection, attempt)
             sent.set()
             return await exchange.execute()
-        except Lost as error:
+        except ConnectionLostError as error:
             if not error.sent or not sent.is_set():
                 raise NeverSent(str(error)) from error
             raise Broken(str(error)) from error
 
-    async def _replay(self, backend: Backend, attempt: AttemptRequest) -> None:
-        """Bring the connection to the session's state. Raises Lost, or EndpointError where it is rejected."""
+    async def _replay(self, backend: BackendConnection, attempt: AttemptRequest) -> None:
+        """Bring the connection to the session's state.
+
+        Raises ConnectionLostError, or EndpointError where the endpoint rejects it.
+        """
         request = attempt.request
-        statements = [replay(backend.state, request.session_state)]
+        statements = [replay_statement(backend.session_state, request.session_state)]
         if request.last_insert_id is not None:
             statements.append(f"set @@session.last_insert_id = {request.last_insert_id}".encode())
         for text in statements:
@@ -279,18 +287,18 @@
                 # How much of the state the endpoint took over is not known: nobody may reuse it.
                 backend.close()
                 raise error_of(answer)
-        backend.state = request.session_state
+        backend.session_state = request.session_state
 
     @staticmethod
     async def _give_back_after(
-        target: MysqlEndpoint, lease: Lease[Backend], rest: Remainder, reusable: bool
+        target: MysqlEndpoint, lease: Lease[BackendConnection], rest: ConnectionRowStream, reusable: bool
     ) -> None:
         """End the lease once a long result has been read to its end, or closed."""
-        await rest.over.wait()
+        await rest.finished.wait()
         target.pool.give_back(lease, reusable)
 
     def _begin_transaction(
-        self, target: MysqlEndpoint, lease: Lease[Backend], request: ClientRequest
+        self, target: MysqlEndpoint, lease: Lease[BackendConnection], request: ClientRequest
     ) -> EndpointTransaction:
         assert self._nursery is not None
 
@@ -316,13 +324,16 @@
     # Health checks.
 
     async def check_health(self, endpoint: str) -> EndpointReport:
-        """Ask the endpoint for its report. Raises ConnectError, Broken, Lost or EndpointError."""
+        """Ask the endpoint for its report.
+
+        Raises ConnectError, Broken, ConnectionLostError or EndpointError.
+        """
         target = self._endpoints.get(endpoint)
         if target is None or target.is_draining:
             raise ConnectTimedOut(f"no address is known for {endpoint}")
         try:
             answers = await target.monitor.exchange([STATUS_QUERY, LOAD_QUERY, GTIDS_QUERY])
-        except (Lost, TooLong) as error:
+        except (ConnectionLostError, ResultTooLargeError) as error:
             raise Broken(str(error)) from error
         status_answer, load, gtids = answers
         heartbeat = heartbeat_of(status_answer)
@@ -335,6 +346,6 @@
                 group = self._group_of(endpoint)
                 self._positions.record_status(group, status)
                 self._positions.record_executed_gtids(group, status, str(executed))
-            return EndpointReport(status, in_flight=published.load(load.values()), queued=0.0)
-        except (published.NotTold, ProtocolError, ValueError) as error:
+            return EndpointReport(status, in_flight=endpoint_status.parse_load(load.values()), queued=0.0)
+        except (StatusUnavailableError, ProtocolError, ValueError) as error:
             raise EndpointError(Outcome.ERROR, str(error)) from error
--- a/juniperreel/proxy/mysql_exchange.py
+++ b/juniperreel/proxy/mysql_exchange.py
@@ -11,8 +11,14 @@
 
 from juniperreel.mysql.replies import Err
 from juniperreel.mysql.values import Value
-from juniperreel.pool.backend import FORGOTTEN, Backend, Lost, TooLong
-from juniperreel.pool.errors import UNDOES_ALL, Meaning, meaning
+from juniperreel.pool.connection import BackendConnection
+from juniperreel.pool.error_codes import (
+    REPREPARE_CODES,
+    TRANSACTION_ROLLBACK_CODES,
+    ErrorCategory,
+    error_category,
+)
+from juniperreel.pool.errors import ConnectionLostError, ResultTooLargeError
 from juniperreel.pool.result import Result, Statement
 from juniperreel.proxy.attempts import AttemptRequest, AttemptResponse
 from juniperreel.proxy.errors import EndpointError, not_supported, too_large
@@ -28,9 +34,7 @@
 from juniperreel.proxy.positions import PositionTracker, ReplicationStatus
 from juniperreel.proxy.requests import TransactionMode
 from juniperreel.proxy.transactions import EndpointTransaction
-from juniperreel.routing.types import (
-    Outcome,
-)
+from juniperreel.routing.types import Outcome
 
 BEGIN_READ_WRITE = Statement(b"start transaction")
 BEGIN_READ_ONLY = Statement(b"start transaction read only")
@@ -45,7 +49,7 @@
     def __init__(
         self,
         endpoint: str,
-        backend: Backend,
+        backend: BackendConnection,
         attempt: AttemptRequest,
         positions: PositionTracker,
         group_of: Callable[[str], int],
@@ -68,7 +72,7 @@
         }
 
     async def execute(self) -> AttemptResponse:
-        """Execute the attempt. Raises Lost or EndpointError."""
+        """Execute the attempt. Raises ConnectionLostError or EndpointError."""
         mode = self._attempt.request.transaction_mode
         try:
             if mode is TransactionMode.READ_WRITE:
@@ -78,7 +82,7 @@
             if self._attempt.is_write:
                 return await self._write()
             return await self._read()
-        except TooLong as error:
+        except ResultTooLargeError as error:
             raise too_large(str(error)) from error
 
     async def _run(self, steps: Sequence[Statement], main: int, stream: bool = False) -> list[Result | Err]:
@@ -88,7 +92,7 @@
         """
         answers = await self._backend.exchange(steps, self._attributes, main, stream)
         answer = answers[main]
-        forgotten = isinstance(answer, Err) and answer.code in FORGOTTEN
+        forgotten = isinstance(answer, Err) and answer.code in REPREPARE_CODES
         if forgotten and not self._backend.session.in_transaction:
             answers = await self._backend.exchange(steps, self._attributes, main, stream)
         return answers
@@ -100,13 +104,13 @@
         if isinstance(answer, Err):
             raise error_of(answer)
         if not self._attempt.required.is_met_by(status):
-            if answer.rest is not None:
-                answer.rest.close()
+            if answer.remaining_rows is not None:
+                answer.remaining_rows.close()
             return AttemptResponse(None, status)  # the response check finds that it is too old
         return AttemptResponse(answer, status)
 
     async def _write(self) -> AttemptResponse:
-        """Raises Lost where the commit's epoch is in doubt."""
+        """Raises ConnectionLostError where the commit's epoch is in doubt."""
         steps = [STATUS_QUERY, self._statement, STATUS_QUERY]
         status_before, answer, status_after = await self._run(steps, 1)
         before = heartbeat_of(status_before)
@@ -120,9 +124,9 @@
             after = heartbeat_of(status_after)
         except EndpointError as error:
             message = f"{self._endpoint} does not report the status of its commit: {error}"
-            raise Lost(message, sent=True) from error
+            raise ConnectionLostError(message, sent=True) from error
         if changed_role(before, after):
-            raise Lost(f"{self._endpoint} changed its role during a write", sent=True)
+            raise ConnectionLostError(f"{self._endpoint} changed its role during a write", sent=True)
         status = replication_status(after)
         group = self._group_of(self._endpoint)
         self._positions.record_commit(group, status.history.epoch, after.clock_us, answer.ok.gtids)
@@ -160,10 +164,10 @@
         """The response to a transaction's first statement, which may fail and leave the transaction open."""
         error = None
         if isinstance(answer, Err):
-            if meaning(answer.code) not in (Meaning.FAULT, Meaning.ENDED):
+            if error_category(answer.code) not in (ErrorCategory.STATEMENT_ERROR, ErrorCategory.ABORTED):
                 raise error_of(answer)
             error = statement_error(answer)
-            if answer.code in UNDOES_ALL:
+            if answer.code in TRANSACTION_ROLLBACK_CODES:
                 raise error
         if not self._backend.session.in_transaction:
             raise EndpointError(Outcome.ERROR, f"{self._endpoint} began no transaction")
--- a/juniperreel/proxy/mysql_monitor.py
+++ b/juniperreel/proxy/mysql_monitor.py
@@ -11,7 +11,8 @@
 
 from juniperreel.mysql.replies import Err
 from juniperreel.net.clock import US
-from juniperreel.pool.backend import Backend, Lost, TooLong
+from juniperreel.pool.connection import BackendConnection
+from juniperreel.pool.errors import ConnectionLostError, ResultTooLargeError
 from juniperreel.pool.result import Result, Statement
 from juniperreel.proxy.endpoint_address import EndpointAddress
 from juniperreel.proxy.mysql_pool import BackendConnector
@@ -36,7 +37,7 @@
         self._kill_timeout_us = kill_timeout_us
         self._metrics = metrics
         self._nursery = nursery
-        self._backend: Backend | None = None
+        self._backend: BackendConnection | None = None
         self._lock = trio.Lock()  # exchanges on one connection follow one another
         self._pending_kills = 0
         self.killed = 0
@@ -47,9 +48,12 @@
         return self._backend is not None
 
     async def exchange(self, steps: Sequence[Statement]) -> list[Result | Err]:
-        """Run statements on the connection. Raises ConnectError, Lost or TooLong."""
+        """Run statements on the connection.
+
+        Raises ConnectError, ConnectionLostError or ResultTooLargeError.
+        """
         async with self._lock:
-            if self._backend is None or self._backend.why:
+            if self._backend is None or self._backend.close_reason:
                 self._backend = await self._connector.connect(self._address)
                 self._nursery.start_soon(self._backend.run)
             return await self._backend.exchange(steps)
@@ -59,27 +63,27 @@
         if self._backend is not None:
             self._backend.close()
 
-    def kill_statement_of(self, victim: Backend) -> None:
+    def kill_statement_of(self, victim: BackendConnection) -> None:
         """Have the endpoint end a statement that nobody waits for; without this it would run on.
 
         If the server was restarted, it may have given the victim's number to another client's connection,
         which would be killed instead. Only a connection that lived beside the victim proves that it was not.
         """
         backend = self._backend
-        if backend is None or backend.why or self._pending_kills >= MAX_PENDING_KILLS:
+        if backend is None or backend.close_reason or self._pending_kills >= MAX_PENDING_KILLS:
             return
         self._pending_kills += 1
-        self._nursery.start_soon(self._kill, backend, victim.thread)
+        self._nursery.start_soon(self._kill, backend, victim.thread_id)
 
-    async def _kill(self, backend: Backend, thread: int) -> None:
+    async def _kill(self, backend: BackendConnection, thread: int) -> None:
         try:
             with trio.move_on_after(self._kill_timeout_us / US):
                 async with self._lock:
-                    if not backend.why:
+                    if not backend.close_reason:
                         await backend.exchange([Statement(f"kill {thread}".encode())])
                         self.killed += 1
                         self._metrics.kills.inc()
-        except (Lost, TooLong):
+        except (ConnectionLostError, ResultTooLargeError):
             pass  # the connection broke, and the server's statement may have ended with it
         finally:
             self._pending_kills -= 1
--- a/juniperreel/proxy/mysql_pool.py
+++ b/juniperreel/proxy/mysql_pool.py
@@ -11,21 +11,22 @@
 import trio
 
 from juniperreel.net import Clock, ConnectError, ConnectTimedOut, Network
-from juniperreel.pool.backend import Backend, Login, NotLetIn
-from juniperreel.pool.core import (
-    GONE,
-    UNREACHABLE,
-    Action,
-    Close,
-    Give,
+from juniperreel.pool.config import BackendConfig
+from juniperreel.pool.connection import BackendConnection
+from juniperreel.pool.core import Pool
+from juniperreel.pool.error_codes import ErrorCategory, error_category
+from juniperreel.pool.errors import LoginRejectedError
+from juniperreel.pool.session_state import SessionState
+from juniperreel.pool.types import (
+    AcquireRejected,
+    AcquireRequest,
+    CloseConnection,
     Lease,
-    Open,
-    Pool,
-    Turn,
-    Want,
+    LeaseGranted,
+    OpenConnection,
+    PoolAction,
+    RejectionReason,
 )
-from juniperreel.pool.errors import Meaning, meaning
-from juniperreel.pool.state import SessionState
 from juniperreel.proxy.endpoint_address import EndpointAddress
 from juniperreel.rpc.channel import NeverSent
 from juniperreel.telemetry.metrics import Metrics
@@ -39,15 +40,17 @@
 class BackendConnector:
     """Opens connections to endpoints, and counts them in `opened`."""
 
-    def __init__(self, network: Network, login: Login, timeout_us: int) -> None:
+    def __init__(self, network: Network, login: BackendConfig, timeout_us: int) -> None:
         self._network = network
         self._login = login
         self._timeout_us = timeout_us
         self.opened = 0
 
-    async def connect(self, address: EndpointAddress) -> Backend:
+    async def connect(self, address: EndpointAddress) -> BackendConnection:
         """Connect and log in. Raises ConnectError."""
-        backend = await Backend.open(self._network, address.host, address.port, self._login, self._timeout_us)
+        backend = await BackendConnection.open(
+            self._network, address.host, address.port, self._login, self._timeout_us
+        )
         self.opened += 1
         return backend
 
@@ -57,10 +60,10 @@
 
     def __init__(self) -> None:
         self.decided = trio.Event()
-        self.lease: Lease[Backend] | None = None
+        self.lease: Lease[BackendConnection] | None = None
         self.rejection_reason = ""
 
-    def grant(self, lease: Lease[Backend]) -> None:
+    def grant(self, lease: Lease[BackendConnection]) -> None:
         """Give it the connection."""
         self.lease = lease
         self.decided.set()
@@ -82,7 +85,7 @@
         self,
         endpoint: str,
         address: EndpointAddress,
-        core: Pool[Backend],
+        core: Pool[BackendConnection],
         connector: BackendConnector,
         clock: Clock,
         metrics: Metrics,
@@ -112,7 +115,7 @@
 
     def next_due_us(self, now_us: int) -> int | None:
         """When `process_due` should be called next, None for no deadline."""
-        return self.core.due_us(now_us)
+        return self.core.next_tick_us(now_us)
 
     def resume(self) -> None:
         """Lend connections again after `drain`."""
@@ -122,20 +125,22 @@
         """Reject who waits, and close connections as they come back."""
         self._apply(self.core.drain())
 
-    async def lease(self, tenant_index: int, priority_weight: float, state: SessionState) -> Lease[Backend]:
+    async def lease(
+        self, tenant_index: int, priority_weight: float, state: SessionState
+    ) -> Lease[BackendConnection]:
         """Wait for a connection, preferably one in this session state. Raises ConnectError or NeverSent."""
         while True:
-            want = Want(next(self._want_ids), tenant_index, priority_weight, state=state)
+            want = AcquireRequest(next(self._want_ids), tenant_index, priority_weight, session_state=state)
             lease = await self._wait_for_lease(want)
-            if not lease.connection.why:
+            if not lease.connection.close_reason:
                 return lease
             self.give_back(lease, reusable=False)  # the endpoint closed it while it was idle
 
-    async def _wait_for_lease(self, want: Want) -> Lease[Backend]:
+    async def _wait_for_lease(self, want: AcquireRequest) -> Lease[BackendConnection]:
         waiter = PoolWaiter()
         self._waiters[want.id] = waiter
         try:
-            self._apply(self.core.ask(self._clock.now_us(), want))
+            self._apply(self.core.acquire(self._clock.now_us(), want))
             await waiter.decided.wait()
         except trio.Cancelled:
             self._abandon(want, waiter)
@@ -143,22 +148,22 @@
         if waiter.lease is not None:
             return waiter.lease
         reason = waiter.rejection_reason
-        if reason in (UNREACHABLE, GONE):
+        if reason in (RejectionReason.UNREACHABLE, RejectionReason.DRAINING):
             raise ConnectTimedOut(f"{self._endpoint}: {reason}; {self._last_failure}")
         raise NeverSent(f"{self._endpoint}: {reason}")
 
-    def _abandon(self, want: Want, waiter: PoolWaiter) -> None:
+    def _abandon(self, want: AcquireRequest, waiter: PoolWaiter) -> None:
         if waiter.lease is not None:
             self.give_back(waiter.lease, reusable=True)
         else:
             self._waiters.pop(want.id, None)
-            self._apply(self.core.gone(self._clock.now_us(), want.id))
+            self._apply(self.core.cancel(want.id))
 
-    def give_back(self, lease: Lease[Backend], reusable: bool) -> None:
+    def give_back(self, lease: Lease[BackendConnection], reusable: bool) -> None:
         """End a lease. A connection that is broken or in doubt is closed, `reusable` or not."""
         backend = lease.connection
         reason = "" if reusable else TAINTED
-        if backend.why or backend.session.in_hand:
+        if backend.close_reason or backend.session.in_hand:
             reason = BROKEN
         elif backend.session.in_transaction:
             # A transaction that is still open would take in the next client's statement.
@@ -166,47 +171,50 @@
         if reason:
             self._metrics.pool_spent.labels(reason).inc()
             backend.close()
-        self._apply(self.core.back(self._clock.now_us(), lease, not reason, backend.state))
+        self._apply(self.core.release(self._clock.now_us(), lease, not reason, backend.session_state))
 
-    def _apply(self, actions: Sequence[Action[Backend]]) -> None:
+    def _apply(self, actions: Sequence[PoolAction[BackendConnection]]) -> None:
         for action in actions:
             match action:
-                case Give(lease):
+                case LeaseGranted(lease):
                     self._grant(lease)
-                case Turn(want, reason):
+                case AcquireRejected(want, reason):
                     self._metrics.pool_turned.labels(reason).inc()
                     waiter = self._waiters.pop(want.id, None)
                     if waiter is not None:
                         waiter.reject(reason)
-                case Open():
+                case OpenConnection():
                     self._nursery.start_soon(self._open)
-                case Close(backend):
-                    self._nursery.start_soon(backend.leave)
+                case CloseConnection(backend):
+                    self._nursery.start_soon(backend.quit)
         if self.core.waiting:
             self._on_waiting()
 
-    def _grant(self, lease: Lease[Backend]) -> None:
-        waiter = self._waiters.pop(lease.want.id, None)
+    def _grant(self, lease: Lease[BackendConnection]) -> None:
+        waiter = self._waiters.pop(lease.request.id, None)
         if waiter is not None:
             waiter.grant(lease)
         else:  # its attempt was cancelled in the same moment
             now = self._clock.now_us()
-            self._apply(self.core.back(now, lease, True, lease.connection.state))
+            self._apply(self.core.release(now, lease, True, lease.connection.session_state))
 
     async def _open(self) -> None:
         try:
             backend = await self._connector.connect(self.address)
         except ConnectError as error:
             self._last_failure = str(error)
-            is_busy = isinstance(error, NotLetIn) and meaning(error.code) is Meaning.BUSY
-            self._apply(self.core.failed(self._clock.now_us(), is_busy))
+            is_busy = (
+                isinstance(error, LoginRejectedError)
+                and error_category(error.code) is ErrorCategory.OVERLOADED
+            )
+            self._apply(self.core.open_failed(self._clock.now_us(), is_busy))
             return
         except BaseException:
-            self.core.given_up(self._clock.now_us())
+            self.core.open_abandoned(self._clock.now_us())
             raise
         self._nursery.start_soon(self._read_until_closed, backend)
-        self._apply(self.core.opened(self._clock.now_us(), backend, backend.state))
+        self._apply(self.core.connection_opened(self._clock.now_us(), backend, backend.session_state))
 
-    async def _read_until_closed(self, backend: Backend) -> None:
+    async def _read_until_closed(self, backend: BackendConnection) -> None:
         await backend.run()
-        self._apply(self.core.lost(self._clock.now_us(), backend))
+        self._apply(self.core.connection_lost(self._clock.now_us(), backend))
--- a/juniperreel/proxy/mysql_replies.py
+++ b/juniperreel/proxy/mysql_replies.py
@@ -8,32 +8,30 @@
 from juniperreel.mysql.packets import ProtocolError
 from juniperreel.mysql.replies import Err
 from juniperreel.mysql.values import Value
-from juniperreel.pool import standing as published
-from juniperreel.pool.backend import Lost
-from juniperreel.pool.errors import Meaning, meaning
+from juniperreel.pool import endpoint_status
+from juniperreel.pool.error_codes import ErrorCategory, error_category
+from juniperreel.pool.errors import ConnectionLostError, StatusUnavailableError
 from juniperreel.pool.result import Result, Statement
 from juniperreel.proxy.errors import EndpointError
 from juniperreel.proxy.positions import ReplicationStatus
-from juniperreel.routing.types import (
-    Outcome,
-)
+from juniperreel.routing.types import Outcome
 
-STATUS_QUERY = Statement(published.QUERY)
-LOAD_QUERY = Statement(published.LOAD)
-GTIDS_QUERY = Statement(published.GTIDS)
+STATUS_QUERY = Statement(endpoint_status.STATUS_QUERY)
+LOAD_QUERY = Statement(endpoint_status.LOAD_QUERY)
+GTIDS_QUERY = Statement(endpoint_status.GTID_QUERY)
 
 
-def error_of(err: Err) -> EndpointError | Lost:
+def error_of(err: Err) -> EndpointError | ConnectionLostError:
     """The exception to raise for an ERR packet."""
     message = f"{err.code}: {err.words}"
-    match meaning(err.code):
-        case Meaning.READ_ONLY:
+    match error_category(err.code):
+        case ErrorCategory.READ_ONLY:
             return EndpointError(Outcome.INELIGIBLE, message)
-        case Meaning.BUSY:
+        case ErrorCategory.OVERLOADED:
             return EndpointError(Outcome.REJECTED, message)
-        case Meaning.GONE:
-            return Lost(message, sent=True)
-        case Meaning.FAULT | Meaning.ENDED:
+        case ErrorCategory.CONNECTION_CLOSED:
+            return ConnectionLostError(message, sent=True)
+        case ErrorCategory.STATEMENT_ERROR | ErrorCategory.ABORTED:
             return statement_error(err)
         case _:
             return EndpointError(Outcome.ERROR, message)
@@ -44,10 +42,10 @@
     return EndpointError(Outcome.OK, err.words, err.code, err.state)
 
 
-def heartbeat_of(answer: Result | Err) -> published.Told:
+def heartbeat_of(answer: Result | Err) -> endpoint_status.EndpointStatus:
     """Read the reply to `STATUS_QUERY`.
 
-    Raises EndpointError or Lost: an endpoint that doesn't report its status is not believed.
+    Raises EndpointError or ConnectionLostError: an endpoint that doesn't report its status is not believed.
     """
     if isinstance(answer, Err):
         error = error_of(answer)
@@ -57,22 +55,22 @@
             raise EndpointError(Outcome.ERROR, message)
         raise error
     try:
-        return published.told(answer.values())
-    except (published.NotTold, ProtocolError) as error:
+        return endpoint_status.parse_status(answer.values())
+    except (StatusUnavailableError, ProtocolError) as error:
         raise EndpointError(Outcome.ERROR, str(error)) from error
 
 
-def replication_status(heartbeat: published.Told) -> ReplicationStatus:
+def replication_status(heartbeat: endpoint_status.EndpointStatus) -> ReplicationStatus:
     """The status that a heartbeat shows."""
     return ReplicationStatus(
         is_primary=not heartbeat.read_only,
         position=heartbeat.position_us,
-        history=History.of(heartbeat.epochs),
+        history=History.from_starts(heartbeat.epochs),
         clock_us=heartbeat.clock_us,
     )
 
 
-def changed_role(before: published.Told, after: published.Told) -> bool:
+def changed_role(before: endpoint_status.EndpointStatus, after: endpoint_status.EndpointStatus) -> bool:
     """Whether `read_only` or the epoch changed around a commit, which the group may then never hold."""
     return before.read_only or before.epochs != after.epochs
 
--- a/juniperreel/proxy/open_requests.py
+++ b/juniperreel/proxy/open_requests.py
@@ -10,13 +10,7 @@
 from juniperreel.proxy.endpoint_list import ListedEndpoint
 from juniperreel.proxy.positions import RequiredPosition
 from juniperreel.proxy.requests import Answer, ClientRequest, Failed, Rejected, Served
-from juniperreel.routing.types import (
-    ClientDisconnected,
-    Consistency,
-    Outcome,
-    RequestClass,
-    UpdateKind,
-)
+from juniperreel.routing.types import ClientDisconnected, Consistency, Outcome, RequestClass, UpdateKind
 
 # Outcomes that suggest an endpoint at the limit of its capacity.
 CONGESTION_OUTCOMES = (Outcome.REJECTED, Outcome.TIMEOUT, Outcome.CANCELLED)
--- a/juniperreel/proxy/options.py
+++ b/juniperreel/proxy/options.py
@@ -5,11 +5,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from juniperreel.pool.backend import Login
-from juniperreel.pool.core import Sizes
-from juniperreel.routing.types import (
-    Settings,
-)
+from juniperreel.pool.config import BackendConfig, PoolConfig
+from juniperreel.routing.types import Settings
 from juniperreel.rpc.limits import Limits
 
 
@@ -17,9 +14,9 @@
 class MysqlEndpointOptions:
     """How to reach endpoints that speak MySQL; `pool_sizes` applies to each endpoint's connection pool."""
 
-    login: Login
+    login: BackendConfig
     transaction_timeout_us: int
-    pool_sizes: Sizes
+    pool_sizes: PoolConfig
 
 
 @dataclass(frozen=True, slots=True)
--- a/juniperreel/proxy/outcomes.py
+++ b/juniperreel/proxy/outcomes.py
@@ -8,9 +8,7 @@
 
 from juniperreel.net import ConnectError
 from juniperreel.proxy.errors import EndpointError
-from juniperreel.routing.types import (
-    Outcome,
-)
+from juniperreel.routing.types import Outcome
 from juniperreel.rpc.channel import Broken, NeverSent
 from juniperreel.rpc.status import Code, RpcError
 
--- a/juniperreel/proxy/positions.py
+++ b/juniperreel/proxy/positions.py
@@ -15,7 +15,8 @@
 from typing import NamedTuple
 
 from juniperreel.causal import History, Token
-from juniperreel.pool.gtid import BadGtid, Gtid, GtidSet
+from juniperreel.pool.errors import InvalidGtidError
+from juniperreel.pool.gtid import Gtid, GtidSet
 
 MAX_TRACKED_COMMITS = 10_000  # per group; only those of the last moments before a failover matter
 NEVER_REACHED_US = 1 << 60  # a position later than any clock's reading
@@ -80,7 +81,7 @@
     @staticmethod
     def _is_applied(commit: EpochPosition, status: ReplicationStatus) -> bool:
         history = status.history
-        if not history.holds(commit.epoch, commit.position):
+        if not history.contains(commit.epoch, commit.position):
             return False
         if status.position >= commit.position:
             return True
@@ -148,8 +149,8 @@
         although that epoch holds the commit; then its GTID decides.
         """
         try:
-            gtid = Gtid.of(gtids)
-        except BadGtid:
+            gtid = Gtid.parse(gtids)
+        except InvalidGtidError:
             return  # none was sent, or one of an unknown kind: only the position counts
         commits = self._commits.setdefault(group, deque(maxlen=MAX_TRACKED_COMMITS))
         commits.append(Commit(epoch, position, gtid))
@@ -161,8 +162,8 @@
         if not commits or not any(c.epoch < epoch for c in commits) or self.is_deposed(group, status):
             return
         try:
-            executed = GtidSet.of(gtids)
-        except BadGtid:
+            executed = GtidSet.parse(gtids)
+        except InvalidGtidError:
             return
         for commit in [c for c in commits if c.epoch < epoch]:
             commits.remove(commit)
@@ -180,20 +181,20 @@
             return token
         known = self.history(group)
         entries = dict(token.entries)
-        for epoch, position in token.of_group(group):
-            if CarriedCommit(group, epoch, position) not in self._carried or known.holds(epoch, position):
+        for epoch, position in token.positions_in(group):
+            if CarriedCommit(group, epoch, position) not in self._carried or known.contains(epoch, position):
                 continue
             later = next((EpochPosition(*start) for start in known.starts if start[0] > epoch), None)
             if later is not None:
                 del entries[group, epoch]
                 key = (group, later.epoch)
                 entries[key] = max(entries.get(key, 0), later.position)
-        return token if entries == dict(token.entries) else Token.of(entries, token.floor)
+        return token if entries == dict(token.entries) else Token.from_entries(entries, token.floor)
 
     def holds_commit(self, group: int, epoch: int, commit_position: int) -> bool:
         """Whether a commit confirmed just now is part of the newest history known."""
         known = self.history(group)
-        return not known.starts or epoch > known.epoch or known.holds(epoch, commit_position)
+        return not known.starts or epoch > known.epoch or known.contains(epoch, commit_position)
 
     def session_age(self, now_us: int, group: int, token: Token) -> int | None:
         """How long ago, on the router's clock, the position lies that a read must see; None for none.
@@ -202,12 +203,12 @@
         waits and then rejects, as with any position that no endpoint is known to have reached.
         """
         known = self.history(group)
-        commits = token.of_group(group)
+        commits = token.positions_in(group)
         if not commits and not token.floor:
             return None
         needed = token.floor
         for epoch, position in commits:
-            if known.starts and epoch < known.epoch and not known.holds(epoch, position):
+            if known.starts and epoch < known.epoch and not known.contains(epoch, position):
                 needed = NEVER_REACHED_US
             needed = max(needed, position)
         return now_us - (needed - self.skew_us)
@@ -217,5 +218,5 @@
     ) -> RequiredPosition:
         """What is demanded of the endpoint itself, which knows its own epoch and position best."""
         oldest = 0 if max_staleness_us is None else max(0, now_us + self.skew_us - max_staleness_us)
-        commits = tuple(EpochPosition(*pair) for pair in token.of_group(group))
+        commits = tuple(EpochPosition(*pair) for pair in token.positions_in(group))
         return RequiredPosition(commits, token.floor, oldest)
--- a/juniperreel/proxy/requests.py
+++ b/juniperreel/proxy/requests.py
@@ -11,7 +11,7 @@
 
 from juniperreel.causal import EMPTY, Token
 from juniperreel.pool.result import Result, Statement
-from juniperreel.pool.state import FRESH, SessionState
+from juniperreel.pool.session_state import INITIAL_SESSION_STATE, SessionState
 
 
 class TransactionMode(Enum):
@@ -73,13 +73,13 @@
     accepts_stream: bool = False  # its frontend can pass on a result in parts
     transaction_mode: TransactionMode | None = None  # None: a single statement
     taints_connection: bool = False  # its connection must not be reused afterwards
-    session_state: SessionState = FRESH  # what the session has changed of its connections
+    session_state: SessionState = INITIAL_SESSION_STATE  # what the session has changed of its connections
     last_insert_id: int | None = None  # to be set on the connection first
 
 
 def release_result(result: Any, transaction: Transaction | None) -> None:
     """Give back what an answer that nobody takes holds of its endpoint."""
-    rest = getattr(result, "rest", None)
+    rest = getattr(result, "remaining_rows", None)
     if rest is not None:
         rest.close()
     if transaction is not None:
--- a/juniperreel/proxy/response_check.py
+++ b/juniperreel/proxy/response_check.py
@@ -14,10 +14,7 @@
 from juniperreel.proxy.open_requests import Attempt, AttemptCompleted
 from juniperreel.proxy.positions import PositionTracker, ReplicationStatus
 from juniperreel.proxy.requests import Answer, MysqlErrorCode, Served, StatementFailed
-from juniperreel.routing.types import (
-    Outcome,
-    Role,
-)
+from juniperreel.routing.types import Outcome, Role
 from juniperreel.rpc.status import Code, RpcError
 from juniperreel.telemetry.metrics import Metrics
 
@@ -120,7 +117,7 @@
             seen_position = 0  # a transaction that has only begun has seen nothing that others could ask for
         token = request.token
         if status.history.starts and seen_position:
-            token = token.join(Token.at(request.group, status.history.epoch, seen_position))
+            token = token.join(Token.for_position(request.group, status.history.epoch, seen_position))
         return Served(
             result=response.result,
             token=token,
--- a/juniperreel/proxy/transactions.py
+++ b/juniperreel/proxy/transactions.py
@@ -16,11 +16,17 @@
 from juniperreel.mysql.values import Value
 from juniperreel.net import Clock
 from juniperreel.net.clock import US
-from juniperreel.pool import standing as published
-from juniperreel.pool.backend import Backend, Lost, Told, TooLong
-from juniperreel.pool.errors import UNDOES_ALL, Meaning, meaning
+from juniperreel.pool import endpoint_status
+from juniperreel.pool.connection import BackendConnection
+from juniperreel.pool.error_codes import TRANSACTION_ROLLBACK_CODES, ErrorCategory, error_category
+from juniperreel.pool.errors import (
+    ConnectionLostError,
+    ResultTooLargeError,
+    StatementError,
+    StatusUnavailableError,
+)
 from juniperreel.pool.result import Result, Statement
-from juniperreel.pool.state import SessionState
+from juniperreel.pool.session_state import SessionState
 from juniperreel.proxy.errors import TransactionOutcomeUnknownError, TransactionRolledBackError
 from juniperreel.proxy.mysql_replies import STATUS_QUERY, changed_role, replication_status
 from juniperreel.proxy.positions import PositionTracker
@@ -38,7 +44,7 @@
 
     def __init__(
         self,
-        backend: Backend,
+        backend: BackendConnection,
         request_id: str,
         endpoint: str,
         group: int,
@@ -67,12 +73,12 @@
     @property
     def state(self) -> SessionState:
         """What sessions have changed of the connection."""
-        return self._backend.state
+        return self._backend.session_state
 
     @state.setter
     def state(self, state: SessionState) -> None:
         """Record a change that a statement has made to the session."""
-        self._backend.state = state
+        self._backend.session_state = state
 
     @property
     def open(self) -> bool:
@@ -101,18 +107,19 @@
         give_back = self._give_back
         self._give_back = None
         if give_back is not None:
-            give_back(reusable and not self._backend.why and not self.tainted)
+            give_back(reusable and not self._backend.close_reason and not self.tainted)
 
     async def run(self, statement: Statement, stream: bool = True) -> Result:
         """Execute one statement.
 
-        Raises Told (the transaction may be over then: see `open`), TransactionRolledBackError, or TooLong.
+        Raises StatementError (the transaction may be over then: see `open`), TransactionRolledBackError, or
+        ResultTooLargeError.
         """
         (answer,) = await self._exchange([statement], stream=stream)
         if isinstance(answer, Err):
             self._end_if_over(answer)
-            raise Told(answer)
-        if answer.rest is None and not self._backend.session.in_transaction:
+            raise StatementError(answer)
+        if answer.remaining_rows is None and not self._backend.session.in_transaction:
             # Statements that commit by themselves end a transaction: the server says so.
             self._end(reusable=True)
         return answer
@@ -122,32 +129,32 @@
 
         Raises TransactionRolledBackError, or TransactionOutcomeUnknownError if the statement `commits`.
         """
-        match meaning(err.code):
-            case Meaning.READ_ONLY:
+        match error_category(err.code):
+            case ErrorCategory.READ_ONLY:
                 # A primary no longer: it will commit nothing; what ran is rolled back with the connection.
                 self.release()
                 raise TransactionRolledBackError(f"{self._endpoint} takes no writes any more")
-            case Meaning.GONE | Meaning.FAILED if commits:
+            case ErrorCategory.CONNECTION_CLOSED | ErrorCategory.SERVER_FAILURE if commits:
                 self.release()
                 raise TransactionOutcomeUnknownError(f"{self._endpoint} broke off the commit: {err.code}")
-            case Meaning.GONE:
+            case ErrorCategory.CONNECTION_CLOSED:
                 self.release()
                 raise TransactionRolledBackError(f"{self._endpoint} ended the connection: {err.code}")
-            case _ if err.code in UNDOES_ALL:
+            case _ if err.code in TRANSACTION_ROLLBACK_CODES:
                 self._end(reusable=False)
 
     async def finish(self, statement: Statement, commits: bool = True) -> TransactionResult:
         """Execute the last statement, a rollback unless it `commits`.
 
-        Raises Told with nothing done, TransactionRolledBackError, or TransactionOutcomeUnknownError for one
-        that commits.
+        Raises StatementError with nothing done, TransactionRolledBackError, or TransactionOutcomeUnknownError
+        for one that commits.
         """
         if commits:
             return await self._commit(statement)
         (answer,) = await self._exchange([statement])
         self._end(reusable=True)
         if isinstance(answer, Err):
-            raise Told(answer)
+            raise StatementError(answer)
         return TransactionResult(answer, EMPTY)
 
     async def _commit(self, statement: Statement) -> TransactionResult:
@@ -158,7 +165,7 @@
             self._end_if_over(answer, commits=True)
             if is_over:
                 self._end(reusable=True)
-            raise Told(answer)
+            raise StatementError(answer)
         before = read_heartbeat(status_before)
         after = read_heartbeat(status_after)
         if is_over:
@@ -175,10 +182,10 @@
         except TransactionRolledBackError as error:
             message = f"the connection to {self._endpoint} was lost during the commit"
             raise TransactionOutcomeUnknownError(message) from error
-        except TooLong as error:
+        except ResultTooLargeError as error:
             raise TransactionOutcomeUnknownError(str(error)) from error
 
-    def _record_commit(self, after: published.Told, gtids: str) -> Token:
+    def _record_commit(self, after: endpoint_status.EndpointStatus, gtids: str) -> Token:
         """The token of a confirmed commit. Raises TransactionOutcomeUnknownError in an ended epoch."""
         status = replication_status(after)
         self._positions.record_status(self._group, status)
@@ -186,12 +193,15 @@
         if not self._positions.holds_commit(self._group, epoch, after.clock_us):
             raise TransactionOutcomeUnknownError(f"{self._endpoint} is a primary of the past")
         self._positions.record_commit(self._group, epoch, after.clock_us, gtids)
-        return Token.at(self._group, epoch, after.clock_us)
+        return Token.for_position(self._group, epoch, after.clock_us)
 
     async def _exchange(
         self, steps: Sequence[Statement], main: int = 0, stream: bool = False
     ) -> list[Result | Err]:
-        """Raises TransactionRolledBackError or TooLong. Cancelled, the transaction is rolled back."""
+        """Cancelled, the transaction is rolled back.
+
+        Raises TransactionRolledBackError or ResultTooLargeError.
+        """
         if self._abort_reason or self._give_back is None:
             self._end(reusable=False)
             raise TransactionRolledBackError(self._abort_reason or "the transaction is over")
@@ -203,12 +213,12 @@
         self._is_busy = True
         try:
             return await self._backend.exchange(steps, attributes, main, stream)
-        except Lost as error:
+        except ConnectionLostError as error:
             reason = self._abort_reason or f"the connection to {self._endpoint} was lost: {error}"
             raise TransactionRolledBackError(reason) from error
         finally:
             self._is_busy = False
-            if self._backend.why:
+            if self._backend.close_reason:
                 self._end(reusable=False)
 
     async def enforce_timeout(self) -> None:
@@ -221,11 +231,11 @@
             await trio.sleep(min(remaining_us / US, TIMEOUT_CHECK_S))
 
 
-def read_heartbeat(answer: Result | Err) -> published.Told | None:
+def read_heartbeat(answer: Result | Err) -> endpoint_status.EndpointStatus | None:
     """The reply to `STATUS_QUERY`, None where the endpoint doesn't report its status."""
     if isinstance(answer, Err):
         return None
     try:
-        return published.told(answer.values())
-    except published.NotTold:
+        return endpoint_status.parse_status(answer.values())
+    except StatusUnavailableError:
         return None
--- a/tests/admission/test_gate.py
+++ b/tests/admission/test_gate.py
@@ -9,10 +9,7 @@
 from juniperreel.admission.gate import FULL, LATE, PROGRAM, PUSHED, STOPPING, WAITED
 from juniperreel.emulator.admission import Fixed, request_class
 from juniperreel.emulator.admission import settings as gate_settings
-from juniperreel.routing.types import (
-    Consistency,
-    Tenant,
-)
+from juniperreel.routing.types import Consistency, Tenant
 
 US = 1_000_000
 CLASSES = (
--- a/tests/admission/test_model.py
+++ b/tests/admission/test_model.py
@@ -7,9 +7,7 @@
 import pytest
 
 from juniperreel.emulator.admission import LOSERS, Load, Model, Server, request_class, settings
-from juniperreel.routing.types import (
-    Tenant,
-)
+from juniperreel.routing.types import Tenant
 
 US = 1_000_000
 SERVERS, CORES, WORK = 6, 2, 45_000
--- a/tests/mysql/test_client.py
+++ b/tests/mysql/test_client.py
@@ -33,14 +33,7 @@
 from juniperreel.mysql.packets import PART, packets
 from juniperreel.mysql.replies import Err, Ok, decode_err, decode_ok, encode_err, encode_ok, gtid_track
 from juniperreel.mysql.server import Command, LoggedIn, ServerSession
-from juniperreel.mysql.values import (
-    Column,
-    Value,
-    binary_row,
-    read_binary_row,
-    read_text_row,
-    text_row,
-)
+from juniperreel.mysql.values import Column, Value, binary_row, read_binary_row, read_text_row, text_row
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.verification.records import Recorder
 
--- a/tests/mysql/test_server.py
+++ b/tests/mysql/test_server.py
@@ -13,15 +13,7 @@
 
 from juniperreel.mysql.auth import NATIVE, SHA2, Credential, sha1, sha256, xor
 from juniperreel.mysql.constants import ColumnType, Com
-from juniperreel.mysql.packets import (
-    PART,
-    Cursor,
-    PacketReader,
-    ProtocolError,
-    length,
-    packets,
-    string,
-)
+from juniperreel.mysql.packets import PART, Cursor, PacketReader, ProtocolError, length, packets, string
 from juniperreel.mysql.server import Command, Event, Gone, LoggedIn, ServerSession, State
 from juniperreel.mysql.values import Column
 
--- a/tests/platform/event_harness.py
+++ b/tests/platform/event_harness.py
@@ -14,9 +14,7 @@
 from juniperreel.platform.log import Log
 from juniperreel.postgres import messages as m
 from juniperreel.postgres import server
-from juniperreel.routing.types import (
-    UpdateKind,
-)
+from juniperreel.routing.types import UpdateKind
 
 MS, SEC = 1_000, 1_000_000
 HELLO = m.startup("worker", "catalog")
--- a/tests/platform/socket_harness.py
+++ b/tests/platform/socket_harness.py
@@ -21,9 +21,7 @@
 from juniperreel.platform.log import Log
 from juniperreel.postgres import messages as m
 from juniperreel.postgres import server
-from juniperreel.routing.types import (
-    UpdateKind,
-)
+from juniperreel.routing.types import UpdateKind
 from tests.platform.event_harness import HELLO, FakeDiscovery, config_bytes, entry, row
 
 TIMEOUT_S = 30  # far more than anything here takes
--- a/tests/platform/test_discovery.py
+++ b/tests/platform/test_discovery.py
@@ -16,10 +16,7 @@
 from juniperreel.platform.discovery import Discovery
 from juniperreel.platform.endpoint_list import EndpointList
 from juniperreel.platform.log import Log
-from juniperreel.routing.types import (
-    Readiness,
-    UpdateKind,
-)
+from juniperreel.routing.types import Readiness, UpdateKind
 from tests.platform.event_harness import SEC, entry
 from tests.platform.socket_harness import TIMEOUT_S, FakeEndpoint, RemoteEnd
 
--- a/tests/platform/test_driver.py
+++ b/tests/platform/test_driver.py
@@ -9,11 +9,7 @@
 from juniperreel.platform.endpoint_list import read_endpoint_list
 from juniperreel.postgres import messages as m
 from juniperreel.postgres import server
-from juniperreel.routing.types import (
-    Action,
-    Role,
-    UpdateKind,
-)
+from juniperreel.routing.types import Action, Role, UpdateKind
 from tests.platform.event_harness import (
     HELLO,
     HOSTS,
--- a/tests/platform/test_guards.py
+++ b/tests/platform/test_guards.py
@@ -19,11 +19,7 @@
 from juniperreel.platform.graceful_shutdown import GracefulShutdown
 from juniperreel.platform.idle_timeout import IdleTimeout
 from juniperreel.platform.timer_queue import TimerQueue
-from juniperreel.routing.types import (
-    LoadReport,
-    Readiness,
-    Role,
-)
+from juniperreel.routing.types import LoadReport, Readiness, Role
 from tests.platform.event_harness import MS, SEC, SETTINGS, config_bytes, entry
 
 
--- a/tests/platform/test_planted.py
+++ b/tests/platform/test_planted.py
@@ -23,10 +23,7 @@
 from juniperreel.routing.policy.endpoint_list import EndpointTracker
 from juniperreel.routing.router import Router
 from juniperreel.routing.state import RequestState, RouterState
-from juniperreel.routing.types import (
-    Endpoint,
-    Outcome,
-)
+from juniperreel.routing.types import Endpoint, Outcome
 from tests.platform import socket_harness, test_crossings, test_discovery
 from tests.routing import test_crossings as routing_crossings
 from tests.routing import test_router
--- a/tests/proxy/builders.py
+++ b/tests/proxy/builders.py
@@ -12,7 +12,7 @@
 from juniperreel.rpc.limits import Limits
 from tests.script import MS, SEC, SETTINGS
 
-HISTORY = History.of([(1, 0)])
+HISTORY = History.from_starts([(1, 0)])
 ROUTER = replace(
     SETTINGS, requests_carry_session_age=True, must_poll=True, router_count=1, health_checks=False, tenants=()
 )
--- a/tests/proxy/test_outcomes.py
+++ b/tests/proxy/test_outcomes.py
@@ -6,9 +6,7 @@
 
 from juniperreel.net import ConnectRefused, ConnectTimedOut
 from juniperreel.proxy.outcomes import outcome_of_error, outcome_of_unfinished
-from juniperreel.routing.types import (
-    Outcome,
-)
+from juniperreel.routing.types import Outcome
 from juniperreel.rpc.channel import Broken, NeverSent
 from juniperreel.rpc.status import Code, RpcError, error_info
 
--- a/tests/proxy/test_request_driver.py
+++ b/tests/proxy/test_request_driver.py
@@ -19,10 +19,7 @@
     HealthCheckCompleted,
 )
 from juniperreel.proxy.positions import ReplicationStatus
-from juniperreel.routing.types import (
-    Outcome,
-    UpdateKind,
-)
+from juniperreel.routing.types import Outcome, UpdateKind
 from juniperreel.telemetry.log import make_log
 from juniperreel.telemetry.metrics import Metrics
 from juniperreel.telemetry.traces import Traces
@@ -190,7 +187,7 @@
 
 
 async def test_write_confirmed_in_an_ended_epoch_is_retried_only_if_keyed(bench: Bench) -> None:
-    later = History.of([(1, 0), (2, bench.clock.now_us() - SEC)])
+    later = History.from_starts([(1, 0), (2, bench.clock.now_us() - SEC)])
     for class_name, kind in (("write", Served), ("once", Failed)):
         answers, attempt = await started(bench, class_name)
         bench.driver.enqueue(
--- a/tests/raft/test_storage.py
+++ b/tests/raft/test_storage.py
@@ -78,8 +78,8 @@
 WRITER = """
 import sys
 from pathlib import Path
-from juniperreel.raft.storage import Storage
-from juniperreel.raft.types import Entry, HardState, Kind, Persist
+from juniperreel.raft.storage import (Storage)
+from juniperreel.raft.types import (Entry, HardState, Kind, Persist)
 storage = Storage.open(Path(sys.argv[1]), "c", "a")
 n = len(storage.restore().entries)
 while True:
--- a/tests/test_simulator_adapter.py
+++ b/tests/test_simulator_adapter.py
@@ -13,12 +13,7 @@
 import pytest
 
 from juniperreel import simulator_adapter
-from juniperreel.routing.types import (
-    Action,
-    AttemptEnded,
-    Readiness,
-    Role,
-)
+from juniperreel.routing.types import Action, AttemptEnded, Readiness, Role
 
 ROOT = Path(__file__).parent.parent
 
--- a/tests/testbed/test_processes.py
+++ b/tests/testbed/test_processes.py
@@ -98,7 +98,7 @@
     trial = f"""
 import signal, sys
 from pathlib import Path
-from juniperreel.testbed.processes import Processes
+from juniperreel.testbed.processes import (Processes)
 child = Processes(Path({str(tmp_path)!r})).add("a", {list(WAITS)!r}, {{}})
 child.start()
 print(child.pid, flush=True)
