Accept loop: one function serves connections; the HTTP front end has typed responses

HttpFront is HttpFrontend, and a response is a record in place of a bare tuple. Bytes on the wire are unchanged.

--- a/juniperreel/cli/edge.py
+++ b/juniperreel/cli/edge.py
@@ -13,7 +13,7 @@
 from juniperreel.causal import Keyring
 from juniperreel.cli.signals import until_signalled
 from juniperreel.frontends.grpc import SERVICE, GrpcFront
-from juniperreel.frontends.http import HttpFront
+from juniperreel.frontends.http import HttpFrontend
 from juniperreel.frontends.mysql.classes import Classes, Rule
 from juniperreel.frontends.mysql.front import MysqlFront, MysqlOptions, nonce
 from juniperreel.mysql.auth import Credential
@@ -153,7 +153,7 @@
             async with trio.open_nursery() as nursery:
                 metrics = None
                 if self.settings.metrics is not None:
-                    http = HttpFront(self.metrics.text, lambda: self.serving)
+                    http = HttpFrontend(self.metrics.text, lambda: self.serving)
                     port = await nursery.start(http.serve, await self.network.listen(*self.settings.metrics))
                     metrics = f"{self.settings.metrics[0]}:{port}"
                 await nursery.start(self.driver.run)
--- a/juniperreel/cli/workers.py
+++ b/juniperreel/cli/workers.py
@@ -12,7 +12,7 @@
 import trio
 from prometheus_client import CollectorRegistry, Gauge, generate_latest, multiprocess
 
-from juniperreel.frontends.http import HttpFront
+from juniperreel.frontends.http import HttpFrontend
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.settings import EdgeSettings, SettingsError
 from juniperreel.settings.edge import parse_edge
@@ -59,7 +59,7 @@
                 nursery.start_soon(self._signals, nursery.cancel_scope)
                 metrics = None
                 if self.settings.metrics is not None:
-                    http = HttpFront(self._metrics, lambda: self.parent.serving)
+                    http = HttpFrontend(self._metrics, lambda: self.parent.serving)
                     port = await nursery.start(http.serve, await network.listen(*self.settings.metrics))
                     metrics = f"{self.settings.metrics[0]}:{port}"
 
--- a/juniperreel/frontends/http.py
+++ b/juniperreel/frontends/http.py
@@ -3,94 +3,107 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 import h11
 import trio
 
 from juniperreel.net import Listener
+from juniperreel.net.accept import serve_connections
 
 READ_BYTES = 4096
-REQUEST_S = 10.0  # for a whole exchange; a peer that dawdles is dropped
-MAX_PEERS = 64
-TEXT = "text/plain; charset=utf-8"
-METRICS = "text/plain; version=0.0.4; charset=utf-8"
+REQUEST_TIMEOUT_S = 10.0  # for a whole exchange, so that a slow client cannot hold its connection
+MAX_CONNECTIONS = 64
+MAX_REQUEST_BYTES = 16 << 10  # of the request line and headers
+PLAIN_TEXT = "text/plain; charset=utf-8"
+EXPOSITION_TEXT = "text/plain; version=0.0.4; charset=utf-8"
 
 
-class HttpFront:
-    """One request a connection is enough for those who ask."""
+class HttpResponse(NamedTuple):
+    """What a request is answered with."""
+
+    status: int
+    body: bytes
+    content_type: str = PLAIN_TEXT
+
+
+class HttpFrontend:
+    """Answers one request on each connection, then closes it, which is enough for scrapers and probes."""
 
     def __init__(self, metrics: Callable[[], bytes], ready: Callable[[], bool]) -> None:
-        self._metrics, self._ready = metrics, ready
-        self._peers = 0
+        """`metrics` renders the exposition text; `ready` tells whether the edge serves requests."""
+        self._metrics = metrics
+        self._ready = ready
+        self._connections = 0
 
     async def serve(
         self, listener: Listener, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        async with trio.open_nursery() as nursery:
-            task_status.started(listener.port)
-            while True:
-                try:
-                    stream = await listener.accept()
-                except trio.ClosedResourceError:
-                    return
-                if self._peers >= MAX_PEERS:
-                    await trio.aclose_forcefully(stream)
-                else:
-                    nursery.start_soon(self._peer, stream)
-
-    async def _peer(self, stream: trio.abc.Stream) -> None:
-        self._peers += 1
+        """Accept connections until cancelled or the listener is closed."""
+        await serve_connections(
+            listener,
+            self._serve_connection,
+            task_status,
+            has_capacity=lambda: self._connections < MAX_CONNECTIONS,
+        )
+
+    async def _serve_connection(self, stream: trio.abc.Stream) -> None:
+        self._connections += 1
         try:
-            with trio.move_on_after(REQUEST_S):
+            with trio.move_on_after(REQUEST_TIMEOUT_S):
                 await self._exchange(stream)
         except (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError):
-            pass  # a scraper that left, or one that does not speak HTTP: nothing is owed to it
+            pass  # the client disconnected or does not speak HTTP: nobody is left to answer
         finally:
-            self._peers -= 1
+            self._connections -= 1
             await trio.aclose_forcefully(stream)
 
     async def _exchange(self, stream: trio.abc.Stream) -> None:
-        http = h11.Connection(h11.SERVER, max_incomplete_event_size=16 << 10)
+        connection = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_REQUEST_BYTES)
         request = None
         while True:
             try:
-                event = http.next_event()
+                event = connection.next_event()
             except h11.RemoteProtocolError as error:
-                await self._send(http, stream, error.error_status_hint, b"bad request\n", TEXT)
+                response = HttpResponse(error.error_status_hint, b"bad request\n")
+                await self._send(connection, stream, response)
                 return
             if event is h11.NEED_DATA:
-                http.receive_data(bytes(await stream.receive_some(READ_BYTES)))
+                connection.receive_data(bytes(await stream.receive_some(READ_BYTES)))
             elif isinstance(event, h11.Request):
                 request = event
             elif isinstance(event, (h11.EndOfMessage, h11.ConnectionClosed)):
                 break
         if request is not None:
-            await self._send(http, stream, *self._answer(request), headless=request.method == b"HEAD")
+            headers_only = request.method == b"HEAD"
+            await self._send(connection, stream, self._respond(request), headers_only)
 
-    def _answer(self, request: h11.Request) -> tuple[int, bytes, str]:
+    def _respond(self, request: h11.Request) -> HttpResponse:
         if request.method not in (b"GET", b"HEAD"):
-            return 405, b"only GET and HEAD\n", TEXT
+            return HttpResponse(405, b"only GET and HEAD\n")
         path = request.target.partition(b"?")[0]
         if path == b"/metrics":
-            return 200, self._metrics(), METRICS
+            return HttpResponse(200, self._metrics(), EXPOSITION_TEXT)
         if path == b"/healthz":
-            return 200, b"alive\n", TEXT
+            return HttpResponse(200, b"alive\n")
         if path == b"/readyz":
-            return (200, b"serving\n", TEXT) if self._ready() else (503, b"not serving\n", TEXT)
-        return 404, b"there are /metrics, /healthz and /readyz\n", TEXT
+            return HttpResponse(200, b"serving\n") if self._ready() else HttpResponse(503, b"not serving\n")
+        return HttpResponse(404, b"there are /metrics, /healthz and /readyz\n")
 
     @staticmethod
     async def _send(
-        http: h11.Connection,
+        connection: h11.Connection,
         stream: trio.abc.Stream,
-        status: int,
-        body: bytes,
-        kind: str,
-        headless: bool = False,
+        response: HttpResponse,
+        headers_only: bool = False,
     ) -> None:
-        headers = [("content-type", kind), ("content-length", str(len(body))), ("connection", "close")]
-        parts = [http.send(h11.Response(status_code=status, headers=headers))]
-        if not headless:
-            parts.append(http.send(h11.Data(data=body)))
-        parts.append(http.send(h11.EndOfMessage()))
+        headers = [
+            ("content-type", response.content_type),
+            ("content-length", str(len(response.body))),
+            ("connection", "close"),
+        ]
+        parts = [connection.send(h11.Response(status_code=response.status, headers=headers))]
+        if not headers_only:
+            parts.append(connection.send(h11.Data(data=response.body)))
+        parts.append(connection.send(h11.EndOfMessage()))
         await stream.send_all(b"".join(part for part in parts if part))
--- a/tests/cli/test_pool.py
+++ b/tests/cli/test_pool.py
@@ -11,7 +11,7 @@
 
 from juniperreel.cli.main import main
 from juniperreel.cli.pool import Seen, look, shown
-from juniperreel.frontends.http import HttpFront
+from juniperreel.frontends.http import HttpFrontend
 from juniperreel.net import TcpNetwork
 from tests.e2e.world import World
 
@@ -23,7 +23,7 @@
 
 
 async def test_pools_of_an_edge(world: World, nursery: trio.Nursery) -> None:
-    http = HttpFront(world.edge.metrics.text, lambda: True)
+    http = HttpFrontend(world.edge.metrics.text, lambda: True)
     listener = await TcpNetwork().listen("127.0.0.1", 0)
     port = await nursery.start(http.serve, listener)
     with trio.fail_after(20):
