--- a/benchmarks/pool.py
+++ b/benchmarks/pool.py
@@ -197,8 +197,9 @@
     """Sessions of the MySQL front on streams in memory, logged in and idle."""
 
     async def run() -> float:
-        from juniperreel.frontends.mysql.classes import Classes
-        from juniperreel.frontends.mysql.front import MysqlFront, MysqlOptions, nonce
+        from juniperreel.frontends.mysql.classification import StatementClassifier
+        from juniperreel.frontends.mysql.context import MysqlOptions
+        from juniperreel.frontends.mysql.frontend import MysqlFrontend, generate_nonce
         from juniperreel.mysql.auth import Credential
         from juniperreel.mysql.client import ClientSession
         from juniperreel.net import Clock
@@ -210,15 +211,17 @@
 
             log: Any = None
 
-        options = MysqlOptions({"app": Credential.of(b"app")}, Classes([], 0, 0, -1), 20_000, 1 << 20)
+        options = MysqlOptions(
+            {"app": Credential.of(b"app")}, StatementClassifier([], 0, 0, -1), 20_000, 1 << 20
+        )
         nothing: Any = Nothing()
-        front = MysqlFront(nothing, nothing, Clock(), options, nonce)
+        front = MysqlFrontend(nothing, nothing, Clock(), options, generate_nonce)
         keep: list[Any] = []
         async with trio.open_nursery() as nursery:
 
             async def one() -> None:
                 ours, theirs = trio.testing.memory_stream_pair()
-                nursery.start_soon(front._connection, theirs)
+                nursery.start_soon(front._serve_connection, theirs)
                 client = ClientSession("app", b"app", "", 1 << 20)
                 while client.state.value != "ready":
                     client.receive(await ours.receive_some(4096))
--- a/fuzz/mysql_target.py
+++ b/fuzz/mysql_target.py
@@ -17,8 +17,8 @@
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
 with atheris.instrument_imports():
-    from juniperreel.frontends.mysql.classes import digest
-    from juniperreel.frontends.mysql.prepared import Fault, Prepared
+    from juniperreel.frontends.mysql.classification import statement_digest
+    from juniperreel.frontends.mysql.prepared import PreparedStatementError, PreparedStatements
     from juniperreel.mysql import values
     from juniperreel.mysql.auth import SHA2, Credential, proof
     from juniperreel.mysql.client import ClientSession
@@ -43,14 +43,14 @@
         caps = (0x081A2201 | 1 << 27).to_bytes(4, "little")
         login = caps + bytes(4) + b"\xff" + bytes(23) + b"ada\0" + bytes((len(answer),)) + answer
         session.receive(packets(login + SHA2.encode() + b"\0", 1)[0])
-    prepared = Prepared(1 << 16)
-    with contextlib.suppress(Fault):
+    prepared = PreparedStatements(1 << 16)
+    with contextlib.suppress(PreparedStatementError):
         prepared.prepare(b"select ?, ?", read_statement(b"select ?, ?"), Mode())
     todo = session.receive(data[1:]) + session.receive(packets(data[1:], 0)[0])
     while todo:
         event = todo.pop(0)
         if isinstance(event, Command):
-            with contextlib.suppress(Fault):
+            with contextlib.suppress(PreparedStatementError):
                 prepared.execute(event.payload, True)
             todo += session.ok()
     assert session.state in State and session.held < 1 << 18
@@ -89,7 +89,7 @@
     mode = Mode(bool(data[:1] < b"\x40"), bool(data[:1] < b"\x20"))
     text = data[1:]
     reading = read_statement(text, mode)
-    digest(text, mode)
+    statement_digest(text, mode)
     if reading.replica:
         found = tokens(text, mode)
         loose = [
--- a/juniperreel/cli/edge.py
+++ b/juniperreel/cli/edge.py
@@ -12,10 +12,11 @@
 
 from juniperreel.causal import Keyring
 from juniperreel.cli.signals import until_signalled
-from juniperreel.frontends.grpc import SERVICE, GrpcFront
+from juniperreel.frontends.grpc import SERVICE, GrpcFrontend
 from juniperreel.frontends.http import HttpFrontend
-from juniperreel.frontends.mysql.classes import Classes, Rule
-from juniperreel.frontends.mysql.front import MysqlFront, MysqlOptions, nonce
+from juniperreel.frontends.mysql.classification import ClassRule, StatementClassifier
+from juniperreel.frontends.mysql.context import MysqlOptions
+from juniperreel.frontends.mysql.frontend import MysqlFrontend, generate_nonce
 from juniperreel.mysql.auth import Credential
 from juniperreel.net import Clock, Network, Pace
 from juniperreel.net.clock import US
@@ -75,14 +76,14 @@
     return MysqlMembers(login, m.transaction_us, sizes)
 
 
-def classes_from(settings: EdgeSettings) -> Classes:
+def classes_from(settings: EdgeSettings) -> StatementClassifier:
     """Of the MySQL front, which there must be."""
     m = settings.mysql
     assert m is not None
     classes = [c.name for c in settings.router.classes]
     tenants = [t.name for t in settings.router.tenants]
     rules = [
-        Rule(
+        ClassRule(
             match.write,
             match.user,
             match.schema,
@@ -94,10 +95,10 @@
         for match in m.matches
     ]
     tenant = tenants.index(m.tenant) if m.tenant else -1
-    return Classes(rules, classes.index(m.read), classes.index(m.write), tenant)
+    return StatementClassifier(rules, classes.index(m.read), classes.index(m.write), tenant)
 
 
-def mysql_front(settings: EdgeSettings, driver: Driver, keyring: Keyring, clock: Clock) -> MysqlFront:
+def mysql_front(settings: EdgeSettings, driver: Driver, keyring: Keyring, clock: Clock) -> MysqlFrontend:
     m = settings.mysql
     assert m is not None
     tls = None
@@ -106,14 +107,14 @@
         tls.load_cert_chain(*m.tls)
     options = MysqlOptions(
         users={name: Credential.of(password) for name, password in m.users},
-        classes=classes_from(settings),
-        connections=m.connections,
+        classifier=classes_from(settings),
+        max_connections=m.connections,
         max_packet=settings.message_bytes,
-        login=m.login,
+        login_plugin=m.login,
         tls=tls,
         schema=settings.members.database if settings.members is not None else "",
     )
-    return MysqlFront(driver, keyring, clock, options, nonce)
+    return MysqlFrontend(driver, keyring, clock, options, generate_nonce)
 
 
 class Edge:
@@ -129,7 +130,7 @@
         self.driver = Driver(options, network, clock, self.log, self.metrics, self.traces, self.pace)
         self.health = Health(SERVICES)
         keyring = Keyring(list(settings.keys))
-        front = GrpcFront(self.driver, keyring, clock)
+        front = GrpcFrontend(self.driver, keyring, clock)
         self.mysql = None if settings.mysql is None else mysql_front(settings, self.driver, keyring, clock)
         methods = front.methods() | self.health.methods() | Reflection(SERVICES).methods()
         self.server = Server(
--- a/juniperreel/cli/statement.py
+++ b/juniperreel/cli/statement.py
@@ -7,8 +7,8 @@
 
 import click
 
-from juniperreel.frontends.mysql.classes import digest, hint_of
-from juniperreel.frontends.mysql.scope import Do, Scope
+from juniperreel.frontends.mysql.classification import StatementTraits, hint_of, statement_digest
+from juniperreel.frontends.mysql.transaction_scope import Action, TransactionScope
 from juniperreel.statements import read_statement
 
 
@@ -35,18 +35,18 @@
     if settings is not None:
         found = classes_of(settings, data, reading.replica, user, schema)
         able, database = found[1:]
-    plan = Scope(able, database).plan(reading)
+    plan = TransactionScope(able, database).plan(reading)
     goes = {
-        Do.REFUSE: f"refused with {plan.code[0]}: {plan.words}",
-        Do.NOTHING: "answered by the edge itself",
-        Do.BEGIN: "a primary, and a transaction begins",
-    }.get(plan.do, "any member that satisfies the token" if reading.replica else "a primary")
-    if plan.taint:
+        Action.REJECT: f"refused with {plan.error_code.number}: {plan.error_message}",
+        Action.ACKNOWLEDGE: "answered by the edge itself",
+        Action.BEGIN_TRANSACTION: "a primary, and a transaction begins",
+    }.get(plan.action, "any member that satisfies the token" if reading.replica else "a primary")
+    if plan.taints_connection:
         goes += ", on a connection that nobody gets afterwards"
     click.echo(f"in autocommit: {goes}")
-    if found is not None and plan.do is Do.ALONE:
+    if found is not None and plan.action is Action.SINGLE_REQUEST:
         click.echo(f"class: {found[0]}")
-    click.echo(f"digest: {digest(data) or 'none, it cannot be read'}")
+    click.echo(f"digest: {statement_digest(data) or 'none, it cannot be read'}")
 
 
 def classes_of(file: Path, data: bytes, replica: bool, user: str, schema: str) -> tuple[str, bool, str]:
@@ -59,6 +59,7 @@
         click.echo(f"{file}: there is no [mysql] section", err=True)
         sys.exit(2)
     classes = classes_from(settings)
-    cls, _ = classes.of(not replica, user, schema, hint_of(data), digest(data))
+    traits = StatementTraits(not replica, user, schema, hint_of(data), statement_digest(data))
+    cls, _ = classes.classify(traits)
     database = settings.members.database if settings.members is not None else ""
     return settings.router.classes[cls].name, settings.members is not None, database
--- a/juniperreel/frontends/grpc.py
+++ b/juniperreel/frontends/grpc.py
@@ -1,231 +1,163 @@
-"""The gRPC front: juniperreel.v1.Records."""
+"""The gRPC front end: juniperreel.v1.Records.
+
+A call passes three stages. `_shed_early` rejects it from its headers, before a task is started for it;
+`_admit` parses it and submits it to the proxy, still on the connection's reading task; `_execute` awaits the
+proxy's answer in the call's own task and encodes it.
+"""
 
 from __future__ import annotations
 
-import xxhash
 from google.protobuf.message import DecodeError
 
-from juniperreel.causal import EMPTY, Keyring, Token, TokenError
-from juniperreel.frontends import errors
-from juniperreel.frontends.errors import described
-from juniperreel.frontends.mysql.answers import result_set
-from juniperreel.frontends.mysql.scope import HARMLESS
+from juniperreel.causal import Keyring
+from juniperreel.frontends import grpc_status
+from juniperreel.frontends.grpc_request import (
+    PREVIOUS_ATTEMPTS_HEADER,
+    TOKEN_HEADER,
+    RequestParser,
+    find_group,
+)
+from juniperreel.frontends.mysql.conversion import to_result_set
+from juniperreel.frontends.outcome import outcome_of, record_request
 from juniperreel.net import Clock
-from juniperreel.net.clock import US
 from juniperreel.pool.result import Result
 from juniperreel.proto.records.v1 import records_pb2
 from juniperreel.proxy import Answer, Driver, Failed, Open, Refused, Served, Spurned, Work
-from juniperreel.routing.types import (
-    Consistency,
-    Idempotency,
-)
 from juniperreel.rpc.metadata import decode_timeout
 from juniperreel.rpc.server import Call, Method
 from juniperreel.rpc.status import RpcError
-from juniperreel.statements import Kind, Reader, Reading
 
 SERVICE = "juniperreel.v1.Records"
-TOKEN_HEADER = "juniperreel-causal-bin"
-PREVIOUS = "grpc-previous-rpc-attempts"
-CLASS_HEADER = "juniperreel-class"  # with these three a call can be turned away before its message is here
+
+# Class, tenant and group may be repeated in headers: a call can then be rejected ahead of its message.
+CLASS_HEADER = "juniperreel-class"
 TENANT_HEADER = "juniperreel-tenant"
 GROUP_HEADER = "juniperreel-group"
-MAX_NAME = 256  # characters of a session or idempotency key
-MAX_TOKENS = 16  # in the metadata of one call
-
 
-def unfit(reading: Reading, write: bool) -> str:
-    """Why a statement can't be of its class, where members speak MySQL; empty if it can."""
-    if reading.depends - HARMLESS:
-        return f"depends on its connection ({', '.join(sorted(reading.depends - HARMLESS))})"
-    if reading.kind is Kind.READ or (write and reading.kind is Kind.WRITE):
-        return ""
-    return f"{reading.kind.value} in a class that {'writes' if write else 'reads'}: {reading.reason}"
 
-
-class GrpcFront:
-    """Answers calls from the driver's answers. Holds nothing between calls."""
+class GrpcFrontend:
+    """Answers calls with the proxy's answers. Holds nothing between calls."""
 
     def __init__(self, driver: Driver, keyring: Keyring, clock: Clock) -> None:
-        self._driver, self._keyring, self._clock = driver, keyring, clock
-        settings = driver.options.router
-        self._classes = {cls.name: i for i, cls in enumerate(settings.classes)}
-        self._tenants = {tenant.name: i for i, tenant in enumerate(settings.tenants)}
-        # Members that speak MySQL take any statement on a connection that others use next.
-        self._reader = Reader() if driver.options.mysql is not None else None
+        """`keyring` signs and checks causal tokens."""
+        self._driver = driver
+        self._keyring = keyring
+        self._clock = clock
+        self._parser = RequestParser(driver.options, keyring)
 
     def methods(self) -> dict[str, Method]:
-        enter, leave = self._enter, self._driver.leave
-        method = Method(unary=self._execute, glance=self._glance, enter=enter, leave=leave)
-        return {f"/{SERVICE}/Execute": method}
+        """The service's methods by full path, for `rpc.server.Server`."""
+        execute = Method(
+            unary=self._execute, glance=self._shed_early, enter=self._admit, leave=self._driver.leave
+        )
+        return {f"/{SERVICE}/Execute": execute}
+
+    def _shed_early(self, headers: dict[str, str], message: bytes | None, arrived_us: int) -> bytes | None:
+        """Return the encoded rejection of a call that would be rejected on arrival, else None.
 
-    def _glance(self, headers: dict[str, str], message: bytes | None, came_us: int) -> bytes | None:
-        """A refusal of what would be refused on arrival. What is wrong with a call is not found here."""
+        A malformed call is not detected here: None lets the later stages say what is wrong with it.
+        """
+        options = self._driver.options
         try:
-            name = headers.get(CLASS_HEADER)
-            if name is not None:
-                tenant, group = headers.get(TENANT_HEADER, ""), int(headers.get(GROUP_HEADER, "0"))
+            if CLASS_HEADER in headers:
+                class_name = headers[CLASS_HEADER]
+                tenant_name = headers.get(TENANT_HEADER, "")
+                group = int(headers.get(GROUP_HEADER, "0"))
             elif message is not None:
-                ask = records_pb2.ExecuteRequest.FromString(message)
-                name, tenant, group = getattr(ask, "class"), ask.tenant, self._group(ask)
+                request = records_pb2.ExecuteRequest.FromString(message)
+                class_name = getattr(request, "class")
+                tenant_name = request.tenant
+                group = find_group(request, options.groups)
             else:
                 return None
-            cls = self._classes[name]
-            deadline = came_us + self._driver.options.router.classes[cls].deadline_us
+            class_index = self._parser.class_indices[class_name]
+            deadline_us = arrived_us + options.router.classes[class_index].deadline_us
             if "grpc-timeout" in headers:
-                deadline = min(deadline, came_us + decode_timeout(headers["grpc-timeout"]))
-            if not 0 <= group < self._driver.options.groups:
-                return None
+                deadline_us = min(deadline_us, arrived_us + decode_timeout(headers["grpc-timeout"]))
         except (DecodeError, KeyError, ValueError, RpcError):
-            return None  # the call itself says what is wrong
-        refused = self._driver.glance(cls, self._tenants.get(tenant, -1), group, deadline)
-        if refused is None:
             return None
-        return self._refusal(name, refused, headers.get(PREVIOUS, "0") != "0")
-
-    def _refusal(self, name: str, refused: Refused, repeat: bool) -> bytes:
-        outcome, reason = described(refused)
-        self._driver.metrics.request(name, outcome, reason).inc()
-        if repeat:
-            self._driver.metrics.repeats.labels(name).inc()
-        return errors.refused_again(refused)
-
-    def _enter(self, call: Call, data: bytes) -> bytes | Open | None:
-        """The request's arrival, while it is still in the reader's hands: what comes behind it in the same
-        read must find it counted. None for a call that is wrong; its task says how."""
+        if not 0 <= group < options.groups:
+            return None
+        tenant_index = self._parser.tenant_indices.get(tenant_name, -1)
+        rejection = self._driver.glance(class_index, tenant_index, group, deadline_us)
+        if rejection is None:
+            return None
+        is_retry = headers.get(PREVIOUS_ATTEMPTS_HEADER, "0") != "0"
+        return self._encode_rejection(class_name, rejection, is_retry)
+
+    def _encode_rejection(self, class_name: str, rejection: Refused, is_retry: bool) -> bytes:
+        """Count a rejection and return its encoded headers."""
+        outcome, reason = outcome_of(rejection)
+        self._driver.metrics.request(class_name, outcome, reason).inc()
+        if is_retry:
+            self._driver.metrics.repeats.labels(class_name).inc()
+        return grpc_status.rejection_block(rejection)
+
+    def _admit(self, call: Call, message: bytes) -> bytes | Open | None:
+        """Submit the request while the connection's reading task still holds it.
+
+        Calls that follow in the same read must find it counted. Returns the encoded rejection, the open
+        request, or None for a malformed call, whose own task answers with what is wrong.
+        """
         try:
-            work = self._read(call, data)
+            work = self._parser.parse(call, message)
         except RpcError:
             return None
         entered = self._driver.enter(work)
         if isinstance(entered, Refused):
-            name = self._driver.options.router.classes[work.cls].name
-            return self._refusal(name, entered, work.repeat)
+            return self._encode_rejection(self._class_name(work), entered, work.repeat)
         return entered
 
-    async def _execute(self, call: Call, data: bytes) -> bytes:
+    def _class_name(self, work: Work) -> str:
+        return self._driver.options.router.classes[work.cls].name
+
+    async def _execute(self, call: Call, message: bytes) -> bytes:
         entry: Open | None = call.take_entry()
-        entered = entry or self._driver.enter(self._read(call, data))
+        entered = entry or self._driver.enter(self._parser.parse(call, message))
         if isinstance(entered, Refused):
-            raise errors.refused(entered)
+            raise grpc_status.rejection_status(entered)
         work = entered.work
-        cls = self._driver.options.router.classes[work.cls]
+        class_name = self._class_name(work)
         metrics = self._driver.metrics
         if work.repeat:
-            metrics.repeats.labels(cls.name).inc()
-        started = self._clock.now_us()
-        last = work.deadline_us - self._driver.options.answer_margin_us // 2
-        call.end_by(last, errors.deadline())
+            metrics.repeats.labels(class_name).inc()
+        started_us = self._clock.now_us()
+        answer_by_us = work.deadline_us - self._driver.options.answer_margin_us // 2
+        call.end_by(answer_by_us, grpc_status.deadline_status())
         answer: Answer | None = None
         try:
-            with self._driver.traces.span("request", cls=cls.name, group=work.group):
+            with self._driver.traces.span("request", cls=class_name, group=work.group):
                 answer = await self._driver.answer(entered)
         finally:
-            # Cancelled before its time the client has left, and nothing is answered that could be counted.
-            now = self._clock.now_us()
-            if answer is not None or now >= last:
-                outcome, reason = described(answer)
-                metrics.request(cls.name, outcome, reason).inc()
-                metrics.took(cls.name, outcome).observe((now - started) / US)
-        return self._write(call, answer)
-
-    def _read(self, call: Call, data: bytes) -> Work:
-        """Raises RpcError INVALID_ARGUMENT, naming the field."""
-        try:
-            ask = records_pb2.ExecuteRequest.FromString(data)
-        except DecodeError:
-            raise errors.invalid("request", "not an ExecuteRequest") from None
-        name = getattr(ask, "class")
-        cls = self._classes.get(name)
-        if cls is None:
-            raise errors.invalid("class", f"no class {name[:100]!r}; there are {', '.join(self._classes)}")
-        tenant = self._tenants.get(ask.tenant, -1)
-        if tenant < 0 and (ask.tenant or self._tenants):
-            raise errors.invalid("tenant", f"no tenant {ask.tenant[:100]!r}")
-        if not ask.statement:
-            raise errors.invalid("statement", "is empty")
-        for field in ("session", "idempotency_key"):
-            if len(getattr(ask, field)) > MAX_NAME:
-                raise errors.invalid(field, f"is longer than {MAX_NAME} characters")
-        settings = self._driver.options.router.classes[cls]
-        if self._reader is not None:
-            words = unfit(self._reader.read(ask.statement), settings.consistency is Consistency.WRITE)
-            if words:
-                raise errors.invalid("statement", words)
-        if settings.idempotency is Idempotency.KEYED and not ask.idempotency_key:
-            raise errors.invalid("idempotency_key", f"class {settings.name} needs one")
-        deadline = call.started_us + settings.deadline_us
-        if call.deadline_us is not None:
-            deadline = min(deadline, call.deadline_us)
-        previous = call.get(PREVIOUS)
-        return Work(
-            cls=cls,
-            tenant=tenant,
-            group=self._group(ask),
-            deadline_us=deadline,
-            statement=ask.statement,
-            parameters=ask.parameters,
-            session=ask.session or None,
-            key=ask.idempotency_key,
-            token=self._token(call, ask.causal_token),
-            read_us=call.started_us,
-            repeat=isinstance(previous, str) and previous.isdigit() and int(previous[:9]) > 0,
-        )
-
-    def _group(self, ask: records_pb2.ExecuteRequest) -> int:
-        groups = self._driver.options.groups
-        if ask.WhichOneof("route") == "key":
-            return group_of(ask.key, groups)
-        if ask.WhichOneof("route") is None and groups > 1:
-            raise errors.invalid("route", "a group or a key is needed")
-        if ask.group >= groups:
-            raise errors.invalid("group", f"no group {ask.group}; there are {groups}")
-        return ask.group
-
-    def _token(self, call: Call, carried: bytes) -> Token:
-        """Of the message and of the metadata, joined. An empty field is no token; an empty header is an
-        error, since somebody meant to send one."""
-        token = EMPTY
-        found = call.all(TOKEN_HEADER)
-        if len(found) > MAX_TOKENS:
-            raise errors.invalid(TOKEN_HEADER, f"more than {MAX_TOKENS} tokens")
-        where = "causal_token"
-        try:
-            if carried:
-                token = self._keyring.decode(carried)
-            where = TOKEN_HEADER
-            for value in found:
-                token = token.join(
-                    self._keyring.decode(value if isinstance(value, bytes) else value.encode())
-                )
-        except TokenError as error:
-            raise errors.invalid(where, str(error)) from None
-        return token
-
-    def _write(self, call: Call, answer: Answer) -> bytes:
+            # A call cancelled ahead of its deadline has lost its client: nothing is answered or counted.
+            now_us = self._clock.now_us()
+            if answer is not None or now_us >= answer_by_us:
+                record_request(metrics, class_name, answer, now_us - started_us)
+        return self._encode_answer(call, answer)
+
+    def _encode_answer(self, call: Call, answer: Answer) -> bytes:
+        """The response message of a served request. Raises RpcError for any other answer."""
         match answer:
             case Served():
-                token = self._keyring.encode(answer.token)
-                result = answer.result
-                if isinstance(result, Result):
-                    result = result_set(result)
-                call.trailing.append((TOKEN_HEADER, token))
-                response = records_pb2.ExecuteResponse(
-                    result=result,
-                    causal_token=token,
-                    member=answer.member,
-                    role=records_pb2.ROLE_PRIMARY if answer.primary else records_pb2.ROLE_REPLICA,
-                    attempts=answer.attempts,
-                )
-                return response.SerializeToString()
+                return self._encode_response(call, answer)
             case Refused():
-                raise errors.refused(answer)
+                raise grpc_status.rejection_status(answer)
             case Failed():
-                raise errors.failed(answer)
+                raise grpc_status.failure_status(answer)
             case Spurned():
-                raise errors.spurned(answer)
-
-
-def group_of(key: bytes, groups: int) -> int:
-    """The group of a key, the same at every edge."""
-    return xxhash.xxh64_intdigest(key) % groups
+                raise grpc_status.statement_error_status(answer)
+
+    def _encode_response(self, call: Call, answer: Served) -> bytes:
+        token = self._keyring.encode(answer.token)
+        result = answer.result
+        if isinstance(result, Result):
+            result = to_result_set(result)
+        call.trailing.append((TOKEN_HEADER, token))
+        response = records_pb2.ExecuteResponse(
+            result=result,
+            causal_token=token,
+            member=answer.member,
+            role=records_pb2.ROLE_PRIMARY if answer.primary else records_pb2.ROLE_REPLICA,
+            attempts=answer.attempts,
+        )
+        return response.SerializeToString()
--- /dev/null
+++ b/juniperreel/frontends/mysql/context.py
@@ -0,0 +1,43 @@
+"""What all connections of the MySQL front end share."""
+
+from __future__ import annotations
+
+import ssl
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from juniperreel.causal import Keyring
+from juniperreel.frontends.mysql.classification import StatementClassifier
+from juniperreel.mysql.auth import SHA2, Credential
+from juniperreel.net import Clock
+from juniperreel.proxy import Driver
+from juniperreel.statements import Reader
+
+
+@dataclass(frozen=True, slots=True)
+class MysqlOptions:
+    """The settings of the front end."""
+
+    users: Mapping[str, Credential]  # by name
+    classifier: StatementClassifier
+    max_connections: int
+    max_packet: int  # bytes
+    tls: ssl.SSLContext | None = None
+    schema: str = ""  # that of the endpoints; empty where they have none
+    login_plugin: str = SHA2  # the one that is offered first; clients may ask for the other
+
+
+@dataclass(frozen=True, slots=True)
+class FrontendContext:
+    """The collaborators of a connection, none of which it owns."""
+
+    driver: Driver
+    keyring: Keyring
+    clock: Clock
+    options: MysqlOptions
+    reader: Reader
+
+    @property
+    def supports_transactions(self) -> bool:
+        """Whether endpoints can hold transactions: those that speak MySQL can."""
+        return self.driver.options.mysql is not None
--- /dev/null
+++ b/juniperreel/frontends/mysql/open_transaction.py
@@ -0,0 +1,102 @@
+"""Runs statements at the endpoint that holds a session's open transaction, and ends it there."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from typing import TypeVar
+
+import trio
+
+from juniperreel.frontends.mysql.errors import (
+    DEADLINE_EXCEEDED,
+    EFFECT_UNKNOWN,
+    TOO_LONG,
+    ErrorCode,
+    ErrorResponse,
+    MysqlError,
+    rolled_back_response,
+)
+from juniperreel.frontends.mysql.transaction_scope import Plan, TransactionScope
+from juniperreel.net import Clock
+from juniperreel.pool.backend import Told, TooLong
+from juniperreel.pool.result import Result, Statement
+from juniperreel.proxy import Committed, Transaction, Undone, Unknown
+
+T = TypeVar("T")
+
+INSERT_ID_TIMED_OUT = ErrorResponse(DEADLINE_EXCEEDED, "no answer came in time")
+STATEMENT_TIMED_OUT = ErrorResponse(DEADLINE_EXCEEDED, "no answer came in time; the transaction was undone")
+COMMIT_TIMED_OUT = ErrorResponse(
+    EFFECT_UNKNOWN, "no answer came in time; the transaction may have taken effect"
+)
+
+
+class OpenTransaction:
+    """The open transaction of a scope. Its methods raise MysqlError, and note in the scope what it ends."""
+
+    def __init__(self, scope: TransactionScope, clock: Clock) -> None:
+        """`scope` owns the transaction."""
+        self._scope = scope
+        self._clock = clock
+        self.time_limit_us = 0  # of each statement: that of the class which the first one had
+
+    def statement_deadline_us(self) -> int:
+        """When a statement that starts now must have been answered."""
+        return self._clock.now_us() + self.time_limit_us
+
+    async def run(self, statement: Statement, plan: Plan) -> Result:
+        """Run a statement within the transaction."""
+        if plan.needs_insert_id:
+            await self._set_last_insert_id()
+        running = self._transaction().run(statement)
+        result = await self._await_answer(running, STATEMENT_TIMED_OUT, plan.may_commit)
+        self._scope.on_statement_answered(result.ok.insert_id)
+        return result
+
+    async def finish(self, statement: Statement, plan: Plan) -> Committed:
+        """Commit or roll back, which may be implied by the statement."""
+        timed_out = COMMIT_TIMED_OUT if plan.may_commit else STATEMENT_TIMED_OUT
+        finishing = self._transaction().finish(statement, plan.may_commit)
+        committed = await self._await_answer(finishing, timed_out)
+        self._scope.on_transaction_ended()
+        return committed
+
+    def _transaction(self) -> Transaction:
+        transaction = self._scope.transaction
+        assert transaction is not None
+        return transaction
+
+    async def _set_last_insert_id(self) -> None:
+        text = f"set @@session.last_insert_id = {self._scope.last_insert_id}".encode()
+        await self._await_answer(self._transaction().run(Statement(text)), INSERT_ID_TIMED_OUT)
+
+    async def _await_answer(
+        self, answer: Awaitable[T], timed_out: ErrorResponse, may_commit: bool = False
+    ) -> T:
+        """Await the endpoint's answer until the statement's deadline.
+
+        `may_commit`: the statement may have committed even where the endpoint lost the transaction.
+        Raises MysqlError: the endpoint's own error, which leaves the transaction open; else `timed_out`, or
+        what is known of the effect, after which the transaction is over.
+        """
+        scope = self._scope
+        try:
+            with trio.CancelScope(deadline=self._clock.trio_time(self.statement_deadline_us())):
+                return await answer
+        except Told as error:
+            scope.on_statement_answered()
+            raise MysqlError(ErrorCode(error.err.code, error.err.state), error.err.words) from error
+        except Undone as error:
+            scope.on_transaction_ended()
+            if may_commit:
+                raise MysqlError(EFFECT_UNKNOWN, f"{error}; it may have taken effect") from error
+            response = rolled_back_response(error)
+            raise MysqlError(response.code, response.message) from error
+        except Unknown as error:
+            scope.on_transaction_ended()
+            raise MysqlError(EFFECT_UNKNOWN, f"{error}; the transaction may have taken effect") from error
+        except TooLong as error:
+            scope.on_transaction_ended()
+            raise MysqlError(TOO_LONG, str(error)) from error
+        scope.on_transaction_ended()
+        raise MysqlError(timed_out.code, timed_out.message)
--- a/juniperreel/frontends/mysql/prepared.py
+++ b/juniperreel/frontends/mysql/prepared.py
@@ -1,15 +1,26 @@
 """Prepared statements of one connection: texts, parameters and long data. No I/O.
 
-A client's id names a text here and nothing at any member: each execution goes out as text and values, like
-any statement, so that it runs with its own text wherever it is sent. Source: MySQL's public documentation,
-"Prepared Statements" and "Binary Protocol Resultset".
+A client's statement id names a text here and nothing at any endpoint: each execution is sent as text and
+values, like any statement, so that it runs with its own text wherever it is sent. Source: MySQL's public
+documentation, "Prepared Statements" and "Binary Protocol Resultset".
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
 from itertools import count
-
+from typing import NamedTuple
+
+from juniperreel.frontends.mysql.errors import (
+    INVALID_STATEMENT,
+    OUT_OF_RANGE,
+    TOO_LONG,
+    TOO_MANY_PARAMETERS,
+    TOO_MANY_STATEMENTS,
+    UNKNOWN_STATEMENT,
+    WRONG_ARGUMENTS,
+    PreparedStatementError,
+)
 from juniperreel.mysql.packets import Cursor, ProtocolError
 from juniperreel.mysql.values import OutOfRange, Parameter, Value, read_types, read_values
 from juniperreel.statements import Mode, Reading
@@ -17,157 +28,185 @@
 
 MAX_STATEMENTS = 1024  # of one connection
 MAX_PARAMETERS = 65_535  # what the protocol can count
+ID_RANGE = 1 << 32
+ID_BYTES = 4
+LONG_DATA_HEADER_BYTES = 6  # statement id and parameter index
 
-UNKNOWN = (1243, "HY000")
-AGAIN = (1615, "HY000")
-TOO_MANY = (1461, "42000")
-TOO_MANY_PARAMETERS = (1390, "HY000")
-WRONG_ARGUMENTS = (1210, "HY000")
-OUT_OF_RANGE = (1264, "22003")
-TOO_LONG = (1153, "08S01")
-NOT_READ = (1064, "42000")
-
-PARAMETER_COUNT = 0x08  # a flag of COM_STMT_EXECUTE: attributes come with the parameters
-
-
-class Fault(Exception):
-    """What the client is told; the connection goes on."""
-
-    def __init__(self, code: tuple[int, str], words: str) -> None:
-        super().__init__(words)
-        self.code = code
+PARAMETER_COUNT_FLAG = 0x08  # of COM_STMT_EXECUTE: attributes come with the parameters
 
 
 @dataclass(slots=True)
-class Statement:
-    """`types` are those of its last execution: a client sends them once."""
+class PreparedStatement:
+    """A text that a client prepared, with what its executions left for the next one."""
 
     id: int
     text: bytes
     parameters: int
     reading: Reading
-    parsed: str = ""  # what of the session changed how the text reads, when it was prepared
-    types: list[Parameter] | None = None
-    long: dict[int, bytearray] = field(default_factory=dict)
-    fault: Fault | None = None  # of long data, told at the next execution
+    parse_settings: str = ""  # the session's settings that decided how the text reads, when it was prepared
+    types: list[Parameter] | None = None  # of its last execution: a client sends them once
+    long_data: dict[int, bytearray] = field(default_factory=dict)  # by parameter
+    long_data_error: PreparedStatementError | None = None  # raised by the next execution
+
+
+class Execution(NamedTuple):
+    """One COM_STMT_EXECUTE: the statement, its parameters' values, and the command's attributes."""
+
+    statement: PreparedStatement
+    values: list[Value]
+    attributes: dict[str, Value]
 
 
 def count_parameters(text: bytes, mode: Mode) -> int:
-    """Question marks outside of strings, names and comments. Raises Fault."""
+    """Count question marks outside of strings, names and comments.
+
+    Raises PreparedStatementError for a text that cannot be tokenized, or with too many of them.
+    """
     try:
-        found = sum(t.type is Type.SIGN and t.text == "?" for t in tokens(text, mode))
+        parameters = sum(token.type is Type.SIGN and token.text == "?" for token in tokens(text, mode))
     except Odd as error:
-        raise Fault(NOT_READ, f"not read: {error}") from None
-    if found > MAX_PARAMETERS:
-        raise Fault(TOO_MANY_PARAMETERS, "Prepared statement contains too many placeholders")
-    return found
+        raise PreparedStatementError(INVALID_STATEMENT, f"not read: {error}") from None
+    if parameters > MAX_PARAMETERS:
+        raise PreparedStatementError(TOO_MANY_PARAMETERS, "Prepared statement contains too many placeholders")
+    return parameters
 
 
-class Prepared:
-    """All of one connection's; every method may raise Fault."""
+class PreparedStatements:
+    """All prepared statements of one connection, bounded in number and in bytes."""
 
     def __init__(self, max_bytes: int) -> None:
-        """`max_bytes`: of the texts and of the long data, each."""
-        self._statements: dict[int, Statement] = {}
+        """`max_bytes` bounds the texts together, and the long data together."""
+        self._statements: dict[int, PreparedStatement] = {}
         self._ids = count(1)
-        self._max = max_bytes
-        self._texts = self._long = 0
+        self._max_bytes = max_bytes
+        self._text_bytes = 0
+        self._long_data_bytes = 0
 
     def __len__(self) -> int:
         return len(self._statements)
 
-    def prepare(self, text: bytes, reading: Reading, mode: Mode, parsed: str = "") -> Statement:
+    def prepare(
+        self, text: bytes, reading: Reading, mode: Mode, parse_settings: str = ""
+    ) -> PreparedStatement:
+        """Remember a text under a new id. Raises PreparedStatementError."""
         parameters = count_parameters(text, mode)
-        if len(self._statements) >= MAX_STATEMENTS or self._texts + len(text) > self._max:
-            raise Fault(TOO_MANY, f"too many prepared statements on this connection: {len(self)}")
-        number = next(self._ids) % (1 << 32)
-        while number in self._statements or not number:  # ids wrap; one that is in use must keep its text
-            number = next(self._ids) % (1 << 32)
-        self._texts += len(text)
-        made = self._statements[number] = Statement(number, text, parameters, reading, parsed)
-        return made
-
-    def get(self, number: int) -> Statement:
-        found = self._statements.get(number)
-        if found is None:
-            raise Fault(UNKNOWN, f"Unknown prepared statement handler ({number})")
-        return found
+        if len(self._statements) >= MAX_STATEMENTS or self._text_bytes + len(text) > self._max_bytes:
+            raise PreparedStatementError(
+                TOO_MANY_STATEMENTS, f"too many prepared statements on this connection: {len(self)}"
+            )
+        statement = PreparedStatement(self._next_id(), text, parameters, reading, parse_settings)
+        self._text_bytes += len(text)
+        self._statements[statement.id] = statement
+        return statement
+
+    def _next_id(self) -> int:
+        """Ids wrap; one that is in use must keep its text, and 0 is none."""
+        statement_id = next(self._ids) % ID_RANGE
+        while statement_id in self._statements or not statement_id:
+            statement_id = next(self._ids) % ID_RANGE
+        return statement_id
+
+    def get(self, statement_id: int) -> PreparedStatement:
+        """Raises PreparedStatementError for an id that was never prepared, or was closed."""
+        statement = self._statements.get(statement_id)
+        if statement is None:
+            raise PreparedStatementError(
+                UNKNOWN_STATEMENT, f"Unknown prepared statement handler ({statement_id})"
+            )
+        return statement
 
     def close(self, payload: bytes) -> None:
-        """Of a statement that is not there, too: nobody is told."""
-        found = self._statements.pop(int.from_bytes(payload[:4], "little"), None)
-        if found is not None:
-            self._texts -= len(found.text)
-            self._drop_long(found)
+        """COM_STMT_CLOSE, which has no response: an unknown id is ignored."""
+        statement = self._statements.pop(read_statement_id(payload), None)
+        if statement is not None:
+            self._text_bytes -= len(statement.text)
+            self._drop_long_data(statement)
 
     def reset(self, payload: bytes) -> None:
-        statement = self.get(int.from_bytes(payload[:4], "little"))
-        self._drop_long(statement)
-        statement.fault = None
+        """COM_STMT_RESET: drop the long data. Raises PreparedStatementError for an unknown id."""
+        statement = self.get(read_statement_id(payload))
+        self._drop_long_data(statement)
+        statement.long_data_error = None
 
     def clear(self) -> None:
+        """Forget all statements, as a new session does."""
         self._statements.clear()
-        self._texts = self._long = 0
+        self._text_bytes = 0
+        self._long_data_bytes = 0
 
-    def long_data(self, payload: bytes) -> None:
-        """Nobody is told now: what is wrong comes out at the next execution."""
-        statement = self._statements.get(int.from_bytes(payload[:4], "little"))
-        if statement is None or len(payload) < 6:
+    def append_long_data(self, payload: bytes) -> None:
+        """COM_STMT_SEND_LONG_DATA, which has no response: an error is raised by the next execution."""
+        statement = self._statements.get(read_statement_id(payload))
+        if statement is None or len(payload) < LONG_DATA_HEADER_BYTES:
             return
-        at, data = int.from_bytes(payload[4:6], "little"), payload[6:]
-        if at >= statement.parameters:
-            statement.fault = Fault(WRONG_ARGUMENTS, "Incorrect arguments to mysqld_stmt_send_long_data")
-        elif self._long + len(data) > self._max:
-            # Danger: data that comes piece by piece grows without any packet being too long.
-            statement.fault = Fault(TOO_LONG, f"long data of more than {self._max} bytes")
+        parameter = int.from_bytes(payload[ID_BYTES:LONG_DATA_HEADER_BYTES], "little")
+        data = payload[LONG_DATA_HEADER_BYTES:]
+        if parameter >= statement.parameters:
+            statement.long_data_error = PreparedStatementError(
+                WRONG_ARGUMENTS, "Incorrect arguments to mysqld_stmt_send_long_data"
+            )
+        elif self._long_data_bytes + len(data) > self._max_bytes:
+            # Danger: data sent in pieces would grow without bound, though no single packet is too long.
+            statement.long_data_error = PreparedStatementError(
+                TOO_LONG, f"long data of more than {self._max_bytes} bytes"
+            )
         else:
-            self._long += len(data)
-            statement.long.setdefault(at, bytearray()).extend(data)
-
-    def _drop_long(self, statement: Statement) -> None:
-        self._long -= sum(len(data) for data in statement.long.values())
-        statement.long.clear()
-
-    def execute(
-        self, payload: bytes, attributes: bool = False
-    ) -> tuple[Statement, list[Value], dict[str, Value]]:
-        """The statement, its parameters' values, and the command's attributes. Long data is used up.
-        `attributes`: whether client and server agreed on them, which changes the packet's form."""
-        c = Cursor(payload)
+            self._long_data_bytes += len(data)
+            statement.long_data.setdefault(parameter, bytearray()).extend(data)
+
+    def _drop_long_data(self, statement: PreparedStatement) -> None:
+        self._long_data_bytes -= sum(len(data) for data in statement.long_data.values())
+        statement.long_data.clear()
+
+    def execute(self, payload: bytes, attributes: bool = False) -> Execution:
+        """Parse a COM_STMT_EXECUTE and use up the statement's long data.
+
+        `attributes`: whether client and server agreed on them, which changes the packet's form.
+        Raises PreparedStatementError; the statement stays.
+        """
         try:
-            statement = self.get(c.number(4))
-            flags = c.number(1)  # a cursor may be asked for, and need not be opened
-            counted = attributes and (statement.parameters or flags & PARAMETER_COUNT)
-            c.take(4)  # iterations are always 1
-            if statement.fault is not None:
-                fault, statement.fault = statement.fault, None
-                raise fault
-            total = statement.parameters
-            if counted:
-                total = c.length()
-                if total < statement.parameters or total > MAX_PARAMETERS:
-                    raise ProtocolError(f"{total} parameters")
-            values, named = self._values(statement, c, total, attributes)
+            execution = self._parse_execution(Cursor(payload), attributes)
         except ProtocolError as error:
-            raise Fault(WRONG_ARGUMENTS, f"Incorrect arguments to mysqld_stmt_execute: {error}") from None
+            raise PreparedStatementError(
+                WRONG_ARGUMENTS, f"Incorrect arguments to mysqld_stmt_execute: {error}"
+            ) from None
         except OutOfRange as error:
-            raise Fault(OUT_OF_RANGE, str(error)) from None
-        self._drop_long(statement)
-        return statement, values, named
-
-    def _values(
-        self, statement: Statement, c: Cursor, total: int, named: bool
-    ) -> tuple[list[Value], dict[str, Value]]:
+            raise PreparedStatementError(OUT_OF_RANGE, str(error)) from None
+        self._drop_long_data(execution.statement)
+        return execution
+
+    def _parse_execution(self, cursor: Cursor, attributes: bool) -> Execution:
+        statement = self.get(cursor.number(ID_BYTES))
+        flags = cursor.number(1)  # a cursor may be requested, and need not be opened
+        cursor.take(4)  # the iteration count, which is always 1
+        if statement.long_data_error is not None:
+            error = statement.long_data_error
+            statement.long_data_error = None
+            raise error
+        total = statement.parameters
+        if attributes and (statement.parameters or flags & PARAMETER_COUNT_FLAG):
+            total = cursor.length()
+            if total < statement.parameters or total > MAX_PARAMETERS:
+                raise ProtocolError(f"{total} parameters")
+        return self._read_parameters(statement, cursor, total, attributes)
+
+    @staticmethod
+    def _read_parameters(statement: PreparedStatement, cursor: Cursor, total: int, named: bool) -> Execution:
         if not total:
-            return [], {}
-        nulls = c.take((total + 7) // 8)
-        if c.number(1):
-            statement.types = read_types(c, total, named)
+            return Execution(statement, [], {})
+        null_bitmap = cursor.take((total + 7) // 8)
+        if cursor.number(1):
+            statement.types = read_types(cursor, total, named)
         if statement.types is None or len(statement.types) != total:
             raise ProtocolError("no types were ever sent")
-        values = read_values(c, statement.types, nulls, statement.long)
-        if c.left:
-            raise ProtocolError(f"{c.left} bytes too many")
+        values = read_values(cursor, statement.types, null_bitmap, statement.long_data)
+        if cursor.left:
+            raise ProtocolError(f"{cursor.left} bytes too many")
         own = statement.parameters
-        extra = zip(statement.types[own:], values[own:], strict=True)
-        return values[:own], {t.name: v for t, v in extra}
+        attributes = zip(statement.types[own:], values[own:], strict=True)
+        return Execution(statement, values[:own], {parameter.name: value for parameter, value in attributes})
+
+
+def read_statement_id(payload: bytes) -> int:
+    """The statement id that begins the payload of a COM_STMT command."""
+    return int.from_bytes(payload[:ID_BYTES], "little")
--- /dev/null
+++ b/juniperreel/frontends/outcome.py
@@ -0,0 +1,38 @@
+"""How a request ended, as the request metrics count it for every client protocol."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from juniperreel.net.clock import US
+from juniperreel.proxy import Answer, Failed, Refused, Served, Spurned
+from juniperreel.telemetry.metrics import Metrics
+
+
+class RequestOutcome(NamedTuple):
+    """Label values of the request metrics; `reason` is empty for a request that was served."""
+
+    outcome: str
+    reason: str
+
+
+def outcome_of(answer: Answer | None) -> RequestOutcome:
+    """Classify the proxy's answer; None is a request that passed its deadline."""
+    match answer:
+        case Served():
+            return RequestOutcome("served", "")
+        case Spurned():
+            return RequestOutcome("served", "statement at fault")
+        case Refused():
+            return RequestOutcome("refused", answer.reason)
+        case Failed():
+            return RequestOutcome("failed", answer.reason)
+        case None:
+            return RequestOutcome("failed", "deadline")
+
+
+def record_request(metrics: Metrics, class_name: str, answer: Answer | None, duration_us: int) -> None:
+    """Count a finished request and observe how long it took."""
+    outcome, reason = outcome_of(answer)
+    metrics.request(class_name, outcome, reason).inc()
+    metrics.took(class_name, outcome).observe(duration_us / US)
--- a/tests/cli/test_statement.py
+++ b/tests/cli/test_statement.py
@@ -8,7 +8,7 @@
 from click.testing import CliRunner
 
 from juniperreel.cli.main import main
-from juniperreel.frontends.mysql.classes import digest
+from juniperreel.frontends.mysql.classification import statement_digest
 
 EXAMPLE = (Path(__file__).parents[2] / "deploy" / "edge.conf").read_text(encoding="utf-8")
 MYSQL = """[mysql]
@@ -49,7 +49,7 @@
 
 def test_with_settings_it_names_the_class(tmp_path: Path) -> None:
     (tmp_path / "token.key").write_bytes(b"k" * 32)
-    name = digest(b"select a from t where b = 1")
+    name = statement_digest(b"select a from t where b = 1")
     assert f"digest: {name}" in say("select  a from t where b = 'x'")
     conf = tmp_path / "edge.conf"
     conf.write_text(EXAMPLE.replace("[log]", MYSQL.format(name)))
--- a/tests/e2e/test_mysql.py
+++ b/tests/e2e/test_mysql.py
@@ -179,7 +179,9 @@
         stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         await client.close()
     assert await using(world, lambda c: ask(c, "select 1")) == ((1,),)
-    assert "failed inside" not in (world.folder / "edge.log").read_text()
+    log = (world.folder / "edge.log").read_text()
+    assert "failed inside" not in log
+    assert "MySQL connection failed" not in log
 
 
 async def test_connections_beyond_the_limit_are_told_so(world: World) -> None:
--- a/tests/e2e/test_mysql_hard.py
+++ b/tests/e2e/test_mysql_hard.py
@@ -13,7 +13,7 @@
 
 from juniperreel.fakes.engine import Engine, Rows
 from juniperreel.fakes.member import Member
-from juniperreel.frontends.mysql import connection as front
+from juniperreel.frontends.mysql import connection as client_connection
 from juniperreel.mysql.client import ClientSession, Done, End, Event, Failed, Row
 from juniperreel.proxy.mysqlmembers import MysqlLinks
 from tests.e2e.test_mysql import INSERT, SELECT, ask, connector, port, using
@@ -177,7 +177,7 @@
 async def test_who_connects_and_says_nothing_or_little_is_dropped(
     world: World, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(front, "LOGIN_S", 0.5)
+    monkeypatch.setattr(client_connection, "LOGIN_TIMEOUT_S", 0.5)
     assert world.edge.mysql is not None
     with trio.fail_after(30):
         silent = await trio.open_tcp_stream("127.0.0.1", port(world))
@@ -206,7 +206,9 @@
                     nursery.start_soon(knock, n)
         await until(lambda: world.edge.mysql is not None and world.edge.mysql.connections == 0)
     assert await using(world, lambda c: ask(c, "select 1")) == ((1,),)
-    assert "failed inside" not in (world.folder / "edge.log").read_text()
+    log = (world.folder / "edge.log").read_text()
+    assert "failed inside" not in log
+    assert "MySQL connection failed" not in log
 
 
 async def test_long_statements(world: World) -> None:
--- a/tests/e2e/test_path.py
+++ b/tests/e2e/test_path.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from juniperreel.frontends.grpc import TOKEN_HEADER
+from juniperreel.frontends.grpc_request import TOKEN_HEADER
 from juniperreel.proto.records.v1 import records_pb2
 from juniperreel.rpc.http2 import block_of
 from juniperreel.rpc.status import PUSHBACK, Code, RpcError
--- a/tests/frontends/mysql/test_prepared.py
+++ b/tests/frontends/mysql/test_prepared.py
@@ -1,4 +1,4 @@
-"""Prepared statements by bytes: what clients send comes out as meant, and nothing grows without end."""
+"""Prepared statements by bytes: values arrive as sent, and nothing grows without bound."""
 
 from __future__ import annotations
 
@@ -8,16 +8,20 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from juniperreel.frontends.mysql.prepared import (
-    MAX_STATEMENTS,
+from juniperreel.frontends.mysql.errors import (
     OUT_OF_RANGE,
     TOO_LONG,
-    TOO_MANY,
-    UNKNOWN,
+    TOO_MANY_STATEMENTS,
+    UNKNOWN_STATEMENT,
     WRONG_ARGUMENTS,
-    Fault,
-    Prepared,
-    Statement,
+    ErrorCode,
+    PreparedStatementError,
+)
+from juniperreel.frontends.mysql.prepared import (
+    MAX_STATEMENTS,
+    Execution,
+    PreparedStatement,
+    PreparedStatements,
     count_parameters,
 )
 from juniperreel.mysql.constants import ColumnType
@@ -28,24 +32,24 @@
 TEXT = b"insert into runs (runner, id) values (?, ?)"
 
 
-def made(text: bytes = TEXT, most: int = 10_000) -> tuple[Prepared, Statement]:
-    prepared = Prepared(most)
+def prepare(text: bytes = TEXT, max_bytes: int = 10_000) -> tuple[PreparedStatements, PreparedStatement]:
+    prepared = PreparedStatements(max_bytes)
     return prepared, prepared.prepare(text, read_statement(text), Mode())
 
 
 def execution(number: int, *values: tuple[int, bool, bytes | None], typed: bool = True) -> bytes:
     """COM_STMT_EXECUTE: type, unsigned, bytes of each parameter."""
     nulls = bytearray((len(values) + 7) // 8)
-    for at, (_, _, data) in enumerate(values):
+    for position, (_, _, data) in enumerate(values):
         if data is None:
-            nulls[at // 8] |= 1 << (at % 8)
+            nulls[position // 8] |= 1 << (position % 8)
     types = b"".join(bytes((kind, 0x80 * unsigned)) for kind, unsigned, _ in values) if typed else b""
     body = b"".join(data for _, _, data in values if data is not None)
     return struct.pack("<IBI", number, 0, 1) + bytes(nulls) + bytes((typed,)) + types + body
 
 
 @pytest.mark.parametrize(
-    ("text", "count"),
+    "text, count",
     [
         (b"select 1", 0),
         (b"select ?", 1),
@@ -53,12 +57,12 @@
         (b"insert into t values (?,?,?)", 3),
     ],
 )
-def test_placeholders_are_counted_outside_of_strings_and_comments(text: bytes, count: int) -> None:
+def test_count_parameters_skips_strings_and_comments(text: bytes, count: int) -> None:
     assert count_parameters(text, Mode()) == count
 
 
 @pytest.mark.parametrize(
-    ("kind", "unsigned", "data", "meant"),
+    "kind, unsigned, data, expected",
     [
         (1, False, b"\xff", -1),
         (1, True, b"\xff", 255),
@@ -81,75 +85,85 @@
         (11, False, b"\x0c" + struct.pack("<BIBBBI", 0, 0, 2, 3, 4, 5), "02:03:04.000005"),
     ],
 )
-def test_every_type_comes_out_as_it_was_meant(kind: int, unsigned: bool, data: bytes, meant: Value) -> None:
-    prepared, statement = made(b"select ?")
-    assert prepared.execute(execution(statement.id, (kind, unsigned, data))) == (statement, [meant], {})
+def test_execute_with_each_type_decodes_the_value(
+    kind: int, unsigned: bool, data: bytes, expected: Value
+) -> None:
+    prepared, statement = prepare(b"select ?")
+    assert prepared.execute(execution(statement.id, (kind, unsigned, data))) == Execution(
+        statement, [expected], {}
+    )
 
 
-def test_types_are_sent_once_and_nulls_each_time() -> None:
-    prepared, statement = made()
+def test_execute_without_types_uses_those_of_the_last_execution() -> None:
+    prepared, statement = prepare()
     first = ((253, False, string(b"a")), (8, False, struct.pack("<q", 7)))
-    assert prepared.execute(execution(statement.id, *first))[1] == ["a", 7]
+    assert prepared.execute(execution(statement.id, *first)).values == ["a", 7]
     again = ((0, False, None), (0, False, struct.pack("<q", 8)))
-    assert prepared.execute(execution(statement.id, *again, typed=False))[1] == [None, 8]
+    assert prepared.execute(execution(statement.id, *again, typed=False)).values == [None, 8]
 
 
-def fault(prepared: Prepared, payload: bytes) -> tuple[int, str]:
-    with pytest.raises(Fault) as caught:
+def error_of(prepared: PreparedStatements, payload: bytes) -> ErrorCode:
+    with pytest.raises(PreparedStatementError) as caught:
         prepared.execute(payload)
     return caught.value.code
 
 
-def test_what_is_wrong_is_told_and_the_statement_stays() -> None:
-    prepared, statement = made(b"select ?")
+def test_execute_with_bad_arguments_raises_and_keeps_the_statement() -> None:
+    prepared, statement = prepare(b"select ?")
     good = execution(statement.id, (8, False, struct.pack("<q", 1)))
-    assert fault(prepared, execution(99, (8, False, bytes(8)))) == UNKNOWN
-    assert fault(prepared, execution(statement.id, (8, True, b"\xff" * 8))) == OUT_OF_RANGE
-    assert fault(prepared, good[:-3]) == WRONG_ARGUMENTS
-    assert fault(prepared, good + b"!") == WRONG_ARGUMENTS
-    assert fault(prepared, execution(statement.id, (99, False, b"x"))) == WRONG_ARGUMENTS
+    assert error_of(prepared, execution(99, (8, False, bytes(8)))) == UNKNOWN_STATEMENT
+    assert error_of(prepared, execution(statement.id, (8, True, b"\xff" * 8))) == OUT_OF_RANGE
+    assert error_of(prepared, good[:-3]) == WRONG_ARGUMENTS
+    assert error_of(prepared, good + b"!") == WRONG_ARGUMENTS
+    assert error_of(prepared, execution(statement.id, (99, False, b"x"))) == WRONG_ARGUMENTS
     assert prepared.execute(good)[1] == [1]
-    untyped = Prepared(1000)
+    untyped = PreparedStatements(1000)
     fresh = untyped.prepare(b"select ?", read_statement(b"select ?"), Mode())
-    assert fault(untyped, execution(fresh.id, (8, False, bytes(8)), typed=False)) == WRONG_ARGUMENTS
+    assert error_of(untyped, execution(fresh.id, (8, False, bytes(8)), typed=False)) == WRONG_ARGUMENTS
 
 
-def test_long_data_is_joined_used_once_and_bounded() -> None:
-    prepared, statement = made(most=1000)
+def test_long_data_in_pieces_is_joined_used_once_and_bounded() -> None:
+    prepared, statement = prepare(max_bytes=1000)
     number = struct.pack("<I", statement.id)
     for part in (b"one ", b"two"):
-        prepared.long_data(number + b"\0\0" + part)
+        prepared.append_long_data(number + b"\0\0" + part)
     sent = ((253, False, b""), (8, False, struct.pack("<q", 7)))
-    assert prepared.execute(execution(statement.id, *sent))[1] == ["one two", 7]
+    assert prepared.execute(execution(statement.id, *sent)).values == ["one two", 7]
     whole = ((253, False, string(b"short")), (8, False, struct.pack("<q", 7)))
-    assert prepared.execute(execution(statement.id, *whole))[1] == ["short", 7]
+    assert prepared.execute(execution(statement.id, *whole)).values == ["short", 7]
     for _ in range(20):
-        prepared.long_data(number + b"\0\0" + bytes(100))
-    assert fault(prepared, execution(statement.id, *sent)) == TOO_LONG
+        prepared.append_long_data(number + b"\0\0" + bytes(100))
+    assert error_of(prepared, execution(statement.id, *sent)) == TOO_LONG
     prepared.reset(number)
-    assert prepared.execute(execution(statement.id, *whole))[1] == ["short", 7]
-    prepared.long_data(number + b"\x09\0" + b"x")
-    assert fault(prepared, execution(statement.id, *whole)) == WRONG_ARGUMENTS
+    assert prepared.execute(execution(statement.id, *whole)).values == ["short", 7]
+    prepared.append_long_data(number + b"\x09\0" + b"x")
+    assert error_of(prepared, execution(statement.id, *whole)) == WRONG_ARGUMENTS
+
+
+def prepare_times(prepared: PreparedStatements, times: int) -> None:
+    for _ in range(times):
+        prepared.prepare(b"select 1", read_statement(b"select 1"), Mode())
 
 
-def test_ids_are_bounded_wrap_and_never_meet() -> None:
-    prepared, statement = made(b"select 1")
+def test_statement_ids_wrap_skip_those_in_use_and_are_bounded() -> None:
+    prepared, statement = prepare(b"select 1")
     reading = read_statement(b"select 1")
     prepared._ids = iter([(1 << 32) - 1, 1 << 32, (1 << 32) + statement.id, (1 << 32) + 2])  # type: ignore[assignment]
     first, second = (prepared.prepare(b"select 2", reading, Mode()) for _ in range(2))
-    assert first.id == (1 << 32) - 1 and second.id == 2 and prepared.get(statement.id).text == b"select 1"
-    full, _ = made(b"select 1", most=1 << 20)
-    with pytest.raises(Fault) as caught:
-        for _ in range(MAX_STATEMENTS):
-            full.prepare(b"select 1", reading, Mode())
-    assert caught.value.code == TOO_MANY
+    assert first.id == (1 << 32) - 1
+    assert second.id == 2
+    assert prepared.get(statement.id).text == b"select 1"
+    full, _ = prepare(b"select 1", max_bytes=1 << 20)
+    with pytest.raises(PreparedStatementError) as caught:
+        prepare_times(full, MAX_STATEMENTS)
+    assert caught.value.code == TOO_MANY_STATEMENTS
     full.close(struct.pack("<I", 1))
     full.prepare(b"select 1", reading, Mode())
-    with pytest.raises(Fault):
-        made(b"select 1" + b" " * 2000, most=1000)
+    with pytest.raises(PreparedStatementError):
+        prepare(b"select 1" + b" " * 2000, max_bytes=1000)
 
 
-def test_binary_rows_hold_what_a_client_reads() -> None:
+def test_binary_row_encodes_values_and_nulls() -> None:
     columns = [Column("n", ColumnType.LONGLONG), Column("x", ColumnType.DOUBLE)]
     columns += [Column("t", ColumnType.VAR_STRING), Column("b", ColumnType.BLOB)]
     row = binary_row(columns, [-5, 0.5, "née", b"\xff"])
@@ -160,17 +174,17 @@
 
 
 @given(st.binary(max_size=200), st.integers(0, 4))
-def test_noise_is_a_fault_or_values(data: bytes, parameters: int) -> None:
-    prepared, statement = made(b"select " + b",".join([b"?"] * parameters or [b"1"]))
+def test_execute_with_noise_raises_or_returns_values(data: bytes, parameters: int) -> None:
+    prepared, statement = prepare(b"select " + b",".join([b"?"] * parameters or [b"1"]))
     try:
         _, values, _ = prepared.execute(struct.pack("<IBI", statement.id, 0, 1) + data)
         assert len(values) == parameters
-    except Fault:
+    except PreparedStatementError:
         pass
-    prepared.long_data(data)
+    prepared.append_long_data(data)
     prepared.close(data)
 
 
 @given(st.integers(0, (1 << 64) - 1))
-def test_lengths_come_back(size: int) -> None:
+def test_length_encoding_round_trips(size: int) -> None:
     assert Cursor(length(size)).length() == size
--- /dev/null
+++ b/tests/frontends/mysql/test_transaction_scope.py
@@ -0,0 +1,258 @@
+"""A connection's transaction by its statements alone, against a model of what a server would do."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from juniperreel.frontends.mysql.errors import NO_SUCH_SAVEPOINT, TRANSACTION_ROLLED_BACK
+from juniperreel.frontends.mysql.transaction_scope import Action, TransactionScope
+from juniperreel.mysql.constants import Status
+from juniperreel.pool.state import FRESH
+from juniperreel.proxy import Hold
+from juniperreel.statements import read_statement
+
+
+class FakeTransaction:
+    """A transaction held by an endpoint."""
+
+    def __init__(self) -> None:
+        self.open = True
+        self.tainted = False
+        self.state = FRESH
+        self.released = 0
+
+    def release(self) -> None:
+        self.open = False
+        self.released += 1
+
+    async def run(self, *_: Any, **__: Any) -> Any: ...
+
+    async def finish(self, *_: Any, **__: Any) -> Any: ...
+
+
+class ScopeHarness:
+    """A scope, and a log of what an endpoint was sent for each statement."""
+
+    def __init__(self, supports_transactions: bool = True) -> None:
+        self.scope = TransactionScope(supports_transactions, "runs")
+        self.transaction: FakeTransaction | None = None
+        self.log: list[str] = []
+
+    def execute(self, text: str, fails: bool = False) -> Action:
+        """Play the connection, and an endpoint that follows the plan."""
+        while True:
+            reading = read_statement(text.encode())
+            plan = self.scope.plan(reading)
+            match plan.action:
+                case Action.BEGIN_TRANSACTION:
+                    self.transaction = FakeTransaction()
+                    self.log.append("begin ro" if plan.transaction_mode is Hold.READ_ONLY else "begin")
+                    self.log.append(text)
+                    self.scope.on_transaction_opened(self.transaction)
+                case Action.RUN_IN_TRANSACTION:
+                    self.log.append(text)
+                    if fails and self.transaction is not None:
+                        self.transaction.open = False
+                    self.scope.on_statement_answered()
+                case Action.END_TRANSACTION:
+                    assert self.transaction is not None
+                    self.log.append("commit" if plan.may_commit or reading.control is None else "end")
+                    self.transaction.open = False
+                    self.transaction = None
+                    self.scope.on_transaction_ended()
+                    if reading.control is not None and reading.control.verb.value == "begin":
+                        continue
+                case Action.SINGLE_REQUEST:
+                    self.log.append("alone")
+            return plan.action
+
+
+@pytest.fixture
+def harness() -> ScopeHarness:
+    return ScopeHarness()
+
+
+def test_begin_before_any_statement_reaches_no_endpoint(harness: ScopeHarness) -> None:
+    assert harness.execute("begin") is Action.ACKNOWLEDGE
+    assert harness.scope.status() & Status.IN_TRANSACTION
+    assert harness.execute("commit") is Action.ACKNOWLEDGE
+    assert not harness.scope.status() & Status.IN_TRANSACTION
+    assert harness.log == []
+    harness.execute("begin")
+    assert harness.execute("insert into t values (1)") is Action.BEGIN_TRANSACTION
+    assert harness.execute("select * from t") is Action.RUN_IN_TRANSACTION
+    assert harness.execute("commit") is Action.END_TRANSACTION
+    assert harness.execute("select * from t") is Action.SINGLE_REQUEST
+    assert harness.log == ["begin", "insert into t values (1)", "select * from t", "commit", "alone"]
+
+
+def test_begin_within_a_transaction_commits_it_and_begins_another(harness: ScopeHarness) -> None:
+    harness.execute("begin")
+    harness.execute("insert into t values (1)")
+    assert harness.execute("start transaction read only") is Action.ACKNOWLEDGE
+    assert harness.log[-1] == "commit"
+    assert harness.scope.pending is Hold.READ_ONLY
+    assert harness.scope.status() & Status.IN_READ_ONLY
+    assert harness.execute("insert into t values (2)") is Action.REJECT
+    assert harness.execute("select 1") is Action.BEGIN_TRANSACTION
+    assert harness.log[-2] == "begin ro"
+    assert harness.execute("update t set a = 1") is Action.REJECT
+    assert harness.execute("select * from t for update") is Action.REJECT
+
+
+def test_begin_with_consistent_snapshot_opens_the_transaction_at_once(harness: ScopeHarness) -> None:
+    assert (
+        harness.execute("start transaction with consistent snapshot, read only") is Action.BEGIN_TRANSACTION
+    )
+
+
+def test_autocommit_switched_off_and_on_begins_and_commits(harness: ScopeHarness) -> None:
+    assert harness.execute("set autocommit = 0") is Action.ACKNOWLEDGE
+    assert not harness.scope.status() & (Status.AUTOCOMMIT | Status.IN_TRANSACTION)
+    assert harness.execute("select 1") is Action.BEGIN_TRANSACTION
+    assert harness.execute("commit") is Action.END_TRANSACTION
+    assert harness.execute("insert into t values (1)") is Action.BEGIN_TRANSACTION
+    assert harness.execute("set autocommit = 1") is Action.END_TRANSACTION
+    assert harness.log[-1] == "commit"
+    assert harness.scope.status() == Status.AUTOCOMMIT
+    assert harness.execute("insert into t values (1)") is Action.SINGLE_REQUEST
+
+
+def test_ddl_within_a_transaction_ends_it(harness: ScopeHarness) -> None:
+    harness.execute("begin")
+    assert harness.execute("create table t (a int)") is Action.SINGLE_REQUEST, "nothing was open yet"
+    harness.execute("begin")
+    harness.execute("insert into t values (1)")
+    assert harness.execute("drop table t") is Action.END_TRANSACTION
+    assert harness.execute("rollback") is Action.ACKNOWLEDGE
+
+
+def test_next_statement_after_the_endpoint_ended_the_transaction_is_rejected_once() -> None:
+    """Danger: the next statement would take effect by itself, in the middle of what its client believes."""
+    for last, expected in (
+        ("insert into t values (2)", Action.REJECT),
+        ("commit", Action.REJECT),
+        ("rollback", Action.ACKNOWLEDGE),
+    ):
+        harness = ScopeHarness()
+        harness.execute("begin")
+        harness.execute("insert into t values (1)")
+        assert harness.transaction is not None
+        harness.transaction.open = False
+        plan = harness.scope.plan(read_statement(last.encode()))
+        assert plan.action is expected
+        assert plan.action is Action.ACKNOWLEDGE or plan.error_code == TRANSACTION_ROLLED_BACK
+        assert harness.scope.transaction is None
+        assert harness.execute("select 1") is Action.SINGLE_REQUEST
+
+
+def test_savepoints_outside_of_a_transaction_begin_one_or_are_acknowledged(harness: ScopeHarness) -> None:
+    assert harness.execute("savepoint a") is Action.ACKNOWLEDGE
+    plan = harness.scope.plan(read_statement(b"rollback to a"))
+    assert plan.action is Action.REJECT
+    assert plan.error_code == NO_SUCH_SAVEPOINT
+    harness.execute("begin")
+    assert harness.execute("savepoint a") is Action.BEGIN_TRANSACTION
+    assert harness.execute("rollback to a") is Action.RUN_IN_TRANSACTION
+
+
+def test_statements_that_depend_on_the_session_run_where_it_can_be_replayed(harness: ScopeHarness) -> None:
+    assert harness.execute("select last_insert_id() + 1") is Action.SINGLE_REQUEST
+    assert harness.scope.plan(read_statement(b"insert into t values (last_insert_id())")).needs_insert_id
+    assert not harness.scope.plan(read_statement(b"insert into t values (1)")).needs_insert_id
+    assert harness.execute("select found_rows()") is Action.REJECT
+    assert harness.execute("select row_count()") is Action.REJECT
+    plan = harness.scope.plan(read_statement(b"set @a = 1, sql_mode = ''"))
+    assert plan.action is Action.SINGLE_REQUEST
+    assert plan.assignments == (("@a", "1"), ("sql_mode", "''"))
+    assert plan.hides_result
+    assert harness.execute("select @a") is Action.SINGLE_REQUEST
+    for text in ("set binlog_format = 'row'", "set @a = (select 1)", "set autocommit = 0, sql_mode = ''"):
+        assert harness.execute(text) is Action.REJECT, text
+    harness.execute("begin")
+    harness.execute("select 1")
+    assert harness.execute("select found_rows(), row_count()") is Action.RUN_IN_TRANSACTION
+    assert harness.scope.plan(read_statement(b"select last_insert_id() + 1")).needs_insert_id
+    harness.scope.on_statement_answered(insert_id=5)
+    assert not harness.scope.plan(read_statement(b"select last_insert_id() + 1")).needs_insert_id, "its own"
+
+
+def test_computed_variables_after_their_transaction_are_rejected(harness: ScopeHarness) -> None:
+    """Danger: on another connection they would be NULL, and nobody would be harness."""
+    harness.execute("begin")
+    harness.execute("select 1")
+    assert harness.execute("set @a = (select max(b) from t)") is Action.RUN_IN_TRANSACTION
+    assert harness.scope.assigns_variables
+    assert harness.execute("select @a") is Action.RUN_IN_TRANSACTION
+    harness.execute("commit")
+    assert not harness.scope.assigns_variables
+    assert harness.execute("select @a") is Action.REJECT
+    harness.execute("begin")
+    harness.execute("select 1")
+    assert harness.execute("select @a") is Action.REJECT
+    harness.scope.reset()
+    assert harness.execute("select @a") is Action.SINGLE_REQUEST, "a new session has set nothing"
+
+
+def test_statements_without_transaction_support_are_acknowledged_or_rejected() -> None:
+    harness = ScopeHarness(supports_transactions=False)
+    for text in ("begin", "set autocommit = 0", "select * from t for update", "savepoint a", "set @a = 1"):
+        assert harness.execute(text) is Action.REJECT, text
+    for text in ("commit", "rollback", "set autocommit = 1", "set names utf8mb4"):
+        assert harness.execute(text) is Action.ACKNOWLEDGE, text
+    assert harness.execute("insert into t values (1)") is Action.SINGLE_REQUEST
+
+
+def test_use_of_another_schema_is_rejected(harness: ScopeHarness) -> None:
+    assert harness.execute("use RUNS") is Action.ACKNOWLEDGE
+    assert harness.execute("use other") is Action.REJECT
+
+
+def test_reset_with_an_open_transaction_releases_it(harness: ScopeHarness) -> None:
+    harness.execute("set autocommit = 0")
+    harness.execute("select 1")
+    transaction = harness.transaction
+    assert transaction is not None
+    harness.scope.reset()
+    assert transaction.released == 1
+    assert harness.scope.status() == Status.AUTOCOMMIT
+
+
+WORDS = [
+    "begin",
+    "commit",
+    "rollback",
+    "set autocommit = 0",
+    "set autocommit = 1",
+    "insert into t values (1)",
+    "select 1",
+    "create table t (a int)",
+    "savepoint a",
+]
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.lists(st.tuples(st.sampled_from(WORDS), st.booleans()), max_size=25))
+def test_status_flags_for_any_statements_match_a_model_server(words: list[tuple[str, bool]]) -> None:
+    """A plain model of autocommit and transactions, without any laziness."""
+    harness = ScopeHarness()
+    auto, inside = True, False
+    for text, _ in words:
+        harness.execute(text)
+        if text == "begin":
+            inside = True
+        elif text in ("commit", "rollback", "create table t (a int)"):
+            inside = False
+        elif text.startswith("set autocommit"):
+            if text.endswith("1") and not auto:
+                inside = False
+            auto = text.endswith("1")
+        elif not auto:
+            inside = True  # a statement begins one
+        status = harness.scope.status()
+        assert bool(status & Status.AUTOCOMMIT) == auto
+        assert bool(status & Status.IN_TRANSACTION) == inside, (words, text)
