--- a/juniperreel/frontends/mysql/open_transaction.py
+++ b/juniperreel/frontends/mysql/open_transaction.py
@@ -22,7 +22,7 @@
 from juniperreel.pool.result import Result, Statement
 from juniperreel.proxy import Committed, Transaction, Undone, Unknown
 
-T = TypeVar("T")
+AnswerT = TypeVar("AnswerT")
 
 INSERT_ID_TIMED_OUT = ErrorResponse(DEADLINE_EXCEEDED, "no answer came in time")
 STATEMENT_TIMED_OUT = ErrorResponse(DEADLINE_EXCEEDED, "no answer came in time; the transaction was undone")
@@ -71,8 +71,8 @@
         await self._await_answer(self._transaction().run(Statement(text)), INSERT_ID_TIMED_OUT)
 
     async def _await_answer(
-        self, answer: Awaitable[T], timed_out: ErrorResponse, may_commit: bool = False
-    ) -> T:
+        self, answer: Awaitable[AnswerT], timed_out: ErrorResponse, may_commit: bool = False
+    ) -> AnswerT:
         """Await the endpoint's answer until the statement's deadline.
 
         `may_commit`: the statement may have committed even where the endpoint lost the transaction.
