--- a/juniperreel/rpc/__init__.py
+++ b/juniperreel/rpc/__init__.py
@@ -1,10 +1,10 @@
 """gRPC over HTTP/2 on trio, both sides. Knows no databases.
 
-    channel, server, call      calls of a client, calls to a program's methods
-    connection                 one HTTP/2 connection with its tasks; writer, keepalive, arrival, abuse_guard
-    stream                     one HTTP/2 stream as a sequence of messages
-    http2                      the protocol state of a connection, without I/O; frames, header_blocks,
-                               header_rules, stream_table, flow_control, http2_events
-    framing, metadata, status  gRPC's encoding of messages, headers and statuses
-    health, reflection         the standard services
+channel, server, call      calls of a client, calls to a program's methods
+connection                 one HTTP/2 connection with its tasks; writer, keepalive, arrival, abuse_guard
+stream                     one HTTP/2 stream as a sequence of messages
+http2                      the protocol state of a connection, without I/O; frames, header_blocks,
+                           header_rules, stream_table, flow_control, http2_events
+framing, metadata, status  gRPC's encoding of messages, headers and statuses
+health, reflection         the standard services
 """
