--- a/benchmarks/pool.py
+++ b/benchmarks/pool.py
@@ -212,7 +212,7 @@
             log: Any = None
 
         options = MysqlOptions(
-            {"app": Credential.of(b"app")}, StatementClassifier([], 0, 0, -1), 20_000, 1 << 20
+            {"app": Credential.from_password(b"app")}, StatementClassifier([], 0, 0, -1), 20_000, 1 << 20
         )
         nothing: Any = Nothing()
         front = MysqlFrontend(nothing, nothing, Clock(), options, generate_nonce)
--- a/benchmarks/pool_soak.py
+++ b/benchmarks/pool_soak.py
@@ -32,7 +32,15 @@
 from juniperreel.fakes.fleet import Fleet
 from juniperreel.fakes.mysqlmember import PASSWORD, USER
 from juniperreel.fakes.script import parse
-from juniperreel.mysql.client import Broken, ClientSession, Done, End, Event, Failed, Prepared
+from juniperreel.mysql.client import ClientSession
+from juniperreel.mysql.client_events import (
+    ConnectionBroken,
+    Done,
+    Event,
+    Failed,
+    ResultEnded,
+    StatementPrepared,
+)
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.proxy.mysqlmembers import MysqlLinks
 from juniperreel.settings.edge import parse_edge
@@ -166,11 +174,11 @@
         """The last event of one command."""
         await self._stream.send_all(self._client.data_to_send())
         last: Event | None = None
-        while self._client.in_hand:
+        while self._client.in_flight:
             for event in self._client.receive(await self._read()):
-                if isinstance(event, Broken):
+                if isinstance(event, ConnectionBroken):
                     raise EOFError
-                if isinstance(event, Done | Failed | End | Prepared):
+                if isinstance(event, Done | Failed | ResultEnded | StatementPrepared):
                     last = event
         assert last is not None
         return last
@@ -218,7 +226,7 @@
             made = await self._answer()
             if isinstance(made, Failed):
                 return made.err.code
-            assert isinstance(made, Prepared)
+            assert isinstance(made, StatementPrepared)
             self._ids[text] = made.id
         self._serial += 1
         serial = f"serial-{self.number}-{id(self._stream)}-{self._serial}-{self._tally.left}"
--- a/fuzz/mysql_target.py
+++ b/fuzz/mysql_target.py
@@ -19,10 +19,10 @@
 with atheris.instrument_imports():
     from juniperreel.frontends.mysql.classification import statement_digest
     from juniperreel.frontends.mysql.prepared import PreparedStatementError, PreparedStatements
-    from juniperreel.mysql import values
-    from juniperreel.mysql.auth import SHA2, Credential, proof
+    from juniperreel.mysql import columns, parameters, rows
+    from juniperreel.mysql.auth import SHA2, Credential, auth_response
     from juniperreel.mysql.client import ClientSession
-    from juniperreel.mysql.packets import Cursor, ProtocolError, packets
+    from juniperreel.mysql.packets import Cursor, ProtocolError, encode_packets
     from juniperreel.mysql.replies import decode_err, decode_ok
     from juniperreel.mysql.server import Command, ServerSession, State
     from juniperreel.pool.gtid import BadGtid, GtidSet
@@ -31,7 +31,7 @@
     from juniperreel.statements.scanner import Odd, Type, tokens
 
 NONCE = bytes(range(1, 21))
-USERS = {"ada": Credential.of(b"x")}
+USERS = {"ada": Credential.from_password(b"x")}
 
 
 def server(data: bytes) -> None:
@@ -39,21 +39,21 @@
     session = ServerSession(1, NONCE, USERS.get, 1 << 16)
     session.start()
     if data[:1] < b"\x80":
-        answer = proof(SHA2, b"x", NONCE) or b""
+        answer = auth_response(SHA2, b"x", NONCE) or b""
         caps = (0x081A2201 | 1 << 27).to_bytes(4, "little")
         login = caps + bytes(4) + b"\xff" + bytes(23) + b"ada\0" + bytes((len(answer),)) + answer
-        session.receive(packets(login + SHA2.encode() + b"\0", 1)[0])
+        session.receive(encode_packets(login + SHA2.encode() + b"\0", 1).data)
     prepared = PreparedStatements(1 << 16)
     with contextlib.suppress(PreparedStatementError):
         prepared.prepare(b"select ?, ?", read_statement(b"select ?, ?"), Mode())
-    todo = session.receive(data[1:]) + session.receive(packets(data[1:], 0)[0])
+    todo = session.receive(data[1:]) + session.receive(encode_packets(data[1:], 0).data)
     while todo:
         event = todo.pop(0)
         if isinstance(event, Command):
             with contextlib.suppress(PreparedStatementError):
                 prepared.execute(event.payload, True)
             todo += session.ok()
-    assert session.state in State and session.held < 1 << 18
+    assert session.state in State and session.buffered_bytes < 1 << 18
 
 
 def client(data: bytes) -> None:
@@ -66,21 +66,25 @@
             far.receive(session.data_to_send())
         session.prepare(b"select ?")
         session.query(b"select 1")
-        session.receive(packets(data[1:], 1)[0])
+        session.receive(encode_packets(data[1:], 1).data)
     session.receive(data[1:])
     session.receive(data[1:])
 
 
 def codec(data: bytes) -> None:
-    for read in (lambda: decode_ok(data, 1 << 23), lambda: decode_err(data), lambda: values.defined(data)):
+    for read in (
+        lambda: decode_ok(data, 1 << 23),
+        lambda: decode_err(data),
+        lambda: columns.decode_column(data),
+    ):
         with contextlib.suppress(ProtocolError):
             read()
-    columns = [values.Column("c", kind % 256, 45, flags=0x20 * (kind & 1)) for kind in data[:5]]
-    for row in (values.read_text_row, values.read_binary_row):
+    definitions = [columns.Column("c", kind % 256, 45, flags=0x20 * (kind & 1)) for kind in data[:5]]
+    for row in (rows.decode_text_row, rows.decode_binary_row):
         with contextlib.suppress(ProtocolError):
-            row(columns, data[5:])
+            row(definitions, data[5:])
     with contextlib.suppress(ProtocolError):
-        values.read_attributes(Cursor(data))
+        parameters.decode_query_attributes(Cursor(data))
     with contextlib.suppress(BadGtid):
         GtidSet.of(data.decode("latin-1"))
 
--- a/juniperreel/cli/edge.py
+++ b/juniperreel/cli/edge.py
@@ -107,7 +107,7 @@
         tls = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
         tls.load_cert_chain(*m.tls)
     options = MysqlOptions(
-        users={name: Credential.of(password) for name, password in m.users},
+        users={name: Credential.from_password(password) for name, password in m.users},
         classifier=classes_from(settings),
         max_connections=m.connections,
         max_packet=settings.message_bytes,
--- a/juniperreel/fakes/engine.py
+++ b/juniperreel/fakes/engine.py
@@ -21,8 +21,8 @@
 
 from juniperreel.fakes.machine import Full
 from juniperreel.fakes.store import Commit, Store
-from juniperreel.mysql.constants import BINARY, UTF8MB4, ColumnType, Flag
-from juniperreel.mysql.values import Column
+from juniperreel.mysql.columns import Column
+from juniperreel.mysql.constants import BINARY, UTF8MB4, ColumnFlag, ColumnType
 
 if TYPE_CHECKING:
     from juniperreel.fakes.member import Member
@@ -55,16 +55,16 @@
 # A table of every type, which sqlite has not: name, type, character set, flags, value.
 TYPED: list[tuple[str, ColumnType, int, int, Any]] = [
     ("tiny", ColumnType.TINY, BINARY, 0, -128),
-    ("utiny", ColumnType.TINY, BINARY, Flag.UNSIGNED, 255),
+    ("utiny", ColumnType.TINY, BINARY, ColumnFlag.UNSIGNED, 255),
     ("short", ColumnType.SHORT, BINARY, 0, -32768),
     ("mid", ColumnType.INT24, BINARY, 0, -8388608),
     ("long", ColumnType.LONG, BINARY, 0, -2147483648),
     ("big", ColumnType.LONGLONG, BINARY, 0, -(1 << 63)),
-    ("ubig", ColumnType.LONGLONG, BINARY, Flag.UNSIGNED, (1 << 64) - 1),
+    ("ubig", ColumnType.LONGLONG, BINARY, ColumnFlag.UNSIGNED, (1 << 64) - 1),
     ("float", ColumnType.FLOAT, BINARY, 0, 0.5),
     ("double", ColumnType.DOUBLE, BINARY, 0, 0.1),
     ("decimal", ColumnType.NEWDECIMAL, BINARY, 0, "-12345678901234567890.12"),
-    ("year", ColumnType.YEAR, BINARY, Flag.UNSIGNED, 2026),
+    ("year", ColumnType.YEAR, BINARY, ColumnFlag.UNSIGNED, 2026),
     ("date", ColumnType.DATE, BINARY, 0, "2026-12-01"),
     ("datetime", ColumnType.DATETIME, BINARY, 0, "2026-12-01 23:59:58.000007"),
     ("stamp", ColumnType.TIMESTAMP, BINARY, 0, "2026-12-01 23:59:58"),
@@ -72,8 +72,8 @@
     ("char", ColumnType.STRING, UTF8MB4, 0, "née ✓"),
     ("varchar", ColumnType.VAR_STRING, UTF8MB4, 0, "x" * 300),
     ("text", ColumnType.BLOB, UTF8MB4, 0, "ñ" * 70_000),
-    ("blob", ColumnType.BLOB, BINARY, Flag.BINARY, bytes(range(256))),
-    ("bit", ColumnType.BIT, BINARY, Flag.UNSIGNED, b"\x05"),
+    ("blob", ColumnType.BLOB, BINARY, ColumnFlag.BINARY, bytes(range(256))),
+    ("bit", ColumnType.BIT, BINARY, ColumnFlag.UNSIGNED, b"\x05"),
     ("json", ColumnType.JSON, UTF8MB4, 0, '{"a": [1, null, "\u00e9"]}'),
     ("enum", ColumnType.STRING, UTF8MB4, 0x100, "small"),
     ("set", ColumnType.STRING, UTF8MB4, 0x800, "a,b"),
--- a/juniperreel/fakes/mysqlmember.py
+++ b/juniperreel/fakes/mysqlmember.py
@@ -14,11 +14,14 @@
 
 from juniperreel.fakes.engine import BATCH, RID, STATUS, Done, Engine, Problem, Rows, understand
 from juniperreel.mysql.auth import NONCE_BYTES, SHA2, Credential
-from juniperreel.mysql.constants import ColumnType, Com, Status
+from juniperreel.mysql.columns import Column
+from juniperreel.mysql.constants import ColumnType, CommandCode, ServerStatus
 from juniperreel.mysql.packets import Cursor, ProtocolError
+from juniperreel.mysql.parameters import Parameter, decode_parameter_types, decode_parameter_values
 from juniperreel.mysql.replies import gtid_track
+from juniperreel.mysql.rows import encode_binary_row, encode_text_row
 from juniperreel.mysql.server import Command, Event, ServerSession, State
-from juniperreel.mysql.values import Column, Parameter, Value, binary_row, read_types, read_values, text_row
+from juniperreel.mysql.values import Value
 from juniperreel.net import Listener
 from juniperreel.verification.records import Abandoned, Arrived, Left, Ran, Within
 
@@ -91,7 +94,7 @@
         self.opened += 1
         number = self._numbers
         nonce = bytes(1 + secrets.randbelow(127) for _ in range(NONCE_BYTES))
-        users = {USER: Credential.of(PASSWORD)}
+        users = {USER: Credential.from_password(PASSWORD)}
         session = ServerSession(number, nonce, users.get, MAX_PACKET, self._plugin, version=b"8.0.36-standin")
         connection = Connection(self._member, self, session, stream)
         with trio.CancelScope() as self._scopes[number]:
@@ -179,36 +182,36 @@
 
     def _status(self) -> None:
         engine = self.engine
-        status = Status.AUTOCOMMIT if engine.autocommit else 0
+        status = ServerStatus.AUTOCOMMIT if engine.autocommit else 0
         if engine.in_transaction:
             read_only = engine.open.read_only if engine.open is not None else engine.read_only
-            status |= Status.IN_TRANSACTION | (Status.IN_READ_ONLY if read_only else 0)
+            status |= ServerStatus.IN_TRANSACTION | (ServerStatus.IN_READ_ONLY if read_only else 0)
         self._session.status = int(status)
 
     async def _command(self, command: Command) -> list[Event]:
         s, payload = self._session, command.payload
         match command.kind:
-            case Com.QUERY:
+            case CommandCode.QUERY:
                 return await self._run(payload.decode(), [], command.attributes, binary=False)
-            case Com.STMT_PREPARE:
+            case CommandCode.STMT_PREPARE:
                 return self._prepare(payload.decode())
-            case Com.STMT_EXECUTE:
+            case CommandCode.STMT_EXECUTE:
                 statement, values, attributes = self._bound(Cursor(payload))
                 return await self._run(statement.text, values, attributes, binary=True)
-            case Com.STMT_SEND_LONG_DATA:
+            case CommandCode.STMT_SEND_LONG_DATA:
                 found = self._statements.get(int.from_bytes(payload[:4], "little"))
                 if found is not None:
                     at = int.from_bytes(payload[4:6], "little")
                     found.long.setdefault(at, bytearray()).extend(payload[6:])
-                return s.silent()
-            case Com.STMT_CLOSE:
+                return s.no_response()
+            case CommandCode.STMT_CLOSE:
                 self._statements.pop(int.from_bytes(payload[:4], "little"), None)
-                return s.silent()
-            case Com.STMT_RESET:
+                return s.no_response()
+            case CommandCode.STMT_RESET:
                 return s.ok()
-            case Com.PING | Com.INIT_DB:
+            case CommandCode.PING | CommandCode.INIT_DB:
                 return s.ok()
-            case Com.RESET_CONNECTION:
+            case CommandCode.RESET_CONNECTION:
                 self._side.resets += 1
                 self.engine.end()
                 self._statements.clear()
@@ -227,20 +230,20 @@
         return self._session.prepared(self._last, statement.parameters)
 
     def _bound(self, c: Cursor) -> tuple[Statement, list[Value], dict[str, Value]]:
-        number, flags = c.number(4), c.number(1)
+        number, flags = c.integer(4), c.integer(1)
         c.take(4)
         statement = self._statements.get(number)
         if statement is None:
             raise Problem(1243, "HY000", f"Unknown prepared statement handler ({number})")
         total = statement.parameters
-        if self._session.takes_attributes and (total or flags & 0x08):
+        if self._session.supports_attributes and (total or flags & 0x08):
             total = c.length()
         if not total:
             return statement, [], {}
         nulls = c.take((total + 7) // 8)
-        if c.number(1):
-            statement.types = read_types(c, total, self._session.takes_attributes)
-        values = read_values(c, statement.types, nulls, statement.long)
+        if c.integer(1):
+            statement.types = decode_parameter_types(c, total, self._session.supports_attributes)
+        values = decode_parameter_values(c, statement.types, nulls, statement.long)
         statement.long.clear()
         own = statement.parameters
         names = [t.name for t in statement.types[own:]]
@@ -298,7 +301,7 @@
         serial = next((str(v) for v in values if str(v).startswith("serial-")), "")
         if serial:
             words = [str(v) for v in values]
-            thread, variables = self._session.number, dict(self.engine.variables)
+            thread, variables = self._session.connection_id, dict(self.engine.variables)
             member.record(Ran(member.at_us(), member.name, thread, serial, text, words, variables))
         if member.chance(member.losing):
             await trio.sleep_forever()
@@ -336,9 +339,9 @@
             columns = described(names, rows)
             self._session.begin_result(columns)
         self._session.rows(
-            binary_row(columns, [fitting(c, v) for c, v in zip(columns, row, strict=True)])
+            encode_binary_row(columns, [fitting(c, v) for c, v in zip(columns, row, strict=True)])
             if binary
-            else text_row(row)
+            else encode_text_row(row)
             for row in rows
         )
         return columns
--- a/juniperreel/frontends/mysql/commands.py
+++ b/juniperreel/frontends/mysql/commands.py
@@ -18,7 +18,7 @@
 from juniperreel.frontends.mysql.result_writer import ResultWriter
 from juniperreel.frontends.mysql.session_queries import SessionQueries
 from juniperreel.frontends.mysql.transaction_scope import Action, TransactionScope
-from juniperreel.mysql.constants import Com
+from juniperreel.mysql.constants import CommandCode
 from juniperreel.mysql.server import Command, Event, LoggedIn, ServerSession
 from juniperreel.statements import Kind
 
@@ -65,37 +65,37 @@
 
     async def _dispatch(self, command: Command) -> list[Event]:
         match command.kind:
-            case Com.QUERY:
+            case CommandCode.QUERY:
                 return await self._query(command)
-            case Com.PING:
+            case CommandCode.PING:
                 return self._protocol.ok()
-            case Com.INIT_DB:
+            case CommandCode.INIT_DB:
                 return self._init_db(command.payload.decode("utf-8", "replace"))
-            case Com.RESET_CONNECTION:
+            case CommandCode.RESET_CONNECTION:
                 self._reset_session()
                 return self._protocol.ok()
-            case Com.STATISTICS:
+            case CommandCode.STATISTICS:
                 return self._protocol.statistics(self._statistics())
-            case Com.SET_OPTION:
+            case CommandCode.SET_OPTION:
                 return self._set_option(command.payload)
             case _:
                 return await self._dispatch_prepared(command)
 
     async def _dispatch_prepared(self, command: Command) -> list[Event]:
         match command.kind:
-            case Com.STMT_PREPARE:
+            case CommandCode.STMT_PREPARE:
                 return self._prepare(command.payload)
-            case Com.STMT_EXECUTE:
+            case CommandCode.STMT_EXECUTE:
                 return await self._execute(command.payload)
-            case Com.STMT_RESET:
+            case CommandCode.STMT_RESET:
                 self._prepared.reset(command.payload)
                 return self._protocol.ok()
-            case Com.STMT_CLOSE:
+            case CommandCode.STMT_CLOSE:
                 self._prepared.close(command.payload)
-                return self._protocol.silent()
-            case Com.STMT_SEND_LONG_DATA:
+                return self._protocol.no_response()
+            case CommandCode.STMT_SEND_LONG_DATA:
                 self._prepared.append_long_data(command.payload)
-                return self._protocol.silent()
+                return self._protocol.no_response()
             case _:
                 raise MysqlError(UNKNOWN_COMMAND, f"command {command.kind:#04x} is not supported")
 
@@ -106,7 +106,7 @@
         self._protocol.status = self.scope.status()
 
     def _init_db(self, name: str) -> list[Event]:
-        if not self._protocol.knows(name):
+        if not self._protocol.accepts_database(name):
             raise MysqlError(UNKNOWN_SCHEMA, f"Unknown database '{name[:64]}'")
         self._session.schema = name
         return self._protocol.ok()
@@ -137,7 +137,7 @@
         return self._protocol.prepared(statement.id, statement.parameters)
 
     async def _execute(self, payload: bytes) -> list[Event]:
-        execution = self._prepared.execute(payload, self._protocol.takes_attributes)
+        execution = self._prepared.execute(payload, self._protocol.supports_attributes)
         statement = execution.statement
         if statement.parse_settings != self._session.variables.parsed:
             # Danger: under another sql_mode the same text may mean something else.
--- a/juniperreel/frontends/mysql/connection.py
+++ b/juniperreel/frontends/mysql/connection.py
@@ -10,7 +10,15 @@
 from juniperreel.frontends.mysql.context import FrontendContext
 from juniperreel.frontends.mysql.errors import SHUTDOWN_RESPONSE
 from juniperreel.frontends.mysql.prefixed_stream import PrefixedStream
-from juniperreel.mysql.server import Command, Event, Gone, LoggedIn, ServerSession, StartTls, State
+from juniperreel.mysql.server import (
+    Command,
+    ConnectionClosed,
+    Event,
+    LoggedIn,
+    ServerSession,
+    StartTls,
+    State,
+)
 
 READ_BYTES = 64 << 10
 LOGIN_TIMEOUT_S = 10.0
@@ -131,7 +139,7 @@
                 data = await self._stream.receive_some(READ_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b""
-            if not data or self._protocol.held > MAX_PIPELINED_BYTES + self._options.max_packet:
+            if not data or self._protocol.buffered_bytes > MAX_PIPELINED_BYTES + self._options.max_packet:
                 scope.cancel()
                 return
             await send.send(bytes(data))
@@ -144,7 +152,7 @@
             case LoggedIn():
                 self._commands.on_login(event)
                 return []
-            case StartTls() | Gone():
+            case StartTls() | ConnectionClosed():
                 return []
 
     async def _handle_command(self, command: Command) -> list[Event]:
--- a/juniperreel/frontends/mysql/conversion.py
+++ b/juniperreel/frontends/mysql/conversion.py
@@ -4,8 +4,9 @@
 
 from typing import NamedTuple
 
+from juniperreel.mysql.columns import Column
 from juniperreel.mysql.constants import ColumnType
-from juniperreel.mysql.values import Column, Value
+from juniperreel.mysql.values import Value
 from juniperreel.pool.result import Result
 from juniperreel.proto.common.v1 import values_pb2
 
--- a/juniperreel/frontends/mysql/open_transaction.py
+++ b/juniperreel/frontends/mysql/open_transaction.py
@@ -85,7 +85,7 @@
                 return await answer
         except Told as error:
             scope.on_statement_answered()
-            raise MysqlError(ErrorCode(error.err.code, error.err.state), error.err.words) from error
+            raise MysqlError(ErrorCode(error.err.code, error.err.sqlstate), error.err.message) from error
         except Undone as error:
             scope.on_transaction_ended()
             if may_commit:
--- a/juniperreel/frontends/mysql/prepared.py
+++ b/juniperreel/frontends/mysql/prepared.py
@@ -21,8 +21,15 @@
     WRONG_ARGUMENTS,
     PreparedStatementError,
 )
+from juniperreel.mysql.constants import PARAMETER_COUNT_AVAILABLE
 from juniperreel.mysql.packets import Cursor, ProtocolError
-from juniperreel.mysql.values import OutOfRange, Parameter, Value, read_types, read_values
+from juniperreel.mysql.parameters import (
+    OutOfRangeError,
+    Parameter,
+    decode_parameter_types,
+    decode_parameter_values,
+)
+from juniperreel.mysql.values import Value
 from juniperreel.statements import Mode, Reading
 from juniperreel.statements.scanner import Odd, Type, tokens
 
@@ -32,8 +39,6 @@
 ID_BYTES = 4
 LONG_DATA_HEADER_BYTES = 6  # statement id and parameter index
 
-PARAMETER_COUNT_FLAG = 0x08  # of COM_STMT_EXECUTE: attributes come with the parameters
-
 
 @dataclass(slots=True)
 class PreparedStatement:
@@ -170,21 +175,21 @@
             raise PreparedStatementError(
                 WRONG_ARGUMENTS, f"Incorrect arguments to mysqld_stmt_execute: {error}"
             ) from None
-        except OutOfRange as error:
+        except OutOfRangeError as error:
             raise PreparedStatementError(OUT_OF_RANGE, str(error)) from None
         self._drop_long_data(execution.statement)
         return execution
 
     def _parse_execution(self, cursor: Cursor, attributes: bool) -> Execution:
-        statement = self.get(cursor.number(ID_BYTES))
-        flags = cursor.number(1)  # a cursor may be requested, and need not be opened
+        statement = self.get(cursor.integer(ID_BYTES))
+        flags = cursor.integer(1)  # a cursor may be requested, and need not be opened
         cursor.take(4)  # the iteration count, which is always 1
         if statement.long_data_error is not None:
             error = statement.long_data_error
             statement.long_data_error = None
             raise error
         total = statement.parameters
-        if attributes and (statement.parameters or flags & PARAMETER_COUNT_FLAG):
+        if attributes and (statement.parameters or flags & PARAMETER_COUNT_AVAILABLE):
             total = cursor.length()
             if total < statement.parameters or total > MAX_PARAMETERS:
                 raise ProtocolError(f"{total} parameters")
@@ -195,13 +200,13 @@
         if not total:
             return Execution(statement, [], {})
         null_bitmap = cursor.take((total + 7) // 8)
-        if cursor.number(1):
-            statement.types = read_types(cursor, total, named)
+        if cursor.integer(1):
+            statement.types = decode_parameter_types(cursor, total, named)
         if statement.types is None or len(statement.types) != total:
             raise ProtocolError("no types were ever sent")
-        values = read_values(cursor, statement.types, null_bitmap, statement.long_data)
-        if cursor.left:
-            raise ProtocolError(f"{cursor.left} bytes too many")
+        values = decode_parameter_values(cursor, statement.types, null_bitmap, statement.long_data)
+        if cursor.remaining:
+            raise ProtocolError(f"{cursor.remaining} bytes too many")
         own = statement.parameters
         attributes = zip(statement.types[own:], values[own:], strict=True)
         return Execution(statement, values[:own], {parameter.name: value for parameter, value in attributes})
--- a/juniperreel/frontends/mysql/result_writer.py
+++ b/juniperreel/frontends/mysql/result_writer.py
@@ -9,8 +9,8 @@
 from juniperreel.frontends.mysql.client_session import SessionContext
 from juniperreel.frontends.mysql.conversion import to_table
 from juniperreel.frontends.mysql.errors import DEADLINE_EXCEEDED, EFFECT_UNKNOWN, ErrorResponse
+from juniperreel.mysql.rows import encode_binary_row
 from juniperreel.mysql.server import Event, ServerSession
-from juniperreel.mysql.values import binary_row
 from juniperreel.net import Clock
 from juniperreel.pool.backend import Lost, Told
 from juniperreel.pool.result import Rest, Result
@@ -39,7 +39,7 @@
             tracking = self._session.changed_token_tracking()
             return self._protocol.ok(affected=result_set.affected, tracked=tracking)
         table = to_table(result_set)
-        return self._protocol.result(table.columns, table.rows, binary_row if binary else None)
+        return self._protocol.result(table.columns, table.rows, encode_binary_row if binary else None)
 
     async def write(self, result: Result, until_us: int) -> list[Event]:
         """Write the result of an endpoint that speaks MySQL, its rows as they came.
@@ -75,7 +75,7 @@
                         return self._protocol.end_result(rest.ok.warnings, tracking)
                     self._protocol.rows(rows)
         except Told as error:
-            return self._protocol.error(error.err.code, error.err.state, error.err.words)
+            return self._protocol.error(error.err.code, error.err.sqlstate, error.err.message)
         except Lost as error:
             response = ErrorResponse(EFFECT_UNKNOWN, f"the result broke off: {error}")
             return response.write_to(self._protocol)
--- a/juniperreel/frontends/mysql/session_queries.py
+++ b/juniperreel/frontends/mysql/session_queries.py
@@ -6,9 +6,9 @@
 
 from juniperreel.frontends.mysql.client_session import SessionContext
 from juniperreel.frontends.mysql.transaction_scope import TransactionScope
+from juniperreel.mysql.columns import Column
 from juniperreel.mysql.constants import ColumnType
 from juniperreel.mysql.server import Event, ServerSession
-from juniperreel.mysql.values import Column
 
 TOKEN_QUERY = re.compile(rb"\s*select\s+@@juniperreel_token\s*;?\s*\Z", re.I)
 SET_TOKEN_STATEMENT = re.compile(
--- a/juniperreel/frontends/mysql/transaction_scope.py
+++ b/juniperreel/frontends/mysql/transaction_scope.py
@@ -19,7 +19,7 @@
     UNKNOWN_SCHEMA,
     ErrorCode,
 )
-from juniperreel.mysql.constants import Status
+from juniperreel.mysql.constants import ServerStatus
 from juniperreel.pool.state import REPLAYED
 from juniperreel.proxy import Hold, Transaction
 from juniperreel.statements import Control, Kind, Reading, Verb
@@ -90,11 +90,11 @@
 
     def status(self) -> int:
         """The protocol's status flags."""
-        flags = int(Status.AUTOCOMMIT) if self.autocommit else 0
+        flags = int(ServerStatus.AUTOCOMMIT) if self.autocommit else 0
         if self.transaction is not None or self.pending is not None:
-            flags |= Status.IN_TRANSACTION
+            flags |= ServerStatus.IN_TRANSACTION
             if self.read_only:
-                flags |= Status.IN_READ_ONLY
+                flags |= ServerStatus.IN_READ_ONLY
         return flags
 
     @property
--- a/juniperreel/mysql/auth.py
+++ b/juniperreel/mysql/auth.py
@@ -1,10 +1,14 @@
-"""Passwords, as `mysql_native_password` and `caching_sha2_password` prove them. The server keeps no password,
-only what is needed to check a proof; comparing takes the same time whatever is wrong."""
+"""Password authentication by `mysql_native_password` and `caching_sha2_password`.
+
+The server stores no password, only what is needed to check a response to its nonce; the check takes the same
+time whatever is wrong.
+"""
 
 from __future__ import annotations
 
 import hashlib
 import hmac
+from collections.abc import Callable
 from dataclasses import dataclass
 
 NATIVE = "mysql_native_password"
@@ -13,15 +17,18 @@
 
 
 def sha1(*parts: bytes) -> bytes:
+    """SHA-1 of the concatenated parts."""
     return hashlib.sha1(b"".join(parts), usedforsecurity=False).digest()
 
 
 def sha256(*parts: bytes) -> bytes:
+    """SHA-256 of the concatenated parts."""
     return hashlib.sha256(b"".join(parts)).digest()
 
 
-def xor(a: bytes, b: bytes) -> bytes:
-    return bytes(x ^ y for x, y in zip(a, b, strict=True))
+def xor(first: bytes, second: bytes) -> bytes:
+    """Bitwise exclusive or of two strings of the same length."""
+    return bytes(one ^ other for one, other in zip(first, second, strict=True))
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,38 +39,40 @@
     sha2: bytes
 
     @staticmethod
-    def of(password: bytes) -> Credential:
+    def from_password(password: bytes) -> Credential:
+        """The credential of a password."""
         return Credential(sha1(sha1(password)), sha256(sha256(password)))
 
-    def proves(self, plugin: str, nonce: bytes, proof: bytes) -> bool:
-        """Whether the client knows the password, from its answer to `nonce`. Both plugins send the singly
-        hashed password masked with a hash of nonce and doubly hashed password."""
-        if plugin == NATIVE:
-            kept, mask, digest = self.native, sha1(nonce, self.native), sha1
-        elif plugin == SHA2:
-            kept, mask, digest = self.sha2, sha256(self.sha2, nonce), sha256
-        else:
-            return False
-        if len(proof) != len(mask):
-            return False
-        return hmac.compare_digest(digest(xor(proof, mask)), kept)
+    def verify(self, plugin: str, nonce: bytes, response: bytes) -> bool:
+        """Whether a client that answers `nonce` with `response` knows the password.
 
+        Both plugins send the singly hashed password, masked with a hash of nonce and doubly hashed password.
+        """
+        if plugin == NATIVE:
+            return self._matches(sha1, self.native, sha1(nonce, self.native), response)
+        if plugin == SHA2:
+            return self._matches(sha256, self.sha2, sha256(self.sha2, nonce), response)
+        return False
 
-# Stands in for a user that does not exist, so that both take the same way.
-NOBODY = Credential.of(b"\0nobody")
+    @staticmethod
+    def _matches(digest: Callable[[bytes], bytes], stored: bytes, mask: bytes, response: bytes) -> bool:
+        if len(response) != len(mask):
+            return False
+        return hmac.compare_digest(digest(xor(response, mask)), stored)
 
 
-# The client's side.
+# Takes the place of an unknown user's credential, so that both cases do the same work.
+UNKNOWN_USER = Credential.from_password(b"\0nobody")
 
 
-def proof(plugin: str, password: bytes, nonce: bytes) -> bytes | None:
-    """The answer to a server's nonce; None for a plugin that is not known."""
+def auth_response(plugin: str, password: bytes, nonce: bytes) -> bytes | None:
+    """The client's answer to a server's nonce; None for a plugin that is not supported."""
     if plugin not in (NATIVE, SHA2):
         return None
     if not password:
         return b""
     if plugin == NATIVE:
-        once = sha1(password)
-        return xor(once, sha1(nonce, sha1(once)))
-    once = sha256(password)
-    return xor(once, sha256(sha256(once), nonce))
+        hashed = sha1(password)
+        return xor(hashed, sha1(nonce, sha1(hashed)))
+    hashed = sha256(password)
+    return xor(hashed, sha256(sha256(hashed), nonce))
--- a/juniperreel/mysql/client.py
+++ b/juniperreel/mysql/client.py
@@ -1,44 +1,62 @@
 """One connection, client side: commands in, bytes to send; bytes in, events out. No I/O, no policy.
 
-    GREETING -> AUTH -> READY -> CLOSED
+    GREETING -> (TLS) -> AUTH -> READY -> CLOSED
 
-Commands may be given before the answers to earlier ones are there: servers read them one after another, so
-that what belongs together costs one way there and back. Each event belongs to the oldest command that has not
-ended; `Done`, `Failed`, `Prepared` and `End` without `more` end it.
+Commands may be sent before the answers to earlier ones are there: servers read them one after another, so
+that what belongs together costs one round trip. Each event belongs to the oldest command in flight; `Done`,
+`Failed`, `StatementPrepared` and `ResultEnded`, if no more results follow, end it.
 """
 
 from __future__ import annotations
 
 from collections import deque
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
 from enum import Enum
 
-from juniperreel.mysql.auth import NATIVE, NONCE_BYTES, SHA2, proof
-from juniperreel.mysql.constants import EOF, LOCAL_INFILE, UTF8MB4, Capability, Com
-from juniperreel.mysql.packets import Cursor, PacketReader, ProtocolError, length, packets, string
-from juniperreel.mysql.replies import Err, Ok, decode_err, decode_ok
-from juniperreel.mysql.values import Column, Value, defined, write_attributes, write_parameters
-
-WANTED = (
-    Capability.LONG_PASSWORD
-    | Capability.LONG_FLAG
-    | Capability.PROTOCOL_41
-    | Capability.TRANSACTIONS
-    | Capability.SECURE_CONNECTION
-    | Capability.MULTI_RESULTS
-    | Capability.PS_MULTI_RESULTS
-    | Capability.PLUGIN_AUTH
-    | Capability.PLUGIN_AUTH_LENENC
-    | Capability.SESSION_TRACK
-    | Capability.DEPRECATE_EOF
-    | Capability.QUERY_ATTRIBUTES
+from juniperreel.mysql.client_events import (
+    ConnectionBroken,
+    Done,
+    Event,
+    Failed,
+    Ready,
+    ResultEnded,
+    ResultStarted,
+    Row,
+    StartTls,
+    StatementPrepared,
 )
+from juniperreel.mysql.client_login import ClientLogin, LoginOptions
+from juniperreel.mysql.columns import Column, decode_column
+from juniperreel.mysql.constants import (
+    EOF,
+    ERR,
+    LOCAL_INFILE,
+    MAX_EOF_BYTES,
+    OK,
+    PARAMETER_COUNT_AVAILABLE,
+    Capability,
+    CommandCode,
+    ServerStatus,
+)
+from juniperreel.mysql.packets import (
+    MAX_PACKET_PAYLOAD,
+    Cursor,
+    PacketReader,
+    ProtocolError,
+    encode_length,
+    encode_packets,
+)
+from juniperreel.mysql.parameters import encode_parameters, encode_query_attributes
+from juniperreel.mysql.replies import Ok, decode_err, decode_ok
+from juniperreel.mysql.values import Value
+
 MAX_COLUMNS = 4096  # what servers allow in a table
-FAST, FULL, KEY = 3, 4, 2  # caching_sha2_password
+ITERATIONS = 1  # of an execution
 
 
 class State(Enum):
+    """See the module's docstring."""
+
     GREETING = "greeting"
     TLS = "tls"
     AUTH = "auth"
@@ -46,71 +64,16 @@
     CLOSED = "closed"
 
 
-class Kind(Enum):
+class CommandKind(Enum):
+    """What the answer to a command looks like."""
+
     QUERY = "query"
     PREPARE = "prepare"
 
 
-@dataclass(frozen=True, slots=True)
-class Ready:
-    """Logged in. `thread` is the connection's number at its server."""
-
-    thread: int
-    version: str
-
-
-@dataclass(frozen=True, slots=True)
-class StartTls:
-    """The rest is to be said inside TLS: call `inside_tls` when it stands."""
-
-
-@dataclass(frozen=True, slots=True)
-class Done:
-    ok: Ok
-
-
-@dataclass(frozen=True, slots=True)
-class Failed:
-    err: Err
-
-
-@dataclass(frozen=True, slots=True)
-class Prepared:
-    id: int
-    parameters: int
-
-
-@dataclass(frozen=True, slots=True)
-class Began:
-    columns: tuple[Column, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class Row:
-    """As it came: in text, or in binary after an execution."""
-
-    payload: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class End:
-    """Of a result. With `ok.more` another follows for the same command."""
-
-    ok: Ok
-
-
-@dataclass(frozen=True, slots=True)
-class Broken:
-    """The connection is of no more use. `code`: the server's, if it said one."""
-
-    why: str
-    code: int = 0
-
-
-Event = Ready | StartTls | Done | Failed | Prepared | Began | Row | End | Broken
-
-
 class Phase(Enum):
+    """What the next packet of the oldest command is."""
+
     FIRST = "first"
     COLUMNS = "columns"
     ROWS = "rows"
@@ -119,7 +82,7 @@
 
 
 class ClientSession:
-    """`attributes` to the login name this program to the server."""
+    """The protocol state of one connection."""
 
     def __init__(
         self,
@@ -130,330 +93,304 @@
         tls: bool = False,
         found_rows: bool = True,
     ) -> None:
-        """`found_rows`: of an update, count the rows it matched; else those it changed."""
+        """`max_packet`: bytes of an answer's packet.
+
+        `found_rows`: of an update, count the rows it matched; else those it changed.
+        """
         self.state = State.GREETING
-        self.capabilities = 0
         self.in_transaction = False  # as the last answer said
-        self.thread = 0
-        self._user, self._password, self._database = user, password, database
-        self._tls, self._found_rows = tls, found_rows
+        self._login = ClientLogin(LoginOptions(user, password, database, max_packet, tls, found_rows))
+        self._tls = tls
         self._reader = PacketReader(max_packet)
-        self._max = max_packet
         self._out = bytearray()
         self._sequence = 0
-        self._nonce = b""
-        self._version = ""
-        self._secure = False
-        self._commands: deque[Kind] = deque()
+        self._commands: deque[CommandKind] = deque()
         self._phase = Phase.FIRST
-        self._left = 0  # definitions
+        self._definitions_due = 0
         self._columns: list[Column] = []
-        self._statement = Prepared(0, 0)
+        self._prepared = StatementPrepared(0, 0)
         self._prepared_columns = 0
 
-    # Bytes.
+    @property
+    def capabilities(self) -> int:
+        """Those that both sides agreed on."""
+        return self._login.capabilities
 
-    def data_to_send(self) -> bytes:
-        data, self._out = bytes(self._out), bytearray()
-        return data
+    @property
+    def connection_id(self) -> int:
+        """The connection's number at its server; 0 before the greeting."""
+        return self._login.connection_id
 
     @property
-    def in_hand(self) -> int:
-        """Commands that have not ended."""
+    def in_flight(self) -> int:
+        """Commands whose answers have not ended."""
         return len(self._commands)
 
     @property
     def closed(self) -> bool:
+        """Whether the connection cannot be used any more."""
         return self.state is State.CLOSED
 
+    # Bytes.
+
+    def data_to_send(self) -> bytes:
+        """Take what is to be sent."""
+        data = bytes(self._out)
+        self._out = bytearray()
+        return data
+
     def receive(self, data: bytes | bytearray) -> list[Event]:
-        """Never raises: a server that breaks the protocol, or refuses the login, ends in Broken."""
-        if self.state is State.CLOSED:
+        """Process received bytes.
+
+        Never raises: a server that breaks the protocol, or rejects the login, ends in ConnectionBroken.
+        """
+        if self.closed:
             return []
         self._reader.feed(bytes(data))
         events: list[Event] = []
         try:
             while not self.closed:
-                payload = self._reader.next()
+                payload = self._reader.next_payload()
                 if payload is None:
                     break
-                events.extend(self._packet(payload))
+                events.extend(self._on_packet(payload))
         except ProtocolError as error:
             events.append(self._break(str(error)))
         return events
 
-    def _break(self, why: str, code: int = 0) -> Broken:
+    def _break(self, reason: str, code: int = 0) -> ConnectionBroken:
         self.state = State.CLOSED
-        return Broken(why, code)
-
-    def _send(self, payload: bytes) -> None:
-        data, self._sequence = packets(payload, self._sequence)
-        self._out += data
-        self._reader.sequence = self._sequence
+        return ConnectionBroken(reason, code)
 
-    # Login.
-
-    def _packet(self, payload: bytes) -> list[Event]:
+    def _on_packet(self, payload: bytes) -> list[Event]:
         if self.state is State.READY:
-            return self._answer(payload)
+            return self._on_answer(payload)
         self._sequence = self._reader.sequence
-        if payload[:1] == b"\xff":
+        if is_error(payload):
             err = decode_err(payload)
-            return [self._break(f"refused with {err.code}: {err.words}", err.code)]
+            return [self._break(f"refused with {err.code}: {err.message}", err.code)]
         if self.state is State.GREETING:
-            return self._greeting(Cursor(payload))
+            return self._on_greeting(Cursor(payload))
         if self.state is State.AUTH:
-            return self._auth(payload)
+            return self._on_authentication(payload)
         raise ProtocolError("the server spoke out of turn")
 
-    def _greeting(self, c: Cursor) -> list[Event]:
-        if c.number(1) != 10:
-            raise ProtocolError("not a server of protocol 10")
-        self._version = c.until_nul().decode("ascii", "replace")
-        self.thread = c.number(4)
-        nonce = c.take(8)
-        c.take(1)
-        offered = c.number(2)
-        if not c.left:
-            raise ProtocolError("a server before version 4.1")
-        c.take(3)
-        offered |= c.number(2) << 16
-        size = c.number(1)
-        c.take(10)
-        nonce += c.take(max(13, size - 8) - 1 if size else 12)[: NONCE_BYTES - 8]
-        c.take(1)
-        plugin = c.until_nul().decode("ascii", "replace") if offered & Capability.PLUGIN_AUTH else NATIVE
-        needed = Capability.PROTOCOL_41 | Capability.SECURE_CONNECTION
-        if offered & needed != needed:
-            raise ProtocolError("a server before version 4.1")
-        wanted = WANTED | (Capability.CONNECT_WITH_DB if self._database else 0)
-        wanted |= Capability.FOUND_ROWS if self._found_rows else 0
-        self.capabilities = wanted & offered
-        self._nonce, self._plugin = nonce, plugin
+    # Login.
+
+    def _on_greeting(self, cursor: Cursor) -> list[Event]:
+        self._login.on_greeting(cursor)
         if self._tls:
-            if not offered & Capability.SSL:
-                raise ProtocolError("the server offers no TLS")
-            self.capabilities |= Capability.SSL
-            self._send(self._head())
+            self._send(self._login.ssl_request())
             self.state = State.TLS
             return [StartTls()]
-        self._log_in()
+        self._send_login()
         return []
 
     def inside_tls(self) -> None:
-        """All that follows goes over TLS, whose other end has been checked."""
+        """All that follows goes over TLS, to a server whose certificate was checked."""
         if self.state is not State.TLS:
             raise ValueError("no TLS was asked for")
-        self._secure = True
-        self._log_in()
-
-    def _head(self) -> bytes:
-        capabilities = self.capabilities.to_bytes(4, "little")
-        return capabilities + (min(self._max, 1 << 30)).to_bytes(4, "little") + bytes((UTF8MB4,)) + bytes(23)
-
-    def _log_in(self) -> None:
-        answer = proof(self._plugin, self._password, self._nonce) or b""
-        plugin = self._plugin if self._plugin in (NATIVE, SHA2) else SHA2
-        self._send(
-            self._head()
-            + self._user.encode()
-            + b"\0"
-            + (
-                string(answer)
-                if self.capabilities & Capability.PLUGIN_AUTH_LENENC
-                else bytes((len(answer),)) + answer
-            )
-            + (self._database.encode() + b"\0" if self.capabilities & Capability.CONNECT_WITH_DB else b"")
-            + (plugin.encode() + b"\0" if self.capabilities & Capability.PLUGIN_AUTH else b"")
-        )
+        self._login.on_inside_tls()
+        self._send_login()
+
+    def _send_login(self) -> None:
+        self._send(self._login.login())
         self.state = State.AUTH
 
-    def _auth(self, payload: bytes) -> list[Event]:
-        first = payload[0] if payload else -1
-        if first == 0x00:
+    def _on_authentication(self, payload: bytes) -> list[Event]:
+        if self._login.is_finished(payload):
             self.state = State.READY
-            self._heed(decode_ok(payload, self.capabilities))
-            self._next_answer()
-            return [Ready(self.thread, self._version)]
-        if first == EOF:
-            c = Cursor(payload[1:])
-            self._plugin = c.until_nul().decode("ascii", "replace")
-            self._nonce = c.rest().rstrip(b"\0")[:NONCE_BYTES]
-            answer = proof(self._plugin, self._password, self._nonce)
-            if answer is None:
-                raise ProtocolError(f"the server wants {self._plugin[:40]}, which is not spoken here")
+            self._note_status(decode_ok(payload, self.capabilities))
+            self._expect_answer()
+            return [Ready(self.connection_id, self._login.version)]
+        answer = self._login.answer(payload)
+        if answer is not None:
             self._send(answer)
-            return []
-        if first == 0x01 and payload[1:2] == bytes((FAST,)):
-            return []
-        if first == 0x01 and payload[1:2] == bytes((FULL,)):
-            if not self._secure:
-                # Danger: without TLS the password would cross the network for anyone to read.
-                raise ProtocolError("the server wants the password itself, which needs TLS")
-            self._send(self._password + b"\0")
-            return []
-        raise ProtocolError("the login took a turn that is not known")
+        return []
+
+    def _send(self, payload: bytes) -> None:
+        data, self._sequence = encode_packets(payload, self._sequence)
+        self._out += data
+        self._reader.sequence = self._sequence
 
     # Commands.
 
-    def _command(self, kind: Kind | None, payload: bytes) -> None:
-        """`kind` None: it has no answer."""
+    def _send_command(self, kind: CommandKind | None, payload: bytes) -> None:
+        """`kind` is None for a command that has no answer. Raises ValueError before the login."""
         if self.state is not State.READY:
             raise ValueError("not logged in")
-        data, _ = packets(payload, 0)
-        self._out += data
+        self._out += encode_packets(payload, 0).data
         if kind is not None:
             if not self._commands:
-                self._next_answer()
+                self._expect_answer()
             self._commands.append(kind)
 
     def query(self, text: bytes, attributes: Mapping[str, Value] | None = None) -> None:
+        """Run a statement; attributes are left out where the server does not support them."""
         head = b""
         if self.capabilities & Capability.QUERY_ATTRIBUTES:
-            head = write_attributes(attributes or {})
-        self._command(Kind.QUERY, bytes((Com.QUERY,)) + head + text)
+            head = encode_query_attributes(attributes or {})
+        self._send_command(CommandKind.QUERY, bytes((CommandCode.QUERY,)) + head + text)
 
     def prepare(self, text: bytes) -> None:
-        self._command(Kind.PREPARE, bytes((Com.STMT_PREPARE,)) + text)
+        """Prepare a statement."""
+        self._send_command(CommandKind.PREPARE, bytes((CommandCode.STMT_PREPARE,)) + text)
 
     def execute(
-        self, statement: int, values: Sequence[Value], attributes: Mapping[str, Value] | None = None
+        self, statement_id: int, values: Sequence[Value], attributes: Mapping[str, Value] | None = None
     ) -> None:
-        """`values` as many as the statement takes."""
+        """Execute a prepared statement with as many values as it has parameters."""
         named = bool(self.capabilities & Capability.QUERY_ATTRIBUTES)
         extra = dict(attributes or {}) if named else {}
-        everything = [*values, *extra.values()]
-        flags = 0x08 if named and everything else 0
-        payload = bytes((Com.STMT_EXECUTE,)) + statement.to_bytes(4, "little") + bytes((flags,))
-        payload += (1).to_bytes(4, "little")
-        if named and everything:
-            payload += length(len(everything))
-        if everything:
+        parameters = [*values, *extra.values()]
+        flags = PARAMETER_COUNT_AVAILABLE if named and parameters else 0
+        payload = bytes((CommandCode.STMT_EXECUTE,)) + statement_id.to_bytes(4, "little") + bytes((flags,))
+        payload += ITERATIONS.to_bytes(4, "little")
+        if named and parameters:
+            payload += encode_length(len(parameters))
+        if parameters:
             names = [""] * len(values) + list(extra) if named else None
-            payload += write_parameters(everything, names)
-        self._command(Kind.QUERY, payload)
+            payload += encode_parameters(parameters, names)
+        self._send_command(CommandKind.QUERY, payload)
 
-    def close_statement(self, statement: int) -> None:
-        self._command(None, bytes((Com.STMT_CLOSE,)) + statement.to_bytes(4, "little"))
+    def close_statement(self, statement_id: int) -> None:
+        """Forget a prepared statement."""
+        payload = bytes((CommandCode.STMT_CLOSE,)) + statement_id.to_bytes(4, "little")
+        self._send_command(None, payload)
 
     def reset_connection(self) -> None:
-        """Transaction, variables, temporary tables and prepared statements of the connection are gone."""
-        self._command(Kind.QUERY, bytes((Com.RESET_CONNECTION,)))
+        """Drop the connection's transaction, variables, temporary tables and prepared statements."""
+        self._send_command(CommandKind.QUERY, bytes((CommandCode.RESET_CONNECTION,)))
 
     def ping(self) -> None:
-        self._command(Kind.QUERY, bytes((Com.PING,)))
+        """Ask whether the server is there."""
+        self._send_command(CommandKind.QUERY, bytes((CommandCode.PING,)))
 
     def quit(self) -> None:
-        self._command(None, bytes((Com.QUIT,)))
+        """Say that the connection is closed."""
+        self._send_command(None, bytes((CommandCode.QUIT,)))
         self.state = State.CLOSED
 
     # Answers.
 
-    def _next_answer(self) -> None:
+    def _expect_answer(self) -> None:
         self._reader.sequence = 1
         self._phase = Phase.FIRST
 
-    def _end(self) -> None:
+    def _end_command(self) -> None:
         self._commands.popleft()
-        self._next_answer()
+        self._expect_answer()
 
-    def _heed(self, ok: Ok) -> None:
-        self.in_transaction = bool(ok.status & 1)
+    def _note_status(self, ok: Ok) -> None:
+        self.in_transaction = bool(ok.status & ServerStatus.IN_TRANSACTION)
 
-    def _answer(self, payload: bytes) -> list[Event]:
+    def _on_answer(self, payload: bytes) -> list[Event]:
         if not self._commands:
-            if payload[:1] == b"\xff":  # it says why it ends the connection
+            if is_error(payload):  # says why the server ends the connection
                 err = decode_err(payload)
-                return [self._break(f"ended with {err.code}: {err.words}", err.code)]
+                return [self._break(f"ended with {err.code}: {err.message}", err.code)]
             raise ProtocolError("an answer to nothing")
-        if payload[:1] == b"\xff" and self._phase is not Phase.COLUMNS:
-            self._end()
+        if is_error(payload) and self._phase is not Phase.COLUMNS:
+            self._end_command()
             return [Failed(decode_err(payload))]
         match self._phase:
             case Phase.FIRST:
-                return self._first(payload)
+                return self._on_first_packet(payload)
             case Phase.COLUMNS:
-                return self._definition(payload)
+                return self._on_column(payload)
             case Phase.ROWS:
-                return self._row(payload)
+                return self._on_row(payload)
             case Phase.PARAMETERS | Phase.PREPARED_COLUMNS:
-                return self._skip(payload)
+                return self._on_prepared_definition()
 
-    def _first(self, payload: bytes) -> list[Event]:
+    def _on_first_packet(self, payload: bytes) -> list[Event]:
         if not payload:
             raise ProtocolError("an empty answer")
-        if self._commands[0] is Kind.PREPARE:
-            return self._prepared(Cursor(payload))
-        if payload[0] == 0x00:
+        if self._commands[0] is CommandKind.PREPARE:
+            return self._on_prepared(Cursor(payload))
+        if payload[0] == OK:
             ok = decode_ok(payload, self.capabilities)
-            self._heed(ok)
-            if not ok.more:
-                self._end()
+            self._note_status(ok)
+            if not ok.more_results:
+                self._end_command()
             return [Done(ok)]
-        if payload[0] in (EOF, LOCAL_INFILE):
-            raise ProtocolError(
-                "the server asks for a file" if payload[0] == LOCAL_INFILE else "an EOF first"
-            )
-        c = Cursor(payload)
-        self._left = c.length()
-        if c.left or not 0 < self._left <= MAX_COLUMNS:
-            raise ProtocolError(f"a result of {self._left} columns")
+        if payload[0] == LOCAL_INFILE:
+            raise ProtocolError("the server asks for a file")
+        if payload[0] == EOF:
+            raise ProtocolError("an EOF first")
+        cursor = Cursor(payload)
+        columns = cursor.length()
+        if cursor.remaining or not 0 < columns <= MAX_COLUMNS:
+            raise ProtocolError(f"a result of {columns} columns")
+        self._definitions_due = columns
         self._columns = []
         self._phase = Phase.COLUMNS
         return []
 
     @property
-    def _eofs(self) -> bool:
+    def _sends_eof(self) -> bool:
+        """Whether the server ends definitions and rows with EOF packets."""
         return not self.capabilities & Capability.DEPRECATE_EOF
 
-    def _definition(self, payload: bytes) -> list[Event]:
-        if self._left:
-            self._columns.append(defined(payload))
-            self._left -= 1
-            if self._left or self._eofs:
+    def _on_column(self, payload: bytes) -> list[Event]:
+        if self._definitions_due:
+            self._columns.append(decode_column(payload))
+            self._definitions_due -= 1
+            if self._definitions_due or self._sends_eof:
                 return []
-        elif payload[:1] != b"\xfe" or len(payload) >= 9:
+        elif payload[:1] != bytes((EOF,)) or len(payload) >= MAX_EOF_BYTES:
             raise ProtocolError("definitions do not end")
         self._phase = Phase.ROWS
-        return [Began(tuple(self._columns))]
-
-    def _row(self, payload: bytes) -> list[Event]:
-        if payload[:1] == b"\xfe" and len(payload) < (9 if self._eofs else 0xFFFFFF):
-            if self._eofs:
-                c = Cursor(payload[1:])
-                warnings, status = c.number(2), c.number(2)
-                ok = Ok(status=status, warnings=warnings)
-            else:
-                ok = decode_ok(payload, self.capabilities)
-            self._heed(ok)
-            if ok.more:
-                self._phase = Phase.FIRST
-            else:
-                self._end()
-            return [End(ok)]
-        return [Row(payload)]
-
-    def _prepared(self, c: Cursor) -> list[Event]:
-        if c.number(1) != 0:
+        return [ResultStarted(tuple(self._columns))]
+
+    def _on_row(self, payload: bytes) -> list[Event]:
+        limit = MAX_EOF_BYTES if self._sends_eof else MAX_PACKET_PAYLOAD
+        if payload[:1] != bytes((EOF,)) or len(payload) >= limit:
+            return [Row(payload)]
+        ok = self._decode_end(payload)
+        self._note_status(ok)
+        if ok.more_results:
+            self._phase = Phase.FIRST
+        else:
+            self._end_command()
+        return [ResultEnded(ok)]
+
+    def _decode_end(self, payload: bytes) -> Ok:
+        if not self._sends_eof:
+            return decode_ok(payload, self.capabilities)
+        cursor = Cursor(payload[1:])
+        warnings = cursor.integer(2)
+        status = cursor.integer(2)
+        return Ok(status=status, warnings=warnings)
+
+    def _on_prepared(self, cursor: Cursor) -> list[Event]:
+        if cursor.integer(1) != OK:
             raise ProtocolError("no answer to a prepare")
-        number, columns, parameters = c.number(4), c.number(2), c.number(2)
-        self._statement = Prepared(number, parameters)
-        self._prepared_columns = columns
-        self._left = parameters
+        statement_id = cursor.integer(4)
+        self._prepared_columns = cursor.integer(2)
+        parameters = cursor.integer(2)
+        self._prepared = StatementPrepared(statement_id, parameters)
+        self._definitions_due = parameters
         self._phase = Phase.PARAMETERS
-        return self._skipped() if not parameters else []
+        return [] if parameters else self._end_prepared_phase()
 
-    def _skip(self, payload: bytes) -> list[Event]:
-        """Definitions that come with a prepared statement; each execution tells its own."""
-        if self._left:
-            self._left -= 1
-            if self._left or self._eofs:
+    def _on_prepared_definition(self) -> list[Event]:
+        """Skip definitions of a prepared statement; each execution sends its own."""
+        if self._definitions_due:
+            self._definitions_due -= 1
+            if self._definitions_due or self._sends_eof:
                 return []
-        return self._skipped()
+        return self._end_prepared_phase()
 
-    def _skipped(self) -> list[Event]:
+    def _end_prepared_phase(self) -> list[Event]:
         if self._phase is Phase.PARAMETERS and self._prepared_columns:
-            self._phase, self._left = Phase.PREPARED_COLUMNS, self._prepared_columns
+            self._phase = Phase.PREPARED_COLUMNS
+            self._definitions_due = self._prepared_columns
             return []
-        self._end()
-        return [self._statement]
+        self._end_command()
+        return [self._prepared]
+
+
+def is_error(payload: bytes) -> bool:
+    """Whether a payload is an ERR packet."""
+    return payload[:1] == bytes((ERR,))
--- /dev/null
+++ b/juniperreel/mysql/client_login.py
@@ -0,0 +1,154 @@
+"""The client's side of the connection phase: the greeting, TLS, authentication. No I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from juniperreel.mysql.auth import NATIVE, NONCE_BYTES, SHA2, auth_response
+from juniperreel.mysql.constants import (
+    AUTH_MORE_DATA,
+    AUTH_SWITCH,
+    OK,
+    UTF8MB4,
+    Capability,
+)
+from juniperreel.mysql.packets import Cursor, ProtocolError, encode_string
+
+WANTED = (
+    Capability.LONG_PASSWORD
+    | Capability.LONG_FLAG
+    | Capability.PROTOCOL_41
+    | Capability.TRANSACTIONS
+    | Capability.SECURE_CONNECTION
+    | Capability.MULTI_RESULTS
+    | Capability.PS_MULTI_RESULTS
+    | Capability.PLUGIN_AUTH
+    | Capability.PLUGIN_AUTH_LENENC
+    | Capability.SESSION_TRACK
+    | Capability.DEPRECATE_EOF
+    | Capability.QUERY_ATTRIBUTES
+)
+REQUIRED = Capability.PROTOCOL_41 | Capability.SECURE_CONNECTION
+PROTOCOL_VERSION = 10
+FIRST_NONCE_PART = 8  # bytes of the nonce that stand ahead of the rest in the greeting
+MIN_SECOND_NONCE_PART = 13  # with its NUL
+MAX_ANNOUNCED_PACKET = 1 << 30
+
+# What a server says of caching_sha2_password.
+FAST_AUTH_SUCCESS = 3
+FULL_AUTH_REQUIRED = 4
+
+
+@dataclass(frozen=True, slots=True)
+class LoginOptions:
+    """As whom to log in, and how."""
+
+    user: str
+    password: bytes
+    database: str
+    max_packet: int  # bytes
+    tls: bool
+    found_rows: bool  # of an update, count the rows it matched; else those it changed
+
+
+class ClientLogin:
+    """Builds the client's packets. Raises ProtocolError for what it does not accept of the server."""
+
+    def __init__(self, options: LoginOptions) -> None:
+        """Begins ahead of the greeting."""
+        self.capabilities = 0
+        self.connection_id = 0
+        self.version = ""
+        self._options = options
+        self._nonce = b""
+        self._plugin = NATIVE
+        self._inside_tls = False
+
+    def on_greeting(self, cursor: Cursor) -> None:
+        """Read the server's greeting, and agree on capabilities."""
+        if cursor.integer(1) != PROTOCOL_VERSION:
+            raise ProtocolError("not a server of protocol 10")
+        self.version = cursor.nul_terminated().decode("ascii", "replace")
+        self.connection_id = cursor.integer(4)
+        nonce = cursor.take(FIRST_NONCE_PART)
+        cursor.take(1)
+        offered = cursor.integer(2)
+        if not cursor.remaining:
+            raise ProtocolError("a server before version 4.1")
+        cursor.take(3)
+        offered |= cursor.integer(2) << 16
+        nonce_size = cursor.integer(1)
+        cursor.take(10)
+        second_part = MIN_SECOND_NONCE_PART
+        if nonce_size:
+            second_part = max(MIN_SECOND_NONCE_PART, nonce_size - FIRST_NONCE_PART)
+        self._nonce = nonce + cursor.take(second_part - 1)[: NONCE_BYTES - FIRST_NONCE_PART]
+        cursor.take(1)
+        if offered & Capability.PLUGIN_AUTH:
+            self._plugin = cursor.nul_terminated().decode("ascii", "replace")
+        if offered & REQUIRED != REQUIRED:
+            raise ProtocolError("a server before version 4.1")
+        self._agree(offered)
+
+    def _agree(self, offered: int) -> None:
+        wanted = WANTED | (Capability.CONNECT_WITH_DB if self._options.database else 0)
+        wanted |= Capability.FOUND_ROWS if self._options.found_rows else 0
+        self.capabilities = wanted & offered
+        if self._options.tls:
+            if not offered & Capability.SSL:
+                raise ProtocolError("the server offers no TLS")
+            self.capabilities |= Capability.SSL
+
+    def ssl_request(self) -> bytes:
+        """The packet that asks for TLS, which is how a login begins."""
+        return (
+            self.capabilities.to_bytes(4, "little")
+            + min(self._options.max_packet, MAX_ANNOUNCED_PACKET).to_bytes(4, "little")
+            + bytes((UTF8MB4,))
+            + bytes(23)
+        )
+
+    def on_inside_tls(self) -> None:
+        """All that follows is encrypted, to a server whose certificate was checked."""
+        self._inside_tls = True
+
+    def login(self) -> bytes:
+        """The login packet, with a response to the greeting's nonce."""
+        response = auth_response(self._plugin, self._options.password, self._nonce) or b""
+        plugin = self._plugin if self._plugin in (NATIVE, SHA2) else SHA2
+        payload = self.ssl_request() + self._options.user.encode() + b"\0"
+        if self.capabilities & Capability.PLUGIN_AUTH_LENENC:
+            payload += encode_string(response)
+        else:
+            payload += bytes((len(response),)) + response
+        if self.capabilities & Capability.CONNECT_WITH_DB:
+            payload += self._options.database.encode() + b"\0"
+        if self.capabilities & Capability.PLUGIN_AUTH:
+            payload += plugin.encode() + b"\0"
+        return payload
+
+    @staticmethod
+    def is_finished(payload: bytes) -> bool:
+        """Whether the server's packet says that the client is logged in."""
+        return payload[:1] == bytes((OK,))
+
+    def answer(self, payload: bytes) -> bytes | None:
+        """The answer to another packet of the authentication; None where it needs none."""
+        if payload[:1] == bytes((AUTH_SWITCH,)):
+            return self._switch_plugin(Cursor(payload[1:]))
+        if payload[:2] == bytes((AUTH_MORE_DATA, FAST_AUTH_SUCCESS)):
+            return None
+        if payload[:2] == bytes((AUTH_MORE_DATA, FULL_AUTH_REQUIRED)):
+            if not self._inside_tls:
+                # Danger: without TLS the password would cross the network for anyone to read.
+                raise ProtocolError("the server wants the password itself, which needs TLS")
+            return self._options.password + b"\0"
+        raise ProtocolError("the login took a turn that is not known")
+
+    def _switch_plugin(self, cursor: Cursor) -> bytes:
+        self._plugin = cursor.nul_terminated().decode("ascii", "replace")
+        self._nonce = cursor.remainder().rstrip(b"\0")[:NONCE_BYTES]
+        response = auth_response(self._plugin, self._options.password, self._nonce)
+        if response is None:
+            raise ProtocolError(f"the server wants {self._plugin[:40]}, which is not spoken here")
+        return response
--- a/juniperreel/mysql/constants.py
+++ b/juniperreel/mysql/constants.py
@@ -4,14 +4,28 @@
 
 from enum import IntEnum
 
+# Collations.
 UTF8MB4 = 255  # utf8mb4_0900_ai_ci
 BINARY = 63
+
+# First bytes of packets, and of values in text.
+OK = 0x00
+AUTH_MORE_DATA = 0x01
+NULL = 0xFB
 LOCAL_INFILE = 0xFB
 EOF = 0xFE
+AUTH_SWITCH = 0xFE
 ERR = 0xFF
 
+# A packet that begins with EOF is one only below this length; else it is a row.
+MAX_EOF_BYTES = 9
+
+PARAMETER_COUNT_AVAILABLE = 0x08  # flag of COM_STMT_EXECUTE: attributes come with the parameters
+
 
 class Capability(IntEnum):
+    """CLIENT_ flags, which both sides agree on at the login."""
+
     LONG_PASSWORD = 1
     FOUND_ROWS = 1 << 1
     LONG_FLAG = 1 << 2
@@ -32,7 +46,9 @@
     QUERY_ATTRIBUTES = 1 << 27
 
 
-class Com(IntEnum):
+class CommandCode(IntEnum):
+    """COM_ codes, the first byte of a command."""
+
     QUIT = 0x01
     INIT_DB = 0x02
     QUERY = 0x03
@@ -50,6 +66,8 @@
 
 
 class ColumnType(IntEnum):
+    """MYSQL_TYPE_ codes, of columns and of parameters."""
+
     DECIMAL = 0
     TINY = 1
     SHORT = 2
@@ -79,7 +97,9 @@
     GEOMETRY = 255
 
 
-class Status(IntEnum):
+class ServerStatus(IntEnum):
+    """SERVER_STATUS_ flags of OK and EOF packets."""
+
     IN_TRANSACTION = 1
     AUTOCOMMIT = 2
     MORE_RESULTS = 8
@@ -88,15 +108,15 @@
     STATE_CHANGED = 0x4000
 
 
-class Flag(IntEnum):
-    """Of a column."""
+class ColumnFlag(IntEnum):
+    """Flags of a column definition."""
 
     UNSIGNED = 0x20
     BINARY = 0x80
 
 
-class Track(IntEnum):
-    """What an OK packet may tell of the session."""
+class SessionTrackType(IntEnum):
+    """SESSION_TRACK_ kinds of session changes in an OK packet."""
 
     SYSTEM_VARIABLE = 0
     SCHEMA = 1
--- a/juniperreel/mysql/packets.py
+++ b/juniperreel/mysql/packets.py
@@ -1,135 +1,172 @@
-"""Packets: a length of three bytes, a sequence id, and that many bytes; longer ones go in several parts."""
+"""Packets, and the primitive values within them.
+
+A packet is a length of three bytes, a sequence id, and that many bytes of payload; a longer payload goes in
+several packets, of which the last one is not full.
+"""
 
 from __future__ import annotations
 
-PART = 0xFFFFFF
+from typing import NamedTuple
+
+HEADER_BYTES = 4
+MAX_PACKET_PAYLOAD = 0xFFFFFF
+SEQUENCE_IDS = 256
+COMMUNICATION_ERROR = "08S01"  # SQLSTATE
+BAD_HANDSHAKE = 1043
+PACKET_TOO_LARGE = 1153
+PACKETS_OUT_OF_ORDER = 1156
 
 
 class ProtocolError(Exception):
-    """The peer broke the protocol. `code` and `state` are what it is told, where it can still be told."""
+    """The peer broke the protocol. `code` and `sqlstate` are for an ERR packet, if one can still be sent."""
 
-    def __init__(self, text: str, code: int = 1043, state: str = "08S01") -> None:
+    def __init__(self, text: str, code: int = BAD_HANDSHAKE, sqlstate: str = COMMUNICATION_ERROR) -> None:
         super().__init__(text)
-        self.code, self.state = code, state
+        self.code = code
+        self.sqlstate = sqlstate
 
 
 class PacketReader:
-    """Bytes in, whole packets out. Holds at most one packet of `limit` bytes and what follows it."""
+    """Bytes in, payloads out. Holds at most one payload of `limit` bytes and what follows it."""
 
     def __init__(self, limit: int) -> None:
+        """`limit` of a payload, in bytes; may be changed later."""
         self.limit = limit
         self.sequence = 0  # expected next; a new command starts again at 0
         self._data = bytearray()
-        self._joined = bytearray()
+        self._joined = bytearray()  # the full packets of the payload that is being read
 
     def feed(self, data: bytes) -> None:
+        """Add received bytes."""
         self._data += data
 
     @property
-    def held(self) -> int:
+    def buffered_bytes(self) -> int:
+        """Bytes that no payload was made of yet."""
         return len(self._data) + len(self._joined)
 
-    def take_rest(self) -> bytes:
+    def take_remainder(self) -> bytes:
         """What follows the last packet, which is not for this reader."""
-        rest, self._data = bytes(self._data), bytearray()
-        return rest
+        remainder = bytes(self._data)
+        self._data = bytearray()
+        return remainder
 
-    def next(self) -> bytes | None:
-        """The next whole packet's payload, or None until more bytes come. Raises ProtocolError."""
-        while len(self._data) >= 4:
+    def next_payload(self) -> bytes | None:
+        """The next complete payload, or None until more bytes come. Raises ProtocolError."""
+        while len(self._data) >= HEADER_BYTES:
             size = int.from_bytes(self._data[:3], "little")
-            if len(self._joined) + size > self.limit:
-                # Danger: nothing is set aside for a length that was only announced.
-                raise ProtocolError(f"a packet of more than {self.limit} bytes", 1153, "08S01")
-            if self._data[3] != self.sequence:
-                raise ProtocolError(
-                    f"packet {self._data[3]} came where {self.sequence} was due", 1156, "08S01"
-                )
-            if len(self._data) < 4 + size:
+            self._check_header(size, self._data[3])
+            end = HEADER_BYTES + size
+            if len(self._data) < end:
                 return None
-            self._joined += memoryview(self._data)[4 : 4 + size]
-            del self._data[: 4 + size]
-            self.sequence = (self.sequence + 1) % 256
-            if size < PART:
-                whole, self._joined = bytes(self._joined), bytearray()
-                return whole
+            self._joined += memoryview(self._data)[HEADER_BYTES:end]
+            del self._data[:end]
+            self.sequence = (self.sequence + 1) % SEQUENCE_IDS
+            if size < MAX_PACKET_PAYLOAD:
+                payload = bytes(self._joined)
+                self._joined = bytearray()
+                return payload
         return None
 
+    def _check_header(self, size: int, sequence: int) -> None:
+        if len(self._joined) + size > self.limit:
+            # Danger: a length may announce more than can be held; no memory is reserved for it.
+            raise ProtocolError(f"a packet of more than {self.limit} bytes", PACKET_TOO_LARGE)
+        if sequence != self.sequence:
+            raise ProtocolError(f"packet {sequence} came where {self.sequence} was due", PACKETS_OUT_OF_ORDER)
+
+
+class EncodedPackets(NamedTuple):
+    """A payload's packets, and the sequence id of the packet that follows them."""
+
+    data: bytes
+    next_sequence: int
+
 
-def packets(payload: bytes, sequence: int) -> tuple[bytes, int]:
-    """The payload's packets, and the sequence id that follows. One of full length is followed by another."""
-    out = bytearray()
-    view = memoryview(payload)
+def encode_packets(payload: bytes, sequence: int) -> EncodedPackets:
+    """Cut a payload into packets. One of full length is followed by another, if only an empty one."""
+    data = bytearray()
+    rest = memoryview(payload)
     while True:
-        part = view[:PART]
-        out += len(part).to_bytes(3, "little") + bytes((sequence,))
-        out += part
-        sequence = (sequence + 1) % 256
-        view = view[PART:]
-        if len(part) < PART:
-            return bytes(out), sequence
+        part = rest[:MAX_PACKET_PAYLOAD]
+        data += len(part).to_bytes(3, "little") + bytes((sequence,))
+        data += part
+        sequence = (sequence + 1) % SEQUENCE_IDS
+        rest = rest[MAX_PACKET_PAYLOAD:]
+        if len(part) < MAX_PACKET_PAYLOAD:
+            return EncodedPackets(bytes(data), sequence)
 
 
-# Values within packets.
+# Length-encoded integers: the first byte is the value, or says how many bytes follow.
+MAX_SINGLE_BYTE = 0xFA
+LENGTH_SIZES = {0xFC: 2, 0xFD: 3, 0xFE: 8}
 
 
 class Cursor:
     """Reads values from a payload. Raises ProtocolError where it ends too soon."""
 
     def __init__(self, data: bytes) -> None:
-        self._data, self._at = data, 0
+        """Begins at the first byte."""
+        self._data = data
+        self._position = 0
 
     @property
-    def left(self) -> int:
-        return len(self._data) - self._at
+    def remaining(self) -> int:
+        """Bytes that were not read yet."""
+        return len(self._data) - self._position
 
     def peek(self) -> int:
         """The next byte; -1 at the end."""
-        return self._data[self._at] if self._at < len(self._data) else -1
+        return self._data[self._position] if self.remaining else -1
 
     def take(self, count: int) -> bytes:
-        if count > self.left:
+        """The next `count` bytes."""
+        if count > self.remaining:
             raise ProtocolError("a packet ends inside a value")
-        self._at += count
-        return self._data[self._at - count : self._at]
+        self._position += count
+        return self._data[self._position - count : self._position]
 
-    def number(self, size: int) -> int:
+    def integer(self, size: int) -> int:
+        """An integer of `size` bytes."""
         return int.from_bytes(self.take(size), "little")
 
-    def until_nul(self) -> bytes:
-        end = self._data.find(b"\0", self._at)
+    def nul_terminated(self) -> bytes:
+        """A string up to the next NUL."""
+        end = self._data.find(b"\0", self._position)
         if end < 0:
             raise ProtocolError("a string does not end")
-        found = self._data[self._at : end]
-        self._at = end + 1
-        return found
+        value = self._data[self._position : end]
+        self._position = end + 1
+        return value
 
     def length(self) -> int:
         """A length-encoded integer."""
-        first = self.number(1)
-        if first < 0xFB:
+        first = self.integer(1)
+        if first <= MAX_SINGLE_BYTE:
             return first
-        sizes = {0xFC: 2, 0xFD: 3, 0xFE: 8}
-        if first not in sizes:
+        if first not in LENGTH_SIZES:
             raise ProtocolError(f"{first:#x} begins no length")
-        return self.number(sizes[first])
+        return self.integer(LENGTH_SIZES[first])
 
     def string(self) -> bytes:
         """A length-encoded string."""
         return self.take(self.length())
 
-    def rest(self) -> bytes:
-        return self.take(self.left)
+    def remainder(self) -> bytes:
+        """All that was not read yet."""
+        return self.take(self.remaining)
 
 
-def length(value: int) -> bytes:
-    if value < 0xFB:
+def encode_length(value: int) -> bytes:
+    """A length-encoded integer. Raises ValueError beyond 64 bits."""
+    if value <= MAX_SINGLE_BYTE:
         return bytes((value,))
-    for first, size in ((0xFC, 2), (0xFD, 3), (0xFE, 8)):
+    for first, size in LENGTH_SIZES.items():
         if value < 1 << (8 * size):
             return bytes((first,)) + value.to_bytes(size, "little")
     raise ValueError(f"{value} is too long")
 
 
-def string(value: bytes) -> bytes:
-    return length(len(value)) + value
+def encode_string(value: bytes) -> bytes:
+    """A length-encoded string."""
+    return encode_length(len(value)) + value
--- a/juniperreel/mysql/replies.py
+++ b/juniperreel/mysql/replies.py
@@ -1,94 +1,111 @@
-"""OK and ERR packets, both ways, with what OK tells of the session."""
+"""OK and ERR packets, both ways, with what an OK packet says of the session."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
-from juniperreel.mysql.constants import ERR, Capability, Status, Track
-from juniperreel.mysql.packets import Cursor, ProtocolError, length, string
+from juniperreel.mysql.constants import ERR, Capability, ServerStatus, SessionTrackType
+from juniperreel.mysql.packets import Cursor, ProtocolError, encode_length, encode_string
+
+MAX_WARNINGS = 0xFFFF
+MAX_MESSAGE_BYTES = 512
+SQLSTATE_BYTES = 5
+UNKNOWN_SQLSTATE = "HY000"
+ERR_HEADER_BYTES = 3  # marker and code
 
 
 @dataclass(frozen=True, slots=True)
 class Ok:
-    """`tracked`: what the session tells of itself, by kind; `gtids` of the transaction just committed."""
+    """An OK packet, which may also end a result."""
 
     affected: int = 0
     insert_id: int = 0
     status: int = 0
     warnings: int = 0
     info: bytes = b""
-    tracked: tuple[tuple[int, bytes], ...] = ()
+    tracked: tuple[tuple[int, bytes], ...] = ()  # session changes by SessionTrackType
 
     @property
-    def more(self) -> bool:
+    def more_results(self) -> bool:
         """Whether another result of the same command follows."""
-        return bool(self.status & Status.MORE_RESULTS)
+        return bool(self.status & ServerStatus.MORE_RESULTS)
 
     @property
     def gtids(self) -> str:
+        """GTIDs of the transaction just committed; empty if there are none."""
         for kind, data in self.tracked:
-            if kind == Track.GTIDS:
-                c = Cursor(data)
-                c.take(1)  # how it is spelled: there is one way
-                return c.string().decode("ascii", "replace")
+            if kind == SessionTrackType.GTIDS:
+                cursor = Cursor(data)
+                cursor.take(1)  # the encoding specification, of which there is one
+                return cursor.string().decode("ascii", "replace")
         return ""
 
 
 @dataclass(frozen=True, slots=True)
 class Err:
+    """An ERR packet."""
+
     code: int
-    state: str
-    words: str
+    sqlstate: str
+    message: str
 
 
 def gtid_track(gtids: str) -> tuple[int, bytes]:
-    return Track.GTIDS, b"\0" + string(gtids.encode())
+    """A session change that carries GTIDs."""
+    return SessionTrackType.GTIDS, b"\0" + encode_string(gtids.encode())
 
 
 def encode_ok(first: int, ok: Ok, capabilities: int) -> bytes:
-    """`first`: 0x00, or 0xFE where it ends a result."""
+    """The packet's payload. `first`: OK, or EOF where it ends a result."""
     tracks = bool(capabilities & Capability.SESSION_TRACK)
-    status = ok.status | (Status.STATE_CHANGED if tracks and ok.tracked else 0)
-    out = bytes((first,)) + length(ok.affected) + length(ok.insert_id)
-    out += status.to_bytes(2, "little") + min(ok.warnings, 0xFFFF).to_bytes(2, "little")
+    status = ok.status | (ServerStatus.STATE_CHANGED if tracks and ok.tracked else 0)
+    payload = bytes((first,)) + encode_length(ok.affected) + encode_length(ok.insert_id)
+    payload += status.to_bytes(2, "little") + min(ok.warnings, MAX_WARNINGS).to_bytes(2, "little")
     if not tracks:
-        return out + ok.info
+        return payload + ok.info
     if ok.info or ok.tracked:
-        out += string(ok.info)
+        payload += encode_string(ok.info)
     if ok.tracked:
-        out += string(b"".join(bytes((kind,)) + string(data) for kind, data in ok.tracked))
-    return out
+        changes = (bytes((kind,)) + encode_string(data) for kind, data in ok.tracked)
+        payload += encode_string(b"".join(changes))
+    return payload
 
 
 def decode_ok(payload: bytes, capabilities: int) -> Ok:
-    """Raises ProtocolError."""
-    c = Cursor(payload)
-    c.take(1)
-    affected, insert_id = c.length(), c.length()
-    status, warnings = c.number(2), c.number(2)
+    """The packet of a payload, whose first byte is skipped. Raises ProtocolError."""
+    cursor = Cursor(payload)
+    cursor.take(1)
+    affected = cursor.length()
+    insert_id = cursor.length()
+    status = cursor.integer(2)
+    warnings = cursor.integer(2)
     if not capabilities & Capability.SESSION_TRACK:
-        return Ok(affected, insert_id, status, warnings, c.rest())
-    info = c.string() if c.left else b""
+        return Ok(affected, insert_id, status, warnings, cursor.remainder())
+    info = cursor.string() if cursor.remaining else b""
     tracked: list[tuple[int, bytes]] = []
-    if status & Status.STATE_CHANGED and c.left:
-        inner = Cursor(c.string())
-        while inner.left:
-            kind = inner.number(1)
-            tracked.append((kind, inner.string()))
+    if status & ServerStatus.STATE_CHANGED and cursor.remaining:
+        changes = Cursor(cursor.string())
+        while changes.remaining:
+            kind = changes.integer(1)
+            tracked.append((kind, changes.string()))
     return Ok(affected, insert_id, status, warnings, info, tuple(tracked))
 
 
-def encode_err(code: int, state: str, words: str) -> bytes:
-    sqlstate = b"#" + state.encode("ascii", "replace")[:5].ljust(5, b"0")
-    return b"\xff" + code.to_bytes(2, "little") + sqlstate + words.encode("utf-8", "replace")[:512]
+def encode_err(code: int, sqlstate: str, message: str) -> bytes:
+    """The packet's payload; a message that is too long is cut."""
+    state = sqlstate.encode("ascii", "replace")[:SQLSTATE_BYTES].ljust(SQLSTATE_BYTES, b"0")
+    text = message.encode("utf-8", "replace")[:MAX_MESSAGE_BYTES]
+    return bytes((ERR,)) + code.to_bytes(2, "little") + b"#" + state + text
 
 
 def decode_err(payload: bytes) -> Err:
-    """Raises ProtocolError. Before a login there may be no SQLSTATE."""
-    if len(payload) < 3 or payload[0] != ERR:
+    """The packet of a payload. Before a login there may be no SQLSTATE. Raises ProtocolError."""
+    if len(payload) < ERR_HEADER_BYTES or payload[0] != ERR:
         raise ProtocolError("no error packet")
-    code, rest = int.from_bytes(payload[1:3], "little"), payload[3:]
-    state = "HY000"
-    if rest[:1] == b"#" and len(rest) >= 6:
-        state, rest = rest[1:6].decode("ascii", "replace"), rest[6:]
-    return Err(code, state, rest.decode("utf-8", "replace"))
+    code = int.from_bytes(payload[1:ERR_HEADER_BYTES], "little")
+    rest = payload[ERR_HEADER_BYTES:]
+    sqlstate = UNKNOWN_SQLSTATE
+    if rest[:1] == b"#" and len(rest) > SQLSTATE_BYTES:
+        sqlstate = rest[1 : 1 + SQLSTATE_BYTES].decode("ascii", "replace")
+        rest = rest[1 + SQLSTATE_BYTES :]
+    return Err(code, sqlstate, rest.decode("utf-8", "replace"))
--- a/juniperreel/mysql/server.py
+++ b/juniperreel/mysql/server.py
@@ -2,8 +2,8 @@
 
     GREETING -> AUTH -> (SWITCH) -> READY <-> BUSY -> CLOSED
 
-In READY a command is taken and told; in BUSY its answer is written by `ok`, `error` or `result`, which lead
-back to READY. A client that sends its next command early has it kept until then.
+In READY a command is taken and returned as an event; in BUSY its response is written by `ok`, `error`,
+`result` and others, which lead back to READY. Commands that a client sends ahead wait until then.
 """
 
 from __future__ import annotations
@@ -12,14 +12,37 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from juniperreel.mysql.auth import NATIVE, NOBODY, NONCE_BYTES, SHA2, Credential
-from juniperreel.mysql.constants import UTF8MB4, Capability, ColumnType, Com, Status
-from juniperreel.mysql.packets import Cursor, PacketReader, ProtocolError, length, packets
-from juniperreel.mysql.replies import Ok, encode_err, encode_ok
-from juniperreel.mysql.values import Column, Value, definition, read_attributes, text_row
+from juniperreel.mysql.auth import NATIVE, NONCE_BYTES, SHA2, UNKNOWN_USER, Credential
+from juniperreel.mysql.columns import Column, encode_column
+from juniperreel.mysql.constants import (
+    AUTH_MORE_DATA,
+    AUTH_SWITCH,
+    EOF,
+    OK,
+    UTF8MB4,
+    Capability,
+    ColumnType,
+    CommandCode,
+    ServerStatus,
+)
+from juniperreel.mysql.packets import Cursor, PacketReader, ProtocolError, encode_length, encode_packets
+from juniperreel.mysql.parameters import decode_query_attributes
+from juniperreel.mysql.replies import MAX_WARNINGS, Ok, encode_err, encode_ok
+from juniperreel.mysql.rows import encode_text_row
+from juniperreel.mysql.values import Value
+
+ACCESS_DENIED = (1045, "28000")
+UNKNOWN_COMMAND = 1047
+UNKNOWN_DATABASE = (1049, "42000")
+OLD_CLIENT = (1251, "08004")
+INVALID_CHARACTERS = (1300, "HY000")
 
 VERSION = b"8.0.36-juniperreel"
-LOGIN_BYTES = 16 << 10  # of a packet before the login
+PROTOCOL_VERSION = b"\x0a"
+MAX_LOGIN_BYTES = 16 << 10  # of a packet before the login
+SSL_REQUEST_BYTES = 32  # of a login packet that ends ahead of the user's name
+FIRST_NONCE_PART = 8  # bytes of the nonce that stand ahead of the rest in the greeting
+FAST_AUTH_SUCCESS = bytes((AUTH_MORE_DATA, 0x03))  # of caching_sha2_password: the stored hash suffices
 
 OFFERED = (
     Capability.LONG_PASSWORD
@@ -38,9 +61,12 @@
     | Capability.DEPRECATE_EOF
     | Capability.QUERY_ATTRIBUTES
 )
+REQUIRED = Capability.PROTOCOL_41 | Capability.SECURE_CONNECTION
 
 
 class State(Enum):
+    """See the module's docstring."""
+
     GREETING = "greeting"
     AUTH = "auth"
     SWITCH = "switch"
@@ -51,7 +77,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LoggedIn:
-    """`charset` is the collation id that the client asked for."""
+    """The client has logged in, also by COM_CHANGE_USER. `charset` is the collation id that it asked for."""
 
     user: str
     database: str
@@ -60,8 +86,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Command:
-    """`kind` may be one that `Com` does not name. `attributes`: of a COM_QUERY; an execution's are still in
-    its payload."""
+    """A command that must be answered. `kind` may be one that CommandCode does not name.
+
+    `attributes` are those of a COM_QUERY; an execution's are still in its payload.
+    """
 
     kind: int
     payload: bytes
@@ -76,22 +104,21 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Gone:
+class ConnectionClosed:
     """The connection is over: close the socket once all is sent."""
 
-    why: str
+    reason: str
 
 
-Event = LoggedIn | Command | StartTls | Gone
-SSL_REQUEST = 32  # bytes of a login that breaks off before the user's name
+Event = LoggedIn | Command | StartTls | ConnectionClosed
 
 
 class ServerSession:
-    """`credentials` finds a user's credential; `nonce` is NONCE_BYTES random bytes without NUL."""
+    """The protocol state of one connection."""
 
     def __init__(
         self,
-        number: int,
+        connection_id: int,
         nonce: bytes,
         credentials: Callable[[str], Credential | None],
         max_packet: int,
@@ -100,20 +127,27 @@
         version: bytes = VERSION,
         schema: str = "",
     ) -> None:
-        """`tls`: offered; a client may ask for it once, before it logs in. `schema`: the only one there is;
-        empty where any will do."""
+        """Begins in GREETING; `start` sends it.
+
+        `nonce`: NONCE_BYTES random bytes without NUL. `credentials` finds a user's credential. `max_packet`:
+        bytes of a command. `plugin`: the authentication that is offered first. `tls`: offered; a client may
+        ask for it once, before it logs in. `schema`: the only one there is; empty where any will do.
+        """
         if len(nonce) != NONCE_BYTES or 0 in nonce:
             raise ValueError(f"a nonce has {NONCE_BYTES} bytes, none of them NUL")
-        self._version, self._schema = version, schema
-        self._offered = OFFERED | (Capability.SSL if tls else 0)
-        self._tls = tls
+        self.connection_id = connection_id
         self.state = State.GREETING
         self.capabilities = 0
-        self.status = int(Status.AUTOCOMMIT)
-        self.number, self._nonce, self._plugin = number, nonce, plugin
+        self.status = int(ServerStatus.AUTOCOMMIT)
+        self._version = version
+        self._schema = schema
+        self._offered = OFFERED | (Capability.SSL if tls else 0)
+        self._tls_available = tls
+        self._nonce = nonce
+        self._plugin = plugin
         self._credentials = credentials
         self._max_packet = max_packet
-        self._reader = PacketReader(LOGIN_BYTES)
+        self._reader = PacketReader(MAX_LOGIN_BYTES)
         self._out = bytearray()
         self._sequence = 0
         self._login: LoggedIn | None = None
@@ -121,27 +155,29 @@
     # Bytes.
 
     def data_to_send(self) -> bytes:
-        data, self._out = bytes(self._out), bytearray()
+        """Take what is to be sent."""
+        data = bytes(self._out)
+        self._out = bytearray()
         return data
 
     def _send(self, payload: bytes) -> None:
-        data, self._sequence = packets(payload, self._sequence)
+        data, self._sequence = encode_packets(payload, self._sequence)
         self._out += data
         self._reader.sequence = self._sequence
 
     @property
-    def held(self) -> int:
-        """Bytes of commands that wait here; a shell reads no more while there are many."""
-        return self._reader.held
+    def buffered_bytes(self) -> int:
+        """Bytes of commands that wait; while there are many, no more should be received."""
+        return self._reader.buffered_bytes
 
     def start(self) -> None:
-        """The greeting (protocol 10)."""
+        """Send the greeting."""
         self._send(
-            b"\x0a"
+            PROTOCOL_VERSION
             + self._version
             + b"\0"
-            + self.number.to_bytes(4, "little")
-            + self._nonce[:8]
+            + self.connection_id.to_bytes(4, "little")
+            + self._nonce[:FIRST_NONCE_PART]
             + b"\0"
             + (self._offered & 0xFFFF).to_bytes(2, "little")
             + bytes((UTF8MB4,))
@@ -149,7 +185,7 @@
             + (self._offered >> 16).to_bytes(2, "little")
             + bytes((NONCE_BYTES + 1,))
             + bytes(10)
-            + self._nonce[8:]
+            + self._nonce[FIRST_NONCE_PART:]
             + b"\0"
             + self._plugin.encode()
             + b"\0"
@@ -157,132 +193,146 @@
         self.state = State.AUTH
 
     def receive(self, data: bytes) -> list[Event]:
-        """Never raises: a peer that breaks the protocol is told so, and Gone."""
+        """Process received bytes. Never raises: whoever breaks the protocol is sent an error and closed."""
         if self.state is State.CLOSED:
             return []
         self._reader.feed(data)
-        return self._go_on()
+        return self._process_packets()
 
-    def _go_on(self) -> list[Event]:
+    def _process_packets(self) -> list[Event]:
         events: list[Event] = []
         try:
             while self.state not in (State.BUSY, State.CLOSED):
-                payload = self._reader.next()
+                payload = self._reader.next_payload()
                 if payload is None:
                     break
-                if self._asks_for_tls(payload):
-                    self._tls = False
-                    events.append(StartTls(self._reader.take_rest()))
+                if self._is_ssl_request(payload):
+                    self._tls_available = False
+                    events.append(StartTls(self._reader.take_remainder()))
                     break
-                events.extend(self._packet(payload))
+                events.extend(self._on_packet(payload))
         except ProtocolError as error:
             self._sequence = self._reader.sequence
-            self._error(error.code, error.state, str(error))
+            self._send_error(error.code, error.sqlstate, str(error))
             events.append(self.close(str(error)))
         return events
 
-    def _asks_for_tls(self, payload: bytes) -> bool:
-        asks = len(payload) == SSL_REQUEST and int.from_bytes(payload[:4], "little") & Capability.SSL
-        return self.state is State.AUTH and self._tls and bool(asks)
+    def _is_ssl_request(self, payload: bytes) -> bool:
+        if self.state is not State.AUTH or not self._tls_available or len(payload) != SSL_REQUEST_BYTES:
+            return False
+        return bool(int.from_bytes(payload[:4], "little") & Capability.SSL)
 
-    def close(self, why: str) -> Gone:
-        """Nothing more is taken; what is to be sent still is."""
+    def close(self, reason: str) -> ConnectionClosed:
+        """Take no more commands; what is to be sent still is."""
         self.state = State.CLOSED
-        return Gone(why)
+        return ConnectionClosed(reason)
 
-    def _packet(self, payload: bytes) -> list[Event]:
+    def _on_packet(self, payload: bytes) -> list[Event]:
         self._sequence = self._reader.sequence
         if self.state is State.AUTH:
             return self._on_login(Cursor(payload))
         if self.state is State.SWITCH:
-            return self._judge(self._plugin, payload)
+            return self._authenticate(self._plugin, payload)
+        return self._on_command(payload)
+
+    def _on_command(self, payload: bytes) -> list[Event]:
         if not payload:
-            raise ProtocolError("an empty command", 1047, "08S01")
-        if payload[0] == Com.QUIT:
+            raise ProtocolError("an empty command", UNKNOWN_COMMAND)
+        kind = payload[0]
+        if kind == CommandCode.QUIT:
             return [self.close("quit")]
         self.state = State.BUSY
-        if payload[0] == Com.QUERY and self.takes_attributes:
-            c = Cursor(payload)
-            c.take(1)
-            attributes = read_attributes(c)
-            return [Command(Com.QUERY, c.rest(), attributes)]
-        if payload[0] == Com.CHANGE_USER:
-            return self._change_user(Cursor(payload[1:]))
-        return [Command(payload[0], payload[1:])]
+        if kind == CommandCode.QUERY and self.supports_attributes:
+            cursor = Cursor(payload)
+            cursor.take(1)
+            attributes = decode_query_attributes(cursor)
+            return [Command(CommandCode.QUERY, cursor.remainder(), attributes)]
+        if kind == CommandCode.CHANGE_USER:
+            return self._on_change_user(Cursor(payload[1:]))
+        return [Command(kind, payload[1:])]
 
     @property
-    def takes_attributes(self) -> bool:
+    def supports_attributes(self) -> bool:
+        """Whether both sides agreed on query attributes."""
         return bool(self.capabilities & Capability.QUERY_ATTRIBUTES)
 
-    def _change_user(self, c: Cursor) -> list[Event]:
-        """Another login on the same connection: it ends as one, or the connection does."""
-        user = text(c.until_nul())
-        proof = c.take(c.number(1))
-        database = text(c.until_nul())
-        charset = c.number(2) if c.left >= 2 else UTF8MB4
-        plugin = text(c.until_nul()) if self.capabilities & Capability.PLUGIN_AUTH and c.left else NATIVE
+    # Login.
+
+    def _on_login(self, cursor: Cursor) -> list[Event]:
+        capabilities = cursor.integer(4)
+        if capabilities & REQUIRED != REQUIRED:
+            raise ProtocolError("clients before version 4.1 are not served", *OLD_CLIENT)
+        self.capabilities = capabilities & OFFERED
+        cursor.integer(4)  # the client's packet limit: ours is smaller
+        charset = cursor.integer(1)
+        cursor.take(23)
+        user = decode_name(cursor.nul_terminated())
+        if self.capabilities & Capability.PLUGIN_AUTH_LENENC:
+            response = cursor.string()
+        else:
+            response = cursor.take(cursor.integer(1))
+        database = ""
+        if self.capabilities & Capability.CONNECT_WITH_DB and cursor.remaining:
+            database = decode_name(cursor.nul_terminated())
+        plugin = self._read_plugin(cursor)
         self._login = LoggedIn(user, database, charset)
-        if plugin == self._plugin and proof:
-            return self._judge(plugin, proof)
-        self._ask_for_proof()
+        if plugin in (NATIVE, SHA2) and response:
+            return self._authenticate(plugin, response)
+        self._request_authentication()
         return []
 
-    # Login.
-
-    def _on_login(self, c: Cursor) -> list[Event]:
-        self.capabilities = c.number(4)
-        needed = Capability.PROTOCOL_41 | Capability.SECURE_CONNECTION
-        if self.capabilities & needed != needed:
-            raise ProtocolError("clients before version 4.1 are not served", 1251, "08004")
-        self.capabilities &= OFFERED
-        c.number(4)  # its packet limit: ours is smaller
-        charset = c.number(1)
-        c.take(23)
-        user = text(c.until_nul())
-        lenenc = self.capabilities & Capability.PLUGIN_AUTH_LENENC
-        proof = c.string() if lenenc else c.take(c.number(1))
-        database = text(c.until_nul()) if self.capabilities & Capability.CONNECT_WITH_DB and c.left else ""
-        plugin = NATIVE
-        if self.capabilities & Capability.PLUGIN_AUTH and c.left:
-            plugin = text(c.until_nul())
+    def _on_change_user(self, cursor: Cursor) -> list[Event]:
+        """Another login on the same connection: it succeeds, or the connection is closed."""
+        user = decode_name(cursor.nul_terminated())
+        response = cursor.take(cursor.integer(1))
+        database = decode_name(cursor.nul_terminated())
+        charset = cursor.integer(2) if cursor.remaining >= 2 else UTF8MB4
+        plugin = self._read_plugin(cursor)
         self._login = LoggedIn(user, database, charset)
-        if plugin in (NATIVE, SHA2) and proof:
-            return self._judge(plugin, proof)
-        self._ask_for_proof()
+        if plugin == self._plugin and response:
+            return self._authenticate(plugin, response)
+        self._request_authentication()
         return []
 
-    def _ask_for_proof(self) -> None:
-        """Another plugin, or a first guess without a proof: say which one, and with which nonce."""
-        self._send(b"\xfe" + self._plugin.encode() + b"\0" + self._nonce + b"\0")
+    def _read_plugin(self, cursor: Cursor) -> str:
+        if self.capabilities & Capability.PLUGIN_AUTH and cursor.remaining:
+            return decode_name(cursor.nul_terminated())
+        return NATIVE
+
+    def _request_authentication(self) -> None:
+        """Name the plugin and the nonce to a client that used another one, or sent no response."""
+        self._send(bytes((AUTH_SWITCH,)) + self._plugin.encode() + b"\0" + self._nonce + b"\0")
         self.state = State.SWITCH
 
-    def _judge(self, plugin: str, proof: bytes) -> list[Event]:
+    def _authenticate(self, plugin: str, response: bytes) -> list[Event]:
         login = self._login
         assert login is not None
-        known = self._credentials(login.user)
-        proved = (known or NOBODY).proves(plugin, self._nonce, proof)
-        if known is None or not proved:
-            # The same words whether the user or the password is wrong.
-            self._error(1045, "28000", f"Access denied for user '{login.user[:32]}'")
+        credential = self._credentials(login.user)
+        verified = (credential or UNKNOWN_USER).verify(plugin, self._nonce, response)
+        if credential is None or not verified:
+            # The same message whether the user or the password is wrong.
+            self._send_error(*ACCESS_DENIED, f"Access denied for user '{login.user[:32]}'")
             return [self.close("access denied")]
-        if not self.knows(login.database):
-            self._error(1049, "42000", f"Unknown database '{login.database[:64]}'")
+        if not self.accepts_database(login.database):
+            self._send_error(*UNKNOWN_DATABASE, f"Unknown database '{login.database[:64]}'")
             return [self.close("no such database")]
         if plugin == SHA2:
-            self._send(b"\x01\x03")  # what is kept here suffices: fast authentication
+            self._send(FAST_AUTH_SUCCESS)
         self.state = State.BUSY
         self._reader.limit = self._max_packet
         return [login, *self.ok()]
 
-    def knows(self, database: str) -> bool:
+    def accepts_database(self, database: str) -> bool:
+        """Whether a client may use the database."""
         return not database or not self._schema or database.lower() == self._schema.lower()
 
-    # Answers. Each gives the events of commands that came meanwhile.
+    # Responses. Each returns the events of commands that arrived meanwhile.
 
-    def _done(self) -> list[Event]:
-        self._sequence = self._reader.sequence = 0
+    def _finish_command(self) -> list[Event]:
+        self._sequence = 0
+        self._reader.sequence = 0
         self.state = State.READY
-        return self._go_on()
+        return self._process_packets()
 
     def ok(
         self,
@@ -292,86 +342,98 @@
         warnings: int = 0,
         tracked: Sequence[tuple[int, bytes]] = (),
     ) -> list[Event]:
-        ok = Ok(affected, insert_id, self.status, warnings, info.encode(), tuple(tracked))
-        self._send(encode_ok(0x00, ok, self.capabilities))
-        return self._done()
+        """Answer with an OK packet; `tracked`: session changes."""
+        packet = Ok(affected, insert_id, self.status, warnings, info.encode(), tuple(tracked))
+        self._send(encode_ok(OK, packet, self.capabilities))
+        return self._finish_command()
 
-    def error(self, code: int, state: str, words: str) -> list[Event]:
-        """Also in the middle of a result, which it ends."""
-        self._error(code, state, words)
-        return self._done()
+    def error(self, code: int, sqlstate: str, message: str) -> list[Event]:
+        """Answer with an ERR packet, also in the middle of a result, which it ends."""
+        self._send_error(code, sqlstate, message)
+        return self._finish_command()
 
-    def _error(self, code: int, state: str, words: str) -> None:
-        self._send(encode_err(code, state, words))
+    def _send_error(self, code: int, sqlstate: str, message: str) -> None:
+        self._send(encode_err(code, sqlstate, message))
 
-    def silent(self) -> list[Event]:
-        """After a command that has no answer."""
-        return self._done()
+    def no_response(self) -> list[Event]:
+        """Finish a command that has no response."""
+        return self._finish_command()
 
-    def statistics(self, words: str) -> list[Event]:
-        """The answer to COM_STATISTICS."""
-        self._send(words.encode())
-        return self._done()
+    def statistics(self, text: str) -> list[Event]:
+        """Answer COM_STATISTICS."""
+        self._send(text.encode())
+        return self._finish_command()
 
     def option_set(self) -> list[Event]:
-        """The answer to COM_SET_OPTION, which is an EOF whatever the capabilities."""
-        self._send(b"\xfe" + bytes(2) + self.status.to_bytes(2, "little"))
-        return self._done()
+        """Answer COM_SET_OPTION, with an EOF packet whatever the capabilities."""
+        self._send_eof(0, self.status)
+        return self._finish_command()
 
-    def prepared(self, number: int, parameters: int) -> list[Event]:
-        """The answer to COM_STMT_PREPARE. Its columns are told with each result, as for SHOW."""
+    def prepared(self, statement_id: int, parameters: int) -> list[Event]:
+        """Answer COM_STMT_PREPARE. The columns are described with each result, as for SHOW."""
         self._send(
-            b"\0" + number.to_bytes(4, "little") + bytes(2) + parameters.to_bytes(2, "little") + bytes(3)
+            bytes((OK,))
+            + statement_id.to_bytes(4, "little")
+            + bytes(2)
+            + parameters.to_bytes(2, "little")
+            + bytes(3)
         )
         for _ in range(parameters):
-            self._send(definition(Column("?", ColumnType.VAR_STRING)))
+            self._send(encode_column(Column("?", ColumnType.VAR_STRING)))
         if parameters and not self.capabilities & Capability.DEPRECATE_EOF:
-            self._eof(0)
-        return self._done()
+            self._send_eof(0, self.status)
+        return self._finish_command()
 
     def result(
         self,
         columns: Sequence[Column],
         rows: Iterable[Sequence[Value]],
-        row: Callable[[Sequence[Column], Sequence[Value]], bytes] | None = None,
+        encode_row: Callable[[Sequence[Column], Sequence[Value]], bytes] | None = None,
     ) -> list[Event]:
-        """A result set, its rows as text or as `row` encodes them."""
+        """Answer with a result set, its rows in text or as `encode_row` makes them."""
         self.begin_result(columns)
-        self.rows(text_row(values) if row is None else row(columns, values) for values in rows)
+        if encode_row is None:
+            self.rows(encode_text_row(values) for values in rows)
+        else:
+            self.rows(encode_row(columns, values) for values in rows)
         return self.end_result()
 
-    # A result in parts, for one that is longer than should be held.
+    # A result in parts, for one that is longer than should be held in memory.
 
     def begin_result(self, columns: Sequence[Column]) -> None:
-        self._send(length(len(columns)))
+        """Send the columns."""
+        self._send(encode_length(len(columns)))
         for column in columns:
-            self._send(definition(column))
+            self._send(encode_column(column))
         if not self.capabilities & Capability.DEPRECATE_EOF:
-            self._eof(0)
+            self._send_eof(0, self.status)
 
     def rows(self, payloads: Iterable[bytes]) -> None:
+        """Send encoded rows."""
         for payload in payloads:
             self._send(payload)
 
     def end_result(
         self, warnings: int = 0, tracked: Sequence[tuple[int, bytes]] = (), more: bool = False
     ) -> list[Event]:
-        """`more`: another result, or an OK or ERR, follows for the same command."""
-        status = self.status | (Status.MORE_RESULTS if more else 0)
+        """End the result. `more`: another result, or an OK or ERR, follows for the same command."""
+        status = self.status | (ServerStatus.MORE_RESULTS if more else 0)
         if self.capabilities & Capability.DEPRECATE_EOF:
-            ok = Ok(status=status, warnings=warnings, tracked=tuple(tracked))
-            self._send(encode_ok(0xFE, ok, self.capabilities))
+            packet = Ok(status=status, warnings=warnings, tracked=tuple(tracked))
+            self._send(encode_ok(EOF, packet, self.capabilities))
         else:
-            self._eof(warnings, status)
-        return [] if more else self._done()
+            self._send_eof(warnings, status)
+        return [] if more else self._finish_command()
 
-    def _eof(self, warnings: int, status: int | None = None) -> None:
-        status = self.status if status is None else status
-        self._send(b"\xfe" + min(warnings, 0xFFFF).to_bytes(2, "little") + status.to_bytes(2, "little"))
+    def _send_eof(self, warnings: int, status: int) -> None:
+        self._send(
+            bytes((EOF,)) + min(warnings, MAX_WARNINGS).to_bytes(2, "little") + status.to_bytes(2, "little")
+        )
 
 
-def text(data: bytes) -> str:
+def decode_name(data: bytes) -> str:
+    """A user, database or plugin. Raises ProtocolError."""
     try:
         return data.decode("utf-8")
     except UnicodeDecodeError:
-        raise ProtocolError("a name is not UTF-8", 1300, "HY000") from None
+        raise ProtocolError("a name is not UTF-8", *INVALID_CHARACTERS) from None
--- a/juniperreel/pool/backend.py
+++ b/juniperreel/pool/backend.py
@@ -14,7 +14,7 @@
 
 import trio
 
-from juniperreel.mysql import client
+from juniperreel.mysql import client_events as client
 from juniperreel.mysql.client import ClientSession
 from juniperreel.mysql.replies import Err, Ok
 from juniperreel.mysql.values import Value
@@ -47,7 +47,7 @@
     """The member answered with an error; the connection goes on."""
 
     def __init__(self, err: Err) -> None:
-        super().__init__(f"{err.code}: {err.words}")
+        super().__init__(f"{err.code}: {err.message}")
         self.err = err
 
 
@@ -106,7 +106,7 @@
     @property
     def thread(self) -> int:
         """Its number at the server."""
-        return self.session.thread
+        return self.session.connection_id
 
     async def run(self) -> None:
         """Reads until the connection ends, or is closed."""
@@ -132,13 +132,13 @@
             if not data:
                 self._lose("the member closed the connection")
                 return
-            idle = not self.session.in_hand
+            idle = not self.session.in_flight
             for event in self.session.receive(data):
                 if isinstance(event, client.Row):
                     self._held += len(event.payload)
                 self._events.append(event)
-                if isinstance(event, client.Broken):
-                    self._lose(event.why)
+                if isinstance(event, client.ConnectionBroken):
+                    self._lose(event.reason)
             self._arrived.set()
             if idle:
                 self._lose("the member spoke unasked")
@@ -157,7 +157,7 @@
 
     async def leave(self) -> None:
         """Says goodbye first; for an idle connection."""
-        if not self.why and not self.session.in_hand:
+        if not self.why and not self.session.in_flight:
             self.session.quit()
             with trio.move_on_after(GOODBYE_S):
                 with suppress(*BROKEN):
@@ -213,7 +213,7 @@
             event = await self._next()
             if isinstance(event, client.Failed):
                 return event.err
-            if not isinstance(event, client.Prepared):
+            if not isinstance(event, client.StatementPrepared):
                 raise Lost("the member did not prepare", sent=True)
             for number in self.statements.keep((step.text, parsed), event.id):
                 self.session.close_statement(number)
@@ -243,8 +243,8 @@
             self._arrived = trio.Event()
             await self._arrived.wait()
         event = self._events.popleft()
-        if isinstance(event, client.Broken):
-            raise Lost(event.why, sent=True)
+        if isinstance(event, client.ConnectionBroken):
+            raise Lost(event.reason, sent=True)
         if isinstance(event, client.Row):
             self._held -= len(event.payload)
             if self._held <= HELD_BYTES // 2:
@@ -261,7 +261,7 @@
                 first = result
             else:
                 first.more.append(result)
-            if result.rest is not None or not result.ok.more:
+            if result.rest is not None or not result.ok.more_results:
                 return first
 
     async def _one(self, binary: bool, stream: bool) -> Result | Err:
@@ -271,7 +271,7 @@
                 return err
             case client.Done(ok):
                 return Result(ok=ok)
-            case client.Began(columns):
+            case client.ResultStarted(columns):
                 result = Result(columns, binary=binary)
             case _:
                 raise Lost(f"the member answered with {type(event).__name__}", sent=True)
@@ -287,7 +287,7 @@
                             raise TooLong(f"an answer of more than {self._login.held} bytes")
                         result.rest = Remainder(self)
                         return result
-                case client.End(ok):
+                case client.ResultEnded(ok):
                     result.ok = ok
                     return result
                 case client.Failed(err):
@@ -316,7 +316,7 @@
                     case client.Row(payload):
                         rows.append(payload)
                         size += len(payload)
-                    case client.End(ok):
+                    case client.ResultEnded(ok):
                         self.ok = ok
                         self._end()
                     case client.Failed(err):
@@ -351,7 +351,7 @@
             match event:
                 case client.Ready():
                     return stream
-                case client.Broken(why, code):
+                case client.ConnectionBroken(why, code):
                     raise NotLetIn(f"{host}: {why}", code)
                 case client.StartTls():
                     await stream.send_all(session.data_to_send())
--- a/juniperreel/pool/result.py
+++ b/juniperreel/pool/result.py
@@ -6,8 +6,10 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from juniperreel.mysql.columns import Column
 from juniperreel.mysql.replies import Ok
-from juniperreel.mysql.values import Column, Value, read_binary_row, read_text_row
+from juniperreel.mysql.rows import decode_binary_row, decode_text_row
+from juniperreel.mysql.values import Value
 
 
 class Rest(Protocol):
@@ -38,7 +40,7 @@
 
     def values(self) -> list[list[Value]]:
         """Raises ProtocolError."""
-        read = read_binary_row if self.binary else read_text_row
+        read = decode_binary_row if self.binary else decode_text_row
         return [read(self.columns, row) for row in self.rows]
 
 
--- a/juniperreel/proxy/mysqlmembers.py
+++ b/juniperreel/proxy/mysqlmembers.py
@@ -255,7 +255,7 @@
     def _back(self, member: Member, lease: Lease[Backend], good: bool) -> None:
         backend = lease.connection
         spent = "" if good else "something was left on it"
-        if backend.why or backend.session.in_hand:
+        if backend.why or backend.session.in_flight:
             spent = "it broke, or an exchange did"
         elif backend.session.in_transaction:
             # Danger: a transaction that is still open would take in the next client's statement.
@@ -441,7 +441,7 @@
         fault = None
         if isinstance(answer, Err):
             # Nothing took effect, and whether to try again is the client's to say: it knows these codes.
-            fault = Fault(Outcome.OK, answer.words, answer.code, answer.state)
+            fault = Fault(Outcome.OK, answer.message, answer.code, answer.sqlstate)
             if answer.code in UNDOES_ALL:
                 raise fault
         if not lease.connection.session.in_transaction:
@@ -454,7 +454,7 @@
         if isinstance(answer, Err):
             fault = self._fault(answer)
             if isinstance(fault, Fault) and fault.outcome is Outcome.OK:  # its table is missing, or forbidden
-                raise Fault(Outcome.ERROR, f"where it stands is not told: {answer.code}: {answer.words}")
+                raise Fault(Outcome.ERROR, f"where it stands is not told: {answer.code}: {answer.message}")
             raise fault
         try:
             return published.told(answer.values())
@@ -463,7 +463,7 @@
 
     @staticmethod
     def _fault(err: Err) -> Exception:
-        words = f"{err.code}: {err.words}"
+        words = f"{err.code}: {err.message}"
         match meaning(err.code):
             case Meaning.READ_ONLY:
                 return Fault(Outcome.INELIGIBLE, words)
@@ -473,7 +473,7 @@
                 return Lost(words, sent=True)
             case Meaning.FAULT | Meaning.ENDED:
                 # Nothing took effect, and whether to try again is the client's to say: it knows these codes.
-                return Fault(Outcome.OK, err.words, err.code, err.state)
+                return Fault(Outcome.OK, err.message, err.code, err.sqlstate)
             case _:
                 return Fault(Outcome.ERROR, words)
 
--- a/tests/e2e/test_clients.py
+++ b/tests/e2e/test_clients.py
@@ -19,7 +19,8 @@
 import trio
 
 from juniperreel.fakes.engine import TYPED
-from juniperreel.mysql.client import ClientSession, Done
+from juniperreel.mysql.client import ClientSession
+from juniperreel.mysql.client_events import Done
 from tests.e2e.test_mysql import port
 from tests.e2e.world import World, rows
 
@@ -306,7 +307,7 @@
     session = ClientSession("ada", b"love lace", "", 1 << 20)
     stream = await trio.open_tcp_stream("127.0.0.1", port(world))
     with trio.fail_after(20):
-        while not session.thread or session.state.value != "ready":
+        while not session.connection_id or session.state.value != "ready":
             session.receive(await stream.receive_some(65536))
             await stream.send_all(session.data_to_send())
         for text in (
--- a/tests/e2e/test_mysql_hard.py
+++ b/tests/e2e/test_mysql_hard.py
@@ -14,7 +14,8 @@
 from juniperreel.fakes.engine import Engine, Rows
 from juniperreel.fakes.member import Member
 from juniperreel.frontends.mysql import connection as client_connection
-from juniperreel.mysql.client import ClientSession, Done, End, Event, Failed, Row
+from juniperreel.mysql.client import ClientSession
+from juniperreel.mysql.client_events import Done, Event, Failed, ResultEnded, Row
 from juniperreel.proxy.mysqlmembers import MysqlLinks
 from tests.e2e.test_mysql import INSERT, SELECT, ask, connector, port, using
 from tests.e2e.world import World
@@ -148,11 +149,11 @@
 
     async def answers(self) -> list[Event]:
         events: list[Event] = []
-        while self.session.in_hand:
+        while self.session.in_flight:
             data = await self.stream.receive_some(65536)
             assert data
             events += self.session.receive(data)
-        return [e for e in events if isinstance(e, Done | Failed | Row | End)]
+        return [e for e in events if isinstance(e, Done | Failed | Row | ResultEnded)]
 
 
 async def test_commands_that_come_before_the_answers_are_served_in_their_order(world: World) -> None:
@@ -170,7 +171,18 @@
             raw.session.query(text.encode())
         await raw.stream.send_all(raw.session.data_to_send())
         kinds = [type(e).__name__ for e in await raw.answers()]
-        assert kinds == ["Done", "Done", "Row", "End", "Done", "Row", "End", "Failed", "Row", "End"]
+        assert kinds == [
+            "Done",
+            "Done",
+            "Row",
+            "ResultEnded",
+            "Done",
+            "Row",
+            "ResultEnded",
+            "Failed",
+            "Row",
+            "ResultEnded",
+        ]
         await raw.stream.aclose()
 
 
--- a/tests/frontends/mysql/test_prepared.py
+++ b/tests/frontends/mysql/test_prepared.py
@@ -24,9 +24,11 @@
     PreparedStatements,
     count_parameters,
 )
+from juniperreel.mysql.columns import Column
 from juniperreel.mysql.constants import ColumnType
-from juniperreel.mysql.packets import Cursor, length, string
-from juniperreel.mysql.values import Column, Value, binary_row
+from juniperreel.mysql.packets import Cursor, encode_length, encode_string
+from juniperreel.mysql.rows import encode_binary_row
+from juniperreel.mysql.values import Value
 from juniperreel.statements import Mode, read_statement
 
 TEXT = b"insert into runs (runner, id) values (?, ?)"
@@ -73,10 +75,10 @@
         (4, False, struct.pack("<f", 0.1), 0.100000001),
         (5, False, struct.pack("<d", 0.1), 0.1),
         (6, False, b"", None),
-        (253, False, string("née ✓".encode()), "née ✓"),
-        (254, False, string(b"\xff\xfe"), b"\xff\xfe"),
-        (252, False, string(b"text"), b"text"),
-        (246, False, string(b"12.50"), "12.50"),
+        (253, False, encode_string("née ✓".encode()), "née ✓"),
+        (254, False, encode_string(b"\xff\xfe"), b"\xff\xfe"),
+        (252, False, encode_string(b"text"), b"text"),
+        (246, False, encode_string(b"12.50"), "12.50"),
         (10, False, b"\x04" + struct.pack("<HBB", 2026, 12, 1), "2026-12-01"),
         (12, False, b"\x07" + struct.pack("<HBBBBB", 2026, 12, 1, 9, 5, 7), "2026-12-01 09:05:07"),
         (7, False, b"\x0b" + struct.pack("<HBBBBBI", 2026, 12, 1, 9, 5, 7, 42), "2026-12-01 09:05:07.000042"),
@@ -96,7 +98,7 @@
 
 def test_execute_without_types_uses_those_of_the_last_execution() -> None:
     prepared, statement = prepare()
-    first = ((253, False, string(b"a")), (8, False, struct.pack("<q", 7)))
+    first = ((253, False, encode_string(b"a")), (8, False, struct.pack("<q", 7)))
     assert prepared.execute(execution(statement.id, *first)).values == ["a", 7]
     again = ((0, False, None), (0, False, struct.pack("<q", 8)))
     assert prepared.execute(execution(statement.id, *again, typed=False)).values == [None, 8]
@@ -129,7 +131,7 @@
         prepared.append_long_data(number + b"\0\0" + part)
     sent = ((253, False, b""), (8, False, struct.pack("<q", 7)))
     assert prepared.execute(execution(statement.id, *sent)).values == ["one two", 7]
-    whole = ((253, False, string(b"short")), (8, False, struct.pack("<q", 7)))
+    whole = ((253, False, encode_string(b"short")), (8, False, struct.pack("<q", 7)))
     assert prepared.execute(execution(statement.id, *whole)).values == ["short", 7]
     for _ in range(20):
         prepared.append_long_data(number + b"\0\0" + bytes(100))
@@ -166,11 +168,13 @@
 def test_binary_row_encodes_values_and_nulls() -> None:
     columns = [Column("n", ColumnType.LONGLONG), Column("x", ColumnType.DOUBLE)]
     columns += [Column("t", ColumnType.VAR_STRING), Column("b", ColumnType.BLOB)]
-    row = binary_row(columns, [-5, 0.5, "née", b"\xff"])
-    assert row == b"\0\0" + struct.pack("<qd", -5, 0.5) + string("née".encode()) + string(b"\xff")
-    assert binary_row(columns, [None, 0.5, None, b""])[:2] == b"\0" + bytes((0b010100,))
+    row = encode_binary_row(columns, [-5, 0.5, "née", b"\xff"])
+    assert row == b"\0\0" + struct.pack("<qd", -5, 0.5) + encode_string("née".encode()) + encode_string(
+        b"\xff"
+    )
+    assert encode_binary_row(columns, [None, 0.5, None, b""])[:2] == b"\0" + bytes((0b010100,))
     mixed = [Column("m", ColumnType.VAR_STRING)]
-    assert binary_row(mixed, [5]) == b"\0\0" + string(b"5")
+    assert encode_binary_row(mixed, [5]) == b"\0\0" + encode_string(b"5")
 
 
 @given(st.binary(max_size=200), st.integers(0, 4))
@@ -187,4 +191,4 @@
 
 @given(st.integers(0, (1 << 64) - 1))
 def test_length_encoding_round_trips(size: int) -> None:
-    assert Cursor(length(size)).length() == size
+    assert Cursor(encode_length(size)).length() == size
--- a/tests/frontends/mysql/test_transaction_scope.py
+++ b/tests/frontends/mysql/test_transaction_scope.py
@@ -10,7 +10,7 @@
 
 from juniperreel.frontends.mysql.errors import NO_SUCH_SAVEPOINT, TRANSACTION_ROLLED_BACK
 from juniperreel.frontends.mysql.transaction_scope import Action, TransactionScope
-from juniperreel.mysql.constants import Status
+from juniperreel.mysql.constants import ServerStatus
 from juniperreel.pool.state import FRESH
 from juniperreel.proxy import Hold
 from juniperreel.statements import read_statement
@@ -78,9 +78,9 @@
 
 def test_begin_before_any_statement_reaches_no_endpoint(harness: ScopeHarness) -> None:
     assert harness.execute("begin") is Action.ACKNOWLEDGE
-    assert harness.scope.status() & Status.IN_TRANSACTION
+    assert harness.scope.status() & ServerStatus.IN_TRANSACTION
     assert harness.execute("commit") is Action.ACKNOWLEDGE
-    assert not harness.scope.status() & Status.IN_TRANSACTION
+    assert not harness.scope.status() & ServerStatus.IN_TRANSACTION
     assert harness.log == []
     harness.execute("begin")
     assert harness.execute("insert into t values (1)") is Action.BEGIN_TRANSACTION
@@ -96,7 +96,7 @@
     assert harness.execute("start transaction read only") is Action.ACKNOWLEDGE
     assert harness.log[-1] == "commit"
     assert harness.scope.pending is Hold.READ_ONLY
-    assert harness.scope.status() & Status.IN_READ_ONLY
+    assert harness.scope.status() & ServerStatus.IN_READ_ONLY
     assert harness.execute("insert into t values (2)") is Action.REJECT
     assert harness.execute("select 1") is Action.BEGIN_TRANSACTION
     assert harness.log[-2] == "begin ro"
@@ -112,13 +112,13 @@
 
 def test_autocommit_switched_off_and_on_begins_and_commits(harness: ScopeHarness) -> None:
     assert harness.execute("set autocommit = 0") is Action.ACKNOWLEDGE
-    assert not harness.scope.status() & (Status.AUTOCOMMIT | Status.IN_TRANSACTION)
+    assert not harness.scope.status() & (ServerStatus.AUTOCOMMIT | ServerStatus.IN_TRANSACTION)
     assert harness.execute("select 1") is Action.BEGIN_TRANSACTION
     assert harness.execute("commit") is Action.END_TRANSACTION
     assert harness.execute("insert into t values (1)") is Action.BEGIN_TRANSACTION
     assert harness.execute("set autocommit = 1") is Action.END_TRANSACTION
     assert harness.log[-1] == "commit"
-    assert harness.scope.status() == Status.AUTOCOMMIT
+    assert harness.scope.status() == ServerStatus.AUTOCOMMIT
     assert harness.execute("insert into t values (1)") is Action.SINGLE_REQUEST
 
 
@@ -219,7 +219,7 @@
     assert transaction is not None
     harness.scope.reset()
     assert transaction.released == 1
-    assert harness.scope.status() == Status.AUTOCOMMIT
+    assert harness.scope.status() == ServerStatus.AUTOCOMMIT
 
 
 WORDS = [
@@ -254,5 +254,5 @@
         elif not auto:
             inside = True  # a statement begins one
         status = harness.scope.status()
-        assert bool(status & Status.AUTOCOMMIT) == auto
-        assert bool(status & Status.IN_TRANSACTION) == inside, (words, text)
+        assert bool(status & ServerStatus.AUTOCOMMIT) == auto
+        assert bool(status & ServerStatus.IN_TRANSACTION) == inside, (words, text)
--- a/tests/mysql/test_client.py
+++ b/tests/mysql/test_client.py
@@ -1,4 +1,4 @@
-"""The client's side against the server's, by bytes; and the stand-in member with pymysql as the witness."""
+"""The client's side against the server's, by bytes; and the fake member against pymysql."""
 
 from __future__ import annotations
 
@@ -16,35 +16,34 @@
 from juniperreel.fakes.member import Member, Shape
 from juniperreel.fakes.mysqlmember import PASSWORD, USER
 from juniperreel.mysql.auth import NATIVE, SHA2, Credential
-from juniperreel.mysql.client import (
-    Began,
-    Broken,
-    ClientSession,
+from juniperreel.mysql.client import ClientSession, State
+from juniperreel.mysql.client_events import (
+    ConnectionBroken,
     Done,
-    End,
     Failed,
-    Prepared,
     Ready,
+    ResultEnded,
+    ResultStarted,
     Row,
-    State,
+    StatementPrepared,
 )
-from juniperreel.mysql.client import Event as ClientEvent
-from juniperreel.mysql.constants import Capability, ColumnType, Com, Status
-from juniperreel.mysql.packets import PART, packets
+from juniperreel.mysql.client_events import Event as ClientEvent
+from juniperreel.mysql.columns import Column
+from juniperreel.mysql.constants import Capability, ColumnType, CommandCode, ServerStatus
+from juniperreel.mysql.packets import MAX_PACKET_PAYLOAD, encode_packets
 from juniperreel.mysql.replies import Err, Ok, decode_err, decode_ok, encode_err, encode_ok, gtid_track
-from juniperreel.mysql.server import Command, LoggedIn, ServerSession
-from juniperreel.mysql.values import (
-    Column,
-    Value,
-    binary_row,
-    read_binary_row,
-    read_text_row,
-    text_row,
+from juniperreel.mysql.rows import (
+    decode_binary_row,
+    decode_text_row,
+    encode_binary_row,
+    encode_text_row,
 )
+from juniperreel.mysql.server import Command, LoggedIn, ServerSession
+from juniperreel.mysql.values import Value
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.verification.records import Recorder
 
-USERS = {"ada": Credential.of(b"love lace"), "bob": Credential.of(b"")}
+USERS = {"ada": Credential.from_password(b"love lace"), "bob": Credential.from_password(b"")}
 NONCE = bytes(range(1, 21))
 LATER = [Capability.DEPRECATE_EOF, Capability.SESSION_TRACK, Capability.QUERY_ATTRIBUTES]
 COLUMNS = [
@@ -56,8 +55,8 @@
 ROW: list[Value] = [-5, 0.1, "née ✓", b"\x00\xff"]
 
 
-class Pair:
-    """Both sides, and what each has told."""
+class ConnectedPair:
+    """Both sides in memory, and the events of each."""
 
     def __init__(self, plugin: str = SHA2, password: bytes = b"love lace", without: int = 0) -> None:
         self.server = ServerSession(7, NONCE, USERS.get, 64 << 20, plugin)
@@ -67,17 +66,18 @@
         self.commands: list[Command] = []
         self.logins: list[LoggedIn] = []
 
-    def move(self, step: int = 1 << 30) -> list[ClientEvent]:
-        """Until nothing more is said; answers are the test's to give."""
+    def exchange(self, step: int = 1 << 30) -> list[ClientEvent]:
+        """Carry bytes until neither side sends any; the test answers commands."""
         events: list[ClientEvent] = []
         while True:
-            down, up = self.server.data_to_send(), self.client.data_to_send()
-            if not down and not up:
+            to_client = self.server.data_to_send()
+            to_server = self.client.data_to_send()
+            if not to_client and not to_server:
                 return events
-            for at in range(0, len(down), step):
-                events += self.client.receive(down[at : at + step])
-            for at in range(0, len(up), step):
-                for event in self.server.receive(up[at : at + step]):
+            for start in range(0, len(to_client), step):
+                events += self.client.receive(to_client[start : start + step])
+            for start in range(0, len(to_server), step):
+                for event in self.server.receive(to_server[start : start + step]):
                     self.take(event)
 
     def take(self, event: object) -> None:
@@ -92,86 +92,100 @@
 @pytest.mark.parametrize(
     "without", [0, Capability.DEPRECATE_EOF, Capability.SESSION_TRACK, Capability.QUERY_ATTRIBUTES]
 )
-def test_login_results_and_errors_however_cut(plugin: str, step: int, without: int) -> None:
-    pair = Pair(plugin, without=without)
-    assert pair.move(step) == [Ready(7, "8.0.36-juniperreel")]
-    assert pair.logins[0].user == "ada" and pair.logins[0].database == "boards"
+def test_login_results_and_errors_in_pieces_of_any_size_arrive(plugin: str, step: int, without: int) -> None:
+    pair = ConnectedPair(plugin, without=without)
+    assert pair.exchange(step) == [Ready(7, "8.0.36-juniperreel")]
+    assert pair.logins[0].user == "ada"
+    assert pair.logins[0].database == "boards"
     pair.client.query(b"select 1", {"who": "me"})
     pair.client.query(b"write")
     pair.client.query(b"fails")
-    assert pair.client.in_hand == 3
-    assert pair.move(step) == []
+    assert pair.client.in_flight == 3
+    assert pair.exchange(step) == []
     (command,) = pair.commands
     assert command.payload == b"select 1"
     assert command.attributes == ({} if without == Capability.QUERY_ATTRIBUTES else {"who": "me"})
     for event in pair.server.result(COLUMNS, [ROW, [None] * 4]):
         pair.take(event)
-    pair.server.status = Status.AUTOCOMMIT | Status.IN_TRANSACTION
+    pair.server.status = ServerStatus.AUTOCOMMIT | ServerStatus.IN_TRANSACTION
     for event in pair.server.ok(3, 9, tracked=[gtid_track("u:1")]):
         pair.take(event)
     assert pair.server.error(1290, "HY000", "läuft nicht") == []
-    events = pair.move(step)
-    assert [type(e) for e in events] == [Began, Row, Row, End, Done, Failed]
+    events = pair.exchange(step)
+    assert [type(e) for e in events] == [ResultStarted, Row, Row, ResultEnded, Done, Failed]
     began, first, second, _, done, failed = events
-    assert isinstance(began, Began) and [c.name for c in began.columns] == ["i", "d", "s", "b"]
-    assert isinstance(first, Row) and read_text_row(began.columns, first.payload) == ROW
-    assert isinstance(second, Row) and read_text_row(began.columns, second.payload) == [None] * 4
-    assert isinstance(done, Done) and (done.ok.affected, done.ok.insert_id) == (3, 9)
+    assert isinstance(began, ResultStarted)
+    assert [c.name for c in began.columns] == ["i", "d", "s", "b"]
+    assert isinstance(first, Row)
+    assert decode_text_row(began.columns, first.payload) == ROW
+    assert isinstance(second, Row)
+    assert decode_text_row(began.columns, second.payload) == [None] * 4
+    assert isinstance(done, Done)
+    assert (done.ok.affected, done.ok.insert_id) == (3, 9)
     assert done.ok.gtids == ("" if without == Capability.SESSION_TRACK else "u:1")
     assert failed == Failed(Err(1290, "HY000", "läuft nicht"))
-    assert pair.client.in_transaction and pair.client.in_hand == 0
+    assert pair.client.in_transaction
+    assert pair.client.in_flight == 0
 
 
-def test_prepared_statements_and_several_results() -> None:
-    pair = Pair()
-    pair.move()
+def test_prepared_statement_with_several_results_gives_its_events() -> None:
+    pair = ConnectedPair()
+    pair.exchange()
     pair.client.prepare(b"select ?, ?")
-    pair.move()
+    pair.exchange()
     pair.server.prepared(5, 2)
-    assert pair.move() == [Prepared(5, 2)]
+    assert pair.exchange() == [StatementPrepared(5, 2)]
     pair.client.execute(5, ["a", None], {"who": "me"})
-    pair.move()
-    assert pair.commands[-1].kind == Com.STMT_EXECUTE
+    pair.exchange()
+    assert pair.commands[-1].kind == CommandCode.STMT_EXECUTE
     pair.server.begin_result(COLUMNS)
-    pair.server.rows([binary_row(COLUMNS, ROW)])
+    pair.server.rows([encode_binary_row(COLUMNS, ROW)])
     pair.server.end_result(more=True)
     pair.server.ok(1)
-    began, row, end, done = pair.move()
-    assert isinstance(began, Began) and isinstance(row, Row) and isinstance(end, End) and end.ok.more
-    assert read_binary_row(began.columns, row.payload) == ROW
-    assert isinstance(done, Done) and pair.client.in_hand == 0
+    began, row, end, done = pair.exchange()
+    assert isinstance(began, ResultStarted)
+    assert isinstance(row, Row)
+    assert isinstance(end, ResultEnded)
+    assert end.ok.more_results
+    assert decode_binary_row(began.columns, row.payload) == ROW
+    assert isinstance(done, Done)
+    assert pair.client.in_flight == 0
     pair.client.close_statement(5)
     pair.client.ping()
-    pair.move()
-    pair.server.silent()
+    pair.exchange()
+    pair.server.no_response()
     assert [c.kind for c in pair.commands[-2:]] == [
-        Com.STMT_CLOSE,
-        Com.PING,
+        CommandCode.STMT_CLOSE,
+        CommandCode.PING,
     ] or pair.server.data_to_send() == b""
 
 
-def test_a_row_longer_than_a_packet() -> None:
-    pair = Pair()
-    pair.move()
+def test_row_longer_than_a_packet_arrives_complete() -> None:
+    pair = ConnectedPair()
+    pair.exchange()
     pair.client.query(b"long")
-    pair.move()
+    pair.exchange()
     column = Column("s", ColumnType.VAR_STRING)
-    pair.server.result([column], [["x" * (PART + 5)], ["y"]])
-    events = pair.move(1 << 20)
-    rows = [read_text_row([column], e.payload)[0] for e in events if isinstance(e, Row)]
-    assert [len(str(r)) for r in rows] == [PART + 5, 1] and isinstance(events[-1], End)
-
-
-def test_refused_logins_and_servers_that_break_off() -> None:
-    pair = Pair(password=b"wrong")
-    (broken,) = pair.move()
-    assert isinstance(broken, Broken) and "1045" in broken.why and pair.client.state is State.CLOSED
-    with pytest.raises(ValueError):
+    pair.server.result([column], [["x" * (MAX_PACKET_PAYLOAD + 5)], ["y"]])
+    events = pair.exchange(1 << 20)
+    rows = [decode_text_row([column], e.payload)[0] for e in events if isinstance(e, Row)]
+    assert [len(str(r)) for r in rows] == [MAX_PACKET_PAYLOAD + 5, 1]
+    assert isinstance(events[-1], ResultEnded)
+
+
+def test_rejected_login_or_error_without_a_command_breaks_the_connection() -> None:
+    pair = ConnectedPair(password=b"wrong")
+    (broken,) = pair.exchange()
+    assert isinstance(broken, ConnectionBroken)
+    assert "1045" in broken.reason
+    assert pair.client.state is State.CLOSED
+    with pytest.raises(ValueError, match="not logged in"):
         pair.client.query(b"select 1")
-    pair = Pair()
-    pair.move()
-    (told,) = pair.client.receive(packets(encode_err(4031, "HY000", "idle for too long"), 1)[0])
-    assert isinstance(told, Broken) and "4031" in told.why
+    pair = ConnectedPair()
+    pair.exchange()
+    (ended,) = pair.client.receive(encode_packets(encode_err(4031, "HY000", "idle for too long"), 1).data)
+    assert isinstance(ended, ConnectionBroken)
+    assert "4031" in ended.reason
 
 
 @pytest.mark.parametrize(
@@ -184,38 +198,38 @@
         b"\x01\x02",  # a count that goes on
     ],
 )
-def test_what_no_server_says_breaks_the_connection(payload: bytes) -> None:
-    pair = Pair()
-    pair.move()
+def test_malformed_answer_breaks_the_connection(payload: bytes) -> None:
+    pair = ConnectedPair()
+    pair.exchange()
     pair.client.query(b"select 1")
-    (broken,) = pair.client.receive(packets(payload, 1)[0])
-    assert isinstance(broken, Broken) and pair.client.receive(b"more") == []
+    (broken,) = pair.client.receive(encode_packets(payload, 1).data)
+    assert isinstance(broken, ConnectionBroken)
+    assert pair.client.receive(b"more") == []
 
 
-def test_the_password_itself_is_never_sent_in_the_clear() -> None:
+def test_full_authentication_without_tls_sends_no_password() -> None:
     client = ClientSession("ada", b"love lace", "", 1 << 20)
     server = ServerSession(7, NONCE, USERS.get, 1 << 20, SHA2)
     server.start()
     client.receive(server.data_to_send())
     client.data_to_send()
-    (broken,) = client.receive(packets(b"\x01\x04", 2)[0])
-    assert isinstance(broken, Broken) and "TLS" in broken.why
+    (broken,) = client.receive(encode_packets(b"\x01\x04", 2).data)
+    assert isinstance(broken, ConnectionBroken)
+    assert "TLS" in broken.reason
     assert b"love lace" not in client.data_to_send()
 
 
 @settings(max_examples=300, deadline=None)
 @given(st.lists(st.binary(max_size=60), max_size=5), st.booleans(), st.integers(0, 3))
-def test_noise_ends_in_events_and_never_in_an_exception(
-    parts: list[bytes], logged_in: bool, ahead: int
-) -> None:
-    pair = Pair()
+def test_noise_gives_events_and_never_raises(parts: list[bytes], logged_in: bool, ahead: int) -> None:
+    pair = ConnectedPair()
     if logged_in:
-        pair.move()
+        pair.exchange()
         for _ in range(ahead):
             pair.client.query(b"select 1")
         pair.client.prepare(b"select ?")
     for part in parts:
-        pair.client.receive(packets(part, 1 if logged_in else 0)[0])
+        pair.client.receive(encode_packets(part, 1 if logged_in else 0).data)
         pair.client.receive(part)
 
 
@@ -225,7 +239,7 @@
 
 
 @given(st.lists(values, min_size=1, max_size=20))
-def test_values_come_back_from_text_and_from_binary(row: list[Value]) -> None:
+def test_rows_in_text_and_binary_round_trip(row: list[Value]) -> None:
     kinds: dict[type, ColumnType] = {
         int: ColumnType.LONGLONG,
         float: ColumnType.DOUBLE,
@@ -233,8 +247,8 @@
         bytes: ColumnType.BLOB,
     }
     columns = [Column("c", kinds.get(type(v), ColumnType.NULL)) for v in row]
-    assert read_text_row(columns, text_row(row)) == row
-    assert read_binary_row(columns, binary_row(columns, row)) == row
+    assert decode_text_row(columns, encode_text_row(row)) == row
+    assert decode_binary_row(columns, encode_binary_row(columns, row)) == row
 
 
 @given(
@@ -248,7 +262,7 @@
         st.lists(st.tuples(st.integers(0, 5), st.binary(max_size=300)), max_size=4).map(tuple),
     )
 )
-def test_ok_packets_come_back(ok: Ok) -> None:
+def test_ok_and_err_packets_round_trip(ok: Ok) -> None:
     back = decode_ok(encode_ok(0, ok, Capability.SESSION_TRACK), Capability.SESSION_TRACK)
     assert (back.affected, back.insert_id, back.warnings, back.info) == (
         ok.affected,
@@ -260,14 +274,14 @@
     assert decode_err(encode_err(1, "HY000", "no")) == Err(1, "HY000", "no")
 
 
-# The stand-in member.
+# The fake member.
 
 
 LOGIN: Any = {"user": USER, "password": PASSWORD.decode(), "autocommit": True}
 
 
-class Alone:
-    """A group of one primary that speaks MySQL and nothing else of a world."""
+class SingleMember:
+    """A group of one primary that speaks MySQL."""
 
     def __init__(self, shape: Shape) -> None:
         self.recorder = Recorder()
@@ -292,11 +306,11 @@
 
 
 @pytest.fixture
-async def alone(nursery: trio.Nursery) -> Alone:
-    made = Alone(Shape(mysql=True, ack_replica=False, read_us=100, write_us=100))
-    await nursery.start(made.member.run, False)
-    made.member.claims = True
-    return made
+async def single(nursery: trio.Nursery) -> SingleMember:
+    single_member = SingleMember(Shape(mysql=True, ack_replica=False, read_us=100, write_us=100))
+    await nursery.start(single_member.member.run, False)
+    single_member.member.claims = True
+    return single_member
 
 
 def ask(connection: Any, text: str, values: Any = None) -> Any:
@@ -308,11 +322,11 @@
 INSERT = "insert into runs (runner, id) values (%s, %s)"
 
 
-async def test_a_transaction_of_the_stand_in_is_seen_whole_or_not_at_all(alone: Alone) -> None:
+async def test_transaction_of_the_fake_member_is_visible_only_after_commit(single: SingleMember) -> None:
     def work(connection: Any) -> Any:
         other = pymysql.connect(
             host="127.0.0.1",
-            port=alone.member.mysql_port,
+            port=single.member.mysql_port,
             user=USER,
             password=PASSWORD.decode(),
             autocommit=True,
@@ -338,12 +352,12 @@
         other.close()
         return seen
 
-    assert await alone.use(work) == [((2,),), ((0,),), (("one",), ("three",)), ((2,),)]
-    (commit,) = alone.member.copy.log
+    assert await single.use(work) == [((2,),), ((0,),), (("one",), ("three",)), ((2,),)]
+    (commit,) = single.member.copy.log
     assert len(commit.more) == 1, "one entry of the log"
 
 
-async def test_the_stand_in_tells_faults_in_mysql_s_words(alone: Alone) -> None:
+async def test_invalid_statements_on_the_fake_member_fail_with_mysql_codes(single: SingleMember) -> None:
     def work(connection: Any) -> list[int]:
         codes = []
         for text in (
@@ -360,18 +374,19 @@
             codes.append(failed.value.args[0])
         return codes
 
-    assert await alone.use(work) == [1146, 1054, 1064, 1064, 1062, 1048, 1305]
-    assert alone.member.copy.log == []
-    alone.member.claims = False
+    assert await single.use(work) == [1146, 1054, 1064, 1064, 1062, 1048, 1305]
+    assert single.member.copy.log == []
+    single.member.claims = False
     with pytest.raises(pymysql.err.MySQLError) as read_only:
-        await alone.use(lambda c: ask(c, INSERT, ("a", "b")))
+        await single.use(lambda c: ask(c, INSERT, ("a", "b")))
     assert read_only.value.args[0] == 1290
 
 
-async def test_the_stand_in_tells_its_standing_and_streams_long_results(alone: Alone) -> None:
+async def test_fake_member_reports_its_position_and_streams_long_results(single: SingleMember) -> None:
     text = "select @@global.read_only, 1, epoch, start, ts from juniperreel.heartbeat order by epoch"
-    ((read_only, clock, epoch, start, ts),) = await alone.use(lambda c: ask(c, text))
-    assert (read_only, epoch, start) == (0, 1, 0) and clock >= ts > 1_600_000_000_000_000
+    ((read_only, clock, epoch, start, ts),) = await single.use(lambda c: ask(c, text))
+    assert (read_only, epoch, start) == (0, 1, 0)
+    assert clock >= ts > 1_600_000_000_000_000
     many = "with recursive n (i) as (select 1 union all select i + 1 from n where i < 20000) select i from n"
-    rows = await alone.use(lambda c: ask(c, many))
+    rows = await single.use(lambda c: ask(c, many))
     assert [row[0] for row in rows] == list(range(1, 20_001))
--- a/tests/mysql/test_server.py
+++ b/tests/mysql/test_server.py
@@ -1,4 +1,4 @@
-"""The server's side of the protocol, with pymysql as the independent witness."""
+"""The server's side of the protocol, against pymysql."""
 
 from __future__ import annotations
 
@@ -12,22 +12,22 @@
 from hypothesis import strategies as st
 
 from juniperreel.mysql.auth import NATIVE, SHA2, Credential, sha1, sha256, xor
-from juniperreel.mysql.constants import ColumnType, Com
+from juniperreel.mysql.columns import Column
+from juniperreel.mysql.constants import ColumnType, CommandCode
 from juniperreel.mysql.packets import (
-    PART,
+    MAX_PACKET_PAYLOAD,
     Cursor,
     PacketReader,
     ProtocolError,
-    length,
-    packets,
-    string,
+    encode_length,
+    encode_packets,
+    encode_string,
 )
-from juniperreel.mysql.server import Command, Event, Gone, LoggedIn, ServerSession, State
-from juniperreel.mysql.values import Column
+from juniperreel.mysql.server import Command, ConnectionClosed, Event, LoggedIn, ServerSession, State
 
-USERS = {"ada": Credential.of(b"love lace"), "bob": Credential.of(b"")}
+USERS = {"ada": Credential.from_password(b"love lace"), "bob": Credential.from_password(b"")}
 NONCE = bytes(range(1, 21))
-BIG = "x" * (PART + 100)
+BIG = "x" * (MAX_PACKET_PAYLOAD + 100)
 COLUMNS = [
     Column("i", ColumnType.LONGLONG),
     Column("d", ColumnType.DOUBLE),
@@ -45,17 +45,19 @@
 SECONDS = 20
 
 
-class Served:
-    """A server for one test: answers by the statement's text."""
+class RunningServer:
+    """A server that answers by the statement's text."""
 
-    def __init__(self, port: int, seen: list[Event], told: trio.Event) -> None:
-        self.port, self.seen, self._told = port, seen, told
+    def __init__(self, port: int, seen: list[Event], closed: trio.Event) -> None:
+        self.port = port
+        self.seen = seen
+        self._closed = closed
 
-    async def until_gone(self) -> None:
+    async def until_closed(self) -> None:
         """The client's goodbye may still be on its way when the client is done."""
         with trio.fail_after(SECONDS):
-            await self._told.wait()
-        assert isinstance(self.seen[-1], Gone)
+            await self._closed.wait()
+        assert isinstance(self.seen[-1], ConnectionClosed)
 
     async def use(self, work: Callable[[Any], Any], **options: Any) -> Any:
         def run() -> Any:
@@ -73,52 +75,54 @@
             return await trio.to_thread.run_sync(run)
 
 
-def answer(s: ServerSession, event: Event) -> list[Event]:
+def answer(protocol: ServerSession, event: Event) -> list[Event]:
     if not isinstance(event, Command):
         return []
-    if event.kind != Com.QUERY:
-        return s.ok() if event.kind in (Com.PING, Com.INIT_DB) else s.error(1047, "08S01", "unknown command")
+    if event.kind != CommandCode.QUERY:
+        if event.kind in (CommandCode.PING, CommandCode.INIT_DB):
+            return protocol.ok()
+        return protocol.error(1047, "08S01", "unknown command")
     text = event.payload.decode()
     if text == "all types":
-        return s.result(COLUMNS, [ROW, ROW])
+        return protocol.result(COLUMNS, [ROW, ROW])
     if text == "big":
-        return s.result([Column("s", ColumnType.VAR_STRING)], [(BIG,)])
+        return protocol.result([Column("s", ColumnType.VAR_STRING)], [(BIG,)])
     if text == "many":
-        return s.result([Column("i", ColumnType.LONGLONG)], [(n,) for n in range(5000)])
+        return protocol.result([Column("i", ColumnType.LONGLONG)], [(n,) for n in range(5000)])
     if text == "fails":
-        return s.error(1290, "HY000", "läuft nicht")
-    return s.ok(affected=len(text), insert_id=9)
+        return protocol.error(1290, "HY000", "läuft nicht")
+    return protocol.ok(affected=len(text), insert_id=9)
 
 
 @pytest.fixture(params=[SHA2, NATIVE])
-async def served(request: pytest.FixtureRequest, nursery: trio.Nursery) -> Served:
+async def served(request: pytest.FixtureRequest, nursery: trio.Nursery) -> RunningServer:
     seen: list[Event] = []
-    told = trio.Event()
+    closed = trio.Event()
 
     async def serve(stream: trio.SocketStream) -> None:
-        s = session(request.param)
-        s.start()
+        protocol = session(request.param)
+        protocol.start()
         while True:
-            await stream.send_all(s.data_to_send())
-            if s.state is State.CLOSED:
+            await stream.send_all(protocol.data_to_send())
+            if protocol.state is State.CLOSED:
                 await stream.aclose()
                 return
             data = await stream.receive_some(65536)
             if not data:
                 return
-            todo = s.receive(data)
+            todo = protocol.receive(data)
             while todo:
                 event = todo.pop(0)
                 seen.append(event)
-                if isinstance(event, Gone):
-                    told.set()
-                todo += answer(s, event)
+                if isinstance(event, ConnectionClosed):
+                    closed.set()
+                todo += answer(protocol, event)
 
     listeners = await nursery.start(trio.serve_tcp, serve, 0)
-    return Served(listeners[0].socket.getsockname()[1], seen, told)
+    return RunningServer(listeners[0].socket.getsockname()[1], seen, closed)
 
 
-async def test_pymysql_logs_in_and_every_type_comes_back(served: Served) -> None:
+async def test_pymysql_login_and_values_of_each_type_round_trip(served: RunningServer) -> None:
     def work(connection: Any) -> Any:
         connection.ping(reconnect=False)
         connection.select_db("other")
@@ -128,17 +132,19 @@
 
     assert await served.use(work, database="boards") == ((-5, 0.1, "née ✓", b"\x00\xff", None),) * 2
     login = served.seen[0]
-    assert isinstance(login, LoggedIn) and (login.user, login.database) == ("ada", "boards")
-    await served.until_gone()
+    assert isinstance(login, LoggedIn)
+    assert (login.user, login.database) == ("ada", "boards")
+    await served.until_closed()
 
 
-async def test_errors_counts_and_large_packets_both_ways(served: Served) -> None:
+async def test_errors_counts_and_large_packets_reach_pymysql(served: RunningServer) -> None:
     def work(connection: Any) -> None:
         with connection.cursor() as cursor:
             with pytest.raises(pymysql.err.MySQLError) as failed:
                 cursor.execute("fails")
             assert failed.value.args == (1290, "läuft nicht")
-            assert cursor.execute("insert") == 6 and cursor.lastrowid == 9
+            assert cursor.execute("insert") == 6
+            assert cursor.lastrowid == 9
             cursor.execute("many")
             assert [row[0] for row in cursor.fetchall()] == list(range(5000))
             cursor.execute("big")
@@ -149,110 +155,117 @@
 
 
 @pytest.mark.parametrize("who", [{"password": "wrong"}, {"user": "nobody"}, {"password": ""}])
-async def test_who_is_refused_does_not_learn_which_half_was_wrong(
-    served: Served, who: dict[str, str]
+async def test_rejected_login_does_not_say_which_part_was_wrong(
+    served: RunningServer, who: dict[str, str]
 ) -> None:
     with pytest.raises(pymysql.err.OperationalError) as denied:
-        await served.use(lambda connection: None, **who)
+        await served.use(lambda _connection: None, **who)
     assert denied.value.args[0] == 1045
     assert denied.value.args[1] == f"Access denied for user '{who.get('user', 'ada')}'"
 
 
-def login(s: ServerSession) -> None:
+def login(protocol: ServerSession) -> None:
     """By hand, with the native plugin."""
-    s.start()
-    s.data_to_send()
+    protocol.start()
+    protocol.data_to_send()
     proof = xor(sha1(b"love lace"), sha1(NONCE, sha1(sha1(b"love lace"))))
     caps = (1 << 9 | 1 << 15 | 1 << 19).to_bytes(4, "little")
     data = caps + bytes(4) + b"\xff" + bytes(23) + b"ada\0" + bytes((20,)) + proof + NATIVE.encode() + b"\0"
-    events = s.receive(packets(data, 1)[0])
-    assert isinstance(events[0], LoggedIn) and s.state is State.READY
-    s.data_to_send()
-
-
-def test_a_command_that_comes_early_waits_for_the_answer_before_it() -> None:
-    s = session()
-    login(s)
-    two = packets(b"\x03first", 0)[0] + packets(b"\x03second", 0)[0]
-    (first,) = s.receive(two)
-    assert first == Command(3, b"first") and s.state is State.BUSY and s.held > 0
-    (second,) = s.ok()
+    events = protocol.receive(encode_packets(data, 1).data)
+    assert isinstance(events[0], LoggedIn)
+    assert protocol.state is State.READY
+    protocol.data_to_send()
+
+
+def test_pipelined_command_waits_for_the_answer_before_it() -> None:
+    protocol = session()
+    login(protocol)
+    two = encode_packets(b"\x03first", 0).data + encode_packets(b"\x03second", 0).data
+    (first,) = protocol.receive(two)
+    assert first == Command(3, b"first")
+    assert protocol.state is State.BUSY
+    assert protocol.buffered_bytes > 0
+    (second,) = protocol.ok()
     assert second == Command(3, b"second")
-    assert s.error(1, "HY000", "no") == [] and s.held == 0
+    assert protocol.error(1, "HY000", "no") == []
+    assert protocol.buffered_bytes == 0
 
 
 @pytest.mark.parametrize(
-    ("data", "code"),
+    "data, code",
     [
-        (packets(b"\x03x", 5)[0], 1156),
-        (packets(b"", 0)[0], 1047),
+        (encode_packets(b"\x03x", 5).data, 1156),
+        (encode_packets(b"", 0).data, 1047),
         ((1 << 23).to_bytes(3, "little") + b"\0", 1153),
     ],
 )
-def test_a_broken_packet_ends_the_connection_with_its_error(data: bytes, code: int) -> None:
-    s = ServerSession(7, NONCE, USERS.get, 1 << 20, NATIVE)
-    login(s)
-    (gone,) = s.receive(data)
-    assert isinstance(gone, Gone) and s.state is State.CLOSED
-    assert int.from_bytes(s.data_to_send()[5:7], "little") == code
-    assert s.receive(b"more") == []
+def test_malformed_packet_closes_the_connection_with_its_error(data: bytes, code: int) -> None:
+    protocol = ServerSession(7, NONCE, USERS.get, 1 << 20, NATIVE)
+    login(protocol)
+    (closed,) = protocol.receive(data)
+    assert isinstance(closed, ConnectionClosed)
+    assert protocol.state is State.CLOSED
+    assert int.from_bytes(protocol.data_to_send()[5:7], "little") == code
+    assert protocol.receive(b"more") == []
 
 
-def test_old_clients_and_long_logins_are_refused() -> None:
+def test_old_clients_and_long_logins_are_rejected() -> None:
     for data, code in ((bytes(40), 1251), (b"x" * 20_000, 1153)):
-        s = session()
-        s.start()
-        s.data_to_send()
-        assert isinstance(s.receive(packets(data, 1)[0])[-1], Gone)
-        assert int.from_bytes(s.data_to_send()[5:7], "little") == code
+        protocol = session()
+        protocol.start()
+        protocol.data_to_send()
+        assert isinstance(protocol.receive(encode_packets(data, 1).data)[-1], ConnectionClosed)
+        assert int.from_bytes(protocol.data_to_send()[5:7], "little") == code
 
 
 @settings(max_examples=400, deadline=None)
 @given(st.lists(st.binary(max_size=80), max_size=6), st.booleans())
-def test_noise_ends_in_events_and_never_in_an_exception(parts: list[bytes], logged_in: bool) -> None:
-    s = session()
+def test_noise_gives_events_and_never_raises(parts: list[bytes], logged_in: bool) -> None:
+    protocol = session()
     if logged_in:
-        login(s)
+        login(protocol)
     else:
-        s.start()
+        protocol.start()
     for part in parts:
-        todo = s.receive(part) + s.receive(packets(part, 0 if logged_in else 1)[0])
+        todo = protocol.receive(part) + protocol.receive(encode_packets(part, 0 if logged_in else 1).data)
         while todo:
-            todo += answer_noise(s, todo.pop(0))
-    assert s.held < 100_000
+            todo += answer_noise(protocol, todo.pop(0))
+    assert protocol.buffered_bytes < 100_000
 
 
-def answer_noise(s: ServerSession, event: Event) -> list[Event]:
-    return s.ok() if isinstance(event, Command) else []
+def answer_noise(protocol: ServerSession, event: Event) -> list[Event]:
+    return protocol.ok() if isinstance(event, Command) else []
 
 
 @given(st.lists(st.binary(max_size=600), max_size=5), st.integers(1, 200))
-def test_packets_come_back_however_cut(payloads: list[bytes], step: int) -> None:
-    reader, got = PacketReader(1 << 20), []
+def test_packets_in_pieces_of_any_size_round_trip(payloads: list[bytes], step: int) -> None:
+    reader = PacketReader(1 << 20)
+    received = []
     for payload in payloads:
-        data, _ = packets(payload, 0)
+        data = encode_packets(payload, 0).data
         reader.sequence = 0
         for at in range(0, len(data), step):
             reader.feed(data[at : at + step])
-            while (whole := reader.next()) is not None:
-                got.append(whole)
-    assert got == payloads and reader.held == 0
+            while (complete := reader.next_payload()) is not None:
+                received.append(complete)
+    assert received == payloads
+    assert reader.buffered_bytes == 0
 
 
 @given(st.integers(0, (1 << 64) - 1), st.binary(max_size=300))
-def test_lengths_and_strings_come_back(number: int, data: bytes) -> None:
-    c = Cursor(length(number) + string(data))
-    assert (c.length(), c.string(), c.left) == (number, data, 0)
+def test_lengths_and_strings_round_trip(number: int, data: bytes) -> None:
+    cursor = Cursor(encode_length(number) + encode_string(data))
+    assert (cursor.length(), cursor.string(), cursor.remaining) == (number, data, 0)
     with pytest.raises(ProtocolError):
-        c.take(1)
+        cursor.take(1)
 
 
 @given(st.binary(max_size=30), st.binary(max_size=30))
-def test_only_the_password_proves_itself(password: bytes, other: bytes) -> None:
+def test_verify_accepts_the_response_of_the_password_only(password: bytes, other: bytes) -> None:
     native = xor(sha1(password), sha1(NONCE, sha1(sha1(password))))
     sha2 = xor(sha256(password), sha256(sha256(sha256(password)), NONCE))
     for plugin, proof in ((NATIVE, native), (SHA2, sha2)):
-        assert Credential.of(password).proves(plugin, NONCE, proof)
-        assert Credential.of(other).proves(plugin, NONCE, proof) == (password == other)
-        assert not Credential.of(password).proves(plugin, NONCE, proof[:-1])
-    assert not Credential.of(password).proves("other", NONCE, native)
+        assert Credential.from_password(password).verify(plugin, NONCE, proof)
+        assert Credential.from_password(other).verify(plugin, NONCE, proof) == (password == other)
+        assert not Credential.from_password(password).verify(plugin, NONCE, proof[:-1])
+    assert not Credential.from_password(password).verify("other", NONCE, native)
--- a/tests/pool/test_backend.py
+++ b/tests/pool/test_backend.py
@@ -12,11 +12,11 @@
 import trustme
 
 from juniperreel.mysql.auth import NATIVE, SHA2, Credential
-from juniperreel.mysql.constants import Com
-from juniperreel.mysql.packets import packets
+from juniperreel.mysql.columns import Column
+from juniperreel.mysql.constants import CommandCode
+from juniperreel.mysql.packets import encode_packets
 from juniperreel.mysql.replies import Err
 from juniperreel.mysql.server import Command, Event, ServerSession, StartTls, State
-from juniperreel.mysql.values import Column
 from juniperreel.net import ConnectError, Refused, Silent, TcpNetwork
 from juniperreel.pool.backend import Backend, Login, Lost, NotLetIn, TooLong
 from juniperreel.pool.result import Result, Statement
@@ -30,12 +30,12 @@
 async def answers(session: ServerSession, stream: trio.abc.Stream, command: Command) -> list[Event] | None:
     """None ends the connection."""
     text = command.payload
-    if command.kind == Com.STMT_PREPARE:
+    if command.kind == CommandCode.STMT_PREPARE:
         return session.prepared(5, text.count(b"?"))
-    if command.kind == Com.STMT_EXECUTE:
+    if command.kind == CommandCode.STMT_EXECUTE:
         return session.error(1243, "HY000", "unknown")
-    if command.kind == Com.STMT_CLOSE:
-        return session.silent()
+    if command.kind == CommandCode.STMT_CLOSE:
+        return session.no_response()
     if text == b"dies":
         return None
     if text == b"hangs":
@@ -51,7 +51,7 @@
     """Its port."""
 
     async def one(stream: trio.abc.Stream) -> None:
-        users = {"edge": Credential.of(b"secret")}
+        users = {"edge": Credential.from_password(b"secret")}
         session = ServerSession(3, NONCE, users.get, 1 << 20, plugin, tls is not None)
         session.start()
         todo: list[Event] = []
@@ -182,7 +182,7 @@
 async def test_a_server_that_speaks_unasked_ends_the_connection(nursery: trio.Nursery) -> None:
     async def twice(session: ServerSession, stream: trio.abc.Stream, command: Command) -> list[Event]:
         more = session.ok()
-        await stream.send_all(session.data_to_send() + packets(b"\0\0\0\0\0\0\0", 1)[0])
+        await stream.send_all(session.data_to_send() + encode_packets(b"\0\0\0\0\0\0\0", 1).data)
         return more
 
     backend = await opened(nursery, await server(nursery, twice))
