--- /dev/null
+++ b/tests/net/test_accept.py
@@ -0,0 +1,90 @@
+"""The accept loop, on a listener in memory."""
+
+from __future__ import annotations
+
+import trio
+import trio.testing
+
+from juniperreel.net.accept import serve_connections
+
+
+class MemoryListener:
+    """Yields the streams it is given, and is closed after the last one."""
+
+    port = 7
+
+    def __init__(self, *streams: trio.abc.Stream) -> None:
+        self._streams = list(streams)
+
+    async def accept(self) -> trio.abc.Stream:
+        await trio.lowlevel.checkpoint()
+        if not self._streams:
+            raise trio.ClosedResourceError
+        return self._streams.pop(0)
+
+    async def aclose(self) -> None:
+        self._streams.clear()
+
+
+async def test_serve_connections_on_a_closed_listener_returns_after_its_handlers(
+    nursery: trio.Nursery,
+) -> None:
+    _, theirs = trio.testing.memory_stream_pair()
+    release = trio.Event()
+    returned = trio.Event()
+    handled: list[trio.abc.Stream] = []
+
+    async def handle(stream: trio.abc.Stream) -> None:
+        await release.wait()
+        handled.append(stream)
+
+    async def serve(task_status: trio.TaskStatus[int]) -> None:
+        await serve_connections(MemoryListener(theirs), handle, task_status)
+        returned.set()
+
+    assert await nursery.start(serve) == MemoryListener.port
+    await trio.testing.wait_all_tasks_blocked()
+    assert not returned.is_set()
+    release.set()
+    with trio.fail_after(5):
+        await returned.wait()
+    assert handled == [theirs]
+
+
+async def test_serve_connections_without_capacity_closes_the_connection() -> None:
+    ours, theirs = trio.testing.memory_stream_pair()
+    handled: list[trio.abc.Stream] = []
+
+    async def handle(stream: trio.abc.Stream) -> None:
+        handled.append(stream)
+
+    await serve_connections(
+        MemoryListener(theirs), handle, trio.TASK_STATUS_IGNORED, has_capacity=lambda: False
+    )
+    assert handled == []
+    with trio.fail_after(5):
+        assert await ours.receive_some(1) == b""
+
+
+async def test_serve_connections_checks_capacity_after_the_pause_of_an_accept() -> None:
+    _, theirs = trio.testing.memory_stream_pair()
+    order: list[str] = []
+
+    async def pause() -> None:
+        order.append("pause")
+
+    def has_capacity() -> bool:
+        order.append("capacity")
+        return True
+
+    async def handle(_stream: trio.abc.Stream) -> None:
+        order.append("handle")
+
+    await serve_connections(
+        MemoryListener(theirs),
+        handle,
+        trio.TASK_STATUS_IGNORED,
+        has_capacity=has_capacity,
+        after_accept=pause,
+    )
+    assert order == ["pause", "capacity", "handle"]
