--- a/tests/frontends/mysql/test_prepared.py
+++ b/tests/frontends/mysql/test_prepared.py
@@ -131,15 +131,15 @@
         prepared.append_long_data(number + b"\0\0" + part)
     sent = ((253, False, b""), (8, False, struct.pack("<q", 7)))
     assert prepared.execute(execution(statement.id, *sent)).values == ["one two", 7]
-    whole = ((253, False, encode_string(b"short")), (8, False, struct.pack("<q", 7)))
-    assert prepared.execute(execution(statement.id, *whole)).values == ["short", 7]
+    inline = ((253, False, encode_string(b"short")), (8, False, struct.pack("<q", 7)))
+    assert prepared.execute(execution(statement.id, *inline)).values == ["short", 7]
     for _ in range(20):
         prepared.append_long_data(number + b"\0\0" + bytes(100))
     assert error_of(prepared, execution(statement.id, *sent)) == TOO_LONG
     prepared.reset(number)
-    assert prepared.execute(execution(statement.id, *whole)).values == ["short", 7]
+    assert prepared.execute(execution(statement.id, *inline)).values == ["short", 7]
     prepared.append_long_data(number + b"\x09\0" + b"x")
-    assert error_of(prepared, execution(statement.id, *whole)) == WRONG_ARGUMENTS
+    assert error_of(prepared, execution(statement.id, *inline)) == WRONG_ARGUMENTS
 
 
 def prepare_times(prepared: PreparedStatements, times: int) -> None:
--- a/tests/frontends/mysql/test_transaction_scope.py
+++ b/tests/frontends/mysql/test_transaction_scope.py
@@ -29,9 +29,9 @@
         self.open = False
         self.released += 1
 
-    async def run(self, *_: Any, **__: Any) -> Any: ...
+    async def run(self, *_args: Any, **_options: Any) -> Any: ...
 
-    async def finish(self, *_: Any, **__: Any) -> Any: ...
+    async def finish(self, *_args: Any, **_options: Any) -> Any: ...
 
 
 class ScopeHarness:
@@ -222,7 +222,7 @@
     assert harness.scope.status() == ServerStatus.AUTOCOMMIT
 
 
-WORDS = [
+STATEMENTS = [
     "begin",
     "commit",
     "rollback",
@@ -236,23 +236,24 @@
 
 
 @settings(max_examples=300, deadline=None)
-@given(st.lists(st.tuples(st.sampled_from(WORDS), st.booleans()), max_size=25))
-def test_status_flags_for_any_statements_match_a_model_server(words: list[tuple[str, bool]]) -> None:
-    """A plain model of autocommit and transactions, without any laziness."""
+@given(st.lists(st.tuples(st.sampled_from(STATEMENTS), st.booleans()), max_size=25))
+def test_status_flags_for_any_statements_match_a_model_server(statements: list[tuple[str, bool]]) -> None:
+    """A plain model of autocommit and transactions, which knows no pending state."""
     harness = ScopeHarness()
-    auto, inside = True, False
-    for text, _ in words:
+    autocommit = True
+    inside = False
+    for text, _ in statements:
         harness.execute(text)
         if text == "begin":
             inside = True
         elif text in ("commit", "rollback", "create table t (a int)"):
             inside = False
         elif text.startswith("set autocommit"):
-            if text.endswith("1") and not auto:
+            if text.endswith("1") and not autocommit:
                 inside = False
-            auto = text.endswith("1")
-        elif not auto:
+            autocommit = text.endswith("1")
+        elif not autocommit:
             inside = True  # a statement begins one
         status = harness.scope.status()
-        assert bool(status & ServerStatus.AUTOCOMMIT) == auto
-        assert bool(status & ServerStatus.IN_TRANSACTION) == inside, (words, text)
+        assert bool(status & ServerStatus.AUTOCOMMIT) == autocommit
+        assert bool(status & ServerStatus.IN_TRANSACTION) == inside, (statements, text)
--- a/tests/mysql/test_client.py
+++ b/tests/mysql/test_client.py
@@ -313,7 +313,7 @@
     return single_member
 
 
-def ask(connection: Any, text: str, values: Any = None) -> Any:
+def execute(connection: Any, text: str, values: Any = None) -> Any:
     with connection.cursor() as cursor:
         cursor.execute(text, values)
         return cursor.fetchall()
@@ -333,22 +333,22 @@
         )
         seen = []
         connection.begin()
-        ask(connection, INSERT, ("r", "one"))
-        ask(connection, "savepoint s")
-        ask(connection, INSERT, ("r", "two"))
-        seen.append(ask(connection, "select count(*) from runs"))
-        ask(connection, "rollback to savepoint s")
-        ask(connection, INSERT, ("r", "three"))
-        seen.append(ask(other, "select count(*) from runs"))
+        execute(connection, INSERT, ("r", "one"))
+        execute(connection, "savepoint s")
+        execute(connection, INSERT, ("r", "two"))
+        seen.append(execute(connection, "select count(*) from runs"))
+        execute(connection, "rollback to savepoint s")
+        execute(connection, INSERT, ("r", "three"))
+        seen.append(execute(other, "select count(*) from runs"))
         with pytest.raises(pymysql.err.OperationalError) as waits:
-            ask(other, INSERT, ("r", "other"))
+            execute(other, INSERT, ("r", "other"))
         assert waits.value.args[0] == 1205
         connection.commit()
-        seen.append(ask(other, "select id from runs order by number"))
+        seen.append(execute(other, "select id from runs order by number"))
         connection.begin()
-        ask(connection, INSERT, ("r", "gone"))
+        execute(connection, INSERT, ("r", "gone"))
         connection.rollback()
-        seen.append(ask(other, "select count(*) from runs"))
+        seen.append(execute(other, "select count(*) from runs"))
         other.close()
         return seen
 
@@ -370,7 +370,7 @@
             "rollback to savepoint none",
         ):
             with pytest.raises(pymysql.err.MySQLError) as failed:
-                ask(connection, text)
+                execute(connection, text)
             codes.append(failed.value.args[0])
         return codes
 
@@ -378,15 +378,15 @@
     assert single.member.copy.log == []
     single.member.claims = False
     with pytest.raises(pymysql.err.MySQLError) as read_only:
-        await single.use(lambda c: ask(c, INSERT, ("a", "b")))
+        await single.use(lambda c: execute(c, INSERT, ("a", "b")))
     assert read_only.value.args[0] == 1290
 
 
 async def test_fake_member_reports_its_position_and_streams_long_results(single: SingleMember) -> None:
     text = "select @@global.read_only, 1, epoch, start, ts from juniperreel.heartbeat order by epoch"
-    ((read_only, clock, epoch, start, ts),) = await single.use(lambda c: ask(c, text))
+    ((read_only, clock, epoch, start, heartbeat),) = await single.use(lambda c: execute(c, text))
     assert (read_only, epoch, start) == (0, 1, 0)
-    assert clock >= ts > 1_600_000_000_000_000
+    assert clock >= heartbeat > 1_600_000_000_000_000
     many = "with recursive n (i) as (select 1 union all select i + 1 from n where i < 20000) select i from n"
-    rows = await single.use(lambda c: ask(c, many))
+    rows = await single.use(lambda c: execute(c, many))
     assert [row[0] for row in rows] == list(range(1, 20_001))
--- a/tests/rpc/test_grpcio.py
+++ b/tests/rpc/test_grpcio.py
@@ -212,12 +212,12 @@
             reflection_pb2.ServerReflectionRequest.SerializeToString,
             reflection_pb2.ServerReflectionResponse.FromString,
         )
-        asks = [
+        requests = [
             reflection_pb2.ServerReflectionRequest(list_services="*"),
             reflection_pb2.ServerReflectionRequest(file_containing_symbol="grpc.health.v1.Health"),
             reflection_pb2.ServerReflectionRequest(file_by_filename="none.proto"),
         ]
-        names, files, missing = reflect(iter(asks), timeout=SECONDS)
+        names, files, missing = reflect(iter(requests), timeout=SECONDS)
         assert [s.name for s in names.list_services_response.service] == ["t.Echo", "grpc.health.v1.Health"]
         assert len(files.file_descriptor_response.file_descriptor_proto) == 1
         assert missing.error_response.error_code == 5
--- a/tests/rpc/test_hostile.py
+++ b/tests/rpc/test_hostile.py
@@ -439,7 +439,7 @@
 
 
 @given(st.integers(1, 1 << 50))
-def test_encoded_timeout_is_never_longer_than_asked(us: int) -> None:
+def test_encoded_timeout_is_never_longer_than_given(us: int) -> None:
     text = encode_timeout(us)
     assert len(text) <= 9
     assert decode_timeout(text) <= us
--- a/tests/rpc/test_http2.py
+++ b/tests/rpc/test_http2.py
@@ -169,10 +169,10 @@
     """h2 as a server, its events in the form of ours."""
 
     def __init__(self) -> None:
-        self.h2 = h2.connection.H2Connection(
+        self.connection = h2.connection.H2Connection(
             h2.config.H2Configuration(client_side=False, header_encoding=None)
         )
-        self.h2.local_settings = h2.settings.Settings(
+        self.connection.local_settings = h2.settings.Settings(
             False,
             {
                 SettingCodes.INITIAL_WINDOW_SIZE: 65_535,
@@ -180,13 +180,13 @@
                 SettingCodes.MAX_CONCURRENT_STREAMS: 100,
             },
         )
-        self.h2.max_inbound_frame_size = 16_384
-        self.h2.decoder.max_header_list_size = 4096
-        self.h2.initiate_connection()
+        self.connection.max_inbound_frame_size = 16_384
+        self.connection.decoder.max_header_list_size = 4096
+        self.connection.initiate_connection()
 
     def feed(self, data: bytes) -> list[tuple[Any, ...]]:
         reported: list[tuple[Any, ...]] = []
-        for event in self.h2.receive_data(data):
+        for event in self.connection.receive_data(data):
             match event:
                 case h2.events.RequestReceived():
                     reported.append(("opened", event.stream_id, headers(event.headers)))
@@ -194,7 +194,9 @@
                     reported.append(("trailed", event.stream_id, headers(event.headers)))
                 case h2.events.DataReceived():
                     reported.append(("data", event.stream_id, event.data, event.flow_controlled_length))
-                    self.h2.acknowledge_received_data(event.flow_controlled_length or 0, event.stream_id or 0)
+                    self.connection.acknowledge_received_data(
+                        event.flow_controlled_length or 0, event.stream_id or 0
+                    )
                 case h2.events.StreamEnded():
                     reported.append(("ended", event.stream_id))
                 case h2.events.StreamReset():
@@ -202,7 +204,7 @@
         return reported
 
     def answer(self, stream: int) -> None:
-        self.h2.send_headers(stream, [(":status", "200")], end_stream=True)
+        self.connection.send_headers(stream, [(":status", "200")], end_stream=True)
 
 
 def headers(raw: Any) -> list[tuple[str, str]]:
@@ -371,8 +373,8 @@
     index_of_newest = bytes((0x80 | 62,))
     seen = []
     for value in ("a", "b"):
-        whole = encoder.encode([*base, ("y", value)])
-        protocol.receive(encode_frame(FrameType.HEADERS, 5, number, whole))
+        indexing_block = encoder.encode([*base, ("y", value)])
+        protocol.receive(encode_frame(FrameType.HEADERS, 5, number, indexing_block))
         block = encoder.encode(base) + index_of_newest
         (event,) = protocol.receive(encode_frame(FrameType.HEADERS, 5, number + 2, block))
         assert isinstance(event, events.RequestReceived)
--- a/tests/rpc/test_pace.py
+++ b/tests/rpc/test_pace.py
@@ -34,8 +34,21 @@
     return [greeting, client.data_to_send()]
 
 
-async def ages(timeout_ms: int, stall: bool) -> list[int]:
-    """How old the calls that began were, as their handler saw it; none where it was too late for them."""
+async def wait_for_status(peer: socket.socket) -> None:
+    """Read until the call was answered."""
+    received = b""
+    peer.setblocking(False)
+    with trio.fail_after(SECONDS):
+        while b"grpc-status" not in received:
+            await trio.sleep(0.01)
+            try:
+                received += peer.recv(65536)
+            except BlockingIOError:
+                continue
+
+
+async def ages_of_served_calls(timeout_ms: int, stall: bool) -> list[int]:
+    """How old calls were when their handler began, in microseconds; none where their deadline had passed."""
     clock = Clock()
     pace = Pace(clock)
     pace.watch()
@@ -66,15 +79,7 @@
         thread.start()
         if stall:
             done.wait()  # the loop stands still, with the call in the socket's buffer
-        got = b""
-        with trio.fail_after(SECONDS):
-            while b"grpc-status" not in got:
-                await trio.sleep(0.01)
-                peer.setblocking(False)
-                try:
-                    got += peer.recv(65536)
-                except BlockingIOError:
-                    continue
+        await wait_for_status(peer)
         thread.join()
         peer.close()
         nursery.cancel_scope.cancel()
@@ -83,17 +88,17 @@
 
 
 async def test_call_whose_deadline_passed_in_the_socket_is_not_served() -> None:
-    late = await ages(TIMEOUT_MS, stall=True)
+    late = await ages_of_served_calls(TIMEOUT_MS, stall=True)
     assert late == [] or min(late) >= TIMEOUT_MS * 1000
 
 
 async def test_call_that_waited_in_the_socket_begins_with_its_age() -> None:
-    (age,) = await ages(60_000, stall=True)
+    (age,) = await ages_of_served_calls(60_000, stall=True)
     assert age >= 0.9 * WAITED_S * 1e6
 
 
 async def test_call_on_an_idle_connection_is_fresh() -> None:
-    (age,) = await ages(60_000, stall=False)
+    (age,) = await ages_of_served_calls(60_000, stall=False)
     assert age < 0.9 * WAITED_S * 1e6
 
 
