--- a/benchmarks/pool.py
+++ b/benchmarks/pool.py
@@ -283,21 +283,23 @@
 
 async def measure_session_kib() -> float:
     """Memory of one idle session, its client and their streams."""
-    from juniperreel.frontends.mysql.classes import Classes
-    from juniperreel.frontends.mysql.front import MysqlFront, MysqlOptions, nonce
+    from juniperreel.frontends.mysql.classification import RequestClassifier
+    from juniperreel.frontends.mysql.context import MysqlOptions
+    from juniperreel.frontends.mysql.frontend import MysqlFrontend, generate_nonce
     from juniperreel.mysql.auth import Credential
     from juniperreel.mysql.client import ClientSession
     from juniperreel.net import Clock
 
     no_proxy: Any = SimpleNamespace(options=SimpleNamespace(mysql=True, groups=1), log=None)
-    options = MysqlOptions({"app": Credential.of(b"app")}, Classes([], 0, 0, -1), 20_000, 1 << 20)
-    frontend = MysqlFront(no_proxy, no_proxy, Clock(), options, nonce)
+    credentials = {"app": Credential.from_password(b"app")}
+    options = MysqlOptions(credentials, RequestClassifier([], 0, 0, -1), 20_000, 1 << 20)
+    frontend = MysqlFrontend(no_proxy, no_proxy, Clock(), options, generate_nonce)
     sessions: list[Any] = []
     async with trio.open_nursery() as nursery:
 
         async def open_session() -> None:
             client_stream, server_stream = trio.testing.memory_stream_pair()
-            nursery.start_soon(frontend._connection, server_stream)
+            nursery.start_soon(frontend._serve_connection, server_stream)
             client = ClientSession("app", b"app", "", 1 << 20)
             while client.state.value != "ready":
                 client.receive(await client_stream.receive_some(4096))
--- a/benchmarks/pool_soak.py
+++ b/benchmarks/pool_soak.py
@@ -33,7 +33,15 @@
 from juniperreel.fakes.fleet import Fleet
 from juniperreel.fakes.mysqlmember import PASSWORD, USER
 from juniperreel.fakes.script import parse
-from juniperreel.mysql.client import Broken, ClientSession, Done, End, Event, Failed, Prepared
+from juniperreel.mysql.client import ClientSession
+from juniperreel.mysql.client_events import (
+    ConnectionBroken,
+    Done,
+    Event,
+    Failed,
+    ResultEnded,
+    StatementPrepared,
+)
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.proxy.mysql_endpoints import MysqlEndpoints
 from juniperreel.settings.edge import parse_edge
@@ -193,12 +201,12 @@
         """Send what is pending, and return the last event of its response."""
         await self._stream.send_all(self._client.data_to_send())
         last: Event | None = None
-        while self._client.in_hand:
+        while self._client.in_flight:
             for event in self._client.receive(await self._read()):
                 match event:
-                    case Broken():
+                    case ConnectionBroken():
                         raise EOFError
-                    case Done() | Failed() | End() | Prepared():
+                    case Done() | Failed() | ResultEnded() | StatementPrepared():
                         last = event
         assert last is not None
         return last
@@ -251,7 +259,7 @@
             prepared = await self._receive_response()
             if isinstance(prepared, Failed):
                 return prepared.err.code
-            assert isinstance(prepared, Prepared)
+            assert isinstance(prepared, StatementPrepared)
             self._statement_ids[text] = prepared.id
         self._executions += 1
         serial = f"serial-{self.number}-{id(self._stream)}-{self._executions}-{self._tally.remaining}"
--- a/juniperreel/cli/edge.py
+++ b/juniperreel/cli/edge.py
@@ -12,18 +12,20 @@
 
 from juniperreel.causal import Keyring, SigningKey
 from juniperreel.cli.signals import until_signalled
-from juniperreel.frontends.grpc import SERVICE, GrpcFront
-from juniperreel.frontends.http import HttpFront
-from juniperreel.frontends.mysql.classes import Classes, Rule
-from juniperreel.frontends.mysql.front import MysqlFront, MysqlOptions, nonce
+from juniperreel.frontends.grpc import SERVICE, GrpcFrontend
+from juniperreel.frontends.http import HttpFrontend
+from juniperreel.frontends.mysql.classification import ClassRule, RequestClassifier
+from juniperreel.frontends.mysql.context import MysqlOptions
+from juniperreel.frontends.mysql.frontend import MysqlFrontend, generate_nonce
 from juniperreel.mysql.auth import Credential
 from juniperreel.net import Clock, Network, StallMonitor
 from juniperreel.net.clock import US
 from juniperreel.pool.config import BackendConfig, PoolConfig
 from juniperreel.proxy import DriverOptions, RequestDriver
 from juniperreel.proxy.options import MysqlEndpointOptions
-from juniperreel.rpc.health import Health, Reflection
+from juniperreel.rpc.health import HealthService
 from juniperreel.rpc.limits import Limits
+from juniperreel.rpc.reflection import ReflectionService
 from juniperreel.rpc.server import Server
 from juniperreel.settings import EdgeSettings
 from juniperreel.telemetry.log import make_log
@@ -75,14 +77,14 @@
     return MysqlEndpointOptions(login, m.max_transaction_us, sizes)
 
 
-def classes_from(settings: EdgeSettings) -> Classes:
+def classes_from(settings: EdgeSettings) -> RequestClassifier:
     """Of the MySQL front, which there must be."""
     m = settings.mysql_frontend
     assert m is not None
     classes = [c.name for c in settings.router.classes]
     tenants = [t.name for t in settings.router.tenants]
     rules = [
-        Rule(
+        ClassRule(
             match.write,
             match.user,
             match.schema,
@@ -94,10 +96,12 @@
         for match in m.matches
     ]
     tenant = tenants.index(m.tenant) if m.tenant else -1
-    return Classes(rules, classes.index(m.read_class), classes.index(m.write_class), tenant)
+    return RequestClassifier(rules, classes.index(m.read_class), classes.index(m.write_class), tenant)
 
 
-def mysql_front(settings: EdgeSettings, driver: RequestDriver, keyring: Keyring, clock: Clock) -> MysqlFront:
+def mysql_front(
+    settings: EdgeSettings, driver: RequestDriver, keyring: Keyring, clock: Clock
+) -> MysqlFrontend:
     m = settings.mysql_frontend
     assert m is not None
     tls = None
@@ -105,15 +109,15 @@
         tls = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
         tls.load_cert_chain(*m.tls)
     options = MysqlOptions(
-        users={name: Credential.of(password) for name, password in m.users},
-        classes=classes_from(settings),
-        connections=m.max_connections,
+        users={name: Credential.from_password(password) for name, password in m.users},
+        classifier=classes_from(settings),
+        max_connections=m.max_connections,
         max_packet=settings.max_message_bytes,
-        login=m.auth_plugin,
+        login_plugin=m.auth_plugin,
         tls=tls,
         schema=settings.mysql_endpoints.database if settings.mysql_endpoints is not None else "",
     )
-    return MysqlFront(driver, keyring, clock, options, nonce)
+    return MysqlFrontend(driver, keyring, clock, options, generate_nonce)
 
 
 class Edge:
@@ -127,13 +131,13 @@
         options = driver_options(settings)
         self.pace = StallMonitor(clock)
         self.driver = RequestDriver(options, network, clock, self.log, self.metrics, self.traces, self.pace)
-        self.health = Health(SERVICES)
+        self.health = HealthService(SERVICES)
         keyring = Keyring([SigningKey(key.id, key.secret) for key in settings.token_keys])
-        front = GrpcFront(self.driver, keyring, clock)
+        front = GrpcFrontend(self.driver, keyring, clock)
         self.mysql = (
             None if settings.mysql_frontend is None else mysql_front(settings, self.driver, keyring, clock)
         )
-        methods = front.methods() | self.health.methods() | Reflection(SERVICES).methods()
+        methods = front.methods() | self.health.methods() | ReflectionService(SERVICES).methods()
         self.server = Server(
             methods, options.limits, clock, self._handler_failed, settings.max_connections, self.pace
         )
@@ -155,7 +159,7 @@
             async with trio.open_nursery() as nursery:
                 metrics = None
                 if self.settings.metrics is not None:
-                    http = HttpFront(self.metrics.text, lambda: self.serving)
+                    http = HttpFrontend(self.metrics.text, lambda: self.serving)
                     port = await nursery.start(http.serve, await self.network.listen(*self.settings.metrics))
                     metrics = f"{self.settings.metrics[0]}:{port}"
                 await nursery.start(self.driver.run)
@@ -171,7 +175,7 @@
                 gc.collect()
                 gc.freeze()
                 self.serving = True
-                self.health.set(True)
+                self.health.set_serving(True)
                 self.log.info(
                     self.says,
                     listen=f"{self.settings.listen[0]}:{listener.port}",
@@ -199,7 +203,7 @@
 
     async def _drain(self) -> None:
         self.serving = False
-        self.health.set(False)
+        self.health.set_serving(False)
         self.log.info("stopping")
         with trio.move_on_after(self.settings.shutdown_timeout_us / US) as limit:
             # Danger: what was read, or is on its way, before its connection heard of the end is still to be
--- a/juniperreel/pool/connection.py
+++ b/juniperreel/pool/connection.py
@@ -12,7 +12,7 @@
 
 import trio
 
-from juniperreel.mysql import client
+from juniperreel.mysql import client_events as client
 from juniperreel.mysql.client import ClientSession
 from juniperreel.mysql.replies import Err, Ok
 from juniperreel.mysql.values import Value
@@ -86,7 +86,7 @@
     @property
     def thread_id(self) -> int:
         """The connection's id at its server, as `kill` takes it."""
-        return self.session.thread
+        return self.session.connection_id
 
     @property
     def closed_locally(self) -> bool:
@@ -110,7 +110,7 @@
 
     async def quit(self) -> None:
         """Close an idle connection after sending COM_QUIT."""
-        if not self.close_reason and not self.session.in_hand:
+        if not self.close_reason and not self.session.in_flight:
             self.session.quit()
             with trio.move_on_after(QUIT_TIMEOUT_S):
                 with suppress(*STREAM_ERRORS):
@@ -157,8 +157,8 @@
             self._event_received = trio.Event()
             await self._event_received.wait()
         event = self._events.popleft()
-        if isinstance(event, client.Broken):
-            raise ConnectionLostError(event.why, sent=True)
+        if isinstance(event, client.ConnectionBroken):
+            raise ConnectionLostError(event.reason, sent=True)
         if isinstance(event, client.Row):
             self._buffered_row_bytes -= len(event.payload)
             if self._buffered_row_bytes <= MAX_BUFFERED_ROW_BYTES // 2:
@@ -183,13 +183,13 @@
             self._receive(data)
 
     def _receive(self, data: bytes | bytearray) -> None:
-        was_idle = not self.session.in_hand
+        was_idle = not self.session.in_flight
         for event in self.session.receive(data):
             if isinstance(event, client.Row):
                 self._buffered_row_bytes += len(event.payload)
             self._events.append(event)
-            if isinstance(event, client.Broken):
-                self._mark_closed(event.why)
+            if isinstance(event, client.ConnectionBroken):
+                self._mark_closed(event.reason)
         self._event_received.set()
         if was_idle:
             self._mark_closed("the server sent data without a request")
@@ -243,7 +243,7 @@
         event = await self.next_event()
         if isinstance(event, client.Failed):
             return event.err
-        if not isinstance(event, client.Prepared):
+        if not isinstance(event, client.StatementPrepared):
             raise ConnectionLostError("the server did not prepare a statement", sent=True)
         for evicted_id in self.prepared_statements.put(key, event.id):
             self.session.close_statement(evicted_id)
@@ -290,7 +290,7 @@
                 first = result
             else:
                 first.additional_results.append(result)
-            if result.remaining_rows is not None or not result.ok.more:
+            if result.remaining_rows is not None or not result.ok.more_results:
                 return first
 
     async def _receive_result(self, binary: bool, may_stream: bool) -> Result | Err:
@@ -300,7 +300,7 @@
                 return err
             case client.Done(ok):
                 return Result(ok=ok)
-            case client.Began(columns):
+            case client.ResultStarted(columns):
                 return await self._receive_rows(Result(columns, binary=binary), may_stream)
             case _:
                 raise unexpected_event(event)
@@ -319,7 +319,7 @@
                         raise ResultTooLargeError(f"a result of more than {self._max_result_bytes} bytes")
                     result.remaining_rows = ConnectionRowStream(self)
                     return result
-                case client.End(ok):
+                case client.ResultEnded(ok):
                     result.ok = ok
                     return result
                 case client.Failed(err):
@@ -374,7 +374,7 @@
                 case client.Row(payload):
                     rows.append(payload)
                     size += len(payload)
-                case client.End(ok):
+                case client.ResultEnded(ok):
                     self.ok = ok
                     self._finish()
                 case client.Failed(err):
--- a/juniperreel/pool/errors.py
+++ b/juniperreel/pool/errors.py
@@ -34,7 +34,7 @@
     """
 
     def __init__(self, err: Err) -> None:
-        super().__init__(f"{err.code}: {err.words}")
+        super().__init__(f"{err.code}: {err.message}")
         self.err = err
 
 
--- a/juniperreel/pool/login.py
+++ b/juniperreel/pool/login.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from juniperreel.mysql import client
+from juniperreel.mysql import client_events as client
 from juniperreel.mysql.client import ClientSession
 from juniperreel.net import ConnectTimedOut
 from juniperreel.pool.errors import LoginRejectedError
@@ -31,7 +31,7 @@
             match event:
                 case client.Ready():
                     return stream
-                case client.Broken(reason, code):
+                case client.ConnectionBroken(reason, code):
                     raise LoginRejectedError(f"{host}: {reason}", code)
                 case client.StartTls():
                     await stream.send_all(session.data_to_send())
--- a/juniperreel/pool/result.py
+++ b/juniperreel/pool/result.py
@@ -6,8 +6,10 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from juniperreel.mysql.columns import Column
 from juniperreel.mysql.replies import Ok
-from juniperreel.mysql.values import Column, Value, read_binary_row, read_text_row
+from juniperreel.mysql.rows import decode_binary_row, decode_text_row
+from juniperreel.mysql.values import Value
 
 
 class RowStream(Protocol):
@@ -52,7 +54,7 @@
         Raises:
             ProtocolError: A row is malformed.
         """
-        read_row = read_binary_row if self.binary else read_text_row
+        read_row = decode_binary_row if self.binary else decode_text_row
         return [read_row(self.columns, row) for row in self.rows]
 
 
--- a/juniperreel/proxy/attempts.py
+++ b/juniperreel/proxy/attempts.py
@@ -77,8 +77,8 @@
     ) -> AttemptResponse:
         """Make one attempt.
 
-        Sets `sent` from when the endpoint may have seen it. Raises ConnectError, NeverSent, Broken, RpcError
-        or EndpointError, which `outcomes` reads.
+        Sets `sent` from when the endpoint may have seen it. Raises ConnectError, CallUnprocessedError,
+        CallInterruptedError, RpcError or EndpointError, which `outcomes` reads.
         """
         ...
 
--- a/juniperreel/proxy/endpoint_list.py
+++ b/juniperreel/proxy/endpoint_list.py
@@ -20,7 +20,7 @@
 from juniperreel.proxy.options import DriverOptions
 from juniperreel.raft.client import Instances
 from juniperreel.routing.types import Endpoint, Readiness, UpdateKind
-from juniperreel.rpc.channel import Broken, Channel, NeverSent
+from juniperreel.rpc.channel import CallInterruptedError, CallUnprocessedError, Channel
 from juniperreel.rpc.status import RpcError
 
 FETCH = "/juniperreel.hosts.v1.Hosts/Fetch"
@@ -30,7 +30,7 @@
     hosts_pb2.READINESS_DRAINING: Readiness.DRAINING,
     hosts_pb2.READINESS_GONE: Readiness.REMOVED,
 }
-DISCOVERY_ERRORS = (ConnectError, NeverSent, Broken, RpcError, DecodeError)
+DISCOVERY_ERRORS = (ConnectError, CallUnprocessedError, CallInterruptedError, RpcError, DecodeError)
 MAX_LOGGED_ID = 100  # characters of an endpoint's name
 DEFAULT_CAPACITY = 1.0  # where the list gives none
 STORED_NAMES = {"machine_type": "kind", "listed_primary": "primary", "capacity": "size"}
--- a/juniperreel/proxy/grpc_endpoints.py
+++ b/juniperreel/proxy/grpc_endpoints.py
@@ -18,7 +18,7 @@
 from juniperreel.proxy.errors import not_supported
 from juniperreel.proxy.options import DriverOptions
 from juniperreel.proxy.positions import ReplicationStatus
-from juniperreel.rpc.channel import Broken, Channel, NeverSent
+from juniperreel.rpc.channel import CallInterruptedError, CallUnprocessedError, Channel
 from juniperreel.rpc.status import Code, RpcError
 
 EXECUTE = "/juniperreel.member.v1.Member/Execute"
@@ -115,15 +115,18 @@
     async def execute(
         self, endpoint: str, attempt: AttemptRequest, timeout_us: int, sent: trio.Event
     ) -> AttemptResponse:
-        """Make one attempt. Raises ConnectError, NeverSent, Broken, RpcError or EndpointError."""
+        """Make one attempt.
+
+        Raises ConnectError, CallUnprocessedError, CallInterruptedError, RpcError or EndpointError.
+        """
         if attempt.request.transaction_mode is not None:
             raise not_supported("transactions need members that speak MySQL")
         known = self._channel(endpoint)
         if known.in_flight >= self._options.max_attempts_per_endpoint:
-            raise NeverSent(f"{known.in_flight} attempts are out on the connection to {endpoint}")
+            raise CallUnprocessedError(f"{known.in_flight} attempts are out on the connection to {endpoint}")
         known.in_flight += 1
         try:
-            await known.channel.link()
+            await known.channel.connection()
             sent.set()
             reply = await known.channel.unary(EXECUTE, execute_message(attempt), timeout_us=timeout_us)
         finally:
@@ -132,11 +135,14 @@
         try:
             response = member_pb2.ExecuteResponse.FromString(reply.message)
         except DecodeError as error:
-            raise Broken(f"{endpoint} sent no ExecuteResponse: {error}") from error
+            raise CallInterruptedError(f"{endpoint} sent no ExecuteResponse: {error}") from error
         return AttemptResponse(response.result, replication_status(response.standing), response.commit)
 
     async def check_health(self, endpoint: str) -> EndpointReport:
-        """Ask the endpoint for its report. Raises ConnectError, NeverSent, Broken or RpcError."""
+        """Ask the endpoint for its report.
+
+        Raises ConnectError, CallUnprocessedError, CallInterruptedError or RpcError.
+        """
         channel = self._channel(endpoint).channel
         timeout_us = self._options.health_check_timeout_us
         reply = await channel.unary(REPORT, REPORT_REQUEST, timeout_us=timeout_us)
--- a/juniperreel/proxy/mysql_endpoints.py
+++ b/juniperreel/proxy/mysql_endpoints.py
@@ -40,7 +40,7 @@
 from juniperreel.proxy.requests import ClientRequest
 from juniperreel.proxy.transactions import ENDPOINT_REMOVED, EndpointTransaction
 from juniperreel.routing.types import Outcome
-from juniperreel.rpc.channel import Broken, NeverSent
+from juniperreel.rpc.channel import CallInterruptedError, CallUnprocessedError
 from juniperreel.telemetry.metrics import Metrics
 
 MAX_WAIT_S = 1.0  # between two rounds of the pools' deadlines
@@ -220,7 +220,10 @@
     async def execute(
         self, endpoint: str, attempt: AttemptRequest, _timeout_us: int, sent: trio.Event
     ) -> AttemptResponse:
-        """Make one attempt. Raises ConnectError, NeverSent, Broken or EndpointError."""
+        """Make one attempt.
+
+        Raises ConnectError, CallUnprocessedError, CallInterruptedError or EndpointError.
+        """
         target = self._endpoints.get(endpoint)
         if target is None:
             raise ConnectTimedOut(f"no address is known for {endpoint}")
@@ -265,8 +268,8 @@
             return await exchange.execute()
         except ConnectionLostError as error:
             if not error.sent or not sent.is_set():
-                raise NeverSent(str(error)) from error
-            raise Broken(str(error)) from error
+                raise CallUnprocessedError(str(error)) from error
+            raise CallInterruptedError(str(error)) from error
 
     async def _replay(self, backend: BackendConnection, attempt: AttemptRequest) -> None:
         """Bring the connection to the session's state.
@@ -326,7 +329,7 @@
     async def check_health(self, endpoint: str) -> EndpointReport:
         """Ask the endpoint for its report.
 
-        Raises ConnectError, Broken, ConnectionLostError or EndpointError.
+        Raises ConnectError, CallInterruptedError, ConnectionLostError or EndpointError.
         """
         target = self._endpoints.get(endpoint)
         if target is None or target.is_draining:
@@ -334,7 +337,7 @@
         try:
             answers = await target.monitor.exchange([STATUS_QUERY, LOAD_QUERY, GTIDS_QUERY])
         except (ConnectionLostError, ResultTooLargeError) as error:
-            raise Broken(str(error)) from error
+            raise CallInterruptedError(str(error)) from error
         status_answer, load, gtids = answers
         heartbeat = heartbeat_of(status_answer)
         if isinstance(load, Err):
--- a/juniperreel/proxy/mysql_pool.py
+++ b/juniperreel/proxy/mysql_pool.py
@@ -28,7 +28,7 @@
     RejectionReason,
 )
 from juniperreel.proxy.endpoint_address import EndpointAddress
-from juniperreel.rpc.channel import NeverSent
+from juniperreel.rpc.channel import CallUnprocessedError
 from juniperreel.telemetry.metrics import Metrics
 
 # Why a connection is not lent again, as metrics show it.
@@ -128,7 +128,10 @@
     async def lease(
         self, tenant_index: int, priority_weight: float, state: SessionState
     ) -> Lease[BackendConnection]:
-        """Wait for a connection, preferably one in this session state. Raises ConnectError or NeverSent."""
+        """Wait for a connection, preferably one in this session state.
+
+        Raises ConnectError or CallUnprocessedError.
+        """
         while True:
             want = AcquireRequest(next(self._want_ids), tenant_index, priority_weight, session_state=state)
             lease = await self._wait_for_lease(want)
@@ -150,7 +153,7 @@
         reason = waiter.rejection_reason
         if reason in (RejectionReason.UNREACHABLE, RejectionReason.DRAINING):
             raise ConnectTimedOut(f"{self._endpoint}: {reason}; {self._last_failure}")
-        raise NeverSent(f"{self._endpoint}: {reason}")
+        raise CallUnprocessedError(f"{self._endpoint}: {reason}")
 
     def _abandon(self, want: AcquireRequest, waiter: PoolWaiter) -> None:
         if waiter.lease is not None:
@@ -163,7 +166,7 @@
         """End a lease. A connection that is broken or in doubt is closed, `reusable` or not."""
         backend = lease.connection
         reason = "" if reusable else TAINTED
-        if backend.close_reason or backend.session.in_hand:
+        if backend.close_reason or backend.session.in_flight:
             reason = BROKEN
         elif backend.session.in_transaction:
             # A transaction that is still open would take in the next client's statement.
--- a/juniperreel/proxy/mysql_replies.py
+++ b/juniperreel/proxy/mysql_replies.py
@@ -23,7 +23,7 @@
 
 def error_of(err: Err) -> EndpointError | ConnectionLostError:
     """The exception to raise for an ERR packet."""
-    message = f"{err.code}: {err.words}"
+    message = f"{err.code}: {err.message}"
     match error_category(err.code):
         case ErrorCategory.READ_ONLY:
             return EndpointError(Outcome.INELIGIBLE, message)
@@ -39,7 +39,7 @@
 
 def statement_error(err: Err) -> EndpointError:
     """The error of a statement that took no effect; clients know its code, and whether to retry is theirs."""
-    return EndpointError(Outcome.OK, err.words, err.code, err.state)
+    return EndpointError(Outcome.OK, err.message, err.code, err.sqlstate)
 
 
 def heartbeat_of(answer: Result | Err) -> endpoint_status.EndpointStatus:
@@ -51,7 +51,7 @@
         error = error_of(answer)
         if isinstance(error, EndpointError) and error.outcome is Outcome.OK:
             # The heartbeat table is missing, or forbidden.
-            message = f"replication status is not reported: {answer.code}: {answer.words}"
+            message = f"replication status is not reported: {answer.code}: {answer.message}"
             raise EndpointError(Outcome.ERROR, message)
         raise error
     try:
--- a/juniperreel/proxy/outcomes.py
+++ b/juniperreel/proxy/outcomes.py
@@ -9,7 +9,7 @@
 from juniperreel.net import ConnectError
 from juniperreel.proxy.errors import EndpointError
 from juniperreel.routing.types import Outcome
-from juniperreel.rpc.channel import Broken, NeverSent
+from juniperreel.rpc.channel import CallInterruptedError, CallUnprocessedError
 from juniperreel.rpc.status import Code, RpcError
 
 ERROR_DOMAIN = "member.juniperreel"
@@ -19,7 +19,13 @@
     "NOT_EXECUTED": Outcome.REJECTED,
 }
 STATEMENT_REASON = "STATEMENT"
-ATTEMPT_ERRORS = (ConnectError, NeverSent, Broken, RpcError, EndpointError)  # that endpoint connections raise
+ATTEMPT_ERRORS = (
+    ConnectError,
+    CallUnprocessedError,
+    CallInterruptedError,
+    RpcError,
+    EndpointError,
+)  # that endpoint connections raise
 
 
 def outcome_of_error(error: Exception) -> Outcome:
@@ -29,9 +35,9 @@
             return error.outcome
         case ConnectError():
             return Outcome.UNREACHABLE
-        case NeverSent():
+        case CallUnprocessedError():
             return Outcome.NOT_SENT
-        case Broken():
+        case CallInterruptedError():
             return Outcome.RESET
         case RpcError():
             return _outcome_of_status(error)
--- a/juniperreel/raft/service.py
+++ b/juniperreel/raft/service.py
@@ -14,7 +14,8 @@
 from juniperreel.raft.configuration.machine import decode_command
 from juniperreel.raft.node import Node, Superseded
 from juniperreel.raft.types import Change, NotLeader, Rejected
-from juniperreel.rpc.server import Call, Method
+from juniperreel.rpc.call import Call
+from juniperreel.rpc.server import Method
 from juniperreel.rpc.status import Code, RpcError, error_info, field_violation
 
 DOMAIN = "configuration.juniperreel"
--- a/tests/e2e/test_mysql_hard.py
+++ b/tests/e2e/test_mysql_hard.py
@@ -13,8 +13,9 @@
 
 from juniperreel.fakes.engine import Engine, Rows
 from juniperreel.fakes.member import Member
-from juniperreel.frontends.mysql import connection as front
-from juniperreel.mysql.client import ClientSession, Done, End, Event, Failed, Row
+from juniperreel.frontends.mysql import connection as client_connection
+from juniperreel.mysql.client import ClientSession
+from juniperreel.mysql.client_events import Done, Event, Failed, ResultEnded, Row
 from juniperreel.proxy.mysql_endpoints import MysqlEndpoints
 from tests.e2e.test_mysql import INSERT, SELECT, ask, connector, port, using
 from tests.e2e.world import World
@@ -148,11 +149,11 @@
 
     async def answers(self) -> list[Event]:
         events: list[Event] = []
-        while self.session.in_hand:
+        while self.session.in_flight:
             data = await self.stream.receive_some(65536)
             assert data
             events += self.session.receive(data)
-        return [e for e in events if isinstance(e, Done | Failed | Row | End)]
+        return [e for e in events if isinstance(e, Done | Failed | Row | ResultEnded)]
 
 
 async def test_commands_that_come_before_the_answers_are_served_in_their_order(world: World) -> None:
@@ -170,14 +171,25 @@
             raw.session.query(text.encode())
         await raw.stream.send_all(raw.session.data_to_send())
         kinds = [type(e).__name__ for e in await raw.answers()]
-        assert kinds == ["Done", "Done", "Row", "End", "Done", "Row", "End", "Failed", "Row", "End"]
+        assert kinds == [
+            "Done",
+            "Done",
+            "Row",
+            "ResultEnded",
+            "Done",
+            "Row",
+            "ResultEnded",
+            "Failed",
+            "Row",
+            "ResultEnded",
+        ]
         await raw.stream.aclose()
 
 
 async def test_who_connects_and_says_nothing_or_little_is_dropped(
     world: World, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(front, "LOGIN_S", 0.5)
+    monkeypatch.setattr(client_connection, "LOGIN_TIMEOUT_S", 0.5)
     assert world.edge.mysql is not None
     with trio.fail_after(30):
         silent = await trio.open_tcp_stream("127.0.0.1", port(world))
@@ -206,8 +218,10 @@
                     nursery.start_soon(knock, n)
         await until(lambda: world.edge.mysql is not None and world.edge.mysql.connections == 0)
     assert await using(world, lambda c: ask(c, "select 1")) == ((1,),)
-    assert "failed inside" not in (world.folder / "edge.log").read_text()
-    assert "raised unexpectedly" not in (world.folder / "edge.log").read_text()
+    log = (world.folder / "edge.log").read_text()
+    assert "failed inside" not in log
+    assert "MySQL connection failed" not in log
+    assert "raised unexpectedly" not in log
 
 
 async def test_long_statements(world: World) -> None:
--- a/tests/proxy/test_outcomes.py
+++ b/tests/proxy/test_outcomes.py
@@ -7,7 +7,7 @@
 from juniperreel.net import ConnectRefused, ConnectTimedOut
 from juniperreel.proxy.outcomes import outcome_of_error, outcome_of_unfinished
 from juniperreel.routing.types import Outcome
-from juniperreel.rpc.channel import Broken, NeverSent
+from juniperreel.rpc.channel import CallInterruptedError, CallUnprocessedError
 from juniperreel.rpc.status import Code, RpcError, error_info
 
 
@@ -20,8 +20,8 @@
     [
         (ConnectRefused(), Outcome.UNREACHABLE),
         (ConnectTimedOut(), Outcome.UNREACHABLE),
-        (NeverSent(), Outcome.NOT_SENT),
-        (Broken(), Outcome.RESET),
+        (CallUnprocessedError(), Outcome.NOT_SENT),
+        (CallInterruptedError(), Outcome.RESET),
         (rejection("NOT_PRIMARY"), Outcome.INELIGIBLE),
         (rejection("BEHIND"), Outcome.INELIGIBLE),
         (rejection("NOT_EXECUTED"), Outcome.REJECTED),
--- a/tests/rpc/test_pace.py
+++ b/tests/rpc/test_pace.py
@@ -11,12 +11,14 @@
 import trio
 
 from juniperreel.net import Clock, StallMonitor, TcpNetwork
-from juniperreel.rpc.framing import frame
+from juniperreel.rpc.call import Call
+from juniperreel.rpc.framing import frame_message
 from juniperreel.rpc.limits import Limits
-from juniperreel.rpc.server import Call, Method, Server
+from juniperreel.rpc.server import Method, Server
 
 SECONDS = 30
-TIMEOUT_MS, WAITED_S = 300, 0.6
+TIMEOUT_MS = 300
+WAITED_S = 0.6
 
 
 def request(timeout_ms: int) -> list[bytes]:
@@ -29,12 +31,25 @@
         ("content-type", "application/grpc"), ("te", "trailers"), ("grpc-timeout", f"{timeout_ms}m"),
     ]  # fmt: skip
     client.send_headers(1, headers)
-    client.send_data(1, frame(b"hello"), end_stream=True)
+    client.send_data(1, frame_message(b"hello"), end_stream=True)
     return [greeting, client.data_to_send()]
 
 
-async def ages(timeout_ms: int, stall: bool) -> list[int]:
-    """How old the calls that began were, as their handler saw it; none where it was too late for them."""
+async def wait_for_status(peer: socket.socket) -> None:
+    """Read until the call was answered."""
+    received = b""
+    peer.setblocking(False)
+    with trio.fail_after(SECONDS):
+        while b"grpc-status" not in received:
+            await trio.sleep(0.01)
+            try:
+                received += peer.recv(65536)
+            except BlockingIOError:
+                continue
+
+
+async def ages_of_served_calls(timeout_ms: int, stall: bool) -> list[int]:
+    """How old calls were when their handler began, in microseconds; none where their deadline had passed."""
     clock = Clock()
     pace = StallMonitor(clock)
     pace.install()
@@ -51,7 +66,7 @@
         port = await nursery.start(server.serve, listener)
         peer = socket.create_connection(("127.0.0.1", port))
         peer.sendall(greeting)
-        while not server._links or not next(iter(server._links)).ready.is_set():
+        while not server._connections or not next(iter(server._connections)).settings_received.is_set():
             await trio.sleep(0.01)
         await trio.sleep(0.05)
         done = threading.Event()
@@ -65,15 +80,7 @@
         thread.start()
         if stall:
             done.wait()  # the loop stands still, with the call in the socket's buffer
-        got = b""
-        with trio.fail_after(SECONDS):
-            while b"grpc-status" not in got:
-                await trio.sleep(0.01)
-                peer.setblocking(False)
-                try:
-                    got += peer.recv(65536)
-                except BlockingIOError:
-                    continue
+        await wait_for_status(peer)
         thread.join()
         peer.close()
         nursery.cancel_scope.cancel()
@@ -81,22 +88,22 @@
     return began
 
 
-async def test_a_call_that_waited_out_its_time_in_the_socket_is_answered_and_not_served() -> None:
-    late = await ages(TIMEOUT_MS, stall=True)
+async def test_call_whose_deadline_passed_in_the_socket_is_not_served() -> None:
+    late = await ages_of_served_calls(TIMEOUT_MS, stall=True)
     assert late == [] or min(late) >= TIMEOUT_MS * 1000
 
 
-async def test_a_call_that_waited_less_than_its_time_begins_with_what_is_left() -> None:
-    (age,) = await ages(60_000, stall=True)
+async def test_call_that_waited_in_the_socket_begins_with_its_age() -> None:
+    (age,) = await ages_of_served_calls(60_000, stall=True)
     assert age >= 0.9 * WAITED_S * 1e6
 
 
-async def test_a_call_on_an_idle_connection_is_fresh() -> None:
-    (age,) = await ages(60_000, stall=False)
+async def test_call_on_an_idle_connection_is_fresh() -> None:
+    (age,) = await ages_of_served_calls(60_000, stall=False)
     assert age < 0.9 * WAITED_S * 1e6
 
 
-def test_the_budget_of_a_pass_holds_newcomers_until_the_next() -> None:
+def test_new_bytes_beyond_the_budget_of_a_pass_wait_for_the_next() -> None:
     async def run() -> list[int]:
         pace = StallMonitor(Clock())
         pace.install()
