--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -16,7 +16,7 @@
 matplotlib.use("Agg")
 from matplotlib import pyplot
 
-from juniperreel.admission.limits import Limit
+from juniperreel.admission.concurrency import Limit
 from juniperreel.emulator.admission import LOSERS, Load, Model, Server, request_class, settings
 from juniperreel.routing.types import (
     Tenant,
--- a/juniperreel/admission/__init__.py
+++ b/juniperreel/admission/__init__.py
@@ -3,6 +3,6 @@
 Must never choose a member: that is the module's, for whatever this room lets through.
 """
 
-from juniperreel.admission.gate import Admit, Arrival, Gate, Turn, Verdict
+from juniperreel.admission.controller import Admit, Arrival, Gate, Turn, Verdict
 
 __all__ = ["Admit", "Arrival", "Gate", "Turn", "Verdict"]
--- a/juniperreel/admission/gate.py
+++ b/juniperreel/admission/controller.py
@@ -11,8 +11,8 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from juniperreel.admission.concurrency import Limit
 from juniperreel.admission.lane import Lane, Waiting
-from juniperreel.admission.limits import Limit
 from juniperreel.routing.types import (
     Consistency,
     RequestClass,
--- a/juniperreel/admission/lane.py
+++ b/juniperreel/admission/lane.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass
 from itertools import count
 
-from juniperreel.admission.limits import TARGET, Limit
+from juniperreel.admission.concurrency import TARGET, Limit
 from juniperreel.routing.types import (
     RequestClass,
 )
--- a/juniperreel/emulator/admission.py
+++ b/juniperreel/emulator/admission.py
@@ -15,7 +15,7 @@
 from itertools import count
 
 from juniperreel.admission import Admit, Arrival, Gate, Verdict
-from juniperreel.admission.limits import LEAST, START, Limit
+from juniperreel.admission.concurrency import LEAST, START, Limit
 from juniperreel.routing.types import (
     Consistency,
     Idempotency,
--- a/tests/admission/test_gate.py
+++ b/tests/admission/test_controller.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from juniperreel.admission import Admit, Arrival, Gate, Turn
-from juniperreel.admission.gate import FULL, LATE, PROGRAM, PUSHED, STOPPING, WAITED
+from juniperreel.admission.controller import FULL, LATE, PROGRAM, PUSHED, STOPPING, WAITED
 from juniperreel.emulator.admission import Fixed, request_class
 from juniperreel.emulator.admission import settings as gate_settings
 from juniperreel.routing.types import (
