--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -1,4 +1,4 @@
-"""Limits beside each other in virtual time: step response, worth, fairness. Draws docs/design/*.png.
+"""Concurrency limits in virtual time: step response, priority, fairness. Draws a figure into docs/design.
 
 .venv/bin/python benchmarks/admission.py [FOLDER]
 """
@@ -7,6 +7,7 @@
 
 import sys
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
@@ -16,105 +17,153 @@
 matplotlib.use("Agg")
 from matplotlib import pyplot
 
-from juniperreel.admission.concurrency import Limit
-from juniperreel.emulator.admission import LOSERS, Load, Model, Server, request_class, settings
-from juniperreel.routing.types import (
-    Tenant,
-)
-
-US = 1_000_000
-SERVERS, CORES, WORK = 6, 2, 45_000
-CAPACITY = SERVERS * CORES / WORK * US
-LIMITS: dict[str, Callable[[float], Limit]] = {"AIMD on the aim (in use)": Limit, **LOSERS}
-
-
-def servers() -> list[Server]:
+from juniperreel.admission.concurrency import ConcurrencyLimit
+from juniperreel.emulator.admission import AdmissionModel, Load, Result, Server
+from juniperreel.emulator.limit_alternatives import ALTERNATIVES
+from juniperreel.emulator.router_settings import SECOND_US, make_request_class, make_settings
+from juniperreel.routing.types import Tenant
+
+SERVERS = 6
+CORES = 2
+WORK_US = 45_000
+CAPACITY = SERVERS * CORES / WORK_US * SECOND_US  # requests a second
+DURATION_S = 60
+FAILURE_S = 20
+RECOVERY_S = 40
+DRAWN_LIMIT = 200.0  # higher limits are cut off in the figure
+LimitFactory = Callable[[float], ConcurrencyLimit]
+LIMITS: dict[str, LimitFactory] = {
+    "AIMD on the latency objective (in use)": ConcurrencyLimit,
+    **ALTERNATIVES,
+}
+
+
+def make_servers() -> list[Server]:
+    """Return the group's endpoints, all idle."""
     return [Server(CORES) for _ in range(SERVERS)]
 
 
-def step(limit: Callable[[float], Limit], gates: int, guarded: bool = True) -> Model:
-    """Three times the capacity; half the members die at 20 s and are back at 40 s."""
-    m = Model(settings(router_count=gates), servers(), WORK, gates, limit=limit, guarded=guarded)
-    m.load(Load(3 * CAPACITY))
-    for n in range(SERVERS // 2):
-        m.at(20 * US, lambda n=n: m.kill(n))  # type: ignore[misc]
-        m.at(40 * US, lambda n=n: setattr(m.servers[n], "alive", True))  # type: ignore[misc]
-    m.run(60 * US)
-    return m
-
-
-def steps(folder: Path) -> None:
+def play_steps(make_limit: LimitFactory, controllers: int, admission_control: bool = True) -> AdmissionModel:
+    """Offer three times the capacity; half of the endpoints die at 20 s and are back at 40 s."""
+    model = AdmissionModel(
+        make_settings(router_count=controllers),
+        make_servers(),
+        WORK_US,
+        controllers,
+        make_limit=make_limit,
+        admission_control=admission_control,
+    )
+    model.load(Load(3 * CAPACITY))
+    for index in range(SERVERS // 2):
+        model.at(FAILURE_S * SECOND_US, partial(model.kill, index))
+        model.at(RECOVERY_S * SECOND_US, partial(setattr, model.servers[index], "alive", True))
+    model.run(DURATION_S * SECOND_US)
+    return model
+
+
+def served_each_second(model: AdmissionModel) -> list[float]:
+    """Return the requests served in time, second by second."""
+    return [
+        model.rate(Result.SERVED, second * SECOND_US, (second + 1) * SECOND_US)
+        for second in range(DURATION_S)
+    ]
+
+
+def print_steps(model: AdmissionModel, name: str, controllers: int) -> None:
+    """Print what was served before, during and after the failure."""
+    spans = ((5, FAILURE_S), (22, RECOVERY_S), (45, DURATION_S))
+    rates = (model.rate(Result.SERVED, start * SECOND_US, end * SECOND_US) for start, end in spans)
+    served = ", ".join(f"{rate:.0f}" for rate in rates)
+    late = model.rate(Result.LATE, 0, DURATION_S * SECOND_US)
+    print(f"{controllers} controllers, {name}: served a second {served}; late {late:.1f}")
+
+
+def draw_steps(folder: Path) -> None:
+    """Draw and print the step response of each limit, with one controller and with four."""
     figure, axes = pyplot.subplots(2, 2, figsize=(14, 9))
-    for column, gates in enumerate((1, 4)):
-        for name, limit in LIMITS.items():
-            m = step(limit, gates)
-            served = [m.rate("served", s * US, (s + 1) * US) for s in range(60)]
-            axes[0][column].plot(served, label=name)
-            at = [t / US for t, _ in m.limits]
-            axes[1][column].plot(at, [min(sum(v), 200) for _, v in m.limits], label=name, lw=0.8)
-            spans = ((5, 20), (22, 40), (45, 60))
-            told = ", ".join(f"{m.rate('served', a * US, b * US):.0f}" for a, b in spans)
-            late = m.rate("late", 0, 60 * US)
-            print(f"{gates} gates, {name}: served a second {told}; late {late:.1f}")
-        m = step(Limit, gates, guarded=False)
-        axes[0][column].plot(
-            [m.rate("served", s * US, (s + 1) * US) for s in range(60)], label="no gate", ls=":"
+    for column, controllers in enumerate((1, 4)):
+        served_axis = axes[0][column]
+        limit_axis = axes[1][column]
+        for name, make_limit in LIMITS.items():
+            model = play_steps(make_limit, controllers)
+            served_axis.plot(served_each_second(model), label=name)
+            times_s = [sample.at_us / SECOND_US for sample in model.limits]
+            totals = [min(sum(sample.values), DRAWN_LIMIT) for sample in model.limits]
+            limit_axis.plot(times_s, totals, label=name, lw=0.8)
+            print_steps(model, name, controllers)
+        model = play_steps(ConcurrencyLimit, controllers, admission_control=False)
+        served_axis.plot(served_each_second(model), label="no admission control", ls=":")
+        served_axis.axhline(CAPACITY, color="grey", lw=0.5)
+        served_axis.set_title(
+            f"{controllers} controller(s): served in time, a second; "
+            f"capacity {CAPACITY:.0f}, half at 20 to 40 s"
         )
-        axes[0][column].axhline(CAPACITY, color="grey", lw=0.5)
-        title = f"{gates} gate(s): served in time, a second; capacity {CAPACITY:.0f}, half at 20 to 40 s"
-        axes[0][column].set_title(title)
-        axes[1][column].set_title("limit on requests in hand, all gates (cut at 200)")
-        axes[0][column].legend(fontsize=7)
+        limit_axis.set_title("limit on requests in flight, all controllers (cut at 200)")
+        served_axis.legend(fontsize=7)
     figure.tight_layout()
     figure.savefig(folder / "admission-steps.png", dpi=70)
 
 
-def band() -> None:
-    """How far the limit swings in the steady state."""
-    for gates in (1, 4):
-        m = step(Limit, gates)
-        for a, b in ((5, 20), (25, 40), (45, 60)):
-            values = m.total_limit(a * US, b * US)
+def print_band() -> None:
+    """Print how far the limit swings in the steady state."""
+    for controllers in (1, 4):
+        model = play_steps(ConcurrencyLimit, controllers)
+        for start, end in ((5, FAILURE_S), (25, RECOVERY_S), (45, DURATION_S)):
+            values = model.total_limits(start * SECOND_US, end * SECOND_US)
             mean = sum(values) / len(values)
-            least, most = min(values) / mean, max(values) / mean
-            print(f"{gates} gates, {a} to {b} s: limit {mean:.1f}, from {least:.2f} to {most:.2f} of it")
+            least = min(values) / mean
+            most = max(values) / mean
+            print(
+                f"{controllers} controllers, {start} to {end} s: "
+                f"limit {mean:.1f}, from {least:.2f} to {most:.2f} of it"
+            )
 
 
-def worth() -> None:
-    """Four times the capacity, two classes; beside the best choice, known afterwards."""
-    classes = (request_class("cheap", 1.0), request_class("dear", 3.0))
+def print_priority() -> None:
+    """Offer two classes at four times the capacity; compare with the best choice, known afterwards."""
+    classes = (make_request_class("cheap", 1.0), make_request_class("dear", 3.0))
     tenants = (Tenant("a", 0.69, 0), Tenant("b", 0.16, 0), Tenant("c", 0.15, 0))
-    m = Model(settings(classes, tenants), servers(), WORK)
-    for tenant, share in enumerate((0.69, 0.16, 0.15)):
-        m.load(Load(3.4 * CAPACITY * share, cls=0, tenant=tenant))
-        m.load(Load(0.6 * CAPACITY * share, cls=1, tenant=tenant))
-    m.run(20 * US)
-    dear, cheap = (m.rate("served", 3 * US, 20 * US, cls=c) for c in (1, 0))
-    asked = dear + m.rate("turned", 3 * US, 20 * US, cls=1)
+    model = AdmissionModel(make_settings(classes, tenants), make_servers(), WORK_US)
+    for index, tenant in enumerate(tenants):
+        share = tenant.capacity_share
+        model.load(Load(3.4 * CAPACITY * share, class_index=0, tenant_index=index))
+        model.load(Load(0.6 * CAPACITY * share, class_index=1, tenant_index=index))
+    model.run(20 * SECOND_US)
+    start_us = 3 * SECOND_US
+    end_us = 20 * SECOND_US
+    dear = model.rate(Result.SERVED, start_us, end_us, class_index=1)
+    cheap = model.rate(Result.SERVED, start_us, end_us, class_index=0)
+    offered = dear + model.rate(Result.REJECTED, start_us, end_us, class_index=1)
     total = dear + cheap
-    best = 3 * min(asked, total) + max(total - asked, 0)
+    best = 3 * min(offered, total) + max(total - offered, 0)
     part = (3 * dear + cheap) / best
-    print(f"worth at four times the capacity: {part:.3f} of the best choice; dear {dear:.0f} of {asked:.0f}")
+    print(
+        f"priority weight at four times the capacity: {part:.3f} of the best choice; "
+        f"dear {dear:.0f} of {offered:.0f}"
+    )
 
 
-def greedy() -> None:
+def print_fairness() -> None:
+    """Offer one tenant at ten times its share beside two within theirs."""
     tenants = (Tenant("greedy", 0.4, 0), Tenant("b", 0.3, 0), Tenant("c", 0.3, 0))
-    m = Model(settings(tenants=tenants), servers(), WORK)
-    m.load(Load(4 * CAPACITY, tenant=0))
-    for tenant in (1, 2):
-        m.load(Load(0.29 * CAPACITY, tenant=tenant))
-    m.run(20 * US)
-    for tenant in range(3):
-        served, turned = (m.rate(how, 3 * US, 20 * US, tenant) for how in ("served", "turned"))
-        print(f"tenant {tenant}: {served:.0f} served, {turned:.1f} turned away a second")
+    model = AdmissionModel(make_settings(tenants=tenants), make_servers(), WORK_US)
+    model.load(Load(4 * CAPACITY, tenant_index=0))
+    for index in (1, 2):
+        model.load(Load(0.29 * CAPACITY, tenant_index=index))
+    model.run(20 * SECOND_US)
+    for index in range(len(tenants)):
+        served = model.rate(Result.SERVED, 3 * SECOND_US, 20 * SECOND_US, index)
+        rejected = model.rate(Result.REJECTED, 3 * SECOND_US, 20 * SECOND_US, index)
+        print(f"tenant {index}: {served:.0f} served, {rejected:.1f} rejected a second")
 
 
 def main() -> None:
+    """Draw the figure and print the table."""
     folder = Path(sys.argv[1]) if len(sys.argv) > 1 else Path(__file__).parent.parent / "docs/design"
-    steps(folder)
-    band()
-    worth()
-    greedy()
+    draw_steps(folder)
+    print_band()
+    print_priority()
+    print_fairness()
 
 
 if __name__ == "__main__":
--- a/juniperreel/admission/__init__.py
+++ b/juniperreel/admission/__init__.py
@@ -1,8 +1,9 @@
-"""Whether a request is taken at all, how many are in hand, who waits and who is turned away. No I/O.
+"""Admission control: whether a request is admitted, queued or rejected, and how many are in flight. No I/O.
 
-Must never choose a member: that is the module's, for whatever this room lets through.
+This package never chooses an endpoint; the router does that for every request that is admitted here.
 """
 
-from juniperreel.admission.controller import Admit, Arrival, Gate, Turn, Verdict
+from juniperreel.admission.controller import AdmissionController
+from juniperreel.admission.decisions import Admission, Arrival, Decision, Rejection, RejectionReason
 
-__all__ = ["Admit", "Arrival", "Gate", "Turn", "Verdict"]
+__all__ = ["Admission", "AdmissionController", "Arrival", "Decision", "Rejection", "RejectionReason"]
--- a/juniperreel/admission/concurrency.py
+++ b/juniperreel/admission/concurrency.py
@@ -1,65 +1,110 @@
-"""An adaptive limit on requests in hand, from how long answers take beside what they aim at.
+"""An adaptive limit on requests in flight, driven by response times relative to the latency objective.
 
-Additive increase and multiplicative decrease (Chiu and Jain, 1989) on response time over a class's aim,
-doubling from below as TCP's slow start does (RFC 5681, 3.1). What it was weighed against, with the curves of
-the losers: docs/design/admission.md.
+Additive increase and multiplicative decrease (Chiu and Jain, 1989) on response time over a class's latency
+objective, doubling from below as TCP's slow start does (RFC 5681, 3.1). The alternatives that it was weighed
+against, with their curves: docs/design/admission.md.
 """
 
 from __future__ import annotations
 
-TARGET = 0.25  # of the aim: long enough to keep members busy, short enough that the module sheds nothing yet
-MEMORY = 0.9  # weight of the old mean ratio, at each answer
-LEAST_STEP = 0.7  # of the limit is left by one decrease, whatever was measured
-USED = 0.7  # of the limit must have been in hand for an answer to tell that more would be well, too
-STARTING = 0.6  # of the target: as long as answers take less, a limit that was never reached doubles
-LOST = 2.0  # what an attempt without an answer counts for, as the module's own pressure has it
-START, LEAST, MOST = 16.0, 2.0, 100_000.0
-
-
-class Limit:
-    """How many requests may be in hand at once. Times are microseconds."""
-
-    def __init__(self, least: float = LEAST, start: float = START) -> None:
-        self.least = least
-        self.value = max(start, least)
-        self.ratio = 0.0  # smoothed response time over the aim; 0 until something was answered
-        self.starting = True  # no congestion seen yet
-        self._decrease_us = 0  # not again before: what is measured until then was sent under the old limit
-        self._peak = 0  # of requests in hand since the last answer
-
-    def taken(self, in_hand: int) -> None:
-        """One more is in hand."""
-        self._peak = max(self._peak, in_hand)
-
-    def answered(self, now: int, took_us: int, aim_us: int, in_hand: int) -> None:
-        """A served request, by the time its members took. Danger: quick errors look like idle members;
-        they must never come here."""
-        self._sample(now, took_us / max(aim_us, 1), took_us, in_hand)
-
-    def lost(self, now: int, waited_us: int, in_hand: int) -> None:
-        """A request that nobody answered in time, or that members had no room for."""
-        self._sample(now, LOST, waited_us, in_hand)
-
-    def _sample(self, now: int, ratio: float, took_us: int, in_hand: int) -> None:
-        self.ratio = MEMORY * self.ratio + (1 - MEMORY) * ratio if self.ratio else ratio
-        peak = max(self._peak, in_hand)
-        used = peak >= USED * self.value
-        self._peak = in_hand
-        if self.ratio > TARGET:
-            if now >= self._decrease_us:
-                self.starting = False
-                # What was never in hand cannot have been too much (RFC 7661): go down from what was.
-                held = min(self.value, float(peak + 1))
-                self.value = max(self.least, held * max(LEAST_STEP, TARGET / self.ratio))
-                # Danger: answers to what was sent before still tell of the old limit; acting on each of
-                # them would throw the limit to its floor.
-                self._decrease_us = now + max(took_us, 1)
-        elif used:
-            doubling = self.starting and self.ratio < STARTING * TARGET
-            self.value = min(MOST, self.value + (1.0 if doubling else 1.0 / self.value))
-
-    def fade(self) -> None:
-        """Called after a time in which nothing was answered: what is remembered is worth less."""
-        self.value = max(self.value, min(START, 2 * self.value))
-        self.ratio = 0.0
-        self.starting = True
+from dataclasses import dataclass
+
+# Response time over latency objective that is aimed at: long enough to keep endpoints busy, short enough that
+# the router sheds nothing yet.
+TARGET_RATIO = 0.25
+RATIO_MEMORY = 0.9  # weight of the old moving average of the ratio, at each response
+SMALLEST_DECREASE_FACTOR = 0.7  # part of the limit that remains after one decrease, whatever was measured
+# Part of the limit that must have been in flight before a fast response says that a higher limit is safe too.
+USED_FRACTION = 0.7
+SLOW_START_FRACTION = 0.6  # of the target; while responses are faster, a limit never reached before doubles
+DROP_RATIO = 2.0  # what an attempt without a response counts for, the same as in the router's own pressure
+INITIAL_LIMIT = 16.0
+MINIMUM_LIMIT = 2.0
+MAXIMUM_LIMIT = 100_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Observation:
+    """What one completed request says of the endpoints."""
+
+    now_us: int
+    latency_ratio: float  # response time over the latency objective
+    elapsed_us: int
+    in_flight: int  # after its end
+
+
+class ConcurrencyLimit:
+    """How many requests may be in flight at once. All times are whole microseconds."""
+
+    def __init__(
+        self, minimum: float = MINIMUM_LIMIT, initial: float = INITIAL_LIMIT, slow_start: bool = True
+    ) -> None:
+        """With `slow_start` the limit doubles per round trip until the first congestion is observed."""
+        self.minimum = minimum
+        self.value = max(initial, minimum)
+        self.latency_ratio = 0.0  # moving average; 0 until there was a response
+        self._in_slow_start = slow_start
+        self._next_decrease_us = 0
+        self._peak_in_flight = 0  # since the last response
+
+    def set_minimum(self, minimum: float) -> None:
+        """Set the value below which the limit never falls, and raise the limit to it."""
+        self.minimum = minimum
+        self.value = max(self.value, minimum)
+
+    def on_start(self, in_flight: int) -> None:
+        """Record that one more request is in flight, `in_flight` with it."""
+        self._peak_in_flight = max(self._peak_in_flight, in_flight)
+
+    def on_success(
+        self, now_us: int, response_time_us: int, latency_objective_us: int, in_flight: int
+    ) -> None:
+        """Record a served request by the response time of the attempt that served it.
+
+        Errors must not be recorded here: an endpoint that fails fast would look like an idle one, and the
+        limit would rise while nothing is served.
+        """
+        latency_ratio = response_time_us / max(latency_objective_us, 1)
+        self._observe(Observation(now_us, latency_ratio, response_time_us, in_flight))
+
+    def on_drop(self, now_us: int, waited_us: int, in_flight: int) -> None:
+        """Record a request that timed out, or that the endpoints rejected for overload."""
+        self._observe(Observation(now_us, DROP_RATIO, waited_us, in_flight))
+
+    def on_idle(self) -> None:
+        """Discount what was observed, after a time in which nothing completed."""
+        self.value = max(self.value, min(INITIAL_LIMIT, 2 * self.value))
+        self.latency_ratio = 0.0
+        self._in_slow_start = True
+
+    def _observe(self, observation: Observation) -> None:
+        if self.latency_ratio:
+            old = RATIO_MEMORY * self.latency_ratio
+            self.latency_ratio = old + (1 - RATIO_MEMORY) * observation.latency_ratio
+        else:
+            self.latency_ratio = observation.latency_ratio
+        peak_in_flight = max(self._peak_in_flight, observation.in_flight)
+        self._peak_in_flight = observation.in_flight
+        if self.latency_ratio > TARGET_RATIO:
+            if observation.now_us >= self._next_decrease_us:
+                self._decrease(observation, peak_in_flight)
+        elif peak_in_flight >= USED_FRACTION * self.value:
+            self._increase()
+
+    def _decrease(self, observation: Observation, peak_in_flight: int) -> None:
+        """Lower the limit, at most once per response time.
+
+        Responses to requests that were sent before a decrease still reflect the old limit. Acting on each of
+        them would drive the limit to its minimum at the first sign of congestion.
+        """
+        self._in_slow_start = False
+        # A limit that was never used says nothing about congestion (RFC 7661): decrease from what was used.
+        used = min(self.value, float(peak_in_flight + 1))
+        factor = max(SMALLEST_DECREASE_FACTOR, TARGET_RATIO / self.latency_ratio)
+        self.value = max(self.minimum, used * factor)
+        self._next_decrease_us = observation.now_us + max(observation.elapsed_us, 1)
+
+    def _increase(self) -> None:
+        doubling = self._in_slow_start and self.latency_ratio < SLOW_START_FRACTION * TARGET_RATIO
+        step = 1.0 if doubling else 1.0 / self.value
+        self.value = min(MAXIMUM_LIMIT, self.value + step)
--- a/juniperreel/admission/controller.py
+++ b/juniperreel/admission/controller.py
@@ -1,8 +1,8 @@
-"""The gate in front of the module: who is let through, who waits, and who is turned away with what wait.
+"""The admission controller in front of the router: which requests are admitted, queued or rejected.
 
-Events in, verdicts out, like the module: no clock, no I/O. One limit for each group's replicas, one for
-each group's primary, and one for this program as a whole, whose measure is how late its own loop is. A lane
-that is full holds back its own requests and no others.
+Events in, decisions out, without a clock and without I/O. There is one concurrency limit for each group's
+replicas, one for each group's primary, and one for the whole process, which follows the lag of its event
+loop. A lane that is full holds back its own requests and no others.
 """
 
 from __future__ import annotations
@@ -10,278 +10,320 @@
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from typing import NamedTuple
+
+from juniperreel.admission.concurrency import ConcurrencyLimit
+from juniperreel.admission.controlled_delay import QueueKey
+from juniperreel.admission.decisions import Admission, Arrival, Decision, Rejection, RejectionReason
+from juniperreel.admission.lane import PriorityLane, QueuedRequest
+from juniperreel.routing.types import Consistency, RequestClass, Settings
+
+MILLISECOND_US = 1_000
+MINIMUM_REMAINING_US = (
+    10 * MILLISECOND_US
+)  # with less until its deadline a request cannot be answered in time
+LOOP_LAG_OBJECTIVE_US = (
+    100 * MILLISECOND_US
+)  # the event loop's lag is to this what response times are to their objective
+LOOP_LAG_WINDOW_US = (
+    100 * MILLISECOND_US
+)  # one stall of the loop counts once, not once for each request behind it
+OBSERVATIONS_EXPIRE_US = (
+    2_000 * MILLISECOND_US
+)  # without a completion for so long, what a lane has observed is outdated
+MINIMUM_RETRY_AFTER = 0.2  # of the longest retry-after, sent where hardly any request is rejected
+# Requests that are rejected together must not retry together: a part of the wait, drawn between these.
+RETRY_AFTER_SPREAD = (0.5, 1.0)
+REJECTED_MEMORY = 0.98  # weight of the old rejected fraction, at each arrival
+MAXIMUM_QUEUED = 10_000  # in one lane; it bounds memory, while the sojourn is what limits the queue
+MINIMUM_LANE_LIMIT = 2.0
+MINIMUM_PROCESS_LIMIT = 8.0
+
+
+class LaneKey(NamedTuple):
+    """A group's lane: that of its primary, or the one that its replicas share."""
 
-from juniperreel.admission.concurrency import Limit
-from juniperreel.admission.lane import Lane, Waiting
-from juniperreel.routing.types import (
-    Consistency,
-    RequestClass,
-    Settings,
-)
-
-MS = 1_000
-LAST_US = 10 * MS  # with less than this left nothing can be answered in time
-LAG_AIM_US = 100 * MS  # the loop's lag is measured against this, as answers are against their class's aim
-LAG_SPAN_US = 100 * MS  # a loop that stands still is one event, not one for each of its requests
-QUIET_US = 2_000 * MS  # a lane that heard nothing for so long knows nothing
-WAIT_LEAST = 0.2  # of the longest wait, told where hardly anybody is turned away
-WAIT_SPREAD = (0.5, 1.0)  # of the wait: those turned away together must not come back together
-PART_MEMORY = 0.98  # weight of the old part of those turned away, at each arrival
-QUEUE_MOST = 10_000  # that wait in one lane; a bound on memory, the sojourn is what limits
-
-FULL = "the group is at its limit"
-PROGRAM = "this edge is at its limit"
-LATE = "too late to be answered in time"
-WAITED = "the wait for the group's members was too long"
-PUSHED = "others are worth more"
-STOPPING = "the edge is stopping"
-
-
-@dataclass(frozen=True, slots=True)
-class Arrival:
-    """A request as it comes. `read_us` is when its bytes could first have been read; `must` passes always
-    (the commit of an open transaction)."""
-
-    id: str
-    cls: int
-    tenant: int
     group: int
-    read_us: int
-    deadline_us: int
-    repeat: bool = False
-    must: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Admit:
-    """Hand it to the module."""
-
-    request: str
+    primary: bool
 
 
 @dataclass(frozen=True, slots=True)
-class Turn:
-    """Refuse it now; it was handed to nobody."""
+class InFlight:
+    """A request that was admitted and has not ended."""
 
-    request: str
-    reason: str
-    wait_us: int
+    lane: PriorityLane
+    request_class: RequestClass
+    admitted_us: int
+    lane_was_full: bool
 
 
-Verdict = Admit | Turn
+class AdmissionController:
+    """Admission control for one router.
 
-
-@dataclass(slots=True)
-class InHand:
-    lane: Lane
-    cls: RequestClass
-    let_us: int
-    full: bool
-
-
-class Gate:
-    """One gate for one router. Every `Admit` owes it one `ended`."""
+    Invariant: each `Admission` must be answered by one call of `on_finished`. Each arrival gets exactly one
+    decision, unless its client disconnects first.
+    """
 
     def __init__(
-        self, settings: Settings, most: int, seed: int, limit: Callable[[float], Limit] = Limit
+        self,
+        settings: Settings,
+        max_open: int,
+        seed: int,
+        make_limit: Callable[[float], ConcurrencyLimit] = ConcurrencyLimit,
     ) -> None:
-        """`most`: requests in hand whatever the limits learn. `limit` makes a lane's from its least value."""
-        self._settings, self._limit = settings, limit
-        self._shares = tuple(t.capacity_share for t in settings.tenants)
+        """Set up an idle controller.
+
+        Args:
+            settings: the router's settings.
+            max_open: requests in flight and queued at most, whatever the limits allow.
+            seed: of the random spread of retry-after times.
+            make_limit: makes the limit of a lane from its minimum.
+        """
+        self._settings = settings
+        self._make_limit = make_limit
+        self._shares = tuple(tenant.capacity_share for tenant in settings.tenants)
         self._random = random.Random(seed)
-        self._lanes: dict[tuple[int, bool], Lane] = {}
-        self._in_hand: dict[str, InHand] = {}
-        self._waiting: dict[str, tuple[Lane, Waiting]] = {}
-        self._members: dict[int, int] = {}
-        self._lag_us = self._lag_told_us = 0
-        self.program = Limit(least=8.0, start=float(most))
-        self.program.starting = False
-        self.most = most
-        self.turned_part = 0.0  # of the arrivals of late
-        self.repeats = 0
-        self.stopping = False
-
-    # What it may be asked.
+        self._lanes: dict[LaneKey, PriorityLane] = {}
+        self._in_flight: dict[str, InFlight] = {}
+        self._queued: dict[str, tuple[PriorityLane, QueuedRequest]] = {}
+        self._endpoint_counts: dict[int, int] = {}
+        self._largest_lag_us = 0  # in the current window
+        self._lag_window_start_us = 0
+        self.process_limit = ConcurrencyLimit(
+            minimum=MINIMUM_PROCESS_LIMIT, initial=float(max_open), slow_start=False
+        )
+        self.max_open = max_open
+        self.rejected_fraction = 0.0  # of recent arrivals
+        self.retries = 0
+        self.shutting_down = False
+
+    # State.
 
     @property
-    def in_hand(self) -> int:
-        return len(self._in_hand)
+    def in_flight(self) -> int:
+        """Requests that are admitted and have not ended."""
+        return len(self._in_flight)
 
     @property
-    def waiting(self) -> int:
-        return len(self._waiting)
-
-    def lanes(self) -> Iterable[tuple[int, bool, Lane]]:
-        """Group, whether it is the primary's, and the lane."""
-        return [(group, current, lane) for (group, current), lane in self._lanes.items()]
-
-    def lane(self, group: int, cls: RequestClass) -> Lane:
-        """Only the primary takes writes and fresh reads; all other reads share the replicas."""
-        current = cls.consistency in (Consistency.WRITE, Consistency.FRESH)
-        lane = self._lanes.get((group, current))
+    def queued(self) -> int:
+        """Requests that wait in all lanes."""
+        return len(self._queued)
+
+    def lanes(self) -> Iterable[tuple[LaneKey, PriorityLane]]:
+        """Return the lanes that have been used so far."""
+        return list(self._lanes.items())
+
+    def lane(self, group: int, request_class: RequestClass) -> PriorityLane:
+        """Return the lane of a class's requests, made on first use.
+
+        The primary alone serves writes and fresh reads; all other reads share the replicas' lane.
+        """
+        primary = request_class.consistency in (Consistency.WRITE, Consistency.FRESH)
+        key = LaneKey(group, primary)
+        lane = self._lanes.get(key)
         if lane is None:
-            lane = Lane(self._shares, self._limit(self._least(group, current)))
-            self._lanes[group, current] = lane
+            lane = PriorityLane(self._shares, self._make_limit(self._minimum_limit(key)))
+            self._lanes[key] = lane
         return lane
 
-    def members(self, group: int, count: int) -> None:
-        """How many members the group has: none of them should stand idle for a limit that is too low."""
-        self._members[group] = count
-        for current in (False, True):
-            if (group, current) in self._lanes:
-                limit = self._lanes[group, current].limit
-                limit.least = self._least(group, current)
-                limit.value = max(limit.value, limit.least)
+    def set_endpoint_count(self, group: int, count: int) -> None:
+        """Tell how many endpoints a group has: a limit too low for them would leave some idle."""
+        self._endpoint_counts[group] = count
+        for key in (LaneKey(group, primary=False), LaneKey(group, primary=True)):
+            if key in self._lanes:
+                self._lanes[key].limit.set_minimum(self._minimum_limit(key))
 
-    def _least(self, group: int, current: bool) -> float:
-        replicas = 1 if current else max(self._members.get(group, 1) - 1, 1)
-        return max(2.0, replicas / max(self._settings.router_count, 1))
+    def _minimum_limit(self, key: LaneKey) -> float:
+        endpoints = 1 if key.primary else max(self._endpoint_counts.get(key.group, 1) - 1, 1)
+        return max(MINIMUM_LANE_LIMIT, endpoints / max(self._settings.router_count, 1))
 
     # Arrivals.
 
-    def glance(self, now: int, cls: int, tenant: int, group: int, left_us: int) -> Turn | None:
-        """Whether an arrival would be turned away at once, asked before anything is spent on it. It counts
-        as an arrival only if so. `left_us`: from now to its deadline."""
-        request = self._settings.classes[cls]
-        lane = self.lane(group, request)
-        reason = self._closed(request, tenant, lane, left_us)
+    def reject_early(
+        self, now_us: int, class_index: int, tenant_index: int, group: int, remaining_us: int
+    ) -> Rejection | None:
+        """Return the rejection that an arrival would get at once, before any work is spent on it.
+
+        It counts as an arrival only if it is rejected. `remaining_us` is the time to its deadline.
+        """
+        request_class = self._settings.classes[class_index]
+        lane = self.lane(group, request_class)
+        key = QueueKey(tenant_index, request_class.priority_weight)
+        reason = self._rejection_reason(lane, key, request_class, remaining_us)
         if reason is None:
             return None
-        lane.came(now, tenant, request.priority_weight, turned=True)
-        return self._turn("", reason)
-
-    def _closed(self, cls: RequestClass, tenant: int, lane: Lane, left_us: int) -> str | None:
-        """Why an arrival can't be taken, or None. The order matters: what is cheapest to know comes first."""
-        if self.stopping:
-            return STOPPING
-        if left_us <= LAST_US:
-            return LATE
-        if len(self._in_hand) + len(self._waiting) >= self.most:
-            return PROGRAM
-        full = len(self._in_hand) >= self.program.value
-        if not full and not lane.waiting and lane.room:
+        lane.on_arrival(now_us, key, rejected=True)
+        return self._reject("", reason)
+
+    def _rejection_reason(
+        self, lane: PriorityLane, key: QueueKey, request_class: RequestClass, remaining_us: int
+    ) -> RejectionReason | None:
+        """Return why an arrival cannot be taken, or None. The cheapest checks come first."""
+        if self.shutting_down:
+            return RejectionReason.SHUTTING_DOWN
+        if remaining_us <= MINIMUM_REMAINING_US:
+            return RejectionReason.DEADLINE_TOO_CLOSE
+        if len(self._in_flight) + len(self._queued) >= self.max_open:
+            return RejectionReason.PROCESS_AT_LIMIT
+        if self._admits_immediately(lane):
+            return None
+        process_full = not self._process_has_capacity()
+        if process_full and lane.limit.value <= lane.in_flight + lane.queued:
+            # Where the event loop itself is the bottleneck, each queued request costs it more time: no queue
+            # beyond what the lane may have in flight, except by pushing out a lower rank.
+            return None if lane.outranks_any_queued(key) else RejectionReason.PROCESS_AT_LIMIT
+        if self._fits_in_queue(lane, key, request_class, remaining_us) or lane.outranks_any_queued(key):
             return None
-        if full and lane.limit.value <= lane.in_hand + lane.waiting:
-            # Danger: where the loop itself is what is slow, those who wait cost more of it.
-            lowest = lane.lowest_rank()
-            return PROGRAM if lowest is None or lane.rank(tenant, cls.priority_weight) <= lowest else None
-        wait = lane.wait_us(lane.ahead(tenant, cls.priority_weight) + 1, cls.latency_objective_us)
-        if (
-            wait
-            > min(lane.sojourn_us(tenant, cls.priority_weight, cls.latency_objective_us), left_us - LAST_US)
-            or lane.waiting >= QUEUE_MOST
-        ):
-            lowest = lane.lowest_rank()
-            if lowest is None or lane.rank(tenant, cls.priority_weight) <= lowest:
-                return PROGRAM if full else FULL
-        return None
-
-    def arrive(self, now: int, arrival: Arrival) -> list[Verdict]:
-        """The arrival's own verdict comes now, or later if it waits; others' may come with it."""
-        cls = self._settings.classes[arrival.cls]
-        lane = self.lane(arrival.group, cls)
-        self.repeats += arrival.repeat
-        if arrival.must:
-            return [self._let(now, lane, cls, arrival.id, arrival.tenant)]
-        left = arrival.deadline_us - now
-        reason = self._closed(cls, arrival.tenant, lane, left)
-        lane.came(now, arrival.tenant, cls.priority_weight, turned=reason is not None)
+        return RejectionReason.PROCESS_AT_LIMIT if process_full else RejectionReason.GROUP_AT_LIMIT
+
+    def _process_has_capacity(self) -> bool:
+        return len(self._in_flight) < self.process_limit.value
+
+    def _admits_immediately(self, lane: PriorityLane) -> bool:
+        return not lane.queued and lane.has_capacity and self._process_has_capacity()
+
+    def _fits_in_queue(
+        self, lane: PriorityLane, key: QueueKey, request_class: RequestClass, remaining_us: int
+    ) -> bool:
+        """Return whether a new request would be admitted in time, as far as can be estimated."""
+        objective_us = request_class.latency_objective_us
+        wait_us = lane.estimated_wait_us(lane.queued_ahead(key) + 1, objective_us)
+        longest_us = min(lane.longest_sojourn_us(key, objective_us), remaining_us - MINIMUM_REMAINING_US)
+        return wait_us <= longest_us and lane.queued < MAXIMUM_QUEUED
+
+    def on_arrival(self, now_us: int, arrival: Arrival) -> list[Decision]:
+        """Admit, queue or reject a request.
+
+        Its own decision is returned now, or by a later call if it is queued; decisions on other requests may
+        be returned with it.
+        """
+        request_class = self._settings.classes[arrival.class_index]
+        lane = self.lane(arrival.group, request_class)
+        self.retries += arrival.is_retry
+        if arrival.bypasses_limits:
+            return [self._admit(now_us, lane, request_class, arrival.id, arrival.tenant_index)]
+        key = QueueKey(arrival.tenant_index, request_class.priority_weight)
+        reason = self._rejection_reason(lane, key, request_class, arrival.deadline_us - now_us)
+        lane.on_arrival(now_us, key, rejected=reason is not None)
         if reason is not None:
-            return [self._turn(arrival.id, reason)]
-        self.turned_part *= PART_MEMORY
-        if self._opens(lane):
-            return [self._let(now, lane, cls, arrival.id, arrival.tenant)]
-        # What has already waited to be read has waited; but who may wait at all was judged as of now.
-        sojourn = lane.sojourn_us(arrival.tenant, cls.priority_weight, cls.latency_objective_us)
-        until = max(arrival.read_us + sojourn, now + 1)
-        item = Waiting(arrival.id, cls, arrival.tenant, min(until, arrival.deadline_us - LAST_US))
-        lane.join(item)
-        self._waiting[arrival.id] = (lane, item)
-        return self._late(now, lane)
-
-    def _opens(self, lane: Lane) -> bool:
-        return not lane.waiting and lane.room and len(self._in_hand) < self.program.value
-
-    def _let(self, now: int, lane: Lane, cls: RequestClass, name: str, tenant: int) -> Admit:
-        lane.pass_one(tenant)
-        full = lane.waiting > 0 or not lane.room
-        self._in_hand[name] = InHand(lane, cls, now, full)
-        self.program.taken(len(self._in_hand))
-        return Admit(name)
-
-    def _turn(self, name: str, reason: str) -> Turn:
-        self.turned_part = PART_MEMORY * self.turned_part + (1 - PART_MEMORY)
-        most = self._settings.max_retry_after_us if self._settings.retry_after_hints else 0
-        part = WAIT_LEAST + (1 - WAIT_LEAST) * self.turned_part
-        return Turn(name, reason, int(most * part * self._random.uniform(*WAIT_SPREAD)))
-
-    # Ends.
-
-    def ended(self, now: int, request: str, took_us: int | None, lost: bool = False) -> list[Verdict]:
-        """A request in hand has its final answer. `took_us`: of the attempt that served it; None if none
-        did. `lost`: members had no room for it, or did not answer."""
-        held = self._in_hand.pop(request, None)
-        if held is None:
+            return [self._reject(arrival.id, reason)]
+        self.rejected_fraction *= REJECTED_MEMORY
+        if self._admits_immediately(lane):
+            return [self._admit(now_us, lane, request_class, arrival.id, arrival.tenant_index)]
+        self._enqueue(now_us, lane, key, request_class, arrival)
+        return self._reject_late(now_us, lane)
+
+    def _enqueue(
+        self, now_us: int, lane: PriorityLane, key: QueueKey, request_class: RequestClass, arrival: Arrival
+    ) -> None:
+        # Time in the socket counts as time queued, but whether it may be queued was decided as of now.
+        sojourn_us = lane.longest_sojourn_us(key, request_class.latency_objective_us)
+        sojourn_end_us = max(arrival.readable_us + sojourn_us, now_us + 1)
+        expires_us = min(sojourn_end_us, arrival.deadline_us - MINIMUM_REMAINING_US)
+        queued = QueuedRequest(arrival.id, request_class, arrival.tenant_index, expires_us)
+        lane.enqueue(queued)
+        self._queued[arrival.id] = (lane, queued)
+
+    def _admit(
+        self, now_us: int, lane: PriorityLane, request_class: RequestClass, request: str, tenant_index: int
+    ) -> Admission:
+        lane.on_admission(tenant_index)
+        lane_was_full = lane.queued > 0 or not lane.has_capacity
+        self._in_flight[request] = InFlight(lane, request_class, now_us, lane_was_full)
+        self.process_limit.on_start(len(self._in_flight))
+        return Admission(request)
+
+    def _reject(self, request: str, reason: RejectionReason) -> Rejection:
+        self.rejected_fraction = REJECTED_MEMORY * self.rejected_fraction + (1 - REJECTED_MEMORY)
+        longest_us = self._settings.max_retry_after_us if self._settings.retry_after_hints else 0
+        part = MINIMUM_RETRY_AFTER + (1 - MINIMUM_RETRY_AFTER) * self.rejected_fraction
+        retry_after_us = int(longest_us * part * self._random.uniform(*RETRY_AFTER_SPREAD))
+        return Rejection(request, reason, retry_after_us)
+
+    # Ends of requests.
+
+    def on_finished(
+        self, now_us: int, request: str, response_time_us: int | None, dropped: bool = False
+    ) -> list[Decision]:
+        """Record the final answer of a request in flight, and admit from the queue.
+
+        Args:
+            now_us: the clock.
+            request: its id; an unknown one is ignored.
+            response_time_us: of the attempt that served it; None if none did.
+            dropped: endpoints rejected it for overload, or did not answer.
+        """
+        finished = self._in_flight.pop(request, None)
+        if finished is None:
             return []
-        lane = held.lane
-        lane.ended(now, lane.waiting > 0 or held.full)
-        if took_us is not None:
-            lane.limit.answered(now, took_us, held.cls.latency_objective_us, lane.in_hand)
-        elif lost:
-            lane.limit.lost(now, now - held.let_us, lane.in_hand)
-        return self.refill(now, lane)
-
-    def gone(self, now: int, request: str) -> list[Verdict]:
-        """The client has left. One that waited is forgotten; one in hand still owes its `ended`."""
-        waits = self._waiting.pop(request, None)
-        if waits is None:
+        lane = finished.lane
+        lane.on_completion(now_us, was_full=lane.queued > 0 or finished.lane_was_full)
+        if response_time_us is not None:
+            objective_us = finished.request_class.latency_objective_us
+            lane.limit.on_success(now_us, response_time_us, objective_us, lane.in_flight)
+        elif dropped:
+            lane.limit.on_drop(now_us, now_us - finished.admitted_us, lane.in_flight)
+        return self._admit_queued(now_us, lane)
+
+    def on_client_disconnected(self, now_us: int, request: str) -> list[Decision]:
+        """Forget a queued request; one that is in flight still needs its `on_finished`."""
+        entry = self._queued.pop(request, None)
+        if entry is None:
             return []
-        lane, item = waits
-        lane.leave(item)
-        return self.refill(now, lane)
-
-    def refill(self, now: int, lane: Lane) -> list[Verdict]:
-        verdicts: list[Verdict] = self._late(now, lane)
-        while lane.waiting and lane.room and len(self._in_hand) < self.program.value:
-            item = lane.next()
-            if item is None:
+        lane, queued = entry
+        lane.remove(queued)
+        return self._admit_queued(now_us, lane)
+
+    def _admit_queued(self, now_us: int, lane: PriorityLane) -> list[Decision]:
+        """Reject what is too late in the lane's queue, then admit as many as the limits allow."""
+        decisions: list[Decision] = self._reject_late(now_us, lane)
+        while lane.queued and lane.has_capacity and self._process_has_capacity():
+            queued = lane.pop_next()
+            if queued is None:
                 break
-            del self._waiting[item.id]
-            verdicts.append(self._let(now, lane, item.cls, item.id, item.tenant))
-        return verdicts
-
-    def _late(self, now: int, lane: Lane) -> list[Verdict]:
-        verdicts: list[Verdict] = []
-        while (item := lane.too_late(now)) is not None:
-            del self._waiting[item.id]
-            verdicts.append(self._turn(item.id, WAITED))
-        while (item := lane.hopeless(now)) is not None:
-            del self._waiting[item.id]
-            verdicts.append(self._turn(item.id, PUSHED))
-        return verdicts
+            del self._queued[queued.id]
+            decisions.append(self._admit(now_us, lane, queued.request_class, queued.id, queued.tenant_index))
+        return decisions
+
+    def _reject_late(self, now_us: int, lane: PriorityLane) -> list[Decision]:
+        decisions: list[Decision] = []
+        while (queued := lane.pop_expired(now_us)) is not None:
+            del self._queued[queued.id]
+            decisions.append(self._reject(queued.id, RejectionReason.QUEUED_TOO_LONG))
+        while (queued := lane.pop_starving(now_us)) is not None:
+            del self._queued[queued.id]
+            decisions.append(self._reject(queued.id, RejectionReason.OUTRANKED))
+        return decisions
 
     # Time.
 
-    def due_us(self) -> int | None:
-        """When `tick` has something to do."""
-        dues = (lane.due_us() for lane in self._lanes.values() if lane.waiting)
-        return min((due for due in dues if due is not None), default=None)
+    def next_timer_us(self) -> int | None:
+        """Return when `on_timer` has something to do."""
+        expiries = (lane.next_expiry_us() for lane in self._lanes.values() if lane.queued)
+        return min((expiry for expiry in expiries if expiry is not None), default=None)
 
-    def tick(self, now: int) -> list[Verdict]:
-        """Turns away those for whom waiting has become useless."""
-        verdicts: list[Verdict] = []
+    def on_timer(self, now_us: int) -> list[Decision]:
+        """Reject the queued requests that have expired, and admit from queues that have capacity."""
+        decisions: list[Decision] = []
         for lane in self._lanes.values():
-            if lane.waiting:
-                if not lane.in_hand and now - lane.heard_us > QUIET_US:
-                    lane.limit.fade()
-                verdicts += self.refill(now, lane)
-        return verdicts
-
-    def lag(self, now: int, lag_us: int) -> None:
-        """How late the program's own loop was. Danger: work in hand that the loop cannot look at ages like
-        work in a queue; fewer in hand is the only cure."""
-        self._lag_us = max(self._lag_us, lag_us)
-        if now - self._lag_told_us >= LAG_SPAN_US:
-            self._lag_told_us = now
-            self.program.answered(now, self._lag_us, LAG_AIM_US, len(self._in_hand))
-            self._lag_us = 0
+            if not lane.queued:
+                continue
+            if not lane.in_flight and now_us - lane.last_completion_us > OBSERVATIONS_EXPIRE_US:
+                lane.limit.on_idle()
+            decisions += self._admit_queued(now_us, lane)
+        return decisions
+
+    def on_loop_lag(self, now_us: int, lag_us: int) -> None:
+        """Record how late the event loop was.
+
+        Requests in flight that the loop cannot attend to age like requests in a queue, and only fewer of them
+        in flight cure that: the process limit follows the largest lag of each window.
+        """
+        self._largest_lag_us = max(self._largest_lag_us, lag_us)
+        if now_us - self._lag_window_start_us < LOOP_LAG_WINDOW_US:
+            return
+        self._lag_window_start_us = now_us
+        self.process_limit.on_success(
+            now_us, self._largest_lag_us, LOOP_LAG_OBJECTIVE_US, len(self._in_flight)
+        )
+        self._largest_lag_us = 0
--- a/juniperreel/admission/lane.py
+++ b/juniperreel/admission/lane.py
@@ -1,197 +1,216 @@
-"""Those who wait for one resource, and in which order they leave the queue.
+"""The queue in front of one group's replicas or its primary, and the order in which requests leave it.
 
-A lane is a group's replicas or its primary: what competes for the same members. Tenants that ask no more
-than their share go first, then those that were given less; then by worth, then by arrival. How long one may
-wait is settled when it comes: long where hardly anybody was turned away of late, as a burst deserves, and
-hardly at all where many were ("controlled delay": Maurer, Fail at Scale, ACM Queue 13(8), 2015, after Nichols
-and Jacobson's CoDel).
+A lane holds the requests that compete for the same endpoints. Tenants within their quota go first, then those
+that were given less than their share; then by priority weight, then by arrival.
 """
 
 from __future__ import annotations
 
 import heapq
-import math
 from collections import deque
 from dataclasses import dataclass
 from itertools import count
+from typing import NamedTuple
 
-from juniperreel.admission.concurrency import TARGET, Limit
-from juniperreel.routing.types import (
-    RequestClass,
-)
+from juniperreel.admission.concurrency import TARGET_RATIO, ConcurrencyLimit
+from juniperreel.admission.controlled_delay import ControlledDelay, QueueKey
+from juniperreel.admission.quota import QuotaStanding, TenantQuotas
+from juniperreel.routing.types import RequestClass
 
-CALM_SOJOURN = 0.15  # of the aim may be spent waiting, where a queue is a burst that will pass
-BUSY_SOJOURN = 0.05  # and where it is none: then waiting serves nobody, it only makes all later
-HOPELESS = 2  # times what is left for it must be ahead of one that is given up before its time is over
-BUSY_FROM = 0.1  # of those who came were turned away
-TURNED_MEMORY = 0.95  # weight of the old part of those turned away, at each arrival
-TURNED_HALF_US = 500_000  # after which half of it is forgotten in any case
-SHARE_MEMORY = 0.998  # weight of the old parts of tenants, at each request let through
-SHARE_DEVIATIONS = 3  # by which chance alone lifts a tenant over its share, hardly ever more
-RATE_MEMORY = 0.9  # weight of the old time between answers
+COMPLETION_GAP_MEMORY = 0.9  # weight of the old mean time between two completions
+# A queued request is given up early when the estimated wait is this many times the time that it still has.
+STARVATION_FACTOR = 2
+
+
+class Rank(NamedTuple):
+    """The order in which queues are served; higher ranks go first."""
+
+    standing: QuotaStanding
+    priority_weight: float
 
 
 @dataclass(slots=True)
-class Waiting:
-    """One who waits; `until_us` is when waiting has become useless for it."""
+class QueuedRequest:
+    """A request in the queue; from `expires_us` on it can no longer be answered in time."""
 
     id: str
-    cls: RequestClass
-    tenant: int
-    until_us: int
-    left: bool = False
+    request_class: RequestClass
+    tenant_index: int
+    expires_us: int
+    removed: bool = False
 
     @property
-    def key(self) -> tuple[int, float]:
-        return (self.tenant, self.cls.priority_weight)
+    def key(self) -> QueueKey:
+        """The queue that it belongs to."""
+        return QueueKey(self.tenant_index, self.request_class.priority_weight)
 
 
-class Lane:
-    """The queue of one lane, and the limit on what it lets through."""
+class Expiry(NamedTuple):
+    """An entry of the heap of expiry times; `sequence` keeps requests out of comparisons."""
 
-    def __init__(self, shares: tuple[float, ...], limit: Limit) -> None:
-        self.limit = limit
-        self.in_hand = 0
-        self._shares = shares
-        self._parts = list(shares)  # of what was let through of late, by tenant
-        self._total = sum(shares)
-        self._asked = list(shares)  # of the same whole, what came of late, by tenant
-        self._queues: dict[tuple[int, float], deque[Waiting]] = {}  # by tenant and worth; oldest first
-        self._lengths: dict[tuple[int, float], int] = {}  # without those that have left
-        self._dues: list[tuple[int, int, Waiting]] = []
-        self._order = count()
-        self.waiting = 0
-        self._turned: dict[tuple[int, float], tuple[float, int]] = {}  # part of those who came, and when
-        self.gap_us = 0.0  # mean time between two that leave the lane, while it is full
-        self._ended_us = 0
-        self.heard_us = 0
-
-    # What is known of its speed.
-
-    def ended(self, now: int, full: bool) -> None:
-        """One in hand has ended. The gap between ends is its capacity only while it is full."""
-        self.in_hand -= 1
-        if full and self._ended_us:
-            gap = now - self._ended_us
-            self.gap_us = RATE_MEMORY * self.gap_us + (1 - RATE_MEMORY) * gap if self.gap_us else float(gap)
-        self._ended_us = now if full else 0
-        self.heard_us = now
-
-    def wait_us(self, ahead: int, aim_us: int) -> float:
-        """How long one waits with so many ahead of it. Of a lane that was never full only its limit is known,
-        and how long what is in hand takes; that, or the limit's target, has to do."""
-        return ahead * (self.gap_us or (self.limit.ratio or TARGET) * aim_us / self.limit.value)
+    at_us: int
+    sequence: int
+    request: QueuedRequest
 
-    @property
-    def room(self) -> bool:
-        return self.in_hand < self.limit.value
-
-    def came(self, now: int, tenant: int, worth: float, turned: bool) -> None:
-        """One has come. What was long ago says nothing of now, however few came since."""
-        if 0 <= tenant < len(self._asked):
-            self._asked[tenant] += 1 - SHARE_MEMORY
-        part, before = self._turned.get((tenant, worth), (0.0, now))
-        part *= TURNED_MEMORY * 0.5 ** ((now - before) / TURNED_HALF_US)
-        self._turned[tenant, worth] = (part + (1 - TURNED_MEMORY) * turned, now)
-
-    def sojourn_us(self, tenant: int, worth: float, aim_us: int) -> int:
-        """How long one that comes now may wait. Judged by what became of its like: where others are turned
-        away and these are not, a queue of these is a burst all the same."""
-        part, _ = self._turned.get((tenant, worth), (0.0, 0))
-        return int((BUSY_SOJOURN if part > BUSY_FROM else CALM_SOJOURN) * aim_us)
-
-    # Tenants.
-
-    def claim(self, tenant: int) -> int:
-        """2: it asks no more than its share, and should lose nothing. 1: it asks more, and has not had its
-        share yet. 0: it has. Danger: by what each was given alone, a greedy tenant that gets what the others
-        leave looks as modest as they are."""
-        if not 0 <= tenant < len(self._shares):
-            return 0
-        due = self._shares[tenant] * self._total
-        # Of what comes by chance: the deviation of a mean that forgets at this rate.
-        due += SHARE_DEVIATIONS * math.sqrt(due * (1 - SHARE_MEMORY) / 2)
-        return 2 if self._asked[tenant] <= due else int(self._parts[tenant] <= due)
-
-    def pass_one(self, tenant: int) -> None:
-        """One of the tenant's is let through."""
-        self.in_hand += 1
-        self.limit.taken(self.in_hand)
-        if 0 <= tenant < len(self._parts):
-            self._parts = [SHARE_MEMORY * part for part in self._parts]
-            self._asked = [SHARE_MEMORY * part for part in self._asked]
-            self._parts[tenant] += 1 - SHARE_MEMORY
-            self._total = sum(self._parts)
 
-    # The queue.
+class PriorityLane:
+    """The queue of one lane and its limit on requests in flight.
 
-    def rank(self, tenant: int, worth: float) -> tuple[int, float]:
-        """Higher ranks go first."""
-        return (self.claim(tenant), worth)
+    Invariant: `queued` and `_lengths` count the requests that have not been removed. Removed requests may
+    remain inside `_queues` and `_expiries` until they come up there.
+    """
 
-    def ahead(self, tenant: int, worth: float) -> int:
-        """How many would leave the queue before a newcomer."""
-        if not self.waiting:
+    def __init__(self, shares: tuple[float, ...], limit: ConcurrencyLimit) -> None:
+        """`shares` are the tenants' capacity shares, in the order of the settings."""
+        self.limit = limit
+        self.in_flight = 0
+        self.queued = 0
+        self.last_completion_us = 0
+        self._quotas = TenantQuotas(shares)
+        self._controlled_delay = ControlledDelay()
+        self._queues: dict[QueueKey, deque[QueuedRequest]] = {}  # oldest first
+        self._lengths: dict[QueueKey, int] = {}
+        self._expiries: list[Expiry] = []
+        self._sequence = count()
+        self._completion_gap_us = 0.0  # mean time between two completions while the lane is full
+        self._full_completion_us = 0  # the last completion, if the lane was full then
+
+    # Arrivals, admissions and completions.
+
+    def on_arrival(self, now_us: int, key: QueueKey, rejected: bool) -> None:
+        """Record an arrival, rejected or not."""
+        self._quotas.on_arrival(key.tenant_index)
+        self._controlled_delay.on_arrival(now_us, key, rejected)
+
+    def on_admission(self, tenant_index: int) -> None:
+        """Record that a request of the tenant is in flight now."""
+        self.in_flight += 1
+        self.limit.on_start(self.in_flight)
+        self._quotas.on_admission(tenant_index)
+
+    def on_completion(self, now_us: int, was_full: bool) -> None:
+        """Record that a request in flight has ended.
+
+        The time between completions measures the capacity only while the lane is full.
+        """
+        self.in_flight -= 1
+        if was_full and self._full_completion_us:
+            self._observe_completion_gap(now_us - self._full_completion_us)
+        self._full_completion_us = now_us if was_full else 0
+        self.last_completion_us = now_us
+
+    def _observe_completion_gap(self, gap_us: int) -> None:
+        if self._completion_gap_us:
+            old = COMPLETION_GAP_MEMORY * self._completion_gap_us
+            self._completion_gap_us = old + (1 - COMPLETION_GAP_MEMORY) * gap_us
+        else:
+            self._completion_gap_us = float(gap_us)
+
+    # Capacity and waiting times.
+
+    @property
+    def has_capacity(self) -> bool:
+        """Whether the limit allows one more request in flight."""
+        return self.in_flight < self.limit.value
+
+    def estimated_wait_us(self, requests_ahead: int, latency_objective_us: int) -> float:
+        """Return how long a request waits until `requests_ahead` have left the queue.
+
+        A lane that was never full has no completion rate: the response time observed so far, or else the
+        limit's target, stands in for it.
+        """
+        if self._completion_gap_us:
+            return requests_ahead * self._completion_gap_us
+        latency_ratio = self.limit.latency_ratio or TARGET_RATIO
+        return requests_ahead * (latency_ratio * latency_objective_us / self.limit.value)
+
+    def longest_sojourn_us(self, key: QueueKey, latency_objective_us: int) -> int:
+        """Return how long a request that arrives now may be queued."""
+        return self._controlled_delay.longest_sojourn_us(key, latency_objective_us)
+
+    # Ranks.
+
+    def standing(self, tenant_index: int) -> QuotaStanding:
+        """Return how the tenant stands against its share."""
+        return self._quotas.standing(tenant_index)
+
+    def rank(self, key: QueueKey) -> Rank:
+        """Return the rank of a queue's requests."""
+        return Rank(self.standing(key.tenant_index), key.priority_weight)
+
+    def queued_ahead(self, key: QueueKey) -> int:
+        """Return how many queued requests would be admitted before a new one of the queue."""
+        if not self.queued:
             return 0
-        mine = self.rank(tenant, worth)
-        return sum(n for key, n in self._lengths.items() if self.rank(*key) >= mine)
+        rank = self.rank(key)
+        return sum(length for other, length in self._lengths.items() if self.rank(other) >= rank)
 
-    def lowest_rank(self) -> tuple[int, float] | None:
-        return min((self.rank(*key) for key in self._lengths), default=None)
+    def outranks_any_queued(self, key: QueueKey) -> bool:
+        """Return whether a new request would rank above the lowest that is queued."""
+        if not self._lengths:
+            return False
+        return self.rank(key) > min(self.rank(queued) for queued in self._lengths)
 
-    def join(self, item: Waiting) -> None:
-        self._queues.setdefault(item.key, deque()).append(item)
-        self._lengths[item.key] = self._lengths.get(item.key, 0) + 1
-        heapq.heappush(self._dues, (item.until_us, next(self._order), item))
-        self.waiting += 1
+    # The queue.
+
+    def enqueue(self, request: QueuedRequest) -> None:
+        """Add a request behind those of its own queue."""
+        self._queues.setdefault(request.key, deque()).append(request)
+        self._lengths[request.key] = self._lengths.get(request.key, 0) + 1
+        heapq.heappush(self._expiries, Expiry(request.expires_us, next(self._sequence), request))
+        self.queued += 1
 
-    def leave(self, item: Waiting) -> None:
-        """Out of the queue, for whatever reason; what is left of it in the middle goes when it comes up."""
-        if item.left:
+    def remove(self, request: QueuedRequest) -> None:
+        """Take a request out of the queue, wherever it stands; a removed one is ignored."""
+        if request.removed:
             return
-        item.left = True
-        self.waiting -= 1
-        self._lengths[item.key] -= 1
-        if not self._lengths[item.key]:
-            del self._lengths[item.key], self._queues[item.key]
-        if not self.waiting:
-            self._dues.clear()
-
-    def next(self) -> Waiting | None:
-        """Takes out whoever is next."""
+        request.removed = True
+        self.queued -= 1
+        self._lengths[request.key] -= 1
+        if not self._lengths[request.key]:
+            del self._lengths[request.key]
+            del self._queues[request.key]
+        if not self.queued:
+            self._expiries.clear()
+
+    def pop_next(self) -> QueuedRequest | None:
+        """Take out the oldest request of the highest rank."""
         if not self._lengths:
             return None
-        queue = self._queues[max(self._lengths, key=lambda key: self.rank(*key))]
-        while queue[0].left:
+        queue = self._queues[max(self._lengths, key=self.rank)]
+        while queue[0].removed:
             queue.popleft()
-        self.leave(queue[0])
+        self.remove(queue[0])
         return queue.popleft()
 
-    def hopeless(self, now: int) -> Waiting | None:
-        """Takes out the newest of the lowest rank, if its turn will not come before its time is over. Danger:
-        those that others overtake would wait their time out for nothing."""
+    def pop_starving(self, now_us: int) -> QueuedRequest | None:
+        """Take out the newest request of the lowest rank, if it will not be admitted before it expires.
+
+        Without this, requests that others overtake would sit out their time in the queue for nothing.
+        """
         if not self._lengths:
             return None
-        queue = self._queues[min(self._lengths, key=lambda key: self.rank(*key))]
-        while queue[-1].left:
+        queue = self._queues[min(self._lengths, key=self.rank)]
+        while queue[-1].removed:
             queue.pop()
-        last = queue[-1]
-        if now + self.wait_us(self.waiting, last.cls.latency_objective_us) / HOPELESS <= last.until_us:
+        newest = queue[-1]
+        wait_us = self.estimated_wait_us(self.queued, newest.request_class.latency_objective_us)
+        if now_us + wait_us / STARVATION_FACTOR <= newest.expires_us:
             return None
-        self.leave(last)
+        self.remove(newest)
         return queue.pop()
 
-    def due_us(self) -> int | None:
-        """When the next of them has waited for too long."""
-        while self._dues and self._dues[0][2].left:
-            heapq.heappop(self._dues)
-        return self._dues[0][0] if self._dues else None
+    def next_expiry_us(self) -> int | None:
+        """Return when the next queued request expires."""
+        while self._expiries and self._expiries[0].request.removed:
+            heapq.heappop(self._expiries)
+        return self._expiries[0].at_us if self._expiries else None
 
-    def too_late(self, now: int) -> Waiting | None:
-        """Takes out one for whom waiting has become useless."""
-        due = self.due_us()
-        if due is None or due > now:
+    def pop_expired(self, now_us: int) -> QueuedRequest | None:
+        """Take out a request that has expired."""
+        expiry_us = self.next_expiry_us()
+        if expiry_us is None or expiry_us > now_us:
             return None
-        item = heapq.heappop(self._dues)[2]
-        self.leave(item)
-        return item
+        request = heapq.heappop(self._expiries).request
+        self.remove(request)
+        return request
--- a/juniperreel/emulator/admission.py
+++ b/juniperreel/emulator/admission.py
@@ -1,8 +1,8 @@
-"""A group of members behind gates, in virtual time: step responses, fairness, limits beside each other.
+"""A group of endpoints behind admission controllers, in virtual time: step responses, fairness, limits.
 
-Requests come by a Poisson process, pass a gate, and queue at a member with cores of its own. The draw is the
-module's in outline only (even, with bounded load): what is tried here is the gate. The limits that lost
-against the one in `admission` are kept here, so that their curves can be drawn again.
+Requests arrive by a Poisson process, pass an admission controller, and queue at an endpoint with cores of its
+own. Endpoint selection is the router's in outline only (even, with bounded load): admission is what is tried
+here.
 """
 
 from __future__ import annotations
@@ -12,333 +12,301 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
+from functools import partial
 from itertools import count
+from typing import NamedTuple
 
-from juniperreel.admission import Admit, Arrival, Gate, Verdict
-from juniperreel.admission.concurrency import LEAST, START, Limit
-from juniperreel.routing.types import (
-    Consistency,
-    Idempotency,
-    KeyScope,
-    Prices,
-    RequestClass,
-    Settings,
-    StalenessGuard,
-    Tenant,
-)
-
-US = 1_000_000
-SPREAD = 0.4  # of the logarithm of a request's work
-BOUND = 1.25
-
-
-def request_class(name: str = "read", priority_weight: float = 1.0, **fields: object) -> RequestClass:
-    values: dict[str, object] = {
-        "name": name,
-        "idempotency": Idempotency.IDEMPOTENT,
-        "key_scope": KeyScope.ALL,
-        "deduplication_window_us": 0,
-        "consistency": Consistency.ANY,
-        "max_staleness_us": 0,
-        "latency_objective_us": 600_000,
-        "deadline_us": 2 * US,
-        "priority_weight": priority_weight,
-        "late_priority_weight": 0.2,
-    }
-    return RequestClass(**(values | fields))  # type: ignore[arg-type]
-
-
-def settings(
-    classes: tuple[RequestClass, ...] = (request_class(),),
-    tenants: tuple[Tenant, ...] = (),
-    router_count: int = 1,
-) -> Settings:
-    return Settings(
-        router_count=router_count,
-        zone=0,
-        classes=classes,
-        tenants=tenants,
-        over_quota_weight=1.0,
-        prices=Prices(),
-        max_attempts=4,
-        cancellation=True,
-        health_checks=True,
-        hedging=False,
-        retry_after_hints=True,
-        max_retry_after_us=US,
-        response_grace_us=0,
-        drain_grace_us=2 * US,
-        removed_endpoints_serve=False,
-        slow_start_initial_capacity=0.2,
-        slow_start_us=6 * US,
-        overload_multiple=2.0,
-        overload_window_us=2 * US,
-        must_poll=True,
-        poll_interval_us=0,
-        staleness_guard=StalenessGuard.REFUSE,
-        staleness_wait_us=0,
-        requests_carry_session_age=True,
-        responses_carry_position=True,
-        list_names_primary=True,
-    )
+from juniperreel.admission import Admission, AdmissionController, Arrival, Decision
+from juniperreel.admission.concurrency import ConcurrencyLimit
+from juniperreel.emulator.router_settings import SECOND_US
+from juniperreel.routing.types import Settings
+
+WORK_SIGMA = 0.4  # standard deviation of the logarithm of a request's work
+BOUNDED_LOAD = 1.25  # an endpoint above this multiple of the mean load gets no new request
+SAMPLE_INTERVAL_US = 50_000  # between two samples of the limits
+FAST_ERROR_US = 500  # until a fast error comes back
+NO_ENDPOINT_US = 20_000  # until a request without any endpoint to go to fails
+TIMEOUT_US = 200_000  # until the requests of an endpoint that died fail
+MAX_OPEN = 100_000
+FOREVER_US = 1 << 60
+
+
+class Result(Enum):
+    """How a request ended."""
+
+    SERVED = "served"
+    LATE = "late"  # served after its deadline
+    REJECTED = "rejected"
+    LOST = "lost"
+
+
+class QueuedJob(NamedTuple):
+    """A job in an endpoint's queue."""
+
+    job: int
+    work_us: int
 
 
 @dataclass(slots=True)
 class Server:
-    """One member: cores, and a queue in front of them."""
+    """One endpoint: cores, and a queue in front of them."""
 
     cores: int
     alive: bool = True
     speed: float = 1.0
     busy: int = 0
-    queue: deque[tuple[int, int]] = field(default_factory=deque)  # job, work
-    held: set[int] = field(default_factory=set)
+    queue: deque[QueuedJob] = field(default_factory=deque)
+    in_flight: set[int] = field(default_factory=set)
 
 
 @dataclass(slots=True)
 class Job:
-    gate: int
-    cls: int
-    tenant: int
-    came_us: int
+    """One request on its way."""
+
+    controller: int
+    class_index: int
+    tenant_index: int
+    arrived_us: int
     deadline_us: int
     work_us: int
     sent_us: int = 0
     server: int = -1
 
 
-@dataclass(slots=True)
-class Told:
-    """One request's end. `how`: served, late, turned or lost."""
+@dataclass(frozen=True, slots=True)
+class RequestEnd:
+    """The end of one request."""
+
+    ended_us: int
+    arrived_us: int
+    class_index: int
+    tenant_index: int
+    result: Result
+
+
+@dataclass(frozen=True, slots=True)
+class LimitSample:
+    """The limits of all controllers on the replicas, at a time."""
 
     at_us: int
-    came_us: int
-    cls: int
-    tenant: int
-    how: str
+    values: tuple[float, ...]
 
 
 @dataclass(slots=True)
 class Load:
-    """Arrivals of one kind: a rate a second, between two times."""
+    """Poisson arrivals of one kind, between two times."""
 
-    rate: float
-    cls: int = 0
-    tenant: int = -1
-    from_us: int = 0
-    to_us: int = 1 << 60
+    rate_per_s: float
+    class_index: int = 0
+    tenant_index: int = -1
+    start_us: int = 0
+    end_us: int = FOREVER_US
 
 
-class Model:
-    """One group. `at` plans changes; `run` plays, and leaves what happened in `told` and `limits`."""
+class AdmissionModel:
+    """One group of endpoints. `at` plans changes; `run` plays, and leaves `endings` and `limits`."""
 
     def __init__(
         self,
         settings: Settings,
         servers: list[Server],
         work_us: int = 45_000,
-        gates: int = 1,
+        controllers: int = 1,
         seed: int = 1,
-        limit: Callable[[float], Limit] = Limit,
-        guarded: bool = True,
+        make_limit: Callable[[float], ConcurrencyLimit] = ConcurrencyLimit,
+        admission_control: bool = True,
     ) -> None:
-        self.settings, self.servers, self.work_us = settings, servers, work_us
+        """Set up an idle group.
+
+        Args:
+            settings: of the routers.
+            servers: the endpoints.
+            work_us: mean work of a request, on one core.
+            controllers: how many edges share the endpoints.
+            seed: of arrivals, work and endpoint selection; each controller gets a seed of its own after it.
+            make_limit: makes a lane's limit from its minimum.
+            admission_control: without it every arrival is admitted.
+        """
+        self.settings = settings
+        self.servers = servers
+        self.work_us = work_us
         self.rng = random.Random(seed)
-        self.gates = [Gate(settings, 100_000, seed + n, limit) for n in range(gates)]
-        for gate in self.gates:
-            gate.members(0, len(servers) + 1)
-        self.guarded = guarded  # without it every arrival is let through
-        self.now = 0
+        self.controllers = [
+            AdmissionController(settings, MAX_OPEN, seed + number, make_limit)
+            for number in range(controllers)
+        ]
+        for controller in self.controllers:
+            controller.set_endpoint_count(0, len(servers) + 1)
+        self.admission_control = admission_control
+        self.now_us = 0
         self.jobs: dict[int, Job] = {}
-        self.told: list[Told] = []
-        self.limits: list[tuple[int, list[float]]] = []
+        self.endings: list[RequestEnd] = []
+        self.limits: list[LimitSample] = []
         self.fast_errors = 0.0  # part of requests that end at once with an error
-        self._heap: list[tuple[int, int, Callable[[], None]]] = []
-        self._order = count()
-        self._names = count()
+        self._timers: list[tuple[int, int, Callable[[], None]]] = []
+        self._timer_numbers = count()
+        self._job_numbers = count()
 
-    def at(self, time_us: int, what: Callable[[], None]) -> None:
-        heapq.heappush(self._heap, (time_us, next(self._order), what))
+    def at(self, time_us: int, action: Callable[[], None]) -> None:
+        """Do something at a time."""
+        heapq.heappush(self._timers, (time_us, next(self._timer_numbers), action))
 
     def load(self, load: Load) -> None:
+        """Start a Poisson process of arrivals."""
+
         def arrive() -> None:
             self._arrive(load)
-            again()
+            schedule_next()
 
-        def again() -> None:
-            due = max(self.now, load.from_us) + int(self.rng.expovariate(load.rate) * US)
-            if due < load.to_us:
-                self.at(due, arrive)
+        def schedule_next() -> None:
+            due_us = max(self.now_us, load.start_us) + int(self.rng.expovariate(load.rate_per_s) * SECOND_US)
+            if due_us < load.end_us:
+                self.at(due_us, arrive)
 
-        again()
+        schedule_next()
 
-    def burst(self, at_us: int, size: int, cls: int = 0, tenant: int = -1) -> None:
+    def burst(self, at_us: int, size: int, class_index: int = 0, tenant_index: int = -1) -> None:
+        """Plan `size` arrivals at once."""
+        load = Load(0.0, class_index, tenant_index)
         for _ in range(size):
-            self.at(at_us, lambda: self._arrive(Load(0.0, cls, tenant)))
+            self.at(at_us, partial(self._arrive, load))
 
     def run(self, until_us: int) -> None:
-        self._sample()
-        while self._heap and self._heap[0][0] <= until_us:
-            self.now, _, what = heapq.heappop(self._heap)
-            what()
-        self.now = until_us
-
-    def _sample(self) -> None:
-        values = [lane.limit.value for gate in self.gates for _, current, lane in gate.lanes() if not current]
-        self.limits.append((self.now, values))
-        self.at(self.now + 50_000, self._sample)
+        """Play until a time."""
+        self._sample_limits()
+        while self._timers and self._timers[0][0] <= until_us:
+            self.now_us, _, action = heapq.heappop(self._timers)
+            action()
+        self.now_us = until_us
+
+    def _sample_limits(self) -> None:
+        values = tuple(
+            lane.limit.value
+            for controller in self.controllers
+            for key, lane in controller.lanes()
+            if not key.primary
+        )
+        self.limits.append(LimitSample(self.now_us, values))
+        self.at(self.now_us + SAMPLE_INTERVAL_US, self._sample_limits)
 
     # Requests.
 
     def _arrive(self, load: Load) -> None:
-        name = next(self._names)
-        cls = self.settings.classes[load.cls]
-        gate = self.rng.randrange(len(self.gates))
-        work = int(self.work_us * self.rng.lognormvariate(-(SPREAD**2) / 2, SPREAD))
-        deadline = self.now + cls.deadline_us
-        self.jobs[name] = Job(gate, load.cls, load.tenant, self.now, deadline, work)
-        if not self.guarded:
-            self._send(name)
+        number = next(self._job_numbers)
+        request_class = self.settings.classes[load.class_index]
+        index = self.rng.randrange(len(self.controllers))
+        work_us = int(self.work_us * self.rng.lognormvariate(-(WORK_SIGMA**2) / 2, WORK_SIGMA))
+        deadline_us = self.now_us + request_class.deadline_us
+        job = Job(index, load.class_index, load.tenant_index, self.now_us, deadline_us, work_us)
+        self.jobs[number] = job
+        if not self.admission_control:
+            self._send(number)
             return
-        arrival = Arrival(str(name), load.cls, load.tenant, 0, self.now, deadline)
-        if self.gates[gate].glance(self.now, load.cls, load.tenant, 0, cls.deadline_us) is not None:
-            self._end(name, "turned")
+        rejection = self.controllers[index].reject_early(
+            self.now_us, load.class_index, load.tenant_index, 0, request_class.deadline_us
+        )
+        if rejection is not None:
+            self._end(number, Result.REJECTED)
             return
-        self._heed(gate, self.gates[gate].arrive(self.now, arrival))
+        arrival = Arrival(str(number), load.class_index, load.tenant_index, 0, self.now_us, deadline_us)
+        self._carry_out(index, self.controllers[index].on_arrival(self.now_us, arrival))
 
-    def _heed(self, gate: int, verdicts: list[Verdict]) -> None:
-        for verdict in verdicts:
-            if isinstance(verdict, Admit):
-                self._send(int(verdict.request))
+    def _carry_out(self, index: int, decisions: list[Decision]) -> None:
+        for decision in decisions:
+            if isinstance(decision, Admission):
+                self._send(int(decision.request))
             else:
-                self._end(int(verdict.request), "turned")
-        due = self.gates[gate].due_us()
-        if due is not None:
-            self.at(max(due, self.now), lambda: self._tick(gate))
-
-    def _tick(self, gate: int) -> None:
-        due = self.gates[gate].due_us()
-        if due is not None and due <= self.now:
-            self._heed(gate, self.gates[gate].tick(self.now))
-
-    def _send(self, name: int) -> None:
-        job = self.jobs[name]
+                self._end(int(decision.request), Result.REJECTED)
+        due_us = self.controllers[index].next_timer_us()
+        if due_us is not None:
+            self.at(max(due_us, self.now_us), partial(self._run_timer, index))
+
+    def _run_timer(self, index: int) -> None:
+        due_us = self.controllers[index].next_timer_us()
+        if due_us is not None and due_us <= self.now_us:
+            self._carry_out(index, self.controllers[index].on_timer(self.now_us))
+
+    def _send(self, number: int) -> None:
         if self.rng.random() < self.fast_errors:
-            self.at(self.now + 500, lambda: self._done(name, "lost", None))
+            self.at(self.now_us + FAST_ERROR_US, partial(self._finish, number, Result.LOST, None))
             return
-        alive = [i for i, s in enumerate(self.servers) if s.alive]
+        alive = [index for index, server in enumerate(self.servers) if server.alive]
         if not alive:
-            self.at(self.now + 20_000, lambda: self._done(name, "lost", None))
+            self.at(self.now_us + NO_ENDPOINT_US, partial(self._finish, number, Result.LOST, None))
             return
-        mean = sum(len(self.servers[i].held) for i in alive) / len(alive)
-        pool = [i for i in alive if len(self.servers[i].held) <= BOUND * mean + 1]
-        job.server, job.sent_us = self.rng.choice(pool), self.now
+        mean = sum(len(self.servers[index].in_flight) for index in alive) / len(alive)
+        eligible = [index for index in alive if len(self.servers[index].in_flight) <= BOUNDED_LOAD * mean + 1]
+        job = self.jobs[number]
+        job.server = self.rng.choice(eligible)
+        job.sent_us = self.now_us
         server = self.servers[job.server]
-        server.held.add(name)
-        server.queue.append((name, job.work_us))
-        self._serve(server)
+        server.in_flight.add(number)
+        server.queue.append(QueuedJob(number, job.work_us))
+        self._start_queued(server)
 
-    def _serve(self, server: Server) -> None:
+    def _start_queued(self, server: Server) -> None:
         while server.queue and server.busy < server.cores and server.alive:
-            name, work = server.queue.popleft()
-            if name not in server.held:
+            queued = server.queue.popleft()
+            if queued.job not in server.in_flight:
                 continue
             server.busy += 1
-            self.at(self.now + int(work / server.speed), lambda name=name: self._finish(server, name))  # type: ignore[misc]
+            done_us = self.now_us + int(queued.work_us / server.speed)
+            self.at(done_us, partial(self._complete, server, queued.job))
 
-    def _finish(self, server: Server, name: int) -> None:
-        if name not in server.held:
+    def _complete(self, server: Server, number: int) -> None:
+        if number not in server.in_flight:
             return
         server.busy -= 1
-        server.held.discard(name)
-        job = self.jobs[name]
-        self._done(name, "served" if self.now <= job.deadline_us else "late", self.now - job.sent_us)
-        self._serve(server)
-
-    def kill(self, number: int) -> None:
-        """Its requests are lost; they end as such after a while, as by a time-out."""
-        server = self.servers[number]
-        server.alive, server.busy = False, 0
-        for name in server.held:
-            self.at(self.now + 200_000, lambda name=name: self._done(name, "lost", None, True))  # type: ignore[misc]
-        server.held.clear()
+        server.in_flight.discard(number)
+        job = self.jobs[number]
+        result = Result.SERVED if self.now_us <= job.deadline_us else Result.LATE
+        self._finish(number, result, self.now_us - job.sent_us)
+        self._start_queued(server)
+
+    def kill(self, index: int) -> None:
+        """Kill an endpoint. Its requests are lost, and end as such after a time-out."""
+        server = self.servers[index]
+        server.alive = False
+        server.busy = 0
+        for number in server.in_flight:
+            self.at(self.now_us + TIMEOUT_US, partial(self._finish, number, Result.LOST, None, dropped=True))
+        server.in_flight.clear()
         server.queue.clear()
 
-    def _done(self, name: int, how: str, took_us: int | None, congested: bool = False) -> None:
-        gate = self.jobs[name].gate
-        self._end(name, how)
-        if self.guarded:
-            self._heed(gate, self.gates[gate].ended(self.now, str(name), took_us, congested))
-
-    def _end(self, name: int, how: str) -> None:
-        job = self.jobs.pop(name)
-        self.told.append(Told(self.now, job.came_us, job.cls, job.tenant, how))
+    def _finish(self, number: int, result: Result, took_us: int | None, dropped: bool = False) -> None:
+        index = self.jobs[number].controller
+        self._end(number, result)
+        if self.admission_control:
+            controller = self.controllers[index]
+            self._carry_out(index, controller.on_finished(self.now_us, str(number), took_us, dropped))
+
+    def _end(self, number: int, result: Result) -> None:
+        job = self.jobs.pop(number)
+        self.endings.append(
+            RequestEnd(self.now_us, job.arrived_us, job.class_index, job.tenant_index, result)
+        )
 
-    # What came out.
+    # Results.
 
     def rate(
-        self, how: str, from_us: int, to_us: int, tenant: int | None = None, cls: int | None = None
+        self,
+        result: Result,
+        start_us: int,
+        end_us: int,
+        tenant_index: int | None = None,
+        class_index: int | None = None,
     ) -> float:
-        """Ends of a kind a second, of requests that came between two times."""
-        found = sum(
-            t.how == how
-            and from_us <= t.came_us < to_us
-            and tenant in (None, t.tenant)
-            and cls in (None, t.cls)
-            for t in self.told
+        """Return how many requests a second ended so, of those that arrived between two times."""
+        matching = sum(
+            end.result is result
+            and start_us <= end.arrived_us < end_us
+            and tenant_index in (None, end.tenant_index)
+            and class_index in (None, end.class_index)
+            for end in self.endings
         )
-        return found / (to_us - from_us) * US
-
-    def total_limit(self, from_us: int, to_us: int) -> list[float]:
-        return [sum(values) for at, values in self.limits if from_us <= at < to_us]
-
-
-# The limits that lost; docs/design/admission.md tells why.
-
-
-class Fixed(Limit):
-    """Somebody's guess, never changed."""
-
-    def _sample(self, now: int, ratio: float, took_us: int, in_hand: int) -> None:
-        return
-
-
-class Gradient(Limit):
-    """Short-term over long-term response time, with a queue of the limit's root (Netflix's Gradient2)."""
-
-    def __init__(self, least: float = LEAST, start: float = START) -> None:
-        super().__init__(least, start)
-        self._long = 0.0
-
-    def _sample(self, now: int, ratio: float, took_us: int, in_hand: int) -> None:
-        self.ratio = 0.9 * self.ratio + 0.1 * ratio if self.ratio else ratio
-        self._long = 0.998 * self._long + 0.002 * ratio if self._long else ratio
-        if in_hand < self.value / 2:
-            return
-        gradient = max(0.5, min(1.0, 1.5 * self._long / self.ratio))
-        wanted = self.value * gradient + self.value**0.5
-        self.value = max(self.least, 0.8 * self.value + 0.2 * wanted)
-
-
-class Vegas(Limit):
-    """Queue estimated from the least response time ever seen (Brakmo and Peterson, 1995)."""
-
-    def __init__(self, least: float = LEAST, start: float = START) -> None:
-        super().__init__(least, start)
-        self._best = 1e9
-
-    def _sample(self, now: int, ratio: float, took_us: int, in_hand: int) -> None:
-        self.ratio = 0.9 * self.ratio + 0.1 * ratio if self.ratio else ratio
-        self._best = min(self._best, ratio)
-        queue = self.value * (1 - self._best / self.ratio)
-        if queue < 3 and in_hand > self.value / 2:
-            self.value += 1 / self.value
-        elif queue > 6:
-            self.value = max(self.least, self.value - 1 / self.value)
-
+        return matching / (end_us - start_us) * SECOND_US
 
-LOSERS: dict[str, Callable[[float], Limit]] = {
-    "fixed": Fixed,
-    "gradient": Gradient,
-    "vegas": Vegas,
-}
+    def total_limits(self, start_us: int, end_us: int) -> list[float]:
+        """Return the samples of the sum of all limits between two times."""
+        return [sum(sample.values) for sample in self.limits if start_us <= sample.at_us < end_us]
--- a/juniperreel/emulator/spread.py
+++ b/juniperreel/emulator/spread.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from juniperreel.emulator import admission
+from juniperreel.emulator.router_settings import make_settings
 from juniperreel.routing.policy.router import Router
 from juniperreel.routing.types import (
     Action,
@@ -73,7 +73,7 @@
         "staleness_guard": StalenessGuard.OFF,
         "requests_carry_session_age": False,
     }
-    return replace(admission.settings((read,), router_count=drivers), **(ours | changes))
+    return replace(make_settings((read,), router_count=drivers), **(ours | changes))
 
 
 @dataclass(slots=True)
--- a/juniperreel/proxy/driver.py
+++ b/juniperreel/proxy/driver.py
@@ -18,7 +18,7 @@
 
 import trio
 
-from juniperreel.admission import Admit, Arrival, Gate, Turn, Verdict
+from juniperreel.admission import Admission, AdmissionController, Arrival, Decision, Rejection
 from juniperreel.causal import Token
 from juniperreel.net import Clock, ConnectError, Network, Pace
 from juniperreel.net.clock import US
@@ -142,7 +142,7 @@
         rng = random.Random(options.seed)
         super().__init__(options.router, rng.getrandbits(64))
         self.options, self.clock, self.log, self.metrics, self.traces = options, clock, log, metrics, traces
-        self.gate = Gate(options.router, options.max_open, options.seed)
+        self.admission = AdmissionController(options.router, options.max_open, options.seed)
         self._pace = pace
         self._parked: dict[str, Open] = {}  # at the gate
         self.positions = Positions(options.skew_us)
@@ -188,7 +188,7 @@
 
     async def drain(self) -> None:
         """Take no more; return when every request in hand has its answer and no attempt is out."""
-        self.gate.stopping = True
+        self.admission.shutting_down = True
         while self._open or self._parked:
             self._idle = trio.Event()
             await self._idle.wait()
@@ -214,7 +214,7 @@
             work.deadline_us - self.options.answer_margin_us,
             work.repeat,
         )
-        self._heed(self.gate.arrive(now, arrival))
+        self._heed(self.admission.on_arrival(now, arrival))
         return item.answer if isinstance(item.answer, Refused) else item
 
     async def answer(self, item: Open) -> Answer:
@@ -233,7 +233,7 @@
         if item.answer is not None:
             return
         if self._parked.pop(item.work.id, None) is not None:
-            self._heed(self.gate.gone(self.clock.now_us(), item.work.id))
+            self._heed(self.admission.on_client_disconnected(self.clock.now_us(), item.work.id))
             self._settle()
         else:
             self.enqueue(ClientDisconnected(item.work.id))
@@ -241,24 +241,25 @@
     def glance(self, cls: int, tenant: int, group: int, deadline_us: int) -> Refused | None:
         """Whether a request would be turned away on its arrival: asked before anything is spent on it."""
         now = self.clock.now_us()
-        turn = self.gate.glance(now, cls, tenant, group, deadline_us - self.options.answer_margin_us - now)
+        remaining_us = deadline_us - self.options.answer_margin_us - now
+        turn = self.admission.reject_early(now, cls, tenant, group, remaining_us)
         if turn is None:
             return None
         self.metrics.reject(turn.reason).inc()
-        return Refused(turn.reason, turn.wait_us, local=True)
+        return Refused(turn.reason, turn.retry_after_us, local=True)
 
-    def _heed(self, verdicts: list[Verdict]) -> None:
+    def _heed(self, verdicts: list[Decision]) -> None:
         """Carries out what the gate says."""
         for verdict in verdicts:
             item = self._parked.pop(verdict.request, None)
             match verdict:
-                case Admit(name):
+                case Admission(name):
                     if item is not None:
                         self._open[name] = item
                         self.enqueue(item)
                     else:
-                        self._heed(self.gate.ended(self.clock.now_us(), name, None))
-                case Turn(_, reason, wait):
+                        self._heed(self.admission.on_finished(self.clock.now_us(), name, None))
+                case Rejection(_, reason, wait):
                     self.metrics.reject(reason).inc()
                     if item is not None:
                         item.answer = Refused(reason, wait, local=True)
@@ -287,14 +288,14 @@
             self._turn()
 
     def _due_us(self) -> int | None:
-        times = (self.next_timer_us(), self.gate.due_us())
+        times = (self.next_timer_us(), self.admission.next_timer_us())
         return min((due for due in times if due is not None), default=None)
 
     def _turn(self) -> None:
         now = self.clock.now_us()
         if self._pace is not None:
-            self.gate.lag(now, self._pace.late_us())
-        self._heed(self.gate.tick(now))
+            self.admission.on_loop_lag(now, self._pace.late_us())
+        self._heed(self.admission.on_timer(now))
         if self.process_batch(now):
             self.metrics.batches.inc()
 
@@ -488,7 +489,7 @@
                 self.links.retire(member)
         counts = Counter(group for member, group in self._groups.items() if member not in self._gone)
         for group, members in counts.items():
-            self.gate.members(group, members)
+            self.admission.set_endpoint_count(group, members)
         if told.kind in (UpdateKind.SNAPSHOT, UpdateKind.DELTA):
             self._list_changed.set()
         return EndpointUpdate(told.kind, tuple(h.member(self.options.skew_us) for h in told.hosts))
@@ -521,12 +522,12 @@
                 self.links.gauges()
             self.metrics.open.set(len(self._open))
             self.metrics.parked.set(len(self._parked))
-            self.metrics.program_limit.set(self.gate.program.value)
-            for group, current, lane in self.gate.lanes():
+            self.metrics.program_limit.set(self.admission.process_limit.value)
+            for (group, current), lane in self.admission.lanes():
                 names = (str(group), "primary" if current else "replicas")
                 self.metrics.lane_limit.labels(*names).set(lane.limit.value)
-                self.metrics.lane_in_hand.labels(*names).set(lane.in_hand)
-                self.metrics.lane_waiting.labels(*names).set(lane.waiting)
+                self.metrics.lane_in_hand.labels(*names).set(lane.in_flight)
+                self.metrics.lane_waiting.labels(*names).set(lane.queued)
             self.metrics.members.labels("known").set(len(self._groups) - len(self._gone))
             self.metrics.members.labels("gone").set(len(self._gone))
 
@@ -600,7 +601,7 @@
             item.done.set()
             lost = isinstance(answer, (Refused, Failed)) and item.last in CONGESTED
             took = item.took_us if isinstance(answer, Served) else None
-            self._heed(self.gate.ended(self.clock.now_us(), item.work.id, took, lost))
+            self._heed(self.admission.on_finished(self.clock.now_us(), item.work.id, took, lost))
             self.log.debug(
                 "answered", request=item.work.id, answer=type(answer).__name__, attempts=item.attempts
             )
--- a/tests/admission/test_controller.py
+++ b/tests/admission/test_controller.py
@@ -1,219 +1,261 @@
-"""The gate by events: who is let through, who waits, who is turned away, and that nobody is forgotten."""
+"""The admission controller by events: each request is admitted, queued or rejected, and none is forgotten."""
 
 from __future__ import annotations
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from juniperreel.admission import Admit, Arrival, Gate, Turn
-from juniperreel.admission.controller import FULL, LATE, PROGRAM, PUSHED, STOPPING, WAITED
-from juniperreel.emulator.admission import Fixed, request_class
-from juniperreel.emulator.admission import settings as gate_settings
-from juniperreel.routing.types import (
-    Consistency,
-    Tenant,
+from juniperreel.admission import (
+    Admission,
+    AdmissionController,
+    Arrival,
+    Decision,
+    Rejection,
+    RejectionReason,
 )
+from juniperreel.admission.controlled_delay import QueueKey
+from juniperreel.admission.quota import QuotaStanding
+from juniperreel.emulator.limit_alternatives import FixedLimit
+from juniperreel.emulator.router_settings import SECOND_US, make_request_class, make_settings
+from juniperreel.routing.types import Consistency, Tenant
 
-US = 1_000_000
 CLASSES = (
-    request_class("cheap", 1.0),
-    request_class("dear", 5.0),
-    request_class("write", 4.0, consistency=Consistency.WRITE),
+    make_request_class("cheap", 1.0),
+    make_request_class("dear", 5.0),
+    make_request_class("write", 4.0, consistency=Consistency.WRITE),
 )
 TENANTS = (Tenant("big", 0.7, 0.0), Tenant("small", 0.3, 0.0))
 
 
-def gate(most: int = 1000) -> Gate:
-    made = Gate(gate_settings(CLASSES, TENANTS), most, seed=1, limit=Fixed)
-    made.members(0, 4)
-    return made
+BIG = 0  # indices into TENANTS
+SMALL = 1
+CHEAP = 0  # indices into CLASSES
+DEAR = 1
+WRITE = 2
 
 
-def arrival(name: str, cls: int = 0, tenant: int = 0, group: int = 0, at: int = 0, **more: object) -> Arrival:
-    fields: dict[str, object] = {"deadline_us": at + 2 * US} | more
-    return Arrival(name, cls, tenant, group, at, **fields)  # type: ignore[arg-type]
+def make_controller(max_open: int = 1000) -> AdmissionController:
+    controller = AdmissionController(make_settings(CLASSES, TENANTS), max_open, seed=1, make_limit=FixedLimit)
+    controller.set_endpoint_count(0, 4)
+    return controller
 
 
-def fill(g: Gate, cls: int = 0, group: int = 0, at: int = 0) -> int:
-    """Until the lane is full; how many that took."""
+def make_arrival(
+    name: str,
+    class_index: int = CHEAP,
+    tenant_index: int = BIG,
+    group: int = 0,
+    at_us: int = 0,
+    deadline_us: int | None = None,
+    bypasses_limits: bool = False,
+) -> Arrival:
+    if deadline_us is None:
+        deadline_us = at_us + 2 * SECOND_US
+    return Arrival(
+        name, class_index, tenant_index, group, at_us, deadline_us, bypasses_limits=bypasses_limits
+    )
+
+
+def fill(controller: AdmissionController, class_index: int = CHEAP, group: int = 0, at_us: int = 0) -> int:
+    """Admission requests until the lane is full; return how many."""
     count = 0
-    while g.lane(group, CLASSES[cls]).room:
-        (verdict,) = g.arrive(at, arrival(f"f{group}.{cls}.{count}", cls, group=group, at=at))
-        assert isinstance(verdict, Admit)
+    while controller.lane(group, CLASSES[class_index]).has_capacity:
+        name = f"f{group}.{class_index}.{count}"
+        (decision,) = controller.on_arrival(at_us, make_arrival(name, class_index, group=group, at_us=at_us))
+        assert isinstance(decision, Admission)
         count += 1
     return count
 
 
-def test_a_calm_gate_lets_everybody_through_at_once() -> None:
-    g = gate()
-    assert g.arrive(0, arrival("a")) == [Admit("a")]
-    assert g.in_hand == 1 and g.waiting == 0
-    assert g.ended(45_000, "a", 45_000) == []
-    assert g.in_hand == 0
-
-
-def test_one_who_waits_is_let_through_when_one_ends() -> None:
-    g = gate()
-    fill(g)
-    assert g.arrive(0, arrival("late-comer")) == []
-    assert g.waiting == 1
-    assert g.ended(45_000, "f0.0.0", 45_000) == [Admit("late-comer")]
-
-
-def test_a_full_lane_holds_back_no_other() -> None:
-    g = gate()
-    fill(g)
-    g.arrive(0, arrival("waits"))
-    assert g.arrive(0, arrival("other-group", group=1)) == [Admit("other-group")]
-    assert g.arrive(0, arrival("a-write", 2)) == [Admit("a-write")], "the primary is not the replicas"
-
-
-def test_whoever_waits_too_long_is_told_so_before_its_deadline() -> None:
-    g = gate()
-    fill(g)
-    g.arrive(0, arrival("waits"))
-    due = g.due_us()
-    assert due is not None and due < CLASSES[0].latency_objective_us
-    assert g.tick(due // 2) == []
-    (turn,) = g.tick(due)
-    assert isinstance(turn, Turn) and turn.request == "waits" and turn.reason == WAITED and turn.wait_us > 0
-    assert g.waiting == 0
-
-
-def test_a_deadline_nearer_than_the_sojourn_is_kept() -> None:
-    g = gate()
-    fill(g)
-    g.arrive(0, arrival("hurried", deadline_us=60_000))
-    due = g.due_us()
-    assert due is not None and due < 60_000
-    (turn,) = g.tick(due)
-    assert isinstance(turn, Turn) and turn.reason == WAITED
-
-
-def test_what_is_too_late_already_is_turned_away_at_once() -> None:
-    (turn,) = gate().arrive(0, arrival("dead", deadline_us=5_000))
-    assert isinstance(turn, Turn) and turn.reason == LATE
-
-
-def steady(g: Gate, gap_us: int, turns: int = 60) -> int:
-    """The lane stays full and ends one each gap, so that its speed is known. Returns the time."""
-    fill(g)
-    now = 0
-    for n in range(turns):
-        now += gap_us
-        oldest = next(iter(g._in_hand))
-        g.arrive(now, arrival(f"s{n}", at=now))
-        g.ended(now, oldest, 130_000)
-    return now
-
-
-def test_a_queue_that_would_take_too_long_takes_no_more() -> None:
-    g = gate()
-    now = steady(g, 20_000)
-    outcomes = [g.arrive(now, arrival(f"q{n}", at=now)) for n in range(40)]
-    waiting = sum(o == [] for o in outcomes)
-    assert 0 < waiting <= 0.5 * CLASSES[0].latency_objective_us / 20_000
-    assert all(isinstance(o[0], Turn) for o in outcomes if o)
-    glance = g.glance(now, 0, 0, 0, 2 * US)
-    assert glance is not None and glance.reason == FULL
-
-
-def test_the_worthier_push_out_the_others_and_go_first() -> None:
-    g = gate()
-    now = steady(g, 20_000)
-    while not g.arrive(now, arrival(f"cheap{g.waiting}", at=now)):
+def test_arrival_with_capacity_is_admitted_at_once() -> None:
+    controller = make_controller()
+    assert controller.on_arrival(0, make_arrival("a")) == [Admission("a")]
+    assert controller.in_flight == 1
+    assert controller.queued == 0
+    assert controller.on_finished(45_000, "a", 45_000) == []
+    assert controller.in_flight == 0
+
+
+def test_queued_request_when_another_finishes_is_admitted() -> None:
+    controller = make_controller()
+    fill(controller)
+    assert controller.on_arrival(0, make_arrival("late-comer")) == []
+    assert controller.queued == 1
+    assert controller.on_finished(45_000, "f0.0.0", 45_000) == [Admission("late-comer")]
+
+
+def test_full_lane_does_not_hold_back_other_lanes() -> None:
+    controller = make_controller()
+    fill(controller)
+    controller.on_arrival(0, make_arrival("waits"))
+    assert controller.on_arrival(0, make_arrival("other-group", group=1)) == [Admission("other-group")]
+    assert controller.on_arrival(0, make_arrival("a-write", WRITE)) == [Admission("a-write")], (
+        "the primary is not the replicas"
+    )
+
+
+def test_queued_request_after_its_sojourn_is_rejected() -> None:
+    controller = make_controller()
+    fill(controller)
+    controller.on_arrival(0, make_arrival("waits"))
+    due_us = controller.next_timer_us()
+    assert due_us is not None
+    assert due_us < CLASSES[0].latency_objective_us
+    assert controller.on_timer(due_us // 2) == []
+    (rejection,) = controller.on_timer(due_us)
+    assert isinstance(rejection, Rejection)
+    assert rejection.request == "waits"
+    assert rejection.reason is RejectionReason.QUEUED_TOO_LONG
+    assert rejection.retry_after_us > 0
+    assert controller.queued == 0
+
+
+def test_queued_request_with_deadline_before_its_sojourn_is_rejected_before_the_deadline() -> None:
+    controller = make_controller()
+    fill(controller)
+    controller.on_arrival(0, make_arrival("hurried", deadline_us=60_000))
+    due_us = controller.next_timer_us()
+    assert due_us is not None
+    assert due_us < 60_000
+    (rejection,) = controller.on_timer(due_us)
+    assert isinstance(rejection, Rejection)
+    assert rejection.reason is RejectionReason.QUEUED_TOO_LONG
+
+
+def test_arrival_too_close_to_its_deadline_is_rejected_at_once() -> None:
+    (rejection,) = make_controller().on_arrival(0, make_arrival("dead", deadline_us=5_000))
+    assert isinstance(rejection, Rejection)
+    assert rejection.reason is RejectionReason.DEADLINE_TOO_CLOSE
+
+
+def complete_at_rate(controller: AdmissionController, gap_us: int, completions: int = 60) -> int:
+    """Keep the lane full and end one request each gap, so that its rate is known; return the time."""
+    fill(controller)
+    now_us = 0
+    for n in range(completions):
+        now_us += gap_us
+        oldest = next(iter(controller._in_flight))
+        controller.on_arrival(now_us, make_arrival(f"s{n}", at_us=now_us))
+        controller.on_finished(now_us, oldest, 130_000)
+    return now_us
+
+
+def test_arrival_behind_a_long_queue_is_rejected() -> None:
+    controller = make_controller()
+    now_us = complete_at_rate(controller, 20_000)
+    outcomes = [controller.on_arrival(now_us, make_arrival(f"q{n}", at_us=now_us)) for n in range(40)]
+    queued = sum(outcome == [] for outcome in outcomes)
+    assert 0 < queued <= 0.5 * CLASSES[0].latency_objective_us / 20_000
+    assert all(isinstance(outcome[0], Rejection) for outcome in outcomes if outcome)
+    early = controller.reject_early(now_us, 0, 0, 0, 2 * SECOND_US)
+    assert early is not None
+    assert early.reason is RejectionReason.GROUP_AT_LIMIT
+
+
+def test_arrivals_of_higher_weight_push_out_lower_ones_and_go_first() -> None:
+    controller = make_controller()
+    now_us = complete_at_rate(controller, 20_000)
+    while not controller.on_arrival(now_us, make_arrival(f"cheap{controller.queued}", at_us=now_us)):
         pass
-    pushed = []
+    decisions: list[Decision] = []
     for n in range(40):
-        pushed += g.arrive(now, arrival(f"dear{n}", 1, at=now))
-    refused = [v for v in pushed if isinstance(v, Turn)]
-    assert refused and refused[0].request.startswith("cheap") and refused[0].reason == PUSHED
-    oldest = next(iter(g._in_hand))
-    assert Admit("dear0") in g.ended(now + 1, oldest, 130_000)
-
-
-def test_a_tenant_over_its_share_waits_behind_the_others() -> None:
-    g = gate()
-    fill(g)
-    lane = g.lane(0, CLASSES[0])
+        decisions += controller.on_arrival(now_us, make_arrival(f"dear{n}", DEAR, at_us=now_us))
+    rejected = [decision for decision in decisions if isinstance(decision, Rejection)]
+    assert rejected
+    assert rejected[0].request.startswith("cheap")
+    assert rejected[0].reason is RejectionReason.OUTRANKED
+    oldest = next(iter(controller._in_flight))
+    assert Admission("dear0") in controller.on_finished(now_us + 1, oldest, 130_000)
+
+
+def test_tenant_over_its_quota_is_queued_behind_the_others() -> None:
+    controller = make_controller()
+    fill(controller)
+    lane = controller.lane(0, CLASSES[0])
     for _ in range(600):  # the small tenant asks for all there is, and gets it
-        lane.came(0, 1, 1.0, turned=False)
-        lane.pass_one(1)
-        lane.in_hand -= 1
-    assert (lane.claim(0), lane.claim(1)) == (2, 0)
-    g.arrive(0, arrival("small", tenant=1))
-    g.arrive(1, arrival("big", tenant=0, at=1))
-    assert g.ended(45_000, "f0.0.0", 45_000)[0] == Admit("big")
-
-
-def test_whoever_asks_no_more_than_its_share_goes_before_who_was_given_little() -> None:
-    lane = gate().lane(0, CLASSES[0])
+        lane.on_arrival(0, QueueKey(SMALL, 1.0), rejected=False)
+        lane.on_admission(SMALL)
+        lane.in_flight -= 1
+    assert lane.standing(BIG) is QuotaStanding.WITHIN_QUOTA
+    assert lane.standing(SMALL) is QuotaStanding.OVER_QUOTA
+    controller.on_arrival(0, make_arrival("small", tenant_index=SMALL))
+    controller.on_arrival(1, make_arrival("big", tenant_index=BIG, at_us=1))
+    assert controller.on_finished(45_000, "f0.0.0", 45_000)[0] == Admission("big")
+
+
+def test_tenant_within_quota_ranks_before_underserved_tenant() -> None:
+    lane = make_controller().lane(0, CLASSES[0])
     for n in range(4000):  # the big tenant asks ten times as often as it is served; both get their shares
         for _ in range(10):
-            lane.came(0, 0, 1.0, turned=True)
+            lane.on_arrival(0, QueueKey(BIG, 1.0), rejected=True)
         if n % 10 < 2:
-            lane.came(0, 1, 1.0, turned=False)
-        lane.pass_one(0 if n % 10 < 7 else 1)
-    assert (lane.claim(0), lane.claim(1)) == (1, 2)
-    assert lane.claim(-1) == 0
+            lane.on_arrival(0, QueueKey(SMALL, 1.0), rejected=False)
+        lane.on_admission(BIG if n % 10 < 7 else SMALL)
+    assert lane.standing(BIG) is QuotaStanding.UNDERSERVED
+    assert lane.standing(SMALL) is QuotaStanding.WITHIN_QUOTA
+    assert lane.standing(-1) is QuotaStanding.OVER_QUOTA
 
 
-def test_commits_pass_whatever_is_full() -> None:
-    g = gate(most=4)
+def test_arrival_that_bypasses_limits_is_admitted_when_all_is_full() -> None:
+    controller = make_controller(max_open=4)
     for n in range(4):
-        g.arrive(0, arrival(f"a{n}"))
-    (turn,) = g.arrive(0, arrival("no"))
-    assert isinstance(turn, Turn) and turn.reason == PROGRAM
-    assert g.arrive(0, arrival("commit", must=True)) == [Admit("commit")]
-
-
-def test_a_stopping_gate_takes_nothing_and_finishes_what_it_has() -> None:
-    g = gate()
-    fill(g)
-    g.arrive(0, arrival("waits"))
-    g.stopping = True
-    (turn,) = g.arrive(0, arrival("new"))
-    assert isinstance(turn, Turn) and turn.reason == STOPPING
-    assert g.ended(45_000, "f0.0.0", 45_000) == [Admit("waits")]
-
-
-def test_a_client_that_leaves_the_queue_is_forgotten() -> None:
-    g = gate()
-    fill(g)
-    g.arrive(0, arrival("left"))
-    g.arrive(0, arrival("stays"))
-    assert g.gone(10, "left") == [] and g.waiting == 1
-    assert g.ended(45_000, "f0.0.0", 45_000) == [Admit("stays")]
-
-
-def test_waits_of_those_turned_away_together_are_spread() -> None:
-    g = gate(most=1)
-    g.arrive(0, arrival("a"))
+        controller.on_arrival(0, make_arrival(f"a{n}"))
+    (rejection,) = controller.on_arrival(0, make_arrival("no"))
+    assert isinstance(rejection, Rejection)
+    assert rejection.reason is RejectionReason.PROCESS_AT_LIMIT
+    assert controller.on_arrival(0, make_arrival("commit", bypasses_limits=True)) == [Admission("commit")]
+
+
+def test_controller_shutting_down_rejects_arrivals_and_admits_its_queue() -> None:
+    controller = make_controller()
+    fill(controller)
+    controller.on_arrival(0, make_arrival("waits"))
+    controller.shutting_down = True
+    (rejection,) = controller.on_arrival(0, make_arrival("new"))
+    assert isinstance(rejection, Rejection)
+    assert rejection.reason is RejectionReason.SHUTTING_DOWN
+    assert controller.on_finished(45_000, "f0.0.0", 45_000) == [Admission("waits")]
+
+
+def test_queued_request_of_disconnected_client_is_forgotten() -> None:
+    controller = make_controller()
+    fill(controller)
+    controller.on_arrival(0, make_arrival("disconnects"))
+    controller.on_arrival(0, make_arrival("stays"))
+    assert controller.on_client_disconnected(10, "disconnects") == []
+    assert controller.queued == 1
+    assert controller.on_finished(45_000, "f0.0.0", 45_000) == [Admission("stays")]
+
+
+def test_retry_after_of_requests_rejected_together_is_spread() -> None:
+    controller = make_controller(max_open=1)
+    controller.on_arrival(0, make_arrival("a"))
     waits = []
     for n in range(200):
-        (turn,) = g.arrive(0, arrival(f"t{n}"))
-        assert isinstance(turn, Turn)
-        waits.append(turn.wait_us)
-    assert max(waits[100:]) > 1.8 * min(waits[100:]) and max(waits) <= US
-    assert sum(waits[150:]) > sum(waits[:50]), "the more are turned away, the longer they wait"
+        (rejection,) = controller.on_arrival(0, make_arrival(f"t{n}"))
+        assert isinstance(rejection, Rejection)
+        waits.append(rejection.retry_after_us)
+    assert max(waits[100:]) > 1.8 * min(waits[100:])
+    assert max(waits) <= SECOND_US
+    assert sum(waits[150:]) > sum(waits[:50]), "the more are rejected, the longer they wait"
 
 
-def test_a_slow_loop_lets_less_be_in_hand_and_recovers() -> None:
-    g = gate(most=5000)
+def test_process_limit_falls_with_loop_lag_and_recovers() -> None:
+    controller = make_controller(max_open=5000)
     for n in range(200):
-        g.arrive(0, arrival(f"a{n}", group=n))
+        controller.on_arrival(0, make_arrival(f"a{n}", group=n))
     for step in range(1, 40):
-        g.lag(step * 100_000, 300_000)
-    assert g.program.value < 20
+        controller.on_loop_lag(step * 100_000, 300_000)
+    assert controller.process_limit.value < 20
     for n in range(200):
-        g.ended(4 * US, f"a{n}", 45_000)
+        controller.on_finished(4 * SECOND_US, f"a{n}", 45_000)
     for step in range(41, 400):
-        for n in range(int(g.program.value)):
-            g.arrive(step * 100_000, arrival(f"b{step}.{n}", group=n, at=step * 100_000))
-        g.lag(step * 100_000, 1_000)
-        for n in range(int(g.program.value) + 1):
-            g.ended(step * 100_000, f"b{step}.{n}", 45_000)
-    assert g.program.value > 20
+        for n in range(int(controller.process_limit.value)):
+            controller.on_arrival(step * 100_000, make_arrival(f"b{step}.{n}", group=n, at_us=step * 100_000))
+        controller.on_loop_lag(step * 100_000, 1_000)
+        for n in range(int(controller.process_limit.value) + 1):
+            controller.on_finished(step * 100_000, f"b{step}.{n}", 45_000)
+    assert controller.process_limit.value > 20
 
 
 STEP = st.one_of(
@@ -228,60 +270,93 @@
 )
 
 
-@settings(max_examples=150, deadline=None)
-@given(st.lists(STEP, max_size=120), st.integers(1, 40))
-def test_everybody_gets_one_verdict_in_time(steps: list[tuple[object, ...]], most: int) -> None:
-    """Conservation: whoever arrives is let through, turned away, or has left; once, and in time."""
-    g = gate(most)
-    now, names = 0, 0
-    verdict_of: dict[str, object] = {}
-    deadline_of: dict[str, int] = {}
-    in_hand: list[str] = []
-
-    def heed(verdicts: list[object]) -> None:
-        for v in verdicts:
-            assert isinstance(v, (Admit, Turn))
-            assert v.request not in verdict_of, "a second verdict"
-            verdict_of[v.request] = v
-            if isinstance(v, Admit):
-                in_hand.append(v.request)
-                assert now <= deadline_of[v.request], "let through when it was too late"
+class AdmissionHistory:
+    """A controller, and the decisions that it has made on every request so far."""
+
+    def __init__(self, max_open: int) -> None:
+        self.controller = make_controller(max_open)
+        self.now_us = 0
+        self.by_request: dict[str, Decision | None] = {}  # None: its client has disconnected
+        self.in_flight: list[str] = []
+        self._max_open = max_open
+        self._deadlines_us: dict[str, int] = {}  # of all requests, in the order of their arrival
+
+    @property
+    def requests(self) -> list[str]:
+        return list(self._deadlines_us)
+
+    def record(self, decisions: list[Decision]) -> None:
+        """Check that each request gets one decision at most, and is not admitted too late."""
+        for decision in decisions:
+            assert isinstance(decision, Admission | Rejection)
+            assert decision.request not in self.by_request, "a second decision"
+            self.by_request[decision.request] = decision
+            if isinstance(decision, Admission):
+                self.in_flight.append(decision.request)
+                assert self.now_us <= self._deadlines_us[decision.request], "admitted when it was too late"
             else:
-                assert 0 <= v.wait_us <= US
+                assert 0 <= decision.retry_after_us <= SECOND_US
 
-    for step in steps:
+    def apply(self, step: tuple[object, ...]) -> None:
         match step:
-            case ("arrive", int(cls), int(tenant), int(group), int(left)):
-                name = f"r{names}"
-                names += 1
-                deadline_of[name] = now + left * 1000
-                g.glance(now, cls, tenant, group, left * 1000)
-                heed(g.arrive(now, Arrival(name, cls, tenant, group, now, now + left * 1000)))  # type: ignore[arg-type]
-            case ("end", int(which), how) if in_hand:
-                name = in_hand.pop(which % len(in_hand))
-                heed(g.ended(now, name, 50_000 if how == "served" else None, how == "lost"))  # type: ignore[arg-type]
-            case ("gone", int(which)) if names:
-                name = f"r{which % names}"
-                if name not in verdict_of:
-                    verdict_of[name] = None
-                    heed(g.gone(now, name))  # type: ignore[arg-type]
-            case ("time", int(span)):
-                end = now + span
-                while (due := g.due_us()) is not None and due <= end:
-                    now = max(now, due)
-                    heed(g.tick(now))  # type: ignore[arg-type]
-                now = end
-            case ("lag", int(lag)):
-                g.lag(now, lag)
+            case ("arrive", int(class_index), int(tenant_index), int(group), int(remaining_ms)):
+                self._arrive(class_index, tenant_index, group, remaining_ms * 1000)
+            case ("end", int(which), str(how)) if self.in_flight:
+                self.finish(self.in_flight[which % len(self.in_flight)], how)
+            case ("gone", int(which)) if self._deadlines_us:
+                self._disconnect(self.requests[which % len(self._deadlines_us)])
+            case ("time", int(span_us)):
+                self._advance(span_us)
+            case ("lag", int(lag_us)):
+                self.controller.on_loop_lag(self.now_us, lag_us)
             case ("members", int(group), int(count)):
-                g.members(group, count)
-        assert g.in_hand == len(in_hand)
-        assert g.waiting == sum(f"r{n}" not in verdict_of for n in range(names))
-        assert g.in_hand + g.waiting <= most
-        for _, _, lane in g.lanes():
-            assert lane.limit.least <= lane.limit.value and lane.in_hand >= 0
-    now += 3 * US
-    heed(g.tick(now))  # type: ignore[arg-type]
-    for name in list(in_hand):
-        heed(g.ended(now, name, None))  # type: ignore[arg-type]
-    assert g.waiting == 0 and all(f"r{n}" in verdict_of for n in range(names))
+                self.controller.set_endpoint_count(group, count)
+
+    def _arrive(self, class_index: int, tenant_index: int, group: int, remaining_us: int) -> None:
+        name = f"r{len(self._deadlines_us)}"
+        deadline_us = self.now_us + remaining_us
+        self._deadlines_us[name] = deadline_us
+        self.controller.reject_early(self.now_us, class_index, tenant_index, group, remaining_us)
+        arrival = Arrival(name, class_index, tenant_index, group, self.now_us, deadline_us)
+        self.record(self.controller.on_arrival(self.now_us, arrival))
+
+    def finish(self, name: str, how: str) -> None:
+        self.in_flight.remove(name)
+        response_time_us = 50_000 if how == "served" else None
+        self.record(self.controller.on_finished(self.now_us, name, response_time_us, how == "lost"))
+
+    def _disconnect(self, name: str) -> None:
+        if name not in self.by_request:
+            self.by_request[name] = None
+            self.record(self.controller.on_client_disconnected(self.now_us, name))
+
+    def _advance(self, span_us: int) -> None:
+        end_us = self.now_us + span_us
+        while (due_us := self.controller.next_timer_us()) is not None and due_us <= end_us:
+            self.now_us = max(self.now_us, due_us)
+            self.record(self.controller.on_timer(self.now_us))
+        self.now_us = end_us
+
+    def check_invariants(self) -> None:
+        assert self.controller.in_flight == len(self.in_flight)
+        assert self.controller.queued == sum(name not in self.by_request for name in self.requests)
+        assert self.controller.in_flight + self.controller.queued <= self._max_open
+        for _, lane in self.controller.lanes():
+            assert lane.limit.minimum <= lane.limit.value
+            assert lane.in_flight >= 0
+
+
+@settings(max_examples=150, deadline=None)
+@given(st.lists(STEP, max_size=120), st.integers(1, 40))
+def test_every_arrival_gets_one_decision_in_time(steps: list[tuple[object, ...]], max_open: int) -> None:
+    """Conservation: each arrival is admitted, rejected, or its client disconnects; once, and in time."""
+    history = AdmissionHistory(max_open)
+    for step in steps:
+        history.apply(step)
+        history.check_invariants()
+    history.now_us += 3 * SECOND_US
+    history.record(history.controller.on_timer(history.now_us))
+    for name in list(history.in_flight):
+        history.finish(name, "error")
+    assert history.controller.queued == 0
+    assert all(name in history.by_request for name in history.requests)
--- a/tests/admission/test_model.py
+++ b/tests/admission/test_model.py
@@ -1,123 +1,137 @@
-"""The gate in virtual time: it finds the capacity, follows it, divides it, and is not fooled."""
+"""Admission control in virtual time: it finds the capacity, follows it, divides it, and is not fooled."""
 
 from __future__ import annotations
 
 from functools import partial
+from typing import Any
 
 import pytest
 
-from juniperreel.emulator.admission import LOSERS, Load, Model, Server, request_class, settings
-from juniperreel.routing.types import (
-    Tenant,
-)
+from juniperreel.emulator.admission import AdmissionModel, Load, Result, Server
+from juniperreel.emulator.limit_alternatives import ALTERNATIVES
+from juniperreel.emulator.router_settings import SECOND_US, make_request_class, make_settings
+from juniperreel.routing.types import Tenant
 
-US = 1_000_000
-SERVERS, CORES, WORK = 6, 2, 45_000
-CAPACITY = SERVERS * CORES / WORK * US
+SERVERS = 6
+CORES = 2
+WORK_US = 45_000
+CAPACITY = SERVERS * CORES / WORK_US * SECOND_US  # requests a second
 
 
-def model(**fields: object) -> Model:
-    made: dict[str, object] = {"settings": settings(), "servers": [Server(CORES) for _ in range(SERVERS)]}
-    return Model(**(made | fields))  # type: ignore[arg-type]
+def make_model(**fields: Any) -> AdmissionModel:
+    values: dict[str, Any] = {"settings": make_settings(), "servers": [Server(CORES) for _ in range(SERVERS)]}
+    return AdmissionModel(**(values | fields))
 
 
-@pytest.mark.parametrize("gates", [1, 4])
+@pytest.mark.parametrize("controllers", [1, 4])
 @pytest.mark.parametrize("over", [2, 4, 10])
-def test_goodput_stays_at_the_capacity_whatever_is_offered(over: int, gates: int) -> None:
-    m = model(settings=settings(router_count=gates), gates=gates)
-    m.load(Load(over * CAPACITY))
-    m.run(12 * US)
-    assert m.rate("served", 2 * US, 12 * US) > 0.93 * CAPACITY
-    assert m.rate("late", 0, 12 * US) == 0
-    refusals = sorted(t.at_us - t.came_us for t in m.told if t.how == "turned" and t.came_us > 2 * US)
-    assert refusals[int(0.99 * len(refusals))] < 100_000
-
-
-def test_without_the_gate_nothing_is_served_in_time() -> None:
-    m = model(guarded=False)
-    m.load(Load(2 * CAPACITY))
-    m.run(12 * US)
-    assert m.rate("served", 6 * US, 10 * US) < 0.1 * CAPACITY
-
-
-def test_step_response_capacity_halves_and_doubles() -> None:
-    m = model()
-    m.load(Load(3 * CAPACITY))
-    for n in range(3):
-        m.at(10 * US, partial(m.kill, n))
-        m.at(20 * US, partial(setattr, m.servers[n], "alive", True))
-    m.run(30 * US)
-    assert m.rate("served", 11 * US, 20 * US) > 0.9 * CAPACITY / 2
-    assert m.rate("served", 22 * US, 30 * US) > 0.93 * CAPACITY
-    assert m.rate("late", 0, 30 * US) < 0.01 * CAPACITY
+def test_goodput_under_overload_stays_at_the_capacity(over: int, controllers: int) -> None:
+    model = make_model(settings=make_settings(router_count=controllers), controllers=controllers)
+    model.load(Load(over * CAPACITY))
+    model.run(12 * SECOND_US)
+    assert model.rate(Result.SERVED, 2 * SECOND_US, 12 * SECOND_US) > 0.93 * CAPACITY
+    assert model.rate(Result.LATE, 0, 12 * SECOND_US) == 0
+    rejection_times_us = sorted(
+        end.ended_us - end.arrived_us
+        for end in model.endings
+        if end.result is Result.REJECTED and end.arrived_us > 2 * SECOND_US
+    )
+    assert rejection_times_us[int(0.99 * len(rejection_times_us))] < 100_000
+
+
+def test_overload_without_admission_control_serves_nothing_in_time() -> None:
+    model = make_model(admission_control=False)
+    model.load(Load(2 * CAPACITY))
+    model.run(12 * SECOND_US)
+    assert model.rate(Result.SERVED, 6 * SECOND_US, 10 * SECOND_US) < 0.1 * CAPACITY
+
+
+def test_limit_after_capacity_halves_and_doubles_follows_it() -> None:
+    model = make_model()
+    model.load(Load(3 * CAPACITY))
+    for index in range(3):
+        model.at(10 * SECOND_US, partial(model.kill, index))
+        model.at(20 * SECOND_US, partial(setattr, model.servers[index], "alive", True))
+    model.run(30 * SECOND_US)
+    assert model.rate(Result.SERVED, 11 * SECOND_US, 20 * SECOND_US) > 0.9 * CAPACITY / 2
+    assert model.rate(Result.SERVED, 22 * SECOND_US, 30 * SECOND_US) > 0.93 * CAPACITY
+    assert model.rate(Result.LATE, 0, 30 * SECOND_US) < 0.01 * CAPACITY
     for start, end in ((5, 10), (14, 20), (24, 30)):
-        values = m.total_limit(start * US, end * US)
+        values = model.total_limits(start * SECOND_US, end * SECOND_US)
         mean = sum(values) / len(values)
-        assert 0.6 * mean < min(values) and max(values) < 1.4 * mean, "the limit swings"
+        assert 0.6 * mean < min(values), "the limit swings"
+        assert max(values) < 1.4 * mean, "the limit swings"
 
 
-def test_a_burst_is_served_as_far_as_its_aim_allows() -> None:
-    m = model()
-    m.load(Load(0.1 * CAPACITY))
-    m.burst(5 * US, 300)
-    m.run(10 * US)
-    served = sum(t.how == "served" and t.came_us == 5 * US for t in m.told)
-    # What the members do within the sojourn that is allowed, beside what they take at once.
+def test_burst_on_an_idle_group_is_served_as_far_as_the_objective_allows() -> None:
+    model = make_model()
+    model.load(Load(0.1 * CAPACITY))
+    model.burst(5 * SECOND_US, 300)
+    model.run(10 * SECOND_US)
+    served = sum(end.result is Result.SERVED and end.arrived_us == 5 * SECOND_US for end in model.endings)
+    # What the endpoints complete within the permitted sojourn, besides what they admit at once.
     assert served > 0.15 * 0.6 * CAPACITY
-    assert all(t.how in ("served", "turned") for t in m.told)
+    assert all(end.result in (Result.SERVED, Result.REJECTED) for end in model.endings)
 
 
-def test_after_ten_times_the_capacity_full_service_returns() -> None:
-    m = model()
-    m.load(Load(10 * CAPACITY, to_us=60 * US))
-    m.load(Load(0.5 * CAPACITY, from_us=60 * US))
-    m.run(70 * US)
-    assert m.rate("served", 60 * US, 61 * US) > 0.9 * 0.5 * CAPACITY * 0.8
-    assert m.rate("turned", 61 * US, 70 * US) < 0.01 * CAPACITY
+def test_service_after_ten_times_the_capacity_recovers() -> None:
+    model = make_model()
+    model.load(Load(10 * CAPACITY, end_us=60 * SECOND_US))
+    model.load(Load(0.5 * CAPACITY, start_us=60 * SECOND_US))
+    model.run(70 * SECOND_US)
+    assert model.rate(Result.SERVED, 60 * SECOND_US, 61 * SECOND_US) > 0.9 * 0.5 * CAPACITY * 0.8
+    assert model.rate(Result.REJECTED, 61 * SECOND_US, 70 * SECOND_US) < 0.01 * CAPACITY
 
 
-def test_a_greedy_tenant_takes_nothing_from_those_within_their_share() -> None:
+def test_greedy_tenant_takes_nothing_from_tenants_within_their_share() -> None:
     tenants = (Tenant("greedy", 0.4, 0), Tenant("b", 0.3, 0), Tenant("c", 0.3, 0))
-    m = model(settings=settings(tenants=tenants))
-    m.load(Load(4 * CAPACITY, tenant=0))
+    model = make_model(settings=make_settings(tenants=tenants))
+    model.load(Load(4 * CAPACITY, tenant_index=0))
     for tenant in (1, 2):
-        m.load(Load(0.25 * CAPACITY, tenant=tenant))
-    m.run(15 * US)
+        model.load(Load(0.25 * CAPACITY, tenant_index=tenant))
+    model.run(15 * SECOND_US)
     for tenant in (1, 2):
-        served, turned = (m.rate(how, 3 * US, 15 * US, tenant) for how in ("served", "turned"))
-        assert turned < 0.03 * served
-    assert m.rate("served", 3 * US, 15 * US) > 0.93 * CAPACITY, "what the others leave is the greedy one's"
-
-
-def test_what_is_worth_most_is_served_first() -> None:
-    classes = (request_class("cheap", 1.0), request_class("dear", 4.0))
-    m = model(settings=settings(classes))
-    m.load(Load(3.5 * CAPACITY, cls=0))
-    m.load(Load(0.5 * CAPACITY, cls=1))
-    m.run(12 * US)
-    dear, cheap = (m.rate("served", 3 * US, 12 * US, cls=cls) for cls in (1, 0))
+        served, rejected = (
+            model.rate(result, 3 * SECOND_US, 15 * SECOND_US, tenant)
+            for result in (Result.SERVED, Result.REJECTED)
+        )
+        assert rejected < 0.03 * served
+    assert model.rate(Result.SERVED, 3 * SECOND_US, 15 * SECOND_US) > 0.93 * CAPACITY, (
+        "what the others leave is the greedy one's"
+    )
+
+
+def test_requests_of_higher_weight_under_overload_are_served_first() -> None:
+    classes = (make_request_class("cheap", 1.0), make_request_class("dear", 4.0))
+    model = make_model(settings=make_settings(classes))
+    model.load(Load(3.5 * CAPACITY, class_index=0))
+    model.load(Load(0.5 * CAPACITY, class_index=1))
+    model.run(12 * SECOND_US)
+    dear, cheap = (
+        model.rate(Result.SERVED, 3 * SECOND_US, 12 * SECOND_US, class_index=index) for index in (1, 0)
+    )
     best = 4 * 0.5 * CAPACITY + 0.5 * CAPACITY
     assert 4 * dear + cheap > 0.95 * best
 
 
-def test_a_second_of_quick_errors_does_not_open_the_gate() -> None:
-    m = model()
-    m.load(Load(3 * CAPACITY))
-    m.at(8 * US, lambda: setattr(m, "fast_errors", 0.9))
-    m.at(9 * US, lambda: setattr(m, "fast_errors", 0.0))
-    m.run(16 * US)
-    before = m.total_limit(5 * US, 8 * US)
-    assert max(m.total_limit(8 * US, 11 * US)) < 1.5 * max(before)
-    assert m.rate("late", 8 * US, 16 * US) == 0
-    assert m.rate("served", 10 * US, 16 * US) > 0.93 * CAPACITY
-
-
-def test_the_limits_that_lost_still_lose() -> None:
-    """So that the note's reasons stay true: each falls short where the one in use does not."""
-    short = {}
-    for name, limit in LOSERS.items():
-        m = model(limit=limit)
-        m.load(Load(3 * CAPACITY))
-        m.run(15 * US)
-        short[name] = m.rate("served", 3 * US, 15 * US) < 0.93 * CAPACITY
-    assert all(short.values())
+def test_limit_during_fast_errors_does_not_rise() -> None:
+    model = make_model()
+    model.load(Load(3 * CAPACITY))
+    model.at(8 * SECOND_US, lambda: setattr(model, "fast_errors", 0.9))
+    model.at(9 * SECOND_US, lambda: setattr(model, "fast_errors", 0.0))
+    model.run(16 * SECOND_US)
+    before = model.total_limits(5 * SECOND_US, 8 * SECOND_US)
+    assert max(model.total_limits(8 * SECOND_US, 11 * SECOND_US)) < 1.5 * max(before)
+    assert model.rate(Result.LATE, 8 * SECOND_US, 16 * SECOND_US) == 0
+    assert model.rate(Result.SERVED, 10 * SECOND_US, 16 * SECOND_US) > 0.93 * CAPACITY
+
+
+def test_alternative_limits_fall_short_of_the_capacity() -> None:
+    """So that the note's reasons stay true: each falls falls_short where the one in use does not."""
+    falls_short = {}
+    for name, limit in ALTERNATIVES.items():
+        model = make_model(make_limit=limit)
+        model.load(Load(3 * CAPACITY))
+        model.run(15 * SECOND_US)
+        falls_short[name] = model.rate(Result.SERVED, 3 * SECOND_US, 15 * SECOND_US) < 0.93 * CAPACITY
+    assert all(falls_short.values())
