--- a/juniperreel/fakes/postgresmember.py
+++ b/juniperreel/fakes/postgresmember.py
@@ -19,7 +19,7 @@
 from juniperreel.net import Refused
 from juniperreel.postgres import messages as m
 from juniperreel.postgres import server
-from juniperreel.postgres.form import Form, FormError, parse
+from juniperreel.postgres.request_format import Form, FormError, parse
 from juniperreel.verification.records import Abandoned, Arrived, Left
 
 if TYPE_CHECKING:
--- a/juniperreel/platform/driver.py
+++ b/juniperreel/platform/driver.py
@@ -19,8 +19,8 @@
 from juniperreel.platform.log import Log
 from juniperreel.platform.shutdown import GracefulShutdown
 from juniperreel.postgres import server
-from juniperreel.postgres.form import Form, with_span
 from juniperreel.postgres.messages import READY
+from juniperreel.postgres.request_format import Form, with_span
 from juniperreel.routing.loop import RouterLoop
 from juniperreel.routing.types import (
     AttemptEnded,
--- a/juniperreel/platform/front.py
+++ b/juniperreel/platform/front.py
@@ -14,8 +14,8 @@
 from juniperreel.net.poll import CHUNK, Wire
 from juniperreel.platform.budget import Budget
 from juniperreel.postgres import server
-from juniperreel.postgres.form import Form, FormError, parse
 from juniperreel.postgres.messages import ProtocolError
+from juniperreel.postgres.request_format import Form, FormError, parse
 
 SILENT_US = 2_000_000  # a connection that has asked nothing by then ends, as does a command that is not whole
 SPARE_US = 2_000_000  # one without an open request may be closed after this, where descriptors run short
--- a/tests/postgres/test_form.py
+++ b/tests/postgres/test_request_format.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from juniperreel.postgres.form import VALUE_LIMIT, FormError, parse, with_span
+from juniperreel.postgres.request_format import VALUE_LIMIT, FormError, parse, with_span
 
 READ = (
     b"SELECT body FROM objects WHERE oid = '7f3a9c21e0b4d655' "
