--- a/juniperreel/fakes/platform.py
+++ b/juniperreel/fakes/platform.py
@@ -42,14 +42,14 @@
         talk = server.ServerConnection()
         try:
             async with stream:
-                while talk.phase is not server.Phase.OVER:
+                while talk.phase is not server.Phase.CLOSED:
                     data = await stream.receive_some(65_536)
                     if not data:
                         return
-                    talk.feed(bytes(data))
-                    while (query := talk.next()) is not None:
-                        talk.out += self._answer(query.text, clock.now_us() // 1000)
-                    out, talk.out = bytes(talk.out), bytearray()
+                    talk.receive_data(bytes(data))
+                    while (query := talk.next_query()) is not None:
+                        talk.outgoing += self._answer(query.text, clock.now_us() // 1000)
+                    out, talk.outgoing = bytes(talk.outgoing), bytearray()
                     await stream.send_all(out)
         except (trio.BrokenResourceError, m.ProtocolError):
             return
--- a/juniperreel/fakes/platformclients.py
+++ b/juniperreel/fakes/platformclients.py
@@ -57,7 +57,7 @@
         """Asks until then, pausing between an answer and the next request."""
         while self._clock.now_us() < until_us:
             await trio.sleep(pause_s * self._rng.expovariate(1.0))
-            if self._stream is not None and (self._talk.phase is Phase.OVER or hung_up(self._stream)):
+            if self._stream is not None and (self._talk.phase is Phase.CLOSED or hung_up(self._stream)):
                 self._drop()  # its driver has ended it, or has been killed, since the last answer
             if self._stream is None and not await self._connect():
                 await trio.sleep(AGAIN_S)
@@ -81,8 +81,8 @@
         try:
             self._stream = await self._network.connect("127.0.0.1", port, CONNECT_US)
             with trio.move_on_after(CONNECT_US / US):
-                await self._stream.send_all(self._talk.hello)
-                while self._talk.phase is Phase.WELCOME:
+                await self._stream.send_all(self._talk.startup_message)
+                while self._talk.phase is Phase.STARTUP:
                     await self._receive()
                 return True
         except (ConnectError, Broken, m.ProtocolError, trio.BrokenResourceError):
@@ -95,7 +95,7 @@
         data = await self._stream.receive_some(READ_BYTES)
         if not data:
             raise Broken
-        return self._talk.feed(bytes(data))
+        return self._talk.receive_data(bytes(data))
 
     async def _ask(self) -> int:
         """One request and its answer; returns how long it was asked to stay away."""
@@ -117,7 +117,7 @@
         )
         try:
             with trio.move_on_after(span_ms / 1000):
-                await self._stream.send_all(self._talk.ask(text.encode()))
+                await self._stream.send_all(self._talk.send_query(text.encode()))
                 reply = None
                 while reply is None:
                     reply = await self._receive()
--- a/juniperreel/fakes/postgresmember.py
+++ b/juniperreel/fakes/postgresmember.py
@@ -19,7 +19,7 @@
 from juniperreel.net import Refused
 from juniperreel.postgres import messages as m
 from juniperreel.postgres import server
-from juniperreel.postgres.request_format import Form, FormError, parse
+from juniperreel.postgres.request_format import RequestFormatError, StatementRequest, parse_request
 from juniperreel.verification.records import Abandoned, Arrived, Left
 
 if TYPE_CHECKING:
@@ -134,7 +134,7 @@
         """The client's end ends what is running."""
         try:
             while data := await self._stream.receive_some(READ_BYTES):
-                self._talk.feed(bytes(data))
+                self._talk.receive_data(bytes(data))
                 self._news.set()
                 self._news = trio.Event()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -149,12 +149,12 @@
 
     async def _serve(self) -> None:
         try:
-            while self._talk.phase is not server.Phase.OVER:
-                query = self._talk.next()
+            while self._talk.phase is not server.Phase.CLOSED:
+                query = self._talk.next_query()
                 if query is not None:
-                    self._talk.out += await self._answer(query.text)
-                if self._talk.out:
-                    out, self._talk.out = bytes(self._talk.out), bytearray()
+                    self._talk.outgoing += await self._answer(query.text)
+                if self._talk.outgoing:
+                    out, self._talk.outgoing = bytes(self._talk.outgoing), bytearray()
                     await self._stream.send_all(out)
                 elif query is None:
                     await self._news.wait()
@@ -168,7 +168,7 @@
         member = self._member
         await member.wait_while_hung()
         if not text.strip():
-            return server.empty()
+            return server.empty_query_response()
         if text == b"SHOW pressure":
             self._side.probes += 1
             return row(self._side.report()) + m.READY
@@ -176,12 +176,12 @@
             self._side.probes += 1
             return row(b"1") + m.READY
         try:
-            form = parse(text)
-        except FormError as error:
+            form = parse_request(text)
+        except RequestFormatError as error:
             return server.failed("08P01", str(error))
         return await self._attempted(form)
 
-    async def _attempted(self, form: Form) -> bytes:
+    async def _attempted(self, form: StatementRequest) -> bytes:
         member, side = self._member, self._side
         # Danger: a machine with much else to do lets this process wait, and what a driver gave up in time, by
         # ending a connection, would look like sent after its final answer, or beside its next attempt.
@@ -191,14 +191,16 @@
             if other.given_up():
                 other.abandon()
         number = side.asked[form.id] = side.asked.get(form.id, -1) + 1
-        mean = member.shape.write_us if form.write else member.shape.read_us
+        mean = member.shape.write_us if form.is_write else member.shape.read_us
         now, name = member.at_us(), member.name
-        member.record(Arrived(now, name, self._driver, form.id, number, form.id, form.cls, form.write, mean))
+        member.record(
+            Arrived(now, name, self._driver, form.id, number, form.id, form.class_name, form.is_write, mean)
+        )
         member.machine.offer(mean)
         self._attempt, self._told, how = (form.id, number), False, "stopped"
         side.busy.setdefault(form.id, []).append(self)
         try:
-            answer = await self._carry_out(form, mean, now + form.span_ms * 1000)
+            answer = await self._carry_out(form, mean, now + form.timeout_ms * 1000)
             how = "answered"
         except Refusal as error:
             how = UNTOUCHED.get(error.code, "INTERNAL")
@@ -211,14 +213,14 @@
             member.record(Left(member.at_us(), name, form.id, number, how, how == "answered"))
         return answer
 
-    async def _carry_out(self, form: Form, mean: int, until_us: int) -> bytes:
+    async def _carry_out(self, form: StatementRequest, mean: int, until_us: int) -> bytes:
         """Raises Refusal or Lost."""
         member = self._member
         if member.refusing or member.draining:
             raise Refusal("53300", "no room")
         if member.chance(member.failing):
             raise Refusal("XX000", "something inside is broken")
-        if form.write and not member.claims:
+        if form.is_write and not member.claims:
             raise Refusal("25006", "not the primary")
         work = member.machine.draw(mean)
         try:
@@ -227,7 +229,7 @@
                     raise Refusal("53300", "the request is over already")
                 await member.machine.work(work)
                 await member.wait_while_hung()
-                value, commit = await self._effect(form) if form.write else (self._rows(form), None)
+                value, commit = await self._effect(form) if form.is_write else (self._rows(form), None)
         except Full:
             raise Refusal("53300", "the queue is full") from None
         if member.chance(member.losing):
@@ -237,16 +239,16 @@
         await member.wait_while_hung()
         return row(value) + self._facts(commit) + m.READY
 
-    def _rows(self, form: Form) -> bytes:
+    def _rows(self, form: StatementRequest) -> bytes:
         cursor = self._member.copy.store.run(SELECT, (form.key, ROWS))
         return self._named(",".join(str(found) for (found,) in cursor.fetchall()))
 
     def _named(self, ids: str) -> bytes:
         return f"{self._member.name}|{ids}".encode()
 
-    async def _effect(self, form: Form) -> tuple[bytes, int]:
+    async def _effect(self, form: StatementRequest) -> tuple[bytes, int]:
         """Done once for each key, as long as the group remembers it."""
-        member, key = self._member, form.idempotency or ""
+        member, key = self._member, form.idempotency_key or ""
         if not member.claims:
             raise Refusal("25006", "no longer the primary")
         known = member.copy.keys.get(key) if key else None
--- a/juniperreel/platform/driver.py
+++ b/juniperreel/platform/driver.py
@@ -20,7 +20,7 @@
 from juniperreel.platform.shutdown import GracefulShutdown
 from juniperreel.postgres import server
 from juniperreel.postgres.messages import READY
-from juniperreel.postgres.request_format import Form, with_span
+from juniperreel.postgres.request_format import StatementRequest, with_timeout
 from juniperreel.routing.loop import RouterLoop
 from juniperreel.routing.types import (
     AttemptEnded,
@@ -50,7 +50,7 @@
 
     __slots__ = ("attempts", "command", "deadline_us", "form", "out")
 
-    def __init__(self, form: Form, command: Command, deadline_us: int) -> None:
+    def __init__(self, form: StatementRequest, command: Command, deadline_us: int) -> None:
         self.form, self.deadline_us = form, deadline_us
         self.command: Command | None = command  # None once it is answered, or its client has left
         self.attempts = 0
@@ -116,8 +116,8 @@
 
     # Requests.
 
-    def take(self, command: Command, form: Form) -> None:
-        cls = self._classes.get(form.cls)
+    def take(self, command: Command, form: StatementRequest) -> None:
+        cls = self._classes.get(form.class_name)
         if cls is None:
             raise InvalidRequest("42704", "no such class")
         kind = self.settings.classes[cls]
@@ -126,19 +126,19 @@
             if form.tenant not in self._tenants:
                 raise InvalidRequest("42704", "no such tenant")
             tenant = self._tenants[form.tenant]
-        if form.write != (kind.consistency is Consistency.WRITE):
+        if form.is_write != (kind.consistency is Consistency.WRITE):
             raise InvalidRequest("42501", "the class does not go with the statement")
-        if kind.idempotency is Idempotency.KEYED and form.idempotency is None:
+        if kind.idempotency is Idempotency.KEYED and form.idempotency_key is None:
             raise InvalidRequest("42601", "the class needs a key")
         if form.group not in self._groups:
             raise InvalidRequest("3D000", "no such cluster")
         if form.id in self.open or form.id in self._recent:
             raise InvalidRequest("42710", "the id is another request's")
         session = form.key if kind.consistency in (Consistency.WRITE, Consistency.SESSION) else None
-        deadline = self.shutdown.latest_us(command.arrived_us + form.span_ms * 1000)
+        deadline = self.shutdown.latest_us(command.arrived_us + form.timeout_ms * 1000)
         age = None
-        if form.after_ms and kind.consistency is Consistency.SESSION:
-            age = max(self.now() - form.after_ms * 1000, 0)
+        if form.last_write_ms and kind.consistency is Consistency.SESSION:
+            age = max(self.now() - form.last_write_ms * 1000, 0)
         self.open[form.id] = Open(form, command, deadline)
         command.request = form.id
         self.enqueue(
@@ -150,7 +150,7 @@
                 deadline_us=deadline,
                 session=session,
                 session_age_us=age,
-                is_retry=form.retry,
+                is_retry=form.is_retry,
             )
         )
 
@@ -195,7 +195,7 @@
         form = item.form
 
         def text() -> bytes:
-            return with_span(form.text, max((min(until, item.deadline_us) - self.now()) // 1000, 1))
+            return with_timeout(form.text, max((min(until, item.deadline_us) - self.now()) // 1000, 1))
 
         def fits() -> bool:
             return self.router.confirm_send(self.now(), request, number)
@@ -239,7 +239,7 @@
 
     def reject(self, request: str, retry_after_us: int, now: int) -> None:
         self._answer(
-            request, server.refused("not taken; trying again does no harm", -(-retry_after_us // 1000))
+            request, server.rejected("not taken; trying again does no harm", -(-retry_after_us // 1000))
         )
 
     def fail(self, request: str) -> None:
--- a/juniperreel/platform/front.py
+++ b/juniperreel/platform/front.py
@@ -15,7 +15,7 @@
 from juniperreel.platform.budget import Budget
 from juniperreel.postgres import server
 from juniperreel.postgres.messages import ProtocolError
-from juniperreel.postgres.request_format import Form, FormError, parse
+from juniperreel.postgres.request_format import RequestFormatError, StatementRequest, parse_request
 
 SILENT_US = 2_000_000  # a connection that has asked nothing by then ends, as does a command that is not whole
 SPARE_US = 2_000_000  # one without an open request may be closed after this, where descriptors run short
@@ -39,7 +39,9 @@
 
     __slots__ = ("answer", "arrived_us", "client", "form", "request")
 
-    def __init__(self, client: Client, arrived_us: int, form: Form | None, answer: bytes | None) -> None:
+    def __init__(
+        self, client: Client, arrived_us: int, form: StatementRequest | None, answer: bytes | None
+    ) -> None:
         self.client, self.arrived_us, self.form, self.answer = client, arrived_us, form, answer
         self.request: str | None = None  # in the driver's hands
 
@@ -53,13 +55,13 @@
         behind a read expects not to be seen by it."""
         if self.form is None or other.form is None or other.answer is not None:
             return False
-        return self.form.key == other.form.key and (self.form.write or other.form.write)
+        return self.form.key == other.form.key and (self.form.is_write or other.form.is_write)
 
 
 class Takes(Protocol):
     arrived_us: int  # since when what is read now may have waited
 
-    def take(self, command: Command, form: Form) -> None:
+    def take(self, command: Command, form: StatementRequest) -> None:
         """Raises InvalidRequest; else the answer comes by `command.finish`."""
         ...
 
@@ -89,7 +91,7 @@
         pass
 
     def received(self, data: bytes) -> None:
-        self._talk.feed(data)
+        self._talk.receive_data(data)
         self.advance()
 
     def advance(self) -> None:
@@ -110,10 +112,10 @@
         while (
             self._fault is None
             and len(self.commands) < PIPELINE
-            and self._talk.phase is not server.Phase.OVER
+            and self._talk.phase is not server.Phase.CLOSED
         ):
             try:
-                query = self._talk.next()
+                query = self._talk.next_query()
             except ProtocolError as error:
                 self._fault = error
                 self._wire.pause()
@@ -123,21 +125,21 @@
             self.partial_us = 0
             self._front.asks(self)
             self.commands.append(self._command(query.text))
-        if self._talk.out:
-            out, self._talk.out = self._talk.out, bytearray()
+        if self._talk.outgoing:
+            out, self._talk.outgoing = self._talk.outgoing, bytearray()
             self._wire.write(out)
-        whole = len(self.commands) == PIPELINE or not self._talk.held
+        whole = len(self.commands) == PIPELINE or not self._talk.buffered
         self.partial_us = 0 if whole else self.partial_us or self._front.now()
-        if self._talk.held > HELD_LIMIT:
+        if self._talk.buffered > HELD_LIMIT:
             self._wire.pause()
 
     def _command(self, text: bytes) -> Command:
         arrived_us = self._front.driver.arrived_us
         if not text.strip(b" \t\r\n;"):
-            return Command(self, arrived_us, None, server.empty())
+            return Command(self, arrived_us, None, server.empty_query_response())
         try:
-            return Command(self, arrived_us, parse(text), None)
-        except FormError as error:
+            return Command(self, arrived_us, parse_request(text), None)
+        except RequestFormatError as error:
             return Command(self, arrived_us, None, server.failed("42601", str(error)))
 
     def _begin(self) -> None:
@@ -165,19 +167,19 @@
                 return False
         if not self.commands:
             if self._fault is not None:
-                self.fatal(self._fault.code, str(self._fault))
+                self.fatal(self._fault.sqlstate, str(self._fault))
                 return False
-            if self._talk.phase is server.Phase.OVER or (
-                answers and self._front.closing and not self._talk.held
+            if self._talk.phase is server.Phase.CLOSED or (
+                answers and self._front.closing and not self._talk.buffered
             ):
                 self._front.end(self)
                 return False
             if answers:
                 self._front.rests(self)
         # Danger: of a command that is half here the rest may be on its way; it counts as taken.
-        if answers and self._fault is None and (self._talk.held or not self._front.closing):
+        if answers and self._fault is None and (self._talk.buffered or not self._front.closing):
             self._wire.resume()
-        return bool(answers) and bool(self._talk.held)
+        return bool(answers) and bool(self._talk.buffered)
 
     def fatal(self, code: str, text: str) -> None:
         """An error after which the connection ends."""
@@ -206,7 +208,7 @@
     @property
     def idle(self) -> bool:
         """No command is in hand, nothing waits to be read, and every answer is out."""
-        return not self.commands and not self._talk.held and not self._wire.pending and self._wire.quiet()
+        return not self.commands and not self._talk.buffered and not self._wire.pending and self._wire.quiet()
 
 
 class Front:
--- a/juniperreel/platform/links.py
+++ b/juniperreel/platform/links.py
@@ -87,12 +87,12 @@
         wire.peer = self
 
     def connected(self) -> None:
-        self.wire.write(self.talk.hello)
+        self.wire.write(self.talk.startup_message)
 
     def received(self, data: bytes) -> None:
         job = self.job
         try:
-            reply = self.talk.feed(data)
+            reply = self.talk.receive_data(data)
         except ProtocolError:
             self.spoilt()
             return
@@ -115,24 +115,24 @@
 
     def _rest(self, good: bool) -> None:
         """Danger: what comes behind an answer would be taken for the next one's."""
-        if good and self.talk.clean and self.wire.quiet():
+        if good and self.talk.is_reusable and self.wire.quiet():
             self.pool.rest(self)
         else:
             self.drop()
 
     def start(self, job: Job) -> None:
         self.job, job.connection = job, self
-        if not self.talk.clean:
+        if not self.talk.is_reusable:
             self.spoilt()
             return
         self._asked_us = self.pool.links.now()
         self._stood_us = self._asked_us - self.idle_us if self.idle_us else None
-        self.wire.write(self.talk.ask(job.text()))
+        self.wire.write(self.talk.send_query(job.text()))
         job.written = not self.wire.pending
 
     def spoilt(self) -> None:
         job, self.job = self.job, None
-        turned_away = not self._written(job) and (self.talk.so_far.error or {}).get("C") in TURNED_AWAY
+        turned_away = not self._written(job) and (self.talk.partial_reply.error or {}).get("C") in TURNED_AWAY
         self.drop()
         if job is not None:
             if self._written(job):
@@ -156,8 +156,8 @@
     def ended(self, why: str) -> None:
         job, self.job = self.job, None
         written = self._written(job)
-        reply = self.talk.so_far
-        if written and not self.talk.answering and self.pool.links.now() - self._asked_us < STALE_US:
+        reply = self.talk.partial_reply
+        if written and not self.talk.response_started and self.pool.links.now() - self._asked_us < STALE_US:
             self._tell_use(False)
         self.drop()
         if job is None:
@@ -175,7 +175,7 @@
             return
         written = self._written(job)
         self.job = None
-        reply = self.talk.so_far if written else None
+        reply = self.talk.partial_reply if written else None
         if written or self.talk.phase is Phase.BUSY:
             self.drop()
             if reply is not None and reply.error is not None:
@@ -193,7 +193,7 @@
 
     def too_slow(self) -> None:
         """No welcome within the time for connecting."""
-        if self.talk.phase is Phase.WELCOME and not self.wire.closed:
+        if self.talk.phase is Phase.STARTUP and not self.wire.closed:
             self.ended("no welcome in time")
 
 
@@ -213,7 +213,11 @@
         while self.idle:
             connection = self.idle.pop()
             stood = self.links.now() - connection.idle_us
-            if self.links.idle_timeout.allows(stood) and connection.wire.quiet() and connection.talk.clean:
+            if (
+                self.links.idle_timeout.allows(stood)
+                and connection.wire.quiet()
+                and connection.talk.is_reusable
+            ):
                 connection.start(job)
                 return
             connection.drop()
--- a/juniperreel/postgres/client.py
+++ b/juniperreel/postgres/client.py
@@ -1,7 +1,7 @@
-"""The side that speaks to members: one connection's state machine. Bytes in, replies out.
+"""The client's side of one connection, towards servers: queries out, replies in.
 
-States: welcome (the startup message is out), idle, busy (a query is out), over. A reply is whole before
-any of it is handed on: what a member sent spoilt never reaches a client.
+States: startup (the StartupMessage is out), idle, busy (a query is out), closed. A reply is complete before
+any of it is returned: what a server sent malformed never reaches a client.
 """
 
 from __future__ import annotations
@@ -9,25 +9,44 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from juniperreel.postgres import messages as m
-from juniperreel.postgres.messages import ProtocolError
-
-REPLY_LIMIT = 65_536 + 4_096  # a value of 64 KiB and what stands around it
-PARAMETERS = 64  # in one reply
-KINDS = b"RSKZTDCENIAv"
+from juniperreel.postgres import messages, sqlstate
+from juniperreel.postgres.messages import UINT16, UINT32, Message, ProtocolError
+
+REPLY_LIMIT = 65_536 + 4_096  # bytes: a value of 64 KiB and what stands around it
+MAX_PARAMETERS = 64  # in one reply
+AUTHENTICATION = b"R"
+BACKEND_KEY_DATA = b"K"
+COMMAND_COMPLETE = b"C"
+DATA_ROW = b"D"
+ERROR_RESPONSE = b"E"
+NEGOTIATE_PROTOCOL_VERSION = b"v"
+NOTICE_RESPONSE = b"N"
+PARAMETER_STATUS = b"S"
+READY_FOR_QUERY = b"Z"
+ROW_DESCRIPTION = b"T"
+KNOWN_KINDS = b"RSKZTDCENIAv"
+AUTHENTICATION_OK = b"\0\0\0\0"
+COLUMN_ATTRIBUTES = 18  # bytes behind a column's name in a RowDescription
+COUNT_SIZE = UINT16.size
+ROW_HEADER_SIZE = COUNT_SIZE + UINT32.size  # of a DataRow with one column: their count, the value's length
 
 
 class Phase(Enum):
-    WELCOME = "welcome"
+    """The state of a connection."""
+
+    STARTUP = "startup"
     IDLE = "idle"
     BUSY = "busy"
-    OVER = "over"
+    CLOSED = "closed"
 
 
 @dataclass(slots=True)
 class Reply:
-    """What came back for one query. `rows`: RowDescription, DataRow and CommandComplete as they came, empty
-    unless all three are there; `error`: fields of an ErrorResponse by their letter."""
+    """What a server replied to one query.
+
+    `rows` is RowDescription, DataRow and CommandComplete as they were received, empty unless all three were.
+    `error` is the fields of an ErrorResponse by their letter, `parameters` those that were reported with it.
+    """
 
     rows: bytes = b""
     value: bytes | None = None
@@ -35,116 +54,165 @@
     parameters: dict[str, str] = field(default_factory=dict)
 
 
+class ReplyBuilder:
+    """Puts one reply together. A result is one row of one column: T, then D, then C, each once."""
+
+    def __init__(self) -> None:
+        self.reply = Reply()
+        self._description = b""
+        self._row = b""
+
+    @property
+    def started(self) -> bool:
+        """Whether anything of the reply has been received."""
+        return bool(self._description or self.reply.parameters or self.reply.error)
+
+    @property
+    def complete(self) -> bool:
+        """Whether all of a result has been received."""
+        return bool(self.reply.rows)
+
+    def add_parameter(self, payload: bytes) -> None:
+        """Add a ParameterStatus."""
+        parameter = messages.parse_parameter_status(payload)
+        if len(self.reply.parameters) >= MAX_PARAMETERS:
+            raise ProtocolError("too many parameters in one reply")
+        self.reply.parameters[parameter.name] = parameter.value
+
+    def add_error(self, payload: bytes) -> dict[str, str]:
+        """Add an ErrorResponse, and return the fields of the reply's first one."""
+        if self.reply.error is None:
+            self.reply.error = messages.parse_error_fields(payload)
+        return self.reply.error
+
+    def add_result(self, message: Message) -> None:
+        """Add a part of a result."""
+        if message.kind == ROW_DESCRIPTION:
+            self._add_description(message.payload)
+        elif message.kind == DATA_ROW:
+            self._add_row(message.payload)
+        elif message.kind == COMMAND_COMPLETE:
+            self._add_completion(message.payload)
+        else:
+            raise ProtocolError(f"a message of type {message.kind!r} in a reply")
+
+    def _add_description(self, payload: bytes) -> None:
+        if self._description or len(payload) < COUNT_SIZE or UINT16.unpack_from(payload)[0] != 1:
+            raise ProtocolError("a description of other than one column")
+        name_end = payload.find(b"\0", COUNT_SIZE)
+        if name_end < 0 or len(payload) != name_end + 1 + COLUMN_ATTRIBUTES:
+            raise ProtocolError("a description that does not fit its column")
+        self._description = messages.message(ROW_DESCRIPTION, payload)
+
+    def _add_row(self, payload: bytes) -> None:
+        if not self._description or self._row or len(payload) < ROW_HEADER_SIZE:
+            raise ProtocolError("a row where none is expected")
+        (columns,) = UINT16.unpack_from(payload)
+        (size,) = UINT32.unpack_from(payload, COUNT_SIZE)
+        if columns != 1 or size != len(payload) - ROW_HEADER_SIZE:
+            raise ProtocolError("a row whose length does not fit")
+        self._row = messages.message(DATA_ROW, payload)
+        self.reply.value = payload[ROW_HEADER_SIZE:]
+
+    def _add_completion(self, payload: bytes) -> None:
+        if not self._row or self.complete or not payload.endswith(b"\0") or self.reply.error:
+            raise ProtocolError("a completion where none is expected")
+        self.reply.rows = self._description + self._row + messages.message(COMMAND_COMPLETE, payload)
+
+
 class ClientConnection:
-    """One connection to a member. `hello` must be sent first."""
+    """The state machine of one connection to a server. `startup_message` must be sent first."""
 
     def __init__(self, user: str, database: str) -> None:
-        self.phase = Phase.WELCOME
-        self.hello = m.startup(user, database)
-        self._reader = m.MessageReader(REPLY_LIMIT)
-        self._reply = Reply()
-        self._described = self._row = b""
-        self._complete = False
-
-    def ask(self, text: bytes) -> bytes:
-        """Bytes of a query, to be sent now."""
+        self.phase = Phase.STARTUP
+        self.startup_message = messages.startup(user, database)
+        self._reader = messages.MessageReader(REPLY_LIMIT)
+        self._builder = ReplyBuilder()
+
+    def send_query(self, text: bytes) -> bytes:
+        """Start a query, and return the bytes to be sent now.
+
+        Raises:
+            RuntimeError: the connection is not idle.
+        """
         if self.phase is not Phase.IDLE:
             raise RuntimeError(f"a query on a connection that is {self.phase.value}")
         self.phase = Phase.BUSY
-        self._reply = Reply()
-        self._described = self._row = b""
-        self._complete = False
-        return m.query(text)
+        self._builder = ReplyBuilder()
+        return messages.query(text)
 
     @property
-    def clean(self) -> bool:
-        """Whether nothing came beyond what was asked for."""
-        return self.phase is Phase.IDLE and not self._reader.held
+    def is_reusable(self) -> bool:
+        """Whether the connection is idle and nothing was received beyond the reply."""
+        return self.phase is Phase.IDLE and not self._reader.buffered
 
     @property
-    def answering(self) -> bool:
-        """Whether anything has come for the query that is out."""
-        return bool(self._reader.held or self._described or self._reply.parameters or self._reply.error)
+    def response_started(self) -> bool:
+        """Whether anything has been received for the query that is out."""
+        return bool(self._reader.buffered) or self._builder.started
 
     @property
-    def so_far(self) -> Reply:
-        """The reply as far as it came: an error counts although the connection ended behind it."""
-        return self._reply
-
-    def feed(self, data: bytes) -> Reply | None:
-        """The reply, once it is whole; bytes behind it are kept and `clean` tells of them. Raises
-        ProtocolError; the connection is of no further use then. In WELCOME, the phase turning IDLE is all
-        that is told."""
-        self._reader.feed(data)
-        while self.phase is Phase.WELCOME or self.phase is Phase.BUSY:
-            found = self._reader.next(KINDS)
-            if found is None:
+    def partial_reply(self) -> Reply:
+        """The reply as far as it was received: an error counts even if the connection ended behind it."""
+        return self._builder.reply
+
+    def receive_data(self, data: bytes) -> Reply | None:
+        """Append bytes from the server, and return the reply once it is complete.
+
+        Bytes behind a reply are buffered, and make `is_reusable` false. During the startup nothing is
+        returned; the phase becomes IDLE at its end.
+
+        Raises:
+            ProtocolError: the connection is of no further use then.
+        """
+        self._reader.receive_data(data)
+        while self.phase in (Phase.STARTUP, Phase.BUSY):
+            message = self._reader.next_message(KNOWN_KINDS)
+            if message is None:
                 return None
-            kind, payload = found
-            if kind == b"S":
-                self._parameter(payload)
-            elif kind == b"N":
-                m.read_fields(payload)
-            elif kind == b"Z":
-                if len(payload) != 1:
-                    raise ProtocolError("a ReadyForQuery that is not one byte")
-                if self.phase is Phase.WELCOME:
-                    if self._reply.error is not None:
-                        raise ProtocolError("a welcome with an error in it")
-                    self.phase = Phase.IDLE
-                    return None
-                return self._finish()
-            elif kind == b"E":
-                if self._reply.error is None:
-                    self._reply.error = m.read_fields(payload)
-                if self.phase is Phase.WELCOME:
-                    raise ProtocolError(f"turned away: {self._reply.error.get('C', '')}", "53300")
-                if self._reply.error.get("S") == "FATAL":
-                    self.phase = Phase.OVER
-                    return self._reply
-            elif self.phase is Phase.WELCOME:
-                if kind == b"R":
-                    if payload != b"\0\0\0\0":
-                        raise ProtocolError("a member asks for a password", "28000")
-                elif kind not in b"Kv":
-                    raise ProtocolError(f"a message of type {kind!r} in a welcome")
-            else:
-                self._part(kind, payload)
+            if message.kind == PARAMETER_STATUS:
+                self._builder.add_parameter(message.payload)
+            elif message.kind == NOTICE_RESPONSE:
+                messages.parse_error_fields(message.payload)  # nothing but its form matters
+            elif self.phase is Phase.STARTUP:
+                self._handle_startup(message)
+            elif self._handle_reply(message):
+                return self._builder.reply
         return None
 
-    def _parameter(self, payload: bytes) -> None:
-        name, value = m.read_pair(payload)
-        if len(self._reply.parameters) >= PARAMETERS:
-            raise ProtocolError("too many parameters in one reply")
-        self._reply.parameters[name] = value
-
-    def _part(self, kind: bytes, payload: bytes) -> None:
-        """Of a result: T, then D, then C, each once."""
-        if kind == b"T":
-            if self._described or len(payload) < 2 or m.COUNT.unpack_from(payload)[0] != 1:
-                raise ProtocolError("a description of other than one column")
-            end = payload.find(b"\0", 2)
-            if end < 0 or len(payload) != end + 19:
-                raise ProtocolError("a description that does not fit its column")
-            self._described = m.message(b"T", payload)
-        elif kind == b"D":
-            if not self._described or self._row or len(payload) < 6:
-                raise ProtocolError("a row where none is due")
-            count, size = m.COUNT.unpack_from(payload)[0], m.LENGTH.unpack_from(payload, 2)[0]
-            if count != 1 or size != len(payload) - 6:
-                raise ProtocolError("a row whose length does not fit")
-            self._row = m.message(b"D", payload)
-            self._reply.value = payload[6:]
-        elif kind == b"C":
-            if not self._row or self._complete or not payload.endswith(b"\0") or self._reply.error:
-                raise ProtocolError("a completion where none is due")
-            self._complete = True
-            self._reply.rows = self._described + self._row + m.message(b"C", payload)
-        else:
-            raise ProtocolError(f"a message of type {kind!r} in a reply")
-
-    def _finish(self) -> Reply:
-        if self._reply.error is None and not self._complete:
-            raise ProtocolError("a reply with neither a row nor an error")
-        self.phase = Phase.IDLE
-        return self._reply
+    def _handle_startup(self, message: Message) -> None:
+        if message.kind == READY_FOR_QUERY:
+            _check_ready_for_query(message.payload)
+            if self._builder.reply.error is not None:
+                raise ProtocolError("a startup with an error in it")
+            self.phase = Phase.IDLE
+        elif message.kind == ERROR_RESPONSE:
+            error = self._builder.add_error(message.payload)
+            raise ProtocolError(f"rejected: {error.get('C', '')}", sqlstate.TOO_MANY_CONNECTIONS)
+        elif message.kind == AUTHENTICATION:
+            if message.payload != AUTHENTICATION_OK:
+                raise ProtocolError("the server requires a password", sqlstate.INVALID_AUTHORIZATION)
+        elif message.kind not in (BACKEND_KEY_DATA, NEGOTIATE_PROTOCOL_VERSION):
+            raise ProtocolError(f"a message of type {message.kind!r} during the startup")
+
+    def _handle_reply(self, message: Message) -> bool:
+        """Add a message to the reply, and return whether the reply is complete."""
+        if message.kind == READY_FOR_QUERY:
+            _check_ready_for_query(message.payload)
+            if self._builder.reply.error is None and not self._builder.complete:
+                raise ProtocolError("a reply with neither a row nor an error")
+            self.phase = Phase.IDLE
+            return True
+        if message.kind == ERROR_RESPONSE:
+            error = self._builder.add_error(message.payload)
+            if error.get("S") != "FATAL":
+                return False
+            self.phase = Phase.CLOSED
+            return True
+        self._builder.add_result(message)
+        return False
+
+
+def _check_ready_for_query(payload: bytes) -> None:
+    if len(payload) != 1:
+        raise ProtocolError("a ReadyForQuery that is not one byte")
--- a/juniperreel/postgres/messages.py
+++ b/juniperreel/postgres/messages.py
@@ -1,125 +1,185 @@
-"""Messages: a type byte, a length that counts itself, and the rest (PostgreSQL docs, chapter "Message
-Formats")."""
+"""Framing and encoding of messages (PostgreSQL documentation, chapter "Message Formats").
+
+A message is a type byte, a length that counts itself but not the type, and a payload. The first message of a
+connection has no type byte.
+"""
 
 from __future__ import annotations
 
 import struct
+from typing import NamedTuple
+
+from juniperreel.postgres import sqlstate
 
 HEADER = struct.Struct("!cI")
-LENGTH = struct.Struct("!I")
-COUNT = struct.Struct("!H")
-CODE = struct.Struct("!I")
+UINT16 = struct.Struct("!H")
+UINT32 = struct.Struct("!I")
+HEADER_SIZE = HEADER.size
+LENGTH_SIZE = UINT32.size
 
+# The first field of a connection's first message: a protocol version, or a request in place of one.
 PROTOCOL_3 = 196608
 SSL_REQUEST = 80877103
 GSS_REQUEST = 80877104
 CANCEL_REQUEST = 80877102
 
 READY = b"Z\x00\x00\x00\x05I"
-EMPTY = b"I\x00\x00\x00\x04"
+EMPTY_QUERY = b"I\x00\x00\x00\x04"
+
+
+class PostgresError(Exception):
+    """Base of this package's errors."""
+
 
+class ProtocolError(PostgresError):
+    """The peer broke the protocol; the connection is of no further use.
 
-class ProtocolError(Exception):
-    """The peer broke the protocol. `code` is the SQLSTATE it is told, where it can still be told."""
+    `sqlstate` is what the peer is sent, where it can still be sent anything.
+    """
 
-    def __init__(self, text: str, code: str = "08P01") -> None:
+    def __init__(self, text: str, code: str = sqlstate.PROTOCOL_VIOLATION) -> None:
         super().__init__(text)
-        self.code = code
+        self.sqlstate = code
+
+
+class Message(NamedTuple):
+    """One message as it was received."""
+
+    kind: bytes  # its type byte
+    payload: bytes
+
+
+class ParameterStatus(NamedTuple):
+    """A parameter that the server reports."""
+
+    name: str
+    value: str
 
 
 class MessageReader:
-    """Bytes in, whole messages out. Holds at most one message of `limit` bytes and what was fed with it."""
+    """Splits a byte stream into messages.
+
+    Invariant: it buffers at most one message of `limit` bytes, and what was received together with it.
+    """
 
     def __init__(self, limit: int) -> None:
+        """`limit` is the largest length that a message may announce, in bytes."""
         self.limit = limit
         self._data = bytearray()
 
-    def feed(self, data: bytes) -> None:
+    def receive_data(self, data: bytes) -> None:
+        """Append bytes from the peer."""
         self._data += data
 
     @property
-    def held(self) -> int:
+    def buffered(self) -> int:
+        """Bytes that were received and not read as messages yet."""
         return len(self._data)
 
-    def next(self, known: bytes) -> tuple[bytes, bytes] | None:
-        """The next message's type and payload, or None until more bytes come. Raises ProtocolError, for a
-        type outside `known` or a length out of range, as soon as its header is here."""
+    def next_message(self, known_kinds: bytes) -> Message | None:
+        """Return the next message, or None until more bytes are received.
+
+        Raises:
+            ProtocolError: the type is not among `known_kinds` or the length is out of range; raised as soon
+                as the header has been received.
+        """
         data = self._data
         if not data:
             return None
         kind = bytes(data[:1])
-        if kind not in known:
+        if kind not in known_kinds:
             raise ProtocolError(f"a message of type {kind!r} is not understood")
-        if len(data) < 5:
+        if len(data) < HEADER_SIZE:
             return None
-        (size,) = LENGTH.unpack_from(data, 1)
-        if size < 4 or size > self.limit:
-            # Danger: nothing is set aside for a length that was only announced.
-            raise ProtocolError(f"a message of type {kind!r} with length {size}", "54000")
-        if len(data) < 1 + size:
+        (size,) = UINT32.unpack_from(data, 1)
+        if size < LENGTH_SIZE or size > self.limit:
+            # No buffer is allocated for a length that was only announced: a peer could exhaust the memory
+            # with a header alone.
+            raise ProtocolError(
+                f"a message of type {kind!r} with length {size}", sqlstate.PROGRAM_LIMIT_EXCEEDED
+            )
+        end = 1 + size
+        if len(data) < end:
             return None
-        payload = bytes(data[5 : 1 + size])
-        del data[: 1 + size]
-        return kind, payload
+        payload = bytes(data[HEADER_SIZE:end])
+        del data[:end]
+        return Message(kind, payload)
 
     def next_startup(self, limit: int) -> bytes | None:
-        """The first message of a connection, which has no type: its payload."""
+        """Return the payload of a connection's first message, or None until more bytes are received.
+
+        Raises:
+            ProtocolError: the length is out of range.
+        """
         data = self._data
-        if len(data) < 4:
+        if len(data) < LENGTH_SIZE:
             return None
-        (size,) = LENGTH.unpack_from(data)
-        if size < 8 or size > limit:
+        (size,) = UINT32.unpack_from(data)
+        if size < 2 * LENGTH_SIZE or size > limit:
             raise ProtocolError(f"a startup message with length {size}")
         if len(data) < size:
             return None
-        payload = bytes(data[4:size])
+        payload = bytes(data[LENGTH_SIZE:size])
         del data[:size]
         return payload
 
 
-def message(kind: bytes, payload: bytes) -> bytes:
-    return HEADER.pack(kind, len(payload) + 4) + payload
+# Encoding.
 
 
-def fields(pairs: list[tuple[str, str]]) -> bytes:
-    return b"".join(k.encode() + v.encode("utf-8", "replace") + b"\0" for k, v in pairs) + b"\0"
+def message(kind: bytes, payload: bytes) -> bytes:
+    """Return a message with its header."""
+    return HEADER.pack(kind, len(payload) + LENGTH_SIZE) + payload
 
 
 def error(severity: str, code: str, text: str, detail: str = "") -> bytes:
-    """An ErrorResponse. NUL ends a field, so the text must have none."""
-    pairs = [("S", severity), ("V", severity), ("C", code), ("M", text.replace("\0", "?"))]
+    """Return an ErrorResponse. NUL ends a field, so NULs in `text` are replaced."""
+    fields = {"S": severity, "V": severity, "C": code, "M": text.replace("\0", "?")}
     if detail:
-        pairs.append(("D", detail))
-    return message(b"E", fields(pairs))
+        fields["D"] = detail
+    encoded = (letter.encode() + value.encode("utf-8", "replace") + b"\0" for letter, value in fields.items())
+    return message(b"E", b"".join(encoded) + b"\0")
 
 
 def parameter(name: str, value: str) -> bytes:
+    """Return a ParameterStatus."""
     return message(b"S", name.encode() + b"\0" + value.encode() + b"\0")
 
 
 def startup(user: str, database: str) -> bytes:
-    body = b"user\0" + user.encode() + b"\0database\0" + database.encode() + b"\0\0"
-    return LENGTH.pack(len(body) + 8) + CODE.pack(PROTOCOL_3) + body
+    """Return the StartupMessage of protocol 3.0."""
+    parameters = b"user\0" + user.encode() + b"\0database\0" + database.encode() + b"\0\0"
+    return UINT32.pack(len(parameters) + 2 * LENGTH_SIZE) + UINT32.pack(PROTOCOL_3) + parameters
 
 
 def query(text: bytes) -> bytes:
-    return b"Q" + LENGTH.pack(len(text) + 5) + text + b"\0"
+    """Return a simple Query."""
+    return message(b"Q", text + b"\0")
+
+
+# Parsing of payloads.
 
 
-def read_fields(payload: bytes) -> dict[str, str]:
-    """Of an ErrorResponse or a NoticeResponse. Raises ProtocolError."""
+def parse_error_fields(payload: bytes) -> dict[str, str]:
+    """Return the fields of an ErrorResponse or NoticeResponse, by their letter.
+
+    Raises:
+        ProtocolError: the payload does not end as it must.
+    """
     if not payload.endswith(b"\0\0") and payload != b"\0":
         raise ProtocolError("an error message does not end")
-    found = {}
-    for part in payload[:-1].split(b"\0"):
-        if part:
-            found[chr(part[0])] = part[1:].decode("utf-8", "replace")
-    return found
+    return {
+        chr(field[0]): field[1:].decode("utf-8", "replace") for field in payload[:-1].split(b"\0") if field
+    }
+
 
+def parse_parameter_status(payload: bytes) -> ParameterStatus:
+    """Return the parameter of a ParameterStatus.
 
-def read_pair(payload: bytes) -> tuple[str, str]:
-    """Of a ParameterStatus. Raises ProtocolError."""
+    Raises:
+        ProtocolError: the payload is not a name and a value.
+    """
     parts = payload.split(b"\0")
     if len(parts) != 3 or parts[2]:
         raise ProtocolError("a parameter is not a name and a value")
-    return parts[0].decode("utf-8", "replace"), parts[1].decode("utf-8", "replace")
+    return ParameterStatus(parts[0].decode("utf-8", "replace"), parts[1].decode("utf-8", "replace"))
--- a/juniperreel/postgres/request_format.py
+++ b/juniperreel/postgres/request_format.py
@@ -1,8 +1,9 @@
-"""The operators' request form: two statements and the comment behind them. Strict: what is not exactly so
-is named.
+r"""The request format of the operators' platform: one of two statements, with a comment behind it.
 
-SELECT body FROM objects WHERE oid = 'KEY' /* NAME=VALUE,... */
-INSERT INTO objects (oid, body) VALUES ('KEY', '\\xHEX') RETURNING body /* NAME=VALUE,... */
+    SELECT body FROM objects WHERE oid = 'KEY' /* NAME=VALUE,... */
+    INSERT INTO objects (oid, body) VALUES ('KEY', '\xHEX') RETURNING body /* NAME=VALUE,... */
+
+The parser is strict: whatever differs from the format in any way is an error.
 """
 
 from __future__ import annotations
@@ -10,8 +11,10 @@
 import re
 from dataclasses import dataclass
 
+from juniperreel.postgres.messages import PostgresError
+
 VALUE_LIMIT = 65_536  # bytes, two hexadecimal digits each
-SPAN_LIMIT_MS = 3_600_000  # a client that waits longer is no client
+TIMEOUT_LIMIT_MS = 3_600_000  # no client waits longer
 KEY = rb"([0-9A-Za-z_.:@-]{1,128})"
 READ = re.compile(rb"SELECT body FROM objects WHERE oid = '" + KEY + rb"' /\* ([^*/]{1,1024}) \*/")
 WRITE = re.compile(
@@ -21,85 +24,131 @@
 HEX_ID = re.compile(r"[0-9a-f]{16}")
 NAME = re.compile(r"[0-9A-Za-z_.-]{1,64}")
 NUMBER = re.compile(r"[0-9]{1,15}")
-KNOWN = frozenset(("id", "c", "t", "d", "k", "r", "cluster", "after"))
-DEADLINE = re.compile(rb"(?<=[ ,])d=[0-9]+")
+TIMEOUT = re.compile(rb"(?<=[ ,])d=[0-9]+")
+
+# Names in the comment.
+REQUEST_ID = "id"
+CLASS = "c"
+TENANT = "t"
+TIMEOUT_MS = "d"
+IDEMPOTENCY_KEY = "k"
+RETRY = "r"
+GROUP = "cluster"
+LAST_WRITE_MS = "after"
+KNOWN_NAMES = frozenset((REQUEST_ID, CLASS, TENANT, TIMEOUT_MS, IDEMPOTENCY_KEY, RETRY, GROUP, LAST_WRITE_MS))
 
 
-class FormError(Exception):
-    """Not a request. The words say what is wrong, without the client's bytes."""
+class RequestFormatError(PostgresError):
+    """A statement that is not in the format. The text says what is wrong, without the client's bytes."""
 
 
 @dataclass(slots=True)
-class Form:
-    """One request as it was worded. `span_ms`: how long the client waits, from its sending."""
+class StatementRequest:
+    """One request as its statement and comment say.
+
+    `timeout_ms` is how long the client waits, from when it sent the request. `last_write_ms` is the time of
+    the last write of the client's session, where the client gives one.
+    """
 
     text: bytes
-    write: bool
+    is_write: bool
     key: str
     id: str
-    cls: str
+    class_name: str
     tenant: str | None
-    span_ms: int
+    timeout_ms: int
     group: int
-    idempotency: str | None
-    retry: bool
-    after_ms: int | None
+    idempotency_key: str | None
+    is_retry: bool
+    last_write_ms: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class Statement:
+    """The parts of a statement."""
+
+    is_write: bool
+    key: bytes
+    comment: bytes
+
+
+def parse_request(text: bytes) -> StatementRequest:
+    """Return the request that a statement and its comment stand for.
+
+    Raises:
+        RequestFormatError: the statement is not exactly in the format.
+    """
+    statement = _parse_statement(text)
+    values = _parse_comment(statement.comment)
+    _check_values(values)
+    last_write = values.get(LAST_WRITE_MS)
+    return StatementRequest(
+        text=text,
+        is_write=statement.is_write,
+        key=statement.key.decode("ascii"),
+        id=values[REQUEST_ID],
+        class_name=values[CLASS],
+        tenant=values.get(TENANT),
+        timeout_ms=int(values[TIMEOUT_MS]),
+        group=int(values.get(GROUP, "0")),
+        idempotency_key=values.get(IDEMPOTENCY_KEY),
+        is_retry=RETRY in values,
+        last_write_ms=None if last_write is None else int(last_write),
+    )
+
+
+def with_timeout(text: bytes, timeout_ms: int) -> bytes:
+    """Return the statement byte for byte, but for how long the client waits."""
+    start = text.rindex(b"/*")
+    return text[:start] + TIMEOUT.sub(b"d=%d" % timeout_ms, text[start:], count=1)
 
 
-def parse(text: bytes) -> Form:
-    """Raises FormError."""
+def _parse_statement(text: bytes) -> Statement:
     read = READ.fullmatch(text)
     if read is not None:
         key, comment = read.groups()
-    else:
-        write = WRITE.fullmatch(text)
-        if write is None:
-            raise FormError("neither of the two statements that are spoken here")
-        key, value, comment = write.groups()
-        if len(value) % 2 or len(value) > 2 * VALUE_LIMIT:
-            raise FormError("the value is no whole number of bytes, or too long")
+        return Statement(is_write=False, key=key, comment=comment)
+    write = WRITE.fullmatch(text)
+    if write is None:
+        raise RequestFormatError("neither of the two statements that are spoken here")
+    key, value, comment = write.groups()
+    if len(value) % 2 or len(value) > 2 * VALUE_LIMIT:
+        raise RequestFormatError("the value is no whole number of bytes, or too long")
+    return Statement(is_write=True, key=key, comment=comment)
+
+
+def _parse_comment(comment: bytes) -> dict[str, str]:
     try:
         pairs = [part.split("=", 1) for part in comment.decode("ascii").split(",")]
     except UnicodeDecodeError:
-        raise FormError("the comment is not ASCII") from None
+        raise RequestFormatError("the comment is not ASCII") from None  # its text would quote the bytes
     if any(len(pair) != 2 for pair in pairs):
-        raise FormError("the comment is not names and values")
+        raise RequestFormatError("the comment is not names and values")
     values = {pair[0]: pair[1] for pair in pairs}
-    if len(values) != len(pairs) or not values.keys() <= KNOWN:
-        raise FormError("the comment has a name twice, or one that is not known")
-    number, span = values.get("id", ""), values.get("d", "")
-    if not HEX_ID.fullmatch(number):
-        raise FormError("id is missing or not 16 hexadecimal digits")
-    if not NUMBER.fullmatch(span) or not 0 < int(span) <= SPAN_LIMIT_MS:
-        raise FormError("d is missing, or no number of milliseconds that a client would wait")
-    cls, tenant, group = values.get("c", ""), values.get("t"), values.get("cluster", "0")
-    if not NAME.fullmatch(cls) or (tenant is not None and not NAME.fullmatch(tenant)):
-        raise FormError("c or t is missing or no name")
-    if not NUMBER.fullmatch(group):
-        raise FormError("cluster is no number")
-    idempotency, after = values.get("k"), values.get("after")
-    if idempotency is not None and not HEX_ID.fullmatch(idempotency):
-        raise FormError("k is not 16 hexadecimal digits")
-    if after is not None and not NUMBER.fullmatch(after):
-        raise FormError("after is no time in milliseconds")
-    if values.get("r", "1") != "1":
-        raise FormError("r is not 1")
-    return Form(
-        text=text,
-        write=read is None,
-        key=key.decode("ascii"),
-        id=number,
-        cls=cls,
-        tenant=tenant,
-        span_ms=int(span),
-        group=int(group),
-        idempotency=idempotency,
-        retry="r" in values,
-        after_ms=None if after is None else int(after),
-    )
+    if len(values) != len(pairs) or not values.keys() <= KNOWN_NAMES:
+        raise RequestFormatError("the comment has a name twice, or one that is not known")
+    return values
 
 
-def with_span(text: bytes, span_ms: int) -> bytes:
-    """The statement byte for byte, but for how long is waited."""
-    start = text.rindex(b"/*")
-    return text[:start] + DEADLINE.sub(b"d=%d" % span_ms, text[start:], count=1)
+def _check_values(values: dict[str, str]) -> None:
+    """Check the values of a comment, in the order in which errors are reported."""
+    if not _matches(HEX_ID, values.get(REQUEST_ID, "")):
+        raise RequestFormatError("id is missing or not 16 hexadecimal digits")
+    timeout = values.get(TIMEOUT_MS, "")
+    if not _matches(NUMBER, timeout) or not 0 < int(timeout) <= TIMEOUT_LIMIT_MS:
+        raise RequestFormatError("d is missing, or no number of milliseconds that a client would wait")
+    if not _matches(NAME, values.get(CLASS, "")) or not _matches(NAME, values.get(TENANT)):
+        raise RequestFormatError("c or t is missing or no name")
+    if not _matches(NUMBER, values.get(GROUP)):
+        raise RequestFormatError("cluster is no number")
+    if not _matches(HEX_ID, values.get(IDEMPOTENCY_KEY)):
+        raise RequestFormatError("k is not 16 hexadecimal digits")
+    if not _matches(NUMBER, values.get(LAST_WRITE_MS)):
+        raise RequestFormatError("after is no time in milliseconds")
+    if values.get(RETRY, "1") != "1":
+        raise RequestFormatError("r is not 1")
+
+
+def _matches(pattern: re.Pattern[str], value: str | None) -> bool:
+    """Return whether a value is of a pattern; one that is not given is."""
+    return value is None or pattern.fullmatch(value) is not None
--- a/juniperreel/postgres/server.py
+++ b/juniperreel/postgres/server.py
@@ -1,8 +1,7 @@
-"""The side that clients speak to: one connection's state machine. Bytes in, commands out; answers are made
-here.
+"""The server's side of one connection, towards clients: bytes in, queries out; and the responses to them.
 
-States: startup, then ready. A query is taken only when the one before it has been answered, which the caller
-sees to by asking for the next command only then.
+States: startup, ready, closed. A query is taken only when the one before it has been answered; the caller
+sees to that by asking for the next query only then.
 """
 
 from __future__ import annotations
@@ -10,119 +9,154 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from juniperreel.postgres import messages as m
-from juniperreel.postgres.messages import ProtocolError
-
-STARTUP_LIMIT = 10_000  # as PostgreSQL has it
-QUERY_LIMIT = 2 * 65_536 + 4_096  # a value of 64 KiB in hexadecimal, and the statement around it
-COMMANDS = b"QX"
-EXTENDED = b"PBEDHSCFdcfp"  # commands of the protocol that are not spoken here
-
-WELCOME = (
-    m.message(b"R", m.CODE.pack(0))
-    + m.parameter("server_version", "15.0")
-    + m.parameter("server_encoding", "UTF8")
-    + m.parameter("client_encoding", "UTF8")
-    + m.parameter("DateStyle", "ISO, MDY")
-    + m.parameter("integer_datetimes", "on")
-    + m.parameter("standard_conforming_strings", "on")
-    + m.message(b"K", m.CODE.pack(1) + m.CODE.pack(0))
-    + m.READY
+from juniperreel.postgres import messages, sqlstate
+from juniperreel.postgres.messages import UINT32, ProtocolError
+
+STARTUP_LIMIT = 10_000  # bytes, as PostgreSQL has it
+QUERY_LIMIT = 2 * 65_536 + 4_096  # bytes: a value of 64 KiB in hexadecimal, and the statement around it
+QUERY = b"Q"
+TERMINATE = b"X"
+UNSUPPORTED = b"PBEDHSCFdcfp"  # commands of the extended protocol, of COPY and of password authentication
+MAJOR_VERSION = 3
+PROTOCOL_OPTION_PREFIX = b"_pq_."
+ENCRYPTION_REFUSED = b"N"
+
+STARTUP_RESPONSE = (
+    messages.message(b"R", UINT32.pack(0))  # AuthenticationOk
+    + messages.parameter("server_version", "15.0")
+    + messages.parameter("server_encoding", "UTF8")
+    + messages.parameter("client_encoding", "UTF8")
+    + messages.parameter("DateStyle", "ISO, MDY")
+    + messages.parameter("integer_datetimes", "on")
+    + messages.parameter("standard_conforming_strings", "on")
+    + messages.message(b"K", UINT32.pack(1) + UINT32.pack(0))  # BackendKeyData
+    + messages.READY
 )
 
 
 class Phase(Enum):
+    """The state of a connection."""
+
     STARTUP = "startup"
     READY = "ready"
-    OVER = "over"
+    CLOSED = "closed"  # the client has terminated it
 
 
 @dataclass(frozen=True, slots=True)
 class Query:
+    """A simple query, without its final NUL."""
+
     text: bytes
 
 
 class ServerConnection:
-    """One client's connection. `out` is what it must be sent."""
+    """The state machine of one client's connection. `outgoing` holds bytes to be sent to the client."""
 
     def __init__(self) -> None:
         self.phase = Phase.STARTUP
-        self.out = bytearray()
-        self._reader = m.MessageReader(QUERY_LIMIT)
+        self.outgoing = bytearray()
+        self._reader = messages.MessageReader(QUERY_LIMIT)
 
-    def feed(self, data: bytes) -> None:
-        self._reader.feed(data)
+    def receive_data(self, data: bytes) -> None:
+        """Append bytes from the client."""
+        self._reader.receive_data(data)
 
     @property
-    def held(self) -> int:
-        """Bytes that came and were not taken."""
-        return self._reader.held
+    def buffered(self) -> int:
+        """Bytes that were received and not taken as messages yet."""
+        return self._reader.buffered
 
-    def next(self) -> Query | None:
-        """The next query, or None until more bytes come or when the client has said goodbye (phase OVER).
-        Raises ProtocolError; the connection is of no further use then."""
+    def next_query(self) -> Query | None:
+        """Return the next query, or None until more bytes are received or when the phase is CLOSED.
+
+        Raises:
+            ProtocolError: the connection is of no further use then.
+        """
         while self.phase is Phase.STARTUP:
             payload = self._reader.next_startup(STARTUP_LIMIT)
             if payload is None:
                 return None
-            self._start(payload)
-        if self.phase is Phase.OVER:
+            self._handle_startup(payload)
+        if self.phase is Phase.CLOSED:
             return None
-        found = self._reader.next(COMMANDS + EXTENDED)
-        if found is None:
+        message = self._reader.next_message(QUERY + TERMINATE + UNSUPPORTED)
+        if message is None:
             return None
-        kind, payload = found
-        if kind == b"X":
-            self.phase = Phase.OVER
+        if message.kind == TERMINATE:
+            self.phase = Phase.CLOSED
             return None
-        if kind != b"Q":
-            raise ProtocolError("only simple queries are spoken here", "0A000")
+        if message.kind != QUERY:
+            raise ProtocolError("only simple queries are spoken here", sqlstate.FEATURE_NOT_SUPPORTED)
+        payload = message.payload
         if not payload.endswith(b"\0") or payload.find(b"\0") != len(payload) - 1:
             raise ProtocolError("a query does not end where its message does")
         return Query(payload[:-1])
 
-    def _start(self, payload: bytes) -> None:
-        (code,) = m.CODE.unpack_from(payload)
-        if code in (m.SSL_REQUEST, m.GSS_REQUEST):
-            if len(payload) != 4:
+    def _handle_startup(self, payload: bytes) -> None:
+        (code,) = UINT32.unpack_from(payload)
+        if code in (messages.SSL_REQUEST, messages.GSS_REQUEST):
+            if len(payload) != UINT32.size:
                 raise ProtocolError("a request for encryption with a tail")
-            self.out += b"N"
-            return
-        if code == m.CANCEL_REQUEST:
-            self.phase = Phase.OVER  # keys are not given out, so there is nothing to cancel
-            return
-        if code >> 16 != 3:
-            raise ProtocolError(f"protocol {code >> 16}.{code & 0xFFFF} is not spoken here", "0A000")
-        pairs = payload[4:].split(b"\0")
-        if len(pairs) < 4 or pairs[-2:] != [b"", b""] or len(pairs) % 2:
-            raise ProtocolError("a startup message that is not names and values")
-        names = pairs[:-2:2]
+            self.outgoing += ENCRYPTION_REFUSED
+        elif code == messages.CANCEL_REQUEST:
+            # No client is given a key to cancel with, so there is nothing to cancel.
+            self.phase = Phase.CLOSED
+        else:
+            self._start_session(code, payload[UINT32.size :])
+
+    def _start_session(self, version: int, parameters: bytes) -> None:
+        major = version >> 16
+        minor = version & 0xFFFF
+        if major != MAJOR_VERSION:
+            raise ProtocolError(
+                f"protocol {major}.{minor} is not spoken here", sqlstate.FEATURE_NOT_SUPPORTED
+            )
+        names = _parameter_names(parameters)
         if b"user" not in names:
-            raise ProtocolError("a startup message without a user", "28000")
-        if code & 0xFFFF:  # a newer minor version is offered 3.0
-            extra = [n for n in names if n.startswith(b"_pq_.")]
-            body = m.CODE.pack(0) + m.CODE.pack(len(extra)) + b"".join(n + b"\0" for n in extra)
-            self.out += m.message(b"v", body)
-        self.out += WELCOME
+            raise ProtocolError("a startup message without a user", sqlstate.INVALID_AUTHORIZATION)
+        if minor:
+            self.outgoing += _negotiate_protocol_version(names)
+        self.outgoing += STARTUP_RESPONSE
         self.phase = Phase.READY
 
 
-# Answers.
+def _parameter_names(parameters: bytes) -> list[bytes]:
+    """Return the names in a StartupMessage: names and values in turn, each ended by NUL, and one NUL more."""
+    parts = parameters.split(b"\0")
+    if len(parts) < 4 or parts[-2:] != [b"", b""] or len(parts) % 2:
+        raise ProtocolError("a startup message that is not names and values")
+    return parts[:-2:2]
+
+
+def _negotiate_protocol_version(names: list[bytes]) -> bytes:
+    """Return a NegotiateProtocolVersion, which offers 3.0 to a client of a newer minor version."""
+    unknown_options = [name for name in names if name.startswith(PROTOCOL_OPTION_PREFIX)]
+    listed = b"".join(name + b"\0" for name in unknown_options)
+    return messages.message(b"v", UINT32.pack(0) + UINT32.pack(len(unknown_options)) + listed)
+
+
+# Responses to a query.
+
 
+def empty_query_response() -> bytes:
+    """Return the response to an empty query."""
+    return messages.EMPTY_QUERY + messages.READY
 
-def empty() -> bytes:
-    return m.EMPTY + m.READY
 
+def rejected(text: str, retry_after_ms: int) -> bytes:
+    """Return the response to a query that was not executed, so that a retry is safe.
 
-def refused(text: str, wait_ms: int) -> bytes:
-    """Nothing took effect that a repeat could double; `wait_ms` 0 gives no hint when to return."""
-    return m.error("ERROR", "53300", text, str(wait_ms) if wait_ms else "") + m.READY
+    `retry_after_ms` 0 gives the client no hint when to retry.
+    """
+    detail = str(retry_after_ms) if retry_after_ms else ""
+    return messages.error("ERROR", sqlstate.TOO_MANY_CONNECTIONS, text, detail) + messages.READY
 
 
 def failed(code: str, text: str) -> bytes:
-    return m.error("ERROR", code, text) + m.READY
+    """Return an error response after which the connection goes on."""
+    return messages.error("ERROR", code, text) + messages.READY
 
 
 def fatal(code: str, text: str) -> bytes:
-    """After it the connection ends."""
-    return m.error("FATAL", code, text)
+    """Return an error response after which the connection ends."""
+    return messages.error("FATAL", code, text)
--- a/tests/platform/peers.py
+++ b/tests/platform/peers.py
@@ -188,7 +188,7 @@
         self.driver.front.welcome(wire)
         assert wire.peer is not None
         wire.peer.received(HELLO + b"".join(map(m.query, texts)))
-        del wire.sent[: len(server.WELCOME)]
+        del wire.sent[: len(server.STARTUP_RESPONSE)]
         self.turn()
         return wire
 
@@ -208,7 +208,7 @@
         assert wire.peer is not None
         wire.peer.connected()
         wire.take()
-        self.say(wire, server.WELCOME)
+        self.say(wire, server.STARTUP_RESPONSE)
         return wire.take()
 
     def calls(self) -> list[FakeWire]:
--- a/tests/platform/stage.py
+++ b/tests/platform/stage.py
@@ -196,7 +196,7 @@
                 if end not in welcomed and end.read().startswith(HELLO[:8]):
                     welcomed.add(end)
                     end.take()
-                    end.send(server.WELCOME)
+                    end.send(server.STARTUP_RESPONSE)
             return any(end.read().startswith(b"Q") for end in member.ends)
 
         await self.until(come)
--- a/tests/platform/test_driver.py
+++ b/tests/platform/test_driver.py
@@ -136,7 +136,7 @@
     ("spoilt", "again"),
     [
         (b"\0\0\0\0", True),
-        (b"D" + m.LENGTH.pack(3 << 30), True),
+        (b"D" + m.UINT32.pack(3 << 30), True),
         (row()[:-6] + b"Z\0\0\0\4", True),
     ],
 )
@@ -327,7 +327,7 @@
     world.say(call, row(b"x0=%.3f,x1=0,queue=3" % (position / SEC)))
     assert abs(world.driver.router.members["a"].position - position) <= MS
     assert world.driver.router.members["a"].role is Role.REPLICA
-    assert server.WELCOME  # nothing else was said
+    assert server.STARTUP_RESPONSE  # nothing else was said
 
 
 def test_what_is_kept_of_requests_and_members_is_bounded(world: World) -> None:
--- a/tests/postgres/test_connections.py
+++ b/tests/postgres/test_connections.py
@@ -1,4 +1,4 @@
-"""Both sides of the protocol by bytes alone; libpq is the witness in tests/platform/test_program.py."""
+"""Both sides of the protocol by bytes alone; tests/platform/test_program.py tries them against libpq."""
 
 from __future__ import annotations
 
@@ -12,42 +12,52 @@
 from juniperreel.postgres import messages as m
 from juniperreel.postgres.messages import ProtocolError
 
-HELLO = m.startup("worker", "catalog")
+STARTUP = m.startup("worker", "catalog")
 ROW = (
     m.message(b"T", b"\0\1body\0" + struct.pack("!IhIhih", 0, 0, 17, -1, -1, 1))
     + m.message(b"D", b"\0\1" + struct.pack("!I", 3) + b"abc")
     + m.message(b"C", b"SELECT 1\0")
 )
-FACTS = m.parameter("replication_role", "standby") + m.parameter("log_position", "1767225600123")
+STATUS = m.parameter("replication_role", "standby") + m.parameter("log_position", "1767225600123")
 
 
-def welcomed() -> client.ClientConnection:
-    talk = client.ClientConnection("worker", "catalog")
-    assert talk.feed(server.WELCOME) is None
-    assert talk.phase is client.Phase.IDLE
-    talk.ask(b"SELECT 1")
-    return talk
+def busy_connection() -> client.ClientConnection:
+    connection = client.ClientConnection("worker", "catalog")
+    assert connection.receive_data(server.STARTUP_RESPONSE) is None
+    assert connection.phase is client.Phase.IDLE
+    connection.send_query(b"SELECT 1")
+    return connection
 
 
-def test_a_query_right_behind_the_startup_message_is_taken() -> None:
-    talk = server.ServerConnection()
-    talk.feed(HELLO + m.query(b"one") + m.query(b"two"))
-    assert talk.next() == server.Query(b"one")
-    assert bytes(talk.out) == server.WELCOME
-    assert talk.next() == server.Query(b"two")
-    assert talk.next() is None and talk.held == 0
+def take_queries(connection: server.ServerConnection) -> list[bytes]:
+    """Return the texts of all queries that have been received completely."""
+    texts = []
+    while (query := connection.next_query()) is not None:
+        texts.append(query.text)
+    return texts
+
+
+def test_query_directly_behind_the_startup_message_is_taken() -> None:
+    connection = server.ServerConnection()
+    connection.receive_data(STARTUP + m.query(b"one") + m.query(b"two"))
+    assert connection.next_query() == server.Query(b"one")
+    assert bytes(connection.outgoing) == server.STARTUP_RESPONSE
+    assert connection.next_query() == server.Query(b"two")
+    assert connection.next_query() is None
+    assert connection.buffered == 0
 
 
 @given(st.integers(1, 40))
-def test_commands_come_whole_however_they_are_cut(size: int) -> None:
-    data = m.LENGTH.pack(8) + m.CODE.pack(m.SSL_REQUEST) + HELLO + m.query(b"a query") + b"X\0\0\0\4"
-    talk, found = server.ServerConnection(), []
+def test_commands_cut_anywhere_are_complete(size: int) -> None:
+    data = m.UINT32.pack(8) + m.UINT32.pack(m.SSL_REQUEST) + STARTUP + m.query(b"a query") + b"X\0\0\0\4"
+    connection = server.ServerConnection()
+    texts = []
     for at in range(0, len(data), size):
-        talk.feed(data[at : at + size])
-        while (query := talk.next()) is not None:
-            found.append(query.text)
-    assert found == [b"a query"] and talk.phase is server.Phase.OVER
-    assert bytes(talk.out) == b"N" + server.WELCOME
+        connection.receive_data(data[at : at + size])
+        texts += take_queries(connection)
+    assert texts == [b"a query"]
+    assert connection.phase is server.Phase.CLOSED
+    assert bytes(connection.outgoing) == b"N" + server.STARTUP_RESPONSE
 
 
 @pytest.mark.parametrize(
@@ -57,63 +67,64 @@
         b"\0\0\0\7",
         b"\0\0\x4e\x20",  # longer than a startup message may be
         b"GET / HTTP/1.1\r\n",
-        m.LENGTH.pack(8) + m.CODE.pack(2 << 16),
-        m.LENGTH.pack(9) + m.CODE.pack(m.PROTOCOL_3) + b"\0",
-        HELLO + b"!",
-        HELLO + b"Q\0\0\0\3",
-        HELLO + b"Q\x80\0\0\0",
-        HELLO + b"Q" + m.LENGTH.pack(60 << 20),  # refused by its header alone
-        HELLO + m.message(b"Q", b"no end"),
-        HELLO + m.message(b"Q", b"two\0ends\0"),
-        HELLO + m.message(b"P", b"\0select 1\0\0\0"),
+        m.UINT32.pack(8) + m.UINT32.pack(2 << 16),
+        m.UINT32.pack(9) + m.UINT32.pack(m.PROTOCOL_3) + b"\0",
+        STARTUP + b"!",
+        STARTUP + b"Q\0\0\0\3",
+        STARTUP + b"Q\x80\0\0\0",
+        STARTUP + b"Q" + m.UINT32.pack(60 << 20),  # refused by its header alone
+        STARTUP + m.message(b"Q", b"no end"),
+        STARTUP + m.message(b"Q", b"two\0ends\0"),
+        STARTUP + m.message(b"P", b"\0select 1\0\0\0"),
     ],
 )
-def test_what_is_no_command_is_named(data: bytes) -> None:
-    talk = server.ServerConnection()
-    talk.feed(data)
+def test_invalid_command_raises_protocol_error(data: bytes) -> None:
+    connection = server.ServerConnection()
+    connection.receive_data(data)
     with pytest.raises(ProtocolError):
-        while talk.next() is not None:
-            pass
-        raise AssertionError("taken, or waited for")
+        take_queries(connection)
 
 
 @given(st.binary(max_size=300))
-def test_noise_is_waited_for_or_refused_and_never_more(data: bytes) -> None:
-    talk = server.ServerConnection()
-    talk.feed(HELLO + data)
+def test_random_bytes_are_buffered_or_rejected(data: bytes) -> None:
+    connection = server.ServerConnection()
+    connection.receive_data(STARTUP + data)
     try:
-        while talk.next() is not None:
-            pass
+        take_queries(connection)
     except ProtocolError:
         return
-    assert talk.held <= len(data)
+    assert connection.buffered <= len(data)
 
 
-def test_a_reply_is_told_whole_with_what_comes_beside_it() -> None:
-    talk = welcomed()
-    data = ROW + FACTS + m.READY
-    replies = [talk.feed(data[at : at + 1]) for at in range(len(data))]
+def test_reply_cut_anywhere_is_returned_once_complete_with_its_parameters() -> None:
+    connection = busy_connection()
+    data = ROW + STATUS + m.READY
+    replies = [connection.receive_data(data[at : at + 1]) for at in range(len(data))]
     assert replies[:-1] == [None] * (len(data) - 1)
     reply = replies[-1]
-    assert reply is not None and reply.rows == ROW and reply.value == b"abc" and reply.error is None
+    assert reply is not None
+    assert reply.rows == ROW
+    assert reply.value == b"abc"
+    assert reply.error is None
     assert reply.parameters["log_position"] == "1767225600123"
-    assert talk.clean
+    assert connection.is_reusable
 
 
-def test_what_comes_behind_an_answer_makes_the_connection_unfit_not_the_answer() -> None:
+def test_bytes_behind_a_reply_make_the_connection_not_reusable() -> None:
     for extra in (b"x", ROW + m.READY):
-        talk = welcomed()
-        reply = talk.feed(ROW + m.READY + extra)
-        assert reply is not None and reply.rows == ROW
-        assert not talk.clean
+        connection = busy_connection()
+        reply = connection.receive_data(ROW + m.READY + extra)
+        assert reply is not None
+        assert reply.rows == ROW
+        assert not connection.is_reusable
 
 
 @pytest.mark.parametrize(
     "data",
     [
         b"\0\0\0\0\0\0",
-        b"D" + m.LENGTH.pack(3 << 30),  # a value said to have 3 GB
-        b"T" + m.LENGTH.pack(2),
+        b"D" + m.UINT32.pack(3 << 30),  # a value said to have 3 GB
+        b"T" + m.UINT32.pack(2),
         m.message(b"D", b"\0\1\0\0\0\0"),  # a row that nothing described
         ROW[: ROW.index(b"C\0\0\0")] + m.READY,  # no completion
         ROW + m.message(b"D", b"\0\1" + struct.pack("!I", 1) + b"z"),
@@ -122,49 +133,58 @@
         m.message(b"S", b"no end"),
     ],
 )
-def test_spoilt_replies_are_named_and_nothing_of_them_is_told(data: bytes) -> None:
-    talk = welcomed()
+def test_malformed_reply_raises_protocol_error_and_returns_nothing(data: bytes) -> None:
+    connection = busy_connection()
     with pytest.raises(ProtocolError):
-        talk.feed(data)
-    assert not talk.so_far.rows or talk.phase is client.Phase.BUSY
+        connection.receive_data(data)
+    assert not connection.partial_reply.rows or connection.phase is client.Phase.BUSY
 
 
 @given(st.binary(max_size=200), st.integers(0, 200))
-def test_noise_inside_a_reply_never_gives_another_value(noise: bytes, at: int) -> None:
-    talk = welcomed()
-    data = ROW + FACTS + m.READY
+def test_random_bytes_inside_a_reply_never_give_another_value(noise: bytes, at: int) -> None:
+    connection = busy_connection()
+    data = ROW + STATUS + m.READY
     at = min(at, len(data))
     try:
-        reply = talk.feed(data[:at] + noise + data[at:])
+        reply = connection.receive_data(data[:at] + noise + data[at:])
     except ProtocolError:
         return
     if reply is not None and reply.rows:
-        assert reply.value is not None and len(reply.rows) >= len(ROW)
-
-
-def test_an_error_counts_whether_or_not_the_connection_goes_on() -> None:
-    talk = welcomed()
-    reply = talk.feed(m.error("ERROR", "25006", "read only") + FACTS + m.READY)
-    assert reply is not None and reply.error is not None and reply.error["C"] == "25006"
-    assert reply.parameters and talk.clean
-    talk = welcomed()
-    reply = talk.feed(m.error("FATAL", "53300", "full"))
-    assert reply is not None and talk.phase is client.Phase.OVER
-    talk = welcomed()
-    assert talk.feed(m.error("ERROR", "53300", "full")) is None
-    assert talk.so_far.error is not None
-
-
-def test_a_welcome_that_turns_away() -> None:
-    talk = client.ClientConnection("worker", "catalog")
+        assert reply.value is not None
+        assert len(reply.rows) >= len(ROW)
+
+
+def test_error_counts_whether_or_not_the_connection_goes_on() -> None:
+    connection = busy_connection()
+    reply = connection.receive_data(m.error("ERROR", "25006", "read only") + STATUS + m.READY)
+    assert reply is not None
+    assert reply.error is not None
+    assert reply.error["C"] == "25006"
+    assert reply.parameters
+    assert connection.is_reusable
+    connection = busy_connection()
+    reply = connection.receive_data(m.error("FATAL", "53300", "full"))
+    assert reply is not None
+    assert connection.phase is client.Phase.CLOSED
+    connection = busy_connection()
+    assert connection.receive_data(m.error("ERROR", "53300", "full")) is None
+    assert connection.partial_reply.error is not None
+
+
+def test_startup_rejected_by_the_server_raises_protocol_error() -> None:
+    connection = client.ClientConnection("worker", "catalog")
     with pytest.raises(ProtocolError):
-        talk.feed(m.error("FATAL", "53300", "too many connections"))
-    assert talk.so_far.error is not None and talk.so_far.error["C"] == "53300"
+        connection.receive_data(m.error("FATAL", "53300", "too many connections"))
+    assert connection.partial_reply.error is not None
+    assert connection.partial_reply.error["C"] == "53300"
 
 
-def test_answers_in_the_codes_of_the_operators() -> None:
-    refused = server.refused("busy", 120)
-    assert b"C53300\0" in refused and b"D120\0" in refused and refused.endswith(m.READY)
-    assert b"\0D" not in server.refused("busy", 0)
+def test_responses_have_the_sqlstates_of_the_operators_platform() -> None:
+    rejected = server.rejected("busy", 120)
+    assert b"C53300\0" in rejected
+    assert b"D120\0" in rejected
+    assert rejected.endswith(m.READY)
+    assert b"\0D" not in server.rejected("busy", 0)
     failed = server.failed("08007", "unknown")
-    assert b"53300" not in failed and b"57P03" not in failed
+    assert b"53300" not in failed
+    assert b"57P03" not in failed
--- a/tests/postgres/test_request_format.py
+++ b/tests/postgres/test_request_format.py
@@ -1,4 +1,4 @@
-"""The request form: what is exactly in it, and all that is nearly so."""
+"""The request format: what is exactly in it, and what differs from it slightly."""
 
 from __future__ import annotations
 
@@ -6,7 +6,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from juniperreel.postgres.request_format import VALUE_LIMIT, FormError, parse, with_span
+from juniperreel.postgres.request_format import (
+    VALUE_LIMIT,
+    RequestFormatError,
+    StatementRequest,
+    parse_request,
+    with_timeout,
+)
 
 READ = (
     b"SELECT body FROM objects WHERE oid = '7f3a9c21e0b4d655' "
@@ -18,16 +24,28 @@
 )
 
 
-def test_both_statements_are_read() -> None:
-    form = parse(READ)
-    assert (form.write, form.key, form.cls, form.tenant) == (False, "7f3a9c21e0b4d655", "basket", "acme")
-    assert (form.span_ms, form.group, form.after_ms, form.retry) == (480, 2, 1767225600123, False)
-    form = parse(WRITE)
-    assert form.write and form.idempotency == "5c0f6e1a2b3d4c59" and form.retry
+def test_both_statements_in_the_format_are_parsed() -> None:
+    assert parse_request(READ) == StatementRequest(
+        text=READ,
+        is_write=False,
+        key="7f3a9c21e0b4d655",
+        id="9b1f03aa5c7e2d41",
+        class_name="basket",
+        tenant="acme",
+        timeout_ms=480,
+        group=2,
+        idempotency_key=None,
+        is_retry=False,
+        last_write_ms=1767225600123,
+    )
+    write = parse_request(WRITE)
+    assert write.is_write
+    assert write.idempotency_key == "5c0f6e1a2b3d4c59"
+    assert write.is_retry
 
 
 @pytest.mark.parametrize(
-    ("old", "new"),
+    "old,new",
     [
         (b"d=480", b"d=soon"),
         (b"d=480", b"d=-5"),
@@ -49,40 +67,41 @@
         (b"/* ", b"/* /* "),
     ],
 )
-def test_whatever_is_not_in_the_form_is_turned_away(old: bytes, new: bytes) -> None:
+def test_statement_not_in_the_format_is_rejected(old: bytes, new: bytes) -> None:
     for text in (READ, WRITE):
         assert old in text
-        with pytest.raises(FormError):
-            parse(text.replace(old, new, 1))
+        with pytest.raises(RequestFormatError):
+            parse_request(text.replace(old, new, 1))
 
 
-def test_values_have_a_limit_and_are_whole_bytes() -> None:
-    assert parse(WRITE.replace(b"9f03", b"00" * VALUE_LIMIT)).write
+def test_value_over_the_limit_or_not_of_complete_bytes_is_rejected() -> None:
+    assert parse_request(WRITE.replace(b"9f03", b"00" * VALUE_LIMIT)).is_write
     for value in (b"00" * (VALUE_LIMIT + 1), b"9f0", b"9g"):
-        with pytest.raises(FormError):
-            parse(WRITE.replace(b"9f03", value))
+        with pytest.raises(RequestFormatError):
+            parse_request(WRITE.replace(b"9f03", value))
 
 
 @given(st.binary(max_size=400))
-def test_noise_is_turned_away(text: bytes) -> None:
-    with pytest.raises(FormError):
-        parse(text)
+def test_random_bytes_are_rejected(text: bytes) -> None:
+    with pytest.raises(RequestFormatError):
+        parse_request(text)
 
 
 @given(st.integers(0, len(WRITE) - 1), st.integers(0, 255))
-def test_one_byte_changed_is_still_in_the_form_or_turned_away(at: int, byte: int) -> None:
+def test_statement_with_one_byte_changed_is_parsed_as_it_is_or_rejected(at: int, byte: int) -> None:
     text = WRITE[:at] + bytes((byte,)) + WRITE[at + 1 :]
     try:
-        form = parse(text)
-    except FormError:
+        request = parse_request(text)
+    except RequestFormatError:
         return
-    assert form.text == text and form.write
+    assert request.text == text
+    assert request.is_write
 
 
-def test_only_the_span_is_rewritten() -> None:
+def test_with_timeout_rewrites_the_timeout_alone() -> None:
     for text in (READ, WRITE):
-        assert with_span(text, 77) == text.replace(b"d=480", b"d=77")
+        assert with_timeout(text, 77) == text.replace(b"d=480", b"d=77")
     odd = WRITE.replace(b"c=order", b"c=xd=1").replace(b"7f3a9c21e0b4d655', '", b"d=480', '")
-    with pytest.raises(FormError):
-        parse(odd)  # a key with an equals sign is none
-    assert with_span(READ.replace(b"c=basket", b"c=d"), 5).count(b"d=5,") == 1
+    with pytest.raises(RequestFormatError):
+        parse_request(odd)  # a key with an equals sign is none
+    assert with_timeout(READ.replace(b"c=basket", b"c=d"), 5).count(b"d=5,") == 1
