The fleet model speaks of routers and endpoints; both models share one virtual clock

What is known of routers, endpoints and attempts is typed records in fleet_state.py, outcomes are the routing types' enum in place of strings, and the event heap that stood in both models is virtual_time.py. The accesses to the router's own state (requests, out) are as they were.

--- a/juniperreel/emulator/admission.py
+++ b/juniperreel/emulator/admission.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 from collections import deque
 from collections.abc import Callable
@@ -20,6 +19,7 @@
 from juniperreel.admission import Admission, AdmissionController, Arrival, Decision
 from juniperreel.admission.concurrency import ConcurrencyLimit
 from juniperreel.emulator.router_settings import SECOND_US
+from juniperreel.emulator.virtual_time import VirtualClock
 from juniperreel.routing.types import Settings
 
 WORK_SIGMA = 0.4  # standard deviation of the logarithm of a request's work
@@ -139,32 +139,35 @@
         for controller in self.controllers:
             controller.set_endpoint_count(0, len(servers) + 1)
         self.admission_control = admission_control
-        self.now_us = 0
+        self.clock = VirtualClock()
         self.jobs: dict[int, Job] = {}
         self.endings: list[RequestEnd] = []
         self.limits: list[LimitSample] = []
         self.fast_errors = 0.0  # part of requests that end at once with an error
-        self._timers: list[tuple[int, int, Callable[[], None]]] = []
-        self._timer_numbers = count()
         self._job_numbers = count()
 
+    @property
+    def now_us(self) -> int:
+        """The time of the play."""
+        return self.clock.now_us
+
     def at(self, time_us: int, action: Callable[[], None]) -> None:
         """Do something at a time."""
-        heapq.heappush(self._timers, (time_us, next(self._timer_numbers), action))
+        self.clock.at(time_us, action)
 
     def load(self, load: Load) -> None:
         """Start a Poisson process of arrivals."""
+        self._schedule_arrival(load)
 
-        def arrive() -> None:
-            self._arrive(load)
-            schedule_next()
-
-        def schedule_next() -> None:
-            due_us = max(self.now_us, load.start_us) + int(self.rng.expovariate(load.rate_per_s) * SECOND_US)
-            if due_us < load.end_us:
-                self.at(due_us, arrive)
+    def _schedule_arrival(self, load: Load) -> None:
+        gap_us = int(self.rng.expovariate(load.rate_per_s) * SECOND_US)
+        due_us = max(self.now_us, load.start_us) + gap_us
+        if due_us < load.end_us:
+            self.at(due_us, partial(self._arrive_and_schedule, load))
 
-        schedule_next()
+    def _arrive_and_schedule(self, load: Load) -> None:
+        self._arrive(load)
+        self._schedule_arrival(load)
 
     def burst(self, at_us: int, size: int, class_index: int = 0, tenant_index: int = -1) -> None:
         """Plan `size` arrivals at once."""
@@ -175,10 +178,7 @@
     def run(self, until_us: int) -> None:
         """Play until a time."""
         self._sample_limits()
-        while self._timers and self._timers[0][0] <= until_us:
-            self.now_us, _, action = heapq.heappop(self._timers)
-            action()
-        self.now_us = until_us
+        self.clock.run(until_us)
 
     def _sample_limits(self) -> None:
         values = tuple(
--- a/juniperreel/emulator/spread.py
+++ b/juniperreel/emulator/spread.py
@@ -1,21 +1,24 @@
-"""Hundreds of drivers before one group of members, in virtual time: who is sent what when members change.
+"""Hundreds of routers before one group of endpoints, in virtual time: how load spreads as endpoints change.
 
-Drivers are the module's routers, each with its own seed, list and timers; members have cores, one queue, a
-speed, and may fail quickly, vanish or start cold. Reads come by Poisson processes, unevenly over the drivers.
-What arrives at members is left as `proof.spread` reads it. One seed gives one play.
+The routers are the program's own, each with its own seed, endpoint list and timers. Endpoints have cores,
+one queue and a speed, and may fail quickly, vanish or start cold. Reads arrive by Poisson processes, unevenly
+over the routers. Arrivals at endpoints are recorded as `verification.spread` reads them. One seed gives one
+play.
 """
 
 from __future__ import annotations
 
-import heapq
 import math
 import random
-from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
+from functools import partial
+from itertools import count
 from typing import Any
 
-from juniperreel.emulator.router_settings import make_settings
+from juniperreel.emulator.fleet_state import Attempt, AttemptKey, EndpointModel, RouterRecord
+from juniperreel.emulator.router_settings import SECOND_US, make_settings
+from juniperreel.emulator.virtual_time import VirtualClock
 from juniperreel.routing.policy.router import Router
 from juniperreel.routing.types import (
     Action,
@@ -46,286 +49,302 @@
 )
 from juniperreel.verification.spread import Arrival
 
-MS = 1_000
-US = 1_000_000
-TRIP_US = (200, 600)  # one way
-REPORT_AGE_US = 100 * MS
-WORK_SPREAD = 0.5  # of the logarithm of a read's work
-QUICK_US = 2 * MS  # in which a member that fails answers
-START_US = 1_000 * US  # of the play's clock
+MILLISECOND_US = 1_000
+TRIP_US = (200, 600)  # one way, drawn between these
+UPDATE_DELAY_US = (200 * MILLISECOND_US, 1_000 * MILLISECOND_US)  # until a router has an endpoint's new entry
+REPORT_AGE_US = 100 * MILLISECOND_US
+WORK_SIGMA = 0.5  # standard deviation of the logarithm of a read's work
+FAST_ERROR_US = 2 * MILLISECOND_US  # until an endpoint that fails responds
+START_US = 1_000 * SECOND_US  # of the play, on its clock
+HEAVY_ROUTER_EVERY = 10  # one in so many routers has more reads than the others
 
 READ = RequestClass(
-    "read", Idempotency.IDEMPOTENT, KeyScope.ALL, 0, Consistency.ANY, 0, 500 * MS, 2 * US, 1.0, 0.2
+    name="read",
+    idempotency=Idempotency.IDEMPOTENT,
+    key_scope=KeyScope.ALL,
+    deduplication_window_us=0,
+    consistency=Consistency.ANY,
+    max_staleness_us=0,
+    latency_objective_us=500 * MILLISECOND_US,
+    deadline_us=2 * SECOND_US,
+    priority_weight=1.0,
+    late_priority_weight=0.2,
 )
 
-BOUNDED = replace(READ, consistency=Consistency.BOUNDED, max_staleness_us=300 * MS)
+BOUNDED_READ = replace(READ, consistency=Consistency.BOUNDED, max_staleness_us=300 * MILLISECOND_US)
 
-MakeRouter = Callable[[Settings, int], Router]
+RouterFactory = Callable[[Settings, int], Router]
 
 
-def settings(drivers: int, read: RequestClass = READ, **changes: Any) -> Settings:
-    ours: dict[str, Any] = {
+def make_fleet_settings(router_count: int, read_class: RequestClass = READ, **changes: Any) -> Settings:
+    """Return the settings of a fleet of routers that watch the endpoint list, with `changes` to them."""
+    defaults: dict[str, Any] = {
         "max_attempts": 6,
-        "response_grace_us": 20 * MS,
-        "slow_start_us": 10 * US,
+        "response_grace_us": 20 * MILLISECOND_US,
+        "slow_start_us": 10 * SECOND_US,
         "must_poll": False,
-        "poll_interval_us": 10 * US,
+        "poll_interval_us": 10 * SECOND_US,
         "staleness_guard": StalenessGuard.OFF,
         "requests_carry_session_age": False,
     }
-    return replace(make_settings((read,), router_count=drivers), **(ours | changes))
-
-
-@dataclass(slots=True)
-class Plant:
-    """One member."""
-
-    name: str
-    primary: bool = False
-    cores: int = 4
-    speed: float = 1.0
-    failing: float = 0.0  # the part of its attempts that it answers with a quick error
-    alive: bool = True
-    born_us: int = 0
-    readiness: Readiness = Readiness.READY
-    busy: int = 0
-    queue: deque[tuple[int, str, int]] = field(default_factory=deque)  # driver, request, attempt
-
-    def line(self) -> Endpoint:
-        return Endpoint(self.name, 0, 0, 0, self.readiness, self.primary, 1.0, self.born_us)
-
-
-@dataclass(slots=True)
-class Served:
-    """By driver: what was taken, and what was served within its aim."""
-
-    taken: int = 0
-    good: int = 0
+    return replace(make_settings((read_class,), router_count=router_count), **(defaults | changes))
 
 
 class Fleet:
-    """One play. `at` plans what happens to members or drivers; `run` plays on to a second of the play."""
+    """One play. `at` plans changes to endpoints or routers; `run` plays on to a second of the play."""
 
     def __init__(
         self,
-        drivers: int = 240,
+        router_count: int = 240,
         replicas: int = 11,
-        rate: float = 1.86,
-        heavy: float = 5.0,
-        work_us: int = 30 * MS,
+        rate_per_s: float = 1.86,
+        heavy_factor: float = 5.0,
+        work_us: int = 30 * MILLISECOND_US,
         seed: int = 1,
-        make: MakeRouter = Router,
-        read: RequestClass = READ,
+        make_router: RouterFactory = Router,
+        read_class: RequestClass = READ,
         **changes: Any,
     ) -> None:
-        """`rate`: reads a second of an ordinary driver; one in ten has `heavy` times that."""
+        """Set up the fleet and the first arrivals.
+
+        Each router has `rate_per_s` reads a second, one in ten of them `heavy_factor` times that. `work_us`
+        is the mean work of a read on one core at full speed. `changes` are to the routers' settings.
+        """
         self.rng = random.Random(seed)
-        self.read = read
-        self.settings, self.make, self.work_us = settings(drivers, read, **changes), make, work_us
-        self.now = START_US
-        self._heap: list[tuple[int, int, Callable[..., object], tuple[Any, ...]]] = []
-        self._count = 0
-        self.plants = {"p": Plant("p", primary=True)}
-        self.plants |= {f"r{i:02}": Plant(f"r{i:02}") for i in range(replicas)}
-        self.rates = [rate * (heavy if i % 10 == 0 else 1.0) for i in range(drivers)]
+        self.read_class = read_class
+        self.settings = make_fleet_settings(router_count, read_class, **changes)
+        self.make_router = make_router
+        self.work_us = work_us
+        self.clock = VirtualClock(START_US)
+        self._request_numbers = count()
+        self.endpoints = {"p": EndpointModel("p", primary=True)}
+        self.endpoints |= {f"r{i:02}": EndpointModel(f"r{i:02}") for i in range(replicas)}
+        self.records = [
+            RouterRecord(rate_per_s * (heavy_factor if i % HEAVY_ROUTER_EVERY == 0 else 1.0))
+            for i in range(router_count)
+        ]
         self.routers: list[Router] = []
-        self.lives = [0] * drivers
-        self.open: list[dict[str, int]] = [{} for _ in range(drivers)]  # request: when it came
-        self.out: set[tuple[int, str, int]] = set()  # attempts that their driver waits for
-        self.tried: list[dict[str, int]] = [{} for _ in range(drivers)]
-        self.served = [Served() for _ in range(drivers)]
+        self.outstanding: set[AttemptKey] = set()  # attempts whose end their router awaits
         self.arrivals: list[Arrival] = []
-        self.probes: list[Arrival] = []
-        for i in range(drivers):
-            self.routers.append(self._fresh(i))
-            self._arrive_next(i)
+        self.health_checks: list[Arrival] = []
+        for router in range(router_count):
+            self.routers.append(self._start_router(router))
+            self._schedule_arrival(router)
 
     # Planning.
 
-    def _after(self, us: float, what: Callable[..., object], *args: Any) -> None:
-        self._count += 1
-        heapq.heappush(self._heap, (self.now + int(us), self._count, what, args))
+    @property
+    def now_us(self) -> int:
+        """The time of the play's clock."""
+        return self.clock.now_us
 
-    def at(self, second: float, what: Callable[[Fleet], object]) -> None:
-        self._after(START_US + second * US - self.now, what, self)
+    def _after(self, delay_us: float, action: Callable[..., object], *arguments: Any) -> None:
+        self.clock.at(self.now_us + int(delay_us), partial(action, *arguments))
 
-    def time(self, second: float) -> int:
-        """A time of the play on its clock."""
-        return START_US + int(second * US)
+    def at(self, second: float, change: Callable[[Fleet], object]) -> None:
+        """Plan a change at a second of the play."""
+        self._after(START_US + second * SECOND_US - self.now_us, change, self)
+
+    def time_us(self, second: float) -> int:
+        """Return a second of the play as a time on its clock."""
+        return START_US + int(second * SECOND_US)
 
     def run(self, until: float) -> None:
-        end = self.time(until)
-        while self._heap and self._heap[0][0] <= end:
-            self.now, _, what, args = heapq.heappop(self._heap)
-            what(*args)
-        self.now = end
-
-    # What happens to members and drivers.
-
-    def tell(self, plant: Plant, late_us: tuple[int, int] = (200 * MS, 1_000 * MS)) -> None:
-        """Every driver learns of the member's line after a time of its own."""
-        line = plant.line()
-        for i in range(len(self.routers)):
-            self._after(self.rng.uniform(*late_us), self._told, i, line)
-
-    def _told(self, driver: int, line: Endpoint) -> None:
-        self._hand(driver, EndpointUpdate(UpdateKind.DELTA, (line,)))
-
-    def replace(self, name: str) -> str:
-        """The member is gone; another starts cold under a new name."""
-        old = self.plants[name]
-        old.alive, old.readiness = False, Readiness.REMOVED
-        self.tell(old)
-        fresh = Plant(f"n{len(self.plants):02}", old.primary, old.cores, born_us=self.now)
-        self.plants[fresh.name] = fresh
-        self.tell(fresh)
-        return fresh.name
-
-    def restart(self, part: float) -> None:
-        """So many of the drivers start anew at once, with nothing known but the list."""
-        for i in self.rng.sample(range(len(self.routers)), round(part * len(self.routers))):
-            self.lives[i] += 1
-            self.open[i], self.tried[i] = {}, {}
-            self.routers[i] = self._fresh(i)
-
-    def _fresh(self, driver: int) -> Router:
-        router = self.make(self.settings, self.rng.getrandbits(48))
-        lines = tuple(p.line() for p in self.plants.values() if p.readiness is not Readiness.REMOVED)
-        self._act(driver, router.handle(self.now, [EndpointUpdate(UpdateKind.CACHED, lines)]))
-        return router
-
-    # Requests.
-
-    def _arrive_next(self, driver: int) -> None:
-        self._after(US * self.rng.expovariate(self.rates[driver]), self._arrive, driver)
-
-    def _arrive(self, driver: int) -> None:
-        self._arrive_next(driver)
-        self._count += 1
-        name = f"{self._count}"
-        self.open[driver][name] = self.now
-        self.served[driver].taken += 1
-        self._hand(driver, Request(name, 0, -1, 0, self.now + self.read.deadline_us))
-
-    def _hand(self, driver: int, *events: Event) -> None:
-        self._act(driver, self.routers[driver].handle(self.now, events))
-
-    def _act(self, driver: int, actions: list[Action]) -> None:
-        life = self.lives[driver]
+        """Play on to a second of the play."""
+        self.clock.run(self.time_us(until))
+
+    # Changes to endpoints and routers.
+
+    def announce(self, endpoint: EndpointModel, delay_us: tuple[int, int] = UPDATE_DELAY_US) -> None:
+        """Send the endpoint's entry in the list to every router, each after a delay of its own."""
+        entry = endpoint.list_entry()
+        for router in range(len(self.routers)):
+            self._after(self.rng.uniform(*delay_us), self._update_endpoint, router, entry)
+
+    def _update_endpoint(self, router: int, entry: Endpoint) -> None:
+        self._handle(router, EndpointUpdate(UpdateKind.DELTA, (entry,)))
+
+    def replace_endpoint(self, name: str) -> str:
+        """Remove the endpoint, start a cold one in its place, and return the new one's name."""
+        old = self.endpoints[name]
+        old.alive = False
+        old.readiness = Readiness.REMOVED
+        self.announce(old)
+        new_name = f"n{len(self.endpoints):02}"
+        new = EndpointModel(new_name, old.primary, old.cores, started_us=self.now_us)
+        self.endpoints[new_name] = new
+        self.announce(new)
+        return new_name
+
+    def restart_routers(self, fraction: float) -> None:
+        """Restart a part of the routers at once, with nothing but the endpoint list."""
+        count = round(fraction * len(self.routers))
+        for router in self.rng.sample(range(len(self.routers)), count):
+            self.records[router].restart()
+            self.routers[router] = self._start_router(router)
+
+    def _start_router(self, router: int) -> Router:
+        started = self.make_router(self.settings, self.rng.getrandbits(48))
+        entries = tuple(
+            endpoint.list_entry()
+            for endpoint in self.endpoints.values()
+            if endpoint.readiness is not Readiness.REMOVED
+        )
+        update = EndpointUpdate(UpdateKind.CACHED, entries)
+        self._carry_out(router, started.handle(self.now_us, [update]))
+        return started
+
+    # Requests and routers.
+
+    def _schedule_arrival(self, router: int) -> None:
+        self._after(SECOND_US * self.rng.expovariate(self.records[router].rate_per_s), self._arrive, router)
+
+    def _arrive(self, router: int) -> None:
+        self._schedule_arrival(router)
+        name = f"{next(self._request_numbers)}"
+        self.records[router].open_requests[name] = self.now_us
+        self.records[router].arrived += 1
+        self._handle(router, Request(name, 0, -1, 0, self.now_us + self.read_class.deadline_us))
+
+    def _handle(self, router: int, *events: Event) -> None:
+        self._carry_out(router, self.routers[router].handle(self.now_us, events))
+
+    def _carry_out(self, router: int, actions: list[Action]) -> None:
+        incarnation = self.records[router].incarnation
         for action in actions:
             match action:
-                case Send(request, member, timeout):
-                    number = self.tried[driver].get(request, 0)
-                    self.tried[driver][request] = number + 1
-                    self.out.add((driver, request, number))
-                    attempt = (driver, life, request, number, member)
-                    self._after(self.rng.uniform(*TRIP_US), self._reach, *attempt)
-                    self._after(timeout, self._end, *attempt, self.now, "timeout")
-                case SetTimer(after, key):
-                    self._after(after, self._ring, driver, life, key)
-                case StartHealthCheck(member):
-                    self.probes.append(Arrival(self.now, member, str(driver)))
-                    self._after(2 * self.rng.uniform(*TRIP_US), self._probed, driver, life, member, self.now)
+                case Send(request, endpoint, timeout_us):
+                    self._send(router, request, endpoint, timeout_us)
+                case SetTimer(delay_us, key):
+                    self._after(delay_us, self._fire_timer, router, incarnation, key)
+                case StartHealthCheck(endpoint):
+                    self._start_health_check(router, endpoint)
                 case Cancel(request, number):
-                    for plant in self.plants.values():
-                        if (driver, request, number) in plant.queue:
-                            plant.queue.remove((driver, request, number))
-                    self._after(0, self._end, driver, life, request, number, "", self.now, "cancelled")
+                    self._cancel(AttemptKey(router, request, number))
                 case Reject(request, _) | Fail(request):
-                    self.open[driver].pop(request, None)
-
-    def _ring(self, driver: int, life: int, key: int) -> None:
-        if life == self.lives[driver]:
-            self._hand(driver, TimerFired(key))
-
-    def _probed(self, driver: int, life: int, member: str, sent_us: int) -> None:
-        if life != self.lives[driver]:
+                    self.records[router].open_requests.pop(request, None)
+
+    def _send(self, router: int, request: str, endpoint: str, timeout_us: int) -> None:
+        number = self.records[router].attempt_counts.get(request, 0)
+        self.records[router].attempt_counts[request] = number + 1
+        key = AttemptKey(router, request, number)
+        self.outstanding.add(key)
+        attempt = Attempt(key, self.records[router].incarnation, endpoint)
+        self._after(self.rng.uniform(*TRIP_US), self._reach_endpoint, attempt)
+        self._after(timeout_us, self._end_attempt, attempt, self.now_us, Outcome.TIMEOUT)
+
+    def _cancel(self, key: AttemptKey) -> None:
+        for endpoint in self.endpoints.values():
+            if key in endpoint.queue:
+                endpoint.queue.remove(key)
+        attempt = Attempt(key, self.records[key.router].incarnation, endpoint="")
+        self._after(0, self._end_attempt, attempt, self.now_us, Outcome.CANCELLED)
+
+    def _start_health_check(self, router: int, endpoint: str) -> None:
+        self.health_checks.append(Arrival(self.now_us, endpoint, str(router)))
+        incarnation = self.records[router].incarnation
+        round_trip_us = 2 * self.rng.uniform(*TRIP_US)
+        self._after(round_trip_us, self._end_health_check, router, incarnation, endpoint, self.now_us)
+
+    def _fire_timer(self, router: int, incarnation: int, key: int) -> None:
+        if incarnation == self.records[router].incarnation:
+            self._handle(router, TimerFired(key))
+
+    def _end_health_check(self, router: int, incarnation: int, name: str, sent_us: int) -> None:
+        if incarnation != self.records[router].incarnation:
             return
-        plant, took = self.plants[member], self.now - sent_us
-        if plant.alive:
-            report = LoadReport(self.now - REPORT_AGE_US, plant.primary, queued=float(len(plant.queue)))
-            self._hand(driver, HealthCheckEnded(member, Outcome.OK, took, report))
+        endpoint = self.endpoints[name]
+        took_us = self.now_us - sent_us
+        if endpoint.alive:
+            report = LoadReport(
+                self.now_us - REPORT_AGE_US, endpoint.primary, queued=float(len(endpoint.queue))
+            )
+            self._handle(router, HealthCheckEnded(name, Outcome.OK, took_us, report))
         else:
-            self._hand(driver, HealthCheckEnded(member, Outcome.UNREACHABLE, took, None))
+            self._handle(router, HealthCheckEnded(name, Outcome.UNREACHABLE, took_us, None))
 
-    # Members.
+    # Endpoints.
 
-    def _reach(self, driver: int, life: int, request: str, number: int, member: str) -> None:
-        if life != self.lives[driver]:
+    def _reach_endpoint(self, attempt: Attempt) -> None:
+        router = attempt.key.router
+        if attempt.incarnation != self.records[router].incarnation:
             return
-        plant = self.plants[member]
-        if not plant.alive:
-            self._end(driver, life, request, number, member, self.now, "unreachable")
+        endpoint = self.endpoints[attempt.endpoint]
+        if not endpoint.alive:
+            self._end_attempt(attempt, self.now_us, Outcome.UNREACHABLE)
             return
-        self.arrivals.append(Arrival(self.now, member, str(driver)))
-        if self.rng.random() < plant.failing:
-            self._after(QUICK_US, self._end, driver, life, request, number, member, self.now, "error")
+        self.arrivals.append(Arrival(self.now_us, attempt.endpoint, str(router)))
+        if self.rng.random() < endpoint.error_rate:
+            self._after(FAST_ERROR_US, self._end_attempt, attempt, self.now_us, Outcome.ERROR)
         else:
-            plant.queue.append((driver, request, number))
-            self._work(plant)
-
-    def _work(self, plant: Plant) -> None:
-        while plant.queue and plant.busy < plant.cores:
-            driver, request, number = plant.queue.popleft()
-            plant.busy += 1
-            age = self.now - plant.born_us
-            s = self.settings
-            warm = min(
-                1.0,
-                s.slow_start_initial_capacity + (1 - s.slow_start_initial_capacity) * age / s.slow_start_us,
-            )
-            work = self.work_us * math.exp(self.rng.gauss(-(WORK_SPREAD**2) / 2, WORK_SPREAD))
-            took = work / (plant.speed * warm)
-            self._after(took, self._done, plant, driver, self.lives[driver], request, number)
-
-    def _done(self, plant: Plant, driver: int, life: int, request: str, number: int) -> None:
-        plant.busy -= 1
-        if plant.alive:
-            trip = self.rng.uniform(*TRIP_US)
-            self._after(trip, self._end, driver, life, request, number, plant.name, self.now, "ok")
-        self._work(plant)
-
-    def _end(
-        self, driver: int, life: int, request: str, number: int, member: str, sent_us: int, how: str
-    ) -> None:
-        if life != self.lives[driver] or (driver, request, number) not in self.out:
+            endpoint.queue.append(attempt.key)
+            self._start_queued(endpoint)
+
+    def _start_queued(self, endpoint: EndpointModel) -> None:
+        while endpoint.queue and endpoint.busy < endpoint.cores:
+            key = endpoint.queue.popleft()
+            endpoint.busy += 1
+            work_us = self.work_us * math.exp(self.rng.gauss(-(WORK_SIGMA**2) / 2, WORK_SIGMA))
+            took_us = work_us / (endpoint.speed * self._warm_capacity(endpoint))
+            attempt = Attempt(key, self.records[key.router].incarnation, endpoint.name)
+            self._after(took_us, self._complete, endpoint, attempt)
+
+    def _warm_capacity(self, endpoint: EndpointModel) -> float:
+        """Return the part of its speed that the endpoint has, by its age."""
+        age_us = self.now_us - endpoint.started_us
+        initial = self.settings.slow_start_initial_capacity
+        return min(1.0, initial + (1 - initial) * age_us / self.settings.slow_start_us)
+
+    def _complete(self, endpoint: EndpointModel, attempt: Attempt) -> None:
+        endpoint.busy -= 1
+        if endpoint.alive:
+            trip_us = self.rng.uniform(*TRIP_US)
+            self._after(trip_us, self._end_attempt, attempt, self.now_us, Outcome.OK)
+        self._start_queued(endpoint)
+
+    def _end_attempt(self, attempt: Attempt, sent_us: int, outcome: Outcome) -> None:
+        router, request, number = attempt.key
+        if attempt.incarnation != self.records[router].incarnation or attempt.key not in self.outstanding:
             return
-        self.out.discard((driver, request, number))
-        came = self.open[driver].get(request)
-        outcome = Outcome(how)
-        plant = self.plants.get(member)
-        if outcome is Outcome.OK and came is not None:
-            self.served[driver].good += self.now - came <= self.read.latency_objective_us
-            del self.open[driver][request]
-        started = sent_us if how != "ok" else self._sent(driver, request, sent_us)
-        position = self.now if outcome is Outcome.OK else None
-        role = Role.UNKNOWN
-        if plant is not None and outcome in (Outcome.OK, Outcome.ERROR):
-            role = Role.PRIMARY if plant.primary else Role.REPLICA
-        self._hand(
-            driver,
-            AttemptEnded(
-                request,
-                number,
-                member,
-                outcome,
-                max(self.now - started, 1),
-                outcome is Outcome.OK or came is None,
-                role,
-                position,
-                None,
-            ),
+        self.outstanding.discard(attempt.key)
+        arrived_us = self.records[router].open_requests.get(request)
+        if outcome is Outcome.OK:
+            if arrived_us is not None:
+                took_us = self.now_us - arrived_us
+                in_time = took_us <= self.read_class.latency_objective_us
+                self.records[router].served_in_time += in_time
+                del self.records[router].open_requests[request]
+            sent_us = self._sent_us(router, request, sent_us)
+        ended = AttemptEnded(
+            request,
+            number,
+            attempt.endpoint,
+            outcome,
+            max(self.now_us - sent_us, 1),
+            outcome is Outcome.OK or arrived_us is None,
+            self._reported_role(attempt.endpoint, outcome),
+            self.now_us if outcome is Outcome.OK else None,
+            None,
         )
-        if request not in self.routers[driver].requests:
-            self.tried[driver].pop(request, None)
-
-    def _sent(self, driver: int, request: str, sent_us: int) -> int:
-        """When the attempt that just ended was sent, as its router has it."""
-        state = self.routers[driver].requests.get(request)
+        self._handle(router, ended)
+        if request not in self.routers[router].requests:
+            self.records[router].attempt_counts.pop(request, None)
+
+    def _reported_role(self, name: str, outcome: Outcome) -> Role:
+        """Return the role that the response carries: none without a response."""
+        endpoint = self.endpoints.get(name)
+        if endpoint is None or outcome not in (Outcome.OK, Outcome.ERROR):
+            return Role.UNKNOWN
+        return Role.PRIMARY if endpoint.primary else Role.REPLICA
+
+    def _sent_us(self, router: int, request: str, default_us: int) -> int:
+        """Return when the attempt that just ended was sent, as its router has it."""
+        state = self.routers[router].requests.get(request)
         times = [sent for sent, _ in state.out.values()] if state is not None else []
-        return min(times, default=sent_us)
+        return min(times, default=default_us)
 
     @property
-    def share_served(self) -> float:
-        taken = sum(s.taken for s in self.served)
-        return sum(s.good for s in self.served) / max(taken, 1)
+    def served_fraction(self) -> float:
+        """The part of all requests that were served within the latency objective."""
+        arrived = sum(record.arrived for record in self.records)
+        return sum(record.served_in_time for record in self.records) / max(arrived, 1)
