--- a/juniperreel/workers/parent.py
+++ b/juniperreel/workers/parent.py
@@ -21,7 +21,7 @@
 from juniperreel.net.clock import US
 from juniperreel.net.handover import Handover, hand_on, pair
 from juniperreel.net.network import TcpListener
-from juniperreel.workers.roster import Drain, Kill, Order, Phase, Roster, Start
+from juniperreel.workers.supervisor import Drain, Kill, Order, Phase, Roster, Start
 
 TICK_S = 0.1
 DRAIN, GRPC, MYSQL = b"drain", b"grpc", b"mysql"
--- a/tests/workers/test_roster.py
+++ b/tests/workers/test_supervisor.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from juniperreel.workers.roster import (
+from juniperreel.workers.supervisor import (
     BACKOFF_CAP_US,
     HUNG_US,
     QUIET_US,
