Workers: a supervisor decides, heartbeats and timeouts have their names, log lines are events

Roster, Told, tick, heard and renew were words of our own: Supervisor, WorkerStatus, on_timer, on_heartbeat, reload. A field that nothing read is gone.

--- a/juniperreel/cli/worker.py
+++ b/juniperreel/cli/worker.py
@@ -23,7 +23,7 @@
 from juniperreel.settings import EdgeSettings, SettingsError
 from juniperreel.settings.edge import parse_edge
 from juniperreel.telemetry.log import make_log
-from juniperreel.workers.parent import DRAIN, GRPC, MYSQL, Told, ignore_interrupts
+from juniperreel.workers.parent import DRAIN, GRPC, MYSQL, WorkerStatus, ignore_interrupts
 
 TELL_S = 0.1
 
@@ -71,7 +71,7 @@
 
     async def _tell(self) -> None:
         while True:
-            told = Told(self.edge.connections, not self.edge.stopping.is_set())
+            told = WorkerStatus(self.edge.connections, not self.edge.stopping.is_set())
             self.handover.hand(msgspec.json.encode(told))
             await trio.sleep(TELL_S)
 
--- a/juniperreel/cli/workers.py
+++ b/juniperreel/cli/workers.py
@@ -17,7 +17,7 @@
 from juniperreel.settings import EdgeSettings, SettingsError
 from juniperreel.settings.edge import parse_edge
 from juniperreel.telemetry.log import make_log
-from juniperreel.workers.parent import GRPC, MYSQL, Parent, Plan
+from juniperreel.workers.parent import GRPC, MYSQL, GenerationPlan, Parent
 
 FIXED = ("listen", "metrics", "mysql_listen")  # what a running parent cannot change
 
@@ -39,13 +39,13 @@
             self._plan(settings, text), Clock(), self.log, secrets.randbits(32), Path(self.folder.name)
         )
 
-    def _plan(self, settings: EdgeSettings, text: bytes) -> Plan:
+    def _plan(self, settings: EdgeSettings, text: bytes) -> GenerationPlan:
         def command(handover: int, source: int, slot: int) -> list[str]:
             python = [sys.executable, "-m", "juniperreel.cli.worker"]
             ports = [str(port) for port in self.ports]
             return [*python, str(handover), str(source), str(self.file), str(slot), *ports]
 
-        return Plan(text, settings.workers, command, settings.stop_within_us)
+        return GenerationPlan(text, settings.workers, command, settings.stop_within_us)
 
     async def run(self) -> int:
         network = TcpNetwork()
@@ -85,7 +85,7 @@
             async for number in signals:
                 if number == signal.SIGHUP:
                     await self._reload()
-                elif self.parent.roster.stopping:
+                elif self.parent.supervisor.stopping:
                     scope.cancel()
                 else:
                     self.log.info("stopping")
@@ -106,7 +106,7 @@
             return
         self.log.info("new settings", workers=settings.workers)
         self.settings = settings
-        self.parent.renew(self._plan(settings, text))
+        self.parent.reload(self._plan(settings, text))
 
     def _metrics(self) -> bytes:
         """Danger: a file that a worker is just beginning reads as broken; that must not end the parent."""
@@ -125,5 +125,5 @@
         for phase, count in self.parent.counts().items():
             workers.labels(phase).set(count)
         replaced = Gauge("juniperreel_workers_replaced", "Workers that ended unasked", registry=registry)
-        replaced.set(self.parent.roster.replaced)
+        replaced.set(self.parent.supervisor.replaced)
         return generate_latest(registry)
--- a/juniperreel/workers/__init__.py
+++ b/juniperreel/workers/__init__.py
@@ -1,1 +1,1 @@
-"""One edge on several cores: a parent that listens, and workers that serve what it hands them."""
+"""One edge on several cores: a parent process that accepts connections, and workers that serve them."""
--- a/juniperreel/workers/parent.py
+++ b/juniperreel/workers/parent.py
@@ -1,7 +1,8 @@
-"""The parent of an edge's workers: listens, hands connections on, starts, replaces, drains. Serves nothing.
+"""The parent process of an edge's workers: accepts connections, passes them on, and runs the workers.
 
-What is to be done is the roster's to say; this file does it. The settings' text travels to each worker by a
-descriptor, so that a file that is edited meanwhile cannot split the workers of one generation.
+It serves nothing itself. What is to be done is decided by the supervisor and carried out here. The settings'
+text reaches each worker by a file descriptor, so that a file that is edited meanwhile cannot give the workers
+of one generation different settings.
 """
 
 from __future__ import annotations
@@ -21,14 +22,17 @@
 from juniperreel.net.clock import US
 from juniperreel.net.handover import Handover, hand_on, pair
 from juniperreel.net.network import TcpListener
-from juniperreel.workers.supervisor import Drain, Kill, Order, Phase, Roster, Start
+from juniperreel.workers.supervisor import Action, Drain, Kill, Phase, Start, Supervisor
 
 TICK_S = 0.1
-DRAIN, GRPC, MYSQL = b"drain", b"grpc", b"mysql"
+# What the parent sends to a worker: an order to drain, or beside a connection which listener accepted it.
+DRAIN = b"drain"
+GRPC = b"grpc"
+MYSQL = b"mysql"
 
 
-class Told(msgspec.Struct):
-    """What a worker says every tenth of a second."""
+class WorkerStatus(msgspec.Struct):
+    """What a worker sends to the parent every tenth of a second, as JSON."""
 
     connections: int
     serving: bool = True
@@ -36,184 +40,206 @@
 
 @dataclass(slots=True)
 class Child:
+    """One worker's process, and the socket pair to it."""
+
     process: trio.Process
     handover: Handover
-    slot: int
-    asked: bool = False  # to drain
+    drain_requested: bool = False
 
 
 @dataclass(frozen=True, slots=True)
-class Plan:
-    """What a generation is started with: the settings' text, and the command that takes its descriptors."""
+class GenerationPlan:
+    """What a generation of workers is started with.
+
+    `command` gives the command line of a worker, from the descriptors of its socket and of the settings'
+    text, and its slot.
+    """
 
     text: bytes
     workers: int
-    command: Callable[[int, int, int], list[str]]  # handover's descriptor, settings' descriptor, slot
+    command: Callable[[int, int, int], list[str]]
     stop_within_us: int
 
 
 class Parent:
-    """`run` until `stop` and all workers have ended, or until cancelled; then they are killed."""
+    """Runs the workers. `run` returns once `stop` was called and all workers have ended.
 
-    def __init__(self, plan: Plan, clock: Clock, log: Any, seed: int, metrics: Path) -> None:
-        """`metrics`: the folder in which workers keep their metrics."""
+    If it is cancelled, the workers are killed.
+    """
+
+    def __init__(self, plan: GenerationPlan, clock: Clock, log: Any, seed: int, metrics: Path) -> None:
+        """`metrics` is the folder in which workers write their metrics."""
         self.plan = plan
-        self.roster = Roster(plan.workers, seed)
+        self.supervisor = Supervisor(plan.workers, seed)
         self.children: dict[int, Child] = {}
-        self.ready = trio.Event()  # all of the first generation serve
-        self._plans = {0: plan}
-        self._clock, self._log, self._metrics = clock, log, metrics
+        self.ready = trio.Event()  # all workers of the first generation serve
+        self._plans = {0: plan}  # by generation
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
         self._nursery: trio.Nursery | None = None
         self._listeners: list[TcpListener] = []
         self._ended = trio.Event()
 
     @property
     def serving(self) -> bool:
-        return bool(self.roster.serving()) and not self.roster.stopping
+        """Whether some worker serves and `stop` was not called."""
+        return bool(self.supervisor.serving()) and not self.supervisor.stopping
 
     async def run(
         self,
         listeners: dict[bytes, TcpListener],
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """`listeners`: by the name under which their connections are handed on."""
+        """Run the workers. `listeners` by the name that is sent with their connections."""
         self._listeners = list(listeners.values())
         try:
             async with trio.open_nursery() as self._nursery:
                 for name, listener in listeners.items():
-                    self._nursery.start_soon(self._take, listener, name)
-                self._nursery.start_soon(self._tick)
+                    self._nursery.start_soon(self._pass_connections, listener, name)
+                self._nursery.start_soon(self._run_timer)
                 task_status.started()
                 await self._ended.wait()
                 self._nursery.cancel_scope.cancel()
         finally:
             for child in self.children.values():
-                if child.process.poll() is None:
-                    child.process.kill()
+                _kill(child)
 
-    async def _take(self, listener: TcpListener, name: bytes) -> None:
+    async def _pass_connections(self, listener: TcpListener, name: bytes) -> None:
         with suppress(trio.ClosedResourceError):
-            await hand_on(listener, name, self._choose)
+            await hand_on(listener, name, self._choose_worker)
 
-    def _choose(self) -> Handover | None:
-        number = self.roster.pick(self._clock.now_us())
+    def _choose_worker(self) -> Handover | None:
+        number = self.supervisor.assign_connection(self._clock.now_us())
         return self.children[number].handover if number in self.children else None
 
-    async def _tick(self) -> None:
+    async def _run_timer(self) -> None:
         while True:
-            self._obey(self.roster.tick(self._clock.now_us()))
-            if self.roster.stopping and not self.children:
+            self._carry_out(self.supervisor.on_timer(self._clock.now_us()))
+            if self.supervisor.stopping and not self.children:
                 self._ended.set()
             await trio.sleep(TICK_S)
 
-    # What is asked of it.
+    # Commands.
 
     def stop(self) -> None:
-        """All in hand is answered, then the workers end, and `run` with them. Nobody can connect any more."""
+        """Start a graceful shutdown: no new connections; workers answer what is in flight and end."""
         for listener in self._listeners:
             listener.close()
-        self._obey(self.roster.stop())
+        self._carry_out(self.supervisor.stop())
 
-    def renew(self, plan: Plan) -> None:
-        """New settings, already checked: workers of the old drain once those of the new serve."""
+    def reload(self, plan: GenerationPlan) -> None:
+        """Start workers with new settings, which must be valid; the old ones drain once these serve."""
         self.plan = plan
-        self._plans[self.roster.generation + 1] = plan
-        self._obey(self.roster.renew(self._clock.now_us(), plan.workers))
+        self._plans[self.supervisor.generation + 1] = plan
+        self._carry_out(self.supervisor.reload(self._clock.now_us(), plan.workers))
 
-    # What the roster says.
+    # The supervisor's actions.
 
-    def _obey(self, orders: Iterable[Order]) -> None:
+    def _carry_out(self, actions: Iterable[Action]) -> None:
         assert self._nursery is not None
-        for order in orders:
-            match order:
+        for action in actions:
+            match action:
                 case Start(number, slot, generation):
-                    self._nursery.start_soon(self._child, number, slot, self._plans[generation])
+                    self._nursery.start_soon(self._run_worker, number, slot, self._plans[generation])
                 case Drain(number):
                     child = self.children.get(number)
                     if child is not None:
-                        child.asked = True
+                        child.drain_requested = True
                         self._nursery.start_soon(self._drain, child, self.plan.stop_within_us)
-                case Kill(number, why):
-                    self._log.error("a worker is killed", worker=number, why=why)
+                case Kill(number, reason):
+                    self._log.error("worker killed", worker=number, reason=reason.value)
                     child = self.children.get(number)
-                    if child is not None and child.process.poll() is None:
-                        child.process.kill()
+                    if child is not None:
+                        _kill(child)
 
     async def _drain(self, child: Child, within_us: int) -> None:
-        """Asks it to; a worker that does not come to an end is ended."""
+        """Tell a worker to drain, and kill it if it has not ended in time."""
         with trio.move_on_after(within_us / US + 1):
             while not child.handover.hand(DRAIN):
                 await trio.sleep(TICK_S)
             await child.process.wait()
-        if child.process.poll() is None:
-            child.process.kill()
-
-    async def _child(self, number: int, slot: int, plan: Plan) -> None:
-        ours, theirs = pair()
-        handover = Handover(ours)
-        text = os.memfd_create("settings")
-        os.write(text, plan.text)
-        os.lseek(text, 0, os.SEEK_SET)
-        command = plan.command(theirs.fileno(), text, slot)
+        _kill(child)
+
+    async def _run_worker(self, number: int, slot: int, plan: GenerationPlan) -> None:
+        """Run a worker's process until it ends."""
+        parent_socket, worker_socket = pair()
+        handover = Handover(parent_socket)
+        settings_fd = _settings_descriptor(plan.text)
+        command = plan.command(worker_socket.fileno(), settings_fd, slot)
         environment = os.environ | {"PROMETHEUS_MULTIPROC_DIR": str(self._metrics)}
         try:
             process = await trio.lowlevel.open_process(
-                command, pass_fds=(theirs.fileno(), text), env=environment, stdin=None
+                command, pass_fds=(worker_socket.fileno(), settings_fd), env=environment, stdin=None
             )
-        except OSError as error:  # no memory, no descriptors: it is tried again later, with backoff
-            self._log.error("a worker could not be started", error=str(error))
+        except OSError as error:  # no memory or no descriptors: the supervisor tries again, with backoff
+            self._log.error("worker start failed", error=str(error))
             handover.close()
-            self._obey(self.roster.ended(self._clock.now_us(), number))
+            self._carry_out(self.supervisor.on_exit(self._clock.now_us(), number))
             return
         finally:
-            theirs.close()
-            os.close(text)
-        self._log.info("a worker starts", worker=number, slot=slot, pid=process.pid)
-        child = Child(process, handover, slot)
+            worker_socket.close()
+            os.close(settings_fd)
+        self._log.info("worker started", worker=number, slot=slot, pid=process.pid)
+        child = Child(process, handover)
         self.children[number] = child
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._listen, number, handover)
+            nursery.start_soon(self._receive_status, number, handover)
             await process.wait()
             nursery.cancel_scope.cancel()
         handover.close()
-        self._forget(number, child)
+        self._on_exit(number, child)
 
-    def _forget(self, number: int, child: Child) -> None:
+    def _on_exit(self, number: int, child: Child) -> None:
         from prometheus_client import multiprocess
 
         del self.children[number]
         multiprocess.mark_process_dead(child.process.pid, str(self._metrics))  # type: ignore[no-untyped-call]
-        if not child.asked:
-            code = child.process.returncode
-            self._log.error("a worker ended by itself", worker=number, status=code, pid=child.process.pid)
-        self._obey(self.roster.ended(self._clock.now_us(), number))
+        if not child.drain_requested:
+            status = child.process.returncode
+            self._log.error("worker exited unexpectedly", worker=number, status=status, pid=child.process.pid)
+        self._carry_out(self.supervisor.on_exit(self._clock.now_us(), number))
 
-    async def _listen(self, number: int, handover: Handover) -> None:
-        decoder = msgspec.json.Decoder(Told)
+    async def _receive_status(self, number: int, handover: Handover) -> None:
+        decoder = msgspec.json.Decoder(WorkerStatus)
         while True:
-            data, stray = await handover.receive()
-            if stray is not None:
-                stray.close()
+            data, unexpected_socket = await handover.receive()
+            if unexpected_socket is not None:
+                unexpected_socket.close()
             if not data:
-                return  # it has ended, or will be found hung
+                return  # the worker has ended, or its heartbeat will time out
             try:
-                told = decoder.decode(data)
+                status = decoder.decode(data)
             except msgspec.DecodeError:
-                self._log.error("a worker sent what is no message", worker=number)
+                self._log.error("invalid message from worker", worker=number)
                 continue
-            if told.serving:
-                self._obey(self.roster.heard(self._clock.now_us(), number, told.connections))
-            if not self.ready.is_set() and len(self.roster.serving()) >= self.plan.workers:
+            if status.serving:
+                now_us = self._clock.now_us()
+                self._carry_out(self.supervisor.on_heartbeat(now_us, number, status.connections))
+            if not self.ready.is_set() and len(self.supervisor.serving()) >= self.plan.workers:
                 self.ready.set()
 
     def counts(self) -> dict[str, int]:
-        """Of workers, by phase."""
-        found = {phase.value: 0 for phase in Phase}
-        for worker in self.roster.workers.values():
-            found[worker.phase.value] += 1
-        return found
+        """Return how many workers are in each phase."""
+        counts = {phase.value: 0 for phase in Phase}
+        for worker in self.supervisor.workers.values():
+            counts[worker.phase.value] += 1
+        return counts
 
 
 def ignore_interrupts() -> None:
-    """Ctrl-C reaches a whole process group; in workers it is the parent's to act on."""
+    """Ignore SIGINT in a worker: Ctrl-C reaches the whole process group, and only the parent acts on it."""
     signal.signal(signal.SIGINT, signal.SIG_IGN)
+
+
+def _kill(child: Child) -> None:
+    if child.process.poll() is None:
+        child.process.kill()
+
+
+def _settings_descriptor(text: bytes) -> int:
+    """Return the descriptor of an anonymous file with the settings' text, to be closed by the caller."""
+    descriptor = os.memfd_create("settings")
+    os.write(descriptor, text)
+    os.lseek(descriptor, 0, os.SEEK_SET)
+    return descriptor
--- a/juniperreel/workers/supervisor.py
+++ b/juniperreel/workers/supervisor.py
@@ -1,7 +1,8 @@
-"""What the parent decides: who gets a connection, who is replaced and when, who is drained. No I/O.
+"""What the parent process decides: which worker gets a connection, and which are started, drained or killed.
 
-A worker's life: starting, serving, draining, ended. Each belongs to a generation, that of the settings it was
-started with; a new generation's workers must serve before those of the old are drained.
+A worker is starting, serving, then draining, until its process ends. Each belongs to a generation, that of
+the settings it was started with; a new generation's workers must serve before those of the old are drained.
+No I/O.
 """
 
 from __future__ import annotations
@@ -10,46 +11,65 @@
 from dataclasses import dataclass
 from enum import Enum
 
-SEC = 1_000_000
-BACKOFF_US = 200_000  # before a worker that ended is replaced; doubles with each that ends young
-BACKOFF_CAP_US = 10 * SEC
-YOUNG_US = 10 * SEC  # one that ends within this has not shown that its settings and machine let it live
-QUIET_US = 1 * SEC  # without a word from it, a worker gets no new connection
-HUNG_US = 10 * SEC  # and is killed and replaced
-START_US = 30 * SEC  # within which one that starts must serve
+SECOND_US = 1_000_000
+BACKOFF_US = 200_000  # before a worker that ended is replaced; doubles with each that ends early
+BACKOFF_CAP_US = 10 * SECOND_US
+BACKOFF_DOUBLINGS = 10  # at most, so that the shift stays small
+BACKOFF_SPREAD = (0.5, 1.0)  # a part of the backoff, drawn between these
+STABLE_AFTER_US = 10 * SECOND_US  # one that ends before has not shown that its settings and host let it run
+HEARTBEAT_LATE_US = 1 * SECOND_US  # without a heartbeat for so long, a worker gets no new connection
+HEARTBEAT_TIMEOUT_US = 10 * SECOND_US  # and is killed and replaced
+STARTUP_TIMEOUT_US = 30 * SECOND_US  # within which a worker that starts must serve
 
 
 class Phase(Enum):
+    """The state of a worker. The values are labels of `juniperreel_workers`."""
+
     STARTING = "starting"
     SERVING = "serving"
     DRAINING = "draining"
 
 
+class KillReason(Enum):
+    """Why a worker is killed."""
+
+    STARTUP_TIMED_OUT = "startup timed out"
+    HEARTBEAT_TIMED_OUT = "heartbeat timed out"
+    SETTINGS_OUTDATED = "settings outdated"
+
+
 @dataclass(slots=True)
 class Worker:
-    """One process. `connections` as it last told, and those handed to it since."""
+    """One worker process."""
 
     number: int
     slot: int
     generation: int
-    since_us: int
+    started_us: int
     phase: Phase = Phase.STARTING
-    heard_us: int = 0
-    connections: int = 0
-    handed: int = 0
+    last_heartbeat_us: int = 0
+    connections: int = 0  # as of its last heartbeat
+    assigned: int = 0  # connections passed to it since
+
+    @property
+    def load(self) -> int:
+        """Its connections, with those that it has not reported yet."""
+        return self.connections + self.assigned
 
 
 @dataclass(slots=True)
 class Slot:
-    """A place that one worker of a generation fills."""
+    """A place for one worker of the current generation."""
 
-    failures: int = 0
-    due_us: int = 0  # not to be filled before
+    failures: int = 0  # in a row
+    start_after_us: int = 0
     worker: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class Start:
+    """Start a worker process."""
+
     worker: int
     slot: int
     generation: int
@@ -57,117 +77,156 @@
 
 @dataclass(frozen=True, slots=True)
 class Drain:
+    """Tell a worker to answer what is in flight and end."""
+
     worker: int
 
 
 @dataclass(frozen=True, slots=True)
 class Kill:
+    """End a worker's process now."""
+
     worker: int
-    why: str
+    reason: KillReason
+
 
+Action = Start | Drain | Kill
 
-Order = Start | Drain | Kill
 
+class Supervisor:
+    """All workers of one edge. Events in; each method returns the actions to be carried out now.
 
-class Roster:
-    """All workers of one edge. Every method returns what is to be done now."""
+    Invariant: each slot holds at most one worker, and a worker that was told to drain is not replaced.
+    """
 
     def __init__(self, count: int, seed: int) -> None:
+        """`count` workers serve at a time; `seed` is that of the random choices."""
         self.workers: dict[int, Worker] = {}
         self.generation = 0
         self.stopping = False
-        self.replaced = 0  # workers that ended without having been asked to
+        self.replaced = 0  # workers that ended without having been told to
         self._slots = [Slot() for _ in range(count)]
         self._random = random.Random(seed)
-        self._born = 0
+        self._next_number = 0
 
-    # What it may be asked.
+    # State.
 
     def serving(self) -> list[Worker]:
-        return [w for w in self.workers.values() if w.phase is Phase.SERVING]
-
-    def pick(self, now: int) -> int | None:
-        """Who gets a connection that has just come: the one with fewest, of those that were heard lately."""
-        able = self.serving()
-        heard = [w for w in able if now - w.heard_us < QUIET_US]
-        if not heard:
-            # Danger: a machine that stood still finds all of them quiet; somebody must take it.
-            heard = able
-        if not heard:
+        """Return the workers that serve."""
+        return [worker for worker in self.workers.values() if worker.phase is Phase.SERVING]
+
+    def assign_connection(self, now_us: int) -> int | None:
+        """Return the worker for a new connection: the one with the fewest, of those with a recent heartbeat.
+
+        None if no worker serves.
+        """
+        serving = self.serving()
+        candidates = [worker for worker in serving if now_us - worker.last_heartbeat_us < HEARTBEAT_LATE_US]
+        if not candidates:
+            # After a stall of the whole host every heartbeat is late; some worker must take the connection.
+            candidates = serving
+        if not candidates:
             return None
-        fewest = min(w.connections + w.handed for w in heard)
-        chosen = self._random.choice([w for w in heard if w.connections + w.handed == fewest])
-        chosen.handed += 1
+        least_load = min(worker.load for worker in candidates)
+        chosen = self._random.choice([worker for worker in candidates if worker.load == least_load])
+        chosen.assigned += 1
         return chosen.number
 
     # Events.
 
-    def tick(self, now: int) -> list[Order]:
-        """To be called now and then, and after each other event."""
-        orders: list[Order] = []
+    def on_timer(self, now_us: int) -> list[Action]:
+        """Kill workers whose time is out, and fill empty slots. To be called every few tenths of a second."""
+        actions: list[Action] = []
         for worker in self.workers.values():
-            if worker.phase is Phase.STARTING and now - worker.since_us > START_US:
-                orders.append(Kill(worker.number, "it did not come up"))
-            elif worker.phase is Phase.SERVING and now - worker.heard_us > HUNG_US:
-                orders.append(Kill(worker.number, "it was not heard of"))
+            reason = _kill_reason(worker, now_us)
+            if reason is not None:
+                actions.append(Kill(worker.number, reason))
         if self.stopping:
-            return orders
-        for number, slot in enumerate(self._slots):
-            if slot.worker is None and now >= slot.due_us:
-                slot.worker = self._born
-                self.workers[self._born] = Worker(self._born, number, self.generation, now, heard_us=now)
-                orders.append(Start(self._born, number, self.generation))
-                self._born += 1
-        return orders
-
-    def heard(self, now: int, number: int, connections: int) -> list[Order]:
-        """A worker says that it serves, and how many connections it has."""
+            return actions
+        for index, slot in enumerate(self._slots):
+            if slot.worker is None and now_us >= slot.start_after_us:
+                actions.append(self._start_worker(now_us, index))
+        return actions
+
+    def _start_worker(self, now_us: int, slot_index: int) -> Start:
+        number = self._next_number
+        self._next_number += 1
+        self._slots[slot_index].worker = number
+        self.workers[number] = Worker(number, slot_index, self.generation, now_us, last_heartbeat_us=now_us)
+        return Start(number, slot_index, self.generation)
+
+    def on_heartbeat(self, now_us: int, number: int, connections: int) -> list[Action]:
+        """Record that a worker serves, and how many connections it has."""
         worker = self.workers.get(number)
         if worker is None:
             return []
-        worker.heard_us, worker.connections, worker.handed = now, connections, 0
+        worker.last_heartbeat_us = now_us
+        worker.connections = connections
+        worker.assigned = 0
         if worker.phase is not Phase.STARTING:
             return []
         worker.phase = Phase.SERVING
         if self.stopping:
             return self._drain([worker])
-        current = [w for w in self.serving() if w.generation == self.generation]
-        old = [w for w in self.serving() if w.generation != self.generation]
-        # The last of a generation to serve sends home the one before; until then both serve.
-        return self._drain(old) if old and len(current) == len(self._slots) else []
+        return self._drain_old_generations()
+
+    def _drain_old_generations(self) -> list[Action]:
+        """Drain them once all workers of the current generation serve; until then both serve."""
+        serving = self.serving()
+        current = [worker for worker in serving if worker.generation == self.generation]
+        if len(current) != len(self._slots):
+            return []
+        return self._drain([worker for worker in serving if worker.generation != self.generation])
 
-    def ended(self, now: int, number: int) -> list[Order]:
-        """A worker's process has ended."""
+    def on_exit(self, now_us: int, number: int) -> list[Action]:
+        """Record that a worker's process has ended, and replace it unless it was told to end."""
         worker = self.workers.pop(number, None)
-        if worker is None or worker.phase is Phase.DRAINING or self.stopping:
-            return self.tick(now)
-        self.replaced += 1
-        # Danger: one of the generation before may have had a slot that is no more.
-        slot = self._slots[worker.slot] if worker.generation == self.generation else None
-        if slot is not None and slot.worker == number:
-            slot.worker = None
-            slot.failures = slot.failures + 1 if now - worker.since_us < YOUNG_US else 0
-            pause = min(BACKOFF_US << min(slot.failures, 10), BACKOFF_CAP_US) if slot.failures else 0
-            # Danger: workers that die of one cause must not come back as one.
-            slot.due_us = now + int(pause * self._random.uniform(0.5, 1.0))
-        return self.tick(now)
-
-    def renew(self, now: int, count: int) -> list[Order]:
-        """New settings: a new generation beside the old, which goes when all of the new serve."""
+        if worker is not None and worker.phase is not Phase.DRAINING and not self.stopping:
+            self.replaced += 1
+            # A worker of an older generation may have had a slot that no longer exists.
+            if worker.generation == self.generation:
+                self._release_slot(now_us, worker)
+        return self.on_timer(now_us)
+
+    def _release_slot(self, now_us: int, worker: Worker) -> None:
+        slot = self._slots[worker.slot]
+        if slot.worker != worker.number:
+            return
+        slot.worker = None
+        if now_us - worker.started_us < STABLE_AFTER_US:
+            slot.failures += 1
+            backoff_us = min(BACKOFF_US << min(slot.failures, BACKOFF_DOUBLINGS), BACKOFF_CAP_US)
+        else:
+            slot.failures = 0
+            backoff_us = 0
+        # Workers that end of one cause would otherwise be restarted, and fail, all at the same time.
+        slot.start_after_us = now_us + int(backoff_us * self._random.uniform(*BACKOFF_SPREAD))
+
+    def reload(self, now_us: int, count: int) -> list[Action]:
+        """Start a new generation of `count` workers beside the old one, which drains once all of it serve."""
         self.generation += 1
-        unborn = [w for w in self.workers.values() if w.phase is Phase.STARTING]
-        orders: list[Order] = [Kill(w.number, "its settings are out of date") for w in unborn]
-        for worker in unborn:
+        starting = [worker for worker in self.workers.values() if worker.phase is Phase.STARTING]
+        actions: list[Action] = [Kill(worker.number, KillReason.SETTINGS_OUTDATED) for worker in starting]
+        for worker in starting:
             worker.phase = Phase.DRAINING
         self._slots = [Slot() for _ in range(count)]
-        return orders + self.tick(now)
+        return actions + self.on_timer(now_us)
 
-    def stop(self) -> list[Order]:
+    def stop(self) -> list[Action]:
+        """Drain all workers, and start no more."""
         self.stopping = True
         return self._drain(self.serving())
 
     @staticmethod
-    def _drain(workers: list[Worker]) -> list[Order]:
+    def _drain(workers: list[Worker]) -> list[Action]:
         for worker in workers:
             worker.phase = Phase.DRAINING
         return [Drain(worker.number) for worker in workers]
+
+
+def _kill_reason(worker: Worker, now_us: int) -> KillReason | None:
+    if worker.phase is Phase.STARTING and now_us - worker.started_us > STARTUP_TIMEOUT_US:
+        return KillReason.STARTUP_TIMED_OUT
+    if worker.phase is Phase.SERVING and now_us - worker.last_heartbeat_us > HEARTBEAT_TIMEOUT_US:
+        return KillReason.HEARTBEAT_TIMED_OUT
+    return None
--- a/tests/cli/test_workers.py
+++ b/tests/cli/test_workers.py
@@ -67,7 +67,7 @@
         super().__init__(folder, f"\nworkers {WORKERS}")
 
     def pids(self) -> list[int]:
-        return [line["pid"] for line in self.lines if line["event"] == "a worker starts"]
+        return [line["pid"] for line in self.lines if line["event"] == "worker started"]
 
     def metric(self, name: str) -> float:
         place = next(line for line in self.lines if line["event"] == "serving")["metrics"]
--- a/tests/workers/test_handover.py
+++ b/tests/workers/test_handover.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 import trio
 
 from juniperreel.net import TcpNetwork
@@ -10,14 +11,15 @@
 SECONDS = 20
 
 
-async def test_a_connection_is_served_by_the_other_end(nursery: trio.Nursery) -> None:
+async def test_passed_connection_is_served_by_the_other_process(nursery: trio.Nursery) -> None:
     with trio.fail_after(SECONDS):
         ours, theirs = (Handover(end) for end in pair())
         listener = await TcpNetwork().listen("127.0.0.1", 0)
         nursery.start_soon(hand_on, listener, b"grpc", lambda: ours)
         client = await trio.open_tcp_stream("127.0.0.1", listener.port)
         name, connection = await theirs.receive()
-        assert name == b"grpc" and connection is not None
+        assert name == b"grpc"
+        assert connection is not None
         network = HandedNetwork()
         handed = await network.listen("127.0.0.1", 7)
         handed.put(connection)
@@ -30,7 +32,7 @@
         nursery.cancel_scope.cancel()
 
 
-async def test_an_end_that_takes_no_more_or_is_gone_says_no() -> None:
+async def test_send_to_a_full_or_closed_end_returns_false() -> None:
     with trio.fail_after(SECONDS):
         ours, theirs = (Handover(end) for end in pair())
         count = 0
@@ -45,7 +47,7 @@
         assert await ours.receive() == (b"", None)
 
 
-async def test_what_is_handed_to_nobody_is_closed() -> None:
+async def test_connection_without_a_worker_is_closed() -> None:
     with trio.fail_after(SECONDS):
         listener = await TcpNetwork().listen("127.0.0.1", 0)
         async with trio.open_nursery() as nursery:
@@ -55,12 +57,8 @@
             nursery.cancel_scope.cancel()
 
 
-async def test_a_closed_listener_ends_those_that_accept(nursery: trio.Nursery) -> None:
+async def test_accept_on_a_closed_listener_raises() -> None:
     handed = await HandedNetwork().listen("127.0.0.1", 7)
     await handed.aclose()
-    try:
-        with trio.fail_after(SECONDS):
-            await handed.accept()
-    except trio.ClosedResourceError:
-        return
-    raise AssertionError("it went on")
+    with trio.fail_after(SECONDS), pytest.raises(trio.ClosedResourceError):
+        await handed.accept()
