--- a/juniperreel/postgres/client.py
+++ b/juniperreel/postgres/client.py
@@ -57,6 +57,8 @@
 class ReplyBuilder:
     """Puts one reply together. A result is one row of one column: T, then D, then C, each once."""
 
+    __slots__ = ("_description", "_row", "reply")
+
     def __init__(self) -> None:
         self.reply = Reply()
         self._description = b""
