--- a/juniperreel/proxy/driver.py
+++ b/juniperreel/proxy/driver.py
@@ -142,7 +142,7 @@
         rng = random.Random(options.seed)
         super().__init__(options.router, rng.getrandbits(64))
         self.options, self.clock, self.log, self.metrics, self.traces = options, clock, log, metrics, traces
-        self.admission = AdmissionController(options.router, options.max_open, options.seed)
+        self.admission_controller = AdmissionController(options.router, options.max_open, options.seed)
         self._pace = pace
         self._parked: dict[str, Open] = {}  # at the gate
         self.positions = Positions(options.skew_us)
@@ -188,7 +188,7 @@
 
     async def drain(self) -> None:
         """Take no more; return when every request in hand has its answer and no attempt is out."""
-        self.admission.shutting_down = True
+        self.admission_controller.shutting_down = True
         while self._open or self._parked:
             self._idle = trio.Event()
             await self._idle.wait()
@@ -214,7 +214,7 @@
             work.deadline_us - self.options.answer_margin_us,
             work.repeat,
         )
-        self._heed(self.admission.on_arrival(now, arrival))
+        self._heed(self.admission_controller.on_arrival(now, arrival))
         return item.answer if isinstance(item.answer, Refused) else item
 
     async def answer(self, item: Open) -> Answer:
@@ -233,7 +233,7 @@
         if item.answer is not None:
             return
         if self._parked.pop(item.work.id, None) is not None:
-            self._heed(self.admission.on_client_disconnected(self.clock.now_us(), item.work.id))
+            self._heed(self.admission_controller.on_client_disconnected(self.clock.now_us(), item.work.id))
             self._settle()
         else:
             self.enqueue(ClientDisconnected(item.work.id))
@@ -242,7 +242,7 @@
         """Whether a request would be turned away on its arrival: asked before anything is spent on it."""
         now = self.clock.now_us()
         remaining_us = deadline_us - self.options.answer_margin_us - now
-        turn = self.admission.reject_early(now, cls, tenant, group, remaining_us)
+        turn = self.admission_controller.reject_early(now, cls, tenant, group, remaining_us)
         if turn is None:
             return None
         self.metrics.reject(turn.reason).inc()
@@ -258,7 +258,7 @@
                         self._open[name] = item
                         self.enqueue(item)
                     else:
-                        self._heed(self.admission.on_finished(self.clock.now_us(), name, None))
+                        self._heed(self.admission_controller.on_finished(self.clock.now_us(), name, None))
                 case Rejection(_, reason, wait):
                     self.metrics.reject(reason).inc()
                     if item is not None:
@@ -288,14 +288,14 @@
             self._turn()
 
     def _due_us(self) -> int | None:
-        times = (self.next_timer_us(), self.admission.next_timer_us())
+        times = (self.next_timer_us(), self.admission_controller.next_timer_us())
         return min((due for due in times if due is not None), default=None)
 
     def _turn(self) -> None:
         now = self.clock.now_us()
         if self._pace is not None:
-            self.admission.on_loop_lag(now, self._pace.late_us())
-        self._heed(self.admission.on_timer(now))
+            self.admission_controller.on_loop_lag(now, self._pace.late_us())
+        self._heed(self.admission_controller.on_timer(now))
         if self.process_batch(now):
             self.metrics.batches.inc()
 
@@ -489,7 +489,7 @@
                 self.links.retire(member)
         counts = Counter(group for member, group in self._groups.items() if member not in self._gone)
         for group, members in counts.items():
-            self.admission.set_endpoint_count(group, members)
+            self.admission_controller.set_endpoint_count(group, members)
         if told.kind in (UpdateKind.SNAPSHOT, UpdateKind.DELTA):
             self._list_changed.set()
         return EndpointUpdate(told.kind, tuple(h.member(self.options.skew_us) for h in told.hosts))
@@ -522,8 +522,8 @@
                 self.links.gauges()
             self.metrics.open.set(len(self._open))
             self.metrics.parked.set(len(self._parked))
-            self.metrics.program_limit.set(self.admission.process_limit.value)
-            for (group, current), lane in self.admission.lanes():
+            self.metrics.program_limit.set(self.admission_controller.process_limit.value)
+            for (group, current), lane in self.admission_controller.lanes():
                 names = (str(group), "primary" if current else "replicas")
                 self.metrics.lane_limit.labels(*names).set(lane.limit.value)
                 self.metrics.lane_in_hand.labels(*names).set(lane.in_flight)
@@ -601,7 +601,7 @@
             item.done.set()
             lost = isinstance(answer, (Refused, Failed)) and item.last in CONGESTED
             took = item.took_us if isinstance(answer, Served) else None
-            self._heed(self.admission.on_finished(self.clock.now_us(), item.work.id, took, lost))
+            self._heed(self.admission_controller.on_finished(self.clock.now_us(), item.work.id, took, lost))
             self.log.debug(
                 "answered", request=item.work.id, answer=type(answer).__name__, attempts=item.attempts
             )
--- a/tests/e2e/test_overload.py
+++ b/tests/e2e/test_overload.py
@@ -153,8 +153,8 @@
             driver = slow.edge.driver
             while driver._open or driver._parked:
                 await trio.sleep(0.02)
-            assert driver.admission.in_flight == driver.admission.queued == 0
-            assert all(lane.in_flight == lane.queued == 0 for _, lane in driver.admission.lanes())
+            assert driver.admission_controller.in_flight == driver.admission_controller.queued == 0
+            assert all(lane.in_flight == lane.queued == 0 for _, lane in driver.admission_controller.lanes())
             await goes_on(slow)
             nursery.cancel_scope.cancel()
 
@@ -225,7 +225,7 @@
             await crowd.open(nursery)
             # Whether this edge's own loop is late is for the machine to say, and then rightly the reason
             # (tests/admission asks for that one); here the members are what is at its limit.
-            slow.edge.driver.admission.on_loop_lag = lambda now_us, lag_us: None  # type: ignore[method-assign]
+            slow.edge.driver.admission_controller.on_loop_lag = lambda now_us, lag_us: None  # type: ignore[method-assign]
             await crowd.burst(400)
             known = {
                 "the group is at its limit",
@@ -245,7 +245,7 @@
         async with trio.open_nursery() as nursery:
             crowd = Crowd(slow, 2)
             await crowd.open(nursery)
-            slow.edge.driver.admission.max_open = 0
+            slow.edge.driver.admission_controller.max_open = 0
             metadata = [("juniperreel-class", "own"), ("juniperreel-group", "0")]
             link = await crowd.channels[0].link()
             block = crowd.channels[0]._block(EXECUTE, metadata, 5_000_000, False)
