--- /dev/null
+++ b/juniperreel/admission/controller.py
@@ -0,0 +1,329 @@
+"""The admission controller in front of the router: which requests are admitted, queued or rejected.
+
+Events in, decisions out, without a clock and without I/O. There is one concurrency limit for each group's
+replicas, one for each group's primary, and one for the whole process, which follows the lag of its event
+loop. A lane that is full holds back its own requests and no others.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from juniperreel.admission.concurrency import ConcurrencyLimit
+from juniperreel.admission.controlled_delay import QueueKey
+from juniperreel.admission.decisions import Admission, Arrival, Decision, Rejection, RejectionReason
+from juniperreel.admission.lane import PriorityLane, QueuedRequest
+from juniperreel.routing.types import Consistency, RequestClass, Settings
+
+MILLISECOND_US = 1_000
+MINIMUM_REMAINING_US = (
+    10 * MILLISECOND_US
+)  # with less until its deadline a request cannot be answered in time
+LOOP_LAG_OBJECTIVE_US = (
+    100 * MILLISECOND_US
+)  # the event loop's lag is to this what response times are to their objective
+LOOP_LAG_WINDOW_US = (
+    100 * MILLISECOND_US
+)  # one stall of the loop counts once, not once for each request behind it
+OBSERVATIONS_EXPIRE_US = (
+    2_000 * MILLISECOND_US
+)  # without a completion for so long, what a lane has observed is outdated
+MINIMUM_RETRY_AFTER = 0.2  # of the longest retry-after, sent where hardly any request is rejected
+# Requests that are rejected together must not retry together: a part of the wait, drawn between these.
+RETRY_AFTER_SPREAD = (0.5, 1.0)
+REJECTED_MEMORY = 0.98  # weight of the old rejected fraction, at each arrival
+MAXIMUM_QUEUED = 10_000  # in one lane; it bounds memory, while the sojourn is what limits the queue
+MINIMUM_LANE_LIMIT = 2.0
+MINIMUM_PROCESS_LIMIT = 8.0
+
+
+class LaneKey(NamedTuple):
+    """A group's lane: that of its primary, or the one that its replicas share."""
+
+    group: int
+    primary: bool
+
+
+@dataclass(frozen=True, slots=True)
+class InFlight:
+    """A request that was admitted and has not ended."""
+
+    lane: PriorityLane
+    request_class: RequestClass
+    admitted_us: int
+    lane_was_full: bool
+
+
+class AdmissionController:
+    """Admission control for one router.
+
+    Invariant: each `Admission` must be answered by one call of `on_finished`. Each arrival gets exactly one
+    decision, unless its client disconnects first.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        max_open: int,
+        seed: int,
+        make_limit: Callable[[float], ConcurrencyLimit] = ConcurrencyLimit,
+    ) -> None:
+        """Set up an idle controller.
+
+        Args:
+            settings: the router's settings.
+            max_open: requests in flight and queued at most, whatever the limits allow.
+            seed: of the random spread of retry-after times.
+            make_limit: makes the limit of a lane from its minimum.
+        """
+        self._settings = settings
+        self._make_limit = make_limit
+        self._shares = tuple(tenant.capacity_share for tenant in settings.tenants)
+        self._random = random.Random(seed)
+        self._lanes: dict[LaneKey, PriorityLane] = {}
+        self._in_flight: dict[str, InFlight] = {}
+        self._queued: dict[str, tuple[PriorityLane, QueuedRequest]] = {}
+        self._endpoint_counts: dict[int, int] = {}
+        self._largest_lag_us = 0  # in the current window
+        self._lag_window_start_us = 0
+        self.process_limit = ConcurrencyLimit(
+            minimum=MINIMUM_PROCESS_LIMIT, initial=float(max_open), slow_start=False
+        )
+        self.max_open = max_open
+        self.rejected_fraction = 0.0  # of recent arrivals
+        self.retries = 0
+        self.shutting_down = False
+
+    # State.
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that are admitted and have not ended."""
+        return len(self._in_flight)
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait in all lanes."""
+        return len(self._queued)
+
+    def lanes(self) -> Iterable[tuple[LaneKey, PriorityLane]]:
+        """Return the lanes that have been used so far."""
+        return list(self._lanes.items())
+
+    def lane(self, group: int, request_class: RequestClass) -> PriorityLane:
+        """Return the lane of a class's requests, made on first use.
+
+        The primary alone serves writes and fresh reads; all other reads share the replicas' lane.
+        """
+        primary = request_class.consistency in (Consistency.WRITE, Consistency.FRESH)
+        key = LaneKey(group, primary)
+        lane = self._lanes.get(key)
+        if lane is None:
+            lane = PriorityLane(self._shares, self._make_limit(self._minimum_limit(key)))
+            self._lanes[key] = lane
+        return lane
+
+    def set_endpoint_count(self, group: int, count: int) -> None:
+        """Tell how many endpoints a group has: a limit too low for them would leave some idle."""
+        self._endpoint_counts[group] = count
+        for key in (LaneKey(group, primary=False), LaneKey(group, primary=True)):
+            if key in self._lanes:
+                self._lanes[key].limit.set_minimum(self._minimum_limit(key))
+
+    def _minimum_limit(self, key: LaneKey) -> float:
+        endpoints = 1 if key.primary else max(self._endpoint_counts.get(key.group, 1) - 1, 1)
+        return max(MINIMUM_LANE_LIMIT, endpoints / max(self._settings.router_count, 1))
+
+    # Arrivals.
+
+    def reject_early(
+        self, now_us: int, class_index: int, tenant_index: int, group: int, remaining_us: int
+    ) -> Rejection | None:
+        """Return the rejection that an arrival would get at once, before any work is spent on it.
+
+        It counts as an arrival only if it is rejected. `remaining_us` is the time to its deadline.
+        """
+        request_class = self._settings.classes[class_index]
+        lane = self.lane(group, request_class)
+        key = QueueKey(tenant_index, request_class.priority_weight)
+        reason = self._rejection_reason(lane, key, request_class, remaining_us)
+        if reason is None:
+            return None
+        lane.on_arrival(now_us, key, rejected=True)
+        return self._reject("", reason)
+
+    def _rejection_reason(
+        self, lane: PriorityLane, key: QueueKey, request_class: RequestClass, remaining_us: int
+    ) -> RejectionReason | None:
+        """Return why an arrival cannot be taken, or None. The cheapest checks come first."""
+        if self.shutting_down:
+            return RejectionReason.SHUTTING_DOWN
+        if remaining_us <= MINIMUM_REMAINING_US:
+            return RejectionReason.DEADLINE_TOO_CLOSE
+        if len(self._in_flight) + len(self._queued) >= self.max_open:
+            return RejectionReason.PROCESS_AT_LIMIT
+        if self._admits_immediately(lane):
+            return None
+        process_full = not self._process_has_capacity()
+        if process_full and lane.limit.value <= lane.in_flight + lane.queued:
+            # Where the event loop itself is the bottleneck, each queued request costs it more time: no queue
+            # beyond what the lane may have in flight, except by pushing out a lower rank.
+            return None if lane.outranks_any_queued(key) else RejectionReason.PROCESS_AT_LIMIT
+        if self._fits_in_queue(lane, key, request_class, remaining_us) or lane.outranks_any_queued(key):
+            return None
+        return RejectionReason.PROCESS_AT_LIMIT if process_full else RejectionReason.GROUP_AT_LIMIT
+
+    def _process_has_capacity(self) -> bool:
+        return len(self._in_flight) < self.process_limit.value
+
+    def _admits_immediately(self, lane: PriorityLane) -> bool:
+        return not lane.queued and lane.has_capacity and self._process_has_capacity()
+
+    def _fits_in_queue(
+        self, lane: PriorityLane, key: QueueKey, request_class: RequestClass, remaining_us: int
+    ) -> bool:
+        """Return whether a new request would be admitted in time, as far as can be estimated."""
+        objective_us = request_class.latency_objective_us
+        wait_us = lane.estimated_wait_us(lane.queued_ahead(key) + 1, objective_us)
+        longest_us = min(lane.longest_sojourn_us(key, objective_us), remaining_us - MINIMUM_REMAINING_US)
+        return wait_us <= longest_us and lane.queued < MAXIMUM_QUEUED
+
+    def on_arrival(self, now_us: int, arrival: Arrival) -> list[Decision]:
+        """Admit, queue or reject a request.
+
+        Its own decision is returned now, or by a later call if it is queued; decisions on other requests may
+        be returned with it.
+        """
+        request_class = self._settings.classes[arrival.class_index]
+        lane = self.lane(arrival.group, request_class)
+        self.retries += arrival.is_retry
+        if arrival.bypasses_limits:
+            return [self._admit(now_us, lane, request_class, arrival.id, arrival.tenant_index)]
+        key = QueueKey(arrival.tenant_index, request_class.priority_weight)
+        reason = self._rejection_reason(lane, key, request_class, arrival.deadline_us - now_us)
+        lane.on_arrival(now_us, key, rejected=reason is not None)
+        if reason is not None:
+            return [self._reject(arrival.id, reason)]
+        self.rejected_fraction *= REJECTED_MEMORY
+        if self._admits_immediately(lane):
+            return [self._admit(now_us, lane, request_class, arrival.id, arrival.tenant_index)]
+        self._enqueue(now_us, lane, key, request_class, arrival)
+        return self._reject_late(now_us, lane)
+
+    def _enqueue(
+        self, now_us: int, lane: PriorityLane, key: QueueKey, request_class: RequestClass, arrival: Arrival
+    ) -> None:
+        # Time in the socket counts as time queued, but whether it may be queued was decided as of now.
+        sojourn_us = lane.longest_sojourn_us(key, request_class.latency_objective_us)
+        sojourn_end_us = max(arrival.readable_us + sojourn_us, now_us + 1)
+        expires_us = min(sojourn_end_us, arrival.deadline_us - MINIMUM_REMAINING_US)
+        queued = QueuedRequest(arrival.id, request_class, arrival.tenant_index, expires_us)
+        lane.enqueue(queued)
+        self._queued[arrival.id] = (lane, queued)
+
+    def _admit(
+        self, now_us: int, lane: PriorityLane, request_class: RequestClass, request: str, tenant_index: int
+    ) -> Admission:
+        lane.on_admission(tenant_index)
+        lane_was_full = lane.queued > 0 or not lane.has_capacity
+        self._in_flight[request] = InFlight(lane, request_class, now_us, lane_was_full)
+        self.process_limit.on_start(len(self._in_flight))
+        return Admission(request)
+
+    def _reject(self, request: str, reason: RejectionReason) -> Rejection:
+        self.rejected_fraction = REJECTED_MEMORY * self.rejected_fraction + (1 - REJECTED_MEMORY)
+        longest_us = self._settings.max_retry_after_us if self._settings.retry_after_hints else 0
+        part = MINIMUM_RETRY_AFTER + (1 - MINIMUM_RETRY_AFTER) * self.rejected_fraction
+        retry_after_us = int(longest_us * part * self._random.uniform(*RETRY_AFTER_SPREAD))
+        return Rejection(request, reason, retry_after_us)
+
+    # Ends of requests.
+
+    def on_finished(
+        self, now_us: int, request: str, response_time_us: int | None, dropped: bool = False
+    ) -> list[Decision]:
+        """Record the final answer of a request in flight, and admit from the queue.
+
+        Args:
+            now_us: the clock.
+            request: its id; an unknown one is ignored.
+            response_time_us: of the attempt that served it; None if none did.
+            dropped: endpoints rejected it for overload, or did not answer.
+        """
+        finished = self._in_flight.pop(request, None)
+        if finished is None:
+            return []
+        lane = finished.lane
+        lane.on_completion(now_us, was_full=lane.queued > 0 or finished.lane_was_full)
+        if response_time_us is not None:
+            objective_us = finished.request_class.latency_objective_us
+            lane.limit.on_success(now_us, response_time_us, objective_us, lane.in_flight)
+        elif dropped:
+            lane.limit.on_drop(now_us, now_us - finished.admitted_us, lane.in_flight)
+        return self._admit_queued(now_us, lane)
+
+    def on_client_disconnected(self, now_us: int, request: str) -> list[Decision]:
+        """Forget a queued request; one that is in flight still needs its `on_finished`."""
+        entry = self._queued.pop(request, None)
+        if entry is None:
+            return []
+        lane, queued = entry
+        lane.remove(queued)
+        return self._admit_queued(now_us, lane)
+
+    def _admit_queued(self, now_us: int, lane: PriorityLane) -> list[Decision]:
+        """Reject what is too late in the lane's queue, then admit as many as the limits allow."""
+        decisions: list[Decision] = self._reject_late(now_us, lane)
+        while lane.queued and lane.has_capacity and self._process_has_capacity():
+            queued = lane.pop_next()
+            if queued is None:
+                break
+            del self._queued[queued.id]
+            decisions.append(self._admit(now_us, lane, queued.request_class, queued.id, queued.tenant_index))
+        return decisions
+
+    def _reject_late(self, now_us: int, lane: PriorityLane) -> list[Decision]:
+        decisions: list[Decision] = []
+        while (queued := lane.pop_expired(now_us)) is not None:
+            del self._queued[queued.id]
+            decisions.append(self._reject(queued.id, RejectionReason.QUEUED_TOO_LONG))
+        while (queued := lane.pop_starving(now_us)) is not None:
+            del self._queued[queued.id]
+            decisions.append(self._reject(queued.id, RejectionReason.OUTRANKED))
+        return decisions
+
+    # Time.
+
+    def next_timer_us(self) -> int | None:
+        """Return when `on_timer` has something to do."""
+        expiries = (lane.next_expiry_us() for lane in self._lanes.values() if lane.queued)
+        return min((expiry for expiry in expiries if expiry is not None), default=None)
+
+    def on_timer(self, now_us: int) -> list[Decision]:
+        """Reject the queued requests that have expired, and admit from queues that have capacity."""
+        decisions: list[Decision] = []
+        for lane in self._lanes.values():
+            if not lane.queued:
+                continue
+            if not lane.in_flight and now_us - lane.last_completion_us > OBSERVATIONS_EXPIRE_US:
+                lane.limit.on_idle()
+            decisions += self._admit_queued(now_us, lane)
+        return decisions
+
+    def on_loop_lag(self, now_us: int, lag_us: int) -> None:
+        """Record how late the event loop was.
+
+        Requests in flight that the loop cannot attend to age like requests in a queue, and only fewer of them
+        in flight cure that: the process limit follows the largest lag of each window.
+        """
+        self._largest_lag_us = max(self._largest_lag_us, lag_us)
+        if now_us - self._lag_window_start_us < LOOP_LAG_WINDOW_US:
+            return
+        self._lag_window_start_us = now_us
+        self.process_limit.on_success(
+            now_us, self._largest_lag_us, LOOP_LAG_OBJECTIVE_US, len(self._in_flight)
+        )
+        self._largest_lag_us = 0
--- a/juniperreel/cli/worker.py
+++ b/juniperreel/cli/worker.py
@@ -24,7 +24,7 @@
 from juniperreel.settings.edge import parse_edge
 from juniperreel.settings.values import Address
 from juniperreel.telemetry.log import make_log
-from juniperreel.workers.parent import DRAIN, GRPC, MYSQL, Told, ignore_interrupts
+from juniperreel.workers.parent import DRAIN, GRPC, MYSQL, WorkerStatus, ignore_interrupts
 
 TELL_S = 0.1
 
@@ -72,7 +72,7 @@
 
     async def _tell(self) -> None:
         while True:
-            told = Told(self.edge.connections, not self.edge.stopping.is_set())
+            told = WorkerStatus(self.edge.connections, not self.edge.stopping.is_set())
             self.handover.send(msgspec.json.encode(told))
             await trio.sleep(TELL_S)
 
--- a/juniperreel/platform/client_connection.py
+++ b/juniperreel/platform/client_connection.py
@@ -14,8 +14,8 @@
 from juniperreel.platform.command import Command
 from juniperreel.platform.errors import InvalidRequestError
 from juniperreel.postgres import server
-from juniperreel.postgres.form import FormError, parse
 from juniperreel.postgres.messages import ProtocolError
+from juniperreel.postgres.request_format import RequestFormatError, parse_request
 
 if TYPE_CHECKING:
     from juniperreel.platform.client_listener import ClientListener
@@ -54,7 +54,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Read commands, and answer them where that is possible at once."""
-        self._protocol.feed(data)
+        self._protocol.receive_data(data)
         self.advance()
 
     def connection_lost(self, _reason: str) -> None:
@@ -86,27 +86,27 @@
             self.partial_since_us = 0
             self._listener.on_command_received(self)
             self.commands.append(self._create_command(query.text))
-        if self._protocol.out:
-            output = self._protocol.out
-            self._protocol.out = bytearray()
+        if self._protocol.outgoing:
+            output = self._protocol.outgoing
+            self._protocol.outgoing = bytearray()
             self._transport.write(output)
-        if len(self.commands) == MAX_OPEN_COMMANDS or not self._protocol.held:
+        if len(self.commands) == MAX_OPEN_COMMANDS or not self._protocol.buffered:
             self.partial_since_us = 0
         elif not self.partial_since_us:
             self.partial_since_us = self._listener.now()
-        if self._protocol.held > MAX_UNPARSED_BYTES:
+        if self._protocol.buffered > MAX_UNPARSED_BYTES:
             self._transport.pause_reading()
 
     def _accepts_commands(self) -> bool:
         return (
             self._protocol_error is None
             and len(self.commands) < MAX_OPEN_COMMANDS
-            and self._protocol.phase is not server.Phase.OVER
+            and self._protocol.phase is not server.Phase.CLOSED
         )
 
     def _next_query(self) -> server.Query | None:
         try:
-            return self._protocol.next()
+            return self._protocol.next_query()
         except ProtocolError as error:
             self._protocol_error = error
             self._transport.pause_reading()
@@ -115,10 +115,10 @@
     def _create_command(self, text: bytes) -> Command:
         arrived_us = self._listener.handler.input_ready_since_us
         if not text.strip(WHITESPACE):
-            return Command(self, arrived_us, None, server.empty())
+            return Command(self, arrived_us, None, server.empty_query_response())
         try:
-            return Command(self, arrived_us, parse(text), None)
-        except FormError as error:
+            return Command(self, arrived_us, parse_request(text), None)
+        except RequestFormatError as error:
             return Command(self, arrived_us, None, server.failed("42601", str(error)))
 
     def _submit_commands(self) -> None:
@@ -150,9 +150,13 @@
                 self._listener.on_commands_answered(self)
         # The rest of a command that is half here may be on its way: it counts as accepted, also while
         # connections are being closed.
-        if answers and self._protocol_error is None and (self._protocol.held or not self._listener.closing):
+        if (
+            answers
+            and self._protocol_error is None
+            and (self._protocol.buffered or not self._listener.closing)
+        ):
             self._transport.resume_reading()
-        return bool(answers) and bool(self._protocol.held)
+        return bool(answers) and bool(self._protocol.buffered)
 
     def _take_answers(self) -> bytearray:
         answers = bytearray()
@@ -163,10 +167,10 @@
     def _close_when_done(self, answered: bool) -> bool:
         """Close a connection on which nothing follows; return whether that is so."""
         if self._protocol_error is not None:
-            self.close_with_error(self._protocol_error.code, str(self._protocol_error))
+            self.close_with_error(self._protocol_error.sqlstate, str(self._protocol_error))
             return True
-        is_shut_down = answered and self._listener.closing and not self._protocol.held
-        if self._protocol.phase is server.Phase.OVER or is_shut_down:
+        is_shut_down = answered and self._listener.closing and not self._protocol.buffered
+        if self._protocol.phase is server.Phase.CLOSED or is_shut_down:
             self._listener.close_gracefully(self)
             return True
         return False
@@ -202,7 +206,7 @@
         """No command is open, nothing waits to be read, and every answer has left."""
         return (
             not self.commands
-            and not self._protocol.held
+            and not self._protocol.buffered
             and not self._transport.write_buffer_size
             and self._transport.has_nothing_to_read()
         )
--- a/juniperreel/platform/command.py
+++ b/juniperreel/platform/command.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-from juniperreel.postgres.form import Form
+from juniperreel.postgres.request_format import StatementRequest
 
 if TYPE_CHECKING:
     from juniperreel.platform.client_connection import ClientConnection
@@ -19,7 +19,7 @@
     __slots__ = ("answer", "arrived_us", "client", "form", "request_id")
 
     def __init__(
-        self, client: ClientConnection, arrived_us: int, form: Form | None, answer: bytes | None
+        self, client: ClientConnection, arrived_us: int, form: StatementRequest | None, answer: bytes | None
     ) -> None:
         """`answer` is given where it is known at once."""
         self.client = client
@@ -42,7 +42,7 @@
         """
         if self.form is None or earlier.form is None or earlier.answer is not None:
             return False
-        return self.form.key == earlier.form.key and (self.form.write or earlier.form.write)
+        return self.form.key == earlier.form.key and (self.form.is_write or earlier.form.is_write)
 
 
 class RequestHandler(Protocol):
@@ -53,7 +53,7 @@
 
     input_ready_since_us: int
 
-    def submit(self, command: Command, form: Form) -> None:
+    def submit(self, command: Command, form: StatementRequest) -> None:
         """Open a request; its answer arrives by `command.finish`. Raises InvalidRequestError."""
         ...
 
--- a/juniperreel/platform/driver.py
+++ b/juniperreel/platform/driver.py
@@ -26,8 +26,8 @@
 from juniperreel.platform.request_validation import RequestValidator
 from juniperreel.platform.timer_queue import TimerQueue
 from juniperreel.postgres import server
-from juniperreel.postgres.form import Form, with_span
 from juniperreel.postgres.messages import READY
+from juniperreel.postgres.request_format import StatementRequest, with_timeout
 from juniperreel.routing.loop import RouterLoop
 from juniperreel.routing.types import (
     AttemptEnded,
@@ -131,7 +131,7 @@
 
     # Clients' requests.
 
-    def submit(self, command: Command, form: Form) -> None:
+    def submit(self, command: Command, form: StatementRequest) -> None:
         """Open a request; its answer arrives by `command.finish`. Raises InvalidRequestError."""
         validated = self._validator.validate(form)
         if not self._endpoints.has_group(form.group):
@@ -139,10 +139,10 @@
         if self.requests.is_id_in_use(form.id):
             raise InvalidRequestError("42710", "the id is another request's")
         consistency = validated.request_class.consistency
-        deadline_us = self.shutdown.latest_answer_us(command.arrived_us + form.span_ms * 1000)
+        deadline_us = self.shutdown.latest_answer_us(command.arrived_us + form.timeout_ms * 1000)
         session_age_us = None
-        if form.after_ms and consistency is Consistency.SESSION:
-            session_age_us = max(self.now() - form.after_ms * 1000, 0)
+        if form.last_write_ms and consistency is Consistency.SESSION:
+            session_age_us = max(self.now() - form.last_write_ms * 1000, 0)
         self.requests.by_id[form.id] = OpenRequest(form, command, deadline_us)
         command.request_id = form.id
         self.enqueue(
@@ -154,7 +154,7 @@
                 deadline_us=deadline_us,
                 session=form.key if consistency in SESSION_CONSISTENCY else None,
                 session_age_us=session_age_us,
-                is_retry=form.retry,
+                is_retry=form.is_retry,
             )
         )
 
@@ -209,7 +209,7 @@
 
     def _build_query(self, request: OpenRequest, until_us: int) -> bytes:
         remaining_us = min(until_us, request.deadline_us) - self.now()
-        return with_span(request.form.text, max(remaining_us // 1000, 1))
+        return with_timeout(request.form.text, max(remaining_us // 1000, 1))
 
     def _may_send(self, request_id: str, attempt: int) -> bool:
         return self.router.confirm_send(self.now(), request_id, attempt)
@@ -255,7 +255,7 @@
     def reject(self, request: str, retry_after_us: int, _now: int) -> None:
         """Answer the request as rejected; 0 gives no retry-after hint."""
         retry_after_ms = -(-retry_after_us // 1000)
-        self._answer(request, server.refused("not taken; trying again does no harm", retry_after_ms))
+        self._answer(request, server.rejected("not taken; trying again does no harm", retry_after_ms))
 
     def fail(self, request: str) -> None:
         """Answer the request as failed with unknown effect."""
--- a/juniperreel/platform/endpoint_connection.py
+++ b/juniperreel/platform/endpoint_connection.py
@@ -43,12 +43,12 @@
 
     def connection_made(self) -> None:
         """Send the startup message."""
-        self.transport.write(self.protocol.hello)
+        self.transport.write(self.protocol.startup_message)
 
     def data_received(self, data: bytes) -> None:
         """Pass bytes to the protocol, and finish the exchange when its reply is complete."""
         try:
-            reply = self.protocol.feed(data)
+            reply = self.protocol.receive_data(data)
         except ProtocolError:
             self._fail_protocol()
             return
@@ -68,8 +68,8 @@
         exchange = self.exchange
         self.exchange = None
         was_sent = self._was_sent(exchange)
-        reply = self.protocol.so_far
-        if was_sent and not self.protocol.answering and self._query_age_us() < BROKEN_WHILE_IDLE_US:
+        reply = self.protocol.partial_reply
+        if was_sent and not self.protocol.response_started and self._query_age_us() < BROKEN_WHILE_IDLE_US:
             self._record_idle_use(answered=False)
         self.close()
         if exchange is None:
@@ -87,12 +87,12 @@
         """Write the query on an idle connection."""
         self.exchange = exchange
         exchange.connection = self
-        if not self.protocol.clean:
+        if not self.protocol.is_reusable:
             self._fail_protocol()
             return
         self._query_sent_us = self.pool.now()
         self._idle_before_query_us = self._query_sent_us - self.idle_since_us if self.idle_since_us else None
-        self.transport.write(self.protocol.ask(exchange.build_query()))
+        self.transport.write(self.protocol.send_query(exchange.build_query()))
         exchange.sent = not self.transport.write_buffer_size
 
     def abandon(self, exchange: Exchange, cancelled: bool) -> None:
@@ -104,7 +104,7 @@
             return
         was_sent = self._was_sent(exchange)
         self.exchange = None
-        reply = self.protocol.so_far if was_sent else None
+        reply = self.protocol.partial_reply if was_sent else None
         if was_sent or self.protocol.phase is Phase.BUSY:
             self.close()
             if reply is not None and reply.error is not None:
@@ -123,12 +123,12 @@
 
     def close_unless_logged_in(self) -> None:
         """Give up a connection that is not established and welcomed within the time for connecting."""
-        if self.protocol.phase is Phase.WELCOME and not self.transport.closed:
+        if self.protocol.phase is Phase.STARTUP and not self.transport.closed:
             self.connection_lost("no welcome in time")
 
     def is_usable(self) -> bool:
         """Return whether the idle connection is open and nothing has arrived on it unasked."""
-        return self.transport.has_nothing_to_read() and self.protocol.clean
+        return self.transport.has_nothing_to_read() and self.protocol.is_reusable
 
     # Internal steps.
 
@@ -148,7 +148,7 @@
         What arrived behind a reply would be taken for the reply of the next query, so a connection with
         unread bytes is closed.
         """
-        if reusable and self.protocol.clean and self.transport.has_nothing_to_read():
+        if reusable and self.protocol.is_reusable and self.transport.has_nothing_to_read():
             self.pool.release(self)
         else:
             self.close()
@@ -158,7 +158,7 @@
         exchange = self.exchange
         self.exchange = None
         was_sent = self._was_sent(exchange)
-        error = self.protocol.so_far.error or {}
+        error = self.protocol.partial_reply.error or {}
         was_rejected = not was_sent and error.get("C") in REJECTED_SQLSTATES
         self.close()
         if exchange is None:
--- a/juniperreel/platform/open_requests.py
+++ b/juniperreel/platform/open_requests.py
@@ -6,7 +6,7 @@
 
 from juniperreel.platform.command import Command
 from juniperreel.platform.exchange import Exchange
-from juniperreel.postgres.form import Form
+from juniperreel.postgres.request_format import StatementRequest
 
 MAX_ANSWERED_IDS = 20_000
 ANSWERED_ID_TTL_US = 30_000_000
@@ -21,7 +21,7 @@
 
     __slots__ = ("attempt_count", "command", "deadline_us", "exchanges", "form")
 
-    def __init__(self, form: Form, command: Command, deadline_us: int) -> None:
+    def __init__(self, form: StatementRequest, command: Command, deadline_us: int) -> None:
         """Open a request without attempts."""
         self.form = form
         self.deadline_us = deadline_us
--- a/juniperreel/platform/request_validation.py
+++ b/juniperreel/platform/request_validation.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from juniperreel.platform.errors import InvalidRequestError
-from juniperreel.postgres.form import Form
+from juniperreel.postgres.request_format import StatementRequest
 from juniperreel.routing.types import Consistency, Idempotency, RequestClass, Settings
 
 
@@ -26,16 +26,16 @@
         self._class_indexes = {item.name: i for i, item in enumerate(settings.classes)}
         self._tenant_indexes = {item.name: i for i, item in enumerate(settings.tenants)}
 
-    def validate(self, form: Form) -> ValidatedRequest:
+    def validate(self, form: StatementRequest) -> ValidatedRequest:
         """Return what the request names. Raises InvalidRequestError."""
-        class_index = self._class_indexes.get(form.cls)
+        class_index = self._class_indexes.get(form.class_name)
         if class_index is None:
             raise InvalidRequestError("42704", "no such class")
         request_class = self._classes[class_index]
         tenant_index = self._find_tenant(form.tenant)
-        if form.write != (request_class.consistency is Consistency.WRITE):
+        if form.is_write != (request_class.consistency is Consistency.WRITE):
             raise InvalidRequestError("42501", "the class does not go with the statement")
-        if request_class.idempotency is Idempotency.KEYED and form.idempotency is None:
+        if request_class.idempotency is Idempotency.KEYED and form.idempotency_key is None:
             raise InvalidRequestError("42601", "the class needs a key")
         return ValidatedRequest(class_index, request_class, tenant_index)
 
--- a/juniperreel/proxy/gauges.py
+++ b/juniperreel/proxy/gauges.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from juniperreel.admission import Gate
+from juniperreel.admission import AdmissionController
 from juniperreel.net import Clock
 from juniperreel.net.clock import US
 from juniperreel.proxy.attempts import EndpointConnections
@@ -27,7 +27,7 @@
 
     open_requests: RequestTable
     waiting_requests: dict[str, OpenRequest]
-    gate: Gate
+    admission_controller: AdmissionController
     discovery: EndpointSource
     registry: EndpointRegistry
     connections: EndpointConnections
@@ -68,14 +68,14 @@
     def _report_requests(self) -> None:
         self._metrics.open.set(len(self._sources.open_requests))
         self._metrics.parked.set(len(self._sources.waiting_requests))
-        self._metrics.program_limit.set(self._sources.gate.program.value)
+        self._metrics.program_limit.set(self._sources.admission_controller.process_limit.value)
 
     def _report_lanes(self) -> None:
-        for group, is_primary, lane in self._sources.gate.lanes():
+        for (group, is_primary), lane in self._sources.admission_controller.lanes():
             labels = (str(group), "primary" if is_primary else "replicas")
             self._metrics.lane_limit.labels(*labels).set(lane.limit.value)
-            self._metrics.lane_in_hand.labels(*labels).set(lane.in_hand)
-            self._metrics.lane_waiting.labels(*labels).set(lane.waiting)
+            self._metrics.lane_in_hand.labels(*labels).set(lane.in_flight)
+            self._metrics.lane_waiting.labels(*labels).set(lane.queued)
 
     def _report_endpoints(self) -> None:
         connections = self._sources.connections
--- a/juniperreel/proxy/request_driver.py
+++ b/juniperreel/proxy/request_driver.py
@@ -14,7 +14,7 @@
 
 import trio
 
-from juniperreel.admission import Gate
+from juniperreel.admission import AdmissionController
 from juniperreel.net import Clock, Network, StallMonitor
 from juniperreel.proxy.attempt_runner import AttemptRunner
 from juniperreel.proxy.attempts import EndpointConnections
@@ -92,9 +92,16 @@
         self.traces = traces
         self.registry = EndpointRegistry()
         self.positions = PositionTracker(options.skew_us)
-        self.gate = Gate(options.router, options.max_open_requests, options.seed)
+        self.admission_controller = AdmissionController(
+            options.router, options.max_open_requests, options.seed
+        )
         self.admission = RequestAdmission(
-            self.gate, clock, metrics, options.answer_margin_us, self._on_admitted, self._on_verdicts
+            self.admission_controller,
+            clock,
+            metrics,
+            options.answer_margin_us,
+            self._on_admitted,
+            self._on_decisions,
         )
         self.open_requests = RequestTable(self.admission, log)
         self.endpoints = self._endpoint_connections(network, random.Random(rng.getrandbits(64)))
@@ -160,7 +167,7 @@
         sources = GaugeSources(
             self.open_requests,
             self.admission.waiting,
-            self.gate,
+            self.admission_controller,
             self.discovery,
             self.registry,
             self.endpoints,
@@ -169,7 +176,7 @@
 
     async def drain(self) -> None:
         """Reject new requests; return when every request is answered and no attempt is in flight."""
-        self.gate.stopping = True
+        self.admission_controller.shutting_down = True
         await self.open_requests.wait_until_idle()
 
     # Requests, as frontends submit them.
@@ -227,8 +234,8 @@
         self.open_requests.add(open_request)
         self.enqueue(open_request)
 
-    def _on_verdicts(self) -> None:
-        self._wake.set()  # the gate's next deadline may have changed
+    def _on_decisions(self) -> None:
+        self._wake.set()  # the controller's next deadline may have changed
         self.open_requests.notify_if_idle()
 
     # The loop.
@@ -255,13 +262,13 @@
             await self._wake.wait()
 
     def _next_due_us(self) -> int | None:
-        times = (self.next_timer_us(), self.gate.due_us())
+        times = (self.next_timer_us(), self.admission_controller.next_timer_us())
         return min((due_us for due_us in times if due_us is not None), default=None)
 
     def _process_due(self) -> None:
         now = self.clock.now_us()
         if self._pace is not None:
-            self.gate.lag(now, self._pace.take_longest_pass_us())
+            self.admission_controller.on_loop_lag(now, self._pace.take_longest_pass_us())
         self.admission.process_due(now)
         if self.process_batch(now):
             self.metrics.batches.inc()
@@ -310,7 +317,7 @@
             self.metrics.list_failures.inc()
         self.registry.apply(update, self.endpoints)
         for group, size in self.registry.group_sizes().items():
-            self.gate.members(group, size)
+            self.admission_controller.set_endpoint_count(group, size)
         if update.kind in (UpdateKind.SNAPSHOT, UpdateKind.DELTA) and self._list_writer is not None:
             self._list_writer.list_changed()
         return self._translator.endpoint_update(update)
--- a/tests/platform/event_harness.py
+++ b/tests/platform/event_harness.py
@@ -210,7 +210,7 @@
         self.driver.client_listener.accept(transport)
         assert transport.protocol is not None
         transport.protocol.data_received(HELLO + b"".join(map(m.query, texts)))
-        del transport.sent[: len(server.WELCOME)]
+        del transport.sent[: len(server.STARTUP_RESPONSE)]
         self.process()
         return transport
 
@@ -232,7 +232,7 @@
         assert transport.protocol is not None
         transport.protocol.connection_made()
         transport.take()
-        self.feed(transport, server.WELCOME)
+        self.feed(transport, server.STARTUP_RESPONSE)
         return transport.take()
 
     def busy_transports(self) -> list[FakeTransport]:
--- a/tests/platform/socket_harness.py
+++ b/tests/platform/socket_harness.py
@@ -200,7 +200,7 @@
                 if end not in logged_in and end.read().startswith(HELLO[:8]):
                     logged_in.add(end)
                     end.take()
-                    end.send(server.WELCOME)
+                    end.send(server.STARTUP_RESPONSE)
             return any(end.read().startswith(b"Q") for end in member.ends)
 
         await self.until(come)
--- a/tests/platform/test_driver.py
+++ b/tests/platform/test_driver.py
@@ -141,7 +141,7 @@
     "malformed",
     [
         b"\0\0\0\0",
-        b"D" + m.LENGTH.pack(3 << 30),
+        b"D" + m.UINT32.pack(3 << 30),
         row()[:-6] + b"Z\0\0\0\4",
     ],
 )
@@ -347,7 +347,7 @@
     harness.feed(call, row(b"x0=%.3f,x1=0,queue=3" % (position / SEC)))
     assert abs(harness.driver.router.state.endpoints["a"].position_us - position) <= MS
     assert harness.driver.router.state.endpoints["a"].role is Role.REPLICA
-    assert server.WELCOME  # nothing else was said
+    assert server.STARTUP_RESPONSE  # nothing else was said
 
 
 def test_what_is_kept_of_requests_and_members_is_bounded(harness: EventHarness) -> None:
