--- a/juniperreel/fakes/postgresmember.py
+++ b/juniperreel/fakes/postgresmember.py
@@ -16,7 +16,7 @@
 import trio
 
 from juniperreel.fakes.machine import Full
-from juniperreel.net import ConnectRefused
+from juniperreel.net import ConnectRefusedError
 from juniperreel.postgres import messages as m
 from juniperreel.postgres import server
 from juniperreel.postgres.request_format import RequestFormatError, StatementRequest, parse_request
@@ -76,21 +76,21 @@
                 self._nursery = None
 
     async def dial(self, driver: str, given_up: Callable[[], bool]) -> trio.abc.Stream:
-        """A new connection of a driver's: the end that is the driver's. Raises ConnectRefused while no
+        """A new connection of a driver's: the end that is the driver's. Raises ConnectRefusedError while no
         process runs.
 
         `given_up`: whether the driver has ended it, though that may not be heard here yet. Danger: with a
         port for each driver, hundreds of them before dozens of members use up all that there are."""
         await trio.lowlevel.checkpoint()
         if self._nursery is None:
-            raise ConnectRefused(f"{self.member.name} does not run")
+            raise ConnectRefusedError(f"{self.member.name} does not run")
         if given_up():
             # Danger: a loop that is late would serve all that have left meanwhile, and be later still.
-            raise ConnectRefused("nobody waits any more")
+            raise ConnectRefusedError("nobody waits any more")
         try:
             pair = socket.socketpair()
         except OSError as error:
-            raise ConnectRefused(f"{self.member.name}: {error}") from None
+            raise ConnectRefusedError(f"{self.member.name}: {error}") from None
         theirs, ours = (trio.SocketStream(trio.socket.from_stdlib_socket(s)) for s in pair)
         self._nursery.start_soon(Connection(self, driver, ours, given_up).run)
         return theirs
--- a/juniperreel/net/__init__.py
+++ b/juniperreel/net/__init__.py
@@ -3,8 +3,8 @@
 from juniperreel.net.clock import Clock
 from juniperreel.net.network import (
     ConnectError,
-    ConnectRefused,
-    ConnectTimedOut,
+    ConnectRefusedError,
+    ConnectTimedOutError,
     Listener,
     Network,
     ReservedPort,
@@ -16,8 +16,8 @@
 __all__ = [
     "Clock",
     "ConnectError",
-    "ConnectRefused",
-    "ConnectTimedOut",
+    "ConnectRefusedError",
+    "ConnectTimedOutError",
     "Listener",
     "Network",
     "ReservedPort",
--- a/juniperreel/net/network.py
+++ b/juniperreel/net/network.py
@@ -25,11 +25,11 @@
     """No connection was established; nothing was sent."""
 
 
-class ConnectRefused(ConnectError):
+class ConnectRefusedError(ConnectError):
     """The peer's host refused the connection: no process listens there."""
 
 
-class ConnectTimedOut(ConnectError):
+class ConnectTimedOutError(ConnectError):
     """No answer within the time allowed, or no route to the host."""
 
 
@@ -55,7 +55,7 @@
         ...
 
     async def connect(self, host: str, port: int, timeout_us: int) -> trio.abc.Stream:
-        """Connect within `timeout_us`. Raises ConnectRefused or ConnectTimedOut."""
+        """Connect within `timeout_us`. Raises ConnectRefusedError or ConnectTimedOutError."""
         ...
 
 
@@ -140,14 +140,14 @@
         return TcpListener(sock)
 
     async def connect(self, host: str, port: int, timeout_us: int) -> trio.abc.Stream:
-        """Connect within `timeout_us`. Raises ConnectRefused or ConnectTimedOut."""
+        """Connect within `timeout_us`. Raises ConnectRefusedError or ConnectTimedOutError."""
         try:
             with trio.fail_after(max(timeout_us, 0) / US):
                 return await self._open_stream(host, port)
         except ConnectionRefusedError as error:
-            raise ConnectRefused(f"{host}:{port} refuses connections") from error
+            raise ConnectRefusedError(f"{host}:{port} refuses connections") from error
         except (OSError, trio.TooSlowError) as error:
-            raise ConnectTimedOut(f"{host}:{port} does not answer: {error or 'time is up'}") from error
+            raise ConnectTimedOutError(f"{host}:{port} does not answer: {error or 'time is up'}") from error
 
     @staticmethod
     async def _open_stream(host: str, port: int) -> trio.SocketStream:
--- a/juniperreel/net/socket_passing.py
+++ b/juniperreel/net/socket_passing.py
@@ -140,7 +140,7 @@
         return self.listeners.setdefault((host, port), PassedSocketListener(port))
 
     async def connect(self, host: str, port: int, timeout_us: int) -> trio.abc.Stream:
-        """Connect within `timeout_us`. Raises ConnectRefused or ConnectTimedOut."""
+        """Connect within `timeout_us`. Raises ConnectRefusedError or ConnectTimedOutError."""
         return await self._tcp.connect(host, port, timeout_us)
 
 
--- a/juniperreel/pool/connection.py
+++ b/juniperreel/pool/connection.py
@@ -16,7 +16,7 @@
 from juniperreel.mysql.client import ClientSession
 from juniperreel.mysql.replies import Err, Ok
 from juniperreel.mysql.values import Value
-from juniperreel.net import ConnectTimedOut, Network
+from juniperreel.net import ConnectTimedOutError, Network
 from juniperreel.net.clock import US
 from juniperreel.pool.config import BackendConfig
 from juniperreel.pool.error_codes import REPREPARE_CODES, WRONG_ARGUMENT_COUNT
@@ -79,7 +79,9 @@
                 with trio.CancelScope(shield=True):
                     await trio.aclose_forcefully(stream)
             if isinstance(error, (trio.TooSlowError, *STREAM_ERRORS)):
-                raise ConnectTimedOut(f"{host}:{port} accepted no login: {error or 'timed out'}") from error
+                raise ConnectTimedOutError(
+                    f"{host}:{port} accepted no login: {error or 'timed out'}"
+                ) from error
             raise
         return BackendConnection(stream, session, config)
 
--- a/juniperreel/pool/login.py
+++ b/juniperreel/pool/login.py
@@ -8,7 +8,7 @@
 
 from juniperreel.mysql import client_events as client
 from juniperreel.mysql.client import ClientSession
-from juniperreel.net import ConnectTimedOut
+from juniperreel.net import ConnectTimedOutError
 from juniperreel.pool.errors import LoginRejectedError
 
 READ_BYTES = 64 << 10
@@ -26,7 +26,7 @@
     while True:
         data = await stream.receive_some(READ_BYTES)
         if not data:
-            raise ConnectTimedOut(f"{host} closed the connection during the login")
+            raise ConnectTimedOutError(f"{host} closed the connection during the login")
         for event in session.receive(data):
             match event:
                 case client.Ready():
--- a/juniperreel/proxy/grpc_endpoints.py
+++ b/juniperreel/proxy/grpc_endpoints.py
@@ -11,7 +11,7 @@
 from google.protobuf.message import DecodeError
 
 from juniperreel.causal import History
-from juniperreel.net import Clock, ConnectTimedOut, Network
+from juniperreel.net import Clock, ConnectTimedOutError, Network
 from juniperreel.proto.member.v1 import member_pb2
 from juniperreel.proxy.attempts import AttemptRequest, AttemptResponse, EndpointReport
 from juniperreel.proxy.endpoint_address import EndpointAddress
@@ -101,10 +101,10 @@
         return sum(endpoint.channel.connected for endpoint in self._channels.values())
 
     def _channel(self, endpoint: str) -> EndpointChannel:
-        """Raises ConnectTimedOut for an endpoint without an address."""
+        """Raises ConnectTimedOutError for an endpoint without an address."""
         known = self._channels.get(endpoint)
         if known is None:
-            raise ConnectTimedOut(f"no address is known for {endpoint}")
+            raise ConnectTimedOutError(f"no address is known for {endpoint}")
         if known.channel.closed:
             # When the list flaps, or its removals do not forbid requests, the router sends to an endpoint
             # whose channel was closed; without a new channel the endpoint would seem dead for ever.
--- a/juniperreel/proxy/mysql_endpoints.py
+++ b/juniperreel/proxy/mysql_endpoints.py
@@ -12,7 +12,7 @@
 
 from juniperreel.mysql.packets import ProtocolError
 from juniperreel.mysql.replies import Err
-from juniperreel.net import Clock, ConnectTimedOut, Network
+from juniperreel.net import Clock, ConnectTimedOutError, Network
 from juniperreel.net.clock import US
 from juniperreel.pool import endpoint_status
 from juniperreel.pool.connection import BackendConnection, ConnectionRowStream
@@ -226,7 +226,7 @@
         """
         target = self._endpoints.get(endpoint)
         if target is None:
-            raise ConnectTimedOut(f"no address is known for {endpoint}")
+            raise ConnectTimedOutError(f"no address is known for {endpoint}")
         request = attempt.request
         reusable = not request.taints_connection
         lease = await target.pool.lease(request.tenant_index, attempt.priority_weight, request.session_state)
@@ -333,7 +333,7 @@
         """
         target = self._endpoints.get(endpoint)
         if target is None or target.is_draining:
-            raise ConnectTimedOut(f"no address is known for {endpoint}")
+            raise ConnectTimedOutError(f"no address is known for {endpoint}")
         try:
             answers = await target.monitor.exchange([STATUS_QUERY, LOAD_QUERY, GTIDS_QUERY])
         except (ConnectionLostError, ResultTooLargeError) as error:
--- a/juniperreel/proxy/mysql_pool.py
+++ b/juniperreel/proxy/mysql_pool.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from juniperreel.net import Clock, ConnectError, ConnectTimedOut, Network
+from juniperreel.net import Clock, ConnectError, ConnectTimedOutError, Network
 from juniperreel.pool.config import BackendConfig
 from juniperreel.pool.connection import BackendConnection
 from juniperreel.pool.core import Pool
@@ -152,7 +152,7 @@
             return waiter.lease
         reason = waiter.rejection_reason
         if reason in (RejectionReason.UNREACHABLE, RejectionReason.DRAINING):
-            raise ConnectTimedOut(f"{self._endpoint}: {reason}; {self._last_failure}")
+            raise ConnectTimedOutError(f"{self._endpoint}: {reason}; {self._last_failure}")
         raise CallUnprocessedError(f"{self._endpoint}: {reason}")
 
     def _abandon(self, want: AcquireRequest, waiter: PoolWaiter) -> None:
--- a/juniperreel/rpc/channel.py
+++ b/juniperreel/rpc/channel.py
@@ -14,7 +14,7 @@
 import trio
 from google.protobuf.message import Message
 
-from juniperreel.net import Clock, ConnectError, ConnectTimedOut, Network
+from juniperreel.net import Clock, ConnectError, ConnectTimedOutError, Network
 from juniperreel.rpc.connection import Connection
 from juniperreel.rpc.errors import ConnectionLostError, StreamResetError, TransportError
 from juniperreel.rpc.header_blocks import encode_headers
@@ -99,7 +99,7 @@
         self._backoff = backoff or Backoff()
         self._failures = 0
         self._not_before_us = 0
-        self._last_error: ConnectError = ConnectTimedOut("not connected yet")
+        self._last_error: ConnectError = ConnectTimedOutError("not connected yet")
         self._connection: Connection | None = None
         self._opening: trio.Event | None = None
         self._nursery: trio.Nursery | None = None
@@ -137,7 +137,7 @@
             if self._connection is not None and not self._connection.going_away:
                 return self._connection
             if self.closed or self._nursery is None:
-                raise ConnectTimedOut(f"the channel to {self.authority} is closed")
+                raise ConnectTimedOutError(f"the channel to {self.authority} is closed")
             if self._opening is None:
                 if self._clock.now_us() < self._not_before_us:
                     raise self._repeated_error()
@@ -181,7 +181,7 @@
             # Danger: a peer that accepts connections and never speaks looks alive to TCP.
             connection.abort("no SETTINGS in time")
             reason = connection.close_reason
-            raise ConnectTimedOut(f"{self.authority} accepts connections and does not speak: {reason}")
+            raise ConnectTimedOutError(f"{self.authority} accepts connections and does not speak: {reason}")
         return connection
 
     @property
--- a/tests/net/test_ports.py
+++ b/tests/net/test_ports.py
@@ -7,13 +7,13 @@
 import pytest
 import trio
 
-from juniperreel.net import ConnectRefused, ReservedPort, TcpNetwork, hung_up
+from juniperreel.net import ConnectRefusedError, ReservedPort, TcpNetwork, hung_up
 
 
 async def test_a_held_port_is_its_owners_whenever_it_comes_back() -> None:
     network, held = TcpNetwork(), ReservedPort()
     for _ in range(3):
-        with pytest.raises(ConnectRefused):
+        with pytest.raises(ConnectRefusedError):
             await network.connect("127.0.0.1", held.port, 5_000_000)
         listener = await network.listen("127.0.0.1", held.port)
         stream = await network.connect("127.0.0.1", held.port, 5_000_000)
--- a/tests/pool/test_connection.py
+++ b/tests/pool/test_connection.py
@@ -17,7 +17,7 @@
 from juniperreel.mysql.packets import encode_packets
 from juniperreel.mysql.replies import Err
 from juniperreel.mysql.server import Command, Event, ServerSession, StartTls, State
-from juniperreel.net import ConnectError, ConnectRefused, ConnectTimedOut, TcpNetwork
+from juniperreel.net import ConnectError, ConnectRefusedError, ConnectTimedOutError, TcpNetwork
 from juniperreel.pool.config import BackendConfig
 from juniperreel.pool.connection import CLOSED_LOCALLY, BackendConnection
 from juniperreel.pool.errors import ConnectionLostError, LoginRejectedError, ResultTooLargeError
@@ -136,10 +136,10 @@
 
     listener = await TcpNetwork().listen("127.0.0.1", 0)  # accepts connections and sends nothing
     port = listener.port
-    with pytest.raises(ConnectTimedOut):
+    with pytest.raises(ConnectTimedOutError):
         await BackendConnection.open(TcpNetwork(), "127.0.0.1", port, CONFIG, 100_000)
     await listener.aclose()
-    with pytest.raises(ConnectRefused):
+    with pytest.raises(ConnectRefusedError):
         await BackendConnection.open(TcpNetwork(), "127.0.0.1", port, CONFIG, 5 * SEC)
 
 
--- a/tests/proxy/test_grpc_endpoints.py
+++ b/tests/proxy/test_grpc_endpoints.py
@@ -7,7 +7,7 @@
 import pytest
 import trio
 
-from juniperreel.net import Clock, ConnectTimedOut, TcpNetwork
+from juniperreel.net import Clock, ConnectTimedOutError, TcpNetwork
 from juniperreel.proxy import ClientRequest
 from juniperreel.proxy.attempts import AttemptRequest
 from juniperreel.proxy.grpc_endpoints import GrpcEndpoints
@@ -31,7 +31,7 @@
     sent = trio.Event()
     start = trio.current_time()
     attempt = AttemptRequest(ClientRequest(0, 0, 0, 0, b""), 0, "own", False, 1.0, RequiredPosition())
-    with pytest.raises(ConnectTimedOut):
+    with pytest.raises(ConnectTimedOutError):
         await endpoints.execute("m", attempt, SEC, sent)
     assert not sent.is_set()
     assert 2 * options.connect_timeout_us < options.router.drain_grace_us
--- a/tests/proxy/test_outcomes.py
+++ b/tests/proxy/test_outcomes.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from juniperreel.net import ConnectRefused, ConnectTimedOut
+from juniperreel.net import ConnectRefusedError, ConnectTimedOutError
 from juniperreel.proxy.outcomes import outcome_of_error, outcome_of_unfinished
 from juniperreel.routing.types import Outcome
 from juniperreel.rpc.channel import CallInterruptedError, CallUnprocessedError
@@ -18,8 +18,8 @@
 @pytest.mark.parametrize(
     "error,outcome",
     [
-        (ConnectRefused(), Outcome.UNREACHABLE),
-        (ConnectTimedOut(), Outcome.UNREACHABLE),
+        (ConnectRefusedError(), Outcome.UNREACHABLE),
+        (ConnectTimedOutError(), Outcome.UNREACHABLE),
         (CallUnprocessedError(), Outcome.NOT_SENT),
         (CallInterruptedError(), Outcome.RESET),
         (rejection("NOT_PRIMARY"), Outcome.INELIGIBLE),
--- a/tests/raft/cluster.py
+++ b/tests/raft/cluster.py
@@ -10,7 +10,7 @@
 import trio
 
 from juniperreel.cli.configd import Instance
-from juniperreel.net import Clock, ConnectTimedOut, Listener, TcpNetwork
+from juniperreel.net import Clock, ConnectTimedOutError, Listener, TcpNetwork
 from juniperreel.raft.client import Instances
 from juniperreel.raft.configuration import model
 from juniperreel.raft.configuration.machine import Command, Outcome, SetGroup, SetLimit, SetMember
@@ -43,7 +43,7 @@
 
     async def connect(self, host: str, port: int, timeout_us: int) -> trio.abc.Stream:
         if port in self.refusing:
-            raise ConnectTimedOut(f"{port} is cut off")
+            raise ConnectTimedOutError(f"{port} is cut off")
         return await super().connect(host, port, timeout_us)
 
 
--- a/tests/rpc/test_grpcio.py
+++ b/tests/rpc/test_grpcio.py
@@ -13,7 +13,7 @@
 import pytest
 import trio
 
-from juniperreel.net import Clock, ConnectTimedOut, TcpNetwork
+from juniperreel.net import Clock, ConnectTimedOutError, TcpNetwork
 from juniperreel.proto.health.v1 import health_pb2
 from juniperreel.proto.reflection.v1 import reflection_pb2
 from juniperreel.rpc.call import Call
@@ -321,7 +321,7 @@
     listener = await TcpNetwork().listen("127.0.0.1", 0)
     channel = Channel(TcpNetwork(), Clock(), "127.0.0.1", listener.port, Limits(), random.Random(1), 100_000)
     await nursery.start(channel.run)
-    with trio.fail_after(SECONDS), pytest.raises(ConnectTimedOut):
+    with trio.fail_after(SECONDS), pytest.raises(ConnectTimedOutError):
         await channel.unary("/t.Echo/Unary", b"")
     channel.close()
     await listener.aclose()
