--- a/juniperreel/proxy/request_driver.py
+++ b/juniperreel/proxy/request_driver.py
@@ -113,9 +113,7 @@
             self.open_requests, self.positions, self.registry, options.answer_margin_us, log, metrics
         )
         self._runner = AttemptRunner(self.endpoints, options.health_check_timeout_us, clock, log, traces)
-        self._list_writer: CachedListWriter | None = None
-        if options.cached_list_path is not None and options.writes_cached_list:
-            self._list_writer = CachedListWriter(options.cached_list_path, self.discovery, log)
+        self._list_writer = self._new_list_writer()
         self._wake = trio.Event()
         self._nursery: trio.Nursery | None = None
 
@@ -138,6 +136,12 @@
         source = ConfigurationSource if self.options.configuration_addresses else EndpointListClient
         return source(self.options, network, self.clock, rng, self._on_list_update, self.log.warning)
 
+    def _new_list_writer(self) -> CachedListWriter | None:
+        options = self.options
+        if options.cached_list_path is None or not options.writes_cached_list:
+            return None
+        return CachedListWriter(options.cached_list_path, self.discovery, self.log)
+
     def _new_id_prefix(self, rng: random.Random) -> str:
         """A prefix of request ids for this incarnation of the edge.
 
