Testbed and commands: modules take the field's names, moved as they are

Names such as crew, leash, sides, words, world and feeder had to be explained to everybody who read them. Moves and imports only; process_group, parent_watchdog, scenario, control_messages, single_process_trial, multi_process_trial, environment, promotion_source. No logic changed. 22 tests of processes, relays and shrinking pass.

--- a/juniperreel/cli/demo.py
+++ b/juniperreel/cli/demo.py
@@ -10,8 +10,8 @@
 import click
 import trio
 
+from juniperreel.cli.environment import World
 from juniperreel.cli.report import conclude, recorded
-from juniperreel.cli.world import World
 from juniperreel.fakes.script import Day, ScriptError, parse
 from juniperreel.net.clock import US
 from juniperreel.verification.records import Fault, Recorder
--- a/juniperreel/cli/world.py
+++ b/juniperreel/cli/environment.py
@@ -15,7 +15,7 @@
 import trio
 from msgspec import structs
 
-from juniperreel.cli.feeder import ConfigCluster, Feeder
+from juniperreel.cli.promotion_source import ConfigCluster, Feeder
 from juniperreel.fakes.clients import Mix, Mysql, Population
 from juniperreel.fakes.fleet import Fleet
 from juniperreel.fakes.mysqlmember import PASSWORD as MEMBER_PASSWORD
--- a/juniperreel/cli/trial.py
+++ b/juniperreel/cli/trial.py
@@ -20,11 +20,11 @@
 from juniperreel.fakes.script import Day, ScriptError, parse, render
 from juniperreel.net import TcpNetwork
 from juniperreel.net.clock import US
-from juniperreel.testbed.large import LargeTrial
+from juniperreel.testbed.multi_process_trial import LargeTrial
 from juniperreel.testbed.picture import picture
-from juniperreel.testbed.platformfleet import PlatformTrial
+from juniperreel.testbed.scenario import PROGRAM
 from juniperreel.testbed.shrink import shrink
-from juniperreel.testbed.sides import PROGRAM
+from juniperreel.testbed.single_process_trial import PlatformTrial
 from juniperreel.verification import records as rec
 from juniperreel.verification import spread
 from juniperreel.verification.rules import check_all
--- a/juniperreel/testbed/large.py
+++ b/juniperreel/testbed/multi_process_trial.py
@@ -1,7 +1,7 @@
 """A trial of tens to hundreds of drivers: members, drivers and sessions, played by several processes.
 
-This one starts them (`crew.py`), passes on what the host list is to tell, gives the day's beginning and end,
-and puts their records together in order of time. All are on one machine: times are of its one clock.
+This one starts them (`process_group.py`), passes on what the host list is to tell, gives the day's beginning
+and end, and puts their records together in order of time. All are on one machine: times are of its one clock.
 """
 
 from __future__ import annotations
@@ -18,9 +18,9 @@
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.net.clock import US
 from juniperreel.net.network import Listener
-from juniperreel.testbed import words as w
+from juniperreel.testbed import control_messages as w
 from juniperreel.testbed.processes import Processes, State
-from juniperreel.testbed.sides import ROOT, classes, limits, names_of
+from juniperreel.testbed.scenario import ROOT, classes, limits, names_of
 from juniperreel.verification import records as rec
 
 START_S = 300  # for hundreds of processes, on a machine that has much else to do
@@ -90,7 +90,13 @@
         for role, parts in self._parts.items():
             for part in range(parts):
                 words = [str(script), role, str(part), str(parts), str(port)]
-                command = [sys.executable, "-m", "juniperreel.testbed.crew", *words, str(self._directory)]
+                command = [
+                    sys.executable,
+                    "-m",
+                    "juniperreel.testbed.process_group",
+                    *words,
+                    str(self._directory),
+                ]
                 self._processes.add(f"{role}-{part}", [*command, *self._program], env).start()
 
     async def _until(self, done: Callable[[], bool]) -> None:
--- a/juniperreel/testbed/leash.py
+++ b/juniperreel/testbed/parent_watchdog.py
@@ -1,4 +1,4 @@
-"""Starts a program on a leash: `python -S -E leash.py PARENT NICE PROGRAM ARGUMENTS...`.
+"""Starts a program on a leash: `python -S -E parent_watchdog.py PARENT NICE PROGRAM ARGUMENTS...`.
 
 The kernel ends the program when the process PARENT, which started it, has ended, however that came about: so
 nothing outlives a trial that was itself killed. By NICE it gives way to others (0: it doesn't).
--- a/juniperreel/testbed/crew.py
+++ b/juniperreel/testbed/process_group.py
@@ -1,10 +1,10 @@
 """One process of a large trial: some groups' members and the links to them, or some drivers with sessions.
 
-    python -m juniperreel.testbed.crew SCRIPT members|drivers PART OF PORT DIRECTORY [PROGRAM...]
+    python -m juniperreel.testbed.process_group SCRIPT members|drivers PART OF PORT DIRECTORY [PROGRAM...]
 
-takes its orders from the trial that listens on PORT (`words.py`), writes its records into DIRECTORY and ends
-with the trial. A script's faults are the same wherever they are played; which draws are made for those that
-name a random part of members is each process's own.
+takes its orders from the trial that listens on PORT (`control_messages.py`), writes its records into
+DIRECTORY and ends with the trial. A script's faults are the same wherever they are played; which draws are
+made for those that name a random part of members is each process's own.
 """
 
 from __future__ import annotations
@@ -25,9 +25,9 @@
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.net.clock import US
 from juniperreel.proto.hosts.v1 import hosts_pb2
-from juniperreel.testbed import words as w
+from juniperreel.testbed import control_messages as w
 from juniperreel.testbed.relay import Links
-from juniperreel.testbed.sides import PROGRAM, TO_LIST, WEIGHTS, Doors, Drivers, drivers_named, names_of
+from juniperreel.testbed.scenario import PROGRAM, TO_LIST, WEIGHTS, Doors, Drivers, drivers_named, names_of
 from juniperreel.verification.records import Recorder
 
 CONNECT_US = 10_000_000
--- a/juniperreel/testbed/processes.py
+++ b/juniperreel/testbed/processes.py
@@ -1,7 +1,7 @@
 """The program's processes of one trial: started, killed, frozen, thawed, their disks kept or lost.
 
 Each has a directory of its own. All of them end with the trial, by id, also when the trial is killed
-(`leash.py`). Must never know what the programs do.
+(`parent_watchdog.py`). Must never know what the programs do.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 
 import trio
 
-LEASH = Path(__file__).with_name("leash.py")
+LEASH = Path(__file__).with_name("parent_watchdog.py")
 
 
 class State(Enum):
--- a/juniperreel/testbed/sides.py
+++ b/juniperreel/testbed/scenario.py
@@ -1,9 +1,10 @@
 """The two sides of a trial of the platform's drivers: members with the links to them, and drivers with their
 discoveries and sessions.
 
-One process may play both (`platformfleet.py`) or several parts of each (`crew.py`): a side knows its own part
-and the names of all drivers. A script's faults strike where they belong: members and links to them on one
-side, drivers' processes and links to discovery on the other. Imports nothing of the program that it starts.
+One process may play both (`single_process_trial.py`) or several parts of each (`process_group.py`): a side
+knows its own part and the names of all drivers. A script's faults strike where they belong: members and
+links to them on one side, drivers' processes and links to discovery on the other. Imports nothing of the
+program that it starts.
 """
 
 from __future__ import annotations
--- a/juniperreel/testbed/platformfleet.py
+++ b/juniperreel/testbed/single_process_trial.py
@@ -1,7 +1,7 @@
 """A trial played by one process: a few drivers, each a process by the program's own command, before members.
 
 Every driver reaches every member and its discovery by a relay of its own. What passes is recorded as for
-edges and judged by `proof`. The form for hundreds of drivers is `large.py`.
+edges and judged by `proof`. The form for hundreds of drivers is `multi_process_trial.py`.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 from juniperreel.net import Clock, Network
 from juniperreel.testbed.processes import Child, Processes
 from juniperreel.testbed.relay import Links
-from juniperreel.testbed.sides import (
+from juniperreel.testbed.scenario import (
     PROGRAM,
     TO_LIST,
     WEIGHTS,
--- a/tests/testbed/test_large.py
+++ b/tests/testbed/test_multi_process_trial.py
@@ -9,9 +9,9 @@
 import trio
 
 from juniperreel.fakes.script import parse
-from juniperreel.testbed.large import CrewLost, LargeTrial
+from juniperreel.testbed.multi_process_trial import CrewLost, LargeTrial
 from juniperreel.testbed.picture import picture
-from juniperreel.testbed.sides import drivers_named, is_heavy
+from juniperreel.testbed.scenario import drivers_named, is_heavy
 from juniperreel.verification import records as rec
 from juniperreel.verification import spread
 from juniperreel.verification.rules import check_all
--- a/tests/testbed/test_platform_fleet.py
+++ b/tests/testbed/test_platform_fleet.py
@@ -10,8 +10,8 @@
 
 from juniperreel.fakes.script import ScriptError, parse
 from juniperreel.net import TcpNetwork
-from juniperreel.testbed.platformfleet import PlatformTrial
-from juniperreel.testbed.sides import PROGRAM
+from juniperreel.testbed.scenario import PROGRAM
+from juniperreel.testbed.single_process_trial import PlatformTrial
 from juniperreel.verification import records as rec
 from juniperreel.verification import spread
 from juniperreel.verification.rules import Violation, check_all
--- a/tests/testbed/test_relay.py
+++ b/tests/testbed/test_relay.py
@@ -14,8 +14,8 @@
 from juniperreel.fakes.script import parse
 from juniperreel.net import ConnectError, TcpNetwork
 from juniperreel.testbed import relay
-from juniperreel.testbed.platformfleet import PlatformTrial
 from juniperreel.testbed.relay import Links, Relay, to_port
+from juniperreel.testbed.single_process_trial import PlatformTrial
 from juniperreel.verification import records as rec
 
 SECONDS = 60
