Commands: an edge's options, settings file, workers and signals each in a module, logs in fields

Log events of an edge and its workers take the field's form: graceful shutdown started, shutdown complete, configuration reloaded, configuration reload rejected (error in place of reason), parent ended, handler failed. serving and worker serving stay, since programs wait for them.

--- a/juniperreel/cli/configd.py
+++ b/juniperreel/cli/configd.py
@@ -13,7 +13,7 @@
 import msgspec
 import trio
 
-from juniperreel.cli.signals import until_signalled
+from juniperreel.cli.signals import run_until_signalled
 from juniperreel.net import Clock, Network, TcpNetwork
 from juniperreel.proto.configuration.v1 import configuration_pb2 as pb
 from juniperreel.raft.client import Instances, Unreachable
@@ -117,7 +117,7 @@
 async def run_instance(settings: InstanceSettings, storage: Storage) -> None:
     log = make_log(settings.log_form, settings.log_level, instance=settings.name)
     instance = Instance(settings, storage, TcpNetwork(), Clock(), log)
-    await until_signalled(instance.run, instance.stopping)
+    await run_until_signalled(instance.run, instance.stopping)
 
 
 @click.command()
--- a/juniperreel/cli/edge.py
+++ b/juniperreel/cli/edge.py
@@ -3,28 +3,21 @@
 from __future__ import annotations
 
 import gc
-import secrets
 import signal
-import ssl
 from typing import Any
 
 import trio
 
 from juniperreel.causal import Keyring
-from juniperreel.cli.signals import until_signalled
+from juniperreel.cli.edge_options import driver_options, mysql_frontend_options
+from juniperreel.cli.signals import run_until_signalled
 from juniperreel.frontends.grpc import SERVICE, GrpcFront
 from juniperreel.frontends.http import HttpFront
-from juniperreel.frontends.mysql.classes import Classes, Rule
-from juniperreel.frontends.mysql.front import MysqlFront, MysqlOptions, nonce
-from juniperreel.mysql.auth import Credential
+from juniperreel.frontends.mysql.front import MysqlFront, nonce
 from juniperreel.net import Clock, Network, Pace
 from juniperreel.net.clock import US
-from juniperreel.pool.backend import Login
-from juniperreel.pool.core import Sizes
-from juniperreel.proxy import Driver, DriverOptions
-from juniperreel.proxy.options import MysqlMembers
+from juniperreel.proxy import Driver
 from juniperreel.rpc.health import Health, Reflection
-from juniperreel.rpc.limits import Limits
 from juniperreel.rpc.server import Server
 from juniperreel.settings import EdgeSettings
 from juniperreel.telemetry.log import make_log
@@ -32,95 +25,27 @@
 from juniperreel.telemetry.traces import Traces
 
 SERVICES = (SERVICE, "grpc.health.v1.Health", "grpc.reflection.v1.ServerReflection")
-
-
-def driver_options(settings: EdgeSettings) -> DriverOptions:
-    return DriverOptions(
-        name=settings.name,
-        router=settings.router,
-        seed=secrets.randbits(64) if settings.seed is None else settings.seed,
-        groups=settings.groups,
-        hosts=settings.hosts,
-        saved_list=settings.saved_list,
-        saves_list=settings.saves_list,
-        skew_us=settings.skew_us,
-        answer_margin_us=settings.answer_margin_us,
-        max_open=settings.max_open,
-        member_attempts=settings.member_attempts,
-        connect_timeout_us=settings.connect_timeout_us,
-        probe_timeout_us=settings.probe_timeout_us,
-        list_timeout_us=settings.list_timeout_us,
-        instances=settings.instances,
-        mysql=mysql_members(settings),
-        limits=Limits(message_bytes=settings.message_bytes, metadata_bytes=settings.metadata_bytes),
-    )
-
-
-def mysql_members(settings: EdgeSettings) -> MysqlMembers | None:
-    m = settings.members
-    if m is None:
-        return None
-    tls = None if m.tls is None else ssl.create_default_context(cafile=str(m.tls))
-    login = Login(m.user, m.password, m.database, tls, held=settings.message_bytes)
-    sizes = Sizes(
-        most=m.connections,
-        least=m.least,
-        wait_us=m.wait_us,
-        idle_us=m.idle_us,
-        age_us=m.age_us,
-        open_rate=m.open_rate,
-        open_burst=max(m.open_rate / 4, 1.0),
-        shares=tuple(tenant.capacity_share for tenant in settings.router.tenants),
-    )
-    return MysqlMembers(login, m.transaction_us, sizes)
-
-
-def classes_from(settings: EdgeSettings) -> Classes:
-    """Of the MySQL front, which there must be."""
-    m = settings.mysql
-    assert m is not None
-    classes = [c.name for c in settings.router.classes]
-    tenants = [t.name for t in settings.router.tenants]
-    rules = [
-        Rule(
-            match.write,
-            match.user,
-            match.schema,
-            match.hint,
-            match.digest,
-            classes.index(match.cls),
-            None if match.tenant is None else tenants.index(match.tenant),
-        )
-        for match in m.matches
-    ]
-    tenant = tenants.index(m.tenant) if m.tenant else -1
-    return Classes(rules, classes.index(m.read), classes.index(m.write), tenant)
-
-
-def mysql_front(settings: EdgeSettings, driver: Driver, keyring: Keyring, clock: Clock) -> MysqlFront:
-    m = settings.mysql
-    assert m is not None
-    tls = None
-    if m.tls is not None:
-        tls = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-        tls.load_cert_chain(*m.tls)
-    options = MysqlOptions(
-        users={name: Credential.of(password) for name, password in m.users},
-        classes=classes_from(settings),
-        connections=m.connections,
-        max_packet=settings.message_bytes,
-        login=m.login,
-        tls=tls,
-        schema=settings.members.database if settings.members is not None else "",
-    )
-    return MysqlFront(driver, keyring, clock, options, nonce)
+SERVING_EVENT = "serving"
 
 
 class Edge:
-    """One edge in this process: `run` serves until `stop` is called or it is cancelled."""
-
-    def __init__(self, settings: EdgeSettings, network: Network, clock: Clock, log: Any = None) -> None:
-        self.settings, self.network, self.clock = settings, network, clock
+    """One edge in this process: `run` serves until `stop` is called or it is cancelled.
+
+    `serving` tells whether it takes requests; `ended` is set once `run` has ended; `mysql_port` is 0 until
+    the MySQL frontend listens. The event that it logs when it serves is `serving_event`.
+    """
+
+    def __init__(
+        self,
+        settings: EdgeSettings,
+        network: Network,
+        clock: Clock,
+        log: Any = None,
+        serving_event: str = SERVING_EVENT,
+    ) -> None:
+        self.settings = settings
+        self.network = network
+        self.clock = clock
         self.log = log or make_log(settings.log_form, settings.log_level, edge=settings.name)
         self.metrics = Metrics()
         self.traces = Traces(settings.spans, settings.name)
@@ -129,52 +54,45 @@
         self.driver = Driver(options, network, clock, self.log, self.metrics, self.traces, self.pace)
         self.health = Health(SERVICES)
         keyring = Keyring(list(settings.keys))
-        front = GrpcFront(self.driver, keyring, clock)
-        self.mysql = None if settings.mysql is None else mysql_front(settings, self.driver, keyring, clock)
-        methods = front.methods() | self.health.methods() | Reflection(SERVICES).methods()
+        grpc = GrpcFront(self.driver, keyring, clock)
+        self.mysql: MysqlFront | None = None
+        if settings.mysql is not None:
+            self.mysql = MysqlFront(self.driver, keyring, clock, mysql_frontend_options(settings), nonce)
         self.server = Server(
-            methods, options.limits, clock, self._handler_failed, settings.max_connections, self.pace
+            grpc.methods() | self.health.methods() | Reflection(SERVICES).methods(),
+            options.limits,
+            clock,
+            self._on_handler_failed,
+            settings.max_connections,
+            self.pace,
         )
         self.mysql_port = 0
         self.serving = False
-        self.says = "serving"
         self.stopping = trio.Event()
         self.ended = trio.Event()
-
-    def _handler_failed(self, path: str, error: Exception) -> None:
-        self.log.error("a handler failed", path=path, exc_info=error)
+        self._serving_event = serving_event
 
     async def run(self, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED) -> None:
-        """Reports the port it listens on. Raises OSError where it cannot listen, ValueError for a saved
-        host list that cannot be read."""
+        """Serve until stopped; reports the port it listens on.
+
+        Raises OSError where it cannot listen, ValueError for a saved host list that cannot be read.
+        """
         listener = await self.network.listen(*self.settings.listen)
         self.pace.watch()
         try:
             async with trio.open_nursery() as nursery:
-                metrics = None
-                if self.settings.metrics is not None:
-                    http = HttpFront(self.metrics.text, lambda: self.serving)
-                    port = await nursery.start(http.serve, await self.network.listen(*self.settings.metrics))
-                    metrics = f"{self.settings.metrics[0]}:{port}"
+                metrics_address = await self._serve_metrics(nursery)
                 await nursery.start(self.driver.run)
-                mysql = None
-                if self.mysql is not None and self.settings.mysql is not None:
-                    place = self.settings.mysql.listen
-                    port = await nursery.start(self.mysql.serve, await self.network.listen(*place))
-                    self.mysql_port = port
-                    mysql = f"{place[0]}:{port}"
+                mysql_address = await self._serve_mysql(nursery)
                 await nursery.start(self.server.serve, listener)
-                # Danger: what was imported and built so far lives as long as the program; looking through it
-                # again and again for garbage costs requests tens of milliseconds each time.
-                gc.collect()
-                gc.freeze()
+                freeze_garbage_collection()
                 self.serving = True
                 self.health.set(True)
                 self.log.info(
-                    self.says,
+                    self._serving_event,
                     listen=f"{self.settings.listen[0]}:{listener.port}",
-                    metrics=metrics,
-                    mysql=mysql,
+                    metrics=metrics_address,
+                    mysql=mysql_address,
                 )
                 task_status.started(listener.port)
                 await self.stopping.wait()
@@ -188,31 +106,65 @@
             self.traces.close()
 
     def stop(self) -> None:
-        """Graceful: no new connections or streams, all in hand answered, then the end."""
+        """Begin the graceful shutdown: no new connections or streams, what is in flight answered, the end."""
         self.stopping.set()
 
     @property
     def connections(self) -> int:
-        return self.server.connections + (self.mysql.connections if self.mysql is not None else 0)
+        """Clients' connections that are open, over all protocols."""
+        mysql_connections = self.mysql.connections if self.mysql is not None else 0
+        return self.server.connections + mysql_connections
+
+    async def _serve_metrics(self, nursery: trio.Nursery) -> str | None:
+        """Start the page of metrics; returns its address, None where the settings have none."""
+        if self.settings.metrics is None:
+            return None
+        host, _ = self.settings.metrics
+        http = HttpFront(self.metrics.text, lambda: self.serving)
+        listener = await self.network.listen(*self.settings.metrics)
+        port = await nursery.start(http.serve, listener)
+        return f"{host}:{port}"
+
+    async def _serve_mysql(self, nursery: trio.Nursery) -> str | None:
+        """Start the MySQL frontend; returns its address, None where the settings have none."""
+        if self.mysql is None or self.settings.mysql is None:
+            return None
+        host, _ = self.settings.mysql.listen
+        listener = await self.network.listen(*self.settings.mysql.listen)
+        self.mysql_port = await nursery.start(self.mysql.serve, listener)
+        return f"{host}:{self.mysql_port}"
 
     async def _drain(self) -> None:
         self.serving = False
         self.health.set(False)
-        self.log.info("stopping")
+        self.log.info("graceful shutdown started")
         with trio.move_on_after(self.settings.stop_within_us / US) as limit:
-            # Danger: what was read, or is on its way, before its connection heard of the end is still to be
-            # served. The driver may turn requests away only when no connection can bring one any more.
+            # Danger: a request that was read, or is on its way, before its connection learned of the shutdown
+            # must still be served. The driver may reject requests only when no connection can bring one.
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.server.drain)
                 if self.mysql is not None:
                     nursery.start_soon(self.mysql.drain)
             await self.driver.drain()
-        self.log.info("stopped", in_time=not limit.cancelled_caught)
+        self.log.info("shutdown complete", in_time=not limit.cancelled_caught)
+
+    def _on_handler_failed(self, path: str, error: Exception) -> None:
+        self.log.error("handler failed", path=path, exc_info=error)
+
+
+def freeze_garbage_collection() -> None:
+    """Exempt all that exists from garbage collection.
+
+    Danger: what was imported and built until the edge serves lives as long as the program; searching it again
+    and again for garbage would cost requests tens of milliseconds each time.
+    """
+    gc.collect()
+    gc.freeze()
 
 
 async def run_edge(settings: EdgeSettings, network: Network) -> int:
-    """Until SIGTERM or SIGINT; a second one ends at once. The exit status."""
+    """Serve until SIGTERM or SIGINT, where a second one ends at once; returns the exit status."""
     edge = Edge(settings, network, Clock())
-    # Danger: the signal that has several workers read their file again would end an edge of one process.
+    # Danger: SIGHUP, which has an edge of several workers read its file again, would end one of one process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    return await until_signalled(edge.run, edge.stopping)
+    return await run_until_signalled(edge.run, edge.stopping)
--- a/juniperreel/cli/main.py
+++ b/juniperreel/cli/main.py
@@ -5,73 +5,73 @@
 import importlib
 import sys
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 import click
 
-if TYPE_CHECKING:
-    from juniperreel.settings import EdgeSettings
-
 FILE = click.Path(path_type=Path, dir_okay=False)
 
-# Where each command is, and the line that `--help` shows of it.
-ELSEWHERE = {
-    "call": ("call", "Send one STATEMENT of class CLS to the edge at ADDRESS."),
-    "config": ("configd", "Look at and change the configuration."),
-    "configd": ("configd", "Run one instance of the configuration, as the settings FILE says."),
-    "demo": ("demo", "Play a scripted day on loopback, then judge it from its traffic."),
-    "load": ("load", "Put load on any address that offers the service, as a plan FILE says."),
-    "pool": ("pool", "Look at the pools of an edge whose members speak MySQL."),
-    "raft": ("raft", "Look at Raft's core and at an instance's storage."),
-    "standins": ("standins", "Start the members and the host list of a SCRIPT."),
-    "statement": ("statement", "Say how a statement's TEXT is read, where it may go, and its digest."),
-    "trial": ("trial", "Try several processes of the program together, with faults between them."),
-    "verify": ("demo", "Judge the five rules from a RECORDING."),
+
+class LazyCommand(NamedTuple):
+    """Where a command is found, and the line that `--help` shows of it without importing it."""
+
+    module: str  # of this package
+    short_help: str
+
+
+LAZY_COMMANDS = {
+    "call": LazyCommand("call", "Send one STATEMENT of class CLS to the edge at ADDRESS."),
+    "config": LazyCommand("configd", "Look at and change the configuration."),
+    "configd": LazyCommand("configd", "Run one instance of the configuration, as the settings FILE says."),
+    "demo": LazyCommand("demo", "Play a scripted day on loopback, then judge it from its traffic."),
+    "load": LazyCommand("load", "Put load on any address that offers the service, as a plan FILE says."),
+    "pool": LazyCommand("pool", "Look at the pools of an edge whose members speak MySQL."),
+    "raft": LazyCommand("raft", "Look at Raft's core and at an instance's storage."),
+    "standins": LazyCommand("standins", "Start the members and the host list of a SCRIPT."),
+    "statement": LazyCommand(
+        "statement", "Say how a statement's TEXT is read, where it may go, and its digest."
+    ),
+    "trial": LazyCommand("trial", "Try several processes of the program together, with faults between them."),
+    "verify": LazyCommand("demo", "Judge the five rules from a RECORDING."),
 }
 
 
-class Commands(click.Group):
+class LazyGroup(click.Group):
+    """A group that also has the commands of LAZY_COMMANDS."""
+
     def list_commands(self, ctx: click.Context) -> list[str]:
-        return sorted({*self.commands, *ELSEWHERE})
+        """Names of all commands, sorted."""
+        return sorted({*super().list_commands(ctx), *LAZY_COMMANDS})
 
     def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
-        if cmd_name in ELSEWHERE:
-            module = importlib.import_module(f"juniperreel.cli.{ELSEWHERE[cmd_name][0]}")
-            command: click.Command = getattr(module, cmd_name)
-            return command
-        return super().get_command(ctx, cmd_name)
+        """Import a command, or look it up among those that are defined here."""
+        if cmd_name not in LAZY_COMMANDS:
+            return super().get_command(ctx, cmd_name)
+        module = importlib.import_module(f"juniperreel.cli.{LAZY_COMMANDS[cmd_name].module}")
+        command: click.Command = getattr(module, cmd_name)
+        return command
 
     def format_commands(self, ctx: click.Context, formatter: click.HelpFormatter) -> None:
-        rows = {name: command.get_short_help_str(80) for name, command in self.commands.items()}
-        rows |= {name: text for name, (_, text) in ELSEWHERE.items()}
+        """Write the table of commands without importing any."""
+        rows = {name: lazy.short_help for name, lazy in LAZY_COMMANDS.items()}
+        for name in super().list_commands(ctx):
+            rows[name] = self.commands[name].get_short_help_str(80)
         with formatter.section("Commands"):
             formatter.write_dl(sorted(rows.items()))
 
 
-@click.group(cls=Commands, context_settings={"help_option_names": ["-h", "--help"]})
+@click.group(cls=LazyGroup, context_settings={"help_option_names": ["-h", "--help"]})
 def main() -> None:
     """A database proxy that divides reads and writes across primaries and replicas."""
 
 
-def settings_of(file: Path) -> EdgeSettings:
-    from juniperreel.settings import SettingsError, read_edge
-
-    try:
-        return read_edge(file)
-    except SettingsError as error:
-        click.echo(str(error), err=True)
-        count = len(error.problems)
-        click.echo(f"{file}: refused, {count} problem{'s' if count > 1 else ''}", err=True)
-    except OSError as error:
-        click.echo(f"{file}: {error.strerror}", err=True)
-    sys.exit(2)
-
-
 @main.command()
 @click.argument("file", type=FILE)
 def check(file: Path) -> None:
     """Read a settings FILE and say everything that is wrong with it."""
-    settings = settings_of(file)
+    from juniperreel.cli.settings_file import read_settings_or_exit
+
+    settings = read_settings_or_exit(file)
     click.echo(f"{file}: good; {len(settings.router.classes)} classes, {settings.groups} groups")
 
 
@@ -82,18 +82,15 @@
     import trio
 
     from juniperreel.cli.edge import run_edge
+    from juniperreel.cli.settings_file import read_settings_or_exit
     from juniperreel.net import TcpNetwork
 
-    settings = settings_of(file)
-
-    async def several() -> int:
-        from juniperreel.cli.workers import Edges
-
-        return await Edges(settings, file, file.read_bytes()).run()
-
+    settings = read_settings_or_exit(file)
     try:
         if settings.workers > 1:
-            sys.exit(trio.run(several))
+            from juniperreel.cli.workers import run_workers
+
+            sys.exit(trio.run(run_workers, settings, file))
         sys.exit(trio.run(run_edge, settings, TcpNetwork()))
     except* (OSError, ValueError) as group:
         for error in group.exceptions:
--- a/juniperreel/cli/signals.py
+++ b/juniperreel/cli/signals.py
@@ -1,4 +1,4 @@
-"""Stopping a program by signal: once gracefully, twice at once."""
+"""Stops a program by signal: gracefully at the first, at once at the second."""
 
 from __future__ import annotations
 
@@ -7,22 +7,26 @@
 
 import trio
 
+CANCELLED_STATUS = 1
 
-async def until_signalled(run: Callable[[], Awaitable[None]], stop: trio.Event) -> int:
-    """Runs `run`, sets `stop` at the first SIGTERM or SIGINT and cancels at the second. The exit status: 1 if
-    it had to be cancelled."""
-    code = 0
-    async with trio.open_nursery() as nursery:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
 
-            async def serve() -> None:
-                await run()
-                nursery.cancel_scope.cancel()
+async def run_until_signalled(run: Callable[[], Awaitable[None]], stop: trio.Event) -> int:
+    """Run `run`, set `stop` at the first SIGTERM or SIGINT and cancel it at the second.
 
-            nursery.start_soon(serve)
+    Returns the exit status: 0, or CANCELLED_STATUS if it had to be cancelled.
+    """
+    status = 0
+    async with trio.open_nursery() as nursery:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            nursery.start_soon(_run_then_cancel, run, nursery.cancel_scope)
             async for _ in signals:
                 if stop.is_set():
-                    code = 1
+                    status = CANCELLED_STATUS
                     nursery.cancel_scope.cancel()
                 stop.set()
-    return code
+    return status
+
+
+async def _run_then_cancel(run: Callable[[], Awaitable[None]], scope: trio.CancelScope) -> None:
+    await run()
+    scope.cancel()
--- a/juniperreel/cli/statement.py
+++ b/juniperreel/cli/statement.py
@@ -51,14 +51,14 @@
 
 def classes_of(file: Path, data: bytes, replica: bool, user: str, schema: str) -> tuple[str, bool, str]:
     """Class by name, whether members hold transactions, their schema."""
-    from juniperreel.cli.edge import classes_from
-    from juniperreel.cli.main import settings_of
+    from juniperreel.cli.edge_options import mysql_classes
+    from juniperreel.cli.settings_file import read_settings_or_exit
 
-    settings = settings_of(file)
+    settings = read_settings_or_exit(file)
     if settings.mysql is None:
         click.echo(f"{file}: there is no [mysql] section", err=True)
         sys.exit(2)
-    classes = classes_from(settings)
+    classes = mysql_classes(settings)
     cls, _ = classes.of(not replica, user, schema, hint_of(data), digest(data))
     database = settings.members.database if settings.members is not None else ""
     return settings.router.classes[cls].name, settings.members is not None, database
--- a/juniperreel/cli/worker.py
+++ b/juniperreel/cli/worker.py
@@ -11,7 +11,7 @@
 import signal
 import socket
 import sys
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 import msgspec
@@ -25,99 +25,130 @@
 from juniperreel.telemetry.log import make_log
 from juniperreel.workers.parent import DRAIN, GRPC, MYSQL, Told, ignore_interrupts
 
-TELL_S = 0.1
+SERVING_EVENT = "worker serving"
+REPORT_INTERVAL_S = 0.1
+ACCEPT_POLL_S = 0.01
+BAD_SETTINGS_STATUS = 2
 
 
-def part_of(settings: EdgeSettings, slot: int, port: int, mysql_port: int) -> EdgeSettings:
-    """A worker's part of the edge's settings: its share of the limits, addresses as they came to be."""
-    count = settings.workers
+@dataclass(frozen=True, slots=True)
+class WorkerArguments:
+    """The command line. Ports are those that the parent listens on; 0 where it has no MySQL frontend."""
+
+    handover_descriptor: int
+    settings_descriptor: int
+    file: Path
+    slot: int
+    port: int
+    mysql_port: int
+
+    @staticmethod
+    def parse(arguments: list[str]) -> WorkerArguments:
+        """Raises ValueError where arguments are missing or no numbers."""
+        handover, settings, file, slot, port, mysql_port = arguments[:6]
+        return WorkerArguments(
+            int(handover), int(settings), Path(file), int(slot), int(port), int(mysql_port)
+        )
+
+
+def worker_settings(settings: EdgeSettings, slot: int, port: int, mysql_port: int) -> EdgeSettings:
+    """Return a worker's part of the edge's settings: its share of the limits, and the parent's addresses."""
+    workers = settings.workers
     mysql = settings.mysql
     if mysql is not None:
-        connections = max(1, mysql.connections // count)
+        connections = max(1, mysql.connections // workers)
         mysql = replace(mysql, listen=(mysql.listen[0], mysql_port), connections=connections)
     return replace(
         settings,
         listen=(settings.listen[0], port),
         metrics=None,
         seed=None if settings.seed is None else settings.seed + slot,
-        max_open=max(1, settings.max_open // count),
-        max_connections=max(1, settings.max_connections // count),
+        max_open=max(1, settings.max_open // workers),
+        max_connections=max(1, settings.max_connections // workers),
         mysql=mysql,
         saves_list=slot == 0,
     )
 
 
-class Served:
-    """The edge of this worker and its parent's voice."""
+class Worker:
+    """The edge of this worker process, under its parent's orders."""
 
     def __init__(self, settings: EdgeSettings, handover: Handover, slot: int) -> None:
-        self.network = HandedNetwork()
+        self._network = HandedNetwork()
         log = make_log(settings.log_form, settings.log_level, edge=settings.name, worker=slot)
-        self.edge = Edge(settings, self.network, Clock(), log)
-        self.edge.says = "worker serving"
-        self.handover = handover
-        self.places = {GRPC: settings.listen}
+        self._edge = Edge(settings, self._network, Clock(), log, SERVING_EVENT)
+        self._handover = handover
+        self._addresses = {GRPC: settings.listen}
         if settings.mysql is not None:
-            self.places[MYSQL] = settings.mysql.listen
+            self._addresses[MYSQL] = settings.mysql.listen
 
     async def run(self) -> None:
+        """Serve until the edge has ended."""
         async with trio.open_nursery() as nursery:
-            await nursery.start(self.edge.run)
-            nursery.start_soon(self._tell)
-            nursery.start_soon(self._heed)
-            nursery.start_soon(self._signals)
-            await self.edge.ended.wait()
+            await nursery.start(self._edge.run)
+            nursery.start_soon(self._report_status)
+            nursery.start_soon(self._follow_parent)
+            nursery.start_soon(self._stop_on_signal)
+            await self._edge.ended.wait()
             nursery.cancel_scope.cancel()
 
-    async def _tell(self) -> None:
+    async def _report_status(self) -> None:
         while True:
-            told = Told(self.edge.connections, not self.edge.stopping.is_set())
-            self.handover.hand(msgspec.json.encode(told))
-            await trio.sleep(TELL_S)
+            status = Told(self._edge.connections, not self._edge.stopping.is_set())
+            self._handover.hand(msgspec.json.encode(status))
+            await trio.sleep(REPORT_INTERVAL_S)
 
-    async def _heed(self) -> None:
+    async def _follow_parent(self) -> None:
+        """Take connections until the parent has this worker drain, or has ended."""
         while True:
-            message, connection = await self.handover.receive()
+            message, connection = await self._handover.receive()
             if connection is not None:
-                place = self.places.get(message)
-                listener = self.network.listeners.get(place) if place is not None else None
-                if listener is not None:
-                    listener.put(connection)
-                else:
-                    connection.close()
-            elif message == DRAIN or not message:
-                if not message:
-                    self.edge.log.error("the parent is gone; this worker answers what it has and ends")
+                self._accept(message, connection)
+            elif not message:
+                self._edge.log.error("parent ended, worker shutting down")
                 break
-        # What was handed over before is taken before the goodbye.
-        while any(listener.queued for listener in self.network.listeners.values()):
-            await trio.sleep(0.01)
-        self.edge.stop()
-
-    async def _signals(self) -> None:
-        """A worker told to end by itself drains; its parent replaces it."""
+            elif message == DRAIN:
+                break
+        # Connections that were handed over before are accepted before the shutdown.
+        while any(listener.queued for listener in self._network.listeners.values()):
+            await trio.sleep(ACCEPT_POLL_S)
+        self._edge.stop()
+
+    def _accept(self, listener_name: bytes, connection: socket.socket) -> None:
+        """Hand the connection to its listener, or close it where there is none."""
+        address = self._addresses.get(listener_name)
+        listener = None if address is None else self._network.listeners.get(address)
+        if listener is None:
+            connection.close()
+        else:
+            listener.put(connection)
+
+    async def _stop_on_signal(self) -> None:
+        """A worker that is terminated by itself drains; its parent replaces it."""
         with trio.open_signal_receiver(signal.SIGTERM) as signals:
             async for _ in signals:
-                self.edge.stop()
+                self._edge.stop()
 
 
 def main() -> None:
-    handover, text, file, slot, port, mysql_port = sys.argv[1:7]
+    """The worker's entry point; ends with BAD_SETTINGS_STATUS where the settings cannot be used."""
+    arguments = WorkerArguments.parse(sys.argv[1:])
     ignore_interrupts()
-    with os.fdopen(int(text), "rb") as source:
-        data = source.read()
+    with os.fdopen(arguments.settings_descriptor, "rb") as source:
+        text = source.read()
     try:
-        settings = parse_edge(data, file, Path(file).parent)
-    except SettingsError as error:  # a key file that is gone: the rest was checked by the parent
+        settings = parse_edge(text, str(arguments.file), arguments.file.parent)
+    except SettingsError as error:  # the parent has checked all but files that are gone since
         print(error, file=sys.stderr)
-        sys.exit(2)
-    settings = part_of(settings, int(slot), int(port), int(mysql_port))
-    end = Handover(socket.socket(fileno=int(handover)))
+        sys.exit(BAD_SETTINGS_STATUS)
+    settings = worker_settings(settings, arguments.slot, arguments.port, arguments.mysql_port)
+    handover = Handover(socket.socket(fileno=arguments.handover_descriptor))
+    trio.run(run_worker, settings, handover, arguments.slot)
 
-    async def run() -> None:
-        await Served(settings, end, int(slot)).run()
 
-    trio.run(run)
+async def run_worker(settings: EdgeSettings, handover: Handover, slot: int) -> None:
+    """Run one worker with its part of the settings."""
+    await Worker(settings, handover, slot).run()
 
 
 if __name__ == "__main__":
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -100,7 +100,7 @@
             assert error.code == status
     running.edge.send_signal(signal.SIGTERM)
     assert running.edge.wait(15) == 0
-    assert running.until("stopped")["in_time"] is True
+    assert running.until("shutdown complete")["in_time"] is True
 
 
 def test_a_second_signal_ends_at_once(running: Running) -> None:
@@ -114,7 +114,7 @@
                 break
         time.sleep(0.05)
     running.edge.send_signal(signal.SIGTERM)
-    running.until("stopping")
+    running.until("graceful shutdown started")
     assert running.edge.poll() is None
     running.edge.send_signal(signal.SIGTERM)
     assert running.edge.wait(5) == 1
--- a/tests/cli/test_workers.py
+++ b/tests/cli/test_workers.py
@@ -114,17 +114,17 @@
         good = conf.read_text()
         conf.write_text(good.replace("attempts 6", "attempts none"))
         edge.edge.send_signal(signal.SIGHUP)
-        told = edge.until("the settings were not taken")
-        assert ("attempts" in told["reason"] and "line" in told["reason"]) or ":" in told["reason"]
+        error = edge.until("configuration reload rejected")["error"]
+        assert ("attempts" in error and "line" in error) or ":" in error
         conf.write_text(good.replace("listen 127.0.0.1:0", "listen 127.0.0.1:1"))
         edge.edge.send_signal(signal.SIGHUP)
-        assert "needs a restart" in edge.until("the settings were not taken")["reason"]
+        assert "needs a restart" in edge.until("configuration reload rejected")["error"]
         clients.settle()
         conf.write_text(good.replace(f"workers {WORKERS}", "workers 2"))
         edge.edge.send_signal(signal.SIGHUP)
-        assert edge.until("new settings")["workers"] == 2
+        assert edge.until("configuration reloaded")["workers"] == 2
         for _ in range(WORKERS):
-            edge.until("stopped")
+            edge.until("shutdown complete")
         edge.reach('juniperreel_workers{phase="serving"}', 2.0)
         clients.settle()
         assert clients.failed == []
