--- a/juniperreel/cli/call.py
+++ b/juniperreel/cli/call.py
@@ -11,6 +11,7 @@
 import trio
 
 from juniperreel.net import Clock, ConnectError, TcpNetwork
+from juniperreel.net.clock import US
 from juniperreel.proto.common.v1 import values_pb2
 from juniperreel.proto.records.v1 import records_pb2
 from juniperreel.rpc.channel import Broken, Channel, NeverSent
@@ -18,10 +19,15 @@
 from juniperreel.rpc.status import RpcError
 
 EXECUTE = "/juniperreel.v1.Records/Execute"
+MILLISECOND_US = 1_000
 
 
-def parameter(text: str) -> values_pb2.Value:
-    """`i:5`, `r:0.5` and `null:` are an integer, a real and NULL; `t:` and anything else is text."""
+def parse_value(text: str) -> values_pb2.Value:
+    """Return the value of a parameter.
+
+    `i:5`, `r:0.5` and `null:` are an integer, a real and NULL; `t:` and anything else is text. Raises
+    click.BadParameter.
+    """
     kind, colon, rest = text.partition(":")
     try:
         if colon and kind == "i":
@@ -35,25 +41,70 @@
     return values_pb2.Value(text=rest if colon and kind == "t" else text)
 
 
-def shown(value: values_pb2.Value) -> str:
+def format_value(value: values_pb2.Value) -> str:
+    """One cell of a row: blobs in hexadecimal, NULL as such."""
     kind = value.WhichOneof("kind")
     if kind in (None, "null"):
         return "NULL"
     return value.blob.hex() if kind == "blob" else str(getattr(value, kind))
 
 
-async def run(
-    host: str, port: int, ask: records_pb2.ExecuteRequest, timeout: float
+async def execute(
+    host: str, port: int, request: records_pb2.ExecuteRequest, timeout_s: float
 ) -> records_pb2.ExecuteResponse:
+    """Send one request over a connection of its own.
+
+    Raises, in a group, RpcError, ConnectError, NeverSent, Broken, or trio.TooSlowError.
+    """
+    timeout_us = int(timeout_s * US)
     async with trio.open_nursery() as nursery:
-        channel = Channel(TcpNetwork(), Clock(), host, port, Limits(), random.Random(), int(timeout * 1e6))
+        channel = Channel(TcpNetwork(), Clock(), host, port, Limits(), random.Random(), timeout_us)
         await nursery.start(channel.run)
-        with trio.fail_after(timeout):
-            reply = await channel.unary(EXECUTE, ask.SerializeToString(), timeout_us=int(timeout * 1e6))
+        with trio.fail_after(timeout_s):
+            reply = await channel.unary(EXECUTE, request.SerializeToString(), timeout_us=timeout_us)
         channel.close()
         return records_pb2.ExecuteResponse.FromString(reply.message)
 
 
+def execute_or_exit(
+    edge: str, request: records_pb2.ExecuteRequest, timeout_s: float
+) -> records_pb2.ExecuteResponse:
+    """Return the edge's response; say what went wrong and end the command with 1 if there is none.
+
+    Raises click.BadParameter for an address that is not host:port.
+    """
+    host, _, port = edge.rpartition(":")
+    if not host or not port.isdigit():
+        raise click.BadParameter(f"{edge!r} is not host:port")
+    try:
+        return trio.run(execute, host, int(port), request, timeout_s)
+    except* RpcError as errors:
+        error = errors.exceptions[0]
+        assert isinstance(error, RpcError)
+        click.echo(f"{error.code.name}: {error.message}", err=True)
+        retry_after_us = error.retry_after_us()
+        if retry_after_us is not None:
+            click.echo(f"may be repeated after {retry_after_us / MILLISECOND_US:.0f} ms", err=True)
+        sys.exit(1)
+    except* (ConnectError, NeverSent, Broken, trio.TooSlowError) as errors:
+        click.echo(f"{edge}: {errors.exceptions[0] or 'no answer in time'}", err=True)
+        sys.exit(1)
+
+
+def print_response(response: records_pb2.ExecuteResponse) -> None:
+    """Rows to standard output; who served them to standard error."""
+    if response.result.columns:
+        click.echo("\t".join(response.result.columns))
+    for row in response.result.rows:
+        click.echo("\t".join(format_value(value) for value in row.values))
+    role = "primary" if response.role == records_pb2.ROLE_PRIMARY else "replica"
+    attempts = "attempt" if response.attempts == 1 else "attempts"
+    click.echo(
+        f"{response.member} ({role}), {response.attempts} {attempts}, {response.result.affected} changed",
+        err=True,
+    )
+
+
 @click.command()
 @click.argument("edge")
 @click.argument("cls", metavar="CLASS")
@@ -82,44 +133,21 @@
     timeout: float,
 ) -> None:
     """Send one STATEMENT of a CLASS to the EDGE (host:port) and print its rows."""
-    host, _, port = edge.rpartition(":")
-    if not host or not port.isdigit():
-        raise click.BadParameter(f"{edge!r} is not host:port")
-    ask = records_pb2.ExecuteRequest(
+    request = records_pb2.ExecuteRequest(
         tenant=tenant,
         statement=statement.encode(),
         session=session,
         idempotency_key=idempotency_key or uuid.uuid4().hex,
-        parameters=[parameter(p) for p in parameters],
+        parameters=[parse_value(parameter) for parameter in parameters],
     )
-    setattr(ask, "class", cls)
+    setattr(request, "class", cls)
     if key is not None:
-        ask.key = key.encode()
+        request.key = key.encode()
     elif group is not None:
-        ask.group = group
+        request.group = group
     if token is not None and token.exists():
-        ask.causal_token = token.read_bytes()
-    try:
-        answer = trio.run(run, host, int(port), ask, timeout)
-    except* RpcError as errors:
-        error = errors.exceptions[0]
-        assert isinstance(error, RpcError)
-        click.echo(f"{error.code.name}: {error.message}", err=True)
-        wait = error.retry_after_us()
-        if wait is not None:
-            click.echo(f"may be repeated after {wait / 1000:.0f} ms", err=True)
-        sys.exit(1)
-    except* (ConnectError, NeverSent, Broken, trio.TooSlowError) as errors:
-        click.echo(f"{edge}: {errors.exceptions[0] or 'no answer in time'}", err=True)
-        sys.exit(1)
+        request.causal_token = token.read_bytes()
+    response = execute_or_exit(edge, request, timeout)
     if token is not None:
-        token.write_bytes(answer.causal_token)
-    if answer.result.columns:
-        click.echo("\t".join(answer.result.columns))
-    for row in answer.result.rows:
-        click.echo("\t".join(shown(v) for v in row.values))
-    role = "primary" if answer.role == records_pb2.ROLE_PRIMARY else "replica"
-    tries = "attempt" if answer.attempts == 1 else "attempts"
-    click.echo(
-        f"{answer.member} ({role}), {answer.attempts} {tries}, {answer.result.affected} changed", err=True
-    )
+        token.write_bytes(response.causal_token)
+    print_response(response)
--- a/juniperreel/cli/configd.py
+++ b/juniperreel/cli/configd.py
@@ -6,6 +6,7 @@
 import sys
 import uuid
 from collections.abc import Awaitable, Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -28,7 +29,7 @@
 from juniperreel.rpc.limits import Limits
 from juniperreel.rpc.server import Server
 from juniperreel.rpc.status import RpcError
-from juniperreel.settings import SettingsError, read_edge
+from juniperreel.settings import EdgeSettings, SettingsError, read_edge
 from juniperreel.settings.configd import InstanceSettings, read_instance
 from juniperreel.telemetry.log import make_log
 
@@ -38,16 +39,25 @@
     "grpc.health.v1.Health",
     "grpc.reflection.v1.ServerReflection",
 )
-HAND_OVER_S = 2.0
+# How an instance comes by its directory.
+CREATE = "create"
+JOIN = "join"
+OPEN = "open"
+TRANSFER_TIMEOUT_S = 2.0
+POLL_S = 0.02
+MEMBER_CHANGE_TRIES = 5
 
 
 class Instance:
-    """One instance in this process."""
+    """One instance of the configuration in this process; `stopping` ends it gracefully."""
 
     def __init__(
         self, settings: InstanceSettings, storage: Storage, network: Network, clock: Clock, log: Any
     ) -> None:
-        self.settings, self.storage, self.network, self.log = settings, storage, network, log
+        self.settings = settings
+        self.storage = storage
+        self.network = network
+        self.log = log
         self.node = Node(
             settings.name,
             settings.cluster,
@@ -65,13 +75,14 @@
         methods = (
             ConfigurationService(self.node).methods() | self.health.methods() | Reflection(SERVICES).methods()
         )
-        self.server = Server(methods, Limits(), clock, self._failed)
+        self.server = Server(methods, Limits(), clock, self._on_handler_failed)
         self.stopping = trio.Event()
 
-    def _failed(self, path: str, error: Exception) -> None:
-        self.log.error("a handler failed", path=path, exc_info=error)
+    def _on_handler_failed(self, path: str, error: Exception) -> None:
+        self.log.error("handler failed", path=path, exc_info=error)
 
     async def run(self, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until stopped; reports the port it listens on. Raises OSError where it cannot listen."""
         listener = await self.network.listen(*self.settings.listen)
         try:
             async with trio.open_nursery() as nursery:
@@ -81,40 +92,44 @@
                 self.log.info("serving", listen=f"{self.settings.listen[0]}:{listener.port}")
                 task_status.started(listener.port)
                 await self.stopping.wait()
-                await self._hand_over()
+                await self._transfer_leadership()
                 nursery.cancel_scope.cancel()
         finally:
             self.storage.close()
             await listener.aclose()
 
-    async def _hand_over(self) -> None:
-        """A leader that stops gives its place to the follower that holds most."""
+    async def _transfer_leadership(self) -> None:
+        """A leader that stops hands leadership to the voter with the longest log."""
         self.health.set(False)
         core = self.node.core
-        held = {n: at for n, at in core.matches().items() if n in core.members.voters}
-        if core.is_leader and held:
-            best = max(sorted(held), key=lambda n: held[n])
-            with trio.move_on_after(HAND_OVER_S):
+        match_index = {name: index for name, index in core.matches().items() if name in core.members.voters}
+        if core.is_leader and match_index:
+            successor = max(sorted(match_index), key=lambda name: match_index[name])
+            with trio.move_on_after(TRANSFER_TIMEOUT_S):
                 try:
-                    await self.node.transfer(best)
+                    await self.node.transfer(successor)
                 except (NotLeader, Rejected):
                     return
                 while core.is_leader:
-                    await trio.sleep(0.02)
+                    await trio.sleep(POLL_S)
 
 
-def open_storage(settings: InstanceSettings, how: str) -> Storage:
-    """`how`: create a new cluster's directory, join with an empty one, or open what is there."""
-    if how == "create":
+def open_storage(settings: InstanceSettings, mode: str) -> Storage:
+    """Create a new cluster's directory, or an empty one to join with, or open the one that is there.
+
+    `mode` is CREATE, JOIN or OPEN. Raises StorageError.
+    """
+    if mode == CREATE:
         return Storage.create(
             settings.directory, settings.cluster, settings.name, Members(frozenset(settings.members))
         )
-    if how == "join":
+    if mode == JOIN:
         return Storage.create(settings.directory, settings.cluster, settings.name, Members(frozenset()))
     return Storage.open(settings.directory, settings.cluster, settings.name)
 
 
 async def run_instance(settings: InstanceSettings, storage: Storage) -> None:
+    """Serve until SIGTERM or SIGINT, where a second one ends at once."""
     log = make_log(settings.log_form, settings.log_level, instance=settings.name)
     instance = Instance(settings, storage, TcpNetwork(), Clock(), log)
     await run_until_signalled(instance.run, instance.stopping)
@@ -122,13 +137,13 @@
 
 @click.command()
 @click.argument("file", type=click.Path(path_type=Path, dir_okay=False))
-@click.option("--create", "how", flag_value="create", help="A new cluster, with the members of the FILE.")
-@click.option("--join", "how", flag_value="join", help="An empty directory, for a cluster that will add it.")
-def configd(file: Path, how: str | None) -> None:
+@click.option("--create", "mode", flag_value=CREATE, help="A new cluster, with the members of the FILE.")
+@click.option("--join", "mode", flag_value=JOIN, help="An empty directory, for a cluster that will add it.")
+def configd(file: Path, mode: str | None) -> None:
     """Serve the configuration as the settings FILE says, until SIGTERM."""
     try:
         settings = read_instance(file)
-        storage = open_storage(settings, how or "open")
+        storage = open_storage(settings, mode or OPEN)
     except (SettingsError, StorageError) as error:
         click.echo(str(error), err=True)
         sys.exit(2)
@@ -148,23 +163,32 @@
 
 
 def with_instances(addresses: tuple[str, ...], work: Work) -> Any:
-    async def run() -> Any:
-        async with trio.open_nursery() as nursery:
-            places = [(a.rpartition(":")[0].rpartition("@")[2], int(a.rpartition(":")[2])) for a in addresses]
-            instances = Instances(TcpNetwork(), Clock(), random.Random(), places)
-            await nursery.start(instances.run)
-            result = await work(instances)
-            nursery.cancel_scope.cancel()
-            return result
-
+    """Return what `work` makes of a client of the instances; end the command with 1 where none answers."""
     try:
-        return trio.run(run)
+        return trio.run(_connect_and_work, addresses, work)
     except* (RpcError, Unreachable) as group:
         click.echo(str(group.exceptions[0]), err=True)
         sys.exit(1)
 
 
-def at(context: click.Context) -> tuple[str, ...]:
+async def _connect_and_work(addresses: tuple[str, ...], work: Work) -> Any:
+    async with trio.open_nursery() as nursery:
+        host_ports = [parse_address(address) for address in addresses]
+        instances = Instances(TcpNetwork(), Clock(), random.Random(), host_ports)
+        await nursery.start(instances.run)
+        result = await work(instances)
+        nursery.cancel_scope.cancel()
+        return result
+
+
+def parse_address(address: str) -> tuple[str, int]:
+    """Host and port of `host:port` or `name@host:port`."""
+    place, _, port = address.rpartition(":")
+    return place.rpartition("@")[2], int(port)
+
+
+def addresses_of(context: click.Context) -> tuple[str, ...]:
+    """The instances that the command's group was given."""
     addresses: tuple[str, ...] = context.obj
     return addresses
 
@@ -187,21 +211,31 @@
     context.obj = addresses
 
 
-def readable(c: model.Configuration) -> str:
-    parts = {name: model.ordered(getattr(c, name)) for name in model.PARTS}
-    return msgspec.json.format(msgspec.json.encode({"version": c.version} | parts)).decode()
+def format_configuration(configuration: model.Configuration) -> str:
+    """A version as indented JSON, its entries in order."""
+    parts = {name: model.ordered(getattr(configuration, name)) for name in model.PARTS}
+    return msgspec.json.format(msgspec.json.encode({"version": configuration.version} | parts)).decode()
+
+
+def print_configuration(configuration: model.Configuration) -> None:
+    """Print a version as `format_configuration` has it."""
+    click.echo(format_configuration(configuration))
 
 
 @config.command()
 @click.pass_context
 def get(context: click.Context) -> None:
     """Print the newest version."""
-    click.echo(readable(with_instances(at(context), lambda i: i.get())))
+    print_configuration(with_instances(addresses_of(context), lambda instances: instances.get()))
 
 
 def propose(context: click.Context, changes: list[machine.Change], expect: int | None) -> None:
+    """Propose changes, only if `expect` is the version in force where it is given, and print the new one.
+
+    Ends the command with 1 if they are rejected.
+    """
     command = Command(f"cli-{uuid.uuid4().hex}", 1, changes, expect)
-    outcome: Outcome = with_instances(at(context), lambda i: i.propose(command))
+    outcome: Outcome = with_instances(addresses_of(context), lambda instances: instances.propose(command))
     if outcome.refusal:
         click.echo(f"refused: {outcome.refusal}", err=True)
         sys.exit(1)
@@ -231,27 +265,32 @@
     except SettingsError as error:
         click.echo(str(error), err=True)
         sys.exit(2)
+    propose(context, first_version(settings), 0)
+
+
+def first_version(settings: EdgeSettings) -> list[machine.Change]:
+    """The changes that put an edge's groups, classes and tenants into an empty configuration."""
     changes: list[machine.Change] = [
-        machine.SetGroup(n, model.GroupInfo(0, None)) for n in range(settings.groups)
+        machine.SetGroup(number, model.GroupInfo(0, None)) for number in range(settings.groups)
     ]
-    for c in settings.router.classes:
+    for request_class in settings.router.classes:
         info = model.ClassInfo(
-            c.idempotency.value,
-            c.key_scope.value,
-            c.deduplication_window_us,
-            c.consistency.value,
-            c.max_staleness_us,
-            c.latency_objective_us,
-            c.deadline_us,
-            c.priority_weight,
-            c.late_priority_weight,
+            request_class.idempotency.value,
+            request_class.key_scope.value,
+            request_class.deduplication_window_us,
+            request_class.consistency.value,
+            request_class.max_staleness_us,
+            request_class.latency_objective_us,
+            request_class.deadline_us,
+            request_class.priority_weight,
+            request_class.late_priority_weight,
         )
-        changes.append(machine.SetClass(c.name, info))
+        changes.append(machine.SetClass(request_class.name, info))
     changes += [
-        machine.SetTenant(t.name, model.TenantInfo(t.capacity_share, t.quota_rps))
-        for t in settings.router.tenants
+        machine.SetTenant(tenant.name, model.TenantInfo(tenant.capacity_share, tenant.quota_rps))
+        for tenant in settings.router.tenants
     ]
-    propose(context, changes, 0)
+    return changes
 
 
 @config.command()
@@ -260,33 +299,40 @@
 def watch(context: click.Context, seconds: float) -> None:
     """Print each version as it is committed."""
 
-    async def work(instances: Instances) -> None:
+    async def _watch(instances: Instances) -> None:
         with trio.move_on_after(seconds):
-            await instances.watch("cli", model.EMPTY, lambda c: click.echo(readable(c)))
+            await instances.watch("cli", model.EMPTY, print_configuration)
 
-    with_instances(at(context), work)
+    with_instances(addresses_of(context), _watch)
 
 
 @config.command()
 @click.pass_context
 def status(context: click.Context) -> None:
     """What each instance says of itself."""
+    with_instances(addresses_of(context), print_statuses)
+
+
+async def print_statuses(instances: Instances) -> None:
+    """Print a line for each instance, also for those that do not answer."""
+    for address in instances.addresses:
+        try:
+            status = await instances.status(address)
+        except Exception as error:  # one instance's failure must not hide the others' answers
+            click.echo(f"{address[0]}:{address[1]}: {error or 'no answer'}")
+            continue
+        click.echo(format_status(status))
 
-    async def work(instances: Instances) -> None:
-        for address in instances.addresses:
-            try:
-                s = await instances.status(address)
-            except Exception as error:  # each instance's answer is its own
-                click.echo(f"{address[0]}:{address[1]}: {error or 'no answer'}")
-                continue
-            lag = ", ".join(f"{n} {m}" for n, m in sorted(s.matches.items()))
-            tail = f"; holds: {lag}" if lag else ""
-            click.echo(
-                f"{s.name}: {s.role}, term {s.term}, leader {s.leader or '-'}, log {s.first}-{s.last}, "
-                f"commit {s.commit}, version {s.version}, voters {', '.join(s.voters)}{tail}"
-            )
 
-    with_instances(at(context), work)
+def format_status(status: pb.StatusResponse) -> str:
+    """One instance's line; a leader's also has how far each follower's log matches its own."""
+    matches = ", ".join(f"{name} {index}" for name, index in sorted(status.matches.items()))
+    tail = f"; holds: {matches}" if matches else ""
+    return (
+        f"{status.name}: {status.role}, term {status.term}, leader {status.leader or '-'}, "
+        f"log {status.first}-{status.last}, commit {status.commit}, version {status.version}, "
+        f"voters {', '.join(status.voters)}{tail}"
+    )
 
 
 @config.command()
@@ -296,8 +342,13 @@
 def members(context: click.Context, change: str, name: str) -> None:
     """Change the instances: NAME is name@host:port. A new one is added, then promoted."""
     request = pb.ChangeInstancesRequest(change=change, name=name).SerializeToString()
-    with_instances(at(context), lambda i: i.lead("ChangeInstances", request, tries=5))
+    with_instances(addresses_of(context), partial(change_instances, request))
     click.echo("done")
 
 
+async def change_instances(request: bytes, instances: Instances) -> bytes:
+    """Have the leader change the members. Raises RpcError, Unreachable."""
+    return await instances.lead("ChangeInstances", request, tries=MEMBER_CHANGE_TRIES)
+
+
 __all__ = ["Instance", "config", "configd", "open_storage"]
--- a/juniperreel/cli/demo.py
+++ b/juniperreel/cli/demo.py
@@ -2,74 +2,86 @@
 
 from __future__ import annotations
 
-import sys
 import tempfile
+from collections import Counter
 from importlib import resources
 from pathlib import Path
 
 import click
 import trio
 
-from juniperreel.cli.environment import World
-from juniperreel.cli.report import conclude, recorded
-from juniperreel.fakes.script import Day, ScriptError, parse
+from juniperreel.cli.environment import Environment, EnvironmentOptions
+from juniperreel.cli.report import conclude, read_recording_or_exit
+from juniperreel.cli.scripts import open_recorder, parse_or_exit
+from juniperreel.fakes.script import Day
 from juniperreel.net.clock import US
 from juniperreel.verification.records import Fault, Recorder
 
-
-def read_day(script: Path | None) -> Day:
-    """The script's day, or the bad day that comes with the program."""
-    if script is None:
-        text = resources.files("juniperreel.fakes").joinpath("days/bad.day").read_text(encoding="utf-8")
-    else:
-        text = script.read_text(encoding="utf-8")
-    return parse(text)
-
-
-async def watch(world: World) -> None:
-    """One live line a second."""
-    counts: dict[str, int] = {}
-    served: list[int] = []
-
-    def count(cls: str, outcome: str, took_us: int) -> None:
-        counts[outcome] = counts.get(outcome, 0) + 1
-        served.append(took_us)
-
-    start = trio.current_time()
-    while True:
-        await trio.sleep(1)
-        if world.population is None:
-            start = trio.current_time()
-            continue
-        world.population.on_answer = count
-        alive = sum(m.alive for m in world.fleet.members.values())
-        mean = sum(served) / len(served) / 1000 if served else 0.0
-        told = ", ".join(f"{name} {counts.get(name, 0)}" for name in ("served", "refused", "failed"))
-        faults = [r.text.split(None, 2)[2] for r in world.record.records if isinstance(r, Fault) and r.on][
-            -1:
-        ]
-        last = f"; last fault: {faults[0]}" if faults else ""
-        click.echo(
-            f"{trio.current_time() - start:5.0f} s  {told}; mean {mean:.0f} ms; {alive} members up{last}"
-        )
-        counts.clear()
-        served.clear()
-
-
-async def play(
-    day: Day,
-    folder: Path,
-    recorder: Recorder,
-    careless: bool,
-    quiet: bool,
-    raft: bool = False,
-    code: Path | None = None,
-) -> None:
+LIVE_INTERVAL_S = 1
+MILLISECOND_US = 1_000
+DEFAULT_SCRIPT = "days/bad.day"
+
+
+def read_script(script: Path | None) -> str:
+    """The script's text, or that of the bad day that comes with the program."""
+    if script is not None:
+        return script.read_text(encoding="utf-8")
+    return resources.files("juniperreel.fakes").joinpath(DEFAULT_SCRIPT).read_text(encoding="utf-8")
+
+
+class LiveReport:
+    """Prints one line a second on what clients saw since the last one, while an environment plays."""
+
+    def __init__(self, environment: Environment) -> None:
+        self._environment = environment
+        self._outcomes: Counter[str] = Counter()
+        self._durations_us: list[int] = []
+
+    async def run(self) -> None:
+        """Print until cancelled, from the time on at which clients come."""
+        start = trio.current_time()
+        while True:
+            await trio.sleep(LIVE_INTERVAL_S)
+            population = self._environment.population
+            if population is None:
+                start = trio.current_time()
+                continue
+            population.on_answer = self._count
+            click.echo(f"{trio.current_time() - start:5.0f} s  {self._line()}")
+            self._outcomes.clear()
+            self._durations_us.clear()
+
+    def _count(self, _cls: str, outcome: str, took_us: int) -> None:
+        self._outcomes[outcome] += 1
+        self._durations_us.append(took_us)
+
+    def _line(self) -> str:
+        outcomes = ", ".join(f"{name} {self._outcomes[name]}" for name in ("served", "refused", "failed"))
+        mean_ms = self._mean_duration_ms()
+        alive = sum(member.alive for member in self._environment.fleet.members.values())
+        return f"{outcomes}; mean {mean_ms:.0f} ms; {alive} members up{self._last_fault()}"
+
+    def _mean_duration_ms(self) -> float:
+        if not self._durations_us:
+            return 0.0
+        return sum(self._durations_us) / len(self._durations_us) / MILLISECOND_US
+
+    def _last_fault(self) -> str:
+        records = self._environment.record.records
+        faults = [record for record in records if isinstance(record, Fault) and record.on]
+        if not faults:
+            return ""
+        *_, fault = faults[-1].text.split(None, 2)
+        return f"; last fault: {fault}"
+
+
+async def play(day: Day, folder: Path, recorder: Recorder, options: EnvironmentOptions, quiet: bool) -> None:
+    """Play a day, with live lines unless `quiet`."""
     async with trio.open_nursery() as nursery:
-        world = World(day, folder, recorder, careless, raft, code)
+        environment = Environment(day, folder, recorder, options)
         if not quiet:
-            nursery.start_soon(watch, world)
-        await world.run()
+            nursery.start_soon(LiveReport(environment).run)
+        await environment.run()
         nursery.cancel_scope.cancel()
 
 
@@ -103,34 +115,34 @@
     quiet: bool,
 ) -> None:
     """Play a scripted day on loopback, then judge it from its traffic."""
-    try:
-        day = read_day(script)
-    except ScriptError as error:
-        click.echo(str(error), err=True)
-        sys.exit(2)
+    day = parse_or_exit(read_script(script))
     if seed is not None:
         day.settings["seed"] = seed
     if last is not None:
         day.settings["last"] = int(last * US)
-    kinds = sorted({s.fault for s in day.steps if s.at_us < day["last"]})
-    who = "careless edges" if careless else "edges"
-    click.echo(
-        f"{day['groups']} groups of {day['members']}, {day['edges']} {who}, {day['rate']} requests a second "
-        f"for {day['last'] / US:.0f} s; faults: {', '.join(kinds)}"
-    )
+    click.echo(headline(day, careless))
+    options = EnvironmentOptions(careless, raft, code)
     with tempfile.TemporaryDirectory() as temporary:
         folder = logs or Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
-        out = record.open("wb") if record else None
-        recorder = Recorder(out)
-        trio.run(play, day, folder.resolve(), recorder, careless, quiet, raft, code)
-        if out is not None:
-            out.close()
+        with open_recorder(record) as recorder:
+            trio.run(play, day, folder.resolve(), recorder, options, quiet)
     conclude(recorder.records)
 
 
+def headline(day: Day, careless: bool) -> str:
+    """The first line of a demo: what is played."""
+    faults = sorted({step.fault for step in day.steps if step.at_us < day["last"]})
+    edges = "careless edges" if careless else "edges"
+    return (
+        f"{day['groups']} groups of {day['members']}, {day['edges']} {edges}, "
+        f"{day['rate']} requests a second "
+        f"for {day['last'] / US:.0f} s; faults: {', '.join(faults)}"
+    )
+
+
 @click.command()
 @click.argument("recording", type=click.Path(path_type=Path, exists=True, dir_okay=False))
 def verify(recording: Path) -> None:
     """Judge the five rules from a RECORDING."""
-    conclude(recorded(recording))
+    conclude(read_recording_or_exit(recording))
--- /dev/null
+++ b/juniperreel/cli/demo_settings.py
@@ -0,0 +1,165 @@
+"""The load of a demo day, and the settings file of each of its edges."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+from msgspec import structs
+
+from juniperreel.fakes.clients import Mix
+from juniperreel.fakes.mysqlmember import USER
+from juniperreel.fakes.script import Day
+from juniperreel.net.clock import US
+from juniperreel.verification import records as rec
+
+MILLISECOND_US = 1_000
+DRAIN_GRACE_US = 2 * US  # as in the settings below
+MAX_ATTEMPTS = 6
+CAPACITY_SHARES = {"fastlap": 0.6, "splitwest": 0.25, "runhouse": 0.15}  # of tenants
+MYSQL_USER = "board"
+MYSQL_TENANT = "fastlap"
+
+MIX = (
+    Mix(
+        rec.Class(
+            0, "board-read", "repeatable", 0, False, False, 300 * MILLISECOND_US, 500 * MILLISECOND_US, 3, 0.2
+        ),
+        0.60,
+        2 * US,
+    ),
+    Mix(
+        rec.Class(0, "own-read", "repeatable", 0, False, True, -1, 600 * MILLISECOND_US, 3, 0.2),
+        0.20,
+        2_500 * MILLISECOND_US,
+    ),
+    Mix(
+        rec.Class(0, "run-write", "keyed", 5 * US, True, False, -1, 1_200 * MILLISECOND_US, 4, 0.7),
+        0.17,
+        4 * US,
+    ),
+    Mix(rec.Class(0, "run-once", "once", 0, True, False, -1, 1_200 * MILLISECOND_US, 4, 0.7), 0.03, 4 * US),
+)
+
+EDGE_TEMPLATE = """\
+# One edge of the demo.
+[edge]
+name {name}
+listen 127.0.0.1:{port}
+edges {edges}
+groups {groups}
+seed {seed}
+
+[hosts]
+{hosts}
+saved {name}.hosts
+timeout 2s
+shows-primary yes
+
+{classes}
+{tenants}
+[rules]
+attempts {attempts}
+answer-margin 100ms
+drain-grace 2s
+cold-from 20%
+cold-span {cold_ms}ms
+fall-multiple 2
+overload-span 2s
+refusal-wait 500ms
+members-check refuse
+
+[limits]
+connect-timeout 300ms
+probe-timeout 300ms
+
+[mysql]
+listen 127.0.0.1:{mysql}
+user board app.password
+read own-read
+write run-write
+tenant fastlap
+connections 2000
+
+{members}
+[token]
+key 1 token.key
+skew 30ms
+
+[log]
+level info
+"""
+
+
+MEMBERS_SECTION = f"""\
+[members]
+speak mysql
+user {USER} member.password
+database runs
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class EdgeAddress:
+    """What differs from edge to edge: its name and number, its ports (0: any free one) and member sources.
+
+    `sources` are lines of the settings' section on hosts.
+    """
+
+    name: str
+    number: int
+    port: int
+    mysql_port: int
+    sources: str
+
+
+def mix_of(day: Day) -> list[Mix]:
+    """The day's classes. Members that speak MySQL remember no keys: there, no write is idempotent."""
+    if not day["mysql-members"]:
+        return list(MIX)
+    return [_without_keys(mix) for mix in MIX]
+
+
+def _without_keys(mix: Mix) -> Mix:
+    if mix.cls.effect != "keyed":
+        return mix
+    return replace(mix, cls=structs.replace(mix.cls, effect="once", memory_us=0))
+
+
+def edge_settings(day: Day, edge: EdgeAddress) -> str:
+    """The text of an edge's settings file."""
+    return EDGE_TEMPLATE.format(
+        name=edge.name,
+        port=edge.port,
+        mysql=edge.mysql_port,
+        edges=day["edges"],
+        groups=day["groups"],
+        seed=day["seed"] * 100 + edge.number,
+        hosts=edge.sources,
+        classes="\n".join(_class_section(mix) for mix in mix_of(day)),
+        tenants="\n".join(f"[tenant {name}]\nshare {part:.0%}\n" for name, part in CAPACITY_SHARES.items()),
+        attempts=MAX_ATTEMPTS,
+        cold_ms=day["cold-span"] // MILLISECOND_US,
+        members=MEMBERS_SECTION if day["mysql-members"] else "",
+    )
+
+
+def _class_section(mix: Mix) -> str:
+    cls = mix.cls
+    effect = f"keyed group {_milliseconds(cls.memory_us)}" if cls.effect == "keyed" else cls.effect
+    return (
+        f"[class {cls.name}]\neffect {effect}\nconsistency {_consistency(cls)}\n"
+        f"aim {_milliseconds(cls.aim_us)}\ndeadline {_milliseconds(mix.deadline_us)}\n"
+        f"worth {cls.worth:g}\nlate-worth {cls.late_worth:.0%}\n"
+    )
+
+
+def _consistency(cls: rec.Class) -> str:
+    if cls.write:
+        return "write"
+    if cls.session:
+        return "session"
+    return f"bounded {_milliseconds(cls.lag_us)}"
+
+
+def _milliseconds(duration_us: int) -> str:
+    return f"{duration_us // MILLISECOND_US}ms"
--- a/juniperreel/cli/environment.py
+++ b/juniperreel/cli/environment.py
@@ -1,4 +1,4 @@
-"""A day in one process with edges as processes of their own: stand-ins, clients, recording."""
+"""A demo day: fakes and clients in this process, edges as processes of their own, and a recording."""
 
 from __future__ import annotations
 
@@ -13,306 +13,252 @@
 from pathlib import Path
 
 import trio
-from msgspec import structs
 
-from juniperreel.cli.promotion_source import ConfigCluster, Feeder
-from juniperreel.fakes.clients import Mix, Mysql, Population
+from juniperreel.cli.configuration_cluster import ConfigurationCluster
+from juniperreel.cli.demo_settings import (
+    CAPACITY_SHARES,
+    DRAIN_GRACE_US,
+    MAX_ATTEMPTS,
+    MYSQL_TENANT,
+    MYSQL_USER,
+    EdgeAddress,
+    edge_settings,
+    mix_of,
+)
+from juniperreel.cli.promotion_source import PromotionSource
+from juniperreel.fakes.clients import Mysql, Population
 from juniperreel.fakes.fleet import Fleet
 from juniperreel.fakes.mysqlmember import PASSWORD as MEMBER_PASSWORD
-from juniperreel.fakes.mysqlmember import USER
 from juniperreel.fakes.script import Day, Step
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.net.clock import US
 from juniperreel.verification import records as rec
 
-READY_S = 20.0
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 15.0  # of all edges and instances together
+EDGE_STOP_TIMEOUT_S = 3.0
+SETTLE_S = 1.0  # for edges to learn of all members before clients come
 PASSWORD = b"of the board's app servers"
-DRAIN_GRACE_US = 2_000_000
-MAX_ATTEMPTS = 6
-TENANTS = {"fastlap": 0.6, "splitwest": 0.25, "runhouse": 0.15}
-MS = 1_000
-
-MIX = (
-    Mix(rec.Class(0, "board-read", "repeatable", 0, False, False, 300 * MS, 500 * MS, 3, 0.2), 0.60, 2 * US),
-    Mix(rec.Class(0, "own-read", "repeatable", 0, False, True, -1, 600 * MS, 3, 0.2), 0.20, 2_500 * MS),
-    Mix(rec.Class(0, "run-write", "keyed", 5 * US, True, False, -1, 1_200 * MS, 4, 0.7), 0.17, 4 * US),
-    Mix(rec.Class(0, "run-once", "once", 0, True, False, -1, 1_200 * MS, 4, 0.7), 0.03, 4 * US),
-)
 
-EDGE = """\
-# One edge of the demo.
-[edge]
-name {name}
-listen 127.0.0.1:{port}
-edges {edges}
-groups {groups}
-seed {seed}
-
-[hosts]
-{hosts}
-saved {name}.hosts
-timeout 2s
-shows-primary yes
-
-{classes}
-{tenants}
-[rules]
-attempts {attempts}
-answer-margin 100ms
-drain-grace 2s
-cold-from 20%
-cold-span {cold_ms}ms
-fall-multiple 2
-overload-span 2s
-refusal-wait 500ms
-members-check refuse
-
-[limits]
-connect-timeout 300ms
-probe-timeout 300ms
-
-[mysql]
-listen 127.0.0.1:{mysql}
-user board app.password
-read own-read
-write run-write
-tenant fastlap
-connections 2000
-
-{members}
-[token]
-key 1 token.key
-skew 30ms
-
-[log]
-level info
-"""
-
-
-MEMBERS = f"""\
-[members]
-speak mysql
-user {USER} member.password
-database runs
-"""
-
-
-def mix_of(day: Day) -> list[Mix]:
-    """Members that speak MySQL remember no keys: there, every write is of effect once."""
-    if not day["mysql-members"]:
-        return list(MIX)
-    return [
-        replace(m, cls=structs.replace(m.cls, effect="once", memory_us=0)) if m.cls.effect == "keyed" else m
-        for m in MIX
-    ]
-
-
-def span(us: int) -> str:
-    return f"{us // 1000}ms"
-
-
-def class_text(mix: Mix) -> str:
-    cls = mix.cls
-    consistency = "write" if cls.write else "session" if cls.session else f"bounded {span(cls.lag_us)}"
-    effect = f"keyed group {span(cls.memory_us)}" if cls.effect == "keyed" else cls.effect
-    return (
-        f"[class {cls.name}]\neffect {effect}\nconsistency {consistency}\naim {span(cls.aim_us)}\n"
-        f"deadline {span(mix.deadline_us)}\nworth {cls.worth:g}\nlate-worth {cls.late_worth:.0%}\n"
-    )
+
+@dataclass(frozen=True, slots=True)
+class EnvironmentOptions:
+    """How a day is played.
+
+    `careless`: by edges that pick members at random and retry blindly, in place of the program's own; `raft`:
+    edges learn of members from a configuration cluster in place of the late host list; `code`: another tree
+    whose edges are played.
+    """
+
+    careless: bool = False
+    raft: bool = False
+    code: Path | None = None
 
 
 @dataclass(slots=True)
 class EdgeProcess:
+    """An edge and, once it has been started, its process. Ports are 0 until it listens."""
+
     name: str
+    number: int
     port: int = 0
-    mysql: int = 0
+    mysql_port: int = 0
     process: trio.Process | None = None
 
+    @property
+    def running_process(self) -> trio.Process | None:
+        """Its process, None if it does not run."""
+        if self.process is None or self.process.poll() is not None:
+            return None
+        return self.process
+
+
+class Environment:
+    """Everything around the edges of one day; `run` plays the day and leaves its records in the recorder.
 
-class World:
-    """`run` plays the whole day and leaves its records in the recorder."""
-
-    def __init__(
-        self,
-        day: Day,
-        folder: Path,
-        recorder: rec.Recorder,
-        careless: bool = False,
-        raft: bool = False,
-        code: Path | None = None,
-    ) -> None:
-        """`careless` edges are not the product's; with `raft` edges learn of members from a configuration
-        cluster instead of the late host list; `code` is another tree whose edges are played."""
-        self.code = code
-        self.day, self.folder, self.record = day, folder, recorder
-        self.careless = careless
-        self.clock = Clock()
-        network = TcpNetwork()
-        self.fleet = Fleet(day, network, self.clock, recorder)
-        self.edges = [EdgeProcess(f"edge{n}") for n in range(day["edges"])]
-        self.network = network
-        self.cluster = ConfigCluster(folder, network) if raft else None
+    `population` is None until the edges are ready for clients.
+    """
+
+    def __init__(self, day: Day, folder: Path, recorder: rec.Recorder, options: EnvironmentOptions) -> None:
+        """`folder` keeps keys, settings and logs."""
+        self.record = recorder
         self.population: Population | None = None
+        self._day = day
+        self._folder = folder
+        self._options = options
+        self._clock = Clock()
+        self._network = TcpNetwork()
+        self.fleet = Fleet(day, self._network, self._clock, recorder)
+        self._edges = [EdgeProcess(f"edge{number}", number) for number in range(day["edges"])]
+        self._cluster = ConfigurationCluster(folder, self._network) if options.raft else None
         self._nursery: trio.Nursery | None = None
         (folder / "app.password").write_bytes(PASSWORD)
         (folder / "member.password").write_bytes(MEMBER_PASSWORD)
         (folder / "token.key").write_bytes(secrets.token_hex(32).encode())
 
-    def _settings(self, edge: EdgeProcess, number: int) -> Path:
-        day = self.day
-        text = EDGE.format(
-            name=edge.name,
-            port=edge.port,
-            mysql=edge.mysql,
-            edges=day["edges"],
-            groups=day["groups"],
-            seed=day["seed"] * 100 + number,
-            hosts=self._sources(),
-            classes="\n".join(class_text(m) for m in mix_of(day)),
-            tenants="\n".join(f"[tenant {t}]\nshare {part:.0%}\n" for t, part in TENANTS.items()),
-            attempts=MAX_ATTEMPTS,
-            cold_ms=day["cold-span"] // 1000,
-            members=MEMBERS if day["mysql-members"] else "",
+    async def run(self) -> None:
+        """Play the day. Raises trio.TooSlowError where an edge or the cluster does not start."""
+        self._record_rules()
+        async with trio.open_nursery() as self._nursery:
+            try:
+                await self._nursery.start(self.fleet.run)
+                if self._cluster is not None:
+                    await self._start_cluster(self._cluster, self._nursery)
+                for edge in self._edges:
+                    await self._start_edge(edge)
+                await trio.sleep(SETTLE_S)
+                self.population = self._make_population()
+                async with trio.open_nursery() as faults:
+                    faults.start_soon(self.fleet.play, self._play_edge_fault)
+                    await self.population.run(float(self._day["rate"]), self._day["last"])
+                    faults.cancel_scope.cancel()
+            finally:
+                with trio.CancelScope(shield=True, deadline=trio.current_time() + STOP_TIMEOUT_S):
+                    await self._stop_edges()
+                    if self._cluster is not None:
+                        await self._cluster.stop()
+            self._nursery.cancel_scope.cancel()
+
+    def _record_rules(self) -> None:
+        """Record the classes and limits that the day is judged by."""
+        now_us = self._clock.now_us()
+        for mix in mix_of(self._day):
+            self.record(mix.cls)
+        shape = self.fleet.shape
+        self.record(
+            rec.Limits(
+                now_us,
+                DRAIN_GRACE_US,
+                shape.cold_from,
+                shape.cold_us,
+                shape.fall_multiple,
+                shape.overload_us,
+                MAX_ATTEMPTS,
+            )
         )
-        path = self.folder / f"{edge.name}.conf"
-        path.write_text(text, encoding="utf-8")
-        return path
 
-    def _sources(self) -> str:
-        if self.cluster is None:
-            return f"source 127.0.0.1:{self.fleet.hosts.port}"
-        return "\n".join(f"instance 127.0.0.1:{port}" for port in self.cluster.ports)
+    def _make_population(self) -> Population:
+        return Population(
+            self._network,
+            self._clock,
+            self.record,
+            random.Random(self._day["seed"]),
+            mix_of(self._day),
+            CAPACITY_SHARES,
+            self._day["groups"],
+            self._day["sessions"],
+            self._day["retries"],
+            [(edge.name, edge.port) for edge in self._edges],
+            self._mysql_clients(),
+        )
 
-    async def start_edge(self, number: int) -> None:
-        """Starts the edge's process and waits until it serves. Raises TooSlowError."""
+    def _mysql_clients(self) -> Mysql | None:
+        """What clients over MySQL do; None where the day has none or the edges do not offer it."""
+        ports = [edge.mysql_port for edge in self._edges]
+        if not self._day["mysql"] or not all(ports):
+            return None
+        part = self._day["mysql"] / 100
+        clients = Mysql(ports, part, MYSQL_USER, PASSWORD, MYSQL_TENANT, "own-read", "run-write")
+        return replace(clients, transactions=self._day["transactions"] / 100)
+
+    async def _start_cluster(self, cluster: ConfigurationCluster, nursery: trio.Nursery) -> None:
+        await cluster.start(secrets.token_hex(32).encode())
+        names = [edge.name for edge in self._edges]
+        source = PromotionSource(
+            self.fleet, self._network, self._clock, cluster.addresses(), self.record, lambda: names
+        )
+        nursery.start_soon(source.run)
+        with trio.fail_after(START_TIMEOUT_S):
+            await source.ready.wait()
+
+    async def _start_edge(self, edge: EdgeProcess) -> None:
+        """Start the edge's process and wait until it serves. Raises trio.TooSlowError."""
         assert self._nursery is not None
-        edge = self.edges[number]
-        settings = self._settings(edge, number)
-        command = [sys.executable, "-m", "juniperreel.cli.main", "edge", str(settings)]
-        if self.careless:
+        edge.process = await trio.lowlevel.open_process(
+            self._edge_command(edge), stderr=subprocess.PIPE, cwd=self._options.code
+        )
+        serving = trio.Event()
+        self._nursery.start_soon(self._follow_log, edge, edge.process, serving)
+        with trio.fail_after(START_TIMEOUT_S):
+            await serving.wait()
+        self.record(rec.EdgeUp(self._clock.now_us(), edge.name))
+
+    def _edge_command(self, edge: EdgeProcess) -> list[str]:
+        address = EdgeAddress(edge.name, edge.number, edge.port, edge.mysql_port, self._member_sources())
+        settings = self._folder / f"{edge.name}.conf"
+        settings.write_text(edge_settings(self._day, address), encoding="utf-8")
+        if self._options.careless:
             hosts = str(self.fleet.hosts.port)
-            command = [sys.executable, "-m", "juniperreel.fakes.naive", edge.name, str(edge.port), hosts]
-        edge.process = await trio.lowlevel.open_process(command, stderr=subprocess.PIPE, cwd=self.code)
-        ready = trio.Event()
-        self._nursery.start_soon(self._follow, edge, edge.process, ready)
-        with trio.fail_after(READY_S):
-            await ready.wait()
-        self.record(rec.EdgeUp(self.clock.now_us(), edge.name))
-
-    async def _follow(self, edge: EdgeProcess, process: trio.Process, ready: trio.Event) -> None:
-        """Keeps the edge's log; it says there where it listens."""
+            return [sys.executable, "-m", "juniperreel.fakes.naive", edge.name, str(edge.port), hosts]
+        return [sys.executable, "-m", "juniperreel.cli.main", "edge", str(settings)]
+
+    def _member_sources(self) -> str:
+        if self._cluster is None:
+            return f"source 127.0.0.1:{self.fleet.hosts.port}"
+        return "\n".join(f"instance 127.0.0.1:{port}" for port in self._cluster.ports)
+
+    async def _follow_log(self, edge: EdgeProcess, process: trio.Process, serving: trio.Event) -> None:
+        """Copy the edge's log to its file, and learn from it where the edge listens."""
         assert process.stderr is not None
-        rest = b""
-        with (self.folder / f"{edge.name}.log").open("ab") as log:
+        incomplete = b""
+        with (self._folder / f"{edge.name}.log").open("ab") as log:
             async for chunk in process.stderr:
                 log.write(chunk)
                 log.flush()
-                *lines, rest = (rest + chunk).split(b"\n")
+                *lines, incomplete = (incomplete + chunk).split(b"\n")
                 for line in lines:
-                    if b'"serving"' in line and not ready.is_set():
-                        told = json.loads(line)
-                        edge.port = int(told["listen"].rpartition(":")[2])
-                        edge.mysql = int((told.get("mysql") or ":0").rpartition(":")[2])
-                        ready.set()
-
-    async def on_edge(self, step: Step) -> None:
+                    if b'"serving"' in line and not serving.is_set():
+                        event = json.loads(line)
+                        edge.port = port_of(event["listen"])
+                        edge.mysql_port = port_of(event.get("mysql") or ":0")
+                        serving.set()
+
+    async def _play_edge_fault(self, step: Step) -> None:
+        """Play a fault of an edge or of an instance of the configuration, to its end."""
         number = int(step.target.partition("/")[2])
         if step.fault == "instance-kill":
-            if self.cluster is not None:
-                await self.cluster.kill(number, step.value)
+            if self._cluster is not None:
+                await self._cluster.kill(number, step.value)
             return
-        edge = self.edges[number]
-        if edge.process is None or edge.process.poll() is not None:
+        edge = self._edges[number]
+        process = edge.running_process
+        if process is None:
             return
         if step.fault == "edge-kill":
-            self.record(rec.EdgeDown(self.clock.now_us(), edge.name))
-            edge.process.kill()
-            await edge.process.wait()
-            if step.value:
-                await trio.sleep(step.value / US)
-                await self.start_edge(number)
+            await self._kill_edge(edge, process, step.value)
         else:
-            start = self.clock.now_us()
-            os.kill(edge.process.pid, signal.SIGSTOP)
-            await trio.sleep(step.for_us / US)
-            os.kill(edge.process.pid, signal.SIGCONT)
-            self.record(rec.EdgeStalled(start, edge.name, self.clock.now_us()))
-
-    async def run(self) -> None:
-        day = self.day
-        now = self.clock.now_us()
-        for mix in mix_of(day):
-            self.record(mix.cls)
-        shape = self.fleet.shape
-        self.record(
-            rec.Limits(
-                now,
-                DRAIN_GRACE_US,
-                shape.cold_from,
-                shape.cold_us,
-                shape.fall_multiple,
-                shape.overload_us,
-                MAX_ATTEMPTS,
-            )
-        )
-        async with trio.open_nursery() as self._nursery:
-            try:
-                await self._nursery.start(self.fleet.run)
-                if self.cluster is not None:
-                    await self._start_cluster(self._nursery)
-                for number in range(len(self.edges)):
-                    await self.start_edge(number)
-                await trio.sleep(1.0)
-                self.population = Population(
-                    self.network,
-                    self.clock,
-                    self.record,
-                    random.Random(day["seed"]),
-                    mix_of(day),
-                    TENANTS,
-                    day["groups"],
-                    day["sessions"],
-                    day["retries"],
-                    [(edge.name, edge.port) for edge in self.edges],
-                    self._mysql(),
-                )
-                async with trio.open_nursery() as faults:
-                    faults.start_soon(self.fleet.play, self.on_edge)
-                    await self.population.run(float(day["rate"]), day["last"])
-                    faults.cancel_scope.cancel()
-            finally:
-                with trio.CancelScope(shield=True, deadline=trio.current_time() + 15):
-                    await self._stop_edges()
-                    if self.cluster is not None:
-                        await self.cluster.stop()
-            self._nursery.cancel_scope.cancel()
-
-    def _mysql(self) -> Mysql | None:
-        ports = [edge.mysql for edge in self.edges]
-        if not self.day["mysql"] or not all(ports):
-            return None
-        made = Mysql(ports, self.day["mysql"] / 100, "board", PASSWORD, "fastlap", "own-read", "run-write")
-        return replace(made, transactions=self.day["transactions"] / 100)
-
-    async def _start_cluster(self, nursery: trio.Nursery) -> None:
-        assert self.cluster is not None
-        await self.cluster.start(secrets.token_hex(32).encode())
-        names = [edge.name for edge in self.edges]
-        addresses = self.cluster.addresses()
-        feeder = Feeder(self.fleet, self.network, self.clock, addresses, self.record, lambda: names)
-        nursery.start_soon(feeder.run)
-        with trio.fail_after(READY_S):
-            await feeder.ready.wait()
+            await self._stall_edge(edge, process, step.for_us)
+
+    async def _kill_edge(self, edge: EdgeProcess, process: trio.Process, restart_after_us: float) -> None:
+        self.record(rec.EdgeDown(self._clock.now_us(), edge.name))
+        process.kill()
+        await process.wait()
+        if restart_after_us:
+            await trio.sleep(restart_after_us / US)
+            await self._start_edge(edge)
+
+    async def _stall_edge(self, edge: EdgeProcess, process: trio.Process, duration_us: int) -> None:
+        start_us = self._clock.now_us()
+        os.kill(process.pid, signal.SIGSTOP)
+        await trio.sleep(duration_us / US)
+        os.kill(process.pid, signal.SIGCONT)
+        self.record(rec.EdgeStalled(start_us, edge.name, self._clock.now_us()))
 
     async def _stop_edges(self) -> None:
-        for edge in self.edges:
-            if edge.process is not None and edge.process.poll() is None:
-                self.record(rec.EdgeDown(self.clock.now_us(), edge.name))
-                os.kill(edge.process.pid, signal.SIGCONT)
-                edge.process.terminate()
-        for edge in self.edges:
+        for edge in self._edges:
+            process = edge.running_process
+            if process is not None:
+                self.record(rec.EdgeDown(self._clock.now_us(), edge.name))
+                os.kill(process.pid, signal.SIGCONT)
+                process.terminate()
+        for edge in self._edges:
             if edge.process is not None:
-                with trio.move_on_after(3):
+                with trio.move_on_after(EDGE_STOP_TIMEOUT_S):
                     await edge.process.wait()
                 if edge.process.poll() is None:
                     edge.process.kill()
+
+
+def port_of(address: str) -> int:
+    """The port of an address `host:port`."""
+    return int(address.rpartition(":")[2])
--- a/juniperreel/cli/load.py
+++ b/juniperreel/cli/load.py
@@ -3,35 +3,46 @@
 from __future__ import annotations
 
 import sys
+import tempfile
+from collections import Counter
+from collections.abc import Iterator
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import click
 
-PATH = click.Path(path_type=Path, exists=True, dir_okay=False)
-OUT = click.Path(path_type=Path, dir_okay=False)
+if TYPE_CHECKING:
+    from juniperreel.load.summary import Result
 
+FILE_TO_READ = click.Path(path_type=Path, exists=True, dir_okay=False)
+FILE = click.Path(path_type=Path, dir_okay=False)
+MAX_REASONS = 8
+RULE_BROKEN_STATUS = 1
+BAD_INPUT_STATUS = 2
 
-class FileFirst(click.Group):
+
+class DefaultRunGroup(click.Group):
     """`load FILE` runs a plan; `load report` and `load compare` are named as they are."""
 
     def resolve_command(
         self, ctx: click.Context, args: list[str]
     ) -> tuple[str | None, click.Command | None, list[str]]:
+        """Take a first argument that is neither a command nor an option for a plan to run."""
         if args and args[0] not in self.commands and not args[0].startswith("-"):
             args = ["run", *args]
         return super().resolve_command(ctx, args)
 
 
-@click.group(cls=FileFirst)
+@click.group(cls=DefaultRunGroup)
 def load() -> None:
     """Put load on any address that offers the service, as a plan FILE says."""
 
 
 @load.command("run")
-@click.argument("file", type=PATH)
+@click.argument("file", type=FILE_TO_READ)
 @click.option("--target", "targets", multiple=True, help="HOST:PORT in place of the plan's.")
-@click.option("--out", type=OUT, help="Keep the result here, as JSON lines.")
-@click.option("--plot", type=OUT, help="Draw the result into this PNG.")
+@click.option("--out", type=FILE, help="Keep the result here, as JSON lines.")
+@click.option("--plot", type=FILE, help="Draw the result into this PNG.")
 @click.option("--watch", multiple=True, metavar="NAME=PID", help="Tell the CPU of this process as well.")
 @click.option("--quiet", is_flag=True, help="No live lines.")
 def run_plan(
@@ -43,99 +54,130 @@
     quiet: bool,
 ) -> None:
     """Run the plan FILE; tell what was offered and served, and judge rule 1 from the clients' side."""
-    import tempfile
-
     from juniperreel.load.plan import parse_plan
     from juniperreel.load.runner import run
     from juniperreel.settings.lexer import SettingsError
 
     text = file.read_text(encoding="utf-8")
     if targets:
-        lines = [ln for ln in text.splitlines() if ln.split("#")[0].split()[:1] != ["target"]]
-        place = next((i for i, ln in enumerate(lines) if ln.strip() == "[load]"), -1) + 1
-        text = "\n".join([*lines[:place], *(f"target {t}" for t in targets), *lines[place:], ""])
+        text = replace_targets(text, targets)
     try:
         plan = parse_plan(text.encode(), str(file))
-        watched = {name: int(pid) for name, _, pid in (w.partition("=") for w in watch)}
+        watched_processes = parse_watched_processes(watch)
     except SettingsError as error:
         click.echo(str(error), err=True)
-        sys.exit(2)
-    except ValueError:
-        raise click.BadParameter("NAME=PID is wanted", param_hint="--watch") from None
+        sys.exit(BAD_INPUT_STATUS)
     with tempfile.TemporaryDirectory() as folder:
         result = out or Path(folder) / "result.jsonl"
+        report_line = _ignore_line if quiet else click.echo
         try:
-            run(plan, text, result, (lambda line: None) if quiet else click.echo, watched)
+            run(plan, text, result, report_line, watched_processes)
         except RuntimeError as error:
             click.echo(str(error), err=True)
             sys.exit(1)
-        sys.exit(tell(result, plot))
+        sys.exit(report_result(result, plot))
+
+
+def _ignore_line(_line: str) -> None:
+    return
+
+
+def replace_targets(text: str, targets: tuple[str, ...]) -> str:
+    """Return the text of a plan with these targets in place of its own, in its section on load."""
+    lines = [line for line in text.splitlines() if line.split("#")[0].split()[:1] != ["target"]]
+    section = next((i for i, line in enumerate(lines) if line.strip() == "[load]"), -1)
+    target_lines = [f"target {target}" for target in targets]
+    return "\n".join([*lines[: section + 1], *target_lines, *lines[section + 1 :], ""])
+
+
+def parse_watched_processes(watch: tuple[str, ...]) -> dict[str, int]:
+    """Process ids by name, from NAME=PID each. Raises click.BadParameter."""
+    processes = {}
+    for option in watch:
+        name, _, pid = option.partition("=")
+        try:
+            processes[name] = int(pid)
+        except ValueError:
+            raise click.BadParameter("NAME=PID is wanted", param_hint="--watch") from None
+    return processes
+
 
+def report_result(path: Path, plot: Path | None) -> int:
+    """Print the report of a result; returns RULE_BROKEN_STATUS where rule 1 was broken, else 0.
 
-def tell(path: Path, plot: Path | None) -> int:
-    """The report of a result; 1 where rule 1 was broken."""
+    Raises ValueError for a file that holds no result.
+    """
     from juniperreel.load.report import plots
     from juniperreel.load.summary import full_sides, load_result, table
     from juniperreel.verification.rules import Day, check_answers
 
     result = load_result(path)
-    for line in table(result.stages()):
+    for line in (*table(result.stages()), *_tables_by_kind(result), *_reason_lines(result)):
         click.echo(line)
-    whole = result.plan.span_us
-    for kind, names in (
-        ("cls", [c.name for c in result.plan.classes]),
-        ("tenant", [t for t, _ in result.plan.tenants]),
-    ):
-        counts = result.counts(lambda s, kind=kind: getattr(s, kind), lambda _: whole)  # type: ignore[misc]
-        if len(names) > 1:
-            for line in table({names[int(str(n))]: c for n, c in sorted(counts.items(), key=str)})[1:]:
-                click.echo(line)
-    reasons: dict[str, int] = {}
-    for count in result.stages().values():
-        for why, number in count.reasons.items():
-            reasons[why] = reasons.get(why, 0) + number
-    for why, number in sorted(reasons.items(), key=lambda item: -item[1])[:8]:
-        click.echo(f"{number:8d}  {why or 'no answer'}")
     for line in full_sides(result):
         click.echo(line)
-    broken = check_answers(Day.of(list(result.records())))
-    verdict = f"BROKEN {len(broken)} times; first: {broken[0].text}" if broken else "held"
+    violations = check_answers(Day.of(list(result.records())))
+    verdict = f"BROKEN {len(violations)} times; first: {violations[0].text}" if violations else "held"
     click.echo(f"rule 1, from the clients' side: {verdict}")
     if plot is not None:
         plots({path.stem: result}, plot)
-    return 1 if broken else 0
+    return RULE_BROKEN_STATUS if violations else 0
+
+
+def _tables_by_kind(result: Result) -> Iterator[str]:
+    """Rows by class and by tenant over the whole plan, where there are several."""
+    from juniperreel.load.summary import table
+
+    span_us = result.plan.span_us
+    class_names = [request_class.name for request_class in result.plan.classes]
+    tenant_names = [name for name, _ in result.plan.tenants]
+    by_class = result.counts(lambda shot: shot.cls, lambda _: span_us)
+    by_tenant = result.counts(lambda shot: shot.tenant, lambda _: span_us)
+    for names, counts in ((class_names, by_class), (tenant_names, by_tenant)):
+        if len(names) > 1:
+            rows = {names[int(str(number))]: count for number, count in sorted(counts.items(), key=str)}
+            yield from table(rows)[1:]
+
+
+def _reason_lines(result: Result) -> Iterator[str]:
+    """Why requests failed, the most frequent reasons first."""
+    reasons: Counter[str] = Counter()
+    for count in result.stages().values():
+        reasons.update(count.reasons)
+    for reason, number in reasons.most_common(MAX_REASONS):
+        yield f"{number:8d}  {reason or 'no answer'}"
 
 
 @load.command()
-@click.argument("result", type=PATH)
-@click.option("--plot", type=OUT, help="Draw it into this PNG.")
+@click.argument("result", type=FILE_TO_READ)
+@click.option("--plot", type=FILE, help="Draw it into this PNG.")
 def report(result: Path, plot: Path | None) -> None:
     """Tell a RESULT again."""
     try:
-        sys.exit(tell(result, plot))
+        sys.exit(report_result(result, plot))
     except ValueError as error:
         click.echo(str(error), err=True)
-        sys.exit(2)
+        sys.exit(BAD_INPUT_STATUS)
 
 
 @load.command()
-@click.argument("results", type=PATH, nargs=-1, required=True)
-@click.option("--plot", type=OUT, help="Draw them into this PNG.")
+@click.argument("results", type=FILE_TO_READ, nargs=-1, required=True)
+@click.option("--plot", type=FILE, help="Draw them into this PNG.")
 def compare(results: tuple[Path, ...], plot: Path | None) -> None:
     """Set RESULTS side by side, stage by stage."""
     from juniperreel.load.report import plots
     from juniperreel.load.summary import load_result, table
 
     try:
-        found = {str(path): load_result(path) for path in results}
+        by_path = {str(path): load_result(path) for path in results}
     except ValueError as error:
         click.echo(str(error), err=True)
-        sys.exit(2)
-    stages = {name: r.stages() for name, r in found.items()}
-    for stage in dict.fromkeys(s for counts in stages.values() for s in counts):
+        sys.exit(BAD_INPUT_STATUS)
+    stages = {path: result.stages() for path, result in by_path.items()}
+    for stage in dict.fromkeys(stage for counts in stages.values() for stage in counts):
         click.echo(stage)
-        rows = {Path(name).stem: counts[stage] for name, counts in stages.items() if stage in counts}
+        rows = {Path(path).stem: counts[stage] for path, counts in stages.items() if stage in counts}
         for line in table(rows):
             click.echo("  " + line)
     if plot is not None:
-        plots({Path(name).stem: result for name, result in found.items()}, plot)
+        plots({Path(path).stem: result for path, result in by_path.items()}, plot)
--- a/juniperreel/cli/raft.py
+++ b/juniperreel/cli/raft.py
@@ -7,25 +7,35 @@
 from concurrent.futures import ProcessPoolExecutor
 from functools import partial
 from pathlib import Path
+from typing import NamedTuple
 
 import click
 
 from juniperreel.emulator.raft import Failure, run
 from juniperreel.raft.storage import StorageError, look, rescue
 
+SEEDS_OF_PART = 100
+
 
 @click.group()
 def raft() -> None:
     """The consensus behind the configuration."""
 
 
-def part(length: int, seeds: range) -> tuple[int, Failure | None]:
-    """How many seeds were played, and the first that broke something."""
+class ScheduleResult(NamedTuple):
+    """How many schedules ran, and the first that broke something."""
+
+    schedules: int
+    failure: Failure | None
+
+
+def play_seeds(length: int, seeds: range) -> ScheduleResult:
+    """Play a schedule of `length` operations for each seed, up to the first failure."""
     for count, seed in enumerate(seeds, 1):
         failure = run(seed, length)
         if failure is not None:
-            return count, failure
-    return len(seeds), None
+            return ScheduleResult(count, failure)
+    return ScheduleResult(len(seeds), None)
 
 
 @raft.command()
@@ -33,16 +43,19 @@
 def inspect(directory: Path) -> None:
     """What a stopped instance's DIRECTORY holds."""
     try:
-        cluster, node, r = look(directory)
+        cluster, node, recovered = look(directory)
     except StorageError as error:
         click.echo(str(error), err=True)
         sys.exit(1)
-    h, s = r.hard_state, r.snapshot
+    hard_state = recovered.hard_state
+    snapshot = recovered.snapshot
     click.echo(f"node {node} of cluster {cluster}")
-    click.echo(f"term {h.term}, vote {h.vote or '-'}, commit at least {h.commit}")
-    voters = ", ".join(sorted(s.members.voters))
-    click.echo(f"snapshot at {s.index} of term {s.term}, {len(s.data)} bytes; voters {voters}")
-    for entry in r.entries:
+    vote = hard_state.vote or "-"
+    click.echo(f"term {hard_state.term}, vote {vote}, commit at least {hard_state.commit}")
+    voters = ", ".join(sorted(snapshot.members.voters))
+    size = len(snapshot.data)
+    click.echo(f"snapshot at {snapshot.index} of term {snapshot.term}, {size} bytes; voters {voters}")
+    for entry in recovered.entries:
         click.echo(f"{entry.index} term {entry.term} {entry.kind.name.lower()} {len(entry.data)} bytes")
 
 
@@ -62,11 +75,12 @@
     click.echo("start it with a settings file of that cluster and name, then add and promote others")
 
 
-def show(failure: Failure) -> None:
+def print_failure(failure: Failure) -> None:
+    """Print the shortest list of operations that still fails."""
     click.echo(f"seed {failure.seed}: {failure.text}")
     click.echo(f"cut down to {len(failure.ops)} operations:")
-    for kind, a, b in failure.ops:
-        click.echo(f"    {kind} {a} {b}")
+    for kind, first, second in failure.ops:
+        click.echo(f"    {kind} {first} {second}")
 
 
 @raft.command()
@@ -76,16 +90,18 @@
 @click.option("--processes", default=8, show_default=True)
 def check(schedules: int, first: int, length: int, processes: int) -> None:
     """Play seeded schedules with loss, crashes, partitions and membership changes; judge every step."""
-    started, played, failed = time.monotonic(), 0, False
-    step = 100
-    parts = [range(s, min(s + step, first + schedules)) for s in range(first, first + schedules, step)]
+    started = time.monotonic()
+    total = 0
+    failed = False
+    end = first + schedules
+    parts = [range(seed, min(seed + SEEDS_OF_PART, end)) for seed in range(first, end, SEEDS_OF_PART)]
     with ProcessPoolExecutor(processes) as pool:
-        for count, failure in pool.map(partial(part, length), parts):
-            played += count
+        for part_schedules, failure in pool.map(partial(play_seeds, length), parts):
+            total += part_schedules
             if failure is not None:
                 failed = True
-                show(failure)
-    took = time.monotonic() - started
+                print_failure(failure)
+    elapsed_s = time.monotonic() - started
     verdict = "BROKEN" if failed else "nothing broken"
-    click.echo(f"{played} schedules of {length} operations in {took:.1f} s: {verdict}")
+    click.echo(f"{total} schedules of {length} operations in {elapsed_s:.1f} s: {verdict}")
     sys.exit(1 if failed else 0)
--- a/juniperreel/cli/report.py
+++ b/juniperreel/cli/report.py
@@ -1,10 +1,11 @@
-"""The table at the end of a day, from its records."""
+"""The table at the end of a day, from its records, and the verdicts on the rules."""
 
 from __future__ import annotations
 
 import sys
-from collections import defaultdict
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import NoReturn
 
@@ -15,58 +16,123 @@
 from juniperreel.verification import records as rec
 from juniperreel.verification.rules import RULES, Day, Reads, Violation, check_all, check_reads
 
-LOWEST, HIGHEST, DIGITS = 1, 60_000_000, 3
-REFUSED = (8, 14)
+# Response times of the histograms: microseconds, and significant digits.
+LOWEST_US = 1
+HIGHEST_US = 60_000_000
+DIGITS = 3
+MILLISECOND_US = 1_000
+REFUSED_STATUSES = (8, 14)  # gRPC's RESOURCE_EXHAUSTED and UNAVAILABLE
+OUTCOMES = ("served", "refused", "failed", "no answer")
+PERCENTILES = (50, 99)
+BAD_RECORDING_STATUS = 2
 
 
-def outcome_of(told: rec.Told | None) -> str:
-    if told is None or told.local:
+def outcome_of(answer: rec.Told | None) -> str:
+    """Which of OUTCOMES an answer is; None and what the client gave itself are no answer."""
+    if answer is None or answer.local:
         return "no answer"
-    return "served" if told.status == 0 else "refused" if told.status in REFUSED else "failed"
+    if answer.status == 0:
+        return "served"
+    return "refused" if answer.status in REFUSED_STATUSES else "failed"
 
 
-def table(records: list[rec.Record]) -> list[str]:
-    """Requests by class and outcome, a client's retries counted under its first try."""
+@dataclass(slots=True)
+class ClassSummary:
+    """What became of one class's requests; `requests` counts a client's retries under the first attempt."""
+
+    requests: int = 0
+    attempts: int = 0
+    outcomes: Counter[str] = field(default_factory=Counter)
+    times: HdrHistogram = field(default_factory=lambda: HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS))
+
+    def row(self, name: str) -> str:
+        """The class's line in the table."""
+        counts = (self.requests, self.attempts, *(self.outcomes[outcome] for outcome in OUTCOMES))
+        percentiles = [
+            self.times.get_value_at_percentile(percentile) / MILLISECOND_US for percentile in PERCENTILES
+        ]
+        cells = "".join(f"{count:>10}" for count in counts)
+        return f"{name:<12}{cells}" + "".join(f"{value:>10.1f}" for value in percentiles)
+
+
+class DaySummary:
+    """Requests by class, and the share of the priority weight that was served.
+
+    A response in time earns its class's whole weight and a late one a part of it, both measured from the
+    client's first attempt.
+    """
+
+    def __init__(self, day: Day) -> None:
+        self.classes: dict[str, ClassSummary] = {}
+        self._day = day
+        self._first_attempts = {rid: request for (rid, number), request in day.asked.items() if number == 0}
+        self._weight_earned = 0.0
+        for (rid, number), request in day.asked.items():
+            answers = day.told.get((rid, number))
+            self._count(request, answers[0] if answers else None)
+        self._weight_offered = 0.0
+        for request in self._first_attempts.values():
+            self.classes[request.cls].requests += 1
+            self._weight_offered += day.classes[request.cls].worth
+
+    @property
+    def requests(self) -> int:
+        """Requests of clients, without their retries."""
+        return len(self._first_attempts)
+
+    @property
+    def served_share(self) -> float:
+        """Weight earned over weight offered; 0 where there was no request."""
+        return self._weight_earned / self._weight_offered if self._weight_offered else 0.0
+
+    def table(self) -> Iterator[str]:
+        """A line of headings and a line a class."""
+        headings = ("asked", "tries", *OUTCOMES, *(f"p{percentile} ms" for percentile in PERCENTILES))
+        yield f"{'class':<12}" + "".join(f"{heading:>10}" for heading in headings)
+        for name, summary in self.classes.items():
+            yield summary.row(name)
+
+    def _count(self, request: rec.Asked, answer: rec.Told | None) -> None:
+        summary = self.classes.setdefault(request.cls, ClassSummary())
+        summary.attempts += 1
+        summary.outcomes[outcome_of(answer)] += 1
+        if answer is not None and answer.status == 0:
+            summary.times.record_value(max(answer.at - request.at, 1))
+            self._weight_earned += self._weight_of(request, answer)
+
+    def _weight_of(self, request: rec.Asked, answer: rec.Told) -> float:
+        cls = self._day.classes[request.cls]
+        in_time = answer.at - self._first_attempts[request.rid].at <= cls.aim_us
+        return cls.worth * (1.0 if in_time else cls.late_worth)
+
+
+def summary_lines(records: list[rec.Record]) -> list[str]:
+    """Requests by class and outcome, the share served, and how much the checkers had to judge by."""
     day = Day.of(records)
-    rows: dict[str, dict[str, int]] = defaultdict(lambda: defaultdict(int))
-    times = {name: HdrHistogram(LOWEST, HIGHEST, DIGITS) for name in day.classes}
-    worth_asked = worth_got = 0.0
-    first = {rid: a for (rid, number), a in day.asked.items() if number == 0}
-    for (rid, number), asked in day.asked.items():
-        told = day.told.get((rid, number), [None])[0]
-        rows[asked.cls]["tries"] += 1
-        rows[asked.cls][outcome_of(told)] += 1
-        if told is not None and told.status == 0:
-            times[asked.cls].record_value(max(told.at - asked.at, 1))
-            cls = day.classes[asked.cls]
-            in_time = told.at - first[rid].at <= cls.aim_us
-            worth_got += cls.worth * (1.0 if in_time else cls.late_worth)
-    for asked in first.values():
-        rows[asked.cls]["asked"] += 1
-        worth_asked += day.classes[asked.cls].worth
-    names = ("asked", "tries", "served", "refused", "failed", "no answer")
-    lines = [f"{'class':<12}" + "".join(f"{n:>10}" for n in names) + f"{'p50 ms':>10}{'p99 ms':>10}"]
-    for name, row in rows.items():
-        cells = "".join(f"{row[n]:>10}" for n in names)
-        p50, p99 = (times[name].get_value_at_percentile(p) / 1000 for p in (50, 99))
-        lines.append(f"{name:<12}{cells}{p50:>10.1f}{p99:>10.1f}")
-    offered = sum(r.count for r in records if isinstance(r, rec.Offered))
+    summary = DaySummary(day)
+    lines = [*summary.table()]
+    offered = sum(record.count for record in records if isinstance(record, rec.Offered))
     if offered:
-        lines.append(f"offered {offered} requests, asked {len(first)}, a retry counted under its first try")
-    share = worth_got / worth_asked if worth_asked else 0.0
-    lines.append(f"share served (worth in time over worth asked, retries under their first try): {share:.3f}")
-    count = Reads()
-    check_reads(day, count)
+        lines.append(
+            f"offered {offered} requests, asked {summary.requests}, a retry counted under its first try"
+        )
+    lines.append(
+        "share served (worth in time over worth asked, retries under their first try): "
+        f"{summary.served_share:.3f}"
+    )
+    reads = Reads()
+    check_reads(day, reads)
     lines.append(
-        f"reads judged from their rows: {count.own} of a session's own writes, "
-        f"{count.bounded} of bounded age, {count.rows} rows"
+        f"reads judged from their rows: {reads.own} of a session's own writes, "
+        f"{reads.bounded} of bounded age, {reads.rows} rows"
     )
-    attempts = sum(len(a) for a in day.arrived.values())
+    attempts = sum(len(arrivals) for arrivals in day.arrived.values())
     lines.append(f"attempts seen by members: {attempts}")
     return lines
 
 
-def verdicts(found: dict[int, list[Violation]]) -> Iterable[str]:
+def verdicts(found: dict[int, list[Violation]]) -> Iterator[str]:
+    """A line for each rule that held, two for each that was broken."""
     for number, (name, _) in RULES.items():
         violations = found[number]
         if not violations:
@@ -76,18 +142,18 @@
         yield f"    {msgspec.json.encode(violations[0].record).decode()}"
 
 
-def recorded(recording: Path) -> list[rec.Record]:
-    """Its records. Where a line is none, the command ends with 2 and says which."""
+def read_recording_or_exit(recording: Path) -> list[rec.Record]:
+    """Return the records; where a line is none, say which and end the command with 2."""
     try:
         return list(rec.read(recording))
     except rec.BadRecording as error:
         click.echo(str(error), err=True)
-        sys.exit(2)
+        sys.exit(BAD_RECORDING_STATUS)
 
 
 def conclude(records: list[rec.Record], more: Iterable[str] = ()) -> NoReturn:
-    """The table, what a command says besides, and the verdicts; ends with 1 for a broken rule, else 0."""
-    for line in (*table(records), *more):
+    """Print the summary, `more` and the verdicts; end the command with 1 for a broken rule, else 0."""
+    for line in (*summary_lines(records), *more):
         click.echo(line)
     found = check_all(records)
     for line in verdicts(found):
--- a/juniperreel/cli/standins.py
+++ b/juniperreel/cli/standins.py
@@ -8,15 +8,17 @@
 import click
 import trio
 
+from juniperreel.cli.scripts import open_recorder, parse_or_exit
 from juniperreel.fakes.fleet import Fleet
 from juniperreel.fakes.parts import Parts
-from juniperreel.fakes.script import Day, ScriptError, Step, parse
+from juniperreel.fakes.script import Day, Step
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.net.clock import US
 from juniperreel.verification.records import Recorder
 
 
 async def play(day: Day, recorder: Recorder, port: int) -> None:
+    """Play a day's fleet in this process, with the host list on `port` (0: any free one)."""
     async with trio.open_nursery() as nursery:
         fleet = Fleet(day, TcpNetwork(), Clock(), recorder)
         fleet.hosts.port = port
@@ -24,30 +26,33 @@
         click.echo(f"host list on 127.0.0.1:{fleet.hosts.port}")
         for member in fleet.members.values():
             click.echo(f"{member.name} on 127.0.0.1:{member.port}")
-
-        async def no_edge(step: Step) -> None:
-            click.echo(f"left out, since edges are started by hand: {step.text}")
-
-        nursery.start_soon(fleet.play, no_edge)
+        nursery.start_soon(fleet.play, _skip_edge_fault)
         await trio.sleep(day["last"] / US)
         nursery.cancel_scope.cancel()
 
 
-def several(script: Path, day: Day, port: int, record: Path | None, processes: int) -> None:
-    """Each part keeps its records beside `record`, with its number behind the name."""
+async def _skip_edge_fault(step: Step) -> None:
+    click.echo(f"left out, since edges are started by hand: {step.text}")
+
 
-    async def run() -> None:
-        await Parts(script, day, port, processes, record).run(click.echo)
+def play_in_processes(script: Path, day: Day, port: int, record: Path | None, processes: int) -> None:
+    """Play the groups in several processes; each keeps its records beside `record`, numbered.
 
+    Ends the command with 1 where a process ends before the day is over.
+    """
     try:
-        trio.run(run)
+        trio.run(_run_parts, script, day, port, record, processes)
     except* KeyboardInterrupt:
         click.echo("stopped", err=True)
     except* RuntimeError as group:
-        click.echo("; ".join(str(e) for e in group.exceptions), err=True)
+        click.echo("; ".join(str(error) for error in group.exceptions), err=True)
         sys.exit(1)
 
 
+async def _run_parts(script: Path, day: Day, port: int, record: Path | None, processes: int) -> None:
+    await Parts(script, day, port, processes, record).run(click.echo)
+
+
 @click.command()
 @click.argument("script", type=click.Path(path_type=Path, exists=True, dir_okay=False))
 @click.option("--port", type=int, default=0, help="Of the host list; any free one if not given.")
@@ -57,19 +62,12 @@
 @click.option("--processes", type=click.IntRange(1, 64), default=1, help="Groups are spread over so many.")
 def standins(script: Path, port: int, record: Path | None, processes: int) -> None:
     """Start the members and the host list of a SCRIPT and play its faults, until its end or Ctrl-C."""
-    try:
-        day = parse(script.read_text(encoding="utf-8"))
-    except ScriptError as error:
-        click.echo(str(error), err=True)
-        sys.exit(2)
+    day = parse_or_exit(script.read_text(encoding="utf-8"))
     if processes > 1:
-        several(script, day, port, record, processes)
+        play_in_processes(script, day, port, record, processes)
         return
-    out = record.open("wb") if record else None
     try:
-        trio.run(play, day, Recorder(out), port)
+        with open_recorder(record) as recorder:
+            trio.run(play, day, recorder, port)
     except KeyboardInterrupt:
         click.echo("stopped", err=True)
-    finally:
-        if out is not None:
-            out.close()
--- a/juniperreel/cli/statement.py
+++ b/juniperreel/cli/statement.py
@@ -4,12 +4,23 @@
 
 import sys
 from pathlib import Path
+from typing import NamedTuple
 
 import click
 
 from juniperreel.frontends.mysql.classes import digest, hint_of
-from juniperreel.frontends.mysql.scope import Do, Scope
-from juniperreel.statements import read_statement
+from juniperreel.frontends.mysql.scope import Do, Plan, Scope
+from juniperreel.statements import Reading, read_statement
+
+NO_MYSQL_STATUS = 2
+
+
+class MatchedSettings(NamedTuple):
+    """What an edge's settings say of a statement, its members' transactions and their schema."""
+
+    class_name: str
+    holds_transactions: bool
+    database: str
 
 
 @click.command()
@@ -25,40 +36,54 @@
     """Say how a statement's TEXT is read, where it may go, and its digest."""
     data = text.encode()
     reading = read_statement(data)
-    able, database = True, ""
-    click.echo(f"kind: {reading.kind.value}{f' ({reading.reason})' if reading.reason else ''}")
+    print_reading(reading)
+    matched = None
+    if settings is not None:
+        matched = match_settings(settings, data, reading.replica, user, schema)
+    scope = Scope(True, "") if matched is None else Scope(matched.holds_transactions, matched.database)
+    plan = scope.plan(reading)
+    click.echo(f"in autocommit: {destination(plan, reading)}")
+    if matched is not None and plan.do is Do.ALONE:
+        click.echo(f"class: {matched.class_name}")
+    click.echo(f"digest: {digest(data) or 'none, it cannot be read'}")
+
+
+def print_reading(reading: Reading) -> None:
+    """Print the statement's kind, what it depends on and whether it commits."""
+    reason = f" ({reading.reason})" if reading.reason else ""
+    click.echo(f"kind: {reading.kind.value}{reason}")
     if reading.depends:
         click.echo(f"depends on: {', '.join(sorted(reading.depends))}")
     if reading.commits:
         click.echo("commits what is open before it runs")
-    found = None
-    if settings is not None:
-        found = classes_of(settings, data, reading.replica, user, schema)
-        able, database = found[1:]
-    plan = Scope(able, database).plan(reading)
-    goes = {
-        Do.REFUSE: f"refused with {plan.code[0]}: {plan.words}",
-        Do.NOTHING: "answered by the edge itself",
-        Do.BEGIN: "a primary, and a transaction begins",
-    }.get(plan.do, "any member that satisfies the token" if reading.replica else "a primary")
+
+
+def destination(plan: Plan, reading: Reading) -> str:
+    """Who serves the statement outside a transaction, in words."""
+    match plan.do:
+        case Do.REFUSE:
+            place = f"refused with {plan.code[0]}: {plan.words}"
+        case Do.NOTHING:
+            place = "answered by the edge itself"
+        case Do.BEGIN:
+            place = "a primary, and a transaction begins"
+        case _:
+            place = "any member that satisfies the token" if reading.replica else "a primary"
     if plan.taint:
-        goes += ", on a connection that nobody gets afterwards"
-    click.echo(f"in autocommit: {goes}")
-    if found is not None and plan.do is Do.ALONE:
-        click.echo(f"class: {found[0]}")
-    click.echo(f"digest: {digest(data) or 'none, it cannot be read'}")
+        place += ", on a connection that nobody gets afterwards"
+    return place
 
 
-def classes_of(file: Path, data: bytes, replica: bool, user: str, schema: str) -> tuple[str, bool, str]:
-    """Class by name, whether members hold transactions, their schema."""
+def match_settings(file: Path, data: bytes, replica: bool, user: str, schema: str) -> MatchedSettings:
+    """Return what the settings say; end the command with 2 if they are bad or have no MySQL frontend."""
     from juniperreel.cli.edge_options import mysql_classes
     from juniperreel.cli.settings_file import read_settings_or_exit
 
     settings = read_settings_or_exit(file)
     if settings.mysql is None:
         click.echo(f"{file}: there is no [mysql] section", err=True)
-        sys.exit(2)
+        sys.exit(NO_MYSQL_STATUS)
     classes = mysql_classes(settings)
-    cls, _ = classes.of(not replica, user, schema, hint_of(data), digest(data))
+    index, _ = classes.of(not replica, user, schema, hint_of(data), digest(data))
     database = settings.members.database if settings.members is not None else ""
-    return settings.router.classes[cls].name, settings.members is not None, database
+    return MatchedSettings(settings.router.classes[index].name, settings.members is not None, database)
--- a/juniperreel/cli/workers.py
+++ b/juniperreel/cli/workers.py
@@ -80,9 +80,9 @@
                 await self._parent.ready.wait()
                 self._log_serving(metrics_address)
                 await trio.sleep_forever()
-        workers_left = len(self._parent.children)
-        self._log.info("shutdown complete", workers=workers_left)
-        return WORKERS_LEFT_STATUS if workers_left else 0
+        remaining = len(self._parent.children)
+        self._log.info("shutdown complete", workers=remaining)
+        return WORKERS_LEFT_STATUS if remaining else 0
 
     def _plan(self, settings: EdgeSettings, text: bytes) -> Plan:
         return Plan(text, settings.workers, self._worker_command, settings.stop_within_us)
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -75,6 +75,15 @@
     return subprocess.run(command, capture_output=True, text=True, timeout=30)
 
 
+def http_status(url: str) -> int:
+    try:
+        with urllib.request.urlopen(url, timeout=10) as answer:
+            status: int = answer.status
+    except urllib.error.HTTPError as error:
+        return error.code
+    return status
+
+
 def test_a_write_then_a_read_from_the_shell_with_the_token_in_a_file(running: Running) -> None:
     token = running.folder / "token"
     for _ in range(50):  # the edge may not have heard of its members yet
@@ -82,22 +91,20 @@
         if wrote.returncode == 0:
             break
         assert "UNAVAILABLE" in wrote.stderr
-    assert "(primary)" in wrote.stderr and "1 changed" in wrote.stderr, wrote.stderr
+    assert "(primary)" in wrote.stderr, wrote.stderr
+    assert "1 changed" in wrote.stderr, wrote.stderr
     assert token.stat().st_size > 20
     read = call(running, "own", SELECT, "ada", "--token", str(token))
     assert read.stdout == "id\nrun-1\n"
     bad = call(running, "own", SELECT, "ada", "--token", str(running.folder / "day"))
-    assert bad.returncode == 1 and bad.stderr.startswith("INVALID_ARGUMENT: causal_token")
+    assert bad.returncode == 1
+    assert bad.stderr.startswith("INVALID_ARGUMENT: causal_token")
     metrics = next(line for line in running.lines if line["event"] == "serving")["metrics"]
     with urllib.request.urlopen(f"http://{metrics}/metrics", timeout=10) as answer:
         text = answer.read().decode()
     assert 'juniperreel_requests_total{cls="own",outcome="served",reason=""} 1.0' in text
     for path, status in (("healthz", 200), ("readyz", 200), ("nothing", 404)):
-        try:
-            with urllib.request.urlopen(f"http://{metrics}/{path}", timeout=10) as answer:
-                assert answer.status == status
-        except urllib.error.HTTPError as error:
-            assert error.code == status
+        assert http_status(f"http://{metrics}/{path}") == status
     running.edge.send_signal(signal.SIGTERM)
     assert running.edge.wait(15) == 0
     assert running.until("shutdown complete")["in_time"] is True
@@ -135,7 +142,9 @@
     )
     result = CliRunner().invoke(main, ["check", str(bad)])
     assert result.exit_code == 2
-    assert "rule 3" in result.output and "rule 4" in result.output and "refused, 2 problems" in result.output
+    assert "rule 3" in result.output
+    assert "rule 4" in result.output
+    assert "refused, 2 problems" in result.output
     assert CliRunner().invoke(main, ["check", str(tmp_path / "none")]).exit_code == 2
 
 
@@ -143,7 +152,8 @@
     path = running.folder / "edge.conf"
     path.write_text(path.read_text().replace("listen 127.0.0.1:0", f"listen {running.address}"))
     second = subprocess.run([*COMMAND, "edge", str(path)], capture_output=True, text=True, timeout=30)
-    assert second.returncode == 1 and "in use" in second.stderr
+    assert second.returncode == 1
+    assert "in use" in second.stderr
 
 
 def test_verify_judges_a_recording_and_names_a_bad_line(tmp_path: Path) -> None:
@@ -153,7 +163,8 @@
         record(EdgeUp(1, "e"))
         record(Started(2, "m", False, 1.0))
     result = CliRunner().invoke(main, ["verify", str(path)])
-    assert result.exit_code == 0 and result.output.count("held") == 5
+    assert result.exit_code == 0
+    assert result.output.count("held") == 5
     with path.open("ab") as out:
         out.write(b"{}\n")
     assert CliRunner().invoke(main, ["verify", str(path)]).exit_code == 2
--- a/tests/cli/test_configd.py
+++ b/tests/cli/test_configd.py
@@ -90,7 +90,8 @@
     ]
     assert three.set(changes, "--expect", "1").stdout == "version 2\n"
     refused = three.set([{"type": "set-state", "name": "m0", "state": "gone"}])
-    assert refused.returncode == 1 and "rule 3" in refused.stderr
+    assert refused.returncode == 1
+    assert "rule 3" in refused.stderr
     status = three.config("status").stdout
     leader = next(n for n in range(3) if f"{three.names[n]}: leader" in status)
     three.processes[leader].send_signal(signal.SIGKILL)
@@ -103,7 +104,8 @@
     assert f"node {three.names[leader]} of cluster test" in inspected.stdout
     three.start(leader)
     got = json.loads(three.config("get").stdout)
-    assert got["version"] == 3 and got["members"]["m0"]["state"] == "draining"
+    assert got["version"] == 3
+    assert got["members"]["m0"]["state"] == "draining"
     assert set(got["classes"]) == {"board", "own", "write", "once"}
     other = next(n for n in range(3) if n != leader)
     three.processes[other].terminate()
@@ -119,12 +121,14 @@
     twice = subprocess.run(
         [*COMMAND, "configd", conf, "--create"], capture_output=True, text=True, timeout=30
     )
-    assert twice.returncode == 2 and "already" in twice.stderr
+    assert twice.returncode == 2
+    assert "already" in twice.stderr
     text = (three.folder / "c0.conf").read_text().replace("directory d0", "directory empty")
     (three.folder / "e.conf").write_text(text)
     command = [sys.executable, "-m", "juniperreel.cli.main", "configd", str(three.folder / "e.conf")]
     empty = subprocess.run(command, capture_output=True, text=True, timeout=30)
-    assert empty.returncode == 2 and "forgotten what it voted" in empty.stderr
+    assert empty.returncode == 2
+    assert "forgotten what it voted" in empty.stderr
 
 
 def test_a_lost_quorum_is_rescued_from_one_directory_and_grows_again(three: Three) -> None:
@@ -146,7 +150,8 @@
     rescue = ["raft", "rescue", str(three.folder / "d0"), "--into", str(three.folder / "e0")]
     command = [*COMMAND, *rescue, "--cluster", "second", "--name", names[0]]
     done = subprocess.run(command, capture_output=True, text=True, timeout=30)
-    assert done.returncode == 0 and done.stdout.startswith("version 1;"), done.stderr
+    assert done.returncode == 0, done.stderr
+    assert done.stdout.startswith("version 1;"), done.stderr
     for n, name in enumerate(names):
         text = FILE.format(name=name, folder=f"e{n}", members=f"member {names[0]}")
         (three.folder / f"c{n}.conf").write_text(text.replace("cluster test", "cluster second"))
--- a/tests/cli/test_pool.py
+++ b/tests/cli/test_pool.py
@@ -10,7 +10,7 @@
 from click.testing import CliRunner
 
 from juniperreel.cli.main import main
-from juniperreel.cli.pool import Seen, look, shown
+from juniperreel.cli.pool import PoolMetrics, parse_metrics, pool_table
 from juniperreel.frontends.http import HttpFront
 from juniperreel.net import TcpNetwork
 from tests.e2e.world import World
@@ -45,7 +45,8 @@
     with socket.create_server(("127.0.0.1", 0)) as taken:
         port = taken.getsockname()[1]
     result = CliRunner().invoke(main, ["pool", "show", f"127.0.0.1:{port}"])
-    assert result.exit_code == 1 and "refused" in result.output
+    assert result.exit_code == 1
+    assert "refused" in result.output
 
 
 def test_counts_are_told_by_the_second() -> None:
@@ -56,8 +57,9 @@
 # TYPE juniperreel_pool_connections gauge
 juniperreel_pool_connections{member="m1",state="leased"} 4
 """
-    before, after = look(text % (10, 100)), look(text % (14, 120))
-    caption = str(shown(after, before, 2.0).caption)
-    assert "too many wait: 14 (2.0/s)" in caption and "replays: 120 (10.0/s)" in caption
-    assert shown(after, None, 0.0).row_count == 1
-    assert shown(Seen(), None, 0.0).row_count == 0
+    before, after = parse_metrics(text % (10, 100)), parse_metrics(text % (14, 120))
+    caption = str(pool_table(after, before, 2.0).caption)
+    assert "too many wait: 14 (2.0/s)" in caption
+    assert "replays: 120 (10.0/s)" in caption
+    assert pool_table(after, None, 0.0).row_count == 1
+    assert pool_table(PoolMetrics(), None, 0.0).row_count == 0
--- a/tests/cli/test_statement.py
+++ b/tests/cli/test_statement.py
@@ -29,7 +29,7 @@
 
 
 @pytest.mark.parametrize(
-    ("text", "lines"),
+    "text, lines",
     [
         ("select a from t", ["kind: read", "any member that satisfies the token"]),
         ("insert into t values (1)", ["kind: write (insert)", "in autocommit: a primary\n"]),
@@ -61,4 +61,5 @@
     assert "refused with 1235" in say("set autocommit = 0", *options), "its members speak gRPC"
     conf.write_text(EXAMPLE)
     result = CliRunner().invoke(main, ["statement", "select 1", *options])
-    assert result.exit_code == 2 and "no [mysql] section" in result.output
+    assert result.exit_code == 2
+    assert "no [mysql] section" in result.output
--- a/tests/cli/test_trial.py
+++ b/tests/cli/test_trial.py
@@ -27,20 +27,24 @@
         main, ["trial", "run", str(tmp_path / "day"), "--pause", "0.1", "--record", str(recording)]
     )
     assert done.exit_code == 0, done.output
-    assert done.output.count(": held") == 5 and "probes" in done.output
+    assert done.output.count(": held") == 5
+    assert "probes" in done.output
     (row,) = [line for line in done.output.splitlines() if line.split()[:2] == ["0", "3"]]
     again = CliRunner().invoke(main, ["trial", "spread", str(recording)])
-    assert again.exit_code == 0 and row in again.output.splitlines()
+    assert again.exit_code == 0
+    assert row in again.output.splitlines()
     stepped = CliRunner().invoke(main, ["trial", "spread", str(recording), "--step", "1"])
     shares = {words[0]: words[1:] for words in map(str.split, stepped.output.splitlines()[-3:])}
-    assert set(shares) == {"g0-m1", "g0-m2", "g0-m3"} and all(len(s) >= 4 for s in shares.values())
+    assert set(shares) == {"g0-m1", "g0-m2", "g0-m3"}
+    assert all(len(s) >= 4 for s in shares.values())
 
 
 def test_a_script_that_cannot_be_played_is_told_with_every_line(tmp_path: Path) -> None:
     (tmp_path / "day").write_text("groups many\nat 1s fly edge/0\n")
     done = CliRunner().invoke(main, ["trial", "run", str(tmp_path / "day")])
     assert done.exit_code == 2
-    assert "line 1" in done.output and "line 2" in done.output
+    assert "line 1" in done.output
+    assert "line 2" in done.output
     (tmp_path / "bad").write_text("no record\n")
     assert CliRunner().invoke(main, ["trial", "spread", str(tmp_path / "bad")]).exit_code == 2
 
@@ -71,7 +75,8 @@
     done = CliRunner().invoke(
         main, ["trial", "hunt", str(tmp_path / "quiet.day"), "--seeds", "2", "--out", str(out)]
     )
-    assert done.exit_code == 0 and "2 seeds, no rule broken" in done.output, done.output
+    assert done.exit_code == 0, done.output
+    assert "2 seeds, no rule broken" in done.output, done.output
     assert list(out.iterdir()) == []
 
 
@@ -81,7 +86,8 @@
     driver = ["--driver", str(tmp_path / "ageless.py"), "--pause", "0.05"]
     day, out = str(tmp_path / "short.day"), tmp_path / "found"
     done = CliRunner().invoke(main, ["trial", "hunt", day, "--seeds", "3", "--out", str(out), *driver])
-    assert done.exit_code == 1 and "broke rule 5" in done.output, done.output
+    assert done.exit_code == 1, done.output
+    assert "broke rule 5" in done.output, done.output
     (kept,) = out.iterdir()
     assert {"script.day", "recording", "n0.log"} <= {p.name for p in kept.iterdir()}
     smaller = tmp_path / "small.day"
@@ -97,16 +103,21 @@
         str(smaller),
     ]
     done = CliRunner().invoke(main, [*words, *driver])
-    assert done.exit_code == 0 and "1 of 2 faults are left" in done.output, done.output
-    assert "lag g0" in smaller.read_text() and "link-slow" not in smaller.read_text()
+    assert done.exit_code == 0, done.output
+    assert "1 of 2 faults are left" in done.output, done.output
+    assert "lag g0" in smaller.read_text()
+    assert "link-slow" not in smaller.read_text()
     done = CliRunner().invoke(main, ["trial", "picture", str(kept / "recording"), str(tmp_path / "day.png")])
-    assert done.exit_code == 0 and (tmp_path / "day.png").stat().st_size > 10_000, done.output
+    assert done.exit_code == 0, done.output
+    assert (tmp_path / "day.png").stat().st_size > 10_000, done.output
 
 
 def test_what_cannot_be_drawn_or_started_is_told(tmp_path: Path) -> None:
     (tmp_path / "empty").write_text("")
     (tmp_path / "day").write_text(DAY)
     done = CliRunner().invoke(main, ["trial", "picture", str(tmp_path / "empty"), str(tmp_path / "x.png")])
-    assert done.exit_code == 2 and "nothing was asked" in done.output
+    assert done.exit_code == 2
+    assert "nothing was asked" in done.output
     done = CliRunner().invoke(main, ["trial", "run", str(tmp_path / "day"), "--driver", "nowhere.py x"])
-    assert done.exit_code == 2 and "nowhere.py is no file" in done.output
+    assert done.exit_code == 2
+    assert "nowhere.py is no file" in done.output
