--- a/tests/load/test_load.py
+++ b/tests/load/test_load.py
@@ -57,7 +57,9 @@
     assert dues == draw(plan)
     assert [d.at_us for d in dues] == sorted(d.at_us for d in dues)
     counts = [sum(d.stage == n for d in dues) for n in range(4)]
-    assert abs(counts[0] - 1000) < 150 and abs(counts[1] - 5500) < 400 and counts[2:] == [300, 0]
+    assert abs(counts[0] - 1000) < 150
+    assert abs(counts[1] - 5500) < 400
+    assert counts[2:] == [300, 0]
     late = sum(d.stage == 1 and d.at_us > 10_000_000 for d in dues)
     assert late > 0.6 * counts[1], "the ramp rises"
     assert abs(sum(d.cls == 0 for d in dues) / len(dues) - 0.75) < 0.03
@@ -78,7 +80,8 @@
     with pytest.raises(SettingsError) as caught:
         parse_plan(bad.replace("askew 1.0", "").encode(), "plan")
     text = str(caught.value)
-    assert "closed" in text and "deadline" in text
+    assert "closed" in text
+    assert "deadline" in text
 
 
 def shot(n: int, **fields: object) -> Shot:
@@ -112,7 +115,8 @@
     assert (count.offered, count.tries, count.served, count.refused, count.silent, count.failed) == (
         6, 7, 3, 1, 1, 1,
     )  # fmt: skip
-    assert count.worth == pytest.approx(3 + 3 + 0.2 * 3) and count.worth_asked == 18
+    assert count.worth == pytest.approx(3 + 3 + 0.2 * 3)
+    assert count.worth_asked == 18
     assert count.p(99) > 600, "a retry's time counts from the first try's start"
 
 
@@ -130,12 +134,17 @@
     good, bad = written(tmp_path / "good", shot(1)), written(tmp_path / "bad", shot(1, status=4, local=True))
     plot = tmp_path / "plot.png"
     told = CliRunner().invoke(main, ["load", "report", str(good), "--plot", str(plot)])
-    assert told.exit_code == 0 and "rule 1, from the clients' side: held" in told.output
-    assert "FULL" in told.output and plot.read_bytes().startswith(b"\x89PNG")
+    assert told.exit_code == 0
+    assert "rule 1, from the clients' side: held" in told.output
+    assert "FULL" in told.output
+    assert plot.read_bytes().startswith(b"\x89PNG")
     told = CliRunner().invoke(main, ["load", "report", str(bad)])
-    assert told.exit_code == 1 and "BROKEN" in told.output
+    assert told.exit_code == 1
+    assert "BROKEN" in told.output
     told = CliRunner().invoke(main, ["load", "compare", str(good), str(bad)])
-    assert told.exit_code == 0 and "calm" in told.output
+    assert told.exit_code == 0
+    assert "calm" in told.output
     (tmp_path / "torn").write_bytes(good.read_bytes()[:-20])
     told = CliRunner().invoke(main, ["load", "report", str(tmp_path / "torn")])
-    assert told.exit_code == 2 and "torn:3" in told.output
+    assert told.exit_code == 2
+    assert "torn:3" in told.output
