--- a/juniperreel/telemetry/log.py
+++ b/juniperreel/telemetry/log.py
@@ -1,4 +1,4 @@
-"""The structured log: one JSON object a line, or a form for eyes."""
+"""The structured log: one JSON object a line, or a form for reading on a console."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 def make_log(form: str = "json", level: str = "info", stream: TextIO | None = None, **fields: Any) -> Any:
-    """A logger bound to `fields`. `form` is json or console, `level` a name of LEVELS.
+    """Return a logger bound to `fields`; `form` is json or console, `level` a name of LEVELS.
 
     A broken pipe behind the log must not end the program, so writing errors are swallowed.
     """
@@ -34,13 +34,14 @@
 
 
 class Sink:
-    """Writes lines; counts those that could not be written."""
+    """Writes lines to a stream; `lost` counts those that could not be written."""
 
     def __init__(self, stream: TextIO) -> None:
         self._stream = stream
         self.lost = 0
 
     def msg(self, line: str) -> None:
+        """Write a line; one that cannot be written is counted and dropped."""
         try:
             self._stream.write(line + "\n")
             self._stream.flush()
