Load: arrivals apart from the plan, attempts and usage in place of shots and sides

Names of its own (shot, side, due, n, p) had to be looked up. Results are kept, so fields and tags in the file stay as they were, by the codec's renaming; a test reads and writes again the bytes that wrote. Errors of a run are typed, still RuntimeErrors.

--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -127,12 +127,12 @@
     served: dict[int, int] = defaultdict(int)
     refused: dict[int, int] = defaultdict(int)
     cpu: dict[int, float] = {}
-    for side in result.sides:
-        if side.name == "edge":
-            cpu[side.at] = side.cpu
-        elif side.name.startswith("client"):
-            served[side.at] += side.served
-            refused[side.at] += side.refused
+    for usage in result.usage:
+        if usage.name == "edge":
+            cpu[usage.second] = usage.cpu
+        elif usage.name.startswith("client"):
+            served[usage.second] += usage.served
+            refused[usage.second] += usage.rejected
     rows = [(1.0, served[s], refused[s]) for s in cpu]
     found, *_ = np.linalg.lstsq(np.array(rows), np.array([cpu[s] for s in cpu]), rcond=None)
     return f"CPU of the edge: {found[1] * 1e3:.3f} ms a served request, {found[2] * 1e3:.3f} ms a refused one"
--- a/juniperreel/cli/load.py
+++ b/juniperreel/cli/load.py
@@ -108,13 +108,13 @@
     Raises ValueError for a file that holds no result.
     """
     from juniperreel.load.report import plots
-    from juniperreel.load.summary import full_sides, load_result, table
+    from juniperreel.load.summary import load_result, table, usage_lines
     from juniperreel.verification.rules import Day, check_answers
 
     result = load_result(path)
     for line in (*table(result.stages()), *_tables_by_kind(result), *_reason_lines(result)):
         click.echo(line)
-    for line in full_sides(result):
+    for line in usage_lines(result):
         click.echo(line)
     violations = check_answers(Day.of(list(result.records())))
     verdict = f"BROKEN {len(violations)} times; first: {violations[0].text}" if violations else "held"
@@ -130,12 +130,12 @@
 
     span_us = result.plan.span_us
     class_names = [request_class.name for request_class in result.plan.classes]
-    tenant_names = [name for name, _ in result.plan.tenants]
-    by_class = result.counts(lambda shot: shot.cls, lambda _: span_us)
-    by_tenant = result.counts(lambda shot: shot.tenant, lambda _: span_us)
+    tenant_names = [tenant.name for tenant in result.plan.tenants]
+    by_class = result.count_by(lambda attempt: attempt.cls, lambda _: span_us)
+    by_tenant = result.count_by(lambda attempt: attempt.tenant, lambda _: span_us)
     for names, counts in ((class_names, by_class), (tenant_names, by_tenant)):
         if len(names) > 1:
-            rows = {names[int(str(number))]: count for number, count in sorted(counts.items(), key=str)}
+            rows = {names[number]: count for number, count in sorted(counts.items(), key=str)}
             yield from table(rows)[1:]
 
 
--- a/juniperreel/load/plan.py
+++ b/juniperreel/load/plan.py
@@ -1,4 +1,4 @@
-"""What a load run asks, and when: the plan's file, and the arrivals drawn from it ahead of the run.
+"""What a load run asks, and when: the plan's file.
 
     [load]
     target 127.0.0.1:7100
@@ -13,17 +13,14 @@
     rate 200
     for 6s
 
-Open loop: when a request is due does not depend on any answer, and latencies count from then, so that a slow
-server hides nothing (Schroeder, Wierman, Harchol-Balter: Open Versus Closed, NSDI 2006).
+`arrivals.py` draws the requests from it.
 """
 
 from __future__ import annotations
 
-import random
-from collections.abc import Iterator
 from dataclasses import dataclass
-from itertools import accumulate
 from pathlib import Path
+from typing import NamedTuple
 
 from juniperreel.settings.lexer import (
     Problem,
@@ -38,6 +35,12 @@
 )
 from juniperreel.settings.schema import Field, Kind, Reader, choice, one, read
 
+# What clients do after a rejection: nothing; retry at once; retry after the wait that they were given.
+PATIENT = "patient"
+NAIVE = "naive"
+HONOURS = "honours"
+BEHAVIOURS = (PATIENT, NAIVE, HONOURS)
+
 KINDS = {
     "load": Kind(
         {
@@ -48,7 +51,7 @@
             "seed": one(whole, 1),
             "processes": one(whole, 2),
             "channels": one(whole, 8),  # connections of each process to each target
-            "behaviour": one(choice("patient", "naive", "honours"), "patient"),
+            "behaviour": one(choice(*BEHAVIOURS), PATIENT),
             "retries": one(whole, 3),
             "headers": one(flag, False),  # class, tenant and group also as metadata
         }
@@ -79,36 +82,58 @@
 }
 READ = "select id from runs where runner = ? order by number desc limit 40 /* rid {} */"
 WRITE = "insert into runs (runner, id) values (?, ?) /* rid {} */"
-US = 1_000_000
+SAME_RATE = 0  # a stage whose `to` is below has its rate to the end
 
 
 @dataclass(frozen=True, slots=True)
 class LoadClass:
+    """A request class, with its part of the load.
+
+    A response in time earns `priority_weight`, a later one that times `late_priority_weight`.
+    """
+
     name: str
     part: float
     deadline_us: int
     writes: bool
     statement: str
-    worth: float
-    aim_us: int
-    late_worth: float
+    priority_weight: float
+    latency_objective_us: int
+    late_priority_weight: float
+
+
+class LoadTenant(NamedTuple):
+    """A tenant, with its part of the load."""
+
+    name: str
+    part: float
 
 
 @dataclass(frozen=True, slots=True)
 class Stage:
-    """`start_us` counts from the run's start; `to` is the rate at the end."""
+    """A span of the run with one kind of arrivals.
+
+    `start_us` counts from the run's start. Rates are requests a second; `burst` requests come at once at the
+    start; `closed_clients` each wait for their answers.
+    """
 
     name: str
     start_us: int
     span_us: int
     rate: float
-    to: float
+    end_rate: float
     burst: int
-    closed: int
+    closed_clients: int
 
 
 @dataclass(frozen=True, slots=True)
 class Plan:
+    """A whole plan. `channels` are connections of each process to each target.
+
+    `skew` is Zipf's exponent over sessions (0: all ask alike); `headers`: class, tenant and group are sent as
+    metadata as well.
+    """
+
     targets: tuple[tuple[str, int], ...]
     groups: int
     sessions: int
@@ -120,24 +145,18 @@
     retries: int
     headers: bool
     classes: tuple[LoadClass, ...]
-    tenants: tuple[tuple[str, float], ...]
+    tenants: tuple[LoadTenant, ...]
     stages: tuple[Stage, ...]
 
     @property
     def span_us(self) -> int:
+        """From the run's start to the last stage's end."""
         return self.stages[-1].start_us + self.stages[-1].span_us
 
-
-@dataclass(frozen=True, slots=True)
-class Due:
-    """One request: when it is due, and what it asks. `session` says whose rows, and in which group."""
-
-    at_us: int
-    number: int
-    stage: int
-    cls: int
-    tenant: int
-    session: int
+    @property
+    def longest_deadline_us(self) -> int:
+        """Of all classes."""
+        return max(load_class.deadline_us for load_class in self.classes)
 
 
 def read_plan(path: Path) -> Plan:
@@ -146,6 +165,7 @@
 
 
 def parse_plan(data: bytes, file: str) -> Plan:
+    """Read a plan's text. Raises SettingsError, which names `file`, with every problem."""
     sections, problems = lex(data)
     found = read(sections, KINDS, problems)
     if not problems:
@@ -153,12 +173,6 @@
     if problems:
         raise SettingsError(file, problems)
     load = found["load"][0]
-    stages: list[Stage] = []
-    start = 0
-    for s in found["stage"]:
-        to = s["rate"] if s["to"] < 0 else s["to"]
-        stages.append(Stage(s.name, start, s["for"], s["rate"], to, s["burst"], s["closed"]))
-        start += s["for"]
     return Plan(
         targets=tuple(load["target"]),
         groups=load["groups"],
@@ -170,96 +184,69 @@
         behaviour=load["behaviour"],
         retries=load["retries"],
         headers=load["headers"],
-        classes=tuple(
-            LoadClass(
-                c.name,
-                c["part"],
-                c["deadline"],
-                c["does"] == "write",
-                c["statement"] or (WRITE if c["does"] == "write" else READ),
-                c["worth"],
-                c["aim"] or c["deadline"],
-                c["late-worth"],
-            )
-            for c in found["class"]
-        ),
-        tenants=tuple((t.name, t["part"]) for t in found["tenant"]),
-        stages=tuple(stages),
+        classes=tuple(_load_class(section) for section in found["class"]),
+        tenants=tuple(LoadTenant(section.name, section["part"]) for section in found["tenant"]),
+        stages=_stages(found["stage"]),
     )
 
 
-def check(found: dict[str, list[Reader]], problems: list[Problem]) -> None:
-    load = found["load"][0]
+def _load_class(section: Reader) -> LoadClass:
+    writes = section["does"] == "write"
+    return LoadClass(
+        section.name,
+        section["part"],
+        section["deadline"],
+        writes,
+        section["statement"] or (WRITE if writes else READ),
+        section["worth"],
+        section["aim"] or section["deadline"],
+        section["late-worth"],
+    )
 
-    def wrong(section: Reader, name: str, reason: str) -> None:
-        problems.append(Problem(section.at(name), f"{name}: {reason}"))
 
-    for name in ("groups", "sessions", "processes", "channels"):
-        if load[name] < 1:
-            wrong(load, name, "at least one")
+def _stages(sections: list[Reader]) -> tuple[Stage, ...]:
+    stages = []
+    start_us = 0
+    for section in sections:
+        rate = section["rate"]
+        end_rate = rate if section["to"] < SAME_RATE else section["to"]
+        span_us = section["for"]
+        stages.append(
+            Stage(section.name, start_us, span_us, rate, end_rate, section["burst"], section["closed"])
+        )
+        start_us += span_us
+    return tuple(stages)
+
+
+def check(found: dict[str, list[Reader]], problems: list[Problem]) -> None:
+    """Add what is wrong with sections that can be read each by itself."""
+    load = found["load"][0]
+    counts = ("groups", "sessions", "processes", "channels")
+    problems += [_problem(load, name, "at least one") for name in counts if load[name] < 1]
     if not found["stage"]:
         problems.append(Problem(1, "no stage: nothing would be asked"))
-    for s in found["stage"]:
-        ways = (s["rate"] > 0 or s["to"] > 0, s["burst"] > 0, s["closed"] > 0)
-        if sum(ways) > 1 and not (ways[0] and ways[1] and not ways[2]):
-            wrong(s, "closed", "a closed loop has no rate and no burst")
-        if not s["for"]:
-            wrong(s, "for", "must be above 0")
-    for kind in ("class", "tenant"):
-        if found[kind] and not sum(s["part"] for s in found[kind]):
-            wrong(found[kind][0], "part", f"no {kind} has a part of the load")
-    for c in found["class"]:
-        if not c["deadline"]:
-            wrong(c, "deadline", "must be above 0")
-
-
-def zipf(count: int, exponent: float) -> list[float]:
-    """Cumulative weights of `count` items, the n-th as 1/n^exponent."""
-    return list(accumulate(1.0 / n**exponent for n in range(1, count + 1)))
-
-
-def offsets(stage: Stage, rng: random.Random) -> Iterator[int]:
-    """Arrival times of a stage, from its start: a burst, then a Poisson process whose rate is a line, by
-    thinning (Lewis and Shedler, 1979)."""
-    for _ in range(stage.burst):
-        yield 0
-    most = max(stage.rate, stage.to)
-    if most <= 0:
-        return
-    at = 0.0
-    while (at := at + rng.expovariate(most) * US) < stage.span_us:
-        rate = stage.rate + (stage.to - stage.rate) * at / stage.span_us
-        if rng.random() * most < rate:
-            yield int(at)
-
-
-def draw(plan: Plan) -> list[Due]:
-    """Every request of the open stages, in order; the same for the same seed."""
-    rng = random.Random(plan.seed)
-    chooser = Chooser(plan, random.Random(rng.random()))
-    found: list[Due] = []
-    for i, stage in enumerate(plan.stages):
-        for offset in offsets(stage, rng):
-            found.append(chooser.due(stage.start_us + offset, len(found), i))
-    return found
-
-
-class Chooser:
-    """Draws who asks for what."""
-
-    def __init__(self, plan: Plan, rng: random.Random) -> None:
-        self._rng = rng
-        self._classes = list(accumulate(c.part for c in plan.classes))
-        self._tenants = list(accumulate(p for _, p in plan.tenants))
-        self._sessions = zipf(plan.sessions, plan.skew)
-
-    def due(self, at_us: int, number: int, stage: int) -> Due:
-        choose = self._rng.choices
-        return Due(
-            at_us,
-            number,
-            stage,
-            choose(range(len(self._classes)), cum_weights=self._classes)[0],
-            choose(range(len(self._tenants)), cum_weights=self._tenants)[0] if self._tenants else -1,
-            choose(range(len(self._sessions)), cum_weights=self._sessions)[0],
-        )
+    for stage in found["stage"]:
+        _check_stage(stage, problems)
+    problems += [
+        _problem(found[kind][0], "part", f"no {kind} has a part of the load")
+        for kind in ("class", "tenant")
+        if found[kind] and not sum(section["part"] for section in found[kind])
+    ]
+    problems += [
+        _problem(section, "deadline", "must be above 0")
+        for section in found["class"]
+        if not section["deadline"]
+    ]
+
+
+def _check_stage(stage: Reader, problems: list[Problem]) -> None:
+    has_rate = stage["rate"] > 0 or stage["to"] > 0
+    has_burst = stage["burst"] > 0
+    if stage["closed"] > 0 and (has_rate or has_burst):
+        problems.append(_problem(stage, "closed", "a closed loop has no rate and no burst"))
+    if not stage["for"]:
+        problems.append(_problem(stage, "for", "must be above 0"))
+
+
+def _problem(section: Reader, name: str, reason: str) -> Problem:
+    return Problem(section.at(name), f"{name}: {reason}")
--- a/juniperreel/load/runner.py
+++ b/juniperreel/load/runner.py
@@ -9,119 +9,192 @@
 import threading
 import time
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import contextmanager
 from pathlib import Path
 
 import msgspec
 
-from juniperreel.load.plan import Plan
-from juniperreel.load.shots import ENCODER, Side, Start
+from juniperreel.load.plan import Plan, Stage
+from juniperreel.load.result_file import ENCODER, ProcessUsage, RunStart
 
+US = 1_000_000
 LEAD_US = 1_500_000  # for all processes to draw their arrivals and connect
-EXTRA_S = 30.0  # beyond the plan's end and the longest deadline, before a process counts as hung
+GRACE_S = 30.0  # beyond the plan's end and the longest deadline, before a process counts as hung
+POLL_S = 0.05
+REPORT_DELAY_S = 0.2  # after a second's end, for its lines to come
+TICKS_PER_S = 100  # of /proc's processor times
+UTIME_FIELD = 11  # of /proc/PID/stat, counted from behind the command's name
+STIME_FIELD = 12
 
 
-class Watched:
-    """CPU of processes that are not ours, from /proc: the edge's and the stand-ins'."""
+class LoadRunError(RuntimeError):
+    """A run came to no result."""
 
-    def __init__(self, watch: dict[str, int]) -> None:
-        self._watch = watch
-        self._before = {name: self._ticks(pid) for name, pid in watch.items()}
+
+class ClientsFailedError(LoadRunError):
+    """Client processes, given by their numbers, ended with an error."""
+
+    def __init__(self, numbers: list[int]) -> None:
+        super().__init__(f"client processes {numbers} failed")
+        self.numbers = numbers
+
+
+class ClientsHungError(LoadRunError):
+    """Client processes went on beyond the plan's end."""
+
+    def __init__(self) -> None:
+        super().__init__("the clients did not come to an end")
+
+
+UsageBySecond = dict[int, list[ProcessUsage]]
+
+
+class ProcessorTimes:
+    """CPU of processes that are not ours, from /proc: the edge's and the members'."""
+
+    def __init__(self, process_ids: Mapping[str, int]) -> None:
+        self._process_ids = process_ids
+        self._previous_s = {name: self._processor_time_s(pid) for name, pid in process_ids.items()}
+
+    def usage(self, second: int) -> list[ProcessUsage]:
+        """What each spent since the last call, or since the start; 0 for one that has ended."""
+        usage = []
+        for name, pid in self._process_ids.items():
+            time_s = self._processor_time_s(pid)
+            usage.append(ProcessUsage(second, name, max(0.0, time_s - self._previous_s[name])))
+            self._previous_s[name] = time_s
+        return usage
 
     @staticmethod
-    def _ticks(pid: int) -> float:
+    def _processor_time_s(pid: int) -> float:
         try:
-            words = Path(f"/proc/{pid}/stat").read_text(encoding="ascii").rpartition(")")[2].split()
+            fields = Path(f"/proc/{pid}/stat").read_text(encoding="ascii").rpartition(")")[2].split()
         except OSError:
             return 0.0
-        return (int(words[11]) + int(words[12])) / 100
-
-    def sides(self, second: int) -> list[Side]:
-        found = []
-        for name, pid in self._watch.items():
-            ticks = self._ticks(pid)
-            found.append(Side(second, name, max(0.0, ticks - self._before[name])))
-            self._before[name] = ticks
-        return found
+        return (int(fields[UTIME_FIELD]) + int(fields[STIME_FIELD])) / TICKS_PER_S
 
 
-def run(plan: Plan, text: str, out: Path, say: Callable[[str], None], watch: dict[str, int]) -> None:
-    """Blocks until the plan is over. Raises RuntimeError if a client process failed.
+def run(plan: Plan, text: str, out: Path, report: Callable[[str], None], watch: Mapping[str, int]) -> None:
+    """Run a plan and leave its result in `out`; blocks until it is over.
 
-    `watch`: names and process ids whose CPU is told in the result."""
-    start = time.time_ns() // 1000 + LEAD_US
+    `text` is the plan's; `report` is given a line a second; `watch` has names and process ids whose CPU goes
+    into the result. Raises LoadRunError and OSError.
+    """
+    start_us = time.time_ns() // 1000 + LEAD_US
     with tempfile.TemporaryDirectory() as temporary:
         folder = Path(temporary)
-        file = folder / "plan.conf"
-        file.write_text(text, encoding="utf-8")
-        parts = [folder / f"part{n}.jsonl" for n in range(plan.processes)]
-        processes = [
-            subprocess.Popen(
-                [sys.executable, "-m", "juniperreel.load.client", str(file), str(n), str(start), str(part)],
-                stdout=subprocess.PIPE,
-            )
-            for n, part in enumerate(parts)
-        ]
-        sides: dict[int, list[Side]] = defaultdict(list)
-        readers = [threading.Thread(target=read_sides, args=(p, sides)) for p in processes]
-        for thread in readers:
-            thread.start()
-        try:
-            follow(plan, start, processes, sides, say, Watched(watch))
-        finally:
-            for process in processes:
-                if process.poll() is None:
-                    process.kill()
-                process.wait()
-            for thread in readers:
-                thread.join()
-        failed = [n for n, p in enumerate(processes) if p.returncode]
+        (folder / "plan.conf").write_text(text, encoding="utf-8")
+        parts = [folder / f"part{number}.jsonl" for number in range(plan.processes)]
+        usage: UsageBySecond = defaultdict(list)
+        with (
+            client_processes(folder / "plan.conf", start_us, parts) as processes,
+            usage_readers(processes, usage),
+        ):
+            follow(plan, start_us, processes, usage, report, ProcessorTimes(watch))
+        failed = [number for number, process in enumerate(processes) if process.returncode]
         if failed:
-            raise RuntimeError(f"client processes {failed} failed")
-        with out.open("wb") as result:
-            result.write(ENCODER.encode(Start(start, text)) + b"\n")
-            for part in parts:
-                with part.open("rb") as lines:
-                    shutil.copyfileobj(lines, result)
-            for second in sorted(sides):
-                for side in sides[second]:
-                    result.write(ENCODER.encode(side) + b"\n")
-
-
-def read_sides(process: subprocess.Popen[bytes], sides: dict[int, list[Side]]) -> None:
+            raise ClientsFailedError(failed)
+        write_result(out, RunStart(start_us, text), parts, usage)
+
+
+@contextmanager
+def client_processes(plan: Path, start_us: int, parts: list[Path]) -> Iterator[list[subprocess.Popen[bytes]]]:
+    """A client process for each part of the result; all have ended outside the block."""
+    module = [sys.executable, "-m", "juniperreel.load.client", str(plan)]
+    processes = [
+        subprocess.Popen([*module, str(number), str(start_us), str(part)], stdout=subprocess.PIPE)
+        for number, part in enumerate(parts)
+    ]
+    try:
+        yield processes
+    finally:
+        stop_processes(processes)
+
+
+def stop_processes(processes: list[subprocess.Popen[bytes]]) -> None:
+    """Kill those that run and wait for all."""
+    for process in processes:
+        if process.poll() is None:
+            process.kill()
+        process.wait()
+
+
+@contextmanager
+def usage_readers(processes: list[subprocess.Popen[bytes]], usage: UsageBySecond) -> Iterator[None]:
+    """Threads that add what the processes print to `usage`; the processes are stopped behind the block."""
+    threads = [threading.Thread(target=read_usage, args=(process, usage)) for process in processes]
+    for thread in threads:
+        thread.start()
+    try:
+        yield
+    finally:
+        stop_processes(processes)  # a reader ends with its process
+        for thread in threads:
+            thread.join()
+
+
+def read_usage(process: subprocess.Popen[bytes], usage: UsageBySecond) -> None:
+    """Add a process's lines to `usage` until it closes its output."""
     assert process.stdout is not None
-    decoder = msgspec.json.Decoder(Side)
+    decoder = msgspec.json.Decoder(ProcessUsage)
     for line in process.stdout:
-        side = decoder.decode(line)
-        sides[side.at].append(side)
+        line_usage = decoder.decode(line)
+        usage[line_usage.second].append(line_usage)
+
+
+def write_result(out: Path, start: RunStart, parts: list[Path], usage: UsageBySecond) -> None:
+    """Write the start, all attempts, and what processes spent second by second."""
+    with out.open("wb") as result:
+        result.write(ENCODER.encode(start) + b"\n")
+        for part in parts:
+            with part.open("rb") as lines:
+                shutil.copyfileobj(lines, result)
+        for second in sorted(usage):
+            for process_usage in usage[second]:
+                result.write(ENCODER.encode(process_usage) + b"\n")
 
 
 def follow(
     plan: Plan,
-    start: int,
+    start_us: int,
     processes: list[subprocess.Popen[bytes]],
-    sides: dict[int, list[Side]],
-    say: Callable[[str], None],
-    watched: Watched,
+    usage: UsageBySecond,
+    report: Callable[[str], None],
+    watched: ProcessorTimes,
 ) -> None:
-    """A live line a second, until all processes have ended."""
-    longest = max(c.deadline_us for c in plan.classes) / 1e6
-    end = start / 1e6 + plan.span_us / 1e6 + longest + EXTRA_S
+    """Report a line a second until all processes have ended. Raises ClientsHungError."""
+    start_s = start_us / US
+    end_s = start_s + plan.span_us / US + plan.longest_deadline_us / US + GRACE_S
     second = 0
-    while any(p.poll() is None for p in processes):
-        if time.time() > end:
-            raise RuntimeError("the clients did not come to an end")
-        time.sleep(0.05)
-        if time.time() < start / 1e6 + second + 1.2:
+    while any(process.poll() is None for process in processes):
+        if time.time() > end_s:
+            raise ClientsHungError
+        time.sleep(POLL_S)
+        if time.time() < start_s + second + 1 + REPORT_DELAY_S:
             continue
         second += 1
-        now = list(sides[second])
-        sides[second] += watched.sides(second)
-        stage = next((s for s in plan.stages if second * 1e6 <= s.start_us + s.span_us), plan.stages[-1])
-        asked, served, refused = (sum(getattr(s, k) for s in now) for k in ("asked", "served", "refused"))
-        late = max((s.late_us for s in now), default=0) / 1000
-        cpus = " ".join(f"{s.name} {s.cpu:.2f}" for s in sides[second])
-        say(
-            f"{second:4d} s {stage.name:<10} asked {asked:6d} served {served:6d} refused {refused:6d}; "
-            f"client late {late:.0f} ms; cpu {cpus}"
-        )
+        clients = list(usage[second])
+        usage[second] += watched.usage(second)
+        report(live_line(second, stage_at(plan, second), clients, usage[second]))
+
+
+def stage_at(plan: Plan, second: int) -> Stage:
+    """The first stage that is not over by this second, or the last one."""
+    for stage in plan.stages:
+        if second * US <= stage.start_us + stage.span_us:
+            return stage
+    return plan.stages[-1]
+
+
+def live_line(second: int, stage: Stage, clients: list[ProcessUsage], processes: list[ProcessUsage]) -> str:
+    """What clients did in this second, and the CPU of all processes."""
+    requests = sum(client.requests for client in clients)
+    served = sum(client.served for client in clients)
+    rejected = sum(client.rejected for client in clients)
+    lag_ms = max((client.lag_us for client in clients), default=0) / 1000
+    cpus = " ".join(f"{process.name} {process.cpu:.2f}" for process in processes)
+    return (
+        f"{second:4d} s {stage.name:<10} asked {requests:6d} served {served:6d} refused {rejected:6d}; "
+        f"client late {lag_ms:.0f} ms; cpu {cpus}"
+    )
--- a/juniperreel/load/summary.py
+++ b/juniperreel/load/summary.py
@@ -2,173 +2,262 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections import Counter, defaultdict
+from collections.abc import Callable, Hashable, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import NamedTuple, TypeVar
 
 from hdrh.histogram import HdrHistogram
 
-from juniperreel.load.plan import Plan, parse_plan
-from juniperreel.load.shots import REFUSED, Shot, Side, Start, read_result
+from juniperreel.load.arrivals import NO_TENANT
+from juniperreel.load.plan import LoadClass, Plan, parse_plan
+from juniperreel.load.result_file import REJECTED_STATUSES, Attempt, ProcessUsage, RunStart, read_result
 from juniperreel.verification import records as rec
 
-LOWEST, HIGHEST, DIGITS = 1, 120_000_000, 3
 US = 1_000_000
+# Times of the histograms: microseconds, and significant digits.
+LOWEST_US = 1
+HIGHEST_US = 120_000_000
+DIGITS = 3
+FULL_CPU = 0.95  # of a core: a client that spends more may be what was measured
+Key = TypeVar("Key", bound=Hashable)
+COLUMNS = (
+    "offered/s",
+    "good/s",
+    "refused/s",
+    "failed/s",
+    "silent/s",
+    "p50 ms",
+    "p99 ms",
+    "ref p99",
+    "worth",
+)
 
 
-def histogram() -> HdrHistogram:
-    return HdrHistogram(LOWEST, HIGHEST, DIGITS)
+def make_histogram() -> HdrHistogram:
+    """A histogram of times in microseconds."""
+    return HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+
+
+class FinalAttempts(NamedTuple):
+    """A request's first and last attempt."""
+
+    first: Attempt
+    last: Attempt
+
+    @property
+    def took_us(self) -> int:
+        """From when the first was due to the last one's answer."""
+        return max(self.last.due_us + self.last.took_us - self.first.due_us, 1)
 
 
 @dataclass(slots=True)
-class Count:
-    """Of one part of a run. Requests count once, by their last try; `tries` counts all."""
+class LoadCount:
+    """Requests of one part of a run, each counted once by its last attempt; `attempts` counts all.
+
+    `unanswered` are those past the client's deadline without an answer. The weights are those of the
+    requests' classes, earned by responses and offered by requests.
+    """
 
     span_us: int = 0
     offered: int = 0
-    tries: int = 0
+    attempts: int = 0
     served: int = 0
-    refused: int = 0
+    rejected: int = 0
     failed: int = 0
-    silent: int = 0  # past the client's deadline, without a word
-    worth: float = 0.0
-    worth_asked: float = 0.0
-    took: HdrHistogram = field(default_factory=histogram)
-    refusal: HdrHistogram = field(default_factory=histogram)
-    reasons: dict[str, int] = field(default_factory=lambda: defaultdict(int))
+    unanswered: int = 0
+    weight_earned: float = 0.0
+    weight_offered: float = 0.0
+    response_times: HdrHistogram = field(default_factory=make_histogram)
+    rejection_times: HdrHistogram = field(default_factory=make_histogram)
+    reasons: Counter[str] = field(default_factory=Counter)
+
+    def per_second(self, count: int) -> float:
+        """One of the counts as a rate over the part's span."""
+        return float(count) / max(self.span_us, 1) * US
+
+    @property
+    def weight_share(self) -> float:
+        """Weight earned over weight offered; 0 where nothing was offered."""
+        return self.weight_earned / self.weight_offered if self.weight_offered else 0.0
 
-    def rate(self, name: str) -> float:
-        return float(getattr(self, name)) / max(self.span_us, 1) * US
+    def response_percentile_ms(self, percent: float) -> float:
+        """Of requests that were served."""
+        return float(self.response_times.get_value_at_percentile(percent)) / 1000
 
-    def p(self, percent: float, refusals: bool = False) -> float:
-        """Milliseconds."""
-        return float((self.refusal if refusals else self.took).get_value_at_percentile(percent)) / 1000
+    def rejection_percentile_ms(self, percent: float) -> float:
+        """Of last attempts that were rejected."""
+        return float(self.rejection_times.get_value_at_percentile(percent)) / 1000
+
+    def add(self, request: FinalAttempts, load_class: LoadClass) -> None:
+        """Count one request."""
+        self.offered += 1
+        self.attempts += request.last.attempt + 1
+        self.weight_offered += load_class.priority_weight
+        if request.last.status == 0:
+            self._add_served(request.took_us, load_class)
+            return
+        if request.last.local:
+            self.unanswered += 1
+        elif request.last.status in REJECTED_STATUSES:
+            self.rejected += 1
+            self.rejection_times.record_value(min(max(request.last.took_us, 1), HIGHEST_US))
+        else:
+            self.failed += 1
+        self.reasons[request.last.reason] += 1
+
+    def _add_served(self, took_us: int, load_class: LoadClass) -> None:
+        in_time = took_us <= load_class.latency_objective_us
+        self.served += 1
+        self.weight_earned += load_class.priority_weight * (
+            1.0 if in_time else load_class.late_priority_weight
+        )
+        self.response_times.record_value(min(took_us, HIGHEST_US))
 
 
 @dataclass(slots=True)
 class Result:
-    """A run read back."""
+    """A run read back. `start_us` is on the Unix epoch."""
 
     plan: Plan
     start_us: int
-    shots: list[Shot]
-    sides: list[Side]
-
-    def finals(self) -> list[tuple[Shot, Shot]]:
-        """Each request's first and last try."""
-        first: dict[int, Shot] = {}
-        last: dict[int, Shot] = {}
-        for shot in self.shots:
-            if shot.number == 0:
-                first[shot.n] = shot
-            if shot.n not in last or shot.number > last[shot.n].number:
-                last[shot.n] = shot
-        return [(first[n], last[n]) for n in first]
-
-    def counts(self, key: Callable[[Shot], object], span_us: Callable[[object], int]) -> dict[object, Count]:
-        """By whatever `key` makes of a request's first try."""
-        found: dict[object, Count] = {}
-        for first, last in self.finals():
-            name = key(first)
-            count = found.get(name)
+    attempts: list[Attempt]
+    usage: list[ProcessUsage]
+
+    def requests(self) -> list[FinalAttempts]:
+        """All requests, in the order of their first attempts."""
+        first: dict[int, Attempt] = {}
+        last: dict[int, Attempt] = {}
+        for attempt in self.attempts:
+            request = attempt.request
+            if attempt.attempt == 0:
+                first[request] = attempt
+            if request not in last or attempt.attempt > last[request].attempt:
+                last[request] = attempt
+        return [FinalAttempts(attempt, last[request]) for request, attempt in first.items()]
+
+    def count_by(self, key: Callable[[Attempt], Key], span_us: Callable[[Key], int]) -> dict[Key, LoadCount]:
+        """Count requests by what `key` makes of their first attempts; `span_us` is each part's length."""
+        counts: dict[Key, LoadCount] = {}
+        for request in self.requests():
+            part = key(request.first)
+            count = counts.get(part)
             if count is None:
-                count = found[name] = Count(span_us(name))
-            cls = self.plan.classes[first.cls]
-            count.offered += 1
-            count.tries += last.number + 1
-            count.worth_asked += cls.worth
-            took = max(last.due + last.took - first.due, 1)
-            if last.status == 0:
-                count.served += 1
-                count.worth += cls.worth * (1.0 if took <= cls.aim_us else cls.late_worth)
-                count.took.record_value(min(took, HIGHEST))
-                continue
-            if last.local:
-                count.silent += 1
-            elif last.status in REFUSED:
-                count.refused += 1
-                count.refusal.record_value(min(max(last.took, 1), HIGHEST))
-            else:
-                count.failed += 1
-            count.reasons[last.why] += 1
-        return found
-
-    def stages(self) -> dict[str, Count]:
-        counts = self.counts(lambda s: s.stage, lambda n: self.plan.stages[int(str(n))].span_us)
-        return {s.name: counts.get(n, Count(s.span_us)) for n, s in enumerate(self.plan.stages)}
-
-    def records(self) -> Iterable[rec.Record]:
-        """The run in the words of `proof`, whose checkers judge it from there."""
-        for c in self.plan.classes:
-            effect = "keyed" if c.writes else "repeatable"
-            yield rec.Class(0, c.name, effect, 0, c.writes, True, -1, c.aim_us, c.worth, c.late_worth)
-        for s in self.shots:
-            cls = self.plan.classes[s.cls]
-            sent, rid = self.start_us + s.sent, str(s.n)
-            tenant = self.plan.tenants[s.tenant][0] if s.tenant >= 0 else ""
-            yield rec.Asked(
-                sent,
-                rid,
-                s.number,
-                "edge",
-                cls.name,
-                f"s{s.session}",
-                tenant,
-                s.session % self.plan.groups,
-                f"r{s.session}",
-                sent + cls.deadline_us,
-            )
-            told = self.start_us + s.due + s.took
-            yield rec.Told(told, rid, s.number, s.status, s.local, wait_us=max(s.wait, 0) * 1000)
+                count = LoadCount(span_us(part))
+                counts[part] = count
+            count.add(request, self.plan.classes[request.first.cls])
+        return counts
+
+    def stages(self) -> dict[str, LoadCount]:
+        """Counts by stage, in the plan's order."""
+        counts = self.count_by(lambda attempt: attempt.stage, lambda n: self.plan.stages[n].span_us)
+        return {
+            stage.name: counts.get(number, LoadCount(stage.span_us))
+            for number, stage in enumerate(self.plan.stages)
+        }
+
+    def records(self) -> Iterator[rec.Record]:
+        """The run as records that the checkers of `verification` judge."""
+        for load_class in self.plan.classes:
+            yield _class_record(load_class)
+        for attempt in self.attempts:
+            yield self._request_record(attempt)
+            yield self._answer_record(attempt)
+
+    def _request_record(self, attempt: Attempt) -> rec.Asked:
+        load_class = self.plan.classes[attempt.cls]
+        sent_us = self.start_us + attempt.sent_us
+        return rec.Asked(
+            sent_us,
+            str(attempt.request),
+            attempt.attempt,
+            "edge",
+            load_class.name,
+            f"s{attempt.session}",
+            self.plan.tenants[attempt.tenant].name if attempt.tenant != NO_TENANT else "",
+            attempt.session % self.plan.groups,
+            f"r{attempt.session}",
+            sent_us + load_class.deadline_us,
+        )
+
+    def _answer_record(self, attempt: Attempt) -> rec.Told:
+        return rec.Told(
+            self.start_us + attempt.due_us + attempt.took_us,
+            str(attempt.request),
+            attempt.attempt,
+            attempt.status,
+            attempt.local,
+            wait_us=max(attempt.retry_after_ms, 0) * 1000,
+        )
+
+
+def _class_record(load_class: LoadClass) -> rec.Class:
+    return rec.Class(
+        0,
+        load_class.name,
+        "keyed" if load_class.writes else "repeatable",
+        0,
+        load_class.writes,
+        True,
+        -1,
+        load_class.latency_objective_us,
+        load_class.priority_weight,
+        load_class.late_priority_weight,
+    )
 
 
 def load_result(path: Path) -> Result:
-    """Raises ValueError for a file that is no result."""
-    start: Start | None = None
-    shots: list[Shot] = []
-    sides: list[Side] = []
+    """Read a result. Raises OSError, and ValueError for a file that is none."""
+    start: RunStart | None = None
+    attempts: list[Attempt] = []
+    usage: list[ProcessUsage] = []
     for line in read_result(path):
-        if isinstance(line, Start):
+        if isinstance(line, RunStart):
             start = line
-        elif isinstance(line, Shot):
-            shots.append(line)
+        elif isinstance(line, Attempt):
+            attempts.append(line)
         else:
-            sides.append(line)
+            usage.append(line)
     if start is None:
         raise ValueError(f"{path}: does not begin as a result does")
-    return Result(parse_plan(start.plan.encode(), str(path)), start.at, shots, sides)
+    return Result(parse_plan(start.plan.encode(), str(path)), start.at_us, attempts, usage)
 
 
-COLUMNS = "offered/s", "good/s", "refused/s", "failed/s", "silent/s", "p50 ms", "p99 ms", "ref p99", "worth"
+def table(rows: dict[str, LoadCount]) -> list[str]:
+    """A line of headings and a line for each row, with the values of COLUMNS."""
+    lines = [f"{'':<14}" + "".join(f"{column:>11}" for column in COLUMNS)]
+    for name, count in rows.items():
+        lines.append(f"{name:<14}" + "".join(f"{cell:>11}" for cell in _cells(count)))
+    return lines
 
 
-def cells(count: Count) -> list[str]:
-    rates = [f"{count.rate(k):.0f}" for k in ("offered", "served", "refused", "failed", "silent")]
-    times = [f"{count.p(50):.0f}", f"{count.p(99):.0f}", f"{count.p(99, refusals=True):.0f}"]
-    share = count.worth / count.worth_asked if count.worth_asked else 0.0
-    return [*rates, *times, f"{share:.3f}"]
+def _cells(count: LoadCount) -> list[str]:
+    counts = (count.offered, count.served, count.rejected, count.failed, count.unanswered)
+    times_ms = (
+        count.response_percentile_ms(50),
+        count.response_percentile_ms(99),
+        count.rejection_percentile_ms(99),
+    )
+    rates = [f"{count.per_second(number):.0f}" for number in counts]
+    times = [f"{time_ms:.0f}" for time_ms in times_ms]
+    return [*rates, *times, f"{count.weight_share:.3f}"]
 
 
-def table(rows: dict[str, Count]) -> list[str]:
-    lines = [f"{'':<14}" + "".join(f"{c:>11}" for c in COLUMNS)]
-    for name, count in rows.items():
-        lines.append(f"{name:<14}" + "".join(f"{c:>11}" for c in cells(count)))
-    return lines
+def usage_lines(result: Result) -> list[str]:
+    """For each process, its mean and highest CPU: a side at one core is what was at its limit."""
+    cpus_by_name: dict[str, list[float]] = defaultdict(list)
+    lags_us: Counter[str] = Counter()
+    for usage in result.usage:
+        cpus_by_name[usage.name].append(usage.cpu)
+        lags_us[usage.name] = max(lags_us[usage.name], usage.lag_us)
+    return [_usage_line(name, cpus, lags_us[name]) for name, cpus in sorted(cpus_by_name.items())]
 
 
-def full_sides(result: Result) -> list[str]:
-    """For each process, its mean and highest CPU: a side at one core is what was full."""
-    by: dict[str, list[float]] = defaultdict(list)
-    late: dict[str, int] = defaultdict(int)
-    for side in result.sides:
-        by[side.name].append(side.cpu)
-        late[side.name] = max(late[side.name], side.late_us)
-    lines = []
-    for name, cpus in sorted(by.items()):
-        told = f", late by {late[name] / 1000:.0f} ms at the most" if late[name] else ""
-        full = "; FULL: figures may be its own" if max(cpus) > 0.95 and name.startswith("client") else ""
-        lines.append(
-            f"{name}: cpu {sum(cpus) / len(cpus):.2f} in the mean, {max(cpus):.2f} at most{told}{full}"
-        )
-    return lines
+def _usage_line(name: str, cpus: list[float], lag_us: int) -> str:
+    line = f"{name}: cpu {sum(cpus) / len(cpus):.2f} in the mean, {max(cpus):.2f} at most"
+    if lag_us:
+        line += f", late by {lag_us / 1000:.0f} ms at the most"
+    if max(cpus) > FULL_CPU and name.startswith("client"):
+        line += "; FULL: figures may be its own"
+    return line
--- a/tests/load/test_load.py
+++ b/tests/load/test_load.py
@@ -8,8 +8,9 @@
 from click.testing import CliRunner
 
 from juniperreel.cli.main import main
-from juniperreel.load.plan import draw, parse_plan
-from juniperreel.load.shots import ENCODER, Shot, Side, Start
+from juniperreel.load.arrivals import draw_requests
+from juniperreel.load.plan import parse_plan
+from juniperreel.load.result_file import ENCODER, Attempt, ProcessUsage, RunStart, read_result
 from juniperreel.load.summary import load_result
 from juniperreel.settings.lexer import SettingsError
 from juniperreel.verification.rules import Day, check_answers
@@ -53,8 +54,8 @@
 
 def test_arrivals_are_the_plans_and_the_same_each_time() -> None:
     plan = parse_plan(PLAN.encode(), "plan")
-    dues = draw(plan)
-    assert dues == draw(plan)
+    dues = draw_requests(plan)
+    assert dues == draw_requests(plan)
     assert [d.at_us for d in dues] == sorted(d.at_us for d in dues)
     counts = [sum(d.stage == n for d in dues) for n in range(4)]
     assert abs(counts[0] - 1000) < 150
@@ -84,16 +85,16 @@
     assert "deadline" in text
 
 
-def shot(n: int, **fields: object) -> Shot:
+def attempt(request: int, **fields: object) -> Attempt:
     values: dict[str, object] = {
-        "due": n * 1000, "sent": n * 1000 + 10, "took": 50_000, "n": n, "number": 0, "stage": 0, "cls": 0,
-        "tenant": 0, "session": n, "status": 0,
+        "due_us": request * 1000, "sent_us": request * 1000 + 10, "took_us": 50_000, "request": request,
+        "attempt": 0, "stage": 0, "cls": 0, "tenant": 0, "session": request, "status": 0,
     }  # fmt: skip
-    return Shot(**(values | fields))  # type: ignore[arg-type]
+    return Attempt(**(values | fields))  # type: ignore[arg-type]
 
 
-def written(path: Path, *shots: Shot) -> Path:
-    lines = [Start(1_700_000_000_000_000, PLAN), *shots, Side(1, "client 0", 0.99, 2000)]
+def written(path: Path, *attempts: Attempt) -> Path:
+    lines = [RunStart(1_700_000_000_000_000, PLAN), *attempts, ProcessUsage(1, "client 0", 0.99, 2000)]
     path.write_bytes(b"".join(ENCODER.encode(line) + b"\n" for line in lines))
     return path
 
@@ -102,36 +103,40 @@
     result = load_result(
         written(
             tmp_path / "r",
-            shot(1),
-            shot(2, status=14, wait=200, why="full"),
-            shot(2, number=1, due=300_000, took=40_000),
-            shot(3, status=8, wait=100, took=3000, why="full"),
-            shot(4, status=4, local=True, took=2_000_000),
-            shot(5, status=3, why="bad"),
-            shot(6, took=700_000),
+            attempt(1),
+            attempt(2, status=14, retry_after_ms=200, reason="full"),
+            attempt(2, attempt=1, due_us=300_000, took_us=40_000),
+            attempt(3, status=8, retry_after_ms=100, took_us=3000, reason="full"),
+            attempt(4, status=4, local=True, took_us=2_000_000),
+            attempt(5, status=3, reason="bad"),
+            attempt(6, took_us=700_000),
         )
     )
     count = result.stages()["calm"]
-    assert (count.offered, count.tries, count.served, count.refused, count.silent, count.failed) == (
-        6, 7, 3, 1, 1, 1,
-    )  # fmt: skip
-    assert count.worth == pytest.approx(3 + 3 + 0.2 * 3)
-    assert count.worth_asked == 18
-    assert count.p(99) > 600, "a retry's time counts from the first try's start"
+    assert (count.offered, count.attempts, count.served) == (6, 7, 3)
+    assert (count.rejected, count.unanswered, count.failed) == (1, 1, 1)
+    assert count.weight_earned == pytest.approx(3 + 3 + 0.2 * 3)
+    assert count.weight_offered == 18
+    assert count.response_percentile_ms(99) > 600, "a retry's time counts from the first try's start"
 
 
 def test_a_deadline_that_only_the_client_kept_breaks_rule_1(tmp_path: Path) -> None:
-    good = load_result(written(tmp_path / "good", shot(1), shot(2, status=14, wait=5)))
+    good = load_result(written(tmp_path / "good", attempt(1), attempt(2, status=14, retry_after_ms=5)))
     assert check_answers(Day.of(list(good.records()))) == []
-    bad = load_result(written(tmp_path / "bad", shot(1), shot(2, status=4, local=True, took=2_000_000)))
+    bad = load_result(
+        written(tmp_path / "bad", attempt(1), attempt(2, status=4, local=True, took_us=2_000_000))
+    )
     (violation,) = check_answers(Day.of(list(bad.records())))
     assert "no answer" in violation.text
-    late = load_result(written(tmp_path / "late", shot(1, took=2_600_000)))
+    late = load_result(written(tmp_path / "late", attempt(1, took_us=2_600_000)))
     assert "late" in check_answers(Day.of(list(late.records())))[0].text
 
 
 def test_reports_and_comparisons_from_the_shell(tmp_path: Path) -> None:
-    good, bad = written(tmp_path / "good", shot(1)), written(tmp_path / "bad", shot(1, status=4, local=True))
+    good, bad = (
+        written(tmp_path / "good", attempt(1)),
+        written(tmp_path / "bad", attempt(1, status=4, local=True)),
+    )
     plot = tmp_path / "plot.png"
     told = CliRunner().invoke(main, ["load", "report", str(good), "--plot", str(plot)])
     assert told.exit_code == 0
@@ -148,3 +153,24 @@
     told = CliRunner().invoke(main, ["load", "report", str(tmp_path / "torn")])
     assert told.exit_code == 2
     assert "torn:3" in told.output
+
+
+# Written by commit 5d30e02, whose types were Start, Shot and Side.
+OLD_RESULT = (
+    b'{"type":"Start","at":5,"plan":"text","command":"c"}\n'
+    b'{"type":"Shot","due":1,"sent":2,"took":3,"n":4,"number":5,"stage":6,"cls":7,"tenant":8,"session":9,'
+    b'"status":10,"local":true,"wait":11,"tries":12,"why":"full"}\n'
+    b'{"type":"Side","at":1,"name":"client 0","cpu":0.5,"late_us":2,"asked":3,"served":4,"refused":5}\n'
+)
+
+
+def test_a_result_of_older_code_is_read_and_written_again_as_it_was(tmp_path: Path) -> None:
+    path = tmp_path / "old"
+    path.write_bytes(OLD_RESULT)
+    lines = list(read_result(path))
+    assert lines == [
+        RunStart(5, "text", "c"),
+        Attempt(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, True, 11, 12, "full"),
+        ProcessUsage(1, "client 0", 0.5, 2, 3, 4, 5),
+    ]
+    assert b"".join(ENCODER.encode(line) + b"\n" for line in lines) == OLD_RESULT
