Testbed: the processes of a trial in a module a role; load: constants named in full

process_group held arguments, the loop's lag, the queue of hosts, and both roles. trial_process has what the roles share, members_process and drivers_process a role each, process_group the entry. tests/testbed and tests/load: 48 passed.

--- a/juniperreel/cli/workers.py
+++ b/juniperreel/cli/workers.py
@@ -21,7 +21,7 @@
 
 METRICS_READS = 3
 UNREADABLE_METRICS = b"# the workers' metrics could not be read\n"
-WORKERS_LEFT_STATUS = 1
+WORKERS_REMAINING_STATUS = 1
 
 
 class Ports(NamedTuple):
@@ -56,7 +56,7 @@
         )
 
     async def run(self) -> int:
-        """Serve until stopped; the exit status is WORKERS_LEFT_STATUS if workers had to be left running.
+        """Serve until stopped; the exit status is WORKERS_REMAINING_STATUS if workers had to be left running.
 
         Raises OSError where it cannot listen.
         """
@@ -82,7 +82,7 @@
                 await trio.sleep_forever()
         remaining = len(self._parent.children)
         self._log.info("shutdown complete", workers=remaining)
-        return WORKERS_LEFT_STATUS if remaining else 0
+        return WORKERS_REMAINING_STATUS if remaining else 0
 
     def _plan(self, settings: EdgeSettings, text: bytes) -> Plan:
         return Plan(text, settings.workers, self._worker_command, settings.stop_within_us)
--- a/juniperreel/load/arrivals.py
+++ b/juniperreel/load/arrivals.py
@@ -13,7 +13,7 @@
 
 from juniperreel.load.plan import Plan, Stage
 
-US = 1_000_000
+SECOND_US = 1_000_000
 NO_TENANT = -1
 
 
@@ -49,7 +49,7 @@
     if highest_rate <= 0:
         return
     time_us = 0.0
-    while (time_us := time_us + rng.expovariate(highest_rate) * US) < stage.span_us:
+    while (time_us := time_us + rng.expovariate(highest_rate) * SECOND_US) < stage.span_us:
         rate = stage.rate + (stage.end_rate - stage.rate) * time_us / stage.span_us
         if rng.random() * highest_rate < rate:
             yield int(time_us)
--- a/juniperreel/load/client.py
+++ b/juniperreel/load/client.py
@@ -20,7 +20,7 @@
 import grpc
 import grpc.aio
 
-from juniperreel.load.arrivals import NO_TENANT, US, PlannedRequest, RequestChooser, draw_requests
+from juniperreel.load.arrivals import NO_TENANT, SECOND_US, PlannedRequest, RequestChooser, draw_requests
 from juniperreel.load.plan import NAIVE, PATIENT, Plan, Stage, read_plan
 from juniperreel.load.result_file import ENCODER, LOCAL_STATUS, REJECTED_STATUSES, Attempt, ProcessUsage
 from juniperreel.proto.common.v1 import values_pb2
@@ -87,10 +87,10 @@
         for request in own_requests:
             wait_us = request.at_us - self._now_us()
             if wait_us > 0:
-                await asyncio.sleep(wait_us / US)
+                await asyncio.sleep(wait_us / SECOND_US)
             self._start(self._send_request(request))
         while self._tasks:
-            timeout_s = DRAIN_S + self._plan.longest_deadline_us / US
+            timeout_s = DRAIN_S + self._plan.longest_deadline_us / SECOND_US
             await asyncio.wait(list(self._tasks), timeout=timeout_s)
         reporting.cancel()
         for channel in self._channels:
@@ -126,7 +126,7 @@
     async def _run_closed_client(
         self, number: int, index: int, stage: Stage, chooser: RequestChooser
     ) -> None:
-        await asyncio.sleep(max(0, stage.start_us - self._now_us()) / US)
+        await asyncio.sleep(max(0, stage.start_us - self._now_us()) / SECOND_US)
         request_number = CLOSED_CLIENT_NUMBERS * (number + 1)
         while (now_us := self._now_us()) < stage.start_us + stage.span_us:
             await self._send_request(chooser.draw(now_us, request_number, index))
@@ -137,7 +137,7 @@
         reported_s = time.process_time()
         while True:
             second += 1
-            await asyncio.sleep(max(0.0, second - self._now_us() / US))
+            await asyncio.sleep(max(0.0, second - self._now_us() / SECOND_US))
             cpu_s = time.process_time() - reported_s
             reported_s += cpu_s
             counts = self._counts
@@ -162,7 +162,7 @@
             if not self._may_retry(attempt):
                 return
             pause_s = self._retry_pause_s(attempt)
-            due_us = self._now_us() + int(pause_s * US)
+            due_us = self._now_us() + int(pause_s * SECOND_US)
             await asyncio.sleep(pause_s)
 
     def _may_retry(self, attempt: Attempt) -> bool:
@@ -182,7 +182,7 @@
         sent_us = self._now_us()
         self._counts.lag_us = max(self._counts.lag_us, sent_us - due_us)
         self._counts.requests += 1
-        timeout_s = self._plan.classes[request.cls].deadline_us / US
+        timeout_s = self._plan.classes[request.cls].deadline_us / SECOND_US
         try:
             reply = await call(message.SerializeToString(), timeout=timeout_s, metadata=metadata)
             outcome = self._on_response(request, records_pb2.ExecuteResponse.FromString(reply))
--- a/juniperreel/load/report.py
+++ b/juniperreel/load/report.py
@@ -7,7 +7,7 @@
 
 from juniperreel.load.summary import LoadCount, Result
 
-US = 1_000_000
+SECOND_US = 1_000_000
 WIDTH_INCHES = 14.0
 HEIGHT_INCHES = 10.0
 DOTS_PER_INCH = 90
@@ -80,7 +80,7 @@
 def _plot_over_time(axis: Any, result: Result, names: dict[int, str], kind: str) -> None:
     """`kind` is the attribute of attempts that `names` are by."""
     counts = result.count_by(
-        lambda attempt: SecondOf(getattr(attempt, kind), attempt.due_us // US), lambda _: US
+        lambda attempt: SecondOf(getattr(attempt, kind), attempt.due_us // SECOND_US), lambda _: SECOND_US
     )
     for number, name in names.items():
         seconds = sorted(part.second for part in counts if part.number == number)
--- a/juniperreel/load/runner.py
+++ b/juniperreel/load/runner.py
@@ -18,7 +18,7 @@
 from juniperreel.load.plan import Plan, Stage
 from juniperreel.load.result_file import ENCODER, ProcessUsage, RunStart
 
-US = 1_000_000
+SECOND_US = 1_000_000
 LEAD_US = 1_500_000  # for all processes to draw their arrivals and connect
 GRACE_S = 30.0  # beyond the plan's end and the longest deadline, before a process counts as hung
 POLL_S = 0.05
@@ -164,8 +164,8 @@
     watched: ProcessorTimes,
 ) -> None:
     """Report a line a second until all processes have ended. Raises ClientsHungError."""
-    start_s = start_us / US
-    end_s = start_s + plan.span_us / US + plan.longest_deadline_us / US + GRACE_S
+    start_s = start_us / SECOND_US
+    end_s = start_s + plan.span_us / SECOND_US + plan.longest_deadline_us / SECOND_US + GRACE_S
     second = 0
     while any(process.poll() is None for process in processes):
         if time.time() > end_s:
@@ -182,7 +182,7 @@
 def stage_at(plan: Plan, second: int) -> Stage:
     """The first stage that is not over by this second, or the last one."""
     for stage in plan.stages:
-        if second * US <= stage.start_us + stage.span_us:
+        if second * SECOND_US <= stage.start_us + stage.span_us:
             return stage
     return plan.stages[-1]
 
--- a/juniperreel/load/summary.py
+++ b/juniperreel/load/summary.py
@@ -15,7 +15,7 @@
 from juniperreel.load.result_file import REJECTED_STATUSES, Attempt, ProcessUsage, RunStart, read_result
 from juniperreel.verification import records as rec
 
-US = 1_000_000
+SECOND_US = 1_000_000
 # Times of the histograms: microseconds, and significant digits.
 LOWEST_US = 1
 HIGHEST_US = 120_000_000
@@ -75,7 +75,7 @@
 
     def per_second(self, count: int) -> float:
         """One of the counts as a rate over the part's span."""
-        return float(count) / max(self.span_us, 1) * US
+        return float(count) / max(self.span_us, 1) * SECOND_US
 
     @property
     def weight_share(self) -> float:
--- /dev/null
+++ b/juniperreel/testbed/drivers_process.py
@@ -0,0 +1,103 @@
+"""A process of a trial with some of its drivers."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from functools import partial
+
+import trio
+
+from juniperreel.fakes.fleet import Fleet
+from juniperreel.fakes.script import Day
+from juniperreel.testbed.control_messages import (
+    ControlConnection,
+    HostUpdate,
+    ProcessCounts,
+    StartDay,
+    StartDrivers,
+)
+from juniperreel.testbed.driver_fleet import DriverFleet
+from juniperreel.testbed.links import Links
+from juniperreel.testbed.scenario import CLASS_WEIGHTS, DRIVER_PROGRAM, driver_names
+from juniperreel.testbed.trial_process import (
+    DRIVERS,
+    POLL_S,
+    ProcessArguments,
+    TrialProcess,
+    processor_time_s,
+    steps_of_role,
+)
+from juniperreel.verification.records import Recorder
+
+
+class DriversProcess(TrialProcess):
+    """Plays some of the trial's drivers with their discovery and their sessions."""
+
+    def __init__(
+        self, day: Day, arguments: ProcessArguments, control: ControlConnection, record: Recorder
+    ) -> None:
+        super().__init__(day, arguments, control, record)
+        directory = arguments.directory / arguments.name
+        directory.mkdir(exist_ok=True)
+        self._member_ports: dict[tuple[str, str], int] = {}  # by driver and member
+        self._drivers = DriverFleet(
+            day,
+            [name for number, name in enumerate(driver_names(day)) if arguments.owns(number)],
+            self.network,
+            self.clock,
+            record,
+            directory,
+            self._member_port,
+            self.rng.getrandbits(32),
+            arguments.program or DRIVER_PROGRAM,
+        )
+
+    def on_host_update(self, update: HostUpdate) -> None:
+        """Hand it to discovery, once the ports are known."""
+        host = update.host
+        self._member_ports |= {(driver, host.id): port for driver, port in update.ports.items()}
+        self._drivers.hosts.tell(host, update.delay_us)
+
+    async def run(self) -> None:
+        """Play to the trial's end; the drivers have ended then."""
+        own_day = replace(self.day, steps=steps_of_role(self.day, DRIVERS))
+        fleet = Fleet(own_day, self.network, self.clock, self.record, frozenset(), self._drivers.hosts)
+        async with trio.open_nursery() as nursery:
+            self._drivers.links = Links(self.network, nursery, self.rng.getrandbits(32))
+            nursery.start_soon(self.lag.run)
+            nursery.start_soon(self.receive_messages)
+            try:
+                await nursery.start(fleet.run)
+                await self.expect(StartDrivers)
+                await self._wait_for_members()
+                await self._drivers.start()
+                await self.play_day(partial(self._play, fleet))
+            finally:
+                self._drivers.processes.kill_all()
+            await self.control.send(self._counts())
+            nursery.cancel_scope.cancel()
+
+    async def _play(self, fleet: Fleet, start: StartDay) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.play, self._drivers.play_fault)
+            nursery.start_soon(self._drivers.run_load, start.until_us, CLASS_WEIGHTS)
+
+    async def _member_port(self, driver: str, member: str) -> int:
+        await trio.lowlevel.checkpoint()
+        return self._member_ports[driver, member]
+
+    async def _wait_for_members(self) -> None:
+        """Return once every driver's discovery has all members of the trial."""
+        members = self.day["groups"] * self.day["members"]
+        discoveries = self._drivers.hosts.discoveries.values()
+        while any(len(discovery.hosts) < members for discovery in discoveries):
+            await trio.sleep(POLL_S)
+
+    def _counts(self) -> ProcessCounts:
+        discoveries = self._drivers.hosts.discoveries.values()
+        return ProcessCounts(
+            self.arguments.name,
+            discovery_calls=sum(discovery.calls for discovery in discoveries),
+            max_lag_us=self.lag.max_us,
+            cpu_s=processor_time_s(),
+        )
--- a/juniperreel/testbed/multi_process_trial.py
+++ b/juniperreel/testbed/multi_process_trial.py
@@ -30,9 +30,9 @@
     StartDrivers,
 )
 from juniperreel.testbed.errors import ConnectionEndedError, ProcessLostError
-from juniperreel.testbed.process_group import DRIVERS, MEMBERS
 from juniperreel.testbed.processes import Processes, ProcessState
 from juniperreel.testbed.scenario import REPOSITORY, driver_names, limits, request_classes
+from juniperreel.testbed.trial_process import DRIVERS, MEMBERS
 from juniperreel.verification import records as rec
 
 MAX_MEMBERS_PROCESSES = 4
