--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -46,9 +46,9 @@
             [*COMMAND, "edge", str(folder / "edge.conf")], stderr=subprocess.PIPE, text=True
         )
         self.lines: list[dict[str, Any]] = []
-        self.address = self.until("serving")["listen"]
+        self.address = self.wait_for_event("serving")["listen"]
 
-    def until(self, event: str) -> dict[str, Any]:
+    def wait_for_event(self, event: str) -> dict[str, Any]:
         assert self.edge.stderr is not None
         for line in self.edge.stderr:
             self.lines.append(json.loads(line))
@@ -70,8 +70,8 @@
     started.stop()
 
 
-def call(running: Running, *words: str) -> subprocess.CompletedProcess[str]:
-    command = [*COMMAND, "call", running.address, *words]
+def call(running: Running, *arguments: str) -> subprocess.CompletedProcess[str]:
+    command = [*COMMAND, "call", running.address, *arguments]
     return subprocess.run(command, capture_output=True, text=True, timeout=30)
 
 
@@ -107,13 +107,13 @@
         assert http_status(f"http://{metrics}/{path}") == status
     running.edge.send_signal(signal.SIGTERM)
     assert running.edge.wait(15) == 0
-    assert running.until("shutdown complete")["in_time"] is True
+    assert running.wait_for_event("shutdown complete")["in_time"] is True
 
 
 def test_a_second_signal_ends_at_once(running: Running) -> None:
     running.standins.send_signal(signal.SIGSTOP)  # members take the write and do not answer
-    words = ["call", running.address, "write", INSERT, "a", "b", "--timeout", "20"]
-    blocked = subprocess.Popen([*COMMAND, *words], stderr=subprocess.PIPE, text=True)
+    arguments = ["call", running.address, "write", INSERT, "a", "b", "--timeout", "20"]
+    blocked = subprocess.Popen([*COMMAND, *arguments], stderr=subprocess.PIPE, text=True)
     metrics = next(line for line in running.lines if line["event"] == "serving")["metrics"]
     for _ in range(200):
         with urllib.request.urlopen(f"http://{metrics}/metrics", timeout=10) as answer:
@@ -121,7 +121,7 @@
                 break
         time.sleep(0.05)
     running.edge.send_signal(signal.SIGTERM)
-    running.until("graceful shutdown started")
+    running.wait_for_event("graceful shutdown started")
     assert running.edge.poll() is None
     running.edge.send_signal(signal.SIGTERM)
     assert running.edge.wait(5) == 1
--- a/tests/cli/test_configd.py
+++ b/tests/cli/test_configd.py
@@ -1,4 +1,4 @@
-"""Three instances as processes of their own, and the commands on them."""
+"""ThreeInstances instances as processes of their own, and the commands on them."""
 
 from __future__ import annotations
 
@@ -29,7 +29,9 @@
 MEMBER = {"group": 0, "address": "127.0.0.1", "port": 9}
 
 
-class Three:
+class ThreeInstances:
+    """A cluster of three instances, each a process of its own."""
+
     def __init__(self, folder: Path) -> None:
         self.folder = folder
         (folder / "cluster.key").write_bytes(b"k" * 32)
@@ -48,19 +50,21 @@
         for n in range(3):
             self.start(n, "--create")
 
-    def start(self, n: int, *words: str) -> None:
+    def start(self, n: int, *arguments: str) -> None:
         log = (self.folder / f"c{n}.log").open("a")
-        command = [*COMMAND, "configd", str(self.folder / f"c{n}.conf"), *words]
+        command = [*COMMAND, "configd", str(self.folder / f"c{n}.conf"), *arguments]
         self.processes[n] = subprocess.Popen(command, stderr=log, text=True)
 
-    def config(self, *words: str) -> subprocess.CompletedProcess[str]:
+    def config(self, *arguments: str) -> subprocess.CompletedProcess[str]:
         at = [w for port in self.ports for w in ("--at", f"127.0.0.1:{port}")]
-        return subprocess.run([*COMMAND, "config", *at, *words], capture_output=True, text=True, timeout=60)
+        return subprocess.run(
+            [*COMMAND, "config", *at, *arguments], capture_output=True, text=True, timeout=60
+        )
 
-    def set(self, changes: list[object], *words: str) -> subprocess.CompletedProcess[str]:
+    def set(self, changes: list[object], *arguments: str) -> subprocess.CompletedProcess[str]:
         path = self.folder / "changes.json"
         path.write_text(json.dumps(changes))
-        return self.config("set", str(path), *words)
+        return self.config("set", str(path), *arguments)
 
     def stop(self) -> None:
         for process in self.processes.values():
@@ -70,13 +74,13 @@
 
 
 @pytest.fixture
-def three(tmp_path: Path) -> Iterator[Three]:
-    made = Three(tmp_path)
+def three(tmp_path: Path) -> Iterator[ThreeInstances]:
+    made = ThreeInstances(tmp_path)
     yield made
     made.stop()
 
 
-def test_a_cluster_from_the_shell_through_a_lost_leader(three: Three) -> None:
+def test_a_cluster_from_the_shell_through_a_lost_leader(three: ThreeInstances) -> None:
     (three.folder / "edge.conf").write_text(EDGE.format(hosts=7000))
     for _ in range(20):  # the instances are still starting
         seeded = three.config("seed", str(three.folder / "edge.conf"))
@@ -112,7 +116,7 @@
     assert three.processes[other].wait(15) == 0
 
 
-def test_a_directory_is_not_created_twice_and_an_empty_one_is_refused(three: Three) -> None:
+def test_a_directory_is_not_created_twice_and_an_empty_one_is_refused(three: ThreeInstances) -> None:
     conf = str(three.folder / "c0.conf")
     for _ in range(400):
         if (three.folder / "d0" / "data.mdb").exists():
@@ -131,7 +135,7 @@
     assert "forgotten what it voted" in empty.stderr
 
 
-def test_a_lost_quorum_is_rescued_from_one_directory_and_grows_again(three: Three) -> None:
+def test_a_lost_quorum_is_rescued_from_one_directory_and_grows_again(three: ThreeInstances) -> None:
     change: list[object] = [{"type": "set-limit", "name": "attempts", "value": 5}]
     for _ in range(20):
         if three.set(change).returncode == 0:
@@ -157,9 +161,9 @@
         (three.folder / f"c{n}.conf").write_text(text.replace("cluster test", "cluster second"))
     three.start(0)
     three.start(1, "--join")
-    for words in (("add", names[1]), ("promote", names[1])):
+    for arguments in (("add", names[1]), ("promote", names[1])):
         for _ in range(20):  # it may be starting, or lack entries still
-            step = three.config("members", *words)
+            step = three.config("members", *arguments)
             if step.returncode == 0:
                 break
             time.sleep(0.2)
--- a/tests/cli/test_pool.py
+++ b/tests/cli/test_pool.py
@@ -22,7 +22,7 @@
     return started
 
 
-async def test_pools_of_an_edge(world: World, nursery: trio.Nursery) -> None:
+async def test_pool_show_prints_members_of_an_edge_that_serves(world: World, nursery: trio.Nursery) -> None:
     http = HttpFront(world.edge.metrics.text, lambda: True)
     listener = await TcpNetwork().listen("127.0.0.1", 0)
     port = await nursery.start(http.serve, listener)
@@ -37,11 +37,11 @@
         assert result.exit_code == 0, result.output
         return result.output
 
-    said = await trio.to_thread.run_sync(run)
-    assert all(name in said for name in (*world.fleet.members, "leased", "waiting", "32"))
+    output = await trio.to_thread.run_sync(run)
+    assert all(name in output for name in (*world.fleet.members, "leased", "waiting", "32"))
 
 
-def test_an_edge_without_pools_and_one_that_is_not_there() -> None:
+def test_pool_show_of_an_address_without_an_edge_ends_with_1() -> None:
     with socket.create_server(("127.0.0.1", 0)) as taken:
         port = taken.getsockname()[1]
     result = CliRunner().invoke(main, ["pool", "show", f"127.0.0.1:{port}"])
@@ -49,7 +49,7 @@
     assert "refused" in result.output
 
 
-def test_counts_are_told_by_the_second() -> None:
+def test_pool_table_shows_rates_since_the_previous_metrics() -> None:
     text = """# TYPE juniperreel_pool_turned_total counter
 juniperreel_pool_turned_total{reason="too many wait"} %d
 # TYPE juniperreel_pool_replays_total counter
@@ -57,7 +57,8 @@
 # TYPE juniperreel_pool_connections gauge
 juniperreel_pool_connections{member="m1",state="leased"} 4
 """
-    before, after = parse_metrics(text % (10, 100)), parse_metrics(text % (14, 120))
+    before = parse_metrics(text % (10, 100))
+    after = parse_metrics(text % (14, 120))
     caption = str(pool_table(after, before, 2.0).caption)
     assert "too many wait: 14 (2.0/s)" in caption
     assert "replays: 120 (10.0/s)" in caption
--- a/tests/cli/test_statement.py
+++ b/tests/cli/test_statement.py
@@ -22,8 +22,8 @@
 [log]"""
 
 
-def say(*words: str) -> str:
-    result = CliRunner().invoke(main, ["statement", *words])
+def invoke(*arguments: str) -> str:
+    result = CliRunner().invoke(main, ["statement", *arguments])
     assert result.exit_code == 0, result.output
     return result.output
 
@@ -42,23 +42,23 @@
         ("select 'open", ["digest: none"]),
     ],
 )
-def test_what_it_says(text: str, lines: list[str]) -> None:
-    said = say(text)
-    assert all(line in said for line in lines), said
+def test_statement_prints_its_reading_and_destination(text: str, lines: list[str]) -> None:
+    output = invoke(text)
+    assert all(line in output for line in lines), output
 
 
-def test_with_settings_it_names_the_class(tmp_path: Path) -> None:
+def test_statement_with_settings_prints_its_class(tmp_path: Path) -> None:
     (tmp_path / "token.key").write_bytes(b"k" * 32)
     name = digest(b"select a from t where b = 1")
-    assert f"digest: {name}" in say("select  a from t where b = 'x'")
+    assert f"digest: {name}" in invoke("select  a from t where b = 'x'")
     conf = tmp_path / "edge.conf"
     conf.write_text(EXAMPLE.replace("[log]", MYSQL.format(name)))
     options = ("--settings", str(conf))
-    assert "class: own-read" in say("select 1", *options)
-    assert "class: board-read" in say("select 1 /* hint report */", *options)
-    assert "class: board-read" in say("select a from t where b = 77", *options)
-    assert "class: run-write" in say("insert into t values (1)", *options)
-    assert "refused with 1235" in say("set autocommit = 0", *options), "its members speak gRPC"
+    assert "class: own-read" in invoke("select 1", *options)
+    assert "class: board-read" in invoke("select 1 /* hint report */", *options)
+    assert "class: board-read" in invoke("select a from t where b = 77", *options)
+    assert "class: run-write" in invoke("insert into t values (1)", *options)
+    assert "refused with 1235" in invoke("set autocommit = 0", *options), "its members speak gRPC"
     conf.write_text(EXAMPLE)
     result = CliRunner().invoke(main, ["statement", "select 1", *options])
     assert result.exit_code == 2
--- a/tests/cli/test_trial.py
+++ b/tests/cli/test_trial.py
@@ -20,7 +20,7 @@
 """
 
 
-def test_a_trial_is_played_judged_and_read_again(tmp_path: Path) -> None:
+def test_trial_run_prints_verdicts_that_its_recording_gives_again(tmp_path: Path) -> None:
     (tmp_path / "day").write_text(DAY)
     recording = tmp_path / "recording"
     done = CliRunner().invoke(
@@ -34,12 +34,12 @@
     assert again.exit_code == 0
     assert row in again.output.splitlines()
     stepped = CliRunner().invoke(main, ["trial", "spread", str(recording), "--step", "1"])
-    shares = {words[0]: words[1:] for words in map(str.split, stepped.output.splitlines()[-3:])}
+    shares = {fields[0]: fields[1:] for fields in map(str.split, stepped.output.splitlines()[-3:])}
     assert set(shares) == {"g0-m1", "g0-m2", "g0-m3"}
     assert all(len(s) >= 4 for s in shares.values())
 
 
-def test_a_script_that_cannot_be_played_is_told_with_every_line(tmp_path: Path) -> None:
+def test_bad_script_is_rejected_with_every_line_at_fault(tmp_path: Path) -> None:
     (tmp_path / "day").write_text("groups many\nat 1s fly edge/0\n")
     done = CliRunner().invoke(main, ["trial", "run", str(tmp_path / "day")])
     assert done.exit_code == 2
@@ -69,7 +69,7 @@
 """
 
 
-def test_seeds_that_hold_leave_nothing_behind(tmp_path: Path) -> None:
+def test_hunt_removes_folders_of_seeds_that_break_no_rule(tmp_path: Path) -> None:
     (tmp_path / "quiet.day").write_text("groups 1\nmembers 3\nedges 2\nsessions 4\nlast 2s\n")
     out = tmp_path / "found"
     done = CliRunner().invoke(
@@ -80,21 +80,22 @@
     assert list(out.iterdir()) == []
 
 
-def test_a_planted_bug_is_hunted_and_its_script_made_smaller(tmp_path: Path) -> None:
+def test_hunt_finds_a_planted_bug_and_shrink_reduces_its_script(tmp_path: Path) -> None:
     (tmp_path / "short.day").write_text(SHORT)
     (tmp_path / "ageless.py").write_text(AGELESS)
     driver = ["--driver", str(tmp_path / "ageless.py"), "--pause", "0.05"]
-    day, out = str(tmp_path / "short.day"), tmp_path / "found"
+    day = str(tmp_path / "short.day")
+    out = tmp_path / "found"
     done = CliRunner().invoke(main, ["trial", "hunt", day, "--seeds", "3", "--out", str(out), *driver])
     assert done.exit_code == 1, done.output
     assert "broke rule 5" in done.output, done.output
-    (kept,) = out.iterdir()
-    assert {"script.day", "recording", "n0.log"} <= {p.name for p in kept.iterdir()}
+    (failure_folder,) = out.iterdir()
+    assert {"script.day", "recording", "n0.log"} <= {p.name for p in failure_folder.iterdir()}
     smaller = tmp_path / "small.day"
-    words = [
+    arguments = [
         "trial",
         "shrink",
-        str(kept / "script.day"),
+        str(failure_folder / "script.day"),
         "--rule",
         "5",
         "--plays",
@@ -102,17 +103,19 @@
         "--out",
         str(smaller),
     ]
-    done = CliRunner().invoke(main, [*words, *driver])
+    done = CliRunner().invoke(main, [*arguments, *driver])
     assert done.exit_code == 0, done.output
     assert "1 of 2 faults are left" in done.output, done.output
     assert "lag g0" in smaller.read_text()
     assert "link-slow" not in smaller.read_text()
-    done = CliRunner().invoke(main, ["trial", "picture", str(kept / "recording"), str(tmp_path / "day.png")])
+    done = CliRunner().invoke(
+        main, ["trial", "picture", str(failure_folder / "recording"), str(tmp_path / "day.png")]
+    )
     assert done.exit_code == 0, done.output
     assert (tmp_path / "day.png").stat().st_size > 10_000, done.output
 
 
-def test_what_cannot_be_drawn_or_started_is_told(tmp_path: Path) -> None:
+def test_picture_without_requests_and_missing_driver_file_end_with_2(tmp_path: Path) -> None:
     (tmp_path / "empty").write_text("")
     (tmp_path / "day").write_text(DAY)
     done = CliRunner().invoke(main, ["trial", "picture", str(tmp_path / "empty"), str(tmp_path / "x.png")])
--- a/tests/cli/test_workers.py
+++ b/tests/cli/test_workers.py
@@ -31,27 +31,28 @@
         self.failed: list[grpc.RpcError] = []
         self._stop = threading.Event()
         self._address = address
-        self._threads = [threading.Thread(target=self._ask, args=(n,)) for n in range(count)]
+        self._threads = [threading.Thread(target=self._send_requests, args=(n,)) for n in range(count)]
         for thread in self._threads:
             thread.start()
 
-    def _ask(self, number: int) -> None:
-        ask = records_pb2.ExecuteRequest(statement=SELECT.encode(), session=f"s{number}")
-        ask.parameters.append(values_pb2.Value(text="ada"))
-        setattr(ask, "class", "own")
+    def _send_requests(self, number: int) -> None:
+        request = records_pb2.ExecuteRequest(statement=SELECT.encode(), session=f"s{number}")
+        request.parameters.append(values_pb2.Value(text="ada"))
+        setattr(request, "class", "own")
         options = (("grpc.use_local_subchannel_pool", 1),)
         with grpc.insecure_channel(self._address, options=options) as channel:
             call = channel.unary_unary(EXECUTE)
             while not self._stop.is_set():
                 try:
-                    call(ask.SerializeToString(), timeout=10, wait_for_ready=True)
+                    call(request.SerializeToString(), timeout=10, wait_for_ready=True)
                     self.served[number] += 1
                 except grpc.RpcError as error:
                     self.failed.append(error)
 
     def settle(self) -> None:
         """Until each has been served some more."""
-        before, end = list(self.served), time.monotonic() + SECONDS
+        before = list(self.served)
+        end = time.monotonic() + SECONDS
         while any(now < then + 5 for now, then in zip(self.served, before, strict=True)):
             assert time.monotonic() < end, (before, self.served, self.failed[-3:])
             time.sleep(0.02)
@@ -89,7 +90,7 @@
     started.stop()
 
 
-def test_a_killed_worker_is_replaced_and_its_clients_go_on_elsewhere(edge: Edge) -> None:
+def test_killed_worker_is_replaced_and_its_clients_go_on_elsewhere(edge: Edge) -> None:
     clients = Clients(edge.address, 6)
     try:
         clients.settle()
@@ -106,7 +107,7 @@
         clients.stop()
 
 
-def test_a_reload_and_a_stop_lose_nothing_that_is_in_hand(edge: Edge) -> None:
+def test_reload_and_shutdown_lose_no_request_in_flight(edge: Edge) -> None:
     clients = Clients(edge.address, 6)
     try:
         clients.settle()
@@ -114,17 +115,17 @@
         good = conf.read_text()
         conf.write_text(good.replace("attempts 6", "attempts none"))
         edge.edge.send_signal(signal.SIGHUP)
-        error = edge.until("configuration reload rejected")["error"]
+        error = edge.wait_for_event("configuration reload rejected")["error"]
         assert ("attempts" in error and "line" in error) or ":" in error
         conf.write_text(good.replace("listen 127.0.0.1:0", "listen 127.0.0.1:1"))
         edge.edge.send_signal(signal.SIGHUP)
-        assert "needs a restart" in edge.until("configuration reload rejected")["error"]
+        assert "needs a restart" in edge.wait_for_event("configuration reload rejected")["error"]
         clients.settle()
         conf.write_text(good.replace(f"workers {WORKERS}", "workers 2"))
         edge.edge.send_signal(signal.SIGHUP)
-        assert edge.until("configuration reloaded")["workers"] == 2
+        assert edge.wait_for_event("configuration reloaded")["workers"] == 2
         for _ in range(WORKERS):
-            edge.until("shutdown complete")
+            edge.wait_for_event("shutdown complete")
         edge.reach('juniperreel_workers{phase="serving"}', 2.0)
         clients.settle()
         assert clients.failed == []
@@ -136,13 +137,14 @@
     assert edge.edge.wait(30) == 0
 
 
-def test_a_worker_that_stands_still_costs_the_others_nothing(edge: Edge) -> None:
+def test_frozen_worker_does_not_disturb_clients_of_the_others(edge: Edge) -> None:
     clients = Clients(edge.address, 6)
     try:
         clients.settle()
         os.kill(edge.pids()[0], signal.SIGSTOP)
         try:
-            before, end = list(clients.served), time.monotonic() + SECONDS
+            before = list(clients.served)
+            end = time.monotonic() + SECONDS
             while sum(now >= then + 5 for now, then in zip(clients.served, before, strict=True)) < 4:
                 assert time.monotonic() < end, "those of the other two workers go on"
                 time.sleep(0.02)
@@ -154,7 +156,7 @@
         clients.stop()
 
 
-def test_workers_end_when_their_parent_is_gone(edge: Edge) -> None:
+def test_workers_end_after_their_parent_was_killed(edge: Edge) -> None:
     pids = edge.pids()
     edge.edge.kill()
     end = time.monotonic() + SECONDS
--- a/tests/load/test_load.py
+++ b/tests/load/test_load.py
@@ -52,7 +52,7 @@
 """
 
 
-def test_arrivals_are_the_plans_and_the_same_each_time() -> None:
+def test_drawn_requests_follow_the_plan_and_are_the_same_each_time() -> None:
     plan = parse_plan(PLAN.encode(), "plan")
     dues = draw_requests(plan)
     assert dues == draw_requests(plan)
@@ -69,7 +69,7 @@
     assert first > 3 * sum(d.session == 10 for d in dues) / len(dues), "the skew"
 
 
-def test_a_bad_plan_is_refused_with_every_problem() -> None:
+def test_bad_plan_is_rejected_with_every_problem() -> None:
     bad = (
         PLAN.replace("rate 200", "rate 200\nclosed 5")
         .replace("deadline 4s", "deadline 0s")
@@ -99,7 +99,7 @@
     return path
 
 
-def test_a_request_counts_once_by_its_last_try(tmp_path: Path) -> None:
+def test_request_counts_once_by_its_last_attempt(tmp_path: Path) -> None:
     result = load_result(
         written(
             tmp_path / "r",
@@ -120,7 +120,7 @@
     assert count.response_percentile_ms(99) > 600, "a retry's time counts from the first try's start"
 
 
-def test_a_deadline_that_only_the_client_kept_breaks_rule_1(tmp_path: Path) -> None:
+def test_deadline_that_passes_without_an_answer_breaks_rule_1(tmp_path: Path) -> None:
     good = load_result(written(tmp_path / "good", attempt(1), attempt(2, status=14, retry_after_ms=5)))
     assert check_answers(Day.of(list(good.records()))) == []
     bad = load_result(
@@ -138,21 +138,21 @@
         written(tmp_path / "bad", attempt(1, status=4, local=True)),
     )
     plot = tmp_path / "plot.png"
-    told = CliRunner().invoke(main, ["load", "report", str(good), "--plot", str(plot)])
-    assert told.exit_code == 0
-    assert "rule 1, from the clients' side: held" in told.output
-    assert "FULL" in told.output
+    result = CliRunner().invoke(main, ["load", "report", str(good), "--plot", str(plot)])
+    assert result.exit_code == 0
+    assert "rule 1, from the clients' side: held" in result.output
+    assert "FULL" in result.output
     assert plot.read_bytes().startswith(b"\x89PNG")
-    told = CliRunner().invoke(main, ["load", "report", str(bad)])
-    assert told.exit_code == 1
-    assert "BROKEN" in told.output
-    told = CliRunner().invoke(main, ["load", "compare", str(good), str(bad)])
-    assert told.exit_code == 0
-    assert "calm" in told.output
+    result = CliRunner().invoke(main, ["load", "report", str(bad)])
+    assert result.exit_code == 1
+    assert "BROKEN" in result.output
+    result = CliRunner().invoke(main, ["load", "compare", str(good), str(bad)])
+    assert result.exit_code == 0
+    assert "calm" in result.output
     (tmp_path / "torn").write_bytes(good.read_bytes()[:-20])
-    told = CliRunner().invoke(main, ["load", "report", str(tmp_path / "torn")])
-    assert told.exit_code == 2
-    assert "torn:3" in told.output
+    result = CliRunner().invoke(main, ["load", "report", str(tmp_path / "torn")])
+    assert result.exit_code == 2
+    assert "torn:3" in result.output
 
 
 # Written by commit 5d30e02, whose types were Start, Shot and Side.
--- a/tests/testbed/test_multi_process_trial.py
+++ b/tests/testbed/test_multi_process_trial.py
@@ -31,7 +31,9 @@
     return status.rpartition(")")[2].split()[0] != "Z"
 
 
-async def test_faults_strike_drivers_members_and_links_wherever_they_are_played(tmp_path: Path) -> None:
+async def test_faults_apply_to_drivers_members_and_links_in_whichever_process_plays_them(
+    tmp_path: Path,
+) -> None:
     day = parse(
         SIZE
         + "last 9s\n"
@@ -42,8 +44,8 @@
         + "at 5s for 1s link-cut edge/* to list\n"
     )
     trial = MultiProcessTrial(day, tmp_path, 2)
-    said: list[str] = []
-    await trial.run(said.append)
+    progress: list[str] = []
+    await trial.run(progress.append)
     found = check_all(trial.records)
     assert not any(found.values()), {n: [v.text for v in vs[:5]] for n, vs in found.items() if vs}
     assert [r.at for r in trial.records] == sorted(r.at for r in trial.records)
@@ -52,13 +54,13 @@
     assert len(targeted) == 2
     why = {r.member[:2]: r.why for r in trial.records if isinstance(r, rec.Stopped)}
     assert why["g0"] == "killed"
-    told = [r for r in trial.records if isinstance(r, rec.Listed) and r.readiness == "draining"]
-    assert {r.edge for r in told} == set(trial.drivers), "each driver is told of the drain"
+    updates = [r for r in trial.records if isinstance(r, rec.Listed) and r.readiness == "draining"]
+    assert {r.edge for r in updates} == set(trial.drivers), "each driver is notified of the drain"
     answers = [r for r in trial.records if isinstance(r, rec.Told)]
     assert sum(r.status == 0 for r in answers) > 0.8 * len(answers) > 150
     assert sum(c.probes for c in trial.counts.values()) > 0
     assert len(trial.counts) == 4
-    assert any("drivers" in text for text in said)
+    assert any("drivers" in text for text in progress)
     draw_picture(trial.records, tmp_path / "day.png")
     assert (tmp_path / "day.png").read_bytes()[1:4] == b"PNG"
 
@@ -67,9 +69,9 @@
     day = parse(SIZE + "last 8s\n")
     trial = MultiProcessTrial(day, tmp_path, 1)
     await trial.run()
-    asked = [r for r in trial.records if isinstance(r, rec.Asked)]
-    assert 0.6 * 60 * 8 < len(asked) < 1.2 * 60 * 8
-    counts = {n: sum(r.edge == n for r in asked) for n in trial.drivers}
+    requests = [r for r in trial.records if isinstance(r, rec.Asked)]
+    assert 0.6 * 60 * 8 < len(requests) < 1.2 * 60 * 8
+    counts = {n: sum(r.edge == n for r in requests) for n in trial.drivers}
     heavy = [n for i, n in enumerate(trial.drivers) if is_busy_driver(i, 0.15)]
     assert len(heavy) == 1
     assert counts[heavy[0]] > 2 * max(c for n, c in counts.items() if n not in heavy)
--- a/tests/testbed/test_platform_fleet.py
+++ b/tests/testbed/test_platform_fleet.py
@@ -66,15 +66,15 @@
 
 def reads(trial: SingleProcessTrial) -> int:
     served = {r.rid for r in trial.recorder.records if isinstance(r, rec.Told) and r.status == 0}
-    asked = [r for r in trial.recorder.records if isinstance(r, rec.Asked)]
-    return sum(r.cls == "board" and r.rid in served for r in asked)
+    requests = [r for r in trial.recorder.records if isinstance(r, rec.Asked)]
+    return sum(r.cls == "board" and r.rid in served for r in requests)
 
 
 async def test_a_bad_day_of_five_drivers_breaks_no_rule(tmp_path: Path) -> None:
     trial, found = await play(tmp_path, BAD)
     assert not any(found.values()), {n: [v.text for v in vs[:5]] for n, vs in found.items() if vs}
-    told = [r for r in trial.recorder.records if isinstance(r, rec.Told)]
-    assert sum(r.status == 0 for r in told) > 0.9 * len(told) > 300
+    answers = [r for r in trial.recorder.records if isinstance(r, rec.Told)]
+    assert sum(r.status == 0 for r in answers) > 0.9 * len(answers) > 300
     assert [trial.processes[n].starts for n in trial.names] == [2, 2, 1, 1, 1]
     for name in trial.names:
         assert not [e for e in trial.events(trial.processes[name]) if e["level"] == "error"]
@@ -113,11 +113,11 @@
     records = trial.recorder.records
     (muted,) = [r.at for r in records if isinstance(r, rec.Fault) and "link-mute" in r.text and r.on]
     for name in trial.names:  # by a new watch, before what the old one missed counts as told
-        told = [
+        notified = [
             r.at for r in records if isinstance(r, rec.Listed) and (r.edge, r.readiness) == (name, "draining")
         ]
-        assert told
-        assert min(told) < muted + 5 * SECOND
+        assert notified
+        assert min(notified) < muted + 5 * SECOND
 
 
 @pytest.mark.parametrize("judges", [True, False])
@@ -173,10 +173,10 @@
     day = f"groups 1\nmembers 5\nsessions 16\ncold-span 3s\nlast 8s\n{steps}\n"
     trial, found = await play(tmp_path, day, pause_s=0.2)
     assert not any(found.values()), {n: [v.text for v in vs[:5]] for n, vs in found.items() if vs}
-    told = [r for r in trial.recorder.records if isinstance(r, rec.Told)]
-    assert sum(r.status == 0 for r in told) > least * len(told) > 50
+    answers = [r for r in trial.recorder.records if isinstance(r, rec.Told)]
+    assert sum(r.status == 0 for r in answers) > least * len(answers) > 50
     # Every replica that runs to the end has work again, from every driver that has a fair number of reads.
-    now = max(r.at for r in told)
+    now = max(r.at for r in answers)
     alive = {m.name for m in trial.fleet.members.values() if m.alive and not m.draining}
     late = [a for a in spread.arrivals(trial.recorder.records, alive) if a.at > now - 3 * SECOND]
     assert {a.member for a in late} == alive
--- a/tests/testbed/test_relay.py
+++ b/tests/testbed/test_relay.py
@@ -55,16 +55,18 @@
     def __init__(
         self, echo: Echo, relay: Relay, stream: trio.abc.Stream, near_end_closed: list[Callable[[], bool]]
     ) -> None:
-        self.echo, self.relay, self.stream = echo, relay, stream
+        self.echo = echo
+        self.relay = relay
+        self.stream = stream
         self.near_end_closed = near_end_closed  # of each connection, whether its near end is closed
 
     async def receive(self, wanted: bytes) -> None:
-        got = b""
-        while got != wanted:
+        received = b""
+        while received != wanted:
             data = bytes(await self.stream.receive_some(4096))
             assert data
-            assert wanted.startswith(got + data)
-            got += data
+            assert wanted.startswith(received + data)
+            received += data
 
     async def wait_until_received(self, wanted: bytes) -> None:
         while self.echo.received != wanted:
@@ -101,7 +103,7 @@
     await stream.receive_some(1)
 
 
-async def test_bytes_pass_in_order_whatever_the_delay() -> None:
+async def test_bytes_pass_in_order_with_delay_and_jitter() -> None:
     async with echo_through_relay() as link:
         link.relay.forward.delay_us = 2_000
         link.relay.forward.jitter_us = 20_000
@@ -112,7 +114,7 @@
         assert link.relay.forward.carried_bytes == link.relay.reverse.carried_bytes == len(text)
 
 
-async def test_a_cut_is_silent_and_what_was_on_its_way_arrives_when_it_heals() -> None:
+async def test_cut_holds_bytes_silently_and_delivers_them_after_the_heal() -> None:
     async with echo_through_relay() as link:
         await link.stream.send_all(b"a")
         await link.receive(b"A")
@@ -126,7 +128,7 @@
         await link.receive(b"B")
 
 
-async def test_a_deaf_end_is_heard_but_does_not_hear() -> None:
+async def test_cut_of_the_reverse_direction_passes_requests_and_holds_answers() -> None:
     async with echo_through_relay() as link:
         link.relay.cut(forward=False)
         await link.stream.send_all(b"a")
@@ -138,7 +140,7 @@
         await link.receive(b"A")
 
 
-async def test_that_an_end_has_left_is_not_heard_through_a_cut() -> None:
+async def test_close_does_not_pass_through_a_cut_before_the_heal() -> None:
     async with echo_through_relay() as link:
         await link.stream.send_all(b"a")
         await link.receive(b"A")
@@ -153,7 +155,7 @@
             await trio.sleep(0.005)
 
 
-async def test_what_its_sender_gave_up_during_a_cut_never_arrives() -> None:
+async def test_bytes_whose_sender_closed_during_a_cut_never_arrive() -> None:
     async with echo_through_relay() as link:
         await link.stream.send_all(b"a")
         await link.receive(b"A")
@@ -167,7 +169,7 @@
         assert link.echo.received == b"a"
 
 
-async def test_a_new_connection_through_a_cut_comes_up_and_says_nothing() -> None:
+async def test_new_connection_through_a_cut_is_established_and_silent() -> None:
     async with echo_through_relay() as link:
         link.relay.cut()
         other = await TcpNetwork().connect("127.0.0.1", link.relay.port, 5_000_000)
@@ -180,7 +182,7 @@
         assert await other.receive_some(1) == b"X"
 
 
-async def test_a_reset_is_told_to_both_ends() -> None:
+async def test_reset_breaks_a_connection_at_both_ends() -> None:
     async with echo_through_relay() as link:
         await link.stream.send_all(b"a")
         await link.receive(b"A")
@@ -191,7 +193,7 @@
             await trio.sleep(0.005)
 
 
-async def test_a_link_that_refuses_and_one_whose_far_end_is_gone_reset_who_comes() -> None:
+async def test_new_connection_is_reset_while_refusing_or_without_a_far_end() -> None:
     async with echo_through_relay() as link:
         link.relay.refusing = True
         with pytest.raises((trio.BrokenResourceError, ConnectError)):  # the reset may overtake the connecting
@@ -204,7 +206,7 @@
                 await connect_and_receive(link.relay.port)
 
 
-async def test_cuts_between_named_sets() -> None:
+async def test_cuts_and_heals_apply_between_named_sets() -> None:
     with trio.fail_after(SECONDS):
         async with trio.open_nursery() as nursery:
             links = Links(TcpNetwork(), nursery, 1)
@@ -226,7 +228,7 @@
             nursery.cancel_scope.cancel()
 
 
-async def test_who_has_hung_up_is_known_before_it_is_read() -> None:
+async def test_closed_near_end_is_known_before_its_bytes_are_read() -> None:
     """What the kernel knows counts, also with bytes still unread: the loop has not turned since."""
     async with echo_through_relay() as link:
         await link.stream.send_all(b"hello")
@@ -242,14 +244,14 @@
         assert near_end_closed()
 
 
-async def test_a_member_runs_nothing_that_was_near_end_closed_before_it_looked(
+async def test_member_runs_nothing_whose_sender_closed_before_it_was_read(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Every request is given up, as far as the kernel knows, by the time the member has read it."""
+    """Every sender has closed, as far as the kernel knows, by the time the member has read it."""
     text = "groups 1\nmembers 2\nedges 1\nsessions 2\nlast 3s\nlist-delay 100ms\n"
     trial = SingleProcessTrial(parse(text), TcpNetwork(), tmp_path, 0.05)
     monkeypatch.setattr(relay_module, "hung_up", lambda _: True)
     await trial.run()
-    asked = [r for r in trial.recorder.records if isinstance(r, rec.Asked)]
-    assert asked
+    requests = [r for r in trial.recorder.records if isinstance(r, rec.Asked)]
+    assert requests
     assert not [r for r in trial.recorder.records if isinstance(r, rec.Arrived | rec.Committed)]
