--- a/juniperreel/cli/demo_settings.py
+++ b/juniperreel/cli/demo_settings.py
@@ -99,7 +99,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class EdgeAddress:
+class EdgeParameters:
     """What differs from edge to edge: its name and number, its ports (0: any free one) and member sources.
 
     `sources` are lines of the settings' section on hosts.
@@ -125,7 +125,7 @@
     return replace(mix, cls=structs.replace(mix.cls, effect="once", memory_us=0))
 
 
-def edge_settings(day: Day, edge: EdgeAddress) -> str:
+def edge_settings(day: Day, edge: EdgeParameters) -> str:
     """The text of an edge's settings file."""
     return EDGE_TEMPLATE.format(
         name=edge.name,
--- a/juniperreel/cli/environment.py
+++ b/juniperreel/cli/environment.py
@@ -21,7 +21,7 @@
     MAX_ATTEMPTS,
     MYSQL_TENANT,
     MYSQL_USER,
-    EdgeAddress,
+    EdgeParameters,
     edge_settings,
     mix_of,
 )
@@ -184,9 +184,11 @@
         self.record(rec.EdgeUp(self._clock.now_us(), edge.name))
 
     def _edge_command(self, edge: EdgeProcess) -> list[str]:
-        address = EdgeAddress(edge.name, edge.number, edge.port, edge.mysql_port, self._member_sources())
+        parameters = EdgeParameters(
+            edge.name, edge.number, edge.port, edge.mysql_port, self._member_sources()
+        )
         settings = self._folder / f"{edge.name}.conf"
-        settings.write_text(edge_settings(self._day, address), encoding="utf-8")
+        settings.write_text(edge_settings(self._day, parameters), encoding="utf-8")
         if self._options.careless:
             hosts = str(self.fleet.hosts.port)
             return [sys.executable, "-m", "juniperreel.fakes.naive", edge.name, str(edge.port), hosts]
