--- a/juniperreel/cli/statement.py
+++ b/juniperreel/cli/statement.py
@@ -4,12 +4,23 @@
 
 import sys
 from pathlib import Path
+from typing import NamedTuple
 
 import click
 
 from juniperreel.frontends.mysql.classification import StatementTraits, hint_of, statement_digest
-from juniperreel.frontends.mysql.transaction_scope import Action, TransactionScope
-from juniperreel.statements import classify_statement
+from juniperreel.frontends.mysql.transaction_scope import Action, Plan, TransactionScope
+from juniperreel.statements import Classification, classify_statement
+
+NO_MYSQL_STATUS = 2
+
+
+class MatchedSettings(NamedTuple):
+    """What an edge's settings say of a statement, its members' transactions and their schema."""
+
+    class_name: str
+    holds_transactions: bool
+    database: str
 
 
 @click.command()
@@ -25,41 +36,61 @@
     """Say how a statement's TEXT is read, where it may go, and its digest."""
     data = text.encode()
     reading = classify_statement(data)
-    able, database = True, ""
-    click.echo(f"kind: {reading.kind.value}{f' ({reading.reason})' if reading.reason else ''}")
+    print_reading(reading)
+    matched = None
+    if settings is not None:
+        matched = match_settings(settings, data, reading.replica_safe, user, schema)
+    scope = (
+        TransactionScope(True, "")
+        if matched is None
+        else TransactionScope(matched.holds_transactions, matched.database)
+    )
+    plan = scope.plan(reading)
+    click.echo(f"in autocommit: {destination(plan, reading)}")
+    if matched is not None and plan.action is Action.SINGLE_REQUEST:
+        click.echo(f"class: {matched.class_name}")
+    click.echo(f"digest: {statement_digest(data) or 'none, it cannot be read'}")
+
+
+def print_reading(reading: Classification) -> None:
+    """Print the statement's kind, what it depends on and whether it commits."""
+    reason = f" ({reading.reason})" if reading.reason else ""
+    click.echo(f"kind: {reading.kind.value}{reason}")
     if reading.dependencies:
         click.echo(f"depends on: {', '.join(sorted(reading.dependencies))}")
     if reading.implicit_commit:
         click.echo("commits what is open before it runs")
-    found = None
-    if settings is not None:
-        found = classes_of(settings, data, reading.replica_safe, user, schema)
-        able, database = found[1:]
-    plan = TransactionScope(able, database).plan(reading)
-    goes = {
-        Action.REJECT: f"refused with {plan.error_code.number}: {plan.error_message}",
-        Action.ACKNOWLEDGE: "answered by the edge itself",
-        Action.BEGIN_TRANSACTION: "a primary, and a transaction begins",
-    }.get(plan.action, "any member that satisfies the token" if reading.replica_safe else "a primary")
+
+
+def destination(plan: Plan, reading: Classification) -> str:
+    """Who serves the statement outside a transaction, in words."""
+    match plan.action:
+        case Action.REJECT:
+            place = f"refused with {plan.error_code.number}: {plan.error_message}"
+        case Action.ACKNOWLEDGE:
+            place = "answered by the edge itself"
+        case Action.BEGIN_TRANSACTION:
+            place = "a primary, and a transaction begins"
+        case _:
+            place = "any member that satisfies the token" if reading.replica_safe else "a primary"
     if plan.taints_connection:
-        goes += ", on a connection that nobody gets afterwards"
-    click.echo(f"in autocommit: {goes}")
-    if found is not None and plan.action is Action.SINGLE_REQUEST:
-        click.echo(f"class: {found[0]}")
-    click.echo(f"digest: {statement_digest(data) or 'none, it cannot be read'}")
+        place += ", on a connection that nobody gets afterwards"
+    return place
 
 
-def classes_of(file: Path, data: bytes, replica: bool, user: str, schema: str) -> tuple[str, bool, str]:
-    """Class by name, whether members hold transactions, their schema."""
-    from juniperreel.cli.edge import classes_from
-    from juniperreel.cli.main import settings_of
+def match_settings(file: Path, data: bytes, replica: bool, user: str, schema: str) -> MatchedSettings:
+    """Return what the settings say; end the command with 2 if they are bad or have no MySQL frontend."""
+    from juniperreel.cli.edge_options import mysql_classes
+    from juniperreel.cli.settings_file import read_settings_or_exit
 
-    settings = settings_of(file)
+    settings = read_settings_or_exit(file)
     if settings.mysql_frontend is None:
         click.echo(f"{file}: there is no [mysql] section", err=True)
-        sys.exit(2)
-    classes = classes_from(settings)
+        sys.exit(NO_MYSQL_STATUS)
+    classes = mysql_classes(settings)
     traits = StatementTraits(not replica, user, schema, hint_of(data), statement_digest(data))
-    cls, _ = classes.classify(traits)
+    index, _ = classes.classify(traits)
     database = settings.mysql_endpoints.database if settings.mysql_endpoints is not None else ""
-    return settings.router.classes[cls].name, settings.mysql_endpoints is not None, database
+    return MatchedSettings(
+        settings.router.classes[index].name, settings.mysql_endpoints is not None, database
+    )
--- a/juniperreel/proxy/request_driver.py
+++ b/juniperreel/proxy/request_driver.py
@@ -80,9 +80,9 @@
         log: Any,
         metrics: Metrics,
         traces: Traces,
-        pace: StallMonitor | None = None,
+        stall_monitor: StallMonitor | None = None,
     ) -> None:
-        """`pace` measures event loop stalls for admission. Raises ValueError for impossible settings."""
+        """Start idle; `stall_monitor` measures event loop stalls for admission. Raises ValueError."""
         rng = random.Random(options.seed)
         super().__init__(options.router, rng.getrandbits(64))
         self.options = options
@@ -108,7 +108,7 @@
         self.discovery = self._endpoint_source(network, random.Random(rng.getrandbits(64)))
         self._id_prefix = self._new_id_prefix(rng)
         self._ids = count()
-        self._pace = pace
+        self._stall_monitor = stall_monitor
         self._translator = RouterEventTranslator(
             self.open_requests, self.positions, self.registry, options.answer_margin_us, log, metrics
         )
@@ -271,8 +271,8 @@
 
     def _process_due(self) -> None:
         now = self.clock.now_us()
-        if self._pace is not None:
-            self.admission_controller.on_loop_lag(now, self._pace.take_longest_pass_us())
+        if self._stall_monitor is not None:
+            self.admission_controller.on_loop_lag(now, self._stall_monitor.take_longest_pass_us())
         self.admission.process_due(now)
         if self.process_batch(now):
             self.metrics.batches.inc()
--- a/juniperreel/rpc/connection.py
+++ b/juniperreel/rpc/connection.py
@@ -47,12 +47,12 @@
         limits: Limits,
         clock: Clock,
         on_request: Callable[[Stream], None] | None = None,
-        pace: StallMonitor | None = None,
+        stall_monitor: StallMonitor | None = None,
     ) -> None:
         """`on_request` is called for each new stream of the peer.
 
-        The stream then holds all that was read together with its headers. With a `pace`, what is read waits
-        for its turn.
+        The stream then holds all that was read together with its headers. With a `stall_monitor`, what is
+        read waits for its turn.
         """
         self.limits = limits
         self.client = client
@@ -66,13 +66,13 @@
         self.stream_closed = Wakeup()
         self._transport = transport
         self._on_request = on_request
-        self._pace = pace
+        self._stall_monitor = stall_monitor
         self._new_streams: list[Stream] = []
         self._blocked_senders = 0  # that wait for a window
         self._guard = AbuseGuard(limits)
         self._protocol = Http2Protocol(client, limits)
         self._writer = ConnectionWriter(self._protocol, transport, limits, self.abort)
-        self._arrival = ArrivalEstimator(pace, clock.now_us())
+        self._arrival = ArrivalEstimator(stall_monitor, clock.now_us())
         self._keepalive = Keepalive(limits, clock, lambda: bool(self.streams), self._send_ping, self.abort)
         self._scope: trio.CancelScope | None = None
 
@@ -151,7 +151,7 @@
     # Reading.
 
     async def _read(self) -> None:
-        size = READ_BYTES if self._pace is None else PACED_READ_BYTES
+        size = READ_BYTES if self._stall_monitor is None else PACED_READ_BYTES
         while True:
             self._arrival.before_read()
             data = await self._receive(size)
@@ -180,13 +180,13 @@
         return data
 
     async def _process(self, data: bytes | bytearray) -> None:
-        if self._pace is None:
+        if self._stall_monitor is None:
             self._handle(data)
             return
-        await self._pace.wait_for_new_work_budget()
-        began = self._pace.begin_new_work()
+        await self._stall_monitor.wait_for_new_work_budget()
+        began = self._stall_monitor.begin_new_work()
         self._handle(data)
-        self._pace.end_new_work(began)
+        self._stall_monitor.end_new_work(began)
 
     def _handle(self, data: bytes | bytearray) -> None:
         for event in self._protocol.receive(bytes(data)):
--- a/juniperreel/rpc/server.py
+++ b/juniperreel/rpc/server.py
@@ -81,7 +81,7 @@
         clock: Clock,
         on_error: Callable[[str, Exception], None] | None = None,
         max_connections: int = 10_000,
-        pace: StallMonitor | None = None,
+        stall_monitor: StallMonitor | None = None,
     ) -> None:
         """`methods`: by full path, as "/package.Service/Method"; `on_error`: a handler failed on a path."""
         self._methods = methods
@@ -89,7 +89,7 @@
         self._clock = clock
         self._on_error = on_error
         self._max_connections = max_connections
-        self._pace = pace
+        self._stall_monitor = stall_monitor
         self._connections: set[Connection] = set()
         self._draining = False
 
@@ -107,7 +107,9 @@
             self._serve_connection,
             task_status,
             has_capacity=lambda: not self._draining and len(self._connections) < self._max_connections,
-            after_accept=self._pace.wait_for_new_work_budget if self._pace is not None else None,
+            after_accept=self._stall_monitor.wait_for_new_work_budget
+            if self._stall_monitor is not None
+            else None,
         )
 
     async def _serve_connection(self, transport: trio.abc.Stream) -> None:
@@ -119,7 +121,9 @@
                 if not decision.rejected:
                     nursery.start_soon(self._serve_call, connection, stream, decision.call)
 
-            connection = Connection(transport, False, self._limits, self._clock, on_request, self._pace)
+            connection = Connection(
+                transport, False, self._limits, self._clock, on_request, self._stall_monitor
+            )
             self._connections.add(connection)
             try:
                 await connection.run()
--- /dev/null
+++ b/juniperreel/testbed/scenario.py
@@ -0,0 +1,108 @@
+"""What all processes of one trial agree on: drivers' names, targets of faults, load and request classes.
+
+Derived from the script alone, so that every process of a trial comes to the same answers by itself.
+"""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+
+from juniperreel.fakes.member import Shape
+from juniperreel.fakes.script import Day, Step
+from juniperreel.testbed.errors import UnknownTargetError
+from juniperreel.verification import records as rec
+
+REPOSITORY = Path(__file__).parents[2]
+DRIVER_PROGRAM = ("-m", "juniperreel.platform")  # arguments of the interpreter that start a driver
+DISCOVERY = "list"  # discovery's name as a target of link faults
+ZONES = 2  # drivers and members alternate between them
+
+DRAIN_GRACE_US = 2_000_000
+DEDUPLICATION_WINDOW_US = 5_000_000
+MAX_STALENESS_US = 300_000
+# Danger: on a machine that has much else to do, what a driver sent in time arrives late, and the checker
+# counts a read's age from its arrival. Replicas that lag do so by seconds here.
+CHECKED_STALENESS_US = MAX_STALENESS_US + 500_000
+MAX_ATTEMPTS = 6
+
+CLASS_WEIGHTS = (0.62, 0.22, 0.16)  # how often sessions ask for each of `request_classes`
+BUSY_DRIVER_FACTOR = 5.0  # times the mean of all: the rate of a driver that has much to do
+SESSION_RATE = 2.0  # most requests a second of one session, so that its answers' times hardly count
+
+
+def request_classes(now_us: int) -> tuple[rec.Class, ...]:
+    """Classes of bounded reads, reads of a session's own writes, and writes.
+
+    Their latency objectives are wide: a trial's machine has more to do than its size allows, and a rejected
+    request violates no rule.
+    """
+    bounded_read = rec.Class(
+        now_us, "board", "repeatable", 0, False, False, CHECKED_STALENESS_US, 1_000_000, 3.0, 0.2
+    )
+    session_read = rec.Class(now_us, "own", "repeatable", 0, False, True, -1, 1_200_000, 3.0, 0.2)
+    write = rec.Class(now_us, "run", "keyed", DEDUPLICATION_WINDOW_US, True, False, -1, 2_000_000, 4.0, 0.7)
+    return bounded_read, session_read, write
+
+
+def limits(now_us: int, shape: Shape) -> rec.Limits:
+    """The limits that the rules are judged by, for members of this shape."""
+    return rec.Limits(
+        now_us,
+        DRAIN_GRACE_US,
+        shape.cold_from,
+        shape.cold_us,
+        shape.fall_multiple,
+        shape.overload_us,
+        MAX_ATTEMPTS,
+    )
+
+
+def driver_names(day: Day) -> tuple[str, ...]:
+    """Names of all drivers of a trial, in order of their numbers."""
+    return tuple(f"n{i}" for i in range(day["edges"]))
+
+
+def zone_of_driver(index: int) -> int:
+    """The zone of the driver with this number."""
+    return index % ZONES
+
+
+def targeted_drivers(day: Day, step: Step) -> list[str]:
+    """The drivers that a step's target names: the same ones in every process of a trial.
+
+    Raises UnknownTargetError for a target that names none.
+    """
+    names = driver_names(day)
+    selector = step.target.removeprefix("edge/")
+    kind, _, argument = selector.partition(":")
+    if selector == "*":
+        return list(names)
+    if kind == "random" and argument:
+        fraction = float(argument.rstrip("%")) / 100
+        count = min(len(names), max(1, round(fraction * len(names))))
+        rng = random.Random(f"{day['seed']} {step.text}")
+        return sorted(rng.sample(names, count))
+    if kind == "zone" and argument:
+        return [name for i, name in enumerate(names) if zone_of_driver(i) == int(argument)]
+    if selector.isdigit() and int(selector) < len(names):
+        return [names[int(selector)]]
+    raise UnknownTargetError(step.target)
+
+
+def is_busy_driver(index: int, fraction: float) -> bool:
+    """Whether this driver is among the `fraction` that have much to do, spread evenly over the numbers."""
+    return int((index + 1) * fraction) > int(index * fraction)
+
+
+def driver_rate(day: Day, index: int) -> float:
+    """Requests a second for each group from the driver with this number.
+
+    The script's rate is that of all drivers of the trial. Of a hundred drivers, `heavy` have
+    BUSY_DRIVER_FACTOR times the mean, and the others what is left of the rate.
+    """
+    busy = day["heavy"] / 100
+    quiet_factor = (1 - BUSY_DRIVER_FACTOR * busy) / (1 - busy) if busy < 1 / BUSY_DRIVER_FACTOR else 1.0
+    mean = day["rate"] / day["edges"]
+    factor = BUSY_DRIVER_FACTOR if is_busy_driver(index, busy) else quiet_factor
+    return mean * factor / day["groups"]
--- /dev/null
+++ b/juniperreel/testbed/single_process_trial.py
@@ -0,0 +1,136 @@
+"""A trial played by this process alone: members, discovery and sessions around a few drivers.
+
+Each driver is a process by the program's own command, and reaches every member and its discovery by a relay
+of its own. What passes is recorded for the checkers in `verification`. `multi_process_trial.py` is the form
+for hundreds of drivers.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator, Sequence
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from juniperreel.fakes.fleet import Fleet
+from juniperreel.fakes.script import Day, Step
+from juniperreel.net import Clock, Network
+from juniperreel.testbed.driver_fleet import DriverFleet
+from juniperreel.testbed.links import Links
+from juniperreel.testbed.member_links import MemberLinks
+from juniperreel.testbed.processes import ManagedProcess, Processes
+from juniperreel.testbed.scenario import (
+    CLASS_WEIGHTS,
+    DISCOVERY,
+    DRIVER_PROGRAM,
+    driver_names,
+    limits,
+    request_classes,
+    targeted_drivers,
+)
+from juniperreel.verification import records as rec
+
+
+class SingleProcessTrial:
+    """One trial. `recorder.records` is what it leaves."""
+
+    def __init__(
+        self,
+        day: Day,
+        network: Network,
+        directory: Path,
+        pause_s: float,
+        program: Sequence[str] = DRIVER_PROGRAM,
+        weights: Sequence[float] = CLASS_WEIGHTS,
+    ) -> None:
+        """`directory` keeps settings and logs; `pause_s` is a session's mean pause between its requests.
+
+        `program`: what a driver is started by; `weights`: how often sessions ask for each class.
+        """
+        self.day = day
+        self.clock = Clock()
+        self.recorder = rec.Recorder()
+        self.names = driver_names(day)
+        self._network = network
+        self._pause_s = pause_s
+        self._weights = weights
+        self._rng = random.Random(day["seed"])
+        self._drivers = DriverFleet(
+            day,
+            self.names,
+            network,
+            self.clock,
+            self.recorder,
+            directory,
+            self._member_port,
+            self._rng.getrandbits(32),
+            program,
+        )
+        self.fleet = Fleet(day, network, self.clock, self.recorder, hosts=self._drivers.hosts, platform=True)
+        self._member_links: MemberLinks | None = None
+
+    @property
+    def processes(self) -> Processes:
+        """The drivers' processes, by their names."""
+        return self._drivers.processes
+
+    def events(self, process: ManagedProcess) -> Iterator[dict[str, Any]]:
+        """Yield the events that a driver has logged since the last call."""
+        return self._drivers.events(process)
+
+    @property
+    def probes(self) -> int:
+        """Health and position checks that members have answered."""
+        return 0 if self._member_links is None else self._member_links.probes
+
+    @property
+    def connections_opened(self) -> int:
+        """Connections that drivers have ever opened to members."""
+        return 0 if self._member_links is None else self._member_links.connections_opened
+
+    async def run(self) -> None:
+        """Play the day; the drivers have ended afterwards."""
+        mix = request_classes(self.clock.now_us())
+        self._record_rules(mix)
+        async with trio.open_nursery() as nursery:
+            links = Links(self._network, nursery, self._rng.getrandbits(32))
+            self._drivers.links = links
+            self._member_links = MemberLinks(self.fleet, links, self.names)
+            try:
+                await nursery.start(self.fleet.run)
+                await self._drivers.start()
+                await self._play_day(mix)
+            finally:
+                self.processes.kill_all()
+            nursery.cancel_scope.cancel()
+
+    def _record_rules(self, mix: Sequence[rec.Class]) -> None:
+        for request_class in mix:
+            self.recorder(request_class)
+        self.recorder(limits(mix[0].at, self.fleet.shape))
+
+    async def _play_day(self, mix: Sequence[rec.Class]) -> None:
+        """Play faults and sessions until the day's end and the sessions' last answers."""
+        until_us = self.clock.now_us() + self.day["last"]
+        async with trio.open_nursery() as faults:
+            faults.start_soon(self.fleet.play, self._play_driver_fault)
+            async with trio.open_nursery() as sessions:
+                for i in range(self.day["sessions"]):
+                    group = i % self.day["groups"]
+                    session = self._drivers.session(f"s{i}", i, group, mix, self._weights)
+                    sessions.start_soon(session.run, until_us, self._pause_s)
+            faults.cancel_scope.cancel()
+
+    async def _play_driver_fault(self, step: Step) -> None:
+        """Play a fault of drivers or of any of their links, to its end."""
+        if step.fault.startswith("link-") and step.other != DISCOVERY:
+            assert self._member_links is not None
+            await self._member_links.play_fault(step, targeted_drivers(self.day, step))
+        else:
+            await self._drivers.play_fault(step)
+
+    async def _member_port(self, driver: str, member: str) -> int:
+        assert self._member_links is not None
+        return await self._member_links.port(driver, member)
--- a/tests/cli/test_configd.py
+++ b/tests/cli/test_configd.py
@@ -1,4 +1,4 @@
-"""Three instances as processes of their own, and the commands on them."""
+"""ThreeInstances instances as processes of their own, and the commands on them."""
 
 from __future__ import annotations
 
@@ -29,7 +29,9 @@
 MEMBER = {"group": 0, "address": "127.0.0.1", "port": 9}
 
 
-class Three:
+class ThreeInstances:
+    """A cluster of three instances, each a process of its own."""
+
     def __init__(self, folder: Path) -> None:
         self.folder = folder
         (folder / "cluster.key").write_bytes(b"k" * 32)
@@ -48,19 +50,21 @@
         for n in range(3):
             self.start(n, "--create")
 
-    def start(self, n: int, *words: str) -> None:
+    def start(self, n: int, *arguments: str) -> None:
         log = (self.folder / f"c{n}.log").open("a")
-        command = [*COMMAND, "configd", str(self.folder / f"c{n}.conf"), *words]
+        command = [*COMMAND, "configd", str(self.folder / f"c{n}.conf"), *arguments]
         self.processes[n] = subprocess.Popen(command, stderr=log, text=True)
 
-    def config(self, *words: str) -> subprocess.CompletedProcess[str]:
+    def config(self, *arguments: str) -> subprocess.CompletedProcess[str]:
         at = [w for port in self.ports for w in ("--at", f"127.0.0.1:{port}")]
-        return subprocess.run([*COMMAND, "config", *at, *words], capture_output=True, text=True, timeout=60)
+        return subprocess.run(
+            [*COMMAND, "config", *at, *arguments], capture_output=True, text=True, timeout=60
+        )
 
-    def set(self, changes: list[object], *words: str) -> subprocess.CompletedProcess[str]:
+    def set(self, changes: list[object], *arguments: str) -> subprocess.CompletedProcess[str]:
         path = self.folder / "changes.json"
         path.write_text(json.dumps(changes))
-        return self.config("set", str(path), *words)
+        return self.config("set", str(path), *arguments)
 
     def stop(self) -> None:
         for process in self.processes.values():
@@ -70,13 +74,13 @@
 
 
 @pytest.fixture
-def three(tmp_path: Path) -> Iterator[Three]:
-    made = Three(tmp_path)
+def three(tmp_path: Path) -> Iterator[ThreeInstances]:
+    made = ThreeInstances(tmp_path)
     yield made
     made.stop()
 
 
-def test_a_cluster_from_the_shell_through_a_lost_leader(three: Three) -> None:
+def test_a_cluster_from_the_shell_through_a_lost_leader(three: ThreeInstances) -> None:
     (three.folder / "edge.conf").write_text(EDGE.format(hosts=7000))
     for _ in range(20):  # the instances are still starting
         seeded = three.config("seed", str(three.folder / "edge.conf"))
@@ -90,7 +94,8 @@
     ]
     assert three.set(changes, "--expect", "1").stdout == "version 2\n"
     refused = three.set([{"type": "set-state", "name": "m0", "state": "gone"}])
-    assert refused.returncode == 1 and "rule 3" in refused.stderr
+    assert refused.returncode == 1
+    assert "rule 3" in refused.stderr
     status = three.config("status").stdout
     leader = next(n for n in range(3) if f"{three.names[n]}: leader" in status)
     three.processes[leader].send_signal(signal.SIGKILL)
@@ -103,14 +108,15 @@
     assert f"node {three.names[leader]} of cluster test" in inspected.stdout
     three.start(leader)
     got = json.loads(three.config("get").stdout)
-    assert got["version"] == 3 and got["members"]["m0"]["state"] == "draining"
+    assert got["version"] == 3
+    assert got["members"]["m0"]["state"] == "draining"
     assert set(got["classes"]) == {"board", "own", "write", "once"}
     other = next(n for n in range(3) if n != leader)
     three.processes[other].terminate()
     assert three.processes[other].wait(15) == 0
 
 
-def test_a_directory_is_not_created_twice_and_an_empty_one_is_refused(three: Three) -> None:
+def test_a_directory_is_not_created_twice_and_an_empty_one_is_refused(three: ThreeInstances) -> None:
     conf = str(three.folder / "c0.conf")
     for _ in range(400):
         if (three.folder / "d0" / "data.mdb").exists():
@@ -119,15 +125,17 @@
     twice = subprocess.run(
         [*COMMAND, "configd", conf, "--create"], capture_output=True, text=True, timeout=30
     )
-    assert twice.returncode == 2 and "already" in twice.stderr
+    assert twice.returncode == 2
+    assert "already" in twice.stderr
     text = (three.folder / "c0.conf").read_text().replace("directory d0", "directory empty")
     (three.folder / "e.conf").write_text(text)
     command = [sys.executable, "-m", "juniperreel.cli.main", "configd", str(three.folder / "e.conf")]
     empty = subprocess.run(command, capture_output=True, text=True, timeout=30)
-    assert empty.returncode == 2 and "forgotten what it voted" in empty.stderr
+    assert empty.returncode == 2
+    assert "forgotten what it voted" in empty.stderr
 
 
-def test_a_lost_quorum_is_rescued_from_one_directory_and_grows_again(three: Three) -> None:
+def test_a_lost_quorum_is_rescued_from_one_directory_and_grows_again(three: ThreeInstances) -> None:
     change: list[object] = [{"type": "set-limit", "name": "attempts", "value": 5}]
     for _ in range(20):
         if three.set(change).returncode == 0:
@@ -146,15 +154,16 @@
     rescue = ["raft", "rescue", str(three.folder / "d0"), "--into", str(three.folder / "e0")]
     command = [*COMMAND, *rescue, "--cluster", "second", "--name", names[0]]
     done = subprocess.run(command, capture_output=True, text=True, timeout=30)
-    assert done.returncode == 0 and done.stdout.startswith("version 1;"), done.stderr
+    assert done.returncode == 0, done.stderr
+    assert done.stdout.startswith("version 1;"), done.stderr
     for n, name in enumerate(names):
         text = FILE.format(name=name, folder=f"e{n}", members=f"member {names[0]}")
         (three.folder / f"c{n}.conf").write_text(text.replace("cluster test", "cluster second"))
     three.start(0)
     three.start(1, "--join")
-    for words in (("add", names[1]), ("promote", names[1])):
+    for arguments in (("add", names[1]), ("promote", names[1])):
         for _ in range(20):  # it may be starting, or lack entries still
-            step = three.config("members", *words)
+            step = three.config("members", *arguments)
             if step.returncode == 0:
                 break
             time.sleep(0.2)
--- a/tests/rpc/test_pace.py
+++ b/tests/rpc/test_stall_monitor.py
@@ -51,15 +51,15 @@
 async def ages_of_served_calls(timeout_ms: int, stall: bool) -> list[int]:
     """How old calls were when their handler began, in microseconds; none where their deadline had passed."""
     clock = Clock()
-    pace = StallMonitor(clock)
-    pace.install()
+    stall_monitor = StallMonitor(clock)
+    stall_monitor.install()
     began: list[int] = []
 
     async def echo(call: Call, data: bytes) -> bytes:
         began.append(clock.now_us() - call.started_us)
         return data
 
-    server = Server({"/t/Echo": Method(unary=echo)}, Limits(), clock, pace=pace)
+    server = Server({"/t/Echo": Method(unary=echo)}, Limits(), clock, stall_monitor=stall_monitor)
     greeting, call = request(timeout_ms)
     async with trio.open_nursery() as nursery:
         listener = await TcpNetwork().listen("127.0.0.1", 0)
@@ -84,7 +84,7 @@
         thread.join()
         peer.close()
         nursery.cancel_scope.cancel()
-    pace.uninstall()
+    stall_monitor.uninstall()
     return began
 
 
@@ -105,14 +105,14 @@
 
 def test_new_bytes_beyond_the_budget_of_a_pass_wait_for_the_next() -> None:
     async def run() -> list[int]:
-        pace = StallMonitor(Clock())
-        pace.install()
+        stall_monitor = StallMonitor(Clock())
+        stall_monitor.install()
         passes = []
         for _ in range(3):
-            await pace.wait_for_new_work_budget()
-            passes.append(pace.poll_count)
-            began = pace.begin_new_work() - 50_000_000  # as if 50 ms had gone into it
-            pace.end_new_work(began)
+            await stall_monitor.wait_for_new_work_budget()
+            passes.append(stall_monitor.poll_count)
+            began = stall_monitor.begin_new_work() - 50_000_000  # as if 50 ms had gone into it
+            stall_monitor.end_new_work(began)
         return passes
 
     passes = trio.run(run)
--- a/tests/testbed/test_platform_fleet.py
+++ b/tests/testbed/test_platform_fleet.py
@@ -10,8 +10,8 @@
 
 from juniperreel.fakes.script import ScriptError, parse
 from juniperreel.net import TcpNetwork
-from juniperreel.testbed.platformfleet import PlatformTrial
-from juniperreel.testbed.sides import PROGRAM
+from juniperreel.testbed.scenario import DRIVER_PROGRAM
+from juniperreel.testbed.single_process_trial import SingleProcessTrial
 from juniperreel.verification import records as rec
 from juniperreel.verification import spread
 from juniperreel.verification.rules import Violation, check_all
@@ -51,50 +51,50 @@
 """
 PLANT = """
 import sys
-from juniperreel.routing.estimators import (SuccessRate)
-from juniperreel.routing.policy.endpoint_list import (EndpointTracker)
-from juniperreel.routing.policy.freshness import (Freshness)
-from juniperreel.routing.policy.outlier import (OutlierDetector)
-from juniperreel.routing.policy.position_checks import (PositionChecker)
-from juniperreel.routing.policy.primary import (PrimaryTracker)
-from juniperreel.routing.policy.retry import (RetryPolicy)
-from juniperreel.routing.policy.selection import (Selection)
-from juniperreel.routing.policy.shedding import (LoadShedder)
-from juniperreel.routing.policy.slow_start import (SlowStart)
+from juniperreel.routing.estimators import SuccessRate
+from juniperreel.routing.policy.endpoint_list import EndpointTracker
+from juniperreel.routing.policy.freshness import Freshness
+from juniperreel.routing.policy.outlier import OutlierDetector
+from juniperreel.routing.policy.position_checks import PositionChecker
+from juniperreel.routing.policy.primary import PrimaryTracker
+from juniperreel.routing.policy.retry import RetryPolicy
+from juniperreel.routing.policy.selection import Selection
+from juniperreel.routing.policy.shedding import LoadShedder
+from juniperreel.routing.policy.slow_start import SlowStart
 {bug}
-from juniperreel.platform.run import (main)
+from juniperreel.platform.run import main
 sys.exit(main([]))
 """
 
 
 async def play(
     directory: Path, day: str, pause_s: float = 0.15, bug: str = "", **more: Any
-) -> tuple[PlatformTrial, dict[int, list[Violation]]]:
-    program = ("-c", PLANT.format(bug=bug)) if bug else PROGRAM
-    trial = PlatformTrial(parse(SIZE + day), TcpNetwork(), directory, pause_s, program, **more)
+) -> tuple[SingleProcessTrial, dict[int, list[Violation]]]:
+    program = ("-c", PLANT.format(bug=bug)) if bug else DRIVER_PROGRAM
+    trial = SingleProcessTrial(parse(SIZE + day), TcpNetwork(), directory, pause_s, program, **more)
     directory.mkdir(exist_ok=True)
     await trial.run()
     return trial, check_all(trial.recorder.records)
 
 
-def reads(trial: PlatformTrial) -> int:
+def reads(trial: SingleProcessTrial) -> int:
     served = {r.rid for r in trial.recorder.records if isinstance(r, rec.Told) and r.status == 0}
-    asked = [r for r in trial.recorder.records if isinstance(r, rec.Asked)]
-    return sum(r.cls == "board" and r.rid in served for r in asked)
+    requests = [r for r in trial.recorder.records if isinstance(r, rec.Asked)]
+    return sum(r.cls == "board" and r.rid in served for r in requests)
 
 
 async def test_a_bad_day_of_five_drivers_breaks_no_rule(tmp_path: Path) -> None:
     trial, found = await play(tmp_path, BAD)
     assert not any(found.values()), {n: [v.text for v in vs[:5]] for n, vs in found.items() if vs}
-    told = [r for r in trial.recorder.records if isinstance(r, rec.Told)]
-    assert sum(r.status == 0 for r in told) > 0.9 * len(told) > 300
+    answers = [r for r in trial.recorder.records if isinstance(r, rec.Told)]
+    assert sum(r.status == 0 for r in answers) > 0.9 * len(answers) > 300
     assert [trial.processes[n].starts for n in trial.names] == [2, 2, 1, 1, 1]
     for name in trial.names:
         assert not [e for e in trial.events(trial.processes[name]) if e["level"] == "error"]
 
 
 @pytest.mark.parametrize(
-    ("rule", "bug", "day"),
+    "rule, bug, day",
     [
         (5, "Freshness.is_fresh_enough = lambda *_: True", "last 6s\nat 1s for 4s lag g0 1e5\n"),
         (3, DEAF, "last 7s\nat 1s drain g0/replica\n"),
@@ -113,7 +113,8 @@
     assert not any(found.values())
     bug = "PositionChecker.prefers_primary = lambda *_: False"
     before, _ = await play(tmp_path / "before", quiet, pause_s=3.0, bug=bug)
-    assert reads(now) > 20 and reads(before) > 20
+    assert reads(now) > 20
+    assert reads(before) > 20
     assert now.probes / reads(now) < before.probes / reads(before)
 
 
@@ -125,10 +126,11 @@
     records = trial.recorder.records
     (muted,) = [r.at for r in records if isinstance(r, rec.Fault) and "link-mute" in r.text and r.on]
     for name in trial.names:  # by a new watch, before what the old one missed counts as told
-        told = [
+        notified = [
             r.at for r in records if isinstance(r, rec.Listed) and (r.edge, r.readiness) == (name, "draining")
         ]
-        assert told and min(told) < muted + 5 * SECOND
+        assert notified
+        assert min(notified) < muted + 5 * SECOND
 
 
 @pytest.mark.parametrize("judges", [True, False])
@@ -154,7 +156,7 @@
     assert share(trial, "g0-m1", off + 6 * SECOND, off + 10 * SECOND) > 0.5
 
 
-def share(trial: PlatformTrial, member: str, start: int, end: int) -> float:
+def share(trial: SingleProcessTrial, member: str, start: int, end: int) -> float:
     """Of the first group's replicas' work between two times, beside an even part."""
     replicas = sorted(m.name for m in trial.fleet.groups[0].members[1:])
     came = spread.arrivals(trial.recorder.records, replicas)
@@ -165,7 +167,7 @@
 
 
 @pytest.mark.parametrize(
-    ("steps", "least"),
+    "steps, least",
     [
         pytest.param("at 1s edge-kill edge/random:70% back 300ms", 0.85, id="most drivers start together"),
         pytest.param("at 1s roll g0/1 1s\nat 2s roll g0/2 1s", 0.85, id="replicas are replaced"),
@@ -184,10 +186,10 @@
     day = f"groups 1\nmembers 5\nsessions 16\ncold-span 3s\nlast 8s\n{steps}\n"
     trial, found = await play(tmp_path, day, pause_s=0.2)
     assert not any(found.values()), {n: [v.text for v in vs[:5]] for n, vs in found.items() if vs}
-    told = [r for r in trial.recorder.records if isinstance(r, rec.Told)]
-    assert sum(r.status == 0 for r in told) > least * len(told) > 50
+    answers = [r for r in trial.recorder.records if isinstance(r, rec.Told)]
+    assert sum(r.status == 0 for r in answers) > least * len(answers) > 50
     # Every replica that runs to the end has work again, from every driver that has a fair number of reads.
-    now = max(r.at for r in told)
+    now = max(r.at for r in answers)
     alive = {m.name for m in trial.fleet.members.values() if m.alive and not m.draining}
     late = [a for a in spread.arrivals(trial.recorder.records, alive) if a.at > now - 3 * SECOND]
     assert {a.member for a in late} == alive
