--- a/tests/proxy/builders.py
+++ b/tests/proxy/builders.py
@@ -10,7 +10,7 @@
 from juniperreel.proxy import DriverOptions
 from juniperreel.proxy.endpoint_list import ListedEndpoint
 from juniperreel.rpc.limits import Limits
-from tests.script import MS, SEC, SETTINGS
+from tests.routing.router_script import MS, SEC, SETTINGS
 
 HISTORY = History.of([(1, 0)])
 ROUTER = replace(
--- a/tests/proxy/test_endpoint_list.py
+++ b/tests/proxy/test_endpoint_list.py
@@ -9,7 +9,7 @@
 
 from juniperreel.proxy.endpoint_list import ListedEndpoint, parse_endpoint
 from tests.proxy.builders import list_entry
-from tests.script import MS, SEC
+from tests.routing.router_script import MS, SEC
 
 
 @pytest.mark.parametrize(
--- a/tests/proxy/test_grpc_endpoints.py
+++ b/tests/proxy/test_grpc_endpoints.py
@@ -13,7 +13,7 @@
 from juniperreel.proxy.grpc_endpoints import GrpcEndpoints
 from juniperreel.proxy.positions import RequiredPosition
 from tests.proxy.builders import driver_options
-from tests.script import SEC
+from tests.routing.router_script import SEC
 
 
 async def test_attempt_on_a_connection_that_does_not_open_ends_unsent_within_the_drain_grace(
--- a/tests/proxy/test_request_driver.py
+++ b/tests/proxy/test_request_driver.py
@@ -27,7 +27,7 @@
 from juniperreel.telemetry.metrics import Metrics
 from juniperreel.telemetry.traces import Traces
 from tests.proxy.builders import HISTORY, ROUTER, driver_options, listed_endpoint
-from tests.script import BY_NAME, MS, SEC
+from tests.routing.router_script import BY_NAME, MS, SEC
 
 
 class Bench:
--- a/tests/routing/test_crossings.py
+++ b/tests/routing/test_crossings.py
@@ -13,7 +13,7 @@
     Role,
     UpdateKind,
 )
-from tests.script import MS, SEC, Script, member
+from tests.routing.router_script import MS, SEC, Script, member
 
 
 def settled(**changes: bool) -> Script:
--- a/tests/routing/test_property.py
+++ b/tests/routing/test_property.py
@@ -35,7 +35,7 @@
     TimerFired,
     UpdateKind,
 )
-from tests.script import CLASSES, MS, SEC, SETTINGS, member
+from tests.routing.router_script import CLASSES, MS, SEC, SETTINGS, member
 
 NEVER_RAN = {Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.NOT_SENT, Outcome.INELIGIBLE}
 
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -36,7 +36,7 @@
     TimerFired,
     UpdateKind,
 )
-from tests.script import CLASSES, MS, SEC, SETTINGS, Script, member
+from tests.routing.router_script import CLASSES, MS, SEC, SETTINGS, Script, member
 
 POLICY = sorted(Path(parameters.__file__).parent.glob("*.py"))
 ROUTING = sorted(Path(parameters.__file__).parents[1].glob("*.py"))
