--- a/tests/platform/test_planted.py
+++ b/tests/platform/test_planted.py
@@ -29,7 +29,7 @@
 )
 from tests.platform import socket_harness, test_crossings, test_discovery
 from tests.routing import test_crossings as routing_crossings
-from tests.routing import test_router
+from tests.routing import test_layout
 
 Patch = pytest.MonkeyPatch
 BRIEF_S = 3  # a test that waits in vain has failed
@@ -246,4 +246,4 @@
     """The harness itself does not fail them."""
     for _, test in PLANTED:
         play(test)
-    assert test_router.POLICY
+    assert test_layout.POLICY
--- a/tests/routing/router_script.py
+++ b/tests/routing/router_script.py
@@ -180,3 +180,13 @@
         return [
             a for _, a in self.all if isinstance(a, kind) and request in (None, getattr(a, "request", None))
         ]
+
+
+def hear_primary(s: Script) -> None:
+    s.router.state.endpoints["p"].pressure.observe(s.now, 0.1)
+
+
+def press_primary(s: Script) -> None:
+    """Full enough that no read is spared a look by going there."""
+    for _ in range(4):
+        s.router.state.endpoints["p"].pressure.observe(s.now, 0.6)
