--- a/tests/platform/test_planted.py
+++ b/tests/platform/test_planted.py
@@ -189,14 +189,20 @@
         client_disconnect_read_after_its_request,
         test_crossings.test_a_request_read_together_with_its_clients_end_is_not_sent_on,
     ),
-    (ramp_forgotten_at_restart, routing_crossings.test_a_member_that_came_back_is_cold_again),
+    (
+        ramp_forgotten_at_restart,
+        routing_crossings.test_endpoint_that_restarted_while_others_serve_warms_up_again,
+    ),
     (
         fitness_not_asked_when_written,
         test_crossings.test_a_read_is_not_written_once_its_session_was_answered_a_newer_write,
     ),
     (
         lost_writes_forgotten,
-        partial(routing_crossings.test_a_write_that_may_have_run_is_seen_by_its_session, Outcome.RESET),
+        partial(
+            routing_crossings.test_session_read_after_a_write_that_may_have_been_executed_needs_its_commit,
+            Outcome.RESET,
+        ),
     ),
     (
         one_burst_accepted_before_the_listener_closes,
--- a/tests/proxy/test_request_driver.py
+++ b/tests/proxy/test_request_driver.py
@@ -27,7 +27,7 @@
 from juniperreel.telemetry.metrics import Metrics
 from juniperreel.telemetry.traces import Traces
 from tests.proxy.builders import HISTORY, ROUTER, driver_options, listed_endpoint
-from tests.routing.router_script import BY_NAME, MS, SEC
+from tests.routing.router_script import CLASS_INDEX, MS, SEC
 
 
 class Bench:
@@ -80,7 +80,7 @@
     def submit(self, class_name: str, deadline_us: int = SEC) -> list[Answer]:
         answers: list[Answer] = []
         request = ClientRequest(
-            BY_NAME[class_name], -1, 0, self.clock.now_us() + deadline_us, b"x", idempotency_key="k"
+            CLASS_INDEX[class_name], -1, 0, self.clock.now_us() + deadline_us, b"x", idempotency_key="k"
         )
 
         async def run() -> None:
@@ -114,7 +114,7 @@
 
 
 async def test_response_answers_its_request_once(bench: Bench) -> None:
-    answers, attempt = await started(bench, "loose")
+    answers, attempt = await started(bench, "any_read")
     bench.driver.enqueue(bench.completed(attempt))
     await bench.process_due()
     assert [type(a) for a in answers] == [Served]
@@ -125,7 +125,7 @@
     scope = trio.CancelScope()
 
     async def disconnecting_client() -> None:
-        request = ClientRequest(BY_NAME["loose"], -1, 0, bench.clock.now_us() + SEC, b"x")
+        request = ClientRequest(CLASS_INDEX["any_read"], -1, 0, bench.clock.now_us() + SEC, b"x")
         with scope:
             await bench.driver.execute(request)
 
@@ -142,7 +142,7 @@
 
 
 async def test_response_after_the_rejection_is_dropped_and_counted(bench: Bench) -> None:
-    answers, attempt = await started(bench, "loose", deadline_us=300 * MS)
+    answers, attempt = await started(bench, "any_read", deadline_us=300 * MS)
     await trio.sleep(0.4)  # past the deadline: the router's timer rejects it
     bench.driver.enqueue(bench.completed(attempt, Outcome.TIMEOUT))
     await bench.process_due()
@@ -157,7 +157,7 @@
     endpoints = [listed_endpoint(name, readiness="draining") for name in ("a", "b")]
     bench.driver.enqueue(EndpointListUpdated(UpdateKind.DELTA, endpoints))
     for _ in range(9):  # some are shed: reads do not crowd a primary that has sent no response yet
-        bench.submit("loose")
+        bench.submit("any_read")
     await trio.testing.wait_all_tasks_blocked()
     await bench.process_due()
     assert {a.endpoint for a in bench.attempts} == {"p"}
@@ -180,7 +180,7 @@
 
 async def test_stale_response_is_not_served_and_the_read_is_retried(bench: Bench) -> None:
     """The endpoint was restored from a backup: its position, once recorded, is too high."""
-    answers, attempt = await started(bench, "read")
+    answers, attempt = await started(bench, "bounded_read")
     old = ReplicationStatus(False, bench.clock.now_us() - 10 * SEC, HISTORY)
     bench.driver.enqueue(bench.completed(attempt, status=old))
     await bench.process_due()
@@ -191,7 +191,7 @@
 
 async def test_write_confirmed_in_an_ended_epoch_is_retried_only_if_keyed(bench: Bench) -> None:
     later = History.of([(1, 0), (2, bench.clock.now_us() - SEC)])
-    for class_name, kind in (("write", Served), ("once", Failed)):
+    for class_name, kind in (("write", Served), ("non_idempotent_write", Failed)):
         answers, attempt = await started(bench, class_name)
         bench.driver.enqueue(
             HealthCheckCompleted(
@@ -219,7 +219,7 @@
     nursery: trio.Nursery,
 ) -> None:
     bench = Bench(nursery, max_open_requests=1)
-    bench.submit("loose")
+    bench.submit("any_read")
     await trio.testing.wait_all_tasks_blocked()
     request = ClientRequest(0, -1, 0, bench.clock.now_us() + SEC, b"x")
     answer = await bench.driver.execute(request)
@@ -236,19 +236,19 @@
         raise ZeroDivisionError
 
     bench.driver.router.handle = broken  # type: ignore[method-assign,assignment]
-    answers = bench.submit("loose")
+    answers = bench.submit("any_read")
     await trio.testing.wait_all_tasks_blocked()
     await bench.process_due()
     assert [type(a) for a in answers] == [Failed]
     bench.driver.router.handle = handle  # type: ignore[method-assign]
-    answers, attempt = await started(bench, "loose")
+    answers, attempt = await started(bench, "any_read")
     bench.driver.enqueue(bench.completed(attempt))
     await bench.process_due()
     assert [type(a) for a in answers] == [Served]
 
 
 async def test_response_in_the_same_batch_as_the_deadline_is_the_one_answer(bench: Bench) -> None:
-    answers, attempt = await started(bench, "loose", deadline_us=300 * MS)
+    answers, attempt = await started(bench, "any_read", deadline_us=300 * MS)
     await trio.sleep(0.4)  # the router's timer is long overdue
     bench.driver.enqueue(bench.completed(attempt))
     await bench.process_due()
@@ -258,7 +258,7 @@
 
 
 async def test_stalled_driver_blames_no_endpoint_for_the_timeout(bench: Bench) -> None:
-    _, attempt = await started(bench, "loose")
+    _, attempt = await started(bench, "any_read")
     await trio.sleep(0.5)
     bench.driver.enqueue(bench.completed(attempt, Outcome.TIMEOUT))
     await bench.process_due()
--- a/tests/routing/router_script.py
+++ b/tests/routing/router_script.py
@@ -1,14 +1,20 @@
-"""A small event script for tests: a router, a clock, and shorthand for events."""
+"""Scripts of events for tests of the router: one router, its clock, its timers and what it was sent.
+
+Times and durations are whole microseconds, as in the types of the router.
+"""
 
 from __future__ import annotations
 
-from dataclasses import replace
+from collections import Counter
+from dataclasses import dataclass, replace
 from typing import Any, TypeVar
 
 from juniperreel.routing.router import Router
+from juniperreel.routing.state import EndpointState
 from juniperreel.routing.types import (
     Action,
     AttemptEnded,
+    ClientDisconnected,
     Consistency,
     Endpoint,
     EndpointUpdate,
@@ -35,21 +41,30 @@
 MS = 1_000
 SEC = 1_000_000
 
-READ = RequestClass(
-    "read",
+START_US = 1000 * SEC
+RESPONSE_US = 50 * MS
+PRIMARY = "primary"
+SESSION = "session"
+
+BUSY_PRESSURE = 0.6
+BUSY_SAMPLES = 4  # enough that the primary's own pressure counts
+IDLE_PRESSURE = 0.1
+
+BOUNDED_READ = RequestClass(
+    "bounded_read",
     Idempotency.IDEMPOTENT,
     KeyScope.ALL,
-    0,
-    Consistency.BOUNDED,
-    300 * MS,
-    500 * MS,
-    2 * SEC,
-    1.0,
-    0.2,
+    deduplication_window_us=0,
+    consistency=Consistency.BOUNDED,
+    max_staleness_us=300 * MS,
+    latency_objective_us=500 * MS,
+    deadline_us=2 * SEC,
+    priority_weight=1.0,
+    late_priority_weight=0.2,
 )
-OWN = replace(READ, name="own", consistency=Consistency.SESSION, max_staleness_us=0)
+SESSION_READ = replace(BOUNDED_READ, name="session_read", consistency=Consistency.SESSION, max_staleness_us=0)
 WRITE = replace(
-    READ,
+    BOUNDED_READ,
     name="write",
     idempotency=Idempotency.KEYED,
     key_scope=KeyScope.GROUP,
@@ -60,11 +75,12 @@
     deadline_us=5 * SEC,
     late_priority_weight=0.5,
 )
-LOOSE = replace(READ, name="loose", consistency=Consistency.ANY, max_staleness_us=0)
-ONCE = replace(WRITE, name="once", idempotency=Idempotency.NON_IDEMPOTENT)
-CURRENT = replace(READ, name="current", consistency=Consistency.FRESH, max_staleness_us=0)
-CLASSES = (READ, OWN, WRITE, LOOSE, ONCE, CURRENT)
-BY_NAME = {c.name: i for i, c in enumerate(CLASSES)}
+ANY_READ = replace(BOUNDED_READ, name="any_read", consistency=Consistency.ANY, max_staleness_us=0)
+NON_IDEMPOTENT_WRITE = replace(WRITE, name="non_idempotent_write", idempotency=Idempotency.NON_IDEMPOTENT)
+FRESH_READ = replace(BOUNDED_READ, name="fresh_read", consistency=Consistency.FRESH, max_staleness_us=0)
+CLASSES = (BOUNDED_READ, SESSION_READ, WRITE, ANY_READ, NON_IDEMPOTENT_WRITE, FRESH_READ)
+CLASS_INDEX = {request_class.name: index for index, request_class in enumerate(CLASSES)}
+CLASSES_OF_SESSIONS = {SESSION_READ.name, WRITE.name}
 
 SETTINGS = Settings(
     router_count=2,
@@ -95,98 +111,223 @@
     list_names_primary=True,
 )
 
-A = TypeVar("A", bound=Action)
+ActionT = TypeVar("ActionT", bound=Action)
+
+
+def endpoint(
+    name: str,
+    *,
+    group: int = 0,
+    zone: int = 0,
+    readiness: Readiness = Readiness.READY,
+    listed_primary: bool = False,
+    started_us: int = 0,
+) -> Endpoint:
+    """An entry of the endpoint list: ready and warm, if not said otherwise."""
+    return Endpoint(name, group, zone, 0, readiness, listed_primary, 1.0, started_us)
+
+
+def classes_with(changed: RequestClass) -> tuple[RequestClass, ...]:
+    """The classes of the tests, with another version of the one that has this name."""
+    return tuple(changed if known.name == changed.name else known for known in CLASSES)
+
 
+@dataclass(frozen=True, order=True)
+class Timer:
+    """A timer that the router has set."""
 
-def member(name: str, **changes: Any) -> Endpoint:
-    base = Endpoint(name, 0, 0, 0, Readiness.READY, False, 1.0, 0)
-    return replace(base, **changes)
+    due_us: int
+    key: int
 
 
-class Script:
-    """Drives one router; each call is one batch, and its actions stay in `last` and `all`."""
+@dataclass(frozen=True)
+class RecordedAction:
+    """An action, and when the router decided on it."""
 
-    def __init__(self, seed: int = 1, **changes: Any) -> None:
-        self.settings = replace(SETTINGS, **changes)
+    at_us: int
+    action: Action
+
+
+class RouterScript:
+    """Drives one router by events, each call one batch, and records its actions."""
+
+    def __init__(self, seed: int = 1, **settings: Any) -> None:
+        """Start a router; `settings` replace fields of `SETTINGS`."""
+        self.settings = replace(SETTINGS, **settings)
         self.router = Router(self.settings, seed)
-        self.now = 1000 * SEC
-        self.last: list[Action] = []
-        self.all: list[tuple[int, Action]] = []
-        self.timers: list[tuple[int, int]] = []
-        self.count = 0
-        self.sends: dict[str, list[str]] = {}
-
-    def batch(self, *events: Event) -> list[Action]:
-        self.last = self.router.handle(self.now, events)
-        for action in self.last:
-            self.all.append((self.now, action))
+        self.now_us = START_US
+        self.last_actions: list[Action] = []
+        self.history: list[RecordedAction] = []
+        self.timers: list[Timer] = []
+        self._request_count = 0
+        self._endpoints_tried: dict[str, list[str]] = {}
+
+    # Time.
+
+    def process(self, *events: Event) -> list[Action]:
+        """Hand one batch of events to the router; returns its actions."""
+        self.last_actions = self.router.handle(self.now_us, events)
+        for action in self.last_actions:
+            self.history.append(RecordedAction(self.now_us, action))
             if isinstance(action, SetTimer):
-                self.timers.append((self.now + action.delay_us, action.key))
+                self.timers.append(Timer(self.now_us + action.delay_us, action.key))
             elif isinstance(action, Send):
-                self.sends.setdefault(action.request, []).append(action.endpoint)
-        return self.last
+                self._endpoints_tried.setdefault(action.request, []).append(action.endpoint)
+        return self.last_actions
+
+    def advance_clock(self, duration_us: int) -> None:
+        """Let time pass without a call of the router: timers that fall due stay pending."""
+        self.now_us += duration_us
 
-    def wait(self, us: int) -> list[Action]:
-        """Let time pass with the timers that fall due; returns what was done meanwhile."""
-        end, done = self.now + us, len(self.all)
-        while self.timers and min(self.timers)[0] <= end:
+    def run_for(self, duration_us: int) -> list[Action]:
+        """Let time pass and fire the timers that fall due; returns what the router did meanwhile."""
+        end_us = self.now_us + duration_us
+        done = len(self.history)
+        while self.timers and min(self.timers).due_us <= end_us:
             due = min(self.timers)
             self.timers.remove(due)
-            self.now = max(self.now, due[0])
-            self.batch(TimerFired(due[1]))
-        self.now = end
-        return [action for _, action in self.all[done:]]
+            self.now_us = max(self.now_us, due.due_us)
+            self.process(TimerFired(due.key))
+        self.now_us = end_us
+        return [recorded.action for recorded in self.history[done:]]
 
-    def start(self, *members: Endpoint, kind: UpdateKind = UpdateKind.CACHED) -> None:
-        self.batch(EndpointUpdate(kind, members))
+    # Endpoints.
 
-    def probed(self, name: str, primary: bool, lag_us: int = 0) -> None:
-        self.batch(HealthCheckEnded(name, Outcome.OK, MS, LoadReport(self.now - lag_us, primary)))
+    def update_endpoints(self, *endpoints: Endpoint, kind: UpdateKind = UpdateKind.CACHED) -> None:
+        """The endpoint list arrives, or a change of it."""
+        self.process(EndpointUpdate(kind, endpoints))
 
-    def group(self, *replicas: str, primary: str = "p") -> None:
-        """A settled group: roles and positions known."""
-        names = (primary, *replicas)
-        self.start(*(member(n, listed_primary=n == primary) for n in names))
+    def start_group(self, *replicas: str) -> None:
+        """List a primary and these replicas, and report their roles and positions."""
+        names = (PRIMARY, *replicas)
+        self.update_endpoints(*(endpoint(name, listed_primary=name == PRIMARY) for name in names))
         for name in names:
-            self.probed(name, name == primary)
-
-    def ask(self, cls: str, **changes: Any) -> str:
-        name = f"{self.count:016x}"
-        self.count += 1
-        index = BY_NAME[cls]
-        deadline = self.now + self.settings.classes[index].deadline_us
-        base = Request(name, index, 0, 0, deadline, session="s" if cls in ("own", "write") else None)
-        self.batch(replace(base, **changes))
-        return name
-
-    def end(self, request: str, outcome: Outcome = Outcome.OK, **changes: Any) -> list[Action]:
-        """The request's latest attempt ends."""
-        attempt = len(self.sends[request]) - 1
-        base = AttemptEnded(
-            request,
-            attempt,
-            self.sends[request][attempt],
-            outcome,
-            50 * MS,
-            outcome is Outcome.OK,
-            Role.UNKNOWN,
-            None,
-            None,
+            self.pass_health_check(name, is_primary=name == PRIMARY)
+
+    def pass_health_check(self, name: str, *, is_primary: bool = False, lag_us: int = 0) -> None:
+        """A health check ends with a report of the endpoint's role, and of a position `lag_us` ago."""
+        report = LoadReport(self.now_us - lag_us, is_primary)
+        self.process(HealthCheckEnded(name, Outcome.OK, MS, report))
+
+    def fail_health_check(self, name: str, duration_us: int = MS) -> None:
+        """A health check ends without a connection."""
+        self.process(HealthCheckEnded(name, Outcome.UNREACHABLE, duration_us, None))
+
+    def endpoint_state(self, name: str) -> EndpointState:
+        """What the router believes of an endpoint."""
+        return self.router.state.endpoints[name]
+
+    def set_srtt(self, name: str, srtt_us: float) -> None:
+        """Have the router believe in this measured response time."""
+        state = self.endpoint_state(name)
+        state.srtt_us = srtt_us
+        state.has_responded = True
+
+    def set_position(self, name: str, lag_us: int = 0) -> None:
+        """Have the router believe that the endpoint's applied position is `lag_us` ago."""
+        self.endpoint_state(name).position_us = self.now_us - lag_us
+
+    def forget_in_flight(self, name: str) -> None:
+        """Have the router believe that nothing is in flight on this endpoint."""
+        self.endpoint_state(name).in_flight.clear()
+
+    def observe_pressure(self, name: str, pressure: float, samples: int = 1) -> None:
+        """Add samples to an endpoint's own pressure."""
+        for _ in range(samples):
+            self.endpoint_state(name).pressure.observe(self.now_us, pressure)
+
+    def make_primary_busy(self) -> None:
+        """Add so much pressure that no read goes to the primary to spare a position check."""
+        self.observe_pressure(PRIMARY, BUSY_PRESSURE, BUSY_SAMPLES)
+
+    def make_primary_idle(self) -> None:
+        """Add a sample of low pressure: the primary is known to have capacity."""
+        self.observe_pressure(PRIMARY, IDLE_PRESSURE)
+
+    def eject_until(self, name: str, retry_at_us: int) -> None:
+        """Have the router believe that the endpoint is ejected and its backoff ends then."""
+        state = self.endpoint_state(name)
+        state.ejected = True
+        state.retry_at_us = retry_at_us
+
+    # Requests.
+
+    def submit_request(
+        self,
+        request_class: RequestClass,
+        *,
+        session: str | None = None,
+        group: int = 0,
+        tenant_index: int = 0,
+        deadline_in_us: int | None = None,
+    ) -> str:
+        """A client's request arrives; returns its id.
+
+        Its deadline is that of its class and its session the one of all tests, if not said otherwise.
+        """
+        request_id = f"{self._request_count:016x}"
+        self._request_count += 1
+        index = CLASS_INDEX[request_class.name]
+        if deadline_in_us is None:
+            deadline_in_us = self.settings.classes[index].deadline_us
+        if session is None and request_class.name in CLASSES_OF_SESSIONS:
+            session = SESSION
+        deadline_us = self.now_us + deadline_in_us
+        self.process(Request(request_id, index, tenant_index, group, deadline_us, session=session))
+        return request_id
+
+    def end_attempt(
+        self,
+        request: str,
+        outcome: Outcome = Outcome.OK,
+        *,
+        duration_us: int = RESPONSE_US,
+        request_finished: bool | None = None,
+        role: Role = Role.UNKNOWN,
+        position_us: int | None = None,
+    ) -> list[Action]:
+        """The request's latest attempt ends; success finishes the request, if not said otherwise."""
+        tried = self._endpoints_tried[request]
+        if request_finished is None:
+            request_finished = outcome is Outcome.OK
+        return self.process(
+            AttemptEnded(
+                request,
+                len(tried) - 1,
+                tried[-1],
+                outcome,
+                duration_us,
+                request_finished,
+                role,
+                position_us,
+                None,
+            )
         )
-        return self.batch(replace(base, **changes))
 
-    def did(self, kind: type[A], request: str | None = None) -> list[A]:
-        """All actions of a kind so far, those of one request if it is named."""
-        return [
-            a for _, a in self.all if isinstance(a, kind) and request in (None, getattr(a, "request", None))
-        ]
+    def disconnect_client(self, request: str) -> None:
+        """The client of a request disconnects."""
+        self.process(ClientDisconnected(request))
+
+    # What the router did.
 
+    def endpoints_tried(self, request: str) -> list[str]:
+        """The endpoints that a request was sent to, in order."""
+        return list(self._endpoints_tried.get(request, []))
 
-def hear_primary(s: Script) -> None:
-    s.router.state.endpoints["p"].pressure.observe(s.now, 0.1)
+    def first_endpoint(self, request: str) -> str:
+        """The endpoint of a request's first attempt; IndexError where it was not sent."""
+        return self.endpoints_tried(request)[0]
 
+    def count_draws(self, request_class: RequestClass, requests: int) -> Counter[str]:
+        """Submit requests that get no response, and count the endpoints of their first attempts."""
+        submitted = (self.submit_request(request_class) for _ in range(requests))
+        return Counter(self.first_endpoint(request) for request in submitted)
 
-def press_primary(s: Script) -> None:
-    """Full enough that no read is spared a look by going there."""
-    for _ in range(4):
-        s.router.state.endpoints["p"].pressure.observe(s.now, 0.6)
+    def actions_of(self, kind: type[ActionT], request: str | None = None) -> list[ActionT]:
+        """All actions of a kind so far; those of one request if it is named."""
+        actions: list[ActionT] = []
+        for recorded in self.history:
+            action = recorded.action
+            if isinstance(action, kind) and request in (None, getattr(action, "request", None)):
+                actions.append(action)
+        return actions
--- a/tests/routing/test_crossings.py
+++ b/tests/routing/test_crossings.py
@@ -1,11 +1,10 @@
-"""Events that cross, on the module alone: what becomes known between a request's coming and its sending."""
+"""Events that cross: what becomes known between a request's arrival and its sending, or its answer."""
 
 from __future__ import annotations
 
 import pytest
 
 from juniperreel.routing.types import (
-    ClientDisconnected,
     DeadlineShortened,
     Outcome,
     Readiness,
@@ -13,131 +12,170 @@
     Role,
     UpdateKind,
 )
-from tests.routing.router_script import MS, SEC, Script, member
-
+from tests.routing.router_script import (
+    ANY_READ,
+    BOUNDED_READ,
+    FRESH_READ,
+    MS,
+    PRIMARY,
+    SEC,
+    SESSION,
+    SESSION_READ,
+    WRITE,
+    RouterScript,
+    endpoint,
+)
 
-def settled(**changes: bool) -> Script:
-    """One replica, fresh enough for whoever asks for nothing newer than now."""
-    s = Script(**changes)
-    s.group("a")
-    return s
+FIRST_ATTEMPT = 0
 
 
-def reads_of(s: Script, request: str) -> list[str]:
-    return s.sends.get(request, [])
+def script_with_one_replica(**settings: bool) -> RouterScript:
+    """One replica, fresh enough for a read that needs nothing newer than now."""
+    script = RouterScript(**settings)
+    script.start_group("a")
+    return script
 
 
 @pytest.mark.parametrize("outcome", [Outcome.RESET, Outcome.TIMEOUT, Outcome.ERROR, Outcome.CANCELLED])
-def test_a_write_that_may_have_run_is_seen_by_its_session(outcome: Outcome) -> None:
-    """Its answer was lost; what it wrote was committed before it ended."""
-    s = settled()
-    s.ask("write")
-    s.now += 300 * MS
-    s.end("0" * 16, outcome, request_finished=True)
-    s.router.state.endpoints["a"].position_us = s.now - 1
-    assert "a" not in reads_of(s, s.ask("own"))
-    s.router.state.endpoints["a"].position_us = s.now
-    assert reads_of(s, s.ask("own")) == ["a"]
-    assert reads_of(s, s.ask("own", session="other")) == ["a"]
+def test_session_read_after_a_write_that_may_have_been_executed_needs_its_commit(outcome: Outcome) -> None:
+    """The write's response was lost; what it wrote was committed before its attempt ended."""
+    script = script_with_one_replica()
+    write = script.submit_request(WRITE)
+    script.advance_clock(300 * MS)
+    script.end_attempt(write, outcome, request_finished=True)
+    script.set_position("a", lag_us=1)
+    assert "a" not in script.endpoints_tried(script.submit_request(SESSION_READ))
+    script.set_position("a")
+    assert script.endpoints_tried(script.submit_request(SESSION_READ)) == ["a"]
+    assert script.endpoints_tried(script.submit_request(SESSION_READ, session="other")) == ["a"]
 
 
 @pytest.mark.parametrize("outcome", [Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.INELIGIBLE])
-def test_a_write_that_never_ran_asks_nothing_of_its_session(outcome: Outcome) -> None:
-    s = settled()
-    s.ask("write")
-    s.now += 300 * MS
-    s.end("0" * 16, outcome, request_finished=True)
-    s.router.state.endpoints["a"].position_us = s.now - SEC
-    assert reads_of(s, s.ask("own")) == ["a"]
-
-
-def test_while_a_write_is_out_its_session_reads_from_the_primary_where_responses_may_be_lost() -> None:
-    for lost, expected in ((True, "p"), (False, "a")):
-        s = settled(responses_may_be_lost=lost)
-        s.ask("write")
-        assert reads_of(s, s.ask("own")) == ["a"]  # nothing was answered so soon
-        s.now += 300 * MS
-        s.router.state.endpoints["a"].position_us = s.now - 1
-        assert reads_of(s, s.ask("own")) == [expected]
-        assert reads_of(s, s.ask("own", session="other")) == ["a"]
-        assert reads_of(s, s.ask("own", group=0, session="s")) == [expected]
-
-
-def test_a_session_read_in_hand_sees_a_write_answered_meanwhile() -> None:
-    """The read's first attempt fails; before the second one its session's write is answered."""
-    s = settled()
-    s.router.state.endpoints["a"].position_us = s.now
-    read = s.ask("own")
-    write = s.ask("write")
-    s.now += 100 * MS
-    s.router.state.endpoints["a"].position_us = s.now
-    s.end(write, position_us=s.now + 50 * MS)
-    s.end(read, Outcome.NOT_SENT)
-    s.wait(40 * MS)
-    assert reads_of(s, read)[1:] in ([], ["p"])
-
-
-def test_what_a_cut_off_answer_told_of_a_role_holds() -> None:
-    s = settled()
-    w = s.ask("write")
-    s.now += 300 * MS
-    s.end(w, Outcome.TIMEOUT, role=Role.REPLICA, position_us=s.now - 100 * MS)
-    assert s.router.state.groups[0].primary is None
-    assert s.router.state.endpoints["p"].position_us == s.now - 101 * MS
-
-
-def test_an_attempt_fits_only_while_its_member_is_known_to_be_fresh() -> None:
-    s = settled()
-    s.router.state.endpoints["a"].position_us = s.now - 250 * MS
-    read = s.ask("read")
-    assert reads_of(s, read) == ["a"]
-    assert s.router.confirm_send(s.now + 50 * MS, read, 0)
-    assert not s.router.confirm_send(s.now + 51 * MS, read, 0)  # its bound is 300 ms
-    s.router.state.endpoints["a"].position_us = s.now
-    assert s.router.confirm_send(s.now + 51 * MS, read, 0)
-    s.batch(ClientDisconnected(read))
-    assert not s.router.confirm_send(s.now, read, 0)
-
-
-def test_a_read_does_not_fit_a_primary_that_stepped_down_meanwhile() -> None:
-    s = settled()
-    fresh, write = s.ask("current"), s.ask("write")
-    assert s.router.confirm_send(s.now, fresh, 0) and s.router.confirm_send(s.now, write, 0)
-    s.router.parts.primaries.observe_role(s.router.state.endpoints["p"], Role.REPLICA)
-    assert not s.router.confirm_send(s.now, fresh, 0)
-    assert s.router.confirm_send(s.now, write, 0)  # a miss does no harm
-
-
-def test_an_attempt_does_not_fit_a_member_that_was_told_to_drain_meanwhile() -> None:
-    s = settled()
-    read, write = s.ask("loose"), s.ask("write")
-    changed = member("a", readiness=Readiness.DRAINING)
-    s.start(changed, member("p", readiness=Readiness.DRAINING), kind=UpdateKind.DELTA)
-    assert not s.router.confirm_send(s.now, read, 0)
-    assert s.router.confirm_send(s.now, write, 0)  # a primary that drains has half the grace
-    assert not s.router.confirm_send(s.now + s.settings.drain_grace_us // 2, write, 0)
-
-
-def test_a_deadline_that_is_cut_holds_for_what_is_in_hand() -> None:
-    s = settled()
-    for m in s.router.state.endpoints.values():
-        m.ejected, m.retry_at_us = True, s.now + 60 * SEC
-    held = s.ask("write")
-    s.batch(DeadlineShortened(held, s.now + 500 * MS))
-    s.batch(DeadlineShortened(held, s.now + 900 * MS))  # never longer again
-    s.wait(500 * MS)
-    (refused,) = s.did(Reject, held)
-    assert refused.request == held
-    s.batch(DeadlineShortened("unknown", s.now))
-
-
-def test_a_member_that_came_back_is_cold_again() -> None:
-    """Told as the same member with a later start, while others carry work: it must not be rushed."""
-    s = settled()
-    assert s.router.parts.slow_start.capacity_fraction(s.router.state.endpoints["a"]) == 1.0
-    s.now += SEC
-    s.start(member("p", listed_primary=True), member("a", started_us=s.now), kind=UpdateKind.SNAPSHOT)
-    assert s.router.parts.slow_start.capacity_fraction(s.router.state.endpoints["a"]) < 0.25
-    s.router.state.endpoints["a"].position_us = s.now
-    sent = sum(reads_of(s, s.ask("loose")) == ["a"] for _ in range(20))
-    assert sent <= 1
+def test_session_read_after_a_write_that_was_not_executed_needs_nothing_newer(outcome: Outcome) -> None:
+    script = script_with_one_replica()
+    write = script.submit_request(WRITE)
+    script.advance_clock(300 * MS)
+    script.end_attempt(write, outcome, request_finished=True)
+    script.set_position("a", lag_us=SEC)
+    assert script.endpoints_tried(script.submit_request(SESSION_READ)) == ["a"]
+
+
+@pytest.mark.parametrize(
+    "responses_may_be_lost, expected_endpoint",
+    [pytest.param(True, PRIMARY, id="may-be-lost"), pytest.param(False, "a", id="never-lost")],
+)
+def test_session_read_while_a_write_of_its_session_is_in_flight_needs_the_primary_if_responses_may_be_lost(
+    responses_may_be_lost: bool, expected_endpoint: str
+) -> None:
+    script = script_with_one_replica(responses_may_be_lost=responses_may_be_lost)
+    script.submit_request(WRITE)
+    # No response can have been sent so soon.
+    assert script.endpoints_tried(script.submit_request(SESSION_READ)) == ["a"]
+    script.advance_clock(300 * MS)
+    script.set_position("a", lag_us=1)
+    assert script.endpoints_tried(script.submit_request(SESSION_READ)) == [expected_endpoint]
+    assert script.endpoints_tried(script.submit_request(SESSION_READ, session="other")) == ["a"]
+    own_read = script.submit_request(SESSION_READ, group=0, session=SESSION)
+    assert script.endpoints_tried(own_read) == [expected_endpoint]
+
+
+def test_session_read_retried_after_a_write_of_its_session_needs_the_commit() -> None:
+    """The read's first attempt fails; before the second one its session's write gets its response."""
+    script = script_with_one_replica()
+    script.set_position("a")
+    read = script.submit_request(SESSION_READ)
+    write = script.submit_request(WRITE)
+    script.advance_clock(100 * MS)
+    script.set_position("a")
+    script.end_attempt(write, position_us=script.now_us + 50 * MS)
+    script.end_attempt(read, Outcome.NOT_SENT)
+    script.run_for(40 * MS)
+    assert script.endpoints_tried(read)[1:] in ([], [PRIMARY])
+
+
+def test_role_and_position_in_a_response_that_was_cut_off_are_observed() -> None:
+    script = script_with_one_replica()
+    write = script.submit_request(WRITE)
+    script.advance_clock(300 * MS)
+    script.end_attempt(write, Outcome.TIMEOUT, role=Role.REPLICA, position_us=script.now_us - 100 * MS)
+    assert script.router.state.groups[0].primary is None
+    assert script.endpoint_state(PRIMARY).position_us == script.now_us - 101 * MS
+
+
+def test_send_of_a_bounded_read_is_confirmed_only_while_its_endpoint_is_fresh() -> None:
+    script = script_with_one_replica()
+    script.set_position("a", lag_us=250 * MS)
+    read = script.submit_request(BOUNDED_READ)
+    assert script.endpoints_tried(read) == ["a"]
+    at_the_bound_us = script.now_us + 50 * MS
+    beyond_the_bound_us = script.now_us + 51 * MS
+    assert script.router.confirm_send(at_the_bound_us, read, FIRST_ATTEMPT)
+    assert not script.router.confirm_send(beyond_the_bound_us, read, FIRST_ATTEMPT)
+    script.set_position("a")
+    assert script.router.confirm_send(beyond_the_bound_us, read, FIRST_ATTEMPT)
+
+
+def test_send_of_a_request_whose_client_disconnected_is_not_confirmed() -> None:
+    script = script_with_one_replica()
+    read = script.submit_request(BOUNDED_READ)
+    assert script.endpoints_tried(read) == ["a"]
+    assert script.router.confirm_send(script.now_us, read, FIRST_ATTEMPT)
+    script.disconnect_client(read)
+    assert not script.router.confirm_send(script.now_us, read, FIRST_ATTEMPT)
+
+
+def test_send_of_a_fresh_read_to_a_primary_that_stepped_down_is_not_confirmed() -> None:
+    script = script_with_one_replica()
+    fresh_read = script.submit_request(FRESH_READ)
+    write = script.submit_request(WRITE)
+    assert script.router.confirm_send(script.now_us, fresh_read, FIRST_ATTEMPT)
+    assert script.router.confirm_send(script.now_us, write, FIRST_ATTEMPT)
+    script.router.parts.primaries.observe_role(script.endpoint_state(PRIMARY), Role.REPLICA)
+    assert not script.router.confirm_send(script.now_us, fresh_read, FIRST_ATTEMPT)
+    # A write that is found ineligible does no harm.
+    assert script.router.confirm_send(script.now_us, write, FIRST_ATTEMPT)
+
+
+def test_send_to_a_draining_endpoint_is_confirmed_for_a_primary_in_half_of_its_grace_only() -> None:
+    script = script_with_one_replica()
+    read = script.submit_request(ANY_READ)
+    write = script.submit_request(WRITE)
+    script.update_endpoints(
+        endpoint("a", readiness=Readiness.DRAINING),
+        endpoint(PRIMARY, readiness=Readiness.DRAINING),
+        kind=UpdateKind.DELTA,
+    )
+    half_of_the_grace_us = script.settings.drain_grace_us // 2
+    assert not script.router.confirm_send(script.now_us, read, FIRST_ATTEMPT)
+    assert script.router.confirm_send(script.now_us, write, FIRST_ATTEMPT)
+    assert not script.router.confirm_send(script.now_us + half_of_the_grace_us, write, FIRST_ATTEMPT)
+
+
+def test_deadline_shortened_while_a_request_is_queued_rejects_it_by_then() -> None:
+    script = script_with_one_replica()
+    for name in list(script.router.state.endpoints):
+        script.eject_until(name, script.now_us + 60 * SEC)
+    queued = script.submit_request(WRITE)
+    script.process(DeadlineShortened(queued, script.now_us + 500 * MS))
+    script.process(DeadlineShortened(queued, script.now_us + 900 * MS))  # never longer again
+    script.run_for(500 * MS)
+    (rejected,) = script.actions_of(Reject, queued)
+    assert rejected.request == queued
+    script.process(DeadlineShortened("unknown", script.now_us))
+
+
+def test_endpoint_that_restarted_while_others_serve_warms_up_again() -> None:
+    """Listed as the same endpoint with a later start, while others carry work: it must not be rushed."""
+    script = script_with_one_replica()
+    slow_start = script.router.parts.slow_start
+    assert slow_start.capacity_fraction(script.endpoint_state("a")) == 1.0
+    script.advance_clock(SEC)
+    script.update_endpoints(
+        endpoint(PRIMARY, listed_primary=True),
+        endpoint("a", started_us=script.now_us),
+        kind=UpdateKind.SNAPSHOT,
+    )
+    assert slow_start.capacity_fraction(script.endpoint_state("a")) < 0.25
+    script.set_position("a")
+    reads = [script.submit_request(ANY_READ) for _ in range(20)]
+    assert sum(script.endpoints_tried(read) == ["a"] for read in reads) <= 1
--- a/tests/routing/test_endpoint_list.py
+++ b/tests/routing/test_endpoint_list.py
@@ -4,79 +4,82 @@
 
 from juniperreel.routing.policy import parameters
 from juniperreel.routing.state import NEVER
-from juniperreel.routing.types import (
-    EndpointUpdate,
-    Readiness,
-    StartHealthCheck,
-    Subscribe,
-    UpdateKind,
-)
+from juniperreel.routing.types import Readiness, StartHealthCheck, Subscribe, UpdateKind
 from tests.routing.router_script import (
+    ANY_READ,
+    BOUNDED_READ,
     MS,
+    PRIMARY,
     SEC,
-    Script,
-    member,
+    WRITE,
+    RouterScript,
+    endpoint,
 )
 
 
-def test_draining_member_gets_nothing_new() -> None:
-    s = Script()
-    s.group("a", "b")
-    s.start(member("a", readiness=Readiness.DRAINING), kind=UpdateKind.DELTA)
-    assert {s.sends[s.ask("loose")][0] for _ in range(30)} == {"b"}
+def test_draining_replica_gets_no_new_requests() -> None:
+    script = RouterScript()
+    script.start_group("a", "b")
+    script.update_endpoints(endpoint("a", readiness=Readiness.DRAINING), kind=UpdateKind.DELTA)
+    assert set(script.count_draws(ANY_READ, requests=30)) == {"b"}
+
 
+def test_draining_primary_gets_writes_for_half_of_the_grace_only() -> None:
+    script = RouterScript()
+    script.start_group("a")
+    script.update_endpoints(endpoint(PRIMARY, readiness=Readiness.DRAINING), kind=UpdateKind.DELTA)
+    assert script.endpoints_tried(script.submit_request(WRITE)) == [PRIMARY]
+    script.run_for(1000 * MS)  # exactly half of the grace
+    write = script.submit_request(WRITE)
+    assert script.endpoints_tried(write) == []
+    assert StartHealthCheck("a") in script.last_actions
+    script.pass_health_check("a", is_primary=True)
+    assert script.endpoints_tried(write) == ["a"]
 
-def test_draining_primary_keeps_writes_for_half_the_grace_only() -> None:
-    s = Script()
-    s.group("a")
-    s.start(member("p", readiness=Readiness.DRAINING), kind=UpdateKind.DELTA)
-    assert s.sends[s.ask("write")] == ["p"]
-    s.wait(1000 * MS)  # exactly half the grace
-    r = s.ask("write")
-    assert r not in s.sends and StartHealthCheck("a") in s.last
-    s.probed("a", True)
-    assert s.sends[r] == ["a"]
 
+def test_subscription_after_a_cached_list_is_opened_and_after_a_failure_opened_again() -> None:
+    script = RouterScript(must_poll=True)
+    script.update_endpoints(endpoint("a"))
+    assert Subscribe(enabled=True) in script.run_for(500 * MS)
+    script.update_endpoints(kind=UpdateKind.FAILED)
+    assert Subscribe(enabled=True) in script.run_for(1100 * MS)
 
-def test_subscription_is_asked_for_and_again_after_a_failure() -> None:
-    s = Script(must_poll=True)
-    s.start(member("a"))
-    assert any(isinstance(a, Subscribe) and a.enabled for a in s.wait(500 * MS))
-    s.batch(EndpointUpdate(UpdateKind.FAILED, ()))
-    assert any(isinstance(a, Subscribe) for a in s.wait(1100 * MS))
 
+def test_watch_that_timed_out_is_opened_again_at_once() -> None:
+    """What a silent watch misses counts as notified.
 
-def test_a_watch_that_fell_silent_is_opened_anew_at_once() -> None:
-    """What it misses counts as told; hundreds that spread their calls over seconds would send to members that
-    drain."""
-    s = Script(must_poll=True, router_count=400)
-    s.start(member("a"))
-    s.wait(5 * SEC)
-    s.batch(EndpointUpdate(UpdateKind.TIMED_OUT, ()))
-    assert any(isinstance(a, Subscribe) and a.enabled for a in s.last)
+    Hundreds of routers that spread their calls over seconds would send to endpoints that drain.
+    """
+    script = RouterScript(must_poll=True, router_count=400)
+    script.update_endpoints(endpoint("a"))
+    script.run_for(5 * SEC)
+    script.update_endpoints(kind=UpdateKind.TIMED_OUT)
+    assert Subscribe(enabled=True) in script.last_actions
 
 
-def test_members_that_are_gone_are_forgotten_and_may_come_back() -> None:
-    """Seen on the soak day: members are replaced for hours, and each stayed in memory."""
-    s = Script()
-    s.group("a", "b")
-    for i in range(200):
-        s.wait(5 * SEC)
-        s.batch(EndpointUpdate(UpdateKind.DELTA, (member(f"n{i}"),)))
-        s.batch(EndpointUpdate(UpdateKind.DELTA, (member(f"n{i}", readiness=Readiness.REMOVED),)))
-    assert len(s.router.state.endpoints) < 3 + 2 * parameters.REMOVED_ENDPOINT_TTL_US // (5 * SEC)
-    s.batch(EndpointUpdate(UpdateKind.DELTA, (member("n0"),)))
-    assert s.router.state.endpoints["n0"].position_us == NEVER
-    r = s.ask("read")
-    assert s.sends.get(r) != ["n0"]
+def test_removed_endpoints_after_their_ttl_are_forgotten_and_may_come_back() -> None:
+    """Seen on the soak day: endpoints are replaced for hours, and each stayed in memory."""
+    script = RouterScript()
+    script.start_group("a", "b")
+    for number in range(200):
+        name = f"n{number}"
+        script.run_for(5 * SEC)
+        script.update_endpoints(endpoint(name), kind=UpdateKind.DELTA)
+        script.update_endpoints(endpoint(name, readiness=Readiness.REMOVED), kind=UpdateKind.DELTA)
+    assert len(script.router.state.endpoints) < 3 + 2 * parameters.REMOVED_ENDPOINT_TTL_US // (5 * SEC)
+    script.update_endpoints(endpoint("n0"), kind=UpdateKind.DELTA)
+    assert script.endpoint_state("n0").position_us == NEVER
+    read = script.submit_request(BOUNDED_READ)
+    assert script.endpoints_tried(read) != ["n0"]
 
 
-def test_a_primary_that_is_forgotten_is_primary_no_more() -> None:
-    s = Script()
-    s.group("a", "b")
-    s.batch(EndpointUpdate(UpdateKind.DELTA, (member("p", readiness=Readiness.REMOVED),)))
-    s.wait(parameters.REMOVED_ENDPOINT_TTL_US + SEC)
-    s.batch(EndpointUpdate(UpdateKind.DELTA, ()))
-    assert "p" not in s.router.state.endpoints
-    w = s.ask("write")
-    assert w not in s.sends and {"a", "b"} <= {p.endpoint for p in s.did(StartHealthCheck)}
+def test_primary_that_is_forgotten_is_searched_for() -> None:
+    script = RouterScript()
+    script.start_group("a", "b")
+    script.update_endpoints(endpoint(PRIMARY, readiness=Readiness.REMOVED), kind=UpdateKind.DELTA)
+    script.run_for(parameters.REMOVED_ENDPOINT_TTL_US + SEC)
+    script.update_endpoints(kind=UpdateKind.DELTA)
+    assert PRIMARY not in script.router.state.endpoints
+    write = script.submit_request(WRITE)
+    assert script.endpoints_tried(write) == []
+    assert {"a", "b"} <= {check.endpoint for check in script.actions_of(StartHealthCheck)}
--- a/tests/routing/test_freshness.py
+++ b/tests/routing/test_freshness.py
@@ -5,99 +5,112 @@
 import pytest
 
 from juniperreel.routing.policy import parameters
-from juniperreel.routing.types import (
-    Outcome,
-    Role,
-    StalenessGuard,
-    StartHealthCheck,
-)
+from juniperreel.routing.types import Outcome, Role, StalenessGuard, StartHealthCheck
 from tests.routing.router_script import (
+    BOUNDED_READ,
+    FRESH_READ,
     MS,
+    PRIMARY,
     SEC,
-    Script,
-    press_primary,
+    SESSION_READ,
+    WRITE,
+    RouterScript,
 )
 
 
-def test_bounded_read_needs_a_known_fresh_position_when_sent() -> None:
-    s = Script()
-    s.group("a")
-    assert s.sends[s.ask("read")] == ["a"]
-    s.now += 300 * MS
-    assert s.sends[s.ask("read")] == ["a"]  # exactly at the bound
-    s.now += 1
-    r = s.ask("read")
-    assert r not in s.sends and StartHealthCheck("a") in s.last
-    s.probed("a", False, lag_us=300 * MS + 1)
-    assert r not in s.sends
-    s.probed("a", False, lag_us=300 * MS)
-    assert s.sends[r] == ["a"]
-
-
-def test_session_read_waits_for_its_write() -> None:
-    s = Script()
-    s.group("a")
-    assert s.sends[s.ask("own")] == ["a"]
-    w = s.ask("write")
-    s.now += 40 * MS
-    s.end(w, role=Role.PRIMARY, position_us=s.now)
-    press_primary(s)
-    r = s.ask("own")
-    assert r not in s.sends
-    assert s.sends[s.ask("own", session="other")] == ["a"]
-    s.probed("a", False, lag_us=1)
-    assert r not in s.sends
-    s.probed("a", False)
-    assert s.sends[r] == ["a"]
-
-
-def test_forgotten_sessions_leave_a_floor(monkeypatch: pytest.MonkeyPatch) -> None:
+def commit_write(script: RouterScript, after_us: int = 40 * MS, session: str | None = None) -> None:
+    """A write is sent, and its response names its commit time, `after_us` later."""
+    write = script.submit_request(WRITE, session=session)
+    script.advance_clock(after_us)
+    script.end_attempt(write, role=Role.PRIMARY, position_us=script.now_us)
+
+
+def test_bounded_read_within_the_staleness_bound_is_sent() -> None:
+    script = RouterScript()
+    script.start_group("a")
+    assert script.endpoints_tried(script.submit_request(BOUNDED_READ)) == ["a"]
+    script.advance_clock(300 * MS)  # exactly at the bound
+    assert script.endpoints_tried(script.submit_request(BOUNDED_READ)) == ["a"]
+
+
+def test_bounded_read_beyond_the_staleness_bound_waits_for_a_fresh_position() -> None:
+    script = RouterScript()
+    script.start_group("a")
+    script.advance_clock(300 * MS + 1)
+    read = script.submit_request(BOUNDED_READ)
+    assert script.endpoints_tried(read) == []
+    assert StartHealthCheck("a") in script.last_actions
+    script.pass_health_check("a", lag_us=300 * MS + 1)
+    assert script.endpoints_tried(read) == []
+    script.pass_health_check("a", lag_us=300 * MS)
+    assert script.endpoints_tried(read) == ["a"]
+
+
+def test_session_read_after_a_write_of_its_session_waits_for_the_commit() -> None:
+    script = RouterScript()
+    script.start_group("a")
+    assert script.endpoints_tried(script.submit_request(SESSION_READ)) == ["a"]
+    commit_write(script)
+    script.make_primary_busy()
+    read = script.submit_request(SESSION_READ)
+    assert script.endpoints_tried(read) == []
+    assert script.endpoints_tried(script.submit_request(SESSION_READ, session="other")) == ["a"]
+    script.pass_health_check("a", lag_us=1)
+    assert script.endpoints_tried(read) == []
+    script.pass_health_check("a")
+    assert script.endpoints_tried(read) == ["a"]
+
+
+def test_session_read_of_a_forgotten_session_waits_for_the_session_watermark(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     monkeypatch.setattr(parameters, "MAX_SESSIONS", 2)
-    s = Script()
-    s.group("a")
-    for i in range(3):
-        w = s.ask("write", session=f"s{i}")
-        s.now += MS
-        s.end(w, role=Role.PRIMARY, position_us=s.now)
-    press_primary(s)
-    old, unknown = s.ask("own", session="s0"), s.ask("own", session="never wrote")
-    assert old not in s.sends and unknown not in s.sends
-    s.probed("a", False)
-    assert s.sends[old] == s.sends[unknown] == ["a"]
-
-
-def test_fresh_read_never_goes_looking_for_the_primary() -> None:
-    """A replica would answer it, from old data."""
-    s = Script()
-    s.group("a", "b")
-    s.end(s.ask("write"), Outcome.RESET)
-    r = s.ask("current")
-    s.wait(3 * SEC)
-    assert not {"a", "b"} & set(s.sends.get(r, []))
-
-
-def test_slightly_behind_replica_is_tried_where_members_check() -> None:
-    s = Script(staleness_guard=StalenessGuard.REFUSE)
-    s.group("a")
-    s.now += 350 * MS
-    r = s.ask("read")
-    assert s.sends[r] == ["a"]
-    s.end(r, Outcome.INELIGIBLE, role=Role.REPLICA)
-    assert s.sends[r] == ["a", "p"]
-
-
-def test_old_sessions_sink_into_the_floor_by_age() -> None:
-    s = Script()
-    s.group("a")
-    for i in range(300):
-        s.wait(SEC)
-        w = s.ask("write", session=f"s{i}")
-        s.end(w, role=Role.PRIMARY, position_us=s.now)
-    assert len(s.router.state.sessions) <= parameters.SESSION_TTL_US // SEC + 1
-    floor = s.router.state.groups[0].session_watermark_us
-    assert s.now - parameters.SESSION_TTL_US - 2 * SEC <= floor < s.now - parameters.SESSION_TTL_US
-    press_primary(s)
-    old = s.ask("own", session="s0")
-    assert old not in s.sends  # nothing is known of the replica since: it must show what was forgotten
-    s.probed("a", False, lag_us=1)
-    assert s.sends[old] == ["a"]
+    script = RouterScript()
+    script.start_group("a")
+    for number in range(3):
+        commit_write(script, after_us=MS, session=f"session {number}")
+    script.make_primary_busy()
+    of_forgotten_session = script.submit_request(SESSION_READ, session="session 0")
+    of_unknown_session = script.submit_request(SESSION_READ, session="never wrote")
+    assert script.endpoints_tried(of_forgotten_session) == []
+    assert script.endpoints_tried(of_unknown_session) == []
+    script.pass_health_check("a")
+    assert script.endpoints_tried(of_forgotten_session) == ["a"]
+    assert script.endpoints_tried(of_unknown_session) == ["a"]
+
+
+def test_old_sessions_beyond_their_ttl_become_the_session_watermark() -> None:
+    script = RouterScript()
+    script.start_group("a")
+    for number in range(300):
+        script.run_for(SEC)
+        commit_write(script, after_us=0, session=f"session {number}")
+    assert len(script.router.state.sessions) <= parameters.SESSION_TTL_US // SEC + 1
+    watermark_us = script.router.state.groups[0].session_watermark_us
+    expired_us = script.now_us - parameters.SESSION_TTL_US
+    assert expired_us - 2 * SEC <= watermark_us < expired_us
+    script.make_primary_busy()
+    read = script.submit_request(SESSION_READ, session="session 0")
+    assert script.endpoints_tried(read) == []  # nothing is known of the replica since that commit
+    script.pass_health_check("a", lag_us=1)
+    assert script.endpoints_tried(read) == ["a"]
+
+
+def test_fresh_read_after_a_lost_write_is_never_sent_to_a_replica() -> None:
+    """A fresh read does not search for the primary: a replica would serve it from old data."""
+    script = RouterScript()
+    script.start_group("a", "b")
+    script.end_attempt(script.submit_request(WRITE), Outcome.RESET)
+    read = script.submit_request(FRESH_READ)
+    script.run_for(3 * SEC)
+    assert not {"a", "b"} & set(script.endpoints_tried(read))
+
+
+def test_replica_slightly_behind_where_endpoints_guard_staleness_is_tried_first() -> None:
+    script = RouterScript(staleness_guard=StalenessGuard.REFUSE)
+    script.start_group("a")
+    script.advance_clock(350 * MS)
+    read = script.submit_request(BOUNDED_READ)
+    assert script.endpoints_tried(read) == ["a"]
+    script.end_attempt(read, Outcome.INELIGIBLE, role=Role.REPLICA)
+    assert script.endpoints_tried(read) == ["a", PRIMARY]
--- a/tests/routing/test_outlier.py
+++ b/tests/routing/test_outlier.py
@@ -2,105 +2,102 @@
 
 from __future__ import annotations
 
-from collections import Counter
-
-from juniperreel.routing.types import (
-    Outcome,
-    Role,
-)
-from tests.routing.router_script import (
-    MS,
-    Script,
-    member,
-)
-
-
-def test_suspect_member_returns_without_probes() -> None:
-    s = Script(health_checks=False)
-    s.start(member("a"))
-    r = s.ask("loose")
-    s.end(r, Outcome.RESET)
-    assert s.sends[r] == ["a"]
-    s.wait(400 * MS)
-    assert s.sends[r] == ["a", "a"]
-    s.end(r, role=Role.REPLICA)
-    assert s.sends[s.ask("loose")] == ["a"]
-
-
-def test_slow_request_is_not_its_members_fault() -> None:
-    """heavy_tail: the member answered others meanwhile."""
-    s = Script()
-    s.group("a")
-    s.end(s.ask("loose"), duration_us=50 * MS)
-    slow = s.ask("loose")
-    s.now += 400 * MS
-    s.end(s.ask("loose"), duration_us=50 * MS)
-    srtt = s.router.state.endpoints["a"].srtt_us
-    s.end(slow, Outcome.CANCELLED, duration_us=500 * MS)
-    assert s.router.state.endpoints["a"].srtt_us == srtt
-
-
-def test_suspect_replica_returns_while_others_serve() -> None:
-    """A member in doubt stayed out for as long as any other could take the reads."""
-    s = Script()
-    s.group("a", "b")
-    while s.sends[r := s.ask("loose")][0] != "a":
-        s.end(r, role=Role.REPLICA)
-    s.end(r, Outcome.UNREACHABLE)
-    s.end(r, role=Role.REPLICA)
-    s.wait(300 * MS)
-    s.end(s.ask("loose"), role=Role.REPLICA)
-    s.probed("a", False)
-    picked = Counter[str]()
+from juniperreel.routing.types import Outcome, Role
+from tests.routing.router_script import ANY_READ, MS, RouterScript, endpoint
+
+
+def test_ejected_endpoint_where_health_checks_are_not_allowed_is_retried_after_its_backoff() -> None:
+    script = RouterScript(health_checks=False)
+    script.update_endpoints(endpoint("a"))
+    request = script.submit_request(ANY_READ)
+    script.end_attempt(request, Outcome.RESET)
+    assert script.endpoints_tried(request) == ["a"]
+    script.run_for(400 * MS)
+    assert script.endpoints_tried(request) == ["a", "a"]
+    script.end_attempt(request, role=Role.REPLICA)
+    assert script.endpoints_tried(script.submit_request(ANY_READ)) == ["a"]
+
+
+def test_ejected_replica_while_others_serve_is_reinstated() -> None:
+    """An ejected endpoint stayed out for as long as any other could take the reads."""
+    script = RouterScript()
+    script.start_group("a", "b")
+    request = script.submit_request(ANY_READ)
+    while script.first_endpoint(request) != "a":
+        script.end_attempt(request, role=Role.REPLICA)
+        request = script.submit_request(ANY_READ)
+    script.end_attempt(request, Outcome.UNREACHABLE)
+    script.end_attempt(request, role=Role.REPLICA)
+    script.run_for(300 * MS)
+    script.end_attempt(script.submit_request(ANY_READ), role=Role.REPLICA)
+    script.pass_health_check("a")
+    sent_to_ejected = 0
     for _ in range(30):
-        r = s.ask("loose")
-        picked[s.sends[r][0]] += 1
-        s.end(r, role=Role.REPLICA)
-    assert picked["a"] > 0
+        request = script.submit_request(ANY_READ)
+        sent_to_ejected += script.first_endpoint(request) == "a"
+        script.end_attempt(request, role=Role.REPLICA)
+    assert sent_to_ejected > 0
 
 
-def test_shared_losses_put_no_member_in_doubt() -> None:
-    """answer_lost: where half the group loses answers the draw alone decides."""
-    s = Script()
-    s.group("a", "b", "c")
+def test_ejection_where_the_whole_group_loses_responses_stops_at_half_of_it() -> None:
+    """answer_lost: where half of the group loses responses, the draw alone decides."""
+    script = RouterScript()
+    script.start_group("a", "b", "c")
     for _ in range(40):
-        r = s.ask("loose", deadline_us=s.now + 90 * MS)
-        if r in s.sends:
-            s.end(r, Outcome.RESET)
-        s.wait(500 * MS)
-    assert sum(m.ejected for m in s.router.state.endpoints.values()) <= 2
-
-
-def test_a_reset_is_no_pressure_and_no_silence() -> None:
-    s = Script()
-    s.group("a", "b")
+        request = script.submit_request(ANY_READ, deadline_in_us=90 * MS)
+        if script.endpoints_tried(request):
+            script.end_attempt(request, Outcome.RESET)
+        script.run_for(500 * MS)
+    assert sum(state.ejected for state in script.router.state.endpoints.values()) <= 2
+
+
+def test_endpoint_after_one_refused_connection_stays_and_after_two_in_a_row_is_ejected() -> None:
+    script = RouterScript()
+    script.start_group("a", "b")
+    state = script.endpoint_state("a")
+    outliers = script.router.parts.outliers
+    outliers.record_loss(state, Outcome.UNREACHABLE)
+    assert state.ejected is False
+    outliers.record_loss(state, Outcome.UNREACHABLE)
+    assert state.ejected is True
+
+
+def test_resets_on_all_endpoints_lower_the_success_rate_without_pressure_or_ejection() -> None:
+    script = RouterScript()
+    script.start_group("a", "b")
     for _ in range(6):
-        r = s.ask("loose")
-        s.end(r, Outcome.RESET)
-        s.end(r)
-    for name in ("a", "b"):
-        state = s.router.state.endpoints[name]
-        assert not state.ejected and state.pressure.value(s.now) < 0.5
-    assert min(s.router.state.endpoints[n].success_rate.value for n in ("a", "b")) < 1.0
-
-
-def test_one_refused_connection_is_chance_and_two_in_a_row_are_a_doubt() -> None:
-    s = Script()
-    s.group("a", "b")
-    state = s.router.state.endpoints["a"]
-    for expected in (False, True):
-        s.router.parts.outliers.record_loss(state, Outcome.UNREACHABLE)
-        assert state.ejected is expected
-
-
-def test_a_try_with_little_time_says_nothing_of_a_member_that_answers_others() -> None:
-    s = Script()
-    s.group("a")
-    s.end(s.ask("loose"))
+        request = script.submit_request(ANY_READ)
+        script.end_attempt(request, Outcome.RESET)
+        script.end_attempt(request)
+    states = [script.endpoint_state(name) for name in ("a", "b")]
+    for state in states:
+        assert not state.ejected
+        assert state.pressure.value(script.now_us) < 0.5
+    assert min(state.success_rate.value for state in states) < 1.0
+
+
+def test_slow_request_cancelled_while_its_endpoint_serves_others_leaves_srtt_unchanged() -> None:
+    """heavy_tail: the endpoint responded to others meanwhile."""
+    script = RouterScript()
+    script.start_group("a")
+    script.end_attempt(script.submit_request(ANY_READ), duration_us=50 * MS)
+    slow_request = script.submit_request(ANY_READ)
+    script.advance_clock(400 * MS)
+    script.end_attempt(script.submit_request(ANY_READ), duration_us=50 * MS)
+    srtt_us = script.endpoint_state("a").srtt_us
+    script.end_attempt(slow_request, Outcome.CANCELLED, duration_us=500 * MS)
+    assert script.endpoint_state("a").srtt_us == srtt_us
+
+
+def test_timeouts_cut_short_by_deadlines_while_the_endpoint_serves_others_do_not_eject_it() -> None:
+    script = RouterScript()
+    script.start_group("a")
+    script.end_attempt(script.submit_request(ANY_READ))
     for _ in range(6):
-        r = s.ask("loose", deadline_us=s.now + 60 * MS)
-        s.now += 50 * MS
-        s.end(s.ask("loose"))
-        s.end(r, Outcome.TIMEOUT, duration_us=50 * MS)
-    state = s.router.state.endpoints["a"]
-    assert not state.ejected and state.pressure.value(s.now) < 0.3
+        hurried_request = script.submit_request(ANY_READ, deadline_in_us=60 * MS)
+        script.advance_clock(50 * MS)
+        script.end_attempt(script.submit_request(ANY_READ))
+        script.end_attempt(hurried_request, Outcome.TIMEOUT, duration_us=50 * MS)
+    state = script.endpoint_state("a")
+    assert not state.ejected
+    assert state.pressure.value(script.now_us) < 0.3
--- a/tests/routing/test_position_checks.py
+++ b/tests/routing/test_position_checks.py
@@ -3,108 +3,141 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import dataclass
 
-from juniperreel.routing.types import (
-    Role,
-    StartHealthCheck,
-)
+from juniperreel.routing.types import Role, StartHealthCheck
 from tests.routing.router_script import (
+    BOUNDED_READ,
     MS,
+    PRIMARY,
     SEC,
-    Script,
-    hear_primary,
-    press_primary,
+    SESSION_READ,
+    WRITE,
+    RouterScript,
 )
 
+UNKNOWN_FRESHNESS_US = 400 * MS  # beyond the bound of a bounded read
+
 
-def test_read_goes_to_the_primary_once_looking_has_cost_its_time() -> None:
-    s = Script()
-    s.group("a")
-    s.end(s.ask("write"), role=Role.PRIMARY, position_us=s.now)
-    s.now += 400 * MS
-    r = s.ask("read")
+def test_bounded_read_after_checks_in_vain_is_sent_to_the_primary() -> None:
+    script = RouterScript()
+    script.start_group("a")
+    script.end_attempt(script.submit_request(WRITE), role=Role.PRIMARY, position_us=script.now_us)
+    script.advance_clock(UNKNOWN_FRESHNESS_US)
+    read = script.submit_request(BOUNDED_READ)
     for _ in range(20):
-        s.wait(20 * MS)
-        s.probed("a", False, lag_us=2 * SEC)
-    assert s.sends[r] == ["p"]
-
-
-def test_first_look_is_given_to_a_client_in_a_hurry() -> None:
-    """give_up: reads that had no time for looking crowded the primaries instead."""
-    s = Script()
-    s.group("a")
-    s.now += 400 * MS
-    r = s.ask("read", deadline_us=s.now + 260 * MS)
-    assert StartHealthCheck("a") in s.last and r not in s.sends
-    s.probed("a", False)
-    assert s.sends[r] == ["a"]
-
-
-def blind_reads(pressed: bool, reads: int = 400) -> tuple[Counter[str], int]:
-    """Where reads go that find no replica known fresh, and how many probes they cost."""
-    s = Script()
-    s.group("a", "b", "c")
-    hear_primary(s)
-    for name in "abcp":
-        s.router.state.endpoints[name].srtt_us, s.router.state.endpoints[name].has_responded = 50.0 * MS, True
-    went: Counter[str] = Counter()
+        script.run_for(20 * MS)
+        script.pass_health_check("a", lag_us=2 * SEC)
+    assert script.endpoints_tried(read) == [PRIMARY]
+
+
+def test_bounded_read_with_little_time_gets_a_first_position_check() -> None:
+    """give_up: reads that had no time for a check crowded the primaries instead."""
+    script = RouterScript()
+    script.start_group("a")
+    script.advance_clock(UNKNOWN_FRESHNESS_US)
+    read = script.submit_request(BOUNDED_READ, deadline_in_us=260 * MS)
+    assert StartHealthCheck("a") in script.last_actions
+    assert script.endpoints_tried(read) == []
+    script.pass_health_check("a")
+    assert script.endpoints_tried(read) == ["a"]
+
+
+@dataclass(frozen=True)
+class StaleReads:
+    """Where reads went that found no replica known to be fresh, and what they cost."""
+
+    draws: Counter[str]
+    health_checks: int
+
+
+def send_stale_reads(primary_is_busy: bool, reads: int = 400) -> StaleReads:
+    """Submit reads so far apart that each finds no replica known to be fresh."""
+    script = RouterScript()
+    script.start_group("a", "b", "c")
+    script.make_primary_idle()
+    for name in ("a", "b", "c", PRIMARY):
+        script.set_srtt(name, 50.0 * MS)
+    draws: Counter[str] = Counter()
     for _ in range(reads):
-        s.wait(400 * MS)
-        press_primary(s) if pressed else hear_primary(s)
-        r = s.ask("read")
-        for p in [a for a in s.last if isinstance(a, StartHealthCheck)]:
-            s.probed(p.endpoint, False)
-        went[s.sends[r][0]] += 1
-        s.end(r, role=Role.PRIMARY if s.sends[r][0] == "p" else Role.REPLICA)
-    return went, len(s.did(StartHealthCheck))
-
-
-def test_the_primary_is_in_the_draw_for_whom_to_look_at_while_it_has_room() -> None:
-    went, probes = blind_reads(pressed=False)
-    assert 0.17 < went["p"] / went.total() < 0.33 and probes == went.total() - went["p"]
-    went, probes = blind_reads(pressed=True)
-    assert went["p"] == 0 and probes == went.total()
-
-
-def test_a_look_in_vain_is_not_followed_by_more_while_the_primary_has_room() -> None:
-    s = Script()
-    s.group("a", "b", "c")
-    hear_primary(s)
-    p = s.router.state.endpoints["p"]
-    p.srtt_us, p.has_responded = (
-        200.0 * MS,
-        True,
-    )  # hardly ever drawn beside the small first srtt of the others
+        script.run_for(UNKNOWN_FRESHNESS_US)
+        if primary_is_busy:
+            script.make_primary_busy()
+        else:
+            script.make_primary_idle()
+        read = script.submit_request(BOUNDED_READ)
+        for action in script.last_actions:
+            if isinstance(action, StartHealthCheck):
+                script.pass_health_check(action.endpoint)
+        drawn = script.first_endpoint(read)
+        draws[drawn] += 1
+        script.end_attempt(read, role=Role.PRIMARY if drawn == PRIMARY else Role.REPLICA)
+    return StaleReads(draws, len(script.actions_of(StartHealthCheck)))
+
+
+def test_draw_of_whom_to_check_while_the_primary_has_capacity_includes_it() -> None:
+    stale_reads = send_stale_reads(primary_is_busy=False)
+    total = stale_reads.draws.total()
+    on_primary = stale_reads.draws[PRIMARY]
+    assert 0.17 < on_primary / total < 0.33
+    assert stale_reads.health_checks == total - on_primary
+
+
+def test_draw_of_whom_to_check_while_the_primary_is_busy_excludes_it() -> None:
+    stale_reads = send_stale_reads(primary_is_busy=True)
+    assert stale_reads.draws[PRIMARY] == 0
+    assert stale_reads.health_checks == stale_reads.draws.total()
+
+
+def started_health_check(script: RouterScript) -> StartHealthCheck:
+    """The one health check of the last batch."""
+    (health_check,) = (action for action in script.last_actions if isinstance(action, StartHealthCheck))
+    return health_check
+
+
+def script_with_slow_idle_primary() -> RouterScript:
+    """The primary is hardly ever drawn, beside the small initial srtt of the replicas."""
+    script = RouterScript()
+    script.start_group("a", "b", "c")
+    script.make_primary_idle()
+    script.set_srtt(PRIMARY, 200.0 * MS)
     for name in "abc":
-        s.router.state.endpoints[name].has_responded = True
-    s.now += 400 * MS
-    r = s.ask("read")
-    (look,) = (a for a in s.last if isinstance(a, StartHealthCheck))
-    s.probed(look.endpoint, False, lag_us=2 * SEC)
-    assert s.sends[r] == ["p"]
-    press_primary(s)  # with no room there, other replicas are looked at
-    s.now += 400 * MS
-    r = s.ask("read")
-    (look,) = (a for a in s.last if isinstance(a, StartHealthCheck))
-    s.probed(look.endpoint, False, lag_us=2 * SEC)
-    assert r not in s.sends and s.did(StartHealthCheck)[-1] != look
-
-
-def test_a_session_read_waits_until_a_probe_can_tell_of_its_write() -> None:
-    """Reports are some age when a probe brings them: one sent at once can't show what was just written."""
-    s = Script()
-    s.group("a")
+        script.endpoint_state(name).has_responded = True
+    return script
+
+
+def test_check_in_vain_is_followed_by_another_only_while_the_primary_is_busy() -> None:
+    script = script_with_slow_idle_primary()
+    script.advance_clock(UNKNOWN_FRESHNESS_US)
+    read = script.submit_request(BOUNDED_READ)
+    script.pass_health_check(started_health_check(script).endpoint, lag_us=2 * SEC)
+    assert script.endpoints_tried(read) == [PRIMARY]
+    script.make_primary_busy()
+    script.advance_clock(UNKNOWN_FRESHNESS_US)
+    read = script.submit_request(BOUNDED_READ)
+    in_vain = started_health_check(script)
+    script.pass_health_check(in_vain.endpoint, lag_us=2 * SEC)
+    assert script.endpoints_tried(read) == []
+    assert script.actions_of(StartHealthCheck)[-1] != in_vain
+
+
+def test_session_read_after_a_write_delays_its_check_until_a_report_can_show_the_commit() -> None:
+    """Reports are some age when a check brings them: one sent at once can't show what was just written."""
+    script = RouterScript()
+    script.start_group("a")
     for _ in range(200):
-        s.now += 400 * MS
-        s.probed("a", False, lag_us=150 * MS)
-    w = s.ask("write")
-    s.now += 40 * MS
-    s.end(w, role=Role.PRIMARY, position_us=s.now)
-    press_primary(s)
-    r, count = s.ask("own"), len(s.did(StartHealthCheck))
-    s.wait(120 * MS)
-    assert len(s.did(StartHealthCheck)) == count and r not in s.sends
-    s.wait(60 * MS)
-    assert len(s.did(StartHealthCheck)) == count + 1
-    s.probed("a", False, lag_us=150 * MS)
-    assert s.sends[r] == ["a"]
+        script.advance_clock(400 * MS)
+        script.pass_health_check("a", lag_us=150 * MS)
+    write = script.submit_request(WRITE)
+    script.advance_clock(40 * MS)
+    script.end_attempt(write, role=Role.PRIMARY, position_us=script.now_us)
+    script.make_primary_busy()
+    read = script.submit_request(SESSION_READ)
+    checks_before = len(script.actions_of(StartHealthCheck))
+    script.run_for(120 * MS)
+    assert len(script.actions_of(StartHealthCheck)) == checks_before
+    assert script.endpoints_tried(read) == []
+    script.run_for(60 * MS)
+    assert len(script.actions_of(StartHealthCheck)) == checks_before + 1
+    script.pass_health_check("a", lag_us=150 * MS)
+    assert script.endpoints_tried(read) == ["a"]
--- a/tests/routing/test_primary.py
+++ b/tests/routing/test_primary.py
@@ -3,75 +3,75 @@
 from __future__ import annotations
 
 from juniperreel.routing.types import (
-    HealthCheckEnded,
-    LoadReport,
     Outcome,
     Role,
     Send,
     StartHealthCheck,
 )
-from tests.routing.router_script import (
-    MS,
-    SEC,
-    Script,
-    member,
-)
+from tests.routing.router_script import ANY_READ, MS, PRIMARY, SEC, WRITE, RouterScript, endpoint
 
 
-def test_successor_is_found_by_probes() -> None:
-    s = Script()
-    s.group("a", "b")
-    r = s.ask("write")
-    s.end(r, Outcome.INELIGIBLE, role=Role.REPLICA)
-    assert s.sends[r] == ["p"] and {StartHealthCheck("a"), StartHealthCheck("b")} <= set(s.last)
-    s.probed("a", False)
-    s.probed("b", True)
-    assert s.sends[r] == ["p", "b"]
+def test_write_after_the_primary_stepped_down_is_sent_to_the_successor_found_by_health_checks() -> None:
+    script = RouterScript()
+    script.start_group("a", "b")
+    write = script.submit_request(WRITE)
+    script.end_attempt(write, Outcome.INELIGIBLE, role=Role.REPLICA)
+    assert script.endpoints_tried(write) == [PRIMARY]
+    assert {StartHealthCheck("a"), StartHealthCheck("b")} <= set(script.last_actions)
+    script.pass_health_check("a")
+    script.pass_health_check("b", is_primary=True)
+    assert script.endpoints_tried(write) == [PRIMARY, "b"]
 
 
-def test_successor_is_found_in_turn_where_probes_are_not_allowed() -> None:
-    s = Script(health_checks=False)
-    s.start(member("a"), member("b"), member("p", listed_primary=True))
-    r = s.ask("write")
+def test_write_without_a_primary_where_health_checks_are_not_allowed_tries_endpoints_in_turn() -> None:
+    script = RouterScript(health_checks=False)
+    script.update_endpoints(endpoint("a"), endpoint("b"), endpoint(PRIMARY, listed_primary=True))
+    write = script.submit_request(WRITE)
     for _ in range(3):
-        s.end(r, Outcome.INELIGIBLE, role=Role.REPLICA)
-    assert s.sends[r][0] == "p" and {"a", "b"} <= set(s.sends[r])
+        script.end_attempt(write, Outcome.INELIGIBLE, role=Role.REPLICA)
+    assert script.first_endpoint(write) == PRIMARY
+    assert {"a", "b"} <= set(script.endpoints_tried(write))
 
 
-def test_silent_primary_loses_its_writes_to_the_successor() -> None:
-    s = Script()
-    s.group("a")
-    r = s.ask("write")
-    assert s.did(Send, r)[0].timeout_us == 1 * SEC  # worth half when late: awaited to its aim
-    s.wait(900 * MS)
-    s.end(r, Outcome.CANCELLED)
-    s.batch(HealthCheckEnded("p", Outcome.UNREACHABLE, MS, None))
-    s.wait(40 * MS)
-    s.probed("a", True)
-    s.wait(40 * MS)
-    assert s.sends[r][1] == "a"
+def test_write_on_a_primary_that_fell_silent_is_retried_on_the_successor() -> None:
+    script = RouterScript()
+    script.start_group("a")
+    write = script.submit_request(WRITE)
+    # A late response is worth half: it is awaited up to the objective.
+    assert script.actions_of(Send, write)[0].timeout_us == WRITE.latency_objective_us == 1 * SEC
+    script.run_for(900 * MS)
+    script.end_attempt(write, Outcome.CANCELLED)
+    script.fail_health_check(PRIMARY)
+    script.run_for(40 * MS)
+    script.pass_health_check("a", is_primary=True)
+    script.run_for(40 * MS)
+    assert script.endpoints_tried(write)[1] == "a"
 
 
-def test_search_for_a_primary_is_spaced() -> None:
-    """perth-boards-later big-2: a pause drawn anew at each tick let the shortest draw win."""
-    s = Script()
-    s.group("a", "b")
-    s.end(s.ask("write"), Outcome.INELIGIBLE, role=Role.REPLICA)
-    before = len(s.did(StartHealthCheck))
+def test_search_for_a_primary_that_none_claims_to_be_is_spaced() -> None:
+    """perth-boards-later big-2: an interval drawn anew at each tick let the shortest draw win."""
+    script = RouterScript()
+    script.start_group("a", "b")
+    script.end_attempt(script.submit_request(WRITE), Outcome.INELIGIBLE, role=Role.REPLICA)
+    checks_before = len(script.actions_of(StartHealthCheck))
     for _ in range(10):
-        s.wait(100 * MS)
-        for name in ("a", "b", "p"):
-            s.batch(HealthCheckEnded(name, Outcome.OK, MS, LoadReport(s.now, False)))
-    assert 0 < len(s.did(StartHealthCheck)) - before <= 6
+        script.run_for(100 * MS)
+        for name in ("a", "b", PRIMARY):
+            script.pass_health_check(name, is_primary=False)
+    checks = len(script.actions_of(StartHealthCheck)) - checks_before
+    assert 0 < checks <= 6
 
 
-def test_the_listed_primary_takes_writes_until_it_says_otherwise() -> None:
-    """Seen on the fleet's days: with one replica's answer heard, every router probed whole groups."""
-    s = Script()
-    s.start(member("a"), member("b"), member("p", listed_primary=True))
-    r = s.ask("loose")
-    s.end(r, role=Role.REPLICA)
-    assert s.sends[s.ask("write")] == ["p"] and not s.did(StartHealthCheck)
-    w = s.ask("write")
-    s.end(w, Outcome.INELIGIBLE, role=Role.REPLICA)
-    assert s.sends[w] == ["p"] and {p.endpoint for p in s.did(StartHealthCheck)} == {"a", "b", "p"}
+def test_listed_primary_takes_writes_until_it_responds_as_a_replica() -> None:
+    """Seen on the fleet's days: with one replica's response observed, every router checked whole groups."""
+    script = RouterScript()
+    script.update_endpoints(endpoint("a"), endpoint("b"), endpoint(PRIMARY, listed_primary=True))
+    read = script.submit_request(ANY_READ)
+    script.end_attempt(read, role=Role.REPLICA)
+    assert script.endpoints_tried(script.submit_request(WRITE)) == [PRIMARY]
+    assert not script.actions_of(StartHealthCheck)
+    write = script.submit_request(WRITE)
+    script.end_attempt(write, Outcome.INELIGIBLE, role=Role.REPLICA)
+    assert script.endpoints_tried(write) == [PRIMARY]
+    checked = {check.endpoint for check in script.actions_of(StartHealthCheck)}
+    assert checked == {"a", "b", PRIMARY}
--- a/tests/routing/test_property.py
+++ b/tests/routing/test_property.py
@@ -35,7 +35,7 @@
     TimerFired,
     UpdateKind,
 )
-from tests.routing.router_script import CLASSES, MS, SEC, SETTINGS, member
+from tests.routing.router_script import CLASSES, MS, SEC, SETTINGS, endpoint
 
 NEVER_RAN = {Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.NOT_SENT, Outcome.INELIGIBLE}
 
@@ -74,7 +74,7 @@
 
     def entries(self, names: list[str]) -> tuple[Endpoint, ...]:
         return tuple(
-            member(
+            endpoint(
                 n,
                 zone=self.zone[n],
                 listed_primary=n == "a",
--- a/tests/routing/test_retry.py
+++ b/tests/routing/test_retry.py
@@ -2,117 +2,126 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from dataclasses import replace
 
-from juniperreel.routing.types import (
-    Cancel,
-    ClientDisconnected,
-    Fail,
-    Outcome,
-    Reject,
-    Role,
-    Send,
-    StartHealthCheck,
-)
+from juniperreel.routing.types import Cancel, Fail, Outcome, Reject, Role, Send, StartHealthCheck
 from tests.routing.router_script import (
-    CLASSES,
+    ANY_READ,
+    BOUNDED_READ,
     MS,
+    NON_IDEMPOTENT_WRITE,
+    PRIMARY,
     SEC,
-    Script,
+    START_US,
+    WRITE,
+    RouterScript,
+    classes_with,
 )
 
 
-def test_once_is_failed_when_it_may_have_run() -> None:
-    s = Script()
-    s.group("a")
-    r = s.ask("once")
-    s.end(r, Outcome.RESET)
-    assert s.sends[r] == ["p"] and s.did(Fail, r) and not s.did(Reject, r)
-
-
-def test_once_goes_on_when_nothing_ran() -> None:
-    s = Script()
-    s.group("a")
-    r = s.ask("once")
-    s.end(r, Outcome.INELIGIBLE, role=Role.REPLICA)
-    assert StartHealthCheck("a") in s.last
-    s.probed("a", True)
-    assert s.sends[r] == ["p", "a"] and not s.did(Fail, r)
-
-
-def test_keyed_write_is_repeated_only_within_the_span() -> None:
-    s = Script(classes=(*CLASSES[:2], replace(CLASSES[2], deduplication_window_us=1 * SEC), *CLASSES[3:]))
-    s.group("a")
-    r = s.ask("write")
-    s.now += 900 * MS
-    s.end(r, Outcome.ERROR)
-    s.wait(60 * MS)
-    assert s.sends[r] == ["p", "p"]
-    s.now += 100 * MS
-    s.end(r, Outcome.ERROR)
-    assert len(s.sends[r]) == 2 and s.did(Fail, r)
-
-
-def test_held_request_is_answered_before_its_deadline() -> None:
-    s = Script()
-    r = s.ask("read")
-    assert r not in s.sends
-    s.wait(2 * SEC)
-    answers = [at for at, a in s.all if isinstance(a, Reject | Fail) and a.request == r]
-    assert len(answers) == 1 and answers[0] <= 1002 * SEC
-
-
-def test_attempt_times_out_where_lateness_is_worth_nothing() -> None:
-    s = Script(classes=(replace(CLASSES[0], late_priority_weight=0.0), *CLASSES[1:]))
-    s.group("a")
-    r = s.ask("read")
-    assert s.did(Send, r)[0].timeout_us == 500 * MS
-    s.now += 500 * MS
-    s.end(r, Outcome.TIMEOUT)
-    assert s.did(Reject, r)
-
-
-def test_attempts_of_clients_that_left_are_cancelled() -> None:
-    """iff5cf5: clients gave up early and asked again while members went on with the first try."""
-    s = Script()
-    s.group("a")
-    r = s.ask("read")
-    s.batch(ClientDisconnected(r))
-    assert [c.attempt for c in s.did(Cancel, r)] == [0]
-    s.end(r, Outcome.CANCELLED)
-    assert not s.did(Reject, r) and len(s.sends[r]) == 1
-
-
-def test_request_that_fails_anywhere_blames_no_member() -> None:
-    """bad_requests: the fault is the request's, and good ones keep members and retries."""
-    s = Script()
-    s.group("a", "b")
-    before = s.router.parts.retries.budget.balance
+def test_non_idempotent_write_that_may_have_been_executed_is_failed_without_retry() -> None:
+    script = RouterScript()
+    script.start_group("a")
+    write = script.submit_request(NON_IDEMPOTENT_WRITE)
+    script.end_attempt(write, Outcome.RESET)
+    assert script.endpoints_tried(write) == [PRIMARY]
+    assert script.actions_of(Fail, write)
+    assert not script.actions_of(Reject, write)
+
+
+def test_non_idempotent_write_that_was_not_executed_is_retried() -> None:
+    script = RouterScript()
+    script.start_group("a")
+    write = script.submit_request(NON_IDEMPOTENT_WRITE)
+    script.end_attempt(write, Outcome.INELIGIBLE, role=Role.REPLICA)
+    assert StartHealthCheck("a") in script.last_actions
+    script.pass_health_check("a", is_primary=True)
+    assert script.endpoints_tried(write) == [PRIMARY, "a"]
+    assert not script.actions_of(Fail, write)
+
+
+def test_keyed_write_is_retried_only_within_its_deduplication_window() -> None:
+    keyed_write = replace(WRITE, deduplication_window_us=1 * SEC)
+    script = RouterScript(classes=classes_with(keyed_write))
+    script.start_group("a")
+    write = script.submit_request(keyed_write)
+    script.advance_clock(900 * MS)
+    script.end_attempt(write, Outcome.ERROR)
+    script.run_for(60 * MS)
+    assert script.endpoints_tried(write) == [PRIMARY, PRIMARY]
+    script.advance_clock(100 * MS)
+    script.end_attempt(write, Outcome.ERROR)
+    assert len(script.endpoints_tried(write)) == 2
+    assert script.actions_of(Fail, write)
+
+
+def test_queued_request_without_any_endpoint_is_answered_once_before_its_deadline() -> None:
+    script = RouterScript()
+    read = script.submit_request(BOUNDED_READ)
+    assert script.endpoints_tried(read) == []
+    script.run_for(2 * SEC)
+    answered_us = [
+        recorded.at_us
+        for recorded in script.history
+        if isinstance(recorded.action, Reject | Fail) and recorded.action.request == read
+    ]
+    assert len(answered_us) == 1
+    assert answered_us[0] <= START_US + BOUNDED_READ.deadline_us
+
+
+def test_request_that_reached_no_endpoint_is_rejected_after_half_of_its_time() -> None:
+    script = RouterScript(must_poll=False)
+    script.start_group("a")
+    for name in (PRIMARY, "a"):
+        script.eject_until(name, script.now_us + 60 * SEC)
+    write = script.submit_request(WRITE, deadline_in_us=1200 * MS)  # half of it is less than its objective
+    script.run_for(500 * MS)
+    assert not script.actions_of(Reject, write)
+    script.run_for(100 * MS)
+    assert script.actions_of(Reject, write)
+
+
+def test_request_with_little_time_is_sent_at_once() -> None:
+    script = RouterScript()
+    script.start_group("a")
+    read = script.submit_request(ANY_READ, deadline_in_us=60 * MS)
+    assert script.endpoints_tried(read)
+
+
+def test_attempt_whose_late_response_is_worth_nothing_times_out_at_the_objective() -> None:
+    read_worthless_when_late = replace(BOUNDED_READ, late_priority_weight=0.0)
+    script = RouterScript(classes=classes_with(read_worthless_when_late))
+    script.start_group("a")
+    read = script.submit_request(read_worthless_when_late)
+    assert script.actions_of(Send, read)[0].timeout_us == 500 * MS
+    script.advance_clock(500 * MS)
+    script.end_attempt(read, Outcome.TIMEOUT)
+    assert script.actions_of(Reject, read)
+
+
+def test_attempt_of_a_disconnected_client_is_cancelled_and_not_retried() -> None:
+    """iff5cf5: clients gave up early and asked again while endpoints went on with the first attempt."""
+    script = RouterScript()
+    script.start_group("a")
+    read = script.submit_request(BOUNDED_READ)
+    script.disconnect_client(read)
+    assert [cancel.attempt for cancel in script.actions_of(Cancel, read)] == [0]
+    script.end_attempt(read, Outcome.CANCELLED)
+    assert not script.actions_of(Reject, read)
+    assert len(script.endpoints_tried(read)) == 1
+
+
+def test_request_that_fails_on_every_endpoint_costs_no_retry_budget_and_blames_none() -> None:
+    """bad_requests: the fault is the request's, and good ones keep endpoints and retries."""
+    script = RouterScript()
+    script.start_group("a", "b")
+    balance_before = script.router.parts.retries.budget.balance
     for _ in range(5):
-        r = s.ask("loose")
-        s.end(r, Outcome.ERROR)
-        s.end(r, Outcome.ERROR)
-        assert len(s.sends[r]) == 2 and s.did(Reject, r)
-    assert s.router.parts.retries.budget.balance >= before
-    picked = Counter(s.sends[s.ask("loose")][0] for _ in range(60))
-    assert min(picked["a"], picked["b"]) >= 10
-
-
-def test_a_request_that_came_to_no_member_waits_half_its_time_at_most() -> None:
-    s = Script(must_poll=False)
-    s.group("a")
-    for name in ("p", "a"):
-        s.router.state.endpoints[name].ejected = True
-        s.router.state.endpoints[name].retry_at_us = s.now + 60 * SEC
-    r = s.ask("write", deadline_us=s.now + 1200 * MS)  # half of it is less than its aim
-    s.wait(500 * MS)
-    assert not s.did(Reject, r)
-    s.wait(100 * MS)
-    assert s.did(Reject, r)
-
-
-def test_a_request_with_little_time_is_sent_at_once_or_not_at_all() -> None:
-    s = Script()
-    s.group("a")
-    assert s.ask("loose", deadline_us=s.now + 60 * MS) in s.sends
+        request = script.submit_request(ANY_READ)
+        script.end_attempt(request, Outcome.ERROR)
+        script.end_attempt(request, Outcome.ERROR)
+        assert len(script.endpoints_tried(request)) == 2
+        assert script.actions_of(Reject, request)
+    assert script.router.parts.retries.budget.balance >= balance_before
+    draws = script.count_draws(ANY_READ, requests=60)
+    assert min(draws["a"], draws["b"]) >= 10
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -1,4 +1,4 @@
-"""One batch of events: unknown names, timers, stalls of the router itself."""
+"""One batch of events: unknown names, timers, and stalls of the router itself."""
 
 from __future__ import annotations
 
@@ -16,53 +16,77 @@
     TimerFired,
 )
 from tests.routing.router_script import (
+    ANY_READ,
+    BOUNDED_READ,
     MS,
     SEC,
-    Script,
-    member,
+    RouterScript,
+    endpoint,
 )
 
+UNKNOWN_CLASS = 77
+UNKNOWN_TENANT = 9
+UNKNOWN_GROUP = 12
 
-def test_unknown_things_are_passed_over() -> None:
-    s = Script()
-    s.group("a")
+
+def test_events_of_unknown_names_are_ignored() -> None:
+    script = RouterScript()
+    script.start_group("a")
     ended = AttemptEnded("x", 3, "nobody", Outcome.OK, 1, True, Role.PRIMARY, 5, None)
-    s.batch(ended, ClientDisconnected("x"), TimerFired(99), HealthCheckEnded("nobody", Outcome.OK, 1, None))
-    s.batch(Request("y", 77, 0, 0, s.now + SEC))
-    assert s.did(Fail, "y")
-    r = s.ask("read", tenant_index=9, group=12, deadline_us=s.now - 5)
-    assert len(s.did(Reject, r)) == 1
+    checked = HealthCheckEnded("nobody", Outcome.OK, 1, None)
+    script.process(ended, ClientDisconnected("x"), TimerFired(99), checked)
+    assert script.endpoints_tried(script.submit_request(ANY_READ)) == ["a"]
+
+
+def test_request_of_an_unknown_class_is_failed() -> None:
+    script = RouterScript()
+    script.start_group("a")
+    script.process(Request("y", UNKNOWN_CLASS, 0, 0, script.now_us + SEC))
+    assert script.actions_of(Fail, "y")
+
+
+def test_request_of_an_unknown_tenant_and_group_past_its_deadline_is_rejected_once() -> None:
+    script = RouterScript()
+    script.start_group("a")
+    read = script.submit_request(
+        BOUNDED_READ, tenant_index=UNKNOWN_TENANT, group=UNKNOWN_GROUP, deadline_in_us=-5
+    )
+    assert len(script.actions_of(Reject, read)) == 1
 
 
-def test_idle_router_sets_no_timer() -> None:
-    """Hundreds of routers that look round for nothing cost more than the work."""
-    s = Script()
-    s.group("a", "b")
-    s.end(s.ask("loose"))
-    s.wait(100 * MS)
-    assert not s.timers
+def test_router_without_open_requests_sets_no_timer() -> None:
+    """Hundreds of routers that wake up for nothing cost more than the work."""
+    script = RouterScript()
+    script.start_group("a", "b")
+    script.end_attempt(script.submit_request(ANY_READ))
+    script.run_for(100 * MS)
+    assert not script.timers
 
 
-def test_timer_of_a_list_call_does_not_hold_back_an_open_request() -> None:
+def test_timer_of_a_poll_does_not_delay_that_of_an_open_request() -> None:
     """perth-boards-later: requests were lost while the only timer stood seconds away."""
-    s = Script(must_poll=True, router_count=500)
-    s.start(member("a"))
-    r = s.ask("read")
-    assert any(isinstance(a, SetTimer) and a.delay_us <= 20 * MS for a in s.last)
-    s.wait(2 * SEC)
-    assert len(s.did(Reject, r)) == 1
+    script = RouterScript(must_poll=True, router_count=500)
+    script.update_endpoints(endpoint("a"))
+    read = script.submit_request(BOUNDED_READ)
+    timers = [action for action in script.last_actions if isinstance(action, SetTimer)]
+    assert any(timer.delay_us <= 20 * MS for timer in timers)
+    script.run_for(2 * SEC)
+    assert len(script.actions_of(Reject, read)) == 1
 
 
-def test_stall_of_the_router_is_held_against_nobody() -> None:
-    """balancer_stall: late answers and time-outs found after a stall are of its own making."""
-    s = Script()
-    s.group("a", "b")
-    s.end(s.ask("loose"), duration_us=50 * MS)
-    r = s.ask("loose")
-    name = s.sends[r][0]
-    srtt = s.router.state.endpoints[name].srtt_us
-    s.now += 1200 * MS
-    timer = s.timers[-1][1]
-    late = AttemptEnded(r, 0, name, Outcome.OK, 1200 * MS, True, Role.REPLICA, s.now, None)
-    s.batch(TimerFired(timer), late)
-    assert s.router.state.endpoints[name].srtt_us == srtt and not s.did(Cancel, r)
+def test_late_response_found_after_an_event_loop_stall_is_not_counted() -> None:
+    """balancer_stall: late responses and time-outs found after a stall are of the router's own making."""
+    script = RouterScript()
+    script.start_group("a", "b")
+    script.end_attempt(script.submit_request(ANY_READ), duration_us=50 * MS)
+    request = script.submit_request(ANY_READ)
+    name = script.first_endpoint(request)
+    srtt_us = script.endpoint_state(name).srtt_us
+    script.advance_clock(1200 * MS)
+    overdue_timer = script.timers[-1]
+    late_response = AttemptEnded(
+        request, 0, name, Outcome.OK, 1200 * MS, True, Role.REPLICA, script.now_us, None
+    )
+    script.process(TimerFired(overdue_timer.key), late_response)
+    assert script.endpoint_state(name).srtt_us == srtt_us
+    assert not script.actions_of(Cancel, request)
--- a/tests/routing/test_settings_check.py
+++ b/tests/routing/test_settings_check.py
@@ -8,9 +8,7 @@
 import pytest
 
 from juniperreel.routing.router import Router
-from tests.routing.router_script import (
-    SETTINGS,
-)
+from tests.routing.router_script import SETTINGS
 
 
 @pytest.mark.parametrize(
@@ -23,7 +21,7 @@
         "overload_window_us",
     ],
 )
-def test_impossible_settings_name_the_field(field: str) -> None:
+def test_router_with_a_setting_of_zero_is_refused_by_the_name_of_the_field(field: str) -> None:
     change: dict[str, Any] = {field: 0}
     impossible = replace(SETTINGS, **change)
     with pytest.raises(ValueError, match=field):
--- a/tests/routing/test_shedding.py
+++ b/tests/routing/test_shedding.py
@@ -10,93 +10,98 @@
 from juniperreel.routing.estimators import DecayingMean
 from juniperreel.routing.policy import parameters
 from juniperreel.routing.state import InFlightAttempt
-from juniperreel.routing.types import (
-    ClientDisconnected,
-    EndpointUpdate,
-    Reject,
-    Role,
-    UpdateKind,
-)
+from juniperreel.routing.types import Reject, Role, UpdateKind
 from tests.routing.router_script import (
-    CLASSES,
+    ANY_READ,
     MS,
+    PRIMARY,
     SEC,
-    Script,
-    member,
+    SESSION_READ,
+    WRITE,
+    RouterScript,
+    classes_with,
+    endpoint,
 )
 
+OVERLOAD_PRESSURE = 3.0
+LOW_PRESSURE = 0.05
+PRESSURE_SAMPLES = 12
+
 
-def full_pressure(s: Script, value: float) -> DecayingMean:
-    """As many recent responses at this pressure as are ever counted."""
-    pressure = s.router.state.new_pressure()
+def full_pressure(script: RouterScript, pressure: float) -> DecayingMean:
+    """As many recent samples of this pressure as are ever counted."""
+    mean = script.router.state.new_pressure()
     for _ in range(parameters.PRESSURE_SAMPLES):
-        pressure.observe(s.now, value)
-    return pressure
+        mean.observe(script.now_us, pressure)
+    return mean
 
 
-def test_shedding_spares_what_is_worth_most_for_its_time() -> None:
-    cheap = replace(CLASSES[3], priority_weight=0.2)
-    s = Script(classes=(*CLASSES[:3], cheap, *CLASSES[4:]))
-    s.group("a")
-    refused = Counter[str]()
+def test_shedding_under_pressure_spares_requests_of_higher_priority() -> None:
+    low_priority_read = replace(ANY_READ, priority_weight=0.2)
+    script = RouterScript(classes=classes_with(low_priority_read))
+    script.start_group("a")
+    rejected: Counter[str] = Counter()
     for _ in range(100):
-        for name in ("loose", "own"):
-            s.router.state.groups[0].pressure = full_pressure(s, 0.6)
-            r = s.ask(name)
-            refused[name] += len(s.did(Reject, r))
-            s.batch(ClientDisconnected(r))
-            s.router.state.endpoints["a"].in_flight.clear()
-    assert refused["loose"] > refused["own"] + 20
-
-
-def test_pressure_of_all_replicas_speaks_where_a_member_told_little() -> None:
-    """pilbara-boards-later big-1: one answer in many seconds from each member hid a burst."""
-    s = Script()
-    s.start(*(member(f"m{i}", group=i) for i in range(20)))
-    refused = 0
-    for i in range(100):
-        r = s.ask("loose", group=i % 20)
-        if r in s.sends:
-            s.end(r, duration_us=1800 * MS)
-        refused += len(s.did(Reject, r))
-        s.now += 200 * MS
-    assert refused >= 15
-
-
-def test_a_read_its_replica_would_shed_goes_to_a_primary_with_room() -> None:
-    s = Script()
-    s.group("a")
-    for _ in range(12):
-        s.router.state.endpoints["a"].pressure.observe(s.now, 3.0)
-    s.router.state.endpoints["p"].pressure.observe(s.now, 0.05)
-    assert s.did(Reject, s.ask("loose"))  # one answer of its own is too little to go by
-    for _ in range(5):
-        s.router.state.endpoints["p"].pressure.observe(s.now, 0.05)
-    assert {s.sends[s.ask("loose")][0] for _ in range(3)} == {"p"}
-    for _ in range(12):
-        s.router.state.endpoints["p"].pressure.observe(s.now, 3.0)
-    assert s.did(Reject, s.ask("loose"))
-
-
-def test_attempts_that_are_out_for_long_press_their_member_before_they_end() -> None:
-    s = Script(cancellation=False)
-    s.group("a")
-    s.end(s.ask("loose"))
-    state = s.router.state.endpoints["a"]
-    before = s.router.parts.shedder.pressure.with_overdue(state, 0.1)
-    for n in range(8):
-        state.in_flight[(f"{n}", 0)] = InFlightAttempt(s.now - 900 * MS, 500 * MS)
-    assert before == pytest.approx(0.1) and s.router.parts.shedder.pressure.with_overdue(state, 0.1) > 0.8
-
-
-def test_what_is_heard_of_other_primaries_speaks_for_one_that_is_not_heard() -> None:
-    s = Script()
-    s.group("a")
-    s.batch(EndpointUpdate(UpdateKind.DELTA, (member("q", group=1), member("z", group=1))))
-    s.probed("q", True)
-    q = s.router.state.endpoints["q"]
-    assert s.router.parts.shedder.pressure.value(q) == 0
+        for request_class in (low_priority_read, SESSION_READ):
+            script.router.state.groups[0].pressure = full_pressure(script, 0.6)
+            request = script.submit_request(request_class)
+            rejected[request_class.name] += len(script.actions_of(Reject, request))
+            script.disconnect_client(request)
+            script.forget_in_flight("a")
+    assert rejected[low_priority_read.name] > rejected[SESSION_READ.name] + 20
+
+
+def test_pressure_of_an_endpoint_with_few_responses_is_that_of_all_replicas() -> None:
+    """pilbara-boards-later big-1: one response in many seconds from each endpoint hid a burst."""
+    groups = 20
+    script = RouterScript()
+    script.update_endpoints(*(endpoint(f"m{number}", group=number) for number in range(groups)))
+    rejected = 0
+    for number in range(100):
+        request = script.submit_request(ANY_READ, group=number % groups)
+        if script.endpoints_tried(request):
+            script.end_attempt(request, duration_us=1800 * MS)
+        rejected += len(script.actions_of(Reject, request))
+        script.advance_clock(200 * MS)
+    assert rejected >= 15
+
+
+def test_pressure_of_a_primary_without_responses_is_that_of_other_primaries() -> None:
+    script = RouterScript()
+    script.start_group("a")
+    script.update_endpoints(endpoint("q", group=1), endpoint("z", group=1), kind=UpdateKind.DELTA)
+    script.pass_health_check("q", is_primary=True)
+    unheard_primary = script.endpoint_state("q")
+    pressure = script.router.parts.shedder.pressure
+    assert pressure.value(unheard_primary) == 0
     for _ in range(4):
-        s.wait(SEC)
-        s.end(s.ask("write"), role=Role.PRIMARY, duration_us=450 * MS)
-    assert s.router.parts.shedder.pressure.value(q) > 0.3
+        script.run_for(SEC)
+        script.end_attempt(script.submit_request(WRITE), role=Role.PRIMARY, duration_us=450 * MS)
+    assert pressure.value(unheard_primary) > 0.3
+
+
+def test_read_that_its_replica_would_shed_overflows_to_a_primary_with_capacity() -> None:
+    script = RouterScript()
+    script.start_group("a")
+    script.observe_pressure("a", OVERLOAD_PRESSURE, PRESSURE_SAMPLES)
+    script.observe_pressure(PRIMARY, LOW_PRESSURE)
+    # One response of the primary is too little to go by.
+    assert script.actions_of(Reject, script.submit_request(ANY_READ))
+    script.observe_pressure(PRIMARY, LOW_PRESSURE, samples=5)
+    assert set(script.count_draws(ANY_READ, requests=3)) == {PRIMARY}
+    script.observe_pressure(PRIMARY, OVERLOAD_PRESSURE, PRESSURE_SAMPLES)
+    assert script.actions_of(Reject, script.submit_request(ANY_READ))
+
+
+def test_attempts_in_flight_for_long_raise_the_pressure_before_they_end() -> None:
+    script = RouterScript(cancellation=False)
+    script.start_group("a")
+    script.end_attempt(script.submit_request(ANY_READ))
+    state = script.endpoint_state("a")
+    pressure = script.router.parts.shedder.pressure
+    before = pressure.with_overdue(state, 0.1)
+    for number in range(8):
+        attempt = InFlightAttempt(script.now_us - 900 * MS, latency_objective_us=500 * MS)
+        state.in_flight[(f"{number}", 0)] = attempt
+    assert before == pytest.approx(0.1)
+    assert pressure.with_overdue(state, 0.1) > 0.8
--- a/tests/routing/test_slow_start.py
+++ b/tests/routing/test_slow_start.py
@@ -2,100 +2,105 @@
 
 from __future__ import annotations
 
-from collections import Counter
-
 import pytest
 
-from juniperreel.routing.types import (
-    ClientDisconnected,
-    HealthCheckEnded,
-    Outcome,
-    Role,
-    UpdateKind,
-)
-from tests.routing.router_script import (
-    MS,
-    SEC,
-    Script,
-    member,
-)
+from juniperreel.routing.types import Outcome, Role, UpdateKind
+from tests.routing.router_script import ANY_READ, MS, PRIMARY, SEC, RouterScript, endpoint
 
 
-def test_cold_member_gets_no_rush() -> None:
-    s = Script()
-    s.group("a", "b")
+def capacity_fraction(script: RouterScript, name: str) -> float:
+    """The part of its capacity that the router takes an endpoint to have."""
+    return script.router.parts.slow_start.capacity_fraction(script.endpoint_state(name))
+
+
+def test_endpoint_that_has_just_started_gets_few_requests() -> None:
+    script = RouterScript()
+    script.start_group("a", "b")
     for _ in range(40):
-        s.end(s.ask("loose"))
-        s.now += 20 * MS
-    s.start(member("c", started_us=s.now), kind=UpdateKind.DELTA)
-    picked = Counter(s.sends[s.ask("loose")][0] for _ in range(60))
-    assert picked["c"] <= 12
+        script.end_attempt(script.submit_request(ANY_READ))
+        script.advance_clock(20 * MS)
+    script.update_endpoints(endpoint("c", started_us=script.now_us), kind=UpdateKind.DELTA)
+    draws = script.count_draws(ANY_READ, requests=60)
+    assert draws["c"] <= 12
 
 
-def test_cold_bound_follows_answers_not_sends() -> None:
-    """i426656: in overload warm members are sent far more than they answer."""
-    s = Script()
-    s.group("a")
+def test_peak_rate_of_warm_endpoints_counts_responses_and_not_attempts() -> None:
+    """i426656: in overload warm endpoints are sent far more than they respond to."""
+    script = RouterScript()
+    script.start_group("a")
     for _ in range(60):
-        s.ask("loose")
-        s.wait(20 * MS)
-    assert s.router.parts.slow_start.peak_rate.per_second == 0.0
-
-
-def test_refused_connection_is_no_cold_start_but_a_failed_probe_is() -> None:
-    """conn_squeeze: members that take few connections are as warm as before."""
-    for down in (False, True):
-        s = Script()
-        s.group("a")
-        s.end(s.ask("loose"), Outcome.UNREACHABLE)
-        if down:
-            s.batch(HealthCheckEnded("a", Outcome.UNREACHABLE, MS, None))
-        s.wait(3 * SEC)
-        s.probed("a", False)
-        s.end(s.ask("loose"), role=Role.REPLICA)
-        assert (s.router.parts.slow_start.capacity_fraction(s.router.state.endpoints["a"]) < 1.0) is down
-
-
-@pytest.mark.parametrize("routers", [2, 500])
-def test_cold_budget_holds_for_all_routers_together(routers: int) -> None:
-    """big-1 of perth-boards-later: one attempt a window for each of hundreds pushed a member over."""
+        script.submit_request(ANY_READ)
+        script.run_for(20 * MS)
+    assert script.router.parts.slow_start.peak_rate.per_second == 0.0
+
+
+@pytest.mark.parametrize(
+    "fails_health_check", [pytest.param(False, id="refused"), pytest.param(True, id="check-failed")]
+)
+def test_endpoint_that_refused_a_connection_warms_up_only_after_a_failed_health_check(
+    fails_health_check: bool,
+) -> None:
+    """conn_squeeze: endpoints that take few connections are as warm as before."""
+    script = RouterScript()
+    script.start_group("a")
+    script.end_attempt(script.submit_request(ANY_READ), Outcome.UNREACHABLE)
+    if fails_health_check:
+        script.fail_health_check("a")
+    script.run_for(3 * SEC)
+    script.pass_health_check("a")
+    script.end_attempt(script.submit_request(ANY_READ), role=Role.REPLICA)
+    is_warming_up = capacity_fraction(script, "a") < 1.0
+    assert is_warming_up is fails_health_check
+
+
+@pytest.mark.parametrize("router_count", [2, 500])
+def test_slow_start_tokens_of_all_routers_together_stay_within_the_budget(router_count: int) -> None:
+    """big-1 of perth-boards-later: one attempt a window for each of hundreds overloaded an endpoint."""
+    seeds = 60
     sent = 0
-    for seed in range(60):
-        s = Script(seed, router_count=routers)
-        s.start(member("p", listed_primary=True), member("a", started_us=s.now))
-        s.probed("p", True)
-        s.probed("a", False)
-        for _ in range(10):
-            r = s.ask("loose", deadline_us=s.now + 150 * MS)
-            sent += s.sends.get(r, []) == ["a"]
-            s.wait(200 * MS)
-            s.batch(ClientDisconnected(r))
-    assert sent <= 60 * 2 * (2 / routers) + 3  # two windows of one attempt for all routers together
-
-
-def test_a_member_that_was_only_silent_is_warm_when_it_is_back_and_a_dead_one_cold() -> None:
-    for took, ramp in ((250 * MS, 1.0), (1 * MS, 0.2)):
-        s = Script()
-        s.group("a")
-        for _ in range(3):
-            s.batch(HealthCheckEnded("a", Outcome.UNREACHABLE, took, None))
-            s.wait(600 * MS)
-        s.router.parts.outliers.reinstate(s.router.state.endpoints["a"])
-        assert s.router.parts.slow_start.capacity_fraction(s.router.state.endpoints["a"]) == pytest.approx(
-            ramp
+    for seed in range(seeds):
+        script = RouterScript(seed, router_count=router_count)
+        script.update_endpoints(
+            endpoint(PRIMARY, listed_primary=True), endpoint("a", started_us=script.now_us)
         )
+        script.pass_health_check(PRIMARY, is_primary=True)
+        script.pass_health_check("a")
+        for _ in range(10):
+            request = script.submit_request(ANY_READ, deadline_in_us=150 * MS)
+            sent += script.endpoints_tried(request) == ["a"]
+            script.run_for(200 * MS)
+            script.disconnect_client(request)
+    windows = 2  # of one attempt for all routers together
+    assert sent <= seeds * windows * (2 / router_count) + 3
 
 
-def test_what_a_member_was_sent_while_warm_is_not_taken_from_its_cold_budget() -> None:
-    s = Script()
-    s.group("a")
+@pytest.mark.parametrize(
+    "check_duration_us, expected_fraction",
+    [pytest.param(250 * MS, 1.0, id="silent"), pytest.param(1 * MS, 0.2, id="refused")],
+)
+def test_endpoint_reinstated_after_failed_health_checks_warms_up_only_if_it_refused_them(
+    check_duration_us: int, expected_fraction: float
+) -> None:
+    """One that was only cut off is as warm as before; one whose process was dead has restarted."""
+    script = RouterScript()
+    script.start_group("a")
+    for _ in range(3):
+        script.fail_health_check("a", duration_us=check_duration_us)
+        script.run_for(600 * MS)
+    script.router.parts.outliers.reinstate(script.endpoint_state("a"))
+    assert capacity_fraction(script, "a") == pytest.approx(expected_fraction)
+
+
+def test_attempts_sent_while_an_endpoint_was_warm_cost_no_slow_start_tokens() -> None:
+    script = RouterScript()
+    script.start_group("a")
     for _ in range(200):
-        s.end(s.ask("loose"))
-        s.now += 5 * MS
-    state = s.router.state.endpoints["a"]
+        script.end_attempt(script.submit_request(ANY_READ))
+        script.advance_clock(5 * MS)
+    state = script.endpoint_state("a")
     assert state.slow_start.tokens >= 0
-    state.down_since_us = s.now - 2 * SEC
-    s.router.parts.outliers.reinstate(state)
-    s.wait(1 * SEC)
-    s.batch()
-    assert s.router.parts.slow_start.has_capacity(state)
+    state.down_since_us = script.now_us - 2 * SEC
+    script.router.parts.outliers.reinstate(state)
+    script.run_for(1 * SEC)
+    script.process()
+    assert script.router.parts.slow_start.has_capacity(state)
