Planted drivers: whole names, each draw and change under its name on the command line

The functions' own names were the arguments of the command line, so none could be renamed. The tables name them now; the arguments are the same.

--- a/benchmarks/drivers/planted.py
+++ b/benchmarks/drivers/planted.py
@@ -1,8 +1,9 @@
-"""Drivers to set beside ours in `juniperreel trial`: other draws, as the field has them, and planted bugs.
+"""Drivers to set beside ours in `juniperreel trial`: other draws, as the field has them, and planted faults.
 
     juniperreel trial run SCRIPT --crews 4 --driver "benchmarks/drivers/planted.py uniform"
 
-Each changes one thing in the module and starts the platform's driver; all else is ours: probes, lists, rules.
+Each changes one thing in the routing policy and starts the platform's driver; all else is ours: health
+checks, endpoint lists, the safety rules.
 """
 
 from __future__ import annotations
@@ -21,72 +22,90 @@
 from juniperreel.routing.router import Router
 from juniperreel.routing.state import Endpoints, EndpointState
 
+NEGLIGIBLE_WEIGHT = 1e-9  # a pool needs weights above 0
+SLOW_MULTIPLE = 1.5
+COMMON_SEED = 7
 
-def one(pool: Endpoints, chosen: EndpointState) -> list[float]:
-    return [1.0 if m is chosen else 1e-9 for m in pool]
 
+def only(pool: Endpoints, chosen: EndpointState) -> list[float]:
+    """Weights with which this endpoint is drawn."""
+    return [1.0 if endpoint is chosen else NEGLIGIBLE_WEIGHT for endpoint in pool]
 
-def uniform(selection: Selection, pool: Endpoints) -> list[float]:
+
+def draw_uniformly(_selection: Selection, pool: Endpoints) -> list[float]:
+    """All endpoints alike."""
     return [1.0] * len(pool)
 
 
-def round_robin(selection: Any, pool: Endpoints) -> list[float]:
-    """Whoever's turn was longest ago."""
+def draw_round_robin(selection: Any, pool: Endpoints) -> list[float]:
+    """The endpoint whose turn was longest ago."""
     turns = selection.__dict__.setdefault("turns", {})
-    chosen = min(pool, key=lambda m: (turns.get(m.info.id, 0), m.info.id))
+    chosen = min(pool, key=lambda endpoint: (turns.get(endpoint.info.id, 0), endpoint.info.id))
     turns[chosen.info.id] = max(turns.values(), default=0) + 1
-    return one(pool, chosen)
+    return only(pool, chosen)
 
 
-def least_outstanding(selection: Selection, pool: Endpoints) -> list[float]:
-    least = min(len(m.in_flight) for m in pool)
-    return [1.0 if len(m.in_flight) == least else 1e-9 for m in pool]
+def draw_least_outstanding(_selection: Selection, pool: Endpoints) -> list[float]:
+    """One of those with the fewest attempts in flight."""
+    fewest = min(len(endpoint.in_flight) for endpoint in pool)
+    return [1.0 if len(endpoint.in_flight) == fewest else NEGLIGIBLE_WEIGHT for endpoint in pool]
 
 
-def two_choices(selection: Selection, pool: Endpoints) -> list[float]:
-    """Two at random; of them who has less out."""
-    two = selection.state.random.sample(pool, min(2, len(pool)))
-    return one(pool, min(two, key=lambda m: len(m.in_flight)))
+def draw_power_of_two_choices(selection: Selection, pool: Endpoints) -> list[float]:
+    """Two at random; of them the one with fewer attempts in flight."""
+    choices = selection.state.random.sample(pool, min(2, len(pool)))
+    return only(pool, min(choices, key=lambda endpoint: len(endpoint.in_flight)))
 
 
-def least_srtt(selection: Selection, pool: Endpoints) -> list[float]:
-    """Planted: always the least response time."""
-    return one(pool, min(pool, key=lambda m: m.srtt_us))
+def draw_least_srtt(_selection: Selection, pool: Endpoints) -> list[float]:
+    """Planted: always the least smoothed response time, so that all routers choose the same endpoint."""
+    return only(pool, min(pool, key=lambda endpoint: endpoint.srtt_us))
 
 
-def never_again(selection: Selection, pool: Endpoints) -> list[float]:
-    """Planted: who was once slow beside the best is not looked at again."""
+def draw_never_again(selection: Selection, pool: Endpoints) -> list[float]:
+    """Planted: an endpoint that was once slow beside the best is not drawn again after its recovery."""
     slow = selection.__dict__.setdefault("slow", set())
-    heard = [m.srtt_us for m in pool if m.has_responded]
-    slow |= {m.info.id for m in pool if heard and m.has_responded and m.srtt_us > 1.5 * min(heard)}
-    return [1e-9 if m.info.id in slow else 1.0 / m.srtt_us for m in pool]
-
-
-DRAWS: dict[str, Callable[[Any, Endpoints], list[float]]] = {
-    f.__name__: f for f in (uniform, round_robin, least_outstanding, two_choices, least_srtt, never_again)
-}
+    measured = [endpoint for endpoint in pool if endpoint.has_responded]
+    if measured:
+        limit_us = SLOW_MULTIPLE * min(endpoint.srtt_us for endpoint in measured)
+        slow |= {endpoint.info.id for endpoint in measured if endpoint.srtt_us > limit_us}
+    return [NEGLIGIBLE_WEIGHT if endpoint.info.id in slow else 1.0 / endpoint.srtt_us for endpoint in pool]
 
 
-def alike() -> None:
-    """Planted: all drivers draw from one seed."""
-    plain = Router.__init__
-    Router.__init__ = lambda self, settings, seed: plain(self, settings, 7)  # type: ignore[method-assign]
+def seed_all_routers_alike() -> None:
+    """Planted: all routers draw from one seed."""
+    plain_init = Router.__init__
+    Router.__init__ = lambda self, settings, _seed: plain_init(self, settings, COMMON_SEED)  # type: ignore[method-assign]
 
 
-def no_ramp() -> None:
-    """Planted: who starts is taken for warm."""
+def skip_slow_start() -> None:
+    """Planted: an endpoint that starts is taken for warm."""
     SlowStart.capacity_fraction = lambda *_: 1.0  # type: ignore[method-assign]
 
 
-def not_beside() -> None:
-    """The module before it looked beside reads."""
+def skip_background_checks() -> None:
+    """The policy before it checked positions in the background."""
     PositionChecker.check_in_background = lambda *_: None  # type: ignore[method-assign]
 
 
-CHANGES: dict[str, Callable[[], None]] = {f.__name__: f for f in (alike, no_ramp, not_beside)}
+# By the name on the command line.
+DRAWS: dict[str, Callable[[Any, Endpoints], list[float]]] = {
+    "uniform": draw_uniformly,
+    "round_robin": draw_round_robin,
+    "least_outstanding": draw_least_outstanding,
+    "two_choices": draw_power_of_two_choices,
+    "least_srtt": draw_least_srtt,
+    "never_again": draw_never_again,
+}
+CHANGES: dict[str, Callable[[], None]] = {
+    "alike": seed_all_routers_alike,
+    "no_ramp": skip_slow_start,
+    "not_beside": skip_background_checks,
+}
 
 
 def start(name: str) -> int:
+    """Run the platform's driver with this draw or change; SystemExit where none has that name."""
     if name in DRAWS:
         Selection.weights = DRAWS[name]  # type: ignore[assignment]
     elif name in CHANGES:
