--- a/tests/routing/test_outlier.py
+++ b/tests/routing/test_outlier.py
@@ -39,7 +39,7 @@
     assert sent_to_ejected > 0
 
 
-def test_ejection_where_the_whole_group_loses_responses_stops_at_half_of_it() -> None:
+def test_ejection_while_all_endpoints_lose_responses_affects_at_most_half_of_them() -> None:
     """answer_lost: where half of the group loses responses, the draw alone decides."""
     script = RouterScript()
     script.start_group("a", "b", "c")
--- a/tests/routing/test_retry.py
+++ b/tests/routing/test_retry.py
@@ -88,11 +88,11 @@
     assert script.endpoints_tried(read)
 
 
-def test_attempt_whose_late_response_is_worth_nothing_times_out_at_the_objective() -> None:
-    read_worthless_when_late = replace(BOUNDED_READ, late_priority_weight=0.0)
-    script = RouterScript(classes=classes_with(read_worthless_when_late))
+def test_attempt_of_a_class_without_late_priority_times_out_at_the_objective() -> None:
+    read_without_late_priority = replace(BOUNDED_READ, late_priority_weight=0.0)
+    script = RouterScript(classes=classes_with(read_without_late_priority))
     script.start_group("a")
-    read = script.submit_request(read_worthless_when_late)
+    read = script.submit_request(read_without_late_priority)
     assert script.actions_of(Send, read)[0].timeout_us == 500 * MS
     script.advance_clock(500 * MS)
     script.end_attempt(read, Outcome.TIMEOUT)
--- a/tests/routing/test_selection.py
+++ b/tests/routing/test_selection.py
@@ -66,7 +66,7 @@
     assert script.endpoint_state("a").srtt_us == pytest.approx(156 * MS)
 
 
-def test_endpoint_far_above_the_mean_in_flight_is_left_out_of_the_draw() -> None:
+def test_endpoint_far_above_the_mean_in_flight_is_excluded_from_the_draw() -> None:
     script = RouterScript()
     script.start_group("a", "b")
     script.endpoint_state("a").srtt_us = 1.0
@@ -75,7 +75,7 @@
     assert draws["b"] >= 10
 
 
-def test_endpoint_that_reports_much_in_flight_is_left_out_while_the_report_is_recent() -> None:
+def test_endpoint_that_reports_much_in_flight_is_excluded_while_the_report_is_recent() -> None:
     """i0b7f05: with many routers, each one's own attempts say little of an endpoint's load."""
     script = RouterScript()
     script.start_group("a", "b")
--- a/tests/routing/test_shedding.py
+++ b/tests/routing/test_shedding.py
@@ -36,7 +36,7 @@
     return mean
 
 
-def test_shedding_under_pressure_spares_requests_of_higher_priority() -> None:
+def test_shedding_under_pressure_rejects_requests_of_lower_priority_first() -> None:
     low_priority_read = replace(ANY_READ, priority_weight=0.2)
     script = RouterScript(classes=classes_with(low_priority_read))
     script.start_group("a")
