--- a/tests/routing/test_freshness.py
+++ b/tests/routing/test_freshness.py
@@ -36,7 +36,10 @@
 def test_bounded_read_beyond_the_staleness_bound_waits_for_a_fresh_position() -> None:
     script = RouterScript()
     script.start_group("a")
-    script.advance_clock(300 * MS + 1)
+    script.submit_request(BOUNDED_READ)  # in flight on the replica, as is the next one
+    script.advance_clock(300 * MS)
+    script.submit_request(BOUNDED_READ)
+    script.advance_clock(1)
     read = script.submit_request(BOUNDED_READ)
     assert script.endpoints_tried(read) == []
     assert StartHealthCheck("a") in script.last_actions
