--- a/tests/cli/test_trial.py
+++ b/tests/cli/test_trial.py
@@ -62,8 +62,8 @@
 # Planted: data of any age will do.
 AGELESS = """
 import sys
-from juniperreel.routing.policy.freshness import Freshness
-from juniperreel.platform.run import main
+from juniperreel.routing.policy.freshness import (Freshness)
+from juniperreel.platform.run import (main)
 Freshness.is_fresh_enough = lambda *_: True
 sys.exit(main([]))
 """
--- a/tests/platform/test_planted.py
+++ b/tests/platform/test_planted.py
@@ -26,7 +26,7 @@
 from juniperreel.routing.types import Endpoint, Outcome
 from tests.platform import socket_harness, test_crossings, test_discovery
 from tests.routing import test_crossings as routing_crossings
-from tests.routing import test_router
+from tests.routing import test_layout
 
 Patch = pytest.MonkeyPatch
 BRIEF_S = 3  # a test that waits in vain has failed
@@ -186,14 +186,20 @@
         client_disconnect_read_after_its_request,
         test_crossings.test_a_request_read_together_with_its_clients_end_is_not_sent_on,
     ),
-    (ramp_forgotten_at_restart, routing_crossings.test_a_member_that_came_back_is_cold_again),
+    (
+        ramp_forgotten_at_restart,
+        routing_crossings.test_endpoint_that_restarted_while_others_serve_warms_up_again,
+    ),
     (
         fitness_not_asked_when_written,
         test_crossings.test_a_read_is_not_written_once_its_session_was_answered_a_newer_write,
     ),
     (
         lost_writes_forgotten,
-        partial(routing_crossings.test_a_write_that_may_have_run_is_seen_by_its_session, Outcome.RESET),
+        partial(
+            routing_crossings.test_session_read_after_a_write_that_may_have_been_executed_needs_its_commit,
+            Outcome.RESET,
+        ),
     ),
     (
         one_burst_accepted_before_the_listener_closes,
@@ -243,4 +249,4 @@
     """The harness itself does not fail them."""
     for _, test in PLANTED:
         play(test)
-    assert test_router.POLICY
+    assert test_layout.POLICY
--- a/tests/testbed/test_platform_fleet.py
+++ b/tests/testbed/test_platform_fleet.py
@@ -51,18 +51,18 @@
 """
 PLANT = """
 import sys
-from juniperreel.routing.estimators import SuccessRate
-from juniperreel.routing.policy.endpoint_list import EndpointTracker
-from juniperreel.routing.policy.freshness import Freshness
-from juniperreel.routing.policy.outlier import OutlierDetector
-from juniperreel.routing.policy.position_checks import PositionChecker
-from juniperreel.routing.policy.primary import PrimaryTracker
-from juniperreel.routing.policy.retry import RetryPolicy
-from juniperreel.routing.policy.selection import Selection
-from juniperreel.routing.policy.shedding import LoadShedder
-from juniperreel.routing.policy.slow_start import SlowStart
+from juniperreel.routing.estimators import (SuccessRate)
+from juniperreel.routing.policy.endpoint_list import (EndpointTracker)
+from juniperreel.routing.policy.freshness import (Freshness)
+from juniperreel.routing.policy.outlier import (OutlierDetector)
+from juniperreel.routing.policy.position_checks import (PositionChecker)
+from juniperreel.routing.policy.primary import (PrimaryTracker)
+from juniperreel.routing.policy.retry import (RetryPolicy)
+from juniperreel.routing.policy.selection import (Selection)
+from juniperreel.routing.policy.shedding import (LoadShedder)
+from juniperreel.routing.policy.slow_start import (SlowStart)
 {bug}
-from juniperreel.platform.run import main
+from juniperreel.platform.run import (main)
 sys.exit(main([]))
 """
 
