--- /dev/null
+++ b/tests/raft/test_digest.py
@@ -0,0 +1,171 @@
+"""Every byte that the core sends or stores over 500 seeded schedules, as one digest.
+
+The constant was taken from commit 5d30e02. Whoever means to keep the protocol, the order of messages, the
+stored records and the random draws must keep it; whoever changes them on purpose says so and takes a new one.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import random
+from collections.abc import Iterator
+from dataclasses import replace
+from pathlib import Path
+
+import lmdb
+import msgspec
+import pytest
+
+from juniperreel.emulator import raft as emulator
+from juniperreel.raft import wire
+from juniperreel.raft.core import Core, Restored, Tuning
+from juniperreel.raft.disk import MemoryDisk
+from juniperreel.raft.storage import Storage
+from juniperreel.raft.types import Members, Message, Persist, Ready
+
+SCHEDULES = 500
+OPERATIONS = 400
+DIGEST = "413c67872db6207fcac0a40d3a4e92627edc7ce347c428d49bc520baffc3685b"
+
+
+class Recorder:
+    """Hashes what is sent and stored, each part with its length."""
+
+    def __init__(self) -> None:
+        self._hash = hashlib.sha256()
+        self.messages = 0
+        self.batches = 0
+
+    def add(self, *parts: bytes) -> None:
+        for part in parts:
+            self._hash.update(len(part).to_bytes(8, "big"))
+            self._hash.update(part)
+
+    def add_messages(self, messages: list[Message]) -> None:
+        """Sets of names have no order of their own, so they are sorted; all else is hashed as it is sent."""
+        for message in messages:
+            encoded = wire.encode([message])
+            ((kind, fields),) = msgspec.msgpack.decode(encoded)
+            if "members" in fields:
+                fields["members"] = {part: sorted(names) for part, names in fields["members"].items()}
+                encoded = msgspec.msgpack.encode([(kind, fields)])
+            self.add(b"message", encoded)
+            self.messages += 1
+
+    def hexdigest(self) -> str:
+        return self._hash.hexdigest()
+
+
+class FakeCursor:
+    def __init__(self, records: dict[bytes, bytes], recorder: Recorder) -> None:
+        self._records, self._recorder = records, recorder
+        self._keys: list[bytes] = []
+
+    def set_range(self, start: bytes) -> bool:
+        self._keys = sorted((key for key in self._records if key >= start), reverse=True)
+        return bool(self._keys)
+
+    def key(self) -> bytes:
+        return self._keys[-1]
+
+    def delete(self) -> bool:
+        key = self._keys.pop()
+        del self._records[key]
+        self._recorder.add(b"delete", key)
+        return bool(self._keys)
+
+    def __iter__(self) -> Iterator[tuple[bytes, bytes]]:
+        return iter(sorted(self._records.items()))
+
+
+class FakeEnvironment:
+    """As much of an lmdb environment as storage uses, in memory; it is its own transaction."""
+
+    def __init__(self, recorder: Recorder) -> None:
+        self._recorder = recorder
+        self._databases: dict[bytes, dict[bytes, bytes]] = {}
+
+    def open_db(self, name: bytes, create: bool) -> bytes:
+        self._databases.setdefault(name, {})
+        return name
+
+    def begin(self, write: bool = False) -> FakeEnvironment:
+        return self
+
+    def __enter__(self) -> FakeEnvironment:
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        self._recorder.add(b"end of transaction")
+
+    def put(self, key: bytes, value: bytes, db: bytes) -> None:
+        self._databases[db][key] = value
+        self._recorder.add(b"put", db, key, value)
+
+    def get(self, key: bytes, db: bytes) -> bytes | None:
+        return self._databases[db].get(key)
+
+    def drop(self, db: bytes, delete: bool) -> None:
+        self._databases[db].clear()
+        self._recorder.add(b"drop", db)
+
+    def cursor(self, db: bytes) -> FakeCursor:
+        return FakeCursor(self._databases[db], self._recorder)
+
+
+def digest_of(
+    seeds: range, folder: Path, monkeypatch: pytest.MonkeyPatch, core_class: type[Core] = Core
+) -> Recorder:
+    recorder = Recorder()
+    monkeypatch.setattr(lmdb, "open", lambda *arguments, **options: FakeEnvironment(recorder))
+
+    class RecordingDisk(MemoryDisk):
+        """Writes each batch through the real storage as well, for the bytes of its records."""
+
+        def __init__(self, members: Members) -> None:
+            super().__init__(members)
+            self._storage = Storage.create(folder, "cluster", "node", members)
+
+        def write(self, persist: Persist) -> None:
+            recorder.batches += 1
+            super().write(persist)
+            self._storage.write(persist)
+
+    def recording_core(name: str, restored: Restored, tuning: Tuning, rng: random.Random) -> Core:
+        core = core_class(name, restored, tuning, rng)
+        persisted = core.persisted
+
+        def record(ready: Ready) -> None:
+            persisted(ready)
+            recorder.add_messages(ready.send)
+
+        core.persisted = record  # type: ignore[method-assign]
+        return core
+
+    monkeypatch.setattr(emulator, "MemoryDisk", RecordingDisk)
+    for seed in seeds:
+        group = emulator.Group(seed, recording_core)
+        group.play(emulator.schedule(seed, OPERATIONS))
+        recorder.add(b"end of schedule")
+    return recorder
+
+
+def test_messages_and_records_over_500_schedules_are_those_of_the_first_version(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    recorder = digest_of(range(SCHEDULES), tmp_path, monkeypatch)
+    assert recorder.messages > 100_000
+    assert recorder.batches > 30_000
+    assert recorder.hexdigest() == DIGEST
+
+
+def test_digest_of_a_core_that_sends_a_smaller_batch_differs(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    class SmallBatches(Core):
+        def __init__(self, name: str, restored: Restored, tuning: Tuning, rng: random.Random) -> None:
+            super().__init__(name, restored, replace(tuning, append_entries=3), rng)
+
+    same = digest_of(range(3), tmp_path, monkeypatch).hexdigest()
+    assert digest_of(range(3), tmp_path, monkeypatch).hexdigest() == same
+    assert digest_of(range(3), tmp_path, monkeypatch, SmallBatches).hexdigest() != same
--- /dev/null
+++ b/tests/raft/test_stored_data.py
@@ -0,0 +1,254 @@
+"""A directory written by commit 5d30e02 opens, replays and goes on; the same history gives the same records.
+
+`data/commit-5d30e02.mdb.xz` is the data file that `write_history` left under that commit.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import lzma
+import random
+from pathlib import Path
+
+import lmdb
+import pytest
+
+from juniperreel.raft.configuration.machine import Change as ConfigurationChange
+from juniperreel.raft.configuration.machine import (
+    Command,
+    Machine,
+    RemoveGroup,
+    RemoveMember,
+    SetClass,
+    SetGroup,
+    SetLimit,
+    SetMember,
+    SetState,
+    SetTenant,
+    encode_command,
+)
+from juniperreel.raft.configuration.model import ClassInfo, Client, GroupInfo, MemberInfo, TenantInfo
+from juniperreel.raft.core import Core, Tuning
+from juniperreel.raft.storage import Storage, look
+from juniperreel.raft.types import Change, HardState, Kind, Members
+
+FIXTURE = Path(__file__).parent / "data" / "commit-5d30e02.mdb.xz"
+CLUSTER = "test"
+NODE = "c0@127.0.0.1:7301"
+REMOVED = "c1@127.0.0.1:7302"
+LEARNER = "c2@127.0.0.1:7303"
+MAP_BYTES = 1 << 20
+
+MEMBER_A = MemberInfo(0, "10.0.0.1", 3306, 1, 2, 1.5, "up", 1_000_000)
+MEMBER_B = MemberInfo(0, "10.0.0.2", 3306)
+MEMBER_C = MemberInfo(1, "10.0.0.3", 3307)
+READ = ClassInfo("repeatable", "all", 0, "bounded", 300_000, 500_000, 2_000_000, 3.0, 0.2)
+WRITE = ClassInfo("keyed", "group", 5_000_000, "write", 0, 500_000, 2_000_000, 4.0, 0.7)
+
+REJECTION = "group 0: its primary a is gone (rule 3)"
+SNAPSHOT_SHA256 = "ed815564c5758f0bf71a07ee54fc63b254f98db7de268c3a6b6970aaed4b97ea"
+REPLAYED_SHA256 = "3a9d6abcebf4322186cc97722c4ea4cb8ee2516950a6972440352f95eba43844"
+
+
+class SingleNode:
+    """A cluster of one: core, directory and state machine driven by hand."""
+
+    def __init__(self, storage: Storage) -> None:
+        self.storage = storage
+        restored = storage.restore()
+        self.core = Core(NODE, restored, Tuning(trailing=3), random.Random(1))
+        self.machine = Machine()
+        self.machine.restore(restored.snapshot.data)
+
+    def elect(self) -> None:
+        while not self.core.is_leader:
+            self.core.tick()
+            self.settle()
+        self.settle()
+
+    def settle(self) -> None:
+        while self.core.has_ready():
+            ready = self.core.take()
+            self.storage.write(ready.persist)
+            self.core.persisted(ready)
+            for entry in ready.apply:
+                if entry.kind is Kind.COMMAND:
+                    self.machine.apply(entry.data)
+
+    def propose(
+        self, client: str, sequence: int, *changes: ConfigurationChange, expect: int | None = None
+    ) -> None:
+        self.core.propose(encode_command(Command(client, sequence, list(changes), expect)))
+        self.settle()
+
+    def change(self, change: Change, name: str) -> None:
+        self.core.change(change, name)
+        self.settle()
+
+    def compact(self) -> None:
+        self.core.compact(self.core.applied, self.machine.snapshot())
+        self.settle()
+
+
+def write_history(folder: Path) -> None:
+    """Every kind of command and entry, a rejected command, a snapshot, and entries before and after it."""
+    storage = Storage.create(folder, CLUSTER, NODE, Members(frozenset({NODE})), MAP_BYTES)
+    node = SingleNode(storage)
+    node.elect()
+    node.propose(
+        "seed",
+        1,
+        SetGroup(0, GroupInfo(1, "a")),
+        SetGroup(1, GroupInfo(1, "c")),
+        SetGroup(2, GroupInfo(0, None)),
+        SetMember("a", MEMBER_A),
+        SetMember("b", MEMBER_B),
+        SetMember("c", MEMBER_C),
+    )
+    node.propose("seed", 2, SetClass("read", READ), SetClass("write", WRITE), SetClass("old", READ))
+    node.propose(
+        "seed",
+        3,
+        SetTenant("t", TenantInfo(0.25, 100.0)),
+        SetTenant("u", TenantInfo(0.5)),
+        SetLimit("attempts", 3),
+        SetLimit("edges", 4),
+    )
+    node.propose("rejected", 1, SetState("a", "gone"))
+    node.change(Change.ADD_LEARNER, REMOVED)
+    node.propose("operator", 2, SetGroup(0, GroupInfo(2, "b")), SetState("a", "draining"))
+    node.compact()
+    node.propose("operator", 3, SetState("a", "gone"))
+    node.propose(
+        "operator",
+        4,
+        RemoveMember("a"),
+        RemoveGroup(2),
+        SetClass("old", None),
+        SetTenant("u", None),
+        SetLimit("edges", None),
+        expect=5,
+    )
+    node.change(Change.REMOVE, REMOVED)
+    node.change(Change.ADD_LEARNER, LEARNER)
+    node.propose("operator", 5, SetState("b", "draining", 5_000_000), SetLimit("drain-grace-us", 250_000))
+    storage.close()
+
+
+def records(folder: Path) -> dict[bytes, list[tuple[bytes, bytes]]]:
+    """All records of a directory, by database."""
+    environment = lmdb.open(str(folder), readonly=True, max_dbs=4, lock=False)
+    found = {}
+    for name in (b"main", b"log", b"snapshot"):
+        database = environment.open_db(name, create=False)
+        with environment.begin() as transaction:
+            found[name] = [(bytes(key), bytes(value)) for key, value in transaction.cursor(db=database)]
+    environment.close()
+    return found
+
+
+@pytest.fixture
+def folder(tmp_path: Path) -> Path:
+    """A copy of the directory that commit 5d30e02 wrote."""
+    copy = tmp_path / "copy"
+    copy.mkdir()
+    (copy / "data.mdb").write_bytes(lzma.decompress(FIXTURE.read_bytes()))
+    return copy
+
+
+def test_restore_of_an_old_directory_gives_hard_state_log_and_snapshot(folder: Path) -> None:
+    cluster, node, restored = look(folder)
+
+    assert (cluster, node) == (CLUSTER, NODE)
+    assert restored.hard_state == HardState(1, NODE, 12)
+    assert (restored.base, restored.base_term) == (4, 1)
+    assert [(entry.term, entry.index, entry.kind) for entry in restored.entries] == [
+        (1, 5, Kind.COMMAND),
+        (1, 6, Kind.CONFIG),
+        (1, 7, Kind.COMMAND),
+        (1, 8, Kind.COMMAND),
+        (1, 9, Kind.COMMAND),
+        (1, 10, Kind.CONFIG),
+        (1, 11, Kind.CONFIG),
+        (1, 12, Kind.COMMAND),
+    ]
+    snapshot = restored.snapshot
+    assert (snapshot.index, snapshot.term) == (7, 1)
+    assert snapshot.members == Members(frozenset({NODE}), frozenset({REMOVED}), frozenset())
+    assert hashlib.sha256(snapshot.data).hexdigest() == SNAPSHOT_SHA256
+
+
+def test_snapshot_of_an_old_directory_decodes_and_encodes_to_the_same_bytes(folder: Path) -> None:
+    _, _, restored = look(folder)
+    machine = Machine()
+
+    machine.restore(restored.snapshot.data)
+
+    assert machine.snapshot() == restored.snapshot.data
+    now = machine.now
+    assert now.version == 4
+    assert dict(now.members) == {
+        "a": MemberInfo(0, "10.0.0.1", 3306, 1, 2, 1.5, "draining", 1_000_000),
+        "b": MEMBER_B,
+        "c": MEMBER_C,
+    }
+    assert dict(now.groups) == {0: GroupInfo(2, "b"), 1: GroupInfo(1, "c"), 2: GroupInfo(0, None)}
+    assert dict(now.classes) == {"read": READ, "write": WRITE, "old": READ}
+    assert dict(now.tenants) == {"t": TenantInfo(0.25, 100.0), "u": TenantInfo(0.5, 0.0)}
+    assert dict(now.limits) == {"attempts": 3, "edges": 4}
+    assert dict(now.clients) == {
+        "seed": Client(3, 3, ""),
+        "rejected": Client(1, 3, REJECTION),
+        "operator": Client(2, 4, ""),
+    }
+
+
+def test_an_old_directory_replays_to_the_configuration_it_held(folder: Path) -> None:
+    node = SingleNode(Storage.open(folder, CLUSTER, NODE, MAP_BYTES))
+
+    node.elect()
+
+    now = node.machine.now
+    assert now.version == 7
+    assert dict(now.members) == {
+        "b": MemberInfo(0, "10.0.0.2", 3306, 0, 0, 1.0, "draining", 5_000_000),
+        "c": MEMBER_C,
+    }
+    assert dict(now.groups) == {0: GroupInfo(2, "b"), 1: GroupInfo(1, "c")}
+    assert dict(now.classes) == {"read": READ, "write": WRITE}
+    assert dict(now.tenants) == {"t": TenantInfo(0.25, 100.0)}
+    assert dict(now.limits) == {"attempts": 3, "drain-grace-us": 250_000}
+    assert dict(now.clients) == {
+        "seed": Client(3, 3, ""),
+        "rejected": Client(1, 3, REJECTION),
+        "operator": Client(5, 7, ""),
+    }
+    assert hashlib.sha256(node.machine.snapshot()).hexdigest() == REPLAYED_SHA256
+    assert node.core.members == Members(frozenset({NODE}), frozenset({LEARNER}), frozenset({REMOVED}))
+    node.storage.close()
+
+
+def test_an_old_directory_takes_new_entries_and_opens_again(folder: Path) -> None:
+    node = SingleNode(Storage.open(folder, CLUSTER, NODE, MAP_BYTES))
+    node.elect()
+    node.propose("operator", 6, SetLimit("attempts", 9))
+    node.compact()
+    node.propose("operator", 7, SetLimit("attempts", 10))
+    node.storage.close()
+
+    again = SingleNode(Storage.open(folder, CLUSTER, NODE, MAP_BYTES))
+    assert again.storage.restore().hard_state == HardState(2, NODE, 15)
+    assert again.machine.now.limits["attempts"] == 9
+    again.elect()
+
+    assert (again.core.term, again.core.commit) == (3, 16)
+    assert again.machine.now.version == 9
+    assert again.machine.now.limits["attempts"] == 10
+    assert again.machine.now.clients["operator"] == Client(7, 9, "")
+    again.storage.close()
+
+
+def test_the_same_history_leaves_the_same_records_as_commit_5d30e02(folder: Path, tmp_path: Path) -> None:
+    write_history(tmp_path / "new")
+
+    assert records(tmp_path / "new") == records(folder)
