--- a/juniperreel/raft/wire.py
+++ b/juniperreel/raft/wire.py
@@ -5,30 +5,28 @@
 import hashlib
 import hmac
 from collections.abc import Sequence
-from typing import Any
 
 import msgspec
 
 from juniperreel.raft import types
 from juniperreel.raft.types import Message
 
-KINDS: dict[str, Any] = {
-    kind.__name__: kind
-    for kind in (
-        types.VoteRequest,
-        types.VoteReply,
-        types.Append,
-        types.AppendReply,
-        types.SnapshotChunk,
-        types.SnapshotReply,
-        types.TimeoutNow,
-    )
+# The tag of each message on the wire. Never changed: nodes of two versions talk to each other.
+TAGS: dict[type[Message], str] = {
+    types.VoteRequest: "VoteRequest",
+    types.VoteReply: "VoteReply",
+    types.Append: "Append",
+    types.AppendReply: "AppendReply",
+    types.SnapshotChunk: "SnapshotChunk",
+    types.SnapshotReply: "SnapshotReply",
+    types.TimeoutNow: "TimeoutNow",
 }
+MESSAGE_TYPES: dict[str, type[Message]] = {tag: kind for kind, tag in TAGS.items()}
 MAX_MESSAGES = 1024
 
 
 def encode(messages: Sequence[Message]) -> bytes:
-    return msgspec.msgpack.encode([(type(m).__name__, m) for m in messages])
+    return msgspec.msgpack.encode([(TAGS[type(m)], m) for m in messages])
 
 
 def decode(data: bytes) -> list[Message]:
@@ -37,7 +35,7 @@
         parts = msgspec.msgpack.decode(data, type=list[tuple[str, msgspec.Raw]])
         if len(parts) > MAX_MESSAGES:
             raise ValueError(f"{len(parts)} messages at once")
-        return [msgspec.msgpack.decode(raw, type=KINDS[name]) for name, raw in parts]
+        return [msgspec.msgpack.decode(raw, type=MESSAGE_TYPES[name]) for name, raw in parts]
     except (msgspec.DecodeError, KeyError) as error:
         raise ValueError(f"not messages: {error}") from None
 
