--- a/benchmarks/raft.py
+++ b/benchmarks/raft.py
@@ -30,12 +30,17 @@
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
 from juniperreel.net import Clock, TcpNetwork
-from juniperreel.raft.client import Instances
+from juniperreel.raft.client import ConfigurationClient
 from juniperreel.raft.configuration import model
-from juniperreel.raft.configuration.machine import Command, Machine, SetLimit, encode_command
-from juniperreel.raft.core import Core, Tuning
+from juniperreel.raft.configuration.machine import (
+    Command,
+    ConfigurationStateMachine,
+    SetLimit,
+    encode_command,
+)
+from juniperreel.raft.core import RaftConfig, RaftCore
 from juniperreel.raft.storage import Storage
-from juniperreel.raft.types import Members
+from juniperreel.raft.types import Membership
 
 FILE = """
 [instance]
@@ -84,7 +89,7 @@
 async def ours(addresses: list[tuple[str, int]], seconds: float, in_flight: int) -> tuple[float, list[float]]:
     times: list[float] = []
     async with trio.open_nursery() as nursery:
-        instances = Instances(TcpNetwork(), Clock(), random.Random(1), addresses)
+        instances = ConfigurationClient(TcpNetwork(), Clock(), random.Random(1), addresses)
         await nursery.start(instances.run)
         await instances.propose(Command("warm", 1, [SetLimit("attempts", 1)]), tries=200)
         end = time.perf_counter() + seconds
@@ -173,14 +178,20 @@
     for entries in (1_000, 10_000, 50_000):
         for snapshots in (False, True):
             path = folder / f"r{entries}{snapshots}"
-            members = Members(frozenset({"a"}))
+            members = Membership(frozenset({"a"}))
             storage = Storage.create(path, "bench", "a", members)
-            core = Core("a", storage.restore(), Tuning(uncommitted_bytes=1 << 30), random.Random(1))
-            machine = Machine()
+            core = RaftCore(
+                "a", storage.restore(), RaftConfig(max_uncommitted_bytes=1 << 30), random.Random(1)
+            )
+            machine = ConfigurationStateMachine()
             while not core.is_leader:
                 core.tick()
 
-            def settle(core: Core = core, storage: Storage = storage, machine: Machine = machine) -> None:
+            def settle(
+                core: RaftCore = core,
+                storage: Storage = storage,
+                machine: ConfigurationStateMachine = machine,
+            ) -> None:
                 while core.has_ready():
                     ready = core.take()
                     storage.write(ready.persist)
@@ -202,7 +213,7 @@
             start = time.perf_counter()
             again = Storage.open(path, "bench", "a")
             restored = again.restore()
-            fresh = Machine()
+            fresh = ConfigurationStateMachine()
             fresh.restore(restored.snapshot.data)
             for entry in restored.entries:
                 if entry.index > restored.snapshot.index and entry.data:
@@ -217,7 +228,7 @@
 async def fan_out(addresses: list[tuple[str, int]], watchers: int) -> None:
     arrived: dict[int, list[float]] = {}
     async with trio.open_nursery() as nursery:
-        instances = Instances(TcpNetwork(), Clock(), random.Random(1), addresses)
+        instances = ConfigurationClient(TcpNetwork(), Clock(), random.Random(1), addresses)
         await nursery.start(instances.run)
         await instances.propose(Command("f", 1, [SetLimit("attempts", 1)]), tries=200)
 
@@ -225,7 +236,7 @@
             arrived.setdefault(c.version, []).append(time.perf_counter())
 
         for n in range(watchers):
-            each = Instances(TcpNetwork(), Clock(), random.Random(n), addresses)
+            each = ConfigurationClient(TcpNetwork(), Clock(), random.Random(n), addresses)
             await nursery.start(each.run)
             nursery.start_soon(each.watch, f"w{n}", model.EMPTY, seen)
         while len(arrived.get(1, [])) < watchers:
--- a/juniperreel/cli/configd.py
+++ b/juniperreel/cli/configd.py
@@ -16,14 +16,14 @@
 from juniperreel.cli.signals import until_signalled
 from juniperreel.net import Clock, Network, TcpNetwork
 from juniperreel.proto.configuration.v1 import configuration_pb2 as pb
-from juniperreel.raft.client import Instances, Unreachable
+from juniperreel.raft.client import ConfigurationClient, LeaderUnreachableError
 from juniperreel.raft.configuration import machine, model
 from juniperreel.raft.configuration.machine import Command, Outcome
-from juniperreel.raft.core import Tuning
-from juniperreel.raft.node import Node
+from juniperreel.raft.core import RaftConfig
+from juniperreel.raft.node import RaftNode
 from juniperreel.raft.service import SERVICE, ConfigurationService
-from juniperreel.raft.storage import DiskFull, Storage, StorageError
-from juniperreel.raft.types import Members, NotLeader, Rejected
+from juniperreel.raft.storage import DiskFullError, Storage, StorageError
+from juniperreel.raft.types import Membership, NotLeaderError, RequestRejectedError
 from juniperreel.rpc.health import Health, Reflection
 from juniperreel.rpc.limits import Limits
 from juniperreel.rpc.server import Server
@@ -48,7 +48,7 @@
         self, settings: InstanceSettings, storage: Storage, network: Network, clock: Clock, log: Any
     ) -> None:
         self.settings, self.storage, self.network, self.log = settings, storage, network, log
-        self.node = Node(
+        self.node = RaftNode(
             settings.name,
             settings.cluster,
             settings.key,
@@ -57,7 +57,7 @@
             clock,
             log,
             random.Random(),
-            Tuning(election_ticks=settings.election_ticks),
+            RaftConfig(election_ticks=settings.election_ticks),
             settings.tick_us,
             settings.snapshot_every,
         )
@@ -97,7 +97,7 @@
             with trio.move_on_after(HAND_OVER_S):
                 try:
                     await self.node.transfer(best)
-                except (NotLeader, Rejected):
+                except (NotLeaderError, RequestRejectedError):
                     return
                 while core.is_leader:
                     await trio.sleep(0.02)
@@ -107,10 +107,10 @@
     """`how`: create a new cluster's directory, join with an empty one, or open what is there."""
     if how == "create":
         return Storage.create(
-            settings.directory, settings.cluster, settings.name, Members(frozenset(settings.members))
+            settings.directory, settings.cluster, settings.name, Membership(frozenset(settings.members))
         )
     if how == "join":
-        return Storage.create(settings.directory, settings.cluster, settings.name, Members(frozenset()))
+        return Storage.create(settings.directory, settings.cluster, settings.name, Membership(frozenset()))
     return Storage.open(settings.directory, settings.cluster, settings.name)
 
 
@@ -137,21 +137,21 @@
         sys.exit(2)
     try:
         trio.run(run_instance, settings, storage)
-    except* (OSError, StorageError, DiskFull) as group:
+    except* (OSError, StorageError, DiskFullError) as group:
         click.echo(f"{settings.name}: {group.exceptions[0]}", err=True)
         sys.exit(1)
 
 
 # Clients.
 
-Work = Callable[[Instances], Awaitable[Any]]
+Work = Callable[[ConfigurationClient], Awaitable[Any]]
 
 
 def with_instances(addresses: tuple[str, ...], work: Work) -> Any:
     async def run() -> Any:
         async with trio.open_nursery() as nursery:
             places = [(a.rpartition(":")[0].rpartition("@")[2], int(a.rpartition(":")[2])) for a in addresses]
-            instances = Instances(TcpNetwork(), Clock(), random.Random(), places)
+            instances = ConfigurationClient(TcpNetwork(), Clock(), random.Random(), places)
             await nursery.start(instances.run)
             result = await work(instances)
             nursery.cancel_scope.cancel()
@@ -159,7 +159,7 @@
 
     try:
         return trio.run(run)
-    except* (RpcError, Unreachable) as group:
+    except* (RpcError, LeaderUnreachableError) as group:
         click.echo(str(group.exceptions[0]), err=True)
         sys.exit(1)
 
@@ -199,7 +199,7 @@
     click.echo(readable(with_instances(at(context), lambda i: i.get())))
 
 
-def propose(context: click.Context, changes: list[machine.Change], expect: int | None) -> None:
+def propose(context: click.Context, changes: list[machine.ConfigurationChange], expect: int | None) -> None:
     command = Command(f"cli-{uuid.uuid4().hex}", 1, changes, expect)
     outcome: Outcome = with_instances(at(context), lambda i: i.propose(command))
     if outcome.refusal:
@@ -215,7 +215,7 @@
 def set_(context: click.Context, changes: Path, expect: int | None) -> None:
     """Apply the CHANGES of a JSON file, all of them or none."""
     try:
-        listed = msgspec.json.decode(changes.read_bytes(), type=list[machine.Change])
+        listed = msgspec.json.decode(changes.read_bytes(), type=list[machine.ConfigurationChange])
     except msgspec.DecodeError as error:
         raise click.BadParameter(f"{changes}: {error}") from None
     propose(context, listed, expect)
@@ -231,7 +231,7 @@
     except SettingsError as error:
         click.echo(str(error), err=True)
         sys.exit(2)
-    changes: list[machine.Change] = [
+    changes: list[machine.ConfigurationChange] = [
         machine.SetGroup(n, model.GroupInfo(0, None)) for n in range(settings.groups)
     ]
     for c in settings.router.classes:
@@ -259,7 +259,7 @@
 def watch(context: click.Context, seconds: float) -> None:
     """Print each version as it is committed."""
 
-    async def work(instances: Instances) -> None:
+    async def work(instances: ConfigurationClient) -> None:
         with trio.move_on_after(seconds):
             await instances.watch("cli", model.EMPTY, lambda c: click.echo(readable(c)))
 
@@ -271,7 +271,7 @@
 def status(context: click.Context) -> None:
     """What each instance says of itself."""
 
-    async def work(instances: Instances) -> None:
+    async def work(instances: ConfigurationClient) -> None:
         for address in instances.addresses:
             try:
                 s = await instances.status(address)
--- a/juniperreel/cli/feeder.py
+++ b/juniperreel/cli/feeder.py
@@ -14,8 +14,8 @@
 from juniperreel.net import Clock, Network
 from juniperreel.net.clock import US
 from juniperreel.proof.records import Listed, Sink
-from juniperreel.raft.client import Instances, Unreachable
-from juniperreel.raft.configuration.machine import Change, Command, SetGroup, SetMember
+from juniperreel.raft.client import ConfigurationClient, LeaderUnreachableError
+from juniperreel.raft.configuration.machine import Command, ConfigurationChange, SetGroup, SetMember
 from juniperreel.raft.configuration.model import EMPTY, Configuration, GroupInfo, MemberInfo
 from juniperreel.rpc.status import RpcError
 from juniperreel.standins.fleet import Fleet
@@ -98,7 +98,7 @@
         edges: Callable[[], list[str]],
     ) -> None:
         self._fleet, self._clock, self._record, self._edges = fleet, clock, record, edges
-        self._instances = Instances(network, clock, random.Random(fleet.day["seed"]), addresses)
+        self._instances = ConfigurationClient(network, clock, random.Random(fleet.day["seed"]), addresses)
         self._now: Configuration = EMPTY
         self._sequence = 0
         self.ready = trio.Event()
@@ -112,8 +112,8 @@
                     await self._propose(changes)
                 await trio.sleep(LOOK_S)
 
-    def _changes(self) -> list[Change]:
-        changes: list[Change] = []
+    def _changes(self) -> list[ConfigurationChange]:
+        changes: list[ConfigurationChange] = []
         for group in self._fleet.groups:
             primary = group.primary.name if group.primary is not None else None
             info = GroupInfo(group.epoch, primary)
@@ -133,14 +133,14 @@
                 changes.append(SetMember(name, info_of))
         return changes
 
-    async def _propose(self, changes: list[Change]) -> None:
+    async def _propose(self, changes: list[ConfigurationChange]) -> None:
         self._sequence += 1
         try:
             outcome = await self._instances.propose(Command("feeder", self._sequence, changes))
             if outcome.refusal:
                 return  # the fleet moved on meanwhile; the next look will show
             before, self._now = self._now, await self._instances.get()
-        except (RpcError, Unreachable):
+        except (RpcError, LeaderUnreachableError):
             return
         self.ready.set()
         now = self._clock.now_us()
--- a/juniperreel/driver/configsource.py
+++ b/juniperreel/driver/configsource.py
@@ -15,7 +15,7 @@
 from juniperreel.driver.hosts import Host, MemberSource
 from juniperreel.driver.options import DriverOptions
 from juniperreel.net import Clock, Network
-from juniperreel.raft.client import Instances
+from juniperreel.raft.client import ConfigurationClient
 from juniperreel.raft.configuration.model import EMPTY, Configuration
 
 
@@ -45,7 +45,7 @@
         tell: Callable[[ui.ListKind, list[Host]], None],
         log: Callable[..., None],
     ) -> None:
-        self._instances = Instances(network, clock, rng, options.instances)
+        self._instances = ConfigurationClient(network, clock, rng, options.instances)
         super().__init__(options, clock, tell, log, self._instances)
         self._newest = EMPTY
 
--- a/juniperreel/driver/hosts.py
+++ b/juniperreel/driver/hosts.py
@@ -18,7 +18,7 @@
 from juniperreel.driver.options import DriverOptions
 from juniperreel.net import Clock, ConnectError, Network
 from juniperreel.proto.hosts.v1 import hosts_pb2
-from juniperreel.raft.client import Instances
+from juniperreel.raft.client import ConfigurationClient
 from juniperreel.rpc.channel import Broken, Channel, NeverSent
 from juniperreel.rpc.status import RpcError
 
@@ -101,7 +101,7 @@
         clock: Clock,
         tell: Callable[[ui.ListKind, list[Host]], None],
         log: Callable[..., None],
-        link: Channel | Instances,
+        link: Channel | ConfigurationClient,
     ) -> None:
         self._options, self._clock, self._tell, self._log = options, clock, tell, log
         self._link = link
--- a/juniperreel/emulator/raft.py
+++ b/juniperreel/emulator/raft.py
@@ -13,17 +13,17 @@
 from dataclasses import dataclass, replace
 
 from juniperreel.proof.raft import RaftJudge, Unsafe
-from juniperreel.raft.core import Core, Restored, Tuning
-from juniperreel.raft.disk import MemoryDisk
+from juniperreel.raft.core import RaftConfig, RaftCore, RecoveredState
+from juniperreel.raft.disk import InMemoryStorage
 from juniperreel.raft.types import (
-    Append,
-    Change,
+    AppendEntries,
     Entry,
-    Members,
+    Membership,
+    MembershipChange,
     Message,
-    NotLeader,
+    NotLeaderError,
     Ready,
-    Rejected,
+    RequestRejectedError,
     Role,
     SnapshotChunk,
     VoteReply,
@@ -32,10 +32,16 @@
 
 NAMES = ("a", "b", "c", "d", "e")
 SPARE = ("f", "g", "h", "i", "j", "k", "l", "m")  # names of nodes that may join
-TUNING = Tuning(
-    election_ticks=6, heartbeat_ticks=2, append_entries=4, window=3, chunk_bytes=16, trailing=3, caught_up=3
+CONFIG = RaftConfig(
+    election_ticks=6,
+    heartbeat_ticks=2,
+    max_entries_per_append=4,
+    max_inflight_appends=3,
+    snapshot_chunk_bytes=16,
+    trailing_entries=3,
+    max_promotion_lag=3,
 )
-CoreMaker = Callable[[str, Restored, Tuning, random.Random], Core]
+CoreFactory = Callable[[str, RecoveredState, RaftConfig, random.Random], RaftCore]
 
 WEIGHTS = {
     "deliver": 60,
@@ -70,8 +76,8 @@
 
 @dataclass(slots=True)
 class Node:
-    core: Core | None  # None while it is down
-    disk: MemoryDisk
+    core: RaftCore | None  # None while it is down
+    disk: InMemoryStorage
     state: list[bytes]  # what was applied, since the beginning
     led: int = 0  # last term in which it was told to lead
 
@@ -79,11 +85,11 @@
 class Group:
     """Plays operations and tells the judge of every step."""
 
-    def __init__(self, seed: int, make: CoreMaker = Core) -> None:
+    def __init__(self, seed: int, make: CoreFactory = RaftCore) -> None:
         self._make = make
         rng = random.Random(seed)
         self.size = rng.choice((3, 3, 5))
-        self.members = Members(frozenset(NAMES[: self.size]))
+        self.members = Membership(frozenset(NAMES[: self.size]))
         self.rng = rng
         self.judge = RaftJudge()
         self.nodes: dict[str, Node] = {}
@@ -95,10 +101,10 @@
         self.acknowledged = 0
         self.joined = 0
         for name in NAMES[: self.size]:
-            self._boot(name, MemoryDisk(self.members))
+            self._boot(name, InMemoryStorage(self.members))
 
-    def _boot(self, name: str, disk: MemoryDisk) -> None:
-        core = self._make(name, disk.restore(), TUNING, random.Random(self.rng.getrandbits(32)))
+    def _boot(self, name: str, disk: InMemoryStorage) -> None:
+        core = self._make(name, disk.restore(), CONFIG, random.Random(self.rng.getrandbits(32)))
         state = [s for s in disk.snapshot.data.split(b"\0") if s]
         self.nodes[name] = Node(core, disk, state)
         self.judge.restarts(name, disk.snapshot.index)
@@ -139,7 +145,7 @@
             self.judge.restores(name, p.snapshot.index, p.snapshot.term)
         self.judge.stores(name, [(e.index, e.term, bytes((e.kind.value,)) + e.data) for e in p.entries])
 
-    def _lead(self, name: str, node: Node, core: Core) -> None:
+    def _lead(self, name: str, node: Node, core: RaftCore) -> None:
         if core.is_leader and node.led != core.term:
             node.led = core.term
             self.judge.leads(name, core.term)
@@ -223,7 +229,7 @@
             self.count += 1
             try:
                 core.propose(b"c%d" % self.count)
-            except (NotLeader, Rejected):
+            except (NotLeaderError, RequestRejectedError):
                 return
             if b % 3:
                 self.settle(name)
@@ -276,14 +282,14 @@
         try:
             if b % 3 == 0 and self.joined < len(SPARE):
                 fresh = SPARE[self.joined]
-                core.change(Change.ADD_LEARNER, fresh)
+                core.change(MembershipChange.ADD_LEARNER, fresh)
                 self.joined += 1
-                self._boot(fresh, MemoryDisk(Members(frozenset())))
+                self._boot(fresh, InMemoryStorage(Membership(frozenset())))
             elif b % 3 == 1 and m.learners:
-                core.change(Change.PROMOTE, sorted(m.learners)[a % len(m.learners)])
+                core.change(MembershipChange.PROMOTE, sorted(m.learners)[a % len(m.learners)])
             elif len(m.voters) > 2:
-                core.change(Change.REMOVE, sorted(m.all)[b % len(m.all)])
-        except (Rejected, NotLeader):
+                core.change(MembershipChange.REMOVE, sorted(m.all)[b % len(m.all)])
+        except (RequestRejectedError, NotLeaderError):
             return
         self.settle(name)
 
@@ -294,7 +300,7 @@
             assert core is not None
             try:
                 core.transfer(sorted(core.members.voters)[b % len(core.members.voters)])
-            except (Rejected, NotLeader):
+            except (RequestRejectedError, NotLeaderError):
                 return
             self.settle(name)
 
@@ -307,7 +313,7 @@
             self.reads[self.count] = self.acknowledged
             try:
                 core.read(self.count)
-            except (NotLeader, Rejected):
+            except (NotLeaderError, RequestRejectedError):
                 return
             self.settle(name)
 
@@ -345,11 +351,11 @@
                     self._deliver(message)
         core = self.nodes[name].core
         if core is not None and core.is_leader:
-            self.wire = [m for m in self.wire if m.src != name or not isinstance(m, Append)]
+            self.wire = [m for m in self.wire if m.src != name or not isinstance(m, AppendEntries)]
             self._propose(core)
             self.settle(name)
             if b % 4 < 3:  # what it has just sent is lost
-                self.wire = [m for m in self.wire if m.src != name or not isinstance(m, Append)]
+                self.wire = [m for m in self.wire if m.src != name or not isinstance(m, AppendEntries)]
 
     def _campaign(self, name: str, voters: Sequence[str]) -> bool:
         """The node becomes a candidate, its requests for votes still on the way."""
@@ -473,7 +479,7 @@
 
     def _do_hold(self, kind: str, a: int, b: int) -> None:
         """Something of an election, of a leader, or of a snapshot is kept on the way until later."""
-        slow = [m for m in self.wire if isinstance(m, VoteReply | Append | SnapshotChunk)]
+        slow = [m for m in self.wire if isinstance(m, VoteReply | AppendEntries | SnapshotChunk)]
         if slow and len(self.held) < 40:
             message = slow[a % len(slow)]
             self.wire.remove(message)
@@ -484,11 +490,11 @@
             if self.held:
                 self._deliver(self.held.pop(a % len(self.held)))
 
-    def _propose(self, core: Core) -> None:
+    def _propose(self, core: RaftCore) -> None:
         self.count += 1
         try:
             core.propose(b"c%d" % self.count)
-        except (NotLeader, Rejected):
+        except (NotLeaderError, RequestRejectedError):
             return
 
     def calm(self, ticks: int = 120) -> bool:
@@ -536,7 +542,7 @@
     ops: tuple[Op, ...]
 
 
-def broken(seed: int, ops: Sequence[Op], make: CoreMaker = Core) -> str | None:
+def broken(seed: int, ops: Sequence[Op], make: CoreFactory = RaftCore) -> str | None:
     """What the schedule breaks, or None."""
     group = Group(seed, make)
     try:
@@ -551,7 +557,7 @@
     return None
 
 
-def run(seed: int, length: int = 400, make: CoreMaker = Core, shrinking: bool = True) -> Failure | None:
+def run(seed: int, length: int = 400, make: CoreFactory = RaftCore, shrinking: bool = True) -> Failure | None:
     ops = schedule(seed, length)
     text = broken(seed, ops, make)
     if text is None:
@@ -560,7 +566,7 @@
     return shrink(failure, make) if shrinking else failure
 
 
-def shrink(failure: Failure, make: CoreMaker = Core) -> Failure:
+def shrink(failure: Failure, make: CoreFactory = RaftCore) -> Failure:
     """Drops ever smaller parts as long as the schedule still breaks the same property."""
     kind = failure.text.partition(":")[0]
     ops = list(failure.ops)
--- a/juniperreel/raft/client.py
+++ b/juniperreel/raft/client.py
@@ -27,11 +27,11 @@
 AGAIN = (Code.UNAVAILABLE, Code.ABORTED, Code.FAILED_PRECONDITION, Code.DEADLINE_EXCEEDED, Code.CANCELLED)
 
 
-class Unreachable(Exception):
+class LeaderUnreachableError(Exception):
     """No instance answered as the leader within the tries."""
 
 
-class Instances:
+class ConfigurationClient:
     """Calls on any of the instances. `run` must be running."""
 
     def __init__(
@@ -66,7 +66,7 @@
 
     async def lead(self, method: str, request: bytes, tries: int = 30) -> bytes:
         """Asks the leader, wherever it is. The request must bear being asked twice: the answer to the first
-        may have been lost. Raises Unreachable, or RpcError for what no other instance would say otherwise."""
+        may have been lost. Raises LeaderUnreachableError, or RpcError where others would say the same."""
         at, why = self._led or self._rng.choice(self.addresses), ""
         for _ in range(tries):
             try:
@@ -91,7 +91,7 @@
                 why = str(error)
                 at = self._rng.choice(self.addresses)
             await trio.sleep(self._rng.uniform(*PAUSE_S))
-        raise Unreachable(f"no leader in {tries} tries; last: {why}")
+        raise LeaderUnreachableError(f"no leader in {tries} tries; last: {why}")
 
     @staticmethod
     def _leader(error: RpcError) -> tuple[str, int] | None:
@@ -157,7 +157,7 @@
                         alive()
                     if not message.beat:
                         update = message.update
-                        new = model.decode(update) if message.full else model.patched(newest[0], update)
+                        new = model.decode(update) if message.full else model.apply_delta(newest[0], update)
                         if new.version > newest[0].version:
                             newest[0] = new
                             told(new)
--- a/juniperreel/raft/configuration/machine.py
+++ b/juniperreel/raft/configuration/machine.py
@@ -15,14 +15,14 @@
 from juniperreel.raft.configuration.model import (
     EMPTY,
     ClassInfo,
-    Client,
+    ClientSession,
     Configuration,
     GroupInfo,
     MemberInfo,
     TenantInfo,
     decode,
-    difference,
     encode,
+    encode_delta,
 )
 
 MAX_CLIENTS = 1000
@@ -71,7 +71,9 @@
     value: int | None
 
 
-Change = SetMember | SetState | RemoveMember | SetGroup | RemoveGroup | SetClass | SetTenant | SetLimit
+ConfigurationChange = (
+    SetMember | SetState | RemoveMember | SetGroup | RemoveGroup | SetClass | SetTenant | SetLimit
+)
 
 
 class Command(msgspec.Struct, frozen=True):
@@ -79,7 +81,7 @@
 
     client: str
     sequence: int
-    changes: list[Change]
+    changes: list[ConfigurationChange]
     expect: int | None = None
 
 
@@ -107,7 +109,7 @@
     return command
 
 
-def changed(c: Configuration, change: Change) -> Configuration:
+def changed(c: Configuration, change: ConfigurationChange) -> Configuration:
     """The configuration after one change, unchecked. Raises ValueError for names that are not there."""
     replace = msgspec.structs.replace
     match change:
@@ -146,7 +148,7 @@
     return mapping.set(key, value)
 
 
-def judged(c: Configuration, command: Command) -> tuple[Configuration | None, str]:
+def validated(c: Configuration, command: Command) -> tuple[Configuration | None, str]:
     """The next version, or None and why not. The same on every node."""
     if command.expect is not None and command.expect != c.version:
         return None, f"made against version {command.expect}; version {c.version} is in force"
@@ -162,7 +164,7 @@
     return msgspec.structs.replace(new, version=c.version + 1), ""
 
 
-class Machine:
+class ConfigurationStateMachine:
     """Applies commands, keeps some versions for deltas."""
 
     def __init__(self) -> None:
@@ -180,7 +182,7 @@
 
     def refusal(self, command: Command) -> str:
         """Why the command would be refused now; empty if it would not be."""
-        return judged(self.now, command)[1]
+        return validated(self.now, command)[1]
 
     def apply(self, data: bytes) -> Outcome:
         """One entry of the log."""
@@ -191,9 +193,11 @@
         before = self.known(command)
         if before is not None:
             return before
-        new, refusal = judged(self.now, command)
+        new, refusal = validated(self.now, command)
         version = self.now.version if new is None else new.version
-        clients = remember(self.now.clients, command.client, Client(command.sequence, version, refusal))
+        clients = remember(
+            self.now.clients, command.client, ClientSession(command.sequence, version, refusal)
+        )
         self.now = msgspec.structs.replace(new or self.now, clients=clients)
         self._keep()
         return Outcome(version, refusal)
@@ -208,7 +212,7 @@
         old = self._history.get(since)
         if old is None:
             return True, encode(self.now, clients=False)
-        return False, difference(old, self.now)
+        return False, encode_delta(old, self.now)
 
     def snapshot(self) -> bytes:
         return encode(self.now, clients=True)
@@ -219,7 +223,7 @@
         self._history = OrderedDict({self.now.version: self.now})
 
 
-def remember(clients: Map[str, Client], name: str, client: Client) -> Map[str, Client]:
+def remember(clients: Map[str, ClientSession], name: str, client: ClientSession) -> Map[str, ClientSession]:
     """Bounded: the client whose last command lies at the oldest version, first by name, is forgotten."""
     clients = clients.set(name, client)
     if len(clients) > MAX_CLIENTS:
--- a/juniperreel/raft/configuration/model.py
+++ b/juniperreel/raft/configuration/model.py
@@ -53,7 +53,7 @@
     quota: float = 0.0
 
 
-class Client(msgspec.Struct, frozen=True):
+class ClientSession(msgspec.Struct, frozen=True):
     """A client's last command and what came of it, so that its retry is not applied again."""
 
     sequence: int
@@ -70,7 +70,7 @@
     classes: Map[str, ClassInfo]
     tenants: Map[str, TenantInfo]
     limits: Map[str, int]
-    clients: Map[str, Client]
+    clients: Map[str, ClientSession]
 
     def of_group(self, group: int) -> Iterator[tuple[str, MemberInfo]]:
         return ((name, m) for name, m in self.members.items() if m.group == group)
@@ -89,7 +89,7 @@
     classes: dict[str, ClassInfo]
     tenants: dict[str, TenantInfo]
     limits: dict[str, int]
-    clients: dict[str, Client] = {}
+    clients: dict[str, ClientSession] = {}
 
 
 class Delta(msgspec.Struct, frozen=True):
@@ -132,7 +132,7 @@
     return Configuration(flat.version, **parts, clients=Map(flat.clients))
 
 
-def difference(old: Configuration, new: Configuration) -> bytes:
+def encode_delta(old: Configuration, new: Configuration) -> bytes:
     """The Delta's bytes."""
     parts: dict[str, dict[Any, Any]] = {}
     for name in PARTS:
@@ -142,7 +142,7 @@
     return msgspec.msgpack.encode(Delta(FORMAT, old.version, new.version, **parts))
 
 
-def patched(old: Configuration, data: bytes) -> Configuration:
+def apply_delta(old: Configuration, data: bytes) -> Configuration:
     """Raises ValueError for bytes that are no delta from exactly this version."""
     try:
         delta = msgspec.msgpack.decode(data, type=Delta)
--- a/juniperreel/raft/core.py
+++ b/juniperreel/raft/core.py
@@ -11,21 +11,21 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from juniperreel.raft.log import Log, Memberships, encode_members
-from juniperreel.raft.progress import Pace, Progress
+from juniperreel.raft.log import MembershipHistory, RaftLog, encode_membership
+from juniperreel.raft.progress import Progress, ProgressState
 from juniperreel.raft.types import (
-    Append,
-    AppendReply,
-    Change,
+    AppendEntries,
+    AppendEntriesReply,
     Entry,
+    EntryKind,
     HardState,
-    Kind,
-    Members,
+    Membership,
+    MembershipChange,
     Message,
-    NotLeader,
-    Persist,
+    NotLeaderError,
+    PersistBatch,
     Ready,
-    Rejected,
+    RequestRejectedError,
     Role,
     Snapshot,
     SnapshotChunk,
@@ -37,23 +37,23 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Tuning:
+class RaftConfig:
     """Spans are ticks, sizes bytes. Elections start after one to two times `election_ticks` at random."""
 
     election_ticks: int = 10
     heartbeat_ticks: int = 2
-    append_entries: int = 64
-    append_bytes: int = 256 << 10
-    window: int = 16  # messages out to one follower
-    uncommitted_bytes: int = 8 << 20
-    chunk_bytes: int = 64 << 10
-    snapshot_bytes: int = 64 << 20
-    trailing: int = 200  # entries kept behind a snapshot for followers that lag a little
-    caught_up: int = 50  # entries that a learner may lack when it is promoted
+    max_entries_per_append: int = 64
+    max_bytes_per_append: int = 256 << 10
+    max_inflight_appends: int = 16  # messages out to one follower
+    max_uncommitted_bytes: int = 8 << 20
+    snapshot_chunk_bytes: int = 64 << 10
+    max_snapshot_bytes: int = 64 << 20
+    trailing_entries: int = 200  # entries kept behind a snapshot for followers that lag a little
+    max_promotion_lag: int = 50  # entries that a learner may lack when it is promoted
 
 
 @dataclass(slots=True)
-class Restored:
+class RecoveredState:
     """What a disk held: the core starts from it."""
 
     hard_state: HardState
@@ -63,17 +63,17 @@
     base_term: int = 0
 
 
-class Core:
+class RaftCore:
     """One node."""
 
-    def __init__(self, name: str, restored: Restored, tuning: Tuning, rng: random.Random) -> None:
-        self.name, self.tuning, self._rng = name, tuning, rng
+    def __init__(self, name: str, restored: RecoveredState, config: RaftConfig, rng: random.Random) -> None:
+        self.name, self.config, self._rng = name, config, rng
         self.term, self.vote = restored.hard_state.term, restored.hard_state.vote
         self.snapshot = restored.snapshot
         base = self.snapshot.index if restored.base is None else restored.base
         base_term = self.snapshot.term if restored.base is None else restored.base_term
-        self.log = Log(base, base_term, restored.entries)
-        self.memberships = Memberships(self.snapshot.index, self.snapshot.members)
+        self.log = RaftLog(base, base_term, restored.entries)
+        self.memberships = MembershipHistory(self.snapshot.index, self.snapshot.members)
         for entry in self.log.entries:
             if entry.index > self.snapshot.index:
                 self.memberships.push(entry)
@@ -105,7 +105,7 @@
     # Views.
 
     @property
-    def members(self) -> Members:
+    def members(self) -> Membership:
         return self.memberships.current
 
     @property
@@ -117,7 +117,7 @@
         return {name: p.match for name, p in self._progress.items()}
 
     def _randomise(self) -> None:
-        self._limit = self.tuning.election_ticks + self._rng.randrange(self.tuning.election_ticks)
+        self._limit = self.config.election_ticks + self._rng.randrange(self.config.election_ticks)
 
     # Time.
 
@@ -127,12 +127,12 @@
             if self._elapsed >= self._limit and self.name in self.members.voters:
                 self._campaign(pre=True)
             return
-        if self._elapsed >= self.tuning.election_ticks:
+        if self._elapsed >= self.config.election_ticks:
             self._elapsed = 0
             self._transfer = None  # the transfer did not come about
             self._check_quorum()
         self._beat += 1
-        if self.role is Role.LEADER and self._beat >= self.tuning.heartbeat_ticks:
+        if self.role is Role.LEADER and self._beat >= self.config.heartbeat_ticks:
             self._beat = 0
             self._heartbeat()
 
@@ -194,7 +194,7 @@
         self._sync_progress()
         self._noop = self.log.last + 1
         # An entry of this term: earlier ones are committed only through it (paper, 5.4.2 and section 8).
-        self._append(Kind.NOOP, b"")
+        self._append(EntryKind.NOOP, b"")
         self._broadcast()
 
     def _sync_progress(self) -> None:
@@ -202,68 +202,72 @@
         for name in self._progress.keys() - peers:
             del self._progress[name]
         for name in sorted(peers - self._progress.keys()):
-            self._progress[name] = Progress(self.log.last + 1, self.tuning.window)
+            self._progress[name] = Progress(self.log.last + 1, self.config.max_inflight_appends)
 
     # Proposals.
 
     def propose(self, data: bytes) -> tuple[int, int]:
-        """(term, index) of the new entry. Raises NotLeader or Rejected."""
+        """(term, index) of the new entry. Raises NotLeaderError or RequestRejectedError."""
         self._must_lead()
         waiting = sum(len(e.data) for e in self.log.slice(self.commit + 1, self.log.last))
-        if waiting and waiting + len(data) > self.tuning.uncommitted_bytes:
-            raise Rejected("too much waits to be committed")
-        entry = self._append(Kind.COMMAND, data)
+        if waiting and waiting + len(data) > self.config.max_uncommitted_bytes:
+            raise RequestRejectedError("too much waits to be committed")
+        entry = self._append(EntryKind.COMMAND, data)
         self._broadcast()
         return entry.term, entry.index
 
     def _must_lead(self) -> None:
         if self.role is not Role.LEADER:
-            raise NotLeader(self.leader)
+            raise NotLeaderError(self.leader)
         if self._transfer is not None:
-            raise Rejected("the leadership is being handed over")
+            raise RequestRejectedError("the leadership is being handed over")
 
-    def change(self, change: Change, name: str) -> tuple[int, int]:
-        """One step of membership. Raises NotLeader or Rejected.
+    def change(self, change: MembershipChange, name: str) -> tuple[int, int]:
+        """One step of membership. Raises NotLeaderError or RequestRejectedError.
 
         Danger: a change begun by a leader that has committed nothing in its term can overlap with one that it
         does not know of (the error in the dissertation's 4.1, reported by Ongaro in 2015); so it waits."""
         self._must_lead()
         if self.commit < self._noop:
-            raise Rejected("this leader has committed nothing in its term yet")
+            raise RequestRejectedError("this leader has committed nothing in its term yet")
         if self.memberships.index > self.commit:
-            raise Rejected("another change of membership is under way")
+            raise RequestRejectedError("another change of membership is under way")
         members = self._changed(change, name)
-        entry = self._append(Kind.CONFIG, encode_members(members))
+        entry = self._append(EntryKind.CONFIG, encode_membership(members))
         self._sync_progress()
         self._broadcast()
         return entry.term, entry.index
 
-    def _changed(self, change: Change, name: str) -> Members:
+    def _changed(self, change: MembershipChange, name: str) -> Membership:
         m = self.members
-        if change is Change.ADD_LEARNER:
+        if change is MembershipChange.ADD_LEARNER:
             if name in m.all:
-                raise Rejected(f"{name} belongs to the group already")
+                raise RequestRejectedError(f"{name} belongs to the group already")
             if name in m.retired or not name or set(name) & set(",\n"):
-                raise Rejected(f"{name!r} has left or is no name; a node that comes back takes a new one")
-            return Members(m.voters, m.learners | {name}, m.retired)
+                raise RequestRejectedError(
+                    f"{name!r} has left or is no name; a node that comes back takes a new one"
+                )
+            return Membership(m.voters, m.learners | {name}, m.retired)
         if name not in m.all:
-            raise Rejected(f"{name} does not belong to the group")
-        if change is Change.PROMOTE:
+            raise RequestRejectedError(f"{name} does not belong to the group")
+        if change is MembershipChange.PROMOTE:
             if name in m.voters:
-                raise Rejected(f"{name} votes already")
+                raise RequestRejectedError(f"{name} votes already")
             lacks = self.commit - self._progress[name].match
-            if lacks > self.tuning.caught_up:
-                raise Rejected(f"{name} lacks {lacks} entries still")
-            return Members(m.voters | {name}, m.learners - {name}, m.retired)
+            if lacks > self.config.max_promotion_lag:
+                raise RequestRejectedError(f"{name} lacks {lacks} entries still")
+            return Membership(m.voters | {name}, m.learners - {name}, m.retired)
         if m.voters == {name}:
-            raise Rejected("the last voter cannot be removed")
-        return Members(m.voters - {name}, m.learners - {name}, m.retired | {name})
+            raise RequestRejectedError("the last voter cannot be removed")
+        return Membership(m.voters - {name}, m.learners - {name}, m.retired | {name})
 
     def transfer(self, name: str) -> None:
-        """Hand the leadership to a voter once it holds all of the log. Raises NotLeader or Rejected."""
+        """Hand the leadership to a voter once it holds all of the log.
+
+        Raises NotLeaderError or RequestRejectedError."""
         self._must_lead()
         if name not in self.members.voters or name == self.name:
-            raise Rejected(f"{name} is not another voter")
+            raise RequestRejectedError(f"{name} is not another voter")
         self._transfer, self._elapsed = name, 0
         self._go_on_with_transfer(name)
 
@@ -285,7 +289,7 @@
         self._heartbeat()
         self._answer_reads()
 
-    def _append(self, kind: Kind, data: bytes) -> Entry:
+    def _append(self, kind: EntryKind, data: bytes) -> Entry:
         entry = Entry(self.term, self.log.last + 1, kind, data)
         self.log.append(entry)
         self.memberships.push(entry)
@@ -306,7 +310,7 @@
                 term = self.log.term(prev)
                 if term is None:
                     prev, term = self.log.base, self.log.base_term
-                beat = Append(
+                beat = AppendEntries(
                     self.name, name, self.term, prev, term, (), min(self.commit, p.match), self._round
                 )
                 self._out.append(beat)
@@ -316,7 +320,7 @@
         p = self._progress[name]
         sent = False
         while not p.paused:
-            if p.pace is Pace.SNAPSHOT:
+            if p.pace is ProgressState.SNAPSHOT:
                 self._send_chunk(name, p)
                 return True
             prev = p.next - 1
@@ -325,9 +329,9 @@
                 p.snapshot(self.snapshot.index)
                 continue
             entries = self._batch(p.next)
-            if not entries and (p.pace is Pace.REPLICATE or sent):
+            if not entries and (p.pace is ProgressState.REPLICATE or sent):
                 return sent
-            message = Append(self.name, name, self.term, prev, term, entries, self.commit, self._round)
+            message = AppendEntries(self.name, name, self.term, prev, term, entries, self.commit, self._round)
             self._out.append(message)
             p.sent(entries[-1].index if entries else prev)
             sent = True
@@ -336,9 +340,11 @@
     def _batch(self, start: int) -> tuple[Entry, ...]:
         entries: list[Entry] = []
         size = 0
-        for entry in self.log.slice(start, min(self.log.last, start + self.tuning.append_entries - 1)):
+        for entry in self.log.slice(
+            start, min(self.log.last, start + self.config.max_entries_per_append - 1)
+        ):
             size += len(entry.data)
-            if entries and size > self.tuning.append_bytes:
+            if entries and size > self.config.max_bytes_per_append:
                 break
             entries.append(entry)
         return tuple(entries)
@@ -347,7 +353,7 @@
         s = self.snapshot
         if p.snapshot_index != s.index:
             p.snapshot(s.index)  # a newer one has taken its place
-        data = s.data[p.offset : p.offset + self.tuning.chunk_bytes]
+        data = s.data[p.offset : p.offset + self.config.snapshot_chunk_bytes]
         last = p.offset + len(data) >= len(s.data)
         self._out.append(
             SnapshotChunk(self.name, name, self.term, s.index, s.term, s.members, p.offset, data, last)
@@ -367,11 +373,11 @@
                 if not m.pre:
                     self._follow(m.term, None)
             elif not (isinstance(m, VoteReply) and m.pre and m.granted):
-                lead = m.src if isinstance(m, Append | SnapshotChunk) else None
+                lead = m.src if isinstance(m, AppendEntries | SnapshotChunk) else None
                 self._follow(m.term, lead)
         elif m.term < self.term:
-            if isinstance(m, Append | SnapshotChunk):
-                self._out.append(AppendReply(self.name, m.src, self.term, False, self.log.last))
+            if isinstance(m, AppendEntries | SnapshotChunk):
+                self._out.append(AppendEntriesReply(self.name, m.src, self.term, False, self.log.last))
             elif isinstance(m, VoteRequest):
                 self._out.append(VoteReply(self.name, m.src, self.term, False, m.pre))
             return
@@ -380,9 +386,9 @@
                 self._on_vote_request(m)
             case VoteReply():
                 self._on_vote_reply(m)
-            case Append():
+            case AppendEntries():
                 self._on_append(m)
-            case AppendReply():
+            case AppendEntriesReply():
                 self._on_append_reply(m)
             case SnapshotChunk():
                 self._on_chunk(m)
@@ -396,7 +402,7 @@
         """Whether a leader was heard of within the least election span (dissertation, 4.2.3)."""
         if self.role is Role.LEADER:
             return True
-        return self.leader is not None and self._elapsed < self.tuning.election_ticks
+        return self.leader is not None and self._elapsed < self.config.election_ticks
 
     def _on_vote_request(self, m: VoteRequest) -> None:
         free = self.vote == m.src or (self.vote is None and self.leader is None)
@@ -420,7 +426,7 @@
         elif sum(1 for n in self.members.voters if self._votes.get(n) is False) >= self.members.quorum():
             self._follow(self.term, None)
 
-    def _on_append(self, m: Append) -> None:
+    def _on_append(self, m: AppendEntries) -> None:
         if self.role is Role.LEADER:
             raise AssertionError(f"two leaders in term {self.term}: {self.name} and {m.src}")
         if self.role is not Role.FOLLOWER:
@@ -432,7 +438,9 @@
         if self.log.term(m.prev_index) != m.prev_term:
             index = self.log.conflict(m.prev_index, m.prev_term)
             hint_term = self.log.term(index) or 0
-            reply = AppendReply(self.name, m.src, self.term, False, index, hint_term, m.prev_index, m.round)
+            reply = AppendEntriesReply(
+                self.name, m.src, self.term, False, index, hint_term, m.prev_index, m.round
+            )
             self._out.append(reply)
             return
         for entry in m.entries:
@@ -455,10 +463,10 @@
         self._unstable = min(self._unstable, start)
         self.stable = min(self.stable, start - 1)
 
-    def _reply(self, m: Append, accepted: bool, index: int) -> None:
-        self._out.append(AppendReply(self.name, m.src, self.term, accepted, index, round=m.round))
+    def _reply(self, m: AppendEntries, accepted: bool, index: int) -> None:
+        self._out.append(AppendEntriesReply(self.name, m.src, self.term, accepted, index, round=m.round))
 
-    def _on_append_reply(self, m: AppendReply) -> None:
+    def _on_append_reply(self, m: AppendEntriesReply) -> None:
         p = self._progress.get(m.src)
         if self.role is not Role.LEADER or p is None:
             return
@@ -467,7 +475,7 @@
             p.round = m.round
             self._answer_reads()
         if m.accepted:
-            if p.pace is Pace.SNAPSHOT:
+            if p.pace is ProgressState.SNAPSHOT:
                 if m.index < self.log.base:
                     return
                 p.probe()
@@ -478,7 +486,7 @@
                 return  # that commit removed it
             self._send_to(m.src)
             self._go_on_with_transfer(m.src)
-        elif p.pace is not Pace.SNAPSHOT:
+        elif p.pace is not ProgressState.SNAPSHOT:
             # The follower's hint, brought down to where this log has that term or an older one.
             hint = self.log.conflict(m.index, m.hint_term) if m.hint_term else m.index
             if p.rejected(m.refused, hint):
@@ -503,12 +511,12 @@
     def _broadcast_commit(self) -> None:
         for name in sorted(self._progress):
             p = self._progress[name]
-            if not self._send_to(name) and p.pace is Pace.REPLICATE:
+            if not self._send_to(name) and p.pace is ProgressState.REPLICATE:
                 term = self.log.term(p.match)
                 if term is not None:
                     commit = min(self.commit, p.match)
                     self._out.append(
-                        Append(self.name, name, self.term, p.match, term, (), commit, self._round)
+                        AppendEntries(self.name, name, self.term, p.match, term, (), commit, self._round)
                     )
 
     def _answer_reads(self) -> None:
@@ -529,7 +537,7 @@
         assert term is not None
         self.snapshot = Snapshot(index, term, self.memberships.at(index), data)
         self._snapshot_due = self.snapshot
-        keep = max(self.log.base, index - self.tuning.trailing)
+        keep = max(self.log.base, index - self.config.trailing_entries)
         self.log.compact(keep)
         self.memberships.compact(index)
 
@@ -541,7 +549,7 @@
         self.leader, self._elapsed = m.src, 0
         if m.index <= self.commit:
             self._out.append(SnapshotReply(self.name, m.src, self.term, m.index, 0, True))
-            self._out.append(AppendReply(self.name, m.src, self.term, True, self.commit))
+            self._out.append(AppendEntriesReply(self.name, m.src, self.term, True, self.commit))
             return
         if m.offset == 0:
             self._incoming = (m.index, m.snapshot_term, bytearray())
@@ -551,7 +559,7 @@
             at = len(have[2]) if have is not None and have[:2] == (m.index, m.snapshot_term) else 0
             self._out.append(SnapshotReply(self.name, m.src, self.term, m.index, at, False))
             return
-        if len(have[2]) + len(m.data) > self.tuning.snapshot_bytes:
+        if len(have[2]) + len(m.data) > self.config.max_snapshot_bytes:
             self._incoming = None
             return
         have[2].extend(m.data)
@@ -559,7 +567,7 @@
             self._incoming = None
             self._restore(Snapshot(m.index, m.snapshot_term, m.members, bytes(have[2])))
             self._out.append(SnapshotReply(self.name, m.src, self.term, m.index, 0, True))
-            self._out.append(AppendReply(self.name, m.src, self.term, True, m.index))
+            self._out.append(AppendEntriesReply(self.name, m.src, self.term, True, m.index))
         else:
             self._out.append(SnapshotReply(self.name, m.src, self.term, m.index, len(have[2]), False))
 
@@ -582,7 +590,7 @@
 
     def _on_snapshot_reply(self, m: SnapshotReply) -> None:
         p = self._progress.get(m.src)
-        if self.role is not Role.LEADER or p is None or p.pace is not Pace.SNAPSHOT:
+        if self.role is not Role.LEADER or p is None or p.pace is not ProgressState.SNAPSHOT:
             return
         p.active = True
         if m.index != p.snapshot_index:
@@ -608,7 +616,7 @@
 
     def take(self) -> Ready:
         """All that is to be done now. Persist it, then call `persisted`, then send and apply."""
-        persist = Persist()
+        persist = PersistBatch()
         state = HardState(self.term, self.vote, self.commit)
         if (state.term, state.vote) != (
             self._saved.term,
--- a/juniperreel/raft/disk.py
+++ b/juniperreel/raft/disk.py
@@ -2,20 +2,20 @@
 
 from __future__ import annotations
 
-from juniperreel.raft.core import Restored
-from juniperreel.raft.types import Entry, HardState, Members, Persist, Snapshot
+from juniperreel.raft.core import RecoveredState
+from juniperreel.raft.types import Entry, HardState, Membership, PersistBatch, Snapshot
 
 
-class MemoryDisk:
+class InMemoryStorage:
     """Behaves as `Storage` does, but for the disk."""
 
-    def __init__(self, members: Members) -> None:
+    def __init__(self, members: Membership) -> None:
         self.hard_state = HardState()
         self.snapshot = Snapshot(0, 0, members, b"")
         self.base, self.base_term = 0, 0
         self.entries: list[Entry] = []
 
-    def write(self, persist: Persist) -> None:
+    def write(self, persist: PersistBatch) -> None:
         if persist.hard_state is not None:
             self.hard_state = persist.hard_state
         if persist.snapshot is not None:
@@ -37,5 +37,5 @@
     def _term_before(self, dropped: list[Entry]) -> int:
         return dropped[0].term if dropped else self.base_term
 
-    def restore(self) -> Restored:
-        return Restored(self.hard_state, self.snapshot, list(self.entries), self.base, self.base_term)
+    def restore(self) -> RecoveredState:
+        return RecoveredState(self.hard_state, self.snapshot, list(self.entries), self.base, self.base_term)
--- a/juniperreel/raft/log.py
+++ b/juniperreel/raft/log.py
@@ -4,10 +4,10 @@
 
 from collections.abc import Sequence
 
-from juniperreel.raft.types import Entry, Kind, Members
+from juniperreel.raft.types import Entry, EntryKind, Membership
 
 
-class Log:
+class RaftLog:
     """Entries `first` to `last`. What lies before `first` is covered by the snapshot at `base`."""
 
     def __init__(self, base: int, base_term: int, entries: Sequence[Entry] = ()) -> None:
@@ -72,30 +72,30 @@
         return index
 
 
-# Members in an entry.
+# Membership as an entry's data.
 
 
-def encode_members(members: Members) -> bytes:
+def encode_membership(members: Membership) -> bytes:
     parts = (members.voters, members.learners, members.retired)
     return "\n".join(",".join(sorted(names)) for names in parts).encode()
 
 
-def decode_members(data: bytes) -> Members:
+def decode_membership(data: bytes) -> Membership:
     parts = [frozenset(filter(None, line.split(","))) for line in data.decode().split("\n")]
     if len(parts) != 3:
         raise ValueError("not a membership")
-    return Members(*parts)
+    return Membership(*parts)
 
 
-class Memberships:
+class MembershipHistory:
     """The membership in force is that of the newest entry in the log, committed or not (dissertation, 4.1);
     when the entry is cut off, the one before it is in force again."""
 
-    def __init__(self, index: int, members: Members) -> None:
+    def __init__(self, index: int, members: Membership) -> None:
         self._stack = [(index, members)]
 
     @property
-    def current(self) -> Members:
+    def current(self) -> Membership:
         return self._stack[-1][1]
 
     @property
@@ -103,14 +103,14 @@
         return self._stack[-1][0]
 
     def push(self, entry: Entry) -> None:
-        if entry.kind is Kind.CONFIG:
-            self._stack.append((entry.index, decode_members(entry.data)))
+        if entry.kind is EntryKind.CONFIG:
+            self._stack.append((entry.index, decode_membership(entry.data)))
 
     def truncate(self, start: int) -> None:
         while len(self._stack) > 1 and self._stack[-1][0] >= start:
             self._stack.pop()
 
-    def at(self, index: int) -> Members:
+    def at(self, index: int) -> Membership:
         """The membership in force at an index that the stack still reaches."""
         return next(m for at, m in reversed(self._stack) if at <= index)
 
@@ -118,5 +118,5 @@
         members = self.at(index)
         self._stack = [(index, members)] + [(at, m) for at, m in self._stack if at > index]
 
-    def reset(self, index: int, members: Members) -> None:
+    def reset(self, index: int, members: Membership) -> None:
         self._stack = [(index, members)]
--- a/juniperreel/raft/node.py
+++ b/juniperreel/raft/node.py
@@ -17,10 +17,18 @@
 from juniperreel.net.clock import US
 from juniperreel.proto.raft.v1 import raft_pb2
 from juniperreel.raft import wire
-from juniperreel.raft.configuration.machine import Machine, Outcome
-from juniperreel.raft.core import Core, Tuning
-from juniperreel.raft.storage import DiskFull, Storage
-from juniperreel.raft.types import Change, Entry, Kind, Message, NotLeader, Ready, Rejected
+from juniperreel.raft.configuration.machine import ConfigurationStateMachine, Outcome
+from juniperreel.raft.core import RaftConfig, RaftCore
+from juniperreel.raft.storage import DiskFullError, Storage
+from juniperreel.raft.types import (
+    Entry,
+    EntryKind,
+    MembershipChange,
+    Message,
+    NotLeaderError,
+    Ready,
+    RequestRejectedError,
+)
 from juniperreel.rpc.channel import Backoff, Broken, Channel, NeverSent
 from juniperreel.rpc.limits import Limits
 from juniperreel.rpc.link import Wakeup
@@ -36,13 +44,13 @@
 FAILURES = (ConnectError, NeverSent, Broken, RpcError)
 
 
-class Superseded(Exception):
+class EntrySupersededError(Exception):
     """Another entry took the place of this one: it was not applied, and will not be."""
 
 
 @dataclass(slots=True, eq=False)
-class Ask:
-    """Something asked of the node's task; `act` runs there and may raise NotLeader or Rejected."""
+class PendingOperation:
+    """Runs `act` in the node's task; it may raise NotLeaderError or RequestRejectedError."""
 
     act: Callable[[], tuple[int, int] | None]
     done: trio.Event = field(default_factory=trio.Event)
@@ -58,7 +66,7 @@
 class Peer:
     """Sends one peer what there is for it, in order, dropping the oldest when it cannot keep up."""
 
-    def __init__(self, node: Node, name: str) -> None:
+    def __init__(self, node: RaftNode, name: str) -> None:
         self.name, self.node = name, node
         self.queue: list[Message] = []
         self.dropped = 0
@@ -104,7 +112,7 @@
                         await trio.sleep(0.01 * (1 + n.rng.random()))
 
 
-class Node:
+class RaftNode:
     """One instance."""
 
     def __init__(
@@ -117,25 +125,25 @@
         clock: Clock,
         log: Any,
         rng: random.Random,
-        tuning: Tuning | None = None,
+        config: RaftConfig | None = None,
         tick_us: int = 30_000,
         snapshot_every: int = 1000,
     ) -> None:
         """Raises StorageError where the directory cannot be read."""
         self.name, self.cluster, self.key = name, cluster, key
         self.storage, self.network, self.clock, self.log, self.rng = storage, network, clock, log, rng
-        self.core = Core(name, storage.restore(), tuning or Tuning(), random.Random(rng.random()))
-        self.machine = Machine()
+        self.core = RaftCore(name, storage.restore(), config or RaftConfig(), random.Random(rng.random()))
+        self.machine = ConfigurationStateMachine()
         self.machine.restore(self.core.snapshot.data)
         self.applied = Wakeup()
         self.stopped = False
         self._tick_us = tick_us
         self._every = snapshot_every
-        self._send, self._inbox = trio.open_memory_channel[Message | Ask](INBOX)
+        self._send, self._inbox = trio.open_memory_channel[Message | PendingOperation](INBOX)
         self._peers: dict[str, Peer] = {}
         self._guests: list[str] = []
-        self._pending: dict[int, tuple[int, Ask]] = {}  # index: (term, who waits)
-        self._reads: dict[int, Ask] = {}
+        self._pending: dict[int, tuple[int, PendingOperation]] = {}  # index: (term, who waits)
+        self._reads: dict[int, PendingOperation] = {}
         self._context = 0
         self._nursery: trio.Nursery | None = None
         self._was: tuple[str, str | None] = ("", None)
@@ -149,9 +157,9 @@
         except (trio.WouldBlock, trio.BrokenResourceError):
             return
 
-    async def _ask(self, ask: Ask) -> Any:
+    async def _ask(self, ask: PendingOperation) -> Any:
         if len(self._pending) + len(self._reads) >= PENDING:
-            raise Rejected("too many requests are in hand")
+            raise RequestRejectedError("too many requests are in hand")
         await self._send.send(ask)
         await ask.done.wait()
         if ask.error is not None:
@@ -159,26 +167,28 @@
         return ask.result
 
     async def propose(self, data: bytes) -> Outcome:
-        """Once applied. Raises NotLeader, Rejected or Superseded; cancelled, its fate is open."""
-        outcome: Outcome = await self._ask(Ask(lambda: self.core.propose(data)))
+        """Once applied. Cancelled, its fate is open.
+
+        Raises NotLeaderError, RequestRejectedError or EntrySupersededError."""
+        outcome: Outcome = await self._ask(PendingOperation(lambda: self.core.propose(data)))
         return outcome
 
-    async def change(self, change: Change, name: str) -> None:
+    async def change(self, change: MembershipChange, name: str) -> None:
         """Once the membership is committed. Raises as `propose` does."""
-        await self._ask(Ask(lambda: self.core.change(change, name)))
+        await self._ask(PendingOperation(lambda: self.core.change(change, name)))
 
     async def transfer(self, name: str) -> None:
         def act() -> None:
             self.core.transfer(name)
 
-        await self._ask(Ask(act))
+        await self._ask(PendingOperation(act))
 
     async def read(self) -> None:
         """Returns when this node's state machine holds all that was committed when the read began. Raises
-        NotLeader or Rejected."""
+        NotLeaderError or RequestRejectedError."""
         self._context += 1
         context = self._context
-        ask = Ask(lambda: None)
+        ask = PendingOperation(lambda: None)
 
         def act() -> None:
             self.core.read(context)
@@ -193,7 +203,7 @@
     # The task.
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
-        """Until cancelled. Raises DiskFull: a node that cannot write must stop, and its group goes on."""
+        """Until cancelled. Raises DiskFullError: a node that cannot write must stop; its group goes on."""
         try:
             async with trio.open_nursery() as self._nursery:
                 self._connect()
@@ -202,7 +212,7 @@
         finally:
             self.stopped = True
             for ask in [a for _, a in self._pending.values()] + list(self._reads.values()):
-                ask.end(error=Rejected("the instance stops"))
+                ask.end(error=RequestRejectedError("the instance stops"))
             self._send.close()
             self.applied.wake()
 
@@ -223,13 +233,13 @@
                 due = max(due + self._tick_us / US, now)
             await self._settle()
 
-    def _take(self, item: Message | Ask) -> None:
-        if not isinstance(item, Ask):
+    def _take(self, item: Message | PendingOperation) -> None:
+        if not isinstance(item, PendingOperation):
             self.core.step(item)
             return
         try:
             place = item.act()
-        except (NotLeader, Rejected) as error:
+        except (NotLeaderError, RequestRejectedError) as error:
             item.end(error=error)
             return
         if place is not None:
@@ -244,7 +254,7 @@
             if ready.persist:
                 try:
                     await trio.to_thread.run_sync(self.storage.write, ready.persist)
-                except DiskFull as error:
+                except DiskFullError as error:
                     self.log.error("the disk takes no more; this instance stops", error=str(error))
                     raise
             self.core.persisted(ready)
@@ -261,7 +271,7 @@
         place is taken. Reads are told at once by the core."""
         for context in [c for c in self._reads if not self.core.is_leader]:
             ask = self._reads.pop(context)
-            ask.end(error=NotLeader(self.core.leader))
+            ask.end(error=NotLeaderError(self.core.leader))
 
     def _dispatch(self, ready: Ready) -> None:
         for message in ready.send:
@@ -271,7 +281,7 @@
         if ready.install is not None:
             self.machine.restore(ready.install.data)
             for index in [i for i in self._pending if i <= ready.install.index]:
-                self._pending.pop(index)[1].end(error=Superseded("a snapshot took its place"))
+                self._pending.pop(index)[1].end(error=EntrySupersededError("a snapshot took its place"))
         for entry in ready.apply:
             self._apply(entry)
         for context, _ in ready.reads:
@@ -281,17 +291,17 @@
         for context in ready.lost_reads:
             ask = self._reads.pop(context, None)
             if ask is not None:
-                ask.end(error=NotLeader(self.core.leader))
+                ask.end(error=NotLeaderError(self.core.leader))
         if ready.apply or ready.install is not None:
             self.applied.wake()
             if self.core.applied - self.core.snapshot.index >= self._every:
                 self.core.compact(self.core.applied, self.machine.snapshot())
-        if any(e.kind is Kind.CONFIG for e in ready.persist.entries) or ready.install is not None:
+        if any(e.kind is EntryKind.CONFIG for e in ready.persist.entries) or ready.install is not None:
             self._connect()
 
     def _apply(self, entry: Entry) -> None:
         result: Outcome | None = None
-        if entry.kind is Kind.COMMAND:
+        if entry.kind is EntryKind.COMMAND:
             result = self.machine.apply(entry.data)
         waiting = self._pending.pop(entry.index, None)
         if waiting is not None:
@@ -299,7 +309,7 @@
             if term == entry.term:
                 ask.end(result)
             else:
-                ask.end(error=Superseded("another leader's entry took its place"))
+                ask.end(error=EntrySupersededError("another leader's entry took its place"))
 
     def _guest(self, name: str) -> Peer | None:
         """A link to answer one that this node does not know as a member yet: a node that is being added knows
--- a/juniperreel/raft/progress.py
+++ b/juniperreel/raft/progress.py
@@ -6,7 +6,7 @@
 from enum import Enum
 
 
-class Pace(Enum):
+class ProgressState(Enum):
     PROBE = "probe"  # one message, then wait: where the logs match is not known yet
     REPLICATE = "replicate"  # pipelined, up to the window
     SNAPSHOT = "snapshot"  # chunk after chunk
@@ -15,26 +15,26 @@
 class Progress:
     """`match` is known to be on the follower's disk; `next` is what it is sent next."""
 
-    def __init__(self, next_index: int, window: int) -> None:
+    def __init__(self, next_index: int, max_inflight_appends: int) -> None:
         self.match = 0
         self.next = next_index
-        self.pace = Pace.PROBE
+        self.pace = ProgressState.PROBE
         self.waiting = False  # a probe or chunk is out
         self.active = False  # heard since the last check of the quorum
         self.round = 0  # of the last heartbeat it answered
         self.offset = 0  # of the snapshot it is sent
         self.snapshot_index = 0
-        self._window = window
+        self._window = max_inflight_appends
         self._inflight: deque[int] = deque()  # last index of each message out
 
     @property
     def paused(self) -> bool:
-        if self.pace is Pace.REPLICATE:
+        if self.pace is ProgressState.REPLICATE:
             return len(self._inflight) >= self._window
         return self.waiting
 
     def sent(self, last: int) -> None:
-        if self.pace is Pace.REPLICATE:
+        if self.pace is ProgressState.REPLICATE:
             self.next = last + 1
             self._inflight.append(last)
         else:
@@ -48,13 +48,13 @@
         news = index > self.match
         self.match = max(self.match, index)
         self.next = max(self.next, self.match + 1)
-        if self.pace is Pace.PROBE:
+        if self.pace is ProgressState.PROBE:
             self.replicate()
         return news
 
     def rejected(self, refused: int, hint: int) -> bool:
         """Whether the answer is to what is out now, and not a late one."""
-        if self.pace is Pace.REPLICATE:
+        if self.pace is ProgressState.REPLICATE:
             if refused <= self.match:
                 return False
             self.probe()
@@ -66,17 +66,17 @@
         return True
 
     def replicate(self) -> None:
-        self.pace, self.waiting = Pace.REPLICATE, False
+        self.pace, self.waiting = ProgressState.REPLICATE, False
         self.next = self.match + 1
         self._inflight.clear()
 
     def probe(self) -> None:
-        self.pace, self.waiting = Pace.PROBE, False
+        self.pace, self.waiting = ProgressState.PROBE, False
         self.next = self.match + 1
         self._inflight.clear()
 
     def snapshot(self, index: int) -> None:
-        self.pace, self.waiting = Pace.SNAPSHOT, False
+        self.pace, self.waiting = ProgressState.SNAPSHOT, False
         self.snapshot_index, self.offset = index, 0
         self._inflight.clear()
 
--- a/juniperreel/raft/service.py
+++ b/juniperreel/raft/service.py
@@ -12,8 +12,8 @@
 from juniperreel.raft import wire
 from juniperreel.raft.configuration import model
 from juniperreel.raft.configuration.machine import decode_command
-from juniperreel.raft.node import Node, Superseded
-from juniperreel.raft.types import Change, NotLeader, Rejected
+from juniperreel.raft.node import EntrySupersededError, RaftNode
+from juniperreel.raft.types import MembershipChange, NotLeaderError, RequestRejectedError
 from juniperreel.rpc.server import Call, Method
 from juniperreel.rpc.status import Code, RpcError, error_info, field_violation
 
@@ -21,13 +21,17 @@
 SERVICE = "juniperreel.configuration.v1.Configuration"
 MAX_WATCHES = 2000
 BEAT_S = 1.0
-CHANGES = {"add": Change.ADD_LEARNER, "promote": Change.PROMOTE, "remove": Change.REMOVE}
+CHANGES = {
+    "add": MembershipChange.ADD_LEARNER,
+    "promote": MembershipChange.PROMOTE,
+    "remove": MembershipChange.REMOVE,
+}
 
 
 class ConfigurationService:
     """Answers from one node. Holds no state but the count of watches."""
 
-    def __init__(self, node: Node) -> None:
+    def __init__(self, node: RaftNode) -> None:
         self._node = node
         self._watches = 0
         self._updates: dict[
@@ -96,20 +100,20 @@
                 ).SerializeToString()
         try:
             outcome = await node.propose(ask.command)
-        except NotLeader as error:
+        except NotLeaderError as error:
             raise self._not_leader(error.leader) from None
-        except Rejected as error:
+        except RequestRejectedError as error:
             raise RpcError(Code.UNAVAILABLE, str(error)) from None
-        except Superseded as error:
+        except EntrySupersededError as error:
             raise RpcError(Code.ABORTED, f"not applied: {error}") from None
         return pb.ProposeResponse(version=outcome.version, refusal=outcome.refusal).SerializeToString()
 
     async def _sure(self) -> None:
         try:
             await self._node.read()
-        except NotLeader as error:
+        except NotLeaderError as error:
             raise self._not_leader(error.leader) from None
-        except Rejected as error:
+        except RequestRejectedError as error:
             raise RpcError(Code.UNAVAILABLE, str(error)) from None
 
     async def _get(self, call: Call, data: bytes) -> bytes:
@@ -203,10 +207,10 @@
                 raise RpcError(
                     Code.INVALID_ARGUMENT, f"{ask.change[:40]!r} is none of add, promote, remove, transfer"
                 )
-        except NotLeader as error:
+        except NotLeaderError as error:
             raise self._not_leader(error.leader) from None
-        except Rejected as error:
+        except RequestRejectedError as error:
             raise RpcError(Code.FAILED_PRECONDITION, str(error)) from None
-        except Superseded as error:
+        except EntrySupersededError as error:
             raise RpcError(Code.ABORTED, str(error)) from None
         return pb.ChangeInstancesResponse().SerializeToString()
--- a/juniperreel/raft/storage.py
+++ b/juniperreel/raft/storage.py
@@ -19,9 +19,9 @@
 import msgspec
 import xxhash
 
-from juniperreel.raft.configuration.machine import Machine
-from juniperreel.raft.core import Restored
-from juniperreel.raft.types import Entry, HardState, Kind, Members, Persist, Snapshot
+from juniperreel.raft.configuration.machine import ConfigurationStateMachine
+from juniperreel.raft.core import RecoveredState
+from juniperreel.raft.types import Entry, EntryKind, HardState, Membership, PersistBatch, Snapshot
 
 FORMAT = 1
 MAP_BYTES = 1 << 30
@@ -36,23 +36,23 @@
     """The directory cannot be used; the text says why and what to do."""
 
 
-class DiskFull(Exception):
+class DiskFullError(Exception):
     """The write did not happen; what was there before is whole."""
 
 
-class Meta(msgspec.Struct, frozen=True):
+class DirectoryOwner(msgspec.Struct, frozen=True):
     format: int
     cluster: str
     node: str
 
 
-class State(msgspec.Struct, frozen=True):
+class StoredHardState(msgspec.Struct, frozen=True):
     term: int
     vote: str | None
     commit: int
 
 
-class Place(msgspec.Struct, frozen=True):
+class SnapshotMetadata(msgspec.Struct, frozen=True):
     """Where the snapshot and the log stand."""
 
     index: int
@@ -68,24 +68,26 @@
 class Storage:
     """One node's directory."""
 
-    def __init__(self, env: lmdb.Environment, path: Path, meta: Meta) -> None:
+    def __init__(self, env: lmdb.Environment, path: Path, meta: DirectoryOwner) -> None:
         self._env, self.path, self.meta = env, path, meta
         self._log = env.open_db(b"log", create=True)
         self._chunks = env.open_db(b"snapshot", create=True)
         self._main = env.open_db(b"main", create=True)
 
     @staticmethod
-    def create(path: Path, cluster: str, node: str, members: Members, map_bytes: int = MAP_BYTES) -> Storage:
+    def create(
+        path: Path, cluster: str, node: str, members: Membership, map_bytes: int = MAP_BYTES
+    ) -> Storage:
         """A new directory. `members` is the first membership of a new cluster, or empty for a node that
         will be added to one. Raises StorageError where there is one already."""
         if (path / "data.mdb").exists():
             raise StorageError(f"{path} holds a node already; it is not created again")
         path.mkdir(parents=True, exist_ok=True)
-        storage = Storage(open_env(path, map_bytes), path, Meta(FORMAT, cluster, node))
+        storage = Storage(open_env(path, map_bytes), path, DirectoryOwner(FORMAT, cluster, node))
         snapshot = Snapshot(0, 0, members, b"")
         with storage._env.begin(write=True) as txn:
             storage._put(txn, META, msgspec.msgpack.encode(storage.meta))
-            storage._put(txn, STATE, msgspec.msgpack.encode(State(0, None, 0)))
+            storage._put(txn, STATE, msgspec.msgpack.encode(StoredHardState(0, None, 0)))
             storage._put_snapshot(txn, snapshot, 0, 0)
         return storage
 
@@ -113,7 +115,7 @@
             # Danger: reading past the end of a mapped file kills the process without a word.
             env.close()
             raise StorageError(f"{data} is cut short; {again(node)}")
-        storage = Storage(env, path, Meta(FORMAT, cluster, node))
+        storage = Storage(env, path, DirectoryOwner(FORMAT, cluster, node))
         try:
             storage._check_owner()
         except StorageError:
@@ -124,7 +126,7 @@
     def _check_owner(self) -> None:
         with self._env.begin() as txn:
             try:
-                meta = msgspec.msgpack.decode(self._get(txn, META), type=Meta)
+                meta = msgspec.msgpack.decode(self._get(txn, META), type=DirectoryOwner)
             except msgspec.DecodeError as error:
                 raise StorageError(f"{self.path}: {error}; {again(self.meta.node)}") from None
         if meta.format != FORMAT:
@@ -164,17 +166,17 @@
         ):
             raise StorageError(f"{self.path}: entry {index} was changed; {again(self.meta.node)}")
         _, term, kind = RECORD.unpack_from(record)
-        return Entry(term, index, Kind(kind), record[RECORD.size :])
+        return Entry(term, index, EntryKind(kind), record[RECORD.size :])
 
     # Writing.
 
-    def write(self, persist: Persist) -> None:
-        """All of it, durably, or nothing. Raises DiskFull."""
+    def write(self, persist: PersistBatch) -> None:
+        """All of it, durably, or nothing. Raises DiskFullError."""
         try:
             with self._env.begin(write=True) as txn:
                 if persist.hard_state is not None:
                     h = persist.hard_state
-                    self._put(txn, STATE, msgspec.msgpack.encode(State(h.term, h.vote, h.commit)))
+                    self._put(txn, STATE, msgspec.msgpack.encode(StoredHardState(h.term, h.vote, h.commit)))
                 if persist.snapshot is not None:
                     self._take_snapshot(txn, persist)
                 if persist.entries:
@@ -182,16 +184,16 @@
                     for entry in persist.entries:
                         self._put_entry(txn, entry)
         except (lmdb.MapFullError, lmdb.DiskError, OSError) as error:
-            raise DiskFull(f"{self.path}: {error}") from error
+            raise DiskFullError(f"{self.path}: {error}") from error
 
-    def _take_snapshot(self, txn: Any, persist: Persist) -> None:
+    def _take_snapshot(self, txn: Any, persist: PersistBatch) -> None:
         snapshot = persist.snapshot
         assert snapshot is not None
         base, base_term = snapshot.index, snapshot.term
         if persist.reset:
             self._delete(txn, 0, None)
         elif 0 < persist.keep_from <= snapshot.index:
-            old = msgspec.msgpack.decode(self._get(txn, PLACE), type=Place)
+            old = msgspec.msgpack.decode(self._get(txn, PLACE), type=SnapshotMetadata)
             before = txn.get(INDEX.pack(persist.keep_from - 1), db=self._log)
             base = persist.keep_from - 1
             if before is not None:
@@ -217,7 +219,7 @@
             key = INDEX.pack(number)
             txn.put(key, SUM.pack(xxhash.xxh64_intdigest(key + chunk)) + chunk, db=self._chunks)
         m = s.members
-        place = Place(
+        place = SnapshotMetadata(
             s.index,
             s.term,
             sorted(m.voters),
@@ -231,12 +233,12 @@
 
     # Reading.
 
-    def restore(self) -> Restored:
+    def restore(self) -> RecoveredState:
         """All there is, checked. Raises StorageError."""
         with self._env.begin() as txn:
             try:
-                state = msgspec.msgpack.decode(self._get(txn, STATE), type=State)
-                place = msgspec.msgpack.decode(self._get(txn, PLACE), type=Place)
+                state = msgspec.msgpack.decode(self._get(txn, STATE), type=StoredHardState)
+                place = msgspec.msgpack.decode(self._get(txn, PLACE), type=SnapshotMetadata)
             except msgspec.DecodeError as error:
                 raise StorageError(f"{self.path}: {error}; {again(self.meta.node)}") from None
             data = b"".join(self._chunk(txn, number) for number in range(place.chunks))
@@ -244,10 +246,10 @@
         for number, entry in enumerate(entries, place.base + 1):
             if entry.index != number:
                 raise StorageError(f"{self.path}: entry {number} is missing; {again(self.meta.node)}")
-        members = Members(frozenset(place.voters), frozenset(place.learners), frozenset(place.retired))
+        members = Membership(frozenset(place.voters), frozenset(place.learners), frozenset(place.retired))
         snapshot = Snapshot(place.index, place.term, members, data)
         hard = HardState(state.term, state.vote, state.commit)
-        return Restored(hard, snapshot, entries, place.base, place.base_term)
+        return RecoveredState(hard, snapshot, entries, place.base, place.base_term)
 
     def _chunk(self, txn: Any, number: int) -> bytes:
         key = INDEX.pack(number)
@@ -257,7 +259,7 @@
         return bytes(record[SUM.size :])
 
 
-def look(path: Path) -> tuple[str, str, Restored]:
+def look(path: Path) -> tuple[str, str, RecoveredState]:
     """Whose directory it is, and what it holds; writes nothing. Raises StorageError."""
     if not (path / "data.mdb").exists():
         raise StorageError(f"{path} holds no node")
@@ -265,7 +267,9 @@
         env = lmdb.open(str(path), readonly=True, max_dbs=4, lock=False)
         main = env.open_db(b"main", create=False)
         with env.begin() as txn:
-            meta = msgspec.msgpack.decode(bytes(txn.get(META, db=main) or b"")[SUM.size :], type=Meta)
+            meta = msgspec.msgpack.decode(
+                bytes(txn.get(META, db=main) or b"")[SUM.size :], type=DirectoryOwner
+            )
         env.close()
     except (lmdb.Error, msgspec.DecodeError) as error:
         raise StorageError(f"{path} cannot be read: {error}") from None
@@ -285,21 +289,21 @@
     old, _, restored = look(source)
     if cluster == old:
         raise StorageError(f"the new cluster needs another name than {old}")
-    machine = Machine()
+    machine = ConfigurationStateMachine()
     machine.restore(restored.snapshot.data)
     last, term = restored.snapshot.index, restored.snapshot.term
     beyond = 0
     for entry in restored.entries:
         if entry.index <= restored.snapshot.index:
             continue
-        if entry.kind is Kind.COMMAND:
+        if entry.kind is EntryKind.COMMAND:
             machine.apply(entry.data)
         beyond += entry.index > restored.hard_state.commit
         last, term = entry.index, entry.term
-    storage = Storage.create(into, cluster, node, Members(frozenset({node})), map_bytes)
-    snapshot = Snapshot(last, term, Members(frozenset({node})), machine.snapshot())
+    storage = Storage.create(into, cluster, node, Membership(frozenset({node})), map_bytes)
+    snapshot = Snapshot(last, term, Membership(frozenset({node})), machine.snapshot())
     state = HardState(max(term, restored.hard_state.term), None, last)
-    storage.write(Persist(state, snapshot=snapshot, reset=True, keep_from=last + 1))
+    storage.write(PersistBatch(state, snapshot=snapshot, reset=True, keep_from=last + 1))
     storage.close()
     return machine.now.version, beyond
 
--- a/juniperreel/raft/types.py
+++ b/juniperreel/raft/types.py
@@ -6,7 +6,7 @@
 from enum import Enum
 
 
-class Kind(Enum):
+class EntryKind(Enum):
     """What an entry of the log is for."""
 
     COMMAND = 0
@@ -25,12 +25,12 @@
 class Entry:
     term: int
     index: int
-    kind: Kind
+    kind: EntryKind
     data: bytes
 
 
 @dataclass(frozen=True, slots=True)
-class Members:
+class Membership:
     """Who belongs to the group. Learners receive the log and do not count (dissertation, 4.2.1).
 
     `retired` names have left and never come back: a disk that forgot its vote must not return under a name
@@ -49,7 +49,7 @@
         return len(self.voters) // 2 + 1
 
 
-class Change(Enum):
+class MembershipChange(Enum):
     """One step of membership (dissertation, 4.1): any two quorums on its sides overlap."""
 
     ADD_LEARNER = "add-learner"
@@ -72,7 +72,7 @@
 
     index: int
     term: int
-    members: Members
+    members: Membership
     data: bytes
 
 
@@ -104,7 +104,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Append:
+class AppendEntries:
     """Entries after `prev_index`, or a heartbeat without any. `round` numbers what reads wait for."""
 
     src: str
@@ -118,7 +118,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AppendReply:
+class AppendEntriesReply:
     """Accepted: `index` is the last one that matches. Rejected: `index` and `hint_term` say where a match
     may lie (paper, end of 5.3), `refused` which prev_index it answers."""
 
@@ -141,7 +141,7 @@
     term: int
     index: int
     snapshot_term: int
-    members: Members
+    members: Membership
     offset: int
     data: bytes
     last: bool
@@ -168,11 +168,13 @@
     term: int
 
 
-Message = VoteRequest | VoteReply | Append | AppendReply | SnapshotChunk | SnapshotReply | TimeoutNow
+Message = (
+    VoteRequest | VoteReply | AppendEntries | AppendEntriesReply | SnapshotChunk | SnapshotReply | TimeoutNow
+)
 
 
 @dataclass(slots=True)
-class Persist:
+class PersistBatch:
     """To be on disk, all together or not at all, before anything else of a Ready happens.
 
     `entries` replace whatever the log holds from the first one's index on. `snapshot` replaces the log up
@@ -196,7 +198,7 @@
     Sending first would promise what a crash can take back; that is the one order that must not change.
     """
 
-    persist: Persist
+    persist: PersistBatch
     send: list[Message]
     install: Snapshot | None  # the state machine starts again from this
     apply: list[Entry]
@@ -204,7 +206,7 @@
     lost_reads: list[int]  # contexts whose leadership ended; ask again
 
 
-class NotLeader(Exception):
+class NotLeaderError(Exception):
     """Only the leader takes this; `leader` is who that may be."""
 
     def __init__(self, leader: str | None) -> None:
@@ -212,5 +214,5 @@
         self.leader = leader
 
 
-class Rejected(Exception):
+class RequestRejectedError(Exception):
     """The leader does not take this now; the text says why."""
--- a/juniperreel/raft/wire.py
+++ b/juniperreel/raft/wire.py
@@ -15,8 +15,8 @@
 TAGS: dict[type[Message], str] = {
     types.VoteRequest: "VoteRequest",
     types.VoteReply: "VoteReply",
-    types.Append: "Append",
-    types.AppendReply: "AppendReply",
+    types.AppendEntries: "Append",
+    types.AppendEntriesReply: "AppendReply",
     types.SnapshotChunk: "SnapshotChunk",
     types.SnapshotReply: "SnapshotReply",
     types.TimeoutNow: "TimeoutNow",
--- a/tests/raft/cluster.py
+++ b/tests/raft/cluster.py
@@ -12,12 +12,12 @@
 from juniperreel.cli.configd import Instance
 from juniperreel.net import Clock, Listener, Silent, TcpNetwork
 from juniperreel.proof.versions import Acted, Confirmed
-from juniperreel.raft.client import Instances
+from juniperreel.raft.client import ConfigurationClient
 from juniperreel.raft.configuration import model
 from juniperreel.raft.configuration.machine import Command, Outcome, SetGroup, SetLimit, SetMember
 from juniperreel.raft.configuration.model import Configuration, GroupInfo, MemberInfo
 from juniperreel.raft.storage import Storage
-from juniperreel.raft.types import Members, Message
+from juniperreel.raft.types import Membership, Message
 from juniperreel.settings.configd import InstanceSettings
 from juniperreel.telemetry.log import make_log
 
@@ -72,7 +72,9 @@
         for _ in range(count):
             self.names.append(await self.name())
         for name in self.names:
-            storage = Storage.create(self.path(name), "test", name, Members(frozenset(self.names)), 1 << 26)
+            storage = Storage.create(
+                self.path(name), "test", name, Membership(frozenset(self.names)), 1 << 26
+            )
             await self.boot(name, storage)
         self.client = self.instances_client()
         await self.nursery.start(self.client.run)
@@ -119,9 +121,9 @@
         with trio.fail_after(5):
             await self.ended[name].wait()
 
-    def instances_client(self, names: list[str] | None = None) -> Instances:
+    def instances_client(self, names: list[str] | None = None) -> ConfigurationClient:
         places = [("127.0.0.1", int(n.rpartition(":")[2])) for n in names or self.names]
-        return Instances(self.network, self.clock, random.Random(len(self.records)), places)
+        return ConfigurationClient(self.network, self.clock, random.Random(len(self.records)), places)
 
     def partition(self, *side: str) -> None:
         others = set(self.instances) - set(side)
--- a/tests/raft/mutations.py
+++ b/tests/raft/mutations.py
@@ -4,17 +4,17 @@
 
 from collections.abc import Callable
 
-from juniperreel.raft.core import Core
-from juniperreel.raft.log import encode_members
+from juniperreel.raft.core import RaftCore
+from juniperreel.raft.log import encode_membership
 from juniperreel.raft.progress import Progress
 from juniperreel.raft.types import (
-    Append,
-    AppendReply,
-    Change,
+    AppendEntries,
+    AppendEntriesReply,
     Entry,
-    Kind,
+    EntryKind,
+    MembershipChange,
     Message,
-    Persist,
+    PersistBatch,
     Ready,
     Role,
     Snapshot,
@@ -24,7 +24,7 @@
 )
 
 
-class VotesTwice(Core):
+class VotesTwice(RaftCore):
     """Grants a vote whatever it voted before."""
 
     def _on_vote_request(self, m: VoteRequest) -> None:
@@ -33,7 +33,7 @@
         super()._on_vote_request(m)
 
 
-class ForgetsItsVote(Core):
+class ForgetsItsVote(RaftCore):
     """Does not persist term and vote."""
 
     def take(self) -> Ready:
@@ -42,17 +42,19 @@
         return ready
 
 
-class SendsBeforePersisting(Core):
+class SendsBeforePersisting(RaftCore):
     """Entries are acknowledged and lost with the next crash."""
 
     def take(self) -> Ready:
         ready = super().take()
         if self._rng.random() < 0.3:
-            ready.persist = Persist(ready.persist.hard_state, ready.persist.snapshot, ready.persist.reset, [])
+            ready.persist = PersistBatch(
+                ready.persist.hard_state, ready.persist.snapshot, ready.persist.reset, []
+            )
         return ready
 
 
-class CommitsOldTermsByCount(Core):
+class CommitsOldTermsByCount(RaftCore):
     """Figure 8 of the paper: an entry of an earlier term is committed because a quorum holds it."""
 
     def _advance(self) -> None:
@@ -70,13 +72,13 @@
             self.log.truncate(self.log.last)
             self._unstable = min(self._unstable, self.log.last + 1)
             self._noop = self.log.last + 1
-            self._out = [m for m in self._out if not isinstance(m, Append)]
+            self._out = [m for m in self._out if not isinstance(m, AppendEntries)]
             for p in self._progress.values():
                 p.next, p.waiting = self.log.last + 1, False
             self._broadcast()
 
 
-class CommitsWithoutQuorum(Core):
+class CommitsWithoutQuorum(RaftCore):
     """One copy less than a quorum is enough for it."""
 
     def _advance(self) -> None:
@@ -88,7 +90,7 @@
         super()._advance()
 
 
-class IgnoresOlderLogs(Core):
+class IgnoresOlderLogs(RaftCore):
     """Votes for candidates whose log is older than its own."""
 
     def _on_vote_request(self, m: VoteRequest) -> None:
@@ -96,36 +98,36 @@
         super()._on_vote_request(lenient)
 
 
-class SkipsTheMatchCheck(Core):
+class SkipsTheMatchCheck(RaftCore):
     """Takes entries without looking at the one before them."""
 
-    def _on_append(self, m: Append) -> None:
+    def _on_append(self, m: AppendEntries) -> None:
         term = self.log.term(m.prev_index)
         if term is not None and term != m.prev_term and m.prev_index > self.commit:
-            m = Append(m.src, m.dst, m.term, m.prev_index, term, m.entries, m.commit, m.round)
+            m = AppendEntries(m.src, m.dst, m.term, m.prev_index, term, m.entries, m.commit, m.round)
         super()._on_append(m)
 
 
-class KeepsConflicts(Core):
+class KeepsConflicts(RaftCore):
     """Leaves an entry of another term where the leader sends its own."""
 
     def _truncate(self, start: int) -> None:
         pass
 
 
-class CommitsWhatItDoesNotHold(Core):
+class CommitsWhatItDoesNotHold(RaftCore):
     """Takes the leader's commit index beyond what the message vouches for."""
 
-    def _on_append(self, m: Append) -> None:
+    def _on_append(self, m: AppendEntries) -> None:
         super()._on_append(m)
         if self.log.term(m.prev_index) == m.prev_term:
             self.commit = max(self.commit, min(m.commit + 1, self.log.last))
 
 
-class CountsUnpersistedEntries(Core):
+class CountsUnpersistedEntries(RaftCore):
     """The leader's own copy counts before it is on disk."""
 
-    def _append(self, kind: Kind, data: bytes) -> Entry:
+    def _append(self, kind: EntryKind, data: bytes) -> Entry:
         entry = super()._append(kind, data)
         self.stable = entry.index
         self._advance()
@@ -138,14 +140,14 @@
         return ready
 
 
-class ReadsWithoutAsking(Core):
+class ReadsWithoutAsking(RaftCore):
     """A leader answers reads without hearing from a quorum that it still leads."""
 
     def _start_read(self, context: int) -> None:
         self._ready_reads.append((context, self.commit))
 
 
-class ReadsBeforeItsTermCommits(Core):
+class ReadsBeforeItsTermCommits(RaftCore):
     """A fresh leader answers reads from a commit index that may lag behind the one before."""
 
     def read(self, context: int) -> None:
@@ -153,23 +155,23 @@
         self._start_read(context)
 
 
-class ChangesTwoAtOnce(Core):
+class ChangesTwoAtOnce(RaftCore):
     """Begins a change of membership while another one is not committed, of any size."""
 
-    def change(self, change: Change, name: str) -> tuple[int, int]:
+    def change(self, change: MembershipChange, name: str) -> tuple[int, int]:
         self._must_lead()
         members = self._changed(change, name)
-        if change is Change.REMOVE and len(members.voters) > 2:
+        if change is MembershipChange.REMOVE and len(members.voters) > 2:
             other = sorted(members.voters - {self.name})
             if other:
                 members = type(members)(members.voters - {other[0]}, members.learners, members.retired)
-        entry = self._append(Kind.CONFIG, encode_members(members))
+        entry = self._append(EntryKind.CONFIG, encode_membership(members))
         self._sync_progress()
         self._broadcast()
         return entry.term, entry.index
 
 
-class TakesTermsOfOldReplies(Core):
+class TakesTermsOfOldReplies(RaftCore):
     """Counts vote replies of an earlier term."""
 
     def step(self, m: Message) -> None:
@@ -178,25 +180,27 @@
         super().step(m)
 
 
-class TakesOldLeaders(Core):
+class TakesOldLeaders(RaftCore):
     """Follows messages of an earlier term."""
 
     def step(self, m: Message) -> None:
-        if isinstance(m, Append) and m.term < self.term and self.role is Role.FOLLOWER:
-            m = Append(m.src, m.dst, self.term, m.prev_index, m.prev_term, m.entries, m.commit, m.round)
+        if isinstance(m, AppendEntries) and m.term < self.term and self.role is Role.FOLLOWER:
+            m = AppendEntries(
+                m.src, m.dst, self.term, m.prev_index, m.prev_term, m.entries, m.commit, m.round
+            )
         super().step(m)
 
 
-class BelievesReplies(Core):
+class BelievesReplies(RaftCore):
     """Takes any reply's index for what the follower holds, even a rejection's."""
 
-    def _on_append_reply(self, m: AppendReply) -> None:
+    def _on_append_reply(self, m: AppendEntriesReply) -> None:
         if not m.accepted:
-            m = AppendReply(m.src, m.dst, m.term, True, m.refused, m.hint_term, m.refused, m.round)
+            m = AppendEntriesReply(m.src, m.dst, m.term, True, m.refused, m.hint_term, m.refused, m.round)
         super()._on_append_reply(m)
 
 
-class MixesSnapshots(Core):
+class MixesSnapshots(RaftCore):
     """Takes a chunk wherever it falls."""
 
     def _on_chunk(self, m: SnapshotChunk) -> None:
@@ -208,7 +212,7 @@
         super()._on_chunk(m)
 
 
-class ForgetsAppliedSnapshots(Core):
+class ForgetsAppliedSnapshots(RaftCore):
     """Does not hand an installed snapshot to the state machine."""
 
     def take(self) -> Ready:
@@ -218,7 +222,7 @@
         return ready
 
 
-class NeverNudges(Core):
+class NeverNudges(RaftCore):
     """A lost message is never sent again: safe, and stuck."""
 
     def _heartbeat(self) -> None:
@@ -229,7 +233,7 @@
             Progress.nudge = nudge  # type: ignore[method-assign]
 
 
-MUTATIONS: list[Callable[..., Core]] = [
+MUTATIONS: list[Callable[..., RaftCore]] = [
     VotesTwice,
     ForgetsItsVote,
     SendsBeforePersisting,
--- a/tests/raft/test_cluster.py
+++ b/tests/raft/test_cluster.py
@@ -21,9 +21,9 @@
 from juniperreel.raft.configuration import model
 from juniperreel.raft.configuration.machine import SetGroup, SetLimit, encode_command
 from juniperreel.raft.configuration.model import GroupInfo
-from juniperreel.raft.node import Superseded
+from juniperreel.raft.node import EntrySupersededError
 from juniperreel.raft.storage import Storage, StorageError
-from juniperreel.raft.types import Members, NotLeader, Rejected, TimeoutNow
+from juniperreel.raft.types import Membership, NotLeaderError, RequestRejectedError, TimeoutNow
 from juniperreel.rpc.status import Code, RpcError
 from tests.driver.test_driver import options as driver_options
 from tests.raft.cluster import KEY, Cluster
@@ -160,7 +160,7 @@
             data = encode_command(three.command(SetLimit("edges", 8), client="stuck"))
             await three.instances[leader].node.propose(data)
             stuck.append("applied")
-        except (NotLeader, Rejected, Superseded):
+        except (NotLeaderError, RequestRejectedError, EntrySupersededError):
             stuck.append("not applied")
 
     three.nursery.start_soon(ask)
@@ -199,7 +199,9 @@
     fresh = fresh.replace("c3@", "c9@")
     request = change("remove", lost)
     await three.client.lead("ChangeInstances", request)
-    await three.boot(fresh, Storage.create(three.path(fresh), "test", fresh, Members(frozenset()), 1 << 26))
+    await three.boot(
+        fresh, Storage.create(three.path(fresh), "test", fresh, Membership(frozenset()), 1 << 26)
+    )
     await three.client.lead("ChangeInstances", change("add", fresh))
     await three.client.lead("ChangeInstances", change("promote", fresh))
     await three.set(SetLimit("attempts", 4))
@@ -224,7 +226,7 @@
         await cluster.client.propose(cluster.command(SetLimit("attempts", 1 + n)))
     fresh = (await cluster.name()).replace("c3@", "c9@")
     instance = await cluster.boot(
-        fresh, Storage.create(cluster.path(fresh), "test", fresh, Members(frozenset()), 1 << 26)
+        fresh, Storage.create(cluster.path(fresh), "test", fresh, Membership(frozenset()), 1 << 26)
     )
     await cluster.client.lead("ChangeInstances", change("add", fresh))
     for n in range(50):
--- a/tests/raft/test_configuration.py
+++ b/tests/raft/test_configuration.py
@@ -10,7 +10,7 @@
 from juniperreel.raft.configuration import checks, machine, model
 from juniperreel.raft.configuration.machine import (
     Command,
-    Machine,
+    ConfigurationStateMachine,
     RemoveGroup,
     RemoveMember,
     SetClass,
@@ -48,8 +48,8 @@
 )
 
 
-def ready() -> Machine:
-    made = Machine()
+def ready() -> ConfigurationStateMachine:
+    made = ConfigurationStateMachine()
     done = made.apply(
         encode_command(
             Command(
@@ -61,7 +61,7 @@
     return made
 
 
-def refusal(*changes: machine.Change) -> str:
+def refusal(*changes: machine.ConfigurationChange) -> str:
     made = ready()
     before = made.now.version
     outcome = made.apply(encode_command(Command("t", 1, list(changes))))
@@ -80,9 +80,9 @@
         assert one.now.version in (before.version, before.version + 1)
         if one.now.version > before.version:
             assert checks.steps(before, one.now) == []
-            assert model.patched(before, model.difference(before, one.now)).members == one.now.members
+            assert model.apply_delta(before, model.encode_delta(before, one.now)).members == one.now.members
     assert one.snapshot() == two.snapshot()
-    three = Machine()
+    three = ConfigurationStateMachine()
     three.restore(one.snapshot())
     assert three.now == one.now and three.snapshot() == one.snapshot()
 
@@ -129,7 +129,7 @@
     ],
     ids=lambda v: v if isinstance(v, str) else "",
 )
-def test_what_breaks_a_rule_is_refused_whole(listed: list[machine.Change], reason: str) -> None:
+def test_what_breaks_a_rule_is_refused_whole(listed: list[machine.ConfigurationChange], reason: str) -> None:
     assert reason in refusal(SetLimit("attempts", 4), *listed)
 
 
@@ -151,7 +151,7 @@
     made = ready()
     state = made.snapshot()
     assert made.apply(noise).refusal and made.snapshot() == state
-    for read in (model.decode, lambda data: model.patched(made.now, data)):
+    for read in (model.decode, lambda data: model.apply_delta(made.now, data)):
         with pytest.raises(ValueError):
             read(noise)
 
@@ -162,7 +162,7 @@
     with pytest.raises(ValueError, match="format 9"):
         model.decode(msgspec.msgpack.encode(flat | {"format": 9}))
     with pytest.raises(ValueError, match="does not fit"):
-        model.patched(made.now, model.difference(model.EMPTY, made.now))
+        model.apply_delta(made.now, model.encode_delta(model.EMPTY, made.now))
 
 
 def test_a_new_version_shares_what_did_not_change() -> None:
--- a/tests/raft/test_core.py
+++ b/tests/raft/test_core.py
@@ -8,33 +8,33 @@
 import pytest
 
 from juniperreel.emulator.raft import Failure, Group, broken, run, schedule, shrink
-from juniperreel.raft.core import Core, Tuning
-from juniperreel.raft.disk import MemoryDisk
+from juniperreel.raft.core import RaftConfig, RaftCore
+from juniperreel.raft.disk import InMemoryStorage
 from juniperreel.raft.types import (
-    Append,
-    Change,
-    Members,
+    AppendEntries,
+    Membership,
+    MembershipChange,
     Message,
-    NotLeader,
+    NotLeaderError,
     Ready,
-    Rejected,
+    RequestRejectedError,
     Role,
     SnapshotChunk,
     VoteRequest,
 )
 from tests.raft import mutations
 
-TUNING = Tuning(election_ticks=10, heartbeat_ticks=2, chunk_bytes=8, trailing=0)
+CONFIG = RaftConfig(election_ticks=10, heartbeat_ticks=2, snapshot_chunk_bytes=8, trailing_entries=0)
 
 
 class Story:
     """Some nodes with disks, and a wire on which the test decides."""
 
-    def __init__(self, *names: str, tuning: Tuning = TUNING) -> None:
-        self.tuning = tuning
-        self.members = Members(frozenset(names))
-        self.disks = {n: MemoryDisk(self.members) for n in names}
-        self.cores: dict[str, Core] = {}
+    def __init__(self, *names: str, config: RaftConfig = CONFIG) -> None:
+        self.config = config
+        self.members = Membership(frozenset(names))
+        self.disks = {n: InMemoryStorage(self.members) for n in names}
+        self.cores: dict[str, RaftCore] = {}
         self.wire: list[Message] = []
         self.applied: dict[str, list[bytes]] = {n: [] for n in names}
         self.reads: list[tuple[str, int, int]] = []
@@ -42,9 +42,9 @@
         for n in names:
             self.boot(n)
 
-    def boot(self, name: str, disk: MemoryDisk | None = None) -> Core:
-        self.disks[name] = disk or self.disks.get(name) or MemoryDisk(Members(frozenset()))
-        self.cores[name] = Core(name, self.disks[name].restore(), self.tuning, random.Random(name))
+    def boot(self, name: str, disk: InMemoryStorage | None = None) -> RaftCore:
+        self.disks[name] = disk or self.disks.get(name) or InMemoryStorage(Membership(frozenset()))
+        self.cores[name] = RaftCore(name, self.disks[name].restore(), self.config, random.Random(name))
         self.applied[name] = [s for s in self.disks[name].snapshot.data.split(b"\0") if s]
         return self.cores[name]
 
@@ -72,12 +72,12 @@
                 self.cores[m.dst].step(m)
                 self.settle(m.dst)
 
-    def elect(self, name: str) -> Core:
+    def elect(self, name: str) -> RaftCore:
         core = self.cores[name]
         for other, its in self.cores.items():
             if other != name and other not in self.cut:
-                its._elapsed = self.tuning.election_ticks  # it has heard of no leader for that long
-        for _ in range(2 * self.tuning.election_ticks):
+                its._elapsed = self.config.election_ticks  # it has heard of no leader for that long
+        for _ in range(2 * self.config.election_ticks):
             if core.role is Role.FOLLOWER:
                 core.tick()
         self.pump()
@@ -139,7 +139,7 @@
     s.cut = {"a"}
     s.ticks(25, "a")
     assert not s.cores["a"].is_leader
-    with pytest.raises(NotLeader):
+    with pytest.raises(NotLeaderError):
         s.cores["a"].propose(b"x")
 
 
@@ -217,7 +217,7 @@
 def test_a_removed_node_does_not_disturb() -> None:
     s = Story("a", "b", "c")
     s.elect("a")
-    s.cores["a"].change(Change.REMOVE, "c")
+    s.cores["a"].change(MembershipChange.REMOVE, "c")
     s.pump(drop=lambda m: m.dst == "c")  # it never learns
     term = s.cores["a"].term
     for _ in range(60):
@@ -243,39 +243,39 @@
     core = s.cores["a"]
     for _ in range(20):
         core.tick()
-    s.pump(drop=lambda m: isinstance(m, Append))
+    s.pump(drop=lambda m: isinstance(m, AppendEntries))
     assert core.is_leader
-    with pytest.raises(Rejected, match="nothing in its term"):
-        core.change(Change.ADD_LEARNER, "d")
+    with pytest.raises(RequestRejectedError, match="nothing in its term"):
+        core.change(MembershipChange.ADD_LEARNER, "d")
     s.ticks(4, "a")
-    core.change(Change.ADD_LEARNER, "d")
-    with pytest.raises(Rejected, match="under way"):
-        core.change(Change.ADD_LEARNER, "e")
+    core.change(MembershipChange.ADD_LEARNER, "d")
+    with pytest.raises(RequestRejectedError, match="under way"):
+        core.change(MembershipChange.ADD_LEARNER, "e")
     s.pump()
     s.boot("d")
     s.ticks(6, "a")
-    core.change(Change.PROMOTE, "d")
+    core.change(MembershipChange.PROMOTE, "d")
     s.pump()
     assert core.members.voters == frozenset("abcd")
-    core.change(Change.REMOVE, "d")
+    core.change(MembershipChange.REMOVE, "d")
     s.pump()
-    with pytest.raises(Rejected, match="new one"):
-        core.change(Change.ADD_LEARNER, "d")
+    with pytest.raises(RequestRejectedError, match="new one"):
+        core.change(MembershipChange.ADD_LEARNER, "d")
 
 
 def test_a_learner_far_behind_is_not_promoted() -> None:
-    s = Story("a", "b", "c", tuning=Tuning(caught_up=2))
+    s = Story("a", "b", "c", config=RaftConfig(max_promotion_lag=2))
     core = s.elect("a")
-    core.change(Change.ADD_LEARNER, "d")
+    core.change(MembershipChange.ADD_LEARNER, "d")
     s.propose("a", *(b"%d" % n for n in range(9)))
-    with pytest.raises(Rejected, match="lacks"):
-        core.change(Change.PROMOTE, "d")
+    with pytest.raises(RequestRejectedError, match="lacks"):
+        core.change(MembershipChange.PROMOTE, "d")
 
 
 def test_a_leader_that_removes_itself_leaves_after_the_commit() -> None:
     s = Story("a", "b", "c")
     core = s.elect("a")
-    core.change(Change.REMOVE, "a")
+    core.change(MembershipChange.REMOVE, "a")
     s.pump()
     assert not core.is_leader
     s.elect("b")
@@ -288,7 +288,7 @@
     core = s.elect("a")
     s.propose("a", b"x")
     core.transfer("b")
-    with pytest.raises(Rejected, match="handed over"):
+    with pytest.raises(RequestRejectedError, match="handed over"):
         core.propose(b"y")
     s.pump()
     assert s.cores["b"].is_leader and not core.is_leader
@@ -341,7 +341,7 @@
     s = Story("a", "b", "c")
     s.elect("a")
     s.propose("a", b"x")
-    blank = s.boot("c", MemoryDisk(Members(frozenset())))
+    blank = s.boot("c", InMemoryStorage(Membership(frozenset())))
     for _ in range(100):
         blank.tick()
     assert blank.role is Role.FOLLOWER and not blank.has_ready()
@@ -352,15 +352,15 @@
     s.elect("a")
     s.propose("a", b"x")
     assert s.applied["a"] == [b"x"]
-    with pytest.raises(Rejected):
-        s.cores["a"].change(Change.REMOVE, "a")
+    with pytest.raises(RequestRejectedError):
+        s.cores["a"].change(MembershipChange.REMOVE, "a")
 
 
 def test_proposals_beyond_the_bound_wait_outside() -> None:
-    s = Story("a", "b", "c", tuning=Tuning(uncommitted_bytes=100))
+    s = Story("a", "b", "c", config=RaftConfig(max_uncommitted_bytes=100))
     core = s.elect("a")
     core.propose(b"x" * 90)
-    with pytest.raises(Rejected, match="waits"):
+    with pytest.raises(RequestRejectedError, match="waits"):
         core.propose(b"x" * 90)
 
 
@@ -387,7 +387,7 @@
 
 
 @pytest.mark.parametrize("make", mutations.MUTATIONS, ids=lambda m: m.__name__)
-def test_a_planted_bug_is_found(make: type[Core]) -> None:
+def test_a_planted_bug_is_found(make: type[RaftCore]) -> None:
     limit = mutations.SEEDS.get(make.__name__, 60)
     assert any(run(seed, make=make, shrinking=False) for seed in range(limit))
 
--- a/tests/raft/test_digest.py
+++ b/tests/raft/test_digest.py
@@ -18,10 +18,10 @@
 
 from juniperreel.emulator import raft as emulator
 from juniperreel.raft import wire
-from juniperreel.raft.core import Core, Restored, Tuning
-from juniperreel.raft.disk import MemoryDisk
+from juniperreel.raft.core import RaftConfig, RaftCore, RecoveredState
+from juniperreel.raft.disk import InMemoryStorage
 from juniperreel.raft.storage import Storage
-from juniperreel.raft.types import Members, Message, Persist, Ready
+from juniperreel.raft.types import Membership, Message, PersistBatch, Ready
 
 SCHEDULES = 500
 OPERATIONS = 400
@@ -114,25 +114,27 @@
 
 
 def digest_of(
-    seeds: range, folder: Path, monkeypatch: pytest.MonkeyPatch, core_class: type[Core] = Core
+    seeds: range, folder: Path, monkeypatch: pytest.MonkeyPatch, core_class: type[RaftCore] = RaftCore
 ) -> Recorder:
     recorder = Recorder()
     monkeypatch.setattr(lmdb, "open", lambda *arguments, **options: FakeEnvironment(recorder))
 
-    class RecordingDisk(MemoryDisk):
+    class RecordingDisk(InMemoryStorage):
         """Writes each batch through the real storage as well, for the bytes of its records."""
 
-        def __init__(self, members: Members) -> None:
+        def __init__(self, members: Membership) -> None:
             super().__init__(members)
             self._storage = Storage.create(folder, "cluster", "node", members)
 
-        def write(self, persist: Persist) -> None:
+        def write(self, persist: PersistBatch) -> None:
             recorder.batches += 1
             super().write(persist)
             self._storage.write(persist)
 
-    def recording_core(name: str, restored: Restored, tuning: Tuning, rng: random.Random) -> Core:
-        core = core_class(name, restored, tuning, rng)
+    def recording_core(
+        name: str, restored: RecoveredState, config: RaftConfig, rng: random.Random
+    ) -> RaftCore:
+        core = core_class(name, restored, config, rng)
         persisted = core.persisted
 
         def record(ready: Ready) -> None:
@@ -142,7 +144,7 @@
         core.persisted = record  # type: ignore[method-assign]
         return core
 
-    monkeypatch.setattr(emulator, "MemoryDisk", RecordingDisk)
+    monkeypatch.setattr(emulator, "InMemoryStorage", RecordingDisk)
     for seed in seeds:
         group = emulator.Group(seed, recording_core)
         group.play(emulator.schedule(seed, OPERATIONS))
@@ -162,9 +164,11 @@
 def test_digest_of_a_core_that_sends_a_smaller_batch_differs(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    class SmallBatches(Core):
-        def __init__(self, name: str, restored: Restored, tuning: Tuning, rng: random.Random) -> None:
-            super().__init__(name, restored, replace(tuning, append_entries=3), rng)
+    class SmallBatches(RaftCore):
+        def __init__(
+            self, name: str, restored: RecoveredState, config: RaftConfig, rng: random.Random
+        ) -> None:
+            super().__init__(name, restored, replace(config, max_entries_per_append=3), rng)
 
     same = digest_of(range(3), tmp_path, monkeypatch).hexdigest()
     assert digest_of(range(3), tmp_path, monkeypatch).hexdigest() == same
--- a/tests/raft/test_storage.py
+++ b/tests/raft/test_storage.py
@@ -11,17 +11,22 @@
 
 import pytest
 
-from juniperreel.raft.configuration.machine import Command, Machine, SetLimit, encode_command
-from juniperreel.raft.core import Core, Tuning
-from juniperreel.raft.disk import MemoryDisk
-from juniperreel.raft.storage import DiskFull, Storage, StorageError, rescue
-from juniperreel.raft.types import Entry, HardState, Kind, Members, Persist, Snapshot
+from juniperreel.raft.configuration.machine import (
+    Command,
+    ConfigurationStateMachine,
+    SetLimit,
+    encode_command,
+)
+from juniperreel.raft.core import RaftConfig, RaftCore
+from juniperreel.raft.disk import InMemoryStorage
+from juniperreel.raft.storage import DiskFullError, Storage, StorageError, rescue
+from juniperreel.raft.types import Entry, EntryKind, HardState, Membership, PersistBatch, Snapshot
 
-MEMBERS = Members(frozenset("abc"))
+MEMBERS = Membership(frozenset("abc"))
 
 
 def entries(start: int, end: int, term: int = 1, size: int = 10) -> list[Entry]:
-    return [Entry(term, n, Kind.COMMAND, b"%d" % n * size) for n in range(start, end + 1)]
+    return [Entry(term, n, EntryKind.COMMAND, b"%d" % n * size) for n in range(start, end + 1)]
 
 
 @pytest.fixture
@@ -30,8 +35,8 @@
 
 
 def test_what_was_written_comes_back(storage: Storage) -> None:
-    storage.write(Persist(HardState(3, "b", 2), entries=entries(1, 5)))
-    storage.write(Persist(entries=entries(4, 6, term=2)))
+    storage.write(PersistBatch(HardState(3, "b", 2), entries=entries(1, 5)))
+    storage.write(PersistBatch(entries=entries(4, 6, term=2)))
     storage.close()
     restored = Storage.open(storage.path, "c", "a").restore()
     assert restored.hard_state == HardState(3, "b", 2)
@@ -42,10 +47,10 @@
 def test_it_does_what_its_twin_does(tmp_path: Path) -> None:
     """A core's whole life, written to both."""
     for seed in range(5):
-        disk = Storage.create(tmp_path / str(seed), "c", "a", Members(frozenset("a")), 1 << 24)
-        twin = MemoryDisk(Members(frozenset("a")))
+        disk = Storage.create(tmp_path / str(seed), "c", "a", Membership(frozenset("a")), 1 << 24)
+        twin = InMemoryStorage(Membership(frozenset("a")))
         rng = random.Random(seed)
-        core = Core("a", twin.restore(), Tuning(trailing=3), rng)
+        core = RaftCore("a", twin.restore(), RaftConfig(trailing_entries=3), rng)
         for _ in range(300):
             core.tick()
             if core.is_leader and rng.random() < 0.5:
@@ -61,15 +66,15 @@
                 core.persisted(ready)
             if rng.random() < 0.05:
                 assert disk.restore() == twin.restore()
-                core = Core("a", disk.restore(), Tuning(trailing=3), rng)
+                core = RaftCore("a", disk.restore(), RaftConfig(trailing_entries=3), rng)
         assert disk.restore() == twin.restore()
         disk.close()
 
 
 def test_an_installed_snapshot_replaces_the_log(storage: Storage) -> None:
-    storage.write(Persist(entries=entries(1, 5)))
+    storage.write(PersistBatch(entries=entries(1, 5)))
     snapshot = Snapshot(9, 2, MEMBERS, os.urandom(3 << 20))
-    storage.write(Persist(snapshot=snapshot, reset=True, keep_from=10, entries=entries(10, 11, term=2)))
+    storage.write(PersistBatch(snapshot=snapshot, reset=True, keep_from=10, entries=entries(10, 11, term=2)))
     restored = storage.restore()
     assert restored.snapshot == snapshot and list(restored.entries) == entries(10, 11, term=2)
     assert (restored.base, restored.base_term) == (9, 2)
@@ -79,13 +84,13 @@
 import sys
 from pathlib import Path
 from juniperreel.raft.storage import Storage
-from juniperreel.raft.types import Entry, HardState, Kind, Persist
+from juniperreel.raft.types import Entry, HardState, EntryKind, PersistBatch
 storage = Storage.open(Path(sys.argv[1]), "c", "a")
 n = len(storage.restore().entries)
 while True:
     n += 1
-    pair = [Entry(1, n, Kind.COMMAND, b"x" * 3000), Entry(1, n + 1, Kind.COMMAND, b"y" * 3000)]
-    storage.write(Persist(HardState(n, "a", 0), entries=pair))
+    pair = [Entry(1, n, EntryKind.COMMAND, b"x" * 3000), Entry(1, n + 1, EntryKind.COMMAND, b"y" * 3000)]
+    storage.write(PersistBatch(HardState(n, "a", 0), entries=pair))
     print(n, flush=True)
 """
 
@@ -110,12 +115,12 @@
 
 
 def test_a_full_disk_stops_the_write_and_harms_nothing(storage: Storage) -> None:
-    storage.write(Persist(HardState(1, "a", 0), entries=entries(1, 3)))
-    with pytest.raises(DiskFull):
-        storage.write(Persist(HardState(9, "b", 0), entries=entries(2, 20, size=1 << 20)))
+    storage.write(PersistBatch(HardState(1, "a", 0), entries=entries(1, 3)))
+    with pytest.raises(DiskFullError):
+        storage.write(PersistBatch(HardState(9, "b", 0), entries=entries(2, 20, size=1 << 20)))
     restored = storage.restore()
     assert restored.hard_state.term == 1 and list(restored.entries) == entries(1, 3)
-    storage.write(Persist(entries=entries(4, 4)))
+    storage.write(PersistBatch(entries=entries(4, 4)))
 
 
 def test_another_s_directory_and_an_empty_one_are_refused(storage: Storage, tmp_path: Path) -> None:
@@ -131,7 +136,7 @@
 
 @pytest.mark.parametrize("keep", [0, 100, 8192, 20_000, 40_000])
 def test_a_cut_file_is_refused(storage: Storage, keep: int) -> None:
-    storage.write(Persist(HardState(1, "a", 0), entries=entries(1, 200, size=200)))
+    storage.write(PersistBatch(HardState(1, "a", 0), entries=entries(1, 200, size=200)))
     storage.close()
     data = storage.path / "data.mdb"
     with data.open("r+b") as file:
@@ -142,8 +147,10 @@
 
 def test_flipped_bits_in_what_counts_are_refused_and_never_a_crash(storage: Storage) -> None:
     marker = b"MARKERMARKER"
-    storage.write(Persist(HardState(7, "votedforthis", 0), entries=[Entry(1, 1, Kind.COMMAND, marker * 30)]))
-    storage.write(Persist(snapshot=Snapshot(1, 1, MEMBERS, b"STATESTATE" * 300), keep_from=1))
+    storage.write(
+        PersistBatch(HardState(7, "votedforthis", 0), entries=[Entry(1, 1, EntryKind.COMMAND, marker * 30)])
+    )
+    storage.write(PersistBatch(snapshot=Snapshot(1, 1, MEMBERS, b"STATESTATE" * 300), keep_from=1))
     storage.close()
     data = storage.path / "data.mdb"
     whole = data.read_bytes()
@@ -165,20 +172,22 @@
 def test_a_lost_quorum_is_rescued_into_a_cluster_of_another_name(tmp_path: Path) -> None:
     lost = Storage.create(tmp_path / "lost", "old", "a", MEMBERS, 1 << 24)
     commands = [
-        Entry(1, n, Kind.COMMAND, encode_command(Command("c", n, [SetLimit("attempts", n)])))
+        Entry(1, n, EntryKind.COMMAND, encode_command(Command("c", n, [SetLimit("attempts", n)])))
         for n in range(1, 6)
     ]
-    lost.write(Persist(HardState(3, "a", 4), entries=commands))
+    lost.write(PersistBatch(HardState(3, "a", 4), entries=commands))
     lost.close()
     with pytest.raises(StorageError, match="another name"):
         rescue(tmp_path / "lost", tmp_path / "new", "old", "b@h:1")
     assert rescue(tmp_path / "lost", tmp_path / "new", "new", "b@h:1", 1 << 24) == (5, 1)
-    core = Core("b@h:1", Storage.open(tmp_path / "new", "new", "b@h:1").restore(), Tuning(), random.Random(1))
+    core = RaftCore(
+        "b@h:1", Storage.open(tmp_path / "new", "new", "b@h:1").restore(), RaftConfig(), random.Random(1)
+    )
     for _ in range(25):
         core.tick()
         while core.has_ready():
             core.persisted(core.take())
     assert core.is_leader and core.term > 3 and core.members.voters == {"b@h:1"}
-    machine = Machine()
+    machine = ConfigurationStateMachine()
     machine.restore(core.snapshot.data)
     assert machine.now.limits["attempts"] == 5
--- a/tests/raft/test_stored_data.py
+++ b/tests/raft/test_stored_data.py
@@ -13,10 +13,10 @@
 import lmdb
 import pytest
 
-from juniperreel.raft.configuration.machine import Change as ConfigurationChange
 from juniperreel.raft.configuration.machine import (
     Command,
-    Machine,
+    ConfigurationChange,
+    ConfigurationStateMachine,
     RemoveGroup,
     RemoveMember,
     SetClass,
@@ -27,10 +27,10 @@
     SetTenant,
     encode_command,
 )
-from juniperreel.raft.configuration.model import ClassInfo, Client, GroupInfo, MemberInfo, TenantInfo
-from juniperreel.raft.core import Core, Tuning
+from juniperreel.raft.configuration.model import ClassInfo, ClientSession, GroupInfo, MemberInfo, TenantInfo
+from juniperreel.raft.core import RaftConfig, RaftCore
 from juniperreel.raft.storage import Storage, look
-from juniperreel.raft.types import Change, HardState, Kind, Members
+from juniperreel.raft.types import EntryKind, HardState, Membership, MembershipChange
 
 FIXTURE = Path(__file__).parent / "data" / "commit-5d30e02.mdb.xz"
 CLUSTER = "test"
@@ -56,8 +56,8 @@
     def __init__(self, storage: Storage) -> None:
         self.storage = storage
         restored = storage.restore()
-        self.core = Core(NODE, restored, Tuning(trailing=3), random.Random(1))
-        self.machine = Machine()
+        self.core = RaftCore(NODE, restored, RaftConfig(trailing_entries=3), random.Random(1))
+        self.machine = ConfigurationStateMachine()
         self.machine.restore(restored.snapshot.data)
 
     def elect(self) -> None:
@@ -72,7 +72,7 @@
             self.storage.write(ready.persist)
             self.core.persisted(ready)
             for entry in ready.apply:
-                if entry.kind is Kind.COMMAND:
+                if entry.kind is EntryKind.COMMAND:
                     self.machine.apply(entry.data)
 
     def propose(
@@ -81,7 +81,7 @@
         self.core.propose(encode_command(Command(client, sequence, list(changes), expect)))
         self.settle()
 
-    def change(self, change: Change, name: str) -> None:
+    def change(self, change: MembershipChange, name: str) -> None:
         self.core.change(change, name)
         self.settle()
 
@@ -92,7 +92,7 @@
 
 def write_history(folder: Path) -> None:
     """Every kind of command and entry, a rejected command, a snapshot, and entries before and after it."""
-    storage = Storage.create(folder, CLUSTER, NODE, Members(frozenset({NODE})), MAP_BYTES)
+    storage = Storage.create(folder, CLUSTER, NODE, Membership(frozenset({NODE})), MAP_BYTES)
     node = SingleNode(storage)
     node.elect()
     node.propose(
@@ -115,7 +115,7 @@
         SetLimit("edges", 4),
     )
     node.propose("rejected", 1, SetState("a", "gone"))
-    node.change(Change.ADD_LEARNER, REMOVED)
+    node.change(MembershipChange.ADD_LEARNER, REMOVED)
     node.propose("operator", 2, SetGroup(0, GroupInfo(2, "b")), SetState("a", "draining"))
     node.compact()
     node.propose("operator", 3, SetState("a", "gone"))
@@ -129,8 +129,8 @@
         SetLimit("edges", None),
         expect=5,
     )
-    node.change(Change.REMOVE, REMOVED)
-    node.change(Change.ADD_LEARNER, LEARNER)
+    node.change(MembershipChange.REMOVE, REMOVED)
+    node.change(MembershipChange.ADD_LEARNER, LEARNER)
     node.propose("operator", 5, SetState("b", "draining", 5_000_000), SetLimit("drain-grace-us", 250_000))
     storage.close()
 
@@ -163,24 +163,24 @@
     assert restored.hard_state == HardState(1, NODE, 12)
     assert (restored.base, restored.base_term) == (4, 1)
     assert [(entry.term, entry.index, entry.kind) for entry in restored.entries] == [
-        (1, 5, Kind.COMMAND),
-        (1, 6, Kind.CONFIG),
-        (1, 7, Kind.COMMAND),
-        (1, 8, Kind.COMMAND),
-        (1, 9, Kind.COMMAND),
-        (1, 10, Kind.CONFIG),
-        (1, 11, Kind.CONFIG),
-        (1, 12, Kind.COMMAND),
+        (1, 5, EntryKind.COMMAND),
+        (1, 6, EntryKind.CONFIG),
+        (1, 7, EntryKind.COMMAND),
+        (1, 8, EntryKind.COMMAND),
+        (1, 9, EntryKind.COMMAND),
+        (1, 10, EntryKind.CONFIG),
+        (1, 11, EntryKind.CONFIG),
+        (1, 12, EntryKind.COMMAND),
     ]
     snapshot = restored.snapshot
     assert (snapshot.index, snapshot.term) == (7, 1)
-    assert snapshot.members == Members(frozenset({NODE}), frozenset({REMOVED}), frozenset())
+    assert snapshot.members == Membership(frozenset({NODE}), frozenset({REMOVED}), frozenset())
     assert hashlib.sha256(snapshot.data).hexdigest() == SNAPSHOT_SHA256
 
 
 def test_snapshot_of_an_old_directory_decodes_and_encodes_to_the_same_bytes(folder: Path) -> None:
     _, _, restored = look(folder)
-    machine = Machine()
+    machine = ConfigurationStateMachine()
 
     machine.restore(restored.snapshot.data)
 
@@ -197,9 +197,9 @@
     assert dict(now.tenants) == {"t": TenantInfo(0.25, 100.0), "u": TenantInfo(0.5, 0.0)}
     assert dict(now.limits) == {"attempts": 3, "edges": 4}
     assert dict(now.clients) == {
-        "seed": Client(3, 3, ""),
-        "rejected": Client(1, 3, REJECTION),
-        "operator": Client(2, 4, ""),
+        "seed": ClientSession(3, 3, ""),
+        "rejected": ClientSession(1, 3, REJECTION),
+        "operator": ClientSession(2, 4, ""),
     }
 
 
@@ -219,12 +219,12 @@
     assert dict(now.tenants) == {"t": TenantInfo(0.25, 100.0)}
     assert dict(now.limits) == {"attempts": 3, "drain-grace-us": 250_000}
     assert dict(now.clients) == {
-        "seed": Client(3, 3, ""),
-        "rejected": Client(1, 3, REJECTION),
-        "operator": Client(5, 7, ""),
+        "seed": ClientSession(3, 3, ""),
+        "rejected": ClientSession(1, 3, REJECTION),
+        "operator": ClientSession(5, 7, ""),
     }
     assert hashlib.sha256(node.machine.snapshot()).hexdigest() == REPLAYED_SHA256
-    assert node.core.members == Members(frozenset({NODE}), frozenset({LEARNER}), frozenset({REMOVED}))
+    assert node.core.members == Membership(frozenset({NODE}), frozenset({LEARNER}), frozenset({REMOVED}))
     node.storage.close()
 
 
@@ -244,7 +244,7 @@
     assert (again.core.term, again.core.commit) == (3, 16)
     assert again.machine.now.version == 9
     assert again.machine.now.limits["attempts"] == 10
-    assert again.machine.now.clients["operator"] == Client(7, 9, "")
+    assert again.machine.now.clients["operator"] == ClientSession(7, 9, "")
     again.storage.close()
 
 
