--- a/benchmarks/raft.py
+++ b/benchmarks/raft.py
@@ -32,12 +32,8 @@
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.raft.client import ConfigurationClient
 from juniperreel.raft.configuration import model
-from juniperreel.raft.configuration.machine import (
-    Command,
-    ConfigurationStateMachine,
-    SetLimit,
-    encode_command,
-)
+from juniperreel.raft.configuration.commands import Command, SetLimit, encode_command
+from juniperreel.raft.configuration.state_machine import ConfigurationStateMachine
 from juniperreel.raft.core import RaftConfig, RaftCore
 from juniperreel.raft.storage import Storage
 from juniperreel.raft.types import Membership
--- a/juniperreel/cli/configd.py
+++ b/juniperreel/cli/configd.py
@@ -17,8 +17,9 @@
 from juniperreel.net import Clock, Network, TcpNetwork
 from juniperreel.proto.configuration.v1 import configuration_pb2 as pb
 from juniperreel.raft.client import ConfigurationClient, LeaderUnreachableError
-from juniperreel.raft.configuration import machine, model
-from juniperreel.raft.configuration.machine import Command, Outcome
+from juniperreel.raft.configuration import commands, model
+from juniperreel.raft.configuration.commands import Command
+from juniperreel.raft.configuration.state_machine import Outcome
 from juniperreel.raft.core import RaftConfig
 from juniperreel.raft.node import RaftNode
 from juniperreel.raft.service import SERVICE, ConfigurationService
@@ -199,7 +200,7 @@
     click.echo(readable(with_instances(at(context), lambda i: i.get())))
 
 
-def propose(context: click.Context, changes: list[machine.ConfigurationChange], expect: int | None) -> None:
+def propose(context: click.Context, changes: list[commands.ConfigurationChange], expect: int | None) -> None:
     command = Command(f"cli-{uuid.uuid4().hex}", 1, changes, expect)
     outcome: Outcome = with_instances(at(context), lambda i: i.propose(command))
     if outcome.refusal:
@@ -215,7 +216,7 @@
 def set_(context: click.Context, changes: Path, expect: int | None) -> None:
     """Apply the CHANGES of a JSON file, all of them or none."""
     try:
-        listed = msgspec.json.decode(changes.read_bytes(), type=list[machine.ConfigurationChange])
+        listed = msgspec.json.decode(changes.read_bytes(), type=list[commands.ConfigurationChange])
     except msgspec.DecodeError as error:
         raise click.BadParameter(f"{changes}: {error}") from None
     propose(context, listed, expect)
@@ -231,8 +232,8 @@
     except SettingsError as error:
         click.echo(str(error), err=True)
         sys.exit(2)
-    changes: list[machine.ConfigurationChange] = [
-        machine.SetGroup(n, model.GroupInfo(0, None)) for n in range(settings.groups)
+    changes: list[commands.ConfigurationChange] = [
+        commands.SetGroup(n, model.GroupInfo(0, None)) for n in range(settings.groups)
     ]
     for c in settings.router.classes:
         info = model.ClassInfo(
@@ -246,9 +247,9 @@
             c.worth,
             c.late_worth,
         )
-        changes.append(machine.SetClass(c.name, info))
+        changes.append(commands.SetClass(c.name, info))
     changes += [
-        machine.SetTenant(t.name, model.TenantInfo(t.fraction, t.quota_rps)) for t in settings.router.tenants
+        commands.SetTenant(t.name, model.TenantInfo(t.fraction, t.quota_rps)) for t in settings.router.tenants
     ]
     propose(context, changes, 0)
 
--- a/juniperreel/cli/feeder.py
+++ b/juniperreel/cli/feeder.py
@@ -15,7 +15,7 @@
 from juniperreel.net.clock import US
 from juniperreel.proof.records import Listed, Sink
 from juniperreel.raft.client import ConfigurationClient, LeaderUnreachableError
-from juniperreel.raft.configuration.machine import Command, ConfigurationChange, SetGroup, SetMember
+from juniperreel.raft.configuration.commands import Command, ConfigurationChange, SetGroup, SetMember
 from juniperreel.raft.configuration.model import EMPTY, Configuration, GroupInfo, MemberInfo
 from juniperreel.rpc.status import RpcError
 from juniperreel.standins.fleet import Fleet
--- a/juniperreel/emulator/raft.py
+++ b/juniperreel/emulator/raft.py
@@ -14,7 +14,7 @@
 
 from juniperreel.proof.raft import RaftJudge, Unsafe
 from juniperreel.raft.core import RaftConfig, RaftCore, RecoveredState
-from juniperreel.raft.disk import InMemoryStorage
+from juniperreel.raft.memory_storage import InMemoryStorage
 from juniperreel.raft.types import (
     AppendEntries,
     Entry,
--- a/juniperreel/raft/client.py
+++ b/juniperreel/raft/client.py
@@ -12,8 +12,9 @@
 from juniperreel.proto.configuration.v1 import configuration_pb2 as pb
 from juniperreel.raft import wire
 from juniperreel.raft.configuration import model
-from juniperreel.raft.configuration.machine import Command, Outcome, encode_command
+from juniperreel.raft.configuration.commands import Command, encode_command
 from juniperreel.raft.configuration.model import Configuration
+from juniperreel.raft.configuration.state_machine import Outcome
 from juniperreel.rpc.channel import Broken, Channel, NeverSent
 from juniperreel.rpc.limits import Limits
 from juniperreel.rpc.status import Code, RpcError
--- a/juniperreel/raft/configuration/machine.py
+++ b/juniperreel/raft/configuration/state_machine.py
@@ -11,80 +11,33 @@
 import msgspec
 from immutables import Map
 
-from juniperreel.raft.configuration import checks
+from juniperreel.raft.configuration import validation
+from juniperreel.raft.configuration.commands import (
+    Command,
+    ConfigurationChange,
+    RemoveGroup,
+    RemoveMember,
+    SetClass,
+    SetGroup,
+    SetLimit,
+    SetMember,
+    SetState,
+    SetTenant,
+    decode_command,
+)
 from juniperreel.raft.configuration.model import (
     EMPTY,
-    ClassInfo,
     ClientSession,
     Configuration,
-    GroupInfo,
-    MemberInfo,
-    TenantInfo,
     decode,
     encode,
     encode_delta,
 )
 
 MAX_CLIENTS = 1000
-MAX_CHANGES = 1000
 HISTORY = 64  # versions kept for deltas to watchers
 
 
-class SetMember(msgspec.Struct, frozen=True, tag="set-member"):
-    name: str
-    member: MemberInfo
-
-
-class SetState(msgspec.Struct, frozen=True, tag="set-state"):
-    """A drain, a departure, a return (with the new start)."""
-
-    name: str
-    state: str
-    started_us: int = 0
-
-
-class RemoveMember(msgspec.Struct, frozen=True, tag="remove-member"):
-    name: str
-
-
-class SetGroup(msgspec.Struct, frozen=True, tag="set-group"):
-    number: int
-    group: GroupInfo
-
-
-class RemoveGroup(msgspec.Struct, frozen=True, tag="remove-group"):
-    number: int
-
-
-class SetClass(msgspec.Struct, frozen=True, tag="set-class"):
-    name: str
-    cls: ClassInfo | None
-
-
-class SetTenant(msgspec.Struct, frozen=True, tag="set-tenant"):
-    name: str
-    tenant: TenantInfo | None
-
-
-class SetLimit(msgspec.Struct, frozen=True, tag="set-limit"):
-    name: str
-    value: int | None
-
-
-ConfigurationChange = (
-    SetMember | SetState | RemoveMember | SetGroup | RemoveGroup | SetClass | SetTenant | SetLimit
-)
-
-
-class Command(msgspec.Struct, frozen=True):
-    """All of `changes` or none. `expect` is the version it was made against, or None for any."""
-
-    client: str
-    sequence: int
-    changes: list[ConfigurationChange]
-    expect: int | None = None
-
-
 class Outcome(msgspec.Struct, frozen=True):
     """What became of a command: the version that holds it, or why it was refused."""
 
@@ -92,23 +45,6 @@
     refusal: str = ""
 
 
-def encode_command(command: Command) -> bytes:
-    return msgspec.msgpack.encode(command)
-
-
-def decode_command(data: bytes) -> Command:
-    """Raises ValueError."""
-    try:
-        command = msgspec.msgpack.decode(data, type=Command)
-    except msgspec.DecodeError as error:
-        raise ValueError(f"not a command: {error}") from None
-    if not command.client or len(command.client) > checks.MAX_NAME or command.sequence < 0:
-        raise ValueError("a command needs its client's name and a sequence number")
-    if not 1 <= len(command.changes) <= MAX_CHANGES:
-        raise ValueError(f"a command has 1 to {MAX_CHANGES} changes")
-    return command
-
-
 def changed(c: Configuration, change: ConfigurationChange) -> Configuration:
     """The configuration after one change, unchecked. Raises ValueError for names that are not there."""
     replace = msgspec.structs.replace
@@ -158,7 +94,7 @@
             new = changed(new, change)
     except ValueError as error:
         return None, str(error)
-    wrong = checks.problems(new) + checks.steps(c, new)
+    wrong = validation.problems(new) + validation.steps(c, new)
     if wrong:
         return None, "; ".join(wrong[:10])
     return msgspec.structs.replace(new, version=c.version + 1), ""
--- a/juniperreel/raft/node.py
+++ b/juniperreel/raft/node.py
@@ -17,7 +17,7 @@
 from juniperreel.net.clock import US
 from juniperreel.proto.raft.v1 import raft_pb2
 from juniperreel.raft import wire
-from juniperreel.raft.configuration.machine import ConfigurationStateMachine, Outcome
+from juniperreel.raft.configuration.state_machine import ConfigurationStateMachine, Outcome
 from juniperreel.raft.core import RaftConfig, RaftCore
 from juniperreel.raft.storage import DiskFullError, Storage
 from juniperreel.raft.types import (
--- a/juniperreel/raft/service.py
+++ b/juniperreel/raft/service.py
@@ -11,7 +11,7 @@
 from juniperreel.proto.raft.v1 import raft_pb2
 from juniperreel.raft import wire
 from juniperreel.raft.configuration import model
-from juniperreel.raft.configuration.machine import decode_command
+from juniperreel.raft.configuration.commands import decode_command
 from juniperreel.raft.node import EntrySupersededError, RaftNode
 from juniperreel.raft.types import MembershipChange, NotLeaderError, RequestRejectedError
 from juniperreel.rpc.server import Call, Method
--- a/juniperreel/raft/storage.py
+++ b/juniperreel/raft/storage.py
@@ -19,7 +19,7 @@
 import msgspec
 import xxhash
 
-from juniperreel.raft.configuration.machine import ConfigurationStateMachine
+from juniperreel.raft.configuration.state_machine import ConfigurationStateMachine
 from juniperreel.raft.core import RecoveredState
 from juniperreel.raft.types import Entry, EntryKind, HardState, Membership, PersistBatch, Snapshot
 
--- a/tests/raft/cluster.py
+++ b/tests/raft/cluster.py
@@ -14,8 +14,9 @@
 from juniperreel.proof.versions import Acted, Confirmed
 from juniperreel.raft.client import ConfigurationClient
 from juniperreel.raft.configuration import model
-from juniperreel.raft.configuration.machine import Command, Outcome, SetGroup, SetLimit, SetMember
+from juniperreel.raft.configuration.commands import Command, SetGroup, SetLimit, SetMember
 from juniperreel.raft.configuration.model import Configuration, GroupInfo, MemberInfo
+from juniperreel.raft.configuration.state_machine import Outcome
 from juniperreel.raft.storage import Storage
 from juniperreel.raft.types import Membership, Message
 from juniperreel.settings.configd import InstanceSettings
--- a/tests/raft/test_cluster.py
+++ b/tests/raft/test_cluster.py
@@ -19,7 +19,7 @@
 from juniperreel.proto.raft.v1 import raft_pb2
 from juniperreel.raft import wire
 from juniperreel.raft.configuration import model
-from juniperreel.raft.configuration.machine import SetGroup, SetLimit, encode_command
+from juniperreel.raft.configuration.commands import SetGroup, SetLimit, encode_command
 from juniperreel.raft.configuration.model import GroupInfo
 from juniperreel.raft.node import EntrySupersededError
 from juniperreel.raft.storage import Storage, StorageError
--- a/tests/raft/test_configuration.py
+++ b/tests/raft/test_configuration.py
@@ -7,10 +7,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from juniperreel.raft.configuration import checks, machine, model
-from juniperreel.raft.configuration.machine import (
+from juniperreel.raft.configuration import model, state_machine, validation
+from juniperreel.raft.configuration.commands import (
     Command,
-    ConfigurationStateMachine,
+    ConfigurationChange,
     RemoveGroup,
     RemoveMember,
     SetClass,
@@ -22,6 +22,7 @@
     encode_command,
 )
 from juniperreel.raft.configuration.model import ClassInfo, GroupInfo, MemberInfo, TenantInfo
+from juniperreel.raft.configuration.state_machine import ConfigurationStateMachine
 
 MEMBER = MemberInfo(0, "127.0.0.1", 1000)
 READ = ClassInfo("repeatable", "all", 0, "bounded", 300_000, 500_000, 2_000_000, 3.0, 0.2)
@@ -37,7 +38,7 @@
     st.builds(RemoveGroup, groups),
     st.builds(SetClass, names, st.none() | st.sampled_from([READ, WRITE])),
     st.builds(SetTenant, names, st.none() | st.builds(TenantInfo, st.floats(0, 0.6))),
-    st.builds(SetLimit, st.sampled_from([*checks.LIMITS, "odd"]), st.none() | st.integers(-1, 5)),
+    st.builds(SetLimit, st.sampled_from([*validation.LIMITS, "odd"]), st.none() | st.integers(-1, 5)),
 )
 commands = st.builds(
     Command,
@@ -61,7 +62,7 @@
     return made
 
 
-def refusal(*changes: machine.ConfigurationChange) -> str:
+def refusal(*changes: ConfigurationChange) -> str:
     made = ready()
     before = made.now.version
     outcome = made.apply(encode_command(Command("t", 1, list(changes))))
@@ -76,10 +77,10 @@
         before = one.now
         outcome = one.apply(encode_command(command))
         assert two.apply(encode_command(command)) == outcome
-        assert checks.problems(one.now) == []
+        assert validation.problems(one.now) == []
         assert one.now.version in (before.version, before.version + 1)
         if one.now.version > before.version:
-            assert checks.steps(before, one.now) == []
+            assert validation.steps(before, one.now) == []
             assert model.apply_delta(before, model.encode_delta(before, one.now)).members == one.now.members
     assert one.snapshot() == two.snapshot()
     three = ConfigurationStateMachine()
@@ -100,9 +101,9 @@
     made = ready()
     made.apply(encode_command(Command("x", 5, [SetLimit("attempts", 2)])))
     assert "older than 5" in made.apply(encode_command(Command("x", 4, [SetLimit("attempts", 3)]))).refusal
-    for n in range(machine.MAX_CLIENTS + 20):
+    for n in range(state_machine.MAX_CLIENTS + 20):
         made.apply(encode_command(Command(f"c{n}", 1, [SetLimit("attempts", 1 + n)])))
-    assert len(made.now.clients) == machine.MAX_CLIENTS
+    assert len(made.now.clients) == state_machine.MAX_CLIENTS
 
 
 @pytest.mark.parametrize(
@@ -129,7 +130,7 @@
     ],
     ids=lambda v: v if isinstance(v, str) else "",
 )
-def test_what_breaks_a_rule_is_refused_whole(listed: list[machine.ConfigurationChange], reason: str) -> None:
+def test_what_breaks_a_rule_is_refused_whole(listed: list[ConfigurationChange], reason: str) -> None:
     assert reason in refusal(SetLimit("attempts", 4), *listed)
 
 
--- a/tests/raft/test_core.py
+++ b/tests/raft/test_core.py
@@ -9,7 +9,7 @@
 
 from juniperreel.emulator.raft import Failure, Group, broken, run, schedule, shrink
 from juniperreel.raft.core import RaftConfig, RaftCore
-from juniperreel.raft.disk import InMemoryStorage
+from juniperreel.raft.memory_storage import InMemoryStorage
 from juniperreel.raft.types import (
     AppendEntries,
     Membership,
--- a/tests/raft/test_digest.py
+++ b/tests/raft/test_digest.py
@@ -19,7 +19,7 @@
 from juniperreel.emulator import raft as emulator
 from juniperreel.raft import wire
 from juniperreel.raft.core import RaftConfig, RaftCore, RecoveredState
-from juniperreel.raft.disk import InMemoryStorage
+from juniperreel.raft.memory_storage import InMemoryStorage
 from juniperreel.raft.storage import Storage
 from juniperreel.raft.types import Membership, Message, PersistBatch, Ready
 
--- a/tests/raft/test_storage.py
+++ b/tests/raft/test_storage.py
@@ -11,14 +11,10 @@
 
 import pytest
 
-from juniperreel.raft.configuration.machine import (
-    Command,
-    ConfigurationStateMachine,
-    SetLimit,
-    encode_command,
-)
+from juniperreel.raft.configuration.commands import Command, SetLimit, encode_command
+from juniperreel.raft.configuration.state_machine import ConfigurationStateMachine
 from juniperreel.raft.core import RaftConfig, RaftCore
-from juniperreel.raft.disk import InMemoryStorage
+from juniperreel.raft.memory_storage import InMemoryStorage
 from juniperreel.raft.storage import DiskFullError, Storage, StorageError, rescue
 from juniperreel.raft.types import Entry, EntryKind, HardState, Membership, PersistBatch, Snapshot
 
--- a/tests/raft/test_stored_data.py
+++ b/tests/raft/test_stored_data.py
@@ -13,10 +13,9 @@
 import lmdb
 import pytest
 
-from juniperreel.raft.configuration.machine import (
+from juniperreel.raft.configuration.commands import (
     Command,
     ConfigurationChange,
-    ConfigurationStateMachine,
     RemoveGroup,
     RemoveMember,
     SetClass,
@@ -28,6 +27,7 @@
     encode_command,
 )
 from juniperreel.raft.configuration.model import ClassInfo, ClientSession, GroupInfo, MemberInfo, TenantInfo
+from juniperreel.raft.configuration.state_machine import ConfigurationStateMachine
 from juniperreel.raft.core import RaftConfig, RaftCore
 from juniperreel.raft.storage import Storage, look
 from juniperreel.raft.types import EntryKind, HardState, Membership, MembershipChange
