Raft: the replicated configuration reads by standard names, with typed errors and small checks

Rejection texts are replicated state, so they stay to the letter. client.py: one loop over attempts, a class for what a watcher knows; the order of draws is unchanged. errors.py: one hierarchy under RaftError; what was a ValueError still is one.

--- a/benchmarks/raft.py
+++ b/benchmarks/raft.py
@@ -87,7 +87,7 @@
     async with trio.open_nursery() as nursery:
         instances = ConfigurationClient(TcpNetwork(), Clock(), random.Random(1), addresses)
         await nursery.start(instances.run)
-        await instances.propose(Command("warm", 1, [SetLimit("attempts", 1)]), tries=200)
+        await instances.propose(Command("warm", 1, [SetLimit("attempts", 1)]), attempts=200)
         end = time.perf_counter() + seconds
 
         async def one(client: str) -> None:
@@ -215,7 +215,7 @@
                 if entry.index > restored.snapshot.index and entry.data:
                     fresh.apply(entry.data)
             took = time.perf_counter() - start
-            assert fresh.now.limits["attempts"] == entries
+            assert fresh.current.limits["attempts"] == entries
             again.close()
             kind = "with a snapshot" if snapshots else "without"
             print(f"recovery of {entries} entries {kind}: {took * 1000:.0f} ms", flush=True)
@@ -226,7 +226,7 @@
     async with trio.open_nursery() as nursery:
         instances = ConfigurationClient(TcpNetwork(), Clock(), random.Random(1), addresses)
         await nursery.start(instances.run)
-        await instances.propose(Command("f", 1, [SetLimit("attempts", 1)]), tries=200)
+        await instances.propose(Command("f", 1, [SetLimit("attempts", 1)]), attempts=200)
 
         def seen(c: model.Configuration) -> None:
             arrived.setdefault(c.version, []).append(time.perf_counter())
--- a/juniperreel/cli/configd.py
+++ b/juniperreel/cli/configd.py
@@ -16,15 +16,16 @@
 from juniperreel.cli.signals import until_signalled
 from juniperreel.net import Clock, Network, TcpNetwork
 from juniperreel.proto.configuration.v1 import configuration_pb2 as pb
-from juniperreel.raft.client import ConfigurationClient, LeaderUnreachableError
+from juniperreel.raft.client import ConfigurationClient
 from juniperreel.raft.configuration import commands, model
 from juniperreel.raft.configuration.commands import Command
 from juniperreel.raft.configuration.state_machine import Outcome
 from juniperreel.raft.core import RaftConfig
+from juniperreel.raft.errors import LeaderUnreachableError, NotLeaderError, RequestRejectedError
 from juniperreel.raft.node import RaftNode
 from juniperreel.raft.service import SERVICE, ConfigurationService
 from juniperreel.raft.storage import DiskFullError, Storage, StorageError
-from juniperreel.raft.types import Membership, NotLeaderError, RequestRejectedError
+from juniperreel.raft.types import Membership
 from juniperreel.rpc.health import Health, Reflection
 from juniperreel.rpc.limits import Limits
 from juniperreel.rpc.server import Server
@@ -189,7 +190,7 @@
 
 
 def readable(c: model.Configuration) -> str:
-    parts = {name: model.ordered(getattr(c, name)) for name in model.PARTS}
+    parts = {name: model.sorted_by_key(getattr(c, name)) for name in model.SECTIONS}
     return msgspec.json.format(msgspec.json.encode({"version": c.version} | parts)).decode()
 
 
@@ -203,8 +204,8 @@
 def propose(context: click.Context, changes: list[commands.ConfigurationChange], expect: int | None) -> None:
     command = Command(f"cli-{uuid.uuid4().hex}", 1, changes, expect)
     outcome: Outcome = with_instances(at(context), lambda i: i.propose(command))
-    if outcome.refusal:
-        click.echo(f"refused: {outcome.refusal}", err=True)
+    if outcome.rejection:
+        click.echo(f"refused: {outcome.rejection}", err=True)
         sys.exit(1)
     click.echo(f"version {outcome.version}")
 
@@ -296,7 +297,7 @@
 def members(context: click.Context, change: str, name: str) -> None:
     """Change the instances: NAME is name@host:port. A new one is added, then promoted."""
     request = pb.ChangeInstancesRequest(change=change, name=name).SerializeToString()
-    with_instances(at(context), lambda i: i.lead("ChangeInstances", request, tries=5))
+    with_instances(at(context), lambda i: i.call_leader("ChangeInstances", request, attempts=5))
     click.echo("done")
 
 
--- a/juniperreel/cli/feeder.py
+++ b/juniperreel/cli/feeder.py
@@ -14,9 +14,10 @@
 from juniperreel.net import Clock, Network
 from juniperreel.net.clock import US
 from juniperreel.proof.records import Listed, Sink
-from juniperreel.raft.client import ConfigurationClient, LeaderUnreachableError
+from juniperreel.raft.client import ConfigurationClient
 from juniperreel.raft.configuration.commands import Command, ConfigurationChange, SetGroup, SetMember
 from juniperreel.raft.configuration.model import EMPTY, Configuration, GroupInfo, MemberInfo
+from juniperreel.raft.errors import LeaderUnreachableError
 from juniperreel.rpc.status import RpcError
 from juniperreel.standins.fleet import Fleet
 
@@ -137,7 +138,7 @@
         self._sequence += 1
         try:
             outcome = await self._instances.propose(Command("feeder", self._sequence, changes))
-            if outcome.refusal:
+            if outcome.rejection:
                 return  # the fleet moved on meanwhile; the next look will show
             before, self._now = self._now, await self._instances.get()
         except (RpcError, LeaderUnreachableError):
--- a/juniperreel/emulator/raft.py
+++ b/juniperreel/emulator/raft.py
@@ -14,6 +14,7 @@
 
 from juniperreel.proof.raft import RaftJudge, Unsafe
 from juniperreel.raft.core import RaftConfig, RaftCore, RecoveredState
+from juniperreel.raft.errors import NotLeaderError, RequestRejectedError
 from juniperreel.raft.memory_storage import InMemoryStorage
 from juniperreel.raft.types import (
     AppendEntries,
@@ -21,9 +22,7 @@
     Membership,
     MembershipChange,
     Message,
-    NotLeaderError,
     Ready,
-    RequestRejectedError,
     Role,
     SnapshotChunk,
     VoteReply,
--- a/juniperreel/raft/client.py
+++ b/juniperreel/raft/client.py
@@ -1,4 +1,4 @@
-"""A client of the instances: finds the leader with bounded tries, watches whoever lives."""
+"""A client of the instances: finds the leader in a bounded number of attempts, watches any live instance."""
 
 from __future__ import annotations
 
@@ -9,158 +9,227 @@
 from google.protobuf.message import DecodeError
 
 from juniperreel.net import Clock, ConnectError, Network
+from juniperreel.net.clock import US
 from juniperreel.proto.configuration.v1 import configuration_pb2 as pb
 from juniperreel.raft import wire
 from juniperreel.raft.configuration import model
 from juniperreel.raft.configuration.commands import Command, encode_command
 from juniperreel.raft.configuration.model import Configuration
 from juniperreel.raft.configuration.state_machine import Outcome
+from juniperreel.raft.errors import LeaderUnreachableError
 from juniperreel.rpc.channel import Broken, Channel, NeverSent
 from juniperreel.rpc.limits import Limits
 from juniperreel.rpc.status import Code, RpcError
 
-PATH = "/juniperreel.configuration.v1.Configuration/"
-DOMAIN = "configuration.juniperreel"
-TRY_S = 2.0
-PAUSE_S = (0.05, 0.25)
-SILENCE_S = 4.0  # without even a beat
-FAILURES = (ConnectError, NeverSent, Broken, RpcError, DecodeError)
-AGAIN = (Code.UNAVAILABLE, Code.ABORTED, Code.FAILED_PRECONDITION, Code.DEADLINE_EXCEEDED, Code.CANCELLED)
-
-
-class LeaderUnreachableError(Exception):
-    """No instance answered as the leader within the tries."""
+METHOD_PREFIX = "/juniperreel.configuration.v1.Configuration/"
+ERROR_DOMAIN = "configuration.juniperreel"
+CALL_TIMEOUT_US = 2_000_000
+CONNECT_TIMEOUT_US = 500_000
+RETRY_PAUSE_S = (0.05, 0.25)  # each pause is drawn from between these
+WATCH_TIMEOUT_S = 4.0  # without even a heartbeat
+MAX_LEADERLESS_MESSAGES = 2
+DEFAULT_ATTEMPTS = 30
+CALL_FAILURES = (ConnectError, NeverSent, Broken, RpcError, DecodeError)
+RETRIABLE_CODES = (
+    Code.UNAVAILABLE,
+    Code.ABORTED,
+    Code.FAILED_PRECONDITION,
+    Code.DEADLINE_EXCEEDED,
+    Code.CANCELLED,
+)
+
+Address = tuple[str, int]
 
 
 class ConfigurationClient:
-    """Calls on any of the instances. `run` must be running."""
+    """Calls on any of the instances; `run` must be running.
+
+    Attributes:
+        addresses: Host and port of each instance.
+    """
 
     def __init__(
-        self, network: Network, clock: Clock, rng: random.Random, addresses: Sequence[tuple[str, int]]
+        self, network: Network, clock: Clock, rng: random.Random, addresses: Sequence[Address]
     ) -> None:
-        self._rng = rng
-        self._network, self._clock = network, clock
-        self._channels: dict[tuple[str, int], Channel] = {}
+        """Which instance is called first, and how long pauses are, is drawn from `rng`."""
         self.addresses = list(addresses)
-        self._led: tuple[str, int] | None = None  # who answered as the leader last
+        self._rng = rng
+        self._network = network
+        self._clock = clock
+        self._channels: dict[Address, Channel] = {}
+        self._last_leader: Address | None = None  # who answered as the leader last
         self._nursery: trio.Nursery | None = None
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Hold the connections until cancelled."""
         async with trio.open_nursery() as self._nursery:
             task_status.started()
             await trio.sleep_forever()
 
-    async def _channel(self, address: tuple[str, int]) -> Channel:
+    async def _channel(self, address: Address) -> Channel:
         channel = self._channels.get(address)
         if channel is None:
             assert self._nursery is not None
+            host, port = address
             rng = random.Random(self._rng.random())
-            channel = Channel(self._network, self._clock, *address, Limits(), rng, 500_000)
+            channel = Channel(self._network, self._clock, host, port, Limits(), rng, CONNECT_TIMEOUT_US)
             self._channels[address] = channel
             await self._nursery.start(channel.run)
         return channel
 
-    async def call(self, address: tuple[str, int], method: str, request: bytes) -> bytes:
+    async def call(self, address: Address, method: str, request: bytes) -> bytes:
+        """Call one instance once.
+
+        Raises trio.TooSlowError if it does not answer in time, and RpcError or another of `CALL_FAILURES`.
+        """
         channel = await self._channel(address)
-        with trio.fail_after(TRY_S):
-            return (await channel.unary(PATH + method, request, timeout_us=int(TRY_S * 1e6))).message
-
-    async def lead(self, method: str, request: bytes, tries: int = 30) -> bytes:
-        """Asks the leader, wherever it is. The request must bear being asked twice: the answer to the first
-        may have been lost. Raises LeaderUnreachableError, or RpcError where others would say the same."""
-        at, why = self._led or self._rng.choice(self.addresses), ""
-        for _ in range(tries):
+        with trio.fail_after(CALL_TIMEOUT_US / US):
+            reply = await channel.unary(METHOD_PREFIX + method, request, timeout_us=CALL_TIMEOUT_US)
+            return reply.message
+
+    async def call_leader(self, method: str, request: bytes, attempts: int = DEFAULT_ATTEMPTS) -> bytes:
+        """Call the leader, whichever instance that is.
+
+        The request must be idempotent: the response to an earlier attempt may have been lost. Raises
+        LeaderUnreachableError, or RpcError where every instance would say the same.
+        """
+        address = self._last_leader or self._rng.choice(self.addresses)
+        failure = ""
+        for _ in range(attempts):
+            leader: Address | None = None
             try:
-                answer = await self.call(at, method, request)
-                self._led = at
-                return answer
+                response = await self.call(address, method, request)
             except trio.TooSlowError:
-                why = f"{at[0]}:{at[1]} does not answer"
-                at = self._rng.choice(self.addresses)
+                failure = f"{address[0]}:{address[1]} does not answer"
             except RpcError as error:
-                if error.code not in AGAIN or (
-                    error.code is Code.FAILED_PRECONDITION and not error.reason(DOMAIN)
-                ):
+                if not _may_differ_elsewhere(error):
                     raise
-                why = error.message
-                named = self._leader(error)
-                if named is not None and named != at:
-                    at = named
-                    continue  # the one it names is asked at once
-                at = self._rng.choice(self.addresses)
-            except FAILURES as error:
-                why = str(error)
-                at = self._rng.choice(self.addresses)
-            await trio.sleep(self._rng.uniform(*PAUSE_S))
-        raise LeaderUnreachableError(f"no leader in {tries} tries; last: {why}")
-
-    @staticmethod
-    def _leader(error: RpcError) -> tuple[str, int] | None:
-        for detail in error.details:
-            leader = getattr(detail, "metadata", {}).get("leader", "")
-            if leader:
-                return wire.address(leader)
-        return None
-
-    async def propose(self, command: Command, tries: int = 30) -> Outcome:
-        """Applied once, however many tries it takes."""
+                failure = error.message
+                leader = _named_leader(error)
+            except CALL_FAILURES as error:
+                failure = str(error)
+            else:
+                self._last_leader = address
+                return response
+            if leader is not None and leader != address:
+                address = leader  # called at once
+                continue
+            address = self._rng.choice(self.addresses)
+            await self._pause()
+        raise LeaderUnreachableError(attempts, failure)
+
+    async def _pause(self) -> None:
+        await trio.sleep(self._rng.uniform(*RETRY_PAUSE_S))
+
+    async def propose(self, command: Command, attempts: int = DEFAULT_ATTEMPTS) -> Outcome:
+        """Have a command applied, once, however many attempts it takes. Raises as `call_leader` does."""
         request = pb.ProposeRequest(command=encode_command(command)).SerializeToString()
-        answer = pb.ProposeResponse.FromString(await self.lead("Propose", request, tries))
-        return Outcome(answer.version, answer.refusal)
+        response = pb.ProposeResponse.FromString(await self.call_leader("Propose", request, attempts))
+        return Outcome(response.version, response.refusal)
 
     async def get(self) -> Configuration:
-        """The newest version, linearizable."""
+        """The newest version, linearizable. Raises as `call_leader` does."""
         request = pb.GetRequest(linearizable=True).SerializeToString()
-        return model.decode(pb.GetResponse.FromString(await self.lead("Get", request)).configuration)
+        response = pb.GetResponse.FromString(await self.call_leader("Get", request))
+        return model.decode(response.configuration)
 
-    async def status(self, address: tuple[str, int]) -> pb.StatusResponse:
+    async def status(self, address: Address) -> pb.StatusResponse:
+        """What one instance says of itself. Raises as `call` does."""
         return pb.StatusResponse.FromString(await self.call(address, "Status", b""))
 
     async def watch(
         self,
         watcher: str,
-        have: Configuration,
-        told: Callable[[Configuration], None],
-        failed: Callable[[str], None] = lambda why: None,
-        alive: Callable[[], None] = lambda: None,
+        known: Configuration,
+        on_version: Callable[[Configuration], None],
+        on_failure: Callable[[str], None] | None = None,
+        on_alive: Callable[[], None] | None = None,
     ) -> None:
-        """Calls `told` with every version newer than `have`, for ever: one live stream at a time, to another
-        instance when one fails, falls silent or hears no leader. Never goes back a version. `alive` is called
-        whenever an instance that hears a leader says anything."""
-        newest = [have]  # kept over failures: an instance that lags must not take a watcher back
+        """Watch for versions newer than `known`, for ever.
+
+        There is one stream at a time; when it fails, falls silent or its instance has no leader, another
+        instance is asked. Versions never go back.
+
+        Args:
+            watcher: The name that the instances know this watcher by.
+            known: The newest version that the watcher holds.
+            on_version: Called with every newer version.
+            on_failure: Called with what became of a stream, if given.
+            on_alive: Called for every message of an instance that has a leader, if given.
+        """
+        watch = _Watch(watcher, known, on_version, on_alive)
         while True:
-            at = self._rng.choice(self.addresses)
+            address = self._rng.choice(self.addresses)
             try:
-                await self._watch_one(at, watcher, newest, told, alive)
-            except (*FAILURES, trio.TooSlowError, ValueError) as error:
-                failed(f"{at[0]}:{at[1]}: {error}")
-            await trio.sleep(self._rng.uniform(*PAUSE_S))
+                await self._watch_one(address, watch)
+            except (*CALL_FAILURES, trio.TooSlowError, ValueError) as error:
+                if on_failure is not None:
+                    on_failure(f"{address[0]}:{address[1]}: {error}")
+            await self._pause()
+
+    async def _watch_one(self, address: Address, watch: _Watch) -> None:
+        """Read one stream until it fails, falls silent, or its instance seems to be partitioned."""
+        channel = await self._channel(address)
+        leaderless_messages = 0
+        with trio.CancelScope() as scope:
+            scope.deadline = trio.current_time() + WATCH_TIMEOUT_S
+            async with channel.streaming(METHOD_PREFIX + "Watch", watch.request()) as messages:
+                async for data in messages:
+                    scope.deadline = trio.current_time() + WATCH_TIMEOUT_S
+                    response = pb.WatchResponse.FromString(data)
+                    leaderless_messages = 0 if response.leader else leaderless_messages + 1
+                    watch.on_response(response)
+                    if leaderless_messages > MAX_LEADERLESS_MESSAGES and len(self.addresses) > 1:
+                        return  # without a quorum: another instance may know more
+
 
-    async def _watch_one(
+class _Watch:
+    """What a watcher knows, over all streams: an instance that lags must not take it back."""
+
+    def __init__(
         self,
-        at: tuple[str, int],
         watcher: str,
-        newest: list[Configuration],
-        told: Callable[[Configuration], None],
-        alive: Callable[[], None],
+        known: Configuration,
+        on_version: Callable[[Configuration], None],
+        on_alive: Callable[[], None] | None,
     ) -> None:
-        channel = await self._channel(at)
-        request = pb.WatchRequest(watcher=watcher, since=newest[0].version).SerializeToString()
-        leaderless = 0
-        with trio.CancelScope() as silence:
-            silence.deadline = trio.current_time() + SILENCE_S
-            async with channel.streaming(PATH + "Watch", request) as messages:
-                async for data in messages:
-                    silence.deadline = trio.current_time() + SILENCE_S
-                    message = pb.WatchResponse.FromString(data)
-                    leaderless = 0 if message.leader else leaderless + 1
-                    if message.leader:
-                        alive()
-                    if not message.beat:
-                        update = message.update
-                        new = model.decode(update) if message.full else model.apply_delta(newest[0], update)
-                        if new.version > newest[0].version:
-                            newest[0] = new
-                            told(new)
-                    if leaderless > 2 and len(self.addresses) > 1:
-                        return  # cut off from a quorum: another instance may know more
+        self._watcher = watcher
+        self._newest = known
+        self._on_version = on_version
+        self._on_alive = on_alive
+
+    def request(self) -> bytes:
+        """The request for a stream that goes on from the newest version known."""
+        request = pb.WatchRequest(watcher=self._watcher, since=self._newest.version)
+        serialized: bytes = request.SerializeToString()
+        return serialized
+
+    def on_response(self, response: pb.WatchResponse) -> None:
+        """Take one message of a stream. Raises MalformedDataError."""
+        if response.leader and self._on_alive is not None:
+            self._on_alive()
+        if response.beat:
+            return
+        if response.full:
+            configuration = model.decode(response.update)
+        else:
+            configuration = model.apply_delta(self._newest, response.update)
+        if configuration.version > self._newest.version:
+            self._newest = configuration
+            self._on_version(configuration)
+
+
+def _may_differ_elsewhere(error: RpcError) -> bool:
+    """Whether another instance, or the same one later, may answer otherwise."""
+    if error.code is Code.FAILED_PRECONDITION:
+        return bool(error.reason(ERROR_DOMAIN))
+    return error.code in RETRIABLE_CODES
+
+
+def _named_leader(error: RpcError) -> Address | None:
+    """The leader's address, if the instance that answered knows the leader."""
+    for detail in error.details:
+        leader = getattr(detail, "metadata", {}).get("leader", "")
+        if leader:
+            return wire.address(leader)
+    return None
--- a/juniperreel/raft/configuration/__init__.py
+++ b/juniperreel/raft/configuration/__init__.py
@@ -1,1 +1,1 @@
-"""The configuration that instances agree on: immutable versions, and the commands between them."""
+"""The replicated configuration: its versions, the commands that change it, and the state machine."""
--- a/juniperreel/raft/configuration/model.py
+++ b/juniperreel/raft/configuration/model.py
@@ -1,6 +1,7 @@
 """One version of the configuration, as persistent maps: a new version shares what did not change.
 
-Free of I/O. Must never be changed in place; drivers hold old versions while new ones are made.
+Free of I/O. A version is never changed in place; proxies hold old versions while new ones are made. A field
+that was renamed keeps its stored name through `rename`, as versions are stored in snapshots and in the log.
 """
 
 from __future__ import annotations
@@ -11,11 +12,19 @@
 import msgspec
 from immutables import Map
 
+from juniperreel.raft.errors import MalformedDataError
+
 FORMAT = 1
+CONFIGURATION = "a configuration"
+DELTA = "a delta"
 
 
 class MemberInfo(msgspec.Struct, frozen=True):
-    """A database member. `state` is up, draining or gone; `started_us` wall time, 0 if not known."""
+    """A database member.
+
+    `state` is up, draining or gone. `started_us` is the wall time of its start in microseconds, 0 if not
+    known.
+    """
 
     group: int
     address: str
@@ -34,35 +43,47 @@
     primary: str | None
 
 
-class ClassInfo(msgspec.Struct, frozen=True):
-    """A request class, as the settings file has it."""
-
-    effect: str
+class ClassInfo(
+    msgspec.Struct,
+    frozen=True,
+    rename={
+        "idempotency": "effect",
+        "key_retention_us": "memory_us",
+        "latency_objective_us": "aim_us",
+        "priority_weight": "worth",
+        "late_priority_weight": "late_worth",
+    },
+):
+    """A request class, as the settings file has it. Durations are in microseconds."""
+
+    idempotency: str
     key_scope: str
-    memory_us: int
+    key_retention_us: int
     consistency: str
     lag_us: int
-    aim_us: int
+    latency_objective_us: int
     deadline_us: int
-    worth: float
-    late_worth: float
+    priority_weight: float
+    late_priority_weight: float
 
 
 class TenantInfo(msgspec.Struct, frozen=True):
+    """A tenant's part of the capacity, from 0 to 1, and its quota in requests per second."""
+
     share: float
     quota: float = 0.0
 
 
-class ClientSession(msgspec.Struct, frozen=True):
-    """A client's last command and what came of it, so that its retry is not applied again."""
+class ClientSession(msgspec.Struct, frozen=True, rename={"rejection": "refusal"}):
+    """A client's last command and its outcome, so that a retry is not applied again."""
 
     sequence: int
     version: int
-    refusal: str
+    rejection: str
 
 
 class Configuration(msgspec.Struct, frozen=True):
-    """`version` counts changes; `index` is that of the last entry applied, changed anything or not."""
+    """One version. `version` counts the commands that changed anything."""
 
     version: int
     members: Map[str, MemberInfo]
@@ -72,14 +93,15 @@
     limits: Map[str, int]
     clients: Map[str, ClientSession]
 
-    def of_group(self, group: int) -> Iterator[tuple[str, MemberInfo]]:
-        return ((name, m) for name, m in self.members.items() if m.group == group)
+    def members_of_group(self, group: int) -> Iterator[tuple[str, MemberInfo]]:
+        """The members of a group, with their names."""
+        return ((name, member) for name, member in self.members.items() if member.group == group)
 
 
 EMPTY = Configuration(0, Map(), Map(), Map(), Map(), Map(), Map())
 
 
-class Flat(msgspec.Struct, frozen=True):
+class EncodedConfiguration(msgspec.Struct, frozen=True):
     """The form of a version in snapshots and on the wire."""
 
     format: int
@@ -93,7 +115,7 @@
 
 
 class Delta(msgspec.Struct, frozen=True):
-    """From one version to a later one: what is new or other, and the names that are gone."""
+    """From version `since` to a later one: what is new or changed, and None for names that are gone."""
 
     format: int
     since: int
@@ -105,58 +127,73 @@
     limits: dict[str, int | None]
 
 
-PARTS = ("members", "groups", "classes", "tenants", "limits")
+SECTIONS = ("members", "groups", "classes", "tenants", "limits")
+
 
+def sorted_by_key(mapping: Any) -> dict[Any, Any]:
+    """The mapping in the order of its keys.
 
-def ordered(mapping: Any) -> dict[Any, Any]:
-    """Persistent maps have no order of their own; bytes that nodes compare need one."""
+    Persistent maps have no order of their own, and nodes compare the bytes that they are encoded to.
+    """
     return {key: mapping[key] for key in sorted(mapping)}
 
 
-def encode(c: Configuration, clients: bool) -> bytes:
-    """The same bytes on every node. `clients` only for snapshots: drivers have no use for them."""
-    parts = {name: ordered(getattr(c, name)) for name in PARTS}
-    flat = Flat(FORMAT, c.version, **parts, clients=ordered(c.clients) if clients else {})
-    return msgspec.msgpack.encode(flat)
+def encode(configuration: Configuration, *, clients: bool) -> bytes:
+    """The same bytes on every node. `clients` only for snapshots: watchers have no use for them."""
+    sections = {name: sorted_by_key(getattr(configuration, name)) for name in SECTIONS}
+    sessions = sorted_by_key(configuration.clients) if clients else {}
+    return msgspec.msgpack.encode(
+        EncodedConfiguration(FORMAT, configuration.version, **sections, clients=sessions)
+    )
 
 
 def decode(data: bytes) -> Configuration:
-    """Raises ValueError for bytes that are not a configuration of a format that this program reads."""
+    """The version in the bytes. Raises MalformedDataError for a format that this program does not read."""
     try:
-        flat = msgspec.msgpack.decode(data, type=Flat)
+        encoded = msgspec.msgpack.decode(data, type=EncodedConfiguration)
     except msgspec.DecodeError as error:
-        raise ValueError(f"not a configuration: {error}") from None
-    if flat.format != FORMAT:
-        raise ValueError(f"configuration format {flat.format}; this program reads {FORMAT}")
-    parts = {name: Map(getattr(flat, name)) for name in PARTS}
-    return Configuration(flat.version, **parts, clients=Map(flat.clients))
+        raise MalformedDataError(CONFIGURATION, str(error)) from error
+    if encoded.format != FORMAT:
+        raise MalformedDataError(
+            CONFIGURATION, f"configuration format {encoded.format}; this program reads {FORMAT}"
+        )
+    sections = {name: Map(getattr(encoded, name)) for name in SECTIONS}
+    return Configuration(encoded.version, **sections, clients=Map(encoded.clients))
 
 
 def encode_delta(old: Configuration, new: Configuration) -> bytes:
-    """The Delta's bytes."""
-    parts: dict[str, dict[Any, Any]] = {}
-    for name in PARTS:
-        before, after = getattr(old, name), getattr(new, name)
+    """The bytes of the delta from one version to a later one."""
+    sections: dict[str, dict[Any, Any]] = {}
+    for name in SECTIONS:
+        before = getattr(old, name)
+        after = getattr(new, name)
         changed = {key: after[key] for key in sorted(after) if before.get(key) != after[key]}
-        parts[name] = changed | {key: None for key in sorted(before) if key not in after}
-    return msgspec.msgpack.encode(Delta(FORMAT, old.version, new.version, **parts))
+        removed = {key: None for key in sorted(before) if key not in after}
+        sections[name] = changed | removed
+    return msgspec.msgpack.encode(Delta(FORMAT, old.version, new.version, **sections))
 
 
 def apply_delta(old: Configuration, data: bytes) -> Configuration:
-    """Raises ValueError for bytes that are no delta from exactly this version."""
+    """The later version. Raises MalformedDataError for bytes that are no delta from exactly `old`."""
     try:
         delta = msgspec.msgpack.decode(data, type=Delta)
     except msgspec.DecodeError as error:
-        raise ValueError(f"not a delta: {error}") from None
+        raise MalformedDataError(DELTA, str(error)) from error
     if delta.format != FORMAT or delta.since != old.version or delta.version <= old.version:
-        raise ValueError(f"a delta from {delta.since} to {delta.version} does not fit version {old.version}")
-    parts = {}
-    for name in PARTS:
-        with getattr(old, name).mutate() as mutation:
-            for key, value in getattr(delta, name).items():
-                if value is not None:
-                    mutation[key] = value
-                elif key in mutation:
-                    del mutation[key]
-            parts[name] = mutation.finish()
-    return Configuration(delta.version, **parts, clients=old.clients)
+        raise MalformedDataError(
+            DELTA, f"one from {delta.since} to {delta.version} does not fit version {old.version}"
+        )
+    sections = {name: _updated(getattr(old, name), getattr(delta, name)) for name in SECTIONS}
+    return Configuration(delta.version, **sections, clients=old.clients)
+
+
+def _updated(section: Map[Any, Any], changes: dict[Any, Any]) -> Map[Any, Any]:
+    """A section with the changes made; None removes a key."""
+    with section.mutate() as mutation:
+        for key, value in changes.items():
+            if value is not None:
+                mutation[key] = value
+            elif key in mutation:
+                del mutation[key]
+        updated: Map[Any, Any] = mutation.finish()
+    return updated
--- a/juniperreel/raft/core.py
+++ b/juniperreel/raft/core.py
@@ -11,6 +11,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from juniperreel.raft.errors import NotLeaderError, RequestRejectedError
 from juniperreel.raft.log import MembershipHistory, RaftLog, encode_membership
 from juniperreel.raft.progress import Progress, ProgressState
 from juniperreel.raft.types import (
@@ -22,10 +23,8 @@
     Membership,
     MembershipChange,
     Message,
-    NotLeaderError,
     PersistBatch,
     Ready,
-    RequestRejectedError,
     Role,
     Snapshot,
     SnapshotChunk,
--- a/juniperreel/raft/node.py
+++ b/juniperreel/raft/node.py
@@ -19,16 +19,9 @@
 from juniperreel.raft import wire
 from juniperreel.raft.configuration.state_machine import ConfigurationStateMachine, Outcome
 from juniperreel.raft.core import RaftConfig, RaftCore
+from juniperreel.raft.errors import EntrySupersededError, NotLeaderError, RequestRejectedError
 from juniperreel.raft.storage import DiskFullError, Storage
-from juniperreel.raft.types import (
-    Entry,
-    EntryKind,
-    MembershipChange,
-    Message,
-    NotLeaderError,
-    Ready,
-    RequestRejectedError,
-)
+from juniperreel.raft.types import Entry, EntryKind, MembershipChange, Message, Ready
 from juniperreel.rpc.channel import Backoff, Broken, Channel, NeverSent
 from juniperreel.rpc.limits import Limits
 from juniperreel.rpc.link import Wakeup
@@ -44,10 +37,6 @@
 FAILURES = (ConnectError, NeverSent, Broken, RpcError)
 
 
-class EntrySupersededError(Exception):
-    """Another entry took the place of this one: it was not applied, and will not be."""
-
-
 @dataclass(slots=True, eq=False)
 class PendingOperation:
     """Runs `act` in the node's task; it may raise NotLeaderError or RequestRejectedError."""
@@ -133,8 +122,8 @@
         self.name, self.cluster, self.key = name, cluster, key
         self.storage, self.network, self.clock, self.log, self.rng = storage, network, clock, log, rng
         self.core = RaftCore(name, storage.restore(), config or RaftConfig(), random.Random(rng.random()))
-        self.machine = ConfigurationStateMachine()
-        self.machine.restore(self.core.snapshot.data)
+        self.state_machine = ConfigurationStateMachine()
+        self.state_machine.restore(self.core.snapshot.data)
         self.applied = Wakeup()
         self.stopped = False
         self._tick_us = tick_us
@@ -279,7 +268,7 @@
             if peer is not None:
                 peer.put(message)
         if ready.install is not None:
-            self.machine.restore(ready.install.data)
+            self.state_machine.restore(ready.install.data)
             for index in [i for i in self._pending if i <= ready.install.index]:
                 self._pending.pop(index)[1].end(error=EntrySupersededError("a snapshot took its place"))
         for entry in ready.apply:
@@ -295,14 +284,14 @@
         if ready.apply or ready.install is not None:
             self.applied.wake()
             if self.core.applied - self.core.snapshot.index >= self._every:
-                self.core.compact(self.core.applied, self.machine.snapshot())
+                self.core.compact(self.core.applied, self.state_machine.snapshot())
         if any(e.kind is EntryKind.CONFIG for e in ready.persist.entries) or ready.install is not None:
             self._connect()
 
     def _apply(self, entry: Entry) -> None:
         result: Outcome | None = None
         if entry.kind is EntryKind.COMMAND:
-            result = self.machine.apply(entry.data)
+            result = self.state_machine.apply(entry.data)
         waiting = self._pending.pop(entry.index, None)
         if waiting is not None:
             term, ask = waiting
--- a/juniperreel/raft/service.py
+++ b/juniperreel/raft/service.py
@@ -12,8 +12,10 @@
 from juniperreel.raft import wire
 from juniperreel.raft.configuration import model
 from juniperreel.raft.configuration.commands import decode_command
-from juniperreel.raft.node import EntrySupersededError, RaftNode
-from juniperreel.raft.types import MembershipChange, NotLeaderError, RequestRejectedError
+from juniperreel.raft.configuration.state_machine import ConfigurationUpdate
+from juniperreel.raft.errors import EntrySupersededError, NotLeaderError, RequestRejectedError
+from juniperreel.raft.node import RaftNode
+from juniperreel.raft.types import MembershipChange
 from juniperreel.rpc.server import Call, Method
 from juniperreel.rpc.status import Code, RpcError, error_info, field_violation
 
@@ -35,7 +37,7 @@
         self._node = node
         self._watches = 0
         self._updates: dict[
-            tuple[int, int], tuple[bool, bytes]
+            tuple[int, int], ConfigurationUpdate
         ] = {}  # the same for all watchers of a version
 
     def methods(self) -> dict[str, Method]:
@@ -89,14 +91,16 @@
             ) from None
         if not node.core.is_leader:
             raise self._not_leader(node.core.leader)
-        known = node.machine.known(command)
-        if known is None and (refusal := node.machine.refusal(command)):
+        known = node.state_machine.previous_outcome(command)
+        if known is None and (refusal := node.state_machine.rejection_of(command)):
             # Checked when proposed: what is refused now need not go through the log. A leader that was
             # replaced may judge by an old version, so it first makes sure that it still leads.
             await self._sure()
-            if node.machine.known(command) is None and (refusal := node.machine.refusal(command)):
+            if node.state_machine.previous_outcome(command) is None and (
+                refusal := node.state_machine.rejection_of(command)
+            ):
                 return pb.ProposeResponse(
-                    version=node.machine.now.version, refusal=refusal
+                    version=node.state_machine.current.version, refusal=refusal
                 ).SerializeToString()
         try:
             outcome = await node.propose(ask.command)
@@ -106,7 +110,7 @@
             raise RpcError(Code.UNAVAILABLE, str(error)) from None
         except EntrySupersededError as error:
             raise RpcError(Code.ABORTED, f"not applied: {error}") from None
-        return pb.ProposeResponse(version=outcome.version, refusal=outcome.refusal).SerializeToString()
+        return pb.ProposeResponse(version=outcome.version, refusal=outcome.rejection).SerializeToString()
 
     async def _sure(self) -> None:
         try:
@@ -123,11 +127,11 @@
             raise RpcError(Code.INVALID_ARGUMENT, "not a GetRequest") from None
         if ask.linearizable:
             await self._sure()
-        while self._node.machine.now.version < ask.at_least:
+        while self._node.state_machine.current.version < ask.at_least:
             self._alive()
             await self._node.applied.wait()
         await trio.lowlevel.checkpoint()
-        now = self._node.machine.now
+        now = self._node.state_machine.current
         return pb.GetResponse(
             version=now.version, configuration=model.encode(now, clients=False)
         ).SerializeToString()
@@ -148,27 +152,29 @@
             since = ask.since
             while True:
                 self._alive()
-                version = self._node.machine.now.version
+                version = self._node.state_machine.current.version
                 leader = self._node.core.leader or ""
                 if version > since:
-                    full, update = self._update(since, version)
+                    update = self._update(since, version)
                     since = version
-                    message = pb.WatchResponse(version=version, full=full, update=update, leader=leader)
+                    message = pb.WatchResponse(
+                        version=version, full=update.complete, update=update.data, leader=leader
+                    )
                 else:
                     message = pb.WatchResponse(version=since, beat=True, leader=leader)
                 await call.send(message.SerializeToString())
                 with trio.move_on_after(BEAT_S):
-                    while self._node.machine.now.version <= since and not self._node.stopped:
+                    while self._node.state_machine.current.version <= since and not self._node.stopped:
                         await self._node.applied.wait()
         finally:
             self._watches -= 1
 
-    def _update(self, since: int, version: int) -> tuple[bool, bytes]:
+    def _update(self, since: int, version: int) -> ConfigurationUpdate:
         found = self._updates.get((since, version))
         if found is None:
             if len(self._updates) > 100:
                 self._updates.clear()
-            found = self._updates[since, version] = self._node.machine.update(since)
+            found = self._updates[since, version] = self._node.state_machine.update_since(since)
         return found
 
     async def _status(self, call: Call, data: bytes) -> bytes:
@@ -183,7 +189,7 @@
             applied=core.applied,
             first=core.log.first,
             last=core.log.last,
-            version=self._node.machine.now.version,
+            version=self._node.state_machine.current.version,
             voters=sorted(core.members.voters),
             learners=sorted(core.members.learners),
             matches=core.matches(),
--- a/juniperreel/raft/storage.py
+++ b/juniperreel/raft/storage.py
@@ -305,7 +305,7 @@
     state = HardState(max(term, restored.hard_state.term), None, last)
     storage.write(PersistBatch(state, snapshot=snapshot, reset=True, keep_from=last + 1))
     storage.close()
-    return machine.now.version, beyond
+    return machine.current.version, beyond
 
 
 def again(node: str) -> str:
--- a/juniperreel/raft/types.py
+++ b/juniperreel/raft/types.py
@@ -204,15 +204,3 @@
     apply: list[Entry]
     reads: list[tuple[int, int]]  # (context, index): the read may be answered once index is applied
     lost_reads: list[int]  # contexts whose leadership ended; ask again
-
-
-class NotLeaderError(Exception):
-    """Only the leader takes this; `leader` is who that may be."""
-
-    def __init__(self, leader: str | None) -> None:
-        super().__init__(f"not the leader; that is {leader or 'not known'}")
-        self.leader = leader
-
-
-class RequestRejectedError(Exception):
-    """The leader does not take this now; the text says why."""
--- a/tests/raft/cluster.py
+++ b/tests/raft/cluster.py
@@ -149,7 +149,7 @@
     async def set(self, *changes: Any, tries: int = 60) -> Outcome:
         """Proposes until it is confirmed, and records what the confirmed version holds."""
         outcome = await self.client.propose(self.command(*changes), tries)
-        assert not outcome.refusal, outcome.refusal
+        assert not outcome.rejection, outcome.rejection
         await self.confirm()
         return outcome
 
--- a/tests/raft/test_cluster.py
+++ b/tests/raft/test_cluster.py
@@ -21,9 +21,9 @@
 from juniperreel.raft.configuration import model
 from juniperreel.raft.configuration.commands import SetGroup, SetLimit, encode_command
 from juniperreel.raft.configuration.model import GroupInfo
-from juniperreel.raft.node import EntrySupersededError
+from juniperreel.raft.errors import EntrySupersededError, NotLeaderError, RequestRejectedError
 from juniperreel.raft.storage import Storage, StorageError
-from juniperreel.raft.types import Membership, NotLeaderError, RequestRejectedError, TimeoutNow
+from juniperreel.raft.types import Membership, TimeoutNow
 from juniperreel.rpc.status import Code, RpcError
 from tests.driver.test_driver import options as driver_options
 from tests.raft.cluster import KEY, Cluster
@@ -66,7 +66,7 @@
         async def stubborn(client: Any = minority, turn: int = turn) -> None:
             command = five.command(SetLimit("edges", 1000 + turn), client=f"stubborn{turn}")
             try:
-                await client.propose(command, tries=2)
+                await client.propose(command, attempts=2)
             except Exception:  # it learns that the outcome was not its own, or nothing at all
                 return
 
@@ -106,7 +106,7 @@
     first = await three.client.propose(command)
     leader = await three.leader()
     await three.kill(leader)
-    again = await three.client.propose(command, tries=60)  # the answer was lost, as far as the client knows
+    again = await three.client.propose(command, attempts=60)  # as if the answer was lost
     assert again == first
     assert (await three.client.get()).version == first.version
 
@@ -168,7 +168,7 @@
     outcome = await three.set(SetLimit("attempts", 3))
     storage.write = write  # type: ignore[method-assign]
     with trio.fail_after(10):
-        while three.instances[leader].node.machine.now.version < outcome.version or not stuck:
+        while three.instances[leader].node.state_machine.current.version < outcome.version or not stuck:
             await trio.sleep(0.01)
     assert not three.instances[leader].node.core.is_leader
     assert (await three.client.get()).limits["edges"] == (8 if stuck == ["applied"] else 3)
@@ -198,18 +198,18 @@
     fresh = await three.name()
     fresh = fresh.replace("c3@", "c9@")
     request = change("remove", lost)
-    await three.client.lead("ChangeInstances", request)
+    await three.client.call_leader("ChangeInstances", request)
     await three.boot(
         fresh, Storage.create(three.path(fresh), "test", fresh, Membership(frozenset()), 1 << 26)
     )
-    await three.client.lead("ChangeInstances", change("add", fresh))
-    await three.client.lead("ChangeInstances", change("promote", fresh))
+    await three.client.call_leader("ChangeInstances", change("add", fresh))
+    await three.client.call_leader("ChangeInstances", change("promote", fresh))
     await three.set(SetLimit("attempts", 4))
     with trio.fail_after(5):
-        while three.instances[fresh].node.machine.now.version < 2:
+        while three.instances[fresh].node.state_machine.current.version < 2:
             await trio.sleep(0.01)
     with pytest.raises(RpcError, match="new one"):
-        await three.client.lead("ChangeInstances", change("add", lost))
+        await three.client.call_leader("ChangeInstances", change("add", lost))
 
 
 def change(kind: str, name: str) -> bytes:
@@ -228,23 +228,23 @@
     instance = await cluster.boot(
         fresh, Storage.create(cluster.path(fresh), "test", fresh, Membership(frozenset()), 1 << 26)
     )
-    await cluster.client.lead("ChangeInstances", change("add", fresh))
+    await cluster.client.call_leader("ChangeInstances", change("add", fresh))
     for n in range(50):
         await cluster.client.propose(cluster.command(SetLimit("attempts", 1 + n)))
     with trio.fail_after(10):
-        while instance.node.machine.now.version < 351:
+        while instance.node.state_machine.current.version < 351:
             await trio.sleep(0.01)
     leader = await cluster.leader()
-    assert instance.node.machine.now == cluster.instances[leader].node.machine.now
+    assert instance.node.state_machine.current == cluster.instances[leader].node.state_machine.current
     assert instance.node.core.log.first > 1
 
 
 async def test_what_breaks_a_rule_is_refused_when_proposed_and_when_applied(three: Cluster) -> None:
     stale = SetGroup(0, GroupInfo(0, "m1"))
     outcome = await three.client.propose(three.command(stale))
-    assert "older" in outcome.refusal and "rule 5" in outcome.refusal
+    assert "older" in outcome.rejection and "rule 5" in outcome.rejection
     outcome = await three.client.propose(three.command(SetLimit("attempts", 5), expect=0))
-    assert "made against version 0" in outcome.refusal
+    assert "made against version 0" in outcome.rejection
     leader = three.instances[await three.leader()].node
     async with trio.open_nursery() as nursery:  # both pass when proposed; the second fails when applied
         results: list[str] = []
@@ -253,7 +253,7 @@
             command = three.command(
                 SetLimit("attempts", expect + 5), expect=expect, client=f"x{len(results)}{id(expect)}"
             )
-            results.append((await leader.propose(msgspec.msgpack.encode(command))).refusal)
+            results.append((await leader.propose(msgspec.msgpack.encode(command))).rejection)
 
         for _ in range(2):
             nursery.start_soon(one, 1)
@@ -285,7 +285,7 @@
     for turn in range(3):
         leader = await three.leader()
         other = next(n for n in three.names if n != leader)
-        await three.client.lead("ChangeInstances", change("transfer", other))
+        await three.client.call_leader("ChangeInstances", change("transfer", other))
         await three.set(SetLimit("attempts", 2 + turn))
     await three.all_at(4, 1)
     assert check_versions(three.records) == []
--- a/tests/raft/test_configuration.py
+++ b/tests/raft/test_configuration.py
@@ -58,34 +58,35 @@
             )
         )
     )
-    assert not done.refusal
+    assert not done.rejection
     return made
 
 
 def refusal(*changes: ConfigurationChange) -> str:
     made = ready()
-    before = made.now.version
+    before = made.current.version
     outcome = made.apply(encode_command(Command("t", 1, list(changes))))
-    assert outcome.version == before + (not outcome.refusal)
-    return outcome.refusal
+    assert outcome.version == before + (not outcome.rejection)
+    return outcome.rejection
 
 
 @given(st.lists(commands, max_size=30))
 def test_whatever_is_applied_no_version_breaks_a_rule_and_all_nodes_agree(listed: list[Command]) -> None:
     one, two = ready(), ready()
     for command in listed:
-        before = one.now
+        before = one.current
         outcome = one.apply(encode_command(command))
         assert two.apply(encode_command(command)) == outcome
-        assert validation.problems(one.now) == []
-        assert one.now.version in (before.version, before.version + 1)
-        if one.now.version > before.version:
-            assert validation.steps(before, one.now) == []
-            assert model.apply_delta(before, model.encode_delta(before, one.now)).members == one.now.members
+        assert validation.find_violations(one.current) == []
+        assert one.current.version in (before.version, before.version + 1)
+        if one.current.version > before.version:
+            assert validation.find_transition_violations(before, one.current) == []
+            patched = model.apply_delta(before, model.encode_delta(before, one.current))
+            assert patched.members == one.current.members
     assert one.snapshot() == two.snapshot()
     three = ConfigurationStateMachine()
     three.restore(one.snapshot())
-    assert three.now == one.now and three.snapshot() == one.snapshot()
+    assert three.current == one.current and three.snapshot() == one.snapshot()
 
 
 @given(commands)
@@ -100,10 +101,10 @@
 def test_an_older_sequence_is_refused_and_forgetting_is_bounded() -> None:
     made = ready()
     made.apply(encode_command(Command("x", 5, [SetLimit("attempts", 2)])))
-    assert "older than 5" in made.apply(encode_command(Command("x", 4, [SetLimit("attempts", 3)]))).refusal
+    assert "older than 5" in made.apply(encode_command(Command("x", 4, [SetLimit("attempts", 3)]))).rejection
     for n in range(state_machine.MAX_CLIENTS + 20):
         made.apply(encode_command(Command(f"c{n}", 1, [SetLimit("attempts", 1 + n)])))
-    assert len(made.now.clients) == state_machine.MAX_CLIENTS
+    assert len(made.current.clients) == state_machine.MAX_CLIENTS
 
 
 @pytest.mark.parametrize(
@@ -119,10 +120,10 @@
         ([RemoveGroup(0)], "there is no group 0"),
         ([SetMember("c", MemberInfo(7, "h", 1))], "no group 7"),
         ([SetMember("c", MemberInfo(0, "h", 0))], "out of range"),
-        ([SetClass("k", msgspec.structs.replace(WRITE, memory_us=0))], "rule 2"),
+        ([SetClass("k", msgspec.structs.replace(WRITE, key_retention_us=0))], "rule 2"),
         ([SetClass("k", msgspec.structs.replace(WRITE, consistency="any"))], "rule 2"),
         ([SetClass("k", msgspec.structs.replace(READ, lag_us=0))], "rule 5"),
-        ([SetClass("k", msgspec.structs.replace(READ, aim_us=9_000_000))], "rule 1"),
+        ([SetClass("k", msgspec.structs.replace(READ, latency_objective_us=9_000_000))], "rule 1"),
         ([SetLimit("drain-grace-us", 0)], "rule 3"),
         ([SetLimit("cold-span-us", 0)], "rule 4"),
         ([SetLimit("flavour", 1)], "there are"),
@@ -143,16 +144,16 @@
 def test_a_member_that_comes_back_needs_a_newer_start() -> None:
     made = ready()
     made.apply(encode_command(Command("t", 1, [SetState("b", "gone", 5)])))
-    assert "rule 4" in made.apply(encode_command(Command("t", 2, [SetState("b", "up", 5)]))).refusal
-    assert not made.apply(encode_command(Command("t", 3, [SetState("b", "up", 6)]))).refusal
+    assert "rule 4" in made.apply(encode_command(Command("t", 2, [SetState("b", "up", 5)]))).rejection
+    assert not made.apply(encode_command(Command("t", 3, [SetState("b", "up", 6)]))).rejection
 
 
 @given(st.binary(max_size=200))
 def test_noise_is_no_command_no_configuration_and_no_delta(noise: bytes) -> None:
     made = ready()
     state = made.snapshot()
-    assert made.apply(noise).refusal and made.snapshot() == state
-    for read in (model.decode, lambda data: model.apply_delta(made.now, data)):
+    assert made.apply(noise).rejection and made.snapshot() == state
+    for read in (model.decode, lambda data: model.apply_delta(made.current, data)):
         with pytest.raises(ValueError):
             read(noise)
 
@@ -163,11 +164,11 @@
     with pytest.raises(ValueError, match="format 9"):
         model.decode(msgspec.msgpack.encode(flat | {"format": 9}))
     with pytest.raises(ValueError, match="does not fit"):
-        model.apply_delta(made.now, model.encode_delta(model.EMPTY, made.now))
+        model.apply_delta(made.current, model.encode_delta(model.EMPTY, made.current))
 
 
 def test_a_new_version_shares_what_did_not_change() -> None:
     made = ready()
-    before = made.now
+    before = made.current
     made.apply(encode_command(Command("t", 1, [SetLimit("attempts", 4)])))
-    assert made.now.members is before.members and made.now.limits is not before.limits
+    assert made.current.members is before.members and made.current.limits is not before.limits
--- a/tests/raft/test_core.py
+++ b/tests/raft/test_core.py
@@ -9,15 +9,14 @@
 
 from juniperreel.emulator.raft import Failure, Group, broken, run, schedule, shrink
 from juniperreel.raft.core import RaftConfig, RaftCore
+from juniperreel.raft.errors import NotLeaderError, RequestRejectedError
 from juniperreel.raft.memory_storage import InMemoryStorage
 from juniperreel.raft.types import (
     AppendEntries,
     Membership,
     MembershipChange,
     Message,
-    NotLeaderError,
     Ready,
-    RequestRejectedError,
     Role,
     SnapshotChunk,
     VoteRequest,
--- a/tests/raft/test_storage.py
+++ b/tests/raft/test_storage.py
@@ -186,4 +186,4 @@
     assert core.is_leader and core.term > 3 and core.members.voters == {"b@h:1"}
     machine = ConfigurationStateMachine()
     machine.restore(core.snapshot.data)
-    assert machine.now.limits["attempts"] == 5
+    assert machine.current.limits["attempts"] == 5
--- a/tests/raft/test_stored_data.py
+++ b/tests/raft/test_stored_data.py
@@ -57,8 +57,8 @@
         self.storage = storage
         restored = storage.restore()
         self.core = RaftCore(NODE, restored, RaftConfig(trailing_entries=3), random.Random(1))
-        self.machine = ConfigurationStateMachine()
-        self.machine.restore(restored.snapshot.data)
+        self.state_machine = ConfigurationStateMachine()
+        self.state_machine.restore(restored.snapshot.data)
 
     def elect(self) -> None:
         while not self.core.is_leader:
@@ -73,7 +73,7 @@
             self.core.persisted(ready)
             for entry in ready.apply:
                 if entry.kind is EntryKind.COMMAND:
-                    self.machine.apply(entry.data)
+                    self.state_machine.apply(entry.data)
 
     def propose(
         self, client: str, sequence: int, *changes: ConfigurationChange, expect: int | None = None
@@ -86,7 +86,7 @@
         self.settle()
 
     def compact(self) -> None:
-        self.core.compact(self.core.applied, self.machine.snapshot())
+        self.core.compact(self.core.applied, self.state_machine.snapshot())
         self.settle()
 
 
@@ -185,7 +185,7 @@
     machine.restore(restored.snapshot.data)
 
     assert machine.snapshot() == restored.snapshot.data
-    now = machine.now
+    now = machine.current
     assert now.version == 4
     assert dict(now.members) == {
         "a": MemberInfo(0, "10.0.0.1", 3306, 1, 2, 1.5, "draining", 1_000_000),
@@ -208,7 +208,7 @@
 
     node.elect()
 
-    now = node.machine.now
+    now = node.state_machine.current
     assert now.version == 7
     assert dict(now.members) == {
         "b": MemberInfo(0, "10.0.0.2", 3306, 0, 0, 1.0, "draining", 5_000_000),
@@ -223,7 +223,7 @@
         "rejected": ClientSession(1, 3, REJECTION),
         "operator": ClientSession(5, 7, ""),
     }
-    assert hashlib.sha256(node.machine.snapshot()).hexdigest() == REPLAYED_SHA256
+    assert hashlib.sha256(node.state_machine.snapshot()).hexdigest() == REPLAYED_SHA256
     assert node.core.members == Membership(frozenset({NODE}), frozenset({LEARNER}), frozenset({REMOVED}))
     node.storage.close()
 
@@ -238,13 +238,13 @@
 
     again = SingleNode(Storage.open(folder, CLUSTER, NODE, MAP_BYTES))
     assert again.storage.restore().hard_state == HardState(2, NODE, 15)
-    assert again.machine.now.limits["attempts"] == 9
+    assert again.state_machine.current.limits["attempts"] == 9
     again.elect()
 
     assert (again.core.term, again.core.commit) == (3, 16)
-    assert again.machine.now.version == 9
-    assert again.machine.now.limits["attempts"] == 10
-    assert again.machine.now.clients["operator"] == ClientSession(7, 9, "")
+    assert again.state_machine.current.version == 9
+    assert again.state_machine.current.limits["attempts"] == 10
+    assert again.state_machine.current.clients["operator"] == ClientSession(7, 9, "")
     again.storage.close()
 
 
