--- a/benchmarks/raft.py
+++ b/benchmarks/raft.py
@@ -31,10 +31,11 @@
 
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.raft.client import ConfigurationClient
+from juniperreel.raft.config import RaftConfig
 from juniperreel.raft.configuration import model
 from juniperreel.raft.configuration.commands import Command, SetLimit, encode_command
 from juniperreel.raft.configuration.state_machine import ConfigurationStateMachine
-from juniperreel.raft.core import RaftConfig, RaftCore
+from juniperreel.raft.core import RaftCore
 from juniperreel.raft.storage import Storage
 from juniperreel.raft.types import Membership
 
@@ -177,7 +178,7 @@
             members = Membership(frozenset({"a"}))
             storage = Storage.create(path, "bench", "a", members)
             core = RaftCore(
-                "a", storage.restore(), RaftConfig(max_uncommitted_bytes=1 << 30), random.Random(1)
+                "a", storage.recover(), RaftConfig(max_uncommitted_bytes=1 << 30), random.Random(1)
             )
             machine = ConfigurationStateMachine()
             while not core.is_leader:
@@ -189,10 +190,10 @@
                 machine: ConfigurationStateMachine = machine,
             ) -> None:
                 while core.has_ready():
-                    ready = core.take()
+                    ready = core.take_ready()
                     storage.write(ready.persist)
-                    core.persisted(ready)
-                    for entry in ready.apply:
+                    core.mark_persisted(ready)
+                    for entry in ready.committed_entries:
                         if entry.data:
                             machine.apply(entry.data)
 
@@ -203,12 +204,12 @@
                     settle()
             settle()
             if snapshots:
-                core.compact(core.applied, machine.snapshot())
+                core.compact(core.applied_index, machine.snapshot())
                 settle()
             storage.close()
             start = time.perf_counter()
             again = Storage.open(path, "bench", "a")
-            restored = again.restore()
+            restored = again.recover()
             fresh = ConfigurationStateMachine()
             fresh.restore(restored.snapshot.data)
             for entry in restored.entries:
--- a/juniperreel/cli/configd.py
+++ b/juniperreel/cli/configd.py
@@ -17,14 +17,20 @@
 from juniperreel.net import Clock, Network, TcpNetwork
 from juniperreel.proto.configuration.v1 import configuration_pb2 as pb
 from juniperreel.raft.client import ConfigurationClient
+from juniperreel.raft.config import RaftConfig
 from juniperreel.raft.configuration import commands, model
 from juniperreel.raft.configuration.commands import Command
 from juniperreel.raft.configuration.state_machine import Outcome
-from juniperreel.raft.core import RaftConfig
-from juniperreel.raft.errors import LeaderUnreachableError, NotLeaderError, RequestRejectedError
+from juniperreel.raft.errors import (
+    DiskFullError,
+    LeaderUnreachableError,
+    NotLeaderError,
+    RequestRejectedError,
+    StorageError,
+)
 from juniperreel.raft.node import RaftNode
 from juniperreel.raft.service import SERVICE, ConfigurationService
-from juniperreel.raft.storage import DiskFullError, Storage, StorageError
+from juniperreel.raft.storage import Storage
 from juniperreel.raft.types import Membership
 from juniperreel.rpc.health import Health, Reflection
 from juniperreel.rpc.limits import Limits
@@ -93,12 +99,12 @@
         """A leader that stops gives its place to the follower that holds most."""
         self.health.set(False)
         core = self.node.core
-        held = {n: at for n, at in core.matches().items() if n in core.members.voters}
+        held = {n: at for n, at in core.match_indexes().items() if n in core.membership.voters}
         if core.is_leader and held:
             best = max(sorted(held), key=lambda n: held[n])
             with trio.move_on_after(HAND_OVER_S):
                 try:
-                    await self.node.transfer(best)
+                    await self.node.transfer_leadership(best)
                 except (NotLeaderError, RequestRejectedError):
                     return
                 while core.is_leader:
--- a/juniperreel/cli/raft.py
+++ b/juniperreel/cli/raft.py
@@ -11,7 +11,8 @@
 import click
 
 from juniperreel.emulator.raft import Failure, run
-from juniperreel.raft.storage import StorageError, look, rescue
+from juniperreel.raft.errors import StorageError
+from juniperreel.raft.offline import inspect_directory, rescue
 
 
 @click.group()
@@ -33,16 +34,16 @@
 def inspect(directory: Path) -> None:
     """What a stopped instance's DIRECTORY holds."""
     try:
-        cluster, node, r = look(directory)
+        contents = inspect_directory(directory)
     except StorageError as error:
         click.echo(str(error), err=True)
         sys.exit(1)
-    h, s = r.hard_state, r.snapshot
-    click.echo(f"node {node} of cluster {cluster}")
+    h, s = contents.recovered.hard_state, contents.recovered.snapshot
+    click.echo(f"node {contents.node} of cluster {contents.cluster}")
     click.echo(f"term {h.term}, vote {h.vote or '-'}, commit at least {h.commit}")
-    voters = ", ".join(sorted(s.members.voters))
+    voters = ", ".join(sorted(s.membership.voters))
     click.echo(f"snapshot at {s.index} of term {s.term}, {len(s.data)} bytes; voters {voters}")
-    for entry in r.entries:
+    for entry in contents.recovered.entries:
         click.echo(f"{entry.index} term {entry.term} {entry.kind.name.lower()} {len(entry.data)} bytes")
 
 
@@ -54,10 +55,11 @@
 def rescue_command(directory: Path, into: Path, cluster: str, name: str) -> None:
     """Make a new cluster of one instance from a stopped one's DIRECTORY, when the quorum is lost for good."""
     try:
-        version, beyond = rescue(directory, into, cluster, name)
+        result = rescue(directory, into, cluster, name)
     except StorageError as error:
         click.echo(str(error), err=True)
         sys.exit(1)
+    version, beyond = result.version, result.uncommitted_entries
     click.echo(f"version {version}; {beyond} entries were not known to be committed and are kept")
     click.echo("start it with a settings file of that cluster and name, then add and promote others")
 
--- a/juniperreel/emulator/raft.py
+++ b/juniperreel/emulator/raft.py
@@ -13,21 +13,13 @@
 from dataclasses import dataclass, replace
 
 from juniperreel.proof.raft import RaftJudge, Unsafe
-from juniperreel.raft.core import RaftConfig, RaftCore, RecoveredState
+from juniperreel.raft.config import RaftConfig
+from juniperreel.raft.core import RaftCore
 from juniperreel.raft.errors import NotLeaderError, RequestRejectedError
 from juniperreel.raft.memory_storage import InMemoryStorage
-from juniperreel.raft.types import (
-    AppendEntries,
-    Entry,
-    Membership,
-    MembershipChange,
-    Message,
-    Ready,
-    Role,
-    SnapshotChunk,
-    VoteReply,
-    VoteRequest,
-)
+from juniperreel.raft.messages import AppendEntries, Message, SnapshotChunk, VoteReply, VoteRequest
+from juniperreel.raft.ready import Ready
+from juniperreel.raft.types import Entry, Membership, MembershipChange, RecoveredState, Role
 
 NAMES = ("a", "b", "c", "d", "e")
 SPARE = ("f", "g", "h", "i", "j", "k", "l", "m")  # names of nodes that may join
@@ -103,7 +95,7 @@
             self._boot(name, InMemoryStorage(self.members))
 
     def _boot(self, name: str, disk: InMemoryStorage) -> None:
-        core = self._make(name, disk.restore(), CONFIG, random.Random(self.rng.getrandbits(32)))
+        core = self._make(name, disk.recover(), CONFIG, random.Random(self.rng.getrandbits(32)))
         state = [s for s in disk.snapshot.data.split(b"\0") if s]
         self.nodes[name] = Node(core, disk, state)
         self.judge.restarts(name, disk.snapshot.index)
@@ -117,7 +109,7 @@
         if core is None:
             return
         while core.has_ready():
-            ready = core.take()
+            ready = core.take_ready()
             if crash == "crash-unsynced":
                 self._down(name)
                 return
@@ -125,9 +117,9 @@
             if crash == "crash":
                 self._down(name)
                 return
-            core.persisted(ready)
+            core.mark_persisted(ready)
             self._lead(name, node, core)
-            self.wire.extend(ready.send)
+            self.wire.extend(ready.messages)
             self._apply(name, node, ready)
         if crash:
             self._down(name)
@@ -140,7 +132,7 @@
         node.disk.write(p)
         state = node.disk.hard_state
         self.judge.votes(name, state.term, state.vote)
-        if p.snapshot is not None and ready.install is not None:
+        if p.snapshot is not None and ready.installed_snapshot is not None:
             self.judge.restores(name, p.snapshot.index, p.snapshot.term)
         self.judge.stores(name, [(e.index, e.term, bytes((e.kind.value,)) + e.data) for e in p.entries])
 
@@ -148,22 +140,24 @@
         if core.is_leader and node.led != core.term:
             node.led = core.term
             self.judge.leads(name, core.term)
-            log = {core.log.base: core.log.base_term} | {e.index: e.term for e in core.log.entries}
+            log = {core.log.compacted_index: core.log.compacted_term} | {
+                e.index: e.term for e in core.log.entries
+            }
             self.judge.complete(name, log)
 
     def _apply(self, name: str, node: Node, ready: Ready) -> None:
-        if ready.install is not None:
-            node.state = [s for s in ready.install.data.split(b"\0") if s]
-        for entry in ready.apply:
+        if ready.installed_snapshot is not None:
+            node.state = [s for s in ready.installed_snapshot.data.split(b"\0") if s]
+        for entry in ready.committed_entries:
             self.judge.applies(name, entry.index, entry.term, bytes((entry.kind.value,)) + entry.data)
             self._applied(node, entry)
-        if ready.install is not None or ready.apply:
+        if ready.installed_snapshot is not None or ready.committed_entries:
             self.judge.state(name, hashlib.blake2b(b"\0".join(node.state), digest_size=12).digest())
-        for context, index in ready.reads:
-            least = self.reads.pop(context, 0)
-            if index < least:
+        for read in ready.read_states:
+            least = self.reads.pop(read.context, 0)
+            if read.index < least:
                 raise Unsafe(
-                    f"linearizability: a read at {name} sees {index}; {least} was acknowledged before it"
+                    f"linearizability: a read at {name} sees {read.index}; {least} was acknowledged before it"
                 )
 
     def _applied(self, node: Node, entry: Entry) -> None:
@@ -267,8 +261,8 @@
             node = self.nodes[name]
             core = node.core
             assert core is not None
-            if core.applied > core.snapshot.index:
-                core.compact(core.applied, b"\0".join(node.state))
+            if core.applied_index > core.snapshot.index:
+                core.compact(core.applied_index, b"\0".join(node.state))
                 self.settle(name)
 
     def _do_change(self, kind: str, a: int, b: int) -> None:
@@ -277,17 +271,17 @@
             return
         core = self.nodes[name].core
         assert core is not None
-        m = core.members
+        m = core.membership
         try:
             if b % 3 == 0 and self.joined < len(SPARE):
                 fresh = SPARE[self.joined]
-                core.change(MembershipChange.ADD_LEARNER, fresh)
+                core.change_membership(MembershipChange.ADD_LEARNER, fresh)
                 self.joined += 1
                 self._boot(fresh, InMemoryStorage(Membership(frozenset())))
             elif b % 3 == 1 and m.learners:
-                core.change(MembershipChange.PROMOTE, sorted(m.learners)[a % len(m.learners)])
+                core.change_membership(MembershipChange.PROMOTE, sorted(m.learners)[a % len(m.learners)])
             elif len(m.voters) > 2:
-                core.change(MembershipChange.REMOVE, sorted(m.all)[b % len(m.all)])
+                core.change_membership(MembershipChange.REMOVE, sorted(m.all)[b % len(m.all)])
         except (RequestRejectedError, NotLeaderError):
             return
         self.settle(name)
@@ -298,7 +292,7 @@
             core = self.nodes[name].core
             assert core is not None
             try:
-                core.transfer(sorted(core.members.voters)[b % len(core.members.voters)])
+                core.transfer_leadership(sorted(core.membership.voters)[b % len(core.membership.voters)])
             except (RequestRejectedError, NotLeaderError):
                 return
             self.settle(name)
@@ -311,7 +305,7 @@
             self.count += 1
             self.reads[self.count] = self.acknowledged
             try:
-                core.read(self.count)
+                core.read_index(self.count)
             except (NotLeaderError, RequestRejectedError):
                 return
             self.settle(name)
@@ -362,14 +356,14 @@
             core = self.nodes[name].core
             if core is None or core.is_leader:
                 return False
-            asked = [m for m in self.wire if isinstance(m, VoteRequest) and m.src == name and not m.pre]
+            asked = [m for m in self.wire if isinstance(m, VoteRequest) and m.src == name and not m.pre_vote]
             if core.role is Role.CANDIDATE and any(m.term == core.term for m in asked):
                 return True
             core.tick()
             self.settle(name)
             for message in [m for m in self.wire if name in (m.src, m.dst)]:
                 self.wire.remove(message)
-                if isinstance(message, VoteRequest | VoteReply) and message.pre:
+                if isinstance(message, VoteRequest | VoteReply) and message.pre_vote:
                     if message.src in voters or message.dst in voters:
                         self._deliver(message)
                 elif isinstance(message, VoteRequest):
@@ -396,10 +390,10 @@
         for _ in range(1 + b % 2):
             if not self._campaign(one, up):
                 return
-            for asked in [m for m in self.wire if isinstance(m, VoteRequest) and not m.pre]:
+            for asked in [m for m in self.wire if isinstance(m, VoteRequest) and not m.pre_vote]:
                 self.wire.remove(asked)
                 self._deliver(asked)
-            late = [m for m in self.wire if isinstance(m, VoteReply) and not m.pre and m.dst == one]
+            late = [m for m in self.wire if isinstance(m, VoteReply) and not m.pre_vote and m.dst == one]
             self.wire.clear()
             self.held.extend(late)
         if not self._campaign(one, up):
@@ -424,7 +418,7 @@
         assert core is not None
         if b % 2:
             self._propose(core)
-        others = sorted(core.members.all - {name})
+        others = sorted(core.membership.all - {name})
         if not others:
             return
         lucky = {others[a % len(others)], others[(a >> 4) % len(others)] if b % 3 == 0 else name}
@@ -449,7 +443,7 @@
             return
         core = self.nodes[name].core
         assert core is not None
-        others = sorted(core.members.all - {name})
+        others = sorted(core.membership.all - {name})
         if not others:
             return
         behind = others[a % len(others)]
--- a/juniperreel/raft/client.py
+++ b/juniperreel/raft/client.py
@@ -231,5 +231,5 @@
     for detail in error.details:
         leader = getattr(detail, "metadata", {}).get("leader", "")
         if leader:
-            return wire.address(leader)
+            return wire.parse_address(leader)
     return None
--- a/juniperreel/raft/core.py
+++ b/juniperreel/raft/core.py
@@ -8,81 +8,57 @@
 
 import random
 from collections import deque
-from collections.abc import Sequence
-from dataclasses import dataclass
 
-from juniperreel.raft.errors import NotLeaderError, RequestRejectedError
-from juniperreel.raft.log import MembershipHistory, RaftLog, encode_membership
-from juniperreel.raft.progress import Progress, ProgressState
-from juniperreel.raft.types import (
+from juniperreel.raft.config import RaftConfig
+from juniperreel.raft.errors import LogIndexError, NotLeaderError, RequestRejectedError, SafetyViolationError
+from juniperreel.raft.log import RaftLog
+from juniperreel.raft.membership import MembershipHistory, changed_membership, encode_membership
+from juniperreel.raft.messages import (
     AppendEntries,
     AppendEntriesReply,
+    Message,
+    SnapshotChunk,
+    SnapshotReply,
+    TimeoutNow,
+    VoteReply,
+    VoteRequest,
+)
+from juniperreel.raft.progress import Progress, ProgressState
+from juniperreel.raft.ready import PersistBatch, ReadState, Ready
+from juniperreel.raft.types import (
     Entry,
     EntryKind,
     HardState,
+    LogPosition,
     Membership,
     MembershipChange,
-    Message,
-    PersistBatch,
-    Ready,
+    RecoveredState,
     Role,
     Snapshot,
-    SnapshotChunk,
-    SnapshotReply,
-    TimeoutNow,
-    VoteReply,
-    VoteRequest,
 )
 
 
-@dataclass(frozen=True, slots=True)
-class RaftConfig:
-    """Spans are ticks, sizes bytes. Elections start after one to two times `election_ticks` at random."""
-
-    election_ticks: int = 10
-    heartbeat_ticks: int = 2
-    max_entries_per_append: int = 64
-    max_bytes_per_append: int = 256 << 10
-    max_inflight_appends: int = 16  # messages out to one follower
-    max_uncommitted_bytes: int = 8 << 20
-    snapshot_chunk_bytes: int = 64 << 10
-    max_snapshot_bytes: int = 64 << 20
-    trailing_entries: int = 200  # entries kept behind a snapshot for followers that lag a little
-    max_promotion_lag: int = 50  # entries that a learner may lack when it is promoted
-
-
-@dataclass(slots=True)
-class RecoveredState:
-    """What a disk held: the core starts from it."""
-
-    hard_state: HardState
-    snapshot: Snapshot
-    entries: Sequence[Entry] = ()
-    base: int | None = None  # index before the first entry, if lower than the snapshot's
-    base_term: int = 0
-
-
 class RaftCore:
     """One node."""
 
-    def __init__(self, name: str, restored: RecoveredState, config: RaftConfig, rng: random.Random) -> None:
+    def __init__(self, name: str, recovered: RecoveredState, config: RaftConfig, rng: random.Random) -> None:
         self.name, self.config, self._rng = name, config, rng
-        self.term, self.vote = restored.hard_state.term, restored.hard_state.vote
-        self.snapshot = restored.snapshot
-        base = self.snapshot.index if restored.base is None else restored.base
-        base_term = self.snapshot.term if restored.base is None else restored.base_term
-        self.log = RaftLog(base, base_term, restored.entries)
-        self.memberships = MembershipHistory(self.snapshot.index, self.snapshot.members)
+        self.term, self.vote = recovered.hard_state.term, recovered.hard_state.vote
+        self.snapshot = recovered.snapshot
+        base = self.snapshot.index if recovered.compacted_index is None else recovered.compacted_index
+        base_term = self.snapshot.term if recovered.compacted_index is None else recovered.compacted_term
+        self.log = RaftLog(base, base_term, recovered.entries)
+        self.memberships = MembershipHistory(self.snapshot.index, self.snapshot.membership)
         for entry in self.log.entries:
             if entry.index > self.snapshot.index:
-                self.memberships.push(entry)
-        self.commit = max(self.snapshot.index, min(restored.hard_state.commit, self.log.last))
-        self.applied = self.snapshot.index
+                self.memberships.append(entry)
+        self.commit_index = max(self.snapshot.index, min(recovered.hard_state.commit, self.log.last_index))
+        self.applied_index = self.snapshot.index
         self.role = Role.FOLLOWER
         self.leader: str | None = None
-        self.stable = self.log.last  # on disk
-        self._unstable = self.log.last + 1  # first entry not yet handed out to be persisted
-        self._saved = restored.hard_state
+        self.persisted_index = self.log.last_index  # on disk
+        self._unstable = self.log.last_index + 1  # first entry not yet handed out to be persisted
+        self._saved = recovered.hard_state
         self._snapshot_due: Snapshot | None = None  # to be persisted
         self._reset = False
         self._install: Snapshot | None = None
@@ -93,7 +69,7 @@
         self._round = 0
         self._reads: deque[tuple[int, int, int]] = deque()  # (round, context, index)
         self._waiting_reads: list[int] = []  # until the term has a commit
-        self._ready_reads: list[tuple[int, int]] = []
+        self._ready_reads: list[ReadState] = []
         self._lost_reads: list[int] = []
         self._transfer: str | None = None
         self._incoming: tuple[int, int, bytearray] | None = None  # snapshot on its way here
@@ -104,16 +80,16 @@
     # Views.
 
     @property
-    def members(self) -> Membership:
+    def membership(self) -> Membership:
         return self.memberships.current
 
     @property
     def is_leader(self) -> bool:
         return self.role is Role.LEADER
 
-    def matches(self) -> dict[str, int]:
+    def match_indexes(self) -> dict[str, int]:
         """A leader's followers and what each is known to hold."""
-        return {name: p.match for name, p in self._progress.items()}
+        return {name: p.match_index for name, p in self._progress.items()}
 
     def _randomise(self) -> None:
         self._limit = self.config.election_ticks + self._rng.randrange(self.config.election_ticks)
@@ -123,7 +99,7 @@
     def tick(self) -> None:
         self._elapsed += 1
         if self.role is not Role.LEADER:
-            if self._elapsed >= self._limit and self.name in self.members.voters:
+            if self._elapsed >= self._limit and self.name in self.membership.voters:
                 self._campaign(pre=True)
             return
         if self._elapsed >= self.config.election_ticks:
@@ -137,10 +113,10 @@
 
     def _check_quorum(self) -> None:
         """A leader that hears no quorum steps down (dissertation, 6.2): it may have been replaced."""
-        heard = {n for n, p in self._progress.items() if p.active} | {self.name}
+        heard = {n for n, p in self._progress.items() if p.recently_active} | {self.name}
         for p in self._progress.values():
-            p.active = False
-        if len(heard & self.members.voters) < self.members.quorum():
+            p.recently_active = False
+        if len(heard & self.membership.voters) < self.membership.quorum():
             self._follow(self.term, None)
 
     # Roles.
@@ -175,13 +151,13 @@
         if self._won():
             self._elected(pre)
             return
-        for peer in sorted(self.members.voters - {self.name}):
-            ask = VoteRequest(self.name, peer, term, self.log.last, self.log.last_term, pre, transfer)
+        for peer in sorted(self.membership.voters - {self.name}):
+            ask = VoteRequest(self.name, peer, term, self.log.last_index, self.log.last_term, pre, transfer)
             self._out.append(ask)
 
     def _won(self) -> bool:
-        yes = sum(1 for n in self.members.voters if self._votes.get(n))
-        return yes >= self.members.quorum()
+        yes = sum(1 for n in self.membership.voters if self._votes.get(n))
+        return yes >= self.membership.quorum()
 
     def _elected(self, pre: bool) -> None:
         if pre:
@@ -191,29 +167,29 @@
         self._elapsed = self._beat = 0
         self._progress = {}
         self._sync_progress()
-        self._noop = self.log.last + 1
+        self._noop = self.log.last_index + 1
         # An entry of this term: earlier ones are committed only through it (paper, 5.4.2 and section 8).
         self._append(EntryKind.NOOP, b"")
         self._broadcast()
 
     def _sync_progress(self) -> None:
-        peers = self.members.all - {self.name}
+        peers = self.membership.all - {self.name}
         for name in self._progress.keys() - peers:
             del self._progress[name]
         for name in sorted(peers - self._progress.keys()):
-            self._progress[name] = Progress(self.log.last + 1, self.config.max_inflight_appends)
+            self._progress[name] = Progress(self.log.last_index + 1, self.config.max_inflight_appends)
 
     # Proposals.
 
-    def propose(self, data: bytes) -> tuple[int, int]:
+    def propose(self, data: bytes) -> LogPosition:
         """(term, index) of the new entry. Raises NotLeaderError or RequestRejectedError."""
         self._must_lead()
-        waiting = sum(len(e.data) for e in self.log.slice(self.commit + 1, self.log.last))
+        waiting = sum(len(e.data) for e in self.log.slice(self.commit_index + 1, self.log.last_index))
         if waiting and waiting + len(data) > self.config.max_uncommitted_bytes:
             raise RequestRejectedError("too much waits to be committed")
         entry = self._append(EntryKind.COMMAND, data)
         self._broadcast()
-        return entry.term, entry.index
+        return LogPosition(entry.term, entry.index)
 
     def _must_lead(self) -> None:
         if self.role is not Role.LEADER:
@@ -221,77 +197,59 @@
         if self._transfer is not None:
             raise RequestRejectedError("the leadership is being handed over")
 
-    def change(self, change: MembershipChange, name: str) -> tuple[int, int]:
+    def change_membership(self, change: MembershipChange, name: str) -> LogPosition:
         """One step of membership. Raises NotLeaderError or RequestRejectedError.
 
         Danger: a change begun by a leader that has committed nothing in its term can overlap with one that it
         does not know of (the error in the dissertation's 4.1, reported by Ongaro in 2015); so it waits."""
         self._must_lead()
-        if self.commit < self._noop:
+        if self.commit_index < self._noop:
             raise RequestRejectedError("this leader has committed nothing in its term yet")
-        if self.memberships.index > self.commit:
+        if self.memberships.index > self.commit_index:
             raise RequestRejectedError("another change of membership is under way")
         members = self._changed(change, name)
         entry = self._append(EntryKind.CONFIG, encode_membership(members))
         self._sync_progress()
         self._broadcast()
-        return entry.term, entry.index
+        return LogPosition(entry.term, entry.index)
 
     def _changed(self, change: MembershipChange, name: str) -> Membership:
-        m = self.members
-        if change is MembershipChange.ADD_LEARNER:
-            if name in m.all:
-                raise RequestRejectedError(f"{name} belongs to the group already")
-            if name in m.retired or not name or set(name) & set(",\n"):
-                raise RequestRejectedError(
-                    f"{name!r} has left or is no name; a node that comes back takes a new one"
-                )
-            return Membership(m.voters, m.learners | {name}, m.retired)
-        if name not in m.all:
-            raise RequestRejectedError(f"{name} does not belong to the group")
-        if change is MembershipChange.PROMOTE:
-            if name in m.voters:
-                raise RequestRejectedError(f"{name} votes already")
-            lacks = self.commit - self._progress[name].match
-            if lacks > self.config.max_promotion_lag:
-                raise RequestRejectedError(f"{name} lacks {lacks} entries still")
-            return Membership(m.voters | {name}, m.learners - {name}, m.retired)
-        if m.voters == {name}:
-            raise RequestRejectedError("the last voter cannot be removed")
-        return Membership(m.voters - {name}, m.learners - {name}, m.retired | {name})
-
-    def transfer(self, name: str) -> None:
+        progress = self._progress.get(name)
+        lag = self.commit_index - (progress.match_index if progress is not None else 0)
+        return changed_membership(self.membership, change, name, lag, self.config.max_promotion_lag)
+
+    def transfer_leadership(self, name: str) -> None:
         """Hand the leadership to a voter once it holds all of the log.
 
         Raises NotLeaderError or RequestRejectedError."""
         self._must_lead()
-        if name not in self.members.voters or name == self.name:
+        if name not in self.membership.voters or name == self.name:
             raise RequestRejectedError(f"{name} is not another voter")
         self._transfer, self._elapsed = name, 0
         self._go_on_with_transfer(name)
 
     def _go_on_with_transfer(self, name: str) -> None:
-        if self._transfer == name and self._progress[name].match == self.log.last:
+        if self._transfer == name and self._progress[name].match_index == self.log.last_index:
             self._out.append(TimeoutNow(self.name, name, self.term))
 
-    def read(self, context: int) -> None:
+    def read_index(self, context: int) -> None:
         """A linearizable read: a Ready names `context` with the index to wait for (dissertation, 6.4)."""
         self._must_lead()
-        if self.commit < self._noop:
+        if self.commit_index < self._noop:
             self._waiting_reads.append(context)
         else:
             self._start_read(context)
 
     def _start_read(self, context: int) -> None:
         self._round += 1
-        self._reads.append((self._round, context, self.commit))
+        self._reads.append((self._round, context, self.commit_index))
         self._heartbeat()
         self._answer_reads()
 
     def _append(self, kind: EntryKind, data: bytes) -> Entry:
-        entry = Entry(self.term, self.log.last + 1, kind, data)
+        entry = Entry(self.term, self.log.last_index + 1, kind, data)
         self.log.append(entry)
-        self.memberships.push(entry)
+        self.memberships.append(entry)
         return entry
 
     # Sending.
@@ -303,14 +261,21 @@
     def _heartbeat(self) -> None:
         for name in sorted(self._progress):
             p = self._progress[name]
-            p.nudge()
+            p.on_heartbeat()
             if not self._send_to(name):
-                prev = min(p.match, self.log.last)
-                term = self.log.term(prev)
+                prev = min(p.match_index, self.log.last_index)
+                term = self.log.term_at(prev)
                 if term is None:
-                    prev, term = self.log.base, self.log.base_term
+                    prev, term = self.log.compacted_index, self.log.compacted_term
                 beat = AppendEntries(
-                    self.name, name, self.term, prev, term, (), min(self.commit, p.match), self._round
+                    self.name,
+                    name,
+                    self.term,
+                    prev,
+                    term,
+                    (),
+                    min(self.commit_index, p.match_index),
+                    self._round,
                 )
                 self._out.append(beat)
 
@@ -319,20 +284,22 @@
         p = self._progress[name]
         sent = False
         while not p.paused:
-            if p.pace is ProgressState.SNAPSHOT:
+            if p.state is ProgressState.SNAPSHOT:
                 self._send_chunk(name, p)
                 return True
-            prev = p.next - 1
-            term = self.log.term(prev)
+            prev = p.next_index - 1
+            term = self.log.term_at(prev)
             if term is None:
-                p.snapshot(self.snapshot.index)
+                p.become_snapshot(self.snapshot.index)
                 continue
-            entries = self._batch(p.next)
-            if not entries and (p.pace is ProgressState.REPLICATE or sent):
+            entries = self._batch(p.next_index)
+            if not entries and (p.state is ProgressState.REPLICATE or sent):
                 return sent
-            message = AppendEntries(self.name, name, self.term, prev, term, entries, self.commit, self._round)
+            message = AppendEntries(
+                self.name, name, self.term, prev, term, entries, self.commit_index, self._round
+            )
             self._out.append(message)
-            p.sent(entries[-1].index if entries else prev)
+            p.on_sent(entries[-1].index if entries else prev)
             sent = True
         return sent
 
@@ -340,7 +307,7 @@
         entries: list[Entry] = []
         size = 0
         for entry in self.log.slice(
-            start, min(self.log.last, start + self.config.max_entries_per_append - 1)
+            start, min(self.log.last_index, start + self.config.max_entries_per_append - 1)
         ):
             size += len(entry.data)
             if entries and size > self.config.max_bytes_per_append:
@@ -351,13 +318,15 @@
     def _send_chunk(self, name: str, p: Progress) -> None:
         s = self.snapshot
         if p.snapshot_index != s.index:
-            p.snapshot(s.index)  # a newer one has taken its place
-        data = s.data[p.offset : p.offset + self.config.snapshot_chunk_bytes]
-        last = p.offset + len(data) >= len(s.data)
+            p.become_snapshot(s.index)  # a newer one has taken its place
+        data = s.data[p.snapshot_offset : p.snapshot_offset + self.config.snapshot_chunk_bytes]
+        last = p.snapshot_offset + len(data) >= len(s.data)
         self._out.append(
-            SnapshotChunk(self.name, name, self.term, s.index, s.term, s.members, p.offset, data, last)
+            SnapshotChunk(
+                self.name, name, self.term, s.index, s.term, s.membership, p.snapshot_offset, data, last
+            )
         )
-        p.sent(0)
+        p.on_sent(0)
 
     # Messages.
 
@@ -367,18 +336,18 @@
             return
         if m.term > self.term:
             if isinstance(m, VoteRequest):
-                if not m.transfer and self._content():
+                if not m.leadership_transfer and self._content():
                     return  # danger: a node that was removed or cut off ends a leadership that works
-                if not m.pre:
+                if not m.pre_vote:
                     self._follow(m.term, None)
-            elif not (isinstance(m, VoteReply) and m.pre and m.granted):
+            elif not (isinstance(m, VoteReply) and m.pre_vote and m.granted):
                 lead = m.src if isinstance(m, AppendEntries | SnapshotChunk) else None
                 self._follow(m.term, lead)
         elif m.term < self.term:
             if isinstance(m, AppendEntries | SnapshotChunk):
-                self._out.append(AppendEntriesReply(self.name, m.src, self.term, False, self.log.last))
+                self._out.append(AppendEntriesReply(self.name, m.src, self.term, False, self.log.last_index))
             elif isinstance(m, VoteRequest):
-                self._out.append(VoteReply(self.name, m.src, self.term, False, m.pre))
+                self._out.append(VoteReply(self.name, m.src, self.term, False, m.pre_vote))
             return
         match m:
             case VoteRequest():
@@ -394,7 +363,7 @@
             case SnapshotReply():
                 self._on_snapshot_reply(m)
             case TimeoutNow():
-                if self.name in self.members.voters and self.role is not Role.LEADER:
+                if self.name in self.membership.voters and self.role is not Role.LEADER:
                     self._campaign(pre=False, transfer=True)
 
     def _content(self) -> bool:
@@ -405,150 +374,166 @@
 
     def _on_vote_request(self, m: VoteRequest) -> None:
         free = self.vote == m.src or (self.vote is None and self.leader is None)
-        if m.pre:
+        if m.pre_vote:
             free = m.term > self.term
-        newer = (m.last_term, m.last_index) >= (self.log.last_term, self.log.last)
+        newer = (m.last_term, m.last_index) >= (self.log.last_term, self.log.last_index)
         granted = free and newer
-        if granted and not m.pre:
+        if granted and not m.pre_vote:
             self.vote = m.src
             self._elapsed = 0
         term = m.term if granted else self.term
-        self._out.append(VoteReply(self.name, m.src, term, granted, m.pre))
+        self._out.append(VoteReply(self.name, m.src, term, granted, m.pre_vote))
 
     def _on_vote_reply(self, m: VoteReply) -> None:
-        wanted = Role.PRE_CANDIDATE if m.pre else Role.CANDIDATE
-        if self.role is not wanted or (m.pre and m.granted and m.term != self.term + 1):
+        wanted = Role.PRE_CANDIDATE if m.pre_vote else Role.CANDIDATE
+        if self.role is not wanted or (m.pre_vote and m.granted and m.term != self.term + 1):
             return
         self._votes.setdefault(m.src, m.granted)
         if self._won():
-            self._elected(m.pre)
-        elif sum(1 for n in self.members.voters if self._votes.get(n) is False) >= self.members.quorum():
+            self._elected(m.pre_vote)
+        elif (
+            sum(1 for n in self.membership.voters if self._votes.get(n) is False) >= self.membership.quorum()
+        ):
             self._follow(self.term, None)
 
     def _on_append(self, m: AppendEntries) -> None:
         if self.role is Role.LEADER:
-            raise AssertionError(f"two leaders in term {self.term}: {self.name} and {m.src}")
+            raise SafetyViolationError(self.name, f"two leaders in term {self.term}: {self.name} and {m.src}")
         if self.role is not Role.FOLLOWER:
             self._follow(self.term, m.src)
         self.leader, self._elapsed = m.src, 0
-        if m.prev_index < self.commit and self.log.term(m.prev_index) is None:
-            self._reply(m, True, self.commit)
+        if m.prev_index < self.commit_index and self.log.term_at(m.prev_index) is None:
+            self._reply(m, True, self.commit_index)
             return
-        if self.log.term(m.prev_index) != m.prev_term:
-            index = self.log.conflict(m.prev_index, m.prev_term)
-            hint_term = self.log.term(index) or 0
+        if self.log.term_at(m.prev_index) != m.prev_term:
+            index = self.log.find_conflict_index(m.prev_index, m.prev_term)
+            hint_term = self.log.term_at(index) or 0
             reply = AppendEntriesReply(
-                self.name, m.src, self.term, False, index, hint_term, m.prev_index, m.round
+                self.name, m.src, self.term, False, index, hint_term, m.prev_index, m.heartbeat_round
             )
             self._out.append(reply)
             return
         for entry in m.entries:
-            here = self.log.term(entry.index)
+            here = self.log.term_at(entry.index)
             if here is not None and here != entry.term:
                 self._truncate(entry.index)
                 here = None
-            if here is None and entry.index > self.log.last:
+            if here is None and entry.index > self.log.last_index:
                 self.log.append(entry)
-                self.memberships.push(entry)
+                self.memberships.append(entry)
         last = m.prev_index + len(m.entries)
-        self.commit = max(self.commit, min(m.commit, last))
+        self.commit_index = max(self.commit_index, min(m.commit_index, last))
         self._reply(m, True, last)
 
     def _truncate(self, start: int) -> None:
-        if start <= self.commit:
-            raise AssertionError(f"committed entry {start} would be cut off")
+        if start <= self.commit_index:
+            raise SafetyViolationError(self.name, f"committed entry {start} would be cut off")
         self.log.truncate(start)
         self.memberships.truncate(start)
         self._unstable = min(self._unstable, start)
-        self.stable = min(self.stable, start - 1)
+        self.persisted_index = min(self.persisted_index, start - 1)
 
     def _reply(self, m: AppendEntries, accepted: bool, index: int) -> None:
-        self._out.append(AppendEntriesReply(self.name, m.src, self.term, accepted, index, round=m.round))
+        self._out.append(
+            AppendEntriesReply(
+                self.name, m.src, self.term, accepted, index, heartbeat_round=m.heartbeat_round
+            )
+        )
 
     def _on_append_reply(self, m: AppendEntriesReply) -> None:
         p = self._progress.get(m.src)
         if self.role is not Role.LEADER or p is None:
             return
-        p.active = True
-        if m.round > p.round:
-            p.round = m.round
+        p.recently_active = True
+        if m.heartbeat_round > p.acknowledged_round:
+            p.acknowledged_round = m.heartbeat_round
             self._answer_reads()
         if m.accepted:
-            if p.pace is ProgressState.SNAPSHOT:
-                if m.index < self.log.base:
+            if p.state is ProgressState.SNAPSHOT:
+                if m.index < self.log.compacted_index:
                     return
-                p.probe()
-            news = p.accepted(min(m.index, self.log.last))
+                p.become_probe()
+            news = p.on_accepted(min(m.index, self.log.last_index))
             if news:
                 self._advance()
             if self.role is not Role.LEADER:
                 return  # that commit removed it
             self._send_to(m.src)
             self._go_on_with_transfer(m.src)
-        elif p.pace is not ProgressState.SNAPSHOT:
+        elif p.state is not ProgressState.SNAPSHOT:
             # The follower's hint, brought down to where this log has that term or an older one.
-            hint = self.log.conflict(m.index, m.hint_term) if m.hint_term else m.index
-            if p.rejected(m.refused, hint):
+            hint = self.log.find_conflict_index(m.index, m.hint_term) if m.hint_term else m.index
+            if p.on_rejected(m.rejected_index, hint):
                 self._send_to(m.src)
 
     def _advance(self) -> None:
         """Commits what a quorum has on disk, if it is of this term (paper, 5.4.2 and figure 8)."""
         if self.role is not Role.LEADER:
             return
-        held = [self.stable if n == self.name else self._progress[n].match for n in self.members.voters]
+        held = [
+            self.persisted_index if n == self.name else self._progress[n].match_index
+            for n in self.membership.voters
+        ]
         held.sort(reverse=True)
-        index = held[self.members.quorum() - 1]
-        if index > self.commit and self.log.term(index) == self.term:
-            self.commit = index
+        index = held[self.membership.quorum() - 1]
+        if index > self.commit_index and self.log.term_at(index) == self.term:
+            self.commit_index = index
             waiting, self._waiting_reads = self._waiting_reads, []
             for context in waiting:
                 self._start_read(context)
             self._broadcast_commit()
-            if self.memberships.index <= self.commit and self.name not in self.members.voters:
+            if self.memberships.index <= self.commit_index and self.name not in self.membership.voters:
                 self._follow(self.term, None)  # it removed itself (dissertation, 4.2.2)
 
     def _broadcast_commit(self) -> None:
         for name in sorted(self._progress):
             p = self._progress[name]
-            if not self._send_to(name) and p.pace is ProgressState.REPLICATE:
-                term = self.log.term(p.match)
+            if not self._send_to(name) and p.state is ProgressState.REPLICATE:
+                term = self.log.term_at(p.match_index)
                 if term is not None:
-                    commit = min(self.commit, p.match)
+                    commit = min(self.commit_index, p.match_index)
                     self._out.append(
-                        AppendEntries(self.name, name, self.term, p.match, term, (), commit, self._round)
+                        AppendEntries(
+                            self.name, name, self.term, p.match_index, term, (), commit, self._round
+                        )
                     )
 
     def _answer_reads(self) -> None:
-        rounds = [self._round if n == self.name else self._progress[n].round for n in self.members.voters]
+        rounds = [
+            self._round if n == self.name else self._progress[n].acknowledged_round
+            for n in self.membership.voters
+        ]
         rounds.sort(reverse=True)
-        heard = rounds[self.members.quorum() - 1]
+        heard = rounds[self.membership.quorum() - 1]
         while self._reads and self._reads[0][0] <= heard:
             _, context, index = self._reads.popleft()
-            self._ready_reads.append((context, index))
+            self._ready_reads.append(ReadState(context, index))
 
     # Snapshots.
 
     def compact(self, index: int, data: bytes) -> None:
         """The state machine's snapshot after `index`, which is applied. Entries far behind it are dropped."""
-        if not self.snapshot.index < index <= self.applied:
-            raise ValueError(f"a snapshot at {index} is not between {self.snapshot.index} and {self.applied}")
-        term = self.log.term(index)
+        if not self.snapshot.index < index <= self.applied_index:
+            raise LogIndexError(
+                index, f"a snapshot is taken between {self.snapshot.index} and {self.applied_index}"
+            )
+        term = self.log.term_at(index)
         assert term is not None
         self.snapshot = Snapshot(index, term, self.memberships.at(index), data)
         self._snapshot_due = self.snapshot
-        keep = max(self.log.base, index - self.config.trailing_entries)
+        keep = max(self.log.compacted_index, index - self.config.trailing_entries)
         self.log.compact(keep)
         self.memberships.compact(index)
 
     def _on_chunk(self, m: SnapshotChunk) -> None:
         if self.role is Role.LEADER:
-            raise AssertionError(f"two leaders in term {self.term}: {self.name} and {m.src}")
+            raise SafetyViolationError(self.name, f"two leaders in term {self.term}: {self.name} and {m.src}")
         if self.role is not Role.FOLLOWER:
             self._follow(self.term, m.src)
         self.leader, self._elapsed = m.src, 0
-        if m.index <= self.commit:
+        if m.index <= self.commit_index:
             self._out.append(SnapshotReply(self.name, m.src, self.term, m.index, 0, True))
-            self._out.append(AppendEntriesReply(self.name, m.src, self.term, True, self.commit))
+            self._out.append(AppendEntriesReply(self.name, m.src, self.term, True, self.commit_index))
             return
         if m.offset == 0:
             self._incoming = (m.index, m.snapshot_term, bytearray())
@@ -564,7 +549,7 @@
         have[2].extend(m.data)
         if m.last:
             self._incoming = None
-            self._restore(Snapshot(m.index, m.snapshot_term, m.members, bytes(have[2])))
+            self._restore(Snapshot(m.index, m.snapshot_term, m.membership, bytes(have[2])))
             self._out.append(SnapshotReply(self.name, m.src, self.term, m.index, 0, True))
             self._out.append(AppendEntriesReply(self.name, m.src, self.term, True, m.index))
         else:
@@ -573,30 +558,30 @@
     def _restore(self, s: Snapshot) -> None:
         """A log that holds the snapshot's last entry keeps what follows it (paper, figure 13, step 6)."""
         self.snapshot = self._install = self._snapshot_due = s
-        if self.log.term(s.index) == s.term:
+        if self.log.term_at(s.index) == s.term:
             self.log.compact(s.index)
-            self.memberships.reset(s.index, s.members)
+            self.memberships.reset(s.index, s.membership)
             for entry in self.log.entries:
-                self.memberships.push(entry)
+                self.memberships.append(entry)
         else:
             self.log.reset(s.index, s.term)
-            self.memberships.reset(s.index, s.members)
+            self.memberships.reset(s.index, s.membership)
             self._reset = True
             self._unstable = s.index + 1
-            self.stable = s.index
-        self.commit = max(self.commit, s.index)
-        self.applied = s.index
+            self.persisted_index = s.index
+        self.commit_index = max(self.commit_index, s.index)
+        self.applied_index = s.index
 
     def _on_snapshot_reply(self, m: SnapshotReply) -> None:
         p = self._progress.get(m.src)
-        if self.role is not Role.LEADER or p is None or p.pace is not ProgressState.SNAPSHOT:
+        if self.role is not Role.LEADER or p is None or p.state is not ProgressState.SNAPSHOT:
             return
-        p.active = True
+        p.recently_active = True
         if m.index != p.snapshot_index:
             return
-        p.waiting = False
+        p.awaiting_reply = False
         if not m.done:
-            p.offset = min(m.offset, len(self.snapshot.data))
+            p.snapshot_offset = min(m.offset, len(self.snapshot.data))
             self._send_to(m.src)
 
     # Out.
@@ -608,38 +593,42 @@
             or self._install
             or self._ready_reads
             or self._lost_reads
-            or self._unstable <= self.log.last
-            or self.applied < min(self.commit, self.log.last)
+            or self._unstable <= self.log.last_index
+            or self.applied_index < min(self.commit_index, self.log.last_index)
             or (self.term, self.vote) != (self._saved.term, self._saved.vote)
         )
 
-    def take(self) -> Ready:
+    def take_ready(self) -> Ready:
         """All that is to be done now. Persist it, then call `persisted`, then send and apply."""
         persist = PersistBatch()
-        state = HardState(self.term, self.vote, self.commit)
+        state = HardState(self.term, self.vote, self.commit_index)
         if (state.term, state.vote) != (
             self._saved.term,
             self._saved.vote,
-        ) or self.commit > self._saved.commit:
+        ) or self.commit_index > self._saved.commit:
             persist.hard_state = state
         if self._snapshot_due is not None:
-            persist.snapshot, persist.reset = self._snapshot_due, self._reset
-            persist.keep_from = self.log.first
+            persist.snapshot, persist.replaces_log = self._snapshot_due, self._reset
+            persist.first_retained_index = self.log.first_index
             self._snapshot_due, self._reset = None, False
-        if self._unstable <= self.log.last:
-            persist.entries = self.log.slice(self._unstable, self.log.last)
-            self._unstable = self.log.last + 1
+        if self._unstable <= self.log.last_index:
+            persist.entries = self.log.slice(self._unstable, self.log.last_index)
+            self._unstable = self.log.last_index + 1
         self._saved = state
-        apply = self.log.slice(self.applied + 1, self.commit) if self.applied < self.commit else []
-        self.applied = max(self.applied, self.commit)
+        apply = (
+            self.log.slice(self.applied_index + 1, self.commit_index)
+            if self.applied_index < self.commit_index
+            else []
+        )
+        self.applied_index = max(self.applied_index, self.commit_index)
         ready = Ready(persist, self._out, self._install, apply, self._ready_reads, self._lost_reads)
         self._out, self._install, self._ready_reads, self._lost_reads = [], None, [], []
         return ready
 
-    def persisted(self, ready: Ready) -> None:
+    def mark_persisted(self, ready: Ready) -> None:
         """What `ready.persist` named is on disk: now this node's own copy counts for commits."""
         if ready.persist.entries:
             last = ready.persist.entries[-1]
-            if self.log.term(last.index) == last.term:
-                self.stable = max(self.stable, last.index)
+            if self.log.term_at(last.index) == last.term:
+                self.persisted_index = max(self.persisted_index, last.index)
         self._advance()
--- a/juniperreel/raft/errors.py
+++ b/juniperreel/raft/errors.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 
 class RaftError(Exception):
     """Base of every error that this package raises on purpose."""
@@ -33,6 +35,20 @@
         self.reason = reason
 
 
+class MembershipChangeRejectedError(RequestRejectedError):
+    """A membership change cannot be made to the membership in force.
+
+    Attributes:
+        node: The node that the change names.
+        reason: Why, in words that an operator may read.
+    """
+
+    def __init__(self, node: str, reason: str) -> None:
+        """`node` is the one that the change names; `reason` says why it is rejected."""
+        super().__init__(reason)
+        self.node = node
+
+
 class EntrySupersededError(RaftError):
     """Another entry took the place of the proposed one: it was not applied, and will not be.
 
@@ -61,6 +77,35 @@
         self.last_failure = last_failure
 
 
+class SafetyViolationError(RaftError, AssertionError):
+    """A message or log contradicts a safety property of Raft: the program or a peer is faulty.
+
+    Attributes:
+        node: The node that noticed.
+        violation: Which property is broken, and how.
+    """
+
+    def __init__(self, node: str, violation: str) -> None:
+        """`node` noticed the `violation`, which says which property is broken and how."""
+        super().__init__(violation)
+        self.node = node
+        self.violation = violation
+
+
+class LogIndexError(RaftError, ValueError):
+    """An index lies outside the log, or entries do not follow each other.
+
+    Attributes:
+        index: The index at fault.
+    """
+
+    def __init__(self, index: int, reason: str) -> None:
+        """`index` is at fault because of `reason`."""
+        super().__init__(f"index {index}: {reason}")
+        self.index = index
+        self.reason = reason
+
+
 class MalformedDataError(RaftError, ValueError):
     """Bytes from a peer, a client or the log are not what they should be.
 
@@ -102,3 +147,61 @@
         super().__init__(f"there is no {kind} {name}")
         self.kind = kind
         self.name = name
+
+
+class InvalidNodeNameError(RaftError, ValueError):
+    """A node's name does not hold an address.
+
+    Attributes:
+        name: The name at fault.
+    """
+
+    def __init__(self, name: str) -> None:
+        """`name` is the name at fault."""
+        super().__init__(f"{name!r} is not name@host:port")
+        self.name = name
+
+
+class StorageError(RaftError):
+    """A node's directory cannot be used.
+
+    Attributes:
+        path: The directory, or the file in it.
+        reason: What is wrong and what to do.
+    """
+
+    def __init__(self, path: Path, reason: str) -> None:
+        """`path` cannot be used because of `reason`."""
+        super().__init__(f"{path}: {reason}")
+        self.path = path
+        self.reason = reason
+
+
+class DamagedDirectoryError(StorageError):
+    """A record is missing or does not match its checksum, so that the node must be replaced.
+
+    Attributes:
+        node: The node whose directory it is.
+        damage: What was found.
+    """
+
+    def __init__(self, path: Path, damage: str, node: str) -> None:
+        """`path` belongs to `node` and shows `damage`."""
+        remedy = f"remove {node} from the cluster and add a node under a new name with an empty directory"
+        super().__init__(path, f"{damage}; {remedy}")
+        self.node = node
+        self.damage = damage
+
+
+class DiskFullError(RaftError):
+    """A write did not happen; what the directory held before is whole.
+
+    Attributes:
+        path: The directory.
+    """
+
+    def __init__(self, path: Path, reason: str) -> None:
+        """A write to `path` failed because of `reason`."""
+        super().__init__(f"{path}: {reason}")
+        self.path = path
+        self.reason = reason
--- a/juniperreel/raft/memory_storage.py
+++ b/juniperreel/raft/memory_storage.py
@@ -1,41 +1,52 @@
-"""The storage's in-memory twin: what a disk holds after each write, all together or not at all."""
+"""The storage's in-memory counterpart, for simulation: it holds what a disk would after each write."""
 
 from __future__ import annotations
 
-from juniperreel.raft.core import RecoveredState
-from juniperreel.raft.types import Entry, HardState, Membership, PersistBatch, Snapshot
+from juniperreel.raft.ready import PersistBatch
+from juniperreel.raft.types import Entry, HardState, Membership, RecoveredState, Snapshot
 
 
 class InMemoryStorage:
     """Behaves as `Storage` does, but for the disk."""
 
-    def __init__(self, members: Membership) -> None:
+    def __init__(self, membership: Membership) -> None:
+        """Holds what a new directory does: an empty snapshot with the first membership."""
         self.hard_state = HardState()
-        self.snapshot = Snapshot(0, 0, members, b"")
-        self.base, self.base_term = 0, 0
+        self.snapshot = Snapshot(0, 0, membership, b"")
+        self.compacted_index = 0
+        self.compacted_term = 0
         self.entries: list[Entry] = []
 
-    def write(self, persist: PersistBatch) -> None:
-        if persist.hard_state is not None:
-            self.hard_state = persist.hard_state
-        if persist.snapshot is not None:
-            self.snapshot = persist.snapshot
-            if persist.reset:
-                self.entries = []
-            keep = [e for e in self.entries if e.index >= persist.keep_from]
-            if keep and keep[0].index == persist.keep_from <= persist.snapshot.index:
-                dropped = [e for e in self.entries if e.index == persist.keep_from - 1]
-                self.base, self.base_term = persist.keep_from - 1, self._term_before(dropped)
-            else:
-                keep = [e for e in keep if e.index > persist.snapshot.index]
-                self.base, self.base_term = persist.snapshot.index, persist.snapshot.term
-            self.entries = keep
-        if persist.entries:
-            start = persist.entries[0].index
-            self.entries = [e for e in self.entries if e.index < start] + persist.entries
-
-    def _term_before(self, dropped: list[Entry]) -> int:
-        return dropped[0].term if dropped else self.base_term
-
-    def restore(self) -> RecoveredState:
-        return RecoveredState(self.hard_state, self.snapshot, list(self.entries), self.base, self.base_term)
+    def write(self, batch: PersistBatch) -> None:
+        """Write the whole batch."""
+        if batch.hard_state is not None:
+            self.hard_state = batch.hard_state
+        if batch.snapshot is not None:
+            self._write_snapshot(batch, batch.snapshot)
+        if batch.entries:
+            start = batch.entries[0].index
+            self.entries = [entry for entry in self.entries if entry.index < start] + batch.entries
+
+    def _write_snapshot(self, batch: PersistBatch, snapshot: Snapshot) -> None:
+        self.snapshot = snapshot
+        if batch.replaces_log:
+            self.entries = []
+        retained = [entry for entry in self.entries if entry.index >= batch.first_retained_index]
+        if retained and retained[0].index == batch.first_retained_index <= snapshot.index:
+            self.compacted_term = self._term_before(batch.first_retained_index)
+            self.compacted_index = batch.first_retained_index - 1
+            self.entries = retained
+        else:
+            self.compacted_index = snapshot.index
+            self.compacted_term = snapshot.term
+            self.entries = [entry for entry in retained if entry.index > snapshot.index]
+
+    def _term_before(self, index: int) -> int:
+        dropped = [entry for entry in self.entries if entry.index == index - 1]
+        return dropped[0].term if dropped else self.compacted_term
+
+    def recover(self) -> RecoveredState:
+        """What a node starts with that opens this storage."""
+        return RecoveredState(
+            self.hard_state, self.snapshot, list(self.entries), self.compacted_index, self.compacted_term
+        )
--- a/juniperreel/raft/node.py
+++ b/juniperreel/raft/node.py
@@ -17,11 +17,14 @@
 from juniperreel.net.clock import US
 from juniperreel.proto.raft.v1 import raft_pb2
 from juniperreel.raft import wire
+from juniperreel.raft.config import RaftConfig
 from juniperreel.raft.configuration.state_machine import ConfigurationStateMachine, Outcome
-from juniperreel.raft.core import RaftConfig, RaftCore
-from juniperreel.raft.errors import EntrySupersededError, NotLeaderError, RequestRejectedError
-from juniperreel.raft.storage import DiskFullError, Storage
-from juniperreel.raft.types import Entry, EntryKind, MembershipChange, Message, Ready
+from juniperreel.raft.core import RaftCore
+from juniperreel.raft.errors import DiskFullError, EntrySupersededError, NotLeaderError, RequestRejectedError
+from juniperreel.raft.messages import Message
+from juniperreel.raft.ready import Ready
+from juniperreel.raft.storage import Storage
+from juniperreel.raft.types import Entry, EntryKind, LogPosition, MembershipChange
 from juniperreel.rpc.channel import Backoff, Broken, Channel, NeverSent
 from juniperreel.rpc.limits import Limits
 from juniperreel.rpc.link import Wakeup
@@ -41,7 +44,7 @@
 class PendingOperation:
     """Runs `act` in the node's task; it may raise NotLeaderError or RequestRejectedError."""
 
-    act: Callable[[], tuple[int, int] | None]
+    act: Callable[[], LogPosition | None]
     done: trio.Event = field(default_factory=trio.Event)
     result: Any = None
     error: Exception | None = None
@@ -71,7 +74,7 @@
 
     async def run(self) -> None:
         n = self.node
-        host, port = wire.address(self.name)
+        host, port = wire.parse_address(self.name)
         channel = Channel(
             n.network,
             n.clock,
@@ -121,7 +124,7 @@
         """Raises StorageError where the directory cannot be read."""
         self.name, self.cluster, self.key = name, cluster, key
         self.storage, self.network, self.clock, self.log, self.rng = storage, network, clock, log, rng
-        self.core = RaftCore(name, storage.restore(), config or RaftConfig(), random.Random(rng.random()))
+        self.core = RaftCore(name, storage.recover(), config or RaftConfig(), random.Random(rng.random()))
         self.state_machine = ConfigurationStateMachine()
         self.state_machine.restore(self.core.snapshot.data)
         self.applied = Wakeup()
@@ -162,13 +165,13 @@
         outcome: Outcome = await self._ask(PendingOperation(lambda: self.core.propose(data)))
         return outcome
 
-    async def change(self, change: MembershipChange, name: str) -> None:
+    async def change_membership(self, change: MembershipChange, name: str) -> None:
         """Once the membership is committed. Raises as `propose` does."""
-        await self._ask(PendingOperation(lambda: self.core.change(change, name)))
+        await self._ask(PendingOperation(lambda: self.core.change_membership(change, name)))
 
-    async def transfer(self, name: str) -> None:
+    async def transfer_leadership(self, name: str) -> None:
         def act() -> None:
-            self.core.transfer(name)
+            self.core.transfer_leadership(name)
 
         await self._ask(PendingOperation(act))
 
@@ -180,7 +183,7 @@
         ask = PendingOperation(lambda: None)
 
         def act() -> None:
-            self.core.read(context)
+            self.core.read_index(context)
             self._reads[context] = ask
 
         ask.act = act
@@ -232,21 +235,20 @@
             item.end(error=error)
             return
         if place is not None:
-            term, index = place
-            self._pending[index] = (term, item)
+            self._pending[place.index] = (place.term, item)
         elif item not in self._reads.values():
             item.end()
 
     async def _settle(self) -> None:
         while self.core.has_ready():
-            ready = self.core.take()
+            ready = self.core.take_ready()
             if ready.persist:
                 try:
                     await trio.to_thread.run_sync(self.storage.write, ready.persist)
                 except DiskFullError as error:
                     self.log.error("the disk takes no more; this instance stops", error=str(error))
                     raise
-            self.core.persisted(ready)
+            self.core.mark_persisted(ready)
             self._dispatch(ready)
         role = (self.core.role.value, self.core.leader)
         if role != self._was:
@@ -263,29 +265,32 @@
             ask.end(error=NotLeaderError(self.core.leader))
 
     def _dispatch(self, ready: Ready) -> None:
-        for message in ready.send:
+        for message in ready.messages:
             peer = self._peers.get(message.dst) or self._guest(message.dst)
             if peer is not None:
                 peer.put(message)
-        if ready.install is not None:
-            self.state_machine.restore(ready.install.data)
-            for index in [i for i in self._pending if i <= ready.install.index]:
+        if ready.installed_snapshot is not None:
+            self.state_machine.restore(ready.installed_snapshot.data)
+            for index in [i for i in self._pending if i <= ready.installed_snapshot.index]:
                 self._pending.pop(index)[1].end(error=EntrySupersededError("a snapshot took its place"))
-        for entry in ready.apply:
+        for entry in ready.committed_entries:
             self._apply(entry)
-        for context, _ in ready.reads:
-            ask = self._reads.pop(context, None)
+        for read in ready.read_states:
+            ask = self._reads.pop(read.context, None)
             if ask is not None:
                 ask.end()
         for context in ready.lost_reads:
             ask = self._reads.pop(context, None)
             if ask is not None:
                 ask.end(error=NotLeaderError(self.core.leader))
-        if ready.apply or ready.install is not None:
+        if ready.committed_entries or ready.installed_snapshot is not None:
             self.applied.wake()
-            if self.core.applied - self.core.snapshot.index >= self._every:
-                self.core.compact(self.core.applied, self.state_machine.snapshot())
-        if any(e.kind is EntryKind.CONFIG for e in ready.persist.entries) or ready.install is not None:
+            if self.core.applied_index - self.core.snapshot.index >= self._every:
+                self.core.compact(self.core.applied_index, self.state_machine.snapshot())
+        if (
+            any(e.kind is EntryKind.CONFIG for e in ready.persist.entries)
+            or ready.installed_snapshot is not None
+        ):
             self._connect()
 
     def _apply(self, entry: Entry) -> None:
@@ -312,12 +317,12 @@
     def _connect(self) -> None:
         """A link to each member and to the last guests, and none to others."""
         assert self._nursery is not None
-        wanted = (self.core.members.all | set(self._guests)) - {self.name}
+        wanted = (self.core.membership.all | set(self._guests)) - {self.name}
         for name in self._peers.keys() - wanted:
             self._peers.pop(name).scope.cancel()
         for name in sorted(wanted - self._peers.keys()):
             try:
-                wire.address(name)
+                wire.parse_address(name)
             except ValueError as error:
                 self.log.error("a member that cannot be reached", error=str(error))
                 continue
--- a/juniperreel/raft/service.py
+++ b/juniperreel/raft/service.py
@@ -185,30 +185,30 @@
             role=core.role.value,
             term=core.term,
             leader=core.leader or "",
-            commit=core.commit,
-            applied=core.applied,
-            first=core.log.first,
-            last=core.log.last,
+            commit=core.commit_index,
+            applied=core.applied_index,
+            first=core.log.first_index,
+            last=core.log.last_index,
             version=self._node.state_machine.current.version,
-            voters=sorted(core.members.voters),
-            learners=sorted(core.members.learners),
-            matches=core.matches(),
+            voters=sorted(core.membership.voters),
+            learners=sorted(core.membership.learners),
+            matches=core.match_indexes(),
         )
         return status.SerializeToString()
 
     async def _change(self, call: Call, data: bytes) -> bytes:
         try:
             ask = pb.ChangeInstancesRequest.FromString(data)
-            wire.address(ask.name)
+            wire.parse_address(ask.name)
         except DecodeError:
             raise RpcError(Code.INVALID_ARGUMENT, "not a ChangeInstancesRequest") from None
         except ValueError as error:
             raise RpcError(Code.INVALID_ARGUMENT, str(error), [field_violation("name", str(error))]) from None
         try:
             if ask.change == "transfer":
-                await self._node.transfer(ask.name)
+                await self._node.transfer_leadership(ask.name)
             elif ask.change in CHANGES:
-                await self._node.change(CHANGES[ask.change], ask.name)
+                await self._node.change_membership(CHANGES[ask.change], ask.name)
             else:
                 raise RpcError(
                     Code.INVALID_ARGUMENT, f"{ask.change[:40]!r} is none of add, promote, remove, transfer"
--- a/tests/raft/cluster.py
+++ b/tests/raft/cluster.py
@@ -17,8 +17,9 @@
 from juniperreel.raft.configuration.commands import Command, SetGroup, SetLimit, SetMember
 from juniperreel.raft.configuration.model import Configuration, GroupInfo, MemberInfo
 from juniperreel.raft.configuration.state_machine import Outcome
+from juniperreel.raft.messages import Message
 from juniperreel.raft.storage import Storage
-from juniperreel.raft.types import Membership, Message
+from juniperreel.raft.types import Membership
 from juniperreel.settings.configd import InstanceSettings
 from juniperreel.telemetry.log import make_log
 
@@ -138,7 +139,7 @@
             while True:
                 for name in among or self.names:
                     node = self.instances[name].node
-                    if node.core.is_leader and not node.stopped and node.core.commit >= node.core._noop:
+                    if node.core.is_leader and not node.stopped and node.core.commit_index >= node.core._noop:
                         return name
                 await trio.sleep(0.01)
 
--- a/tests/raft/mutations.py
+++ b/tests/raft/mutations.py
@@ -3,32 +3,38 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
+
+import msgspec
 
 from juniperreel.raft.core import RaftCore
-from juniperreel.raft.log import encode_membership
-from juniperreel.raft.progress import Progress
-from juniperreel.raft.types import (
+from juniperreel.raft.membership import encode_membership
+from juniperreel.raft.messages import (
     AppendEntries,
     AppendEntriesReply,
-    Entry,
-    EntryKind,
-    MembershipChange,
     Message,
-    PersistBatch,
-    Ready,
-    Role,
-    Snapshot,
     SnapshotChunk,
     VoteReply,
     VoteRequest,
 )
+from juniperreel.raft.progress import Progress
+from juniperreel.raft.ready import PersistBatch, ReadState, Ready
+from juniperreel.raft.types import Entry, EntryKind, LogPosition, MembershipChange, Role
+
+
+class CountingCore(RaftCore):
+    """Knows what the voters hold."""
+
+    def _held(self) -> list[int]:
+        held = self.match_indexes() | {self.name: self.persisted_index}
+        return sorted((held[name] for name in self.membership.voters), reverse=True)
 
 
 class VotesTwice(RaftCore):
     """Grants a vote whatever it voted before."""
 
     def _on_vote_request(self, m: VoteRequest) -> None:
-        if not m.pre:
+        if not m.pre_vote:
             self.vote, self.leader = None, None
         super()._on_vote_request(m)
 
@@ -36,8 +42,8 @@
 class ForgetsItsVote(RaftCore):
     """Does not persist term and vote."""
 
-    def take(self) -> Ready:
-        ready = super().take()
+    def take_ready(self) -> Ready:
+        ready = super().take_ready()
         ready.persist.hard_state = None
         return ready
 
@@ -45,48 +51,46 @@
 class SendsBeforePersisting(RaftCore):
     """Entries are acknowledged and lost with the next crash."""
 
-    def take(self) -> Ready:
-        ready = super().take()
+    def take_ready(self) -> Ready:
+        ready = super().take_ready()
         if self._rng.random() < 0.3:
             ready.persist = PersistBatch(
-                ready.persist.hard_state, ready.persist.snapshot, ready.persist.reset, []
+                ready.persist.hard_state, ready.persist.snapshot, ready.persist.replaces_log, []
             )
         return ready
 
 
-class CommitsOldTermsByCount(RaftCore):
+class CommitsOldTermsByCount(CountingCore):
     """Figure 8 of the paper: an entry of an earlier term is committed because a quorum holds it."""
 
     def _advance(self) -> None:
         if self.role is not Role.LEADER:
             return
-        held = [self.stable if n == self.name else self._progress[n].match for n in self.members.voters]
-        index = sorted(held, reverse=True)[self.members.quorum() - 1]
-        self.commit = max(self.commit, index)
+        index = self._held()[self.membership.quorum() - 1]
+        self.commit_index = max(self.commit_index, index)
         super()._advance()
 
     def _elected(self, pre: bool) -> None:
         super()._elected(pre)
-        if not pre and self.role is Role.LEADER and self.log.last > self.commit + 1:
+        if not pre and self.role is Role.LEADER and self.log.last_index > self.commit_index + 1:
             # Without the entry of its own term that hides the bug.
-            self.log.truncate(self.log.last)
-            self._unstable = min(self._unstable, self.log.last + 1)
-            self._noop = self.log.last + 1
+            self.log.truncate(self.log.last_index)
+            self._unstable = min(self._unstable, self.log.last_index + 1)
+            self._noop = self.log.last_index + 1
             self._out = [m for m in self._out if not isinstance(m, AppendEntries)]
             for p in self._progress.values():
-                p.next, p.waiting = self.log.last + 1, False
+                p.next_index, p.awaiting_reply = self.log.last_index + 1, False
             self._broadcast()
 
 
-class CommitsWithoutQuorum(RaftCore):
+class CommitsWithoutQuorum(CountingCore):
     """One copy less than a quorum is enough for it."""
 
     def _advance(self) -> None:
-        if self.role is Role.LEADER and len(self.members.voters) > 1:
-            held = [self.stable if n == self.name else self._progress[n].match for n in self.members.voters]
-            index = sorted(held, reverse=True)[self.members.quorum() - 2]
-            if self.log.term(index) == self.term:
-                self.commit = max(self.commit, index)
+        if self.role is Role.LEADER and len(self.membership.voters) > 1:
+            index = self._held()[self.membership.quorum() - 2]
+            if self.log.term_at(index) == self.term:
+                self.commit_index = max(self.commit_index, index)
         super()._advance()
 
 
@@ -94,7 +98,7 @@
     """Votes for candidates whose log is older than its own."""
 
     def _on_vote_request(self, m: VoteRequest) -> None:
-        lenient = VoteRequest(m.src, m.dst, m.term, m.last_index + 1000, 1 << 40, m.pre, m.transfer)
+        lenient = msgspec.structs.replace(m, last_index=m.last_index + 1000, last_term=1 << 40)
         super()._on_vote_request(lenient)
 
 
@@ -102,9 +106,9 @@
     """Takes entries without looking at the one before them."""
 
     def _on_append(self, m: AppendEntries) -> None:
-        term = self.log.term(m.prev_index)
-        if term is not None and term != m.prev_term and m.prev_index > self.commit:
-            m = AppendEntries(m.src, m.dst, m.term, m.prev_index, term, m.entries, m.commit, m.round)
+        term = self.log.term_at(m.prev_index)
+        if term is not None and term != m.prev_term and m.prev_index > self.commit_index:
+            m = msgspec.structs.replace(m, prev_term=term)
         super()._on_append(m)
 
 
@@ -120,8 +124,8 @@
 
     def _on_append(self, m: AppendEntries) -> None:
         super()._on_append(m)
-        if self.log.term(m.prev_index) == m.prev_term:
-            self.commit = max(self.commit, min(m.commit + 1, self.log.last))
+        if self.log.term_at(m.prev_index) == m.prev_term:
+            self.commit_index = max(self.commit_index, min(m.commit_index + 1, self.log.last_index))
 
 
 class CountsUnpersistedEntries(RaftCore):
@@ -129,13 +133,13 @@
 
     def _append(self, kind: EntryKind, data: bytes) -> Entry:
         entry = super()._append(kind, data)
-        self.stable = entry.index
+        self.persisted_index = entry.index
         self._advance()
         return entry
 
-    def take(self) -> Ready:
-        ready = super().take()
-        if len(self.members.voters) <= 2 or self._rng.random() < 0.2:
+    def take_ready(self) -> Ready:
+        ready = super().take_ready()
+        if len(self.membership.voters) <= 2 or self._rng.random() < 0.2:
             ready.persist.entries = ready.persist.entries[:-1]
         return ready
 
@@ -144,13 +148,13 @@
     """A leader answers reads without hearing from a quorum that it still leads."""
 
     def _start_read(self, context: int) -> None:
-        self._ready_reads.append((context, self.commit))
+        self._ready_reads.append(ReadState(context, self.commit_index))
 
 
 class ReadsBeforeItsTermCommits(RaftCore):
     """A fresh leader answers reads from a commit index that may lag behind the one before."""
 
-    def read(self, context: int) -> None:
+    def read_index(self, context: int) -> None:
         self._must_lead()
         self._start_read(context)
 
@@ -158,7 +162,7 @@
 class ChangesTwoAtOnce(RaftCore):
     """Begins a change of membership while another one is not committed, of any size."""
 
-    def change(self, change: MembershipChange, name: str) -> tuple[int, int]:
+    def change_membership(self, change: MembershipChange, name: str) -> LogPosition:
         self._must_lead()
         members = self._changed(change, name)
         if change is MembershipChange.REMOVE and len(members.voters) > 2:
@@ -168,14 +172,14 @@
         entry = self._append(EntryKind.CONFIG, encode_membership(members))
         self._sync_progress()
         self._broadcast()
-        return entry.term, entry.index
+        return LogPosition(entry.term, entry.index)
 
 
 class TakesTermsOfOldReplies(RaftCore):
     """Counts vote replies of an earlier term."""
 
     def step(self, m: Message) -> None:
-        if isinstance(m, VoteReply) and not m.pre and m.term < self.term:
+        if isinstance(m, VoteReply) and not m.pre_vote and m.term < self.term:
             m = VoteReply(m.src, m.dst, self.term, m.granted)
         super().step(m)
 
@@ -185,9 +189,7 @@
 
     def step(self, m: Message) -> None:
         if isinstance(m, AppendEntries) and m.term < self.term and self.role is Role.FOLLOWER:
-            m = AppendEntries(
-                m.src, m.dst, self.term, m.prev_index, m.prev_term, m.entries, m.commit, m.round
-            )
+            m = msgspec.structs.replace(m, term=self.term)
         super().step(m)
 
 
@@ -196,7 +198,7 @@
 
     def _on_append_reply(self, m: AppendEntriesReply) -> None:
         if not m.accepted:
-            m = AppendEntriesReply(m.src, m.dst, m.term, True, m.refused, m.hint_term, m.refused, m.round)
+            m = msgspec.structs.replace(m, accepted=True, index=m.rejected_index)
         super()._on_append_reply(m)
 
 
@@ -215,10 +217,10 @@
 class ForgetsAppliedSnapshots(RaftCore):
     """Does not hand an installed snapshot to the state machine."""
 
-    def take(self) -> Ready:
-        ready = super().take()
-        if ready.install is not None:
-            ready.install = Snapshot(ready.install.index, ready.install.term, ready.install.members, b"")
+    def take_ready(self) -> Ready:
+        ready = super().take_ready()
+        if ready.installed_snapshot is not None:
+            ready.installed_snapshot = replace(ready.installed_snapshot, data=b"")
         return ready
 
 
@@ -226,11 +228,11 @@
     """A lost message is never sent again: safe, and stuck."""
 
     def _heartbeat(self) -> None:
-        nudge, Progress.nudge = Progress.nudge, lambda self: None  # type: ignore[method-assign]
+        nudge, Progress.on_heartbeat = Progress.on_heartbeat, lambda self: None  # type: ignore[method-assign]
         try:
             super()._heartbeat()
         finally:
-            Progress.nudge = nudge  # type: ignore[method-assign]
+            Progress.on_heartbeat = nudge  # type: ignore[method-assign]
 
 
 MUTATIONS: list[Callable[..., RaftCore]] = [
--- a/tests/raft/test_cluster.py
+++ b/tests/raft/test_cluster.py
@@ -21,9 +21,11 @@
 from juniperreel.raft.configuration import model
 from juniperreel.raft.configuration.commands import SetGroup, SetLimit, encode_command
 from juniperreel.raft.configuration.model import GroupInfo
-from juniperreel.raft.errors import EntrySupersededError, NotLeaderError, RequestRejectedError
-from juniperreel.raft.storage import Storage, StorageError
-from juniperreel.raft.types import Membership, TimeoutNow
+from juniperreel.raft.errors import EntrySupersededError, NotLeaderError, RequestRejectedError, StorageError
+from juniperreel.raft.messages import TimeoutNow
+from juniperreel.raft.ready import PersistBatch
+from juniperreel.raft.storage import Storage
+from juniperreel.raft.types import Membership
 from juniperreel.rpc.status import Code, RpcError
 from tests.driver.test_driver import options as driver_options
 from tests.raft.cluster import KEY, Cluster
@@ -148,9 +150,9 @@
     storage = three.instances[leader].storage
     write = storage.write
 
-    def slow(persist: Any) -> None:
+    def slow(batch: PersistBatch) -> None:
         time.sleep(2)
-        write(persist)
+        write(batch)
 
     storage.write = slow  # type: ignore[method-assign]
     stuck: list[str] = []
@@ -236,7 +238,7 @@
             await trio.sleep(0.01)
     leader = await cluster.leader()
     assert instance.node.state_machine.current == cluster.instances[leader].node.state_machine.current
-    assert instance.node.core.log.first > 1
+    assert instance.node.core.log.first_index > 1
 
 
 async def test_what_breaks_a_rule_is_refused_when_proposed_and_when_applied(three: Cluster) -> None:
--- a/tests/raft/test_core.py
+++ b/tests/raft/test_core.py
@@ -8,19 +8,13 @@
 import pytest
 
 from juniperreel.emulator.raft import Failure, Group, broken, run, schedule, shrink
-from juniperreel.raft.core import RaftConfig, RaftCore
+from juniperreel.raft.config import RaftConfig
+from juniperreel.raft.core import RaftCore
 from juniperreel.raft.errors import NotLeaderError, RequestRejectedError
 from juniperreel.raft.memory_storage import InMemoryStorage
-from juniperreel.raft.types import (
-    AppendEntries,
-    Membership,
-    MembershipChange,
-    Message,
-    Ready,
-    Role,
-    SnapshotChunk,
-    VoteRequest,
-)
+from juniperreel.raft.messages import AppendEntries, Message, SnapshotChunk, VoteRequest
+from juniperreel.raft.ready import Ready
+from juniperreel.raft.types import Membership, MembershipChange, Role
 from tests.raft import mutations
 
 CONFIG = RaftConfig(election_ticks=10, heartbeat_ticks=2, snapshot_chunk_bytes=8, trailing_entries=0)
@@ -43,21 +37,21 @@
 
     def boot(self, name: str, disk: InMemoryStorage | None = None) -> RaftCore:
         self.disks[name] = disk or self.disks.get(name) or InMemoryStorage(Membership(frozenset()))
-        self.cores[name] = RaftCore(name, self.disks[name].restore(), self.config, random.Random(name))
+        self.cores[name] = RaftCore(name, self.disks[name].recover(), self.config, random.Random(name))
         self.applied[name] = [s for s in self.disks[name].snapshot.data.split(b"\0") if s]
         return self.cores[name]
 
     def settle(self, name: str) -> Ready | None:
         core, ready = self.cores[name], None
         while core.has_ready():
-            ready = core.take()
+            ready = core.take_ready()
             self.disks[name].write(ready.persist)
-            core.persisted(ready)
-            self.wire.extend(ready.send)
-            if ready.install is not None:
-                self.applied[name] = [s for s in ready.install.data.split(b"\0") if s]
-            self.applied[name] += [e.data for e in ready.apply if e.data and e.kind.value == 0]
-            self.reads += [(name, c, i) for c, i in ready.reads]
+            core.mark_persisted(ready)
+            self.wire.extend(ready.messages)
+            if ready.installed_snapshot is not None:
+                self.applied[name] = [s for s in ready.installed_snapshot.data.split(b"\0") if s]
+            self.applied[name] += [e.data for e in ready.committed_entries if e.data and e.kind.value == 0]
+            self.reads += [(name, read.context, read.index) for read in ready.read_states]
         return ready
 
     def pump(self, drop: Callable[[Message], bool] = lambda m: False) -> None:
@@ -108,11 +102,11 @@
     s = Story("a", "b", "c")
     core = s.cores["b"]
     core.step(VoteRequest("a", "b", 1, 0, 0))
-    ready = core.take()
+    ready = core.take_ready()
     assert ready.persist.hard_state is not None and ready.persist.hard_state.vote == "a"
-    core.persisted(ready)
+    core.mark_persisted(ready)
     core.step(VoteRequest("c", "b", 1, 9, 9))
-    (reply,) = core.take().send
+    (reply,) = core.take_ready().messages
     assert not reply.granted  # type: ignore[union-attr]
 
 
@@ -128,8 +122,8 @@
     s.cut = set()
     s.ticks(30)
     assert all(applied == [b"kept", b"new"] for applied in s.applied.values())
-    for term, index in lost:  # whoever proposed them can tell that the outcome was another's
-        assert s.cores["a"].log.term(index) != term
+    for position in lost:  # whoever proposed them can tell that the outcome was another's
+        assert s.cores["a"].log.term_at(position.index) != position.term
 
 
 def test_a_leader_without_a_quorum_steps_down() -> None:
@@ -172,27 +166,27 @@
     assert leader.term > 1
     fresh = Story("a", "b", "c")
     core = fresh.elect("a")
-    before = core.commit
+    before = core.commit_index
     core.term += 1  # as if elected again, with nothing of the new term in its log
     for p in core._progress.values():
-        p.match = core.log.last
-    core.commit = before - 1
+        p.match_index = core.log.last_index
+    core.commit_index = before - 1
     core._advance()
-    assert core.commit == before - 1
+    assert core.commit_index == before - 1
 
 
 def test_a_deposed_leader_answers_no_reads() -> None:
     s = Story("a", "b", "c")
     s.elect("a")
     s.cut = {"a"}
-    s.cores["a"].read(7)
+    s.cores["a"].read_index(7)
     s.elect("b")
     s.propose("b", b"new")
     s.ticks(25, "a")
     assert s.reads == []
     s.cut = set()
     s.ticks(5, "b")
-    s.cores["b"].read(8)
+    s.cores["b"].read_index(8)
     s.pump()
     (read,) = s.reads
     assert read[:2] == ("b", 8) and s.cores["b"].log.slice(read[2], read[2])[0].data in (b"new", b"")
@@ -202,13 +196,13 @@
     s = Story("a", "b", "c")
     core = s.elect("a")
     s.cut = {"a"}
-    core.read(7)
+    core.read_index(7)
     for _ in range(25):
         core.tick()
     lost: list[int] = []
     while core.has_ready():
-        ready = core.take()
-        core.persisted(ready)
+        ready = core.take_ready()
+        core.mark_persisted(ready)
         lost += ready.lost_reads
     assert lost == [7]
 
@@ -216,7 +210,7 @@
 def test_a_removed_node_does_not_disturb() -> None:
     s = Story("a", "b", "c")
     s.elect("a")
-    s.cores["a"].change(MembershipChange.REMOVE, "c")
+    s.cores["a"].change_membership(MembershipChange.REMOVE, "c")
     s.pump(drop=lambda m: m.dst == "c")  # it never learns
     term = s.cores["a"].term
     for _ in range(60):
@@ -245,36 +239,36 @@
     s.pump(drop=lambda m: isinstance(m, AppendEntries))
     assert core.is_leader
     with pytest.raises(RequestRejectedError, match="nothing in its term"):
-        core.change(MembershipChange.ADD_LEARNER, "d")
+        core.change_membership(MembershipChange.ADD_LEARNER, "d")
     s.ticks(4, "a")
-    core.change(MembershipChange.ADD_LEARNER, "d")
+    core.change_membership(MembershipChange.ADD_LEARNER, "d")
     with pytest.raises(RequestRejectedError, match="under way"):
-        core.change(MembershipChange.ADD_LEARNER, "e")
+        core.change_membership(MembershipChange.ADD_LEARNER, "e")
     s.pump()
     s.boot("d")
     s.ticks(6, "a")
-    core.change(MembershipChange.PROMOTE, "d")
+    core.change_membership(MembershipChange.PROMOTE, "d")
     s.pump()
-    assert core.members.voters == frozenset("abcd")
-    core.change(MembershipChange.REMOVE, "d")
+    assert core.membership.voters == frozenset("abcd")
+    core.change_membership(MembershipChange.REMOVE, "d")
     s.pump()
     with pytest.raises(RequestRejectedError, match="new one"):
-        core.change(MembershipChange.ADD_LEARNER, "d")
+        core.change_membership(MembershipChange.ADD_LEARNER, "d")
 
 
 def test_a_learner_far_behind_is_not_promoted() -> None:
     s = Story("a", "b", "c", config=RaftConfig(max_promotion_lag=2))
     core = s.elect("a")
-    core.change(MembershipChange.ADD_LEARNER, "d")
+    core.change_membership(MembershipChange.ADD_LEARNER, "d")
     s.propose("a", *(b"%d" % n for n in range(9)))
     with pytest.raises(RequestRejectedError, match="lacks"):
-        core.change(MembershipChange.PROMOTE, "d")
+        core.change_membership(MembershipChange.PROMOTE, "d")
 
 
 def test_a_leader_that_removes_itself_leaves_after_the_commit() -> None:
     s = Story("a", "b", "c")
     core = s.elect("a")
-    core.change(MembershipChange.REMOVE, "a")
+    core.change_membership(MembershipChange.REMOVE, "a")
     s.pump()
     assert not core.is_leader
     s.elect("b")
@@ -286,7 +280,7 @@
     s = Story("a", "b", "c")
     core = s.elect("a")
     s.propose("a", b"x")
-    core.transfer("b")
+    core.transfer_leadership("b")
     with pytest.raises(RequestRejectedError, match="handed over"):
         core.propose(b"y")
     s.pump()
@@ -299,9 +293,9 @@
     s.cut = {"c"}
     s.propose("a", *(b"command%d" % n for n in range(20)))
     core = s.cores["a"]
-    core.compact(core.applied, b"\0".join(s.applied["a"]))
+    core.compact(core.applied_index, b"\0".join(s.applied["a"]))
     s.pump()
-    assert core.log.first > 10
+    assert core.log.first_index > 10
     s.cut = set()
     return s
 
@@ -352,7 +346,7 @@
     s.propose("a", b"x")
     assert s.applied["a"] == [b"x"]
     with pytest.raises(RequestRejectedError):
-        s.cores["a"].change(MembershipChange.REMOVE, "a")
+        s.cores["a"].change_membership(MembershipChange.REMOVE, "a")
 
 
 def test_proposals_beyond_the_bound_wait_outside() -> None:
--- a/tests/raft/test_digest.py
+++ b/tests/raft/test_digest.py
@@ -18,10 +18,13 @@
 
 from juniperreel.emulator import raft as emulator
 from juniperreel.raft import wire
-from juniperreel.raft.core import RaftConfig, RaftCore, RecoveredState
+from juniperreel.raft.config import RaftConfig
+from juniperreel.raft.core import RaftCore
 from juniperreel.raft.memory_storage import InMemoryStorage
+from juniperreel.raft.messages import Message
+from juniperreel.raft.ready import PersistBatch, Ready
 from juniperreel.raft.storage import Storage
-from juniperreel.raft.types import Membership, Message, PersistBatch, Ready
+from juniperreel.raft.types import Membership, RecoveredState
 
 SCHEDULES = 500
 OPERATIONS = 400
@@ -135,13 +138,13 @@
         name: str, restored: RecoveredState, config: RaftConfig, rng: random.Random
     ) -> RaftCore:
         core = core_class(name, restored, config, rng)
-        persisted = core.persisted
+        persisted = core.mark_persisted
 
         def record(ready: Ready) -> None:
             persisted(ready)
-            recorder.add_messages(ready.send)
+            recorder.add_messages(ready.messages)
 
-        core.persisted = record  # type: ignore[method-assign]
+        core.mark_persisted = record  # type: ignore[method-assign]
         return core
 
     monkeypatch.setattr(emulator, "InMemoryStorage", RecordingDisk)
--- a/tests/raft/test_storage.py
+++ b/tests/raft/test_storage.py
@@ -11,12 +11,16 @@
 
 import pytest
 
+from juniperreel.raft.config import RaftConfig
 from juniperreel.raft.configuration.commands import Command, SetLimit, encode_command
 from juniperreel.raft.configuration.state_machine import ConfigurationStateMachine
-from juniperreel.raft.core import RaftConfig, RaftCore
+from juniperreel.raft.core import RaftCore
+from juniperreel.raft.errors import DiskFullError, StorageError
 from juniperreel.raft.memory_storage import InMemoryStorage
-from juniperreel.raft.storage import DiskFullError, Storage, StorageError, rescue
-from juniperreel.raft.types import Entry, EntryKind, HardState, Membership, PersistBatch, Snapshot
+from juniperreel.raft.offline import RescueResult, rescue
+from juniperreel.raft.ready import PersistBatch
+from juniperreel.raft.storage import Storage
+from juniperreel.raft.types import Entry, EntryKind, HardState, Membership, Snapshot
 
 MEMBERS = Membership(frozenset("abc"))
 
@@ -34,7 +38,7 @@
     storage.write(PersistBatch(HardState(3, "b", 2), entries=entries(1, 5)))
     storage.write(PersistBatch(entries=entries(4, 6, term=2)))
     storage.close()
-    restored = Storage.open(storage.path, "c", "a").restore()
+    restored = Storage.open(storage.path, "c", "a").recover()
     assert restored.hard_state == HardState(3, "b", 2)
     assert list(restored.entries) == entries(1, 3) + entries(4, 6, term=2)
     assert restored.snapshot == Snapshot(0, 0, MEMBERS, b"")
@@ -46,43 +50,48 @@
         disk = Storage.create(tmp_path / str(seed), "c", "a", Membership(frozenset("a")), 1 << 24)
         twin = InMemoryStorage(Membership(frozenset("a")))
         rng = random.Random(seed)
-        core = RaftCore("a", twin.restore(), RaftConfig(trailing_entries=3), rng)
+        core = RaftCore("a", twin.recover(), RaftConfig(trailing_entries=3), rng)
         for _ in range(300):
             core.tick()
             if core.is_leader and rng.random() < 0.5:
                 core.propose(rng.randbytes(rng.randrange(50)))
-            if rng.random() < 0.05 and core.applied > core.snapshot.index:
+            if rng.random() < 0.05 and core.applied_index > core.snapshot.index:
                 core.compact(
-                    core.applied, rng.randbytes(rng.randrange(3 << 20) if rng.random() < 0.1 else 20)
+                    core.applied_index, rng.randbytes(rng.randrange(3 << 20) if rng.random() < 0.1 else 20)
                 )
             while core.has_ready():
-                ready = core.take()
+                ready = core.take_ready()
                 disk.write(ready.persist)
                 twin.write(ready.persist)
-                core.persisted(ready)
+                core.mark_persisted(ready)
             if rng.random() < 0.05:
-                assert disk.restore() == twin.restore()
-                core = RaftCore("a", disk.restore(), RaftConfig(trailing_entries=3), rng)
-        assert disk.restore() == twin.restore()
+                assert disk.recover() == twin.recover()
+                core = RaftCore("a", disk.recover(), RaftConfig(trailing_entries=3), rng)
+        assert disk.recover() == twin.recover()
         disk.close()
 
 
 def test_an_installed_snapshot_replaces_the_log(storage: Storage) -> None:
     storage.write(PersistBatch(entries=entries(1, 5)))
     snapshot = Snapshot(9, 2, MEMBERS, os.urandom(3 << 20))
-    storage.write(PersistBatch(snapshot=snapshot, reset=True, keep_from=10, entries=entries(10, 11, term=2)))
-    restored = storage.restore()
+    storage.write(
+        PersistBatch(
+            snapshot=snapshot, replaces_log=True, first_retained_index=10, entries=entries(10, 11, term=2)
+        )
+    )
+    restored = storage.recover()
     assert restored.snapshot == snapshot and list(restored.entries) == entries(10, 11, term=2)
-    assert (restored.base, restored.base_term) == (9, 2)
+    assert (restored.compacted_index, restored.compacted_term) == (9, 2)
 
 
 WRITER = """
 import sys
 from pathlib import Path
 from juniperreel.raft.storage import Storage
-from juniperreel.raft.types import Entry, HardState, EntryKind, PersistBatch
+from juniperreel.raft.types import Entry, HardState, EntryKind
+from juniperreel.raft.ready import PersistBatch
 storage = Storage.open(Path(sys.argv[1]), "c", "a")
-n = len(storage.restore().entries)
+n = len(storage.recover().entries)
 while True:
     n += 1
     pair = [Entry(1, n, EntryKind.COMMAND, b"x" * 3000), Entry(1, n + 1, EntryKind.COMMAND, b"y" * 3000)]
@@ -104,7 +113,7 @@
         confirmed = max([confirmed, *map(int, writer.stdout.read().split())])
         writer.wait()
         again = Storage.open(storage.path, "c", "a")
-        restored = again.restore()
+        restored = again.recover()
         again.close()
         assert restored.hard_state.term >= confirmed
         assert len(restored.entries) == restored.hard_state.term + 1  # the pair came whole
@@ -114,7 +123,7 @@
     storage.write(PersistBatch(HardState(1, "a", 0), entries=entries(1, 3)))
     with pytest.raises(DiskFullError):
         storage.write(PersistBatch(HardState(9, "b", 0), entries=entries(2, 20, size=1 << 20)))
-    restored = storage.restore()
+    restored = storage.recover()
     assert restored.hard_state.term == 1 and list(restored.entries) == entries(1, 3)
     storage.write(PersistBatch(entries=entries(4, 4)))
 
@@ -138,7 +147,7 @@
     with data.open("r+b") as file:
         file.truncate(keep)
     with pytest.raises(StorageError, match="new name"):
-        Storage.open(storage.path, "c", "a").restore()
+        Storage.open(storage.path, "c", "a").recover()
 
 
 def test_flipped_bits_in_what_counts_are_refused_and_never_a_crash(storage: Storage) -> None:
@@ -146,7 +155,7 @@
     storage.write(
         PersistBatch(HardState(7, "votedforthis", 0), entries=[Entry(1, 1, EntryKind.COMMAND, marker * 30)])
     )
-    storage.write(PersistBatch(snapshot=Snapshot(1, 1, MEMBERS, b"STATESTATE" * 300), keep_from=1))
+    storage.write(PersistBatch(snapshot=Snapshot(1, 1, MEMBERS, b"STATESTATE" * 300), first_retained_index=1))
     storage.close()
     data = storage.path / "data.mdb"
     whole = data.read_bytes()
@@ -159,7 +168,7 @@
                 changed[place + offset] ^= 4
             data.write_bytes(changed)
             with pytest.raises(StorageError, match="changed"):
-                Storage.open(storage.path, "c", "a").restore()
+                Storage.open(storage.path, "c", "a").recover()
             refused += 1
         assert at > 0
     assert refused == 12
@@ -175,15 +184,15 @@
     lost.close()
     with pytest.raises(StorageError, match="another name"):
         rescue(tmp_path / "lost", tmp_path / "new", "old", "b@h:1")
-    assert rescue(tmp_path / "lost", tmp_path / "new", "new", "b@h:1", 1 << 24) == (5, 1)
+    assert rescue(tmp_path / "lost", tmp_path / "new", "new", "b@h:1", 1 << 24) == RescueResult(5, 1)
     core = RaftCore(
-        "b@h:1", Storage.open(tmp_path / "new", "new", "b@h:1").restore(), RaftConfig(), random.Random(1)
+        "b@h:1", Storage.open(tmp_path / "new", "new", "b@h:1").recover(), RaftConfig(), random.Random(1)
     )
     for _ in range(25):
         core.tick()
         while core.has_ready():
-            core.persisted(core.take())
-    assert core.is_leader and core.term > 3 and core.members.voters == {"b@h:1"}
+            core.mark_persisted(core.take_ready())
+    assert core.is_leader and core.term > 3 and core.membership.voters == {"b@h:1"}
     machine = ConfigurationStateMachine()
     machine.restore(core.snapshot.data)
     assert machine.current.limits["attempts"] == 5
--- a/tests/raft/test_stored_data.py
+++ b/tests/raft/test_stored_data.py
@@ -13,6 +13,7 @@
 import lmdb
 import pytest
 
+from juniperreel.raft.config import RaftConfig
 from juniperreel.raft.configuration.commands import (
     Command,
     ConfigurationChange,
@@ -28,8 +29,9 @@
 )
 from juniperreel.raft.configuration.model import ClassInfo, ClientSession, GroupInfo, MemberInfo, TenantInfo
 from juniperreel.raft.configuration.state_machine import ConfigurationStateMachine
-from juniperreel.raft.core import RaftConfig, RaftCore
-from juniperreel.raft.storage import Storage, look
+from juniperreel.raft.core import RaftCore
+from juniperreel.raft.offline import inspect_directory
+from juniperreel.raft.storage import Storage
 from juniperreel.raft.types import EntryKind, HardState, Membership, MembershipChange
 
 FIXTURE = Path(__file__).parent / "data" / "commit-5d30e02.mdb.xz"
@@ -55,7 +57,7 @@
 
     def __init__(self, storage: Storage) -> None:
         self.storage = storage
-        restored = storage.restore()
+        restored = storage.recover()
         self.core = RaftCore(NODE, restored, RaftConfig(trailing_entries=3), random.Random(1))
         self.state_machine = ConfigurationStateMachine()
         self.state_machine.restore(restored.snapshot.data)
@@ -68,10 +70,10 @@
 
     def settle(self) -> None:
         while self.core.has_ready():
-            ready = self.core.take()
+            ready = self.core.take_ready()
             self.storage.write(ready.persist)
-            self.core.persisted(ready)
-            for entry in ready.apply:
+            self.core.mark_persisted(ready)
+            for entry in ready.committed_entries:
                 if entry.kind is EntryKind.COMMAND:
                     self.state_machine.apply(entry.data)
 
@@ -82,11 +84,11 @@
         self.settle()
 
     def change(self, change: MembershipChange, name: str) -> None:
-        self.core.change(change, name)
+        self.core.change_membership(change, name)
         self.settle()
 
     def compact(self) -> None:
-        self.core.compact(self.core.applied, self.state_machine.snapshot())
+        self.core.compact(self.core.applied_index, self.state_machine.snapshot())
         self.settle()
 
 
@@ -157,11 +159,12 @@
 
 
 def test_restore_of_an_old_directory_gives_hard_state_log_and_snapshot(folder: Path) -> None:
-    cluster, node, restored = look(folder)
+    contents = inspect_directory(folder)
+    restored = contents.recovered
 
-    assert (cluster, node) == (CLUSTER, NODE)
+    assert (contents.cluster, contents.node) == (CLUSTER, NODE)
     assert restored.hard_state == HardState(1, NODE, 12)
-    assert (restored.base, restored.base_term) == (4, 1)
+    assert (restored.compacted_index, restored.compacted_term) == (4, 1)
     assert [(entry.term, entry.index, entry.kind) for entry in restored.entries] == [
         (1, 5, EntryKind.COMMAND),
         (1, 6, EntryKind.CONFIG),
@@ -174,12 +177,12 @@
     ]
     snapshot = restored.snapshot
     assert (snapshot.index, snapshot.term) == (7, 1)
-    assert snapshot.members == Membership(frozenset({NODE}), frozenset({REMOVED}), frozenset())
+    assert snapshot.membership == Membership(frozenset({NODE}), frozenset({REMOVED}), frozenset())
     assert hashlib.sha256(snapshot.data).hexdigest() == SNAPSHOT_SHA256
 
 
 def test_snapshot_of_an_old_directory_decodes_and_encodes_to_the_same_bytes(folder: Path) -> None:
-    _, _, restored = look(folder)
+    restored = inspect_directory(folder).recovered
     machine = ConfigurationStateMachine()
 
     machine.restore(restored.snapshot.data)
@@ -224,7 +227,7 @@
         "operator": ClientSession(5, 7, ""),
     }
     assert hashlib.sha256(node.state_machine.snapshot()).hexdigest() == REPLAYED_SHA256
-    assert node.core.members == Membership(frozenset({NODE}), frozenset({LEARNER}), frozenset({REMOVED}))
+    assert node.core.membership == Membership(frozenset({NODE}), frozenset({LEARNER}), frozenset({REMOVED}))
     node.storage.close()
 
 
@@ -237,11 +240,11 @@
     node.storage.close()
 
     again = SingleNode(Storage.open(folder, CLUSTER, NODE, MAP_BYTES))
-    assert again.storage.restore().hard_state == HardState(2, NODE, 15)
+    assert again.storage.recover().hard_state == HardState(2, NODE, 15)
     assert again.state_machine.current.limits["attempts"] == 9
     again.elect()
 
-    assert (again.core.term, again.core.commit) == (3, 16)
+    assert (again.core.term, again.core.commit_index) == (3, 16)
     assert again.state_machine.current.version == 9
     assert again.state_machine.current.limits["attempts"] == 10
     assert again.state_machine.current.clients["operator"] == ClientSession(7, 9, "")
