Raft: the core is split by concern into parts that own their state

Now RaftCore only moves between the roles and passes each event to the part that decides on it: election, replication, append_receiver, snapshot_receiver, read_index, leadership_transfer, unstable; state.py is the plain record that they share.

--- a/juniperreel/cli/configd.py
+++ b/juniperreel/cli/configd.py
@@ -99,7 +99,7 @@
         """A leader that stops gives its place to the follower that holds most."""
         self.health.set(False)
         core = self.node.core
-        held = {n: at for n, at in core.match_indexes().items() if n in core.membership.voters}
+        held = {n: at for n, at in core.status().match_indexes.items() if n in core.membership.voters}
         if core.is_leader and held:
             best = max(sorted(held), key=lambda n: held[n])
             with trio.move_on_after(HAND_OVER_S):
--- /dev/null
+++ b/juniperreel/raft/replication.py
@@ -0,0 +1,283 @@
+"""The leader's side of log replication: what each follower is sent, and what is committed by that."""
+
+from __future__ import annotations
+
+from juniperreel.raft.messages import AppendEntries, AppendEntriesReply, SnapshotChunk, SnapshotReply
+from juniperreel.raft.progress import Progress, ProgressState
+from juniperreel.raft.state import NodeState
+from juniperreel.raft.types import Entry, EntryKind
+
+
+class Replication:
+    """Owns the progress of every follower and the numbering of heartbeat rounds.
+
+    Invariant: a leader holds the progress of exactly the other members; any other node holds none.
+    """
+
+    def __init__(self, state: NodeState) -> None:
+        """A node starts without followers."""
+        self._state = state
+        self._progress: dict[str, Progress] = {}
+        self._term_start_index = 0  # of this leader's first entry
+        self._heartbeat_round = 0
+        self._ticks_since_heartbeat = 0
+
+    @property
+    def has_committed_in_term(self) -> bool:
+        """Whether this leader has committed an entry of its own term."""
+        return self._state.commit_index >= self._term_start_index
+
+    def match_indexes(self) -> dict[str, int]:
+        """What each follower is known to hold."""
+        return {name: progress.match_index for name, progress in self._progress.items()}
+
+    def progress_of(self, name: str) -> Progress | None:
+        """The progress of a follower; None where this node does not lead it."""
+        return self._progress.get(name) if self._state.is_leader else None
+
+    def lag_of(self, name: str) -> int:
+        """How many committed entries a follower is not known to hold."""
+        progress = self._progress.get(name)
+        return self._state.commit_index - (progress.match_index if progress is not None else 0)
+
+    # Leadership.
+
+    def start_term(self) -> None:
+        """Begin to lead: with an entry of this term.
+
+        Entries of earlier terms are committed only through it (paper, 5.4.2 and section 8).
+        """
+        self._ticks_since_heartbeat = 0
+        self._progress = {}
+        self.sync_followers()
+        self._term_start_index = self._state.log.last_index + 1
+        self.append(EntryKind.NOOP, b"")
+        self.broadcast()
+
+    def stop(self) -> None:
+        """Forget the followers."""
+        self._progress = {}
+
+    def sync_followers(self) -> None:
+        """Track exactly the other members of the membership in force."""
+        state = self._state
+        followers = state.membership.all - {state.name}
+        for name in self._progress.keys() - followers:
+            del self._progress[name]
+        for name in sorted(followers - self._progress.keys()):
+            self._progress[name] = Progress(state.log.last_index + 1, state.config.max_inflight_appends)
+
+    def check_quorum(self) -> bool:
+        """Whether a quorum answered since the last check (dissertation, 6.2)."""
+        active = {name for name, progress in self._progress.items() if progress.recently_active}
+        active.add(self._state.name)
+        for progress in self._progress.values():
+            progress.recently_active = False
+        membership = self._state.membership
+        return len(active & membership.voters) >= membership.quorum()
+
+    def append(self, kind: EntryKind, data: bytes) -> Entry:
+        """Append an entry of this term to the leader's own log."""
+        entry = Entry(self._state.term, self._state.log.last_index + 1, kind, data)
+        self._state.log.append(entry)
+        self._state.memberships.append(entry)
+        return entry
+
+    # Commitment.
+
+    def advance_commit(self) -> bool:
+        """Commit what a quorum has on disk, if it is of this term (paper, 5.4.2 and figure 8).
+
+        Returns whether the commit index moved.
+        """
+        state = self._state
+        index = self._quorum_value(state.persisted_index, self.match_indexes())
+        if index <= state.commit_index or state.log.term_at(index) != state.term:
+            return False
+        state.commit_index = index
+        return True
+
+    def acknowledged_round(self) -> int:
+        """The newest round of heartbeats that a quorum has answered."""
+        rounds = {name: progress.acknowledged_round for name, progress in self._progress.items()}
+        return self._quorum_value(self._heartbeat_round, rounds)
+
+    def _quorum_value(self, own: int, of_followers: dict[str, int]) -> int:
+        """The highest value that a quorum of voters has reached."""
+        membership = self._state.membership
+        values = [own if name == self._state.name else of_followers[name] for name in membership.voters]
+        values.sort(reverse=True)
+        return values[membership.quorum() - 1]
+
+    # Sending.
+
+    def broadcast(self) -> None:
+        """Send every follower what it lacks."""
+        for name in sorted(self._progress):
+            self.send_to(name)
+
+    def broadcast_commit(self) -> None:
+        """Tell every follower of a new commit index, also those that lack no entries."""
+        state = self._state
+        for name in sorted(self._progress):
+            progress = self._progress[name]
+            if self.send_to(name) or progress.state is not ProgressState.REPLICATE:
+                continue
+            term = state.log.term_at(progress.match_index)
+            if term is not None:
+                self._send_empty_append(name, progress.match_index, term)
+
+    def heartbeat_due(self) -> bool:
+        """Count a tick. Returns whether it is time for a heartbeat."""
+        self._ticks_since_heartbeat += 1
+        if self._ticks_since_heartbeat < self._state.config.heartbeat_ticks:
+            return False
+        self._ticks_since_heartbeat = 0
+        return True
+
+    def start_heartbeat_round(self) -> int:
+        """Number a new round of heartbeats."""
+        self._heartbeat_round += 1
+        return self._heartbeat_round
+
+    def send_heartbeats(self) -> None:
+        """Send every follower something: what it lacks, or an AppendEntries without entries."""
+        log = self._state.log
+        for name in sorted(self._progress):
+            progress = self._progress[name]
+            progress.on_heartbeat()
+            if self.send_to(name):
+                continue
+            prev_index = min(progress.match_index, log.last_index)
+            prev_term = log.term_at(prev_index)
+            if prev_term is None:
+                prev_index = log.compacted_index
+                prev_term = log.compacted_term
+            self._send_empty_append(name, prev_index, prev_term)
+
+    def _send_empty_append(self, name: str, prev_index: int, prev_term: int) -> None:
+        state = self._state
+        # A follower may hold entries beyond its match that conflict with the leader's log; a commit index
+        # within the match commits none of them.
+        commit_index = min(state.commit_index, self._progress[name].match_index)
+        state.send(
+            AppendEntries(
+                src=state.name,
+                dst=name,
+                term=state.term,
+                prev_index=prev_index,
+                prev_term=prev_term,
+                entries=(),
+                commit_index=commit_index,
+                heartbeat_round=self._heartbeat_round,
+            )
+        )
+
+    def send_to(self, name: str) -> bool:
+        """Send a follower what it lacks, as far as its window allows. Returns whether anything was sent."""
+        state = self._state
+        progress = self._progress[name]
+        sent = False
+        while not progress.paused:
+            if progress.state is ProgressState.SNAPSHOT:
+                self._send_chunk(name, progress)
+                return True
+            prev_index = progress.next_index - 1
+            prev_term = state.log.term_at(prev_index)
+            if prev_term is None:
+                progress.become_snapshot(state.snapshot.index)
+                continue
+            entries = self._next_batch(progress.next_index)
+            if not entries and (progress.state is ProgressState.REPLICATE or sent):
+                return sent
+            self._send_append(name, prev_index, prev_term, entries)
+            progress.on_sent(entries[-1].index if entries else prev_index)
+            sent = True
+        return sent
+
+    def _send_append(self, name: str, prev_index: int, prev_term: int, entries: tuple[Entry, ...]) -> None:
+        state = self._state
+        state.send(
+            AppendEntries(
+                src=state.name,
+                dst=name,
+                term=state.term,
+                prev_index=prev_index,
+                prev_term=prev_term,
+                entries=entries,
+                commit_index=state.commit_index,
+                heartbeat_round=self._heartbeat_round,
+            )
+        )
+
+    def _next_batch(self, start: int) -> tuple[Entry, ...]:
+        """Entries from `start` on, within the limits of one message; at least one if there is one."""
+        log = self._state.log
+        config = self._state.config
+        end = min(log.last_index, start + config.max_entries_per_append - 1)
+        batch: list[Entry] = []
+        size = 0
+        for entry in log.slice(start, end):
+            size += len(entry.data)
+            if batch and size > config.max_bytes_per_append:
+                break
+            batch.append(entry)
+        return tuple(batch)
+
+    def _send_chunk(self, name: str, progress: Progress) -> None:
+        state = self._state
+        snapshot = state.snapshot
+        if progress.snapshot_index != snapshot.index:
+            progress.become_snapshot(snapshot.index)  # a newer one has taken its place
+        offset = progress.snapshot_offset
+        data = snapshot.data[offset : offset + state.config.snapshot_chunk_bytes]
+        state.send(
+            SnapshotChunk(
+                src=state.name,
+                dst=name,
+                term=state.term,
+                index=snapshot.index,
+                snapshot_term=snapshot.term,
+                membership=snapshot.membership,
+                offset=offset,
+                data=data,
+                last=offset + len(data) >= len(snapshot.data),
+            )
+        )
+        progress.on_sent(0)
+
+    # Answers.
+
+    def on_accepted(self, progress: Progress, reply: AppendEntriesReply) -> bool:
+        """Note what a follower holds. Returns whether that is more than was known."""
+        if progress.state is ProgressState.SNAPSHOT:
+            progress.become_probe()
+        return progress.on_accepted(min(reply.index, self._state.log.last_index))
+
+    def awaits_snapshot(self, progress: Progress, reply: AppendEntriesReply) -> bool:
+        """Whether a follower that is being sent a snapshot lacks entries that were compacted here."""
+        return progress.state is ProgressState.SNAPSHOT and reply.index < self._state.log.compacted_index
+
+    def on_rejected(self, progress: Progress, reply: AppendEntriesReply) -> None:
+        """Look for a match further back in the log, and send from there."""
+        if progress.state is ProgressState.SNAPSHOT:
+            return
+        hint_index = reply.index
+        if reply.hint_term:
+            # The follower's hint, lowered to where this log has that term or an older one.
+            hint_index = self._state.log.find_conflict_index(reply.index, reply.hint_term)
+        if progress.on_rejected(reply.rejected_index, hint_index):
+            self.send_to(reply.src)
+
+    def on_snapshot_reply(self, reply: SnapshotReply) -> None:
+        """Send the next chunk of the snapshot, if it is still the one that is being sent."""
+        progress = self.progress_of(reply.src)
+        if progress is None or progress.state is not ProgressState.SNAPSHOT:
+            return
+        progress.recently_active = True
+        if reply.index != progress.snapshot_index:
+            return
+        progress.awaiting_reply = False
+        if not reply.done:
+            progress.snapshot_offset = min(reply.offset, len(self._state.snapshot.data))
+            self.send_to(reply.src)
--- a/juniperreel/raft/service.py
+++ b/juniperreel/raft/service.py
@@ -192,7 +192,7 @@
             version=self._node.state_machine.current.version,
             voters=sorted(core.membership.voters),
             learners=sorted(core.membership.learners),
-            matches=core.match_indexes(),
+            matches=core.status().match_indexes,
         )
         return status.SerializeToString()
 
--- a/tests/raft/cluster.py
+++ b/tests/raft/cluster.py
@@ -139,7 +139,7 @@
             while True:
                 for name in among or self.names:
                     node = self.instances[name].node
-                    if node.core.is_leader and not node.stopped and node.core.commit_index >= node.core._noop:
+                    if node.core.is_leader and not node.stopped and node.core.has_committed_in_term:
                         return name
                 await trio.sleep(0.01)
 
--- a/tests/raft/test_core.py
+++ b/tests/raft/test_core.py
@@ -68,8 +68,8 @@
     def elect(self, name: str) -> RaftCore:
         core = self.cores[name]
         for other, its in self.cores.items():
-            if other != name and other not in self.cut:
-                its._elapsed = self.config.election_ticks  # it has heard of no leader for that long
+            if other != name and other not in self.cut:  # these have heard of no leader for long
+                its._election.elapsed_ticks = self.config.election_ticks
         for _ in range(2 * self.config.election_ticks):
             if core.role is Role.FOLLOWER:
                 core.tick()
@@ -167,11 +167,11 @@
     fresh = Story("a", "b", "c")
     core = fresh.elect("a")
     before = core.commit_index
-    core.term += 1  # as if elected again, with nothing of the new term in its log
-    for p in core._progress.values():
-        p.match_index = core.log.last_index
-    core.commit_index = before - 1
-    core._advance()
+    core.state.term += 1  # as if elected again, with nothing of the new term in its log
+    for progress in core._replication._progress.values():
+        progress.match_index = core.log.last_index
+    core.state.commit_index = before - 1
+    core._advance_commit()
     assert core.commit_index == before - 1
 
 
