--- a/juniperreel/raft/service.py
+++ b/juniperreel/raft/service.py
@@ -1,8 +1,10 @@
-"""What an instance serves: Raft to its peers, Configuration to everybody else."""
+"""The gRPC services of an instance: Raft for its peers, Configuration for everybody else."""
 
 from __future__ import annotations
 
 import hmac
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import trio
 from google.protobuf.message import DecodeError
@@ -11,19 +13,24 @@
 from juniperreel.proto.raft.v1 import raft_pb2
 from juniperreel.raft import wire
 from juniperreel.raft.configuration import model
-from juniperreel.raft.configuration.commands import decode_command
+from juniperreel.raft.configuration.commands import Command, decode_command
 from juniperreel.raft.configuration.state_machine import ConfigurationUpdate
 from juniperreel.raft.errors import EntrySupersededError, NotLeaderError, RequestRejectedError
 from juniperreel.raft.node import RaftNode
+from juniperreel.raft.peers import STEP_PATH
 from juniperreel.raft.types import MembershipChange
 from juniperreel.rpc.server import Call, Method
 from juniperreel.rpc.status import Code, RpcError, error_info, field_violation
 
-DOMAIN = "configuration.juniperreel"
+ERROR_DOMAIN = "configuration.juniperreel"
+NOT_LEADER_REASON = "NOT_LEADER"
 SERVICE = "juniperreel.configuration.v1.Configuration"
 MAX_WATCHES = 2000
-BEAT_S = 1.0
-CHANGES = {
+MAX_CACHED_UPDATES = 100
+MAX_ECHO = 40  # characters of a bad argument that are shown
+HEARTBEAT_S = 1.0  # of a watch
+TRANSFER = "transfer"
+MEMBERSHIP_CHANGES = {
     "add": MembershipChange.ADD_LEARNER,
     "promote": MembershipChange.PROMOTE,
     "remove": MembershipChange.REMOVE,
@@ -31,192 +38,217 @@
 
 
 class ConfigurationService:
-    """Answers from one node. Holds no state but the count of watches."""
+    """Answers from one node. Holds no state but the count of watches and the updates sent to them."""
 
     def __init__(self, node: RaftNode) -> None:
+        """`node` must be running."""
         self._node = node
         self._watches = 0
-        self._updates: dict[
-            tuple[int, int], ConfigurationUpdate
-        ] = {}  # the same for all watchers of a version
+        # By the versions from and to: the same for all watchers of a version.
+        self._updates: dict[tuple[int, int], ConfigurationUpdate] = {}
 
     def methods(self) -> dict[str, Method]:
+        """The handlers by path."""
         return {
-            "/juniperreel.raft.v1.Raft/Step": Method(unary=self._step),
+            STEP_PATH: Method(unary=self._step),
             f"/{SERVICE}/Propose": Method(unary=self._propose),
             f"/{SERVICE}/Get": Method(unary=self._get),
             f"/{SERVICE}/Watch": Method(streaming=self._watch),
             f"/{SERVICE}/Status": Method(unary=self._status),
-            f"/{SERVICE}/ChangeInstances": Method(unary=self._change),
+            f"/{SERVICE}/ChangeInstances": Method(unary=self._change_instances),
         }
 
-    async def _step(self, call: Call, data: bytes) -> bytes:
+    # Raft.
+
+    async def _step(self, _call: Call, data: bytes) -> bytes:
         await trio.lowlevel.checkpoint()
-        node = self._node
         try:
-            ask = raft_pb2.StepRequest.FromString(data)
-        except DecodeError:
-            raise RpcError(Code.INVALID_ARGUMENT, "not a StepRequest") from None
-        expected = wire.sign(node.key, node.cluster, ask.src, node.name, ask.messages)
-        if (
-            ask.cluster != node.cluster
-            or ask.dst != node.name
-            or not hmac.compare_digest(expected, ask.signature)
-        ):
-            # Danger: an instance of another cluster, or a stranger, that takes part in elections.
-            raise RpcError(Code.PERMISSION_DENIED, "not a member of this cluster, or not for this instance")
+            request = raft_pb2.StepRequest.FromString(data)
+        except DecodeError as error:
+            raise RpcError(Code.INVALID_ARGUMENT, "not a StepRequest") from error
+        self._authenticate(request)
         try:
-            messages = wire.decode(ask.messages)
+            messages = wire.decode(request.messages)
         except ValueError as error:
-            raise RpcError(Code.INVALID_ARGUMENT, str(error)) from None
+            raise RpcError(Code.INVALID_ARGUMENT, str(error)) from error
         for message in messages:
-            if message.src == ask.src:
-                node.deliver(message)
+            if message.src == request.src:
+                self._node.deliver(message)
         return b""
 
-    def _not_leader(self, leader: str | None) -> RpcError:
-        details = [error_info("NOT_LEADER", DOMAIN, leader=leader or "")]
-        return RpcError(Code.FAILED_PRECONDITION, f"the leader is {leader or 'not known'}", details)
+    def _authenticate(self, request: raft_pb2.StepRequest) -> None:
+        """Check that a peer of this cluster sent the call to this node.
 
-    async def _propose(self, call: Call, data: bytes) -> bytes:
+        Otherwise an instance of another cluster, or anybody who reaches the port, could take part in
+        elections.
+        """
         node = self._node
-        try:
-            ask = pb.ProposeRequest.FromString(data)
-            command = decode_command(ask.command)
-        except DecodeError:
-            raise RpcError(Code.INVALID_ARGUMENT, "not a ProposeRequest") from None
-        except ValueError as error:
-            raise RpcError(
-                Code.INVALID_ARGUMENT, str(error), [field_violation("command", str(error))]
-            ) from None
+        expected = wire.sign(node.key, node.cluster, request.src, node.name, request.messages)
+        if (
+            request.cluster != node.cluster
+            or request.dst != node.name
+            or not hmac.compare_digest(expected, request.signature)
+        ):
+            raise RpcError(Code.PERMISSION_DENIED, "not a member of this cluster, or not for this instance")
+
+    # Configuration.
+
+    async def _propose(self, _call: Call, data: bytes) -> bytes:
+        node = self._node
+        request, command = _parse_proposal(data)
         if not node.core.is_leader:
-            raise self._not_leader(node.core.leader)
-        known = node.state_machine.previous_outcome(command)
-        if known is None and (refusal := node.state_machine.rejection_of(command)):
-            # Checked when proposed: what is refused now need not go through the log. A leader that was
-            # replaced may judge by an old version, so it first makes sure that it still leads.
-            await self._sure()
-            if node.state_machine.previous_outcome(command) is None and (
-                refusal := node.state_machine.rejection_of(command)
-            ):
-                return pb.ProposeResponse(
-                    version=node.state_machine.current.version, refusal=refusal
-                ).SerializeToString()
-        try:
-            outcome = await node.propose(ask.command)
-        except NotLeaderError as error:
-            raise self._not_leader(error.leader) from None
-        except RequestRejectedError as error:
-            raise RpcError(Code.UNAVAILABLE, str(error)) from None
-        except EntrySupersededError as error:
-            raise RpcError(Code.ABORTED, f"not applied: {error}") from None
+            raise _not_leader(node.core.leader)
+        if self._rejection_of(command):
+            # What would be rejected now need not go through the log. A leader that was replaced may check
+            # against an old version, so it first makes sure that it still leads.
+            await self._confirm_leadership()
+            rejection = self._rejection_of(command)
+            if rejection:
+                version = node.state_machine.current.version
+                return pb.ProposeResponse(version=version, refusal=rejection).SerializeToString()
+        with _errors_as_status(rejected=Code.UNAVAILABLE, superseded="not applied: "):
+            outcome = await node.propose(request.command)
         return pb.ProposeResponse(version=outcome.version, refusal=outcome.rejection).SerializeToString()
 
-    async def _sure(self) -> None:
-        try:
+    def _rejection_of(self, command: Command) -> str:
+        """Why a new command would be rejected now; empty if it would not be, or was applied before."""
+        state_machine = self._node.state_machine
+        if state_machine.previous_outcome(command) is not None:
+            return ""
+        return state_machine.rejection_of(command)
+
+    async def _confirm_leadership(self) -> None:
+        with _errors_as_status(rejected=Code.UNAVAILABLE):
             await self._node.read()
-        except NotLeaderError as error:
-            raise self._not_leader(error.leader) from None
-        except RequestRejectedError as error:
-            raise RpcError(Code.UNAVAILABLE, str(error)) from None
 
-    async def _get(self, call: Call, data: bytes) -> bytes:
+    async def _get(self, _call: Call, data: bytes) -> bytes:
         try:
-            ask = pb.GetRequest.FromString(data)
-        except DecodeError:
-            raise RpcError(Code.INVALID_ARGUMENT, "not a GetRequest") from None
-        if ask.linearizable:
-            await self._sure()
-        while self._node.state_machine.current.version < ask.at_least:
-            self._alive()
+            request = pb.GetRequest.FromString(data)
+        except DecodeError as error:
+            raise RpcError(Code.INVALID_ARGUMENT, "not a GetRequest") from error
+        if request.linearizable:
+            await self._confirm_leadership()
+        while self._node.state_machine.current.version < request.at_least:
+            self._require_running()
             await self._node.applied.wait()
         await trio.lowlevel.checkpoint()
-        now = self._node.state_machine.current
-        return pb.GetResponse(
-            version=now.version, configuration=model.encode(now, clients=False)
-        ).SerializeToString()
+        current = self._node.state_machine.current
+        response = pb.GetResponse(version=current.version, configuration=model.encode(current, clients=False))
+        return response.SerializeToString()
 
-    def _alive(self) -> None:
+    def _require_running(self) -> None:
         if self._node.stopped:
             raise RpcError(Code.UNAVAILABLE, "the instance stops")
 
     async def _watch(self, call: Call) -> None:
         try:
-            ask = pb.WatchRequest.FromString(await call.receive() or b"")
-        except DecodeError:
-            raise RpcError(Code.INVALID_ARGUMENT, "not a WatchRequest") from None
+            request = pb.WatchRequest.FromString(await call.receive() or b"")
+        except DecodeError as error:
+            raise RpcError(Code.INVALID_ARGUMENT, "not a WatchRequest") from error
         if self._watches >= MAX_WATCHES:
             raise RpcError(Code.RESOURCE_EXHAUSTED, "too many watches")
         self._watches += 1
         try:
-            since = ask.since
-            while True:
-                self._alive()
-                version = self._node.state_machine.current.version
-                leader = self._node.core.leader or ""
-                if version > since:
-                    update = self._update(since, version)
-                    since = version
-                    message = pb.WatchResponse(
-                        version=version, full=update.complete, update=update.data, leader=leader
-                    )
-                else:
-                    message = pb.WatchResponse(version=since, beat=True, leader=leader)
-                await call.send(message.SerializeToString())
-                with trio.move_on_after(BEAT_S):
-                    while self._node.state_machine.current.version <= since and not self._node.stopped:
-                        await self._node.applied.wait()
+            await self._send_updates(call, request.since)
         finally:
             self._watches -= 1
 
+    async def _send_updates(self, call: Call, since: int) -> None:
+        """Send every version newer than `since`, and a heartbeat where there is none for a while."""
+        node = self._node
+        while True:
+            self._require_running()
+            version = node.state_machine.current.version
+            leader = node.core.leader or ""
+            if version > since:
+                update = self._update(since, version)
+                since = version
+                response = pb.WatchResponse(
+                    version=version, full=update.complete, update=update.data, leader=leader
+                )
+            else:
+                response = pb.WatchResponse(version=since, beat=True, leader=leader)
+            await call.send(response.SerializeToString())
+            with trio.move_on_after(HEARTBEAT_S):
+                while node.state_machine.current.version <= since and not node.stopped:
+                    await node.applied.wait()
+
     def _update(self, since: int, version: int) -> ConfigurationUpdate:
-        found = self._updates.get((since, version))
-        if found is None:
-            if len(self._updates) > 100:
+        update = self._updates.get((since, version))
+        if update is None:
+            if len(self._updates) > MAX_CACHED_UPDATES:
                 self._updates.clear()
-            found = self._updates[since, version] = self._node.state_machine.update_since(since)
-        return found
+            update = self._node.state_machine.update_since(since)
+            self._updates[since, version] = update
+        return update
 
-    async def _status(self, call: Call, data: bytes) -> bytes:
+    async def _status(self, _call: Call, _data: bytes) -> bytes:
         await trio.lowlevel.checkpoint()
-        core = self._node.core
-        status = pb.StatusResponse(
-            name=core.name,
-            role=core.role.value,
-            term=core.term,
-            leader=core.leader or "",
-            commit=core.commit_index,
-            applied=core.applied_index,
-            first=core.log.first_index,
-            last=core.log.last_index,
+        status = self._node.core.status()
+        response = pb.StatusResponse(
+            name=status.name,
+            role=status.role.value,
+            term=status.term,
+            leader=status.leader or "",
+            commit=status.commit_index,
+            applied=status.applied_index,
+            first=status.first_index,
+            last=status.last_index,
             version=self._node.state_machine.current.version,
-            voters=sorted(core.membership.voters),
-            learners=sorted(core.membership.learners),
-            matches=core.status().match_indexes,
+            voters=sorted(status.membership.voters),
+            learners=sorted(status.membership.learners),
+            matches=status.match_indexes,
         )
-        return status.SerializeToString()
+        return response.SerializeToString()
 
-    async def _change(self, call: Call, data: bytes) -> bytes:
+    async def _change_instances(self, _call: Call, data: bytes) -> bytes:
         try:
-            ask = pb.ChangeInstancesRequest.FromString(data)
-            wire.parse_address(ask.name)
-        except DecodeError:
-            raise RpcError(Code.INVALID_ARGUMENT, "not a ChangeInstancesRequest") from None
+            request = pb.ChangeInstancesRequest.FromString(data)
+            wire.parse_address(request.name)
+        except DecodeError as error:
+            raise RpcError(Code.INVALID_ARGUMENT, "not a ChangeInstancesRequest") from error
         except ValueError as error:
-            raise RpcError(Code.INVALID_ARGUMENT, str(error), [field_violation("name", str(error))]) from None
-        try:
-            if ask.change == "transfer":
-                await self._node.transfer_leadership(ask.name)
-            elif ask.change in CHANGES:
-                await self._node.change_membership(CHANGES[ask.change], ask.name)
+            violation = field_violation("name", str(error))
+            raise RpcError(Code.INVALID_ARGUMENT, str(error), [violation]) from error
+        change = MEMBERSHIP_CHANGES.get(request.change)
+        if change is None and request.change != TRANSFER:
+            reason = f"{request.change[:MAX_ECHO]!r} is none of add, promote, remove, transfer"
+            raise RpcError(Code.INVALID_ARGUMENT, reason)
+        with _errors_as_status(rejected=Code.FAILED_PRECONDITION):
+            if change is None:
+                await self._node.transfer_leadership(request.name)
             else:
-                raise RpcError(
-                    Code.INVALID_ARGUMENT, f"{ask.change[:40]!r} is none of add, promote, remove, transfer"
-                )
-        except NotLeaderError as error:
-            raise self._not_leader(error.leader) from None
-        except RequestRejectedError as error:
-            raise RpcError(Code.FAILED_PRECONDITION, str(error)) from None
-        except EntrySupersededError as error:
-            raise RpcError(Code.ABORTED, str(error)) from None
+                await self._node.change_membership(change, request.name)
         return pb.ChangeInstancesResponse().SerializeToString()
+
+
+def _parse_proposal(data: bytes) -> tuple[pb.ProposeRequest, Command]:
+    try:
+        request = pb.ProposeRequest.FromString(data)
+        return request, decode_command(request.command)
+    except DecodeError as error:
+        raise RpcError(Code.INVALID_ARGUMENT, "not a ProposeRequest") from error
+    except ValueError as error:
+        violation = field_violation("command", str(error))
+        raise RpcError(Code.INVALID_ARGUMENT, str(error), [violation]) from error
+
+
+def _not_leader(leader: str | None) -> RpcError:
+    details = [error_info(NOT_LEADER_REASON, ERROR_DOMAIN, leader=leader or "")]
+    return RpcError(Code.FAILED_PRECONDITION, f"the leader is {leader or 'not known'}", details)
+
+
+@contextmanager
+def _errors_as_status(rejected: Code, superseded: str = "") -> Iterator[None]:
+    """Raise the errors of a node's operations as gRPC statuses.
+
+    `rejected` is the code of a rejected request; `superseded` begins the text where another entry came first.
+    """
+    try:
+        yield
+    except NotLeaderError as error:
+        raise _not_leader(error.leader) from error
+    except RequestRejectedError as error:
+        raise RpcError(rejected, str(error)) from error
+    except EntrySupersededError as error:
+        raise RpcError(Code.ABORTED, f"{superseded}{error}") from error
