Emulator: Raft's simulated group, its operations and its steering stand in modules of their own

Now raft_group.py (nodes, network, checker), raft_operations.py (at random), raft_steering.py (rare orders of events) and raft.py (schedules). Operations are functions in one table with their weights; `Operation` and `CrashPoint` replace tuples and strings. Kinds have the field's names; their order, weights and draws are the same, so a seed plays the same schedule.

--- a/juniperreel/cli/raft.py
+++ b/juniperreel/cli/raft.py
@@ -65,9 +65,9 @@
 
 
 def show(failure: Failure) -> None:
-    click.echo(f"seed {failure.seed}: {failure.text}")
-    click.echo(f"cut down to {len(failure.ops)} operations:")
-    for kind, a, b in failure.ops:
+    click.echo(f"seed {failure.seed}: {failure.violation}")
+    click.echo(f"cut down to {len(failure.operations)} operations:")
+    for kind, a, b in failure.operations:
         click.echo(f"    {kind} {a} {b}")
 
 
--- /dev/null
+++ b/juniperreel/emulator/raft_group.py
@@ -0,0 +1,307 @@
+"""A group of Raft cores without sockets, clocks or disks, whose every step is checked.
+
+Owns the nodes, the messages on their way and the partitions between nodes. What happens when is decided by
+the operations of a schedule; see `juniperreel.emulator.raft`.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from juniperreel.proof.raft import RaftJudge, Unsafe
+from juniperreel.raft.config import RaftConfig
+from juniperreel.raft.core import RaftCore
+from juniperreel.raft.errors import NotLeaderError, RequestRejectedError
+from juniperreel.raft.memory_storage import InMemoryStorage
+from juniperreel.raft.messages import Message
+from juniperreel.raft.ready import Ready
+from juniperreel.raft.types import Entry, EntryKind, Membership, MembershipChange, RecoveredState
+
+NODE_NAMES = ("a", "b", "c", "d", "e")
+JOINING_NAMES = ("f", "g", "h", "i", "j", "k", "l", "m")
+GROUP_SIZES = (3, 3, 5)  # one is drawn
+# Small limits, so that every one of them is met in a short schedule.
+CONFIG = RaftConfig(
+    election_ticks=6,
+    heartbeat_ticks=2,
+    max_entries_per_append=4,
+    max_inflight_appends=3,
+    snapshot_chunk_bytes=16,
+    trailing_entries=3,
+    max_promotion_lag=3,
+)
+DIGEST_BYTES = 12
+COMMAND_SEPARATOR = b"\0"
+RANDOM_SEED_BITS = 32
+
+CoreFactory = Callable[[str, RecoveredState, RaftConfig, random.Random], RaftCore]
+StorageFactory = Callable[[Membership], InMemoryStorage]
+
+
+class CrashPoint(Enum):
+    """When a node crashes that has something to persist."""
+
+    BEFORE_WRITE = "before the write"
+    AFTER_WRITE = "after the write, before anything is sent"
+
+
+class StaleReadError(Unsafe):
+    """A linearizable read did not see what was acknowledged before it."""
+
+    def __init__(self, node: str, index: int, acknowledged: int) -> None:
+        """A read at `node` saw entries up to `index`, though `acknowledged` was before it."""
+        super().__init__(
+            f"linearizability: a read at {node} sees {index}; {acknowledged} was acknowledged before it"
+        )
+        self.node = node
+        self.index = index
+        self.acknowledged = acknowledged
+
+
+@dataclass(slots=True)
+class SimulatedNode:
+    """A node and its disk.
+
+    Attributes:
+        core: None while the node is down.
+        storage: What its disk holds.
+        commands: The commands that were applied since the beginning: the state machine.
+        last_led_term: The last term in which it was seen to lead.
+    """
+
+    core: RaftCore | None
+    storage: InMemoryStorage
+    commands: list[bytes]
+    last_led_term: int = 0
+
+
+class SimulatedGroup:
+    """Nodes, the network between them, and the checker.
+
+    Attributes:
+        nodes: All nodes by name, those that are down included.
+        network: Messages on their way, the oldest first.
+        delayed: Messages that are kept back until much later.
+        partitions: Pairs of sender and receiver between whom nothing passes.
+        checker: Raises Unsafe at the first step that breaks a property.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        core_factory: CoreFactory = RaftCore,
+        storage_factory: StorageFactory = InMemoryStorage,
+    ) -> None:
+        """Size and election timeouts are drawn from `seed`."""
+        self._core_factory = core_factory
+        self._storage_factory = storage_factory
+        self._rng = random.Random(seed)
+        size = self._rng.choice(GROUP_SIZES)
+        membership = Membership(frozenset(NODE_NAMES[:size]))
+        self.checker = RaftJudge()
+        self.nodes: dict[str, SimulatedNode] = {}
+        self.network: list[Message] = []
+        self.delayed: list[Message] = []
+        self.partitions: set[tuple[str, str]] = set()
+        self._requests = 0
+        self._joined = 0
+        self._acknowledged_index = 0
+        self._least_indexes: dict[int, int] = {}  # by read context: what the read must at least see
+        for name in NODE_NAMES[:size]:
+            self._start(name, storage_factory(membership))
+
+    # Nodes.
+
+    def _start(self, name: str, storage: InMemoryStorage) -> None:
+        rng = random.Random(self._rng.getrandbits(RANDOM_SEED_BITS))
+        core = self._core_factory(name, storage.recover(), CONFIG, rng)
+        self.nodes[name] = SimulatedNode(core, storage, _split_commands(storage.snapshot.data))
+        self.checker.restarts(name, storage.snapshot.index)
+
+    def restart(self, name: str) -> None:
+        """Start a node with what its disk holds."""
+        self._start(name, self.nodes[name].storage)
+
+    def stop(self, name: str) -> None:
+        """Crash a node; what was not written is lost."""
+        self.nodes[name].core = None
+
+    def up(self) -> list[str]:
+        """The nodes that run."""
+        return [name for name, node in self.nodes.items() if node.core is not None]
+
+    def down(self) -> list[str]:
+        """The nodes that do not run, in the order of their names."""
+        return sorted(name for name, node in self.nodes.items() if node.core is None)
+
+    def pick_up(self, pick: int) -> str | None:
+        """One of the nodes that run, if any does."""
+        names = self.up()
+        return names[pick % len(names)] if names else None
+
+    def pick_leader(self, pick: int = 0) -> str | None:
+        """One of the nodes that take themselves for the leader, if any does."""
+        names = [name for name, node in self.nodes.items() if node.core is not None and node.core.is_leader]
+        return names[pick % len(names)] if names else None
+
+    def can_lose_one(self) -> bool:
+        """Whether another node may fall and a majority of all nodes still runs."""
+        return len(self.down()) < len(self.nodes) // 2
+
+    def core(self, name: str) -> RaftCore:
+        """The core of a node that runs."""
+        core = self.nodes[name].core
+        assert core is not None
+        return core
+
+    def isolate(self, name: str) -> None:
+        """Cut a node off from all others, both ways."""
+        self.partitions |= {(name, other) for other in self.nodes}
+        self.partitions |= {(other, name) for other in self.nodes}
+
+    # One node's turn.
+
+    def settle(self, name: str, crash: CrashPoint | None = None) -> None:
+        """Write, send and apply as long as a node has something to; or crash on the way."""
+        node = self.nodes[name]
+        core = node.core
+        if core is None:
+            return
+        while core.has_ready():
+            ready = core.take_ready()
+            if crash is CrashPoint.BEFORE_WRITE:
+                self.stop(name)
+                return
+            self._persist(name, node, ready)
+            if crash is CrashPoint.AFTER_WRITE:
+                self.stop(name)
+                return
+            core.mark_persisted(ready)
+            self._check_leadership(name, node, core)
+            self.network.extend(ready.messages)
+            self._apply(name, node, ready)
+        if crash is not None:
+            self.stop(name)
+
+    def _persist(self, name: str, node: SimulatedNode, ready: Ready) -> None:
+        batch = ready.persist
+        node.storage.write(batch)
+        hard_state = node.storage.hard_state
+        self.checker.votes(name, hard_state.term, hard_state.vote)
+        if batch.snapshot is not None and ready.installed_snapshot is not None:
+            self.checker.restores(name, batch.snapshot.index, batch.snapshot.term)
+        self.checker.stores(name, [(entry.index, entry.term, _contents(entry)) for entry in batch.entries])
+
+    def _check_leadership(self, name: str, node: SimulatedNode, core: RaftCore) -> None:
+        if not core.is_leader or node.last_led_term == core.term:
+            return
+        node.last_led_term = core.term
+        self.checker.leads(name, core.term)
+        terms = {core.log.compacted_index: core.log.compacted_term}
+        terms |= {entry.index: entry.term for entry in core.log.entries}
+        self.checker.complete(name, terms)
+
+    def _apply(self, name: str, node: SimulatedNode, ready: Ready) -> None:
+        if ready.installed_snapshot is not None:
+            node.commands = _split_commands(ready.installed_snapshot.data)
+        for entry in ready.committed_entries:
+            self.checker.applies(name, entry.index, entry.term, _contents(entry))
+            if entry.data and entry.kind is EntryKind.COMMAND:
+                node.commands.append(entry.data)
+            self._acknowledged_index = max(self._acknowledged_index, entry.index)
+        if ready.installed_snapshot is not None or ready.committed_entries:
+            state = COMMAND_SEPARATOR.join(node.commands)
+            self.checker.state(name, hashlib.blake2b(state, digest_size=DIGEST_BYTES).digest())
+        for read in ready.read_states:
+            least_index = self._least_indexes.pop(read.context, 0)
+            if read.index < least_index:
+                raise StaleReadError(name, read.index, least_index)
+
+    # Requests.
+
+    def tick(self, name: str) -> None:
+        """One unit of time passes on a node that runs."""
+        self.core(name).tick()
+        self.settle(name)
+
+    def propose(self, name: str) -> bool:
+        """Propose a new command. Returns whether the node took it; it was not settled yet."""
+        self._requests += 1
+        try:
+            self.core(name).propose(b"c%d" % self._requests)
+        except (NotLeaderError, RequestRejectedError):
+            return False
+        return True
+
+    def read(self, name: str) -> None:
+        """Begin a linearizable read, which must see all that was acknowledged so far."""
+        self._requests += 1
+        self._least_indexes[self._requests] = self._acknowledged_index
+        try:
+            self.core(name).read_index(self._requests)
+        except (NotLeaderError, RequestRejectedError):
+            return
+        self.settle(name)
+
+    def compact(self, name: str) -> None:
+        """Take a snapshot of what a node has applied, if there is anything new."""
+        core = self.core(name)
+        if core.applied_index > core.snapshot.index:
+            core.compact(core.applied_index, COMMAND_SEPARATOR.join(self.nodes[name].commands))
+            self.settle(name)
+
+    def can_grow(self) -> bool:
+        """Whether there is a name left for a node that joins."""
+        return self._joined < len(JOINING_NAMES)
+
+    def add_learner(self, leader: str) -> None:
+        """Have a leader add a node with an empty disk. Raises as `RaftCore.change_membership` does."""
+        name = JOINING_NAMES[self._joined]
+        self.core(leader).change_membership(MembershipChange.ADD_LEARNER, name)
+        self._joined += 1
+        self._start(name, self._storage_factory(Membership(frozenset())))
+
+    # Network.
+
+    def deliver(self, message: Message) -> None:
+        """Hand a message to its receiver, unless that is down or partitioned from the sender."""
+        node = self.nodes.get(message.dst)
+        if node is None or node.core is None or (message.src, message.dst) in self.partitions:
+            return
+        node.core.step(message)
+        self.settle(message.dst)
+
+    def deliver_oldest(self) -> None:
+        """Deliver the message that is longest on its way."""
+        self.deliver(self.network.pop(0))
+
+    def deliver_matching(
+        self, matches: Callable[[Message], bool], passes: Callable[[Message], bool] | None = None
+    ) -> None:
+        """Deliver the messages that match now, not the answers to them; lose those that do not pass."""
+        for message in [message for message in self.network if matches(message)]:
+            self.network.remove(message)
+            if passes is None or passes(message):
+                self.deliver(message)
+
+    def drop_matching(self, matches: Callable[[Message], bool]) -> None:
+        """Lose the messages that match."""
+        self.network = [message for message in self.network if not matches(message)]
+
+
+def concerns(message: Message, name: str) -> bool:
+    """Whether a node sent a message or is to receive it."""
+    return name in (message.src, message.dst)
+
+
+def _split_commands(state: bytes) -> list[bytes]:
+    return [command for command in state.split(COMMAND_SEPARATOR) if command]
+
+
+def _contents(entry: Entry) -> bytes:
+    """What the checker compares of an entry."""
+    return bytes((entry.kind.value,)) + entry.data
--- a/tests/raft/test_core.py
+++ b/tests/raft/test_core.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from juniperreel.emulator.raft import Failure, Group, broken, run, schedule, shrink
+from juniperreel.emulator.raft import Failure, find_violation, make_schedule, play, run, shrink
+from juniperreel.emulator.raft_group import SimulatedGroup
 from juniperreel.raft.config import RaftConfig
 from juniperreel.raft.core import RaftCore
 from juniperreel.raft.errors import NotLeaderError, RequestRejectedError
@@ -368,12 +369,12 @@
 
 def test_a_seed_gives_one_run() -> None:
     def digest(seed: int) -> tuple[object, ...]:
-        group = Group(seed)
-        group.play(schedule(seed, 400))
+        group = SimulatedGroup(seed)
+        play(group, make_schedule(seed, 400))
         return (
-            group.judge.committed,
-            sorted((n, tuple(x.state)) for n, x in group.nodes.items()),
-            [type(m).__name__ for m in group.wire],
+            group.checker.committed,
+            sorted((n, tuple(x.commands)) for n, x in group.nodes.items()),
+            [type(m).__name__ for m in group.network],
         )
 
     assert [digest(seed) for seed in range(20)] == [digest(seed) for seed in range(20)]
@@ -382,14 +383,14 @@
 @pytest.mark.parametrize("make", mutations.MUTATIONS, ids=lambda m: m.__name__)
 def test_a_planted_bug_is_found(make: type[RaftCore]) -> None:
     limit = mutations.SEEDS.get(make.__name__, 60)
-    assert any(run(seed, make=make, shrinking=False) for seed in range(limit))
+    assert any(run(seed, core_factory=make, shrinking=False) for seed in range(limit))
 
 
 def test_a_failing_schedule_is_cut_down_and_still_fails() -> None:
     failure = next(
-        f for f in (run(s, make=mutations.IgnoresOlderLogs, shrinking=False) for s in range(60)) if f
+        f for f in (run(s, core_factory=mutations.IgnoresOlderLogs, shrinking=False) for s in range(60)) if f
     )
     small = shrink(failure, mutations.IgnoresOlderLogs)
-    assert isinstance(small, Failure) and len(small.ops) < len(failure.ops) // 2
-    assert broken(small.seed, small.ops, mutations.IgnoresOlderLogs) == small.text
-    assert broken(small.seed, small.ops) is None
+    assert isinstance(small, Failure) and len(small.operations) < len(failure.operations) // 2
+    assert find_violation(small.seed, small.operations, mutations.IgnoresOlderLogs) == small.violation
+    assert find_violation(small.seed, small.operations) is None
--- a/tests/raft/test_digest.py
+++ b/tests/raft/test_digest.py
@@ -16,7 +16,8 @@
 import msgspec
 import pytest
 
-from juniperreel.emulator import raft as emulator
+from juniperreel.emulator.raft import make_schedule, play
+from juniperreel.emulator.raft_group import SimulatedGroup
 from juniperreel.raft import wire
 from juniperreel.raft.config import RaftConfig
 from juniperreel.raft.core import RaftCore
@@ -61,7 +62,8 @@
 
 class FakeCursor:
     def __init__(self, records: dict[bytes, bytes], recorder: Recorder) -> None:
-        self._records, self._recorder = records, recorder
+        self._records = records
+        self._recorder = recorder
         self._keys: list[bytes] = []
 
     def set_range(self, start: bytes) -> bool:
@@ -88,11 +90,11 @@
         self._recorder = recorder
         self._databases: dict[bytes, dict[bytes, bytes]] = {}
 
-    def open_db(self, name: bytes, create: bool) -> bytes:
+    def open_db(self, name: bytes, **_options: bool) -> bytes:
         self._databases.setdefault(name, {})
         return name
 
-    def begin(self, write: bool = False) -> FakeEnvironment:
+    def begin(self, **_options: bool) -> FakeEnvironment:
         return self
 
     def __enter__(self) -> FakeEnvironment:
@@ -108,7 +110,7 @@
     def get(self, key: bytes, db: bytes) -> bytes | None:
         return self._databases[db].get(key)
 
-    def drop(self, db: bytes, delete: bool) -> None:
+    def drop(self, db: bytes, **_options: bool) -> None:
         self._databases[db].clear()
         self._recorder.add(b"drop", db)
 
@@ -120,37 +122,36 @@
     seeds: range, folder: Path, monkeypatch: pytest.MonkeyPatch, core_class: type[RaftCore] = RaftCore
 ) -> Recorder:
     recorder = Recorder()
-    monkeypatch.setattr(lmdb, "open", lambda *arguments, **options: FakeEnvironment(recorder))
+    monkeypatch.setattr(lmdb, "open", lambda *_arguments, **_options: FakeEnvironment(recorder))
 
-    class RecordingDisk(InMemoryStorage):
+    class RecordingStorage(InMemoryStorage):
         """Writes each batch through the real storage as well, for the bytes of its records."""
 
-        def __init__(self, members: Membership) -> None:
-            super().__init__(members)
-            self._storage = Storage.create(folder, "cluster", "node", members)
+        def __init__(self, membership: Membership) -> None:
+            super().__init__(membership)
+            self._storage = Storage.create(folder, "cluster", "node", membership)
 
-        def write(self, persist: PersistBatch) -> None:
+        def write(self, batch: PersistBatch) -> None:
             recorder.batches += 1
-            super().write(persist)
-            self._storage.write(persist)
+            super().write(batch)
+            self._storage.write(batch)
 
     def recording_core(
-        name: str, restored: RecoveredState, config: RaftConfig, rng: random.Random
+        name: str, recovered: RecoveredState, config: RaftConfig, rng: random.Random
     ) -> RaftCore:
-        core = core_class(name, restored, config, rng)
-        persisted = core.mark_persisted
+        core = core_class(name, recovered, config, rng)
+        mark_persisted = core.mark_persisted
 
         def record(ready: Ready) -> None:
-            persisted(ready)
+            mark_persisted(ready)
             recorder.add_messages(ready.messages)
 
         core.mark_persisted = record  # type: ignore[method-assign]
         return core
 
-    monkeypatch.setattr(emulator, "InMemoryStorage", RecordingDisk)
     for seed in seeds:
-        group = emulator.Group(seed, recording_core)
-        group.play(emulator.schedule(seed, OPERATIONS))
+        group = SimulatedGroup(seed, recording_core, RecordingStorage)
+        play(group, make_schedule(seed, OPERATIONS))
         recorder.add(b"end of schedule")
     return recorder
 
@@ -169,9 +170,9 @@
 ) -> None:
     class SmallBatches(RaftCore):
         def __init__(
-            self, name: str, restored: RecoveredState, config: RaftConfig, rng: random.Random
+            self, name: str, recovered: RecoveredState, config: RaftConfig, rng: random.Random
         ) -> None:
-            super().__init__(name, restored, replace(config, max_entries_per_append=3), rng)
+            super().__init__(name, recovered, replace(config, max_entries_per_append=3), rng)
 
     same = digest_of(range(3), tmp_path, monkeypatch).hexdigest()
     assert digest_of(range(3), tmp_path, monkeypatch).hexdigest() == same
