--- a/benchmarks/raft.py
+++ b/benchmarks/raft.py
@@ -39,7 +39,10 @@
 from juniperreel.raft.storage import Storage
 from juniperreel.raft.types import Membership
 
-FILE = """
+PROPOSALS_PER_WRITE = 500
+RECOVERY_ENTRIES = (1_000, 10_000, 50_000)
+WATCHERS = 300
+SETTINGS = """
 [instance]
 name {name}
 cluster bench
@@ -71,7 +74,7 @@
     for n, name in enumerate(names):
         path = folder / f"c{n}.conf"
         path.write_text(
-            FILE.format(name=name, folder=f"d{n}", members="\n".join(f"member {m}" for m in names))
+            SETTINGS.format(name=name, folder=f"d{n}", members="\n".join(f"member {m}" for m in names))
         )
         command = [sys.executable, "-m", "juniperreel.cli.main", "configd", str(path), "--create"]
         processes.append(subprocess.Popen(command))
@@ -83,25 +86,27 @@
             process.wait()
 
 
-async def ours(addresses: list[tuple[str, int]], seconds: float, in_flight: int) -> tuple[float, list[float]]:
+async def measure_juniperreel(
+    addresses: list[tuple[str, int]], seconds: float, in_flight: int
+) -> tuple[float, list[float]]:
     times: list[float] = []
     async with trio.open_nursery() as nursery:
-        instances = ConfigurationClient(TcpNetwork(), Clock(), random.Random(1), addresses)
-        await nursery.start(instances.run)
-        await instances.propose(Command("warm", 1, [SetLimit("attempts", 1)]), attempts=200)
+        client = ConfigurationClient(TcpNetwork(), Clock(), random.Random(1), addresses)
+        await nursery.start(client.run)
+        await client.propose(Command("warm", 1, [SetLimit("attempts", 1)]), attempts=200)
         end = time.perf_counter() + seconds
 
-        async def one(client: str) -> None:
+        async def propose_repeatedly(name: str) -> None:
             n = 0
             while (start := time.perf_counter()) < end:
                 n += 1
-                await instances.propose(Command(client, n, [SetLimit("attempts", 1 + n)]))
+                await client.propose(Command(name, n, [SetLimit("attempts", 1 + n)]))
                 times.append(time.perf_counter() - start)
 
         start = time.perf_counter()
         async with trio.open_nursery() as clients:
             for n in range(in_flight):
-                clients.start_soon(one, f"b{n}")
+                clients.start_soon(propose_repeatedly, f"b{n}")
         took = time.perf_counter() - start
         nursery.cancel_scope.cancel()
     return len(times) / took, times
@@ -119,7 +124,7 @@
 """
 
 
-def theirs(count: int, folder: Path, seconds: float, in_flight: int) -> tuple[float, list[float]]:
+def measure_pysyncobj(count: int, folder: Path, seconds: float, in_flight: int) -> tuple[float, list[float]]:
     from pysyncobj import SyncObj, SyncObjConf
     from pysyncobj.batteries import ReplDict
 
@@ -142,7 +147,7 @@
         time.sleep(0.5)
         end = time.perf_counter() + seconds
 
-        def one(client: int) -> None:
+        def set_repeatedly(client: int) -> None:
             n = 0
             while (start := time.perf_counter()) < end:
                 n += 1
@@ -151,7 +156,7 @@
                     times.append(time.perf_counter() - start)
 
         start = time.perf_counter()
-        threads = [threading.Thread(target=one, args=(n,)) for n in range(in_flight)]
+        threads = [threading.Thread(target=set_repeatedly, args=(n,)) for n in range(in_flight)]
         for t in threads:
             t.start()
         for t in threads:
@@ -165,69 +170,80 @@
     return len(times) / took, times
 
 
-def told(name: str, rate: float, times: list[float]) -> None:
+def print_rate(name: str, rate: float, times: list[float]) -> None:
+    """`rate` is proposals a second, `times` are their latencies in seconds."""
     p50, p99 = np.percentile(np.array(times) * 1000, [50, 99])
     print(f"{name}: {rate:6.0f} proposals a second, p50 {p50:6.1f} ms, p99 {p99:6.1f} ms", flush=True)
 
 
-def recovery(folder: Path) -> None:
-    """Opening a directory and applying its log, with and without a snapshot at its end."""
-    for entries in (1_000, 10_000, 50_000):
-        for snapshots in (False, True):
-            path = folder / f"r{entries}{snapshots}"
-            members = Membership(frozenset({"a"}))
-            storage = Storage.create(path, "bench", "a", members)
-            core = RaftCore(
-                "a", storage.recover(), RaftConfig(max_uncommitted_bytes=1 << 30), random.Random(1)
-            )
-            machine = ConfigurationStateMachine()
-            while not core.is_leader:
-                core.tick()
-
-            def settle(
-                core: RaftCore = core,
-                storage: Storage = storage,
-                machine: ConfigurationStateMachine = machine,
-            ) -> None:
-                while core.has_ready():
-                    ready = core.take_ready()
-                    storage.write(ready.persist)
-                    core.mark_persisted(ready)
-                    for entry in ready.committed_entries:
-                        if entry.data:
-                            machine.apply(entry.data)
-
-            settle()
-            for n in range(entries):
-                core.propose(encode_command(Command("c", n + 1, [SetLimit("attempts", n + 1)])))
-                if n % 500 == 499:
-                    settle()
-            settle()
-            if snapshots:
-                core.compact(core.applied_index, machine.snapshot())
-                settle()
-            storage.close()
-            start = time.perf_counter()
-            again = Storage.open(path, "bench", "a")
-            restored = again.recover()
-            fresh = ConfigurationStateMachine()
-            fresh.restore(restored.snapshot.data)
-            for entry in restored.entries:
-                if entry.index > restored.snapshot.index and entry.data:
-                    fresh.apply(entry.data)
-            took = time.perf_counter() - start
-            assert fresh.current.limits["attempts"] == entries
-            again.close()
-            kind = "with a snapshot" if snapshots else "without"
-            print(f"recovery of {entries} entries {kind}: {took * 1000:.0f} ms", flush=True)
+class SingleNode:
+    """A cluster of one without a network."""
+
+    def __init__(self, path: Path) -> None:
+        self.storage = Storage.create(path, "bench", "a", Membership(frozenset({"a"})))
+        config = RaftConfig(max_uncommitted_bytes=1 << 30)
+        self.core = RaftCore("a", self.storage.recover(), config, random.Random(1))
+        self.state_machine = ConfigurationStateMachine()
+        while not self.core.is_leader:
+            self.core.tick()
+        self.settle()
+
+    def settle(self) -> None:
+        while self.core.has_ready():
+            ready = self.core.take_ready()
+            self.storage.write(ready.persist)
+            self.core.mark_persisted(ready)
+            for entry in ready.committed_entries:
+                if entry.data:
+                    self.state_machine.apply(entry.data)
+
+    def write_entries(self, count: int) -> None:
+        for number in range(1, count + 1):
+            self.core.propose(encode_command(Command("c", number, [SetLimit("attempts", number)])))
+            if number % PROPOSALS_PER_WRITE == 0:
+                self.settle()
+        self.settle()
+
+    def compact(self) -> None:
+        self.core.compact(self.core.applied_index, self.state_machine.snapshot())
+        self.settle()
+
+
+def recover(path: Path) -> ConfigurationStateMachine:
+    """Open a directory and apply its log."""
+    storage = Storage.open(path, "bench", "a")
+    recovered = storage.recover()
+    state_machine = ConfigurationStateMachine()
+    state_machine.restore(recovered.snapshot.data)
+    for entry in recovered.entries:
+        if entry.index > recovered.snapshot.index and entry.data:
+            state_machine.apply(entry.data)
+    storage.close()
+    return state_machine
+
+
+def measure_recovery(folder: Path, entries: int, with_snapshot: bool) -> None:
+    """Opening a directory and applying its log, with or without a snapshot at its end."""
+    path = folder / f"r{entries}{with_snapshot}"
+    node = SingleNode(path)
+    node.write_entries(entries)
+    if with_snapshot:
+        node.compact()
+    node.storage.close()
+    start = time.perf_counter()
+    state_machine = recover(path)
+    elapsed_ms = (time.perf_counter() - start) * 1000
+    assert state_machine.current.limits["attempts"] == entries
+    kind = "with a snapshot" if with_snapshot else "without"
+    print(f"recovery of {entries} entries {kind}: {elapsed_ms:.0f} ms", flush=True)
 
 
 async def fan_out(addresses: list[tuple[str, int]], watchers: int) -> None:
     arrived: dict[int, list[float]] = {}
     async with trio.open_nursery() as nursery:
-        instances = ConfigurationClient(TcpNetwork(), Clock(), random.Random(1), addresses)
-        await nursery.start(instances.run)
-        await instances.propose(Command("f", 1, [SetLimit("attempts", 1)]), attempts=200)
+        client = ConfigurationClient(TcpNetwork(), Clock(), random.Random(1), addresses)
+        await nursery.start(client.run)
+        await client.propose(Command("f", 1, [SetLimit("attempts", 1)]), attempts=200)
 
         def seen(c: model.Configuration) -> None:
             arrived.setdefault(c.version, []).append(time.perf_counter())
@@ -240,7 +256,7 @@
             await trio.sleep(0.05)
         for turn in range(5):
             start = time.perf_counter()
-            outcome = await instances.propose(Command("f", 2 + turn, [SetLimit("attempts", 2 + turn)]))
+            outcome = await client.propose(Command("f", 2 + turn, [SetLimit("attempts", 2 + turn)]))
             while len(arrived.get(outcome.version, [])) < watchers:
                 await trio.sleep(0.005)
             took = np.array(sorted(arrived[outcome.version])) - start
@@ -256,19 +272,23 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=4.0)
     parser.add_argument("--in-flight", type=int, default=16)
-    words: Any = parser.parse_args()
+    options: Any = parser.parse_args()
     folder = Path(tempfile.mkdtemp(dir=Path(__file__).parent.parent / ".venv"))  # a real disk, not memory
     try:
         for count in (1, 3, 5):
-            with cluster(count, folder / f"ours{count}") as addresses:
-                rate, times = trio.run(ours, addresses, words.seconds, words.in_flight)
-            told(f"{count} instances, juniperreel", rate, times)
-            other, others = theirs(count, folder / f"theirs{count}", words.seconds, words.in_flight)
-            told(f"{count} instances, pysyncobj  ", other, others)
-            print(f"{count} instances: ratio {rate / other:.2f} in proposals a second", flush=True)
-        recovery(folder)
+            with cluster(count, folder / f"juniperreel{count}") as addresses:
+                rate, times = trio.run(measure_juniperreel, addresses, options.seconds, options.in_flight)
+            print_rate(f"{count} instances, juniperreel", rate, times)
+            pysyncobj_rate, pysyncobj_times = measure_pysyncobj(
+                count, folder / f"pysyncobj{count}", options.seconds, options.in_flight
+            )
+            print_rate(f"{count} instances, pysyncobj  ", pysyncobj_rate, pysyncobj_times)
+            print(f"{count} instances: ratio {rate / pysyncobj_rate:.2f} in proposals a second", flush=True)
+        for entries in RECOVERY_ENTRIES:
+            for with_snapshot in (False, True):
+                measure_recovery(folder, entries, with_snapshot)
         with cluster(3, folder / "fan") as addresses:
-            trio.run(fan_out, addresses, 300)
+            trio.run(fan_out, addresses, WATCHERS)
     finally:
         shutil.rmtree(folder)
 
