Raft: a node's name with a port that only looks like digits is refused as any other bad name

Need: "²" counts as a digit for str.isdigit and not for int, so parse_address let a plain ValueError out where its callers now wait for InvalidNodeNameError. It stays a ValueError, with the text of any bad name. Three names of tests and one of the emulator in plain words.

--- a/juniperreel/emulator/raft_group.py
+++ b/juniperreel/emulator/raft_group.py
@@ -148,7 +148,7 @@
         names = [name for name, node in self.nodes.items() if node.core is not None and node.core.is_leader]
         return names[pick % len(names)] if names else None
 
-    def can_lose_one(self) -> bool:
+    def majority_survives_a_crash(self) -> bool:
         """Whether another node may fall and a majority of all nodes still runs."""
         return len(self.down()) < len(self.nodes) // 2
 
--- a/juniperreel/emulator/raft_steering.py
+++ b/juniperreel/emulator/raft_steering.py
@@ -36,7 +36,7 @@
     name = _pick_candidate(group, leader, pick, variant)
     if name is None:
         return
-    if leader is not None and variant % 2 and group.can_lose_one():
+    if leader is not None and variant % 2 and group.majority_survives_a_crash():
         group.stop(leader)
     elif leader is not None and variant % 3:  # it goes on by itself, and takes itself for the leader
         group.isolate(leader)
@@ -108,7 +108,7 @@
     """Crash the leader and clear the network. Returns the nodes that run, or none if too few would."""
     leader = group.pick_leader()
     if leader is not None:
-        if not group.can_lose_one():
+        if not group.majority_survives_a_crash():
             return []
         group.stop(leader)
     voters = group.up()
@@ -175,7 +175,7 @@
             lambda message: concerns(message, name),
             passes=lambda message: message.src in reached or message.dst in reached,
         )
-    if variant % 4 < 2 and group.can_lose_one():
+    if variant % 4 < 2 and group.majority_survives_a_crash():
         group.stop(name)
 
 
--- a/juniperreel/raft/wire.py
+++ b/juniperreel/raft/wire.py
@@ -69,6 +69,6 @@
     """Host and port of a node's name, name@host:port. Raises InvalidNodeNameError."""
     _, at_sign, address = name.rpartition("@")
     host, colon, port = address.rpartition(":")
-    if not at_sign or not colon or not host or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+    if not at_sign or not colon or not host or not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
         raise InvalidNodeNameError(name)
     return host.strip("[]"), int(port)
--- a/tests/raft/test_core.py
+++ b/tests/raft/test_core.py
@@ -98,7 +98,7 @@
     assert all(applied == [b"x", b"y"] for applied in group.applied.values())
 
 
-def test_vote_is_handed_out_to_be_persisted_with_its_reply() -> None:
+def test_vote_is_to_be_persisted_before_its_reply_is_sent() -> None:
     """What a Ready sends is only handed out together with what it depends on."""
     group = ScriptedGroup("a", "b", "c")
     core = group.cores["b"]
@@ -375,7 +375,7 @@
         assert failure is None, failure
 
 
-def test_schedule_played_twice_gives_the_same_run() -> None:
+def test_schedule_run_twice_gives_the_same_states() -> None:
     def digest(seed: int) -> tuple[object, ...]:
         group = SimulatedGroup(seed)
         play(group, make_schedule(seed, 400))
--- a/tests/raft/test_storage.py
+++ b/tests/raft/test_storage.py
@@ -101,7 +101,7 @@
 """
 
 
-def test_storage_killed_at_any_write_holds_every_confirmed_batch_whole(storage: Storage) -> None:
+def test_storage_killed_at_any_write_holds_every_confirmed_batch_completely(storage: Storage) -> None:
     storage.close()
     rng = random.Random(1)
     for _ in range(6):
