--- a/juniperreel/cli/configd.py
+++ b/juniperreel/cli/configd.py
@@ -17,14 +17,22 @@
 from juniperreel.cli.signals import run_until_signalled
 from juniperreel.net import Clock, Network, TcpNetwork
 from juniperreel.proto.configuration.v1 import configuration_pb2 as pb
-from juniperreel.raft.client import Instances, Unreachable
-from juniperreel.raft.configuration import machine, model
-from juniperreel.raft.configuration.machine import Command, Outcome
-from juniperreel.raft.core import Tuning
-from juniperreel.raft.node import Node
+from juniperreel.raft.client import ConfigurationClient
+from juniperreel.raft.config import RaftConfig
+from juniperreel.raft.configuration import commands, model
+from juniperreel.raft.configuration.commands import Command
+from juniperreel.raft.configuration.state_machine import Outcome
+from juniperreel.raft.errors import (
+    DiskFullError,
+    LeaderUnreachableError,
+    NotLeaderError,
+    RequestRejectedError,
+    StorageError,
+)
+from juniperreel.raft.node import RaftNode
 from juniperreel.raft.service import SERVICE, ConfigurationService
-from juniperreel.raft.storage import DiskFull, Storage, StorageError
-from juniperreel.raft.types import Members, NotLeader, Rejected
+from juniperreel.raft.storage import Storage
+from juniperreel.raft.types import Membership
 from juniperreel.rpc.health import HealthService
 from juniperreel.rpc.limits import Limits
 from juniperreel.rpc.reflection import ReflectionService
@@ -59,7 +67,7 @@
         self.storage = storage
         self.network = network
         self.log = log
-        self.node = Node(
+        self.node = RaftNode(
             settings.name,
             settings.cluster,
             settings.key,
@@ -68,7 +76,7 @@
             clock,
             log,
             random.Random(),
-            Tuning(election_ticks=settings.election_ticks),
+            RaftConfig(election_ticks=settings.election_ticks),
             settings.tick_us,
             settings.snapshot_interval,
         )
@@ -105,13 +113,17 @@
         """A leader that stops hands leadership to the voter with the longest log."""
         self.health.set_serving(False)
         core = self.node.core
-        match_index = {name: index for name, index in core.matches().items() if name in core.members.voters}
+        match_index = {
+            name: index
+            for name, index in core.status().match_indexes.items()
+            if name in core.membership.voters
+        }
         if core.is_leader and match_index:
             successor = max(sorted(match_index), key=lambda name: match_index[name])
             with trio.move_on_after(TRANSFER_TIMEOUT_S):
                 try:
-                    await self.node.transfer(successor)
-                except (NotLeader, Rejected):
+                    await self.node.transfer_leadership(successor)
+                except (NotLeaderError, RequestRejectedError):
                     return
                 while core.is_leader:
                     await trio.sleep(POLL_S)
@@ -124,10 +136,10 @@
     """
     if mode == CREATE:
         return Storage.create(
-            settings.directory, settings.cluster, settings.name, Members(frozenset(settings.members))
+            settings.directory, settings.cluster, settings.name, Membership(frozenset(settings.members))
         )
     if mode == JOIN:
-        return Storage.create(settings.directory, settings.cluster, settings.name, Members(frozenset()))
+        return Storage.create(settings.directory, settings.cluster, settings.name, Membership(frozenset()))
     return Storage.open(settings.directory, settings.cluster, settings.name)
 
 
@@ -155,21 +167,21 @@
         sys.exit(2)
     try:
         trio.run(run_instance, settings, storage)
-    except* (OSError, StorageError, DiskFull) as group:
+    except* (OSError, StorageError, DiskFullError) as group:
         click.echo(f"{settings.name}: {group.exceptions[0]}", err=True)
         sys.exit(1)
 
 
 # Clients.
 
-Work = Callable[[Instances], Awaitable[Any]]
+Work = Callable[[ConfigurationClient], Awaitable[Any]]
 
 
 def with_instances(addresses: tuple[str, ...], work: Work) -> Any:
     """Return what `work` makes of a client of the instances; end the command with 1 where none answers."""
     try:
         return trio.run(_connect_and_work, addresses, work)
-    except* (RpcError, Unreachable) as group:
+    except* (RpcError, LeaderUnreachableError) as group:
         click.echo(str(group.exceptions[0]), err=True)
         sys.exit(1)
 
@@ -177,7 +189,7 @@
 async def _connect_and_work(addresses: tuple[str, ...], work: Work) -> Any:
     async with trio.open_nursery() as nursery:
         host_ports = [parse_address(address) for address in addresses]
-        instances = Instances(TcpNetwork(), Clock(), random.Random(), host_ports)
+        instances = ConfigurationClient(TcpNetwork(), Clock(), random.Random(), host_ports)
         await nursery.start(instances.run)
         result = await work(instances)
         nursery.cancel_scope.cancel()
@@ -216,7 +228,7 @@
 
 def format_configuration(configuration: model.Configuration) -> str:
     """A version as indented JSON, its entries in order."""
-    parts = {name: model.ordered(getattr(configuration, name)) for name in model.PARTS}
+    parts = {name: model.sorted_by_key(getattr(configuration, name)) for name in model.SECTIONS}
     return msgspec.json.format(msgspec.json.encode({"version": configuration.version} | parts)).decode()
 
 
@@ -232,15 +244,15 @@
     print_configuration(with_instances(addresses_of(context), lambda instances: instances.get()))
 
 
-def propose(context: click.Context, changes: list[machine.Change], expect: int | None) -> None:
+def propose(context: click.Context, changes: list[commands.ConfigurationChange], expect: int | None) -> None:
     """Propose changes, only if `expect` is the version in force where it is given, and print the new one.
 
     Ends the command with 1 if they are rejected.
     """
     command = Command(f"cli-{uuid.uuid4().hex}", 1, changes, expect)
     outcome: Outcome = with_instances(addresses_of(context), lambda instances: instances.propose(command))
-    if outcome.refusal:
-        click.echo(f"refused: {outcome.refusal}", err=True)
+    if outcome.rejection:
+        click.echo(f"refused: {outcome.rejection}", err=True)
         sys.exit(1)
     click.echo(f"version {outcome.version}")
 
@@ -252,7 +264,7 @@
 def set_(context: click.Context, changes: Path, expect: int | None) -> None:
     """Apply the CHANGES of a JSON file, all of them or none."""
     try:
-        listed = msgspec.json.decode(changes.read_bytes(), type=list[machine.Change])
+        listed = msgspec.json.decode(changes.read_bytes(), type=list[commands.ConfigurationChange])
     except msgspec.DecodeError as error:
         raise click.BadParameter(f"{changes}: {error}") from None
     propose(context, listed, expect)
@@ -271,10 +283,10 @@
     propose(context, first_version(settings), 0)
 
 
-def first_version(settings: EdgeSettings) -> list[machine.Change]:
+def first_version(settings: EdgeSettings) -> list[commands.ConfigurationChange]:
     """The changes that put an edge's groups, classes and tenants into an empty configuration."""
-    changes: list[machine.Change] = [
-        machine.SetGroup(number, model.GroupInfo(0, None)) for number in range(settings.groups)
+    changes: list[commands.ConfigurationChange] = [
+        commands.SetGroup(number, model.GroupInfo(0, None)) for number in range(settings.groups)
     ]
     for request_class in settings.router.classes:
         info = model.ClassInfo(
@@ -288,9 +300,9 @@
             request_class.priority_weight,
             request_class.late_priority_weight,
         )
-        changes.append(machine.SetClass(request_class.name, info))
+        changes.append(commands.SetClass(request_class.name, info))
     changes += [
-        machine.SetTenant(tenant.name, model.TenantInfo(tenant.capacity_share, tenant.quota_rps))
+        commands.SetTenant(tenant.name, model.TenantInfo(tenant.capacity_share, tenant.quota_rps))
         for tenant in settings.router.tenants
     ]
     return changes
@@ -302,7 +314,7 @@
 def watch(context: click.Context, seconds: float) -> None:
     """Print each version as it is committed."""
 
-    async def _watch(instances: Instances) -> None:
+    async def _watch(instances: ConfigurationClient) -> None:
         with trio.move_on_after(seconds):
             await instances.watch("cli", model.EMPTY, print_configuration)
 
@@ -316,7 +328,7 @@
     with_instances(addresses_of(context), print_statuses)
 
 
-async def print_statuses(instances: Instances) -> None:
+async def print_statuses(instances: ConfigurationClient) -> None:
     """Print a line for each instance, also for those that do not answer."""
     for address in instances.addresses:
         try:
@@ -349,9 +361,9 @@
     click.echo("done")
 
 
-async def change_instances(request: bytes, instances: Instances) -> bytes:
-    """Have the leader change the members. Raises RpcError, Unreachable."""
-    return await instances.lead("ChangeInstances", request, tries=MEMBER_CHANGE_TRIES)
+async def change_instances(request: bytes, instances: ConfigurationClient) -> bytes:
+    """Have the leader change the members. Raises RpcError, LeaderUnreachableError."""
+    return await instances.call_leader("ChangeInstances", request, attempts=MEMBER_CHANGE_TRIES)
 
 
 __all__ = ["Instance", "config", "configd", "open_storage"]
--- a/juniperreel/cli/promotion_source.py
+++ b/juniperreel/cli/promotion_source.py
@@ -10,9 +10,10 @@
 from juniperreel.fakes.fleet import Fleet
 from juniperreel.fakes.member import Member
 from juniperreel.net import Clock, Network
-from juniperreel.raft.client import Instances, Unreachable
-from juniperreel.raft.configuration.machine import Change, Command, SetGroup, SetMember
+from juniperreel.raft.client import ConfigurationClient
+from juniperreel.raft.configuration.commands import Command, ConfigurationChange, SetGroup, SetMember
 from juniperreel.raft.configuration.model import EMPTY, Configuration, GroupInfo, MemberInfo
+from juniperreel.raft.errors import LeaderUnreachableError
 from juniperreel.rpc.status import RpcError
 from juniperreel.verification.records import Listed, Sink
 
@@ -40,7 +41,7 @@
         self._clock = clock
         self._record = record
         self._edges = edges
-        self._instances = Instances(network, clock, random.Random(fleet.day["seed"]), addresses)
+        self._instances = ConfigurationClient(network, clock, random.Random(fleet.day["seed"]), addresses)
         self._confirmed: Configuration = EMPTY
         self._sequence = 0
         self.ready = trio.Event()
@@ -55,8 +56,8 @@
                     await self._propose(changes)
                 await trio.sleep(POLL_S)
 
-    def _changes(self) -> list[Change]:
-        changes: list[Change] = []
+    def _changes(self) -> list[ConfigurationChange]:
+        changes: list[ConfigurationChange] = []
         for group in self._fleet.groups:
             primary = group.primary.name if group.primary is not None else None
             group_info = GroupInfo(group.epoch, primary)
@@ -75,15 +76,15 @@
                 changes.append(SetMember(name, member_info))
         return changes
 
-    async def _propose(self, changes: list[Change]) -> None:
+    async def _propose(self, changes: list[ConfigurationChange]) -> None:
         self._sequence += 1
         try:
             outcome = await self._instances.propose(Command(CLIENT, self._sequence, changes))
-            if outcome.refusal:
+            if outcome.rejection:
                 return  # the fleet has changed meanwhile; the next poll will show
             before = self._confirmed
             self._confirmed = await self._instances.get()
-        except (RpcError, Unreachable):
+        except (RpcError, LeaderUnreachableError):
             return
         self.ready.set()
         now = self._clock.now_us()
--- a/juniperreel/cli/raft.py
+++ b/juniperreel/cli/raft.py
@@ -12,7 +12,8 @@
 import click
 
 from juniperreel.emulator.raft import Failure, run
-from juniperreel.raft.storage import StorageError, look, rescue
+from juniperreel.raft.errors import StorageError
+from juniperreel.raft.offline import inspect_directory, rescue
 
 SEEDS_OF_PART = 100
 
@@ -43,16 +44,17 @@
 def inspect(directory: Path) -> None:
     """What a stopped instance's DIRECTORY holds."""
     try:
-        cluster, node, recovered = look(directory)
+        contents = inspect_directory(directory)
     except StorageError as error:
         click.echo(str(error), err=True)
         sys.exit(1)
+    recovered = contents.recovered
     hard_state = recovered.hard_state
     snapshot = recovered.snapshot
-    click.echo(f"node {node} of cluster {cluster}")
+    click.echo(f"node {contents.node} of cluster {contents.cluster}")
     vote = hard_state.vote or "-"
     click.echo(f"term {hard_state.term}, vote {vote}, commit at least {hard_state.commit}")
-    voters = ", ".join(sorted(snapshot.members.voters))
+    voters = ", ".join(sorted(snapshot.membership.voters))
     size = len(snapshot.data)
     click.echo(f"snapshot at {snapshot.index} of term {snapshot.term}, {size} bytes; voters {voters}")
     for entry in recovered.entries:
@@ -67,19 +69,20 @@
 def rescue_command(directory: Path, into: Path, cluster: str, name: str) -> None:
     """Make a new cluster of one instance from a stopped one's DIRECTORY, when the quorum is lost for good."""
     try:
-        version, beyond = rescue(directory, into, cluster, name)
+        result = rescue(directory, into, cluster, name)
     except StorageError as error:
         click.echo(str(error), err=True)
         sys.exit(1)
-    click.echo(f"version {version}; {beyond} entries were not known to be committed and are kept")
+    kept = result.uncommitted_entries
+    click.echo(f"version {result.version}; {kept} entries were not known to be committed and are kept")
     click.echo("start it with a settings file of that cluster and name, then add and promote others")
 
 
 def print_failure(failure: Failure) -> None:
     """Print the shortest list of operations that still fails."""
-    click.echo(f"seed {failure.seed}: {failure.text}")
-    click.echo(f"cut down to {len(failure.ops)} operations:")
-    for kind, first, second in failure.ops:
+    click.echo(f"seed {failure.seed}: {failure.violation}")
+    click.echo(f"cut down to {len(failure.operations)} operations:")
+    for kind, first, second in failure.operations:
         click.echo(f"    {kind} {first} {second}")
 
 
--- a/juniperreel/proxy/configuration_source.py
+++ b/juniperreel/proxy/configuration_source.py
@@ -13,7 +13,7 @@
 from juniperreel.net import Clock, Network
 from juniperreel.proxy.endpoint_list import EndpointSource, ListedEndpoint, UpdateListener
 from juniperreel.proxy.options import DriverOptions
-from juniperreel.raft.client import Instances
+from juniperreel.raft.client import ConfigurationClient
 from juniperreel.raft.configuration.model import EMPTY, Configuration
 from juniperreel.routing.types import UpdateKind
 
@@ -54,7 +54,7 @@
         on_update: UpdateListener,
         log: Callable[..., None],
     ) -> None:
-        self._instances = Instances(network, clock, rng, options.configuration_addresses)
+        self._instances = ConfigurationClient(network, clock, rng, options.configuration_addresses)
         super().__init__(options, clock, on_update, log, self._instances)
         self._newest = EMPTY
 
--- a/juniperreel/proxy/endpoint_list.py
+++ b/juniperreel/proxy/endpoint_list.py
@@ -18,7 +18,7 @@
 from juniperreel.net.clock import US
 from juniperreel.proto.hosts.v1 import hosts_pb2
 from juniperreel.proxy.options import DriverOptions
-from juniperreel.raft.client import Instances
+from juniperreel.raft.client import ConfigurationClient
 from juniperreel.routing.types import Endpoint, Readiness, UpdateKind
 from juniperreel.rpc.channel import CallInterruptedError, CallUnprocessedError, Channel
 from juniperreel.rpc.status import RpcError
@@ -110,7 +110,7 @@
         clock: Clock,
         on_update: UpdateListener,
         log: Callable[..., None],
-        link: Channel | Instances,
+        link: Channel | ConfigurationClient,
     ) -> None:
         """`on_update` is called for every list and every failed call; `log` writes a warning."""
         self._options = options
--- a/tests/raft/cluster.py
+++ b/tests/raft/cluster.py
@@ -10,13 +10,15 @@
 import trio
 
 from juniperreel.cli.configd import Instance
-from juniperreel.net import Clock, ConnectTimedOutError, Listener, TcpNetwork
-from juniperreel.raft.client import Instances
+from juniperreel.net import Clock, Listener, TcpNetwork
+from juniperreel.raft.client import ConfigurationClient
 from juniperreel.raft.configuration import model
-from juniperreel.raft.configuration.machine import Command, Outcome, SetGroup, SetLimit, SetMember
+from juniperreel.raft.configuration.commands import Command, SetGroup, SetLimit, SetMember
 from juniperreel.raft.configuration.model import Configuration, GroupInfo, MemberInfo
+from juniperreel.raft.configuration.state_machine import Outcome
+from juniperreel.raft.messages import Message
 from juniperreel.raft.storage import Storage
-from juniperreel.raft.types import Members, Message
+from juniperreel.raft.types import Membership
 from juniperreel.settings.configd import InstanceSettings
 from juniperreel.settings.values import Address
 from juniperreel.telemetry.log import make_log
@@ -25,42 +27,37 @@
 KEY = b"k" * 32
 
 
-class Ports(TcpNetwork):
+class ReservingNetwork(TcpNetwork):
     """Listens on sockets that were opened beforehand, so that names hold their ports."""
 
     def __init__(self) -> None:
-        self.held: dict[int, Listener] = {}
-        self.refusing: set[int] = set()
+        self._reserved: dict[int, Listener] = {}
 
     async def reserve(self) -> int:
         listener = await super().listen("127.0.0.1", 0)
-        self.held[listener.port] = listener
+        self._reserved[listener.port] = listener
         return listener.port
 
     async def listen(self, host: str, port: int) -> Any:
-        held = self.held.pop(port, None)
-        return held if held is not None else await super().listen(host, port)
+        reserved = self._reserved.pop(port, None)
+        return reserved if reserved is not None else await super().listen(host, port)
 
-    async def connect(self, host: str, port: int, timeout_us: int) -> trio.abc.Stream:
-        if port in self.refusing:
-            raise ConnectTimedOutError(f"{port} is cut off")
-        return await super().connect(host, port, timeout_us)
 
-
-def digest(c: Configuration) -> str:
-    return hashlib.blake2b(model.encode(c, clients=False), digest_size=12).hexdigest()
+def digest(configuration: Configuration) -> str:
+    return hashlib.blake2b(model.encode(configuration, clients=False), digest_size=12).hexdigest()
 
 
 class Cluster:
     def __init__(self, folder: Path, nursery: trio.Nursery, **settings: Any) -> None:
-        self.folder, self.nursery = folder, nursery
-        self.network = Ports()
+        self.folder = folder
+        self.nursery = nursery
+        self.network = ReservingNetwork()
         self.clock = Clock()
         self.names: list[str] = []
         self.instances: dict[str, Instance] = {}
         self.scopes: dict[str, trio.CancelScope] = {}
         self.ended: dict[str, trio.Event] = {}
-        self.cuts: set[tuple[str, str]] = set()
+        self.partitions: set[tuple[str, str]] = set()
         self.records: list[Confirmed | Acted] = []
         self.settings = {"tick_us": 10_000, "election_ticks": 10, "snapshot_interval": 1000} | settings
         self.log = make_log(stream=(folder / "log").open("w"))
@@ -73,7 +70,9 @@
         for _ in range(count):
             self.names.append(await self.name())
         for name in self.names:
-            storage = Storage.create(self.path(name), "test", name, Members(frozenset(self.names)), 1 << 26)
+            storage = Storage.create(
+                self.path(name), "test", name, Membership(frozenset(self.names)), 1 << 26
+            )
             await self.boot(name, storage)
         self.client = self.instances_client()
         await self.nursery.start(self.client.run)
@@ -98,11 +97,11 @@
         instance = Instance(settings, storage, self.network, self.clock, self.log)
         deliver = instance.node.deliver
 
-        def cut(message: Message) -> None:
-            if (message.src, message.dst) not in self.cuts:
+        def deliver_unless_partitioned(message: Message) -> None:
+            if (message.src, message.dst) not in self.partitions:
                 deliver(message)
 
-        instance.node.deliver = cut  # type: ignore[method-assign]
+        instance.node.deliver = deliver_unless_partitioned  # type: ignore[method-assign]
         self.instances[name] = instance
         self.scopes[name] = trio.CancelScope()
         self.ended[name] = trio.Event()
@@ -120,23 +119,23 @@
         with trio.fail_after(5):
             await self.ended[name].wait()
 
-    def instances_client(self, names: list[str] | None = None) -> Instances:
+    def instances_client(self, names: list[str] | None = None) -> ConfigurationClient:
         places = [("127.0.0.1", int(n.rpartition(":")[2])) for n in names or self.names]
-        return Instances(self.network, self.clock, random.Random(len(self.records)), places)
+        return ConfigurationClient(self.network, self.clock, random.Random(len(self.records)), places)
 
     def partition(self, *side: str) -> None:
         others = set(self.instances) - set(side)
-        self.cuts = {(a, b) for a in side for b in others} | {(b, a) for a in side for b in others}
+        self.partitions = {(a, b) for a in side for b in others} | {(b, a) for a in side for b in others}
 
     def heal(self) -> None:
-        self.cuts = set()
+        self.partitions = set()
 
     async def leader(self, among: list[str] | None = None) -> str:
         with trio.fail_after(15):
             while True:
                 for name in among or self.names:
                     node = self.instances[name].node
-                    if node.core.is_leader and not node.stopped and node.core.commit >= node.core._noop:
+                    if node.core.is_leader and not node.stopped and node.core.has_committed_in_term:
                         return name
                 await trio.sleep(0.01)
 
@@ -147,7 +146,7 @@
     async def set(self, *changes: Any, tries: int = 60) -> Outcome:
         """Proposes until it is confirmed, and records what the confirmed version holds."""
         outcome = await self.client.propose(self.command(*changes), tries)
-        assert not outcome.refusal, outcome.refusal
+        assert not outcome.rejection, outcome.rejection
         await self.confirm()
         return outcome
 
@@ -169,10 +168,11 @@
         client = self.instances_client(names)
         await self.nursery.start(client.run)
 
-        def told(c: Configuration) -> None:
-            self.records.append(Acted(self.clock.now_us(), name, c.version, digest(c)))
+        def on_version(configuration: Configuration) -> None:
+            acted = Acted(self.clock.now_us(), name, configuration.version, digest(configuration))
+            self.records.append(acted)
 
-        self.nursery.start_soon(client.watch, name, model.EMPTY, told)
+        self.nursery.start_soon(client.watch, name, model.EMPTY, on_version)
 
     async def all_at(self, version: int, watchers: int) -> None:
         with trio.fail_after(15):
--- a/tests/raft/test_configuration.py
+++ b/tests/raft/test_configuration.py
@@ -7,10 +7,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from juniperreel.raft.configuration import checks, machine, model
-from juniperreel.raft.configuration.machine import (
+from juniperreel.raft.configuration import model, state_machine, validation
+from juniperreel.raft.configuration.commands import (
     Command,
-    Machine,
+    ConfigurationChange,
     RemoveGroup,
     RemoveMember,
     SetClass,
@@ -22,6 +22,8 @@
     encode_command,
 )
 from juniperreel.raft.configuration.model import ClassInfo, GroupInfo, MemberInfo, TenantInfo
+from juniperreel.raft.configuration.state_machine import ConfigurationStateMachine
+from juniperreel.raft.errors import MalformedDataError
 
 MEMBER = MemberInfo(0, "127.0.0.1", 1000)
 READ = ClassInfo("repeatable", "all", 0, "bounded", 300_000, 500_000, 2_000_000, 3.0, 0.2)
@@ -37,7 +39,7 @@
     st.builds(RemoveGroup, groups),
     st.builds(SetClass, names, st.none() | st.sampled_from([READ, WRITE])),
     st.builds(SetTenant, names, st.none() | st.builds(TenantInfo, st.floats(0, 0.6))),
-    st.builds(SetLimit, st.sampled_from([*checks.LIMITS, "odd"]), st.none() | st.integers(-1, 5)),
+    st.builds(SetLimit, st.sampled_from([*validation.LIMITS, "odd"]), st.none() | st.integers(-1, 5)),
 )
 commands = st.builds(
     Command,
@@ -48,8 +50,8 @@
 )
 
 
-def ready() -> Machine:
-    made = Machine()
+def ready() -> ConfigurationStateMachine:
+    made = ConfigurationStateMachine()
     done = made.apply(
         encode_command(
             Command(
@@ -57,38 +59,40 @@
             )
         )
     )
-    assert not done.refusal
+    assert not done.rejection
     return made
 
 
-def refusal(*changes: machine.Change) -> str:
+def refusal(*changes: ConfigurationChange) -> str:
     made = ready()
-    before = made.now.version
+    before = made.current.version
     outcome = made.apply(encode_command(Command("t", 1, list(changes))))
-    assert outcome.version == before + (not outcome.refusal)
-    return outcome.refusal
+    assert outcome.version == before + (not outcome.rejection)
+    return outcome.rejection
 
 
 @given(st.lists(commands, max_size=30))
-def test_whatever_is_applied_no_version_breaks_a_rule_and_all_nodes_agree(listed: list[Command]) -> None:
+def test_state_machines_after_the_same_commands_agree_and_hold_valid_versions(listed: list[Command]) -> None:
     one, two = ready(), ready()
     for command in listed:
-        before = one.now
+        before = one.current
         outcome = one.apply(encode_command(command))
         assert two.apply(encode_command(command)) == outcome
-        assert checks.problems(one.now) == []
-        assert one.now.version in (before.version, before.version + 1)
-        if one.now.version > before.version:
-            assert checks.steps(before, one.now) == []
-            assert model.patched(before, model.difference(before, one.now)).members == one.now.members
+        assert validation.find_violations(one.current) == []
+        assert one.current.version in (before.version, before.version + 1)
+        if one.current.version > before.version:
+            assert validation.find_transition_violations(before, one.current) == []
+            patched = model.apply_delta(before, model.encode_delta(before, one.current))
+            assert patched.members == one.current.members
     assert one.snapshot() == two.snapshot()
-    three = Machine()
+    three = ConfigurationStateMachine()
     three.restore(one.snapshot())
-    assert three.now == one.now and three.snapshot() == one.snapshot()
+    assert three.current == one.current
+    assert three.snapshot() == one.snapshot()
 
 
 @given(commands)
-def test_a_command_asked_twice_is_applied_once(command: Command) -> None:
+def test_command_applied_twice_changes_the_state_once(command: Command) -> None:
     made = ready()
     first = made.apply(encode_command(command))
     state = made.snapshot()
@@ -96,13 +100,13 @@
     assert made.snapshot() == state
 
 
-def test_an_older_sequence_is_refused_and_forgetting_is_bounded() -> None:
+def test_command_with_an_older_sequence_is_rejected_and_sessions_are_bounded() -> None:
     made = ready()
     made.apply(encode_command(Command("x", 5, [SetLimit("attempts", 2)])))
-    assert "older than 5" in made.apply(encode_command(Command("x", 4, [SetLimit("attempts", 3)]))).refusal
-    for n in range(machine.MAX_CLIENTS + 20):
+    assert "older than 5" in made.apply(encode_command(Command("x", 4, [SetLimit("attempts", 3)]))).rejection
+    for n in range(state_machine.MAX_CLIENTS + 20):
         made.apply(encode_command(Command(f"c{n}", 1, [SetLimit("attempts", 1 + n)])))
-    assert len(made.now.clients) == machine.MAX_CLIENTS
+    assert len(made.current.clients) == state_machine.MAX_CLIENTS
 
 
 @pytest.mark.parametrize(
@@ -118,10 +122,10 @@
         ([RemoveGroup(0)], "there is no group 0"),
         ([SetMember("c", MemberInfo(7, "h", 1))], "no group 7"),
         ([SetMember("c", MemberInfo(0, "h", 0))], "out of range"),
-        ([SetClass("k", msgspec.structs.replace(WRITE, memory_us=0))], "rule 2"),
+        ([SetClass("k", msgspec.structs.replace(WRITE, key_retention_us=0))], "rule 2"),
         ([SetClass("k", msgspec.structs.replace(WRITE, consistency="any"))], "rule 2"),
         ([SetClass("k", msgspec.structs.replace(READ, lag_us=0))], "rule 5"),
-        ([SetClass("k", msgspec.structs.replace(READ, aim_us=9_000_000))], "rule 1"),
+        ([SetClass("k", msgspec.structs.replace(READ, latency_objective_us=9_000_000))], "rule 1"),
         ([SetLimit("drain-grace-us", 0)], "rule 3"),
         ([SetLimit("cold-span-us", 0)], "rule 4"),
         ([SetLimit("flavour", 1)], "there are"),
@@ -129,44 +133,48 @@
     ],
     ids=lambda v: v if isinstance(v, str) else "",
 )
-def test_what_breaks_a_rule_is_refused_whole(listed: list[machine.Change], reason: str) -> None:
+def test_command_with_one_invalid_change_is_rejected_as_a_whole(
+    listed: list[ConfigurationChange], reason: str
+) -> None:
     assert reason in refusal(SetLimit("attempts", 4), *listed)
 
 
-def test_a_promotion_and_a_replacement_are_allowed_in_one_command() -> None:
+def test_promotion_and_drain_in_one_command_are_accepted() -> None:
     assert not refusal(SetGroup(0, GroupInfo(2, "b")), SetState("a", "draining"))
     # One command that does both jumps over the drain as well.
     assert "drain and go" in refusal(SetState("b", "gone"), RemoveMember("b"))
 
 
-def test_a_member_that_comes_back_needs_a_newer_start() -> None:
+def test_member_that_comes_back_without_a_newer_start_is_rejected() -> None:
     made = ready()
     made.apply(encode_command(Command("t", 1, [SetState("b", "gone", 5)])))
-    assert "rule 4" in made.apply(encode_command(Command("t", 2, [SetState("b", "up", 5)]))).refusal
-    assert not made.apply(encode_command(Command("t", 3, [SetState("b", "up", 6)]))).refusal
+    assert "rule 4" in made.apply(encode_command(Command("t", 2, [SetState("b", "up", 5)]))).rejection
+    assert not made.apply(encode_command(Command("t", 3, [SetState("b", "up", 6)]))).rejection
 
 
 @given(st.binary(max_size=200))
-def test_noise_is_no_command_no_configuration_and_no_delta(noise: bytes) -> None:
+def test_decoding_of_random_bytes_raises_and_changes_nothing(noise: bytes) -> None:
     made = ready()
     state = made.snapshot()
-    assert made.apply(noise).refusal and made.snapshot() == state
-    for read in (model.decode, lambda data: model.patched(made.now, data)):
-        with pytest.raises(ValueError):
+    assert made.apply(noise).rejection
+    assert made.snapshot() == state
+    for read in (model.decode, lambda data: model.apply_delta(made.current, data)):
+        with pytest.raises(MalformedDataError):
             read(noise)
 
 
-def test_formats_and_gaps_are_checked() -> None:
+def test_decoding_of_another_format_or_a_gap_raises() -> None:
     made = ready()
     flat = msgspec.msgpack.decode(made.snapshot())
     with pytest.raises(ValueError, match="format 9"):
         model.decode(msgspec.msgpack.encode(flat | {"format": 9}))
     with pytest.raises(ValueError, match="does not fit"):
-        model.patched(made.now, model.difference(model.EMPTY, made.now))
+        model.apply_delta(made.current, model.encode_delta(model.EMPTY, made.current))
 
 
-def test_a_new_version_shares_what_did_not_change() -> None:
+def test_new_version_shares_unchanged_sections_with_the_old_one() -> None:
     made = ready()
-    before = made.now
+    before = made.current
     made.apply(encode_command(Command("t", 1, [SetLimit("attempts", 4)])))
-    assert made.now.members is before.members and made.now.limits is not before.limits
+    assert made.current.members is before.members
+    assert made.current.limits is not before.limits
--- a/tests/raft/test_storage.py
+++ b/tests/raft/test_storage.py
@@ -11,17 +11,22 @@
 
 import pytest
 
-from juniperreel.raft.configuration.machine import Command, Machine, SetLimit, encode_command
-from juniperreel.raft.core import Core, Tuning
-from juniperreel.raft.disk import MemoryDisk
-from juniperreel.raft.storage import DiskFull, Storage, StorageError, rescue
-from juniperreel.raft.types import Entry, HardState, Kind, Members, Persist, Snapshot
+from juniperreel.raft.config import RaftConfig
+from juniperreel.raft.configuration.commands import Command, SetLimit, encode_command
+from juniperreel.raft.configuration.state_machine import ConfigurationStateMachine
+from juniperreel.raft.core import RaftCore
+from juniperreel.raft.errors import DiskFullError, StorageError
+from juniperreel.raft.memory_storage import InMemoryStorage
+from juniperreel.raft.offline import RescueResult, rescue
+from juniperreel.raft.ready import PersistBatch
+from juniperreel.raft.storage import Storage
+from juniperreel.raft.types import Entry, EntryKind, HardState, Membership, Snapshot
 
-MEMBERS = Members(frozenset("abc"))
+MEMBERS = Membership(frozenset("abc"))
 
 
 def entries(start: int, end: int, term: int = 1, size: int = 10) -> list[Entry]:
-    return [Entry(term, n, Kind.COMMAND, b"%d" % n * size) for n in range(start, end + 1)]
+    return [Entry(term, n, EntryKind.COMMAND, b"%d" % n * size) for n in range(start, end + 1)]
 
 
 @pytest.fixture
@@ -29,68 +34,74 @@
     return Storage.create(tmp_path / "node", "c", "a", MEMBERS, 1 << 24)
 
 
-def test_what_was_written_comes_back(storage: Storage) -> None:
-    storage.write(Persist(HardState(3, "b", 2), entries=entries(1, 5)))
-    storage.write(Persist(entries=entries(4, 6, term=2)))
+def test_recover_after_writes_returns_what_was_written(storage: Storage) -> None:
+    storage.write(PersistBatch(HardState(3, "b", 2), entries=entries(1, 5)))
+    storage.write(PersistBatch(entries=entries(4, 6, term=2)))
     storage.close()
-    restored = Storage.open(storage.path, "c", "a").restore()
+    restored = Storage.open(storage.path, "c", "a").recover()
     assert restored.hard_state == HardState(3, "b", 2)
     assert list(restored.entries) == entries(1, 3) + entries(4, 6, term=2)
     assert restored.snapshot == Snapshot(0, 0, MEMBERS, b"")
 
 
-def test_it_does_what_its_twin_does(tmp_path: Path) -> None:
+def test_storage_through_a_core_s_life_holds_what_in_memory_storage_holds(tmp_path: Path) -> None:
     """A core's whole life, written to both."""
     for seed in range(5):
-        disk = Storage.create(tmp_path / str(seed), "c", "a", Members(frozenset("a")), 1 << 24)
-        twin = MemoryDisk(Members(frozenset("a")))
+        disk = Storage.create(tmp_path / str(seed), "c", "a", Membership(frozenset("a")), 1 << 24)
+        twin = InMemoryStorage(Membership(frozenset("a")))
         rng = random.Random(seed)
-        core = Core("a", twin.restore(), Tuning(trailing=3), rng)
+        core = RaftCore("a", twin.recover(), RaftConfig(trailing_entries=3), rng)
         for _ in range(300):
             core.tick()
             if core.is_leader and rng.random() < 0.5:
                 core.propose(rng.randbytes(rng.randrange(50)))
-            if rng.random() < 0.05 and core.applied > core.snapshot.index:
+            if rng.random() < 0.05 and core.applied_index > core.snapshot.index:
                 core.compact(
-                    core.applied, rng.randbytes(rng.randrange(3 << 20) if rng.random() < 0.1 else 20)
+                    core.applied_index, rng.randbytes(rng.randrange(3 << 20) if rng.random() < 0.1 else 20)
                 )
             while core.has_ready():
-                ready = core.take()
+                ready = core.take_ready()
                 disk.write(ready.persist)
                 twin.write(ready.persist)
-                core.persisted(ready)
+                core.mark_persisted(ready)
             if rng.random() < 0.05:
-                assert disk.restore() == twin.restore()
-                core = Core("a", disk.restore(), Tuning(trailing=3), rng)
-        assert disk.restore() == twin.restore()
+                assert disk.recover() == twin.recover()
+                core = RaftCore("a", disk.recover(), RaftConfig(trailing_entries=3), rng)
+        assert disk.recover() == twin.recover()
         disk.close()
 
 
-def test_an_installed_snapshot_replaces_the_log(storage: Storage) -> None:
-    storage.write(Persist(entries=entries(1, 5)))
+def test_snapshot_that_replaces_the_log_drops_older_entries(storage: Storage) -> None:
+    storage.write(PersistBatch(entries=entries(1, 5)))
     snapshot = Snapshot(9, 2, MEMBERS, os.urandom(3 << 20))
-    storage.write(Persist(snapshot=snapshot, reset=True, keep_from=10, entries=entries(10, 11, term=2)))
-    restored = storage.restore()
-    assert restored.snapshot == snapshot and list(restored.entries) == entries(10, 11, term=2)
-    assert (restored.base, restored.base_term) == (9, 2)
+    storage.write(
+        PersistBatch(
+            snapshot=snapshot, replaces_log=True, first_retained_index=10, entries=entries(10, 11, term=2)
+        )
+    )
+    restored = storage.recover()
+    assert restored.snapshot == snapshot
+    assert list(restored.entries) == entries(10, 11, term=2)
+    assert (restored.compacted_index, restored.compacted_term) == (9, 2)
 
 
 WRITER = """
 import sys
 from pathlib import Path
 from juniperreel.raft.storage import (Storage)
-from juniperreel.raft.types import (Entry, HardState, Kind, Persist)
+from juniperreel.raft.types import (Entry, HardState, EntryKind)
+from juniperreel.raft.ready import (PersistBatch)
 storage = Storage.open(Path(sys.argv[1]), "c", "a")
-n = len(storage.restore().entries)
+n = len(storage.recover().entries)
 while True:
     n += 1
-    pair = [Entry(1, n, Kind.COMMAND, b"x" * 3000), Entry(1, n + 1, Kind.COMMAND, b"y" * 3000)]
-    storage.write(Persist(HardState(n, "a", 0), entries=pair))
+    pair = [Entry(1, n, EntryKind.COMMAND, b"x" * 3000), Entry(1, n + 1, EntryKind.COMMAND, b"y" * 3000)]
+    storage.write(PersistBatch(HardState(n, "a", 0), entries=pair))
     print(n, flush=True)
 """
 
 
-def test_killed_at_any_write_it_holds_all_that_was_confirmed_and_no_half(storage: Storage) -> None:
+def test_storage_killed_at_any_write_holds_every_confirmed_batch_completely(storage: Storage) -> None:
     storage.close()
     rng = random.Random(1)
     for _ in range(6):
@@ -103,22 +114,23 @@
         confirmed = max([confirmed, *map(int, writer.stdout.read().split())])
         writer.wait()
         again = Storage.open(storage.path, "c", "a")
-        restored = again.restore()
+        restored = again.recover()
         again.close()
         assert restored.hard_state.term >= confirmed
         assert len(restored.entries) == restored.hard_state.term + 1  # the pair came whole
 
 
-def test_a_full_disk_stops_the_write_and_harms_nothing(storage: Storage) -> None:
-    storage.write(Persist(HardState(1, "a", 0), entries=entries(1, 3)))
-    with pytest.raises(DiskFull):
-        storage.write(Persist(HardState(9, "b", 0), entries=entries(2, 20, size=1 << 20)))
-    restored = storage.restore()
-    assert restored.hard_state.term == 1 and list(restored.entries) == entries(1, 3)
-    storage.write(Persist(entries=entries(4, 4)))
+def test_write_to_a_full_disk_raises_and_changes_nothing(storage: Storage) -> None:
+    storage.write(PersistBatch(HardState(1, "a", 0), entries=entries(1, 3)))
+    with pytest.raises(DiskFullError):
+        storage.write(PersistBatch(HardState(9, "b", 0), entries=entries(2, 20, size=1 << 20)))
+    restored = storage.recover()
+    assert restored.hard_state.term == 1
+    assert list(restored.entries) == entries(1, 3)
+    storage.write(PersistBatch(entries=entries(4, 4)))
 
 
-def test_another_s_directory_and_an_empty_one_are_refused(storage: Storage, tmp_path: Path) -> None:
+def test_open_of_a_foreign_or_empty_directory_is_refused(storage: Storage, tmp_path: Path) -> None:
     storage.close()
     for cluster, node in (("c", "b"), ("d", "a")):
         with pytest.raises(StorageError, match="belongs to node a of cluster c"):
@@ -130,20 +142,22 @@
 
 
 @pytest.mark.parametrize("keep", [0, 100, 8192, 20_000, 40_000])
-def test_a_cut_file_is_refused(storage: Storage, keep: int) -> None:
-    storage.write(Persist(HardState(1, "a", 0), entries=entries(1, 200, size=200)))
+def test_open_of_a_truncated_file_is_refused(storage: Storage, keep: int) -> None:
+    storage.write(PersistBatch(HardState(1, "a", 0), entries=entries(1, 200, size=200)))
     storage.close()
     data = storage.path / "data.mdb"
     with data.open("r+b") as file:
         file.truncate(keep)
     with pytest.raises(StorageError, match="new name"):
-        Storage.open(storage.path, "c", "a").restore()
+        Storage.open(storage.path, "c", "a").recover()
 
 
-def test_flipped_bits_in_what_counts_are_refused_and_never_a_crash(storage: Storage) -> None:
+def test_recover_with_flipped_bits_is_refused(storage: Storage) -> None:
     marker = b"MARKERMARKER"
-    storage.write(Persist(HardState(7, "votedforthis", 0), entries=[Entry(1, 1, Kind.COMMAND, marker * 30)]))
-    storage.write(Persist(snapshot=Snapshot(1, 1, MEMBERS, b"STATESTATE" * 300), keep_from=1))
+    storage.write(
+        PersistBatch(HardState(7, "votedforthis", 0), entries=[Entry(1, 1, EntryKind.COMMAND, marker * 30)])
+    )
+    storage.write(PersistBatch(snapshot=Snapshot(1, 1, MEMBERS, b"STATESTATE" * 300), first_retained_index=1))
     storage.close()
     data = storage.path / "data.mdb"
     whole = data.read_bytes()
@@ -156,29 +170,33 @@
                 changed[place + offset] ^= 4
             data.write_bytes(changed)
             with pytest.raises(StorageError, match="changed"):
-                Storage.open(storage.path, "c", "a").restore()
+                Storage.open(storage.path, "c", "a").recover()
             refused += 1
         assert at > 0
     assert refused == 12
 
 
-def test_a_lost_quorum_is_rescued_into_a_cluster_of_another_name(tmp_path: Path) -> None:
+def test_rescue_of_a_lost_quorum_starts_a_cluster_under_another_name(tmp_path: Path) -> None:
     lost = Storage.create(tmp_path / "lost", "old", "a", MEMBERS, 1 << 24)
     commands = [
-        Entry(1, n, Kind.COMMAND, encode_command(Command("c", n, [SetLimit("attempts", n)])))
+        Entry(1, n, EntryKind.COMMAND, encode_command(Command("c", n, [SetLimit("attempts", n)])))
         for n in range(1, 6)
     ]
-    lost.write(Persist(HardState(3, "a", 4), entries=commands))
+    lost.write(PersistBatch(HardState(3, "a", 4), entries=commands))
     lost.close()
     with pytest.raises(StorageError, match="another name"):
         rescue(tmp_path / "lost", tmp_path / "new", "old", "b@h:1")
-    assert rescue(tmp_path / "lost", tmp_path / "new", "new", "b@h:1", 1 << 24) == (5, 1)
-    core = Core("b@h:1", Storage.open(tmp_path / "new", "new", "b@h:1").restore(), Tuning(), random.Random(1))
+    assert rescue(tmp_path / "lost", tmp_path / "new", "new", "b@h:1", 1 << 24) == RescueResult(5, 1)
+    core = RaftCore(
+        "b@h:1", Storage.open(tmp_path / "new", "new", "b@h:1").recover(), RaftConfig(), random.Random(1)
+    )
     for _ in range(25):
         core.tick()
         while core.has_ready():
-            core.persisted(core.take())
-    assert core.is_leader and core.term > 3 and core.members.voters == {"b@h:1"}
-    machine = Machine()
+            core.mark_persisted(core.take_ready())
+    assert core.is_leader
+    assert core.term > 3
+    assert core.membership.voters == {"b@h:1"}
+    machine = ConfigurationStateMachine()
     machine.restore(core.snapshot.data)
-    assert machine.now.limits["attempts"] == 5
+    assert machine.current.limits["attempts"] == 5
