--- a/benchmarks/pool_soak.py
+++ b/benchmarks/pool_soak.py
@@ -37,8 +37,8 @@
 from juniperreel.proxy.mysqlmembers import MysqlLinks
 from juniperreel.settings.edge import parse_edge
 from juniperreel.telemetry.log import make_log
-from juniperreel.verification.executions import Count, check_executions
-from juniperreel.verification.records import Meant, Recorder
+from juniperreel.verification.executions import ExecutionCounts, check_executions
+from juniperreel.verification.records import Recorder, StatementIntended
 
 DAY = """groups 1
 members 3
@@ -232,7 +232,7 @@
         finally:
             words = [str(value) for value in values]
             error = str(code) if code else ""
-            self._record(Meant(0, serial, text, words, dict(self._variables), served, error))
+            self._record(StatementIntended(0, serial, text, words, dict(self._variables), served, error))
         return code
 
 
@@ -275,14 +275,15 @@
             for name, pool in links.pools().items():
                 if pool.leased or pool.waiting:
                     found.append(f"{name}: {pool.leased} leases were not given back, {pool.waiting} wait")
-            count = Count()
+            count = ExecutionCounts()
             found += check_executions(recorder.records, count)
             tally.took.sort()
             p99 = tally.took[int(len(tally.took) * 0.99)] * 1000 if tally.took else 0.0
             line = (
                 f"{tally.transactions} transactions in {took:.1f} s ({tally.transactions / took:.0f}/s, "
                 f"p99 {p99:.0f} ms), {tally.undone} more undone, {tally.refused} statements refused; "
-                f"{tally.killed} connections killed; {count.ran} executions of {count.texts} texts judged, "
+                f"{tally.killed} connections killed; {count.executed} executions of {count.texts} texts "
+                "judged, "
                 f"{sessions} sessions over at most {3 * connections} connections, "
                 f"{links.opened} opened, {links.replayed} replays"
             )
--- a/juniperreel/cli/demo.py
+++ b/juniperreel/cli/demo.py
@@ -45,9 +45,9 @@
         alive = sum(m.alive for m in world.fleet.members.values())
         mean = sum(served) / len(served) / 1000 if served else 0.0
         told = ", ".join(f"{name} {counts.get(name, 0)}" for name in ("served", "refused", "failed"))
-        faults = [r.text.split(None, 2)[2] for r in world.record.records if isinstance(r, Fault) and r.on][
-            -1:
-        ]
+        faults = [
+            r.text.split(None, 2)[2] for r in world.record.records if isinstance(r, Fault) and r.active
+        ][-1:]
         last = f"; last fault: {faults[0]}" if faults else ""
         click.echo(
             f"{trio.current_time() - start:5.0f} s  {told}; mean {mean:.0f} ms; {alive} members up{last}"
--- a/juniperreel/cli/feeder.py
+++ b/juniperreel/cli/feeder.py
@@ -18,7 +18,7 @@
 from juniperreel.raft.configuration.machine import Change, Command, SetGroup, SetMember
 from juniperreel.raft.configuration.model import EMPTY, Configuration, GroupInfo, MemberInfo
 from juniperreel.rpc.status import RpcError
-from juniperreel.verification.records import Listed, Sink
+from juniperreel.verification.records import EndpointListed, RecordSink
 
 LOOK_S = 0.05
 INSTANCES = 3
@@ -94,7 +94,7 @@
         network: Network,
         clock: Clock,
         addresses: list[tuple[str, int]],
-        record: Sink,
+        record: RecordSink,
         edges: Callable[[], list[str]],
     ) -> None:
         self._fleet, self._clock, self._record, self._edges = fleet, clock, record, edges
@@ -148,4 +148,4 @@
             old = before.members.get(name)
             if old is None or old.state != member.state:
                 for edge in self._edges():
-                    self._record(Listed(now, edge, name, member.state))
+                    self._record(EndpointListed(now, edge, name, member.state))
--- a/juniperreel/cli/load.py
+++ b/juniperreel/cli/load.py
@@ -76,7 +76,8 @@
     """The report of a result; 1 where rule 1 was broken."""
     from juniperreel.load.report import plots
     from juniperreel.load.summary import full_sides, load_result, table
-    from juniperreel.verification.rules import Day, check_answers
+    from juniperreel.verification.history import History
+    from juniperreel.verification.responses import check_responses
 
     result = load_result(path)
     for line in table(result.stages()):
@@ -98,7 +99,7 @@
         click.echo(f"{number:8d}  {why or 'no answer'}")
     for line in full_sides(result):
         click.echo(line)
-    broken = check_answers(Day.of(list(result.records())))
+    broken = check_responses(History.of(list(result.records())))
     verdict = f"BROKEN {len(broken)} times; first: {broken[0].text}" if broken else "held"
     click.echo(f"rule 1, from the clients' side: {verdict}")
     if plot is not None:
--- a/juniperreel/cli/trial.py
+++ b/juniperreel/cli/trial.py
@@ -68,7 +68,7 @@
         play = LargeTrial(day, folder, self.crews, self.driver)
         await play.run(lambda text: click.echo(text, err=True))
         counts = play.counts.values()
-        asked = max(sum(isinstance(r, rec.Asked) for r in play.records), 1)
+        asked = max(sum(isinstance(r, rec.RequestSent) for r in play.records), 1)
         probes, opened = sum(c.probes for c in counts), sum(c.connections for c in counts)
         late, cpu = max(c.late_us for c in counts) / US, sum(c.cpu_s for c in counts)
         return Played(
@@ -245,8 +245,8 @@
 
 def steps(records: list[rec.Record], step_us: int) -> Iterator[str]:
     """A row a replica: its share of the fair one in each step, '-' while it was not able to work."""
-    able = spread.Able(records)
-    asked = [r.at for r in records if isinstance(r, rec.Asked)]
+    able = spread.EligibilityWeight(records)
+    asked = [r.at for r in records if isinstance(r, rec.RequestSent)]
     if not asked:
         return
     since, until = min(asked), max(asked)
@@ -255,8 +255,8 @@
     for group in sorted(set(able.groups.values())):
         replicas = able.replicas(group)
         came = spread.arrivals(records, replicas)
-        found = spread.cells(came, replicas, since, until, step_us, able)
-        shares = {(c.member, c.start): c.share for c in found if c.fair}
+        found = spread.count_by_bin(came, replicas, since, until, step_us, able)
+        shares = {(c.endpoint, c.start): c.share for c in found if c.fair}
         for member in replicas:
             row = [shares.get((member, start)) for start in starts]
             yield member.ljust(12) + "".join("     -" if s is None else f"{s:>6.2f}" for s in row)
@@ -264,8 +264,8 @@
 
 def evenness(records: list[rec.Record]) -> Iterator[str]:
     """A row a group, over its able replicas; a share is over all the time that its replica was able."""
-    able = spread.Able(records)
-    asked = [r.at for r in records if isinstance(r, rec.Asked)]
+    able = spread.EligibilityWeight(records)
+    asked = [r.at for r in records if isinstance(r, rec.RequestSent)]
     widths = [len(name) + 2 for name in COLUMNS]
     yield "".join(f"{name:>{width}}" for name, width in zip(COLUMNS, widths, strict=True))
     for group in sorted(set(able.groups.values())):
@@ -274,11 +274,11 @@
             continue
         since, until = min(asked), max(asked)
         came = spread.arrivals(records, replicas)
-        seconds = spread.cells(came, replicas, since, until, US, able)
-        got = {m: sum(c.count for c in seconds if c.member == m) for m in replicas}
-        fair = {m: sum(c.fair for c in seconds if c.member == m) for m in replicas}
+        seconds = spread.count_by_bin(came, replicas, since, until, US, able)
+        got = {m: sum(c.count for c in seconds if c.endpoint == m) for m in replicas}
+        fair = {m: sum(c.fair for c in seconds if c.endpoint == m) for m in replicas}
         shares = [got[m] / fair[m] for m in replicas if fair[m]]
-        most, _ = spread.highest(spread.cells(came, replicas, since, until, US // 2, able))
+        most, _ = spread.peak_rate(spread.count_by_bin(came, replicas, since, until, US // 2, able))
         idle, _, _ = spread.longest_idle(came, replicas, since, until, able)
         values = (
             str(group),
--- a/juniperreel/cli/world.py
+++ b/juniperreel/cli/world.py
@@ -33,10 +33,16 @@
 MS = 1_000
 
 MIX = (
-    Mix(rec.Class(0, "board-read", "repeatable", 0, False, False, 300 * MS, 500 * MS, 3, 0.2), 0.60, 2 * US),
-    Mix(rec.Class(0, "own-read", "repeatable", 0, False, True, -1, 600 * MS, 3, 0.2), 0.20, 2_500 * MS),
-    Mix(rec.Class(0, "run-write", "keyed", 5 * US, True, False, -1, 1_200 * MS, 4, 0.7), 0.17, 4 * US),
-    Mix(rec.Class(0, "run-once", "once", 0, True, False, -1, 1_200 * MS, 4, 0.7), 0.03, 4 * US),
+    Mix(
+        rec.RequestClass(0, "board-read", "repeatable", 0, False, False, 300 * MS, 500 * MS, 3, 0.2),
+        0.60,
+        2 * US,
+    ),
+    Mix(
+        rec.RequestClass(0, "own-read", "repeatable", 0, False, True, -1, 600 * MS, 3, 0.2), 0.20, 2_500 * MS
+    ),
+    Mix(rec.RequestClass(0, "run-write", "keyed", 5 * US, True, False, -1, 1_200 * MS, 4, 0.7), 0.17, 4 * US),
+    Mix(rec.RequestClass(0, "run-once", "once", 0, True, False, -1, 1_200 * MS, 4, 0.7), 0.03, 4 * US),
 )
 
 EDGE = """\
@@ -102,7 +108,9 @@
     if not day["mysql-members"]:
         return list(MIX)
     return [
-        replace(m, cls=structs.replace(m.cls, effect="once", memory_us=0)) if m.cls.effect == "keyed" else m
+        replace(m, cls=structs.replace(m.cls, idempotency="once", deduplication_window_us=0))
+        if m.cls.idempotency == "keyed"
+        else m
         for m in MIX
     ]
 
@@ -113,11 +121,17 @@
 
 def class_text(mix: Mix) -> str:
     cls = mix.cls
-    consistency = "write" if cls.write else "session" if cls.session else f"bounded {span(cls.lag_us)}"
-    effect = f"keyed group {span(cls.memory_us)}" if cls.effect == "keyed" else cls.effect
+    consistency = (
+        "write" if cls.write else "session" if cls.session else f"bounded {span(cls.max_staleness_us)}"
+    )
+    effect = (
+        f"keyed group {span(cls.deduplication_window_us)}" if cls.idempotency == "keyed" else cls.idempotency
+    )
     return (
-        f"[class {cls.name}]\neffect {effect}\nconsistency {consistency}\naim {span(cls.aim_us)}\n"
-        f"deadline {span(mix.deadline_us)}\nworth {cls.worth:g}\nlate-worth {cls.late_worth:.0%}\n"
+        f"[class {cls.name}]\neffect {effect}\nconsistency {consistency}\n"
+        f"aim {span(cls.latency_objective_us)}\n"
+        f"deadline {span(mix.deadline_us)}\nworth {cls.priority_weight:g}\n"
+        f"late-worth {cls.late_priority_weight:.0%}\n"
     )
 
 
--- a/juniperreel/emulator/raft.py
+++ b/juniperreel/emulator/raft.py
@@ -28,7 +28,8 @@
     VoteReply,
     VoteRequest,
 )
-from juniperreel.verification.raft import RaftJudge, Unsafe
+from juniperreel.verification.errors import SafetyViolationError
+from juniperreel.verification.raft import LogEntry, RaftSafetyChecker
 
 NAMES = ("a", "b", "c", "d", "e")
 SPARE = ("f", "g", "h", "i", "j", "k", "l", "m")  # names of nodes that may join
@@ -85,7 +86,7 @@
         self.size = rng.choice((3, 3, 5))
         self.members = Members(frozenset(NAMES[: self.size]))
         self.rng = rng
-        self.judge = RaftJudge()
+        self.judge = RaftSafetyChecker()
         self.nodes: dict[str, Node] = {}
         self.wire: list[Message] = []
         self.held: list[Message] = []  # kept back on the way, until long after
@@ -101,7 +102,7 @@
         core = self._make(name, disk.restore(), TUNING, random.Random(self.rng.getrandbits(32)))
         state = [s for s in disk.snapshot.data.split(b"\0") if s]
         self.nodes[name] = Node(core, disk, state)
-        self.judge.restarts(name, disk.snapshot.index)
+        self.judge.record_restart(name, disk.snapshot.index)
 
     # One node's turn.
 
@@ -134,30 +135,33 @@
         p = ready.persist
         node.disk.write(p)
         state = node.disk.hard_state
-        self.judge.votes(name, state.term, state.vote)
+        self.judge.record_vote(name, state.term, state.vote)
         if p.snapshot is not None and ready.install is not None:
-            self.judge.restores(name, p.snapshot.index, p.snapshot.term)
-        self.judge.stores(name, [(e.index, e.term, bytes((e.kind.value,)) + e.data) for e in p.entries])
+            self.judge.record_snapshot(name, p.snapshot.index, p.snapshot.term)
+        self.judge.record_append(
+            name, [LogEntry(e.index, e.term, bytes((e.kind.value,)) + e.data) for e in p.entries]
+        )
 
     def _lead(self, name: str, node: Node, core: Core) -> None:
         if core.is_leader and node.led != core.term:
             node.led = core.term
-            self.judge.leads(name, core.term)
+            self.judge.record_leader(name, core.term)
             log = {core.log.base: core.log.base_term} | {e.index: e.term for e in core.log.entries}
-            self.judge.complete(name, log)
+            self.judge.check_leader_completeness(name, log)
 
     def _apply(self, name: str, node: Node, ready: Ready) -> None:
         if ready.install is not None:
             node.state = [s for s in ready.install.data.split(b"\0") if s]
         for entry in ready.apply:
-            self.judge.applies(name, entry.index, entry.term, bytes((entry.kind.value,)) + entry.data)
+            data = bytes((entry.kind.value,)) + entry.data
+            self.judge.record_apply(name, LogEntry(entry.index, entry.term, data))
             self._applied(node, entry)
         if ready.install is not None or ready.apply:
-            self.judge.state(name, hashlib.blake2b(b"\0".join(node.state), digest_size=12).digest())
+            self.judge.record_state(name, hashlib.blake2b(b"\0".join(node.state), digest_size=12).digest())
         for context, index in ready.reads:
             least = self.reads.pop(context, 0)
             if index < least:
-                raise Unsafe(
+                raise SafetyViolationError(
                     f"linearizability: a read at {name} sees {index}; {least} was acknowledged before it"
                 )
 
@@ -169,7 +173,7 @@
     # Operations.
 
     def play(self, ops: Sequence[Op]) -> None:
-        """Raises Unsafe, or AssertionError where the core itself notices."""
+        """Raises SafetyViolationError, or AssertionError where the core itself notices."""
         for kind, a, b in ops:
             getattr(self, "_do_" + kind.partition("-")[0])(kind, a, b)
 
@@ -543,7 +547,7 @@
         group.play(ops)
         if not group.calm():
             return "liveness: nothing was committed after all faults had ended"
-    except (Unsafe, AssertionError) as error:
+    except (SafetyViolationError, AssertionError) as error:
         return str(error) or type(error).__name__
     except Exception as error:  # a core that falls over is a finding like any other
         place = traceback.extract_tb(error.__traceback__)[-1]
--- a/juniperreel/fakes/clients.py
+++ b/juniperreel/fakes/clients.py
@@ -26,7 +26,13 @@
 from juniperreel.rpc.channel import Broken, Channel, NeverSent
 from juniperreel.rpc.limits import Limits
 from juniperreel.rpc.status import PUSHBACK, Code, RpcError
-from juniperreel.verification.records import Asked, Class, Offered, Sink, Told
+from juniperreel.verification.records import (
+    LoadOffered,
+    RecordSink,
+    RequestClass,
+    RequestSent,
+    ResponseReceived,
+)
 
 EXECUTE = "/juniperreel.v1.Records/Execute"
 ROWS = 40
@@ -50,7 +56,7 @@
 class Mix:
     """A class, its part of the load and how long its clients wait at most."""
 
-    cls: Class
+    cls: RequestClass
     part: float
     deadline_us: int
 
@@ -90,7 +96,7 @@
         self,
         network: Network,
         clock: Clock,
-        record: Sink,
+        record: RecordSink,
         rng: random.Random,
         mix: list[Mix],
         tenants: dict[str, float],
@@ -140,7 +146,7 @@
                         session.busy = True
                         nursery.start_soon(self._request, session)
             links.cancel_scope.cancel()
-        self._record(Offered(self._clock.now_us(), self.offered))
+        self._record(LoadOffered(self._clock.now_us(), self.offered))
 
     def _pick(self) -> Session | None:
         for _ in range(20):
@@ -224,7 +230,7 @@
             statements = ["begin", text, f"{look} for update", "commit"]
         # Each statement has its class's deadline, and an answer by then.
         until = now + len(statements) * mix.deadline_us + MYSQL_MARGIN_US
-        asked = Asked(now, rid, number, edge, cls.name, session.name, session.tenant, group, row, until)
+        asked = RequestSent(now, rid, number, edge, cls.name, session.name, session.tenant, group, row, until)
         self._record(asked)
         status, local, again = Code.OK, False, None
         rows: list[str] = []
@@ -250,7 +256,11 @@
                 again = self._rng.uniform(*AGAIN_S)
         told = self._clock.now_us()
         more = len(rows) == ROWS
-        self._record(Told(told, rid, number, int(status), local, wait_us=wait_us, rows=rows, more=more))
+        self._record(
+            ResponseReceived(
+                told, rid, number, int(status), local, retry_after_us=wait_us, rows=rows, has_older_rows=more
+            )
+        )
         outcome = "served" if status is Code.OK else "refused" if status in RETRIED else "failed"
         self.on_answer(cls.name, outcome, told - now)
         if local:
@@ -314,7 +324,7 @@
             group=group,
             statement=text.format(rid).encode(),
             session=session.name,
-            idempotency_key=f"{session.name}-{rid}" if cls.effect == "keyed" else "",
+            idempotency_key=f"{session.name}-{rid}" if cls.idempotency == "keyed" else "",
             causal_token=session.token,
         )
         setattr(ask, "class", cls.name)
@@ -325,7 +335,7 @@
         edge = session.edge
         now = self._clock.now_us()
         self._record(
-            Asked(
+            RequestSent(
                 now,
                 rid,
                 number,
@@ -350,34 +360,34 @@
                 session.token = answer.causal_token
             rows = [r.values[0].text for r in answer.result.rows]
             fields = {
-                "member": answer.member,
+                "endpoint": answer.member,
                 "primary": answer.role == records_pb2.ROLE_PRIMARY,
                 "attempts": answer.attempts,
                 "rows": rows,
-                "more": len(rows) == ROWS,
+                "has_older_rows": len(rows) == ROWS,
             }
         except RpcError as error:
             status = error.code
             wait = dict(error.metadata).get(PUSHBACK, "")
             never = wait == "-1"
             fields = {
-                "never": never,
-                "wait_us": int(wait) * 1000 if isinstance(wait, str) and wait.isdigit() else 0,
+                "do_not_retry": never,
+                "retry_after_us": int(wait) * 1000 if isinstance(wait, str) and wait.isdigit() else 0,
             }
             if status in RETRIED and not never:
-                again = fields["wait_us"] / US * self._rng.uniform(1.0, 1.3)
+                again = fields["retry_after_us"] / US * self._rng.uniform(1.0, 1.3)
         except trio.TooSlowError:
             status, local = Code.DEADLINE_EXCEEDED, True
         except (ConnectError, NeverSent, Broken) as error:
             # The edge died. What it held is for the client to ask again, at another edge.
             status, local = Code.UNAVAILABLE, True
             session.edge = (session.edge + 1) % len(self._edges)
-            if cls.effect != "once" or not isinstance(error, Broken):
+            if cls.idempotency != "once" or not isinstance(error, Broken):
                 again = self._rng.uniform(*AGAIN_S)
         except DecodeError:
             status, local = Code.INTERNAL, True
         told = self._clock.now_us()
-        self._record(Told(told, rid, number, int(status), local, **fields))
+        self._record(ResponseReceived(told, rid, number, int(status), local, **fields))
         outcome = "served" if status is Code.OK else "refused" if status in RETRIED else "failed"
         self.on_answer(cls.name, outcome, told - now)
         return again
--- a/juniperreel/fakes/fleet.py
+++ b/juniperreel/fakes/fleet.py
@@ -14,7 +14,7 @@
 from juniperreel.fakes.script import Day, Step
 from juniperreel.net import Clock, Network
 from juniperreel.proto.hosts.v1 import hosts_pb2
-from juniperreel.verification.records import Fault, Sink
+from juniperreel.verification.records import Fault, RecordSink
 
 US = 1_000_000
 HANDOVER_S = 0.4  # of a draining primary
@@ -50,7 +50,7 @@
         day: Day,
         network: Network,
         clock: Clock,
-        record: Sink,
+        record: RecordSink,
         only: Collection[int] | None = None,
         hosts: Hosts | None = None,
         platform: bool = False,
--- a/juniperreel/fakes/group.py
+++ b/juniperreel/fakes/group.py
@@ -16,7 +16,7 @@
 
 from juniperreel.fakes.store import Commit, Store
 from juniperreel.net import Clock
-from juniperreel.verification.records import Promoted, Sink
+from juniperreel.verification.records import Promoted, RecordSink
 
 if TYPE_CHECKING:
     from juniperreel.fakes.member import Member
@@ -91,7 +91,7 @@
         number: int,
         clock: Clock,
         rng: random.Random,
-        record: Sink,
+        record: RecordSink,
         detect_s: float,
         elect_s: float,
         streams: bool = True,
--- a/juniperreel/fakes/hostlist.py
+++ b/juniperreel/fakes/hostlist.py
@@ -12,7 +12,7 @@
 from juniperreel.rpc.link import Wakeup
 from juniperreel.rpc.server import Call, Method, Server
 from juniperreel.rpc.status import Code, RpcError
-from juniperreel.verification.records import Listed, Sink
+from juniperreel.verification.records import EndpointListed, RecordSink
 
 NAMES = {
     hosts_pb2.READINESS_UP: "up",
@@ -26,7 +26,7 @@
     """`tell` is how the fleet reports a host; the list shows it `delay` later."""
 
     def __init__(
-        self, network: Network, clock: Clock, rng: random.Random, record: Sink, delay_us: int
+        self, network: Network, clock: Clock, rng: random.Random, record: RecordSink, delay_us: int
     ) -> None:
         self.port = 0
         self.frozen = self.empty = False
@@ -137,7 +137,7 @@
         """Records what goes out. What a full list no longer names is gone; an empty one is no list."""
         now = self._clock.now_us()
         for host in hosts:
-            self._record(Listed(now, edge, host.id, NAMES[host.readiness]))
+            self._record(EndpointListed(now, edge, host.id, NAMES[host.readiness]))
         if full and hosts:
             for name in self._shown.keys() - {h.id for h in hosts}:
-                self._record(Listed(now, edge, name, "gone"))
+                self._record(EndpointListed(now, edge, name, "gone"))
--- a/juniperreel/fakes/member.py
+++ b/juniperreel/fakes/member.py
@@ -22,7 +22,15 @@
 from juniperreel.rpc.limits import Limits
 from juniperreel.rpc.server import Call, Method, Server
 from juniperreel.rpc.status import Code, RpcError, error_info
-from juniperreel.verification.records import Arrived, Committed, Left, Record, Sink, Started, Stopped
+from juniperreel.verification.records import (
+    AttemptFinished,
+    AttemptReceived,
+    Committed,
+    EndpointStarted,
+    EndpointStopped,
+    Record,
+    RecordSink,
+)
 
 DOMAIN = "member.juniperreel"
 REPLICATE = "/juniperreel.member.v1.Member/Replicate"
@@ -63,7 +71,7 @@
         network: Network,
         clock: Clock,
         seed: int,
-        record: Sink,
+        record: RecordSink,
     ) -> None:
         self.name, self.group, self.zone, self.shape = name, group, zone, shape
         # Danger: while it is down, a connection of somebody else's may be given its port for its own end.
@@ -116,7 +124,7 @@
         self.alive, self.hung, self._running = True, False, {}
         self.writer, self.mysql = trio.Lock(), MysqlSide(self)
         mysql = await self._network.listen("127.0.0.1", self.mysql_port) if self.shape.mysql else None
-        self._record(Started(now, self.name, cold, float(self.shape.cores)))
+        self._record(EndpointStarted(now, self.name, cold, float(self.shape.cores)))
         methods = {
             "/juniperreel.member.v1.Member/Execute": Method(unary=self._execute),
             "/juniperreel.member.v1.Member/Report": Method(unary=self._tell),
@@ -149,7 +157,7 @@
     def kill(self, why: str = "killed") -> None:
         if self.alive:
             self.alive = self.claims = False
-            self._record(Stopped(self._clock.now_us(), self.name, why))
+            self._record(EndpointStopped(self._clock.now_us(), self.name, why))
             if self._scope is not None:
                 self._scope.cancel()
 
@@ -297,7 +305,7 @@
         work = self.machine.draw(mean)
         edge = ask.request.rsplit("-", 2)[0]
         self._record(
-            Arrived(
+            AttemptReceived(
                 self._clock.now_us(),
                 self.name,
                 edge,
@@ -321,7 +329,7 @@
             raise
         finally:
             now = self._clock.now_us()
-            self._record(Left(now, self.name, ask.request, ask.attempt, how, done[0]))
+            self._record(AttemptFinished(now, self.name, ask.request, ask.attempt, how, done[0]))
 
     async def _answer(
         self,
--- a/juniperreel/fakes/mysqlmember.py
+++ b/juniperreel/fakes/mysqlmember.py
@@ -20,7 +20,13 @@
 from juniperreel.mysql.server import Command, Event, ServerSession, State
 from juniperreel.mysql.values import Column, Parameter, Value, binary_row, read_types, read_values, text_row
 from juniperreel.net import Listener
-from juniperreel.verification.records import Abandoned, Arrived, Left, Ran, Within
+from juniperreel.verification.records import (
+    AttemptAbandoned,
+    AttemptFinished,
+    AttemptReceived,
+    StatementExecuted,
+    StatementReceived,
+)
 
 if TYPE_CHECKING:
     from juniperreel.fakes.member import Member
@@ -146,7 +152,7 @@
     def _note_end(self) -> None:
         """Also of what a member that stood still begins on when its client has long left."""
         if self._attempt is not None and self._ended:
-            self._member.record(Abandoned(self._ended, self._member.name, *self._attempt))
+            self._member.record(AttemptAbandoned(self._ended, self._member.name, *self._attempt))
 
     async def _serve(self, receive: trio.MemoryReceiveChannel[tuple[int, bytes]]) -> None:
         s = self._session
@@ -258,14 +264,14 @@
         attempt = int(attributes.get("juniperreel_attempt") or 0)
         statement = int(attributes.get("juniperreel_statement") or 0)
         if statement:
-            member.record(Within(now, member.name, edge, request, statement))
+            member.record(StatementReceived(now, member.name, edge, request, statement))
             return await self._answer(text, values, binary)
         cls = str(attributes.get("juniperreel_class", ""))
         write = bool(attributes.get("juniperreel_write"))
         rid = RID.search(text)
         mean = member.shape.write_us if write else member.shape.read_us
         member.record(
-            Arrived(now, member.name, edge, request, attempt, rid[1] if rid else "", cls, write, mean)
+            AttemptReceived(now, member.name, edge, request, attempt, rid[1] if rid else "", cls, write, mean)
         )
         member.machine.offer(mean)
         how = "stopped"
@@ -280,7 +286,9 @@
             raise
         finally:
             self._attempt = None
-            member.record(Left(member.at_us(), member.name, request, attempt, how, how == "answered"))
+            member.record(
+                AttemptFinished(member.at_us(), member.name, request, attempt, how, how == "answered")
+            )
 
     async def _answer(self, text: str, values: Sequence[Value], binary: bool) -> list[Event]:
         member, s = self._member, self._session
@@ -299,7 +307,9 @@
         if serial:
             words = [str(v) for v in values]
             thread, variables = self._session.number, dict(self.engine.variables)
-            member.record(Ran(member.at_us(), member.name, thread, serial, text, words, variables))
+            member.record(
+                StatementExecuted(member.at_us(), member.name, thread, serial, text, words, variables)
+            )
         if member.chance(member.losing):
             await trio.sleep_forever()
         if member.chance(member.breaking):
--- a/juniperreel/fakes/platformclients.py
+++ b/juniperreel/fakes/platformclients.py
@@ -15,7 +15,7 @@
 from juniperreel.net.clock import US
 from juniperreel.postgres import messages as m
 from juniperreel.postgres.client import ClientConnection, Phase, Reply
-from juniperreel.verification.records import Asked, Class, Sink, Told
+from juniperreel.verification.records import RecordSink, RequestClass, RequestSent, ResponseReceived
 
 READ_BYTES = 65_536
 CONNECT_US = 2_000_000
@@ -37,12 +37,12 @@
         self,
         name: str,
         group: int,
-        classes: Sequence[Class],
+        classes: Sequence[RequestClass],
         weights: Sequence[float],
         front: Front,
         network: Network,
         clock: Clock,
-        record: Sink,
+        record: RecordSink,
         seed: int,
     ) -> None:
         self._name, self._group, self._classes, self._weights = name, group, classes, weights
@@ -101,7 +101,7 @@
         """One request and its answer; returns how long it was asked to stay away."""
         assert self._stream is not None
         (cls,) = self._rng.choices(self._classes, self._weights)
-        deadline = self._rng.uniform(0.85, 1.0) * cls.aim_us * 4
+        deadline = self._rng.uniform(0.85, 1.0) * cls.latency_objective_us * 4
         key = f"{self._name}.{self._lives}"
         rid = f"{self._rng.getrandbits(64):016x}"
         span_ms = int(deadline // 1000)
@@ -113,7 +113,9 @@
         else:
             text = f"SELECT body FROM objects WHERE oid = '{key}' /* {fields} */"
         self._record(
-            Asked(now, rid, 0, self._driver, cls.name, key, "acme", self._group, key, now + span_ms * 1000)
+            RequestSent(
+                now, rid, 0, self._driver, cls.name, key, "acme", self._group, key, now + span_ms * 1000
+            )
         )
         try:
             with trio.move_on_after(span_ms / 1000):
@@ -129,16 +131,18 @@
         return 0
 
     def _local(self, rid: str, status: int) -> None:
-        self._record(Told(self._clock.now_us(), rid, 0, status, local=True))
+        self._record(ResponseReceived(self._clock.now_us(), rid, 0, status, local=True))
 
     def _told(self, rid: str, reply: Reply) -> int:
         now = self._clock.now_us()
         if reply.error is None:
             member, _, rows = (reply.value or b"").decode().partition("|")
-            self._record(Told(now, rid, 0, 0, member=member, rows=rows.split(",") if rows else []))
+            self._record(
+                ResponseReceived(now, rid, 0, 0, endpoint=member, rows=rows.split(",") if rows else [])
+            )
             return 0
         code = reply.error.get("C", "")
         wait = int(reply.error.get("D", "0") or 0) * 1000 if code in REFUSED else 0
         status = UNAVAILABLE if code in REFUSED else UNKNOWN if code == "08007" else INTERNAL
-        self._record(Told(now, rid, 0, status, wait_us=wait))
+        self._record(ResponseReceived(now, rid, 0, status, retry_after_us=wait))
         return wait
--- a/juniperreel/fakes/platformhosts.py
+++ b/juniperreel/fakes/platformhosts.py
@@ -15,7 +15,7 @@
 from juniperreel.fakes.platform import DiscoveryStandIn
 from juniperreel.net import Clock
 from juniperreel.proto.hosts.v1 import hosts_pb2
-from juniperreel.verification.records import Listed, Sink
+from juniperreel.verification.records import EndpointListed, RecordSink
 
 LOOK_S = 0.05
 SILENCE_TELLS_S = (
@@ -31,10 +31,10 @@
 Door = Callable[[str, str], Awaitable[int]]
 
 
-class Told(DiscoveryStandIn):
+class RecordedDiscovery(DiscoveryStandIn):
     """One driver's discovery; writes down what it tells."""
 
-    def __init__(self, driver: str, clock: Clock, record: Sink) -> None:
+    def __init__(self, driver: str, clock: Clock, record: RecordSink) -> None:
         super().__init__([])
         self._driver, self._clock, self._record = driver, clock, record
         self._named: set[str] = set()
@@ -52,10 +52,10 @@
     def told(self, hosts: list[dict[str, Any]]) -> None:
         now = self._clock.now_us()
         for line in hosts:
-            self._record(Listed(now, self._driver, line["host"], WORDS[line["health"]]))
+            self._record(EndpointListed(now, self._driver, line["host"], WORDS[line["health"]]))
         named = {line["host"] for line in hosts}
         for name in self._named - named:
-            self._record(Listed(now, self._driver, name, "gone"))
+            self._record(EndpointListed(now, self._driver, name, "gone"))
         self._named = named
 
 
@@ -67,13 +67,13 @@
         drivers: Sequence[str],
         clock: Clock,
         rng: random.Random,
-        record: Sink,
+        record: RecordSink,
         delay_us: int,
         door: Door,
     ) -> None:
         self.port = 0
         self.frozen = False
-        self.discoveries = {driver: Told(driver, clock, record) for driver in drivers}
+        self.discoveries = {driver: RecordedDiscovery(driver, clock, record) for driver in drivers}
         self._clock, self._rng, self._delay_us, self._door = clock, rng, delay_us, door
         self._due: list[tuple[int, str, hosts_pb2.Host]] = []
         self._shown: dict[str, dict[str, hosts_pb2.Host]] = {driver: {} for driver in drivers}
--- a/juniperreel/fakes/postgresmember.py
+++ b/juniperreel/fakes/postgresmember.py
@@ -20,7 +20,7 @@
 from juniperreel.postgres import messages as m
 from juniperreel.postgres import server
 from juniperreel.postgres.form import Form, FormError, parse
-from juniperreel.verification.records import Abandoned, Arrived, Left
+from juniperreel.verification.records import AttemptAbandoned, AttemptFinished, AttemptReceived
 
 if TYPE_CHECKING:
     from juniperreel.fakes.member import Member
@@ -145,7 +145,7 @@
     def abandon(self) -> None:
         if self._attempt is not None and not self._told:
             self._told = True
-            self._member.record(Abandoned(self._member.at_us(), self._member.name, *self._attempt))
+            self._member.record(AttemptAbandoned(self._member.at_us(), self._member.name, *self._attempt))
 
     async def _serve(self) -> None:
         try:
@@ -193,7 +193,9 @@
         number = side.asked[form.id] = side.asked.get(form.id, -1) + 1
         mean = member.shape.write_us if form.write else member.shape.read_us
         now, name = member.at_us(), member.name
-        member.record(Arrived(now, name, self._driver, form.id, number, form.id, form.cls, form.write, mean))
+        member.record(
+            AttemptReceived(now, name, self._driver, form.id, number, form.id, form.cls, form.write, mean)
+        )
         member.machine.offer(mean)
         self._attempt, self._told, how = (form.id, number), False, "stopped"
         side.busy.setdefault(form.id, []).append(self)
@@ -208,7 +210,7 @@
             side.busy[form.id].remove(self)
             if not side.busy[form.id]:
                 del side.busy[form.id]
-            member.record(Left(member.at_us(), name, form.id, number, how, how == "answered"))
+            member.record(AttemptFinished(member.at_us(), name, form.id, number, how, how == "answered"))
         return answer
 
     async def _carry_out(self, form: Form, mean: int, until_us: int) -> bytes:
--- a/juniperreel/load/summary.py
+++ b/juniperreel/load/summary.py
@@ -102,12 +102,12 @@
         """The run in the words of `proof`, whose checkers judge it from there."""
         for c in self.plan.classes:
             effect = "keyed" if c.writes else "repeatable"
-            yield rec.Class(0, c.name, effect, 0, c.writes, True, -1, c.aim_us, c.worth, c.late_worth)
+            yield rec.RequestClass(0, c.name, effect, 0, c.writes, True, -1, c.aim_us, c.worth, c.late_worth)
         for s in self.shots:
             cls = self.plan.classes[s.cls]
             sent, rid = self.start_us + s.sent, str(s.n)
             tenant = self.plan.tenants[s.tenant][0] if s.tenant >= 0 else ""
-            yield rec.Asked(
+            yield rec.RequestSent(
                 sent,
                 rid,
                 s.number,
@@ -120,7 +120,9 @@
                 sent + cls.deadline_us,
             )
             told = self.start_us + s.due + s.took
-            yield rec.Told(told, rid, s.number, s.status, s.local, wait_us=max(s.wait, 0) * 1000)
+            yield rec.ResponseReceived(
+                told, rid, s.number, s.status, s.local, retry_after_us=max(s.wait, 0) * 1000
+            )
 
 
 def load_result(path: Path) -> Result:
--- a/juniperreel/testbed/large.py
+++ b/juniperreel/testbed/large.py
@@ -153,7 +153,7 @@
             found.append(rec.Fault(at + step.at_us, step.text, True))
             found.append(rec.Fault(at + step.at_us + step.for_us, step.text, False))
         for name in self._names:
-            parts = rec.read(self._directory / f"{name}.recording")
+            parts = rec.read_recording(self._directory / f"{name}.recording")
             found += [r for r in parts if not isinstance(r, rec.Fault)]
         found.sort(key=lambda r: r.at)
         self.records = found
--- a/juniperreel/testbed/picture.py
+++ b/juniperreel/testbed/picture.py
@@ -16,25 +16,25 @@
     """A group's replicas by second: what each got beside its fair part; NaN while it is not able to work."""
 
     def __init__(
-        self, records: list[rec.Record], able: spread.Able, group: int, since: int, until: int
+        self, records: list[rec.Record], able: spread.EligibilityWeight, group: int, since: int, until: int
     ) -> None:
         self.members = able.replicas(group)
         came = spread.arrivals(records, self.members)
         seconds = max((until - since) // US, 1)
         self.rows = [[float("nan")] * seconds for _ in self.members]
         at = {member: i for i, member in enumerate(self.members)}
-        for cell in spread.cells(came, self.members, since, until, US, able):
-            self.rows[at[cell.member]][(cell.start - since) // US] = cell.share if cell.fair else 1.0
+        for cell in spread.count_by_bin(came, self.members, since, until, US, able):
+            self.rows[at[cell.endpoint]][(cell.start - since) // US] = cell.share if cell.fair else 1.0
 
 
 def served(records: list[rec.Record], since: int, until: int) -> list[float]:
     """The part of what was asked in each second that was served."""
-    told = {(r.rid, r.number): r for r in records if isinstance(r, rec.Told)}
+    told = {(r.request_id, r.client_attempt): r for r in records if isinstance(r, rec.ResponseReceived)}
     asked, good = [0] * ((until - since) // US + 1), [0] * ((until - since) // US + 1)
     for r in records:
-        if isinstance(r, rec.Asked):
+        if isinstance(r, rec.RequestSent):
             second = (r.at - since) // US
-            answer = told.get((r.rid, r.number))
+            answer = told.get((r.request_id, r.client_attempt))
             asked[second] += 1
             good[second] += answer is not None and answer.status == 0
     return [g / a if a else 1.0 for g, a in zip(good, asked, strict=True)][:-1] or [1.0]
@@ -47,11 +47,11 @@
     matplotlib.use("Agg")
     from matplotlib import pyplot
 
-    times = [r.at for r in records if isinstance(r, rec.Asked)]
+    times = [r.at for r in records if isinstance(r, rec.RequestSent)]
     if not times:
         raise ValueError("nothing was asked")
     since, until = min(times), max(times) + 1
-    able = spread.Able(records)
+    able = spread.EligibilityWeight(records)
     groups = sorted(set(able.groups.values()))
     shares = [Shares(records, able, group, since, until) for group in groups]
     heights = [max(len(s.members) * ROW, 1.0) for s in shares]
@@ -78,7 +78,7 @@
     last.set_ylim(0, 1.05)
     last.set_ylabel("served")
     last.set_xlabel("seconds")
-    for n, fault in enumerate(r for r in records if isinstance(r, rec.Fault) and r.on):
+    for n, fault in enumerate(r for r in records if isinstance(r, rec.Fault) and r.active):
         second = (fault.at - since) / US
         for axis in axes.flat:
             axis.axvline(second, color="black", lw=0.6, ls=":")
--- a/juniperreel/testbed/sides.py
+++ b/juniperreel/testbed/sides.py
@@ -49,11 +49,11 @@
 NICE = 5
 
 
-def classes(now: int) -> tuple[rec.Class, ...]:
+def classes(now: int) -> tuple[rec.RequestClass, ...]:
     """Aims are wide: a trial's machine has more to do than its size, and a refusal is no violation."""
-    read = rec.Class(now, "board", "repeatable", 0, False, False, JUDGED_US, 1_000_000, 3.0, 0.2)
-    own = rec.Class(now, "own", "repeatable", 0, False, True, -1, 1_200_000, 3.0, 0.2)
-    write = rec.Class(now, "run", "keyed", MEMORY_US, True, False, -1, 2_000_000, 4.0, 0.7)
+    read = rec.RequestClass(now, "board", "repeatable", 0, False, False, JUDGED_US, 1_000_000, 3.0, 0.2)
+    own = rec.RequestClass(now, "own", "repeatable", 0, False, True, -1, 1_200_000, 3.0, 0.2)
+    write = rec.RequestClass(now, "run", "keyed", MEMORY_US, True, False, -1, 2_000_000, 4.0, 0.7)
     return read, own, write
 
 
@@ -148,7 +148,7 @@
         names: Sequence[str],
         network: Network,
         clock: Clock,
-        record: rec.Sink,
+        record: rec.RecordSink,
         directory: Path,
         door: Callable[[str, str], Awaitable[int]],
         seed: int,
@@ -184,11 +184,11 @@
                 "name": c.name,
                 "effect": "by_key" if c.write else "repeatable",
                 "key_scope": "cell" if c.write else "all",
-                "memory_span_s": c.memory_us / US,
-                "objective_s": c.aim_us / US,
-                "deadline_s": 4 * c.aim_us / US,
-                "worth": c.worth,
-                "late_worth": c.late_worth,
+                "memory_span_s": c.deduplication_window_us / US,
+                "objective_s": c.latency_objective_us / US,
+                "deadline_s": 4 * c.latency_objective_us / US,
+                "worth": c.priority_weight,
+                "late_worth": c.late_priority_weight,
             }
             for c in classes(now)
         ]
@@ -341,7 +341,7 @@
     # Sessions.
 
     def session(
-        self, name: str, at: int, group: int, mix: Sequence[rec.Class], weights: Sequence[float]
+        self, name: str, at: int, group: int, mix: Sequence[rec.RequestClass], weights: Sequence[float]
     ) -> Session:
         """One, which asks the `at`th of these drivers and belongs to a group."""
         seed = self._rng.getrandbits(32)
--- a/juniperreel/verification/__init__.py
+++ b/juniperreel/verification/__init__.py
@@ -1,1 +1,1 @@
-"""What crossed the sockets, recorded, and the five rules judged from that alone."""
+"""Records of what crossed the sockets, and checkers that judge the program from them alone."""
--- /dev/null
+++ b/juniperreel/verification/errors.py
@@ -0,0 +1,23 @@
+"""Errors of the verification package."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+
+class VerificationError(Exception):
+    """Base of all errors that this package raises."""
+
+
+class RecordingFormatError(VerificationError, ValueError):
+    """A line of a recording cannot be decoded as a record."""
+
+    def __init__(self, path: Path, line: int, reason: str) -> None:
+        super().__init__(f"{path}:{line}: {reason}")
+        self.path = path
+        self.line = line  # from 1
+        self.reason = reason
+
+
+class SafetyViolationError(VerificationError):
+    """A safety property of Raft does not hold; the message says which one, and where."""
--- a/juniperreel/verification/executions.py
+++ b/juniperreel/verification/executions.py
@@ -1,60 +1,89 @@
-"""Whether each statement ran with its own text, values and session: what members say they ran beside what
-clients say they meant, number by number. Judges records alone."""
+"""Whether each statement was executed with its own text, values and session variables.
+
+What endpoints report as executed is compared with what clients intended, by serial number. Judges records
+alone.
+"""
 
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
-from juniperreel.verification import records as rec
+from juniperreel.verification.records import Record, StatementExecuted, StatementIntended
+
+MAX_QUOTED_CHARACTERS = 80
 
-FORGOTTEN = ("1243", "1615")  # errors that clients must never see of statements they prepared
+# MySQL's "unknown prepared statement" and "needs to be re-prepared": clients must never see them of
+# statements that they prepared.
+FORBIDDEN_ERRORS = ("1243", "1615")
 
 
 @dataclass(slots=True)
-class Count:
-    """What the verdict rests on."""
+class ExecutionCounts:
+    """How many statements the verdict rests on."""
 
-    meant: int = 0
+    intended: int = 0
     served: int = 0
-    ran: int = 0
+    executed: int = 0
     texts: int = 0
     connections: int = 0
 
 
-def check_executions(records: Iterable[rec.Record], count: Count | None = None) -> list[str]:
-    """What is wrong, in words; nothing if all ran as meant."""
-    count = count or Count()
-    meant: dict[str, rec.Meant] = {}
-    ran: dict[str, list[rec.Ran]] = defaultdict(list)
+def check_executions(records: Iterable[Record], counts: ExecutionCounts | None = None) -> list[str]:
+    """Descriptions of all mismatches; empty if every statement was executed as intended."""
+    counts = counts or ExecutionCounts()
+    intended: dict[str, StatementIntended] = {}
+    executions: dict[str, list[StatementExecuted]] = defaultdict(list)
     found: list[str] = []
-    for r in records:
-        if isinstance(r, rec.Meant):
-            if r.serial in meant:
-                found.append(f"{r.serial} was asked twice")
-            meant[r.serial] = r
-        elif isinstance(r, rec.Ran):
-            ran[r.serial].append(r)
-    count.meant, count.ran = len(meant), sum(map(len, ran.values()))
-    count.served = sum(m.served for m in meant.values())
-    count.texts = len({m.text for m in meant.values()})
-    count.connections = len({(r.member, r.thread) for runs in ran.values() for r in runs})
-    for serial, runs in ran.items():
-        m = meant.get(serial)
-        if m is None:
-            found.append(f"{serial} ran and nobody asked it")
-            continue
-        for r in runs:
-            if r.text != m.text:
-                found.append(f"{serial} ran as {r.text[:80]!r} and was meant as {m.text[:80]!r}")
-            if r.values != m.values:
-                found.append(f"{serial} ran with {r.values!r:.80} and was meant with {m.values!r:.80}")
-            if r.variables != m.variables:
-                found.append(f"{serial} ran with {r.variables} set and its session has {m.variables}")
-    for m in meant.values():
-        if m.served and m.serial not in ran:
-            found.append(f"{m.serial} was served and never ran")
-        if m.error in FORGOTTEN:
-            found.append(f"{m.serial} was told {m.error}")
+    for record in records:
+        if isinstance(record, StatementIntended):
+            if record.serial in intended:
+                found.append(f"{record.serial} was requested twice")
+            intended[record.serial] = record
+        elif isinstance(record, StatementExecuted):
+            executions[record.serial].append(record)
+    _count(counts, intended, executions)
+    for serial, executed in executions.items():
+        found.extend(_mismatches(serial, intended.get(serial), executed))
+    for statement in intended.values():
+        if statement.served and statement.serial not in executions:
+            found.append(f"{statement.serial} was served and never executed")
+        if statement.error in FORBIDDEN_ERRORS:
+            found.append(f"{statement.serial} was answered with error {statement.error}")
     return found
+
+
+def _count(
+    counts: ExecutionCounts,
+    intended: dict[str, StatementIntended],
+    executions: dict[str, list[StatementExecuted]],
+) -> None:
+    counts.intended = len(intended)
+    counts.executed = sum(map(len, executions.values()))
+    counts.served = sum(statement.served for statement in intended.values())
+    counts.texts = len({statement.text for statement in intended.values()})
+    connections = {(e.endpoint, e.connection_id) for executed in executions.values() for e in executed}
+    counts.connections = len(connections)
+
+
+def _mismatches(
+    serial: str, intended: StatementIntended | None, executions: Iterable[StatementExecuted]
+) -> Iterator[str]:
+    if intended is None:
+        yield f"{serial} was executed and nobody requested it"
+        return
+    for execution in executions:
+        if execution.text != intended.text:
+            executed_text = execution.text[:MAX_QUOTED_CHARACTERS]
+            intended_text = intended.text[:MAX_QUOTED_CHARACTERS]
+            yield f"{serial} was executed as {executed_text!r} and intended as {intended_text!r}"
+        if execution.values != intended.values:
+            executed_values = f"{execution.values!r:.{MAX_QUOTED_CHARACTERS}}"
+            intended_values = f"{intended.values!r:.{MAX_QUOTED_CHARACTERS}}"
+            yield f"{serial} was executed with {executed_values} and intended with {intended_values}"
+        if execution.variables != intended.variables:
+            yield (
+                f"{serial} was executed with variables {execution.variables} and its session has "
+                f"{intended.variables}"
+            )
--- a/juniperreel/verification/raft.py
+++ b/juniperreel/verification/raft.py
@@ -1,111 +1,150 @@
-"""Raft's safety properties (paper, figure 3), judged from what nodes stored, led and applied.
+"""Raft's safety properties (the paper's figure 3), judged from what nodes stored, led and applied.
 
-Knows nothing of how they came to do so. Entries are told as (index, term, data).
+Knows nothing of how they came to do so.
 """
 
 from __future__ import annotations
 
 import hashlib
 from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import NamedTuple
 
-Told = tuple[int, int, bytes]
+from juniperreel.verification.errors import SafetyViolationError
 
+DIGEST_BYTES = 12
+TERM_BYTES = 8
 
-class Unsafe(Exception):
-    """A property is broken; the text says which, where."""
 
+@dataclass(frozen=True, slots=True)
+class LogEntry:
+    """An entry of a node's log."""
 
-def chain(before: bytes, term: int, data: bytes) -> bytes:
-    return hashlib.blake2b(before + term.to_bytes(8, "big") + data, digest_size=12).digest()
+    index: int  # from 1
+    term: int
+    data: bytes
 
 
-class RaftJudge:
-    """Told of every step as it happens; raises Unsafe at the first that breaks a property."""
+class LogPrefix(NamedTuple):
+    """The term of an entry and the digest of the log up to and including it."""
+
+    term: int
+    digest: bytes
+
+
+class AppliedEntry(NamedTuple):
+    """What was applied at an index."""
+
+    term: int
+    data: bytes
+
+
+def extend_digest(previous: bytes, term: int, data: bytes) -> bytes:
+    """The digest of a log that one more entry was appended to."""
+    content = previous + term.to_bytes(TERM_BYTES, "big") + data
+    return hashlib.blake2b(content, digest_size=DIGEST_BYTES).digest()
+
+
+class RaftSafetyChecker:
+    """Observes every step of a cluster as it happens.
+
+    Each method raises SafetyViolationError at the first step that breaks a property.
+    """
 
     def __init__(self) -> None:
-        self._leaders: dict[int, str] = {}
-        self._votes: dict[tuple[str, int], str] = {}
-        self._known: dict[tuple[int, int], bytes] = {(0, 0): b""}  # (index, term): digest of the log up to it
-        self._logs: dict[str, dict[int, tuple[int, bytes]]] = {}  # of each node: index to (term, digest)
-        self._base: dict[str, int] = {}
-        self._applied: dict[int, tuple[int, bytes]] = {}
-        self._at: dict[str, int] = {}
-        self._states: dict[int, bytes] = {}
-        self.committed = 0
-
-    def votes(self, node: str, term: int, vote: str | None) -> None:
-        """Durable vote of a node in a term: never two of them."""
-        if vote is not None:
-            before = self._votes.setdefault((node, term), vote)
-            if before != vote:
-                raise Unsafe(f"{node} voted for {before} and {vote} in term {term}")
-
-    def stores(self, node: str, entries: Iterable[Told]) -> None:
-        """Log matching: entries of one index and term have the same log before them."""
-        log = self._logs.setdefault(node, {0: (0, b"")})
-        for index, term, data in entries:
-            before = log.get(index - 1)
-            if before is None:
-                raise Unsafe(f"{node} stored entry {index} with a gap before it")
-            digest = chain(before[1], term, data)
-            known = self._known.setdefault((index, term), digest)
+        self.committed = 0  # highest index that any node applied
+        self._leaders: dict[int, str] = {}  # by term
+        self._votes: dict[tuple[str, int], str] = {}  # by node and term
+        self._digests: dict[tuple[int, int], bytes] = {(0, 0): b""}  # of the log up to an (index, term)
+        self._logs: dict[str, dict[int, LogPrefix]] = {}  # by node, then by index
+        self._applied: dict[int, AppliedEntry] = {}  # by index
+        self._last_applied: dict[str, int] = {}  # by node
+        self._states: dict[int, bytes] = {}  # digest of the state machine, by last applied index
+
+    def record_vote(self, node: str, term: int, vote: str | None) -> None:
+        """Check the durable vote of a node: never two of them in a term."""
+        if vote is None:
+            return
+        earlier = self._votes.setdefault((node, term), vote)
+        if earlier != vote:
+            raise SafetyViolationError(f"{node} voted for {earlier} and {vote} in term {term}")
+
+    def record_append(self, node: str, entries: Iterable[LogEntry]) -> None:
+        """Check log matching: entries of one index and term have the same log before them."""
+        log = self._logs.setdefault(node, {0: LogPrefix(0, b"")})
+        for entry in entries:
+            previous = log.get(entry.index - 1)
+            if previous is None:
+                raise SafetyViolationError(f"{node} stored entry {entry.index} with a gap before it")
+            digest = extend_digest(previous.digest, entry.term, entry.data)
+            known = self._digests.setdefault((entry.index, entry.term), digest)
             if known != digest:
-                raise Unsafe(f"log matching: entry {index} of term {term} differs on {node}")
-            if (
-                index in self._applied
-                and index <= self._at.get(node, 0)
-                and log.get(index, (term,))[0] != term
-            ):
-                raise Unsafe(f"{node} replaced entry {index}, which it had applied")
-            for later in [i for i in log if i > index]:
+                raise SafetyViolationError(
+                    f"log matching: entry {entry.index} of term {entry.term} differs on {node}"
+                )
+            self._check_not_replaced(node, log, entry)
+            for later in [index for index in log if index > entry.index]:
                 del log[later]
-            log[index] = (term, digest)
-
-    def restores(self, node: str, index: int, term: int) -> None:
-        """A node took a snapshot in place of its log up to `index`."""
-        digest = self._known.get((index, term))
+            log[entry.index] = LogPrefix(entry.term, digest)
+
+    def _check_not_replaced(self, node: str, log: dict[int, LogPrefix], entry: LogEntry) -> None:
+        if entry.index not in self._applied or entry.index > self._last_applied.get(node, 0):
+            return
+        stored = log.get(entry.index)
+        if stored is not None and stored.term != entry.term:
+            raise SafetyViolationError(f"{node} replaced entry {entry.index}, which it had applied")
+
+    def record_snapshot(self, node: str, index: int, term: int) -> None:
+        """Check that a snapshot, which replaces a node's log up to `index`, covers committed entries only."""
+        digest = self._digests.get((index, term))
         if digest is None:
-            raise Unsafe(f"{node} took a snapshot at {index} of term {term}, which nobody stored")
+            raise SafetyViolationError(
+                f"{node} took a snapshot at {index} of term {term}, which nobody stored"
+            )
         if index > self.committed:
-            raise Unsafe(f"{node} took a snapshot at {index}, beyond what is committed")
+            raise SafetyViolationError(f"{node} took a snapshot at {index}, beyond what is committed")
         log = self._logs.setdefault(node, {})
-        mine = log.get(index)
-        if mine is None or mine[0] != term:
+        stored = log.get(index)
+        if stored is None or stored.term != term:
             log.clear()
-        log[index] = (term, digest)
-        self._base[node] = max(self._base.get(node, 0), index)
-        self._at[node] = max(self._at.get(node, 0), index)
-
-    def leads(self, node: str, term: int) -> None:
-        """Election safety, and leader completeness: it holds all that was committed before."""
-        before = self._leaders.setdefault(term, node)
-        if before != node:
-            raise Unsafe(f"election safety: {before} and {node} lead in term {term}")
-
-    def complete(self, node: str, log: dict[int, int]) -> None:
-        """`log`: index to term of a node that was just elected; its base stands in for the rest."""
+        log[index] = LogPrefix(term, digest)
+        self._last_applied[node] = max(self._last_applied.get(node, 0), index)
+
+    def record_leader(self, node: str, term: int) -> None:
+        """Check election safety: at most one leader in a term."""
+        earlier = self._leaders.setdefault(term, node)
+        if earlier != node:
+            raise SafetyViolationError(f"election safety: {earlier} and {node} lead in term {term}")
+
+    def check_leader_completeness(self, node: str, log: dict[int, int]) -> None:
+        """Check that a node that was just elected holds all entries committed before.
+
+        `log` maps index to term; its first index stands for the entries that a snapshot replaced.
+        """
         first = min(log, default=0)
-        for index, (term, _) in self._applied.items():
-            if index >= first and log.get(index) != term:
-                raise Unsafe(f"leader completeness: {node} was elected without committed entry {index}")
-
-    def applies(self, node: str, index: int, term: int, data: bytes) -> None:
-        """State machine safety: one entry for an index, on all nodes, in order."""
-        expected = self._at.get(node, 0) + 1
-        if index != expected:
-            raise Unsafe(f"{node} applied {index} where {expected} was next")
-        self._at[node] = index
-        before = self._applied.setdefault(index, (term, data))
-        if before != (term, data):
-            raise Unsafe(f"state machine safety: {node} applied another entry at {index}")
-        self.committed = max(self.committed, index)
-
-    def state(self, node: str, digest: bytes) -> None:
-        """The node's state after what it applied last: the same on all nodes at one index."""
-        at = self._at.get(node, 0)
-        if self._states.setdefault(at, digest) != digest:
-            raise Unsafe(f"state machine safety: {node} has another state after {at}")
-
-    def restarts(self, node: str, applied: int) -> None:
-        """The node's state machine starts again from its snapshot at `applied`."""
-        self._at[node] = applied
+        for index, applied in self._applied.items():
+            if index >= first and log.get(index) != applied.term:
+                raise SafetyViolationError(
+                    f"leader completeness: {node} was elected without committed entry {index}"
+                )
+
+    def record_apply(self, node: str, entry: LogEntry) -> None:
+        """Check state machine safety: one entry for an index, on all nodes, in order."""
+        expected = self._last_applied.get(node, 0) + 1
+        if entry.index != expected:
+            raise SafetyViolationError(f"{node} applied {entry.index} where {expected} was next")
+        self._last_applied[node] = entry.index
+        applied = AppliedEntry(entry.term, entry.data)
+        if self._applied.setdefault(entry.index, applied) != applied:
+            raise SafetyViolationError(f"state machine safety: {node} applied another entry at {entry.index}")
+        self.committed = max(self.committed, entry.index)
+
+    def record_state(self, node: str, digest: bytes) -> None:
+        """Check that the state after the last applied entry is the same on all nodes."""
+        index = self._last_applied.get(node, 0)
+        if self._states.setdefault(index, digest) != digest:
+            raise SafetyViolationError(f"state machine safety: {node} has another state after {index}")
+
+    def record_restart(self, node: str, applied: int) -> None:
+        """Note that the node's state machine starts again from its snapshot at `applied`."""
+        self._last_applied[node] = applied
--- a/juniperreel/verification/records.py
+++ b/juniperreel/verification/records.py
@@ -1,8 +1,11 @@
-"""The records: one JSON line each, written by whoever plays the world outside the edges.
+"""Records of what crossed the sockets: one JSON object a line, written by the processes outside the edges.
 
-Times are whole microseconds since the Unix epoch on the recording process's clock. `rid` is the client's
-name of a request, the same in all its tries; it travels inside the statement, so that members see it
-whatever the edge makes of the rest.
+Times are whole microseconds since the Unix epoch on the recording process's clock. Two identifiers name a
+request. `request_id` is the client's: the same in all attempts of the client, it travels inside the
+statement, so that endpoints see it whatever the edge makes of the rest. `edge_request_id` is the edge's own.
+
+Recordings are kept for years: the `tag` of a record and the `name` of a field are the stored ones and never
+change, whatever their names are here.
 """
 
 from __future__ import annotations
@@ -12,46 +15,60 @@
 from typing import BinaryIO
 
 import msgspec
+from msgspec import field
+
+from juniperreel.verification.errors import RecordingFormatError
+
+# Values of `RequestClass.idempotency`.
+IDEMPOTENT = "repeatable"
+KEYED = "keyed"
+NON_IDEMPOTENT = "once"
+
+# Value of `EndpointListed.readiness` for an endpoint that takes new requests.
+READY = "up"
+
+# Value of `EndpointStopped.cause` for an endpoint that was overloaded while it warmed up.
+OVERLOADED = "fell"
 
 
 class Record(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
-    """`at` is when it happened."""
+    """One event; `at` is when it happened."""
 
     at: int
 
 
-class Class(Record, frozen=True):
-    """A class as the clients know it. `lag_us` is -1 unless its reads are bounded."""
+class RequestClass(Record, frozen=True, tag="Class"):
+    """A request class as the clients know it. `max_staleness_us` is -1 unless its reads are bounded."""
 
     name: str
-    effect: str
-    memory_us: int
+    idempotency: str = field(name="effect")
+    deduplication_window_us: int = field(name="memory_us")
     write: bool
     session: bool
-    lag_us: int
-    aim_us: int
-    worth: float
-    late_worth: float
+    max_staleness_us: int = field(name="lag_us")
+    latency_objective_us: int = field(name="aim_us")
+    priority_weight: float = field(name="worth")
+    late_priority_weight: float = field(name="late_worth")
 
 
-class Limits(Record, frozen=True):
-    """The figures of the rules."""
+class Limits(Record, frozen=True, tag="Limits"):
+    """The figures that the rules are checked against."""
 
     drain_grace_us: int
-    cold_from: float
-    cold_us: int
-    fall_multiple: float
-    overload_us: int
+    initial_capacity: float = field(name="cold_from")  # part of the full one when slow start begins
+    slow_start_us: int = field(name="cold_us")
+    overload_multiple: float = field(name="fall_multiple")
+    overload_window_us: int = field(name="overload_us")
     max_attempts: int
 
 
-class Asked(Record, frozen=True):
-    """A client wrote a request to an edge; it gives up at `deadline`."""
+class RequestSent(Record, frozen=True, tag="Asked"):
+    """A client wrote a request to an edge; it stops waiting at `deadline`."""
 
-    rid: str
-    number: int  # of the try, from 0
+    request_id: str = field(name="rid")
+    client_attempt: int = field(name="number")  # from 0
     edge: str
-    cls: str
+    class_name: str = field(name="cls")
     session: str
     tenant: str
     group: int
@@ -59,73 +76,83 @@
     deadline: int
 
 
-class Told(Record, frozen=True):
-    """The client has the try's final answer. `status` is gRPC's; `local` where the client made it up."""
+class ResponseReceived(Record, frozen=True, tag="Told"):
+    """The client has the final response to an attempt of its own.
+
+    `status` is gRPC's. `local` marks a response that the client made up: a timeout or a broken connection.
+    """
 
-    rid: str
-    number: int
+    request_id: str = field(name="rid")
+    client_attempt: int = field(name="number")
     status: int
     local: bool = False
-    member: str = ""
+    endpoint: str = field(name="member", default="")
     primary: bool = False
     attempts: int = 0
-    wait_us: int = 0
-    never: bool = False  # told not to repeat
-    rows: list[str] = []
-    more: bool = False  # there are older rows beyond those told
+    retry_after_us: int = field(name="wait_us", default=0)
+    do_not_retry: bool = field(name="never", default=False)
+    rows: list[str] = field(default_factory=list)
+    has_older_rows: bool = field(name="more", default=False)  # beyond those in `rows`
 
 
-class Offered(Record, frozen=True):
-    """So many requests were due in all; those that nobody was free to ask are missing from what was asked."""
+class LoadOffered(Record, frozen=True, tag="Offered"):
+    """How many requests were due in all, those included that no client was free to send."""
 
     count: int
 
 
-class Arrived(Record, frozen=True):
-    """A member has read an attempt. `edge` is who sent it, `request` and `attempt` as the edge names them."""
+class AttemptReceived(Record, frozen=True, tag="Arrived"):
+    """An endpoint has read an attempt of the edge named."""
 
-    member: str
+    endpoint: str = field(name="member")
     edge: str
-    request: str
+    edge_request_id: str = field(name="request")
     attempt: int
-    rid: str
-    cls: str
+    request_id: str = field(name="rid")
+    class_name: str = field(name="cls")
     write: bool
     work_us: int
 
 
-class Within(Record, frozen=True):
-    """A member has read a later statement of a transaction that a request began."""
+class StatementReceived(Record, frozen=True, tag="Within"):
+    """An endpoint has read a later statement of a transaction that a request began."""
 
-    member: str
+    endpoint: str = field(name="member")
     edge: str
-    request: str
+    edge_request_id: str = field(name="request")
     statement: int  # from 1
 
 
-class Abandoned(Record, frozen=True):
-    """The edge has ended the connection on which an attempt was running; what the member goes on to do with
-    it is of no more use to anybody."""
+class AttemptAbandoned(Record, frozen=True, tag="Abandoned"):
+    """The edge has closed the connection on which an attempt was running.
+
+    The endpoint may go on with it, but nobody receives the result.
+    """
 
-    member: str
-    request: str
+    endpoint: str = field(name="member")
+    edge_request_id: str = field(name="request")
     attempt: int
 
 
-class Ran(Record, frozen=True):
-    """A member has run a statement that carries a serial number among its values: with which text, values and
-    variables of its connection."""
+class StatementExecuted(Record, frozen=True, tag="Ran"):
+    """An endpoint has executed a statement that carries a serial number among its values.
 
-    member: str
-    thread: int
+    `variables` are those set on its connection at that time.
+    """
+
+    endpoint: str = field(name="member")
+    connection_id: int = field(name="thread")
     serial: str
     text: str
     values: list[str]
     variables: dict[str, str]
 
 
-class Meant(Record, frozen=True):
-    """What a client asked under that number, and what its session had set; `served` if it had its answer."""
+class StatementIntended(Record, frozen=True, tag="Meant"):
+    """What a client sent under a serial number, and what its session had set.
+
+    `served` says whether it was answered with success; `error` is the code of an error response.
+    """
 
     serial: str
     text: str
@@ -135,106 +162,112 @@
     error: str = ""
 
 
-class Left(Record, frozen=True):
-    """The member is done with an attempt: answered, turned away, broken off, or told to stop."""
+class AttemptFinished(Record, frozen=True, tag="Left"):
+    """The endpoint is done with an attempt: answered, rejected, broken off or cancelled."""
 
-    member: str
-    request: str
+    endpoint: str = field(name="member")
+    edge_request_id: str = field(name="request")
     attempt: int
-    how: str
+    outcome: str = field(name="how")
     executed: bool
 
 
-class Committed(Record, frozen=True):
+class Committed(Record, frozen=True, tag="Committed"):
+    """A write was appended to its group's log."""
+
     group: int
     epoch: int
     position: int
-    member: str
-    rid: str
+    endpoint: str = field(name="member")
+    request_id: str = field(name="rid")
     row: str
 
 
-class Promoted(Record, frozen=True):
-    """`start` is the last position that the new epoch took over."""
+class Promoted(Record, frozen=True, tag="Promoted"):
+    """An endpoint became primary; `start` is the last position that the new epoch took over."""
 
     group: int
     epoch: int
     start: int
-    member: str
+    endpoint: str = field(name="member")
 
 
-class Listed(Record, frozen=True):
-    """The host list wrote this of a host to an edge's stream."""
+class EndpointListed(Record, frozen=True, tag="Listed"):
+    """The endpoint list wrote the readiness of an endpoint to an edge's watch."""
 
     edge: str
-    host: str
+    endpoint: str = field(name="host")
     readiness: str
 
 
-class Started(Record, frozen=True):
-    """A member runs from now on; cold ones warm up. `capacity` is its cores times their speed when warm."""
+class EndpointStarted(Record, frozen=True, tag="Started"):
+    """An endpoint runs from now on. `capacity` is its cores times their speed after slow start."""
 
-    member: str
-    cold: bool
+    endpoint: str = field(name="member")
+    warming_up: bool = field(name="cold")
     capacity: float
 
 
-class Stopped(Record, frozen=True):
-    """A member's process ended; `why` is fell where too much was sent to it while cold."""
+class EndpointStopped(Record, frozen=True, tag="Stopped"):
+    """An endpoint's process ended."""
+
+    endpoint: str = field(name="member")
+    cause: str = field(name="why")
 
-    member: str
-    why: str
 
+class EdgeUp(Record, frozen=True, tag="EdgeUp"):
+    """The edge accepts connections."""
 
-class EdgeUp(Record, frozen=True):
     edge: str
 
 
-class EdgeDown(Record, frozen=True):
+class EdgeDown(Record, frozen=True, tag="EdgeDown"):
     """The edge was killed, or asked to stop."""
 
     edge: str
 
 
-class EdgeStalled(Record, frozen=True):
-    """The edge stood still from `at` to `until`."""
+class EdgeStalled(Record, frozen=True, tag="EdgeStalled"):
+    """The edge's process was suspended from `at` to `until`."""
 
     edge: str
     until: int
 
 
-class Fault(Record, frozen=True):
+class Fault(Record, frozen=True, tag="Fault"):
+    """A fault of the scenario was injected or, where not `active`, cleared."""
+
     text: str
-    on: bool
+    active: bool = field(name="on")
 
 
-Any = (
-    Class
+AnyRecord = (
+    RequestClass
     | Limits
-    | Asked
-    | Told
-    | Offered
-    | Arrived
-    | Within
-    | Abandoned
-    | Ran
-    | Meant
-    | Left
+    | RequestSent
+    | ResponseReceived
+    | LoadOffered
+    | AttemptReceived
+    | StatementReceived
+    | AttemptAbandoned
+    | StatementExecuted
+    | StatementIntended
+    | AttemptFinished
     | Committed
     | Promoted
-    | Listed
-    | Started
-    | Stopped
+    | EndpointListed
+    | EndpointStarted
+    | EndpointStopped
     | EdgeUp
     | EdgeDown
     | EdgeStalled
     | Fault
 )
-Sink = Callable[[Record], None]
+RecordSink = Callable[[Record], None]
 
 
 class Recorder:
-    """Keeps records in memory and, where given, in a file as they come."""
+    """Collects records in memory and appends them to a file, where one is given, as they come."""
 
     def __init__(self, file: BinaryIO | None = None) -> None:
         self.records: list[Record] = []
@@ -242,21 +275,18 @@
         self._encoder = msgspec.json.Encoder()
 
     def __call__(self, record: Record) -> None:
+        """Store one record."""
         self.records.append(record)
         if self._file is not None:
             self._file.write(self._encoder.encode(record) + b"\n")
 
 
-class BadRecording(ValueError):
-    """A line of a recording that is not a record."""
-
-
-def read(path: Path) -> Iterator[Record]:
-    """The records of a file. Raises BadRecording with the line's number."""
-    decoder = msgspec.json.Decoder(Any)
+def read_recording(path: Path) -> Iterator[Record]:
+    """Yield the records of a file. Raises RecordingFormatError at the first line that is none."""
+    decoder = msgspec.json.Decoder(AnyRecord)
     with path.open("rb") as lines:
         for number, line in enumerate(lines, 1):
             try:
                 yield decoder.decode(line)
             except msgspec.DecodeError as error:
-                raise BadRecording(f"{path}:{number}: {error}") from None
+                raise RecordingFormatError(path, number, str(error)) from error
--- a/juniperreel/verification/spread.py
+++ b/juniperreel/verification/spread.py
@@ -1,9 +1,10 @@
-"""How evenly a group's members are loaded by drivers that share nothing: measures, from arrivals alone.
+"""How evenly a group's endpoints are loaded by edges that share nothing: measures, from arrivals alone.
 
-A herd is what exceeds chance, so counts are set against independent arrivals at the same mean (Poisson), and
-members against what is fair for them: a part by weight of all that came in the same bin, so that swings of
-the traffic are nobody's herd. Members whose weight is 0 in a bin (gone, draining, cold) are left out of it,
-and what they were sent too. Limits are the caller's; what breaks one is a finding with time and member.
+Counts are set against independent arrivals at the same mean (a Poisson process), and endpoints against what
+is fair for them: a part by weight of all that arrived in the same bin, so that swings of the traffic do not
+count as uneven load. Endpoints whose weight is 0 in a bin (removed, draining, warming up) are excluded from
+it, together with what they were sent. The limits are the caller's; each one that is exceeded gives a
+finding with time and endpoint.
 """
 
 from __future__ import annotations
@@ -13,249 +14,337 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from itertools import pairwise
-
-from juniperreel.verification import records as rec
+from typing import NamedTuple
+
+from juniperreel.verification.records import (
+    READY,
+    AttemptReceived,
+    Committed,
+    EndpointListed,
+    EndpointStarted,
+    EndpointStopped,
+    Limits,
+    Record,
+    RequestSent,
+)
 
 SECOND = 1_000_000
-LEAST = 5.0  # a fair share of fewer arrivals in a bin says nothing of a single member
+PEAK_BIN_US = SECOND // 2
+SYNCHRONY_BIN_US = SECOND // 10
+MIN_EXPECTED_COUNT = 5.0  # with a lower expected count, a bin says nothing of a single endpoint
+SHARE_DEVIATIONS = 3  # of independent arrivals, by which a share must be off as well
+PEAK_DEVIATIONS = 4  # likewise of a rate
+MIN_REQUESTS = 20  # of an edge whose served share is compared
 
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
-    """One attempt at a member. Times are microseconds."""
+    """One attempt at an endpoint. Times are microseconds."""
 
     at: int
-    member: str
-    driver: str
+    endpoint: str
+    edge: str
 
 
-# A member's fair part of its group at a time, against the others': 0 while it is not able or not eligible.
+# An endpoint's fair part of its group at a time, relative to the others': 0 while it is not eligible.
 Weight = Callable[[str, int], float]
 
 
-def even(member: str, at: int) -> float:
+def equal_weight(_endpoint: str, _at: int) -> float:
+    """Count every endpoint alike at all times."""
     return 1.0
 
 
-def arrivals(records: Iterable[rec.Record], members: Iterable[str]) -> list[Arrival]:
-    """Of attempts that members read, in order of time."""
-    wanted = set(members)
-    found = [Arrival(r.at, r.member, r.edge) for r in records if isinstance(r, rec.Arrived)]
-    return sorted((a for a in found if a.member in wanted), key=lambda a: a.at)
+def arrivals(records: Iterable[Record], endpoints: Iterable[str]) -> list[Arrival]:
+    """The attempts that the endpoints received, in order of time."""
+    wanted = set(endpoints)
+    found = [Arrival(r.at, r.endpoint, r.edge) for r in records if isinstance(r, AttemptReceived)]
+    return sorted((a for a in found if a.endpoint in wanted), key=lambda a: a.at)
 
 
 @dataclass(frozen=True, slots=True)
 class Cell:
-    """One member in one bin: what came, and what was fair."""
+    """One endpoint in one bin of time: the arrivals counted, and the count that was fair."""
 
     start: int
-    member: str
+    endpoint: str
     count: int
     fair: float
 
     @property
     def share(self) -> float:
+        """The count in units of the fair one."""
         return self.count / self.fair
 
 
-def cells(
-    came: Sequence[Arrival],
-    members: Sequence[str],
+def count_by_bin(
+    observed: Sequence[Arrival],
+    endpoints: Sequence[str],
     since: int,
     until: int,
     bin_us: int,
-    weight: Weight = even,
+    weight: Weight = equal_weight,
 ) -> list[Cell]:
-    """Whole bins between two times; members of weight 0 in a bin have no cell there."""
+    """Cells of the complete bins between two times; an endpoint of weight 0 in a bin has no cell there."""
     counts: dict[int, Counter[str]] = defaultdict(Counter)
-    for a in came:
-        if since <= a.at < until:
-            counts[(a.at - since) // bin_us][a.member] += 1
-    made = []
+    for arrival in observed:
+        if since <= arrival.at < until:
+            counts[(arrival.at - since) // bin_us][arrival.endpoint] += 1
+    cells: list[Cell] = []
     for number in range((until - since) // bin_us):
         start = since + number * bin_us
-        parts = {m: weight(m, start + bin_us // 2) for m in members}
-        able = [m for m, part in parts.items() if part > 0]
-        total = sum(counts[number][m] for m in able)
-        whole = sum(parts.values())
-        made += [Cell(start, m, counts[number][m], total * parts[m] / whole) for m in able]
-    return made
-
-
-def dispersion(found: Sequence[Cell]) -> float:
-    """Of counts round what was fair, in units of what chance alone gives: 1 for independent arrivals, less
-    for turns taken, more for herds. NaN where nothing came.
-
-    The bins' totals are taken as given, so that one degree of freedom is lost in each."""
+        weights = {endpoint: weight(endpoint, start + bin_us // 2) for endpoint in endpoints}
+        eligible = [endpoint for endpoint, part in weights.items() if part > 0]
+        total = sum(counts[number][endpoint] for endpoint in eligible)
+        total_weight = sum(weights.values())
+        cells += [
+            Cell(start, endpoint, counts[number][endpoint], total * weights[endpoint] / total_weight)
+            for endpoint in eligible
+        ]
+    return cells
+
+
+def dispersion(cells: Sequence[Cell]) -> float:
+    """Index of dispersion of the counts around the fair ones.
+
+    It is 1 for independent arrivals, less for round-robin, more for herds, NaN where nothing arrived. The
+    bins' totals are taken as given, so that one degree of freedom is lost in each.
+    """
     by_bin: dict[int, list[Cell]] = defaultdict(list)
-    for cell in found:
+    for cell in cells:
         if cell.fair > 0:
             by_bin[cell.start].append(cell)
-    free = sum(len(row) - 1 for row in by_bin.values())
-    if free <= 0:
+    degrees_of_freedom = sum(len(row) - 1 for row in by_bin.values())
+    if degrees_of_freedom <= 0:
         return math.nan
-    return sum((c.count - c.fair) ** 2 / c.fair for row in by_bin.values() for c in row) / free
+    chi_square = sum((c.count - c.fair) ** 2 / c.fair for row in by_bin.values() for c in row)
+    return chi_square / degrees_of_freedom
+
+
+class Peak(NamedTuple):
+    """The highest rate of an endpoint in units of its mean fair rate, and the cell that has it."""
+
+    ratio: float
+    cell: Cell | None
 
 
-def highest(found: Sequence[Cell]) -> tuple[float, Cell | None]:
-    """The most that a member got beside its fair part of the mean bin, chance included, and where."""
-    totals: dict[str, list[float]] = defaultdict(list)
-    for cell in found:
-        totals[cell.member].append(cell.fair)
-    best: tuple[float, Cell | None] = (0.0, None)
-    for cell in found:
-        mean = sum(totals[cell.member]) / len(totals[cell.member])
-        if mean >= LEAST and cell.count / mean > best[0]:
-            best = (cell.count / mean, cell)
-    return best
+def peak_rate(cells: Sequence[Cell]) -> Peak:
+    """The most that an endpoint received beside its fair part of the mean bin, chance included."""
+    fair_counts: dict[str, list[float]] = defaultdict(list)
+    for cell in cells:
+        fair_counts[cell.endpoint].append(cell.fair)
+    peak = Peak(0.0, None)
+    for cell in cells:
+        mean = sum(fair_counts[cell.endpoint]) / len(fair_counts[cell.endpoint])
+        if mean >= MIN_EXPECTED_COUNT and cell.count / mean > peak.ratio:
+            peak = Peak(cell.count / mean, cell)
+    return peak
+
+
+class IdleSpan(NamedTuple):
+    """A span without work at an endpoint. Times are microseconds."""
+
+    duration_us: int
+    endpoint: str
+    start: int
 
 
 def longest_idle(
-    came: Sequence[Arrival], members: Sequence[str], since: int, until: int, weight: Weight = even
-) -> tuple[int, str, int]:
-    """The longest time that an able member stood without work: microseconds, who, since when."""
-    best = (0, "", since)
-    for member in members:
-        times = [since, *(a.at for a in came if a.member == member and since <= a.at < until), until]
+    observed: Sequence[Arrival],
+    endpoints: Sequence[str],
+    since: int,
+    until: int,
+    weight: Weight = equal_weight,
+) -> IdleSpan:
+    """The longest time that an eligible endpoint received no work."""
+    longest = IdleSpan(0, "", since)
+    for endpoint in endpoints:
+        times = [since, *(a.at for a in observed if a.endpoint == endpoint and since <= a.at < until), until]
         for start, end in pairwise(times):
-            if end - start > best[0] and weight(member, start) > 0 and weight(member, end - 1) > 0:
-                best = (end - start, member, start)
-    return best
+            longer = end - start > longest.duration_us
+            if longer and weight(endpoint, start) > 0 and weight(endpoint, end - 1) > 0:
+                longest = IdleSpan(end - start, endpoint, start)
+    return longest
 
 
-def oscillation(found: Sequence[Cell], lag: int) -> float:
-    """Autocorrelation, over all members, of what exceeds the fair part, `lag` bins apart: about 0 for chance;
-    below it where a member is flooded and shunned in turn. NaN where there are too few bins."""
+def oscillation(cells: Sequence[Cell], lag: int) -> float:
+    """Autocorrelation, over all endpoints, of what exceeds the fair count, `lag` bins apart.
+
+    It is about 0 for chance and negative where an endpoint is flooded and avoided in turn; NaN where there
+    are too few bins.
+    """
     rows: dict[str, dict[int, float]] = defaultdict(dict)
-    for cell in found:
-        rows[cell.member][cell.start] = cell.count - cell.fair
-    starts = sorted({c.start for c in found})
+    for cell in cells:
+        rows[cell.endpoint][cell.start] = cell.count - cell.fair
+    starts = sorted({cell.start for cell in cells})
     if len(starts) <= lag:
         return math.nan
     step = starts[1] - starts[0]
-    both = power = 0.0
+    covariance = 0.0
+    power = 0.0
     for row in rows.values():
         for start, value in row.items():
             later = row.get(start + lag * step)
             if later is not None:
-                both += value * later
+                covariance += value * later
                 power += (value * value + later * later) / 2
-    return both / power if power else math.nan
+    return covariance / power if power else math.nan
 
 
-def synchrony(times: Sequence[int], since: int, until: int, bin_us: int = SECOND // 10) -> float:
-    """After a common event: the highest count of a bin against a uniform spread of as many over the span."""
-    counts = Counter((t - since) // bin_us for t in times if since <= t < until)
+def synchrony(times: Sequence[int], since: int, until: int, bin_us: int = SYNCHRONY_BIN_US) -> float:
+    """After a common event: the highest count of a bin against a uniform distribution of as many."""
+    counts = Counter((time - since) // bin_us for time in times if since <= time < until)
     total = sum(counts.values())
     fair = total * bin_us / (until - since)
     return max(counts.values()) / max(fair, 1.0) if counts else 0.0
 
 
-def ends(served: dict[str, tuple[int, int]], least: int = 20) -> tuple[float, float] | None:
-    """Served share of the driver that serves worst and of the one that serves best, among those that took at
-    least so many requests. `served`: by driver, served and taken. None where no driver took so many."""
-    shares = [good / all_ for good, all_ in served.values() if all_ >= least]
-    return (min(shares), max(shares)) if shares else None
+class ServedShares(NamedTuple):
+    """Served share of the edge that serves worst, and of the one that serves best."""
+
+    worst: float
+    best: float
+
+
+class RequestTotals(NamedTuple):
+    """Requests of one edge: those served, and all that it accepted."""
+
+    served: int
+    accepted: int
+
+
+def served_shares(totals: dict[str, RequestTotals], min_requests: int = MIN_REQUESTS) -> ServedShares | None:
+    """Worst and best served share by edge, among edges with enough requests. None where there is no such."""
+    shares = [edge.served / edge.accepted for edge in totals.values() if edge.accepted >= min_requests]
+    return ServedShares(min(shares), max(shares)) if shares else None
 
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
-    """What a group must keep. None: not judged."""
+    """What a group must stay within. None: not checked."""
 
     share: tuple[float, float] | None = (0.8, 1.25)  # in each window
     window_us: int = 10 * SECOND
-    dispersion: float | None = 1.5  # at 1 s
-    highest: float | None = 2.0  # in 500 ms, of the fair rate
+    dispersion: float | None = 1.5  # with bins of 1 s
+    peak: float | None = 2.0  # in 500 ms, of the fair rate
     idle_us: int | None = 2 * SECOND
 
 
 @dataclass(frozen=True, slots=True)
 class Finding:
+    """One bound that was exceeded, and when."""
+
     measure: str
     text: str
     at: int
 
 
-def judge(
-    came: Sequence[Arrival],
-    members: Sequence[str],
+def check_bounds(
+    observed: Sequence[Arrival],
+    endpoints: Sequence[str],
     since: int,
     until: int,
     bounds: Bounds,
-    weight: Weight = even,
+    weight: Weight = equal_weight,
 ) -> list[Finding]:
-    """Every bound that was broken between two times. What chance alone does is held against nobody: a share
-    must be off by three deviations of independent arrivals as well, a rate by four."""
+    """Every bound that was exceeded between two times.
+
+    What chance alone does is no finding: a share must be off by `SHARE_DEVIATIONS` standard deviations of
+    independent arrivals as well, a rate by `PEAK_DEVIATIONS`.
+    """
     found: list[Finding] = []
     if bounds.share is not None:
-        low, high = bounds.share
-        for cell in cells(came, members, since, until, bounds.window_us, weight):
-            off = not low * cell.fair <= cell.count <= high * cell.fair
-            if off and cell.fair >= LEAST and abs(cell.count - cell.fair) > 3 * math.sqrt(cell.fair):
-                found.append(Finding("share", f"{cell.member} got {cell.share:.2f} of its part", cell.start))
-    seconds = cells(came, members, since, until, SECOND, weight)
-    spread = dispersion(seconds)
-    if bounds.dispersion is not None and spread > bounds.dispersion:
-        found.append(Finding("dispersion", f"{spread:.2f} at 1 s", since))
-    if bounds.highest is not None:
-        most, where = highest(cells(came, members, since, until, SECOND // 2, weight))
-        # Danger: few arrivals in a bin reach twice their mean by chance alone.
-        if (
-            where is not None
-            and most > bounds.highest
-            and where.count > where.fair + 4 * math.sqrt(where.fair)
-        ):
-            found.append(Finding("herd", f"{where.member} got {most:.2f} times its rate", where.start))
+        windows = count_by_bin(observed, endpoints, since, until, bounds.window_us, weight)
+        found.extend(_uneven_shares(windows, bounds.share))
+    measured = dispersion(count_by_bin(observed, endpoints, since, until, SECOND, weight))
+    if bounds.dispersion is not None and measured > bounds.dispersion:
+        found.append(Finding("dispersion", f"{measured:.2f} at 1 s", since))
+    if bounds.peak is not None:
+        peak = peak_rate(count_by_bin(observed, endpoints, since, until, PEAK_BIN_US, weight))
+        if _exceeds_chance(peak, bounds.peak) and peak.cell is not None:
+            text = f"{peak.cell.endpoint} got {peak.ratio:.2f} times its rate"
+            found.append(Finding("herd", text, peak.cell.start))
     if bounds.idle_us is not None:
-        idle, who, start = longest_idle(came, members, since, until, weight)
-        if idle > bounds.idle_us:
-            found.append(Finding("idle", f"{who} had no work for {idle / SECOND:.2f} s", start))
+        idle = longest_idle(observed, endpoints, since, until, weight)
+        if idle.duration_us > bounds.idle_us:
+            text = f"{idle.endpoint} had no work for {idle.duration_us / SECOND:.2f} s"
+            found.append(Finding("idle", text, idle.start))
     return found
 
 
-class Able:
-    """A weight from records: 1 while a member runs, is warm, and no driver was told that it drains or left.
+def _uneven_shares(windows: Iterable[Cell], allowed: tuple[float, float]) -> Iterable[Finding]:
+    low, high = allowed
+    for cell in windows:
+        uneven = not low * cell.fair <= cell.count <= high * cell.fair
+        by_chance = abs(cell.count - cell.fair) <= SHARE_DEVIATIONS * math.sqrt(cell.fair)
+        if uneven and cell.fair >= MIN_EXPECTED_COUNT and not by_chance:
+            yield Finding("share", f"{cell.endpoint} got {cell.share:.2f} of its part", cell.start)
+
+
+def _exceeds_chance(peak: Peak, allowed: float) -> bool:
+    """Whether a peak is above its bound and no accident.
+
+    Where a bin expects few arrivals, a count of twice their mean comes about by chance alone and must not be
+    reported as a herd.
+    """
+    cell = peak.cell
+    if cell is None or peak.ratio <= allowed:
+        return False
+    return cell.count > cell.fair + PEAK_DEVIATIONS * math.sqrt(cell.fair)
+
+
+class EligibilityWeight:
+    """A weight from records: 1 while an endpoint runs, has warmed up, and no edge was notified of its end.
 
-    Members that committed a write at any time were primaries, whose load is not the draw's: 0 always.
+    Endpoints that committed a write at any time were primaries, whose load does not come from the random
+    selection of replicas: 0 always.
     """
 
-    def __init__(self, records: Iterable[rec.Record]) -> None:
-        self._spans: dict[str, list[tuple[int, int]]] = defaultdict(list)
+    def __init__(self, records: Iterable[Record]) -> None:
+        self.groups: dict[str, int] = {}  # group of each endpoint that received a request
+        self._eligible_spans: dict[str, list[tuple[int, int]]] = defaultdict(list)
         self._primaries: set[str] = set()
-        self.groups: dict[str, int] = {}  # of members that requests came to
-        asked: dict[str, int] = {}
-        since: dict[str, int] = {}
-        cold_us = end = 0
-        for r in records:
-            end = max(end, r.at)
-            match r:
-                case rec.Limits():
-                    cold_us = r.cold_us
-                case rec.Asked():
-                    asked[r.rid] = r.group
-                case rec.Arrived():
-                    if r.rid in asked:
-                        self.groups[r.member] = asked[r.rid]
-                case rec.Committed():
-                    self._primaries.add(r.member)
-                case rec.Started():
-                    since[r.member] = r.at + (cold_us if r.cold else 0)
-                case rec.Stopped():
-                    self._close(since, r.member, r.at)
-                case rec.Listed() if r.readiness != "up":
-                    self._close(since, r.host, r.at)
-        for member in list(since):
-            self._close(since, member, end)
-
-    def _close(self, since: dict[str, int], member: str, at: int) -> None:
-        start = since.pop(member, at)
+        self._request_groups: dict[str, int] = {}  # by request_id
+        self._eligible_since: dict[str, int] = {}
+        self._slow_start_us = 0
+        end = 0
+        for record in records:
+            end = max(end, record.at)
+            self._add(record)
+        for endpoint in list(self._eligible_since):
+            self._close_span(endpoint, end)
+
+    def _add(self, record: Record) -> None:
+        match record:
+            case Limits():
+                self._slow_start_us = record.slow_start_us
+            case RequestSent():
+                self._request_groups[record.request_id] = record.group
+            case AttemptReceived():
+                if record.request_id in self._request_groups:
+                    self.groups[record.endpoint] = self._request_groups[record.request_id]
+            case Committed():
+                self._primaries.add(record.endpoint)
+            case EndpointStarted():
+                delay_us = self._slow_start_us if record.warming_up else 0
+                self._eligible_since[record.endpoint] = record.at + delay_us
+            case EndpointStopped():
+                self._close_span(record.endpoint, record.at)
+            case EndpointListed() if record.readiness != READY:
+                self._close_span(record.endpoint, record.at)
+
+    def _close_span(self, endpoint: str, at: int) -> None:
+        start = self._eligible_since.pop(endpoint, at)
         if start < at:
-            self._spans[member].append((start, at))
+            self._eligible_spans[endpoint].append((start, at))
 
-    def __call__(self, member: str, at: int) -> float:
-        if member in self._primaries:
+    def __call__(self, endpoint: str, at: int) -> float:
+        """The weight of an endpoint at a time."""
+        if endpoint in self._primaries:
             return 0.0
-        return 1.0 if any(start <= at < end for start, end in self._spans[member]) else 0.0
+        eligible = any(start <= at < end for start, end in self._eligible_spans[endpoint])
+        return 1.0 if eligible else 0.0
 
     def replicas(self, group: int) -> list[str]:
-        return sorted(m for m, g in self.groups.items() if g == group and m not in self._primaries)
+        """The group's endpoints that received requests and never were primary, sorted."""
+        return sorted(e for e, number in self.groups.items() if number == group and e not in self._primaries)
--- a/juniperreel/verification/versions.py
+++ b/juniperreel/verification/versions.py
@@ -1,18 +1,20 @@
-"""Whether anybody acted on a configuration that was not committed, judged from what was seen on the sockets.
+"""Whether a node applied a configuration that was not committed, judged from what was seen on the sockets.
 
-Versions are told by number and digest of their content. What a quorum's leader confirmed to a proposer, or
-gave as a linearizable read, is committed; whatever a driver acted on must be one of those, in order.
+Versions are identified by number and digest of their content. What a quorum's leader confirmed to a proposer,
+or returned as a linearizable read, is committed; whatever a node applied must be one of those, in order.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
+MICROSECONDS_PER_SECOND = 1e6
+
 
 @dataclass(frozen=True, slots=True)
-class Confirmed:
-    """A version that was confirmed as committed, with the digest of its content."""
+class VersionConfirmed:
+    """A version was confirmed as committed, with the digest of its content, at a time in microseconds."""
 
     at: int
     version: int
@@ -20,49 +22,61 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Acted:
-    """A driver took a version into force."""
+class VersionApplied:
+    """A node put a version into force, at a time in microseconds."""
 
     at: int
-    driver: str
+    node: str
     version: int
     digest: str
 
 
-def check_versions(records: Iterable[Confirmed | Acted]) -> list[str]:
-    """What is wrong, in words."""
-    found = []
+VersionRecord = VersionConfirmed | VersionApplied
+
+
+def check_versions(records: Iterable[VersionRecord]) -> list[str]:
+    """Descriptions of all violations; empty if every node applied committed versions in order."""
+    found: list[str] = []
     committed: dict[int, str] = {}
-    acted: list[Acted] = []
-    for r in records:
-        if isinstance(r, Confirmed):
-            if committed.setdefault(r.version, r.digest) != r.digest:
-                found.append(f"version {r.version} was confirmed with two contents")
-        else:
-            acted.append(r)
-    last: dict[str, int] = {}
-    for a in sorted(acted, key=lambda a: a.at):
-        if a.version <= last.get(a.driver, 0):
-            found.append(f"{a.driver} went from version {last[a.driver]} back to {a.version}")
-        last[a.driver] = max(a.version, last.get(a.driver, 0))
-        if a.version not in committed:
-            found.append(f"{a.driver} acted on version {a.version}, which was never confirmed")
-        elif committed[a.version] != a.digest:
-            found.append(f"{a.driver} acted on another version {a.version} than was confirmed")
+    applied: list[VersionApplied] = []
+    for record in records:
+        if isinstance(record, VersionApplied):
+            applied.append(record)
+        elif committed.setdefault(record.version, record.digest) != record.digest:
+            found.append(f"version {record.version} was confirmed with two contents")
+    latest_versions: dict[str, int] = {}
+    for record in sorted(applied, key=lambda record: record.at):
+        latest = latest_versions.get(record.node, 0)
+        found.extend(_check_applied(record, latest, committed.get(record.version)))
+        latest_versions[record.node] = max(record.version, latest)
     return found
 
 
-def spread(records: Iterable[Confirmed | Acted], version: int, drivers: int) -> list[float] | None:
-    """Seconds from the confirmation of a version to each driver's acting on it or a later one, sorted; None
-    if some never did."""
+def _check_applied(record: VersionApplied, latest: int, committed_digest: str | None) -> Iterator[str]:
+    if record.version <= latest:
+        yield f"{record.node} went from version {latest} back to {record.version}"
+    if committed_digest is None:
+        yield f"{record.node} applied version {record.version}, which was never confirmed"
+    elif committed_digest != record.digest:
+        yield f"{record.node} applied another version {record.version} than was confirmed"
+
+
+def propagation_delays_s(
+    records: Iterable[VersionRecord], version: int, node_count: int
+) -> list[float] | None:
+    """Seconds from the confirmation of a version until each node applied it or a later one, sorted.
+
+    None if the version was not confirmed, or fewer than `node_count` nodes applied it.
+    """
     records = list(records)
-    start = min((r.at for r in records if isinstance(r, Confirmed) and r.version == version), default=None)
-    if start is None:
+    confirmed = [r.at for r in records if isinstance(r, VersionConfirmed) and r.version == version]
+    if not confirmed:
         return None
-    first: dict[str, int] = {}
-    for r in records:
-        if isinstance(r, Acted) and r.version >= version:
-            first[r.driver] = min(r.at, first.get(r.driver, r.at))
-    if len(first) < drivers:
+    start = min(confirmed)
+    first_applied: dict[str, int] = {}
+    for record in records:
+        if isinstance(record, VersionApplied) and record.version >= version:
+            first_applied[record.node] = min(record.at, first_applied.get(record.node, record.at))
+    if len(first_applied) < node_count:
         return None
-    return sorted(max(at - start, 0) / 1e6 for at in first.values())
+    return sorted(max(at - start, 0) / MICROSECONDS_PER_SECOND for at in first_applied.values())
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -17,7 +17,7 @@
 from click.testing import CliRunner
 
 from juniperreel.cli.main import main
-from juniperreel.verification.records import EdgeUp, Recorder, Started
+from juniperreel.verification.records import EdgeUp, EndpointStarted, Recorder
 from tests.e2e.world import EDGE
 
 DAYS = Path(__file__).parents[2] / "juniperreel" / "fakes" / "days"
@@ -151,7 +151,7 @@
     with path.open("wb") as out:
         record = Recorder(out)
         record(EdgeUp(1, "e"))
-        record(Started(2, "m", False, 1.0))
+        record(EndpointStarted(2, "m", False, 1.0))
     result = CliRunner().invoke(main, ["verify", str(path)])
     assert result.exit_code == 0 and result.output.count("held") == 5
     with path.open("ab") as out:
--- a/tests/e2e/test_overload.py
+++ b/tests/e2e/test_overload.py
@@ -17,8 +17,9 @@
 from juniperreel.rpc.channel import Broken, Channel, NeverSent
 from juniperreel.rpc.limits import Limits
 from juniperreel.rpc.status import PUSHBACK, Code, RpcError
-from juniperreel.verification.records import Asked, Class, Told
-from juniperreel.verification.rules import Day, check_answers
+from juniperreel.verification.history import History
+from juniperreel.verification.records import RequestClass, RequestSent, ResponseReceived
+from juniperreel.verification.responses import check_responses
 from tests.e2e.world import EXECUTE, World
 
 SECONDS = 90
@@ -32,7 +33,7 @@
     def __init__(self, world: World, channels: int) -> None:
         self.world, self.size = world, channels
         self.channels: list[Channel] = []
-        self.records: list[Asked | Told] = []
+        self.records: list[RequestSent | ResponseReceived] = []
         self.ends: Counter[tuple[str, str]] = Counter()
         self.waits: list[int] = []
         self.reasons: Counter[str] = Counter()
@@ -50,7 +51,7 @@
         """One request; served, refused, failed or silent."""
         world, rid = self.world, self.world.rid()
         now, span = world.clock.now_us(), int(deadline_s * 1e6)
-        self.records.append(Asked(now, rid, 0, "edge", cls, "s", "", 0, "r", now + span))
+        self.records.append(RequestSent(now, rid, 0, "edge", cls, "s", "", 0, "r", now + span))
         status, local, how = 0, False, "served"
         data = world.message(cls, f"row{number % 7}", rid, **fields).SerializeToString()
         try:
@@ -64,7 +65,7 @@
                 self.waits.append(int(str(dict(error.metadata)[PUSHBACK])))
         except (trio.TooSlowError, NeverSent, Broken):
             status, local, how = 4, True, "silent"
-        self.records.append(Told(world.clock.now_us(), rid, 0, status, local))
+        self.records.append(ResponseReceived(world.clock.now_us(), rid, 0, status, local))
         self.ends[cls, how] += 1
         return how
 
@@ -82,8 +83,8 @@
             await trio.sleep(pause_s)
 
     def judge(self) -> None:
-        classes = [Class(0, c, "repeatable", 0, False, True, -1, 1, 1, 0) for c in ("own", "board")]
-        assert check_answers(Day.of([*classes, *self.records])) == []
+        classes = [RequestClass(0, c, "repeatable", 0, False, True, -1, 1, 1, 0) for c in ("own", "board")]
+        assert check_responses(History.of([*classes, *self.records])) == []
 
 
 async def goes_on(world: World) -> None:
--- a/tests/e2e/world.py
+++ b/tests/e2e/world.py
@@ -196,7 +196,7 @@
         return self.ring.encode(Token.at(0, epoch, position))
 
     def commits(self, rid: str) -> list[Committed]:
-        return [r for r in self.recorder.records if isinstance(r, Committed) and r.rid == rid]
+        return [r for r in self.recorder.records if isinstance(r, Committed) and r.request_id == rid]
 
     async def fault(self, text: str) -> None:
         """One fault now, for its whole span."""
--- a/tests/emulator/test_spread.py
+++ b/tests/emulator/test_spread.py
@@ -28,15 +28,18 @@
 
 
 def found(fleet: Fleet, since: float, until: float, members: list[str] = NAMES) -> set[str]:
-    bounds = Bounds(window_us=5 * US, highest=2.5)  # so few drivers reach twice the rate by chance
+    bounds = Bounds(window_us=5 * US, peak=2.5)  # so few drivers reach twice the rate by chance
     return {
-        f.measure for f in spread.judge(fleet.arrivals, members, fleet.time(since), fleet.time(until), bounds)
+        f.measure
+        for f in spread.check_bounds(fleet.arrivals, members, fleet.time(since), fleet.time(until), bounds)
     }
 
 
 def share(fleet: Fleet, member: str, since: float, until: float) -> float:
     start, end = fleet.time(since), fleet.time(until)
-    (cell,) = [c for c in spread.cells(fleet.arrivals, NAMES, start, end, end - start) if c.member == member]
+    (cell,) = [
+        c for c in spread.count_by_bin(fleet.arrivals, NAMES, start, end, end - start) if c.endpoint == member
+    ]
     return cell.share
 
 
@@ -104,8 +107,10 @@
         fleet.at(8 + i, partial(Fleet.replace, name=NAMES[i]))
     fleet.run(30)
     for member in [m for m in fleet.plants if m.startswith("n")]:
-        counts = spread.cells(fleet.arrivals, [member, *NAMES[2:]], fleet.time(10), fleet.time(30), US // 2)
-        assert max(c.share for c in counts if c.member == member and c.fair > 5) < 2.5
+        counts = spread.count_by_bin(
+            fleet.arrivals, [member, *NAMES[2:]], fleet.time(10), fleet.time(30), US // 2
+        )
+        assert max(c.share for c in counts if c.endpoint == member and c.fair > 5) < 2.5
     assert fleet.share_served > 0.98
     assert not found(fleet, 20, 30, NAMES[2:]) - {"dispersion"}
 
@@ -155,8 +160,8 @@
         fleet.run(30)
         old, new = ["r04", "r05"], [m for m in fleet.plants if m.startswith("n")]
         start, end = fleet.time(20), fleet.time(30)  # all are warm
-        cells = spread.cells(fleet.arrivals, [*old, *new], start, end, end - start)
-        shares.append(sum(c.share for c in cells if c.member in old) / len(old))
+        cells = spread.count_by_bin(fleet.arrivals, [*old, *new], start, end, end - start)
+        shares.append(sum(c.share for c in cells if c.endpoint in old) / len(old))
     assert sum(shares) / len(shares) > 0.95, shares
 
 
--- a/tests/load/test_load.py
+++ b/tests/load/test_load.py
@@ -12,7 +12,8 @@
 from juniperreel.load.shots import ENCODER, Shot, Side, Start
 from juniperreel.load.summary import load_result
 from juniperreel.settings.lexer import SettingsError
-from juniperreel.verification.rules import Day, check_answers
+from juniperreel.verification.history import History
+from juniperreel.verification.responses import check_responses
 
 PLAN = """
 [load]
@@ -118,12 +119,12 @@
 
 def test_a_deadline_that_only_the_client_kept_breaks_rule_1(tmp_path: Path) -> None:
     good = load_result(written(tmp_path / "good", shot(1), shot(2, status=14, wait=5)))
-    assert check_answers(Day.of(list(good.records()))) == []
+    assert check_responses(History.of(list(good.records()))) == []
     bad = load_result(written(tmp_path / "bad", shot(1), shot(2, status=4, local=True, took=2_000_000)))
-    (violation,) = check_answers(Day.of(list(bad.records())))
+    (violation,) = check_responses(History.of(list(bad.records())))
     assert "no answer" in violation.text
     late = load_result(written(tmp_path / "late", shot(1, took=2_600_000)))
-    assert "late" in check_answers(Day.of(list(late.records())))[0].text
+    assert "late" in check_responses(History.of(list(late.records())))[0].text
 
 
 def test_reports_and_comparisons_from_the_shell(tmp_path: Path) -> None:
--- a/tests/raft/cluster.py
+++ b/tests/raft/cluster.py
@@ -19,7 +19,7 @@
 from juniperreel.raft.types import Members, Message
 from juniperreel.settings.configd import InstanceSettings
 from juniperreel.telemetry.log import make_log
-from juniperreel.verification.versions import Acted, Confirmed
+from juniperreel.verification.versions import VersionApplied, VersionConfirmed
 
 KEY = b"k" * 32
 
@@ -60,7 +60,7 @@
         self.scopes: dict[str, trio.CancelScope] = {}
         self.ended: dict[str, trio.Event] = {}
         self.cuts: set[tuple[str, str]] = set()
-        self.records: list[Confirmed | Acted] = []
+        self.records: list[VersionConfirmed | VersionApplied] = []
         self.settings = {"tick_us": 10_000, "election_ticks": 10, "snapshot_every": 1000} | settings
         self.log = make_log(stream=(folder / "log").open("w"))
         self.sequence = 0
@@ -152,7 +152,7 @@
 
     async def confirm(self) -> Configuration:
         now = await self.client.get()
-        self.records.append(Confirmed(self.clock.now_us(), now.version, digest(now)))
+        self.records.append(VersionConfirmed(self.clock.now_us(), now.version, digest(now)))
         return now
 
     async def seed(self) -> None:
@@ -169,14 +169,14 @@
         await self.nursery.start(client.run)
 
         def told(c: Configuration) -> None:
-            self.records.append(Acted(self.clock.now_us(), name, c.version, digest(c)))
+            self.records.append(VersionApplied(self.clock.now_us(), name, c.version, digest(c)))
 
         self.nursery.start_soon(client.watch, name, model.EMPTY, told)
 
     async def all_at(self, version: int, watchers: int) -> None:
         with trio.fail_after(15):
             while (
-                len({r.driver for r in self.records if isinstance(r, Acted) and r.version >= version})
+                len({r.node for r in self.records if isinstance(r, VersionApplied) and r.version >= version})
                 < watchers
             ):
                 await trio.sleep(0.01)
--- a/tests/raft/test_cluster.py
+++ b/tests/raft/test_cluster.py
@@ -24,7 +24,12 @@
 from juniperreel.raft.storage import Storage, StorageError
 from juniperreel.raft.types import Members, NotLeader, Rejected, TimeoutNow
 from juniperreel.rpc.status import Code, RpcError
-from juniperreel.verification.versions import Acted, Confirmed, check_versions, spread
+from juniperreel.verification.versions import (
+    VersionApplied,
+    VersionConfirmed,
+    check_versions,
+    propagation_delays_s,
+)
 from tests.proxy.test_driver import options as driver_options
 from tests.raft.cluster import KEY, Cluster
 
@@ -76,28 +81,28 @@
         healed = five.clock.now_us()
         five.heal()
         with trio.fail_after(10):
-            while spread(five.records, outcome.version, 10) is None:
+            while propagation_delays_s(five.records, outcome.version, 10) is None:
                 await trio.sleep(0.01)
         last = max(
             min(
                 r.at
                 for r in five.records
-                if isinstance(r, Acted) and r.driver == d and r.version >= outcome.version
+                if isinstance(r, VersionApplied) and r.node == d and r.version >= outcome.version
             )
-            for d in {r.driver for r in five.records if isinstance(r, Acted)}
+            for d in {r.node for r in five.records if isinstance(r, VersionApplied)}
         )
         took.append(max(last - healed, 0) / 1e6)
         await five.confirm()
     print("seconds from healing to the last of ten drivers:", ", ".join(f"{t:.3f}" for t in took))
     assert max(took) < 3.0, took
     final = await five.confirm()
-    for version in {r.version for r in five.records if isinstance(r, Acted)} - {
-        r.version for r in five.records if isinstance(r, Confirmed)
+    for version in {r.version for r in five.records if isinstance(r, VersionApplied)} - {
+        r.version for r in five.records if isinstance(r, VersionConfirmed)
     }:
         assert version < final.version  # a stubborn command that went through after the healing
-        contents = {r.digest for r in five.records if isinstance(r, Acted) and r.version == version}
+        contents = {r.digest for r in five.records if isinstance(r, VersionApplied) and r.version == version}
         assert len(contents) == 1
-        five.records.append(Confirmed(0, version, contents.pop()))
+        five.records.append(VersionConfirmed(0, version, contents.pop()))
     assert check_versions(five.records) == []
 
 
@@ -309,7 +314,7 @@
     await three.all_at(1, 300)
     outcome = await three.set(SetLimit("attempts", 9))
     await three.all_at(outcome.version, 300)
-    took = spread(three.records, outcome.version, 300)
+    took = propagation_delays_s(three.records, outcome.version, 300)
     assert took is not None and took[-1] < 3
     assert check_versions(three.records) == []
 
@@ -345,18 +350,18 @@
 
 
 def test_planted_versions_are_seen() -> None:
-    good: list[Confirmed | Acted] = [
-        Confirmed(1, 1, "a"),
-        Confirmed(2, 2, "b"),
-        Acted(3, "e", 1, "a"),
-        Acted(4, "e", 2, "b"),
+    good: list[VersionConfirmed | VersionApplied] = [
+        VersionConfirmed(1, 1, "a"),
+        VersionConfirmed(2, 2, "b"),
+        VersionApplied(3, "e", 1, "a"),
+        VersionApplied(4, "e", 2, "b"),
     ]
     assert check_versions(good) == []
     for bad in (
-        [Acted(5, "e", 3, "c")],
-        [Acted(5, "f", 2, "x")],
-        [Acted(5, "e", 1, "a")],
-        [Confirmed(9, 1, "z")],
+        [VersionApplied(5, "e", 3, "c")],
+        [VersionApplied(5, "f", 2, "x")],
+        [VersionApplied(5, "e", 1, "a")],
+        [VersionConfirmed(9, 1, "z")],
     ):
         assert check_versions([*good, *bad])
-    assert spread(good, 2, 1) == [2e-6] and spread(good, 2, 2) is None
+    assert propagation_delays_s(good, 2, 1) == [2e-6] and propagation_delays_s(good, 2, 2) is None
--- a/tests/testbed/test_large.py
+++ b/tests/testbed/test_large.py
@@ -48,11 +48,11 @@
     assert [r.at for r in trial.records] == sorted(r.at for r in trial.records)
     struck = set(drivers_named(day, day.steps[0]))
     assert {r.edge for r in trial.records if isinstance(r, rec.EdgeDown)} == struck and len(struck) == 2
-    why = {r.member[:2]: r.why for r in trial.records if isinstance(r, rec.Stopped)}
+    why = {r.endpoint[:2]: r.cause for r in trial.records if isinstance(r, rec.EndpointStopped)}
     assert why["g0"] == "killed"
-    told = [r for r in trial.records if isinstance(r, rec.Listed) and r.readiness == "draining"]
+    told = [r for r in trial.records if isinstance(r, rec.EndpointListed) and r.readiness == "draining"]
     assert {r.edge for r in told} == set(trial._drivers), "each driver is told of the drain"
-    answers = [r for r in trial.records if isinstance(r, rec.Told)]
+    answers = [r for r in trial.records if isinstance(r, rec.ResponseReceived)]
     assert sum(r.status == 0 for r in answers) > 0.8 * len(answers) > 150
     assert sum(c.probes for c in trial.counts.values()) > 0
     assert len(trial.counts) == 4 and any("drivers" in text for text in said)
@@ -64,14 +64,16 @@
     day = parse(SIZE + "last 8s\n")
     trial = LargeTrial(day, tmp_path, 1)
     await trial.run()
-    asked = [r for r in trial.records if isinstance(r, rec.Asked)]
+    asked = [r for r in trial.records if isinstance(r, rec.RequestSent)]
     assert 0.6 * 60 * 8 < len(asked) < 1.2 * 60 * 8
     counts = {n: sum(r.edge == n for r in asked) for n in trial._drivers}
     heavy = [n for i, n in enumerate(trial._drivers) if is_heavy(i, 0.15)]
     assert len(heavy) == 1
     assert counts[heavy[0]] > 2 * max(c for n, c in counts.items() if n not in heavy)
-    came = spread.arrivals(trial.records, {r.member for r in trial.records if isinstance(r, rec.Arrived)})
-    assert {a.driver for a in came} == set(trial._drivers)
+    came = spread.arrivals(
+        trial.records, {r.endpoint for r in trial.records if isinstance(r, rec.AttemptReceived)}
+    )
+    assert {a.edge for a in came} == set(trial._drivers)
 
 
 async def test_a_process_of_the_rig_that_ends_early_ends_the_trial_and_all_it_started(tmp_path: Path) -> None:
--- a/tests/testbed/test_platform_fleet.py
+++ b/tests/testbed/test_platform_fleet.py
@@ -14,7 +14,8 @@
 from juniperreel.testbed.sides import PROGRAM
 from juniperreel.verification import records as rec
 from juniperreel.verification import spread
-from juniperreel.verification.rules import Violation, check_all
+from juniperreel.verification.history import Violation
+from juniperreel.verification.rules import check_all
 
 SECOND = 1_000_000
 SIZE = """
@@ -65,15 +66,17 @@
 
 
 def reads(trial: PlatformTrial) -> int:
-    served = {r.rid for r in trial.recorder.records if isinstance(r, rec.Told) and r.status == 0}
-    asked = [r for r in trial.recorder.records if isinstance(r, rec.Asked)]
-    return sum(r.cls == "board" and r.rid in served for r in asked)
+    served = {
+        r.request_id for r in trial.recorder.records if isinstance(r, rec.ResponseReceived) and r.status == 0
+    }
+    asked = [r for r in trial.recorder.records if isinstance(r, rec.RequestSent)]
+    return sum(r.class_name == "board" and r.request_id in served for r in asked)
 
 
 async def test_a_bad_day_of_five_drivers_breaks_no_rule(tmp_path: Path) -> None:
     trial, found = await play(tmp_path, BAD)
     assert not any(found.values()), {n: [v.text for v in vs[:5]] for n, vs in found.items() if vs}
-    told = [r for r in trial.recorder.records if isinstance(r, rec.Told)]
+    told = [r for r in trial.recorder.records if isinstance(r, rec.ResponseReceived)]
     assert sum(r.status == 0 for r in told) > 0.9 * len(told) > 300
     assert [trial.processes[n].starts for n in trial.names] == [2, 2, 1, 1, 1]
     for name in trial.names:
@@ -110,10 +113,12 @@
     trial, found = await play(tmp_path, day)
     assert not any(found.values()), {n: [v.text for v in vs[:5]] for n, vs in found.items() if vs}
     records = trial.recorder.records
-    (muted,) = [r.at for r in records if isinstance(r, rec.Fault) and "link-mute" in r.text and r.on]
+    (muted,) = [r.at for r in records if isinstance(r, rec.Fault) and "link-mute" in r.text and r.active]
     for name in trial.names:  # by a new watch, before what the old one missed counts as told
         told = [
-            r.at for r in records if isinstance(r, rec.Listed) and (r.edge, r.readiness) == (name, "draining")
+            r.at
+            for r in records
+            if isinstance(r, rec.EndpointListed) and (r.edge, r.readiness) == (name, "draining")
         ]
         assert told and min(told) < muted + 5 * SECOND
 
@@ -145,9 +150,9 @@
     """Of the first group's replicas' work between two times, beside an even part."""
     replicas = sorted(m.name for m in trial.fleet.groups[0].members[1:])
     came = spread.arrivals(trial.recorder.records, replicas)
-    cells = spread.cells(came, replicas, start, end, end - start)
+    cells = spread.count_by_bin(came, replicas, start, end, end - start)
     assert sum(c.count for c in cells) > 100, "the machine was too slow to tell"
-    (cell,) = [c for c in cells if c.member == member]
+    (cell,) = [c for c in cells if c.endpoint == member]
     return cell.share
 
 
@@ -171,13 +176,13 @@
     day = f"groups 1\nmembers 5\nsessions 16\ncold-span 3s\nlast 8s\n{steps}\n"
     trial, found = await play(tmp_path, day, pause_s=0.2)
     assert not any(found.values()), {n: [v.text for v in vs[:5]] for n, vs in found.items() if vs}
-    told = [r for r in trial.recorder.records if isinstance(r, rec.Told)]
+    told = [r for r in trial.recorder.records if isinstance(r, rec.ResponseReceived)]
     assert sum(r.status == 0 for r in told) > least * len(told) > 50
     # Every replica that runs to the end has work again, from every driver that has a fair number of reads.
     now = max(r.at for r in told)
     alive = {m.name for m in trial.fleet.members.values() if m.alive and not m.draining}
     late = [a for a in spread.arrivals(trial.recorder.records, alive) if a.at > now - 3 * SECOND]
-    assert {a.member for a in late} == alive
+    assert {a.endpoint for a in late} == alive
 
 
 def test_links_have_two_ends_in_a_script() -> None:
--- a/tests/testbed/test_relay.py
+++ b/tests/testbed/test_relay.py
@@ -233,5 +233,7 @@
     trial = PlatformTrial(parse(text), TcpNetwork(), tmp_path, 0.05)
     monkeypatch.setattr(relay, "hung_up", lambda _: True)
     await trial.run()
-    asked = [r for r in trial.recorder.records if isinstance(r, rec.Asked)]
-    assert asked and not [r for r in trial.recorder.records if isinstance(r, rec.Arrived | rec.Committed)]
+    asked = [r for r in trial.recorder.records if isinstance(r, rec.RequestSent)]
+    assert asked and not [
+        r for r in trial.recorder.records if isinstance(r, rec.AttemptReceived | rec.Committed)
+    ]
--- a/tests/verification/test_executions.py
+++ b/tests/verification/test_executions.py
@@ -1,4 +1,4 @@
-"""The checker of executions sees what is planted, and nothing else."""
+"""The checker of executions finds injected mismatches, and nothing else."""
 
 from __future__ import annotations
 
@@ -8,42 +8,48 @@
 import pytest
 from msgspec import structs
 
-from juniperreel.verification.executions import Count, check_executions
-from juniperreel.verification.records import Meant, Ran, Record
+from juniperreel.verification.executions import ExecutionCounts, check_executions
+from juniperreel.verification.records import Record, StatementExecuted, StatementIntended
 
 CLEAN: list[Record] = [
-    Meant(1, "s1", "select ?", ["s1", "5"], {"@a": "1"}, True),
-    Ran(1, "m1", 7, "s1", "select ?", ["s1", "5"], {"@a": "1"}),
-    Meant(2, "s2", "select ?", ["s2"], {}, False, "1213"),
-    Meant(3, "s3", "insert ?", ["s3"], {}, False, "1105"),
-    Ran(3, "m2", 8, "s3", "insert ?", ["s3"], {}),
+    StatementIntended(1, "s1", "select ?", ["s1", "5"], {"@a": "1"}, True),
+    StatementExecuted(1, "m1", 7, "s1", "select ?", ["s1", "5"], {"@a": "1"}),
+    StatementIntended(2, "s2", "select ?", ["s2"], {}, False, "1213"),
+    StatementIntended(3, "s3", "insert ?", ["s3"], {}, False, "1105"),
+    StatementExecuted(3, "m2", 8, "s3", "insert ?", ["s3"], {}),
 ]
 
 
-def test_a_clean_run_is_counted() -> None:
-    count = Count()
-    assert check_executions(CLEAN, count) == []
-    assert (count.meant, count.served, count.ran, count.texts, count.connections) == (3, 1, 2, 2, 2)
+def test_executions_of_a_clean_run_are_counted() -> None:
+    counts = ExecutionCounts()
+    assert check_executions(CLEAN, counts) == []
+    assert (counts.intended, counts.served, counts.executed, counts.texts, counts.connections) == (
+        3,
+        1,
+        2,
+        2,
+        2,
+    )
 
 
 @pytest.mark.parametrize(
-    ("at", "change", "words"),
+    "at,change,expected",
     [
-        (1, {"text": "select 2, ?"}, "was meant as"),
-        (1, {"values": ["s1", "6"]}, "ran with"),
+        (1, {"text": "select 2, ?"}, "intended as"),
+        (1, {"values": ["s1", "6"]}, "executed with"),
         (1, {"variables": {}}, "its session has"),
-        (1, {"serial": "s9"}, "nobody asked it"),
-        (2, {"serial": "s1"}, "asked twice"),
-        (2, {"error": "1243"}, "was told 1243"),
-        (2, {"error": "1615"}, "was told 1615"),
-        (2, {"served": True}, "never ran"),
+        (1, {"serial": "s9"}, "nobody requested it"),
+        (2, {"serial": "s1"}, "requested twice"),
+        (2, {"error": "1243"}, "error 1243"),
+        (2, {"error": "1615"}, "error 1615"),
+        (2, {"served": True}, "never executed"),
     ],
 )
-def test_what_is_planted_is_seen(at: int, change: dict[str, Any], words: str) -> None:
+def test_injected_mismatch_is_found(at: int, change: dict[str, Any], expected: str) -> None:
     records = list(CLEAN)
     records[at] = structs.replace(records[at], **change)
-    assert any(words in found for found in check_executions(records))
+    assert any(expected in found for found in check_executions(records))
 
 
-def test_counts_are_values() -> None:
-    assert replace(Count(), ran=1) == Count(ran=1)
+def test_execution_counts_compare_by_value() -> None:
+    assert replace(ExecutionCounts(), executed=1) == ExecutionCounts(executed=1)
