Fakes: modules get standard names; moves and imports alone

capacity_model, replication_group, endpoint, mysql_server, postgres_server, mysql_engine, mysql_client, endpoint_list_server, platform_discovery, platform_clients, minimal_servers, naive_proxy, fleet_processes. No code changed but imports and the two module names that are started as programs.

--- a/benchmarks/mysql_front.py
+++ b/benchmarks/mysql_front.py
@@ -32,7 +32,7 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
-from juniperreel.fakes.mysqlmember import PASSWORD, USER
+from juniperreel.fakes.mysql_server import PASSWORD, USER
 from juniperreel.statements.reader import Reader, read_statement
 
 DAY = """groups 1
--- a/benchmarks/pool_soak.py
+++ b/benchmarks/pool_soak.py
@@ -30,7 +30,7 @@
 
 from juniperreel.cli.edge import Edge
 from juniperreel.fakes.fleet import Fleet
-from juniperreel.fakes.mysqlmember import PASSWORD, USER
+from juniperreel.fakes.mysql_server import PASSWORD, USER
 from juniperreel.fakes.script import parse
 from juniperreel.mysql.client import Broken, ClientSession, Done, End, Event, Failed, Prepared
 from juniperreel.net import Clock, TcpNetwork
--- a/juniperreel/cli/standins.py
+++ b/juniperreel/cli/standins.py
@@ -9,7 +9,7 @@
 import trio
 
 from juniperreel.fakes.fleet import Fleet
-from juniperreel.fakes.parts import Parts
+from juniperreel.fakes.fleet_processes import Parts
 from juniperreel.fakes.script import Day, ScriptError, Step, parse
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.net.clock import US
--- a/juniperreel/cli/world.py
+++ b/juniperreel/cli/world.py
@@ -18,8 +18,8 @@
 from juniperreel.cli.feeder import ConfigCluster, Feeder
 from juniperreel.fakes.clients import Mix, Mysql, Population
 from juniperreel.fakes.fleet import Fleet
-from juniperreel.fakes.mysqlmember import PASSWORD as MEMBER_PASSWORD
-from juniperreel.fakes.mysqlmember import USER
+from juniperreel.fakes.mysql_server import PASSWORD as MEMBER_PASSWORD
+from juniperreel.fakes.mysql_server import USER
 from juniperreel.fakes.script import Day, Step
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.net.clock import US
@@ -205,7 +205,14 @@
         command = [sys.executable, "-m", "juniperreel.cli.main", "edge", str(settings)]
         if self.careless:
             hosts = str(self.fleet.hosts.port)
-            command = [sys.executable, "-m", "juniperreel.fakes.naive", edge.name, str(edge.port), hosts]
+            command = [
+                sys.executable,
+                "-m",
+                "juniperreel.fakes.naive_proxy",
+                edge.name,
+                str(edge.port),
+                hosts,
+            ]
         edge.process = await trio.lowlevel.open_process(command, stderr=subprocess.PIPE, cwd=self.code)
         ready = trio.Event()
         self._nursery.start_soon(self._follow, edge, edge.process, ready)
--- a/juniperreel/fakes/clients.py
+++ b/juniperreel/fakes/clients.py
@@ -19,7 +19,7 @@
 import trio
 from google.protobuf.message import DecodeError
 
-from juniperreel.fakes.mysqlclient import Failure, Lost, MysqlClient, Rows
+from juniperreel.fakes.mysql_client import Failure, Lost, MysqlClient, Rows
 from juniperreel.net import Clock, ConnectError, Network
 from juniperreel.proto.common.v1 import values_pb2
 from juniperreel.proto.records.v1 import records_pb2
--- a/juniperreel/fakes/member.py
+++ b/juniperreel/fakes/endpoint.py
@@ -10,10 +10,10 @@
 import trio
 from google.protobuf.message import DecodeError
 
-from juniperreel.fakes.group import Group, Replica
-from juniperreel.fakes.machine import Full, Machine
-from juniperreel.fakes.mysqlmember import MysqlSide
-from juniperreel.fakes.postgresmember import PostgresSide
+from juniperreel.fakes.capacity_model import Full, Machine
+from juniperreel.fakes.mysql_server import MysqlSide
+from juniperreel.fakes.postgres_server import PostgresSide
+from juniperreel.fakes.replication_group import Group, Replica
 from juniperreel.fakes.store import Commit, StatementFault, from_value, to_value
 from juniperreel.net import Clock, ConnectError, HeldPort, Network
 from juniperreel.proto.common.v1 import values_pb2
--- a/juniperreel/fakes/fleet.py
+++ b/juniperreel/fakes/fleet.py
@@ -8,9 +8,9 @@
 
 import trio
 
-from juniperreel.fakes.group import Group
-from juniperreel.fakes.hostlist import HostList
-from juniperreel.fakes.member import Member, Shape
+from juniperreel.fakes.endpoint import Member, Shape
+from juniperreel.fakes.endpoint_list_server import HostList
+from juniperreel.fakes.replication_group import Group
 from juniperreel.fakes.script import Day, Step
 from juniperreel.net import Clock, Network
 from juniperreel.proto.hosts.v1 import hosts_pb2
--- a/juniperreel/fakes/parts.py
+++ b/juniperreel/fakes/fleet_processes.py
@@ -1,6 +1,6 @@
 """The fleet on several cores: each process plays some of the groups, the first one the host list as well.
 
-    python -m juniperreel.fakes.parts SCRIPT PART OF [RECORD]
+    python -m juniperreel.fakes.fleet_processes SCRIPT PART OF [RECORD]
 
 plays the groups of one part and prints what the host list is to be told, a line of JSON each. A script's
 members are the same wherever they run; which draws they make is not, since each part draws from its own.
@@ -115,7 +115,7 @@
         words = [str(self._script), str(part), str(self.parts)]
         if self._record is not None:
             words.append(f"{self._record}.{part}")
-        command = [sys.executable, "-m", "juniperreel.fakes.parts", *words]
+        command = [sys.executable, "-m", "juniperreel.fakes.fleet_processes", *words]
         process = await trio.lowlevel.open_process(command, stdout=subprocess.PIPE)
         assert process.stdout is not None
         rest = b""
--- a/juniperreel/fakes/platform.py
+++ b/juniperreel/fakes/minimal_servers.py
@@ -13,7 +13,7 @@
 import msgspec
 import trio
 
-from juniperreel.fakes.postgresmember import row
+from juniperreel.fakes.postgres_server import row
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.postgres import messages as m
 from juniperreel.postgres import server
--- a/juniperreel/fakes/engine.py
+++ b/juniperreel/fakes/mysql_engine.py
@@ -19,13 +19,13 @@
 import trio
 from sqlglot import exp
 
-from juniperreel.fakes.machine import Full
+from juniperreel.fakes.capacity_model import Full
 from juniperreel.fakes.store import Commit, Store
 from juniperreel.mysql.constants import BINARY, UTF8MB4, ColumnType, Flag
 from juniperreel.mysql.values import Column
 
 if TYPE_CHECKING:
-    from juniperreel.fakes.member import Member
+    from juniperreel.fakes.endpoint import Member
 
 BATCH = 500  # rows
 COMMENT = re.compile(r"/\*(?!!).*?\*/", re.S)
--- a/juniperreel/fakes/mysqlmember.py
+++ b/juniperreel/fakes/mysql_server.py
@@ -12,7 +12,7 @@
 
 import trio
 
-from juniperreel.fakes.engine import BATCH, RID, STATUS, Done, Engine, Problem, Rows, understand
+from juniperreel.fakes.mysql_engine import BATCH, RID, STATUS, Done, Engine, Problem, Rows, understand
 from juniperreel.mysql.auth import NONCE_BYTES, SHA2, Credential
 from juniperreel.mysql.constants import ColumnType, Com, Status
 from juniperreel.mysql.packets import Cursor, ProtocolError
@@ -29,7 +29,7 @@
 )
 
 if TYPE_CHECKING:
-    from juniperreel.fakes.member import Member
+    from juniperreel.fakes.endpoint import Member
 
 USER, PASSWORD = "edge", b"edge of the stand-ins"
 MAX_PACKET = 16 << 20
--- a/juniperreel/fakes/naive.py
+++ b/juniperreel/fakes/naive_proxy.py
@@ -3,7 +3,7 @@
 It picks members at random, retries blindly when an answer is late and leaves the first attempt running,
 takes no notice of drains, cold starts, roles or tokens. Run as a program of its own:
 
-    python -m juniperreel.fakes.naive NAME PORT HOSTS_PORT
+    python -m juniperreel.fakes.naive_proxy NAME PORT HOSTS_PORT
 """
 
 from __future__ import annotations
--- a/juniperreel/fakes/platformhosts.py
+++ b/juniperreel/fakes/platform_discovery.py
@@ -11,8 +11,8 @@
 
 import trio
 
-from juniperreel.fakes.hostlist import NAMES
-from juniperreel.fakes.platform import DiscoveryStandIn
+from juniperreel.fakes.endpoint_list_server import NAMES
+from juniperreel.fakes.minimal_servers import DiscoveryStandIn
 from juniperreel.net import Clock
 from juniperreel.proto.hosts.v1 import hosts_pb2
 from juniperreel.verification.records import EndpointListed, RecordSink
--- a/juniperreel/fakes/postgresmember.py
+++ b/juniperreel/fakes/postgres_server.py
@@ -15,7 +15,7 @@
 
 import trio
 
-from juniperreel.fakes.machine import Full
+from juniperreel.fakes.capacity_model import Full
 from juniperreel.net import Refused
 from juniperreel.postgres import messages as m
 from juniperreel.postgres import server
@@ -23,7 +23,7 @@
 from juniperreel.verification.records import AttemptAbandoned, AttemptFinished, AttemptReceived
 
 if TYPE_CHECKING:
-    from juniperreel.fakes.member import Member
+    from juniperreel.fakes.endpoint import Member
 
 INSERT = "insert into runs (runner, id) values (?, ?)"
 SELECT = "select id from runs where runner = ? order by number desc limit ?"
--- a/juniperreel/fakes/group.py
+++ b/juniperreel/fakes/replication_group.py
@@ -19,7 +19,7 @@
 from juniperreel.verification.records import Promoted, RecordSink
 
 if TYPE_CHECKING:
-    from juniperreel.fakes.member import Member
+    from juniperreel.fakes.endpoint import Member
 
 TICK_S = 0.01
 KEPT_EPOCHS = 16
--- a/juniperreel/testbed/crew.py
+++ b/juniperreel/testbed/crew.py
@@ -19,7 +19,7 @@
 
 import trio
 
-from juniperreel.fakes import parts
+from juniperreel.fakes import fleet_processes
 from juniperreel.fakes.fleet import EdgeHand, Fleet
 from juniperreel.fakes.script import Day, Step, parse
 from juniperreel.net import Clock, TcpNetwork
@@ -66,7 +66,7 @@
     return time.process_time() + ended.ru_utime + ended.ru_stime
 
 
-class Upward(parts.Relay):
+class Upward(fleet_processes.Relay):
     """Stands where a fleet's host list does: what it is told goes to the trial, from a queue, since drivers
     need doors to a member before they hear of it."""
 
--- a/juniperreel/testbed/large.py
+++ b/juniperreel/testbed/large.py
@@ -13,7 +13,7 @@
 
 import trio
 
-from juniperreel.fakes.member import Shape
+from juniperreel.fakes.endpoint import Shape
 from juniperreel.fakes.script import Day, render
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.net.clock import US
--- a/juniperreel/testbed/sides.py
+++ b/juniperreel/testbed/sides.py
@@ -20,10 +20,10 @@
 
 import trio
 
+from juniperreel.fakes.endpoint import Shape
 from juniperreel.fakes.fleet import Fleet
-from juniperreel.fakes.member import Shape
-from juniperreel.fakes.platformclients import Session
-from juniperreel.fakes.platformhosts import PlatformHosts
+from juniperreel.fakes.platform_clients import Session
+from juniperreel.fakes.platform_discovery import PlatformHosts
 from juniperreel.fakes.script import Day, Step
 from juniperreel.net import Clock, Network
 from juniperreel.net.clock import US
--- a/tests/e2e/test_clients.py
+++ b/tests/e2e/test_clients.py
@@ -18,7 +18,7 @@
 import pytest
 import trio
 
-from juniperreel.fakes.engine import TYPED
+from juniperreel.fakes.mysql_engine import TYPED
 from juniperreel.mysql.client import ClientSession, Done
 from tests.e2e.test_mysql import port
 from tests.e2e.world import World, rows
--- a/tests/e2e/test_mysql.py
+++ b/tests/e2e/test_mysql.py
@@ -14,7 +14,7 @@
 import pytest
 import trio
 
-from juniperreel.fakes.mysqlclient import Failure, Lost, MysqlClient, Rows
+from juniperreel.fakes.mysql_client import Failure, Lost, MysqlClient, Rows
 from tests.e2e.world import World, rows
 
 INSERT = "insert into runs (runner, id) values ('%s', '%s')"
--- a/tests/e2e/test_mysql_hard.py
+++ b/tests/e2e/test_mysql_hard.py
@@ -11,8 +11,8 @@
 import pytest
 import trio
 
-from juniperreel.fakes.engine import Engine, Rows
-from juniperreel.fakes.member import Member
+from juniperreel.fakes.endpoint import Member
+from juniperreel.fakes.mysql_engine import Engine, Rows
 from juniperreel.frontends.mysql import connection as front
 from juniperreel.mysql.client import ClientSession, Done, End, Event, Failed, Row
 from juniperreel.proxy.mysqlmembers import MysqlLinks
--- a/tests/e2e/world.py
+++ b/tests/e2e/world.py
@@ -12,7 +12,7 @@
 from juniperreel.causal import Keyring, Token
 from juniperreel.cli.edge import Edge
 from juniperreel.fakes.fleet import Fleet
-from juniperreel.fakes.mysqlmember import PASSWORD, USER
+from juniperreel.fakes.mysql_server import PASSWORD, USER
 from juniperreel.fakes.script import Step, parse
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.proto.common.v1 import values_pb2
--- a/tests/fakes/test_standins.py
+++ b/tests/fakes/test_fakes.py
@@ -12,8 +12,8 @@
 import pytest
 import trio
 
-from juniperreel.fakes.group import Replica
-from juniperreel.fakes.machine import Full, Machine
+from juniperreel.fakes.capacity_model import Full, Machine
+from juniperreel.fakes.replication_group import Replica
 from juniperreel.fakes.script import ScriptError, parse
 from juniperreel.fakes.store import Commit, StatementFault, Store
 from juniperreel.net import Clock
--- a/tests/mysql/test_client.py
+++ b/tests/mysql/test_client.py
@@ -12,9 +12,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from juniperreel.fakes.group import Group
-from juniperreel.fakes.member import Member, Shape
-from juniperreel.fakes.mysqlmember import PASSWORD, USER
+from juniperreel.fakes.endpoint import Member, Shape
+from juniperreel.fakes.mysql_server import PASSWORD, USER
+from juniperreel.fakes.replication_group import Group
 from juniperreel.mysql.auth import NATIVE, SHA2, Credential
 from juniperreel.mysql.client import (
     Began,
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from juniperreel.fakes.platform import DiscoveryStandIn, MemberStandIn
+from juniperreel.fakes.minimal_servers import DiscoveryStandIn, MemberStandIn
 from juniperreel.net.poll import Door, Poller
 from juniperreel.platform.config import parse
 from juniperreel.platform.log import Log
--- a/tests/pool/test_state.py
+++ b/tests/pool/test_state.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from juniperreel.fakes.engine import ASSIGNED, ASSIGNMENT
+from juniperreel.fakes.mysql_engine import ASSIGNED, ASSIGNMENT
 from juniperreel.pool.state import FRESH, MOST, SessionState, TooMuch, replay
 from juniperreel.statements import read_statement
 
