Fakes: capacity model, store and endpoint settings with typed records and errors

Need: an endpoint's size was nine positional arguments, a commit's first statement lay apart from its others, and errors had no common base.

Work is drawn and summed in the same order as before.

--- a/juniperreel/cli/world.py
+++ b/juniperreel/cli/world.py
@@ -264,15 +264,15 @@
         now = self.clock.now_us()
         for mix in mix_of(day):
             self.record(mix.cls)
-        shape = self.fleet.shape
+        shape = self.fleet.settings
         self.record(
             rec.Limits(
                 now,
                 DRAIN_GRACE_US,
-                shape.cold_from,
-                shape.cold_us,
-                shape.fall_multiple,
-                shape.overload_us,
+                shape.initial_capacity,
+                shape.slow_start_us,
+                shape.overload_multiple,
+                shape.overload_window_us,
                 MAX_ATTEMPTS,
             )
         )
--- a/juniperreel/fakes/capacity_model.py
+++ b/juniperreel/fakes/capacity_model.py
@@ -1,4 +1,4 @@
-"""A member's machine: cores, a queue for them, speed, warm-up, and what pushes a cold one over."""
+"""The capacity of a fake endpoint: cores, a queue for them, speed, slow start, and failure by overload."""
 
 from __future__ import annotations
 
@@ -6,89 +6,103 @@
 from collections import deque
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from typing import NamedTuple
 
 import trio
 
+from juniperreel.fakes.endpoint_settings import EndpointSettings
+from juniperreel.fakes.errors import QueueFullError
 from juniperreel.net import Clock
 
+US = 1_000_000
+MIN_SPEED = 0.01
+# Log-normal factor of a request's work: its mean is about 1, some requests cost a multiple.
+WORK_FACTOR_MU = -0.08
+WORK_FACTOR_SIGMA = 0.4
 
-class Full(Exception):
-    """The queue takes no more."""
 
+class OfferedWork(NamedTuple):
+    """Work that was sent to the endpoint, and when."""
 
-class Machine:
-    """Work is microseconds of one warm core at full speed."""
+    at_us: int
+    work_us: int
+
+
+class CapacityModel:
+    """Executes work on a limited number of cores. Work is microseconds of one core after slow start."""
 
     def __init__(
         self,
         clock: Clock,
         rng: random.Random,
-        cores: int,
-        queue: int,
-        cold_from: float,
-        cold_us: int,
-        fall_multiple: float,
-        overload_us: int,
-        on_fall: Callable[[], None],
+        settings: EndpointSettings,
+        on_overload: Callable[[], None],
     ) -> None:
-        self._clock, self._rng = clock, rng
-        self.cores, self._queue = cores, queue
-        self._cold_from, self._cold_us = cold_from, cold_us
-        self._fall_multiple, self._overload_us = fall_multiple, overload_us
-        self._on_fall = on_fall
-        self.started_us = 0  # 0: was never cold
+        """`on_overload` is called when a warming endpoint is sent more than it bears."""
+        self._clock = clock
+        self._rng = rng
+        self._settings = settings
+        self._on_overload = on_overload
+        self.started_us = 0  # 0: slow start does not apply
         self.speed = 1.0
-        self.in_hand = 0
-        self.waiting = 0
-        self._busy = trio.Semaphore(cores)
-        self._offered: deque[tuple[int, int]] = deque()
+        self.in_flight = 0
+        self.queued = 0
+        self._cores = trio.Semaphore(settings.cores)
+        self._offered: deque[OfferedWork] = deque()
         self._offered_us = 0
 
     def ramp(self) -> float:
-        age = self._clock.now_us() - self.started_us
-        if age >= self._cold_us:
+        """The part of the full capacity that slow start has reached."""
+        age_us = self._clock.now_us() - self.started_us
+        settings = self._settings
+        if age_us >= settings.slow_start_us:
             return 1.0
-        return self._cold_from + (1 - self._cold_from) * age / self._cold_us
+        return settings.initial_capacity + (1 - settings.initial_capacity) * age_us / settings.slow_start_us
 
     def capacity(self) -> float:
-        """Microseconds of work a microsecond, now."""
-        return self.cores * self.ramp()
+        """Microseconds of work that can be done in a microsecond, now."""
+        return self._settings.cores * self.ramp()
 
     def offer(self, work_us: int) -> None:
-        """Counts what is sent, whether it is taken or not. Sent more than the multiple of what it can do
-        at that moment, for the whole overload span, a cold member falls over."""
+        """Count work that is sent, whether it is accepted or not.
+
+        A warming endpoint that is sent more than the overload multiple of its present capacity, over the
+        overload window, fails.
+        """
         if self.ramp() >= 1.0:
             self._offered.clear()
             self._offered_us = 0
             return
         now = self._clock.now_us()
-        self._offered.append((now, work_us))
+        window_us = self._settings.overload_window_us
+        self._offered.append(OfferedWork(now, work_us))
         self._offered_us += work_us
-        while self._offered and self._offered[0][0] <= now - self._overload_us:
-            self._offered_us -= self._offered.popleft()[1]
-        if self._offered_us > self._fall_multiple * self.capacity() * self._overload_us:
-            self._on_fall()
+        while self._offered and self._offered[0].at_us <= now - window_us:
+            self._offered_us -= self._offered.popleft().work_us
+        if self._offered_us > self._settings.overload_multiple * self.capacity() * window_us:
+            self._on_overload()
 
-    def draw(self, mean_us: int) -> int:
-        """Work of one request: mostly about the mean, sometimes a multiple."""
-        return int(mean_us * self._rng.lognormvariate(-0.08, 0.4))
+    def draw_work_us(self, mean_us: int) -> int:
+        """Draw the work of one request: mostly about the mean, sometimes a multiple."""
+        return int(mean_us * self._rng.lognormvariate(WORK_FACTOR_MU, WORK_FACTOR_SIGMA))
 
     @asynccontextmanager
-    async def core(self, work_us: int) -> AsyncIterator[None]:
-        """Waits for a core; leaving the context early (cancelled) frees it at once."""
-        if self.waiting >= self._queue:
-            raise Full
-        self.in_hand += 1
-        self.waiting += 1
-        waits = True
+    async def core(self) -> AsyncIterator[None]:
+        """Hold a core; waits for one, and releases it at once on cancellation. Raises QueueFullError."""
+        if self.queued >= self._settings.queue_limit:
+            raise QueueFullError
+        self.in_flight += 1
+        self.queued += 1
+        waiting = True
         try:
-            async with self._busy:
-                self.waiting -= 1
-                waits = False
+            async with self._cores:
+                self.queued -= 1
+                waiting = False
                 yield
         finally:
-            self.in_hand -= 1
-            self.waiting -= waits
+            self.in_flight -= 1
+            self.queued -= waiting
 
-    async def work(self, work_us: int) -> None:
-        await trio.sleep(work_us / 1_000_000 / max(self.speed * self.ramp(), 0.01))
+    async def execute(self, work_us: int) -> None:
+        """Take as long as the work takes on one core now."""
+        await trio.sleep(work_us / US / max(self.speed * self.ramp(), MIN_SPEED))
--- a/juniperreel/fakes/endpoint.py
+++ b/juniperreel/fakes/endpoint.py
@@ -5,16 +5,17 @@
 import random
 import re
 from collections.abc import Sequence
-from dataclasses import dataclass
 
 import trio
 from google.protobuf.message import DecodeError
 
-from juniperreel.fakes.capacity_model import Full, Machine
+from juniperreel.fakes.capacity_model import CapacityModel
+from juniperreel.fakes.endpoint_settings import EndpointSettings
+from juniperreel.fakes.errors import QueueFullError, StatementError
 from juniperreel.fakes.mysql_server import MysqlSide
 from juniperreel.fakes.postgres_server import PostgresSide
 from juniperreel.fakes.replication_group import Group, Replica
-from juniperreel.fakes.store import Commit, StatementFault, from_value, to_value
+from juniperreel.fakes.store import Commit, Statement, value_from_proto, value_to_proto
 from juniperreel.net import Clock, ConnectError, HeldPort, Network
 from juniperreel.proto.common.v1 import values_pb2
 from juniperreel.proto.member.v1 import member_pb2
@@ -41,24 +42,6 @@
 REPORT_EVERY_US = 100_000
 
 
-@dataclass(frozen=True, slots=True)
-class Shape:
-    """What all members of a fleet have in common."""
-
-    cores: int = 4
-    queue: int = 200
-    read_us: int = 12_000
-    write_us: int = 15_000
-    cold_from: float = 0.2
-    cold_us: int = 6_000_000
-    fall_multiple: float = 2.0
-    overload_us: int = 2_000_000
-    lock_wait_s: float = 0.5  # of statements behind another's transaction
-    mysql: bool = False  # edges are told of its MySQL side
-    postgres: bool = False  # it speaks to drivers in the operators' protocol
-    ack_replica: bool = True  # a write is answered when another member has it
-
-
 class Member:
     """One member on a port of its own. Faults are plain fields that the script sets."""
 
@@ -67,17 +50,17 @@
         name: str,
         group: Group,
         zone: int,
-        shape: Shape,
+        settings: EndpointSettings,
         network: Network,
         clock: Clock,
         seed: int,
         record: RecordSink,
     ) -> None:
-        self.name, self.group, self.zone, self.shape = name, group, zone, shape
+        self.name, self.group, self.zone, self.settings = name, group, zone, settings
         # Danger: while it is down, a connection of somebody else's may be given its port for its own end.
-        self._held = [HeldPort() for _ in range(2 if shape.mysql else 1)]
+        self._held = [HeldPort() for _ in range(2 if settings.mysql else 1)]
         self.port = self._held[0].port
-        self.mysql_port = self._held[-1].port if shape.mysql else 0
+        self.mysql_port = self._held[-1].port if settings.mysql else 0
         self.alive = False
         self.claims = False  # takes itself for the primary
         self.draining = False
@@ -97,17 +80,7 @@
         self.writer = trio.Lock()  # held by who writes, a transaction from its first write to its end
         self.mysql = MysqlSide(self)
         self.postgres = PostgresSide(self)
-        self.machine = Machine(
-            clock,
-            random.Random(seed + 1),
-            shape.cores,
-            shape.queue,
-            shape.cold_from,
-            shape.cold_us,
-            shape.fall_multiple,
-            shape.overload_us,
-            self._fall,
-        )
+        self.machine = CapacityModel(clock, random.Random(seed + 1), settings, self._fall)
         self._report = (0, member_pb2.ReportResponse())
         self._scope: trio.CancelScope | None = None
         self._running: dict[str, trio.Event] = {}  # keys of writes under way
@@ -123,8 +96,8 @@
         self.machine.started_us = now if cold else 0
         self.alive, self.hung, self._running = True, False, {}
         self.writer, self.mysql = trio.Lock(), MysqlSide(self)
-        mysql = await self._network.listen("127.0.0.1", self.mysql_port) if self.shape.mysql else None
-        self._record(EndpointStarted(now, self.name, cold, float(self.shape.cores)))
+        mysql = await self._network.listen("127.0.0.1", self.mysql_port) if self.settings.mysql else None
+        self._record(EndpointStarted(now, self.name, cold, float(self.settings.cores)))
         methods = {
             "/juniperreel.member.v1.Member/Execute": Method(unary=self._execute),
             "/juniperreel.member.v1.Member/Report": Method(unary=self._tell),
@@ -138,7 +111,7 @@
                         nursery.start_soon(self._follow)
                     if mysql is not None:
                         nursery.start_soon(self.mysql.serve, mysql)
-                    if self.shape.postgres:
+                    if self.settings.postgres:
                         await nursery.start(self.postgres.serve)
                     task_status.started()
                     await server.serve(listener)
@@ -177,7 +150,7 @@
     @property
     def door(self) -> int:
         """The port that edges are told of."""
-        return self.mysql_port if self.shape.mysql else self.port
+        return self.mysql_port if self.settings.mysql else self.port
 
     def now_us(self) -> int:
         """By its own clock, which a fault may have set wrong."""
@@ -283,7 +256,7 @@
         now = self._clock.now_us()
         if now - self._report[0] > REPORT_EVERY_US:  # reports are as old as their last refresh
             report = member_pb2.ReportResponse(
-                standing=self.standing(), in_hand=self.machine.in_hand, waiting=self.machine.waiting
+                standing=self.standing(), in_hand=self.machine.in_flight, waiting=self.machine.queued
             )
             self._report = (now, report)
         return self._report[1].SerializeToString()
@@ -301,8 +274,8 @@
         except (DecodeError, UnicodeDecodeError):
             raise RpcError(Code.INVALID_ARGUMENT, "not an ExecuteRequest") from None
         rid = RID.search(statement)
-        mean = self.shape.write_us if ask.write else self.shape.read_us
-        work = self.machine.draw(mean)
+        mean = self.settings.write_us if ask.write else self.settings.read_us
+        work = self.machine.draw_work_us(mean)
         edge = ask.request.rsplit("-", 2)[0]
         self._record(
             AttemptReceived(
@@ -349,13 +322,13 @@
             raise untouched("NOT_PRIMARY", f"{self.name} is a replica")
         if not ask.write:
             self._check_needs(ask)
-        parameters = [from_value(v) for v in ask.parameters]
+        parameters = [value_from_proto(v) for v in ask.parameters]
         try:
             self.copy.store.check(statement, parameters, ask.write)
-            async with self.machine.core(work):
+            async with self.machine.core():
                 if call.deadline_us is not None and self._clock.now_us() >= call.deadline_us:
                     raise RpcError(Code.DEADLINE_EXCEEDED, "not begun: the time is over")
-                await self.machine.work(work)
+                await self.machine.execute(work)
                 await self.wait_while_hung()
                 if ask.write:
                     response = await self._write(ask, statement, parameters, rid, done)
@@ -363,9 +336,9 @@
                     result = self.copy.store.query(statement, parameters)
                     response = member_pb2.ExecuteResponse(result=result, standing=self.standing())
                     done[0] = True
-        except Full:
+        except QueueFullError:
             raise untouched("NOT_EXECUTED", "the queue is full", Code.RESOURCE_EXHAUSTED) from None
-        except StatementFault as error:
+        except StatementError as error:
             raise untouched("STATEMENT", str(error), Code.INVALID_ARGUMENT) from None
         if self.losing and self._rng.random() < self.losing:
             await trio.sleep_forever()
@@ -405,7 +378,7 @@
         try:
             if known is None:
                 row = str(parameters[0]) if parameters else ""
-                position, rows = self.commit([(statement, tuple(parameters))], key, rid, row)
+                position, rows = self.commit([Statement(statement, tuple(parameters))], key, rid, row)
             else:
                 position, rows = known
             done[0] = True
@@ -420,13 +393,10 @@
             repeated=known is not None,
         )
 
-    def commit(
-        self, statements: Sequence[tuple[str, tuple[object, ...]]], key: str, rid: str, row: str
-    ) -> tuple[int, int]:
+    def commit(self, statements: Sequence[Statement], key: str, rid: str, row: str) -> tuple[int, int]:
         """Into the log, and done: position and rows changed. Raises sqlite3's errors, with nothing done."""
-        (statement, parameters), *more = statements
         epoch = self.copy.epoch
-        entry = Commit(epoch, self.group.next_position(), statement, parameters, key, rid, tuple(more))
+        entry = Commit(epoch, self.group.next_position(), tuple(statements), key, rid)
         rows = self.copy.apply(entry)
         self.copy.log.append(entry)
         now = self._clock.now_us()
@@ -436,33 +406,36 @@
     async def acknowledged(self, position: int) -> None:
         """Until another member has it, where writes are answered only then."""
         epoch = self.copy.epoch
-        while self.shape.ack_replica and not self.group.replicated(epoch, position, self):
+        while self.settings.synchronous_replication and not self.group.replicated(epoch, position, self):
             await self.group.arrived.wait()
 
 
 def entry_of(commit: Commit) -> member_pb2.LogEntry:
-    more = [
-        member_pb2.Statement(statement=text.encode(), parameters=[to_value(p) for p in parameters])
-        for text, parameters in commit.more
-    ]
+    first, *more = commit.statements
     return member_pb2.LogEntry(
-        more=more,
+        more=[
+            member_pb2.Statement(
+                statement=statement.text.encode(),
+                parameters=[value_to_proto(value) for value in statement.parameters],
+            )
+            for statement in more
+        ],
         epoch=commit.epoch,
         position=commit.position,
-        statement=commit.statement.encode(),
-        parameters=[to_value(p) for p in commit.parameters],
-        idempotency_key=commit.key,
-        request=commit.rid,
+        statement=first.text.encode(),
+        parameters=[value_to_proto(value) for value in first.parameters],
+        idempotency_key=commit.idempotency_key,
+        request=commit.request_id,
     )
 
 
 def commit_of(entry: member_pb2.LogEntry) -> Commit:
-    parameters = tuple(from_value(p) for p in entry.parameters)
-    statement = entry.statement.decode()
-    more = tuple((m.statement.decode(), tuple(from_value(p) for p in m.parameters)) for m in entry.more)
-    return Commit(
-        entry.epoch, entry.position, statement, parameters, entry.idempotency_key, entry.request, more
+    messages: list[member_pb2.LogEntry | member_pb2.Statement] = [entry, *entry.more]
+    statements = tuple(
+        Statement(message.statement.decode(), tuple(value_from_proto(p) for p in message.parameters))
+        for message in messages
     )
+    return Commit(entry.epoch, entry.position, statements, entry.idempotency_key, entry.request)
 
 
 def untouched(reason: str, text: str, code: Code = Code.FAILED_PRECONDITION) -> RpcError:
--- a/juniperreel/fakes/fleet.py
+++ b/juniperreel/fakes/fleet.py
@@ -8,8 +8,9 @@
 
 import trio
 
-from juniperreel.fakes.endpoint import Member, Shape
+from juniperreel.fakes.endpoint import Member
 from juniperreel.fakes.endpoint_list_server import HostList
+from juniperreel.fakes.endpoint_settings import EndpointSettings
 from juniperreel.fakes.replication_group import Group
 from juniperreel.fakes.script import Day, Step
 from juniperreel.net import Clock, Network
@@ -59,13 +60,13 @@
         `platform`: members speak to the platform's drivers."""
         self.day, self._network, self._clock, self._record = day, network, clock, record
         self._rng = random.Random(day["seed"])
-        self.shape = Shape(
+        self.settings = EndpointSettings(
             cores=day["cores"],
             read_us=day["read-work"],
             write_us=day["write-work"],
-            cold_us=day["cold-span"],
+            slow_start_us=day["cold-span"],
             mysql=bool(day["mysql-members"]),
-            ack_replica=not day["alone"],
+            synchronous_replication=not day["alone"],
             postgres=platform,
         )
         rng = random.Random(self._rng.random())
@@ -104,7 +105,7 @@
         name = f"g{group.number}-m{self._born}"
         zone = self._born % 2
         seed = self._rng.getrandbits(32)
-        member = Member(name, group, zone, self.shape, self._network, self._clock, seed, self._record)
+        member = Member(name, group, zone, self.settings, self._network, self._clock, seed, self._record)
         self._born += 1
         group.members.append(member)
         self.members[name] = member
--- a/juniperreel/fakes/mysql_engine.py
+++ b/juniperreel/fakes/mysql_engine.py
@@ -19,8 +19,8 @@
 import trio
 from sqlglot import exp
 
-from juniperreel.fakes.capacity_model import Full
-from juniperreel.fakes.store import Commit, Store
+from juniperreel.fakes.errors import QueueFullError
+from juniperreel.fakes.store import Commit, Statement, Store
 from juniperreel.mysql.constants import BINARY, UTF8MB4, ColumnType, Flag
 from juniperreel.mysql.values import Column
 
@@ -159,7 +159,7 @@
 class Transaction:
     data: Store
     read_only: bool
-    done: list[tuple[str, tuple[Any, ...]]] = field(default_factory=list)
+    done: list[Statement] = field(default_factory=list)
     rid: str = ""
     row: str = ""
     locked: bool = False
@@ -294,17 +294,17 @@
         if t is None:
             raise Problem(1305, "42000", f"SAVEPOINT {name} does not exist")
         if what == "savepoint":
-            t.data.run(f"savepoint {name}", ())
+            t.data.execute(f"savepoint {name}", ())
             t.saved.append((name, len(t.done)))
             return Done()
         at = next((i for i, (n, _) in enumerate(t.saved) if n == name), None)
         if at is None:
             raise Problem(1305, "42000", f"SAVEPOINT {name} does not exist")
         if what.startswith("release"):
-            t.data.run(f"release {name}", ())
+            t.data.execute(f"release {name}", ())
             del t.saved[at:]
         else:
-            t.data.run(f"rollback to {name}", ())
+            t.data.execute(f"rollback to {name}", ())
             del t.done[t.saved[at][1] :]
             del t.saved[at + 1 :]
         return Done()
@@ -318,7 +318,7 @@
         if lower == "select found_rows()":
             return Rows(["found_rows()"], iter([(self._found,)]))
         if lower == "show global status like 'threads_running'":
-            running = self.member.machine.in_hand
+            running = self.member.machine.in_flight
             return Rows(["Variable_name", "Value"], iter([("Threads_running", str(running))]))
         if (match := EVERY_TYPE.match(lower)) is not None:
             typed = [t for t in TYPED if t[0] != "year" or not match[1]]
@@ -366,10 +366,12 @@
             raise Problem(1290, "HY000", "The MySQL server is running with the --read-only option")
         if (what.writes or what.locks) and self.open is not None and self.open.read_only:
             raise Problem(1792, "25006", "Cannot execute statement in a READ ONLY transaction.")
-        work = member.machine.draw(member.shape.write_us if what.writes else member.shape.read_us)
+        work = member.machine.draw_work_us(
+            member.settings.write_us if what.writes else member.settings.read_us
+        )
         try:
-            async with member.machine.core(work):
-                await member.machine.work(work)
+            async with member.machine.core():
+                await member.machine.execute(work)
                 await member.wait_while_hung()
             # Locks and other members' receipts are waited for without a core.
             if what.writes:
@@ -377,14 +379,14 @@
             if what.locks and self.open is not None:
                 await self._lock(self.open)
             return self._read(what, parameters)
-        except Full:
+        except QueueFullError:
             raise Problem(1040, "08004", "Too many connections") from None
         except (sqlite3.Error, sqlite3.Warning) as error:
             raise problem_of(error) from None
 
     def _read(self, what: Understood, parameters: tuple[Any, ...]) -> Rows:
         data = self.open.data if self.open is not None else self.member.copy.store
-        cursor = data.run(what.text, parameters)
+        cursor = data.execute(what.text, parameters)
         names = [column[0] for column in cursor.description or ()]
         first = cursor.fetchmany(BATCH)
         self._row_count, self._found = -1, len(first)
@@ -394,7 +396,7 @@
         """The one write lock, and the data as of now."""
         if t.locked:
             return
-        with trio.move_on_after(self.member.shape.lock_wait_s) as wait:
+        with trio.move_on_after(self.member.settings.lock_wait_s) as wait:
             await self.member.writer.acquire()
         if wait.cancelled_caught:
             raise Problem(1205, "HY000", "Lock wait timeout exceeded; try restarting transaction")
@@ -409,8 +411,8 @@
         if t is None:
             return await self._write_alone(what, parameters, rid[1] if rid else "", row)
         await self._lock(t)
-        cursor = t.data.run(what.text, parameters)
-        t.done.append((what.text, parameters))
+        cursor = t.data.execute(what.text, parameters)
+        t.done.append(Statement(what.text, parameters))
         t.rid, t.row = t.rid or (rid[1] if rid else ""), t.row or row
         self._insert_id = cursor.lastrowid or self._insert_id
         self._row_count = max(cursor.rowcount, 0)
@@ -418,15 +420,15 @@
 
     async def _write_alone(self, what: Understood, parameters: tuple[Any, ...], rid: str, row: str) -> Done:
         member = self.member
-        with trio.move_on_after(self.member.shape.lock_wait_s) as wait:
+        with trio.move_on_after(self.member.settings.lock_wait_s) as wait:
             await member.writer.acquire()
         if wait.cancelled_caught:
             raise Problem(1205, "HY000", "Lock wait timeout exceeded; try restarting transaction")
         try:
             if not member.claims:
                 raise Problem(1290, "HY000", "The MySQL server is running with the --read-only option")
-            position, rows = member.commit([(what.text, parameters)], "", rid, row)
-            insert_id = member.copy.store.last_id()
+            position, rows = member.commit([Statement(what.text, parameters)], "", rid, row)
+            insert_id = member.copy.store.last_insert_id()
         finally:
             member.writer.release()
         return await self._committed(position, rows, insert_id)
--- a/juniperreel/fakes/mysql_server.py
+++ b/juniperreel/fakes/mysql_server.py
@@ -269,7 +269,7 @@
         cls = str(attributes.get("juniperreel_class", ""))
         write = bool(attributes.get("juniperreel_write"))
         rid = RID.search(text)
-        mean = member.shape.write_us if write else member.shape.read_us
+        mean = member.settings.write_us if write else member.settings.read_us
         member.record(
             AttemptReceived(now, member.name, edge, request, attempt, rid[1] if rid else "", cls, write, mean)
         )
--- a/juniperreel/fakes/postgres_server.py
+++ b/juniperreel/fakes/postgres_server.py
@@ -15,7 +15,8 @@
 
 import trio
 
-from juniperreel.fakes.capacity_model import Full
+from juniperreel.fakes.errors import QueueFullError
+from juniperreel.fakes.store import Statement
 from juniperreel.net import Refused
 from juniperreel.postgres import messages as m
 from juniperreel.postgres import server
@@ -99,7 +100,7 @@
         now = self.member.at_us()
         if now - self._report[0] > REPORT_EVERY_US:
             standing = self.member.standing()
-            primary, waiting = int(self.member.claims), self.member.machine.waiting
+            primary, waiting = int(self.member.claims), self.member.machine.queued
             text = f"x0={standing.position / 1e6:.6f},x1={primary},queue={waiting}"
             self._report = (now, text.encode())
         return self._report[1]
@@ -191,7 +192,7 @@
             if other.given_up():
                 other.abandon()
         number = side.asked[form.id] = side.asked.get(form.id, -1) + 1
-        mean = member.shape.write_us if form.write else member.shape.read_us
+        mean = member.settings.write_us if form.write else member.settings.read_us
         now, name = member.at_us(), member.name
         member.record(
             AttemptReceived(now, name, self._driver, form.id, number, form.id, form.cls, form.write, mean)
@@ -222,15 +223,15 @@
             raise Refusal("XX000", "something inside is broken")
         if form.write and not member.claims:
             raise Refusal("25006", "not the primary")
-        work = member.machine.draw(mean)
+        work = member.machine.draw_work_us(mean)
         try:
-            async with member.machine.core(work):
+            async with member.machine.core():
                 if member.at_us() >= until_us:
                     raise Refusal("53300", "the request is over already")
-                await member.machine.work(work)
+                await member.machine.execute(work)
                 await member.wait_while_hung()
                 value, commit = await self._effect(form) if form.write else (self._rows(form), None)
-        except Full:
+        except QueueFullError:
             raise Refusal("53300", "the queue is full") from None
         if member.chance(member.losing):
             raise Lost(broken=False)
@@ -240,7 +241,7 @@
         return row(value) + self._facts(commit) + m.READY
 
     def _rows(self, form: Form) -> bytes:
-        cursor = self._member.copy.store.run(SELECT, (form.key, ROWS))
+        cursor = self._member.copy.store.execute(SELECT, (form.key, ROWS))
         return self._named(",".join(str(found) for (found,) in cursor.fetchall()))
 
     def _named(self, ids: str) -> bytes:
@@ -254,7 +255,7 @@
         known = member.copy.keys.get(key) if key else None
         if known is None:
             try:
-                known = member.commit([(INSERT, (form.key, form.id))], key, form.id, form.key)
+                known = member.commit([Statement(INSERT, (form.key, form.id))], key, form.id, form.key)
             except sqlite3.Error as error:
                 raise Refusal("XX000", str(error)) from None
         await member.acknowledged(known[0])
--- a/juniperreel/fakes/replication_group.py
+++ b/juniperreel/fakes/replication_group.py
@@ -44,8 +44,8 @@
 
     def apply(self, commit: Commit) -> int:
         rows = self.store.apply(commit)
-        if commit.key:
-            self.keys[commit.key] = (commit.position, rows)
+        if commit.idempotency_key:
+            self.keys[commit.idempotency_key] = (commit.position, rows)
         return rows
 
     def forget_keys(self, before: int) -> None:
--- a/juniperreel/fakes/store.py
+++ b/juniperreel/fakes/store.py
@@ -1,6 +1,7 @@
-"""A member's data: rows in sqlite, and the log they come from. No I/O but memory.
+"""The data of a fake endpoint: rows in an in-memory SQLite database, and the commits they come from.
 
-Each row carries the name of the request that wrote it, so that an answer shows which commits it contains.
+Each row carries the identifier of the request that wrote it, so that a result shows which commits it
+contains.
 """
 
 from __future__ import annotations
@@ -8,111 +9,121 @@
 import sqlite3
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, NamedTuple
 
+from juniperreel.fakes.errors import StatementError
 from juniperreel.proto.common.v1 import values_pb2
 
 SCHEMA = "create table runs (number integer primary key, runner text not null, id text not null); "
 INDEX = "create index by_runner on runs (runner, number)"
 MAX_ROWS = 10_000
+READ_KEYWORDS = ("select", "values", "with")
 
 
-class StatementFault(Exception):
-    """The statement itself is at fault."""
+class Statement(NamedTuple):
+    """A statement with its parameters."""
+
+    text: str
+    parameters: tuple[Any, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class Commit:
-    """One entry of a group's log. `position` is microseconds on the group's clock; `more` are a transaction's
-    statements after the first."""
+    """One entry of a group's log. `position` is microseconds on the group's clock."""
 
     epoch: int
     position: int
-    statement: str
-    parameters: tuple[Any, ...]
-    key: str
-    rid: str
-    more: tuple[tuple[str, tuple[Any, ...]], ...] = ()
+    statements: tuple[Statement, ...]  # of one transaction
+    idempotency_key: str
+    request_id: str
 
 
 class Store:
-    """Applies commits in order and answers statements from what is applied."""
+    """Applies commits in order and executes statements on what is applied."""
 
     def __init__(self) -> None:
-        self._db = self._fresh()
-        self.applied = 0  # commits
+        self._database = self._create_database()
+        self.applied = 0  # number of commits
 
     @staticmethod
-    def _fresh() -> sqlite3.Connection:
-        db = sqlite3.connect(":memory:", isolation_level=None, check_same_thread=False)
-        db.executescript(SCHEMA + INDEX)
-        return db
+    def _create_database() -> sqlite3.Connection:
+        database = sqlite3.connect(":memory:", isolation_level=None, check_same_thread=False)
+        database.executescript(SCHEMA + INDEX)
+        return database
 
     def close(self) -> None:
-        self._db.close()
+        """Release the database."""
+        self._database.close()
 
     def check(self, statement: str, parameters: Sequence[Any], write: bool) -> None:
-        """Raises StatementFault for what would not run, without running it."""
+        """Raise StatementError for a statement that would fail, without executing it."""
         try:
-            self._db.execute("explain " + statement, parameters)
+            self._database.execute("explain " + statement, parameters)
         except (sqlite3.Error, sqlite3.Warning) as error:
-            raise StatementFault(str(error)) from None
-        reads = statement.lstrip().lower().startswith(("select", "values", "with"))
-        if reads == write:
-            raise StatementFault(
-                "a read in a class that writes" if write else "a write in a class that reads"
-            )
+            raise StatementError(str(error)) from error
+        is_read = statement.lstrip().lower().startswith(READ_KEYWORDS)
+        if is_read and write:
+            raise StatementError("a read in a class that writes")
+        if not is_read and not write:
+            raise StatementError("a write in a class that reads")
 
     def apply(self, commit: Commit) -> int:
-        """The number of rows changed."""
-        self._db.execute("begin")
+        """Apply a commit as one transaction and return the number of rows changed."""
+        self._database.execute("begin")
         try:
-            rows = self._db.execute(commit.statement, commit.parameters).rowcount
-            for statement, parameters in commit.more:
-                rows += self._db.execute(statement, parameters).rowcount
+            rows = 0
+            for statement in commit.statements:
+                rows += self._database.execute(statement.text, statement.parameters).rowcount
         except sqlite3.Error:
-            self._db.execute("rollback")
+            self._database.execute("rollback")
             raise
-        self._db.execute("commit")
+        self._database.execute("commit")
         self.applied += 1
         return rows
 
     def fork(self) -> Store:
-        """A copy as of now, of which nobody else sees what is done to it."""
+        """A copy as of now; changes of either are not seen by the other."""
         other = Store()
-        self._db.backup(other._db)
+        self._database.backup(other._database)
         other.applied = self.applied
         return other
 
-    def last_id(self) -> int:
-        """The number that the last insert was given."""
-        return int(self._db.execute("select last_insert_rowid()").fetchone()[0])
+    def last_insert_id(self) -> int:
+        """The number that the last inserted row was given."""
+        return int(self._database.execute("select last_insert_rowid()").fetchone()[0])
+
+    def execute(self, statement: str, parameters: Sequence[Any]) -> sqlite3.Cursor:
+        """Execute a statement; raises sqlite3's errors.
 
-    def run(self, statement: str, parameters: Sequence[Any]) -> sqlite3.Cursor:
-        """Raises sqlite3's errors. Writes are for forks: those of all go through `apply`."""
-        return self._db.execute(statement, parameters)
+        Writes are allowed on forks only: the group's own data change through `apply`.
+        """
+        return self._database.execute(statement, parameters)
 
     def rebuild(self, log: Iterable[Commit]) -> None:
-        self._db.close()
-        self._db, self.applied = self._fresh(), 0
+        """Start again from an empty database and apply a log."""
+        self._database.close()
+        self._database = self._create_database()
+        self.applied = 0
         for commit in log:
             self.apply(commit)
 
     def query(self, statement: str, parameters: Sequence[Any]) -> values_pb2.ResultSet:
+        """The complete result of a read. Raises StatementError, also for more than `MAX_ROWS` rows."""
         try:
-            cursor = self._db.execute(statement, parameters)
+            cursor = self._database.execute(statement, parameters)
             rows = cursor.fetchmany(MAX_ROWS + 1)
         except (sqlite3.Error, sqlite3.Warning) as error:
-            raise StatementFault(str(error)) from None
+            raise StatementError(str(error)) from error
         if len(rows) > MAX_ROWS:
-            raise StatementFault(f"more than {MAX_ROWS} rows")
+            raise StatementError(f"more than {MAX_ROWS} rows")
         result = values_pb2.ResultSet(columns=[column[0] for column in cursor.description or ()])
         for row in rows:
-            result.rows.add(values=[to_value(v) for v in row])
+            result.rows.add(values=[value_to_proto(value) for value in row])
         return result
 
 
-def to_value(value: Any) -> values_pb2.Value:
+def value_to_proto(value: Any) -> values_pb2.Value:
+    """Encode a value of SQLite."""
     match value:
         case None:
             return values_pb2.Value(null=True)
@@ -126,6 +137,7 @@
             return values_pb2.Value(blob=bytes(value))
 
 
-def from_value(value: values_pb2.Value) -> Any:
+def value_from_proto(value: values_pb2.Value) -> Any:
+    """Decode a value for SQLite."""
     kind = value.WhichOneof("kind")
     return None if kind in (None, "null") else getattr(value, kind)
--- a/juniperreel/testbed/large.py
+++ b/juniperreel/testbed/large.py
@@ -13,7 +13,7 @@
 
 import trio
 
-from juniperreel.fakes.endpoint import Shape
+from juniperreel.fakes.endpoint_settings import EndpointSettings
 from juniperreel.fakes.script import Day, render
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.net.clock import US
@@ -148,7 +148,10 @@
 
     def _gather(self, at: int) -> None:
         """In order of time. Each process noted the faults; one note of each is enough."""
-        found: list[rec.Record] = [*classes(at), limits(at, Shape(cold_us=self.day["cold-span"]))]
+        found: list[rec.Record] = [
+            *classes(at),
+            limits(at, EndpointSettings(slow_start_us=self.day["cold-span"])),
+        ]
         for step in self.day.steps:
             found.append(rec.Fault(at + step.at_us, step.text, True))
             found.append(rec.Fault(at + step.at_us + step.for_us, step.text, False))
--- a/juniperreel/testbed/platformfleet.py
+++ b/juniperreel/testbed/platformfleet.py
@@ -82,7 +82,7 @@
         mix = classes(now)
         for cls in mix:
             self.recorder(cls)
-        self.recorder(limits(now, self.fleet.shape))
+        self.recorder(limits(now, self.fleet.settings))
         async with trio.open_nursery() as nursery:
             links = Links(self._network, nursery, self._rng.getrandbits(32))
             self.drivers.links = links
--- a/juniperreel/testbed/sides.py
+++ b/juniperreel/testbed/sides.py
@@ -20,7 +20,7 @@
 
 import trio
 
-from juniperreel.fakes.endpoint import Shape
+from juniperreel.fakes.endpoint_settings import EndpointSettings
 from juniperreel.fakes.fleet import Fleet
 from juniperreel.fakes.platform_clients import Session
 from juniperreel.fakes.platform_discovery import PlatformHosts
@@ -57,9 +57,15 @@
     return read, own, write
 
 
-def limits(now: int, shape: Shape) -> rec.Limits:
+def limits(now: int, shape: EndpointSettings) -> rec.Limits:
     return rec.Limits(
-        now, GRACE_US, shape.cold_from, shape.cold_us, shape.fall_multiple, shape.overload_us, 6
+        now,
+        GRACE_US,
+        shape.initial_capacity,
+        shape.slow_start_us,
+        shape.overload_multiple,
+        shape.overload_window_us,
+        6,
     )
 
 
@@ -172,7 +178,7 @@
         self.processes = Processes(directory)
         self.ports: dict[str, int] = {}  # of drivers that listen
         self._log_read: dict[str, int] = {}
-        self._shape = Shape(cold_us=day["cold-span"])
+        self._shape = EndpointSettings(slow_start_us=day["cold-span"])
 
     async def _config(self, driver: str) -> dict[str, Any]:
         assert self.links is not None
@@ -209,11 +215,11 @@
             "prices": {"probe": 0.08, "cross_zone": 0.02},
             "rules": {
                 "ask_every_s": self.day["ask-every"] / US,
-                "cold_from": shape.cold_from,
-                "cold_s": shape.cold_us / US,
-                "fall_multiple": shape.fall_multiple,
+                "cold_from": shape.initial_capacity,
+                "cold_s": shape.slow_start_us / US,
+                "fall_multiple": shape.overload_multiple,
                 "grace_to_answer_s": 0.02,
-                "overload_for_s": shape.overload_us / US,
+                "overload_for_s": shape.overload_window_us / US,
                 "stop_sending_within_s": GRACE_US / US,
             },
             "services": services,
--- a/tests/e2e/test_transactions.py
+++ b/tests/e2e/test_transactions.py
@@ -168,7 +168,7 @@
 async def test_a_read_only_transaction_goes_to_a_replica_that_holds_the_token(world: World) -> None:
     arrived: list[str] = []
     for member in world.fleet.members.values():
-        member.machine.draw = noting(member.machine.draw, arrived, member.name)  # type: ignore
+        member.machine.draw_work_us = noting(member.machine.draw_work_us, arrived, member.name)  # type: ignore
 
     def work(connection: Any) -> Any:
         ask(connection, INSERT % ("ro", "one"))
@@ -572,10 +572,10 @@
         for _ in range(40):
             several.start_soon(world.read, "r")  # so that idle connections are there
     for member in world.fleet.members.values():
-        member.shape = replace(member.shape, read_us=60_000_000)
+        member.settings = replace(member.settings, read_us=60_000_000)
     await alone()
     await until(lambda: links(world).killed == 1)
-    await until(lambda: not any(m.machine.in_hand for m in world.fleet.members.values()))
+    await until(lambda: not any(m.machine.in_flight for m in world.fleet.members.values()))
 
 
 # What the other front may not do on connections that are shared.
--- a/tests/fakes/test_fakes.py
+++ b/tests/fakes/test_fakes.py
@@ -12,10 +12,12 @@
 import pytest
 import trio
 
-from juniperreel.fakes.capacity_model import Full, Machine
+from juniperreel.fakes.capacity_model import CapacityModel
+from juniperreel.fakes.endpoint_settings import EndpointSettings
+from juniperreel.fakes.errors import QueueFullError, StatementError
 from juniperreel.fakes.replication_group import Replica
 from juniperreel.fakes.script import ScriptError, parse
-from juniperreel.fakes.store import Commit, StatementFault, Store
+from juniperreel.fakes.store import Commit, Statement, Store
 from juniperreel.net import Clock
 from juniperreel.proto.hosts.v1 import hosts_pb2
 
@@ -24,7 +26,7 @@
 
 
 def commit(position: int, rid: str, epoch: int = 1, key: str = "") -> Commit:
-    return Commit(epoch, position, WRITE, ("r", rid), key, rid)
+    return Commit(epoch, position, (Statement(WRITE, ("r", rid)),), key, rid)
 
 
 def ids(store: Store) -> list[str]:
@@ -43,7 +45,7 @@
     [("selekt", False), ("delete from runs", False), (READ, True), ("select * from x", False)],
 )
 def test_statements_at_fault_are_told_without_running(statement: str, write: bool) -> None:
-    with pytest.raises(StatementFault):
+    with pytest.raises(StatementError):
         Store().check(statement, ["r"] if "?" in statement else [], write)
 
 
@@ -71,11 +73,10 @@
 async def test_a_cold_machine_falls_only_under_more_than_it_bears(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
-    def machine() -> tuple[Machine, list[bool]]:
+    def machine() -> tuple[CapacityModel, list[bool]]:
         fell: list[bool] = []
-        made = Machine(
-            clock, random.Random(1), 2, 5, 0.2, 6_000_000, 2.0, 2_000_000, lambda: fell.append(True)
-        )
+        settings = EndpointSettings(2, 5, 1, 1, 0.2, 6_000_000, 2.0, 2_000_000)
+        made = CapacityModel(clock, random.Random(1), settings, lambda: fell.append(True))
         made.started_us = clock.now_us()
         return made, fell
 
@@ -98,11 +99,12 @@
 async def test_a_full_queue_turns_away_and_a_cancelled_wait_leaves_it(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
-    machine = Machine(Clock(0), random.Random(1), 1, 1, 0.2, 1, 2.0, 1, lambda: None)
+    settings = EndpointSettings(1, 1, 1, 1, 0.2, 1, 2.0, 1)
+    machine = CapacityModel(Clock(0), random.Random(1), settings, lambda: None)
     async with trio.open_nursery() as nursery:
 
         async def busy() -> None:
-            async with machine.core(1000):
+            async with machine.core():
                 await trio.sleep(1)
 
         nursery.start_soon(busy)
@@ -110,11 +112,11 @@
         with trio.move_on_after(0.5):
             nursery.start_soon(busy)
             await trio.testing.wait_all_tasks_blocked()
-            assert (machine.in_hand, machine.waiting) == (2, 1)
-            with pytest.raises(Full):
-                async with machine.core(1):
+            assert (machine.in_flight, machine.queued) == (2, 1)
+            with pytest.raises(QueueFullError):
+                async with machine.core():
                     pass
-    assert (machine.in_hand, machine.waiting) == (0, 0)
+    assert (machine.in_flight, machine.queued) == (0, 0)
 
 
 def test_a_script_is_read_whole() -> None:
--- a/tests/mysql/test_client.py
+++ b/tests/mysql/test_client.py
@@ -12,7 +12,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from juniperreel.fakes.endpoint import Member, Shape
+from juniperreel.fakes.endpoint import Member
+from juniperreel.fakes.endpoint_settings import EndpointSettings
 from juniperreel.fakes.mysql_server import PASSWORD, USER
 from juniperreel.fakes.replication_group import Group
 from juniperreel.mysql.auth import NATIVE, SHA2, Credential
@@ -269,7 +270,7 @@
 class Alone:
     """A group of one primary that speaks MySQL and nothing else of a world."""
 
-    def __init__(self, shape: Shape) -> None:
+    def __init__(self, shape: EndpointSettings) -> None:
         self.recorder = Recorder()
         clock = Clock()
         self.group = Group(0, clock, random.Random(1), self.recorder, 1.0, 1.0)
@@ -293,7 +294,7 @@
 
 @pytest.fixture
 async def alone(nursery: trio.Nursery) -> Alone:
-    made = Alone(Shape(mysql=True, ack_replica=False, read_us=100, write_us=100))
+    made = Alone(EndpointSettings(mysql=True, synchronous_replication=False, read_us=100, write_us=100))
     await nursery.start(made.member.run, False)
     made.member.claims = True
     return made
@@ -340,7 +341,7 @@
 
     assert await alone.use(work) == [((2,),), ((0,),), (("one",), ("three",)), ((2,),)]
     (commit,) = alone.member.copy.log
-    assert len(commit.more) == 1, "one entry of the log"
+    assert len(commit.statements) == 2, "one entry of the log"
 
 
 async def test_the_stand_in_tells_faults_in_mysql_s_words(alone: Alone) -> None:
