--- a/benchmarks/mysql_front.py
+++ b/benchmarks/mysql_front.py
@@ -110,8 +110,8 @@
         "    fleet = Fleet(parse(open(sys.argv[1]).read()), TcpNetwork(), Clock(), Nothing())\n"
         "    async with trio.open_nursery() as nursery:\n"
         "        await nursery.start(fleet.run)\n"
-        "        ports = [m.mysql_port for m in fleet.members.values()]\n"
-        "        print(json.dumps([fleet.hosts.port, ports]), flush=True)\n"
+        "        ports = [m.mysql_port for m in fleet.endpoints.values()]\n"
+        "        print(json.dumps([fleet.endpoint_list.port, ports]), flush=True)\n"
         "        await trio.sleep_forever()\n"
         "trio.run(main)\n"
     )
--- a/benchmarks/pool_soak.py
+++ b/benchmarks/pool_soak.py
@@ -249,7 +249,7 @@
     async with trio.open_nursery() as nursery:
         fleet = Fleet(parse(DAY.format(seed=seed)), network, clock, recorder)
         await nursery.start(fleet.run)
-        text = EDGE.format(seed=seed, hosts=fleet.hosts.port, user=USER, connections=connections)
+        text = EDGE.format(seed=seed, hosts=fleet.endpoint_list.port, user=USER, connections=connections)
         settings = parse_edge(text.encode(), "edge.conf", folder)
         with (folder / "edge.log").open("w") as log:
             edge = Edge(settings, network, clock, make_log(stream=log))
@@ -295,8 +295,8 @@
     """One connection now and then, wherever it is in its statement."""
     while True:
         await trio.sleep(rng.uniform(0.01, 0.1))
-        member = rng.choice(list(fleet.members.values()))
-        threads = list(member.mysql._scopes)
+        member = rng.choice(list(fleet.endpoints.values()))
+        threads = member.mysql.connection_numbers()
         if threads:
             member.kill_connection(rng.choice(threads))
             tally.killed += 1
--- a/juniperreel/cli/demo.py
+++ b/juniperreel/cli/demo.py
@@ -41,8 +41,8 @@
         if world.population is None:
             start = trio.current_time()
             continue
-        world.population.on_answer = count
-        alive = sum(m.alive for m in world.fleet.members.values())
+        world.population.on_response(count)
+        alive = sum(m.alive for m in world.fleet.endpoints.values())
         mean = sum(served) / len(served) / 1000 if served else 0.0
         told = ", ".join(f"{name} {counts.get(name, 0)}" for name in ("served", "refused", "failed"))
         faults = [
--- a/juniperreel/cli/feeder.py
+++ b/juniperreel/cli/feeder.py
@@ -98,7 +98,7 @@
         edges: Callable[[], list[str]],
     ) -> None:
         self._fleet, self._clock, self._record, self._edges = fleet, clock, record, edges
-        self._instances = Instances(network, clock, random.Random(fleet.day["seed"]), addresses)
+        self._instances = Instances(network, clock, random.Random(fleet.script["seed"]), addresses)
         self._now: Configuration = EMPTY
         self._sequence = 0
         self.ready = trio.Event()
@@ -119,7 +119,7 @@
             info = GroupInfo(group.epoch, primary)
             if self._now.groups.get(group.number) != info:
                 changes.append(SetGroup(group.number, info))
-        for name, member in self._fleet.members.items():
+        for name, member in self._fleet.endpoints.items():
             state = "up" if not member.draining else "draining" if member.alive else "gone"
             info_of = MemberInfo(
                 member.group.number,
@@ -127,7 +127,7 @@
                 member.port,
                 member.zone,
                 state=state,
-                started_us=member.machine.started_us,
+                started_us=member.capacity.started_us,
             )
             if self._now.members.get(name) != info_of:
                 changes.append(SetMember(name, info_of))
--- a/juniperreel/cli/standins.py
+++ b/juniperreel/cli/standins.py
@@ -9,7 +9,7 @@
 import trio
 
 from juniperreel.fakes.fleet import Fleet
-from juniperreel.fakes.fleet_processes import Parts
+from juniperreel.fakes.fleet_processes import FleetProcesses
 from juniperreel.fakes.script import Day, ScriptError, Step, parse
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.net.clock import US
@@ -19,10 +19,10 @@
 async def play(day: Day, recorder: Recorder, port: int) -> None:
     async with trio.open_nursery() as nursery:
         fleet = Fleet(day, TcpNetwork(), Clock(), recorder)
-        fleet.hosts.port = port
+        fleet.endpoint_list.port = port
         await nursery.start(fleet.run)
-        click.echo(f"host list on 127.0.0.1:{fleet.hosts.port}")
-        for member in fleet.members.values():
+        click.echo(f"host list on 127.0.0.1:{fleet.endpoint_list.port}")
+        for member in fleet.endpoints.values():
             click.echo(f"{member.name} on 127.0.0.1:{member.port}")
 
         async def no_edge(step: Step) -> None:
@@ -37,7 +37,7 @@
     """Each part keeps its records beside `record`, with its number behind the name."""
 
     async def run() -> None:
-        await Parts(script, day, port, processes, record).run(click.echo)
+        await FleetProcesses(script, day, port, processes, record).run(click.echo)
 
     try:
         trio.run(run)
--- a/juniperreel/cli/world.py
+++ b/juniperreel/cli/world.py
@@ -16,7 +16,8 @@
 from msgspec import structs
 
 from juniperreel.cli.feeder import ConfigCluster, Feeder
-from juniperreel.fakes.clients import Mix, Mysql, Population
+from juniperreel.fakes.client_population import ClientPopulation
+from juniperreel.fakes.client_session import EdgeAddress, MysqlTraffic, TrafficClass
 from juniperreel.fakes.fleet import Fleet
 from juniperreel.fakes.mysql_server import PASSWORD as MEMBER_PASSWORD
 from juniperreel.fakes.mysql_server import USER
@@ -33,16 +34,20 @@
 MS = 1_000
 
 MIX = (
-    Mix(
+    TrafficClass(
         rec.RequestClass(0, "board-read", "repeatable", 0, False, False, 300 * MS, 500 * MS, 3, 0.2),
         0.60,
         2 * US,
     ),
-    Mix(
+    TrafficClass(
         rec.RequestClass(0, "own-read", "repeatable", 0, False, True, -1, 600 * MS, 3, 0.2), 0.20, 2_500 * MS
     ),
-    Mix(rec.RequestClass(0, "run-write", "keyed", 5 * US, True, False, -1, 1_200 * MS, 4, 0.7), 0.17, 4 * US),
-    Mix(rec.RequestClass(0, "run-once", "once", 0, True, False, -1, 1_200 * MS, 4, 0.7), 0.03, 4 * US),
+    TrafficClass(
+        rec.RequestClass(0, "run-write", "keyed", 5 * US, True, False, -1, 1_200 * MS, 4, 0.7), 0.17, 4 * US
+    ),
+    TrafficClass(
+        rec.RequestClass(0, "run-once", "once", 0, True, False, -1, 1_200 * MS, 4, 0.7), 0.03, 4 * US
+    ),
 )
 
 EDGE = """\
@@ -103,13 +108,15 @@
 """
 
 
-def mix_of(day: Day) -> list[Mix]:
+def mix_of(day: Day) -> list[TrafficClass]:
     """Members that speak MySQL remember no keys: there, every write is of effect once."""
     if not day["mysql-members"]:
         return list(MIX)
     return [
-        replace(m, cls=structs.replace(m.cls, idempotency="once", deduplication_window_us=0))
-        if m.cls.idempotency == "keyed"
+        replace(
+            m, request_class=structs.replace(m.request_class, idempotency="once", deduplication_window_us=0)
+        )
+        if m.request_class.idempotency == "keyed"
         else m
         for m in MIX
     ]
@@ -119,8 +126,8 @@
     return f"{us // 1000}ms"
 
 
-def class_text(mix: Mix) -> str:
-    cls = mix.cls
+def class_text(mix: TrafficClass) -> str:
+    cls = mix.request_class
     consistency = (
         "write" if cls.write else "session" if cls.session else f"bounded {span(cls.max_staleness_us)}"
     )
@@ -166,7 +173,7 @@
         self.edges = [EdgeProcess(f"edge{n}") for n in range(day["edges"])]
         self.network = network
         self.cluster = ConfigCluster(folder, network) if raft else None
-        self.population: Population | None = None
+        self.population: ClientPopulation | None = None
         self._nursery: trio.Nursery | None = None
         (folder / "app.password").write_bytes(PASSWORD)
         (folder / "member.password").write_bytes(MEMBER_PASSWORD)
@@ -194,7 +201,7 @@
 
     def _sources(self) -> str:
         if self.cluster is None:
-            return f"source 127.0.0.1:{self.fleet.hosts.port}"
+            return f"source 127.0.0.1:{self.fleet.endpoint_list.port}"
         return "\n".join(f"instance 127.0.0.1:{port}" for port in self.cluster.ports)
 
     async def start_edge(self, number: int) -> None:
@@ -204,7 +211,7 @@
         settings = self._settings(edge, number)
         command = [sys.executable, "-m", "juniperreel.cli.main", "edge", str(settings)]
         if self.careless:
-            hosts = str(self.fleet.hosts.port)
+            hosts = str(self.fleet.endpoint_list.port)
             command = [
                 sys.executable,
                 "-m",
@@ -263,7 +270,7 @@
         day = self.day
         now = self.clock.now_us()
         for mix in mix_of(day):
-            self.record(mix.cls)
+            self.record(mix.request_class)
         shape = self.fleet.settings
         self.record(
             rec.Limits(
@@ -284,7 +291,7 @@
                 for number in range(len(self.edges)):
                     await self.start_edge(number)
                 await trio.sleep(1.0)
-                self.population = Population(
+                self.population = ClientPopulation(
                     self.network,
                     self.clock,
                     self.record,
@@ -294,7 +301,7 @@
                     day["groups"],
                     day["sessions"],
                     day["retries"],
-                    [(edge.name, edge.port) for edge in self.edges],
+                    [EdgeAddress(edge.name, edge.port) for edge in self.edges],
                     self._mysql(),
                 )
                 async with trio.open_nursery() as faults:
@@ -308,12 +315,14 @@
                         await self.cluster.stop()
             self._nursery.cancel_scope.cancel()
 
-    def _mysql(self) -> Mysql | None:
+    def _mysql(self) -> MysqlTraffic | None:
         ports = [edge.mysql for edge in self.edges]
         if not self.day["mysql"] or not all(ports):
             return None
-        made = Mysql(ports, self.day["mysql"] / 100, "board", PASSWORD, "fastlap", "own-read", "run-write")
-        return replace(made, transactions=self.day["transactions"] / 100)
+        made = MysqlTraffic(
+            ports, self.day["mysql"] / 100, "board", PASSWORD, "fastlap", "own-read", "run-write"
+        )
+        return replace(made, transaction_part=self.day["transactions"] / 100)
 
     async def _start_cluster(self, nursery: trio.Nursery) -> None:
         assert self.cluster is not None
--- a/juniperreel/fakes/endpoint_list_server.py
+++ b/juniperreel/fakes/endpoint_list_server.py
@@ -1,8 +1,9 @@
-"""The host list: a gRPC service that knows late, and sometimes wrongly, which members there are."""
+"""The endpoint list: a gRPC service that shows, late and sometimes wrongly, which endpoints there are."""
 
 from __future__ import annotations
 
 import random
+from typing import NamedTuple
 
 import trio
 
@@ -14,32 +15,57 @@
 from juniperreel.rpc.status import Code, RpcError
 from juniperreel.verification.records import EndpointListed, RecordSink
 
-NAMES = {
+READINESS_NAMES = {
     hosts_pb2.READINESS_UP: "up",
     hosts_pb2.READINESS_DRAINING: "draining",
     hosts_pb2.READINESS_GONE: "gone",
 }
 MAX_WATCHES = 1000
+UPDATE_INTERVAL_S = 0.05
 
 
-class HostList:
-    """`tell` is how the fleet reports a host; the list shows it `delay` later."""
+class PendingUpdate(NamedTuple):
+    """An update that is shown once it is due."""
+
+    due_us: int
+    host: hosts_pb2.Host
+
+
+class ListVersion(NamedTuple):
+    """The version of the list. A new generation ends all watches, which start again with a snapshot."""
+
+    generation: int
+    update: int
+
+
+def draw_due_us(clock: Clock, rng: random.Random, delay_us: int) -> int:
+    """When an update with a mean delay is shown."""
+    return clock.now_us() + int(delay_us * rng.uniform(0.6, 1.4))
+
+
+class EndpointListServer:
+    """Shows the endpoints that were published, each after a delay."""
 
     def __init__(
         self, network: Network, clock: Clock, rng: random.Random, record: RecordSink, delay_us: int
     ) -> None:
         self.port = 0
-        self.frozen = self.empty = False
-        self._network, self._clock, self._rng, self._record = network, clock, rng, record
+        self.frozen = False  # updates are not shown
+        self._empty = False
+        self._network = network
+        self._clock = clock
+        self._rng = rng
+        self._record = record
         self._delay_us = delay_us
-        self._due: list[tuple[int, hosts_pb2.Host]] = []
+        self._pending: list[PendingUpdate] = []
         self._shown: dict[str, hosts_pb2.Host] = {}
         self._hidden: set[str] = set()
-        self._version = 0
+        self._version = ListVersion(0, 0)
         self._changed = Wakeup()
         self._watches = 0
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until cancelled."""
         listener = await self._network.listen("127.0.0.1", self.port)
         self.port = listener.port
         methods = {
@@ -47,60 +73,64 @@
             "/juniperreel.hosts.v1.Hosts/Watch": Method(streaming=self._watch),
         }
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._show)
+            nursery.start_soon(self._show_due_updates)
             nursery.start_soon(Server(methods, Limits(), self._clock).serve, listener)
             task_status.started()
 
-    def tell(self, host: hosts_pb2.Host, delay_us: int | None = None) -> None:
-        wait = self._delay_us if delay_us is None else delay_us
-        self._due.append((self._clock.now_us() + int(wait * self._rng.uniform(0.6, 1.4)), host))
+    def publish(self, host: hosts_pb2.Host, delay_us: int | None = None) -> None:
+        """Show an endpoint's state after a delay; None stands for the list's own."""
+        delay_us = self._delay_us if delay_us is None else delay_us
+        self._pending.append(PendingUpdate(draw_due_us(self._clock, self._rng, delay_us), host))
 
-    def names(self) -> list[str]:
-        """Of all hosts that it knows to be there."""
-        return [n for n, h in self._shown.items() if h.readiness != hosts_pb2.READINESS_GONE]
+    def endpoint_names(self) -> list[str]:
+        """All endpoints that are shown, hidden ones included."""
+        return [name for name, host in self._shown.items() if _is_present(host)]
 
     def hide(self, names: set[str]) -> None:
-        """Hosts that the list forgets for now, though they run."""
+        """Omit these endpoints, and no others, from now on, though they run."""
         self._hidden = names
-        self._bump()
+        self._notify()
 
-    def drop_watches(self) -> None:
-        """All watches end and start again with a full list."""
-        self._version += 1_000_000
+    def end_watches(self) -> None:
+        """End all watches; edges start them again with a snapshot."""
+        self._version = ListVersion(self._version.generation + 1, self._version.update)
         self._changed.wake()
 
     def set_empty(self, empty: bool) -> None:
-        self.empty = empty
-        self.drop_watches()
+        """Show no endpoints at all, or show them again."""
+        self._empty = empty
+        self.end_watches()
 
-    def _bump(self) -> None:
-        self._version += 1
+    def _notify(self) -> None:
+        self._version = ListVersion(self._version.generation, self._version.update + 1)
         self._changed.wake()
 
-    async def _show(self) -> None:
+    async def _show_due_updates(self) -> None:
         while True:
-            await trio.sleep(0.05)
+            await trio.sleep(UPDATE_INTERVAL_S)
             now = self._clock.now_us()
             if self.frozen:
                 continue
-            ready = [host for due, host in sorted(self._due, key=lambda d: d[0]) if due <= now]
-            if ready:
-                self._due = [item for item in self._due if item[0] > now]
-                for host in ready:
-                    self._shown[host.id] = host
-                self._bump()
-
-    def _list(self) -> list[hosts_pb2.Host]:
-        if self.empty:
+            due = [update for update in self._pending if update.due_us <= now]
+            if due:
+                self._pending = [update for update in self._pending if update.due_us > now]
+                for update in sorted(due, key=lambda update: update.due_us):
+                    self._shown[update.host.id] = update.host
+                self._notify()
+
+    def _visible(self) -> dict[str, hosts_pb2.Host]:
+        return {name: host for name, host in self._shown.items() if name not in self._hidden}
+
+    def _snapshot(self) -> list[hosts_pb2.Host]:
+        if self._empty:
             return []
-        shown = [h for h in self._shown.values() if h.id not in self._hidden]
-        return [h for h in shown if h.readiness != hosts_pb2.READINESS_GONE]
+        return [host for host in self._visible().values() if _is_present(host)]
 
-    async def _fetch(self, call: Call, data: bytes) -> bytes:
+    async def _fetch(self, _call: Call, data: bytes) -> bytes:
         await trio.lowlevel.checkpoint()
         edge = hosts_pb2.FetchRequest.FromString(data).edge
-        hosts = self._list()
-        self._note(edge, hosts, full=True)
+        hosts = self._snapshot()
+        self._record_listed(edge, hosts, complete=True)
         return hosts_pb2.FetchResponse(hosts=hosts).SerializeToString()
 
     async def _watch(self, call: Call) -> None:
@@ -109,35 +139,53 @@
             raise RpcError(Code.RESOURCE_EXHAUSTED, "too many watches")
         self._watches += 1
         try:
-            epoch, version = divmod(self._version, 1_000_000)
-            told = {h.id: h for h in self._list()}
-            self._note(edge, list(told.values()), full=True)
-            await call.send(hosts_pb2.WatchResponse(full=True, hosts=told.values()).SerializeToString())
-            while True:
-                while divmod(self._version, 1_000_000) == (epoch, version):
-                    await self._changed.wait()
-                if self._version // 1_000_000 != epoch:
-                    raise RpcError(Code.UNAVAILABLE, "the list starts again")
-                epoch, version = divmod(self._version, 1_000_000)
-                now = {h.id: h for h in self._shown.values() if h.id not in self._hidden}
-                changed = [h for h in now.values() if told.get(h.id) != h]
-                for name in told.keys() - now.keys():
-                    gone = hosts_pb2.Host()
-                    gone.CopyFrom(told[name])
-                    gone.readiness = hosts_pb2.READINESS_GONE
-                    changed.append(gone)
-                told = now
-                if changed:
-                    self._note(edge, changed, full=False)
-                    await call.send(hosts_pb2.WatchResponse(hosts=changed).SerializeToString())
+            await self._send_updates(call, edge)
         finally:
             self._watches -= 1
 
-    def _note(self, edge: str, hosts: list[hosts_pb2.Host], full: bool) -> None:
-        """Records what goes out. What a full list no longer names is gone; an empty one is no list."""
+    async def _send_updates(self, call: Call, edge: str) -> None:
+        """Send a snapshot, then a delta for each change. Raises RpcError when a new generation begins."""
+        version = self._version
+        sent = {host.id: host for host in self._snapshot()}
+        self._record_listed(edge, list(sent.values()), complete=True)
+        await call.send(hosts_pb2.WatchResponse(full=True, hosts=sent.values()).SerializeToString())
+        while True:
+            while self._version == version:
+                await self._changed.wait()
+            if self._version.generation != version.generation:
+                raise RpcError(Code.UNAVAILABLE, "the list starts again")
+            version = self._version
+            visible = self._visible()
+            delta = _delta(sent, visible)
+            sent = visible
+            if delta:
+                self._record_listed(edge, delta, complete=False)
+                await call.send(hosts_pb2.WatchResponse(hosts=delta).SerializeToString())
+
+    def _record_listed(self, edge: str, hosts: list[hosts_pb2.Host], complete: bool) -> None:
+        """Record what is sent.
+
+        What a snapshot does not contain is removed; an empty one is a fault, and removes nothing.
+        """
         now = self._clock.now_us()
         for host in hosts:
-            self._record(EndpointListed(now, edge, host.id, NAMES[host.readiness]))
-        if full and hosts:
-            for name in self._shown.keys() - {h.id for h in hosts}:
-                self._record(EndpointListed(now, edge, name, "gone"))
+            self._record(EndpointListed(now, edge, host.id, READINESS_NAMES[host.readiness]))
+        if complete and hosts:
+            removed = READINESS_NAMES[hosts_pb2.READINESS_GONE]
+            for name in self._shown.keys() - {host.id for host in hosts}:
+                self._record(EndpointListed(now, edge, name, removed))
+
+
+def _is_present(host: hosts_pb2.Host) -> bool:
+    return host.readiness != hosts_pb2.READINESS_GONE
+
+
+def _delta(before: dict[str, hosts_pb2.Host], now: dict[str, hosts_pb2.Host]) -> list[hosts_pb2.Host]:
+    """The endpoints that changed; those that are not there any more are removed."""
+    delta = [host for host in now.values() if before.get(host.id) != host]
+    for name in before.keys() - now.keys():
+        removed = hosts_pb2.Host()
+        removed.CopyFrom(before[name])
+        removed.readiness = hosts_pb2.READINESS_GONE
+        delta.append(removed)
+    return delta
--- a/juniperreel/fakes/errors.py
+++ b/juniperreel/fakes/errors.py
@@ -13,3 +13,29 @@
 
 class QueueFullError(FakesError):
     """An endpoint's queue for its cores accepts no more requests."""
+
+
+class MysqlError(FakesError):
+    """An error that a MySQL client receives as an ERR packet."""
+
+    def __init__(self, code: int, sqlstate: str, message: str) -> None:
+        super().__init__(message)
+        self.code = code
+        self.sqlstate = sqlstate
+        self.message = message
+
+
+class UnknownTargetError(FakesError, ValueError):
+    """A fault names a target that does not exist."""
+
+    def __init__(self, target: str) -> None:
+        super().__init__(f"nobody is called {target!r}")
+        self.target = target
+
+
+class PartEndedError(FakesError, RuntimeError):
+    """A process that runs some of a fleet's groups ended too early."""
+
+    def __init__(self, part: int) -> None:
+        super().__init__(f"part {part} of the stand-ins ended")
+        self.part = part
--- a/juniperreel/fakes/fleet.py
+++ b/juniperreel/fakes/fleet.py
@@ -1,4 +1,4 @@
-"""The fleet: groups of members, their host list, and the hands that carry out a script's faults."""
+"""The fleet of one run: replication groups of fake endpoints, and the endpoint list that edges watch."""
 
 from __future__ import annotations
 
@@ -8,275 +8,211 @@
 
 import trio
 
-from juniperreel.fakes.endpoint import Member
-from juniperreel.fakes.endpoint_list_server import HostList
+from juniperreel.fakes.endpoint import FakeEndpoint
+from juniperreel.fakes.endpoint_list_server import EndpointListServer
 from juniperreel.fakes.endpoint_settings import EndpointSettings
-from juniperreel.fakes.replication_group import Group
+from juniperreel.fakes.errors import UnknownTargetError
+from juniperreel.fakes.fault_injector import FaultInjector
+from juniperreel.fakes.replication_group import ReplicationGroup
 from juniperreel.fakes.script import Day, Step
 from juniperreel.net import Clock, Network
 from juniperreel.proto.hosts.v1 import hosts_pb2
-from juniperreel.verification.records import Fault, RecordSink
+from juniperreel.verification.records import RecordSink
 
-US = 1_000_000
-HANDOVER_S = 0.4  # of a draining primary
-STOP_AFTER_US = 5_000_000  # a draining member's process ends
-DETECT_S, ELECT_S = 1.2, 1.0
+DETECTION_S = 1.2  # of a failed primary
+ELECTION_S = 1.0
+STARTUP_S = 0.2
+PRIMARY_CHECK_INTERVAL_S = 0.1
+ZONES = 2
 
+EdgeFaultHandler = Callable[[Step], Awaitable[None]]
 
-class Hosts(Protocol):
-    """Whoever is told of hosts: the host list, or who passes it on."""
+
+class EndpointListPublisher(Protocol):
+    """Whoever is notified of endpoints: the endpoint list, or a relay to it."""
 
     port: int
     frozen: bool
 
-    async def run(self, task_status: trio.TaskStatus[None] = ...) -> None: ...
-
-    def tell(self, host: hosts_pb2.Host, delay_us: int | None = None) -> None: ...
-
-    def names(self) -> list[str]: ...
+    async def run(self, task_status: trio.TaskStatus[None] = ...) -> None:
+        """Serve until cancelled."""
+        ...
 
-    def hide(self, names: set[str]) -> None: ...
+    def publish(self, host: hosts_pb2.Host, delay_us: int | None = None) -> None:
+        """Show an endpoint's state after a delay; None stands for the list's own."""
+        ...
 
-    def set_empty(self, empty: bool) -> None: ...
+    def endpoint_names(self) -> list[str]:
+        """The endpoints that are shown."""
+        ...
 
+    def hide(self, names: set[str]) -> None:
+        """Omit these endpoints, and no others, from now on."""
+        ...
 
-EdgeHand = Callable[[Step], Awaitable[None]]
+    def set_empty(self, empty: bool) -> None:
+        """Show no endpoints at all, or show them again."""
+        ...
 
 
 class Fleet:
-    """All members of one day. `run` starts them; `play` carries out the script."""
+    """All endpoints of one run. `run` starts them; `play` injects the script's faults."""
 
     def __init__(
         self,
-        day: Day,
+        script: Day,
         network: Network,
         clock: Clock,
         record: RecordSink,
-        only: Collection[int] | None = None,
-        hosts: Hosts | None = None,
+        group_numbers: Collection[int] | None = None,
+        endpoint_list: EndpointListPublisher | None = None,
         platform: bool = False,
     ) -> None:
-        """`only` some of the day's groups, where others play the rest; `hosts` in place of a host list;
-        `platform`: members speak to the platform's drivers."""
-        self.day, self._network, self._clock, self._record = day, network, clock, record
-        self._rng = random.Random(day["seed"])
+        """Prepare the script's groups, or only some where other processes run the rest.
+
+        `endpoint_list` takes the place of an endpoint list of the fleet's own. With `platform`, endpoints
+        speak the platform's protocol.
+        """
+        self.script = script
+        self.clock = clock
+        self.record = record
+        self.rng = random.Random(script["seed"])
         self.settings = EndpointSettings(
-            cores=day["cores"],
-            read_us=day["read-work"],
-            write_us=day["write-work"],
-            slow_start_us=day["cold-span"],
-            mysql=bool(day["mysql-members"]),
-            synchronous_replication=not day["alone"],
+            cores=script["cores"],
+            read_us=script["read-work"],
+            write_us=script["write-work"],
+            slow_start_us=script["cold-span"],
+            mysql=bool(script["mysql-members"]),
+            synchronous_replication=not script["alone"],
             postgres=platform,
         )
-        rng = random.Random(self._rng.random())
-        self.hosts = hosts or HostList(network, clock, rng, record, day["list-delay"])
+        list_rng = random.Random(self.rng.random())
+        self.endpoint_list: EndpointListPublisher = endpoint_list or EndpointListServer(
+            network, clock, list_rng, record, script["list-delay"]
+        )
         self.groups = [
-            Group(n, clock, random.Random(self._rng.random()), record, DETECT_S, ELECT_S, not platform)
-            for n in range(day["groups"])
-            if only is None or n in only
+            ReplicationGroup(
+                number,
+                clock,
+                random.Random(self.rng.random()),
+                record,
+                DETECTION_S,
+                ELECTION_S,
+                streaming=not platform,
+            )
+            for number in range(script["groups"])
+            if group_numbers is None or number in group_numbers
         ]
-        self.members: dict[str, Member] = {}
+        self.endpoints: dict[str, FakeEndpoint] = {}
+        self._network = network
         self._nursery: trio.Nursery | None = None
-        self._born = 0
-        self._listed_primary: dict[int, str] = {}
+        self._created = 0  # endpoints, ever
+        self._listed_primaries: dict[int, str] = {}  # by group
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Run all endpoints until cancelled."""
         try:
             async with trio.open_nursery() as self._nursery:
-                await self._nursery.start(self.hosts.run)
+                await self._nursery.start(self.endpoint_list.run)
                 for group in self.groups:
-                    for _ in range(self.day["members"]):
-                        await self._add(group, cold=False)
-                    group.primary = group.members[0]
-                    group.primary.claims = True
+                    for _ in range(self.script["members"]):
+                        await self.add_endpoint(group, warming_up=False)
+                    group.primary = group.endpoints[0]
+                    group.primary.claims_primary = True
                     self._nursery.start_soon(group.run)
-                for member in self.members.values():
-                    self._tell(member, hosts_pb2.READINESS_UP, 0)
-                self._nursery.start_soon(self._watch_primaries)
-                await trio.sleep(0.2)
+                for endpoint in self.endpoints.values():
+                    self.publish(endpoint, hosts_pb2.READINESS_UP, 0)
+                self._nursery.start_soon(self._publish_primaries)
+                await trio.sleep(STARTUP_S)
                 task_status.started()
         finally:
-            for member in self.members.values():
-                member.release()
-
-    async def _add(self, group: Group, cold: bool) -> Member:
+            for endpoint in self.endpoints.values():
+                endpoint.release_ports()
+
+    async def add_endpoint(self, group: ReplicationGroup, warming_up: bool) -> FakeEndpoint:
+        """Create an endpoint in a group and start it."""
+        name = f"g{group.number}-m{self._created}"
+        zone = self._created % ZONES
+        seed = self.rng.getrandbits(32)
+        endpoint = FakeEndpoint(
+            name, group, zone, self.settings, self._network, self.clock, seed, self.record
+        )
+        self._created += 1
+        group.endpoints.append(endpoint)
+        self.endpoints[name] = endpoint
+        await self.start_endpoint(endpoint, warming_up)
+        return endpoint
+
+    async def start_endpoint(self, endpoint: FakeEndpoint, warming_up: bool) -> None:
+        """Start an endpoint's process, also after it ended."""
         assert self._nursery is not None
-        name = f"g{group.number}-m{self._born}"
-        zone = self._born % 2
-        seed = self._rng.getrandbits(32)
-        member = Member(name, group, zone, self.settings, self._network, self._clock, seed, self._record)
-        self._born += 1
-        group.members.append(member)
-        self.members[name] = member
-        await self._nursery.start(member.run, cold)
-        return member
+        await self._nursery.start(endpoint.run, warming_up)
 
-    def _tell(self, member: Member, readiness: hosts_pb2.Readiness, delay_us: int | None = None) -> None:
+    def publish(
+        self, endpoint: FakeEndpoint, readiness: hosts_pb2.Readiness, delay_us: int | None = None
+    ) -> None:
+        """Notify the endpoint list of an endpoint's state."""
+        group = endpoint.group.number
         host = hosts_pb2.Host(
-            id=member.name,
+            id=endpoint.name,
             address="127.0.0.1",
-            port=member.door,
-            group=member.group.number,
-            zone=member.zone,
+            port=endpoint.listed_port,
+            group=group,
+            zone=endpoint.zone,
             readiness=readiness,
-            primary=self._listed_primary.get(member.group.number) == member.name,
+            primary=self._listed_primaries.get(group) == endpoint.name,
             size=1.0,
-            started=member.machine.started_us,
+            started=endpoint.capacity.started_us,
         )
-        self.hosts.tell(host, delay_us)
+        self.endpoint_list.publish(host, delay_us)
 
-    async def _watch_primaries(self) -> None:
-        """The list learns who is primary later than anything else."""
+    async def _publish_primaries(self) -> None:
+        """Notify the list of new primaries, later than of anything else."""
         while True:
-            await trio.sleep(0.1)
+            await trio.sleep(PRIMARY_CHECK_INTERVAL_S)
             for group in self.groups:
-                p = group.primary
-                if p is not None and self._listed_primary.get(group.number) != p.name:
-                    self._listed_primary[group.number] = p.name
-                    for member in group.members:
-                        if member.alive:
-                            ready = (
-                                hosts_pb2.READINESS_DRAINING if member.draining else hosts_pb2.READINESS_UP
-                            )
-                            self._tell(member, ready, self.day["primary-delay"])
-
-    # Faults.
-
-    def targets(self, target: str) -> list[Member]:
-        """The members a target names now. Raises ValueError for one that names none."""
-        alive = [m for m in self.members.values() if m.alive]
+                primary = group.primary
+                if primary is None or self._listed_primaries.get(group.number) == primary.name:
+                    continue
+                self._listed_primaries[group.number] = primary.name
+                for endpoint in group.endpoints:
+                    if endpoint.alive:
+                        readiness = (
+                            hosts_pb2.READINESS_DRAINING if endpoint.draining else hosts_pb2.READINESS_UP
+                        )
+                        self.publish(endpoint, readiness, self.script["primary-delay"])
+
+    def targets(self, target: str) -> list[FakeEndpoint]:
+        """The endpoints that a target names now. Raises UnknownTargetError for one that names none."""
+        alive = [endpoint for endpoint in self.endpoints.values() if endpoint.alive]
         if target == "all":
             return alive
-        if target.startswith("zone:") and target[5:].isdigit():
-            return [m for m in alive if m.zone == int(target[5:])]
-        if target.startswith("random:"):
-            count = max(min(1, len(alive)), round(float(target[7:].rstrip("%")) / 100 * len(alive)))
-            return self._rng.sample(alive, min(count, len(alive)))
+        kind, separator, argument = target.partition(":")
+        if kind == "zone" and argument.isdigit():
+            return [endpoint for endpoint in alive if endpoint.zone == int(argument)]
+        if kind == "random" and separator:
+            part = float(argument.rstrip("%")) / 100
+            count = max(min(1, len(alive)), round(part * len(alive)))
+            return self.rng.sample(alive, min(count, len(alive)))
         name, _, which = target.partition("/")
         for group in self.groups:
             if name == f"g{group.number}":
-                if which == "primary":
-                    return [group.primary] if group.primary is not None else []
-                if which == "replica":
-                    able = [m for m in group.members if m.alive and m is not group.primary]
-                    return self._rng.sample(able, 1) if able else []
-                return [group.members[int(which)]] if which else [m for m in group.members if m.alive]
-        if name in {f"g{n}" for n in range(self.day["groups"])}:
-            return []  # another process plays it
-        raise ValueError(f"nobody is called {target!r}")
-
-    async def play(self, on_edge: EdgeHand) -> None:
-        """Every step at its time, from now on; steps for edges go to `on_edge`."""
-        start = trio.current_time()
-        async with trio.open_nursery() as nursery:
-            for step in self.day.steps:
-                await trio.sleep_until(start + step.at_us / US)
-                nursery.start_soon(self._step, step, on_edge)
-
-    async def _step(self, step: Step, on_edge: EdgeHand) -> None:
-        self._record(Fault(self._clock.now_us(), step.text, True))
-        if step.fault.startswith(("edge-", "instance-", "link-")):
-            await on_edge(step)
-        elif step.fault in ("freeze", "empty", "flap"):
-            await self._list_fault(step)
-        elif step.fault == "roll":
-            await self._roll(step)
-        elif step.fault in ("kill", "drain"):
-            async with trio.open_nursery() as nursery:
-                for member in self.targets(step.target):
-                    nursery.start_soon(
-                        self._kill if step.fault == "kill" else self._drain, member, step.value
-                    )
-        elif step.fault == "two-primaries":
-            await self._two_primaries(step)
-        else:
-            members = self.targets(step.target)
-            for member in members:
-                self._set(member, step.fault, True, step.value)
-            await trio.sleep(step.for_us / US)
-            for member in members:
-                self._set(member, step.fault, False, 0.0)
-        self._record(Fault(self._clock.now_us(), step.text, False))
-
-    @staticmethod
-    def _set(member: Member, fault: str, on: bool, value: float) -> None:
-        match fault:
-            case "hang" if on:
-                member.hung = True
-            case "hang":
-                member.wake()
-            case "refuse":
-                member.refusing = on
-            case "lose":
-                member.losing = value
-            case "break":
-                member.breaking = value
-            case "fail":
-                member.failing = value
-            case "slow":
-                member.machine.speed = value or 1.0
-            case "lag":
-                member.copy.apply_factor = value or 1.0
-            case "cut":
-                member.cut_off = on
-            case "skew":
-                member.skew_us = int(value)
-
-    async def _kill(self, member: Member, back_us: float) -> None:
-        assert self._nursery is not None
-        member.kill()
-        if back_us:
-            await trio.sleep(back_us / US)
-            if not member.alive and not member.fell:
-                await self._nursery.start(member.run, True)
-                self._tell(member, hosts_pb2.READINESS_UP)
-
-    async def _drain(self, member: Member, _: float) -> None:
-        member.draining = True
-        self._tell(member, hosts_pb2.READINESS_DRAINING)
-        if member.group.primary is member:
-            await trio.sleep(HANDOVER_S)
-            if member.group.primary is member:
-                await member.group.elect(avoid=member)
-        await trio.sleep(STOP_AFTER_US / US)
-        member.kill("drained")
-        self._tell(member, hosts_pb2.READINESS_GONE)
-
-    async def _roll(self, step: Step) -> None:
-        """Replaces the members one after another: a successor starts cold, then the old one drains."""
-        async with trio.open_nursery() as nursery:
-            for member in self.targets(step.target):
-                fresh = await self._add(member.group, cold=True)
-                self._tell(fresh, hosts_pb2.READINESS_UP)
-                await trio.sleep(step.value / US)
-                nursery.start_soon(self._drain, member, 0.0)
-
-    async def _two_primaries(self, step: Step) -> None:
-        """The group elects although its primary lives, and the old one goes on claiming the role."""
-        for group in self.groups:
-            if step.target == f"g{group.number}" and group.primary is not None:
-                old, group.depose_s = group.primary, step.for_us / US
-                await group.elect(avoid=old)
-                old.claims = True
-                await trio.sleep(step.for_us / US)
-                old.claims = old is group.primary
-                group.depose_s = 0.5
-
-    async def _list_fault(self, step: Step) -> None:
-        if step.fault == "freeze":
-            self.hosts.frozen = True
-            await trio.sleep(step.for_us / US)
-            self.hosts.frozen = False
-        elif step.fault == "empty":
-            self.hosts.set_empty(True)
-            await trio.sleep(step.for_us / US)
-            self.hosts.set_empty(False)
-        else:
-            end = trio.current_time() + step.for_us / US
-            while trio.current_time() < end:
-                known = self.hosts.names()
-                self.hosts.hide(set(self._rng.sample(known, len(known) // 4)))
-                await trio.sleep(0.5)
-                self.hosts.hide(set())
-                await trio.sleep(0.5)
+                return self._targets_in(group, which)
+        if name in {f"g{number}" for number in range(self.script["groups"])}:
+            return []  # another process runs the group
+        raise UnknownTargetError(target)
+
+    def _targets_in(self, group: ReplicationGroup, which: str) -> list[FakeEndpoint]:
+        """The endpoints of a group by role or number; all that run where neither is given."""
+        if which == "primary":
+            return [group.primary] if group.primary is not None else []
+        if which == "replica":
+            replicas = [e for e in group.endpoints if e.alive and e is not group.primary]
+            return self.rng.sample(replicas, 1) if replicas else []
+        if which:
+            return [group.endpoints[int(which)]]
+        return [endpoint for endpoint in group.endpoints if endpoint.alive]
+
+    async def play(self, on_edge_fault: EdgeFaultHandler) -> None:
+        """Inject every fault of the script at its time, from now on; those of edges go to the handler."""
+        await FaultInjector(self, on_edge_fault).play()
--- /dev/null
+++ b/juniperreel/fakes/mysql_columns.py
@@ -0,0 +1,35 @@
+"""Column types of results whose values come from SQLite, which has none."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+from juniperreel.mysql.constants import ColumnType
+from juniperreel.mysql.values import Column, Value
+
+COLUMN_TYPES = {
+    int: ColumnType.LONGLONG,
+    float: ColumnType.DOUBLE,
+    str: ColumnType.VAR_STRING,
+    bytes: ColumnType.BLOB,
+}
+
+
+def describe_columns(names: Sequence[str], rows: Sequence[Sequence[Any]]) -> list[Column]:
+    """Columns of the type that their values have in common, text where these differ."""
+    columns = []
+    for index, name in enumerate(names):
+        value_types = {type(row[index]) for row in rows if row[index] is not None}
+        column_type = ColumnType.VAR_STRING
+        if len(value_types) == 1:
+            column_type = COLUMN_TYPES[value_types.pop()]
+        columns.append(Column(name, column_type, schema="runs"))
+    return columns
+
+
+def convert(column: Column, value: Value) -> Value:
+    """The value in its column's type, which was found from earlier rows."""
+    if column.charset >= 0 or value is None or column.type in (ColumnType.VAR_STRING, ColumnType.BLOB):
+        return value
+    return int(value) if column.type == ColumnType.LONGLONG else float(value)
--- /dev/null
+++ b/juniperreel/fakes/mysql_connection.py
@@ -0,0 +1,344 @@
+"""One MySQL connection of a fake endpoint: commands and results, with the endpoint's faults.
+
+As MySQL's servers do, it goes on with a statement whose client has disconnected: what was begun takes effect.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from contextlib import suppress
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import trio
+
+from juniperreel.fakes.errors import MysqlError
+from juniperreel.fakes.mysql_columns import convert, describe_columns
+from juniperreel.fakes.mysql_engine import (
+    BATCH_ROWS,
+    REQUEST_ID_COMMENT,
+    STATUS_QUERY,
+    MysqlEngine,
+    OkResult,
+    ResultSet,
+)
+from juniperreel.fakes.mysql_prepared import BoundStatement, PreparedStatement, bind
+from juniperreel.fakes.mysql_translation import translate
+from juniperreel.mysql.constants import Com, Status
+from juniperreel.mysql.packets import Cursor, ProtocolError
+from juniperreel.mysql.replies import gtid_track
+from juniperreel.mysql.server import Command, Event, ServerSession, State
+from juniperreel.mysql.values import Column, Value, binary_row, text_row
+from juniperreel.verification.records import (
+    AttemptAbandoned,
+    AttemptFinished,
+    AttemptReceived,
+    StatementExecuted,
+    StatementReceived,
+)
+
+if TYPE_CHECKING:
+    from juniperreel.fakes.endpoint import FakeEndpoint
+    from juniperreel.fakes.mysql_server import MysqlServer
+
+READ_BYTES = 64 << 10
+MAX_PREPARED = 16_382  # max_prepared_stmt_count
+PENDING_READS = 4
+UNKNOWN_ERROR = 1105
+OUTCOMES = {1040: "NOT_EXECUTED", 1290: "NOT_PRIMARY", 1792: "NOT_PRIMARY"}  # by error code
+UNTRANSLATED_PREFIXES = ("select @@", "commit", "rollback", "begin", "start")
+SERIAL_PREFIX = "serial-"
+
+
+class ReceivedData(NamedTuple):
+    """Bytes that the client sent, and when they were read; none at the end of the connection."""
+
+    at_us: int
+    data: bytes
+
+
+class RunningAttempt(NamedTuple):
+    """The attempt that a connection executes."""
+
+    edge_request_id: str
+    number: int
+
+
+class MysqlConnection:
+    """One connection: reads commands, executes them in order, sends their results."""
+
+    def __init__(
+        self, endpoint: FakeEndpoint, server: MysqlServer, session: ServerSession, stream: trio.abc.Stream
+    ) -> None:
+        self._endpoint = endpoint
+        self._server = server
+        self._session = session
+        self._stream = stream
+        self.engine = MysqlEngine(endpoint)
+        self._prepared: dict[int, PreparedStatement] = {}
+        self._last_prepared = 0
+        self._received_at_us = 0  # of the command that is being executed
+        self._attempt: RunningAttempt | None = None
+        self._closed_at_us = 0  # when the client closed the connection
+
+    async def run(self) -> None:
+        """Serve the connection until its end."""
+        send, receive = trio.open_memory_channel[ReceivedData](PENDING_READS)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._read, send)
+            with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+                await self._serve(receive)
+            nursery.cancel_scope.cancel()
+
+    async def _read(self, send: trio.MemorySendChannel[ReceivedData]) -> None:
+        """Read what the client sends, and note when: also while the endpoint hangs, edges send to it.
+
+        A client that disconnects ends no statement; it is only recorded.
+        """
+        while True:
+            try:
+                data = await self._stream.receive_some(READ_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                data = b""
+            now = self._endpoint.recorded_at_us()
+            if not data:
+                self._closed_at_us = now
+                self._record_abandoned()
+            await send.send(ReceivedData(now, bytes(data)))
+            if not data:
+                return
+
+    def _record_abandoned(self) -> None:
+        """Record the running attempt as abandoned if the client has disconnected.
+
+        Also of an attempt that an endpoint begins after a hang, when its client disconnected long ago.
+        """
+        if self._attempt is not None and self._closed_at_us:
+            abandoned = AttemptAbandoned(self._closed_at_us, self._endpoint.name, *self._attempt)
+            self._endpoint.record(abandoned)
+
+    async def _serve(self, receive: trio.MemoryReceiveChannel[ReceivedData]) -> None:
+        session = self._session
+        session.start()
+        events: list[Event] = []
+        while True:
+            await self._stream.send_all(session.data_to_send())
+            if session.state is State.CLOSED:
+                return
+            if events:
+                events += await self._handle(events.pop(0))
+                continue
+            received = await receive.receive()
+            self._received_at_us = received.at_us
+            if not received.data:
+                return
+            await self._endpoint.wait_while_hung()
+            events = session.receive(received.data)
+
+    async def _handle(self, event: Event) -> list[Event]:
+        if not isinstance(event, Command):
+            return []
+        try:
+            return await self._execute_command(event)
+        except MysqlError as error:
+            self._update_status()
+            return self._session.error(error.code, error.sqlstate, error.message)
+        except ProtocolError as error:
+            return self._session.error(1835, "HY000", f"Malformed communication packet: {error}")
+
+    def _update_status(self) -> None:
+        engine = self.engine
+        status = Status.AUTOCOMMIT if engine.autocommit else 0
+        if engine.in_transaction:
+            status |= Status.IN_TRANSACTION
+            transaction = engine.transaction
+            read_only = transaction.read_only if transaction is not None else engine.read_only
+            if read_only:
+                status |= Status.IN_READ_ONLY
+        self._session.status = int(status)
+
+    async def _execute_command(self, command: Command) -> list[Event]:
+        session = self._session
+        payload = command.payload
+        match command.kind:
+            case Com.QUERY:
+                return await self._run(payload.decode(), [], command.attributes, binary=False)
+            case Com.STMT_PREPARE:
+                return self._prepare(payload.decode())
+            case Com.STMT_EXECUTE:
+                bound = self._bind(Cursor(payload))
+                return await self._run(bound.text, bound.values, bound.attributes, binary=True)
+            case Com.STMT_SEND_LONG_DATA:
+                statement = self._prepared.get(_statement_number(payload))
+                if statement is not None:
+                    statement.append_long_data(int.from_bytes(payload[4:6], "little"), payload[6:])
+                return session.silent()
+            case Com.STMT_CLOSE:
+                self._prepared.pop(_statement_number(payload), None)
+                return session.silent()
+            case Com.STMT_RESET | Com.PING | Com.INIT_DB:
+                return session.ok()
+            case Com.RESET_CONNECTION:
+                self._reset()
+                return session.ok()
+        raise MysqlError(1047, "08S01", "Unknown command")
+
+    def _reset(self) -> None:
+        self._server.resets += 1
+        self.engine.reset()
+        self._prepared.clear()
+        self._update_status()
+
+    def _prepare(self, text: str) -> list[Event]:
+        if len(self._prepared) >= MAX_PREPARED:
+            raise MysqlError(1461, "42000", "Can't create more than max_prepared_stmt_count statements")
+        if not text.lower().lstrip().startswith(UNTRANSLATED_PREFIXES):
+            translate(text)  # raises for a statement that would fail
+        self._last_prepared += 1
+        self._server.prepared += 1
+        statement = PreparedStatement(text)
+        self._prepared[self._last_prepared] = statement
+        return self._session.prepared(self._last_prepared, statement.parameter_count)
+
+    def _bind(self, packet: Cursor) -> BoundStatement:
+        number = packet.number(4)
+        flags = packet.number(1)
+        packet.take(4)  # the iteration count, which is always 1
+        statement = self._prepared.get(number)
+        if statement is None:
+            raise MysqlError(1243, "HY000", f"Unknown prepared statement handler ({number})")
+        return bind(statement, packet, flags, self._session.takes_attributes)
+
+    async def _run(
+        self, text: str, values: Sequence[Value], attributes: Mapping[str, Value], binary: bool
+    ) -> list[Event]:
+        """Execute a statement; the edge names its request and attempt in query attributes."""
+        request = str(attributes.get("juniperreel_request", ""))
+        if not request:
+            return await self._answer(text, values, binary)
+        edge = request.rsplit("-", 2)[0]
+        statement = int(attributes.get("juniperreel_statement") or 0)
+        if statement:
+            received = StatementReceived(self._received_at_us, self._endpoint.name, edge, request, statement)
+            self._endpoint.record(received)
+            return await self._answer(text, values, binary)
+        attempt = RunningAttempt(request, int(attributes.get("juniperreel_attempt") or 0))
+        self._record_received(text, attempt, attributes)
+        return await self._run_attempt(text, values, binary, attempt)
+
+    def _record_received(self, text: str, attempt: RunningAttempt, attributes: Mapping[str, Value]) -> None:
+        endpoint = self._endpoint
+        write = bool(attributes.get("juniperreel_write"))
+        found = REQUEST_ID_COMMENT.search(text)
+        mean_us = endpoint.mean_work_us(write)
+        endpoint.record(
+            AttemptReceived(
+                self._received_at_us,
+                endpoint.name,
+                attempt.edge_request_id.rsplit("-", 2)[0],
+                attempt.edge_request_id,
+                attempt.number,
+                found[1] if found else "",
+                str(attributes.get("juniperreel_class", "")),
+                write,
+                mean_us,
+            )
+        )
+        endpoint.capacity.offer(mean_us)
+
+    async def _run_attempt(
+        self, text: str, values: Sequence[Value], binary: bool, attempt: RunningAttempt
+    ) -> list[Event]:
+        endpoint = self._endpoint
+        outcome = "stopped"
+        self._attempt = attempt
+        self._record_abandoned()
+        try:
+            events = await self._answer(text, values, binary)
+            outcome = "answered"
+        except MysqlError as error:
+            other = "INTERNAL" if error.code == UNKNOWN_ERROR else "STATEMENT"
+            outcome = OUTCOMES.get(error.code, other)
+            raise
+        finally:
+            self._attempt = None
+            now = endpoint.recorded_at_us()
+            executed = outcome == "answered"
+            endpoint.record(AttemptFinished(now, endpoint.name, *attempt, outcome, executed))
+        return events
+
+    async def _answer(self, text: str, values: Sequence[Value], binary: bool) -> list[Event]:
+        endpoint = self._endpoint
+        await endpoint.wait_while_hung()
+        if STATUS_QUERY.search(text):
+            status = await self.engine.execute(text, values)
+            assert isinstance(status, ResultSet)
+            self._update_status()
+            return await self._send_result(status, binary)
+        if endpoint.faults.rejecting:
+            raise MysqlError(1040, "08004", "Too many connections")
+        if endpoint.occurs(endpoint.faults.failed_requests):
+            raise MysqlError(UNKNOWN_ERROR, "HY000", "Unknown error")
+        result = await self.engine.execute(text, values)
+        self._record_executed(text, values)
+        if endpoint.occurs(endpoint.faults.lost_responses):
+            await trio.sleep_forever()
+        if endpoint.occurs(endpoint.faults.broken_connections):
+            self._session.close("broken off")
+            return []
+        await endpoint.wait_while_hung()
+        self._update_status()
+        if isinstance(result, OkResult):
+            tracked = [gtid_track(result.gtid)] if result.gtid else []
+            return self._session.ok(result.affected, result.insert_id, result.info, tracked=tracked)
+        return await self._send_result(result, binary)
+
+    def _record_executed(self, text: str, values: Sequence[Value]) -> None:
+        """Record a statement that has a serial number among its values."""
+        serial = next((str(value) for value in values if str(value).startswith(SERIAL_PREFIX)), "")
+        if serial:
+            self._endpoint.record(
+                StatementExecuted(
+                    self._endpoint.recorded_at_us(),
+                    self._endpoint.name,
+                    self._session.number,
+                    serial,
+                    text,
+                    [str(value) for value in values],
+                    dict(self.engine.variables.values),
+                )
+            )
+
+    async def _send_result(self, result: ResultSet, binary: bool) -> list[Event]:
+        """Send rows as they are drawn, no faster than the client reads."""
+        session = self._session
+        batch: list[Sequence[Any]] = []
+        columns = result.columns
+        if columns is not None:
+            session.begin_result(columns)
+        for row in result.rows:
+            batch.append(row)
+            if len(batch) >= BATCH_ROWS:
+                columns = self._encode_rows(result.names, columns, batch, binary)
+                await self._stream.send_all(session.data_to_send())
+                await self._endpoint.wait_while_hung()
+                batch = []
+        self._encode_rows(result.names, columns, batch, binary)
+        return session.end_result()
+
+    def _encode_rows(
+        self, names: list[str], columns: list[Column] | None, rows: list[Sequence[Any]], binary: bool
+    ) -> list[Column]:
+        if columns is None:
+            columns = describe_columns(names, rows)
+            self._session.begin_result(columns)
+        self._session.rows(
+            binary_row(columns, [convert(c, v) for c, v in zip(columns, row, strict=True)])
+            if binary
+            else text_row(row)
+            for row in rows
+        )
+        return columns
+
+
+def _statement_number(payload: bytes) -> int:
+    return int.from_bytes(payload[:4], "little")
--- a/juniperreel/fakes/naive_proxy.py
+++ b/juniperreel/fakes/naive_proxy.py
@@ -1,9 +1,9 @@
-"""A careless edge, to show that the checkers see what carelessness does. Not a part of the product.
+"""A proxy that breaks the rules, to show that the checkers notice. Not a part of the product.
 
-It picks members at random, retries blindly when an answer is late and leaves the first attempt running,
-takes no notice of drains, cold starts, roles or tokens. Run as a program of its own:
+It selects endpoints at random, retries without regard for idempotency when a response is late and leaves the
+first attempt running, and ignores draining, slow start, roles and tokens. Run as a program of its own:
 
-    python -m juniperreel.fakes.naive_proxy NAME PORT HOSTS_PORT
+    python -m juniperreel.fakes.naive_proxy NAME PORT LIST_PORT
 """
 
 from __future__ import annotations
@@ -23,89 +23,107 @@
 from juniperreel.rpc.server import Call, Method, Server
 from juniperreel.rpc.status import Code, RpcError
 
-PATIENCE_S = 0.15
-TRIES = 6
-FAILURES = (ConnectError, NeverSent, Broken, RpcError)
+ATTEMPT_TIMEOUT_S = 0.15
+MAX_ATTEMPTS = 6
+WATCH_RETRY_S = 0.5
+CALL_ERRORS = (ConnectError, NeverSent, Broken, RpcError)
 
 
-class Naive:
-    def __init__(self, name: str, hosts_port: int) -> None:
-        self.name, self.hosts_port = name, hosts_port
-        self.network, self.clock, self.rng = TcpNetwork(), Clock(), random.Random(name)
-        self.hosts: dict[str, hosts_pb2.Host] = {}
-        self.channels: dict[str, Channel] = {}
-        self.count = 0
-        self.nursery: trio.Nursery | None = None
+class NaiveProxy:
+    """Serves clients in the way of an edge."""
+
+    def __init__(self, name: str, list_port: int) -> None:
+        self._name = name
+        self._list_port = list_port
+        self._network = TcpNetwork()
+        self._clock = Clock()
+        self._rng = random.Random(name)
+        self._hosts: dict[str, hosts_pb2.Host] = {}
+        self._channels: dict[str, Channel] = {}  # by endpoint
+        self._request_count = 0
+        self._nursery: trio.Nursery | None = None
 
     async def run(self, port: int) -> None:
-        async with trio.open_nursery() as self.nursery:
-            listener = await self.network.listen("127.0.0.1", port)
-            methods = {"/juniperreel.v1.Records/Execute": Method(unary=self.execute)}
-            self.nursery.start_soon(Server(methods, Limits(), self.clock).serve, listener)
+        """Serve until cancelled; a line on standard error says that it listens."""
+        async with trio.open_nursery() as self._nursery:
+            listener = await self._network.listen("127.0.0.1", port)
+            methods = {"/juniperreel.v1.Records/Execute": Method(unary=self._execute)}
+            self._nursery.start_soon(Server(methods, Limits(), self._clock).serve, listener)
             line = {"event": "serving", "listen": f"127.0.0.1:{listener.port}"}
             print(json.dumps(line), file=sys.stderr, flush=True)
-            await self.watch()
+            await self._watch_list()
 
-    async def channel(self, port: int) -> Channel:
-        assert self.nursery is not None
-        channel = Channel(self.network, self.clock, "127.0.0.1", port, Limits(), self.rng)
-        await self.nursery.start(channel.run)
+    async def _open_channel(self, port: int) -> Channel:
+        assert self._nursery is not None
+        channel = Channel(self._network, self._clock, "127.0.0.1", port, Limits(), self._rng)
+        await self._nursery.start(channel.run)
         return channel
 
-    async def watch(self) -> None:
-        channel = await self.channel(self.hosts_port)
-        request = hosts_pb2.WatchRequest(edge=self.name).SerializeToString()
+    async def _watch_list(self) -> None:
+        channel = await self._open_channel(self._list_port)
+        request = hosts_pb2.WatchRequest(edge=self._name).SerializeToString()
         while True:
             try:
                 async with channel.streaming("/juniperreel.hosts.v1.Hosts/Watch", request) as messages:
                     async for data in messages:
                         for host in hosts_pb2.WatchResponse.FromString(data).hosts:
-                            if host.id not in self.channels:
-                                self.channels[host.id] = await self.channel(host.port)
-                            self.hosts[host.id] = host
-            except FAILURES:
-                await trio.sleep(0.5)
-
-    async def execute(self, call: Call, data: bytes) -> bytes:
-        assert self.nursery is not None
-        ask = records_pb2.ExecuteRequest.FromString(data)
-        self.count += 1
-        name = f"{self.name}-{0:08x}-{self.count:x}"
-        answers, received = trio.open_memory_channel[member_pb2.ExecuteResponse](TRIES)
-        for number in range(TRIES):
-            self.nursery.start_soon(self.attempt, ask, name, number, answers.clone())
-            with trio.move_on_after(PATIENCE_S * (number + 1)):
-                answer = await received.receive()
-                return records_pb2.ExecuteResponse(result=answer.result).SerializeToString()
+                            await self._update(host)
+            except CALL_ERRORS:
+                await trio.sleep(WATCH_RETRY_S)
+
+    async def _update(self, host: hosts_pb2.Host) -> None:
+        if host.id not in self._channels:
+            self._channels[host.id] = await self._open_channel(host.port)
+        self._hosts[host.id] = host
+
+    async def _execute(self, _call: Call, data: bytes) -> bytes:
+        assert self._nursery is not None
+        request = records_pb2.ExecuteRequest.FromString(data)
+        self._request_count += 1
+        request_name = f"{self._name}-{0:08x}-{self._request_count:x}"
+        send, receive = trio.open_memory_channel[member_pb2.ExecuteResponse](MAX_ATTEMPTS)
+        for attempt in range(MAX_ATTEMPTS):
+            self._nursery.start_soon(self._attempt, request, request_name, attempt, send.clone())
+            with trio.move_on_after(ATTEMPT_TIMEOUT_S * (attempt + 1)):
+                response = await receive.receive()
+                return records_pb2.ExecuteResponse(result=response.result).SerializeToString()
         raise RpcError(Code.UNAVAILABLE, "gave up", metadata=[("grpc-retry-pushback-ms", "0")])
 
-    async def attempt(
+    async def _attempt(
         self,
-        ask: records_pb2.ExecuteRequest,
-        name: str,
-        number: int,
-        answers: trio.MemorySendChannel[member_pb2.ExecuteResponse],
+        request: records_pb2.ExecuteRequest,
+        request_name: str,
+        attempt: int,
+        responses: trio.MemorySendChannel[member_pb2.ExecuteResponse],
     ) -> None:
-        able = [h for h in self.hosts.values() if h.group == ask.group]
-        write = ask.statement.startswith(b"insert")
-        listed = [h for h in able if h.primary]
-        host = self.rng.choice(listed if write and listed and number % 2 == 0 else able)
+        write = request.statement.startswith(b"insert")
+        host = self._select(request.group, write and attempt % 2 == 0)
         message = member_pb2.ExecuteRequest(
-            request=name, attempt=number, write=write, statement=ask.statement, parameters=ask.parameters
+            request=request_name,
+            attempt=attempt,
+            write=write,
+            statement=request.statement,
+            parameters=request.parameters,
         )
-        setattr(message, "class", getattr(ask, "class"))
-        with answers:
+        setattr(message, "class", getattr(request, "class"))
+        with responses:
             try:
-                reply = await self.channels[host.id].unary(
+                reply = await self._channels[host.id].unary(
                     "/juniperreel.member.v1.Member/Execute", message.SerializeToString()
                 )
-                answers.send_nowait(member_pb2.ExecuteResponse.FromString(reply.message))
-            except (*FAILURES, trio.WouldBlock, trio.BrokenResourceError):
+                responses.send_nowait(member_pb2.ExecuteResponse.FromString(reply.message))
+            except (*CALL_ERRORS, trio.WouldBlock, trio.BrokenResourceError):
                 return
 
+    def _select(self, group: int, prefer_primary: bool) -> hosts_pb2.Host:
+        hosts = [host for host in self._hosts.values() if host.group == group]
+        primaries = [host for host in hosts if host.primary]
+        return self._rng.choice(primaries if prefer_primary and primaries else hosts)
+
 
-async def main(name: str, port: int, hosts_port: int) -> None:
-    await Naive(name, hosts_port).run(port)
+async def main(name: str, port: int, list_port: int) -> None:
+    """Run one proxy."""
+    await NaiveProxy(name, list_port).run(port)
 
 
 if __name__ == "__main__":
--- a/juniperreel/fakes/platform_clients.py
+++ b/juniperreel/fakes/platform_clients.py
@@ -1,7 +1,7 @@
-"""Clients of the platform's drivers: sessions that ask, one request at a time, over connections they hold.
+"""Clients of the platform's edges: sessions that send one request at a time over a connection that they hold.
 
-A session stays with one driver while that runs. When its connection ends it goes to another driver under a
-new name, since what it wrote is remembered by the first one only.
+A session stays with one edge while that runs. When its connection ends, it goes to another edge under a new
+name, since what it wrote is remembered by the first one only.
 """
 
 from __future__ import annotations
@@ -11,26 +11,39 @@
 
 import trio
 
+from juniperreel.fakes.client_session import EdgeAddress
+from juniperreel.fakes.errors import FakesError
 from juniperreel.net import Clock, ConnectError, Network, hung_up
 from juniperreel.net.clock import US
-from juniperreel.postgres import messages as m
+from juniperreel.postgres import messages
 from juniperreel.postgres.client import ClientConnection, Phase, Reply
 from juniperreel.verification.records import RecordSink, RequestClass, RequestSent, ResponseReceived
 
 READ_BYTES = 65_536
-CONNECT_US = 2_000_000
-AGAIN_S = 0.1  # after a connection that did not come about
-UNAVAILABLE, UNKNOWN, DEADLINE, INTERNAL = 14, 2, 4, 13  # the record's statuses are gRPC's
-REFUSED = ("53300", "57P03")
+CONNECT_TIMEOUT_US = 2_000_000
+RECONNECT_DELAY_S = 0.1
+DEADLINE_MULTIPLE = 4  # of the latency objective
+TENANT = "acme"
 
-Front = Callable[[], tuple[str, int] | None]  # a driver's name and port, or None where all are down
+# Statuses of records are gRPC's.
+STATUS_OK = 0
+STATUS_UNKNOWN = 2
+STATUS_DEADLINE_EXCEEDED = 4
+STATUS_INTERNAL = 13
+STATUS_UNAVAILABLE = 14
+REJECTION_SQLSTATES = ("53300", "57P03")
+TRANSACTION_RESOLUTION_UNKNOWN = "08007"
 
 
-class Broken(Exception):
-    """The connection ended before the answer."""
+# The edge that a session is to connect to; None where all are down.
+EdgeLookup = Callable[[], EdgeAddress | None]
 
 
-class Session:
+class ConnectionEndedError(FakesError):
+    """The connection ended before the response."""
+
+
+class PlatformSession:
     """One client session of a group."""
 
     def __init__(
@@ -39,110 +52,140 @@
         group: int,
         classes: Sequence[RequestClass],
         weights: Sequence[float],
-        front: Front,
+        find_edge: EdgeLookup,
         network: Network,
         clock: Clock,
         record: RecordSink,
         seed: int,
     ) -> None:
-        self._name, self._group, self._classes, self._weights = name, group, classes, weights
-        self._front, self._network, self._clock, self._record = front, network, clock, record
+        self._name = name
+        self._group = group
+        self._classes = classes
+        self._weights = weights
+        self._find_edge = find_edge
+        self._network = network
+        self._clock = clock
+        self._record = record
         self._rng = random.Random(seed)
-        self._lives = 0
-        self._driver = ""
+        self._connect_count = 0
+        self._edge = ""
         self._stream: trio.abc.Stream | None = None
-        self._talk = ClientConnection("worker", "catalog")
+        self._protocol = ClientConnection("worker", "catalog")
 
-    async def run(self, until_us: int, pause_s: float) -> None:
-        """Asks until then, pausing between an answer and the next request."""
+    async def run(self, until_us: int, mean_pause_s: float) -> None:
+        """Send requests until then, with a pause between a response and the next request."""
         while self._clock.now_us() < until_us:
-            await trio.sleep(pause_s * self._rng.expovariate(1.0))
-            if self._stream is not None and (self._talk.phase is Phase.OVER or hung_up(self._stream)):
-                self._drop()  # its driver has ended it, or has been killed, since the last answer
+            await trio.sleep(mean_pause_s * self._rng.expovariate(1.0))
+            if self._stream is not None and (self._protocol.phase is Phase.OVER or hung_up(self._stream)):
+                self._disconnect()  # the edge closed the connection since the last response
             if self._stream is None and not await self._connect():
-                await trio.sleep(AGAIN_S)
+                await trio.sleep(RECONNECT_DELAY_S)
                 continue
-            wait_us = await self._ask()
-            await trio.sleep(wait_us / US)
-        self._drop()
+            retry_after_us = await self._send_request()
+            await trio.sleep(retry_after_us / US)
+        self._disconnect()
 
-    def _drop(self) -> None:
-        if self._stream is not None and isinstance(self._stream, trio.SocketStream):
+    def _disconnect(self) -> None:
+        if isinstance(self._stream, trio.SocketStream):
             self._stream.socket.close()
         self._stream = None
 
     async def _connect(self) -> bool:
-        found = self._front()
-        if found is None:
+        address = self._find_edge()
+        if address is None:
             return False
-        self._driver, port = found
-        self._lives += 1
-        self._talk = ClientConnection("worker", "catalog")
+        self._edge = address.name
+        self._connect_count += 1
+        self._protocol = ClientConnection("worker", "catalog")
         try:
-            self._stream = await self._network.connect("127.0.0.1", port, CONNECT_US)
-            with trio.move_on_after(CONNECT_US / US):
-                await self._stream.send_all(self._talk.hello)
-                while self._talk.phase is Phase.WELCOME:
+            self._stream = await self._network.connect("127.0.0.1", address.port, CONNECT_TIMEOUT_US)
+            with trio.move_on_after(CONNECT_TIMEOUT_US / US):
+                await self._stream.send_all(self._protocol.hello)
+                while self._protocol.phase is Phase.WELCOME:
                     await self._receive()
                 return True
-        except (ConnectError, Broken, m.ProtocolError, trio.BrokenResourceError):
+        except (ConnectError, ConnectionEndedError, messages.ProtocolError, trio.BrokenResourceError):
             pass
-        self._drop()
+        self._disconnect()
         return False
 
     async def _receive(self) -> Reply | None:
         assert self._stream is not None
         data = await self._stream.receive_some(READ_BYTES)
         if not data:
-            raise Broken
-        return self._talk.feed(bytes(data))
+            raise ConnectionEndedError
+        return self._protocol.feed(bytes(data))
 
-    async def _ask(self) -> int:
-        """One request and its answer; returns how long it was asked to stay away."""
+    async def _send_request(self) -> int:
+        """Send one request and receive its response; returns the retry-after in microseconds."""
         assert self._stream is not None
-        (cls,) = self._rng.choices(self._classes, self._weights)
-        deadline = self._rng.uniform(0.85, 1.0) * cls.latency_objective_us * 4
-        key = f"{self._name}.{self._lives}"
-        rid = f"{self._rng.getrandbits(64):016x}"
-        span_ms = int(deadline // 1000)
-        now = self._clock.now_us()
-        fields = f"id={rid},c={cls.name},t=acme,d={span_ms},cluster={self._group}"
-        if cls.write:
-            fields += f",k={rid}"
-            text = f"INSERT INTO objects (oid, body) VALUES ('{key}', '\\x00') RETURNING body /* {fields} */"
-        else:
-            text = f"SELECT body FROM objects WHERE oid = '{key}' /* {fields} */"
-        self._record(
-            RequestSent(
-                now, rid, 0, self._driver, cls.name, key, "acme", self._group, key, now + span_ms * 1000
-            )
-        )
+        (request_class,) = self._rng.choices(self._classes, self._weights)
+        stretch = self._rng.uniform(0.85, 1.0)
+        deadline_us = stretch * request_class.latency_objective_us * DEADLINE_MULTIPLE
+        request_id = f"{self._rng.getrandbits(64):016x}"
+        deadline_ms = int(deadline_us // 1000)
+        text = self._statement(request_class, request_id, deadline_ms)
+        self._record_sent(request_class, request_id, deadline_ms)
         try:
-            with trio.move_on_after(span_ms / 1000):
-                await self._stream.send_all(self._talk.ask(text.encode()))
+            with trio.move_on_after(deadline_ms / 1000):
+                await self._stream.send_all(self._protocol.ask(text.encode()))
                 reply = None
                 while reply is None:
                     reply = await self._receive()
-                return self._told(rid, reply)
-            self._local(rid, DEADLINE)
-        except (Broken, trio.BrokenResourceError, m.ProtocolError):
-            self._local(rid, UNAVAILABLE)
-        self._drop()
+                return self._record_reply(request_id, reply)
+            self._record_local(request_id, STATUS_DEADLINE_EXCEEDED)
+        except (ConnectionEndedError, trio.BrokenResourceError, messages.ProtocolError):
+            self._record_local(request_id, STATUS_UNAVAILABLE)
+        self._disconnect()
         return 0
 
-    def _local(self, rid: str, status: int) -> None:
-        self._record(ResponseReceived(self._clock.now_us(), rid, 0, status, local=True))
+    @property
+    def _key(self) -> str:
+        """The session's name with its present edge, under which it reads and writes."""
+        return f"{self._name}.{self._connect_count}"
+
+    def _statement(self, request_class: RequestClass, request_id: str, deadline_ms: int) -> str:
+        fields = f"id={request_id},c={request_class.name},t={TENANT},d={deadline_ms},cluster={self._group}"
+        if request_class.write:
+            fields += f",k={request_id}"
+            values = f"('{self._key}', '\\x00')"
+            return f"INSERT INTO objects (oid, body) VALUES {values} RETURNING body /* {fields} */"
+        return f"SELECT body FROM objects WHERE oid = '{self._key}' /* {fields} */"
+
+    def _record_sent(self, request_class: RequestClass, request_id: str, deadline_ms: int) -> None:
+        now = self._clock.now_us()
+        sent = RequestSent(
+            now,
+            request_id,
+            0,
+            self._edge,
+            request_class.name,
+            self._key,
+            TENANT,
+            self._group,
+            self._key,
+            now + deadline_ms * 1000,
+        )
+        self._record(sent)
+
+    def _record_local(self, request_id: str, status: int) -> None:
+        self._record(ResponseReceived(self._clock.now_us(), request_id, 0, status, local=True))
 
-    def _told(self, rid: str, reply: Reply) -> int:
+    def _record_reply(self, request_id: str, reply: Reply) -> int:
+        """Record a response and return its retry-after in microseconds."""
         now = self._clock.now_us()
         if reply.error is None:
-            member, _, rows = (reply.value or b"").decode().partition("|")
-            self._record(
-                ResponseReceived(now, rid, 0, 0, endpoint=member, rows=rows.split(",") if rows else [])
-            )
+            endpoint, _, ids = (reply.value or b"").decode().partition("|")
+            rows = ids.split(",") if ids else []
+            self._record(ResponseReceived(now, request_id, 0, STATUS_OK, endpoint=endpoint, rows=rows))
             return 0
-        code = reply.error.get("C", "")
-        wait = int(reply.error.get("D", "0") or 0) * 1000 if code in REFUSED else 0
-        status = UNAVAILABLE if code in REFUSED else UNKNOWN if code == "08007" else INTERNAL
-        self._record(ResponseReceived(now, rid, 0, status, retry_after_us=wait))
-        return wait
+        sqlstate = reply.error.get("C", "")
+        status = STATUS_INTERNAL
+        retry_after_us = 0
+        if sqlstate in REJECTION_SQLSTATES:
+            status = STATUS_UNAVAILABLE
+            retry_after_us = int(reply.error.get("D", "0") or 0) * 1000
+        elif sqlstate == TRANSACTION_RESOLUTION_UNKNOWN:
+            status = STATUS_UNKNOWN
+        self._record(ResponseReceived(now, request_id, 0, status, retry_after_us=retry_after_us))
+        return retry_after_us
--- a/juniperreel/fakes/platform_discovery.py
+++ b/juniperreel/fakes/platform_discovery.py
@@ -1,136 +1,164 @@
-"""The operators' discovery for a fleet of stand-ins: what the host list is to edges, this is to drivers.
+"""The platform's discovery for a fleet of fakes, in place of the endpoint list.
 
-Every driver has a discovery of its own, as the address of a member may differ from one driver to the next.
+Every edge has a discovery server of its own, as the address of an endpoint may differ from one edge to the
+next.
 """
 
 from __future__ import annotations
 
 import random
 from collections.abc import Awaitable, Callable, Sequence
-from typing import Any
+from typing import Any, NamedTuple
 
 import trio
 
-from juniperreel.fakes.endpoint_list_server import NAMES
-from juniperreel.fakes.minimal_servers import DiscoveryStandIn
+from juniperreel.fakes.discovery_server import DiscoveryServer
+from juniperreel.fakes.endpoint_list_server import READINESS_NAMES, draw_due_us
 from juniperreel.net import Clock
 from juniperreel.proto.hosts.v1 import hosts_pb2
 from juniperreel.verification.records import EndpointListed, RecordSink
 
-LOOK_S = 0.05
-SILENCE_TELLS_S = (
-    6.0  # the operators': what a silent watch misses counts as told so long after it fell silent
-)
+UPDATE_INTERVAL_S = 0.05
+# The platform's rule: what a muted watch misses counts as notified so long after it was muted.
+MUTED_NOTICE_S = 6.0
 HEALTH = {
     hosts_pb2.READINESS_UP: "Ready",
     hosts_pb2.READINESS_DRAINING: "Terminating",
     hosts_pb2.READINESS_GONE: "Gone",
 }
-WORDS = {HEALTH[readiness]: word for readiness, word in NAMES.items()}  # the record's
-# The port by which a driver reaches a member: driver, member.
-Door = Callable[[str, str], Awaitable[int]]
+READINESS_BY_HEALTH = {HEALTH[readiness]: name for readiness, name in READINESS_NAMES.items()}
 
+# The port by which an edge reaches an endpoint: edge, endpoint.
+PortLookup = Callable[[str, str], Awaitable[int]]
 
-class RecordedDiscovery(DiscoveryStandIn):
-    """One driver's discovery; writes down what it tells."""
 
-    def __init__(self, driver: str, clock: Clock, record: RecordSink) -> None:
+class PendingUpdate(NamedTuple):
+    """An update that an edge is shown once it is due."""
+
+    due_us: int
+    edge: str
+    host: hosts_pb2.Host
+
+
+class RecordedDiscovery(DiscoveryServer):
+    """One edge's discovery server; records what it answers."""
+
+    def __init__(self, edge: str, clock: Clock, record: RecordSink) -> None:
         super().__init__([])
-        self._driver, self._clock, self._record = driver, clock, record
-        self._named: set[str] = set()
-        self._muted_s = 0.0
+        self._edge = edge
+        self._clock = clock
+        self._record = record
+        self._listed: set[str] = set()
+        self._muted_at_s = 0.0
 
     def mute(self) -> None:
+        """Never answer the calls that are open now."""
         super().mute()
-        self._muted_s = trio.current_time()
+        self._muted_at_s = trio.current_time()
 
-    async def missed(self) -> None:
-        await trio.sleep_until(self._muted_s + SILENCE_TELLS_S)
-        self.told(self.hosts)
-        await super().missed()
+    async def wait_muted(self) -> None:
+        """Hold the call; record what the edge missed once it counts as notified."""
+        await trio.sleep_until(self._muted_at_s + MUTED_NOTICE_S)
+        self.on_answer(self.hosts)
+        await super().wait_muted()
 
-    def told(self, hosts: list[dict[str, Any]]) -> None:
+    def on_answer(self, hosts: list[dict[str, Any]]) -> None:
+        """Record what an answer says; what it does not contain any more is removed."""
         now = self._clock.now_us()
-        for line in hosts:
-            self._record(EndpointListed(now, self._driver, line["host"], WORDS[line["health"]]))
-        named = {line["host"] for line in hosts}
-        for name in self._named - named:
-            self._record(EndpointListed(now, self._driver, name, "gone"))
-        self._named = named
+        for host in hosts:
+            readiness = READINESS_BY_HEALTH[host["health"]]
+            self._record(EndpointListed(now, self._edge, host["host"], readiness))
+        listed = {host["host"] for host in hosts}
+        removed = READINESS_NAMES[hosts_pb2.READINESS_GONE]
+        for name in self._listed - listed:
+            self._record(EndpointListed(now, self._edge, name, removed))
+        self._listed = listed
 
 
-class PlatformHosts:
-    """Stands where a fleet's host list does. `delay_us` is how late it tells what happens."""
+class PlatformDiscovery:
+    """Takes the place of a fleet's endpoint list. `delay_us` is the mean delay of updates."""
 
     def __init__(
         self,
-        drivers: Sequence[str],
+        edges: Sequence[str],
         clock: Clock,
         rng: random.Random,
         record: RecordSink,
         delay_us: int,
-        door: Door,
+        find_port: PortLookup,
     ) -> None:
         self.port = 0
-        self.frozen = False
-        self.discoveries = {driver: RecordedDiscovery(driver, clock, record) for driver in drivers}
-        self._clock, self._rng, self._delay_us, self._door = clock, rng, delay_us, door
-        self._due: list[tuple[int, str, hosts_pb2.Host]] = []
-        self._shown: dict[str, dict[str, hosts_pb2.Host]] = {driver: {} for driver in drivers}
+        self.frozen = False  # updates are not shown
+        self.servers = {edge: RecordedDiscovery(edge, clock, record) for edge in edges}
+        self._clock = clock
+        self._rng = rng
+        self._delay_us = delay_us
+        self._find_port = find_port
+        self._pending: list[PendingUpdate] = []
+        self._shown: dict[str, dict[str, hosts_pb2.Host]] = {edge: {} for edge in edges}
         self._hidden: set[str] = set()
         self._empty = False
-        self._stale: set[str] = set()  # drivers whose list is to be made anew
+        self._outdated: set[str] = set()  # edges whose list is to be made anew
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until cancelled."""
         async with trio.open_nursery() as nursery:
-            for discovery in self.discoveries.values():
+            for discovery in self.servers.values():
                 await nursery.start(discovery.run)
-            nursery.start_soon(self._show)
+            nursery.start_soon(self._show_updates)
             task_status.started()
 
-    def tell(self, host: hosts_pb2.Host, delay_us: int | None = None) -> None:
-        wait = self._delay_us if delay_us is None else delay_us
-        due = self._clock.now_us() + int(wait * self._rng.uniform(0.6, 1.4))
-        for driver in self.discoveries:
-            self._due.append((due, driver, host))
+    def publish(self, host: hosts_pb2.Host, delay_us: int | None = None) -> None:
+        """Show an endpoint's state to all edges after a delay; None stands for the list's own."""
+        delay_us = self._delay_us if delay_us is None else delay_us
+        due_us = draw_due_us(self._clock, self._rng, delay_us)
+        for edge in self.servers:
+            self._pending.append(PendingUpdate(due_us, edge, host))
 
-    def names(self) -> list[str]:
-        found = {n for shown in self._shown.values() for n, h in shown.items()}
-        return sorted(found)
+    def endpoint_names(self) -> list[str]:
+        """All endpoints that any edge was shown, sorted."""
+        return sorted({name for shown in self._shown.values() for name in shown})
 
     def hide(self, names: set[str]) -> None:
+        """Omit these endpoints, and no others, from now on."""
         self._hidden = names
-        self._stale = set(self.discoveries)
+        self._outdated = set(self.servers)
 
     def set_empty(self, empty: bool) -> None:
+        """Show no endpoints at all, or show them again."""
         self._empty = empty
-        self._stale = set(self.discoveries)
+        self._outdated = set(self.servers)
 
-    async def _show(self) -> None:
+    async def _show_updates(self) -> None:
         while True:
-            now = self._clock.now_us()
             if not self.frozen:
-                for _, driver, host in sorted((d for d in self._due if d[0] <= now), key=lambda d: d[0]):
-                    self._shown[driver][host.id] = host
-                    self._stale.add(driver)
-                self._due = [item for item in self._due if item[0] > now]
-                stale, self._stale = sorted(self._stale), set()
-                for driver in stale:
-                    discovery = self.discoveries[driver]
-                    lines = [] if self._empty else await self._lines(driver)
-                    if lines != discovery.hosts:
-                        discovery.replace(lines)
-            await trio.sleep(LOOK_S)
-
-    async def _lines(self, driver: str) -> list[dict[str, Any]]:
-        lines = []
-        for name, host in sorted(self._shown[driver].items()):
+                self._take_due_updates(self._clock.now_us())
+                outdated = sorted(self._outdated)
+                self._outdated = set()
+                for edge in outdated:
+                    discovery = self.servers[edge]
+                    hosts = [] if self._empty else await self._hosts(edge)
+                    if hosts != discovery.hosts:
+                        discovery.replace(hosts)
+            await trio.sleep(UPDATE_INTERVAL_S)
+
+    def _take_due_updates(self, now: int) -> None:
+        due = [update for update in self._pending if update.due_us <= now]
+        for update in sorted(due, key=lambda update: update.due_us):
+            self._shown[update.edge][update.host.id] = update.host
+            self._outdated.add(update.edge)
+        self._pending = [update for update in self._pending if update.due_us > now]
+
+    async def _hosts(self, edge: str) -> list[dict[str, Any]]:
+        """The list for an edge, in the platform's form."""
+        hosts = []
+        for name, host in sorted(self._shown[edge].items()):
             if name in self._hidden or host.readiness == hosts_pb2.READINESS_GONE:
                 continue
-            lines.append(
+            hosts.append(
                 {
                     "host": name,
-                    "dial": f"127.0.0.1:{await self._door(driver, name)}",
+                    "dial": f"127.0.0.1:{await self._find_port(edge, name)}",
                     "site": f"z{host.zone}",
                     "class": "k",
                     "block": host.group,
@@ -140,4 +168,4 @@
                     "replication": "primary" if host.primary else "standby",
                 }
             )
-        return lines
+        return hosts
--- a/juniperreel/fakes/postgres_server.py
+++ b/juniperreel/fakes/postgres_server.py
@@ -1,9 +1,9 @@
-"""A member's side in the operators' protocol: PostgreSQL's messages, two statements, probes; with the faults
-of its member. Connections come by relays of the same process, which say whose they are.
+"""The PostgreSQL side of a fake endpoint: the platform's two statements and probes.
 
-A value is the member's name, a bar, and the ids of all requests that wrote under its key, newest first, so
-that an answer shows who gave it and which commits it contains. Work stops when its client closes the
-connection, as the operators' members do.
+Connections come through relays of the same process, which say whose they are. A value is the endpoint's name,
+a bar, and the identifiers of all requests that wrote under its key, newest first, so that an answer shows who
+gave it and which commits it contains. Work stops when its client closes the connection, as the platform's
+endpoints do.
 """
 
 from __future__ import annotations
@@ -11,64 +11,101 @@
 import socket
 import sqlite3
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import trio
 
-from juniperreel.fakes.errors import QueueFullError
+from juniperreel.fakes.errors import FakesError, QueueFullError
+from juniperreel.fakes.replica import ExecutedWrite
 from juniperreel.fakes.store import Statement
 from juniperreel.net import Refused
-from juniperreel.postgres import messages as m
-from juniperreel.postgres import server
+from juniperreel.postgres import messages, server
 from juniperreel.postgres.form import Form, FormError, parse
 from juniperreel.verification.records import AttemptAbandoned, AttemptFinished, AttemptReceived
 
 if TYPE_CHECKING:
-    from juniperreel.fakes.endpoint import Member
+    from juniperreel.fakes.endpoint import FakeEndpoint
 
 INSERT = "insert into runs (runner, id) values (?, ?)"
 SELECT = "select id from runs where runner = ? order by number desc limit ?"
-ROWS = 1_000  # ids in one value
-REPORT_EVERY_US = 100_000
+MAX_IDS = 1_000  # in one value
+REPORT_INTERVAL_US = 100_000
 READ_BYTES = 65_536
-UNTOUCHED = {"25006": "NOT_PRIMARY", "72000": "BEHIND", "53300": "NOT_EXECUTED"}
 
+READ_ONLY_TRANSACTION = "25006"
+TOO_MANY_CONNECTIONS = "53300"
+INTERNAL_ERROR = "XX000"
+PROTOCOL_VIOLATION = "08P01"
+SNAPSHOT_TOO_OLD = "72000"
+OUTCOMES = {
+    READ_ONLY_TRANSACTION: "NOT_PRIMARY",
+    SNAPSHOT_TOO_OLD: "BEHIND",
+    TOO_MANY_CONNECTIONS: "NOT_EXECUTED",
+}
 
-class Refusal(Exception):
-    """An ErrorResponse with this SQLSTATE."""
 
-    def __init__(self, code: str, text: str) -> None:
-        super().__init__(text)
-        self.code = code
+class PostgresError(FakesError):
+    """An error that the client receives as an ErrorResponse with this SQLSTATE."""
 
+    def __init__(self, sqlstate: str, message: str) -> None:
+        super().__init__(message)
+        self.sqlstate = sqlstate
 
-class Lost(Exception):
-    """No answer comes; `broken`: the connection ends instead."""
+
+class ResponseLostError(FakesError):
+    """No response is sent; where the connection is `broken`, it ends instead."""
 
     def __init__(self, broken: bool) -> None:
+        super().__init__("the connection breaks" if broken else "the response is lost")
         self.broken = broken
 
 
-def row(value: bytes) -> bytes:
-    described = m.message(b"T", b"\0\1body\0" + b"\0" * 6 + b"\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\1")
-    data = m.message(b"D", b"\0\1" + len(value).to_bytes(4, "big") + value)
-    return described + data + m.message(b"C", b"SELECT 1\0")
+class CachedReport(NamedTuple):
+    """A load report and when it was made."""
+
+    at_us: int
+    text: bytes
+
+
+class RunningAttempt(NamedTuple):
+    """The attempt that a connection executes."""
+
+    request_id: str
+    number: int
+
+
+class FormResult(NamedTuple):
+    """The value that answers a statement, and the commit position if it wrote."""
 
+    value: bytes
+    commit: int | None
 
-class PostgresSide:
-    """All connections of one member."""
 
-    def __init__(self, member: Member) -> None:
-        self.member = member
-        self._nursery: trio.Nursery | None = None  # while its process runs
+def single_row(value: bytes) -> bytes:
+    """The messages of a result of one row with one column."""
+    description = messages.message(
+        b"T", b"\0\1body\0" + b"\0" * 6 + b"\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\1"
+    )
+    data = messages.message(b"D", b"\0\1" + len(value).to_bytes(4, "big") + value)
+    return description + data + messages.message(b"C", b"SELECT 1\0")
+
+
+class PostgresServer:
+    """All connections of one endpoint."""
+
+    def __init__(self, endpoint: FakeEndpoint) -> None:
+        self.endpoint = endpoint
         self.opened = 0  # connections, ever
-        self.held = self.most_held = 0  # now, and at most at a time
+        self.open = 0  # connections, now
+        self.most_open = 0  # connections, at most at a time
         self.probes = 0  # answered, ever
-        self.asked: dict[str, int] = {}  # attempts by request
-        self.busy: dict[str, list[Connection]] = {}  # with what runs here, by request
-        self._report = (0, b"")
+        self.attempts: dict[str, int] = {}  # number of the last attempt, by request
+        self.running: dict[str, list[PostgresConnection]] = {}  # connections that execute, by request
+        self._nursery: trio.Nursery | None = None  # while the endpoint's process runs
+        self._cached_report = CachedReport(0, b"")
 
     async def serve(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Serve the connections that `connect` opens, until cancelled."""
         async with trio.open_nursery() as self._nursery:
             try:
                 task_status.started()
@@ -76,194 +113,243 @@
             finally:
                 self._nursery = None
 
-    async def dial(self, driver: str, given_up: Callable[[], bool]) -> trio.abc.Stream:
-        """A new connection of a driver's: the end that is the driver's. Raises Refused while no process runs.
+    async def connect(self, edge: str, edge_closed: Callable[[], bool]) -> trio.abc.Stream:
+        """Open a connection for an edge and return the edge's end of it.
 
-        `given_up`: whether the driver has ended it, though that may not be heard here yet. Danger: with a
-        port for each driver, hundreds of them before dozens of members use up all that there are."""
+        A socket pair takes the place of a listening port: with a port for each edge and endpoint, hundreds of
+        edges before dozens of endpoints would use up all ports of the machine. `edge_closed` says whether the
+        edge has closed the connection, though that may not have been read here yet. Raises Refused while no
+        process runs.
+        """
         await trio.lowlevel.checkpoint()
         if self._nursery is None:
-            raise Refused(f"{self.member.name} does not run")
-        if given_up():
-            # Danger: a loop that is late would serve all that have left meanwhile, and be later still.
+            raise Refused(f"{self.endpoint.name} does not run")
+        if edge_closed():
+            # An event loop that is late must not serve all clients that disconnected meanwhile: it would be
+            # later still.
             raise Refused("nobody waits any more")
         try:
             pair = socket.socketpair()
         except OSError as error:
-            raise Refused(f"{self.member.name}: {error}") from None
-        theirs, ours = (trio.SocketStream(trio.socket.from_stdlib_socket(s)) for s in pair)
-        self._nursery.start_soon(Connection(self, driver, ours, given_up).run)
-        return theirs
+            raise Refused(f"{self.endpoint.name}: {error}") from error
+        edge_end, server_end = (trio.SocketStream(trio.socket.from_stdlib_socket(end)) for end in pair)
+        self._nursery.start_soon(PostgresConnection(self, edge, server_end, edge_closed).run)
+        return edge_end
 
     def report(self) -> bytes:
-        """As old as its last refresh."""
-        now = self.member.at_us()
-        if now - self._report[0] > REPORT_EVERY_US:
-            standing = self.member.standing()
-            primary, waiting = int(self.member.claims), self.member.machine.queued
-            text = f"x0={standing.position / 1e6:.6f},x1={primary},queue={waiting}"
-            self._report = (now, text.encode())
-        return self._report[1]
-
+        """The load report, as old as its last refresh."""
+        endpoint = self.endpoint
+        now = endpoint.recorded_at_us()
+        if now - self._cached_report.at_us > REPORT_INTERVAL_US:
+            position_s = endpoint.replication_status().position / 1e6
+            primary = int(endpoint.claims_primary)
+            text = f"x0={position_s:.6f},x1={primary},queue={endpoint.capacity.queued}"
+            self._cached_report = CachedReport(now, text.encode())
+        return self._cached_report.text
+
+    def start_attempt(self, request_id: str, connection: PostgresConnection) -> RunningAttempt:
+        """Number an attempt and note its connection."""
+        number = self.attempts.get(request_id, -1) + 1
+        self.attempts[request_id] = number
+        self.running.setdefault(request_id, []).append(connection)
+        return RunningAttempt(request_id, number)
+
+    def finish_attempt(self, request_id: str, connection: PostgresConnection) -> None:
+        """Forget the connection of an attempt."""
+        connections = self.running[request_id]
+        connections.remove(connection)
+        if not connections:
+            del self.running[request_id]
+
+
+class PostgresConnection:
+    """One connection: reads queries, executes them in order, sends their results."""
 
-class Connection:
     def __init__(
-        self, side: PostgresSide, driver: str, stream: trio.abc.Stream, given_up: Callable[[], bool]
+        self, side: PostgresServer, edge: str, stream: trio.abc.Stream, edge_closed: Callable[[], bool]
     ) -> None:
-        self._side, self._member, self._driver, self._stream = side, side.member, driver, stream
-        self.given_up = given_up
-        self._talk = server.ServerConnection()
-        self._news = trio.Event()
-        self._attempt: tuple[str, int] | None = None  # that is running
-        self._told = False  # that it is given up
+        self.edge_closed = edge_closed
+        self._server = side
+        self._endpoint = side.endpoint
+        self._edge = edge
+        self._stream = stream
+        self._protocol = server.ServerConnection()
+        self._received = trio.Event()  # replaced whenever data came
+        self._attempt: RunningAttempt | None = None
+        self._abandoned = False  # whether that was recorded of the attempt
 
     async def run(self) -> None:
-        self._side.opened += 1
-        self._side.held += 1
-        self._side.most_held = max(self._side.most_held, self._side.held)
+        """Serve the connection until its end."""
+        self._server.opened += 1
+        self._server.open += 1
+        self._server.most_open = max(self._server.most_open, self._server.open)
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._read, nursery.cancel_scope)
                 await self._serve()
                 nursery.cancel_scope.cancel()
         finally:
-            self._side.held -= 1
+            self._server.open -= 1
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(self._stream)
 
-    async def _read(self, whole: trio.CancelScope) -> None:
-        """The client's end ends what is running."""
+    async def _read(self, connection_scope: trio.CancelScope) -> None:
+        """Read until the client disconnects, which cancels what is being executed."""
         try:
             while data := await self._stream.receive_some(READ_BYTES):
-                self._talk.feed(bytes(data))
-                self._news.set()
-                self._news = trio.Event()
+                self._protocol.feed(bytes(data))
+                self._received.set()
+                self._received = trio.Event()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
-        self.abandon()
-        whole.cancel()
+        self.record_abandoned()
+        connection_scope.cancel()
 
-    def abandon(self) -> None:
-        if self._attempt is not None and not self._told:
-            self._told = True
-            self._member.record(AttemptAbandoned(self._member.at_us(), self._member.name, *self._attempt))
+    def record_abandoned(self) -> None:
+        """Record, once, that the running attempt is abandoned."""
+        if self._attempt is not None and not self._abandoned:
+            self._abandoned = True
+            endpoint = self._endpoint
+            now = endpoint.recorded_at_us()
+            endpoint.record(AttemptAbandoned(now, endpoint.name, *self._attempt))
 
     async def _serve(self) -> None:
+        protocol = self._protocol
         try:
-            while self._talk.phase is not server.Phase.OVER:
-                query = self._talk.next()
+            while protocol.phase is not server.Phase.OVER:
+                query = protocol.next()
                 if query is not None:
-                    self._talk.out += await self._answer(query.text)
-                if self._talk.out:
-                    out, self._talk.out = bytes(self._talk.out), bytearray()
+                    protocol.out += await self._answer(query.text)
+                if protocol.out:
+                    out = bytes(protocol.out)
+                    protocol.out = bytearray()
                     await self._stream.send_all(out)
                 elif query is None:
-                    await self._news.wait()
-        except Lost as lost:
-            if not lost.broken:
-                await trio.sleep_forever()  # until the driver waits no longer
-        except (trio.BrokenResourceError, trio.ClosedResourceError, m.ProtocolError):
+                    await self._received.wait()
+        except ResponseLostError as error:
+            if not error.broken:
+                await trio.sleep_forever()  # until the edge closes the connection
+        except (trio.BrokenResourceError, trio.ClosedResourceError, messages.ProtocolError):
             return
 
     async def _answer(self, text: bytes) -> bytes:
-        member = self._member
-        await member.wait_while_hung()
+        await self._endpoint.wait_while_hung()
         if not text.strip():
             return server.empty()
         if text == b"SHOW pressure":
-            self._side.probes += 1
-            return row(self._side.report()) + m.READY
+            self._server.probes += 1
+            return single_row(self._server.report()) + messages.READY
         if text == b"SELECT 1":
-            self._side.probes += 1
-            return row(b"1") + m.READY
+            self._server.probes += 1
+            return single_row(b"1") + messages.READY
         try:
             form = parse(text)
         except FormError as error:
-            return server.failed("08P01", str(error))
-        return await self._attempted(form)
-
-    async def _attempted(self, form: Form) -> bytes:
-        member, side = self._member, self._side
-        # Danger: a machine with much else to do lets this process wait, and what a driver gave up in time, by
-        # ending a connection, would look like sent after its final answer, or beside its next attempt.
-        if self.given_up():
-            raise Lost(broken=True)
-        for other in [c for peer in member.group.members for c in peer.postgres.busy.get(form.id, ())]:
-            if other.given_up():
-                other.abandon()
-        number = side.asked[form.id] = side.asked.get(form.id, -1) + 1
-        mean = member.settings.write_us if form.write else member.settings.read_us
-        now, name = member.at_us(), member.name
-        member.record(
-            AttemptReceived(now, name, self._driver, form.id, number, form.id, form.cls, form.write, mean)
+            return server.failed(PROTOCOL_VIOLATION, str(error))
+        return await self._run_attempt(form)
+
+    async def _run_attempt(self, form: Form) -> bytes:
+        endpoint = self._endpoint
+        # On a machine with much else to do this process has to wait. What an edge abandoned in time, by
+        # closing a connection, would then be recorded as sent after its final answer, or beside its next
+        # attempt.
+        if self.edge_closed():
+            raise ResponseLostError(broken=True)
+        self._record_abandoned_elsewhere(form.id)
+        mean_us = endpoint.mean_work_us(form.write)
+        now = endpoint.recorded_at_us()
+        attempt = self._server.start_attempt(form.id, self)
+        received = AttemptReceived(
+            now, endpoint.name, self._edge, *attempt, form.id, form.cls, form.write, mean_us
         )
-        member.machine.offer(mean)
-        self._attempt, self._told, how = (form.id, number), False, "stopped"
-        side.busy.setdefault(form.id, []).append(self)
+        endpoint.record(received)
+        endpoint.capacity.offer(mean_us)
+        self._attempt = attempt
+        self._abandoned = False
+        outcome = "stopped"
         try:
-            answer = await self._carry_out(form, mean, now + form.span_ms * 1000)
-            how = "answered"
-        except Refusal as error:
-            how = UNTOUCHED.get(error.code, "INTERNAL")
-            answer = m.error("ERROR", error.code, str(error)) + self._facts(None) + m.READY
+            response = await self._execute(form, mean_us, now + form.span_ms * 1000)
+            outcome = "answered"
+        except PostgresError as error:
+            outcome = OUTCOMES.get(error.sqlstate, "INTERNAL")
+            response = messages.error("ERROR", error.sqlstate, str(error))
+            response += self._status_parameters(None) + messages.READY
         finally:
             self._attempt = None
-            side.busy[form.id].remove(self)
-            if not side.busy[form.id]:
-                del side.busy[form.id]
-            member.record(AttemptFinished(member.at_us(), name, form.id, number, how, how == "answered"))
-        return answer
-
-    async def _carry_out(self, form: Form, mean: int, until_us: int) -> bytes:
-        """Raises Refusal or Lost."""
-        member = self._member
-        if member.refusing or member.draining:
-            raise Refusal("53300", "no room")
-        if member.chance(member.failing):
-            raise Refusal("XX000", "something inside is broken")
-        if form.write and not member.claims:
-            raise Refusal("25006", "not the primary")
-        work = member.machine.draw_work_us(mean)
+            self._server.finish_attempt(form.id, self)
+            executed = outcome == "answered"
+            finished_at = endpoint.recorded_at_us()
+            endpoint.record(AttemptFinished(finished_at, endpoint.name, *attempt, outcome, executed))
+        return response
+
+    def _record_abandoned_elsewhere(self, request_id: str) -> None:
+        """Record earlier attempts of a request whose connections the edge has closed meanwhile."""
+        running = [
+            connection
+            for endpoint in self._endpoint.group.endpoints
+            for connection in endpoint.postgres.running.get(request_id, ())
+        ]
+        for connection in running:
+            if connection.edge_closed():
+                connection.record_abandoned()
+
+    async def _execute(self, form: Form, mean_us: int, deadline_us: int) -> bytes:
+        """The response to a statement. Raises PostgresError or ResponseLostError."""
+        endpoint = self._endpoint
+        if endpoint.faults.rejecting or endpoint.draining:
+            raise PostgresError(TOO_MANY_CONNECTIONS, "no room")
+        if endpoint.occurs(endpoint.faults.failed_requests):
+            raise PostgresError(INTERNAL_ERROR, "something inside is broken")
+        if form.write and not endpoint.claims_primary:
+            raise PostgresError(READ_ONLY_TRANSACTION, "not the primary")
+        work_us = endpoint.capacity.draw_work_us(mean_us)
         try:
-            async with member.machine.core():
-                if member.at_us() >= until_us:
-                    raise Refusal("53300", "the request is over already")
-                await member.machine.execute(work)
-                await member.wait_while_hung()
-                value, commit = await self._effect(form) if form.write else (self._rows(form), None)
-        except QueueFullError:
-            raise Refusal("53300", "the queue is full") from None
-        if member.chance(member.losing):
-            raise Lost(broken=False)
-        if member.chance(member.breaking):
-            raise Lost(broken=True)
-        await member.wait_while_hung()
-        return row(value) + self._facts(commit) + m.READY
-
-    def _rows(self, form: Form) -> bytes:
-        cursor = self._member.copy.store.execute(SELECT, (form.key, ROWS))
-        return self._named(",".join(str(found) for (found,) in cursor.fetchall()))
-
-    def _named(self, ids: str) -> bytes:
-        return f"{self._member.name}|{ids}".encode()
-
-    async def _effect(self, form: Form) -> tuple[bytes, int]:
-        """Done once for each key, as long as the group remembers it."""
-        member, key = self._member, form.idempotency or ""
-        if not member.claims:
-            raise Refusal("25006", "no longer the primary")
-        known = member.copy.keys.get(key) if key else None
-        if known is None:
-            try:
-                known = member.commit([Statement(INSERT, (form.key, form.id))], key, form.id, form.key)
-            except sqlite3.Error as error:
-                raise Refusal("XX000", str(error)) from None
-        await member.acknowledged(known[0])
-        return self._named(form.id), known[0]
-
-    def _facts(self, commit: int | None) -> bytes:
-        """Positions rounded down, a commit up, in Unix milliseconds."""
-        standing = self._member.standing()
-        role = "primary" if self._member.claims else "standby"
-        position = standing.position // 1000 if commit is None else -(-commit // 1000)
-        return m.parameter("replication_role", role) + m.parameter("log_position", str(position))
+            async with endpoint.capacity.core():
+                if endpoint.recorded_at_us() >= deadline_us:
+                    raise PostgresError(TOO_MANY_CONNECTIONS, "the request is over already")
+                await endpoint.capacity.execute(work_us)
+                await endpoint.wait_while_hung()
+                result = await self._write(form) if form.write else self._read_ids(form)
+        except QueueFullError as error:
+            raise PostgresError(TOO_MANY_CONNECTIONS, "the queue is full") from error
+        if endpoint.occurs(endpoint.faults.lost_responses):
+            raise ResponseLostError(broken=False)
+        if endpoint.occurs(endpoint.faults.broken_connections):
+            raise ResponseLostError(broken=True)
+        await endpoint.wait_while_hung()
+        return single_row(result.value) + self._status_parameters(result.commit) + messages.READY
+
+    def _read_ids(self, form: Form) -> FormResult:
+        cursor = self._endpoint.replica.store.execute(SELECT, (form.key, MAX_IDS))
+        return FormResult(self._value(",".join(str(found) for (found,) in cursor.fetchall())), None)
+
+    def _value(self, ids: str) -> bytes:
+        return f"{self._endpoint.name}|{ids}".encode()
+
+    async def _write(self, form: Form) -> FormResult:
+        """Write, once for each idempotency key within the group's deduplication window."""
+        endpoint = self._endpoint
+        key = form.idempotency or ""
+        if not endpoint.claims_primary:
+            raise PostgresError(READ_ONLY_TRANSACTION, "no longer the primary")
+        write = endpoint.replica.executed_writes.get(key) if key else None
+        if write is None:
+            write = self._commit(form, key)
+        await endpoint.wait_until_replicated(write.position)
+        return FormResult(self._value(form.id), write.position)
+
+    def _commit(self, form: Form, key: str) -> ExecutedWrite:
+        statement = Statement(INSERT, (form.key, form.id))
+        try:
+            return self._endpoint.commit([statement], key, form.id, form.key)
+        except sqlite3.Error as error:
+            raise PostgresError(INTERNAL_ERROR, str(error)) from error
+
+    def _status_parameters(self, commit: int | None) -> bytes:
+        """Role and log position, in Unix milliseconds: positions are rounded down, a commit up."""
+        status = self._endpoint.replication_status()
+        role = "primary" if self._endpoint.claims_primary else "standby"
+        position_ms = status.position // 1000 if commit is None else -(-commit // 1000)
+        return messages.parameter("replication_role", role) + messages.parameter(
+            "log_position", str(position_ms)
+        )
--- a/juniperreel/fakes/replication_group.py
+++ b/juniperreel/fakes/replication_group.py
@@ -1,90 +1,51 @@
-"""A group of members: who is primary in which epoch, how the log travels, and how a failover goes.
+"""A replication group: who is primary in which epoch, how the log reaches replicas, and how a failover goes.
 
-Each member has a log of its own. Replicas receive their primary's over a stream, after a delay, and apply
-it on one thread.
-A primary that is dead, cut off or silent for the detection span is given up; after the election the replica
-that received most takes over in a new epoch. What only the old primary held is cut off.
+Each endpoint has a log of its own. Replicas receive their primary's over a stream, after a delay, and apply
+it on one thread. A primary that is dead, partitioned or silent for the detection span is given up; after the
+election the replica that received most takes over in a new epoch. What only the old primary has is cut off.
 """
 
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable, Sequence
-from typing import TYPE_CHECKING
+from collections.abc import Sequence
+from typing import TYPE_CHECKING, NamedTuple
 
 import trio
 
-from juniperreel.fakes.store import Commit, Store
+from juniperreel.fakes.replica import EpochStart
 from juniperreel.net import Clock
 from juniperreel.verification.records import Promoted, RecordSink
 
 if TYPE_CHECKING:
-    from juniperreel.fakes.endpoint import Member
+    from juniperreel.fakes.endpoint import FakeEndpoint
 
 TICK_S = 0.01
-KEPT_EPOCHS = 16
-
-
-class Replica:
-    """One member's copy: its log, how far it is received and applied, and its history of epochs."""
-
-    def __init__(self) -> None:
-        self.store = Store()
-        self.log: list[Commit] = []
-        self.received = 0  # position up to which the log is complete
-        self.position = 0  # up to which it is applied
-        self.epochs: list[tuple[int, int]] = [(1, 0)]
-        self.keys: dict[str, tuple[int, int]] = {}  # idempotency key: commit position, rows changed
-        self.apply_factor = 1.0
-        self.budget = 0.0
-
-    @property
-    def epoch(self) -> int:
-        return self.epochs[-1][0]
-
-    def apply(self, commit: Commit) -> int:
-        rows = self.store.apply(commit)
-        if commit.idempotency_key:
-            self.keys[commit.idempotency_key] = (commit.position, rows)
-        return rows
-
-    def forget_keys(self, before: int) -> None:
-        old = [key for key, (position, _) in self.keys.items() if position < before]
-        for key in old:
-            del self.keys[key]
-
-    def held_with(self, theirs: Sequence[tuple[int, int]]) -> int:
-        """How many entries of another log, told by epoch and position, this one holds too."""
-        kept = 0
-        for mine, (epoch, position) in zip(self.log, theirs, strict=False):
-            if (mine.epoch, mine.position) != (epoch, position):
-                break
-            kept += 1
-        return kept
-
-    def follow(self, keep: int, epochs: list[tuple[int, int]]) -> None:
-        """Follow a primary whose log holds the first `keep` entries; a failover cut the others off."""
-        if keep < len(self.log):
-            self.log = self.log[:keep]
-            self.received = min(self.received, self.log[-1].position if self.log else 0)
-        if self.store.applied > keep:
-            self.keys = {}
-            self.store.rebuild(())
-            for commit in self.log:
-                self.apply(commit)
-        start = epochs[-1][1]
-        if epochs[-1][0] != self.epoch:
-            self.received = min(self.received, start)  # what it had heard beyond belongs to the old epoch
-        self.position = min(self.position, self.received)
-        self.epochs = epochs
-
-    def take(self, entries: Iterable[Commit], heartbeat: int) -> None:
-        self.log.extend(entries)
-        self.received = max(self.received, heartbeat)
-
-
-class Group:
-    """The members of one group and the state of its replication."""
+MONITOR_INTERVAL_S = 0.1
+MONITOR_RETRY_S = 0.05
+CANDIDATE_WAIT_S = 0.1
+MAX_EPOCHS = 16
+MAX_APPLY_BUDGET = 1e4
+STEP_DOWN_DELAY_S = 0.5
+
+
+class LogTransfer(NamedTuple):
+    """A primary's log on its way to replicas."""
+
+    due_s: float  # when it arrives
+    length: int
+    heartbeat: int
+
+
+class FollowedPrimary(NamedTuple):
+    """The primary that a replica follows, and in which epoch."""
+
+    primary: str
+    epoch: int
+
+
+class ReplicationGroup:
+    """The endpoints of one group and the state of its replication."""
 
     def __init__(
         self,
@@ -92,28 +53,34 @@
         clock: Clock,
         rng: random.Random,
         record: RecordSink,
-        detect_s: float,
-        elect_s: float,
-        streams: bool = True,
+        detection_s: float,
+        election_s: float,
+        streaming: bool = True,
     ) -> None:
-        """`streams`: replicas follow their primary over streams, as they do where edges are tried; else its
-        log is handed on here, at a twentieth of the cost: a large trial's machine has other things to do."""
+        """With `streaming`, replicas follow their primary over streams of their own.
+
+        Without, the group copies the primary's log itself, at a twentieth of the cost: the machine of a large
+        trial has other things to do.
+        """
         self.number = number
-        self.streams = streams
-        self._followed: dict[str, tuple[str, int]] = {}  # by each replica: whom, in which epoch
-        self._on_way: list[tuple[float, int, int]] = []  # when it arrives, how much of the log, the heartbeat
-        self.members: list[Member] = []
-        self.primary: Member | None = None
+        self.streaming = streaming
+        self.endpoints: list[FakeEndpoint] = []
+        self.primary: FakeEndpoint | None = None
         self.epoch = 1
-        self.delay_s = 0.005
+        self.replication_delay_s = 0.005
         self.apply_us = 400  # of one commit on a replica's one thread
-        self.key_memory_us = 5_000_000
-        self.depose_s = 0.5  # for which a former primary goes on claiming the role
-        self._claimants: dict[str, float] = {}
-        self._clock, self._rng, self._record = clock, rng, record
-        self._detect_s, self._elect_s = detect_s, elect_s
+        self.deduplication_window_us = 5_000_000
+        self.step_down_delay_s = STEP_DOWN_DELAY_S  # for which a former primary keeps claiming the role
+        self.received = trio.Event()  # replaced whenever a replica received something
+        self._clock = clock
+        self._rng = rng
+        self._record = record
+        self._detection_s = detection_s
+        self._election_s = election_s
         self._last_position = 0
-        self.arrived = trio.Event()  # renewed whenever a replica received something
+        self._outdated_since: dict[str, float] = {}  # when former primaries could notice their successor
+        self._followed: dict[str, FollowedPrimary] = {}  # by replica, without streaming
+        self._transfers: list[LogTransfer] = []  # likewise
 
     def next_position(self) -> int:
         """A commit position: the group's clock, made strictly increasing."""
@@ -121,126 +88,148 @@
         return self._last_position
 
     def heartbeat(self) -> int:
-        """Everything committed so far lies at or below; nothing will be committed at or below."""
+        """A position at or below which all commits lie, and no later one will."""
         self._last_position = max(self._last_position, self._clock.now_us())
         return self._last_position
 
     async def run(self) -> None:
+        """Replicate, and replace primaries that fail, until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._tick)
-            nursery.start_soon(self._watch)
+            nursery.start_soon(self._monitor_primary)
 
     async def _tick(self) -> None:
-        """The primary's own position, and what replicas apply on their one thread."""
         while True:
             await trio.sleep(TICK_S * self._rng.uniform(0.8, 1.2))
             now = trio.current_time()
-            p = self.primary
-            if p is not None and self._well(p) and p.copy.epoch == self.epoch:
-                p.copy.received = p.copy.position = self.heartbeat()
-                p.copy.forget_keys(p.copy.position - self.key_memory_us)
-            if not self.streams and p is not None:
-                self._hand_on(p, now)
-            self._depose(now)
-            for member in self.members:
-                if member is not self.primary and member.alive and not member.hung:
-                    self._apply(member)
-
-    def _hand_on(self, p: Member, now: float) -> None:
-        """What the primary's log held a delay ago, to all replicas that can hear it."""
-        if not (self._well(p) and p.claims):
-            self._on_way = []
+            primary = self.primary
+            if primary is not None and _is_reachable(primary) and primary.replica.epoch == self.epoch:
+                self._advance_primary(primary)
+            if not self.streaming and primary is not None:
+                self._copy_log(primary, now)
+            self._step_down_former_primaries(now)
+            for endpoint in self.endpoints:
+                if endpoint is not self.primary and endpoint.alive and not endpoint.faults.hung:
+                    self._apply(endpoint)
+
+    def _advance_primary(self, primary: FakeEndpoint) -> None:
+        replica = primary.replica
+        replica.position = self.heartbeat()
+        replica.received = replica.position
+        replica.forget_writes(replica.position - self.deduplication_window_us)
+
+    def _copy_log(self, primary: FakeEndpoint, now: float) -> None:
+        """Append to all reachable replicas what the primary's log contained a replication delay ago."""
+        if not (_is_reachable(primary) and primary.claims_primary):
+            self._transfers = []
             return
-        self._on_way.append((now + self.delay_s, len(p.copy.log), self.heartbeat()))
-        ready = [item for item in self._on_way if item[0] <= now]
-        if not ready:
+        log = primary.replica.log
+        self._transfers.append(LogTransfer(now + self.replication_delay_s, len(log), self.heartbeat()))
+        arrived = [transfer for transfer in self._transfers if transfer.due_s <= now]
+        if not arrived:
             return
-        self._on_way = [item for item in self._on_way if item[0] > now]
-        _, length, heartbeat = ready[-1]
-        for m in self.members:
-            if m is p or m.claims or not self._well(m):
+        self._transfers = [transfer for transfer in self._transfers if transfer.due_s > now]
+        newest = arrived[-1]
+        for endpoint in self.endpoints:
+            if endpoint is primary or endpoint.claims_primary or not _is_reachable(endpoint):
                 continue
-            if self._followed.get(m.name) != (p.name, self.epoch):
-                keep = p.copy.held_with([(c.epoch, c.position) for c in m.copy.log])
-                m.copy.follow(keep, list(p.copy.epochs))
-                self._followed[m.name] = p.name, self.epoch
-            m.copy.take(p.copy.log[len(m.copy.log) : length], heartbeat)
-        self.received()
-
-    def received(self) -> None:
-        """A replica has received something: writes that wait for a second copy look again."""
-        self.arrived.set()
-        self.arrived = trio.Event()
-
-    def _apply(self, member: Member) -> None:
-        copy = member.copy
-        copy.budget = min(copy.budget + TICK_S * 1e6 / (self.apply_us * copy.apply_factor), 1e4)
-        while copy.store.applied < len(copy.log) and copy.budget >= 1:
-            commit = copy.log[copy.store.applied]
-            copy.apply(commit)
-            copy.budget -= 1
-            copy.position = max(copy.position, commit.position)
-        if copy.store.applied == len(copy.log):
-            copy.budget = 0.0
-            copy.position = max(copy.position, copy.received)
-        copy.forget_keys(copy.position - self.key_memory_us)
-
-    def replicated(self, epoch: int, position: int, source: Member) -> bool:
-        """Whether another live member holds what was committed up to there."""
-        others = [m for m in self.members if m is not source and m.alive and not m.cut_off]
-        return any(m.copy.epoch == epoch and m.copy.received >= position for m in others)
-
-    def _depose(self, now: float) -> None:
-        """A former primary that can hear its group learns of the new epoch after a while."""
-        for m in self.members:
-            if m.claims and m is not self.primary and self.primary is not None and self._well(m):
-                self._claimants.setdefault(m.name, now)
-                if now - self._claimants[m.name] > self.depose_s:
-                    m.claims = False
+            followed = FollowedPrimary(primary.name, self.epoch)
+            replica = endpoint.replica
+            if self._followed.get(endpoint.name) != followed:
+                common_prefix = primary.replica.common_prefix(replica.log_positions())
+                replica.follow(common_prefix, primary.replica.epochs)
+                self._followed[endpoint.name] = followed
+            replica.append(log[len(replica.log) : newest.length], newest.heartbeat)
+        self.notify_received()
+
+    def notify_received(self) -> None:
+        """Wake writes that wait for a replica to receive them."""
+        self.received.set()
+        self.received = trio.Event()
+
+    def _apply(self, endpoint: FakeEndpoint) -> None:
+        """Apply as many commits as one thread can in a tick."""
+        replica = endpoint.replica
+        commits_per_tick = TICK_S * 1e6 / (self.apply_us * replica.apply_slowdown)
+        replica.apply_budget = min(replica.apply_budget + commits_per_tick, MAX_APPLY_BUDGET)
+        while replica.store.applied < len(replica.log) and replica.apply_budget >= 1:
+            commit = replica.log[replica.store.applied]
+            replica.apply(commit)
+            replica.apply_budget -= 1
+            replica.position = max(replica.position, commit.position)
+        if replica.store.applied == len(replica.log):
+            replica.apply_budget = 0.0
+            replica.position = max(replica.position, replica.received)
+        replica.forget_writes(replica.position - self.deduplication_window_us)
+
+    def is_replicated(self, epoch: int, position: int, source: FakeEndpoint) -> bool:
+        """Whether another live endpoint has received what was committed up to a position."""
+        return any(
+            endpoint.replica.epoch == epoch and endpoint.replica.received >= position
+            for endpoint in self.endpoints
+            if endpoint is not source and endpoint.alive and not endpoint.faults.partitioned
+        )
+
+    def _step_down_former_primaries(self, now: float) -> None:
+        """A former primary that reaches its group learns of the new epoch after a while."""
+        for endpoint in self.endpoints:
+            outdated = endpoint.claims_primary and endpoint is not self.primary and self.primary is not None
+            if outdated and _is_reachable(endpoint):
+                since = self._outdated_since.setdefault(endpoint.name, now)
+                if now - since > self.step_down_delay_s:
+                    endpoint.claims_primary = False
             else:
-                self._claimants.pop(m.name, None)
+                self._outdated_since.pop(endpoint.name, None)
 
-    async def _watch(self) -> None:
-        """Gives up a primary that does not answer its group, and elects."""
+    async def _monitor_primary(self) -> None:
+        """Give up a primary that does not answer its group, and elect another."""
         while True:
-            await trio.sleep(0.1)
-            p = self.primary
-            if p is not None and self._well(p) and p.claims:
+            await trio.sleep(MONITOR_INTERVAL_S)
+            primary = self.primary
+            if primary is not None and _serves_as_primary(primary):
                 continue
-            with trio.move_on_after(self._detect_s * self._rng.uniform(0.8, 1.2)) as patience:
-                while p is not None and not (self._well(p) and p.claims):
-                    await trio.sleep(0.05)
-            if not patience.cancelled_caught and p is not None:
+            with trio.move_on_after(self._detection_s * self._rng.uniform(0.8, 1.2)) as detection:
+                while primary is not None and not _serves_as_primary(primary):
+                    await trio.sleep(MONITOR_RETRY_S)
+            if not detection.cancelled_caught and primary is not None:
                 continue
             self.primary = None
-            await trio.sleep(self._elect_s * self._rng.uniform(0.8, 1.2))
+            await trio.sleep(self._election_s * self._rng.uniform(0.8, 1.2))
             await self.elect()
 
-    @staticmethod
-    def _well(member: Member) -> bool:
-        return member.alive and not member.hung and not member.cut_off
-
-    async def elect(self, avoid: Member | None = None) -> Member | None:
-        """The replica that received most takes over; it applies its backlog first."""
-        while True:
-            able = [m for m in self.members if self._well(m) and m is not avoid]
-            steady = [m for m in able if not m.draining] or able
-            if steady:
-                break
-            await trio.sleep(0.1)
-        best = max(steady, key=lambda m: (m.copy.received, m.name))
-        copy = best.copy
-        while copy.store.applied < len(copy.log):
-            copy.apply(copy.log[copy.store.applied])
-        start = max([copy.received, *(c.position for c in copy.log[-1:])])
-        self.epoch = max(self.epoch, copy.epoch) + 1
-        copy.epochs = [*copy.epochs, (self.epoch, start)][-KEPT_EPOCHS:]
+    async def elect(self, avoid: FakeEndpoint | None = None) -> FakeEndpoint:
+        """Promote the replica that received most, once there is one; it applies its backlog first."""
+        elected = max(await self._candidates(avoid), key=lambda e: (e.replica.received, e.name))
+        replica = elected.replica
+        replica.apply_all()
+        start = max([replica.received, *(commit.position for commit in replica.log[-1:])])
+        self.epoch = max(self.epoch, replica.epoch) + 1
+        replica.epochs = [*replica.epochs, EpochStart(self.epoch, start)][-MAX_EPOCHS:]
         self._last_position = max(self._last_position, start)
-        copy.position = copy.received = self.heartbeat()
-        old = self.primary
-        self.primary = best
-        best.claims = True
-        if old is not None and old is not best and self._well(old):
-            old.claims = False
-        self._record(Promoted(self._clock.now_us(), self.number, self.epoch, start, best.name))
-        return best
+        replica.position = self.heartbeat()
+        replica.received = replica.position
+        former = self.primary
+        self.primary = elected
+        elected.claims_primary = True
+        if former is not None and former is not elected and _is_reachable(former):
+            former.claims_primary = False
+        self._record(Promoted(self._clock.now_us(), self.number, self.epoch, start, elected.name))
+        return elected
+
+    async def _candidates(self, avoid: FakeEndpoint | None) -> Sequence[FakeEndpoint]:
+        """Wait until an endpoint can be promoted; those that drain count only where there is no other."""
+        while True:
+            reachable = [e for e in self.endpoints if _is_reachable(e) and e is not avoid]
+            candidates = [e for e in reachable if not e.draining] or reachable
+            if candidates:
+                return candidates
+            await trio.sleep(CANDIDATE_WAIT_S)
+
+
+def _is_reachable(endpoint: FakeEndpoint) -> bool:
+    """Whether the rest of the group can communicate with the endpoint."""
+    return endpoint.alive and not endpoint.faults.hung and not endpoint.faults.partitioned
+
+
+def _serves_as_primary(endpoint: FakeEndpoint) -> bool:
+    return _is_reachable(endpoint) and endpoint.claims_primary
--- a/juniperreel/testbed/crew.py
+++ b/juniperreel/testbed/crew.py
@@ -20,7 +20,7 @@
 import trio
 
 from juniperreel.fakes import fleet_processes
-from juniperreel.fakes.fleet import EdgeHand, Fleet
+from juniperreel.fakes.fleet import EdgeFaultHandler, Fleet
 from juniperreel.fakes.script import Day, Step, parse
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.net.clock import US
@@ -66,14 +66,14 @@
     return time.process_time() + ended.ru_utime + ended.ru_stime
 
 
-class Upward(fleet_processes.Relay):
+class Upward(fleet_processes.EndpointListRelay):
     """Stands where a fleet's host list does: what it is told goes to the trial, from a queue, since drivers
     need doors to a member before they hear of it."""
 
     def __init__(self) -> None:
         self._send, self.told = trio.open_memory_channel[tuple[hosts_pb2.Host, int | None]](QUEUE)
 
-    def tell(self, host: hosts_pb2.Host, delay_us: int | None = None) -> None:
+    def publish(self, host: hosts_pb2.Host, delay_us: int | None = None) -> None:
         copy = hosts_pb2.Host()
         copy.CopyFrom(host)
         self._send.send_nowait((copy, delay_us))
@@ -143,7 +143,7 @@
             ports = {driver: await doors.port(driver, host.id) for driver in doors.names}
             await self.talk.say(w.Host.of(host, delay_us, ports))
 
-    async def _play(self, fleet: Fleet, on_edge: EdgeHand, begin: w.Begin) -> None:
+    async def _play(self, fleet: Fleet, on_edge: EdgeFaultHandler, begin: w.Begin) -> None:
         await trio.sleep_until(self.clock.trio_time(begin.at_us))
         self.late.most_us = 0  # by which it was late while all were started tells nothing of the day
         await fleet.play(on_edge)
@@ -183,7 +183,7 @@
     def told(self, word: w.Host) -> None:
         host = word.host
         self.ports |= {(driver, host.id): port for driver, port in word.doors.items()}
-        self.drivers.hosts.tell(host, word.delay_us)
+        self.drivers.hosts.publish(host, word.delay_us)
 
     async def run(self) -> None:
         mine = replace(self.day, steps=own_steps(self.day, drivers=True))
@@ -197,7 +197,7 @@
             try:
                 await nursery.start(fleet.run)
                 await self.expect(w.Launch)
-                while any(len(d.hosts) < members for d in hosts.discoveries.values()):
+                while any(len(d.hosts) < members for d in hosts.servers.values()):
                     await trio.sleep(LOOK_S)
                 await self.drivers.start()
                 await self.talk.say(w.Ready())
@@ -208,7 +208,7 @@
                     day.cancel_scope.cancel()
             finally:
                 self.drivers.processes.end()
-            calls = sum(d.calls for d in hosts.discoveries.values())
+            calls = sum(d.calls for d in hosts.servers.values())
             await self.talk.say(w.Count(self.name, 0, 0, 0, calls, self.late.most_us, spent_s()))
             nursery.cancel_scope.cancel()
 
--- a/juniperreel/testbed/platformfleet.py
+++ b/juniperreel/testbed/platformfleet.py
@@ -56,7 +56,7 @@
             day, self.names, network, self.clock, self.recorder, directory, self._door, seed, program
         )
         hosts = self.drivers.hosts
-        self.fleet = Fleet(day, network, self.clock, self.recorder, hosts=hosts, platform=True)
+        self.fleet = Fleet(day, network, self.clock, self.recorder, endpoint_list=hosts, platform=True)
         self.doors: Doors | None = None
 
     @property
--- a/juniperreel/testbed/sides.py
+++ b/juniperreel/testbed/sides.py
@@ -20,10 +20,11 @@
 
 import trio
 
+from juniperreel.fakes.client_session import EdgeAddress
 from juniperreel.fakes.endpoint_settings import EndpointSettings
 from juniperreel.fakes.fleet import Fleet
-from juniperreel.fakes.platform_clients import Session
-from juniperreel.fakes.platform_discovery import PlatformHosts
+from juniperreel.fakes.platform_clients import PlatformSession
+from juniperreel.fakes.platform_discovery import PlatformDiscovery
 from juniperreel.fakes.script import Day, Step
 from juniperreel.net import Clock, Network
 from juniperreel.net.clock import US
@@ -115,7 +116,7 @@
 
     async def port(self, driver: str, member: str) -> int:
         """By which the driver reaches the member."""
-        dial = partial(self.fleet.members[member].postgres.dial, driver)
+        dial = partial(self.fleet.endpoints[member].postgres.connect, driver)
         return (await self.links.between(driver, member, dial)).port
 
     async def fault(self, step: Step, drivers: Sequence[str]) -> None:
@@ -132,17 +133,17 @@
     @property
     def probes(self) -> int:
         """That members have answered."""
-        return sum(m.postgres.probes for m in self.fleet.members.values())
+        return sum(m.postgres.probes for m in self.fleet.endpoints.values())
 
     @property
     def connections(self) -> int:
         """That were ever opened from drivers to members."""
-        return sum(m.postgres.opened for m in self.fleet.members.values())
+        return sum(m.postgres.opened for m in self.fleet.endpoints.values())
 
     @property
     def most_held(self) -> int:
         """Connections that one member held at a time, at most."""
-        return max((m.postgres.most_held for m in self.fleet.members.values()), default=0)
+        return max((m.postgres.most_open for m in self.fleet.endpoints.values()), default=0)
 
 
 class Drivers:
@@ -171,7 +172,7 @@
         self._directory, self._program = directory, program
         self._rng = random.Random(seed)
         self._all = names_of(day)
-        self.hosts = PlatformHosts(
+        self.hosts = PlatformDiscovery(
             self.names, clock, random.Random(self._rng.random()), record, day["list-delay"], door
         )
         self.links: Links | None = None
@@ -182,7 +183,7 @@
 
     async def _config(self, driver: str) -> dict[str, Any]:
         assert self.links is not None
-        discovery = self.hosts.discoveries[driver]
+        discovery = self.hosts.servers[driver]
         relay = await self.links.between(driver, TO_LIST, to_port(self._network, discovery.port))
         shape, now = self._shape, self.clock.now_us()
         services = [
@@ -291,14 +292,14 @@
         self.ports.pop(name, None)
         self.processes[name].lose()
 
-    def _front(self, at: int) -> tuple[str, int] | None:
+    def _front(self, at: int) -> EdgeAddress | None:
         """Sessions are spread over the drivers; one whose driver is down goes to another."""
         up = [n for n in self.names if n in self.ports]
         if not up:
             return None
         wanted = self.names[at % len(self.names)]
         name = wanted if wanted in up else up[at % len(up)]
-        return name, self.ports[name]
+        return EdgeAddress(name, self.ports[name])
 
     # Faults.
 
@@ -309,7 +310,7 @@
                 if name not in self.names:
                     continue  # another process plays it
                 if step.fault == "link-mute":
-                    self.hosts.discoveries[name].mute()
+                    self.hosts.servers[name].mute()
                 elif step.fault.startswith("link-"):
                     nursery.start_soon(self._list_fault, step, name)
                 elif step.fault == "edge-kill":
@@ -348,11 +349,13 @@
 
     def session(
         self, name: str, at: int, group: int, mix: Sequence[rec.RequestClass], weights: Sequence[float]
-    ) -> Session:
+    ) -> PlatformSession:
         """One, which asks the `at`th of these drivers and belongs to a group."""
         seed = self._rng.getrandbits(32)
         front = partial(self._front, at)
-        return Session(name, group, mix, weights, front, self._network, self.clock, self._record, seed)
+        return PlatformSession(
+            name, group, mix, weights, front, self._network, self.clock, self._record, seed
+        )
 
     async def load(self, until_us: int, weights: Sequence[float]) -> None:
         """The script's rate over all drivers of the trial, unevenly: of a hundred, `heavy` are asked five
--- a/tests/cli/test_pool.py
+++ b/tests/cli/test_pool.py
@@ -38,7 +38,7 @@
         return result.output
 
     said = await trio.to_thread.run_sync(run)
-    assert all(name in said for name in (*world.fleet.members, "leased", "waiting", "32"))
+    assert all(name in said for name in (*world.fleet.endpoints, "leased", "waiting", "32"))
 
 
 def test_an_edge_without_pools_and_one_that_is_not_there() -> None:
--- a/tests/e2e/test_clients.py
+++ b/tests/e2e/test_clients.py
@@ -18,7 +18,7 @@
 import pytest
 import trio
 
-from juniperreel.fakes.mysql_engine import TYPED
+from juniperreel.fakes.mysql_types import TYPED_COLUMNS
 from juniperreel.mysql.client import ClientSession, Done
 from tests.e2e.test_mysql import port
 from tests.e2e.world import World, rows
@@ -252,7 +252,7 @@
 
 
 async def test_every_type_of_column_comes_through_in_text_and_in_binary(world: World) -> None:
-    expected = [MEANT.get(name, value) for name, *_, value in TYPED]
+    expected = [MEANT.get(name, value) for name, *_, value in TYPED_COLUMNS]
     for kind in CLIENTS:
         first, second = await use(world, lambda c: c.ask("select * from every_type"), kind)
         assert normal(first) == normal(expected) and set(second) == {None}, kind
@@ -269,7 +269,7 @@
     for parameter in ask.parameters[:1]:
         ask.parameters.append(parameter)
     answer = (await world.send(ask)).result
-    assert list(answer.columns) == [name for name, *_ in TYPED]
+    assert list(answer.columns) == [name for name, *_ in TYPED_COLUMNS]
     told = {
         c: getattr(v, v.WhichOneof("kind"))
         for c, v in zip(answer.columns, answer.rows[0].values, strict=True)
@@ -325,8 +325,8 @@
     assert tokens[0] and not tokens[1] and not tokens[2] and tokens[3]
     first, last = (world.ring.decode_text(tokens[n]) for n in (0, 3))
     assert first.join(last) == last != first
-    for member in world.fleet.members.values():
-        member.copy.apply_factor = 1e5
+    for member in world.fleet.endpoints.values():
+        member.replica.apply_slowdown = 1e5
     # Another connection presents it as an attribute of its statement, and sees what was written.
     session.query(b"select 1", {"juniperreel_token": "forged"})
     await stream.send_all(session.data_to_send())
--- a/tests/e2e/test_grpcio_edge.py
+++ b/tests/e2e/test_grpcio_edge.py
@@ -67,8 +67,8 @@
 
 
 async def test_deadline_and_cancel(world: World) -> None:
-    for member in world.fleet.members.values():
-        member.hung = True
+    for member in world.fleet.endpoints.values():
+        member.faults.hung = True
 
     def use(channel: grpc.Channel) -> None:
         with pytest.raises(grpc.RpcError) as late:
@@ -108,7 +108,7 @@
 
 
 async def test_an_unknown_effect_is_not_retried(world: World) -> None:
-    world.primary.breaking = 1.0
+    world.primary.faults.broken_connections = 1.0
     policy = {
         "maxAttempts": 5,
         "initialBackoff": "0.01s",
--- a/tests/e2e/test_mysql.py
+++ b/tests/e2e/test_mysql.py
@@ -14,7 +14,7 @@
 import pytest
 import trio
 
-from juniperreel.fakes.mysql_client import Failure, Lost, MysqlClient, Rows
+from juniperreel.fakes.mysql_client import MysqlClient, MysqlConnectionError, QueryError, QueryResult
 from tests.e2e.world import World, rows
 
 INSERT = "insert into runs (runner, id) values ('%s', '%s')"
@@ -46,8 +46,8 @@
 
 
 async def test_a_session_sees_its_own_writes_though_replicas_lag(world: World) -> None:
-    for member in world.fleet.members.values():
-        member.copy.apply_factor = 1e5
+    for member in world.fleet.endpoints.values():
+        member.replica.apply_slowdown = 1e5
 
     def work(connection: Any) -> list[Any]:
         seen = []
@@ -67,8 +67,8 @@
         return str(ask(connection, "select @@juniperreel_token")[0][0])
 
     token = await using(world, write)
-    for member in world.fleet.members.values():
-        member.copy.apply_factor = 1e5
+    for member in world.fleet.endpoints.values():
+        member.replica.apply_slowdown = 1e5
     read = await world.read("t", world.ring.encode(world.ring.decode_text(token)))
     assert rows(read) == ["one"]
     wrote = await world.write("t", rid="two")
@@ -89,7 +89,7 @@
 
 async def test_a_write_survives_its_primary_and_takes_effect_once(world: World) -> None:
     old = world.primary
-    old.breaking = 1.0
+    old.faults.broken_connections = 1.0
 
     async def end() -> None:
         with trio.fail_after(10):
@@ -150,8 +150,8 @@
 
 
 async def test_a_client_that_leaves_in_the_middle_ends_its_request(world: World) -> None:
-    for member in world.fleet.members.values():
-        member.hung = True
+    for member in world.fleet.endpoints.values():
+        member.faults.hung = True
     where = port(world)
 
     def leave() -> None:
@@ -271,25 +271,25 @@
     assert codes == [1235, 1235, 1235]
 
 
-async def test_the_stand_in_client_keeps_its_token_over_connections(world: World) -> None:
+async def test_the_fake_client_keeps_its_token_over_connections(world: World) -> None:
     """The client that the scripted day plays, against lagging replicas and a connection that breaks."""
     with trio.fail_after(60):
         one = MysqlClient(world.network, port(world), "ada", b"love lace")
-        assert await one.query("insert into runs (runner, id) values ('k', 'a') /* group 0 */") == Rows(
-            affected=1
-        )
+        assert await one.query(
+            "insert into runs (runner, id) values ('k', 'a') /* group 0 */"
+        ) == QueryResult(affected=1)
         told = await one.query("select @@juniperreel_token")
-        assert isinstance(told, Rows)
-        for member in world.fleet.members.values():
-            member.copy.apply_factor = 1e5
+        assert isinstance(told, QueryResult)
+        for member in world.fleet.endpoints.values():
+            member.replica.apply_slowdown = 1e5
         await one.close()
         other = MysqlClient(world.network, port(world), "ada", b"love lace")
-        assert await other.query(f"set @@juniperreel_token = '{told.rows[0][0]}'") == Rows()
-        assert await other.query("select id, null from runs where runner = 'k'") == Rows([["a", None]])
+        assert await other.query(f"set @@juniperreel_token = '{told.rows[0][0]}'") == QueryResult()
+        assert await other.query("select id, null from runs where runner = 'k'") == QueryResult([["a", None]])
         failed = await other.query("begin")
-        assert isinstance(failed, Failure) and failed.code == 1235
+        assert isinstance(failed, QueryError) and failed.code == 1235
         await other.close()
-        with pytest.raises(Lost) as caught:
+        with pytest.raises(MysqlConnectionError) as caught:
             await MysqlClient(world.network, port(world), "ada", b"wrong").query("select 1")
         assert not caught.value.sent
 
--- a/tests/e2e/test_mysql_hard.py
+++ b/tests/e2e/test_mysql_hard.py
@@ -11,8 +11,9 @@
 import pytest
 import trio
 
-from juniperreel.fakes.endpoint import Member
-from juniperreel.fakes.mysql_engine import Engine, Rows
+from juniperreel.fakes.endpoint import FakeEndpoint
+from juniperreel.fakes.mysql_engine import MysqlEngine, ResultSet
+from juniperreel.fakes.replica import EpochStart
 from juniperreel.frontends.mysql import connection as front
 from juniperreel.mysql.client import ClientSession, Done, End, Event, Failed, Row
 from juniperreel.proxy.mysqlmembers import MysqlLinks
@@ -50,7 +51,7 @@
 async def test_a_primary_that_turns_read_only_between_two_statements(world: World) -> None:
     def work(connection: Any) -> list[int]:
         codes = [code_of(connection, INSERT % ("f", "a") + " /* rid f1 */")]
-        trio.from_thread.run_sync(setattr, world.primary, "claims", False)
+        trio.from_thread.run_sync(setattr, world.primary, "claims_primary", False)
         for n in range(2, 30):
             codes.append(code_of(connection, INSERT % ("f", "b") + f" /* rid f{n} */"))
             if not codes[-1]:
@@ -62,15 +63,15 @@
     assert seen == 2 and sum(len(world.commits(f"f{n}")) for n in range(1, 31)) == 2
 
 
-def around(member: Member, then: Callable[[], None]) -> None:
+def around(member: FakeEndpoint, then: Callable[[], None]) -> None:
     """Does something in the moment after a write was acknowledged and before its answer is out."""
-    acknowledged: Callable[[int], Awaitable[None]] = member.acknowledged
+    acknowledged: Callable[[int], Awaitable[None]] = member.wait_until_replicated
 
     async def done(position: int) -> None:
         await acknowledged(position)
         then()
 
-    member.acknowledged = done  # type: ignore[method-assign]
+    member.wait_until_replicated = done  # type: ignore[method-assign]
 
 
 @pytest.mark.parametrize("statements", [["w"], ["begin", "w", "commit"]])
@@ -82,7 +83,7 @@
     primary = world.primary
 
     def flip() -> None:
-        primary.copy.epochs = [*primary.copy.epochs, (9, primary.copy.position)]
+        primary.replica.epochs = [*primary.replica.epochs, EpochStart(9, primary.replica.position)]
 
     def work(connection: Any) -> int:
         text = INSERT % ("e", "a") + " /* rid e1 */"
@@ -95,8 +96,8 @@
 
 
 async def test_a_replica_of_an_old_epoch_is_never_asked_for_what_came_since(world: World) -> None:
-    replica = next(m for m in world.fleet.members.values() if m is not world.primary)
-    replica.cut_off = True
+    replica = next(m for m in world.fleet.endpoints.values() if m is not world.primary)
+    replica.faults.partitioned = True
 
     def work(connection: Any) -> list[int]:
         ask(connection, INSERT % ("o", "a"))
@@ -114,13 +115,13 @@
         return seen
 
     assert await using(world, work) == [2] * 12
-    assert replica.copy.epoch == 1
+    assert replica.replica.epoch == 1
 
 
 async def test_a_member_that_does_not_tell_where_it_stands_serves_nothing(
     world: World, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(Engine, "_standing", lambda self: Rows(["read_only"], iter([])))
+    monkeypatch.setattr(MysqlEngine, "_replication_status", lambda self: ResultSet(["read_only"], iter([])))
 
     def work(connection: Any) -> set[int]:
         return {code_of(connection, "select 1") for _ in range(3)}
--- a/tests/e2e/test_path.py
+++ b/tests/e2e/test_path.py
@@ -29,8 +29,8 @@
 async def test_a_lagging_replica_is_not_asked_for_a_session_s_own_write(
     world: World, nursery: trio.Nursery
 ) -> None:
-    for member in world.fleet.members.values():
-        member.copy.apply_factor = 1e5
+    for member in world.fleet.endpoints.values():
+        member.replica.apply_slowdown = 1e5
     for number in range(10):
         wrote = await world.write("r", rid=f"lag{number}")
         read = await world.read("r", wrote.causal_token)
@@ -39,8 +39,8 @@
 
 async def test_a_token_is_taken_from_metadata_and_message_alike(world: World) -> None:
     wrote = await world.write("r", rid="m1")
-    for member in world.fleet.members.values():
-        member.copy.apply_factor = 1e5
+    for member in world.fleet.endpoints.values():
+        member.replica.apply_slowdown = 1e5
     wrote = await world.write("r", rid="m2")
     ask = world.message("own", "r", world.rid())
     read = await world.send(ask, metadata=[(TOKEN_HEADER, wrote.causal_token)])
@@ -69,7 +69,7 @@
     before = await world.write("r", rid="kept")
     world.primary.kill()
     await world.write("r", rid="after")  # waits for the new primary
-    start = world.fleet.groups[0].primary.copy.epochs[-1][1]  # type: ignore[union-attr]
+    start = world.fleet.groups[0].primary.replica.epochs[-1][1]  # type: ignore[union-attr]
     with pytest.raises(RpcError) as refused:
         await world.read("r", world.token(start + 1, epoch=1), timeout_s=1.5)
     assert refused.value.code is Code.UNAVAILABLE
@@ -143,11 +143,11 @@
 async def test_a_keyed_write_survives_its_primary_and_takes_effect_once(world: World, moment: str) -> None:
     old = world.primary
     if moment == "before executing":
-        old.hung = True
+        old.faults.hung = True
     elif moment == "after executing":
-        old.losing = 1.0
+        old.faults.lost_responses = 1.0
     else:
-        old.breaking = 1.0
+        old.faults.broken_connections = 1.0
     async with trio.open_nursery() as nursery:
 
         async def end() -> None:
@@ -163,10 +163,10 @@
     assert rows(await world.read("r", answer.causal_token)) == ["k1"]
 
 
-@pytest.mark.parametrize("fault", ["losing", "breaking"])
+@pytest.mark.parametrize("fault", ["lost_responses", "broken_connections"])
 async def test_an_unkeyed_write_that_may_have_run_ends_as_unknown(world: World, fault: str) -> None:
     old = world.primary
-    setattr(old, fault, 1.0)
+    setattr(old.faults, fault, 1.0)
     async with trio.open_nursery() as nursery:
 
         async def end() -> None:
@@ -195,15 +195,15 @@
 
 
 async def test_a_client_that_leaves_ends_its_attempt(world: World) -> None:
-    for member in world.fleet.members.values():
-        member.hung = True
+    for member in world.fleet.endpoints.values():
+        member.faults.hung = True
     with trio.move_on_after(0.3):
         await world.read("r", cls="board")
     with trio.fail_after(5):
         while world.edge.driver._open:
             await trio.sleep(0.01)
-    for member in world.fleet.members.values():
-        member.wake()
+    for member in world.fleet.endpoints.values():
+        member.resume()
     assert await world.read("r", cls="board")
 
 
--- a/tests/e2e/test_transactions.py
+++ b/tests/e2e/test_transactions.py
@@ -74,8 +74,8 @@
 
 
 async def test_own_writes_are_seen_while_replicas_lag(world: World) -> None:
-    for member in world.fleet.members.values():
-        member.copy.apply_factor = 1e5
+    for member in world.fleet.endpoints.values():
+        member.replica.apply_slowdown = 1e5
 
     def work(connection: Any) -> list[int]:
         seen = []
@@ -167,8 +167,8 @@
 
 async def test_a_read_only_transaction_goes_to_a_replica_that_holds_the_token(world: World) -> None:
     arrived: list[str] = []
-    for member in world.fleet.members.values():
-        member.machine.draw_work_us = noting(member.machine.draw_work_us, arrived, member.name)  # type: ignore
+    for member in world.fleet.endpoints.values():
+        member.capacity.draw_work_us = noting(member.capacity.draw_work_us, arrived, member.name)  # type: ignore
 
     def work(connection: Any) -> Any:
         ask(connection, INSERT % ("ro", "one"))
@@ -329,7 +329,7 @@
         for _ in range(12):
             nursery.start_soon(using, world, work)
     assert (await using(world, lambda c: ask(c, COUNT % "few")))[0][0] == 60
-    assert all(m.mysql.connections <= 3 for m in world.fleet.members.values()), "two, and one for reports"
+    assert all(m.mysql.connections <= 3 for m in world.fleet.endpoints.values()), "two, and one for reports"
     assert not any(m.pool.leased or m.pool.waiting for m in links(world)._members.values())
 
 
@@ -381,9 +381,9 @@
     def work(connection: Any) -> list[int]:
         connection.begin()
         ask(connection, INSERT % ("c", "one") + " /* rid c1 */")
-        trio.from_thread.run_sync(setattr, world.primary, "breaking", 1.0)
+        trio.from_thread.run_sync(setattr, world.primary.faults, "broken_connections", 1.0)
         code = code_of(connection, "commit")
-        trio.from_thread.run_sync(setattr, world.primary, "breaking", 0.0)
+        trio.from_thread.run_sync(setattr, world.primary.faults, "broken_connections", 0.0)
         return [code, code_of(connection, "select 1")]
 
     assert await using(world, work) == [1105, 0]
@@ -392,9 +392,9 @@
 
 async def test_a_write_whose_member_dies_before_its_ok_is_unknown_and_not_sent_again(world: World) -> None:
     def work(connection: Any) -> int:
-        trio.from_thread.run_sync(setattr, world.primary, "breaking", 1.0)
+        trio.from_thread.run_sync(setattr, world.primary.faults, "broken_connections", 1.0)
         code = code_of(connection, INSERT % ("w", "one") + " /* rid w1 */")
-        trio.from_thread.run_sync(setattr, world.primary, "breaking", 0.0)
+        trio.from_thread.run_sync(setattr, world.primary.faults, "broken_connections", 0.0)
         return code
 
     assert await using(world, work) == 1105
@@ -442,7 +442,7 @@
     await trio.to_thread.run_sync(leave)
     await until(lambda: not links(world).transactions)
     assert (await using(world, lambda c: ask(c, COUNT % "v")))[0][0] == 0
-    await until(lambda: not world.primary.writer.locked())
+    await until(lambda: not world.primary.write_lock.locked())
 
 
 async def test_a_deadlock_or_lock_wait_is_told_as_the_member_told_it(world: World) -> None:
@@ -557,7 +557,7 @@
         return 0
 
     def kill_all() -> None:
-        for member in world.fleet.members.values():
+        for member in world.fleet.endpoints.values():
             member.kill()
 
     assert await using(world, work) == 1105
@@ -571,11 +571,11 @@
     async with trio.open_nursery() as several:
         for _ in range(40):
             several.start_soon(world.read, "r")  # so that idle connections are there
-    for member in world.fleet.members.values():
+    for member in world.fleet.endpoints.values():
         member.settings = replace(member.settings, read_us=60_000_000)
     await alone()
     await until(lambda: links(world).killed == 1)
-    await until(lambda: not any(m.machine.in_flight for m in world.fleet.members.values()))
+    await until(lambda: not any(m.capacity.in_flight for m in world.fleet.endpoints.values()))
 
 
 # What the other front may not do on connections that are shared.
--- a/tests/e2e/world.py
+++ b/tests/e2e/world.py
@@ -11,6 +11,7 @@
 
 from juniperreel.causal import Keyring, Token
 from juniperreel.cli.edge import Edge
+from juniperreel.fakes.fault_injector import FaultInjector
 from juniperreel.fakes.fleet import Fleet
 from juniperreel.fakes.mysql_server import PASSWORD, USER
 from juniperreel.fakes.script import Step, parse
@@ -134,7 +135,7 @@
         (self.folder / "ada.password").write_bytes(b"love lace\n")
         async with trio.open_nursery() as nursery:
             await nursery.start(self.fleet.run)
-            text = EDGE.format(hosts=self.fleet.hosts.port) + "tls edge.crt edge.pem\n" + self.more
+            text = EDGE.format(hosts=self.fleet.endpoint_list.port) + "tls edge.crt edge.pem\n" + self.more
             if self.day["mysql-members"]:
                 (self.folder / "member.password").write_bytes(PASSWORD)
                 text = text.replace("effect keyed group 5s", "effect once") + MEMBERS
@@ -153,7 +154,7 @@
     async def settled(self) -> None:
         """Until the edge knows the members and serves a read and a write."""
         with trio.fail_after(20):
-            while len(self.edge.driver.router.members) < len(self.fleet.members):
+            while len(self.edge.driver.router.members) < len(self.fleet.endpoints):
                 await trio.sleep(0.02)
             await self.write("settle")
             await self.read("settle")
@@ -201,7 +202,7 @@
     async def fault(self, text: str) -> None:
         """One fault now, for its whole span."""
         (step,) = parse(text).steps
-        await self.fleet._step(step, no_edge)
+        await FaultInjector(self.fleet, no_edge).carry_out(step)
 
     @property
     def primary(self) -> Any:
--- a/tests/fakes/test_fakes.py
+++ b/tests/fakes/test_fakes.py
@@ -1,4 +1,4 @@
-"""The stand-ins do what the tests that lean on them take for granted."""
+"""The fakes behave as the tests that use them assume."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 from juniperreel.fakes.capacity_model import CapacityModel
 from juniperreel.fakes.endpoint_settings import EndpointSettings
 from juniperreel.fakes.errors import QueueFullError, StatementError
-from juniperreel.fakes.replication_group import Replica
+from juniperreel.fakes.replica import EpochStart, LogPosition, ReplicaState
 from juniperreel.fakes.script import ScriptError, parse
 from juniperreel.fakes.store import Commit, Statement, Store
 from juniperreel.net import Clock
@@ -33,7 +33,7 @@
     return [row.values[0].text for row in store.query(READ, ["r"]).rows]
 
 
-def test_answers_show_which_commits_they_contain() -> None:
+def test_query_result_shows_which_commits_it_contains() -> None:
     store = Store()
     for n in range(3):
         store.apply(commit(n, f"q{n}"))
@@ -41,16 +41,16 @@
 
 
 @pytest.mark.parametrize(
-    ("statement", "write"),
+    "statement,write",
     [("selekt", False), ("delete from runs", False), (READ, True), ("select * from x", False)],
 )
-def test_statements_at_fault_are_told_without_running(statement: str, write: bool) -> None:
+def test_invalid_statement_is_rejected_without_executing(statement: str, write: bool) -> None:
     with pytest.raises(StatementError):
         Store().check(statement, ["r"] if "?" in statement else [], write)
 
 
-def test_a_member_that_was_cut_off_drops_what_the_group_does_not_hold() -> None:
-    old, new = Replica(), Replica()
+def test_endpoint_that_was_cut_off_drops_what_the_group_does_not_have() -> None:
+    old, new = ReplicaState(), ReplicaState()
     shared = [commit(1, "a", key="ka"), commit(2, "b")]
     for replica in (old, new):
         for c in shared:
@@ -59,46 +59,49 @@
     lost = commit(3, "lost", key="kl")
     old.log.append(lost)
     old.apply(lost)
-    old.received = old.position = 9
-    keep = new.held_with([(c.epoch, c.position) for c in old.log])
-    assert keep == 2
-    old.follow(keep, [(1, 0), (2, 2)])
+    old.position = 9
+    old.received = 9
+    common_prefix = new.common_prefix(old.log_positions())
+    assert common_prefix == 2
+    assert old.log_positions()[-1] == LogPosition(1, 3)
+    old.follow(common_prefix, [EpochStart(1, 0), EpochStart(2, 2)])
     assert ids(old.store) == ["a", "b"]
-    assert set(old.keys) == {"ka"} and old.epoch == 2
-    assert old.position <= 2 and old.received <= 2
-    old.take([commit(5, "c", epoch=2)], 20)
+    assert set(old.executed_writes) == {"ka"}
+    assert old.epoch == 2
+    assert old.position <= 2
+    assert old.received <= 2
+    old.append([commit(5, "c", epoch=2)], 20)
     assert (len(old.log), old.received) == (3, 20)
 
 
-async def test_a_cold_machine_falls_only_under_more_than_it_bears(
-    autojump_clock: trio.testing.MockClock,
-) -> None:
-    def machine() -> tuple[CapacityModel, list[bool]]:
+@pytest.mark.usefixtures("autojump_clock")
+async def test_warming_endpoint_fails_only_under_more_work_than_it_bears() -> None:
+    def create() -> tuple[CapacityModel, list[bool]]:
         fell: list[bool] = []
         settings = EndpointSettings(2, 5, 1, 1, 0.2, 6_000_000, 2.0, 2_000_000)
-        made = CapacityModel(clock, random.Random(1), settings, lambda: fell.append(True))
-        made.started_us = clock.now_us()
-        return made, fell
+        model = CapacityModel(clock, random.Random(1), settings, lambda: fell.append(True))
+        model.started_us = clock.now_us()
+        return model, fell
 
     clock = Clock(0)
     await trio.sleep(1)
-    cold, fell = machine()
+    cold, fell = create()
     for _ in range(15):  # 1.5 s of work in 2 s; 2 x 0.2 x 2 cores x 2 s = 1.6 s is borne
         cold.offer(100_000)
     assert not fell
     for _ in range(3):
         cold.offer(100_000)
     assert fell
-    warm, fell = machine()
+    warm, fell = create()
     await trio.sleep(6.1)
     for _ in range(1000):
         warm.offer(100_000)
-    assert not fell and warm.capacity() == 2.0
+    assert not fell
+    assert warm.capacity() == 2.0
 
 
-async def test_a_full_queue_turns_away_and_a_cancelled_wait_leaves_it(
-    autojump_clock: trio.testing.MockClock,
-) -> None:
+@pytest.mark.usefixtures("autojump_clock")
+async def test_full_queue_rejects_and_a_cancelled_wait_releases_its_place() -> None:
     settings = EndpointSettings(1, 1, 1, 1, 0.2, 1, 2.0, 1)
     machine = CapacityModel(Clock(0), random.Random(1), settings, lambda: None)
     async with trio.open_nursery() as nursery:
@@ -119,7 +122,7 @@
     assert (machine.in_flight, machine.queued) == (0, 0)
 
 
-def test_a_script_is_read_whole() -> None:
+def test_script_is_parsed_into_settings_and_steps() -> None:
     day = parse("groups 2\nlast 5s # short\n\nat 3s kill g0/primary back 2s\nat 1s for 500ms lose g1/0 25%\n")
     assert (day["groups"], day["last"], day["members"]) == (2, 5_000_000, 4)
     first, second = day.steps
@@ -144,14 +147,15 @@
         "'",
     ],
 )
-def test_every_bad_line_is_named(line: str) -> None:
+def test_every_bad_line_of_a_script_is_reported(line: str) -> None:
     with pytest.raises(ScriptError) as error:
         parse(f"groups 3\n{line}\nflavour 1")
-    assert "line 2" in str(error.value) and "line 3" in str(error.value)
+    assert "line 2" in str(error.value)
+    assert "line 3" in str(error.value)
 
 
-def test_groups_in_processes_of_their_own_are_one_fleet(tmp_path: Path) -> None:
-    """Both parts tell one host list; a fault reaches the part whose group it names."""
+def test_groups_in_separate_processes_form_one_fleet(tmp_path: Path) -> None:
+    """Both parts publish to one endpoint list; a fault reaches the part whose group it names."""
     script = tmp_path / "day"
     script.write_text("groups 2\nmembers 2\nlist-delay 10ms\nlast 60s\nat 100ms kill g1/1\n")
     command = [sys.executable, "-m", "juniperreel.cli.main", "standins", str(script), "--processes", "2"]
--- a/tests/mysql/test_client.py
+++ b/tests/mysql/test_client.py
@@ -12,10 +12,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from juniperreel.fakes.endpoint import Member
+from juniperreel.fakes.endpoint import FakeEndpoint
 from juniperreel.fakes.endpoint_settings import EndpointSettings
 from juniperreel.fakes.mysql_server import PASSWORD, USER
-from juniperreel.fakes.replication_group import Group
+from juniperreel.fakes.replication_group import ReplicationGroup
 from juniperreel.mysql.auth import NATIVE, SHA2, Credential
 from juniperreel.mysql.client import (
     Began,
@@ -273,9 +273,9 @@
     def __init__(self, shape: EndpointSettings) -> None:
         self.recorder = Recorder()
         clock = Clock()
-        self.group = Group(0, clock, random.Random(1), self.recorder, 1.0, 1.0)
-        self.member = Member("m0", self.group, 0, shape, TcpNetwork(), clock, 5, self.recorder)
-        self.group.members.append(self.member)
+        self.group = ReplicationGroup(0, clock, random.Random(1), self.recorder, 1.0, 1.0)
+        self.member = FakeEndpoint("m0", self.group, 0, shape, TcpNetwork(), clock, 5, self.recorder)
+        self.group.endpoints.append(self.member)
         self.group.primary = self.member
 
     async def use(self, work: Callable[[Any], Any], **options: Any) -> Any:
@@ -296,7 +296,7 @@
 async def alone(nursery: trio.Nursery) -> Alone:
     made = Alone(EndpointSettings(mysql=True, synchronous_replication=False, read_us=100, write_us=100))
     await nursery.start(made.member.run, False)
-    made.member.claims = True
+    made.member.claims_primary = True
     return made
 
 
@@ -340,7 +340,7 @@
         return seen
 
     assert await alone.use(work) == [((2,),), ((0,),), (("one",), ("three",)), ((2,),)]
-    (commit,) = alone.member.copy.log
+    (commit,) = alone.member.replica.log
     assert len(commit.statements) == 2, "one entry of the log"
 
 
@@ -362,8 +362,8 @@
         return codes
 
     assert await alone.use(work) == [1146, 1054, 1064, 1064, 1062, 1048, 1305]
-    assert alone.member.copy.log == []
-    alone.member.claims = False
+    assert alone.member.replica.log == []
+    alone.member.claims_primary = False
     with pytest.raises(pymysql.err.MySQLError) as read_only:
         await alone.use(lambda c: ask(c, INSERT, ("a", "b")))
     assert read_only.value.args[0] == 1290
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -11,7 +11,8 @@
 
 import trio
 
-from juniperreel.fakes.minimal_servers import DiscoveryStandIn, MemberStandIn
+from juniperreel.fakes.discovery_server import DiscoveryServer
+from juniperreel.fakes.minimal_endpoint import MinimalEndpoint
 from juniperreel.net.poll import Door, Poller
 from juniperreel.platform.config import parse
 from juniperreel.platform.log import Log
@@ -38,7 +39,7 @@
 
 
 class Running:
-    def __init__(self, program: Program, members: list[MemberStandIn], discovery: DiscoveryStandIn) -> None:
+    def __init__(self, program: Program, members: list[MinimalEndpoint], discovery: DiscoveryServer) -> None:
         self.program, self.members, self.discovery = program, members, discovery
 
     async def ask(self, *texts: bytes) -> list[tuple[str | None, bytes | None, str]]:
@@ -61,14 +62,14 @@
 @asynccontextmanager
 async def running(tmp_path: Path) -> AsyncIterator[Running]:
     async with trio.open_nursery() as nursery:
-        members = [MemberStandIn(primary=True), MemberStandIn(primary=False)]
+        members = [MinimalEndpoint(primary=True), MinimalEndpoint(primary=False)]
         for member in members:
             await nursery.start(member.run)
         hosts = [
             entry("p", members[0].port, replication="primary"),
             entry("a", members[1].port, replication="standby"),
         ]
-        discovery = DiscoveryStandIn(hosts)
+        discovery = DiscoveryServer(hosts)
         await nursery.start(discovery.run)
         path = tmp_path / "config.json"
         path.write_bytes(
@@ -101,16 +102,16 @@
         )
         assert [state for state, _, _ in found] == [None, None, None, "42601", "42710", None]
         assert found[1][1] == b"\0" and found[2][1] == b"row-1"
-        seen = [text for member in world.members for text in member.asked]
+        seen = [text for member in world.members for text in member.received]
         assert sum(b"00000000000000a" in text for text in seen) == 3  # each once, no fault passed on
-        assert any(b"INSERT" in text for text in world.members[0].asked)
+        assert any(b"INSERT" in text for text in world.members[0].received)
 
 
 async def test_a_watch_goes_on_and_a_new_address_is_followed(tmp_path: Path) -> None:
     async with running(tmp_path) as world:
         await world.until(lambda: world.discovery.calls >= 1)
         async with trio.open_nursery() as nursery:
-            other = DiscoveryStandIn(world.discovery.hosts)
+            other = DiscoveryServer(world.discovery.hosts)
             await nursery.start(other.run)
             text = config_bytes(known={"seq": 0, "whole": True, "hosts": world.discovery.hosts})
             world.program.path.write_bytes(text[: len(text) // 2])
@@ -120,7 +121,7 @@
             world.program.path.write_bytes(text)
             await world.program.reload()
             await world.until(lambda: other.calls >= 1)
-            other.change(entry("b", world.members[1].port))
+            other.update(entry("b", world.members[1].port))
             await world.until(lambda: "b" in world.program.driver.links.pools)
             nursery.cancel_scope.cancel()
 
--- a/tests/pool/test_state.py
+++ b/tests/pool/test_state.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from juniperreel.fakes.mysql_engine import ASSIGNED, ASSIGNMENT
+from juniperreel.fakes.mysql_variables import ASSIGNMENT, ASSIGNMENT_SEPARATOR
 from juniperreel.pool.state import FRESH, MOST, SessionState, TooMuch, replay
 from juniperreel.statements import read_statement
 
@@ -29,8 +29,8 @@
     assert (statement is None) == (have == want)
     state = have
     if statement is not None:
-        for part in ASSIGNMENT.split(statement.decode()[4:]):
-            match = ASSIGNED.match(part.strip())
+        for part in ASSIGNMENT_SEPARATOR.split(statement.decode()[4:]):
+            match = ASSIGNMENT.match(part.strip())
             assert match is not None
             state = state.set(match[1], match[2])
     assert state == want and hash(state) == hash(want)
--- a/tests/testbed/test_platform_fleet.py
+++ b/tests/testbed/test_platform_fleet.py
@@ -148,7 +148,7 @@
 
 def share(trial: PlatformTrial, member: str, start: int, end: int) -> float:
     """Of the first group's replicas' work between two times, beside an even part."""
-    replicas = sorted(m.name for m in trial.fleet.groups[0].members[1:])
+    replicas = sorted(m.name for m in trial.fleet.groups[0].endpoints[1:])
     came = spread.arrivals(trial.recorder.records, replicas)
     cells = spread.count_by_bin(came, replicas, start, end, end - start)
     assert sum(c.count for c in cells) > 100, "the machine was too slow to tell"
@@ -180,7 +180,7 @@
     assert sum(r.status == 0 for r in told) > least * len(told) > 50
     # Every replica that runs to the end has work again, from every driver that has a fair number of reads.
     now = max(r.at for r in told)
-    alive = {m.name for m in trial.fleet.members.values() if m.alive and not m.draining}
+    alive = {m.name for m in trial.fleet.endpoints.values() if m.alive and not m.draining}
     late = [a for a in spread.arrivals(trial.recorder.records, alive) if a.at > now - 3 * SECOND]
     assert {a.endpoint for a in late} == alive
 
