Fakes: the script's faults have a typed syntax, parsed by one function an argument

Need: one function of 17 branches read a fault's line, from tuples that a reader had to count.

FAULTS maps to FaultSyntax with Argument kinds; settings, spans, parts and restarts are parsed apart. Texts of errors are as before; ScriptError keeps its problems as values. net.clock.US takes the place of six constants.

Measured: 28 tests of tests/fakes and tests/testbed/test_shrink.py pass.

--- a/juniperreel/fakes/capacity_model.py
+++ b/juniperreel/fakes/capacity_model.py
@@ -13,8 +13,8 @@
 from juniperreel.fakes.endpoint_settings import EndpointSettings
 from juniperreel.fakes.errors import QueueFullError
 from juniperreel.net import Clock
+from juniperreel.net.clock import US
 
-US = 1_000_000
 MIN_SPEED = 0.01
 # Log-normal factor of a request's work: its mean is about 1, some requests cost a multiple.
 WORK_FACTOR_MU = -0.08
--- a/juniperreel/fakes/client_population.py
+++ b/juniperreel/fakes/client_population.py
@@ -24,11 +24,11 @@
 from juniperreel.fakes.grpc_clients import GrpcTransport
 from juniperreel.fakes.mysql_clients import MysqlTransport
 from juniperreel.net import Clock, Network
+from juniperreel.net.clock import US
 from juniperreel.rpc.channel import Channel
 from juniperreel.rpc.limits import Limits
 from juniperreel.verification.records import LoadOffered, RecordSink
 
-US = 1_000_000
 MAX_SESSIONS_MULTIPLE = 40  # of the script's sessions, where all wait for responses
 SELECTION_TRIES = 20
 READ_OWN_WRITE_S = 1.0  # after a write, in which its session is likely to read it
--- a/juniperreel/fakes/endpoint_list_server.py
+++ b/juniperreel/fakes/endpoint_list_server.py
@@ -58,7 +58,7 @@
         self._record = record
         self._delay_us = delay_us
         self._pending: list[PendingUpdate] = []
-        self._shown: dict[str, hosts_pb2.Host] = {}
+        self._published: dict[str, hosts_pb2.Host] = {}
         self._hidden: set[str] = set()
         self._version = ListVersion(0, 0)
         self._changed = Wakeup()
@@ -84,7 +84,7 @@
 
     def endpoint_names(self) -> list[str]:
         """All endpoints that are shown, hidden ones included."""
-        return [name for name, host in self._shown.items() if _is_present(host)]
+        return [name for name, host in self._published.items() if _is_present(host)]
 
     def hide(self, names: set[str]) -> None:
         """Omit these endpoints, and no others, from now on, though they run."""
@@ -115,11 +115,11 @@
             if due:
                 self._pending = [update for update in self._pending if update.due_us > now]
                 for update in sorted(due, key=lambda update: update.due_us):
-                    self._shown[update.host.id] = update.host
+                    self._published[update.host.id] = update.host
                 self._notify()
 
     def _visible(self) -> dict[str, hosts_pb2.Host]:
-        return {name: host for name, host in self._shown.items() if name not in self._hidden}
+        return {name: host for name, host in self._published.items() if name not in self._hidden}
 
     def _snapshot(self) -> list[hosts_pb2.Host]:
         if self._empty:
@@ -172,7 +172,7 @@
             self._record(EndpointListed(now, edge, host.id, READINESS_NAMES[host.readiness]))
         if complete and hosts:
             removed = READINESS_NAMES[hosts_pb2.READINESS_GONE]
-            for name in self._shown.keys() - {host.id for host in hosts}:
+            for name in self._published.keys() - {host.id for host in hosts}:
                 self._record(EndpointListed(now, edge, name, removed))
 
 
--- a/juniperreel/fakes/fault_injector.py
+++ b/juniperreel/fakes/fault_injector.py
@@ -8,6 +8,7 @@
 
 from juniperreel.fakes.replication_group import STEP_DOWN_DELAY_S
 from juniperreel.fakes.script import Step
+from juniperreel.net.clock import US
 from juniperreel.proto.hosts.v1 import hosts_pb2
 from juniperreel.verification.records import Fault
 
@@ -15,7 +16,6 @@
     from juniperreel.fakes.endpoint import FakeEndpoint
     from juniperreel.fakes.fleet import EdgeFaultHandler, Fleet
 
-US = 1_000_000
 PRIMARY_HANDOVER_S = 0.4  # until a draining primary is replaced
 DRAIN_S = 5.0  # until the process of a draining endpoint ends
 FLAP_INTERVAL_S = 0.5
--- a/juniperreel/fakes/fleet.py
+++ b/juniperreel/fakes/fleet.py
@@ -77,29 +77,13 @@
         self.clock = clock
         self.record = record
         self.rng = random.Random(script["seed"])
-        self.settings = EndpointSettings(
-            cores=script["cores"],
-            read_us=script["read-work"],
-            write_us=script["write-work"],
-            slow_start_us=script["cold-span"],
-            mysql=bool(script["mysql-members"]),
-            synchronous_replication=not script["alone"],
-            postgres=platform,
-        )
+        self.settings = _endpoint_settings(script, platform)
         list_rng = random.Random(self.rng.random())
         self.endpoint_list: EndpointListPublisher = endpoint_list or EndpointListServer(
             network, clock, list_rng, record, script["list-delay"]
         )
         self.groups = [
-            ReplicationGroup(
-                number,
-                clock,
-                random.Random(self.rng.random()),
-                record,
-                DETECTION_S,
-                ELECTION_S,
-                streaming=not platform,
-            )
+            self._create_group(number, streaming=not platform)
             for number in range(script["groups"])
             if group_numbers is None or number in group_numbers
         ]
@@ -109,6 +93,12 @@
         self._created = 0  # endpoints, ever
         self._listed_primaries: dict[int, str] = {}  # by group
 
+    def _create_group(self, number: int, streaming: bool) -> ReplicationGroup:
+        rng = random.Random(self.rng.random())
+        return ReplicationGroup(
+            number, self.clock, rng, self.record, DETECTION_S, ELECTION_S, streaming=streaming
+        )
+
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Run all endpoints until cancelled."""
         try:
@@ -216,3 +206,15 @@
     async def play(self, on_edge_fault: EdgeFaultHandler) -> None:
         """Inject every fault of the script at its time, from now on; those of edges go to the handler."""
         await FaultInjector(self, on_edge_fault).play()
+
+
+def _endpoint_settings(script: Day, platform: bool) -> EndpointSettings:
+    return EndpointSettings(
+        cores=script["cores"],
+        read_us=script["read-work"],
+        write_us=script["write-work"],
+        slow_start_us=script["cold-span"],
+        mysql=bool(script["mysql-members"]),
+        synchronous_replication=not script["alone"],
+        postgres=platform,
+    )
--- a/juniperreel/fakes/fleet_processes.py
+++ b/juniperreel/fakes/fleet_processes.py
@@ -25,10 +25,10 @@
 from juniperreel.fakes.fleet import Fleet
 from juniperreel.fakes.script import Day, Step, parse
 from juniperreel.net import Clock, TcpNetwork
+from juniperreel.net.clock import US
 from juniperreel.proto.hosts.v1 import hosts_pb2
 from juniperreel.verification.records import Recorder
 
-US = 1_000_000
 MAX_LINE_BYTES = 1 << 16
 STARTUP_TIMEOUT_S = 30
 STARTUP_CHECK_INTERVAL_S = 0.02
--- a/juniperreel/fakes/grpc_clients.py
+++ b/juniperreel/fakes/grpc_clients.py
@@ -17,13 +17,13 @@
     EdgeAddress,
 )
 from juniperreel.net import ConnectError
+from juniperreel.net.clock import US
 from juniperreel.proto.common.v1 import values_pb2
 from juniperreel.proto.records.v1 import records_pb2
 from juniperreel.rpc.channel import Broken, Channel, NeverSent
 from juniperreel.rpc.status import PUSHBACK, Code, RpcError
 from juniperreel.verification.records import KEYED, NON_IDEMPOTENT
 
-US = 1_000_000
 EXECUTE_METHOD = "/juniperreel.v1.Records/Execute"
 DO_NOT_RETRY = "-1"
 RECONNECT_DELAY_S = (0.1, 0.5)  # before a retry after a broken connection
--- a/juniperreel/fakes/mysql_clients.py
+++ b/juniperreel/fakes/mysql_clients.py
@@ -24,9 +24,9 @@
 )
 from juniperreel.fakes.mysql_client import MysqlClient, MysqlConnectionError, QueryError, QueryResult
 from juniperreel.net import ConnectError, Network
+from juniperreel.net.clock import US
 from juniperreel.rpc.status import Code
 
-US = 1_000_000
 STATUSES = {
     1205: Code.UNAVAILABLE,
     1213: Code.UNAVAILABLE,
--- a/juniperreel/fakes/mysql_translation.py
+++ b/juniperreel/fakes/mysql_translation.py
@@ -57,11 +57,11 @@
 def mysql_error_of(error: sqlite3.Error | sqlite3.Warning) -> MysqlError:
     """The MySQL error for one of SQLite's."""
     message = str(error)
-    last_word = message.rpartition(" ")[2]
+    object_name = message.rpartition(" ")[2]
     if "no such table" in message:
-        return MysqlError(1146, "42S02", f"Table '{last_word}' doesn't exist")
+        return MysqlError(1146, "42S02", f"Table '{object_name}' doesn't exist")
     if "no such column" in message:
-        return MysqlError(1054, "42S22", f"Unknown column '{last_word}' in 'field list'")
+        return MysqlError(1054, "42S22", f"Unknown column '{object_name}' in 'field list'")
     if "UNIQUE constraint" in message:
         return MysqlError(1062, "23000", f"Duplicate entry ({message})")
     if "NOT NULL" in message:
--- a/juniperreel/fakes/platform_discovery.py
+++ b/juniperreel/fakes/platform_discovery.py
@@ -95,7 +95,7 @@
         self._delay_us = delay_us
         self._find_port = find_port
         self._pending: list[PendingUpdate] = []
-        self._shown: dict[str, dict[str, hosts_pb2.Host]] = {edge: {} for edge in edges}
+        self._published: dict[str, dict[str, hosts_pb2.Host]] = {edge: {} for edge in edges}
         self._hidden: set[str] = set()
         self._empty = False
         self._outdated: set[str] = set()  # edges whose list is to be made anew
@@ -117,7 +117,7 @@
 
     def endpoint_names(self) -> list[str]:
         """All endpoints that any edge was shown, sorted."""
-        return sorted({name for shown in self._shown.values() for name in shown})
+        return sorted({name for hosts in self._published.values() for name in hosts})
 
     def hide(self, names: set[str]) -> None:
         """Omit these endpoints, and no others, from now on."""
@@ -145,14 +145,14 @@
     def _take_due_updates(self, now: int) -> None:
         due = [update for update in self._pending if update.due_us <= now]
         for update in sorted(due, key=lambda update: update.due_us):
-            self._shown[update.edge][update.host.id] = update.host
+            self._published[update.edge][update.host.id] = update.host
             self._outdated.add(update.edge)
         self._pending = [update for update in self._pending if update.due_us > now]
 
     async def _hosts(self, edge: str) -> list[dict[str, Any]]:
         """The list for an edge, in the platform's form."""
         hosts = []
-        for name, host in sorted(self._shown[edge].items()):
+        for name, host in sorted(self._published[edge].items()):
             if name in self._hidden or host.readiness == hosts_pb2.READINESS_GONE:
                 continue
             hosts.append(
--- a/juniperreel/fakes/script.py
+++ b/juniperreel/fakes/script.py
@@ -1,14 +1,14 @@
-"""The script of a day: the fleet, the load, and what goes wrong when.
+"""The script of a run: the fleet, the load, and which fault is injected when.
 
     groups 3                    # settings of the fleet and its load, one a line
     at 2s for 4s slow g0/1 0.4
     at 5s kill g1/primary back 6s
 
-A target is a member (`g0/primary`, `g0/2`), a part of all (`random:25%`), `all`, a group (`g0`), a zone
+A target is an endpoint (`g0/primary`, `g0/2`), a part of all (`random:25%`), `all`, a group (`g0`), a zone
 (`zone:1`; numbers alternate between two), an edge (`edge/1`, `edge/zone:1`, `edge/random:10%`, `edge/*` for
 all), an instance of the configuration (`instance/0`) or `list`. A link fault has two ends, an edge and what
-it connects to: `at 3s for 2s link-cut edge/1 to g0/primary`. Times count from the day's start; the same text
-and seed give the same faults.
+it connects to: `at 3s for 2s link-cut edge/1 to g0/primary`. Times count from the start of the run; the same
+text and seed give the same faults.
 """
 
 from __future__ import annotations
@@ -16,36 +16,61 @@
 import re
 import shlex
 from dataclasses import dataclass, field
+from enum import Enum
+from typing import NamedTuple
+
+from juniperreel.fakes.errors import FakesError
 
 SPAN = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)\Z")
-PART = re.compile(r"([0-9]+(?:\.[0-9]+)?)%\Z")
-
-# What each fault takes behind its target, and whether it ends after a `for`.
-FAULTS: dict[str, tuple[tuple[str, ...], bool]] = {
-    "kill": (("back",), False),
-    "hang": ((), True),
-    "refuse": ((), True),
-    "lose": (("part",), True),
-    "break": (("part",), True),
-    "fail": (("part",), True),
-    "slow": (("number",), True),
-    "lag": (("number",), True),
-    "cut": ((), True),
-    "skew": (("span",), True),
-    "drain": ((), False),
-    "roll": (("span",), False),
-    "two-primaries": ((), True),
-    "freeze": ((), True),
-    "empty": ((), True),
-    "flap": ((), True),
-    "edge-kill": (("back",), False),
-    "edge-stall": ((), True),
-    "instance-kill": (("back",), False),
-    "link-cut": (("to",), True),
-    "link-deaf": (("to",), True),
-    "link-reset": (("to",), False),
-    "link-mute": (("to",), False),  # to `list` only: watches that are open are never answered, new ones are
-    "link-slow": (("to", "span"), True),
+PERCENTAGE = re.compile(r"([0-9]+(?:\.[0-9]+)?)%\Z")
+MAX_NUMBER = 1e6
+MIN_SPAN_DEFAULT = 1000  # a setting whose default is at least this is a span, in microseconds
+MAX_QUOTED_CHARACTERS = 60
+
+
+class Argument(Enum):
+    """What a fault takes behind its target."""
+
+    RESTART = "back"  # optional: back and a span
+    LINK_TARGET = "to"
+    PART = "part"
+    NUMBER = "number"
+    SPAN = "span"
+
+
+class FaultSyntax(NamedTuple):
+    """The arguments of a fault, and whether it lasts for a span given with `for`."""
+
+    arguments: tuple[Argument, ...] = ()
+    timed: bool = False
+
+
+FAULTS = {
+    "kill": FaultSyntax((Argument.RESTART,)),
+    "hang": FaultSyntax(timed=True),
+    "refuse": FaultSyntax(timed=True),
+    "lose": FaultSyntax((Argument.PART,), timed=True),
+    "break": FaultSyntax((Argument.PART,), timed=True),
+    "fail": FaultSyntax((Argument.PART,), timed=True),
+    "slow": FaultSyntax((Argument.NUMBER,), timed=True),
+    "lag": FaultSyntax((Argument.NUMBER,), timed=True),
+    "cut": FaultSyntax(timed=True),
+    "skew": FaultSyntax((Argument.SPAN,), timed=True),
+    "drain": FaultSyntax(),
+    "roll": FaultSyntax((Argument.SPAN,)),
+    "two-primaries": FaultSyntax(timed=True),
+    "freeze": FaultSyntax(timed=True),
+    "empty": FaultSyntax(timed=True),
+    "flap": FaultSyntax(timed=True),
+    "edge-kill": FaultSyntax((Argument.RESTART,)),
+    "edge-stall": FaultSyntax(timed=True),
+    "instance-kill": FaultSyntax((Argument.RESTART,)),
+    "link-cut": FaultSyntax((Argument.LINK_TARGET,), timed=True),
+    "link-deaf": FaultSyntax((Argument.LINK_TARGET,), timed=True),
+    "link-reset": FaultSyntax((Argument.LINK_TARGET,)),
+    # To `list` only: watches that are open are never answered, new ones are.
+    "link-mute": FaultSyntax((Argument.LINK_TARGET,)),
+    "link-slow": FaultSyntax((Argument.LINK_TARGET, Argument.SPAN), timed=True),
 }
 SETTINGS = {
     "groups": 3,
@@ -62,18 +87,22 @@
     "cores": 4,
     "cold-span": 6_000_000,
     "retries": 2,
-    "mysql": 0,  # of a hundred sessions, so many speak MySQL
-    "transactions": 0,  # of a hundred writes over MySQL, so many are transactions of several statements
-    "mysql-members": 0,  # 1: members speak MySQL to edges
-    "alone": 0,
-    "heavy": 0,  # of a hundred drivers of a large trial, so many are asked five times the mean
-    "fleet": 0,  # drivers of the platform are told that they are so many; 0: as many as there are
-    "ask-every": 10_000_000,  # and that they must have asked for the list so long ago at most
+    "mysql": 0,  # sessions that speak MySQL, in percent
+    "transactions": 0,  # writes over MySQL that are transactions of several statements, in percent
+    "mysql-members": 0,  # 1: endpoints speak MySQL to edges
+    "alone": 0,  # 1: writes are answered without waiting for a replica
+    "heavy": 0,  # edges of a large trial that receive five times the mean load, in percent
+    "fleet": 0,  # the number of edges that the platform's edges are configured with; 0: the true one
+    "ask-every": 10_000_000,  # longest time between polls of the list that they are configured with
 }
 
 
-class ScriptError(ValueError):
-    """A script that cannot be played; the text has a line for each problem."""
+class ScriptError(FakesError, ValueError):
+    """A script cannot be played; the text has a line for each problem."""
+
+    def __init__(self, problems: list[str]) -> None:
+        super().__init__("\n".join(problems))
+        self.problems = problems
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,7 +113,7 @@
     for_us: int
     fault: str
     target: str
-    value: float
+    value: float  # the fault's argument: a part, a number, or microseconds
     line: int
     text: str
     other: str = ""  # the far end of a link
@@ -98,101 +127,142 @@
     steps: list[Step] = field(default_factory=list)
 
     def __getitem__(self, name: str) -> int:
+        """The value of a setting."""
         return self.settings[name]
 
 
 def parse(text: str) -> Day:
-    """Raises ScriptError with every problem."""
+    """Parse a script. Raises ScriptError with every problem."""
     day = Day()
     problems = []
     for number, line in enumerate(text.splitlines(), 1):
         try:
-            words = shlex.split(line, comments=True)
-            if not words:
-                continue
-            if words[0] == "at":
-                day.steps.append(step(words, number, line.strip()))
-            elif len(words) == 2 and words[0] in SETTINGS:
-                day.settings[words[0]] = value(words[0], words[1])
-            else:
-                raise ValueError(f"neither a setting with its value nor a fault: {line.strip()[:60]!r}")
+            _parse_line(day, number, line)
         except ValueError as error:
             problems.append(f"line {number}: {error}")
     if problems:
-        raise ScriptError("\n".join(problems))
-    day.steps.sort(key=lambda s: (s.at_us, s.line))
+        raise ScriptError(problems)
+    day.steps.sort(key=lambda step: (step.at_us, step.line))
     return day
 
 
+def _parse_line(day: Day, number: int, line: str) -> None:
+    tokens = shlex.split(line, comments=True)
+    if not tokens:
+        return
+    if tokens[0] == "at":
+        day.steps.append(parse_step(tokens, number, line.strip()))
+    elif len(tokens) == 2 and tokens[0] in SETTINGS:
+        day.settings[tokens[0]] = parse_setting(tokens[0], tokens[1])
+    else:
+        quoted = line.strip()[:MAX_QUOTED_CHARACTERS]
+        raise ValueError(f"neither a setting with its value nor a fault: {quoted!r}")
+
+
 def render(day: Day) -> str:
-    """A text that parses to the same day."""
-    lines = [f"{name} {worded(name, value)}" for name, value in day.settings.items()]
-    return "\n".join(lines + [s.text for s in sorted(day.steps, key=lambda s: s.line)]) + "\n"
+    """A text that parses to the same script."""
+    lines = [f"{name} {render_setting(name, value)}" for name, value in day.settings.items()]
+    steps = [step.text for step in sorted(day.steps, key=lambda step: step.line)]
+    return "\n".join(lines + steps) + "\n"
 
 
-def worded(name: str, value: int) -> str:
-    """Settings that are spans are told as such, to the microsecond."""
-    return f"{value / 1000:.3f}ms" if SETTINGS[name] >= 1000 else str(value)
+def is_span(name: str) -> bool:
+    """Whether a setting is a time, in microseconds."""
+    return SETTINGS[name] >= MIN_SPAN_DEFAULT
 
 
-def value(name: str, word: str) -> int:
-    if SETTINGS[name] >= 1000 and SPAN.match(word):
-        return span(word)
-    if not word.isdigit():
-        raise ValueError(f"{name} takes a number or a span, not {word!r}")
-    return int(word)
+def render_setting(name: str, value: int) -> str:
+    """The value of a setting as a script has it; spans in milliseconds, to the microsecond."""
+    return f"{value / 1000:.3f}ms" if is_span(name) else str(value)
 
 
-def span(word: str) -> int:
-    match = SPAN.match(word)
+def parse_setting(name: str, token: str) -> int:
+    """The value of a setting. Raises ValueError."""
+    if is_span(name) and SPAN.match(token):
+        return parse_span(token)
+    if not token.isdigit():
+        raise ValueError(f"{name} takes a number or a span, not {token!r}")
+    return int(token)
+
+
+def parse_span(token: str) -> int:
+    """A time in microseconds. Raises ValueError."""
+    match = SPAN.match(token)
     if match is None:
-        raise ValueError(f"{word!r} is not a span such as 2s or 300ms")
+        raise ValueError(f"{token!r} is not a span such as 2s or 300ms")
     return round(float(match[1]) * (1000 if match[2] == "ms" else 1_000_000))
 
 
-def step(words: list[str], line: int, text: str) -> Step:
-    rest = words[1:]
+def parse_step(tokens: list[str], line: int, text: str) -> Step:
+    """The fault of a line that begins with `at`. Raises ValueError."""
+    rest = tokens[1:]
     if not rest:
         raise ValueError("at what time?")
-    at_us, for_us = span(rest.pop(0)), 0
+    at_us = parse_span(rest.pop(0))
+    for_us = 0
     if rest[:1] == ["for"]:
         if len(rest) < 2:
             raise ValueError("for how long?")
-        for_us = span(rest[1])
+        for_us = parse_span(rest[1])
         rest = rest[2:]
     if len(rest) < 2 or rest[0] not in FAULTS:
         raise ValueError(f"a fault and a target are needed; faults are {', '.join(FAULTS)}")
-    fault, target, *more = rest
-    takes, ends = FAULTS[fault]
-    if ends != bool(for_us):
-        raise ValueError(f"{fault} {'needs' if ends else 'takes no'} 'for'")
-    number, other = 0.0, ""
-    for kind in takes:
-        if kind == "to":
-            if more[:1] != ["to"] or len(more) < 2:
-                raise ValueError(f"behind {fault} {target}: to and a target")
-            other, more = more[1], more[2:]
-            continue
-        if kind == "back":
-            if more and (more[0] != "back" or len(more) != 2):
-                raise ValueError(f"behind {fault} {target}: back and a span, or nothing")
-            number = float(span(more[1])) if more else 0.0
-            more = []
-            continue
-        if len(more) != 1:
-            raise ValueError(f"{fault} takes a {kind} behind its target")
-        word = more.pop()
-        if kind == "span":
-            number = float(span(word))
-        elif kind == "part":
-            match = PART.match(word)
-            if match is None or float(match[1]) > 100:
-                raise ValueError(f"{word!r} is not a part such as 30%")
-            number = float(match[1]) / 100
+    fault, target, *arguments = rest
+    syntax = FAULTS[fault]
+    if syntax.timed != bool(for_us):
+        raise ValueError(f"{fault} {'needs' if syntax.timed else 'takes no'} 'for'")
+    parsed = _parse_arguments(f"{fault} {target}", syntax, arguments)
+    return Step(at_us, for_us, fault, target, parsed.value, line, text, parsed.link_target)
+
+
+class ParsedArguments(NamedTuple):
+    """The arguments of one fault."""
+
+    value: float
+    link_target: str
+
+
+def _parse_arguments(described: str, syntax: FaultSyntax, tokens: list[str]) -> ParsedArguments:
+    value = 0.0
+    link_target = ""
+    for argument in syntax.arguments:
+        if argument is Argument.LINK_TARGET:
+            if tokens[:1] != ["to"] or len(tokens) < 2:
+                raise ValueError(f"behind {described}: to and a target")
+            link_target = tokens[1]
+            tokens = tokens[2:]
+        elif argument is Argument.RESTART:
+            value = _parse_restart(described, tokens)
+            tokens = []
         else:
-            number = float(word)
-            if not 0 < number < 1e6:
-                raise ValueError(f"{word!r} is out of range")
-    if more:
-        raise ValueError(f"{more!r} is too much behind {fault} {target}")
-    return Step(at_us, for_us, fault, target, number, line, text, other)
+            if len(tokens) != 1:
+                fault = described.split()[0]
+                raise ValueError(f"{fault} takes a {argument.value} behind its target")
+            value = _parse_value(argument, tokens[0])
+            tokens = []
+    if tokens:
+        raise ValueError(f"{tokens!r} is too much behind {described}")
+    return ParsedArguments(value, link_target)
+
+
+def _parse_restart(described: str, tokens: list[str]) -> float:
+    """After how many microseconds a process is started again; 0 for never."""
+    if not tokens:
+        return 0.0
+    if tokens[0] != "back" or len(tokens) != 2:
+        raise ValueError(f"behind {described}: back and a span, or nothing")
+    return float(parse_span(tokens[1]))
+
+
+def _parse_value(argument: Argument, token: str) -> float:
+    if argument is Argument.SPAN:
+        return float(parse_span(token))
+    if argument is Argument.PART:
+        match = PERCENTAGE.match(token)
+        if match is None or float(match[1]) > 100:
+            raise ValueError(f"{token!r} is not a part such as 30%")
+        return float(match[1]) / 100
+    number = float(token)
+    if not 0 < number < MAX_NUMBER:
+        raise ValueError(f"{token!r} is out of range")
+    return number
