--- a/juniperreel/fakes/__init__.py
+++ b/juniperreel/fakes/__init__.py
@@ -1,1 +1,1 @@
-"""Members, host list and clients that play the world outside the edges, with faults by a script."""
+"""Fakes of what surrounds the edges: endpoints, their list and clients, with faults by a script."""
--- a/juniperreel/fakes/grpc_service.py
+++ b/juniperreel/fakes/grpc_service.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -12,6 +11,7 @@
 from juniperreel.fakes.errors import QueueFullError, StatementError
 from juniperreel.fakes.replica import ExecutedWrite
 from juniperreel.fakes.replication_stream import REPLICATE_METHOD, LogSender
+from juniperreel.fakes.request_names import edge_of, request_id_of
 from juniperreel.fakes.store import Statement, value_from_proto
 from juniperreel.proto.common.v1 import values_pb2
 from juniperreel.proto.member.v1 import member_pb2
@@ -23,7 +23,6 @@
     from juniperreel.fakes.endpoint import FakeEndpoint
 
 ERROR_DOMAIN = "member.juniperreel"
-REQUEST_ID_COMMENT = re.compile(r"/\* rid ([0-9a-z.-]+) \*/")
 REPORT_INTERVAL_US = 100_000
 
 
@@ -44,11 +43,6 @@
     work_us: int
     executed: bool = False
 
-    @staticmethod
-    def edge_of(request: member_pb2.ExecuteRequest) -> str:
-        """The edge that sent a request: its identifiers are the edge's name and two numbers."""
-        return request.request.rsplit("-", 2)[0]
-
 
 class GrpcService:
     """Serves `juniperreel.member.v1.Member` for one endpoint."""
@@ -95,7 +89,7 @@
             AttemptReceived(
                 endpoint.recorded_at_us(),
                 endpoint.name,
-                Execution.edge_of(request),
+                edge_of(request.request),
                 request.request,
                 request.attempt,
                 execution.request_id,
@@ -126,9 +120,8 @@
             statement = request.statement.decode()
         except (DecodeError, UnicodeDecodeError) as error:
             raise RpcError(Code.INVALID_ARGUMENT, "not an ExecuteRequest") from error
-        found = REQUEST_ID_COMMENT.search(statement)
         work_us = self._endpoint.capacity.draw_work_us(self._endpoint.mean_work_us(request.write))
-        return Execution(request, statement, found[1] if found else "", work_us)
+        return Execution(request, statement, request_id_of(statement), work_us)
 
     async def _answer(self, call: Call, execution: Execution) -> bytes:
         endpoint = self._endpoint
--- a/juniperreel/fakes/mysql_connection.py
+++ b/juniperreel/fakes/mysql_connection.py
@@ -15,7 +15,6 @@
 from juniperreel.fakes.mysql_columns import convert, describe_columns
 from juniperreel.fakes.mysql_engine import (
     BATCH_ROWS,
-    REQUEST_ID_COMMENT,
     STATUS_QUERY,
     MysqlEngine,
     OkResult,
@@ -23,6 +22,7 @@
 )
 from juniperreel.fakes.mysql_prepared import BoundStatement, PreparedStatement, bind
 from juniperreel.fakes.mysql_translation import translate
+from juniperreel.fakes.request_names import edge_of, request_id_of
 from juniperreel.mysql.constants import Com, Status
 from juniperreel.mysql.packets import Cursor, ProtocolError
 from juniperreel.mysql.replies import gtid_track
@@ -215,7 +215,7 @@
         request = str(attributes.get("juniperreel_request", ""))
         if not request:
             return await self._answer(text, values, binary)
-        edge = request.rsplit("-", 2)[0]
+        edge = edge_of(request)
         statement = int(attributes.get("juniperreel_statement") or 0)
         if statement:
             received = StatementReceived(self._received_at_us, self._endpoint.name, edge, request, statement)
@@ -228,16 +228,15 @@
     def _record_received(self, text: str, attempt: RunningAttempt, attributes: Mapping[str, Value]) -> None:
         endpoint = self._endpoint
         write = bool(attributes.get("juniperreel_write"))
-        found = REQUEST_ID_COMMENT.search(text)
         mean_us = endpoint.mean_work_us(write)
         endpoint.record(
             AttemptReceived(
                 self._received_at_us,
                 endpoint.name,
-                attempt.edge_request_id.rsplit("-", 2)[0],
+                edge_of(attempt.edge_request_id),
                 attempt.edge_request_id,
                 attempt.number,
-                found[1] if found else "",
+                request_id_of(text),
                 str(attributes.get("juniperreel_class", "")),
                 write,
                 mean_us,
--- a/juniperreel/fakes/mysql_engine.py
+++ b/juniperreel/fakes/mysql_engine.py
@@ -20,6 +20,7 @@
 from juniperreel.fakes.mysql_translation import TranslatedStatement, mysql_error_of, translate
 from juniperreel.fakes.mysql_types import TYPED_COLUMNS
 from juniperreel.fakes.mysql_variables import SessionVariables
+from juniperreel.fakes.request_names import request_id_of
 from juniperreel.fakes.store import Statement, Store
 from juniperreel.mysql.values import Column
 
@@ -28,7 +29,6 @@
 
 BATCH_ROWS = 500
 COMMENT = re.compile(r"/\*(?!!).*?\*/", re.S)
-REQUEST_ID_COMMENT = re.compile(r"/\* rid ([0-9a-z.-]+) \*/")
 STATUS_QUERY = re.compile(r"\bfrom juniperreel\.heartbeat\b", re.I)
 SAVEPOINT = re.compile(r"(savepoint|rollback(?: work)? to(?: savepoint)?|release savepoint) (\w+)\Z")
 KILL = re.compile(r"kill (?:connection )?(\d+)\Z")
@@ -332,8 +332,7 @@
     async def _write(
         self, statement: TranslatedStatement, text: str, parameters: tuple[Any, ...]
     ) -> OkResult:
-        found = REQUEST_ID_COMMENT.search(text)
-        request_id = found[1] if found else ""
+        request_id = request_id_of(text)
         row = _written_row(text, parameters)
         write = Statement(statement.text, parameters)
         transaction = self.transaction
--- a/juniperreel/verification/staleness.py
+++ b/juniperreel/verification/staleness.py
@@ -58,7 +58,7 @@
 
     request: RequestSent
     response: ResponseReceived
-    shown_ids: frozenset[str]
+    returned_ids: frozenset[str]
     oldest_position: int
 
 
@@ -75,9 +75,11 @@
         self, request: RequestSent, request_class: RequestClass, response: ResponseReceived
     ) -> list[Violation]:
         """Violations of one served read: at most one for the session, one for the bound."""
-        shown_ids = frozenset(response.rows)
-        read = _ServedRead(request, response, shown_ids, self._oldest_position(request, response, shown_ids))
-        self._counts.rows += len(shown_ids)
+        returned_ids = frozenset(response.rows)
+        read = _ServedRead(
+            request, response, returned_ids, self._oldest_position(request, response, returned_ids)
+        )
+        self._counts.rows += len(returned_ids)
         found: list[Violation | None] = []
         if request_class.session:
             self._counts.session += 1
@@ -88,12 +90,12 @@
         return [violation for violation in found if violation is not None]
 
     def _oldest_position(
-        self, request: RequestSent, response: ResponseReceived, shown_ids: frozenset[str]
+        self, request: RequestSent, response: ResponseReceived, returned_ids: frozenset[str]
     ) -> int:
         if not response.has_older_rows:
             return 0
         commits = self._commits_by_row[request.row]
-        return min((commit.position for commit in commits if commit.request_id in shown_ids), default=0)
+        return min((commit.position for commit in commits if commit.request_id in returned_ids), default=0)
 
     def _missing_session_write(self, read: _ServedRead) -> Violation | None:
         request = read.request
@@ -101,7 +103,7 @@
             positions = [commit.position for commit in self._history.commits.get(write.request_id, [])]
             if (
                 write.at <= request.at
-                and write.request_id not in read.shown_ids
+                and write.request_id not in read.returned_ids
                 and max(positions, default=read.oldest_position) >= read.oldest_position
             ):
                 text = f"{request.request_id} does not show its session's write {write.request_id}"
@@ -116,7 +118,7 @@
         for commit in self._commits_by_row[read.request.row]:
             if (
                 read.oldest_position <= commit.position <= due
-                and commit.request_id not in read.shown_ids
+                and commit.request_id not in read.returned_ids
                 and self._history.survives(commit)
             ):
                 age_ms = (sent_at - commit.position) / 1000
