--- a/juniperreel/cli/demo.py
+++ b/juniperreel/cli/demo.py
@@ -12,12 +12,12 @@
 
 from juniperreel.cli.report import conclude, recorded
 from juniperreel.cli.world import World
-from juniperreel.fakes.script import Day, ScriptError, parse
+from juniperreel.fakes.script import Script, ScriptError, parse
 from juniperreel.net.clock import US
 from juniperreel.verification.records import Fault, Recorder
 
 
-def read_day(script: Path | None) -> Day:
+def read_day(script: Path | None) -> Script:
     """The script's day, or the bad day that comes with the program."""
     if script is None:
         text = resources.files("juniperreel.fakes").joinpath("days/bad.day").read_text(encoding="utf-8")
@@ -57,7 +57,7 @@
 
 
 async def play(
-    day: Day,
+    day: Script,
     folder: Path,
     recorder: Recorder,
     careless: bool,
--- a/juniperreel/cli/standins.py
+++ b/juniperreel/cli/standins.py
@@ -10,13 +10,13 @@
 
 from juniperreel.fakes.fleet import Fleet
 from juniperreel.fakes.fleet_processes import FleetProcesses
-from juniperreel.fakes.script import Day, ScriptError, Step, parse
+from juniperreel.fakes.script import Script, ScriptError, Step, parse
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.net.clock import US
 from juniperreel.verification.records import Recorder
 
 
-async def play(day: Day, recorder: Recorder, port: int) -> None:
+async def play(day: Script, recorder: Recorder, port: int) -> None:
     async with trio.open_nursery() as nursery:
         fleet = Fleet(day, TcpNetwork(), Clock(), recorder)
         fleet.endpoint_list.port = port
@@ -33,7 +33,7 @@
         nursery.cancel_scope.cancel()
 
 
-def several(script: Path, day: Day, port: int, record: Path | None, processes: int) -> None:
+def several(script: Path, day: Script, port: int, record: Path | None, processes: int) -> None:
     """Each part keeps its records beside `record`, with its number behind the name."""
 
     async def run() -> None:
--- a/juniperreel/cli/trial.py
+++ b/juniperreel/cli/trial.py
@@ -17,7 +17,7 @@
 import trio
 
 from juniperreel.cli.report import conclude, recorded
-from juniperreel.fakes.script import Day, ScriptError, parse, render
+from juniperreel.fakes.script import Script, ScriptError, parse, render
 from juniperreel.net import TcpNetwork
 from juniperreel.net.clock import US
 from juniperreel.testbed.large import LargeTrial
@@ -54,17 +54,17 @@
     crews: int
     driver: tuple[str, ...]
 
-    def play(self, day: Day, folder: Path) -> Played:
+    def play(self, day: Script, folder: Path) -> Played:
         folder.mkdir(parents=True, exist_ok=True)
         return trio.run(self._large if self.crews else self._small, day, folder.resolve())
 
-    async def _small(self, day: Day, folder: Path) -> Played:
+    async def _small(self, day: Script, folder: Path) -> Played:
         play = PlatformTrial(day, TcpNetwork(), folder, self.pause_s, self.driver or PROGRAM)
         await play.run()
         counts = f"probes {play.probes}, connections to members {play.connections}"
         return Played(play.recorder.records, [counts])
 
-    async def _large(self, day: Day, folder: Path) -> Played:
+    async def _large(self, day: Script, folder: Path) -> Played:
         play = LargeTrial(day, folder, self.crews, self.driver)
         await play.run(lambda text: click.echo(text, err=True))
         counts = play.counts.values()
@@ -108,7 +108,7 @@
     return with_how
 
 
-def read_day(script: Path, seed: int | None) -> Day:
+def read_day(script: Path, seed: int | None) -> Script:
     """Ends the command with 2 where it can't be played."""
     try:
         day = parse(script.read_text(encoding="utf-8"))
@@ -201,11 +201,11 @@
 
     Exit status 1: it didn't break the rule to begin with."""
 
-    def breaks(day: Day) -> bool:
+    def breaks(day: Script) -> bool:
         with tempfile.TemporaryDirectory() as folder:
             return rule in broken(how.play(day, Path(folder)).records)
 
-    async def fails(day: Day) -> bool:
+    async def fails(day: Script) -> bool:
         return await trio.to_thread.run_sync(partial(breaks, day))
 
     day = read_day(script, None)
--- a/juniperreel/cli/world.py
+++ b/juniperreel/cli/world.py
@@ -21,7 +21,7 @@
 from juniperreel.fakes.fleet import Fleet
 from juniperreel.fakes.mysql_server import PASSWORD as MEMBER_PASSWORD
 from juniperreel.fakes.mysql_server import USER
-from juniperreel.fakes.script import Day, Step
+from juniperreel.fakes.script import Script, Step
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.net.clock import US
 from juniperreel.verification import records as rec
@@ -108,7 +108,7 @@
 """
 
 
-def mix_of(day: Day) -> list[TrafficClass]:
+def mix_of(day: Script) -> list[TrafficClass]:
     """Members that speak MySQL remember no keys: there, every write is of effect once."""
     if not day["mysql-members"]:
         return list(MIX)
@@ -155,7 +155,7 @@
 
     def __init__(
         self,
-        day: Day,
+        day: Script,
         folder: Path,
         recorder: rec.Recorder,
         careless: bool = False,
--- a/juniperreel/fakes/fleet.py
+++ b/juniperreel/fakes/fleet.py
@@ -14,7 +14,7 @@
 from juniperreel.fakes.errors import UnknownTargetError
 from juniperreel.fakes.fault_injector import FaultInjector
 from juniperreel.fakes.replication_group import ReplicationGroup
-from juniperreel.fakes.script import Day, Step
+from juniperreel.fakes.script import Script, Step
 from juniperreel.net import Clock, Network
 from juniperreel.proto.hosts.v1 import hosts_pb2
 from juniperreel.verification.records import RecordSink
@@ -60,7 +60,7 @@
 
     def __init__(
         self,
-        script: Day,
+        script: Script,
         network: Network,
         clock: Clock,
         record: RecordSink,
@@ -208,7 +208,7 @@
         await FaultInjector(self, on_edge_fault).play()
 
 
-def _endpoint_settings(script: Day, platform: bool) -> EndpointSettings:
+def _endpoint_settings(script: Script, platform: bool) -> EndpointSettings:
     return EndpointSettings(
         cores=script["cores"],
         read_us=script["read-work"],
--- a/juniperreel/fakes/fleet_processes.py
+++ b/juniperreel/fakes/fleet_processes.py
@@ -23,7 +23,7 @@
 
 from juniperreel.fakes.errors import PartEndedError
 from juniperreel.fakes.fleet import Fleet
-from juniperreel.fakes.script import Day, Step, parse
+from juniperreel.fakes.script import Script, Step, parse
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.net.clock import US
 from juniperreel.proto.hosts.v1 import hosts_pb2
@@ -73,18 +73,18 @@
         """Do nothing: faults of the list are injected where it is served."""
 
 
-def select_steps(script: Day, list_faults: bool) -> list[Step]:
+def select_steps(script: Script, list_faults: bool) -> list[Step]:
     """The faults of the list, or all others but those of edges and instances."""
     steps = [step for step in script.steps if not step.fault.startswith(OUTSIDE_PREFIXES)]
     return [step for step in steps if (step.target == LIST_TARGET) == list_faults]
 
 
-def groups_of_part(script: Day, part: int, parts: int) -> frozenset[int]:
+def groups_of_part(script: Script, part: int, parts: int) -> frozenset[int]:
     """The numbers of the groups that a part runs."""
     return frozenset(number for number in range(script["groups"]) if number % parts == part)
 
 
-async def run_part(script: Day, part: int, parts: int, record: Recorder) -> None:
+async def run_part(script: Script, part: int, parts: int, record: Recorder) -> None:
     """Run the groups of one part for the length of the script."""
     own = replace(script, steps=select_steps(script, list_faults=False))
     own.settings = script.settings | {"seed": script["seed"] * SEED_STRIDE + part}
@@ -104,7 +104,7 @@
 class FleetProcesses:
     """Serves the endpoint list here, and runs the groups in processes of their own."""
 
-    def __init__(self, path: Path, script: Day, port: int, parts: int, record: Path | None) -> None:
+    def __init__(self, path: Path, script: Script, port: int, parts: int, record: Path | None) -> None:
         self.script = script
         self.parts = min(parts, script["groups"])
         self._path = path
--- a/juniperreel/fakes/script.py
+++ b/juniperreel/fakes/script.py
@@ -120,7 +120,7 @@
 
 
 @dataclass(slots=True)
-class Day:
+class Script:
     """A whole script."""
 
     settings: dict[str, int] = field(default_factory=lambda: dict(SETTINGS))
@@ -131,38 +131,38 @@
         return self.settings[name]
 
 
-def parse(text: str) -> Day:
+def parse(text: str) -> Script:
     """Parse a script. Raises ScriptError with every problem."""
-    day = Day()
+    script = Script()
     problems = []
     for number, line in enumerate(text.splitlines(), 1):
         try:
-            _parse_line(day, number, line)
+            _parse_line(script, number, line)
         except ValueError as error:
             problems.append(f"line {number}: {error}")
     if problems:
         raise ScriptError(problems)
-    day.steps.sort(key=lambda step: (step.at_us, step.line))
-    return day
+    script.steps.sort(key=lambda step: (step.at_us, step.line))
+    return script
 
 
-def _parse_line(day: Day, number: int, line: str) -> None:
+def _parse_line(script: Script, number: int, line: str) -> None:
     tokens = shlex.split(line, comments=True)
     if not tokens:
         return
     if tokens[0] == "at":
-        day.steps.append(parse_step(tokens, number, line.strip()))
+        script.steps.append(parse_step(tokens, number, line.strip()))
     elif len(tokens) == 2 and tokens[0] in SETTINGS:
-        day.settings[tokens[0]] = parse_setting(tokens[0], tokens[1])
+        script.settings[tokens[0]] = parse_setting(tokens[0], tokens[1])
     else:
         quoted = line.strip()[:MAX_QUOTED_CHARACTERS]
         raise ValueError(f"neither a setting with its value nor a fault: {quoted!r}")
 
 
-def render(day: Day) -> str:
+def render(script: Script) -> str:
     """A text that parses to the same script."""
-    lines = [f"{name} {render_setting(name, value)}" for name, value in day.settings.items()]
-    steps = [step.text for step in sorted(day.steps, key=lambda step: step.line)]
+    lines = [f"{name} {render_setting(name, value)}" for name, value in script.settings.items()]
+    steps = [step.text for step in sorted(script.steps, key=lambda step: step.line)]
     return "\n".join(lines + steps) + "\n"
 
 
--- a/juniperreel/testbed/crew.py
+++ b/juniperreel/testbed/crew.py
@@ -21,7 +21,7 @@
 
 from juniperreel.fakes import fleet_processes
 from juniperreel.fakes.fleet import EdgeFaultHandler, Fleet
-from juniperreel.fakes.script import Day, Step, parse
+from juniperreel.fakes.script import Script, Step, parse
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.net.clock import US
 from juniperreel.proto.hosts.v1 import hosts_pb2
@@ -40,7 +40,7 @@
     return step.fault.startswith("edge-") or TO_LIST in (step.target, step.other)
 
 
-def own_steps(day: Day, drivers: bool) -> list[Step]:
+def own_steps(day: Script, drivers: bool) -> list[Step]:
     return [s for s in day.steps if of_drivers(s) is drivers and not s.fault.startswith("instance-")]
 
 
@@ -82,7 +82,7 @@
 class Crew:
     """What both kinds have in common. `part` of `parts`."""
 
-    def __init__(self, day: Day, name: str, part: int, parts: int, talk: w.Talk, record: Recorder) -> None:
+    def __init__(self, day: Script, name: str, part: int, parts: int, talk: w.Talk, record: Recorder) -> None:
         self.day, self.name, self.part, self.parts, self.talk = day, name, part, parts, talk
         self.record, self.network, self.clock = record, TcpNetwork(), Clock()
         self.late = Lateness()
@@ -152,7 +152,7 @@
 class DriversCrew(Crew):
     def __init__(
         self,
-        day: Day,
+        day: Script,
         name: str,
         part: int,
         parts: int,
--- a/juniperreel/testbed/large.py
+++ b/juniperreel/testbed/large.py
@@ -14,7 +14,7 @@
 import trio
 
 from juniperreel.fakes.endpoint_settings import EndpointSettings
-from juniperreel.fakes.script import Day, render
+from juniperreel.fakes.script import Script, render
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.net.clock import US
 from juniperreel.net.network import Listener
@@ -37,7 +37,7 @@
 class LargeTrial:
     """One trial. `records` and `counts` are what it leaves."""
 
-    def __init__(self, day: Day, directory: Path, driver_crews: int, program: Sequence[str] = ()) -> None:
+    def __init__(self, day: Script, directory: Path, driver_crews: int, program: Sequence[str] = ()) -> None:
         """`directory` keeps settings, logs and parts of the recording; `program`: what drivers are started
         by, the platform's own command if empty."""
         self.day, self._directory = day, directory
--- a/juniperreel/testbed/platformfleet.py
+++ b/juniperreel/testbed/platformfleet.py
@@ -14,7 +14,7 @@
 import trio
 
 from juniperreel.fakes.fleet import Fleet
-from juniperreel.fakes.script import Day, Step
+from juniperreel.fakes.script import Script, Step
 from juniperreel.net import Clock, Network
 from juniperreel.testbed.processes import Child, Processes
 from juniperreel.testbed.relay import Links
@@ -37,7 +37,7 @@
 
     def __init__(
         self,
-        day: Day,
+        day: Script,
         network: Network,
         directory: Path,
         pause_s: float,
--- a/juniperreel/testbed/shrink.py
+++ b/juniperreel/testbed/shrink.py
@@ -7,11 +7,11 @@
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import replace
 
-from juniperreel.fakes.script import Day, Step
+from juniperreel.fakes.script import Script, Step
 
 TAIL_US = 2_000_000  # of a day behind its last fault
 LEAST = {"edges": 2, "members": 2, "groups": 1, "sessions": 2, "rate": 10}
-Fails = Callable[[Day], Awaitable[bool]]
+Fails = Callable[[Script], Awaitable[bool]]
 
 
 def end_of(step: Step) -> int:
@@ -20,7 +20,7 @@
     return step.at_us + max(step.for_us, back)
 
 
-def fits(day: Day) -> bool:
+def fits(day: Script) -> bool:
     """Whether all that its faults name by number is still there."""
     for step in day.steps:
         for target in (step.target, step.other):
@@ -35,7 +35,7 @@
     return True
 
 
-def smaller(day: Day) -> Iterator[Day]:
+def smaller(day: Script) -> Iterator[Script]:
     """Candidates, those that take most away first."""
     steps = day.steps
     if len(steps) > 2:
@@ -56,7 +56,9 @@
         yield replace(day, settings=day.settings | {"last": day["last"] // 2})
 
 
-async def shrink(day: Day, fails: Fails, plays: int, say: Callable[[str], None] = lambda text: None) -> Day:
+async def shrink(
+    day: Script, fails: Fails, plays: int, say: Callable[[str], None] = lambda text: None
+) -> Script:
     """The smallest script found that still fails, after so many plays at most. `fails`: whether one does."""
     while True:
         for candidate in smaller(day):
--- a/juniperreel/testbed/sides.py
+++ b/juniperreel/testbed/sides.py
@@ -25,7 +25,7 @@
 from juniperreel.fakes.fleet import Fleet
 from juniperreel.fakes.platform_clients import PlatformSession
 from juniperreel.fakes.platform_discovery import PlatformDiscovery
-from juniperreel.fakes.script import Day, Step
+from juniperreel.fakes.script import Script, Step
 from juniperreel.net import Clock, Network
 from juniperreel.net.clock import US
 from juniperreel.testbed.processes import Child, NotInThatState, Processes, State
@@ -70,11 +70,11 @@
     )
 
 
-def names_of(day: Day) -> tuple[str, ...]:
+def names_of(day: Script) -> tuple[str, ...]:
     return tuple(f"n{i}" for i in range(day["edges"]))
 
 
-def drivers_named(day: Day, step: Step) -> list[str]:
+def drivers_named(day: Script, step: Step) -> list[str]:
     """The drivers that a step's target names: the same ones for every process of a trial. Raises ValueError
     for a target that names none."""
     names, which = names_of(day), step.target.removeprefix("edge/")
@@ -151,7 +151,7 @@
 
     def __init__(
         self,
-        day: Day,
+        day: Script,
         names: Sequence[str],
         network: Network,
         clock: Clock,
--- a/tests/testbed/test_shrink.py
+++ b/tests/testbed/test_shrink.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from juniperreel.fakes.script import Day, parse, render
+from juniperreel.fakes.script import Script, parse, render
 from juniperreel.testbed.shrink import fits, shrink, smaller
 
 DAY = """
@@ -28,7 +28,7 @@
 async def test_what_does_not_matter_is_dropped() -> None:
     plays = 0
 
-    async def fails(day: Day) -> bool:
+    async def fails(day: Script) -> bool:
         """Only the drain matters, with a third driver to carry it out, as it were."""
         nonlocal plays
         plays += 1
@@ -43,7 +43,7 @@
 async def test_no_more_plays_than_were_allowed() -> None:
     plays = 0
 
-    async def fails(day: Day) -> bool:
+    async def fails(day: Script) -> bool:
         nonlocal plays
         plays += 1
         return True
