--- a/benchmarks/mysql_front.py
+++ b/benchmarks/mysql_front.py
@@ -32,7 +32,7 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
-from juniperreel.fakes.mysqlmember import PASSWORD, USER
+from juniperreel.fakes.mysql_server import PASSWORD, USER
 from juniperreel.statements import StatementClassifier, classify_statement
 
 DAY = """groups 1
@@ -110,8 +110,8 @@
         "    fleet = Fleet(parse(open(sys.argv[1]).read()), TcpNetwork(), Clock(), Nothing())\n"
         "    async with trio.open_nursery() as nursery:\n"
         "        await nursery.start(fleet.run)\n"
-        "        ports = [m.mysql_port for m in fleet.members.values()]\n"
-        "        print(json.dumps([fleet.hosts.port, ports]), flush=True)\n"
+        "        ports = [m.mysql_port for m in fleet.endpoints.values()]\n"
+        "        print(json.dumps([fleet.endpoint_list.port, ports]), flush=True)\n"
         "        await trio.sleep_forever()\n"
         "trio.run(main)\n"
     )
--- a/benchmarks/pool_soak.py
+++ b/benchmarks/pool_soak.py
@@ -31,7 +31,7 @@
 
 from juniperreel.cli.edge import Edge
 from juniperreel.fakes.fleet import Fleet
-from juniperreel.fakes.mysqlmember import PASSWORD, USER
+from juniperreel.fakes.mysql_server import PASSWORD, USER
 from juniperreel.fakes.script import parse
 from juniperreel.mysql.client import ClientSession
 from juniperreel.mysql.client_events import (
@@ -46,8 +46,8 @@
 from juniperreel.proxy.mysql_endpoints import MysqlEndpoints
 from juniperreel.settings.edge import parse_edge
 from juniperreel.telemetry.log import make_log
-from juniperreel.verification.executions import Count, check_executions
-from juniperreel.verification.records import Meant, Recorder
+from juniperreel.verification.executions import ExecutionCounts, check_executions
+from juniperreel.verification.records import Recorder, StatementIntended
 
 DAY = """groups 1
 members 3
@@ -274,7 +274,7 @@
         finally:
             parameters = [str(value) for value in values]
             error = str(code) if code else ""
-            self._record(Meant(0, serial, text, parameters, dict(self._variables), served, error))
+            self._record(StatementIntended(0, serial, text, parameters, dict(self._variables), served, error))
         return code
 
 
@@ -290,7 +290,7 @@
     async with trio.open_nursery() as nursery:
         fleet = Fleet(parse(DAY.format(seed=seed)), network, clock, recorder)
         await nursery.start(fleet.run)
-        text = EDGE.format(seed=seed, hosts=fleet.hosts.port, user=USER, connections=connections)
+        text = EDGE.format(seed=seed, hosts=fleet.endpoint_list.port, user=USER, connections=connections)
         settings = parse_edge(text.encode(), "edge.conf", directory)
         with (directory / "edge.log").open("w") as log:
             edge = Edge(settings, network, clock, make_log(stream=log))
@@ -304,10 +304,11 @@
             links = edge.driver.endpoints
             assert isinstance(links, MysqlEndpoints)
             violations = await unreleased_leases(links)
-            count = Count()
+            count = ExecutionCounts()
             violations += check_executions(recorder.records, count)
             summary = (
-                f"{summarize(tally, duration_s)}; {count.ran} executions of {count.texts} texts checked, "
+                f"{summarize(tally, duration_s)}; {count.executed} executions of {count.texts} texts "
+                "checked, "
                 f"{sessions} sessions over at most {ENDPOINTS * connections} connections, "
                 f"{links.opened} opened, {links.replayed} replays"
             )
@@ -334,7 +335,7 @@
     """Kill one connection now and then, wherever it is in its statement."""
     while True:
         await trio.sleep(random_source.uniform(*KILL_INTERVAL_S))
-        endpoint = random_source.choice(list(fleet.members.values()))
+        endpoint = random_source.choice(list(fleet.endpoints.values()))
         threads = list(endpoint.mysql._scopes)
         if threads:
             endpoint.kill_connection(random_source.choice(threads))
--- a/juniperreel/cli/demo.py
+++ b/juniperreel/cli/demo.py
@@ -13,7 +13,7 @@
 from juniperreel.cli.environment import Environment, EnvironmentOptions
 from juniperreel.cli.report import conclude, read_recording_or_exit
 from juniperreel.cli.scripts import open_recorder, parse_or_exit
-from juniperreel.fakes.script import Day
+from juniperreel.fakes.script import Script
 from juniperreel.net.clock import US
 from juniperreel.verification.records import Fault, Recorder
 
@@ -46,7 +46,7 @@
             if population is None:
                 start = trio.current_time()
                 continue
-            population.on_answer = self._count
+            population.on_response(self._count)
             click.echo(f"{trio.current_time() - start:5.0f} s  {self._line()}")
             self._outcomes.clear()
             self._durations_us.clear()
@@ -58,7 +58,7 @@
     def _line(self) -> str:
         outcomes = ", ".join(f"{name} {self._outcomes[name]}" for name in ("served", "refused", "failed"))
         mean_ms = self._mean_duration_ms()
-        alive = sum(member.alive for member in self._environment.fleet.members.values())
+        alive = sum(member.alive for member in self._environment.fleet.endpoints.values())
         return f"{outcomes}; mean {mean_ms:.0f} ms; {alive} members up{self._last_fault()}"
 
     def _mean_duration_ms(self) -> float:
@@ -68,14 +68,16 @@
 
     def _last_fault(self) -> str:
         records = self._environment.record.records
-        faults = [record for record in records if isinstance(record, Fault) and record.on]
+        faults = [record for record in records if isinstance(record, Fault) and record.active]
         if not faults:
             return ""
         *_, fault = faults[-1].text.split(None, 2)
         return f"; last fault: {fault}"
 
 
-async def play(day: Day, folder: Path, recorder: Recorder, options: EnvironmentOptions, quiet: bool) -> None:
+async def play(
+    day: Script, folder: Path, recorder: Recorder, options: EnvironmentOptions, quiet: bool
+) -> None:
     """Play a day, with live lines unless `quiet`."""
     async with trio.open_nursery() as nursery:
         environment = Environment(day, folder, recorder, options)
@@ -130,7 +132,7 @@
     conclude(recorder.records)
 
 
-def headline(day: Day, careless: bool) -> str:
+def headline(day: Script, careless: bool) -> str:
     """The first line of a demo: what is played."""
     faults = sorted({step.fault for step in day.steps if step.at_us < day["last"]})
     edges = "careless edges" if careless else "edges"
--- a/juniperreel/cli/demo_settings.py
+++ b/juniperreel/cli/demo_settings.py
@@ -6,9 +6,9 @@
 
 from msgspec import structs
 
-from juniperreel.fakes.clients import Mix
-from juniperreel.fakes.mysqlmember import USER
-from juniperreel.fakes.script import Day
+from juniperreel.fakes.client_session import TrafficClass
+from juniperreel.fakes.mysql_server import USER
+from juniperreel.fakes.script import Script
 from juniperreel.net.clock import US
 from juniperreel.verification import records as rec
 
@@ -20,24 +20,28 @@
 MYSQL_TENANT = "fastlap"
 
 MIX = (
-    Mix(
-        rec.Class(
+    TrafficClass(
+        rec.RequestClass(
             0, "board-read", "repeatable", 0, False, False, 300 * MILLISECOND_US, 500 * MILLISECOND_US, 3, 0.2
         ),
         0.60,
         2 * US,
     ),
-    Mix(
-        rec.Class(0, "own-read", "repeatable", 0, False, True, -1, 600 * MILLISECOND_US, 3, 0.2),
+    TrafficClass(
+        rec.RequestClass(0, "own-read", "repeatable", 0, False, True, -1, 600 * MILLISECOND_US, 3, 0.2),
         0.20,
         2_500 * MILLISECOND_US,
     ),
-    Mix(
-        rec.Class(0, "run-write", "keyed", 5 * US, True, False, -1, 1_200 * MILLISECOND_US, 4, 0.7),
+    TrafficClass(
+        rec.RequestClass(0, "run-write", "keyed", 5 * US, True, False, -1, 1_200 * MILLISECOND_US, 4, 0.7),
         0.17,
         4 * US,
     ),
-    Mix(rec.Class(0, "run-once", "once", 0, True, False, -1, 1_200 * MILLISECOND_US, 4, 0.7), 0.03, 4 * US),
+    TrafficClass(
+        rec.RequestClass(0, "run-once", "once", 0, True, False, -1, 1_200 * MILLISECOND_US, 4, 0.7),
+        0.03,
+        4 * US,
+    ),
 )
 
 EDGE_TEMPLATE = """\
@@ -112,20 +116,22 @@
     sources: str
 
 
-def mix_of(day: Day) -> list[Mix]:
+def mix_of(day: Script) -> list[TrafficClass]:
     """The day's classes. Members that speak MySQL remember no keys: there, no write is idempotent."""
     if not day["mysql-members"]:
         return list(MIX)
     return [_without_keys(mix) for mix in MIX]
 
 
-def _without_keys(mix: Mix) -> Mix:
-    if mix.cls.effect != "keyed":
+def _without_keys(mix: TrafficClass) -> TrafficClass:
+    if mix.request_class.idempotency != "keyed":
         return mix
-    return replace(mix, cls=structs.replace(mix.cls, effect="once", memory_us=0))
+    return replace(
+        mix, request_class=structs.replace(mix.request_class, idempotency="once", deduplication_window_us=0)
+    )
 
 
-def edge_settings(day: Day, edge: EdgeParameters) -> str:
+def edge_settings(day: Script, edge: EdgeParameters) -> str:
     """The text of an edge's settings file."""
     return EDGE_TEMPLATE.format(
         name=edge.name,
@@ -143,22 +149,26 @@
     )
 
 
-def _class_section(mix: Mix) -> str:
-    cls = mix.cls
-    effect = f"keyed group {_milliseconds(cls.memory_us)}" if cls.effect == "keyed" else cls.effect
+def _class_section(mix: TrafficClass) -> str:
+    cls = mix.request_class
+    effect = (
+        f"keyed group {_milliseconds(cls.deduplication_window_us)}"
+        if cls.idempotency == "keyed"
+        else cls.idempotency
+    )
     return (
         f"[class {cls.name}]\neffect {effect}\nconsistency {_consistency(cls)}\n"
-        f"aim {_milliseconds(cls.aim_us)}\ndeadline {_milliseconds(mix.deadline_us)}\n"
-        f"worth {cls.worth:g}\nlate-worth {cls.late_worth:.0%}\n"
+        f"aim {_milliseconds(cls.latency_objective_us)}\ndeadline {_milliseconds(mix.deadline_us)}\n"
+        f"worth {cls.priority_weight:g}\nlate-worth {cls.late_priority_weight:.0%}\n"
     )
 
 
-def _consistency(cls: rec.Class) -> str:
+def _consistency(cls: rec.RequestClass) -> str:
     if cls.write:
         return "write"
     if cls.session:
         return "session"
-    return f"bounded {_milliseconds(cls.lag_us)}"
+    return f"bounded {_milliseconds(cls.max_staleness_us)}"
 
 
 def _milliseconds(duration_us: int) -> str:
--- a/juniperreel/cli/environment.py
+++ b/juniperreel/cli/environment.py
@@ -26,10 +26,11 @@
     mix_of,
 )
 from juniperreel.cli.promotion_source import PromotionSource
-from juniperreel.fakes.clients import Mysql, Population
+from juniperreel.fakes.client_population import ClientPopulation
+from juniperreel.fakes.client_session import EdgeAddress, MysqlTraffic
 from juniperreel.fakes.fleet import Fleet
-from juniperreel.fakes.mysqlmember import PASSWORD as MEMBER_PASSWORD
-from juniperreel.fakes.script import Day, Step
+from juniperreel.fakes.mysql_server import PASSWORD as MEMBER_PASSWORD
+from juniperreel.fakes.script import Script, Step
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.net.clock import US
 from juniperreel.verification import records as rec
@@ -79,10 +80,12 @@
     `population` is None until the edges are ready for clients.
     """
 
-    def __init__(self, day: Day, folder: Path, recorder: rec.Recorder, options: EnvironmentOptions) -> None:
+    def __init__(
+        self, day: Script, folder: Path, recorder: rec.Recorder, options: EnvironmentOptions
+    ) -> None:
         """`folder` keeps keys, settings and logs."""
         self.record = recorder
-        self.population: Population | None = None
+        self.population: ClientPopulation | None = None
         self._day = day
         self._folder = folder
         self._options = options
@@ -123,22 +126,22 @@
         """Record the classes and limits that the day is judged by."""
         now_us = self._clock.now_us()
         for mix in mix_of(self._day):
-            self.record(mix.cls)
-        shape = self.fleet.shape
+            self.record(mix.request_class)
+        shape = self.fleet.settings
         self.record(
             rec.Limits(
                 now_us,
                 DRAIN_GRACE_US,
-                shape.cold_from,
-                shape.cold_us,
-                shape.fall_multiple,
-                shape.overload_us,
+                shape.initial_capacity,
+                shape.slow_start_us,
+                shape.overload_multiple,
+                shape.overload_window_us,
                 MAX_ATTEMPTS,
             )
         )
 
-    def _make_population(self) -> Population:
-        return Population(
+    def _make_population(self) -> ClientPopulation:
+        return ClientPopulation(
             self._network,
             self._clock,
             self.record,
@@ -148,18 +151,18 @@
             self._day["groups"],
             self._day["sessions"],
             self._day["retries"],
-            [(edge.name, edge.port) for edge in self._edges],
+            [EdgeAddress(edge.name, edge.port) for edge in self._edges],
             self._mysql_clients(),
         )
 
-    def _mysql_clients(self) -> Mysql | None:
+    def _mysql_clients(self) -> MysqlTraffic | None:
         """What clients over MySQL do; None where the day has none or the edges do not offer it."""
         ports = [edge.mysql_port for edge in self._edges]
         if not self._day["mysql"] or not all(ports):
             return None
         part = self._day["mysql"] / 100
-        clients = Mysql(ports, part, MYSQL_USER, PASSWORD, MYSQL_TENANT, "own-read", "run-write")
-        return replace(clients, transactions=self._day["transactions"] / 100)
+        clients = MysqlTraffic(ports, part, MYSQL_USER, PASSWORD, MYSQL_TENANT, "own-read", "run-write")
+        return replace(clients, transaction_part=self._day["transactions"] / 100)
 
     async def _start_cluster(self, cluster: ConfigurationCluster, nursery: trio.Nursery) -> None:
         await cluster.start(secrets.token_hex(32).encode())
@@ -190,13 +193,13 @@
         settings = self._folder / f"{edge.name}.conf"
         settings.write_text(edge_settings(self._day, parameters), encoding="utf-8")
         if self._options.careless:
-            hosts = str(self.fleet.hosts.port)
-            return [sys.executable, "-m", "juniperreel.fakes.naive", edge.name, str(edge.port), hosts]
+            hosts = str(self.fleet.endpoint_list.port)
+            return [sys.executable, "-m", "juniperreel.fakes.naive_proxy", edge.name, str(edge.port), hosts]
         return [sys.executable, "-m", "juniperreel.cli.main", "edge", str(settings)]
 
     def _member_sources(self) -> str:
         if self._cluster is None:
-            return f"source 127.0.0.1:{self.fleet.hosts.port}"
+            return f"source 127.0.0.1:{self.fleet.endpoint_list.port}"
         return "\n".join(f"instance 127.0.0.1:{port}" for port in self._cluster.ports)
 
     async def _follow_log(self, edge: EdgeProcess, process: trio.Process, serving: trio.Event) -> None:
--- a/juniperreel/cli/load.py
+++ b/juniperreel/cli/load.py
@@ -109,14 +109,15 @@
     """
     from juniperreel.load.report import plots
     from juniperreel.load.summary import load_result, table, usage_lines
-    from juniperreel.verification.rules import Day, check_answers
+    from juniperreel.verification.history import History
+    from juniperreel.verification.responses import check_responses
 
     result = load_result(path)
     for line in (*table(result.stages()), *_tables_by_kind(result), *_reason_lines(result)):
         click.echo(line)
     for line in usage_lines(result):
         click.echo(line)
-    violations = check_answers(Day.of(list(result.records())))
+    violations = check_responses(History.of(list(result.records())))
     verdict = f"BROKEN {len(violations)} times; first: {violations[0].text}" if violations else "held"
     click.echo(f"rule 1, from the clients' side: {verdict}")
     if plot is not None:
--- a/juniperreel/cli/promotion_source.py
+++ b/juniperreel/cli/promotion_source.py
@@ -7,15 +7,15 @@
 
 import trio
 
+from juniperreel.fakes.endpoint import FakeEndpoint
 from juniperreel.fakes.fleet import Fleet
-from juniperreel.fakes.member import Member
 from juniperreel.net import Clock, Network
 from juniperreel.raft.client import ConfigurationClient
 from juniperreel.raft.configuration.commands import Command, ConfigurationChange, SetGroup, SetMember
 from juniperreel.raft.configuration.model import EMPTY, Configuration, GroupInfo, MemberInfo
 from juniperreel.raft.errors import LeaderUnreachableError
 from juniperreel.rpc.status import RpcError
-from juniperreel.verification.records import Listed, Sink
+from juniperreel.verification.records import EndpointListed, RecordSink
 
 POLL_S = 0.05
 CLIENT = "feeder"  # under which its commands are known to the cluster
@@ -34,14 +34,14 @@
         network: Network,
         clock: Clock,
         addresses: list[tuple[str, int]],
-        record: Sink,
+        record: RecordSink,
         edges: Callable[[], list[str]],
     ) -> None:
         self._fleet = fleet
         self._clock = clock
         self._record = record
         self._edges = edges
-        self._instances = ConfigurationClient(network, clock, random.Random(fleet.day["seed"]), addresses)
+        self._instances = ConfigurationClient(network, clock, random.Random(fleet.script["seed"]), addresses)
         self._confirmed: Configuration = EMPTY
         self._sequence = 0
         self.ready = trio.Event()
@@ -63,14 +63,14 @@
             group_info = GroupInfo(group.epoch, primary)
             if self._confirmed.groups.get(group.number) != group_info:
                 changes.append(SetGroup(group.number, group_info))
-        for name, member in self._fleet.members.items():
+        for name, member in self._fleet.endpoints.items():
             member_info = MemberInfo(
                 member.group.number,
                 "127.0.0.1",
                 member.port,
                 member.zone,
                 state=state_of(member),
-                started_us=member.machine.started_us,
+                started_us=member.capacity.started_us,
             )
             if self._confirmed.members.get(name) != member_info:
                 changes.append(SetMember(name, member_info))
@@ -92,10 +92,10 @@
             previous = before.members.get(name)
             if previous is None or previous.state != member.state:
                 for edge in self._edges():
-                    self._record(Listed(now, edge, name, member.state))
+                    self._record(EndpointListed(now, edge, name, member.state))
 
 
-def state_of(member: Member) -> str:
+def state_of(member: FakeEndpoint) -> str:
     """The state of a member in the configuration."""
     if not member.draining:
         return "up"
--- a/juniperreel/cli/report.py
+++ b/juniperreel/cli/report.py
@@ -1,4 +1,4 @@
-"""The table at the end of a day, from its records, and the verdicts on the rules."""
+"""The table at the end of a history, from its records, and the verdicts on the rules."""
 
 from __future__ import annotations
 
@@ -14,7 +14,10 @@
 from hdrh.histogram import HdrHistogram
 
 from juniperreel.verification import records as rec
-from juniperreel.verification.rules import RULES, Day, Reads, Violation, check_all, check_reads
+from juniperreel.verification.errors import RecordingFormatError
+from juniperreel.verification.history import History, Violation
+from juniperreel.verification.rules import RULES, check_all
+from juniperreel.verification.staleness import ReadCounts, check_reads
 
 # Response times of the histograms: microseconds, and significant digits.
 LOWEST_US = 1
@@ -27,7 +30,7 @@
 BAD_RECORDING_STATUS = 2
 
 
-def outcome_of(answer: rec.Told | None) -> str:
+def outcome_of(answer: rec.ResponseReceived | None) -> str:
     """Which of OUTCOMES an answer is; None and what the client gave itself are no answer."""
     if answer is None or answer.local:
         return "no answer"
@@ -62,18 +65,21 @@
     client's first attempt.
     """
 
-    def __init__(self, day: Day) -> None:
+    def __init__(self, history: History) -> None:
         self.classes: dict[str, ClassSummary] = {}
-        self._day = day
-        self._first_attempts = {rid: request for (rid, number), request in day.asked.items() if number == 0}
+        self._day = history
+        self._first_attempts = {
+            attempt.request_id: request
+            for attempt, request in history.requests.items()
+            if attempt.number == 0
+        }
         self._weight_earned = 0.0
-        for (rid, number), request in day.asked.items():
-            answers = day.told.get((rid, number))
-            self._count(request, answers[0] if answers else None)
+        for attempt, request in history.requests.items():
+            self._count(request, history.first_response(attempt))
         self._weight_offered = 0.0
         for request in self._first_attempts.values():
-            self.classes[request.cls].requests += 1
-            self._weight_offered += day.classes[request.cls].worth
+            self.classes[request.class_name].requests += 1
+            self._weight_offered += history.classes[request.class_name].priority_weight
 
     @property
     def requests(self) -> int:
@@ -92,26 +98,26 @@
         for name, summary in self.classes.items():
             yield summary.row(name)
 
-    def _count(self, request: rec.Asked, answer: rec.Told | None) -> None:
-        summary = self.classes.setdefault(request.cls, ClassSummary())
+    def _count(self, request: rec.RequestSent, answer: rec.ResponseReceived | None) -> None:
+        summary = self.classes.setdefault(request.class_name, ClassSummary())
         summary.attempts += 1
         summary.outcomes[outcome_of(answer)] += 1
         if answer is not None and answer.status == 0:
             summary.times.record_value(max(answer.at - request.at, 1))
             self._weight_earned += self._weight_of(request, answer)
 
-    def _weight_of(self, request: rec.Asked, answer: rec.Told) -> float:
-        cls = self._day.classes[request.cls]
-        in_time = answer.at - self._first_attempts[request.rid].at <= cls.aim_us
-        return cls.worth * (1.0 if in_time else cls.late_worth)
+    def _weight_of(self, request: rec.RequestSent, answer: rec.ResponseReceived) -> float:
+        cls = self._day.classes[request.class_name]
+        in_time = answer.at - self._first_attempts[request.request_id].at <= cls.latency_objective_us
+        return cls.priority_weight * (1.0 if in_time else cls.late_priority_weight)
 
 
 def summary_lines(records: list[rec.Record]) -> list[str]:
     """Requests by class and outcome, the share served, and how much the checkers had to judge by."""
-    day = Day.of(records)
-    summary = DaySummary(day)
+    history = History.of(records)
+    summary = DaySummary(history)
     lines = [*summary.table()]
-    offered = sum(record.count for record in records if isinstance(record, rec.Offered))
+    offered = sum(record.count for record in records if isinstance(record, rec.LoadOffered))
     if offered:
         lines.append(
             f"offered {offered} requests, asked {summary.requests}, a retry counted under its first try"
@@ -120,13 +126,13 @@
         "share served (worth in time over worth asked, retries under their first try): "
         f"{summary.served_share:.3f}"
     )
-    reads = Reads()
-    check_reads(day, reads)
+    reads = ReadCounts()
+    check_reads(history, reads)
     lines.append(
-        f"reads judged from their rows: {reads.own} of a session's own writes, "
+        f"reads judged from their rows: {reads.session} of a session's own writes, "
         f"{reads.bounded} of bounded age, {reads.rows} rows"
     )
-    attempts = sum(len(arrivals) for arrivals in day.arrived.values())
+    attempts = sum(len(arrivals) for arrivals in history.attempts.values())
     lines.append(f"attempts seen by members: {attempts}")
     return lines
 
@@ -145,8 +151,8 @@
 def read_recording_or_exit(recording: Path) -> list[rec.Record]:
     """Return the records; where a line is none, say which and end the command with 2."""
     try:
-        return list(rec.read(recording))
-    except rec.BadRecording as error:
+        return list(rec.read_recording(recording))
+    except RecordingFormatError as error:
         click.echo(str(error), err=True)
         sys.exit(BAD_RECORDING_STATUS)
 
--- a/juniperreel/cli/scripts.py
+++ b/juniperreel/cli/scripts.py
@@ -9,13 +9,13 @@
 
 import click
 
-from juniperreel.fakes.script import Day, ScriptError, parse
+from juniperreel.fakes.script import Script, ScriptError, parse
 from juniperreel.verification.records import Recorder
 
 BAD_SCRIPT_STATUS = 2
 
 
-def parse_or_exit(text: str, prefix: str = "") -> Day:
+def parse_or_exit(text: str, prefix: str = "") -> Script:
     """Return the day of a script; if it is bad, say all that is wrong and end the command with 2."""
     try:
         return parse(text)
--- a/juniperreel/cli/spread_report.py
+++ b/juniperreel/cli/spread_report.py
@@ -36,14 +36,14 @@
     span = _requests_span(records)
     if span is None:
         return
-    eligibility = spread.Able(records)
+    eligibility = spread.EligibilityWeight(records)
     starts = range(span.since, span.until - step_us + 1, step_us)
     yield "seconds from".ljust(NAME_WIDTH) + "".join(f"{(s - span.since) / US:>6.0f}" for s in starts)
     for group in sorted(set(eligibility.groups.values())):
         replicas = eligibility.replicas(group)
         arrivals = spread.arrivals(records, replicas)
-        cells = spread.cells(arrivals, replicas, span.since, span.until, step_us, eligibility)
-        shares = {(cell.member, cell.start): cell.share for cell in cells if cell.fair}
+        cells = spread.count_by_bin(arrivals, replicas, span.since, span.until, step_us, eligibility)
+        shares = {(cell.endpoint, cell.start): cell.share for cell in cells if cell.fair}
         for member in replicas:
             row = [shares.get((member, start)) for start in starts]
             values = "".join(NO_SHARE if share is None else f"{share:>6.2f}" for share in row)
@@ -56,20 +56,22 @@
     span = _requests_span(records)
     if span is None:
         return
-    eligibility = spread.Able(records)
+    eligibility = spread.EligibilityWeight(records)
     for group in sorted(set(eligibility.groups.values())):
         if eligibility.replicas(group):
             yield _row(_evenness(records, eligibility, group, span))
 
 
-def _evenness(records: list[rec.Record], eligibility: spread.Able, group: int, span: Span) -> tuple[str, ...]:
+def _evenness(
+    records: list[rec.Record], eligibility: spread.EligibilityWeight, group: int, span: Span
+) -> tuple[str, ...]:
     """The values of COLUMNS for a group that has replicas."""
     replicas = eligibility.replicas(group)
     arrivals = spread.arrivals(records, replicas)
-    seconds = spread.cells(arrivals, replicas, span.since, span.until, US, eligibility)
-    halves = spread.cells(arrivals, replicas, span.since, span.until, PEAK_BIN_US, eligibility)
+    seconds = spread.count_by_bin(arrivals, replicas, span.since, span.until, US, eligibility)
+    halves = spread.count_by_bin(arrivals, replicas, span.since, span.until, PEAK_BIN_US, eligibility)
     shares = _shares(seconds, replicas)
-    highest, _ = spread.highest(halves)
+    highest, _ = spread.peak_rate(halves)
     idle_us, _, _ = spread.longest_idle(arrivals, replicas, span.since, span.until, eligibility)
     return (
         str(group),
@@ -86,7 +88,7 @@
     """Arrivals over what was fair for each replica, over all cells; left out if it was never eligible."""
     shares = []
     for replica in replicas:
-        own = [cell for cell in cells if cell.member == replica]
+        own = [cell for cell in cells if cell.endpoint == replica]
         fair = sum(cell.fair for cell in own)
         if fair:
             shares.append(sum(cell.count for cell in own) / fair)
@@ -95,7 +97,7 @@
 
 def _requests_span(records: list[rec.Record]) -> Span | None:
     """None where there was no request."""
-    times = [record.at for record in records if isinstance(record, rec.Asked)]
+    times = [record.at for record in records if isinstance(record, rec.RequestSent)]
     return Span(min(times), max(times)) if times else None
 
 
--- a/juniperreel/cli/standins.py
+++ b/juniperreel/cli/standins.py
@@ -10,21 +10,21 @@
 
 from juniperreel.cli.scripts import open_recorder, parse_or_exit
 from juniperreel.fakes.fleet import Fleet
-from juniperreel.fakes.parts import Parts
-from juniperreel.fakes.script import Day, Step
+from juniperreel.fakes.fleet_processes import FleetProcesses
+from juniperreel.fakes.script import Script, Step
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.net.clock import US
 from juniperreel.verification.records import Recorder
 
 
-async def play(day: Day, recorder: Recorder, port: int) -> None:
+async def play(day: Script, recorder: Recorder, port: int) -> None:
     """Play a day's fleet in this process, with the host list on `port` (0: any free one)."""
     async with trio.open_nursery() as nursery:
         fleet = Fleet(day, TcpNetwork(), Clock(), recorder)
-        fleet.hosts.port = port
+        fleet.endpoint_list.port = port
         await nursery.start(fleet.run)
-        click.echo(f"host list on 127.0.0.1:{fleet.hosts.port}")
-        for member in fleet.members.values():
+        click.echo(f"host list on 127.0.0.1:{fleet.endpoint_list.port}")
+        for member in fleet.endpoints.values():
             click.echo(f"{member.name} on 127.0.0.1:{member.port}")
         nursery.start_soon(fleet.play, _skip_edge_fault)
         await trio.sleep(day["last"] / US)
@@ -35,7 +35,7 @@
     click.echo(f"left out, since edges are started by hand: {step.text}")
 
 
-def play_in_processes(script: Path, day: Day, port: int, record: Path | None, processes: int) -> None:
+def play_in_processes(script: Path, day: Script, port: int, record: Path | None, processes: int) -> None:
     """Play the groups in several processes; each keeps its records beside `record`, numbered.
 
     Ends the command with 1 where a process ends before the day is over.
@@ -49,8 +49,8 @@
         sys.exit(1)
 
 
-async def _run_parts(script: Path, day: Day, port: int, record: Path | None, processes: int) -> None:
-    await Parts(script, day, port, processes, record).run(click.echo)
+async def _run_parts(script: Path, day: Script, port: int, record: Path | None, processes: int) -> None:
+    await FleetProcesses(script, day, port, processes, record).run(click.echo)
 
 
 @click.command()
--- a/juniperreel/cli/trial.py
+++ b/juniperreel/cli/trial.py
@@ -18,7 +18,7 @@
 
 from juniperreel.cli.report import conclude, read_recording_or_exit
 from juniperreel.cli.spread_report import evenness_table, share_table
-from juniperreel.fakes.script import Day, ScriptError, parse, render
+from juniperreel.fakes.script import Script, ScriptError, parse, render
 from juniperreel.net import TcpNetwork
 from juniperreel.net.clock import US
 from juniperreel.testbed.control_messages import ProcessCounts
@@ -58,22 +58,22 @@
     processes: int
     driver: tuple[str, ...]
 
-    def play(self, day: Day, folder: Path) -> TrialResult:
+    def play(self, day: Script, folder: Path) -> TrialResult:
         """Play a day; settings and logs are left in `folder`."""
         folder.mkdir(parents=True, exist_ok=True)
         play = self._play_in_processes if self.processes else self._play_here
         return trio.run(play, day, folder.resolve())
 
-    async def _play_here(self, day: Day, folder: Path) -> TrialResult:
+    async def _play_here(self, day: Script, folder: Path) -> TrialResult:
         trial = SingleProcessTrial(day, TcpNetwork(), folder, self.pause_s, self.driver or DRIVER_PROGRAM)
         await trial.run()
         counts = f"probes {trial.probes}, connections to members {trial.connections_opened}"
         return TrialResult(trial.recorder.records, [counts])
 
-    async def _play_in_processes(self, day: Day, folder: Path) -> TrialResult:
+    async def _play_in_processes(self, day: Script, folder: Path) -> TrialResult:
         trial = MultiProcessTrial(day, folder, self.processes, self.driver)
         await trial.run(partial(click.echo, err=True))
-        requests = max(sum(isinstance(record, rec.Asked) for record in trial.records), 1)
+        requests = max(sum(isinstance(record, rec.RequestSent) for record in trial.records), 1)
         return TrialResult(trial.records, count_lines([*trial.counts.values()], requests))
 
 
@@ -127,7 +127,7 @@
     return (str(Path(file).resolve()), *arguments)
 
 
-def read_day_or_exit(script: Path, seed: int | None = None) -> Day:
+def read_day_or_exit(script: Path, seed: int | None = None) -> Script:
     """Return a script's day, with this seed if one is given; end the command with 2 if it is bad."""
     try:
         day = parse(script.read_text(encoding="utf-8"))
@@ -237,13 +237,13 @@
     click.echo(f"{len(smallest.steps)} of {len(day.steps)} faults are left; {out}")
 
 
-def breaks_rule(options: TrialOptions, rule: int, day: Day) -> bool:
+def breaks_rule(options: TrialOptions, rule: int, day: Script) -> bool:
     """Play a day once and tell whether it broke the rule."""
     with tempfile.TemporaryDirectory() as folder:
         return rule in first_violations(options.play(day, Path(folder)).records)
 
 
-async def breaks_rule_in_thread(options: TrialOptions, rule: int, day: Day) -> bool:
+async def breaks_rule_in_thread(options: TrialOptions, rule: int, day: Script) -> bool:
     """`breaks_rule` in a thread, since each play has an event loop of its own."""
     return await trio.to_thread.run_sync(breaks_rule, options, rule, day)
 
--- a/juniperreel/emulator/raft.py
+++ b/juniperreel/emulator/raft.py
@@ -17,7 +17,7 @@
 from juniperreel.emulator.raft_group import CoreFactory, SimulatedGroup
 from juniperreel.emulator.raft_operations import OperationFunction
 from juniperreel.raft.core import RaftCore
-from juniperreel.verification.raft import Unsafe
+from juniperreel.verification.errors import SafetyViolationError
 
 DEFAULT_LENGTH = 400
 PICK_BITS = 16
@@ -110,7 +110,10 @@
 
 
 def play(group: SimulatedGroup, schedule: Sequence[Operation]) -> None:
-    """Play a schedule. Raises Unsafe, or AssertionError where the core itself notices a violation."""
+    """Play a schedule.
+
+    Raises SafetyViolationError, or AssertionError where the core itself notices a violation.
+    """
     for kind, pick, variant in schedule:
         KINDS[kind].function(group, pick, variant)
 
@@ -144,7 +147,7 @@
     try:
         play(group, schedule)
         recovered = recovers(group)
-    except (Unsafe, AssertionError) as error:
+    except (SafetyViolationError, AssertionError) as error:
         return str(error) or type(error).__name__
     except Exception as error:  # a core that raises anything else is a finding like any other
         place = traceback.extract_tb(error.__traceback__)[-1]
--- a/juniperreel/emulator/raft_group.py
+++ b/juniperreel/emulator/raft_group.py
@@ -19,7 +19,8 @@
 from juniperreel.raft.messages import Message
 from juniperreel.raft.ready import Ready
 from juniperreel.raft.types import Entry, EntryKind, Membership, MembershipChange, RecoveredState
-from juniperreel.verification.raft import RaftJudge, Unsafe
+from juniperreel.verification.errors import SafetyViolationError
+from juniperreel.verification.raft import LogEntry, RaftSafetyChecker
 
 NODE_NAMES = ("a", "b", "c", "d", "e")
 JOINING_NAMES = ("f", "g", "h", "i", "j", "k", "l", "m")
@@ -49,7 +50,7 @@
     AFTER_WRITE = "after the write, before anything is sent"
 
 
-class StaleReadError(Unsafe):
+class StaleReadError(SafetyViolationError):
     """A linearizable read did not see what was acknowledged before it."""
 
     def __init__(self, node: str, index: int, acknowledged: int) -> None:
@@ -87,7 +88,7 @@
         network: Messages on their way, the oldest first.
         delayed: Messages that are kept back until much later.
         partitions: Pairs of sender and receiver between whom nothing passes.
-        checker: Raises Unsafe at the first step that breaks a property.
+        checker: Raises SafetyViolationError at the first step that breaks a property.
     """
 
     def __init__(
@@ -102,7 +103,7 @@
         self._rng = random.Random(seed)
         size = self._rng.choice(GROUP_SIZES)
         membership = Membership(frozenset(NODE_NAMES[:size]))
-        self.checker = RaftJudge()
+        self.checker = RaftSafetyChecker()
         self.nodes: dict[str, SimulatedNode] = {}
         self.network: list[Message] = []
         self.delayed: list[Message] = []
@@ -120,7 +121,7 @@
         rng = random.Random(self._rng.getrandbits(RANDOM_SEED_BITS))
         core = self._core_factory(name, storage.recover(), CONFIG, rng)
         self.nodes[name] = SimulatedNode(core, storage, _split_commands(storage.snapshot.data))
-        self.checker.restarts(name, storage.snapshot.index)
+        self.checker.record_restart(name, storage.snapshot.index)
 
     def restart(self, name: str) -> None:
         """Start a node with what its disk holds."""
@@ -191,31 +192,33 @@
         batch = ready.persist
         node.storage.write(batch)
         hard_state = node.storage.hard_state
-        self.checker.votes(name, hard_state.term, hard_state.vote)
+        self.checker.record_vote(name, hard_state.term, hard_state.vote)
         if batch.snapshot is not None and ready.installed_snapshot is not None:
-            self.checker.restores(name, batch.snapshot.index, batch.snapshot.term)
-        self.checker.stores(name, [(entry.index, entry.term, _contents(entry)) for entry in batch.entries])
+            self.checker.record_snapshot(name, batch.snapshot.index, batch.snapshot.term)
+        self.checker.record_append(
+            name, [LogEntry(entry.index, entry.term, _contents(entry)) for entry in batch.entries]
+        )
 
     def _check_leadership(self, name: str, node: SimulatedNode, core: RaftCore) -> None:
         if not core.is_leader or node.last_led_term == core.term:
             return
         node.last_led_term = core.term
-        self.checker.leads(name, core.term)
+        self.checker.record_leader(name, core.term)
         terms = {core.log.compacted_index: core.log.compacted_term}
         terms |= {entry.index: entry.term for entry in core.log.entries}
-        self.checker.complete(name, terms)
+        self.checker.check_leader_completeness(name, terms)
 
     def _apply(self, name: str, node: SimulatedNode, ready: Ready) -> None:
         if ready.installed_snapshot is not None:
             node.commands = _split_commands(ready.installed_snapshot.data)
         for entry in ready.committed_entries:
-            self.checker.applies(name, entry.index, entry.term, _contents(entry))
+            self.checker.record_apply(name, LogEntry(entry.index, entry.term, _contents(entry)))
             if entry.data and entry.kind is EntryKind.COMMAND:
                 node.commands.append(entry.data)
             self._acknowledged_index = max(self._acknowledged_index, entry.index)
         if ready.installed_snapshot is not None or ready.committed_entries:
             state = COMMAND_SEPARATOR.join(node.commands)
-            self.checker.state(name, hashlib.blake2b(state, digest_size=DIGEST_BYTES).digest())
+            self.checker.record_state(name, hashlib.blake2b(state, digest_size=DIGEST_BYTES).digest())
         for read in ready.read_states:
             least_index = self._least_indexes.pop(read.context, 0)
             if read.index < least_index:
--- a/juniperreel/load/summary.py
+++ b/juniperreel/load/summary.py
@@ -165,10 +165,10 @@
             yield self._request_record(attempt)
             yield self._answer_record(attempt)
 
-    def _request_record(self, attempt: Attempt) -> rec.Asked:
+    def _request_record(self, attempt: Attempt) -> rec.RequestSent:
         load_class = self.plan.classes[attempt.cls]
         sent_us = self.start_us + attempt.sent_us
-        return rec.Asked(
+        return rec.RequestSent(
             sent_us,
             str(attempt.request),
             attempt.attempt,
@@ -181,19 +181,19 @@
             sent_us + load_class.deadline_us,
         )
 
-    def _answer_record(self, attempt: Attempt) -> rec.Told:
-        return rec.Told(
+    def _answer_record(self, attempt: Attempt) -> rec.ResponseReceived:
+        return rec.ResponseReceived(
             self.start_us + attempt.due_us + attempt.took_us,
             str(attempt.request),
             attempt.attempt,
             attempt.status,
             attempt.local,
-            wait_us=max(attempt.retry_after_ms, 0) * 1000,
+            retry_after_us=max(attempt.retry_after_ms, 0) * 1000,
         )
 
 
-def _class_record(load_class: LoadClass) -> rec.Class:
-    return rec.Class(
+def _class_record(load_class: LoadClass) -> rec.RequestClass:
+    return rec.RequestClass(
         0,
         load_class.name,
         "keyed" if load_class.writes else "repeatable",
--- a/juniperreel/testbed/driver_fleet.py
+++ b/juniperreel/testbed/driver_fleet.py
@@ -17,9 +17,10 @@
 
 import trio
 
-from juniperreel.fakes.platformclients import Session
-from juniperreel.fakes.platformhosts import PlatformHosts
-from juniperreel.fakes.script import Day, Step
+from juniperreel.fakes.client_session import EdgeAddress
+from juniperreel.fakes.platform_clients import PlatformSession
+from juniperreel.fakes.platform_discovery import PlatformDiscovery
+from juniperreel.fakes.script import Script, Step
 from juniperreel.net import Clock, Network
 from juniperreel.net.clock import US
 from juniperreel.testbed.driver_settings import driver_settings
@@ -55,11 +56,11 @@
 
     def __init__(
         self,
-        day: Day,
+        day: Script,
         names: Sequence[str],
         network: Network,
         clock: Clock,
-        record: rec.Sink,
+        record: rec.RecordSink,
         directory: Path,
         member_port: Callable[[str, str], Awaitable[int]],
         seed: int,
@@ -80,7 +81,9 @@
         self._all_names = driver_names(day)
         self._log_positions: dict[str, int] = {}
         discovery_rng = random.Random(self._rng.random())
-        self.hosts = PlatformHosts(self.names, clock, discovery_rng, record, day["list-delay"], member_port)
+        self.hosts = PlatformDiscovery(
+            self.names, clock, discovery_rng, record, day["list-delay"], member_port
+        )
 
     async def start(self) -> None:
         """Start all of them, at once, and wait until each listens."""
@@ -120,7 +123,7 @@
                 if name not in self.names:
                     continue  # another process of the trial plays it
                 if step.fault == "link-mute":
-                    self.hosts.discoveries[name].mute()
+                    self.hosts.servers[name].mute()
                 elif step.fault.startswith("link-"):
                     nursery.start_soon(self._play_discovery_fault, step, name)
                 elif step.fault == "edge-kill":
@@ -129,12 +132,14 @@
                     nursery.start_soon(self._stall, name, step.for_us)
 
     def session(
-        self, name: str, index: int, group: int, mix: Sequence[rec.Class], weights: Sequence[float]
-    ) -> Session:
+        self, name: str, index: int, group: int, mix: Sequence[rec.RequestClass], weights: Sequence[float]
+    ) -> PlatformSession:
         """Make a session of a group that goes to the driver at this index of `names`, round robin."""
         seed = self._rng.getrandbits(32)
         front = partial(self._address, index)
-        return Session(name, group, mix, weights, front, self._network, self.clock, self._record, seed)
+        return PlatformSession(
+            name, group, mix, weights, front, self._network, self.clock, self._record, seed
+        )
 
     async def run_load(self, until_us: int, weights: Sequence[float]) -> None:
         """Send these drivers their part of the script's rate until then, each evenly to all groups."""
@@ -151,7 +156,7 @@
 
     async def _settings(self, driver: str) -> dict[str, Any]:
         assert self.links is not None
-        discovery = self.hosts.discoveries[driver]
+        discovery = self.hosts.servers[driver]
         dial = connect_to_port(self._network, discovery.port)
         relay = await self.links.open(driver, DISCOVERY, dial)
         index = self._all_names.index(driver)
@@ -179,14 +184,14 @@
                     self.ports[process.name] = event["port"]
             await trio.sleep(LOG_POLL_S)
 
-    def _address(self, index: int) -> tuple[str, int] | None:
+    def _address(self, index: int) -> EdgeAddress | None:
         """Name and port of the driver at this index, or of another while it is down; None if all are."""
         listening = [name for name in self.names if name in self.ports]
         if not listening:
             return None
         preferred = self.names[index % len(self.names)]
         name = preferred if preferred in listening else listening[index % len(listening)]
-        return name, self.ports[name]
+        return EdgeAddress(name, self.ports[name])
 
     async def _kill(self, name: str, restart_after_us: float) -> None:
         process = self.processes[name]
--- a/juniperreel/testbed/driver_settings.py
+++ b/juniperreel/testbed/driver_settings.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from juniperreel.fakes.member import Shape
-from juniperreel.fakes.script import Day
+from juniperreel.fakes.endpoint_settings import EndpointSettings
+from juniperreel.fakes.script import Script
 from juniperreel.net.clock import US
 from juniperreel.testbed.scenario import (
     DRAIN_GRACE_US,
@@ -22,7 +22,13 @@
 
 
 def driver_settings(
-    day: Day, name: str, index: int, discovery_port: int, seed: int, hosts: list[dict[str, Any]], now_us: int
+    day: Script,
+    name: str,
+    index: int,
+    discovery_port: int,
+    seed: int,
+    hosts: list[dict[str, Any]],
+    now_us: int,
 ) -> dict[str, Any]:
     """Return the whole settings of the driver with this number; `hosts` is the list it starts from."""
     return {
@@ -36,7 +42,7 @@
     }
 
 
-def _router_settings(day: Day, index: int, now_us: int) -> dict[str, Any]:
+def _router_settings(day: Script, index: int, now_us: int) -> dict[str, Any]:
     return {
         "balancers": day["fleet"] or day["edges"],
         "ceilings": {
@@ -69,27 +75,27 @@
     }
 
 
-def _rules(day: Day) -> dict[str, Any]:
-    shape = Shape(cold_us=day["cold-span"])
+def _rules(day: Script) -> dict[str, Any]:
+    shape = EndpointSettings(slow_start_us=day["cold-span"])
     return {
         "ask_every_s": day["ask-every"] / US,
-        "cold_from": shape.cold_from,
-        "cold_s": shape.cold_us / US,
-        "fall_multiple": shape.fall_multiple,
+        "cold_from": shape.initial_capacity,
+        "cold_s": shape.slow_start_us / US,
+        "fall_multiple": shape.overload_multiple,
         "grace_to_answer_s": 0.02,
-        "overload_for_s": shape.overload_us / US,
+        "overload_for_s": shape.overload_window_us / US,
         "stop_sending_within_s": DRAIN_GRACE_US / US,
     }
 
 
-def _service(request_class: rec.Class) -> dict[str, Any]:
+def _service(request_class: rec.RequestClass) -> dict[str, Any]:
     return {
         "name": request_class.name,
         "effect": "by_key" if request_class.write else "repeatable",
         "key_scope": "cell" if request_class.write else "all",
-        "memory_span_s": request_class.memory_us / US,
-        "objective_s": request_class.aim_us / US,
-        "deadline_s": DEADLINE_FACTOR * request_class.aim_us / US,
-        "worth": request_class.worth,
-        "late_worth": request_class.late_worth,
+        "memory_span_s": request_class.deduplication_window_us / US,
+        "objective_s": request_class.latency_objective_us / US,
+        "deadline_s": DEADLINE_FACTOR * request_class.latency_objective_us / US,
+        "worth": request_class.priority_weight,
+        "late_worth": request_class.late_priority_weight,
     }
--- a/juniperreel/testbed/drivers_process.py
+++ b/juniperreel/testbed/drivers_process.py
@@ -8,7 +8,7 @@
 import trio
 
 from juniperreel.fakes.fleet import Fleet
-from juniperreel.fakes.script import Day
+from juniperreel.fakes.script import Script
 from juniperreel.testbed.control_messages import (
     ControlConnection,
     HostUpdate,
@@ -34,7 +34,7 @@
     """Plays some of the trial's drivers with their discovery and their sessions."""
 
     def __init__(
-        self, day: Day, arguments: ProcessArguments, control: ControlConnection, record: Recorder
+        self, day: Script, arguments: ProcessArguments, control: ControlConnection, record: Recorder
     ) -> None:
         super().__init__(day, arguments, control, record)
         directory = arguments.directory / arguments.name
@@ -56,7 +56,7 @@
         """Hand it to discovery, once the ports are known."""
         host = update.host
         self._member_ports |= {(driver, host.id): port for driver, port in update.ports.items()}
-        self._drivers.hosts.tell(host, update.delay_us)
+        self._drivers.hosts.publish(host, update.delay_us)
 
     async def run(self) -> None:
         """Play to the trial's end; the drivers have ended then."""
@@ -89,12 +89,12 @@
     async def _wait_for_members(self) -> None:
         """Return once every driver's discovery has all members of the trial."""
         members = self.day["groups"] * self.day["members"]
-        discoveries = self._drivers.hosts.discoveries.values()
+        discoveries = self._drivers.hosts.servers.values()
         while any(len(discovery.hosts) < members for discovery in discoveries):
             await trio.sleep(POLL_S)
 
     def _counts(self) -> ProcessCounts:
-        discoveries = self._drivers.hosts.discoveries.values()
+        discoveries = self._drivers.hosts.servers.values()
         return ProcessCounts(
             self.arguments.name,
             discovery_calls=sum(discovery.calls for discovery in discoveries),
--- a/juniperreel/testbed/member_links.py
+++ b/juniperreel/testbed/member_links.py
@@ -20,7 +20,7 @@
 
     async def port(self, driver: str, member: str) -> int:
         """Return the port by which the driver reaches the member."""
-        dial = partial(self._fleet.members[member].postgres.dial, driver)
+        dial = partial(self._fleet.endpoints[member].postgres.connect, driver)
         relay = await self._links.open(driver, member, dial)
         return relay.port
 
@@ -35,14 +35,14 @@
     @property
     def probes(self) -> int:
         """Health and position checks that members have answered."""
-        return sum(member.postgres.probes for member in self._fleet.members.values())
+        return sum(member.postgres.probes for member in self._fleet.endpoints.values())
 
     @property
     def connections_opened(self) -> int:
         """Connections that drivers have ever opened to members."""
-        return sum(member.postgres.opened for member in self._fleet.members.values())
+        return sum(member.postgres.opened for member in self._fleet.endpoints.values())
 
     @property
     def peak_connections(self) -> int:
         """Most connections that one member had at a time."""
-        return max((member.postgres.most_held for member in self._fleet.members.values()), default=0)
+        return max((member.postgres.most_open for member in self._fleet.endpoints.values()), default=0)
--- a/juniperreel/testbed/members_process.py
+++ b/juniperreel/testbed/members_process.py
@@ -9,7 +9,7 @@
 import trio
 
 from juniperreel.fakes.fleet import Fleet
-from juniperreel.fakes.parts import Relay as HostListRelay
+from juniperreel.fakes.fleet_processes import EndpointListRelay
 from juniperreel.fakes.script import Step
 from juniperreel.proto.hosts.v1 import hosts_pb2
 from juniperreel.testbed.control_messages import HostUpdate, ProcessCounts, StartDay
@@ -28,7 +28,7 @@
     delay_us: int | None
 
 
-class HostUpdateQueue(HostListRelay):
+class HostUpdateQueue(EndpointListRelay):
     """Stands where a fleet's host list does and queues its updates for the trial.
 
     They are sent later since a driver needs a port to a member before it hears of the member.
@@ -37,7 +37,7 @@
     def __init__(self) -> None:
         self._send, self.updates = trio.open_memory_channel[PendingHostUpdate](MAX_QUEUED_HOSTS)
 
-    def tell(self, host: hosts_pb2.Host, delay_us: int | None = None) -> None:
+    def publish(self, host: hosts_pb2.Host, delay_us: int | None = None) -> None:
         """Queue a copy of the host. Raises trio.WouldBlock if the queue is full."""
         copy = hosts_pb2.Host()
         copy.CopyFrom(host)
--- a/juniperreel/testbed/multi_process_trial.py
+++ b/juniperreel/testbed/multi_process_trial.py
@@ -13,8 +13,8 @@
 
 import trio
 
-from juniperreel.fakes.member import Shape
-from juniperreel.fakes.script import Day, render
+from juniperreel.fakes.endpoint_settings import EndpointSettings
+from juniperreel.fakes.script import Script, render
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.net.clock import US
 from juniperreel.net.network import Listener
@@ -47,7 +47,9 @@
 class MultiProcessTrial:
     """One trial. `records` and `counts` (by process) are what it leaves."""
 
-    def __init__(self, day: Day, directory: Path, driver_processes: int, program: Sequence[str] = ()) -> None:
+    def __init__(
+        self, day: Script, directory: Path, driver_processes: int, program: Sequence[str] = ()
+    ) -> None:
         """`directory` keeps settings, logs and parts of the recording.
 
         `driver_processes` bounds the processes for drivers; `program` is what a driver is started by, the
@@ -186,13 +188,13 @@
 
     def _merge_records(self, start_us: int) -> list[rec.Record]:
         """Records of all processes in order of time; each fault, which every process wrote, comes once."""
-        shape = Shape(cold_us=self.day["cold-span"])
+        shape = EndpointSettings(slow_start_us=self.day["cold-span"])
         merged: list[rec.Record] = [*request_classes(start_us), limits(start_us, shape)]
         for step in self.day.steps:
             merged.append(rec.Fault(start_us + step.at_us, step.text, True))
             merged.append(rec.Fault(start_us + step.at_us + step.for_us, step.text, False))
         for name in self._names:
-            recorded = rec.read(self._directory / f"{name}.recording")
+            recorded = rec.read_recording(self._directory / f"{name}.recording")
             merged += [record for record in recorded if not isinstance(record, rec.Fault)]
         merged.sort(key=lambda record: record.at)
         return merged
--- a/juniperreel/testbed/picture.py
+++ b/juniperreel/testbed/picture.py
@@ -28,7 +28,12 @@
     """
 
     def __init__(
-        self, records: list[rec.Record], eligibility: spread.Able, group: int, since: int, until: int
+        self,
+        records: list[rec.Record],
+        eligibility: spread.EligibilityWeight,
+        group: int,
+        since: int,
+        until: int,
     ) -> None:
         self.group = group
         self.members = eligibility.replicas(group)
@@ -36,8 +41,8 @@
         self.rows = [[NOT_ELIGIBLE] * self.seconds for _ in self.members]
         row_of = dict(zip(self.members, self.rows, strict=True))
         arrivals = spread.arrivals(records, self.members)
-        for cell in spread.cells(arrivals, self.members, since, until, US, eligibility):
-            row_of[cell.member][(cell.start - since) // US] = cell.share if cell.fair else 1.0
+        for cell in spread.count_by_bin(arrivals, self.members, since, until, US, eligibility):
+            row_of[cell.endpoint][(cell.start - since) // US] = cell.share if cell.fair else 1.0
 
     @property
     def height_inches(self) -> float:
@@ -47,13 +52,15 @@
 
 def served_fractions(records: list[rec.Record], since: int, until: int) -> list[float]:
     """For each full second, the fraction of its requests that was served; 1 where there were none."""
-    final_answers = {(r.rid, r.number): r for r in records if isinstance(r, rec.Told)}
+    final_answers = {
+        (r.request_id, r.client_attempt): r for r in records if isinstance(r, rec.ResponseReceived)
+    }
     requests: Counter[int] = Counter()
     served: Counter[int] = Counter()
     for record in records:
-        if isinstance(record, rec.Asked):
+        if isinstance(record, rec.RequestSent):
             second = (record.at - since) // US
-            answer = final_answers.get((record.rid, record.number))
+            answer = final_answers.get((record.request_id, record.client_attempt))
             requests[second] += 1
             served[second] += answer is not None and answer.status == 0
     seconds = range((until - since) // US)
@@ -67,12 +74,12 @@
     matplotlib.use("Agg")
     from matplotlib import pyplot
 
-    times = [r.at for r in records if isinstance(r, rec.Asked)]
+    times = [r.at for r in records if isinstance(r, rec.RequestSent)]
     if not times:
         raise ValueError("nothing was asked")
     since = min(times)
     until = max(times) + 1
-    eligibility = spread.Able(records)
+    eligibility = spread.EligibilityWeight(records)
     groups = [
         GroupShares(records, eligibility, n, since, until) for n in sorted(set(eligibility.groups.values()))
     ]
@@ -90,7 +97,7 @@
     for shares, axis in zip(groups, group_axes, strict=True):
         _draw_group(figure, axis, shares)
     _draw_served(last_axis, served_fractions(records, since, until))
-    faults = [r for r in records if isinstance(r, rec.Fault) and r.on]
+    faults = [r for r in records if isinstance(r, rec.Fault) and r.active]
     _draw_faults([*group_axes, last_axis], faults, since)
     figure.savefig(out, dpi=DOTS_PER_INCH)
     pyplot.close(figure)
--- a/juniperreel/testbed/scenario.py
+++ b/juniperreel/testbed/scenario.py
@@ -8,8 +8,8 @@
 import random
 from pathlib import Path
 
-from juniperreel.fakes.member import Shape
-from juniperreel.fakes.script import Day, Step
+from juniperreel.fakes.endpoint_settings import EndpointSettings
+from juniperreel.fakes.script import Script, Step
 from juniperreel.testbed.errors import UnknownTargetError
 from juniperreel.verification import records as rec
 
@@ -31,34 +31,36 @@
 SESSION_RATE = 2.0  # most requests a second of one session, so that its answers' times hardly count
 
 
-def request_classes(now_us: int) -> tuple[rec.Class, ...]:
+def request_classes(now_us: int) -> tuple[rec.RequestClass, ...]:
     """Classes of bounded reads, reads of a session's own writes, and writes.
 
     Their latency objectives are wide: a trial's machine has more to do than its size allows, and a rejected
     request violates no rule.
     """
-    bounded_read = rec.Class(
+    bounded_read = rec.RequestClass(
         now_us, "board", "repeatable", 0, False, False, CHECKED_STALENESS_US, 1_000_000, 3.0, 0.2
     )
-    session_read = rec.Class(now_us, "own", "repeatable", 0, False, True, -1, 1_200_000, 3.0, 0.2)
-    write = rec.Class(now_us, "run", "keyed", DEDUPLICATION_WINDOW_US, True, False, -1, 2_000_000, 4.0, 0.7)
+    session_read = rec.RequestClass(now_us, "own", "repeatable", 0, False, True, -1, 1_200_000, 3.0, 0.2)
+    write = rec.RequestClass(
+        now_us, "run", "keyed", DEDUPLICATION_WINDOW_US, True, False, -1, 2_000_000, 4.0, 0.7
+    )
     return bounded_read, session_read, write
 
 
-def limits(now_us: int, shape: Shape) -> rec.Limits:
+def limits(now_us: int, shape: EndpointSettings) -> rec.Limits:
     """The limits that the rules are judged by, for members of this shape."""
     return rec.Limits(
         now_us,
         DRAIN_GRACE_US,
-        shape.cold_from,
-        shape.cold_us,
-        shape.fall_multiple,
-        shape.overload_us,
+        shape.initial_capacity,
+        shape.slow_start_us,
+        shape.overload_multiple,
+        shape.overload_window_us,
         MAX_ATTEMPTS,
     )
 
 
-def driver_names(day: Day) -> tuple[str, ...]:
+def driver_names(day: Script) -> tuple[str, ...]:
     """Names of all drivers of a trial, in order of their numbers."""
     return tuple(f"n{i}" for i in range(day["edges"]))
 
@@ -68,7 +70,7 @@
     return index % ZONES
 
 
-def targeted_drivers(day: Day, step: Step) -> list[str]:
+def targeted_drivers(day: Script, step: Step) -> list[str]:
     """The drivers that a step's target names: the same ones in every process of a trial.
 
     Raises UnknownTargetError for a target that names none.
@@ -95,7 +97,7 @@
     return int((index + 1) * fraction) > int(index * fraction)
 
 
-def driver_rate(day: Day, index: int) -> float:
+def driver_rate(day: Script, index: int) -> float:
     """Requests a second for each group from the driver with this number.
 
     The script's rate is that of all drivers of the trial. Of a hundred drivers, `heavy` have
--- a/juniperreel/testbed/shrink.py
+++ b/juniperreel/testbed/shrink.py
@@ -8,13 +8,13 @@
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import replace
 
-from juniperreel.fakes.script import Day, Step
+from juniperreel.fakes.script import Script, Step
 from juniperreel.net.clock import US
 
 TAIL_US = 2_000_000  # of a day behind its last fault
 MINIMUM_SETTINGS = {"edges": 2, "members": 2, "groups": 1, "sessions": 2, "rate": 10}
 RESTARTING_FAULTS = ("kill", "edge-kill", "roll")  # their value is a time after which something comes back
-Fails = Callable[[Day], Awaitable[bool]]
+Fails = Callable[[Script], Awaitable[bool]]
 
 
 def end_us(step: Step) -> int:
@@ -23,12 +23,12 @@
     return step.at_us + max(step.for_us, restart_us)
 
 
-def has_all_targets(day: Day) -> bool:
+def has_all_targets(day: Script) -> bool:
     """Whether every driver, group and member that a fault names by number is part of the day."""
     return all(_is_target(day, step.target) and _is_target(day, step.other) for step in day.steps)
 
 
-def _is_target(day: Day, target: str) -> bool:
+def _is_target(day: Script, target: str) -> bool:
     name, _, selector = target.partition("/")
     if name == "edge":
         return not selector.isdigit() or int(selector) < day["edges"]
@@ -39,7 +39,7 @@
     return not selector.isdigit() or int(selector) < day["members"]
 
 
-def candidates(day: Day) -> Iterator[Day]:
+def candidates(day: Script) -> Iterator[Script]:
     """Yield smaller days, those that take most away first."""
     steps = day.steps
     if len(steps) > 2:
@@ -58,7 +58,7 @@
         yield _with_setting(day, "last", last_us)
 
 
-def _shorter_day_us(day: Day) -> int:
+def _shorter_day_us(day: Script) -> int:
     """The length to try next; the day's own where it cannot be shorter."""
     if day.steps:
         return max(end_us(step) for step in day.steps) + TAIL_US
@@ -67,11 +67,13 @@
     return day["last"]
 
 
-def _with_setting(day: Day, name: str, value: int) -> Day:
+def _with_setting(day: Script, name: str, value: int) -> Script:
     return replace(day, settings=day.settings | {name: value})
 
 
-async def shrink(day: Day, fails: Fails, plays: int, report: Callable[[str], None] = lambda _: None) -> Day:
+async def shrink(
+    day: Script, fails: Fails, plays: int, report: Callable[[str], None] = lambda _: None
+) -> Script:
     """Return the smallest day found that still fails, after `plays` plays at most.
 
     `fails` plays a day and tells whether it fails; `report` is given a line of progress for each smaller day.
--- a/juniperreel/testbed/single_process_trial.py
+++ b/juniperreel/testbed/single_process_trial.py
@@ -15,7 +15,7 @@
 import trio
 
 from juniperreel.fakes.fleet import Fleet
-from juniperreel.fakes.script import Day, Step
+from juniperreel.fakes.script import Script, Step
 from juniperreel.net import Clock, Network
 from juniperreel.testbed.driver_fleet import DriverFleet
 from juniperreel.testbed.links import Links
@@ -38,7 +38,7 @@
 
     def __init__(
         self,
-        day: Day,
+        day: Script,
         network: Network,
         directory: Path,
         pause_s: float,
@@ -68,7 +68,9 @@
             self._rng.getrandbits(32),
             program,
         )
-        self.fleet = Fleet(day, network, self.clock, self.recorder, hosts=self._drivers.hosts, platform=True)
+        self.fleet = Fleet(
+            day, network, self.clock, self.recorder, endpoint_list=self._drivers.hosts, platform=True
+        )
         self._member_links: MemberLinks | None = None
 
     @property
@@ -106,12 +108,12 @@
                 self.processes.kill_all()
             nursery.cancel_scope.cancel()
 
-    def _record_rules(self, mix: Sequence[rec.Class]) -> None:
+    def _record_rules(self, mix: Sequence[rec.RequestClass]) -> None:
         for request_class in mix:
             self.recorder(request_class)
-        self.recorder(limits(mix[0].at, self.fleet.shape))
+        self.recorder(limits(mix[0].at, self.fleet.settings))
 
-    async def _play_day(self, mix: Sequence[rec.Class]) -> None:
+    async def _play_day(self, mix: Sequence[rec.RequestClass]) -> None:
         """Play faults and sessions until the day's end and the sessions' last answers."""
         until_us = self.clock.now_us() + self.day["last"]
         async with trio.open_nursery() as faults:
--- a/juniperreel/testbed/trial_process.py
+++ b/juniperreel/testbed/trial_process.py
@@ -12,7 +12,7 @@
 
 import trio
 
-from juniperreel.fakes.script import Day, Step
+from juniperreel.fakes.script import Script, Step
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.net.clock import US
 from juniperreel.testbed.control_messages import (
@@ -91,7 +91,7 @@
     """
 
     def __init__(
-        self, day: Day, arguments: ProcessArguments, control: ControlConnection, record: Recorder
+        self, day: Script, arguments: ProcessArguments, control: ControlConnection, record: Recorder
     ) -> None:
         self.day = day
         self.arguments = arguments
@@ -138,7 +138,7 @@
         await play(start)
 
 
-def steps_of_role(day: Day, role: str) -> list[Step]:
+def steps_of_role(day: Script, role: str) -> list[Step]:
     """The faults that processes of this role play; those of configuration instances are nobody's."""
     wanted = role == DRIVERS
     return [
--- a/tests/cli/test_pool.py
+++ b/tests/cli/test_pool.py
@@ -38,7 +38,7 @@
         return result.output
 
     output = await trio.to_thread.run_sync(run)
-    assert all(name in output for name in (*world.fleet.members, "leased", "waiting", "32"))
+    assert all(name in output for name in (*world.fleet.endpoints, "leased", "waiting", "32"))
 
 
 def test_pool_show_of_an_address_without_an_edge_ends_with_1() -> None:
--- a/tests/e2e/test_pool_soak.py
+++ b/tests/e2e/test_pool_soak.py
@@ -42,4 +42,4 @@
     monkeypatch.setattr(PreparedStatementCache, "get", any_id)
     with trio.fail_after(120):
         violations, _ = await soak(tmp_path, 300, 30, 2, seed=7)
-    assert any("was meant as" in violation for violation in violations)
+    assert any("intended as" in violation for violation in violations)
--- a/tests/load/test_load.py
+++ b/tests/load/test_load.py
@@ -13,7 +13,8 @@
 from juniperreel.load.result_file import ENCODER, Attempt, ProcessUsage, RunStart, read_result
 from juniperreel.load.summary import load_result
 from juniperreel.settings import SettingsError
-from juniperreel.verification.rules import Day, check_answers
+from juniperreel.verification.history import History
+from juniperreel.verification.responses import check_responses
 
 PLAN = """
 [load]
@@ -122,14 +123,14 @@
 
 def test_deadline_that_passes_without_an_answer_breaks_rule_1(tmp_path: Path) -> None:
     good = load_result(written(tmp_path / "good", attempt(1), attempt(2, status=14, retry_after_ms=5)))
-    assert check_answers(Day.of(list(good.records()))) == []
+    assert check_responses(History.of(list(good.records()))) == []
     bad = load_result(
         written(tmp_path / "bad", attempt(1), attempt(2, status=4, local=True, took_us=2_000_000))
     )
-    (violation,) = check_answers(Day.of(list(bad.records())))
+    (violation,) = check_responses(History.of(list(bad.records())))
     assert "no answer" in violation.text
     late = load_result(written(tmp_path / "late", attempt(1, took_us=2_600_000)))
-    assert "late" in check_answers(Day.of(list(late.records())))[0].text
+    assert "late" in check_responses(History.of(list(late.records())))[0].text
 
 
 def test_reports_and_comparisons_from_the_shell(tmp_path: Path) -> None:
--- a/tests/mysql/test_client.py
+++ b/tests/mysql/test_client.py
@@ -12,9 +12,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from juniperreel.fakes.group import Group
-from juniperreel.fakes.member import Member, Shape
-from juniperreel.fakes.mysqlmember import PASSWORD, USER
+from juniperreel.fakes.endpoint import FakeEndpoint
+from juniperreel.fakes.endpoint_settings import EndpointSettings
+from juniperreel.fakes.mysql_server import PASSWORD, USER
+from juniperreel.fakes.replication_group import ReplicationGroup
 from juniperreel.mysql.auth import NATIVE, SHA2, Credential
 from juniperreel.mysql.client import ClientSession, State
 from juniperreel.mysql.client_events import (
@@ -278,12 +279,12 @@
 class SingleMember:
     """A group of one primary that speaks MySQL."""
 
-    def __init__(self, shape: Shape) -> None:
+    def __init__(self, shape: EndpointSettings) -> None:
         self.recorder = Recorder()
         clock = Clock()
-        self.group = Group(0, clock, random.Random(1), self.recorder, 1.0, 1.0)
-        self.member = Member("m0", self.group, 0, shape, TcpNetwork(), clock, 5, self.recorder)
-        self.group.members.append(self.member)
+        self.group = ReplicationGroup(0, clock, random.Random(1), self.recorder, 1.0, 1.0)
+        self.member = FakeEndpoint("m0", self.group, 0, shape, TcpNetwork(), clock, 5, self.recorder)
+        self.group.endpoints.append(self.member)
         self.group.primary = self.member
 
     async def use(self, work: Callable[[Any], Any], **options: Any) -> Any:
@@ -302,9 +303,11 @@
 
 @pytest.fixture
 async def single(nursery: trio.Nursery) -> SingleMember:
-    single_member = SingleMember(Shape(mysql=True, ack_replica=False, read_us=100, write_us=100))
+    single_member = SingleMember(
+        EndpointSettings(mysql=True, synchronous_replication=False, read_us=100, write_us=100)
+    )
     await nursery.start(single_member.member.run, False)
-    single_member.member.claims = True
+    single_member.member.claims_primary = True
     return single_member
 
 
@@ -348,8 +351,8 @@
         return seen
 
     assert await single.use(work) == [((2,),), ((0,),), (("one",), ("three",)), ((2,),)]
-    (commit,) = single.member.copy.log
-    assert len(commit.more) == 1, "one entry of the log"
+    (commit,) = single.member.replica.log
+    assert len(commit.statements) == 2, "one entry of the log"
 
 
 async def test_invalid_statements_on_the_fake_member_fail_with_mysql_codes(single: SingleMember) -> None:
@@ -370,8 +373,8 @@
         return codes
 
     assert await single.use(work) == [1146, 1054, 1064, 1064, 1062, 1048, 1305]
-    assert single.member.copy.log == []
-    single.member.claims = False
+    assert single.member.replica.log == []
+    single.member.claims_primary = False
     with pytest.raises(pymysql.err.MySQLError) as read_only:
         await single.use(lambda c: execute(c, INSERT, ("a", "b")))
     assert read_only.value.args[0] == 1290
--- a/tests/pool/test_session_state.py
+++ b/tests/pool/test_session_state.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from juniperreel.fakes.engine import ASSIGNED, ASSIGNMENT
+from juniperreel.fakes.mysql_variables import ASSIGNMENT, ASSIGNMENT_SEPARATOR
 from juniperreel.pool.errors import SessionStateTooLargeError
 from juniperreel.pool.session_state import (
     INITIAL_SESSION_STATE,
@@ -37,8 +37,8 @@
     assert (statement is None) == (current == target)
     state = current
     if statement is not None:
-        for part in ASSIGNMENT.split(statement.decode()[4:]):
-            match = ASSIGNED.match(part.strip())
+        for part in ASSIGNMENT_SEPARATOR.split(statement.decode()[4:]):
+            match = ASSIGNMENT.match(part.strip())
             assert match is not None
             state = state.set(match[1], match[2])
     assert state == target
--- a/tests/raft/cluster.py
+++ b/tests/raft/cluster.py
@@ -22,7 +22,7 @@
 from juniperreel.settings.configd import InstanceSettings
 from juniperreel.settings.values import Address
 from juniperreel.telemetry.log import make_log
-from juniperreel.verification.versions import Acted, Confirmed
+from juniperreel.verification.versions import VersionApplied, VersionConfirmed
 
 KEY = b"k" * 32
 
@@ -58,7 +58,7 @@
         self.scopes: dict[str, trio.CancelScope] = {}
         self.ended: dict[str, trio.Event] = {}
         self.partitions: set[tuple[str, str]] = set()
-        self.records: list[Confirmed | Acted] = []
+        self.records: list[VersionConfirmed | VersionApplied] = []
         self.settings = {"tick_us": 10_000, "election_ticks": 10, "snapshot_interval": 1000} | settings
         self.log = make_log(stream=(folder / "log").open("w"))
         self.sequence = 0
@@ -152,7 +152,7 @@
 
     async def confirm(self) -> Configuration:
         now = await self.client.get()
-        self.records.append(Confirmed(self.clock.now_us(), now.version, digest(now)))
+        self.records.append(VersionConfirmed(self.clock.now_us(), now.version, digest(now)))
         return now
 
     async def seed(self) -> None:
@@ -169,7 +169,7 @@
         await self.nursery.start(client.run)
 
         def on_version(configuration: Configuration) -> None:
-            acted = Acted(self.clock.now_us(), name, configuration.version, digest(configuration))
+            acted = VersionApplied(self.clock.now_us(), name, configuration.version, digest(configuration))
             self.records.append(acted)
 
         self.nursery.start_soon(client.watch, name, model.EMPTY, on_version)
@@ -177,7 +177,7 @@
     async def all_at(self, version: int, watchers: int) -> None:
         with trio.fail_after(15):
             while (
-                len({r.driver for r in self.records if isinstance(r, Acted) and r.version >= version})
+                len({r.node for r in self.records if isinstance(r, VersionApplied) and r.version >= version})
                 < watchers
             ):
                 await trio.sleep(0.01)
--- a/tests/testbed/test_multi_process_trial.py
+++ b/tests/testbed/test_multi_process_trial.py
@@ -52,11 +52,11 @@
     targeted = set(targeted_drivers(day, day.steps[0]))
     assert {r.edge for r in trial.records if isinstance(r, rec.EdgeDown)} == targeted
     assert len(targeted) == 2
-    why = {r.member[:2]: r.why for r in trial.records if isinstance(r, rec.Stopped)}
+    why = {r.endpoint[:2]: r.cause for r in trial.records if isinstance(r, rec.EndpointStopped)}
     assert why["g0"] == "killed"
-    updates = [r for r in trial.records if isinstance(r, rec.Listed) and r.readiness == "draining"]
+    updates = [r for r in trial.records if isinstance(r, rec.EndpointListed) and r.readiness == "draining"]
     assert {r.edge for r in updates} == set(trial.drivers), "each driver is notified of the drain"
-    answers = [r for r in trial.records if isinstance(r, rec.Told)]
+    answers = [r for r in trial.records if isinstance(r, rec.ResponseReceived)]
     assert sum(r.status == 0 for r in answers) > 0.8 * len(answers) > 150
     assert sum(c.probes for c in trial.counts.values()) > 0
     assert len(trial.counts) == 4
@@ -69,14 +69,16 @@
     day = parse(SIZE + "last 8s\n")
     trial = MultiProcessTrial(day, tmp_path, 1)
     await trial.run()
-    requests = [r for r in trial.records if isinstance(r, rec.Asked)]
+    requests = [r for r in trial.records if isinstance(r, rec.RequestSent)]
     assert 0.6 * 60 * 8 < len(requests) < 1.2 * 60 * 8
     counts = {n: sum(r.edge == n for r in requests) for n in trial.drivers}
     heavy = [n for i, n in enumerate(trial.drivers) if is_busy_driver(i, 0.15)]
     assert len(heavy) == 1
     assert counts[heavy[0]] > 2 * max(c for n, c in counts.items() if n not in heavy)
-    came = spread.arrivals(trial.records, {r.member for r in trial.records if isinstance(r, rec.Arrived)})
-    assert {a.driver for a in came} == set(trial.drivers)
+    came = spread.arrivals(
+        trial.records, {r.endpoint for r in trial.records if isinstance(r, rec.AttemptReceived)}
+    )
+    assert {a.edge for a in came} == set(trial.drivers)
 
 
 async def test_a_process_of_the_testbed_that_ends_early_ends_the_trial_and_all_it_started(
--- a/tests/testbed/test_relay.py
+++ b/tests/testbed/test_relay.py
@@ -252,6 +252,6 @@
     trial = SingleProcessTrial(parse(text), TcpNetwork(), tmp_path, 0.05)
     monkeypatch.setattr(relay_module, "hung_up", lambda _: True)
     await trial.run()
-    requests = [r for r in trial.recorder.records if isinstance(r, rec.Asked)]
+    requests = [r for r in trial.recorder.records if isinstance(r, rec.RequestSent)]
     assert requests
-    assert not [r for r in trial.recorder.records if isinstance(r, rec.Arrived | rec.Committed)]
+    assert not [r for r in trial.recorder.records if isinstance(r, rec.AttemptReceived | rec.Committed)]
