Proxy: the driver's constructor is short; last plain names of proxy, cli and telemetry

Change: admission and translator are made by functions of their own; the gauge's attribute says in flight, its metric's name stands.

--- a/juniperreel/cli/raft.py
+++ b/juniperreel/cli/raft.py
@@ -74,8 +74,8 @@
     except StorageError as error:
         click.echo(str(error), err=True)
         sys.exit(1)
-    kept = result.uncommitted_entries
-    click.echo(f"version {result.version}; {kept} entries were not known to be committed and are kept")
+    uncommitted = result.uncommitted_entries
+    click.echo(f"version {result.version}; {uncommitted} entries were not known to be committed and are kept")
     click.echo("start it with a settings file of that cluster and name, then add and promote others")
 
 
--- a/juniperreel/proxy/gauges.py
+++ b/juniperreel/proxy/gauges.py
@@ -74,7 +74,7 @@
         for (group, is_primary), lane in self._sources.admission_controller.lanes():
             labels = (str(group), "primary" if is_primary else "replicas")
             self._metrics.lane_limit.labels(*labels).set(lane.limit.value)
-            self._metrics.lane_in_hand.labels(*labels).set(lane.in_flight)
+            self._metrics.lane_in_flight.labels(*labels).set(lane.in_flight)
             self._metrics.lane_waiting.labels(*labels).set(lane.queued)
 
     def _report_endpoints(self) -> None:
--- a/juniperreel/proxy/request_driver.py
+++ b/juniperreel/proxy/request_driver.py
@@ -95,28 +95,39 @@
         self.admission_controller = AdmissionController(
             options.router, options.max_open_requests, options.seed
         )
-        self.admission = RequestAdmission(
-            self.admission_controller,
-            clock,
-            metrics,
-            options.answer_margin_us,
-            self._on_admitted,
-            self._on_decisions,
-        )
+        self.admission = self._new_admission()
         self.open_requests = RequestTable(self.admission, log)
         self.endpoints = self._endpoint_connections(network, random.Random(rng.getrandbits(64)))
         self.discovery = self._endpoint_source(network, random.Random(rng.getrandbits(64)))
         self._id_prefix = self._new_id_prefix(rng)
         self._ids = count()
         self._stall_monitor = stall_monitor
-        self._translator = RouterEventTranslator(
-            self.open_requests, self.positions, self.registry, options.answer_margin_us, log, metrics
-        )
+        self._translator = self._new_translator()
         self._runner = AttemptRunner(self.endpoints, options.health_check_timeout_us, clock, log, traces)
         self._list_writer = self._new_list_writer()
         self._wake = trio.Event()
         self._nursery: trio.Nursery | None = None
 
+    def _new_admission(self) -> RequestAdmission:
+        return RequestAdmission(
+            self.admission_controller,
+            self.clock,
+            self.metrics,
+            self.options.answer_margin_us,
+            self._on_admitted,
+            self._on_decisions,
+        )
+
+    def _new_translator(self) -> RouterEventTranslator:
+        return RouterEventTranslator(
+            self.open_requests,
+            self.positions,
+            self.registry,
+            self.options.answer_margin_us,
+            self.log,
+            self.metrics,
+        )
+
     def _endpoint_connections(self, network: Network, rng: random.Random) -> EndpointConnections:
         options = self.options
         if options.mysql is None:
--- a/juniperreel/telemetry/metrics.py
+++ b/juniperreel/telemetry/metrics.py
@@ -90,7 +90,7 @@
         self.parked = self._gauge("waiting_requests", "Requests that wait for admission")
         self.program_limit = self._gauge("program_limit", "Requests this program lets be in hand")
         self.lane_limit = self._gauge("lane_limit", "Requests that may be in hand", "group", "lane")
-        self.lane_in_hand = self._gauge("lane_in_hand", "Requests in hand", "group", "lane")
+        self.lane_in_flight = self._gauge("lane_in_hand", "Requests in hand", "group", "lane")
         self.lane_waiting = self._gauge("lane_waiting", "Requests waiting for admission", "group", "lane")
 
     def _add_members(self) -> None:
