Review: logic that stood twice is called where it stands

Cause: the change wrote an AppendEntries twice in replication, the record of an endpoint's limits in the demo and the testbed, the split of tokens at a symbol in two modules, and a class of reads in the emulator that differs from its neighbour by one field. Change: one builder each; the constant that nothing used goes; the pool soak asks the fake for its connection numbers in place of a private attribute.

--- a/benchmarks/pool_soak.py
+++ b/benchmarks/pool_soak.py
@@ -336,7 +336,7 @@
     while True:
         await trio.sleep(random_source.uniform(*KILL_INTERVAL_S))
         endpoint = random_source.choice(list(fleet.endpoints.values()))
-        threads = list(endpoint.mysql._scopes)
+        threads = endpoint.mysql.connection_numbers()
         if threads:
             endpoint.kill_connection(random_source.choice(threads))
             tally.killed += 1
--- a/juniperreel/cli/environment.py
+++ b/juniperreel/cli/environment.py
@@ -127,18 +127,7 @@
         now_us = self._clock.now_us()
         for mix in mix_of(self._day):
             self.record(mix.request_class)
-        shape = self.fleet.settings
-        self.record(
-            rec.Limits(
-                now_us,
-                DRAIN_GRACE_US,
-                shape.initial_capacity,
-                shape.slow_start_us,
-                shape.overload_multiple,
-                shape.overload_window_us,
-                MAX_ATTEMPTS,
-            )
-        )
+        self.record(self.fleet.settings.limits(now_us, DRAIN_GRACE_US, MAX_ATTEMPTS))
 
     def _make_population(self) -> ClientPopulation:
         return ClientPopulation(
--- a/juniperreel/emulator/spread.py
+++ b/juniperreel/emulator/spread.py
@@ -17,7 +17,7 @@
 from typing import Any
 
 from juniperreel.emulator.fleet_state import Attempt, AttemptKey, EndpointModel, RouterRecord
-from juniperreel.emulator.router_settings import SECOND_US, make_settings
+from juniperreel.emulator.router_settings import SECOND_US, make_request_class, make_settings
 from juniperreel.emulator.virtual_time import VirtualClock
 from juniperreel.routing.router import Router
 from juniperreel.routing.types import (
@@ -30,8 +30,6 @@
     Event,
     Fail,
     HealthCheckEnded,
-    Idempotency,
-    KeyScope,
     LoadReport,
     Outcome,
     Readiness,
@@ -58,19 +56,7 @@
 START_US = 1_000 * SECOND_US  # of the play, on its clock
 HEAVY_ROUTER_EVERY = 10  # one in so many routers has more reads than the others
 
-READ = RequestClass(
-    name="read",
-    idempotency=Idempotency.IDEMPOTENT,
-    key_scope=KeyScope.ALL,
-    deduplication_window_us=0,
-    consistency=Consistency.ANY,
-    max_staleness_us=0,
-    latency_objective_us=500 * MILLISECOND_US,
-    deadline_us=2 * SECOND_US,
-    priority_weight=1.0,
-    late_priority_weight=0.2,
-)
-
+READ = make_request_class(latency_objective_us=500 * MILLISECOND_US)
 BOUNDED_READ = replace(READ, consistency=Consistency.BOUNDED, max_staleness_us=300 * MILLISECOND_US)
 
 RouterFactory = Callable[[Settings, int], Router]
--- a/juniperreel/fakes/endpoint_settings.py
+++ b/juniperreel/fakes/endpoint_settings.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from juniperreel.verification.records import Limits
+
 
 @dataclass(frozen=True, slots=True)
 class EndpointSettings:
@@ -21,3 +23,15 @@
     mysql: bool = False  # edges are given its MySQL port
     postgres: bool = False  # it speaks the platform's protocol to edges
     synchronous_replication: bool = True  # a write is answered when another endpoint has received it
+
+    def limits(self, now_us: int, drain_grace_us: int, max_attempts: int) -> Limits:
+        """The record of the limits that edges before these endpoints are judged by."""
+        return Limits(
+            now_us,
+            drain_grace_us,
+            self.initial_capacity,
+            self.slow_start_us,
+            self.overload_multiple,
+            self.overload_window_us,
+            max_attempts,
+        )
--- a/juniperreel/load/result_file.py
+++ b/juniperreel/load/result_file.py
@@ -12,7 +12,6 @@
 
 LOCAL_STATUS = 4  # gRPC's DEADLINE_EXCEEDED, which a client's own deadline looks like
 REJECTED_STATUSES = (8, 14)  # gRPC's RESOURCE_EXHAUSTED and UNAVAILABLE
-NO_RETRY = -1  # as `retry_after_ms`: not to be sent again
 
 
 class RunStart(msgspec.Struct, frozen=True, tag="Start", omit_defaults=True, rename={"at_us": "at"}):
@@ -55,7 +54,7 @@
     session: int
     status: int
     local: bool = False
-    retry_after_ms: int = 0
+    retry_after_ms: int = 0  # negative: not to be sent again
     edge_attempts: int = 0
     reason: str = ""
 
--- a/juniperreel/raft/replication.py
+++ b/juniperreel/raft/replication.py
@@ -160,18 +160,7 @@
         # A follower may hold entries beyond its match that conflict with the leader's log; a commit index
         # within the match commits none of them.
         commit_index = min(state.commit_index, self._progress[name].match_index)
-        state.send(
-            AppendEntries(
-                src=state.name,
-                dst=name,
-                term=state.term,
-                prev_index=prev_index,
-                prev_term=prev_term,
-                entries=(),
-                commit_index=commit_index,
-                heartbeat_round=self._heartbeat_round,
-            )
-        )
+        self._send_append(name, prev_index, prev_term, (), commit_index)
 
     def send_to(self, name: str) -> bool:
         """Send a follower what it lacks, as far as its window allows. Returns whether anything was sent."""
@@ -190,12 +179,14 @@
             entries = self._next_batch(progress.next_index)
             if not entries and (progress.state is ProgressState.REPLICATE or sent):
                 return sent
-            self._send_append(name, prev_index, prev_term, entries)
+            self._send_append(name, prev_index, prev_term, entries, state.commit_index)
             progress.on_sent(entries[-1].index if entries else prev_index)
             sent = True
         return sent
 
-    def _send_append(self, name: str, prev_index: int, prev_term: int, entries: tuple[Entry, ...]) -> None:
+    def _send_append(
+        self, name: str, prev_index: int, prev_term: int, entries: tuple[Entry, ...], commit_index: int
+    ) -> None:
         state = self._state
         state.send(
             AppendEntries(
@@ -205,7 +196,7 @@
                 prev_index=prev_index,
                 prev_term=prev_term,
                 entries=entries,
-                commit_index=state.commit_index,
+                commit_index=commit_index,
                 heartbeat_round=self._heartbeat_round,
             )
         )
--- a/juniperreel/statements/assignments.py
+++ b/juniperreel/statements/assignments.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 
 from juniperreel.statements.classification import Assignment
 from juniperreel.statements.dependencies import is_system_variable
-from juniperreel.statements.lexer import Token, TokenType
+from juniperreel.statements.lexer import Token, TokenType, split_at
 
 ASSIGNMENT_SYMBOLS = ("=", ":=")
 SESSION_SCOPES = ("SESSION", "LOCAL")
@@ -17,7 +17,7 @@
 def parse_literal_assignments(tokens: Sequence[Token]) -> tuple[Assignment, ...]:
     """`a = 1, @@session.b = 'x', @c = null` as assignments; empty if any of them is anything else."""
     assignments = []
-    for part in _split_at_commas(tokens):
+    for part in split_at(tokens, ","):
         assignment = _parse_literal_assignment(part)
         if assignment is None:
             return ()
@@ -48,16 +48,6 @@
     return token.type is TokenType.VARIABLE and not is_system_variable(token.text) and len(token.text) > 1
 
 
-def _split_at_commas(tokens: Iterable[Token]) -> list[list[Token]]:
-    parts: list[list[Token]] = [[]]
-    for token in tokens:
-        if token.is_symbol(","):
-            parts.append([])
-        else:
-            parts[-1].append(token)
-    return parts
-
-
 def _parse_literal_assignment(tokens: Sequence[Token]) -> Assignment | None:
     """One `[session] name = [-] literal`."""
     scoped = bool(tokens) and tokens[0].type is TokenType.IDENTIFIER and tokens[0].text in SESSION_SCOPES
--- a/juniperreel/statements/classifier.py
+++ b/juniperreel/statements/classifier.py
@@ -16,7 +16,7 @@
 from juniperreel.statements.classification import Classification, Dependency, StatementKind
 from juniperreel.statements.dependencies import find_dependencies
 from juniperreel.statements.grammar import GrammarError, query_tables
-from juniperreel.statements.lexer import AmbiguousTextError, LexerMode, Token, TokenType, tokenize
+from juniperreel.statements.lexer import AmbiguousTextError, LexerMode, Token, TokenType, split_at, tokenize
 from juniperreel.statements.plain_reads import WRITE_KEYWORDS, NotPlainReadError, check_plain_read
 from juniperreel.statements.session_commands import IMPLICIT_COMMIT_KEYWORDS, parse_session_command
 
@@ -85,9 +85,10 @@
         reason = f"longer than {MAX_BYTES} bytes"
         return Classification(StatementKind.UNKNOWN, reason, dependencies, opaque=True)
     try:
-        statements = _split_statements(tokenize(data, mode or LexerMode()))
+        tokens = tokenize(data, mode or LexerMode())
     except AmbiguousTextError as error:
         return Classification(StatementKind.UNKNOWN, str(error))
+    statements = [statement for statement in split_at(tokens, ";") if statement]
     if not statements:
         return Classification(StatementKind.UNKNOWN, "nothing")
     classifications = [_classify_tokens(tokens) for tokens in statements]
@@ -129,17 +130,6 @@
         return classification
 
 
-def _split_statements(tokens: list[Token]) -> list[list[Token]]:
-    """The statements between semicolons, without empty ones."""
-    statements: list[list[Token]] = [[]]
-    for token in tokens:
-        if token.is_symbol(";"):
-            statements.append([])
-        else:
-            statements[-1].append(token)
-    return [statement for statement in statements if statement]
-
-
 def _combine(classifications: list[Classification]) -> Classification:
     """Several statements at once are never a plain read."""
     kind = max((c.kind for c in classifications), key=KINDS_BY_STRICTNESS.index)
--- a/juniperreel/statements/lexer.py
+++ b/juniperreel/statements/lexer.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -91,6 +92,17 @@
     return _Lexer(data.decode("latin-1"), mode).tokenize()
 
 
+def split_at(tokens: Iterable[Token], symbol: str) -> list[list[Token]]:
+    """The parts between occurrences of a symbol, at least one; a part may be empty."""
+    parts: list[list[Token]] = [[]]
+    for token in tokens:
+        if token.is_symbol(symbol):
+            parts.append([])
+        else:
+            parts[-1].append(token)
+    return parts
+
+
 class _Lexer:
     """Reads one text from start to end; `_offset` is what is read next."""
 
--- a/juniperreel/testbed/scenario.py
+++ b/juniperreel/testbed/scenario.py
@@ -49,15 +49,7 @@
 
 def limits(now_us: int, shape: EndpointSettings) -> rec.Limits:
     """The limits that the rules are judged by, for members of this shape."""
-    return rec.Limits(
-        now_us,
-        DRAIN_GRACE_US,
-        shape.initial_capacity,
-        shape.slow_start_us,
-        shape.overload_multiple,
-        shape.overload_window_us,
-        MAX_ATTEMPTS,
-    )
+    return shape.limits(now_us, DRAIN_GRACE_US, MAX_ATTEMPTS)
 
 
 def driver_names(day: Script) -> tuple[str, ...]:
