Tests: a statement that nobody waits for is killed: its premise is made sure, not left to a race

Cause: KILL goes over the monitor connection, which an endpoint's first health check opens, so that it is older than the statement. Change: the test has every endpoint checked first; its assertions stand.

--- a/tests/e2e/test_transactions.py
+++ b/tests/e2e/test_transactions.py
@@ -575,6 +575,8 @@
     async with trio.open_nursery() as several:
         for _ in range(40):
             several.start_soon(world.read, "r")  # so that idle connections are there
+    for name in world.fleet.endpoints:
+        await links(world).check_health(name)  # so that KILL's connection is there, older than the statement
     for member in world.fleet.endpoints.values():
         member.settings = replace(member.settings, read_us=60_000_000)
     await alone()
