Known red: a keyed repeat is written after its key was forgotten

Need: rule 2 allows a keyed repeat only within the window of its key, counted from the send of the attempt that may have run. The policy asks when it decides on the repeat; the connection may come up to its time-out (seconds) later, and the moment of writing (Router.confirm_send) asks for freshness and drains only.

--- a/tests/routing/test_crossings.py
+++ b/tests/routing/test_crossings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from juniperreel.routing.types import DeadlineShortened, Outcome, Readiness, Reject, Role, UpdateKind
@@ -16,6 +18,7 @@
     SESSION_READ,
     WRITE,
     RouterScript,
+    classes_with,
     endpoint,
 )
 
@@ -117,6 +120,31 @@
     assert not script.router.confirm_send(script.now_us, read, FIRST_ATTEMPT)
 
 
+def test_send_of_a_keyed_repeat_is_confirmed_only_within_the_window_of_its_key() -> None:
+    """Danger: a connection that comes up late would carry a repeat that its endpoint takes for a new write."""
+    forgetful = replace(WRITE, deduplication_window_us=1 * SEC)
+    script = script_with_one_replica(classes=classes_with(forgetful))
+    write = script.submit_request(WRITE)
+    script.advance_clock(500 * MS)
+    script.end_attempt(write, Outcome.RESET)
+    script.run_for(100 * MS)
+    assert len(script.endpoints_tried(write)) == 2
+    within_us = script.now_us + 300 * MS
+    beyond_us = script.now_us + 400 * MS
+    assert script.router.confirm_send(within_us, write, FIRST_ATTEMPT + 1)
+    assert not script.router.confirm_send(beyond_us, write, FIRST_ATTEMPT + 1)
+
+
+def test_send_of_a_keyed_write_that_was_not_executed_is_confirmed_whatever_its_window() -> None:
+    forgetful = replace(WRITE, deduplication_window_us=1 * SEC)
+    script = script_with_one_replica(classes=classes_with(forgetful))
+    write = script.submit_request(WRITE)
+    script.end_attempt(write, Outcome.REJECTED)
+    script.run_for(100 * MS)
+    assert len(script.endpoints_tried(write)) == 2
+    assert script.router.confirm_send(script.now_us + 2 * SEC, write, FIRST_ATTEMPT + 1)
+
+
 def test_send_of_a_fresh_read_to_a_primary_that_stepped_down_is_not_confirmed() -> None:
     script = script_with_one_replica()
     fresh_read = script.submit_request(FRESH_READ)
