--- a/tests/platform/test_crossings.py
+++ b/tests/platform/test_crossings.py
@@ -11,6 +11,7 @@
 
 from juniperreel.net.transport import Transport
 from juniperreel.postgres import messages as m
+from juniperreel.postgres import server
 from tests.platform.event_harness import HELLO, MS, SEC, SETTINGS, read_text, row, write_text
 from tests.platform.socket_harness import FakeEndpoint, RemoteEnd, SocketHarness
 
@@ -431,3 +432,40 @@
     assert first.port != second.port
     first.sock.close()
     second.sock.close()
+
+
+# A client that leaves in the moment in which its request could be written.
+
+
+async def _client_whose_request_waits_for_a_welcome(harness: SocketHarness) -> tuple[RemoteEnd, RemoteEnd]:
+    """Return a client, and the endpoint's end of the connection that was opened for its request."""
+    client = await harness.client(read_text(IDS[0]))
+    await harness.until(lambda: any(end.read() for end in harness.members["a"].accept()))
+    return client, harness.members["a"].ends[-1]
+
+
+@pytest.mark.parametrize("polled", ["before the client left", "after the client left"])
+async def test_a_client_that_has_left_gets_no_attempt_on_a_connection_that_comes_up(polled: str) -> None:
+    """The welcome is found first. A driver that is held up would write for a client that left long ago."""
+    with SocketHarness() as harness:
+        await harness.learn_positions()
+        harness.driver.endpoint_pools.pools["a"].idle[0].close()
+        client, member = await _client_whose_request_waits_for_a_welcome(harness)
+        member.take()
+        member.send(server.STARTUP_RESPONSE)
+        await harness.wait_for_event(_endpoint_transport(harness))
+        if polled == "before the client left":
+            await harness.poller.wait(None)
+        client.close()
+        await harness.wait_for_event(harness.client_transports[-1], ENDED)
+        if polled == "after the client left":
+            await harness.poller.wait(None)
+        harness.poller.dispatch()
+        harness.process()
+        await harness.until(lambda: not harness.driver.requests.by_id)
+        assert member.read() == b""
+
+
+def _endpoint_transport(harness: SocketHarness) -> Transport:
+    (connection,) = harness.driver.endpoint_pools.pools["a"].connections
+    return connection.transport
