Platform: nothing is written for a client that has left, however late its end is read

Cause: Poller.dispatch calls handlers in the order in which the poll found their sockets, so a connection to an endpoint that came up could have its query written ahead of the event of its client's end; and after the poll nobody looked again, however long the driver was held up before it wrote. Change: sockets that hung up are dispatched first; EndpointConnection.start asks last of all, after the clock was read, whether the query is awaited, by a look at the client's socket (Transport.peer_has_left), and withdraws its requests. A planted driver without that look is found, and so is one that does not confirm repeats when they are written. The test of a request read together with its client's end also asks that it was not taken, as the new look would hide it.

--- a/juniperreel/net/poller.py
+++ b/juniperreel/net/poller.py
@@ -14,6 +14,7 @@
 
 from juniperreel.net.clock import Clock
 
+HANG_UP_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 MAX_EVENTS = 256  # taken from one call of epoll
 YIELD_US = 5_000  # other tasks run at least this often
 BLOCKED_US = 500  # a wait that took longer had nothing ready when it began
@@ -99,11 +100,18 @@
             self._waiting.cancel()
 
     def dispatch(self) -> None:
-        """Call the handlers of all sockets that the last wait found ready."""
-        events = self._events
+        """Call the handlers of all sockets that the last wait found ready, those that hung up first.
+
+        What is done upon the others must not be done for a peer whose end was found with them.
+        """
+        events = sorted(self._events, key=_has_not_hung_up)
         self._events = []
         for fileno, mask, handler in events:
             # An earlier call of this loop may have closed this socket, and a new one may have been given its
             # descriptor number: an event of the old socket, such as its end, must not reach the new one.
             if handler is not None and self._handlers.get(fileno) is handler:
                 handler.handle_event(mask)
+
+
+def _has_not_hung_up(event: ReadyEvent) -> bool:
+    return not event.mask & HANG_UP_EVENTS
--- a/juniperreel/net/transport.py
+++ b/juniperreel/net/transport.py
@@ -15,6 +15,7 @@
 
 READ_BYTES = 65_536  # by one call of recv at most
 READ_EVENTS = select.EPOLLIN | select.EPOLLRDHUP
+HANG_UP_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
 class Protocol(typing.Protocol):
@@ -116,6 +117,26 @@
             return False
         return False
 
+    def peer_has_left(self) -> bool:
+        """Return whether the peer has ended its side or broken the connection, as the kernel knows it now.
+
+        The poller reports that later: with its next poll, and behind what the poll found before it.
+        """
+        if self.closed:
+            return True
+        try:
+            first_byte = self._socket.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
+        return not first_byte or self._hangs_up_behind_unread_bytes()
+
+    def _hangs_up_behind_unread_bytes(self) -> bool:
+        poll = select.poll()
+        poll.register(self._socket, HANG_UP_EVENTS)
+        return bool(poll.poll(0))
+
     def close(self) -> None:
         """Close at once; what is buffered is lost."""
         if not self.closed:
--- a/juniperreel/platform/client_connection.py
+++ b/juniperreel/platform/client_connection.py
@@ -186,6 +186,10 @@
         """Close the connection at once."""
         self._transport.close()
 
+    def has_left(self) -> bool:
+        """Return whether the client has ended or broken the connection, though no event says so yet."""
+        return self._transport.peer_has_left()
+
     def pause_reading(self) -> None:
         """Read no further commands."""
         self._transport.pause_reading()
--- a/juniperreel/platform/driver.py
+++ b/juniperreel/platform/driver.py
@@ -199,6 +199,7 @@
             build_query=partial(self._build_query, open_request, until_us),
             on_done=partial(self._on_attempt_done, request, attempt, endpoint, now),
             may_send=partial(self._may_send, request, attempt),
+            is_awaited=partial(self._is_awaited, open_request),
         )
         open_request.exchanges[attempt] = exchange
         if open_request.command is None:
@@ -214,6 +215,16 @@
     def _may_send(self, request_id: str, attempt: int) -> bool:
         return self.router.confirm_send(self.now(), request_id, attempt)
 
+    def _is_awaited(self, request: OpenRequest) -> bool:
+        """Return whether the client still waits; one that is found to have left is withdrawn at once."""
+        if request.command is None:
+            return False
+        client = request.command.client
+        if not client.has_left():
+            return True
+        self.client_listener.remove(client)
+        return False
+
     def _abandon_at(self, time_us: int, exchange: Exchange) -> None:
         self.timers.call_at(time_us, partial(self.endpoint_pools.abandon, exchange, False))
 
--- a/juniperreel/platform/endpoint_connection.py
+++ b/juniperreel/platform/endpoint_connection.py
@@ -84,15 +84,19 @@
     # Called by the pool.
 
     def start(self, exchange: Exchange) -> None:
-        """Write the query on an idle connection."""
+        """Write the query on an idle connection, if it is still awaited."""
         self.exchange = exchange
         exchange.connection = self
         if not self.protocol.is_reusable:
             self._fail_protocol()
             return
+        query = exchange.build_query()
+        if not exchange.is_awaited():
+            self._keep_unused(exchange)
+            return
         self._query_sent_us = self.pool.now()
         self._idle_before_query_us = self._query_sent_us - self.idle_since_us if self.idle_since_us else None
-        self.transport.write(self.protocol.send_query(exchange.build_query()))
+        self.transport.write(self.protocol.send_query(query))
         exchange.sent = not self.transport.write_buffer_size
 
     def abandon(self, exchange: Exchange, cancelled: bool) -> None:
@@ -136,12 +140,15 @@
         if exchange is None:
             self._release(reusable=True)
         elif not exchange.may_send():
-            self.exchange = None
-            self._release(reusable=True)
-            exchange.finish(Outcome.NOT_SENT)
+            self._keep_unused(exchange)
         elif not exchange.sent:
             self.start(exchange)
 
+    def _keep_unused(self, exchange: Exchange) -> None:
+        self.exchange = None
+        self._release(reusable=True)
+        exchange.finish(Outcome.NOT_SENT)
+
     def _release(self, reusable: bool) -> None:
         """Give the connection back to the pool, or close it.
 
--- a/juniperreel/platform/exchange.py
+++ b/juniperreel/platform/exchange.py
@@ -32,14 +32,16 @@
 class Exchange:
     """A query on its way through a pool and a connection; `on_done` is called exactly once.
 
-    `build_query` makes the text at the moment of writing, as it states the time that is left then. `may_send`
-    is asked just before; a query that it refuses is not written. `sent`: the last byte has left, so that the
-    endpoint may have executed it.
+    `may_send` is asked when a connection is there for it, then `build_query` makes the text, which states the
+    time that is left, and `is_awaited` is asked last, as reading the clock may have taken a while. A query
+    that either of them refuses is not written. `sent`: the last byte has left, so that the endpoint may have
+    executed it.
     """
 
     build_query: Callable[[], bytes]
     on_done: Callable[[ExchangeResult], None]
     may_send: Callable[[], bool] = field(default=_always)
+    is_awaited: Callable[[], bool] = field(default=_always)
     connection: EndpointConnection | None = field(default=None)
     sent: bool = False
     finished: bool = False
--- a/tests/platform/test_crossings.py
+++ b/tests/platform/test_crossings.py
@@ -236,6 +236,7 @@
         await harness.wait_for_event(harness.client_transports[-1], ENDED)
         await harness.until(lambda: not harness.driver.client_listener.clients)
         assert not harness.driver.requests.by_id
+        assert not harness.driver.requests.answered_us  # they were not even taken
         assert harness.members["a"].queries == harness.members["p"].queries == b""
 
 
--- a/tests/platform/test_planted.py
+++ b/tests/platform/test_planted.py
@@ -21,6 +21,7 @@
 from juniperreel.platform.driver import PlatformDriver
 from juniperreel.platform.endpoint_list import EndpointList
 from juniperreel.routing.policy.endpoint_list import EndpointTracker
+from juniperreel.routing.policy.retry import RetryPolicy
 from juniperreel.routing.router import Router
 from juniperreel.routing.state import RequestState, RouterState
 from juniperreel.routing.types import Endpoint, Outcome
@@ -99,6 +100,14 @@
     patch.setattr(ClientConnection, "eof_is_disconnect", False)
 
 
+def client_not_looked_at_before_a_write(patch: Patch) -> None:
+    patch.setattr(ClientConnection, "has_left", lambda _: False)
+
+
+def window_not_asked_when_written(patch: Patch) -> None:
+    patch.setattr(RetryPolicy, "confirms_send", lambda *_: True)
+
+
 def ramp_forgotten_at_restart(patch: Patch) -> None:
     update = EndpointTracker.update_endpoint
 
@@ -186,6 +195,17 @@
         client_disconnect_read_after_its_request,
         test_crossings.test_a_request_read_together_with_its_clients_end_is_not_sent_on,
     ),
+    (
+        client_not_looked_at_before_a_write,
+        partial(
+            test_crossings.test_a_client_that_has_left_gets_no_attempt_on_a_connection_that_comes_up,
+            "before the client left",
+        ),
+    ),
+    (
+        window_not_asked_when_written,
+        routing_crossings.test_send_of_a_keyed_repeat_is_confirmed_only_within_the_window_of_its_key,
+    ),
     (
         ramp_forgotten_at_restart,
         routing_crossings.test_endpoint_that_restarted_while_others_serve_warms_up_again,
--- a/tests/routing/test_crossings.py
+++ b/tests/routing/test_crossings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from typing import Any
 
 import pytest
 
@@ -25,7 +26,7 @@
 FIRST_ATTEMPT = 0
 
 
-def script_with_one_replica(**settings: bool) -> RouterScript:
+def script_with_one_replica(**settings: Any) -> RouterScript:
     """One replica, fresh enough for a read that needs nothing newer than now."""
     script = RouterScript(**settings)
     script.start_group("a")
@@ -121,7 +122,7 @@
 
 
 def test_send_of_a_keyed_repeat_is_confirmed_only_within_the_window_of_its_key() -> None:
-    """Danger: a connection that comes up late would carry a repeat that its endpoint takes for a new write."""
+    """A connection that comes up late would carry a repeat that its endpoint takes for a new write."""
     forgetful = replace(WRITE, deduplication_window_us=1 * SEC)
     script = script_with_one_replica(classes=classes_with(forgetful))
     write = script.submit_request(WRITE)
