--- a/tests/platform/event_harness.py
+++ b/tests/platform/event_harness.py
@@ -17,6 +17,7 @@
 from juniperreel.routing.types import UpdateKind
 
 MS, SEC = 1_000, 1_000_000
+START_US = 1_767_225_600 * SEC
 HELLO = m.startup("worker", "catalog")
 
 SETTINGS: dict[str, Any] = {
@@ -175,7 +176,7 @@
     """One driver, its clients and the remote ends of its connections to endpoints."""
 
     def __init__(self, **changes: Any) -> None:
-        self.time = 1_767_225_600 * SEC
+        self.time = START_US
         self.config: Config = parse_config(config_bytes(**changes))
         self.opened: list[tuple[int, FakeTransport]] = []
         self.discovery = FakeDiscovery()
--- a/tests/platform/test_driver.py
+++ b/tests/platform/test_driver.py
@@ -15,6 +15,7 @@
     HOSTS,
     MS,
     SEC,
+    START_US,
     EventHarness,
     FakeTransport,
     entry,
@@ -101,6 +102,28 @@
     assert client.take().count(m.READY) == MAX_OPEN_COMMANDS + 20
 
 
+@pytest.mark.parametrize("unread", [False, True], ids=["read", "left in the kernel"])
+def test_time_that_a_command_waits_behind_the_limit_of_its_connection_counts(
+    harness: EventHarness, unread: bool
+) -> None:
+    """Danger: an endpoint that is told more time than its client has left works for nobody."""
+    from juniperreel.platform.client_connection import MAX_OPEN_COMMANDS, MAX_UNPARSED_BYTES
+
+    client = harness.client(*(read_text(f"{n:016x}", span=700) for n in range(MAX_OPEN_COMMANDS)))
+    last = f"{MAX_OPEN_COMMANDS:016x}"
+    if unread:
+        harness.feed(client, m.query(b" " * (MAX_UNPARSED_BYTES // 2)) * 3)
+        assert client.reading_paused
+    else:
+        harness.feed(client, m.query(read_text(last, span=2000)))
+    while client.reading_paused if unread else last not in harness.driver.requests.by_id:
+        harness.advance_us(10 * MS)
+    assert harness.time - START_US > 200 * MS
+    if unread:
+        harness.feed(client, m.query(read_text(last, span=2000)))
+    assert harness.driver.requests.by_id[last].deadline_us <= START_US + 2000 * MS
+
+
 def test_the_id_of_an_open_or_an_answered_request_is_refused_and_the_first_keeps_its_answer(
     harness: EventHarness,
 ) -> None:
