Platform: a command's time counts from the arrival of its last byte, however long it waits

Cause: Command.arrived_us was the time of the poll in which the command was parsed. The 65th of a connection is parsed when one of 64 before it is answered, and what lies in the kernel while reading is paused even later, so deadlines and what endpoints were told lay beyond what the client waits: rule on deadlines passed on, and answers after their time. Change: ArrivalTimes keeps when the bytes of a stream came; bytes that may have waited in the kernel count from the pause.

--- a/juniperreel/platform/client_connection.py
+++ b/juniperreel/platform/client_connection.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from juniperreel.net.transport import READ_BYTES, Transport
+from juniperreel.platform.arrival_times import ArrivalTimes
 from juniperreel.platform.command import Command
 from juniperreel.platform.errors import InvalidRequestError
 from juniperreel.postgres import server
@@ -38,6 +39,8 @@
         self._listener = listener
         self._transport = transport
         self._protocol = server.ServerConnection()
+        self._arrivals = ArrivalTimes()
+        self._reading_paused_us = 0  # since when bytes may wait in the kernel; 0 where none do
         self.commands: deque[Command] = deque()  # unanswered, or behind one that is
         self._protocol_error: ProtocolError | None = None  # of what was read last
         self._advancing = False
@@ -54,9 +57,15 @@
 
     def data_received(self, data: bytes) -> None:
         """Read commands, and answer them where that is possible at once."""
+        self._arrivals.receive(len(data), self._earliest_arrival_us())
+        if len(data) < READ_BYTES:
+            self._reading_paused_us = 0  # the kernel holds no more
         self._protocol.receive_data(data)
         self.advance()
 
+    def _earliest_arrival_us(self) -> int:
+        return self._reading_paused_us or self._listener.handler.input_ready_since_us
+
     def connection_lost(self, _reason: str) -> None:
         """Withdraw all open commands."""
         self._listener.remove(self)
@@ -85,7 +94,8 @@
             self.command_count += 1
             self.partial_since_us = 0
             self._listener.on_command_received(self)
-            self.commands.append(self._create_command(query.text))
+            arrived_us = self._arrivals.take(self._protocol.buffered)
+            self.commands.append(self._create_command(query.text, arrived_us))
         if self._protocol.outgoing:
             output = self._protocol.outgoing
             self._protocol.outgoing = bytearray()
@@ -95,7 +105,7 @@
         elif not self.partial_since_us:
             self.partial_since_us = self._listener.now()
         if self._protocol.buffered > MAX_UNPARSED_BYTES:
-            self._transport.pause_reading()
+            self.pause_reading()
 
     def _accepts_commands(self) -> bool:
         return (
@@ -112,8 +122,7 @@
             self._transport.pause_reading()
             return None
 
-    def _create_command(self, text: bytes) -> Command:
-        arrived_us = self._listener.handler.input_ready_since_us
+    def _create_command(self, text: bytes, arrived_us: int) -> Command:
         if not text.strip(WHITESPACE):
             return Command(self, arrived_us, None, server.empty_query_response())
         try:
@@ -192,6 +201,7 @@
 
     def pause_reading(self) -> None:
         """Read no further commands."""
+        self._reading_paused_us = self._reading_paused_us or self._listener.now()
         self._transport.pause_reading()
 
     def begin_closing(self, now_us: int) -> bool:
