Net: system calls that fail for a moment end neither the driver nor other connections

Cause: Acceptor prepared an accepted connection outside of its try, so ENOBUFS of setsockopt or ENOSPC of epoll_ctl went up through Poller.dispatch and ended the program; Acceptor.close took any end of accepting for the end of what waits, and closed the listener over it; Transport._flush and _read took ENOBUFS and ENOMEM for the end of the connection, and with it the answers that were owed. Change: a connection that can't be prepared is closed alone; the listener stays open until accept says that nothing waits, and a shutdown waits for that as it does for clients; memory that is short is tried again.

--- a/juniperreel/net/acceptor.py
+++ b/juniperreel/net/acceptor.py
@@ -47,23 +47,35 @@
         """Accept what waits, up to `ACCEPTS_PER_EVENT` connections."""
         self._accept(self.ACCEPTS_PER_EVENT)
 
-    def _accept(self, max_connections: int) -> None:
+    def _accept(self, max_connections: int) -> bool:
+        """Accept so many connections at most; return whether none is known to wait any more."""
         for _ in range(max_connections):
             try:
                 connection, _ = self._socket.accept()
             except (BlockingIOError, InterruptedError):
-                return
+                return True
             except OSError as error:
                 if error.errno in DESCRIPTOR_EXHAUSTION_ERRNOS:
                     # The kernel keeps the connection pending and would report it with every poll, so the
                     # loop would spin until a descriptor is free.
                     self.exhausted_us = self._poller.clock.now_us()
                     self._poller.change(self._socket.fileno(), 0)
-                    return
+                    return False
                 continue  # the failure of one connection that was never established
+            transport = self._prepare(connection)
+            if transport is not None:
+                self._on_accepted(transport)
+        return False
+
+    def _prepare(self, connection: socket.socket) -> Transport | None:
+        """Return the connection's transport, or close one that the system has no resources for."""
+        try:
             connection.setblocking(False)
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self._on_accepted(Transport(self._poller, connection))
+            return Transport(self._poller, connection)
+        except OSError:
+            connection.close()
+            return None
 
     def retry(self, now_us: int) -> None:
         """Accept again, once the pause after descriptors ran out has passed."""
@@ -72,9 +84,12 @@
             self._poller.change(self._socket.fileno(), select.EPOLLIN)
 
     def close(self) -> None:
-        """Accept the connections that the kernel has already established, then stop listening."""
-        if self.is_open:
-            self._accept(BACKLOG)
+        """Accept the connections that the kernel has already established, then stop listening.
+
+        Those that can't be accepted now would be reset with the requests that were sent on them: the listener
+        stays open then, and `close` is to be called again.
+        """
+        if self.is_open and self._accept(BACKLOG):
             self.is_open = False
             self._poller.remove(self._socket.fileno())
             self._socket.close()
--- a/juniperreel/net/transport.py
+++ b/juniperreel/net/transport.py
@@ -14,6 +14,7 @@
 from juniperreel.net.poller import Poller
 
 READ_BYTES = 65_536  # by one call of recv at most
+MEMORY_EXHAUSTION_ERRNOS = frozenset({errno.ENOBUFS, errno.ENOMEM})  # for a moment, and not of the connection
 READ_EVENTS = select.EPOLLIN | select.EPOLLRDHUP
 HANG_UP_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
@@ -205,6 +206,8 @@
         except (BlockingIOError, InterruptedError):
             pass
         except OSError as error:
+            if error.errno in MEMORY_EXHAUSTION_ERRNOS:
+                return True  # the poller reports the socket as writable again
             self._disconnect(protocol, error.strerror or "broken")
             return False
         self._send_eof_when_flushed()
@@ -216,7 +219,8 @@
         except (BlockingIOError, InterruptedError):
             return
         except OSError as error:
-            self._disconnect(protocol, error.strerror or "broken")
+            if error.errno not in MEMORY_EXHAUSTION_ERRNOS:
+                self._disconnect(protocol, error.strerror or "broken")
             return
         if not data:
             self._disconnect(protocol, "closed")
--- a/juniperreel/platform/program.py
+++ b/juniperreel/platform/program.py
@@ -104,7 +104,8 @@
         if self.acceptor is not None and self.acceptor.is_open:
             self.acceptor.close()
         driver.client_listener.close_when_answered()
-        return driver.is_idle or driver.shutdown.is_over(now_us)
+        is_closed = self.acceptor is None or not self.acceptor.is_open
+        return (is_closed and driver.is_idle) or driver.shutdown.is_over(now_us)
 
     def begin_shutdown(self) -> None:
         """Begin the graceful shutdown; a second call changes nothing."""
