Known red: a new configuration that can't be read in one moment is never followed

Need: what was taken on is owed. SIGHUP tells of a new discovery address once, and after 4 s drivers are held to what that one tells. Program.reload reads the file once: without a descriptor (ENFILE), with EIO, or half written, the driver stays with the old address until somebody signals again, and sends to endpoints that drain by the new one. Change: a test of both, listed as known red until the fix.

--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -20,6 +20,7 @@
 from juniperreel.platform.config import parse_config
 from juniperreel.platform.log import Log
 from juniperreel.platform.program import Program
+from juniperreel.testbed.injected_faults import FaultKind, InjectedFaults
 from tests.platform.event_harness import config_bytes, entry, read_text, write_text
 
 SECONDS = 30
@@ -130,6 +131,37 @@
             nursery.cancel_scope.cancel()
 
 
+@pytest.mark.parametrize("trouble", ["unreadable", "half written"])
+async def test_a_configuration_that_is_not_readable_at_once_is_followed_without_another_signal(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, trouble: str
+) -> None:
+    """Danger: the operators tell the change of address once, and hold drivers to what the new one tells."""
+    async with running(tmp_path) as harness, trio.open_nursery() as nursery:
+        other = DiscoveryServer(harness.discovery.hosts)
+        await nursery.start(other.run)
+        text = config_bytes(
+            known={"seq": 0, "whole": True, "hosts": harness.discovery.hosts},
+            discovery=f"127.0.0.1:{other.port}",
+        )
+        path = harness.program.config_path
+        path.write_bytes(text[: len(text) // 2] if trouble == "half written" else text)
+        faults = InjectedFaults({FaultKind.FILE: 1.0} if trouble == "unreadable" else {}, seed=1)
+        read_bytes = Path.read_bytes
+
+        def faulty(file: Path) -> bytes:
+            faults.raise_if_occurs(FaultKind.FILE)
+            return read_bytes(file)
+
+        monkeypatch.setattr(Path, "read_bytes", faulty)
+        harness.program.reload()
+        await harness.until(lambda: faults.counts[FaultKind.FILE] >= 3 or trouble == "half written")
+        assert harness.program.discovery.address[1] == harness.discovery.port
+        faults.rates = {}
+        path.write_bytes(text)
+        await harness.until(lambda: other.calls >= 1)
+        nursery.cancel_scope.cancel()
+
+
 async def test_a_driver_told_to_end_serves_on_and_ends(tmp_path: Path) -> None:
     async with running(tmp_path) as harness:
         harness.program.begin_shutdown()
