Reload: a configuration that can't be read is tried again, for a minute

Cause: Program.reload read the file once and gave up on OSError or ConfigError until the next SIGHUP, which nobody owes. Change: ConfigReload (platform/reload.py) tries again after 0.1 s, doubling to 1 s, for a minute; a newer SIGHUP takes its place. Half a file still changes nothing.

--- a/juniperreel/platform/program.py
+++ b/juniperreel/platform/program.py
@@ -11,12 +11,13 @@
 from juniperreel.net.acceptor import Acceptor
 from juniperreel.net.poller import Poller
 from juniperreel.net.transport import Transport, connect
-from juniperreel.platform.config import Config, parse_config
+from juniperreel.platform.config import Config
 from juniperreel.platform.discovery import Discovery, watch_wait_us
 from juniperreel.platform.driver import PlatformDriver
 from juniperreel.platform.endpoint_list import EMPTY_LIST, EndpointList, read_endpoint_list
-from juniperreel.platform.errors import ConfigError, EndpointListError
+from juniperreel.platform.errors import EndpointListError
 from juniperreel.platform.log import Log
+from juniperreel.platform.reload import ConfigReload
 from juniperreel.routing.types import UpdateKind
 
 STATUS_INTERVAL_S = 10
@@ -43,6 +44,9 @@
         )
         self.driver = PlatformDriver(config, self.clock.now_us, self._connect, self.discovery, log)
         self.acceptor: Acceptor | None = None
+        self._reload = ConfigReload(
+            config_path, self.clock.now_us, self.driver.timers, self._on_reloaded, log
+        )
 
     def _connect(self, host: str, port: int) -> Transport:
         return connect(self.poller, host, port)
@@ -123,21 +127,16 @@
         """Read the configuration file again and use its discovery address.
 
         A file that is half written, or wrong, changes nothing: it must neither end the driver nor apply in
-        parts.
+        parts. It is read again for a while.
         """
-        try:
-            config = parse_config(self.config_path.read_bytes())
-        except (OSError, ConfigError) as error:
-            self._log_rejected_reload(error)
-            return
+        self._reload.start()
+
+    def _on_reloaded(self, config: Config) -> None:
         if config.router != self.config.router:
             self.log.warning("changed settings need a restart")
         self.log.info("configuration reloaded", discovery=f"{config.discovery[0]}:{config.discovery[1]}")
         self.discovery.change_address(config.discovery)
 
-    def _log_rejected_reload(self, error: Exception) -> None:
-        self.log.error("configuration reload rejected", error=str(error))
-
     async def log_status(self) -> None:
         """Write a line to the log at intervals, until cancelled."""
         while True:
