Known red: a configuration file of unexpected shape ends a driver that reloads it

Need: a file that is wrong changes nothing. parse_config catches decoding, key, value, type and index errors; lists in place of objects raise AttributeError, numbers beyond range OverflowError, deep nesting RecursionError, and each of them ends the driver at SIGHUP.

--- a/juniperreel/platform/reload.py
+++ b/juniperreel/platform/reload.py
@@ -1,7 +1,7 @@
 """Reloads the configuration file, again and again while it can't be read.
 
-The operators tell of a new file once. Reading it may fail for a moment, without a descriptor or while it is being
-written, and whoever gave up then would follow the old discovery for good.
+The operators tell of a new file once. Reading it may fail for a moment, without a descriptor or while it is
+being written, and whoever gave up then would follow the old discovery for good.
 """
 
 from __future__ import annotations
--- a/tests/platform/test_guards.py
+++ b/tests/platform/test_guards.py
@@ -171,3 +171,28 @@
     ):
         with pytest.raises(ConfigError):
             parse_config(data)
+
+
+NESTED_TOO_DEEP = b"[" * 100_000 + b"]" * 100_000
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        pytest.param(config_bytes(settings={**SETTINGS, "prices": ["probe"]}), id="prices are a list"),
+        pytest.param(config_bytes(settings={**SETTINGS, "tenants": [["acme"]]}), id="a tenant is a list"),
+        pytest.param(
+            config_bytes(settings={**SETTINGS, "rules": {**SETTINGS["rules"], "cold_s": 1e308}}),
+            id="a time beyond numbers",
+        ),
+        pytest.param(config_bytes(settings={**SETTINGS, "balancers": 1e308 * 10}), id="infinitely many"),
+        pytest.param(config_bytes(listen="127.0.0.1:" + "9" * 5000), id="a port of 5000 digits"),
+        pytest.param(
+            config_bytes()[:-1] + b',"more":' + NESTED_TOO_DEEP + b"}", id="nested beyond the stack"
+        ),
+    ],
+)
+def test_no_configuration_file_raises_anything_but_a_configuration_error(data: bytes) -> None:
+    """What is raised beside it would end a driver that is told to read the file again."""
+    with pytest.raises(ConfigError):
+        parse_config(data)
