Configuration and lists: whatever their content, reading them ends no driver

Cause: parse_config and Discovery._accept_list named some of the errors that reading can raise. Change: AttributeError, ArithmeticError and RecursionError are named, too, and a list that nests too deep is a failed call.

--- a/juniperreel/platform/config.py
+++ b/juniperreel/platform/config.py
@@ -12,6 +12,17 @@
 from juniperreel.platform_settings import read_settings
 from juniperreel.routing.types import Settings
 
+# What a file of any content can make its readers raise: none of it may end a driver that reads its file again.
+UNREADABLE = (
+    msgspec.DecodeError,
+    LookupError,
+    ValueError,
+    TypeError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+)
+
 
 class Limits(msgspec.Struct):
     """What the operators allow the process; only the number of sockets is enforced here."""
@@ -79,5 +90,5 @@
             connect_timeout_us=round(ceilings["connect_timeout_s"] * 1_000_000),
             idle_timeout_us=round(ceilings["conn_idle_s"] * 1_000_000),
         )
-    except (msgspec.DecodeError, KeyError, ValueError, TypeError, IndexError) as error:
+    except UNREADABLE as error:
         raise ConfigError(f"{type(error).__name__}: {error}") from error
--- a/juniperreel/platform/discovery.py
+++ b/juniperreel/platform/discovery.py
@@ -176,7 +176,7 @@
         """
         try:
             raw = msgspec.json.decode(body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
             raise EndpointListError(str(error)) from error
         endpoint_list = read_endpoint_list(raw, self._zones, self._machine_types)
         if endpoint_list.unreadable_lines:
--- a/tests/platform/test_discovery.py
+++ b/tests/platform/test_discovery.py
@@ -208,3 +208,14 @@
             await it.until(lambda it=it: it.told)  # type: ignore[misc]
             assert it.told[0][0] is kind
             assert it.discovery.version == (4 if kind is UpdateKind.SNAPSHOT else 3)
+
+
+async def test_an_answer_that_is_nested_beyond_the_stack_is_a_failed_call(
+    mock_clock: trio.testing.MockClock,
+) -> None:
+    async with calls(mock_clock) as it:
+        it.discovery.fetch()
+        server = await it.call(1)
+        server.send(http(b"[" * 100_000 + b"]" * 100_000))
+        await it.until(lambda: it.told)
+        assert it.told == [(UpdateKind.FAILED, None)]
