Known red: one unexpected error ends the driver, or fails all requests of its moment

Need: what one connection, timer or request makes go wrong must not take along what others are owed. Poller.dispatch and TimerQueue let errors through to the end of the program; RouterLoop.process_batch drops the actions that the batch led to before the error, so their attempts are in flight for the router and were never begun.

--- a/juniperreel/platform/config.py
+++ b/juniperreel/platform/config.py
@@ -12,7 +12,7 @@
 from juniperreel.platform_settings import read_settings
 from juniperreel.routing.types import Settings
 
-# What a file of any content can make its readers raise: none of it may end a driver that reads its file again.
+# What a file of any content can make its readers raise: none of it may end a driver that reloads its file.
 UNREADABLE = (
     msgspec.DecodeError,
     LookupError,
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -4,7 +4,7 @@
 
 import json
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
@@ -17,11 +17,15 @@
 from juniperreel.net import Clock
 from juniperreel.net.acceptor import Acceptor
 from juniperreel.net.poller import Poller
+from juniperreel.platform.client_connection import ClientConnection
 from juniperreel.platform.config import parse_config
 from juniperreel.platform.log import Log
 from juniperreel.platform.program import Program
+from juniperreel.postgres import messages
+from juniperreel.routing.router import Router
+from juniperreel.routing.types import Request
 from juniperreel.testbed.injected_faults import FaultKind, InjectedFaults
-from tests.platform.event_harness import config_bytes, entry, read_text, write_text
+from tests.platform.event_harness import HELLO, config_bytes, entry, read_text, write_text
 
 SECONDS = 30
 WITNESS = """
@@ -162,6 +166,60 @@
         nursery.cancel_scope.cancel()
 
 
+def _plant_in_a_connection(patch: pytest.MonkeyPatch, _program: Program) -> None:
+    data_received = ClientConnection.data_received
+
+    def planted(client: ClientConnection, data: bytes) -> None:
+        if b"unexpected" in data:
+            raise RuntimeError("planted")
+        data_received(client, data)
+
+    patch.setattr(ClientConnection, "data_received", planted)
+
+
+def _plant_in_a_timer(_patch: pytest.MonkeyPatch, program: Program) -> None:
+    def planted() -> None:
+        raise RuntimeError("planted")
+
+    program.driver.timers.call_at(0, planted)
+
+
+def _plant_in_the_policy(patch: pytest.MonkeyPatch, _program: Program) -> None:
+    on_request = Router._on_request
+
+    def planted(router: Router, event: Request) -> None:
+        if event.id.endswith("bad"):
+            raise RuntimeError("planted")
+        on_request(router, event)
+
+    patch.setattr(Router, "_on_request", planted)
+
+
+@pytest.mark.parametrize("plant", [_plant_in_a_connection, _plant_in_a_timer, _plant_in_the_policy])
+async def test_an_unexpected_error_ends_what_it_is_about_and_nothing_else(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, plant: Callable[[pytest.MonkeyPatch, Program], None]
+) -> None:
+    async with running(tmp_path) as harness:
+        plant(monkeypatch, harness.program)
+        assert harness.program.acceptor is not None
+        stream = await trio.open_tcp_stream("127.0.0.1", harness.program.acceptor.port)
+        good = messages.query(read_text("00000000000000a1", span=3000))
+        bad = messages.query(read_text("0000000000000bad", span=3000, key="row-2"))
+        await stream.send_all(HELLO + good + bad)
+        # Of these two, taken in one batch, the first is served whatever becomes of the second.
+        received = b""
+        with trio.fail_after(SECONDS):
+            while received.count(messages.READY) < 3:
+                data = await stream.receive_some(4096)
+                assert data
+                received += data
+        assert b"row-1" in received
+        await stream.send_all(messages.query(b"unexpected"))
+        found = await harness.ask(read_text("00000000000000a3", span=3000))
+        assert found[0][0] is None
+        await stream.aclose()
+
+
 async def test_a_driver_told_to_end_serves_on_and_ends(tmp_path: Path) -> None:
     async with running(tmp_path) as harness:
         harness.program.begin_shutdown()
