Driver: an unexpected error ends the connection, timer or event that it is about, and no other

Cause: nothing stood between a handler of a socket or a timer's call and the end of the program; and where the router raised on one event, RouterLoop dropped the actions of the events before it and failed the requests of all. Change: Poller.dispatch and TimerQueue hand what is raised to their owner, who logs it and ends that connection; RouterLoop carries out what the events before led to, answers the one at fault, and goes on with those behind it. A request that the router forgot is answered 0.1 s after its deadline in place of 0.25, as the look for such requests comes each 0.25 s and half a second is the end of what is only worthless.

--- a/juniperreel/net/poller.py
+++ b/juniperreel/net/poller.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import select
+from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 import trio
@@ -28,6 +29,13 @@
         ...
 
 
+HandlerErrorCallback = Callable[[EventHandler, Exception], None]
+
+
+def _raise_again(_handler: EventHandler, error: Exception) -> None:
+    raise error
+
+
 class ReadyEvent(NamedTuple):
     """One socket that the last poll found ready, with the handler registered for it at that moment."""
 
@@ -39,12 +47,14 @@
 class Poller:
     """All sockets of one task: call `wait`, then `dispatch`, in a loop.
 
-    Owns the registrations; the sockets themselves belong to their handlers.
+    Owns the registrations; the sockets themselves belong to their handlers. `on_handler_error` is called with
+    what a handler raised, and raises it again where it is not set.
     """
 
     def __init__(self, clock: Clock) -> None:
         """Open the epoll. `clock` times the waits."""
         self.clock = clock
+        self.on_handler_error: HandlerErrorCallback = _raise_again
         self._epoll = select.epoll()
         self._handlers: dict[int, EventHandler] = {}
         self._events: list[ReadyEvent] = []
@@ -109,8 +119,13 @@
         for fileno, mask, handler in events:
             # An earlier call of this loop may have closed this socket, and a new one may have been given its
             # descriptor number: an event of the old socket, such as its end, must not reach the new one.
-            if handler is not None and self._handlers.get(fileno) is handler:
+            if handler is None or self._handlers.get(fileno) is not handler:
+                continue
+            try:
                 handler.handle_event(mask)
+            except Exception as error:
+                # The task's boundary: what one connection makes go wrong must not end all others.
+                self.on_handler_error(handler, error)
 
 
 def _has_not_hung_up(event: ReadyEvent) -> bool:
--- a/juniperreel/net/transport.py
+++ b/juniperreel/net/transport.py
@@ -145,6 +145,15 @@
             self._poller.remove(self._socket.fileno())
             self._socket.close()
 
+    def abort(self, reason: str) -> None:
+        """Close at once, and tell the protocol as if the connection was lost."""
+        if self.closed:
+            return
+        if self.protocol is None:
+            self.close()
+        else:
+            self._disconnect(self.protocol, reason)
+
     def write_eof(self) -> None:
         """End the connection in order: send what is buffered, then the end of the stream.
 
--- a/juniperreel/platform/driver.py
+++ b/juniperreel/platform/driver.py
@@ -43,7 +43,9 @@
 )
 
 HOUSEKEEPING_INTERVAL_US = 250_000
-OVERDUE_AFTER_US = 250_000  # beyond the deadline, a request without an answer is a fault of the router
+# Beyond the deadline, a request without an answer is a fault of the router. Up to half a second late an
+# answer is only worth nothing, and the housekeeping that looks for such requests has its interval.
+OVERDUE_AFTER_US = 100_000
 HEALTH_CHECK_TIMEOUT_US = 250_000
 LOAD_REPORT_QUERY = b"SHOW pressure"
 LOAD_REPORT_PARAMETER = "pressure"
@@ -86,6 +88,7 @@
         self._discovery = discovery
         self._validator = RequestValidator(config.router)
         self.timers = TimerQueue()
+        self.timers.on_call_error = self._on_timer_error
         self.budget = DescriptorBudget(config.limits.sockets)
         self.endpoint_pools = EndpointPools(
             connect, now, self.timers, self.budget, config.connect_timeout_us, config.idle_timeout_us
@@ -110,6 +113,9 @@
         while self.process_batch(now_us) and self.queue:
             now_us = self.now()
 
+    def _on_timer_error(self, error: Exception) -> None:
+        self.log.error("timer raised", exc_info=error)
+
     def _keep_house(self) -> None:
         now_us = self.now()
         self.timers.call_at(now_us + HOUSEKEEPING_INTERVAL_US, self._keep_house)
@@ -308,8 +314,10 @@
         self.log.error("policy raised on batch", exc_info=error)
         for event in events:
             request_id = event.id if isinstance(event, Request) else getattr(event, "request", None)
-            if request_id is not None:
+            request = self.requests.by_id.get(request_id) if request_id is not None else None
+            if request_id is not None and request is not None and request.command is not None:
                 self._answer(request_id, server.failed("58000", "the driver failed on this request"))
+                self.enqueue(ClientDisconnected(request_id))
 
     # Discovery.
 
--- a/juniperreel/platform/program.py
+++ b/juniperreel/platform/program.py
@@ -9,7 +9,7 @@
 
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.net.acceptor import Acceptor
-from juniperreel.net.poller import Poller
+from juniperreel.net.poller import EventHandler, Poller
 from juniperreel.net.transport import Transport, connect
 from juniperreel.platform.config import Config
 from juniperreel.platform.discovery import Discovery, watch_wait_us
@@ -43,6 +43,7 @@
             log,
         )
         self.driver = PlatformDriver(config, self.clock.now_us, self._connect, self.discovery, log)
+        self.poller.on_handler_error = self._on_handler_error
         self.acceptor: Acceptor | None = None
         self._reload = ConfigReload(
             config_path, self.clock.now_us, self.driver.timers, self._on_reloaded, log
@@ -51,6 +52,11 @@
     def _connect(self, host: str, port: int) -> Transport:
         return connect(self.poller, host, port)
 
+    def _on_handler_error(self, handler: EventHandler, error: Exception) -> None:
+        self.log.error("connection raised", exc_info=error)
+        if isinstance(handler, Transport):
+            handler.abort("internal error")
+
     def _on_endpoint_update(self, kind: UpdateKind, endpoint_list: EndpointList | None) -> None:
         self.driver.on_endpoint_update(kind, endpoint_list)
         self.driver.process_pending()
--- a/juniperreel/routing/loop.py
+++ b/juniperreel/routing/loop.py
@@ -68,16 +68,29 @@
         events.extend(self._due_timers(now))
         if not events:
             return False
-        try:
-            actions = self.router.handle(now, events)
-        except Exception as error:
-            # One request on which the policy raises must not end the program and all other requests.
-            self.on_policy_error(events, error)
-            return True
-        for action in actions:
+        for action in self._handle(events, now):
             self._carry_out(action, now)
         return True
 
+    def _handle(self, events: list[Event], now: int) -> list[Action]:
+        """The router's actions on these events, all but those on which it raises.
+
+        One request on which the policy raises must not end the program, nor what others are owed: what the
+        events before it led to is carried out, and the events behind it are handled.
+        """
+        actions: list[Action] = []
+        while True:
+            self.router.handled_events = 0
+            try:
+                return actions + self.router.handle(now, events)
+            except Exception as error:
+                actions += self.router.state.actions
+                failed = self.router.handled_events
+                self.on_policy_error(events[failed : failed + 1], error)
+                events = events[failed + 1 :]
+                if not events:
+                    return actions
+
     def _due_timers(self, now: int) -> list[TimerFired]:
         fired: list[TimerFired] = []
         while self._timers and self._timers[0][0] <= now:
--- a/juniperreel/routing/router.py
+++ b/juniperreel/routing/router.py
@@ -48,6 +48,7 @@
         self.position_checks = PositionChecker(self.parts, self.selection)
         self.dispatcher = Dispatcher(self.parts, self.position_checks)
         self._tick = TickTimer()
+        self.handled_events = 0  # by `handle`; where it raised, the event of this index did
 
     def handle(self, now_us: int, events: Iterable[Event]) -> list[Action]:
         """Take in all events since the last call, and return the actions they lead to.
@@ -67,6 +68,7 @@
         for event in batch:
             if not isinstance(event, Request) or event.id not in disconnected:
                 self._on_event(event)
+            self.handled_events += 1
         self._on_queues_due(batch)
         self._set_tick()
         return state.actions
