--- a/juniperreel/net/transport.py
+++ b/juniperreel/net/transport.py
@@ -14,7 +14,9 @@
 from juniperreel.net.poller import Poller
 
 READ_BYTES = 65_536  # by one call of recv at most
+MEMORY_EXHAUSTION_ERRNOS = frozenset({errno.ENOBUFS, errno.ENOMEM})  # for a moment, and not of the connection
 READ_EVENTS = select.EPOLLIN | select.EPOLLRDHUP
+HANG_UP_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
 class Protocol(typing.Protocol):
@@ -116,6 +118,26 @@
             return False
         return False
 
+    def peer_has_left(self) -> bool:
+        """Return whether the peer has ended its side or broken the connection, as the kernel knows it now.
+
+        The poller reports that later: with its next poll, and behind what the poll found before it.
+        """
+        if self.closed:
+            return True
+        try:
+            first_byte = self._socket.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
+        return not first_byte or self._hangs_up_behind_unread_bytes()
+
+    def _hangs_up_behind_unread_bytes(self) -> bool:
+        poll = select.poll()
+        poll.register(self._socket, HANG_UP_EVENTS)
+        return bool(poll.poll(0))
+
     def close(self) -> None:
         """Close at once; what is buffered is lost."""
         if not self.closed:
@@ -123,6 +145,15 @@
             self._poller.remove(self._socket.fileno())
             self._socket.close()
 
+    def abort(self, reason: str) -> None:
+        """Close at once, and tell the protocol as if the connection was lost."""
+        if self.closed:
+            return
+        if self.protocol is None:
+            self.close()
+        else:
+            self._disconnect(self.protocol, reason)
+
     def write_eof(self) -> None:
         """End the connection in order: send what is buffered, then the end of the stream.
 
@@ -184,6 +215,8 @@
         except (BlockingIOError, InterruptedError):
             pass
         except OSError as error:
+            if error.errno in MEMORY_EXHAUSTION_ERRNOS:
+                return True  # the poller reports the socket as writable again
             self._disconnect(protocol, error.strerror or "broken")
             return False
         self._send_eof_when_flushed()
@@ -195,7 +228,8 @@
         except (BlockingIOError, InterruptedError):
             return
         except OSError as error:
-            self._disconnect(protocol, error.strerror or "broken")
+            if error.errno not in MEMORY_EXHAUSTION_ERRNOS:
+                self._disconnect(protocol, error.strerror or "broken")
             return
         if not data:
             self._disconnect(protocol, "closed")
--- a/juniperreel/platform/program.py
+++ b/juniperreel/platform/program.py
@@ -9,14 +9,15 @@
 
 from juniperreel.net import Clock, TcpNetwork
 from juniperreel.net.acceptor import Acceptor
-from juniperreel.net.poller import Poller
+from juniperreel.net.poller import EventHandler, Poller
 from juniperreel.net.transport import Transport, connect
-from juniperreel.platform.config import Config, parse_config
+from juniperreel.platform.config import Config
 from juniperreel.platform.discovery import Discovery, watch_wait_us
 from juniperreel.platform.driver import PlatformDriver
 from juniperreel.platform.endpoint_list import EMPTY_LIST, EndpointList, read_endpoint_list
-from juniperreel.platform.errors import ConfigError, EndpointListError
+from juniperreel.platform.errors import EndpointListError
 from juniperreel.platform.log import Log
+from juniperreel.platform.reload import ConfigReload
 from juniperreel.routing.types import UpdateKind
 
 STATUS_INTERVAL_S = 10
@@ -42,11 +43,20 @@
             log,
         )
         self.driver = PlatformDriver(config, self.clock.now_us, self._connect, self.discovery, log)
+        self.poller.on_handler_error = self._on_handler_error
         self.acceptor: Acceptor | None = None
+        self._reload = ConfigReload(
+            config_path, self.clock.now_us, self.driver.timers, self._on_reloaded, log
+        )
 
     def _connect(self, host: str, port: int) -> Transport:
         return connect(self.poller, host, port)
 
+    def _on_handler_error(self, handler: EventHandler, error: Exception) -> None:
+        self.log.error("connection raised", exc_info=error)
+        if isinstance(handler, Transport):
+            handler.abort("internal error")
+
     def _on_endpoint_update(self, kind: UpdateKind, endpoint_list: EndpointList | None) -> None:
         self.driver.on_endpoint_update(kind, endpoint_list)
         self.driver.process_pending()
@@ -104,7 +114,8 @@
         if self.acceptor is not None and self.acceptor.is_open:
             self.acceptor.close()
         driver.client_listener.close_when_answered()
-        return driver.is_idle or driver.shutdown.is_over(now_us)
+        is_closed = self.acceptor is None or not self.acceptor.is_open
+        return (is_closed and driver.is_idle) or driver.shutdown.is_over(now_us)
 
     def begin_shutdown(self) -> None:
         """Begin the graceful shutdown; a second call changes nothing."""
@@ -122,21 +133,16 @@
         """Read the configuration file again and use its discovery address.
 
         A file that is half written, or wrong, changes nothing: it must neither end the driver nor apply in
-        parts.
+        parts. It is read again for a while.
         """
-        try:
-            config = parse_config(self.config_path.read_bytes())
-        except (OSError, ConfigError) as error:
-            self._log_rejected_reload(error)
-            return
+        self._reload.start()
+
+    def _on_reloaded(self, config: Config) -> None:
         if config.router != self.config.router:
             self.log.warning("changed settings need a restart")
         self.log.info("configuration reloaded", discovery=f"{config.discovery[0]}:{config.discovery[1]}")
         self.discovery.change_address(config.discovery)
 
-    def _log_rejected_reload(self, error: Exception) -> None:
-        self.log.error("configuration reload rejected", error=str(error))
-
     async def log_status(self) -> None:
         """Write a line to the log at intervals, until cancelled."""
         while True:
