Platform: one guard before each write, rules checked at run time, counts and traces kept

The checks before a write were spread over the driver's closures. Change: Attempt (and HealthCheck) own an exchange and are asked in order before its query is written; RuleMonitor judges each write, answer and close by facts of its own (dropped, duplicate, draining, deadline), changes nothing, logs ids and counts; Counters say why sends were refused, connections closed, how attempts and requests ended; all are in the status line and the last line. JUNIPERREEL_TRACE=1 logs each step with its ids. A finished exchange lets go of its owner, so that timers no longer hold the text of an answered request up to its deadline.

--- a/juniperreel/platform/client_connection.py
+++ b/juniperreel/platform/client_connection.py
@@ -13,6 +13,7 @@
 from juniperreel.net.transport import READ_BYTES, Transport
 from juniperreel.platform.arrival_times import ArrivalTimes
 from juniperreel.platform.command import Command
+from juniperreel.platform.counters import CloseReason
 from juniperreel.platform.errors import InvalidRequestError
 from juniperreel.postgres import server
 from juniperreel.postgres.messages import ProtocolError
@@ -68,7 +69,7 @@
 
     def connection_lost(self, _reason: str) -> None:
         """Withdraw all open commands."""
-        self._listener.remove(self)
+        self._listener.remove(self, CloseReason.CLIENT_LEFT)
 
     # Commands and answers.
 
@@ -150,7 +151,7 @@
             self._transport.write(answers)
             self.last_active_us = self._listener.now()
             if self._transport.write_buffer_size > MAX_UNSENT_BYTES:
-                self._listener.remove(self)
+                self._listener.remove(self, CloseReason.ANSWERS_UNREAD)
                 return False
         if not self.commands:
             if self._close_when_done(answered=bool(answers)):
@@ -176,20 +177,28 @@
     def _close_when_done(self, answered: bool) -> bool:
         """Close a connection on which nothing follows; return whether that is so."""
         if self._protocol_error is not None:
-            self.close_with_error(self._protocol_error.sqlstate, str(self._protocol_error))
+            self.close_with_error(
+                self._protocol_error.sqlstate, str(self._protocol_error), CloseReason.PROTOCOL_ERROR
+            )
             return True
         is_shut_down = answered and self._listener.closing and not self._protocol.buffered
-        if self._protocol.phase is server.Phase.CLOSED or is_shut_down:
-            self._listener.close_gracefully(self)
+        terminated = self._protocol.phase is server.Phase.CLOSED
+        if terminated or is_shut_down:
+            reason = CloseReason.TERMINATED if terminated else CloseReason.SHUTDOWN
+            self._listener.close_gracefully(self, reason)
             return True
         return False
 
     # Called by the listener.
 
-    def close_with_error(self, sqlstate: str, message: str) -> None:
+    def close_with_error(self, sqlstate: str, message: str, reason: CloseReason) -> None:
         """Send a fatal error and close the connection in order."""
         self._transport.write(server.fatal(sqlstate, message))
-        self._listener.close_gracefully(self)
+        self._listener.close_gracefully(self, reason)
+
+    def unanswered_requests(self) -> list[str]:
+        """Return the ids of requests that were read and have no answer yet."""
+        return [command.form.id for command in self.commands if command.form and command.answer is None]
 
     def close(self) -> None:
         """Close the connection at once."""
--- a/juniperreel/platform/client_listener.py
+++ b/juniperreel/platform/client_listener.py
@@ -7,6 +7,7 @@
 from juniperreel.net.transport import Transport
 from juniperreel.platform.client_connection import ClientConnection
 from juniperreel.platform.command import RequestHandler
+from juniperreel.platform.counters import CloseReason
 from juniperreel.platform.descriptor_budget import DescriptorBudget
 
 FIRST_COMMAND_TIMEOUT_US = 2_000_000  # for a connection to send its first command
@@ -36,11 +37,13 @@
         self.clients.add(ClientConnection(self, transport, now_us))
         self.budget.clients += 1
 
-    def remove(self, client: ClientConnection) -> None:
+    def remove(self, client: ClientConnection, reason: CloseReason) -> None:
         """Close a connection at once, and withdraw its open requests."""
         if client not in self.clients:
             return
         self.clients.discard(client)
+        if not client.closing_since_us:
+            self.handler.connection_closed(client.unanswered_requests(), reason)
         self.budget.clients -= 1
         if client.closing_since_us:
             self.budget.closing_clients -= 1
@@ -52,7 +55,7 @@
             if command.request_id is not None:
                 self.handler.client_disconnected(command)
 
-    def close_gracefully(self, client: ClientConnection) -> None:
+    def close_gracefully(self, client: ClientConnection, reason: CloseReason) -> None:
         """Close a connection in order; its descriptor is free once the client has ended its side, too.
 
         Until then it counts as closing: counted among the clients that stay, it would make the driver close
@@ -60,11 +63,12 @@
         """
         self._answered.pop(client, None)
         if not client.closing_since_us:
+            self.handler.connection_closed(client.unanswered_requests(), reason)
             if client.command_count:
                 self.budget.active_clients -= 1
             self.budget.closing_clients += 1
         if not client.begin_closing(self.now()):
-            self.remove(client)
+            self.remove(client, reason)
 
     def on_command_received(self, client: ClientConnection) -> None:
         """A command has arrived."""
@@ -84,7 +88,7 @@
             longest_idle = next(iter(self._answered))
             del self._answered[longest_idle]
             if longest_idle is not client and longest_idle.is_idle:
-                self.close_gracefully(longest_idle)
+                self.close_gracefully(longest_idle, CloseReason.DESCRIPTORS)
 
     def _evict_one(self, now_us: int) -> bool:
         """Close the connection that will be missed least; return False where there is none.
@@ -96,7 +100,7 @@
         candidates.sort(key=_eviction_order)
         for client in candidates:
             if client.closing_since_us or not client.command_count or client.is_idle:
-                self.remove(client)
+                self.remove(client, CloseReason.DESCRIPTORS)
                 return True
         return False
 
@@ -114,7 +118,7 @@
         for client in list(self.clients):
             if client.closing_since_us:
                 if client.close_timed_out(now_us):
-                    self.remove(client)
+                    self.remove(client, CloseReason.CLOSE_TIMEOUT)
             elif not client.commands:
                 self._close_if_inactive(client, now_us)
 
@@ -122,11 +126,11 @@
         idle_us = now_us - client.last_active_us
         idle_timeout_us = SHORTAGE_IDLE_TIMEOUT_US if self.budget.clients_nearly_full else IDLE_TIMEOUT_US
         if client.partial_since_us and now_us - client.partial_since_us > COMMAND_TIMEOUT_US:
-            client.close_with_error("08P01", "a command does not end")
+            client.close_with_error("08P01", "a command does not end", CloseReason.HALF_COMMAND)
         elif not client.command_count and idle_us > FIRST_COMMAND_TIMEOUT_US:
-            client.close_with_error("57P05", "nothing was asked")
+            client.close_with_error("57P05", "nothing was asked", CloseReason.NO_COMMAND)
         elif idle_us > idle_timeout_us and client.is_idle:
-            self.close_gracefully(client)
+            self.close_gracefully(client, CloseReason.IDLE)
 
     def close_when_answered(self) -> None:
         """Close idle connections now, and from now on the others with the answers to their commands.
@@ -140,7 +144,7 @@
             if client.commands:
                 client.pause_reading()
             elif not client.closing_since_us and client.is_idle:
-                self.close_gracefully(client)
+                self.close_gracefully(client, CloseReason.SHUTDOWN)
 
 
 def _eviction_order(client: ClientConnection) -> tuple[bool, bool, int]:
--- a/juniperreel/platform/command.py
+++ b/juniperreel/platform/command.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Protocol
 
+from juniperreel.platform.counters import CloseReason
 from juniperreel.postgres.request_format import StatementRequest
 
 if TYPE_CHECKING:
@@ -57,6 +58,10 @@
         """Open a request; its answer arrives by `command.finish`. Raises InvalidRequestError."""
         ...
 
+    def connection_closed(self, unanswered: list[str], reason: CloseReason) -> None:
+        """A client's connection is closed while the requests of these ids have no answer."""
+        ...
+
     def client_disconnected(self, command: Command) -> None:
         """Withdraw the open request of a command whose client is gone."""
         ...
--- /dev/null
+++ b/juniperreel/platform/counters.py
@@ -0,0 +1,60 @@
+"""What the driver did and why, counted for its status lines."""
+
+from __future__ import annotations
+
+from collections import Counter
+from enum import Enum
+
+
+class CloseReason(Enum):
+    """Why a client's connection was closed."""
+
+    CLIENT_LEFT = "client left"
+    IDLE = "idle"
+    NO_COMMAND = "no command"
+    HALF_COMMAND = "half a command"
+    PROTOCOL_ERROR = "protocol error"
+    TERMINATED = "terminated"
+    SHUTDOWN = "shutdown"
+    DESCRIPTORS = "descriptors"
+    ANSWERS_UNREAD = "answers unread"
+    CLOSE_TIMEOUT = "close timed out"
+
+
+class SendRefusal(Enum):
+    """Why a query was not written although a connection was there for it."""
+
+    NOT_CONFIRMED = "not confirmed"  # the router found that it does not fit any more
+    CLIENT_LEFT = "client left"
+    ANSWERED = "answered"
+
+
+class AnswerKind(Enum):
+    """The kinds of final answers."""
+
+    SERVED = "served"
+    REJECTED = "rejected"
+    FAILED = "failed"
+    INVALID = "invalid"
+
+
+class Counters:
+    """Counts by reason, since the start."""
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self.answers: Counter[AnswerKind] = Counter()
+        self.attempts: Counter[str] = Counter()  # by outcome
+        self.refused_sends: Counter[SendRefusal] = Counter()
+        self.closed_clients: Counter[CloseReason] = Counter()
+        self.lists: Counter[str] = Counter()  # by kind of update
+
+    def fields(self) -> dict[str, dict[str, int]]:
+        """All counts that are not zero, by names that a log line can hold."""
+        return {
+            "answers": {kind.value: count for kind, count in self.answers.items()},
+            "attempts": dict(self.attempts),
+            "refused_sends": {reason.value: count for reason, count in self.refused_sends.items()},
+            "closed_clients": {reason.value: count for reason, count in self.closed_clients.items()},
+            "lists": dict(self.lists),
+        }
--- a/juniperreel/platform/driver.py
+++ b/juniperreel/platform/driver.py
@@ -11,9 +11,11 @@
 from typing import Protocol
 
 from juniperreel.platform import parameter_status
+from juniperreel.platform.attempt import Attempt
 from juniperreel.platform.client_listener import ClientListener
 from juniperreel.platform.command import Command
 from juniperreel.platform.config import Config
+from juniperreel.platform.counters import AnswerKind, CloseReason, Counters, SendRefusal
 from juniperreel.platform.descriptor_budget import DescriptorBudget
 from juniperreel.platform.endpoint_directory import EndpointDirectory
 from juniperreel.platform.endpoint_list import EndpointList
@@ -21,13 +23,15 @@
 from juniperreel.platform.errors import InvalidRequestError
 from juniperreel.platform.exchange import Exchange, ExchangeResult
 from juniperreel.platform.graceful_shutdown import GracefulShutdown
+from juniperreel.platform.health_check import HealthCheck
 from juniperreel.platform.log import Log
 from juniperreel.platform.open_requests import OpenRequest, OpenRequests
 from juniperreel.platform.request_validation import RequestValidator
+from juniperreel.platform.rule_monitor import RequestRecord, RuleMonitor
 from juniperreel.platform.timer_queue import TimerQueue
 from juniperreel.postgres import server
 from juniperreel.postgres.messages import READY
-from juniperreel.postgres.request_format import StatementRequest, with_timeout
+from juniperreel.postgres.request_format import StatementRequest
 from juniperreel.routing.loop import RouterLoop
 from juniperreel.routing.types import (
     AttemptEnded,
@@ -47,7 +51,6 @@
 # answer is only worth nothing, and the housekeeping that looks for such requests has its interval.
 OVERDUE_AFTER_US = 100_000
 HEALTH_CHECK_TIMEOUT_US = 250_000
-LOAD_REPORT_QUERY = b"SHOW pressure"
 LOAD_REPORT_PARAMETER = "pressure"
 SESSION_CONSISTENCY = (Consistency.WRITE, Consistency.SESSION)
 
@@ -87,13 +90,15 @@
         self.input_ready_since_us = now()
         self._discovery = discovery
         self._validator = RequestValidator(config.router)
+        self.monitor = RuleMonitor(config.router, log)
+        self.counters = Counters()
         self.timers = TimerQueue()
         self.timers.on_call_error = self._on_timer_error
         self.budget = DescriptorBudget(config.limits.sockets)
         self.endpoint_pools = EndpointPools(
             connect, now, self.timers, self.budget, config.connect_timeout_us, config.idle_timeout_us
         )
-        self._endpoints = EndpointDirectory(self.endpoint_pools)
+        self._endpoints = EndpointDirectory(self.endpoint_pools, config.router.removed_endpoints_serve)
         self.client_listener = ClientListener(self, now, self.budget)
         self.shutdown = GracefulShutdown(max(item.deadline_us for item in config.router.classes))
         self.requests = OpenRequests(now)
@@ -132,7 +137,7 @@
         ]
         for request_id in overdue:
             self.log.error("open request overdue", request=request_id)
-            self._answer(request_id, server.failed("58000", "the time is up"))
+            self._answer(request_id, server.failed("58000", "the time is up"), AnswerKind.FAILED)
             self.enqueue(ClientDisconnected(request_id))
 
     # Clients' requests.
@@ -149,7 +154,11 @@
         session_age_us = None
         if form.last_write_ms and consistency is Consistency.SESSION:
             session_age_us = max(self.now() - form.last_write_ms * 1000, 0)
-        self.requests.by_id[form.id] = OpenRequest(form, command, deadline_us)
+        record = RequestRecord(validated.request_class)
+        self.requests.by_id[form.id] = OpenRequest(form, command, deadline_us, record)
+        if self.log.tracing:
+            left_us = deadline_us - self.now()
+            self.log.trace("request taken", request=form.id, class_name=form.class_name, left_us=left_us)
         command.request_id = form.id
         self.enqueue(
             Request(
@@ -164,6 +173,14 @@
             )
         )
 
+    def connection_closed(self, unanswered: list[str], reason: CloseReason) -> None:
+        """Count a client's connection that is closed while the requests of these ids have no answer."""
+        self.counters.closed_clients[reason] += 1
+        if reason is not CloseReason.CLIENT_LEFT:
+            self.monitor.on_client_closed(unanswered, reason.value)
+        if self.log.tracing:
+            self.log.trace("client closed", reason=reason.value, unanswered=unanswered)
+
     def client_disconnected(self, command: Command) -> None:
         """Withdraw the open request of a command whose client is gone."""
         request_id = command.request_id
@@ -176,10 +193,14 @@
             self.enqueue(ClientDisconnected(request_id))
             self.requests.remove_if_done(request_id, request)
 
-    def _answer(self, request_id: str, data: bytes) -> None:
+    def _answer(self, request_id: str, data: bytes, kind: AnswerKind) -> None:
         request = self.requests.by_id.get(request_id)
         if request is None or request.command is None:
             return
+        self.counters.answers[kind] += 1
+        self.monitor.on_answered(request_id, self.now(), request.deadline_us)
+        if self.log.tracing:
+            self.log.trace("request answered", request=request_id, kind=kind.value)
         command = request.command
         request.command = None
         self.requests.remove_if_done(request_id, request)
@@ -201,12 +222,8 @@
         until_us = open_request.deadline_us
         if timeout_us:
             until_us = min(now + timeout_us, until_us)
-        exchange = Exchange(
-            build_query=partial(self._build_query, open_request, until_us),
-            on_done=partial(self._on_attempt_done, request, attempt, endpoint, now),
-            may_send=partial(self._may_send, request, attempt),
-            is_awaited=partial(self._is_awaited, open_request),
-        )
+        owner = Attempt(self, request, open_request, attempt, endpoint, now, until_us)
+        exchange = Exchange(owner)
         open_request.exchanges[attempt] = exchange
         if open_request.command is None:
             exchange.finish(Outcome.NOT_SENT)  # the operators' rule 1: nothing is sent after the final answer
@@ -214,51 +231,74 @@
         self._abandon_at(until_us, exchange)
         self.endpoint_pools.run(endpoint, exchange)
 
-    def _build_query(self, request: OpenRequest, until_us: int) -> bytes:
-        remaining_us = min(until_us, request.deadline_us) - self.now()
-        return with_timeout(request.form.text, max(remaining_us // 1000, 1))
+    def _abandon_at(self, time_us: int, exchange: Exchange) -> None:
+        self.timers.call_at(time_us, partial(self.endpoint_pools.abandon, exchange, False))
 
-    def _may_send(self, request_id: str, attempt: int) -> bool:
-        return self.router.confirm_send(self.now(), request_id, attempt)
+    # What attempts ask, and tell.
 
-    def _is_awaited(self, request: OpenRequest) -> bool:
-        """Return whether the client still waits; one that is found to have left is withdrawn at once."""
-        if request.command is None:
-            return False
-        client = request.command.client
-        if not client.has_left():
-            return True
-        self.client_listener.remove(client)
-        return False
+    def confirm_send(self, request_id: str, number: int) -> bool:
+        """Ask the router whether an attempt still fits."""
+        return self.router.confirm_send(self.now(), request_id, number)
 
-    def _abandon_at(self, time_us: int, exchange: Exchange) -> None:
-        self.timers.call_at(time_us, partial(self.endpoint_pools.abandon, exchange, False))
+    def on_client_found_gone(self, request: OpenRequest) -> None:
+        """Withdraw the requests of a client that has left, though no event says so yet."""
+        if request.command is not None:
+            self.client_listener.remove(request.command.client, CloseReason.CLIENT_LEFT)
 
-    def _on_attempt_done(
-        self, request_id: str, attempt: int, endpoint: str, started_us: int, result: ExchangeResult
-    ) -> None:
-        request = self.requests.by_id[request_id]
-        request.exchanges.pop(attempt, None)
+    def on_send_refused(self, attempt: Attempt, reason: SendRefusal) -> None:
+        """Count a query that was not written although a connection was there for it."""
+        self.counters.refused_sends[reason] += 1
+        self._trace("send refused", attempt, reason=reason.value)
+
+    def on_attempt_written(self, attempt: Attempt) -> None:
+        """Have the rule monitor check what was written."""
+        now_us = self.now()
+        self.monitor.on_query_written(
+            attempt.request_id,
+            attempt.number,
+            attempt.endpoint,
+            attempt.request.record,
+            now_us=now_us,
+            left_us=attempt.request.deadline_us - now_us,
+            stated_us=attempt.stated_us,
+            awaited=attempt.request.command is not None,
+            withdrawn_since_us=self._endpoints.withdrawn_since_us(attempt.endpoint),
+        )
+        self._trace("attempt written", attempt, stated_us=attempt.stated_us)
+
+    def on_attempt_done(self, attempt: Attempt, result: ExchangeResult) -> None:
+        """Answer the request where the attempt served it, and tell the router."""
+        request = attempt.request
+        request.exchanges.pop(attempt.number, None)
+        self.monitor.on_attempt_ended(request.record, attempt.number, result.outcome)
+        self.counters.attempts[result.outcome.value] += 1
+        self._trace("attempt ended", attempt, outcome=result.outcome.value)
         reply = result.reply
         answers_request = False
         if result.outcome is Outcome.OK and reply is not None:
             answers_request = True
-            self._answer(request_id, reply.rows + READY)
+            self._answer(attempt.request_id, reply.rows + READY, AnswerKind.SERVED)
         parameters = reply.parameters if reply is not None else {}
         self.enqueue(
             AttemptEnded(
-                request=request_id,
-                attempt=attempt,
-                endpoint=endpoint,
+                request=attempt.request_id,
+                attempt=attempt.number,
+                endpoint=attempt.endpoint,
                 outcome=result.outcome,
-                duration_us=max(self.now() - started_us, 0),
+                duration_us=max(self.now() - attempt.started_us, 0),
                 request_finished=answers_request or request.command is None,
                 role=parameter_status.role(parameters),
                 position_us=parameter_status.position_us(parameters),
                 load_report=parameter_status.load_report(parameters.get(LOAD_REPORT_PARAMETER)),
             )
         )
-        self.requests.remove_if_done(request_id, request)
+        self.requests.remove_if_done(attempt.request_id, request)
+
+    def _trace(self, event: str, attempt: Attempt, **fields: object) -> None:
+        if self.log.tracing:
+            self.log.trace(
+                event, request=attempt.request_id, attempt=attempt.number, endpoint=attempt.endpoint, **fields
+            )
 
     def cancel(self, request: str, attempt: int) -> None:
         """Cancel one attempt of a request."""
@@ -272,26 +312,25 @@
     def reject(self, request: str, retry_after_us: int, _now: int) -> None:
         """Answer the request as rejected; 0 gives no retry-after hint."""
         retry_after_ms = -(-retry_after_us // 1000)
-        self._answer(request, server.rejected("not taken; trying again does no harm", retry_after_ms))
+        answer = server.rejected("not taken; trying again does no harm", retry_after_ms)
+        self._answer(request, answer, AnswerKind.REJECTED)
 
     def fail(self, request: str) -> None:
         """Answer the request as failed with unknown effect."""
-        self._answer(request, server.failed("08007", "the effect is unknown"))
+        self._answer(request, server.failed("08007", "the effect is unknown"), AnswerKind.FAILED)
 
     def start_health_check(self, endpoint: str) -> None:
         """Ask the endpoint for its load report."""
         started_us = self.now()
-        exchange = Exchange(
-            build_query=_build_load_report_query,
-            on_done=partial(self._on_health_check_done, endpoint, started_us),
-        )
+        exchange = Exchange(HealthCheck(endpoint, started_us, self._on_health_check_done))
         self._abandon_at(started_us + HEALTH_CHECK_TIMEOUT_US, exchange)
         self.endpoint_pools.run(endpoint, exchange)
 
-    def _on_health_check_done(self, endpoint: str, started_us: int, result: ExchangeResult) -> None:
+    def _on_health_check_done(self, check: HealthCheck, result: ExchangeResult) -> None:
         value = result.reply.value if result.reply is not None else None
         report = parameter_status.load_report(value.decode("utf-8", "replace")) if value else None
-        self.enqueue(HealthCheckEnded(endpoint, result.outcome, self.now() - started_us, report))
+        duration_us = self.now() - check.started_us
+        self.enqueue(HealthCheckEnded(check.endpoint, result.outcome, duration_us, report))
 
     def subscribe(self, enabled: bool) -> None:
         """Open a watch of the endpoint list, or end it."""
@@ -316,16 +355,21 @@
             request_id = event.id if isinstance(event, Request) else getattr(event, "request", None)
             request = self.requests.by_id.get(request_id) if request_id is not None else None
             if request_id is not None and request is not None and request.command is not None:
-                self._answer(request_id, server.failed("58000", "the driver failed on this request"))
+                answer = server.failed("58000", "the driver failed on this request")
+                self._answer(request_id, answer, AnswerKind.FAILED)
                 self.enqueue(ClientDisconnected(request_id))
 
     # Discovery.
 
     def on_endpoint_update(self, kind: UpdateKind, endpoint_list: EndpointList | None) -> None:
         """Apply a list, or report the end of a call that brought none (None)."""
+        self.counters.lists[kind.value] += 1
         if endpoint_list is None:
             self.enqueue(EndpointUpdate(kind, ()))
             return
+        if self.log.tracing:
+            readiness = {endpoint.id: endpoint.readiness.value for endpoint in endpoint_list.endpoints}
+            self.log.trace("list", kind=kind.value, version=endpoint_list.version, endpoints=readiness)
         self._endpoints.apply(endpoint_list)
         self.enqueue(EndpointUpdate(kind, endpoint_list.endpoints))
 
@@ -348,6 +392,11 @@
                 for exchange in request.exchanges.values():
                     self._abandon_at(latest_us, exchange)
 
+    def check_nothing_is_owed(self) -> None:
+        """Have the rule monitor count the requests that the end of the program leaves unanswered."""
+        for client in self.client_listener.clients:
+            self.monitor.on_client_closed(client.unanswered_requests(), "end of the program")
+
     @property
     def is_idle(self) -> bool:
         """No client is connected and no request is open."""
@@ -356,9 +405,5 @@
         )
 
 
-def _build_load_report_query() -> bytes:
-    return LOAD_REPORT_QUERY
-
-
 def _wake() -> None:
     """Do nothing: the timer's only purpose is that the driver gets its turn at that time."""
--- a/juniperreel/platform/endpoint_connection.py
+++ b/juniperreel/platform/endpoint_connection.py
@@ -90,13 +90,16 @@
         if not self.protocol.is_reusable:
             self._fail_protocol()
             return
-        query = exchange.build_query()
-        if not exchange.is_awaited():
+        owner = exchange.owner
+        assert owner is not None  # a finished exchange is never started
+        query = owner.build_query()
+        self._query_sent_us = self.pool.now()
+        if not owner.is_awaited():
             self._keep_unused(exchange)
             return
-        self._query_sent_us = self.pool.now()
         self._idle_before_query_us = self._query_sent_us - self.idle_since_us if self.idle_since_us else None
         self.transport.write(self.protocol.send_query(query))
+        owner.on_written()
         exchange.sent = not self.transport.write_buffer_size
 
     def abandon(self, exchange: Exchange, cancelled: bool) -> None:
--- a/juniperreel/platform/endpoint_directory.py
+++ b/juniperreel/platform/endpoint_directory.py
@@ -6,15 +6,19 @@
 from juniperreel.platform.endpoint_pools import EndpointPools
 from juniperreel.routing.types import Readiness
 
+MAX_WITHDRAWN = 10_000  # endpoints that are remembered to drain or to be gone
+
 
 class EndpointDirectory:
     """Applies endpoint lists to the pools. Owns the set of listed endpoints."""
 
-    def __init__(self, pools: EndpointPools) -> None:
-        """Start without endpoints."""
+    def __init__(self, pools: EndpointPools, removed_serve: bool) -> None:
+        """Start without endpoints. `removed_serve`: leaving the list does not forbid new requests."""
         self._pools = pools
+        self._removed_serve = removed_serve
         self._groups: set[int] = set()
         self._listed: set[str] = set()
+        self._withdrawn_us: dict[str, int] = {}  # when endpoints were learned to drain or to be gone
 
     def has_group(self, group: int) -> bool:
         """Return whether an endpoint of the group was ever listed."""
@@ -26,6 +30,7 @@
             self._groups.add(endpoint.group)
             self._listed.add(endpoint.id)
             address = endpoint_list.addresses.get(endpoint.id)
+            self._note_readiness(endpoint.id, endpoint.readiness)
             if endpoint.readiness is Readiness.REMOVED:
                 self._pools.retire(endpoint.id)
             elif address is not None:
@@ -33,7 +38,23 @@
         if endpoint_list.complete:
             self._retire_unlisted({endpoint.id for endpoint in endpoint_list.endpoints})
 
+    def withdrawn_since_us(self, endpoint: str) -> int | None:
+        """Return when the endpoint was learned to drain or to be gone; None where neither is so."""
+        return self._withdrawn_us.get(endpoint)
+
+    def _note_readiness(self, endpoint: str, readiness: Readiness) -> None:
+        if readiness is Readiness.READY:
+            self._withdrawn_us.pop(endpoint, None)
+        elif readiness is Readiness.DRAINING or not self._removed_serve:
+            self._withdrawn_us.setdefault(endpoint, self._pools.now())
+            self._forget_oldest()
+
+    def _forget_oldest(self) -> None:
+        while len(self._withdrawn_us) > MAX_WITHDRAWN:
+            del self._withdrawn_us[next(iter(self._withdrawn_us))]
+
     def _retire_unlisted(self, still_listed: set[str]) -> None:
         for name in self._listed - still_listed:
             self._listed.discard(name)
+            self._note_readiness(name, Readiness.REMOVED)
             self._pools.retire(name)
--- a/juniperreel/platform/exchange.py
+++ b/juniperreel/platform/exchange.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from juniperreel.postgres.client import Reply
 from juniperreel.routing.types import Outcome
@@ -24,33 +23,58 @@
     reply: Reply | None
 
 
-def _always() -> bool:
-    return True
+class ExchangeOwner(Protocol):
+    """What a query is for. Asked in this order before it is written, and told what becomes of it."""
+
+    def may_send(self) -> bool:
+        """Return whether the query still fits, now that a connection is there for it."""
+        ...
+
+    def build_query(self) -> bytes:
+        """Return the text, which states the time that is left now."""
+        ...
+
+    def is_awaited(self) -> bool:
+        """Return whether the reply is still awaited; asked last, as reading the clock may take a while."""
+        ...
+
+    def on_written(self) -> None:
+        """The query was handed to the connection."""
+        ...
+
+    def on_done(self, result: ExchangeResult) -> None:
+        """The exchange has ended; called exactly once."""
+        ...
 
 
 @dataclass(slots=True)
 class Exchange:
-    """A query on its way through a pool and a connection; `on_done` is called exactly once.
+    """A query on its way through a pool and a connection.
 
-    `may_send` is asked when a connection is there for it, then `build_query` makes the text, which states the
-    time that is left, and `is_awaited` is asked last, as reading the clock may have taken a while. A query
-    that either of them refuses is not written. `sent`: the last byte has left, so that the endpoint may have
-    executed it.
+    A query that its owner refuses is not written. `sent`: the last byte has left, so that the endpoint may
+    have executed it. `owner` is None once the exchange is finished: timers that outlive it must not keep a
+    request's text in memory until they are due.
     """
 
-    build_query: Callable[[], bytes]
-    on_done: Callable[[ExchangeResult], None]
-    may_send: Callable[[], bool] = field(default=_always)
-    is_awaited: Callable[[], bool] = field(default=_always)
+    owner: ExchangeOwner | None
     connection: EndpointConnection | None = field(default=None)
     sent: bool = False
-    finished: bool = False
+
+    @property
+    def finished(self) -> bool:
+        """Whether the result was reported."""
+        return self.owner is None
+
+    def may_send(self) -> bool:
+        """Return whether the query still fits."""
+        return self.owner is not None and self.owner.may_send()
 
     def finish(self, outcome: Outcome, reply: Reply | None = None) -> None:
         """Report the result; does nothing when one was reported before."""
-        if not self.finished:
-            self.finished = True
-            self.on_done(ExchangeResult(outcome, reply))
+        owner = self.owner
+        if owner is not None:
+            self.owner = None
+            owner.on_done(ExchangeResult(outcome, reply))
 
 
 def outcome_of(reply: Reply) -> Outcome:
--- a/juniperreel/platform/log.py
+++ b/juniperreel/platform/log.py
@@ -17,11 +17,17 @@
 class Log:
     """A logger whose methods take an event and fields that JSON can hold."""
 
-    def __init__(self, stream: TextIO | None = None) -> None:
-        """Write to `stream`, or to standard error."""
+    def __init__(self, stream: TextIO | None = None, tracing: bool = False) -> None:
+        """Write to `stream`, or to standard error. `tracing`: write what `trace` is called with, too."""
+        self.tracing = tracing
         self._stream = stream or sys.stderr
         self.lost_lines = 0
 
+    def trace(self, event: str, **fields: object) -> None:
+        """Log one step of one request, where that was asked for; callers look at `tracing` first."""
+        if self.tracing:
+            self._write("trace", event, fields)
+
     def info(self, event: str, **fields: object) -> None:
         """Log something expected."""
         self._write("info", event, fields)
--- a/juniperreel/platform/open_requests.py
+++ b/juniperreel/platform/open_requests.py
@@ -6,6 +6,7 @@
 
 from juniperreel.platform.command import Command
 from juniperreel.platform.exchange import Exchange
+from juniperreel.platform.rule_monitor import RequestRecord
 from juniperreel.postgres.request_format import StatementRequest
 
 MAX_ANSWERED_IDS = 20_000
@@ -19,10 +20,13 @@
     have not ended, by their number.
     """
 
-    __slots__ = ("attempt_count", "command", "deadline_us", "exchanges", "form")
+    __slots__ = ("attempt_count", "command", "deadline_us", "exchanges", "form", "record")
 
-    def __init__(self, form: StatementRequest, command: Command, deadline_us: int) -> None:
-        """Open a request without attempts."""
+    def __init__(
+        self, form: StatementRequest, command: Command, deadline_us: int, record: RequestRecord
+    ) -> None:
+        """Open a request without attempts; `record` is what the rule monitor keeps of it."""
+        self.record = record
         self.form = form
         self.deadline_us = deadline_us
         self.command: Command | None = command
--- a/juniperreel/platform/program.py
+++ b/juniperreel/platform/program.py
@@ -104,6 +104,8 @@
             driver.process_pending()
             if self.acceptor is not None:
                 self.acceptor.retry(self.clock.now_us())
+        driver.check_nothing_is_owed()
+        self._log_counts("shutdown complete")
 
     def _shutdown_is_complete(self) -> bool:
         """Close what is to be closed by now; return whether nothing is left to wait for."""
@@ -147,10 +149,15 @@
         """Write a line to the log at intervals, until cancelled."""
         while True:
             await trio.sleep(STATUS_INTERVAL_S)
-            self.log.info(
-                "status",
-                open_requests=len(self.driver.requests.by_id),
-                clients=self.driver.budget.clients,
-                endpoint_connections=self.driver.budget.endpoint_connections,
-                cpu_s=round(sum(os.times()[:2]), 2),
-            )
+            self._log_counts("status")
+
+    def _log_counts(self, event: str) -> None:
+        self.log.info(
+            event,
+            open_requests=len(self.driver.requests.by_id),
+            clients=self.driver.budget.clients,
+            endpoint_connections=self.driver.budget.endpoint_connections,
+            cpu_s=round(sum(os.times()[:2]), 2),
+            violations=self.driver.monitor.summary(),
+            **self.driver.counters.fields(),
+        )
--- a/juniperreel/platform/run.py
+++ b/juniperreel/platform/run.py
@@ -20,6 +20,7 @@
 
 EXIT_LISTEN_FAILED = 1
 EXIT_NO_CONFIGURATION = 2
+TRACE_VARIABLE = "JUNIPERREEL_TRACE"  # 1: each step of each request is logged
 
 
 def handle_signal(program: Program, number: int) -> None:
@@ -58,7 +59,6 @@
             gc.collect()
             gc.freeze()
             await program.serve()
-            log.info("shutdown complete")
             nursery.cancel_scope.cancel()
     return 0
 
@@ -73,7 +73,7 @@
 
 def main(pending_signals: list[int]) -> int:
     """Run the driver whose configuration file `GW_CONFIG` names; return the exit code."""
-    log = Log()
+    log = Log(tracing=os.environ.get(TRACE_VARIABLE, "") == "1")
     path_name = os.environ.get("GW_CONFIG", "")
     try:
         config = parse_config(Path(path_name).read_bytes())
