--- a/juniperreel/testbed/injected_faults.py
+++ b/juniperreel/testbed/injected_faults.py
@@ -8,9 +8,11 @@
 from __future__ import annotations
 
 import errno
+import mmap
 import os
 import random
 import socket
+import struct
 import time
 from collections import Counter
 from collections.abc import Mapping, Sequence
@@ -42,6 +44,9 @@
     HOLD_UP = "hold-up"
 
 
+KINDS = list(FaultKind)
+COUNT = struct.Struct("<Q")
+
 ERRNOS: Mapping[FaultKind, Sequence[int]] = {
     FaultKind.ACCEPT: (errno.ECONNABORTED, errno.ENFILE, errno.ENOBUFS),
     FaultKind.SOCKET: (errno.ENFILE, errno.ENOBUFS),
@@ -53,10 +58,33 @@
 }
 
 
+class SharedCounts:
+    """One number for each kind of fault, in a file that is mapped into memory."""
+
+    def __init__(self, path: Path) -> None:
+        """Map the file, made with zeros where it does not exist."""
+        with path.open("a+b") as file:
+            file.truncate(len(FaultKind) * COUNT.size)
+            self._map = mmap.mmap(file.fileno(), len(FaultKind) * COUNT.size)
+
+    def increment(self, kind: FaultKind) -> None:
+        """Add one to a kind's number."""
+        offset = KINDS.index(kind) * COUNT.size
+        (count,) = COUNT.unpack_from(self._map, offset)
+        COUNT.pack_into(self._map, offset, count + 1)
+
+    def read(self) -> Counter[FaultKind]:
+        """All numbers as they are now."""
+        numbers = [count for (count,) in COUNT.iter_unpack(self._map[:])]
+        return Counter(dict(zip(KINDS, numbers, strict=True)))
+
+
 class InjectedFaults:
     """Draws which call fails. `rates` has the part of calls by kind; kinds that it leaves out never fail."""
 
-    def __init__(self, rates: Mapping[FaultKind, float], seed: int) -> None:
+    def __init__(self, rates: Mapping[FaultKind, float], seed: int, counts_file: Path | None = None) -> None:
+        """Count into `counts_file`, too, so that the counts outlive a process that is killed."""
+        self._shared = None if counts_file is None else SharedCounts(counts_file)
         self.rates = dict(rates)
         self.counts: Counter[FaultKind] = Counter()
         self.next_errnos: dict[FaultKind, int] = {}  # the next call of a kind fails with this error
@@ -68,6 +96,8 @@
         if kind not in self.next_errnos and (not rate or self.random.random() >= rate):
             return False
         self.counts[kind] += 1
+        if self._shared is not None:
+            self._shared.increment(kind)
         return True
 
     def draw_errno(self, kind: FaultKind) -> int:
@@ -93,6 +123,7 @@
         if fileno is None:
             self.faults.raise_if_occurs(FaultKind.SOCKET)
         super().__init__(family, type, proto, fileno)
+        self._is_connection = False  # and no listener, nor a pair by which a process wakes itself
         self._was_opened_here = False
 
     def accept(self) -> tuple[socket.socket, Any]:
@@ -101,28 +132,32 @@
         connection, address = super().accept()
         if not isinstance(connection, FaultySocket):
             connection = FaultySocket(fileno=connection.detach())
+        connection._is_connection = True
         return connection, address
 
     def connect(self, address: Any) -> None:
         """Connect, or fail."""
         self.faults.raise_if_occurs(FaultKind.CONNECT)
-        self._was_opened_here = True
+        self._is_connection = self._was_opened_here = True
         super().connect(address)
 
     def connect_ex(self, address: Any) -> int:
         """Connect, or return an error."""
         if self.faults.occurs(FaultKind.CONNECT):
             return self.faults.draw_errno(FaultKind.CONNECT)
-        self._was_opened_here = True
+        self._is_connection = self._was_opened_here = True
         return super().connect_ex(address)
 
     def setsockopt(self, *arguments: Any) -> None:
         """Set an option, or fail."""
-        self.faults.raise_if_occurs(FaultKind.SOCKET_OPTION)
+        if self._is_connection and not self._was_opened_here:
+            self.faults.raise_if_occurs(FaultKind.SOCKET_OPTION)
         super().setsockopt(*arguments)
 
     def send(self, data: Any, flags: int = 0) -> int:
         """Send some of the data, or fail."""
+        if not self._is_connection:
+            return super().send(data, flags)
         self._break_now_and_then()
         self.faults.raise_if_occurs(FaultKind.WRITE)
         if len(data) > 1 and self.faults.occurs(FaultKind.SHORT_WRITE):
@@ -131,6 +166,8 @@
 
     def recv(self, bufsize: int, flags: int = 0) -> bytes:
         """Receive some of what is there, or fail."""
+        if not self._is_connection:
+            return super().recv(bufsize, flags)
         self._break_now_and_then()
         if not flags & socket.MSG_PEEK and self.faults.occurs(FaultKind.SHORT_READ):
             bufsize = min(bufsize, self.faults.random.randrange(1, 200))
--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -17,6 +17,8 @@
 import pytest
 
 from juniperreel.postgres import messages as m
+from juniperreel.testbed.faulty_driver import FAULTS_VARIABLE
+from juniperreel.testbed.injected_faults import FaultKind, SharedCounts
 from tests.platform.event_harness import HELLO, config_bytes
 
 ROOT = Path(__file__).parents[2]
@@ -142,6 +144,34 @@
     assert started.log.read_text().count('"graceful shutdown started"') == 1
 
 
+def test_a_start_outlasts_files_and_sockets_that_fail_for_a_moment(tmp_path: Path) -> None:
+    """Danger: a driver that ends at its start has crashed."""
+    config = tmp_path / "config.json"
+    port = free_port()
+    config.write_bytes(config_bytes(listen=f"127.0.0.1:{port}"))
+    faults = {"rates": {"file": 0.6, "half-file": 0.6, "socket": 0.8}, "seed": 1, "counts": str(tmp_path)}
+    log = tmp_path / "log"
+    with log.open("wb") as out:
+        process = subprocess.Popen(
+            [sys.executable, "-m", "juniperreel.testbed.faulty_driver"],
+            cwd=ROOT,
+            env={"PATH": os.environ["PATH"], "GW_CONFIG": str(config), FAULTS_VARIABLE: json.dumps(faults)},
+            stderr=out,
+        )
+    try:
+        end = time.monotonic() + SECONDS
+        while b'"serving"' not in log.read_bytes():
+            assert process.poll() is None, log.read_text()
+            assert time.monotonic() < end, log.read_text()
+            time.sleep(0.01)
+        counts = SharedCounts(tmp_path / "config.0.faults").read()
+        assert counts[FaultKind.FILE] + counts[FaultKind.HALF_FILE] > 0
+        assert counts[FaultKind.SOCKET] > 0
+    finally:
+        process.kill()
+        process.wait()
+
+
 def test_an_address_that_is_taken_ends_the_program_at_once(tmp_path: Path) -> None:
     with socket.create_server(("127.0.0.1", 0)) as taken:
         config = tmp_path / "config.json"
