--- a/juniperreel/platform/program.py
+++ b/juniperreel/platform/program.py
@@ -63,14 +63,14 @@
         self.poller.wake()
 
     def start(self) -> None:
-        """Use the cached endpoint list and listen. Raises OSError where the address can't be had."""
+        """Listen and use the cached endpoint list. Raises OSError where the address can't be had."""
+        host, port = self.config.listen
+        self.acceptor = Acceptor(self.poller, host, port, self.driver.client_listener.accept)
         self.driver.on_endpoint_update(UpdateKind.CACHED, self._read_cached_list())
         self.driver.process_pending()
         if not self.config.router.must_poll:
             # Where lists are pushed, what the operators' agent has counts as notified from the first moment.
             self.discovery.subscribe(True)
-        host, port = self.config.listen
-        self.acceptor = Acceptor(self.poller, host, port, self.driver.client_listener.accept)
         limits = self.config.limits
         self.log.info(
             "serving",
