Driver: the endpoints' clock is learned, so that a stepped wall clock makes no stale read

Cause: Clock reads the machine's wall clock once, at the start. PlatformDriver compared positions, starts of endpoints and the sessions' last writes with it as if all machines' clocks agreed, and RouterState.observe_position cut positions ahead of the clock to it: behind by 3 s, a replica 3 s behind its primary looked present. Change: EndpointClock (no I/O) learns the offset: positions in the future that agree show a clock that is behind, old ones of primaries one that is ahead, counted from when they were asked for, so that a process that was held up learns nothing wrong. What lies in the future tells no position. On a change the router forgets positions and commits (EndpointClockAdjusted) and moves the starts.

--- a/juniperreel/platform/driver.py
+++ b/juniperreel/platform/driver.py
@@ -10,14 +10,15 @@
 from functools import partial
 from typing import Protocol
 
-from juniperreel.platform import parameter_status
 from juniperreel.platform.attempt import Attempt
 from juniperreel.platform.client_listener import ClientListener
 from juniperreel.platform.command import Command
 from juniperreel.platform.config import Config
 from juniperreel.platform.counters import AnswerKind, CloseReason, Counters, SendRefusal
 from juniperreel.platform.descriptor_budget import DescriptorBudget
+from juniperreel.platform.endpoint_clock import EndpointClock
 from juniperreel.platform.endpoint_directory import EndpointDirectory
+from juniperreel.platform.endpoint_facts import EndpointFacts
 from juniperreel.platform.endpoint_list import EndpointList
 from juniperreel.platform.endpoint_pools import Connect, EndpointPools
 from juniperreel.platform.errors import InvalidRequestError
@@ -38,6 +39,7 @@
     ClientDisconnected,
     Consistency,
     DeadlineShortened,
+    EndpointClockAdjusted,
     EndpointUpdate,
     Event,
     HealthCheckEnded,
@@ -51,7 +53,6 @@
 # answer is only worth nothing, and the housekeeping that looks for such requests has its interval.
 OVERDUE_AFTER_US = 100_000
 HEALTH_CHECK_TIMEOUT_US = 250_000
-LOAD_REPORT_PARAMETER = "pressure"
 SESSION_CONSISTENCY = (Consistency.WRITE, Consistency.SESSION)
 
 
@@ -100,6 +101,8 @@
         )
         self._endpoints = EndpointDirectory(self.endpoint_pools, config.router.removed_endpoints_serve)
         self.client_listener = ClientListener(self, now, self.budget)
+        self.endpoint_clock = EndpointClock()
+        self._facts = EndpointFacts(self.endpoint_clock, now, self._on_clock_adjusted)
         self.shutdown = GracefulShutdown(max(item.deadline_us for item in config.router.classes))
         self.requests = OpenRequests(now)
         self.timers.call_at(now() + HOUSEKEEPING_INTERVAL_US, self._keep_house)
@@ -153,7 +156,7 @@
         deadline_us = self.shutdown.latest_answer_us(command.arrived_us + form.timeout_ms * 1000)
         session_age_us = None
         if form.last_write_ms and consistency is Consistency.SESSION:
-            session_age_us = max(self.now() - form.last_write_ms * 1000, 0)
+            session_age_us = max(self.now() - self.endpoint_clock.to_driver_us(form.last_write_ms * 1000), 0)
         record = RequestRecord(validated.request_class)
         self.requests.by_id[form.id] = OpenRequest(form, command, deadline_us, record)
         if self.log.tracing:
@@ -274,11 +277,12 @@
         self.counters.attempts[result.outcome.value] += 1
         self._trace("attempt ended", attempt, outcome=result.outcome.value)
         reply = result.reply
+        parameters = reply.parameters if reply is not None else {}
+        facts = self._facts.read_reply(attempt.endpoint, parameters, attempt.started_us)
         answers_request = False
         if result.outcome is Outcome.OK and reply is not None:
             answers_request = True
             self._answer(attempt.request_id, reply.rows + READY, AnswerKind.SERVED)
-        parameters = reply.parameters if reply is not None else {}
         self.enqueue(
             AttemptEnded(
                 request=attempt.request_id,
@@ -287,13 +291,18 @@
                 outcome=result.outcome,
                 duration_us=max(self.now() - attempt.started_us, 0),
                 request_finished=answers_request or request.command is None,
-                role=parameter_status.role(parameters),
-                position_us=parameter_status.position_us(parameters),
-                load_report=parameter_status.load_report(parameters.get(LOAD_REPORT_PARAMETER)),
+                role=facts.role,
+                position_us=facts.position_us,
+                load_report=facts.load_report,
             )
         )
         self.requests.remove_if_done(attempt.request_id, request)
 
+    def _on_clock_adjusted(self, change_us: int) -> None:
+        offset_us = self.endpoint_clock.offset_us
+        self.log.warning("wall clock differs from that of endpoints", offset_us=offset_us)
+        self.enqueue(EndpointClockAdjusted(-change_us))
+
     def _trace(self, event: str, attempt: Attempt, **fields: object) -> None:
         if self.log.tracing:
             self.log.trace(
@@ -328,7 +337,8 @@
 
     def _on_health_check_done(self, check: HealthCheck, result: ExchangeResult) -> None:
         value = result.reply.value if result.reply is not None else None
-        report = parameter_status.load_report(value.decode("utf-8", "replace")) if value else None
+        text = value.decode("utf-8", "replace") if value else None
+        report = self._facts.read_report(check.endpoint, text, check.started_us)
         duration_us = self.now() - check.started_us
         self.enqueue(HealthCheckEnded(check.endpoint, result.outcome, duration_us, report))
 
@@ -371,7 +381,9 @@
             readiness = {endpoint.id: endpoint.readiness.value for endpoint in endpoint_list.endpoints}
             self.log.trace("list", kind=kind.value, version=endpoint_list.version, endpoints=readiness)
         self._endpoints.apply(endpoint_list)
-        self.enqueue(EndpointUpdate(kind, endpoint_list.endpoints))
+        self.enqueue(
+            EndpointUpdate(kind, tuple(map(self._facts.with_start_on_own_clock, endpoint_list.endpoints)))
+        )
 
     # Shutdown.
 
--- /dev/null
+++ b/juniperreel/platform/endpoint_facts.py
@@ -0,0 +1,69 @@
+"""What endpoints tell of themselves beside their answers, on this process's clock."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from juniperreel.platform import parameter_status
+from juniperreel.platform.endpoint_clock import EndpointClock
+from juniperreel.routing.types import Endpoint, LoadReport, Role
+
+LOAD_REPORT_PARAMETER = "pressure"
+
+
+@dataclass(frozen=True, slots=True)
+class ReplyFacts:
+    """Role, position and load report of one reply; what was not told, or can't be true, is left out."""
+
+    role: Role
+    position_us: int | None
+    load_report: LoadReport | None
+
+
+class EndpointFacts:
+    """Reads replies and lists, and learns from positions how far the endpoints' clock is from this one."""
+
+    def __init__(
+        self, clock: EndpointClock, now: Callable[[], int], on_clock_adjusted: Callable[[int], None]
+    ) -> None:
+        """`on_clock_adjusted` is told by how much `clock.offset_us` has changed."""
+        self._clock = clock
+        self._now = now
+        self._on_clock_adjusted = on_clock_adjusted
+
+    def read_reply(self, endpoint: str, parameters: dict[str, str], asked_us: int) -> ReplyFacts:
+        """Read what an endpoint told with a reply to what it was asked at `asked_us`."""
+        role = parameter_status.role(parameters)
+        position_us = self._read_position(
+            endpoint, role is Role.PRIMARY, parameter_status.position_us(parameters), asked_us
+        )
+        report = self.read_report(endpoint, parameters.get(LOAD_REPORT_PARAMETER), asked_us)
+        return ReplyFacts(role, position_us, report)
+
+    def read_report(self, endpoint: str, text: str | None, asked_us: int) -> LoadReport | None:
+        """Read a load report."""
+        report = parameter_status.load_report(text)
+        if report is None or report.position_us is None:
+            return report
+        position_us = self._read_position(endpoint, bool(report.is_primary), report.position_us, asked_us)
+        return replace(report, position_us=position_us)
+
+    def with_start_on_own_clock(self, endpoint: Endpoint) -> Endpoint:
+        """Return an entry of the list with its start on this process's clock; 0 stays 0."""
+        if not endpoint.started_us or not self._clock.offset_us:
+            return endpoint
+        return replace(endpoint, started_us=self._clock.to_driver_us(endpoint.started_us))
+
+    def _read_position(
+        self, endpoint: str, is_primary: bool, position_us: int | None, asked_us: int
+    ) -> int | None:
+        if position_us is None:
+            return None
+        now_us = self._now()
+        change_us = self._clock.observe(endpoint, is_primary, position_us, asked_us, now_us)
+        if change_us:
+            self._on_clock_adjusted(change_us)
+        if not self._clock.is_plausible(position_us, now_us):
+            return None
+        return self._clock.to_driver_us(position_us)
--- a/juniperreel/routing/router.py
+++ b/juniperreel/routing/router.py
@@ -24,6 +24,7 @@
     AttemptEnded,
     ClientDisconnected,
     DeadlineShortened,
+    EndpointClockAdjusted,
     EndpointUpdate,
     Event,
     Fail,
@@ -95,6 +96,8 @@
                 self._on_stream_started(event)
             case DeadlineShortened():
                 self._on_deadline_shortened(event)
+            case EndpointClockAdjusted(shift_us):
+                self.state.adjust_endpoint_clock(shift_us)
             case ClientDisconnected() | TimerFired():
                 pass  # handled before and after all others
 
--- a/juniperreel/routing/sessions.py
+++ b/juniperreel/routing/sessions.py
@@ -33,6 +33,10 @@
         """Remember a commit; a session's commits never go back."""
         self._commits[key] = max(commit_us, self._commits.pop(key, commit_us))
 
+    def clear(self) -> None:
+        """Forget all sessions."""
+        self._commits.clear()
+
     def evict_one(self, now_us: int) -> EvictedSession | None:
         """Forget the oldest session if there are too many, or it is too old."""
         if not self._commits:
--- a/juniperreel/routing/state.py
+++ b/juniperreel/routing/state.py
@@ -8,7 +8,7 @@
 
 import random
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from juniperreel.routing.estimators import (
     Backoff,
@@ -112,6 +112,14 @@
         self.info = info
         return restarted
 
+    def shift_start(self, shift_us: int) -> None:
+        """The list's time of its start lies `shift_us` later than was thought."""
+        if not self.info.started_us:
+            return
+        if self.warming_since_us == self.info.started_us:
+            self.warming_since_us += shift_us
+        self.info = replace(self.info, started_us=self.info.started_us + shift_us)
+
     def warm_up_from(self, now_us: int) -> None:
         """Its process has started anew, though no list says so yet."""
         self.warming_since_us = max(self.warming_since_us, now_us)
@@ -429,6 +437,18 @@
             endpoint.load_reported_us = self.now_us
             self.mean_load.observe(endpoint.reported_load)
 
+    def adjust_endpoint_clock(self, shift_us: int) -> None:
+        """Times of endpoints lie `shift_us` later than was thought: forget what was compared with them.
+
+        Positions are learned again, and reads of sessions need what was committed up to now.
+        """
+        for endpoint in self.endpoints.values():
+            endpoint.position_us = NEVER
+            endpoint.shift_start(shift_us)
+        self.sessions.clear()
+        for group in self.groups.values():
+            group.session_watermark_us = self.now_us
+
     def ready_endpoints(self) -> list[EndpointState]:
         """Those that the list names as ready."""
         return [e for e in self.endpoints.values() if e.info.readiness is Readiness.READY]
--- a/juniperreel/routing/types.py
+++ b/juniperreel/routing/types.py
@@ -246,6 +246,13 @@
     deadline_us: int
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointClockAdjusted:
+    """The host found that times of endpoints lie `shift_us` later on its clock than it said up to now."""
+
+    shift_us: int
+
+
 @dataclass(frozen=True, slots=True)
 class TimerFired:
     """A timer of `SetTimer` is due."""
@@ -270,6 +277,7 @@
     | AttemptEnded
     | ClientDisconnected
     | DeadlineShortened
+    | EndpointClockAdjusted
     | TimerFired
     | HealthCheckEnded
 )
