Soak: drivers as processes under overlapping faults, each counted where it hits

Need: a randomized soak whose faults are known to have happened, with the invariants as its oracle. Judges: the five rules, attempts after a client left, requests that were read and closed, the drivers' own monitors, crashes.

--- a/juniperreel/fakes/platform_clients.py
+++ b/juniperreel/fakes/platform_clients.py
@@ -39,6 +39,16 @@
 EdgeLookup = Callable[[], EdgeAddress | None]
 
 
+def statement(request_class: RequestClass, request_id: str, key: str, group: int, deadline_ms: int) -> str:
+    """The text of a request, as the platform's clients write it."""
+    fields = f"id={request_id},c={request_class.name},t={TENANT},d={deadline_ms},cluster={group}"
+    if request_class.write:
+        fields += f",k={request_id}"
+        values = f"('{key}', '\\x00')"
+        return f"INSERT INTO objects (oid, body) VALUES {values} RETURNING body /* {fields} */"
+    return f"SELECT body FROM objects WHERE oid = '{key}' /* {fields} */"
+
+
 class ConnectionEndedError(FakesError):
     """The connection ended before the response."""
 
@@ -71,6 +81,7 @@
         self._edge = ""
         self._stream: trio.abc.Stream | None = None
         self._protocol = ClientConnection("worker", "catalog")
+        self.patience_us = 0  # how long it waits beyond the time that it tells the edge
 
     async def run(self, until_us: int, mean_pause_s: float) -> None:
         """Send requests until then, with a pause between a response and the next request."""
@@ -127,7 +138,7 @@
         text = self._statement(request_class, request_id, deadline_ms)
         self._record_sent(request_class, request_id, deadline_ms)
         try:
-            with trio.move_on_after(deadline_ms / 1000):
+            with trio.move_on_after(deadline_ms / 1000 + self.patience_us / US):
                 await self._stream.send_all(self._protocol.send_query(text.encode()))
                 reply = None
                 while reply is None:
@@ -135,22 +146,21 @@
                 return self._record_reply(request_id, reply)
             self._record_local(request_id, STATUS_DEADLINE_EXCEEDED)
         except (ConnectionEndedError, trio.BrokenResourceError, messages.ProtocolError):
-            self._record_local(request_id, STATUS_UNAVAILABLE)
+            self._on_connection_ended(request_id)
         self._disconnect()
         return 0
 
+    def _on_connection_ended(self, request_id: str) -> None:
+        """The connection ended before the whole response."""
+        self._record_local(request_id, STATUS_UNAVAILABLE)
+
     @property
     def _key(self) -> str:
         """The session's name with its present edge, under which it reads and writes."""
         return f"{self._name}.{self._connect_count}"
 
     def _statement(self, request_class: RequestClass, request_id: str, deadline_ms: int) -> str:
-        fields = f"id={request_id},c={request_class.name},t={TENANT},d={deadline_ms},cluster={self._group}"
-        if request_class.write:
-            fields += f",k={request_id}"
-            values = f"('{self._key}', '\\x00')"
-            return f"INSERT INTO objects (oid, body) VALUES {values} RETURNING body /* {fields} */"
-        return f"SELECT body FROM objects WHERE oid = '{self._key}' /* {fields} */"
+        return statement(request_class, request_id, self._key, self._group, deadline_ms)
 
     def _record_sent(self, request_class: RequestClass, request_id: str, deadline_ms: int) -> None:
         now = self._clock.now_us()
@@ -164,7 +174,7 @@
             TENANT,
             self._group,
             self._key,
-            now + deadline_ms * 1000,
+            now + deadline_ms * 1000 + self.patience_us,
         )
         self._record(sent)
 
--- a/juniperreel/fakes/script.py
+++ b/juniperreel/fakes/script.py
@@ -64,6 +64,8 @@
     "flap": FaultSyntax(timed=True),
     "edge-kill": FaultSyntax((Argument.RESTART,)),
     "edge-stall": FaultSyntax(timed=True),
+    "edge-term": FaultSyntax((Argument.RESTART,)),  # SIGTERM, and SIGKILL when its time is over
+    "edge-reload": FaultSyntax(),  # SIGHUP, with discovery at another address
     "instance-kill": FaultSyntax((Argument.RESTART,)),
     "link-cut": FaultSyntax((Argument.LINK_TARGET,), timed=True),
     "link-deaf": FaultSyntax((Argument.LINK_TARGET,), timed=True),
--- a/juniperreel/testbed/driver_fleet.py
+++ b/juniperreel/testbed/driver_fleet.py
@@ -9,11 +9,12 @@
 import os
 import random
 import sys
-from collections.abc import Awaitable, Callable, Iterator, Sequence
-from contextlib import suppress
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterator, Mapping, Sequence
+from contextlib import contextmanager, suppress
 from functools import partial
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 import trio
 
@@ -27,7 +28,7 @@
 from juniperreel.testbed.errors import DriverStartError, ProcessStateError
 from juniperreel.testbed.links import Links, play_link_fault
 from juniperreel.testbed.processes import ManagedProcess, Processes, ProcessState
-from juniperreel.testbed.relay import connect_to_port
+from juniperreel.testbed.relay import Relay, connect_to_port
 from juniperreel.testbed.scenario import (
     DISCOVERY,
     DRIVER_PROGRAM,
@@ -45,9 +46,19 @@
 LOG_TAIL_CHARACTERS = 2000
 # Drivers give way to the testbed: where both want processors, late is what is tried, not who tries it.
 NICE = 5
+KILL_AFTER_S = 3.7  # after SIGTERM, as the operators do where deadlines are long
+FRONT_NOTICES_S = 0.3  # until no new connections come to a driver that was told to end
+KILLED = -9
 LEAST_RATE = 1e-3  # requests a second, so that a pause between requests is finite
 
 
+class ExitStatus(NamedTuple):
+    """How a driver that was told to end did so; KILLED where it had not in its time."""
+
+    driver: str
+    status: int
+
+
 class DriverFleet:
     """The drivers named `names`, which are all of a trial's or a part of them.
 
@@ -65,8 +76,13 @@
         member_port: Callable[[str, str], Awaitable[int]],
         seed: int,
         program: Sequence[str] = DRIVER_PROGRAM,
+        environment: Mapping[str, str] | None = None,
     ) -> None:
-        """`member_port`: the port by which a driver (first) reaches a member (second)."""
+        """`member_port`: the port by which a driver (first) reaches a member (second).
+
+        `environment`: variables of the drivers' processes beside those that each needs.
+        """
+        self._environment = dict(environment or {})
         self.day = day
         self.names = tuple(names)
         self.clock = clock
@@ -80,6 +96,10 @@
         self._rng = random.Random(seed)
         self._all_names = driver_names(day)
         self._log_positions: dict[str, int] = {}
+        self._reloads: Counter[str] = Counter()
+        self.exit_statuses: list[ExitStatus] = []  # of drivers that were told to end
+        self.killed: set[str] = set()  # drivers that were ever killed
+        self._restarting: set[str] = set()  # drivers whose process is being ended, or started anew
         discovery_rng = random.Random(self._rng.random())
         self.hosts = PlatformDiscovery(
             self.names, clock, discovery_rng, record, day["list-delay"], member_port
@@ -96,8 +116,7 @@
 
         Raises DriverStartError if it ends instead, trio.TooSlowError after START_TIMEOUT_S.
         """
-        config = self._directory / f"{name}.json"
-        config.write_text(json.dumps(await self._settings(name)))
+        config = self._write_config(name, await self._settings(name))
         process = self.processes.by_name.get(name) or self._add_process(name, config)
         process.start()
         with trio.fail_after(START_TIMEOUT_S):
@@ -122,6 +141,8 @@
             for name in targeted_drivers(self.day, step):
                 if name not in self.names:
                     continue  # another process of the trial plays it
+                if name in self._restarting and step.fault.startswith("edge-"):
+                    continue  # an earlier step is not over
                 if step.fault == "link-mute":
                     self.hosts.servers[name].mute()
                 elif step.fault.startswith("link-"):
@@ -130,16 +151,24 @@
                     nursery.start_soon(self._kill, name, step.value)
                 elif step.fault == "edge-stall":
                     nursery.start_soon(self._stall, name, step.for_us)
+                elif step.fault == "edge-term":
+                    nursery.start_soon(self._restart, name, step.value)
+                elif step.fault == "edge-reload":
+                    nursery.start_soon(self._reload, name)
 
     def session(
-        self, name: str, index: int, group: int, mix: Sequence[rec.RequestClass], weights: Sequence[float]
+        self,
+        name: str,
+        index: int,
+        group: int,
+        mix: Sequence[rec.RequestClass],
+        weights: Sequence[float],
+        session_class: type[PlatformSession] = PlatformSession,
     ) -> PlatformSession:
         """Make a session of a group that goes to the driver at this index of `names`, round robin."""
         seed = self._rng.getrandbits(32)
         front = partial(self._address, index)
-        return PlatformSession(
-            name, group, mix, weights, front, self._network, self.clock, self._record, seed
-        )
+        return session_class(name, group, mix, weights, front, self._network, self.clock, self._record, seed)
 
     async def run_load(self, until_us: int, weights: Sequence[float]) -> None:
         """Send these drivers their part of the script's rate until then, each evenly to all groups."""
@@ -154,11 +183,22 @@
                         session = self.session(f"{name}.{group}.{number}", index, group, mix, weights)
                         nursery.start_soon(session.run, until_us, pause_s)
 
-    async def _settings(self, driver: str) -> dict[str, Any]:
+    async def shut_down_all(self) -> None:
+        """End all drivers that run, by SIGTERM and in order."""
+        async with trio.open_nursery() as nursery:
+            for name in self.names:
+                nursery.start_soon(self._restart, name, 0)
+
+    async def _open_discovery_link(self, driver: str) -> Relay:
+        """The relay by which a driver reaches its discovery; another one after each of its reloads."""
         assert self.links is not None
         discovery = self.hosts.servers[driver]
-        dial = connect_to_port(self._network, discovery.port)
-        relay = await self.links.open(driver, DISCOVERY, dial)
+        target = f"{DISCOVERY}{self._reloads[driver] or ''}"
+        return await self.links.open(driver, target, connect_to_port(self._network, discovery.port))
+
+    async def _settings(self, driver: str) -> dict[str, Any]:
+        discovery = self.hosts.servers[driver]
+        relay = await self._open_discovery_link(driver)
         index = self._all_names.index(driver)
         now_us = self.clock.now_us()
         seed = self._rng.getrandbits(60)
@@ -169,6 +209,7 @@
             "PATH": os.environ.get("PATH", ""),
             "PYTHONPATH": str(REPOSITORY),
             "GW_CONFIG": str(config),
+            **self._environment,
         }
         process = self.processes.add(name, [sys.executable, *self._program], environment, NICE)
         # Danger: logs stay in the directory, and ports in an earlier trial's would be taken for this one's.
@@ -197,13 +238,66 @@
         process = self.processes[name]
         if process.state is ProcessState.ENDED:
             return
-        self._record(rec.EdgeDown(self.clock.now_us(), name))
-        self.ports.pop(name, None)
-        process.kill_and_wipe_disk()
-        if restart_after_us:
-            await trio.sleep(restart_after_us / US)
+        with self._restart_of(name):
+            self._record(rec.EdgeDown(self.clock.now_us(), name))
+            self.killed.add(name)
+            self.ports.pop(name, None)
+            process.kill_and_wipe_disk()
+            await self._start_after(name, restart_after_us)
+
+    @contextmanager
+    def _restart_of(self, name: str) -> Iterator[None]:
+        self._restarting.add(name)
+        try:
+            yield
+        finally:
+            self._restarting.discard(name)
+
+    async def _start_after(self, name: str, pause_us: float) -> None:
+        """Start a driver after a pause; 0 leaves it down."""
+        if pause_us:
+            await trio.sleep(pause_us / US)
             await self.start_driver(name)
 
+    async def _restart(self, name: str, restart_after_us: float) -> None:
+        """Tell a driver to end, kill it when its time is over, and start it again where that is asked for."""
+        process = self.processes[name]
+        if process.state is not ProcessState.RUNNING or name not in self.ports:
+            return
+        with self._restart_of(name):
+            await self._shut_down(name, process)
+            await self._start_after(name, restart_after_us)
+
+    async def _shut_down(self, name: str, process: ManagedProcess) -> None:
+        process.terminate()
+        with trio.move_on_after(KILL_AFTER_S) as limit:
+            await trio.sleep(FRONT_NOTICES_S)
+            self.ports.pop(name, None)
+            status = await process.wait()
+        if limit.cancelled_caught:
+            self._record(rec.EdgeDown(self.clock.now_us(), name))
+            self.killed.add(name)
+            process.kill()
+            status = KILLED
+        self.exit_statuses.append(ExitStatus(name, status))
+
+    async def _reload(self, name: str) -> None:
+        """Move a driver's discovery to another address; the old one breaks its connections and takes none."""
+        process = self.processes[name]
+        if process.state is not ProcessState.RUNNING:
+            return
+        old = await self._open_discovery_link(name)
+        self._reloads[name] += 1
+        self._write_config(name, await self._settings(name))
+        process.hang_up()
+        old.refusing = True
+        old.reset()
+
+    def _write_config(self, name: str, settings: dict[str, Any]) -> Path:
+        config = self._directory / f"{name}.json"
+        config.write_text(json.dumps(settings))
+        return config
+
     async def _stall(self, name: str, duration_us: int) -> None:
         process = self.processes[name]
         if process.state is not ProcessState.RUNNING:
--- a/juniperreel/testbed/injected_faults.py
+++ b/juniperreel/testbed/injected_faults.py
@@ -40,7 +40,8 @@
     SOCKET_OPTION = "socket-option"
     FILE = "file"
     HALF_FILE = "half-file"
-    WALL_CLOCK = "wall-clock"
+    WALL_CLOCK = "wall-clock"  # it is stepped while the process runs
+    WALL_CLOCK_AT_START = "wall-clock-at-start"  # it was stepped before
     HOLD_UP = "hold-up"
 
 
@@ -191,6 +192,8 @@
     """Have the wall clock stepped, by seconds or an hour, at any reading."""
     read_ns = time.time_ns
     step_s = 0.0
+    if faults.occurs(FaultKind.WALL_CLOCK_AT_START):
+        step_s = faults.random.choice(WALL_CLOCK_STEPS_S)
 
     def stepped_s() -> float:
         nonlocal step_s
--- a/juniperreel/testbed/processes.py
+++ b/juniperreel/testbed/processes.py
@@ -106,6 +106,10 @@
         """Ask it to end (SIGTERM); does nothing if it has ended."""
         self._signal(signal.SIGTERM)
 
+    def hang_up(self) -> None:
+        """Tell it to reload its configuration (SIGHUP); does nothing if it has ended."""
+        self._signal(signal.SIGHUP)
+
     def freeze(self) -> None:
         """Stop its execution until `thaw`. Raises ProcessStateError unless it is running."""
         self._require(ProcessState.RUNNING)
--- a/juniperreel/testbed/single_process_trial.py
+++ b/juniperreel/testbed/single_process_trial.py
@@ -8,13 +8,14 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from pathlib import Path
 from typing import Any
 
 import trio
 
 from juniperreel.fakes.fleet import Fleet
+from juniperreel.fakes.platform_clients import PlatformSession
 from juniperreel.fakes.script import Script, Step
 from juniperreel.net import Clock, Network
 from juniperreel.testbed.driver_fleet import DriverFleet
@@ -36,6 +37,8 @@
 class SingleProcessTrial:
     """One trial. `recorder.records` is what it leaves."""
 
+    session_class = PlatformSession
+
     def __init__(
         self,
         day: Script,
@@ -44,10 +47,12 @@
         pause_s: float,
         program: Sequence[str] = DRIVER_PROGRAM,
         weights: Sequence[float] = CLASS_WEIGHTS,
+        environment: Mapping[str, str] | None = None,
     ) -> None:
         """`directory` keeps settings and logs; `pause_s` is a session's mean pause between its requests.
 
-        `program`: what a driver is started by; `weights`: how often sessions ask for each class.
+        `program`: what a driver is started by, with `environment` beside its own variables; `weights`: how
+        often sessions ask for each class.
         """
         self.day = day
         self.clock = Clock()
@@ -67,6 +72,7 @@
             self._member_port,
             self._rng.getrandbits(32),
             program,
+            environment,
         )
         self.fleet = Fleet(
             day, network, self.clock, self.recorder, endpoint_list=self._drivers.hosts, platform=True
@@ -119,12 +125,15 @@
         async with trio.open_nursery() as faults:
             faults.start_soon(self.fleet.play, self._play_driver_fault)
             async with trio.open_nursery() as sessions:
-                for i in range(self.day["sessions"]):
-                    group = i % self.day["groups"]
-                    session = self._drivers.session(f"s{i}", i, group, mix, self._weights)
+                for index in range(self.day["sessions"]):
+                    session = self._new_session(index, mix)
                     sessions.start_soon(session.run, until_us, self._pause_s)
             faults.cancel_scope.cancel()
 
+    def _new_session(self, index: int, mix: Sequence[rec.RequestClass]) -> PlatformSession:
+        group = index % self.day["groups"]
+        return self._drivers.session(f"s{index}", index, group, mix, self._weights, self.session_class)
+
     async def _play_driver_fault(self, step: Step) -> None:
         """Play a fault of drivers or of any of their links, to its end."""
         if step.fault.startswith("link-") and step.other != DISCOVERY:
--- /dev/null
+++ b/juniperreel/testbed/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of the platform's drivers as processes: overlapping faults, judged by the rules."""
--- /dev/null
+++ b/juniperreel/testbed/soak/oracle.py
@@ -0,0 +1,169 @@
+"""Judges one soak: the five rules by what passed, what clients saw, and what drivers say of themselves."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from juniperreel.testbed.driver_fleet import ExitStatus
+from juniperreel.testbed.faulty_driver import COUNTS_SUFFIX
+from juniperreel.testbed.injected_faults import FaultKind, SharedCounts
+from juniperreel.testbed.soak.clients import ClientNotes
+from juniperreel.verification import records as rec
+from juniperreel.verification.history import CROSS_SOCKET_TOLERANCE_US, History
+from juniperreel.verification.rules import RULES
+
+FINAL_ANSWER = 1  # numbers of rules
+STALE_READ = 5
+# An attempt that begins so long after its client has closed is a lost request.
+ATTEMPT_AFTER_LEAVING_US = 100_000
+# Log lines that a driver writes of its own faults.
+FAULT_EVENTS = (
+    "rule violated",
+    "connection raised",
+    "timer raised",
+    "policy raised on batch",
+    "open request overdue",
+)
+
+# What drivers count or log that shows a fault from outside to have reached them. Each has to be there.
+EVIDENCE_IN_LOGS = (
+    "graceful shutdown started",
+    "configuration reloaded",
+    "configuration reload rejected",
+    "discovery failed",
+)
+EVIDENCE_IN_COUNTS = (
+    ("attempts", "reset"),
+    ("attempts", "timeout"),
+    ("attempts", "unreachable"),
+    ("attempts", "rejected"),
+    ("attempts", "error"),
+    ("closed_clients", "client left"),
+    ("closed_clients", "half a command"),
+    ("closed_clients", "shutdown"),
+    ("lists", "failed"),
+    ("lists", "silent"),
+)
+EVIDENCE_IN_CLIENTS = (
+    "stopped in a startup",
+    "stopped in a command",
+    "rests",
+    "rests until the driver ends it",
+    "left",
+    "sent much and left",
+    "pipelined",
+    "wrote slowly",
+)
+
+
+@dataclass(slots=True)
+class SoakReport:
+    """What one soak showed. It proves something only where `missing` is empty."""
+
+    seed: int
+    violations: list[str] = field(default_factory=list)
+    missing: list[str] = field(default_factory=list)  # faults that did not happen
+    counts: Counter[str] = field(default_factory=Counter)
+
+    @property
+    def passed(self) -> bool:
+        """No rule was violated, and every fault happened."""
+        return not self.violations and not self.missing
+
+
+def judge(
+    seed: int,
+    records: Sequence[rec.Record],
+    notes: ClientNotes,
+    logs: Iterable[Path],
+    counts_directory: Path,
+    exits: Sequence[ExitStatus],
+    crashed: Sequence[str],
+) -> SoakReport:
+    """Put together the report of one soak. `crashed`: drivers that ended though nobody told them to."""
+    report = SoakReport(seed)
+    lines = [line for path in logs for line in _log_lines(path)]
+    report.violations += _broken_rules(records, notes)
+    report.violations += _attempts_after_clients_left(records, notes)
+    report.violations += _lost_crossings(records, notes, lines)
+    report.violations += notes.violations
+    report.violations += [json.dumps(line)[:600] for line in lines if line["event"] in FAULT_EVENTS]
+    report.violations += [f"{name} ended by itself" for name in crashed]
+    report.violations += [f"{exit.driver} ended with status {exit.status}" for exit in exits if exit.status]
+    _count(report, records, notes, lines, counts_directory)
+    return report
+
+
+def _log_lines(path: Path) -> Iterator[dict[str, Any]]:
+    for line in path.read_bytes().splitlines():
+        if line.startswith(b"{"):
+            yield json.loads(line)
+
+
+def _broken_rules(records: Sequence[rec.Record], notes: ClientNotes) -> Iterator[str]:
+    """The five rules. Requests of clients that left are owed no answer, and crossed ones are judged apart."""
+    asked = {record.request_id for record in records if isinstance(record, rec.RequestSent)}
+    for number, rule in RULES.items():
+        seen = records
+        if number == FINAL_ANSWER:
+            owed = asked - set(notes.crossed)
+            seen = [record for record in records if getattr(record, "request_id", None) in {None, *owed}]
+        elif number == STALE_READ:
+            seen = [r for r in records if getattr(r, "request_id", None) not in notes.unusual]
+        for violation in rule.check(History.of(seen)):
+            yield f"rule {number}: {violation.text} at {violation.record.at}"
+
+
+def _attempts_after_clients_left(records: Iterable[rec.Record], notes: ClientNotes) -> Iterator[str]:
+    left_us = {left.request_id: left.at_us for left in notes.left}
+    for record in records:
+        if isinstance(record, rec.AttemptReceived) and record.request_id in left_us:
+            late_us = record.at - left_us[record.request_id]
+            if late_us > ATTEMPT_AFTER_LEAVING_US + CROSS_SOCKET_TOLERANCE_US:
+                yield f"{record.request_id} was sent {late_us} us after its client had left"
+
+
+def _lost_crossings(
+    records: Iterable[rec.Record], notes: ClientNotes, lines: Iterable[dict[str, Any]]
+) -> Iterator[str]:
+    """Requests whose connection ended unanswered although the driver had read them."""
+    sent = {record.request_id for record in records if isinstance(record, rec.AttemptReceived)}
+    taken = {line["request"] for line in lines if line["event"] == "request taken"}
+    for request_id, driver in notes.crossed.items():
+        if request_id in sent or request_id in taken:
+            yield f"{request_id} was taken by {driver} and its connection ended without an answer"
+
+
+def _count(
+    report: SoakReport,
+    records: Iterable[rec.Record],
+    notes: ClientNotes,
+    lines: Sequence[dict[str, Any]],
+    counts_directory: Path,
+) -> None:
+    injected: Counter[FaultKind] = Counter()
+    for path in counts_directory.glob(f"*{COUNTS_SUFFIX}"):
+        injected += SharedCounts(path).read()
+    events = Counter(line["event"] for line in lines)
+    counted: Counter[str] = Counter()
+    for line in lines:
+        if line["event"] == "shutdown complete":
+            for group, name in EVIDENCE_IN_COUNTS:
+                counted[f"{group}: {name}"] += line[group].get(name, 0)
+    evidence = {
+        **{f"injected: {kind.value}": injected[kind] for kind in FaultKind},
+        **{f"log: {event}": events[event] for event in EVIDENCE_IN_LOGS},
+        **{f"{group}: {name}": counted[f"{group}: {name}"] for group, name in EVIDENCE_IN_COUNTS},
+        **{f"client: {kind}": notes.counts[kind] for kind in EVIDENCE_IN_CLIENTS},
+    }
+    report.missing += [name for name, count in evidence.items() if not count]
+    report.counts.update(evidence)
+    responses = [record for record in records if isinstance(record, rec.ResponseReceived)]
+    report.counts["requests answered"] = len(responses)
+    report.counts["requests served"] = sum(record.status == 0 for record in responses)
+    report.counts["requests crossed an end"] = notes.counts["request crossed an end"]
--- /dev/null
+++ b/juniperreel/testbed/soak/plan.py
@@ -0,0 +1,93 @@
+"""The plan of one soak: which faults of members, links and drivers happen when, drawn from its seed."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Mapping
+
+from juniperreel.fakes.script import Script, parse
+from juniperreel.testbed.injected_faults import FaultKind
+
+SETTINGS = """
+groups 2
+members 4
+edges {drivers}
+sessions {sessions}
+seed {seed}
+list-delay 200ms
+primary-delay 400ms
+cold-span 3s
+ask-every 4s
+last {last_ms}ms
+"""
+SESSIONS_PER_DRIVER = 2
+FIRST_FAULT_MS = 700
+LAST_FAULT_BEFORE_END_MS = 1_500
+
+# Each is drawn once or more in every plan. Times that a fault lasts are drawn, too.
+MEMBER_FAULTS = (
+    "for {short} hang random:25%",
+    "for {long} lose g{group}/replica 30%",
+    "for {long} break g{group} 20%",
+    "for {long} fail g{group}/replica 60%",
+    "for {long} lag random:50% 1500",
+    "for {long} slow g{group}/replica 0.3",
+    "kill g{group}/primary back 1500ms",
+    "roll g{group}/replica 800ms",
+    "drain g{group}/replica",
+    "drain g{group}/primary",
+)
+LINK_FAULTS = (
+    "for {short} link-cut edge/random:30% to random:30%",
+    "for {short} link-deaf edge/random:30% to g{group}",
+    "link-reset edge/random:50% to all",
+    "for {long} link-slow edge/random:40% to random:50% 120ms",
+    "for {short} link-cut edge/random:40% to list",
+    "for {long} link-slow edge/random:40% to list 400ms",
+)
+# A watch whose discovery is silent is overdue after some seconds only.
+EARLY_FAULTS = ("link-mute edge/random:50% to list",)
+LAST_EARLY_FAULT_BEFORE_END_MS = 5_000
+DRIVER_FAULTS = (
+    "edge-term edge/random:20% back 200ms",
+    "edge-term edge/random:15% back 200ms",
+    "edge-reload edge/random:40%",
+    "edge-reload edge/random:40%",
+    "edge-kill edge/random:10% back 300ms",
+)
+REPEATED = 4  # faults that are drawn a second time
+
+FAULT_RATES: Mapping[FaultKind, float] = {
+    FaultKind.ACCEPT: 0.05,
+    FaultKind.SOCKET: 0.01,
+    FaultKind.CONNECT: 0.02,
+    FaultKind.SHORT_READ: 0.1,
+    FaultKind.SHORT_WRITE: 0.1,
+    FaultKind.WRITE: 0.002,
+    FaultKind.BROKEN_CONNECTION: 0.001,
+    FaultKind.SOCKET_OPTION: 0.01,
+    FaultKind.FILE: 0.2,
+    FaultKind.HALF_FILE: 0.2,
+    FaultKind.WALL_CLOCK: 0.05,
+    FaultKind.WALL_CLOCK_AT_START: 0.5,
+    FaultKind.HOLD_UP: 0.0005,
+}
+
+
+def draw_plan(seed: int, drivers: int, last_ms: int) -> Script:
+    """The same script for the same arguments."""
+    rng = random.Random(f"{seed} {drivers} {last_ms}")
+    lines = [
+        SETTINGS.format(drivers=drivers, sessions=SESSIONS_PER_DRIVER * drivers, seed=seed, last_ms=last_ms)
+    ]
+    faults = [*EARLY_FAULTS, *MEMBER_FAULTS, *LINK_FAULTS, *DRIVER_FAULTS]
+    for fault in faults + rng.sample(faults, REPEATED):
+        before_end_ms = LAST_EARLY_FAULT_BEFORE_END_MS if fault in EARLY_FAULTS else LAST_FAULT_BEFORE_END_MS
+        at_ms = rng.randrange(FIRST_FAULT_MS, last_ms - before_end_ms)
+        text = fault.format(
+            short=f"{rng.randrange(200, 1_000)}ms",
+            long=f"{rng.randrange(800, 3_000)}ms",
+            group=rng.randrange(2),
+        )
+        lines.append(f"at {at_ms}ms {text}")
+    return parse("\n".join(lines))
