--- a/juniperreel/platform/program.py
+++ b/juniperreel/platform/program.py
@@ -63,14 +63,14 @@
         self.poller.wake()
 
     def start(self) -> None:
-        """Use the cached endpoint list and listen. Raises OSError where the address can't be had."""
+        """Listen and use the cached endpoint list. Raises OSError where the address can't be had."""
+        host, port = self.config.listen
+        self.acceptor = Acceptor(self.poller, host, port, self.driver.client_listener.accept)
         self.driver.on_endpoint_update(UpdateKind.CACHED, self._read_cached_list())
         self.driver.process_pending()
         if not self.config.router.must_poll:
             # Where lists are pushed, what the operators' agent has counts as notified from the first moment.
             self.discovery.subscribe(True)
-        host, port = self.config.listen
-        self.acceptor = Acceptor(self.poller, host, port, self.driver.client_listener.accept)
         limits = self.config.limits
         self.log.info(
             "serving",
@@ -104,6 +104,8 @@
             driver.process_pending()
             if self.acceptor is not None:
                 self.acceptor.retry(self.clock.now_us())
+        driver.check_nothing_is_owed()
+        self._log_counts("shutdown complete")
 
     def _shutdown_is_complete(self) -> bool:
         """Close what is to be closed by now; return whether nothing is left to wait for."""
@@ -147,10 +149,15 @@
         """Write a line to the log at intervals, until cancelled."""
         while True:
             await trio.sleep(STATUS_INTERVAL_S)
-            self.log.info(
-                "status",
-                open_requests=len(self.driver.requests.by_id),
-                clients=self.driver.budget.clients,
-                endpoint_connections=self.driver.budget.endpoint_connections,
-                cpu_s=round(sum(os.times()[:2]), 2),
-            )
+            self._log_counts("status")
+
+    def _log_counts(self, event: str) -> None:
+        self.log.info(
+            event,
+            open_requests=len(self.driver.requests.by_id),
+            clients=self.driver.budget.clients,
+            endpoint_connections=self.driver.budget.endpoint_connections,
+            cpu_s=round(sum(os.times()[:2]), 2),
+            violations=self.driver.monitor.summary(),
+            **self.driver.counters.fields(),
+        )
