Known red: after a failed call discovery is asked again too late to keep the grace of drains

Need: what discovery has to tell counts as told 6 s later at the latest; where lists are pushed, what the agent gets when discovery is back counts at once. The pause after a failed call is 1 s and up to 20 ms for each driver of the fleet: 5 s for 200, 21 s for 1000, in both modes, with a grace of 1.5 s (harbour-tides).

--- a/tests/routing/test_endpoint_list.py
+++ b/tests/routing/test_endpoint_list.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from juniperreel.routing.policy import parameters
 from juniperreel.routing.state import NEVER
 from juniperreel.routing.types import Readiness, StartHealthCheck, Subscribe, UpdateKind
@@ -57,6 +59,28 @@
     assert Subscribe(enabled=True) in script.last_actions
 
 
+@pytest.mark.parametrize("router_count", [3, 200, 1000])
+@pytest.mark.parametrize(
+    "must_poll, latest_us",
+    [
+        # What discovery has to tell counts as notified 6 s later, and a call may take 1.5 s of it.
+        pytest.param(True, 4500 * MS, id="polled"),
+        # What the operators' agent learns when discovery is back counts as notified at once: only the grace of
+        # drains is left.
+        pytest.param(False, 750 * MS, id="pushed"),
+    ],
+)
+def test_call_after_a_failed_one_comes_before_what_it_tells_binds(
+    must_poll: bool, latest_us: int, router_count: int
+) -> None:
+    for seed in range(30):
+        script = RouterScript(seed, must_poll=must_poll, router_count=router_count, drain_grace_us=1500 * MS)
+        script.update_endpoints(endpoint("a"))
+        script.run_for(20 * SEC)
+        script.update_endpoints(kind=UpdateKind.FAILED)
+        assert Subscribe(enabled=True) in script.run_for(latest_us + 20 * MS)
+
+
 def test_removed_endpoints_after_their_ttl_are_forgotten_and_may_come_back() -> None:
     """Seen on the soak day: endpoints are replaced for hours, and each stayed in memory."""
     script = RouterScript()
