Discovery: after a failed call the list is asked for again in time for what it tells

Cause: EndpointTracker.on_update paused for 1 s and up to 20 ms for each driver of the fleet, however large, also where lists are pushed. Change: at most 4.5 s where lists are polled (the 6 s less a call), half of the grace of drains where they are pushed; the fleet's calls are spread over what is left of that. Fleets of up to 175 that poll pause as before. Measured: the test passes in both modes and three sizes, the spread is tested for 1000; tests of routing and emulator pass (151).

--- a/juniperreel/routing/policy/endpoint_list.py
+++ b/juniperreel/routing/policy/endpoint_list.py
@@ -40,10 +40,10 @@
             state.emit(Subscribe(True))
             return
         if update.kind is UpdateKind.FAILED:
-            self.next_poll_us = state.now_us + parameters.POLL_RETRY_US + 2 * jitter_us
+            self.next_poll_us = state.now_us + self._retry_pause_us(jitter_us)
             return
         if update.kind is UpdateKind.CACHED and state.settings.must_poll:
-            self.next_poll_us = state.now_us + jitter_us
+            self.next_poll_us = state.now_us + min(jitter_us, self._retry_pause_us(jitter_us))
         for info in update.endpoints:
             self.update_endpoint(info)
         if update.kind is not UpdateKind.DELTA:
@@ -54,6 +54,17 @@
             state.forget_removed_endpoints(parameters.REMOVED_ENDPOINT_TTL_US)
         state.rebuild_groups(include_removed=state.settings.removed_endpoints_serve)
 
+    def _retry_pause_us(self, jitter_us: int) -> int:
+        """How long after a failed call the list is asked for again."""
+        # Large fleets that ask all at once are turned away again, and those that wait long send to endpoints
+        # that drain: what the list tells binds soon after discovery has it, and where it is pushed, at once.
+        settings = self.state.settings
+        longest_us = parameters.MAX_POLL_RETRY_US if settings.must_poll else settings.drain_grace_us // 2
+        shortest_us = min(parameters.POLL_RETRY_US, longest_us // 2)
+        whole_spread_us = 2 * parameters.POLL_JITTER_US * settings.router_count
+        spread_us = min(whole_spread_us, longest_us - shortest_us)
+        return shortest_us + 2 * jitter_us * spread_us // whole_spread_us
+
     def update_endpoint(self, info: Endpoint) -> None:
         """Take over one entry of the list."""
         state = self.state
--- a/juniperreel/routing/policy/parameters.py
+++ b/juniperreel/routing/policy/parameters.py
@@ -71,6 +71,7 @@
 
 POLL_JITTER_US = 10 * MS  # for each router: those that start together must not poll together
 POLL_RETRY_US = 1 * SEC  # after a failed call, and up to two such jitters more
+MAX_POLL_RETRY_US = 4_500 * MS  # of the 6 s after which what is polled for binds, 1.5 s are for the call
 MAX_SESSIONS = 20_000  # remembered; older ones sink into a watermark that replicas must have passed
 RESPONSE_TRANSIT_US = 50 * MS  # a response that was written counts as received after twice that, though lost
 SESSION_TTL_US = 60 * SEC  # a replica that has not passed what was committed before is of no use
--- a/tests/routing/test_endpoint_list.py
+++ b/tests/routing/test_endpoint_list.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from itertools import pairwise
+
 import pytest
 
 from juniperreel.routing.policy import parameters
@@ -65,8 +67,8 @@
     [
         # What discovery has to tell counts as notified 6 s later, and a call may take 1.5 s of it.
         pytest.param(True, 4500 * MS, id="polled"),
-        # What the operators' agent learns when discovery is back counts as notified at once: only the grace of
-        # drains is left.
+        # What the operators' agent learns when discovery is back counts as notified at once: the grace of
+        # drains is all that is left.
         pytest.param(False, 750 * MS, id="pushed"),
     ],
 )
@@ -81,6 +83,19 @@
         assert Subscribe(enabled=True) in script.run_for(latest_us + 20 * MS)
 
 
+def test_calls_after_failed_ones_are_spread_over_the_whole_time_that_a_large_fleet_has() -> None:
+    pauses_us = []
+    for seed in range(200):
+        script = RouterScript(seed, must_poll=True, router_count=1000)
+        script.update_endpoints(endpoint("a"), kind=UpdateKind.SNAPSHOT)
+        script.update_endpoints(kind=UpdateKind.FAILED)
+        pauses_us.append(script.router.parts.endpoints.next_poll_us - script.now_us)
+    pauses_us.sort()
+    assert pauses_us[0] >= SEC
+    assert pauses_us[100] < 3500 * MS
+    assert max(later - earlier for earlier, later in pairwise(pauses_us)) < 200 * MS
+
+
 def test_removed_endpoints_after_their_ttl_are_forgotten_and_may_come_back() -> None:
     """Seen on the soak day: endpoints are replaced for hours, and each stayed in memory."""
     script = RouterScript()
