Known red: a primary whose drain was told late still gets work for half of the grace

Need: nothing new goes to a draining endpoint after the grace, which counts from when its drain counts as told: 6 s after discovery had it, or at once where lists are pushed, whether it arrived or not. EndpointTracker.may_receive gives a draining primary half of the grace from when the list came, also of the first list after calls that failed.

--- a/tests/routing/test_endpoint_list.py
+++ b/tests/routing/test_endpoint_list.py
@@ -96,6 +96,17 @@
     assert max(later - earlier for earlier, later in pairwise(pauses_us)) < 200 * MS
 
 
+@pytest.mark.parametrize("failure", [UpdateKind.FAILED, UpdateKind.TIMED_OUT])
+def test_draining_primary_of_a_list_that_comes_late_gets_nothing(failure: UpdateKind) -> None:
+    """Its grace may be over: it counts from when the drain counts as notified."""
+    script = RouterScript()
+    script.start_group("a")
+    script.update_endpoints(kind=UpdateKind.DELTA)
+    script.update_endpoints(kind=failure)
+    script.update_endpoints(endpoint(PRIMARY, readiness=Readiness.DRAINING), kind=UpdateKind.DELTA)
+    assert script.endpoints_tried(script.submit_request(WRITE)) == []
+
+
 def test_removed_endpoints_after_their_ttl_are_forgotten_and_may_come_back() -> None:
     """Seen on the soak day: endpoints are replaced for hours, and each stayed in memory."""
     script = RouterScript()
