Endpoint list: a drain that is told after a failed call leaves its primary no grace

Cause: the half grace of a draining primary counted from the coming of the list, though what a list tells after a failed or silent call counted as told before. Change: drains of the first list after such a call count as told a whole grace ago; the successor is searched for at once. Lists that come on a watch that goes on are treated as before.

--- a/juniperreel/routing/policy/endpoint_list.py
+++ b/juniperreel/routing/policy/endpoint_list.py
@@ -13,6 +13,7 @@
     def __init__(self, state: RouterState) -> None:
         self.state = state
         self.next_poll_us = IDLE_US
+        self._list_is_late = False  # a call failed since the last list
 
     def may_receive(self, endpoint: EndpointState, group: GroupState) -> bool:
         """Rule 3: nothing new for draining or removed endpoints."""
@@ -34,6 +35,8 @@
         """Take over an update, or plan the next call after one that brought none."""
         state = self.state
         jitter_us = int(state.random.uniform(0, parameters.POLL_JITTER_US * state.settings.router_count))
+        if update.kind in (UpdateKind.TIMED_OUT, UpdateKind.FAILED):
+            self._list_is_late = True
         if update.kind is UpdateKind.TIMED_OUT:
             # What a silent watch misses counts as notified seconds after it fell silent, and much of that has
             # passed: it is opened anew at once. Nobody rejected it; those that began apart fall due apart.
@@ -49,6 +52,7 @@
         if update.kind is not UpdateKind.DELTA:
             for endpoint in state.unlisted_endpoints(update.endpoints):
                 self.update_endpoint(replace(endpoint.info, readiness=Readiness.REMOVED))
+        self._list_is_late = False
         if not state.settings.removed_endpoints_serve:
             # Those that are replaced all day would be remembered for good.
             state.forget_removed_endpoints(parameters.REMOVED_ENDPOINT_TTL_US)
@@ -69,10 +73,13 @@
         """Take over one entry of the list."""
         state = self.state
         endpoint = state.endpoints.get(info.id)
+        was_draining = endpoint is not None and endpoint.info.readiness is Readiness.DRAINING
         if endpoint is None:
             endpoint = state.add_endpoint(info, self._initial_srtt_us(), state.random.random())
         elif endpoint.update(info, state.now_us):
             endpoint.restart(state.now_us, self._initial_srtt_us(), state.random.random())
+        if self._list_is_late and info.readiness is Readiness.DRAINING and not was_draining:
+            endpoint.readiness_changed_us = state.now_us - state.settings.drain_grace_us  # at the latest
         if info.listed_primary and state.settings.list_names_primary:
             state.group(info.group).listed_primary = endpoint
 
