Known red: connections to endpoints that hang take all descriptors

Need: a driver must not go over its sockets, and must learn of drains while endpoints hang. EndpointPools.free_descriptor closes an idle connection where the limit is reached; where none is idle the next one is opened all the same, so pipelined requests at hanging endpoints leave none for clients and for discovery's calls.

--- a/tests/platform/test_driver.py
+++ b/tests/platform/test_driver.py
@@ -390,3 +390,16 @@
     assert len(harness.driver.requests.answered_us) <= 7
     assert set(harness.driver.endpoint_pools.pools) == {"p", "a", "n39"}
     assert b"C42710" in harness.client(read_text(f"{39:016x}")).take()
+
+
+def test_connections_to_endpoints_never_exceed_their_part_of_the_descriptors() -> None:
+    """Danger: what they take beyond it, discovery lacks, and drains are not learned."""
+    harness = EventHarness(limits={"cores": 0.5, "memory_mb": 64, "sockets": 64})
+    limit = harness.driver.budget.endpoint_limit
+    for number in range(20):
+        texts = (read_text(f"{number:08x}{n:08x}", span=1500, key=f"row-{n}") for n in range(6))
+        harness.client(*texts)
+        harness.advance_us(20 * MS)
+        assert harness.driver.budget.endpoint_connections <= limit
+    harness.advance_us(4 * SEC)
+    assert not harness.driver.requests.by_id  # all have their answers
