Pools: no connection to an endpoint is opened beyond their part of the descriptors

Cause: EndpointPools.free_descriptor closed an idle connection at the limit and said nothing where there was none. Change: it says whether one may be opened; else the attempt ends as not sent, and the router tries another or rejects at once.

--- a/juniperreel/platform/endpoint_pools.py
+++ b/juniperreel/platform/endpoint_pools.py
@@ -54,11 +54,13 @@
         self._open(exchange)
 
     def _open(self, exchange: Exchange) -> None:
-        self._pools.free_descriptor()
+        # This process has no descriptor left, or no other resource, which says nothing of the endpoint.
+        if not self._pools.free_descriptor():
+            exchange.finish(Outcome.NOT_SENT)
+            return
         try:
             transport = self._pools.connect(*self.address)
         except OSError:
-            # This process has no descriptor left, which says nothing of the endpoint.
             exchange.finish(Outcome.NOT_SENT)
             return
         connection = EndpointConnection(self, transport)
@@ -147,16 +149,19 @@
         if exchange.connection is not None:
             exchange.connection.abandon(exchange, cancelled)
 
-    def free_descriptor(self) -> None:
-        """Close the connection that has been idle longest, where the limit of connections is reached.
+    def free_descriptor(self) -> bool:
+        """Return whether another connection may be opened; close an idle one for it where that is needed.
 
-        Otherwise idle connections to some endpoints would keep another one from being reached at all.
+        Idle connections to some endpoints must not keep another one from being reached, nor busy ones take
+        the descriptors of clients and of discovery.
         """
         if not self.budget.endpoints_full:
-            return
+            return True
         idle = [connection for pool in self.pools.values() for connection in pool.idle]
-        if idle:
-            min(idle, key=lambda connection: connection.idle_since_us).close()
+        if not idle:
+            return False
+        min(idle, key=lambda connection: connection.idle_since_us).close()
+        return True
 
     def close_idle(self, forget_retired: bool) -> None:
         """Close what has been idle long, as the endpoint soon closes it, and a request written then is lost.
