--- a/juniperreel/routing/policy/endpoint_list.py
+++ b/juniperreel/routing/policy/endpoint_list.py
@@ -13,6 +13,7 @@
     def __init__(self, state: RouterState) -> None:
         self.state = state
         self.next_poll_us = IDLE_US
+        self._list_is_late = False  # a call failed since the last list
 
     def may_receive(self, endpoint: EndpointState, group: GroupState) -> bool:
         """Rule 3: nothing new for draining or removed endpoints."""
@@ -34,34 +35,51 @@
         """Take over an update, or plan the next call after one that brought none."""
         state = self.state
         jitter_us = int(state.random.uniform(0, parameters.POLL_JITTER_US * state.settings.router_count))
+        if update.kind in (UpdateKind.TIMED_OUT, UpdateKind.FAILED):
+            self._list_is_late = True
         if update.kind is UpdateKind.TIMED_OUT:
             # What a silent watch misses counts as notified seconds after it fell silent, and much of that has
             # passed: it is opened anew at once. Nobody rejected it; those that began apart fall due apart.
             state.emit(Subscribe(True))
             return
         if update.kind is UpdateKind.FAILED:
-            self.next_poll_us = state.now_us + parameters.POLL_RETRY_US + 2 * jitter_us
+            self.next_poll_us = state.now_us + self._retry_pause_us(jitter_us)
             return
         if update.kind is UpdateKind.CACHED and state.settings.must_poll:
-            self.next_poll_us = state.now_us + jitter_us
+            self.next_poll_us = state.now_us + min(jitter_us, self._retry_pause_us(jitter_us))
         for info in update.endpoints:
             self.update_endpoint(info)
         if update.kind is not UpdateKind.DELTA:
             for endpoint in state.unlisted_endpoints(update.endpoints):
                 self.update_endpoint(replace(endpoint.info, readiness=Readiness.REMOVED))
+        self._list_is_late = False
         if not state.settings.removed_endpoints_serve:
             # Those that are replaced all day would be remembered for good.
             state.forget_removed_endpoints(parameters.REMOVED_ENDPOINT_TTL_US)
         state.rebuild_groups(include_removed=state.settings.removed_endpoints_serve)
 
+    def _retry_pause_us(self, jitter_us: int) -> int:
+        """How long after a failed call the list is asked for again."""
+        # Large fleets that ask all at once are turned away again, and those that wait long send to endpoints
+        # that drain: what the list tells binds soon after discovery has it, and where it is pushed, at once.
+        settings = self.state.settings
+        longest_us = parameters.MAX_POLL_RETRY_US if settings.must_poll else settings.drain_grace_us // 2
+        shortest_us = min(parameters.POLL_RETRY_US, longest_us // 2)
+        whole_spread_us = 2 * parameters.POLL_JITTER_US * settings.router_count
+        spread_us = min(whole_spread_us, longest_us - shortest_us)
+        return shortest_us + 2 * jitter_us * spread_us // whole_spread_us
+
     def update_endpoint(self, info: Endpoint) -> None:
         """Take over one entry of the list."""
         state = self.state
         endpoint = state.endpoints.get(info.id)
+        was_draining = endpoint is not None and endpoint.info.readiness is Readiness.DRAINING
         if endpoint is None:
             endpoint = state.add_endpoint(info, self._initial_srtt_us(), state.random.random())
         elif endpoint.update(info, state.now_us):
             endpoint.restart(state.now_us, self._initial_srtt_us(), state.random.random())
+        if self._list_is_late and info.readiness is Readiness.DRAINING and not was_draining:
+            endpoint.readiness_changed_us = state.now_us - state.settings.drain_grace_us  # at the latest
         if info.listed_primary and state.settings.list_names_primary:
             state.group(info.group).listed_primary = endpoint
 
