--- a/tests/platform/test_crossings.py
+++ b/tests/platform/test_crossings.py
@@ -470,3 +470,36 @@
 def _endpoint_transport(harness: SocketHarness) -> Transport:
     (connection,) = harness.driver.endpoint_pools.pools["a"].connections
     return connection.transport
+
+
+@pytest.mark.parametrize("half", [False, True], ids=["nothing asked so far", "half a command so far"])
+async def test_a_command_that_waits_unread_when_its_client_s_time_is_up_is_served(half: bool) -> None:
+    """The sweep that ends silent clients comes between the arrival of the command and the next poll."""
+    with SocketHarness() as harness:
+        await harness.learn_positions()
+        client = await harness.client()
+        query = m.query(read_text(IDS[0]))
+        if half:
+            client.send(query[:20])
+            await harness.poll_once()
+        harness.advance_us(1950 * MS)
+        client.send(query[20:] if half else query)
+        await harness.wait_for_event(harness.client_transports[-1])
+        harness.advance_us(300 * MS)
+        member = await harness.next_query("a")
+        member.send(row(b"kept"))
+        assert b"kept" in await harness.read_answer(client)
+
+
+async def test_a_client_that_stops_in_a_command_is_told_though_more_bytes_keep_coming() -> None:
+    with SocketHarness() as harness:
+        client = await harness.client()
+        client.send(m.query(read_text(IDS[0]))[:20])
+        await harness.poll_once()
+        for _ in range(30):
+            if b"SFATAL" in client.read():
+                break
+            client.send(b"x")
+            harness.advance_us(100 * MS)
+            await harness.poll_once()
+        assert b"SFATAL" in client.read()
