Clients: bytes that wait unread are looked for before a client is ended or evicted

Cause: ClientListener._close_if_inactive and _evict_one ended clients without a look at what had come since the last poll; a new client whose request lay unread was the first to be evicted for the next one.

--- a/juniperreel/platform/client_connection.py
+++ b/juniperreel/platform/client_connection.py
@@ -208,6 +208,10 @@
         """Return whether the client has ended or broken the connection, though no event says so yet."""
         return self._transport.peer_has_left()
 
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes have come, or the client's end, that the next poll will report."""
+        return not self._transport.has_nothing_to_read()
+
     def pause_reading(self) -> None:
         """Read no further commands."""
         self._reading_paused_us = self._reading_paused_us or self._listener.now()
--- a/juniperreel/platform/client_listener.py
+++ b/juniperreel/platform/client_listener.py
@@ -12,6 +12,7 @@
 
 FIRST_COMMAND_TIMEOUT_US = 2_000_000  # for a connection to send its first command
 COMMAND_TIMEOUT_US = 2_000_000  # for the rest of a command that began to arrive
+UNREAD_BYTES_TIMEOUT_US = 500_000  # more than those, where bytes have come that were not read yet
 IDLE_TIMEOUT_US = 60_000_000
 SHORTAGE_IDLE_TIMEOUT_US = 2_000_000  # the same where descriptors run short
 
@@ -93,13 +94,18 @@
     def _evict_one(self, now_us: int) -> bool:
         """Close the connection that will be missed least; return False where there is none.
 
-        That is one that is being closed, or never sent a command, else the longest idle. It is closed at
-        once, as its descriptor is needed now.
+        That is one that is being closed, or never sent a command, else the longest idle; last, one that sent
+        a part of its first command. It is closed at once, as its descriptor is needed now. One whose bytes
+        wait to be read is about to ask, and stays.
         """
         candidates = [client for client in self.clients if self._may_be_evicted(client, now_us)]
         candidates.sort(key=_eviction_order)
         for client in candidates:
-            if client.closing_since_us or not client.command_count or client.is_idle:
+            if client.closing_since_us or client.is_idle:
+                self.remove(client, CloseReason.DESCRIPTORS)
+                return True
+        for client in candidates:
+            if not client.command_count and not client.has_unread_bytes():
                 self.remove(client, CloseReason.DESCRIPTORS)
                 return True
         return False
@@ -125,13 +131,22 @@
     def _close_if_inactive(self, client: ClientConnection, now_us: int) -> None:
         idle_us = now_us - client.last_active_us
         idle_timeout_us = SHORTAGE_IDLE_TIMEOUT_US if self.budget.clients_nearly_full else IDLE_TIMEOUT_US
-        if client.partial_since_us and now_us - client.partial_since_us > COMMAND_TIMEOUT_US:
-            client.close_with_error("08P01", "a command does not end", CloseReason.HALF_COMMAND)
-        elif not client.command_count and idle_us > FIRST_COMMAND_TIMEOUT_US:
-            client.close_with_error("57P05", "nothing was asked", CloseReason.NO_COMMAND)
+        if client.partial_since_us:
+            if self._is_overdue(client, now_us - client.partial_since_us, COMMAND_TIMEOUT_US):
+                client.close_with_error("08P01", "a command does not end", CloseReason.HALF_COMMAND)
+        elif not client.command_count:
+            if self._is_overdue(client, idle_us, FIRST_COMMAND_TIMEOUT_US):
+                client.close_with_error("57P05", "nothing was asked", CloseReason.NO_COMMAND)
         elif idle_us > idle_timeout_us and client.is_idle:
             self.close_gracefully(client, CloseReason.IDLE)
 
+    @staticmethod
+    def _is_overdue(client: ClientConnection, waited_us: int, timeout_us: int) -> bool:
+        """Whether a client's time is up; the next poll may read the rest of a command that is there."""
+        if waited_us <= timeout_us:
+            return False
+        return waited_us > timeout_us + UNREAD_BYTES_TIMEOUT_US or not client.has_unread_bytes()
+
     def close_when_answered(self) -> None:
         """Close idle connections now, and from now on the others with the answers to their commands.
 
--- a/tests/platform/test_driver.py
+++ b/tests/platform/test_driver.py
@@ -403,3 +403,19 @@
         assert harness.driver.budget.endpoint_connections <= limit
     harness.advance_us(4 * SEC)
     assert not harness.driver.requests.by_id  # all have their answers
+
+
+def test_a_new_client_whose_request_waits_unread_is_not_evicted_for_the_next_one() -> None:
+    harness = EventHarness(limits={"cores": 0.5, "memory_mb": 64, "sockets": 64})
+    harness.driver.budget.active_client_limit = harness.driver.budget.client_limit
+    for _ in range(harness.driver.budget.client_limit - 1):
+        harness.client(b"")
+    for client in harness.driver.client_listener.clients:
+        client.last_active_us -= 3 * SEC
+    asking = FakeTransport()
+    harness.driver.client_listener.accept(asking)
+    asking.has_unread = True
+    harness.advance_us(MS)
+    harness.driver.client_listener.accept(FakeTransport())
+    assert not asking.closed
+    assert harness.driver.budget.clients == harness.driver.budget.client_limit
