Discovery: resources that this machine lacks for a moment make no failed call

Cause: TcpNetwork.connect reports ENFILE, ENOBUFS and EADDRNOTAVAIL as it reports a silent peer, and Discovery took all for failed calls. Change: Discovery tries again each 0.1 s, up to ten times, where the error is of this machine.

--- a/juniperreel/platform/discovery.py
+++ b/juniperreel/platform/discovery.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import errno
 from collections.abc import Callable
 
 import msgspec
@@ -13,6 +14,7 @@
 
 from juniperreel.net import ConnectError, Network
 from juniperreel.net.clock import US
+from juniperreel.net.network import DESCRIPTOR_EXHAUSTION_ERRNOS
 from juniperreel.platform.discovery_connection import DiscoveryConnection
 from juniperreel.platform.endpoint_list import Address, EndpointList, read_endpoint_list
 from juniperreel.platform.errors import DiscoveryCallError, EndpointListError
@@ -36,6 +38,10 @@
 WATCH_WAIT_PER_DRIVER_US = 20_000  # of the fleet: 50 calls a second from all of them
 MIN_WATCH_WAIT_US = 2_000_000
 
+LOCAL_FAILURE_RETRIES = 10
+LOCAL_FAILURE_PAUSE_S = 0.1
+LOCAL_FAILURE_ERRNOS = DESCRIPTOR_EXHAUSTION_ERRNOS | {errno.EADDRNOTAVAIL, errno.EAGAIN}
+
 OnUpdate = Callable[[UpdateKind, EndpointList | None], None]
 
 
@@ -118,6 +124,18 @@
             self._open_watch()
 
     async def _connect(self) -> DiscoveryConnection:
+        """Connect; try again where this machine lacks resources for a moment, which is no failed call."""
+        for _ in range(LOCAL_FAILURE_RETRIES):
+            try:
+                return await self._connect_once()
+            except ConnectError as error:
+                if not _is_local_failure(error):
+                    raise
+                self._log.warning("no socket for discovery", error=str(error))
+            await trio.sleep(LOCAL_FAILURE_PAUSE_S)
+        return await self._connect_once()
+
+    async def _connect_once(self) -> DiscoveryConnection:
         host, port = self.address
         stream = await self._network.connect(host, port, CONNECT_TIMEOUT_US)
         return DiscoveryConnection(stream, f"{host}:{port}")
@@ -195,3 +213,8 @@
         self.version = endpoint_list.version
         kind = UpdateKind.SNAPSHOT if endpoint_list.complete else UpdateKind.DELTA
         self._on_update(kind, endpoint_list)
+
+
+def _is_local_failure(error: ConnectError) -> bool:
+    cause = error.__cause__
+    return isinstance(cause, OSError) and cause.errno in LOCAL_FAILURE_ERRNOS
