Soak: a short one in the tests, three planted bugs, and each judge with a violation of its own

Need: an oracle is trusted once it has found a violation. Change: tests that a short soak passes with every injected fault seen, that drivers are found which believe the wall clock (rule 5), write for clients that left, and end clients with open requests; eight records that each judge must find; a run without faults that must not pass.

--- /dev/null
+++ b/tests/testbed/test_soak.py
@@ -0,0 +1,144 @@
+"""The soak: a short one passes, planted bugs are found, and its judges find each violation by itself."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from juniperreel.fakes.script import render
+from juniperreel.net import TcpNetwork
+from juniperreel.testbed.driver_fleet import ExitStatus
+from juniperreel.testbed.injected_faults import FaultKind
+from juniperreel.testbed.soak.clients import ClientLeft, ClientNotes
+from juniperreel.testbed.soak.oracle import SoakReport, judge
+from juniperreel.testbed.soak.plan import FAULT_RATES, draw_plan
+from juniperreel.testbed.soak.run import play_soak
+from juniperreel.verification import records as rec
+
+DRIVERS = 8
+LAST_MS = 9_000
+RATES = {kind: min(3 * rate, 0.5) for kind, rate in FAULT_RATES.items()}  # short soaks have fewer calls
+SECOND = 1_000_000
+ID = "00000000000000f1"
+
+PLANT = """
+import runpy
+from juniperreel.platform.attempt import Attempt
+from juniperreel.platform.client_listener import ClientListener
+from juniperreel.platform.counters import CloseReason
+from juniperreel.platform.driver import PlatformDriver
+from juniperreel.platform.endpoint_clock import EndpointClock
+{bug}
+runpy.run_module("juniperreel.testbed.faulty_driver", run_name="__main__")
+"""
+BELIEVES_THE_WALL_CLOCK = """
+EndpointClock.observe = lambda *_: 0
+EndpointClock.is_plausible = lambda *_: True
+"""
+WRITES_FOR_THOSE_WHO_LEFT = """
+PlatformDriver.client_disconnected = lambda *_: None
+Attempt.is_awaited = lambda _: True
+"""
+ENDS_CLIENTS_WITH_OPEN_REQUESTS = """
+close_inactive = ClientListener.close_inactive
+def planted(self):
+    close_inactive(self)
+    for client in [c for c in self.clients if c.command_count > 3][:1]:
+        self.close_gracefully(client, CloseReason.IDLE)
+ClientListener.close_inactive = planted
+"""
+
+
+async def test_a_short_soak_violates_nothing_and_had_its_faults(tmp_path: Path) -> None:
+    report = await play_soak(3, DRIVERS, LAST_MS, TcpNetwork(), tmp_path, RATES)
+    assert report.violations == []
+    injected = {kind for kind in FaultKind if report.counts[f"injected: {kind.value}"]}
+    assert injected == set(RATES)
+    assert report.counts["requests served"] > 500
+
+
+@pytest.mark.parametrize(
+    "bug, sign",
+    [
+        pytest.param(BELIEVES_THE_WALL_CLOCK, "rule 5", id="believes the wall clock"),
+        pytest.param(WRITES_FOR_THOSE_WHO_LEFT, "after its client had left", id="writes for those who left"),
+        pytest.param(ENDS_CLIENTS_WITH_OPEN_REQUESTS, "closed unanswered", id="ends clients"),
+    ],
+)
+async def test_a_planted_bug_is_found_by_a_soak(tmp_path: Path, bug: str, sign: str) -> None:
+    rates = {**RATES, FaultKind.WALL_CLOCK_AT_START: 1.0, FaultKind.HOLD_UP: 0.0}
+    program = ("-c", PLANT.format(bug=bug))
+    report = await play_soak(4, 12, 12_000, TcpNetwork(), tmp_path, rates, program)
+    assert any(sign in text for text in report.violations), report.violations[:5]
+
+
+def test_the_plan_of_a_seed_is_the_same_each_time() -> None:
+    assert render(draw_plan(7, 12, 15_000)) == render(draw_plan(7, 12, 15_000))
+    assert render(draw_plan(7, 12, 15_000)) != render(draw_plan(8, 12, 15_000))
+
+
+# Its judges, each with a violation of its own.
+
+
+def attempt(at_us: int) -> rec.AttemptReceived:
+    return rec.AttemptReceived(at_us, "g0-m1", "n0", ID, 0, ID, "board", False, 1000)
+
+
+def judged(
+    directory: Path,
+    records: list[rec.Record] | None = None,
+    notes: ClientNotes | None = None,
+    lines: tuple[dict[str, object], ...] = (),
+    exits: tuple[ExitStatus, ...] = (),
+    crashed: tuple[str, ...] = (),
+) -> SoakReport:
+    log = directory / "n0.log"
+    log.write_text("".join(json.dumps(line) + "\n" for line in lines))
+    return judge(1, records or [], notes or ClientNotes(), [log], directory, exits, crashed)
+
+
+@pytest.mark.parametrize(
+    "plant",
+    [
+        pytest.param(
+            lambda path: judged(
+                path, [attempt(SECOND + 170_000)], ClientNotes(left=[ClientLeft(ID, SECOND)])
+            ),
+            id="an attempt after its client left",
+        ),
+        pytest.param(
+            lambda path: judged(path, [attempt(SECOND)], ClientNotes(crossed={ID: "n0"})),
+            id="a crossed request that was sent on",
+        ),
+        pytest.param(
+            lambda path: judged(
+                path,
+                notes=ClientNotes(crossed={ID: "n0"}),
+                lines=({"event": "request taken", "request": ID},),
+            ),
+            id="a crossed request that was read",
+        ),
+        pytest.param(lambda path: judged(path, lines=({"event": "rule violated"},)), id="a driver's monitor"),
+        pytest.param(lambda path: judged(path, lines=({"event": "timer raised"},)), id="an internal error"),
+        pytest.param(lambda path: judged(path, exits=(ExitStatus("n0", 1),)), id="an exit status"),
+        pytest.param(lambda path: judged(path, crashed=("n0",)), id="a crash"),
+        pytest.param(lambda path: judged(path, notes=ClientNotes(violations=["told"])), id="a client's word"),
+    ],
+)
+def test_a_planted_violation_is_found(tmp_path: Path, plant: Callable[[Path], SoakReport]) -> None:
+    assert len(plant(tmp_path).violations) == 1
+
+
+def test_a_soak_whose_faults_did_not_happen_does_not_pass(tmp_path: Path) -> None:
+    report = judged(tmp_path)
+    assert not report.violations
+    assert f"injected: {FaultKind.ACCEPT.value}" in report.missing
+    assert not report.passed
+
+
+def test_an_attempt_in_the_moment_in_which_its_client_leaves_is_no_violation(tmp_path: Path) -> None:
+    notes = ClientNotes(left=[ClientLeft(ID, SECOND)])
+    assert not judged(tmp_path, [attempt(SECOND + 90_000)], notes).violations
