Known red: a follower acknowledges entries that it does not write

Need: what was taken on is still owed after a restart. Change: a test by messages, listed as known red until the fix. Measured: failed, index 6 where 4 belongs.

--- a/tests/raft/test_core.py
+++ b/tests/raft/test_core.py
@@ -15,7 +15,7 @@
 from juniperreel.raft.memory_storage import InMemoryStorage
 from juniperreel.raft.messages import AppendEntries, Message, SnapshotChunk, VoteRequest
 from juniperreel.raft.ready import Ready
-from juniperreel.raft.types import Membership, MembershipChange, Role
+from juniperreel.raft.types import Entry, EntryKind, Membership, MembershipChange, Role
 from tests.raft import mutations
 
 CONFIG = RaftConfig(election_ticks=10, heartbeat_ticks=2, snapshot_chunk_bytes=8, trailing_entries=0)
@@ -98,6 +98,19 @@
     assert all(applied == [b"x", b"y"] for applied in group.applied.values())
 
 
+def test_entries_taken_together_with_a_snapshot_below_them_are_all_persisted() -> None:
+    """Danger: what is acknowledged and not on disk is gone with the next restart."""
+    group = ScriptedGroup("a", "b", "c")
+    core = group.cores["b"]
+    entries = tuple(Entry(1, index, EntryKind.COMMAND, b"%d" % index) for index in range(1, 9))
+    core.step(AppendEntries("a", "b", 1, 0, 0, entries, 0))
+    core.step(SnapshotChunk("a", "b", 1, 3, 1, group.members, 0, b"1\x002\x003", last=True))
+    group.settle("b")
+    assert any(getattr(reply, "index", 0) == 8 for reply in group.network)  # acknowledged
+    restored = group.boot("b")
+    assert [entry.index for entry in restored.log.entries] == [4, 5, 6, 7, 8]
+
+
 def test_vote_is_to_be_persisted_before_its_reply_is_sent() -> None:
     """What a Ready sends is only handed out together with what it depends on."""
     group = ScriptedGroup("a", "b", "c")
