--- a/juniperreel/raft/log.py
+++ b/juniperreel/raft/log.py
@@ -47,7 +47,9 @@
         return None
 
     def slice(self, start: int, end: int) -> list[Entry]:
-        """Entries `start` to `end`, both included."""
+        """Entries `start` to `end`, both included. Raises LogIndexError for what was compacted."""
+        if start < self.first_index:
+            raise LogIndexError(start, f"lies within the snapshot at {self.compacted_index}")
         return self.entries[start - self.first_index : end - self.compacted_index]
 
     def append(self, entry: Entry) -> None:
--- a/juniperreel/raft/unstable.py
+++ b/juniperreel/raft/unstable.py
@@ -61,6 +61,8 @@
             self._snapshot = None
             self._replaces_log = False
         if self._next_index <= state.log.last_index:
-            batch.entries = state.log.slice(self._next_index, state.log.last_index)
+            # What a snapshot covers may be gone from the log before it was ever written.
+            first_index = max(self._next_index, state.log.first_index)
+            batch.entries = state.log.slice(first_index, state.log.last_index)
             self._next_index = state.log.last_index + 1
         return batch
