Known red: instances whose disk fails for a moment stop for good

Need: writes and syncs to a folder that lasts may fail for a while (ENOSPC, EIO), and what was taken on is still owed. RaftNode raises at the first such error, which ends the instance; where the disk of all fails for a moment, nobody is left.

--- a/tests/raft/test_cluster.py
+++ b/tests/raft/test_cluster.py
@@ -20,7 +20,13 @@
 from juniperreel.raft.configuration import model
 from juniperreel.raft.configuration.commands import SetGroup, SetLimit, encode_command
 from juniperreel.raft.configuration.model import GroupInfo
-from juniperreel.raft.errors import EntrySupersededError, NotLeaderError, RequestRejectedError, StorageError
+from juniperreel.raft.errors import (
+    DiskFullError,
+    EntrySupersededError,
+    NotLeaderError,
+    RequestRejectedError,
+    StorageError,
+)
 from juniperreel.raft.messages import TimeoutNow
 from juniperreel.raft.ready import PersistBatch
 from juniperreel.raft.storage import Storage
@@ -377,3 +383,23 @@
         assert check_versions([*good, *bad])
     assert propagation_delays_s(good, 2, 1) == [2e-6]
     assert propagation_delays_s(good, 2, 2) is None
+
+
+async def test_a_disk_that_fails_for_a_while_on_all_instances_loses_nothing(three: Cluster) -> None:
+    """ENOSPC or EIO for some writes: what was confirmed holds, and what is proposed is confirmed later."""
+    failures = dict.fromkeys(three.names, 4)
+    for name in three.names:
+        storage = three.instances[name].node._storage
+        write = storage.write
+
+        def failing(batch: PersistBatch, name: str = name, write: Any = write) -> None:
+            if failures[name]:
+                failures[name] -= 1
+                raise DiskFullError(Path(name), "Input/output error")
+            write(batch)
+
+        storage.write = failing  # type: ignore[method-assign]
+    with trio.fail_after(30):
+        await three.set(SetLimit("attempts", 7))
+    assert not all(failures.values())
+    assert not any(instance.node.stopped for instance in three.instances.values())
