Raft: a write that fails is tried again for a minute before the instance stops

Cause: RaftNode._persist raised at the first error of a write. Change: the same batch is written again each 0.2 s for a minute, unless the data file has reached its size; the directory is as it was after a failed batch, and nothing is sent or answered meanwhile, so that the others elect a leader without this one.

--- a/juniperreel/raft/errors.py
+++ b/juniperreel/raft/errors.py
@@ -198,10 +198,12 @@
 
     Attributes:
         path: The directory.
+        may_pass: The same write may succeed later; False where the data file has reached its size.
     """
 
-    def __init__(self, path: Path, reason: str) -> None:
+    def __init__(self, path: Path, reason: str, may_pass: bool = True) -> None:
         """A write to `path` failed because of `reason`."""
         super().__init__(f"{path}: {reason}")
         self.path = path
         self.reason = reason
+        self.may_pass = may_pass
--- a/juniperreel/raft/node.py
+++ b/juniperreel/raft/node.py
@@ -28,6 +28,8 @@
 MAX_INBOX = 4096
 DEFAULT_TICK_US = 30_000
 DEFAULT_SNAPSHOT_INTERVAL = 1000  # entries
+WRITE_RETRY_S = 60.0  # how long a write is tried that fails for a reason that may pass
+WRITE_RETRY_PAUSE_S = 0.2
 NODE_STOPS = "the instance stops"
 
 
@@ -140,7 +142,7 @@
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Run until cancelled.
 
-        Raises DiskFullError: a node that cannot write must stop, and its group goes on without it.
+        Raises DiskFullError: a node that cannot write for long must stop, and its group goes on without it.
         """
         try:
             async with trio.open_nursery() as nursery:
@@ -191,11 +193,23 @@
         self._log_role_change()
 
     async def _persist(self, batch: PersistBatch) -> None:
-        try:
-            await trio.to_thread.run_sync(self._storage.write, batch)
-        except DiskFullError as error:
-            self._log.error("disk full, instance stopping", error=str(error))
-            raise
+        """Write a batch, again and again while that fails in a way that may pass.
+
+        Nothing is sent or answered meanwhile: to the others this node is silent, and they elect a leader
+        without it. A batch that failed left the directory as it was, so the same one is written again.
+        """
+        give_up_at = trio.current_time() + WRITE_RETRY_S
+        while True:
+            try:
+                await trio.to_thread.run_sync(self._storage.write, batch)
+            except DiskFullError as error:
+                if not error.may_pass or trio.current_time() >= give_up_at:
+                    self._log.error("disk full, instance stopping", error=str(error))
+                    raise
+                self._log.warning("write failed, trying again", error=str(error))
+                await trio.sleep(WRITE_RETRY_PAUSE_S)
+            else:
+                return
 
     def _log_role_change(self) -> None:
         now = RoleAndLeader(self.core.role, self.core.leader)
--- a/juniperreel/raft/storage.py
+++ b/juniperreel/raft/storage.py
@@ -166,7 +166,8 @@
                     for entry in batch.entries:
                         self._put_entry(transaction, entry)
         except (lmdb.MapFullError, lmdb.DiskError, OSError) as error:
-            raise DiskFullError(self.path, str(error)) from error
+            may_pass = not isinstance(error, lmdb.MapFullError)
+            raise DiskFullError(self.path, str(error), may_pass) from error
 
     def _write_snapshot(self, transaction: Any, batch: PersistBatch, snapshot: Snapshot) -> None:
         compacted_index = snapshot.index
