--- a/juniperreel/testbed/driver_fleet.py
+++ b/juniperreel/testbed/driver_fleet.py
@@ -9,7 +9,7 @@
 import os
 import random
 import sys
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Awaitable, Callable, Iterator, Mapping, Sequence
 from contextlib import contextmanager, suppress
 from functools import partial
@@ -98,7 +98,7 @@
         self._log_positions: dict[str, int] = {}
         self._reloads: Counter[str] = Counter()
         self.exit_statuses: list[ExitStatus] = []  # of drivers that were told to end
-        self.killed: set[str] = set()  # drivers that were ever killed
+        self.killed_us: dict[str, list[int]] = defaultdict(list)  # when drivers were killed
         self._restarting: set[str] = set()  # drivers whose process is being ended, or started anew
         discovery_rng = random.Random(self._rng.random())
         self.hosts = PlatformDiscovery(
@@ -240,7 +240,7 @@
             return
         with self._restart_of(name):
             self._record(rec.EdgeDown(self.clock.now_us(), name))
-            self.killed.add(name)
+            self.killed_us[name].append(self.clock.now_us())
             self.ports.pop(name, None)
             process.kill_and_wipe_disk()
             await self._start_after(name, restart_after_us)
@@ -276,7 +276,7 @@
             status = await process.wait()
         if limit.cancelled_caught:
             self._record(rec.EdgeDown(self.clock.now_us(), name))
-            self.killed.add(name)
+            self.killed_us[name].append(self.clock.now_us())
             process.kill()
             status = KILLED
         self.exit_statuses.append(ExitStatus(name, status))
--- a/juniperreel/testbed/soak/clients.py
+++ b/juniperreel/testbed/soak/clients.py
@@ -29,6 +29,7 @@
 DEADLINE_MS = 4_000
 
 FindDriver = Callable[[], EdgeAddress | None]
+WasKilled = Callable[[str, int], bool]  # whether a driver was killed since a time
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,11 +59,16 @@
     """A session that waits as long as an answer is owed."""
 
     notes: ClientNotes
-    is_down: Callable[[str], bool]
+    was_killed: WasKilled
+    asked_us = 0
+
+    def _record_sent(self, request_class: rec.RequestClass, request_id: str, deadline_ms: int) -> None:
+        self.asked_us = self._clock.now_us()
+        super()._record_sent(request_class, request_id, deadline_ms)
 
     def _on_connection_ended(self, request_id: str) -> None:
         """Note a request that met the end of its connection, unless its driver was killed."""
-        if self._protocol.response_started or self.is_down(self._edge):
+        if self._protocol.response_started or self.was_killed(self._edge, self.asked_us):
             super()._on_connection_ended(request_id)
             return
         self.notes.crossed[request_id] = self._edge
@@ -76,16 +82,16 @@
         self,
         notes: ClientNotes,
         find_driver: FindDriver,
-        is_down: Callable[[str], bool],
+        was_killed: WasKilled,
         classes: Sequence[rec.RequestClass],
         clock: Clock,
         record: rec.RecordSink,
         seed: int,
     ) -> None:
-        """`find_driver` names a driver that takes clients, `is_down` says whether one ended since."""
+        """`find_driver` names a driver that takes clients, `was_killed` excuses one."""
         self._notes = notes
         self._find_driver = find_driver
-        self._is_down = is_down
+        self._was_killed = was_killed
         self._board, self._own, self._write = classes
         self._clock = clock
         self._record = record
@@ -132,6 +138,7 @@
         await self._expect_an_end(stream, driver, "stopped in a command")
 
     async def _expect_an_end(self, stream: trio.SocketStream, driver: str, kind: str) -> None:
+        stopped_us = self._clock.now_us()
         with trio.move_on_after(BAD_CLIENT_LIMIT_S):
             try:
                 while await stream.receive_some(READ_BYTES):
@@ -139,7 +146,7 @@
             finally:
                 self._notes.counts[kind] += 1
             return
-        if not self._is_down(driver):
+        if not self._was_killed(driver, stopped_us):
             self._notes.violations.append(f"a client that {kind} at {driver} was neither told nor closed")
 
     async def _rest(self, stream: trio.SocketStream, driver: str) -> None:
@@ -220,7 +227,7 @@
                 ended = True
         answers = received.split(messages.READY)[1:-1]  # without the one to the startup
         self._judge_answers(driver, asked, answers)
-        self._judge_unanswered(driver, asked[len(answers) :], ended)
+        self._judge_unanswered(driver, asked[len(answers) :], ended, now_us)
         return len(answers) == len(asked)
 
     def _judge_answers(
@@ -234,10 +241,10 @@
                 self._notes.violations.append(f"the answer to {request_id} of {driver} is another request's")
 
     def _judge_unanswered(
-        self, driver: str, unanswered: Sequence[tuple[rec.RequestClass, str]], ended: bool
+        self, driver: str, unanswered: Sequence[tuple[rec.RequestClass, str]], ended: bool, asked_us: int
     ) -> None:
         for _, request_id in unanswered:
-            if self._is_down(driver):
+            if self._was_killed(driver, asked_us):
                 now_us = self._clock.now_us()
                 self._record(rec.ResponseReceived(now_us, request_id, 0, STATUS_UNKNOWN, local=True))
             elif ended:
--- a/juniperreel/testbed/soak/run.py
+++ b/juniperreel/testbed/soak/run.py
@@ -71,7 +71,7 @@
                 clients = MisbehavingClients(
                     self.notes,
                     self._find_driver,
-                    self._is_down,
+                    self._was_killed,
                     mix,
                     self.clock,
                     self.recorder,
@@ -88,7 +88,7 @@
         assert isinstance(session, SoakSession)
         session.patience_us = LATE_US
         session.notes = self.notes
-        session.is_down = self._is_down
+        session.was_killed = self._was_killed
         return session
 
     def _find_driver(self) -> EdgeAddress | None:
@@ -98,9 +98,9 @@
         name = random.Random(self._rng.random()).choice(listening)
         return EdgeAddress(name, self._drivers.ports[name])
 
-    def _is_down(self, driver: str) -> bool:
-        """Whether the driver was killed, so that what it had open is excused."""
-        return driver in self._drivers.killed
+    def _was_killed(self, driver: str, since_us: int) -> bool:
+        """Whether the driver was killed since then, so that what it had open is excused."""
+        return any(killed_us >= since_us for killed_us in self._drivers.killed_us[driver])
 
     def _note_crashes(self) -> None:
         for name in self.names:
