Known red: a shutdown that was asked for during the start is late by the rest of the start

Need: the kill comes so long after SIGTERM, whenever that is handled. A signal that arrives while modules load is noted without its time, and the timetable of the shutdown begins when it is handled.

--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -172,6 +172,34 @@
         process.wait()
 
 
+SLOW_START = """
+import os, signal, sys, time
+from juniperreel.platform.__main__ import PENDING_SIGNALS
+os.kill(os.getpid(), signal.SIGTERM)
+time.sleep({seconds})  # as modules that load from a slow disk
+from juniperreel.platform.run import main
+sys.exit(main(PENDING_SIGNALS))
+"""
+
+
+def test_a_shutdown_counts_from_its_signal_however_long_the_start_takes(tmp_path: Path) -> None:
+    """The operators count the time to the kill from the signal."""
+    start_s = 2.0
+    longest_deadline_s = 3.0  # of the classes in the settings
+    config = tmp_path / "config.json"
+    config.write_bytes(config_bytes(listen=f"127.0.0.1:{free_port()}"))
+    began = time.monotonic()
+    done = subprocess.run(
+        [sys.executable, "-c", SLOW_START.format(seconds=start_s)],
+        cwd=ROOT,
+        env={"PATH": os.environ["PATH"], "GW_CONFIG": str(config)},
+        capture_output=True,
+        timeout=SECONDS,
+    )
+    assert done.returncode == 0, done.stderr
+    assert time.monotonic() - began < longest_deadline_s + 0.7 + start_s - 0.5
+
+
 def test_an_address_that_is_taken_ends_the_program_at_once(tmp_path: Path) -> None:
     with socket.create_server(("127.0.0.1", 0)) as taken:
         config = tmp_path / "config.json"
