Shutdown: its timetable counts from the signal, also from one that arrived during the start

Cause: signals that arrive while modules load were noted as numbers; GracefulShutdown began when they were handled. Change: they are noted with their time (pending_signals), and the shutdown begins that long ago.

--- a/juniperreel/platform/__main__.py
+++ b/juniperreel/platform/__main__.py
@@ -5,12 +5,14 @@
 import signal
 import sys
 
+from juniperreel.platform.pending_signals import PendingSignal, note
+
 # A signal that arrives while modules are still loading would end the process: it is noted, and handled later.
-PENDING_SIGNALS: list[int] = []
+PENDING_SIGNALS: list[PendingSignal] = []
 
 
 def _note_signal(number: int, _frame: object) -> None:
-    PENDING_SIGNALS.append(number)
+    note(PENDING_SIGNALS, number)
 
 
 for _number in (signal.SIGTERM, signal.SIGHUP):
--- a/juniperreel/platform/driver.py
+++ b/juniperreel/platform/driver.py
@@ -387,13 +387,13 @@
 
     # Shutdown.
 
-    def begin_shutdown(self) -> None:
-        """Begin the graceful shutdown.
+    def begin_shutdown(self, waited_us: int = 0) -> None:
+        """Begin the graceful shutdown, asked for `waited_us` ago.
 
         Deadlines are cut to the kill: what was accepted before SIGTERM may wait longer than the operators
         wait with the kill.
         """
-        self.shutdown.begin(self.now())
+        self.shutdown.begin(self.now() - waited_us)
         for due_us in self.shutdown.wake_times_us():
             self.timers.call_at(due_us, _wake)
         for request_id, request in self.requests.by_id.items():
--- a/juniperreel/platform/program.py
+++ b/juniperreel/platform/program.py
@@ -119,8 +119,8 @@
         is_closed = self.acceptor is None or not self.acceptor.is_open
         return (is_closed and driver.is_idle) or driver.shutdown.is_over(now_us)
 
-    def begin_shutdown(self) -> None:
-        """Begin the graceful shutdown; a second call changes nothing."""
+    def begin_shutdown(self, waited_us: int = 0) -> None:
+        """Begin the graceful shutdown, asked for `waited_us` ago; a second call changes nothing."""
         if self.driver.shutdown.started:
             return
         self.log.info(
@@ -128,7 +128,7 @@
             open_requests=len(self.driver.requests.by_id),
             clients=self.driver.budget.clients,
         )
-        self.driver.begin_shutdown()
+        self.driver.begin_shutdown(waited_us)
         self.driver.process_pending()
 
     def reload(self) -> None:
--- a/juniperreel/platform/run.py
+++ b/juniperreel/platform/run.py
@@ -19,6 +19,7 @@
 from juniperreel.platform.config import Config, parse_config
 from juniperreel.platform.errors import ConfigError
 from juniperreel.platform.log import Log
+from juniperreel.platform.pending_signals import PendingSignal
 from juniperreel.platform.program import Program
 
 EXIT_LISTEN_FAILED = 1
@@ -29,12 +30,12 @@
 TRACE_VARIABLE = "JUNIPERREEL_TRACE"  # 1: each step of each request is logged
 
 
-def handle_signal(program: Program, number: int) -> None:
-    """Do what the signal asks for."""
+def handle_signal(program: Program, number: int, waited_us: int = 0) -> None:
+    """Do what the signal asks for; it arrived `waited_us` ago."""
     if number == signal.SIGHUP:
         program.reload()
     else:
-        program.begin_shutdown()
+        program.begin_shutdown(waited_us)
     program.poller.wake()
 
 
@@ -43,7 +44,7 @@
         handle_signal(program, number)
 
 
-async def run(config: Config, config_path: Path, log: Log, pending_signals: list[int]) -> int:
+async def run(config: Config, config_path: Path, log: Log, pending_signals: list[PendingSignal]) -> int:
     """Serve until shut down; return the exit code.
 
     `pending_signals` arrived while modules were loading, and are handled once it serves.
@@ -58,8 +59,8 @@
                 nursery.cancel_scope.cancel()  # otherwise the nursery would wait for discovery forever
                 _log_failed_listen(log, error)
                 return EXIT_LISTEN_FAILED
-            for number in pending_signals:
-                handle_signal(program, number)
+            for pending in pending_signals:
+                handle_signal(program, pending.number, pending.waited_us)
             nursery.start_soon(_handle_signals, program, signals)
             nursery.start_soon(program.log_status)
             gc.collect()
@@ -93,7 +94,7 @@
     log.error("configuration not readable", path=path_name, error=str(error))
 
 
-def main(pending_signals: list[int]) -> int:
+def main(pending_signals: list[PendingSignal]) -> int:
     """Run the driver whose configuration file `GW_CONFIG` names; return the exit code."""
     log = Log(tracing=os.environ.get(TRACE_VARIABLE, "") == "1")
     path_name = os.environ.get("GW_CONFIG", "")
--- a/tests/platform/test_planted.py
+++ b/tests/platform/test_planted.py
@@ -49,7 +49,7 @@
 
 
 def deadline_not_cut_at_sigterm(patch: Patch) -> None:
-    patch.setattr(PlatformDriver, "begin_shutdown", lambda driver: driver.shutdown.begin(driver.now()))
+    patch.setattr(PlatformDriver, "begin_shutdown", lambda driver, _=0: driver.shutdown.begin(driver.now()))
 
 
 def stale_list_accepted(patch: Patch) -> None:
