Known red: a client that reads its answers slowly loses them all

Need: a request that was read and whose connection is closed with no answer is lost. Pipelined answers of 64 KiB may come faster than their client reads; ClientConnection closes the connection at 1 MiB unsent, over answers and open requests.

--- a/tests/platform/test_driver.py
+++ b/tests/platform/test_driver.py
@@ -419,3 +419,34 @@
     harness.driver.client_listener.accept(FakeTransport())
     assert not asking.closed
     assert harness.driver.budget.clients == harness.driver.budget.client_limit
+
+
+def test_answers_that_a_client_reads_slowly_are_kept_and_the_rest_follows(harness: EventHarness) -> None:
+    """Danger: closed for what it has not read yet, it loses all that was read from it."""
+    count = 80
+    client = harness.client(*(read_text(f"{n:016x}", span=1500, key=f"row-{n}") for n in range(count)))
+    client.unsent_bytes = 2 << 20  # the kernel takes no more for now
+    harness.advance_us(2 * SEC)
+    assert not client.closed
+    assert client.reading_paused
+    client.unsent_bytes = 0
+    harness.advance_us(3 * SEC)
+    assert client.take().count(m.READY) == count
+    assert not client.closed
+
+
+def test_a_client_that_reads_nothing_for_long_is_closed(harness: EventHarness) -> None:
+    client = harness.client(read_text(IDS[0]))
+    client.unsent_bytes = 2 << 20
+    harness.advance_us(15 * SEC)
+    assert client.closed
+
+
+def test_answers_that_nobody_reads_have_a_limit_over_all_clients(harness: EventHarness) -> None:
+    clients = []
+    for n in range(10):
+        clients.append(harness.client(read_text(f"{n:016x}", key=f"row-{n}")))
+        clients[-1].unsent_bytes = (n + 1) << 20
+    harness.advance_us(SEC)
+    assert sum(client.unsent_bytes for client in clients if not client.closed) <= 16 << 20
+    assert not clients[0].closed
