Clients: one that reads its answers slowly is read no further, and not closed

Cause: ClientConnection._send_answers closed a connection with more than 1 MiB unsent. Change: no further commands of it are read until its answers have left; it is closed after 10 s without progress, and the worst ones where all together hold more than 16 MiB, so that clients that read nothing can't take the memory of others.

--- a/juniperreel/platform/client_connection.py
+++ b/juniperreel/platform/client_connection.py
@@ -24,7 +24,7 @@
 
 MAX_OPEN_COMMANDS = 64  # of one connection; the next ones wait unparsed
 MAX_UNPARSED_BYTES = server.QUERY_LIMIT + READ_BYTES  # that wait behind them
-MAX_UNSENT_BYTES = 1 << 20  # of answers that a client does not read
+MAX_UNSENT_BYTES = 1 << 20  # of answers, beyond which a client's further commands are not read
 CLOSE_TIMEOUT_US = 300_000  # for a client to end its side after ours; most do so sooner
 CLOSE_UNSENT_TIMEOUT_US = 2_000_000  # the same while an answer is still being sent
 WHITESPACE = b" \t\r\n;"
@@ -101,7 +101,8 @@
             output = self._protocol.outgoing
             self._protocol.outgoing = bytearray()
             self._transport.write(output)
-        if len(self.commands) == MAX_OPEN_COMMANDS or not self._protocol.buffered:
+        waits_for_us = len(self.commands) == MAX_OPEN_COMMANDS or self.reads_slowly
+        if waits_for_us or not self._protocol.buffered:
             self.partial_since_us = 0
         elif not self.partial_since_us:
             self.partial_since_us = self._listener.now()
@@ -111,6 +112,7 @@
     def _accepts_commands(self) -> bool:
         return (
             self._protocol_error is None
+            and not self.reads_slowly
             and len(self.commands) < MAX_OPEN_COMMANDS
             and self._protocol.phase is not server.Phase.CLOSED
         )
@@ -150,8 +152,9 @@
         if answers:
             self._transport.write(answers)
             self.last_active_us = self._listener.now()
-            if self._transport.write_buffer_size > MAX_UNSENT_BYTES:
-                self._listener.remove(self, CloseReason.ANSWERS_UNREAD)
+            if self.reads_slowly:
+                self.pause_reading()
+                self._listener.on_answers_unread(self)
                 return False
         if not self.commands:
             if self._close_when_done(answered=bool(answers)):
@@ -204,6 +207,22 @@
         """Close the connection at once."""
         self._transport.close()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that the kernel has not taken, as the client does not read."""
+        return self._transport.write_buffer_size
+
+    @property
+    def reads_slowly(self) -> bool:
+        """Whether so much is unsent that no further commands are read."""
+        return self.unsent_bytes > MAX_UNSENT_BYTES
+
+    def resume(self) -> None:
+        """Read commands again, once the answers have left."""
+        if not self.closing_since_us:
+            self._transport.resume_reading()
+            self.advance()
+
     def has_left(self) -> bool:
         """Return whether the client has ended or broken the connection, though no event says so yet."""
         return self._transport.peer_has_left()
--- a/juniperreel/platform/client_listener.py
+++ b/juniperreel/platform/client_listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from juniperreel.net.transport import Transport
 from juniperreel.platform.client_connection import ClientConnection
@@ -13,10 +14,20 @@
 FIRST_COMMAND_TIMEOUT_US = 2_000_000  # for a connection to send its first command
 COMMAND_TIMEOUT_US = 2_000_000  # for the rest of a command that began to arrive
 UNREAD_BYTES_TIMEOUT_US = 500_000  # more than those, where bytes have come that were not read yet
+UNREAD_TIMEOUT_US = 10_000_000  # for a client with much unsent to read anything
+MAX_UNSENT_BYTES_OF_ALL = 16 << 20  # of clients with much unsent
 IDLE_TIMEOUT_US = 60_000_000
 SHORTAGE_IDLE_TIMEOUT_US = 2_000_000  # the same where descriptors run short
 
 
+@dataclass(slots=True)
+class SlowReader:
+    """A client with much unsent: how much at the last look, and since when that has not become less."""
+
+    unsent_bytes: int
+    stuck_since_us: int
+
+
 class ClientListener:
     """Owns the connections of all clients, and their part of the descriptor budget."""
 
@@ -28,6 +39,7 @@
         self.clients: set[ClientConnection] = set()
         self.closing = False  # connections are closed when their commands are answered
         self._answered: dict[ClientConnection, None] = {}  # without an open command, longest ago first
+        self._slow_readers: dict[ClientConnection, SlowReader] = {}
 
     def accept(self, transport: Transport) -> None:
         """Serve a new connection, or close it where no descriptor is left for it."""
@@ -51,6 +63,7 @@
         elif client.command_count:
             self.budget.active_clients -= 1
         self._answered.pop(client, None)
+        self._slow_readers.pop(client, None)
         client.close()
         for command in client.commands:
             if command.request_id is not None:
@@ -91,6 +104,24 @@
             if longest_idle is not client and longest_idle.is_idle:
                 self.close_gracefully(longest_idle, CloseReason.DESCRIPTORS)
 
+    def on_answers_unread(self, client: ClientConnection) -> None:
+        """A client has much unsent; the worst are closed where that takes too much memory of all."""
+        self._slow_readers[client] = SlowReader(client.unsent_bytes, self.now())
+        while sum(reader.unsent_bytes for reader in self._slow_readers) > MAX_UNSENT_BYTES_OF_ALL:
+            worst = max(self._slow_readers, key=lambda reader: reader.unsent_bytes)
+            self.remove(worst, CloseReason.ANSWERS_UNREAD)
+
+    def _look_at_slow_readers(self, now_us: int) -> None:
+        for client, reader in list(self._slow_readers.items()):
+            if not client.reads_slowly:
+                del self._slow_readers[client]
+                client.resume()
+            elif client.unsent_bytes < reader.unsent_bytes:
+                reader.unsent_bytes = client.unsent_bytes
+                reader.stuck_since_us = now_us
+            elif now_us - reader.stuck_since_us > UNREAD_TIMEOUT_US:
+                self.remove(client, CloseReason.ANSWERS_UNREAD)
+
     def _evict_one(self, now_us: int) -> bool:
         """Close the connection that will be missed least; return False where there is none.
 
@@ -121,6 +152,7 @@
     def close_inactive(self) -> None:
         """Close connections whose time is up; called at intervals."""
         now_us = self.now()
+        self._look_at_slow_readers(now_us)
         for client in list(self.clients):
             if client.closing_since_us:
                 if client.close_timed_out(now_us):
