--- a/tests/proxy/test_request_driver.py
+++ b/tests/proxy/test_request_driver.py
@@ -12,6 +12,8 @@
 from juniperreel.proto.common.v1 import values_pb2
 from juniperreel.proxy import Answer, ClientRequest, Failed, Rejected, RequestDriver, Served
 from juniperreel.proxy.attempts import AttemptResponse, EndpointReport
+from juniperreel.proxy.endpoint_address import EndpointAddress
+from juniperreel.proxy.grpc_endpoints import EndpointChannel
 from juniperreel.proxy.open_requests import (
     Attempt,
     AttemptCompleted,
@@ -279,3 +281,45 @@
         ids.append(request.id)
     assert ids[0] != ids[1]
     assert ids[0].rsplit("-", 2)[0] == ids[1].rsplit("-", 2)[0]
+
+
+class SlowChannel:
+    """A channel whose connection comes up when the test says so, and that notes what is called on it."""
+
+    def __init__(self) -> None:
+        self.connected = trio.Event()
+        self.calls = 0
+        self.closed = False
+
+    async def connection(self) -> None:
+        await self.connected.wait()
+
+    async def unary(self, *_: Any, **__: Any) -> Any:
+        self.calls += 1
+        await trio.sleep_forever()
+
+
+@pytest.mark.parametrize("drains", [False, True])
+async def test_attempt_whose_connection_comes_up_late_is_sent_only_where_it_still_fits(
+    bench: Bench, drains: bool
+) -> None:
+    """Its endpoint was told to drain meanwhile; a key may be forgotten, or a position too old, alike."""
+    _, attempt = await started(bench, "any_read")
+    channel = SlowChannel()
+    address = EndpointAddress("127.0.0.1", 1)
+    bench.driver.endpoints._channels[attempt.endpoint] = EndpointChannel(address, channel)  # type: ignore[attr-defined,arg-type]
+    done: list[AttemptCompleted] = []
+
+    async def run() -> None:
+        done.append(await bench.driver._runner.run(attempt, SEC))
+
+    bench.nursery.start_soon(run)
+    await trio.testing.wait_all_tasks_blocked()
+    if drains:
+        endpoint = listed_endpoint(attempt.endpoint, readiness="draining")
+        bench.driver.enqueue(EndpointListUpdated(UpdateKind.DELTA, [endpoint]))
+        await bench.process_due()
+    channel.connected.set()
+    await trio.testing.wait_all_tasks_blocked()
+    assert channel.calls == (0 if drains else 1)
+    assert [ended.outcome for ended in done] == ([Outcome.NOT_SENT] if drains else [])
