Edge: an attempt is asked about again when its connection has come up

Cause: GrpcEndpoints.execute and MysqlEndpoints._execute_on sent as soon as a connection was there, whatever had changed since the router decided. Change: AttemptRequest.may_send, which asks Router.confirm_send; what does not fit ends as not sent.

--- a/juniperreel/proxy/attempt_runner.py
+++ b/juniperreel/proxy/attempt_runner.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import trio
@@ -30,7 +32,10 @@
         clock: Clock,
         log: Any,
         traces: Traces,
+        confirm_send: Callable[[str, int], bool],
     ) -> None:
+        """`confirm_send` asks the router whether an attempt of a request still fits."""
+        self._confirm_send = confirm_send
         self._connections = connections
         self._health_check_timeout_us = health_check_timeout_us
         self._clock = clock
@@ -57,6 +62,7 @@
             is_write=open_request.is_write,
             priority_weight=open_request.request_class.priority_weight,
             required=attempt.required,
+            may_send=partial(self._confirm_send, open_request.id, attempt.number),
         )
         remaining_us = deadline_us - self._clock.now_us()
         try:
--- a/juniperreel/proxy/attempts.py
+++ b/juniperreel/proxy/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -10,11 +11,19 @@
 from juniperreel.proxy.errors import EndpointError
 from juniperreel.proxy.positions import ReplicationStatus, RequiredPosition
 from juniperreel.proxy.requests import ClientRequest, Transaction, release_result
+from juniperreel.rpc.channel import CallUnprocessedError
+
+
+def _always() -> bool:
+    return True
 
 
 @dataclass(frozen=True, slots=True)
 class AttemptRequest:
-    """One attempt at a request, as endpoint connections need to know it."""
+    """One attempt at a request, as endpoint connections need to know it.
+
+    `may_send` is asked when a connection is there for it, which may be long after it was decided on.
+    """
 
     request: ClientRequest
     number: int
@@ -22,6 +31,12 @@
     is_write: bool
     priority_weight: float
     required: RequiredPosition
+    may_send: Callable[[], bool] = _always
+
+    def require_may_send(self) -> None:
+        """Raise CallUnprocessedError where the attempt does not fit any more."""
+        if not self.may_send():
+            raise CallUnprocessedError("the attempt does not fit any more")
 
 
 @dataclass(slots=True)
--- a/juniperreel/proxy/grpc_endpoints.py
+++ b/juniperreel/proxy/grpc_endpoints.py
@@ -127,6 +127,7 @@
         known.in_flight += 1
         try:
             await known.channel.connection()
+            attempt.require_may_send()
             sent.set()
             reply = await known.channel.unary(EXECUTE, execute_message(attempt), timeout_us=timeout_us)
         finally:
--- a/juniperreel/proxy/mysql_endpoints.py
+++ b/juniperreel/proxy/mysql_endpoints.py
@@ -264,6 +264,7 @@
         )
         try:
             await self._replay(lease.connection, attempt)
+            attempt.require_may_send()
             sent.set()
             return await exchange.execute()
         except ConnectionLostError as error:
--- a/juniperreel/proxy/request_driver.py
+++ b/juniperreel/proxy/request_driver.py
@@ -103,7 +103,9 @@
         self._ids = count()
         self._stall_monitor = stall_monitor
         self._translator = self._new_translator()
-        self._runner = AttemptRunner(self.endpoints, options.health_check_timeout_us, clock, log, traces)
+        self._runner = AttemptRunner(
+            self.endpoints, options.health_check_timeout_us, clock, log, traces, self._confirm_send
+        )
         self._list_writer = self._new_list_writer()
         self._wake = trio.Event()
         self._nursery: trio.Nursery | None = None
@@ -363,6 +365,9 @@
     async def _run_attempt(self, attempt: Attempt, timeout_us: int) -> None:
         self.enqueue(await self._runner.run(attempt, timeout_us))
 
+    def _confirm_send(self, request: str, attempt: int) -> bool:
+        return self.router.confirm_send(self.clock.now_us(), request, attempt)
+
     def cancel(self, request: str, attempt: int) -> None:
         """Cancel one attempt of a request."""
         open_request = self.open_requests.get(request)
