--- /dev/null
+++ b/tests/platform/test_shutdown.py
@@ -0,0 +1,306 @@
+"""Shutdowns, as a process and on sockets: clients send until the kill, which comes as early as it may.
+
+Members welcome every connection and hang, so that the driver alone decides when a request has its answer.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from copy import deepcopy
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from juniperreel.platform.rule_monitor import Rule
+from juniperreel.postgres import messages as m
+from juniperreel.postgres import server
+from tests.platform.event_harness import HELLO, SETTINGS, config_bytes, entry, read_text, row, write_text
+from tests.platform.socket_harness import FakeEndpoint, RemoteEnd, SocketHarness
+from tests.platform.test_crossings import IDS
+from tests.platform.test_deploy import ROOT, free_port
+
+START_TIMEOUT_S = 60
+LONGEST_DEADLINE_S = 1.0
+KILL_AFTER_S = LONGEST_DEADLINE_S + 0.7  # as early as the operators' page allows
+TURN_S = 0.01
+SEND_INTERVAL_S = 0.02
+FIRST_SENT_AFTER_S = 0.6  # after SIGTERM: members that hang for half a second more are not known to do so
+LAST_SENT_AFTER_S = 0.8  # while no connection is ended yet
+# What is written so shortly before the end of a connection may cross it: the driver may be held up for so
+# long between its last look and the end.
+CROSSING_S = 0.15
+HOLD_UP_S = 0.15
+
+
+def short_deadlines() -> dict[str, Any]:
+    settings = deepcopy(SETTINGS)
+    for service in settings["services"]:
+        service["deadline_s"] = LONGEST_DEADLINE_S
+    return settings
+
+
+class DriverProcess:
+    """The program with two members that hang, and the clients of one test."""
+
+    def __init__(self, directory: Path, program: tuple[str, ...] = ("-m", "juniperreel.platform")) -> None:
+        self.members = [FakeEndpoint(), FakeEndpoint()]
+        hosts = [
+            entry("p", self.members[0].port, replication="primary"),
+            entry("a", self.members[1].port, replication="standby"),
+        ]
+        self.port = free_port()
+        self.log = directory / "log"
+        config = directory / "config.json"
+        config.write_bytes(
+            config_bytes(
+                listen=f"127.0.0.1:{self.port}",
+                known={"seq": 3, "whole": True, "hosts": hosts},
+                settings=short_deadlines(),
+            )
+        )
+        with self.log.open("wb") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, *program],
+                cwd=ROOT,
+                env={"PATH": os.environ["PATH"], "GW_CONFIG": str(config), "JUNIPERREEL_TRACE": "1"},
+                stdout=log,
+                stderr=log,
+            )
+        self.terminated_at = 0.0
+
+    def close(self) -> None:
+        self.process.kill()
+        self.process.wait()
+        for member in self.members:
+            member.sock.close()
+            for end in member.ends:
+                end.close()
+
+    def client(self) -> RemoteEnd:
+        """A welcomed client, once the driver listens."""
+        end_at = time.monotonic() + START_TIMEOUT_S
+        while True:
+            assert self.process.poll() is None, self.log.read_text()
+            assert time.monotonic() < end_at, self.log.read_text()
+            try:
+                client = RemoteEnd(socket.create_connection(("127.0.0.1", self.port)))
+                break
+            except ConnectionRefusedError:
+                time.sleep(TURN_S)
+        client.send(HELLO)
+        while not client.read().endswith(m.READY):
+            assert time.monotonic() < end_at, self.log.read_text()
+            self.turn()
+        client.take()
+        return client
+
+    def turn(self) -> None:
+        """Welcome new connections to members; their queries are left to hang."""
+        for member in self.members:
+            for end in member.accept():
+                if end.read().startswith(HELLO[:8]):
+                    end.take()
+                    end.send(server.STARTUP_RESPONSE)
+        time.sleep(TURN_S)
+
+    def turn_until(self, at: float) -> None:
+        while time.monotonic() < at:
+            self.turn()
+
+    def terminate(self) -> None:
+        self.terminated_at = time.monotonic()
+        self.process.send_signal(signal.SIGTERM)
+
+    @property
+    def kill_at(self) -> float:
+        return self.terminated_at + KILL_AFTER_S
+
+    def hold_up(self, start_at: float, duration_s: float = HOLD_UP_S) -> None:
+        """Give the process no processor for a while."""
+        self.turn_until(start_at)
+        os.kill(self.process.pid, signal.SIGSTOP)
+        self.turn_until(start_at + duration_s)
+        os.kill(self.process.pid, signal.SIGCONT)
+
+
+@pytest.fixture
+def driver(tmp_path: Path) -> Iterator[DriverProcess]:
+    it = DriverProcess(tmp_path)
+    try:
+        yield it
+    finally:
+        it.close()
+
+
+def send_request(client: RemoteEnd, number: int) -> None:
+    client.send(
+        m.query(read_text(f"{number:016x}", span=int(LONGEST_DEADLINE_S * 1000), key=f"row-{number}"))
+    )
+
+
+def test_all_that_was_sent_on_an_open_connection_before_its_end_is_answered(driver: DriverProcess) -> None:
+    """The client doesn't wait for answers: whenever the driver ends its connection, requests are open."""
+    client = driver.client()
+    driver.terminate()
+    driver.turn_until(driver.terminated_at + FIRST_SENT_AFTER_S)
+    sent_at: list[float] = []
+    while client.ended is None and time.monotonic() < driver.kill_at:
+        try:
+            send_request(client, len(sent_at) + 1)
+        except (BrokenPipeError, ConnectionResetError):
+            break
+        sent_at.append(time.monotonic())
+        driver.turn_until(sent_at[-1] + SEND_INTERVAL_S)
+        client.read()
+    while client.ended is None and time.monotonic() < driver.kill_at:
+        driver.turn()
+        client.read()
+    ended_at = time.monotonic()
+    answered = client.got.count(m.READY)
+    owed = sum(at < ended_at - CROSSING_S for at in sent_at)
+    assert client.ended == "fin", driver.log.read_text()[-4000:]
+    assert answered >= owed, (len(sent_at), driver.log.read_text()[-4000:])
+
+
+def test_a_request_is_answered_before_the_kill_though_the_process_is_held_up_again_and_again(
+    driver: DriverProcess,
+) -> None:
+    """It is held up while SIGTERM comes, and three times more up to the kill, for 0.15 of each 0.2 s."""
+    client = driver.client()
+    os.kill(driver.process.pid, signal.SIGSTOP)
+    driver.terminate()
+    driver.turn_until(driver.terminated_at + HOLD_UP_S)
+    os.kill(driver.process.pid, signal.SIGCONT)
+    driver.turn_until(driver.terminated_at + LAST_SENT_AFTER_S)
+    client.send(m.query(write_text(f"{1:016x}", span=int(LONGEST_DEADLINE_S * 1000))))
+    for start_s in (0.55, 0.35):
+        driver.hold_up(driver.kill_at - start_s)
+    driver.turn_until(driver.kill_at - HOLD_UP_S)
+    os.kill(driver.process.pid, signal.SIGSTOP)
+    driver.turn_until(driver.kill_at)
+    driver.process.kill()
+    assert client.read().count(m.READY) == 1, driver.log.read_text()[-4000:]
+
+
+FAILING_START = """
+import errno, os, signal, sys
+from juniperreel.platform.__main__ import PENDING_SIGNALS
+from juniperreel.platform import run
+from juniperreel.platform.program import Program
+start_for_real, attempts = Program.start, []
+def failing_at_first(program):
+    attempts.append(1)
+    if len(attempts) == 2:
+        os.kill(os.getpid(), signal.SIGTERM)
+    if len(attempts) < 24:
+        raise OSError(errno.ENOBUFS, "planted")
+    start_for_real(program)
+Program.start = failing_at_first
+sys.exit(run.main(PENDING_SIGNALS))
+"""
+
+
+def test_a_shutdown_counts_from_a_signal_that_came_while_listening_was_tried_again(tmp_path: Path) -> None:
+    """Starts that fail for a second do not move the kill."""
+    driver = DriverProcess(tmp_path, ("-c", FAILING_START))
+    try:
+        deadline = time.monotonic() + START_TIMEOUT_S
+        while "listen failed for now" not in driver.log.read_text():
+            assert driver.process.poll() is None, driver.log.read_text()
+            assert time.monotonic() < deadline
+            time.sleep(TURN_S)
+        began = time.monotonic()
+        assert driver.process.wait(START_TIMEOUT_S) == 0, driver.log.read_text()
+        assert "shutdown complete" in driver.log.read_text()
+        assert time.monotonic() - began < KILL_AFTER_S
+    finally:
+        driver.close()
+
+
+NO_BUFFERS_AT_FIRST = """
+import errno, socket, sys
+from juniperreel.platform.__main__ import PENDING_SIGNALS
+from juniperreel.platform.run import main
+set_option, calls = socket.socket.setsockopt, []
+def failing_at_first(self, *arguments):
+    calls.append(1)
+    if len(calls) < 4:
+        raise OSError(errno.ENOBUFS, "planted")
+    return set_option(self, *arguments)
+socket.socket.setsockopt = failing_at_first
+sys.exit(main(PENDING_SIGNALS))
+"""
+
+
+def test_a_start_outlasts_options_that_no_socket_takes_for_a_moment(tmp_path: Path) -> None:
+    """The event loop's own wake-up sockets are the first to be given options."""
+    driver = DriverProcess(tmp_path, ("-c", NO_BUFFERS_AT_FIRST))
+    try:
+        driver.client().close()
+        driver.terminate()
+        assert driver.process.wait(START_TIMEOUT_S) == 0, driver.log.read_text()
+    finally:
+        driver.close()
+
+
+async def test_what_comes_while_an_answer_is_still_leaving_is_answered_too() -> None:
+    """The connection is not ended yet: its client may send, and what it sends is read."""
+    with SocketHarness() as harness:
+        await harness.learn_positions()
+        client = await harness.client(buffer=2048)
+        transport = harness.client_transports[-1]
+        transport._socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
+        client.send(m.query(read_text(IDS[0])))
+        member = await harness.next_query("a")
+        member.take()
+        harness.driver.begin_shutdown()
+        harness.driver.client_listener.close_when_answered()
+        member.send(row(bytes(60_000)))
+        await harness.until(lambda: not harness.driver.requests.by_id)
+        assert transport.write_buffer_size
+        client.send(m.query(b""))
+        await harness.wait_for_event(transport)
+        while client.ended is None:
+            await harness.poll_once()
+            harness.driver.client_listener.close_when_answered()
+            client.read(4096)
+        assert client.ended == "fin"
+        assert client.got.count(m.READY) == 2
+
+
+async def test_no_shutdown_leaves_a_request_unanswered_that_the_router_has_forgotten() -> None:
+    with SocketHarness() as harness:
+        await harness.learn_positions()
+        texts = (read_text(IDS[0], span=9_000), write_text(IDS[1], span=9_000))
+        clients = [await harness.client(text) for text in texts]
+        await harness.until(lambda: len(harness.driver.requests.by_id) == 2)
+        for request_id in (IDS[0], IDS[1]):
+            harness.driver.router.state.requests.pop(request_id)
+        harness.driver.begin_shutdown()
+        harness.advance_us(harness.driver.shutdown.wake_times_us()[-1] - harness.clock.time)
+        for client in clients:
+            assert client.read().count(m.READY) == 1
+
+
+async def test_an_answer_that_has_not_left_when_the_program_ends_is_counted_as_dropped() -> None:
+    """Decided is not answered: the time of an answer is that of its last byte."""
+    with SocketHarness() as harness:
+        await harness.learn_positions()
+        client = await harness.client(buffer=2048)
+        transport = harness.client_transports[-1]
+        transport._socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
+        client.send(m.query(read_text(IDS[0])))
+        member = await harness.next_query("a")
+        member.take()
+        member.send(row(bytes(60_000)))
+        await harness.until(lambda: not harness.driver.requests.by_id)
+        assert transport.write_buffer_size
+        harness.driver.check_nothing_is_owed()
+        assert harness.driver.monitor.violations[Rule.DROPPED] == 1
