Shutdown: what was sent on an open connection is answered before it ends

Cause: ClientListener.close_when_answered paused the reading of busy connections and ClientConnection._close_when_done ended them with the answers to what had been read: what was written behind an open request was never read. Transport.write_eof read and dropped what came, also while an answer was still leaving.

--- a/juniperreel/net/transport.py
+++ b/juniperreel/net/transport.py
@@ -157,13 +157,14 @@
     def write_eof(self) -> None:
         """End the connection in order: send what is buffered, then the end of the stream.
 
-        What still arrives is read and dropped until the peer ends its side too, which `connection_lost`
-        reports. Closing with bytes unread would reset the connection, and the network would discard the last
-        bytes written. The caller bounds the wait.
+        What still arrives stays unread: a request that crosses the end was not read, and its sender sends it
+        elsewhere. The peer's own end is reported by `connection_lost`. To close sooner, with bytes unread,
+        would reset the connection, and the network would discard the last bytes written. The caller bounds
+        the wait.
         """
         if not self.closed and not self._eof_requested:
             self._eof_requested = True
-            self._reading_paused = False
+            self._reading_paused = True
             self._send_eof_when_flushed()
 
     def _send_eof_when_flushed(self) -> None:
--- a/juniperreel/platform/client_connection.py
+++ b/juniperreel/platform/client_connection.py
@@ -157,17 +157,11 @@
                 self._listener.on_answers_unread(self)
                 return False
         if not self.commands:
-            if self._close_when_done(answered=bool(answers)):
+            if self._close_when_done():
                 return False
             if answers:
                 self._listener.on_commands_answered(self)
-        # The rest of a command that is half here may be on its way: it counts as accepted, also while
-        # connections are being closed.
-        if (
-            answers
-            and self._protocol_error is None
-            and (self._protocol.buffered or not self._listener.closing)
-        ):
+        if answers and self._protocol_error is None:
             self._transport.resume_reading()
         return bool(answers) and bool(self._protocol.buffered)
 
@@ -177,16 +171,18 @@
             answers += self.commands.popleft().answer or b""
         return answers
 
-    def _close_when_done(self, answered: bool) -> bool:
-        """Close a connection on which nothing follows; return whether that is so."""
+    def _close_when_done(self) -> bool:
+        """Close a connection on which nothing follows; return whether that is so.
+
+        In a shutdown that is one that is idle: what its client has sent meanwhile is owed an answer, too.
+        """
         if self._protocol_error is not None:
             self.close_with_error(
                 self._protocol_error.sqlstate, str(self._protocol_error), CloseReason.PROTOCOL_ERROR
             )
             return True
-        is_shut_down = answered and self._listener.closing and not self._protocol.buffered
         terminated = self._protocol.phase is server.Phase.CLOSED
-        if terminated or is_shut_down:
+        if terminated or (self._listener.closing and self.is_idle):
             reason = CloseReason.TERMINATED if terminated else CloseReason.SHUTDOWN
             self._listener.close_gracefully(self, reason)
             return True
--- a/juniperreel/platform/client_listener.py
+++ b/juniperreel/platform/client_listener.py
@@ -64,6 +64,8 @@
             self.budget.active_clients -= 1
         self._answered.pop(client, None)
         self._slow_readers.pop(client, None)
+        if reason is not CloseReason.CLIENT_LEFT and client.command_count and client.unsent_bytes:
+            self.handler.answers_dropped(client.unsent_bytes, reason)
         client.close()
         for command in client.commands:
             if command.request_id is not None:
@@ -180,17 +182,14 @@
         return waited_us > timeout_us + UNREAD_BYTES_TIMEOUT_US or not client.has_unread_bytes()
 
     def close_when_answered(self) -> None:
-        """Close idle connections now, and from now on the others with the answers to their commands.
+        """Close idle connections now, and from now on the others once they are idle; called again and again.
 
-        Those are read no further: a connection that always has an open command would never be closed, and
-        the kill would find one unanswered. What its client sends meanwhile crosses the end of the connection,
-        unread.
+        Those are read on until then: what was sent behind an open command was accepted with it, and is owed
+        its answer. No connection stays busy for good, as requests are rejected at once in the end.
         """
         self.closing = True
         for client in list(self.clients):
-            if client.commands:
-                client.pause_reading()
-            elif not client.closing_since_us and client.is_idle:
+            if not client.closing_since_us and client.is_idle:
                 self.close_gracefully(client, CloseReason.SHUTDOWN)
 
 
--- a/juniperreel/platform/command.py
+++ b/juniperreel/platform/command.py
@@ -62,6 +62,10 @@
         """A client's connection is closed while the requests of these ids have no answer."""
         ...
 
+    def answers_dropped(self, unsent_bytes: int, reason: CloseReason) -> None:
+        """A client's connection ends here while answers that were given have not left."""
+        ...
+
     def client_disconnected(self, command: Command) -> None:
         """Withdraw the open request of a command whose client is gone."""
         ...
--- a/juniperreel/platform/driver.py
+++ b/juniperreel/platform/driver.py
@@ -53,6 +53,7 @@
 # answer is only worth nothing, and the housekeeping that looks for such requests has its interval.
 OVERDUE_AFTER_US = 100_000
 HEALTH_CHECK_TIMEOUT_US = 250_000
+END_OF_PROGRAM = "end of the program"
 SESSION_CONSISTENCY = (Consistency.WRITE, Consistency.SESSION)
 
 
@@ -133,15 +134,18 @@
 
     def _answer_overdue_requests(self, now_us: int) -> None:
         """Answer what the router should have answered: its faults must not keep clients waiting forever."""
-        overdue = [
-            request_id
-            for request_id, request in self.requests.by_id.items()
-            if request.command and now_us > request.deadline_us + OVERDUE_AFTER_US
-        ]
-        for request_id in overdue:
-            self.log.error("open request overdue", request=request_id)
+        for request_id, request in list(self.requests.by_id.items()):
+            if request.command is not None and now_us > request.deadline_us + OVERDUE_AFTER_US:
+                self._answer_for_router(request_id, request)
+
+    def _answer_for_router(self, request_id: str, request: OpenRequest) -> None:
+        """Answer a request that the router has forgotten, and have it cancelled there."""
+        self.log.error("open request overdue", request=request_id)
+        if request.record.may_have_executed():
             self._answer(request_id, server.failed("58000", "the time is up"), AnswerKind.FAILED)
-            self.enqueue(ClientDisconnected(request_id))
+        else:
+            self._answer(request_id, server.rejected("the time is up", 0), AnswerKind.REJECTED)
+        self.enqueue(ClientDisconnected(request_id))
 
     # Clients' requests.
 
@@ -153,6 +157,9 @@
         if self.requests.is_id_in_use(form.id):
             raise InvalidRequestError("42710", "the id is another request's")
         consistency = validated.request_class.consistency
+        if self.shutdown.rejects_requests(self.now()):
+            self._reject_at_once(command, form)
+            return
         deadline_us = self.shutdown.latest_answer_us(command.arrived_us + form.timeout_ms * 1000)
         session_age_us = None
         if form.last_write_ms and consistency is Consistency.SESSION:
@@ -176,6 +183,13 @@
             )
         )
 
+    def _reject_at_once(self, command: Command, form: StatementRequest) -> None:
+        """Answer a request for which no time is left before the end of the program."""
+        command.answer = server.rejected("the driver ends; trying again does no harm", 0)
+        self.counters.answers[AnswerKind.REJECTED] += 1
+        if self.log.tracing:
+            self.log.trace("request rejected at once", request=form.id, class_name=form.class_name)
+
     def connection_closed(self, unanswered: list[str], reason: CloseReason) -> None:
         """Count a client's connection that is closed while the requests of these ids have no answer."""
         self.counters.closed_clients[reason] += 1
@@ -184,6 +198,10 @@
         if self.log.tracing:
             self.log.trace("client closed", reason=reason.value, unanswered=unanswered)
 
+    def answers_dropped(self, unsent_bytes: int, reason: CloseReason) -> None:
+        """Count a client's connection that ends here while answers that were given have not left."""
+        self.monitor.on_answers_dropped(unsent_bytes, reason.value)
+
     def client_disconnected(self, command: Command) -> None:
         """Withdraw the open request of a command whose client is gone."""
         request_id = command.request_id
@@ -194,6 +212,7 @@
         if request is not None and request.command is command:
             request.command = None
             self.enqueue(ClientDisconnected(request_id))
+            self._withdraw_unsent(request)
             self.requests.remove_if_done(request_id, request)
 
     def _answer(self, request_id: str, data: bytes, kind: AnswerKind) -> None:
@@ -206,9 +225,19 @@
             self.log.trace("request answered", request=request_id, kind=kind.value)
         command = request.command
         request.command = None
+        self._withdraw_unsent(request)
         self.requests.remove_if_done(request_id, request)
         command.finish(data)
 
+    def _withdraw_unsent(self, request: OpenRequest) -> None:
+        """Stop queries that the kernel has taken in part, once nobody waits for their replies.
+
+        Their rest would leave when the endpoint reads again, and be executed. The router's own cancellation
+        concerns attempts that may have been executed, and not all deployments allow it.
+        """
+        for exchange in list(request.exchanges.values()):
+            self.endpoint_pools.withdraw_unsent(exchange)
+
     # The router's actions.
 
     def router_events(self, host_events: list[Event], _now: int) -> list[Event]:
@@ -394,8 +423,9 @@
         wait with the kill.
         """
         self.shutdown.begin(self.now() - waited_us)
-        for due_us in self.shutdown.wake_times_us():
-            self.timers.call_at(due_us, _wake)
+        self.timers.call_at(self.shutdown.closing_starts_us(), _wake)
+        self.timers.call_at(self.shutdown.last_answers_us(), self._answer_all_open_requests)
+        self.timers.call_at(self.shutdown.exit_us(), _wake)
         for request_id, request in self.requests.by_id.items():
             latest_us = self.shutdown.latest_answer_us(request.deadline_us)
             if latest_us < request.deadline_us:
@@ -404,10 +434,18 @@
                 for exchange in request.exchanges.values():
                     self._abandon_at(latest_us, exchange)
 
+    def _answer_all_open_requests(self) -> None:
+        """Answer what the router should have answered before the end of the program."""
+        for request_id, request in list(self.requests.by_id.items()):
+            if request.command is not None:
+                self._answer_for_router(request_id, request)
+
     def check_nothing_is_owed(self) -> None:
-        """Have the rule monitor count the requests that the end of the program leaves unanswered."""
+        """Have the rule monitor count what the end of the program leaves unanswered, or unsent."""
         for client in self.client_listener.clients:
-            self.monitor.on_client_closed(client.unanswered_requests(), "end of the program")
+            self.monitor.on_client_closed(client.unanswered_requests(), END_OF_PROGRAM)
+            if client.unsent_bytes:
+                self.monitor.on_answers_dropped(client.unsent_bytes, END_OF_PROGRAM)
 
     @property
     def is_idle(self) -> bool:
--- a/juniperreel/platform/program.py
+++ b/juniperreel/platform/program.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import signal
 from pathlib import Path
 
 import trio
@@ -18,6 +19,7 @@
 from juniperreel.platform.errors import EndpointListError
 from juniperreel.platform.log import Log
 from juniperreel.platform.reload import ConfigReload
+from juniperreel.platform.signal_queue import SignalQueue
 from juniperreel.routing.types import UpdateKind
 
 STATUS_INTERVAL_S = 10
@@ -26,8 +28,14 @@
 class Program:
     """One running driver. Call `start`, then `serve`; `discovery.run` must be running."""
 
-    def __init__(self, config: Config, config_path: Path, log: Log) -> None:
-        """Create all parts; nothing is listened on yet. Needs a running trio."""
+    def __init__(
+        self, config: Config, config_path: Path, log: Log, signals: SignalQueue | None = None
+    ) -> None:
+        """Create all parts; nothing is listened on yet. Needs a running trio.
+
+        `signals`, where there are any, must wake `poller` when one arrives.
+        """
+        self._signals = signals or SignalQueue()
         self.config = config
         self.config_path = config_path
         self.log = log
@@ -97,7 +105,10 @@
         """Run the event loop until the shutdown is complete."""
         driver = self.driver
         poller = self.poller
-        while not (driver.shutdown.started and self._shutdown_is_complete()):
+        while True:
+            self._handle_signals()
+            if driver.shutdown.started and self._shutdown_is_complete():
+                break
             await poller.wait(driver.next_due_us())
             driver.input_ready_since_us = poller.ready_since_us
             poller.dispatch()
@@ -113,12 +124,19 @@
         now_us = self.clock.now_us()
         if not driver.shutdown.closes_connections(now_us):
             return False
-        if self.acceptor is not None and self.acceptor.is_open:
+        if driver.shutdown.closes_listener(now_us) and self.acceptor is not None and self.acceptor.is_open:
             self.acceptor.close()
         driver.client_listener.close_when_answered()
         is_closed = self.acceptor is None or not self.acceptor.is_open
         return (is_closed and driver.is_idle) or driver.shutdown.is_over(now_us)
 
+    def _handle_signals(self) -> None:
+        for arrived in self._signals.take():
+            if arrived.number == signal.SIGHUP:
+                self.reload()
+            else:
+                self.begin_shutdown(arrived.waited_us)
+
     def begin_shutdown(self, waited_us: int = 0) -> None:
         """Begin the graceful shutdown, asked for `waited_us` ago; a second call changes nothing."""
         if self.driver.shutdown.started:
@@ -127,6 +145,7 @@
             "graceful shutdown started",
             open_requests=len(self.driver.requests.by_id),
             clients=self.driver.budget.clients,
+            waited_ms=waited_us // 1000,
         )
         self.driver.begin_shutdown(waited_us)
         self.driver.process_pending()
--- a/juniperreel/platform/rule_monitor.py
+++ b/juniperreel/platform/rule_monitor.py
@@ -131,6 +131,10 @@
         for request_id in unanswered:
             self._report(Rule.DROPPED, "its connection was closed unanswered", request_id, reason=reason)
 
+    def on_answers_dropped(self, unsent_bytes: int, reason: str) -> None:
+        """The driver itself ends a client's connection before the last byte of its answers has left."""
+        self._report(Rule.DROPPED, "answers had not left", "", reason=reason, unsent_bytes=unsent_bytes)
+
     def _report(self, rule: Rule, text: str, request_id: str, **facts: str | int) -> None:
         self.violations[rule] += 1
         if self.violations[rule] <= MAX_LOGGED:
--- a/juniperreel/platform/run.py
+++ b/juniperreel/platform/run.py
@@ -1,6 +1,7 @@
-"""The process: configuration, signals and exit codes.
+"""The process: configuration, start, signals and exit codes.
 
-SIGHUP reloads the configuration file, SIGTERM shuts down gracefully.
+SIGHUP reloads the configuration file, SIGTERM shuts down gracefully. A start is tried again for a while where
+the system lacks resources for it.
 """
 
 from __future__ import annotations
@@ -8,9 +9,8 @@
 import errno
 import gc
 import os
-import signal
 import time
-from collections.abc import AsyncIterator
+from functools import partial
 from pathlib import Path
 
 import trio
@@ -19,8 +19,8 @@
 from juniperreel.platform.config import Config, parse_config
 from juniperreel.platform.errors import ConfigError
 from juniperreel.platform.log import Log
-from juniperreel.platform.pending_signals import PendingSignal
 from juniperreel.platform.program import Program
+from juniperreel.platform.signal_queue import SignalQueue
 
 EXIT_LISTEN_FAILED = 1
 EXIT_NO_CONFIGURATION = 2
@@ -30,44 +30,53 @@
 TRACE_VARIABLE = "JUNIPERREEL_TRACE"  # 1: each step of each request is logged
 
 
-def handle_signal(program: Program, number: int, waited_us: int = 0) -> None:
-    """Do what the signal asks for; it arrived `waited_us` ago."""
-    if number == signal.SIGHUP:
-        program.reload()
-    else:
-        program.begin_shutdown(waited_us)
-    program.poller.wake()
+class Process:
+    """One process of the driver: an event loop, and the program in it once both could be had."""
 
+    def __init__(self, config: Config, config_path: Path, log: Log, signals: SignalQueue) -> None:
+        """`signals` may hold some that arrived while modules were loading."""
+        self._config = config
+        self._config_path = config_path
+        self._log = log
+        self._signals = signals
+        self._program: Program | None = None
 
-async def _handle_signals(program: Program, signals: AsyncIterator[int]) -> None:
-    async for number in signals:
-        handle_signal(program, number)
-
-
-async def run(config: Config, config_path: Path, log: Log, pending_signals: list[PendingSignal]) -> int:
-    """Serve until shut down; return the exit code.
-
-    `pending_signals` arrived while modules were loading, and are handled once it serves.
-    """
-    program = Program(config, config_path, log)
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP, signal.SIGINT) as signals:
-        async with trio.open_nursery() as nursery:
-            await nursery.start(program.discovery.run)
+    def run(self) -> int:
+        """Serve until shut down; return the exit code. Raises OSError where there is no event loop."""
+        give_up_at = time.monotonic() + START_RETRY_S
+        while True:
             try:
-                await _start(program, log)
+                return trio.run(self._serve)
             except OSError as error:
-                nursery.cancel_scope.cancel()  # otherwise the nursery would wait for discovery forever
-                _log_failed_listen(log, error)
-                return EXIT_LISTEN_FAILED
-            for pending in pending_signals:
-                handle_signal(program, pending.number, pending.waited_us)
-            nursery.start_soon(_handle_signals, program, signals)
-            nursery.start_soon(program.log_status)
-            gc.collect()
-            gc.freeze()
-            await program.serve()
-            nursery.cancel_scope.cancel()
-    return 0
+                # The event loop needs sockets and a poll of its own.
+                has_begun = self._program is not None
+                if has_begun or error.errno not in PASSING_ERRNOS or time.monotonic() > give_up_at:
+                    raise
+                self._log.warning("event loop failed for now", error=str(error))
+            time.sleep(START_PAUSE_S)
+
+    async def _serve(self) -> int:
+        program = Program(self._config, self._config_path, self._log, self._signals)
+        self._program = program
+        token = trio.lowlevel.current_trio_token()
+        self._signals.wake = partial(token.run_sync_soon, program.poller.wake)
+        try:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(program.discovery.run)
+                try:
+                    await _start(program, self._log)
+                except OSError as error:
+                    nursery.cancel_scope.cancel()  # otherwise the nursery would wait for discovery forever
+                    _log_failed_listen(self._log, error)
+                    return EXIT_LISTEN_FAILED
+                nursery.start_soon(program.log_status)
+                gc.collect()
+                gc.freeze()
+                await program.serve()
+                nursery.cancel_scope.cancel()
+        finally:
+            self._signals.wake = None
+        return 0
 
 
 async def _start(program: Program, log: Log) -> None:
@@ -94,7 +103,7 @@
     log.error("configuration not readable", path=path_name, error=str(error))
 
 
-def main(pending_signals: list[PendingSignal]) -> int:
+def main(signals: SignalQueue) -> int:
     """Run the driver whose configuration file `GW_CONFIG` names; return the exit code."""
     log = Log(tracing=os.environ.get(TRACE_VARIABLE, "") == "1")
     path_name = os.environ.get("GW_CONFIG", "")
@@ -103,7 +112,9 @@
     except (OSError, ConfigError) as error:
         _log_unreadable_config(log, path_name, error)
         return EXIT_NO_CONFIGURATION
-    return trio.run(run, config, Path(path_name), log, pending_signals)
+    exit_code = Process(config, Path(path_name), log, signals).run()
+    signals.ignore()
+    return exit_code
 
 
 def _read_config(path: Path, log: Log) -> Config:
