--- a/juniperreel/fakes/script.py
+++ b/juniperreel/fakes/script.py
@@ -65,6 +65,7 @@
     "edge-kill": FaultSyntax((Argument.RESTART,)),
     "edge-stall": FaultSyntax(timed=True),
     "edge-term": FaultSyntax((Argument.RESTART,)),  # SIGTERM, and SIGKILL when its time is over
+    "edge-signals": FaultSyntax((Argument.RESTART,)),  # the same, with SIGHUP and SIGTERM again and again
     "edge-reload": FaultSyntax(),  # SIGHUP, with discovery at another address
     "instance-kill": FaultSyntax((Argument.RESTART,)),
     "link-cut": FaultSyntax((Argument.LINK_TARGET,), timed=True),
@@ -95,6 +96,8 @@
     "alone": 0,  # 1: writes are answered without waiting for a replica
     "heavy": 0,  # edges of a large trial that receive five times the mean load, in percent
     "fleet": 0,  # the number of edges that the platform's edges are configured with; 0: the true one
+    "longest-deadline": 8_000_000,  # of a trial's requests; shorter ones keep their share of it
+    "crowd": 0,  # idle clients of a soak for each edge, whose descriptors are few then
     "ask-every": 10_000_000,  # longest time between polls of the list that they are configured with
 }
 
--- a/juniperreel/testbed/driver_fleet.py
+++ b/juniperreel/testbed/driver_fleet.py
@@ -8,6 +8,7 @@
 import json
 import os
 import random
+import signal
 import sys
 from collections import Counter, defaultdict
 from collections.abc import Awaitable, Callable, Iterator, Mapping, Sequence
@@ -46,7 +47,11 @@
 LOG_TAIL_CHARACTERS = 2000
 # Drivers give way to the testbed: where both want processors, late is what is tried, not who tries it.
 NICE = 5
-KILL_AFTER_S = 3.7  # after SIGTERM, as the operators do where deadlines are long
+# After SIGTERM the operators wait for the longest deadline, or so long where it is longer, and a while more.
+LONGEST_DEADLINE_US = 3_000_000
+KILL_AFTER_DEADLINE_US = 700_000
+SIGNALS_IN_SERIES = (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGHUP, signal.SIGTERM)
+SERIES_PAUSE_S = 0.15  # mean, between two signals of a series
 FRONT_NOTICES_S = 0.3  # until no new connections come to a driver that was told to end
 KILLED = -9
 LEAST_RATE = 1e-3  # requests a second, so that a pause between requests is finite
@@ -98,7 +103,7 @@
         self._log_positions: dict[str, int] = {}
         self._reloads: Counter[str] = Counter()
         self.exit_statuses: list[ExitStatus] = []  # of drivers that were told to end
-        self.killed_us: dict[str, list[int]] = defaultdict(list)  # when drivers were killed
+        self.killed_us: dict[str, list[int]] = defaultdict(list)  # when drivers were killed unawares
         self._restarting: set[str] = set()  # drivers whose process is being ended, or started anew
         discovery_rng = random.Random(self._rng.random())
         self.hosts = PlatformDiscovery(
@@ -143,18 +148,24 @@
                     continue  # another process of the trial plays it
                 if name in self._restarting and step.fault.startswith("edge-"):
                     continue  # an earlier step is not over
-                if step.fault == "link-mute":
-                    self.hosts.servers[name].mute()
-                elif step.fault.startswith("link-"):
-                    nursery.start_soon(self._play_discovery_fault, step, name)
-                elif step.fault == "edge-kill":
-                    nursery.start_soon(self._kill, name, step.value)
-                elif step.fault == "edge-stall":
-                    nursery.start_soon(self._stall, name, step.for_us)
-                elif step.fault == "edge-term":
-                    nursery.start_soon(self._restart, name, step.value)
-                elif step.fault == "edge-reload":
-                    nursery.start_soon(self._reload, name)
+                self._start_fault(nursery, step, name)
+
+    def _start_fault(self, nursery: trio.Nursery, step: Step, name: str) -> None:
+        match step.fault:
+            case "link-mute":
+                self.hosts.servers[name].mute()
+            case "edge-kill":
+                nursery.start_soon(self._kill, name, step.value)
+            case "edge-stall":
+                nursery.start_soon(self._stall, name, step.for_us)
+            case "edge-term":
+                nursery.start_soon(self._restart, name, step.value)
+            case "edge-signals":
+                nursery.start_soon(self._restart, name, step.value, SIGNALS_IN_SERIES)
+            case "edge-reload":
+                nursery.start_soon(self._reload, name)
+            case fault if fault.startswith("link-"):
+                nursery.start_soon(self._play_discovery_fault, step, name)
 
     def session(
         self,
@@ -172,7 +183,7 @@
 
     async def run_load(self, until_us: int, weights: Sequence[float]) -> None:
         """Send these drivers their part of the script's rate until then, each evenly to all groups."""
-        mix = request_classes(self.clock.now_us())
+        mix = request_classes(self.clock.now_us(), self.day["longest-deadline"])
         async with trio.open_nursery() as nursery:
             for index, name in enumerate(self.names):
                 rate = driver_rate(self.day, self._all_names.index(name))
@@ -259,24 +270,38 @@
             await trio.sleep(pause_us / US)
             await self.start_driver(name)
 
-    async def _restart(self, name: str, restart_after_us: float) -> None:
+    async def _restart(
+        self, name: str, restart_after_us: float, further_signals: Sequence[signal.Signals] = ()
+    ) -> None:
         """Tell a driver to end, kill it when its time is over, and start it again where that is asked for."""
         process = self.processes[name]
         if process.state is not ProcessState.RUNNING or name not in self.ports:
             return
         with self._restart_of(name):
-            await self._shut_down(name, process)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._send_signals, process, further_signals)
+                await self._shut_down(name, process)
+                nursery.cancel_scope.cancel()
             await self._start_after(name, restart_after_us)
 
+    async def _send_signals(self, process: ManagedProcess, numbers: Sequence[signal.Signals]) -> None:
+        for number in numbers:
+            await trio.sleep(self._rng.expovariate(1 / SERIES_PAUSE_S))
+            process.send_signal(number)
+
+    @property
+    def kill_after_s(self) -> float:
+        """The time from SIGTERM to SIGKILL: the shortest that the operators take."""
+        return (min(self.day["longest-deadline"], LONGEST_DEADLINE_US) + KILL_AFTER_DEADLINE_US) / US
+
     async def _shut_down(self, name: str, process: ManagedProcess) -> None:
         process.terminate()
-        with trio.move_on_after(KILL_AFTER_S) as limit:
+        with trio.move_on_after(self.kill_after_s) as limit:
             await trio.sleep(FRONT_NOTICES_S)
             self.ports.pop(name, None)
             status = await process.wait()
         if limit.cancelled_caught:
-            self._record(rec.EdgeDown(self.clock.now_us(), name))
-            self.killed_us[name].append(self.clock.now_us())
+            # What it leaves unanswered is not excused: it was told in time.
             process.kill()
             status = KILLED
         self.exit_statuses.append(ExitStatus(name, status))
--- a/juniperreel/testbed/driver_settings.py
+++ b/juniperreel/testbed/driver_settings.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from juniperreel.fakes.endpoint_settings import EndpointSettings
+from juniperreel.fakes.platform_clients import DEADLINE_MULTIPLE
 from juniperreel.fakes.script import Script
 from juniperreel.net.clock import US
 from juniperreel.testbed.scenario import (
@@ -17,8 +18,8 @@
 )
 from juniperreel.verification import records as rec
 
-DEADLINE_FACTOR = 4  # times a class's latency objective
 LIMITS = {"cores": 1.0, "memory_mb": 96, "sockets": 512}
+SOCKETS_IN_A_CROWD = 160
 
 
 def driver_settings(
@@ -36,7 +37,7 @@
         "listen": "127.0.0.1:0",
         "discovery": f"127.0.0.1:{discovery_port}",
         "seed": f"{seed:x}",
-        "limits": LIMITS,
+        "limits": {**LIMITS, "sockets": SOCKETS_IN_A_CROWD} if day["crowd"] else LIMITS,
         "known": {"seq": 0, "whole": True, "hosts": hosts},
         "settings": _router_settings(day, index, now_us),
     }
@@ -59,7 +60,9 @@
         "membership_mode": "ask",
         "prices": {"probe": 0.08, "cross_zone": 0.02},
         "rules": _rules(day),
-        "services": [_service(request_class) for request_class in request_classes(now_us)],
+        "services": [
+            _service(request_class) for request_class in request_classes(now_us, day["longest-deadline"])
+        ],
         "specifics": {
             "consistency": ["bounded", "session", "write"],
             "guards": "off",
@@ -95,7 +98,7 @@
         "key_scope": "cell" if request_class.write else "all",
         "memory_span_s": request_class.deduplication_window_us / US,
         "objective_s": request_class.latency_objective_us / US,
-        "deadline_s": DEADLINE_FACTOR * request_class.latency_objective_us / US,
+        "deadline_s": DEADLINE_MULTIPLE * request_class.latency_objective_us / US,
         "worth": request_class.priority_weight,
         "late_worth": request_class.late_priority_weight,
     }
--- a/juniperreel/testbed/multi_process_trial.py
+++ b/juniperreel/testbed/multi_process_trial.py
@@ -189,7 +189,8 @@
     def _merge_records(self, start_us: int) -> list[rec.Record]:
         """Records of all processes in order of time; each fault, which every process wrote, comes once."""
         shape = EndpointSettings(slow_start_us=self.day["cold-span"])
-        merged: list[rec.Record] = [*request_classes(start_us), limits(start_us, shape)]
+        mix = request_classes(start_us, self.day["longest-deadline"])
+        merged: list[rec.Record] = [*mix, limits(start_us, shape)]
         for step in self.day.steps:
             merged.append(rec.Fault(start_us + step.at_us, step.text, True))
             merged.append(rec.Fault(start_us + step.at_us + step.for_us, step.text, False))
--- a/juniperreel/testbed/processes.py
+++ b/juniperreel/testbed/processes.py
@@ -110,6 +110,10 @@
         """Tell it to reload its configuration (SIGHUP); does nothing if it has ended."""
         self._signal(signal.SIGHUP)
 
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send it a signal; does nothing if it has ended."""
+        self._signal(number)
+
     def freeze(self) -> None:
         """Stop its execution until `thaw`. Raises ProcessStateError unless it is running."""
         self._require(ProcessState.RUNNING)
--- a/juniperreel/testbed/scenario.py
+++ b/juniperreel/testbed/scenario.py
@@ -9,7 +9,8 @@
 from pathlib import Path
 
 from juniperreel.fakes.endpoint_settings import EndpointSettings
-from juniperreel.fakes.script import Script, Step
+from juniperreel.fakes.platform_clients import DEADLINE_MULTIPLE
+from juniperreel.fakes.script import SETTINGS, Script, Step
 from juniperreel.testbed.errors import UnknownTargetError
 from juniperreel.verification import records as rec
 
@@ -26,23 +27,29 @@
 CHECKED_STALENESS_US = MAX_STALENESS_US + 500_000
 MAX_ATTEMPTS = 6
 
+LATENCY_OBJECTIVES_US = (1_000_000, 1_200_000, 2_000_000)  # of `request_classes`
 CLASS_WEIGHTS = (0.62, 0.22, 0.16)  # how often sessions ask for each of `request_classes`
 BUSY_DRIVER_FACTOR = 5.0  # times the mean of all: the rate of a driver that has much to do
 SESSION_RATE = 2.0  # most requests a second of one session, so that its answers' times hardly count
 
 
-def request_classes(now_us: int) -> tuple[rec.RequestClass, ...]:
+def request_classes(
+    now_us: int, longest_deadline_us: int = SETTINGS["longest-deadline"]
+) -> tuple[rec.RequestClass, ...]:
     """Classes of bounded reads, reads of a session's own writes, and writes.
 
     Their latency objectives are wide: a trial's machine has more to do than its size allows, and a rejected
-    request violates no rule.
+    request violates no rule. A deadline is DEADLINE_MULTIPLE times the objective.
     """
+    board_us, own_us, write_us = (
+        min(objective_us, longest_deadline_us // DEADLINE_MULTIPLE) for objective_us in LATENCY_OBJECTIVES_US
+    )
     bounded_read = rec.RequestClass(
-        now_us, "board", "repeatable", 0, False, False, CHECKED_STALENESS_US, 1_000_000, 3.0, 0.2
+        now_us, "board", "repeatable", 0, False, False, CHECKED_STALENESS_US, board_us, 3.0, 0.2
     )
-    session_read = rec.RequestClass(now_us, "own", "repeatable", 0, False, True, -1, 1_200_000, 3.0, 0.2)
+    session_read = rec.RequestClass(now_us, "own", "repeatable", 0, False, True, -1, own_us, 3.0, 0.2)
     write = rec.RequestClass(
-        now_us, "run", "keyed", DEDUPLICATION_WINDOW_US, True, False, -1, 2_000_000, 4.0, 0.7
+        now_us, "run", "keyed", DEDUPLICATION_WINDOW_US, True, False, -1, write_us, 4.0, 0.7
     )
     return bounded_read, session_read, write
 
--- a/juniperreel/testbed/single_process_trial.py
+++ b/juniperreel/testbed/single_process_trial.py
@@ -100,7 +100,7 @@
 
     async def run(self) -> None:
         """Play the day; the drivers have ended afterwards."""
-        mix = request_classes(self.clock.now_us())
+        mix = request_classes(self.clock.now_us(), self.day["longest-deadline"])
         self._record_rules(mix)
         async with trio.open_nursery() as nursery:
             links = Links(self._network, nursery, self._rng.getrandbits(32))
--- /dev/null
+++ b/juniperreel/testbed/soak/crowd.py
@@ -0,0 +1,44 @@
+"""A crowd: idle clients that take all descriptors a driver has for clients, and come back when ended."""
+
+from __future__ import annotations
+
+import trio
+
+from juniperreel.fakes.client_session import EdgeAddress
+from juniperreel.fakes.platform_clients import READ_BYTES
+from juniperreel.postgres import messages
+from juniperreel.testbed.soak.requests import HELLO, ClientNotes, FindDriver
+
+RECONNECT_S = 0.5
+EMPTY_QUERY = messages.query(b"")
+
+
+class IdleClient:
+    """One idle client: sends an empty query, so that it counts as one that asked, and rests until its end."""
+
+    def __init__(self, notes: ClientNotes, find_driver: FindDriver) -> None:
+        """`find_driver` names a driver that takes clients."""
+        self._notes = notes
+        self._find_driver = find_driver
+
+    async def run(self) -> None:
+        """Rest at one driver after another until cancelled."""
+        while True:
+            driver = self._find_driver()
+            if driver is not None:
+                await self._rest(driver)
+            await trio.sleep(RECONNECT_S)
+
+    async def _rest(self, driver: EdgeAddress) -> None:
+        try:
+            stream = await trio.open_tcp_stream("127.0.0.1", driver.port)
+        except OSError:
+            return
+        async with stream:
+            try:
+                await stream.send_all(HELLO + EMPTY_QUERY)
+                while await stream.receive_some(READ_BYTES):
+                    pass
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                pass
+        self._notes.counts["idle clients that were ended"] += 1
--- a/juniperreel/testbed/soak/oracle.py
+++ b/juniperreel/testbed/soak/oracle.py
@@ -12,7 +12,7 @@
 from juniperreel.testbed.driver_fleet import ExitStatus
 from juniperreel.testbed.faulty_driver import COUNTS_SUFFIX
 from juniperreel.testbed.injected_faults import FaultKind, SharedCounts
-from juniperreel.testbed.soak.clients import ClientNotes
+from juniperreel.testbed.soak.requests import ClientNotes
 from juniperreel.verification import records as rec
 from juniperreel.verification.history import CROSS_SOCKET_TOLERANCE_US, History
 from juniperreel.verification.rules import RULES
@@ -31,6 +31,7 @@
 )
 
 # What drivers count or log that shows a fault from outside to have reached them. Each has to be there.
+READ_EVENTS = ("request taken", "request rejected at once")
 EVIDENCE_IN_LOGS = (
     "graceful shutdown started",
     "configuration reloaded",
@@ -58,7 +59,10 @@
     "sent much and left",
     "pipelined",
     "wrote slowly",
+    "kept sending until the end",
+    "answers to clients that keep sending",
 )
+EVIDENCE_OF_A_CROWD = ("closed_clients", "descriptors")
 
 
 @dataclass(slots=True)
@@ -84,6 +88,7 @@
     counts_directory: Path,
     exits: Sequence[ExitStatus],
     crashed: Sequence[str],
+    has_crowd: bool = False,
 ) -> SoakReport:
     """Put together the report of one soak. `crashed`: drivers that ended though nobody told them to."""
     report = SoakReport(seed)
@@ -95,7 +100,8 @@
     report.violations += [json.dumps(line)[:600] for line in lines if line["event"] in FAULT_EVENTS]
     report.violations += [f"{name} ended by itself" for name in crashed]
     report.violations += [f"{exit.driver} ended with status {exit.status}" for exit in exits if exit.status]
-    _count(report, records, notes, lines, counts_directory)
+    expected = [*EVIDENCE_IN_COUNTS, EVIDENCE_OF_A_CROWD] if has_crowd else EVIDENCE_IN_COUNTS
+    _count(report, records, notes, lines, counts_directory, expected)
     return report
 
 
@@ -133,7 +139,7 @@
 ) -> Iterator[str]:
     """Requests whose connection ended unanswered although the driver had read them."""
     sent = {record.request_id for record in records if isinstance(record, rec.AttemptReceived)}
-    taken = {line["request"] for line in lines if line["event"] == "request taken"}
+    taken = {line["request"] for line in lines if line["event"] in READ_EVENTS}
     for request_id, driver in notes.crossed.items():
         if request_id in sent or request_id in taken:
             yield f"{request_id} was taken by {driver} and its connection ended without an answer"
@@ -145,6 +151,7 @@
     notes: ClientNotes,
     lines: Sequence[dict[str, Any]],
     counts_directory: Path,
+    expected_counts: Sequence[tuple[str, str]],
 ) -> None:
     injected: Counter[FaultKind] = Counter()
     for path in counts_directory.glob(f"*{COUNTS_SUFFIX}"):
@@ -153,12 +160,12 @@
     counted: Counter[str] = Counter()
     for line in lines:
         if line["event"] == "shutdown complete":
-            for group, name in EVIDENCE_IN_COUNTS:
+            for group, name in expected_counts:
                 counted[f"{group}: {name}"] += line[group].get(name, 0)
     evidence = {
         **{f"injected: {kind.value}": injected[kind] for kind in FaultKind},
         **{f"log: {event}": events[event] for event in EVIDENCE_IN_LOGS},
-        **{f"{group}: {name}": counted[f"{group}: {name}"] for group, name in EVIDENCE_IN_COUNTS},
+        **{f"{group}: {name}": counted[f"{group}: {name}"] for group, name in expected_counts},
         **{f"client: {kind}": notes.counts[kind] for kind in EVIDENCE_IN_CLIENTS},
     }
     report.missing += [name for name, count in evidence.items() if not count]
--- a/juniperreel/testbed/soak/plan.py
+++ b/juniperreel/testbed/soak/plan.py
@@ -18,6 +18,8 @@
 primary-delay 400ms
 cold-span 3s
 ask-every 4s
+longest-deadline {deadline_ms}ms
+crowd {crowd}
 last {last_ms}ms
 """
 SESSIONS_PER_DRIVER = 2
@@ -51,13 +53,20 @@
 LAST_EARLY_FAULT_BEFORE_END_MS = 5_000
 DRIVER_FAULTS = (
     "edge-term edge/random:20% back 200ms",
-    "edge-term edge/random:15% back 200ms",
+    "edge-signals edge/random:20% back 200ms",
+    "edge-reload edge/random:30%",
     "edge-reload edge/random:40%",
     "edge-reload edge/random:40%",
     "edge-kill edge/random:10% back 300ms",
 )
 REPEATED = 4  # faults that are drawn a second time
 
+LONG_DEADLINE_MS = 8_000
+SHORT_DEADLINES_MS = (500, 2_200)  # the kill comes soon after SIGTERM then
+SHORT_DEADLINES_PART = 0.6  # of all plans
+CROWD = 110  # idle clients for each driver: more than the descriptors that it has for clients then
+CROWD_PART = 0.25
+
 FAULT_RATES: Mapping[FaultKind, float] = {
     FaultKind.ACCEPT: 0.05,
     FaultKind.SOCKET: 0.01,
@@ -78,9 +87,17 @@
 def draw_plan(seed: int, drivers: int, last_ms: int) -> Script:
     """The same script for the same arguments."""
     rng = random.Random(f"{seed} {drivers} {last_ms}")
-    lines = [
-        SETTINGS.format(drivers=drivers, sessions=SESSIONS_PER_DRIVER * drivers, seed=seed, last_ms=last_ms)
-    ]
+    has_short_deadlines = rng.random() < SHORT_DEADLINES_PART
+    has_crowd = rng.random() < CROWD_PART
+    settings = SETTINGS.format(
+        drivers=drivers,
+        sessions=SESSIONS_PER_DRIVER * drivers,
+        seed=seed,
+        deadline_ms=rng.randint(*SHORT_DEADLINES_MS) if has_short_deadlines else LONG_DEADLINE_MS,
+        crowd=CROWD if has_crowd else 0,
+        last_ms=last_ms,
+    )
+    lines = [settings]
     faults = [*EARLY_FAULTS, *MEMBER_FAULTS, *LINK_FAULTS, *DRIVER_FAULTS]
     for fault in faults + rng.sample(faults, REPEATED):
         before_end_ms = LAST_EARLY_FAULT_BEFORE_END_MS if fault in EARLY_FAULTS else LAST_FAULT_BEFORE_END_MS
--- /dev/null
+++ b/juniperreel/testbed/soak/requests.py
@@ -0,0 +1,119 @@
+"""The requests of a soak's unusual clients: written, recorded, and their answers judged."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+from juniperreel.fakes.client_session import EdgeAddress
+from juniperreel.fakes.platform_clients import STATUS_OK, STATUS_UNKNOWN, TENANT, statement
+from juniperreel.net import Clock
+from juniperreel.postgres import messages
+from juniperreel.verification import records as rec
+
+LATE_US = 550_000  # an answer up to so late is only worth nothing
+HELLO = messages.startup("worker", "catalog")
+
+FindDriver = Callable[[], EdgeAddress | None]
+WasKilled = Callable[[str, int], bool]  # whether a driver was killed since a time
+
+
+@dataclass(frozen=True, slots=True)
+class ClientLeft:
+    """A client closed its connection while a request of its was open."""
+
+    request_id: str
+    at_us: int
+
+
+@dataclass(slots=True)
+class ClientNotes:
+    """What clients saw.
+
+    `crossed`: requests that met the end of their connection unanswered, with their driver. `unusual`: those
+    of clients that are no sessions. `conversations`: connections that are not judged yet.
+    """
+
+    crossed: dict[str, str] = field(default_factory=dict)
+    left: list[ClientLeft] = field(default_factory=list)
+    unusual: set[str] = field(default_factory=set)
+    violations: list[str] = field(default_factory=list)
+    counts: Counter[str] = field(default_factory=Counter)
+    conversations: int = 0
+
+    @contextmanager
+    def conversation(self) -> Iterator[None]:
+        """A connection whose requests are judged when the block ends."""
+        self.conversations += 1
+        try:
+            yield
+        finally:
+            self.conversations -= 1
+
+
+class SoakRequests:
+    """Makes requests of three classes, records them, and judges what comes back."""
+
+    def __init__(
+        self,
+        notes: ClientNotes,
+        was_killed: WasKilled,
+        classes: Sequence[rec.RequestClass],
+        clock: Clock,
+        record: rec.RecordSink,
+        deadline_ms: int,
+        rng: random.Random,
+    ) -> None:
+        """`was_killed` excuses a driver; `deadline_ms` is what each request tells it."""
+        self.notes = notes
+        self.was_killed = was_killed
+        self.board, self.own, self.write = classes
+        self.clock = clock
+        self.deadline_ms = deadline_ms
+        self._record = record
+        self._rng = rng
+
+    def new_id(self) -> str:
+        """Draw the id of a request."""
+        return f"{self._rng.getrandbits(64):016x}"
+
+    def query(self, request_class: rec.RequestClass, request_id: str) -> bytes:
+        """Return the message that asks for it; its key is its own."""
+        text = statement(request_class, request_id, request_id, 0, self.deadline_ms)
+        return messages.query(text.encode())
+
+    def record_asked(
+        self, now_us: int, driver: str, request_class: rec.RequestClass, request_id: str
+    ) -> None:
+        """Record that it is sent now."""
+        self.notes.unusual.add(request_id)
+        deadline_us = now_us + self.deadline_ms * 1000 + LATE_US
+        name = request_class.name
+        self._record(
+            rec.RequestSent(
+                now_us, request_id, 0, driver, name, request_id, TENANT, 0, request_id, deadline_us
+            )
+        )
+
+    def judge_answer(
+        self, driver: str, request_class: rec.RequestClass, request_id: str, answer: bytes
+    ) -> None:
+        """Record an answer; one that belongs to another request is a violation."""
+        served = answer.startswith(b"T")
+        now_us = self.clock.now_us()
+        self._record(rec.ResponseReceived(now_us, request_id, 0, STATUS_OK if served else STATUS_UNKNOWN))
+        if served and request_class.write and request_id.encode() not in answer:
+            self.notes.violations.append(f"the answer to {request_id} of {driver} is another request's")
+
+    def judge_unanswered(self, driver: str, request_id: str, ended: bool, sent_us: int) -> None:
+        """Judge a request without an answer, whose connection `ended` or not."""
+        if self.was_killed(driver, sent_us):
+            now_us = self.clock.now_us()
+            self._record(rec.ResponseReceived(now_us, request_id, 0, STATUS_UNKNOWN, local=True))
+        elif ended:
+            self.notes.crossed[request_id] = driver
+        else:
+            self.notes.violations.append(f"{request_id} had no answer of {driver}, nor an end")
--- a/juniperreel/testbed/soak/run.py
+++ b/juniperreel/testbed/soak/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import random
 from collections.abc import Mapping, Sequence
 from pathlib import Path
 
@@ -16,14 +17,21 @@
 from juniperreel.testbed.processes import ProcessState
 from juniperreel.testbed.scenario import CLASS_WEIGHTS
 from juniperreel.testbed.single_process_trial import SingleProcessTrial
-from juniperreel.testbed.soak.clients import LATE_US, ClientNotes, MisbehavingClients, SoakSession
+from juniperreel.testbed.soak.clients import MisbehavingClients, SoakSession
+from juniperreel.testbed.soak.crowd import IdleClient
 from juniperreel.testbed.soak.oracle import SoakReport, judge
+from juniperreel.testbed.soak.persistent_clients import LoopLag, PersistentClient
 from juniperreel.testbed.soak.plan import FAULT_RATES, draw_plan
+from juniperreel.testbed.soak.requests import LATE_US, ClientNotes, SoakRequests
 from juniperreel.verification import records as rec
 
 FAULTY_DRIVER_PROGRAM = ("-m", "juniperreel.testbed.faulty_driver")
 PAUSE_S = 0.15  # mean, between two requests of a session
 MISBEHAVING_TASKS = 3
+PERSISTENT_CLIENTS_PER_DRIVER = 1
+MAX_DEADLINE_MS = 4_000  # of unusual clients' requests
+SETTLE_S = 5.0  # for clients to judge the ends of their connections
+SETTLE_POLL_S = 0.02
 
 
 class SoakTrial(SingleProcessTrial):
@@ -62,26 +70,47 @@
             self._directory,
             self._drivers.exit_statuses,
             self.crashed,
+            has_crowd=bool(self.day["crowd"]),
         )
 
     async def _play_day(self, mix: Sequence[rec.RequestClass]) -> None:
         async with trio.open_nursery() as nursery:
-            for _ in range(MISBEHAVING_TASKS):
-                clients = MisbehavingClients(
-                    self.notes,
-                    self._find_driver,
-                    self._was_killed,
-                    mix,
-                    self.clock,
-                    self.recorder,
-                    self._rng.getrandbits(32),
-                )
-                nursery.start_soon(clients.run)
+            self._start_unusual_clients(nursery, mix)
             await super()._play_day(mix)
             self._note_crashes()
             await self._drivers.shut_down_all()
+            with trio.move_on_after(SETTLE_S):
+                while self.notes.conversations:
+                    await trio.sleep(SETTLE_POLL_S)
             nursery.cancel_scope.cancel()
 
+    def _start_unusual_clients(self, nursery: trio.Nursery, mix: Sequence[rec.RequestClass]) -> None:
+        lag = LoopLag(self.clock)
+        nursery.start_soon(lag.run)
+        for _ in range(MISBEHAVING_TASKS):
+            misbehaving = MisbehavingClients(
+                self._new_requests(mix), self._find_driver, self._rng.getrandbits(32)
+            )
+            nursery.start_soon(misbehaving.run)
+        for _ in range(PERSISTENT_CLIENTS_PER_DRIVER * len(self.names)):
+            persistent = PersistentClient(
+                self._new_requests(mix), self._find_driver, lag, self._rng.getrandbits(32)
+            )
+            nursery.start_soon(persistent.run)
+        for _ in range(self.day["crowd"] * len(self.names)):
+            nursery.start_soon(IdleClient(self.notes, self._find_driver).run)
+
+    def _new_requests(self, mix: Sequence[rec.RequestClass]) -> SoakRequests:
+        return SoakRequests(
+            self.notes,
+            self._was_killed,
+            mix,
+            self.clock,
+            self.recorder,
+            min(self.day["longest-deadline"] // 1000, MAX_DEADLINE_MS),
+            random.Random(self._rng.getrandbits(32)),
+        )
+
     def _new_session(self, index: int, mix: Sequence[rec.RequestClass]) -> SoakSession:
         session = super()._new_session(index, mix)
         assert isinstance(session, SoakSession)
--- a/tests/testbed/test_soak.py
+++ b/tests/testbed/test_soak.py
@@ -12,9 +12,9 @@
 from juniperreel.net import TcpNetwork
 from juniperreel.testbed.driver_fleet import ExitStatus
 from juniperreel.testbed.injected_faults import FaultKind
-from juniperreel.testbed.soak.clients import ClientLeft, ClientNotes
 from juniperreel.testbed.soak.oracle import SoakReport, judge
 from juniperreel.testbed.soak.plan import FAULT_RATES, draw_plan
+from juniperreel.testbed.soak.requests import ClientLeft, ClientNotes
 from juniperreel.testbed.soak.run import play_soak
 from juniperreel.verification import records as rec
 
