Driver: half written queries are withdrawn, clients with answers leaving are not evicted

ClientListener._may_be_evicted took a closing client whose last answers had not left. Where a deployment does not allow cancellation, a query that the kernel had taken in part was finished after its client had left (PlatformDriver._withdraw_unsent). Kept for the next incident: counts of stalls, of late rejections and withdrawn queries, counts when connections begin to be closed. AnswerKind.INVALID had no use.

--- a/juniperreel/platform/client_listener.py
+++ b/juniperreel/platform/client_listener.py
@@ -145,7 +145,7 @@
 
     @staticmethod
     def _may_be_evicted(client: ClientConnection, now_us: int) -> bool:
-        if client.commands:
+        if client.commands or client.unsent_bytes:
             return False
         if client.closing_since_us or not client.command_count:
             return True
--- a/juniperreel/platform/counters.py
+++ b/juniperreel/platform/counters.py
@@ -35,7 +35,6 @@
     SERVED = "served"
     REJECTED = "rejected"
     FAILED = "failed"
-    INVALID = "invalid"
 
 
 class Counters:
@@ -48,6 +47,15 @@
         self.refused_sends: Counter[SendRefusal] = Counter()
         self.closed_clients: Counter[CloseReason] = Counter()
         self.lists: Counter[str] = Counter()  # by kind of update
+        self.stalls = 0  # of the event loop
+        self.longest_stall_ms = 0
+        self.rejected_at_the_end = 0  # of the rejected, those for which a shutdown left no time
+        self.withdrawn_unsent = 0  # queries that had left in part when nobody waited for them any more
+
+    def on_stall(self, late_ms: int) -> None:
+        """Count a stall of the event loop."""
+        self.stalls += 1
+        self.longest_stall_ms = max(self.longest_stall_ms, late_ms)
 
     def fields(self) -> dict[str, dict[str, int]]:
         """All counts that are not zero, by names that a log line can hold."""
@@ -57,4 +65,6 @@
             "refused_sends": {reason.value: count for reason, count in self.refused_sends.items()},
             "closed_clients": {reason.value: count for reason, count in self.closed_clients.items()},
             "lists": dict(self.lists),
+            "stalls": {"count": self.stalls, "longest_ms": self.longest_stall_ms},
+            "endings": {"rejected": self.rejected_at_the_end, "withdrawn_unsent": self.withdrawn_unsent},
         }
--- a/juniperreel/platform/driver.py
+++ b/juniperreel/platform/driver.py
@@ -203,6 +203,7 @@
         """Answer a request for which no time is left before the end of the program."""
         command.answer = server.rejected("the driver ends; trying again does no harm", 0)
         self.counters.answers[AnswerKind.REJECTED] += 1
+        self.counters.rejected_at_the_end += 1
         if self.log.tracing:
             self.log.trace("request rejected at once", request=form.id, class_name=form.class_name)
 
@@ -252,7 +253,8 @@
         concerns attempts that may have been executed, and not all deployments allow it.
         """
         for exchange in list(request.exchanges.values()):
-            self.endpoint_pools.withdraw_unsent(exchange)
+            if self.endpoint_pools.withdraw_unsent(exchange):
+                self.counters.withdrawn_unsent += 1
 
     # The router's actions.
 
@@ -401,6 +403,7 @@
 
     def on_stall(self, late_us: int) -> None:
         """Log that a timer of the router was processed late."""
+        self.counters.on_stall(late_us // 1000)
         self.log.warning("event loop stalled", late_ms=late_us // 1000)
 
     def on_policy_error(self, events: Sequence[Event], error: Exception) -> None:
--- a/juniperreel/platform/endpoint_connection.py
+++ b/juniperreel/platform/endpoint_connection.py
@@ -123,10 +123,12 @@
         else:
             exchange.finish(Outcome.TIMEOUT if was_sent else Outcome.UNREACHABLE, reply)
 
-    def withdraw_unsent(self, exchange: Exchange) -> None:
+    def withdraw_unsent(self, exchange: Exchange) -> bool:
         """Close the connection if the query has left in part only: its rest must not follow."""
-        if self.protocol.phase is Phase.BUSY and self.exchange is exchange and not self._was_sent(exchange):
-            self.abandon(exchange, cancelled=True)
+        if self.protocol.phase is not Phase.BUSY or self.exchange is not exchange or self._was_sent(exchange):
+            return False
+        self.abandon(exchange, cancelled=True)
+        return True
 
     def close(self) -> None:
         """Close the connection and take it out of its pool."""
--- a/juniperreel/platform/endpoint_pools.py
+++ b/juniperreel/platform/endpoint_pools.py
@@ -149,10 +149,9 @@
         if exchange.connection is not None:
             exchange.connection.abandon(exchange, cancelled)
 
-    def withdraw_unsent(self, exchange: Exchange) -> None:
+    def withdraw_unsent(self, exchange: Exchange) -> bool:
         """Stop the exchange if its query has left in part only, so that it is never executed."""
-        if exchange.connection is not None:
-            exchange.connection.withdraw_unsent(exchange)
+        return exchange.connection is not None and exchange.connection.withdraw_unsent(exchange)
 
     def free_descriptor(self) -> bool:
         """Return whether another connection may be opened; close an idle one for it where that is needed.
--- a/juniperreel/platform/program.py
+++ b/juniperreel/platform/program.py
@@ -124,6 +124,8 @@
         now_us = self.clock.now_us()
         if not driver.shutdown.closes_connections(now_us):
             return False
+        if not driver.client_listener.closing:
+            self._log_counts("shutdown closes connections")
         if driver.shutdown.closes_listener(now_us) and self.acceptor is not None and self.acceptor.is_open:
             self.acceptor.close()
         driver.client_listener.close_when_answered()
--- a/juniperreel/platform/reload.py
+++ b/juniperreel/platform/reload.py
@@ -14,8 +14,9 @@
 from juniperreel.platform.log import Log
 from juniperreel.platform.timer_queue import TimerQueue
 
-FIRST_PAUSE_US = 100_000  # before the next attempt; doubles
-LAST_PAUSE_US = 1_000_000
+PAUSE_US = 100_000  # before the next attempt: the old discovery may tell of drains no more
+LOG_INTERVAL_MS = 1_000  # a file that stays wrong is logged so often
+NOT_LOGGED = -1
 GIVE_UP_AFTER_US = 60_000_000  # a file that is wrong for so long is meant to be as it is
 
 
@@ -36,29 +37,32 @@
         self._timers = timers
         self._on_config = on_config
         self._log = log
+        self._logged_interval = NOT_LOGGED  # of the time that was waited
         self._latest = 0  # number of the last `start`, whose attempts are the only ones that go on
 
     def start(self) -> None:
         """Read the file now."""
         self._latest += 1
-        self._attempt(self._latest, self._now(), FIRST_PAUSE_US)
+        self._logged_interval = NOT_LOGGED
+        self._attempt(self._latest, self._now())
 
-    def _attempt(self, number: int, started_us: int, pause_us: int) -> None:
+    def _attempt(self, number: int, started_us: int) -> None:
         if number != self._latest:
             return
         try:
             config = parse_config(self._path.read_bytes())
         except (OSError, ConfigError) as error:
-            self._on_failure(error, number, started_us, pause_us)
+            self._on_failure(error, number, started_us)
             return
         self._on_config(config)
 
-    def _on_failure(self, error: Exception, number: int, started_us: int, pause_us: int) -> None:
+    def _on_failure(self, error: Exception, number: int, started_us: int) -> None:
         now_us = self._now()
         waited_ms = (now_us - started_us) // 1000
         if now_us - started_us > GIVE_UP_AFTER_US:
             self._log.error("configuration reload given up", error=str(error), waited_ms=waited_ms)
             return
-        self._log.warning("configuration reload rejected", error=str(error), waited_ms=waited_ms)
-        next_pause_us = min(2 * pause_us, LAST_PAUSE_US)
-        self._timers.call_at(now_us + pause_us, lambda: self._attempt(number, started_us, next_pause_us))
+        if waited_ms // LOG_INTERVAL_MS != self._logged_interval:
+            self._logged_interval = waited_ms // LOG_INTERVAL_MS
+            self._log.warning("configuration reload rejected", error=str(error), waited_ms=waited_ms)
+        self._timers.call_at(now_us + PAUSE_US, lambda: self._attempt(number, started_us))
--- a/tests/platform/test_shutdown.py
+++ b/tests/platform/test_shutdown.py
@@ -37,6 +37,8 @@
 # long between its last look and the end.
 CROSSING_S = 0.15
 HOLD_UP_S = 0.15
+POLLS = 20
+TERMINATE = m.message(b"X", b"")
 
 
 def short_deadlines() -> dict[str, Any]:
@@ -139,6 +141,23 @@
         it.close()
 
 
+class HalfSender:
+    """A socket that sends half of the first data, and no more while it is blocked."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+        self.is_blocked = False
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._sock, name)
+
+    def send(self, data: bytes) -> int:
+        if self.is_blocked:
+            raise BlockingIOError
+        self.is_blocked = True
+        return self._sock.send(data[: len(data) // 2])
+
+
 def send_request(client: RemoteEnd, number: int) -> None:
     client.send(
         m.query(read_text(f"{number:016x}", span=int(LONGEST_DEADLINE_S * 1000), key=f"row-{number}"))
@@ -303,6 +322,50 @@
         assert "overdue" not in harness.out.getvalue()
 
 
+async def test_a_query_that_left_in_part_is_not_finished_once_its_client_has_left() -> None:
+    """Where a deployment does not allow cancellation, nothing else would stop its rest."""
+    ceilings = {**SETTINGS["ceilings"], "cancelling": False}
+    with SocketHarness(settings={**SETTINGS, "ceilings": ceilings}) as harness:
+        await harness.learn_positions()
+        primary = harness.members["p"].accept()[0]
+        connection = harness.driver.endpoint_pools.pools["p"].idle[0]
+        sock = connection.transport._socket = HalfSender(connection.transport._socket)  # type: ignore[assignment]
+        client = await harness.client(write_text(IDS[0]))
+        for _ in range(POLLS):  # the socket is writable all the time: nothing here waits
+            await harness.poll_once()
+        assert connection.transport.write_buffer_size
+        client.close()
+        for _ in range(POLLS):
+            await harness.poll_once()
+        assert not harness.driver.client_listener.clients
+        sock.is_blocked = False
+        for _ in range(POLLS):
+            await harness.poll_once()
+            primary.read()
+        assert primary.ended
+        assert not primary.got.endswith(b"\0")
+
+
+async def test_a_client_whose_last_answers_are_leaving_is_not_evicted() -> None:
+    with SocketHarness() as harness:
+        await harness.learn_positions()
+        client = await harness.client(buffer=2048)
+        transport = harness.client_transports[-1]
+        transport._socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
+        client.send(m.query(read_text(IDS[0])) + TERMINATE)
+        member = await harness.next_query("a")
+        member.take()
+        member.send(row(bytes(60_000)))
+        await harness.until(lambda: not harness.driver.requests.by_id)
+        assert transport.write_buffer_size
+        harness.driver.budget.client_limit = 1
+        newcomer = harness.connect()
+        await harness.until(lambda: len(harness.client_transports) == 2)
+        await harness.until(lambda: client.read(4096) is None or client.ended)
+        assert client.got.count(m.READY) == 1
+        newcomer.close()
+
+
 async def test_an_answer_that_has_not_left_when_the_program_ends_is_counted_as_dropped() -> None:
     """Decided is not answered: the time of an answer is that of its last byte."""
     with SocketHarness() as harness:
