Ends of programs: one more turn behind the last answers; MySQL drains wait for answers to leave

Change: one more turn without waiting at the end of Program.serve; errors that close a connection are not counted as answers; a MySQL connection is busy until the answers to all that was read have left.

--- a/juniperreel/frontends/mysql/connection.py
+++ b/juniperreel/frontends/mysql/connection.py
@@ -39,7 +39,7 @@
         ...
 
     def on_command_finished(self) -> None:
-        """A command was answered, or ended with its connection."""
+        """All commands that were read are answered, and the answers have left."""
         ...
 
     def statistics(self) -> str:
@@ -63,7 +63,7 @@
         self._protocol = protocol
         self._stream = stream
         self._commands = CommandHandler(context, protocol, self._flush, owner.statistics)
-        self._command_in_flight = False
+        self._is_busy = False  # from a command's arrival until its answer has left
 
     async def run(self) -> None:
         """Serve the client until either side ends the connection.
@@ -92,15 +92,22 @@
             if self._protocol.state is State.CLOSED:
                 return
             if events:
+                self._is_busy = True
                 events += await self._handle(events.pop(0))
-            else:
-                events = self._protocol.receive(await receive.receive())
+                continue
+            self._is_busy = False
+            self._owner.on_command_finished()
+            events = self._protocol.receive(await receive.receive())
 
     @property
     def engaged(self) -> bool:
-        """Whether a graceful shutdown waits for it: a command is in flight, or a transaction open."""
+        """Whether a graceful shutdown waits for it.
+
+        A command is in flight, or its answer has not left, or others that were read wait behind it, or a
+        transaction is open.
+        """
         transaction = self._commands.scope.transaction
-        return self._command_in_flight or (transaction is not None and transaction.open)
+        return self._is_busy or (transaction is not None and transaction.open)
 
     async def _flush(self) -> None:
         with trio.fail_after(SEND_TIMEOUT_S):
@@ -160,10 +167,5 @@
             SHUTDOWN_RESPONSE.write_to(self._protocol)
             self._protocol.close("the edge is stopping")
             return []
-        self._command_in_flight = True
         self._owner.on_command_started()
-        try:
-            return await self._commands.handle(command)
-        finally:
-            self._command_in_flight = False
-            self._owner.on_command_finished()
+        return await self._commands.handle(command)
--- a/juniperreel/platform/client_connection.py
+++ b/juniperreel/platform/client_connection.py
@@ -48,6 +48,7 @@
         self.command_count = 0
         self.last_active_us = now_us  # when a command was answered last, or the connection was accepted
         self.partial_since_us = 0  # since when an incomplete command has waited; 0 where there is none
+        self._error_size = 0  # of the error by which this side closes it
         self.closing_since_us = 0  # since when this side has been closing it; 0 where it is not
         transport.protocol = self
 
@@ -192,7 +193,9 @@
 
     def close_with_error(self, sqlstate: str, message: str, reason: CloseReason) -> None:
         """Send a fatal error and close the connection in order."""
-        self._transport.write(server.fatal(sqlstate, message))
+        error = server.fatal(sqlstate, message)
+        self._error_size = len(error)
+        self._transport.write(error)
         self._listener.close_gracefully(self, reason)
 
     def unanswered_requests(self) -> list[str]:
@@ -208,6 +211,11 @@
         """Bytes of answers that the kernel has not taken, as the client does not read."""
         return self._transport.write_buffer_size
 
+    @property
+    def unsent_answer_bytes(self) -> int:
+        """The same without the error that closes a connection, which is no answer to a command."""
+        return max(self.unsent_bytes - self._error_size, 0)
+
     @property
     def reads_slowly(self) -> bool:
         """Whether so much is unsent that no further commands are read."""
--- a/juniperreel/platform/client_listener.py
+++ b/juniperreel/platform/client_listener.py
@@ -64,8 +64,8 @@
             self.budget.active_clients -= 1
         self._answered.pop(client, None)
         self._slow_readers.pop(client, None)
-        if reason is not CloseReason.CLIENT_LEFT and client.command_count and client.unsent_bytes:
-            self.handler.answers_dropped(client.unsent_bytes, reason)
+        if reason is not CloseReason.CLIENT_LEFT and client.unsent_answer_bytes:
+            self.handler.answers_dropped(client.unsent_answer_bytes, reason)
         client.close()
         for command in client.commands:
             if command.request_id is not None:
--- a/juniperreel/platform/driver.py
+++ b/juniperreel/platform/driver.py
@@ -457,8 +457,8 @@
         """Have the rule monitor count what the end of the program leaves unanswered, or unsent."""
         for client in self.client_listener.clients:
             self.monitor.on_client_closed(client.unanswered_requests(), END_OF_PROGRAM)
-            if client.unsent_bytes:
-                self.monitor.on_answers_dropped(client.unsent_bytes, END_OF_PROGRAM)
+            if client.unsent_answer_bytes:
+                self.monitor.on_answers_dropped(client.unsent_answer_bytes, END_OF_PROGRAM)
 
     @property
     def is_idle(self) -> bool:
--- a/juniperreel/platform/program.py
+++ b/juniperreel/platform/program.py
@@ -104,20 +104,25 @@
     async def serve(self) -> None:
         """Run the event loop until the shutdown is complete."""
         driver = self.driver
-        poller = self.poller
         while True:
             self._handle_signals()
             if driver.shutdown.started and self._shutdown_is_complete():
                 break
-            await poller.wait(driver.next_due_us())
-            driver.input_ready_since_us = poller.ready_since_us
-            poller.dispatch()
-            driver.process_pending()
-            if self.acceptor is not None:
-                self.acceptor.retry(self.clock.now_us())
+            await self._take_turn(driver.next_due_us())
+        # Once more without waiting: a hold-up may have come between the last answers and their leaving.
+        await self._take_turn(self.clock.now_us())
         driver.check_nothing_is_owed()
         self._log_counts("shutdown complete")
 
+    async def _take_turn(self, until_us: int | None) -> None:
+        """Wait until then for sockets that are ready, and do all that is due."""
+        await self.poller.wait(until_us)
+        self.driver.input_ready_since_us = self.poller.ready_since_us
+        self.poller.dispatch()
+        self.driver.process_pending()
+        if self.acceptor is not None:
+            self.acceptor.retry(self.clock.now_us())
+
     def _shutdown_is_complete(self) -> bool:
         """Close what is to be closed by now; return whether nothing is left to wait for."""
         driver = self.driver
--- a/tests/e2e/test_transactions.py
+++ b/tests/e2e/test_transactions.py
@@ -11,7 +11,10 @@
 import pymysql
 import pytest
 import trio
+from pymysql.constants.COMMAND import COM_QUERY
 
+from juniperreel.frontends.mysql.connection import Connection
+from juniperreel.frontends.mysql.frontend import DRAIN_POLL_S
 from juniperreel.pool.connection import BackendConnection
 from juniperreel.proxy.mysql_endpoints import MysqlEndpoints
 from juniperreel.rpc.status import Code, RpcError
@@ -506,6 +509,32 @@
     assert len(world.commits("s1")) == 1
 
 
+async def test_a_stop_waits_until_an_answer_has_left(world: World, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The client reads slowly: the command has ended, and its answer is not yet out."""
+    flush = Connection._flush
+    stopped = trio.Event()
+
+    async def slow_flush(connection: Connection) -> None:
+        if stopped.is_set():
+            await trio.sleep(5 * DRAIN_POLL_S)
+        await flush(connection)
+
+    monkeypatch.setattr(Connection, "_flush", slow_flush)
+
+    def stop() -> None:
+        stopped.set()
+        world.edge.stop()
+
+    def work(connection: Any) -> Any:
+        ask(connection, "select 1")
+        connection._execute_command(COM_QUERY, "select 2")
+        trio.from_thread.run_sync(stop)
+        connection._read_query_result()
+        return connection._result.rows
+
+    assert await using(world, work) == ((2,),)
+
+
 # Long results, and clients that do not read them.
 
 
