--- a/tests/testbed/test_soak.py
+++ b/tests/testbed/test_soak.py
@@ -8,14 +8,14 @@
 
 import pytest
 
-from juniperreel.fakes.script import render
+from juniperreel.fakes.script import parse, render
 from juniperreel.net import TcpNetwork
 from juniperreel.testbed.driver_fleet import ExitStatus
 from juniperreel.testbed.injected_faults import FaultKind
 from juniperreel.testbed.soak.oracle import SoakReport, judge
 from juniperreel.testbed.soak.plan import FAULT_RATES, draw_plan
 from juniperreel.testbed.soak.requests import ClientLeft, ClientNotes
-from juniperreel.testbed.soak.run import play_soak
+from juniperreel.testbed.soak.run import SoakTrial, play_soak
 from juniperreel.verification import records as rec
 
 DRIVERS = 8
@@ -27,9 +27,15 @@
 SECOND = 1_000_000
 ID = "00000000000000f1"
 
+# What the plans of these seeds have.
+LONG_DEADLINES = 3
+SHORT_DEADLINES = 7
+SHORT_DEADLINES_IN_A_CROWD = 1
+
 PLANT = """
 import runpy
 from juniperreel.platform.attempt import Attempt
+from juniperreel.platform.client_connection import ClientConnection
 from juniperreel.platform.client_listener import ClientListener
 from juniperreel.platform.counters import CloseReason
 from juniperreel.platform.driver import PlatformDriver
@@ -54,13 +60,28 @@
 ClientListener.close_inactive = planted
 """
 
+READS_BUSY_CONNECTIONS_NO_FURTHER = """
+def planted(self):
+    self.closing = True
+    for client in list(self.clients):
+        if client.commands:
+            client.pause_reading()
+        elif not client.closing_since_us and client.is_idle:
+            self.close_gracefully(client, CloseReason.SHUTDOWN)
+ClientListener.close_when_answered = planted
+ClientConnection.is_idle = property(lambda client: not client.commands and not client._protocol.buffered)
+"""
+
 
-async def test_a_short_soak_violates_nothing_and_had_its_faults(tmp_path: Path) -> None:
-    report = await play_soak(3, DRIVERS, LAST_MS, TcpNetwork(), tmp_path, RATES)
+@pytest.mark.parametrize("seed", [LONG_DEADLINES, SHORT_DEADLINES, SHORT_DEADLINES_IN_A_CROWD])
+async def test_a_short_soak_violates_nothing_and_had_its_faults(tmp_path: Path, seed: int) -> None:
+    report = await play_soak(seed, DRIVERS, LAST_MS, TcpNetwork(), tmp_path, RATES)
     assert report.violations == []
     injected = {kind for kind in FaultKind if report.counts[f"injected: {kind.value}"]}
     assert injected == set(RATES)
     assert report.counts["requests served"] > 500
+    assert report.counts["client: kept sending until the end"] > 0
+    assert report.counts["closed_clients: shutdown"] > 0
 
 
 @pytest.mark.parametrize(
@@ -74,10 +95,20 @@
 async def test_a_planted_bug_is_found_by_a_soak(tmp_path: Path, bug: str, sign: str) -> None:
     rates = {**RATES, FaultKind.WALL_CLOCK_AT_START: 1.0, FaultKind.HOLD_UP: 0.0}
     program = ("-c", PLANT.format(bug=bug))
-    report = await play_soak(4, 12, 12_000, TcpNetwork(), tmp_path, rates, program)
+    report = await play_soak(5, 12, 12_000, TcpNetwork(), tmp_path, rates, program)
     assert any(sign in text for text in report.violations), report.violations[:5]
 
 
+async def test_connections_that_end_over_what_was_sent_are_found_by_a_soak(tmp_path: Path) -> None:
+    """Members hang, so that requests are open when connections begin to be closed."""
+    program = ("-c", PLANT.format(bug=READS_BUSY_CONNECTIONS_NO_FURTHER))
+    day = draw_plan(SHORT_DEADLINES, 8, LAST_MS)
+    hanging = "at 6s for 2500ms hang all\nat 6500ms edge-term edge/*\n"
+    trial = SoakTrial(parse(render(day) + hanging), TcpNetwork(), tmp_path, {}, program)
+    await trial.run()
+    assert any("before its connection ended" in text for text in trial.report().violations)
+
+
 def test_the_plan_of_a_seed_is_the_same_each_time() -> None:
     assert render(draw_plan(7, 12, 15_000)) == render(draw_plan(7, 12, 15_000))
     assert render(draw_plan(7, 12, 15_000)) != render(draw_plan(8, 12, 15_000))
