Listener: a request's time runs while its connection waits to be accepted

Acceptor paused 0.1 s at each ENFILE or ENOBUFS, up to 0.25 s as nothing woke it, and ClientConnection dated what it read by its last poll. Change: Acceptor.waiting_since_us dates what waited, until the queue was empty; the pause wakes the loop.

--- a/juniperreel/net/acceptor.py
+++ b/juniperreel/net/acceptor.py
@@ -40,7 +40,9 @@
             raise
         self.port: int = self._socket.getsockname()[1]
         self.is_open = True
-        self.exhausted_us = 0  # since when descriptors have run out; nothing is accepted until `retry`
+        self.exhausted_us = 0  # when descriptors ran out last; nothing is accepted until `retry`
+        # Since when connections may have waited in the kernel, as descriptors had run out; 0 where none do.
+        self.waiting_since_us = 0
         poller.add(self._socket.fileno(), select.EPOLLIN, self)
 
     def handle_event(self, _mask: int) -> None:
@@ -53,12 +55,14 @@
             try:
                 connection, _ = self._socket.accept()
             except (BlockingIOError, InterruptedError):
+                self.waiting_since_us = 0
                 return True
             except OSError as error:
                 if error.errno in DESCRIPTOR_EXHAUSTION_ERRNOS:
                     # The kernel keeps the connection pending and would report it with every poll, so the
                     # loop would spin until a descriptor is free.
                     self.exhausted_us = self._poller.clock.now_us()
+                    self.waiting_since_us = self.waiting_since_us or self.exhausted_us
                     self._poller.change(self._socket.fileno(), 0)
                     return False
                 continue  # the failure of one connection that was never established
@@ -77,9 +81,16 @@
             connection.close()
             return None
 
+    def retry_due_us(self) -> int | None:
+        """Return when `retry` is to be called; None where nothing has failed."""
+        if not self.exhausted_us or not self.is_open:
+            return None
+        return self.exhausted_us + DESCRIPTOR_EXHAUSTION_PAUSE_US
+
     def retry(self, now_us: int) -> None:
         """Accept again, once the pause after descriptors ran out has passed."""
-        if self.exhausted_us and self.is_open and now_us - self.exhausted_us > DESCRIPTOR_EXHAUSTION_PAUSE_US:
+        due_us = self.retry_due_us()
+        if due_us is not None and now_us >= due_us:
             self.exhausted_us = 0
             self._poller.change(self._socket.fileno(), select.EPOLLIN)
 
--- a/juniperreel/platform/client_connection.py
+++ b/juniperreel/platform/client_connection.py
@@ -35,13 +35,15 @@
 
     eof_is_disconnect = True
 
-    def __init__(self, listener: ClientListener, transport: Transport, now_us: int) -> None:
-        """Take over an accepted connection."""
+    def __init__(
+        self, listener: ClientListener, transport: Transport, now_us: int, waiting_since_us: int = 0
+    ) -> None:
+        """Take over an accepted connection, which may have waited since `waiting_since_us`; 0 where not."""
         self._listener = listener
         self._transport = transport
         self._protocol = server.ServerConnection()
         self._arrivals = ArrivalTimes()
-        self._reading_paused_us = 0  # since when bytes may wait in the kernel; 0 where none do
+        self._reading_paused_us = waiting_since_us  # since when bytes may wait in the kernel; 0 where none do
         self.commands: deque[Command] = deque()  # unanswered, or behind one that is
         self._protocol_error: ProtocolError | None = None  # of what was read last
         self._advancing = False
--- a/juniperreel/platform/client_listener.py
+++ b/juniperreel/platform/client_listener.py
@@ -41,13 +41,16 @@
         self._answered: dict[ClientConnection, None] = {}  # without an open command, longest ago first
         self._slow_readers: dict[ClientConnection, SlowReader] = {}
 
-    def accept(self, transport: Transport) -> None:
-        """Serve a new connection, or close it where no descriptor is left for it."""
+    def accept(self, transport: Transport, waiting_since_us: int = 0) -> None:
+        """Serve a new connection, or close it where no descriptor is left for it.
+
+        It may have waited in the kernel since `waiting_since_us`, with requests whose time runs from there.
+        """
         now_us = self.now()
         if self.budget.clients_full and not self._evict_one(now_us):
             transport.close()
             return
-        self.clients.add(ClientConnection(self, transport, now_us))
+        self.clients.add(ClientConnection(self, transport, now_us, waiting_since_us))
         self.budget.clients += 1
 
     def remove(self, client: ClientConnection, reason: CloseReason) -> None:
--- a/juniperreel/platform/program.py
+++ b/juniperreel/platform/program.py
@@ -60,6 +60,10 @@
     def _connect(self, host: str, port: int) -> Transport:
         return connect(self.poller, host, port)
 
+    def _on_accepted(self, transport: Transport) -> None:
+        assert self.acceptor is not None
+        self.driver.client_listener.accept(transport, self.acceptor.waiting_since_us)
+
     def _on_handler_error(self, handler: EventHandler, error: Exception) -> None:
         self.log.error("connection raised", exc_info=error)
         if isinstance(handler, Transport):
@@ -73,7 +77,7 @@
     def start(self) -> None:
         """Listen and use the cached endpoint list. Raises OSError where the address can't be had."""
         host, port = self.config.listen
-        self.acceptor = Acceptor(self.poller, host, port, self.driver.client_listener.accept)
+        self.acceptor = Acceptor(self.poller, host, port, self._on_accepted)
         self.driver.on_endpoint_update(UpdateKind.CACHED, self._read_cached_list())
         self.driver.process_pending()
         if not self.config.router.must_poll:
@@ -116,6 +120,9 @@
 
     async def _take_turn(self, until_us: int | None) -> None:
         """Wait until then for sockets that are ready, and do all that is due."""
+        retry_us = self.acceptor.retry_due_us() if self.acceptor is not None else None
+        if retry_us is not None:
+            until_us = retry_us if until_us is None else min(until_us, retry_us)
         await self.poller.wait(until_us)
         self.driver.input_ready_since_us = self.poller.ready_since_us
         self.poller.dispatch()
--- a/tests/platform/socket_harness.py
+++ b/tests/platform/socket_harness.py
@@ -135,7 +135,7 @@
 
     def _accept(self, transport: Transport) -> None:
         self.client_transports.append(transport)
-        self.driver.client_listener.accept(transport)
+        self.driver.client_listener.accept(transport, self.acceptor.waiting_since_us)
 
     def process(self) -> None:
         """Give the driver its turn without polling."""
--- a/tests/platform/test_shutdown.py
+++ b/tests/platform/test_shutdown.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import errno
 import os
 import signal
 import socket
@@ -395,3 +396,40 @@
             await harness.until(lambda: built)
         assert harness.driver.monitor.violations[Rule.DEADLINE] == 0
         client.close()
+
+
+class FullFileTable:
+    """A listening socket whose `accept` finds the system's file table full while `is_full`."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+        self.is_full = True
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._sock, name)
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        if self.is_full:
+            raise OSError(errno.ENFILE, "planted")
+        return self._sock.accept()
+
+
+async def test_the_time_of_a_request_runs_while_its_connection_waits_to_be_accepted() -> None:
+    """It was sent to a connection that the machine had accepted, however often the program fails to."""
+    with SocketHarness() as harness:
+        await harness.learn_positions()
+        sock = harness.acceptor._socket = FullFileTable(harness.acceptor._socket)  # type: ignore[assignment]
+        client = harness.connect()
+        client.send(HELLO + m.query(read_text(IDS[0], span=800)))
+        sent_us = harness.clock.time
+        await harness.until(lambda: harness.acceptor.exhausted_us)
+        for _ in range(3):
+            harness.clock.time += 100 * MS
+            harness.acceptor.retry(harness.clock.time)
+            await harness.poll_once()
+        sock.is_full = False
+        harness.clock.time += 100 * MS
+        harness.acceptor.retry(harness.clock.time)
+        await harness.until(lambda: harness.driver.requests.by_id)
+        assert harness.driver.requests.by_id[IDS[0]].deadline_us == sent_us + 800 * MS
+        harness.acceptor._socket = sock._sock
