--- a/juniperreel/platform/client_connection.py
+++ b/juniperreel/platform/client_connection.py
@@ -48,7 +48,10 @@
         self._protocol_error: ProtocolError | None = None  # of what was read last
         self._advancing = False
         self.command_count = 0
-        self.last_active_us = now_us  # when a command was answered last, or the connection was accepted
+        self._arrived_us = waiting_since_us or now_us  # since when what was read last may have been here
+        self.last_active_us = (
+            self._arrived_us
+        )  # when a command was answered last, or the connection was accepted
         self.partial_since_us = 0  # since when an incomplete command has waited; 0 where there is none
         self._error_size = 0  # of the error by which this side closes it
         self.closing_since_us = 0  # since when this side has been closing it; 0 where it is not
@@ -61,7 +64,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Read commands, and answer them where that is possible at once."""
-        self._arrivals.receive(len(data), self._earliest_arrival_us())
+        self._arrived_us = self._earliest_arrival_us()
+        self._arrivals.receive(len(data), self._arrived_us)
         if len(data) < READ_BYTES:
             self._reading_paused_us = 0  # the kernel holds no more
         self._protocol.receive_data(data)
@@ -108,7 +112,7 @@
         if waits_for_us or not self._protocol.buffered:
             self.partial_since_us = 0
         elif not self.partial_since_us:
-            self.partial_since_us = self._listener.now()
+            self.partial_since_us = self._arrived_us
         if self._protocol.buffered > MAX_UNPARSED_BYTES:
             self.pause_reading()
 
--- a/tests/platform/test_shutdown.py
+++ b/tests/platform/test_shutdown.py
@@ -404,6 +404,7 @@
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
         self.is_full = True
+        self.accepts_left = 1_000  # until it is full again
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self._sock, name)
@@ -411,6 +412,8 @@
     def accept(self) -> tuple[socket.socket, Any]:
         if self.is_full:
             raise OSError(errno.ENFILE, "planted")
+        self.accepts_left -= 1
+        self.is_full = self.accepts_left == 0
         return self._sock.accept()
 
 
@@ -433,3 +436,24 @@
         await harness.until(lambda: harness.driver.requests.by_id)
         assert harness.driver.requests.by_id[IDS[0]].deadline_us == sent_us + 800 * MS
         harness.acceptor._socket = sock._sock
+
+
+async def test_a_crowd_whose_accepts_fail_now_and_then_is_accepted_soon() -> None:
+    """One failure in ten, for a moment each: nobody waits for a tenth of a second each time."""
+    with SocketHarness() as harness:
+        sock = harness.acceptor._socket = FullFileTable(harness.acceptor._socket)  # type: ignore[assignment]
+        crowd = [harness.connect() for _ in range(100)]
+        began_us = harness.clock.time
+        while len(harness.client_transports) < len(crowd):
+            await harness.poll_once()
+            assert harness.acceptor.exhausted_us
+            retry_us = harness.acceptor.retry_due_us()
+            assert retry_us is not None
+            harness.clock.time = retry_us
+            sock.is_full = False
+            sock.accepts_left = 10
+            harness.acceptor.retry(harness.clock.time)
+        assert harness.clock.time - began_us < 100 * MS
+        harness.acceptor._socket = sock._sock
+        for client in crowd:
+            client.close()
