--- a/benchmarks/drivers/planted.py
+++ b/benchmarks/drivers/planted.py
@@ -16,6 +16,7 @@
 sys.path.insert(0, str(Path(__file__).parents[2]))
 
 from juniperreel.platform.run import main
+from juniperreel.platform.signal_queue import SignalQueue
 from juniperreel.routing.policy.position_checks import PositionChecker
 from juniperreel.routing.policy.selection import Selection
 from juniperreel.routing.policy.slow_start import SlowStart
@@ -112,7 +113,7 @@
         CHANGES[name]()
     else:
         raise SystemExit(f"{name!r} is none of {', '.join([*DRAWS, *CHANGES])}")
-    return main([])
+    return main(SignalQueue())
 
 
 if __name__ == "__main__":
--- a/tests/cli/test_trial.py
+++ b/tests/cli/test_trial.py
@@ -64,8 +64,9 @@
 import sys
 from juniperreel.routing.policy.freshness import (Freshness)
 from juniperreel.platform.run import (main)
+from juniperreel.platform.signal_queue import (SignalQueue)
 Freshness.is_fresh_enough = lambda *_: True
-sys.exit(main([]))
+sys.exit(main(SignalQueue()))
 """
 
 
--- a/tests/testbed/test_platform_fleet.py
+++ b/tests/testbed/test_platform_fleet.py
@@ -64,7 +64,8 @@
 from juniperreel.routing.policy.slow_start import (SlowStart)
 {bug}
 from juniperreel.platform.run import (main)
-sys.exit(main([]))
+from juniperreel.platform.signal_queue import (SignalQueue)
+sys.exit(main(SignalQueue()))
 """
 
 
