--- a/juniperreel/testbed/soak/persistent_clients.py
+++ b/juniperreel/testbed/soak/persistent_clients.py
@@ -45,20 +45,22 @@
         """Measure nothing yet; `run` must be running."""
         self._clock = clock
         self._samples: deque[LagSample] = deque()
+        self._due_us = clock.now_us()  # when the next sample is due
 
     async def run(self) -> None:
         """Measure until cancelled."""
         while True:
-            due_us = self._clock.now_us() + int(LAG_INTERVAL_S * US)
+            self._due_us = self._clock.now_us() + int(LAG_INTERVAL_S * US)
             await trio.sleep(LAG_INTERVAL_S)
             now_us = self._clock.now_us()
-            self._samples.append(LagSample(now_us, now_us - due_us))
+            self._samples.append(LagSample(now_us, now_us - self._due_us))
             while self._samples[0].at_us < now_us - LAG_MEMORY_US:
                 self._samples.popleft()
 
     def worst_us(self, since_us: int) -> int:
-        """Return the longest time by which it was late since then."""
-        return max((sample.late_us for sample in self._samples if sample.at_us >= since_us), default=0)
+        """Return the longest time by which it was late since then, or is late now."""
+        late_now_us = self._clock.now_us() - self._due_us
+        return max([late_now_us, *(sample.late_us for sample in self._samples if sample.at_us >= since_us)])
 
 
 @dataclass(frozen=True, slots=True)
