--- a/tests/testbed/test_soak.py
+++ b/tests/testbed/test_soak.py
@@ -99,7 +99,7 @@
     assert any(sign in text for text in report.violations), report.violations[:5]
 
 
-async def test_a_planted_bug_is_found_by_a_soak_whose_members_hang(tmp_path: Path) -> None:
+async def test_connections_that_end_over_what_was_sent_are_found_by_a_soak(tmp_path: Path) -> None:
     """Members hang, so that requests are open when connections begin to be closed."""
     program = ("-c", PLANT.format(bug=READS_BUSY_CONNECTIONS_NO_FURTHER))
     day = draw_plan(SHORT_DEADLINES, 8, LAST_MS)
