Failing test: a MySQL command that nobody has read yet when the edge stops

test_a_stop_waits_until_an_answer_has_left failed once in a suite with 'Lost connection' for it, so that test now waits until its answer is due. The new test holds a command in the kernel's buffer at the stop, each time, and fails: the drain does not wait for its connection.

--- a/tests/e2e/test_transactions.py
+++ b/tests/e2e/test_transactions.py
@@ -22,6 +22,7 @@
 from tests.e2e.world import World, rows
 
 COUNT = "select count(*) from runs where runner = '%s'"
+STOPPING = 1053  # the error code of a server that ends
 MANY = "with recursive n (i) as (select 1 union all select i + 1 from n where i < %d) select i from n"
 
 WIDE = MANY.replace("select i from", f"select i, '{'x' * 1000}' from")  # fills the sockets' buffers soon
@@ -512,29 +513,58 @@
 async def test_a_stop_waits_until_an_answer_has_left(world: World, monkeypatch: pytest.MonkeyPatch) -> None:
     """The client reads slowly: the command has ended, and its answer is not yet out."""
     flush = Connection._flush
+    answering = trio.Event()
     stopped = trio.Event()
+    frontend = world.edge.mysql
+    assert frontend is not None
 
     async def slow_flush(connection: Connection) -> None:
-        if stopped.is_set():
+        if frontend._commands_started == 2:
+            answering.set()
+            await stopped.wait()
             await trio.sleep(5 * DRAIN_POLL_S)
         await flush(connection)
 
     monkeypatch.setattr(Connection, "_flush", slow_flush)
 
-    def stop() -> None:
-        stopped.set()
+    async def stop() -> None:
+        await answering.wait()
         world.edge.stop()
+        stopped.set()
 
     def work(connection: Any) -> Any:
+        frontend._commands_started = 0  # without those of the login
         ask(connection, "select 1")
         connection._execute_command(COM_QUERY, "select 2")
-        trio.from_thread.run_sync(stop)
+        trio.from_thread.run(stop)
         connection._read_query_result()
         return connection._result.rows
 
     assert await using(world, work) == ((2,),)
 
 
+async def test_a_stop_answers_a_command_that_nobody_has_read_yet(world: World) -> None:
+    """It was written to an open connection: an end without a word would leave its effect unknown."""
+    frontend = world.edge.mysql
+    assert frontend is not None
+
+    def send_and_stop(connection: Any) -> bool:
+        connection._execute_command(COM_QUERY, "select 2")
+        world.edge.stop()
+        return any(waiting.engaged for waiting in frontend._connections)
+
+    def work(connection: Any) -> tuple[bool, int]:
+        ask(connection, "select 1")
+        is_waited_for = trio.from_thread.run_sync(send_and_stop, connection)
+        try:
+            connection._read_query_result()
+        except pymysql.err.MySQLError as error:
+            return is_waited_for, error.args[0]
+        return is_waited_for, 0
+
+    assert await using(world, work) == (True, STOPPING)
+
+
 # Long results, and clients that do not read them.
 
 
