--- a/juniperreel/testbed/driver_fleet.py
+++ b/juniperreel/testbed/driver_fleet.py
@@ -45,8 +45,6 @@
 START_TIMEOUT_S = 120  # for a driver to listen, on a machine that has much else to do
 LOG_POLL_S = 0.02
 LOG_TAIL_CHARACTERS = 2000
-# Drivers give way to the testbed: where both want processors, late is what is tried, not who tries it.
-NICE = 5
 # After SIGTERM the operators wait for the longest deadline, or so long where it is longer, and a while more.
 LONGEST_DEADLINE_US = 3_000_000
 KILL_AFTER_DEADLINE_US = 700_000
@@ -58,10 +56,14 @@
 
 
 class ExitStatus(NamedTuple):
-    """How a driver that was told to end did so; KILLED where it had not in its time."""
+    """How a driver that was told to end did so; KILLED where it had not in its time.
+
+    `details` tells what a driver that was killed did last, and how long it waited for a processor meanwhile.
+    """
 
     driver: str
     status: int
+    details: str = ""
 
 
 class DriverFleet:
@@ -222,7 +224,7 @@
             "GW_CONFIG": str(config),
             **self._environment,
         }
-        process = self.processes.add(name, [sys.executable, *self._program], environment, NICE)
+        process = self.processes.add(name, [sys.executable, *self._program], environment)
         # Danger: logs stay in the directory, and ports in an earlier trial's would be taken for this one's.
         process.log.unlink(missing_ok=True)
         return process
@@ -298,15 +300,19 @@
 
     async def _shut_down(self, name: str, process: ManagedProcess) -> None:
         process.terminate()
+        waited_before_s = process.run_queue_wait_s()
         with trio.move_on_after(self.kill_after_s) as limit:
             await trio.sleep(FRONT_NOTICES_S)
             self.ports.pop(name, None)
             status = await process.wait()
-        if limit.cancelled_caught:
-            # What it leaves unanswered is not excused: it was told in time.
-            process.kill()
-            status = KILLED
-        self.exit_statuses.append(ExitStatus(name, status))
+        if not limit.cancelled_caught:
+            self.exit_statuses.append(ExitStatus(name, status))
+            return
+        waited_s = process.run_queue_wait_s() - waited_before_s
+        # What it leaves unanswered is not excused: it was told in time.
+        process.kill()
+        details = f"logged {_last_event(process)!r} last, waited {waited_s:.3f} s for a processor"
+        self.exit_statuses.append(ExitStatus(name, KILLED, details))
 
     async def _reload(self, name: str) -> None:
         """Move a driver's discovery to another address; the old one breaks its connections and takes none."""
@@ -340,3 +346,11 @@
     async def _play_discovery_fault(self, step: Step, name: str) -> None:
         assert self.links is not None
         await play_link_fault(self.links.select([name], [DISCOVERY]), step)
+
+
+def _last_event(process: ManagedProcess) -> str:
+    """The event of the last whole line that a process has logged; empty where there is none."""
+    data = process.log.read_bytes()
+    whole_lines = data[: data.rfind(b"\n") + 1].splitlines()
+    lines = [line for line in whole_lines if line.startswith(b"{")]
+    return str(json.loads(lines[-1])["event"]) if lines else ""
--- a/juniperreel/testbed/parent_watchdog.py
+++ b/juniperreel/testbed/parent_watchdog.py
@@ -1,9 +1,9 @@
 """Runs a program that ends with its parent.
 
-    python -S -E parent_watchdog.py PARENT NICE PROGRAM ARGUMENTS...
+    python -S -E parent_watchdog.py PARENT PROGRAM ARGUMENTS...
 
 The kernel kills the program when the process PARENT, which started it, has ended for whatever reason: no
-process outlives a trial that was itself killed. NICE is added to the program's nice value (0: unchanged).
+process outlives a trial that was itself killed.
 Standard library only: this is a script, which nothing imports.
 """
 
@@ -23,13 +23,12 @@
 
     Ends with PARENT_ENDED_STATUS where the parent ended before the kernel was asked. Raises OSError.
     """
-    parent, nice, *command = arguments
+    parent, *command = arguments
     libc = ctypes.CDLL(None, use_errno=True)
     if libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL, 0, 0, 0) != 0:
         raise OSError(ctypes.get_errno(), "prctl")
     if os.getppid() != int(parent):
         sys.exit(PARENT_ENDED_STATUS)
-    os.nice(int(nice))
     os.execvp(command[0], command)
 
 
--- a/juniperreel/testbed/processes.py
+++ b/juniperreel/testbed/processes.py
@@ -20,6 +20,7 @@
 
 from juniperreel.testbed.errors import ProcessStateError
 
+SCHEDSTAT_RUN_DELAY = 1  # index of the field in /proc/PID/schedstat, in nanoseconds
 PARENT_WATCHDOG = Path(__file__).with_name("parent_watchdog.py")
 
 
@@ -40,13 +41,11 @@
         command: Sequence[str],
         directory: Path,
         environment: Mapping[str, str],
-        nice: int = 0,
     ) -> None:
         self.name = name
         self.directory = directory
         self.log = directory.with_suffix(".log")
         self.starts = 0
-        self._nice = nice
         self._command = list(command)
         self._environment = dict(environment)
         self._process: subprocess.Popen[bytes] | None = None
@@ -77,7 +76,7 @@
         if self.state is not ProcessState.ENDED:
             raise ProcessStateError(self.name, "runs already")
         self.directory.mkdir(parents=True, exist_ok=True)
-        watchdog = [sys.executable, "-S", "-E", str(PARENT_WATCHDOG), str(os.getpid()), str(self._nice)]
+        watchdog = [sys.executable, "-S", "-E", str(PARENT_WATCHDOG), str(os.getpid())]
         with self.log.open("ab") as log:
             # Started from this thread: the kernel takes the end of the starting thread for the parent's.
             self._process = subprocess.Popen(
@@ -126,6 +125,14 @@
         self._signal(signal.SIGCONT)
         self._frozen = False
 
+    def run_queue_wait_s(self) -> float:
+        """How long it has waited for a processor since its start; 0 where the kernel does not tell."""
+        try:
+            fields = Path(f"/proc/{self.pid}/schedstat").read_text().split()
+        except OSError:
+            return 0.0
+        return int(fields[SCHEDSTAT_RUN_DELAY]) / 1e9
+
     async def wait(self) -> int:
         """Wait for its end, for whatever reason, and return its exit status.
 
@@ -165,16 +172,11 @@
     def __getitem__(self, name: str) -> ManagedProcess:
         return self.by_name[name]
 
-    def add(
-        self, name: str, command: Sequence[str], environment: Mapping[str, str], nice: int = 0
-    ) -> ManagedProcess:
-        """Add a process that is not started yet; `nice` is added to its nice value.
-
-        Raises ValueError if the name is taken.
-        """
+    def add(self, name: str, command: Sequence[str], environment: Mapping[str, str]) -> ManagedProcess:
+        """Add a process that is not started yet. Raises ValueError if the name is taken."""
         if name in self.by_name:
             raise ValueError(f"{name} is there already")
-        process = ManagedProcess(name, command, self._directory / name, environment, nice)
+        process = ManagedProcess(name, command, self._directory / name, environment)
         self.by_name[name] = process
         return process
 
--- a/juniperreel/testbed/soak/oracle.py
+++ b/juniperreel/testbed/soak/oracle.py
@@ -99,7 +99,9 @@
     report.violations += notes.violations
     report.violations += [json.dumps(line)[:600] for line in lines if line["event"] in FAULT_EVENTS]
     report.violations += [f"{name} ended by itself" for name in crashed]
-    report.violations += [f"{exit.driver} ended with status {exit.status}" for exit in exits if exit.status]
+    report.violations += [
+        f"{exit.driver} ended with status {exit.status} {exit.details}" for exit in exits if exit.status
+    ]
     expected = [*EVIDENCE_IN_COUNTS, EVIDENCE_OF_A_CROWD] if has_crowd else EVIDENCE_IN_COUNTS
     _count(report, records, notes, lines, counts_directory, expected)
     return report
