Failing test: a connection long after a failed accept counts as waiting since the failure

The moment since which connections may wait is set at a failed accept and cleared by the next call that finds none; when nobody waits behind the failure, that is the next connection's, however much later it comes.

--- a/tests/net/test_system_call_failures.py
+++ b/tests/net/test_system_call_failures.py
@@ -43,11 +43,13 @@
         self.faults = faults
         self.poller = Poller(Clock())
         self.accepted: list[Transport] = []
+        self.waiting_since_us: list[int] = []  # of each accepted connection
         self.acceptor = Acceptor(self.poller, "127.0.0.1", 0, self._on_accepted)
 
     def _on_accepted(self, transport: Transport) -> None:
         transport.protocol = Receiver()
         self.accepted.append(transport)
+        self.waiting_since_us.append(self.acceptor.waiting_since_us)
 
     def connect(self) -> socket.socket:
         return socket.create_connection(("127.0.0.1", self.acceptor.port), TIMEOUT_S)
@@ -104,6 +106,33 @@
         assert len(setting.accepted) == 2
 
 
+async def a_connection_that_comes_long_after_a_failure_has_not_waited_since(setting: Setting) -> None:
+    """Danger: its request would be rejected at once, as one whose time is over."""
+    setting.fail_next(FaultKind.ACCEPT, errno.ENFILE)
+    setting.acceptor.handle_event(select.EPOLLIN)  # and nobody waits behind the failure
+    due_us = setting.acceptor.retry_due_us()
+    assert due_us is not None
+    setting.acceptor.retry(due_us)
+    with setting.connect():
+        await setting.poll_once()
+        assert setting.waiting_since_us == [0]
+
+
+async def a_connection_that_waited_through_failures_has_waited_since_the_first(setting: Setting) -> None:
+    with setting.connect():
+        first_us = 0
+        for _ in range(3):
+            setting.fail_next(FaultKind.ACCEPT, errno.ENFILE)
+            setting.acceptor.handle_event(select.EPOLLIN)
+            first_us = first_us or setting.acceptor.waiting_since_us
+            due_us = setting.acceptor.retry_due_us()
+            assert due_us is not None
+            setting.acceptor.retry(due_us)
+        await setting.poll_once()
+        assert setting.waiting_since_us == [first_us]
+        assert first_us
+
+
 async def what_is_buffered_is_sent_when_the_system_has_memory_again(setting: Setting) -> None:
     with setting.connect() as client:
         await setting.poll_once()
@@ -124,6 +153,8 @@
         accepting_goes_on_after_one_connection_could_not_be_prepared,
         accepting_goes_on_after_one_connection_could_not_be_polled,
         a_listener_is_closed_only_once_all_that_wait_are_accepted,
+        a_connection_that_comes_long_after_a_failure_has_not_waited_since,
+        a_connection_that_waited_through_failures_has_waited_since_the_first,
         what_is_buffered_is_sent_when_the_system_has_memory_again,
     ],
     ids=lambda case: case.__name__,
