Accept: a failed accept marks nobody as waiting once no connection waits

At each retry the listener is asked whether a connection is pending, which takes no descriptor; if not, the mark is cleared.

--- a/juniperreel/net/acceptor.py
+++ b/juniperreel/net/acceptor.py
@@ -98,8 +98,17 @@
         due_us = self.retry_due_us()
         if due_us is not None and now_us >= due_us:
             self.exhausted_us = 0
+            if not self._connection_waits():
+                # Otherwise the next connection, however much later, would count as waiting since the failure.
+                self.waiting_since_us = 0
             self._poller.change(self._socket.fileno(), select.EPOLLIN)
 
+    def _connection_waits(self) -> bool:
+        """Return whether the kernel holds a connection, which it tells without any free descriptor."""
+        poll = select.poll()
+        poll.register(self._socket.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def close(self) -> None:
         """Accept the connections that the kernel has already established, then stop listening.
 
