Failing tests: bytes long after a wait or a pause of reading count as waiting since it

The same mistake as at a failed accept, looked for in related code: the mark since which bytes may wait unread stays when nothing waits. A client that rests gets its next request rejected as too late.

--- /dev/null
+++ b/tests/platform/test_waiting_times.py
@@ -0,0 +1,53 @@
+"""How long commands have waited unread: what comes later than a wait is not part of it, or it is rejected."""
+
+from __future__ import annotations
+
+from juniperreel.postgres import messages as m
+from tests.platform.event_harness import HELLO, SEC, write_text
+from tests.platform.socket_harness import RemoteEnd, SocketHarness
+
+
+WRITE = m.query(write_text("w1", span=1_000))
+
+
+async def send_and_expect_it_forwarded(harness: SocketHarness, client: RemoteEnd) -> None:
+    """Send a write, which has to reach the primary rather than be rejected as too late."""
+    client.take()
+    client.send(WRITE)
+    end = await harness.next_query("p")
+    assert b"w1" in end.got
+
+
+async def test_what_a_client_sends_long_after_it_waited_to_be_accepted_is_not_late() -> None:
+    with SocketHarness() as harness:
+        client = harness.connect()
+        harness.acceptor.waiting_since_us = harness.clock.time
+        harness.advance_us(SEC // 2)
+        await harness.until(lambda: harness.client_transports)
+        harness.advance_us(SEC)
+        client.send(HELLO)
+        await harness.until(lambda: client.read().endswith(m.READY))
+        await send_and_expect_it_forwarded(harness, client)
+
+
+async def test_what_a_client_sends_long_after_a_pause_of_reading_is_not_late() -> None:
+    with SocketHarness() as harness:
+        client = await harness.client()
+        (connection,) = harness.driver.client_listener.clients
+        connection.pause_reading()
+        connection.resume()
+        harness.advance_us(SEC + SEC // 2)
+        await send_and_expect_it_forwarded(harness, client)
+
+
+async def test_what_waited_through_a_pause_of_reading_has_its_time_from_there() -> None:
+    with SocketHarness() as harness:
+        client = await harness.client()
+        (connection,) = harness.driver.client_listener.clients
+        connection.pause_reading()
+        client.send(WRITE)
+        await harness.wait_for_event(harness.client_transports[0])
+        harness.advance_us(SEC + SEC // 2)
+        connection.resume()
+        await harness.read_answer(client)
+        assert not any(member.queries for member in harness.members.values())
