--- a/juniperreel/fakes/replication_group.py
+++ b/juniperreel/fakes/replication_group.py
@@ -217,9 +217,17 @@
         return elected
 
     async def _candidates(self, avoid: FakeEndpoint | None) -> Sequence[FakeEndpoint]:
-        """Wait until an endpoint can be promoted; those that drain count only where there is no other."""
+        """Wait until an endpoint can be promoted; those that drain count only where there is no other.
+
+        One that has joined and received nothing yet would lose what the group has committed.
+        """
         while True:
-            reachable = [e for e in self.endpoints if _is_reachable(e) and e is not avoid]
+            has_history = any(e.replica.received for e in self.endpoints)
+            reachable = [
+                e
+                for e in self.endpoints
+                if _is_reachable(e) and e is not avoid and (e.replica.received or not has_history)
+            ]
             candidates = [e for e in reachable if not e.draining] or reachable
             if candidates:
                 return candidates
--- a/tests/fakes/test_fakes.py
+++ b/tests/fakes/test_fakes.py
@@ -15,11 +15,13 @@
 from juniperreel.fakes.capacity_model import CapacityModel
 from juniperreel.fakes.endpoint_settings import EndpointSettings
 from juniperreel.fakes.errors import QueueFullError, StatementError
+from juniperreel.fakes.fleet import Fleet
 from juniperreel.fakes.replica import EpochStart, LogPosition, ReplicaState
 from juniperreel.fakes.script import ScriptError, parse
 from juniperreel.fakes.store import Commit, Statement, Store
-from juniperreel.net import Clock
+from juniperreel.net import Clock, TcpNetwork
 from juniperreel.proto.hosts.v1 import hosts_pb2
+from juniperreel.verification.records import Recorder
 
 WRITE = "insert into runs (runner, id) values (?, ?)"
 READ = "select id from runs where runner = ? order by number"
@@ -191,3 +193,27 @@
                     assert alive == (name != "g1-m1")
         finally:
             process.terminate()
+
+
+async def test_endpoint_that_has_joined_without_data_is_not_promoted() -> None:
+    """The others hang: a group whose newest endpoint took over would have forgotten its commits."""
+    clock = Clock()
+    fleet = Fleet(parse("groups 1\nmembers 3\n"), TcpNetwork(), clock, Recorder())
+    async with trio.open_nursery() as nursery:
+        await nursery.start(fleet.run)
+        (group,) = fleet.groups
+        with trio.fail_after(20):
+            while not all(endpoint.replica.received for endpoint in group.endpoints):
+                await trio.sleep(0.01)
+        first = list(group.endpoints)
+        for endpoint in first:
+            endpoint.faults.hung = True
+        joined = await fleet.add_endpoint(group, warming_up=True)
+        with trio.move_on_after(0.3):
+            await group.elect()
+        assert not joined.claims_primary
+        for endpoint in first:
+            endpoint.resume()
+        with trio.fail_after(20):
+            assert await group.elect() in first
+        nursery.cancel_scope.cancel()
