Soak: persistent clients share rows, replicas lag in each plan, the crossing counts hold-ups

The driver that believes the wall clock was not seen any more: the plan's lag (factor 1500 of 0.4 ms a commit) was none, and the persistent clients read rows of their own.

--- a/juniperreel/testbed/soak/persistent_clients.py
+++ b/juniperreel/testbed/soak/persistent_clients.py
@@ -25,11 +25,10 @@
 MAX_UNANSWERED = 40
 MAX_BURST = 5  # requests that are sent at once
 RECONNECT_S = 0.1
-# The driver may be held up for 0.15 s between its last look at a connection and its end.
-CROSSING_US = 200_000
-LATE_TURNS = (
-    3  # of this process's loop: a request is sent in one, its connection's end noticed and read in two
-)
+# Between a driver's last look at a connection and its end; where drivers are held up, that comes on top.
+CROSSING_US = 50_000
+# Of this process's loop: a request is sent in one, its connection's end noticed and read in two.
+LATE_TURNS = 3
 LAG_INTERVAL_S = 0.02
 LAG_MEMORY_US = 5_000_000
 
@@ -78,11 +77,14 @@
 class PersistentClient:
     """One client: connects, sends until its connection ends, and connects again."""
 
-    def __init__(self, requests: SoakRequests, find_driver: FindDriver, lag: LoopLag, seed: int) -> None:
-        """`find_driver` names a driver that takes clients."""
+    def __init__(
+        self, requests: SoakRequests, find_driver: FindDriver, lag: LoopLag, hold_up_us: int, seed: int
+    ) -> None:
+        """`find_driver` names a driver that takes clients; drivers are held up for `hold_up_us` at most."""
         self._requests = requests
         self._find_driver = find_driver
         self._lag = lag
+        self._crossing_us = CROSSING_US + hold_up_us
         self._rng = random.Random(seed)
 
     async def run(self) -> None:
@@ -102,7 +104,7 @@
             with self._requests.notes.conversation():
                 connection = _Connection(self._requests, driver.name, stream, self._rng)
                 await connection.run()
-                connection.judge_end(self._lag)
+                connection.judge_end(self._lag, self._crossing_us)
 
 
 class _Connection:
@@ -115,6 +117,7 @@
         self._driver = driver
         self._stream = stream
         self._rng = rng
+        self._session = requests.new_session()
         self._unanswered: deque[SentRequest] = deque()
         self._received = b""
         self._is_welcomed = False
@@ -142,9 +145,9 @@
         request_class = self._rng.choice((requests.board, requests.own, requests.write))
         request_id = requests.new_id()
         now_us = requests.clock.now_us()
-        requests.record_asked(now_us, self._driver, request_class, request_id)
+        requests.record_asked(now_us, self._driver, request_class, request_id, self._session)
         self._unanswered.append(SentRequest(request_class, request_id, now_us))
-        await self._stream.send_all(requests.query(request_class, request_id))
+        await self._stream.send_all(requests.query(request_class, request_id, self._session))
 
     async def _read(self) -> None:
         try:
@@ -167,8 +170,11 @@
             self._requests.judge_answer(self._driver, sent.request_class, sent.request_id, answer)
             self._requests.notes.counts["answers to clients that keep sending"] += 1
 
-    def judge_end(self, lag: LoopLag) -> None:
-        """Judge what has no answer, now that the connection has ended."""
+    def judge_end(self, lag: LoopLag, crossing_us: int) -> None:
+        """Judge what has no answer, now that the connection has ended.
+
+        What was sent within `crossing_us` of its end, and of this process's own delay, may have crossed it.
+        """
         requests = self._requests
         ended_us = requests.clock.now_us()
         if not self._is_welcomed:
@@ -176,7 +182,7 @@
         for sent in self._unanswered:
             requests.judge_unanswered(self._driver, sent.request_id, True, sent.at_us)
             early_us = ended_us - sent.at_us
-            tolerance_us = CROSSING_US + LATE_TURNS * lag.worst_us(sent.at_us)
+            tolerance_us = crossing_us + LATE_TURNS * lag.worst_us(sent.at_us)
             if sent.request_id in requests.notes.crossed and early_us > tolerance_us:
                 requests.notes.violations.append(
                     f"{sent.request_id} was sent to {self._driver} {early_us} us before its connection ended"
--- a/juniperreel/testbed/soak/plan.py
+++ b/juniperreel/testbed/soak/plan.py
@@ -33,7 +33,8 @@
     "for {long} break g{group} 20%",
     "for 2500ms fail g0 50%",
     "for 2500ms fail g1 50%",
-    "for {long} lag random:50% 1500",
+    "for {stale} lag g0 1e5",
+    "for {stale} lag g1 1e5",
     "for {long} slow g{group}/replica 0.3",
     "kill g{group}/primary back 1500ms",
     "roll g{group}/replica 800ms",
@@ -59,6 +60,8 @@
     "edge-reload edge/random:40%",
     "edge-kill edge/random:10% back 300ms",
 )
+# Replicas apply nothing for so long: what a read may lack, and the checker's slack, is 0.8 s together.
+STALE_MS = (2_000, 3_500)
 REPEATED = 4  # faults that are drawn a second time
 
 LONG_DEADLINE_MS = 8_000
@@ -104,6 +107,7 @@
         at_ms = rng.randrange(FIRST_FAULT_MS, last_ms - before_end_ms)
         text = fault.format(
             short=f"{rng.randrange(200, 1_000)}ms",
+            stale=f"{rng.randrange(*STALE_MS)}ms",
             long=f"{rng.randrange(800, 3_000)}ms",
             group=rng.randrange(2),
         )
--- a/juniperreel/testbed/soak/requests.py
+++ b/juniperreel/testbed/soak/requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import re
 from collections import Counter
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
@@ -14,13 +15,25 @@
 from juniperreel.postgres import messages
 from juniperreel.verification import records as rec
 
+# Many connections write and read each row: a replica that lags soon lacks writes that a read must show.
+SHARED_ROWS = 4  # of a group
 LATE_US = 550_000  # an answer up to so late is only worth nothing
 HELLO = messages.startup("worker", "catalog")
+ANSWERED_ROW = re.compile(rb"(?P<member>g\d+-m\d+)\|(?P<ids>[0-9a-f,]*)")
 
 FindDriver = Callable[[], EdgeAddress | None]
 WasKilled = Callable[[str, int], bool]  # whether a driver was killed since a time
 
 
+@dataclass(frozen=True, slots=True)
+class Session:
+    """What one connection writes and reads: a row of a group, which it has in common with others."""
+
+    name: str
+    row: str
+    group: int
+
+
 @dataclass(frozen=True, slots=True)
 class ClientLeft:
     """A client closed its connection while a request of its was open."""
@@ -34,7 +47,7 @@
     """What clients saw.
 
     `crossed`: requests that met the end of their connection unanswered, with their driver. `unusual`: those
-    of clients that are no sessions. `conversations`: connections that are not judged yet.
+    of no session, each with a row of its own. `conversations`: connections that are not judged yet.
     """
 
     crossed: dict[str, str] = field(default_factory=dict)
@@ -65,6 +78,7 @@
         clock: Clock,
         record: rec.RecordSink,
         deadline_ms: int,
+        groups: int,
         rng: random.Random,
     ) -> None:
         """`was_killed` excuses a driver; `deadline_ms` is what each request tells it."""
@@ -73,6 +87,7 @@
         self.board, self.own, self.write = classes
         self.clock = clock
         self.deadline_ms = deadline_ms
+        self._groups = groups
         self._record = record
         self._rng = rng
 
@@ -80,21 +95,45 @@
         """Draw the id of a request."""
         return f"{self._rng.getrandbits(64):016x}"
 
-    def query(self, request_class: rec.RequestClass, request_id: str) -> bytes:
-        """Return the message that asks for it; its key is its own."""
-        text = statement(request_class, request_id, request_id, 0, self.deadline_ms)
+    def new_session(self) -> Session:
+        """Draw a session; it belongs to one connection."""
+        group = self._rng.randrange(self._groups)
+        row = f"shared{group}.{self._rng.randrange(SHARED_ROWS)}"
+        return Session(self.new_id(), row, group)
+
+    def query(
+        self, request_class: rec.RequestClass, request_id: str, session: Session | None = None
+    ) -> bytes:
+        """Return the message that asks for it; without a session it has a row of its own."""
+        session = session or Session(request_id, request_id, 0)
+        text = statement(request_class, request_id, session.row, session.group, self.deadline_ms)
         return messages.query(text.encode())
 
     def record_asked(
-        self, now_us: int, driver: str, request_class: rec.RequestClass, request_id: str
+        self,
+        now_us: int,
+        driver: str,
+        request_class: rec.RequestClass,
+        request_id: str,
+        session: Session | None = None,
     ) -> None:
         """Record that it is sent now."""
-        self.notes.unusual.add(request_id)
+        if session is None:
+            self.notes.unusual.add(request_id)
+            session = Session(request_id, request_id, 0)
         deadline_us = now_us + self.deadline_ms * 1000 + LATE_US
-        name = request_class.name
         self._record(
             rec.RequestSent(
-                now_us, request_id, 0, driver, name, request_id, TENANT, 0, request_id, deadline_us
+                now_us,
+                request_id,
+                0,
+                driver,
+                request_class.name,
+                session.name,
+                TENANT,
+                session.group,
+                session.row,
+                deadline_us,
             )
         )
 
@@ -104,7 +143,9 @@
         """Record an answer; one that belongs to another request is a violation."""
         served = answer.startswith(b"T")
         now_us = self.clock.now_us()
-        self._record(rec.ResponseReceived(now_us, request_id, 0, STATUS_OK if served else STATUS_UNKNOWN))
+        status = STATUS_OK if served else STATUS_UNKNOWN
+        endpoint, ids = _answered_row(answer) if served else ("", [])
+        self._record(rec.ResponseReceived(now_us, request_id, 0, status, endpoint=endpoint, rows=ids))
         if served and request_class.write and request_id.encode() not in answer:
             self.notes.violations.append(f"the answer to {request_id} of {driver} is another request's")
 
@@ -117,3 +158,12 @@
             self.notes.crossed[request_id] = driver
         else:
             self.notes.violations.append(f"{request_id} had no answer of {driver}, nor an end")
+
+
+def _answered_row(answer: bytes) -> tuple[str, list[str]]:
+    """The member that answered, and the writes that it showed."""
+    found = ANSWERED_ROW.search(answer)
+    if found is None:
+        return "", []
+    ids = found["ids"].decode()
+    return found["member"].decode(), ids.split(",") if ids else []
--- a/juniperreel/testbed/soak/run.py
+++ b/juniperreel/testbed/soak/run.py
@@ -12,8 +12,9 @@
 from juniperreel.fakes.client_session import EdgeAddress
 from juniperreel.fakes.script import Script
 from juniperreel.net import Network
+from juniperreel.net.clock import US
 from juniperreel.testbed.faulty_driver import FAULTS_VARIABLE
-from juniperreel.testbed.injected_faults import FaultKind
+from juniperreel.testbed.injected_faults import MAX_HOLD_UP_S, FaultKind
 from juniperreel.testbed.processes import ProcessState
 from juniperreel.testbed.scenario import CLASS_WEIGHTS
 from juniperreel.testbed.single_process_trial import SingleProcessTrial
@@ -51,6 +52,7 @@
         self.notes = ClientNotes()
         self.crashed: list[str] = []
         self._directory = directory
+        self._hold_up_us = int(MAX_HOLD_UP_S * US) if rates.get(FaultKind.HOLD_UP) else 0
         faults = {
             "rates": {kind.value: rate for kind, rate in rates.items()},
             "seed": day["seed"],
@@ -94,7 +96,7 @@
             nursery.start_soon(misbehaving.run)
         for _ in range(PERSISTENT_CLIENTS_PER_DRIVER * len(self.names)):
             persistent = PersistentClient(
-                self._new_requests(mix), self._find_driver, lag, self._rng.getrandbits(32)
+                self._new_requests(mix), self._find_driver, lag, self._hold_up_us, self._rng.getrandbits(32)
             )
             nursery.start_soon(persistent.run)
         for _ in range(self.day["crowd"] * len(self.names)):
@@ -108,6 +110,7 @@
             self.clock,
             self.recorder,
             min(self.day["longest-deadline"] // 1000, MAX_DEADLINE_MS),
+            self.day["groups"],
             random.Random(self._rng.getrandbits(32)),
         )
 
--- a/tests/testbed/test_soak.py
+++ b/tests/testbed/test_soak.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
 
 import pytest
@@ -15,7 +15,7 @@
 from juniperreel.testbed.soak.oracle import SoakReport, judge
 from juniperreel.testbed.soak.plan import FAULT_RATES, draw_plan
 from juniperreel.testbed.soak.requests import ClientLeft, ClientNotes
-from juniperreel.testbed.soak.run import SoakTrial, play_soak
+from juniperreel.testbed.soak.run import FAULTY_DRIVER_PROGRAM, SoakTrial, play_soak
 from juniperreel.verification import records as rec
 
 DRIVERS = 8
@@ -102,11 +102,21 @@
 async def test_connections_that_end_over_what_was_sent_are_found_by_a_soak(tmp_path: Path) -> None:
     """Members hang, so that requests are open when connections begin to be closed."""
     program = ("-c", PLANT.format(bug=READS_BUSY_CONNECTIONS_NO_FURTHER))
-    day = draw_plan(SHORT_DEADLINES, 8, LAST_MS)
+    report = await play_shutdowns_while_members_hang(tmp_path, program)
+    assert any("before its connection ended" in text for text in report.violations)
+
+
+async def test_shutdowns_while_members_hang_violate_nothing(tmp_path: Path) -> None:
+    report = await play_shutdowns_while_members_hang(tmp_path, FAULTY_DRIVER_PROGRAM)
+    assert report.violations == []
+
+
+async def play_shutdowns_while_members_hang(directory: Path, program: Sequence[str]) -> SoakReport:
+    plan = draw_plan(SHORT_DEADLINES, 8, LAST_MS)
     hanging = "at 6s for 2500ms hang all\nat 6500ms edge-term edge/*\n"
-    trial = SoakTrial(parse(render(day) + hanging), TcpNetwork(), tmp_path, {}, program)
+    trial = SoakTrial(parse(render(plan) + hanging), TcpNetwork(), directory, {}, program)
     await trial.run()
-    assert any("before its connection ended" in text for text in trial.report().violations)
+    return trial.report()
 
 
 def test_the_plan_of_a_seed_is_the_same_each_time() -> None:
