--- a/juniperreel/net/acceptor.py
+++ b/juniperreel/net/acceptor.py
@@ -6,20 +6,11 @@
 import socket
 from collections.abc import Callable
 
-from juniperreel.net.network import (
-    BACKLOG,
-    DESCRIPTOR_EXHAUSTION_ERRNOS,
-    DESCRIPTOR_EXHAUSTION_PAUSE_S,
-    address_family,
-)
+from juniperreel.net.accept_pause import AcceptPause
+from juniperreel.net.network import BACKLOG, DESCRIPTOR_EXHAUSTION_ERRNOS, address_family
 from juniperreel.net.poller import Poller
 from juniperreel.net.transport import Transport
 
-# Resources are mostly there again at once, and a crowd must not wait for each failure: the pause grows
-# only while failures come one after the other.
-FIRST_PAUSE_US = 1_000
-LAST_PAUSE_US = int(DESCRIPTOR_EXHAUSTION_PAUSE_S * 1_000_000)
-
 
 class Acceptor:
     """Listens on an address and hands each new connection to a callback as a transport."""
@@ -46,7 +37,7 @@
         self.exhausted_us = 0  # when descriptors ran out last; nothing is accepted until `retry`
         # Since when connections may have waited in the kernel, as descriptors had run out; 0 where none do.
         self.waiting_since_us = 0
-        self._pause_us = 0  # before the next attempt after a failure
+        self._pause = AcceptPause()  # before the next attempt after a failure
         poller.add(self._socket.fileno(), select.EPOLLIN, self)
 
     def handle_event(self, _mask: int) -> None:
@@ -66,12 +57,12 @@
                     # The kernel keeps the connection pending and would report it with every poll, so the
                     # loop would spin until a descriptor is free.
                     self.exhausted_us = self._poller.clock.now_us()
-                    self._pause_us = min(max(2 * self._pause_us, FIRST_PAUSE_US), LAST_PAUSE_US)
+                    self._pause.lengthen()
                     self.waiting_since_us = self.waiting_since_us or self.exhausted_us
                     self._poller.change(self._socket.fileno(), 0)
                     return False
                 continue  # the failure of one connection that was never established
-            self._pause_us = 0
+            self._pause.reset()
             transport = self._prepare(connection)
             if transport is not None:
                 self._on_accepted(transport)
@@ -91,7 +82,7 @@
         """Return when `retry` is to be called; None where nothing has failed."""
         if not self.exhausted_us or not self.is_open:
             return None
-        return self.exhausted_us + self._pause_us
+        return self.exhausted_us + self._pause.us
 
     def retry(self, now_us: int) -> None:
         """Accept again, once the pause after descriptors ran out has passed."""
--- a/juniperreel/net/network.py
+++ b/juniperreel/net/network.py
@@ -15,10 +15,10 @@
 
 import trio
 
+from juniperreel.net.accept_pause import AcceptPause
 from juniperreel.net.clock import US
 
 DESCRIPTOR_EXHAUSTION_ERRNOS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
-DESCRIPTOR_EXHAUSTION_PAUSE_S = 0.1  # how long nothing is accepted after descriptors ran out
 LISTENER_CLOSED_ERRNOS = frozenset({errno.EBADF, errno.EINVAL})
 BACKLOG = 1024
 TCP_ESTABLISHED = 1  # of the kernel's TCP states
@@ -68,6 +68,7 @@
     def __init__(self, sock: trio.socket.SocketType) -> None:
         """Take over a socket that listens."""
         self._sock = sock
+        self._pause = AcceptPause()
         self.port: int = sock.getsockname()[1]
 
     async def accept(self) -> trio.abc.Stream:
@@ -87,11 +88,13 @@
             except OSError as error:
                 if error.errno in DESCRIPTOR_EXHAUSTION_ERRNOS:
                     # The kernel keeps the connection pending: without a pause the loop would spin.
-                    await trio.sleep(DESCRIPTOR_EXHAUSTION_PAUSE_S)
+                    self._pause.lengthen()
+                    await trio.sleep(self._pause.us / US)
                 elif error.errno in LISTENER_CLOSED_ERRNOS:
                     raise trio.ClosedResourceError from error
                 # Anything else is the failure of one connection that was never established.
             else:
+                self._pause.reset()
                 return sock
 
     def close(self) -> None:
