Routing: the record of one endpoint has a module of its own

Moved without changes; 170 tests of routing, emulator and adapter pass, mypy and the import contracts hold.

--- a/benchmarks/drivers/planted.py
+++ b/benchmarks/drivers/planted.py
@@ -17,11 +17,12 @@
 
 from juniperreel.platform.run import main
 from juniperreel.platform.signal_queue import SignalQueue
+from juniperreel.routing.endpoint_state import EndpointState
 from juniperreel.routing.policy.position_checks import PositionChecker
 from juniperreel.routing.policy.selection import Selection
 from juniperreel.routing.policy.slow_start import SlowStart
 from juniperreel.routing.router import Router
-from juniperreel.routing.state import Endpoints, EndpointState
+from juniperreel.routing.state import Endpoints
 
 NEGLIGIBLE_WEIGHT = 1e-9  # a pool needs weights above 0
 SLOW_MULTIPLE = 1.5
--- a/juniperreel/routing/policy/dispatch.py
+++ b/juniperreel/routing/policy/dispatch.py
@@ -1,9 +1,10 @@
 """Dispatch: an open request without an attempt in flight is sent, queued or finished."""
 
+from juniperreel.routing.endpoint_state import EndpointState
 from juniperreel.routing.parts import PolicyParts
 from juniperreel.routing.policy import parameters
 from juniperreel.routing.policy.position_checks import PositionChecker
-from juniperreel.routing.state import EndpointState, GroupState, RequestState
+from juniperreel.routing.state import GroupState, RequestState
 from juniperreel.routing.types import AttemptEnded, Consistency, Outcome, StalenessGuard
 
 RETRIED_AT_A_PRICE = (Outcome.REJECTED, Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)
--- a/juniperreel/routing/policy/endpoint_list.py
+++ b/juniperreel/routing/policy/endpoint_list.py
@@ -2,8 +2,9 @@
 
 from dataclasses import replace
 
+from juniperreel.routing.endpoint_state import IDLE_US, EndpointState
 from juniperreel.routing.policy import parameters
-from juniperreel.routing.state import IDLE_US, EndpointState, GroupState, RouterState
+from juniperreel.routing.state import GroupState, RouterState
 from juniperreel.routing.types import Endpoint, EndpointUpdate, Readiness, Subscribe, UpdateKind
 
 
--- a/juniperreel/routing/policy/freshness.py
+++ b/juniperreel/routing/policy/freshness.py
@@ -2,8 +2,9 @@
 
 from dataclasses import dataclass
 
+from juniperreel.routing.endpoint_state import NEVER, EndpointState
 from juniperreel.routing.policy import parameters
-from juniperreel.routing.state import NEVER, EndpointState, RequestState, RouterState
+from juniperreel.routing.state import RequestState, RouterState
 from juniperreel.routing.types import Consistency
 
 
--- a/juniperreel/routing/policy/outlier.py
+++ b/juniperreel/routing/policy/outlier.py
@@ -2,10 +2,11 @@
 
 from dataclasses import dataclass
 
+from juniperreel.routing.endpoint_state import NEVER, EndpointState
 from juniperreel.routing.policy import parameters
 from juniperreel.routing.policy.endpoint_list import EndpointTracker
 from juniperreel.routing.policy.retry import RetryPolicy
-from juniperreel.routing.state import NEVER, EndpointState, GroupState, RequestState, RouterState
+from juniperreel.routing.state import GroupState, RequestState, RouterState
 from juniperreel.routing.types import AttemptEnded, HealthCheckEnded, Outcome
 
 
--- a/juniperreel/routing/policy/position_checks.py
+++ b/juniperreel/routing/policy/position_checks.py
@@ -1,10 +1,11 @@
 """Position checks: health checks that find out which replicas are fresh enough for a read."""
 
+from juniperreel.routing.endpoint_state import EndpointState
 from juniperreel.routing.estimators import Budget, MovingAverage, mean
 from juniperreel.routing.parts import PolicyParts
 from juniperreel.routing.policy import parameters
 from juniperreel.routing.policy.selection import Selection
-from juniperreel.routing.state import Endpoints, EndpointState, RequestState
+from juniperreel.routing.state import Endpoints, RequestState
 from juniperreel.routing.types import Consistency, LoadReport
 
 
--- a/juniperreel/routing/policy/primary.py
+++ b/juniperreel/routing/policy/primary.py
@@ -1,9 +1,10 @@
 """Which endpoint is a group's primary, and how one is searched for."""
 
+from juniperreel.routing.endpoint_state import EndpointState
 from juniperreel.routing.policy import parameters
 from juniperreel.routing.policy.endpoint_list import EndpointTracker
 from juniperreel.routing.policy.outlier import OutlierDetector
-from juniperreel.routing.state import EndpointState, GroupState, RouterState
+from juniperreel.routing.state import GroupState, RouterState
 from juniperreel.routing.types import LoadReport, Role
 
 
--- a/juniperreel/routing/policy/retry.py
+++ b/juniperreel/routing/policy/retry.py
@@ -1,8 +1,9 @@
 """Retries: attempts that are allowed, the retry budget, time-outs, and final answers without a response."""
 
+from juniperreel.routing.endpoint_state import EndpointState
 from juniperreel.routing.estimators import Budget
 from juniperreel.routing.policy import parameters
-from juniperreel.routing.state import EndpointState, RequestState, RouterState
+from juniperreel.routing.state import RequestState, RouterState
 from juniperreel.routing.types import AttemptEnded, Idempotency, KeyScope, Outcome, Request
 
 
--- a/juniperreel/routing/policy/selection.py
+++ b/juniperreel/routing/policy/selection.py
@@ -2,10 +2,11 @@
 
 import math
 
+from juniperreel.routing.endpoint_state import EndpointState
 from juniperreel.routing.estimators import mean, weighted_mean
 from juniperreel.routing.parts import PolicyParts
 from juniperreel.routing.policy import parameters
-from juniperreel.routing.state import Endpoints, EndpointState, RequestState
+from juniperreel.routing.state import Endpoints, RequestState
 from juniperreel.routing.types import AttemptEnded, Outcome, StalenessGuard
 
 
--- a/juniperreel/routing/policy/shedding.py
+++ b/juniperreel/routing/policy/shedding.py
@@ -2,11 +2,12 @@
 
 import math
 
+from juniperreel.routing.endpoint_state import EndpointState
 from juniperreel.routing.estimators import DecayingShares, MovingAverage, mean
 from juniperreel.routing.policy import parameters
 from juniperreel.routing.policy.retry import RetryPolicy
 from juniperreel.routing.pressure import PressureTable
-from juniperreel.routing.state import EndpointState, RequestState, RouterState
+from juniperreel.routing.state import RequestState, RouterState
 from juniperreel.routing.types import AttemptEnded, Outcome, RequestClass
 
 
--- a/juniperreel/routing/policy/slow_start.py
+++ b/juniperreel/routing/policy/slow_start.py
@@ -1,8 +1,9 @@
 """Slow start: a warming endpoint gets no more requests than it surely can take."""
 
+from juniperreel.routing.endpoint_state import EndpointState
 from juniperreel.routing.estimators import PeakRate, Refreshed, linear_ramp
 from juniperreel.routing.policy import parameters
-from juniperreel.routing.state import EndpointState, RouterState
+from juniperreel.routing.state import RouterState
 from juniperreel.routing.types import Outcome
 
 
--- a/juniperreel/routing/pressure.py
+++ b/juniperreel/routing/pressure.py
@@ -5,8 +5,9 @@
 
 from __future__ import annotations
 
+from juniperreel.routing.endpoint_state import EndpointState
 from juniperreel.routing.estimators import DecayingMean
-from juniperreel.routing.state import EndpointState, RouterState
+from juniperreel.routing.state import RouterState
 
 
 class PressureTable:
--- a/juniperreel/routing/router.py
+++ b/juniperreel/routing/router.py
@@ -11,13 +11,13 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import replace
 
+from juniperreel.routing.endpoint_state import IDLE_US
 from juniperreel.routing.parts import compose
 from juniperreel.routing.policy import parameters
 from juniperreel.routing.policy.dispatch import Dispatcher
 from juniperreel.routing.policy.position_checks import PositionChecker
 from juniperreel.routing.policy.selection import Selection
 from juniperreel.routing.settings_check import check_settings
-from juniperreel.routing.state import IDLE_US
 from juniperreel.routing.throttle import TickTimer
 from juniperreel.routing.types import (
     Action,
--- a/tests/routing/router_script.py
+++ b/tests/routing/router_script.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass, replace
 from typing import Any, TypeVar
 
+from juniperreel.routing.endpoint_state import EndpointState
 from juniperreel.routing.router import Router
-from juniperreel.routing.state import EndpointState
 from juniperreel.routing.types import (
     Action,
     AttemptEnded,
--- a/tests/routing/test_endpoint_list.py
+++ b/tests/routing/test_endpoint_list.py
@@ -6,8 +6,8 @@
 
 import pytest
 
+from juniperreel.routing.endpoint_state import NEVER
 from juniperreel.routing.policy import parameters
-from juniperreel.routing.state import NEVER
 from juniperreel.routing.types import Readiness, StartHealthCheck, Subscribe, UpdateKind
 from tests.routing.router_script import (
     ANY_READ,
--- a/tests/routing/test_shedding.py
+++ b/tests/routing/test_shedding.py
@@ -7,9 +7,9 @@
 
 import pytest
 
+from juniperreel.routing.endpoint_state import InFlightAttempt
 from juniperreel.routing.estimators import DecayingMean
 from juniperreel.routing.policy import parameters
-from juniperreel.routing.state import InFlightAttempt
 from juniperreel.routing.types import Reject, Role, UpdateKind
 from tests.routing.router_script import (
     ANY_READ,
