Failing test: a client that waited long to be accepted is closed over its unread request

Its time for a first command counts from the accept queue; where the look at inactive clients falls due in the turn of the accept, before the first read, the connection ends as one on which nothing was asked.

--- a/tests/platform/test_waiting_times.py
+++ b/tests/platform/test_waiting_times.py
@@ -48,3 +48,16 @@
         connection.resume()
         assert b"C53300" in await harness.read_answer(client)
         assert not any(member.queries for member in harness.members.values())
+
+
+async def test_a_client_that_waited_long_to_be_accepted_is_read_before_it_is_closed() -> None:
+    """Danger: its request was sent to a connection that was accepted, and has to be answered."""
+    with SocketHarness() as harness:
+        client = harness.connect()
+        client.send(HELLO + WRITE)
+        harness.acceptor.waiting_since_us = harness.clock.time
+        harness.advance_us(5 * SEC)
+        await harness.until(lambda: harness.client_transports)
+        harness.driver.client_listener.close_inactive()
+        assert b"C53300" in await harness.read_answer(client)
+        assert not client.ended
