--- a/juniperreel/platform/client_connection.py
+++ b/juniperreel/platform/client_connection.py
@@ -39,6 +39,7 @@
         self, listener: ClientListener, transport: Transport, now_us: int, waiting_since_us: int = 0
     ) -> None:
         """Take over an accepted connection, which may have waited since `waiting_since_us`; 0 where not."""
+        self.accepted_us = now_us
         self._listener = listener
         self._transport = transport
         self._protocol = server.ServerConnection()
--- a/juniperreel/platform/client_listener.py
+++ b/juniperreel/platform/client_listener.py
@@ -177,12 +177,15 @@
         elif idle_us > idle_timeout_us and client.is_idle:
             self.close_gracefully(client, CloseReason.IDLE)
 
-    @staticmethod
-    def _is_overdue(client: ClientConnection, waited_us: int, timeout_us: int) -> bool:
-        """Whether a client's time is up; the next poll may read the rest of a command that is there."""
+    def _is_overdue(self, client: ClientConnection, waited_us: int, timeout_us: int) -> bool:
+        """Whether a client's time is up; the next poll may read the rest of a command that is there.
+
+        A part of the wait may lie before the connection was accepted, when nothing could be read.
+        """
         if waited_us <= timeout_us:
             return False
-        return waited_us > timeout_us + UNREAD_BYTES_TIMEOUT_US or not client.has_unread_bytes()
+        could_be_read_us = min(waited_us - timeout_us, self.now() - client.accepted_us)
+        return could_be_read_us > UNREAD_BYTES_TIMEOUT_US or not client.has_unread_bytes()
 
     def close_when_answered(self) -> None:
         """Close idle connections now, and from now on the others once they are idle; called again and again.
