--- a/Makefile
+++ b/Makefile
@@ -20,8 +20,10 @@
 # Half of the cores: tests that start processes, or time what they see on sockets, want more than one each.
 WORKERS := $(shell echo $$(( ($$(nproc) + 1) / 2 )))
 
-# Tests that start many processes, or whose verdict needs a loop that is not late: one after the other, alone.
-ALONE := tests/testbed tests/e2e tests/cli tests/platform/test_deploy.py tests/platform/test_planted.py \
+# Tests that start many processes, or whose verdict needs a loop that is not late: by themselves, and a fifth of the
+# cores at once.
+HEAVY_WORKERS := $(shell echo $$(( ($$(nproc) + 4) / 5 )))
+HEAVY := tests/testbed tests/e2e tests/cli tests/platform/test_deploy.py tests/platform/test_planted.py \
 	tests/platform/test_shutdown.py
 
 # Tests that may fail for a fault that is known and not mended yet: tried and shown, and passed over.
@@ -30,8 +32,8 @@
 test: lint
 	@test -z "$(KNOWN_RED)" || { echo "known red, passed over:"; cat KNOWN-RED.txt; \
 		$(PY) -m pytest -q $(KNOWN_RED) || echo "still red"; }
-	$(PY) -m pytest -q -n $(WORKERS) --dist worksteal $(addprefix --ignore=,$(ALONE)) $(addprefix --deselect=,$(KNOWN_RED))
-	$(PY) -m pytest -q $(ALONE) $(addprefix --deselect=,$(KNOWN_RED))
+	$(PY) -m pytest -q -n $(WORKERS) --dist worksteal $(addprefix --ignore=,$(HEAVY)) $(addprefix --deselect=,$(KNOWN_RED))
+	$(PY) -m pytest -q -n $(HEAVY_WORKERS) --dist worksteal $(HEAVY) $(addprefix --deselect=,$(KNOWN_RED))
 
 demo: setup
 	$(PY) -m juniperreel.cli.main demo
