--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -144,6 +144,35 @@
     assert started.log.read_text().count('"graceful shutdown started"') == 1
 
 
+@LINUX
+def test_a_hang_up_in_the_first_moments_of_the_program_ends_nothing(started: Started) -> None:
+    """Its handlers can't stand yet: what the program is started by has to see to it."""
+    program = Path(f"/proc/{started.process.pid}/exe")
+    interpreter = Path(sys.executable).resolve()
+    end = time.monotonic() + SECONDS
+    while program.resolve() != interpreter:
+        assert time.monotonic() < end
+        os.sched_yield()
+    while '"serving"' not in started.log.read_text():
+        started.process.send_signal(signal.SIGHUP)
+        assert started.process.poll() is None, started.log.read_text()
+        assert time.monotonic() < end, started.log.read_text()
+        os.sched_yield()
+    with started.ready():
+        pass
+
+
+def test_the_handlers_of_signals_need_no_more_of_the_program_than_their_own_module() -> None:
+    """Danger: a signal that comes while modules load would end the process."""
+    code = "import juniperreel.platform.signal_queue, sys; print(*[m for m in sys.modules if 'juniperreel' in m])"
+    loaded = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert loaded.stdout.split() == [
+        "juniperreel",
+        "juniperreel.platform",
+        "juniperreel.platform.signal_queue",
+    ]
+
+
 def test_a_start_outlasts_files_and_sockets_that_fail_for_a_moment(tmp_path: Path) -> None:
     """Danger: a driver that ends at its start has crashed."""
     config = tmp_path / "config.json"
