--- a/tests/testbed/test_soak.py
+++ b/tests/testbed/test_soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Callable, Sequence
 from pathlib import Path
 
@@ -40,6 +41,7 @@
 from juniperreel.platform.counters import CloseReason
 from juniperreel.platform.driver import PlatformDriver
 from juniperreel.platform.endpoint_clock import EndpointClock
+from juniperreel.platform.program import Program
 {bug}
 runpy.run_module("juniperreel.testbed.faulty_driver", run_name="__main__")
 """
@@ -119,6 +121,19 @@
     return trial.report()
 
 
+async def test_a_driver_that_does_not_end_is_killed_and_its_report_tells_what_it_did_last(
+    tmp_path: Path,
+) -> None:
+    day = "groups 1\nmembers 3\nedges 1\nsessions 2\nlongest-deadline 500ms\nlast 1s\n"
+    program = ("-c", PLANT.format(bug="Program._shutdown_is_complete = lambda _: False"))
+    trial = SoakTrial(parse(day), TcpNetwork(), tmp_path, {}, program)
+    await trial.run()
+    (ended,) = [text for text in trial.report().violations if text.startswith("n0 ended")]
+    assert re.fullmatch(
+        r"n0 ended with status -9 logged '[a-z ]+' last, waited \d+\.\d{3} s for a processor", ended
+    )
+
+
 def test_the_plan_of_a_seed_is_the_same_each_time() -> None:
     assert render(draw_plan(7, 12, 15_000)) == render(draw_plan(7, 12, 15_000))
     assert render(draw_plan(7, 12, 15_000)) != render(draw_plan(8, 12, 15_000))
