--- a/tests/e2e/test_transactions.py
+++ b/tests/e2e/test_transactions.py
@@ -565,6 +565,43 @@
     assert await using(world, work) == (True, STOPPING)
 
 
+async def test_a_stop_answers_a_command_that_comes_while_the_other_protocol_ends(
+    world: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Nothing was in flight on the MySQL side at the stop; its answer leaves when all else has ended."""
+    flush = Connection._flush
+    drain = world.edge.driver.drain
+    all_else_ended = trio.Event()
+    frontend = world.edge.mysql
+    assert frontend is not None
+
+    async def slow_flush(connection: Connection) -> None:
+        if connection.engaged and frontend.draining:
+            await all_else_ended.wait()
+            await trio.sleep(5 * DRAIN_POLL_S)
+        await flush(connection)
+
+    async def drain_driver() -> None:
+        await drain()
+        all_else_ended.set()
+
+    monkeypatch.setattr(Connection, "_flush", slow_flush)
+    monkeypatch.setattr(world.edge.driver, "drain", drain_driver)
+
+    async def stop() -> None:
+        world.edge.stop()
+        while not frontend.draining:
+            await trio.sleep(0)
+        await trio.sleep(2 * DRAIN_POLL_S)  # its drain has looked, and found nothing
+
+    def work(connection: Any) -> int:
+        ask(connection, "select 1")
+        trio.from_thread.run(stop)
+        return code_of(connection, "select 2")
+
+    assert await using(world, work) == STOPPING
+
+
 # Long results, and clients that do not read them.
 
 
