--- a/juniperreel/cli/edge.py
+++ b/juniperreel/cli/edge.py
@@ -151,6 +151,8 @@
                 if self.mysql is not None:
                     nursery.start_soon(self.mysql.drain)
             await self.driver.drain()
+            if self.mysql is not None:
+                await self.mysql.drain()  # commands that came since are rejected, which is an answer, too
         self.log.info("shutdown complete", in_time=not limit.cancelled_caught)
 
     def _on_handler_failed(self, path: str, error: Exception) -> None:
--- a/tests/e2e/test_transactions.py
+++ b/tests/e2e/test_transactions.py
@@ -570,23 +570,31 @@
 ) -> None:
     """Nothing was in flight on the MySQL side at the stop; its answer leaves when all else has ended."""
     flush = Connection._flush
-    drain = world.edge.driver.drain
+    drain_server = world.edge.server.drain
+    drain_driver = world.edge.driver.drain
+    command_came = trio.Event()
     all_else_ended = trio.Event()
     frontend = world.edge.mysql
     assert frontend is not None
 
     async def slow_flush(connection: Connection) -> None:
-        if connection.engaged and frontend.draining:
+        if frontend.draining:
+            command_came.set()
             await all_else_ended.wait()
             await trio.sleep(5 * DRAIN_POLL_S)
         await flush(connection)
 
-    async def drain_driver() -> None:
-        await drain()
+    async def slow_server_drain() -> None:
+        await drain_server()
+        await command_came.wait()
+
+    async def noted_driver_drain() -> None:
+        await drain_driver()
         all_else_ended.set()
 
     monkeypatch.setattr(Connection, "_flush", slow_flush)
-    monkeypatch.setattr(world.edge.driver, "drain", drain_driver)
+    monkeypatch.setattr(world.edge.server, "drain", slow_server_drain)
+    monkeypatch.setattr(world.edge.driver, "drain", noted_driver_drain)
 
     async def stop() -> None:
         world.edge.stop()
