--- a/juniperreel/testbed/driver_fleet.py
+++ b/juniperreel/testbed/driver_fleet.py
@@ -11,7 +11,7 @@
 import signal
 import sys
 from collections import Counter, defaultdict
-from collections.abc import Awaitable, Callable, Iterator, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Iterator, Mapping, Sequence
 from contextlib import contextmanager, suppress
 from functools import partial
 from pathlib import Path
@@ -136,11 +136,9 @@
         with process.log.open("rb") as log:
             log.seek(position)
             data = log.read()
-        complete = data[: data.rfind(b"\n") + 1]
-        self._log_positions[process.name] = position + len(complete)
-        for line in complete.splitlines():
-            if line.startswith(b"{"):
-                yield json.loads(line)
+        lines = _whole_lines(data)
+        self._log_positions[process.name] = position + sum(map(len, lines))
+        yield from _parse_events(lines)
 
     async def play_fault(self, step: Step) -> None:
         """Play a fault of these drivers' processes, or of their links to discovery, to its end."""
@@ -348,9 +346,19 @@
         await play_link_fault(self.links.select([name], [DISCOVERY]), step)
 
 
+def _whole_lines(data: bytes) -> list[bytes]:
+    """The lines that have been written to their end."""
+    return data[: data.rfind(b"\n") + 1].splitlines(keepends=True)
+
+
+def _parse_events(lines: Iterable[bytes]) -> Iterator[dict[str, Any]]:
+    """The events among what a process has written."""
+    return (json.loads(line) for line in lines if line.startswith(b"{"))
+
+
 def _last_event(process: ManagedProcess) -> str:
-    """The event of the last whole line that a process has logged; empty where there is none."""
-    data = process.log.read_bytes()
-    whole_lines = data[: data.rfind(b"\n") + 1].splitlines()
-    lines = [line for line in whole_lines if line.startswith(b"{")]
-    return str(json.loads(lines[-1])["event"]) if lines else ""
+    """The name of the last event that a process has logged; empty where there is none."""
+    name = ""
+    for event in _parse_events(_whole_lines(process.log.read_bytes())):
+        name = str(event["event"])
+    return name
--- a/juniperreel/testbed/soak/requests.py
+++ b/juniperreel/testbed/soak/requests.py
@@ -33,6 +33,11 @@
     row: str
     group: int
 
+    @classmethod
+    def of_one_request(cls, request_id: str) -> Session:
+        """Return the session of a request that has a row of its own."""
+        return cls(request_id, request_id, group=0)
+
 
 @dataclass(frozen=True, slots=True)
 class ClientLeft:
@@ -105,7 +110,7 @@
         self, request_class: rec.RequestClass, request_id: str, session: Session | None = None
     ) -> bytes:
         """Return the message that asks for it; without a session it has a row of its own."""
-        session = session or Session(request_id, request_id, 0)
+        session = session or Session.of_one_request(request_id)
         text = statement(request_class, request_id, session.row, session.group, self.deadline_ms)
         return messages.query(text.encode())
 
@@ -120,7 +125,7 @@
         """Record that it is sent now."""
         if session is None:
             self.notes.unusual.add(request_id)
-            session = Session(request_id, request_id, 0)
+            session = Session.of_one_request(request_id)
         deadline_us = now_us + self.deadline_ms * 1000 + LATE_US
         self._record(
             rec.RequestSent(
