Driver: log clients that leave about their deadline, count waits that end late

Need: neither the log nor the counts told how old the driver took a request to be when its client left in vain. Change: one line for such a request, with its age, the wait before its reading and its attempts, and a count of waits for events that outlast their time.

--- a/juniperreel/net/poller.py
+++ b/juniperreel/net/poller.py
@@ -62,6 +62,8 @@
         self._polled_us = clock.now_us()
         self._yielded_us = self._polled_us
         self.ready_since_us = self._polled_us  # when what was found may have become ready, at the earliest
+        self.last_wait_us = 0  # how long the last wait lasted
+        self.overslept_us = 0  # by how much it outlasted the time that was asked for
 
     def close(self) -> None:
         """Close the epoll; registered sockets stay open."""
@@ -97,6 +99,8 @@
             await trio.lowlevel.checkpoint()
             self._yielded_us = self.clock.now_us()
         now_us = self.clock.now_us()
+        self.last_wait_us = now_us - started_us
+        self.overslept_us = 0 if until_us is None else max(now_us - max(until_us, started_us), 0)
         self.ready_since_us = now_us if now_us - started_us > BLOCKED_US else self._polled_us
         self._polled_us = now_us
 
--- a/juniperreel/platform/client_connection.py
+++ b/juniperreel/platform/client_connection.py
@@ -76,6 +76,11 @@
     def _earliest_arrival_us(self) -> int:
         return self._unread_since_us or self._listener.handler.input_ready_since_us
 
+    @property
+    def input_wait_us(self) -> int:
+        """How long the event loop waited before it read what is read now."""
+        return self._listener.handler.input_wait_us
+
     def connection_lost(self, _reason: str) -> None:
         """Withdraw all open commands."""
         self._listener.remove(self, CloseReason.CLIENT_LEFT)
--- a/juniperreel/platform/command.py
+++ b/juniperreel/platform/command.py
@@ -17,7 +17,7 @@
     `form` is None for a command that is answered without a request.
     """
 
-    __slots__ = ("answer", "arrived_us", "client", "form", "request_id")
+    __slots__ = ("answer", "arrived_us", "client", "form", "request_id", "wait_us")
 
     def __init__(
         self, client: ClientConnection, arrived_us: int, form: StatementRequest | None, answer: bytes | None
@@ -28,6 +28,7 @@
         self.form = form
         self.answer = answer
         self.request_id: str | None = None  # of the open request that will answer it
+        self.wait_us = client.input_wait_us  # of the event loop, before this was read
 
     def finish(self, answer: bytes) -> None:
         """Set the final answer, and send it once all commands before this one have theirs."""
@@ -50,9 +51,11 @@
     """Answers clients' commands.
 
     `input_ready_since_us`: since when what is read now may have waited in the kernel.
+    `input_wait_us`: how long the event loop waited before it.
     """
 
     input_ready_since_us: int
+    input_wait_us: int
 
     def submit(self, command: Command, form: StatementRequest) -> None:
         """Open a request; its answer arrives by `command.finish`. Raises InvalidRequestError."""
--- a/juniperreel/platform/counters.py
+++ b/juniperreel/platform/counters.py
@@ -5,6 +5,8 @@
 from collections import Counter
 from enum import Enum
 
+HELD_UP_US = 20_000  # a wait that outlasts its time by so much was held up
+
 
 class CloseReason(Enum):
     """Why a client's connection was closed."""
@@ -49,6 +51,9 @@
         self.lists: Counter[str] = Counter()  # by kind of update
         self.stalls = 0  # of the event loop
         self.longest_stall_ms = 0
+        self.held_up_waits = 0  # that ended long after their time
+        self.longest_oversleep_ms = 0
+        self.left_at_deadline = 0  # requests whose client left about the time of their deadline
         self.rejected_at_the_end = 0  # of the rejected, those for which a shutdown left no time
         self.withdrawn_unsent = 0  # queries that had left in part when nobody waited for them any more
 
@@ -57,6 +62,12 @@
         self.stalls += 1
         self.longest_stall_ms = max(self.longest_stall_ms, late_ms)
 
+    def on_wait(self, overslept_us: int) -> None:
+        """Count a wait for events that outlasted the time that it was given by so much."""
+        if overslept_us > HELD_UP_US:
+            self.held_up_waits += 1
+            self.longest_oversleep_ms = max(self.longest_oversleep_ms, overslept_us // 1000)
+
     def fields(self) -> dict[str, dict[str, int]]:
         """All counts that are not zero, by names that a log line can hold."""
         return {
@@ -66,5 +77,7 @@
             "closed_clients": {reason.value: count for reason, count in self.closed_clients.items()},
             "lists": dict(self.lists),
             "stalls": {"count": self.stalls, "longest_ms": self.longest_stall_ms},
+            "held_up_waits": {"count": self.held_up_waits, "longest_ms": self.longest_oversleep_ms},
+            "left_at_deadline": {"count": self.left_at_deadline},
             "endings": {"rejected": self.rejected_at_the_end, "withdrawn_unsent": self.withdrawn_unsent},
         }
--- a/juniperreel/platform/driver.py
+++ b/juniperreel/platform/driver.py
@@ -53,6 +53,8 @@
 # answer is only worth nothing, and the housekeeping that looks for such requests has its interval.
 OVERDUE_AFTER_US = 100_000
 HEALTH_CHECK_TIMEOUT_US = 250_000
+LEFT_AT_DEADLINE_US = 60_000  # a client that leaves with less than this left may have waited in vain
+MAX_LATE_REQUESTS_LOGGED = 40  # the others are counted only
 END_OF_PROGRAM = "end of the program"
 SESSION_CONSISTENCY = (Consistency.WRITE, Consistency.SESSION)
 
@@ -78,6 +80,7 @@
         self.now = now
         self.log = log
         self.input_ready_since_us = now()
+        self.input_wait_us = 0
         self._discovery = discovery
         self._validator = RequestValidator(config.router)
         self.monitor = RuleMonitor(config.router, log)
@@ -197,11 +200,43 @@
     def connection_closed(self, unanswered: list[str], reason: CloseReason) -> None:
         """Count a client's connection that is closed while the requests of these ids have no answer."""
         self.counters.closed_clients[reason] += 1
-        if reason is not CloseReason.CLIENT_LEFT:
+        if reason is CloseReason.CLIENT_LEFT:
+            self._look_for_late_requests(unanswered)
+        else:
             self.monitor.on_client_closed(unanswered, reason.value)
         if self.log.tracing:
             self.log.trace("client closed", reason=reason.value, unanswered=unanswered)
 
+    def _look_for_late_requests(self, unanswered: list[str]) -> None:
+        """Log requests whose client left about the time of their deadline: perhaps it waited in vain."""
+        now_us = self.now()
+        for request_id in unanswered:
+            request = self.requests.by_id.get(request_id)
+            if request is None or request.command is None:
+                continue
+            left_us = request.deadline_us - now_us
+            if left_us > LEFT_AT_DEADLINE_US:
+                continue
+            self.counters.left_at_deadline += 1
+            if self.counters.left_at_deadline <= MAX_LATE_REQUESTS_LOGGED:
+                self._log_late_request(request_id, request, request.command, now_us)
+
+    def _log_late_request(self, request_id: str, request: OpenRequest, command: Command, now_us: int) -> None:
+        attempts = [
+            [attempt.endpoint, attempt.written_us - command.arrived_us]
+            for attempt in request.record.attempts.values()
+        ]
+        self.log.warning(
+            "client left at its deadline",
+            request=request_id,
+            left_us=request.deadline_us - now_us,
+            age_us=now_us - command.arrived_us,
+            wait_us=command.wait_us,
+            command=command.client.command_count,
+            connected_us=command.arrived_us - command.client.accepted_us,
+            attempts=attempts,
+        )
+
     def answers_dropped(self, unsent_bytes: int, reason: CloseReason) -> None:
         """Count a client's connection that ends here while answers that were given have not left."""
         self.monitor.on_answers_dropped(unsent_bytes, reason.value)
