Driver: what arrives in a wait counts from the last look that found nothing

Cause: Poller.wait took a wait of more than 0.5 ms as proof that nothing was ready until its end; a process held up in it counted requests from there. New connections counted from their acceptance, events beyond 256 and connections beyond 64 a turn from the turn before, the rest of a short read from the next one. Change: waits end after 20 ms at the latest, and what a poll finds counts from the last poll that found all; the acceptor hands on since when connections may have waited; a readable socket is read until it is empty.

--- a/juniperreel/net/acceptor.py
+++ b/juniperreel/net/acceptor.py
@@ -35,7 +35,7 @@
         self.port: int = self._socket.getsockname()[1]
         self.is_open = True
         self.exhausted_us = 0  # when descriptors ran out last; nothing is accepted until `retry`
-        # Since when connections may have waited in the kernel, as descriptors had run out; 0 where none do.
+        # Since when connections that are accepted now may have waited in the kernel; 0 where none does.
         self.waiting_since_us = 0
         self._pause = AcceptPause()  # before the next attempt after a failure
         poller.add(self._socket.fileno(), select.EPOLLIN, self)
@@ -46,6 +46,7 @@
 
     def _accept(self, max_connections: int) -> bool:
         """Accept so many connections at most; return whether none is known to wait any more."""
+        self.waiting_since_us = self.waiting_since_us or self._poller.ready_since_us
         for _ in range(max_connections):
             try:
                 connection, _ = self._socket.accept()
@@ -58,7 +59,6 @@
                     # loop would spin until a descriptor is free.
                     self.exhausted_us = self._poller.clock.now_us()
                     self._pause.lengthen()
-                    self.waiting_since_us = self.waiting_since_us or self.exhausted_us
                     self._poller.change(self._socket.fileno(), 0)
                     return False
                 continue  # the failure of one connection that was never established
@@ -66,6 +66,7 @@
             transport = self._prepare(connection)
             if transport is not None:
                 self._on_accepted(transport)
+        self._forget_wait_unless_connections_wait()
         return False
 
     def _prepare(self, connection: socket.socket) -> Transport | None:
@@ -89,11 +90,14 @@
         due_us = self.retry_due_us()
         if due_us is not None and now_us >= due_us:
             self.exhausted_us = 0
-            if not self._connection_waits():
-                # Otherwise the next connection, however much later, would count as waiting since the failure.
-                self.waiting_since_us = 0
+            self._forget_wait_unless_connections_wait()
             self._poller.change(self._socket.fileno(), select.EPOLLIN)
 
+    def _forget_wait_unless_connections_wait(self) -> None:
+        """Otherwise the next connection, however much later, would count as waiting since then."""
+        if not self._connection_waits():
+            self.waiting_since_us = 0
+
     def _connection_waits(self) -> bool:
         """Return whether the kernel holds a connection, which it tells without any free descriptor."""
         poll = select.poll()
--- a/juniperreel/net/poller.py
+++ b/juniperreel/net/poller.py
@@ -18,7 +18,9 @@
 HANG_UP_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 MAX_EVENTS = 256  # taken from one call of epoll
 YIELD_US = 5_000  # other tasks run at least this often
-BLOCKED_US = 500  # a wait that took longer had nothing ready when it began
+# No wait lasts longer without a look. What is found counts from the last look that found nothing: by so much
+# it may be taken for too old where nothing is held up.
+MAX_WAIT_US = 20_000
 
 
 class EventHandler(Protocol):
@@ -59,11 +61,12 @@
         self._handlers: dict[int, EventHandler] = {}
         self._events: list[ReadyEvent] = []
         self._waiting: trio.CancelScope | None = None
-        self._polled_us = clock.now_us()
-        self._yielded_us = self._polled_us
-        self.ready_since_us = self._polled_us  # when what was found may have become ready, at the earliest
-        self.last_wait_us = 0  # how long the last wait lasted
-        self.overslept_us = 0  # by how much it outlasted the time that was asked for
+        self._woken = False
+        self._all_found_us = clock.now_us()  # before the last poll that found all that was ready
+        self._yielded_us = self._all_found_us
+        self.ready_since_us = self._all_found_us  # when what was found may have become ready, at the earliest
+        self.unseen_us = 0  # how long it may have been ready unseen
+        self.overslept_us = 0  # by how much the last wait outlasted the time that it was given
 
     def close(self) -> None:
         """Close the epoll; registered sockets stay open."""
@@ -85,32 +88,48 @@
 
     async def wait(self, until_us: int | None) -> None:
         """Return when a socket is ready, at `until_us`, or after `wake`."""
+        self._woken = False
+        self.overslept_us = 0
         started_us = self.clock.now_us()
         self._poll()
         if not self._events and (until_us is None or until_us > started_us):
-            with trio.CancelScope() as self._waiting:
-                if until_us is not None:
-                    self._waiting.deadline = self.clock.trio_time(until_us)
-                await trio.lowlevel.wait_readable(self._epoll.fileno())
-            self._waiting = None
-            self._yielded_us = self.clock.now_us()
-            self._poll()
+            await self._wait_until_ready(until_us)
         elif started_us - self._yielded_us > YIELD_US:
             await trio.lowlevel.checkpoint()
             self._yielded_us = self.clock.now_us()
+        self.unseen_us = self.clock.now_us() - self.ready_since_us
+
+    async def _wait_until_ready(self, until_us: int | None) -> None:
+        """Wait for a while and look, again and again.
+
+        The process may be held up anywhere in a wait. A single long one would not tell what became ready
+        before the hold-up, and has waited since, from what became ready a moment ago.
+        """
         now_us = self.clock.now_us()
-        self.last_wait_us = now_us - started_us
-        self.overslept_us = 0 if until_us is None else max(now_us - max(until_us, started_us), 0)
-        self.ready_since_us = now_us if now_us - started_us > BLOCKED_US else self._polled_us
-        self._polled_us = now_us
+        while not self._events and not self._woken and (until_us is None or now_us < until_us):
+            end_us = now_us + MAX_WAIT_US
+            if until_us is not None:
+                end_us = min(end_us, until_us)
+            with trio.CancelScope(deadline=self.clock.trio_time(end_us)) as self._waiting:
+                await trio.lowlevel.wait_readable(self._epoll.fileno())
+            self._waiting = None
+            now_us = self.clock.now_us()
+            self.overslept_us = max(self.overslept_us, now_us - end_us)
+            self._poll()
+        self._yielded_us = now_us
 
     def _poll(self) -> None:
+        began_us = self.clock.now_us()
         found = self._epoll.poll(0, MAX_EVENTS)
+        self.ready_since_us = self._all_found_us
+        if len(found) < MAX_EVENTS:
+            self._all_found_us = began_us
         self._events = [ReadyEvent(fileno, mask, self._handlers.get(fileno)) for fileno, mask in found]
 
     def wake(self) -> None:
         """End the wait, after another task has changed what is due."""
         if self._waiting is not None:
+            self._woken = True
             self._waiting.cancel()
 
     def dispatch(self) -> None:
--- a/juniperreel/net/transport.py
+++ b/juniperreel/net/transport.py
@@ -224,18 +224,32 @@
         return True
 
     def _read(self, protocol: Protocol) -> None:
-        try:
-            data = self._socket.recv(READ_BYTES)
-        except (BlockingIOError, InterruptedError):
-            return
-        except OSError as error:
-            if error.errno not in MEMORY_EXHAUSTION_ERRNOS:
-                self._disconnect(protocol, error.strerror or "broken")
-            return
-        if not data:
-            self._disconnect(protocol, "closed")
-        elif not self._eof_requested:
+        """Pass on what is there, `READ_BYTES` at most; then report an end that was found behind it."""
+        data, end_reason = self._receive()
+        if data and not self._eof_requested and not (end_reason and protocol.eof_is_disconnect):
             protocol.data_received(data)
+        if end_reason and not self.closed:
+            self._disconnect(protocol, end_reason)
+
+    def _receive(self) -> tuple[bytes, str]:
+        """Return the bytes, and why the connection has ended; an empty reason where it has not.
+
+        A single read may be short. What it left would be read a turn later, and be taken for younger.
+        """
+        data = b""
+        while len(data) < READ_BYTES:
+            try:
+                received = self._socket.recv(READ_BYTES - len(data))
+            except (BlockingIOError, InterruptedError):
+                break
+            except OSError as error:
+                if error.errno in MEMORY_EXHAUSTION_ERRNOS:
+                    break
+                return data, error.strerror or "broken"
+            if not received:
+                return data, "closed"
+            data += received
+        return data, ""
 
     def _disconnect(self, protocol: Protocol, reason: str) -> None:
         self.close()
--- a/juniperreel/platform/client_connection.py
+++ b/juniperreel/platform/client_connection.py
@@ -68,8 +68,8 @@
         """Read commands, and answer them where that is possible at once."""
         self._arrived_us = self._earliest_arrival_us()
         self._arrivals.receive(len(data), self._arrived_us)
-        if len(data) < READ_BYTES:
-            self._unread_since_us = 0  # the kernel holds no more
+        # A full read may have left bytes that are as old.
+        self._unread_since_us = self._arrived_us if len(data) == READ_BYTES else 0
         self._protocol.receive_data(data)
         self.advance()
 
@@ -78,7 +78,7 @@
 
     @property
     def input_wait_us(self) -> int:
-        """How long the event loop waited before it read what is read now."""
+        """How long what is read now may have been there unseen."""
         return self._listener.handler.input_wait_us
 
     def connection_lost(self, _reason: str) -> None:
--- a/juniperreel/platform/command.py
+++ b/juniperreel/platform/command.py
@@ -28,7 +28,7 @@
         self.form = form
         self.answer = answer
         self.request_id: str | None = None  # of the open request that will answer it
-        self.wait_us = client.input_wait_us  # of the event loop, before this was read
+        self.wait_us = client.input_wait_us  # since it may have arrived, until the event loop saw it
 
     def finish(self, answer: bytes) -> None:
         """Set the final answer, and send it once all commands before this one have theirs."""
@@ -51,7 +51,7 @@
     """Answers clients' commands.
 
     `input_ready_since_us`: since when what is read now may have waited in the kernel.
-    `input_wait_us`: how long the event loop waited before it.
+    `input_wait_us`: how long that was, at most.
     """
 
     input_ready_since_us: int
--- a/tests/platform/driver_process.py
+++ b/tests/platform/driver_process.py
@@ -96,6 +96,20 @@
         client.take()
         return client
 
+    def welcomed_clients(self, count: int) -> list[RemoteEnd]:
+        """So many clients, welcomed side by side: in turn, the first would be closed for asking nothing."""
+        self.client().close()
+        clients = [self.connect() for _ in range(count)]
+        for client in clients:
+            client.send(HELLO)
+        end_at = time.monotonic() + START_TIMEOUT_S
+        while not all(client.read().endswith(m.READY) for client in clients):
+            assert time.monotonic() < end_at, self.log.read_text()
+            self.turn()
+        for client in clients:
+            client.take()
+        return clients
+
     def turn(self) -> None:
         """Welcome new connections to members; their queries are left to hang."""
         for member in self.members:
