--- a/tests/rpc/test_stall_monitor.py
+++ b/tests/rpc/test_stall_monitor.py
@@ -98,6 +98,30 @@
     assert age >= 0.9 * WAITED_S * 1e6
 
 
+async def test_call_that_came_with_its_connection_begins_with_the_age_of_both() -> None:
+    """The connection waits to be accepted, and the call with it, while the loop stands still."""
+    clock = Clock()
+    stall_monitor = StallMonitor(clock)
+    stall_monitor.install()
+    ages: list[int] = []
+
+    async def echo(call: Call, data: bytes) -> bytes:
+        ages.append(clock.now_us() - call.started_us)
+        return data
+
+    server = Server({"/t/Echo": Method(unary=echo)}, Limits(), clock, stall_monitor=stall_monitor)
+    async with trio.open_nursery() as nursery:
+        port = await nursery.start(server.serve, await TcpNetwork().listen("127.0.0.1", 0))
+        await trio.sleep(0.05)
+        with socket.create_connection(("127.0.0.1", port)) as peer:
+            peer.sendall(b"".join(request(60_000)))
+            time.sleep(WAITED_S)
+            await wait_for_status(peer)
+        nursery.cancel_scope.cancel()
+    stall_monitor.uninstall()
+    assert ages[0] >= 0.9 * WAITED_S * 1e6
+
+
 async def test_call_on_an_idle_connection_is_fresh() -> None:
     (age,) = await ages_of_served_calls(60_000, stall=False)
     assert age < 0.9 * WAITED_S * 1e6
