--- a/juniperreel/rpc/arrival.py
+++ b/juniperreel/rpc/arrival.py
@@ -1,8 +1,12 @@
-"""Estimates since when bytes just read may have waited in their socket."""
+"""Estimates since when bytes just read, or connections just accepted, may have waited in their socket."""
 
 from __future__ import annotations
 
-from juniperreel.net import StallMonitor
+from weakref import WeakKeyDictionary
+
+import trio
+
+from juniperreel.net import Clock, Listener, StallMonitor
 
 
 class ArrivalEstimator:
@@ -31,3 +35,31 @@
     def on_socket_emptied(self, read_us: int) -> None:
         """The read at `read_us` took all there was."""
         self.arrived_after_us = read_us
+
+
+class TimedListener:
+    """A listener that notes since when each connection may have waited to be accepted."""
+
+    def __init__(self, listener: Listener, stall_monitor: StallMonitor | None, clock: Clock) -> None:
+        """Take over `listener`."""
+        self.port = listener.port
+        self._listener = listener
+        self._clock = clock
+        self._estimator = ArrivalEstimator(stall_monitor, clock.now_us())
+        self._waiting_since_us: WeakKeyDictionary[trio.abc.Stream, int] = WeakKeyDictionary()
+
+    async def accept(self) -> trio.abc.Stream:
+        """Return the next connection. Raises trio.ClosedResourceError once the listener is closed."""
+        self._estimator.before_read()
+        stream = await self._listener.accept()
+        self._estimator.after_read(self._clock.now_us())
+        self._waiting_since_us[stream] = self._estimator.arrived_after_us
+        return stream
+
+    async def aclose(self) -> None:
+        """Stop listening."""
+        await self._listener.aclose()
+
+    def waiting_since_us(self, stream: trio.abc.Stream) -> int:
+        """Return since when an accepted connection may have waited."""
+        return self._waiting_since_us[stream]
--- a/juniperreel/rpc/connection.py
+++ b/juniperreel/rpc/connection.py
@@ -48,11 +48,12 @@
         clock: Clock,
         on_request: Callable[[Stream], None] | None = None,
         stall_monitor: StallMonitor | None = None,
+        waiting_since_us: int | None = None,
     ) -> None:
         """`on_request` is called for each new stream of the peer.
 
         The stream then holds all that was read together with its headers. With a `stall_monitor`, what is
-        read waits for its turn.
+        read waits for its turn. `waiting_since_us`: since when it may have waited to be accepted.
         """
         self.limits = limits
         self.client = client
@@ -72,7 +73,8 @@
         self._guard = AbuseGuard(limits)
         self._protocol = Http2Protocol(client, limits)
         self._writer = ConnectionWriter(self._protocol, transport, limits, self.abort)
-        self._arrival = ArrivalEstimator(stall_monitor, clock.now_us())
+        opened_us = clock.now_us() if waiting_since_us is None else waiting_since_us
+        self._arrival = ArrivalEstimator(stall_monitor, opened_us)
         self._keepalive = Keepalive(limits, clock, lambda: bool(self.streams), self._send_ping, self.abort)
         self._scope: trio.CancelScope | None = None
 
--- a/juniperreel/rpc/server.py
+++ b/juniperreel/rpc/server.py
@@ -15,6 +15,7 @@
 
 from juniperreel.net import Clock, Listener, StallMonitor
 from juniperreel.net.accept import serve_connections
+from juniperreel.rpc.arrival import TimedListener
 from juniperreel.rpc.call import CONTENT_TYPE, ENCODINGS, RESPONSE_HEADERS, Call, trailers
 from juniperreel.rpc.connection import Connection
 from juniperreel.rpc.errors import TransportError
@@ -102,9 +103,14 @@
         self, listener: Listener, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Accept connections until cancelled or the listener is closed."""
+        timed_listener = TimedListener(listener, self._stall_monitor, self._clock)
+
+        async def handle(transport: trio.abc.Stream) -> None:
+            await self._serve_connection(transport, timed_listener.waiting_since_us(transport))
+
         await serve_connections(
-            listener,
-            self._serve_connection,
+            timed_listener,
+            handle,
             task_status,
             has_capacity=lambda: not self._draining and len(self._connections) < self._max_connections,
             after_accept=self._stall_monitor.wait_for_new_work_budget
@@ -112,7 +118,7 @@
             else None,
         )
 
-    async def _serve_connection(self, transport: trio.abc.Stream) -> None:
+    async def _serve_connection(self, transport: trio.abc.Stream, waiting_since_us: int) -> None:
         async with trio.open_nursery() as nursery:
 
             def on_request(stream: Stream) -> None:
@@ -122,7 +128,13 @@
                     nursery.start_soon(self._serve_call, connection, stream, decision.call)
 
             connection = Connection(
-                transport, False, self._limits, self._clock, on_request, self._stall_monitor
+                transport,
+                False,
+                self._limits,
+                self._clock,
+                on_request,
+                self._stall_monitor,
+                waiting_since_us,
             )
             self._connections.add(connection)
             try:
