--- a/juniperreel/platform/counters.py
+++ b/juniperreel/platform/counters.py
@@ -71,13 +71,14 @@
     def fields(self) -> dict[str, dict[str, int]]:
         """All counts that are not zero, by names that a log line can hold."""
         return {
+            # First, as what keeps the beginning of a line only has to show these.
+            "held_up_waits": {"count": self.held_up_waits, "longest_ms": self.longest_oversleep_ms},
+            "left_at_deadline": {"count": self.left_at_deadline},
             "answers": {kind.value: count for kind, count in self.answers.items()},
             "attempts": dict(self.attempts),
             "refused_sends": {reason.value: count for reason, count in self.refused_sends.items()},
             "closed_clients": {reason.value: count for reason, count in self.closed_clients.items()},
             "lists": dict(self.lists),
             "stalls": {"count": self.stalls, "longest_ms": self.longest_stall_ms},
-            "held_up_waits": {"count": self.held_up_waits, "longest_ms": self.longest_oversleep_ms},
-            "left_at_deadline": {"count": self.left_at_deadline},
             "endings": {"rejected": self.rejected_at_the_end, "withdrawn_unsent": self.withdrawn_unsent},
         }
--- a/juniperreel/platform/program.py
+++ b/juniperreel/platform/program.py
@@ -189,10 +189,10 @@
     def _log_counts(self, event: str) -> None:
         self.log.info(
             event,
+            violations=self.driver.monitor.summary(),
+            **self.driver.counters.fields(),
             open_requests=len(self.driver.requests.by_id),
             clients=self.driver.budget.clients,
             endpoint_connections=self.driver.budget.endpoint_connections,
             cpu_s=round(sum(os.times()[:2]), 2),
-            violations=self.driver.monitor.summary(),
-            **self.driver.counters.fields(),
         )
