Soak: hold-ups within waits, clients that leave 60 ms after their time, late answers judged

Need: the soak's clients waited 0.55 s beyond their time and its hold-ups came behind readings of the clock only, so the incident passed unseen. Change: FaultKind.HOLD_UP_IN_WAIT, PunctualClient, and late_answers, which excuses an answer by a hold-up at its deadline and nothing else; hold-ups are recorded for it.

--- a/juniperreel/testbed/faulty_driver.py
+++ b/juniperreel/testbed/faulty_driver.py
@@ -1,7 +1,8 @@
 """The platform's driver with faults of the operating system: `python -m juniperreel.testbed.faulty_driver`.
 
 The variable JUNIPERREEL_FAULTS holds JSON: `rates` by kind of fault, the `seed` of their draws, and the
-directory `counts`, which gets a file for each process that says how often each fault happened in it.
+directory `counts`, which gets two files for each process: how often each fault happened in it, and when it
+was held up.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 import zlib
 from pathlib import Path
 
+from juniperreel.testbed.hold_ups import HOLD_UPS_SUFFIX
 from juniperreel.testbed.injected_faults import FaultKind, InjectedFaults, install
 
 FAULTS_VARIABLE = "JUNIPERREEL_FAULTS"
@@ -28,7 +30,7 @@
     starts = len(list(directory.glob(f"{name}.*{COUNTS_SUFFIX}")))
     counts_file = directory / f"{name}.{starts}{COUNTS_SUFFIX}"
     seed = zlib.crc32(f"{settings['seed']} {name} {starts}".encode())
-    install(InjectedFaults(rates, seed, counts_file))
+    install(InjectedFaults(rates, seed, counts_file, counts_file.with_suffix(HOLD_UPS_SUFFIX)))
     runpy.run_module(DRIVER_MODULE, run_name="__main__")
 
 
--- /dev/null
+++ b/juniperreel/testbed/hold_ups.py
@@ -0,0 +1,88 @@
+"""Hold-ups of a process, as by a machine that gives it no processor, and the record of when they were.
+
+The record is on the monotonic clock, which all processes of a machine share. So a judge in another one can
+tell an answer that is late by a hold-up at its deadline from one that is late for another reason.
+"""
+
+from __future__ import annotations
+
+import select
+import struct
+import time
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from juniperreel.net.clock import US
+
+HOLD_UPS_SUFFIX = ".hold-ups"
+RECORD = struct.Struct("<QQ")
+NS_PER_US = 1_000
+
+
+class HoldUp(NamedTuple):
+    """One hold-up, in microseconds of the monotonic clock."""
+
+    start_us: int
+    end_us: int
+
+    def overlap_us(self, start_us: int, end_us: int) -> int:
+        """Return how much of it lies in a span."""
+        return max(0, min(self.end_us, end_us) - max(self.start_us, start_us))
+
+
+class HoldUpRecorder:
+    """Holds this process up, and appends each hold-up to a file."""
+
+    def __init__(self, path: Path) -> None:
+        """Open the file; what it has stays."""
+        self._file = path.open("ab", buffering=0)
+
+    def hold_up(self, seconds: float) -> None:
+        """Do nothing at all for so long. It is recorded before, as the process may be killed meanwhile."""
+        start_us = time.monotonic_ns() // NS_PER_US
+        due_us = start_us + int(seconds * US)
+        self._file.write(RECORD.pack(start_us, due_us))
+        time.sleep(seconds)
+        self._file.write(RECORD.pack(due_us, max(due_us, time.monotonic_ns() // NS_PER_US)))
+
+
+def read_hold_ups(directory: Path) -> Mapping[str, Sequence[HoldUp]]:
+    """Return the hold-ups of all processes that recorded theirs in `directory`, by the processes' names."""
+    found: defaultdict[str, list[HoldUp]] = defaultdict(list)
+    for path in directory.glob(f"*{HOLD_UPS_SUFFIX}"):
+        name = path.name.partition(".")[0]
+        found[name].extend(_records(path))
+    return found
+
+
+def _records(path: Path) -> Iterator[HoldUp]:
+    data = path.read_bytes()
+    whole = len(data) - len(data) % RECORD.size  # its process may have been killed while it wrote
+    return (HoldUp(start_us, end_us) for start_us, end_us in RECORD.iter_unpack(data[:whole]))
+
+
+def held_up_us(hold_ups: Iterable[HoldUp], start_us: int, end_us: int) -> int:
+    """Return how long a process was held up within a span."""
+    return sum(hold_up.overlap_us(start_us, end_us) for hold_up in hold_ups)
+
+
+class HeldUpEpoll:
+    """An epoll in whose waits the process is held up now and then. Takes the place of `select.epoll`."""
+
+    def __init__(self, open_epoll: Callable[[], select.epoll], hold_up_in_wait: Callable[[], None]) -> None:
+        """`hold_up_in_wait` is called at the end of each wait, before it returns."""
+        self._epoll = open_epoll()
+        self._hold_up_in_wait = hold_up_in_wait
+
+    def __getattr__(self, name: str) -> Any:
+        """Everything else is the epoll's own."""
+        return getattr(self._epoll, name)
+
+    def poll(self, timeout: float | None = None, maxevents: int = -1) -> list[tuple[int, int]]:
+        """Wait for events."""
+        found = self._epoll.poll(timeout, maxevents)
+        if timeout != 0:
+            self._hold_up_in_wait()
+        return found
--- a/juniperreel/testbed/injected_faults.py
+++ b/juniperreel/testbed/injected_faults.py
@@ -11,16 +11,19 @@
 import mmap
 import os
 import random
+import select
 import socket
 import struct
 import time
 from collections import Counter
 from collections.abc import Mapping, Sequence
 from enum import Enum
+from functools import partial
 from pathlib import Path
 from typing import Any
 
 from juniperreel.net import Clock
+from juniperreel.testbed.hold_ups import HeldUpEpoll, HoldUpRecorder
 
 HOUR_S = 3600.0
 WALL_CLOCK_STEPS_S = (-HOUR_S, -3.0, 3.0, HOUR_S)
@@ -42,7 +45,8 @@
     HALF_FILE = "half-file"
     WALL_CLOCK = "wall-clock"  # it is stepped while the process runs
     WALL_CLOCK_AT_START = "wall-clock-at-start"  # it was stepped before
-    HOLD_UP = "hold-up"
+    HOLD_UP = "hold-up"  # behind a reading of the clock
+    HOLD_UP_IN_WAIT = "hold-up-in-wait"  # while it waits for events
 
 
 KINDS = list(FaultKind)
@@ -83,8 +87,15 @@
 class InjectedFaults:
     """Draws which call fails. `rates` has the part of calls by kind; kinds that it leaves out never fail."""
 
-    def __init__(self, rates: Mapping[FaultKind, float], seed: int, counts_file: Path | None = None) -> None:
-        """Count into `counts_file`, too, so that the counts outlive a process that is killed."""
+    def __init__(
+        self,
+        rates: Mapping[FaultKind, float],
+        seed: int,
+        counts_file: Path | None = None,
+        hold_ups_file: Path | None = None,
+    ) -> None:
+        """Count into `counts_file`, and record hold-ups, so that both outlive a process that is killed."""
+        self._hold_ups = None if hold_ups_file is None else HoldUpRecorder(hold_ups_file)
         self._shared = None if counts_file is None else SharedCounts(counts_file)
         self.rates = dict(rates)
         self.counts: Counter[FaultKind] = Counter()
@@ -105,6 +116,16 @@
         """One of the errors by which a fault of this kind shows."""
         return self.next_errnos.pop(kind, 0) or self.random.choice(ERRNOS[kind])
 
+    def hold_up_if_occurs(self, kind: FaultKind) -> None:
+        """Hold the process up where a fault of this kind happens now."""
+        if not self.occurs(kind):
+            return
+        seconds = self.random.uniform(0, MAX_HOLD_UP_S)
+        if self._hold_ups is None:
+            time.sleep(seconds)
+        else:
+            self._hold_ups.hold_up(seconds)
+
     def raise_if_occurs(self, kind: FaultKind) -> None:
         """Raise OSError where a fault of this kind happens now."""
         if self.occurs(kind):
@@ -211,11 +232,18 @@
 
     def held_up(clock: Clock) -> int:
         read_us = now_us(clock)
-        if faults.occurs(FaultKind.HOLD_UP):
-            time.sleep(faults.random.uniform(0, MAX_HOLD_UP_S))
+        faults.hold_up_if_occurs(FaultKind.HOLD_UP)
         return read_us
 
     Clock.now_us = held_up  # type: ignore[method-assign, assignment]
+    _install_hold_ups_in_waits(faults)
+
+
+def _install_hold_ups_in_waits(faults: InjectedFaults) -> None:
+    """Hold the process up while it waits for events, which are found at the end of the wait."""
+    open_epoll = select.epoll
+    hold_up = partial(faults.hold_up_if_occurs, FaultKind.HOLD_UP_IN_WAIT)
+    select.epoll = partial(HeldUpEpoll, open_epoll, hold_up)  # type: ignore[assignment, misc]
 
 
 def _install_files(faults: InjectedFaults) -> None:
--- a/juniperreel/testbed/soak/clients.py
+++ b/juniperreel/testbed/soak/clients.py
@@ -12,7 +12,9 @@
 from juniperreel.fakes.platform_clients import READ_BYTES, PlatformSession
 from juniperreel.net.clock import US
 from juniperreel.postgres import messages
+from juniperreel.postgres.client import Reply
 from juniperreel.testbed.relay import reset_connection
+from juniperreel.testbed.soak.loop_lag import LoopLag
 from juniperreel.testbed.soak.requests import (
     HELLO,
     LATE_US,
@@ -22,6 +24,7 @@
     SoakRequests,
     WasKilled,
 )
+from juniperreel.testbed.soak.timeliness import AwaitedAnswer
 from juniperreel.verification import records as rec
 
 BAD_CLIENT_LIMIT_S = 3.5  # the 3 s that the operators owe a client that stops, and what a busy machine takes
@@ -35,12 +38,28 @@
 
     notes: ClientNotes
     was_killed: WasKilled
+    lag: LoopLag
     asked_us = 0
+    deadline_ms = 0
 
     def _record_sent(self, request_class: rec.RequestClass, request_id: str, deadline_ms: int) -> None:
         self.asked_us = self._clock.now_us()
+        self.deadline_ms = deadline_ms
         super()._record_sent(request_class, request_id, deadline_ms)
 
+    def _record_reply(self, request_id: str, reply: Reply) -> int:
+        self.notes.awaited.append(
+            AwaitedAnswer(
+                request_id,
+                self._edge,
+                self.asked_us + self.deadline_ms * 1000,
+                self._clock.now_us(),
+                answered=True,
+                tolerance_us=self.lag.tolerance_us(self.asked_us),
+            )
+        )
+        return super()._record_reply(request_id, reply)
+
     def _on_connection_ended(self, request_id: str) -> None:
         """Note a request that met the end of its connection, unless its driver was killed."""
         if self._protocol.response_started or self.was_killed(self._edge, self.asked_us):
--- a/juniperreel/testbed/soak/oracle.py
+++ b/juniperreel/testbed/soak/oracle.py
@@ -11,8 +11,10 @@
 
 from juniperreel.testbed.driver_fleet import ExitStatus
 from juniperreel.testbed.faulty_driver import COUNTS_SUFFIX
+from juniperreel.testbed.hold_ups import read_hold_ups
 from juniperreel.testbed.injected_faults import FaultKind, SharedCounts
 from juniperreel.testbed.soak.requests import ClientNotes
+from juniperreel.testbed.soak.timeliness import late_answers
 from juniperreel.verification import records as rec
 from juniperreel.verification.history import CROSS_SOCKET_TOLERANCE_US, History
 from juniperreel.verification.rules import RULES
@@ -59,6 +61,7 @@
     "sent much and left",
     "pipelined",
     "wrote slowly",
+    "answers to clients that leave after their time",
     "kept sending until the end",
     "answers to clients that keep sending",
 )
@@ -88,14 +91,19 @@
     counts_directory: Path,
     exits: Sequence[ExitStatus],
     crashed: Sequence[str],
+    clock_offset_us: int = 0,
     has_crowd: bool = False,
 ) -> SoakReport:
-    """Put together the report of one soak. `crashed`: drivers that ended though nobody told them to."""
+    """Put together the report of one soak. `crashed`: drivers that ended though nobody told them to.
+
+    `clock_offset_us`: how far the clock of `notes` is ahead of the monotonic one.
+    """
     report = SoakReport(seed)
     lines = [line for path in logs for line in _log_lines(path)]
     report.violations += _broken_rules(records, notes)
     report.violations += _attempts_after_clients_left(records, notes)
     report.violations += _lost_crossings(records, notes, lines)
+    report.violations += late_answers(notes.awaited, read_hold_ups(counts_directory), clock_offset_us)
     report.violations += notes.violations
     report.violations += [json.dumps(line)[:600] for line in lines if line["event"] in FAULT_EVENTS]
     report.violations += [f"{name} ended by itself" for name in crashed]
@@ -175,4 +183,5 @@
     responses = [record for record in records if isinstance(record, rec.ResponseReceived)]
     report.counts["requests answered"] = len(responses)
     report.counts["requests served"] = sum(record.status == 0 for record in responses)
+    report.counts["requests given up"] = sum(not awaited.answered for awaited in notes.awaited)
     report.counts["requests crossed an end"] = len(notes.crossed)
--- a/juniperreel/testbed/soak/persistent_clients.py
+++ b/juniperreel/testbed/soak/persistent_clients.py
@@ -9,15 +9,13 @@
 import random
 from collections import deque
 from dataclasses import dataclass
-from typing import NamedTuple
 
 import trio
 
 from juniperreel.fakes.client_session import EdgeAddress
 from juniperreel.fakes.platform_clients import READ_BYTES
-from juniperreel.net import Clock
-from juniperreel.net.clock import US
 from juniperreel.postgres import messages
+from juniperreel.testbed.soak.loop_lag import LoopLag
 from juniperreel.testbed.soak.requests import HELLO, FindDriver, SoakRequests
 from juniperreel.verification import records as rec
 
@@ -27,42 +25,6 @@
 RECONNECT_S = 0.1
 # Between a driver's last look at a connection and its end; where drivers are held up, that comes on top.
 CROSSING_US = 50_000
-# Of this process's loop: a request is sent in one, its connection's end noticed and read in two.
-LATE_TURNS = 3
-LAG_INTERVAL_S = 0.02
-LAG_MEMORY_US = 5_000_000
-
-
-class LagSample(NamedTuple):
-    """How late the event loop was at a time."""
-
-    at_us: int
-    late_us: int
-
-
-class LoopLag:
-    """Measures how late this process's own event loop is, which dates what clients see too late."""
-
-    def __init__(self, clock: Clock) -> None:
-        """Measure nothing yet; `run` must be running."""
-        self._clock = clock
-        self._samples: deque[LagSample] = deque()
-        self._due_us = clock.now_us()  # when the next sample is due
-
-    async def run(self) -> None:
-        """Measure until cancelled."""
-        while True:
-            self._due_us = self._clock.now_us() + int(LAG_INTERVAL_S * US)
-            await trio.sleep(LAG_INTERVAL_S)
-            now_us = self._clock.now_us()
-            self._samples.append(LagSample(now_us, now_us - self._due_us))
-            while self._samples[0].at_us < now_us - LAG_MEMORY_US:
-                self._samples.popleft()
-
-    def worst_us(self, since_us: int) -> int:
-        """Return the longest time by which it was late since then, or is late now."""
-        late_now_us = self._clock.now_us() - self._due_us
-        return max([late_now_us, *(sample.late_us for sample in self._samples if sample.at_us >= since_us)])
 
 
 @dataclass(frozen=True, slots=True)
@@ -182,7 +144,7 @@
         for sent in self._unanswered:
             requests.judge_unanswered(self._driver, sent.request_id, True, sent.at_us)
             early_us = ended_us - sent.at_us
-            tolerance_us = crossing_us + LATE_TURNS * lag.worst_us(sent.at_us)
+            tolerance_us = crossing_us + lag.tolerance_us(sent.at_us)
             if sent.request_id in requests.notes.crossed and early_us > tolerance_us:
                 requests.notes.violations.append(
                     f"{sent.request_id} was sent to {self._driver} {early_us} us before its connection ended"
--- a/juniperreel/testbed/soak/plan.py
+++ b/juniperreel/testbed/soak/plan.py
@@ -84,6 +84,7 @@
     FaultKind.WALL_CLOCK: 0.05,
     FaultKind.WALL_CLOCK_AT_START: 0.5,
     FaultKind.HOLD_UP: 0.0005,
+    FaultKind.HOLD_UP_IN_WAIT: 0.004,
 }
 
 
--- a/juniperreel/testbed/soak/requests.py
+++ b/juniperreel/testbed/soak/requests.py
@@ -13,6 +13,8 @@
 from juniperreel.fakes.platform_clients import STATUS_OK, STATUS_UNKNOWN, TENANT, statement
 from juniperreel.net import Clock
 from juniperreel.postgres import messages
+from juniperreel.testbed.soak.loop_lag import LoopLag
+from juniperreel.testbed.soak.timeliness import AwaitedAnswer
 from juniperreel.verification import records as rec
 
 # Many connections write and read each row: a replica that lags soon lacks writes that a read must show.
@@ -59,6 +61,7 @@
     left: list[ClientLeft] = field(default_factory=list)
     unusual: set[str] = field(default_factory=set)
     violations: list[str] = field(default_factory=list)
+    awaited: list[AwaitedAnswer] = field(default_factory=list)
     counts: Counter[str] = field(default_factory=Counter)
     conversations: int = 0
 
@@ -84,6 +87,7 @@
         record: rec.RecordSink,
         deadline_ms: int,
         groups: int,
+        lag: LoopLag,
         rng: random.Random,
     ) -> None:
         """`was_killed` excuses a driver; `deadline_ms` is what each request tells it."""
@@ -93,6 +97,8 @@
         self.clock = clock
         self.deadline_ms = deadline_ms
         self._groups = groups
+        self._lag = lag
+        self._sent_us: dict[str, int] = {}  # of requests that were recorded and have no answer yet
         self._record = record
         self._rng = rng
 
@@ -107,11 +113,16 @@
         return Session(self.new_id(), row, group)
 
     def query(
-        self, request_class: rec.RequestClass, request_id: str, session: Session | None = None
+        self,
+        request_class: rec.RequestClass,
+        request_id: str,
+        session: Session | None = None,
+        deadline_ms: int | None = None,
     ) -> bytes:
         """Return the message that asks for it; without a session it has a row of its own."""
         session = session or Session.of_one_request(request_id)
-        text = statement(request_class, request_id, session.row, session.group, self.deadline_ms)
+        deadline_ms = self.deadline_ms if deadline_ms is None else deadline_ms
+        text = statement(request_class, request_id, session.row, session.group, deadline_ms)
         return messages.query(text.encode())
 
     def record_asked(
@@ -126,6 +137,7 @@
         if session is None:
             self.notes.unusual.add(request_id)
             session = Session.of_one_request(request_id)
+        self._sent_us[request_id] = now_us
         deadline_us = now_us + self.deadline_ms * 1000 + LATE_US
         self._record(
             rec.RequestSent(
@@ -148,12 +160,29 @@
         """Record an answer; one that belongs to another request is a violation."""
         served = answer.startswith(b"T")
         now_us = self.clock.now_us()
+        sent_us = self._sent_us.pop(request_id)
+        self.note_awaited(driver, request_id, sent_us, self.deadline_ms, answered=True)
         status = STATUS_OK if served else STATUS_UNKNOWN
         endpoint, ids = _answered_row(answer) if served else ("", [])
         self._record(rec.ResponseReceived(now_us, request_id, 0, status, endpoint=endpoint, rows=ids))
         if served and request_class.write and request_id.encode() not in answer:
             self.notes.violations.append(f"the answer to {request_id} of {driver} is another request's")
 
+    def note_awaited(
+        self, driver: str, request_id: str, sent_us: int, deadline_ms: int, answered: bool
+    ) -> None:
+        """Note that a request was answered now, or that its client gives it up."""
+        self.notes.awaited.append(
+            AwaitedAnswer(
+                request_id,
+                driver,
+                sent_us + deadline_ms * 1000,
+                self.clock.now_us(),
+                answered,
+                self._lag.tolerance_us(sent_us),
+            )
+        )
+
     def judge_unanswered(self, driver: str, request_id: str, ended: bool, sent_us: int) -> None:
         """Judge a request without an answer, whose connection `ended` or not."""
         if self.was_killed(driver, sent_us):
--- a/juniperreel/testbed/soak/run.py
+++ b/juniperreel/testbed/soak/run.py
@@ -4,6 +4,7 @@
 
 import json
 import random
+import time
 from collections.abc import Mapping, Sequence
 from pathlib import Path
 
@@ -14,15 +15,18 @@
 from juniperreel.net import Network
 from juniperreel.net.clock import US
 from juniperreel.testbed.faulty_driver import FAULTS_VARIABLE
+from juniperreel.testbed.hold_ups import NS_PER_US
 from juniperreel.testbed.injected_faults import MAX_HOLD_UP_S, FaultKind
 from juniperreel.testbed.processes import ProcessState
 from juniperreel.testbed.scenario import CLASS_WEIGHTS
 from juniperreel.testbed.single_process_trial import SingleProcessTrial
 from juniperreel.testbed.soak.clients import MisbehavingClients, SoakSession
 from juniperreel.testbed.soak.crowd import IdleClient
+from juniperreel.testbed.soak.loop_lag import LoopLag
 from juniperreel.testbed.soak.oracle import SoakReport, judge
-from juniperreel.testbed.soak.persistent_clients import LoopLag, PersistentClient
+from juniperreel.testbed.soak.persistent_clients import PersistentClient
 from juniperreel.testbed.soak.plan import FAULT_RATES, draw_plan
+from juniperreel.testbed.soak.punctual_clients import PunctualClient
 from juniperreel.testbed.soak.requests import LATE_US, ClientNotes, SoakRequests
 from juniperreel.verification import records as rec
 
@@ -30,6 +34,7 @@
 PAUSE_S = 0.15  # mean, between two requests of a session
 MISBEHAVING_TASKS = 3
 PERSISTENT_CLIENTS_PER_DRIVER = 1
+PUNCTUAL_CLIENTS_PER_DRIVER = 2
 MAX_DEADLINE_MS = 4_000  # of unusual clients' requests
 SETTLE_S = 5.0  # for clients to judge the ends of their connections
 SETTLE_POLL_S = 0.02
@@ -52,7 +57,8 @@
         self.notes = ClientNotes()
         self.crashed: list[str] = []
         self._directory = directory
-        self._hold_up_us = int(MAX_HOLD_UP_S * US) if rates.get(FaultKind.HOLD_UP) else 0
+        holds_up = rates.get(FaultKind.HOLD_UP) or rates.get(FaultKind.HOLD_UP_IN_WAIT)
+        self._hold_up_us = int(MAX_HOLD_UP_S * US) if holds_up else 0
         faults = {
             "rates": {kind.value: rate for kind, rate in rates.items()},
             "seed": day["seed"],
@@ -60,6 +66,7 @@
         }
         environment = {FAULTS_VARIABLE: json.dumps(faults), "JUNIPERREEL_TRACE": "1"}
         super().__init__(day, network, directory, PAUSE_S, program, CLASS_WEIGHTS, environment)
+        self._lag = LoopLag(self.clock)
 
     def report(self) -> SoakReport:
         """Judge what was played."""
@@ -72,6 +79,7 @@
             self._directory,
             self._drivers.exit_statuses,
             self.crashed,
+            self.clock.now_us() - time.monotonic_ns() // NS_PER_US,
             has_crowd=bool(self.day["crowd"]),
         )
 
@@ -87,8 +95,7 @@
             nursery.cancel_scope.cancel()
 
     def _start_unusual_clients(self, nursery: trio.Nursery, mix: Sequence[rec.RequestClass]) -> None:
-        lag = LoopLag(self.clock)
-        nursery.start_soon(lag.run)
+        nursery.start_soon(self._lag.run)
         for _ in range(MISBEHAVING_TASKS):
             misbehaving = MisbehavingClients(
                 self._new_requests(mix), self._find_driver, self._rng.getrandbits(32)
@@ -96,9 +103,16 @@
             nursery.start_soon(misbehaving.run)
         for _ in range(PERSISTENT_CLIENTS_PER_DRIVER * len(self.names)):
             persistent = PersistentClient(
-                self._new_requests(mix), self._find_driver, lag, self._hold_up_us, self._rng.getrandbits(32)
+                self._new_requests(mix),
+                self._find_driver,
+                self._lag,
+                self._hold_up_us,
+                self._rng.getrandbits(32),
             )
             nursery.start_soon(persistent.run)
+        for _ in range(PUNCTUAL_CLIENTS_PER_DRIVER * len(self.names)):
+            punctual = PunctualClient(self._new_requests(mix), self._find_driver, self._rng.getrandbits(32))
+            nursery.start_soon(punctual.run)
         for _ in range(self.day["crowd"] * len(self.names)):
             nursery.start_soon(IdleClient(self.notes, self._find_driver).run)
 
@@ -111,6 +125,7 @@
             self.recorder,
             min(self.day["longest-deadline"] // 1000, MAX_DEADLINE_MS),
             self.day["groups"],
+            self._lag,
             random.Random(self._rng.getrandbits(32)),
         )
 
@@ -120,6 +135,7 @@
         session.patience_us = LATE_US
         session.notes = self.notes
         session.was_killed = self._was_killed
+        session.lag = self._lag
         return session
 
     def _find_driver(self) -> EdgeAddress | None:
--- a/tests/testbed/test_soak.py
+++ b/tests/testbed/test_soak.py
@@ -12,11 +12,13 @@
 from juniperreel.fakes.script import parse, render
 from juniperreel.net import TcpNetwork
 from juniperreel.testbed.driver_fleet import ExitStatus
+from juniperreel.testbed.hold_ups import HOLD_UPS_SUFFIX, RECORD
 from juniperreel.testbed.injected_faults import FaultKind
 from juniperreel.testbed.soak.oracle import SoakReport, judge
 from juniperreel.testbed.soak.plan import FAULT_RATES, draw_plan
 from juniperreel.testbed.soak.requests import ClientLeft, ClientNotes
 from juniperreel.testbed.soak.run import FAULTY_DRIVER_PROGRAM, SoakTrial, play_soak
+from juniperreel.testbed.soak.timeliness import AwaitedAnswer
 from juniperreel.verification import records as rec
 
 DRIVERS = 8
@@ -35,6 +37,7 @@
 
 PLANT = """
 import runpy
+from juniperreel.net.poller import Poller
 from juniperreel.platform.attempt import Attempt
 from juniperreel.platform.client_connection import ClientConnection
 from juniperreel.platform.client_listener import ClientListener
@@ -62,6 +65,13 @@
 ClientListener.close_inactive = planted
 """
 
+COUNTS_FROM_THE_END_OF_A_WAIT = """
+wait = Poller.wait
+async def planted(self, until_us):
+    await wait(self, until_us)
+    self.ready_since_us = self.clock.now_us()
+Poller.wait = planted
+"""
 READS_BUSY_CONNECTIONS_NO_FURTHER = """
 def planted(self):
     self.closing = True
@@ -121,6 +131,38 @@
     return trial.report()
 
 
+async def test_requests_that_count_from_the_end_of_a_wait_are_found_by_a_soak(tmp_path: Path) -> None:
+    """What arrives while the process is held up in a wait is answered late by as much."""
+    program = ("-c", PLANT.format(bug=COUNTS_FROM_THE_END_OF_A_WAIT))
+    report = await play_hold_ups_while_answers_get_lost(tmp_path, program)
+    assert any("after its deadline" in text for text in report.violations), report.counts
+
+
+async def test_hold_ups_while_answers_get_lost_make_none_late(tmp_path: Path) -> None:
+    report = await play_hold_ups_while_answers_get_lost(tmp_path, FAULTY_DRIVER_PROGRAM)
+    assert report.violations == []
+    assert report.counts[f"injected: {FaultKind.HOLD_UP_IN_WAIT.value}"] > 50
+    assert report.counts["client: answers to clients that leave after their time"] > 100
+
+
+async def play_hold_ups_while_answers_get_lost(directory: Path, program: Sequence[str]) -> SoakReport:
+    """Where answers of endpoints get lost, it is the driver that decides when a request has its answer."""
+    day = """
+    groups 2
+    members 4
+    edges 6
+    sessions 12
+    seed 11
+    longest-deadline 600ms
+    last 9s
+    at 1s for 8s lose all 70%
+    """
+    rates = {FaultKind.HOLD_UP_IN_WAIT: 0.06}
+    trial = SoakTrial(parse(day), TcpNetwork(), directory, rates, program)
+    await trial.run()
+    return trial.report()
+
+
 async def test_a_driver_that_does_not_end_is_killed_and_its_report_tells_what_it_did_last(
     tmp_path: Path,
 ) -> None:
@@ -146,6 +188,10 @@
     return rec.AttemptReceived(at_us, "g0-m1", "n0", ID, 0, ID, "board", False, 1000)
 
 
+def awaited(late_us: int, answered: bool = True) -> AwaitedAnswer:
+    return AwaitedAnswer(ID, "n0", SECOND, SECOND + late_us, answered, tolerance_us=0)
+
+
 def judged(
     directory: Path,
     records: list[rec.Record] | None = None,
@@ -182,6 +228,13 @@
         ),
         pytest.param(lambda path: judged(path, lines=({"event": "rule violated"},)), id="a driver's monitor"),
         pytest.param(lambda path: judged(path, lines=({"event": "timer raised"},)), id="an internal error"),
+        pytest.param(
+            lambda path: judged(path, notes=ClientNotes(awaited=[awaited(70_000)])), id="a late answer"
+        ),
+        pytest.param(
+            lambda path: judged(path, notes=ClientNotes(awaited=[awaited(60_000, answered=False)])),
+            id="a client that waited in vain",
+        ),
         pytest.param(lambda path: judged(path, exits=(ExitStatus("n0", 1),)), id="an exit status"),
         pytest.param(lambda path: judged(path, crashed=("n0",)), id="a crash"),
         pytest.param(lambda path: judged(path, notes=ClientNotes(violations=["told"])), id="a client's word"),
@@ -201,3 +254,25 @@
 def test_an_attempt_in_the_moment_in_which_its_client_leaves_is_no_violation(tmp_path: Path) -> None:
     notes = ClientNotes(left=[ClientLeft(ID, SECOND)])
     assert not judged(tmp_path, [attempt(SECOND + 90_000)], notes).violations
+
+
+def held_up(directory: Path, start_us: int, end_us: int) -> None:
+    """Record a hold-up of n0."""
+    (directory / f"n0.0{HOLD_UPS_SUFFIX}").write_bytes(RECORD.pack(start_us, end_us))
+
+
+@pytest.mark.parametrize("answered", [True, False])
+def test_a_hold_up_at_the_deadline_explains_a_late_answer(tmp_path: Path, answered: bool) -> None:
+    held_up(tmp_path, SECOND - 10_000, SECOND + 100_000)
+    assert not judged(tmp_path, notes=ClientNotes(awaited=[awaited(105_000, answered)])).violations
+
+
+@pytest.mark.parametrize("answered", [True, False])
+def test_a_hold_up_before_the_deadline_explains_nothing(tmp_path: Path, answered: bool) -> None:
+    held_up(tmp_path, SECOND - 400_000, SECOND - 250_000)
+    assert judged(tmp_path, notes=ClientNotes(awaited=[awaited(105_000, answered)])).violations
+
+
+def test_a_hold_up_explains_no_more_than_its_length(tmp_path: Path) -> None:
+    held_up(tmp_path, SECOND, SECOND + 40_000)
+    assert judged(tmp_path, notes=ClientNotes(awaited=[awaited(110_000)])).violations
