--- a/juniperreel/testbed/soak/loop_lag.py
+++ b/juniperreel/testbed/soak/loop_lag.py
@@ -45,7 +45,8 @@
     def worst_us(self, since_us: int) -> int:
         """Return the longest time by which it was late since then, or is late now."""
         late_now_us = self._clock.now_us() - self._due_us
-        return max([late_now_us, *(sample.late_us for sample in self._samples if sample.at_us >= since_us)])
+        samples_us = (sample.late_us for sample in self._samples if sample.at_us >= since_us)
+        return max(0, late_now_us, *samples_us)  # the next sample may not be due yet
 
     def tolerance_us(self, since_us: int) -> int:
         """Return by how much what a client saw since then may be dated too late."""
--- a/juniperreel/testbed/soak/persistent_clients.py
+++ b/juniperreel/testbed/soak/persistent_clients.py
@@ -148,6 +148,7 @@
             if sent.request_id in requests.notes.crossed and early_us > tolerance_us:
                 requests.notes.violations.append(
                     f"{sent.request_id} was sent to {self._driver} {early_us} us before its connection ended"
+                    f" at {ended_us}, tolerated {tolerance_us}"
                 )
         requests.notes.counts["kept sending until the end"] += 1
         return None
