--- a/tests/net/test_system_call_failures.py
+++ b/tests/net/test_system_call_failures.py
@@ -137,6 +137,71 @@
         assert first_us
 
 
+async def a_connection_behind_a_full_round_of_acceptances_has_waited_with_the_others(
+    setting: Setting,
+) -> None:
+    setting.acceptor.ACCEPTS_PER_EVENT = 2
+    with setting.connect(), setting.connect(), setting.connect():
+        await setting.poll_once()
+        await setting.poll_once()
+        first_us, _, last_us = setting.waiting_since_us
+        assert last_us == first_us
+
+
+async def a_connection_that_comes_long_after_a_full_round_of_acceptances_has_not_waited_since(
+    setting: Setting,
+) -> None:
+    setting.acceptor.ACCEPTS_PER_EVENT = 2
+    with setting.connect(), setting.connect():
+        await setting.poll_once()
+        accepted_us = setting.poller.clock.now_us()
+        with trio.move_on_after(0.05):
+            await setting.poller.wait(None)
+        with setting.connect():
+            await setting.poll_once()
+            assert setting.waiting_since_us[-1] >= accepted_us
+
+
+async def what_a_short_read_leaves_is_read_in_the_same_turn(setting: Setting) -> None:
+    """Danger: a turn later it would count from after a hold-up in which it had come."""
+    setting.faults.rates[FaultKind.SHORT_READ] = 1.0
+    with setting.connect() as client:
+        await setting.poll_once()
+        client.sendall(b"x" * 1000)
+        await setting.poll_once()
+        (transport,) = setting.accepted
+        receiver = transport.protocol
+        assert isinstance(receiver, Receiver)
+        assert len(receiver.received) == 1000
+        assert setting.faults.counts[FaultKind.SHORT_READ] > 1
+
+
+async def what_is_read_together_with_the_end_of_a_client_is_not_passed_on(setting: Setting) -> None:
+    """Danger: it would be forwarded although nobody waits for its answer."""
+    with setting.connect() as client:
+        await setting.poll_once()
+        (transport,) = setting.accepted
+        receiver = transport.protocol
+        assert isinstance(receiver, Receiver)
+        client.sendall(b"request")
+    transport.handle_event(select.EPOLLIN)  # found before the end came
+    assert receiver.received == b""
+    assert receiver.lost == ["closed"]
+
+
+async def what_an_endpoint_sent_before_its_end_is_passed_on(setting: Setting) -> None:
+    with setting.connect() as endpoint:
+        await setting.poll_once()
+        (transport,) = setting.accepted
+        receiver = transport.protocol
+        assert isinstance(receiver, Receiver)
+        receiver.eof_is_disconnect = False
+        endpoint.sendall(b"reply")
+    await setting.poll_once()
+    assert receiver.received == b"reply"
+    assert receiver.lost == ["closed"]
+
+
 async def what_is_buffered_is_sent_when_the_system_has_memory_again(setting: Setting) -> None:
     with setting.connect() as client:
         await setting.poll_once()
@@ -159,6 +224,11 @@
         a_listener_is_closed_only_once_all_that_wait_are_accepted,
         a_connection_that_comes_long_after_a_failure_has_not_waited_since,
         a_connection_that_waited_through_failures_has_waited_since_the_first,
+        a_connection_behind_a_full_round_of_acceptances_has_waited_with_the_others,
+        a_connection_that_comes_long_after_a_full_round_of_acceptances_has_not_waited_since,
+        what_a_short_read_leaves_is_read_in_the_same_turn,
+        what_is_read_together_with_the_end_of_a_client_is_not_passed_on,
+        what_an_endpoint_sent_before_its_end_is_passed_on,
         what_is_buffered_is_sent_when_the_system_has_memory_again,
     ],
     ids=lambda case: case.__name__,
