--- a/juniperreel/testbed/soak/crowd.py
+++ b/juniperreel/testbed/soak/crowd.py
@@ -4,9 +4,9 @@
 
 import trio
 
-from juniperreel.fakes.client_session import EdgeAddress
 from juniperreel.fakes.platform_clients import READ_BYTES
 from juniperreel.postgres import messages
+from juniperreel.testbed.soak.reconnecting import use_connections
 from juniperreel.testbed.soak.requests import HELLO, ClientNotes, FindDriver
 
 RECONNECT_S = 3.0  # all of them connect in one process, which must not be late for the others
@@ -23,22 +23,13 @@
 
     async def run(self) -> None:
         """Rest at one driver after another until cancelled."""
-        while True:
-            driver = self._find_driver()
-            if driver is not None:
-                await self._rest(driver)
-            await trio.sleep(RECONNECT_S)
+        await use_connections(self._find_driver, self._rest, RECONNECT_S)
 
-    async def _rest(self, driver: EdgeAddress) -> None:
+    async def _rest(self, stream: trio.SocketStream, _driver: str) -> None:
         try:
-            stream = await trio.open_tcp_stream("127.0.0.1", driver.port)
-        except OSError:
-            return
-        async with stream:
-            try:
-                await stream.send_all(HELLO + EMPTY_QUERY)
-                while await stream.receive_some(READ_BYTES):
-                    pass
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
+            await stream.send_all(HELLO + EMPTY_QUERY)
+            while await stream.receive_some(READ_BYTES):
                 pass
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
         self._notes.counts["idle clients that were ended"] += 1
--- a/juniperreel/testbed/soak/persistent_clients.py
+++ b/juniperreel/testbed/soak/persistent_clients.py
@@ -12,10 +12,10 @@
 
 import trio
 
-from juniperreel.fakes.client_session import EdgeAddress
 from juniperreel.fakes.platform_clients import READ_BYTES
 from juniperreel.postgres import messages
 from juniperreel.testbed.soak.loop_lag import LoopLag
+from juniperreel.testbed.soak.reconnecting import use_connections
 from juniperreel.testbed.soak.requests import HELLO, FindDriver, SoakRequests
 from juniperreel.verification import records as rec
 
@@ -51,22 +51,13 @@
 
     async def run(self) -> None:
         """Send until cancelled."""
-        while True:
-            driver = self._find_driver()
-            if driver is not None:
-                await self._use(driver)
-            await trio.sleep(RECONNECT_S)
+        await use_connections(self._find_driver, self._use, RECONNECT_S)
 
-    async def _use(self, driver: EdgeAddress) -> None:
-        try:
-            stream = await trio.open_tcp_stream("127.0.0.1", driver.port)
-        except OSError:
-            return
-        async with stream:
-            with self._requests.notes.conversation():
-                connection = _Connection(self._requests, driver.name, stream, self._rng)
-                await connection.run()
-                connection.judge_end(self._lag, self._crossing_us)
+    async def _use(self, stream: trio.SocketStream, driver: str) -> None:
+        with self._requests.notes.conversation():
+            connection = _Connection(self._requests, driver, stream, self._rng)
+            await connection.run()
+            connection.judge_end(self._lag, self._crossing_us)
 
 
 class _Connection:
--- a/juniperreel/testbed/soak/punctual_clients.py
+++ b/juniperreel/testbed/soak/punctual_clients.py
@@ -6,10 +6,10 @@
 
 import trio
 
-from juniperreel.fakes.client_session import EdgeAddress
 from juniperreel.fakes.platform_clients import READ_BYTES
 from juniperreel.net.clock import US
 from juniperreel.postgres import messages
+from juniperreel.testbed.soak.reconnecting import use_connections
 from juniperreel.testbed.soak.requests import HELLO, ClientLeft, FindDriver, SoakRequests
 from juniperreel.testbed.soak.timeliness import PATIENCE_US
 
@@ -31,24 +31,15 @@
 
     async def run(self) -> None:
         """Use one connection after another."""
-        while True:
-            driver = self._find_driver()
-            if driver is not None:
-                await self._use(driver)
-            await trio.sleep(RECONNECT_S)
-
-    async def _use(self, driver: EdgeAddress) -> None:
-        try:
-            stream = await trio.open_tcp_stream("127.0.0.1", driver.port)
-        except OSError:
-            return
-        async with stream:
-            with self._requests.notes.conversation():
-                connection = _Connection(self._requests, driver.name, stream, self._rng)
-                try:
-                    await connection.run()
-                except (trio.BrokenResourceError, trio.ClosedResourceError):
-                    connection.judge_end()
+        await use_connections(self._find_driver, self._use, RECONNECT_S)
+
+    async def _use(self, stream: trio.SocketStream, driver: str) -> None:
+        with self._requests.notes.conversation():
+            connection = _Connection(self._requests, driver, stream, self._rng)
+            try:
+                await connection.run()
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                connection.judge_end()
 
 
 class _Connection:
