Soak: a run whose own loop was 0.3 s late does not pass, half as many punctual clients

Change: the loop's longest lag is reported, and such a run shows nothing. Violations stay violations.

--- a/juniperreel/testbed/soak/loop_lag.py
+++ b/juniperreel/testbed/soak/loop_lag.py
@@ -29,6 +29,7 @@
     def __init__(self, clock: Clock) -> None:
         """Measure nothing yet; `run` must be running."""
         self._clock = clock
+        self.longest_us = 0  # of all samples
         self._samples: deque[LagSample] = deque()
         self._due_us = clock.now_us()  # when the next sample is due
 
@@ -38,6 +39,7 @@
             self._due_us = self._clock.now_us() + int(LAG_INTERVAL_S * US)
             await trio.sleep(LAG_INTERVAL_S)
             now_us = self._clock.now_us()
+            self.longest_us = max(self.longest_us, now_us - self._due_us)
             self._samples.append(LagSample(now_us, now_us - self._due_us))
             while self._samples[0].at_us < now_us - LAG_MEMORY_US:
                 self._samples.popleft()
--- a/juniperreel/testbed/soak/oracle.py
+++ b/juniperreel/testbed/soak/oracle.py
@@ -23,6 +23,8 @@
 STALE_READ = 5
 # An attempt that begins so long after its client has closed is a lost request.
 ATTEMPT_AFTER_LEAVING_US = 100_000
+# Clients of a loop that is as late as this see answers late that came in time.
+MAX_LAG_US = 300_000
 # Log lines that a driver writes of its own faults.
 FAULT_EVENTS = (
     "rule violated",
@@ -93,10 +95,12 @@
     crashed: Sequence[str],
     clock_offset_us: int = 0,
     has_crowd: bool = False,
+    longest_lag_us: int = 0,
 ) -> SoakReport:
     """Put together the report of one soak. `crashed`: drivers that ended though nobody told them to.
 
-    `clock_offset_us`: how far the clock of `notes` is ahead of the monotonic one.
+    `clock_offset_us`: how far the clock of `notes` is ahead of the monotonic one. `longest_lag_us`: how late
+    the soak's own loop was at the worst.
     """
     report = SoakReport(seed)
     lines = [line for path in logs for line in _log_lines(path)]
@@ -110,6 +114,8 @@
     report.violations += [
         f"{exit.driver} ended with status {exit.status} {exit.details}" for exit in exits if exit.status
     ]
+    if longest_lag_us > MAX_LAG_US:
+        report.missing.append(f"a loop of the soak's own that kept up: it was {longest_lag_us} us late")
     expected = [*EVIDENCE_IN_COUNTS, EVIDENCE_OF_A_CROWD] if has_crowd else EVIDENCE_IN_COUNTS
     _count(report, records, notes, lines, counts_directory, expected)
     return report
--- a/juniperreel/testbed/soak/run.py
+++ b/juniperreel/testbed/soak/run.py
@@ -34,7 +34,7 @@
 PAUSE_S = 0.15  # mean, between two requests of a session
 MISBEHAVING_TASKS = 3
 PERSISTENT_CLIENTS_PER_DRIVER = 1
-PUNCTUAL_CLIENTS_PER_DRIVER = 2
+PUNCTUAL_CLIENTS_PER_DRIVER = 1
 MAX_DEADLINE_MS = 4_000  # of unusual clients' requests
 SETTLE_S = 5.0  # for clients to judge the ends of their connections
 SETTLE_POLL_S = 0.02
@@ -81,6 +81,7 @@
             self.crashed,
             self.clock.now_us() - time.monotonic_ns() // NS_PER_US,
             has_crowd=bool(self.day["crowd"]),
+            longest_lag_us=self._lag.longest_us,
         )
 
     async def _play_day(self, mix: Sequence[rec.RequestClass]) -> None:
--- a/tests/testbed/test_soak.py
+++ b/tests/testbed/test_soak.py
@@ -276,3 +276,10 @@
 def test_a_hold_up_explains_no_more_than_its_length(tmp_path: Path) -> None:
     held_up(tmp_path, SECOND, SECOND + 40_000)
     assert judged(tmp_path, notes=ClientNotes(awaited=[awaited(110_000)])).violations
+
+
+def test_a_soak_whose_own_loop_was_late_does_not_pass(tmp_path: Path) -> None:
+    report = judge(1, [], ClientNotes(), [], tmp_path, (), (), longest_lag_us=400_000)
+    assert any("400000 us late" in text for text in report.missing)
+    report = judge(1, [], ClientNotes(), [], tmp_path, (), (), longest_lag_us=200_000)
+    assert not any("late" in text for text in report.missing)
