--- a/juniperreel/testbed/soak/__main__.py
+++ b/juniperreel/testbed/soak/__main__.py
@@ -16,7 +16,7 @@
 
 from juniperreel.net import TcpNetwork
 from juniperreel.testbed.injected_faults import FaultKind
-from juniperreel.testbed.soak.oracle import SoakReport
+from juniperreel.testbed.soak.oracle import LONGEST_LAG, SoakReport
 from juniperreel.testbed.soak.plan import FAULT_RATES
 from juniperreel.testbed.soak.run import play_soak
 
@@ -42,6 +42,8 @@
     served = f"{counts['requests served']} of {counts['requests answered']} served"
     verdict = "passed" if report.passed else "FAILED"
     print(f"seed {report.seed}: {verdict}, {served}, {len(report.violations)} violations", flush=True)
+    if report.violations:
+        print(f"    {counts[LONGEST_LAG]} {LONGEST_LAG}", flush=True)
     for text in report.violations[:MAX_VIOLATIONS_SHOWN]:
         print(f"    {text}", flush=True)
     if report.missing:
