Edge: the pause between two bursts is not taken for the endpoints' rate

Callers saw: bursts on an idle group served less each time; in virtual time the sixth of six bursts of 200, seconds apart, had 6 served of 200 where the first had 25. Cause: PriorityLane measures the time between completions while it is full, but kept the last completion of a burst over the idle time behind it. A pause of 5 s made the mean gap 0.49 s, so that no request was queued any more, and without a queue the gap was never measured again. Change: an admission that leaves capacity ends the measurement. Evidence: the two new tests fail before (the pause counts) and pass now.

--- a/juniperreel/admission/lane.py
+++ b/juniperreel/admission/lane.py
@@ -85,6 +85,8 @@
     def on_admission(self, tenant_index: int) -> None:
         """Record that a request of the tenant is in flight now."""
         self.in_flight += 1
+        if self.has_capacity:
+            self._full_completion_us = 0  # whatever has passed since, the lane was not full all the time
         self.limit.on_start(self.in_flight)
         self._quotas.on_admission(tenant_index)
 
