Edge: a fast response lowers no limit because the mean still remembers slow ones

Callers saw: after a burst, a limit that a single request of the quiet time behind it took to its minimum. Change: a decrease wants the response itself over the target too. Evidence: the new unit test fails before and passes now; the tests of goodput under overload in virtual time pass.

--- a/juniperreel/admission/concurrency.py
+++ b/juniperreel/admission/concurrency.py
@@ -90,7 +90,8 @@
         peak_in_flight = max(self._peak_in_flight, observation.in_flight)
         self._peak_in_flight = observation.in_flight
         if self.latency_ratio > TARGET_RATIO:
-            if observation.now_us >= self._next_decrease_us:
+            is_slow = observation.latency_ratio > TARGET_RATIO  # and not only those before it
+            if is_slow and observation.now_us >= self._next_decrease_us:
                 self._decrease(observation, peak_in_flight)
         elif peak_in_flight >= USED_FRACTION * self.value:
             self._increase()
--- a/tests/admission/test_concurrency.py
+++ b/tests/admission/test_concurrency.py
@@ -6,6 +6,7 @@
 
 OBJECTIVE_US = 600_000
 SLOW_US = 400_000
+FAST_US = 45_000
 
 
 def use_fully(limit: ConcurrencyLimit, now_us: int, response_time_us: int) -> None:
@@ -29,3 +30,14 @@
     limit = ConcurrencyLimit(initial=40.0)
     use_fully(limit, 1_000_000, SLOW_US)
     assert 0.6 * 40 < limit.value < 40
+
+
+def test_fast_answers_after_slow_ones_lower_nothing() -> None:
+    """Guards against a fast answer that lowers the limit because the mean still remembers slow ones."""
+    limit = ConcurrencyLimit()
+    use_fully(limit, 1_000_000, SLOW_US)
+    lowered = limit.value
+    for second in range(3, 8):
+        limit.on_start(1)
+        limit.on_success(second * 1_000_000, FAST_US, OBJECTIVE_US, 0, 1)
+    assert limit.value >= lowered
--- a/tests/admission/test_model.py
+++ b/tests/admission/test_model.py
@@ -150,7 +150,7 @@
 
 @pytest.mark.parametrize("pause_us", [1 * SECOND_US, 3 * SECOND_US, 10 * SECOND_US])
 def test_burst_after_other_bursts_is_served_as_the_first_one(pause_us: int) -> None:
-    """Guards against lanes that refuse a burst for what the last one's end, or the pause behind it, taught them."""
+    """Guards against lanes that refuse a burst for the end of the last one, or for the pause behind it."""
     model = make_model()
     first, *others = bursts_served(model, pause_us)
     assert min(others) > 0.8 * first, (first, others)
