Edge: what a lane learned while idle or long ago refuses nobody

Callers saw: after slow responses to single requests, or after a stall long past, a burst of 200 on a quiet group had 8 served where a group without them served 50 (virtual time). Cause: a slow response lowered the limit to its minimum though next to nothing was in flight; on_idle, which was to bring it back, was called only for a lane with a queue and nothing in flight, which hardly exists, and the mean gap between completions was never forgotten. Change: responses that did not use the limit leave the restart limit (16 over all routers, RFC 5681's restart window); a lane with nothing in flight for 2 s forgets its observations at the next arrival, and its limit is the restart limit at least. Evidence: five new tests fail before and pass now; goodput, fairness and the swing of the limit in virtual time pass as before.

--- a/juniperreel/admission/concurrency.py
+++ b/juniperreel/admission/concurrency.py
@@ -41,6 +41,7 @@
         """Start in slow start: the limit doubles per round trip until the first congestion is observed."""
         self.minimum = minimum
         self.value = max(initial, minimum)
+        self.restart_limit = max(INITIAL_LIMIT, minimum)
         self.latency_ratio = 0.0  # moving average; 0 until there was a response
         self._in_slow_start = True
         self._next_decrease_us = 0
@@ -51,6 +52,13 @@
         self.minimum = minimum
         self.value = max(self.value, minimum)
 
+    def set_restart_limit(self, restart_limit: float) -> None:
+        """Set what the limit restarts from when idle, and what responses that did not use it leave of it.
+
+        As the restart window of a connection that was idle (RFC 5681, 4.1).
+        """
+        self.restart_limit = max(restart_limit, self.minimum)
+
     def on_start(self, in_flight: int) -> None:
         """Record that one more request is in flight, `in_flight` with it."""
         self._peak_in_flight = max(self._peak_in_flight, in_flight)
@@ -76,8 +84,8 @@
         self._observe(Observation(now_us, DROP_RATIO, waited_us, in_flight, in_flight_at_start))
 
     def on_idle(self) -> None:
-        """Discount what was observed, after a time in which nothing completed."""
-        self.value = max(self.value, min(INITIAL_LIMIT, 2 * self.value))
+        """Forget what was observed, after a time in which nothing was in flight."""
+        self.value = max(self.value, self.restart_limit)
         self.latency_ratio = 0.0
         self._in_slow_start = True
 
@@ -107,7 +115,10 @@
         # At the end of a burst that is what was in flight when the slow request came, not what is left.
         used = min(self.value, float(max(peak_in_flight + 1, observation.in_flight_at_start)))
         factor = max(SMALLEST_DECREASE_FACTOR, TARGET_RATIO / self.latency_ratio)
-        self.value = max(self.minimum, used * factor)
+        decreased = used * factor
+        if used < USED_FRACTION * self.value:
+            decreased = max(decreased, min(self.value, self.restart_limit))
+        self.value = max(self.minimum, decreased)
         self._next_decrease_us = observation.now_us + max(observation.elapsed_us, 1)
 
     def _increase(self) -> None:
--- a/juniperreel/admission/controller.py
+++ b/juniperreel/admission/controller.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from juniperreel.admission.concurrency import ConcurrencyLimit
+from juniperreel.admission.concurrency import INITIAL_LIMIT, ConcurrencyLimit
 from juniperreel.admission.controlled_delay import QueueKey
 from juniperreel.admission.decisions import Admission, Arrival, Decision, Rejection, RejectionReason
 from juniperreel.admission.lane import PriorityLane, QueuedRequest
@@ -23,9 +23,6 @@
 MINIMUM_REMAINING_US = (
     10 * MILLISECOND_US
 )  # with less until its deadline a request cannot be answered in time
-OBSERVATIONS_EXPIRE_US = (
-    2_000 * MILLISECOND_US
-)  # without a completion for so long, what a lane has observed is outdated
 MINIMUM_RETRY_AFTER = 0.2  # of the longest retry-after, sent where hardly any request is rejected
 # Requests that are rejected together must not retry together: a part of the wait, drawn between these.
 RETRY_AFTER_SPREAD = (0.5, 1.0)
@@ -113,7 +110,9 @@
         key = LaneKey(group, primary)
         lane = self._lanes.get(key)
         if lane is None:
-            lane = PriorityLane(self._shares, self._make_limit(self._minimum_limit(key)))
+            limit = self._make_limit(self._minimum_limit(key))
+            limit.set_restart_limit(INITIAL_LIMIT / max(self._settings.router_count, 1))
+            lane = PriorityLane(self._shares, limit)
             self._lanes[key] = lane
         return lane
 
@@ -139,6 +138,7 @@
         """
         request_class = self._settings.classes[class_index]
         lane = self.lane(group, request_class)
+        lane.expire_observations(now_us)
         key = QueueKey(tenant_index, request_class.priority_weight)
         reason = self._rejection_reason(lane, key, request_class, remaining_us)
         if reason is None:
@@ -190,6 +190,7 @@
         """
         request_class = self._settings.classes[arrival.class_index]
         lane = self.lane(arrival.group, request_class)
+        lane.expire_observations(now_us)
         self.retries += arrival.is_retry
         if arrival.bypasses_limits:
             return [self._admit(now_us, lane, request_class, arrival.id, arrival.tenant_index)]
@@ -302,8 +303,7 @@
         for lane in self._lanes.values():
             if not lane.queued:
                 continue
-            if not lane.in_flight and now_us - lane.last_completion_us > OBSERVATIONS_EXPIRE_US:
-                lane.limit.on_idle()
+            lane.expire_observations(now_us)
             decisions += self._admit_queued(now_us, lane)
         return decisions
 
--- a/juniperreel/admission/lane.py
+++ b/juniperreel/admission/lane.py
@@ -18,6 +18,7 @@
 from juniperreel.routing.types import RequestClass
 
 COMPLETION_GAP_MEMORY = 0.9  # weight of the old mean time between two completions
+OBSERVATIONS_EXPIRE_US = 2_000_000  # with nothing in flight for so long, what was observed is outdated
 # A queued request is given up early when the estimated wait is this many times the time that it still has.
 STARVATION_FACTOR = 2
 
@@ -82,6 +83,14 @@
         self._quotas.on_arrival(key.tenant_index)
         self._controlled_delay.on_arrival(now_us, key, rejected)
 
+    def expire_observations(self, now_us: int) -> None:
+        """Forget what was observed of the endpoints, if nothing was in flight for long."""
+        if self.in_flight or now_us - self.last_completion_us <= OBSERVATIONS_EXPIRE_US:
+            return
+        self.limit.on_idle()
+        self._completion_gap_us = 0.0
+        self._full_completion_us = 0
+
     def on_admission(self, tenant_index: int) -> None:
         """Record that a request of the tenant is in flight now."""
         self.in_flight += 1
--- a/tests/admission/test_concurrency.py
+++ b/tests/admission/test_concurrency.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from juniperreel.admission.concurrency import ConcurrencyLimit
+from juniperreel.admission.concurrency import INITIAL_LIMIT, MINIMUM_LIMIT, ConcurrencyLimit
 
 OBJECTIVE_US = 600_000
 SLOW_US = 400_000
@@ -41,3 +41,29 @@
         limit.on_start(1)
         limit.on_success(second * 1_000_000, FAST_US, OBJECTIVE_US, 0, 1)
     assert limit.value >= lowered
+
+
+def test_slow_answers_to_single_requests_leave_the_initial_limit() -> None:
+    """Guards against a limit at its minimum because one request at a time was slow."""
+    limit = ConcurrencyLimit()
+    for second in range(1, 10):
+        limit.on_start(1)
+        limit.on_success(second * 1_000_000, SLOW_US, OBJECTIVE_US, 0, 1)
+    assert limit.value == INITIAL_LIMIT
+
+
+def test_an_idle_limit_restarts_from_its_restart_limit() -> None:
+    limit = ConcurrencyLimit()
+    for second in range(1, 10):
+        use_fully(limit, second * 1_000_000, SLOW_US)
+    limit.on_idle()
+    assert limit.value == INITIAL_LIMIT
+
+
+def test_the_restart_limit_of_one_of_many_routers_is_its_part() -> None:
+    limit = ConcurrencyLimit()
+    limit.set_restart_limit(INITIAL_LIMIT / 400)
+    for second in range(1, 10):
+        limit.on_start(1)
+        limit.on_success(second * 1_000_000, SLOW_US, OBJECTIVE_US, 0, 1)
+    assert limit.value == MINIMUM_LIMIT
--- a/tests/admission/test_lane.py
+++ b/tests/admission/test_lane.py
@@ -34,3 +34,14 @@
     assert expected_us == pytest.approx(10 * GAP_US)
     play_burst(lane, end_us + pause_us)
     assert lane.estimated_wait_us(10, OBJECTIVE_US) == pytest.approx(expected_us)
+
+
+def test_a_rate_that_was_observed_long_ago_is_forgotten() -> None:
+    """Guards against a rate of endpoints that hung, by which a burst long after it was not queued at all."""
+    lane = PriorityLane(WHOLE, ConcurrencyLimit())
+    end_us = play_burst(lane, 0)
+    fresh_us = PriorityLane(WHOLE, ConcurrencyLimit()).estimated_wait_us(10, OBJECTIVE_US)
+    lane.expire_observations(end_us + SECOND_US)
+    assert lane.estimated_wait_us(10, OBJECTIVE_US) == pytest.approx(10 * GAP_US)
+    lane.expire_observations(end_us + 3 * SECOND_US)
+    assert lane.estimated_wait_us(10, OBJECTIVE_US) == fresh_us
--- a/tests/admission/test_model.py
+++ b/tests/admission/test_model.py
@@ -148,9 +148,26 @@
     return [served[start_us] for start_us in starts_us]
 
 
+@pytest.mark.parametrize("quiet", [0.0, 0.02])
 @pytest.mark.parametrize("pause_us", [1 * SECOND_US, 3 * SECOND_US, 10 * SECOND_US])
-def test_burst_after_other_bursts_is_served_as_the_first_one(pause_us: int) -> None:
+def test_burst_after_other_bursts_is_served_as_the_first_one(pause_us: int, quiet: float) -> None:
     """Guards against lanes that refuse a burst for the end of the last one, or for the pause behind it."""
     model = make_model()
+    if quiet:
+        model.load(Load(quiet * CAPACITY))
     first, *others = bursts_served(model, pause_us)
     assert min(others) > 0.8 * first, (first, others)
+
+
+def test_burst_after_slow_answers_to_a_few_requests_is_served_as_by_a_group_that_had_none() -> None:
+    """Guards against a limit that falls to its minimum by slow answers while next to nothing is in flight."""
+    served = []
+    for speed in (0.1, 1.0):
+        model = make_model()
+        model.load(Load(0.01 * CAPACITY, end_us=int(1.9 * SECOND_US)))
+        for server in model.servers:
+            server.speed = speed
+            model.at(2 * SECOND_US, partial(setattr, server, "speed", 1.0))
+        served.append(bursts_served(model, SECOND_US, count=1)[0])
+    after_slow_answers, without = served
+    assert after_slow_answers > 0.8 * without
