Edge, MySQL: a long result goes on to its client from 256 KiB, not when it is whole

Callers saw: results of some hundred thousand rows failed beside load with "attempts failed, the last by timeout", though their rows came all the time. Cause: a result that may be passed on in parts was collected up to max-message (1.4 MB of 200,000 rows were under it) within the attempt's time-out, which is that of a response: the class's objective, 6 s there, of a deadline of 12 s. The new test of a server that sends half a result and waits failed before. Price: a result over 256 KiB that breaks off is told to its client as broken instead of being tried at another endpoint.

--- a/juniperreel/pool/config.py
+++ b/juniperreel/pool/config.py
@@ -15,7 +15,7 @@
     """How connections log in to a backend's servers, and what each of them may buffer.
 
     Attributes:
-        max_result_bytes: Of one result that is buffered whole; a longer one is streamed or is an error.
+        max_result_bytes: Of one result that may not be streamed; a longer one is an error.
         max_prepared_statements: Cached on one connection.
     """
 
--- a/juniperreel/pool/connection.py
+++ b/juniperreel/pool/connection.py
@@ -27,6 +27,9 @@
 from juniperreel.pool.session_state import INITIAL_SESSION_STATE
 
 MAX_BUFFERED_ROW_BYTES = 256 << 10  # rows received and not yet consumed; above it, reading pauses
+STREAMED_FROM_BYTES = (
+    256 << 10
+)  # buffered of a result that may be streamed, before its first part is returned
 STREAM_CHUNK_BYTES = 64 << 10  # rows returned by one call of `next_rows`
 QUIT_TIMEOUT_S = 1.0
 STREAM_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
@@ -308,6 +311,8 @@
                 raise unexpected_event(event)
 
     async def _receive_rows(self, result: Result, may_stream: bool) -> Result | Err:
+        # What may be passed on in parts must not wait until it is whole: the time-out is that of a response.
+        limit = min(self._max_result_bytes, STREAMED_FROM_BYTES) if may_stream else self._max_result_bytes
         size = 0
         while True:
             event = await self.next_event()
@@ -315,7 +320,7 @@
                 case client.Row(payload):
                     result.rows.append(payload)
                     size += len(payload)
-                    if size <= self._max_result_bytes:
+                    if size <= limit:
                         continue
                     if not may_stream:
                         raise ResultTooLargeError(f"a result of more than {self._max_result_bytes} bytes")
--- a/tests/pool/test_connection.py
+++ b/tests/pool/test_connection.py
@@ -16,6 +16,7 @@
 from juniperreel.mysql.constants import CommandCode
 from juniperreel.mysql.packets import encode_packets
 from juniperreel.mysql.replies import Err
+from juniperreel.mysql.rows import encode_text_row
 from juniperreel.mysql.server import Command, Event, ServerSession, StartTls, State
 from juniperreel.net import ConnectError, ConnectRefusedError, ConnectTimedOutError, TcpNetwork
 from juniperreel.pool.config import BackendConfig
@@ -185,6 +186,29 @@
     assert connection.close_reason, "the remaining rows would be taken for the next response"
 
 
+async def test_first_part_of_a_streamed_result_does_not_wait_for_the_others(nursery: trio.Nursery) -> None:
+    """Guards against long results that ran out of time, though their rows came all the time."""
+
+    async def respond_in_part(
+        session: ServerSession, stream: trio.abc.Stream, _command: Command
+    ) -> list[Event]:
+        session.begin_result([Column("a", 253)])
+        session.rows(encode_text_row(["x" * 100]) for _ in range(5000))
+        await stream.send_all(session.data_to_send())
+        await trio.sleep_forever()
+        raise AssertionError
+
+    config = replace(CONFIG, max_result_bytes=1 << 30)
+    port = await start_server(nursery, respond_in_part)
+    connection = await open_connection(nursery, port, config)
+    with trio.fail_after(10):
+        (result,) = await connection.exchange([Statement(b"rows")], stream=True)
+    assert isinstance(result, Result)
+    assert result.rows
+    assert result.remaining_rows is not None
+    result.remaining_rows.close()
+
+
 async def test_statement_unknown_to_the_server_is_prepared_again(nursery: trio.Nursery) -> None:
     connection = await open_connection(nursery, await start_server(nursery))
     statement = Statement(b"select ?", ["a"])
