Soak: how long drivers wait for a processor is recorded from outside of them

Need: a late answer beside load could not be told to be the driver's, a stand-in's or the judge's clock; "the machine was busy" is a hypothesis. Change: a thread samples the kernel's count of each driver's waits (schedstat); a late answer is told with what the driver was held up for, waited for a processor and the judge's tolerance. It excuses nothing. A span counts only what must have been within it, beside hold-ups.

--- a/juniperreel/testbed/driver_fleet.py
+++ b/juniperreel/testbed/driver_fleet.py
@@ -52,6 +52,7 @@
 SERIES_PAUSE_S = 0.15  # mean, between two signals of a series
 FRONT_NOTICES_S = 0.3  # until no new connections come to a driver that was told to end
 KILLED = -9
+NS_PER_S = 1_000_000_000
 LEAST_RATE = 1e-3  # requests a second, so that a pause between requests is finite
 
 
@@ -298,7 +299,7 @@
 
     async def _shut_down(self, name: str, process: ManagedProcess) -> None:
         process.terminate()
-        waited_before_s = process.run_queue_wait_s()
+        waited_before_ns = process.run_queue_wait_ns()
         with trio.move_on_after(self.kill_after_s) as limit:
             await trio.sleep(FRONT_NOTICES_S)
             self.ports.pop(name, None)
@@ -306,7 +307,7 @@
         if not limit.cancelled_caught:
             self.exit_statuses.append(ExitStatus(name, status))
             return
-        waited_s = process.run_queue_wait_s() - waited_before_s
+        waited_s = (process.run_queue_wait_ns() - waited_before_ns) / NS_PER_S
         # What it leaves unanswered is not excused: it was told in time.
         process.kill()
         details = f"logged {_last_event(process)!r} last, waited {waited_s:.3f} s for a processor"
--- a/juniperreel/testbed/hold_ups.py
+++ b/juniperreel/testbed/hold_ups.py
@@ -21,6 +21,11 @@
 NS_PER_US = 1_000
 
 
+def monotonic_us() -> int:
+    """Return the time of the clock that all processes of a machine share."""
+    return time.monotonic_ns() // NS_PER_US
+
+
 class HoldUp(NamedTuple):
     """One hold-up, in microseconds of the monotonic clock."""
 
@@ -41,11 +46,11 @@
 
     def hold_up(self, seconds: float) -> None:
         """Do nothing at all for so long. It is recorded before, as the process may be killed meanwhile."""
-        start_us = time.monotonic_ns() // NS_PER_US
+        start_us = monotonic_us()
         due_us = start_us + int(seconds * US)
         self._file.write(RECORD.pack(start_us, due_us))
         time.sleep(seconds)
-        self._file.write(RECORD.pack(due_us, max(due_us, time.monotonic_ns() // NS_PER_US)))
+        self._file.write(RECORD.pack(due_us, max(due_us, monotonic_us())))
 
 
 def read_hold_ups(directory: Path) -> Mapping[str, Sequence[HoldUp]]:
--- /dev/null
+++ b/juniperreel/testbed/run_queue.py
@@ -0,0 +1,100 @@
+"""How long processes wait for a processor, recorded from outside of them.
+
+A machine that has too much to do holds processes up as the injected hold-ups do. The kernel counts, for each
+process, how long it was ready to run and did not; the samples of that count tell when.
+"""
+
+from __future__ import annotations
+
+import threading
+from bisect import bisect_left
+from collections import defaultdict
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple
+
+import trio
+
+from juniperreel.testbed.hold_ups import NS_PER_US, HoldUp, held_up_us, monotonic_us
+from juniperreel.testbed.processes import ManagedProcess
+
+SAMPLE_INTERVAL_S = 0.005
+
+
+class WaitSample(NamedTuple):
+    """The kernel's count at a time of the monotonic clock, of the process that had this id."""
+
+    at_us: int
+    pid: int
+    waited_us: int  # since that process began
+
+
+class RunQueueWaits:
+    """The samples of processes, by name, and what follows from them."""
+
+    def __init__(self) -> None:
+        """Start without samples."""
+        self._samples: defaultdict[str, list[WaitSample]] = defaultdict(list)
+
+    def add(self, name: str, sample: WaitSample) -> None:
+        """Add a sample; those of one process come in the order of time."""
+        self._samples[name].append(sample)
+
+    def samples(self, name: str) -> Sequence[WaitSample]:
+        """Return what was sampled of a process so far."""
+        return tuple(self._samples.get(name, ()))
+
+    def waited_us(self, name: str, start_us: int, end_us: int, hold_ups: Sequence[HoldUp] = ()) -> int:
+        """Return how long it waited within a span at the least, beside recorded hold-ups.
+
+        The samples do not tell where between two of them it waited, so that what may have been outside of the
+        span, or within a hold-up, is not counted.
+        """
+        samples = self._samples.get(name, [])
+        first = max(bisect_left(samples, (start_us,)) - 1, 0)
+        total_us = 0
+        for earlier, later in zip(samples[first:], samples[first + 1 :], strict=False):
+            if earlier.at_us >= end_us:
+                break
+            if earlier.pid == later.pid:
+                total_us += _least_wait_us(earlier, later, start_us, end_us, hold_ups)
+        return total_us
+
+
+def _least_wait_us(
+    earlier: WaitSample, later: WaitSample, start_us: int, end_us: int, hold_ups: Sequence[HoldUp]
+) -> int:
+    within_us = max(0, min(later.at_us, end_us) - max(earlier.at_us, start_us))
+    elsewhere_us = later.at_us - earlier.at_us - within_us
+    held_up = held_up_us(hold_ups, earlier.at_us, later.at_us)
+    return max(0, later.waited_us - earlier.waited_us - elsewhere_us - held_up)
+
+
+class RunQueueRecorder:
+    """Samples processes, which may come and go, from a thread of its own, whether the loop is late or not."""
+
+    def __init__(self, processes: Mapping[str, ManagedProcess]) -> None:
+        """`processes` by name; may gain entries while this runs."""
+        self.waits = RunQueueWaits()
+        self._processes = processes
+
+    async def run(self) -> None:
+        """Sample until cancelled."""
+        stop = threading.Event()
+        try:
+            await trio.to_thread.run_sync(self._sample_until, stop, abandon_on_cancel=True)
+        finally:
+            stop.set()
+
+    def _sample_until(self, stop: threading.Event) -> None:
+        while not stop.wait(SAMPLE_INTERVAL_S):
+            for process in list(self._processes.values()):
+                self._sample(process)
+
+    def _sample(self, process: ManagedProcess) -> None:
+        if not process.starts:
+            return
+        pid = (
+            process.pid
+        )  # whether it has ended is not asked: that would take its status from who waits for it
+        waited_ns = process.run_queue_wait_ns()
+        self.waits.add(process.name, WaitSample(monotonic_us(), pid, waited_ns // NS_PER_US))
--- a/juniperreel/testbed/soak/oracle.py
+++ b/juniperreel/testbed/soak/oracle.py
@@ -13,8 +13,9 @@
 from juniperreel.testbed.faulty_driver import COUNTS_SUFFIX
 from juniperreel.testbed.hold_ups import read_hold_ups
 from juniperreel.testbed.injected_faults import FaultKind, SharedCounts
+from juniperreel.testbed.run_queue import RunQueueWaits
 from juniperreel.testbed.soak.requests import ClientNotes
-from juniperreel.testbed.soak.timeliness import late_answers
+from juniperreel.testbed.soak.timeliness import DriverDelays, late_answers
 from juniperreel.verification import records as rec
 from juniperreel.verification.history import CROSS_SOCKET_TOLERANCE_US, History
 from juniperreel.verification.rules import RULES
@@ -94,20 +95,22 @@
     exits: Sequence[ExitStatus],
     crashed: Sequence[str],
     clock_offset_us: int = 0,
+    waits: RunQueueWaits | None = None,
     has_crowd: bool = False,
     longest_lag_us: int = 0,
 ) -> SoakReport:
     """Put together the report of one soak. `crashed`: drivers that ended though nobody told them to.
 
-    `clock_offset_us`: how far the clock of `notes` is ahead of the monotonic one. `longest_lag_us`: how late
-    the soak's own loop was at the worst.
+    `clock_offset_us`: how far the clock of `notes` is ahead of the monotonic one. `waits`: of drivers, for a
+    processor. `longest_lag_us`: how late the soak's own loop was at the worst.
     """
     report = SoakReport(seed)
     lines = [line for path in logs for line in _log_lines(path)]
     report.violations += _broken_rules(records, notes)
     report.violations += _attempts_after_clients_left(records, notes)
     report.violations += _lost_crossings(records, notes, lines)
-    report.violations += late_answers(notes.awaited, read_hold_ups(counts_directory), clock_offset_us)
+    delays = DriverDelays(read_hold_ups(counts_directory), waits or RunQueueWaits(), clock_offset_us)
+    report.violations += late_answers(notes.awaited, delays)
     report.violations += notes.violations
     report.violations += [json.dumps(line)[:600] for line in lines if line["event"] in FAULT_EVENTS]
     report.violations += [f"{name} ended by itself" for name in crashed]
--- a/juniperreel/testbed/soak/run.py
+++ b/juniperreel/testbed/soak/run.py
@@ -4,7 +4,6 @@
 
 import json
 import random
-import time
 from collections.abc import Mapping, Sequence
 from pathlib import Path
 
@@ -15,9 +14,10 @@
 from juniperreel.net import Network
 from juniperreel.net.clock import US
 from juniperreel.testbed.faulty_driver import FAULTS_VARIABLE
-from juniperreel.testbed.hold_ups import NS_PER_US
+from juniperreel.testbed.hold_ups import monotonic_us
 from juniperreel.testbed.injected_faults import MAX_HOLD_UP_S, FaultKind
 from juniperreel.testbed.processes import ProcessState
+from juniperreel.testbed.run_queue import RunQueueRecorder
 from juniperreel.testbed.scenario import CLASS_WEIGHTS
 from juniperreel.testbed.single_process_trial import SingleProcessTrial
 from juniperreel.testbed.soak.clients import MisbehavingClients, SoakSession
@@ -67,6 +67,7 @@
         environment = {FAULTS_VARIABLE: json.dumps(faults), "JUNIPERREEL_TRACE": "1"}
         super().__init__(day, network, directory, PAUSE_S, program, CLASS_WEIGHTS, environment)
         self._lag = LoopLag(self.clock)
+        self._run_queue = RunQueueRecorder(self.processes.by_name)
 
     def report(self) -> SoakReport:
         """Judge what was played."""
@@ -79,7 +80,8 @@
             self._directory,
             self._drivers.exit_statuses,
             self.crashed,
-            self.clock.now_us() - time.monotonic_ns() // NS_PER_US,
+            self.clock.now_us() - monotonic_us(),
+            self._run_queue.waits,
             has_crowd=bool(self.day["crowd"]),
             longest_lag_us=self._lag.longest_us,
         )
@@ -97,6 +99,7 @@
 
     def _start_unusual_clients(self, nursery: trio.Nursery, mix: Sequence[rec.RequestClass]) -> None:
         nursery.start_soon(self._lag.run)
+        nursery.start_soon(self._run_queue.run)
         for _ in range(MISBEHAVING_TASKS):
             misbehaving = MisbehavingClients(
                 self._new_requests(mix), self._find_driver, self._rng.getrandbits(32)
--- a/juniperreel/testbed/soak/timeliness.py
+++ b/juniperreel/testbed/soak/timeliness.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from juniperreel.testbed.hold_ups import HoldUp, held_up_us
+from juniperreel.testbed.run_queue import RunQueueWaits
 
 PATIENCE_US = 60_000  # for which a client waits beyond the time that it stated
 # An answer is decided upon at its deadline or shortly before: what holds the process up then makes it late.
@@ -38,22 +39,41 @@
     return excused_us > 0 or answer.tolerance_us > PATIENCE_US
 
 
-def late_answers(
-    awaited: Iterable[AwaitedAnswer], hold_ups: Mapping[str, Sequence[HoldUp]], offset_us: int
-) -> Iterator[str]:
-    """Describe the answers that were late, or did not come, though no hold-up at their deadline explains it.
+@dataclass(frozen=True, slots=True)
+class DriverDelays:
+    """What held drivers up: `hold_ups` that were injected, and `waits` for a processor.
 
-    The clock of `awaited` is `offset_us` ahead of the monotonic one, which is that of `hold_ups`.
+    Both are on the monotonic clock; the clients' is `offset_us` ahead of it.
     """
+
+    hold_ups: Mapping[str, Sequence[HoldUp]]
+    waits: RunQueueWaits
+    offset_us: int
+
+    def injected_us(self, driver: str, start_us: int, end_us: int) -> int:
+        """Return how long a driver was held up on purpose within a span of the clients' clock."""
+        hold_ups = self.hold_ups.get(driver, ())
+        return held_up_us(hold_ups, start_us - self.offset_us, end_us - self.offset_us)
+
+    def waited_us(self, driver: str, start_us: int, end_us: int) -> int:
+        """Return how long it waited for a processor at the least, beside hold-ups, within such a span."""
+        hold_ups = self.hold_ups.get(driver, ())
+        return self.waits.waited_us(driver, start_us - self.offset_us, end_us - self.offset_us, hold_ups)
+
+
+def late_answers(awaited: Iterable[AwaitedAnswer], delays: DriverDelays) -> Iterator[str]:
+    """Describe the answers that were late, or missing, where no hold-up at their deadline explains it."""
     for answer in awaited:
         late_us = answer.ended_us - answer.due_us
         if answer.answered and late_us <= PATIENCE_US + answer.tolerance_us:
             continue
-        excused_us = held_up_us(
-            hold_ups.get(answer.driver, ()),
-            answer.due_us - DECIDED_BEFORE_US - offset_us,
-            answer.ended_us - offset_us,
-        )
-        if not _is_explained(answer, late_us, excused_us):
+        decided_us = answer.due_us - DECIDED_BEFORE_US
+        injected_us = delays.injected_us(answer.driver, decided_us, answer.ended_us)
+        waited_us = delays.waited_us(answer.driver, decided_us, answer.ended_us)
+        if not _is_explained(answer, late_us, injected_us):
             what = "was answered" if answer.answered else "had no answer"
-            yield f"{answer.request_id} of {answer.driver} {what} {late_us} us after its deadline"
+            yield (
+                f"{answer.request_id} of {answer.driver} {what} {late_us} us after its deadline,"
+                f" held up for {injected_us} us, without a processor for {waited_us} us,"
+                f" tolerated {answer.tolerance_us} us"
+            )
