--- a/tests/testbed/test_soak.py
+++ b/tests/testbed/test_soak.py
@@ -184,6 +184,9 @@
 # Its judges, each with a violation of its own.
 
 
+CLASSES = [rec.RequestClass(0, "board", "repeatable", 0, False, True, -1, 1, 1, 0)]
+
+
 def attempt(at_us: int) -> rec.AttemptReceived:
     return rec.AttemptReceived(at_us, "g0-m1", "n0", ID, 0, ID, "board", False, 1000)
 
@@ -278,6 +281,23 @@
     assert judged(tmp_path, notes=ClientNotes(awaited=[awaited(110_000)])).violations
 
 
+@pytest.mark.parametrize(
+    "loop_late_us, violated", [(0, True), (100_000, True), (300_000, False), (300_001, False)]
+)
+def test_an_answer_is_late_beside_what_the_soaks_own_loop_was(
+    tmp_path: Path, loop_late_us: int, violated: bool
+) -> None:
+    """Guards against answers that came in time and that the soak, itself without a processor, read late."""
+    answered_us = SECOND + 315_000
+    records = [
+        rec.RequestSent(0, ID, 0, "n0", "board", "s", "", 0, "r", SECOND),
+        rec.ResponseReceived(answered_us, ID, 0, 0),
+    ]
+    answer = AwaitedAnswer(ID, "n0", SECOND, answered_us, answered=True, tolerance_us=loop_late_us)
+    report = judged(tmp_path, [*CLASSES, *records], ClientNotes(awaited=[answer]))
+    assert any(text.startswith("rule 1") for text in report.violations) is violated, report.violations
+
+
 def test_a_report_tells_how_late_the_soaks_own_loop_was(tmp_path: Path) -> None:
     report = judge(1, [], ClientNotes(), [], tmp_path, (), (), longest_lag_us=400_000)
     assert report.counts[LONGEST_LAG] == 400_000
