--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import sys
 from collections.abc import AsyncIterator, Callable
@@ -28,6 +29,8 @@
 from tests.platform.event_harness import HELLO, config_bytes, entry, read_text, write_text
 
 SECONDS = 30
+READINGS_FAIL_S = 2.0
+TOLD_AFTER_RELOAD_S = 4.0  # after SIGHUP the operators count as told what the new discovery has
 WITNESS = """
 import json, sys
 from psycopg import pq
@@ -166,6 +169,32 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_another_discovery_is_asked_in_time_though_readings_fail_for_seconds(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against unheard drains: what the new discovery has counts as told 4 s after the signal."""
+    async with running(tmp_path) as harness, trio.open_nursery() as nursery:
+        other = DiscoveryServer(harness.discovery.hosts)
+        await nursery.start(other.run)
+        known = {"seq": 0, "whole": True, "hosts": harness.discovery.hosts}
+        harness.program.config_path.write_bytes(
+            config_bytes(known=known, discovery=f"127.0.0.1:{other.port}")
+        )
+        signalled_s = trio.current_time()
+        read_bytes = Path.read_bytes
+
+        def fails_at_first(file: Path) -> bytes:
+            if trio.current_time() < signalled_s + READINGS_FAIL_S:
+                raise OSError(errno.EMFILE, "planted")
+            return read_bytes(file)
+
+        monkeypatch.setattr(Path, "read_bytes", fails_at_first)
+        harness.program.reload()
+        await harness.until(lambda: other.calls >= 1)
+        assert READINGS_FAIL_S <= trio.current_time() - signalled_s < TOLD_AFTER_RELOAD_S
+        nursery.cancel_scope.cancel()
+
+
 def _plant_in_a_connection(patch: pytest.MonkeyPatch, _program: Program) -> None:
     data_received = ClientConnection.data_received
 
