Soak: a driver's waits for a processor at a deadline explain a late answer, by their length

Change: a wait ends between two samples and reaches back by its length, the least of which within the span counts; it explains a late answer by its length, and a missing one where without it the client would have had it. Injected hold-ups are not counted twice.

--- a/juniperreel/testbed/run_queue.py
+++ b/juniperreel/testbed/run_queue.py
@@ -10,6 +10,7 @@
 from bisect import bisect_left
 from collections import defaultdict
 from collections.abc import Mapping, Sequence
+from itertools import pairwise
 from typing import NamedTuple
 
 import trio
@@ -18,6 +19,7 @@
 from juniperreel.testbed.processes import ManagedProcess
 
 SAMPLE_INTERVAL_S = 0.005
+LONGEST_WAIT_US = 10_000_000  # that is looked for behind a span in which it may have begun
 
 
 class WaitSample(NamedTuple):
@@ -46,27 +48,28 @@
     def waited_us(self, name: str, start_us: int, end_us: int, hold_ups: Sequence[HoldUp] = ()) -> int:
         """Return how long it waited within a span at the least, beside recorded hold-ups.
 
-        The samples do not tell where between two of them it waited, so that what may have been outside of the
-        span, or within a hold-up, is not counted.
+        The kernel counts a wait when it is over, at some time between two samples. What may have been outside
+        of the span, or within a hold-up, is not counted.
         """
         samples = self._samples.get(name, [])
         first = max(bisect_left(samples, (start_us,)) - 1, 0)
         total_us = 0
-        for earlier, later in zip(samples[first:], samples[first + 1 :], strict=False):
-            if earlier.at_us >= end_us:
+        for earlier, later in pairwise(samples[first:]):
+            if earlier.at_us > end_us + LONGEST_WAIT_US:
                 break
-            if earlier.pid == later.pid:
+            if earlier.pid == later.pid and later.waited_us > earlier.waited_us:
                 total_us += _least_wait_us(earlier, later, start_us, end_us, hold_ups)
-        return total_us
+        return min(total_us, end_us - start_us)
 
 
 def _least_wait_us(
     earlier: WaitSample, later: WaitSample, start_us: int, end_us: int, hold_ups: Sequence[HoldUp]
 ) -> int:
-    within_us = max(0, min(later.at_us, end_us) - max(earlier.at_us, start_us))
-    elsewhere_us = later.at_us - earlier.at_us - within_us
-    held_up = held_up_us(hold_ups, earlier.at_us, later.at_us)
-    return max(0, later.waited_us - earlier.waited_us - elsewhere_us - held_up)
+    waited_us = later.waited_us - earlier.waited_us
+    if_over_at_once = HoldUp(earlier.at_us - waited_us, earlier.at_us)
+    if_over_at_last = HoldUp(later.at_us - waited_us, later.at_us)
+    within_us = min(wait.overlap_us(start_us, end_us) for wait in (if_over_at_once, if_over_at_last))
+    return max(0, within_us - held_up_us(hold_ups, if_over_at_once.start_us, later.at_us))
 
 
 class RunQueueRecorder:
--- a/juniperreel/testbed/soak/timeliness.py
+++ b/juniperreel/testbed/soak/timeliness.py
@@ -1,7 +1,7 @@
 """Judges whether clients had their answers in time: they leave 60 ms after it, whatever held the driver up.
 
-A process that is held up when an answer is due gives it late by as much. Nothing else excuses a late answer,
-a hold-up while the request arrived least of all: its time ran meanwhile.
+A process that is held up when an answer is due gives it late by as much, on purpose or for want of a processor.
+Nothing else excuses a late answer, a hold-up while the request arrived least of all: its time ran meanwhile.
 """
 
 from __future__ import annotations
@@ -32,11 +32,14 @@
     tolerance_us: int
 
 
-def _is_explained(answer: AwaitedAnswer, late_us: int, excused_us: int) -> bool:
-    """Whether hold-ups explain a late answer by their length, or one that did not come by having been."""
+def _is_explained(answer: AwaitedAnswer, late_us: int, injected_us: int, waited_us: int) -> bool:
+    """Whether hold-ups explain a late answer by their length, or one that did not come by having been.
+
+    A wait for a processor is common and mostly short: it explains no answer that would have come without it.
+    """
     if answer.answered:
-        return late_us - excused_us <= PATIENCE_US + answer.tolerance_us
-    return excused_us > 0 or answer.tolerance_us > PATIENCE_US
+        return late_us - injected_us - waited_us <= PATIENCE_US + answer.tolerance_us
+    return injected_us > 0 or waited_us + answer.tolerance_us > PATIENCE_US
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +73,7 @@
         decided_us = answer.due_us - DECIDED_BEFORE_US
         injected_us = delays.injected_us(answer.driver, decided_us, answer.ended_us)
         waited_us = delays.waited_us(answer.driver, decided_us, answer.ended_us)
-        if not _is_explained(answer, late_us, injected_us):
+        if not _is_explained(answer, late_us, injected_us, waited_us):
             what = "was answered" if answer.answered else "had no answer"
             yield (
                 f"{answer.request_id} of {answer.driver} {what} {late_us} us after its deadline,"
--- a/tests/testbed/test_soak.py
+++ b/tests/testbed/test_soak.py
@@ -14,6 +14,7 @@
 from juniperreel.testbed.driver_fleet import ExitStatus
 from juniperreel.testbed.hold_ups import HOLD_UPS_SUFFIX, RECORD
 from juniperreel.testbed.injected_faults import FaultKind
+from juniperreel.testbed.run_queue import RunQueueWaits, WaitSample
 from juniperreel.testbed.soak.oracle import LONGEST_LAG, SoakReport, judge
 from juniperreel.testbed.soak.plan import FAULT_RATES, draw_plan
 from juniperreel.testbed.soak.requests import ClientLeft, ClientNotes
@@ -281,6 +282,28 @@
     assert judged(tmp_path, notes=ClientNotes(awaited=[awaited(110_000)])).violations
 
 
+@pytest.mark.parametrize(
+    "wait_us, answer, violated",
+    [
+        pytest.param((SECOND - 10_000, SECOND + 200_000), awaited(205_000), False, id="over the deadline"),
+        pytest.param((SECOND - 400_000, SECOND - 200_000), awaited(205_000), True, id="before the deadline"),
+        pytest.param((SECOND, SECOND + 100_000), awaited(205_000), True, id="less than it was late"),
+        pytest.param((SECOND - 10_000, SECOND + 200_000), awaited(65_000, False), False, id="unanswered"),
+        pytest.param((SECOND, SECOND + 40_000), awaited(65_000, False), True, id="unanswered, and short"),
+    ],
+)
+def test_a_wait_for_a_processor_explains_no_more_than_its_length(
+    tmp_path: Path, wait_us: tuple[int, int], answer: AwaitedAnswer, violated: bool
+) -> None:
+    """Guards against drivers blamed for the machine; a wait is known by samples around its end."""
+    start_us, end_us = wait_us
+    waits = RunQueueWaits()
+    for at_us, waited_us in ((0, 0), (end_us - 1_000, 0), (end_us, end_us - start_us)):
+        waits.add("n0", WaitSample(at_us, 7, waited_us))
+    report = judge(1, [], ClientNotes(awaited=[answer]), [], tmp_path, (), (), waits=waits)
+    assert bool(report.violations) is violated, report.violations
+
+
 @pytest.mark.parametrize(
     "loop_late_us, violated", [(0, True), (100_000, True), (300_000, False), (300_001, False)]
 )
