--- a/juniperreel/testbed/soak/timeliness.py
+++ b/juniperreel/testbed/soak/timeliness.py
@@ -1,6 +1,6 @@
 """Judges whether clients had their answers in time: they leave 60 ms after it, whatever held the driver up.
 
-A process that is held up when an answer is due gives it late by as much, whether on purpose or by the machine.
+A process that is held up when an answer is due gives it late by as much, on purpose or by the machine.
 Nothing else excuses a late answer, a hold-up while the request arrived least of all: its time ran meanwhile.
 """
 
