Test: a lost quorum is rescued from a directory that has the change, as the test assumed

Cause, from their output: in two the rescued directory was at version 0, since set returns when a quorum has the change, which may be the other two instances; in one an instance had no data file yet, as it was still starting. A rescue cannot know what only lost instances had, and the tool says the version: the test was wrong in its given. Change: it waits until each instance has the change; its assertions stand and one is added.

--- a/tests/cli/test_configd.py
+++ b/tests/cli/test_configd.py
@@ -66,6 +66,14 @@
         path.write_text(json.dumps(changes))
         return self.config("set", str(path), *arguments)
 
+    def all_reach(self, version: int) -> bool:
+        """Wait until each instance has a version; return whether they do."""
+        for _ in range(100):
+            if self.config("status").stdout.count(f" version {version}, ") == len(self.processes):
+                return True
+            time.sleep(0.2)
+        return False
+
     def stop(self) -> None:
         for process in self.processes.values():
             if process.poll() is None:
@@ -141,6 +149,7 @@
         if three.set(change).returncode == 0:
             break
         time.sleep(0.2)
+    assert three.all_reach(1), "the quorum that took it may be the other two, and one may be starting"
     for process in three.processes.values():
         process.kill()
         process.wait(10)
