Edge, MySQL: the deadline of a long result cuts no packet off

Cause: ResultWriter cancelled the sending of rows at the deadline too. What had been taken out of the protocol's buffer and not sent was lost, and the error was written into the middle of a packet.

--- a/juniperreel/frontends/mysql/result_writer.py
+++ b/juniperreel/frontends/mysql/result_writer.py
@@ -66,17 +66,22 @@
 
     async def _write_rest(self, rest: RowStream, until_us: int) -> list[Event]:
         try:
-            with trio.CancelScope(deadline=self._clock.trio_time(until_us)):
-                while True:
-                    await self._flush()
+            while True:
+                # Danger: sending has a time-out of its own, which ends the connection. Ended by the deadline
+                # it would cut a packet off, and the client could read nothing that follows.
+                await self._flush()
+                rows: list[bytes] | None = None
+                with trio.CancelScope(deadline=self._clock.trio_time(until_us)):
                     rows = await rest.next_rows()
-                    if not rows:
-                        tracking = self._session.changed_token_tracking()
-                        return self._protocol.end_result(rest.ok.warnings, tracking)
-                    self._protocol.rows(rows)
+                if rows is None:
+                    response = ErrorResponse(DEADLINE_EXCEEDED, "the result did not end in time")
+                    return response.write_to(self._protocol)
+                if not rows:
+                    tracking = self._session.changed_token_tracking()
+                    return self._protocol.end_result(rest.ok.warnings, tracking)
+                self._protocol.rows(rows)
         except StatementError as error:
             return self._protocol.error(error.err.code, error.err.sqlstate, error.err.message)
         except ConnectionLostError as error:
             response = ErrorResponse(EFFECT_UNKNOWN, f"the result broke off: {error}")
             return response.write_to(self._protocol)
-        return ErrorResponse(DEADLINE_EXCEEDED, "the result did not end in time").write_to(self._protocol)
