--- a/juniperreel/testbed/driver_fleet.py
+++ b/juniperreel/testbed/driver_fleet.py
@@ -299,7 +299,7 @@
 
     async def _shut_down(self, name: str, process: ManagedProcess) -> None:
         process.terminate()
-        waited_before_ns = process.run_queue_wait_ns()
+        waited_before_ns = process.run_queue_wait_ns() or 0
         with trio.move_on_after(self.kill_after_s) as limit:
             await trio.sleep(FRONT_NOTICES_S)
             self.ports.pop(name, None)
@@ -307,7 +307,7 @@
         if not limit.cancelled_caught:
             self.exit_statuses.append(ExitStatus(name, status))
             return
-        waited_s = (process.run_queue_wait_ns() - waited_before_ns) / NS_PER_S
+        waited_s = ((process.run_queue_wait_ns() or 0) - waited_before_ns) / NS_PER_S
         # What it leaves unanswered is not excused: it was told in time.
         process.kill()
         details = f"logged {_last_event(process)!r} last, waited {waited_s:.3f} s for a processor"
--- a/juniperreel/testbed/processes.py
+++ b/juniperreel/testbed/processes.py
@@ -125,13 +125,13 @@
         self._signal(signal.SIGCONT)
         self._frozen = False
 
-    def run_queue_wait_ns(self) -> int:
-        """How long it has waited for a processor since its start; 0 where the kernel does not tell."""
+    def run_queue_wait_ns(self) -> int | None:
+        """How long it has waited for a processor since its start; None where the kernel does not tell."""
         try:
             fields = Path(f"/proc/{self.pid}/schedstat").read_text().split()
             return int(fields[SCHEDSTAT_RUN_DELAY])
         except (OSError, IndexError):
-            return 0
+            return None
 
     async def wait(self) -> int:
         """Wait for its end, for whatever reason, and return its exit status.
--- a/juniperreel/testbed/run_queue.py
+++ b/juniperreel/testbed/run_queue.py
@@ -100,4 +100,5 @@
             process.pid
         )  # whether it has ended is not asked: that would take its status from who waits for it
         waited_ns = process.run_queue_wait_ns()
-        self.waits.add(process.name, WaitSample(monotonic_us(), pid, waited_ns // NS_PER_US))
+        if waited_ns is not None:
+            self.waits.add(process.name, WaitSample(monotonic_us(), pid, waited_ns // NS_PER_US))
