--- a/juniperreel/testbed/run_queue.py
+++ b/juniperreel/testbed/run_queue.py
@@ -96,9 +96,8 @@
     def _sample(self, process: ManagedProcess) -> None:
         if not process.starts:
             return
-        pid = (
-            process.pid
-        )  # whether it has ended is not asked: that would take its status from who waits for it
+        # Whether it has ended is not asked: that would take its exit status from who waits for it.
+        pid = process.pid
         waited_ns = process.run_queue_wait_ns()
         if waited_ns is not None:
             self.waits.add(process.name, WaitSample(monotonic_us(), pid, waited_ns // NS_PER_US))
--- a/juniperreel/testbed/soak/oracle.py
+++ b/juniperreel/testbed/soak/oracle.py
@@ -138,7 +138,9 @@
         seen = records
         if number == FINAL_ANSWER:
             owed = {None, *(asked - set(notes.crossed))}
-            tolerances = {answer.request_id: answer.tolerance_us for answer in notes.awaited}
+            tolerances = {
+                answer.request_id: answer.tolerance_us for answer in notes.awaited if answer.answered
+            }
             seen = [
                 _with_tolerance(record, tolerances)
                 for record in records
