Raft: a message lost on the way to a follower is noticed at the next heartbeat

Seen by callers: an instance restarted during a change stayed one to five entries behind its leader, or behind in its commit index only, for as long as nothing further changed. A watch opened on it, an edge's, does not hear of a drain or of a new primary meanwhile.

Cause: in state REPLICATE a heartbeat followed the match index, which every follower accepts, so neither a lost AppendEntries nor a lost reply was ever noticed; only a full window or the next entry moved the follower.

Change: an AppendEntries without entries follows the last entry sent. A follower that lacks that entry rejects it, and the leader probes from the match index, as etcd's raft does for an empty append; a follower that has it acknowledges it, which makes up for a lost reply and lets it commit. So nothing is sent twice unless a reply says that it is missing: a probe in flight is no longer sent again at each heartbeat either.

--- a/juniperreel/emulator/raft.py
+++ b/juniperreel/emulator/raft.py
@@ -26,9 +26,11 @@
 KIND_PROBABILITY = 0.7  # that a schedule includes a given other kind
 STEERED_PROBABILITY = 0.3  # that a schedule prefers the steered kinds
 STEERED_FACTOR = 8  # by which preferred kinds are more frequent, and the others less
-RECOVERY_TICKS = 120  # after all faults have ended, within which entries must be committed
-RECOVERY_DELIVERIES = 2000  # maximum per tick of the recovery
+CATCH_UP_TICKS = 100  # after all faults have ended; 3 s of the default tick, the bound for every change
+RECOVERY_TICKS = 20  # after that, within which new entries must be committed
+DELIVERIES_PER_TICK = 2000  # maximum while the group recovers
 RECOVERY_COMMITS = 2  # entries; the recovery must commit more than these
+CATCH_UP = "catch-up: without a new proposal, a member did not reach the leader's last entry and commit index"
 LIVENESS = "liveness: nothing was committed after all faults had ended"
 
 
@@ -119,20 +121,42 @@
         KINDS[kind].function(group, pick, variant)
 
 
-def recovers(group: SimulatedGroup) -> bool:
-    """End all faults and return whether new entries are committed within RECOVERY_TICKS."""
+def end_faults(group: SimulatedGroup) -> None:
+    """End all partitions, drop the delayed messages and restart the nodes that are down."""
     group.partitions.clear()
     group.delayed.clear()
-    for name in [name for name, node in group.nodes.items() if node.core is None]:
+    for name in group.stopped_nodes():
         group.restart(name)
+
+
+def catches_up(group: SimulatedGroup) -> bool:
+    """Return whether, without any proposal, all members reach the leader's log within CATCH_UP_TICKS.
+
+    A commit of new entries would hide that an earlier message was lost and never sent again.
+    """
+    for _ in range(CATCH_UP_TICKS):
+        if is_caught_up(group):
+            return True
+        _advance(group)
+    return is_caught_up(group)
+
+
+def is_caught_up(group: SimulatedGroup) -> bool:
+    """Whether every member has the last entry of the latest leader, and all know that it is committed."""
+    leaders = [node.core for node in group.nodes.values() if node.core is not None and node.core.is_leader]
+    if not leaders:
+        return False
+    leader = max(leaders, key=lambda core: core.term)
+    last_index = leader.log.last_index
+    members = [group.core(name) for name in leader.membership.all]
+    return all(core.log.last_index == core.commit_index == last_index for core in members)
+
+
+def recovers(group: SimulatedGroup) -> bool:
+    """Return whether new entries are committed within RECOVERY_TICKS."""
     committed_before = group.checker.committed
     for _ in range(RECOVERY_TICKS):
-        for name in sorted(group.nodes):
-            group.tick(name)
-        for _ in range(RECOVERY_DELIVERIES):
-            if not group.network:
-                break
-            group.deliver_oldest()
+        _advance(group)
         committed = group.checker.committed - committed_before
         if group.pick_leader() is not None and committed > RECOVERY_COMMITS:
             return True
@@ -140,6 +164,16 @@
     return False
 
 
+def _advance(group: SimulatedGroup) -> None:
+    """Advance the time of all nodes by one tick and deliver all messages."""
+    for name in sorted(group.nodes):
+        group.tick(name)
+    for _ in range(DELIVERIES_PER_TICK):
+        if not group.network:
+            return
+        group.deliver_oldest()
+
+
 def find_violation(
     seed: int, schedule: Sequence[Operation], core_factory: CoreFactory = RaftCore
 ) -> str | None:
@@ -147,13 +181,17 @@
     group = SimulatedGroup(seed, core_factory)
     try:
         play(group, schedule)
+        end_faults(group)
+        caught_up = catches_up(group)
         recovered = recovers(group)
     except (SafetyViolationError, AssertionError) as error:
         return str(error) or type(error).__name__
     except Exception as error:  # any other exception in the core is a failure, too
         place = traceback.extract_tb(error.__traceback__)[-1]
         return f"crash: {type(error).__name__}: {error} in {place.name}:{place.lineno}"
-    return None if recovered else LIVENESS
+    if not recovered:
+        return LIVENESS
+    return None if caught_up else CATCH_UP
 
 
 def run(
--- a/juniperreel/emulator/raft_steering.py
+++ b/juniperreel/emulator/raft_steering.py
@@ -8,7 +8,7 @@
 from collections.abc import Collection
 
 from juniperreel.emulator.raft_group import SimulatedGroup, involves
-from juniperreel.emulator.raft_operations import compact
+from juniperreel.emulator.raft_operations import MAX_DELAYED, compact
 from juniperreel.raft.core import RaftCore
 from juniperreel.raft.messages import AppendEntries, Message, SnapshotChunk, VoteReply, VoteRequest
 from juniperreel.raft.types import Role
@@ -30,12 +30,15 @@
 def elect_other(group: SimulatedGroup, pick: int, variant: int) -> None:
     """Elect a node other than the leader, and drop the entries that it sends as the new leader.
 
-    The old leader may crash or be partitioned. The new one then has an entry that no other node has.
+    The old leader may crash or be partitioned, and its last entries may arrive late. The new one then has an
+    entry that no other node has.
     """
     leader = group.pick_leader()
     name = _pick_candidate(group, leader, pick, variant)
     if name is None:
         return
+    if leader is not None and (variant >> 4) % 2:
+        _delay_entries_from(group, leader)
     if leader is not None and variant % 2 and group.majority_survives_a_crash():
         group.stop(leader)
     elif leader is not None and variant % 3:  # it keeps running, and considers itself the leader
@@ -75,6 +78,21 @@
         )
 
 
+def _delay_entries_from(group: SimulatedGroup, leader: str) -> None:
+    """Have a leader propose a command, and hold back the messages with entries that it has sent."""
+    group.propose(leader)
+    group.settle(leader)
+    entries = [
+        message
+        for message in group.network
+        if isinstance(message, AppendEntries) and message.src == leader and message.entries
+    ]
+    room = max(0, MAX_DELAYED - len(group.delayed))
+    for message in entries[:room]:
+        group.network.remove(message)
+        group.delayed.append(message)
+
+
 def _drop_entries_from(group: SimulatedGroup, name: str) -> None:
     group.drop_matching(lambda message: message.src == name and isinstance(message, AppendEntries))
 
--- a/juniperreel/raft/progress.py
+++ b/juniperreel/raft/progress.py
@@ -42,7 +42,7 @@
 
     @property
     def paused(self) -> bool:
-        """Whether sending is suspended until a reply arrives or the next heartbeat is due."""
+        """Whether sending is suspended until a reply arrives, to a message in flight or to a heartbeat."""
         if self.state is ProgressState.REPLICATE:
             return len(self._inflight) >= self._max_inflight
         return self.awaiting_reply
@@ -105,7 +105,6 @@
         self._inflight.clear()
 
     def on_heartbeat(self) -> None:
-        """Free one in-flight slot, since messages in flight may have been lost."""
-        self.awaiting_reply = False
-        if self._inflight and len(self._inflight) >= self._max_inflight:
-            self._inflight.popleft()
+        """Allow the chunk in flight to be sent again, since it may have been lost."""
+        if self.state is ProgressState.SNAPSHOT:
+            self.awaiting_reply = False
--- a/juniperreel/raft/replication.py
+++ b/juniperreel/raft/replication.py
@@ -120,14 +120,10 @@
 
     def broadcast_commit(self) -> None:
         """Send each follower the new commit index, in an empty AppendEntries if it is missing no entries."""
-        state = self._state
         for name in sorted(self._progress):
             progress = self._progress[name]
-            if self.send_to(name) or progress.state is not ProgressState.REPLICATE:
-                continue
-            term = state.log.term_at(progress.match_index)
-            if term is not None:
-                self._send_empty_append(name, progress.match_index, term)
+            if not self.send_to(name) and progress.state is ProgressState.REPLICATE:
+                self._send_empty_append(name, progress)
 
     def heartbeat_due(self) -> bool:
         """Count a tick. Returns whether a heartbeat is due."""
@@ -143,26 +139,26 @@
         return self._heartbeat_round
 
     def send_heartbeats(self) -> None:
-        """Send each follower the entries that it is missing, or an empty AppendEntries."""
-        log = self._state.log
+        """Send each follower the entries that may be sent now, or an empty AppendEntries."""
         for name in sorted(self._progress):
             progress = self._progress[name]
             progress.on_heartbeat()
-            if self.send_to(name):
-                continue
-            prev_index = min(progress.match_index, log.last_index)
-            prev_term = log.term_at(prev_index)
-            if prev_term is None:
-                prev_index = log.compacted_index
-                prev_term = log.compacted_term
-            self._send_empty_append(name, prev_index, prev_term)
-
-    def _send_empty_append(self, name: str, prev_index: int, prev_term: int) -> None:
+            if not self.send_to(name):
+                self._send_empty_append(name, progress)
+
+    def _send_empty_append(self, name: str, progress: Progress) -> None:
+        """Send a follower an AppendEntries without entries that follows the last entry sent to it.
+
+        A follower that lacks that entry rejects it, which tells the leader that messages were lost. The reply
+        of a follower that has it makes up for lost replies.
+        """
         state = self._state
-        # Entries beyond the match index may conflict with the leader's log. Limiting the commit index to the
-        # match index keeps the follower from committing them.
-        commit_index = min(state.commit_index, self._progress[name].match_index)
-        self._send_append(name, prev_index, prev_term, (), commit_index)
+        prev_index = progress.next_index - 1
+        prev_term = state.log.term_at(prev_index)
+        if prev_term is None:
+            prev_index = state.log.compacted_index
+            prev_term = state.log.compacted_term
+        self._send_append(name, prev_index, prev_term, (), state.commit_index)
 
     def send_to(self, name: str) -> bool:
         """Send a follower the entries that it is missing, within its in-flight window.
@@ -171,6 +167,9 @@
         """
         state = self._state
         progress = self._progress[name]
+        is_compacted = state.log.term_at(progress.next_index - 1) is None
+        if is_compacted and progress.state is not ProgressState.SNAPSHOT:
+            progress.become_snapshot(state.snapshot.index)
         sent = False
         while not progress.paused:
             if progress.state is ProgressState.SNAPSHOT:
@@ -178,9 +177,7 @@
                 return True
             prev_index = progress.next_index - 1
             prev_term = state.log.term_at(prev_index)
-            if prev_term is None:
-                progress.become_snapshot(state.snapshot.index)
-                continue
+            assert prev_term is not None
             entries = self._next_batch(progress.next_index)
             if not entries and (progress.state is ProgressState.REPLICATE or sent):
                 return sent
