--- a/juniperreel/raft/core.py
+++ b/juniperreel/raft/core.py
@@ -377,11 +377,12 @@
         if reply.heartbeat_round > progress.acknowledged_round:
             progress.acknowledged_round = reply.heartbeat_round
             self._reads.confirm()
+        if self._replication.awaits_snapshot(progress, reply):
+            self._replication.resend_lost_chunk(progress, reply)
+            return
         if not reply.accepted:
             self._replication.on_rejected(progress, reply)
             return
-        if self._replication.awaits_snapshot(progress, reply):
-            return
         if self._replication.on_accepted(progress, reply):
             self._advance_commit()
         if self.is_leader:  # the commit may have removed this node from the group
--- a/juniperreel/raft/progress.py
+++ b/juniperreel/raft/progress.py
@@ -25,6 +25,7 @@
         acknowledged_round: The latest heartbeat round that it acknowledged.
         snapshot_index: Index of the snapshot in transfer, in state SNAPSHOT.
         snapshot_offset: Number of bytes of that snapshot that it has acknowledged.
+        chunk_round: The heartbeat round in which the last chunk was sent.
     """
 
     def __init__(self, next_index: int, max_inflight: int) -> None:
@@ -36,6 +37,7 @@
         self.acknowledged_round = 0
         self.snapshot_index = 0
         self.snapshot_offset = 0
+        self.chunk_round = 0
         self.awaiting_reply = False  # a probe or a chunk is in flight
         self._max_inflight = max_inflight
         self._inflight: deque[int] = deque()  # last index of each message in flight
@@ -104,7 +106,6 @@
         self.awaiting_reply = False
         self._inflight.clear()
 
-    def on_heartbeat(self) -> None:
-        """Allow the chunk in flight to be sent again, since it may have been lost."""
-        if self.state is ProgressState.SNAPSHOT:
-            self.awaiting_reply = False
+    def lost_chunk(self, acknowledged_round: int) -> bool:
+        """Whether the chunk in flight is lost: the follower has answered a heartbeat sent after it."""
+        return self.awaiting_reply and acknowledged_round > self.chunk_round
--- a/juniperreel/raft/read_index.py
+++ b/juniperreel/raft/read_index.py
@@ -68,9 +68,8 @@
             self._start(context)
 
     def _start(self, context: int) -> None:
-        heartbeat_round = self._replication.next_heartbeat_round()
+        heartbeat_round = self._replication.send_heartbeats()
         self._pending.append(PendingRead(heartbeat_round, context, self._state.commit_index))
-        self._replication.send_heartbeats()
         self.confirm()
 
     def confirm(self) -> None:
--- a/juniperreel/raft/replication.py
+++ b/juniperreel/raft/replication.py
@@ -133,18 +133,16 @@
         self._ticks_since_heartbeat = 0
         return True
 
-    def next_heartbeat_round(self) -> int:
-        """Start a new heartbeat round and return its number."""
-        self._heartbeat_round += 1
-        return self._heartbeat_round
+    def send_heartbeats(self) -> int:
+        """Start a heartbeat round and return its number.
 
-    def send_heartbeats(self) -> None:
-        """Send each follower the entries that may be sent now, or an empty AppendEntries."""
+        Each follower is sent the entries that may be sent now, or an empty AppendEntries.
+        """
+        self._heartbeat_round += 1
         for name in sorted(self._progress):
-            progress = self._progress[name]
-            progress.on_heartbeat()
             if not self.send_to(name):
-                self._send_empty_append(name, progress)
+                self._send_empty_append(name, self._progress[name])
+        return self._heartbeat_round
 
     def _send_empty_append(self, name: str, progress: Progress) -> None:
         """Send a follower an AppendEntries without entries that follows the last entry sent to it.
@@ -237,6 +235,7 @@
                 last=offset + len(data) >= len(snapshot.data),
             )
         )
+        progress.chunk_round = self._heartbeat_round
         progress.on_sent(0)
 
     # Replies.
@@ -249,12 +248,18 @@
 
     def awaits_snapshot(self, progress: Progress, reply: AppendEntriesReply) -> bool:
         """Whether a follower in state SNAPSHOT is still missing entries that this node has compacted."""
-        return progress.state is ProgressState.SNAPSHOT and reply.index < self._state.log.compacted_index
+        if progress.state is not ProgressState.SNAPSHOT:
+            return False
+        return not reply.accepted or reply.index < self._state.log.compacted_index
+
+    def resend_lost_chunk(self, progress: Progress, reply: AppendEntriesReply) -> None:
+        """Send the snapshot chunk in flight again, if the reply to a heartbeat shows that it is lost."""
+        if progress.lost_chunk(reply.heartbeat_round):
+            progress.awaiting_reply = False
+            self.send_to(reply.src)
 
     def on_rejected(self, progress: Progress, reply: AppendEntriesReply) -> None:
         """Move the follower's next index back after a rejected AppendEntries, and send from there."""
-        if progress.state is ProgressState.SNAPSHOT:
-            return
         hint_index = reply.index
         if reply.hint_term:
             # Skip this log's entries with a term above the hint's: none of them can match.
--- a/tests/raft/mutations.py
+++ b/tests/raft/mutations.py
@@ -300,13 +300,18 @@
     """Sends heartbeats that every follower accepts, so that no lost message is noticed: safe, but stuck."""
 
     class BuggyReplication(Replication):
-        def send_heartbeats(self) -> None:
+        def send_heartbeats(self) -> int:
+            self._heartbeat_round += 1
             for name in sorted(self._progress):
                 self._send_append(name, 0, 0, (), 0)
+            return self._heartbeat_round
 
         def on_accepted(self, progress: Progress, reply: AppendEntriesReply) -> bool:
             return super().on_accepted(progress, reply) if reply.index else False
 
+        def resend_lost_chunk(self, progress: Progress, reply: AppendEntriesReply) -> None:
+            pass
+
     replication_class = BuggyReplication
 
 
@@ -323,6 +328,16 @@
     replication_class = BuggyReplication
 
 
+class NeverResendsChunks(RaftCore):
+    """Does not send a lost chunk of a snapshot again."""
+
+    class BuggyReplication(Replication):
+        def resend_lost_chunk(self, progress: Progress, reply: AppendEntriesReply) -> None:
+            pass
+
+    replication_class = BuggyReplication
+
+
 MUTATIONS: list[type[RaftCore]] = [
     VotesTwice,
     DoesNotPersistVote,
@@ -344,6 +359,7 @@
     DropsInstalledSnapshots,
     NeverRetransmits,
     HeartbeatsFollowMatchIndex,
+    NeverResendsChunks,
 ]
 
 # Number of seeds for bugs that take longer than the default to detect.
--- a/tests/raft/test_digest.py
+++ b/tests/raft/test_digest.py
@@ -29,7 +29,7 @@
 
 SCHEDULES = 500
 OPERATIONS = 400
-DIGEST = "83ec8ce6d0a63ee946102925e7ce58a15ea8f36498bd9b3f2fdc59580edf5639"
+DIGEST = "f03008ebfb2b43d369fe1261ac4fdf2ebcdef5267aadfcad9dd84f039d6be8eb"
 
 
 class Recorder:
--- a/tests/raft/test_lost_messages.py
+++ b/tests/raft/test_lost_messages.py
@@ -189,6 +189,7 @@
         self._in_flight: deque[tuple[int, Message]] = deque()
         self._tick = 0
         self.entries_sent: Counter[int] = Counter()  # by index
+        self.chunks_sent: Counter[int] = Counter()  # by offset
         self.lost_entry: int | None = None
 
     def advance(self) -> None:
@@ -210,6 +211,8 @@
             if self.lost_entry in indexes:
                 self.lost_entry = None
                 return True
+        if isinstance(message, SnapshotChunk):
+            self.chunks_sent[message.offset] += 1
         self._in_flight.append((self._tick + self._delay_ticks, message))
         return True
 
@@ -245,6 +248,23 @@
     assert max(link.entries_sent.values()) <= 3  # lost, as the probe, and after it
 
 
+def test_reads_during_a_snapshot_transfer_over_a_slow_link_send_each_chunk_once() -> None:
+    group = group_with_leader("a", "b", "c")
+    group.partitioned = {"c"}
+    group.propose("a", *(b"command%d" % number for number in range(10)))
+    core = group.cores["a"]
+    core.compact(core.applied_index, b"\0".join(group.applied["a"]))
+    group.deliver_messages()
+    group.partitioned = set()
+    link = DelayedLink(group, "c", 5)
+    for number in range(300):
+        core.read_index(number)
+        link.advance()
+    assert_all_caught_up(group, "a")
+    assert len(link.chunks_sent) > 5
+    assert set(link.chunks_sent.values()) == {1}
+
+
 def test_rejection_that_arrives_late_does_not_send_entries_again() -> None:
     group = group_with_leader("a", "b", "c")
     core: RaftCore = group.cores["a"]
