Raft: an entry of unknown fate is answered as unknown, not as `not applied`

Both may have been applied. Who believes it and proposes the change under a new sequence number has it twice.

Change: OutcomeUnknownError for both, answered UNAVAILABLE "outcome unknown: ..." with the reason OUTCOME_UNKNOWN; ABORTED "not applied" only where another entry was committed at the index.

--- a/juniperreel/raft/errors.py
+++ b/juniperreel/raft/errors.py
@@ -50,9 +50,7 @@
 
 
 class EntrySupersededError(RaftError):
-    """The proposed entry was superseded.
-
-    If another entry superseded it, it is never applied; if a snapshot did, its outcome is unknown.
+    """Another entry was committed at the index of the proposed one, which is therefore never applied.
 
     Attributes:
         reason: What superseded it.
@@ -64,6 +62,19 @@
         self.reason = reason
 
 
+class OutcomeUnknownError(RaftError):
+    """The node cannot tell whether the proposed entry was or will be applied.
+
+    Attributes:
+        reason: Why it cannot.
+    """
+
+    def __init__(self, reason: str) -> None:
+        """`reason` says why the outcome is unknown."""
+        super().__init__(reason)
+        self.reason = reason
+
+
 class LeaderUnreachableError(RaftError):
     """No instance responded as the leader.
 
--- a/juniperreel/raft/node.py
+++ b/juniperreel/raft/node.py
@@ -110,7 +110,7 @@
         """Propose a command and return its outcome once it is applied.
 
         If the call is cancelled, the command may still be applied. Raises NotLeaderError,
-        RequestRejectedError or EntrySupersededError.
+        RequestRejectedError, EntrySupersededError or OutcomeUnknownError.
         """
         outcome = await self._perform(PendingOperation(lambda: self.core.propose(data)))
         assert outcome is not None  # every command entry has an outcome
@@ -152,7 +152,7 @@
                 await self._loop()
         finally:
             self.stopped = True
-            self._operations.reject_all(NODE_STOPPING)
+            self._operations.fail_all(NODE_STOPPING)
             self._send_channel.close()
             self.applied.wake()
 
--- a/juniperreel/raft/operations.py
+++ b/juniperreel/raft/operations.py
@@ -8,13 +8,19 @@
 import trio
 
 from juniperreel.raft.configuration.state_machine import Outcome
-from juniperreel.raft.errors import EntrySupersededError, NotLeaderError, RaftError, RequestRejectedError
+from juniperreel.raft.errors import (
+    EntrySupersededError,
+    NotLeaderError,
+    OutcomeUnknownError,
+    RaftError,
+    RequestRejectedError,
+)
 from juniperreel.raft.ready import ReadState
 from juniperreel.raft.types import Entry, LogPosition
 
 MAX_PENDING = 1024
 TOO_MANY_PENDING = "too many requests are in hand"
-SUPERSEDED_BY_SNAPSHOT = "a snapshot took its place"
+COVERED_BY_SNAPSHOT = "a snapshot covers the entry"
 SUPERSEDED_BY_ENTRY = "another leader's entry took its place"
 
 
@@ -114,7 +120,7 @@
     def on_snapshot_installed(self, index: int) -> None:
         """Fail the operations whose entries the snapshot covers: it does not say if they were applied."""
         for covered in [pending_index for pending_index in self._entries if pending_index <= index]:
-            self._entries.pop(covered).operation.fail(EntrySupersededError(SUPERSEDED_BY_SNAPSHOT))
+            self._entries.pop(covered).operation.fail(OutcomeUnknownError(COVERED_BY_SNAPSHOT))
 
     def on_reads_confirmed(self, read_states: Iterable[ReadState]) -> None:
         """Complete the reads that were confirmed."""
@@ -138,9 +144,9 @@
         """
         self.on_reads_lost(list(self._reads), leader)
 
-    def reject_all(self, reason: str) -> None:
-        """Reject every pending operation when the node stops."""
+    def fail_all(self, reason: str) -> None:
+        """Fail every pending operation when the node stops; other nodes may still commit the entries."""
         for pending in self._entries.values():
-            pending.operation.fail(RequestRejectedError(reason))
+            pending.operation.fail(OutcomeUnknownError(reason))
         for operation in self._reads.values():
             operation.fail(RequestRejectedError(reason))
--- a/juniperreel/raft/service.py
+++ b/juniperreel/raft/service.py
@@ -15,7 +15,12 @@
 from juniperreel.raft.configuration import model
 from juniperreel.raft.configuration.commands import Command, decode_command
 from juniperreel.raft.configuration.state_machine import ConfigurationUpdate
-from juniperreel.raft.errors import EntrySupersededError, NotLeaderError, RequestRejectedError
+from juniperreel.raft.errors import (
+    EntrySupersededError,
+    NotLeaderError,
+    OutcomeUnknownError,
+    RequestRejectedError,
+)
 from juniperreel.raft.node import RaftNode
 from juniperreel.raft.peers import STEP_PATH
 from juniperreel.raft.types import MembershipChange
@@ -25,6 +30,7 @@
 
 ERROR_DOMAIN = "configuration.juniperreel"
 NOT_LEADER_REASON = "NOT_LEADER"
+OUTCOME_UNKNOWN_REASON = "OUTCOME_UNKNOWN"
 SERVICE = "juniperreel.configuration.v1.Configuration"
 MAX_WATCHES = 2000
 MAX_CACHED_UPDATES = 100
@@ -107,7 +113,7 @@
             if rejection:
                 version = node.state_machine.current.version
                 return pb.ProposeResponse(version=version, refusal=rejection).SerializeToString()
-        with _errors_as_status(rejected=Code.UNAVAILABLE, superseded="not applied: "):
+        with _errors_as_status(rejected=Code.UNAVAILABLE):
             outcome = await node.propose(request.command)
         return pb.ProposeResponse(version=outcome.version, refusal=outcome.rejection).SerializeToString()
 
@@ -240,11 +246,11 @@
 
 
 @contextmanager
-def _errors_as_status(rejected: Code, superseded: str = "") -> Iterator[None]:
-    """Convert the errors of a node's operations to gRPC statuses.
+def _errors_as_status(rejected: Code) -> Iterator[None]:
+    """Convert the errors of a node's operations to gRPC statuses; `rejected` is that of a rejected request.
 
-    `rejected` is the status code for a rejected request; `superseded` is the message prefix for a superseded
-    entry.
+    Only an entry that is never applied is reported as such: a client that believes it may propose the change
+    anew, under another sequence number.
     """
     try:
         yield
@@ -253,4 +259,7 @@
     except RequestRejectedError as error:
         raise RpcError(rejected, str(error)) from error
     except EntrySupersededError as error:
-        raise RpcError(Code.ABORTED, f"{superseded}{error}") from error
+        raise RpcError(Code.ABORTED, f"not applied: {error}") from error
+    except OutcomeUnknownError as error:
+        details = [error_info(OUTCOME_UNKNOWN_REASON, ERROR_DOMAIN)]
+        raise RpcError(Code.UNAVAILABLE, f"outcome unknown: {error}", details) from error
--- a/tests/raft/test_cluster.py
+++ b/tests/raft/test_cluster.py
@@ -17,13 +17,15 @@
 from juniperreel.proxy import DriverOptions
 from juniperreel.proxy.configuration_source import ConfigurationSource, endpoints_from_configuration
 from juniperreel.raft import wire
+from juniperreel.raft.config import RaftConfig
 from juniperreel.raft.configuration import model
-from juniperreel.raft.configuration.commands import SetGroup, SetLimit, encode_command
+from juniperreel.raft.configuration.commands import Command, SetGroup, SetLimit, encode_command
 from juniperreel.raft.configuration.model import GroupInfo
 from juniperreel.raft.errors import (
     DiskFullError,
     EntrySupersededError,
     NotLeaderError,
+    OutcomeUnknownError,
     RequestRejectedError,
     StorageError,
 )
@@ -151,6 +153,95 @@
     assert (await cluster_of_three.client.get()).limits["edges"] == 3
 
 
+async def propose_once(cluster: Cluster, name: str, command: Command) -> RpcError:
+    """Propose a command to one instance, without retries, and return the error that it is answered with."""
+    channel = await cluster.client._channel(("127.0.0.1", int(name.rpartition(":")[2])))
+    request = pb.ProposeRequest(command=encode_command(command)).SerializeToString()
+    with pytest.raises(RpcError) as raised:
+        await channel.unary("/juniperreel.configuration.v1.Configuration/Propose", request)
+    return raised.value
+
+
+async def test_command_whose_entry_a_snapshot_covers_is_answered_with_its_outcome_unknown(
+    nursery: trio.Nursery, tmp_path: Path
+) -> None:
+    """Guards against an applied command that is answered as `not applied`, and so proposed a second time."""
+    cluster = Cluster(tmp_path, nursery, snapshot_interval=20)
+    await cluster.start(3)
+    await cluster.seed()
+    leader = await cluster.wait_for_leader()
+    others = [name for name in cluster.names if name != leader]
+    cluster.partitions = {(other, leader) for other in others}  # its entries arrive, the replies do not
+    errors: list[RpcError] = []
+
+    async def propose_at_leader() -> None:
+        command = cluster.command(SetLimit("edges", 8), client="cut off")
+        errors.append(await propose_once(cluster, leader, command))
+
+    nursery.start_soon(propose_at_leader)
+    await cluster.wait_for_leader(others)
+    for number in range(RaftConfig().trailing_entries + 20):
+        await cluster.client.propose(cluster.command(SetLimit("attempts", 2 + number)), attempts=60)
+    cluster.heal()
+    with trio.fail_after(10):
+        while not errors:
+            await trio.sleep(0.01)
+    assert (await cluster.client.get()).limits["edges"] == 8  # the command was applied
+    (error,) = errors
+    assert error.code is Code.UNAVAILABLE
+    assert error.message.startswith("outcome unknown: ")
+    assert error.reason("configuration.juniperreel") == "OUTCOME_UNKNOWN"
+
+
+async def test_command_superseded_by_another_leaders_entry_is_answered_as_not_applied(
+    cluster_of_three: Cluster,
+) -> None:
+    leader = await cluster_of_three.wait_for_leader()
+    others = [name for name in cluster_of_three.names if name != leader]
+    cluster_of_three.partition(leader)
+    errors: list[RpcError] = []
+
+    async def propose_at_leader() -> None:
+        command = cluster_of_three.command(SetLimit("edges", 8), client="cut off")
+        errors.append(await propose_once(cluster_of_three, leader, command))
+
+    cluster_of_three.nursery.start_soon(propose_at_leader)
+    await cluster_of_three.wait_for_leader(others)
+    await cluster_of_three.apply_changes(SetLimit("attempts", 3))
+    cluster_of_three.heal()
+    with trio.fail_after(10):
+        while not errors:
+            await trio.sleep(0.01)
+    assert (errors[0].code, errors[0].message.partition(":")[0]) == (Code.ABORTED, "not applied")
+    assert (await cluster_of_three.client.get()).limits["edges"] == 3
+
+
+async def test_command_pending_when_its_instance_stops_has_an_unknown_outcome(
+    cluster_of_three: Cluster,
+) -> None:
+    """Guards against a rejection of what the others may still commit."""
+    leader = await cluster_of_three.wait_for_leader()
+    others = [name for name in cluster_of_three.names if name != leader]
+    cluster_of_three.partitions = {(other, leader) for other in others}
+    node = cluster_of_three.instances[leader].node
+    unknown: list[OutcomeUnknownError] = []
+
+    async def propose_at_leader() -> None:
+        data = encode_command(cluster_of_three.command(SetLimit("edges", 8), client="cut off"))
+        with pytest.raises(OutcomeUnknownError) as raised:
+            await node.propose(data)
+        unknown.append(raised.value)
+
+    cluster_of_three.nursery.start_soon(propose_at_leader)
+    await cluster_of_three.wait_for_leader(others)
+    await cluster_of_three.kill(leader)
+    with trio.fail_after(5):
+        while not unknown:
+            await trio.sleep(0.01)
+    await cluster_of_three.apply_changes(SetLimit("attempts", 3))
+    assert (await cluster_of_three.client.get()).limits["edges"] == 8
+
+
 async def test_leader_that_receives_but_cannot_send_is_replaced(cluster_of_three: Cluster) -> None:
     leader = await cluster_of_three.wait_for_leader()
     others = [n for n in cluster_of_three.names if n != leader]
