Raft: a pending proposal is answered when a new one takes its index

What callers saw: a proposal to a leader that lost its log's end and leads again later was never answered, where a new proposal got the same index; the call ran into its own time-out.

Cause: OperationTable.start overwrote the entry's pending operation, against the table's own invariant that every operation completes.

Change: the older operation fails as outcome unknown: another node may still hold its entry and commit it.

--- a/juniperreel/raft/operations.py
+++ b/juniperreel/raft/operations.py
@@ -21,6 +21,7 @@
 MAX_PENDING = 1024
 TOO_MANY_PENDING = "too many requests are in hand"
 COVERED_BY_SNAPSHOT = "a snapshot covers the entry"
+REPLACED_IN_LOG = "another entry took its place, which is not committed yet"
 SUPERSEDED_BY_ENTRY = "another leader's entry took its place"
 
 
@@ -97,12 +98,19 @@
             operation.fail(error)
             return
         if position is not None:
-            self._entries[position.index] = PendingEntry(position.term, operation)
+            self._track_entry(position, operation)
         elif operation.read_context is not None:
             self._reads[operation.read_context] = operation
         else:
             operation.succeed()
 
+    def _track_entry(self, position: LogPosition, operation: PendingOperation) -> None:
+        replaced = self._entries.get(position.index)
+        if replaced is not None:
+            # Its entry was truncated here, but other nodes may hold it and commit it yet.
+            replaced.operation.fail(OutcomeUnknownError(REPLACED_IN_LOG))
+        self._entries[position.index] = PendingEntry(position.term, operation)
+
     def discard_read(self, context: int) -> None:
         """Stop tracking a read whose caller no longer waits for it."""
         self._reads.pop(context, None)
