MySQL front: three texts that a rename had damaged are MySQL's own again

What clients got: "TransactionOutcomeUnknownError database 'x'" for "Unknown database 'x'", the same in front of "prepared statement handler (n)", and "OpenRequest tables" in COM_STATISTICS, which libraries parse into fields.

In the whole program a string with a space that names a class, function or attribute of ours was searched for: only these three; the rest are names of protocol messages and settings.

Evidence: a test on the running edge compares the three texts; it failed before.

--- a/juniperreel/frontends/mysql/commands.py
+++ b/juniperreel/frontends/mysql/commands.py
@@ -107,7 +107,7 @@
 
     def _init_db(self, name: str) -> list[Event]:
         if not self._protocol.accepts_database(name):
-            raise MysqlError(UNKNOWN_SCHEMA, f"TransactionOutcomeUnknownError database '{name[:64]}'")
+            raise MysqlError(UNKNOWN_SCHEMA, f"Unknown database '{name[:64]}'")
         self._session.schema = name
         return self._protocol.ok()
 
--- a/juniperreel/frontends/mysql/frontend.py
+++ b/juniperreel/frontends/mysql/frontend.py
@@ -61,7 +61,7 @@
         uptime_s = max((self._context.clock.now_us() - self._started_us) / US, MIN_UPTIME_S)
         return (
             f"Uptime: {uptime_s:.0f}  Threads: {self.connections}  Questions: {self._commands_started}  "
-            "Slow queries: 0  Opens: 0  Flush tables: 0  OpenRequest tables: 0  "
+            "Slow queries: 0  Opens: 0  Flush tables: 0  Open tables: 0  "
             f"Queries per second avg: {self._commands_started / uptime_s:.3f}"
         )
 
--- a/juniperreel/frontends/mysql/prepared.py
+++ b/juniperreel/frontends/mysql/prepared.py
@@ -118,8 +118,7 @@
         statement = self._statements.get(statement_id)
         if statement is None:
             raise PreparedStatementError(
-                UNKNOWN_STATEMENT,
-                f"TransactionOutcomeUnknownError prepared statement handler ({statement_id})",
+                UNKNOWN_STATEMENT, f"Unknown prepared statement handler ({statement_id})"
             )
         return statement
 
--- a/tests/e2e/test_mysql_hard.py
+++ b/tests/e2e/test_mysql_hard.py
@@ -272,6 +272,26 @@
     assert served("once") == once
 
 
+async def test_texts_of_errors_and_statistics_are_those_of_mysql(env: Environment) -> None:
+    """Guards against texts that a rename of this project's classes changes; clients match and parse them."""
+
+    def work(connection: Any) -> list[str]:
+        texts = [" ".join(sorted(connection.cmd_statistics()))]
+        for name, argument in (("cmd_init_db", "other"), ("cmd_stmt_reset", 77)):
+            with pytest.raises(mysql.connector.Error) as raised:
+                getattr(connection, name)(argument)
+            texts.append(str(raised.value.msg))
+        return texts
+
+    with trio.fail_after(60):
+        statistics, *errors = await trio.to_thread.run_sync(run_connector, env, work)
+    assert (
+        statistics
+        == "Flush tables Open tables Opens Queries per second avg Questions Slow queries Threads Uptime"
+    )
+    assert errors == ["Unknown database 'other'", "Unknown prepared statement handler (77)"]
+
+
 async def test_change_user_reset_connection_and_unsupported_commands(env: Environment) -> None:
     def work(connection: Any) -> list[Any]:
         cursor = connection.cursor()
