Commands: a time-out is said as such, and that the request may have taken effect

What callers saw: `juniperreel call` printed "host:port: " and nothing behind it when no answer came in time, `config status` the same for an instance that accepts calls and does not answer, and a pool's login that timed out "accepted no login: ". A person who reads nothing repeats the call, and a write of a class without a key has its effect twice.

Cause: `{error or 'no answer'}` with an exception for `error`: an exception is always true, and TooSlowError has no text.

Change: the error's text decides; `call` says that the request may have taken effect.

--- a/juniperreel/cli/call.py
+++ b/juniperreel/cli/call.py
@@ -20,6 +20,7 @@
 
 EXECUTE = "/juniperreel.v1.Records/Execute"
 MILLISECOND_US = 1_000
+TIMED_OUT = "no answer within the timeout; the request may have taken effect"
 
 
 def parse_value(text: str) -> values_pb2.Value:
@@ -88,7 +89,8 @@
             click.echo(f"retry after {retry_after_us / MILLISECOND_US:.0f} ms", err=True)
         sys.exit(1)
     except* (ConnectError, CallUnprocessedError, CallInterruptedError, trio.TooSlowError) as errors:
-        click.echo(f"{address}: {errors.exceptions[0] or 'no response within the timeout'}", err=True)
+        # The text of a TooSlowError is empty.
+        click.echo(f"{address}: {str(errors.exceptions[0]) or TIMED_OUT}", err=True)
         sys.exit(1)
 
 
--- a/juniperreel/cli/configd.py
+++ b/juniperreel/cli/configd.py
@@ -55,6 +55,7 @@
 LEADERSHIP_TRANSFER_TIMEOUT_S = 2.0
 POLL_INTERVAL_S = 0.02
 MEMBER_CHANGE_ATTEMPTS = 5
+NO_ANSWER = "no answer"  # for an error without a text, such as a time-out
 
 
 class Instance:
@@ -345,7 +346,7 @@
         try:
             status = await client.status(address)
         except Exception as error:  # a failing instance must not hide the status of the others
-            click.echo(f"{address[0]}:{address[1]}: {error or 'no answer'}")
+            click.echo(f"{address[0]}:{address[1]}: {str(error) or NO_ANSWER}")
             continue
         click.echo(format_status(status))
 
--- a/juniperreel/pool/connection.py
+++ b/juniperreel/pool/connection.py
@@ -81,7 +81,7 @@
                     await trio.aclose_forcefully(stream)
             if isinstance(error, (trio.TooSlowError, *STREAM_ERRORS)):
                 raise ConnectTimedOutError(
-                    f"{host}:{port} accepted no login: {error or 'timed out'}"
+                    f"{host}:{port} accepted no login: {str(error) or 'timed out'}"
                 ) from error
             raise
         return BackendConnection(stream, session, config)
--- a/tests/pool/test_connection.py
+++ b/tests/pool/test_connection.py
@@ -143,7 +143,7 @@
 
     listener = await TcpNetwork().listen("127.0.0.1", 0)  # accepts connections and sends nothing
     port = listener.port
-    with pytest.raises(ConnectTimedOutError):
+    with pytest.raises(ConnectTimedOutError, match="accepted no login: timed out"):
         await BackendConnection.open(TcpNetwork(), "127.0.0.1", port, CONFIG, 100_000)
     await listener.aclose()
     with pytest.raises(ConnectRefusedError):
