MySQL front: a rolled back transaction says which of the two reasons it had

What clients got: 1213 "the transaction was undone: its time was over, or its member has left", and the same where the connection to the member was lost. Which it was decides what to do: begin again as it is, make the transaction shorter (its limit is half of drain-grace), or look at the member.

Cause: the scope knew only that the transaction was no longer open; the reason stayed in the proxy.

Change: Transaction has `abort_reason`; the first statement after the end is told it, "the connection to its member was lost" where the edge aborted nothing.

Evidence: the tests of the time limit and of a removed endpoint compare the text now, and failed before.

--- a/juniperreel/frontends/mysql/transaction_scope.py
+++ b/juniperreel/frontends/mysql/transaction_scope.py
@@ -31,6 +31,7 @@
 PREVIOUS_STATEMENT_DEPENDENCIES = frozenset({"row count", "found rows", LAST_STATEMENT})
 CONNECTION_INDEPENDENT = frozenset({"system variables", "schema"})  # the same on all endpoint connections
 
+CONNECTION_LOST = "the connection to its member was lost"
 NO_EFFECT_QUERY = b"select 1"  # sent to an endpoint where the client's statement must not be
 COMMIT_QUERY = b"commit"
 
@@ -109,7 +110,7 @@
     def plan(self, classification: Classification) -> Plan:
         """Plan a statement. Session commands may change the state of the scope at once."""
         if self.transaction is not None and not self.transaction.open:
-            return self._plan_after_loss(classification)
+            return self._plan_after_loss(classification, self.transaction.abort_reason)
         if classification.session_command is not None:
             return self._plan_session_command(classification.session_command)
         reason = self._unsupported_reason(classification)
@@ -144,8 +145,8 @@
         mode = self.pending or TransactionMode.READ_WRITE
         return Plan(Action.BEGIN_TRANSACTION, mode, taints_connection=taints_connection)
 
-    def _plan_after_loss(self, classification: Classification) -> Plan:
-        """Plan the first statement after the endpoint ended the transaction.
+    def _plan_after_loss(self, classification: Classification, abort_reason: str) -> Plan:
+        """Plan the first statement after the transaction was rolled back.
 
         Without an error, the statement would take effect outside of the transaction that the client assumes
         to be open.
@@ -156,9 +157,8 @@
             and classification.session_command.verb is SessionVerb.ROLLBACK
         ):
             return ACKNOWLEDGED
-        return rejected(
-            "the transaction was undone: its time was over, or its member has left", TRANSACTION_ROLLED_BACK
-        )
+        reason = abort_reason or CONNECTION_LOST
+        return rejected(f"the transaction was rolled back: {reason}", TRANSACTION_ROLLED_BACK)
 
     def _plan_session_command(self, command: SessionCommand) -> Plan:
         match command.verb:
--- a/juniperreel/proxy/requests.py
+++ b/juniperreel/proxy/requests.py
@@ -40,6 +40,11 @@
         """Whether further statements can be executed in the transaction."""
         ...
 
+    @property
+    def abort_reason(self) -> str:
+        """Why the edge rolled the transaction back; empty if it did not."""
+        ...
+
     async def run(self, statement: Statement, stream: bool = True) -> Result:
         """Execute one statement."""
         ...
--- a/juniperreel/proxy/transactions.py
+++ b/juniperreel/proxy/transactions.py
@@ -65,7 +65,7 @@
         self._positions = positions
         self._deadline_us = clock.now_us() + timeout_us
         self._return_lease: Callable[[bool], None] | None = return_lease
-        self._abort_reason = ""
+        self.abort_reason = ""
         self._statement_count = 0
         self._exchange_in_progress = False
         self.tainted = False
@@ -90,9 +90,9 @@
 
         The client receives the reason at its next statement, or at once if one is in flight.
         """
-        if self._return_lease is None or self._abort_reason:
+        if self._return_lease is None or self.abort_reason:
             return
-        self._abort_reason = reason
+        self.abort_reason = reason
         self._backend.close()
         if not self._exchange_in_progress:
             self._end(reusable=False)
@@ -205,9 +205,9 @@
 
         Raises TransactionRolledBackError or ResultTooLargeError.
         """
-        if self._abort_reason or self._return_lease is None:
+        if self.abort_reason or self._return_lease is None:
             self._end(reusable=False)
-            raise TransactionRolledBackError(self._abort_reason or "the transaction is over")
+            raise TransactionRolledBackError(self.abort_reason or "the transaction is over")
         self._statement_count += 1
         attributes: dict[str, Value] = {
             "juniperreel_request": self._request_id,
@@ -217,7 +217,7 @@
         try:
             return await self._backend.exchange(steps, attributes, main, stream)
         except ConnectionLostError as error:
-            reason = self._abort_reason or f"the connection to {self._endpoint} was lost: {error}"
+            reason = self.abort_reason or f"the connection to {self._endpoint} was lost: {error}"
             raise TransactionRolledBackError(reason) from error
         finally:
             self._exchange_in_progress = False
--- a/tests/e2e/test_transactions.py
+++ b/tests/e2e/test_transactions.py
@@ -51,11 +51,16 @@
 
 def error_code(connection: Any, text: str) -> int:
     """Execute a statement and return its error code, or 0."""
+    return error_of(connection, text)[0]
+
+
+def error_of(connection: Any, text: str) -> tuple[int, str]:
+    """Execute a statement and return its error code and message, or 0 and nothing."""
     try:
         execute(connection, text)
     except pymysql.err.MySQLError as error:
-        return int(error.args[0])
-    return 0
+        return int(error.args[0]), str(error.args[1])
+    return 0, ""
 
 
 # Transactions and sessions without faults.
@@ -436,11 +441,12 @@
         connection.begin()
         execute(connection, INSERT % ("l", "one"))
         trio.from_thread.run(wait)
-        codes = [error_code(connection, INSERT % ("l", "two"))]
+        error = error_of(connection, INSERT % ("l", "two"))
         connection.commit()
-        return [*codes, execute(connection, COUNT_QUERY % "l")[0][0]]
+        return [*error, execute(connection, COUNT_QUERY % "l")[0][0]]
 
-    assert await run_pymysql(env, work) == [1213, 0]
+    text = "the transaction was rolled back: it took longer than a transaction may"
+    assert await run_pymysql(env, work) == [1213, text, 0]
 
 
 async def test_removed_endpoint_ends_its_transactions(env: Environment) -> None:
@@ -448,9 +454,10 @@
         connection.begin()
         execute(connection, INSERT % ("r", "one"))
         trio.from_thread.run_sync(mysql_endpoints(env).remove, env.primary.name)
-        return [error_code(connection, INSERT % ("r", "two")), error_code(connection, "rollback")]
+        return [*error_of(connection, INSERT % ("r", "two")), error_code(connection, "rollback")]
 
-    assert await run_pymysql(env, work) == [1213, 0]
+    text = "the transaction was rolled back: its member has left"
+    assert await run_pymysql(env, work) == [1213, text, 0]
 
 
 async def test_client_disconnect_rolls_back_its_transaction(env: Environment) -> None:
--- a/tests/frontends/mysql/test_transaction_scope.py
+++ b/tests/frontends/mysql/test_transaction_scope.py
@@ -21,6 +21,7 @@
 
     def __init__(self) -> None:
         self.open = True
+        self.abort_reason = ""
         self.tainted = False
         self.state = INITIAL_SESSION_STATE
         self.released = 0
