--- a/tests/e2e/environment.py
+++ b/tests/e2e/environment.py
@@ -117,9 +117,12 @@
 class Environment:
     """A running fleet and edge; start it with `nursery.start(env.run)`."""
 
-    def __init__(self, folder: Path, script: str = "", mysql_directives: str = "") -> None:
+    def __init__(
+        self, folder: Path, script: str = "", mysql_directives: str = "", drain_grace: str = "2s"
+    ) -> None:
         """`script`: additional directives; `mysql_directives`: of section [mysql] of the edge's settings."""
         self.folder, self.mysql_directives = folder, mysql_directives
+        self.drain_grace = drain_grace
         self.script = parse(SCRIPT + script)
         self.clock = Clock()
         self.network = TcpNetwork()
@@ -140,6 +143,7 @@
                 + "tls edge.crt edge.pem\n"
                 + self.mysql_directives
             )
+            text = text.replace("drain-grace 2s", f"drain-grace {self.drain_grace}")
             if self.script["mysql-members"]:
                 (self.folder / "member.password").write_bytes(PASSWORD)
                 text = text.replace("effect keyed group 5s", "effect once") + MYSQL_MEMBERS
--- a/tests/e2e/test_transactions.py
+++ b/tests/e2e/test_transactions.py
@@ -475,7 +475,13 @@
     await wait_until(lambda: not env.primary.write_lock.locked())
 
 
-async def test_lock_wait_timeout_is_reported_with_the_endpoint_s_error(env: Environment) -> None:
+async def test_lock_wait_timeout_is_reported_with_the_endpoint_s_error(
+    nursery: trio.Nursery, tmp_path: Path
+) -> None:
+    """The lock is held for longer than the endpoint's time-out, and for less than a transaction may take."""
+    env = Environment(tmp_path, "mysql-members 1", drain_grace="60s")
+    await nursery.start(env.run)
+
     def work(connection: Any) -> list[Any]:
         other = pymysql.connect(
             host="127.0.0.1", port=mysql_port(env), user="ada", password="love lace", autocommit=True
