standins: SIGTERM ends the processes of the groups too

Change: SIGTERM cancels the run, which ends the parts; `run_until_terminated` beside the other handler of signals.

Evidence: a test terminates it once the primaries are listed and looks for its children; both were left before.

--- a/juniperreel/cli/signals.py
+++ b/juniperreel/cli/signals.py
@@ -1,4 +1,4 @@
-"""Shutdown by signal: graceful at the first signal, immediate at the second."""
+"""Shutdown by signal, graceful or immediate."""
 
 from __future__ import annotations
 
@@ -27,6 +27,15 @@
     return status
 
 
+async def run_until_terminated(run: Callable[[], Awaitable[None]]) -> None:
+    """Await `run()`; SIGTERM cancels it, so that it ends the processes that it started."""
+    async with trio.open_nursery() as nursery:
+        with trio.open_signal_receiver(signal.SIGTERM) as signals:
+            nursery.start_soon(_run_then_cancel, run, nursery.cancel_scope)
+            async for _ in signals:
+                nursery.cancel_scope.cancel()
+
+
 async def _run_then_cancel(run: Callable[[], Awaitable[None]], scope: trio.CancelScope) -> None:
     await run()
     scope.cancel()
--- a/juniperreel/cli/standins.py
+++ b/juniperreel/cli/standins.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import sys
+from functools import partial
 from pathlib import Path
 
 import click
 import trio
 
 from juniperreel.cli.scripts import open_recorder, parse_script_or_exit
+from juniperreel.cli.signals import run_until_terminated
 from juniperreel.fakes.fleet import Fleet
 from juniperreel.fakes.fleet_processes import FleetProcesses
 from juniperreel.fakes.script import Script, Step
@@ -54,7 +56,8 @@
 async def _run_fleet_processes(
     script: Path, parsed_script: Script, port: int, record: Path | None, processes: int
 ) -> None:
-    await FleetProcesses(script, parsed_script, port, processes, record).run(click.echo)
+    fleet = FleetProcesses(script, parsed_script, port, processes, record)
+    await run_until_terminated(partial(fleet.run, click.echo))
 
 
 @click.command()
@@ -72,13 +75,16 @@
     help="Number of processes over which the groups are spread.",
 )
 def standins(script: Path, port: int, record: Path | None, processes: int) -> None:
-    """Run the fake endpoints and the endpoint list of a SCRIPT with its faults, until its end or Ctrl-C."""
+    """Run the fake endpoints and the endpoint list of a SCRIPT with its faults.
+
+    Ends with the script, on Ctrl-C and on SIGTERM.
+    """
     parsed_script = parse_script_or_exit(script.read_text(encoding="utf-8"))
     if processes > 1:
         run_in_processes(script, parsed_script, port, record, processes)
         return
     try:
         with open_recorder(record) as recorder:
-            trio.run(run_fleet, parsed_script, recorder, port)
+            trio.run(run_until_terminated, partial(run_fleet, parsed_script, recorder, port))
     except KeyboardInterrupt:
         click.echo("stopped", err=True)
--- a/tests/fakes/test_fakes.py
+++ b/tests/fakes/test_fakes.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import os
 import random
+import signal
 import subprocess
 import sys
 import time
@@ -197,6 +199,54 @@
             process.terminate()
 
 
+def child_pids(pid: int) -> list[int]:
+    by_thread = [file.read_text().split() for file in Path(f"/proc/{pid}/task").glob("*/children")]
+    return [int(child) for children in by_thread for child in children]
+
+
+def is_running(pid: int) -> bool:
+    """Whether a process exists and is not a zombie."""
+    try:
+        return " Z " not in Path(f"/proc/{pid}/stat").read_text()
+    except FileNotFoundError:
+        return False
+
+
+def wait_for_primaries(port: int, count: int) -> None:
+    """Wait until the endpoint list names the primaries, after which the parts publish nothing more."""
+    fetch_request = hosts_pb2.FetchRequest(edge="e").SerializeToString()
+    with grpc.insecure_channel(f"127.0.0.1:{port}") as channel:
+        call = channel.unary_unary("/juniperreel.hosts.v1.Hosts/Fetch")
+        end = time.monotonic() + 30
+        while time.monotonic() < end:
+            reply = call(fetch_request, timeout=10, wait_for_ready=True)
+            if sum(host.primary for host in hosts_pb2.FetchResponse.FromString(reply).hosts) == count:
+                return
+            time.sleep(0.05)
+    pytest.fail("no primaries were listed")
+
+
+def test_terminated_stand_ins_leave_no_process_behind(tmp_path: Path) -> None:
+    """Guards against parts that nothing ends, as they write nothing that would fail without their parent."""
+    script = tmp_path / "script"
+    script.write_text("groups 2\nmembers 1\nlist-delay 10ms\nprimary-delay 10ms\nlast 60s\n")
+    command = [sys.executable, "-m", "juniperreel.cli.main", "standins", str(script), "--processes", "2"]
+    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as process:
+        assert process.stdout is not None
+        wait_for_primaries(int(process.stdout.readline().rpartition(":")[2]), 2)
+        children = child_pids(process.pid)
+        process.terminate()
+        process.wait(30)
+    assert len(children) == 2
+    end = time.monotonic() + 10
+    while any(map(is_running, children)) and time.monotonic() < end:
+        time.sleep(0.02)
+    left = [pid for pid in children if is_running(pid)]
+    for pid in left:
+        os.kill(pid, signal.SIGKILL)
+    assert left == []
+
+
 async def test_endpoint_that_has_joined_without_data_is_not_promoted() -> None:
     """While all others hang, promoting the new endpoint would lose the group's commits."""
     clock = Clock()
