verify: a recording without its limits or classes is refused, not found clean

Seen: `juniperreel verify` of a recording without its limits printed "held" for rule 4, which was not checked at all, and for rules 2 and 3, which were checked without a bound on attempts and with a grace of 0; without a class it ended in a KeyError.

Cause: History's defaults stand for what a recording lacks.

Change: check_all refuses a recording with attempts and no limits, or with a request of a class that it does not have, in a typed error; `verify` and `demo` print it and end with 2, as for a line that can't be decoded.

Evidence: tests of both, and of the command; all failed before (held, KeyError).

--- a/juniperreel/cli/report.py
+++ b/juniperreel/cli/report.py
@@ -14,7 +14,7 @@
 from hdrh.histogram import HdrHistogram
 
 from juniperreel.verification import records as rec
-from juniperreel.verification.errors import RecordingFormatError
+from juniperreel.verification.errors import IncompleteRecordingError, RecordingFormatError
 from juniperreel.verification.history import History, Violation
 from juniperreel.verification.rules import RULES, check_all
 from juniperreel.verification.staleness import ReadCounts, check_reads
@@ -164,7 +164,11 @@
     """Print the summary, `extra_lines` and the verdicts; exit with 1 if a rule was violated, else 0."""
     for line in (*summary_lines(records), *extra_lines):
         click.echo(line)
-    violations_by_rule = check_all(records)
+    try:
+        violations_by_rule = check_all(records)
+    except IncompleteRecordingError as error:
+        click.echo(str(error), err=True)
+        sys.exit(INVALID_RECORDING_STATUS)
     for line in verdict_lines(violations_by_rule):
         click.echo(line)
     sys.exit(1 if any(violations_by_rule.values()) else 0)
--- a/juniperreel/verification/errors.py
+++ b/juniperreel/verification/errors.py
@@ -19,5 +19,14 @@
         self.reason = reason
 
 
+class IncompleteRecordingError(VerificationError, ValueError):
+    """A recording lacks a record without which a rule cannot be checked."""
+
+    def __init__(self, missing: str, needed_by: str) -> None:
+        super().__init__(f"the recording has no {missing}, which {needed_by} needs")
+        self.missing = missing
+        self.needed_by = needed_by
+
+
 class SafetyViolationError(VerificationError):
     """A safety property of Raft is violated; the message says which one, and where."""
--- a/juniperreel/verification/history.py
+++ b/juniperreel/verification/history.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from juniperreel.verification.errors import IncompleteRecordingError
 from juniperreel.verification.records import (
     AttemptAbandoned,
     AttemptFinished,
@@ -100,6 +101,14 @@
             history._add_edge_record(record)
         return history
 
+    def require_complete(self) -> None:
+        """Raises IncompleteRecordingError if the class of a request or the limits of attempts are missing."""
+        for attempt, request in self.requests.items():
+            if request.class_name not in self.classes:
+                raise IncompleteRecordingError(f"class {request.class_name}", f"request {attempt.request_id}")
+        if self.attempts and self.limits is None:
+            raise IncompleteRecordingError("limits", "the check of attempts")
+
     def _add_client_record(self, record: Record) -> None:
         match record:
             case RequestClass():
--- a/juniperreel/verification/rules.py
+++ b/juniperreel/verification/rules.py
@@ -31,6 +31,10 @@
 
 
 def check_all(records: Iterable[Record]) -> dict[int, list[Violation]]:
-    """Violations by rule number; the list is empty for a rule that holds."""
+    """Violations by rule number; the list is empty for a rule that holds.
+
+    Raises IncompleteRecordingError.
+    """
     history = History.of(records)
+    history.require_complete()
     return {number: rule.check(history) for number, rule in RULES.items()}
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -17,7 +17,7 @@
 from click.testing import CliRunner
 
 from juniperreel.cli.main import main
-from juniperreel.verification.records import EdgeUp, EndpointStarted, Recorder
+from juniperreel.verification.records import AttemptReceived, EdgeUp, EndpointStarted, Recorder
 from tests.e2e.environment import EDGE_SETTINGS
 
 SCRIPTS_FOLDER = Path(__file__).parents[2] / "juniperreel" / "fakes" / "days"
@@ -171,6 +171,11 @@
     result = CliRunner().invoke(main, ["verify", str(path)])
     assert result.exit_code == 0
     assert result.output.count("held") == 5
+    with path.open("ab") as out:
+        Recorder(out)(AttemptReceived(3, "m", "e", "r", 1, "q", "read", False, 10))
+    incomplete = CliRunner().invoke(main, ["verify", str(path)])
+    assert incomplete.exit_code == 2
+    assert "the recording has no limits" in incomplete.output
     with path.open("ab") as out:
         out.write(b"{}\n")
     assert CliRunner().invoke(main, ["verify", str(path)]).exit_code == 2
--- a/tests/verification/test_rules.py
+++ b/tests/verification/test_rules.py
@@ -9,7 +9,7 @@
 import pytest
 
 from juniperreel.verification import records as rec
-from juniperreel.verification.errors import RecordingFormatError
+from juniperreel.verification.errors import IncompleteRecordingError, RecordingFormatError
 from juniperreel.verification.history import History
 from juniperreel.verification.rules import check_all
 from juniperreel.verification.staleness import ReadCounts, check_reads
@@ -92,6 +92,21 @@
     assert (counts.session, counts.bounded, counts.rows) == (1, 1, 2)
 
 
+@pytest.mark.parametrize(
+    "missing, message",
+    [
+        (LIMITS, "has no limits, which the check of attempts needs"),
+        (ONCE, "has no class once, .* request q4"),
+    ],
+    ids=["limits", "class"],
+)
+def test_recording_without_what_a_rule_needs_is_no_proof(missing: rec.Record, message: str) -> None:
+    """Guards against rules 2, 3 and 4 that hold because nothing was compared."""
+    records = [record for record in clean_records() if record is not missing]
+    with pytest.raises(IncompleteRecordingError, match=message):
+        check_all(records)
+
+
 def no_response(records: Records) -> None:
     records[:] = [x for x in records if not (isinstance(x, rec.ResponseReceived) and x.request_id == "q3")]
 
