Settings: two errors of one line for one reason are reported, whether they break a rule or not

Seen: a file with two such errors ended `check`, `edge` and `configd` in a TypeError instead of its list.

Cause: Problem was ordered by all its fields, and a rule's number does not compare with None.

Change: problems are sorted by line and reason; the order that the dataclass had is gone, nothing else used it.

Evidence: a test of the error alone, TypeError before.

--- a/juniperreel/settings/errors.py
+++ b/juniperreel/settings/errors.py
@@ -17,7 +17,7 @@
     """An argument of a directive is invalid. The message gives the reason."""
 
 
-@dataclass(frozen=True, slots=True, order=True)
+@dataclass(frozen=True, slots=True)
 class Problem:
     """One error in a settings file.
 
@@ -47,5 +47,5 @@
 
     def __init__(self, file: str, problems: list[Problem]) -> None:
         self.file = file
-        self.problems = sorted(problems)
+        self.problems = sorted(problems, key=lambda problem: (problem.line, problem.reason))
         super().__init__("\n".join(problem.format(file) for problem in self.problems))
--- a/tests/settings/test_configd.py
+++ b/tests/settings/test_configd.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from juniperreel.settings import SettingsError
+from juniperreel.settings import Problem, SettingsError
 from juniperreel.settings.configd import InstanceSettings, read_instance
 
 VALID = (Path(__file__).parents[2] / "deploy" / "configd.conf").read_text(encoding="utf-8")
@@ -44,3 +44,11 @@
 def test_invalid_file_is_rejected(directory: Path, old: str, new: str, reason: str) -> None:
     with pytest.raises(SettingsError, match=reason):
         load(directory, VALID.replace(old, new, 1))
+
+
+def test_two_errors_of_one_line_of_which_one_breaks_a_rule_are_both_reported() -> None:
+    """Guards against an order of errors that compares the number of a rule with its absence."""
+    problems = [Problem(3, "the same reason", 3), Problem(3, "the same reason"), Problem(2, "another")]
+    error = SettingsError("edge.conf", problems)
+    assert [problem.line for problem in error.problems] == [2, 3, 3]
+    assert str(error).count("the same reason") == 2
