check: an instance's settings file is checked as configd reads it

Seen: `juniperreel check` of a file that `configd` accepts said that its sections are wrong or missing, since it read every file as an edge's.

Change: a file with a section [instance] is read as an instance's; the errors and the exit status are as before.

Evidence: a test with deploy/configd.conf, valid and with two errors; it failed before.

--- a/juniperreel/cli/main.py
+++ b/juniperreel/cli/main.py
@@ -70,11 +70,10 @@
 @main.command()
 @click.argument("file", type=FILE)
 def check(file: Path) -> None:
-    """Validate a settings FILE and print every error."""
-    from juniperreel.cli.settings_file import read_settings_or_exit
+    """Validate a settings FILE of an edge or an instance and print every error."""
+    from juniperreel.cli.settings_file import summarize_settings_or_exit
 
-    settings = read_settings_or_exit(file)
-    click.echo(f"{file}: good; {len(settings.router.classes)} classes, {settings.groups} groups")
+    click.echo(f"{file}: good; {summarize_settings_or_exit(file)}")
 
 
 @main.command()
--- a/juniperreel/settings/configd.py
+++ b/juniperreel/settings/configd.py
@@ -84,6 +84,11 @@
     log_level: str
 
 
+def is_instance_file(path: Path) -> bool:
+    """Whether a settings file is that of an instance and not of an edge. Raises OSError."""
+    return any(section.kind == "instance" for section in lex(path.read_bytes()).sections)
+
+
 def read_instance(path: Path) -> InstanceSettings:
     """Read a settings file.
 
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -154,6 +154,20 @@
     assert CliRunner().invoke(main, ["check", str(tmp_path / "none")]).exit_code == 2
 
 
+def test_check_reads_an_instance_s_file_as_configd_does(tmp_path: Path) -> None:
+    (tmp_path / "cluster.key").write_bytes(b"k" * 32)
+    file = tmp_path / "c1.conf"
+    text = (Path(__file__).parents[2] / "deploy" / "configd.conf").read_text()
+    file.write_text(text)
+    valid = CliRunner().invoke(main, ["check", str(file)])
+    assert valid.exit_code == 0
+    assert valid.output.endswith("good; instance c1@127.0.0.1:7301, 3 members\n")
+    file.write_text(text.replace("tick 30ms", "tick soon").replace("level info", "level loud"))
+    invalid = CliRunner().invoke(main, ["check", str(file)])
+    assert invalid.exit_code == 2
+    assert "refused, 2 problems" in invalid.output
+
+
 def test_edge_reports_address_already_in_use(running_edge: RunningEdge) -> None:
     path = running_edge.folder / "edge.conf"
     path.write_text(path.read_text().replace("listen 127.0.0.1:0", f"listen {running_edge.address}"))
