Emulator: partial replication is partial in every variant, and the leader itself compacts

Seen: schedules exercised less than their steps are named after. `partial-replication` reached every follower in two of three variants, since the leader counted as reached and every message involves it; `lagging-follower` had another node compact when one before the leader was down.

Change: only followers count as reached; the leader is compacted by name.

--- a/juniperreel/emulator/raft_steering.py
+++ b/juniperreel/emulator/raft_steering.py
@@ -8,7 +8,7 @@
 from collections.abc import Collection
 
 from juniperreel.emulator.raft_group import SimulatedGroup, involves
-from juniperreel.emulator.raft_operations import MAX_DELAYED, compact
+from juniperreel.emulator.raft_operations import MAX_DELAYED
 from juniperreel.raft.core import RaftCore
 from juniperreel.raft.messages import AppendEntries, Message, SnapshotChunk, VoteReply, VoteRequest
 from juniperreel.raft.types import Role
@@ -183,8 +183,9 @@
     followers = sorted(group.core(name).membership.all - {name})
     if not followers:
         return
-    second = followers[(pick >> 4) % len(followers)] if variant % 3 == 0 else name
-    reached = {followers[pick % len(followers)], second}
+    reached = {followers[pick % len(followers)]}
+    if variant % 3 == 0:
+        reached.add(followers[(pick >> 4) % len(followers)])
     for _ in range(ROUNDS):
         if group.nodes[name].core is None:
             return
@@ -213,7 +214,7 @@
         )
         if not _commit_without(group, name, follower, 3 + pick % 6):
             return
-        compact(group, list(group.nodes).index(name), 0)
+        group.compact(name)
         for _ in range(4 + (variant >> turn) % 8):
             core.tick()
             group.settle(name)
