Proxy: a commit with an invalid status is answered as unknown, not with the parser's error

What callers saw: where the member's status row around a commit was malformed, a ProtocolError ended the client's connection in place of an answer (logged as "MySQL connection failed"), and the transaction's lease was not settled by it. A member without a heartbeat row was said to have changed its role.

Cause: parse_heartbeat_or_none caught the status' own error only; an invalid status and a changed role had one text.

A changed role is still told as such.

--- a/juniperreel/proxy/transactions.py
+++ b/juniperreel/proxy/transactions.py
@@ -12,6 +12,7 @@
 import trio
 
 from juniperreel.causal import EMPTY_TOKEN, Token
+from juniperreel.mysql.packets import ProtocolError
 from juniperreel.mysql.replies import Err
 from juniperreel.mysql.values import Value
 from juniperreel.net import Clock
@@ -170,7 +171,9 @@
         after = parse_heartbeat_or_none(status_after)
         if is_over:
             self._end(reusable=True)
-        if before is None or after is None or role_changed(before, after):
+        if before is None or after is None:
+            raise TransactionOutcomeUnknownError(f"{self._endpoint} sent no valid status with the commit")
+        if role_changed(before, after):
             # The primary was replaced during the commit, and the group may have lost it.
             raise TransactionOutcomeUnknownError(f"{self._endpoint} changed its role during the commit")
         return TransactionResult(reply, self._record_commit(after, reply.ok.gtids))
@@ -235,10 +238,10 @@
 
 
 def parse_heartbeat_or_none(reply: Result | Err) -> endpoint_status.EndpointStatus | None:
-    """Parse the reply to `STATUS_QUERY`; None if the endpoint does not report its status."""
+    """Parse the reply to `STATUS_QUERY`; None if the endpoint reports no status, or not a valid one."""
     if isinstance(reply, Err):
         return None
     try:
         return endpoint_status.parse_status(reply.values())
-    except StatusUnavailableError:
+    except (StatusUnavailableError, ProtocolError):
         return None
