Pool: a token taken at time 0 counts

Cause: OpenLimiter took 0 for "never used", so on a clock that starts at 0, as in virtual time, the refill started anew with the next use.

Evidence: a test of the class; 0 tokens a quarter second after the first were 0.5.

--- a/juniperreel/pool/open_limiter.py
+++ b/juniperreel/pool/open_limiter.py
@@ -34,7 +34,7 @@
         self._current_limit = max_connections
         self._next_raise_us = 0
         self._tokens = open_burst
-        self._tokens_updated_us = 0
+        self._tokens_updated_us: int | None = None  # None before the first use
         self._failures = 0
         self._backoff_until_us = 0
         self.rejections = 0
@@ -50,7 +50,7 @@
 
     def available_tokens(self, now_us: int) -> float:
         """Return the current number of tokens, which may be fractional."""
-        if not self._tokens_updated_us:
+        if self._tokens_updated_us is None:
             self._tokens_updated_us = now_us
         refilled = (now_us - self._tokens_updated_us) / US_PER_SECOND * self._open_rate
         return min(self._open_burst, self._tokens + refilled)
