Configuration client: a change whose attempts may have taken effect says so

What callers saw: `juniperreel config set` or `members` that found no leader in its attempts printed only the last failure, for example "the leader is not known", also where an earlier attempt had run into its time-out or lost its connection and may be in force. Who repeats `members add` or a `set` on that gets a rejection that he does not understand, or the change twice.

Change: LeaderUnreachableError knows whether an attempt may have taken effect (time-out, connection lost during the call, OUTCOME_UNKNOWN) and says so; reads never do.

Evidence: tests/cli/test_timeouts.py, an instance that answers nothing (failed before) and one that nobody listens at.

--- a/juniperreel/raft/client.py
+++ b/juniperreel/raft/client.py
@@ -38,6 +38,9 @@
     Code.CANCELLED,
 )
 
+UNKNOWN_OUTCOME_CODES = (Code.DEADLINE_EXCEEDED, Code.CANCELLED)
+OUTCOME_UNKNOWN_REASON = "OUTCOME_UNKNOWN"
+
 Address = tuple[str, int]
 
 
@@ -87,27 +90,34 @@
             reply = await channel.unary(METHOD_PREFIX + method, request, timeout_us=CALL_TIMEOUT_US)
             return reply.message
 
-    async def call_leader(self, method: str, request: bytes, attempts: int = DEFAULT_ATTEMPTS) -> bytes:
+    async def call_leader(
+        self, method: str, request: bytes, attempts: int = DEFAULT_ATTEMPTS, *, changes_state: bool = True
+    ) -> bytes:
         """Find and call the leader.
 
-        The request must be idempotent, since the response to an earlier attempt may have been lost. Raises
+        The request must be idempotent, since the response to an earlier attempt may have been lost; if it
+        `changes_state`, the error says whether that may have happened. Raises
         LeaderUnreachableError, or RpcError if a retry cannot succeed.
         """
         address = self._last_leader or self._rng.choice(self.addresses)
         failure = ""
+        outcome_unknown = False
         for _ in range(attempts):
             leader: Address | None = None
             try:
                 response = await self.call(address, method, request)
             except trio.TooSlowError:
                 failure = f"{address[0]}:{address[1]} did not respond in time"
+                outcome_unknown = True
             except RpcError as error:
                 if not _is_retriable(error):
                     raise
                 failure = error.message
+                outcome_unknown = outcome_unknown or _may_have_taken_effect(error)
                 leader = _leader_address(error)
             except CALL_FAILURES as error:
                 failure = str(error)
+                outcome_unknown = outcome_unknown or isinstance(error, CallInterruptedError | DecodeError)
             else:
                 self._last_leader = address
                 return response
@@ -116,7 +126,7 @@
                 continue
             address = self._rng.choice(self.addresses)
             await self._pause()
-        raise LeaderUnreachableError(attempts, failure)
+        raise LeaderUnreachableError(attempts, failure, outcome_unknown and changes_state)
 
     async def _pause(self) -> None:
         await trio.sleep(self._rng.uniform(*RETRY_PAUSE_S))
@@ -130,7 +140,7 @@
     async def get(self) -> Configuration:
         """The latest version, by a linearizable read. Raises the errors of `call_leader`."""
         request = pb.GetRequest(linearizable=True).SerializeToString()
-        response = pb.GetResponse.FromString(await self.call_leader("Get", request))
+        response = pb.GetResponse.FromString(await self.call_leader("Get", request, changes_state=False))
         return model.decode(response.configuration)
 
     async def status(self, address: Address) -> pb.StatusResponse:
@@ -226,6 +236,10 @@
     return error.code in RETRIABLE_CODES
 
 
+def _may_have_taken_effect(error: RpcError) -> bool:
+    return error.code in UNKNOWN_OUTCOME_CODES or error.reason(ERROR_DOMAIN) == OUTCOME_UNKNOWN_REASON
+
+
 def _leader_address(error: RpcError) -> Address | None:
     """The leader's address, if the error details contain it."""
     for detail in error.details:
--- a/juniperreel/raft/errors.py
+++ b/juniperreel/raft/errors.py
@@ -81,13 +81,16 @@
     Attributes:
         attempts: Number of calls made.
         last_failure: Failure of the last call.
+        outcome_unknown: Whether one of the calls may have taken effect.
     """
 
-    def __init__(self, attempts: int, last_failure: str) -> None:
+    def __init__(self, attempts: int, last_failure: str, outcome_unknown: bool) -> None:
         """`attempts` calls failed, the last one with `last_failure`."""
-        super().__init__(f"no leader in {attempts} attempts; last failure: {last_failure}")
+        unknown = "; an earlier attempt may have taken effect" if outcome_unknown else ""
+        super().__init__(f"no leader in {attempts} attempts; last failure: {last_failure}{unknown}")
         self.attempts = attempts
         self.last_failure = last_failure
+        self.outcome_unknown = outcome_unknown
 
 
 class SafetyViolationError(RaftError, AssertionError):
--- a/juniperreel/raft/service.py
+++ b/juniperreel/raft/service.py
@@ -12,6 +12,7 @@
 from juniperreel.proto.configuration.v1 import configuration_pb2 as pb
 from juniperreel.proto.raft.v1 import raft_pb2
 from juniperreel.raft import wire
+from juniperreel.raft.client import ERROR_DOMAIN, OUTCOME_UNKNOWN_REASON
 from juniperreel.raft.configuration import model
 from juniperreel.raft.configuration.commands import Command, decode_command
 from juniperreel.raft.configuration.state_machine import ConfigurationUpdate
@@ -28,9 +29,7 @@
 from juniperreel.rpc.server import Method
 from juniperreel.rpc.status import Code, RpcError, error_info, field_violation
 
-ERROR_DOMAIN = "configuration.juniperreel"
 NOT_LEADER_REASON = "NOT_LEADER"
-OUTCOME_UNKNOWN_REASON = "OUTCOME_UNKNOWN"
 SERVICE = "juniperreel.configuration.v1.Configuration"
 MAX_WATCHES = 2000
 MAX_CACHED_UPDATES = 100
