Proxy: a health check of a MySQL server that shuts down is no failure of the edge

Seen: "health check raised unexpectedly" with a traceback, level error, for each check of an endpoint that answers 1053 (or another code with which a server ends its connections), and the check counted as an error of the server.

Cause: the replies were parsed outside the block that turns ConnectionLostError into CallInterruptedError.

Change: they are parsed within it; the check counts as interrupted, as one whose connection broke.

Evidence: a test on the running edge, ConnectionLostError before.

--- a/juniperreel/proxy/mysql_endpoints.py
+++ b/juniperreel/proxy/mysql_endpoints.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import trio
 
@@ -333,15 +333,19 @@
     async def check_health(self, endpoint: str) -> EndpointReport:
         """Query the endpoint's replication status, load and executed GTIDs.
 
-        Raises ConnectError, CallInterruptedError, ConnectionLostError or EndpointError.
+        Raises ConnectError, CallInterruptedError or EndpointError.
         """
         target = self._endpoints.get(endpoint)
         if target is None or target.is_draining:
             raise ConnectTimedOutError(f"no address is known for {endpoint}")
         try:
             replies = await target.monitor.exchange([STATUS_QUERY, LOAD_QUERY, GTIDS_QUERY])
+            return self._report_from(endpoint, replies)
         except (ConnectionLostError, ResultTooLargeError) as error:
             raise CallInterruptedError(str(error)) from error
+
+    def _report_from(self, endpoint: str, replies: Sequence[Result | Err]) -> EndpointReport:
+        """Raises EndpointError, or ConnectionLostError where the server closes the connection."""
         status_reply, load, gtids = replies
         heartbeat = parse_heartbeat(status_reply)
         if isinstance(load, Err):
--- a/tests/e2e/test_transactions.py
+++ b/tests/e2e/test_transactions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -15,8 +15,11 @@
 
 from juniperreel.frontends.mysql.connection import Connection
 from juniperreel.frontends.mysql.frontend import DRAIN_POLL_S
+from juniperreel.mysql.replies import Err
 from juniperreel.pool.connection import BackendConnection
+from juniperreel.pool.result import Result, Statement
 from juniperreel.proxy.mysql_endpoints import MysqlEndpoints
+from juniperreel.rpc.channel import CallInterruptedError
 from juniperreel.rpc.status import Code, RpcError
 from tests.e2e.environment import Environment, rows
 from tests.e2e.test_mysql import INSERT, SELECT, execute, mysql_port, run_connector, run_pymysql
@@ -367,6 +370,19 @@
     assert await run_pymysql(env, work) == [1146, 1062, 1305, (("one",),)]
 
 
+async def test_health_check_of_an_endpoint_that_shuts_down_counts_as_interrupted(env: Environment) -> None:
+    """Guards against an error of the server that is logged as a failure of the edge."""
+    shutting_down = Err(1053, "08S01", "Server shutdown in progress")
+
+    async def exchange(steps: Sequence[Statement]) -> list[Result | Err]:
+        return [shutting_down for _ in steps]
+
+    endpoints = mysql_endpoints(env)
+    endpoints._endpoints[env.primary.name].monitor.exchange = exchange  # type: ignore[method-assign]
+    with pytest.raises(CallInterruptedError, match="1053"):
+        await endpoints.check_health(env.primary.name)
+
+
 # Events that end a transaction early.
 
 
