--- a/juniperreel/cli/main.py
+++ b/juniperreel/cli/main.py
@@ -21,7 +21,7 @@
 
 LAZY_COMMANDS = {
     "call": LazyCommand("call", "Send one STATEMENT of a CLASS to the EDGE and print its rows."),
-    "config": LazyCommand("configd", "Read and change the configuration."),
+    "config": LazyCommand("config", "Read and change the configuration."),
     "configd": LazyCommand("configd", "Run an instance of the configuration cluster from a settings FILE."),
     "demo": LazyCommand(
         "demo", "Run a SCRIPT of load and faults on loopback and check the recorded traffic."
--- a/tests/raft/cluster.py
+++ b/tests/raft/cluster.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from juniperreel.cli.configd import Instance
+from juniperreel.cli.instance import Instance
 from juniperreel.net import Clock, Listener, TcpNetwork
 from juniperreel.raft.client import ConfigurationClient
 from juniperreel.raft.configuration import model
