Raft: a node that starts asks its leader for what it missed, also one of the build before

Change: a node rejects the first heartbeat after its start, naming the entry after it; a leader of either build goes back to the match index and sends what follows. A loss to a node that keeps running under an old leader is not covered.

The digest of all messages changes by one rejection a start.

--- a/juniperreel/raft/append_receiver.py
+++ b/juniperreel/raft/append_receiver.py
@@ -19,6 +19,7 @@
         """Modifies the log in `state` and tells `unstable` which entries must be rewritten."""
         self._state = state
         self._unstable = unstable
+        self._probe_requested = False  # since the node started
 
     def on_append_entries(self, message: AppendEntries) -> None:
         """Append new entries, truncate conflicting ones, and advance the commit index."""
@@ -29,14 +30,26 @@
             self._accept(message, state.commit_index)
             return
         if prev_term != message.prev_term:
-            self._reject(message)
+            self._reject(message, rejected_index=message.prev_index)
             return
         for entry in message.entries:
             self._store(entry)
         last_index = message.prev_index + len(message.entries)
         state.commit_index = max(state.commit_index, min(message.commit_index, last_index))
+        if not message.entries and not self._probe_requested:
+            self._request_probe(message)
+            return
         self._accept(message, last_index)
 
+    def _request_probe(self, message: AppendEntries) -> None:
+        """Reject the first heartbeat after a start, so that the leader sends what follows it.
+
+        Messages sent while this node was down are lost, and a leader of an older version, whose heartbeats
+        follow the match index, would not notice.
+        """
+        self._probe_requested = True
+        self._reject(message, rejected_index=message.prev_index + 1)
+
     def _store(self, entry: Entry) -> None:
         state = self._state
         term = state.log.term_at(entry.index)
@@ -69,7 +82,7 @@
             )
         )
 
-    def _reject(self, message: AppendEntries) -> None:
+    def _reject(self, message: AppendEntries, rejected_index: int) -> None:
         state = self._state
         hint_index = state.log.find_conflict_index(message.prev_index, message.prev_term)
         state.send(
@@ -80,7 +93,7 @@
                 accepted=False,
                 index=hint_index,
                 hint_term=state.log.term_at(hint_index) or 0,
-                rejected_index=message.prev_index,
+                rejected_index=rejected_index,
                 heartbeat_round=message.heartbeat_round,
             )
         )
--- a/tests/raft/test_digest.py
+++ b/tests/raft/test_digest.py
@@ -29,7 +29,7 @@
 
 SCHEDULES = 500
 OPERATIONS = 400
-DIGEST = "3d61010f9e08d6a7812a2609c1c4b66d9520774ddb2f9f22ddb13d0b2285b776"
+DIGEST = "23ad4c14e54705e123b8bf9d6364f02f18f2a9565c6292f0a1eb1074907fb568"
 
 
 class Recorder:
--- a/tests/raft/test_lost_messages.py
+++ b/tests/raft/test_lost_messages.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import random
 from collections import Counter, deque
 from collections.abc import Callable
 
@@ -22,6 +23,7 @@
 )
 from juniperreel.raft.progress import ProgressState
 from juniperreel.raft.types import MembershipChange
+from tests.raft.mutations import HeartbeatsFollowMatchIndex
 from tests.raft.test_core import CONFIG, ScriptedGroup
 
 CATCH_UP_TICKS = 10  # five heartbeats
@@ -274,3 +276,18 @@
     core.step(stale)
     assert core._replication._progress["b"].state is ProgressState.REPLICATE
     assert group.process_ready("a") is None
+
+
+@pytest.mark.parametrize("count", [1, 5])
+def test_restarted_follower_of_an_older_version_s_leader_gets_what_it_missed(count: int) -> None:
+    """A leader whose heartbeats follow the match index does not notice that the messages were lost."""
+    group = ScriptedGroup("a", "b", "c")
+    group.cores["a"] = HeartbeatsFollowMatchIndex("a", group.disks["a"].recover(), CONFIG, random.Random("a"))
+    group.elect("a")
+    group.run_ticks(4, "a")
+    for number in range(count):
+        group.cores["a"].propose(b"%d" % number)
+    assert lose(group, is_append_to("b"))
+    group.restart("b")
+    group.run_ticks(CATCH_UP_TICKS, "a")
+    assert_all_caught_up(group, "a")
