--- a/tests/cli/test_configd.py
+++ b/tests/cli/test_configd.py
@@ -100,7 +100,8 @@
         {"type": "set-member", "name": "m0", "member": MEMBER},
         {"type": "set-group", "number": 0, "group": {"epoch": 1, "primary": "m0"}},
     ]
-    assert cluster.set(changes, "--expect", "1").stdout == "version 2\n"
+    added = cluster.set(changes, "--expect", "1")
+    assert added.stdout == "version 2\n", added.stderr
     rejected = cluster.set([{"type": "set-state", "name": "m0", "state": "gone"}])
     assert rejected.returncode == 1
     assert "rule 3" in rejected.stderr
@@ -109,7 +110,8 @@
     cluster.processes[leader].send_signal(signal.SIGKILL)
     cluster.processes[leader].wait(10)
     changes = [{"type": "set-state", "name": "m0", "state": "draining"}]
-    assert cluster.set(changes).stdout == "version 3\n"
+    drained = cluster.set(changes)
+    assert drained.stdout == "version 3\n", drained.stderr
     inspect_result = subprocess.run(
         [*COMMAND, "raft", "inspect", str(cluster.folder / f"d{leader}")], capture_output=True, text=True
     )
