--- a/juniperreel/cli/settings_file.py
+++ b/juniperreel/cli/settings_file.py
@@ -14,7 +14,7 @@
 
 INVALID_SETTINGS_STATUS = 2
 
-T = TypeVar("T")
+ResultT = TypeVar("ResultT")
 
 
 def read_settings_or_exit(file: Path) -> EdgeSettings:
@@ -31,7 +31,7 @@
     return f"{len(edge.router.classes)} classes, {edge.groups} groups"
 
 
-def _read_or_exit(read: Callable[[Path], T], file: Path) -> T:
+def _read_or_exit(read: Callable[[Path], ResultT], file: Path) -> ResultT:
     try:
         return read(file)
     except SettingsError as error:
