--- a/juniperreel/proxy/transactions.py
+++ b/juniperreel/proxy/transactions.py
@@ -12,6 +12,7 @@
 import trio
 
 from juniperreel.causal import EMPTY_TOKEN, Token
+from juniperreel.mysql.packets import ProtocolError
 from juniperreel.mysql.replies import Err
 from juniperreel.mysql.values import Value
 from juniperreel.net import Clock
@@ -65,7 +66,7 @@
         self._positions = positions
         self._deadline_us = clock.now_us() + timeout_us
         self._return_lease: Callable[[bool], None] | None = return_lease
-        self._abort_reason = ""
+        self.abort_reason = ""
         self._statement_count = 0
         self._exchange_in_progress = False
         self.tainted = False
@@ -90,9 +91,9 @@
 
         The client receives the reason at its next statement, or at once if one is in flight.
         """
-        if self._return_lease is None or self._abort_reason:
+        if self._return_lease is None or self.abort_reason:
             return
-        self._abort_reason = reason
+        self.abort_reason = reason
         self._backend.close()
         if not self._exchange_in_progress:
             self._end(reusable=False)
@@ -170,7 +171,9 @@
         after = parse_heartbeat_or_none(status_after)
         if is_over:
             self._end(reusable=True)
-        if before is None or after is None or role_changed(before, after):
+        if before is None or after is None:
+            raise TransactionOutcomeUnknownError(f"{self._endpoint} sent no valid status with the commit")
+        if role_changed(before, after):
             # The primary was replaced during the commit, and the group may have lost it.
             raise TransactionOutcomeUnknownError(f"{self._endpoint} changed its role during the commit")
         return TransactionResult(reply, self._record_commit(after, reply.ok.gtids))
@@ -205,9 +208,9 @@
 
         Raises TransactionRolledBackError or ResultTooLargeError.
         """
-        if self._abort_reason or self._return_lease is None:
+        if self.abort_reason or self._return_lease is None:
             self._end(reusable=False)
-            raise TransactionRolledBackError(self._abort_reason or "the transaction is over")
+            raise TransactionRolledBackError(self.abort_reason or "the transaction is over")
         self._statement_count += 1
         attributes: dict[str, Value] = {
             "juniperreel_request": self._request_id,
@@ -217,7 +220,7 @@
         try:
             return await self._backend.exchange(steps, attributes, main, stream)
         except ConnectionLostError as error:
-            reason = self._abort_reason or f"the connection to {self._endpoint} was lost: {error}"
+            reason = self.abort_reason or f"the connection to {self._endpoint} was lost: {error}"
             raise TransactionRolledBackError(reason) from error
         finally:
             self._exchange_in_progress = False
@@ -235,10 +238,10 @@
 
 
 def parse_heartbeat_or_none(reply: Result | Err) -> endpoint_status.EndpointStatus | None:
-    """Parse the reply to `STATUS_QUERY`; None if the endpoint does not report its status."""
+    """Parse the reply to `STATUS_QUERY`; None if the endpoint reports no status, or not a valid one."""
     if isinstance(reply, Err):
         return None
     try:
         return endpoint_status.parse_status(reply.values())
-    except StatusUnavailableError:
+    except (StatusUnavailableError, ProtocolError):
         return None
--- a/juniperreel/raft/errors.py
+++ b/juniperreel/raft/errors.py
@@ -50,9 +50,7 @@
 
 
 class EntrySupersededError(RaftError):
-    """The proposed entry was superseded.
-
-    If another entry superseded it, it is never applied; if a snapshot did, its outcome is unknown.
+    """Another entry was committed at the index of the proposed one, which is therefore never applied.
 
     Attributes:
         reason: What superseded it.
@@ -64,19 +62,35 @@
         self.reason = reason
 
 
+class OutcomeUnknownError(RaftError):
+    """The node cannot tell whether the proposed entry was or will be applied.
+
+    Attributes:
+        reason: Why it cannot.
+    """
+
+    def __init__(self, reason: str) -> None:
+        """`reason` says why the outcome is unknown."""
+        super().__init__(reason)
+        self.reason = reason
+
+
 class LeaderUnreachableError(RaftError):
     """No instance responded as the leader.
 
     Attributes:
         attempts: Number of calls made.
         last_failure: Failure of the last call.
+        outcome_unknown: Whether one of the calls may have taken effect.
     """
 
-    def __init__(self, attempts: int, last_failure: str) -> None:
+    def __init__(self, attempts: int, last_failure: str, outcome_unknown: bool) -> None:
         """`attempts` calls failed, the last one with `last_failure`."""
-        super().__init__(f"no leader in {attempts} attempts; last failure: {last_failure}")
+        unknown = "; an earlier attempt may have taken effect" if outcome_unknown else ""
+        super().__init__(f"no leader in {attempts} attempts; last failure: {last_failure}{unknown}")
         self.attempts = attempts
         self.last_failure = last_failure
+        self.outcome_unknown = outcome_unknown
 
 
 class SafetyViolationError(RaftError, AssertionError):
--- a/tests/e2e/test_transactions.py
+++ b/tests/e2e/test_transactions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -15,8 +15,11 @@
 
 from juniperreel.frontends.mysql.connection import Connection
 from juniperreel.frontends.mysql.frontend import DRAIN_POLL_S
+from juniperreel.mysql.replies import Err
 from juniperreel.pool.connection import BackendConnection
+from juniperreel.pool.result import Result, Statement
 from juniperreel.proxy.mysql_endpoints import MysqlEndpoints
+from juniperreel.rpc.channel import CallInterruptedError
 from juniperreel.rpc.status import Code, RpcError
 from tests.e2e.environment import Environment, rows
 from tests.e2e.test_mysql import INSERT, SELECT, execute, mysql_port, run_connector, run_pymysql
@@ -51,11 +54,16 @@
 
 def error_code(connection: Any, text: str) -> int:
     """Execute a statement and return its error code, or 0."""
+    return error_of(connection, text)[0]
+
+
+def error_of(connection: Any, text: str) -> tuple[int, str]:
+    """Execute a statement and return its error code and message, or 0 and nothing."""
     try:
         execute(connection, text)
     except pymysql.err.MySQLError as error:
-        return int(error.args[0])
-    return 0
+        return int(error.args[0]), str(error.args[1])
+    return 0, ""
 
 
 # Transactions and sessions without faults.
@@ -362,6 +370,19 @@
     assert await run_pymysql(env, work) == [1146, 1062, 1305, (("one",),)]
 
 
+async def test_health_check_of_an_endpoint_that_shuts_down_counts_as_interrupted(env: Environment) -> None:
+    """Guards against an error of the server that is logged as a failure of the edge."""
+    shutting_down = Err(1053, "08S01", "Server shutdown in progress")
+
+    async def exchange(steps: Sequence[Statement]) -> list[Result | Err]:
+        return [shutting_down for _ in steps]
+
+    endpoints = mysql_endpoints(env)
+    endpoints._endpoints[env.primary.name].monitor.exchange = exchange  # type: ignore[method-assign]
+    with pytest.raises(CallInterruptedError, match="1053"):
+        await endpoints.check_health(env.primary.name)
+
+
 # Events that end a transaction early.
 
 
@@ -436,11 +457,12 @@
         connection.begin()
         execute(connection, INSERT % ("l", "one"))
         trio.from_thread.run(wait)
-        codes = [error_code(connection, INSERT % ("l", "two"))]
+        error = error_of(connection, INSERT % ("l", "two"))
         connection.commit()
-        return [*codes, execute(connection, COUNT_QUERY % "l")[0][0]]
+        return [*error, execute(connection, COUNT_QUERY % "l")[0][0]]
 
-    assert await run_pymysql(env, work) == [1213, 0]
+    text = "the transaction was rolled back: it took longer than a transaction may"
+    assert await run_pymysql(env, work) == [1213, text, 0]
 
 
 async def test_removed_endpoint_ends_its_transactions(env: Environment) -> None:
@@ -448,9 +470,10 @@
         connection.begin()
         execute(connection, INSERT % ("r", "one"))
         trio.from_thread.run_sync(mysql_endpoints(env).remove, env.primary.name)
-        return [error_code(connection, INSERT % ("r", "two")), error_code(connection, "rollback")]
+        return [*error_of(connection, INSERT % ("r", "two")), error_code(connection, "rollback")]
 
-    assert await run_pymysql(env, work) == [1213, 0]
+    text = "the transaction was rolled back: its member has left"
+    assert await run_pymysql(env, work) == [1213, text, 0]
 
 
 async def test_client_disconnect_rolls_back_its_transaction(env: Environment) -> None:
@@ -468,7 +491,13 @@
     await wait_until(lambda: not env.primary.write_lock.locked())
 
 
-async def test_lock_wait_timeout_is_reported_with_the_endpoint_s_error(env: Environment) -> None:
+async def test_lock_wait_timeout_is_reported_with_the_endpoint_s_error(
+    nursery: trio.Nursery, tmp_path: Path
+) -> None:
+    """The lock is held for longer than the endpoint's time-out, and for less than a transaction may take."""
+    env = Environment(tmp_path, "mysql-members 1", drain_grace="60s")
+    await nursery.start(env.run)
+
     def work(connection: Any) -> list[Any]:
         other = pymysql.connect(
             host="127.0.0.1", port=mysql_port(env), user="ada", password="love lace", autocommit=True
