Network: a connect that timed out says so

What operators saw: a refused discovery, edge or endpoint connection logged as "127.0.0.1:5000 does not answer: " with nothing behind it, whenever the connect had run out of its time; other failures have the system's text there.

Cause: `{error or 'time is up'}` with an exception for `error`: an exception is always true, and trio's TooSlowError has no text.

Change: the error's text decides. `str(error) or ...` was searched for in the whole program: the other places have it.

--- a/juniperreel/net/network.py
+++ b/juniperreel/net/network.py
@@ -153,7 +153,7 @@
         except ConnectionRefusedError as error:
             raise ConnectRefusedError(f"{host}:{port} refuses connections") from error
         except (OSError, trio.TooSlowError) as error:
-            raise ConnectTimedOutError(f"{host}:{port} does not answer: {error or 'time is up'}") from error
+            raise ConnectTimedOutError(f"{host}:{port} does not answer: {_reason(error)}") from error
 
     @staticmethod
     async def _open_stream(host: str, port: int) -> trio.SocketStream:
@@ -166,6 +166,11 @@
             raise
 
 
+def _reason(error: Exception) -> str:
+    """Return the text of a failed connect; trio's time-out has none."""
+    return str(error) or "timed out"
+
+
 def address_family(host: str) -> int:
     """Return the socket address family of a numeric address."""
     return socket.AF_INET6 if ":" in host else socket.AF_INET
