Edge: a time-out behind other requests for a pooled connection blames no endpoint

What callers saw: while all pooled connections of a MySQL primary were in use, a write with less time left than the pool's `wait` ended as "unreachable". The router takes that for a lost response: a few in a row eject the primary, and other writes are refused although it answers.

Cause: an attempt that the edge ends before anything was sent was taken for one whose connect did not come up (`outcome_of_unfinished`). Only the pool's own time-out was told apart, and that comes after 250 ms.

Change: `AttemptProgress` says whether the attempt waits while others use the pool's connections; such an attempt was not sent. A wait for a pool's first connection still counts as unreachable, and attempts that use a hung endpoint's connections report that themselves.

--- a/juniperreel/proxy/attempt_runner.py
+++ b/juniperreel/proxy/attempt_runner.py
@@ -50,7 +50,8 @@
             attempt.cancel_scope.deadline = self._clock.trio_time(deadline_us)
             with attempt.cancel_scope:
                 return await self._execute(attempt, deadline_us)
-        outcome = outcome_of_unfinished(attempt.sent.is_set(), attempt.cancelled)
+        progress = attempt.progress
+        outcome = outcome_of_unfinished(progress.sent.is_set(), attempt.cancelled, progress.waits_for_lease)
         return AttemptCompleted(attempt, outcome, self._clock.now_us())
 
     async def _execute(self, attempt: Attempt, deadline_us: int) -> AttemptCompleted:
@@ -67,7 +68,7 @@
         remaining_us = deadline_us - self._clock.now_us()
         try:
             response = await self._connections.execute(
-                attempt.endpoint, attempt_request, remaining_us, attempt.sent
+                attempt.endpoint, attempt_request, remaining_us, attempt.progress
             )
         except ATTEMPT_ERRORS as error:
             # An error in the statement is the request's result; the endpoint is healthy.
--- a/juniperreel/proxy/attempts.py
+++ b/juniperreel/proxy/attempts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 import trio
@@ -18,6 +18,20 @@
     return True
 
 
+@dataclass(slots=True)
+class AttemptProgress:
+    """How far an attempt has come, which decides its outcome if this side ends it.
+
+    Attributes:
+        sent: Set before the first byte that the endpoint may receive.
+        waits_for_lease: Whether it waits for a pooled connection while other requests use some. If none is
+            used, it waits for the first one to be established.
+    """
+
+    sent: trio.Event = field(default_factory=trio.Event)
+    waits_for_lease: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptRequest:
     """One attempt at a request, as passed to the endpoint connections.
@@ -88,11 +102,11 @@
         ...
 
     async def execute(
-        self, endpoint: str, attempt: AttemptRequest, timeout_us: int, sent: trio.Event
+        self, endpoint: str, attempt: AttemptRequest, timeout_us: int, progress: AttemptProgress
     ) -> AttemptResponse:
         """Make one attempt.
 
-        Sets `sent` before the first byte that the endpoint may receive. Raises ConnectError,
+        Updates `progress` as described there. Raises ConnectError,
         CallUnprocessedError, CallInterruptedError, RpcError or EndpointError, which `outcomes` maps to an
         `Outcome`.
         """
--- a/juniperreel/proxy/grpc_endpoints.py
+++ b/juniperreel/proxy/grpc_endpoints.py
@@ -13,7 +13,7 @@
 from juniperreel.causal import History
 from juniperreel.net import Clock, ConnectTimedOutError, Network
 from juniperreel.proto.member.v1 import member_pb2
-from juniperreel.proxy.attempts import AttemptRequest, AttemptResponse, EndpointReport
+from juniperreel.proxy.attempts import AttemptProgress, AttemptRequest, AttemptResponse, EndpointReport
 from juniperreel.proxy.endpoint_address import EndpointAddress
 from juniperreel.proxy.errors import not_supported
 from juniperreel.proxy.options import DriverOptions
@@ -113,7 +113,7 @@
         return entry
 
     async def execute(
-        self, endpoint: str, attempt: AttemptRequest, timeout_us: int, sent: trio.Event
+        self, endpoint: str, attempt: AttemptRequest, timeout_us: int, progress: AttemptProgress
     ) -> AttemptResponse:
         """Make one attempt.
 
@@ -130,7 +130,7 @@
         try:
             await entry.channel.connection()
             attempt.require_may_send()
-            sent.set()
+            progress.sent.set()
             reply = await entry.channel.unary(EXECUTE, execute_message(attempt), timeout_us=timeout_us)
         finally:
             entry.in_flight -= 1
--- a/juniperreel/proxy/mysql_endpoints.py
+++ b/juniperreel/proxy/mysql_endpoints.py
@@ -21,7 +21,7 @@
 from juniperreel.pool.result import Result, Statement
 from juniperreel.pool.session_state import replay_statement
 from juniperreel.pool.types import Lease
-from juniperreel.proxy.attempts import AttemptRequest, AttemptResponse, EndpointReport
+from juniperreel.proxy.attempts import AttemptProgress, AttemptRequest, AttemptResponse, EndpointReport
 from juniperreel.proxy.endpoint_address import EndpointAddress
 from juniperreel.proxy.errors import EndpointError
 from juniperreel.proxy.mysql_exchange import AttemptExchange
@@ -218,7 +218,7 @@
     # Attempts.
 
     async def execute(
-        self, endpoint: str, attempt: AttemptRequest, _timeout_us: int, sent: trio.Event
+        self, endpoint: str, attempt: AttemptRequest, _timeout_us: int, progress: AttemptProgress
     ) -> AttemptResponse:
         """Make one attempt.
 
@@ -229,9 +229,11 @@
             raise ConnectTimedOutError(f"no address is known for {endpoint}")
         request = attempt.request
         reusable = not request.taints_connection
+        progress.waits_for_lease = target.pool.core.leased > 0
         lease = await target.pool.lease(request.tenant_index, attempt.priority_weight, request.session_state)
+        progress.waits_for_lease = False
         try:
-            response = await self._execute_on(target, lease, attempt, sent)
+            response = await self._execute_on(target, lease, attempt, progress)
         except BaseException:
             target.pool.return_lease(lease, reusable)
             if lease.connection.closed_locally:
@@ -252,7 +254,7 @@
         target: MysqlEndpoint,
         lease: Lease[BackendConnection],
         attempt: AttemptRequest,
-        sent: trio.Event,
+        progress: AttemptProgress,
     ) -> AttemptResponse:
         exchange = AttemptExchange(
             target.name,
@@ -265,10 +267,10 @@
         try:
             await self._replay(lease.connection, attempt)
             attempt.require_may_send()
-            sent.set()
+            progress.sent.set()
             return await exchange.execute()
         except ConnectionLostError as error:
-            if not error.sent or not sent.is_set():
+            if not error.sent or not progress.sent.is_set():
                 raise CallUnprocessedError(str(error)) from error
             raise CallInterruptedError(str(error)) from error
 
--- a/juniperreel/proxy/open_requests.py
+++ b/juniperreel/proxy/open_requests.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from juniperreel.proxy.attempts import AttemptResponse, EndpointReport
+from juniperreel.proxy.attempts import AttemptProgress, AttemptResponse, EndpointReport
 from juniperreel.proxy.endpoint_list import ListedEndpoint
 from juniperreel.proxy.positions import RequiredPosition
 from juniperreel.proxy.requests import Answer, ClientRequest, Failed, Rejected, Served
@@ -80,7 +80,7 @@
 
 
 class Attempt:
-    """An attempt in flight; `sent` is set before the endpoint may receive any of it."""
+    """An attempt in flight."""
 
     __slots__ = (
         "cancel_scope",
@@ -88,8 +88,8 @@
         "endpoint",
         "number",
         "open_request",
+        "progress",
         "required",
-        "sent",
         "started_us",
     )
 
@@ -102,7 +102,7 @@
         self.endpoint = endpoint
         self.required = required
         self.started_us = now_us
-        self.sent = trio.Event()
+        self.progress = AttemptProgress()
         self.cancel_scope = trio.CancelScope()
         self.cancelled = False
         open_request.attempt_count += 1
--- a/juniperreel/proxy/outcomes.py
+++ b/juniperreel/proxy/outcomes.py
@@ -60,8 +60,14 @@
     return isinstance(error, RpcError) and error.reason(ERROR_DOMAIN) == STATEMENT_REASON
 
 
-def outcome_of_unfinished(sent: bool, cancelled: bool) -> Outcome:
-    """Return the outcome of an attempt that the edge ended: timed out, or cancelled by the router."""
+def outcome_of_unfinished(sent: bool, cancelled: bool, waits_for_lease: bool = False) -> Outcome:
+    """Return the outcome of an attempt that the edge ended: timed out, or cancelled by the router.
+
+    A wait for a pooled connection that others use says nothing about the endpoint. If it hangs, the attempts
+    that use its connections report it.
+    """
     if cancelled:
         return Outcome.CANCELLED if sent else Outcome.NOT_SENT
-    return Outcome.TIMEOUT if sent else Outcome.UNREACHABLE
+    if sent:
+        return Outcome.TIMEOUT
+    return Outcome.NOT_SENT if waits_for_lease else Outcome.UNREACHABLE
--- a/tests/proxy/test_grpc_endpoints.py
+++ b/tests/proxy/test_grpc_endpoints.py
@@ -9,7 +9,7 @@
 
 from juniperreel.net import Clock, ConnectTimedOutError, TcpNetwork
 from juniperreel.proxy import ClientRequest
-from juniperreel.proxy.attempts import AttemptRequest
+from juniperreel.proxy.attempts import AttemptProgress, AttemptRequest
 from juniperreel.proxy.grpc_endpoints import GrpcEndpoints
 from juniperreel.proxy.positions import RequiredPosition
 from tests.proxy.builders import driver_options
@@ -28,12 +28,12 @@
     endpoints = GrpcEndpoints(options, TcpNetwork(), Clock(), random.Random(1))
     await nursery.start(endpoints.run)
     endpoints.set_address("m", "127.0.0.1", listener.port)
-    sent = trio.Event()
+    progress = AttemptProgress()
     start = trio.current_time()
     attempt = AttemptRequest(ClientRequest(0, 0, 0, 0, b""), 0, "own", False, 1.0, RequiredPosition())
     with pytest.raises(ConnectTimedOutError):
-        await endpoints.execute("m", attempt, SEC, sent)
-    assert not sent.is_set()
+        await endpoints.execute("m", attempt, SEC, progress)
+    assert not progress.sent.is_set()
     assert 2 * options.connect_timeout_us < options.router.drain_grace_us
     assert trio.current_time() - start < options.router.drain_grace_us / 1e6
     endpoints.remove("m")
--- a/tests/proxy/test_outcomes.py
+++ b/tests/proxy/test_outcomes.py
@@ -49,3 +49,8 @@
     sent: bool, cancelled: bool, outcome: Outcome
 ) -> None:
     assert outcome_of_unfinished(sent, cancelled) is outcome
+
+
+@pytest.mark.parametrize("cancelled", [True, False])
+def test_attempt_that_ends_as_it_waits_for_a_pooled_connection_was_not_sent(cancelled: bool) -> None:
+    assert outcome_of_unfinished(False, cancelled, waits_for_lease=True) is Outcome.NOT_SENT
