Pool: a write that waits for a connection keeps its place within its own time

What callers saw: refusals "attempts failed, the last by not_sent" after about 1.5 s, with seconds left, from a primary that served others meanwhile.

Change: the queue orders by when a request first waited; a write waits on while the group's epoch is the same and the router permits it, and so does any last attempt. Reads are placed anew after `wait`, as before.

Evidence: tests/e2e/test_pool_waits.py holds the only connection for 4 s: before, refused as above; now all five are served, in order. tests/pool has the order and who is evicted.

--- a/juniperreel/pool/core.py
+++ b/juniperreel/pool/core.py
@@ -127,7 +127,7 @@
             if evicted is None:
                 return [AcquireRejected(request, RejectionReason.QUEUE_FULL)]
             actions.append(AcquireRejected(evicted.request, RejectionReason.QUEUE_FULL))
-        self._waiters.add(request, deadline_us)
+        self._waiters.add(now_us, request, deadline_us)
         return actions + self._open_more(now_us)
 
     def cancel(self, request_id: Hashable) -> list[PoolAction[ConnectionT]]:
--- a/juniperreel/pool/types.py
+++ b/juniperreel/pool/types.py
@@ -29,6 +29,7 @@
         id: Unique among the requests of a pool.
         priority_weight: Higher weights are served first within a tenant.
         session_state: A connection with an equal state is preferred, since nothing has to be replayed.
+        waiting_since_us: When the caller first waited; it keeps its place if it requests again. None: now.
     """
 
     id: Hashable
@@ -36,6 +37,7 @@
     priority_weight: float = 1.0
     deadline_us: int = NO_DEADLINE_US
     session_state: Hashable = None
+    waiting_since_us: int | None = None
 
 
 @dataclass(eq=False, slots=True)
--- a/juniperreel/pool/wait_queue.py
+++ b/juniperreel/pool/wait_queue.py
@@ -2,7 +2,8 @@
 
 Tenants are served by start-time fair queueing (Goyal, Vin and Cheng, SIGCOMM 1996): each tenant has a virtual
 time that advances by the inverse of its share with every grant, and the tenant with the lowest one is served
-next. Within a tenant, requests are ordered by priority weight, then by arrival.
+next. Within a tenant, requests are ordered by priority weight, then by how long they have waited, including
+earlier waits of the same request.
 """
 
 from __future__ import annotations
@@ -23,6 +24,12 @@
     request: AcquireRequest
     arrival: int
     deadline_us: int
+    waiting_since_us: int
+
+    @property
+    def order(self) -> tuple[float, int, int]:
+        """The sort key within a tenant; the lowest is served first."""
+        return -self.request.priority_weight, self.waiting_since_us, self.arrival
 
 
 @dataclass(slots=True)
@@ -33,6 +40,10 @@
     waiters: list[Waiter] = field(default_factory=list)
 
 
+def _order(waiter: Waiter) -> tuple[float, int, int]:
+    return waiter.order
+
+
 class FairWaitQueue:
     """The waiters of a pool. The owner enforces the limit on their number, using `evict_for`."""
 
@@ -50,18 +61,19 @@
         """Return the deadlines of all waiters, in no particular order."""
         return [waiter.deadline_us for tenant in self._tenants.values() for waiter in tenant.waiters]
 
-    def add(self, request: AcquireRequest, deadline_us: int) -> None:
+    def add(self, now_us: int, request: AcquireRequest, deadline_us: int) -> None:
         """Queue a request; it expires at `deadline_us`."""
         tenant = self._tenants.setdefault(request.tenant, TenantQueue())
         if not tenant.waiters:
             # An idle tenant does not accumulate credit for the time without requests.
             tenant.virtual_time = max(tenant.virtual_time, self._virtual_time)
         self._arrivals += 1
-        tenant.waiters.append(Waiter(request, self._arrivals, deadline_us))
+        since_us = now_us if request.waiting_since_us is None else request.waiting_since_us
+        tenant.waiters.append(Waiter(request, self._arrivals, deadline_us, since_us))
         self._length += 1
 
     def put_back(self, waiter: Waiter) -> None:
-        """Requeue a waiter returned by `pop`; it keeps its position by its arrival number."""
+        """Requeue a waiter returned by `pop`; it keeps its position."""
         self._tenants[waiter.request.tenant].waiters.append(waiter)
         self._length += 1
 
@@ -90,7 +102,7 @@
         if largest == tenant_number or occupancy(largest) <= occupancy(tenant_number):
             return None
         tenant = queues[largest]
-        evicted = min(tenant.waiters, key=lambda waiter: (waiter.request.priority_weight, -waiter.arrival))
+        evicted = max(tenant.waiters, key=_order)
         self._remove(tenant, evicted)
         return evicted
 
@@ -107,7 +119,7 @@
         tenant = self._tenants[number]
         waiter = min(
             (waiter for waiter in tenant.waiters if self._is_servable(waiter, now_us)),
-            key=lambda waiter: (-waiter.request.priority_weight, waiter.arrival),
+            key=_order,
         )
         self._remove(tenant, waiter)
         return waiter
--- a/juniperreel/proxy/attempt_runner.py
+++ b/juniperreel/proxy/attempt_runner.py
@@ -29,6 +29,7 @@
         self,
         connections: EndpointConnections,
         health_check_timeout_us: int,
+        max_attempts: int,
         clock: Clock,
         log: Any,
         traces: Traces,
@@ -38,6 +39,7 @@
         self._confirm_send = confirm_send
         self._connections = connections
         self._health_check_timeout_us = health_check_timeout_us
+        self._max_attempts = max_attempts
         self._clock = clock
         self._log = log
         self._traces = traces
@@ -64,6 +66,8 @@
             priority_weight=open_request.request_class.priority_weight,
             required=attempt.required,
             may_send=partial(self._confirm_send, open_request.id, attempt.number),
+            waiting_since_us=open_request.routed_us,
+            is_last=attempt.number + 1 >= self._max_attempts,
         )
         remaining_us = deadline_us - self._clock.now_us()
         try:
--- a/juniperreel/proxy/attempts.py
+++ b/juniperreel/proxy/attempts.py
@@ -37,6 +37,7 @@
     """One attempt at a request, as passed to the endpoint connections.
 
     `may_send` is called once a connection is available, which may be long after the router's decision.
+    `waiting_since_us` is when the router got the request; `is_last` tells that it permits no further attempt.
     """
 
     request: ClientRequest
@@ -46,6 +47,8 @@
     priority_weight: float
     required: RequiredPosition
     may_send: Callable[[], bool] = _always
+    waiting_since_us: int = 0
+    is_last: bool = False
 
     def require_may_send(self) -> None:
         """Raise CallUnprocessedError if the attempt is no longer permitted."""
--- a/juniperreel/proxy/mysql_endpoints.py
+++ b/juniperreel/proxy/mysql_endpoints.py
@@ -7,6 +7,7 @@
 
 import random
 from collections.abc import Callable, Sequence
+from functools import partial
 
 import trio
 
@@ -26,7 +27,7 @@
 from juniperreel.proxy.errors import EndpointError
 from juniperreel.proxy.mysql_exchange import AttemptExchange
 from juniperreel.proxy.mysql_monitor import EndpointMonitor
-from juniperreel.proxy.mysql_pool import BackendConnector, EndpointPool
+from juniperreel.proxy.mysql_pool import BackendConnector, EndpointPool, LeaseRequest
 from juniperreel.proxy.mysql_replies import (
     GTIDS_QUERY,
     LOAD_QUERY,
@@ -230,7 +231,7 @@
         request = attempt.request
         reusable = not request.taints_connection
         progress.waits_for_lease = target.pool.core.leased > 0
-        lease = await target.pool.lease(request.tenant_index, attempt.priority_weight, request.session_state)
+        lease = await target.pool.lease(self._lease_request(attempt))
         progress.waits_for_lease = False
         try:
             response = await self._execute_on(target, lease, attempt, progress)
@@ -249,6 +250,26 @@
             self._nursery.start_soon(self._return_lease_after, target, lease, remaining_rows, reusable)
         return response
 
+    def _lease_request(self, attempt: AttemptRequest) -> LeaseRequest:
+        request = attempt.request
+        epoch = self._positions.history(request.group).epoch
+        return LeaseRequest(
+            request.tenant_index,
+            attempt.priority_weight,
+            request.session_state,
+            attempt.waiting_since_us,
+            partial(self._may_wait_again, attempt, epoch),
+        )
+
+    def _may_wait_again(self, attempt: AttemptRequest, epoch: int) -> bool:
+        """Whether an attempt whose wait timed out stays in the queue, instead of being routed anew.
+
+        Only another endpoint would be a reason to route it anew: a write has none until a failover begins a
+        new `epoch`, and after the last attempt the router would only reject the request.
+        """
+        primary_unchanged = self._positions.history(attempt.request.group).epoch == epoch
+        return (attempt.is_last or (attempt.is_write and primary_unchanged)) and attempt.may_send()
+
     async def _execute_on(
         self,
         target: MysqlEndpoint,
--- a/juniperreel/proxy/mysql_pool.py
+++ b/juniperreel/proxy/mysql_pool.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Hashable, Sequence
+from dataclasses import dataclass
 from itertools import count
 
 import trio
@@ -55,6 +56,27 @@
         return backend
 
 
+def _never() -> bool:
+    return False
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseRequest:
+    """An attempt's request for a connection.
+
+    Attributes:
+        state: A connection that is already in this session state is preferred.
+        waiting_since_us: When its request began waiting; of a tenant and priority the oldest is served first.
+        may_wait_again: Asked whenever the pool's time-out has passed: whether to keep the place in the queue.
+    """
+
+    tenant_index: int
+    priority_weight: float
+    state: SessionState
+    waiting_since_us: int
+    may_wait_again: Callable[[], bool] = _never
+
+
 class PoolWaiter:
     """An attempt that waits for a connection, until it is granted a lease or rejected."""
 
@@ -125,23 +147,36 @@
         """Reject waiting attempts, and close connections when they are idle or returned."""
         self._apply(self.core.drain())
 
-    async def lease(
-        self, tenant_index: int, priority_weight: float, state: SessionState
-    ) -> Lease[BackendConnection]:
-        """Wait for a connection, preferably one that is already in this session state.
-
-        Raises ConnectError or CallUnprocessedError.
-        """
+    async def lease(self, request: LeaseRequest) -> Lease[BackendConnection]:
+        """Wait for a connection. Raises ConnectError or CallUnprocessedError."""
         while True:
-            acquire_request = AcquireRequest(
-                next(self._acquire_ids), tenant_index, priority_weight, session_state=state
-            )
-            lease = await self._wait_for_lease(acquire_request)
+            lease = await self._try_lease(request)
+            if lease is None:
+                continue
             if not lease.connection.close_reason:
                 return lease
             self.return_lease(lease, reusable=False)  # closed by the endpoint while idle
 
-    async def _wait_for_lease(self, acquire_request: AcquireRequest) -> Lease[BackendConnection]:
+    async def _try_lease(self, request: LeaseRequest) -> Lease[BackendConnection] | None:
+        """Wait for a connection until the pool's time-out; None if the request may wait again then."""
+        acquire_request = AcquireRequest(
+            next(self._acquire_ids),
+            request.tenant_index,
+            request.priority_weight,
+            session_state=request.state,
+            waiting_since_us=request.waiting_since_us,
+        )
+        waiter = await self._wait_for_decision(acquire_request)
+        if waiter.lease is not None:
+            return waiter.lease
+        reason = waiter.rejection_reason
+        if reason == RejectionReason.TIMED_OUT and request.may_wait_again():
+            return None
+        if reason in (RejectionReason.UNREACHABLE, RejectionReason.DRAINING):
+            raise ConnectTimedOutError(f"{self._endpoint}: {reason}; {self._last_failure}")
+        raise CallUnprocessedError(f"{self._endpoint}: {reason}")
+
+    async def _wait_for_decision(self, acquire_request: AcquireRequest) -> PoolWaiter:
         waiter = PoolWaiter()
         self._waiters[acquire_request.id] = waiter
         try:
@@ -150,12 +185,7 @@
         except trio.Cancelled:
             self._cancel_acquire(acquire_request, waiter)
             raise
-        if waiter.lease is not None:
-            return waiter.lease
-        reason = waiter.rejection_reason
-        if reason in (RejectionReason.UNREACHABLE, RejectionReason.DRAINING):
-            raise ConnectTimedOutError(f"{self._endpoint}: {reason}; {self._last_failure}")
-        raise CallUnprocessedError(f"{self._endpoint}: {reason}")
+        return waiter
 
     def _cancel_acquire(self, acquire_request: AcquireRequest, waiter: PoolWaiter) -> None:
         if waiter.lease is not None:
--- a/juniperreel/proxy/request_driver.py
+++ b/juniperreel/proxy/request_driver.py
@@ -107,7 +107,13 @@
         self._stall_monitor = stall_monitor
         self._translator = self._new_translator()
         self._runner = AttemptRunner(
-            self.endpoints, options.health_check_timeout_us, clock, log, traces, self._confirm_send
+            self.endpoints,
+            options.health_check_timeout_us,
+            options.router.max_attempts,
+            clock,
+            log,
+            traces,
+            self._confirm_send,
         )
         self._list_writer = self._new_list_writer()
         self._wake = trio.Event()
--- a/tests/e2e/test_pool_waits.py
+++ b/tests/e2e/test_pool_waits.py
@@ -12,11 +12,14 @@
 
 from juniperreel.pool.session_state import INITIAL_SESSION_STATE
 from juniperreel.proxy.mysql_endpoints import MysqlEndpoints
+from juniperreel.proxy.mysql_pool import LeaseRequest
 from juniperreel.routing.types import Outcome
 from juniperreel.rpc.status import RpcError
 from tests.e2e.environment import Environment
 from tests.e2e.test_transactions import mysql_endpoints, wait_until
 
+HOLD_S = 4.0  # longer than the pool's wait for each attempt, shorter than half of a write's deadline
+
 
 @pytest.fixture
 async def env(nursery: trio.Nursery, tmp_path: Path) -> Environment:
@@ -33,7 +36,7 @@
         core._open_limiter._max_connections = 1
         core._open_limiter._current_limit = 1
     pool = endpoints._endpoints[env.primary.name].pool
-    lease = await pool.lease(0, 1.0, INITIAL_SESSION_STATE)
+    lease = await pool.lease(LeaseRequest(0, 1.0, INITIAL_SESSION_STATE, env.clock.now_us()))
     try:
         yield endpoints
     finally:
@@ -55,3 +58,21 @@
                 await env.send(env.message("write", "busy", env.next_rid()), timeout_s=0.2)
         await wait_until(lambda: attempts(env, Outcome.NOT_SENT) >= 4)
     assert attempts(env, Outcome.UNREACHABLE) == 0
+
+
+async def test_writes_that_wait_for_a_pooled_connection_keep_their_places(env: Environment) -> None:
+    """Each wait of 250 ms used up an attempt and lost the place; the sixth was refused with seconds left."""
+    served: list[str] = []
+
+    async def write(name: str) -> None:
+        await env.write("queue", rid=name)
+        served.append(name)
+
+    names = [f"write-{number}" for number in range(5)]
+    async with trio.open_nursery() as writers, only_connection_leased(env) as endpoints:
+        core = endpoints.pools()[env.primary.name]
+        for waiting, name in enumerate(names, start=1):
+            writers.start_soon(write, name)
+            await wait_until(lambda waiting=waiting: core.waiting == waiting)  # type: ignore[misc]
+        await trio.sleep(HOLD_S)
+    assert served == names
--- a/tests/pool/test_core.py
+++ b/tests/pool/test_core.py
@@ -318,6 +318,24 @@
     assert isinstance(granted, LeaseGranted)
 
 
+def test_request_that_waits_again_keeps_its_place() -> None:
+    """A wait that timed out was followed by one behind all others, again and again."""
+    pool, (lease,) = pool_with_leases(replace(ONE_CONNECTION, acquire_timeout_us=SECOND_US), 1)
+    pool.acquire(1, AcquireRequest("older", waiting_since_us=1))
+    pool.acquire(SECOND_US // 2, AcquireRequest("younger", waiting_since_us=SECOND_US // 2))
+    assert rejected_ids(pool.tick(SECOND_US + 1)) == ["older"]
+    pool.acquire(SECOND_US + 2, AcquireRequest("older again", waiting_since_us=1))
+    assert granted_ids(pool.release(SECOND_US + 3, lease, True)) == ["older again"]
+
+
+def test_full_queue_evicts_what_has_waited_least_over_all_its_waits() -> None:
+    config = replace(ONE_CONNECTION, max_waiters=2, tenant_shares=(0.5, 0.5))
+    pool, _ = pool_with_leases(config, 1)
+    pool.acquire(10, AcquireRequest("younger", 0, waiting_since_us=10))
+    pool.acquire(20, AcquireRequest("older again", 0, waiting_since_us=1))
+    assert rejected_ids(pool.acquire(30, AcquireRequest("other tenant", 1))) == ["younger"]
+
+
 def test_idle_tenant_accumulates_no_credit() -> None:
     config = replace(ONE_CONNECTION, tenant_shares=(0.5, 0.5))
     pool, (lease,) = pool_with_leases(config, 1)
