Benchmarks: the configuration's proposal rate beside an earlier build of ours, no other project's

Need: benchmarks/raft.py ran pysyncobj as its baseline. Other projects' programs are not measured against here; baselines are our earlier builds.

--- a/benchmarks/raft.py
+++ b/benchmarks/raft.py
@@ -1,9 +1,10 @@
-"""Measures proposal rate, commit latency, recovery and fan-out of a configuration cluster, beside pysyncobj.
+"""Measures proposal rate, commit latency, recovery and fan-out of a configuration cluster.
 
-Each instance is a process of its own on loopback, and syncs every write to disk. pysyncobj runs with its
-journal enabled, which it flushes without fsync, so that the comparison is in its favour.
+Each instance is a process of its own on loopback, and syncs every write to disk. With --baseline, the
+proposal rate is also measured of instances of another source tree, such as a git worktree of an earlier
+build, in turns with this one.
 
-    .venv/bin/python benchmarks/raft.py [--seconds 4] [--in-flight 16]
+    .venv/bin/python benchmarks/raft.py [--seconds 4] [--in-flight 16] [--rounds 3] [--baseline DIR]
 """
 
 from __future__ import annotations
@@ -18,11 +19,9 @@
 import subprocess
 import sys
 import tempfile
-import threading
 import time
 from collections.abc import Iterator
 from pathlib import Path
-from typing import Any
 
 import numpy as np
 import trio
@@ -39,6 +38,8 @@
 from juniperreel.raft.storage import Storage
 from juniperreel.raft.types import Membership
 
+ROOT = Path(__file__).resolve().parent.parent
+CLUSTER_SIZES = (1, 3, 5)
 PROPOSALS_PER_WRITE = 500
 RECOVERY_ENTRIES = (1_000, 10_000, 50_000)
 WATCHERS = 300
@@ -65,8 +66,10 @@
 
 
 @contextlib.contextmanager
-def run_cluster(count: int, directory: Path) -> Iterator[list[tuple[str, int]]]:
+def run_cluster(count: int, directory: Path, source: Path = ROOT) -> Iterator[list[tuple[str, int]]]:
+    """Run instances of the program in the source tree `source`; yields their addresses."""
     directory.mkdir()
+    environment = {**os.environ, "PYTHONPATH": str(source)}
     (directory / "cluster.key").write_bytes(os.urandom(16).hex().encode())
     ports = find_free_ports(count)
     names = [f"c{n}@127.0.0.1:{port}" for n, port in enumerate(ports)]
@@ -79,7 +82,7 @@
             )
         )
         command = [sys.executable, "-m", "juniperreel.cli.main", "configd", str(path), "--create"]
-        processes.append(subprocess.Popen(command))
+        processes.append(subprocess.Popen(command, cwd=source, env=environment))
     try:
         yield [("127.0.0.1", port) for port in ports]
     finally:
@@ -88,7 +91,7 @@
             process.wait()
 
 
-async def measure_juniperreel(
+async def measure_proposals(
     addresses: list[tuple[str, int]], seconds: float, in_flight: int
 ) -> tuple[float, list[float]]:
     times: list[float] = []
@@ -114,74 +117,6 @@
     return len(times) / duration, times
 
 
-PYSYNCOBJ_NODE = """
-import sys, time
-from pysyncobj import SyncObj, SyncObjConf
-from pysyncobj.batteries import ReplDict
-address, journal, *peers = sys.argv[1:]
-values = ReplDict()
-conf = SyncObjConf(journalFile=journal, dynamicMembershipChange=False)
-node = SyncObj(address, peers, consumers=[values], conf=conf)
-while True:
-    time.sleep(1)
-"""
-
-
-def measure_pysyncobj(
-    count: int, directory: Path, seconds: float, in_flight: int
-) -> tuple[float, list[float]]:
-    from pysyncobj import SyncObj, SyncObjConf
-    from pysyncobj.batteries import ReplDict
-
-    directory.mkdir()
-    addresses = [f"127.0.0.1:{port}" for port in find_free_ports(count)]
-    processes = [
-        subprocess.Popen(
-            [
-                sys.executable,
-                "-c",
-                PYSYNCOBJ_NODE,
-                address,
-                str(directory / f"j{n}"),
-                *(peer for peer in addresses if peer != address),
-            ]
-        )
-        for n, address in enumerate(addresses[1:])
-    ]
-    values = ReplDict()
-    conf = SyncObjConf(journalFile=str(directory / "me"))
-    node = SyncObj(addresses[0], addresses[1:], consumers=[values], conf=conf)
-    times: list[float] = []
-    lock = threading.Lock()
-    try:
-        while not node.isReady():
-            time.sleep(0.05)
-        time.sleep(0.5)
-        end = time.perf_counter() + seconds
-
-        def set_repeatedly(client: int) -> None:
-            n = 0
-            while (start := time.perf_counter()) < end:
-                n += 1
-                values.set(f"b{client}", n, sync=True, timeout=5)
-                with lock:
-                    times.append(time.perf_counter() - start)
-
-        start = time.perf_counter()
-        threads = [threading.Thread(target=set_repeatedly, args=(n,)) for n in range(in_flight)]
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join()
-        duration = time.perf_counter() - start
-    finally:
-        node.destroy()
-        for process in processes:
-            process.kill()
-            process.wait()
-    return len(times) / duration, times
-
-
 def print_rate(name: str, rate: float, times: list[float]) -> None:
     """`rate` is in proposals per second, `times` are their latencies in seconds."""
     p50, p99 = np.percentile(np.array(times) * 1000, [50, 99])
@@ -280,23 +215,35 @@
         nursery.cancel_scope.cancel()
 
 
+def compare_proposal_rates(directory: Path, options: argparse.Namespace) -> None:
+    """Print the proposal rates of this source tree, in turns with those of the baseline if there is one."""
+    builds = {"this build": ROOT}
+    if options.baseline is not None:
+        builds["baseline"] = options.baseline.resolve()
+    for count in CLUSTER_SIZES:
+        rates: dict[str, list[float]] = {name: [] for name in builds}
+        for turn in range(options.rounds):
+            for name, source in builds.items():
+                with run_cluster(count, directory / f"{name}-{count}-{turn}", source) as addresses:
+                    rate, times = trio.run(measure_proposals, addresses, options.seconds, options.in_flight)
+                print_rate(f"{count} instances, {name:10}", rate, times)
+                rates[name].append(rate)
+        if "baseline" in rates:
+            ratio = np.median(rates["this build"]) / np.median(rates["baseline"])
+            print(f"{count} instances: ratio {ratio:.2f} in proposals per second", flush=True)
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=4.0)
     parser.add_argument("--in-flight", type=int, default=16)
-    options: Any = parser.parse_args()
+    parser.add_argument("--rounds", type=int, default=3)
+    parser.add_argument("--baseline", type=Path, default=None, help="source tree of another build")
+    options = parser.parse_args()
     # The default directory for temporary files may be in memory, where syncing costs nothing.
     directory = Path(tempfile.mkdtemp(dir=Path(__file__).parent.parent / ".venv"))
     try:
-        for count in (1, 3, 5):
-            with run_cluster(count, directory / f"juniperreel{count}") as addresses:
-                rate, times = trio.run(measure_juniperreel, addresses, options.seconds, options.in_flight)
-            print_rate(f"{count} instances, juniperreel", rate, times)
-            pysyncobj_rate, pysyncobj_times = measure_pysyncobj(
-                count, directory / f"pysyncobj{count}", options.seconds, options.in_flight
-            )
-            print_rate(f"{count} instances, pysyncobj  ", pysyncobj_rate, pysyncobj_times)
-            print(f"{count} instances: ratio {rate / pysyncobj_rate:.2f} in proposals per second", flush=True)
+        compare_proposal_rates(directory, options)
         for entries in RECOVERY_ENTRIES:
             for with_snapshot in (False, True):
                 measure_recovery(directory, entries, with_snapshot)
