MySQL front: all results of a statement reach the client, and none the next statement

What callers saw: a CALL with several result sets returned the first one, with no error and no sign of more. In a transaction, behind a result set of more than 256 KiB, the next statement was answered with the CALL's second result set (`select 7` returned three rows of it), and the COMMIT was told as of unknown effect.

Cause: `Result.additional_results` was filled and used by nobody; a streamed result ended at its own end whatever its status announced, and the transaction's next statement read on from there; GTIDs and insert id were read from the first result's status, where a procedure has them in the last one's.

Change: each result but the last announces the next; those behind a streamed one are read whole, within the limit on results, before it counts as ended; `Result.final_ok` has GTIDs and insert id. A client that reads one result only is told 1312 where it would lose rows.

--- a/juniperreel/fakes/mysql_connection.py
+++ b/juniperreel/fakes/mysql_connection.py
@@ -15,6 +15,7 @@
 from juniperreel.fakes.mysql_columns import convert, describe_columns
 from juniperreel.fakes.mysql_engine import BATCH_ROWS, STATUS_QUERY, MysqlEngine, OkResult, ResultSet
 from juniperreel.fakes.mysql_prepared import BoundStatement, PreparedStatement, bind
+from juniperreel.fakes.mysql_procedures import called_result_sets
 from juniperreel.fakes.mysql_translation import translate
 from juniperreel.fakes.request_names import edge_of, request_id_of
 from juniperreel.mysql.columns import Column
@@ -187,7 +188,8 @@
     def _prepare(self, text: str) -> list[Event]:
         if len(self._prepared) >= MAX_PREPARED:
             raise MysqlError(1461, "42000", "Can't create more than max_prepared_stmt_count statements")
-        if not text.lower().lstrip().startswith(UNTRANSLATED_PREFIXES):
+        untranslated = text.lower().lstrip().startswith(UNTRANSLATED_PREFIXES)
+        if not untranslated and called_result_sets(text) is None:
             translate(text)  # raises for a statement that would fail
         self._last_prepared += 1
         self._server.prepared += 1
@@ -273,6 +275,8 @@
             raise MysqlError(1040, "08004", "Too many connections")
         if endpoint.occurs(endpoint.faults.failed_requests):
             raise MysqlError(UNKNOWN_ERROR, "HY000", "Unknown error")
+        if (result_sets := called_result_sets(text)) is not None:
+            return await self._send_call(result_sets, binary)
         result = await self.engine.execute(text, values)
         self._record_executed(text, values)
         if endpoint.occurs(endpoint.faults.lost_responses):
@@ -303,7 +307,14 @@
                 )
             )
 
-    async def _send_result(self, result: ResultSet, binary: bool) -> list[Event]:
+    async def _send_call(self, result_sets: Sequence[ResultSet], binary: bool) -> list[Event]:
+        """Send the results of a procedure and, as the last one, the status of its call."""
+        self._update_status()
+        for result_set in result_sets:
+            await self._send_result(result_set, binary, more=True)
+        return self._session.ok()
+
+    async def _send_result(self, result: ResultSet, binary: bool, more: bool = False) -> list[Event]:
         """Send rows in batches, no faster than the client reads them."""
         session = self._session
         batch: list[Sequence[Any]] = []
@@ -318,7 +329,7 @@
                 await self._endpoint.wait_while_hung()
                 batch = []
         self._encode_rows(result.names, columns, batch, binary)
-        return session.end_result()
+        return session.end_result(more=more)
 
     def _encode_rows(
         self, names: list[str], columns: list[Column] | None, rows: list[Sequence[Any]], binary: bool
--- a/juniperreel/frontends/mysql/errors.py
+++ b/juniperreel/frontends/mysql/errors.py
@@ -31,6 +31,7 @@
 UNKNOWN_STATEMENT = ErrorCode(1243, "HY000")
 OUT_OF_RANGE = ErrorCode(1264, "22003")
 NO_SUCH_SAVEPOINT = ErrorCode(1305, "42000")
+SEVERAL_RESULTS = ErrorCode(1312, "0A000")
 TOO_MANY_PARAMETERS = ErrorCode(1390, "HY000")
 TOO_MANY_STATEMENTS = ErrorCode(1461, "42000")
 NEEDS_REPREPARE = ErrorCode(1615, "HY000")
@@ -69,6 +70,9 @@
 
 SHUTDOWN_RESPONSE = ErrorResponse(SERVER_SHUTDOWN, "Server shutdown in progress")
 TOO_MANY_CONNECTIONS_RESPONSE = ErrorResponse(TOO_MANY_CONNECTIONS, "Too many connections")
+SEVERAL_RESULTS_RESPONSE = ErrorResponse(
+    SEVERAL_RESULTS, "the statement ran; its results need a client that reads several (CLIENT_MULTI_RESULTS)"
+)
 DEADLINE_RESPONSE = ErrorResponse(DEADLINE_EXCEEDED, "no answer came in time; a write may have taken effect")
 
 
--- a/juniperreel/frontends/mysql/execution.py
+++ b/juniperreel/frontends/mysql/execution.py
@@ -191,7 +191,7 @@
             self._scope.on_transaction_opened(answer.transaction)
             if self._scope.transaction is not None and plan.taints_connection:
                 self._scope.transaction.tainted = True
-        insert_id = result.ok.insert_id if isinstance(result, Result) else 0
+        insert_id = result.final_ok.insert_id if isinstance(result, Result) else 0
         if not begins or insert_id:
             self._scope.on_statement_answered(insert_id)
         self._update_status()
--- a/juniperreel/frontends/mysql/open_transaction.py
+++ b/juniperreel/frontends/mysql/open_transaction.py
@@ -55,7 +55,7 @@
             await self._set_last_insert_id()
         running = self._transaction().run(statement)
         result = await self._await_answer(running, STATEMENT_TIMED_OUT, plan.may_commit)
-        self._scope.on_statement_answered(result.ok.insert_id)
+        self._scope.on_statement_answered(result.final_ok.insert_id)
         return result
 
     async def finish(self, statement: Statement, plan: Plan) -> TransactionResult:
--- a/juniperreel/frontends/mysql/result_writer.py
+++ b/juniperreel/frontends/mysql/result_writer.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 import trio
 
 from juniperreel.frontends.mysql.client_session import SessionContext
 from juniperreel.frontends.mysql.conversion import to_table
-from juniperreel.frontends.mysql.errors import DEADLINE_EXCEEDED, EFFECT_UNKNOWN, ErrorResponse
+from juniperreel.frontends.mysql.errors import (
+    DEADLINE_EXCEEDED,
+    EFFECT_UNKNOWN,
+    SEVERAL_RESULTS_RESPONSE,
+    ErrorResponse,
+)
 from juniperreel.mysql.rows import encode_binary_row
 from juniperreel.mysql.server import Event, ServerSession
 from juniperreel.net import Clock
@@ -46,23 +51,37 @@
 
         All rows of a streamed result must have arrived by `deadline_us`.
         """
-        if not result.columns:
-            return self._write_ok(result)
-        self._protocol.begin_result(result.columns)
-        self._protocol.rows(result.rows)
         if result.remaining_rows is None:
-            tracking = self._session.changed_token_tracking()
-            return self._protocol.end_result(result.ok.warnings, tracking)
+            return self._write_results([result, *result.additional_results])
+        self._write_rows(result)
         try:
             return await self._write_remaining_rows(result.remaining_rows, deadline_us)
         finally:
             result.remaining_rows.close()
 
-    def _write_ok(self, result: Result) -> list[Event]:
+    def _write_results(self, results: Sequence[Result]) -> list[Event]:
+        """Write all results of a statement, each but the last of which announces the next."""
+        if not self._protocol.client_reads_several_results:
+            if any(result.columns for result in results[1:]):
+                return SEVERAL_RESULTS_RESPONSE.write_to(self._protocol)
+            results = results[:1]
+        *earlier, last = results
+        for result in earlier:
+            self._write_result(result, more=True)
+        return self._write_result(last)
+
+    def _write_result(self, result: Result, more: bool = False) -> list[Event]:
+        tracking = () if more else self._session.changed_token_tracking()
         ok = result.ok
+        if result.columns:
+            self._write_rows(result)
+            return self._protocol.end_result(ok.warnings, tracking, more)
         info = ok.info.decode("utf-8", "replace")
-        tracking = self._session.changed_token_tracking()
-        return self._protocol.ok(ok.affected, ok.insert_id, info, ok.warnings, tracking)
+        return self._protocol.ok(ok.affected, ok.insert_id, info, ok.warnings, tracking, more)
+
+    def _write_rows(self, result: Result) -> None:
+        self._protocol.begin_result(result.columns)
+        self._protocol.rows(result.rows)
 
     async def _write_remaining_rows(self, row_stream: RowStream, deadline_us: int) -> list[Event]:
         try:
@@ -77,11 +96,21 @@
                     response = ErrorResponse(DEADLINE_EXCEEDED, "the result did not end in time")
                     return response.write_to(self._protocol)
                 if not rows:
-                    tracking = self._session.changed_token_tracking()
-                    return self._protocol.end_result(row_stream.ok.warnings, tracking)
+                    return self._end_streamed_result(row_stream)
                 self._protocol.rows(rows)
         except StatementError as error:
             return self._protocol.error(error.err.code, error.err.sqlstate, error.err.message)
         except ConnectionLostError as error:
             response = ErrorResponse(EFFECT_UNKNOWN, f"the result broke off: {error}")
             return response.write_to(self._protocol)
+
+    def _end_streamed_result(self, row_stream: RowStream) -> list[Event]:
+        additional = row_stream.additional_results
+        several = self._protocol.client_reads_several_results
+        if not several and any(result.columns for result in additional):
+            return SEVERAL_RESULTS_RESPONSE.write_to(self._protocol)
+        if not several or not additional:
+            tracking = self._session.changed_token_tracking()
+            return self._protocol.end_result(row_stream.ok.warnings, tracking)
+        self._protocol.end_result(row_stream.ok.warnings, more=True)
+        return self._write_results(additional)
--- a/juniperreel/mysql/server.py
+++ b/juniperreel/mysql/server.py
@@ -333,6 +333,11 @@
         self._reader.limit = self._max_packet
         return [login, *self.ok()]
 
+    @property
+    def client_reads_several_results(self) -> bool:
+        """Whether the client reads further results of one command."""
+        return bool(self.capabilities & Capability.MULTI_RESULTS)
+
     def accepts_database(self, database: str) -> bool:
         """Whether a client may use the database."""
         return not database or not self._schema or database.lower() == self._schema.lower()
@@ -352,11 +357,16 @@
         info: str = "",
         warnings: int = 0,
         tracked: Sequence[tuple[int, bytes]] = (),
+        more: bool = False,
     ) -> list[Event]:
-        """Send an OK packet; `tracked` are session changes."""
-        packet = Ok(affected, insert_id, self.status, warnings, info.encode(), tuple(tracked))
+        """Send an OK packet; `tracked` are session changes. With `more`, another result follows."""
+        status = self._result_status(more)
+        packet = Ok(affected, insert_id, status, warnings, info.encode(), tuple(tracked))
         self._send(encode_ok(OK, packet, self.capabilities))
-        return self._finish_command()
+        return [] if more else self._finish_command()
+
+    def _result_status(self, more: bool) -> int:
+        return self.status | (ServerStatus.MORE_RESULTS if more else 0)
 
     def error(self, code: int, sqlstate: str, message: str) -> list[Event]:
         """Send an ERR packet; within a result set, it ends the result set."""
@@ -428,7 +438,7 @@
         self, warnings: int = 0, tracked: Sequence[tuple[int, bytes]] = (), more: bool = False
     ) -> list[Event]:
         """End the result set. With `more`, a result set, OK or ERR follows for the same command."""
-        status = self.status | (ServerStatus.MORE_RESULTS if more else 0)
+        status = self._result_status(more)
         if self.capabilities & Capability.DEPRECATE_EOF:
             packet = Ok(status=status, warnings=warnings, tracked=tuple(tracked))
             self._send(encode_ok(EOF, packet, self.capabilities))
--- a/juniperreel/pool/connection.py
+++ b/juniperreel/pool/connection.py
@@ -284,17 +284,30 @@
 
     async def _receive_results(self, binary: bool, may_stream: bool) -> Result | Err:
         """Return the result of a statement; additional ones, as of a stored procedure, are attached to it."""
-        first: Result | None = None
-        while True:
-            result = await self._receive_result(binary, may_stream)
+        first = await self._receive_result(binary, may_stream)
+        if isinstance(first, Err):
+            return first
+        if first.remaining_rows is None and first.ok.more_results:
+            additional = await self.receive_additional_results(binary)
+            if isinstance(additional, Err):
+                return additional
+            first.additional_results = additional
+        return first
+
+    async def receive_additional_results(self, binary: bool) -> list[Result] | Err:
+        """Return the results that follow one whose status announced more.
+
+        Raises:
+            ConnectionLostError: The connection broke.
+            ResultTooLargeError: A result exceeds `max_result_bytes`; they are not streamed.
+        """
+        results: list[Result] = []
+        while not results or results[-1].ok.more_results:
+            result = await self._receive_result(binary, may_stream=False)
             if isinstance(result, Err):
                 return result
-            if first is None:
-                first = result
-            else:
-                first.additional_results.append(result)
-            if result.remaining_rows is not None or not result.ok.more_results:
-                return first
+            results.append(result)
+        return results
 
     async def _receive_result(self, binary: bool, may_stream: bool) -> Result | Err:
         event = await self.next_event()
@@ -322,7 +335,7 @@
                         continue
                     if not may_stream:
                         raise ResultTooLargeError(f"a result of more than {self._max_result_bytes} bytes")
-                    result.remaining_rows = ConnectionRowStream(self)
+                    result.remaining_rows = ConnectionRowStream(self, result.binary)
                     return result
                 case client.ResultEnded(ok):
                     result.ok = ok
@@ -338,13 +351,16 @@
 
     Attributes:
         ok: The final status of the result; valid once `next_rows` has returned no rows.
+        additional_results: The results that followed on the connection; valid at the same time.
         ended: Whether the result was read to the end or closed.
         finished: Set when `ended` becomes true; the connection is then free or closed.
     """
 
-    def __init__(self, connection: BackendConnection) -> None:
+    def __init__(self, connection: BackendConnection, binary: bool) -> None:
         self._connection = connection
+        self._binary = binary
         self.ok = Ok()
+        self.additional_results: list[Result] = []
         self.ended = False
         self.finished = trio.Event()
 
@@ -381,6 +397,7 @@
                     size += len(payload)
                 case client.ResultEnded(ok):
                     self.ok = ok
+                    await self._read_additional_results()
                     self._finish()
                 case client.Failed(err):
                     self._finish()
@@ -389,6 +406,18 @@
                     raise ConnectionLostError("the server broke off a result", sent=True)
         return rows
 
+    async def _read_additional_results(self) -> None:
+        if not self.ok.more_results:
+            return
+        try:
+            additional = await self._connection.receive_additional_results(self._binary)
+        except ResultTooLargeError as error:
+            raise ConnectionLostError(str(error), sent=True) from error
+        if isinstance(additional, Err):
+            self._finish()
+            raise StatementError(additional)
+        self.additional_results = additional
+
     def _finish(self) -> None:
         self.ended = True
         self.finished.set()
--- a/juniperreel/pool/result.py
+++ b/juniperreel/pool/result.py
@@ -28,6 +28,11 @@
         """The final status of the result."""
         ...
 
+    @property
+    def additional_results(self) -> list[Result]:
+        """Further results of the same statement; complete once all rows were read."""
+        ...
+
 
 @dataclass(slots=True)
 class Result:
@@ -38,7 +43,8 @@
         rows: The rows, encoded in the text protocol or, with `binary`, in the binary protocol.
         ok: The final status; only valid after `remaining_rows` was read to the end.
         remaining_rows: The rows after `rows`, if the result is streamed.
-        additional_results: Further results of the same statement, as returned by stored procedures.
+        additional_results: Further results of the same statement, as returned by stored procedures. Those of
+            a streamed result are in `remaining_rows`.
     """
 
     columns: tuple[Column, ...] = ()
@@ -48,6 +54,11 @@
     remaining_rows: RowStream | None = None
     additional_results: list[Result] = field(default_factory=list)
 
+    @property
+    def final_ok(self) -> Ok:
+        """The status at the end of the statement; only valid after `remaining_rows` was read to the end."""
+        return self.additional_results[-1].ok if self.additional_results else self.ok
+
     def values(self) -> list[list[Value]]:
         """Return the decoded rows, without `remaining_rows`.
 
--- a/juniperreel/proxy/mysql_exchange.py
+++ b/juniperreel/proxy/mysql_exchange.py
@@ -130,7 +130,7 @@
             raise ConnectionLostError(f"{self._endpoint} changed its role during a write", sent=True)
         status = replication_status(after)
         group = self._group_of(self._endpoint)
-        self._positions.record_commit(group, status.history.epoch, after.clock_us, reply.ok.gtids)
+        self._positions.record_commit(group, status.history.epoch, after.clock_us, reply.final_ok.gtids)
         return AttemptResponse(reply, status, after.clock_us)
 
     async def _begin_read_write(self) -> AttemptResponse:
