MySQL front: the status flags after an error name no transaction that has ended

What callers saw: after `begin` and a first statement that was answered with 1213, the next OK (of a ping, say) still had the flag of an open transaction. Libraries that go by it roll back or drop the connection.

Cause: an error packet carries no flags, and the paths that answer with one after the end of a transaction did not update those of the next response (`_write_answer`: Failed and time-out of a statement that begins one).

Change: each command begins with the flags of the session's state, instead of one more update on each path.

Evidence: tests/e2e/test_transactions.py breaks the first statement's connection: flags (1, 1) before, (1, 0) now.

--- a/juniperreel/frontends/mysql/commands.py
+++ b/juniperreel/frontends/mysql/commands.py
@@ -58,6 +58,8 @@
 
     async def handle(self, command: Command) -> list[Event]:
         """Answer a command; returns the events of commands that arrived meanwhile."""
+        # An error response carries no status flags, so those of the next response must be current.
+        self._protocol.status = self.scope.status()
         try:
             return await self._dispatch(command)
         except MysqlError as error:
--- a/tests/e2e/test_transactions.py
+++ b/tests/e2e/test_transactions.py
@@ -14,7 +14,9 @@
 from pymysql.constants.COMMAND import COM_QUERY
 
 from juniperreel.frontends.mysql.connection import Connection
+from juniperreel.frontends.mysql.errors import TRANSACTION_ROLLED_BACK
 from juniperreel.frontends.mysql.frontend import DRAIN_POLL_S
+from juniperreel.mysql.constants import ServerStatus
 from juniperreel.mysql.replies import Err
 from juniperreel.pool.connection import BackendConnection
 from juniperreel.pool.result import Result, Statement
@@ -25,6 +27,7 @@
 from tests.e2e.test_mysql import INSERT, SELECT, execute, mysql_port, run_connector, run_pymysql
 
 COUNT_QUERY = "select count(*) from runs where runner = '%s'"
+IN_TRANSACTION = int(ServerStatus.IN_TRANSACTION)
 SERVER_SHUTDOWN = 1053  # MySQL's error code ER_SERVER_SHUTDOWN
 NUMBERS_QUERY = (
     "with recursive n (i) as (select 1 union all select i + 1 from n where i < %d) select i from n"
@@ -760,3 +763,18 @@
         await env.send(request)
     assert refused.value.code is Code.INVALID_ARGUMENT
     assert await env.read("r")
+
+
+async def test_status_flags_after_a_failed_begin_name_no_transaction(env: Environment) -> None:
+    """Guards against flags of a transaction that ended with an error, in the next response without one."""
+
+    def work(connection: Any) -> tuple[int, int, int]:
+        connection.begin()
+        begun = connection.server_status
+        code = error_code(connection, INSERT % ("flags", "one"))
+        connection.ping(reconnect=False)
+        return begun & IN_TRANSACTION, code, connection.server_status & IN_TRANSACTION
+
+    for member in env.fleet.endpoints.values():
+        member.faults.broken_connections = 1.0
+    assert await run_pymysql(env, work) == (IN_TRANSACTION, TRANSACTION_ROLLED_BACK.number, 0)
