Admission: a tenant's burst is forgotten with time, not only with 500 further requests

What callers saw: after a burst, a tenant's requests ranked behind all others' until 500 more had been admitted: eight minutes at one a second, any time on an idle edge.

Cause: the counts compared with the shares decayed with admitted requests only.

Change: they also return to the shares, with a time constant of a minute, at each arrival.

Evidence: tests/admission/test_quota.py; the old counts say OVER_QUOTA after the burst however much time has passed, the new ones WITHIN_QUOTA after ten minutes; a tenant that goes on beyond its share is over quota at 2, 20 and 200 a second.

--- a/juniperreel/admission/lane.py
+++ b/juniperreel/admission/lane.py
@@ -80,7 +80,7 @@
 
     def on_arrival(self, now_us: int, key: QueueKey, rejected: bool) -> None:
         """Record an arrival and whether it was rejected."""
-        self._quotas.on_arrival(key.tenant_index)
+        self._quotas.on_arrival(now_us, key.tenant_index)
         self._controlled_delay.on_arrival(now_us, key, rejected)
 
     def expire_observations(self, now_us: int) -> None:
--- a/juniperreel/admission/quota.py
+++ b/juniperreel/admission/quota.py
@@ -1,4 +1,8 @@
-"""Compares the tenants of a lane with their capacity shares, using exponentially decaying counts."""
+"""Compares the tenants of a lane with their capacity shares, using exponentially decaying counts.
+
+Counts decay with each admitted request, and return to the tenants' shares as time passes: on an edge with
+little traffic, a tenant would otherwise rank behind all others for a burst of hours ago.
+"""
 
 from __future__ import annotations
 
@@ -6,6 +10,7 @@
 from enum import IntEnum
 
 QUOTA_DECAY = 0.998  # weight of the previous counts, per admitted request
+QUOTA_MEMORY_US = 60_000_000  # time constant of the return to the shares
 # Standard deviations by which a tenant may exceed its share before it counts as over quota: random variation
 # rarely exceeds 3.
 QUOTA_TOLERANCE_DEVIATIONS = 3
@@ -32,9 +37,11 @@
         self._admitted = list(shares)
         self._admitted_total = sum(shares)
         self._arrived = list(shares)  # on the same scale as `_admitted`
+        self._updated_us: int | None = None
 
-    def on_arrival(self, tenant_index: int) -> None:
+    def on_arrival(self, now_us: int, tenant_index: int) -> None:
         """Count an arrival, admitted or not."""
+        self._return_to_shares(now_us)
         if 0 <= tenant_index < len(self._arrived):
             self._arrived[tenant_index] += 1 - QUOTA_DECAY
 
@@ -47,6 +54,21 @@
         self._admitted[tenant_index] += 1 - QUOTA_DECAY
         self._admitted_total = sum(self._admitted)
 
+    def _return_to_shares(self, now_us: int) -> None:
+        previous_us = now_us if self._updated_us is None else self._updated_us
+        self._updated_us = now_us
+        weight = math.exp(-max(now_us - previous_us, 0) / QUOTA_MEMORY_US)
+        self._admitted = self._moved_to_shares(self._admitted, weight)
+        self._arrived = self._moved_to_shares(self._arrived, weight)
+        self._admitted_total = sum(self._admitted)
+
+    def _moved_to_shares(self, counts: list[float], weight: float) -> list[float]:
+        """Return the counts with this weight on their differences from the shares."""
+        return [
+            share + weight * (tenant_count - share)
+            for share, tenant_count in zip(self._shares, counts, strict=True)
+        ]
+
     def status(self, tenant_index: int) -> QuotaStatus:
         """Return the tenant's demand and usage relative to its share.
 
