Edge: a statement that nobody waits for is killed also before the first health check

What callers saw: a long statement given up just after the edge's start, or after its endpoint came up, ran on to its end.

Cause: KILL goes over the monitoring connection, which only a health check opened; none is opened for a KILL, as thread ids of a restarted server may be another client's.

Change: an endpoint's first attempt opens it too, once, beside its pooled connection, and never for a draining endpoint.

--- a/juniperreel/proxy/mysql_endpoints.py
+++ b/juniperreel/proxy/mysql_endpoints.py
@@ -230,6 +230,8 @@
             raise ConnectTimedOutError(f"no address is known for {endpoint}")
         request = attempt.request
         reusable = not request.taints_connection
+        if not target.is_draining:
+            target.monitor.open_soon()
         progress.waits_for_lease = target.pool.core.leased > 0
         lease = await target.pool.lease(self._lease_request(attempt))
         progress.waits_for_lease = False
--- a/juniperreel/proxy/mysql_monitor.py
+++ b/juniperreel/proxy/mysql_monitor.py
@@ -11,6 +11,7 @@
 import trio
 
 from juniperreel.mysql.replies import Err
+from juniperreel.net import ConnectError
 from juniperreel.net.clock import US
 from juniperreel.pool.connection import BackendConnection
 from juniperreel.pool.errors import ConnectionLostError, ResultTooLargeError
@@ -23,7 +24,10 @@
 
 
 class EndpointMonitor:
-    """The monitoring connection of one endpoint, opened on first use; its tasks run in `nursery`."""
+    """The monitoring connection of one endpoint, opened by its first attempt or health check.
+
+    Its tasks run in `nursery`.
+    """
 
     def __init__(
         self,
@@ -41,6 +45,7 @@
         self._backend: BackendConnection | None = None
         self._lock = trio.Lock()  # serialises exchanges on the connection
         self._pending_kills = 0
+        self._was_requested = False  # by `open_soon`
         self.statements_killed = 0
 
     @property
@@ -54,10 +59,31 @@
         Raises ConnectError, ConnectionLostError or ResultTooLargeError.
         """
         async with self._lock:
-            if self._backend is None or self._backend.close_reason:
-                self._backend = await self._connector.connect(self._address)
-                self._nursery.start_soon(self._backend.run)
-            return await self._backend.exchange(steps)
+            backend = await self._connected()
+            return await backend.exchange(steps)
+
+    async def _connected(self) -> BackendConnection:
+        """Return the open connection, opening it if necessary. Requires the lock; raises ConnectError."""
+        if self._backend is None or self._backend.close_reason:
+            self._backend = await self._connector.connect(self._address)
+            self._nursery.start_soon(self._backend.run)
+        return self._backend
+
+    def open_soon(self) -> None:
+        """Open the connection in the background, for the first statement that may have to be killed.
+
+        Only the first call has an effect: if it fails, the next health check opens the connection.
+        """
+        if self._backend is None and not self._was_requested:
+            self._was_requested = True
+            self._nursery.start_soon(self._open)
+
+    async def _open(self) -> None:
+        try:
+            async with self._lock:
+                await self._connected()
+        except ConnectError:
+            pass  # the attempts and health checks that need the endpoint report it
 
     def close(self) -> None:
         """Close the connection; the next exchange opens a new one."""
@@ -69,7 +95,7 @@
 
         After a restart, the server may have assigned the same thread id to another client's connection, which
         would be killed instead. A monitoring connection that was open while the closed connection was in use,
-        and still is, rules that out; so none is opened for a KILL.
+        and still is, rules that out; so none is opened for a KILL. See `open_soon`.
         """
         backend = self._backend
         if backend is None or backend.close_reason or self._pending_kills >= MAX_PENDING_KILLS:
--- a/tests/e2e/test_transactions.py
+++ b/tests/e2e/test_transactions.py
@@ -20,6 +20,7 @@
 from juniperreel.mysql.replies import Err
 from juniperreel.pool.connection import BackendConnection
 from juniperreel.pool.result import Result, Statement
+from juniperreel.proxy.attempts import EndpointReport
 from juniperreel.proxy.mysql_endpoints import MysqlEndpoints
 from juniperreel.rpc.channel import CallInterruptedError
 from juniperreel.rpc.status import Code, RpcError
@@ -738,6 +739,30 @@
     await wait_until(lambda: not any(m.capacity.in_flight for m in env.fleet.endpoints.values()))
 
 
+async def test_abandoned_statement_is_killed_before_the_first_health_check(
+    env: Environment, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Only a health check opened the connection for KILL, so that an earlier statement ran on to its end."""
+    endpoints = mysql_endpoints(env)
+    reports = {name: await endpoints.check_health(name) for name in env.fleet.endpoints}
+
+    async def check_without_connection(name: str) -> EndpointReport:
+        return reports[name]
+
+    monkeypatch.setattr(endpoints, "check_health", check_without_connection)
+    for endpoint in endpoints._endpoints.values():
+        endpoint.monitor.close()
+        endpoint.monitor._backend = None
+        endpoint.monitor._was_requested = False
+    await env.read("r")
+    await wait_until(lambda: endpoints.connection_count > sum(p.total for p in endpoints.pools().values()))
+    for member in env.fleet.endpoints.values():
+        member.settings = replace(member.settings, read_us=60_000_000)
+    with trio.move_on_after(0.5):
+        await env.read("r")
+    await wait_until(lambda: endpoints.statements_killed == 1)
+
+
 # What gRPC clients must not do on shared connections.
 
 
