Pool and edge: row streams and request ids are modules of their own

Change: ConnectionRowStream moves to pool/row_stream.py, over the protocol of what it reads from; RequestIds to proxy/request_ids.py; the runner is built in a method as the driver's other parts are. Nothing else changed.

--- a/juniperreel/pool/connection.py
+++ b/juniperreel/pool/connection.py
@@ -14,21 +14,21 @@
 
 from juniperreel.mysql import client_events as client
 from juniperreel.mysql.client import ClientSession
-from juniperreel.mysql.replies import Err, Ok
+from juniperreel.mysql.replies import Err
 from juniperreel.mysql.values import Value
 from juniperreel.net import ConnectTimedOutError, Network
 from juniperreel.net.clock import US
 from juniperreel.pool.config import BackendConfig
 from juniperreel.pool.error_codes import REPREPARE_CODES, WRONG_ARGUMENT_COUNT
-from juniperreel.pool.errors import ConnectionLostError, ResultTooLargeError, StatementError
+from juniperreel.pool.errors import ConnectionLostError, ResultTooLargeError
 from juniperreel.pool.login import READ_BYTES, log_in
 from juniperreel.pool.prepared_statements import PreparedStatementCache, StatementKey
 from juniperreel.pool.result import Result, Statement
+from juniperreel.pool.row_stream import ConnectionRowStream
 from juniperreel.pool.session_state import INITIAL_SESSION_STATE
 
 MAX_BUFFERED_ROW_BYTES = 256 << 10  # received and not yet consumed; reading pauses above it
 STREAM_THRESHOLD_BYTES = 256 << 10  # a result that may be streamed is returned once this much is buffered
-STREAM_CHUNK_BYTES = 64 << 10  # returned by one call of `next_rows`
 QUIT_TIMEOUT_S = 1.0
 STREAM_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
 CLOSED_LOCALLY = "closed here"
@@ -346,83 +346,6 @@
                     raise unexpected_event(event)
 
 
-class ConnectionRowStream:
-    """The remaining rows of a long result, read directly from the connection.
-
-    Attributes:
-        ok: The final status of the result; valid once `next_rows` has returned no rows.
-        additional_results: The results that followed on the connection; valid at the same time.
-        ended: Whether the result was read to the end or closed.
-        finished: Set when `ended` becomes true; the connection is then free or closed.
-    """
-
-    def __init__(self, connection: BackendConnection, binary: bool) -> None:
-        self._connection = connection
-        self._binary = binary
-        self.ok = Ok()
-        self.additional_results: list[Result] = []
-        self.ended = False
-        self.finished = trio.Event()
-
-    async def next_rows(self) -> list[bytes]:
-        """Return more rows, or none at the end. Closes the connection if it raises or is cancelled.
-
-        Raises:
-            StatementError: The statement failed after returning some rows; the connection remains usable.
-            ConnectionLostError: The connection broke.
-        """
-        try:
-            return await self._read_chunk()
-        except BaseException:
-            self.close()
-            raise
-
-    def close(self) -> None:
-        """Discard the remaining rows. Unless all were read, this closes the connection."""
-        if self.ended:
-            return
-        # The response to the next statement follows all remaining rows; closing is cheaper than reading
-        # them.
-        self._connection.close()
-        self._finish()
-
-    async def _read_chunk(self) -> list[bytes]:
-        rows: list[bytes] = []
-        size = 0
-        while not self.ended and size < STREAM_CHUNK_BYTES:
-            event = await self._connection.next_event()
-            match event:
-                case client.Row(payload):
-                    rows.append(payload)
-                    size += len(payload)
-                case client.ResultEnded(ok):
-                    self.ok = ok
-                    await self._read_additional_results()
-                    self._finish()
-                case client.Failed(err):
-                    self._finish()
-                    raise StatementError(err)
-                case _:
-                    raise ConnectionLostError("the server broke off a result", sent=True)
-        return rows
-
-    async def _read_additional_results(self) -> None:
-        if not self.ok.more_results:
-            return
-        try:
-            additional = await self._connection.receive_additional_results(self._binary)
-        except ResultTooLargeError as error:
-            raise ConnectionLostError(str(error), sent=True) from error
-        if isinstance(additional, Err):
-            self._finish()
-            raise StatementError(additional)
-        self.additional_results = additional
-
-    def _finish(self) -> None:
-        self.ended = True
-        self.finished.set()
-
-
 def unexpected_event(event: client.Event) -> ConnectionLostError:
     """Return the error for a response that does not match any statement sent."""
     return ConnectionLostError(f"the server answered with {type(event).__name__}", sent=True)
--- a/juniperreel/proxy/mysql_endpoints.py
+++ b/juniperreel/proxy/mysql_endpoints.py
@@ -16,10 +16,11 @@
 from juniperreel.net import Clock, ConnectTimedOutError, Network
 from juniperreel.net.clock import US
 from juniperreel.pool import endpoint_status
-from juniperreel.pool.connection import BackendConnection, ConnectionRowStream
+from juniperreel.pool.connection import BackendConnection
 from juniperreel.pool.core import Pool
 from juniperreel.pool.errors import ConnectionLostError, ResultTooLargeError, StatusUnavailableError
 from juniperreel.pool.result import Result, Statement
+from juniperreel.pool.row_stream import ConnectionRowStream
 from juniperreel.pool.session_state import replay_statement
 from juniperreel.pool.types import Lease
 from juniperreel.proxy.attempts import AttemptProgress, AttemptRequest, AttemptResponse, EndpointReport
--- a/juniperreel/proxy/request_driver.py
+++ b/juniperreel/proxy/request_driver.py
@@ -9,7 +9,6 @@
 
 import random
 from collections.abc import Sequence
-from itertools import count
 from typing import Any
 
 import trio
@@ -36,6 +35,7 @@
 from juniperreel.proxy.options import DriverOptions
 from juniperreel.proxy.positions import PositionTracker, RequiredPosition
 from juniperreel.proxy.request_admission import RequestAdmission
+from juniperreel.proxy.request_ids import RequestIds
 from juniperreel.proxy.request_table import RequestTable
 from juniperreel.proxy.requests import (
     Answer,
@@ -102,19 +102,10 @@
         self.open_requests = RequestTable(self.admission, log)
         self.endpoints = self._endpoint_connections(network, random.Random(rng.getrandbits(64)))
         self.discovery = self._endpoint_source(network, random.Random(rng.getrandbits(64)))
-        self._id_prefix = self._new_id_prefix(rng)
-        self._ids = count()
+        self._request_ids = RequestIds(options.name, rng, clock.now_us())
         self._stall_monitor = stall_monitor
         self._translator = self._new_translator()
-        self._runner = AttemptRunner(
-            self.endpoints,
-            options.health_check_timeout_us,
-            options.router.max_attempts,
-            clock,
-            log,
-            traces,
-            self._confirm_send,
-        )
+        self._runner = self._new_runner()
         self._list_writer = self._new_list_writer()
         self._wake = trio.Event()
         self._nursery: trio.Nursery | None = None
@@ -139,6 +130,17 @@
             self.metrics,
         )
 
+    def _new_runner(self) -> AttemptRunner:
+        return AttemptRunner(
+            self.endpoints,
+            self.options.health_check_timeout_us,
+            self.options.router.max_attempts,
+            self.clock,
+            self.log,
+            self.traces,
+            self._confirm_send,
+        )
+
     def _endpoint_connections(self, network: Network, rng: random.Random) -> EndpointConnections:
         options = self.options
         if options.mysql is None:
@@ -164,15 +166,6 @@
             return None
         return CachedListWriter(options.cached_list_path, self.discovery, self.log)
 
-    def _new_id_prefix(self, rng: random.Random) -> str:
-        """Return a prefix of request ids that is unique to this incarnation of the edge.
-
-        If the prefix depended on the seed alone, a restarted edge would reuse the ids of its previous
-        incarnation, and two requests with the same id would be taken for one.
-        """
-        incarnation = (rng.getrandbits(32) ^ self.clock.now_us()) & 0xFFFFFFFF
-        return f"{self.options.name}-{incarnation:08x}-"
-
     # Life cycle.
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
@@ -222,7 +215,7 @@
 
         The returned open request must be passed to `wait_for_answer` or `client_disconnected`.
         """
-        request.id = f"{self._id_prefix}{next(self._ids):x}"
+        request.id = self._request_ids.next_id()
         open_request = OpenRequest(request, self.options.router.classes[request.class_index])
         self.admission.submit(open_request)
         if isinstance(open_request.answer, Rejected):
