MySQL front: the further results of a statement are limited in size together

Need: each result behind the first had the limit of one (`message`), their number none: a procedure with many of them could fill the edge's memory (found while reading again).

Evidence: tests/e2e/test_several_results.py calls for four results of a third of the limit each: served before, 1153 now.

--- a/juniperreel/pool/connection.py
+++ b/juniperreel/pool/connection.py
@@ -299,13 +299,17 @@
 
         Raises:
             ConnectionLostError: The connection broke.
-            ResultTooLargeError: A result exceeds `max_result_bytes`; they are not streamed.
+            ResultTooLargeError: Their rows exceed `max_result_bytes`; they are not streamed.
         """
         results: list[Result] = []
+        size = 0
         while not results or results[-1].ok.more_results:
             result = await self._receive_result(binary, may_stream=False)
             if isinstance(result, Err):
                 return result
+            size += sum(map(len, result.rows))
+            if size > self._max_result_bytes:
+                raise ResultTooLargeError(f"further results of more than {self._max_result_bytes} bytes")
             results.append(result)
         return results
 
--- a/tests/e2e/test_several_results.py
+++ b/tests/e2e/test_several_results.py
@@ -9,11 +9,13 @@
 import trio
 
 from juniperreel.fakes.mysql_procedures import PADDING
+from juniperreel.frontends.mysql.errors import TOO_LONG
 from juniperreel.pool.config import BackendConfig
 from juniperreel.pool.connection import STREAM_THRESHOLD_BYTES, BackendConnection
 from juniperreel.pool.result import Result, Statement
 from tests.e2e.environment import Environment
 from tests.e2e.test_mysql import execute, mysql_port, run_pymysql
+from tests.e2e.test_transactions import error_code, mysql_endpoints
 
 LONG = 2 * STREAM_THRESHOLD_BYTES // len(PADDING)  # rows of a result that is streamed
 
@@ -66,6 +68,17 @@
     assert following == ((7,),)
 
 
+async def test_further_results_are_limited_in_size_together(env: Environment) -> None:
+    """Each is within the limit for one result, which a procedure with many of them would exceed in memory."""
+    limit = mysql_endpoints(env)._mysql_options.login.max_result_bytes
+    row_count = limit // len(PADDING) // 3
+
+    def work(connection: Any) -> int:
+        return error_code(connection, f"call result_sets(1, {', '.join([str(row_count)] * 4)})")
+
+    assert await run_pymysql(env, work) == TOO_LONG.number
+
+
 async def test_prepared_call_returns_all_its_result_sets(env: Environment, nursery: trio.Nursery) -> None:
     login = BackendConfig("ada", b"love lace")
     client = await BackendConnection.open(env.network, "127.0.0.1", mysql_port(env), login, 5_000_000)
