Pool: a pool with `wait 0` is asked once for each attempt

What operators would have seen: an edge with `wait 0ms`, which its settings allow, kept a core busy for each write that found the pool in use, until the write's deadline.

Cause: lets a write wait again after the pool's time-out; without a wait that time-out comes at once. Found on reading the whole change again.

Change: without a wait the attempt is refused, as before.

--- a/juniperreel/proxy/mysql_pool.py
+++ b/juniperreel/proxy/mysql_pool.py
@@ -170,7 +170,9 @@
         if waiter.lease is not None:
             return waiter.lease
         reason = waiter.rejection_reason
-        if reason == RejectionReason.TIMED_OUT and request.may_wait_again():
+        # Without a wait (`wait 0`), asking again would keep the loop busy until the request's deadline.
+        waited = self.core.config.acquire_timeout_us > 0
+        if waited and reason == RejectionReason.TIMED_OUT and request.may_wait_again():
             return None
         if reason in (RejectionReason.UNREACHABLE, RejectionReason.DRAINING):
             raise ConnectTimedOutError(f"{self._endpoint}: {reason}; {self._last_failure}")
--- a/tests/e2e/test_pool_waits.py
+++ b/tests/e2e/test_pool_waits.py
@@ -11,6 +11,7 @@
 import trio
 
 from juniperreel.pool.session_state import INITIAL_SESSION_STATE
+from juniperreel.pool.types import RejectionReason
 from juniperreel.proxy.mysql_endpoints import MysqlEndpoints
 from juniperreel.proxy.mysql_pool import LeaseRequest
 from juniperreel.routing.types import Outcome
@@ -18,6 +19,7 @@
 from tests.e2e.environment import Environment
 from tests.e2e.test_transactions import mysql_endpoints, wait_until
 
+MAX_ATTEMPTS = 6  # of the edge of the environment
 HOLD_S = 4.0  # longer than the pool's wait for each attempt, shorter than half of a write's deadline
 
 
@@ -76,3 +78,14 @@
             await wait_until(lambda waiting=waiting: core.waiting == waiting)  # type: ignore[misc]
         await trio.sleep(HOLD_S)
     assert served == names
+
+
+async def test_pool_without_a_wait_is_asked_once_for_each_attempt(env: Environment) -> None:
+    """With `wait 0` a write that may wait again asked in each iteration of the loop until its deadline."""
+    async with only_connection_leased(env) as endpoints:
+        core = endpoints.pools()[env.primary.name]
+        core.config = replace(core.config, acquire_timeout_us=0)
+        with pytest.raises(RpcError):
+            await env.send(env.message("write", "no wait", env.next_rid()), timeout_s=4)
+    rejected = env.edge.driver.metrics.pool_rejections.labels(RejectionReason.TIMED_OUT)
+    assert 1 <= rejected._value.get() <= MAX_ATTEMPTS
