--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -537,7 +537,8 @@
         for member in self.members:
             member.stop()
         self.record.close()
-        shutil.rmtree(self.scratch, ignore_errors=True)
+        if "KEEP" not in os.environ:
+            shutil.rmtree(self.scratch, ignore_errors=True)
 
 
 def run_case(
