--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -23,6 +23,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -529,13 +530,11 @@
             await asyncio.sleep(0.01)
 
     def close(self) -> None:
-        """End everything that was started."""
-        if self.process is not None and self.process.poll() is None:
-            self.process.send_signal(signal.SIGKILL)
+        """End the driver, and keep the record."""
         if self.process is not None:
+            if self.process.poll() is None:
+                self.process.send_signal(signal.SIGKILL)
             self.process.wait()
-        for member in self.members:
-            member.stop()
         self.record.close()
         if "KEEP" not in os.environ:
             shutil.rmtree(self.scratch, ignore_errors=True)
@@ -551,16 +550,22 @@
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     world = World(here, settings, limits)
     try:
-        return asyncio.run(_as_coroutine(play(world, os.environ.get("TROUBLE", "1") != "0")))
-    except (OSError, RuntimeError, AssertionError) as error:
-        print("could not run:", repr(error))
+        return asyncio.run(_play(world, play))
+    except Exception:
+        print("could not run:")
+        traceback.print_exc()
         return 2
     finally:
         world.close()
 
 
-async def _as_coroutine(played: Awaitable[int]) -> int:
-    return await played
+async def _play(world: World, play: Callable[[World, bool], Awaitable[int]]) -> int:
+    try:
+        return await play(world, os.environ.get("TROUBLE", "1") != "0")
+    finally:
+        for member in world.members:
+            member.stop()
+        await asyncio.sleep(0.1)
 
 
 def perth_settings() -> dict[str, Any]:
