Review: a play that is cut off ends all its processes and exits with 2

Need: a time-out could leave case 2's crowd running for up to 30 s and ended with 124; an error before a play ended with 1, as if a rule were broken.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -91,6 +91,7 @@
     if trouble:
         arguments = [world.driver_port, BAD_CLIENTS, COMMANDS, record]
         crowd = subprocess.Popen([sys.executable, STANDINS / "crowd.py", *map(str, arguments)])
+        world.helpers.append(crowd)
     await asyncio.wait(usual, timeout=END_S + 10)
     lag.cancel()
     if crowd is not None:
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -427,6 +427,7 @@
         self._numbers = itertools.count(1)
         self._salt = self.random.getrandbits(32)
         self.scratch = Path(tempfile.mkdtemp(prefix="review-"))
+        self.helpers: list[subprocess.Popen[bytes]] = []
         self.peak_mb = 0.0
         self.killed_for_memory = False
 
@@ -530,11 +531,10 @@
             await asyncio.sleep(0.01)
 
     def close(self) -> None:
-        """End the driver, and keep the record."""
-        if self.process is not None:
-            if self.process.poll() is None:
-                self.process.send_signal(signal.SIGKILL)
-            self.process.wait()
+        """End every process that was started, and keep the record."""
+        for process in [*self.helpers, *([self.process] if self.process is not None else [])]:
+            process.kill()  # also ends a process that is stopped; does nothing to one that has ended
+            process.wait()
         self.record.close()
         if "KEEP" not in os.environ:
             shutil.rmtree(self.scratch, ignore_errors=True)
@@ -548,15 +548,17 @@
 ) -> int:
     """Play a case: 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
-    world = World(here, settings, limits)
+    world: World | None = None
     try:
+        world = World(here, settings, limits)
         return asyncio.run(_play(world, play))
     except Exception:
         print("could not run:")
         traceback.print_exc()
         return 2
     finally:
-        world.close()
+        if world is not None:
+            world.close()
 
 
 async def _play(world: World, play: Callable[[World, bool], Awaitable[int]]) -> int:
