PostgreSQL client: an idle endpoint connection keeps no copy of its last reply

Seen: an idle connection to an endpoint held its last reply until its next query: the row's message, its value and the whole result, some 200 KB for a value of 64 KiB. A driver with 93 endpoint connections (256 descriptors) may so keep 18 MB that nobody needs, of a limit of 64 MB; with 400 connections 80 MB.

Cause: `ClientConnection._builder` was replaced by the next query only. Now it is replaced when the reply is returned. Errors of replies that end early are read from the builder as before.

`test_connection_keeps_no_reply_after_returning_it` fails before (the reply's rows are still there).

--- a/juniperreel/postgres/client.py
+++ b/juniperreel/postgres/client.py
@@ -179,9 +179,15 @@
             elif self.phase is Phase.STARTUP:
                 self._handle_startup(message)
             elif self._handle_reply(message):
-                return self._builder.reply
+                return self._take_reply()
         return None
 
+    def _take_reply(self) -> Reply:
+        """Return the reply without keeping it: the connection may stay idle for long."""
+        reply = self._builder.reply
+        self._builder = ReplyBuilder()
+        return reply
+
     def _handle_startup(self, message: Message) -> None:
         if message.kind == READY_FOR_QUERY:
             _check_ready_for_query(message.payload)
--- a/tests/postgres/test_connections.py
+++ b/tests/postgres/test_connections.py
@@ -161,6 +161,17 @@
         assert len(reply.rows) >= len(ROW)
 
 
+def test_connection_keeps_no_reply_after_returning_it() -> None:
+    """Guards against memory held by idle connections: each kept three copies of its last value."""
+    connection = busy_connection()
+    reply = connection.receive_data(ROW + messages.READY)
+    assert reply is not None
+    assert reply.rows == ROW
+    assert connection.is_reusable
+    assert connection.partial_reply.rows == b""
+    assert connection.partial_reply.value is None
+
+
 def test_error_is_available_for_reusable_closed_and_incomplete_replies() -> None:
     connection = busy_connection()
     reply = connection.receive_data(messages.error("ERROR", "25006", "read only") + STATUS + messages.READY)
