Platform: connections take turns to have commands read, within a time limit an iteration

Change: input is only kept when it arrives, with its arrival time. After replies, timers and routing, connections read one command each in turn, those without an open command first, in groups of 16 that are routed at once, until NEW_WORK_BUDGET_US of net (10 ms) is used up; the rest waits for the next iteration. After ten iterations that left commands unread, further commands of connections with an open one are refused (53300) without being parsed. `CommandOrder` keeps unanswered commands by key instead of comparing each with all earlier ones on every answer. Status lines have `iterations` (longest) and `overload_refusals`.

Why this works: what is due never waits for more than one iteration, and the router sees the pressure of the first commands before it takes the next.

The planted bug `process_requests_before_disconnect` no longer reached anything, as a disconnect now comes before the turn to read; it reads at once now, and its test fails by it as before. `test_memory.py` delivers one part an iteration, as the poller does. `EventHarness.client` runs the iteration before it removes the startup response.

--- a/juniperreel/net/transport.py
+++ b/juniperreel/net/transport.py
@@ -64,7 +64,7 @@
         self.protocol: Protocol | None = None
         self._write_buffer = bytearray()
         self._connecting = connecting
-        self._reading_paused = False
+        self.reading_paused = False
         self._eof_requested = False
         self._eof_sent = False
         self.closed = False
@@ -77,7 +77,7 @@
         return len(self._write_buffer)
 
     def _update_events(self) -> None:
-        mask = (0 if self._reading_paused else select.EPOLLIN) | select.EPOLLRDHUP
+        mask = (0 if self.reading_paused else select.EPOLLIN) | select.EPOLLRDHUP
         if self._write_buffer:
             mask |= select.EPOLLOUT
         if mask != self._mask and not self.closed:
@@ -86,12 +86,12 @@
 
     def pause_reading(self) -> None:
         """Pause reading. A disconnect of the peer is still reported."""
-        self._reading_paused = True
+        self.reading_paused = True
         self._update_events()
 
     def resume_reading(self) -> None:
         """Resume reading after `pause_reading`."""
-        self._reading_paused = False
+        self.reading_paused = False
         self._update_events()
 
     def write(self, data: bytes | bytearray) -> None:
@@ -173,7 +173,7 @@
         """
         if not self.closed and not self._eof_requested:
             self._eof_requested = True
-            self._reading_paused = True
+            self.reading_paused = True
             self._send_eof_when_flushed()
 
     def _send_eof_when_flushed(self) -> None:
@@ -199,11 +199,11 @@
             return
         broken = mask & (select.EPOLLERR | select.EPOLLHUP)
         # A request read together with the end of its stream would be forwarded although its client is gone.
-        disconnected = mask & select.EPOLLRDHUP and (self._reading_paused or protocol.eof_is_disconnect)
-        if disconnected or (broken and (self._reading_paused or self._eof_requested)):
+        disconnected = mask & select.EPOLLRDHUP and (self.reading_paused or protocol.eof_is_disconnect)
+        if disconnected or (broken and (self.reading_paused or self._eof_requested)):
             self._disconnect(protocol, "closed")
             return
-        if mask & ~select.EPOLLOUT and not self._reading_paused and not self.closed:
+        if mask & ~select.EPOLLOUT and not self.reading_paused and not self.closed:
             self._read(protocol)
 
     def _finish_connecting(self, protocol: Protocol) -> None:
--- a/juniperreel/platform/client_connection.py
+++ b/juniperreel/platform/client_connection.py
@@ -7,16 +7,18 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
 from juniperreel.net.transport import READ_BYTES, Transport
 from juniperreel.platform.arrival_times import ArrivalTimes
 from juniperreel.platform.command import Command
+from juniperreel.platform.command_order import CommandOrder
 from juniperreel.platform.counters import CloseReason
 from juniperreel.platform.errors import InvalidRequestError
 from juniperreel.postgres import server
 from juniperreel.postgres.messages import ProtocolError
-from juniperreel.postgres.request_format import RequestFormatError, parse_request
+from juniperreel.postgres.request_format import RequestFormatError, StatementRequest, parse_request
 
 if TYPE_CHECKING:
     from juniperreel.platform.client_listener import ClientListener
@@ -46,7 +48,9 @@
         self._unread_since_us = waiting_since_us  # since when bytes may be unread in the kernel, or 0
         self.commands: deque[Command] = deque()  # not yet answered, or waiting behind one that is not
         self._protocol_error: ProtocolError | None = None  # raised by the last read
-        self._advancing = False
+        self._waits_for_turn = False  # to read a command
+        self._open_count = 0  # of commands that are not answered
+        self._order = CommandOrder()
         self._waiting_answer_bytes = 0  # of answered commands that have not been sent
         self.command_count = 0
         self._arrived_us = waiting_since_us or now_us  # earliest arrival of the last read
@@ -68,13 +72,15 @@
         return self._listener.input_buffers.read_limit
 
     def data_received(self, data: bytes) -> None:
-        """Parse commands, submit them and send the answers that are ready."""
+        """Keep the input until it is this connection's turn to read a command."""
         self._arrived_us = self._earliest_arrival_us()
         self._arrivals.receive(len(data), self._arrived_us)
         # After a full read, bytes of the same age may remain in the kernel.
         self._unread_since_us = self._arrived_us if len(data) >= self.read_limit else 0
         self._protocol.receive_data(data)
-        self.advance()
+        self._listener.input_buffers.update(self, self._protocol.held, is_incomplete=False)
+        self._register_for_reading()
+        self._update_reading()
 
     def _earliest_arrival_us(self) -> int:
         return self._unread_since_us or self._listener.handler.input_ready_since_us
@@ -90,47 +96,77 @@
 
     # Commands and answers.
 
-    def advance(self) -> None:
-        """Read commands, submit those that may start, and send the answers that are due."""
-        if self._advancing:
+    def _register_for_reading(self) -> None:
+        """Wait for this connection's turn to read a command, if its input may contain one."""
+        if not self._waits_for_turn and self._protocol.buffered and self._accepts_commands():
+            self._waits_for_turn = True
+            self._listener.intake.register(self)
+
+    @property
+    def has_open_commands(self) -> bool:
+        """Whether a request of the client is not answered yet."""
+        return self._open_count > 0
+
+    def read_command(self) -> None:
+        """Read one command, submit it if it may start, and send the answers that are due."""
+        self._waits_for_turn = False
+        if self._transport.closed or self.closing_since_us:
             return
-        self._advancing = True
-        may_have_more = True
-        try:
-            while may_have_more and not self._transport.closed and not self.closing_since_us:
-                self._read_commands()
-                self._submit_commands()
-                may_have_more = self._send_answers()
-        finally:
-            self._advancing = False
-
-    def _read_commands(self) -> None:
-        is_incomplete = False
-        while self._accepts_commands():
-            query = self._next_query()
-            if query is None:
-                is_incomplete = self._protocol.phase is server.Phase.READY
-                break
-            self.command_count += 1
-            self.partial_since_us = 0
-            self._listener.on_command_received(self)
-            arrived_us = self._arrivals.take(self._protocol.buffered)
-            command = self._create_command(query, arrived_us)
-            self.commands.append(command)
+        query = self._next_query() if self._accepts_commands() else None
+        if query is not None:
+            self._receive_command(query)
+        self._send_output()
+        self._update_input(may_have_more=query is not None)
+        self._send_answers()
+        if query is not None:
+            self._register_for_reading()
+        self._update_reading()
+
+    def _receive_command(self, query: server.Query) -> None:
+        self.command_count += 1
+        self.partial_since_us = 0
+        self._listener.on_command_received(self)
+        arrived_us = self._arrivals.take(self._protocol.buffered)
+        command = self._create_command(query, arrived_us)
+        self.commands.append(command)
+        if command.statement is None:
             self.on_answer_waiting(len(command.answer or b""))
+            return
+        self._open_count += 1
+        self._submit(self._order.add(command, command.statement))
+
+    def _send_output(self) -> None:
+        """Send what the protocol itself answers, such as the response to a startup message."""
         if self._protocol.outgoing:
             output = self._protocol.outgoing
             self._protocol.outgoing = bytearray()
             self._transport.write(output)
-        waits_for_us = len(self.commands) == MAX_OPEN_COMMANDS or self.reads_slowly
-        if waits_for_us or not self._protocol.buffered:
+
+    @property
+    def _waits_for_answers(self) -> bool:
+        """Whether answers have to be sent before further commands are read."""
+        return len(self.commands) == MAX_OPEN_COMMANDS or self.reads_slowly
+
+    def _update_input(self, may_have_more: bool) -> None:
+        """Record how much input is left; `may_have_more`: it may contain another whole command."""
+        is_partial = not may_have_more and not self._waits_for_answers and self._protocol.buffered > 0
+        if not is_partial:
             self.partial_since_us = 0
         elif not self.partial_since_us:
             self.partial_since_us = self._arrived_us
-        self._listener.input_buffers.update(self, self._protocol.held, is_incomplete)
-        limit = 0 if waits_for_us and self._listener.memory.input_is_short else MAX_UNPARSED_BYTES
-        if self._protocol.held > limit:
+        is_incomplete_query = is_partial and self._protocol.phase is server.Phase.READY
+        self._listener.input_buffers.update(self, self._protocol.held, is_incomplete_query)
+
+    def _update_reading(self) -> None:
+        """Pause or resume reading by how much input is held and whether it can be parsed now."""
+        if self._transport.closed or self.closing_since_us or self._protocol_error is not None:
+            return
+        is_waiting = self._waits_for_turn or self._waits_for_answers
+        limit = 0 if is_waiting and self._listener.memory.input_is_short else MAX_UNPARSED_BYTES
+        if self._protocol.held > limit or self.reads_slowly:
             self.pause_reading()
+        elif self._transport.reading_paused:
+            self._resume_reading()
 
     def discard_incomplete_command(self) -> None:
         """Discard the incomplete command, which is refused once its last byte has arrived."""
@@ -157,41 +193,49 @@
             return Command(self, arrived_us, None, self._listener.handler.refuse_command())
         if not query.text.strip(WHITESPACE):
             return Command(self, arrived_us, None, server.empty_query_response())
+        if self.has_open_commands and self._listener.intake.is_overloaded:
+            self._listener.overload_refusals += 1
+            return Command(self, arrived_us, None, self._listener.handler.refuse_command())
         try:
             statement = parse_request(query.text)
         except RequestFormatError as error:
             return Command(self, arrived_us, None, server.failed("42601", str(error)))
-        is_first = all(command.answer is not None for command in self.commands)
-        reservation = self._listener.memory.reserve_command(len(query.text), is_first)
+        reservation = self._listener.memory.reserve_command(len(query.text), not self.has_open_commands)
         if reservation is None:
             return Command(self, arrived_us, None, self._listener.handler.refuse_command())
         return Command(self, arrived_us, statement, None, reservation)
 
-    def _submit_commands(self) -> None:
-        earlier: list[Command] = []
-        for command in self.commands:
-            if command.statement is None or command.answer is not None:
-                continue
-            if command.request_id is None and not any(command.must_wait_for(other) for other in earlier):
-                try:
-                    self._listener.handler.submit(command, command.statement)
-                except InvalidRequestError as error:
-                    command.set_answer(server.failed(error.sqlstate, error.message))
-                    continue
-            earlier.append(command)
+    def _submit(self, commands: Iterable[Command]) -> None:
+        """Submit commands that may start; one that is answered at once lets others start."""
+        startable = deque(commands)
+        while startable:
+            command = startable.popleft()
+            statement = command.statement
+            assert statement is not None  # it is not answered
+            try:
+                self._listener.handler.submit(command, statement)
+            except InvalidRequestError as error:
+                command.set_answer(server.failed(error.sqlstate, error.message))
+            if command.answer is not None:
+                startable.extend(self._finish_open(command, statement))
+
+    def _finish_open(self, command: Command, statement: StatementRequest) -> list[Command]:
+        """Return the commands that may start now that this one is answered."""
+        self._open_count -= 1
+        return self._order.remove(command, statement.key)
 
     def on_answer(self, command: Command, answer: bytes) -> None:
         """Set the final answer of a submitted command, and send it once it is due."""
+        statement = command.statement
+        assert statement is not None  # it was submitted and is not answered
         is_held = self.commands[0] is not command or self.unsent_bytes > 0
-        if (
-            is_held
-            and command.statement is not None
-            and not self._listener.answer_buffers.has_room(len(answer))
-        ):
-            answer = self._listener.handler.withhold_answer(command.statement)
+        if is_held and not self._listener.answer_buffers.has_room(len(answer)):
+            answer = self._listener.handler.withhold_answer(statement)
         command.set_answer(answer)
-        self._listener.answer_buffers.update(self)
-        self.advance()
+        if is_held:
+            self._listener.answer_buffers.update(self)
+        self._submit(self._finish_open(command, statement))
+        self._send_answers()
 
     def on_answer_waiting(self, size: int) -> None:
         """Count an answer that waits to be sent."""
@@ -202,8 +246,8 @@
         """Size of the answers that wait for earlier commands or have not been accepted by the kernel."""
         return self._waiting_answer_bytes + self.unsent_bytes
 
-    def _send_answers(self) -> bool:
-        """Send the answers that are due; return whether more commands may be ready."""
+    def _send_answers(self) -> None:
+        """Send the answers that are due, and continue reading if that makes room for more commands."""
         answers = self._take_answers()
         if answers:
             self._waiting_answer_bytes -= len(answers)
@@ -213,15 +257,15 @@
             if self.reads_slowly:
                 self.pause_reading()
                 self._listener.on_answers_unread(self)
-                return False
+                return
         if not self.commands:
             if self._close_when_done():
-                return False
+                return
             if answers:
                 self._listener.on_commands_answered(self)
-        if answers and self._protocol_error is None:
-            self._resume_reading()
-        return bool(answers) and bool(self._protocol.buffered)
+        if answers:
+            self._register_for_reading()
+            self._update_reading()
 
     def _take_answers(self) -> bytearray:
         answers = bytearray()
@@ -291,8 +335,8 @@
     def resume(self) -> None:
         """Resume reading commands after the answers have been sent."""
         if not self.closing_since_us:
-            self._resume_reading()
-            self.advance()
+            self._register_for_reading()
+            self._update_reading()
 
     def _resume_reading(self) -> None:
         self._reset_unread_since_if_drained()
@@ -308,8 +352,8 @@
         return self._transport.peer_has_disconnected()
 
     def has_unread_bytes(self) -> bool:
-        """Return whether input or an end of stream is pending that the next poll will report."""
-        return not self._transport.has_nothing_to_read()
+        """Return whether input is pending that the driver has not looked at, or an end of stream."""
+        return self._waits_for_turn or not self._transport.has_nothing_to_read()
 
     def pause_reading(self) -> None:
         """Stop reading commands."""
--- a/juniperreel/platform/client_listener.py
+++ b/juniperreel/platform/client_listener.py
@@ -9,6 +9,7 @@
 from juniperreel.platform.answer_buffers import AnswerBuffers
 from juniperreel.platform.client_connection import ClientConnection
 from juniperreel.platform.command import RequestHandler
+from juniperreel.platform.command_intake import CommandIntake
 from juniperreel.platform.counters import CloseReason
 from juniperreel.platform.descriptor_budget import DescriptorBudget
 from juniperreel.platform.input_buffers import InputBuffers
@@ -47,6 +48,8 @@
         self.memory = memory
         self.input_buffers = InputBuffers(memory)
         self.answer_buffers = AnswerBuffers(memory.answers)
+        self.intake = CommandIntake()
+        self.overload_refusals = 0  # commands refused because more arrive than can be routed
         self.handler = handler
         self.now = now
         self.budget = budget
--- a/juniperreel/platform/command.py
+++ b/juniperreel/platform/command.py
@@ -56,17 +56,6 @@
             self.reservation.release()
             self.reservation = None
 
-    def must_wait_for(self, earlier: Command) -> bool:
-        """Return whether an earlier command of the same connection must be answered first.
-
-        On one connection, a read must see earlier writes of its key and must not see later ones.
-        """
-        if self.statement is None or earlier.statement is None or earlier.answer is not None:
-            return False
-        return self.statement.key == earlier.statement.key and (
-            self.statement.is_write or earlier.statement.is_write
-        )
-
 
 class RequestHandler(Protocol):
     """Handles client requests.
@@ -83,7 +72,7 @@
         ...
 
     def refuse_command(self) -> bytes:
-        """Return the answer to a command for which no memory is left."""
+        """Return the answer to a command for which no memory or no time is left."""
         ...
 
     def withhold_answer(self, statement: StatementRequest) -> bytes:
--- a/juniperreel/platform/counters.py
+++ b/juniperreel/platform/counters.py
@@ -51,6 +51,7 @@
         self.lists: Counter[str] = Counter()  # by update kind
         self.stalls = 0  # of the event loop
         self.longest_stall_ms = 0
+        self.longest_iteration_ms = 0  # of the event loop, without its wait
         self.held_up_waits = 0  # waits of the event loop that ended long after their timeout
         self.longest_oversleep_ms = 0
         self.left_at_deadline = 0  # requests whose client left close to their deadline
@@ -62,6 +63,10 @@
         self.stalls += 1
         self.longest_stall_ms = max(self.longest_stall_ms, late_ms)
 
+    def on_iteration(self, duration_us: int) -> None:
+        """Record how long an iteration of the event loop took, without its wait."""
+        self.longest_iteration_ms = max(self.longest_iteration_ms, duration_us // 1000)
+
     def on_wait(self, overslept_us: int) -> None:
         """Count a wait for events that exceeded its timeout by `overslept_us`, if that is significant."""
         if overslept_us > OVERSLEEP_THRESHOLD_US:
@@ -80,5 +85,6 @@
             "closed_clients": {reason.value: count for reason, count in self.closed_clients.items()},
             "lists": dict(self.lists),
             "stalls": {"count": self.stalls, "longest_ms": self.longest_stall_ms},
+            "iterations": {"longest_ms": self.longest_iteration_ms},
             "endings": {"rejected": self.rejected_at_shutdown, "withdrawn_unsent": self.withdrawn_unsent},
         }
--- a/juniperreel/platform/driver.py
+++ b/juniperreel/platform/driver.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Sequence
 from functools import partial
 
+from juniperreel.net.stall_monitor import NEW_WORK_BUDGET_US
 from juniperreel.platform.attempt import Attempt
 from juniperreel.platform.client_listener import ClientListener
 from juniperreel.platform.command import Command
@@ -50,6 +51,7 @@
 )
 
 HOUSEKEEPING_INTERVAL_US = 250_000
+COMMANDS_PER_BATCH = 16  # read before their requests are routed
 # A request still unanswered this long after its deadline is a router fault. Answers up to 0.5 s late are
 # worthless but not a violation, and the check for such requests runs only at the housekeeping interval.
 OVERDUE_AFTER_US = 100_000
@@ -109,18 +111,37 @@
 
     def next_due_us(self) -> int | None:
         """Return when the next timer of the driver or the router is due, or None."""
+        if not self.client_listener.intake.is_empty:
+            return self.now()
         times = [due for due in (self.next_timer_us(), self.timers.next_due_us()) if due is not None]
         return min(times) if times else None
 
     def process_pending(self) -> None:
-        """Run due timers, then pass events to the router until none is left."""
+        """Run due timers, pass events to the router until none is left, then read clients' commands."""
         now_us = self.now()
         self.timers.run_due(now_us)
         self._process_batches(now_us)
+        self._read_commands()
         if self._overdue_check_due:
             self._answer_overdue_requests(now_us)
             self._process_batches(self.now())
 
+    def _read_commands(self) -> None:
+        """Read commands for a limited time; the rest waits for the next iteration of the loop.
+
+        Each group of commands is routed at once, so that the time limit covers what its requests cost.
+        """
+        intake = self.client_listener.intake
+        until_us = self.now() + NEW_WORK_BUDGET_US
+        while not intake.is_empty:
+            for _ in range(COMMANDS_PER_BATCH):
+                if not intake.read_next():
+                    break
+            self._process_batches(self.now())
+            if self.now() >= until_us:
+                break
+        intake.end_iteration()
+
     def _process_batches(self, now_us: int) -> None:
         while self.process_batch(now_us) and self.queue:
             now_us = self.now()
@@ -208,7 +229,7 @@
             self.log.trace("request rejected at once", request=statement.id, class_name=statement.class_name)
 
     def refuse_command(self) -> bytes:
-        """Return the answer to a command for which no memory is left."""
+        """Return the answer to a command for which no memory or no time is left."""
         self.counters.answers[AnswerKind.REJECTED] += 1
         return self._busy_answer
 
--- a/juniperreel/platform/open_requests.py
+++ b/juniperreel/platform/open_requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections.abc import Callable
 
 from juniperreel.platform.command import Command
@@ -44,7 +45,9 @@
         """`now` returns the current time in microseconds."""
         self._now = now
         self.by_id: dict[str, OpenRequest] = {}
-        self.answered_us: dict[str, int] = {}  # answer times of recently answered ids, oldest first
+        # Answer times of recently answered ids, oldest first. Finding the first key of a plain dict takes
+        # time in proportion to the keys that were removed before it.
+        self.answered_us: OrderedDict[str, int] = OrderedDict()
 
     def is_id_in_use(self, request_id: str) -> bool:
         """Return whether the id belongs to an open or recently answered request."""
--- a/juniperreel/platform/program.py
+++ b/juniperreel/platform/program.py
@@ -127,8 +127,10 @@
         self.driver.input_ready_since_us = self.poller.ready_since_us
         self.driver.input_wait_us = self.poller.max_detection_delay_us
         self.driver.counters.on_wait(self.poller.wait_overrun_us)
+        started_us = self.clock.now_us()
         self.poller.dispatch()
         self.driver.process_pending()
+        self.driver.counters.on_iteration(self.clock.now_us() - started_us)
         if self.acceptor is not None:
             self.acceptor.retry(self.clock.now_us())
 
@@ -194,5 +196,6 @@
             clients=self.driver.budget.clients,
             endpoint_connections=self.driver.budget.endpoint_connections,
             memory={**self.driver.memory.fields(), **self.driver.client_listener.input_buffers.fields()},
+            overload_refusals=self.driver.client_listener.overload_refusals,
             cpu_s=round(sum(os.times()[:2]), 2),
         )
--- a/tests/platform/event_harness.py
+++ b/tests/platform/event_harness.py
@@ -216,8 +216,8 @@
         self.driver.client_listener.accept(transport)
         assert transport.protocol is not None
         transport.protocol.data_received(STARTUP_MESSAGE + b"".join(map(m.query, texts)))
-        del transport.sent[: len(server.STARTUP_RESPONSE)]
         self.process()
+        del transport.sent[: len(server.STARTUP_RESPONSE)]
         return transport
 
     def feed(self, transport: FakeTransport, data: bytes) -> None:
--- a/tests/platform/test_memory.py
+++ b/tests/platform/test_memory.py
@@ -77,22 +77,23 @@
     return m.query(text.replace(b"\\x00", b"\\x" + b"ab" * LARGEST_VALUE))
 
 
-def send(transport: FakeTransport, data: bytes) -> int:
-    """Deliver data in the parts in which the driver reads it, until it stops reading; return how much."""
+def send(harness: EventHarness, transport: FakeTransport, data: bytes) -> int:
+    """Deliver data as the driver reads it, one part an iteration, until it stops reading; return how much."""
     sent = 0
     while sent < len(data) and not transport.reading_paused and not transport.closed:
         assert transport.protocol is not None
         limit = getattr(transport.protocol, "read_limit", READ_BYTES)
         transport.protocol.data_received(data[sent : sent + limit])
         sent += limit
+        harness.process()
     return min(sent, len(data))
 
 
 def connect(harness: EventHarness) -> FakeTransport:
-    """Connect a client as a crowd does: the driver runs no iteration of its loop for it."""
+    """Connect a client that sends no command yet."""
     transport = FakeTransport()
     harness.driver.client_listener.accept(transport)
-    send(transport, STARTUP_MESSAGE)
+    send(harness, transport, STARTUP_MESSAGE)
     transport.take()
     return transport
 
@@ -116,12 +117,12 @@
     clients = [connect(harness) for _ in range(12)]
     for number in range(80):
         for place, client in enumerate(clients):
-            send(client, large_write(f"{place:08x}{number:08x}", f"row-{place}-{number}"))
+            send(harness, client, large_write(f"{place:08x}{number:08x}", f"row-{place}-{number}"))
         if number % 8 == 0:
             harness.process()
         assert allocated.bytes < AVAILABLE_BYTES
     usual = connect(harness)
-    send(usual, large_write("f" * 16, "row-usual"))
+    send(harness, usual, large_write("f" * 16, "row-usual"))
     harness.process()
     assert any(b"id=ffffffffffffffff" in query for query in endpoint_queries(harness).values())
     harness.advance_us(4 * SEC)
@@ -134,7 +135,7 @@
     count = SOCKETS // 3  # of the descriptors, the largest part that the platform uses for requests
     clients = [connect(harness) for _ in range(count)]
     for number, client in enumerate(clients):
-        send(client, large_write(f"{number:016x}", f"row-{number}"))
+        send(harness, client, large_write(f"{number:016x}", f"row-{number}"))
     assert len(harness.driver.requests.by_id) == count
 
 
@@ -143,10 +144,10 @@
     silent = [connect(harness) for _ in range(harness.driver.budget.client_limit - 1)]
     with traced_allocations() as allocated:
         for number, client in enumerate(silent):
-            send(client, large_write(f"{number:016x}", f"row-{number}")[:-100])
+            send(harness, client, large_write(f"{number:016x}", f"row-{number}")[:-100])
             assert allocated.bytes < SMALL_AVAILABLE_BYTES
     usual = connect(harness)
-    send(usual, large_write("f" * 16, "row-usual"))
+    send(harness, usual, large_write("f" * 16, "row-usual"))
     harness.process()
     assert any(b"id=ffffffffffffffff" in query for query in endpoint_queries(harness).values())
     harness.advance_us(SILENT_CLIENT_TIMEOUT_US)
@@ -159,8 +160,9 @@
     with traced_allocations() as allocated:
         for place, client in enumerate(clients):
             names = [f"{place:08x}{number:08x}" for number in range(64)]
-            send(client, b"".join(m.query(write_query(name, key=f"row-{place}")) for name in names))
+            send(harness, client, b"".join(m.query(write_query(name, key=f"row-{place}")) for name in names))
             send(
+                harness,
                 client,
                 large_write(f"{place:08x}aaaaaaaa", "row") + large_write(f"{place:08x}bbbbbbbb", "row"),
             )
@@ -170,11 +172,11 @@
 def test_command_discarded_while_incomplete_is_refused_once_complete(harness: EventHarness) -> None:
     client = harness.client()
     command = large_write("1" * 16, "row-1")
-    send(client, command[:-100])
+    send(harness, client, command[:-100])
     assert isinstance(client.protocol, ClientConnection)
     client.protocol.discard_incomplete_command()
     assert client.take() == b""
-    send(client, command[-100:] + m.query(b""))
+    send(harness, client, command[-100:] + m.query(b""))
     harness.process()
     answers = client.take()
     assert REFUSED in answers
@@ -190,7 +192,7 @@
     assert len(slow) == len(clients)
     for number in range(40):
         for place, client in enumerate(clients):
-            send(client, m.query(read_query(f"{place + 1:08x}{number:08x}", key=f"row-{place}")))
+            send(harness, client, m.query(read_query(f"{place + 1:08x}{number:08x}", key=f"row-{place}")))
         harness.process()
         for transport in [found for found in endpoint_queries(harness) if found not in slow]:
             harness.feed(transport, row_reply(b"v" * LARGEST_VALUE))
@@ -237,8 +239,8 @@
 def test_memory_of_finished_commands_is_returned(harness: EventHarness) -> None:
     memory = harness.driver.memory
     left, answered = connect(harness), connect(harness)
-    send(left, large_write("1" * 16, "row-1") + large_write("2" * 16, "row-1") + b"Q")
-    send(answered, m.query(write_query("3" * 16, key="row-3")) + m.query(b"nonsense"))
+    send(harness, left, large_write("1" * 16, "row-1") + large_write("2" * 16, "row-1") + b"Q")
+    send(harness, answered, m.query(write_query("3" * 16, key="row-3")) + m.query(b"nonsense"))
     harness.process()
     assert memory.commands.used > 4 * LARGEST_VALUE
     harness.disconnect(left)
--- a/tests/platform/test_planted.py
+++ b/tests/platform/test_planted.py
@@ -97,7 +97,14 @@
 
 
 def process_requests_before_disconnect(patch: Patch) -> None:
+    receive = ClientConnection.data_received
+
+    def faulty(client: ClientConnection, data: bytes) -> None:
+        receive(client, data)
+        client.read_command()  # without waiting for its turn, which follows the disconnect
+
     patch.setattr(ClientConnection, "eof_is_disconnect", False)
+    patch.setattr(ClientConnection, "data_received", faulty)
 
 
 def skip_client_check_before_write(patch: Patch) -> None:
