Platform: a client paused because others do not read their answers is read again

While the answers' part of the memory was used up by other clients, input of a client with a few bytes unsent paused its reading, and nothing resumed it when no further answer was sent on that connection: its request would have stayed unanswered.

Change: pausing for unread answers always registers the client with the listener's check of slow readers (every 250 ms), which resumes it. `Command.wait_us`, for the log, is taken when the input is read, as its command may be parsed in a later iteration.

--- a/juniperreel/platform/client_connection.py
+++ b/juniperreel/platform/client_connection.py
@@ -54,6 +54,7 @@
         self._waiting_answer_bytes = 0  # of answered commands that have not been sent
         self.command_count = 0
         self._arrived_us = waiting_since_us or now_us  # earliest arrival of the last read
+        self.input_wait_us = 0  # upper bound of how long the last read waited in the kernel
         self.last_active_us = self._arrived_us  # last answer, or the time of the accept
         self.partial_since_us = 0  # since when a command has been incomplete, or 0
         self._error_size = 0  # of the fatal error that closes the connection
@@ -74,6 +75,7 @@
     def data_received(self, data: bytes) -> None:
         """Keep the input until it is this connection's turn to read a command."""
         self._arrived_us = self._earliest_arrival_us()
+        self.input_wait_us = self._listener.handler.input_wait_us
         self._arrivals.receive(len(data), self._arrived_us)
         # After a full read, bytes of the same age may remain in the kernel.
         self._unread_since_us = self._arrived_us if len(data) >= self.read_limit else 0
@@ -85,11 +87,6 @@
     def _earliest_arrival_us(self) -> int:
         return self._unread_since_us or self._listener.handler.input_ready_since_us
 
-    @property
-    def input_wait_us(self) -> int:
-        """Upper bound of how long the input being read waited in the kernel."""
-        return self._listener.handler.input_wait_us
-
     def connection_lost(self, _reason: str) -> None:
         """Withdraw all open commands."""
         self._listener.remove(self, CloseReason.CLIENT_LEFT)
@@ -163,7 +160,10 @@
             return
         is_waiting = self._waits_for_turn or self._waits_for_answers
         limit = 0 if is_waiting and self._listener.memory.input_is_short else MAX_UNPARSED_BYTES
-        if self._protocol.held > limit or self.reads_slowly:
+        if self.reads_slowly:
+            self.pause_reading()
+            self._listener.watch_slow_reader(self)
+        elif self._protocol.held > limit:
             self.pause_reading()
         elif self._transport.reading_paused:
             self._resume_reading()
--- a/juniperreel/platform/client_listener.py
+++ b/juniperreel/platform/client_listener.py
@@ -135,6 +135,11 @@
             worst = max(self._slow_readers, key=lambda reader: reader.unsent_bytes)
             self.remove(worst, CloseReason.ANSWERS_UNREAD)
 
+    def watch_slow_reader(self, client: ClientConnection) -> None:
+        """Resume a client that is not read once its answers have been sent, or others leave room for them."""
+        if client not in self._slow_readers:
+            self.on_answers_unread(client)
+
     def _check_slow_readers(self, now_us: int) -> None:
         for client, reader in list(self._slow_readers.items()):
             if not client.reads_slowly:
--- a/tests/platform/test_memory.py
+++ b/tests/platform/test_memory.py
@@ -236,6 +236,22 @@
     assert client.reading_paused
 
 
+def test_client_paused_because_others_do_not_read_is_resumed(harness: EventHarness) -> None:
+    answers = harness.driver.memory.answers
+    client = harness.client(read_query("1" * 16))
+    (transport,) = endpoint_queries(harness)
+    client.unsent_bytes = 100
+    answers.add(answers.limit + 1)  # held for clients that do not read
+    harness.feed(client, m.query(read_query("2" * 16)))
+    assert client.reading_paused
+    client.unsent_bytes = 0
+    answers.add(-answers.limit - 1)
+    harness.advance_us(300 * MS)
+    assert not client.reading_paused
+    assert "2" * 16 in harness.driver.requests.by_id
+    assert transport.sent == b""
+
+
 def test_memory_of_finished_commands_is_returned(harness: EventHarness) -> None:
     memory = harness.driver.memory
     left, answered = connect(harness), connect(harness)
