Platform: small input and answers sent at once cost no bookkeeping

Change: input up to 4 KiB of a connection is neither counted nor a reason to pause (2.4 MB at most with 600 clients, in what the budget leaves free); held answers are recorded only where some are held; an empty intake is skipped.

--- a/juniperreel/platform/client_connection.py
+++ b/juniperreel/platform/client_connection.py
@@ -16,6 +16,7 @@
 from juniperreel.platform.command_order import CommandOrder
 from juniperreel.platform.counters import CloseReason
 from juniperreel.platform.errors import InvalidRequestError
+from juniperreel.platform.input_buffers import UNCOUNTED_BYTES
 from juniperreel.postgres import server
 from juniperreel.postgres.messages import ProtocolError
 from juniperreel.postgres.request_format import RequestFormatError, StatementRequest, parse_request
@@ -51,6 +52,7 @@
         self._waits_for_turn = False  # to read a command
         self._open_count = 0  # of commands that are not answered
         self._order = CommandOrder()
+        self._holds_answers = False  # at the last update of the listener's answer buffers
         self._waiting_answer_bytes = 0  # of answered commands that have not been sent
         self.command_count = 0
         self._arrived_us = waiting_since_us or now_us  # earliest arrival of the last read
@@ -156,14 +158,18 @@
 
     def _update_reading(self) -> None:
         """Pause or resume reading by how much input is held and whether it can be parsed now."""
+        held = self._protocol.held
+        if held <= UNCOUNTED_BYTES and not self._transport.reading_paused and not self.unsent_bytes:
+            return
         if self._transport.closed or self.closing_since_us or self._protocol_error is not None:
             return
         is_waiting = self._waits_for_turn or self._waits_for_answers
-        limit = 0 if is_waiting and self._listener.memory.input_is_short else MAX_UNPARSED_BYTES
+        is_short = is_waiting and self._listener.memory.input_is_short
+        limit = UNCOUNTED_BYTES if is_short else MAX_UNPARSED_BYTES
         if self.reads_slowly:
             self.pause_reading()
             self._listener.watch_slow_reader(self)
-        elif self._protocol.held > limit:
+        elif held > limit:
             self.pause_reading()
         elif self._transport.reading_paused:
             self._resume_reading()
@@ -233,10 +239,14 @@
             answer = self._listener.handler.withhold_answer(statement)
         command.set_answer(answer)
         if is_held:
-            self._listener.answer_buffers.update(self)
+            self._update_held_answers()
         self._submit(self._finish_open(command, statement))
         self._send_answers()
 
+    def _update_held_answers(self) -> None:
+        self._listener.answer_buffers.update(self)
+        self._holds_answers = self.held_answer_bytes > 0
+
     def on_answer_waiting(self, size: int) -> None:
         """Count an answer that waits to be sent."""
         self._waiting_answer_bytes += size
@@ -249,10 +259,13 @@
     def _send_answers(self) -> None:
         """Send the answers that are due, and continue reading if that makes room for more commands."""
         answers = self._take_answers()
+        if not answers and self.commands:
+            return
         if answers:
             self._waiting_answer_bytes -= len(answers)
             self._transport.write(answers)
-            self._listener.answer_buffers.update(self)
+            if self.held_answer_bytes or self._holds_answers:
+                self._update_held_answers()
             self.last_active_us = self._listener.now()
             if self.reads_slowly:
                 self.pause_reading()
--- a/juniperreel/platform/driver.py
+++ b/juniperreel/platform/driver.py
@@ -132,6 +132,9 @@
         Each group of commands is routed at once, so that the time limit covers what its requests cost.
         """
         intake = self.client_listener.intake
+        if intake.is_empty:
+            intake.end_iteration()
+            return
         until_us = self.now() + NEW_WORK_BUDGET_US
         while not intake.is_empty:
             for _ in range(COMMANDS_PER_BATCH):
--- a/juniperreel/platform/input_buffers.py
+++ b/juniperreel/platform/input_buffers.py
@@ -12,8 +12,8 @@
 from juniperreel.platform.memory_budget import MemoryBudget
 
 SHORTAGE_READ_BYTES = 4096
-# Incomplete commands up to this size are never discarded: most commands are small, and little would be freed.
-MIN_DISCARDED_BYTES = 4096
+# Input of a connection up to this size is neither counted nor discarded: most commands are small.
+UNCOUNTED_BYTES = 4096
 
 
 class InputOwner(Protocol):
@@ -44,18 +44,21 @@
 
         `is_incomplete`: all of it belongs to a command whose end has not been received.
         """
+        if size <= UNCOUNTED_BYTES:
+            if owner in self._sizes:
+                self.remove(owner)
+            return
         self._memory.input.add(size - self._sizes.pop(owner, 0))
         self._incomplete.pop(owner, None)
-        if not size:
-            return
         self._sizes[owner] = size
-        if is_incomplete and size > MIN_DISCARDED_BYTES:
+        if is_incomplete:
             self._incomplete[owner] = None
         self._discard_excess()
 
     def remove(self, owner: InputOwner) -> None:
-        """Forget a connection that was closed."""
-        self.update(owner, 0, is_incomplete=False)
+        """Forget the input of a connection that was closed or has parsed it."""
+        self._memory.input.add(-self._sizes.pop(owner, 0))
+        self._incomplete.pop(owner, None)
 
     def fields(self) -> dict[str, int]:
         """Return the count of discarded commands, for the log."""
