Platform: a command that the driver has read only in part does not time out its client

Cause: the 2 s for the rest of a command counted from its first byte, also while each read was cut at its limit, so that more was waiting.

`test_client_whose_command_is_read_slowly_for_want_of_memory_is_not_closed` fails on the commit before.

--- a/juniperreel/platform/client_connection.py
+++ b/juniperreel/platform/client_connection.py
@@ -151,6 +151,8 @@
         is_partial = not may_have_more and not self._waits_for_answers and self._protocol.buffered > 0
         if not is_partial:
             self.partial_since_us = 0
+        elif self._unread_since_us:  # the rest may have arrived: the client has not stopped within a command
+            self.partial_since_us = self._listener.now()
         elif not self.partial_since_us:
             self.partial_since_us = self._arrived_us
         is_incomplete_query = is_partial and self._protocol.phase is server.Phase.READY
--- a/juniperreel/platform/input_buffers.py
+++ b/juniperreel/platform/input_buffers.py
@@ -11,7 +11,7 @@
 from juniperreel.net.transport import READ_BYTES
 from juniperreel.platform.memory_budget import MemoryBudget
 
-SHORTAGE_READ_BYTES = 4096
+SHORTAGE_READ_BYTES = 8192
 # Input of a connection up to this size is neither counted nor discarded: most commands are small.
 UNCOUNTED_BYTES = 4096
 
--- a/tests/platform/test_memory.py
+++ b/tests/platform/test_memory.py
@@ -169,6 +169,23 @@
             assert allocated.bytes < AVAILABLE_BYTES
 
 
+def test_client_whose_command_is_read_slowly_for_want_of_memory_is_not_closed(harness: EventHarness) -> None:
+    """Guards against a connection that is ended, with its commands, for what the driver had not read."""
+    memory = harness.driver.memory
+    memory.commands.add(memory.input.limit // 2 + 1)
+    client = connect(harness)
+    command = large_write("1" * 16, "row-1")
+    assert isinstance(client.protocol, ClientConnection)
+    part = client.protocol.read_limit
+    assert part < READ_BYTES
+    for start in range(0, len(command), part):
+        client.has_unread = start + part < len(command)
+        harness.feed(client, command[start : start + part])
+        harness.advance_us(250 * MS)  # beside other clients
+    assert not client.eof_written
+    assert client.take().endswith(m.READY) or "1" * 16 in harness.driver.requests.by_id
+
+
 def test_command_discarded_while_incomplete_is_refused_once_complete(harness: EventHarness) -> None:
     client = harness.client()
     command = large_write("1" * 16, "row-1")
