Platform: only an idempotent request is refused when its answer finds no room

Found on reading the change once more: an answer that finds no room in memory was replaced by a refusal for every read. A request has been executed by then, and the settings may say of a class of reads that it runs once; 53300 promises that a repeat is harmless, so its client could have had it run twice.

Change: 53300 for classes of effect `repeatable`, 08007 for all others. Answers of up to 512 bytes are always kept: the replacement would be no smaller, and errors keep their code.

`test_withheld_answers_invite_repetition_of_idempotent_requests_only[once]` and `test_small_answers_are_never_withheld` fail on the commit before; the first takes the place of `test_withheld_answer_of_write_does_not_invite_repetition` and checks the same of a write.

--- a/juniperreel/platform/client_connection.py
+++ b/juniperreel/platform/client_connection.py
@@ -26,6 +26,7 @@
 
 MAX_OPEN_COMMANDS = 64  # per connection; further commands stay unparsed
 MAX_UNPARSED_BYTES = server.QUERY_LIMIT + READ_BYTES  # buffered beyond that before reading is paused
+SMALL_ANSWER_BYTES = 512  # errors and short values are always kept
 MAX_UNSENT_BYTES = 1 << 20  # of answers, beyond which no further commands are read
 CLOSE_TIMEOUT_US = 300_000  # for the client to close its side after ours; most do so sooner
 CLOSE_UNSENT_TIMEOUT_US = 2_000_000  # as above, while an answer is still being sent
@@ -237,7 +238,8 @@
         statement = command.statement
         assert statement is not None  # it was submitted and is not answered
         is_held = self.commands[0] is not command or self.unsent_bytes > 0
-        if is_held and not self._listener.answer_buffers.has_room(len(answer)):
+        is_large = is_held and len(answer) > SMALL_ANSWER_BYTES
+        if is_large and not self._listener.answer_buffers.has_room(len(answer)):
             answer = self._listener.handler.withhold_answer(statement)
         command.set_answer(answer)
         if is_held:
--- a/juniperreel/platform/driver.py
+++ b/juniperreel/platform/driver.py
@@ -45,6 +45,7 @@
     EndpointUpdate,
     Event,
     HealthCheckEnded,
+    Idempotency,
     Outcome,
     Request,
     UpdateKind,
@@ -239,12 +240,12 @@
     def withhold_answer(self, statement: StatementRequest) -> bytes:
         """Return the answer to send instead of one for which no memory is left.
 
-        A read may be repeated; a write may not, as it was executed.
+        The request was executed, so only an idempotent one may be answered as rejected.
         """
         self.memory.withheld_answers += 1
-        if statement.is_write:
-            return server.failed("08007", "the effect is unknown")
-        return self._busy_answer
+        if self._validator.validate(statement).request_class.idempotency is Idempotency.IDEMPOTENT:
+            return self._busy_answer
+        return server.failed("08007", "the effect is unknown")
 
     def connection_closed(self, unanswered: list[str], reason: CloseReason) -> None:
         """Record the close of a client connection and the ids of its unanswered requests."""
--- a/juniperreel/platform/input_buffers.py
+++ b/juniperreel/platform/input_buffers.py
@@ -67,7 +67,6 @@
     def _discard_excess(self) -> None:
         while self._memory.input_is_exceeded and self._incomplete:
             stalled = next(iter(self._incomplete))
-            del self._incomplete[stalled]
-            self._memory.input.add(-self._sizes.pop(stalled))
+            self.remove(stalled)
             self.discarded_commands += 1
             stalled.discard_incomplete_command()
--- a/tests/platform/test_memory.py
+++ b/tests/platform/test_memory.py
@@ -10,6 +10,7 @@
 import contextlib
 import tracemalloc
 from collections.abc import Iterator
+from copy import deepcopy
 
 import pytest
 
@@ -20,6 +21,7 @@
 from tests.platform.event_harness import (
     MS,
     SEC,
+    SETTINGS,
     STARTUP_MESSAGE,
     EventHarness,
     FakeTransport,
@@ -222,21 +224,40 @@
     assert harness.driver.memory.withheld_answers
 
 
-def test_withheld_answer_of_write_does_not_invite_repetition(harness: EventHarness) -> None:
+@pytest.mark.parametrize(
+    "read_effect, answers_to_read",
+    [("repeatable", REFUSED), ("once", b"C08007")],
+    ids=["repeatable", "once"],
+)
+def test_withheld_answers_invite_repetition_of_idempotent_requests_only(
+    read_effect: str, answers_to_read: bytes
+) -> None:
+    """Guards against a second execution: the request was executed before its answer was withheld."""
+    settings = deepcopy(SETTINGS)
+    settings["services"][0]["effect"] = read_effect
+    harness = EventHarness(limits=LIMITS, settings=settings)
     harness.driver.memory.answers.limit = 0
     client = harness.client(
         write_query("1" * 16, key="slow-1"), write_query("2" * 16, key="row-2"), read_query("3" * 16)
     )
+    reply = row_reply(b"v" * 1024, role="primary")
     queries = endpoint_queries(harness)
-    for transport, query in queries.items():
-        if b"slow-1" not in query:
-            harness.feed(transport, row_reply(role="primary" if query.startswith(b"Q") else "standby"))
-    for transport, query in queries.items():
-        if b"slow-1" in query:
-            harness.feed(transport, row_reply(role="primary"))
-    answers = client.take()
-    assert answers.startswith(row_reply()[:10])  # the first needs no memory, as it can be sent at once
-    assert answers.index(b"C08007") < answers.index(REFUSED)
+    assert len(queries) == 3
+    for transport, query in sorted(queries.items(), key=lambda item: b"slow-1" in item[1]):
+        harness.feed(transport, reply if b"INSERT" in query else row_reply(b"v" * 1024))
+    answers = client.take().split(m.READY)
+    assert answers[0].startswith(row_reply()[:10])  # the first needs no memory, as it can be sent at once
+    assert b"C08007" in answers[1]
+    assert answers_to_read in answers[2]
+
+
+def test_small_answers_are_never_withheld(harness: EventHarness) -> None:
+    harness.driver.memory.answers.limit = 0
+    client = harness.client(write_query("1" * 16, key="slow-1"), read_query("2" * 16))
+    queries = endpoint_queries(harness)
+    for transport, _ in sorted(queries.items(), key=lambda item: b"slow-1" in item[1]):
+        harness.feed(transport, row_reply(role="primary"))
+    assert client.take().count(b"SELECT 1") == 2
 
 
 def test_clients_that_do_not_read_are_given_at_most_one_answer_beyond_the_share(
