--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,9 +1,9 @@
 """Case 7: clients that send lengths which are huge make a driver use more memory than its limit.
 
-One of two drivers, one group of a primary and two replicas, 100 reads a second of usual clients. From the tenth
-second on, six other clients connect, say that a query of 60 MB comes, send its first 200 KB, read the error
-that they get, and come again as soon as they are turned away. The platform's part: a driver that is over its
-limit of memory is killed. With TROUBLE=0 there are the usual clients only.
+One of two drivers, one group of a primary and two replicas, 100 reads a second of usual clients. From the
+tenth second on, six other clients connect, say that a query of 60 MB comes, send its first 200 KB, read the
+error that they get, and come again as soon as they are turned away. The platform's part: a driver that is
+over its limit of memory is killed. With TROUBLE=0 there are the usual clients only.
 """
 
 from __future__ import annotations
--- a/review/standins2/lab.py
+++ b/review/standins2/lab.py
@@ -220,6 +220,10 @@
         """Return the value made for a request: it names the request."""
         return f"made for {attempt.id} by {self.name}".encode()
 
+    def turns_away(self) -> bool:
+        """Return whether new requests are turned away because the member drains."""
+        return self.health == "Terminating"
+
     async def work(self, _attempt: Attempt) -> None:
         """Take the time that a request takes."""
         await asyncio.sleep(0.02)
@@ -259,7 +263,7 @@
 
     async def run(self, attempt: Attempt, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Run a request, unless its connection ends or it is none for this member."""
-        if self.health == "Terminating":
+        if self.turns_away():
             writer.write(error_answer("53300", "draining", self.parameters()))
             return
         if attempt.is_write and not self.primary:
