Review case 6: the copy leaves with its answer and only its way takes longer

Change: the member sends both in the same moment, and the link takes 0.7 ms for the answer and 1.3 ms for the copy, as the site's range allows. The stand-ins' event loop has timers exact to microseconds, which that needs.

The form committed copies 4 of 100 for 90 s.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,30 +1,29 @@
 """Case 6: a second copy of an answer, right behind it, is taken for the answer to another client's request.
 
-Two drivers, one group: a primary and two replicas in another data centre, 1.3 ms away each way. After 2 of
-100 answers a member sends the same answer once more, 1 ms behind it and only if nothing waits on that
-connection. Each value names its request, so a client sees whether the value that it gets was made for it.
+Two drivers, one group: a primary and two replicas in another data centre, 0.7 to 1.3 ms away. After 4 of 100
+answers a member sends the same answer once more, in the same moment, so that nothing can wait on the connection.
+The answer is under way for 0.7 ms, the copy for 1.3 ms. Each value names its request, so a client sees whether
+the value that it gets was made for it.
 """
 
 from __future__ import annotations
 
 import asyncio
 import random
-import socket
-import struct
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins2"))
 from lab import TROUBLE, Attempt, Client, Discovery, Driver, Lab, Member, could_not_run, play, settings
-from wire import STARTUP_ANSWER, new_id, read_statement, row_answer, write_statement
+from wire import new_id, read_statement, write_statement
 
-ONE_WAY_S = 0.0013  # between the two data centres
-BEHIND_S = 0.001  # less than a round trip: what a driver sends upon the answer comes later
-COPIED = 0.02 if TROUBLE else 0.0  # share of the answers that are followed by a copy
-CLIENTS = 12  # of each driver
+ONE_WAY_S = 0.0007  # between the two data centres, at least
+COPY_ONE_WAY_S = 0.0013  # and at most
+COPIED = 0.04 if TROUBLE else 0.0  # share of the answers that are followed by a copy
+CLIENTS = 12  # of each driver, which makes some 110 requests a second
 PAUSE_S = 0.08  # mean, between an answer and the client's next request
-LENGTH_S = 60.0
+LENGTH_S = 90.0
 
 
 class DistantMember(Member):
@@ -39,55 +38,48 @@
         await asyncio.sleep(random.uniform(0.01, 0.04))
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Serve a connection whose bytes are under way for `ONE_WAY_S` in both directions."""
-        here, there = socket.socketpair()
-        here_reader, here_writer = await asyncio.open_connection(sock=here)
-        there_reader, there_writer = await asyncio.open_connection(sock=there)
-        link = [
-            asyncio.create_task(carry(reader, there_writer)),
-            asyncio.create_task(carry(there_reader, writer)),
-        ]
+        """Serve a connection whose messages are under way for `ONE_WAY_S` in both directions."""
+        here = asyncio.StreamReader(limit=1 << 22)
+        link = asyncio.create_task(carry(reader, here))
         try:
-            await self._serve_here(here_reader, here_writer)
+            await super().serve(here, Link(writer))
         finally:
-            for task in link:
-                task.cancel()
-            here_writer.transport.abort()
-            there_writer.transport.abort()
-
-    async def _serve_here(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        (size,) = struct.unpack("!I", await reader.readexactly(4))
-        await reader.readexactly(size - 4)
-        writer.write(STARTUP_ANSWER)
-        while True:
-            _, size = struct.unpack("!cI", await reader.readexactly(5))
-            payload = await reader.readexactly(size - 4)
-            await self.answer(payload[:-1].decode(), reader, writer)
+            link.cancel()
 
     async def send_answer(
-        self, attempt: Attempt, answer: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, attempt: Attempt, answer: bytes, _reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Send an answer, and sometimes a copy right behind it."""
         writer.write(answer)
-        if random.random() >= COPIED:
-            return
-        await asyncio.sleep(BEHIND_S)
-        if reader._buffer or reader.at_eof():  # something waits on the connection: no copy
-            return
-        self.copies += 1
-        self.platform.record.line(f"{self.name} copies its answer to id={attempt.id}")
-        writer.write(row_answer(self.value(attempt), self.parameters()))
-
-
-async def carry(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    """Carry bytes from one connection to another, `ONE_WAY_S` late, and its end as well."""
+        if random.random() < COPIED:
+            self.copies += 1
+            self.platform.record.line(f"{self.name} copies its answer to id={attempt.id}")
+            writer.write(answer, COPY_ONE_WAY_S)
+
+
+class Link:
+    """The way from a member to a driver: no message overtakes another."""
+
+    def __init__(self, writer: asyncio.StreamWriter) -> None:
+        self._writer = writer
+        self._arrives_s = 0.0
+
+    def write(self, data: bytes, takes_s: float = ONE_WAY_S) -> None:
+        """Send a message."""
+        loop = asyncio.get_running_loop()
+        self._arrives_s = max(self._arrives_s, loop.time() + takes_s)
+        loop.call_at(self._arrives_s, self._writer.write, data)
+
+
+async def carry(reader: asyncio.StreamReader, there: asyncio.StreamReader) -> None:
+    """Carry what a driver sends to its member, and its end as well."""
     loop = asyncio.get_running_loop()
     try:
         while data := await reader.read(65536):
-            loop.call_later(ONE_WAY_S, writer.write, data)
+            loop.call_later(ONE_WAY_S, there.feed_data, data)
     except OSError:
         pass  # a reset ends the other side, too
-    loop.call_later(ONE_WAY_S, writer.transport.abort)
+    loop.call_later(ONE_WAY_S, there.feed_eof)
 
 
 async def run_client(lab: Lab, driver: Driver, number: int, until_s: float, seen: dict[str, int]) -> None:
--- a/review/standins2/lab.py
+++ b/review/standins2/lab.py
@@ -11,6 +11,7 @@
 import contextlib
 import json
 import os
+import selectors
 import signal
 import socket
 import struct
@@ -563,6 +564,11 @@
 Case = Callable[[Lab], Awaitable[bool]]
 
 
+def _exact_loop() -> asyncio.AbstractEventLoop:
+    """Return an event loop whose timers are exact to microseconds; that of epoll counts milliseconds."""
+    return asyncio.SelectorEventLoop(selectors.SelectSelector())
+
+
 def play(case: Case, folder: Path, clock_offset_s: float = 0.0) -> int:
     """Run a case, which returns whether the rule held; return the exit code of its script."""
     record = Record(folder / "record.txt")
@@ -571,7 +577,8 @@
     with tempfile.TemporaryDirectory() as temporary:
         lab = Lab(Platform(record, clock_offset_s), Path(temporary))
         try:
-            held = asyncio.run(asyncio.wait_for(case(lab), LONGEST_RUN_S))
+            with asyncio.Runner(loop_factory=_exact_loop) as runner:
+                held = runner.run(asyncio.wait_for(case(lab), LONGEST_RUN_S))
             code = RULE_HELD if held else RULE_BROKEN
         except Exception as error:  # whatever it is, the case says nothing then
             record.line(f"the case could not run: {type(error).__name__}: {error}")
