Platform: a connection is used again once an empty query behind the reply is answered

Cause: a connection was idle again as soon as its reply was whole and nothing more could be read in that moment. A copy under way then arrived behind the next query and was taken for its reply: nothing in a reply names its query.

The endpoint and TCP keep order, so what belongs to the reply comes first, however late; no pause is long enough for that. The answer leaves before the empty query, so requests wait for nothing. Not in the same write as the next query: noise in front of it would cost a query that may have run. Draining and removed endpoints get none, their connections close. A connection without a response is closed after the time of a connect, or for another if descriptors are short.

The harnesses' endpoints now answer empty queries.

--- a/juniperreel/platform/endpoint_connection.py
+++ b/juniperreel/platform/endpoint_connection.py
@@ -34,7 +34,7 @@
         self.transport = transport
         self.protocol = ClientConnection(USER, DATABASE)
         self.exchange: Exchange | None = None
-        self.idle_since_us = 0  # 0 until the first reply
+        self.idle_since_us = 0  # since the last reply, whose empty query may still be out; 0 until the first
         self._idle_before_query_us: int | None = None  # None on a new connection
         self._query_sent_us = 0
         transport.protocol = self
@@ -56,11 +56,11 @@
         if reply is not None:
             self.exchange = None
             self._record_idle_use(answered=True)
-            self._release(reusable=reply.error is None or self.protocol.phase is Phase.IDLE)
             if exchange is not None:
                 exchange.finish(outcome_of(reply), reply)
+            self._sync_or_close()
         elif self.protocol.phase is Phase.IDLE:
-            self._on_logged_in(exchange)
+            self._on_idle(exchange)
         # Otherwise the reply is still incomplete.
 
     def connection_lost(self, _reason: str) -> None:
@@ -146,9 +146,10 @@
 
     # Helpers.
 
-    def _on_logged_in(self, exchange: Exchange | None) -> None:
+    def _on_idle(self, exchange: Exchange | None) -> None:
+        """Start the exchange that waits for a new connection, or release a connection without one."""
         if exchange is None:
-            self._release(reusable=True)
+            self._release()
         elif not exchange.may_send():
             self._release_unused(exchange)
         elif not exchange.sent:
@@ -156,22 +157,41 @@
 
     def _release_unused(self, exchange: Exchange) -> None:
         self.exchange = None
-        self._release(reusable=True)
+        self._release()
         exchange.finish(Outcome.NOT_SENT)
 
-    def _release(self, reusable: bool) -> None:
-        """Return the connection to the pool, or close it.
+    def _sync_or_close(self) -> None:
+        """Send an empty query behind the reply, or close the connection if it is not to be used again.
 
-        Bytes that follow a reply would be parsed as the reply to the next query, so a connection with unread
-        bytes is closed.
+        Bytes that follow a reply would be parsed as the reply to the next query. They may arrive at any time,
+        but not after the response to the empty query.
         """
-        if reusable and self.protocol.is_reusable and self.transport.has_nothing_to_read():
-            self.pool.release(self)
+        if self.transport.closed:
+            return
+        if self.protocol.has_surplus:
+            self._close_for_surplus()
+        elif self.protocol.is_reusable and self.pool.keeps_connections:
+            self.pool.on_sync_started(self)
+            self.transport.write(self.protocol.send_sync())
         else:
             self.close()
 
+    def _release(self) -> None:
+        """Return the idle connection to the pool, or close it if it has received anything unexpected."""
+        if self.protocol.has_surplus:
+            self._close_for_surplus()
+        else:
+            self.pool.release(self)
+
+    def _close_for_surplus(self) -> None:
+        self.pool.on_surplus_received()
+        self.close()
+
     def _fail_protocol(self) -> None:
         """Close the connection after a protocol violation by the endpoint."""
+        if self.protocol.phase is Phase.SYNCING:
+            self._close_for_surplus()
+            return
         exchange = self.exchange
         self.exchange = None
         was_sent = self._was_sent(exchange)
--- a/juniperreel/platform/endpoint_directory.py
+++ b/juniperreel/platform/endpoint_directory.py
@@ -34,7 +34,8 @@
             if endpoint.readiness is Readiness.REMOVED:
                 self._pools.retire(endpoint.id)
             elif address is not None:
-                self._pools.set_address(endpoint.id, address)
+                is_draining = endpoint.readiness is Readiness.DRAINING
+                self._pools.set_address(endpoint.id, address, is_draining)
         if endpoint_list.complete:
             self._retire_unlisted({endpoint.id for endpoint in endpoint_list.endpoints})
 
--- a/juniperreel/platform/endpoint_pools.py
+++ b/juniperreel/platform/endpoint_pools.py
@@ -1,4 +1,8 @@
-"""Connection pools, one per endpoint. Idle connections are reused in last-in, first-out order."""
+"""Connection pools, one per endpoint. Idle connections are reused in last-in, first-out order.
+
+Between its reply and its reuse a connection is synchronizing: an empty query is out, whose response shows
+that nothing more follows the reply.
+"""
 
 from __future__ import annotations
 
@@ -35,10 +39,17 @@
         self._pools = pools
         self.address = address
         self.idle: list[EndpointConnection] = []
+        self.syncing: dict[EndpointConnection, None] = {}  # longest first
         self.connections: set[EndpointConnection] = set()
         self.retired = False
+        self.draining = False  # the endpoint wants nothing new
         self.now = pools.now
 
+    @property
+    def keeps_connections(self) -> bool:
+        """Whether connections are kept for further exchanges."""
+        return not self.retired and not self.draining
+
     def run(self, exchange: Exchange) -> None:
         """Start the exchange on an idle connection, or open one for it."""
         if not exchange.may_send():
@@ -71,12 +82,25 @@
         timeout_at_us = self.now() + self._pools.connect_timeout_us
         self._pools.timers.call_at(timeout_at_us, connection.close_unless_logged_in)
 
+    def on_sync_started(self, connection: EndpointConnection) -> None:
+        """Wait for the response to the empty query behind a reply.
+
+        The idle time counts from the reply: the endpoint may disregard empty queries.
+        """
+        connection.idle_since_us = self.now()
+        self.syncing[connection] = None
+
+    def on_surplus_received(self) -> None:
+        """Count a connection that is closed because more followed a reply than belongs to it."""
+        self._pools.surplus_replies += 1
+
     def release(self, connection: EndpointConnection) -> None:
-        """Return a connection whose exchange has ended to the pool."""
+        """Return a connection that is ready for the next query to the pool."""
+        self.syncing.pop(connection, None)
         if self.retired:
             connection.close()
             return
-        connection.idle_since_us = self.now()
+        connection.idle_since_us = connection.idle_since_us or self.now()
         self.idle.append(connection)
 
     def record_idle_use(self, idle_us: int, answered: bool) -> None:
@@ -88,13 +112,22 @@
         if connection in self.connections:
             self.connections.discard(connection)
             self._pools.budget.endpoint_connections -= 1
+            self.syncing.pop(connection, None)
             if connection in self.idle:
                 self.idle.remove(connection)
 
     def retire(self) -> None:
         """Retire the pool: close idle connections now, and busy ones after their exchanges."""
         self.retired = True
-        for connection in list(self.idle):
+        for connection in [*self.idle, *self.syncing]:
+            connection.close()
+
+    def close_expired(self, idle_before_us: int, syncing_before_us: int) -> None:
+        """Close connections that have been idle, or without the response to an empty query, for too long."""
+        expired = [connection for connection in self.idle if connection.idle_since_us < idle_before_us]
+        stuck = [connection for connection in self.syncing if connection.idle_since_us < syncing_before_us]
+        self._pools.sync_timeouts += len(stuck)
+        for connection in expired + stuck:
             connection.close()
 
 
@@ -119,16 +152,21 @@
         self._max_idle_us = int(endpoint_idle_timeout_us * IDLE_TIMEOUT_FRACTION)
         self.idle_timeout = IdleTimeout()
         self.pools: dict[str, EndpointPool] = {}
+        self.surplus_replies = 0  # connections closed because more followed a reply than belongs to it
+        self.sync_timeouts = 0  # connections closed because the response to an empty query did not come
+
+    def set_address(self, endpoint: str, address: Address, draining: bool = False) -> None:
+        """Set the endpoint's address, and whether it is `draining`, so that its connections are not kept.
 
-    def set_address(self, endpoint: str, address: Address) -> None:
-        """Set the endpoint's address. Connections to its previous address are closed once idle."""
+        Connections to its previous address are closed once idle.
+        """
         pool = self.pools.get(endpoint)
-        if pool is not None and pool.address == address:
-            pool.retired = False
-            return
-        if pool is not None:
-            pool.retire()
-        self.pools[endpoint] = EndpointPool(self, address)
+        if pool is None or pool.address != address:
+            if pool is not None:
+                pool.retire()
+            pool = self.pools[endpoint] = EndpointPool(self, address)
+        pool.retired = False
+        pool.draining = draining
 
     def retire(self, endpoint: str) -> None:
         """Retire the endpoint's pool until its address is set again."""
@@ -153,6 +191,10 @@
         """Abort the exchange if its query was sent only in part, so that it is never executed."""
         return exchange.connection is not None and exchange.connection.withdraw_unsent(exchange)
 
+    def fields(self) -> dict[str, int]:
+        """Return the counts of connections that were not used again, for the log."""
+        return {"surplus_replies": self.surplus_replies, "sync_timeouts": self.sync_timeouts}
+
     def ensure_free_descriptor(self) -> bool:
         """Return whether another connection may be opened, closing the longest idle one if necessary.
 
@@ -161,23 +203,27 @@
         """
         if not self.budget.endpoints_full:
             return True
-        idle = [connection for pool in self.pools.values() for connection in pool.idle]
-        if not idle:
+        pools = self.pools.values()
+        unused = [connection for pool in pools for connection in pool.idle] or [
+            connection for pool in pools for connection in pool.syncing
+        ]
+        if not unused:
             return False
-        min(idle, key=lambda connection: connection.idle_since_us).close()
+        min(unused, key=lambda connection: connection.idle_since_us).close()
         return True
 
     def close_idle(self, forget_retired: bool) -> None:
         """Close connections that the endpoint is about to close itself; a request written then is lost.
 
+        Also those whose empty query gets no response: an endpoint that does not respond within the time of a
+        connect would not serve the next query either.
+
         `forget_retired` drops retired pools that have no connection left. Endpoints are replaced
         continuously, so their pools would otherwise accumulate; one that returns gets a new pool.
         """
         max_idle_us = min(self._max_idle_us, self.idle_timeout.limit_ms * 1000)
-        idle_before_us = self.now() - max_idle_us
+        now_us = self.now()
         for name, pool in list(self.pools.items()):
-            expired = [connection for connection in pool.idle if connection.idle_since_us < idle_before_us]
-            for connection in expired:
-                connection.close()
+            pool.close_expired(now_us - max_idle_us, now_us - self.connect_timeout_us)
             if forget_retired and pool.retired and not pool.connections:
                 del self.pools[name]
--- a/juniperreel/platform/program.py
+++ b/juniperreel/platform/program.py
@@ -195,6 +195,7 @@
             open_requests=len(self.driver.requests.by_id),
             clients=self.driver.budget.clients,
             endpoint_connections=self.driver.budget.endpoint_connections,
+            closed_endpoint_connections=self.driver.endpoint_pools.fields(),
             memory={**self.driver.memory.fields(), **self.driver.client_listener.input_buffers.fields()},
             overload_refusals=self.driver.client_listener.overload_refusals,
             cpu_s=round(sum(os.times()[:2]), 2),
--- a/juniperreel/postgres/client.py
+++ b/juniperreel/postgres/client.py
@@ -1,7 +1,11 @@
 """The client side of a connection: sends queries and assembles replies.
 
-States: startup (StartupMessage sent), idle, busy (query sent), closed. A reply is returned only when
-complete, so malformed data from a server never reaches a client.
+States: startup (StartupMessage sent), idle, busy (query sent), syncing (empty query sent), closed. A reply is
+returned only when complete, so malformed data from a server never reaches a client.
+
+Nothing in a reply names its query, and a faulty server may send more than one reply to a query, at any time.
+So after each reply an empty query is sent, and the connection is idle again only once the response to it has
+come with nothing before or after it. Whatever belongs to the earlier query arrives before that response.
 """
 
 from __future__ import annotations
@@ -18,6 +22,7 @@
 BACKEND_KEY_DATA = b"K"
 COMMAND_COMPLETE = b"C"
 DATA_ROW = b"D"
+EMPTY_QUERY_RESPONSE = b"I"
 ERROR_RESPONSE = b"E"
 NEGOTIATE_PROTOCOL_VERSION = b"v"
 NOTICE_RESPONSE = b"N"
@@ -29,6 +34,8 @@
 COLUMN_ATTRIBUTES_SIZE = 18  # bytes after a column's name in a RowDescription
 COUNT_SIZE = UINT16.size
 ROW_HEADER_SIZE = COUNT_SIZE + UINT32.size  # of a one-column DataRow: column count and value length
+SYNC_QUERY = messages.query(b"")
+SYNC_RESPONSE = messages.EMPTY_QUERY + messages.READY  # its usual form
 
 
 class Phase(Enum):
@@ -37,6 +44,7 @@
     STARTUP = "startup"
     IDLE = "idle"
     BUSY = "busy"
+    SYNCING = "syncing"
     CLOSED = "closed"
 
 
@@ -130,6 +138,9 @@
         self.startup_message = messages.startup(user, database)
         self._reader = messages.MessageReader(REPLY_LIMIT)
         self._builder = ReplyBuilder()
+        self._last_error: dict[str, str] | None = None  # of the reply before the empty query
+        self._sync_answered = False  # the response to the empty query lacks only its ReadyForQuery
+        self._skips_ready_for_query = False  # of a repeated response to the empty query
 
     def send_query(self, text: bytes) -> bytes:
         """Start a query and return the bytes to send.
@@ -143,11 +154,27 @@
         self._builder = ReplyBuilder()
         return messages.query(text)
 
+    def send_sync(self) -> bytes:
+        """Start an empty query behind a reply, and return the bytes to send.
+
+        Raises:
+            RuntimeError: the connection is not idle.
+        """
+        if self.phase is not Phase.IDLE:
+            raise RuntimeError(f"cannot send an empty query while the connection is {self.phase.value}")
+        self.phase = Phase.SYNCING
+        return SYNC_QUERY
+
     @property
     def is_reusable(self) -> bool:
         """Whether the connection is idle and no bytes were received after the reply."""
         return self.phase is Phase.IDLE and not self._reader.buffered
 
+    @property
+    def has_surplus(self) -> bool:
+        """Whether bytes were received that belong to no query."""
+        return self.phase is Phase.IDLE and self._reader.buffered > 0
+
     @property
     def response_started(self) -> bool:
         """Whether any part of the reply to the current query has been received."""
@@ -167,8 +194,11 @@
         Raises:
             ProtocolError: the connection cannot be used any more.
         """
+        if self.phase is Phase.SYNCING and data == SYNC_RESPONSE and self._reader.buffered == 0:
+            self._end_sync()
+            return None
         self._reader.receive_data(data)
-        while self.phase in (Phase.STARTUP, Phase.BUSY):
+        while self.phase in (Phase.STARTUP, Phase.BUSY, Phase.SYNCING):
             message = self._reader.next_message(EXPECTED_KINDS)
             if message is None:
                 return None
@@ -178,6 +208,8 @@
                 messages.parse_error_fields(message.payload)  # validated and discarded
             elif self.phase is Phase.STARTUP:
                 self._handle_startup(message)
+            elif self.phase is Phase.SYNCING:
+                self._handle_sync(message)
             elif self._handle_reply(message):
                 return self._take_reply()
         return None
@@ -186,6 +218,7 @@
         """Return the reply without keeping it: the connection may stay idle for long."""
         reply = self._builder.reply
         self._builder = ReplyBuilder()
+        self._last_error = reply.error
         return reply
 
     def _handle_startup(self, message: Message) -> None:
@@ -207,8 +240,36 @@
         elif message.kind not in (BACKEND_KEY_DATA, NEGOTIATE_PROTOCOL_VERSION):
             raise ProtocolError(f"unexpected message type {message.kind!r} during startup")
 
+    def _handle_sync(self, message: Message) -> None:
+        """Handle a message behind a reply; only the response to the empty query may come.
+
+        Servers that know no empty query answer it with a protocol violation. A repeated reply, an error or
+        not, is neither of the two forms.
+        """
+        if message.kind == READY_FOR_QUERY and self._sync_answered:
+            _check_ready_for_query(message.payload)
+            self._end_sync()
+        elif message.kind == EMPTY_QUERY_RESPONSE and not self._sync_answered:
+            self._sync_answered = True
+        elif message.kind == ERROR_RESPONSE and not self._sync_answered:
+            error = messages.parse_error_fields(message.payload)
+            is_fatal = error.get("S") == "FATAL"
+            if is_fatal or error.get("C") != sqlstate.PROTOCOL_VIOLATION or error == self._last_error:
+                raise ProtocolError("an error behind a reply")
+            self._sync_answered = True
+        else:
+            raise ProtocolError(f"unexpected message type {message.kind!r} behind a reply")
+
+    def _end_sync(self) -> None:
+        self.phase = Phase.IDLE
+        self._sync_answered = False
+        self._last_error = None
+        self._builder = ReplyBuilder()
+
     def _handle_reply(self, message: Message) -> bool:
         """Add a message to the reply; return whether the reply is complete."""
+        if self._is_repeated_sync_response(message):
+            return False
         if message.kind == READY_FOR_QUERY:
             _check_ready_for_query(message.payload)
             if self._builder.reply.error is None and not self._builder.complete:
@@ -224,6 +285,20 @@
         self._builder.add_result(message)
         return False
 
+    def _is_repeated_sync_response(self, message: Message) -> bool:
+        """Return whether the message repeats the response to the empty query before this query.
+
+        A query with a statement has no such response, so it can be passed over.
+        """
+        if self._skips_ready_for_query:
+            if message.kind != READY_FOR_QUERY:
+                raise ProtocolError("a response to an empty query without its end")
+            self._skips_ready_for_query = False
+            self._builder = ReplyBuilder()
+            return True
+        self._skips_ready_for_query = message.kind == EMPTY_QUERY_RESPONSE and not self._builder.started
+        return self._skips_ready_for_query
+
 
 def _check_ready_for_query(payload: bytes) -> None:
     if len(payload) != 1:
--- a/tests/platform/event_harness.py
+++ b/tests/platform/event_harness.py
@@ -19,6 +19,7 @@
 MS, SEC = 1_000, 1_000_000
 START_US = 1_767_225_600 * SEC
 STARTUP_MESSAGE = m.startup("worker", "catalog")
+EMPTY_QUERY = m.query(b"")
 
 SETTINGS: dict[str, Any] = {
     "balancers": 2,
@@ -179,6 +180,7 @@
 
     def __init__(self, **overrides: Any) -> None:
         self.time = START_US
+        self.answers_empty_queries = True  # as endpoints do, at once
         self.config: Config = parse_config(config_bytes(**overrides))
         self.opened: list[tuple[int, FakeTransport]] = []
         self.discovery = FakeDiscovery()
@@ -200,6 +202,15 @@
         """Run one iteration of the driver."""
         self.driver.input_ready_since_us = self.time
         self.driver.process_pending()
+        if self.answers_empty_queries:
+            self._answer_empty_queries()
+
+    def _answer_empty_queries(self) -> None:
+        for _, transport in self.opened:
+            if transport.sent.endswith(EMPTY_QUERY) and not transport.closed:
+                assert transport.protocol is not None
+                del transport.sent[-len(EMPTY_QUERY) :]
+                transport.protocol.data_received(server.empty_query_response())
 
     def advance_us(self, duration_us: int) -> None:
         """Advance the clock, running the driver whenever a timer is due."""
--- a/tests/platform/socket_harness.py
+++ b/tests/platform/socket_harness.py
@@ -22,7 +22,14 @@
 from juniperreel.postgres import messages as m
 from juniperreel.postgres import server
 from juniperreel.routing.types import UpdateKind
-from tests.platform.event_harness import STARTUP_MESSAGE, FakeDiscovery, config_bytes, list_entry, row_reply
+from tests.platform.event_harness import (
+    EMPTY_QUERY,
+    STARTUP_MESSAGE,
+    FakeDiscovery,
+    config_bytes,
+    list_entry,
+    row_reply,
+)
 
 TIMEOUT_S = 2  # far longer than any step takes
 POLL_TIMEOUT_S = 0.02
@@ -77,9 +84,10 @@
 
 
 class FakeEndpoint:
-    """An endpoint's listening socket; only the test answers."""
+    """An endpoint's listening socket. Answers empty queries at once; all else is answered by the test."""
 
     def __init__(self) -> None:
+        self.answers_empty_queries = True
         self.sock = socket.create_server(("127.0.0.1", 0))
         self.sock.setblocking(False)
         self.port: int = self.sock.getsockname()[1]
@@ -95,6 +103,12 @@
     def queries(self) -> bytes:
         return b"".join(end.read() for end in self.accept())
 
+    def answer_empty_queries(self) -> None:
+        for end in self.connections:
+            if self.answers_empty_queries and end.read().endswith(EMPTY_QUERY):
+                del end.received[-len(EMPTY_QUERY) :]
+                end.send(server.empty_query_response())
+
 
 class SocketHarness:
     """A primary `p` and a replica `a`; use as a context manager."""
@@ -149,6 +163,8 @@
         self.driver.input_ready_since_us = self.clock.time
         self.poller.dispatch()
         self.driver.process_pending()
+        for endpoint in self.endpoints.values():
+            endpoint.answer_empty_queries()
 
     async def wait_until(self, condition: Callable[[], Any]) -> None:
         with trio.fail_after(TIMEOUT_S):
--- a/tests/postgres/test_connections.py
+++ b/tests/postgres/test_connections.py
@@ -206,3 +206,26 @@
     failed = server.failed("08007", "unknown")
     assert b"53300" not in failed
     assert b"57P03" not in failed
+
+
+@given(st.binary(max_size=60), st.integers(1, 30), st.booleans())
+def test_connection_is_idle_only_if_nothing_surrounds_the_empty_query_response(
+    noise: bytes, size: int, precedes: bool
+) -> None:
+    connection = busy_connection()
+    assert connection.receive_data(ROW + messages.READY) is not None
+    assert connection.send_sync() == messages.query(b"")
+    response = server.empty_query_response()
+    data = noise + response if precedes else response + noise
+    try:
+        for at in range(0, len(data), size):
+            assert connection.receive_data(data[at : at + size]) is None
+    except ProtocolError:
+        assert noise
+        return
+    assert connection.is_reusable == (not noise)
+
+
+def test_empty_query_is_sent_only_behind_a_reply() -> None:
+    with pytest.raises(RuntimeError):
+        busy_connection().send_sync()
