Platform: an endpoint connection that closes lets go of its reply, which is held once

Beside it the time-out of an attempt that has ended kept its connection until the deadline, and a reply without its end was held in three copies. The parameters of a reply were limited in number only, so they might have 4 MB.

Change: a connection drops what it has received when it closes, an exchange its connection when it finishes; a reply holds its row once, and its value is cut from it when asked for; parameters may have 16 KiB in all.

--- a/juniperreel/platform/endpoint_connection.py
+++ b/juniperreel/platform/endpoint_connection.py
@@ -131,8 +131,12 @@
         return True
 
     def close(self) -> None:
-        """Close the connection and remove it from its pool."""
+        """Close the connection and remove it from its pool.
+
+        All that it has received is released now: timers may refer to the connection for some time.
+        """
         self.transport.close()
+        self.protocol.close()
         self.pool.remove(self)
 
     def close_unless_logged_in(self) -> None:
--- a/juniperreel/platform/exchange.py
+++ b/juniperreel/platform/exchange.py
@@ -52,8 +52,8 @@
     """A query on its way through a pool and a connection.
 
     A query that its owner refuses is not written. `sent`: the last byte has been sent, so the endpoint may
-    have executed it. `owner` is None once the exchange is finished, so that timers that outlive it do not
-    keep the request's text in memory.
+    have executed it. `owner` and `connection` are None once the exchange is finished, so that timers that
+    outlive it keep neither the request's text nor the connection in memory.
     """
 
     owner: ExchangeOwner | None
@@ -74,6 +74,7 @@
         owner = self.owner
         if owner is not None:
             self.owner = None
+            self.connection = None
             owner.on_done(ExchangeResult(outcome, reply))
 
 
--- a/juniperreel/postgres/client.py
+++ b/juniperreel/postgres/client.py
@@ -18,6 +18,7 @@
 
 REPLY_LIMIT = 65_536 + 4_096  # bytes: a value of 64 KiB, and its framing
 MAX_PARAMETERS = 64  # per reply
+MAX_PARAMETER_BYTES = 16_384  # all of a reply
 AUTHENTICATION = b"R"
 BACKEND_KEY_DATA = b"K"
 COMMAND_COMPLETE = b"C"
@@ -57,20 +58,30 @@
     """
 
     rows: bytes = b""
-    value: bytes | None = None
+    value_range: slice | None = None  # of the value in `rows`
     error: dict[str, str] | None = None
     parameters: dict[str, str] = field(default_factory=dict)
 
+    @property
+    def value(self) -> bytes | None:
+        """A copy of the value of the result's row, or None if `rows` is empty."""
+        return self.rows[self.value_range] if self.value_range is not None else None
+
 
 class ReplyBuilder:
-    """Assembles a reply. A result is one row of one column: T, D and C in this order, each once."""
+    """Assembles a reply. A result is one row of one column: T, D and C in this order, each once.
+
+    Holds one copy of the row, which may be large, and of which many may be incomplete at a time.
+    """
 
-    __slots__ = ("_description", "_row", "reply")
+    __slots__ = ("_description", "_parameter_bytes", "_row", "_row_received", "reply")
 
     def __init__(self) -> None:
         self.reply = Reply()
         self._description = b""
-        self._row = b""
+        self._row = b""  # until the result is complete
+        self._row_received = False
+        self._parameter_bytes = 0
 
     @property
     def started(self) -> bool:
@@ -82,11 +93,17 @@
         """Whether a whole result has been received."""
         return bool(self.reply.rows)
 
+    @property
+    def size(self) -> int:
+        """Number of bytes of the reply that are kept, without an error's."""
+        return len(self._description) + len(self._row) + len(self.reply.rows) + self._parameter_bytes
+
     def add_parameter(self, payload: bytes) -> None:
         """Add a ParameterStatus."""
-        parameter = messages.parse_parameter_status(payload)
-        if len(self.reply.parameters) >= MAX_PARAMETERS:
+        self._parameter_bytes += len(payload)
+        if len(self.reply.parameters) >= MAX_PARAMETERS or self._parameter_bytes > MAX_PARAMETER_BYTES:
             raise ProtocolError("too many parameters in one reply")
+        parameter = messages.parse_parameter_status(payload)
         self.reply.parameters[parameter.name] = parameter.value
 
     def add_error(self, payload: bytes) -> dict[str, str]:
@@ -115,19 +132,23 @@
         self._description = messages.message(ROW_DESCRIPTION, payload)
 
     def _add_row(self, payload: bytes) -> None:
-        if not self._description or self._row or len(payload) < ROW_HEADER_SIZE:
+        if not self._description or self._row_received or len(payload) < ROW_HEADER_SIZE:
             raise ProtocolError("unexpected or truncated DataRow")
         (columns,) = UINT16.unpack_from(payload)
         (size,) = UINT32.unpack_from(payload, COUNT_SIZE)
         if columns != 1 or size != len(payload) - ROW_HEADER_SIZE:
             raise ProtocolError("malformed DataRow: length does not match its value")
         self._row = messages.message(DATA_ROW, payload)
-        self.reply.value = payload[ROW_HEADER_SIZE:]
+        self._row_received = True
 
     def _add_completion(self, payload: bytes) -> None:
-        if not self._row or self.complete or not payload.endswith(b"\0") or self.reply.error:
+        if not self._row_received or self.complete or not payload.endswith(b"\0") or self.reply.error:
             raise ProtocolError("unexpected or malformed CommandComplete")
+        row_end = len(self._description) + len(self._row)
+        value_start = len(self._description) + messages.HEADER_SIZE + ROW_HEADER_SIZE
+        self.reply.value_range = slice(value_start, row_end)
         self.reply.rows = self._description + self._row + messages.message(COMMAND_COMPLETE, payload)
+        self._row = b""
 
 
 class ClientConnection:
@@ -185,6 +206,18 @@
         """The reply received so far. An error in it is valid even if the connection was closed after it."""
         return self._builder.reply
 
+    def close(self) -> None:
+        """Drop everything that was received; the connection is not used any more."""
+        self.phase = Phase.CLOSED
+        self._reader.clear()
+        self._builder = ReplyBuilder()
+        self._last_error = None
+
+    @property
+    def held(self) -> int:
+        """Number of bytes of an incomplete reply that are kept in memory."""
+        return self._reader.held + self._builder.size
+
     def receive_data(self, data: bytes) -> Reply | None:
         """Append bytes from the server and return the reply once it is complete.
 
--- a/tests/platform/test_closed_connections.py
+++ b/tests/platform/test_closed_connections.py
@@ -11,11 +11,11 @@
 import struct
 import weakref
 from collections.abc import Awaitable, Callable, Iterator
-from typing import Any
+from typing import Any, NamedTuple
 
 import pytest
 
-from tests.platform.event_harness import SEC, STARTUP_MESSAGE, write_query
+from tests.platform.event_harness import SEC, STARTUP_MESSAGE, row_reply, write_query
 from tests.platform.socket_harness import PeerConnection, SocketHarness
 
 CONNECTIONS = 6  # closed in each way
@@ -161,6 +161,122 @@
         await assert_nothing_is_left(harness, watch)
 
 
+class OpenWrite(NamedTuple):
+    """The peers of a write that waits for its reply."""
+
+    client: PeerConnection
+    endpoint: PeerConnection
+
+
+async def start_write(harness: SocketHarness, number: int) -> OpenWrite:
+    client = await harness.client(write_query(f"{number:016x}", key=f"row-{number}"))
+    end = await harness.next_query("p")
+    end.take()
+    return OpenWrite(client, end)
+
+
+async def start_writes(harness: SocketHarness) -> list[OpenWrite]:
+    """Start writes side by side, each on a connection of its own."""
+    return [await start_write(harness, number) for number in range(CONNECTIONS)]
+
+
+async def reply_that_never_ends(harness: SocketHarness) -> None:
+    for write in await start_writes(harness):
+        write.endpoint.send(row_reply(LARGE)[:-20])
+    await harness.poll_once()
+    await harness.poll_once()
+
+
+async def spoilt_reply(harness: SocketHarness) -> None:
+    for write in await start_writes(harness):
+        write.endpoint.send(row_reply(LARGE, complete=False) + b"\0noise")
+    await harness.poll_once()
+
+
+async def reset_within_a_reply(harness: SocketHarness) -> None:
+    for write in await start_writes(harness):
+        write.endpoint.send(row_reply(LARGE, complete=False))
+        await harness.poll_once()
+        write.endpoint.close()
+    await harness.poll_once()
+
+
+async def noise_behind_a_reply(harness: SocketHarness) -> None:
+    harness.endpoints["p"].answers_empty_queries = False
+    for write in await start_writes(harness):
+        write.endpoint.send(row_reply(b"v", role="primary"))
+        await harness.poll_once()
+        write.endpoint.send(row_reply(LARGE, complete=False))
+    await harness.poll_once()
+
+
+async def idle_connection_that_the_endpoint_closes(harness: SocketHarness) -> None:
+    writes = await start_writes(harness)
+    for write in writes:
+        write.endpoint.send(row_reply(LARGE, role="primary"))
+        await harness.wait_until_idle("p")
+    for write in writes:
+        write.endpoint.close()
+
+
+async def endpoint_that_never_welcomes(harness: SocketHarness) -> None:
+    clients = [
+        await harness.client(write_query(f"{number:016x}", key=f"row-{number}"))
+        for number in range(CONNECTIONS)
+    ]
+    await harness.poll_once()
+    harness.advance_us(4 * SEC)
+    for client in clients:
+        client.close()
+
+
+async def client_that_leaves_during_a_reply(harness: SocketHarness) -> None:
+    for write in await start_writes(harness):
+        write.endpoint.send(row_reply(LARGE)[:-20])
+        await harness.poll_once()
+        write.client.close()
+        await harness.poll_once()
+
+
+ENDPOINT_SCENARIOS = [
+    reply_that_never_ends,
+    spoilt_reply,
+    reset_within_a_reply,
+    noise_behind_a_reply,
+    idle_connection_that_the_endpoint_closes,
+    endpoint_that_never_welcomes,
+    client_that_leaves_during_a_reply,
+]
+
+
+@pytest.mark.parametrize("scenario", ENDPOINT_SCENARIOS, ids=lambda scenario: scenario.__name__)
+async def test_closed_endpoint_connection_holds_no_memory(scenario: Scenario) -> None:
+    """Guards against memory that grows with each reply that does not end, until a run of the collector."""
+    with SocketHarness() as harness:
+        watch = watched(harness)
+        await scenario(harness)
+        await harness.poll_once()
+        harness.advance_us(10 * SEC)  # beyond all deadlines, and idle times of clients and endpoints
+        await harness.wait_until(lambda: not harness.driver.client_listener.clients)
+        assert not any(pool.connections for pool in harness.driver.endpoint_pools.pools.values())
+        assert watch.seen >= 4 * CONNECTIONS
+        await assert_nothing_is_left(harness, watch)
+
+
+async def test_timers_of_an_ended_attempt_keep_no_connection() -> None:
+    """Guards against replies held by the time-out of an attempt that has ended, until the deadline."""
+    with SocketHarness() as harness:
+        watch = watched(harness)
+        write = await start_write(harness, 1)
+        harness.advance_us(harness.driver.config.connect_timeout_us)
+        write.endpoint.send(row_reply(LARGE)[:-20])
+        await harness.poll_once()
+        write.client.close()
+        await harness.wait_until(lambda: not harness.driver.client_listener.clients)
+        await harness.wait_until(lambda: not harness.driver.endpoint_pools.pools["p"].connections)
+        await assert_nothing_is_left(harness, watch)
+
+
 async def test_closing_connection_keeps_no_input() -> None:
     """Guards against input held for a client that was told to go and does not close its side."""
     with SocketHarness() as harness:
--- a/tests/postgres/test_connections.py
+++ b/tests/postgres/test_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import struct
+import tracemalloc
 
 import pytest
 from hypothesis import given
@@ -172,6 +173,36 @@
     assert connection.partial_reply.value is None
 
 
+def test_incomplete_reply_is_held_once() -> None:
+    """Guards against memory held by replies that do not end: each was kept in up to three copies."""
+    value_size = 60_000
+    value = b"v" * value_size
+    row = messages.message(b"D", b"\0\1" + struct.pack("!I", value_size) + value)
+    reply = ROW[: ROW.index(b"D\0")] + row + ROW[ROW.index(b"C\0") :]
+    for missing in (1, len(messages.READY) + 3, 100):
+        connection = busy_connection()
+        tracemalloc.start()
+        try:
+            assert connection.receive_data((reply + messages.READY)[:-missing]) is None
+            assert tracemalloc.get_traced_memory()[0] < 1.25 * value_size
+        finally:
+            tracemalloc.stop()
+        assert value_size - missing <= connection.held < value_size + 1_000
+        complete = connection.receive_data((reply + messages.READY)[-missing:])
+        assert complete is not None
+        assert complete.rows == reply
+        assert complete.value == value
+        assert connection.held == 0
+
+
+def test_parameters_of_a_reply_are_limited_in_size() -> None:
+    """Guards against memory: only their number was limited, each might have 64 KiB."""
+    connection = busy_connection()
+    connection.receive_data(messages.parameter("pressure", "x" * 10_000))
+    with pytest.raises(ProtocolError):
+        connection.receive_data(messages.parameter("pressure", "x" * 10_000))
+
+
 def test_error_is_available_for_reusable_closed_and_incomplete_replies() -> None:
     connection = busy_connection()
     reply = connection.receive_data(messages.error("ERROR", "25006", "read only") + STATUS + messages.READY)
