Platform: replies that are being received have a share of the memory limit

Cause: MemoryBudget counted nothing that endpoints send.

Change: incomplete replies have 0.2 of what the program leaves (1 MB at least). Beyond that the reply that has been incomplete longest without progress ends as a spoilt one, an attempt that may have run. It is the mechanism that bounds the input of clients, now platform/incomplete_messages.py, used by both sides. discarded_replies and replies_peak in the status line.

Result: test_replies_that_do_not_end_stay_within_limit_and_leave_room_for_others is red on the commit before (12.6 MB of 12 MB beside the program, limit 32 MB) and green now; a request beside them still gets its value of 64 KiB.

--- a/juniperreel/platform/client_connection.py
+++ b/juniperreel/platform/client_connection.py
@@ -16,7 +16,7 @@
 from juniperreel.platform.command_order import CommandOrder
 from juniperreel.platform.counters import CloseReason
 from juniperreel.platform.errors import InvalidRequestError
-from juniperreel.platform.input_buffers import UNCOUNTED_BYTES
+from juniperreel.platform.incomplete_messages import UNCOUNTED_BYTES
 from juniperreel.postgres import server
 from juniperreel.postgres.messages import ProtocolError
 from juniperreel.postgres.request_format import RequestFormatError, StatementRequest, parse_request
@@ -177,7 +177,7 @@
         elif self._transport.reading_paused:
             self._resume_reading()
 
-    def discard_incomplete_command(self) -> None:
+    def discard_incomplete_message(self) -> None:
         """Discard the incomplete command, which is refused once its last byte has arrived."""
         self._protocol.discard_incomplete_query()
 
--- a/juniperreel/platform/driver.py
+++ b/juniperreel/platform/driver.py
@@ -92,11 +92,17 @@
         self.timers = TimerQueue()
         self.timers.on_call_error = self._on_timer_error
         self.budget = DescriptorBudget(config.limits.sockets)
+        self.memory = MemoryBudget(config.limits.memory_mb)
         self.endpoint_pools = EndpointPools(
-            connect, now, self.timers, self.budget, config.connect_timeout_us, config.idle_timeout_us
+            connect,
+            now,
+            self.timers,
+            self.budget,
+            self.memory,
+            config.connect_timeout_us,
+            config.idle_timeout_us,
         )
         self._endpoints = EndpointDirectory(self.endpoint_pools, config.router.removed_endpoints_serve)
-        self.memory = MemoryBudget(config.limits.memory_mb)
         self.client_listener = ClientListener(self, now, self.budget, self.memory)
         self.endpoint_clock = EndpointClock()
         self._metadata_reader = EndpointMetadataReader(self.endpoint_clock, now, self._on_clock_adjusted)
--- a/juniperreel/platform/endpoint_connection.py
+++ b/juniperreel/platform/endpoint_connection.py
@@ -52,6 +52,7 @@
         except ProtocolError:
             self._fail_protocol()
             return
+        self.pool.on_reply_received(self)
         exchange = self.exchange
         if reply is not None:
             self.exchange = None
@@ -139,6 +140,10 @@
         self.protocol.close()
         self.pool.remove(self)
 
+    def discard_incomplete_message(self) -> None:
+        """Close the connection, whose reply does not end, because the memory for replies is used up."""
+        self._fail_protocol()
+
     def close_unless_logged_in(self) -> None:
         """Close the connection if its startup has not completed within the connect timeout."""
         if self.protocol.phase is Phase.STARTUP and not self.transport.closed:
--- a/juniperreel/platform/endpoint_pools.py
+++ b/juniperreel/platform/endpoint_pools.py
@@ -15,6 +15,8 @@
 from juniperreel.platform.endpoint_list import Address
 from juniperreel.platform.exchange import Exchange
 from juniperreel.platform.idle_timeout import IdleTimeout
+from juniperreel.platform.incomplete_messages import IncompleteMessages
+from juniperreel.platform.memory_budget import MemoryBudget
 from juniperreel.platform.timer_queue import TimerQueue
 from juniperreel.routing.types import Outcome
 
@@ -82,6 +84,10 @@
         timeout_at_us = self.now() + self._pools.connect_timeout_us
         self._pools.timers.call_at(timeout_at_us, connection.close_unless_logged_in)
 
+    def on_reply_received(self, connection: EndpointConnection) -> None:
+        """Record how much of an incomplete reply the connection holds, or that the reply is complete."""
+        self._pools.replies.update(connection, connection.protocol.held, is_incomplete=True)
+
     def on_sync_started(self, connection: EndpointConnection) -> None:
         """Wait for the response to the empty query behind a reply.
 
@@ -111,6 +117,7 @@
         """Remove a closed connection; does nothing if it does not belong to this pool."""
         if connection in self.connections:
             self.connections.discard(connection)
+            self._pools.replies.remove(connection)
             self._pools.budget.endpoint_connections -= 1
             self.syncing.pop(connection, None)
             if connection in self.idle:
@@ -140,6 +147,7 @@
         now: Callable[[], int],
         timers: TimerQueue,
         budget: DescriptorBudget,
+        memory: MemoryBudget,
         connect_timeout_us: int,
         endpoint_idle_timeout_us: int,
     ) -> None:
@@ -148,6 +156,7 @@
         self.now = now
         self.timers = timers
         self.budget = budget
+        self.replies = IncompleteMessages(memory.replies, lambda: not memory.replies.fits(0))
         self.connect_timeout_us = connect_timeout_us
         self._max_idle_us = int(endpoint_idle_timeout_us * IDLE_TIMEOUT_FRACTION)
         self.idle_timeout = IdleTimeout()
--- a/juniperreel/platform/memory_budget.py
+++ b/juniperreel/platform/memory_budget.py
@@ -1,4 +1,4 @@
-"""Divides the process's memory limit between the uses that clients can increase. Performs no I/O.
+"""Divides the process's memory limit between the uses that peers can increase. Performs no I/O.
 
 Limits for each connection do not bound the memory of all connections together. Each use therefore has a share
 of the process's limit, and what does not fit is refused, discarded or read later by the owner of that use.
@@ -8,9 +8,11 @@
 
 BYTES_PER_MB = 1 << 20
 PROGRAM_BYTES = 24 * BYTES_PER_MB  # interpreter, modules, and tables whose size does not depend on clients
-# Of what the program leaves. The rest covers queries that endpoints have not read yet, replies that are being
-# received, temporary copies and heap fragmentation.
+# Of what the program leaves. The rest covers queries that endpoints have not read yet, temporary copies and
+# heap fragmentation.
 CLIENT_FRACTION = 0.6
+REPLY_FRACTION = 0.2  # of it too: replies that are being received
+MIN_REPLY_BYTES = 1 * BYTES_PER_MB
 MIN_CLIENT_BYTES = 2 * BYTES_PER_MB  # under a limit that leaves nothing, a few commands are still served
 REQUEST_FRACTION = 0.75  # of that: commands that are being received, and open requests
 COMMAND_FRACTION = 0.5  # the part of it that open requests may use
@@ -65,12 +67,13 @@
 
     def __init__(self, limit_mb: float) -> None:
         """`limit_mb` is the memory limit of the process."""
-        available = (limit_mb * BYTES_PER_MB - PROGRAM_BYTES) * CLIENT_FRACTION
-        total = max(available, MIN_CLIENT_BYTES)
+        available = limit_mb * BYTES_PER_MB - PROGRAM_BYTES
+        total = max(available * CLIENT_FRACTION, MIN_CLIENT_BYTES)
         # Received and not yet parsed. It may use what open requests leave.
         self.input = MemoryShare(int(total * REQUEST_FRACTION))
         self.commands = MemoryShare(int(total * COMMAND_FRACTION))  # open requests and their statements
         self.answers = MemoryShare(int(total * ANSWER_FRACTION))  # not yet accepted by the kernel
+        self.replies = MemoryShare(max(int(available * REPLY_FRACTION), MIN_REPLY_BYTES))
         self._further_command_limit = int(total * FURTHER_COMMAND_FRACTION)
         self.refused_commands = 0
         self.withheld_answers = 0
@@ -103,6 +106,7 @@
             "input_peak": self.input.peak,
             "commands_peak": self.commands.peak,
             "answers_peak": self.answers.peak,
+            "replies_peak": self.replies.peak,
             "refused_commands": self.refused_commands,
             "withheld_answers": self.withheld_answers,
         }
--- a/juniperreel/platform/program.py
+++ b/juniperreel/platform/program.py
@@ -196,7 +196,15 @@
             clients=self.driver.budget.clients,
             endpoint_connections=self.driver.budget.endpoint_connections,
             closed_endpoint_connections=self.driver.endpoint_pools.fields(),
-            memory={**self.driver.memory.fields(), **self.driver.client_listener.input_buffers.fields()},
+            memory=self._memory_fields(),
             overload_refusals=self.driver.client_listener.overload_refusals,
             cpu_s=round(sum(os.times()[:2]), 2),
         )
+
+    def _memory_fields(self) -> dict[str, int]:
+        driver = self.driver
+        return {
+            **driver.memory.fields(),
+            "discarded_commands": driver.client_listener.input_buffers.discarded,
+            "discarded_replies": driver.endpoint_pools.replies.discarded,
+        }
--- a/tests/platform/test_memory.py
+++ b/tests/platform/test_memory.py
@@ -193,7 +193,7 @@
     command = large_write("1" * 16, "row-1")
     send(harness, client, command[:-100])
     assert isinstance(client.protocol, ClientConnection)
-    client.protocol.discard_incomplete_command()
+    client.protocol.discard_incomplete_message()
     assert client.take() == b""
     send(harness, client, command[-100:] + m.query(b""))
     harness.process()
@@ -224,6 +224,29 @@
     assert harness.driver.memory.withheld_answers
 
 
+def test_replies_that_do_not_end_stay_within_limit_and_leave_room_for_others() -> None:
+    """Guards against memory that endpoints fill: incomplete replies of many attempts were counted nowhere."""
+    harness = EventHarness(limits={**LIMITS, "memory_mb": SMALL_MEMORY_MB, "sockets": 1024})
+    for number in range(harness.driver.budget.endpoint_limit - 2):
+        harness.client(write_query(f"{number:016x}", key=f"row-{number}"))
+    stuck = endpoint_queries(harness)
+    assert len(stuck) > 300
+    with traced_allocations() as allocated:
+        for transport in stuck:
+            harness.feed(transport, row_reply(b"v" * LARGEST_VALUE, role="primary")[:-20])
+            assert allocated.bytes < SMALL_AVAILABLE_BYTES
+        assert harness.driver.endpoint_pools.replies.discarded
+        usual = harness.client(write_query("f" * 16, key="row-usual"))
+        queries = endpoint_queries(harness)
+        transport = next(found for found, query in queries.items() if b"f" * 16 in query)
+        reply = row_reply(b"v" * LARGEST_VALUE, role="primary")
+        for start in range(0, len(reply), READ_BYTES // 4):
+            harness.feed(transport, reply[start : start + READ_BYTES // 4])
+        assert b"v" * LARGEST_VALUE in usual.take()
+    harness.advance_us(4 * SEC)
+    assert harness.driver.memory.replies.used == 0
+
+
 @pytest.mark.parametrize(
     "read_effect, answers_to_read",
     [("repeatable", REFUSED), ("once", b"C08007")],
