Poller: each poll finds all ready sockets, so events are never dated to long ago

Cause: a request counts from the last poll that returned all ready sockets, and a poll returned at most 256. Where more are ready all the time, that date stood still and the age of every request grew until it was past its deadline.

Change: a poll asks for as many events as sockets are registered; 256 are handled in one turn as before, the others in the next turns without another poll. So each event is dated to the poll before the one that found it.

--- a/juniperreel/net/poller.py
+++ b/juniperreel/net/poller.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import select
+from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
@@ -16,7 +17,7 @@
 from juniperreel.net.clock import Clock
 
 HANG_UP_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
-MAX_EVENTS = 256  # per call of epoll_wait
+MAX_EVENTS = 256  # handled by one call of `dispatch`, so that timers and other work are not delayed for long
 YIELD_INTERVAL_US = 5_000  # longest time between checkpoints, so that other tasks run
 # Longest wait between two polls. Events are dated to the previous complete poll, so this is also the largest
 # overestimate of their age when the process is not stalled.
@@ -59,13 +60,13 @@
         self.on_handler_error: HandlerErrorCallback = _reraise
         self._epoll = select.epoll()
         self._handlers: dict[int, EventHandler] = {}
-        self._events: list[ReadyEvent] = []
+        self._events: deque[ReadyEvent] = deque()  # found by the last poll and not handled yet
         self._wait_scope: trio.CancelScope | None = None
         self._woken = False
-        self._complete_poll_us = clock.now_us()  # start of the last poll that returned all ready sockets
-        self._yielded_us = self._complete_poll_us
+        self._polled_us = clock.now_us()  # start of the last poll
+        self._yielded_us = self._polled_us
         # Earliest time at which the sockets that the last poll returned may have become ready.
-        self.ready_since_us = self._complete_poll_us
+        self.ready_since_us = self._polled_us
         self.max_detection_delay_us = 0  # upper bound on the time between readiness and its detection
         self.wait_overrun_us = 0  # by how much the last wait overran its timeout
 
@@ -88,11 +89,15 @@
             self._epoll.unregister(fileno)
 
     async def wait(self, until_us: int | None) -> None:
-        """Return when a socket is ready, at `until_us`, or after `wake`."""
+        """Return when a socket is ready, at `until_us`, or after `wake`.
+
+        Sockets that the last poll found ready and that are not handled yet are not polled for again.
+        """
         self._woken = False
         self.wait_overrun_us = 0
         started_us = self.clock.now_us()
-        self._poll()
+        if not self._events:
+            self._poll()
         if not self._events and (until_us is None or until_us > started_us):
             await self._wait_until_ready(until_us)
         elif started_us - self._yielded_us > YIELD_INTERVAL_US:
@@ -120,12 +125,17 @@
         self._yielded_us = now_us
 
     def _poll(self) -> None:
+        """Find all ready sockets.
+
+        If some were left for the next poll, its events would have to be dated to before this one. Where more
+        are ready all the time than a poll returns, that date would never advance.
+        """
         started_us = self.clock.now_us()
-        found = self._epoll.poll(0, MAX_EVENTS)
-        self.ready_since_us = self._complete_poll_us
-        if len(found) < MAX_EVENTS:
-            self._complete_poll_us = started_us
-        self._events = [ReadyEvent(fileno, mask, self._handlers.get(fileno)) for fileno, mask in found]
+        found = self._epoll.poll(0, len(self._handlers) + 1)
+        self.ready_since_us = self._polled_us
+        self._polled_us = started_us
+        events = [ReadyEvent(fileno, mask, self._handlers.get(fileno)) for fileno, mask in found]
+        self._events.extend(sorted(events, key=_has_not_hung_up))
 
     def wake(self) -> None:
         """End the current wait, after another task has changed the next deadline."""
@@ -134,13 +144,12 @@
             self._wait_scope.cancel()
 
     def dispatch(self) -> None:
-        """Call the handlers of all sockets found ready, hung-up ones first.
+        """Call the handlers of sockets found ready, hung-up ones first, at most `MAX_EVENTS` at a time.
 
         Other handlers must not act on behalf of a peer whose disconnect was reported by the same poll.
         """
-        events = sorted(self._events, key=_has_not_hung_up)
-        self._events = []
-        for fileno, mask, handler in events:
+        for _ in range(min(len(self._events), MAX_EVENTS)):
+            fileno, mask, handler = self._events.popleft()
             # An earlier handler may have closed this socket, and a new socket may have reused its descriptor
             # number: an event of the old socket, such as a hang-up, must not reach the new one.
             if handler is None or self._handlers.get(fileno) is not handler:
--- a/tests/net/test_readiness_times.py
+++ b/tests/net/test_readiness_times.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import select
 import socket
 import time
@@ -21,6 +22,18 @@
 STALL_S = 0.3
 TOLERANCE_US = 150_000  # beyond the stall, for scheduling delays on a loaded machine
 TIMEOUT_S = 30
+STEP_US = 1_000_000
+
+
+class ManualClock(Clock):
+    """A clock whose time is set by the test."""
+
+    def __init__(self) -> None:
+        super().__init__(0)
+        self.time_us = 1_000_000
+
+    def now_us(self) -> int:
+        return self.time_us
 
 
 class RecordingHandler:
@@ -38,8 +51,8 @@
 class PollerHarness:
     """A poller with one end of each socket pair registered."""
 
-    def __init__(self, count: int) -> None:
-        self.clock = Clock()
+    def __init__(self, count: int, clock: Clock | None = None) -> None:
+        self.clock = clock or Clock()
         self.poller = Poller(self.clock)
         self.pairs = [socket.socketpair() for _ in range(count)]
         self.handlers = [RecordingHandler(local) for local, _ in self.pairs]
@@ -133,15 +146,26 @@
     assert harness.poller.ready_since_us > sent_us - TOLERANCE_US
 
 
-class ManualClock(Clock):
-    """A clock whose time is set by the test."""
-
-    def __init__(self) -> None:
-        super().__init__(0)
-        self.time_us = 1_000_000
-
-    def now_us(self) -> int:
-        return self.time_us
+async def test_age_of_events_is_bounded_while_many_sockets_are_always_ready(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against requests refused as too late, as their age counted from before the crowd had come."""
+    monkeypatch.setattr(poller, "MAX_EVENTS", 2)
+    clock = ManualClock()
+    with contextlib.closing(PollerHarness(5, clock)) as harness:
+        for _, remote in harness.pairs:
+            remote.send(b"x")
+        rounds_a_sweep = 3  # of two events each, over five sockets
+        for _ in range(10 * rounds_a_sweep):
+            clock.time_us += STEP_US
+            with trio.fail_after(TIMEOUT_S):
+                await harness.poller.wait(None)
+            assert clock.time_us - harness.poller.ready_since_us <= 2 * rounds_a_sweep * STEP_US
+            harness.poller.dispatch()
+            for handler, (_, remote) in zip(harness.handlers, harness.pairs, strict=True):
+                if handler.called:
+                    handler.called = False
+                    remote.send(b"x")
 
 
 def test_stall_monitor_dates_events_to_the_start_of_a_stalled_poll() -> None:
