Platform: incomplete startup messages are discarded when the memory for input is used up

Cause: the input of clients has a share of memory (3.8 MB of 32), and beyond it commands that stay incomplete are discarded. Startup messages of up to 10,000 bytes were counted but never discarded: 6 MB of 600 clients. And each connection had 4 KiB that were not counted at all, 2.4 MB of 600.

Change: the startup message that has been incomplete longest ends with 53300 when there is no room; 1 KiB is not counted.

--- a/juniperreel/platform/client_connection.py
+++ b/juniperreel/platform/client_connection.py
@@ -17,7 +17,7 @@
 from juniperreel.platform.counters import CloseReason
 from juniperreel.platform.errors import InvalidRequestError
 from juniperreel.platform.incomplete_messages import UNCOUNTED_BYTES
-from juniperreel.postgres import server
+from juniperreel.postgres import server, sqlstate
 from juniperreel.postgres.messages import ProtocolError
 from juniperreel.postgres.request_format import RequestFormatError, StatementRequest, parse_request
 
@@ -158,8 +158,7 @@
             self.partial_since_us = self._arrived_us
         if is_partial and not self.command_count:
             self._listener.on_first_command_incomplete(self)
-        is_incomplete_query = is_partial and self._protocol.phase is server.Phase.READY
-        self._listener.input_buffers.update(self, self._protocol.held, is_incomplete_query)
+        self._listener.input_buffers.update(self, self._protocol.held, is_partial)
 
     def _update_reading(self) -> None:
         """Pause or resume reading by how much input is held and whether it can be parsed now."""
@@ -180,8 +179,15 @@
             self._resume_reading()
 
     def discard_incomplete_message(self) -> None:
-        """Discard the incomplete command, which is refused once its last byte has arrived."""
-        self._protocol.discard_incomplete_query()
+        """Discard the incomplete command, which is refused once its last byte has arrived.
+
+        A startup message cannot be refused and the connection kept.
+        """
+        if self._protocol.phase is server.Phase.STARTUP:
+            text = "no memory is left for the startup message"
+            self.close_with_error(sqlstate.TOO_MANY_CONNECTIONS, text, CloseReason.INCOMPLETE_COMMAND)
+        else:
+            self._protocol.discard_incomplete_query()
 
     def _accepts_commands(self) -> bool:
         return (
--- a/juniperreel/platform/incomplete_messages.py
+++ b/juniperreel/platform/incomplete_messages.py
@@ -12,7 +12,7 @@
 from juniperreel.platform.memory_budget import MemoryShare
 
 # What a connection holds up to this size is neither counted nor discarded: most messages are small.
-UNCOUNTED_BYTES = 4096
+UNCOUNTED_BYTES = 1024
 
 
 class MessageOwner(Protocol):
--- a/tests/platform/test_memory.py
+++ b/tests/platform/test_memory.py
@@ -18,6 +18,7 @@
 from juniperreel.platform.client_connection import ClientConnection
 from juniperreel.platform.endpoint_connection import EndpointConnection
 from juniperreel.postgres import messages as m
+from juniperreel.postgres import server
 from tests.platform.event_harness import (
     MS,
     SEC,
@@ -40,6 +41,9 @@
 LARGEST_VALUE = 64 << 10
 REFUSED = b"C53300"
 SILENT_CLIENT_TIMEOUT_US = 3 * SEC
+# A client's connection and its transport, without input that is counted: half of what the smallest limit
+# leaves for each descriptor.
+CONNECTION_BYTES = SMALL_AVAILABLE_BYTES // 1024 // 2
 
 
 @pytest.fixture
@@ -247,6 +251,25 @@
     assert harness.driver.memory.replies.used == 0
 
 
+def test_startup_messages_that_do_not_end_stay_within_limit() -> None:
+    """Guards against memory held by hundreds of clients that send the head of a long startup message."""
+    harness = EventHarness(limits={**LIMITS, "memory_mb": SMALL_MEMORY_MB, "sockets": 1024})
+    size = server.STARTUP_LIMIT
+    startup = m.UINT32.pack(size) + m.UINT32.pack(m.PROTOCOL_3) + b"a\0" * ((size - 100) // 2)
+    memory = harness.driver.memory
+    with traced_allocations() as allocated:
+        clients = [FakeTransport() for _ in range(harness.driver.budget.client_limit)]
+        for client in clients:
+            harness.driver.client_listener.accept(client)
+            send(harness, client, startup)
+            assert allocated.bytes < memory.input.limit + len(clients) * CONNECTION_BYTES
+    assert harness.driver.client_listener.input_buffers.discarded
+    assert b"C53300" in clients[0].take()
+    assert not clients[-1].take()
+    harness.advance_us(SILENT_CLIENT_TIMEOUT_US)
+    assert memory.input.used == 0
+
+
 @pytest.mark.parametrize(
     "read_effect, answers_to_read",
     [("repeatable", REFUSED), ("once", b"C08007")],
