Platform: names that clients choose take less memory, and timeouts end with their attempts

Cause: the ids of 20,000 answered requests and up to 20,000 sessions were kept as texts in tuples, 10.7 MB with the longest names, where 5.9 MB are left beside the program and the clients' shares; and the timeout of each attempt stayed in its queue until it was due, 4,400 at a time. A series of the heap: 117,000 blocks at the start, 243,000 when nobody was connected any more.

Change: ids and sessions are kept as numbers; an attempt cancels its timeout when it ends, and cancelled timers leave the queue once they are the majority. How many are kept and for how long is as before. Two sessions with the same 64-bit hash would share the later commit, which asks more of their reads, never less.

--- a/juniperreel/platform/driver.py
+++ b/juniperreel/platform/driver.py
@@ -31,7 +31,7 @@
 from juniperreel.platform.open_requests import OpenRequest, OpenRequests
 from juniperreel.platform.request_validation import RequestValidator
 from juniperreel.platform.rule_monitor import RequestRecord, RuleMonitor
-from juniperreel.platform.timer_queue import TimerQueue
+from juniperreel.platform.timer_queue import Timer, TimerQueue
 from juniperreel.postgres import server
 from juniperreel.postgres.messages import READY
 from juniperreel.postgres.request_format import StatementRequest
@@ -356,11 +356,11 @@
         if open_request.command is None:
             exchange.finish(Outcome.NOT_SENT)  # platform rule 1: no attempt after the final answer
             return
-        self._abandon_at(until_us, exchange)
+        exchange.timeout = self._abandon_at(until_us, exchange)
         self.endpoint_pools.run(endpoint, exchange)
 
-    def _abandon_at(self, time_us: int, exchange: Exchange) -> None:
-        self.timers.call_at(time_us, partial(self.endpoint_pools.abandon, exchange, False))
+    def _abandon_at(self, time_us: int, exchange: Exchange) -> Timer:
+        return self.timers.call_at(time_us, partial(self.endpoint_pools.abandon, exchange, False))
 
     # Attempt callbacks (`AttemptHost`).
 
@@ -455,7 +455,7 @@
         """Query the endpoint's load report."""
         started_us = self.now()
         exchange = Exchange(HealthCheck(endpoint, started_us, self._on_health_check_done))
-        self._abandon_at(started_us + HEALTH_CHECK_TIMEOUT_US, exchange)
+        exchange.timeout = self._abandon_at(started_us + HEALTH_CHECK_TIMEOUT_US, exchange)
         self.endpoint_pools.run(endpoint, exchange)
 
     def _on_health_check_done(self, check: HealthCheck, result: ExchangeResult) -> None:
--- a/juniperreel/platform/exchange.py
+++ b/juniperreel/platform/exchange.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
+from juniperreel.platform.timer_queue import Timer
 from juniperreel.postgres.client import Reply
 from juniperreel.routing.types import Outcome
 
@@ -52,13 +53,14 @@
     """A query on its way through a pool and a connection.
 
     A query that its owner refuses is not written. `sent`: the last byte has been sent, so the endpoint may
-    have executed it. `owner` and `connection` are None once the exchange is finished, so that timers that
-    outlive it keep neither the request's text nor the connection in memory.
+    have executed it. When the exchange is finished, `timeout` is cancelled, and `owner` and `connection` are
+    None from then on.
     """
 
     owner: ExchangeOwner | None
     connection: EndpointConnection | None = field(default=None)
     sent: bool = False
+    timeout: Timer | None = field(default=None)
 
     @property
     def finished(self) -> bool:
@@ -75,6 +77,9 @@
         if owner is not None:
             self.owner = None
             self.connection = None
+            if self.timeout is not None:
+                self.timeout.cancel()
+                self.timeout = None
             owner.on_done(ExchangeResult(outcome, reply))
 
 
--- a/juniperreel/platform/open_requests.py
+++ b/juniperreel/platform/open_requests.py
@@ -2,18 +2,15 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from collections.abc import Callable
 
+from juniperreel.platform.answered_ids import AnsweredIds
 from juniperreel.platform.command import Command
 from juniperreel.platform.exchange import Exchange
 from juniperreel.platform.memory_budget import Reservation
 from juniperreel.platform.rule_monitor import RequestRecord
 from juniperreel.postgres.request_format import StatementRequest
 
-MAX_ANSWERED_IDS = 20_000
-ANSWERED_ID_TTL_US = 30_000_000
-
 
 class OpenRequest:
     """A request from its submission until it is answered and its last exchange has ended.
@@ -45,13 +42,11 @@
         """`now` returns the current time in microseconds."""
         self._now = now
         self.by_id: dict[str, OpenRequest] = {}
-        # Answer times of recently answered ids, oldest first. Finding the first key of a plain dict takes
-        # time in proportion to the keys that were removed before it.
-        self.answered_us: OrderedDict[str, int] = OrderedDict()
+        self.answered_ids = AnsweredIds()
 
     def is_id_in_use(self, request_id: str) -> bool:
         """Return whether the id belongs to an open or recently answered request."""
-        return request_id in self.by_id or request_id in self.answered_us
+        return request_id in self.by_id or request_id in self.answered_ids
 
     def remove_if_done(self, request_id: str, request: OpenRequest) -> None:
         """Remove a request that is answered and has no exchange left, but keep its id for a while.
@@ -64,11 +59,4 @@
             return
         if request.reservation is not None:
             request.reservation.release()
-        now_us = self._now()
-        self.answered_us[request_id] = now_us
-        oldest = next(iter(self.answered_us))
-        while (
-            len(self.answered_us) > MAX_ANSWERED_IDS or now_us - self.answered_us[oldest] > ANSWERED_ID_TTL_US
-        ):
-            del self.answered_us[oldest]
-            oldest = next(iter(self.answered_us))
+        self.answered_ids.add(request_id, self._now())
--- a/tests/platform/test_components.py
+++ b/tests/platform/test_components.py
@@ -100,6 +100,30 @@
     assert timers.next_due_us() == 30
 
 
+def test_cancelled_timers_do_not_run_and_are_not_kept() -> None:
+    """Guards against memory: the timeouts of attempts that had ended were kept until they were due."""
+    timers, calls = TimerQueue(), list[int]()
+    for n in range(10_000):
+        timer = timers.call_at(SEC + n, lambda n=n: calls.append(n))  # type: ignore[misc]
+        if n % 100:
+            timer.cancel()
+            timer.cancel()
+        assert len(timers) < 2 * n // 100 + 200
+    timers.run_due(SEC + 10_000)
+    assert calls == list(range(0, 10_000, 100))
+    assert len(timers) == 0
+    timer.cancel()
+
+
+def test_timer_cancelled_by_another_one_due_at_the_same_time_does_not_run() -> None:
+    timers, calls = TimerQueue(), list[str]()
+    timers.call_at(10, lambda: later.cancel())
+    later = timers.call_at(10, lambda: calls.append("later"))
+    timers.run_due(10)
+    assert not calls
+    assert timers.next_due_us() is None
+
+
 def test_parameter_status_is_parsed_and_malformed_values_ignored() -> None:
     assert parameter_status.position_us({"log_position": "1767225600123"}) == 1767225600123000
     for text in ("", "-5", "1e9", "9" * 40, "²"):
--- a/tests/platform/test_crossings.py
+++ b/tests/platform/test_crossings.py
@@ -266,7 +266,7 @@
         await harness.wait_for_event(harness.client_transports[-1], HANG_UP)
         await harness.wait_until(lambda: not harness.driver.client_listener.clients)
         assert not harness.driver.requests.by_id
-        assert not harness.driver.requests.answered_us  # they were never accepted
+        assert not harness.driver.requests.answered_ids  # they were never accepted
         assert harness.endpoints["a"].queries == harness.endpoints["p"].queries == b""
 
 
--- a/tests/platform/test_driver.py
+++ b/tests/platform/test_driver.py
@@ -389,7 +389,7 @@
             harness.feed(upstream, row_reply())
         harness.disconnect(client)
     harness.advance_us(2 * SEC)
-    assert len(harness.driver.requests.answered_us) <= 7
+    assert len(harness.driver.requests.answered_ids) <= 7
     assert set(harness.driver.endpoint_pools.pools) == {"p", "a", "n39"}
     assert b"C42710" in harness.client(read_query(f"{39:016x}")).take()
 
--- a/tests/platform/test_memory.py
+++ b/tests/platform/test_memory.py
@@ -270,6 +270,21 @@
     assert memory.input.used == 0
 
 
+def test_tables_of_names_that_clients_choose_leave_the_clients_their_share() -> None:
+    """Guards against memory: under ever new ids and sessions the tables grew to 10 MB and more."""
+    harness = EventHarness(limits={**LIMITS, "memory_mb": SMALL_MEMORY_MB})
+    memory = harness.driver.memory
+    left_bytes = SMALL_AVAILABLE_BYTES - memory.input.limit - memory.answers.limit - memory.replies.limit
+    state = harness.driver.router.state
+    with traced_allocations() as allocated:
+        for number in range(30_000):
+            name = f"{number:0>128}"  # the longest
+            harness.driver.requests.answered_ids.add(f"{number:016x}", harness.time)
+            state.sessions.record((0, name), harness.time + number)
+            state.sessions.evict_one(harness.time)
+        assert allocated.bytes < left_bytes
+
+
 @pytest.mark.parametrize(
     "read_effect, answers_to_read",
     [("repeatable", REFUSED), ("once", b"C08007")],
