Platform: the close of a client that has sent much is seen behind unread commands

Six clients with 4,000 writes each, endpoints that take 0.4 s: 68 attempts began 0.22 s after the close; with 100 writes of 60 KB 26 attempts 0.43 to 0.47 s after.

Cause: behind 64 open commands and 200 KB reading stopped. With the kernel's buffer full the end of stream cannot arrive, so neither a poll nor the look before a query sees it.

Change: such a connection is read on. Commands behind the buffered ones are counted and dropped (postgres/excess.py), and refused in their turn; memory stays as it was.

--- a/juniperreel/platform/arrival_times.py
+++ b/juniperreel/platform/arrival_times.py
@@ -23,10 +23,13 @@
         self._received = 0
         self._marks: deque[ArrivalMark] = deque()
 
-    def receive(self, count: int, at_us: int) -> None:
-        """Record that `count` more bytes arrived, at `at_us` at the earliest."""
+    def receive(self, count: int, at_us: int, merge: bool = False) -> None:
+        """Record that `count` more bytes arrived, at `at_us` at the earliest.
+
+        `merge`: they may be dated as early as the bytes before them, since their commands are not kept.
+        """
         self._received += count
-        if self._marks and at_us - self._marks[-1].at_us < RESOLUTION_US:
+        if self._marks and (merge or at_us - self._marks[-1].at_us < RESOLUTION_US):
             at_us = min(self._marks.pop().at_us, at_us)
         self._marks.append(ArrivalMark(self._received, at_us))
 
--- a/juniperreel/platform/client_connection.py
+++ b/juniperreel/platform/client_connection.py
@@ -79,7 +79,7 @@
         """Keep the input until it is this connection's turn to read a command."""
         self._arrived_us = self._earliest_arrival_us()
         self.input_wait_us = self._listener.handler.input_wait_us
-        self._arrivals.receive(len(data), self._arrived_us)
+        self._arrivals.receive(len(data), self._arrived_us, merge=self._protocol.drops_excess)
         # After a full read, bytes of the same age may remain in the kernel.
         self._unread_since_us = self._arrived_us if len(data) >= self.read_limit else 0
         self._protocol.receive_data(data)
@@ -173,11 +173,21 @@
         if self.reads_slowly:
             self.pause_reading()
             self._listener.watch_slow_reader(self)
-        elif held > limit:
+        elif held > limit and not self._drop_excess():
             self.pause_reading()
         elif self._transport.reading_paused:
             self._resume_reading()
 
+    def _drop_excess(self) -> bool:
+        """Read on without keeping commands behind many open ones; return whether this is done.
+
+        If reading were paused, the end of the stream would stay behind unread input, and attempts would be
+        made for a client that has left.
+        """
+        if len(self.commands) == MAX_OPEN_COMMANDS:
+            self._protocol.drop_excess()
+        return self._protocol.drops_excess
+
     def discard_incomplete_message(self) -> None:
         """Discard the incomplete command, which is refused once its last byte has arrived.
 
--- a/juniperreel/postgres/messages.py
+++ b/juniperreel/postgres/messages.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from juniperreel.postgres import sqlstate
+from juniperreel.postgres.excess import ExcessMessages
 
 HEADER = struct.Struct("!cI")
 UINT16 = struct.Struct("!H")
@@ -91,9 +92,13 @@
         self.limit = limit
         self._data = bytearray()
         self._discarded: DiscardedMessage | None = None  # precedes `_data` in the stream
+        self._excess: ExcessMessages | None = None  # follows `_data` in the stream
 
     def receive_data(self, data: bytes) -> None:
         """Append bytes from the peer."""
+        if self._excess is not None:
+            self._excess.receive_data(data)
+            return
         if self._discarded is not None:
             data = self._discarded.receive_data(data)
         self._data += data
@@ -102,11 +107,14 @@
         """Drop everything that was received; no more messages will be asked for."""
         self._data = bytearray()
         self._discarded = None
+        self._excess = None
 
     @property
     def buffered(self) -> int:
         """Number of bytes received but not yet returned as messages."""
-        return self.held + (self._discarded.received if self._discarded is not None else 0)
+        discarded = self._discarded.received if self._discarded is not None else 0
+        excess = self._excess.byte_count if self._excess is not None else 0
+        return self.held + discarded + excess
 
     @property
     def held(self) -> int:
@@ -126,6 +134,45 @@
         self._discarded = DiscardedMessage(bytes(data[:1]), len(data), 1 + size)
         self._data = bytearray()
 
+    @property
+    def drops_excess(self) -> bool:
+        """Whether messages behind the kept ones are counted and dropped."""
+        return self._excess is not None
+
+    def drop_excess(self, kind: bytes) -> None:
+        """Keep the buffered messages; count messages of this kind that follow them, and drop their payloads.
+
+        They are returned without payload, after the buffered ones. Then messages are kept again.
+        """
+        if self._excess is not None or self._discarded is not None:
+            return
+        end = self._end_of_whole_messages()
+        self._excess = ExcessMessages(kind, self.limit)
+        self._excess.receive_data(bytes(self._data[end:]))
+        del self._data[end:]
+
+    def _end_of_whole_messages(self) -> int:
+        """Return where the buffered messages that are complete and within the limit end."""
+        data = self._data
+        end = 0
+        while len(data) - end >= HEADER_SIZE:
+            (size,) = UINT32.unpack_from(data, end + 1)
+            if not LENGTH_SIZE <= size <= self.limit or end + 1 + size > len(data):
+                break
+            end += 1 + size
+        return end
+
+    def _take_excess(self, excess: ExcessMessages) -> Message | None:
+        """Return the next message behind the buffered ones; if there is none, keep messages again."""
+        if excess.count:
+            excess.take()
+            return Message(excess.kind, b"", is_discarded=True)
+        self._excess = None
+        if excess.size:
+            self._discarded = DiscardedMessage(excess.kind, excess.received, excess.size)
+        self._data = bytearray(excess.unparsed or excess.header)
+        return None
+
     def next_message(self, known_kinds: bytes) -> Message | None:
         """Return the next message, or None until more bytes are received.
 
@@ -135,6 +182,10 @@
         """
         if self._discarded is not None:
             return self._take_discarded(self._discarded)
+        if self._excess is not None and not self._data:
+            message = self._take_excess(self._excess)
+            if message is not None:
+                return message
         data = self._data
         if not data:
             return None
--- a/juniperreel/postgres/server.py
+++ b/juniperreel/postgres/server.py
@@ -77,6 +77,16 @@
         self.phase = Phase.CLOSED
         self._reader.clear()
 
+    @property
+    def drops_excess(self) -> bool:
+        """Whether queries behind the buffered ones are counted and dropped."""
+        return self._reader.drops_excess
+
+    def drop_excess(self) -> None:
+        """Keep the buffered queries; those that follow are returned as discarded, after them."""
+        if self.phase is Phase.READY:
+            self._reader.drop_excess(QUERY)
+
     def discard_incomplete_query(self) -> None:
         """Discard the query that is being received, which `next_query` has not returned yet."""
         if self.phase is Phase.READY:
--- a/tests/platform/test_crossings.py
+++ b/tests/platform/test_crossings.py
@@ -12,6 +12,7 @@
 import pytest
 
 from juniperreel.net.transport import Transport
+from juniperreel.platform.client_connection import MAX_OPEN_COMMANDS
 from juniperreel.postgres import messages as m
 from juniperreel.postgres import server
 from tests.platform.event_harness import (
@@ -335,6 +336,37 @@
 # State that changes while a connection is being established.
 
 
+async def send_until_accepted(harness: SocketHarness, client: PeerConnection, data: bytes) -> None:
+    """Send as much as the driver and the kernel take."""
+    view = memoryview(data)
+    refusals = 0
+    while view and refusals < 10:
+        try:
+            view = view[client.sock.send(view) :]
+            refusals = 0
+        except BlockingIOError:
+            refusals += 1
+        await harness.poll_once()
+
+
+async def test_client_that_leaves_behind_unread_commands_is_noticed() -> None:
+    """Guards against attempts for clients that have left: their end stayed behind input that was not read."""
+    with SocketHarness() as harness:
+        await harness.learn_positions()
+        client = await harness.client()
+        names = (f"{n:016x}" for n in range(60_000))
+        commands = b"".join(m.query(write_query(name, key=f"row-{name}")) for name in names)
+        await send_until_accepted(harness, client, commands)
+        assert len(harness.driver.requests.by_id) == MAX_OPEN_COMMANDS
+        client.close()
+        await harness.wait_until(lambda: not harness.driver.client_listener.clients)
+        assert all(request.command is None for request in harness.driver.requests.by_id.values())
+        attempts = harness.endpoints["p"].queries.count(b"INSERT")
+        harness.advance_us(4 * SEC)
+        assert harness.endpoints["p"].queries.count(b"INSERT") == attempts
+        assert not harness.driver.requests.by_id
+
+
 async def test_read_is_not_sent_to_replica_behind_newer_session_write() -> None:
     """Both are in flight together; the read's connection is established after the write's answer."""
     with SocketHarness() as harness:
