Platform: the objects of connections are taken off before memory is divided

Cause: clients and replies had fractions of what 24 MB for the program leave, however many descriptors there are; the objects of a connection, some 4 KB, were counted nowhere: 4 MB of 1,024.

Change: 4 KB a descriptor are taken off first. 64 MB with 256 descriptors leave clients 23.4 MB instead of 24, 32 MB with 1,024 leave 2.4 instead of 4.8.

Result: test_shares_and_connections_fit_the_limit[32-1024] was red and is green. The test of replies that do not end now sends as many as do not fit, since with the smaller share fewer writes are open at a time.

--- a/juniperreel/platform/driver.py
+++ b/juniperreel/platform/driver.py
@@ -92,7 +92,7 @@
         self.timers = TimerQueue()
         self.timers.on_call_error = self._on_timer_error
         self.budget = DescriptorBudget(config.limits.sockets)
-        self.memory = MemoryBudget(config.limits.memory_mb)
+        self.memory = MemoryBudget(config.limits.memory_mb, config.limits.sockets)
         self.endpoint_pools = EndpointPools(
             connect,
             now,
--- a/juniperreel/platform/memory_budget.py
+++ b/juniperreel/platform/memory_budget.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 BYTES_PER_MB = 1 << 20
-PROGRAM_BYTES = 24 * BYTES_PER_MB  # interpreter, modules, and tables whose size does not depend on clients
-# Of what the program leaves. The rest covers queries that endpoints have not read yet, temporary copies and
-# heap fragmentation.
+PROGRAM_BYTES = 24 * BYTES_PER_MB  # interpreter, modules, and tables at their largest
+CONNECTION_BYTES = 4096  # of the objects of a connection, without what it has received and has to send
+# Of what the program and the connections leave. The rest covers queries that endpoints have not read yet,
+# temporary copies and heap fragmentation.
 CLIENT_FRACTION = 0.6
 REPLY_FRACTION = 0.2  # of it too: replies that are being received
 MIN_REPLY_BYTES = 1 * BYTES_PER_MB
@@ -65,9 +66,9 @@
 class MemoryBudget:
     """The shares of one driver."""
 
-    def __init__(self, limit_mb: float) -> None:
+    def __init__(self, limit_mb: float, max_connections: int) -> None:
         """`limit_mb` is the memory limit of the process."""
-        available = limit_mb * BYTES_PER_MB - PROGRAM_BYTES
+        available = limit_mb * BYTES_PER_MB - PROGRAM_BYTES - max_connections * CONNECTION_BYTES
         total = max(available * CLIENT_FRACTION, MIN_CLIENT_BYTES)
         # Received and not yet parsed. It may use what open requests leave.
         self.input = MemoryShare(int(total * REQUEST_FRACTION))
--- a/tests/platform/test_memory.py
+++ b/tests/platform/test_memory.py
@@ -231,10 +231,10 @@
 def test_replies_that_do_not_end_stay_within_limit_and_leave_room_for_others() -> None:
     """Guards against memory that endpoints fill: incomplete replies of many attempts were counted nowhere."""
     harness = EventHarness(limits={**LIMITS, "memory_mb": SMALL_MEMORY_MB, "sockets": 1024})
-    for number in range(harness.driver.budget.endpoint_limit - 2):
+    for number in range(SMALL_AVAILABLE_BYTES // LARGEST_VALUE + 20):
         harness.client(write_query(f"{number:016x}", key=f"row-{number}"))
     stuck = endpoint_queries(harness)
-    assert len(stuck) > 300
+    assert len(stuck) * LARGEST_VALUE > SMALL_AVAILABLE_BYTES
     with traced_allocations() as allocated:
         for transport in stuck:
             harness.feed(transport, row_reply(b"v" * LARGEST_VALUE, role="primary")[:-20])
@@ -251,6 +251,20 @@
     assert harness.driver.memory.replies.used == 0
 
 
+@pytest.mark.parametrize("memory_mb, sockets", [(32, 256), (32, 1024), (64, 256), (192, 1024)])
+def test_shares_and_connections_fit_the_limit(memory_mb: int, sockets: int) -> None:
+    """Guards against memory: with many descriptors their connections took what the shares were promised."""
+    harness = EventHarness(limits={**LIMITS, "memory_mb": memory_mb, "sockets": sockets})
+    memory = harness.driver.memory
+    shares = memory.input.limit + memory.answers.limit + memory.replies.limit
+    connections = sockets * CONNECTION_BYTES
+    assert (STARTED_PROGRAM_MB << 20) + connections + shares < memory_mb << 20
+    clients = [connect(harness) for _ in range(harness.driver.budget.client_limit // 2)]
+    with traced_allocations() as allocated:
+        clients += [connect(harness) for _ in range(harness.driver.budget.client_limit // 2)]
+        assert allocated.bytes < len(clients) // 2 * CONNECTION_BYTES
+
+
 def test_startup_messages_that_do_not_end_stay_within_limit() -> None:
     """Guards against memory held by hundreds of clients that send the head of a long startup message."""
     harness = EventHarness(limits={**LIMITS, "memory_mb": SMALL_MEMORY_MB, "sockets": 1024})
