Platform: slow readers and late requests are modules of their own

Change: platform/slow_readers.py tracks clients that do not read their answers, platform/late_requests.py logs requests whose client left close to their deadline. What they do is as before.

--- a/juniperreel/platform/client_listener.py
+++ b/juniperreel/platform/client_listener.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from juniperreel.net.transport import Transport
 from juniperreel.platform.answer_buffers import AnswerBuffers
@@ -15,25 +14,17 @@
 from juniperreel.platform.eviction import SHORTAGE_IDLE_TIMEOUT_US, EvictionOrder
 from juniperreel.platform.input_buffers import InputBuffers
 from juniperreel.platform.memory_budget import MemoryBudget
+from juniperreel.platform.slow_readers import SlowReaders
 
 FIRST_COMMAND_TIMEOUT_US = 2_000_000  # for the first command of a connection
 COMMAND_TIMEOUT_US = 2_000_000  # for the rest of a partially received command
 UNREAD_BYTES_TIMEOUT_US = 500_000  # added to those while received bytes have not been read yet
-UNREAD_TIMEOUT_US = 10_000_000  # for a slow reader to read anything
 # Of the answers' share, that all slow readers together may leave unsent. Each may have been sent one answer
 # after the share was used up.
 MAX_UNSENT_SHARES = 2
 IDLE_TIMEOUT_US = 60_000_000
 
 
-@dataclass(slots=True)
-class SlowReader:
-    """A client with much unsent output: its size at the last check, and since when it has not shrunk."""
-
-    unsent_bytes: int
-    stalled_since_us: int
-
-
 class ClientListener:
     """Owns all client connections and maintains their shares of the descriptor and memory budgets."""
 
@@ -56,7 +47,7 @@
         self.clients: set[ClientConnection] = set()
         self.closing = False  # whether connections are closed once their commands are answered
         self._eviction_order: EvictionOrder[ClientConnection] = EvictionOrder()
-        self._slow_readers: dict[ClientConnection, SlowReader] = {}
+        self._slow_readers: SlowReaders[ClientConnection] = SlowReaders()
 
     def accept(self, transport: Transport, waiting_since_us: int = 0) -> None:
         """Serve a new connection, or close it if no descriptor is left for it.
@@ -85,7 +76,7 @@
         elif client.command_count:
             self.budget.active_clients -= 1
         self._eviction_order.remove(client)
-        self._slow_readers.pop(client, None)
+        self._slow_readers.remove(client)
         if reason is not CloseReason.CLIENT_LEFT and client.unsent_answer_bytes:
             self.handler.answers_dropped(client.unsent_answer_bytes, reason)
         for command in client.close():
@@ -134,10 +125,8 @@
 
     def on_answers_unread(self, client: ClientConnection) -> None:
         """Track a slow reader, and close the worst ones if their total unsent output is too large."""
-        self._slow_readers[client] = SlowReader(client.unsent_bytes, self.now())
-        limit = self.memory.answers.limit * MAX_UNSENT_SHARES
-        while sum(reader.unsent_bytes for reader in self._slow_readers) > limit:
-            worst = max(self._slow_readers, key=lambda reader: reader.unsent_bytes)
+        self._slow_readers.add(client, self.now())
+        for worst in self._slow_readers.worst_beyond(self.memory.answers.limit * MAX_UNSENT_SHARES):
             self.remove(worst, CloseReason.ANSWERS_UNREAD)
 
     def watch_slow_reader(self, client: ClientConnection) -> None:
@@ -146,15 +135,10 @@
             self.on_answers_unread(client)
 
     def _check_slow_readers(self, now_us: int) -> None:
-        for client, reader in list(self._slow_readers.items()):
-            if not client.reads_slowly:
-                del self._slow_readers[client]
-                client.resume()
-            elif client.unsent_bytes < reader.unsent_bytes:
-                reader.unsent_bytes = client.unsent_bytes
-                reader.stalled_since_us = now_us
-            elif now_us - reader.stalled_since_us > UNREAD_TIMEOUT_US:
-                self.remove(client, CloseReason.ANSWERS_UNREAD)
+        for client in self._slow_readers.take_recovered():
+            client.resume()
+        for client in self._slow_readers.stalled(now_us):
+            self.remove(client, CloseReason.ANSWERS_UNREAD)
 
     def _evict_one(self, now_us: int) -> bool:
         """Close the least valuable connection to free its descriptor; return False if there is none."""
--- a/juniperreel/platform/driver.py
+++ b/juniperreel/platform/driver.py
@@ -26,6 +26,7 @@
 from juniperreel.platform.exchange import Exchange, ExchangeResult
 from juniperreel.platform.graceful_shutdown import GracefulShutdown
 from juniperreel.platform.health_check import HealthCheck
+from juniperreel.platform.late_requests import LateRequestLog
 from juniperreel.platform.log import Log
 from juniperreel.platform.memory_budget import MemoryBudget
 from juniperreel.platform.open_requests import OpenRequest, OpenRequests
@@ -57,8 +58,6 @@
 # worthless but not a violation, and the check for such requests runs only at the housekeeping interval.
 OVERDUE_AFTER_US = 100_000
 HEALTH_CHECK_TIMEOUT_US = 250_000
-LEFT_AT_DEADLINE_US = 60_000  # a client that leaves with less time left may have timed out
-MAX_LATE_REQUESTS_LOGGED = 40  # further ones are only counted
 PROCESS_EXIT_REASON = "process exit"
 SESSION_CONSISTENCY = (Consistency.WRITE, Consistency.SESSION)
 
@@ -89,6 +88,7 @@
         self._validator = RequestValidator(config.router)
         self.monitor = RuleMonitor(config.router, log)
         self.counters = Counters()
+        self._late_requests = LateRequestLog(self.counters, log)
         self.timers = TimerQueue()
         self.timers.on_call_error = self._on_timer_error
         self.budget = DescriptorBudget(config.limits.sockets)
@@ -264,34 +264,11 @@
             self.log.trace("client closed", reason=reason.value, unanswered=unanswered)
 
     def _log_requests_near_deadline(self, unanswered: list[str]) -> None:
-        """Log requests whose client left close to their deadline, possibly because of a missing answer."""
         now_us = self.now()
         for request_id in unanswered:
             request = self.requests.by_id.get(request_id)
-            if request is None or request.command is None:
-                continue
-            left_us = request.deadline_us - now_us
-            if left_us > LEFT_AT_DEADLINE_US:
-                continue
-            self.counters.left_at_deadline += 1
-            if self.counters.left_at_deadline <= MAX_LATE_REQUESTS_LOGGED:
-                self._log_late_request(request_id, request, request.command, now_us)
-
-    def _log_late_request(self, request_id: str, request: OpenRequest, command: Command, now_us: int) -> None:
-        attempts = [
-            [attempt.endpoint, attempt.written_us - command.arrived_us]
-            for attempt in request.record.attempts.values()
-        ]
-        self.log.warning(
-            "client left at its deadline",
-            request=request_id,
-            left_us=request.deadline_us - now_us,
-            age_us=now_us - command.arrived_us,
-            wait_us=command.wait_us,
-            command=command.client.command_count,
-            connected_us=command.arrived_us - command.client.accepted_us,
-            attempts=attempts,
-        )
+            if request is not None:
+                self._late_requests.on_client_left(request_id, request, now_us)
 
     def answers_dropped(self, unsent_bytes: int, reason: CloseReason) -> None:
         """Record a client connection that is closed before all of its answers were sent."""
