PostgreSQL server side: another message among dropped queries ends the connection

Cause: only the header of such a message is kept, and its parser wants the whole message.

Change: the message is completed by its length; whatever it said, it ends the connection, by an error or a goodbye.

Found on reading the change once more.

--- a/juniperreel/postgres/messages.py
+++ b/juniperreel/postgres/messages.py
@@ -170,7 +170,12 @@
         self._excess = None
         if excess.size:
             self._discarded = DiscardedMessage(excess.kind, excess.received, excess.size)
-        self._data = bytearray(excess.unparsed or excess.header)
+        if excess.unparsed:
+            # Its payload was dropped: it ends the connection, whatever it said.
+            (length,) = UINT32.unpack_from(excess.unparsed, 1)
+            self._data = bytearray(excess.unparsed) + bytes(min(length, self.limit))
+        else:
+            self._data = excess.header
         return None
 
     def next_message(self, known_kinds: bytes) -> Message | None:
--- a/tests/postgres/test_excess.py
+++ b/tests/postgres/test_excess.py
@@ -76,7 +76,13 @@
 
 
 def test_other_messages_among_the_excess_are_handled_in_their_turn() -> None:
-    for data, ends in ((TERMINATE, True), (b"P\0\0\0\4", False), (b"Q\0\0\0\3", False), (b"\0" * 9, False)):
+    for data, ends in (
+        (TERMINATE, True),
+        (b"P\0\0\0\4", False),
+        (b"P\0\0\0\x14" + b"x" * 16, False),
+        (b"Q\0\0\0\3", False),
+        (b"\0" * 9, False),
+    ):
         connection = connection_with(messages.query(b"kept"))
         connection.drop_excess()
         connection.receive_data(messages.query(b"excess") + data + messages.query(b"behind it"))
